--- /dev/null
+++ b/jest.config.js
@@ -0,0 +1,7 @@
+module.exports = {
+  testMatch: ['<rootDir>/packages/*/test/**/*.test.ts'],
+  transform: { '^.+\\.ts$': ['ts-jest', { tsconfig: '<rootDir>/tsconfig.test.json' }] },
+  moduleNameMapper: { '^@pomeloroad/([a-z]+)$': '<rootDir>/packages/$1/src' },
+  testTimeout: 60_000,
+  maxWorkers: 4,
+};
--- /dev/null
+++ b/packages/budgets/src/audit.ts
@@ -0,0 +1,172 @@
+import { Err, Ok } from 'ts-results';
+import type { Outcome, Tokens } from '@pomeloroad/core';
+import type { ObjectStore, Row, Table } from '@pomeloroad/platform';
+import {
+  getUnallocated,
+  LedgerPrefix,
+  parseBudget,
+  parseGrant,
+  parseTopUp,
+} from './rows';
+import { parseSegment, SEGMENT_PREFIX } from './settlement';
+import type { BudgetRow, GrantRow, SettledRecord } from './types';
+
+/** A place where the stored rows do not add up. */
+export interface AuditFault {
+  /** Key of the row. */
+  key: string;
+  message: string;
+}
+
+/** The account of one budget. */
+export interface BudgetAccount {
+  budget: string;
+  toppedUp: Tokens;
+  /** Tokens of settled usage records. */
+  billed: Tokens;
+  /** Tokens charged without a record, since a grant's holder was lost. */
+  writtenOff: Tokens;
+  /** Unspent tokens in open grants. */
+  held: Tokens;
+  unallocated: Tokens;
+}
+
+/** What the stored rows say about every token. */
+export interface Audit {
+  accounts: BudgetAccount[];
+  /** Records that count towards the bill, each once. */
+  records: SettledRecord[];
+  faults: AuditFault[];
+}
+
+interface LedgerRows {
+  budgets: Map<string, BudgetRow>;
+  topUps: Row[];
+  grants: Map<string, GrantRow>;
+}
+
+/** Reads the whole ledger and checks that it accounts for each token. */
+export async function auditLedger(
+  table: Table,
+  objects: ObjectStore,
+): Promise<Outcome<Audit, { message: string }>> {
+  const rows = await readRows(table);
+  if (rows.err) return rows;
+  const stored = await readRecords(objects);
+  if (stored.err) return stored;
+  const { records, faults: recordFaults } = selectRecords(rows.val, stored.val);
+  const faults = [...recordFaults, ...checkBudgets(rows.val), ...checkBills(records)];
+  return Ok({ accounts: summarize(rows.val), records, faults });
+}
+
+async function readRows(table: Table): Promise<Outcome<LedgerRows, { message: string }>> {
+  const prefixes = Object.values(LedgerPrefix);
+  const scans = await Promise.all(prefixes.map((prefix) => table.scan(prefix)));
+  const [budgets, topUps, open, closed] = scans;
+  if (!budgets?.ok || !topUps?.ok || !open?.ok || !closed?.ok) {
+    return Err({ message: 'the table service does not answer' });
+  }
+  const grants = [
+    ...open.val.map((row) => [row.key.slice(LedgerPrefix.grant.length), parseGrant(row)] as const),
+    ...closed.val.map((r) => [r.key.slice(LedgerPrefix.closed.length), parseGrant(r)] as const),
+  ];
+  const named = budgets.val.map(
+    (row) => [row.key.slice(LedgerPrefix.budget.length), parseBudget(row)] as const,
+  );
+  return Ok({ budgets: new Map(named), topUps: topUps.val, grants: new Map(grants) });
+}
+
+async function readRecords(
+  objects: ObjectStore,
+): Promise<Outcome<SettledRecord[], { message: string }>> {
+  const names = await objects.list(SEGMENT_PREFIX);
+  if (names.err) return names;
+  const records: SettledRecord[] = [];
+  for (const name of names.val) {
+    const segment = await objects.get(name);
+    if (segment.err) return segment;
+    records.push(...parseSegment(segment.val ?? ''));
+  }
+  return Ok(records);
+}
+
+// A record counts if its grant's row reaches it. A segment may be stored twice: each counts once.
+function selectRecords({ grants }: LedgerRows, stored: SettledRecord[]) {
+  const byGrant = new Map<string, Map<number, SettledRecord>>();
+  stored.forEach((record) => {
+    const sequence = grants.get(record.grant)?.sequence ?? 0;
+    if (record.ordinal > sequence) return;
+    const records = byGrant.get(record.grant) ?? new Map<number, SettledRecord>();
+    records.set(record.ordinal, record);
+    byGrant.set(record.grant, records);
+  });
+  const faults: AuditFault[] = [];
+  grants.forEach((grant, id) => {
+    const records = [...(byGrant.get(id)?.values() ?? [])];
+    const tokens = records.reduce((sum, record) => sum + record.tokens, 0);
+    const key = `${LedgerPrefix.grant}${id}`;
+    if (records.length !== grant.sequence) {
+      faults.push({ key, message: `${records.length} records stored of ${grant.sequence}` });
+    } else if (tokens !== grant.spent) {
+      faults.push({ key, message: `records add up to ${tokens}, the row says ${grant.spent}` });
+    }
+  });
+  const records = [...byGrant.values()].flatMap((entries) => [...entries.values()]);
+  return { records, faults };
+}
+
+function checkBudgets({ budgets, topUps, grants }: LedgerRows): AuditFault[] {
+  const faults: AuditFault[] = [];
+  budgets.forEach((row, budget) => {
+    const report = (message: string) => faults.push({ key: LedgerPrefix.budget + budget, message });
+    const own = [...grants].filter(([, grant]) => grant.budget === budget);
+    const toppedUp = topUps
+      .filter((topUp) => isTopUpOf(topUp, budget))
+      .reduce((sum, topUp) => sum + parseTopUp(topUp).tokens, 0);
+    if (toppedUp !== row.toppedUp) report(`top-ups add up to ${toppedUp}, not ${row.toppedUp}`);
+    const closed = own
+      .filter(([, grant]) => grant.state === 'closed')
+      .reduce((sum, [, grant]) => sum + grant.spent + grant.writtenOff, 0);
+    if (closed !== row.closedSpent) report(`closed grants spent ${closed}, not ${row.closedSpent}`);
+    own.forEach(([id, grant]) => {
+      const size = grant.state === 'open' ? grant.size : undefined;
+      if (row.open[id] !== size) report(`grant ${id} is listed with ${row.open[id]}, not ${size}`);
+      if (grant.spent > grant.size) report(`grant ${id} is spent beyond its size`);
+    });
+    if (Object.keys(row.open).some((id) => !grants.has(id))) report('a listed grant has no row');
+  });
+  return faults;
+}
+
+function isTopUpOf(row: Row, budget: string): boolean {
+  const name = row.key.slice(LedgerPrefix.topUp.length);
+  return name.slice(0, name.lastIndexOf('/')) === budget;
+}
+
+function checkBills(records: SettledRecord[]): AuditFault[] {
+  const seen = new Map<string, SettledRecord>();
+  return records.flatMap((record) => {
+    const other = seen.get(record.request);
+    seen.set(record.request, record);
+    if (!other) return [];
+    const key = `${LedgerPrefix.grant}${record.grant}`;
+    return [{ key, message: `request ${record.request} is billed twice` }];
+  });
+}
+
+function summarize({ budgets, grants }: LedgerRows): BudgetAccount[] {
+  return [...budgets].map(([budget, row]) => {
+    const own = [...grants.values()].filter((grant) => grant.budget === budget);
+    const open = own.filter((grant) => grant.state === 'open');
+    const sum = (parts: GrantRow[], read: (grant: GrantRow) => Tokens) =>
+      parts.reduce((total, grant) => total + read(grant), 0);
+    return {
+      budget,
+      toppedUp: row.toppedUp,
+      billed: sum(own, (grant) => grant.spent),
+      writtenOff: sum(own, (grant) => grant.writtenOff),
+      held: sum(open, (grant) => grant.size - grant.spent),
+      unallocated: getUnallocated(row),
+    };
+  });
+}
--- /dev/null
+++ b/packages/budgets/src/keeper.ts
@@ -0,0 +1,349 @@
+import { Err, Ok } from 'ts-results';
+import { createCondition, createId, Diagnostics, withTimeout } from '@pomeloroad/core';
+import type { Clock, Identity, Log, Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
+import {
+  addReservation,
+  adoptGrant,
+  createHolding,
+  endReservation,
+  getFree,
+} from './holding';
+import type { Reservation } from './holding';
+import type { Ledger, Sizer } from './ledger';
+import { createRateMeter } from './rate';
+import { getGrowth, getIdleLimit } from './sizing';
+import type { GrantPolicy } from './sizing';
+import type {
+  BudgetRow,
+  Grant,
+  LedgerError,
+  Placement,
+  ReservationError,
+  ReservationRequest,
+  SettledRecord,
+  UsageRecord,
+} from './types';
+
+const RATE_CONSTANT_MS = 60_000;
+const FIRST_WAIT_MS = 25;
+const LAST_WAIT_MS = 400;
+
+/** What a keeper needs from its surroundings. */
+export interface KeeperHost {
+  clock: Clock;
+  log: Log;
+  self: Identity;
+  ledger: Ledger;
+  policy: GrantPolicy;
+  /** How many data centres draw on the budgets. */
+  getDataCentres(): number;
+  /** Asks the other holders for unused tokens; resolves to what they hold after that. */
+  recall(budget: string, others: string[], tokens: Tokens): Promise<RecallSummary>;
+}
+
+/** What the other holders of a budget returned, and what may still come free. */
+export interface RecallSummary {
+  released: Tokens;
+  /** Tokens that are reserved or held out of reach. */
+  pending: Tokens;
+}
+
+/** Holds one data centre's open grant of one budget. */
+export interface Keeper {
+  reserve(request: ReservationRequest): Promise<Outcome<void, ReservationError>>;
+  /** Ends a reservation; a repeat or an unknown one changes nothing. */
+  settle(reservation: string, record: UsageRecord | undefined): void;
+  /** Notes where a request is about to run; `false` if the reservation is not held here. */
+  place(reservation: string, placement: Placement): boolean;
+  adopt(reservation: string, owner: Identity): boolean;
+  /** Returns unused tokens to the budget; while requests wait here, only if made to yield. */
+  release(mustYield: boolean): Promise<Tokens>;
+  /** Returns idle tokens above what the recent rate calls for. */
+  trim(): Promise<void>;
+  reservations(): Reservation[];
+  unsettled(): SettledRecord[];
+  /** Moves the grant's row forward over the records up to this ordinal, which are stored now. */
+  settleRow(grant: string, sequence: number): Promise<void>;
+  /** Closes the grant if nothing is reserved; whether it is closed now. */
+  close(): Promise<boolean>;
+  describe(): KeeperStatus;
+}
+
+/** A keeper as the dump shows it. */
+export interface KeeperStatus {
+  budget: string;
+  grant: string;
+  size: Tokens;
+  spent: Tokens;
+  reserved: Tokens;
+  free: Tokens;
+  reservations: number;
+  unsettled: number;
+  waiting: number;
+  rate: number;
+}
+
+interface Waiter {
+  request: ReservationRequest;
+  deadline: Milliseconds;
+  resolve(outcome: Outcome<void, ReservationError>): void;
+}
+
+/** Creates the keeper of a budget; it opens a grant with the first reservation. */
+export function createKeeper(host: KeeperHost, budget: string): Keeper {
+  const { clock, log, ledger, policy, self } = host;
+  const rate = createRateMeter(clock, RATE_CONSTANT_MS);
+  const changed = createCondition();
+  let holding = createHolding(createGrant(self, budget));
+  let waiters: Waiter[] = [];
+  let isRefilling = false;
+  let typical = 0;
+  let tableTask: Promise<unknown> = Promise.resolve();
+
+  // One table operation at a time: the grant's row has a single writer.
+  function exclusively<T>(step: () => Promise<T>): Promise<T> {
+    const result = tableTask.then(step);
+    tableTask = result;
+    return result;
+  }
+
+  async function refill(): Promise<void> {
+    if (isRefilling) return;
+    isRefilling = true;
+    let wait = FIRST_WAIT_MS;
+    while (waiters.length > 0) {
+      await refillOnce();
+      if (waiters.length > 0) await withTimeout(clock, wait, changed.wait(), undefined);
+      wait = Math.min(wait * 2, LAST_WAIT_MS);
+    }
+    isRefilling = false;
+  }
+
+  async function refillOnce(): Promise<void> {
+    const grown = await grow();
+    serveWaiters();
+    if (grown.err) {
+      refuseExpired({ kind: 'unreachable', message: 'the table service does not answer' });
+      return;
+    }
+    if (waiters.length === 0) return;
+    const remaining = await recallOthers();
+    serveWaiters();
+    refuseHopeless(remaining);
+    refuseExpired({ kind: 'exhausted', remaining });
+  }
+
+  async function recallOthers(): Promise<Tokens> {
+    const row = await ledger.readBudget(budget);
+    if (row.err) return Infinity;
+    const others = Object.keys(row.val.open).filter((id) => id !== holding.grant.id);
+    const summary = await host.recall(budget, others, getShortage());
+    if (summary.released > 0) {
+      await grow();
+      return Infinity;
+    }
+    return getOwnPart() + summary.pending + getUnallocatedOf(row.val);
+  }
+
+  function getOwnPart(): Tokens {
+    return getFree(holding) + holding.reserved;
+  }
+
+  function getShortage(): Tokens {
+    const wanted = waiters.reduce((sum, waiter) => sum + waiter.request.tokens, 0);
+    return Math.max(0, wanted - getFree(holding));
+  }
+
+  function grow(): Promise<Outcome<Grant, LedgerError>> {
+    return exclusively(async () => {
+      const row = await ledger.readBudget(budget);
+      if (row.err) return row;
+      const outcome = await ledger.resize(holding.grant, growBy(row.val), holding.isUncertain);
+      takeOutcome(outcome);
+      return outcome;
+    });
+  }
+
+  function growBy(row: BudgetRow): Sizer {
+    return (unallocated, size) => {
+      const needed = getShortage();
+      const demand = {
+        needed,
+        unallocated,
+        size,
+        toppedUp: row.toppedUp,
+        rate: rate.perSecond(),
+        dataCentres: host.getDataCentres(),
+      };
+      return size + getGrowth(policy, demand);
+    };
+  }
+
+  function takeOutcome(outcome: Outcome<Grant, LedgerError>): void {
+    if (outcome.ok) {
+      const { version, row } = outcome.val;
+      if (holding.grant.version === 0 && version > 0) logGrant(Diagnostics.grantOpened, row.size);
+      else if (row.size !== holding.grant.row.size) logGrant(Diagnostics.grantResized, row.size);
+      adoptGrant(holding, outcome.val);
+      return;
+    }
+    if (outcome.val.kind === 'sealed') abandon();
+    else holding.isUncertain = true;
+  }
+
+  // Another instance took this one for dead and charged the grant: nothing more may be spent of it.
+  function abandon(): void {
+    holding.isSealed = true;
+    logGrant(Diagnostics.grantAdopted, holding.grant.row.size);
+    holding = createHolding(createGrant(self, budget));
+  }
+
+  function logGrant(event: (typeof Diagnostics)[keyof typeof Diagnostics], size: Tokens): void {
+    log(event, { budget, grant: holding.grant.id, size, spent: holding.spent });
+  }
+
+  function serveWaiters(): void {
+    waiters = waiters.filter((waiter) => {
+      if (getFree(holding) < waiter.request.tokens) return true;
+      addReservation(holding, waiter.request, clock.elapsed());
+      waiter.resolve(Ok.EMPTY);
+      return false;
+    });
+  }
+
+  function refuseHopeless(remaining: Tokens): void {
+    refuseIf((waiter) => waiter.request.tokens > remaining, { kind: 'exhausted', remaining });
+  }
+
+  function refuseExpired(error: ReservationError): void {
+    refuseIf((waiter) => clock.elapsed() >= waiter.deadline, error);
+  }
+
+  function refuseIf(test: (waiter: Waiter) => boolean, error: ReservationError): void {
+    const refused = waiters.filter(test);
+    waiters = waiters.filter((waiter) => !refused.includes(waiter));
+    refused.forEach((waiter) => waiter.resolve(Err(error)));
+  }
+
+  async function shrinkTo(getKept: () => Tokens): Promise<Tokens> {
+    return exclusively(async () => {
+      const before = holding;
+      const kept = Math.max(getKept(), before.spent + before.reserved);
+      const released = before.limit - kept;
+      if (released <= 0 || before.grant.version === 0) return 0;
+      // The tokens are out of use from here on, whatever becomes of the write.
+      before.limit = kept;
+      const outcome = await ledger.resize(before.grant, () => kept, before.isUncertain);
+      takeOutcome(outcome);
+      return outcome.ok ? released : 0;
+    });
+  }
+
+  return {
+    async reserve(request) {
+      typical = Math.max(typical * 0.9, request.tokens);
+      if (holding.reservations.has(request.id)) return Ok.EMPTY;
+      if (waiters.length === 0 && getFree(holding) >= request.tokens) {
+        addReservation(holding, request, clock.elapsed());
+        return Ok.EMPTY;
+      }
+      const deadline = clock.elapsed() + request.patience;
+      return new Promise((resolve) => {
+        waiters.push({ request, deadline, resolve });
+        changed.notify();
+        refill();
+      });
+    },
+    settle(reservation, record) {
+      rate.add(record?.tokens ?? 0);
+      endReservation(holding, reservation, record);
+      serveWaiters();
+      changed.notify();
+    },
+    place(reservation, placement) {
+      const held = holding.reservations.get(reservation);
+      held?.placements.push(placement);
+      return held !== undefined;
+    },
+    adopt(reservation, owner) {
+      const held = holding.reservations.get(reservation);
+      if (held) held.owner = owner;
+      return held !== undefined;
+    },
+    release: (mustYield) =>
+      waiters.length > 0 && !mustYield ? Promise.resolve(0) : shrinkTo(() => 0),
+    async trim() {
+      const limit = getIdleLimit(policy, rate.perSecond(), typical);
+      if (waiters.length > 0 || getFree(holding) <= limit) return;
+      await shrinkTo(() => holding.spent + holding.reserved + Math.ceil(limit / 2));
+    },
+    reservations: () => [...holding.reservations.values()],
+    unsettled: () => holding.unsettled,
+    settleRow: (grant, sequence) =>
+      exclusively(async () => {
+        if (holding.grant.id !== grant) return;
+        const records = holding.unsettled.filter((record) => record.ordinal <= sequence);
+        const spent = records.reduce((sum, r) => sum + r.tokens, holding.grant.row.spent);
+        const outcome = await ledger.settle(holding.grant, spent, sequence);
+        if (outcome.ok) adoptSettled(outcome.val);
+        else if (outcome.val.kind === 'sealed') abandon();
+      }),
+    close: () =>
+      exclusively(async () => {
+        if (holding.reservations.size > 0 || holding.unsettled.length > 0) return false;
+        if (holding.grant.version === 0 && !holding.isUncertain) return true;
+        const { grant, spent, sequence } = holding;
+        holding.limit = spent;
+        const outcome = await ledger.close(grant, spent, sequence);
+        if (outcome.err && outcome.val.kind !== 'sealed') {
+          holding.isUncertain = true;
+          return false;
+        }
+        logGrant(Diagnostics.grantClosed, spent);
+        holding = createHolding(createGrant(self, budget));
+        return true;
+      }),
+    describe: () => ({
+      budget,
+      grant: holding.grant.id,
+      size: holding.grant.row.size,
+      spent: holding.spent,
+      reserved: holding.reserved,
+      free: getFree(holding),
+      reservations: holding.reservations.size,
+      unsettled: holding.unsettled.length,
+      waiting: waiters.length,
+      rate: Math.round(rate.perSecond()),
+    }),
+  };
+
+  function adoptSettled(grant: Grant): void {
+    const { limit, isUncertain } = holding;
+    adoptGrant(holding, grant);
+    // A reduction that may still take effect stays in force.
+    holding.limit = Math.min(limit, grant.row.size);
+    holding.isUncertain = isUncertain;
+  }
+}
+
+function getUnallocatedOf(row: BudgetRow): Tokens {
+  const open = Object.values(row.open).reduce((sum, size) => sum + size, 0);
+  return row.toppedUp - row.closedSpent - open;
+}
+
+function createGrant(self: Identity, budget: string): Grant {
+  const id = `${self.dataCentre}/${self.instance}/${self.incarnation}/${budget}/${createId()}`;
+  return {
+    id,
+    version: 0,
+    row: {
+      budget,
+      holder: self,
+      size: 0,
+      spent: 0,
+      sequence: 0,
+      state: 'open',
+      writtenOff: 0,
+    },
+  };
+}
--- /dev/null
+++ b/packages/budgets/src/ledger.ts
@@ -0,0 +1,253 @@
+import { Err, Ok } from 'ts-results';
+import { assert } from '@pomeloroad/core';
+import type { Clock, Outcome, Tokens } from '@pomeloroad/core';
+import type { Row, Table, Transaction } from '@pomeloroad/platform';
+import {
+  getBudgetKey,
+  getClosedKey,
+  getGrantKey,
+  getTopUpKey,
+  getUnallocated,
+  parseBudget,
+  parseGrant,
+  parseTopUp,
+} from './rows';
+import type { BudgetRow, Grant, GrantRow, LedgerError } from './types';
+
+const ATTEMPTS = 12;
+
+/** What the ledger needs from its surroundings. */
+export interface LedgerHost {
+  clock: Clock;
+  table: Table;
+}
+
+/** Chooses a grant's new size, given what belongs to no grant. */
+export type Sizer = (unallocated: Tokens, size: Tokens) => Tokens;
+
+/** Budgets and grants in the table. Each operation is one transaction and safe to repeat. */
+export interface Ledger {
+  topUp(budget: string, id: string, tokens: Tokens): Promise<Outcome<TopUpEffect, LedgerError>>;
+  readBudget(budget: string): Promise<Outcome<BudgetRow, LedgerError>>;
+  /**
+   * Opens or resizes a grant. With `mustWrite` the row is written even if its size stays, which
+   * rules out that an earlier write without an answer still takes effect.
+   */
+  resize(grant: Grant, sizer: Sizer, mustWrite: boolean): Promise<Outcome<Grant, LedgerError>>;
+  /** Writes the grant's spent and sequence, only forward. */
+  settle(grant: Grant, spent: Tokens, sequence: number): Promise<Outcome<Grant, LedgerError>>;
+  /** Closes a grant at what it spent; the rest returns to the budget. */
+  close(grant: Grant, spent: Tokens, sequence: number): Promise<Outcome<Grant, LedgerError>>;
+  /** Closes the grant of a lost holder and charges the given part of it, at least what it spent. */
+  seal(grant: Grant, charge: (row: GrantRow) => Tokens): Promise<Outcome<Grant, LedgerError>>;
+}
+
+/** Whether a top-up added tokens or was known already. */
+export type TopUpEffect = 'added' | 'repeated';
+
+type Step<T> = { kind: 'done'; value: T } | { kind: 'commit'; transaction: Transaction; value: T };
+type Planned<T> = Outcome<Step<T>, LedgerError>;
+
+/** Creates a ledger over the table. */
+export function createLedger(host: LedgerHost): Ledger {
+  const { clock, table } = host;
+
+  // Each round reads the rows afresh, so a write whose answer was lost is seen, not repeated.
+  // `mustWrite` tells the plan that an earlier write may still arrive late: only a commit that
+  // raises the rows' versions rules that out.
+  async function transact<T>(
+    keys: string[],
+    plan: (rows: Map<string, Row>, mustWrite: boolean) => Planned<T>,
+    isUncertain = false,
+  ): Promise<Outcome<T, LedgerError>> {
+    let mustWrite = isUncertain;
+    for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+      const read = await table.read(keys);
+      if (read.err) return read;
+      const planned = plan(new Map(read.val.map((row) => [row.key, row])), mustWrite);
+      if (planned.err) return planned;
+      const step = planned.val;
+      if (step.kind === 'done') return Ok(step.value);
+      const outcome = await table.commit(step.transaction);
+      if (outcome.ok) return Ok(step.value);
+      if (outcome.val.kind === 'unavailable') return Err(outcome.val);
+      mustWrite = mustWrite || outcome.val.kind === 'unknown';
+    }
+    return Err({ kind: 'unavailable', message: 'too many conflicts' });
+  }
+
+  function planTopUp(budget: string, id: string, tokens: Tokens, rows: Map<string, Row>) {
+    const budgetKey = getBudgetKey(budget);
+    const topUpKey = getTopUpKey(budget, id);
+    const known = rows.get(topUpKey);
+    if (known) return planRepeatedTopUp(id, tokens, parseTopUp(known).tokens);
+    const row = parseBudget(rows.get(budgetKey));
+    return commitStep<TopUpEffect>('added', {
+      checks: [checkOf(budgetKey, rows), { key: topUpKey, version: 0 }],
+      writes: [
+        { key: budgetKey, value: { ...row, toppedUp: row.toppedUp + tokens } },
+        { key: topUpKey, value: { tokens, at: clock.now().toISOString() } },
+      ],
+    });
+  }
+
+  return {
+    topUp: (budget, id, tokens) =>
+      transact([getBudgetKey(budget), getTopUpKey(budget, id)], (rows) =>
+        planTopUp(budget, id, tokens, rows),
+      ),
+    async readBudget(budget) {
+      const read = await table.read([getBudgetKey(budget)]);
+      return read.map((rows) => parseBudget(rows[0]));
+    },
+    resize: (grant, sizer, isUncertain) =>
+      transact(
+        getKeys(grant),
+        (rows, mustWrite) => planResize(grant, sizer, rows, mustWrite),
+        isUncertain,
+      ),
+    settle: (grant, spent, sequence) =>
+      transact([getGrantKey(grant.id), getClosedKey(grant.id)], (rows) =>
+        planSettle(grant, spent, sequence, rows),
+      ),
+    close: (grant, spent, sequence) =>
+      transact(getKeys(grant), (rows) => planClose(grant, spent, sequence, rows)),
+    seal: (grant, charge) =>
+      transact(getKeys(grant), (rows) => planSeal(grant, charge, rows)),
+  };
+}
+
+function planRepeatedTopUp(id: string, tokens: Tokens, known: Tokens): Planned<TopUpEffect> {
+  if (known === tokens) return Ok({ kind: 'done', value: 'repeated' });
+  const message = `top-up ${id} exists with ${known} tokens`;
+  return Err({ kind: 'mismatch', message });
+}
+
+function planResize(
+  grant: Grant,
+  sizer: Sizer,
+  rows: Map<string, Row>,
+  mustWrite: boolean,
+): Planned<Grant> {
+  const current = readGrant(grant, rows);
+  if (current.err) return current;
+  const { row } = current.val;
+  const budget = parseBudget(rows.get(getBudgetKey(row.budget)));
+  const size = sizer(getUnallocated(budget), current.val.version === 0 ? 0 : row.size);
+  if (current.val.version === 0 && size === 0 && !mustWrite) return doneStep(grant);
+  if (current.val.version > 0 && size === row.size && !mustWrite) return doneStep(current.val);
+  const open = { ...budget.open, [grant.id]: size };
+  return planWrite(current.val, { ...row, size }, { ...budget, open }, rows);
+}
+
+function planSettle(
+  grant: Grant,
+  spent: Tokens,
+  sequence: number,
+  rows: Map<string, Row>,
+): Planned<Grant> {
+  const current = readGrant(grant, rows);
+  if (current.err) return current;
+  const { row, version } = current.val;
+  assert(spent <= row.size, 'a grant is spent beyond its size');
+  if (row.sequence >= sequence) return doneStep(current.val);
+  const next: Grant = { id: grant.id, version: version + 1, row: { ...row, spent, sequence } };
+  const key = getGrantKey(grant.id);
+  return commitStep(next, { checks: [{ key, version }], writes: [{ key, value: next.row }] });
+}
+
+function planClose(
+  grant: Grant,
+  spent: Tokens,
+  sequence: number,
+  rows: Map<string, Row>,
+): Planned<Grant> {
+  const current = readGrant(grant, rows);
+  if (current.err) return current;
+  const { row } = current.val;
+  assert(spent <= row.size, 'a grant is closed beyond its size');
+  return planClosing(current.val, { ...row, spent, sequence }, rows);
+}
+
+function planSeal(
+  grant: Grant,
+  charge: (row: GrantRow) => Tokens,
+  rows: Map<string, Row>,
+): Planned<Grant> {
+  const current = readGrant(grant, rows);
+  if (current.err) return current;
+  const { row } = current.val;
+  const charged = Math.min(row.size, Math.max(row.spent, charge(row)));
+  return planClosing(current.val, { ...row, writtenOff: charged - row.spent }, rows);
+}
+
+// The row moves out of the open grants, so that these can be listed however many were closed.
+function planClosing(grant: Grant, row: GrantRow, rows: Map<string, Row>): Planned<Grant> {
+  const closed: GrantRow = { ...row, state: 'closed' };
+  const budget = parseBudget(rows.get(getBudgetKey(row.budget)));
+  const charged = chargeBudget(budget, grant.id, closed.spent + closed.writtenOff);
+  const budgetKey = getBudgetKey(row.budget);
+  const grantKey = getGrantKey(grant.id);
+  return commitStep<Grant>(
+    { id: grant.id, version: grant.version + 1, row: closed },
+    {
+      checks: [checkOf(budgetKey, rows), { key: grantKey, version: grant.version }],
+      writes: [
+        { key: budgetKey, value: charged },
+        { key: grantKey, value: undefined },
+        { key: getClosedKey(grant.id), value: closed },
+      ],
+    },
+  );
+}
+
+function chargeBudget(budget: BudgetRow, grantId: string, spent: Tokens): BudgetRow {
+  const open = { ...budget.open };
+  delete open[grantId];
+  return { ...budget, open, closedSpent: budget.closedSpent + spent };
+}
+
+function planWrite(
+  grant: Grant,
+  row: GrantRow,
+  budget: BudgetRow,
+  rows: Map<string, Row>,
+): Planned<Grant> {
+  assert(getUnallocated(budget) >= 0, 'a grant would exceed its budget');
+  const budgetKey = getBudgetKey(row.budget);
+  const grantKey = getGrantKey(grant.id);
+  return commitStep<Grant>(
+    { id: grant.id, version: grant.version + 1, row },
+    {
+      checks: [checkOf(budgetKey, rows), { key: grantKey, version: grant.version }],
+      writes: [
+        { key: budgetKey, value: budget },
+        { key: grantKey, value: row },
+      ],
+    },
+  );
+}
+
+// Only the holder resizes and settles its grant, so the stored row is its own last word.
+function readGrant(grant: Grant, rows: Map<string, Row>): Outcome<Grant, LedgerError> {
+  if (rows.has(getClosedKey(grant.id))) return Err({ kind: 'sealed' });
+  const stored = rows.get(getGrantKey(grant.id));
+  if (!stored) return Ok({ ...grant, version: 0 });
+  return Ok({ id: grant.id, version: stored.version, row: parseGrant(stored) });
+}
+
+function getKeys(grant: Grant): string[] {
+  return [getBudgetKey(grant.row.budget), getGrantKey(grant.id), getClosedKey(grant.id)];
+}
+
+function checkOf(key: string, rows: Map<string, Row>) {
+  return { key, version: rows.get(key)?.version ?? 0 };
+}
+
+function doneStep<T>(value: T): Planned<T> {
+  return Ok({ kind: 'done', value });
+}
+
+function commitStep<T>(value: T, transaction: Transaction): Planned<T> {
+  return Ok({ kind: 'commit', transaction, value });
+}
--- /dev/null
+++ b/packages/budgets/src/rows.ts
@@ -0,0 +1,80 @@
+import { z } from 'zod';
+import { assert } from '@pomeloroad/core';
+import type { Row } from '@pomeloroad/platform';
+import type { BudgetRow, GrantRow, TopUpRow } from './types';
+
+const Count = z.number().int().nonnegative();
+
+const BudgetSchema: z.ZodType<BudgetRow> = z.object({
+  toppedUp: Count,
+  closedSpent: Count,
+  open: z.record(z.string(), Count),
+});
+
+const TopUpSchema: z.ZodType<TopUpRow> = z.object({ tokens: Count, at: z.string() });
+
+const GrantSchema: z.ZodType<GrantRow> = z.object({
+  budget: z.string(),
+  holder: z.object({ instance: z.string(), incarnation: z.string(), dataCentre: z.string() }),
+  size: Count,
+  spent: Count,
+  sequence: Count,
+  state: z.enum(['open', 'closed']),
+  writtenOff: Count,
+});
+
+/** Key prefixes of the ledger's rows. */
+export const LedgerPrefix = {
+  budget: 'budget/',
+  topUp: 'topup/',
+  grant: 'grant/',
+  closed: 'closed/',
+} as const;
+
+/** The key of a budget's row. */
+export function getBudgetKey(budget: string): string {
+  return `${LedgerPrefix.budget}${budget}`;
+}
+
+/** The key of a top-up's row. */
+export function getTopUpKey(budget: string, id: string): string {
+  return `${LedgerPrefix.topUp}${budget}/${id}`;
+}
+
+/** The key of an open grant's row. */
+export function getGrantKey(id: string): string {
+  return `${LedgerPrefix.grant}${id}`;
+}
+
+/** The key of a closed grant's row. */
+export function getClosedKey(id: string): string {
+  return `${LedgerPrefix.closed}${id}`;
+}
+
+/** The prefix of the keys of a data centre's open grants. */
+export function getGrantPrefix(dataCentre: string): string {
+  return `${LedgerPrefix.grant}${dataCentre}/`;
+}
+
+/** Reads a budget's row; a missing one is an empty budget. */
+export function parseBudget(row: Row | undefined): BudgetRow {
+  return row ? BudgetSchema.parse(row.value) : { toppedUp: 0, closedSpent: 0, open: {} };
+}
+
+/** Reads a grant's row. */
+export function parseGrant(row: Row): GrantRow {
+  return GrantSchema.parse(row.value);
+}
+
+/** Reads a top-up's row. */
+export function parseTopUp(row: Row): TopUpRow {
+  return TopUpSchema.parse(row.value);
+}
+
+/** Tokens that belong to no grant. */
+export function getUnallocated(budget: BudgetRow): number {
+  const open = Object.values(budget.open).reduce((sum, size) => sum + size, 0);
+  const unallocated = budget.toppedUp - budget.closedSpent - open;
+  assert(unallocated >= 0, 'a budget is allocated beyond its top-ups');
+  return unallocated;
+}
--- /dev/null
+++ b/packages/configuration/src/diff.ts
@@ -0,0 +1,36 @@
+import { isDeepStrictEqual } from 'node:util';
+import type { Configuration } from './types';
+
+/** One difference between two configurations. */
+export interface Change {
+  kind: 'added' | 'removed' | 'changed';
+  /** What it concerns: `endpoints/tacoma-1`. */
+  path: string;
+}
+
+/** Lists what the next configuration adds, removes and changes. */
+export function diffConfigurations(old: Configuration, next: Configuration): Change[] {
+  return [
+    ...diffParts('accounts', old.accounts, next.accounts, (account) => account.name),
+    ...diffParts('pools', old.pools, next.pools, (pool) => pool.model),
+    ...diffParts('services', old.services, next.services, (service) => service.name),
+    ...diffParts('endpoints', old.endpoints, next.endpoints, (endpoint) => endpoint.name),
+  ];
+}
+
+function diffParts<T>(section: string, old: T[], next: T[], getName: (part: T) => string): Change[] {
+  const before = new Map(old.map((part) => [getName(part), part]));
+  const after = new Map(next.map((part) => [getName(part), part]));
+  const removed = [...before.keys()].filter((name) => !after.has(name));
+  const added = [...after.keys()].filter((name) => !before.has(name));
+  const changed = [...after.keys()].filter(
+    (name) => before.has(name) && !isDeepStrictEqual(before.get(name), after.get(name)),
+  );
+  const toChanges = (kind: Change['kind'], names: string[]): Change[] =>
+    names.map((name) => ({ kind, path: `${section}/${name}` }));
+  return [
+    ...toChanges('removed', removed),
+    ...toChanges('added', added),
+    ...toChanges('changed', changed),
+  ];
+}
--- /dev/null
+++ b/packages/configuration/src/parse.ts
@@ -0,0 +1,57 @@
+import { Err, Ok } from 'ts-results';
+import { isNode, LineCounter, parseDocument } from 'yaml';
+import type { Document } from 'yaml';
+import type { z } from 'zod';
+import type { Outcome } from '@pomeloroad/core';
+import { checkReferences } from './references';
+import { ConfigurationSchema } from './schema';
+import type { Configuration, Fault } from './types';
+
+type Path = readonly PropertyKey[];
+
+/** Reads a configuration file; every fault is reported at once, each with its place. */
+export function parseConfiguration(text: string): Outcome<Configuration, Fault[]> {
+  const lines = new LineCounter();
+  const document = parseDocument(text, { lineCounter: lines, prettyErrors: false });
+  if (document.errors.length > 0) {
+    return Err(document.errors.map((error) => faultAt(lines, error.pos[0], '', error.message)));
+  }
+  const place = (path: Path, message: string) =>
+    faultAt(lines, findOffset(document, path), formatPath(path), message);
+  const parsed = ConfigurationSchema.safeParse(document.toJS() ?? {});
+  if (!parsed.success) return Err(parsed.error.issues.flatMap((issue) => toFaults(issue, place)));
+  const faults = checkReferences(parsed.data).map(({ path, message }) => place(path, message));
+  return faults.length > 0 ? Err(faults) : Ok(parsed.data);
+}
+
+type Place = (path: Path, message: string) => Fault;
+
+function toFaults(issue: z.core.$ZodIssue, place: Place): Fault[] {
+  if (issue.code !== 'unrecognized_keys') return [place(issue.path, issue.message)];
+  return issue.keys.map((key) => place([...issue.path, key], `unknown setting "${key}"`));
+}
+
+function faultAt(lines: LineCounter, offset: number, path: string, message: string): Fault {
+  const { line, col } = lines.linePos(offset);
+  return { line, column: col, path, message };
+}
+
+// A missing value has no place of its own: the nearest one above it is named instead.
+function findOffset(document: Document, path: Path): number {
+  for (let length = path.length; length > 0; length -= 1) {
+    const node = document.getIn(path.slice(0, length).map(toKey), true);
+    if (isNode(node) && node.range) return node.range[0];
+  }
+  return 0;
+}
+
+function toKey(key: PropertyKey): PropertyKey {
+  return typeof key === 'string' && /^\d+$/.test(key) ? Number(key) : key;
+}
+
+function formatPath(path: Path): string {
+  return path.reduce<string>((text, key) => {
+    if (/^\d+$/.test(String(key))) return `${text}[${String(key)}]`;
+    return text === '' ? String(key) : `${text}.${String(key)}`;
+  }, '');
+}
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,3 @@
+export * from './client';
+export * from './commands';
+export * from './output';
--- /dev/null
+++ b/packages/core/src/http.ts
@@ -0,0 +1,119 @@
+import http from 'node:http';
+import https from 'node:https';
+import { Err, Ok } from 'ts-results';
+import type { Milliseconds, Outcome, Ran } from './types';
+
+/** A request to another process, answered as a whole. */
+export interface HttpCall {
+  method: string;
+  url: string;
+  headers?: http.OutgoingHttpHeaders;
+  body?: string | Buffer;
+  timeout: Milliseconds;
+  agent?: http.Agent;
+  /** PEM certificate of the authority that signed the server's certificate. */
+  authority?: string;
+}
+
+/** A whole answer. */
+export interface HttpAnswer {
+  status: number;
+  headers: http.IncomingHttpHeaders;
+  body: Buffer;
+}
+
+/** A call without an answer; `ran` is `no` only if nothing was sent. */
+export interface HttpFailure {
+  kind: 'unavailable';
+  ran: Ran;
+  message: string;
+}
+
+/** Sends the call and reads the whole answer. Never throws. */
+export function callHttp(call: HttpCall): Promise<Outcome<HttpAnswer, HttpFailure>> {
+  return new Promise((resolve) => {
+    let connected = false;
+    const fail = (message: string) => {
+      const ran: Ran = connected ? 'unknown' : 'no';
+      resolve(Err({ kind: 'unavailable', ran, message }));
+    };
+    const request = sendRequest(call, (response) => {
+      readBody(response).then(
+        (body) => resolve(Ok({ status: response.statusCode ?? 0, headers: response.headers, body })),
+        (reason: Error) => fail(reason.message),
+      );
+    });
+    const timer = setTimeout(() => request.destroy(new Error('timeout')), call.timeout);
+    onConnected(request, () => {
+      connected = true;
+    });
+    request.on('error', (error) => fail(error.message));
+    request.on('close', () => clearTimeout(timer));
+    request.end(call.body);
+  });
+}
+
+/** Calls back once the request has a connection; before that, nothing of it was sent. */
+export function onConnected(request: http.ClientRequest, callback: () => void): void {
+  request.once('socket', (socket) => {
+    if (socket.connecting) socket.once('connect', callback);
+    else callback();
+  });
+}
+
+function sendRequest(call: HttpCall, listener: (response: http.IncomingMessage) => void) {
+  const { method, headers, agent, authority } = call;
+  if (call.url.startsWith('https:')) {
+    return https.request(call.url, { method, headers, agent, ca: authority }, listener);
+  }
+  return http.request(call.url, { method, headers, agent }, listener);
+}
+
+/** Collects a message's body. Rejects if the message is cut or larger than the limit in bytes. */
+export async function readBody(message: http.IncomingMessage, limit = Infinity): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of message) {
+    size += (chunk as Buffer).length;
+    if (size > limit) throw new RangeError(`body is larger than ${limit} bytes`);
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks);
+}
+
+/** Writes a JSON answer. */
+export function writeJson(
+  response: http.ServerResponse,
+  status: number,
+  body: unknown,
+  headers: http.OutgoingHttpHeaders = {},
+): void {
+  const text = Buffer.from(JSON.stringify(body));
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': text.length,
+    ...headers,
+  });
+  response.end(text);
+}
+
+/** Starts listening on `ip:port`; port 0 takes a free one. Resolves to the address in use. */
+export function listen(server: http.Server, address: string): Promise<string> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      const bound = server.address();
+      const boundPort = typeof bound === 'object' && bound ? bound.port : port;
+      resolve(`${host}:${boundPort}`);
+    });
+  });
+}
+
+/** Splits `ip:port` or `[ip]:port`. */
+export function splitAddress(address: string): { host: string; port: number } {
+  const separator = address.lastIndexOf(':');
+  const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
+  return { host, port: Number(address.slice(separator + 1)) };
+}
--- /dev/null
+++ b/packages/entry/bin/pomeloroad.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+require('../dist/main.js');
--- /dev/null
+++ b/packages/entry/src/chatRun.ts
@@ -0,0 +1,353 @@
+import { Err } from 'ts-results';
+import { match } from 'ts-pattern';
+import { Diagnostics, sleep } from '@pomeloroad/core';
+import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
+import type { HeldReservation, Placement, UsageRecord } from '@pomeloroad/budgets';
+import { createRefusal } from '@pomeloroad/requests';
+import type { Answer, AnswerEnd, Refusal, RunState } from '@pomeloroad/requests';
+import type { RouteRequest, Slot } from '@pomeloroad/routing';
+import { acquireSlot, admitRequest } from './admit';
+import type { ChatRequest } from './chatRequest';
+import { claimName, releaseName } from './claimName';
+import type { EngineCall, EngineError, EngineEvent, EngineSink, StoppedUsage } from './engine';
+import type { RunHost } from './runHost';
+import type { RunRequest } from './runRequest';
+
+const ATTEMPTS = 3;
+const RESUMES = 3;
+const RESUME_DELAY_MS = 200;
+const BACKLOG_EVENTS = 64;
+const STOP_ATTEMPTS = 30;
+const STOP_RETRY_MS = 1000;
+const FAILED_RETRY_MS = 1000;
+
+interface Run {
+  host: RunHost;
+  request: RunRequest;
+  chat: ChatRequest;
+  answer: Answer;
+  signal: AbortSignal;
+}
+
+/** How far a stream has come. */
+interface Progress {
+  deltas: number;
+  lastIndex: number;
+  usage?: Extract<EngineEvent, { kind: 'usage' }>;
+}
+
+type Attempt =
+  | { kind: 'done'; end: AnswerEnd; record: UsageRecord | undefined }
+  /** Nothing ran: another endpoint may be tried. */
+  | { kind: 'not-run'; refusal: Refusal; result: 'ok' | 'failed' };
+
+/** Runs a chat completion to its end and settles its cost. */
+export async function runChat(
+  host: RunHost,
+  request: RunRequest,
+  chat: ChatRequest,
+  answer: Answer,
+  signal: AbortSignal,
+): Promise<AnswerEnd> {
+  const run: Run = { host, request, chat, answer, signal };
+  const route = getRoute(request, chat);
+  const deadline = host.clock.elapsed() + request.patience;
+  const admitted = await admitRequest(host, request, route, chat.promptBound + chat.outputBound);
+  if (admitted.err) return refuse(admitted.val);
+  const { slot, reservation } = admitted.val;
+  if (!reservation) return refuse(createRefusal('invalid_request', 'no', 'The request is empty.'));
+  const claimed = await claimName(host, request);
+  if (claimed.err) {
+    slot.release('ok');
+    reservation.settle(undefined);
+    return refuse(claimed.val);
+  }
+  return runAttempts(run, route, deadline, slot, reservation);
+}
+
+async function runAttempts(
+  run: Run,
+  route: RouteRequest,
+  deadline: Milliseconds,
+  first: Slot,
+  reservation: HeldReservation,
+): Promise<AnswerEnd> {
+  const { host, request } = run;
+  const excluded = new Set<string>();
+  let slot = first;
+  for (let attempt = 1; ; attempt += 1) {
+    const outcome = await runAttempt(run, slot, reservation, attempt);
+    if (outcome.kind === 'done') {
+      slot.release(isEndpointFault(outcome.end) ? 'failed' : 'ok');
+      reservation.settle(outcome.record);
+      if (isNotRun(outcome.end)) await releaseName(host, request);
+      return outcome.end;
+    }
+    slot.release(outcome.result);
+    excluded.add(slot.endpoint.name);
+    host.log(Diagnostics.requestRetried, { request: request.id, endpoint: slot.endpoint.name });
+    const next = attempt < ATTEMPTS ? await acquireNext(run, route, deadline, excluded) : undefined;
+    if (!next) {
+      reservation.settle(undefined);
+      await releaseName(host, request);
+      return refuse(outcome.refusal);
+    }
+    slot = next;
+  }
+}
+
+async function acquireNext(
+  run: Run,
+  route: RouteRequest,
+  deadline: Milliseconds,
+  excluded: ReadonlySet<string>,
+): Promise<Slot | undefined> {
+  if (run.signal.aborted) return undefined;
+  const next = await acquireSlot(run.host, { ...route, excluded }, deadline);
+  return next.ok ? next.val : undefined;
+}
+
+async function runAttempt(
+  run: Run,
+  slot: Slot,
+  reservation: HeldReservation,
+  attempt: number,
+): Promise<Attempt> {
+  const { request, signal } = run;
+  const { name: endpoint, address } = slot.endpoint;
+  const placement: Placement = { endpoint, address, stream: `${request.id}.${attempt}` };
+  if (!(await announcePlacement(run, reservation, placement))) return notRunHere();
+  if (signal.aborted) return { kind: 'done', end: leftBeforeStart(), record: undefined };
+  const call = createCall(run, placement);
+  const progress: Progress = { deltas: 0, lastIndex: -1 };
+  const sink = createSink(run, progress);
+  const outcome = await run.host.engine.run(call, sink);
+  return concludeAttempt(run, reservation, placement, progress, outcome);
+}
+
+async function concludeAttempt(
+  run: Run,
+  reservation: HeldReservation,
+  placement: Placement,
+  progress: Progress,
+  outcome: Outcome<void, EngineError>,
+): Promise<Attempt> {
+  if (outcome.ok) return complete(run, reservation, progress);
+  if (outcome.val.ran === 'no') return toNotRun(outcome.val);
+  const resumed = isTooLong(run, progress)
+    ? outcome
+    : await resumeStream(run, placement, progress);
+  if (resumed.ok) return complete(run, reservation, progress);
+  const stopped = await stopStream(run, placement);
+  if (!stopped) {
+    // The endpoint can't be asked, so the most that it may have used is charged.
+    const record = createRecord(run, reservation.tokens - run.chat.outputBound, run.chat.outputBound);
+    return { kind: 'done', end: refuse(toFailure(outcome.val)), record };
+  }
+  if (stopped.state === 'never') return toNotRun(outcome.val);
+  const record = createRecord(run, stopped.promptTokens, stopped.completionTokens);
+  const end = isTooLong(run, progress) ? completeAtLimit(run, stopped) : refuse(toFailure(outcome.val));
+  return { kind: 'done', end, record };
+}
+
+/** Takes over a stream that a lost instance started, from its first event. */
+export async function resumeChat(
+  host: RunHost,
+  request: RunRequest,
+  chat: ChatRequest,
+  answer: Answer,
+  signal: AbortSignal,
+  state: RunState,
+): Promise<AnswerEnd> {
+  const run: Run = { host, request, chat, answer, signal };
+  const reservation = await host.budgets.adopt(state);
+  const progress: Progress = { deltas: 0, lastIndex: -1 };
+  const resumed = await resumeStream(run, state.placement, progress);
+  if (resumed.err) {
+    const stopped = await stopStream(run, state.placement);
+    if (stopped?.state === 'never') {
+      reservation?.settle(undefined);
+      return runChat(host, request, chat, answer, signal);
+    }
+    const used = stopped ?? { promptTokens: state.tokens, completionTokens: 0 };
+    reservation?.settle(createRecord(run, used.promptTokens, used.completionTokens));
+    return refuse(toFailure(resumed.val));
+  }
+  const { usage } = progress;
+  if (usage) answer.append(usage);
+  reservation?.settle(usage && createRecord(run, usage.promptTokens, usage.completionTokens));
+  return { kind: 'complete' };
+}
+
+async function resumeStream(
+  run: Run,
+  placement: Placement,
+  progress: Progress,
+): Promise<Outcome<void, EngineError>> {
+  const { host, request, signal } = run;
+  const call = createCall(run, placement);
+  let outcome: Outcome<void, EngineError> = Err(ABORTED);
+  for (let attempt = 0; attempt < RESUMES && !signal.aborted; attempt += 1) {
+    await sleep(host.clock, RESUME_DELAY_MS * attempt, signal);
+    host.log(Diagnostics.requestResumed, { request: request.id, endpoint: placement.endpoint });
+    outcome = await host.engine.resume(call, progress.lastIndex, createSink(run, progress));
+    if (outcome.ok || outcome.val.kind === 'rejected') return outcome;
+  }
+  return outcome;
+}
+
+const ABORTED: EngineError = { kind: 'failed', ran: 'unknown', message: 'the caller left' };
+
+// Retried for long, since the cost of a stream is known to its endpoint only.
+async function stopStream(run: Run, placement: Placement): Promise<StoppedUsage | undefined> {
+  const { host } = run;
+  for (let attempt = 0; attempt < STOP_ATTEMPTS; attempt += 1) {
+    const stopped = await host.engine.stop(placement.address, placement.stream);
+    if (stopped.ok) return stopped.val;
+    if (attempt === 0) run.answer.finish(refuse(toFailure(stopped.val)));
+    await sleep(host.clock, STOP_RETRY_MS);
+  }
+  return undefined;
+}
+
+function createCall({ chat, request, signal }: Run, placement: Placement): EngineCall {
+  return {
+    address: placement.address,
+    stream: placement.stream,
+    body: chat.body,
+    priority: request.priority,
+    isFresh: !request.isIdempotent,
+    signal,
+  };
+}
+
+function createSink(run: Run, progress: Progress): EngineSink {
+  return async (event) => {
+    if (event.kind === 'usage') {
+      progress.usage = event;
+      return;
+    }
+    if (event.index <= progress.lastIndex) return;
+    progress.lastIndex = event.index;
+    progress.deltas += 1;
+    if (isTooLong(run, progress)) throw new RangeError('the answer is longer than its limit');
+    run.answer.append({ kind: 'delta', text: event.text });
+    await run.answer.drained(BACKLOG_EVENTS);
+  };
+}
+
+function isTooLong({ chat }: Run, progress: Progress): boolean {
+  return progress.deltas > chat.outputBound;
+}
+
+async function announcePlacement(
+  run: Run,
+  reservation: HeldReservation,
+  placement: Placement,
+): Promise<boolean> {
+  const { host, request } = run;
+  const { id, budget, tokens, keeper } = reservation;
+  const noted = request.name
+    ? host.registry.noteRun(request.name, request.id, {
+        placement,
+        budget,
+        reservation: id,
+        keeper,
+        tokens,
+      })
+    : Promise.resolve();
+  const [isPlaced] = await Promise.all([reservation.place(placement), noted]);
+  return isPlaced;
+}
+
+function complete(run: Run, reservation: HeldReservation, progress: Progress): Attempt {
+  const { usage } = progress;
+  if (!usage) return { kind: 'done', end: refuse(NO_USAGE), record: undefined };
+  const { promptTokens, completionTokens } = usage;
+  const tokens = promptTokens + completionTokens;
+  if (tokens > reservation.tokens) {
+    const { id } = run.request;
+    run.host.log(Diagnostics.costOverBound, { request: id, tokens, reserved: reservation.tokens });
+  }
+  run.answer.append(usage);
+  const record = createRecord(run, promptTokens, completionTokens);
+  return { kind: 'done', end: { kind: 'complete' }, record };
+}
+
+const NO_USAGE = createRefusal('endpoint_failed', 'unknown', 'The endpoint reported no usage.');
+
+function completeAtLimit(run: Run, stopped: StoppedUsage): AnswerEnd {
+  const { promptTokens } = stopped;
+  const completionTokens = run.chat.outputBound;
+  run.answer.append({ kind: 'usage', promptTokens, completionTokens, finish: 'length' });
+  return { kind: 'complete' };
+}
+
+function createRecord(run: Run, promptTokens: Tokens, completionTokens: Tokens): UsageRecord {
+  const { host, request, chat } = run;
+  return {
+    account: request.account,
+    budget: request.budget,
+    request: request.id,
+    key: request.name?.key,
+    model: chat.model,
+    promptTokens,
+    completionTokens,
+    tokens: promptTokens + completionTokens,
+    at: host.clock.now().toISOString(),
+  };
+}
+
+function getRoute(request: RunRequest, chat: ChatRequest): RouteRequest {
+  const { account, priority, patience } = request;
+  const target = { kind: 'engine' as const, model: chat.model };
+  return { target, account, priority, patience, excluded: new Set() };
+}
+
+function notRunHere(): Attempt {
+  const message = 'The budget keeper was lost before the request was sent.';
+  const refusal = createRefusal('budget_unreachable', 'no', message, FAILED_RETRY_MS);
+  return { kind: 'done', end: refuse(refusal), record: undefined };
+}
+
+function leftBeforeStart(): AnswerEnd {
+  return refuse(createRefusal('endpoint_failed', 'no', 'The caller left before the start.'));
+}
+
+function toNotRun(error: EngineError): Attempt {
+  const text = `The endpoint did not take the request: ${error.message}.`;
+  return match(error.kind)
+    .with('busy', () => ({
+      kind: 'not-run' as const,
+      refusal: createRefusal('overloaded', 'no', text, FAILED_RETRY_MS),
+      result: 'ok' as const,
+    }))
+    .with('rejected', () => ({
+      kind: 'done' as const,
+      end: refuse(createRefusal('invalid_request', 'no', text)),
+      record: undefined,
+    }))
+    .with('failed', () => ({
+      kind: 'not-run' as const,
+      refusal: createRefusal('endpoint_failed', 'no', text, FAILED_RETRY_MS),
+      result: 'failed' as const,
+    }))
+    .exhaustive();
+}
+
+function toFailure(error: EngineError): Refusal {
+  const text = `The endpoint failed while it ran the request: ${error.message}.`;
+  return createRefusal('endpoint_failed', 'unknown', text);
+}
+
+function isNotRun(end: AnswerEnd): boolean {
+  return end.kind === 'refused' && end.refusal.ran === 'no';
+}
+
+function isEndpointFault(end: AnswerEnd): boolean {
+  return end.kind === 'refused' && end.refusal.code === 'endpoint_failed';
+}
+
+function refuse(refusal: Refusal): AnswerEnd {
+  return { kind: 'refused', refusal };
+}
--- /dev/null
+++ b/packages/entry/src/claimName.ts
@@ -0,0 +1,37 @@
+import { Ok } from 'ts-results';
+import type { Outcome } from '@pomeloroad/core';
+import { createRefusal } from '@pomeloroad/requests';
+import type { ClaimError, Refusal } from '@pomeloroad/requests';
+import type { RunHost } from './runHost';
+import type { RunRequest } from './runRequest';
+
+const PLATFORM_RETRY_MS = 5000;
+
+/** Claims the name of a non-idempotent request right before it is sent. */
+export async function claimName(
+  host: RunHost,
+  request: RunRequest,
+): Promise<Outcome<void, Refusal>> {
+  const { needsClaim, name, id, digest } = request;
+  if (!needsClaim || !name) return Ok.EMPTY;
+  const claimed = await host.claims.claim(name, id, digest);
+  return claimed.mapErr((error) => refuseClaim(error, digest));
+}
+
+/** Gives the name back after a request that provably did not run. */
+export async function releaseName(host: RunHost, request: RunRequest): Promise<void> {
+  if (request.needsClaim && request.name) await host.claims.release(request.name, request.id);
+}
+
+function refuseClaim(error: ClaimError, digest: string): Refusal {
+  if (error.kind === 'unavailable') {
+    const message = 'Whether this key was used before can only be told with the table service.';
+    return createRefusal('platform_unavailable', 'no', message, PLATFORM_RETRY_MS);
+  }
+  if (error.claim.digest !== digest) {
+    return createRefusal('key_reused', 'no', 'The key was used for another request.');
+  }
+  const message = 'This request was started before, and how it ended is not known here.';
+  return createRefusal('outcome_unknown', 'unknown', message);
+}
+
--- /dev/null
+++ b/packages/entry/src/engine.ts
@@ -0,0 +1,229 @@
+import http from 'node:http';
+import { createParser } from 'eventsource-parser';
+import type { EventSourceMessage } from 'eventsource-parser';
+import { Err, Ok } from 'ts-results';
+import { z } from 'zod';
+import { callHttp, onConnected, readBody } from '@pomeloroad/core';
+import type { Milliseconds, Outcome, Ran, Tokens } from '@pomeloroad/core';
+import type { LoadReport } from '@pomeloroad/routing';
+
+const STREAM_HEADER = 'x-stream-id';
+const ERROR_BODY_LIMIT_BYTES = 4096;
+/** Shorter than the idle time after which middleboxes forget a connection. */
+const IDLE_SOCKET_MS = 4000;
+
+const Chunk = z.object({
+  choices: z.array(
+    z.object({
+      delta: z.object({ content: z.string().nullish() }).optional(),
+      finish_reason: z.string().nullish(),
+    }),
+  ),
+  usage: z.object({ prompt_tokens: z.number(), completion_tokens: z.number() }).nullish(),
+});
+const StoppedStream = z.object({
+  state: z.enum(['finished', 'cancelled', 'never']),
+  prompt_tokens: z.number(),
+  completion_tokens: z.number(),
+});
+const Load = z.object({
+  running: z.number(),
+  queued: z.number(),
+  state: z.enum(['live', 'leaving']),
+});
+
+/** A piece of an engine's stream. */
+export type EngineEvent =
+  | { kind: 'delta'; index: number; text: string }
+  | { kind: 'usage'; promptTokens: Tokens; completionTokens: Tokens; finish: string };
+
+/** Why an engine's stream stopped before its end. */
+export interface EngineError {
+  kind: 'busy' | 'rejected' | 'failed';
+  ran: Ran;
+  message: string;
+}
+
+/** What a stopped stream used, and whether it ever ran. */
+export interface StoppedUsage {
+  state: 'finished' | 'cancelled' | 'never';
+  promptTokens: Tokens;
+  completionTokens: Tokens;
+}
+
+/** Time limits towards engines. */
+export interface EngineOptions {
+  firstByteTimeout: Milliseconds;
+  betweenTimeout: Milliseconds;
+}
+
+/** A stream that an engine is asked for. */
+export interface EngineCall {
+  address: string;
+  stream: string;
+  body: Record<string, unknown>;
+  priority: number;
+  /** A new connection: if it can't be made, the request did not run. */
+  isFresh: boolean;
+  signal: AbortSignal;
+}
+
+/** Receives the events of a stream; the engine is not read further until it resolves. */
+export type EngineSink = (event: EngineEvent) => Promise<void>;
+
+/** Speaks the model engines' protocol. */
+export interface Engine {
+  /** Runs a stream to its end. */
+  run(call: EngineCall, sink: EngineSink): Promise<Outcome<void, EngineError>>;
+  /** Follows a known stream from an event on. */
+  resume(call: EngineCall, after: number, sink: EngineSink): Promise<Outcome<void, EngineError>>;
+  /** Stops a stream; one that is not known yet will never start. */
+  stop(address: string, stream: string): Promise<Outcome<StoppedUsage, EngineError>>;
+  getLoad(address: string): Promise<Outcome<LoadReport, EngineError>>;
+}
+
+const CONTROL_TIMEOUT_MS = 1000;
+
+/** Creates a client for all engines. */
+export function createEngine(options: EngineOptions): Engine {
+  const agent = new http.Agent({ keepAlive: true, timeout: IDLE_SOCKET_MS });
+
+  function open(call: EngineCall, method: string, path: string, headers: http.OutgoingHttpHeaders) {
+    return http.request(`http://${call.address}${path}`, {
+      method,
+      headers,
+      agent: call.isFresh ? new http.Agent() : agent,
+      signal: call.signal,
+    });
+  }
+
+  async function control<T>(
+    method: string,
+    address: string,
+    path: string,
+    schema: z.ZodType<T>,
+  ): Promise<Outcome<T, EngineError>> {
+    const url = `http://${address}${path}`;
+    const answer = await callHttp({ method, url, timeout: CONTROL_TIMEOUT_MS });
+    if (answer.err) return Err({ kind: 'failed', ran: answer.val.ran, message: answer.val.message });
+    const parsed = schema.safeParse(parseJson(answer.val.body.toString()));
+    if (parsed.success) return Ok(parsed.data);
+    return Err({ kind: 'failed', ran: 'unknown', message: 'unexpected answer of the engine' });
+  }
+
+  return {
+    run(call, sink) {
+      const body = JSON.stringify(call.body);
+      const request = open(call, 'POST', '/v1/chat/completions', {
+        'content-type': 'application/json',
+        'content-length': Buffer.byteLength(body),
+        [STREAM_HEADER]: call.stream,
+        'x-priority': call.priority,
+      });
+      return readStream(request, body, options, sink);
+    },
+    resume(call, after, sink) {
+      const headers = { 'last-event-id': String(after) };
+      const request = open(call, 'GET', `/v1/streams/${call.stream}`, headers);
+      return readStream(request, undefined, options, sink);
+    },
+    async stop(address, stream) {
+      const stopped = await control('DELETE', address, `/v1/streams/${stream}`, StoppedStream);
+      return stopped.map((value) => ({
+        state: value.state,
+        promptTokens: value.prompt_tokens,
+        completionTokens: value.completion_tokens,
+      }));
+    },
+    getLoad: (address) => control('GET', address, '/v1/load', Load),
+  };
+}
+
+async function readStream(
+  request: http.ClientRequest,
+  body: string | undefined,
+  options: EngineOptions,
+  sink: EngineSink,
+): Promise<Outcome<void, EngineError>> {
+  let isSent = false;
+  let isComplete = false;
+  onConnected(request, () => {
+    isSent = true;
+  });
+  try {
+    request.setTimeout(options.firstByteTimeout, () => request.destroy(new Error('no answer')));
+    const response = await sendRequest(request, body);
+    if (response.statusCode !== 200) return Err(await readRejection(response));
+    request.setTimeout(options.betweenTimeout, () => request.destroy(new Error('silent stream')));
+    await readEvents(response, async (event) => {
+      isComplete = isComplete || event.kind === 'usage';
+      await sink(event);
+    });
+    if (isComplete) return Ok.EMPTY;
+    return Err({ kind: 'failed', ran: 'unknown', message: 'the stream ended before its end mark' });
+  } catch (error) {
+    const ran: Ran = isSent ? 'unknown' : 'no';
+    return Err({ kind: 'failed', ran, message: (error as Error).message });
+  }
+}
+
+function sendRequest(
+  request: http.ClientRequest,
+  body: string | undefined,
+): Promise<http.IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    request.once('response', resolve);
+    request.on('error', reject);
+    request.end(body);
+  });
+}
+
+// Engines answer 429 and 503 before they run anything, and 4xx to what they can't run.
+async function readRejection(response: http.IncomingMessage): Promise<EngineError> {
+  const status = response.statusCode ?? 0;
+  const body = await readBody(response, ERROR_BODY_LIMIT_BYTES);
+  const message = `status ${status}: ${body.toString()}`;
+  if (status === 429 || status === 503) return { kind: 'busy', ran: 'no', message };
+  if (status >= 400 && status < 500) return { kind: 'rejected', ran: 'no', message };
+  return { kind: 'failed', ran: 'unknown', message };
+}
+
+async function readEvents(response: http.IncomingMessage, sink: EngineSink): Promise<void> {
+  const messages: EventSourceMessage[] = [];
+  const parser = createParser({ onEvent: (message) => messages.push(message) });
+  response.setEncoding('utf8');
+  for await (const text of response) {
+    parser.feed(text as string);
+    for (const message of messages.splice(0)) {
+      for (const event of toEvents(message)) await sink(event);
+    }
+  }
+}
+
+function toEvents(message: EventSourceMessage): EngineEvent[] {
+  const chunk = Chunk.safeParse(parseJson(message.data));
+  if (!chunk.success) return [];
+  const { choices, usage } = chunk.data;
+  const index = Number(message.id ?? 0);
+  const events: EngineEvent[] = [];
+  const text = choices[0]?.delta?.content ?? '';
+  if (text !== '') events.push({ kind: 'delta', index, text });
+  if (usage) events.push(toUsage(usage, choices[0]?.finish_reason ?? 'stop'));
+  return events;
+}
+
+function toUsage(
+  usage: { prompt_tokens: number; completion_tokens: number },
+  finish: string,
+): EngineEvent {
+  const { prompt_tokens: promptTokens, completion_tokens: completionTokens } = usage;
+  return { kind: 'usage', promptTokens, completionTokens, finish };
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+export * from './instance';
+export * from './settings';
--- /dev/null
+++ b/packages/entry/src/instance.ts
@@ -0,0 +1,322 @@
+import { readFileSync } from 'node:fs';
+import {
+  createId,
+  createLog,
+  createSystemClock,
+  createSystemRandom,
+  Diagnostics,
+  repeat,
+  sleep,
+} from '@pomeloroad/core';
+import type { Identity, Milliseconds } from '@pomeloroad/core';
+import { createBudgetClient, createKeepers, createLedger } from '@pomeloroad/budgets';
+import type { GrantPolicy, Placement, Usage } from '@pomeloroad/budgets';
+import { createConfigurationStore, createDistributor } from '@pomeloroad/configuration';
+import type { RoutingPolicy } from '@pomeloroad/configuration';
+import { createPeerNetwork } from '@pomeloroad/peers';
+import type { Peer } from '@pomeloroad/peers';
+import { createBatchTable, createHttpPlatform } from '@pomeloroad/platform';
+import { createAnswers, createClaims, createRegistry } from '@pomeloroad/requests';
+import { createAdmission, createEndpoints } from '@pomeloroad/routing';
+import type { RouteRequest } from '@pomeloroad/routing';
+import { serveAnswers } from './answerSource';
+import { createCallers } from './callers';
+import { createEngine } from './engine';
+import { createFleet } from './fleet';
+import { createInstanceMetrics } from './instanceMetrics';
+import { createLoads } from './loads';
+import { createOpener } from './named';
+import { createOperators } from './operators';
+import { createRunner } from './runner';
+import { createServiceClient } from './serviceClient';
+import type { Settings } from './settings';
+
+const FLEET_POLL_MS = 1000;
+const CONFIGURATION_POLL_MS = 500;
+const LOAD_POLL_MS = 500;
+const REAP_MS = 1000;
+const TRIM_MS = 5000;
+const ADOPT_MS = 5000;
+const DRAIN_POLL_MS = 100;
+const WRITE_PATIENCE_MS = 5000;
+
+/** A running instance. */
+export interface Instance {
+  identity: Identity;
+  callersAddress: string;
+  peersAddress: string;
+  operatorsAddress: string;
+  /** Finishes open requests, returns the grants and stops; whether nothing was cut. */
+  drain(): Promise<boolean>;
+}
+
+/** Starts an instance; resolves once it listens. */
+export async function startInstance(settings: Settings): Promise<Instance> {
+  const clock = createSystemClock();
+  const random = createSystemRandom();
+  const { instance, dataCentre } = settings;
+  const self: Identity = { instance, dataCentre, incarnation: createId() };
+  const log = createLog(clock, settings.logLevel, { ...self });
+  const stop = new AbortController();
+  let isDraining = false;
+
+  const platform = createHttpPlatform(
+    {
+      clock,
+      onAvailability(service, isAvailable) {
+        const { platformRecovered, platformUnavailable } = Diagnostics;
+        log(isAvailable ? platformRecovered : platformUnavailable, { service });
+      },
+    },
+    { ...settings, timeout: settings.platformTimeout },
+  );
+  const table = createBatchTable({ clock, random }, platform.table, {
+    writesPerSecond: settings.writesPerSecond,
+    patience: WRITE_PATIENCE_MS,
+  });
+  const network = createPeerNetwork(
+    { clock, random, log },
+    {
+      self,
+      address: settings.peersAddress,
+      fleetKey: settings.fleetKey,
+      certificate: readCertificate(settings.peersTlsCert, settings.peersTlsKey),
+      authority: readOptional(settings.peersTlsAuthority),
+    },
+  );
+  const peersAddress = await network.listen();
+  const fleet = createFleet(
+    {
+      clock,
+      self,
+      network,
+      membership: platform.membership,
+      seeds: settings.seeds.map(toSeed),
+      onChange: () => refreshRouting(),
+    },
+    settings.advertisedAddress || peersAddress,
+  );
+  const { getLocalInstances, getInstances, isLive, isLost } = fleet;
+
+  const store = createConfigurationStore(clock, table, platform.objects);
+  const distributor = createDistributor({
+    clock,
+    log,
+    self,
+    network,
+    store,
+    getLocalInstances,
+    getInstances,
+    onChange: () => refreshRouting(),
+  });
+  const { getConfiguration } = distributor;
+
+  const endpoints = createEndpoints({ clock, log });
+  const admission = createAdmission(
+    {
+      clock,
+      random,
+      dataCentre,
+      endpoints,
+      getPolicy: (request) => getPolicy(request),
+      getAccount: (name) => getConfiguration()?.accounts.find((account) => account.name === name),
+    },
+    settings.queueLimit,
+  );
+  const engine = createEngine(settings);
+  const loads = createLoads({ self, network, engine, endpoints, getLocalInstances });
+
+  const budgets = createBudgetClient({ clock, random, self, network, getLocalInstances });
+  const keepers = createKeepers({
+    clock,
+    log,
+    self,
+    table,
+    objects: platform.objects,
+    network,
+    policy: getGrantPolicy(settings),
+    getDataCentres: () => fleet.getDataCentres().length,
+    getLocalInstances,
+    isLive,
+    isLost,
+    stopRequest,
+  });
+
+  const answers = createAnswers(clock, {
+    retention: settings.answerRetention,
+    capacityBytes: settings.answerCapacity,
+  });
+  const registry = createRegistry({
+    clock,
+    self,
+    network,
+    retention: settings.answerRetention,
+    getLocalInstances,
+    getInstances,
+    isLive,
+  });
+  const runner = createRunner({
+    clock,
+    log,
+    self,
+    settings,
+    budgets,
+    answers,
+    claims: createClaims(clock, table, self),
+    registry,
+    admission,
+    engine,
+    services: createServiceClient(settings),
+  });
+  serveAnswers(clock, network, answers);
+  const opener = createOpener({ self, network, answers, registry, runner });
+  const metrics = createInstanceMetrics();
+  metrics.watch({
+    running: runner.running,
+    waiting: admission.waiting,
+    answers: answers.count,
+    pendingSettlements: budgets.pending,
+    configurationVersion: distributor.getVersion,
+    connectedPeers: () => network.describe().filter((peer) => peer.state === 'connected').length,
+  });
+
+  const tls = readCertificate(settings.tlsCert, settings.tlsKey);
+  const callers = createCallers(
+    { clock, self, settings, opener, metrics, getConfiguration, isDraining: () => isDraining },
+    tls,
+  );
+  const operators = createOperators(
+    {
+      settings,
+      platform,
+      ledger: createLedger({ clock, table }),
+      applyHost: { store, distributor, listInstances: fleet.listInstances },
+      distributor,
+      isReady: () => !isDraining && getConfiguration() !== undefined,
+      renderMetrics: metrics.render,
+      dump,
+    },
+    tls,
+  );
+
+  function refreshRouting(): void {
+    const configuration = getConfiguration();
+    if (configuration) endpoints.configure(configuration);
+    const drained = Object.keys(distributor.getDrains());
+    endpoints.setLeaving(new Set([...drained, ...fleet.getLeavingEndpoints()]));
+    admission.wake();
+  }
+
+  function getPolicy({ target }: RouteRequest): RoutingPolicy {
+    const configuration = getConfiguration();
+    const found =
+      target.kind === 'engine'
+        ? configuration?.pools.find((pool) => pool.model === target.model)
+        : configuration?.services.find((service) => service.name === target.service);
+    return found?.policy ?? { kind: 'least-in-flight' };
+  }
+
+  async function stopRequest(
+    placements: Placement[],
+    reserved: number,
+  ): Promise<Usage | undefined> {
+    const used: Usage = { promptTokens: 0, completionTokens: 0 };
+    for (const { address, stream } of placements) {
+      // A plain service keeps no record: what it may have run is charged.
+      if (stream === '') return { promptTokens: reserved, completionTokens: 0 };
+      const stopped = await engine.stop(address, stream);
+      if (stopped.err) return undefined;
+      used.promptTokens += stopped.val.promptTokens;
+      used.completionTokens += stopped.val.completionTokens;
+    }
+    return used;
+  }
+
+  function dump(): unknown {
+    return {
+      identity: self,
+      isDraining,
+      uptimeSeconds: Math.round(process.uptime()),
+      memoryBytes: process.memoryUsage.rss(),
+      processorSeconds: process.cpuUsage().user / 1e6 + process.cpuUsage().system / 1e6,
+      requests: { open: callers.open(), running: runner.running(), waiting: admission.waiting() },
+      answers: { count: answers.count(), retainedBytes: answers.retainedBytes() },
+      names: registry.count(),
+      pendingSettlements: budgets.pending(),
+      configuration: distributor.describe(),
+      drains: distributor.getDrains(),
+      peers: network.describe(),
+      localInstances: getLocalInstances(),
+      budgets: keepers.describe(),
+      endpoints: endpoints.list(),
+    };
+  }
+
+  function startLoops(): void {
+    const loop = (delay: Milliseconds, step: () => Promise<void>) =>
+      repeat(clock, () => delay, stop.signal, step);
+    loop(FLEET_POLL_MS, fleet.poll);
+    loop(CONFIGURATION_POLL_MS, distributor.poll);
+    loop(LOAD_POLL_MS, loads.poll);
+    loop(settings.settleInterval, keepers.settle);
+    loop(REAP_MS, keepers.reap);
+    loop(TRIM_MS, keepers.trim);
+    loop(ADOPT_MS, keepers.adoptLost);
+  }
+
+  async function drain(): Promise<boolean> {
+    isDraining = true;
+    log(Diagnostics.instanceDraining);
+    const deadline = clock.elapsed() + settings.drainTimeout;
+    await fleet.leave();
+    await sleep(clock, settings.drainNotice);
+    const callersClosed = callers.close();
+    await waitUntil(() => isIdle(), deadline);
+    let isClosed = false;
+    while (!isClosed && clock.elapsed() < deadline) {
+      await keepers.settle();
+      isClosed = await keepers.close();
+      if (!isClosed) await sleep(clock, DRAIN_POLL_MS);
+    }
+    if (!isClosed || !isIdle()) log(Diagnostics.drainTimedOut);
+    stop.abort();
+    await fleet.withdraw();
+    await Promise.all([callersClosed, operators.close(), network.close()]);
+    log(Diagnostics.instanceStopped);
+    return isClosed;
+  }
+
+  function isIdle(): boolean {
+    return callers.open() === 0 && runner.running() === 0 && budgets.pending() === 0;
+  }
+
+  async function waitUntil(test: () => boolean, deadline: Milliseconds): Promise<void> {
+    while (!test() && clock.elapsed() < deadline) await sleep(clock, DRAIN_POLL_MS);
+  }
+
+  await fleet.poll();
+  await distributor.poll();
+  startLoops();
+  const callersAddress = await callers.listen();
+  const operatorsAddress = await operators.listen();
+  log(Diagnostics.instanceStarted, { callersAddress, peersAddress, operatorsAddress });
+  return { identity: self, callersAddress, peersAddress, operatorsAddress, drain };
+}
+
+function getGrantPolicy(settings: Settings): GrantPolicy {
+  if (settings.grants !== 'adaptive') return { kind: settings.grants };
+  return { kind: 'adaptive', horizonSeconds: settings.grantHorizon };
+}
+
+function toSeed(address: string): Peer {
+  return { identity: { instance: `seed ${address}`, incarnation: '', dataCentre: '' }, address };
+}
+
+function readCertificate(cert: string, key: string): { cert: string; key: string } | undefined {
+  if (cert === '') return undefined;
+  return { cert: readFileSync(cert, 'utf8'), key: readFileSync(key, 'utf8') };
+}
+
+function readOptional(path: string): string | undefined {
+  return path === '' ? undefined : readFileSync(path, 'utf8');
+}
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,73 @@
+import sade from 'sade';
+import { InvariantError } from '@pomeloroad/core';
+import { startInstance } from './instance';
+import { getFlag, getVariable, parseSettings, SettingDefinitions } from './settings';
+import type { SettingDefinition, SettingFault, Settings } from './settings';
+
+const VERSION = '0.1.0';
+const EXIT_USAGE = 2;
+const EXIT_CUT = 1;
+const EXIT_INVARIANT = 70;
+
+const program = sade('pomeloroad').version(VERSION);
+const serve = program
+  .command('serve')
+  .describe('Run an instance.')
+  .option('--check', 'only check the settings');
+Object.entries<SettingDefinition>(SettingDefinitions).forEach(([setting, definition]) => {
+  serve.option(getFlag(setting), describeSetting(setting, definition));
+});
+serve.action(runServe);
+program.parse(process.argv, { unknown: (flag) => `unknown flag ${flag}` });
+
+function describeSetting(setting: string, definition: SettingDefinition): string {
+  const { description, unit, fallback } = definition;
+  const unitText = unit === '' ? '' : ` [${unit}]`;
+  const fallbackText = fallback === undefined ? 'required' : `default: ${fallback || 'none'}`;
+  return `${description}${unitText} (${fallbackText}; ${getVariable(setting)})`;
+}
+
+async function runServe(flags: Record<string, unknown>): Promise<void> {
+  const settings = parseSettings(flags, process.env);
+  if (settings.err) {
+    writeFaults(settings.val);
+    process.exit(EXIT_USAGE);
+  }
+  if (flags.check) {
+    process.stdout.write('settings are valid\n');
+    return;
+  }
+  process.on('uncaughtException', stopOnBrokenInvariant);
+  process.on('unhandledRejection', stopOnBrokenInvariant);
+  await serveUntilSignal(settings.val);
+}
+
+function writeFaults(faults: SettingFault[]): void {
+  const lines = faults.map(({ flag, message }) => `${flag}: ${message}`);
+  process.stderr.write(`${lines.join('\n')}\n`);
+}
+
+async function serveUntilSignal(settings: Settings): Promise<void> {
+  const instance = await startInstance(settings);
+  // One line for whoever started the process; ports may have been chosen by the system.
+  process.stdout.write(`${JSON.stringify({ event: 'listening', ...instance, drain: undefined })}\n`);
+  // Timers do not keep the process alive; this one does until the drain ends.
+  const keepAlive = setInterval(() => undefined, 1000);
+  let isStopping = false;
+  const stop = async () => {
+    if (isStopping) return;
+    isStopping = true;
+    const isWhole = await instance.drain();
+    clearInterval(keepAlive);
+    process.exit(isWhole ? 0 : EXIT_CUT);
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+}
+
+function stopOnBrokenInvariant(reason: unknown): void {
+  const error = reason instanceof Error ? reason : new Error(String(reason));
+  const kind = error instanceof InvariantError ? 'invariant broken' : 'unexpected error';
+  process.stderr.write(`${JSON.stringify({ severity: 'error', code: 1004, text: kind, stack: error.stack })}\n`);
+  process.exit(EXIT_INVARIANT);
+}
--- /dev/null
+++ b/packages/entry/src/runHost.ts
@@ -0,0 +1,22 @@
+import type { Clock, Identity, Log } from '@pomeloroad/core';
+import type { BudgetClient } from '@pomeloroad/budgets';
+import type { Answers, Claims, Registry } from '@pomeloroad/requests';
+import type { Admission } from '@pomeloroad/routing';
+import type { Engine } from './engine';
+import type { ServiceClient } from './serviceClient';
+import type { Settings } from './settings';
+
+/** What running a request needs from its surroundings. */
+export interface RunHost {
+  clock: Clock;
+  log: Log;
+  self: Identity;
+  settings: Pick<Settings, 'budgetPatience' | 'resumeWindow' | 'answerLimit'>;
+  budgets: BudgetClient;
+  answers: Answers;
+  claims: Claims;
+  registry: Registry;
+  admission: Admission;
+  engine: Engine;
+  services: ServiceClient;
+}
--- /dev/null
+++ b/packages/entry/src/serviceClient.ts
@@ -0,0 +1,115 @@
+import http from 'node:http';
+import { Err, Ok } from 'ts-results';
+import { onConnected } from '@pomeloroad/core';
+import type { Milliseconds, Outcome, Ran } from '@pomeloroad/core';
+import type { ServiceCall } from './runRequest';
+
+/** Why a call of a plain service got no whole answer. */
+export interface ServiceError {
+  kind: 'busy' | 'failed' | 'too-large';
+  ran: Ran;
+  message: string;
+}
+
+/** Receives the answer of a plain service. */
+export interface ServiceSink {
+  head(status: number, headers: Record<string, string>): void;
+  bytes(data: Buffer): Promise<void>;
+}
+
+/** Settings towards plain services. */
+export interface ServiceOptions {
+  firstByteTimeout: Milliseconds;
+  betweenTimeout: Milliseconds;
+  answerLimit: number;
+}
+
+/** Calls plain services over HTTP. */
+export interface ServiceClient {
+  run(
+    address: string,
+    call: ServiceCall,
+    signal: AbortSignal,
+    sink: ServiceSink,
+  ): Promise<Outcome<void, ServiceError>>;
+}
+
+/** Headers that belong to one connection, or that the instance sets itself. */
+const SKIPPED_HEADERS = new Set([
+  'connection',
+  'content-length',
+  'date',
+  'keep-alive',
+  'proxy-authenticate',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/** Creates a client for all plain services. Each call takes a new connection. */
+export function createServiceClient(options: ServiceOptions): ServiceClient {
+  return {
+    async run(address, call, signal, sink) {
+      let isSent = false;
+      const request = http.request(`http://${address}${call.path}`, {
+        method: call.method,
+        headers: { ...call.headers, 'content-length': call.body.length },
+        agent: new http.Agent(),
+        signal,
+      });
+      onConnected(request, () => {
+        isSent = true;
+      });
+      try {
+        request.setTimeout(options.firstByteTimeout, () => request.destroy(new Error('no answer')));
+        const response = await sendRequest(request, call.body);
+        request.setTimeout(options.betweenTimeout, () => request.destroy(new Error('silent')));
+        return await readAnswer(response, options.answerLimit, sink);
+      } catch (error) {
+        const ran: Ran = isSent ? 'unknown' : 'no';
+        return Err({ kind: 'failed', ran, message: (error as Error).message });
+      }
+    },
+  };
+}
+
+function sendRequest(request: http.ClientRequest, body: Buffer): Promise<http.IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    request.once('response', resolve);
+    request.on('error', reject);
+    request.end(body);
+  });
+}
+
+async function readAnswer(
+  response: http.IncomingMessage,
+  limit: number,
+  sink: ServiceSink,
+): Promise<Outcome<void, ServiceError>> {
+  const status = response.statusCode ?? 0;
+  // A service that answers 503 with this mark did not take the call.
+  if (status === 503 && response.headers['x-not-run'] === 'true') {
+    response.resume();
+    return Err({ kind: 'busy', ran: 'no', message: 'the service is busy' });
+  }
+  sink.head(status, copyHeaders(response.headers));
+  let size = 0;
+  for await (const chunk of response) {
+    size += (chunk as Buffer).length;
+    if (size > limit) {
+      response.destroy();
+      const message = `the answer is larger than ${limit} bytes`;
+      return Err({ kind: 'too-large', ran: 'unknown', message });
+    }
+    await sink.bytes(chunk as Buffer);
+  }
+  return Ok.EMPTY;
+}
+
+function copyHeaders(headers: http.IncomingHttpHeaders): Record<string, string> {
+  const entries = Object.entries(headers)
+    .filter(([name, value]) => value !== undefined && !SKIPPED_HEADERS.has(name))
+    .map(([name, value]): [string, string] => [name, String(value)]);
+  return Object.fromEntries(entries);
+}
--- /dev/null
+++ b/packages/entry/src/serviceRun.ts
@@ -0,0 +1,121 @@
+import { createRefusal } from '@pomeloroad/requests';
+import type { Answer, AnswerEnd, Refusal } from '@pomeloroad/requests';
+import type { HeldReservation, UsageRecord } from '@pomeloroad/budgets';
+import type { Milliseconds } from '@pomeloroad/core';
+import type { RouteRequest, Slot } from '@pomeloroad/routing';
+import { acquireSlot, admitRequest } from './admit';
+import { claimName, releaseName } from './claimName';
+import type { RunHost } from './runHost';
+import type { RunRequest, ServiceCall } from './runRequest';
+import type { ServiceError } from './serviceClient';
+
+const ATTEMPTS = 3;
+const BACKLOG_EVENTS = 16;
+const FAILED_RETRY_MS = 1000;
+
+/** Runs a call of a plain service to its end and settles its cost. */
+export async function runService(
+  host: RunHost,
+  request: RunRequest,
+  call: ServiceCall,
+  answer: Answer,
+  signal: AbortSignal,
+): Promise<AnswerEnd> {
+  const { account, priority, patience } = request;
+  const target = { kind: 'service' as const, service: call.service };
+  const route: RouteRequest = { target, account, priority, patience, excluded: new Set() };
+  const deadline = host.clock.elapsed() + patience;
+  const admitted = await admitRequest(host, request, route, call.tokens);
+  if (admitted.err) return refuse(admitted.val);
+  const { slot, reservation } = admitted.val;
+  const claimed = await claimName(host, request);
+  if (claimed.err) {
+    slot.release('ok');
+    reservation?.settle(undefined);
+    return refuse(claimed.val);
+  }
+  return runAttempts({ host, request, call, answer, signal, reservation }, route, deadline, slot);
+}
+
+interface Run {
+  host: RunHost;
+  request: RunRequest;
+  call: ServiceCall;
+  answer: Answer;
+  signal: AbortSignal;
+  reservation: HeldReservation | undefined;
+}
+
+async function runAttempts(
+  run: Run,
+  route: RouteRequest,
+  deadline: Milliseconds,
+  first: Slot,
+): Promise<AnswerEnd> {
+  const { host, request, reservation, signal } = run;
+  const excluded = new Set<string>();
+  let slot = first;
+  for (let attempt = 1; ; attempt += 1) {
+    const error = await runAttempt(run, slot);
+    slot.release(error?.kind === 'failed' ? 'failed' : 'ok');
+    if (!error) {
+      reservation?.settle(createRecord(run));
+      return { kind: 'complete' };
+    }
+    excluded.add(slot.endpoint.name);
+    const mayRetry = attempt < ATTEMPTS && !signal.aborted && isRetryable(run, error);
+    const next = mayRetry ? await acquireSlot(host, { ...route, excluded }, deadline) : undefined;
+    if (!next?.ok) {
+      reservation?.settle(error.ran === 'no' ? undefined : createRecord(run));
+      if (error.ran === 'no') await releaseName(host, request);
+      return refuse(toRefusal(error));
+    }
+    slot = next.val;
+  }
+}
+
+async function runAttempt(run: Run, slot: Slot): Promise<ServiceError | undefined> {
+  const { host, call, answer, signal, reservation } = run;
+  const { name: endpoint, address } = slot.endpoint;
+  const isPlaced = (await reservation?.place({ endpoint, address, stream: '' })) ?? true;
+  if (!isPlaced) return { kind: 'failed', ran: 'no', message: 'the budget keeper was lost' };
+  const outcome = await host.services.run(slot.endpoint.address, call, signal, {
+    head: (status, headers) => answer.append({ kind: 'head', status, headers }),
+    async bytes(data) {
+      answer.append({ kind: 'bytes', data });
+      await answer.drained(BACKLOG_EVENTS);
+    },
+  });
+  return outcome.err ? outcome.val : undefined;
+}
+
+// What may have run is repeated only if that is harmless and nothing of an answer was passed on.
+function isRetryable({ request, answer }: Run, error: ServiceError): boolean {
+  if (error.ran === 'no') return true;
+  return request.isIdempotent && error.kind === 'failed' && answer.length() === 0;
+}
+
+function createRecord({ host, request, call }: Run): UsageRecord {
+  return {
+    account: request.account,
+    budget: request.budget,
+    request: request.id,
+    key: request.name?.key,
+    model: call.service,
+    promptTokens: 0,
+    completionTokens: 0,
+    tokens: call.tokens,
+    at: host.clock.now().toISOString(),
+  };
+}
+
+function toRefusal(error: ServiceError): Refusal {
+  const text = `The service gave no whole answer: ${error.message}.`;
+  if (error.kind === 'too-large') return createRefusal('answer_too_large', error.ran, text);
+  const code = error.kind === 'busy' ? 'overloaded' : 'endpoint_failed';
+  return createRefusal(code, error.ran, text, error.ran === 'no' ? FAILED_RETRY_MS : undefined);
+}
+
+function refuse(refusal: Refusal): AnswerEnd {
+  return { kind: 'refused', refusal };
+}
--- /dev/null
+++ b/packages/entry/src/writer.ts
@@ -0,0 +1,228 @@
+import type { ServerResponse } from 'node:http';
+import { writeJson } from '@pomeloroad/core';
+import type { Milliseconds } from '@pomeloroad/core';
+import { createRefusal, RefusalStatus } from '@pomeloroad/requests';
+import type { AnswerEnd, AnswerEvent, Refusal } from '@pomeloroad/requests';
+import type { AnswerSource } from './answerSource';
+import { CallerHeader } from './callerHeaders';
+
+const MS_PER_SECOND = 1000;
+
+/** How a caller wants its answer. */
+export interface Delivery {
+  form: 'json' | 'events' | 'service';
+  request: string;
+  model: string;
+  /** Position of the first event to send. */
+  from: number;
+  createdAt: Date;
+  writeTimeout: Milliseconds;
+}
+
+/** Opens the source again after its runner was lost; `undefined` if there is no other. */
+export type Reopen = () => Promise<AnswerSource | Refusal>;
+
+/** Writes a refusal. */
+export function writeRefusal(response: ServerResponse, request: string, refusal: Refusal): void {
+  const { code, retryAfter } = refusal;
+  const headers: Record<string, string | number> = { [CallerHeader.requestId]: request };
+  if (retryAfter !== undefined) headers['retry-after'] = Math.max(1, toSeconds(retryAfter));
+  if (response.headersSent || response.destroyed) return;
+  writeJson(response, RefusalStatus[code], toErrorBody(request, refusal), headers);
+}
+
+function toErrorBody(request: string, { code, message, ran, retryAfter }: Refusal) {
+  const retry = retryAfter === undefined ? {} : { retry_after_ms: Math.ceil(retryAfter) };
+  return { error: { code, message, ran, request_id: request, ...retry } };
+}
+
+function toSeconds(delay: Milliseconds): number {
+  return Math.ceil(delay / MS_PER_SECOND);
+}
+
+/** Sends an answer to its caller as it comes; resolves once all is sent or the caller left. */
+export async function deliverAnswer(
+  response: ServerResponse,
+  delivery: Delivery,
+  source: AnswerSource,
+  reopen: Reopen,
+): Promise<void> {
+  const writer = createAnswerWriter(response, delivery);
+  let current = source;
+  let position = delivery.form === 'json' ? 0 : delivery.from;
+  while (!response.destroyed) {
+    const part = await raceClose(response, current.read(position));
+    if (!part) break;
+    if (part.err) {
+      current.close();
+      const next = await reopen();
+      if ('code' in next) {
+        writer.end({ kind: 'refused', refusal: next });
+        return;
+      }
+      current = next;
+    } else {
+      const { events, end } = part.val;
+      for (const event of events) await writer.event(event, position++);
+      if (end) {
+        writer.end(end);
+        break;
+      }
+    }
+  }
+  current.close();
+}
+
+// A caller that leaves while its answer is awaited must not wait for the next event.
+async function raceClose<T>(response: ServerResponse, work: Promise<T>): Promise<T | undefined> {
+  let onClose: () => void = () => undefined;
+  const closed = new Promise<undefined>((resolve) => {
+    onClose = () => resolve(undefined);
+    response.once('close', onClose);
+  });
+  const result = await Promise.race([work, closed]);
+  response.off('close', onClose);
+  return result;
+}
+
+interface AnswerWriter {
+  event(event: AnswerEvent, position: number): Promise<void>;
+  end(end: AnswerEnd): void;
+}
+
+function createAnswerWriter(response: ServerResponse, delivery: Delivery): AnswerWriter {
+  if (delivery.form === 'events') return createEventWriter(response, delivery);
+  if (delivery.form === 'service') return createServiceWriter(response, delivery);
+  return createJsonWriter(response, delivery);
+}
+
+function createJsonWriter(response: ServerResponse, delivery: Delivery): AnswerWriter {
+  const texts: string[] = [];
+  let usage: Extract<AnswerEvent, { kind: 'usage' }> | undefined;
+  return {
+    async event(event) {
+      if (event.kind === 'delta') texts.push(event.text);
+      if (event.kind === 'usage') usage = event;
+    },
+    end(end) {
+      if (end.kind === 'refused') {
+        writeRefusal(response, delivery.request, end.refusal);
+        return;
+      }
+      const body = {
+        ...describeChat(delivery, 'chat.completion'),
+        choices: [
+          {
+            index: 0,
+            message: { role: 'assistant', content: texts.join('') },
+            finish_reason: usage?.finish ?? 'stop',
+          },
+        ],
+        usage: toUsageBody(usage),
+      };
+      writeJson(response, 200, body, { [CallerHeader.requestId]: delivery.request });
+    },
+  };
+}
+
+function describeChat({ request, createdAt, model }: Delivery, object: string) {
+  const created = Math.floor(createdAt.getTime() / MS_PER_SECOND);
+  return { id: `chatcmpl-${request}`, object, created, model };
+}
+
+function toUsageBody(usage: Extract<AnswerEvent, { kind: 'usage' }> | undefined) {
+  const promptTokens = usage?.promptTokens ?? 0;
+  const completionTokens = usage?.completionTokens ?? 0;
+  return {
+    prompt_tokens: promptTokens,
+    completion_tokens: completionTokens,
+    total_tokens: promptTokens + completionTokens,
+  };
+}
+
+function createEventWriter(response: ServerResponse, delivery: Delivery): AnswerWriter {
+  function start(): void {
+    if (response.headersSent) return;
+    response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-cache',
+      [CallerHeader.requestId]: delivery.request,
+    });
+  }
+
+  function toChunk(event: AnswerEvent) {
+    const base = describeChat(delivery, 'chat.completion.chunk');
+    if (event.kind === 'delta') {
+      const delta = { role: 'assistant', content: event.text };
+      return { ...base, choices: [{ index: 0, delta, finish_reason: null }] };
+    }
+    const finish = event.kind === 'usage' ? event.finish : 'stop';
+    const usage = event.kind === 'usage' ? toUsageBody(event) : undefined;
+    return { ...base, choices: [{ index: 0, delta: {}, finish_reason: finish }], usage };
+  }
+
+  return {
+    async event(event, position) {
+      start();
+      const text = `id: ${position}\ndata: ${JSON.stringify(toChunk(event))}\n\n`;
+      await writeBytes(response, text, delivery.writeTimeout);
+    },
+    end(end) {
+      if (end.kind === 'complete') {
+        start();
+        response.end('data: [DONE]\n\n');
+      } else if (response.headersSent) {
+        const body = JSON.stringify(toErrorBody(delivery.request, end.refusal));
+        // Without the end mark, the caller sees that the answer was cut.
+        response.end(`event: error\ndata: ${body}\n\n`);
+      } else {
+        writeRefusal(response, delivery.request, end.refusal);
+      }
+    },
+  };
+}
+
+function createServiceWriter(response: ServerResponse, delivery: Delivery): AnswerWriter {
+  return {
+    async event(event) {
+      if (event.kind === 'head') {
+        response.writeHead(event.status, {
+          ...event.headers,
+          [CallerHeader.requestId]: delivery.request,
+        });
+      }
+      if (event.kind === 'bytes') await writeBytes(response, event.data, delivery.writeTimeout);
+    },
+    end(end) {
+      if (end.kind === 'complete') response.end();
+      else if (response.headersSent) response.destroy();
+      else writeRefusal(response, delivery.request, end.refusal);
+    },
+  };
+}
+
+// Waits while the caller is slower than its answer; one that takes nothing for too long is cut.
+function writeBytes(
+  response: ServerResponse,
+  data: string | Buffer,
+  timeout: Milliseconds,
+): Promise<void> {
+  if (response.destroyed || response.write(data)) return Promise.resolve();
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => response.destroy(), timeout);
+    const finish = () => {
+      clearTimeout(timer);
+      response.off('drain', finish);
+      response.off('close', finish);
+      resolve();
+    };
+    response.once('drain', finish);
+    response.once('close', finish);
+  });
+}
+
+/** The refusal for an answer whose runner is lost and that nobody can take over. */
+export function createLostRefusal(): Refusal {
+  const message = 'The instance that ran this request is lost; how it ended is not known.';
+  return createRefusal('outcome_unknown', 'unknown', message);
+}
--- /dev/null
+++ b/packages/peers/src/channel.ts
@@ -0,0 +1,61 @@
+import type { WebSocket } from 'ws';
+import { decodeFrame, encodeFrame } from './frames';
+import type { Frame } from './frames';
+
+/** Frames over one connection, with its byte counts. */
+export interface Channel {
+  send(frame: Frame): void;
+  /** The next frame, or `undefined` once the connection is closed. */
+  receive(): Promise<Frame | undefined>;
+  close(): void;
+  bytesSent(): number;
+  bytesReceived(): number;
+}
+
+/** Reads frames one by one from an open connection. */
+export function createChannel(socket: WebSocket): Channel {
+  const frames: Frame[] = [];
+  let isClosed = false;
+  let sent = 0;
+  let received = 0;
+  let wake: (() => void) | undefined;
+
+  function signal(): void {
+    wake?.();
+    wake = undefined;
+  }
+
+  socket.on('message', (data: Buffer) => {
+    received += data.length;
+    const frame = decodeFrame(data);
+    if (frame) frames.push(frame);
+    else socket.terminate();
+    signal();
+  });
+  socket.on('error', () => socket.terminate());
+  socket.on('close', () => {
+    isClosed = true;
+    signal();
+  });
+
+  return {
+    send(frame) {
+      if (isClosed) return;
+      const data = encodeFrame(frame);
+      sent += data.length;
+      socket.send(data, () => undefined);
+    },
+    async receive() {
+      while (frames.length === 0) {
+        if (isClosed) return undefined;
+        await new Promise<void>((resolve) => {
+          wake = resolve;
+        });
+      }
+      return frames.shift();
+    },
+    close: () => socket.terminate(),
+    bytesSent: () => sent,
+    bytesReceived: () => received,
+  };
+}
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,3 @@
+export * from './types';
+export * from './network';
+export { ProtocolVersions } from './frames';
--- /dev/null
+++ b/packages/platform/src/httpPlatform.ts
@@ -0,0 +1,176 @@
+import http from 'node:http';
+import { Err, Ok } from 'ts-results';
+import { z } from 'zod';
+import { callHttp } from '@pomeloroad/core';
+import type { Clock, HttpAnswer, HttpFailure, Milliseconds, Outcome } from '@pomeloroad/core';
+import { createBreaker } from './breaker';
+import type { Breaker } from './breaker';
+import type { CommitError, Membership, ObjectStore, Platform, Table } from './types';
+
+const BREAKER_COOLDOWN_MS = 500;
+
+/** Where the platform's services are, and how long to wait for them. */
+export interface PlatformOptions {
+  tableUrl: string;
+  objectsUrl: string;
+  membershipUrl: string;
+  timeout: Milliseconds;
+}
+
+/** What the platform client needs from its surroundings. */
+export interface PlatformHost {
+  clock: Clock;
+  onAvailability(service: string, isAvailable: boolean): void;
+}
+
+type Send = (
+  method: string,
+  path: string,
+  body?: string,
+) => Promise<Outcome<HttpAnswer, HttpFailure>>;
+
+const RowList = z.object({
+  rows: z.array(z.object({ key: z.string(), version: z.number(), value: z.unknown() })),
+});
+const CommitReply = z.object({ committed: z.boolean(), conflicts: z.array(z.string()) });
+const NameList = z.object({ names: z.array(z.string()) });
+const MemberList = z.object({
+  members: z.array(
+    z.object({
+      name: z.string(),
+      role: z.enum(['instance', 'endpoint']),
+      dataCentre: z.string(),
+      address: z.string(),
+      incarnation: z.string(),
+      state: z.enum(['live', 'leaving']),
+    }),
+  ),
+});
+
+/** A client of the platform's services over HTTP. Each service has a breaker of its own. */
+export function createHttpPlatform(host: PlatformHost, options: PlatformOptions): Platform {
+  const agent = new http.Agent({ keepAlive: true, maxSockets: 8, timeout: options.timeout * 2 });
+
+  function createSend(service: string, base: string): Send {
+    const breaker = createBreaker(host.clock, BREAKER_COOLDOWN_MS, (isTripped) =>
+      host.onAvailability(service, !isTripped),
+    );
+    return (method, path, body) => sendThrough(breaker, { agent, options, base }, method, path, body);
+  }
+
+  return {
+    table: createHttpTable(createSend('table', options.tableUrl)),
+    objects: createHttpObjects(createSend('objects', options.objectsUrl)),
+    membership: createHttpMembership(createSend('membership', options.membershipUrl)),
+  };
+}
+
+interface Route {
+  agent: http.Agent;
+  options: PlatformOptions;
+  base: string;
+}
+
+async function sendThrough(
+  breaker: Breaker,
+  route: Route,
+  method: string,
+  path: string,
+  body?: string,
+): Promise<Outcome<HttpAnswer, HttpFailure>> {
+  if (!breaker.isClosed()) return Err({ kind: 'unavailable', ran: 'no', message: 'breaker is open' });
+  const answer = await callHttp({
+    method,
+    url: `${route.base}${path}`,
+    headers: { 'content-type': 'application/json' },
+    body,
+    timeout: route.options.timeout,
+    agent: route.agent,
+  });
+  if (answer.err) {
+    breaker.fail();
+    return answer;
+  }
+  if (answer.val.status >= 500) {
+    breaker.fail();
+    return Err({ kind: 'unavailable', ran: getRan(answer.val), message: `status ${answer.val.status}` });
+  }
+  breaker.succeed();
+  return answer;
+}
+
+// The service answers 503 before it looks at a request; any other failure leaves its effect open.
+function getRan(answer: HttpAnswer): 'no' | 'unknown' {
+  return answer.status === 503 ? 'no' : 'unknown';
+}
+
+function createHttpTable(send: Send): Table {
+  return {
+    async commit(transaction) {
+      const answer = await send('POST', '/v1/commit', JSON.stringify(transaction));
+      if (answer.err) return Err(toCommitError(answer.val));
+      const reply = parse(CommitReply, answer.val);
+      if (reply.err) return Err({ kind: 'unknown', message: reply.val.message });
+      if (reply.val.committed) return Ok.EMPTY;
+      return Err({ kind: 'conflict', keys: reply.val.conflicts });
+    },
+    async read(keys) {
+      const answer = await send('POST', '/v1/read', JSON.stringify({ keys }));
+      return answer.andThen((value) => parse(RowList, value)).map((reply) => reply.rows);
+    },
+    async scan(prefix) {
+      const answer = await send('GET', `/v1/scan?prefix=${encodeURIComponent(prefix)}`);
+      return answer.andThen((value) => parse(RowList, value)).map((reply) => reply.rows);
+    },
+  };
+}
+
+function toCommitError(failure: HttpFailure): CommitError {
+  const kind = failure.ran === 'no' ? 'unavailable' : 'unknown';
+  return { kind, message: failure.message };
+}
+
+function createHttpObjects(send: Send): ObjectStore {
+  return {
+    async put(name, body) {
+      const answer = await send('PUT', `/v1/objects/${encodeURIComponent(name)}`, body);
+      return answer.map(() => undefined);
+    },
+    async get(name) {
+      const answer = await send('GET', `/v1/objects/${encodeURIComponent(name)}`);
+      return answer.map((value) => (value.status === 404 ? undefined : value.body.toString()));
+    },
+    async list(prefix) {
+      const answer = await send('GET', `/v1/objects?prefix=${encodeURIComponent(prefix)}`);
+      return answer.andThen((value) => parse(NameList, value)).map((reply) => reply.names);
+    },
+  };
+}
+
+function createHttpMembership(send: Send): Membership {
+  return {
+    async list() {
+      const answer = await send('GET', '/v1/members');
+      return answer.andThen((value) => parse(MemberList, value)).map((reply) => reply.members);
+    },
+    async announce(member) {
+      const path = `/v1/members/${encodeURIComponent(member.name)}`;
+      const answer = await send('PUT', path, JSON.stringify(member));
+      return answer.map(() => undefined);
+    },
+    async withdraw(member) {
+      const path = `/v1/members/${encodeURIComponent(member.name)}?incarnation=${member.incarnation}`;
+      const answer = await send('DELETE', path);
+      return answer.map(() => undefined);
+    },
+  };
+}
+
+function parse<T>(schema: z.ZodType<T>, answer: HttpAnswer): Outcome<T, HttpFailure> {
+  try {
+    return Ok(schema.parse(JSON.parse(answer.body.toString())));
+  } catch {
+    const message = `unexpected answer of the platform (status ${answer.status})`;
+    return Err({ kind: 'unavailable', ran: 'unknown', message });
+  }
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,5 @@
+export * from './types';
+export * from './breaker';
+export * from './memoryTable';
+export * from './httpPlatform';
+export * from './batchTable';
--- /dev/null
+++ b/packages/platform/src/memoryTable.ts
@@ -0,0 +1,48 @@
+import { Err, Ok } from 'ts-results';
+import type { Row, Table, Transaction } from './types';
+
+/** A table in this process's memory: the semantics of the service without its faults. */
+export interface MemoryTable extends Table {
+  /** Every row, in key order. */
+  rows(): Row[];
+}
+
+/** Creates an empty table. */
+export function createMemoryTable(): MemoryTable {
+  const rows = new Map<string, Row>();
+
+  function getVersion(key: string): number {
+    return rows.get(key)?.version ?? 0;
+  }
+
+  function apply(transaction: Transaction): string[] {
+    const failed = transaction.checks.filter((check) => getVersion(check.key) !== check.version);
+    if (failed.length > 0) return failed.map((check) => check.key);
+    transaction.writes.forEach(({ key, value }) => {
+      if (value === undefined) rows.delete(key);
+      else rows.set(key, { key, version: getVersion(key) + 1, value });
+    });
+    return [];
+  }
+
+  function sorted(prefix: string): Row[] {
+    return [...rows.values()]
+      .filter((row) => row.key.startsWith(prefix))
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+  }
+
+  return {
+    async commit(transaction) {
+      const keys = apply(transaction);
+      return keys.length === 0 ? Ok.EMPTY : Err({ kind: 'conflict', keys });
+    },
+    async read(keys) {
+      const found = keys.map((key) => rows.get(key)).filter((row) => row !== undefined);
+      return Ok(structuredClone(found));
+    },
+    async scan(prefix) {
+      return Ok(structuredClone(sorted(prefix)));
+    },
+    rows: () => sorted(''),
+  };
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,4 @@
+export * from './types';
+export * from './choose';
+export * from './endpoints';
+export * from './admission';
--- /dev/null
+++ b/packages/routing/src/types.ts
@@ -0,0 +1,46 @@
+import type { Milliseconds } from '@pomeloroad/core';
+import type { Endpoint } from '@pomeloroad/configuration';
+
+/** What an endpoint last said about its load. */
+export interface LoadReport {
+  running: number;
+  queued: number;
+  state: 'live' | 'leaving';
+}
+
+/** An endpoint as this instance sees it. */
+export interface EndpointView {
+  endpoint: Endpoint;
+  /** Requests of this instance that run there. */
+  inFlight: number;
+  /** Requests of others there, by the last load report. */
+  othersInFlight: number;
+  isLeaving: boolean;
+  isFailing: boolean;
+}
+
+/** What a request asks of routing. */
+export interface RouteRequest {
+  /** The model or the plain service. */
+  target: { kind: 'engine'; model: string } | { kind: 'service'; service: string };
+  account: string;
+  /** Higher goes first. */
+  priority: number;
+  /** How long the request may wait for a free endpoint. */
+  patience: Milliseconds;
+  /** Endpoints that failed this request before. */
+  excluded: ReadonlySet<string>;
+}
+
+/** A place on an endpoint; must be released exactly once. */
+export interface Slot {
+  endpoint: Endpoint;
+  release(result: 'ok' | 'failed'): void;
+}
+
+/** Why no endpoint was found. */
+export type RouteError =
+  /** No live endpoint serves the target. */
+  | { kind: 'none' }
+  /** All are busy; the wait would be longer than the request's patience. */
+  | { kind: 'busy'; retryAfter: Milliseconds };
--- /dev/null
+++ b/packages/standins/src/faults.ts
@@ -0,0 +1,66 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { z } from 'zod';
+import { readBody, writeJson } from '@pomeloroad/core';
+import type { Milliseconds, Random } from '@pomeloroad/core';
+
+const FaultsSchema = z.strictObject({
+  latency: z.number().min(0).optional(),
+  isDown: z.boolean().optional(),
+  lostAnswerShare: z.number().min(0).max(1).optional(),
+});
+
+/** Faults that a stand-in shows on request. */
+export interface Faults {
+  /** Added to each answer. */
+  latency: Milliseconds;
+  /** Every request is answered with 503, and nothing takes effect. */
+  isDown: boolean;
+  /** Share of requests that take effect but get no answer, from 0 to 1. */
+  lostAnswerShare: number;
+}
+
+/** Answers a request; `undefined` if the route is not known. */
+export type Serve = (
+  request: IncomingMessage,
+  url: URL,
+  body: string,
+) => Promise<StandinReply | undefined>;
+
+/** The answer of a stand-in: JSON, or text as it is. */
+export interface StandinReply {
+  status: number;
+  body: unknown;
+}
+
+/** Wraps a service so that it shows faults; `PUT /standin/faults` sets them. */
+export function createFaultyHandler(random: Random, serve: Serve) {
+  const faults: Faults = { latency: 0, isDown: false, lostAnswerShare: 0 };
+
+  return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const url = new URL(request.url ?? '/', 'http://standin');
+    const body = (await readBody(request).catch(() => Buffer.alloc(0))).toString('utf8');
+    if (url.pathname === '/standin/faults') {
+      Object.assign(faults, FaultsSchema.parse(JSON.parse(body)));
+      writeJson(response, 200, faults);
+      return;
+    }
+    if (faults.latency > 0) await pause(faults.latency);
+    if (faults.isDown) {
+      writeJson(response, 503, { message: 'down' });
+      return;
+    }
+    const reply = (await serve(request, url, body)) ?? { status: 404, body: { message: 'none' } };
+    if (random.fraction() < faults.lostAnswerShare) {
+      response.destroy();
+      return;
+    }
+    if (typeof reply.body === 'string') response.writeHead(reply.status).end(reply.body);
+    else writeJson(response, reply.status, reply.body);
+  };
+}
+
+function pause(delay: Milliseconds): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delay);
+  });
+}
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,4 @@
+export * from './generate';
+export * from './modelEngine';
+export * from './plainService';
+export * from './platformServers';
--- /dev/null
+++ b/packages/standins/src/main.ts
@@ -0,0 +1,73 @@
+import type http from 'node:http';
+import sade from 'sade';
+import { createSystemClock, listen } from '@pomeloroad/core';
+import { createModelEngine } from './modelEngine';
+import { createPlainService } from './plainService';
+import { startPlatform } from './platformServers';
+
+const FREE_PORT = '127.0.0.1:0';
+
+const program = sade('standins');
+
+program
+  .command('platform')
+  .describe('Run the table service, the object store and the membership list.')
+  .option('--table', 'address of the table service', FREE_PORT)
+  .option('--objects', 'address of the object store', FREE_PORT)
+  .option('--membership', 'address of the membership list', FREE_PORT)
+  .option('--seed', 'seed of injected faults', 1)
+  .option('--lag', 'lag of the membership list in ms', 500)
+  .option('--expiry', 'time in ms after which a silent member is dropped', 6000)
+  .action(async (flags: Record<string, string | number>) => {
+    const addresses = {
+      table: String(flags.table),
+      objects: String(flags.objects),
+      membership: String(flags.membership),
+    };
+    const options = { lag: Number(flags.lag), expiry: Number(flags.expiry) };
+    const platform = await startPlatform(addresses, Number(flags.seed), options);
+    announce(platform.addresses);
+  });
+
+program
+  .command('engine')
+  .describe('Run a model engine.')
+  .option('--address', 'where to listen', FREE_PORT)
+  .option('--slots', 'streams at the same time', 16)
+  .option('--step', 'time between tokens in ms', 5)
+  .option('--prefill-rate', 'prompt characters read a ms', 200)
+  .option('--resume-window', 'time in ms that a stream runs on without a reader', 15000)
+  .option('--cache-blocks', 'blocks of the prefix cache', 256)
+  .option('--load-lag', 'age of the reported load in ms', 300)
+  .option('--checks-fencing', 'refuse orders with an old fencing number', false)
+  .action(async (flags: Record<string, string | number | boolean>) => {
+    const engine = createModelEngine(createSystemClock(), {
+      slots: Number(flags.slots),
+      step: Number(flags.step),
+      prefillRate: Number(flags['prefill-rate']),
+      resumeWindow: Number(flags['resume-window']),
+      cacheBlocks: Number(flags['cache-blocks']),
+      loadLag: Number(flags['load-lag']),
+      checksFencing: Boolean(flags['checks-fencing']),
+    });
+    await announceServer(engine, String(flags.address));
+  });
+
+program
+  .command('service')
+  .describe('Run a plain service.')
+  .option('--address', 'where to listen', FREE_PORT)
+  .option('--seed', 'seed of injected faults', 1)
+  .action(async (flags: Record<string, string | number>) => {
+    await announceServer(createPlainService(Number(flags.seed)), String(flags.address));
+  });
+
+program.parse(process.argv);
+
+async function announceServer(server: http.Server, address: string): Promise<void> {
+  announce({ address: await listen(server, address) });
+}
+
+function announce(addresses: object): void {
+  process.stdout.write(`${JSON.stringify({ event: 'listening', ...addresses })}\n`);
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,2 @@
+export * from './types';
+export * from './metrics';
