--- a/packages/budgets/src/audit.ts
+++ b/packages/budgets/src/audit.ts
@@ -1,13 +1,7 @@
 import { Err, Ok } from 'ts-results';
 import type { Outcome, Tokens } from '@pomeloroad/core';
 import type { ObjectStore, Row, Table } from '@pomeloroad/platform';
-import {
-  getUnallocated,
-  LedgerPrefix,
-  parseBudget,
-  parseGrant,
-  parseTopUp,
-} from './rows';
+import { getUnallocated, LedgerPrefix, parseBudget, parseGrant, parseTopUp } from './rows';
 import { parseSegment, SEGMENT_PREFIX } from './settlement';
 import type { BudgetRow, GrantRow, SettledRecord } from './types';
 
--- a/packages/budgets/src/keeper.ts
+++ b/packages/budgets/src/keeper.ts
@@ -1,13 +1,7 @@
 import { Err, Ok } from 'ts-results';
 import { createCondition, createId, Diagnostics, withTimeout } from '@pomeloroad/core';
 import type { Clock, Identity, Log, Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
-import {
-  addReservation,
-  adoptGrant,
-  createHolding,
-  endReservation,
-  getFree,
-} from './holding';
+import { createHolding } from './holding';
 import type { Reservation } from './holding';
 import type { Ledger, Sizer } from './ledger';
 import { createRateMeter } from './rate';
@@ -136,7 +130,7 @@
   async function recallOthers(): Promise<Tokens> {
     const row = await ledger.readBudget(budget);
     if (row.err) return Infinity;
-    const others = Object.keys(row.val.open).filter((id) => id !== holding.grant.id);
+    const others = Object.keys(row.val.open).filter((id) => id !== holding.grant().id);
     const summary = await host.recall(budget, others, getShortage());
     if (summary.released > 0) {
       await grow();
@@ -146,19 +140,19 @@
   }
 
   function getOwnPart(): Tokens {
-    return getFree(holding) + holding.reserved;
+    return holding.free() + holding.reserved();
   }
 
   function getShortage(): Tokens {
     const wanted = waiters.reduce((sum, waiter) => sum + waiter.request.tokens, 0);
-    return Math.max(0, wanted - getFree(holding));
+    return Math.max(0, wanted - holding.free());
   }
 
   function grow(): Promise<Outcome<Grant, LedgerError>> {
     return exclusively(async () => {
       const row = await ledger.readBudget(budget);
       if (row.err) return row;
-      const outcome = await ledger.resize(holding.grant, growBy(row.val), holding.isUncertain);
+      const outcome = await ledger.resize(holding.grant(), growBy(row.val), holding.isUncertain());
       takeOutcome(outcome);
       return outcome;
     });
@@ -182,30 +176,29 @@
   function takeOutcome(outcome: Outcome<Grant, LedgerError>): void {
     if (outcome.ok) {
       const { version, row } = outcome.val;
-      if (holding.grant.version === 0 && version > 0) logGrant(Diagnostics.grantOpened, row.size);
-      else if (row.size !== holding.grant.row.size) logGrant(Diagnostics.grantResized, row.size);
-      adoptGrant(holding, outcome.val);
+      if (holding.grant().version === 0 && version > 0) logGrant(Diagnostics.grantOpened, row.size);
+      else if (row.size !== holding.grant().row.size) logGrant(Diagnostics.grantResized, row.size);
+      holding.adopt(outcome.val);
       return;
     }
     if (outcome.val.kind === 'sealed') abandon();
-    else holding.isUncertain = true;
+    else holding.markUncertain();
   }
 
   // Another instance took this one for dead and charged the grant: nothing more may be spent of it.
   function abandon(): void {
-    holding.isSealed = true;
-    logGrant(Diagnostics.grantAdopted, holding.grant.row.size);
+    logGrant(Diagnostics.grantAdopted, holding.grant().row.size);
     holding = createHolding(createGrant(self, budget));
   }
 
   function logGrant(event: (typeof Diagnostics)[keyof typeof Diagnostics], size: Tokens): void {
-    log(event, { budget, grant: holding.grant.id, size, spent: holding.spent });
+    log(event, { budget, grant: holding.grant().id, size, spent: holding.spent() });
   }
 
   function serveWaiters(): void {
     waiters = waiters.filter((waiter) => {
-      if (getFree(holding) < waiter.request.tokens) return true;
-      addReservation(holding, waiter.request, clock.elapsed());
+      if (holding.free() < waiter.request.tokens) return true;
+      holding.reserve(waiter.request, clock.elapsed());
       waiter.resolve(Ok.EMPTY);
       return false;
     });
@@ -228,12 +221,12 @@
   async function shrinkTo(getKept: () => Tokens): Promise<Tokens> {
     return exclusively(async () => {
       const before = holding;
-      const kept = Math.max(getKept(), before.spent + before.reserved);
-      const released = before.limit - kept;
-      if (released <= 0 || before.grant.version === 0) return 0;
+      const kept = Math.max(getKept(), before.spent() + before.reserved());
+      const released = before.limit() - kept;
+      if (released <= 0 || before.grant().version === 0) return 0;
       // The tokens are out of use from here on, whatever becomes of the write.
-      before.limit = kept;
-      const outcome = await ledger.resize(before.grant, () => kept, before.isUncertain);
+      before.lower(kept);
+      const outcome = await ledger.resize(before.grant(), () => kept, before.isUncertain());
       takeOutcome(outcome);
       return outcome.ok ? released : 0;
     });
@@ -242,9 +235,9 @@
   return {
     async reserve(request) {
       typical = Math.max(typical * 0.9, request.tokens);
-      if (holding.reservations.has(request.id)) return Ok.EMPTY;
-      if (waiters.length === 0 && getFree(holding) >= request.tokens) {
-        addReservation(holding, request, clock.elapsed());
+      if (holding.reservations().has(request.id)) return Ok.EMPTY;
+      if (waiters.length === 0 && holding.free() >= request.tokens) {
+        holding.reserve(request, clock.elapsed());
         return Ok.EMPTY;
       }
       const deadline = clock.elapsed() + request.patience;
@@ -256,47 +249,39 @@
     },
     settle(reservation, record) {
       rate.add(record?.tokens ?? 0);
-      endReservation(holding, reservation, record);
+      holding.end(reservation, record);
       serveWaiters();
       changed.notify();
     },
-    place(reservation, placement) {
-      const held = holding.reservations.get(reservation);
-      held?.placements.push(placement);
-      return held !== undefined;
-    },
-    adopt(reservation, owner) {
-      const held = holding.reservations.get(reservation);
-      if (held) held.owner = owner;
-      return held !== undefined;
-    },
+    place: (reservation, placement) => holding.place(reservation, placement),
+    adopt: (reservation, owner) => holding.changeOwner(reservation, owner),
     release: (mustYield) =>
       waiters.length > 0 && !mustYield ? Promise.resolve(0) : shrinkTo(() => 0),
     async trim() {
       const limit = getIdleLimit(policy, rate.perSecond(), typical);
-      if (waiters.length > 0 || getFree(holding) <= limit) return;
-      await shrinkTo(() => holding.spent + holding.reserved + Math.ceil(limit / 2));
+      if (waiters.length > 0 || holding.free() <= limit) return;
+      await shrinkTo(() => holding.spent() + holding.reserved() + Math.ceil(limit / 2));
     },
-    reservations: () => [...holding.reservations.values()],
-    unsettled: () => holding.unsettled,
+    reservations: () => [...holding.reservations().values()],
+    unsettled: () => holding.unsettled(),
     settleRow: (grant, sequence) =>
       exclusively(async () => {
-        if (holding.grant.id !== grant) return;
-        const records = holding.unsettled.filter((record) => record.ordinal <= sequence);
-        const spent = records.reduce((sum, r) => sum + r.tokens, holding.grant.row.spent);
-        const outcome = await ledger.settle(holding.grant, spent, sequence);
-        if (outcome.ok) adoptSettled(outcome.val);
+        if (holding.grant().id !== grant) return;
+        const records = holding.unsettled().filter((record) => record.ordinal <= sequence);
+        const spent = records.reduce((sum, r) => sum + r.tokens, holding.grant().row.spent);
+        const outcome = await ledger.settle(holding.grant(), spent, sequence);
+        if (outcome.ok) holding.adoptSettled(outcome.val);
         else if (outcome.val.kind === 'sealed') abandon();
       }),
     close: () =>
       exclusively(async () => {
-        if (holding.reservations.size > 0 || holding.unsettled.length > 0) return false;
-        if (holding.grant.version === 0 && !holding.isUncertain) return true;
-        const { grant, spent, sequence } = holding;
-        holding.limit = spent;
-        const outcome = await ledger.close(grant, spent, sequence);
+        if (holding.reservations().size > 0 || holding.unsettled().length > 0) return false;
+        if (holding.grant().version === 0 && !holding.isUncertain()) return true;
+        const spent = holding.spent();
+        holding.lower(spent);
+        const outcome = await ledger.close(holding.grant(), spent, holding.sequence());
         if (outcome.err && outcome.val.kind !== 'sealed') {
-          holding.isUncertain = true;
+          holding.markUncertain();
           return false;
         }
         logGrant(Diagnostics.grantClosed, spent);
@@ -305,25 +290,17 @@
       }),
     describe: () => ({
       budget,
-      grant: holding.grant.id,
-      size: holding.grant.row.size,
-      spent: holding.spent,
-      reserved: holding.reserved,
-      free: getFree(holding),
-      reservations: holding.reservations.size,
-      unsettled: holding.unsettled.length,
+      grant: holding.grant().id,
+      size: holding.grant().row.size,
+      spent: holding.spent(),
+      reserved: holding.reserved(),
+      free: holding.free(),
+      reservations: holding.reservations().size,
+      unsettled: holding.unsettled().length,
       waiting: waiters.length,
       rate: Math.round(rate.perSecond()),
     }),
   };
-
-  function adoptSettled(grant: Grant): void {
-    const { limit, isUncertain } = holding;
-    adoptGrant(holding, grant);
-    // A reduction that may still take effect stays in force.
-    holding.limit = Math.min(limit, grant.row.size);
-    holding.isUncertain = isUncertain;
-  }
 }
 
 function getUnallocatedOf(row: BudgetRow): Tokens {
--- a/packages/budgets/src/keepers.ts
+++ b/packages/budgets/src/keepers.ts
@@ -130,8 +130,7 @@
 
   async function settleOrphan(keeper: Keeper, reservation: Reservation): Promise<void> {
     const { id, placements, draft, tokens: reserved } = reservation;
-    const usage =
-      placements.length === 0 ? NO_USAGE : await host.stopRequest(placements, reserved);
+    const usage = placements.length === 0 ? NO_USAGE : await host.stopRequest(placements, reserved);
     if (!usage || host.isLive(reservation.owner)) return;
     const { promptTokens, completionTokens } = usage;
     log(Diagnostics.reservationOrphaned, { reservation: id, promptTokens, completionTokens });
@@ -206,4 +205,3 @@
 function getGrantHolder(id: string): string {
   return id.split('/')[1] ?? '';
 }
-
--- a/packages/budgets/src/ledger.ts
+++ b/packages/budgets/src/ledger.ts
@@ -112,8 +112,7 @@
       ),
     close: (grant, spent, sequence) =>
       transact(getKeys(grant), (rows) => planClose(grant, spent, sequence, rows)),
-    seal: (grant, charge) =>
-      transact(getKeys(grant), (rows) => planSeal(grant, charge, rows)),
+    seal: (grant, charge) => transact(getKeys(grant), (rows) => planSeal(grant, charge, rows)),
   };
 }
 
--- a/packages/budgets/src/types.ts
+++ b/packages/budgets/src/types.ts
@@ -89,8 +89,7 @@
 
 /** Why a reservation was refused. */
 export type ReservationError =
-  | { kind: 'exhausted'; remaining: Tokens }
-  | { kind: 'unreachable'; message: string };
+  { kind: 'exhausted'; remaining: Tokens } | { kind: 'unreachable'; message: string };
 
 /** Where a reserved request runs, so that it can be billed without the instance that ran it. */
 export interface Placement {
--- a/packages/configuration/src/diff.ts
+++ b/packages/configuration/src/diff.ts
@@ -18,7 +18,12 @@
   ];
 }
 
-function diffParts<T>(section: string, old: T[], next: T[], getName: (part: T) => string): Change[] {
+function diffParts<T>(
+  section: string,
+  old: T[],
+  next: T[],
+  getName: (part: T) => string,
+): Change[] {
   const before = new Map(old.map((part) => [getName(part), part]));
   const after = new Map(next.map((part) => [getName(part), part]));
   const removed = [...before.keys()].filter((name) => !after.has(name));
--- a/packages/configuration/src/intersect.ts
+++ b/packages/configuration/src/intersect.ts
@@ -4,16 +4,26 @@
 export function intersectConfigurations(old: Configuration, next: Configuration): Configuration {
   return {
     accounts: joinBy(old.accounts, next.accounts, (account) => account.name, intersectAccounts),
-    pools: joinBy(old.pools, next.pools, (pool) => pool.model, (a, b) => ({
-      ...a,
-      templateTokens: Math.max(a.templateTokens, b.templateTokens),
-      defaultOutputTokens: Math.min(a.defaultOutputTokens, b.defaultOutputTokens),
-      maxOutputTokens: Math.min(a.maxOutputTokens, b.maxOutputTokens),
-    })),
-    services: joinBy(old.services, next.services, (service) => service.name, (a, b) => ({
-      ...a,
-      tokensPerCall: Math.max(a.tokensPerCall, b.tokensPerCall),
-    })),
+    pools: joinBy(
+      old.pools,
+      next.pools,
+      (pool) => pool.model,
+      (a, b) => ({
+        ...a,
+        templateTokens: Math.max(a.templateTokens, b.templateTokens),
+        defaultOutputTokens: Math.min(a.defaultOutputTokens, b.defaultOutputTokens),
+        maxOutputTokens: Math.min(a.maxOutputTokens, b.maxOutputTokens),
+      }),
+    ),
+    services: joinBy(
+      old.services,
+      next.services,
+      (service) => service.name,
+      (a, b) => ({
+        ...a,
+        tokensPerCall: Math.max(a.tokensPerCall, b.tokensPerCall),
+      }),
+    ),
     endpoints: joinBy(old.endpoints, next.endpoints, getEndpointKey, intersectEndpoints),
   };
 }
@@ -32,7 +42,12 @@
 }
 
 function intersectAccounts(a: Account, b: Account): Account {
-  const keys = joinBy(a.keys, b.keys, (key) => `${key.hash} ${key.budget}`, (key) => key);
+  const keys = joinBy(
+    a.keys,
+    b.keys,
+    (key) => `${key.hash} ${key.budget}`,
+    (key) => key,
+  );
   const budgets = a.budgets.filter((budget) => b.budgets.includes(budget));
   return { ...a, weight: Math.min(a.weight, b.weight), budgets, keys };
 }
--- a/packages/configuration/src/parse.ts
+++ b/packages/configuration/src/parse.ts
@@ -32,15 +32,19 @@
 }
 
 function faultAt(lines: LineCounter, offset: number, path: string, message: string): Fault {
-  const { line, col } = lines.linePos(offset);
-  return { line, column: col, path, message };
+  const { line, col: column } = lines.linePos(offset);
+  return { line, column, path, message };
 }
 
 // A missing value has no place of its own: the nearest one above it is named instead.
 function findOffset(document: Document, path: Path): number {
-  for (let length = path.length; length > 0; length -= 1) {
-    const node = document.getIn(path.slice(0, length).map(toKey), true);
-    if (isNode(node) && node.range) return node.range[0];
+  for (let depth = path.length; depth > 0; depth -= 1) {
+    const node = document.getIn(path.slice(0, depth).map(toKey), true);
+    const range = isNode(node) ? node.range : undefined;
+    if (range) {
+      const [start] = range;
+      return start;
+    }
   }
   return 0;
 }
--- a/packages/configuration/src/references.ts
+++ b/packages/configuration/src/references.ts
@@ -13,11 +13,36 @@
   const faults: ReferenceFault[] = [];
   const report: Report = (path, message) => faults.push({ path, message });
   const { accounts, pools, services, endpoints } = configuration;
-  reportRepeated(report, ['accounts'], 'name', accounts.map((account) => account.name));
-  reportRepeated(report, ['pools'], 'model', pools.map((pool) => pool.model));
-  reportRepeated(report, ['services'], 'name', services.map((service) => service.name));
-  reportRepeated(report, ['endpoints'], 'name', endpoints.map((endpoint) => endpoint.name));
-  reportRepeated(report, ['endpoints'], 'address', endpoints.map((endpoint) => endpoint.address));
+  reportRepeated(
+    report,
+    ['accounts'],
+    'name',
+    accounts.map((account) => account.name),
+  );
+  reportRepeated(
+    report,
+    ['pools'],
+    'model',
+    pools.map((pool) => pool.model),
+  );
+  reportRepeated(
+    report,
+    ['services'],
+    'name',
+    services.map((service) => service.name),
+  );
+  reportRepeated(
+    report,
+    ['endpoints'],
+    'name',
+    endpoints.map((endpoint) => endpoint.name),
+  );
+  reportRepeated(
+    report,
+    ['endpoints'],
+    'address',
+    endpoints.map((endpoint) => endpoint.address),
+  );
   accounts.forEach((account, index) => checkAccount(report, account, index));
   checkKeyHashes(report, accounts);
   pools.forEach((pool, index) => checkPool(report, pool, index));
--- a/packages/configuration/src/schema.ts
+++ b/packages/configuration/src/schema.ts
@@ -13,8 +13,13 @@
 
 const Name = z
   .string()
-  .regex(NAME_PATTERN, 'expected 1 to 63 of a-z, 0-9, ".", "_", "-", starting with a letter or digit');
-const Address = z.string().regex(ADDRESS_PATTERN, 'expected an IP number and a port, 10.0.0.1:8000');
+  .regex(
+    NAME_PATTERN,
+    'expected 1 to 63 of a-z, 0-9, ".", "_", "-", starting with a letter or digit',
+  );
+const Address = z
+  .string()
+  .regex(ADDRESS_PATTERN, 'expected an IP number and a port, 10.0.0.1:8000');
 const Count = z.number().int('expected a whole number').min(0, 'expected 0 or more');
 const Positive = z.number().int('expected a whole number').min(1, 'expected 1 or more');
 
@@ -35,7 +40,9 @@
     .array(
       z.strictObject({
         name: Name,
-        hash: z.string().regex(HASH_PATTERN, 'expected a SHA-256 in hexadecimal, see pomeloctl keys'),
+        hash: z
+          .string()
+          .regex(HASH_PATTERN, 'expected a SHA-256 in hexadecimal, see pomeloctl keys'),
         budget: Name,
       }),
     )
--- a/packages/configuration/src/store.ts
+++ b/packages/configuration/src/store.ts
@@ -28,8 +28,7 @@
 
 /** Why a step on the stored configuration failed. */
 export type StoreError =
-  | { kind: 'unavailable'; message: string }
-  | { kind: 'superseded'; head: HeadRow };
+  { kind: 'unavailable'; message: string } | { kind: 'superseded'; head: HeadRow };
 
 /** What the platform holds of the configuration at one moment. */
 export interface StoredState {
--- a/packages/configuration/src/types.ts
+++ b/packages/configuration/src/types.ts
@@ -2,9 +2,7 @@
 
 /** How endpoints of a pool are chosen. */
 export type RoutingPolicy =
-  | { kind: 'round-robin' }
-  | { kind: 'random-two' }
-  | { kind: 'least-in-flight' };
+  { kind: 'round-robin' } | { kind: 'random-two' } | { kind: 'least-in-flight' };
 
 /** A caller's key; only the hash of its secret is stored. */
 export interface Key {
--- a/packages/control/src/commands.ts
+++ b/packages/control/src/commands.ts
@@ -197,7 +197,8 @@
   if (answer.err) return fail(ExitCode.unavailable, answer.val);
   if (answer.val.status !== 200) return reportError(answer.val);
   const { result } = z.object({ result: z.string() }).parse(answer.val.body);
-  const text = result === 'added' ? `added ${tokens} tokens to ${budget}` : `${id} was added before`;
+  const text =
+    result === 'added' ? `added ${tokens} tokens to ${budget}` : `${id} was added before`;
   return succeed(text, answer.val.body);
 }
 
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -38,13 +38,19 @@
   .command('check <file>')
   .describe('Check a file; needs no instance.')
   .action((path: string, flags: Flags) =>
-    finish(flags, withFile(path, async (text) => checkFile(path, text))),
+    finish(
+      flags,
+      withFile(path, async (text) => checkFile(path, text)),
+    ),
   );
 program
   .command('diff <file>')
   .describe('Show what applying a file would change.')
   .action((path: string, flags: Flags) =>
-    finish(flags, withFile(path, (text) => diffFile(getTarget(flags), path, text))),
+    finish(
+      flags,
+      withFile(path, (text) => diffFile(getTarget(flags), path, text)),
+    ),
   );
 program
   .command('apply <file>')
--- a/packages/control/src/output.ts
+++ b/packages/control/src/output.ts
@@ -26,7 +26,11 @@
 /** Formats rows as a plain table with a head. */
 export function formatTable(head: string[], rows: (string | number)[][]): string {
   if (rows.length === 0) return '(none)';
-  const table = new Table({ head, chars: PLAIN_CHARS, style: { head: [], border: [], compact: true } });
+  const table = new Table({
+    head,
+    chars: PLAIN_CHARS,
+    style: { head: [], border: [], compact: true },
+  });
   rows.forEach((row) => table.push(row.map(String)));
   return table.toString();
 }
@@ -55,6 +59,10 @@
 }
 
 /** A result that reports an error. */
-export function fail(status: ExitStatus, text: string, data: unknown = { error: text }): CommandResult {
+export function fail(
+  status: ExitStatus,
+  text: string,
+  data: unknown = { error: text },
+): CommandResult {
   return { status, text, data };
 }
--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -39,7 +39,8 @@
     };
     const request = sendRequest(call, (response) => {
       readBody(response).then(
-        (body) => resolve(Ok({ status: response.statusCode ?? 0, headers: response.headers, body })),
+        (body) =>
+          resolve(Ok({ status: response.statusCode ?? 0, headers: response.headers, body })),
         (reason: Error) => fail(reason.message),
       );
     });
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -51,10 +51,7 @@
     replacements.set(address, await listen(server, at(address)));
   }
   const service = createPlainService(SEED);
-  replacements.set(
-    EXAMPLE_ADDRESSES.service,
-    await listen(service, at(EXAMPLE_ADDRESSES.service)),
-  );
+  replacements.set(EXAMPLE_ADDRESSES.service, await listen(service, at(EXAMPLE_ADDRESSES.service)));
   const instance = await startInstance(createSettings(platform.addresses, usesFreePorts));
   await prepare(instance, replacements);
   printGuide(instance);
--- a/packages/entry/src/callerHeaders.ts
+++ b/packages/entry/src/callerHeaders.ts
@@ -56,7 +56,8 @@
   if (!/^\d{1,9}$/.test(deadline)) {
     return refuse(`${CallerHeader.deadline} must be a number of milliseconds.`);
   }
-  if (!/^(-1|\d{1,9})$/.test(lastEvent)) return refuse(`${CallerHeader.lastEvent} must be a number.`);
+  if (!/^(-1|\d{1,9})$/.test(lastEvent))
+    return refuse(`${CallerHeader.lastEvent} must be a number.`);
   if (mark === 'true' && key === undefined) {
     const message = `A non-idempotent request needs the header ${CallerHeader.key}.`;
     return Err(createRefusal('key_required', 'no', message));
--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -2,7 +2,15 @@
 import https from 'node:https';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Err, Ok } from 'ts-results';
-import { createId, hashText, listen, readBody, sleep, withTimeout, writeJson } from '@pomeloroad/core';
+import {
+  createId,
+  hashText,
+  listen,
+  readBody,
+  sleep,
+  withTimeout,
+  writeJson,
+} from '@pomeloroad/core';
 import type { Clock, Identity, Outcome } from '@pomeloroad/core';
 import { isBudgetOf } from '@pomeloroad/configuration';
 import type { Configuration, Service } from '@pomeloroad/configuration';
@@ -76,10 +84,10 @@
 /** Creates the callers' interface. */
 export function createCallers(host: CallersHost, tls?: { cert: string; key: string }): Callers {
   const { clock, self, settings, metrics } = host;
-  const options = { maxHeaderSize: settings.headerLimit, keepAliveTimeout: KEEP_ALIVE_MS };
+  const serverOptions = { maxHeaderSize: settings.headerLimit, keepAliveTimeout: KEEP_ALIVE_MS };
   const server = tls
-    ? https.createServer({ ...options, ...tls }, handle)
-    : http.createServer(options, handle);
+    ? https.createServer({ ...serverOptions, ...tls }, handle)
+    : http.createServer(serverOptions, handle);
   server.maxConnections = settings.connectionLimit;
   server.headersTimeout = settings.requestTimeout;
   server.requestTimeout = settings.requestTimeout;
@@ -300,4 +308,3 @@
 const FOREIGN_KEY = createRefusal('forbidden', 'no', 'The key was issued to another account.');
 const HALF_SENT = createRefusal('invalid_request', 'no', 'The request was not sent to its end.');
 const TOO_SLOW = createRefusal('request_timeout', 'no', 'The request took too long to be sent.');
-
--- a/packages/entry/src/chatRequest.ts
+++ b/packages/entry/src/chatRequest.ts
@@ -78,7 +78,8 @@
 // A byte-level vocabulary has no token of less than one byte, so bytes bound tokens.
 function getPromptBound(pool: Pool, body: z.output<typeof ChatBody>): Tokens {
   const messages = body.messages.map(({ role, content, ...rest }) => {
-    const texts = typeof content === 'string' ? [content] : (content ?? []).map((part) => part.text);
+    const texts =
+      typeof content === 'string' ? [content] : (content ?? []).map((part) => part.text);
     const extra = Object.keys(rest).length > 0 ? JSON.stringify(rest) : '';
     return countBytes(role + texts.join('') + extra) + pool.templateTokens;
   });
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -31,9 +31,12 @@
 
 /** How far a stream has come. */
 interface Progress {
-  deltas: number;
-  lastIndex: number;
-  usage?: Extract<EngineEvent, { kind: 'usage' }>;
+  /** Takes an event over; the text if it is new. */
+  take(event: EngineEvent): string | undefined;
+  deltas(): number;
+  /** Index of the last text, -1 before the first. */
+  lastIndex(): number;
+  usage(): Extract<EngineEvent, { kind: 'usage' }> | undefined;
 }
 
 type Attempt =
@@ -41,6 +44,28 @@
   /** Nothing ran: another endpoint may be tried. */
   | { kind: 'not-run'; refusal: Refusal; result: 'ok' | 'failed' };
 
+function createProgress(): Progress {
+  let deltas = 0;
+  let lastIndex = -1;
+  let usage: Extract<EngineEvent, { kind: 'usage' }> | undefined;
+  return {
+    take(event) {
+      if (event.kind === 'usage') {
+        usage = event;
+        return undefined;
+      }
+      // A resumed stream may repeat what was received before.
+      if (event.index <= lastIndex) return undefined;
+      lastIndex = event.index;
+      deltas += 1;
+      return event.text;
+    },
+    deltas: () => deltas,
+    lastIndex: () => lastIndex,
+    usage: () => usage,
+  };
+}
+
 /** Runs a chat completion to its end and settles its cost. */
 export async function runChat(
   host: RunHost,
@@ -119,7 +144,7 @@
   if (!(await announcePlacement(run, reservation, placement))) return notRunHere();
   if (signal.aborted) return { kind: 'done', end: leftBeforeStart(), record: undefined };
   const call = createCall(run, placement);
-  const progress: Progress = { deltas: 0, lastIndex: -1 };
+  const progress = createProgress();
   const sink = createSink(run, progress);
   const outcome = await run.host.engine.run(call, sink);
   return concludeAttempt(run, reservation, placement, progress, outcome);
@@ -134,19 +159,23 @@
 ): Promise<Attempt> {
   if (outcome.ok) return complete(run, reservation, progress);
   if (outcome.val.ran === 'no') return toNotRun(outcome.val);
-  const resumed = isTooLong(run, progress)
-    ? outcome
-    : await resumeStream(run, placement, progress);
+  const resumed = isTooLong(run, progress) ? outcome : await resumeStream(run, placement, progress);
   if (resumed.ok) return complete(run, reservation, progress);
   const stopped = await stopStream(run, placement);
   if (!stopped) {
     // The endpoint can't be asked, so the most that it may have used is charged.
-    const record = createRecord(run, reservation.tokens - run.chat.outputBound, run.chat.outputBound);
+    const record = createRecord(
+      run,
+      reservation.tokens - run.chat.outputBound,
+      run.chat.outputBound,
+    );
     return { kind: 'done', end: refuse(toFailure(outcome.val)), record };
   }
   if (stopped.state === 'never') return toNotRun(outcome.val);
   const record = createRecord(run, stopped.promptTokens, stopped.completionTokens);
-  const end = isTooLong(run, progress) ? completeAtLimit(run, stopped) : refuse(toFailure(outcome.val));
+  const end = isTooLong(run, progress)
+    ? completeAtLimit(run, stopped)
+    : refuse(toFailure(outcome.val));
   return { kind: 'done', end, record };
 }
 
@@ -161,7 +190,7 @@
 ): Promise<AnswerEnd> {
   const run: Run = { host, request, chat, answer, signal };
   const reservation = await host.budgets.adopt(state);
-  const progress: Progress = { deltas: 0, lastIndex: -1 };
+  const progress = createProgress();
   const resumed = await resumeStream(run, state.placement, progress);
   if (resumed.err) {
     const stopped = await stopStream(run, state.placement);
@@ -173,7 +202,7 @@
     reservation?.settle(createRecord(run, used.promptTokens, used.completionTokens));
     return refuse(toFailure(resumed.val));
   }
-  const { usage } = progress;
+  const usage = progress.usage();
   if (usage) answer.append(usage);
   reservation?.settle(usage && createRecord(run, usage.promptTokens, usage.completionTokens));
   return { kind: 'complete' };
@@ -190,7 +219,7 @@
   for (let attempt = 0; attempt < RESUMES && !signal.aborted; attempt += 1) {
     await sleep(host.clock, RESUME_DELAY_MS * attempt, signal);
     host.log(Diagnostics.requestResumed, { request: request.id, endpoint: placement.endpoint });
-    outcome = await host.engine.resume(call, progress.lastIndex, createSink(run, progress));
+    outcome = await host.engine.resume(call, progress.lastIndex(), createSink(run, progress));
     if (outcome.ok || outcome.val.kind === 'rejected') return outcome;
   }
   return outcome;
@@ -223,21 +252,16 @@
 
 function createSink(run: Run, progress: Progress): EngineSink {
   return async (event) => {
-    if (event.kind === 'usage') {
-      progress.usage = event;
-      return;
-    }
-    if (event.index <= progress.lastIndex) return;
-    progress.lastIndex = event.index;
-    progress.deltas += 1;
+    const text = progress.take(event);
+    if (text === undefined) return;
     if (isTooLong(run, progress)) throw new RangeError('the answer is longer than its limit');
-    run.answer.append({ kind: 'delta', text: event.text });
+    run.answer.append({ kind: 'delta', text });
     await run.answer.drained(BACKLOG_EVENTS);
   };
 }
 
 function isTooLong({ chat }: Run, progress: Progress): boolean {
-  return progress.deltas > chat.outputBound;
+  return progress.deltas() > chat.outputBound;
 }
 
 async function announcePlacement(
@@ -261,7 +285,7 @@
 }
 
 function complete(run: Run, reservation: HeldReservation, progress: Progress): Attempt {
-  const { usage } = progress;
+  const usage = progress.usage();
   if (!usage) return { kind: 'done', end: refuse(NO_USAGE), record: undefined };
   const { promptTokens, completionTokens } = usage;
   const tokens = promptTokens + completionTokens;
--- a/packages/entry/src/claimName.ts
+++ b/packages/entry/src/claimName.ts
@@ -34,4 +34,3 @@
   const message = 'This request was started before, and how it ended is not known here.';
   return createRefusal('outcome_unknown', 'unknown', message);
 }
-
--- a/packages/entry/src/engine.ts
+++ b/packages/entry/src/engine.ts
@@ -55,6 +55,8 @@
 export interface EngineOptions {
   firstByteTimeout: Milliseconds;
   betweenTimeout: Milliseconds;
+  /** Local IP number of connections; empty for the system's choice. */
+  sourceAddress: string;
 }
 
 /** A stream that an engine is asked for. */
@@ -86,13 +88,14 @@
 
 /** Creates a client for all engines. */
 export function createEngine(options: EngineOptions): Engine {
-  const agent = new http.Agent({ keepAlive: true, timeout: IDLE_SOCKET_MS });
+  const localAddress = options.sourceAddress || undefined;
+  const agent = new http.Agent({ keepAlive: true, timeout: IDLE_SOCKET_MS, localAddress });
 
   function open(call: EngineCall, method: string, path: string, headers: http.OutgoingHttpHeaders) {
     return http.request(`http://${call.address}${path}`, {
       method,
       headers,
-      agent: call.isFresh ? new http.Agent() : agent,
+      agent: call.isFresh ? new http.Agent({ localAddress }) : agent,
       signal: call.signal,
     });
   }
@@ -104,8 +107,9 @@
     schema: z.ZodType<T>,
   ): Promise<Outcome<T, EngineError>> {
     const url = `http://${address}${path}`;
-    const answer = await callHttp({ method, url, timeout: CONTROL_TIMEOUT_MS });
-    if (answer.err) return Err({ kind: 'failed', ran: answer.val.ran, message: answer.val.message });
+    const answer = await callHttp({ method, url, timeout: CONTROL_TIMEOUT_MS, agent });
+    if (answer.err)
+      return Err({ kind: 'failed', ran: answer.val.ran, message: answer.val.message });
     const parsed = schema.safeParse(parseJson(answer.val.body.toString()));
     if (parsed.success) return Ok(parsed.data);
     return Err({ kind: 'failed', ran: 'unknown', message: 'unexpected answer of the engine' });
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -82,6 +82,7 @@
       fleetKey: settings.fleetKey,
       certificate: readCertificate(settings.peersTlsCert, settings.peersTlsKey),
       authority: readOptional(settings.peersTlsAuthority),
+      sourceAddress: settings.sourceAddress || undefined,
     },
   );
   const peersAddress = await network.listen();
--- a/packages/entry/src/loads.ts
+++ b/packages/entry/src/loads.ts
@@ -41,7 +41,10 @@
   return {
     async poll() {
       const locals = host.getLocalInstances();
-      const own = endpoints.list().map((view) => view.endpoint).filter((e) => isOwn(e, locals));
+      const own = endpoints
+        .list()
+        .map((view) => view.endpoint)
+        .filter((e) => isOwn(e, locals));
       const reports: Record<string, LoadReport> = {};
       await Promise.all(
         own.map(async ({ name, address }) => {
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -50,7 +50,9 @@
 async function serveUntilSignal(settings: Settings): Promise<void> {
   const instance = await startInstance(settings);
   // One line for whoever started the process; ports may have been chosen by the system.
-  process.stdout.write(`${JSON.stringify({ event: 'listening', ...instance, drain: undefined })}\n`);
+  process.stdout.write(
+    `${JSON.stringify({ event: 'listening', ...instance, drain: undefined })}\n`,
+  );
   // Timers do not keep the process alive; this one does until the drain ends.
   const keepAlive = setInterval(() => undefined, 1000);
   let isStopping = false;
@@ -68,6 +70,8 @@
 function stopOnBrokenInvariant(reason: unknown): void {
   const error = reason instanceof Error ? reason : new Error(String(reason));
   const kind = error instanceof InvariantError ? 'invariant broken' : 'unexpected error';
-  process.stderr.write(`${JSON.stringify({ severity: 'error', code: 1004, text: kind, stack: error.stack })}\n`);
+  process.stderr.write(
+    `${JSON.stringify({ severity: 'error', code: 1004, text: kind, stack: error.stack })}\n`,
+  );
   process.exit(EXIT_INVARIANT);
 }
--- a/packages/entry/src/named.ts
+++ b/packages/entry/src/named.ts
@@ -71,7 +71,10 @@
     return answer ? createLocalSource(answer) : EXPIRED;
   }
 
-  async function openNamed(request: RunRequest, name: RequestName): Promise<AnswerSource | Refusal> {
+  async function openNamed(
+    request: RunRequest,
+    name: RequestName,
+  ): Promise<AnswerSource | Refusal> {
     const { digest, isIdempotent } = request;
     const begin = { name, digest, isIdempotent, runner: self, request: request.id };
     const reply = await registry.begin(begin);
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -17,7 +17,9 @@
 
 const TopUpBody = z.strictObject({
   budget: z.string().regex(/^[^/]+\/[^/]+$/, 'expected ACCOUNT/BUDGET'),
-  id: z.string().regex(/^[A-Za-z0-9._-]{1,100}$/, 'expected 1 to 100 of A-Z, a-z, 0-9, ".", "_", "-"'),
+  id: z
+    .string()
+    .regex(/^[A-Za-z0-9._-]{1,100}$/, 'expected 1 to 100 of A-Z, a-z, 0-9, ".", "_", "-"'),
   tokens: z.number().int().positive(),
 });
 const DrainBody = z.strictObject({ endpoint: z.string(), isDraining: z.boolean() });
@@ -75,7 +77,8 @@
       const isReady = host.isReady();
       return writeJson(response, isReady ? 200 : 503, { isReady });
     }
-    if (!isOperator(request)) return writeError(response, 401, 'unauthorized', 'wrong operator key');
+    if (!isOperator(request))
+      return writeError(response, 401, 'unauthorized', 'wrong operator key');
     if (request.method === 'GET' && url.pathname === '/metrics') {
       response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
       response.end(host.renderMetrics());
@@ -113,7 +116,8 @@
     if (body.err) return body.val;
     const { endpoint, isDraining } = body.val;
     const configuration = parseConfiguration(distributor.getText());
-    const isKnown = configuration.ok && configuration.val.endpoints.some((e) => e.name === endpoint);
+    const isKnown =
+      configuration.ok && configuration.val.endpoints.some((e) => e.name === endpoint);
     if (!isKnown) return fault(404, 'not_found', `there is no endpoint "${endpoint}"`);
     const outcome = await applyHost.store.setDrain(endpoint, isDraining);
     if (outcome.err) return fault(503, 'unavailable', 'the table service does not answer');
--- a/packages/entry/src/serviceClient.ts
+++ b/packages/entry/src/serviceClient.ts
@@ -22,6 +22,8 @@
   firstByteTimeout: Milliseconds;
   betweenTimeout: Milliseconds;
   answerLimit: number;
+  /** Local IP number of connections; empty for the system's choice. */
+  sourceAddress: string;
 }
 
 /** Calls plain services over HTTP. */
@@ -55,7 +57,7 @@
       const request = http.request(`http://${address}${call.path}`, {
         method: call.method,
         headers: { ...call.headers, 'content-length': call.body.length },
-        agent: new http.Agent(),
+        agent: new http.Agent({ localAddress: options.sourceAddress || undefined }),
         signal,
       });
       onConnected(request, () => {
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -28,14 +28,18 @@
 }
 
 const name = z.string().regex(NAME_PATTERN, 'expected 1 to 63 of a-z, 0-9, ".", "_", "-"');
-const address = z.string().regex(ADDRESS_PATTERN, 'expected an IP number and a port, 10.0.0.1:8000');
+const address = z
+  .string()
+  .regex(ADDRESS_PATTERN, 'expected an IP number and a port, 10.0.0.1:8000');
 const addressOrNone = z.literal('').or(address);
 const addressList = z
   .string()
   .transform((text) => (text === '' ? [] : text.split(',')))
   .pipe(z.array(address));
 const url = z.string().regex(/^https?:\/\/[^/]+$/, 'expected http://ADDRESS:PORT');
-const secret = z.string().min(MIN_SECRET_LENGTH, `expected at least ${MIN_SECRET_LENGTH} characters`);
+const secret = z
+  .string()
+  .min(MIN_SECRET_LENGTH, `expected at least ${MIN_SECRET_LENGTH} characters`);
 const file = z.string().refine((path) => path === '' || isReadable(path), 'file is not readable');
 const level = z.enum(['error', 'warn', 'info', 'debug']);
 const grants = z.enum(['adaptive', 'even', 'central']);
@@ -61,6 +65,12 @@
     'ip:port',
     'peers address as others reach it; by default the one listened on',
   ),
+  sourceAddress: define(
+    z.string(),
+    '',
+    'ip',
+    'local IP number of outgoing connections; by default the system chooses',
+  ),
   seeds: define(
     addressList,
     '',
@@ -93,10 +103,20 @@
   budgetPatience: define(count(0), '5000', 'ms', 'wait for tokens in use elsewhere to come free'),
   answerRetention: define(count(1), '600000', 'ms', 'how long answers to named requests are kept'),
   answerCapacity: define(count(1), '33554432', 'bytes', 'finished answers kept at most'),
-  resumeWindow: define(count(0), '10000', 'ms', 'how long a named request runs on without a reader'),
+  resumeWindow: define(
+    count(0),
+    '10000',
+    'ms',
+    'how long a named request runs on without a reader',
+  ),
   settleInterval: define(count(1), '1000', 'ms', 'time between settlements of usage'),
   grants: define(grants, 'adaptive', '', 'how grants are sized: adaptive, even or central'),
-  grantHorizon: define(count(1), '14400', 's', 'how long an adaptive grant lasts at the present rate'),
+  grantHorizon: define(
+    count(1),
+    '14400',
+    's',
+    'how long an adaptive grant lasts at the present rate',
+  ),
   drainTimeout: define(count(1), '600000', 'ms', 'how long a shutdown waits for open requests'),
   drainNotice: define(count(0), '1000', 'ms', 'time between failing readiness and closing'),
   logLevel: define(level, 'info', '', 'lowest severity logged: error, warn, info or debug'),
--- a/packages/entry/src/writer.ts
+++ b/packages/entry/src/writer.ts
@@ -63,7 +63,10 @@
       current = next;
     } else {
       const { events, end } = part.val;
-      for (const event of events) await writer.event(event, position++);
+      for (const event of events) {
+        await writer.event(event, position);
+        position += 1;
+      }
       if (end) {
         writer.end(end);
         break;
--- a/packages/peers/src/channel.ts
+++ b/packages/peers/src/channel.ts
@@ -25,6 +25,12 @@
     wake = undefined;
   }
 
+  function waitForSignal(): Promise<void> {
+    return new Promise((resolve) => {
+      wake = resolve;
+    });
+  }
+
   socket.on('message', (data: Buffer) => {
     received += data.length;
     const frame = decodeFrame(data);
@@ -48,9 +54,7 @@
     async receive() {
       while (frames.length === 0) {
         if (isClosed) return undefined;
-        await new Promise<void>((resolve) => {
-          wake = resolve;
-        });
+        await waitForSignal();
       }
       return frames.shift();
     },
--- a/packages/peers/src/dialer.ts
+++ b/packages/peers/src/dialer.ts
@@ -24,6 +24,8 @@
   fleetKey: string;
   /** PEM certificate of the fleet's authority; with it, connections use TLS. */
   authority?: string;
+  /** Local IP number of connections. */
+  sourceAddress?: string;
   onConnect(identity: Identity): void;
   onDisconnect(identity: Identity): void;
 }
@@ -144,7 +146,9 @@
       nextId += 1;
       return new Promise((resolve) => {
         const timer = clock.after(timeout, () => {
-          takeReply(id)?.(Err({ kind: 'timeout', ran: 'unknown', message: `no reply to ${topic}` }));
+          takeReply(id)?.(
+            Err({ kind: 'timeout', ran: 'unknown', message: `no reply to ${topic}` }),
+          );
         });
         replies.set(id, (outcome) => {
           timer.cancel();
@@ -168,6 +172,7 @@
   const socket = new WebSocket(`${scheme}://${address}/peer`, {
     handshakeTimeout: CONNECT_TIMEOUT_MS,
     ca: host.authority,
+    localAddress: host.sourceAddress,
   });
   return new Promise((resolve) => {
     socket.once('open', () => resolve(socket));
--- a/packages/peers/src/network.ts
+++ b/packages/peers/src/network.ts
@@ -22,11 +22,13 @@
   fleetKey: string;
   certificate?: PeerCertificate;
   authority?: string;
+  /** Local IP number of outgoing connections. */
+  sourceAddress?: string;
 }
 
 /** Creates the network of one instance, with a listener and a dialer for each peer. */
 export function createPeerNetwork(host: NetworkHost, options: NetworkOptions): PeerNetwork {
-  const { self, fleetKey, authority, certificate } = options;
+  const { self, fleetKey, authority, certificate, sourceAddress } = options;
   const handlers = new Map<string, Handler<unknown, unknown>>();
   const dialers = new Map<string, Dialer>();
   const connectListeners: ((identity: Identity) => void)[] = [];
@@ -43,6 +45,7 @@
     self,
     fleetKey,
     authority,
+    sourceAddress,
     onConnect: (identity: Identity) => connectListeners.forEach((notify) => notify(identity)),
     onDisconnect: (identity: Identity) => disconnectListeners.forEach((notify) => notify(identity)),
   };
--- a/packages/platform/src/httpPlatform.ts
+++ b/packages/platform/src/httpPlatform.ts
@@ -8,6 +8,9 @@
 import type { CommitError, Membership, ObjectStore, Platform, Table } from './types';
 
 const BREAKER_COOLDOWN_MS = 500;
+const SOCKETS_PER_SERVICE = 8;
+/** Shorter than the idle time after which middleboxes forget a connection. */
+const IDLE_SOCKET_MS = 4000;
 
 /** Where the platform's services are, and how long to wait for them. */
 export interface PlatformOptions {
@@ -15,6 +18,8 @@
   objectsUrl: string;
   membershipUrl: string;
   timeout: Milliseconds;
+  /** Local IP number of connections; empty for the system's choice. */
+  sourceAddress: string;
 }
 
 /** What the platform client needs from its surroundings. */
@@ -49,13 +54,19 @@
 
 /** A client of the platform's services over HTTP. Each service has a breaker of its own. */
 export function createHttpPlatform(host: PlatformHost, options: PlatformOptions): Platform {
-  const agent = new http.Agent({ keepAlive: true, maxSockets: 8, timeout: options.timeout * 2 });
+  const agent = new http.Agent({
+    keepAlive: true,
+    maxSockets: SOCKETS_PER_SERVICE,
+    timeout: IDLE_SOCKET_MS,
+    localAddress: options.sourceAddress || undefined,
+  });
 
   function createSend(service: string, base: string): Send {
     const breaker = createBreaker(host.clock, BREAKER_COOLDOWN_MS, (isTripped) =>
       host.onAvailability(service, !isTripped),
     );
-    return (method, path, body) => sendThrough(breaker, { agent, options, base }, method, path, body);
+    return (method, path, body) =>
+      sendThrough(breaker, { agent, options, base }, method, path, body);
   }
 
   return {
@@ -78,7 +89,8 @@
   path: string,
   body?: string,
 ): Promise<Outcome<HttpAnswer, HttpFailure>> {
-  if (!breaker.isClosed()) return Err({ kind: 'unavailable', ran: 'no', message: 'breaker is open' });
+  if (!breaker.isClosed())
+    return Err({ kind: 'unavailable', ran: 'no', message: 'breaker is open' });
   const answer = await callHttp({
     method,
     url: `${route.base}${path}`,
@@ -93,7 +105,11 @@
   }
   if (answer.val.status >= 500) {
     breaker.fail();
-    return Err({ kind: 'unavailable', ran: getRan(answer.val), message: `status ${answer.val.status}` });
+    return Err({
+      kind: 'unavailable',
+      ran: getRan(answer.val),
+      message: `status ${answer.val.status}`,
+    });
   }
   breaker.succeed();
   return answer;
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -13,7 +13,7 @@
   version: number;
 }
 
-/** A new value of a row; `undefined` removes the row. */
+/** A new value of a row; `undefined`, or no value at all, removes the row. */
 export interface Write {
   key: string;
   value: unknown;
--- a/packages/requests/src/registry.ts
+++ b/packages/requests/src/registry.ts
@@ -109,7 +109,12 @@
     const dataCentres = [...new Set(instances.map((identity) => identity.dataCentre))];
     const home = getOwner(id, dataCentres) ?? self.dataCentre;
     const members = instances.filter((identity) => identity.dataCentre === home);
-    return getOwner(id, members.map((identity) => identity.instance)) ?? self.instance;
+    return (
+      getOwner(
+        id,
+        members.map((identity) => identity.instance),
+      ) ?? self.instance
+    );
   }
 
   async function beginAt(keeper: string, request: BeginRequest): Promise<BeginReply | undefined> {
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -58,7 +58,7 @@
   function takeSlot(request: RouteRequest, view: EndpointView): Slot {
     const startedAt = clock.elapsed();
     let isHeld = true;
-    endpoints.take(view);
+    endpoints.take(view.endpoint.name);
     addRunning(request.account, 1);
     return {
       endpoint: view.endpoint,
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -21,114 +21,129 @@
   report(name: string, report: LoadReport): void;
   /** Live endpoints that serve the target. */
   findCandidates(request: RouteRequest): EndpointView[];
-  take(view: EndpointView): void;
+  take(name: string): void;
   release(name: string, result: 'ok' | 'failed'): void;
   list(): EndpointView[];
 }
 
+/** One endpoint of the table. */
 interface Entry {
-  endpoint: Endpoint;
-  inFlight: number;
-  report?: LoadReport;
-  inFlightAtReport: number;
-  failures: number;
-  avoidUntil: Milliseconds;
-  isListedLeaving: boolean;
+  view(): EndpointView;
+  configure(endpoint: Endpoint): void;
+  setListedLeaving(isListed: boolean): void;
+  report(report: LoadReport): void;
+  take(): void;
+  release(result: 'ok' | 'failed'): void;
 }
 
 /** Creates an empty endpoint table. */
 export function createEndpoints(host: EndpointsHost): Endpoints {
-  const { clock, log } = host;
   const entries = new Map<string, Entry>();
   let leaving = new Set<string>();
 
-  function toView(entry: Entry): EndpointView {
-    const reported = (entry.report?.running ?? 0) + (entry.report?.queued ?? 0);
-    return {
-      endpoint: entry.endpoint,
-      inFlight: entry.inFlight,
-      othersInFlight: Math.max(0, reported - entry.inFlightAtReport),
-      isLeaving: isLeaving(entry),
-      isFailing: clock.elapsed() < entry.avoidUntil,
-    };
+  function addEntry(endpoint: Endpoint): void {
+    const entry = createEntry(host, endpoint);
+    entry.setListedLeaving(leaving.has(endpoint.name));
+    entries.set(endpoint.name, entry);
   }
 
-  function isLeaving(entry: Entry): boolean {
-    return entry.endpoint.leaving || entry.isListedLeaving || entry.report?.state === 'leaving';
+  return {
+    configure(configuration) {
+      const names = new Set(configuration.endpoints.map((endpoint) => endpoint.name));
+      const removed = [...entries.keys()].filter((name) => !names.has(name));
+      removed.forEach((name) => entries.delete(name));
+      configuration.endpoints.forEach((endpoint) => {
+        const known = entries.get(endpoint.name);
+        if (known) known.configure(endpoint);
+        else addEntry(endpoint);
+      });
+    },
+    setLeaving(names) {
+      leaving = names;
+      entries.forEach((entry, name) => entry.setListedLeaving(names.has(name)));
+    },
+    report: (name, report) => entries.get(name)?.report(report),
+    findCandidates: ({ target, excluded }) =>
+      [...entries.values()]
+        .map((entry) => entry.view())
+        .filter((view) => !view.isLeaving && !excluded.has(view.endpoint.name))
+        .filter((view) => isServing(view.endpoint, target)),
+    take: (name) => entries.get(name)?.take(),
+    release: (name, result) => entries.get(name)?.release(result),
+    list: () => [...entries.values()].map((entry) => entry.view()),
+  };
+}
+
+function isServing(endpoint: Endpoint, target: RouteRequest['target']): boolean {
+  if (target.kind === 'engine') {
+    return endpoint.kind === 'engine' && endpoint.models.includes(target.model);
   }
+  return endpoint.kind === 'service' && endpoint.service === target.service;
+}
 
-  function createEntry(endpoint: Endpoint): Entry {
-    return {
-      endpoint,
-      inFlight: 0,
-      inFlightAtReport: 0,
-      failures: 0,
-      avoidUntil: 0,
-      isListedLeaving: leaving.has(endpoint.name),
-    };
+function createEntry({ clock, log }: EndpointsHost, initial: Endpoint): Entry {
+  let endpoint = initial;
+  let inFlight = 0;
+  let inFlightAtReport = 0;
+  let last: LoadReport = { running: 0, queued: 0, state: 'live' };
+  let failures = 0;
+  let avoidUntil: Milliseconds = 0;
+  let isListedLeaving = false;
+
+  const isLeaving = () => endpoint.leaving || isListedLeaving || last.state === 'leaving';
+
+  function noteChange(change: () => void): void {
+    const wasLeaving = isLeaving();
+    change();
+    if (!wasLeaving && isLeaving()) log(Diagnostics.endpointLeaving, { endpoint: endpoint.name });
   }
 
-  function noteFailure(entry: Entry): void {
-    entry.failures += 1;
-    if (entry.failures < FAILURES_TO_AVOID) return;
-    entry.avoidUntil = clock.elapsed() + AVOID_MS;
-    log(Diagnostics.endpointFailed, { endpoint: entry.endpoint.name, failures: entry.failures });
+  function noteFailure(): void {
+    failures += 1;
+    if (failures < FAILURES_TO_AVOID) return;
+    avoidUntil = clock.elapsed() + AVOID_MS;
+    log(Diagnostics.endpointFailed, { endpoint: endpoint.name, failures });
   }
 
-  function noteSuccess(entry: Entry): void {
-    if (entry.failures >= FAILURES_TO_AVOID) {
-      log(Diagnostics.endpointRecovered, { endpoint: entry.endpoint.name });
+  function noteSuccess(): void {
+    if (failures >= FAILURES_TO_AVOID) {
+      log(Diagnostics.endpointRecovered, { endpoint: endpoint.name });
     }
-    entry.failures = 0;
-    entry.avoidUntil = 0;
+    failures = 0;
+    avoidUntil = 0;
   }
 
   return {
-    configure(configuration) {
-      const names = new Set(configuration.endpoints.map((endpoint) => endpoint.name));
-      [...entries.keys()].filter((name) => !names.has(name)).forEach((name) => entries.delete(name));
-      configuration.endpoints.forEach((endpoint) => {
-        const known = entries.get(endpoint.name);
-        if (known) known.endpoint = endpoint;
-        else entries.set(endpoint.name, createEntry(endpoint));
+    view: () => ({
+      endpoint,
+      inFlight,
+      othersInFlight: Math.max(0, last.running + last.queued - inFlightAtReport),
+      isLeaving: isLeaving(),
+      isFailing: clock.elapsed() < avoidUntil,
+    }),
+    configure(next) {
+      noteChange(() => {
+        endpoint = next;
       });
     },
-    setLeaving(names) {
-      leaving = names;
-      entries.forEach((entry, name) => {
-        const isListed = names.has(name);
-        if (isListed && !entry.isListedLeaving) log(Diagnostics.endpointLeaving, { endpoint: name });
-        entry.isListedLeaving = isListed;
+    setListedLeaving(isListed) {
+      noteChange(() => {
+        isListedLeaving = isListed;
       });
     },
-    report(name, report) {
-      const entry = entries.get(name);
-      if (!entry) return;
-      entry.report = report;
-      entry.inFlightAtReport = entry.inFlight;
-    },
-    findCandidates({ target, excluded }) {
-      return [...entries.values()]
-        .filter((entry) => !excluded.has(entry.endpoint.name) && !isLeaving(entry))
-        .filter(({ endpoint }) => {
-          if (target.kind === 'engine') {
-            return endpoint.kind === 'engine' && endpoint.models.includes(target.model);
-          }
-          return endpoint.kind === 'service' && endpoint.service === target.service;
-        })
-        .map(toView);
+    report(report) {
+      inFlightAtReport = inFlight;
+      noteChange(() => {
+        last = report;
+      });
     },
-    take(view) {
-      const entry = entries.get(view.endpoint.name);
-      if (entry) entry.inFlight += 1;
+    take() {
+      inFlight += 1;
     },
-    release(name, result) {
-      const entry = entries.get(name);
-      if (!entry) return;
-      entry.inFlight = Math.max(0, entry.inFlight - 1);
-      if (result === 'failed') noteFailure(entry);
-      else noteSuccess(entry);
+    release(result) {
+      inFlight = Math.max(0, inFlight - 1);
+      if (result === 'failed') noteFailure();
+      else noteSuccess();
     },
-    list: () => [...entries.values()].map(toView),
   };
 }
--- a/packages/standins/src/faults.ts
+++ b/packages/standins/src/faults.ts
@@ -49,7 +49,7 @@
       writeJson(response, 503, { message: 'down' });
       return;
     }
-    const reply = (await serve(request, url, body)) ?? { status: 404, body: { message: 'none' } };
+    const reply = await serveSafely(serve, request, url, body);
     if (random.fraction() < faults.lostAnswerShare) {
       response.destroy();
       return;
@@ -59,6 +59,19 @@
   };
 }
 
+async function serveSafely(
+  serve: Serve,
+  request: IncomingMessage,
+  url: URL,
+  body: string,
+): Promise<StandinReply> {
+  try {
+    return (await serve(request, url, body)) ?? { status: 404, body: { message: 'none' } };
+  } catch (error) {
+    return { status: 400, body: { message: (error as Error).message } };
+  }
+}
+
 function pause(delay: Milliseconds): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, delay);
--- a/packages/standins/src/modelEngine.ts
+++ b/packages/standins/src/modelEngine.ts
@@ -5,7 +5,7 @@
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { createPrefixCache } from './prefixCache';
 import { createStreams } from './streams';
-import type { EngineSpeed, Stream } from './streams';
+import type { EngineSpeed, Stream, StreamState } from './streams';
 
 const STREAM_PATH = /^\/v1\/streams\/([^/]+)$/;
 const EVENTS_KEPT = 200;
@@ -77,14 +77,14 @@
     if (request.method === 'DELETE') {
       const stopped = streams.stop(id);
       writeJson(response, 200, {
-        state: stopped ? stopped.state : 'never',
+        state: stopped ? stopped.state() : 'never',
         prompt_tokens: stopped ? getPromptCost(stopped) : 0,
-        completion_tokens: stopped?.generated ?? 0,
+        completion_tokens: stopped?.generated() ?? 0,
       });
       return;
     }
     const stream = streams.get(id);
-    if (!stream || stream.state === 'cancelled') {
+    if (!stream || stream.state() === 'cancelled') {
       writeJson(response, 404, { error: { message: 'no such stream' } });
       return;
     }
@@ -103,21 +103,21 @@
   }
 
   async function follow(response: ServerResponse, stream: Stream, from: number): Promise<void> {
-    stream.readers += 1;
+    stream.attach();
     response.once('close', () => stream.changed.notify());
     response.writeHead(200, { 'content-type': 'text/event-stream' });
     let position = from;
-    while (!response.destroyed && stream.state !== 'cancelled') {
-      const upTo = stream.generated;
+    while (!response.destroyed && stream.state() !== 'cancelled') {
+      const upTo = stream.generated();
       for (; position < upTo; position += 1) writeToken(response, stream, position);
-      if (stream.state === 'finished') {
+      if (stream.state() === 'finished') {
         writeEnd(response, stream);
         break;
       }
-      if (position === stream.generated) await stream.changed.wait();
+      if (position === stream.generated()) await stream.changed.wait();
     }
-    streams.detach(stream);
-    if (stream.state === 'cancelled') response.destroy();
+    stream.detach();
+    if (stream.state() === 'cancelled') response.destroy();
   }
 
   reportLoad();
@@ -136,10 +136,10 @@
     choices: [{ index: 0, delta: {}, finish_reason: stream.answer.finish }],
     usage: {
       prompt_tokens: stream.answer.promptTokens,
-      completion_tokens: stream.generated,
+      completion_tokens: stream.generated(),
     },
   };
-  response.end(`id: ${stream.generated}\ndata: ${JSON.stringify(chunk)}\n\ndata: [DONE]\n\n`);
+  response.end(`id: ${stream.generated()}\ndata: ${JSON.stringify(chunk)}\n\ndata: [DONE]\n\n`);
 }
 
 /** A stream as the engine's own record shows it. */
@@ -149,19 +149,26 @@
   prompt: string;
   promptTokens: number;
   completionTokens: number;
-  state: Stream['state'];
+  state: StreamState;
   cachedCharacters: number;
   startedAt: string;
 }
 
 function toRecord(stream: Stream): StreamRecord {
-  const { id, prompt, generated, state, cachedCharacters, startedAt } = stream;
-  const promptTokens = getPromptCost(stream);
-  return { id, prompt, promptTokens, completionTokens: generated, state, cachedCharacters, startedAt };
+  const { id, prompt, cachedCharacters, startedAt } = stream;
+  return {
+    id,
+    prompt,
+    promptTokens: getPromptCost(stream),
+    completionTokens: stream.generated(),
+    state: stream.state(),
+    cachedCharacters,
+    startedAt,
+  };
 }
 
 // A prompt is read when its stream starts to run, not while it is queued.
 function getPromptCost(stream: Stream): number {
-  const hasRun = stream.generated > 0 || stream.state === 'running';
+  const hasRun = stream.generated() > 0 || stream.state() === 'running';
   return hasRun ? stream.answer.promptTokens : 0;
 }
--- a/packages/standins/src/streams.ts
+++ b/packages/standins/src/streams.ts
@@ -4,6 +4,8 @@
 import type { ChatMessage, GeneratedAnswer } from './generate';
 import type { PrefixCache } from './prefixCache';
 
+const CHARACTERS_PER_TOKEN = 4;
+
 /** Speed and size of a model engine. */
 export interface EngineSpeed {
   /** Streams generated at the same time. */
@@ -16,19 +18,31 @@
   resumeWindow: Milliseconds;
 }
 
+/** Where a stream stands. */
+export type StreamState = 'queued' | 'running' | 'finished' | 'cancelled';
+
 /** A stream of the engine, running or ended. */
 export interface Stream {
   id: string;
   /** Hash of the messages. */
   prompt: string;
   answer: GeneratedAnswer;
-  generated: number;
-  state: 'queued' | 'running' | 'finished' | 'cancelled';
   priority: number;
   cachedCharacters: number;
-  changed: Condition;
-  readers: number;
   startedAt: string;
+  /** Notified at each token and at the end. */
+  changed: Condition;
+  state(): StreamState;
+  generated(): number;
+  attach(): void;
+  detach(): void;
+}
+
+/** A stream as the engine's scheduler drives it. */
+interface ScheduledStream extends Stream {
+  admit(): void;
+  generate(): void;
+  cancel(): void;
 }
 
 /** The streams of one engine. */
@@ -37,62 +51,42 @@
   get(id: string): Stream | undefined;
   /** Stops a stream; an unknown one will never start. */
   stop(id: string): Stream | undefined;
-  detach(stream: Stream): void;
-  count(state: Stream['state']): number;
+  count(state: StreamState): number;
   list(): Stream[];
 }
 
 /** Creates an engine's streams and the task that generates their tokens. */
 export function createStreams(clock: Clock, speed: EngineSpeed, cache: PrefixCache): Streams {
-  const streams = new Map<string, Stream>();
-  const active = new Set<Stream>();
+  const streams = new Map<string, ScheduledStream>();
+  const active = new Set<ScheduledStream>();
   const stopped = new Set<string>();
-  const readyAt = new Map<Stream, Milliseconds>();
   let isTicking = false;
 
+  function countActive(state: StreamState): number {
+    return [...active].filter((stream) => stream.state() === state).length;
+  }
+
   function admit(): void {
-    const queued = [...active].filter((stream) => stream.state === 'queued');
+    const queued = [...active].filter((stream) => stream.state() === 'queued');
     queued.sort((a, b) => b.priority - a.priority);
     const free = speed.slots - countActive('running');
-    queued.slice(0, Math.max(0, free)).forEach((stream) => {
-      stream.state = 'running';
-      const left = Math.max(0, stream.answer.promptTokens * 4 - stream.cachedCharacters);
-      readyAt.set(stream, clock.elapsed() + left / speed.prefillRate);
-    });
-  }
-
-  function countActive(state: Stream['state']): number {
-    return [...active].filter((stream) => stream.state === state).length;
+    queued.slice(0, Math.max(0, free)).forEach((stream) => stream.admit());
   }
 
   function tick(): void {
     admit();
     active.forEach((stream) => {
-      if (stream.state === 'running' && clock.elapsed() >= (readyAt.get(stream) ?? 0)) {
-        generateToken(stream);
-      }
+      stream.generate();
+      if (stream.state() === 'finished') active.delete(stream);
     });
     isTicking = active.size > 0;
     if (isTicking) clock.after(speed.step, tick);
   }
 
-  function generateToken(stream: Stream): void {
-    stream.generated += 1;
-    if (stream.generated >= stream.answer.tokens.length) finish(stream, 'finished');
-    stream.changed.notify();
-  }
-
-  function finish(stream: Stream, state: 'finished' | 'cancelled'): void {
-    stream.state = state;
-    active.delete(stream);
-    readyAt.delete(stream);
-    stream.changed.notify();
-  }
-
   function stop(id: string): Stream | undefined {
     const stream = streams.get(id);
     if (!stream) stopped.add(id);
-    else if (active.has(stream)) finish(stream, 'cancelled');
+    else if (active.delete(stream)) stream.cancel();
     return stream;
   }
 
@@ -100,18 +94,10 @@
     start(id, messages, limit, priority) {
       if (stopped.has(id) || streams.has(id)) return undefined;
       const prompt = JSON.stringify(messages);
-      const stream: Stream = {
-        id,
-        prompt: hashText(prompt),
-        answer: generateAnswer(messages, limit),
-        generated: 0,
-        state: 'queued',
-        priority,
-        cachedCharacters: cache.use(prompt),
-        changed: createCondition(),
-        readers: 0,
-        startedAt: clock.now().toISOString(),
-      };
+      const cachedCharacters = cache.use(prompt);
+      const answer = generateAnswer(messages, limit);
+      const fixed = { id, prompt: hashText(prompt), answer, priority, cachedCharacters };
+      const stream = createStream(clock, speed, fixed, () => stop(id));
       streams.set(id, stream);
       active.add(stream);
       if (!isTicking) tick();
@@ -119,14 +105,57 @@
     },
     get: (id) => streams.get(id),
     stop,
-    detach(stream) {
-      stream.readers -= 1;
-      if (stream.readers > 0) return;
+    count: countActive,
+    list: () => [...streams.values()],
+  };
+}
+
+type FixedPart = Pick<Stream, 'id' | 'prompt' | 'answer' | 'priority' | 'cachedCharacters'>;
+
+function createStream(
+  clock: Clock,
+  speed: EngineSpeed,
+  fixed: FixedPart,
+  onAbandoned: () => void,
+): ScheduledStream {
+  const { answer, cachedCharacters } = fixed;
+  const changed = createCondition();
+  let state: StreamState = 'queued';
+  let generated = 0;
+  let readers = 0;
+  let readyAt: Milliseconds = 0;
+
+  return {
+    ...fixed,
+    changed,
+    startedAt: clock.now().toISOString(),
+    state: () => state,
+    generated: () => generated,
+    attach() {
+      readers += 1;
+    },
+    detach() {
+      readers -= 1;
+      if (readers > 0) return;
       clock.after(speed.resumeWindow, () => {
-        if (stream.readers === 0) stop(stream.id);
+        if (readers === 0) onAbandoned();
       });
     },
-    count: countActive,
-    list: () => [...streams.values()],
+    admit() {
+      state = 'running';
+      const characters = answer.promptTokens * CHARACTERS_PER_TOKEN;
+      const unread = Math.max(0, characters - cachedCharacters);
+      readyAt = clock.elapsed() + unread / speed.prefillRate;
+    },
+    generate() {
+      if (state !== 'running' || clock.elapsed() < readyAt) return;
+      generated += 1;
+      if (generated >= answer.tokens.length) state = 'finished';
+      changed.notify();
+    },
+    cancel() {
+      state = 'cancelled';
+      changed.notify();
+    },
   };
 }
--- a/packages/standins/src/tableService.ts
+++ b/packages/standins/src/tableService.ts
@@ -6,7 +6,7 @@
 
 const Commit = z.object({
   checks: z.array(z.object({ key: z.string(), version: z.number().int() })),
-  writes: z.array(z.object({ key: z.string(), value: z.unknown() })),
+  writes: z.array(z.object({ key: z.string(), value: z.unknown().optional() })),
 });
 const Read = z.object({ keys: z.array(z.string()) });
 
