--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,7 +28,24 @@
   ...configs.base.recommended,
   ...configs.base.typescript,
   prettier,
-  { files: ['**/*.ts'], rules: houseRules },
+  {
+    files: ['**/*.ts'],
+    languageOptions: {
+      parserOptions: {
+        projectService: false,
+        project: ['packages/*/tsconfig.json', 'tsconfig.test.json'],
+      },
+    },
+    rules: houseRules,
+  },
+  {
+    files: ['packages/*/test/**/*.ts'],
+    languageOptions: {
+      globals: { test: 'readonly', expect: 'readonly', afterEach: 'readonly', jest: 'readonly' },
+    },
+    // Tests use the development dependencies of the workspace.
+    rules: { 'import-x/no-extraneous-dependencies': 'off' },
+  },
   {
     files: ['scripts/*.js', 'packages/*/bin/*.js'],
     languageOptions: {
--- /dev/null
+++ b/packages/budgets/test/keepers.test.ts
@@ -0,0 +1,200 @@
+import { Ok } from 'ts-results';
+import { createManualClock, createRandom, createSilentLog } from '@pomeloroad/core';
+import type { ManualClock } from '@pomeloroad/core';
+import { createMemoryTable } from '@pomeloroad/platform';
+import type { MemoryTable, ObjectStore } from '@pomeloroad/platform';
+import { auditLedger, createBudgetClient, createKeepers, createLedger } from '../src';
+import type { HeldReservation, UsageRecord } from '../src';
+import { createFakeFleet } from './fakes';
+
+const BUDGET = 'dispatch/routes';
+const draft = { account: 'dispatch', budget: BUDGET, request: 'r', model: 'planner' };
+
+function createMemoryObjects(): ObjectStore {
+  const objects = new Map<string, string>();
+  return {
+    async put(name, body) {
+      objects.set(name, body);
+      return Ok.EMPTY;
+    },
+    get: async (name) => Ok(objects.get(name)),
+    list: async (prefix) => Ok([...objects.keys()].filter((name) => name.startsWith(prefix))),
+  };
+}
+
+function setUp() {
+  const clock = createManualClock();
+  const table = createMemoryTable();
+  const objects = createMemoryObjects();
+  const fleet = createFakeFleet();
+  const lost = new Set<string>();
+
+  function join(instance: string, dataCentre = instance) {
+    const network = fleet.join(instance, dataCentre);
+    const { self } = network;
+    const shared = { clock, self, network, getLocalInstances: () => [instance] };
+    const keepers = createKeepers({
+      ...shared,
+      log: createSilentLog(),
+      table,
+      objects,
+      policy: { kind: 'adaptive', horizonSeconds: 3600 },
+      getDataCentres: () => 2,
+      isLive: (identity) => !lost.has(identity.instance),
+      isLost: (identity) => lost.has(identity.instance),
+      stopRequest: async () => ({ promptTokens: 3, completionTokens: 4 }),
+    });
+    const client = createBudgetClient({ ...shared, random: createRandom(1) });
+    return { keepers, client };
+  }
+
+  const ledger = createLedger({ clock, table });
+  const audit = async () => (await auditLedger(table, objects)).unwrap();
+  return { clock, table, fleet, lost, join, ledger, audit };
+}
+
+function record(tokens: number, request = 'r'): UsageRecord {
+  const cost = { promptTokens: tokens, completionTokens: 0, tokens };
+  return { ...draft, request, ...cost, at: '2026-01-01T00:00:00.000Z' };
+}
+
+async function reserve(
+  clock: ManualClock,
+  { client }: ReturnType<ReturnType<typeof setUp>['join']>,
+  tokens: number,
+  patience = 1000,
+) {
+  const outcome = client.reserve(draft, tokens, patience);
+  await clock.advance(patience + 500);
+  return outcome;
+}
+
+function countOpen(table: MemoryTable): number {
+  return table.rows().filter((row) => row.key.startsWith('grant/')).length;
+}
+
+test('what is settled is billed once and the rest returns', async () => {
+  const { clock, ledger, join, audit, table } = setUp();
+  await ledger.topUp(BUDGET, 'one', 1000);
+  const a = join('a');
+  const held = (await reserve(clock, a, 100)).unwrap();
+  held.settle(record(30));
+  held.settle(record(30));
+  await clock.advance(10);
+  await a.keepers.settle();
+  await a.keepers.settle();
+  expect(await a.keepers.close()).toBe(true);
+  const { accounts, records, faults } = await audit();
+  expect(faults).toEqual([]);
+  expect(records).toHaveLength(1);
+  expect(accounts[0]).toMatchObject({ billed: 30, held: 0, unallocated: 970 });
+  expect(countOpen(table)).toBe(0);
+});
+
+test('more than the budget is refused at once', async () => {
+  const { clock, ledger, join } = setUp();
+  await ledger.topUp(BUDGET, 'one', 100);
+  const outcome = join('a').client.reserve(draft, 101, 60_000);
+  await clock.advance(100);
+  expect((await outcome).val).toEqual({ kind: 'exhausted', remaining: 100 });
+});
+
+test('a budget without a top-up is exhausted', async () => {
+  const { clock, join } = setUp();
+  const outcome = await reserve(clock, join('a'), 1);
+  expect(outcome.val).toMatchObject({ kind: 'exhausted' });
+});
+
+test('tokens come from another data centre before a refusal', async () => {
+  const { clock, ledger, join } = setUp();
+  await ledger.topUp(BUDGET, 'one', 1000);
+  const a = join('a');
+  const b = join('b');
+  (await reserve(clock, a, 100)).unwrap().settle(undefined);
+  const outcome = await reserve(clock, b, 1000);
+  expect(outcome.ok).toBe(true);
+});
+
+test('of two that are short of the same budget one is served', async () => {
+  const { clock, ledger, join } = setUp();
+  await ledger.topUp(BUDGET, 'one', 100);
+  const outcomes = [join('a'), join('b')].map(({ client }) => client.reserve(draft, 60, 3000));
+  await clock.advance(5000);
+  const served = (await Promise.all(outcomes)).filter((outcome) => outcome.ok);
+  expect(served).toHaveLength(1);
+});
+
+test('a request waits for tokens that come free', async () => {
+  const { clock, ledger, join } = setUp();
+  await ledger.topUp(BUDGET, 'one', 100);
+  const a = join('a');
+  const held = (await reserve(clock, a, 100)).unwrap();
+  const waiting = a.client.reserve(draft, 60, 5000);
+  await clock.advance(1000);
+  held.settle(record(20));
+  await clock.advance(100);
+  expect((await waiting).ok).toBe(true);
+});
+
+test('the grant of a lost holder is charged whole', async () => {
+  const { clock, ledger, join, lost, fleet, audit } = setUp();
+  await ledger.topUp(BUDGET, 'one', 1000);
+  const a = join('a', 'kent');
+  const b = join('b', 'kent');
+  (await reserve(clock, a, 100)).unwrap();
+  const [account] = (await audit()).accounts;
+  fleet.cut.add('a');
+  lost.add('a');
+  await b.keepers.adoptLost();
+  const { accounts, faults } = await audit();
+  expect(faults).toEqual([]);
+  expect(accounts[0]).toMatchObject({ held: 0, writtenOff: account?.held });
+});
+
+test('a holder that was closed by another opens a new grant', async () => {
+  const { clock, ledger, join, lost, fleet } = setUp();
+  await ledger.topUp(BUDGET, 'one', 1000);
+  const a = join('a', 'kent');
+  const b = join('b', 'kent');
+  const held = (await reserve(clock, a, 100)).unwrap();
+  fleet.cut.add('a');
+  lost.add('a');
+  await b.keepers.adoptLost();
+  fleet.cut.clear();
+  lost.clear();
+  held.settle(record(10));
+  await clock.advance(10);
+  await a.keepers.settle();
+  const again = await reserve(clock, a, 100);
+  expect(again.ok).toBe(true);
+  expect(a.keepers.describe()[0]).toMatchObject({ reserved: 100 });
+});
+
+test('reservations of a lost owner are settled by the endpoint', async () => {
+  const { clock, ledger, join, lost, audit } = setUp();
+  await ledger.topUp(BUDGET, 'one', 1000);
+  const a = join('a', 'kent');
+  const held: HeldReservation = (await reserve(clock, a, 100)).unwrap();
+  await held.place({ endpoint: 'e', address: '127.0.0.1:1', stream: 's' });
+  lost.add('a');
+  await clock.advance(6000);
+  await a.keepers.reap();
+  await a.keepers.settle();
+  expect((await audit()).accounts[0]).toMatchObject({ billed: 7 });
+});
+
+test('idle tokens return to the budget', async () => {
+  const { clock, ledger, join, audit } = setUp();
+  await ledger.topUp(BUDGET, 'one', 10_000_000);
+  const a = join('a');
+  (await reserve(clock, a, 100_000)).unwrap().settle(record(100_000));
+  await clock.advance(10);
+  const held = async () => (await audit()).accounts[0]?.held ?? 0;
+  const before = await held();
+  for (let day = 0; day < 20; day += 1) {
+    (await reserve(clock, a, 10)).unwrap().settle(undefined);
+    await clock.advance(600_000);
+    await a.keepers.trim();
+  }
+  expect(await held()).toBeLessThan(before / 2);
+});
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,3 +7,4 @@
 export * from './diagnostics';
 export * from './log';
 export * from './http';
+export * from './manualClock';
--- a/packages/peers/src/dialer.ts
+++ b/packages/peers/src/dialer.ts
@@ -64,9 +64,8 @@
   }
 
   async function runConnection(): Promise<boolean> {
-    const socket = await openSocket(host, peer.address);
-    if (!socket) return false;
-    const opened = createChannel(socket);
+    const opened = await openChannel(host, peer.address);
+    if (!opened) return false;
     const timer = clock.after(CONNECT_TIMEOUT_MS, () => opened.close());
     const welcomed = await shakeHands(host, opened);
     timer.cancel();
@@ -167,15 +166,17 @@
   };
 }
 
-function openSocket(host: DialerHost, address: string): Promise<WebSocket | undefined> {
+function openChannel(host: DialerHost, address: string): Promise<Channel | undefined> {
   const scheme = host.authority ? 'wss' : 'ws';
   const socket = new WebSocket(`${scheme}://${address}/peer`, {
     handshakeTimeout: CONNECT_TIMEOUT_MS,
     ca: host.authority,
     localAddress: host.sourceAddress,
   });
+  // The listener speaks first, and its frame may arrive together with the end of the upgrade.
+  const channel = createChannel(socket);
   return new Promise((resolve) => {
-    socket.once('open', () => resolve(socket));
+    socket.once('open', () => resolve(channel));
     socket.once('error', () => resolve(undefined));
   });
 }
--- a/packages/replay/src/faultPlan.ts
+++ b/packages/replay/src/faultPlan.ts
@@ -1,11 +1,12 @@
 import { match } from 'ts-pattern';
-import { callHttp, createRandom } from '@pomeloroad/core';
+import { callHttp, checkDefined, createRandom } from '@pomeloroad/core';
 import type { Milliseconds, Random } from '@pomeloroad/core';
+import type { Notes } from './evidence';
 import type { Rule } from './faultProxy';
 import { PLATFORM_GROUP } from './groups';
 import { readHeld } from './record';
 import { pause } from './pause';
-import type { Notes, ReplayOptions } from './replay';
+import type { ReplayOptions } from './replay';
 import type { Stage, StageInstance } from './stage';
 import { applyThrough, drainEndpoint, topUp } from './operatorActions';
 
@@ -174,7 +175,7 @@
 
 function pickRunning(stage: Stage, random: Random): StageInstance {
   const running = stage.instances.filter((instance) => instance.program.isRunning());
-  return running[random.integer(0, running.length - 1)] as StageInstance;
+  return checkDefined(running[random.integer(0, running.length - 1)], 'no instance runs');
 }
 
 async function pauseInstance({ stage, random, start }: Context) {
--- a/packages/replay/src/generateTrace.ts
+++ b/packages/replay/src/generateTrace.ts
@@ -1,4 +1,4 @@
-import { createRandom } from '@pomeloroad/core';
+import { checkDefined, createRandom } from '@pomeloroad/core';
 import type { Random } from '@pomeloroad/core';
 import type { ClientAccount, Deployment } from './deployments';
 import type { TraceEvent } from './trace';
@@ -153,5 +153,5 @@
 }
 
 function pick<T>(items: readonly T[], random: Random): T {
-  return items[random.integer(0, items.length - 1)] as T;
+  return checkDefined(items[random.integer(0, items.length - 1)], 'nothing to pick from');
 }
--- a/packages/replay/src/judge.ts
+++ b/packages/replay/src/judge.ts
@@ -1,44 +1,18 @@
 import { hashText } from '@pomeloroad/core';
 import { generateAnswer } from '@pomeloroad/standins';
 import type { Attempt } from './callers';
-import type { Deployment } from './deployments';
+import type { Evidence } from './evidence';
 import { createOracle } from './oracle';
 import type { Oracle } from './oracle';
-import type { Record, Run } from './record';
+import { getCost } from './record';
+import type { Run, StandinRecord } from './record';
 import { getMessages, isRequest } from './trace';
-import type { TraceEvent, TraceRequest } from './trace';
-import type { Observations } from './watcher';
+import type { TraceRequest } from './trace';
 
 /** Time after which an endpoint that leaves may get nothing new. */
 const LEAVING_MS = 2000;
 const MS_PER_SECOND = 1000;
 
-/** Everything that a replay saw. */
-export interface Evidence {
-  deployment: Deployment;
-  events: TraceEvent[];
-  attempts: Attempt[];
-  record: Record;
-  observations: Observations;
-  /** Endpoints that were told to leave, and when. */
-  leaving: { endpoint: string; at: Date }[];
-  /** Instances that were shut down gracefully, when, and how they exited. */
-  shutdowns: { instance: string; from: Date; to: Date; code: number | null }[];
-  /** Data centres that were cut off, when, and what the ledger held then. */
-  partitions: Partition[];
-  /** Versions that an operator was told to be in force, and when it was told. */
-  applied: { version: number; at: Date }[];
-}
-
-/** A time during which some data centres saw neither the others nor the platform. */
-export interface Partition {
-  sites: string[];
-  from: Date;
-  to: Date;
-  /** Tokens in open grants of the cut data centres, by budget. */
-  held: Map<string, number>;
-}
-
 /** The outcome of a replay. */
 export interface Verdict {
   requests: number;
@@ -140,15 +114,12 @@
   return [...last.values()];
 }
 
-/** Tokens that a run used. */
-export function getCost(run: Run): number {
-  return run.promptTokens + run.completionTokens;
-}
-
 // Bills are found by the request's name on its streams, and by the caller's key.
-function compareBills(requests: TraceRequest[], { runs, audit }: Record) {
-  const found = { billedTwice: [], unbilled: [], misbilled: [] } as {
-    [Figure in 'billedTwice' | 'unbilled' | 'misbilled']: string[];
+function compareBills(requests: TraceRequest[], { runs, audit }: StandinRecord) {
+  const found: Record<'billedTwice' | 'unbilled' | 'misbilled', string[]> = {
+    billedTwice: [],
+    unbilled: [],
+    misbilled: [],
   };
   requests.forEach((request) => {
     const own = runs.filter((run) => run.trace === request.id);
@@ -188,7 +159,7 @@
   return result.text !== expected.tokens.join('');
 }
 
-function isUntrueRefusal(record: Record, { request, result, endedAt }: Attempt): boolean {
+function isUntrueRefusal(record: StandinRecord, { request, result, endedAt }: Attempt): boolean {
   if (result.kind !== 'refused' || result.ran !== 'no') return false;
   return record.runs.some(
     (run) => run.trace === request.id && hasRun(run) && run.startedAt < endedAt,
@@ -199,7 +170,7 @@
   return run.request === '' || getCost(run) > 0;
 }
 
-function findRepeats(requests: TraceRequest[], record: Record): string[] {
+function findRepeats(requests: TraceRequest[], record: StandinRecord): string[] {
   return requests
     .filter((request) => !request.isIdempotent)
     .flatMap((request) => {
--- a/packages/replay/src/operatorActions.ts
+++ b/packages/replay/src/operatorActions.ts
@@ -1,10 +1,11 @@
-import type { Notes } from './replay';
+import { checkDefined } from '@pomeloroad/core';
+import type { Notes } from './evidence';
 import type { Stage, StageInstance } from './stage';
 
 /** Any instance that is ready, for operators. */
 export function pickInstance(stage: Stage): StageInstance {
   const ready = stage.instances.find((instance) => instance.isReady);
-  return (ready ?? stage.instances[0]) as StageInstance;
+  return checkDefined(ready ?? stage.instances[0], 'there is no instance');
 }
 
 /** Applies a file that differs from the present one in a weight. */
--- a/packages/replay/src/oracle.ts
+++ b/packages/replay/src/oracle.ts
@@ -1,6 +1,6 @@
 import type { Attempt } from './callers';
-import type { Evidence, Partition } from './judge';
-import { getCost } from './judge';
+import type { Evidence, Partition } from './evidence';
+import { getCost } from './record';
 import { isRequest } from './trace';
 import type { TraceRequest } from './trace';
 
--- a/packages/replay/src/record.ts
+++ b/packages/replay/src/record.ts
@@ -23,8 +23,13 @@
   startedAt: Date;
 }
 
+/** Tokens that a run used. */
+export function getCost(run: Run): number {
+  return run.promptTokens + run.completionTokens;
+}
+
 /** What the stand-ins recorded. */
-export interface Record {
+export interface StandinRecord {
   runs: Run[];
   audit: Audit;
   /** Top-ups by the table's rows. */
@@ -32,7 +37,7 @@
 }
 
 /** Reads the records of all endpoints and the ledger. */
-export async function readRecord(stage: Stage, events: TraceEvent[]): Promise<Record> {
+export async function readRecord(stage: Stage, events: TraceEvent[]): Promise<StandinRecord> {
   const requests = events.filter(isRequest);
   const engines = stage.endpoints.filter((endpoint) => endpoint.kind === 'engine');
   const services = stage.endpoints.filter((endpoint) => endpoint.kind === 'service');
@@ -69,7 +74,7 @@
   return held;
 }
 
-async function readTopUps(platform: Platform): Promise<Record['topUps']> {
+async function readTopUps(platform: Platform): Promise<StandinRecord['topUps']> {
   const rows = (await platform.table.scan(LedgerPrefix.topUp)).unwrap();
   return rows.map((row) => {
     const name = row.key.slice(LedgerPrefix.topUp.length);
--- a/packages/replay/src/replay.ts
+++ b/packages/replay/src/replay.ts
@@ -2,10 +2,11 @@
 import { createCallers } from './callers';
 import type { Attempt, Callers } from './callers';
 import type { Deployment } from './deployments';
+import type { Evidence, Notes } from './evidence';
 import { createFaultPlan } from './faultPlan';
 import type { Fault } from './faultPlan';
 import { judge } from './judge';
-import type { Evidence, Judgement } from './judge';
+import type { Judgement } from './judge';
 import { createPrograms } from './programs';
 import { readRecord } from './record';
 import { startStage } from './stage';
@@ -75,9 +76,6 @@
   return { deployment, events, record, observations: watcher.observations, ...notes };
 }
 
-/** What the replay itself did and saw. */
-export type Notes = Pick<Evidence, 'attempts' | 'leaving' | 'shutdowns' | 'applied' | 'partitions'>;
-
 function createNotes(): Notes {
   return { attempts: [], leaving: [], shutdowns: [], applied: [], partitions: [] };
 }
