--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,6 +1,7 @@
 export * from './types';
 export * from './parse';
 export * from './references';
+export { ConfigurationSchema } from './schema';
 export * from './diff';
 export * from './intersect';
 export * from './store';
--- /dev/null
+++ b/packages/demo/src/index.ts
@@ -0,0 +1,1 @@
+export * from './reference';
--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -32,6 +32,7 @@
 const SERVICE_PATH = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 const KEEP_ALIVE_MS = 65_000;
 const NOT_READY_RETRY_MS = 1000;
+const IDLE_SWEEP_MS = 100;
 const REOPEN_ATTEMPTS = 10;
 const REOPEN_DELAY_MS = 1000;
 
@@ -159,7 +160,7 @@
     const chat = parseChatRequest(exchange.configuration, text);
     if (chat.err) return chat.val;
     const form = chat.val.isStreamed ? 'events' : 'json';
-    const digest = hashText(JSON.stringify(chat.val.body));
+    const digest = hashText(JSON.stringify(Object.entries(chat.val.body).sort()));
     const work: Work = { kind: 'chat', chat: chat.val };
     return run(exchange, headers.val, work, digest, form);
   }
@@ -251,8 +252,12 @@
     open: () => open,
     close: () =>
       new Promise((resolve) => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
+        // A connection whose request began before the drain goes idle only after its answer.
+        const sweep = setInterval(() => server.closeIdleConnections(), IDLE_SWEEP_MS);
+        server.close(() => {
+          clearInterval(sweep);
+          resolve();
+        });
       }),
   };
 }
--- /dev/null
+++ b/packages/entry/test/harness.ts
@@ -0,0 +1,144 @@
+import type http from 'node:http';
+import { callHttp, createSystemClock, hashText, listen } from '@pomeloroad/core';
+import { createModelEngine, createPlainService, startPlatform } from '@pomeloroad/standins';
+import { parseSettings, startInstance } from '../src';
+import type { Instance } from '../src';
+
+const FREE_PORT = '127.0.0.1:0';
+const TIMEOUT_MS = 20_000;
+
+export const SECRET = 'pk-tests';
+export const OPERATOR_KEY = 'operator-of-the-tests';
+
+/** An instance with stand-ins around it, all in this process. */
+export interface Harness {
+  instance: Instance;
+  engineUrl: string;
+  serviceUrl: string;
+  call(method: string, path: string, body?: unknown, headers?: object): Promise<Reply>;
+  operate(method: string, path: string, body?: unknown): Promise<Reply>;
+  close(): Promise<void>;
+}
+
+export interface Reply {
+  status: number;
+  headers: http.IncomingHttpHeaders;
+  text: string;
+  json: any;
+}
+
+/** Starts everything; the engine takes `step` ms a token. */
+export async function startHarness(step = 1, flags: Record<string, string> = {}): Promise<Harness> {
+  const platform = await startPlatform(
+    { table: FREE_PORT, objects: FREE_PORT, membership: FREE_PORT },
+    1,
+    { lag: 0, expiry: 60_000 },
+  );
+  const speed = { slots: 8, step, prefillRate: 1000, resumeWindow: 500 };
+  const options = { ...speed, cacheBlocks: 8, loadLag: 50, checksFencing: true };
+  const engine = createModelEngine(createSystemClock(), options);
+  const service = createPlainService(1);
+  const engineAddress = await listen(engine, FREE_PORT);
+  const serviceAddress = await listen(service, FREE_PORT);
+  const settings = parseSettings(
+    {
+      instance: 'tested',
+      'data-centre': 'kent',
+      'callers-address': FREE_PORT,
+      'peers-address': FREE_PORT,
+      'operators-address': FREE_PORT,
+      'table-url': `http://${platform.addresses.table}`,
+      'objects-url': `http://${platform.addresses.objects}`,
+      'membership-url': `http://${platform.addresses.membership}`,
+      'fleet-key': 'fleet-key-of-the-tests',
+      'operator-key': OPERATOR_KEY,
+      'settle-interval': '20',
+      'drain-notice': '0',
+      'log-level': 'error',
+      ...flags,
+    },
+    {},
+  );
+  const instance = await startInstance(settings.unwrap());
+  const harness: Harness = {
+    instance,
+    engineUrl: `http://${engineAddress}`,
+    serviceUrl: `http://${serviceAddress}`,
+    call: (method, path, body, headers = {}) =>
+      send(`http://${instance.callersAddress}${path}`, method, SECRET, body, headers),
+    operate: (method, path, body) =>
+      send(`http://${instance.operatorsAddress}${path}`, method, OPERATOR_KEY, body),
+    async close() {
+      await instance.drain();
+      platform.close();
+      [engine, service].forEach((server) => {
+        server.close();
+        server.closeAllConnections();
+      });
+    },
+  };
+  await harness.operate('PUT', '/v1/configuration', createFile(engineAddress, serviceAddress));
+  return harness;
+}
+
+function createFile(engine: string, service: string): string {
+  const base = 'dataCentre: kent';
+  return `
+accounts:
+  - name: dispatch
+    budgets: [routes, small]
+    keys: [{ name: k, hash: ${hashText(SECRET)}, budget: routes }]
+pools: [{ model: planner, defaultOutputTokens: 32 }]
+services: [{ name: boards, tokensPerCall: 5 }]
+endpoints:
+  - { name: e, kind: engine, ${base}, address: ${engine}, models: [planner] }
+  - { name: b, kind: service, ${base}, address: ${service}, service: boards }
+`;
+}
+
+async function send(
+  url: string,
+  method: string,
+  key: string,
+  body: unknown,
+  headers: object = {},
+): Promise<Reply> {
+  const text = typeof body === 'string' || body === undefined ? body : JSON.stringify(body);
+  const answer = await callHttp({
+    method,
+    url,
+    headers: { authorization: `Bearer ${key}`, ...headers },
+    body: text,
+    timeout: TIMEOUT_MS,
+  });
+  const value = answer.unwrap();
+  const content = value.body.toString();
+  return { status: value.status, headers: value.headers, text: content, json: tryParse(content) };
+}
+
+function tryParse(text: string): any {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/** A chat request for the tests' model. */
+export function chat(content: string, extra: object = {}) {
+  return { model: 'planner', messages: [{ role: 'user', content }], ...extra };
+}
+
+/** Repeats the reading until the test holds. */
+export async function waitFor<T>(read: () => Promise<T>, test: (value: T) => boolean): Promise<T> {
+  const deadline = Date.now() + TIMEOUT_MS;
+  let value = await read();
+  while (!test(value)) {
+    if (Date.now() > deadline) throw new Error(`never held: ${JSON.stringify(value)}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+    value = await read();
+  }
+  return value;
+}
--- /dev/null
+++ b/packages/routing/test/routing.test.ts
@@ -0,0 +1,125 @@
+import { createManualClock, createRandom, createSilentLog } from '@pomeloroad/core';
+import { parseConfiguration } from '@pomeloroad/configuration';
+import type { RoutingPolicy } from '@pomeloroad/configuration';
+import { chooseEndpoint, createAdmission, createEndpoints } from '../src';
+import type { RouteRequest, Slot } from '../src';
+
+function setUp(policy: RoutingPolicy = { kind: 'least-in-flight' }, concurrency = 2) {
+  const clock = createManualClock();
+  const random = createRandom(5);
+  const endpoint = (name: string, site: string, port: number) =>
+    `  - { name: ${name}, kind: engine, dataCentre: ${site}, address: 10.0.0.1:${port},` +
+    ` models: [m], concurrency: ${concurrency} }\n`;
+  const file = `pools: [{ model: m }]\nendpoints:\n${endpoint('k1', 'kent', 1)}${endpoint(
+    'k2',
+    'kent',
+    2,
+  )}${endpoint('t1', 'tacoma', 3)}`;
+  const configuration = parseConfiguration(file).unwrap();
+  const endpoints = createEndpoints({ clock, log: createSilentLog() });
+  endpoints.configure(configuration);
+  const admission = createAdmission(
+    {
+      clock,
+      random,
+      dataCentre: 'kent',
+      endpoints,
+      getPolicy: () => policy,
+      getAccount: () => undefined,
+    },
+    100,
+  );
+  return { clock, endpoints, admission, random };
+}
+
+function request(changes: Partial<RouteRequest> = {}): RouteRequest {
+  const target = { kind: 'engine', model: 'm' } as const;
+  return { target, account: 'a', priority: 1, patience: 10_000, excluded: new Set(), ...changes };
+}
+
+test('local endpoints fill before others', async () => {
+  const { admission } = setUp();
+  const slots: Slot[] = [];
+  for (let count = 0; count < 6; count += 1) {
+    slots.push((await admission.acquire(request())).unwrap());
+  }
+  const sites = slots.map((slot) => slot.endpoint.dataCentre);
+  expect(sites).toEqual(['kent', 'kent', 'kent', 'kent', 'tacoma', 'tacoma']);
+});
+
+test('a leaving endpoint gets nothing new', async () => {
+  const { admission, endpoints } = setUp();
+  endpoints.report('k1', { running: 0, queued: 0, state: 'leaving' });
+  endpoints.setLeaving(new Set(['t1']));
+  const names = [];
+  for (let count = 0; count < 2; count += 1) {
+    names.push((await admission.acquire(request())).unwrap().endpoint.name);
+  }
+  expect(names).toEqual(['k2', 'k2']);
+});
+
+test('no endpoint at all is said at once', async () => {
+  const { admission } = setUp();
+  const target = { kind: 'engine', model: 'none' } as const;
+  expect((await admission.acquire(request({ target }))).val).toEqual({ kind: 'none' });
+});
+
+async function fill({ admission }: ReturnType<typeof setUp>): Promise<Slot[]> {
+  const slots = Array.from({ length: 6 }, () => admission.acquire(request()));
+  return (await Promise.all(slots)).map((slot) => slot.unwrap());
+}
+
+test('a wait that is hopeless is refused at once', async () => {
+  const all = setUp();
+  await fill(all);
+  const outcome = await all.admission.acquire(request({ patience: 1 }));
+  expect(outcome.val).toMatchObject({ kind: 'busy' });
+});
+
+test('priority goes first, then the account with less in use', async () => {
+  const all = setUp();
+  const [slot, other, third] = await fill(all);
+  const served: string[] = [];
+  const wait = (account: string, priority: number) =>
+    all.admission.acquire(request({ account, priority })).then(() => served.push(account));
+  const waiting = [wait('a', 1), wait('b', 1), wait('urgent', 2)];
+  await all.clock.advance(0);
+  slot?.release('ok');
+  other?.release('ok');
+  third?.release('ok');
+  await Promise.all(waiting);
+  expect(served).toEqual(['urgent', 'b', 'a']);
+});
+
+test('who waits too long is refused', async () => {
+  const all = setUp();
+  await fill(all);
+  const waiting = all.admission.acquire(request({ patience: 5000 }));
+  await all.clock.advance(6000);
+  expect((await waiting).val).toMatchObject({ kind: 'busy' });
+  expect(all.admission.waiting()).toBe(0);
+});
+
+test('a failing endpoint is a last resort', async () => {
+  const { admission, endpoints } = setUp();
+  ['k1', 'k2'].forEach((name) => {
+    for (let failure = 0; failure < 2; failure += 1) {
+      endpoints.take(name);
+      endpoints.release(name, 'failed');
+    }
+  });
+  expect((await admission.acquire(request())).unwrap().endpoint.name).toBe('t1');
+});
+
+test.each<RoutingPolicy['kind']>(['round-robin', 'random-two', 'least-in-flight'])(
+  'policy spreads requests: %s',
+  (kind) => {
+    const { endpoints, random } = setUp();
+    const seen = new Set<string>();
+    for (let turn = 0; turn < 50; turn += 1) {
+      const view = chooseEndpoint({ kind }, endpoints.list(), random, turn);
+      seen.add(view.endpoint.name);
+    }
+    expect(seen.size).toBe(3);
+  },
+);
