--- a/packages/entry/src/answerSource.ts
+++ b/packages/entry/src/answerSource.ts
@@ -3,7 +3,7 @@
 import type { Clock, Milliseconds, Outcome } from '@pomeloroad/core';
 import { createTopic } from '@pomeloroad/peers';
 import type { PeerNetwork } from '@pomeloroad/peers';
-import type { Answer, AnswerPart, Answers } from '@pomeloroad/requests';
+import type { Answer, AnswerPart, Answers, RetainedAnswer } from '@pomeloroad/requests';
 
 /** How long a read waits at the runner before it returns without events. */
 const READ_WAIT_MS = 2000;
@@ -17,6 +17,9 @@
   'answer.read',
 );
 
+/** Passes a finished answer on. */
+const adoptTopic = createTopic<RetainedAnswer>('answer.adopt');
+
 /** Why an answer can't be read further. */
 export type SourceError = 'unknown-request' | 'runner-lost';
 
@@ -51,8 +54,9 @@
   };
 }
 
-/** Lets other instances read the answers of this one. */
+/** Lets other instances read the answers of this one, and takes over those of leaving ones. */
 export function serveAnswers(clock: Clock, network: PeerNetwork, answers: Answers): void {
+  network.handle(adoptTopic, async (_from, retained) => answers.adopt(retained));
   network.handle(readTopic, async (_from, { request, from }) => {
     const answer = answers.get(request);
     if (!answer) return undefined;
@@ -63,6 +67,21 @@
   });
 }
 
+/** Passes the finished answers of an instance that leaves to another one. */
+export async function passAnswers(
+  network: PeerNetwork,
+  answers: Answers,
+  successor: string,
+): Promise<Set<string>> {
+  const retained = answers.listRetained();
+  const passed = new Set<string>();
+  for (const answer of retained) {
+    const reply = await network.call(successor, adoptTopic, answer, READ_TIMEOUT_MS);
+    if (reply.ok) passed.add(answer.request);
+  }
+  return passed;
+}
+
 async function readWithin(
   clock: Clock,
   wait: Milliseconds,
--- a/packages/entry/src/engine.ts
+++ b/packages/entry/src/engine.ts
@@ -12,15 +12,12 @@
 /** Shorter than the idle time after which middleboxes forget a connection. */
 const IDLE_SOCKET_MS = 4000;
 
-const Chunk = z.object({
-  choices: z.array(
-    z.object({
-      delta: z.object({ content: z.string().nullish() }).optional(),
-      finish_reason: z.string().nullish(),
-    }),
-  ),
-  usage: z.object({ prompt_tokens: z.number(), completion_tokens: z.number() }).nullish(),
-});
+/** A chunk of a stream, as far as it is used. Checked by hand: there is one for each token. */
+interface Chunk {
+  choices?: { delta?: { content?: unknown }; finish_reason?: unknown }[];
+  usage?: { prompt_tokens?: unknown; completion_tokens?: unknown } | null;
+}
+
 const StoppedStream = z.object({
   state: z.enum(['finished', 'cancelled', 'never']),
   prompt_tokens: z.number(),
@@ -205,25 +202,30 @@
 }
 
 function toEvents(message: EventSourceMessage): EngineEvent[] {
-  const chunk = Chunk.safeParse(parseJson(message.data));
-  if (!chunk.success) return [];
-  const { choices, usage } = chunk.data;
-  const index = Number(message.id ?? 0);
+  if (!message.data.startsWith('{')) return [];
+  const chunk = parseJson(message.data) as Chunk | undefined;
+  const choice = chunk?.choices?.[0];
+  const text = choice?.delta?.content;
   const events: EngineEvent[] = [];
-  const text = choices[0]?.delta?.content ?? '';
-  if (text !== '') events.push({ kind: 'delta', index, text });
-  if (usage) events.push(toUsage(usage, choices[0]?.finish_reason ?? 'stop'));
+  if (typeof text === 'string' && text !== '') {
+    events.push({ kind: 'delta', index: Number(message.id ?? 0), text });
+  }
+  const usage = toUsage(chunk, String(choice?.finish_reason ?? 'stop'));
+  if (usage) events.push(usage);
   return events;
 }
 
-function toUsage(
-  usage: { prompt_tokens: number; completion_tokens: number },
-  finish: string,
-): EngineEvent {
-  const { prompt_tokens: promptTokens, completion_tokens: completionTokens } = usage;
+function toUsage(chunk: Chunk | undefined, finish: string): EngineEvent | undefined {
+  const promptTokens = chunk?.usage?.prompt_tokens;
+  const completionTokens = chunk?.usage?.completion_tokens;
+  if (!isCount(promptTokens) || !isCount(completionTokens)) return undefined;
   return { kind: 'usage', promptTokens, completionTokens, finish };
 }
 
+function isCount(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -163,6 +163,7 @@
         .map((member) => member.name),
     isLive(identity) {
       if (identity.incarnation === self.incarnation || isConnected(identity)) return true;
+      if (leavingPeers.has(getLife(identity))) return false;
       return !isReplaced(identity) && getSilence(identity) < LIVE_MS;
     },
     isLost(identity) {
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -19,7 +19,7 @@
 import { createAnswers, createClaims, createRegistry } from '@pomeloroad/requests';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
 import type { RouteRequest } from '@pomeloroad/routing';
-import { serveAnswers } from './answerSource';
+import { passAnswers, serveAnswers } from './answerSource';
 import { createCallers } from './callers';
 import { createEngine } from './engine';
 import { createFleet } from './fleet';
@@ -93,7 +93,10 @@
       network,
       membership: platform.membership,
       seeds: settings.seeds.map(toSeed),
-      onChange: () => refreshRouting(),
+      onChange: () => {
+        refreshRouting();
+        registry.updateView();
+      },
     },
     settings.advertisedAddress || peersAddress,
   );
@@ -279,6 +282,7 @@
       isClosed = await keepers.close();
       if (!isClosed) await sleep(clock, DRAIN_POLL_MS);
     }
+    await passFinished();
     if (!isClosed || !isIdle()) log(Diagnostics.drainTimedOut);
     stop.abort();
     await fleet.withdraw();
@@ -287,6 +291,15 @@
     return isClosed;
   }
 
+  // A retry of a request that was answered here must find its answer elsewhere.
+  async function passFinished(): Promise<void> {
+    const [successor] = getLocalInstances().filter((name) => name !== instance);
+    const identity = successor === undefined ? undefined : network.getIdentity(successor);
+    if (!identity) return;
+    const passed = await passAnswers(network, answers, identity.instance);
+    await registry.reassign(passed, identity);
+  }
+
   function isIdle(): boolean {
     return callers.open() === 0 && runner.running() === 0 && budgets.pending() === 0;
   }
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -155,7 +155,8 @@
   const values: Record<string, unknown> = {};
   Object.entries<SettingDefinition>(SettingDefinitions).forEach(([setting, definition]) => {
     const flag = getFlag(setting);
-    const given = flags[flag.slice(2)] ?? environment[getVariable(setting)] ?? definition.fallback;
+    const given =
+      getLast(flags[flag.slice(2)]) ?? environment[getVariable(setting)] ?? definition.fallback;
     if (given === undefined || given === true) {
       faults.push({ flag, message: 'is required' });
       return;
@@ -168,6 +169,11 @@
   return faults.length > 0 ? Err(faults) : Ok(values as Settings);
 }
 
+// Of a flag that is given several times the last one counts.
+function getLast(value: unknown): unknown {
+  return Array.isArray(value) ? value[value.length - 1] : value;
+}
+
 function findPairFaults(values: Record<string, unknown>): SettingFault[] {
   const pairs: [SettingName, SettingName][] = [
     ['tlsCert', 'tlsKey'],
--- a/packages/replay/src/stage.ts
+++ b/packages/replay/src/stage.ts
@@ -44,6 +44,10 @@
   seed: number;
   /** Extra settings of every instance. */
   settings: string[];
+  /** Extra arguments of every engine. */
+  engineArgs?: string[];
+  /** Requests that an endpoint takes at the same time. */
+  concurrency?: number;
 }
 
 /** All processes of a replay. */
@@ -92,7 +96,7 @@
     objects: await openLink(control, PLATFORM_GROUP, direct.objects),
     membership: await openLink(control, PLATFORM_GROUP, direct.membership),
   };
-  const endpoints = await startEndpoints(programs, control, deployment);
+  const endpoints = await startEndpoints(programs, control, deployment, options);
 
   async function startInstance(name: string, site: string, link: Link): Promise<StageInstance> {
     const program = await programs.start(name, INSTANCE_PROGRAM, [
@@ -161,7 +165,7 @@
       if (answer.err) return undefined;
       return { status: answer.val.status, body: JSON.parse(answer.val.body.toString()) as unknown };
     },
-    createFile: (weight) => createFile(deployment, endpoints, weight),
+    createFile: (weight) => createFile(deployment, endpoints, weight, options.concurrency),
   };
 }
 
@@ -191,11 +195,15 @@
   programs: Programs,
   control: Control,
   deployment: Deployment,
+  options: StageOptions,
 ): Promise<StageEndpoint[]> {
   const starts = deployment.sites.flatMap((site) => {
     const start = async (kind: StageEndpoint['kind'], index: number): Promise<StageEndpoint> => {
       const name = `${site.name}-${kind}-${index + 1}`;
-      const program = await programs.start(name, STANDINS_PROGRAM, [kind]);
+      const program = await programs.start(name, STANDINS_PROGRAM, [
+        kind,
+        ...(kind === 'engine' ? (options.engineArgs ?? []) : []),
+      ]);
       const target = String(program.listening.address);
       const link = await openLink(control, site.name, target);
       const { address } = link;
@@ -208,7 +216,12 @@
   return Promise.all(starts);
 }
 
-function createFile(deployment: Deployment, endpoints: StageEndpoint[], weight: number): string {
+function createFile(
+  deployment: Deployment,
+  endpoints: StageEndpoint[],
+  weight: number,
+  concurrency?: number,
+): string {
   const { accounts, model, service } = deployment;
   return stringify({
     accounts: accounts.map((client, index) => ({
@@ -230,6 +243,7 @@
       kind,
       dataCentre: site,
       address,
+      concurrency,
       ...(kind === 'engine' ? { models: [model] } : { service }),
     })),
   });
--- a/packages/requests/src/answer.ts
+++ b/packages/requests/src/answer.ts
@@ -17,6 +17,8 @@
   isFinished(): boolean;
   /** Number of events so far. */
   length(): number;
+  getEvents(): AnswerEvent[];
+  getEnd(): AnswerEnd | undefined;
   /** Size of the text and bytes held. */
   size(): number;
 }
@@ -66,6 +68,8 @@
     readers: () => readers,
     isFinished: () => end !== undefined,
     length: () => events.length,
+    getEvents: () => events,
+    getEnd: () => end,
     size: () => size,
   };
 }
--- a/packages/requests/src/registry.ts
+++ b/packages/requests/src/registry.ts
@@ -1,17 +1,31 @@
 import { createTopic } from '@pomeloroad/peers';
 import type { PeerNetwork } from '@pomeloroad/peers';
-import { getOwner } from '@pomeloroad/core';
+import { getOwner, sleep } from '@pomeloroad/core';
 import type { Clock, Identity, Milliseconds } from '@pomeloroad/core';
+import { createEntries } from './entries';
+import type { Entry } from './entries';
 import type { BeginReply, BeginRequest, RequestName, RunState } from './types';
 
 const CALL_TIMEOUT_MS = 1000;
-const ENTRIES_LIMIT = 100_000;
+/** Longer than two instances' views of the fleet differ after a change of it. */
+const TRANSITION_MS = 5000;
+/** How long a keeper that is connected but does not answer is asked again. */
+const KEEPER_PATIENCE_MS = 4000;
+const KEEPER_RETRY_MS = 200;
+
+/** A named request as it is passed to another keeper. */
+interface Handoff {
+  name: RequestName;
+  entry: Entry;
+}
 
 /** Messages between request keepers and the instances that run requests. */
 export const RegistryTopics = {
   begin: createTopic<BeginRequest, BeginReply>('request.begin'),
+  find: createTopic<BeginRequest, BeginReply>('request.find'),
   run: createTopic<{ name: RequestName; request: string; state: RunState }>('request.run'),
   finish: createTopic<{ name: RequestName; request: string; isKept: boolean }>('request.finish'),
+  handoff: createTopic<Handoff[]>('request.handoff'),
 } as const;
 
 /** What the registry needs from its surroundings. */
@@ -35,86 +49,73 @@
   noteRun(name: RequestName, request: string, state: RunState): Promise<void>;
   /** Notes the end; a request that is not kept may be run again. */
   noteFinish(name: RequestName, request: string, isKept: boolean): void;
+  /** Makes another instance the one that answers for finished requests of this one. */
+  reassign(requests: Set<string>, runner: Identity): Promise<void>;
+  /** Takes a new view of the fleet; names whose keeper changed are passed on. */
+  updateView(): void;
   count(): number;
 }
 
-interface Entry {
-  digest: string;
-  runner: Identity;
-  request: string;
-  isIdempotent: boolean;
-  isFinished: boolean;
-  state?: RunState;
-}
-
 /** Creates the registry and answers for the names that this instance keeps. */
 export function createRegistry(host: RegistryHost): Registry {
   const { clock, self, network } = host;
-  const entries = new Map<string, Entry>();
+  /** Names that this instance keeps for the fleet. */
+  const kept = createEntries(host);
+  /** Named requests that this instance runs or has run. */
+  const own = createEntries(host);
+  let view = readView();
+  let previousView = view;
+  let changedAt = -Infinity;
 
-  network.handle(RegistryTopics.begin, async (_from, request) => beginHere(request));
-  network.handle(RegistryTopics.run, async (_from, { name, request, state }) => {
-    const entry = entries.get(getId(name));
-    if (entry?.request === request) entry.state = state;
-  });
+  network.handle(RegistryTopics.begin, async (_from, request) => kept.begin(request));
+  network.handle(RegistryTopics.find, async (_from, request) => findHere(request));
+  network.handle(RegistryTopics.run, async (_from, { name, request, state }) =>
+    kept.setState(name, request, state),
+  );
   network.handle(RegistryTopics.finish, async (_from, { name, request, isKept }) =>
-    finishHere(name, request, isKept),
+    kept.finish(name, request, isKept),
+  );
+  network.handle(RegistryTopics.handoff, async (_from, handoffs) =>
+    handoffs.forEach(({ name, entry }) => kept.insert(name, entry)),
   );
 
-  function beginHere(request: BeginRequest): BeginReply {
-    const id = getId(request.name);
-    const entry = entries.get(id);
-    if (!entry) return enter(id, request);
-    if (entry.digest !== request.digest) return { kind: 'mismatch' };
-    const { runner } = entry;
-    if (host.isLive(runner)) return { kind: 'attach', runner, request: entry.request };
-    const { state, request: previous } = entry;
-    if (!state) return entry.isIdempotent ? enter(id, request) : { kind: 'lost' };
-    // Following a stream sends nothing again, so it is allowed for any request.
-    enter(id, request, state);
-    return { kind: 'resume', request: previous, state };
+  function readView(): Identity[] {
+    return host.getInstances();
   }
 
-  function enter(id: string, begun: BeginRequest, state?: RunState): BeginReply {
-    if (entries.size >= ENTRIES_LIMIT) dropOldestFinished();
-    const { digest, runner, request, isIdempotent } = begun;
-    entries.set(id, { digest, runner, request, isIdempotent, isFinished: false, state });
-    return { kind: 'run' };
+  function findHere(request: BeginRequest): BeginReply {
+    const found = kept.find(request) ?? own.find(request);
+    return found ?? { kind: 'run' };
   }
 
-  function dropOldestFinished(): void {
-    const oldest = [...entries].find(([, entry]) => entry.isFinished);
-    if (oldest) entries.delete(oldest[0]);
+  function isInTransition(): boolean {
+    return clock.elapsed() - changedAt < TRANSITION_MS;
   }
 
-  function finishHere(name: RequestName, request: string, isKept: boolean): void {
-    const id = getId(name);
-    const entry = entries.get(id);
-    if (entry?.request !== request) return;
-    if (!isKept) {
-      entries.delete(id);
-      return;
+  // After a change of the fleet other instances may still use the old keeper. Registering with it
+  // first, and then with the new one, makes sure that any two of them meet at one keeper.
+  async function beginInTransition(request: BeginRequest): Promise<BeginReply | undefined> {
+    const old = getKeeper(previousView, request.name);
+    const next = getKeeper(view, request.name);
+    if (old === next) return beginAt(next, request);
+    const first = network.isConnected(old)
+      ? await beginAt(old, request)
+      : await findAnywhere(request);
+    if (first && first.kind !== 'run') return first;
+    const second = await beginAt(next, request);
+    if (second && second.kind !== 'run' && network.isConnected(old)) {
+      sendFinish(old, request.name, request.request, false);
     }
-    entry.isFinished = true;
-    clock.after(host.retention, () => {
-      if (entries.get(id) === entry) entries.delete(id);
-    });
+    return second;
   }
 
-  // Every instance that sees the same fleet finds the same keeper: first its data centre, then
-  // the instance. Cut off from that data centre, names are kept in this one.
-  function getKeeper(name: RequestName): string {
-    const id = getId(name);
-    const instances = host.getInstances();
-    const dataCentres = [...new Set(instances.map((identity) => identity.dataCentre))];
-    const home = getOwner(id, dataCentres) ?? self.dataCentre;
-    const members = instances.filter((identity) => identity.dataCentre === home);
-    return (
-      getOwner(
-        id,
-        members.map((identity) => identity.instance),
-      ) ?? self.instance
+  async function findAnywhere(request: BeginRequest): Promise<BeginReply | undefined> {
+    const others = view.map((identity) => identity.instance);
+    const replies = await Promise.all(
+      others.map((other) => network.call(other, RegistryTopics.find, request, CALL_TIMEOUT_MS)),
     );
+    const found = replies.map((reply) => (reply.ok ? reply.val : undefined));
+    return found.find((reply) => reply !== undefined && reply.kind !== 'run');
   }
 
   async function beginAt(keeper: string, request: BeginRequest): Promise<BeginReply | undefined> {
@@ -122,25 +123,90 @@
     return reply.ok ? reply.val : undefined;
   }
 
+  async function beginSomewhere(request: BeginRequest): Promise<BeginReply> {
+    const deadline = clock.elapsed() + KEEPER_PATIENCE_MS;
+    while (clock.elapsed() < deadline) {
+      const reply = isInTransition()
+        ? await beginInTransition(request)
+        : await beginAt(getKeeper(view, request.name), request);
+      if (reply) return reply;
+      await sleep(clock, KEEPER_RETRY_MS);
+    }
+    return kept.begin(request);
+  }
+
+  function sendFinish(keeper: string, name: RequestName, request: string, isKept: boolean): void {
+    const body = { name, request, isKept };
+    network.call(keeper, RegistryTopics.finish, body, CALL_TIMEOUT_MS);
+  }
+
+  function handOff(entries: Handoff[]): Promise<unknown> {
+    const byKeeper = new Map<string, Handoff[]>();
+    entries.forEach((handoff) => {
+      const keeper = getKeeper(view, handoff.name);
+      byKeeper.set(keeper, [...(byKeeper.get(keeper) ?? []), handoff]);
+    });
+    const calls = [...byKeeper].map(([keeper, handoffs]) =>
+      network.call(keeper, RegistryTopics.handoff, handoffs, CALL_TIMEOUT_MS),
+    );
+    return Promise.all(calls);
+  }
+
+  function hasMoved({ name }: Handoff): boolean {
+    return getKeeper(previousView, name) !== getKeeper(view, name);
+  }
+
   return {
     async begin(request) {
-      const home = await beginAt(getKeeper(request.name), request);
-      if (home) return home;
-      const local = getOwner(getId(request.name), host.getLocalInstances()) ?? self.instance;
-      return (await beginAt(local, request)) ?? beginHere(request);
+      const reply = await beginSomewhere(request);
+      if (reply.kind === 'run' || reply.kind === 'resume') own.begin(request);
+      return reply;
     },
     async noteRun(name, request, state) {
+      own.setState(name, request, state);
       const body = { name, request, state };
-      await network.call(getKeeper(name), RegistryTopics.run, body, CALL_TIMEOUT_MS);
+      await network.call(getKeeper(view, name), RegistryTopics.run, body, CALL_TIMEOUT_MS);
     },
     noteFinish(name, request, isKept) {
-      const body = { name, request, isKept };
-      network.call(getKeeper(name), RegistryTopics.finish, body, CALL_TIMEOUT_MS);
+      own.finish(name, request, isKept);
+      const keepers = new Set([getKeeper(view, name), getKeeper(previousView, name)]);
+      keepers.forEach((keeper) => sendFinish(keeper, name, request, isKept));
+    },
+    async reassign(requests, runner) {
+      const moved = own.list().filter(({ entry }) => requests.has(entry.request));
+      await handOff(moved.map(({ name, entry }) => ({ name, entry: { ...entry, runner } })));
     },
-    count: () => entries.size,
+    updateView() {
+      const next = readView();
+      if (isSameView(view, next)) return;
+      if (!isInTransition()) previousView = view;
+      view = next;
+      changedAt = clock.elapsed();
+      handOff([...kept.list(), ...own.list()].filter(hasMoved));
+    },
+    count: () => kept.list().length,
   };
+
+  function getKeeper(instances: Identity[], name: RequestName): string {
+    return findKeeper(instances, name) ?? self.instance;
+  }
+}
+
+// First the data centre, then the instance: at a large size only the home data centre's view of
+// itself matters.
+function findKeeper(instances: Identity[], { account, key }: RequestName): string | undefined {
+  const id = JSON.stringify([account, key]);
+  const dataCentres = [...new Set(instances.map((identity) => identity.dataCentre))];
+  const home = getOwner(id, dataCentres);
+  const members = instances.filter((identity) => identity.dataCentre === home);
+  return getOwner(
+    id,
+    members.map((identity) => identity.instance),
+  );
 }
 
-function getId({ account, key }: RequestName): string {
-  return JSON.stringify([account, key]);
+function isSameView(left: Identity[], right: Identity[]): boolean {
+  const toLives = (view: Identity[]) =>
+    view.map(({ instance, incarnation }) => `${instance}/${incarnation}`).sort();
+  return JSON.stringify(toLives(left)) === JSON.stringify(toLives(right));
 }
