Let a witness know each reservation, so that a successor goes on exactly

A peer of the data centre now notes each reservation before it is sent and each record before its settlement is acknowledged. A successor seals that log, moves the rest of the grant into one of its own and goes on. A holder that is leaving refuses reservations, and the client asks the next.

--- a/packages/budgets/src/client.ts
+++ b/packages/budgets/src/client.ts
@@ -3,6 +3,7 @@
 import type { Clock, Identity, Milliseconds, Outcome, Random, Tokens } from '@pomeloroad/core';
 import type { PeerNetwork } from '@pomeloroad/peers';
 import { BudgetTopics } from './topics';
+import type { SettlementRequest } from './topics';
 import type { Placement, ReservationError, UsageDraft, UsageRecord } from './types';
 
 const CALL_MARGIN_MS = 1000;
@@ -11,6 +12,8 @@
 const FIRST_RETRY_MS = 50;
 const LAST_RETRY_MS = 2000;
 const KEEPERS_TO_TRY = 3;
+/** Longer than it takes a successor to take a lost keeper's grant over. */
+const SETTLE_PATIENCE_MS = 60_000;
 
 /** What the client needs from its surroundings. */
 export interface BudgetClientHost {
@@ -29,6 +32,8 @@
   /** Name of the instance that holds the tokens. */
   keeper: string;
   tokens: Tokens;
+  /** The placement that was noted with the reservation. */
+  placement: Placement | undefined;
   /** Must succeed before anything of the request is sent to the endpoint. */
   place(placement: Placement): Promise<boolean>;
   /** Ends the reservation; without a record nothing was used. Returns at once. */
@@ -49,6 +54,7 @@
     draft: UsageDraft,
     tokens: Tokens,
     patience: Milliseconds,
+    placement?: Placement,
   ): Promise<Outcome<HeldReservation, ReservationError>>;
   /** Takes over a reservation of a lost instance; `undefined` if it was settled already. */
   adopt(held: HeldElsewhere): Promise<HeldReservation | undefined>;
@@ -71,11 +77,12 @@
     draft: UsageDraft,
     tokens: Tokens,
     patience: Milliseconds,
+    placement?: Placement,
   ) {
     const id = createId();
     const { budget } = draft;
     known.add(id);
-    const request = { id, budget, tokens, patience, owner: self, draft };
+    const request = { id, budget, tokens, patience, owner: self, draft, placement };
     const timeout = patience + CALL_MARGIN_MS;
     const { instance } = keeper;
     const reply = await network.call(instance, BudgetTopics.reserve, request, timeout);
@@ -84,18 +91,27 @@
       return Err({ kind: 'silent' as const, message: reply.val.message });
     }
     const answer = reply.val;
-    if (answer.kind === 'reserved') return Ok(hold(keeper, id, budget, tokens));
+    if (answer.kind === 'reserved') {
+      return Ok(hold(keeper, id, budget, tokens, answer.isPlaced ? placement : undefined));
+    }
     known.delete(id);
     return Err(answer);
   }
 
-  function hold(keeper: Identity, id: string, budget: string, tokens: Tokens): HeldReservation {
+  function hold(
+    keeper: Identity,
+    id: string,
+    budget: string,
+    tokens: Tokens,
+    noted?: Placement,
+  ): HeldReservation {
     let isOpen = true;
     return {
       id,
       budget,
       keeper: keeper.instance,
       tokens,
+      placement: noted,
       async place(placement) {
         const request = { budget, reservation: id, placement };
         const { instance } = keeper;
@@ -118,27 +134,37 @@
   ): Promise<void> {
     settling += 1;
     const request = { budget, reservation, record };
+    const deadline = clock.elapsed() + SETTLE_PATIENCE_MS;
     let delay = FIRST_RETRY_MS;
-    // Once the keeper's incarnation is gone, whoever closes its grant charges the reservation.
-    while (isSameIncarnation(keeper)) {
-      const { instance } = keeper;
-      const reply = await network.call(instance, BudgetTopics.settle, request, SETTLE_TIMEOUT_MS);
-      if (reply.ok) break;
-      await sleep(clock, jitter(random, delay));
+    let isSettled = false;
+    while (!isSettled && clock.elapsed() < deadline) {
+      isSettled = await settleOnce(keeper, request);
+      if (!isSettled) await sleep(clock, jitter(random, delay));
       delay = Math.min(delay * 2, LAST_RETRY_MS);
     }
     known.delete(reservation);
     settling -= 1;
   }
 
-  function isSameIncarnation(keeper: Identity): boolean {
+  // Once the keeper is lost, its successor holds the reservation; any peer may be that.
+  async function settleOnce(keeper: Identity, request: SettlementRequest): Promise<boolean> {
     const present = network.getIdentity(keeper.instance);
-    if (present) return present.incarnation === keeper.incarnation;
-    return host.getLocalInstances().includes(keeper.instance);
+    if (present?.incarnation === keeper.incarnation) {
+      if (await settleWith(keeper.instance, request)) return true;
+    }
+    const others = host.getLocalInstances().filter((name) => name !== keeper.instance);
+    const replies = await Promise.all(others.map((name) => settleWith(name, request)));
+    return replies.includes(true);
+  }
+
+  async function settleWith(instance: string, request: SettlementRequest): Promise<boolean> {
+    const { settle } = BudgetTopics;
+    const reply = await network.call(instance, settle, request, SETTLE_TIMEOUT_MS);
+    return reply.ok && reply.val === 'settled';
   }
 
   return {
-    async reserve(draft, tokens, patience) {
+    async reserve(draft, tokens, patience, placement) {
       const deadline = clock.elapsed() + patience;
       const ranked = rankNodes(draft.budget, host.getLocalInstances());
       const keepers = ranked
@@ -148,10 +174,11 @@
       let message = 'no budget keeper in this data centre answers';
       for (const keeper of keepers) {
         const left = Math.max(0, deadline - clock.elapsed());
-        const outcome = await reserveWith(keeper, draft, tokens, left);
+        const outcome = await reserveWith(keeper, draft, tokens, left, placement);
         if (outcome.ok) return outcome;
-        if (outcome.val.kind === 'refused') return Err(outcome.val.error);
-        message = outcome.val.message;
+        const error = outcome.val.kind === 'refused' ? outcome.val.error : outcome.val;
+        if (error.kind === 'exhausted') return Err(error);
+        message = error.message;
       }
       return Err({ kind: 'unreachable', message });
     },
--- a/packages/budgets/src/holding.ts
+++ b/packages/budgets/src/holding.ts
@@ -1,5 +1,6 @@
 import { assert } from '@pomeloroad/core';
 import type { Identity, Milliseconds, Tokens } from '@pomeloroad/core';
+import type { WitnessLog } from './topics';
 import type {
   Grant,
   Placement,
@@ -38,8 +39,11 @@
   isUncertain(): boolean;
   /** Takes tokens for a request. */
   reserve(request: ReservationRequest, at: Milliseconds): void;
-  /** Ends a reservation: charges what was used, at most what was reserved, and frees the rest. */
-  end(reservation: string, record: UsageRecord | undefined): void;
+  /**
+   * Ends a reservation: charges what was used, at most what was reserved, and frees the rest.
+   * Returns the record as it will be settled.
+   */
+  end(reservation: string, record: UsageRecord | undefined): SettledRecord | undefined;
   place(reservation: string, placement: Placement): boolean;
   changeOwner(reservation: string, owner: Identity): boolean;
   /** Puts tokens out of use before the row is made smaller. */
@@ -49,28 +53,39 @@
   /** Takes over the row after a settlement; a reduction that may still take effect stays. */
   adoptSettled(grant: Grant): void;
   markUncertain(): void;
+  /** Names the witness of a grant that is not written yet. */
+  setWitness(witness: Identity | undefined): void;
 }
 
-/** Creates the holding of a grant that is not opened yet. */
-export function createHolding(initial: Grant): Holding {
-  const reservations = new Map<string, Reservation>();
+/** Creates the holding of a grant: a new one, or one taken over with its witness's log. */
+export function createHolding(
+  initial: Grant,
+  log: WitnessLog = { reservations: [], records: [] },
+): Holding {
+  const reservations = new Map(log.reservations.map((entry) => [entry.id, entry]));
   let grant = initial;
-  let limit = 0;
-  let spent = 0;
-  let reserved = 0;
-  let sequence = 0;
-  let unsettled: SettledRecord[] = [];
+  let limit = initial.version === 0 ? 0 : initial.row.size;
+  let unsettled = log.records.map((record, index) => ({
+    ...record,
+    grant: initial.id,
+    ordinal: index + 1,
+  }));
+  let spent = sumTokens(unsettled);
+  let reserved = sumTokens(log.reservations);
+  let sequence = unsettled.length;
   let isUncertain = false;
 
   function dropSettled(): void {
     unsettled = unsettled.filter((record) => record.ordinal > grant.row.sequence);
   }
 
-  function charge(reservation: Reservation, record: UsageRecord): void {
+  function charge(reservation: Reservation, record: UsageRecord): SettledRecord {
     const tokens = Math.min(record.tokens, reservation.tokens);
     spent += tokens;
     sequence += 1;
-    unsettled.push({ ...record, tokens, grant: grant.id, ordinal: sequence });
+    const settled = { ...record, tokens, grant: grant.id, ordinal: sequence };
+    unsettled.push(settled);
+    return settled;
   }
 
   const getFree = () => limit - spent - reserved;
@@ -92,10 +107,10 @@
     },
     end(id, record) {
       const reservation = reservations.get(id);
-      if (!reservation) return;
+      if (!reservation) return undefined;
       reservations.delete(id);
       reserved -= reservation.tokens;
-      if (record && record.tokens > 0) charge(reservation, record);
+      return record && record.tokens > 0 ? charge(reservation, record) : undefined;
     },
     place(id, placement) {
       const held = reservations.get(id);
@@ -125,5 +140,12 @@
     markUncertain() {
       isUncertain = true;
     },
+    setWitness(witness) {
+      grant = { ...grant, row: { ...grant.row, witness } };
+    },
   };
 }
+
+function sumTokens(parts: { tokens: Tokens }[]): Tokens {
+  return parts.reduce((sum, part) => sum + part.tokens, 0);
+}
--- a/packages/budgets/src/keeper.ts
+++ b/packages/budgets/src/keeper.ts
@@ -5,6 +5,8 @@
 import type { Reservation } from './holding';
 import type { Ledger, Sizer } from './ledger';
 import { createRateMeter } from './rate';
+import type { SettlementReply, WitnessLog } from './topics';
+import type { NoteOutcome, WitnessLink } from './witnessLink';
 import { getGrowth, getIdleLimit } from './sizing';
 import type { GrantPolicy } from './sizing';
 import type {
@@ -21,6 +23,7 @@
 const RATE_CONSTANT_MS = 60_000;
 const FIRST_WAIT_MS = 25;
 const LAST_WAIT_MS = 400;
+const ENDINGS_KEPT = 1000;
 
 /** What a keeper needs from its surroundings. */
 export interface KeeperHost {
@@ -31,6 +34,7 @@
   policy: GrantPolicy;
   /** How many data centres draw on the budgets. */
   getDataCentres(): number;
+  witnesses: WitnessLink;
   /** Asks the other holders for unused tokens; resolves to what they hold after that. */
   recall(budget: string, others: string[], tokens: Tokens): Promise<RecallSummary>;
 }
@@ -45,16 +49,22 @@
 /** Holds one data centre's open grant of one budget. */
 export interface Keeper {
   reserve(request: ReservationRequest): Promise<Outcome<void, ReservationError>>;
-  /** Ends a reservation; a repeat or an unknown one changes nothing. */
-  settle(reservation: string, record: UsageRecord | undefined): void;
-  /** Notes where a request is about to run; `false` if the reservation is not held here. */
-  place(reservation: string, placement: Placement): boolean;
-  adopt(reservation: string, owner: Identity): boolean;
+  /** Ends a reservation; resolves once a successor would know it too. */
+  settle(reservation: string, record: UsageRecord | undefined): Promise<SettlementReply>;
+  /** Notes where a request is about to run; only then may anything of it be sent. */
+  place(reservation: string, placement: Placement): Promise<boolean>;
+  adopt(reservation: string, owner: Identity): Promise<boolean>;
+  /**
+   * Replaces a witness that is gone. With the platform silent, which rules that out, lets this
+   * holder spend its grant without its witness: at a loss the whole grant is charged then.
+   */
+  maintainWitness(isSilent: boolean): Promise<void>;
   /** Returns unused tokens to the budget; while requests wait here, only if made to yield. */
   release(mustYield: boolean): Promise<Tokens>;
   /** Returns idle tokens above what the recent rate calls for. */
   trim(): Promise<void>;
   reservations(): Reservation[];
+  holds(reservation: string): boolean;
   unsettled(): SettledRecord[];
   /** Moves the grant's row forward over the records up to this ordinal, which are stored now. */
   settleRow(grant: string, sequence: number): Promise<void>;
@@ -84,11 +94,20 @@
 }
 
 /** Creates the keeper of a budget; it opens a grant with the first reservation. */
-export function createKeeper(host: KeeperHost, budget: string): Keeper {
-  const { clock, log, ledger, policy, self } = host;
+export function createKeeper(
+  host: KeeperHost,
+  budget: string,
+  inherited?: { grant: Grant; log: WitnessLog },
+): Keeper {
+  const { clock, log, ledger, policy, self, witnesses } = host;
   const rate = createRateMeter(clock, RATE_CONSTANT_MS);
   const changed = createCondition();
-  let holding = createHolding(createGrant(self, budget));
+  let holding = inherited
+    ? createHolding(inherited.grant, inherited.log)
+    : createHolding(createGrant(self, budget));
+  /** Reservations that ended, so that a repeated settlement is known. */
+  const endings = new Map<string, SettledRecord | undefined>();
+  let isWhole = false;
   let waiters: Waiter[] = [];
   let isRefilling = false;
   let typical = 0;
@@ -152,6 +171,7 @@
     return exclusively(async () => {
       const row = await ledger.readBudget(budget);
       if (row.err) return row;
+      if (holding.grant().version === 0) await openWitness();
       const outcome = await ledger.resize(holding.grant(), growBy(row.val), holding.isUncertain());
       takeOutcome(outcome);
       return outcome;
@@ -173,6 +193,36 @@
     };
   }
 
+  // A witness is named in the grant's row only after it has opened its log.
+  async function openWitness(): Promise<void> {
+    const witness = witnesses.pick(budget);
+    const isOpen = witness && (await witnesses.open(holding, witness, false)) === 'noted';
+    isWhole = false;
+    holding.setWitness(isOpen ? witness : undefined);
+  }
+
+  /** Whether a successor would know what the note says, or charge the whole grant anyway. */
+  async function isWitnessed(outcome: NoteOutcome): Promise<boolean> {
+    if (outcome === 'noted') return true;
+    if (outcome === 'sealed') {
+      abandon();
+      return false;
+    }
+    return isWhole || replaceWitness();
+  }
+
+  function replaceWitness(): Promise<boolean> {
+    return exclusively(async () => {
+      const witness = witnesses.pick(budget);
+      const isOpen = witness && (await witnesses.open(holding, witness, false)) === 'noted';
+      const next = isOpen ? witness : undefined;
+      const outcome = await ledger.setWitness(holding.grant(), next);
+      if (outcome.ok) holding.adoptSettled(outcome.val);
+      else if (outcome.val.kind === 'sealed') abandon();
+      return outcome.ok;
+    });
+  }
+
   function takeOutcome(outcome: Outcome<Grant, LedgerError>): void {
     if (outcome.ok) {
       const { version, row } = outcome.val;
@@ -188,6 +238,7 @@
   // Another instance took this one for dead and charged the grant: nothing more may be spent of it.
   function abandon(): void {
     logGrant(Diagnostics.grantAdopted, holding.grant().row.size);
+    endings.clear();
     holding = createHolding(createGrant(self, budget));
   }
 
@@ -232,6 +283,23 @@
     });
   }
 
+  function endReservation(id: string, record: UsageRecord | undefined): void {
+    rate.add(record?.tokens ?? 0);
+    endings.set(id, holding.end(id, record));
+    const [oldest] = endings.keys();
+    if (endings.size > ENDINGS_KEPT && oldest !== undefined) endings.delete(oldest);
+    serveWaiters();
+    changed.notify();
+  }
+
+  async function noteReservation(id: string): Promise<boolean> {
+    const current = holding;
+    const reservation = current.reservations().get(id);
+    if (!reservation) return false;
+    const isNoted = await isWitnessed(await witnesses.note(current, reservation));
+    return isNoted && holding === current;
+  }
+
   return {
     async reserve(request) {
       typical = Math.max(typical * 0.9, request.tokens);
@@ -247,14 +315,33 @@
         refill();
       });
     },
-    settle(reservation, record) {
-      rate.add(record?.tokens ?? 0);
-      holding.end(reservation, record);
-      serveWaiters();
-      changed.notify();
+    async settle(reservation, record) {
+      const current = holding;
+      if (current.reservations().has(reservation)) endReservation(reservation, record);
+      else if (!endings.has(reservation)) return 'unknown';
+      const outcome = await witnesses.end(current, reservation, endings.get(reservation));
+      return (await isWitnessed(outcome)) && holding === current ? 'settled' : 'unknown';
+    },
+    async place(reservation, placement) {
+      if (!holding.place(reservation, placement)) return false;
+      return noteReservation(reservation);
+    },
+    async adopt(reservation, owner) {
+      if (!holding.changeOwner(reservation, owner)) return false;
+      return noteReservation(reservation);
+    },
+    async maintainWitness(isSilent) {
+      if (holding.grant().version === 0) return;
+      const { witness } = holding.grant().row;
+      if (!witness || !witnesses.isPresent(witness)) {
+        if (!isSilent && (witness || witnesses.pick(budget))) await replaceWitness();
+        return;
+      }
+      if (isSilent === isWhole) return;
+      const outcome = await witnesses.open(holding, witness, isSilent);
+      if (outcome === 'noted') isWhole = isSilent;
+      if (outcome === 'sealed') abandon();
     },
-    place: (reservation, placement) => holding.place(reservation, placement),
-    adopt: (reservation, owner) => holding.changeOwner(reservation, owner),
     release: (mustYield) =>
       waiters.length > 0 && !mustYield ? Promise.resolve(0) : shrinkTo(() => 0),
     async trim() {
@@ -262,6 +349,7 @@
       if (waiters.length > 0 || holding.free() <= limit) return;
       await shrinkTo(() => holding.spent() + holding.reserved() + Math.ceil(limit / 2));
     },
+    holds: (reservation) => holding.reservations().has(reservation) || endings.has(reservation),
     reservations: () => [...holding.reservations().values()],
     unsettled: () => holding.unsettled(),
     settleRow: (grant, sequence) =>
@@ -275,7 +363,8 @@
       }),
     close: () =>
       exclusively(async () => {
-        if (holding.reservations().size > 0 || holding.unsettled().length > 0) return false;
+        const isUsed = holding.reservations().size > 0 || holding.unsettled().length > 0;
+        if (isUsed || waiters.length > 0) return false;
         if (holding.grant().version === 0 && !holding.isUncertain()) return true;
         const spent = holding.spent();
         holding.lower(spent);
@@ -285,6 +374,7 @@
           return false;
         }
         logGrant(Diagnostics.grantClosed, spent);
+        witnesses.drop(holding);
         holding = createHolding(createGrant(self, budget));
         return true;
       }),
@@ -308,7 +398,8 @@
   return row.toppedUp - row.closedSpent - open;
 }
 
-function createGrant(self: Identity, budget: string): Grant {
+/** A grant of this holder that is not written yet. */
+export function createGrant(self: Identity, budget: string, witness?: Identity): Grant {
   const id = `${self.dataCentre}/${self.instance}/${self.incarnation}/${budget}/${createId()}`;
   return {
     id,
@@ -316,6 +407,7 @@
     row: {
       budget,
       holder: self,
+      witness,
       size: 0,
       spent: 0,
       sequence: 0,
--- a/packages/budgets/src/keepers.ts
+++ b/packages/budgets/src/keepers.ts
@@ -3,15 +3,18 @@
 import type { PeerNetwork } from '@pomeloroad/peers';
 import type { ObjectStore, Row, Table } from '@pomeloroad/platform';
 import type { Reservation } from './holding';
-import { createKeeper } from './keeper';
+import { createGrant, createKeeper } from './keeper';
 import type { Keeper, KeeperStatus, RecallSummary } from './keeper';
 import { createLedger } from './ledger';
 import { getGrantPrefix, LedgerPrefix, parseGrant } from './rows';
 import { settleKeepers } from './settlement';
 import type { GrantPolicy } from './sizing';
 import { BudgetTopics } from './topics';
-import type { ReservationReply } from './topics';
-import type { Grant, Placement, UsageRecord } from './types';
+import type { ReservationReply, SettlementReply, WitnessLog } from './topics';
+import type { Grant, Placement, ReservationError, UsageRecord } from './types';
+import { createWitness } from './witness';
+import { createWitnessLink } from './witnessLink';
+import type { SealOutcome } from './witnessLink';
 
 const RECALL_TIMEOUT_MS = 1500;
 const CONFIRM_TIMEOUT_MS = 1000;
@@ -32,6 +35,8 @@
   getDataCentres(): number;
   /** Live instances of this data centre, this one included. */
   getLocalInstances(): string[];
+  /** Whether the table service does not answer. */
+  isPlatformSilent(): boolean;
   /** Whether this incarnation answered lately. */
   isLive(identity: Identity): boolean;
   /** Whether this incarnation is gone for good, as far as the platform's list tells. */
@@ -56,37 +61,45 @@
   reap(): Promise<void>;
   /** Closes the grants of lost incarnations of this data centre, if this instance is in charge. */
   adoptLost(): Promise<void>;
-  /** Closes every grant without reservations; whether none is left. */
+  /** Takes no further reservation and closes every grant without one; whether none is left. */
   close(): Promise<boolean>;
   describe(): KeeperStatus[];
+  describeWitness(): { grants: number; sealed: number };
 }
 
 /** Creates the keepers and answers their messages. */
 export function createKeepers(host: KeepersHost): Keepers {
-  const { clock, log, self, network, table } = host;
+  const { clock, log: diagnose, self, network, table } = host;
   const ledger = createLedger({ clock, table });
   const keepers = new Map<string, Keeper>();
+  /** Grants of lost holders, until their last reservation has ended. */
+  let inherited: Keeper[] = [];
+  const witnesses = createWitnessLink(host);
+  const witness = createWitness(clock, network);
+  const keeperHost = { ...host, ledger, recall, witnesses };
+  let isClosing = false;
 
-  network.handle(BudgetTopics.reserve, async (_from, request) => {
-    const outcome = await getKeeper(request.budget).reserve(request);
-    const reply: ReservationReply = outcome.ok
-      ? { kind: 'reserved' }
-      : { kind: 'refused', error: outcome.val };
-    return reply;
+  network.handle(BudgetTopics.reserve, async (_from, request): Promise<ReservationReply> => {
+    // A grant opened now would outlive this instance.
+    if (isClosing) return { kind: 'refused', error: CLOSING };
+    const keeper = getKeeper(request.budget);
+    const outcome = await keeper.reserve(request);
+    if (outcome.err) return { kind: 'refused', error: outcome.val };
+    const { id, placement } = request;
+    const isPlaced = placement ? await keeper.place(id, placement) : false;
+    return { kind: 'reserved', isPlaced };
   });
-  network.handle(BudgetTopics.settle, async (_from, { budget, reservation, record }) => {
-    keepers.get(budget)?.settle(reservation, record);
-  });
-  network.handle(
-    BudgetTopics.place,
-    async (_from, { budget, reservation, placement }) =>
-      keepers.get(budget)?.place(reservation, placement) ?? false,
-  );
-  network.handle(
-    BudgetTopics.adopt,
-    async (_from, { budget, reservation, owner }) =>
-      keepers.get(budget)?.adopt(reservation, owner) ?? false,
+  network.handle(BudgetTopics.settle, async (_from, { reservation, record }) =>
+    settleHere(reservation, record),
   );
+  network.handle(BudgetTopics.place, async (_from, { reservation, placement }) => {
+    const keeper = findHolder(reservation);
+    return keeper ? keeper.place(reservation, placement) : false;
+  });
+  network.handle(BudgetTopics.adopt, async (_from, { reservation, owner }) => {
+    const keeper = findHolder(reservation);
+    return keeper ? keeper.adopt(reservation, owner) : false;
+  });
   network.handle(BudgetTopics.recall, async (from, { budget }) => {
     const keeper = keepers.get(budget);
     if (!keeper) return { released: 0, reserved: 0 };
@@ -96,10 +109,25 @@
     return { released, reserved: reserved + free };
   });
 
+  function listAll(): Keeper[] {
+    return [...keepers.values(), ...inherited];
+  }
+
+  function findHolder(reservation: string): Keeper | undefined {
+    return listAll().find((keeper) => keeper.holds(reservation));
+  }
+
+  async function settleHere(
+    reservation: string,
+    record: UsageRecord | undefined,
+  ): Promise<SettlementReply> {
+    return findHolder(reservation)?.settle(reservation, record) ?? 'unknown';
+  }
+
   function getKeeper(budget: string): Keeper {
     const known = keepers.get(budget);
     if (known) return known;
-    const keeper = createKeeper({ ...host, ledger, recall }, budget);
+    const keeper = createKeeper(keeperHost, budget);
     keepers.set(budget, keeper);
     return keeper;
   }
@@ -133,10 +161,10 @@
     const usage = placements.length === 0 ? NO_USAGE : await host.stopRequest(placements, reserved);
     if (!usage || host.isLive(reservation.owner)) return;
     const { promptTokens, completionTokens } = usage;
-    log(Diagnostics.reservationOrphaned, { reservation: id, promptTokens, completionTokens });
+    diagnose(Diagnostics.reservationOrphaned, { reservation: id, promptTokens, completionTokens });
     const tokens = promptTokens + completionTokens;
     const record: UsageRecord = { ...draft, ...usage, tokens, at: clock.now().toISOString() };
-    keeper.settle(id, record);
+    await keeper.settle(id, record);
   }
 
   async function confirmReservations(keeper: Keeper, reservations: Reservation[]): Promise<void> {
@@ -149,7 +177,8 @@
     const confirmations = [...byOwner].map(async ([owner, ids]) => {
       const request = { reservations: ids };
       const reply = await network.call(owner, BudgetTopics.confirm, request, CONFIRM_TIMEOUT_MS);
-      if (reply.ok) reply.val.forEach((id) => keeper.settle(id, undefined));
+      if (reply.err) return;
+      await Promise.all(reply.val.map((id) => keeper.settle(id, undefined)));
     });
     await Promise.all(confirmations);
   }
@@ -165,32 +194,67 @@
   }
 
   return {
-    settle: () => settleKeepers({ ...host, segmentId: createId }, [...keepers.values()]),
+    settle: () => settleKeepers({ ...host, segmentId: createId }, listAll()),
     async trim() {
       await Promise.all([...keepers].map(([budget, keeper]) => trimKeeper(budget, keeper)));
     },
     async reap() {
-      await Promise.all([...keepers.values()].map(reapKeeper));
+      const isSilent = host.isPlatformSilent();
+      await Promise.all(listAll().map((keeper) => keeper.maintainWitness(isSilent)));
+      await Promise.all(listAll().map(reapKeeper));
+      await closeInherited();
     },
     async adoptLost() {
       if (getOwner('grants', host.getLocalInstances()) !== self.instance) return;
       const rows = await table.scan(getGrantPrefix(self.dataCentre));
       if (rows.err) return;
       const grants = rows.val.map(toGrant).filter((grant) => host.isLost(grant.row.holder));
-      await Promise.all(grants.map(sealGrant));
+      await Promise.all(grants.map(adoptGrant));
     },
     async close() {
-      const closed = await Promise.all([...keepers.values()].map((keeper) => keeper.close()));
+      isClosing = true;
+      const closed = await Promise.all(listAll().map((keeper) => keeper.close()));
       return closed.every((isClosed) => isClosed);
     },
-    describe: () => [...keepers.values()].map((keeper) => keeper.describe()),
+    describe: () => listAll().map((keeper) => keeper.describe()),
+    describeWitness: witness.describe,
   };
 
-  async function sealGrant(grant: Grant): Promise<void> {
-    const outcome = await ledger.seal(grant, (row) => row.size);
+  // The witness's log says what was sent to endpoints: with it, the successor goes on where the
+  // lost holder stopped. Without a log the whole grant is charged.
+  async function adoptGrant(lost: Grant): Promise<void> {
+    const { witness: named, budget } = lost.row;
+    const sealed: SealOutcome = named ? await witnesses.seal(lost.id, named) : { kind: 'whole' };
+    if (sealed.kind === 'log') await inheritGrant(lost, sealed.log, budget);
+    else if (sealed.kind === 'whole' || (named && host.isLost(named))) await chargeGrant(lost);
+  }
+
+  async function inheritGrant(lost: Grant, log: WitnessLog, budget: string): Promise<void> {
+    const taken = await ledger.takeOver(lost, createGrant(self, budget));
+    if (taken.err) return;
+    const { closed, grant } = taken.val;
+    const records = log.records.filter((record) => record.ordinal > closed.sequence);
+    const rest = { reservations: log.reservations, records };
+    inherited.push(createKeeper(keeperHost, budget, { grant, log: rest }));
+    const reservations = log.reservations.length;
+    diagnose(Diagnostics.grantAdopted, { grant: lost.id, writtenOff: 0, reservations });
+  }
+
+  async function chargeGrant(lost: Grant): Promise<void> {
+    const outcome = await ledger.seal(lost, (row) => row.size);
     if (outcome.err) return;
     const { writtenOff } = outcome.val.row;
-    log(Diagnostics.grantAdopted, { grant: grant.id, writtenOff });
+    diagnose(Diagnostics.grantAdopted, { grant: lost.id, writtenOff });
+  }
+
+  async function closeInherited(): Promise<void> {
+    const rest = await Promise.all(
+      inherited.map(async (keeper) => {
+        await keeper.release(true);
+        return (await keeper.close()) ? [] : [keeper];
+      }),
+    );
+    inherited = rest.flat();
   }
 }
 
@@ -199,6 +263,8 @@
   return { id, version: row.version, row: parseGrant(row) };
 }
 
+const CLOSING: ReservationError = { kind: 'unreachable', message: 'the keeper is leaving' };
+
 const NO_USAGE: Usage = { promptTokens: 0, completionTokens: 0 };
 
 /** The instance that opened the grant, from the grant's identifier. */
--- a/packages/budgets/src/ledger.ts
+++ b/packages/budgets/src/ledger.ts
@@ -1,6 +1,6 @@
 import { Err, Ok } from 'ts-results';
 import { assert } from '@pomeloroad/core';
-import type { Clock, Outcome, Tokens } from '@pomeloroad/core';
+import type { Clock, Identity, Outcome, Tokens } from '@pomeloroad/core';
 import type { Row, Table, Transaction } from '@pomeloroad/platform';
 import {
   getBudgetKey,
@@ -38,10 +38,21 @@
   settle(grant: Grant, spent: Tokens, sequence: number): Promise<Outcome<Grant, LedgerError>>;
   /** Closes a grant at what it spent; the rest returns to the budget. */
   close(grant: Grant, spent: Tokens, sequence: number): Promise<Outcome<Grant, LedgerError>>;
+  /** Names another witness, or none. */
+  setWitness(grant: Grant, witness: Identity | undefined): Promise<Outcome<Grant, LedgerError>>;
+  /** Closes the grant of a lost holder at what is settled and moves the rest into a new one. */
+  takeOver(lost: Grant, successor: Grant): Promise<Outcome<TakeOver, LedgerError>>;
   /** Closes the grant of a lost holder and charges the given part of it, at least what it spent. */
   seal(grant: Grant, charge: (row: GrantRow) => Tokens): Promise<Outcome<Grant, LedgerError>>;
 }
 
+/** A grant that was moved to a successor. */
+export interface TakeOver {
+  /** The lost holder's row as it was closed. */
+  closed: GrantRow;
+  grant: Grant;
+}
+
 /** Whether a top-up added tokens or was known already. */
 export type TopUpEffect = 'added' | 'repeated';
 
@@ -112,6 +123,14 @@
       ),
     close: (grant, spent, sequence) =>
       transact(getKeys(grant), (rows) => planClose(grant, spent, sequence, rows)),
+    setWitness: (grant, witness) =>
+      transact([getGrantKey(grant.id), getClosedKey(grant.id)], (rows) =>
+        planSetWitness(grant, witness, rows),
+      ),
+    takeOver: (lost, successor) =>
+      transact([...getKeys(lost), getGrantKey(successor.id)], (rows) =>
+        planTakeOver(lost, successor, rows),
+      ),
     seal: (grant, charge) => transact(getKeys(grant), (rows) => planSeal(grant, charge, rows)),
   };
 }
@@ -155,6 +174,61 @@
   return commitStep(next, { checks: [{ key, version }], writes: [{ key, value: next.row }] });
 }
 
+function planSetWitness(
+  grant: Grant,
+  witness: Identity | undefined,
+  rows: Map<string, Row>,
+): Planned<Grant> {
+  const current = readGrant(grant, rows);
+  if (current.err) return current;
+  const { row, version } = current.val;
+  if (version === 0) return doneStep({ ...grant, row: { ...grant.row, witness } });
+  if (isSameLife(row.witness, witness)) return doneStep(current.val);
+  const next: Grant = { id: grant.id, version: version + 1, row: { ...row, witness } };
+  const key = getGrantKey(grant.id);
+  return commitStep(next, { checks: [{ key, version }], writes: [{ key, value: next.row }] });
+}
+
+function planTakeOver(lost: Grant, successor: Grant, rows: Map<string, Row>): Planned<TakeOver> {
+  const taken = rows.get(getGrantKey(successor.id));
+  const closed = rows.get(getClosedKey(lost.id));
+  if (taken && closed) {
+    const grant = { ...successor, version: taken.version, row: parseGrant(taken) };
+    return doneStep({ closed: parseGrant(closed), grant });
+  }
+  const current = readGrant(lost, rows);
+  if (current.err) return current;
+  if (current.val.version === 0) return Err({ kind: 'sealed' });
+  const closing = planClosing(current.val, current.val.row, rows);
+  return closing.map((step) => addSuccessor(step, current.val, successor));
+}
+
+function addSuccessor(step: Step<Grant>, lost: Grant, successor: Grant): Step<TakeOver> {
+  assert(step.kind === 'commit', 'closing a grant needs a write');
+  const { checks, writes } = step.transaction;
+  const [budgetWrite, ...others] = writes;
+  const row: GrantRow = { ...successor.row, size: lost.row.size - lost.row.spent };
+  const budget = budgetWrite?.value as BudgetRow;
+  const open = { ...budget.open, [successor.id]: row.size };
+  const key = getGrantKey(successor.id);
+  return {
+    kind: 'commit',
+    value: { closed: step.value.row, grant: { ...successor, version: 1, row } },
+    transaction: {
+      checks: [...checks, { key, version: 0 }],
+      writes: [
+        { key: getBudgetKey(row.budget), value: { ...budget, open } },
+        ...others,
+        { key, value: row },
+      ],
+    },
+  };
+}
+
+function isSameLife(left: Identity | undefined, right: Identity | undefined): boolean {
+  return left?.incarnation === right?.incarnation;
+}
+
 function planClose(
   grant: Grant,
   spent: Tokens,
@@ -232,7 +306,9 @@
   if (rows.has(getClosedKey(grant.id))) return Err({ kind: 'sealed' });
   const stored = rows.get(getGrantKey(grant.id));
   if (!stored) return Ok({ ...grant, version: 0 });
-  return Ok({ id: grant.id, version: stored.version, row: parseGrant(stored) });
+  const row = parseGrant(stored);
+  if (!isSameLife(row.holder, grant.row.holder)) return Err({ kind: 'sealed' });
+  return Ok({ id: grant.id, version: stored.version, row });
 }
 
 function getKeys(grant: Grant): string[] {
--- a/packages/budgets/src/rows.ts
+++ b/packages/budgets/src/rows.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { assert } from '@pomeloroad/core';
+import type { Identity } from '@pomeloroad/core';
 import type { Row } from '@pomeloroad/platform';
 import type { BudgetRow, GrantRow, TopUpRow } from './types';
 
@@ -13,9 +14,16 @@
 
 const TopUpSchema: z.ZodType<TopUpRow> = z.object({ tokens: Count, at: z.string() });
 
+const IdentitySchema: z.ZodType<Identity> = z.object({
+  instance: z.string(),
+  incarnation: z.string(),
+  dataCentre: z.string(),
+});
+
 const GrantSchema: z.ZodType<GrantRow> = z.object({
   budget: z.string(),
-  holder: z.object({ instance: z.string(), incarnation: z.string(), dataCentre: z.string() }),
+  holder: IdentitySchema,
+  witness: IdentitySchema.optional(),
   size: Count,
   spent: Count,
   sequence: Count,
--- a/packages/budgets/src/topics.ts
+++ b/packages/budgets/src/topics.ts
@@ -1,9 +1,29 @@
 import { createTopic } from '@pomeloroad/peers';
 import type { Identity, Tokens } from '@pomeloroad/core';
-import type { Placement, ReservationError, ReservationRequest, UsageRecord } from './types';
+import type { Reservation } from './holding';
+import type {
+  Placement,
+  ReservationError,
+  ReservationRequest,
+  SettledRecord,
+  UsageRecord,
+} from './types';
+
+/** What a witness knows of a grant beyond its row. */
+export interface WitnessLog {
+  /** Reservations of requests that may have been sent to an endpoint. */
+  reservations: Reservation[];
+  /** Usage records that the row may not cover yet, in order. */
+  records: SettledRecord[];
+}
+
+/** Whether the keeper holds the reservation. */
+export type SettlementReply = 'settled' | 'unknown';
 
 /** Reply to a reservation. */
-export type ReservationReply = { kind: 'reserved' } | { kind: 'refused'; error: ReservationError };
+export type ReservationReply =
+  /** `isPlaced`: the placement of the request is noted, and it may be sent. */
+  { kind: 'reserved'; isPlaced: boolean } | { kind: 'refused'; error: ReservationError };
 
 /** End of a reservation; without a record nothing was used. */
 export interface SettlementRequest {
@@ -46,9 +66,21 @@
 /** Messages between budget keepers and those who use them. */
 export const BudgetTopics = {
   reserve: createTopic<ReservationRequest, ReservationReply>('budget.reserve'),
-  settle: createTopic<SettlementRequest>('budget.settle'),
+  settle: createTopic<SettlementRequest, SettlementReply>('budget.settle'),
   place: createTopic<PlacementRequest, boolean>('budget.place'),
   recall: createTopic<RecallRequest, RecallReply>('budget.recall'),
   confirm: createTopic<ConfirmRequest, string[]>('budget.confirm'),
   adopt: createTopic<AdoptionRequest, boolean>('budget.adopt'),
 } as const;
+
+/** Messages between the holder of a grant, its witness and its successor. */
+export const WitnessTopics = {
+  open: createTopic<{ grant: string; log: WitnessLog; isWhole: boolean }, boolean>('witness.open'),
+  note: createTopic<{ grant: string; reservation: Reservation }, boolean>('witness.note'),
+  end: createTopic<
+    { grant: string; reservation: string; record?: SettledRecord; settled: number },
+    boolean
+  >('witness.end'),
+  drop: createTopic<{ grant: string }>('witness.drop'),
+  seal: createTopic<{ grant: string }, WitnessLog | undefined>('witness.seal'),
+} as const;
--- a/packages/budgets/src/types.ts
+++ b/packages/budgets/src/types.ts
@@ -20,6 +20,8 @@
 export interface GrantRow {
   budget: string;
   holder: Identity;
+  /** The peer that knows each reservation; without one, the whole grant is charged at a loss. */
+  witness?: Identity;
   size: Tokens;
   /** Tokens of the settled usage records. */
   spent: Tokens;
@@ -76,6 +78,8 @@
   owner: Identity;
   /** What a usage record of this request would carry. */
   draft: UsageDraft;
+  /** Where the request is about to run, if that is known already. */
+  placement?: Placement;
 }
 
 /** The part of a usage record that is known before dispatch. */
--- /dev/null
+++ b/packages/budgets/src/witness.ts
@@ -0,0 +1,80 @@
+import type { Clock, Milliseconds } from '@pomeloroad/core';
+import type { PeerNetwork } from '@pomeloroad/peers';
+import type { Reservation } from './holding';
+import { WitnessTopics } from './topics';
+import type { WitnessLog } from './topics';
+import type { SettledRecord } from './types';
+
+/** How long the log of a sealed grant is kept for a successor that asks again. */
+const SEALED_RETENTION_MS: Milliseconds = 3_600_000;
+
+/** What this instance remembers about grants of its peers. */
+export interface Witness {
+  describe(): { grants: number; sealed: number };
+}
+
+interface WitnessedGrant {
+  isSealed: boolean;
+  /** Whether the holder may spend the whole grant without further notes. */
+  isWhole: boolean;
+  reservations: Map<string, Reservation>;
+  records: Map<number, SettledRecord>;
+}
+
+/**
+ * Answers the notes of holders. A note in memory for one grant: nothing is agreed among several,
+ * and nothing outlives the grant. Once sealed, no further note is acknowledged.
+ */
+export function createWitness(clock: Clock, network: PeerNetwork): Witness {
+  const grants = new Map<string, WitnessedGrant>();
+
+  function getOpen(grant: string): WitnessedGrant | undefined {
+    const known = grants.get(grant);
+    return known && !known.isSealed ? known : undefined;
+  }
+
+  network.handle(WitnessTopics.open, async (_from, { grant, log, isWhole }) => {
+    if (grants.get(grant)?.isSealed) return false;
+    const reservations = new Map(log.reservations.map((entry) => [entry.id, entry]));
+    const records = new Map(log.records.map((entry) => [entry.ordinal, entry]));
+    grants.set(grant, { isSealed: false, isWhole, reservations, records });
+    return true;
+  });
+  network.handle(WitnessTopics.note, async (_from, { grant, reservation }) => {
+    const known = getOpen(grant);
+    known?.reservations.set(reservation.id, reservation);
+    return known !== undefined;
+  });
+  network.handle(WitnessTopics.end, async (_from, { grant, reservation, record, settled }) => {
+    const known = getOpen(grant);
+    if (!known) return false;
+    known.reservations.delete(reservation);
+    if (record) known.records.set(record.ordinal, record);
+    // What the grant's row covers needs no witness.
+    [...known.records.keys()]
+      .filter((ordinal) => ordinal <= settled)
+      .forEach((ordinal) => known.records.delete(ordinal));
+    return true;
+  });
+  network.handle(WitnessTopics.drop, async (_from, { grant }) => {
+    grants.delete(grant);
+  });
+  network.handle(WitnessTopics.seal, async (_from, { grant }): Promise<WitnessLog | undefined> => {
+    const known = grants.get(grant);
+    if (!known) return undefined;
+    if (!known.isSealed) clock.after(SEALED_RETENTION_MS, () => grants.delete(grant));
+    known.isSealed = true;
+    if (known.isWhole) return undefined;
+    return {
+      reservations: [...known.reservations.values()],
+      records: [...known.records.values()].sort((a, b) => a.ordinal - b.ordinal),
+    };
+  });
+
+  return {
+    describe: () => ({
+      grants: grants.size,
+      sealed: [...grants.values()].filter((grant) => grant.isSealed).length,
+    }),
+  };
+}
--- a/packages/budgets/test/keepers.test.ts
+++ b/packages/budgets/test/keepers.test.ts
@@ -1,9 +1,9 @@
 import { Ok } from 'ts-results';
-import { createManualClock, createRandom, createSilentLog } from '@pomeloroad/core';
+import { createManualClock, createRandom, createSilentLog, rankNodes } from '@pomeloroad/core';
 import type { ManualClock } from '@pomeloroad/core';
 import { createMemoryTable } from '@pomeloroad/platform';
 import type { MemoryTable, ObjectStore } from '@pomeloroad/platform';
-import { auditLedger, createBudgetClient, createKeepers, createLedger } from '../src';
+import { auditLedger, BudgetTopics, createBudgetClient, createKeepers, createLedger } from '../src';
 import type { HeldReservation, UsageRecord } from '../src';
 import { createFakeFleet } from './fakes';
 
@@ -22,7 +22,7 @@
   };
 }
 
-function setUp() {
+function setUp(locals?: string[]) {
   const clock = createManualClock();
   const table = createMemoryTable();
   const objects = createMemoryObjects();
@@ -32,7 +32,12 @@
   function join(instance: string, dataCentre = instance) {
     const network = fleet.join(instance, dataCentre);
     const { self } = network;
-    const shared = { clock, self, network, getLocalInstances: () => [instance] };
+    const shared = {
+      clock,
+      self,
+      network,
+      getLocalInstances: () => (locals ?? [instance]).filter((name) => !lost.has(name)),
+    };
     const keepers = createKeepers({
       ...shared,
       log: createSilentLog(),
@@ -40,6 +45,7 @@
       objects,
       policy: { kind: 'adaptive', horizonSeconds: 3600 },
       getDataCentres: () => 2,
+      isPlatformSilent: () => false,
       isLive: (identity) => !lost.has(identity.instance),
       isLost: (identity) => lost.has(identity.instance),
       stopRequest: async () => ({ promptTokens: 3, completionTokens: 4 }),
@@ -198,3 +204,91 @@
   }
   expect(await held()).toBeLessThan(before / 2);
 });
+
+test('a keeper that leaves opens no grant, and the next one serves', async () => {
+  const { clock, ledger, join, audit } = setUp(['a', 'b']);
+  await ledger.topUp(BUDGET, 'one', 1000);
+  const a = join('a', 'kent');
+  const b = join('b', 'kent');
+  expect(await a.keepers.close()).toBe(true);
+  const outcomes = [await reserve(clock, a, 10), await reserve(clock, b, 10)];
+  expect(outcomes.map((outcome) => outcome.ok)).toEqual([true, true]);
+  expect(a.keepers.describe()).toEqual([]);
+  expect((await audit()).faults).toEqual([]);
+});
+
+const placement = { endpoint: 'e', address: '127.0.0.1:1', stream: 's' };
+
+// The budget's keeper holds a grant with one ended and one open reservation; a peer witnesses it.
+async function holdTwo(all: ReturnType<typeof setUp>) {
+  const [holder = '', witness = ''] = rankNodes(BUDGET, ['a', 'b']);
+  await all.ledger.topUp(BUDGET, 'one', 1000);
+  const a = all.join(holder, 'kent');
+  const b = all.join(witness, 'kent');
+  const ended = (await reserve(all.clock, a, 100)).unwrap();
+  const open = (await reserve(all.clock, a, 100)).unwrap();
+  await ended.place(placement);
+  await open.place(placement);
+  ended.settle(record(30, 'ended'));
+  await all.clock.advance(10);
+  return { a, b, ended, open, holder, witness };
+}
+
+test('a successor bills what the lost holder had not settled', async () => {
+  const all = setUp(['a', 'b']);
+  const { b, holder } = await holdTwo(all);
+  all.fleet.cut.add(holder);
+  all.lost.add(holder);
+  await b.keepers.adoptLost();
+  await all.clock.advance(6000);
+  await b.keepers.reap();
+  await b.keepers.settle();
+  await b.keepers.reap();
+  const { accounts, records, faults } = await all.audit();
+  expect(faults).toEqual([]);
+  expect(records.map((bill) => bill.tokens)).toEqual([30, 7]);
+  expect(accounts[0]).toMatchObject({ writtenOff: 0, held: 0, unallocated: 963 });
+});
+
+test('a paused holder that wakes can place and settle nothing of a sealed grant', async () => {
+  const all = setUp(['a', 'b']);
+  const { a, b, open, holder } = await holdTwo(all);
+  all.lost.add(holder);
+  await b.keepers.adoptLost();
+  all.lost.clear();
+  expect(await open.place(placement)).toBe(false);
+  await a.keepers.settle();
+  open.settle(record(50, 'open'));
+  await all.clock.advance(3000);
+  await b.keepers.settle();
+  const { accounts, faults } = await all.audit();
+  expect(faults).toEqual([]);
+  expect(accounts[0]).toMatchObject({ billed: 80, writtenOff: 0 });
+});
+
+test('a holder that loses its witness names none and goes on', async () => {
+  const all = setUp(['a', 'b']);
+  const { a, open, witness } = await holdTwo(all);
+  all.fleet.cut.add(witness);
+  expect(await open.place(placement)).toBe(true);
+  const grant = all.table.rows().find((row) => row.key.startsWith('grant/'));
+  expect((grant?.value as { witness?: object }).witness).toBeUndefined();
+  open.settle(record(50, 'open'));
+  await all.clock.advance(10);
+  await a.keepers.settle();
+  expect((await all.audit()).accounts[0]).toMatchObject({ billed: 80 });
+});
+
+test('a settlement whose answer was lost is not billed again', async () => {
+  const all = setUp(['a', 'b']);
+  const { a, ended, holder } = await holdTwo(all);
+  await a.keepers.settle();
+  const [bill] = (await all.audit()).records;
+  const keeper = all.fleet.join('c', 'kent');
+  const { settle } = BudgetTopics;
+  const repeat = { budget: BUDGET, reservation: ended.id, record: record(30, 'ended') };
+  const reply = await keeper.call(holder, settle, repeat, 100);
+  expect(reply.val).toBe('settled');
+  await a.keepers.settle();
+  expect((await all.audit()).records).toEqual([bill]);
+});
--- a/packages/entry/src/admit.ts
+++ b/packages/entry/src/admit.ts
@@ -1,6 +1,6 @@
 import { Err, Ok } from 'ts-results';
 import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
-import type { HeldReservation, ReservationError } from '@pomeloroad/budgets';
+import type { HeldReservation, Placement, ReservationError } from '@pomeloroad/budgets';
 import { createRefusal } from '@pomeloroad/requests';
 import type { Refusal } from '@pomeloroad/requests';
 import type { RouteError, RouteRequest, Slot } from '@pomeloroad/routing';
@@ -30,7 +30,8 @@
   const slot = await acquireSlot(host, route, deadline);
   if (slot.err) return slot;
   if (tokens === 0) return Ok({ slot: slot.val, reservation: undefined });
-  const quick = await reserve(host, request, tokens, deadline, SLOT_PATIENCE_MS);
+  const placement = getPlacement(request, slot.val, 1);
+  const quick = await reserve(host, request, tokens, deadline, SLOT_PATIENCE_MS, placement);
   if (quick.ok) return Ok({ slot: slot.val, reservation: quick.val });
   slot.val.release('ok');
   if (!isWorthWaiting(quick.val, tokens)) return Err(refuseReservation(quick.val));
@@ -73,12 +74,20 @@
   tokens: Tokens,
   deadline: Milliseconds,
   patience: Milliseconds,
+  placement?: Placement,
 ): Promise<Outcome<HeldReservation, ReservationError>> {
   const left = Math.max(0, Math.min(patience, deadline - host.clock.elapsed()));
   const { account, budget, id, name, work } = request;
   const model = work.kind === 'chat' ? work.chat.model : work.call.service;
   const draft = { account, budget, request: id, key: name?.key, model };
-  return host.budgets.reserve(draft, tokens, left);
+  return host.budgets.reserve(draft, tokens, left, placement);
+}
+
+/** Where an attempt of a request runs. */
+export function getPlacement({ id, work }: RunRequest, slot: Slot, attempt: number): Placement {
+  const { name: endpoint, address } = slot.endpoint;
+  const stream = work.kind === 'chat' ? `${id}.${attempt}` : '';
+  return { endpoint, address, stream };
 }
 
 function isWorthWaiting(error: ReservationError, tokens: Tokens): boolean {
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -6,7 +6,7 @@
 import { createRefusal } from '@pomeloroad/requests';
 import type { Answer, AnswerEnd, Refusal, RunState } from '@pomeloroad/requests';
 import type { RouteRequest, Slot } from '@pomeloroad/routing';
-import { acquireSlot, admitRequest } from './admit';
+import { acquireSlot, admitRequest, getPlacement } from './admit';
 import type { ChatRequest } from './chatRequest';
 import { claimName, releaseName } from './claimName';
 import type { EngineCall, EngineError, EngineEvent, EngineSink, StoppedUsage } from './engine';
@@ -139,8 +139,7 @@
   attempt: number,
 ): Promise<Attempt> {
   const { request, signal } = run;
-  const { name: endpoint, address } = slot.endpoint;
-  const placement: Placement = { endpoint, address, stream: `${request.id}.${attempt}` };
+  const placement = getPlacement(request, slot, attempt);
   if (!(await announcePlacement(run, reservation, placement))) return notRunHere();
   if (signal.aborted) return { kind: 'done', end: leftBeforeStart(), record: undefined };
   const call = createCall(run, placement);
@@ -280,7 +279,9 @@
         tokens,
       })
     : Promise.resolve();
-  const [isPlaced] = await Promise.all([reservation.place(placement), noted]);
+  const isKnown = reservation.placement?.stream === placement.stream;
+  const placed = isKnown ? Promise.resolve(true) : reservation.place(placement);
+  const [isPlaced] = await Promise.all([placed, noted]);
   return isPlaced;
 }
 
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -59,11 +59,13 @@
   const log = createLog(clock, settings.logLevel, { ...self });
   const stop = new AbortController();
   let isDraining = false;
+  let isTableSilent = false;
 
   const platform = createHttpPlatform(
     {
       clock,
       onAvailability(service, isAvailable) {
+        if (service === 'table') isTableSilent = !isAvailable;
         const { platformRecovered, platformUnavailable } = Diagnostics;
         log(isAvailable ? platformRecovered : platformUnavailable, { service });
       },
@@ -141,6 +143,7 @@
     policy: getGrantPolicy(settings),
     getDataCentres: () => fleet.getDataCentres().length,
     getLocalInstances,
+    isPlatformSilent: () => isTableSilent,
     isLive,
     isLost,
     stopRequest,
@@ -252,6 +255,7 @@
       peers: network.describe(),
       localInstances: getLocalInstances(),
       budgets: keepers.describe(),
+      witness: keepers.describeWitness(),
       endpoints: endpoints.list(),
     };
   }
--- a/packages/entry/src/serviceRun.ts
+++ b/packages/entry/src/serviceRun.ts
@@ -3,7 +3,7 @@
 import type { HeldReservation, UsageRecord } from '@pomeloroad/budgets';
 import type { Milliseconds } from '@pomeloroad/core';
 import type { RouteRequest, Slot } from '@pomeloroad/routing';
-import { acquireSlot, admitRequest } from './admit';
+import { acquireSlot, admitRequest, getPlacement } from './admit';
 import { claimName, releaseName } from './claimName';
 import type { RunHost } from './runHost';
 import type { RunRequest, ServiceCall } from './runRequest';
@@ -75,9 +75,9 @@
 }
 
 async function runAttempt(run: Run, slot: Slot): Promise<ServiceError | undefined> {
-  const { host, call, answer, signal, reservation } = run;
-  const { name: endpoint, address } = slot.endpoint;
-  const isPlaced = (await reservation?.place({ endpoint, address, stream: '' })) ?? true;
+  const { host, request, call, answer, signal, reservation } = run;
+  const isKnown = !reservation || reservation.placement?.endpoint === slot.endpoint.name;
+  const isPlaced = isKnown || (await reservation.place(getPlacement(request, slot, 1)));
   if (!isPlaced) return { kind: 'failed', ran: 'no', message: 'the budget keeper was lost' };
   const outcome = await host.services.run(slot.endpoint.address, call, signal, {
     head: (status, headers) => answer.append({ kind: 'head', status, headers }),
