Notice pauses and silent connections before they cost a request

Now a late tick makes an instance read its view again before it sends anything; a stream silent for 2 s is followed on a new connection; idle platform connections are dropped after a failure; a lost keeper costs another admission. 114 tests pass.

--- a/packages/budgets/src/client.ts
+++ b/packages/budgets/src/client.ts
@@ -6,9 +6,9 @@
 import type { SettlementRequest } from './topics';
 import type { Placement, ReservationError, UsageDraft, UsageRecord } from './types';
 
-const CALL_MARGIN_MS = 1000;
+const CALL_MARGIN_MS = 500;
 const SETTLE_TIMEOUT_MS = 1000;
-const PLACE_TIMEOUT_MS = 1000;
+const PLACE_TIMEOUT_MS = 3000;
 const FIRST_RETRY_MS = 50;
 const LAST_RETRY_MS = 2000;
 const KEEPERS_TO_TRY = 3;
@@ -165,7 +165,6 @@
 
   return {
     async reserve(draft, tokens, patience, placement) {
-      const deadline = clock.elapsed() + patience;
       const ranked = rankNodes(draft.budget, host.getLocalInstances());
       const keepers = ranked
         .map((instance) => network.getIdentity(instance))
@@ -173,8 +172,7 @@
         .slice(0, KEEPERS_TO_TRY);
       let message = 'no budget keeper in this data centre answers';
       for (const keeper of keepers) {
-        const left = Math.max(0, deadline - clock.elapsed());
-        const outcome = await reserveWith(keeper, draft, tokens, left, placement);
+        const outcome = await reserveWith(keeper, draft, tokens, patience, placement);
         if (outcome.ok) return outcome;
         const error = outcome.val.kind === 'refused' ? outcome.val.error : outcome.val;
         if (error.kind === 'exhausted') return Err(error);
--- a/packages/budgets/src/keeper.ts
+++ b/packages/budgets/src/keeper.ts
@@ -213,7 +213,7 @@
 
   function replaceWitness(): Promise<boolean> {
     return exclusively(async () => {
-      const witness = witnesses.pick(budget);
+      const witness = witnesses.pick(budget, holding.grant().row.witness);
       const isOpen = witness && (await witnesses.open(holding, witness, false)) === 'noted';
       const next = isOpen ? witness : undefined;
       const outcome = await ledger.setWitness(holding.grant(), next);
--- a/packages/budgets/src/witnessLink.ts
+++ b/packages/budgets/src/witnessLink.ts
@@ -6,7 +6,7 @@
 import type { WitnessLog } from './topics';
 import type { SettledRecord } from './types';
 
-const NOTE_TIMEOUT_MS = 1000;
+const NOTE_TIMEOUT_MS = 500;
 
 /** What the link to a witness needs from its surroundings. */
 export interface WitnessLinkHost {
@@ -21,8 +21,8 @@
 
 /** Speaks to the witnesses of the grants that this instance holds. */
 export interface WitnessLink {
-  /** The best peer of this data centre to witness a budget's grant, if there is one. */
-  pick(budget: string): Identity | undefined;
+  /** The best peer of this data centre to witness a budget's grant, other than a failed one. */
+  pick(budget: string, failed?: Identity): Identity | undefined;
   /** Whether the witness answers, in the same incarnation. */
   isPresent(witness: Identity): boolean;
   /** Gives the witness all that it must know; with `isWhole` no further note is needed. */
@@ -67,8 +67,9 @@
 
   return {
     isPresent,
-    pick(budget) {
-      const others = host.getLocalInstances().filter((instance) => instance !== self.instance);
+    pick(budget, failed) {
+      const excluded = [self.instance, failed?.instance];
+      const others = host.getLocalInstances().filter((instance) => !excluded.includes(instance));
       const [first] = rankNodes(budget, others);
       return first === undefined ? undefined : network.getIdentity(first);
     },
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -14,7 +14,7 @@
 import type { RunRequest } from './runRequest';
 
 const ATTEMPTS = 3;
-const RESUMES = 3;
+const ADMISSIONS = 3;
 const RESUME_DELAY_MS = 200;
 const BACKLOG_EVENTS = 64;
 const STOP_ATTEMPTS = 30;
@@ -75,8 +75,18 @@
   signal: AbortSignal,
 ): Promise<AnswerEnd> {
   const run: Run = { host, request, chat, answer, signal };
-  const route = getRoute(request, chat);
   const deadline = host.clock.elapsed() + request.patience;
+  let end = await runAdmitted(run, deadline);
+  // A keeper that is lost before anything was sent costs another admission, not the request.
+  for (let count = 1; count < ADMISSIONS && isKeeperLost(end); count += 1) {
+    end = await runAdmitted(run, deadline);
+  }
+  return end;
+}
+
+async function runAdmitted(run: Run, deadline: Milliseconds): Promise<AnswerEnd> {
+  const { host, request, chat } = run;
+  const route = getRoute(request, chat);
   const admitted = await admitRequest(host, request, route, chat.promptBound + chat.outputBound);
   if (admitted.err) return refuse(admitted.val);
   const { slot, reservation } = admitted.val;
@@ -215,15 +225,23 @@
   const { host, request, signal } = run;
   const call = createCall(run, placement);
   let outcome: Outcome<void, EngineError> = Err(ABORTED);
-  for (let attempt = 0; attempt < RESUMES && !signal.aborted; attempt += 1) {
-    await sleep(host.clock, RESUME_DELAY_MS * attempt, signal);
+  let progressAt = host.clock.elapsed();
+  while (!signal.aborted && host.clock.elapsed() - progressAt < getPatience(run, progress)) {
+    const before = progress.deltas();
     host.log(Diagnostics.requestResumed, { request: request.id, endpoint: placement.endpoint });
     outcome = await host.engine.resume(call, progress.lastIndex(), createSink(run, progress));
     if (outcome.ok || outcome.val.kind === 'rejected') return outcome;
+    if (progress.deltas() > before) progressAt = host.clock.elapsed();
+    await sleep(host.clock, RESUME_DELAY_MS, signal);
   }
   return outcome;
 }
 
+function getPatience({ host }: Run, progress: Progress): Milliseconds {
+  const { firstByteTimeout, betweenTimeout } = host.settings;
+  return progress.deltas() === 0 ? firstByteTimeout : betweenTimeout;
+}
+
 const ABORTED: EngineError = { kind: 'failed', ran: 'unknown', message: 'the caller left' };
 
 // Retried for long, since the cost of a stream is known to its endpoint only.
@@ -365,6 +383,10 @@
   return createRefusal('endpoint_failed', 'unknown', text);
 }
 
+function isKeeperLost(end: AnswerEnd): boolean {
+  return isNotRun(end) && end.kind === 'refused' && end.refusal.code === 'budget_unreachable';
+}
+
 function isNotRun(end: AnswerEnd): boolean {
   return end.kind === 'refused' && end.refusal.ran === 'no';
 }
--- a/packages/entry/src/engine.ts
+++ b/packages/entry/src/engine.ts
@@ -50,8 +50,8 @@
 
 /** Time limits towards engines. */
 export interface EngineOptions {
-  firstByteTimeout: Milliseconds;
-  betweenTimeout: Milliseconds;
+  /** Silence after which a connection is given up; the stream can be followed on another. */
+  stallTimeout: Milliseconds;
   /** Local IP number of connections; empty for the system's choice. */
   sourceAddress: string;
 }
@@ -152,10 +152,9 @@
     isSent = true;
   });
   try {
-    request.setTimeout(options.firstByteTimeout, () => request.destroy(new Error('no answer')));
+    request.setTimeout(options.stallTimeout, () => request.destroy(new Error('silent stream')));
     const response = await sendRequest(request, body);
     if (response.statusCode !== 200) return Err(await readRejection(response));
-    request.setTimeout(options.betweenTimeout, () => request.destroy(new Error('silent stream')));
     await readEvents(response, async (event) => {
       isComplete = isComplete || event.kind === 'usage';
       await sink(event);
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -27,6 +27,7 @@
 import { createLoads } from './loads';
 import { createOpener } from './named';
 import { createOperators } from './operators';
+import { createPauseGuard } from './pauseGuard';
 import { createRunner } from './runner';
 import { createServiceClient } from './serviceClient';
 import type { Settings } from './settings';
@@ -129,6 +130,9 @@
     },
     settings.queueLimit,
   );
+  const guard = createPauseGuard(clock, async () => {
+    await Promise.all([fleet.poll(), distributor.refresh()]);
+  });
   const engine = createEngine(settings);
   const loads = createLoads({ self, network, engine, endpoints, getLocalInstances });
 
@@ -172,6 +176,7 @@
     claims: createClaims(clock, table, self),
     registry,
     admission,
+    guard,
     engine,
     services: createServiceClient(settings),
   });
--- a/packages/entry/src/runHost.ts
+++ b/packages/entry/src/runHost.ts
@@ -3,6 +3,7 @@
 import type { Answers, Claims, Registry } from '@pomeloroad/requests';
 import type { Admission } from '@pomeloroad/routing';
 import type { Engine } from './engine';
+import type { PauseGuard } from './pauseGuard';
 import type { ServiceClient } from './serviceClient';
 import type { Settings } from './settings';
 
@@ -11,12 +12,16 @@
   clock: Clock;
   log: Log;
   self: Identity;
-  settings: Pick<Settings, 'budgetPatience' | 'resumeWindow' | 'answerLimit'>;
+  settings: Pick<
+    Settings,
+    'budgetPatience' | 'resumeWindow' | 'firstByteTimeout' | 'betweenTimeout'
+  >;
   budgets: BudgetClient;
   answers: Answers;
   claims: Claims;
   registry: Registry;
   admission: Admission;
+  guard: PauseGuard;
   engine: Engine;
   services: ServiceClient;
 }
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -98,6 +98,7 @@
   defaultDeadline: define(count(1), '10000', 'ms', 'how long a request may wait before it runs'),
   maxDeadline: define(count(1), '120000', 'ms', 'longest wait that a caller may ask for'),
   queueLimit: define(count(1), '2000', '', 'requests that wait for an endpoint at most'),
+  stallTimeout: define(count(1), '2000', 'ms', 'silence after which a stream is followed anew'),
   firstByteTimeout: define(count(1), '30000', 'ms', 'wait for the first data of an endpoint'),
   betweenTimeout: define(count(1), '10000', 'ms', 'wait for further data of an endpoint'),
   budgetPatience: define(count(0), '5000', 'ms', 'wait for tokens in use elsewhere to come free'),
--- a/packages/platform/src/httpPlatform.ts
+++ b/packages/platform/src/httpPlatform.ts
@@ -101,6 +101,10 @@
   });
   if (answer.err) {
     breaker.fail();
+    // Where one connection went silent, the idle ones beside it may have as well.
+    Object.values(route.agent.freeSockets).forEach((sockets) =>
+      sockets?.forEach((socket) => socket.destroy()),
+    );
     return answer;
   }
   if (answer.val.status >= 500) {
--- a/packages/requests/src/claims.ts
+++ b/packages/requests/src/claims.ts
@@ -1,10 +1,13 @@
 import { Err, Ok } from 'ts-results';
 import { z } from 'zod';
+import { sleep } from '@pomeloroad/core';
 import type { Clock, Identity, Outcome } from '@pomeloroad/core';
 import type { Table } from '@pomeloroad/platform';
 import type { RequestName } from './types';
 
 const CLAIM_PREFIX = 'claim/';
+const READS = 4;
+const READ_RETRY_MS = 250;
 
 /** The row that lets one instance, once, run a non-idempotent request. */
 export interface Claim {
@@ -49,6 +52,18 @@
     return Ok(row && { claim: ClaimSchema.parse(row.value), version: row.version });
   }
 
+  // The outcome of a write without an answer is worth some waiting: the key can't be used again.
+  async function readUntilKnown(
+    key: string,
+  ): Promise<Outcome<StoredClaim | undefined, ClaimError>> {
+    let found = await readClaim(key);
+    for (let attempt = 1; attempt < READS && found.err; attempt += 1) {
+      await sleep(clock, READ_RETRY_MS);
+      found = await readClaim(key);
+    }
+    return found;
+  }
+
   return {
     async claim(name, request, digest) {
       const key = getClaimKey(name);
@@ -57,11 +72,13 @@
       const outcome = await table.commit({ checks, writes: [{ key, value: claim }] });
       if (outcome.ok) return Ok.EMPTY;
       if (outcome.val.kind === 'unavailable') return Err(outcome.val);
-      const found = await readClaim(key);
+      const found = await readUntilKnown(key);
       if (found.err) return found;
       const holder = found.val?.claim;
       if (holder?.request === request) return Ok.EMPTY;
       if (holder) return Err({ kind: 'taken', claim: holder });
+      const again = await table.commit({ checks, writes: [{ key, value: claim }] });
+      if (again.ok) return Ok.EMPTY;
       return Err({ kind: 'unavailable', message: 'the table service gave no answer' });
     },
     async release(name, request) {
