Charge a named request once when both sides of a partition ran it

A run begun while some known instance is out of reach is provisional; after the heal its name's keeper says which run counts, and the charge of the other is given back by a credit row. Grants are stocked up in the background and start with a base share. A claim refused during a partition says 'unknown'. Names are also found through the reservations of the budget keepers, and instances that vanished from the list without leaving count as cut off for an hour.

--- a/packages/budgets/src/index.ts
+++ b/packages/budgets/src/index.ts
@@ -1,5 +1,6 @@
 export * from './types';
 export * from './rows';
+export type { Reservation } from './holding';
 export * from './ledger';
 export * from './sizing';
 export * from './keepers';
--- a/packages/budgets/src/keeper.ts
+++ b/packages/budgets/src/keeper.ts
@@ -4,6 +4,7 @@
 import { createHolding } from './holding';
 import type { Reservation } from './holding';
 import type { Ledger, Sizer } from './ledger';
+import { getUnallocated } from './rows';
 import { createRateMeter } from './rate';
 import type { SettlementReply, WitnessLog } from './topics';
 import type { NoteOutcome, WitnessLink } from './witnessLink';
@@ -35,6 +36,8 @@
   /** How many data centres draw on the budgets. */
   getDataCentres(): number;
   witnesses: WitnessLink;
+  /** Whether the table service does not answer. */
+  isSilent(): boolean;
   /** Asks the other holders for unused tokens; resolves to what they hold after that. */
   recall(budget: string, others: string[], tokens: Tokens): Promise<RecallSummary>;
 }
@@ -63,6 +66,8 @@
   release(mustYield: boolean): Promise<Tokens>;
   /** Returns idle tokens above what the recent rate calls for. */
   trim(): Promise<void>;
+  /** Grows the grant before it runs short. */
+  stockUp(): Promise<void>;
   reservations(): Reservation[];
   holds(reservation: string): boolean;
   unsettled(): SettledRecord[];
@@ -111,6 +116,8 @@
   let waiters: Waiter[] = [];
   let isRefilling = false;
   let typical = 0;
+  /** What was free after the last change of the grant's size. */
+  let stocked = 0;
   let tableTask: Promise<unknown> = Promise.resolve();
 
   // One table operation at a time: the grant's row has a single writer.
@@ -155,7 +162,7 @@
       await grow();
       return Infinity;
     }
-    return getOwnPart() + summary.pending + getUnallocatedOf(row.val);
+    return getOwnPart() + summary.pending + getUnallocated(row.val);
   }
 
   function getOwnPart(): Tokens {
@@ -229,6 +236,7 @@
       if (holding.grant().version === 0 && version > 0) logGrant(Diagnostics.grantOpened, row.size);
       else if (row.size !== holding.grant().row.size) logGrant(Diagnostics.grantResized, row.size);
       holding.adopt(outcome.val);
+      stocked = holding.free();
       return;
     }
     if (outcome.val.kind === 'sealed') abandon();
@@ -350,6 +358,11 @@
       await shrinkTo(() => holding.spent() + holding.reserved() + Math.ceil(limit / 2));
     },
     holds: (reservation) => holding.reservations().has(reservation) || endings.has(reservation),
+    async stockUp() {
+      if (policy.kind !== 'adaptive' || holding.grant().version === 0) return;
+      if (waiters.length > 0 || host.isSilent()) return;
+      if (holding.free() < stocked / 2) await grow();
+    },
     reservations: () => [...holding.reservations().values()],
     unsettled: () => holding.unsettled(),
     settleRow: (grant, sequence) =>
@@ -393,11 +406,6 @@
   };
 }
 
-function getUnallocatedOf(row: BudgetRow): Tokens {
-  const open = Object.values(row.open).reduce((sum, size) => sum + size, 0);
-  return row.toppedUp - row.closedSpent - open;
-}
-
 /** A grant of this holder that is not written yet. */
 export function createGrant(self: Identity, budget: string, witness?: Identity): Grant {
   const id = `${self.dataCentre}/${self.instance}/${self.incarnation}/${budget}/${createId()}`;
--- a/packages/budgets/src/keepers.ts
+++ b/packages/budgets/src/keepers.ts
@@ -1,5 +1,5 @@
 import { createId, Diagnostics, getOwner } from '@pomeloroad/core';
-import type { Clock, Identity, Log, Tokens } from '@pomeloroad/core';
+import type { Clock, Identity, Log, Milliseconds, Tokens } from '@pomeloroad/core';
 import type { PeerNetwork } from '@pomeloroad/peers';
 import type { ObjectStore, Row, Table } from '@pomeloroad/platform';
 import type { Reservation } from './holding';
@@ -20,8 +20,9 @@
 const CONFIRM_TIMEOUT_MS = 1000;
 /** A reservation younger than this is not questioned. */
 const CONFIRM_AGE_MS = 10_000;
-/** How long a reservation waits for somebody to resume its request. */
 const ORPHAN_AGE_MS = 5000;
+/** How long the named request of a lost instance waits for somebody to take it over. */
+const TAKE_OVER_MS = 12_000;
 
 /** What the budget keepers of an instance need from their surroundings. */
 export interface KeepersHost {
@@ -59,6 +60,8 @@
   trim(): Promise<void>;
   /** Settles reservations whose owner is lost or does not know them. */
   reap(): Promise<void>;
+  /** Reservations of a request under this key that may have been sent to an endpoint. */
+  findNamed(account: string, key: string): Reservation[];
   /** Closes the grants of lost incarnations of this data centre, if this instance is in charge. */
   adoptLost(): Promise<void>;
   /** Takes no further reservation and closes every grant without one; whether none is left. */
@@ -76,7 +79,9 @@
   let inherited: Keeper[] = [];
   const witnesses = createWitnessLink(host);
   const witness = createWitness(clock, network);
-  const keeperHost = { ...host, ledger, recall, witnesses };
+  const keeperHost = { ...host, ledger, recall, witnesses, isSilent: host.isPlatformSilent };
+  /** When owners of reservations were first found lost, by their incarnation. */
+  const lostAt = new Map<string, Milliseconds>();
   let isClosing = false;
 
   network.handle(BudgetTopics.reserve, async (_from, request): Promise<ReservationReply> => {
@@ -150,12 +155,23 @@
 
   async function reapKeeper(keeper: Keeper): Promise<void> {
     const old = keeper.reservations().filter((r) => clock.elapsed() - r.at > ORPHAN_AGE_MS);
-    const lost = old.filter((reservation) => !host.isLive(reservation.owner));
+    const lost = old.filter((reservation) => isAbandoned(reservation));
     const live = old.filter((reservation) => host.isLive(reservation.owner));
     await Promise.all(lost.map((reservation) => settleOrphan(keeper, reservation)));
     await confirmReservations(keeper, live);
   }
 
+  // A retry under the request's key may take it over for a while.
+  function isAbandoned({ owner, draft }: Reservation): boolean {
+    if (host.isLive(owner)) {
+      lostAt.delete(owner.incarnation);
+      return false;
+    }
+    const since = lostAt.get(owner.incarnation) ?? clock.elapsed();
+    lostAt.set(owner.incarnation, since);
+    return draft.key === undefined || clock.elapsed() - since >= TAKE_OVER_MS;
+  }
+
   async function settleOrphan(keeper: Keeper, reservation: Reservation): Promise<void> {
     const { id, placements, draft, tokens: reserved } = reservation;
     const usage = placements.length === 0 ? NO_USAGE : await host.stopRequest(placements, reserved);
@@ -201,9 +217,15 @@
     async reap() {
       const isSilent = host.isPlatformSilent();
       await Promise.all(listAll().map((keeper) => keeper.maintainWitness(isSilent)));
+      await Promise.all([...keepers.values()].map((keeper) => keeper.stockUp()));
       await Promise.all(listAll().map(reapKeeper));
       await closeInherited();
     },
+    findNamed: (account, key) =>
+      listAll()
+        .flatMap((keeper) => keeper.reservations())
+        .filter(({ draft }) => draft.account === account && draft.key === key)
+        .filter(({ placements }) => placements.length > 0),
     async adoptLost() {
       if (getOwner('grants', host.getLocalInstances()) !== self.instance) return;
       const rows = await table.scan(getGrantPrefix(self.dataCentre));
--- a/packages/budgets/src/ledger.ts
+++ b/packages/budgets/src/ledger.ts
@@ -5,6 +5,7 @@
 import {
   getBudgetKey,
   getClosedKey,
+  getCreditKey,
   getGrantKey,
   getTopUpKey,
   getUnallocated,
@@ -28,6 +29,8 @@
 /** Budgets and grants in the table. Each operation is one transaction and safe to repeat. */
 export interface Ledger {
   topUp(budget: string, id: string, tokens: Tokens): Promise<Outcome<TopUpEffect, LedgerError>>;
+  /** Gives a charge back, once for each request. */
+  credit(budget: string, request: string, tokens: Tokens): Promise<Outcome<void, LedgerError>>;
   readBudget(budget: string): Promise<Outcome<BudgetRow, LedgerError>>;
   /**
    * Opens or resizes a grant. With `mustWrite` the row is written even if its size stays, which
@@ -102,11 +105,34 @@
     });
   }
 
+  function planCredit(
+    budget: string,
+    request: string,
+    tokens: Tokens,
+    rows: Map<string, Row>,
+  ): Planned<void> {
+    const budgetKey = getBudgetKey(budget);
+    const key = getCreditKey(budget, request);
+    if (rows.has(key)) return doneStep(undefined);
+    const row = parseBudget(rows.get(budgetKey));
+    return commitStep<void>(undefined, {
+      checks: [checkOf(budgetKey, rows), { key, version: 0 }],
+      writes: [
+        { key: budgetKey, value: { ...row, credited: row.credited + tokens } },
+        { key, value: { request, tokens, at: clock.now().toISOString() } },
+      ],
+    });
+  }
+
   return {
     topUp: (budget, id, tokens) =>
       transact([getBudgetKey(budget), getTopUpKey(budget, id)], (rows) =>
         planTopUp(budget, id, tokens, rows),
       ),
+    credit: (budget, request, tokens) =>
+      transact([getBudgetKey(budget), getCreditKey(budget, request)], (rows) =>
+        planCredit(budget, request, tokens, rows),
+      ),
     async readBudget(budget) {
       const read = await table.read([getBudgetKey(budget)]);
       return read.map((rows) => parseBudget(rows[0]));
--- a/packages/budgets/src/rows.ts
+++ b/packages/budgets/src/rows.ts
@@ -2,16 +2,23 @@
 import { assert } from '@pomeloroad/core';
 import type { Identity } from '@pomeloroad/core';
 import type { Row } from '@pomeloroad/platform';
-import type { BudgetRow, GrantRow, TopUpRow } from './types';
+import type { BudgetRow, CreditRow, GrantRow, TopUpRow } from './types';
 
 const Count = z.number().int().nonnegative();
 
 const BudgetSchema: z.ZodType<BudgetRow> = z.object({
   toppedUp: Count,
+  credited: Count,
   closedSpent: Count,
   open: z.record(z.string(), Count),
 });
 
+const CreditSchema: z.ZodType<CreditRow> = z.object({
+  request: z.string(),
+  tokens: Count,
+  at: z.string(),
+});
+
 const TopUpSchema: z.ZodType<TopUpRow> = z.object({ tokens: Count, at: z.string() });
 
 const IdentitySchema: z.ZodType<Identity> = z.object({
@@ -37,6 +44,7 @@
   topUp: 'topup/',
   grant: 'grant/',
   closed: 'closed/',
+  credit: 'credit/',
 } as const;
 
 /** The key of a budget's row. */
@@ -49,6 +57,11 @@
   return `${LedgerPrefix.topUp}${budget}/${id}`;
 }
 
+/** The key of a credit's row. */
+export function getCreditKey(budget: string, request: string): string {
+  return `${LedgerPrefix.credit}${budget}/${request}`;
+}
+
 /** The key of an open grant's row. */
 export function getGrantKey(id: string): string {
   return `${LedgerPrefix.grant}${id}`;
@@ -66,7 +79,9 @@
 
 /** Reads a budget's row; a missing one is an empty budget. */
 export function parseBudget(row: Row | undefined): BudgetRow {
-  return row ? BudgetSchema.parse(row.value) : { toppedUp: 0, closedSpent: 0, open: {} };
+  return row
+    ? BudgetSchema.parse(row.value)
+    : { toppedUp: 0, credited: 0, closedSpent: 0, open: {} };
 }
 
 /** Reads a grant's row. */
@@ -74,6 +89,11 @@
   return GrantSchema.parse(row.value);
 }
 
+/** Reads a credit's row. */
+export function parseCredit(row: Row): CreditRow {
+  return CreditSchema.parse(row.value);
+}
+
 /** Reads a top-up's row. */
 export function parseTopUp(row: Row): TopUpRow {
   return TopUpSchema.parse(row.value);
@@ -82,7 +102,7 @@
 /** Tokens that belong to no grant. */
 export function getUnallocated(budget: BudgetRow): number {
   const open = Object.values(budget.open).reduce((sum, size) => sum + size, 0);
-  const unallocated = budget.toppedUp - budget.closedSpent - open;
+  const unallocated = budget.toppedUp + budget.credited - budget.closedSpent - open;
   assert(unallocated >= 0, 'a budget is allocated beyond its top-ups');
   return unallocated;
 }
--- a/packages/budgets/src/sizing.ts
+++ b/packages/budgets/src/sizing.ts
@@ -27,6 +27,8 @@
 const IDLE_REQUESTS = 8;
 /** What one data centre leaves of the rest to all the others together. */
 const SHARE_LEFT = 2;
+/** Part of that share that a data centre takes whatever its rate is, against sudden cuts. */
+const BASE_SHARE = 4;
 
 /** How many tokens to add to a grant. */
 export function getGrowth(policy: GrantPolicy, demand: Demand): Tokens {
@@ -46,7 +48,8 @@
   const { needed, rate, unallocated, dataCentres } = demand;
   const left = Math.max(0, unallocated - needed);
   const share = Math.floor(left / (SHARE_LEFT * dataCentres));
-  const wanted = Math.max(Math.ceil(rate * horizonSeconds), needed * IDLE_REQUESTS);
+  const base = Math.floor(share / BASE_SHARE);
+  const wanted = Math.max(Math.ceil(rate * horizonSeconds), needed * IDLE_REQUESTS, base);
   return needed + Math.min(wanted, share);
 }
 
--- a/packages/budgets/src/types.ts
+++ b/packages/budgets/src/types.ts
@@ -4,6 +4,8 @@
 export interface BudgetRow {
   /** Sum of the top-ups. */
   toppedUp: Tokens;
+  /** Sum of charges that were given back, since the same request was charged elsewhere too. */
+  credited: Tokens;
   /** Sum of what closed grants spent. */
   closedSpent: Tokens;
   /** Size of each open grant by its identifier. */
@@ -16,6 +18,13 @@
   at: string;
 }
 
+/** The row of a credit: a charge that was given back. */
+export interface CreditRow {
+  request: string;
+  tokens: Tokens;
+  at: string;
+}
+
 /** The row of a grant: a part of a budget that one holder may spend. */
 export interface GrantRow {
   budget: string;
@@ -46,6 +55,7 @@
   request: string;
   /** The caller's idempotency key, if it sent one. */
   key?: string;
+  digest?: string;
   model: string;
   promptTokens: Tokens;
   completionTokens: Tokens;
@@ -88,6 +98,8 @@
   budget: string;
   request: string;
   key?: string;
+  /** Hash of the content that the key stands for. */
+  digest?: string;
   model: string;
 }
 
--- a/packages/control/src/commands.ts
+++ b/packages/control/src/commands.ts
@@ -25,6 +25,7 @@
   budget: z.string(),
   toppedUp: z.number(),
   billed: z.number(),
+  credited: z.number(),
   writtenOff: z.number(),
   held: z.number(),
   unallocated: z.number(),
@@ -230,11 +231,15 @@
     entry.budget,
     entry.toppedUp,
     entry.billed,
+    entry.credited,
     entry.writtenOff,
     entry.held,
     entry.unallocated,
   ]);
-  return formatTable(['budget', 'topped up', 'billed', 'written off', 'held', 'free'], rows);
+  return formatTable(
+    ['budget', 'topped up', 'billed', 'given back', 'written off', 'held', 'free'],
+    rows,
+  );
 }
 
 /** Checks that the ledger accounts for each token. */
--- a/packages/entry/src/answerSource.ts
+++ b/packages/entry/src/answerSource.ts
@@ -7,7 +7,7 @@
 
 /** How long a read waits at the runner before it returns without events. */
 const READ_WAIT_MS = 2000;
-const READ_TIMEOUT_MS = 5000;
+const READ_TIMEOUT_MS = 3000;
 /** How long a remote reader counts as present after a read. */
 const READER_LINGER_MS = 3000;
 const EVENTS_PER_READ = 512;
--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -11,7 +11,7 @@
   withTimeout,
   writeJson,
 } from '@pomeloroad/core';
-import type { Clock, Identity, Outcome } from '@pomeloroad/core';
+import type { Clock, Identity, Milliseconds, Outcome } from '@pomeloroad/core';
 import { isBudgetOf } from '@pomeloroad/configuration';
 import type { Configuration, Service } from '@pomeloroad/configuration';
 import { createRefusal, issueKey, parseIssuedKey } from '@pomeloroad/requests';
@@ -33,7 +33,8 @@
 const KEEP_ALIVE_MS = 65_000;
 const NOT_READY_RETRY_MS = 1000;
 const IDLE_SWEEP_MS = 100;
-const REOPEN_ATTEMPTS = 10;
+/** Longer than it takes to notice that a runner is lost and to take its stream over. */
+const REOPEN_PATIENCE_MS = 10_000;
 const REOPEN_DELAY_MS = 1000;
 
 /** Request headers of a caller that a plain service does not get. */
@@ -203,6 +204,7 @@
       name: options.key ? { account: account.name, key: options.key } : undefined,
       digest,
       isIdempotent: options.isIdempotent && isIdempotentMethod(work),
+      isProvisional: false,
       needsClaim: !options.isIdempotent && !issued,
       priority: options.priority,
       patience: options.patience,
@@ -225,10 +227,11 @@
     request: RunRequest,
     isIssued: boolean,
   ): Promise<void> {
-    let attempts = 0;
+    let lostAt: Milliseconds | undefined;
     await deliverAnswer(response, delivery, source, async () => {
-      attempts += 1;
-      if (!request.name || isIssued || attempts > REOPEN_ATTEMPTS) return createLostRefusal();
+      lostAt ??= clock.elapsed();
+      const isHopeless = clock.elapsed() - lostAt > REOPEN_PATIENCE_MS;
+      if (!request.name || isIssued || isHopeless) return createLostRefusal();
       // A lost runner is only taken for lost after some silence.
       await sleep(clock, REOPEN_DELAY_MS);
       return host.opener.open({ ...request, id: createId() }, undefined);
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -114,7 +114,7 @@
     const outcome = await runAttempt(run, slot, reservation, attempt);
     if (outcome.kind === 'done') {
       slot.release(isEndpointFault(outcome.end) ? 'failed' : 'ok');
-      reservation.settle(outcome.record);
+      host.reconciler.settle(request, reservation, outcome.record);
       if (isNotRun(outcome.end)) await releaseName(host, request);
       return outcome.end;
     }
--- a/packages/entry/src/claimName.ts
+++ b/packages/entry/src/claimName.ts
@@ -1,5 +1,5 @@
 import { Ok } from 'ts-results';
-import type { Outcome } from '@pomeloroad/core';
+import type { Outcome, Ran } from '@pomeloroad/core';
 import { createRefusal } from '@pomeloroad/requests';
 import type { ClaimError, Refusal } from '@pomeloroad/requests';
 import type { RunHost } from './runHost';
@@ -15,7 +15,9 @@
   const { needsClaim, name, id, digest } = request;
   if (!needsClaim || !name) return Ok.EMPTY;
   const claimed = await host.claims.claim(name, id, digest);
-  return claimed.mapErr((error) => refuseClaim(error, digest));
+  // With an instance out of reach, one there may have run an earlier attempt under this key.
+  const ran = host.registry.isComplete() ? 'no' : 'unknown';
+  return claimed.mapErr((error) => refuseClaim(error, digest, ran));
 }
 
 /** Gives the name back after a request that provably did not run. */
@@ -23,10 +25,10 @@
   if (request.needsClaim && request.name) await host.claims.release(request.name, request.id);
 }
 
-function refuseClaim(error: ClaimError, digest: string): Refusal {
+function refuseClaim(error: ClaimError, digest: string, ran: Ran): Refusal {
   if (error.kind === 'unavailable') {
     const message = 'Whether this key was used before can only be told with the table service.';
-    return createRefusal('platform_unavailable', 'no', message, PLATFORM_RETRY_MS);
+    return createRefusal('platform_unavailable', ran, message, PLATFORM_RETRY_MS);
   }
   if (error.claim.digest !== digest) {
     return createRefusal('key_reused', 'no', 'The key was used for another request.');
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -10,6 +10,8 @@
 /** How long it must be silent, and unlisted, before its grants are closed. */
 const LOST_MS = 10_000;
 const FIRST_ANNOUNCEMENT_RETRY_MS = 200;
+/** How long an instance that vanished from the list may be cut off rather than gone. */
+const VANISHED_MS = 3_600_000;
 
 const FleetTopics = {
   members: createTopic<Record<string, never>, Member[]>('fleet.members'),
@@ -37,6 +39,8 @@
   getInstances(): Identity[];
   /** Every instance that the list or the peers know, answering or not. */
   listInstances(): Promise<Outcome<Identity[], { message: string }>>;
+  /** Whether every instance that the list or the peers know as live answers. */
+  isComplete(): boolean;
   getDataCentres(): string[];
   getLeavingEndpoints(): string[];
   isLive(identity: Identity): boolean;
@@ -52,6 +56,7 @@
   const { clock, self, network, membership } = host;
   const lastSeen = new Map<string, Milliseconds>();
   const leavingPeers = new Set<string>();
+  const vanished = new Map<string, { member: Member; at: Milliseconds }>();
   let members: Member[] = [];
   let listedAt = -Infinity;
   let isLeaving = false;
@@ -79,16 +84,27 @@
   async function poll(): Promise<void> {
     await membership.announce(toMember());
     const list = await membership.list();
-    if (list.ok) {
-      members = list.val;
-      listedAt = clock.elapsed();
-    } else {
-      await askPeers();
-    }
+    if (list.ok) takeList(list.val);
+    else await askPeers();
     connect();
     host.onChange();
   }
 
+  function takeList(listed: Member[]): void {
+    const names = new Set(listed.map((member) => member.name));
+    // One that left says so first; one that is only cut off disappears from the list as well.
+    members.filter(isInstance).forEach((member) => {
+      if (names.has(member.name) || member.state === 'leaving') return;
+      vanished.set(member.name, { member, at: clock.elapsed() });
+    });
+    vanished.forEach(({ member, at }, name) => {
+      const isBack = names.has(name) || leavingPeers.has(getLife(toIdentity(member)));
+      if (isBack || clock.elapsed() - at > VANISHED_MS) vanished.delete(name);
+    });
+    members = listed;
+    listedAt = clock.elapsed();
+  }
+
   async function askPeers(): Promise<void> {
     const peers = getPeers().map((peer) => peer.identity.instance);
     const replies = await Promise.all(
@@ -153,6 +169,11 @@
       );
       return identities.map((listed) => mergeIdentities([self, ...listed, ...getConnected()]));
     },
+    isComplete() {
+      const live = members.filter((member) => isInstance(member) && member.state === 'live');
+      const silent = [...vanished.values()].map(({ member }) => member);
+      return [...live, ...silent].every((member) => network.isConnected(member.name));
+    },
     getDataCentres: () => {
       const named = members.filter((member) => member.role === 'instance');
       return [...new Set([self.dataCentre, ...named.map((member) => member.dataCentre)])];
@@ -190,6 +211,10 @@
   };
 }
 
+function isInstance(member: Member): boolean {
+  return member.role === 'instance';
+}
+
 function toIdentity(member: Member): Identity {
   const { name: instance, incarnation, dataCentre } = member;
   return { instance, incarnation, dataCentre };
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -17,6 +17,7 @@
 import type { Peer } from '@pomeloroad/peers';
 import { createBatchTable, createHttpPlatform } from '@pomeloroad/platform';
 import { createAnswers, createClaims, createRegistry } from '@pomeloroad/requests';
+import type { BeginReply, BeginRequest } from '@pomeloroad/requests';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
 import type { RouteRequest } from '@pomeloroad/routing';
 import { passAnswers, serveAnswers } from './answerSource';
@@ -27,6 +28,7 @@
 import { createLoads } from './loads';
 import { createOpener } from './named';
 import { createOperators } from './operators';
+import { createReconciler } from './reconciler';
 import { createPauseGuard } from './pauseGuard';
 import { createRunner } from './runner';
 import { createServiceClient } from './serviceClient';
@@ -38,6 +40,7 @@
 const REAP_MS = 1000;
 const TRIM_MS = 5000;
 const ADOPT_MS = 5000;
+const RECONCILE_MS = 1000;
 const DRAIN_POLL_MS = 100;
 const WRITE_PATIENCE_MS = 5000;
 
@@ -165,7 +168,11 @@
     getLocalInstances,
     getInstances,
     isLive,
+    isComplete: fleet.isComplete,
+    findReservation,
   });
+  const ledger = createLedger({ clock, table });
+  const reconciler = createReconciler({ self, ledger, registry });
   const runner = createRunner({
     clock,
     log,
@@ -175,13 +182,14 @@
     answers,
     claims: createClaims(clock, table, self),
     registry,
+    reconciler,
     admission,
     guard,
     engine,
     services: createServiceClient(settings),
   });
   serveAnswers(clock, network, answers);
-  const opener = createOpener({ self, network, answers, registry, runner });
+  const opener = createOpener({ clock, self, network, answers, registry, runner });
   const metrics = createInstanceMetrics();
   metrics.watch({
     running: runner.running,
@@ -201,7 +209,7 @@
     {
       settings,
       platform,
-      ledger: createLedger({ clock, table }),
+      ledger,
       applyHost: { store, distributor, listInstances: fleet.listInstances },
       distributor,
       isReady: () => !isDraining && getConfiguration() !== undefined,
@@ -228,6 +236,16 @@
     return found?.policy ?? { kind: 'least-in-flight' };
   }
 
+  function findReservation({ name, digest }: BeginRequest): BeginReply | undefined {
+    const [held] = keepers.findNamed(name.account, name.key).filter((r) => !isLive(r.owner));
+    const placement = held?.placements[held.placements.length - 1];
+    if (!held || !placement || placement.stream === '') return undefined;
+    if (held.draft.digest !== digest) return { kind: 'mismatch' };
+    const { id: reservation, tokens, draft } = held;
+    const state = { placement, budget: draft.budget, reservation, keeper: instance, tokens };
+    return { kind: 'resume', request: draft.request, state };
+  }
+
   async function stopRequest(
     placements: Placement[],
     reserved: number,
@@ -255,6 +273,7 @@
       answers: { count: answers.count(), retainedBytes: answers.retainedBytes() },
       names: registry.count(),
       pendingSettlements: budgets.pending(),
+      provisionalRuns: reconciler.pending(),
       configuration: distributor.describe(),
       drains: distributor.getDrains(),
       peers: network.describe(),
@@ -275,6 +294,7 @@
     loop(REAP_MS, keepers.reap);
     loop(TRIM_MS, keepers.trim);
     loop(ADOPT_MS, keepers.adoptLost);
+    loop(RECONCILE_MS, reconciler.poll);
   }
 
   async function drain(): Promise<boolean> {
--- a/packages/entry/src/named.ts
+++ b/packages/entry/src/named.ts
@@ -1,9 +1,17 @@
 import { match } from 'ts-pattern';
-import type { Identity } from '@pomeloroad/core';
+import { sleep } from '@pomeloroad/core';
+import type { Clock, Identity } from '@pomeloroad/core';
 import { createTopic } from '@pomeloroad/peers';
 import type { PeerNetwork } from '@pomeloroad/peers';
 import { createRefusal } from '@pomeloroad/requests';
-import type { Answers, IssuedKey, Refusal, Registry, RequestName } from '@pomeloroad/requests';
+import type {
+  Answers,
+  BeginReply,
+  IssuedKey,
+  Refusal,
+  Registry,
+  RequestName,
+} from '@pomeloroad/requests';
 import { createLocalSource, createRemoteSource } from './answerSource';
 import type { AnswerSource } from './answerSource';
 import type { RunRequest } from './runRequest';
@@ -11,6 +19,8 @@
 import { createLostRefusal } from './writer';
 
 const FORWARD_TIMEOUT_MS = 2000;
+const BEGINS = 20;
+const BEGIN_RETRY_MS = 100;
 
 /** Asks the issuer of a key to run the request that the key names. */
 const startTopic = createTopic<RunRequest, StartReply>('request.start');
@@ -19,6 +29,7 @@
 
 /** What opening answers needs from its surroundings. */
 export interface OpenHost {
+  clock: Clock;
   self: Identity;
   network: PeerNetwork;
   answers: Answers;
@@ -33,7 +44,7 @@
 
 /** Creates an opener and answers for the keys that this instance issued. */
 export function createOpener(host: OpenHost): Opener {
-  const { self, network, answers, registry, runner } = host;
+  const { clock, self, network, answers, registry, runner } = host;
   /** Requests run under keys that this incarnation issued. */
   const issuedRuns = new Map<string, { request: string; digest: string }>();
 
@@ -77,16 +88,28 @@
   ): Promise<AnswerSource | Refusal> {
     const { digest, isIdempotent } = request;
     const begin = { name, digest, isIdempotent, runner: self, request: request.id };
-    const reply = await registry.begin(begin);
+    let reply = await registry.begin(begin);
+    for (let count = 0; count < BEGINS && isForgotten(reply); count += 1) {
+      await sleep(clock, BEGIN_RETRY_MS);
+      reply = await registry.begin(begin);
+    }
     return match(reply)
       .with({ kind: 'mismatch' }, () => REUSED)
       .with({ kind: 'lost' }, () => createLostRefusal())
-      .with({ kind: 'run' }, () => createLocalSource(runner.start(request)))
+      .with({ kind: 'run' }, ({ isProvisional = false }) =>
+        createLocalSource(runner.start({ ...request, isProvisional })),
+      )
       .with({ kind: 'resume' }, ({ state }) => createLocalSource(runner.resume(request, state)))
       .with({ kind: 'attach' }, (held) => attach(held.runner, held.request))
       .exhaustive();
   }
 
+  // A request that did not run is forgotten here a moment before its keeper learns of it.
+  function isForgotten(reply: BeginReply): boolean {
+    if (reply.kind !== 'attach' || reply.runner.instance !== self.instance) return false;
+    return answers.get(reply.request) === undefined;
+  }
+
   function attach(holder: Identity, request: string): AnswerSource | Refusal {
     if (holder.instance === self.instance) return openLocal(request);
     return createRemoteSource(network, holder.instance, request);
--- a/packages/entry/src/runHost.ts
+++ b/packages/entry/src/runHost.ts
@@ -4,6 +4,7 @@
 import type { Admission } from '@pomeloroad/routing';
 import type { Engine } from './engine';
 import type { PauseGuard } from './pauseGuard';
+import type { Reconciler } from './reconciler';
 import type { ServiceClient } from './serviceClient';
 import type { Settings } from './settings';
 
@@ -19,6 +20,7 @@
   budgets: BudgetClient;
   answers: Answers;
   claims: Claims;
+  reconciler: Reconciler;
   registry: Registry;
   admission: Admission;
   guard: PauseGuard;
--- a/packages/entry/src/runRequest.ts
+++ b/packages/entry/src/runRequest.ts
@@ -28,6 +28,8 @@
   /** Hash of the content that the name stands for. */
   digest: string;
   isIdempotent: boolean;
+  /** Whether another side of a partition may run it as well. */
+  isProvisional: boolean;
   /** Whether the table must admit the name before anything runs. */
   needsClaim: boolean;
   priority: number;
--- a/packages/entry/src/runner.ts
+++ b/packages/entry/src/runner.ts
@@ -1,6 +1,6 @@
 import { match } from 'ts-pattern';
 import { Diagnostics, sleep } from '@pomeloroad/core';
-import type { Answer, AnswerEnd, RunState } from '@pomeloroad/requests';
+import type { Answer, AnswerEnd, Refusal, RefusalCode, RunState } from '@pomeloroad/requests';
 import { resumeChat, runChat } from './chatRun';
 import type { RunHost } from './runHost';
 import type { RunRequest } from './runRequest';
@@ -17,6 +17,13 @@
 
 type Execute = (answer: Answer, signal: AbortSignal) => Promise<AnswerEnd>;
 
+// These speak of an earlier attempt under the same name: this one sent nothing.
+const EARLIER_RUN_CODES = new Set<RefusalCode>(['platform_unavailable', 'outcome_unknown']);
+
+function isAboutThisRun({ code, ran }: Refusal): boolean {
+  return ran === 'unknown' && !EARLIER_RUN_CODES.has(code);
+}
+
 /** Creates a runner without running requests. */
 export function createRunner(host: RunHost): Runner {
   let running = 0;
@@ -54,7 +61,7 @@
   function finish(request: RunRequest, answer: Answer, end: AnswerEnd): void {
     answer.finish(end);
     const isRefused = end.kind === 'refused';
-    const hasRun = !isRefused || end.refusal.ran === 'unknown';
+    const hasRun = !isRefused || isAboutThisRun(end.refusal);
     if (isRefused) {
       const { code, ran } = end.refusal;
       host.log(Diagnostics.requestRefused, { request: request.id, code, ran });
--- a/packages/entry/src/serviceRun.ts
+++ b/packages/entry/src/serviceRun.ts
@@ -59,14 +59,15 @@
     const error = await runAttempt(run, slot);
     slot.release(error?.kind === 'failed' ? 'failed' : 'ok');
     if (!error) {
-      reservation?.settle(createRecord(run));
+      host.reconciler.settle(request, reservation, createRecord(run));
       return { kind: 'complete' };
     }
     excluded.add(slot.endpoint.name);
     const mayRetry = attempt < ATTEMPTS && !signal.aborted && isRetryable(run, error);
     const next = mayRetry ? await acquireSlot(host, { ...route, excluded }, deadline) : undefined;
     if (!next?.ok) {
-      reservation?.settle(error.ran === 'no' ? undefined : createRecord(run));
+      const record = error.ran === 'no' ? undefined : createRecord(run);
+      host.reconciler.settle(request, reservation, record);
       if (error.ran === 'no') await releaseName(host, request);
       return refuse(toRefusal(error));
     }
--- /dev/null
+++ b/packages/peers/src/memoryNetwork.ts
@@ -0,0 +1,66 @@
+import { Err, Ok } from 'ts-results';
+import type { Identity } from '@pomeloroad/core';
+import type { Handler, PeerNetwork } from './types';
+
+/** A fleet in one process: its members call each other directly. */
+export interface MemoryFleet {
+  join(instance: string, dataCentre?: string): MemoryNetwork;
+  /** Instances that nobody reaches, and that reach nobody. */
+  cut: Set<string>;
+}
+
+/** The network of one member of a memory fleet. */
+export interface MemoryNetwork extends PeerNetwork {
+  self: Identity;
+}
+
+interface MemoryMember {
+  self: Identity;
+  handlers: Map<string, Handler<unknown, unknown>>;
+}
+
+/** Creates a fleet without members. */
+export function createMemoryFleet(): MemoryFleet {
+  const members = new Map<string, MemoryMember>();
+  const cut = new Set<string>();
+
+  function isReachable(from: string, to: string): boolean {
+    return from === to || (members.has(to) && !cut.has(from) && !cut.has(to));
+  }
+
+  function createNetwork({ self, handlers }: MemoryMember): MemoryNetwork {
+    const { instance } = self;
+    return {
+      self,
+      listen: async () => '127.0.0.1:1',
+      async call(to, topic, request) {
+        const handler = members.get(to)?.handlers.get(topic.name);
+        if (!isReachable(instance, to) || !handler) {
+          return Err({ kind: 'unreachable', ran: 'no', message: `no connection to ${to}` });
+        }
+        // The topic fixes the type of its reply.
+        return Ok((await handler(self, structuredClone(request))) as never);
+      },
+      handle(topic, handler) {
+        handlers.set(topic.name, handler as Handler<unknown, unknown>);
+      },
+      setPeers: () => undefined,
+      isConnected: (other) => isReachable(instance, other),
+      getIdentity: (other) => (isReachable(instance, other) ? members.get(other)?.self : undefined),
+      onConnect: () => undefined,
+      onDisconnect: () => undefined,
+      describe: () => [],
+      close: async () => undefined,
+    };
+  }
+
+  return {
+    cut,
+    join(instance, dataCentre = 'kent') {
+      const self = { instance, incarnation: `${instance}-1`, dataCentre };
+      const member: MemoryMember = { self, handlers: new Map() };
+      members.set(instance, member);
+      return createNetwork(member);
+    },
+  };
+}
--- a/packages/replay/src/judge.ts
+++ b/packages/replay/src/judge.ts
@@ -36,6 +36,8 @@
   unexpected: number;
   auditFaults: number;
   strandedTokens: number;
+  /** Tokens of second runs of a request, which its account is not charged for. */
+  duplicateTokens: number;
 }
 
 /** A verdict with the findings behind its figures, for people. */
@@ -92,6 +94,9 @@
     configReverts: observations.configReverts,
     configSeconds: getConfigSeconds(evidence),
     strandedTokens: record.audit.accounts.reduce((sum, account) => sum + account.writtenOff, 0),
+    duplicateTokens: record.runs
+      .filter((run) => run.isCredited)
+      .reduce((sum, run) => sum + getCost(run), 0),
   };
   const findings = Object.entries(lists).flatMap(([figure, list]) =>
     list.map((finding) => `${figure}: ${finding}`),
@@ -122,7 +127,7 @@
     misbilled: [],
   };
   requests.forEach((request) => {
-    const own = runs.filter((run) => run.trace === request.id);
+    const own = runs.filter((run) => run.trace === request.id && !run.isCredited);
     const names = new Set(own.map((run) => run.request).filter((name) => name !== ''));
     const bills = audit.records.filter(
       (bill) =>
--- a/packages/replay/src/record.ts
+++ b/packages/replay/src/record.ts
@@ -21,6 +21,8 @@
   completionTokens: number;
   state: string;
   startedAt: Date;
+  /** Whether its charge was given back, since the request was charged for another run. */
+  isCredited: boolean;
 }
 
 /** Tokens that a run used. */
@@ -45,7 +47,11 @@
   const serviceRuns = await Promise.all(services.map((service) => readService(service, requests)));
   const platform = createPlatform(stage);
   const audit = (await auditLedger(platform.table, platform.objects)).unwrap();
-  const runs = [...engineRuns.flat(), ...serviceRuns.flat()];
+  const credited = new Set(audit.credited.map((bill) => bill.request));
+  const runs = [...engineRuns.flat(), ...serviceRuns.flat()].map((run) => ({
+    ...run,
+    isCredited: credited.has(run.request),
+  }));
   return { runs, audit, topUps: await readTopUps(platform) };
 }
 
@@ -104,6 +110,7 @@
     completionTokens: stream.completionTokens,
     state: stream.state,
     startedAt: new Date(stream.startedAt),
+    isCredited: false,
   }));
 }
 
@@ -121,5 +128,6 @@
     completionTokens: 0,
     state: 'finished',
     startedAt: new Date(call.at),
+    isCredited: false,
   }));
 }
--- a/packages/replay/src/replay.ts
+++ b/packages/replay/src/replay.ts
@@ -108,6 +108,7 @@
   configuration: { version: number };
   requests: { open: number; running: number };
   pendingSettlements: number;
+  provisionalRuns: number;
   budgets: { reservations: number; unsettled: number; waiting: number }[];
 }
 
@@ -154,7 +155,8 @@
   const isSettled = dump.budgets.every(
     (budget) => budget.reservations === 0 && budget.unsettled === 0 && budget.waiting === 0,
   );
-  return isSettled && dump.requests.running === 0 && dump.pendingSettlements === 0;
+  const pending = dump.pendingSettlements + dump.provisionalRuns;
+  return isSettled && dump.requests.running === 0 && pending === 0;
 }
 
 async function waitUntil(
--- a/packages/requests/src/entries.ts
+++ b/packages/requests/src/entries.ts
@@ -27,6 +27,8 @@
   begin(request: BeginRequest): BeginReply;
   /** Tells who runs a request; `undefined` if it is not known. Enters nothing. */
   find(request: BeginRequest): BeginReply | undefined;
+  /** Whether the finished run counts: the first one of a name does. */
+  confirm(request: BeginRequest): boolean;
   setState(name: RequestName, request: string, state: RunState): void;
   finish(name: RequestName, request: string, isKept: boolean): void;
   /** Takes an entry of another instance over; its word on its own request is newer. */
@@ -64,6 +66,13 @@
     set(name, { digest, runner, request, isIdempotent, isFinished: false, state });
   }
 
+  function finish(name: RequestName, request: string, isKept: boolean): void {
+    const entry = get(name);
+    if (entry?.request !== request) return;
+    if (isKept) set(name, { ...entry, isFinished: true });
+    else entries.delete(getId(name));
+  }
+
   function find(request: BeginRequest): BeginReply | undefined {
     const entry = get(request.name);
     if (!entry) return undefined;
@@ -85,16 +94,18 @@
       return found ?? { kind: 'run' };
     },
     find,
+    confirm(request) {
+      const entry = get(request.name);
+      if (entry) return entry.request === request.request;
+      enter(request);
+      finish(request.name, request.request, true);
+      return true;
+    },
     setState(name, request, state) {
       const entry = get(name);
       if (entry?.request === request) set(name, { ...entry, state });
     },
-    finish(name, request, isKept) {
-      const entry = get(name);
-      if (entry?.request !== request) return;
-      if (isKept) set(name, { ...entry, isFinished: true });
-      else entries.delete(getId(name));
-    },
+    finish,
     insert(name, entry) {
       const known = get(name);
       if (!known || known.request === entry.request) set(name, entry);
--- a/packages/requests/src/registry.ts
+++ b/packages/requests/src/registry.ts
@@ -12,6 +12,8 @@
 /** How long a keeper that is connected but does not answer is asked again. */
 const KEEPER_PATIENCE_MS = 4000;
 const KEEPER_RETRY_MS = 200;
+const FINISH_ATTEMPTS = 10;
+const FINISH_RETRY_MS = 500;
 
 /** A named request as it is passed to another keeper. */
 interface Handoff {
@@ -25,6 +27,7 @@
   find: createTopic<BeginRequest, BeginReply>('request.find'),
   run: createTopic<{ name: RequestName; request: string; state: RunState }>('request.run'),
   finish: createTopic<{ name: RequestName; request: string; isKept: boolean }>('request.finish'),
+  confirm: createTopic<BeginRequest, boolean>('request.confirm'),
   handoff: createTopic<Handoff[]>('request.handoff'),
 } as const;
 
@@ -40,6 +43,10 @@
   getInstances(): Identity[];
   /** Whether this incarnation may still act. */
   isLive(identity: Identity): boolean;
+  /** Whether every listed instance answers. */
+  isComplete(): boolean;
+  /** What the budget keepers of this instance know of a request whose runner is lost. */
+  findReservation(request: BeginRequest): BeginReply | undefined;
 }
 
 /** Finds out who runs a named request, through the instance that keeps its name. */
@@ -49,6 +56,10 @@
   noteRun(name: RequestName, request: string, state: RunState): Promise<void>;
   /** Notes the end; a request that is not kept may be run again. */
   noteFinish(name: RequestName, request: string, isKept: boolean): void;
+  /** Whether every listed instance answers, so that all find the same keepers. */
+  isComplete(): boolean;
+  /** Whether a finished provisional run counts; `undefined` if that can't be told now. */
+  confirm(request: BeginRequest): Promise<boolean | undefined>;
   /** Makes another instance the one that answers for finished requests of this one. */
   reassign(requests: Set<string>, runner: Identity): Promise<void>;
   /** Takes a new view of the fleet; names whose keeper changed are passed on. */
@@ -75,6 +86,7 @@
   network.handle(RegistryTopics.finish, async (_from, { name, request, isKept }) =>
     kept.finish(name, request, isKept),
   );
+  network.handle(RegistryTopics.confirm, async (_from, request) => kept.confirm(request));
   network.handle(RegistryTopics.handoff, async (_from, handoffs) =>
     handoffs.forEach(({ name, entry }) => kept.insert(name, entry)),
   );
@@ -84,7 +96,7 @@
   }
 
   function findHere(request: BeginRequest): BeginReply {
-    const found = kept.find(request) ?? own.find(request);
+    const found = kept.find(request) ?? own.find(request) ?? host.findReservation(request);
     return found ?? { kind: 'run' };
   }
 
@@ -101,7 +113,8 @@
     const first = network.isConnected(old)
       ? await beginAt(old, request)
       : await findAnywhere(request);
-    if (first && first.kind !== 'run') return first;
+    if (first && first.kind !== 'run' && first.kind !== 'resume') return first;
+    if (first?.kind === 'resume') return takeOver(next, request, first);
     const second = await beginAt(next, request);
     if (second && second.kind !== 'run' && network.isConnected(old)) {
       sendFinish(old, request.name, request.request, false);
@@ -109,6 +122,19 @@
     return second;
   }
 
+  // Entered at the new keeper, so that only one retry follows the stream.
+  async function takeOver(
+    keeper: string,
+    request: BeginRequest,
+    found: Extract<BeginReply, { kind: 'resume' }>,
+  ): Promise<BeginReply | undefined> {
+    const begun = await beginAt(keeper, request);
+    if (begun?.kind !== 'run') return begun;
+    const body = { name: request.name, request: request.request, state: found.state };
+    await network.call(keeper, RegistryTopics.run, body, CALL_TIMEOUT_MS);
+    return found;
+  }
+
   async function findAnywhere(request: BeginRequest): Promise<BeginReply | undefined> {
     const others = view.map((identity) => identity.instance);
     const replies = await Promise.all(
@@ -140,6 +166,20 @@
     network.call(keeper, RegistryTopics.finish, body, CALL_TIMEOUT_MS);
   }
 
+  // Repeated, since a keeper that does not learn of it sends retries to where there is no answer.
+  async function tellFinish(name: RequestName, request: string, isKept: boolean): Promise<void> {
+    const body = { name, request, isKept };
+    const { finish } = RegistryTopics;
+    for (let attempt = 0; attempt < FINISH_ATTEMPTS; attempt += 1) {
+      const keepers = [...new Set([getKeeper(view, name), getKeeper(previousView, name)])];
+      const replies = await Promise.all(
+        keepers.map((keeper) => network.call(keeper, finish, body, CALL_TIMEOUT_MS)),
+      );
+      if (replies.every((reply) => reply.ok)) return;
+      await sleep(clock, FINISH_RETRY_MS);
+    }
+  }
+
   function handOff(entries: Handoff[]): Promise<unknown> {
     const byKeeper = new Map<string, Handoff[]>();
     entries.forEach((handoff) => {
@@ -158,9 +198,11 @@
 
   return {
     async begin(request) {
+      const isComplete = host.isComplete();
       const reply = await beginSomewhere(request);
       if (reply.kind === 'run' || reply.kind === 'resume') own.begin(request);
-      return reply;
+      if (reply.kind !== 'run') return reply;
+      return { ...reply, isProvisional: !isComplete || !host.isComplete() };
     },
     async noteRun(name, request, state) {
       own.setState(name, request, state);
@@ -169,8 +211,15 @@
     },
     noteFinish(name, request, isKept) {
       own.finish(name, request, isKept);
-      const keepers = new Set([getKeeper(view, name), getKeeper(previousView, name)]);
-      keepers.forEach((keeper) => sendFinish(keeper, name, request, isKept));
+      tellFinish(name, request, isKept);
+    },
+    isComplete: host.isComplete,
+    async confirm(request) {
+      if (!host.isComplete() || isInTransition()) return undefined;
+      const keeper = getKeeper(view, request.name);
+      const { confirm } = RegistryTopics;
+      const reply = await network.call(keeper, confirm, request, CALL_TIMEOUT_MS);
+      return reply.ok ? reply.val : undefined;
     },
     async reassign(requests, runner) {
       const moved = own.list().filter(({ entry }) => requests.has(entry.request));
--- a/packages/requests/src/types.ts
+++ b/packages/requests/src/types.ts
@@ -83,7 +83,8 @@
 
 /** Whether to run a named request or to read its answer elsewhere. */
 export type BeginReply =
-  | { kind: 'run' }
+  /** `isProvisional`: another side of a partition may run it as well. */
+  | { kind: 'run'; isProvisional?: boolean }
   /** It was run by an instance that is lost: take it over where it runs. */
   | { kind: 'resume'; request: string; state: RunState }
   /** It runs, or ran, on another instance. */
--- /dev/null
+++ b/packages/requests/test/registry.test.ts
@@ -0,0 +1,125 @@
+import { createManualClock } from '@pomeloroad/core';
+import type { Identity } from '@pomeloroad/core';
+import { createMemoryFleet } from '@pomeloroad/peers';
+import { createRegistry } from '../src';
+import type { BeginReply, BeginRequest } from '../src';
+
+const name = { account: 'dispatch', key: 'k' };
+
+function setUp(instances: string[]) {
+  const clock = createManualClock();
+  const fleet = createMemoryFleet();
+  const lost = new Set<string>();
+  const joined = new Set<string>();
+  const selves = new Map<string, Identity>();
+  const reservations = new Map<string, () => BeginReply>();
+
+  function join(instance: string) {
+    const network = fleet.join(instance);
+    const { self } = network;
+    joined.add(instance);
+    selves.set(instance, self);
+    const isSeen = (other: string) => joined.has(other) && network.isConnected(other);
+    const getInstances = () =>
+      [...selves.values()].filter((other) => isSeen(other.instance) && !lost.has(other.instance));
+    const registry = createRegistry({
+      clock,
+      self,
+      network,
+      retention: 60_000,
+      getLocalInstances: () => getInstances().map((other) => other.instance),
+      getInstances,
+      isLive: (identity) => !lost.has(identity.instance),
+      isComplete: () => getInstances().length === joined.size,
+      findReservation: () => reservations.get(instance)?.() ?? undefined,
+    });
+    const begin = async (request: string, changes: Partial<BeginRequest> = {}) => {
+      const begun = { name, digest: 'd', isIdempotent: true, runner: self, request, ...changes };
+      const reply = registry.begin(begun);
+      await clock.advance(10_000);
+      return reply;
+    };
+    const confirm = async (request: string) => {
+      const begun = { name, digest: 'd', isIdempotent: true, runner: self, request };
+      return registry.confirm(begun);
+    };
+    return { registry, begin, confirm, self };
+  }
+
+  const members = new Map(instances.map((instance) => [instance, join(instance)]));
+  const at = (instance: string) => members.get(instance) ?? join(instance);
+  const changeView = async () => {
+    members.forEach(({ registry }) => registry.updateView());
+    await clock.advance(10);
+  };
+  changeView();
+  return { clock, fleet, lost, reservations, at, changeView };
+}
+
+test('the second of two is told where the first runs', async () => {
+  const { at } = setUp(['a', 'b', 'c']);
+  expect(await at('a').begin('r1')).toMatchObject({ kind: 'run', isProvisional: false });
+  expect(await at('b').begin('r2')).toMatchObject({ kind: 'attach', request: 'r1' });
+  expect(await at('b').begin('r3', { digest: 'other' })).toEqual({ kind: 'mismatch' });
+});
+
+test('a name outlives its keeper', async () => {
+  const all = setUp(['a', 'b', 'c']);
+  await all.at('a').begin('r1');
+  for (const keeper of ['b', 'c']) {
+    all.lost.clear();
+    all.lost.add(keeper);
+    await all.changeView();
+    const other = keeper === 'b' ? 'c' : 'b';
+    expect(await all.at(other).begin('r2')).toMatchObject({ kind: 'attach', request: 'r1' });
+  }
+});
+
+const placement = { endpoint: 'e', address: '127.0.0.1:1', stream: 's' };
+const state = { placement, budget: 'x/y', reservation: 'v', keeper: 'b', tokens: 5 };
+
+async function loseRunner(runner: string) {
+  const all = setUp(['a', 'b', 'c']);
+  const { registry, begin } = all.at(runner);
+  await begin('r1');
+  await registry.noteRun(name, 'r1', state);
+  all.lost.add(runner);
+  all.fleet.cut.add(runner);
+  // One of the others keeps the budget, and so the reservation.
+  const [keeper = ''] = ['a', 'b', 'c'].filter((other) => other !== runner);
+  all.reservations.set(keeper, () => ({ kind: 'resume', request: 'r1', state }));
+  await all.changeView();
+  return { all, others: ['a', 'b', 'c'].filter((other) => other !== runner) };
+}
+
+test.each(['a', 'b', 'c'])('the stream of a lost runner is taken over once: %s', async (runner) => {
+  const { all, others } = await loseRunner(runner);
+  const [first = '', second = ''] = others;
+  const taken = await all.at(first).begin('r2');
+  expect(taken).toMatchObject({ kind: 'resume', request: 'r1', state: { placement } });
+  expect(await all.at(second).begin('r3')).toMatchObject({ kind: 'attach', request: 'r2' });
+});
+
+test('a non-idempotent request of a lost runner is not run again', async () => {
+  const all = setUp(['a', 'b', 'c']);
+  await all.at('a').begin('r1', { isIdempotent: false });
+  all.lost.add('a');
+  await all.changeView();
+  const reply = await all.at('b').begin('r2', { isIdempotent: false });
+  expect(reply).toEqual({ kind: 'lost' });
+});
+
+test('of two runs on both sides of a cut one counts after the heal', async () => {
+  const all = setUp(['a', 'b', 'c']);
+  all.fleet.cut.add('a');
+  await all.changeView();
+  expect(await all.at('a').begin('r1')).toMatchObject({ kind: 'run', isProvisional: true });
+  expect(await all.at('b').begin('r2')).toMatchObject({ kind: 'run', isProvisional: true });
+  expect(await all.at('a').confirm('r1')).toBeUndefined();
+  all.fleet.cut.clear();
+  await all.changeView();
+  await all.clock.advance(10_000);
+  const counts = [await all.at('a').confirm('r1'), await all.at('b').confirm('r2')];
+  expect(counts.filter((isCounted) => isCounted)).toHaveLength(1);
+  expect(counts).not.toContain(undefined);
+});
