Find names through fast changes of the fleet; tell drains to everybody at once

All views of the last 5 s are asked now, names are handed on at each change, and runs begun during a transition are provisional. A drain goes to every instance with the operator's order. The replay's faults take turns on an instance, so that 'all' no longer restarts one twice at the same time.

--- a/packages/budgets/test/interleavings.test.ts
+++ b/packages/budgets/test/interleavings.test.ts
@@ -51,7 +51,7 @@
     }),
   },
   { weight: 3, arbitrary: fc.record({ kind: fc.constant('pass'), time: fc.nat(7000) }) },
-) as fc.Arbitrary<Step>;
+);
 
 // A table whose next answers are as told: `late` writes take effect after the answer was given up.
 function createUnreliableTable() {
--- a/packages/configuration/src/distributor.ts
+++ b/packages/configuration/src/distributor.ts
@@ -1,3 +1,4 @@
+import { match } from 'ts-pattern';
 import { Diagnostics, getOwner, hashText } from '@pomeloroad/core';
 import type { Clock, Identity, Log, Milliseconds } from '@pomeloroad/core';
 import type { PeerNetwork } from '@pomeloroad/peers';
@@ -41,6 +42,8 @@
   poll(): Promise<void>;
   /** Reads the platform now and passes on what is new. */
   refresh(): Promise<void>;
+  /** Reads which endpoints are drained and tells every instance. */
+  announceDrains(): Promise<void>;
   /** Sends a notice to every given instance through the relays of their data centres. */
   announce(notice: Notice, instances: Identity[]): Promise<Acknowledgement[]>;
   describe(): DistributorStatus;
@@ -72,7 +75,6 @@
   network.handle(ConfigurationTopics.notice, async (_from, notice) => obey(notice));
   network.handle(ConfigurationTopics.relay, async (_from, request) => relay(request));
   network.handle(ConfigurationTopics.state, async () => getState());
-  network.handle(ConfigurationTopics.drains, async (_from, next) => setDrains(next));
 
   function obey(notice: Notice): Acknowledgement {
     const fault = applyNotice(notice);
@@ -80,10 +82,12 @@
   }
 
   function applyNotice(notice: Notice): string | undefined {
-    if (notice.kind === 'stage') return stage(notice.file);
-    if (notice.kind === 'accept') return install(notice.file);
-    dropStaged(notice.version);
-    return undefined;
+    return match(notice)
+      .with({ kind: 'stage' }, ({ file }) => stage(file))
+      .with({ kind: 'accept' }, ({ file }) => install(file))
+      .with({ kind: 'withdraw' }, ({ version }) => dropStaged(version))
+      .with({ kind: 'drains' }, (next) => setDrains(next.drains))
+      .exhaustive();
   }
 
   function stage(file: VersionFile): string | undefined {
@@ -110,7 +114,7 @@
     return undefined;
   }
 
-  function dropStaged(version: number): void {
+  function dropStaged(version: number): undefined {
     if (staged?.file.version.version !== version) return;
     staged = undefined;
     mixed = undefined;
@@ -126,7 +130,7 @@
     return { inForce: inForce?.file, staged: staged?.file };
   }
 
-  function setDrains(next: Record<string, string>): void {
+  function setDrains(next: Record<string, string>): undefined {
     if (JSON.stringify(next) === JSON.stringify(drains)) return;
     drains = next;
     host.onChange();
@@ -165,6 +169,11 @@
     return replies.flat();
   }
 
+  async function refresh(): Promise<void> {
+    const state = await store.readState();
+    if (state.ok) await followPlatform(state.val);
+  }
+
   async function poll(): Promise<void> {
     polls += 1;
     checkDoubt();
@@ -186,7 +195,7 @@
     const locals = host.getLocalInstances().filter((instance) => instance !== self.instance);
     if (JSON.stringify(stored) !== JSON.stringify(drains)) {
       setDrains(stored);
-      if (isRelay()) await pushDrains(locals);
+      if (isRelay()) await relay({ notice: { kind: 'drains', drains }, instances: locals });
     }
     const { accepted, proposed } = head;
     if (accepted && accepted.version > getVersion()) await followAccepted(accepted, locals);
@@ -195,12 +204,6 @@
     if (staged && isDecided) dropStaged(staged.file.version.version);
   }
 
-  async function pushDrains(instances: string[]): Promise<void> {
-    const { drains: topic } = ConfigurationTopics;
-    const calls = instances.map((name) => network.call(name, topic, drains, NOTICE_TIMEOUT_MS));
-    await Promise.all(calls);
-  }
-
   async function followAccepted(accepted: VersionRow, locals: string[]): Promise<void> {
     const file = await getFile(accepted);
     if (!file) return;
@@ -242,9 +245,10 @@
     getText: () => inForce?.file.text ?? '',
     getDrains: () => drains,
     poll,
-    async refresh() {
-      const state = await store.readState();
-      if (state.ok) await followPlatform(state.val);
+    refresh,
+    async announceDrains() {
+      await refresh();
+      await announce({ kind: 'drains', drains }, host.getInstances());
     },
     announce,
     describe: () => ({
--- a/packages/configuration/src/topics.ts
+++ b/packages/configuration/src/topics.ts
@@ -11,7 +11,9 @@
 export type Notice =
   | { kind: 'stage'; file: VersionFile }
   | { kind: 'accept'; file: VersionFile }
-  | { kind: 'withdraw'; version: number };
+  | { kind: 'withdraw'; version: number }
+  /** Endpoints that operators drain, with the time of the order. */
+  | { kind: 'drains'; drains: Record<string, string> };
 
 /** Whether an instance did as told. */
 export interface Acknowledgement {
@@ -37,5 +39,4 @@
   notice: createTopic<Notice, Acknowledgement>('configuration.notice'),
   relay: createTopic<RelayRequest, Acknowledgement[]>('configuration.relay'),
   state: createTopic<Record<string, never>, VersionState>('configuration.state'),
-  drains: createTopic<Record<string, string>>('configuration.drains'),
 } as const;
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -121,7 +121,7 @@
     if (!isKnown) return fault(404, 'not_found', `there is no endpoint "${endpoint}"`);
     const outcome = await applyHost.store.setDrain(endpoint, isDraining);
     if (outcome.err) return fault(503, 'unavailable', 'the table service does not answer');
-    await distributor.refresh();
+    await distributor.announceDrains();
     return reply(200, { endpoint, isDraining });
   }
 
--- a/packages/replay/src/faultPlan.ts
+++ b/packages/replay/src/faultPlan.ts
@@ -161,29 +161,45 @@
   await stage.setPlatformFaults(['table', 'objects'], { lostAnswerShare: 0 });
 }
 
+// Faults that stop processes take turns on each instance.
+async function takeInHand(
+  instance: StageInstance,
+  step: (instance: StageInstance) => Promise<void>,
+): Promise<void> {
+  const held = instance;
+  held.isInHand = true;
+  await step(instance);
+  held.isInHand = false;
+}
+
 async function killInstances({ stage, random, start }: Context) {
   await pause(start);
   for (let death = 0; death < DEATHS; death += 1) {
-    const instance = pickRunning(stage, random);
-    instance.program.child.kill('SIGKILL');
-    await instance.program.exited;
-    await pause(RESTART_DELAY_MS);
-    await stage.restart(instance);
+    await takeInHand(pickRunning(stage, random), async (instance) => {
+      instance.program.child.kill('SIGKILL');
+      await instance.program.exited;
+      await pause(RESTART_DELAY_MS);
+      await stage.restart(instance);
+    });
     await pause(DEATH_INTERVAL_MS);
   }
 }
 
 function pickRunning(stage: Stage, random: Random): StageInstance {
-  const running = stage.instances.filter((instance) => instance.program.isRunning());
+  const running = stage.instances.filter(
+    (instance) => instance.program.isRunning() && !instance.isInHand,
+  );
   return checkDefined(running[random.integer(0, running.length - 1)], 'no instance runs');
 }
 
 async function pauseInstance({ stage, random, start }: Context) {
   await pause(start);
-  const { child } = pickRunning(stage, random).program;
-  child.kill('SIGSTOP');
-  await pause(PAUSE_MS);
-  child.kill('SIGCONT');
+  await takeInHand(pickRunning(stage, random), async (instance) => {
+    const { child } = instance.program;
+    child.kill('SIGSTOP');
+    await pause(PAUSE_MS);
+    child.kill('SIGCONT');
+  });
 }
 
 async function silenceConnections({ stage, random, start }: Context) {
@@ -253,11 +269,14 @@
 async function restartAll({ stage, notes, start }: Context) {
   await pause(start);
   for (const instance of stage.instances) {
-    const from = new Date();
-    instance.program.child.kill('SIGTERM');
-    const code = await instance.program.exited;
-    notes.shutdowns.push({ instance: instance.name, from, to: new Date(), code });
-    await stage.restart(instance);
+    while (instance.isInHand) await pause(RESTART_GAP_MS);
+    await takeInHand(instance, async () => {
+      const from = new Date();
+      instance.program.child.kill('SIGTERM');
+      const code = await instance.program.exited;
+      notes.shutdowns.push({ instance: instance.name, from, to: new Date(), code });
+      await stage.restart(instance);
+    });
     await pause(RESTART_GAP_MS);
   }
 }
--- a/packages/replay/src/record.ts
+++ b/packages/replay/src/record.ts
@@ -2,13 +2,15 @@
 import { auditLedger, LedgerPrefix, parseGrant, parseTopUp } from '@pomeloroad/budgets';
 import type { Audit } from '@pomeloroad/budgets';
 import { createHttpPlatform } from '@pomeloroad/platform';
-import type { Platform } from '@pomeloroad/platform';
+import type { Platform, Row } from '@pomeloroad/platform';
 import type { CallRecord, StreamRecord } from '@pomeloroad/standins';
+import { pause } from './pause';
 import type { Stage, StageEndpoint } from './stage';
 import { getMessages, isRequest } from './trace';
 import type { TraceEvent, TraceRequest } from './trace';
 
 const RECORD_TIMEOUT_MS = 10_000;
+const RETRY_MS = 600;
 
 /** A run of a request on an endpoint, by the endpoint's own record. */
 export interface Run {
@@ -72,7 +74,7 @@
 /** Unspent tokens in open grants of some data centres, by budget. */
 export async function readHeld(stage: Stage, sites: string[]): Promise<Map<string, number>> {
   const held = new Map<string, number>();
-  const rows = (await createPlatform(stage).table.scan(LedgerPrefix.grant)).unwrap();
+  const rows = await scanRows(createPlatform(stage), LedgerPrefix.grant);
   rows.map(parseGrant).forEach(({ budget, size, spent, holder }) => {
     if (!sites.includes(holder.dataCentre)) return;
     held.set(budget, (held.get(budget) ?? 0) + size - spent);
@@ -80,8 +82,18 @@
   return held;
 }
 
+// The stand-ins may be losing answers just now.
+async function scanRows(platform: Platform, prefix: string): Promise<Row[]> {
+  let rows = await platform.table.scan(prefix);
+  while (rows.err) {
+    await pause(RETRY_MS);
+    rows = await platform.table.scan(prefix);
+  }
+  return rows.val;
+}
+
 async function readTopUps(platform: Platform): Promise<StandinRecord['topUps']> {
-  const rows = (await platform.table.scan(LedgerPrefix.topUp)).unwrap();
+  const rows = await scanRows(platform, LedgerPrefix.topUp);
   return rows.map((row) => {
     const name = row.key.slice(LedgerPrefix.topUp.length);
     const { tokens, at } = parseTopUp(row);
--- a/packages/replay/src/stage.ts
+++ b/packages/replay/src/stage.ts
@@ -24,6 +24,8 @@
   operatorsUrl: string;
   /** Whether the balancer sends it requests. */
   isReady: boolean;
+  /** Whether a fault has stopped it or is restarting it. */
+  isInHand: boolean;
 }
 
 /** A model engine or a server of the plain service. */
@@ -117,7 +119,7 @@
     await control('/target', { link: link.id, target: String(listening.peersAddress) });
     const callersUrl = `http://${String(listening.callersAddress)}`;
     const operatorsUrl = `http://${String(listening.operatorsAddress)}`;
-    return { name, site, link, program, callersUrl, operatorsUrl, isReady: true };
+    return { name, site, link, program, callersUrl, operatorsUrl, isReady: true, isInHand: false };
   }
 
   const starts = deployment.sites.flatMap((site) =>
@@ -152,7 +154,7 @@
     },
     async restart(instance) {
       const started = await startInstance(instance.name, instance.site, instance.link);
-      Object.assign(instance, started);
+      Object.assign(instance, { ...started, isInHand: instance.isInHand });
     },
     async callOperator(instance, method, path, body) {
       const answer = await callHttp({
--- a/packages/requests/src/registry.ts
+++ b/packages/requests/src/registry.ts
@@ -75,8 +75,8 @@
   /** Named requests that this instance runs or has run. */
   const own = createEntries(host);
   let view = readView();
-  let previousView = view;
-  let changedAt = -Infinity;
+  /** Views of the last seconds, the oldest first. */
+  let recentViews: { view: Identity[]; until: Milliseconds }[] = [];
 
   network.handle(RegistryTopics.begin, async (_from, request) => kept.begin(request));
   network.handle(RegistryTopics.find, async (_from, request) => findHere(request));
@@ -101,25 +101,40 @@
   }
 
   function isInTransition(): boolean {
-    return clock.elapsed() - changedAt < TRANSITION_MS;
+    recentViews = recentViews.filter((recent) => clock.elapsed() < recent.until);
+    return recentViews.length > 0;
   }
 
-  // After a change of the fleet other instances may still use the old keeper. Registering with it
-  // first, and then with the new one, makes sure that any two of them meet at one keeper.
+  // After a change of the fleet other instances may still use an old keeper. Registering with the
+  // old ones first, and then with the new one, makes sure that any two of them meet at one keeper.
   async function beginInTransition(request: BeginRequest): Promise<BeginReply | undefined> {
-    const old = getKeeper(previousView, request.name);
     const next = getKeeper(view, request.name);
-    if (old === next) return beginAt(next, request);
-    const first = network.isConnected(old)
-      ? await beginAt(old, request)
-      : await findAnywhere(request);
-    if (first && first.kind !== 'run' && first.kind !== 'resume') return first;
-    if (first?.kind === 'resume') return takeOver(next, request, first);
-    const second = await beginAt(next, request);
-    if (second && second.kind !== 'run' && network.isConnected(old)) {
-      sendFinish(old, request.name, request.request, false);
+    const old = getRecentKeepers(request.name).filter((keeper) => keeper !== next);
+    const reached = old.filter((keeper) => network.isConnected(keeper));
+    const entered: string[] = [];
+    for (const keeper of reached) {
+      const reply = await beginAt(keeper, request);
+      if (reply?.kind === 'resume') return takeOver(next, request, reply);
+      if (reply && reply.kind !== 'run') {
+        withdraw(entered, request);
+        return reply;
+      }
+      entered.push(keeper);
     }
-    return second;
+    const found = reached.length < old.length ? await findAnywhere(request) : undefined;
+    if (found?.kind === 'resume') return takeOver(next, request, found);
+    const last = found ?? (await beginAt(next, request));
+    if (last && last.kind !== 'run') withdraw(entered, request);
+    return last;
+  }
+
+  function withdraw(keepers: string[], { name, request }: BeginRequest): void {
+    keepers.forEach((keeper) => sendFinish(keeper, name, request, false));
+  }
+
+  function getRecentKeepers(name: RequestName): string[] {
+    const keepers = recentViews.map((recent) => getKeeper(recent.view, name));
+    return [...new Set(keepers)];
   }
 
   // Entered at the new keeper, so that only one retry follows the stream.
@@ -171,7 +186,7 @@
     const body = { name, request, isKept };
     const { finish } = RegistryTopics;
     for (let attempt = 0; attempt < FINISH_ATTEMPTS; attempt += 1) {
-      const keepers = [...new Set([getKeeper(view, name), getKeeper(previousView, name)])];
+      const keepers = [...new Set([getKeeper(view, name), ...getRecentKeepers(name)])];
       const replies = await Promise.all(
         keepers.map((keeper) => network.call(keeper, finish, body, CALL_TIMEOUT_MS)),
       );
@@ -192,17 +207,17 @@
     return Promise.all(calls);
   }
 
-  function hasMoved({ name }: Handoff): boolean {
-    return getKeeper(previousView, name) !== getKeeper(view, name);
+  function hasMoved(before: Identity[], name: RequestName): boolean {
+    return getKeeper(before, name) !== getKeeper(view, name);
   }
 
   return {
     async begin(request) {
-      const isComplete = host.isComplete();
+      const wasCertain = host.isComplete() && !isInTransition();
       const reply = await beginSomewhere(request);
       if (reply.kind === 'run' || reply.kind === 'resume') own.begin(request);
       if (reply.kind !== 'run') return reply;
-      return { ...reply, isProvisional: !isComplete || !host.isComplete() };
+      return { ...reply, isProvisional: !wasCertain || !host.isComplete() };
     },
     async noteRun(name, request, state) {
       own.setState(name, request, state);
@@ -228,10 +243,11 @@
     updateView() {
       const next = readView();
       if (isSameView(view, next)) return;
-      if (!isInTransition()) previousView = view;
+      const before = view;
+      recentViews.push({ view: before, until: clock.elapsed() + TRANSITION_MS });
       view = next;
-      changedAt = clock.elapsed();
-      handOff([...kept.list(), ...own.list()].filter(hasMoved));
+      const entries = [...kept.list(), ...own.list()];
+      handOff(entries.filter(({ name }) => hasMoved(before, name)));
     },
     count: () => kept.list().length,
   };
--- a/packages/requests/test/registry.test.ts
+++ b/packages/requests/test/registry.test.ts
@@ -57,7 +57,9 @@
 }
 
 test('the second of two is told where the first runs', async () => {
-  const { at } = setUp(['a', 'b', 'c']);
+  const { at, clock } = setUp(['a', 'b', 'c']);
+  // The fleet has just formed; after some time everybody knows it.
+  await clock.advance(10_000);
   expect(await at('a').begin('r1')).toMatchObject({ kind: 'run', isProvisional: false });
   expect(await at('b').begin('r2')).toMatchObject({ kind: 'attach', request: 'r1' });
   expect(await at('b').begin('r3', { digest: 'other' })).toEqual({ kind: 'mismatch' });
@@ -123,3 +125,19 @@
   expect(counts.filter((isCounted) => isCounted)).toHaveLength(1);
   expect(counts).not.toContain(undefined);
 });
+
+test('a name is found through changes that follow each other fast', async () => {
+  const all = setUp(['a', 'b', 'c']);
+  await all.clock.advance(10_000);
+  all.lost.add('b');
+  await all.changeView();
+  await all.at('a').begin('r1');
+  all.lost.clear();
+  all.lost.add('c');
+  await all.changeView();
+  all.lost.clear();
+  await all.changeView();
+  for (const other of ['b', 'c']) {
+    expect(await all.at(other).begin('r2')).toMatchObject({ kind: 'attach', request: 'r1' });
+  }
+});
