--- a/packages/requests/test/registry.test.ts
+++ b/packages/requests/test/registry.test.ts
@@ -33,9 +33,12 @@
       isComplete: () => getInstances().length === joined.size,
       findReservation: () => reservations.get(instance)?.() ?? undefined,
     });
-    const begin = async (request: string, changes: Partial<BeginRequest> = {}) => {
+    const start = (request: string, changes: Partial<BeginRequest> = {}) => {
       const begun = { name, digest: 'd', isIdempotent: true, runner: self, request, ...changes };
-      const reply = registry.begin(begun);
+      return registry.begin(begun);
+    };
+    const begin = async (request: string, changes: Partial<BeginRequest> = {}) => {
+      const reply = start(request, changes);
       await clock.advance(10_000);
       return reply;
     };
@@ -43,7 +46,7 @@
       const begun = { name, digest: 'd', isIdempotent: true, runner: self, request };
       return registry.confirm(begun);
     };
-    return { registry, begin, confirm, self };
+    return { registry, start, begin, confirm, self };
   }
 
   const members = new Map(instances.map((instance) => [instance, join(instance)]));
@@ -126,18 +129,23 @@
   expect(counts).not.toContain(undefined);
 });
 
-test('a name is found through changes that follow each other fast', async () => {
+test('names are found through changes that follow each other fast', async () => {
   const all = setUp(['a', 'b', 'c']);
   await all.clock.advance(10_000);
+  const names = Array.from({ length: 20 }, (_, index) => ({ account: 'x', key: `k${index}` }));
   all.lost.add('b');
+  all.fleet.cut.add('b');
   await all.changeView();
-  await all.at('a').begin('r1');
+  // All at once: the changes must fall into one transition.
+  const begun = names.map((one, index) => all.at('a').start(`r${index}`, { name: one }));
+  await all.clock.advance(100);
+  await Promise.all(begun);
+  all.fleet.cut.clear();
   all.lost.clear();
   all.lost.add('c');
   await all.changeView();
-  all.lost.clear();
-  await all.changeView();
-  for (const other of ['b', 'c']) {
-    expect(await all.at(other).begin('r2')).toMatchObject({ kind: 'attach', request: 'r1' });
-  }
+  const again = names.map((one, index) => all.at('b').start(`s${index}`, { name: one }));
+  await all.clock.advance(100);
+  const kinds = (await Promise.all(again)).map((reply) => reply.kind);
+  expect(kinds).toEqual(names.map(() => 'attach'));
 });
