--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -29,6 +29,7 @@
   .parse(process.argv);
 
 async function runDemo(usesFreePorts: boolean): Promise<void> {
+  process.on('uncaughtException', stopOnBusyPort);
   const clock = createSystemClock();
   const at = (address: string) => (usesFreePorts ? FREE_PORT : address);
   const platform = await startPlatform(
@@ -43,6 +44,8 @@
     resumeWindow: 15_000,
     cacheBlocks: 256,
     loadLag: 300,
+    eventLag: 500,
+    seed: SEED,
     checksFencing: true,
   };
   const replacements = new Map<string, string>();
@@ -63,6 +66,12 @@
   process.exit(isWhole ? 0 : 1);
 }
 
+function stopOnBusyPort(error: NodeJS.ErrnoException): void {
+  const hint = error.code === 'EADDRINUSE' ? '; try "npm start -- --free-ports"' : '';
+  process.stderr.write(`${error.message}${hint}\n`);
+  process.exit(1);
+}
+
 function createSettings(
   platform: { table: string; objects: string; membership: string },
   usesFreePorts: boolean,
--- a/packages/entry/test/harness.ts
+++ b/packages/entry/test/harness.ts
@@ -35,8 +35,8 @@
     { lag: 0, expiry: 60_000 },
   );
   const speed = { slots: 8, step, prefillRate: 1000, resumeWindow: 500 };
-  const options = { ...speed, cacheBlocks: 8, loadLag: 50, checksFencing: true };
-  const engine = createModelEngine(createSystemClock(), options);
+  const options = { ...speed, cacheBlocks: 8, loadLag: 50, eventLag: 0, seed: 1 };
+  const engine = createModelEngine(createSystemClock(), { ...options, checksFencing: true });
   const service = createPlainService(1);
   const engineAddress = await listen(engine, FREE_PORT);
   const serviceAddress = await listen(service, FREE_PORT);
--- a/packages/standins/src/faults.ts
+++ b/packages/standins/src/faults.ts
@@ -32,25 +32,44 @@
   body: unknown;
 }
 
-/** Wraps a service so that it shows faults; `PUT /standin/faults` sets them. */
-export function createFaultyHandler(random: Random, serve: Serve) {
+/** Lets requests through to a stand-in, or not; `PUT /standin/faults` sets the faults. */
+export interface FaultGate {
+  /** Whether the request may be served; otherwise it is answered already. */
+  enter(request: IncomingMessage, response: ServerResponse): Promise<boolean>;
+  /** Whether this request takes effect but gets no answer. */
+  losesAnswer(): boolean;
+}
+
+/** Creates a gate without faults. */
+export function createFaultGate(random: Random): FaultGate {
   const faults: Faults = { latency: 0, isDown: false, lostAnswerShare: 0 };
+  return {
+    async enter(request, response) {
+      if (request.url === '/standin/faults') {
+        const body = (await readBody(request)).toString('utf8');
+        Object.assign(faults, FaultsSchema.parse(JSON.parse(body)));
+        writeJson(response, 200, faults);
+        return false;
+      }
+      if (request.url?.startsWith('/standin/')) return true;
+      if (faults.latency > 0) await pause(faults.latency);
+      if (faults.isDown) writeJson(response, 503, { message: 'down' });
+      return !faults.isDown;
+    },
+    losesAnswer: () => random.fraction() < faults.lostAnswerShare,
+  };
+}
+
+/** Wraps a service so that it shows faults. */
+export function createFaultyHandler(random: Random, serve: Serve) {
+  const gate = createFaultGate(random);
 
   return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    if (!(await gate.enter(request, response))) return;
     const url = new URL(request.url ?? '/', 'http://standin');
     const body = (await readBody(request).catch(() => Buffer.alloc(0))).toString('utf8');
-    if (url.pathname === '/standin/faults') {
-      Object.assign(faults, FaultsSchema.parse(JSON.parse(body)));
-      writeJson(response, 200, faults);
-      return;
-    }
-    if (faults.latency > 0) await pause(faults.latency);
-    if (faults.isDown) {
-      writeJson(response, 503, { message: 'down' });
-      return;
-    }
     const reply = await serveSafely(serve, request, url, body);
-    if (random.fraction() < faults.lostAnswerShare) {
+    if (gate.losesAnswer()) {
       response.destroy();
       return;
     }
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -39,6 +39,8 @@
   .option('--resume-window', 'time in ms that a stream runs on without a reader', 15000)
   .option('--cache-blocks', 'blocks of the prefix cache', 256)
   .option('--load-lag', 'age of the reported load in ms', 300)
+  .option('--event-lag', 'age in ms at which cache events are published', 500)
+  .option('--seed', 'seed of injected faults', 1)
   .option('--checks-fencing', 'refuse orders with an old fencing number', false)
   .action(async (flags: Record<string, string | number | boolean>) => {
     const engine = createModelEngine(createSystemClock(), {
@@ -48,6 +50,8 @@
       resumeWindow: Number(flags['resume-window']),
       cacheBlocks: Number(flags['cache-blocks']),
       loadLag: Number(flags['load-lag']),
+      eventLag: Number(flags['event-lag']),
+      seed: Number(flags.seed),
       checksFencing: Boolean(flags['checks-fencing']),
     });
     await announceServer(engine, String(flags.address));
--- a/packages/standins/src/modelEngine.ts
+++ b/packages/standins/src/modelEngine.ts
@@ -1,8 +1,9 @@
 import http from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { z } from 'zod';
-import { createId, readBody, writeJson } from '@pomeloroad/core';
+import { createId, createRandom, readBody, writeJson } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
+import { createFaultGate } from './faults';
 import { createPrefixCache } from './prefixCache';
 import { createStreams } from './streams';
 import type { EngineSpeed, Stream, StreamState } from './streams';
@@ -23,12 +24,21 @@
   cacheBlocks: number;
   /** Age of the load that it reports. */
   loadLag: Milliseconds;
+  /** Age that a cache event must have to be published. */
+  eventLag: Milliseconds;
+  /** Seed of injected faults. */
+  seed: number;
   checksFencing: boolean;
 }
 
 /** Creates the HTTP server of a model engine stand-in. */
 export function createModelEngine(clock: Clock, options: EngineOptions): http.Server {
-  const cache = createPrefixCache(options.cacheBlocks, EVENTS_KEPT);
+  const gate = createFaultGate(createRandom(options.seed));
+  const cache = createPrefixCache(clock, {
+    capacityBlocks: options.cacheBlocks,
+    eventsKept: EVENTS_KEPT,
+    eventLag: options.eventLag,
+  });
   const streams = createStreams(clock, options, cache);
   const orders: { fencing: number; order: unknown; at: string }[] = [];
   let state: 'live' | 'leaving' = 'live';
@@ -41,6 +51,7 @@
   }
 
   async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!(await gate.enter(request, response))) return;
     const url = new URL(request.url ?? '/', 'http://engine');
     const route = `${request.method} ${url.pathname}`;
     const stream = STREAM_PATH.exec(url.pathname)?.[1];
@@ -70,6 +81,7 @@
     const { messages, max_tokens: limit } = body.data;
     const stream = streams.start(id, messages, limit, priority);
     if (!stream) writeJson(response, 409, { error: { message: 'this stream was stopped' } });
+    else if (gate.losesAnswer()) response.destroy();
     else await follow(response, stream, 0);
   }
 
--- a/packages/standins/src/prefixCache.ts
+++ b/packages/standins/src/prefixCache.ts
@@ -1,4 +1,5 @@
 import { hashText } from '@pomeloroad/core';
+import type { Clock, Milliseconds } from '@pomeloroad/core';
 
 /** Characters of a prompt that one cache block covers. */
 export const BLOCK_CHARACTERS = 256;
@@ -18,15 +19,25 @@
   events(after: number): CacheEvent[];
 }
 
-/** Creates an empty cache. Events carry on from the newest ones kept, so readers see gaps. */
-export function createPrefixCache(capacityBlocks: number, eventsKept: number): PrefixCache {
+/** Limits of a cache and of what it tells about itself. */
+export interface PrefixCacheOptions {
+  capacityBlocks: number;
+  /** Events kept; readers that are slower see gaps. */
+  eventsKept: number;
+  /** Age that an event must have to be published. */
+  eventLag: Milliseconds;
+}
+
+/** Creates an empty cache. */
+export function createPrefixCache(clock: Clock, options: PrefixCacheOptions): PrefixCache {
+  const { capacityBlocks, eventsKept, eventLag } = options;
   const blocks = new Set<string>();
-  let events: CacheEvent[] = [];
+  let events: (CacheEvent & { at: Milliseconds })[] = [];
   let sequence = 0;
 
   function publish(kind: CacheEvent['kind'], block: string): void {
     sequence += 1;
-    events.push({ sequence, kind, block });
+    events.push({ sequence, kind, block, at: clock.elapsed() });
     if (events.length > eventsKept) events = events.slice(-eventsKept);
   }
 
@@ -49,7 +60,15 @@
       prefixes.forEach(touch);
       return hits * BLOCK_CHARACTERS;
     },
-    events: (after) => events.filter((event) => event.sequence > after),
+    events(after) {
+      const newest = clock.elapsed() - eventLag;
+      const published = events.filter((event) => event.sequence > after && event.at <= newest);
+      return published.map(({ sequence: number, kind, block }) => ({
+        sequence: number,
+        kind,
+        block,
+      }));
+    },
   };
 }
 
