Close peer connections that never sent a request

A peer's connection that lost its bytes in a blackhole before the upgrade kept the peers listener open. Before: the drain had not ended after 90 s. The new test: 16 s and failed without the change, 6 ms with it.

--- a/packages/peers/src/listener.ts
+++ b/packages/peers/src/listener.ts
@@ -102,6 +102,8 @@
       sockets.close();
       return new Promise((resolve) => {
         server.close(() => resolve());
+        // A peer that went silent before its upgrade would hold the listener open.
+        server.closeAllConnections();
       });
     },
   };
--- a/packages/peers/test/network.test.ts
+++ b/packages/peers/test/network.test.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events';
+import net from 'node:net';
 import { createRandom, createSilentLog, createSystemClock } from '@pomeloroad/core';
 import type { Identity } from '@pomeloroad/core';
 import { createPeerNetwork, createTopic } from '../src';
@@ -75,6 +77,16 @@
   expect(a.network.isConnected('b')).toBe(false);
 });
 
+test('a connection without a request does not hold up the end', async () => {
+  const { network, peer } = await start('a');
+  const [host = '', port = ''] = peer.address.split(':');
+  const socket = net.connect({ host, port: Number(port) });
+  await once(socket, 'connect');
+  await network.close();
+  networks.length = 0;
+  socket.destroy();
+});
+
 test('a wrong fleet key is rejected', async () => {
   const a = await start('a', 'another-fleet-key-for-tests');
   const b = await start('b');
