Order engines through a lease with a fencing number

One instance of a data centre, placed by hashing, keeps a lease in the table and sends each engine its whole target. It stops 40% of the lease before its end by its own clock; another takes the lease after seeing no renewal for the whole duration by its own. Weighed: wall-clock expiry in the row (needs synchronous clocks) against counted renewals (chosen).

--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -46,4 +46,5 @@
   endpointLeaving: diagnostic(7001, 'info', 'endpoint is leaving'),
   endpointFailed: diagnostic(7002, 'warn', 'endpoint failed'),
   endpointRecovered: diagnostic(7003, 'info', 'endpoint answers again'),
+  orderRefused: diagnostic(7004, 'warn', 'endpoint did not take an order'),
 } as const satisfies Record<string, Diagnostic>;
--- a/packages/entry/src/engine.ts
+++ b/packages/entry/src/engine.ts
@@ -23,6 +23,7 @@
   prompt_tokens: z.number(),
   completion_tokens: z.number(),
 });
+const OrderReply = z.object({ fencing: z.number() });
 const Load = z.object({
   running: z.number(),
   queued: z.number(),
@@ -78,6 +79,8 @@
   resume(call: EngineCall, after: number, sink: EngineSink): Promise<Outcome<void, EngineError>>;
   /** Stops a stream; one that is not known yet will never start. */
   stop(address: string, stream: string): Promise<Outcome<StoppedUsage, EngineError>>;
+  /** Sends an order with the fencing number of its issuer's lease. */
+  order(address: string, fencing: number, order: object): Promise<Outcome<void, EngineError>>;
   getLoad(address: string): Promise<Outcome<LoadReport, EngineError>>;
 }
 
@@ -102,9 +105,10 @@
     address: string,
     path: string,
     schema: z.ZodType<T>,
+    body?: string,
   ): Promise<Outcome<T, EngineError>> {
     const url = `http://${address}${path}`;
-    const answer = await callHttp({ method, url, timeout: CONTROL_TIMEOUT_MS, agent });
+    const answer = await callHttp({ method, url, body, timeout: CONTROL_TIMEOUT_MS, agent });
     if (answer.err)
       return Err({ kind: 'failed', ran: answer.val.ran, message: answer.val.message });
     const parsed = schema.safeParse(parseJson(answer.val.body.toString()));
@@ -136,6 +140,11 @@
         completionTokens: value.completion_tokens,
       }));
     },
+    async order(address, fencing, order) {
+      const body = JSON.stringify({ fencing, order });
+      const taken = await control('POST', address, '/v1/orders', OrderReply, body);
+      return taken.map(() => undefined);
+    },
     getLoad: (address) => control('GET', address, '/v1/load', Load),
   };
 }
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -5,6 +5,7 @@
   createSystemClock,
   createSystemRandom,
   Diagnostics,
+  getOwner,
   repeat,
   sleep,
 } from '@pomeloroad/core';
@@ -15,7 +16,7 @@
 import type { RoutingPolicy } from '@pomeloroad/configuration';
 import { createPeerNetwork } from '@pomeloroad/peers';
 import type { Peer } from '@pomeloroad/peers';
-import { createBatchTable, createHttpPlatform } from '@pomeloroad/platform';
+import { createBatchTable, createHttpPlatform, createLease } from '@pomeloroad/platform';
 import { createAnswers, createClaims, createRegistry } from '@pomeloroad/requests';
 import type { BeginReply, BeginRequest } from '@pomeloroad/requests';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
@@ -29,6 +30,7 @@
 import { createOpener } from './named';
 import { createOperators } from './operators';
 import { createReconciler } from './reconciler';
+import { createOrders } from './orders';
 import { createPauseGuard } from './pauseGuard';
 import { createRunner } from './runner';
 import { createServiceClient } from './serviceClient';
@@ -41,6 +43,8 @@
 const TRIM_MS = 5000;
 const ADOPT_MS = 5000;
 const RECONCILE_MS = 1000;
+const ORDER_MS = 1000;
+const ORDER_LEASE_MS = 5000;
 const DRAIN_POLL_MS = 100;
 const WRITE_PATIENCE_MS = 5000;
 
@@ -139,6 +143,14 @@
   const engine = createEngine(settings);
   const loads = createLoads({ self, network, engine, endpoints, getLocalInstances });
 
+  const orders = createOrders({
+    clock,
+    log,
+    lease: createLease({ clock, table, self }, `orders/${dataCentre}`, ORDER_LEASE_MS),
+    engine,
+    dataCentre,
+    listEndpoints: () => endpoints.list().map((view) => view.endpoint),
+  });
   const budgets = createBudgetClient({ clock, random, self, network, getLocalInstances });
   const keepers = createKeepers({
     clock,
@@ -284,6 +296,11 @@
     };
   }
 
+  // Placed by hashing like the other roles; the lease decides, and a wrong view only costs a try.
+  async function pollOrders(): Promise<void> {
+    if (!isDraining && getOwner('orders', getLocalInstances()) === instance) await orders.poll();
+  }
+
   function startLoops(): void {
     const loop = (delay: Milliseconds, step: () => Promise<void>) =>
       repeat(clock, () => delay, stop.signal, step);
@@ -295,6 +312,7 @@
     loop(TRIM_MS, keepers.trim);
     loop(ADOPT_MS, keepers.adoptLost);
     loop(RECONCILE_MS, reconciler.poll);
+    loop(ORDER_MS, pollOrders);
   }
 
   async function drain(): Promise<boolean> {
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,3 +3,4 @@
 export * from './memoryTable';
 export * from './httpPlatform';
 export * from './batchTable';
+export * from './lease';
