Reconcile from the stored records; check an endpoint again before sending

A record now says that its run is provisional, and one instance of each data centre decides the stored ones after the heal, whoever survived.

--- a/packages/budgets/src/holding.ts
+++ b/packages/budgets/src/holding.ts
@@ -60,7 +60,7 @@
 /** Creates the holding of a grant: a new one, or one taken over with its witness's log. */
 export function createHolding(
   initial: Grant,
-  log: WitnessLog = { reservations: [], records: [] },
+  log: Pick<WitnessLog, 'reservations' | 'records'> = { reservations: [], records: [] },
 ): Holding {
   const reservations = new Map(log.reservations.map((entry) => [entry.id, entry]));
   let grant = initial;
--- a/packages/budgets/src/keeper.ts
+++ b/packages/budgets/src/keeper.ts
@@ -73,6 +73,8 @@
   unsettled(): SettledRecord[];
   /** Moves the grant's row forward over the records up to this ordinal, which are stored now. */
   settleRow(grant: string, sequence: number): Promise<void>;
+  /** Whether what is left of the grant is charged at its end, as the lost holder may have used it. */
+  isChargedWhole(): boolean;
   /** Closes the grant if nothing is reserved; whether it is closed now. */
   close(): Promise<boolean>;
   describe(): KeeperStatus;
@@ -374,6 +376,7 @@
         if (outcome.ok) holding.adoptSettled(outcome.val);
         else if (outcome.val.kind === 'sealed') abandon();
       }),
+    isChargedWhole: () => inherited?.log.isWhole ?? false,
     close: () =>
       exclusively(async () => {
         const isUsed = holding.reservations().size > 0 || holding.unsettled().length > 0;
@@ -381,7 +384,9 @@
         if (holding.grant().version === 0 && !holding.isUncertain()) return true;
         const spent = holding.spent();
         holding.lower(spent);
-        const outcome = await ledger.close(holding.grant(), spent, holding.sequence());
+        const outcome = inherited?.log.isWhole
+          ? await ledger.seal(holding.grant(), (row) => row.size)
+          : await ledger.close(holding.grant(), spent, holding.sequence());
         if (outcome.err && outcome.val.kind !== 'sealed') {
           holding.markUncertain();
           return false;
--- a/packages/budgets/src/keepers.ts
+++ b/packages/budgets/src/keepers.ts
@@ -256,10 +256,11 @@
     if (taken.err) return;
     const { closed, grant } = taken.val;
     const records = log.records.filter((record) => record.ordinal > closed.sequence);
-    const rest = { reservations: log.reservations, records };
+    const rest = { reservations: log.reservations, records, isWhole: log.isWhole };
     inherited.push(createKeeper(keeperHost, budget, { grant, log: rest }));
     const reservations = log.reservations.length;
-    diagnose(Diagnostics.grantAdopted, { grant: lost.id, writtenOff: 0, reservations });
+    const { isWhole } = log;
+    diagnose(Diagnostics.grantAdopted, { grant: lost.id, isWhole, reservations });
   }
 
   async function chargeGrant(lost: Grant): Promise<void> {
@@ -272,7 +273,7 @@
   async function closeInherited(): Promise<void> {
     const rest = await Promise.all(
       inherited.map(async (keeper) => {
-        await keeper.release(true);
+        if (!keeper.isChargedWhole()) await keeper.release(true);
         return (await keeper.close()) ? [] : [keeper];
       }),
     );
--- a/packages/budgets/src/topics.ts
+++ b/packages/budgets/src/topics.ts
@@ -15,6 +15,8 @@
   reservations: Reservation[];
   /** Usage records that the row may not cover yet, in order. */
   records: SettledRecord[];
+  /** Whether the holder may have spent more than this says: then the whole grant is charged. */
+  isWhole: boolean;
 }
 
 /** Whether the keeper holds the reservation. */
@@ -75,7 +77,7 @@
 
 /** Messages between the holder of a grant, its witness and its successor. */
 export const WitnessTopics = {
-  open: createTopic<{ grant: string; log: WitnessLog; isWhole: boolean }, boolean>('witness.open'),
+  open: createTopic<{ grant: string; log: WitnessLog }, boolean>('witness.open'),
   note: createTopic<{ grant: string; reservation: Reservation }, boolean>('witness.note'),
   end: createTopic<
     { grant: string; reservation: string; record?: SettledRecord; settled: number },
--- a/packages/budgets/src/types.ts
+++ b/packages/budgets/src/types.ts
@@ -56,6 +56,7 @@
   /** The caller's idempotency key, if it sent one. */
   key?: string;
   digest?: string;
+  isProvisional?: boolean;
   model: string;
   promptTokens: Tokens;
   completionTokens: Tokens;
@@ -100,6 +101,8 @@
   key?: string;
   /** Hash of the content that the key stands for. */
   digest?: string;
+  /** Whether another side of a partition may have run the request as well. */
+  isProvisional?: boolean;
   model: string;
 }
 
--- a/packages/budgets/src/witness.ts
+++ b/packages/budgets/src/witness.ts
@@ -33,11 +33,11 @@
     return known && !known.isSealed ? known : undefined;
   }
 
-  network.handle(WitnessTopics.open, async (_from, { grant, log, isWhole }) => {
+  network.handle(WitnessTopics.open, async (_from, { grant, log }) => {
     if (grants.get(grant)?.isSealed) return false;
     const reservations = new Map(log.reservations.map((entry) => [entry.id, entry]));
     const records = new Map(log.records.map((entry) => [entry.ordinal, entry]));
-    grants.set(grant, { isSealed: false, isWhole, reservations, records });
+    grants.set(grant, { isSealed: false, isWhole: log.isWhole, reservations, records });
     return true;
   });
   network.handle(WitnessTopics.note, async (_from, { grant, reservation }) => {
@@ -64,8 +64,8 @@
     if (!known) return undefined;
     if (!known.isSealed) clock.after(SEALED_RETENTION_MS, () => grants.delete(grant));
     known.isSealed = true;
-    if (known.isWhole) return undefined;
     return {
+      isWhole: known.isWhole,
       reservations: [...known.reservations.values()],
       records: [...known.records.values()].sort((a, b) => a.ordinal - b.ordinal),
     };
--- a/packages/budgets/src/witnessLink.ts
+++ b/packages/budgets/src/witnessLink.ts
@@ -41,7 +41,7 @@
 /** What a seal yields. */
 export type SealOutcome =
   | { kind: 'log'; log: WitnessLog }
-  /** The witness has no log, or let the holder spend the whole grant. */
+  /** The witness has no log. */
   | { kind: 'whole' }
   | { kind: 'unreachable' };
 
@@ -76,8 +76,8 @@
     async open(holding, witness, isWhole) {
       const { id: grant } = holding.grant();
       const reservations = [...holding.reservations().values()];
-      const log = { reservations, records: holding.unsettled() };
-      const request = { grant, log, isWhole };
+      const log = { reservations, records: holding.unsettled(), isWhole };
+      const request = { grant, log };
       const { instance } = witness;
       const reply = await network.call(instance, WitnessTopics.open, request, NOTE_TIMEOUT_MS);
       if (reply.err) return 'unreachable';
--- a/packages/entry/src/admit.ts
+++ b/packages/entry/src/admit.ts
@@ -80,7 +80,8 @@
   const left = Math.max(0, Math.min(patience, deadline - host.clock.elapsed()));
   const { account, budget, id, name, work } = request;
   const model = work.kind === 'chat' ? work.chat.model : work.call.service;
-  const draft = { account, budget, request: id, key: name?.key, digest: request.digest, model };
+  const { digest, isProvisional } = request;
+  const draft = { account, budget, request: id, key: name?.key, digest, isProvisional, model };
   return host.budgets.reserve(draft, tokens, left, placement);
 }
 
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -114,7 +114,7 @@
     const outcome = await runAttempt(run, slot, reservation, attempt);
     if (outcome.kind === 'done') {
       slot.release(isEndpointFault(outcome.end) ? 'failed' : 'ok');
-      host.reconciler.settle(request, reservation, outcome.record);
+      reservation.settle(outcome.record);
       if (isNotRun(outcome.end)) await releaseName(host, request);
       return outcome.end;
     }
@@ -152,6 +152,8 @@
   const placement = getPlacement(request, slot, attempt);
   if (!(await announcePlacement(run, reservation, placement))) return notRunHere();
   if (signal.aborted) return { kind: 'done', end: leftBeforeStart(), record: undefined };
+  await run.host.guard.pass();
+  if (slot.isLeaving()) return notRunOnLeaving();
   const call = createCall(run, placement);
   const progress = createProgress();
   const sink = createSink(run, progress);
@@ -333,6 +335,8 @@
     budget: request.budget,
     request: request.id,
     key: request.name?.key,
+    digest: request.digest,
+    isProvisional: request.isProvisional,
     model: chat.model,
     promptTokens,
     completionTokens,
@@ -353,6 +357,12 @@
   return { kind: 'done', end: refuse(refusal), record: undefined };
 }
 
+function notRunOnLeaving(): Attempt {
+  const message = 'The endpoint began to leave before the request was sent.';
+  const refusal = createRefusal('no_endpoint', 'no', message, FAILED_RETRY_MS);
+  return { kind: 'not-run', refusal, result: 'ok' };
+}
+
 function leftBeforeStart(): AnswerEnd {
   return refuse(createRefusal('endpoint_failed', 'no', 'The caller left before the start.'));
 }
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -141,7 +141,17 @@
     await Promise.all([fleet.poll(), distributor.refresh()]);
   });
   const engine = createEngine(settings);
-  const loads = createLoads({ self, network, engine, endpoints, getLocalInstances });
+  const loads = createLoads({
+    self,
+    network,
+    engine,
+    endpoints,
+    getLocalInstances,
+    getOtherInstances: () =>
+      getInstances()
+        .filter((peer) => peer.dataCentre !== dataCentre)
+        .map((peer) => peer.instance),
+  });
 
   const orders = createOrders({
     clock,
@@ -184,7 +194,15 @@
     findReservation,
   });
   const ledger = createLedger({ clock, table });
-  const reconciler = createReconciler({ self, ledger, registry });
+  const { objects } = platform;
+  const reconciler = createReconciler({
+    clock,
+    self,
+    ledger,
+    objects,
+    registry,
+    getLocalInstances,
+  });
   const runner = createRunner({
     clock,
     log,
@@ -194,7 +212,6 @@
     answers,
     claims: createClaims(clock, table, self),
     registry,
-    reconciler,
     admission,
     guard,
     engine,
@@ -286,6 +303,7 @@
       names: registry.count(),
       pendingSettlements: budgets.pending(),
       provisionalRuns: reconciler.pending(),
+      isFleetComplete: fleet.isComplete(),
       configuration: distributor.describe(),
       drains: distributor.getDrains(),
       peers: network.describe(),
@@ -357,6 +375,7 @@
 
   await fleet.poll();
   await distributor.poll();
+  await loads.poll();
   startLoops();
   const callersAddress = await callers.listen();
   const operatorsAddress = await operators.listen();
--- a/packages/entry/src/loads.ts
+++ b/packages/entry/src/loads.ts
@@ -8,7 +8,10 @@
 
 const SHARE_TIMEOUT_MS: Milliseconds = 1000;
 
-const loadsTopic = createTopic<Record<string, LoadReport>>('routing.loads');
+/** Load reports by endpoint. */
+type Reports = Record<string, LoadReport>;
+
+const loadsTopic = createTopic<Reports>('routing.loads');
 
 /** What load collection needs from its surroundings. */
 export interface LoadsHost {
@@ -17,6 +20,8 @@
   engine: Engine;
   endpoints: Endpoints;
   getLocalInstances(): string[];
+  /** Connected instances of other data centres. */
+  getOtherInstances(): string[];
 }
 
 /** Collects load reports: each endpoint is asked by one instance of its data centre. */
@@ -29,7 +34,7 @@
   const { self, network, engine, endpoints } = host;
   network.handle(loadsTopic, async (_from, reports) => takeReports(reports));
 
-  function takeReports(reports: Record<string, LoadReport>): void {
+  function takeReports(reports: Reports): void {
     Object.entries(reports).forEach(([name, report]) => endpoints.report(name, report));
   }
 
@@ -38,6 +43,13 @@
     return getOwner(endpoint.name, locals) === self.instance;
   }
 
+  async function share(instances: string[], reports: Reports): Promise<void> {
+    if (Object.keys(reports).length === 0) return;
+    const others = instances.filter((instance) => instance !== self.instance);
+    const calls = others.map((peer) => network.call(peer, loadsTopic, reports, SHARE_TIMEOUT_MS));
+    await Promise.all(calls);
+  }
+
   return {
     async poll() {
       const locals = host.getLocalInstances();
@@ -45,7 +57,7 @@
         .list()
         .map((view) => view.endpoint)
         .filter((e) => isOwn(e, locals));
-      const reports: Record<string, LoadReport> = {};
+      const reports: Reports = {};
       await Promise.all(
         own.map(async ({ name, address }) => {
           const report = await engine.getLoad(address);
@@ -53,10 +65,14 @@
         }),
       );
       takeReports(reports);
-      if (Object.keys(reports).length === 0) return;
-      const others = locals.filter((instance) => instance !== self.instance);
-      const calls = others.map((peer) => network.call(peer, loadsTopic, reports, SHARE_TIMEOUT_MS));
-      await Promise.all(calls);
+      await share(locals, reports);
+      await share(host.getOtherInstances(), pickLeaving(reports));
     },
   };
 }
+
+// Other data centres send work here only when theirs are full, but never to one that leaves.
+function pickLeaving(reports: Reports): Reports {
+  const leaving = Object.entries(reports).filter(([, report]) => report.state === 'leaving');
+  return Object.fromEntries(leaving);
+}
--- a/packages/entry/src/runHost.ts
+++ b/packages/entry/src/runHost.ts
@@ -4,7 +4,6 @@
 import type { Admission } from '@pomeloroad/routing';
 import type { Engine } from './engine';
 import type { PauseGuard } from './pauseGuard';
-import type { Reconciler } from './reconciler';
 import type { ServiceClient } from './serviceClient';
 import type { Settings } from './settings';
 
@@ -20,7 +19,6 @@
   budgets: BudgetClient;
   answers: Answers;
   claims: Claims;
-  reconciler: Reconciler;
   registry: Registry;
   admission: Admission;
   guard: PauseGuard;
--- a/packages/entry/src/serviceRun.ts
+++ b/packages/entry/src/serviceRun.ts
@@ -59,15 +59,14 @@
     const error = await runAttempt(run, slot);
     slot.release(error?.kind === 'failed' ? 'failed' : 'ok');
     if (!error) {
-      host.reconciler.settle(request, reservation, createRecord(run));
+      reservation?.settle(createRecord(run));
       return { kind: 'complete' };
     }
     excluded.add(slot.endpoint.name);
     const mayRetry = attempt < ATTEMPTS && !signal.aborted && isRetryable(run, error);
     const next = mayRetry ? await acquireSlot(host, { ...route, excluded }, deadline) : undefined;
     if (!next?.ok) {
-      const record = error.ran === 'no' ? undefined : createRecord(run);
-      host.reconciler.settle(request, reservation, record);
+      reservation?.settle(error.ran === 'no' ? undefined : createRecord(run));
       if (error.ran === 'no') await releaseName(host, request);
       return refuse(toRefusal(error));
     }
@@ -80,6 +79,8 @@
   const isKnown = !reservation || reservation.placement?.endpoint === slot.endpoint.name;
   const isPlaced = isKnown || (await reservation.place(getPlacement(request, slot, 1)));
   if (!isPlaced) return { kind: 'failed', ran: 'no', message: 'the budget keeper was lost' };
+  await host.guard.pass();
+  if (slot.isLeaving()) return { kind: 'busy', ran: 'no', message: 'the endpoint is leaving' };
   const outcome = await host.services.run(slot.endpoint.address, call, signal, {
     head: (status, headers) => answer.append({ kind: 'head', status, headers }),
     async bytes(data) {
@@ -102,6 +103,8 @@
     budget: request.budget,
     request: request.id,
     key: request.name?.key,
+    digest: request.digest,
+    isProvisional: request.isProvisional,
     model: call.service,
     promptTokens: 0,
     completionTokens: 0,
--- a/packages/replay/src/replay.ts
+++ b/packages/replay/src/replay.ts
@@ -18,10 +18,10 @@
 import { startWatcher } from './watcher';
 
 const READY_TIMEOUT_MS = 20_000;
-const SETTLE_TIMEOUT_MS = 20_000;
+const SETTLE_TIMEOUT_MS = 40_000;
 const SETTLE_POLL_MS = 250;
 /** How often in a row the ledger must be at rest before it is judged. */
-const RESTING_POLLS = 3;
+const RESTING_POLLS = 16;
 
 /** What to replay. */
 export interface ReplayOptions {
@@ -109,6 +109,7 @@
   requests: { open: number; running: number };
   pendingSettlements: number;
   provisionalRuns: number;
+  isFleetComplete: boolean;
   budgets: { reservations: number; unsettled: number; waiting: number }[];
 }
 
@@ -156,7 +157,7 @@
     (budget) => budget.reservations === 0 && budget.unsettled === 0 && budget.waiting === 0,
   );
   const pending = dump.pendingSettlements + dump.provisionalRuns;
-  return isSettled && dump.requests.running === 0 && pending === 0;
+  return isSettled && dump.isFleetComplete && dump.requests.running === 0 && pending === 0;
 }
 
 async function waitUntil(
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -62,6 +62,7 @@
     addRunning(request.account, 1);
     return {
       endpoint: view.endpoint,
+      isLeaving: () => endpoints.isLeaving(view.endpoint.name),
       release(result) {
         if (!isHeld) return;
         isHeld = false;
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -21,6 +21,8 @@
   report(name: string, report: LoadReport): void;
   /** Live endpoints that serve the target. */
   findCandidates(request: RouteRequest): EndpointView[];
+  /** Whether the endpoint is leaving, or not known any more. */
+  isLeaving(name: string): boolean;
   take(name: string): void;
   release(name: string, result: 'ok' | 'failed'): void;
   list(): EndpointView[];
@@ -68,6 +70,7 @@
         .map((entry) => entry.view())
         .filter((view) => !view.isLeaving && !excluded.has(view.endpoint.name))
         .filter((view) => isServing(view.endpoint, target)),
+    isLeaving: (name) => entries.get(name)?.view().isLeaving ?? true,
     take: (name) => entries.get(name)?.take(),
     release: (name, result) => entries.get(name)?.release(result),
     list: () => [...entries.values()].map((entry) => entry.view()),
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -35,6 +35,8 @@
 /** A place on an endpoint; must be released exactly once. */
 export interface Slot {
   endpoint: Endpoint;
+  /** Whether the endpoint has begun to leave since; then nothing may be sent to it. */
+  isLeaving(): boolean;
   release(result: 'ok' | 'failed'): void;
 }
 
