--- a/packages/replay/src/faultPlan.ts
+++ b/packages/replay/src/faultPlan.ts
@@ -29,6 +29,15 @@
 /** One kind of fault. */
 export type Fault = (typeof FaultNames)[number];
 
+/** Reads `none`, `all` or comma-joined faults; `undefined` if one is unknown. */
+export function parseFaults(text: string): Fault[] | undefined {
+  if (text === 'none') return [];
+  if (text === 'all') return [...FaultNames];
+  const names = text.split(',');
+  const known = FaultNames.filter((name) => names.includes(name));
+  return known.length === names.length ? known : undefined;
+}
+
 /** Part of the replay that passes before the first fault. */
 const START_SHARE = 0.15;
 const SLOW_ANSWER_MS = 700;
--- a/packages/replay/src/main.ts
+++ b/packages/replay/src/main.ts
@@ -1,8 +1,7 @@
 import sade from 'sade';
 import { createSystemClock } from '@pomeloroad/core';
 import { Deployments } from './deployments';
-import { FaultNames } from './faultPlan';
-import type { Fault } from './faultPlan';
+import { FaultNames, parseFaults } from './faultPlan';
 import { MUST_BE_ZERO } from './judge';
 import type { Verdict } from './judge';
 import { getTracePath } from './paths';
@@ -15,6 +14,15 @@
 const EXIT_BROKEN = 1;
 const EXIT_USAGE = 2;
 
+/** Ways of sizing grants that the product's own is compared with. */
+const BASELINES = ['even', 'central'] as const;
+
+type Compared = Pick<
+  Verdict,
+  'answered' | 'overspendTokens' | 'needlessRefusals' | 'forcedRefusals' | 'strandedTokens'
+>;
+type Baselines = Partial<Record<(typeof BASELINES)[number], Compared>>;
+
 type Flags = Record<string, string | number | boolean | undefined>;
 
 sade('replay', true)
@@ -24,6 +32,7 @@
   .option('--faults', `none, all, or some of ${FaultNames.join(', ')}`, 'none')
   .option('--partition-seconds', 'length of a partition or outage', 10)
   .option('--grants', 'adaptive, even or central', 'adaptive')
+  .option('--compare', 'replay with the baselines even and central as well')
   .option('--trace', 'a trace other than the recorded one')
   .option('--verbose', 'print the logs of all processes')
   .option('--explain', 'print each attempt that did not end as stated')
@@ -47,30 +56,31 @@
   const onLog = (name: string, line: string) => {
     if (flags.verbose) process.stderr.write(`${name}: ${line}\n`);
   };
-  const { grants } = flags;
   const options = { deployment, events, seed, faults, partition, settings: [], onLog };
-  const result = await runReplay({ clock }, { ...options, grants: String(grants) });
+  const result = await runReplay({ clock }, { ...options, grants: String(flags.grants) });
+  const baselines: Baselines = {};
+  for (const grants of flags.compare ? BASELINES : []) {
+    const { judgement } = await runReplay({ clock }, { ...options, grants });
+    baselines[grants] = pickCompared(judgement.verdict);
+  }
   const wallSeconds = Math.round((clock.elapsed() - startedAt) / MS_PER_SECOND);
   if (flags.explain) explain(result);
-  print(result.judgement.verdict, wallSeconds, Boolean(flags.json));
+  print(result.judgement.verdict, { baselines, wallSeconds }, Boolean(flags.json));
 }
 
-function parseFaults(text: string): Fault[] | undefined {
-  if (text === 'none') return [];
-  if (text === 'all') return [...FaultNames];
-  const names = text.split(',');
-  const known = FaultNames.filter((name) => names.includes(name));
-  return known.length === names.length ? known : undefined;
+function pickCompared(verdict: Verdict): Compared {
+  const { answered, overspendTokens, needlessRefusals, forcedRefusals, strandedTokens } = verdict;
+  return { answered, overspendTokens, needlessRefusals, forcedRefusals, strandedTokens };
 }
 
-function print(verdict: Verdict, wallSeconds: number, isJson: boolean): void {
+function print(verdict: Verdict, more: object, isJson: boolean): void {
   const broken = MUST_BE_ZERO.filter((figure) => verdict[figure] !== 0);
   if (!isJson) {
     Object.entries(verdict).forEach(([figure, value]) => {
       process.stdout.write(`${figure.padEnd(22)} ${value}\n`);
     });
   }
-  process.stdout.write(`${JSON.stringify({ ...verdict, wallSeconds })}\n`);
+  process.stdout.write(`${JSON.stringify({ ...verdict, ...more })}\n`);
   process.exit(broken.length === 0 ? 0 : EXIT_BROKEN);
 }
 
