--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -123,7 +123,7 @@
     id: string,
   ): Promise<Refusal | undefined> {
     const configuration = host.getConfiguration();
-    if (!configuration) return NOT_READY;
+    if (!configuration) return refuseNotReady(request);
     const credentials = getKeys(configuration).find(request.headers.authorization);
     if (!credentials) return UNAUTHORIZED;
     return route({ request, response, id, configuration, credentials });
@@ -305,12 +305,13 @@
   return createRefusal('body_too_large', 'no', `The body is larger than ${limit} bytes.`);
 }
 
-const NOT_READY = createRefusal(
-  'not_ready',
-  'no',
-  'The instance has no configuration yet.',
-  NOT_READY_RETRY_MS,
-);
+// Another instance may have run an earlier attempt under the same key.
+function refuseNotReady({ headers }: IncomingMessage): Refusal {
+  const ran = headers[CallerHeader.key] === undefined ? 'no' : 'unknown';
+  const message = 'The instance has no configuration yet.';
+  return createRefusal('not_ready', ran, message, NOT_READY_RETRY_MS);
+}
+
 const UNAUTHORIZED = createRefusal('unauthorized', 'no', 'Present a known key as a bearer token.');
 const METHOD_NOT_ALLOWED = createRefusal('method_not_allowed', 'no', 'This method is not allowed.');
 const FOREIGN_KEY = createRefusal('forbidden', 'no', 'The key was issued to another account.');
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -153,6 +153,7 @@
   if (!(await announcePlacement(run, reservation, placement))) return notRunHere();
   if (signal.aborted) return { kind: 'done', end: leftBeforeStart(), record: undefined };
   await run.host.guard.pass();
+  await run.host.refreshEndpoint(slot.endpoint);
   if (slot.isLeaving()) return notRunOnLeaving();
   const call = createCall(run, placement);
   const progress = createProgress();
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -125,6 +125,7 @@
       .filter((member) => member.role === 'instance' && member.name !== self.instance)
       .map((member) => ({ identity: toIdentity(member), address: member.address }));
     const addresses = new Set(listed.map((peer) => peer.address));
+    addresses.add(address);
     return [...listed, ...host.seeds.filter((seed) => !addresses.has(seed.address))];
   }
 
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -214,6 +214,7 @@
     registry,
     admission,
     guard,
+    refreshEndpoint: loads.refresh,
     engine,
     services: createServiceClient(settings),
   });
--- a/packages/entry/src/loads.ts
+++ b/packages/entry/src/loads.ts
@@ -27,6 +27,8 @@
 /** Collects load reports: each endpoint is asked by one instance of its data centre. */
 export interface Loads {
   poll(): Promise<void>;
+  /** Asks an engine itself if its last report is old, as for one of another data centre. */
+  refresh(endpoint: Endpoint): Promise<void>;
 }
 
 /** Creates the collection and takes the reports of the other instances. */
@@ -51,6 +53,11 @@
   }
 
   return {
+    async refresh({ name, kind, address }) {
+      if (kind !== 'engine' || !endpoints.isStale(name)) return;
+      const report = await engine.getLoad(address);
+      if (report.ok) endpoints.report(name, report.val);
+    },
     async poll() {
       const locals = host.getLocalInstances();
       const own = endpoints
--- a/packages/entry/src/runHost.ts
+++ b/packages/entry/src/runHost.ts
@@ -1,4 +1,5 @@
 import type { Clock, Identity, Log } from '@pomeloroad/core';
+import type { Endpoint } from '@pomeloroad/configuration';
 import type { BudgetClient } from '@pomeloroad/budgets';
 import type { Answers, Claims, Registry } from '@pomeloroad/requests';
 import type { Admission } from '@pomeloroad/routing';
@@ -22,6 +23,8 @@
   registry: Registry;
   admission: Admission;
   guard: PauseGuard;
+  /** Asks an engine for its state if the last report is too old to send it anything new. */
+  refreshEndpoint(endpoint: Endpoint): Promise<void>;
   engine: Engine;
   services: ServiceClient;
 }
--- a/packages/replay/src/callers.ts
+++ b/packages/replay/src/callers.ts
@@ -80,7 +80,8 @@
 function mayRetry(request: TraceRequest, { result }: Attempt): boolean {
   if (result.kind === 'answered') return false;
   if (result.kind === 'lost') return request.key !== undefined;
-  return result.ran === 'no' && RETRYABLE.has(result.code);
+  const isSafe = result.ran === 'no' || request.key !== undefined;
+  return isSafe && RETRYABLE.has(result.code);
 }
 
 async function exchange(
--- a/packages/replay/src/faultPlan.ts
+++ b/packages/replay/src/faultPlan.ts
@@ -40,6 +40,9 @@
 
 /** Part of the replay that passes before the first fault. */
 const START_SHARE = 0.15;
+/** Faults that put the membership list out of reach for the length of a partition. */
+const LIST_FAULTS: Fault[] = ['partition', 'platform-cut'];
+const LIST_MARGIN_MS = 2000;
 const SLOW_ANSWER_MS = 700;
 const LOST_ANSWER_SHARE = 0.15;
 const RESTART_DELAY_MS = 2000;
@@ -51,6 +54,7 @@
 const CONFLICTS = 4;
 const CONFLICT_INTERVAL_MS = 2500;
 const RESTART_GAP_MS = 300;
+const READY_TIMEOUT_MS = 15_000;
 const TOP_UP_TOKENS = 5000;
 const HTTP_TIMEOUT_MS = 5000;
 
@@ -66,7 +70,17 @@
   const length = Math.max(...options.events.map((event) => event.at));
   const start = length * START_SHARE;
   const rules = createRules(stage);
-  const context: Context = { stage, notes, random, start, partition: options.partition, rules };
+  const hidesList = options.faults.some((fault) => LIST_FAULTS.includes(fault));
+  const listedAt = hidesList ? start + options.partition + LIST_MARGIN_MS : start;
+  const context: Context = {
+    stage,
+    notes,
+    random,
+    start,
+    partition: options.partition,
+    listedAt,
+    rules,
+  };
   return {
     async run() {
       await Promise.all(options.faults.map((fault) => runFault(context, fault)));
@@ -80,6 +94,8 @@
   random: Random;
   start: Milliseconds;
   partition: Milliseconds;
+  /** When an endpoint leaves by the membership list: nobody can know while it is out of reach. */
+  listedAt: Milliseconds;
   rules: Rules;
 }
 
@@ -244,7 +260,7 @@
 }
 
 // One engine leaves by its own word, one by the membership list, one by the operators' order.
-async function leaveEndpoints({ stage, notes, start, random }: Context) {
+async function leaveEndpoints({ stage, notes, start, listedAt, random }: Context) {
   const engines = stage.endpoints.filter((endpoint) => endpoint.kind === 'engine');
   const first = random.integer(0, engines.length - 1);
   const [own, listed, ordered] = [0, 2, 4].map((step) => engines[(first + step) % engines.length]);
@@ -253,6 +269,8 @@
     await put(`${own.url}/standin/state`, 'leaving');
     notes.leaving.push({ endpoint: own.name, at: new Date() });
   }
+  if (ordered) await drainEndpoint(stage, notes, ordered.name);
+  await pause(listedAt - start);
   if (listed) {
     const { name, site, address } = listed;
     const member = { name, role: 'endpoint', dataCentre: site, address, incarnation: '1' };
@@ -262,7 +280,6 @@
     notes.leaving.push({ endpoint: name, at: new Date() });
     keepListed(path, body);
   }
-  if (ordered) await drainEndpoint(stage, notes, ordered.name);
 }
 
 // The list forgets members that are silent; the platform goes on announcing this one.
@@ -285,7 +302,16 @@
       const code = await instance.program.exited;
       notes.shutdowns.push({ instance: instance.name, from, to: new Date(), code });
       await stage.restart(instance);
+      await waitUntilReady(instance);
     });
     await pause(RESTART_GAP_MS);
   }
 }
+
+// As the platform does: the next one is replaced once this one serves.
+async function waitUntilReady(instance: StageInstance): Promise<void> {
+  for (let waited = 0; waited < READY_TIMEOUT_MS; waited += RESTART_GAP_MS) {
+    await pause(RESTART_GAP_MS);
+    if (instance.isReady) return;
+  }
+}
--- a/packages/replay/src/stage.ts
+++ b/packages/replay/src/stage.ts
@@ -107,6 +107,7 @@
       ...['--callers-address', FREE_PORT, '--peers-address', FREE_PORT],
       ...['--operators-address', FREE_PORT, '--advertised-address', link.address],
       ...['--source-address', getSourceAddress(sites, site)],
+      ...['--seeds', links.map((other) => other.link.address).join(',')],
       ...['--table-url', `http://${linked.table.address}`],
       ...['--objects-url', `http://${linked.objects.address}`],
       ...['--membership-url', `http://${linked.membership.address}`],
@@ -119,16 +120,19 @@
     await control('/target', { link: link.id, target: String(listening.peersAddress) });
     const callersUrl = `http://${String(listening.callersAddress)}`;
     const operatorsUrl = `http://${String(listening.operatorsAddress)}`;
-    return { name, site, link, program, callersUrl, operatorsUrl, isReady: true, isInHand: false };
+    return { name, site, link, program, callersUrl, operatorsUrl, isReady: false, isInHand: false };
   }
 
-  const starts = deployment.sites.flatMap((site) =>
-    Array.from({ length: site.instances }, async (_, index) => {
-      const link = await control('/links', { group: site.name });
-      return startInstance(`${site.name}-${index + 1}`, site.name, link as Link);
-    }),
+  const links: { name: string; site: string; link: Link }[] = [];
+  for (const site of deployment.sites) {
+    for (let index = 1; index <= site.instances; index += 1) {
+      const link = (await control('/links', { group: site.name })) as Link;
+      links.push({ name: `${site.name}-${index}`, site: site.name, link });
+    }
+  }
+  const instances = await Promise.all(
+    links.map(({ name, site, link }) => startInstance(name, site, link)),
   );
-  const instances = await Promise.all(starts);
 
   return {
     deployment,
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -5,6 +5,8 @@
 
 const FAILURES_TO_AVOID = 2;
 const AVOID_MS = 2000;
+/** Below the time in which an endpoint that leaves must get nothing new. */
+const STALE_MS = 1500;
 
 /** What the endpoint table needs from its surroundings. */
 export interface EndpointsHost {
@@ -19,6 +21,8 @@
   /** Names of endpoints that must get nothing new, by the membership list and operators. */
   setLeaving(names: Set<string>): void;
   report(name: string, report: LoadReport): void;
+  /** Whether the endpoint's last load report is too old to go by. */
+  isStale(name: string): boolean;
   /** Live endpoints that serve the target. */
   findCandidates(request: RouteRequest): EndpointView[];
   /** Whether the endpoint is leaving, or not known any more. */
@@ -34,6 +38,7 @@
   configure(endpoint: Endpoint): void;
   setListedLeaving(isListed: boolean): void;
   report(report: LoadReport): void;
+  isStale(): boolean;
   take(): void;
   release(result: 'ok' | 'failed'): void;
 }
@@ -65,6 +70,7 @@
       entries.forEach((entry, name) => entry.setListedLeaving(names.has(name)));
     },
     report: (name, report) => entries.get(name)?.report(report),
+    isStale: (name) => entries.get(name)?.isStale() ?? true,
     findCandidates: ({ target, excluded }) =>
       [...entries.values()]
         .map((entry) => entry.view())
@@ -89,6 +95,7 @@
   let inFlight = 0;
   let inFlightAtReport = 0;
   let last: LoadReport = { running: 0, queued: 0, state: 'live' };
+  let reportedAt: Milliseconds = -Infinity;
   let failures = 0;
   let avoidUntil: Milliseconds = 0;
   let isListedLeaving = false;
@@ -134,7 +141,9 @@
         isListedLeaving = isListed;
       });
     },
+    isStale: () => clock.elapsed() - reportedAt > STALE_MS,
     report(report) {
+      reportedAt = clock.elapsed();
       inFlightAtReport = inFlight;
       noteChange(() => {
         last = report;
