Measure the bench without the fault proxy in the routed path

Cause: the engines' addresses in the bench led through the replay's proxy, so its time counted as the instance's. Direct now, as the compared streams are.

--- a/packages/replay/src/bench.ts
+++ b/packages/replay/src/bench.ts
@@ -99,6 +99,7 @@
     settings: ['--queue-limit', '10000', '--default-deadline', '60000'],
     engineArgs: ['--slots', '4000', '--step', String(step), '--prefill-rate', '100000'],
     concurrency: 4000,
+    isDirect: true,
   });
   const [instance] = stage.instances;
   const [engine] = stage.endpoints;
--- a/packages/replay/src/controlBench.ts
+++ b/packages/replay/src/controlBench.ts
@@ -10,8 +10,8 @@
 import type { Stage } from './stage';
 
 const MS_PER_SECOND = 1000;
-const SETTLE_MS = 8000;
-const MEASURE_MS = 10_000;
+const SETTLE_MS = 4000;
+const MEASURE_MS = 8000;
 const CONNECT_POLL_MS = 250;
 const CONNECT_TIMEOUT_MS = 60_000;
 const BUDGET_TOKENS = 1_000_000;
--- a/packages/replay/src/stage.ts
+++ b/packages/replay/src/stage.ts
@@ -50,6 +50,8 @@
   engineArgs?: string[];
   /** Requests that an endpoint takes at the same time. */
   concurrency?: number;
+  /** Whether instances reach endpoints without the proxy, so that it does not count. */
+  isDirect?: boolean;
 }
 
 /** All processes of a replay. */
@@ -212,7 +214,7 @@
       ]);
       const target = String(program.listening.address);
       const link = await openLink(control, site.name, target);
-      const { address } = link;
+      const address = options.isDirect ? target : link.address;
       return { name, site: site.name, kind, program, url: `http://${target}`, address };
     };
     const engines = Array.from({ length: site.engines }, (_, index) => start('engine', index));
