--- a/packages/budgets/src/types.ts
+++ b/packages/budgets/src/types.ts
@@ -48,16 +48,22 @@
   row: GrantRow;
 }
 
-/** What a request cost. The bill is the sum of the settled records. */
-export interface UsageRecord {
+/** The part of a usage record that is known before dispatch. */
+export interface UsageDraft {
   account: string;
   budget: string;
   request: string;
   /** The caller's idempotency key, if it sent one. */
   key?: string;
+  /** Hash of the content that the key stands for. */
   digest?: string;
+  /** Whether another side of a partition may have run the request as well. */
   isProvisional?: boolean;
   model: string;
+}
+
+/** What a request cost. The bill is the sum of the settled records. */
+export interface UsageRecord extends UsageDraft {
   promptTokens: Tokens;
   completionTokens: Tokens;
   tokens: Tokens;
@@ -93,19 +99,6 @@
   placement?: Placement;
 }
 
-/** The part of a usage record that is known before dispatch. */
-export interface UsageDraft {
-  account: string;
-  budget: string;
-  request: string;
-  key?: string;
-  /** Hash of the content that the key stands for. */
-  digest?: string;
-  /** Whether another side of a partition may have run the request as well. */
-  isProvisional?: boolean;
-  model: string;
-}
-
 /** Why a reservation was refused. */
 export type ReservationError =
   { kind: 'exhausted'; remaining: Tokens } | { kind: 'unreachable'; message: string };
--- a/packages/budgets/test/interleavings.test.ts
+++ b/packages/budgets/test/interleavings.test.ts
@@ -1,9 +1,9 @@
 import * as fc from 'fast-check';
-import { Err, Ok } from 'ts-results';
+import { Err } from 'ts-results';
 import { createManualClock, createRandom, createSilentLog } from '@pomeloroad/core';
 import { createMemoryFleet } from '@pomeloroad/peers';
-import { createMemoryTable } from '@pomeloroad/platform';
-import type { ObjectStore, Table, Transaction } from '@pomeloroad/platform';
+import { createMemoryObjects, createMemoryTable } from '@pomeloroad/platform';
+import type { Table, Transaction } from '@pomeloroad/platform';
 import { auditLedger, createBudgetClient, createKeepers, createLedger } from '../src';
 import type { HeldReservation } from '../src';
 
@@ -77,18 +77,6 @@
   return { memory, table, plans, arrive };
 }
 
-function createMemoryObjects(): ObjectStore {
-  const objects = new Map<string, string>();
-  return {
-    async put(name, body) {
-      objects.set(name, body);
-      return Ok.EMPTY;
-    },
-    get: async (name) => Ok(objects.get(name)),
-    list: async (prefix) => Ok([...objects.keys()].filter((name) => name.startsWith(prefix))),
-  };
-}
-
 interface OpenRequest {
   held: HeldReservation;
   owner: string;
--- a/packages/budgets/test/keepers.test.ts
+++ b/packages/budgets/test/keepers.test.ts
@@ -1,8 +1,7 @@
-import { Ok } from 'ts-results';
 import { createManualClock, createRandom, createSilentLog, rankNodes } from '@pomeloroad/core';
 import type { ManualClock } from '@pomeloroad/core';
-import { createMemoryTable } from '@pomeloroad/platform';
-import type { MemoryTable, ObjectStore } from '@pomeloroad/platform';
+import { createMemoryObjects, createMemoryTable } from '@pomeloroad/platform';
+import type { MemoryTable } from '@pomeloroad/platform';
 import { createMemoryFleet } from '@pomeloroad/peers';
 import { auditLedger, BudgetTopics, createBudgetClient, createKeepers, createLedger } from '../src';
 import type { HeldReservation, UsageRecord } from '../src';
@@ -10,18 +9,6 @@
 const BUDGET = 'dispatch/routes';
 const draft = { account: 'dispatch', budget: BUDGET, request: 'r', model: 'planner' };
 
-function createMemoryObjects(): ObjectStore {
-  const objects = new Map<string, string>();
-  return {
-    async put(name, body) {
-      objects.set(name, body);
-      return Ok.EMPTY;
-    },
-    get: async (name) => Ok(objects.get(name)),
-    list: async (prefix) => Ok([...objects.keys()].filter((name) => name.startsWith(prefix))),
-  };
-}
-
 function setUp(locals?: string[]) {
   const clock = createManualClock();
   const table = createMemoryTable();
--- a/packages/entry/src/admit.ts
+++ b/packages/entry/src/admit.ts
@@ -6,6 +6,7 @@
 import type { RouteError, RouteRequest, Slot } from '@pomeloroad/routing';
 import type { RunHost } from './runHost';
 import type { RunRequest } from './runRequest';
+import { createUsageDraft } from './usage';
 
 /** How long a place on an endpoint is kept free while tokens are looked for. */
 const SLOT_PATIENCE_MS = 250;
@@ -78,11 +79,7 @@
   placement?: Placement,
 ): Promise<Outcome<HeldReservation, ReservationError>> {
   const left = Math.max(0, Math.min(patience, deadline - host.clock.elapsed()));
-  const { account, budget, id, name, work } = request;
-  const model = work.kind === 'chat' ? work.chat.model : work.call.service;
-  const { digest, isProvisional } = request;
-  const draft = { account, budget, request: id, key: name?.key, digest, isProvisional, model };
-  return host.budgets.reserve(draft, tokens, left, placement);
+  return host.budgets.reserve(createUsageDraft(request), tokens, left, placement);
 }
 
 /** Where an attempt of a request runs. */
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -1,17 +1,31 @@
 import { Err } from 'ts-results';
-import { match } from 'ts-pattern';
 import { Diagnostics, sleep } from '@pomeloroad/core';
 import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
 import type { HeldReservation, Placement, UsageRecord } from '@pomeloroad/budgets';
 import { createRefusal } from '@pomeloroad/requests';
-import type { Answer, AnswerEnd, Refusal, RunState } from '@pomeloroad/requests';
+import type { Answer, AnswerEnd, RunState } from '@pomeloroad/requests';
 import type { RouteRequest, Slot } from '@pomeloroad/routing';
 import { acquireSlot, admitRequest, getPlacement } from './admit';
 import type { ChatRequest } from './chatRequest';
 import { claimName, releaseName } from './claimName';
-import type { EngineCall, EngineError, EngineEvent, EngineSink, StoppedUsage } from './engine';
+import type { EngineCall, EngineError, EngineSink, StoppedUsage } from './engine';
 import type { RunHost } from './runHost';
+import { createProgress } from './progress';
+import type { Progress } from './progress';
 import type { RunRequest } from './runRequest';
+import { createUsageRecord } from './usage';
+import {
+  isEndpointFault,
+  isKeeperLost,
+  isNotRun,
+  leftBeforeStart,
+  notRunHere,
+  notRunOnLeaving,
+  refuse,
+  toFailure,
+  toNotRun,
+} from './chatOutcome';
+import type { Attempt } from './chatOutcome';
 
 const ATTEMPTS = 3;
 const ADMISSIONS = 3;
@@ -19,7 +33,6 @@
 const BACKLOG_EVENTS = 64;
 const STOP_ATTEMPTS = 30;
 const STOP_RETRY_MS = 1000;
-const FAILED_RETRY_MS = 1000;
 
 interface Run {
   host: RunHost;
@@ -29,43 +42,6 @@
   signal: AbortSignal;
 }
 
-/** How far a stream has come. */
-interface Progress {
-  /** Takes an event over; the text if it is new. */
-  take(event: EngineEvent): string | undefined;
-  deltas(): number;
-  /** Index of the last text, -1 before the first. */
-  lastIndex(): number;
-  usage(): Extract<EngineEvent, { kind: 'usage' }> | undefined;
-}
-
-type Attempt =
-  | { kind: 'done'; end: AnswerEnd; record: UsageRecord | undefined }
-  /** Nothing ran: another endpoint may be tried. */
-  | { kind: 'not-run'; refusal: Refusal; result: 'ok' | 'failed' };
-
-function createProgress(): Progress {
-  let deltas = 0;
-  let lastIndex = -1;
-  let usage: Extract<EngineEvent, { kind: 'usage' }> | undefined;
-  return {
-    take(event) {
-      if (event.kind === 'usage') {
-        usage = event;
-        return undefined;
-      }
-      // A resumed stream may repeat what was received before.
-      if (event.index <= lastIndex) return undefined;
-      lastIndex = event.index;
-      deltas += 1;
-      return event.text;
-    },
-    deltas: () => deltas,
-    lastIndex: () => lastIndex,
-    usage: () => usage,
-  };
-}
-
 /** Runs a chat completion to its end and settles its cost. */
 export async function runChat(
   host: RunHost,
@@ -330,20 +306,7 @@
 }
 
 function createRecord(run: Run, promptTokens: Tokens, completionTokens: Tokens): UsageRecord {
-  const { host, request, chat } = run;
-  return {
-    account: request.account,
-    budget: request.budget,
-    request: request.id,
-    key: request.name?.key,
-    digest: request.digest,
-    isProvisional: request.isProvisional,
-    model: chat.model,
-    promptTokens,
-    completionTokens,
-    tokens: promptTokens + completionTokens,
-    at: host.clock.now().toISOString(),
-  };
+  return createUsageRecord(run.host.clock, run.request, promptTokens, completionTokens);
 }
 
 function getRoute(request: RunRequest, chat: ChatRequest): RouteRequest {
@@ -351,61 +314,3 @@
   const target = { kind: 'engine' as const, model: chat.model };
   return { target, account, priority, patience, excluded: new Set() };
 }
-
-function notRunHere(): Attempt {
-  const message = 'The budget keeper was lost before the request was sent.';
-  const refusal = createRefusal('budget_unreachable', 'no', message, FAILED_RETRY_MS);
-  return { kind: 'done', end: refuse(refusal), record: undefined };
-}
-
-function notRunOnLeaving(): Attempt {
-  const message = 'The endpoint began to leave before the request was sent.';
-  const refusal = createRefusal('no_endpoint', 'no', message, FAILED_RETRY_MS);
-  return { kind: 'not-run', refusal, result: 'ok' };
-}
-
-function leftBeforeStart(): AnswerEnd {
-  return refuse(createRefusal('endpoint_failed', 'no', 'The caller left before the start.'));
-}
-
-function toNotRun(error: EngineError): Attempt {
-  const text = `The endpoint did not take the request: ${error.message}.`;
-  return match(error.kind)
-    .with('busy', () => ({
-      kind: 'not-run' as const,
-      refusal: createRefusal('overloaded', 'no', text, FAILED_RETRY_MS),
-      result: 'ok' as const,
-    }))
-    .with('rejected', () => ({
-      kind: 'done' as const,
-      end: refuse(createRefusal('invalid_request', 'no', text)),
-      record: undefined,
-    }))
-    .with('failed', () => ({
-      kind: 'not-run' as const,
-      refusal: createRefusal('endpoint_failed', 'no', text, FAILED_RETRY_MS),
-      result: 'failed' as const,
-    }))
-    .exhaustive();
-}
-
-function toFailure(error: EngineError): Refusal {
-  const text = `The endpoint failed while it ran the request: ${error.message}.`;
-  return createRefusal('endpoint_failed', 'unknown', text);
-}
-
-function isKeeperLost(end: AnswerEnd): boolean {
-  return isNotRun(end) && end.kind === 'refused' && end.refusal.code === 'budget_unreachable';
-}
-
-function isNotRun(end: AnswerEnd): boolean {
-  return end.kind === 'refused' && end.refusal.ran === 'no';
-}
-
-function isEndpointFault(end: AnswerEnd): boolean {
-  return end.kind === 'refused' && end.refusal.code === 'endpoint_failed';
-}
-
-function refuse(refusal: Refusal): AnswerEnd {
-  return { kind: 'refused', refusal };
-}
--- a/packages/entry/src/serviceRun.ts
+++ b/packages/entry/src/serviceRun.ts
@@ -8,6 +8,7 @@
 import type { RunHost } from './runHost';
 import type { RunRequest, ServiceCall } from './runRequest';
 import type { ServiceError } from './serviceClient';
+import { createUsageRecord } from './usage';
 
 const ATTEMPTS = 3;
 const BACKLOG_EVENTS = 16;
@@ -98,19 +99,7 @@
 }
 
 function createRecord({ host, request, call }: Run): UsageRecord {
-  return {
-    account: request.account,
-    budget: request.budget,
-    request: request.id,
-    key: request.name?.key,
-    digest: request.digest,
-    isProvisional: request.isProvisional,
-    model: call.service,
-    promptTokens: 0,
-    completionTokens: 0,
-    tokens: call.tokens,
-    at: host.clock.now().toISOString(),
-  };
+  return createUsageRecord(host.clock, request, call.tokens, 0);
 }
 
 function toRefusal(error: ServiceError): Refusal {
--- a/packages/replay/src/controlBench.ts
+++ b/packages/replay/src/controlBench.ts
@@ -88,8 +88,7 @@
     settings: ['--log-level', 'error'],
   });
   await waitForMesh(clock, stage, instances);
-  const [first] = stage.instances;
-  if (first) await stage.callOperator(first, 'PUT', '/v1/configuration', stage.createFile(1));
+  await applyUntilInForce(stage);
   await topUp(stage, 'bench/b0', BUDGET_TOKENS, 'first');
   await pause(SETTLE_MS);
   const before = await read(stage);
@@ -111,6 +110,18 @@
   };
 }
 
+// The membership list may still lag behind the first instances.
+async function applyUntilInForce(stage: Stage): Promise<void> {
+  const [first] = stage.instances;
+  let status: number | undefined;
+  while (first && status !== 200) {
+    const file = stage.createFile(1);
+    const answer = await stage.callOperator(first, 'PUT', '/v1/configuration', file);
+    status = answer?.status;
+    if (status !== 200) await pause(CONNECT_POLL_MS);
+  }
+}
+
 function createDeployment(instances: number, sites: number, budgets: number): Deployment {
   const names = Array.from({ length: budgets }, (_, index) => `b${index}`);
   return {
