--- a/packages/budgets/src/keepers.ts
+++ b/packages/budgets/src/keepers.ts
@@ -4,7 +4,7 @@
 import type { ObjectStore, Row, Table } from '@pomeloroad/platform';
 import type { Reservation } from './holding';
 import { createGrant, createKeeper } from './keeper';
-import type { Keeper, KeeperStatus, RecallSummary } from './keeper';
+import type { Keeper, KeeperStatus, RecallSummary } from './keeperTypes';
 import { createLedger } from './ledger';
 import { getGrantPrefix, LedgerPrefix, parseGrant } from './rows';
 import { settleKeepers } from './settlement';
--- a/packages/budgets/src/settlement.ts
+++ b/packages/budgets/src/settlement.ts
@@ -1,6 +1,6 @@
 import type { Clock, Identity } from '@pomeloroad/core';
 import type { ObjectStore } from '@pomeloroad/platform';
-import type { Keeper } from './keeper';
+import type { Keeper } from './keeperTypes';
 import type { SettledRecord } from './types';
 
 /** The prefix of the names of usage segments. */
--- /dev/null
+++ b/packages/entry/src/drain.ts
@@ -0,0 +1,76 @@
+import { Diagnostics, sleep } from '@pomeloroad/core';
+import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
+import type { BudgetClient, Keepers } from '@pomeloroad/budgets';
+import type { PeerNetwork } from '@pomeloroad/peers';
+import type { Answers, Registry } from '@pomeloroad/requests';
+import { passAnswers } from './answerSource';
+import type { Callers } from './callers';
+import type { Fleet } from './fleet';
+import type { Operators } from './operators';
+import type { Runner } from './runner';
+import type { Settings } from './settings';
+
+const POLL_MS = 100;
+
+/** The parts of an instance that a drain brings to rest. */
+export interface DrainHost {
+  clock: Clock;
+  log: Log;
+  settings: Pick<Settings, 'instance' | 'drainTimeout' | 'drainNotice'>;
+  fleet: Fleet;
+  callers: Callers;
+  operators: Operators;
+  runner: Runner;
+  budgets: BudgetClient;
+  keepers: Keepers;
+  answers: Answers;
+  registry: Registry;
+  network: PeerNetwork;
+  stopLoops(): void;
+}
+
+/** Finishes open requests, returns the grants and stops; whether nothing was cut. */
+export async function drainInstance(host: DrainHost): Promise<boolean> {
+  const { clock, log, settings, fleet, callers, operators, network } = host;
+  log(Diagnostics.instanceDraining);
+  const deadline = clock.elapsed() + settings.drainTimeout;
+  await fleet.leave();
+  await sleep(clock, settings.drainNotice);
+  const callersClosed = callers.close();
+  while (!isIdle(host) && clock.elapsed() < deadline) await sleep(clock, POLL_MS);
+  const isClosed = await closeGrants(host, deadline);
+  await passFinished(host);
+  const isWhole = isClosed && isIdle(host);
+  if (!isWhole) log(Diagnostics.drainTimedOut);
+  host.stopLoops();
+  await fleet.withdraw();
+  await Promise.all([callersClosed, operators.close(), network.close()]);
+  log(Diagnostics.instanceStopped);
+  return isWhole;
+}
+
+function isIdle({ callers, runner, budgets }: DrainHost): boolean {
+  return callers.open() === 0 && runner.running() === 0 && budgets.pending() === 0;
+}
+
+async function closeGrants(
+  { clock, keepers }: DrainHost,
+  deadline: Milliseconds,
+): Promise<boolean> {
+  for (;;) {
+    await keepers.settle();
+    if (await keepers.close()) return true;
+    if (clock.elapsed() >= deadline) return false;
+    await sleep(clock, POLL_MS);
+  }
+}
+
+// A retry of a request that was answered here must find its answer elsewhere.
+async function passFinished(host: DrainHost): Promise<void> {
+  const { fleet, network, answers, registry, settings } = host;
+  const [successor] = fleet.getLocalInstances().filter((name) => name !== settings.instance);
+  const identity = successor === undefined ? undefined : network.getIdentity(successor);
+  if (!identity) return;
+  const passed = await passAnswers(network, answers, identity.instance);
+  await registry.reassign(passed, identity);
+}
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -7,7 +7,6 @@
   Diagnostics,
   getOwner,
   repeat,
-  sleep,
 } from '@pomeloroad/core';
 import type { Identity, Milliseconds } from '@pomeloroad/core';
 import { createBudgetClient, createKeepers, createLedger } from '@pomeloroad/budgets';
@@ -21,8 +20,9 @@
 import type { BeginReply, BeginRequest } from '@pomeloroad/requests';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
 import type { RouteRequest } from '@pomeloroad/routing';
-import { passAnswers, serveAnswers } from './answerSource';
+import { serveAnswers } from './answerSource';
 import { createCallers } from './callers';
+import { drainInstance } from './drain';
 import { createEngine } from './engine';
 import { createFleet } from './fleet';
 import { createInstanceMetrics } from './instanceMetrics';
@@ -45,7 +45,6 @@
 const RECONCILE_MS = 1000;
 const ORDER_MS = 1000;
 const ORDER_LEASE_MS = 5000;
-const DRAIN_POLL_MS = 100;
 const WRITE_PATIENCE_MS = 5000;
 
 /** A running instance. */
@@ -336,42 +335,21 @@
 
   async function drain(): Promise<boolean> {
     isDraining = true;
-    log(Diagnostics.instanceDraining);
-    const deadline = clock.elapsed() + settings.drainTimeout;
-    await fleet.leave();
-    await sleep(clock, settings.drainNotice);
-    const callersClosed = callers.close();
-    await waitUntil(() => isIdle(), deadline);
-    let isClosed = false;
-    while (!isClosed && clock.elapsed() < deadline) {
-      await keepers.settle();
-      isClosed = await keepers.close();
-      if (!isClosed) await sleep(clock, DRAIN_POLL_MS);
-    }
-    await passFinished();
-    if (!isClosed || !isIdle()) log(Diagnostics.drainTimedOut);
-    stop.abort();
-    await fleet.withdraw();
-    await Promise.all([callersClosed, operators.close(), network.close()]);
-    log(Diagnostics.instanceStopped);
-    return isClosed;
-  }
-
-  // A retry of a request that was answered here must find its answer elsewhere.
-  async function passFinished(): Promise<void> {
-    const [successor] = getLocalInstances().filter((name) => name !== instance);
-    const identity = successor === undefined ? undefined : network.getIdentity(successor);
-    if (!identity) return;
-    const passed = await passAnswers(network, answers, identity.instance);
-    await registry.reassign(passed, identity);
-  }
-
-  function isIdle(): boolean {
-    return callers.open() === 0 && runner.running() === 0 && budgets.pending() === 0;
-  }
-
-  async function waitUntil(test: () => boolean, deadline: Milliseconds): Promise<void> {
-    while (!test() && clock.elapsed() < deadline) await sleep(clock, DRAIN_POLL_MS);
+    return drainInstance({
+      clock,
+      log,
+      settings,
+      fleet,
+      callers,
+      operators,
+      runner,
+      budgets,
+      keepers,
+      answers,
+      registry,
+      network,
+      stopLoops: () => stop.abort(),
+    });
   }
 
   await fleet.poll();
