Break a replay that sent nothing; apply its first file until it is in force

Now the first file is applied until it is in force, a fleet that does not serve is an error, and requests that nobody could send are a figure that must be 0.

--- a/packages/replay/src/judge.ts
+++ b/packages/replay/src/judge.ts
@@ -19,6 +19,8 @@
   answered: number;
   refused: number;
   lost: number;
+  /** Requests that no caller could send, since no instance was ready: they prove nothing. */
+  unsent: number;
   overspendTokens: number;
   falseRefusals: number;
   needlessRefusals: number;
@@ -48,6 +50,7 @@
 
 /** The figures that must be 0 in every replay. */
 export const MUST_BE_ZERO = [
+  'unsent',
   'overspendTokens',
   'billedTwice',
   'unbilled',
@@ -88,6 +91,7 @@
     answered: count('answered'),
     refused: count('refused'),
     lost: count('lost'),
+    unsent: requests.length - last.length,
     overspendTokens: oracle.getOverspend(),
     falseRefusals: counts.needlessRefusals + counts.forcedRefusals,
     ...counts,
--- a/packages/replay/src/replay.ts
+++ b/packages/replay/src/replay.ts
@@ -82,12 +82,18 @@
 
 async function prepare(clock: Clock, stage: Stage, notes: Notes): Promise<void> {
   await waitUntil(clock, READY_TIMEOUT_MS, async () => isConnected(stage));
-  await applyWeight(stage, notes, 1);
+  const isApplied = async () => {
+    await applyWeight(stage, notes, 1);
+    return notes.applied.length > 0;
+  };
+  // The membership list may still lag behind the first instances.
+  await waitUntil(clock, READY_TIMEOUT_MS, isApplied);
   const budgets = stage.deployment.accounts.flatMap((client) =>
     client.budgets.map((budget) => ({ budget: `${client.name}/${budget.name}`, ...budget })),
   );
   for (const { budget, tokens } of budgets) await topUp(stage, budget, tokens, 'first');
-  await waitUntil(clock, READY_TIMEOUT_MS, async () => isServing(stage));
+  const isReady = await waitUntil(clock, READY_TIMEOUT_MS, async () => isServing(stage));
+  if (!isReady) throw new Error('the fleet does not serve: nothing to judge');
 }
 
 async function isConnected(stage: Stage): Promise<boolean> {
