Drop events and refusal codes that nothing uses

Cause: reading the change once. Three log events and two refusal codes stood in the catalogue and the callers' interface, but no code logged or answered them; the event for a broken invariant was written by hand beside its table entry; the control bench printed one figure as two (sent and received).

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,5 +1,5 @@
 import sade from 'sade';
-import { InvariantError } from '@pomeloroad/core';
+import { Diagnostics } from '@pomeloroad/core';
 import { startInstance } from './instance';
 import { getFlag, getVariable, parseSettings, SettingDefinitions } from './settings';
 import type { SettingDefinition, SettingFault, Settings } from './settings';
@@ -69,9 +69,8 @@
 
 function stopOnBrokenInvariant(reason: unknown): void {
   const error = reason instanceof Error ? reason : new Error(String(reason));
-  const kind = error instanceof InvariantError ? 'invariant broken' : 'unexpected error';
-  process.stderr.write(
-    `${JSON.stringify({ severity: 'error', code: 1004, text: kind, stack: error.stack })}\n`,
-  );
+  const { code, severity, text } = Diagnostics.invariantBroken;
+  const at = new Date().toISOString();
+  process.stderr.write(`${JSON.stringify({ at, code, severity, text, stack: error.stack })}\n`);
   process.exit(EXIT_INVARIANT);
 }
--- a/packages/replay/src/callers.ts
+++ b/packages/replay/src/callers.ts
@@ -10,7 +10,7 @@
 const REQUEST_TIMEOUT_MS = 30_000;
 const ATTEMPTS = 5;
 const RETRY_MS = 300;
-const RETRYABLE = new Set(['draining', 'not_ready', 'endpoint_failed']);
+const RETRYABLE = new Set(['not_ready', 'endpoint_failed']);
 
 /** What one attempt of a caller came to. */
 export interface Attempt {
--- a/packages/replay/src/controlBench.ts
+++ b/packages/replay/src/controlBench.ts
@@ -29,8 +29,8 @@
   instances: number;
   sites: number;
   budgets: number;
+  /** Sent; in a full mesh an instance receives as much. */
   bytesSentPerSecond: number;
-  bytesReceivedPerSecond: number;
   /** Share of one core. */
   processorShare: number;
   memoryMegabytes: number;
@@ -102,7 +102,6 @@
     sites,
     budgets,
     bytesSentPerSecond: Math.round(rate('sent') / instances),
-    bytesReceivedPerSecond: Math.round(rate('received') / instances),
     processorShare: round(rate('processor') / instances),
     memoryMegabytes: Math.round(after.memory / instances / 1e6),
     tableReadsPerSecond: round(rate('reads')),
@@ -151,7 +150,6 @@
 
 interface Reading {
   sent: number;
-  received: number;
   processor: number;
   memory: number;
   reads: number;
@@ -181,10 +179,8 @@
   const sum = (pick: (dump: Dump) => number) => dumps.reduce((all, dump) => all + pick(dump), 0);
   const peers = (key: 'bytesSent' | 'bytesReceived') =>
     sum((dump) => dump.peers.reduce((all, peer) => all + peer[key], 0));
-  const [sent, received] = [peers('bytesSent'), peers('bytesReceived')];
   return {
-    sent: sent + received,
-    received: sent + received,
+    sent: peers('bytesSent') + peers('bytesReceived'),
     processor: sum((dump) => dump.processorSeconds),
     memory: sum((dump) => dump.memoryBytes),
     ...counts,
--- a/packages/replay/src/oracle.ts
+++ b/packages/replay/src/oracle.ts
@@ -9,7 +9,7 @@
 const ROLE_BYTES = 4;
 
 /** Codes of refusals that say that capacity is missing. */
-const CAPACITY_CODES = new Set(['overloaded', 'no_endpoint', 'deadline_exceeded']);
+const CAPACITY_CODES = new Set(['overloaded', 'no_endpoint']);
 
 /** Whether budget and capacity existed: on the refusing side, or only on the other one. */
 export type FalseRefusal = 'needless' | 'forced';
--- a/packages/requests/src/refusals.ts
+++ b/packages/requests/src/refusals.ts
@@ -17,13 +17,11 @@
   budget_unreachable: 503,
   platform_unavailable: 503,
   overloaded: 429,
-  deadline_exceeded: 504,
   no_endpoint: 503,
   endpoint_failed: 502,
   answer_too_large: 502,
   outcome_unknown: 409,
   not_ready: 503,
-  draining: 503,
 };
 
 /** Creates a refusal. */
--- a/packages/requests/src/types.ts
+++ b/packages/requests/src/types.ts
@@ -17,13 +17,11 @@
   | 'budget_unreachable'
   | 'platform_unavailable'
   | 'overloaded'
-  | 'deadline_exceeded'
   | 'no_endpoint'
   | 'endpoint_failed'
   | 'answer_too_large'
   | 'outcome_unknown'
-  | 'not_ready'
-  | 'draining';
+  | 'not_ready';
 
 /** Why a request gets no answer, and whether it ran. */
 export interface Refusal {
