Serve the users' platform: thin path from its settings to its endpoints

The product had no adapter. platform/ now reads the settings, speaks the store, decodes configuration and endpoint rows, takes requests and sends them on. The decisions live in packages/: forwarding (routes, endpoints in use, attempts, streams, repeats), escrow in budgets, affinity to shared prompt parts in routing. packages/platform becomes packages/storage, so that the name means one thing.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -14,13 +14,39 @@
     { selector: 'LabeledStatement', message: 'Labels make a loop hard to follow.' },
     { selector: 'WithStatement', message: 'with is not allowed in strict mode.' },
   ],
+  // A run of a request is one record that its steps write to; Node's responses are set up by fields.
+  'no-param-reassign': [
+    'error',
+    { props: true, ignorePropertyModificationsFor: ['run', 'response'] },
+  ],
   'import-x/prefer-default-export': 'off',
   // Schemas name the type that they check, also where it could be inferred.
   '@typescript-eslint/no-unnecessary-type-arguments': 'off',
 };
 
+// Names of the platform's wire that the product has no use for; only platform/ knows them.
+const wireNames = [
+  'x-attempt-id',
+  'x-prefix-hash',
+  'x-token-usage',
+  'x-server-stamp',
+  'x-tenant',
+  'x-expect-instance',
+  'x-not-executed',
+  'x-request-urgency',
+  'rows-tx',
+  'rows-get',
+  'rows-feed',
+  'expected_rev',
+  'api_keys',
+  'route_kind',
+  'slo_ms',
+  'POMELOROAD_SETTINGS',
+].join('|');
+const wireMessage = "Only platform/ speaks the platform's wire; decode the name there.";
+
 export default [
-  { ignores: ['**/dist/', '**/node_modules/', 'jest.config.js'] },
+  { ignores: ['**/dist/', '**/node_modules/', 'target/', 'journal/', 'jest.config.js'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -33,13 +59,26 @@
     languageOptions: {
       parserOptions: {
         projectService: false,
-        project: ['packages/*/tsconfig.json', 'tsconfig.test.json'],
+        project: ['packages/*/tsconfig.json', 'platform/tsconfig.json', 'tsconfig.test.json'],
       },
     },
     rules: houseRules,
   },
   {
-    files: ['packages/*/test/**/*.ts'],
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        { patterns: ['@pomeloroad/platform', '**/platform/src/**'] },
+      ],
+      'no-restricted-syntax': [
+        ...houseRules['no-restricted-syntax'],
+        { selector: `Literal[value=/${wireNames}/i]`, message: wireMessage },
+      ],
+    },
+  },
+  {
+    files: ['packages/*/test/**/*.ts', 'platform/test/**/*.ts'],
     languageOptions: {
       globals: { test: 'readonly', expect: 'readonly', afterEach: 'readonly', jest: 'readonly' },
     },
--- a/jest.config.js
+++ b/jest.config.js
@@ -1,7 +1,10 @@
 module.exports = {
-  testMatch: ['<rootDir>/packages/*/test/**/*.test.ts'],
+  testMatch: ['<rootDir>/packages/*/test/**/*.test.ts', '<rootDir>/platform/test/**/*.test.ts'],
   transform: { '^.+\\.ts$': ['ts-jest', { tsconfig: '<rootDir>/tsconfig.test.json' }] },
-  moduleNameMapper: { '^@pomeloroad/([a-z]+)$': '<rootDir>/packages/$1/src' },
+  moduleNameMapper: {
+    '^@pomeloroad/platform$': '<rootDir>/platform/src',
+    '^@pomeloroad/([a-z]+)$': '<rootDir>/packages/$1/src',
+  },
   testTimeout: 60_000,
   maxWorkers: 4,
 };
--- a/packages/budgets/src/audit.ts
+++ b/packages/budgets/src/audit.ts
@@ -1,6 +1,6 @@
 import { Err, Ok } from 'ts-results';
 import type { Outcome, Tokens } from '@pomeloroad/core';
-import type { ObjectStore, Row, Table } from '@pomeloroad/platform';
+import type { ObjectStore, Row, Table } from '@pomeloroad/storage';
 import {
   getCreditKey,
   getUnallocated,
--- /dev/null
+++ b/packages/budgets/src/escrow.ts
@@ -0,0 +1,41 @@
+import type { Tokens } from '@pomeloroad/core';
+import { createEscrowAccount } from './escrowAccount';
+import type { EscrowAccount } from './escrowAccount';
+import type { Escrow, EscrowHost } from './escrowTypes';
+
+/**
+ * Creates escrow over the store's rows. A budget's row counts the tokens granted to any instance; an
+ * instance spends only what it was granted, so no cut, crash or late write lets spend pass a budget.
+ */
+export function createEscrow(host: EscrowHost): Escrow {
+  const accounts = new Map<string, EscrowAccount>();
+  let limits: ReadonlyMap<string, Tokens> = new Map();
+
+  function getAccount(name: string): EscrowAccount {
+    const known = accounts.get(name);
+    if (known) return known;
+    const created = createEscrowAccount(host, name);
+    created.setLimit(limits.get(name) ?? 0);
+    accounts.set(name, created);
+    return created;
+  }
+
+  return {
+    reserve: (account, tokens, patience) => getAccount(account).reserve(tokens, patience),
+    setLimits(next) {
+      limits = next;
+      next.forEach((_limit, name) => getAccount(name));
+      accounts.forEach((account, name) => account.setLimit(next.get(name) ?? 0));
+    },
+    takeChanges(changes) {
+      changes.forEach(({ value, ...row }) => {
+        if (value !== undefined) accounts.get(row.partition)?.takeTotal({ ...row, value });
+      });
+    },
+    rebalance: () => accounts.forEach((account) => account.rebalance()),
+    async release() {
+      await Promise.all([...accounts.values()].map((account) => account.release()));
+    },
+    describe: () => [...accounts.values()].map((account) => account.describe()),
+  };
+}
--- /dev/null
+++ b/packages/budgets/src/escrowTypes.ts
@@ -0,0 +1,63 @@
+import type { Clock, Log, Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
+import type { RowChange, RowStore } from '@pomeloroad/storage';
+
+/** What escrow needs from its surroundings. */
+export interface EscrowHost {
+  clock: Clock;
+  log: Log;
+  rows: RowStore;
+  /** This life of the instance; a restart never reuses the grants of an earlier one. */
+  incarnation: string;
+  /** How many instances share the budgets, this one included. */
+  countInstances(): number;
+}
+
+/** Tokens set aside for one request. */
+export interface EscrowReservation {
+  tokens: Tokens;
+  /** Ends the reservation; what was not spent is free again. Later calls change nothing. */
+  settle(spent: Tokens): void;
+}
+
+/** Why no tokens could be set aside. */
+export type EscrowError =
+  /** What is left of the budget does not cover the request. */
+  | { kind: 'exhausted' }
+  /** What this instance holds does not cover it, and the store does not answer. */
+  | { kind: 'unreachable' };
+
+/** Escrow of one client account, as a state dump shows it. */
+export interface EscrowState {
+  account: string;
+  limit: Tokens;
+  allocated: Tokens;
+  held: Tokens;
+  free: Tokens;
+  waiting: number;
+  isUncertain: boolean;
+}
+
+/** Parts of the prepaid budgets that this instance may spend without asking. */
+export interface Escrow {
+  /** Sets tokens aside; waits at most as long as told for what others may return. */
+  reserve(
+    account: string,
+    tokens: Tokens,
+    patience: Milliseconds,
+  ): Promise<Outcome<EscrowReservation, EscrowError>>;
+  /** Takes over what each account has paid for. */
+  setLimits(limits: ReadonlyMap<string, Tokens>): void;
+  /** Takes over changes of the budgets' rows, as the store's feed tells them. */
+  takeChanges(changes: RowChange[]): void;
+  /** Fetches or returns tokens, so that each account holds what its rate of use calls for. */
+  rebalance(): void;
+  /** Returns everything that is not reserved; for the shutdown. */
+  release(): Promise<void>;
+  describe(): EscrowState[];
+}
+
+/** Table of the budgets' totals: one row for each account. */
+export const BUDGET_TABLE = 'budgets';
+
+/** Table of the grants: one row for each account and incarnation. */
+export const GRANT_TABLE = 'grants';
--- a/packages/budgets/src/index.ts
+++ b/packages/budgets/src/index.ts
@@ -8,3 +8,5 @@
 export * from './client';
 export * from './topics';
 export * from './audit';
+export * from './escrow';
+export * from './escrowTypes';
--- a/packages/budgets/src/keepers.ts
+++ b/packages/budgets/src/keepers.ts
@@ -1,7 +1,7 @@
 import { createId, Diagnostics, getOwner } from '@pomeloroad/core';
 import type { Clock, Identity, Log, Milliseconds, Tokens } from '@pomeloroad/core';
 import type { PeerNetwork } from '@pomeloroad/peers';
-import type { ObjectStore, Row, Table } from '@pomeloroad/platform';
+import type { ObjectStore, Row, Table } from '@pomeloroad/storage';
 import type { Reservation } from './holding';
 import { createGrant, createKeeper } from './keeper';
 import type { Keeper, KeeperStatus, RecallSummary } from './keeperTypes';
--- a/packages/budgets/src/ledger.ts
+++ b/packages/budgets/src/ledger.ts
@@ -1,7 +1,7 @@
 import { Err, Ok } from 'ts-results';
 import { assert } from '@pomeloroad/core';
 import type { Clock, Identity, Outcome, Tokens } from '@pomeloroad/core';
-import type { Row, Table, Transaction } from '@pomeloroad/platform';
+import type { Row, Table, Transaction } from '@pomeloroad/storage';
 import {
   getBudgetKey,
   getClosedKey,
--- a/packages/budgets/src/rows.ts
+++ b/packages/budgets/src/rows.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 import { assert } from '@pomeloroad/core';
 import type { Identity } from '@pomeloroad/core';
-import type { Row } from '@pomeloroad/platform';
+import type { Row } from '@pomeloroad/storage';
 import type { BudgetRow, CreditRow, GrantRow, TopUpRow } from './types';
 
 const Count = z.number().int().nonnegative();
--- a/packages/budgets/src/settlement.ts
+++ b/packages/budgets/src/settlement.ts
@@ -1,5 +1,5 @@
 import type { Clock, Identity } from '@pomeloroad/core';
-import type { ObjectStore } from '@pomeloroad/platform';
+import type { ObjectStore } from '@pomeloroad/storage';
 import type { Keeper } from './keeperTypes';
 import type { SettledRecord } from './types';
 
--- a/packages/budgets/test/interleavings.test.ts
+++ b/packages/budgets/test/interleavings.test.ts
@@ -2,8 +2,8 @@
 import { Err } from 'ts-results';
 import { createManualClock, createRandom, createSilentLog } from '@pomeloroad/core';
 import { createMemoryFleet } from '@pomeloroad/peers';
-import { createMemoryObjects, createMemoryTable } from '@pomeloroad/platform';
-import type { Table, Transaction } from '@pomeloroad/platform';
+import { createMemoryObjects, createMemoryTable } from '@pomeloroad/storage';
+import type { Table, Transaction } from '@pomeloroad/storage';
 import { auditLedger, createBudgetClient, createKeepers, createLedger } from '../src';
 import type { HeldReservation } from '../src';
 
--- a/packages/budgets/test/keepers.test.ts
+++ b/packages/budgets/test/keepers.test.ts
@@ -1,7 +1,7 @@
 import { createManualClock, createRandom, createSilentLog, rankNodes } from '@pomeloroad/core';
 import type { ManualClock } from '@pomeloroad/core';
-import { createMemoryObjects, createMemoryTable } from '@pomeloroad/platform';
-import type { MemoryTable } from '@pomeloroad/platform';
+import { createMemoryObjects, createMemoryTable } from '@pomeloroad/storage';
+import type { MemoryTable } from '@pomeloroad/storage';
 import { createMemoryFleet } from '@pomeloroad/peers';
 import { auditLedger, BudgetTopics, createBudgetClient, createKeepers, createLedger } from '../src';
 import type { HeldReservation, UsageRecord } from '../src';
--- a/packages/budgets/test/ledger.test.ts
+++ b/packages/budgets/test/ledger.test.ts
@@ -1,7 +1,7 @@
 import { Err } from 'ts-results';
 import { createManualClock } from '@pomeloroad/core';
-import { createMemoryTable } from '@pomeloroad/platform';
-import type { CommitError, Table } from '@pomeloroad/platform';
+import { createMemoryTable } from '@pomeloroad/storage';
+import type { CommitError, Table } from '@pomeloroad/storage';
 import { createLedger } from '../src';
 import type { Grant } from '../src';
 
--- a/packages/configuration/src/schema.ts
+++ b/packages/configuration/src/schema.ts
@@ -27,6 +27,7 @@
   z.strictObject({ kind: z.literal('round-robin') }),
   z.strictObject({ kind: z.literal('random-two') }),
   z.strictObject({ kind: z.literal('least-in-flight') }),
+  z.strictObject({ kind: z.literal('prefix-affinity') }),
 ]);
 const DEFAULT_POLICY: RoutingPolicy = { kind: 'least-in-flight' };
 
--- a/packages/configuration/src/store.ts
+++ b/packages/configuration/src/store.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod';
 import { hashText } from '@pomeloroad/core';
 import type { Clock, Outcome } from '@pomeloroad/core';
-import type { ObjectStore, Row, Table } from '@pomeloroad/platform';
+import type { ObjectStore, Row, Table } from '@pomeloroad/storage';
 import type { VersionFile } from './topics';
 import type { HeadRow, VersionRow } from './types';
 
--- a/packages/configuration/src/types.ts
+++ b/packages/configuration/src/types.ts
@@ -2,7 +2,11 @@
 
 /** How endpoints of a pool are chosen. */
 export type RoutingPolicy =
-  { kind: 'round-robin' } | { kind: 'random-two' } | { kind: 'least-in-flight' };
+  | { kind: 'round-robin' }
+  | { kind: 'random-two' }
+  | { kind: 'least-in-flight' }
+  /** Where the longest shared part of the prompt is likely cached, within a bound on the load. */
+  | { kind: 'prefix-affinity' };
 
 /** A caller's key; only the hash of its secret is stored. */
 export interface Key {
--- a/packages/configuration/test/distribution.test.ts
+++ b/packages/configuration/test/distribution.test.ts
@@ -2,8 +2,8 @@
 import { createManualClock, createSilentLog } from '@pomeloroad/core';
 import type { Identity } from '@pomeloroad/core';
 import { createMemoryFleet } from '@pomeloroad/peers';
-import { createMemoryTable } from '@pomeloroad/platform';
-import type { ObjectStore, Table } from '@pomeloroad/platform';
+import { createMemoryTable } from '@pomeloroad/storage';
+import type { ObjectStore, Table } from '@pomeloroad/storage';
 import { applyConfiguration, createConfigurationStore, createDistributor } from '../src';
 
 const FIRST = 'pools: [{ model: one }, { model: two }]';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,3 +8,5 @@
 export * from './log';
 export * from './http';
 export * from './manualClock';
+export * from './pauseGuard';
+export * from './lineWriter';
--- a/packages/core/src/log.ts
+++ b/packages/core/src/log.ts
@@ -8,11 +8,18 @@
 /** Writes numbered events. */
 export type Log = (event: Diagnostic, fields?: LogFields) => void;
 
-/** A log of JSON lines on standard error, at the given level and above. */
-export function createLog(clock: Clock, level: Severity | 'silent', base: LogFields): Log {
+/** Where a log's lines go. */
+export type WriteLine = (line: string) => void;
+
+/** A log of JSON lines at the given level and above. */
+export function createLog(
+  clock: Clock,
+  level: Severity | 'silent',
+  base: LogFields,
+  writeLine: WriteLine,
+): Log {
   const logger = loglevel.getLogger(`pomeloroad-${String(base.instance ?? '')}`);
-  // eslint-disable-next-line no-console -- loglevel's own methods go to standard output
-  logger.methodFactory = () => console.error;
+  logger.methodFactory = () => writeLine;
   logger.setLevel(level, false);
   return (event, fields) => {
     const line = {
--- a/packages/entry/src/admit.ts
+++ b/packages/entry/src/admit.ts
@@ -107,6 +107,7 @@
     const message = 'No live endpoint serves this target.';
     return createRefusal('no_endpoint', 'no', message, NO_ENDPOINT_RETRY_MS);
   }
+  const retryAfter = error.kind === 'busy' ? error.retryAfter : undefined;
   const message = 'All endpoints are busy for longer than the request may wait.';
-  return createRefusal('overloaded', 'no', message, error.retryAfter);
+  return createRefusal('overloaded', 'no', message, retryAfter);
 }
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -2,7 +2,7 @@
 import type { Clock, Identity, Milliseconds, Outcome } from '@pomeloroad/core';
 import { createTopic } from '@pomeloroad/peers';
 import type { Peer, PeerNetwork } from '@pomeloroad/peers';
-import type { Member, Membership } from '@pomeloroad/platform';
+import type { Member, Membership } from '@pomeloroad/storage';
 
 const EXCHANGE_TIMEOUT_MS = 1000;
 /** How long an instance may be silent before its requests are taken over. */
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -1,7 +1,9 @@
 import { readFileSync } from 'node:fs';
 import {
   createId,
+  createLineWriter,
   createLog,
+  createPauseGuard,
   createSystemClock,
   createSystemRandom,
   Diagnostics,
@@ -15,7 +17,7 @@
 import type { RoutingPolicy } from '@pomeloroad/configuration';
 import { createPeerNetwork } from '@pomeloroad/peers';
 import type { Peer } from '@pomeloroad/peers';
-import { createBatchTable, createHttpPlatform, createLease } from '@pomeloroad/platform';
+import { createBatchTable, createHttpPlatform, createLease } from '@pomeloroad/storage';
 import { createAnswers, createClaims, createRegistry } from '@pomeloroad/requests';
 import type { BeginReply, BeginRequest } from '@pomeloroad/requests';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
@@ -31,11 +33,11 @@
 import { createOperators } from './operators';
 import { createReconciler } from './reconciler';
 import { createOrders } from './orders';
-import { createPauseGuard } from './pauseGuard';
 import { createRunner } from './runner';
 import { createServiceClient } from './serviceClient';
 import type { Settings } from './settings';
 
+const STANDARD_OUTPUT = 1;
 const FLEET_POLL_MS = 1000;
 const CONFIGURATION_POLL_MS = 500;
 const LOAD_POLL_MS = 500;
@@ -63,7 +65,8 @@
   const random = createSystemRandom();
   const { instance, dataCentre } = settings;
   const self: Identity = { instance, dataCentre, incarnation: createId() };
-  const log = createLog(clock, settings.logLevel, { ...self });
+  const lines = createLineWriter(clock, STANDARD_OUTPUT);
+  const log = createLog(clock, settings.logLevel, { ...self }, lines.write);
   const stop = new AbortController();
   let isDraining = false;
   let isTableSilent = false;
@@ -250,7 +253,7 @@
 
   function refreshRouting(): void {
     const configuration = getConfiguration();
-    if (configuration) endpoints.configure(configuration);
+    if (configuration) endpoints.configure(configuration.endpoints);
     const drained = Object.keys(distributor.getDrains());
     endpoints.setLeaving(new Set([...drained, ...fleet.getLeavingEndpoints()]));
     admission.wake();
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -10,7 +10,7 @@
 import type { Ledger } from '@pomeloroad/budgets';
 import { applyConfiguration, parseConfiguration } from '@pomeloroad/configuration';
 import type { ApplyError, ApplyHost, Distributor } from '@pomeloroad/configuration';
-import type { Platform } from '@pomeloroad/platform';
+import type { Platform } from '@pomeloroad/storage';
 import type { Settings } from './settings';
 
 const BODY_LIMIT_BYTES = 64 * 1024 * 1024;
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -2,7 +2,7 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
-import type { Lease } from '@pomeloroad/platform';
+import type { Lease } from '@pomeloroad/storage';
 import type { Engine } from './engine';
 
 /** How often an order that was taken is sent again, since an engine may have restarted. */
--- a/packages/entry/src/reconciler.ts
+++ b/packages/entry/src/reconciler.ts
@@ -2,7 +2,7 @@
 import type { Clock, Identity } from '@pomeloroad/core';
 import { parseSegment, SEGMENT_PREFIX } from '@pomeloroad/budgets';
 import type { Ledger, SettledRecord } from '@pomeloroad/budgets';
-import type { ObjectStore } from '@pomeloroad/platform';
+import type { ObjectStore } from '@pomeloroad/storage';
 import type { Registry } from '@pomeloroad/requests';
 
 const DAY_MS = 86_400_000;
--- a/packages/entry/src/runHost.ts
+++ b/packages/entry/src/runHost.ts
@@ -1,10 +1,9 @@
-import type { Clock, Identity, Log } from '@pomeloroad/core';
+import type { Clock, Identity, Log, PauseGuard } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
 import type { BudgetClient } from '@pomeloroad/budgets';
 import type { Answers, Claims, Registry } from '@pomeloroad/requests';
 import type { Admission } from '@pomeloroad/routing';
 import type { Engine } from './engine';
-import type { PauseGuard } from './pauseGuard';
 import type { ServiceClient } from './serviceClient';
 import type { Settings } from './settings';
 
--- /dev/null
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -0,0 +1,23 @@
+import type { Clock, Log, Random } from '@pomeloroad/core';
+import type { Escrow } from '@pomeloroad/budgets';
+import type { Admission } from '@pomeloroad/routing';
+import type { EndpointDirectory } from './endpointDirectory';
+import type { ForwardMetrics } from './forwardMetrics';
+import type { RetryBudget } from './retryBudget';
+import type { EndpointProtocol, ForwardService } from './types';
+
+/** What forwarding needs from its surroundings. */
+export interface ForwardHost<Payload> {
+  clock: Clock;
+  random: Random;
+  log: Log;
+  escrow: Escrow;
+  admission: Admission;
+  directory: EndpointDirectory;
+  retryBudget: RetryBudget;
+  protocol: EndpointProtocol<Payload>;
+  metrics: ForwardMetrics;
+  findService(name: string): ForwardService | undefined;
+  /** Resolves at once, or after a pause of the process once its beliefs are read again. */
+  confirmBeliefs(): Promise<void>;
+}
--- a/packages/replay/src/record.ts
+++ b/packages/replay/src/record.ts
@@ -1,8 +1,8 @@
 import { callHttp, createSystemClock, hashText } from '@pomeloroad/core';
 import { auditLedger, LedgerPrefix, parseGrant, parseTopUp } from '@pomeloroad/budgets';
 import type { Audit } from '@pomeloroad/budgets';
-import { createHttpPlatform } from '@pomeloroad/platform';
-import type { Platform, Row } from '@pomeloroad/platform';
+import { createHttpPlatform } from '@pomeloroad/storage';
+import type { Platform, Row } from '@pomeloroad/storage';
 import type { CallRecord, StreamRecord } from '@pomeloroad/standins';
 import { pause } from './pause';
 import type { Stage, StageEndpoint } from './stage';
--- a/packages/requests/src/claims.ts
+++ b/packages/requests/src/claims.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod';
 import { sleep } from '@pomeloroad/core';
 import type { Clock, Identity, Outcome } from '@pomeloroad/core';
-import type { Table } from '@pomeloroad/platform';
+import type { Table } from '@pomeloroad/storage';
 import type { RequestName } from './types';
 
 const CLAIM_PREFIX = 'claim/';
--- a/packages/requests/test/requests.test.ts
+++ b/packages/requests/test/requests.test.ts
@@ -1,5 +1,5 @@
 import { createManualClock } from '@pomeloroad/core';
-import { createMemoryTable } from '@pomeloroad/platform';
+import { createMemoryTable } from '@pomeloroad/storage';
 import { createAnswer, createAnswers, createClaims, issueKey, parseIssuedKey } from '../src';
 import type { AnswerEvent } from '../src';
 
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -48,10 +48,13 @@
     const candidates = endpoints.findCandidates(request);
     if (candidates.length === 0) return Err({ kind: 'none' });
     const free = candidates.filter(hasRoom);
-    const preferred = preferCandidates(free, host.dataCentre);
+    const policy = host.getPolicy(request);
+    // What an engine has read already is worth more than a short way.
+    const near = policy.kind === 'prefix-affinity' ? undefined : host.dataCentre;
+    const preferred = preferCandidates(free, near);
     if (preferred.length === 0) return Err({ kind: 'busy', retryAfter: estimateWait(candidates) });
     turns += 1;
-    const view = chooseEndpoint(host.getPolicy(request), preferred, random, turns);
+    const view = chooseEndpoint(policy, preferred, { random, turn: turns, prefix: request.prefix });
     return Ok(takeSlot(request, view));
   }
 
@@ -126,6 +129,12 @@
     });
   }
 
+  function abandon(waiter: Waiter): void {
+    if (!waiters.includes(waiter)) return;
+    removeWaiter(waiter);
+    waiter.resolve(Err({ kind: 'abandoned' }));
+  }
+
   function watch(): void {
     if (waiters.length === 0) return;
     clock.after(RECHECK_MS, () => {
@@ -138,14 +147,16 @@
     async acquire(request) {
       const isFirst = waiters.length === 0;
       const outcome = isFirst ? tryRoute(request) : tryBehindWaiters(request);
-      if (outcome.ok || outcome.val.kind === 'none') return outcome;
+      if (outcome.ok || outcome.val.kind !== 'busy') return outcome;
       // Refused at once if its turn would come too late anyway.
       const isHopeless = outcome.val.retryAfter > request.patience;
       if (isHopeless || waiters.length >= queueLimit) return outcome;
       return new Promise((resolve) => {
         const deadline = clock.elapsed() + request.patience;
         turns += 1;
-        waiters.push({ request, deadline, order: turns, resolve });
+        const waiter = { request, deadline, order: turns, resolve };
+        waiters.push(waiter);
+        request.signal?.addEventListener('abort', () => abandon(waiter), { once: true });
         if (isFirst) watch();
         pump();
       });
@@ -162,7 +173,7 @@
 }
 
 // Endpoints that fail are a last resort, and another data centre is better than those.
-function preferCandidates(free: EndpointView[], dataCentre: string): EndpointView[] {
+function preferCandidates(free: EndpointView[], dataCentre: string | undefined): EndpointView[] {
   const healthy = free.filter((view) => !view.isFailing);
   const local = healthy.filter((view) => view.endpoint.dataCentre === dataCentre);
   if (local.length > 0) return local;
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -1,6 +1,6 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
-import type { Configuration, Endpoint } from '@pomeloroad/configuration';
+import type { Endpoint } from '@pomeloroad/configuration';
 import type { EndpointView, LoadReport, RouteRequest } from './types';
 
 const FAILURES_TO_AVOID = 2;
@@ -16,8 +16,8 @@
 
 /** The endpoints that this instance knows, and what it knows about them. */
 export interface Endpoints {
-  /** Takes over a configuration; counts of running requests stay. */
-  configure(configuration: Configuration): void;
+  /** Takes over the list; counts of running requests stay. */
+  configure(endpoints: Endpoint[]): void;
   /** Names of endpoints that must get nothing new, by the membership list and operators. */
   setLeaving(names: Set<string>): void;
   report(name: string, report: LoadReport): void;
@@ -55,11 +55,11 @@
   }
 
   return {
-    configure(configuration) {
-      const names = new Set(configuration.endpoints.map((endpoint) => endpoint.name));
+    configure(listed) {
+      const names = new Set(listed.map((endpoint) => endpoint.name));
       const removed = [...entries.keys()].filter((name) => !names.has(name));
       removed.forEach((name) => entries.delete(name));
-      configuration.endpoints.forEach((endpoint) => {
+      listed.forEach((endpoint) => {
         const known = entries.get(endpoint.name);
         if (known) known.configure(endpoint);
         else addEntry(endpoint);
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from '@pomeloroad/core';
+import type { Milliseconds, Tokens } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
 
 /** What an endpoint last said about its load. */
@@ -19,6 +19,12 @@
   isFailing: boolean;
 }
 
+/** A part of a prompt; requests share parts, and engines keep what they have read. */
+export interface PromptPart {
+  id: string;
+  tokens: Tokens;
+}
+
 /** What a request asks of routing. */
 export interface RouteRequest {
   /** The model or the plain service. */
@@ -30,6 +36,10 @@
   patience: Milliseconds;
   /** Endpoints that failed this request before. */
   excluded: ReadonlySet<string>;
+  /** Shared parts of the prompt, in order. */
+  prefix?: PromptPart[];
+  /** Aborted when the caller has left: a waiting request leaves the queue. */
+  signal?: AbortSignal;
 }
 
 /** A place on an endpoint; must be released exactly once. */
@@ -45,4 +55,6 @@
   /** No live endpoint serves the target. */
   | { kind: 'none' }
   /** All are busy; the wait would be longer than the request's patience. */
-  | { kind: 'busy'; retryAfter: Milliseconds };
+  | { kind: 'busy'; retryAfter: Milliseconds }
+  /** The caller left while the request waited. */
+  | { kind: 'abandoned' };
--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -17,7 +17,7 @@
   )}${endpoint('t1', 'tacoma', 3)}`;
   const configuration = parseConfiguration(file).unwrap();
   const endpoints = createEndpoints({ clock, log: createSilentLog() });
-  endpoints.configure(configuration);
+  endpoints.configure(configuration.endpoints);
   const admission = createAdmission(
     {
       clock,
@@ -117,7 +117,7 @@
     const { endpoints, random } = setUp();
     const seen = new Set<string>();
     for (let turn = 0; turn < 50; turn += 1) {
-      const view = chooseEndpoint({ kind }, endpoints.list(), random, turn);
+      const view = chooseEndpoint({ kind }, endpoints.list(), { random, turn });
       seen.add(view.endpoint.name);
     }
     expect(seen.size).toBe(3);
--- a/packages/standins/src/membershipService.ts
+++ b/packages/standins/src/membershipService.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
-import type { Member } from '@pomeloroad/platform';
+import type { Member } from '@pomeloroad/storage';
 import type { Serve } from './faults';
 
 const MEMBERS_PATH = '/v1/members';
--- a/packages/standins/src/tableService.ts
+++ b/packages/standins/src/tableService.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { createMemoryTable } from '@pomeloroad/platform';
+import { createMemoryTable } from '@pomeloroad/storage';
 import type { Serve, StandinReply } from './faults';
 
 const ROWS_LIMIT = 100;
--- a/packages/platform/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -5,3 +5,5 @@
 export * from './httpPlatform';
 export * from './batchTable';
 export * from './lease';
+export * from './rowStore';
+export * from './memoryRowStore';
--- /dev/null
+++ b/packages/storage/src/memoryRowStore.ts
@@ -0,0 +1,48 @@
+import { Err, Ok } from 'ts-results';
+import type { RowCheck, RowKey, RowStore, VersionedRow } from './rowStore';
+
+/** A row store in memory, for tests; its feed answers at once. */
+export function createMemoryRowStore(): RowStore {
+  const rows = new Map<string, VersionedRow>();
+  const removed = new Map<string, RowKey & { version: number }>();
+  let version = 0;
+
+  function isHolding(check: RowCheck): boolean {
+    return (rows.get(toText(check))?.version ?? 0) === check.version;
+  }
+
+  return {
+    async transact({ checks, puts, removals }) {
+      if (!checks.every(isHolding)) {
+        const found = checks.map((check) => rows.get(toText(check)));
+        return Err({ kind: 'conflict', rows: found.filter((row) => row !== undefined) });
+      }
+      version += 1;
+      puts.forEach((put) => rows.set(toText(put), { ...put, version }));
+      removals.forEach((row) => {
+        rows.delete(toText(row));
+        removed.set(toText(row), { ...row, version });
+      });
+      return Ok(version);
+    },
+    async list(table, partition) {
+      const found = [...rows.values()].filter(
+        (row) => row.table === table && row.partition === partition,
+      );
+      return Ok({ rows: found, version });
+    },
+    async follow(table, after) {
+      const isNew = (row: RowKey & { version: number }) =>
+        row.table === table && row.version > after;
+      const changes = [
+        ...[...rows.values()].filter(isNew),
+        ...[...removed.values()].filter(isNew).map((row) => ({ ...row, value: undefined })),
+      ];
+      return Ok({ changes, version });
+    },
+  };
+}
+
+function toText({ table, partition, key }: RowKey): string {
+  return JSON.stringify([table, partition, key]);
+}
