Hold a reserve for cuts that a quick restart gives back

Now a grant has a ceiling and a reserve. The reserve is spent only after the lease has run out, so that a successor that finds a young lease gives it back. Requests that find the store silent are told to come back when the lease has run out, and no request waits for a store that is known to be silent.

Balancing makes one change a tick now.

--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -3,8 +3,10 @@
 import type { Milliseconds, Outcome, Timer, Tokens } from '@pomeloroad/core';
 import type { RowCheck, TransactError, VersionedRow } from '@pomeloroad/storage';
 import { findRow, getGrantKey, getTotalKey, parseGrant, parseTotal } from './escrowRows';
+import type { Grant } from './escrowRows';
 import type { EscrowError, EscrowHost, EscrowReservation, EscrowState } from './escrowTypes';
-import { getTarget } from './escrowSizing';
+import { getGrantTarget } from './escrowSizing';
+import type { GrantTarget } from './escrowSizing';
 import { createRateMeter } from './rate';
 
 /** Time constant of the rate at which tokens are reserved. */
@@ -15,8 +17,9 @@
 const FRUGAL_MS = 1500;
 /** How often the others are asked to return tokens, at most. */
 const CALL_INTERVAL_MS = 1000;
-/** How long a store that did not answer is taken to be unreachable. */
-const SILENT_MS = 300;
+
+/** Pause after the store refused a call. */
+const REFUSED_RETRY_MS = 60;
 
 /** Escrow of one client account. */
 export interface EscrowAccount {
@@ -27,6 +30,8 @@
   rebalance(): void;
   /** Returns everything that is not reserved. */
   release(): Promise<void>;
+  /** Whether the grant's row covers what is spent or set aside. */
+  isCovered(): boolean;
   describe(): EscrowState;
 }
 
@@ -37,9 +42,8 @@
   resolve(outcome: Outcome<EscrowReservation, EscrowError>): void;
 }
 
-/** A change of what is held whose fate is not known yet. */
-interface Change {
-  tokens: Tokens;
+/** A change of the grant whose fate is not known yet. */
+interface Change extends Grant {
   isCall: boolean;
   checks: RowCheck[];
 }
@@ -53,14 +57,15 @@
   let limit: Tokens = 0;
   let total = { allocated: 0, calls: 0, version: 0 };
   let readAt: Milliseconds = -Infinity;
-  let grant = { held: 0, version: 0 };
-  let free: Tokens = 0;
+  let grant = { held: 0, ceiling: 0, version: 0 };
+  /** Tokens spent or set aside. */
+  let used: Tokens = 0;
   let waiters: Waiter[] = [];
   let change: Change | undefined;
   let frugalUntil: Milliseconds = -Infinity;
   let calledAt: Milliseconds = -Infinity;
-  let silentUntil: Milliseconds = -Infinity;
   let isReleased = false;
+  let isUnbalanced = false;
   let isWanted = false;
   let working: Promise<void> | undefined;
 
@@ -69,13 +74,11 @@
     patience: Milliseconds,
   ): Promise<Outcome<EscrowReservation, EscrowError>> {
     rate.add(tokens);
-    if (waiters.length === 0 && tokens <= free) {
-      const reservation = take(tokens);
-      work();
-      return Promise.resolve(Ok(reservation));
+    if (waiters.length === 0 && tokens <= getFree()) {
+      return Promise.resolve(Ok(take(tokens)));
     }
     // No request waits for a store that is known not to answer.
-    if (clock.elapsed() < silentUntil) return Promise.resolve(Err({ kind: 'unreachable' }));
+    if (host.isStoreSilent()) return Promise.resolve(Err({ kind: 'unreachable' }));
     return new Promise((resolve) => {
       const timer = clock.after(patience, () => expire(waiter));
       const waiter: Waiter = { tokens, since: clock.elapsed(), timer, resolve };
@@ -86,13 +89,13 @@
 
   function take(tokens: Tokens): EscrowReservation {
     let isOpen = true;
-    free -= tokens;
+    used += tokens;
     return {
       tokens,
       settle(spent) {
         if (!isOpen) return;
         isOpen = false;
-        free += Math.max(0, tokens - spent);
+        used -= Math.max(0, tokens - spent);
         if (waiters.length > 0) work();
       },
     };
@@ -100,7 +103,7 @@
 
   function expire(waiter: Waiter): void {
     const isRead = readAt >= waiter.since;
-    const isCovered = waiter.tokens <= free + getRoom();
+    const isCovered = waiter.tokens <= getFree() + getRoom();
     finish(waiter, Err({ kind: isRead && !isCovered ? 'exhausted' : 'unreachable' }));
   }
 
@@ -110,6 +113,11 @@
     waiter.resolve(outcome);
   }
 
+  function balance(): void {
+    isUnbalanced = true;
+    work();
+  }
+
   // One transaction at a time: the next one's conditions depend on this one's outcome.
   function work(): void {
     isWanted = true;
@@ -128,7 +136,7 @@
 
   function serveWaiters(): void {
     [...waiters].forEach((waiter) => {
-      if (waiter.tokens <= free) finish(waiter, Ok(take(waiter.tokens)));
+      if (waiter.tokens <= getFree()) finish(waiter, Ok(take(waiter.tokens)));
     });
   }
 
@@ -136,139 +144,145 @@
   async function takeStep(): Promise<boolean> {
     if (change) return commit(change);
     if (waiters.length > 0) return fetchMissing();
-    const wanted = getAdjustment();
-    return wanted === 0 ? false : commit(createChange(wanted, false));
+    return isUnbalanced && adjust();
+  }
+
+  // One change for each call to balance: what is given back raises the target of the next one.
+  async function adjust(): Promise<boolean> {
+    isUnbalanced = false;
+    if (host.isStoreSilent() || !isOffBalance(getTarget())) return false;
+    return commit(createChange(plan(0), false));
   }
 
   async function fetchMissing(): Promise<boolean> {
-    const room = getRoom();
-    const missing = getMissing();
-    if (missing <= room) {
-      const ahead = Math.min(getSpareTarget(room - missing), room - missing);
-      return commit(createChange(missing + ahead, false));
-    }
+    const needed = waiters.reduce((sum, waiter) => sum + waiter.tokens, 0);
+    const most = grant.held + getRoom() - used;
+    if (needed <= most) return commit(createChange(plan(needed), false));
     if (clock.elapsed() - readAt > FRESH_MS) return refresh();
     const smallest = Math.min(...waiters.map((waiter) => waiter.tokens));
-    if (smallest - free <= room) return commit(createChange(Math.max(0, smallest - free), false));
+    if (smallest <= most) return commit(createChange(plan(smallest), false));
     if (clock.elapsed() - calledAt < CALL_INTERVAL_MS) return false;
     calledAt = clock.elapsed();
-    return commit(createChange(0, true));
+    return commit(createChange(grant, true));
   }
 
-  function getMissing(): Tokens {
-    return Math.max(0, waiters.reduce((sum, waiter) => sum + waiter.tokens, 0) - free);
+  // What may be set aside now. A change on its way counts where it lowers that.
+  function getFree(): Tokens {
+    const { held, ceiling } = grant;
+    const limits =
+      host.getLeaseLeft() <= 0
+        ? [held, change?.held ?? held]
+        : [ceiling, change?.ceiling ?? ceiling];
+    return Math.min(...limits) - used;
   }
 
   function getRoom(): Tokens {
     return Math.max(0, limit - total.allocated);
   }
 
-  function getSpareTarget(room: Tokens): Tokens {
-    if (isReleased || clock.elapsed() < frugalUntil) return 0;
-    return getTarget({ rate: rate.perSecond(), room, instances: host.countInstances() });
+  function getTarget(): GrantTarget {
+    if (isReleased || clock.elapsed() < frugalUntil) return { spare: 0, reserve: 0 };
+    const room = getRoom();
+    return getGrantTarget({ rate: rate.perSecond(), room, instances: host.countInstances() });
   }
 
   // Only a clear difference is worth a transaction.
-  function getAdjustment(): Tokens {
-    if (clock.elapsed() < silentUntil) return 0;
-    const target = getSpareTarget(getRoom());
-    if (free > target * 2 || (target === 0 && free > 0)) return target - free;
-    return free < target / 2 ? target - free : 0;
+  function isOffBalance({ spare, reserve: forCuts }: GrantTarget): boolean {
+    const isOff = (value: Tokens, target: Tokens) => value < target / 2 || value > target * 2;
+    return isOff(grant.ceiling - used, spare) || isOff(grant.held - grant.ceiling, forCuts);
   }
 
-  function createChange(tokens: Tokens, isCall: boolean): Change {
+  // The grant that covers what is needed and, as far as there is room, the targets.
+  function plan(needed: Tokens): Grant {
+    const { spare, reserve: forCuts } = getTarget();
+    const least = used + needed;
+    const held = Math.max(least, Math.min(least + spare + forCuts, grant.held + getRoom()));
+    return { held, ceiling: Math.min(held, least + spare) };
+  }
+
+  function createChange({ held, ceiling }: Grant, isCall: boolean): Change {
     const checks = [
       { ...totalKey, version: total.version },
       { ...grantKey, version: grant.version },
     ];
-    // What is given back can't be spent while the transaction is on its way.
-    if (tokens < 0) free += tokens;
-    return { tokens, isCall, checks };
+    return { held, ceiling, isCall, checks };
   }
 
   async function commit(next: Change): Promise<boolean> {
     const isRepeat = change === next;
     change = next;
-    const held = grant.held + next.tokens;
-    const allocated = total.allocated + next.tokens;
+    const { held, ceiling } = next;
+    const allocated = total.allocated + held - grant.held;
     const calls = total.calls + (next.isCall ? 1 : 0);
-    const base = total.version;
     const outcome = await rows.transact({
       checks: next.checks,
       puts: [
         { ...totalKey, value: JSON.stringify({ allocated, calls }) },
-        { ...grantKey, value: JSON.stringify({ held }) },
+        { ...grantKey, value: JSON.stringify({ held, ceiling }) },
       ],
       removals: [],
     });
-    if (outcome.ok) {
-      // The feed may have told of a later change meanwhile.
-      if (total.version === base || outcome.val >= total.version) {
-        total = { allocated, calls, version: outcome.val };
-        readAt = clock.elapsed();
-      }
-      settleChange(next, { held, version: outcome.val });
-      return true;
+    if (outcome.err) return takeError(outcome.val, isRepeat);
+    // The feed may have told of a later change meanwhile.
+    if (outcome.val >= total.version) {
+      total = { allocated, calls, version: outcome.val };
+      readAt = clock.elapsed();
     }
-    return takeError(next, outcome.val, isRepeat);
+    settleChange({ held, ceiling, version: outcome.val });
+    return true;
   }
 
-  function takeError(next: Change, error: TransactError, isRepeat: boolean): boolean {
+  function takeError(error: TransactError, isRepeat: boolean): boolean {
     if (error.kind === 'conflict') {
-      takeRows(next, error.rows);
+      takeRows(error.rows);
       return true;
     }
     // Refused, and nothing older is under way: the change will not happen.
-    if (error.kind === 'unavailable' && !isRepeat) dropChange(next);
-    noteSilence(error.message);
+    if (error.kind === 'unavailable' && !isRepeat) change = undefined;
+    noteSilence(error);
     return false;
   }
 
   // A conflict ends every earlier attempt: either it has happened, or its condition is gone.
-  function takeRows(next: Change, found: VersionedRow[]): void {
+  function takeRows(found: VersionedRow[]): void {
     const totalRow = findRow(found, totalKey);
     const grantRow = findRow(found, grantKey);
     if (totalRow) takeTotal(totalRow);
     readAt = clock.elapsed();
-    const held = grantRow && parseGrant(grantRow.value);
-    if (grantRow && held !== undefined && grantRow.version !== grant.version) {
-      settleChange(next, { held, version: grantRow.version });
-    } else {
-      dropChange(next);
+    const granted = grantRow && parseGrant(grantRow.value);
+    if (grantRow && granted && grantRow.version !== grant.version) {
+      settleChange({ ...granted, version: grantRow.version });
+      return;
     }
+    change = undefined;
+    // Others changed the budget first: balance again by what it is now.
+    isUnbalanced = true;
   }
 
-  function settleChange(done: Change, now: { held: Tokens; version: number }): void {
-    if (done.tokens > 0) free += done.tokens;
-    grant = now;
-    change = undefined;
-    silentUntil = -Infinity;
+  function settleChange(next: Grant & { version: number }): void {
     log(Diagnostics.grantResized, {
       account,
-      tokens: done.tokens,
-      held: now.held,
+      ...next,
+      before: grant.held,
+      used,
       allocated: total.allocated,
       limit,
-      version: now.version,
     });
-  }
-
-  function dropChange(dropped: Change): void {
-    if (dropped.tokens < 0) free -= dropped.tokens;
+    grant = next;
     change = undefined;
   }
 
-  function noteSilence(message: string): void {
-    silentUntil = clock.elapsed() + SILENT_MS;
-    log(Diagnostics.budgetStoreSilent, { account, message, waiting: waiters.length });
-    [...waiters].forEach((waiter) => finish(waiter, Err({ kind: 'unreachable' })));
+  function noteSilence(error: { kind: string; message: string }): void {
+    log(Diagnostics.budgetStoreSilent, { account, ...error, waiting: waiters.length });
+    // A store that refuses may take the next call; one that is silent keeps nobody waiting.
+    if (error.kind === 'unavailable') clock.after(REFUSED_RETRY_MS, work);
+    else [...waiters].forEach((waiter) => finish(waiter, Err({ kind: 'unreachable' })));
   }
 
   async function refresh(): Promise<boolean> {
     const listed = await rows.list(totalKey.table, account);
     if (listed.err) {
-      const message = listed.val.kind === 'unavailable' ? listed.val.message : listed.val.kind;
-      noteSilence(message);
+      noteSilence({ message: '', ...listed.val });
       return false;
     }
     readAt = clock.elapsed();
@@ -302,21 +316,24 @@
     },
     takeTotal(row) {
       takeTotal(row);
-      if (waiters.length > 0 || clock.elapsed() < frugalUntil) work();
+      if (clock.elapsed() < frugalUntil) balance();
+      else if (waiters.length > 0) work();
     },
-    rebalance: work,
+    rebalance: balance,
     async release() {
       isReleased = true;
       await working;
-      work();
+      balance();
       await working;
     },
+    isCovered: () => used <= Math.min(grant.ceiling, change?.ceiling ?? grant.ceiling),
     describe: () => ({
       account,
       limit,
       allocated: total.allocated,
       held: grant.held,
-      free,
+      ceiling: grant.ceiling,
+      used,
       waiting: waiters.length,
       isUncertain: change !== undefined,
     }),
--- /dev/null
+++ b/packages/budgets/src/escrowLease.ts
@@ -0,0 +1,171 @@
+import { Diagnostics, sleep } from '@pomeloroad/core';
+import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
+import type { RowKey, RowStore, RowView } from '@pomeloroad/storage';
+import { parseLease } from './escrowRows';
+
+/** Table with one row for each instance: its lease. */
+export const LEASE_TABLE = 'leases';
+/** How often the lease is renewed. */
+const RENEWAL_MS: Milliseconds = 400;
+const RETRY_MS: Milliseconds = 150;
+/** From the start of a renewal until the instance spends what it holds for cuts. */
+export const LEASE_MS: Milliseconds = 2500;
+/** What a successor leaves of that time for clocks that differ in speed. */
+const RECLAIM_MARGIN = 0.9;
+
+/** What a lease needs from its surroundings. */
+export interface LeaseHost {
+  clock: Clock;
+  log: Log;
+  rows: RowStore;
+  /** Belongs to one machine, on which one process runs at a time. */
+  instance: string;
+  incarnation: string;
+  signal: AbortSignal;
+  /** Whether the rows of all grants cover what is spent; only then the lease may be renewed. */
+  isCovered(): boolean;
+}
+
+/** An earlier life of this instance whose grants may be reclaimed. */
+export interface Predecessor {
+  incarnation: string;
+  /** Whether it died before its lease ran out, so that it spent no reserve. */
+  isProven: boolean;
+}
+
+/**
+ * The lease by which a successor knows what this life can have spent. While it runs, an instance
+ * spends only what its grants' rows say; when it has run out, it spends its reserve as well.
+ */
+export interface EscrowLease {
+  /** Until the reserve may be spent; 0 or less once it may, infinite if it never may. */
+  getTimeLeft(): Milliseconds;
+  /** Takes the lease over from an earlier life, then renews it until the signal is aborted. */
+  start(): Promise<Predecessor | undefined>;
+  /** Ends the lease at a shutdown. */
+  end(): Promise<void>;
+}
+
+interface Renewal {
+  /** The store's time; not later than the renewal's start. */
+  at: Milliseconds;
+  startedAt: Milliseconds;
+}
+
+/** Creates a lease that has not been taken yet; until then no reserve may be spent. */
+export function createEscrowLease(host: LeaseHost): EscrowLease {
+  const { clock, log, rows, signal } = host;
+  const place: RowKey = { table: LEASE_TABLE, partition: '', key: host.instance };
+  let storeTime: { now: Milliseconds; readAt: Milliseconds } | undefined;
+  let version = 0;
+  let renewal: Renewal | undefined;
+  let isPending = false;
+  let isLost = false;
+  let isNoted = false;
+
+  // Not later than the store's own time: what the answer took on its way is left out.
+  function estimateStoreTime(): Milliseconds {
+    return storeTime ? storeTime.now + clock.elapsed() - storeTime.readAt : 0;
+  }
+
+  async function read(): Promise<RowView | undefined> {
+    const view = await rows.list(LEASE_TABLE, '');
+    if (view.err) return undefined;
+    storeTime = { now: view.val.now, readAt: clock.elapsed() };
+    return view.val;
+  }
+
+  async function start(): Promise<Predecessor | undefined> {
+    while (!signal.aborted) {
+      const askedAt = clock.elapsed();
+      const view = await read();
+      if (view) {
+        const predecessor = findPredecessor(view, askedAt);
+        run();
+        return predecessor;
+      }
+      await sleep(clock, RETRY_MS, signal);
+    }
+    return undefined;
+  }
+
+  function findPredecessor(view: RowView, askedAt: Milliseconds): Predecessor | undefined {
+    const row = view.rows.find((candidate) => candidate.key === host.instance);
+    version = row?.version ?? 0;
+    const lease = row && parseLease(row.value);
+    if (!lease) return undefined;
+    // The clock counts from the start of the process, when the earlier life was over.
+    const startedBefore = view.now - askedAt;
+    const isProven = startedBefore - lease.at <= LEASE_MS * RECLAIM_MARGIN;
+    log(Diagnostics.predecessorFound, { predecessor: lease.incarnation, isProven, version });
+    return { incarnation: lease.incarnation, isProven };
+  }
+
+  async function run(): Promise<void> {
+    while (!signal.aborted && !isLost) {
+      const isRenewed = await renew();
+      noteEnd();
+      await sleep(clock, isRenewed ? RENEWAL_MS : RETRY_MS, signal);
+    }
+  }
+
+  function noteEnd(): void {
+    const hasRunOut = getTimeLeft() <= 0;
+    if (hasRunOut && !isNoted) log(Diagnostics.leaseRanOut, { at: renewal?.at, version });
+    isNoted = hasRunOut;
+  }
+
+  function getTimeLeft(): Milliseconds {
+    if (isLost || !renewal) return Infinity;
+    return renewal.startedAt + LEASE_MS - clock.elapsed();
+  }
+
+  // A renewal without an answer is sent again as it was: its time must not be younger than it says.
+  async function renew(): Promise<boolean> {
+    if (!isPending) {
+      if (!host.isCovered()) return false;
+      renewal = { at: estimateStoreTime(), startedAt: clock.elapsed() };
+    }
+    isPending = true;
+    const value = JSON.stringify({ incarnation: host.incarnation, at: renewal?.at });
+    const written = await rows.transact({
+      checks: [{ ...place, version }],
+      puts: [{ ...place, value }],
+      removals: [],
+    });
+    if (written.ok) {
+      version = written.val;
+      isPending = false;
+      return true;
+    }
+    if (written.val.kind === 'conflict') {
+      const row = written.val.rows.find((candidate) => candidate.key === host.instance);
+      takeConflict(row?.version ?? 0, row && parseLease(row.value)?.incarnation);
+    }
+    return false;
+  }
+
+  // An earlier attempt was done after all, or another process runs under this name.
+  function takeConflict(found: number, incarnation: string | undefined): void {
+    isPending = false;
+    if (incarnation === host.incarnation) {
+      version = found;
+      return;
+    }
+    isLost = true;
+    log(Diagnostics.leaseLost, { by: incarnation, version: found });
+  }
+
+  return {
+    start,
+    getTimeLeft,
+    async end() {
+      const ended = await rows.transact({
+        checks: [{ ...place, version }],
+        puts: [],
+        removals: [place],
+      });
+      if (ended.err) log(Diagnostics.heartbeatFailed, { outcome: ended.val.kind });
+    },
+  };
+}
--- /dev/null
+++ b/packages/budgets/src/escrowReclaim.ts
@@ -0,0 +1,70 @@
+import { Diagnostics, sleep } from '@pomeloroad/core';
+import type { Milliseconds, Outcome } from '@pomeloroad/core';
+import type { FetchError, TransactError, VersionedRow } from '@pomeloroad/storage';
+import type { Predecessor } from './escrowLease';
+import { findRow, getGrantKey, getTotalKey, parseGrant, parseTotal } from './escrowRows';
+import type { EscrowHost } from './escrowTypes';
+
+/** Others change the same budget, and the store may be away: a reclaim tries again for some time. */
+const ATTEMPTS = 40;
+const RETRY_MS: Milliseconds = 150;
+
+type ReclaimResult = Outcome<number, TransactError | FetchError> | undefined;
+
+/**
+ * Gives back the reserve of an earlier life that died before its lease ran out: it can have spent
+ * no more than its grant's ceiling. The changed row ends every write of it that is still on its way.
+ */
+export async function reclaimGrant(
+  host: EscrowHost,
+  account: string,
+  { incarnation, isProven }: Predecessor,
+): Promise<void> {
+  for (let attempt = 0; isProven && attempt < ATTEMPTS; attempt += 1) {
+    const result = await tryReclaim(host, account, incarnation);
+    if (!result || result.ok) return;
+    host.log(Diagnostics.budgetStoreSilent, { account, outcome: result.val.kind });
+    if (result.val.kind !== 'conflict') await sleep(host.clock, RETRY_MS);
+  }
+}
+
+async function tryReclaim(
+  { rows, log }: EscrowHost,
+  account: string,
+  incarnation: string,
+): Promise<ReclaimResult> {
+  const totalKey = getTotalKey(account);
+  const grantKey = getGrantKey(account, incarnation);
+  const totals = await rows.list(totalKey.table, account);
+  if (totals.err) return totals;
+  const grants = await rows.list(grantKey.table, account);
+  if (grants.err) return grants;
+  const totalRow = findRow(totals.val.rows, totalKey);
+  const grantRow = findRow(grants.val.rows, grantKey);
+  const total = totalRow && parseTotal(totalRow.value);
+  const grant = grantRow && parseGrant(grantRow.value);
+  if (!total || !grant || grant.held === grant.ceiling) return undefined;
+  const { ceiling, held } = grant;
+  const allocated = total.allocated - (held - ceiling);
+  const written = await rows.transact({
+    checks: [toCheck(totalRow), toCheck(grantRow)],
+    puts: [
+      { ...totalKey, value: JSON.stringify({ ...total, allocated }) },
+      { ...grantKey, value: JSON.stringify({ held: ceiling, ceiling }) },
+    ],
+    removals: [],
+  });
+  if (written.ok) {
+    log(Diagnostics.grantReclaimed, {
+      account,
+      predecessor: incarnation,
+      tokens: held - ceiling,
+      version: written.val,
+    });
+  }
+  return written;
+}
+
+function toCheck({ table, partition, key, version }: VersionedRow) {
+  return { table, partition, key, version };
+}
--- a/packages/budgets/src/escrowRows.ts
+++ b/packages/budgets/src/escrowRows.ts
@@ -1,4 +1,4 @@
-import type { Tokens } from '@pomeloroad/core';
+import type { Milliseconds, Tokens } from '@pomeloroad/core';
 import type { RowKey, VersionedRow } from '@pomeloroad/storage';
 import { BUDGET_TABLE, GRANT_TABLE } from './escrowTypes';
 
@@ -17,7 +17,22 @@
   return { table: BUDGET_TABLE, partition: account, key: TOTAL_KEY };
 }
 
-/** Place of the row that says how many tokens an incarnation has been granted. */
+/** What the row of a grant says. */
+export interface Grant {
+  /** Tokens granted to a life of an instance, spent ones included. */
+  held: Tokens;
+  /** The part of them that it may spend while its lease runs. */
+  ceiling: Tokens;
+}
+
+/** What the row of a lease says. */
+export interface LeaseRow {
+  incarnation: string;
+  /** The store's time at which the renewal began, or earlier. */
+  at: Milliseconds;
+}
+
+/** Place of the row of one life's grant. */
 export function getGrantKey(account: string, incarnation: string): RowKey {
   return { table: GRANT_TABLE, partition: account, key: incarnation };
 }
@@ -30,9 +45,17 @@
 }
 
 /** Reads a grant's row; `undefined` if it is not one. */
-export function parseGrant(value: string): Tokens | undefined {
-  const { held } = parseObject(value);
-  return isCount(held) ? held : undefined;
+export function parseGrant(value: string): Grant | undefined {
+  const { held, ceiling } = parseObject(value);
+  return isCount(held) && isCount(ceiling) ? { held, ceiling } : undefined;
+}
+
+/** Reads a lease's row; `undefined` if it is not one. */
+export function parseLease(value: string): LeaseRow | undefined {
+  const { incarnation, at } = parseObject(value);
+  return typeof incarnation === 'string' && typeof at === 'number'
+    ? { incarnation, at }
+    : undefined;
 }
 
 /** The row of a table among rows of one partition. */
--- a/packages/budgets/src/escrowSizing.ts
+++ b/packages/budgets/src/escrowSizing.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds, Tokens } from '@pomeloroad/core';
 
-/** What the size of an instance's spare tokens depends on. */
-export interface SpareDemand {
+/** What the sizes of an instance's grant depend on. */
+export interface GrantDemand {
   /** Tokens reserved a second, smoothed. */
   rate: number;
   /** Tokens that no instance holds. */
@@ -9,17 +9,33 @@
   instances: number;
 }
 
-/** How long an instance goes on while the store does not answer, where the budget is rich. */
-const HORIZON_MS: Milliseconds = 8000;
+/** Tokens that an instance holds beyond those in use. */
+export interface GrantTarget {
+  /** What it may spend while the store answers; lost if the instance dies. */
+  spare: Tokens;
+  /** What it may spend besides once its lease has run out; reclaimed after a quick restart. */
+  reserve: Tokens;
+}
+
+/** Covers the time until the lease runs out, with some margin. */
+const SPARE_HORIZON_MS: Milliseconds = 2500;
+/** How long an instance goes on beyond that while the store does not answer. */
+const RESERVE_HORIZON_MS: Milliseconds = 14_000;
 const MS_PER_SECOND = 1000;
-/** All instances together hold at most one in this many tokens of what is left. */
-const SHARE_LEFT = 2;
-/** Part of its share that an instance holds whatever its rate is, against sudden cuts. */
-const BASE_SHARE = 4;
+/** All instances together hold up to this many times what nobody holds. */
+const HELD_SHARE = 4;
+/** Parts of its share that an instance holds whatever its rate is, against sudden cuts. */
+const BASE_SPARE = 0.04;
+const BASE_RESERVE = 0.5;
 
-/** Spare tokens for an account: for the horizon, but little of a budget that runs out. */
-export function getTarget({ rate, room, instances }: SpareDemand): Tokens {
-  const share = room / (SHARE_LEFT * Math.max(1, instances));
-  const wanted = Math.max((rate * HORIZON_MS) / MS_PER_SECOND, share / BASE_SHARE);
-  return Math.floor(Math.min(wanted, share));
+/** How much an instance holds of a budget: for long cuts, but little of one that runs out. */
+export function getGrantTarget({ rate, room, instances }: GrantDemand): GrantTarget {
+  const share = (room * HELD_SHARE) / Math.max(1, instances);
+  const cover = (horizon: Milliseconds) => (rate * horizon) / MS_PER_SECOND;
+  const spare = Math.min(Math.max(cover(SPARE_HORIZON_MS), share * BASE_SPARE), share);
+  const reserve = Math.max(cover(RESERVE_HORIZON_MS), share * BASE_RESERVE);
+  return {
+    spare: Math.floor(spare),
+    reserve: Math.floor(Math.min(reserve, share - spare)),
+  };
 }
--- a/packages/budgets/src/escrowTypes.ts
+++ b/packages/budgets/src/escrowTypes.ts
@@ -1,5 +1,6 @@
 import type { Clock, Log, Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
 import type { RowChange, RowStore } from '@pomeloroad/storage';
+import type { Predecessor } from './escrowLease';
 
 /** What escrow needs from its surroundings. */
 export interface EscrowHost {
@@ -8,6 +9,10 @@
   rows: RowStore;
   /** This life of the instance; a restart never reuses the grants of an earlier one. */
   incarnation: string;
+  /** Whether the store does not answer now; then no request waits for it. */
+  isStoreSilent(): boolean;
+  /** Until the lease runs out and what is held for cuts may be spent; 0 or less once it may. */
+  getLeaseLeft(): Milliseconds;
   /** How many instances share the budgets, this one included. */
   countInstances(): number;
 }
@@ -32,7 +37,8 @@
   limit: Tokens;
   allocated: Tokens;
   held: Tokens;
-  free: Tokens;
+  ceiling: Tokens;
+  used: Tokens;
   waiting: number;
   isUncertain: boolean;
 }
@@ -45,10 +51,16 @@
     tokens: Tokens,
     patience: Milliseconds,
   ): Promise<Outcome<EscrowReservation, EscrowError>>;
+  /** When a request that found the store silent may come back. */
+  getRetryDelay(): Milliseconds;
   /** Takes over what each account has paid for. */
   setLimits(limits: ReadonlyMap<string, Tokens>): void;
   /** Takes over changes of the budgets' rows, as the store's feed tells them. */
   takeChanges(changes: RowChange[]): void;
+  /** Gives back what an earlier life can't have spent. */
+  reclaim(predecessor: Predecessor): Promise<void>;
+  /** Whether the rows of all grants cover what is spent or set aside. */
+  isCovered(): boolean;
   /** Fetches or returns tokens, so that each account holds what its rate of use calls for. */
   rebalance(): void;
   /** Returns everything that is not reserved; for the shutdown. */
--- a/packages/budgets/src/index.ts
+++ b/packages/budgets/src/index.ts
@@ -10,3 +10,5 @@
 export * from './audit';
 export * from './escrow';
 export * from './escrowTypes';
+export * from './escrowLease';
+export * from './escrowSizing';
--- /dev/null
+++ b/packages/budgets/test/escrow.test.ts
@@ -0,0 +1,132 @@
+import { ACCOUNT, createFleet } from './escrowHarness';
+
+const LIMIT = 10_000;
+const PATIENCE_MS = 500;
+
+async function setUp(count: number, limit = LIMIT) {
+  const fleet = createFleet(count);
+  const escrows = fleet.members.map((life) => life.escrow);
+  escrows.forEach((escrow) => escrow.setLimits(new Map([[ACCOUNT, limit]])));
+  await fleet.clock.advance(0);
+  return { ...fleet, escrows };
+}
+
+test('a request is covered at once by what is held', async () => {
+  const { clock, escrows } = await setUp(1);
+  const [escrow] = escrows;
+  escrow!.rebalance();
+  await clock.advance(0);
+  expect((await escrow!.reserve(ACCOUNT, 100, PATIENCE_MS)).ok).toBe(true);
+});
+
+test('the whole budget can be spent from one of many instances', async () => {
+  const { clock, escrows, tell } = await setUp(8);
+  escrows.forEach((escrow) => escrow.rebalance());
+  await clock.advance(0);
+  const reserved = escrows[0]!.reserve(ACCOUNT, LIMIT, PATIENCE_MS);
+  for (let round = 0; round < 10; round += 1) {
+    await tell();
+    await clock.advance(20);
+  }
+  expect((await reserved).ok).toBe(true);
+});
+
+test('a request over the budget is refused as exhausted', async () => {
+  const { clock, escrows } = await setUp(2);
+  const reserved = escrows[0]!.reserve(ACCOUNT, LIMIT + 1, PATIENCE_MS);
+  await clock.advance(PATIENCE_MS);
+  expect((await reserved).val).toEqual({ kind: 'exhausted' });
+});
+
+test('what was not spent is free for others after the end', async () => {
+  const { clock, escrows, tell } = await setUp(2);
+  const first = escrows[0]!.reserve(ACCOUNT, LIMIT, PATIENCE_MS);
+  await clock.advance(0);
+  (await first).unwrap().settle(1000);
+  escrows[0]!.rebalance();
+  await clock.advance(0);
+  await tell();
+  const second = escrows[1]!.reserve(ACCOUNT, LIMIT - 1000, PATIENCE_MS);
+  for (let round = 0; round < 10; round += 1) {
+    await tell();
+    await clock.advance(20);
+  }
+  expect((await second).ok).toBe(true);
+});
+
+test('a silent store keeps nobody waiting', async () => {
+  const { state, escrows } = await setUp(1);
+  state.isSilent = true;
+  expect((await escrows[0]!.reserve(ACCOUNT, 1, PATIENCE_MS)).val).toEqual({ kind: 'unreachable' });
+});
+
+test('a store that refuses once is asked again', async () => {
+  const { clock, store, escrows } = await setUp(1);
+  store.plans.push('refused');
+  const reserved = escrows[0]!.reserve(ACCOUNT, 100, PATIENCE_MS);
+  await clock.advance(PATIENCE_MS);
+  expect((await reserved).ok).toBe(true);
+});
+
+test('a late write is counted once', async () => {
+  const { clock, store, escrows } = await setUp(1);
+  store.plans.push('late');
+  const reserved = escrows[0]!.reserve(ACCOUNT, 100, PATIENCE_MS);
+  await clock.advance(0);
+  expect((await reserved).val).toEqual({ kind: 'unreachable' });
+  await store.arrive();
+  escrows[0]!.rebalance();
+  await clock.advance(0);
+  const [state] = escrows[0]!.describe();
+  expect(state).toMatchObject({ isUncertain: false, held: state!.allocated, used: 0 });
+});
+
+test('a shutdown returns what is not reserved', async () => {
+  const { clock, escrows } = await setUp(1);
+  const reserved = escrows[0]!.reserve(ACCOUNT, 100, PATIENCE_MS);
+  await clock.advance(0);
+  (await reserved).unwrap().settle(40);
+  await escrows[0]!.release();
+  expect(escrows[0]!.describe()[0]).toMatchObject({ allocated: 40, held: 40, used: 40 });
+});
+
+test('a cut-off instance goes on with its reserve', async () => {
+  const { clock, members, escrows } = await setUp(1);
+  escrows[0]!.rebalance();
+  await clock.advance(600);
+  members[0]!.isCut = true;
+  const { held, ceiling } = escrows[0]!.describe()[0]!;
+  expect(held).toBeGreaterThan(ceiling);
+  const early = escrows[0]!.reserve(ACCOUNT, held, PATIENCE_MS);
+  await clock.advance(4000);
+  expect((await early).err).toBe(true);
+  expect((await escrows[0]!.reserve(ACCOUNT, held, PATIENCE_MS)).ok).toBe(true);
+});
+
+test('a quick restart gives the reserve back', async () => {
+  const { clock, members, start, store } = await setUp(1);
+  members[0]!.escrow.rebalance();
+  await clock.advance(600);
+  const { ceiling } = members[0]!.escrow.describe()[0]!;
+  members[0]!.kill();
+  await clock.advance(1500);
+  const next = start('instance-0');
+  next.escrow.setLimits(new Map([[ACCOUNT, LIMIT]]));
+  await clock.advance(10);
+  const row = (await store.memory.list('budgets', ACCOUNT)).unwrap().rows[0]!;
+  expect(JSON.parse(row.value)).toMatchObject({ allocated: ceiling });
+});
+
+test('a slow restart gives nothing back', async () => {
+  const { clock, members, start, store } = await setUp(1);
+  members[0]!.escrow.rebalance();
+  await clock.advance(600);
+  const { held } = members[0]!.escrow.describe()[0]!;
+  members[0]!.kill();
+  await clock.advance(4000);
+  const next = start('instance-0');
+  next.escrow.setLimits(new Map([[ACCOUNT, LIMIT]]));
+  await clock.advance(10);
+  const row = (await store.memory.list('budgets', ACCOUNT)).unwrap().rows[0]!;
+  expect(JSON.parse(row.value)).toMatchObject({ allocated: held });
+});
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -21,11 +21,13 @@
 
 /** How long a request waits for tokens that other instances may return. */
 const BUDGET_PATIENCE_MS = 700;
-/** When to come back while the store does not answer for a budget. */
-const BUDGET_RETRY_MS = 300;
+/** When to come back while no configuration is known. */
+const NOT_READY_RETRY_MS = 300;
 /** When to come back while no endpoint of the service is known. */
 const NO_ENDPOINT_RETRY_MS = 250;
 const LEAST_RETRY_MS = 50;
+/** Part of a delay over which returning callers are spread. */
+const RETRY_SPREAD = 0.4;
 /** Endpoints that may decline one request before it is refused. */
 const MOST_DECLINES = 3;
 /** Below this an attempt has no chance to be answered. */
@@ -347,7 +349,8 @@
 
 function getRetryAfter<Payload>(run: Run<Payload>, kind: RefusalKind): Milliseconds | undefined {
   return match(kind)
-    .with('budget-unreachable', 'not-ready', () => BUDGET_RETRY_MS)
+    .with('budget-unreachable', () => spread(run, run.host.escrow.getRetryDelay()))
+    .with('not-ready', () => NOT_READY_RETRY_MS)
     .with('no-endpoint', () => NO_ENDPOINT_RETRY_MS)
     .with('overloaded', () => Math.max(LEAST_RETRY_MS, run.request.route.objective / 2))
     .with('timed-out', () => LEAST_RETRY_MS)
@@ -355,6 +358,11 @@
     .exhaustive();
 }
 
+// Callers that were refused at the same moment should not come back at the same moment.
+function spread<Payload>({ host }: Run<Payload>, delay: Milliseconds): Milliseconds {
+  return Math.ceil(delay * (1 + RETRY_SPREAD * host.random.fraction()));
+}
+
 function noteEnd<Payload>(
   run: Run<Payload>,
   outcome: 'answered' | 'refused' | 'cut',
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -1,7 +1,8 @@
 import { createPauseGuard, Diagnostics, repeat, withTimeout } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds, Random, Tokens } from '@pomeloroad/core';
-import { BUDGET_TABLE, createEscrow } from '@pomeloroad/budgets';
+import { BUDGET_TABLE, createEscrow, createEscrowLease } from '@pomeloroad/budgets';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
+import { watchStore } from '@pomeloroad/storage';
 import type { RowChange, RowStore, VersionedRow } from '@pomeloroad/storage';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { createEndpointDirectory } from './endpointDirectory';
@@ -66,19 +67,29 @@
 export function startForwardInstance<Payload>(
   host: ForwardInstanceHost<Payload>,
 ): ForwardInstance<Payload> {
-  const { clock, random, log, rows } = host;
+  const { clock, random, log } = host;
+  const { rows, isSilent } = watchStore(host.rows);
   const stop = new AbortController();
   const following = { clock, log, rows, signal: stop.signal };
   let table: RouteTable | undefined;
+  let leasing: Promise<void> | undefined;
   let open = 0;
 
-  const instances = countInstances({ ...following, ...host });
+  const count = countInstances(following);
+  const lease = createEscrowLease({
+    ...following,
+    instance: host.instance,
+    incarnation: host.incarnation,
+    isCovered: () => escrow.isCovered(),
+  });
   const escrow = createEscrow({
     clock,
     log,
     rows,
     incarnation: host.incarnation,
-    countInstances: instances.count,
+    isStoreSilent: isSilent,
+    getLeaseLeft: lease.getTimeLeft,
+    countInstances: count,
   });
   const endpoints = createEndpoints({ clock, log });
   const directory = createEndpointDirectory({
@@ -148,7 +159,7 @@
     escrow,
     admission,
     directory,
-    retryBudget: createRetryBudget(clock, host.getRetryAllowance, instances.count),
+    retryBudget: createRetryBudget(clock, host.getRetryAllowance, count),
     protocol: host.protocol,
     metrics: createForwardMetrics(metrics),
     findService: (name) => table?.findService(name),
@@ -162,6 +173,7 @@
     if (configuration.version <= current) return;
     table = createRouteTable(configuration);
     escrow.setLimits(getLimits(configuration));
+    takeLease();
     log(Diagnostics.configurationAccepted, {
       configuration: configuration.version,
       row: row.version,
@@ -170,6 +182,13 @@
     });
   }
 
+  // The configuration names the accounts whose grants an earlier life may have left.
+  function takeLease(): void {
+    leasing ??= lease.start().then(async (predecessor) => {
+      if (predecessor) await escrow.reclaim(predecessor);
+    });
+  }
+
   function readEndpoint(row: VersionedRow): EndpointRecord | undefined {
     const record = host.decodeEndpoint(row);
     if (!record) log(Diagnostics.rowUnreadable, { table: row.table, key: row.key });
@@ -198,13 +217,14 @@
       configuration: table?.configuration.version,
       open,
       waiting: admission.waiting(),
-      instances: instances.count(),
+      instances: count(),
       budgets: escrow.describe(),
       endpoints: endpoints.list(),
     }),
     async stop() {
       stop.abort();
-      await Promise.all([escrow.release(), instances.leave()]);
+      await escrow.release();
+      await lease.end();
     },
   };
 }
--- a/packages/forwarding/src/instanceCount.ts
+++ b/packages/forwarding/src/instanceCount.ts
@@ -1,11 +1,10 @@
-import { Diagnostics, sleep } from '@pomeloroad/core';
-import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
+import { sleep } from '@pomeloroad/core';
+import type { Clock, Milliseconds } from '@pomeloroad/core';
+import { LEASE_TABLE } from '@pomeloroad/budgets';
 import type { RowStore, VersionedRow } from '@pomeloroad/storage';
 
-/** Table with one row for each instance, written again and again while it lives. */
-const INSTANCE_TABLE = 'instances';
-const HEARTBEAT_MS: Milliseconds = 2000;
-/** Silence after which an instance is not counted any more. */
+const COUNT_MS: Milliseconds = 2000;
+/** Time without a renewal after which an instance is not counted any more. */
 const LOST_MS: Milliseconds = 7000;
 /** Before the first reading; too many is safe, since shares are smaller then. */
 const ASSUMED_INSTANCES = 8;
@@ -13,43 +12,26 @@
 /** What counting needs from its surroundings. */
 export interface CountHost {
   clock: Clock;
-  log: Log;
   rows: RowStore;
-  instance: string;
-  incarnation: string;
   signal: AbortSignal;
 }
 
-/** How many instances share budgets and repeats, by their rows in the store. */
-export interface InstanceCount {
-  count(): number;
-  /** Removes this instance's row. */
-  leave(): Promise<void>;
-}
-
 interface Sighting {
   version: number;
   at: Milliseconds;
 }
 
-/** Starts to announce this instance and to count the others. */
-export function countInstances(host: CountHost): InstanceCount {
-  const { clock, log, rows, signal } = host;
-  const place = { table: INSTANCE_TABLE, partition: '', key: host.instance };
+/** Starts to count the instances that renew their leases; the result reads the latest count. */
+export function countInstances({ clock, rows, signal }: CountHost): () => number {
   const sightings = new Map<string, Sighting>();
   let counted = ASSUMED_INSTANCES;
 
-  async function beat(): Promise<void> {
-    const value = JSON.stringify({ incarnation: host.incarnation });
-    const written = await rows.transact({ checks: [], puts: [{ ...place, value }], removals: [] });
-    const listed = written.ok ? await rows.list(INSTANCE_TABLE, '') : undefined;
-    if (!listed || listed.err) {
-      log(Diagnostics.heartbeatFailed, { counted });
-      return;
-    }
+  async function read(): Promise<void> {
+    const listed = await rows.list(LEASE_TABLE, '');
+    // While the store is away nobody is seen; the last count stays.
+    if (listed.err) return;
     listed.val.rows.forEach(noteSighting);
     const since = clock.elapsed() - LOST_MS;
-    // While the store is away nobody is seen; the last count stays.
     counted = Math.max(1, [...sightings.values()].filter(({ at }) => at >= since).length);
   }
 
@@ -61,17 +43,11 @@
 
   async function run(): Promise<void> {
     while (!signal.aborted) {
-      await beat();
-      await sleep(clock, HEARTBEAT_MS, signal);
+      await sleep(clock, COUNT_MS, signal);
+      await read();
     }
   }
 
   run();
-  return {
-    count: () => counted,
-    async leave() {
-      const removed = await rows.transact({ checks: [], puts: [], removals: [place] });
-      if (removed.err) log(Diagnostics.heartbeatFailed, { counted });
-    },
-  };
+  return () => counted;
 }
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -7,3 +7,4 @@
 export * from './lease';
 export * from './rowStore';
 export * from './memoryRowStore';
+export * from './storeHealth';
--- a/packages/storage/src/memoryRowStore.ts
+++ b/packages/storage/src/memoryRowStore.ts
@@ -1,8 +1,9 @@
 import { Err, Ok } from 'ts-results';
+import type { Milliseconds } from '@pomeloroad/core';
 import type { RowCheck, RowKey, RowStore, VersionedRow } from './rowStore';
 
 /** A row store in memory, for tests; its feed answers at once. */
-export function createMemoryRowStore(): RowStore {
+export function createMemoryRowStore(getNow: () => Milliseconds = () => 0): RowStore {
   const rows = new Map<string, VersionedRow>();
   const removed = new Map<string, RowKey & { version: number }>();
   let version = 0;
@@ -29,7 +30,7 @@
       const found = [...rows.values()].filter(
         (row) => row.table === table && row.partition === partition,
       );
-      return Ok({ rows: found, version });
+      return Ok({ rows: found, version, now: getNow() });
     },
     async follow(table, after) {
       const isNew = (row: RowKey & { version: number }) =>
--- a/packages/storage/src/rowStore.ts
+++ b/packages/storage/src/rowStore.ts
@@ -48,6 +48,8 @@
 export interface RowView {
   rows: VersionedRow[];
   version: number;
+  /** The store's steady clock when it read the rows. */
+  now: Milliseconds;
 }
 
 /** Changes up to one version of the store. */
