Size grants by the rate of use; return them through a failing store; avoid what is gone

An instance that was told to stop while cut off gave up returning its grant at the first try. An unreachable endpoint was tried again by every request (350 ms each) until two failures in a row.

Now idle instances share half of what is left and a busy one takes what its rate calls for; a stopping instance retires its grants at once and tries until its time is over; 421 ends an endpoint's life here; one unreachable attempt avoids it, for longer each time. A stopping instance listens to its end.

--- a/packages/budgets/src/escrow.ts
+++ b/packages/budgets/src/escrow.ts
@@ -46,8 +46,9 @@
     },
     isCovered: () => [...accounts.values()].every((account) => account.isCovered()),
     rebalance: () => accounts.forEach((account) => account.rebalance()),
-    async release() {
-      await Promise.all([...accounts.values()].map((account) => account.release()));
+    retire: () => accounts.forEach((account) => account.retire()),
+    async release(patience) {
+      await Promise.all([...accounts.values()].map((account) => account.release(patience)));
     },
     describe: () => [...accounts.values()].map((account) => account.describe()),
   };
--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -1,5 +1,5 @@
 import { Err, Ok } from 'ts-results';
-import { Diagnostics } from '@pomeloroad/core';
+import { Diagnostics, sleep } from '@pomeloroad/core';
 import type { Milliseconds, Outcome, Timer, Tokens } from '@pomeloroad/core';
 import type { RowCheck, TransactError, VersionedRow } from '@pomeloroad/storage';
 import { findRow, getGrantKey, getTotalKey, parseGrant, parseTotal } from './escrowRows';
@@ -28,8 +28,10 @@
   takeTotal(row: VersionedRow): void;
   /** Brings what is held to what the rate of use calls for. */
   rebalance(): void;
-  /** Returns everything that is not reserved. */
-  release(): Promise<void>;
+  /** From now on holds nothing but what requests use. */
+  retire(): void;
+  /** Returns the rest; tries again until it is done or the time has passed. */
+  release(patience: Milliseconds): Promise<void>;
   /** Whether the grant's row covers what is spent or set aside. */
   isCovered(): boolean;
   describe(): EscrowState;
@@ -113,6 +115,11 @@
     waiter.resolve(outcome);
   }
 
+  function retire(): void {
+    isReleased = true;
+    balance();
+  }
+
   function balance(): void {
     isUnbalanced = true;
     work();
@@ -320,11 +327,16 @@
       else if (waiters.length > 0) work();
     },
     rebalance: balance,
-    async release() {
-      isReleased = true;
-      await working;
-      balance();
+    retire,
+    async release(patience) {
+      retire();
+      const deadline = clock.elapsed() + patience;
       await working;
+      while (grant.held > used && clock.elapsed() < deadline) {
+        await sleep(clock, REFUSED_RETRY_MS);
+        balance();
+        await working;
+      }
     },
     isCovered: () => used <= Math.min(grant.ceiling, change?.ceiling ?? grant.ceiling),
     describe: () => ({
--- a/packages/budgets/src/escrowSizing.ts
+++ b/packages/budgets/src/escrowSizing.ts
@@ -17,25 +17,27 @@
   reserve: Tokens;
 }
 
-/** Covers the time until the lease runs out, with some margin. */
+/** Covers the time until the lease runs out. */
 const SPARE_HORIZON_MS: Milliseconds = 2500;
 /** How long an instance goes on beyond that while the store does not answer. */
 const RESERVE_HORIZON_MS: Milliseconds = 14_000;
 const MS_PER_SECOND = 1000;
-/** All instances together hold up to this many times what nobody holds. */
-const HELD_SHARE = 4;
-/** Parts of its share that an instance holds whatever its rate is, against sudden cuts. */
-const BASE_SPARE = 0.04;
-const BASE_RESERVE = 0.5;
+/** Part of what nobody holds that one instance may take: callers of an account stick to few. */
+const LARGEST_SHARE = 0.6;
+/** Part of it that all instances together hold whatever their rates are, against sudden cuts. */
+const IDLE_SHARE = 0.5;
+/** Part of an idle instance's share that may be spent at any time. */
+const IDLE_SPARE = 0.15;
 
 /** How much an instance holds of a budget: for long cuts, but little of one that runs out. */
 export function getGrantTarget({ rate, room, instances }: GrantDemand): GrantTarget {
-  const share = (room * HELD_SHARE) / Math.max(1, instances);
+  const most = room * LARGEST_SHARE;
+  const idle = (room * IDLE_SHARE) / Math.max(1, instances);
   const cover = (horizon: Milliseconds) => (rate * horizon) / MS_PER_SECOND;
-  const spare = Math.min(Math.max(cover(SPARE_HORIZON_MS), share * BASE_SPARE), share);
-  const reserve = Math.max(cover(RESERVE_HORIZON_MS), share * BASE_RESERVE);
+  const spare = Math.min(Math.max(cover(SPARE_HORIZON_MS), idle * IDLE_SPARE), most);
+  const reserve = Math.max(cover(RESERVE_HORIZON_MS), idle);
   return {
     spare: Math.floor(spare),
-    reserve: Math.floor(Math.min(reserve, share - spare)),
+    reserve: Math.floor(Math.min(reserve, most - spare)),
   };
 }
--- a/packages/budgets/src/escrowTypes.ts
+++ b/packages/budgets/src/escrowTypes.ts
@@ -63,8 +63,10 @@
   isCovered(): boolean;
   /** Fetches or returns tokens, so that each account holds what its rate of use calls for. */
   rebalance(): void;
-  /** Returns everything that is not reserved; for the shutdown. */
-  release(): Promise<void>;
+  /** From now on holds nothing but what requests use; for the shutdown. */
+  retire(): void;
+  /** Returns the rest; tries again until it is done or the time has passed. */
+  release(patience: Milliseconds): Promise<void>;
   describe(): EscrowState[];
 }
 
--- a/packages/budgets/test/escrow.test.ts
+++ b/packages/budgets/test/escrow.test.ts
@@ -86,10 +86,25 @@
   const reserved = escrows[0]!.reserve(ACCOUNT, 100, PATIENCE_MS);
   await clock.advance(0);
   (await reserved).unwrap().settle(40);
-  await escrows[0]!.release();
+  const released = escrows[0]!.release(1000);
+  await clock.advance(500);
+  await released;
   expect(escrows[0]!.describe()[0]).toMatchObject({ allocated: 40, held: 40, used: 40 });
 });
 
+test('a shutdown returns what is left though the store fails at first', async () => {
+  const { clock, members, escrows } = await setUp(1);
+  escrows[0]!.rebalance();
+  await clock.advance(100);
+  members[0]!.isCut = true;
+  const released = escrows[0]!.release(3000);
+  await clock.advance(1000);
+  members[0]!.isCut = false;
+  await clock.advance(2500);
+  await released;
+  expect(escrows[0]!.describe()[0]).toMatchObject({ allocated: 0, held: 0 });
+});
+
 test('a cut-off instance goes on with its reserve', async () => {
   const { clock, members, escrows } = await setUp(1);
   escrows[0]!.rebalance();
--- a/packages/budgets/test/escrowInterleavings.test.ts
+++ b/packages/budgets/test/escrowInterleavings.test.ts
@@ -135,19 +135,19 @@
   },
 );
 
-const reserve = (index: number): Step => ({ kind: 'reserve', at: index, tokens: 30 });
+const reserve = (index: number, count: number): Step[] =>
+  Array.from({ length: count }, () => ({ kind: 'reserve', at: index, tokens: 10 }));
 const pass = (time: number): Step => ({ kind: 'pass', time });
 const cut = (isCut: boolean): Step => ({ kind: 'cut', at: 0, isCut });
 const spendReserve: Step[] = [
+  ...reserve(0, 6),
   { kind: 'rebalance', at: 0 },
   pass(600),
   cut(true),
   pass(3500),
-  reserve(0),
-  reserve(0),
-  reserve(0),
+  ...reserve(0, 8),
 ];
-const spendElsewhere: Step[] = [pass(1000), reserve(1), reserve(1), reserve(1), reserve(1)];
+const spendElsewhere: Step[] = [pass(1000), ...reserve(1, 15)];
 const kill: Step = { kind: 'kill', at: 0, down: 500 };
 
 // Too rare for the search: the reserve must be spent before the death, and spent again after it.
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -23,6 +23,8 @@
   replaceAll(records: EndpointRecord[]): void;
   take(record: EndpointRecord): void;
   remove(id: string): void;
+  /** Another endpoint answers at its address: it is not used again in this life. */
+  noteReplaced(record: EndpointRecord): void;
   /** The store did not answer; entries that lapse meanwhile may come back. */
   noteOutage(): void;
   /** The store answers again. */
@@ -96,6 +98,13 @@
     remove(id) {
       if (drop(id)) host.onChange();
     },
+    noteReplaced({ id, born }) {
+      const known = entries.get(id);
+      if (known?.record.born !== born || known.record.isLeaving) return;
+      known.record = { ...known.record, isLeaving: true };
+      log(Diagnostics.endpointEnded, { endpoint: id, born, isReplaced: true });
+      host.onChange();
+    },
     noteOutage() {
       isAway = true;
     },
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -3,7 +3,7 @@
 import { Diagnostics, withTimeout } from '@pomeloroad/core';
 import type { LogFields, Milliseconds, Outcome, Timer } from '@pomeloroad/core';
 import type { EscrowReservation } from '@pomeloroad/budgets';
-import type { RouteError, Slot } from '@pomeloroad/routing';
+import type { RouteError, Slot, SlotResult } from '@pomeloroad/routing';
 import type { ForwardHost } from './forwardTypes';
 import { getFirstBytePatience, getQueuePatience, getStallPatience, isRepeatable } from './patience';
 import type {
@@ -149,12 +149,20 @@
     if (reply.ok && !isWorthRepeating(run, reply.val))
       return Ok({ reply: reply.val, slot: slot.val });
     if (reply.ok) keepFailure(run, reply.val);
-    slot.val.release(reply.ok || reply.val.kind !== 'declined' ? 'failed' : 'ok');
+    slot.val.release(reply.ok ? 'failed' : toSlotResult(reply.val));
     run.excluded.add(slot.val.endpoint.name);
     if (reply.err && !mayFollow(run, reply.val)) return Err(getFinalKind(run, reply.val));
   }
 }
 
+function toSlotResult({ kind }: SendError): SlotResult {
+  return match(kind)
+    .with('broken', () => 'failed' as const)
+    .with('unreachable', 'replaced', () => 'unreachable' as const)
+    .with('declined', () => 'ok' as const)
+    .exhaustive();
+}
+
 async function acquire<Payload>(run: Run<Payload>): Promise<Outcome<Slot, RouteError>> {
   const { host, request } = run;
   return host.admission.acquire({
@@ -207,7 +215,8 @@
   if (reply.ok || reply.val.kind === 'broken') run.runs += 1;
   if (reply.ok || reply.val.kind !== 'unreachable') run.arrivals += 1;
   if (reply.ok) return;
-  if (reply.val.kind === 'declined') run.declines += 1;
+  if (reply.val.kind === 'declined' || reply.val.kind === 'replaced') run.declines += 1;
+  if (reply.val.kind === 'replaced') host.directory.noteReplaced(endpoint);
   host.log(Diagnostics.attemptFailed, {
     request: request.id,
     endpoint: endpoint.id,
@@ -232,6 +241,7 @@
   if (run.stop.signal.aborted) return false;
   return match(error.kind)
     .with('unreachable', () => true)
+    .with('replaced', () => run.declines < MOST_DECLINES && mayArriveAgain(run))
     .with('declined', () => run.declines < MOST_DECLINES && mayArriveAgain(run))
     .with('broken', () => mayRunAgain(run) && mayArriveAgain(run))
     .exhaustive();
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -59,8 +59,10 @@
   countOpen(): number;
   renderMetrics(): string;
   describe(): unknown;
-  /** Returns grants and leaves; for the end of a shutdown. */
-  stop(): Promise<void>;
+  /** Holds no tokens but those in use from now on; for the start of a shutdown. */
+  retire(): void;
+  /** Returns grants and leaves within the time; for the end of a shutdown. */
+  stop(patience: Milliseconds): Promise<void>;
 }
 
 /** Starts an instance; it follows the store until it is stopped. */
@@ -221,9 +223,10 @@
       budgets: escrow.describe(),
       endpoints: endpoints.list(),
     }),
-    async stop() {
+    retire: escrow.retire,
+    async stop(patience) {
+      await escrow.release(patience);
       stop.abort();
-      await escrow.release();
       await lease.end();
     },
   };
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -141,6 +141,8 @@
 export type SendError =
   /** No connection: nothing was sent. */
   | { kind: 'unreachable'; message: string }
+  /** Another endpoint has the address now; nothing was run. */
+  | { kind: 'replaced'; message: string }
   /** The endpoint said that it did not run the request. */
   | { kind: 'declined'; message: string }
   /** It may have run. */
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -1,10 +1,12 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
-import type { EndpointView, LoadReport, RouteRequest } from './types';
+import type { EndpointView, LoadReport, RouteRequest, SlotResult } from './types';
 
 const FAILURES_TO_AVOID = 2;
 const AVOID_MS = 2000;
+/** An endpoint that stays unreachable is tried more and more rarely. */
+const LONGEST_AVOID_MS = 8000;
 /** Below the time in which an endpoint that leaves must get nothing new. */
 const STALE_MS = 1500;
 
@@ -28,7 +30,7 @@
   /** Whether the endpoint is leaving, or not known any more. */
   isLeaving(name: string): boolean;
   take(name: string): void;
-  release(name: string, result: 'ok' | 'failed'): void;
+  release(name: string, result: SlotResult): void;
   list(): EndpointView[];
 }
 
@@ -40,7 +42,7 @@
   report(report: LoadReport): void;
   isStale(): boolean;
   take(): void;
-  release(result: 'ok' | 'failed'): void;
+  release(result: SlotResult): void;
 }
 
 /** Creates an empty endpoint table. */
@@ -97,6 +99,7 @@
   let last: LoadReport = { running: 0, queued: 0, state: 'live' };
   let reportedAt: Milliseconds = -Infinity;
   let failures = 0;
+  let rounds = 0;
   let avoidUntil: Milliseconds = 0;
   let isListedLeaving = false;
 
@@ -108,10 +111,13 @@
     if (!wasLeaving && isLeaving()) log(Diagnostics.endpointLeaving, { endpoint: endpoint.name });
   }
 
-  function noteFailure(): void {
+  // One that can't be reached is avoided at once; one failure among answers may be an accident.
+  function noteFailure(result: 'failed' | 'unreachable'): void {
     failures += 1;
-    if (failures < FAILURES_TO_AVOID) return;
-    avoidUntil = clock.elapsed() + AVOID_MS;
+    if (result === 'failed' && failures < FAILURES_TO_AVOID) return;
+    if (clock.elapsed() < avoidUntil) return;
+    rounds += 1;
+    avoidUntil = clock.elapsed() + Math.min(AVOID_MS * rounds, LONGEST_AVOID_MS);
     log(Diagnostics.endpointFailed, { endpoint: endpoint.name, failures });
   }
 
@@ -120,6 +126,7 @@
       log(Diagnostics.endpointRecovered, { endpoint: endpoint.name });
     }
     failures = 0;
+    rounds = 0;
     avoidUntil = 0;
   }
 
@@ -154,8 +161,8 @@
     },
     release(result) {
       inFlight = Math.max(0, inFlight - 1);
-      if (result === 'failed') noteFailure();
-      else noteSuccess();
+      if (result === 'ok') noteSuccess();
+      else noteFailure(result);
     },
   };
 }
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -42,12 +42,15 @@
   signal?: AbortSignal;
 }
 
+/** How a request on a place ended; `unreachable`: nothing reached the endpoint. */
+export type SlotResult = 'ok' | 'failed' | 'unreachable';
+
 /** A place on an endpoint; must be released exactly once. */
 export interface Slot {
   endpoint: Endpoint;
   /** Whether the endpoint has begun to leave since; then nothing may be sent to it. */
   isLeaving(): boolean;
-  release(result: 'ok' | 'failed'): void;
+  release(result: SlotResult): void;
 }
 
 /** Why no endpoint was found. */
