--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -201,6 +201,7 @@
     patience: getFirstBytePatience(request.route, timeLeft, mayRepeat),
     signal: stop.signal,
   });
+  if (reply.ok) slot.touch();
   noteAttempt(run, endpoint, reply);
   return reply;
 }
@@ -286,7 +287,7 @@
   let stream = first;
   let slot = firstSlot;
   for (;;) {
-    const end = await relayEvents(run, stream);
+    const end = await relayEvents(run, stream, slot);
     // Two runs of one request must not overlap.
     await stream.close();
     slot.release(end.kind === 'end' || run.stop.signal.aborted ? 'ok' : 'failed');
@@ -312,6 +313,7 @@
 async function relayEvents<Payload>(
   run: Run<Payload>,
   stream: EventStream,
+  slot: Slot,
 ): Promise<Exclude<StreamStep, { kind: 'events' }>> {
   for (;;) {
     const step = await nextStep(run, stream);
@@ -319,6 +321,7 @@
       if (step.kind === 'broken') noteBroken(run, step.message);
       return step;
     }
+    slot.touch();
     run.events += step.count;
     run.lastEvent = step.lastId ?? run.lastEvent;
     await run.caller.write(step.data);
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -24,8 +24,8 @@
 } from './types';
 
 const CONFIGURATION_PAUSE_MS: Milliseconds = 100;
-const ENDPOINT_PAUSE_MS: Milliseconds = 200;
-const BUDGET_PAUSE_MS: Milliseconds = 200;
+const ENDPOINT_PAUSE_MS: Milliseconds = 400;
+const BUDGET_PAUSE_MS: Milliseconds = 300;
 const REBALANCE_MS: Milliseconds = 400;
 /** How long a request waits for beliefs to be read again after a pause. */
 const CONFIRM_MS: Milliseconds = 500;
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -66,6 +66,7 @@
     return {
       endpoint: view.endpoint,
       isLeaving: () => endpoints.isLeaving(view.endpoint.name),
+      touch: () => endpoints.touch(view.endpoint.name),
       release(result) {
         if (!isHeld) return;
         isHeld = false;
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -1,12 +1,16 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
+import { createReachability } from './reachability';
+import type { Reachability } from './reachability';
 import type { EndpointView, LoadReport, RouteRequest, SlotResult } from './types';
 
 const FAILURES_TO_AVOID = 2;
 const AVOID_MS = 2000;
 /** An endpoint that stays unreachable is tried more and more rarely. */
 const LONGEST_AVOID_MS = 8000;
+/** Silence with work in progress after which an endpoint is the last choice. */
+const SILENT_MS = 600;
 /** Below the time in which an endpoint that leaves must get nothing new. */
 const STALE_MS = 1500;
 
@@ -30,6 +34,8 @@
   /** Whether the endpoint is leaving, or not known any more. */
   isLeaving(name: string): boolean;
   take(name: string): void;
+  /** Notes that bytes came from it. */
+  touch(name: string): void;
   release(name: string, result: SlotResult): void;
   list(): EndpointView[];
 }
@@ -42,16 +48,18 @@
   report(report: LoadReport): void;
   isStale(): boolean;
   take(): void;
+  touch(): void;
   release(result: SlotResult): void;
 }
 
 /** Creates an empty endpoint table. */
 export function createEndpoints(host: EndpointsHost): Endpoints {
   const entries = new Map<string, Entry>();
+  const reachability = createReachability(host.clock);
   let leaving = new Set<string>();
 
   function addEntry(endpoint: Endpoint): void {
-    const entry = createEntry(host, endpoint);
+    const entry = createEntry(host, reachability, endpoint);
     entry.setListedLeaving(leaving.has(endpoint.name));
     entries.set(endpoint.name, entry);
   }
@@ -80,6 +88,7 @@
         .filter((view) => isServing(view.endpoint, target)),
     isLeaving: (name) => entries.get(name)?.view().isLeaving ?? true,
     take: (name) => entries.get(name)?.take(),
+    touch: (name) => entries.get(name)?.touch(),
     release: (name, result) => entries.get(name)?.release(result),
     list: () => [...entries.values()].map((entry) => entry.view()),
   };
@@ -92,7 +101,11 @@
   return endpoint.kind === 'service' && endpoint.service === target.service;
 }
 
-function createEntry({ clock, log }: EndpointsHost, initial: Endpoint): Entry {
+function createEntry(
+  { clock, log }: EndpointsHost,
+  reachability: Reachability,
+  initial: Endpoint,
+): Entry {
   let endpoint = initial;
   let inFlight = 0;
   let inFlightAtReport = 0;
@@ -100,9 +113,14 @@
   let reportedAt: Milliseconds = -Infinity;
   let failures = 0;
   let rounds = 0;
+  let heardAt: Milliseconds = 0;
   let avoidUntil: Milliseconds = 0;
   let isListedLeaving = false;
 
+  // Engines answer some request or other all the time: one that has work and says nothing is gone.
+  const isSilent = () => inFlight > 0 && clock.elapsed() - heardAt > SILENT_MS;
+  const isFailing = () =>
+    clock.elapsed() < avoidUntil || isSilent() || reachability.isSuspect(endpoint.dataCentre);
   const isLeaving = () => endpoint.leaving || isListedLeaving || last.state === 'leaving';
 
   function noteChange(change: () => void): void {
@@ -136,7 +154,7 @@
       inFlight,
       othersInFlight: Math.max(0, last.running + last.queued - inFlightAtReport),
       isLeaving: isLeaving(),
-      isFailing: clock.elapsed() < avoidUntil,
+      isFailing: isFailing(),
     }),
     configure(next) {
       noteChange(() => {
@@ -157,12 +175,21 @@
       });
     },
     take() {
+      if (inFlight === 0) heardAt = clock.elapsed();
       inFlight += 1;
     },
+    touch() {
+      heardAt = clock.elapsed();
+    },
     release(result) {
       inFlight = Math.max(0, inFlight - 1);
       if (result === 'ok') noteSuccess();
       else noteFailure(result);
+      if (result === 'unreachable') {
+        reachability.noteUnreachable(endpoint.dataCentre, endpoint.name);
+      } else {
+        reachability.noteReached(endpoint.dataCentre);
+      }
     },
   };
 }
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -50,6 +50,8 @@
   endpoint: Endpoint;
   /** Whether the endpoint has begun to leave since; then nothing may be sent to it. */
   isLeaving(): boolean;
+  /** Bytes came from the endpoint; one that is silent for long gets nothing new. */
+  touch(): void;
   release(result: SlotResult): void;
 }
 
--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -123,3 +123,66 @@
     expect(seen.size).toBe(3);
   },
 );
+
+test('an endpoint with work that says nothing is the last choice', async () => {
+  const { admission, clock } = setUp();
+  const first = (await admission.acquire(request())).unwrap();
+  await clock.advance(700);
+  const second = (await admission.acquire(request())).unwrap();
+  expect(second.endpoint.name).not.toBe(first.endpoint.name);
+  first.touch();
+  first.release('ok');
+  second.release('ok');
+});
+
+test('an endpoint that can not be reached is avoided at once, for longer each time', async () => {
+  const { admission, clock } = setUp();
+  const first = (await admission.acquire(request())).unwrap();
+  first.release('unreachable');
+  const { name } = first.endpoint;
+  const chosen = async () => {
+    const slot = (await admission.acquire(request())).unwrap();
+    slot.release('ok');
+    return slot.endpoint.name;
+  };
+  const early = [await chosen(), await chosen(), await chosen(), await chosen()];
+  expect(early).not.toContain(name);
+  await clock.advance(2100);
+  const late = [];
+  for (let count = 0; count < 20; count += 1) late.push(await chosen());
+  expect(late).toContain(name);
+});
+
+test('requests with a shared part meet at one endpoint, within a bound on its load', () => {
+  const { endpoints, random } = setUp({ kind: 'prefix-affinity' }, 100);
+  const prefix = [
+    { id: 'shared', tokens: 500 },
+    { id: 'own', tokens: 10 },
+  ];
+  const choose = (turn: number) => {
+    const view = chooseEndpoint({ kind: 'prefix-affinity' }, endpoints.list(), {
+      random,
+      turn,
+      prefix,
+    });
+    endpoints.take(view.endpoint.name);
+    return view.endpoint.name;
+  };
+  const names = Array.from({ length: 30 }, (_, turn) => choose(turn));
+  expect(new Set(names.slice(0, 2)).size).toBe(1);
+  const most = Math.max(...endpoints.list().map((view) => view.inFlight));
+  expect(most).toBeLessThan(18);
+});
+
+test('a data centre whose endpoints can not be reached is avoided as a whole', async () => {
+  const { admission, clock } = setUp({ kind: 'least-in-flight' }, 4);
+  const slots = [];
+  for (let count = 0; count < 8; count += 1)
+    slots.push((await admission.acquire(request())).unwrap());
+  slots.forEach((slot) => slot.release('unreachable'));
+  const next = (await admission.acquire(request())).unwrap();
+  expect(next.endpoint.dataCentre).toBe('tacoma');
+  await clock.advance(10_000);
+  const later = (await admission.acquire(request())).unwrap();
+  expect(later.endpoint.dataCentre).toBe('kent');
+});
