--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -195,7 +195,6 @@
 
   // Only a clear difference is worth a transaction.
   function isOffBalance({ spare, reserve: forCuts }: GrantTarget): boolean {
-    const isOff = (value: Tokens, target: Tokens) => value < target / 2 || value > target * 2;
     return isOff(grant.ceiling - used, spare) || isOff(grant.held - grant.ceiling, forCuts);
   }
 
@@ -351,3 +350,7 @@
     }),
   };
 }
+
+function isOff(value: Tokens, target: Tokens): boolean {
+  return value < target / 2 || value > target * 2;
+}
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -19,7 +19,7 @@
 
 /** The endpoints that may be used, by their own entries in the store. */
 export interface EndpointDirectory {
-  /** Takes over a whole reading; `unreadable` are entries that name no endpoint. */
+  /** Takes over a whole reading. */
   replaceAll(records: EndpointRecord[]): void;
   take(record: EndpointRecord): void;
   remove(id: string): void;
--- a/packages/replay/src/programs.ts
+++ b/packages/replay/src/programs.ts
@@ -37,7 +37,7 @@
           resolve(code);
         });
       });
-      return waitForStart(name, child, exited);
+      return waitForStart(name, child, exited, onLog);
     },
     stopAll() {
       children.forEach((child) => {
@@ -53,14 +53,20 @@
   name: string,
   child: ChildProcess,
   exited: Promise<number | null>,
+  onLog: (name: string, line: string) => void,
 ): Promise<Program> {
   return new Promise((resolve, reject) => {
     const timer = setTimeout(() => reject(new Error(`${name} does not start`)), START_TIMEOUT_MS);
     exited.then((code) => reject(new Error(`${name} exited with ${code}`)));
     if (!child.stdout) return;
-    createInterface({ input: child.stdout }).once('line', (line) => {
-      clearTimeout(timer);
+    // Log lines stand beside the one that tells the addresses.
+    createInterface({ input: child.stdout }).on('line', (line) => {
       const listening = JSON.parse(line) as Record<string, unknown>;
+      if (listening.event !== 'listening') {
+        onLog(name, line);
+        return;
+      }
+      clearTimeout(timer);
       const isRunning = () => child.exitCode === null && child.signalCode === null;
       resolve({ name, child, listening, exited, isRunning });
     });
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -47,7 +47,10 @@
   function tryRoute(request: RouteRequest): Outcome<Slot, RouteError> {
     const candidates = endpoints.findCandidates(request);
     if (candidates.length === 0) return Err({ kind: 'none' });
-    const free = candidates.filter(hasRoom);
+    const free = candidates.filter(hasRoom).filter(isWorthTrying);
+    if (free.length === 0 && candidates.every((view) => view.isUnreachable)) {
+      return Err({ kind: 'unreachable' });
+    }
     const policy = host.getPolicy(request);
     // What an engine has read already is worth more than a short way.
     const near = policy.kind === 'prefix-affinity' ? undefined : host.dataCentre;
@@ -169,10 +172,16 @@
   function tryBehindWaiters(request: RouteRequest): Outcome<Slot, RouteError> {
     const candidates = endpoints.findCandidates(request);
     if (candidates.length === 0) return Err({ kind: 'none' });
+    if (candidates.every((view) => view.isUnreachable)) return Err({ kind: 'unreachable' });
     return Err({ kind: 'busy', retryAfter: estimateWait(candidates) });
   }
 }
 
+// One request at a time finds out whether an unreachable endpoint is back.
+function isWorthTrying({ isUnreachable, inFlight }: EndpointView): boolean {
+  return !isUnreachable || inFlight === 0;
+}
+
 // Endpoints that fail are a last resort, and another data centre is better than those.
 function preferCandidates(free: EndpointView[], dataCentre: string | undefined): EndpointView[] {
   const healthy = free.filter((view) => !view.isFailing);
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -113,14 +113,17 @@
   let reportedAt: Milliseconds = -Infinity;
   let failures = 0;
   let rounds = 0;
+  let wasUnreachable = false;
   let heardAt: Milliseconds = 0;
   let avoidUntil: Milliseconds = 0;
   let isListedLeaving = false;
 
   // Engines answer some request or other all the time: one that has work and says nothing is gone.
   const isSilent = () => inFlight > 0 && clock.elapsed() - heardAt > SILENT_MS;
-  const isFailing = () =>
-    clock.elapsed() < avoidUntil || isSilent() || reachability.isSuspect(endpoint.dataCentre);
+  const isAvoided = () => clock.elapsed() < avoidUntil;
+  const isUnreachable = () =>
+    (isAvoided() && wasUnreachable) || reachability.isSuspect(endpoint.dataCentre);
+  const isFailing = () => isAvoided() || isSilent() || isUnreachable();
   const isLeaving = () => endpoint.leaving || isListedLeaving || last.state === 'leaving';
 
   function noteChange(change: () => void): void {
@@ -155,6 +158,7 @@
       othersInFlight: Math.max(0, last.running + last.queued - inFlightAtReport),
       isLeaving: isLeaving(),
       isFailing: isFailing(),
+      isUnreachable: isUnreachable(),
     }),
     configure(next) {
       noteChange(() => {
@@ -185,7 +189,8 @@
       inFlight = Math.max(0, inFlight - 1);
       if (result === 'ok') noteSuccess();
       else noteFailure(result);
-      if (result === 'unreachable') {
+      wasUnreachable = result === 'unreachable';
+      if (wasUnreachable) {
         reachability.noteUnreachable(endpoint.dataCentre, endpoint.name);
       } else {
         reachability.noteReached(endpoint.dataCentre);
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -17,6 +17,8 @@
   othersInFlight: number;
   isLeaving: boolean;
   isFailing: boolean;
+  /** Whether the last attempts did not reach it. */
+  isUnreachable: boolean;
 }
 
 /** A part of a prompt; requests share parts, and engines keep what they have read. */
@@ -61,5 +63,7 @@
   | { kind: 'none' }
   /** All are busy; the wait would be longer than the request's patience. */
   | { kind: 'busy'; retryAfter: Milliseconds }
+  /** None can be reached, and each one is being tried already. */
+  | { kind: 'unreachable' }
   /** The caller left while the request waited. */
   | { kind: 'abandoned' };
--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -186,3 +186,19 @@
   const later = (await admission.acquire(request())).unwrap();
   expect(later.endpoint.dataCentre).toBe('kent');
 });
+
+test('while nothing can be reached, requests are refused at once but for one that tries', async () => {
+  const { admission } = setUp({ kind: 'least-in-flight' }, 4);
+  const slots = [];
+  for (let count = 0; count < 12; count += 1) {
+    slots.push((await admission.acquire(request())).unwrap());
+  }
+  slots.forEach((slot) => slot.release('unreachable'));
+  const tries = await Promise.all(Array.from({ length: 6 }, () => admission.acquire(request())));
+  expect(tries.filter((outcome) => outcome.ok)).toHaveLength(3);
+  expect(tries.filter((outcome) => outcome.err).map((outcome) => outcome.val)).toEqual([
+    { kind: 'unreachable' },
+    { kind: 'unreachable' },
+    { kind: 'unreachable' },
+  ]);
+});
