--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -7,7 +7,9 @@
  * How long an entry that is missing after an outage of the store may still come back: entries lapse
  * while endpoints can't renew them, and live endpoints renew within about two seconds.
  */
-const RENEWAL_MS = 2200;
+const RENEWAL_MS: Milliseconds = 2200;
+/** The same for one whose removal the feed tells: it may as well be leaving. */
+const REMOVED_MS: Milliseconds = 900;
 
 /** What the directory needs from its surroundings. */
 export interface DirectoryHost {
@@ -68,18 +70,26 @@
     return true;
   }
 
-  function drop(id: string): boolean {
+  function drop(id: string, longest: Milliseconds): boolean {
     const known = entries.get(id);
     if (!known?.isListed) return false;
     known.isListed = false;
-    const mayReturn = isAway || clock.elapsed() - returnedAt < RENEWAL_MS;
-    known.usableUntil = mayReturn ? returnedAt + RENEWAL_MS : -Infinity;
+    known.usableUntil = Math.min(returnedAt + RENEWAL_MS, clock.elapsed() + longest);
+    const left = known.usableUntil - clock.elapsed();
+    const mayReturn = left > 0;
     const { born, sequence } = known.record;
     log(Diagnostics.endpointEnded, { endpoint: id, born, sequence, mayReturn });
-    if (mayReturn) clock.after(RENEWAL_MS, host.onChange);
+    if (mayReturn) clock.after(left, () => giveUp(id, known));
     return true;
   }
 
+  // The timer decides, not the clock: it may fire a little before its time.
+  function giveUp(id: string, entry: Entry): void {
+    if (entries.get(id) !== entry || entry.isListed) return;
+    entries.set(id, { ...entry, usableUntil: -Infinity });
+    host.onChange();
+  }
+
   function isUsable({ record, isListed, usableUntil }: Entry): boolean {
     return !record.isLeaving && (isListed || clock.elapsed() < usableUntil);
   }
@@ -89,14 +99,14 @@
       isLoaded = true;
       const listed = new Set(records.map((record) => record.id));
       const gone = [...entries.keys()].filter((id) => !listed.has(id));
-      const changes = [...records.map(accept), ...gone.map(drop)];
+      const changes = [...records.map(accept), ...gone.map((id) => drop(id, RENEWAL_MS))];
       if (changes.some(Boolean)) host.onChange();
     },
     take(record) {
       if (accept(record)) host.onChange();
     },
     remove(id) {
-      if (drop(id)) host.onChange();
+      if (drop(id, REMOVED_MS)) host.onChange();
     },
     noteReplaced({ id, born }) {
       const known = entries.get(id);
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -208,8 +208,11 @@
     isReady: () => table !== undefined && directory.isLoaded(),
     async forward(request, caller) {
       open += 1;
-      await forward(forwarding, request, caller);
-      open -= 1;
+      try {
+        await forward(forwarding, request, caller);
+      } finally {
+        open -= 1;
+      }
     },
     countOpen: () => open,
     renderMetrics: metrics.render,
--- a/packages/forwarding/test/directory.test.ts
+++ b/packages/forwarding/test/directory.test.ts
@@ -2,15 +2,24 @@
 import { createEndpointDirectory } from '../src';
 import type { EndpointRecord } from '../src';
 
-function setUp() {
-  const clock = createManualClock();
-  const directory = createEndpointDirectory({ clock, log: createSilentLog(), onChange: () => {} });
+// `early`: timers of the system may fire up to a millisecond before their time.
+function setUp(early = 0) {
+  const manual = createManualClock();
+  const clock = {
+    ...manual,
+    after: (delay: number, callback: () => void) => manual.after(delay - early, callback),
+  };
+  let changes = 0;
+  const onChange = () => {
+    changes += 1;
+  };
+  const directory = createEndpointDirectory({ clock, log: createSilentLog(), onChange });
   const usable = () =>
     directory
       .list()
       .filter((endpoint) => !endpoint.leaving)
       .map((endpoint) => endpoint.name);
-  return { clock, directory, usable };
+  return { clock, directory, usable, told: () => changes };
 }
 
 function record(changes: Partial<EndpointRecord> = {}): EndpointRecord {
@@ -88,3 +97,42 @@
   directory.take(record({ born: 6 }));
   expect(usable()).toEqual(['a/6']);
 });
+
+test('a removal that the feed tells soon after an outage counts within a second', async () => {
+  const { clock, directory, usable, told } = setUp();
+  directory.replaceAll([record(), record({ id: 'b' })]);
+  directory.noteOutage();
+  await clock.advance(5000);
+  directory.noteReturn();
+  directory.replaceAll([record(), record({ id: 'b' })]);
+  await clock.advance(700);
+  directory.remove('a');
+  const before = told();
+  await clock.advance(1000);
+  expect(usable()).toEqual(['b/5']);
+  expect(told()).toBeGreaterThan(before);
+});
+
+test('placement hears when an entry that lapsed is given up', async () => {
+  const { clock, directory, told } = setUp();
+  directory.replaceAll([record()]);
+  directory.noteOutage();
+  await clock.advance(5000);
+  directory.noteReturn();
+  await clock.advance(2000);
+  directory.replaceAll([]);
+  const before = told();
+  await clock.advance(250);
+  expect(told()).toBeGreaterThan(before);
+});
+
+test('an entry that lapsed is given up though the timer fires early', async () => {
+  const { clock, directory, usable } = setUp(0.5);
+  directory.replaceAll([record()]);
+  directory.noteOutage();
+  await clock.advance(5000);
+  directory.noteReturn();
+  directory.replaceAll([]);
+  await clock.advance(2199.6);
+  expect(usable()).toEqual([]);
+});
