Move the shutdown from platform/ into the product

Cause: reading the diff showed that platform/src/main.ts decided when a stopping instance notices, refuses, waits and settles; platform/ should only translate.

--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -8,3 +8,4 @@
 export * from './forward';
 export * from './events';
 export * from './forwardInstance';
+export * from './drain';
