Open the reserve gradually as the lease grows old

Change: from 0.45 s on the reserve opens about as fast as the instance spends, from 2.5 s on quickly, wholly at 6 s; a successor gives back what was not open yet, also after a longer absence. A request waits up to 0.35 s for a reserve that opens soon, and is told else when it opens. Spare falls from 1.2 s to 0.6 s of the rate; renewals come every 0.25 s.

--- a/packages/budgets/src/escrow.ts
+++ b/packages/budgets/src/escrow.ts
@@ -1,12 +1,9 @@
-import type { Milliseconds, Tokens } from '@pomeloroad/core';
+import type { Tokens } from '@pomeloroad/core';
 import { createEscrowAccount } from './escrowAccount';
 import type { EscrowAccount } from './escrowAccount';
 import { reclaimGrant } from './escrowReclaim';
 import type { Escrow, EscrowHost } from './escrowTypes';
 
-/** Outages of the store last some seconds. */
-const SILENT_RETRY_MS: Milliseconds = 2000;
-
 /**
  * Creates escrow over the store's rows. A budget's row counts the tokens granted to any instance; an
  * instance spends only what it was granted, so no cut, crash or late write lets spend pass a budget.
@@ -26,10 +23,6 @@
 
   return {
     reserve: (account, tokens, patience) => getAccount(account).reserve(tokens, patience),
-    getRetryDelay() {
-      const left = host.getLeaseLeft();
-      return left > 0 && left < Infinity ? left : SILENT_RETRY_MS;
-    },
     setLimits(next) {
       limits = next;
       next.forEach((_limit, name) => getAccount(name));
--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -2,7 +2,14 @@
 import { Diagnostics, sleep } from '@pomeloroad/core';
 import type { Milliseconds, Outcome, Timer, Tokens } from '@pomeloroad/core';
 import type { RowCheck, TransactError, VersionedRow } from '@pomeloroad/storage';
-import { findRow, getGrantKey, getTotalKey, parseGrant, parseTotal } from './escrowRows';
+import {
+  findRow,
+  getGrantKey,
+  getSpendable,
+  getTotalKey,
+  parseGrant,
+  parseTotal,
+} from './escrowRows';
 import type { Grant } from './escrowRows';
 import type { EscrowError, EscrowHost, EscrowReservation, EscrowState } from './escrowTypes';
 import { getGrantTarget } from './escrowSizing';
@@ -21,6 +28,13 @@
 /** Pause after the store refused a call. */
 const REFUSED_RETRY_MS = 60;
 
+/** How long a request waits for the reserve to open. */
+const OPENING_PATIENCE_MS = 350;
+const LEAST_DELAY_MS = 1;
+/** When to come back if not even the whole reserve covers a request; outages last some seconds. */
+const SILENT_RETRY_MS: Milliseconds = 2000;
+const UNREACHABLE: EscrowError = { kind: 'unreachable', retryAfter: SILENT_RETRY_MS };
+
 /** How far a part of the grant may be from its target before it is changed, as parts of it. */
 const LEAST_PART = 0.5;
 const MOST_PART = 1.4;
@@ -75,24 +89,50 @@
   let isWanted = false;
   let working: Promise<void> | undefined;
 
-  function reserve(
+  async function reserve(
     tokens: Tokens,
     patience: Milliseconds,
   ): Promise<Outcome<EscrowReservation, EscrowError>> {
     rate.add(tokens);
-    if (waiters.length === 0 && tokens <= getFree()) {
-      return Promise.resolve(Ok(take(tokens)));
+    const deadline = clock.elapsed() + patience;
+    for (;;) {
+      if (waiters.length === 0 && tokens <= getFree()) return Ok(take(tokens));
+      const left = deadline - clock.elapsed();
+      if (!host.isStoreSilent() && left > 0) {
+        const asked = await ask(tokens, left);
+        if (asked.ok || asked.val.kind === 'exhausted') return asked;
+      }
+      // No request waits for a store that does not answer, but for a reserve that opens soon.
+      const delay = getOpeningDelay(tokens);
+      if (delay > Math.min(OPENING_PATIENCE_MS, deadline - clock.elapsed())) {
+        return Err({ kind: 'unreachable', retryAfter: Math.min(delay, SILENT_RETRY_MS) });
+      }
+      await sleep(clock, delay);
     }
-    // No request waits for a store that is known not to answer.
-    if (host.isStoreSilent()) return Promise.resolve(Err({ kind: 'unreachable' }));
+  }
+
+  function ask(
+    tokens: Tokens,
+    patience: Milliseconds,
+  ): Promise<Outcome<EscrowReservation, EscrowError>> {
     return new Promise((resolve) => {
       const timer = clock.after(patience, () => expire(waiter));
       const waiter: Waiter = { tokens, since: clock.elapsed(), timer, resolve };
       waiters.push(waiter);
+      const delay = getOpeningDelay(tokens);
+      if (delay < patience) clock.after(delay, serveWaiters);
       work();
     });
   }
 
+  // Until the reserve covers the request as well, if nothing else changes.
+  function getOpeningDelay(tokens: Tokens): Milliseconds {
+    const missing = used + tokens - grant.ceiling;
+    const forCuts = grant.held - grant.ceiling;
+    if (missing > forCuts) return Infinity;
+    return Math.max(LEAST_DELAY_MS, host.getOpeningDelay(missing / forCuts));
+  }
+
   function take(tokens: Tokens): EscrowReservation {
     let isOpen = true;
     used += tokens;
@@ -110,7 +150,7 @@
   function expire(waiter: Waiter): void {
     const isRead = readAt >= waiter.since;
     const isCovered = waiter.tokens <= getFree() + getRoom();
-    finish(waiter, Err({ kind: isRead && !isCovered ? 'exhausted' : 'unreachable' }));
+    finish(waiter, Err(isRead && !isCovered ? { kind: 'exhausted' } : UNREACHABLE));
   }
 
   function finish(waiter: Waiter, outcome: Outcome<EscrowReservation, EscrowError>): void {
@@ -179,12 +219,8 @@
 
   // What may be set aside now. A change on its way counts where it lowers that.
   function getFree(): Tokens {
-    const { held, ceiling } = grant;
-    const limits =
-      host.getLeaseLeft() <= 0
-        ? [held, change?.held ?? held]
-        : [ceiling, change?.ceiling ?? ceiling];
-    return Math.min(...limits) - used;
+    const share = host.getReserveShare();
+    return Math.min(getSpendable(grant, share), getSpendable(change ?? grant, share)) - used;
   }
 
   function getRoom(): Tokens {
@@ -286,7 +322,7 @@
     log(Diagnostics.budgetStoreSilent, { account, ...error, waiting: waiters.length });
     // A store that refuses may take the next call; one that is silent keeps nobody waiting.
     if (error.kind === 'unavailable') clock.after(REFUSED_RETRY_MS, work);
-    else [...waiters].forEach((waiter) => finish(waiter, Err({ kind: 'unreachable' })));
+    else [...waiters].forEach((waiter) => finish(waiter, Err(UNREACHABLE)));
   }
 
   async function refresh(): Promise<boolean> {
--- a/packages/budgets/src/escrowLease.ts
+++ b/packages/budgets/src/escrowLease.ts
@@ -1,17 +1,16 @@
 import { Diagnostics, sleep } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
 import type { RowKey, RowStore, RowView } from '@pomeloroad/storage';
+import { getOpeningAge, getOpenShare } from './escrowOpening';
 import { parseLease } from './escrowRows';
 
 /** Table with one row for each instance: its lease. */
 export const LEASE_TABLE = 'leases';
 /** How often the lease is renewed. */
-const RENEWAL_MS: Milliseconds = 400;
-const RETRY_MS: Milliseconds = 150;
-/** From the start of a renewal until the instance spends what it holds for cuts. */
-export const LEASE_MS: Milliseconds = 2500;
-/** What a successor leaves of that time for clocks that differ in speed. */
-const RECLAIM_MARGIN = 0.9;
+const RENEWAL_MS: Milliseconds = 250;
+const RETRY_MS: Milliseconds = 100;
+/** A lease looks older to a successor by this factor, since clocks differ in speed. */
+const CLOCK_MARGIN = 1.1;
 
 /** What a lease needs from its surroundings. */
 export interface LeaseHost {
@@ -29,17 +28,19 @@
 /** An earlier life of this instance whose grants may be reclaimed. */
 export interface Predecessor {
   incarnation: string;
-  /** Whether it died before its lease ran out, so that it spent no reserve. */
-  isProven: boolean;
+  /** The part of its reserves that it can have spent, 0 to 1. */
+  reserveShare: number;
 }
 
 /**
- * The lease by which a successor knows what this life can have spent. While it runs, an instance
- * spends only what its grants' rows say; when it has run out, it spends its reserve as well.
+ * The lease by which a successor knows what this life can have spent. The older it is, the more of
+ * its reserve may an instance spend beyond the ceilings of its grants.
  */
 export interface EscrowLease {
-  /** Until the reserve may be spent; 0 or less once it may, infinite if it never may. */
-  getTimeLeft(): Milliseconds;
+  /** The part of the reserves that may be spent now, 0 to 1. */
+  getReserveShare(): number;
+  /** Until this part of the reserves may be spent, as things stand; infinite if it never may. */
+  getOpeningDelay(share: number): Milliseconds;
   /** Takes the lease over from an earlier life, then renews it until the signal is aborted. */
   start(): Promise<Predecessor | undefined>;
   /** Ends the lease at a shutdown. */
@@ -96,28 +97,36 @@
     if (!lease) return undefined;
     // The clock counts from the start of the process, when the earlier life was over.
     const startedBefore = view.now - askedAt;
-    const isProven = startedBefore - lease.at <= LEASE_MS * RECLAIM_MARGIN;
-    log(Diagnostics.predecessorFound, { predecessor: lease.incarnation, isProven, version });
-    return { incarnation: lease.incarnation, isProven };
+    const reserveShare = getOpenShare((startedBefore - lease.at) * CLOCK_MARGIN);
+    log(Diagnostics.predecessorFound, { predecessor: lease.incarnation, reserveShare, version });
+    return { incarnation: lease.incarnation, reserveShare };
   }
 
   async function run(): Promise<void> {
     while (!signal.aborted && !isLost) {
       const isRenewed = await renew();
-      noteEnd();
+      noteOpening();
       await sleep(clock, isRenewed ? RENEWAL_MS : RETRY_MS, signal);
     }
   }
 
-  function noteEnd(): void {
-    const hasRunOut = getTimeLeft() <= 0;
-    if (hasRunOut && !isNoted) log(Diagnostics.leaseRanOut, { at: renewal?.at, version });
-    isNoted = hasRunOut;
+  function noteOpening(): void {
+    const isOpening = getReserveShare() > 0;
+    if (isOpening && !isNoted) log(Diagnostics.reserveOpens, { at: renewal?.at, version });
+    isNoted = isOpening;
   }
 
-  function getTimeLeft(): Milliseconds {
-    if (isLost || !renewal) return Infinity;
-    return renewal.startedAt + LEASE_MS - clock.elapsed();
+  // Young as long as the lease was never taken, or is another process's.
+  function getAge(): Milliseconds {
+    return isLost || !renewal ? 0 : clock.elapsed() - renewal.startedAt;
+  }
+
+  function getReserveShare(): number {
+    return getOpenShare(getAge());
+  }
+
+  function getOpeningDelay(share: number): Milliseconds {
+    return isLost || !renewal ? Infinity : getOpeningAge(share) - getAge();
   }
 
   // A renewal without an answer is sent again as it was: its time must not be younger than it says.
@@ -158,7 +167,8 @@
 
   return {
     start,
-    getTimeLeft,
+    getReserveShare,
+    getOpeningDelay,
     async end() {
       const ended = await rows.transact({
         checks: [{ ...place, version }],
--- a/packages/budgets/src/escrowReclaim.ts
+++ b/packages/budgets/src/escrowReclaim.ts
@@ -2,7 +2,14 @@
 import type { Milliseconds, Outcome } from '@pomeloroad/core';
 import type { FetchError, TransactError, VersionedRow } from '@pomeloroad/storage';
 import type { Predecessor } from './escrowLease';
-import { findRow, getGrantKey, getTotalKey, parseGrant, parseTotal } from './escrowRows';
+import {
+  findRow,
+  getGrantKey,
+  getSpendable,
+  getTotalKey,
+  parseGrant,
+  parseTotal,
+} from './escrowRows';
 import type { EscrowHost } from './escrowTypes';
 
 /** Others change the same budget, and the store may be away: a reclaim tries again for some time. */
@@ -12,16 +19,16 @@
 type ReclaimResult = Outcome<number, TransactError | FetchError> | undefined;
 
 /**
- * Gives back the reserve of an earlier life that died before its lease ran out: it can have spent
- * no more than its grant's ceiling. The changed row ends every write of it that is still on its way.
+ * Gives back what an earlier life can't have spent, by the age of its lease at its death. The
+ * changed row ends every write of it that is still on its way.
  */
 export async function reclaimGrant(
   host: EscrowHost,
   account: string,
-  { incarnation, isProven }: Predecessor,
+  predecessor: Predecessor,
 ): Promise<void> {
-  for (let attempt = 0; isProven && attempt < ATTEMPTS; attempt += 1) {
-    const result = await tryReclaim(host, account, incarnation);
+  for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+    const result = await tryReclaim(host, account, predecessor);
     if (!result || result.ok) return;
     host.log(Diagnostics.budgetStoreSilent, { account, outcome: result.val.kind });
     if (result.val.kind !== 'conflict') await sleep(host.clock, RETRY_MS);
@@ -31,7 +38,7 @@
 async function tryReclaim(
   { rows, log }: EscrowHost,
   account: string,
-  incarnation: string,
+  { incarnation, reserveShare }: Predecessor,
 ): Promise<ReclaimResult> {
   const totalKey = getTotalKey(account);
   const grantKey = getGrantKey(account, incarnation);
@@ -43,14 +50,16 @@
   const grantRow = findRow(grants.val.rows, grantKey);
   const total = totalRow && parseTotal(totalRow.value);
   const grant = grantRow && parseGrant(grantRow.value);
-  if (!total || !grant || grant.held === grant.ceiling) return undefined;
-  const { ceiling, held } = grant;
-  const allocated = total.allocated - (held - ceiling);
+  if (!total || !grant) return undefined;
+  const spendable = getSpendable(grant, reserveShare);
+  const unspent = grant.held - spendable;
+  if (unspent === 0) return undefined;
+  const allocated = total.allocated - unspent;
   const written = await rows.transact({
     checks: [toCheck(totalRow), toCheck(grantRow)],
     puts: [
       { ...totalKey, value: JSON.stringify({ ...total, allocated }) },
-      { ...grantKey, value: JSON.stringify({ held: ceiling, ceiling }) },
+      { ...grantKey, value: JSON.stringify({ held: spendable, ceiling: spendable }) },
     ],
     removals: [],
   });
@@ -58,7 +67,7 @@
     log(Diagnostics.grantReclaimed, {
       account,
       predecessor: incarnation,
-      tokens: held - ceiling,
+      tokens: unspent,
       version: written.val,
     });
   }
--- a/packages/budgets/src/escrowRows.ts
+++ b/packages/budgets/src/escrowRows.ts
@@ -25,6 +25,11 @@
   ceiling: Tokens;
 }
 
+/** What a grant lets its holder spend at most, while this part of its reserve may be spent. */
+export function getSpendable({ held, ceiling }: Grant, reserveShare: number): Tokens {
+  return ceiling + Math.ceil((held - ceiling) * reserveShare);
+}
+
 /** What the row of a lease says. */
 export interface LeaseRow {
   incarnation: string;
--- a/packages/budgets/src/escrowSizing.ts
+++ b/packages/budgets/src/escrowSizing.ts
@@ -17,8 +17,8 @@
   reserve: Tokens;
 }
 
-/** Covers most of the time until the lease runs out; what is spare is lost at a kill. */
-const SPARE_HORIZON_MS: Milliseconds = 1200;
+/** Covers the time until the reserve opens; what is spare is lost at a kill. */
+const SPARE_HORIZON_MS: Milliseconds = 600;
 /** How long an instance goes on beyond that while the store does not answer. */
 const RESERVE_HORIZON_MS: Milliseconds = 14_000;
 const MS_PER_SECOND = 1000;
@@ -27,7 +27,7 @@
 /** Part of it that all instances together hold whatever their rates are, against sudden cuts. */
 const IDLE_SHARE = 0.5;
 /** Part of an idle instance's share that may be spent at any time. */
-const IDLE_SPARE = 0.15;
+const IDLE_SPARE = 0.05;
 
 /** How much an instance holds of a budget: for long cuts, but little of one that runs out. */
 export function getGrantTarget({ rate, room, instances }: GrantDemand): GrantTarget {
--- a/packages/budgets/src/escrowTypes.ts
+++ b/packages/budgets/src/escrowTypes.ts
@@ -11,8 +11,10 @@
   incarnation: string;
   /** Whether the store does not answer now; then no request waits for it. */
   isStoreSilent(): boolean;
-  /** Until the lease runs out and what is held for cuts may be spent; 0 or less once it may. */
-  getLeaseLeft(): Milliseconds;
+  /** The part of the reserve that may be spent now, 0 to 1. */
+  getReserveShare(): number;
+  /** Until this part of the reserve may be spent if the store stays silent. */
+  getOpeningDelay(share: number): Milliseconds;
   /** How many instances share the budgets, this one included. */
   countInstances(): number;
 }
@@ -28,8 +30,8 @@
 export type EscrowError =
   /** What is left of the budget does not cover the request. */
   | { kind: 'exhausted' }
-  /** What this instance holds does not cover it, and the store does not answer. */
-  | { kind: 'unreachable' };
+  /** What may be spent does not cover it, and the store does not answer; when it may do so. */
+  | { kind: 'unreachable'; retryAfter: Milliseconds };
 
 /** Escrow of one client account, as a state dump shows it. */
 export interface EscrowState {
@@ -51,8 +53,6 @@
     tokens: Tokens,
     patience: Milliseconds,
   ): Promise<Outcome<EscrowReservation, EscrowError>>;
-  /** When a request that found the store silent may come back. */
-  getRetryDelay(): Milliseconds;
   /** Takes over what each account has paid for. */
   setLimits(limits: ReadonlyMap<string, Tokens>): void;
   /** Takes over changes of the budgets' rows, as the store's feed tells them. */
--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -40,7 +40,7 @@
   predecessorFound: diagnostic(4009, 'info', 'lease of an earlier life found'),
   grantReclaimed: diagnostic(4010, 'info', 'reserve of an earlier life given back'),
   leaseLost: diagnostic(4011, 'error', 'another process has the lease of this instance'),
-  leaseRanOut: diagnostic(4012, 'warn', 'lease ran out, spending the reserve'),
+  reserveOpens: diagnostic(4012, 'warn', 'lease is old, spending from the reserve'),
   reservationOrphaned: diagnostic(4007, 'warn', 'reservation of a lost instance settled'),
   requestAnswered: diagnostic(5001, 'debug', 'request answered'),
   requestRefused: diagnostic(5002, 'info', 'request refused'),
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -1,8 +1,8 @@
-import { Err, Ok } from 'ts-results';
+import { Ok } from 'ts-results';
 import { match } from 'ts-pattern';
 import { Diagnostics } from '@pomeloroad/core';
 import type { LogFields, Milliseconds, Outcome, Timer } from '@pomeloroad/core';
-import type { EscrowReservation } from '@pomeloroad/budgets';
+import type { EscrowError, EscrowReservation } from '@pomeloroad/budgets';
 import { findAnswer } from './attempts';
 import type { Answered } from './attempts';
 import type { ForwardHost } from './forwardTypes';
@@ -34,7 +34,7 @@
   host.retryBudget.noteRequest(request.service);
   await host.confirmBeliefs();
   const reservation = await reserve(run);
-  if (reservation.err) refuse(run, reservation.val);
+  if (reservation.err) refuseForBudget(run, reservation.val);
   else await runReserved(run, reservation.val);
   deadline.cancel();
 }
@@ -45,14 +45,21 @@
 
 async function reserve<Payload>(
   run: Run<Payload>,
-): Promise<Outcome<EscrowReservation | undefined, RefusalKind>> {
+): Promise<Outcome<EscrowReservation | undefined, EscrowError>> {
   const { host, request } = run;
   const tokens = request.cost.input + request.cost.output;
   if (tokens === 0) return Ok(undefined);
   const patience = Math.min(BUDGET_PATIENCE_MS, getTimeLeft(run) / 2);
-  const reserved = await host.escrow.reserve(request.account, tokens, patience);
-  if (reserved.ok) return reserved;
-  return Err(reserved.val.kind === 'exhausted' ? 'budget-exhausted' : 'budget-unreachable');
+  return host.escrow.reserve(request.account, tokens, patience);
+}
+
+function refuseForBudget<Payload>(run: Run<Payload>, error: EscrowError): void {
+  match(error)
+    .with({ kind: 'exhausted' }, () => refuse(run, 'budget-exhausted'))
+    .with({ kind: 'unreachable' }, ({ retryAfter }) =>
+      refuse(run, 'budget-unreachable', spread(run, retryAfter)),
+    )
+    .exhaustive();
 }
 
 async function runReserved<Payload>(
@@ -80,7 +87,11 @@
   noteEnd(run, isWhole ? 'answered' : 'cut', { status: reply.head.status });
 }
 
-function refuse<Payload>(run: Run<Payload>, kind: RefusalKind): void {
+function refuse<Payload>(
+  run: Run<Payload>,
+  kind: RefusalKind,
+  delay: Milliseconds | undefined = getRetryDelay(run, kind),
+): void {
   // What an endpoint said goes before words of our own.
   if (run.failure) {
     run.caller.answer(run.failure.head, run.failure.body);
@@ -88,20 +99,19 @@
     return;
   }
   const hasRun = run.runs > 0;
-  const retryAfter = hasRun ? undefined : getRetryAfter(run, kind);
+  const retryAfter = hasRun ? undefined : delay;
   const refusal: ForwardRefusal = { kind, hasRun, retryAfter };
   run.caller.refuse(refusal);
   noteEnd(run, 'refused', { kind, hasRun, retryAfter });
 }
 
-function getRetryAfter<Payload>(run: Run<Payload>, kind: RefusalKind): Milliseconds | undefined {
+function getRetryDelay<Payload>(run: Run<Payload>, kind: RefusalKind): Milliseconds | undefined {
   return match(kind)
-    .with('budget-unreachable', () => spread(run, run.host.escrow.getRetryDelay()))
     .with('not-ready', () => NOT_READY_RETRY_MS)
     .with('no-endpoint', () => NO_ENDPOINT_RETRY_MS)
     .with('overloaded', () => Math.max(LEAST_RETRY_MS, run.request.route.objective / 2))
     .with('timed-out', () => LEAST_RETRY_MS)
-    .with('budget-exhausted', 'failed', () => undefined)
+    .with('budget-exhausted', 'budget-unreachable', 'failed', () => undefined)
     .exhaustive();
 }
 
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -90,7 +90,8 @@
     rows,
     incarnation: host.incarnation,
     isStoreSilent: isSilent,
-    getLeaseLeft: lease.getTimeLeft,
+    getReserveShare: lease.getReserveShare,
+    getOpeningDelay: lease.getOpeningDelay,
     countInstances: count,
   });
   const endpoints = createEndpoints({ clock, log });
