Keep spare tokens by what is left of a budget

Cause: what is spare is lost at a kill of all, which matters for budgets that run out and for no others; in a cut it is all that may be spent until the reserve opens. Change: from 0.2 s of the rate where nothing is left without a holder to 3 s where 15% or more is; the reserve opens from 2.2 s on, when quick restarts are over, and is open at 5.5 s.

--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -230,7 +230,8 @@
   function getTarget(): GrantTarget {
     if (isReleased || clock.elapsed() < frugalUntil) return { spare: 0, reserve: 0 };
     const room = getRoom();
-    return getGrantTarget({ rate: rate.perSecond(), room, instances: host.countInstances() });
+    const instances = host.countInstances();
+    return getGrantTarget({ rate: rate.perSecond(), limit, room, instances });
   }
 
   // Only a clear difference is worth a transaction.
