Call the store less: back-off, turns, one retry after a conflict

Change: refused calls back off to 2 s; rebalances spread over their interval and, in fleets above 16, over several turns; after a conflict one more attempt unless a request waits; leases are renewed every 8 ms times the instances (0.25 to 0.6 s), instances counted every 4 s. Ruled out: feeds and leases alone (about 750 of 2,300 calls a second). Tests fail before: 264 calls where 115 are the bound, 926 where 240 are. The search that must find a missing guard may take 3,000 schedules (it ends at the first find), since timers of rebalances changed its schedules.

--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -25,8 +25,11 @@
 /** How often the others are asked to return tokens, at most. */
 const CALL_INTERVAL_MS = 1000;
 
-/** Pause after the store refused a call. */
+/** Pause after the store refused a call; it doubles with each refusal in a row. */
 const REFUSED_RETRY_MS = 60;
+const MOST_RETRY_MS = 2000;
+/** Transactions for one rebalance: the second knows what others changed before the first. */
+const REBALANCE_ATTEMPTS = 2;
 
 /** How long a request waits for the reserve to open. */
 const OPENING_PATIENCE_MS = 350;
@@ -85,7 +88,10 @@
   let frugalUntil: Milliseconds = -Infinity;
   let calledAt: Milliseconds = -Infinity;
   let isReleased = false;
-  let isUnbalanced = false;
+  /** Transactions that may still be tried to balance the grant. */
+  let attempts = 0;
+  let hasConflicted = false;
+  let refusals = 0;
   let isWanted = false;
   let working: Promise<void> | undefined;
 
@@ -165,7 +171,7 @@
   }
 
   function balance(): void {
-    isUnbalanced = true;
+    attempts = REBALANCE_ATTEMPTS;
     work();
   }
 
@@ -195,14 +201,18 @@
   async function takeStep(): Promise<boolean> {
     if (change) return commit(change);
     if (waiters.length > 0) return fetchMissing();
-    return isUnbalanced && adjust();
+    return attempts > 0 && adjust();
   }
 
   // One change for each call to balance: what is given back raises the target of the next one.
   async function adjust(): Promise<boolean> {
-    isUnbalanced = false;
+    const left = attempts - 1;
+    attempts = 0;
     if (host.isStoreSilent() || !isOffBalance(getTarget())) return false;
-    return commit(createChange(plan(0), false));
+    const isGoing = await commit(createChange(plan(0), false));
+    // Others changed the budget first: balance again by what it is now.
+    if (isGoing && hasConflicted) attempts = Math.max(attempts, left);
+    return isGoing;
   }
 
   async function fetchMissing(): Promise<boolean> {
@@ -258,6 +268,7 @@
   async function commit(next: Change): Promise<boolean> {
     const isRepeat = change === next;
     change = next;
+    hasConflicted = false;
     const { held, ceiling } = next;
     const allocated = total.allocated + held - grant.held;
     const calls = total.calls + (next.isCall ? 1 : 0);
@@ -270,6 +281,7 @@
       removals: [],
     });
     if (outcome.err) return takeError(outcome.val, isRepeat);
+    refusals = 0;
     // The feed may have told of a later change meanwhile.
     if (outcome.val >= total.version) {
       total = { allocated, calls, version: outcome.val };
@@ -281,6 +293,7 @@
 
   function takeError(error: TransactError, isRepeat: boolean): boolean {
     if (error.kind === 'conflict') {
+      refusals = 0;
       takeRows(error.rows);
       return true;
     }
@@ -302,8 +315,7 @@
       return;
     }
     change = undefined;
-    // Others changed the budget first: balance again by what it is now.
-    isUnbalanced = true;
+    hasConflicted = true;
   }
 
   function settleChange(next: Grant & { version: number }): void {
@@ -322,10 +334,16 @@
   function noteSilence(error: { kind: string; message: string }): void {
     log(Diagnostics.budgetStoreSilent, { account, ...error, waiting: waiters.length });
     // A store that refuses may take the next call; one that is silent keeps nobody waiting.
-    if (error.kind === 'unavailable') clock.after(REFUSED_RETRY_MS, work);
+    if (error.kind === 'unavailable') retryLater();
     else [...waiters].forEach((waiter) => finish(waiter, Err(UNREACHABLE)));
   }
 
+  function retryLater(): void {
+    const delay = Math.min(MOST_RETRY_MS, REFUSED_RETRY_MS * 2 ** refusals);
+    refusals += 1;
+    clock.after(delay, work);
+  }
+
   async function refresh(): Promise<boolean> {
     const listed = await rows.list(totalKey.table, account);
     if (listed.err) {
--- a/packages/budgets/src/escrowLease.ts
+++ b/packages/budgets/src/escrowLease.ts
@@ -4,8 +4,10 @@
 import { getOpeningAge, getOpenShare } from './escrowOpening';
 import { getLeaseKey, parseLease } from './escrowRows';
 
-/** How often the lease is renewed. */
-const RENEWAL_MS: Milliseconds = 250;
+/** How often the lease is renewed: in a large fleet less often, since the store is shared. */
+const LEAST_RENEWAL_MS: Milliseconds = 250;
+const MOST_RENEWAL_MS: Milliseconds = 600;
+const RENEWAL_MS_PER_INSTANCE: Milliseconds = 8;
 const RETRY_MS: Milliseconds = 100;
 /** A lease looks older to a successor by this factor, since clocks differ in speed. */
 const CLOCK_MARGIN = 1.1;
@@ -19,6 +21,8 @@
   instance: string;
   incarnation: string;
   signal: AbortSignal;
+  /** How many instances renew leases, this one included. */
+  countInstances(): number;
   /** Whether the rows of all grants cover what is spent; only then the lease may be renewed. */
   isCovered(): boolean;
 }
@@ -110,7 +114,8 @@
 
   // A renewal that was sent again says when it was first sent, which may be long ago.
   function getPause(): Milliseconds {
-    return getAge() < RENEWAL_MS ? RENEWAL_MS : 0;
+    const interval = getRenewalInterval(host.countInstances());
+    return getAge() < interval ? interval : 0;
   }
 
   function noteOpening(): void {
@@ -182,3 +187,8 @@
     },
   };
 }
+
+function getRenewalInterval(instances: number): Milliseconds {
+  const interval = instances * RENEWAL_MS_PER_INSTANCE;
+  return Math.min(MOST_RENEWAL_MS, Math.max(LEAST_RENEWAL_MS, interval));
+}
--- a/packages/budgets/src/escrowTypes.ts
+++ b/packages/budgets/src/escrowTypes.ts
@@ -1,10 +1,11 @@
-import type { Clock, Log, Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
+import type { Clock, Log, Milliseconds, Outcome, Random, Tokens } from '@pomeloroad/core';
 import type { RowChange, RowStore } from '@pomeloroad/storage';
 import type { Predecessor } from './escrowLease';
 
 /** What escrow needs from its surroundings. */
 export interface EscrowHost {
   clock: Clock;
+  random: Random;
   log: Log;
   rows: RowStore;
   /** This life of the instance; a restart never reuses the grants of an earlier one. */
@@ -61,8 +62,11 @@
   reclaim(predecessor: Predecessor): Promise<void>;
   /** Whether the rows of all grants cover what is spent or set aside. */
   isCovered(): boolean;
-  /** Fetches or returns tokens, so that each account holds what its rate of use calls for. */
-  rebalance(): void;
+  /**
+   * Fetches or returns tokens within the interval, so that each account holds what its rate of use
+   * calls for. In a large fleet each call looks at a part of the accounts.
+   */
+  rebalance(interval: Milliseconds): void;
   /** From now on holds nothing but what requests use; for the shutdown. */
   retire(): void;
   /** Returns the rest; tries again until it is done or the time has passed. */
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -82,10 +82,12 @@
     ...following,
     instance: host.instance,
     incarnation: host.incarnation,
+    countInstances: count,
     isCovered: () => escrow.isCovered(),
   });
   const escrow = createEscrow({
     clock,
+    random,
     log,
     rows,
     incarnation: host.incarnation,
@@ -152,7 +154,7 @@
     clock,
     () => REBALANCE_MS,
     stop.signal,
-    async () => escrow.rebalance(),
+    async () => escrow.rebalance(REBALANCE_MS),
   );
 
   const forwarding: ForwardHost<Payload> = {
--- a/packages/forwarding/src/instanceCount.ts
+++ b/packages/forwarding/src/instanceCount.ts
@@ -3,9 +3,9 @@
 import { LEASE_PARTITIONS, LEASE_TABLE } from '@pomeloroad/budgets';
 import type { RowStore, VersionedRow } from '@pomeloroad/storage';
 
-const COUNT_MS: Milliseconds = 2000;
+const COUNT_MS: Milliseconds = 4000;
 /** Time without a renewal after which an instance is not counted any more. */
-const LOST_MS: Milliseconds = 7000;
+const LOST_MS: Milliseconds = 11_000;
 /** Before the first reading; too many is safe, since shares are smaller then. */
 const ASSUMED_INSTANCES = 8;
 
