Log and count what became of each call of a feed

A failed call now says in which phase it failed and how many bytes had arrived; each failed call of a feed is an event (3006) with the age of what is known; counters by call, table and outcome, a histogram of durations and gauges of the configuration's version and age stand in the metrics. No decision changed.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -26,27 +26,39 @@
 export interface HttpFailure {
   kind: 'unavailable';
   ran: RunStatus;
+  /** Why the call failed, in which phase, and how much of the body had arrived. */
   message: string;
 }
 
+type CallPhase = 'waiting for a connection' | 'connecting' | 'waiting for the head' | 'reading';
+
 /** Sends the request and reads the whole response. Never rejects: any error is an `HttpFailure`. */
 export function callHttp(call: HttpCall): Promise<Outcome<HttpAnswer, HttpFailure>> {
   return new Promise((resolve) => {
-    let connected = false;
-    const fail = (message: string) => {
-      const ran: RunStatus = connected ? 'unknown' : 'no';
-      resolve(Err({ kind: 'unavailable', ran, message }));
+    let phase: CallPhase = 'waiting for a connection';
+    let received = 0;
+    const fail = (reason: string) => {
+      const isSent = phase === 'waiting for the head' || phase === 'reading';
+      const message = `${reason} while ${phase}, ${received} bytes received`;
+      resolve(Err({ kind: 'unavailable', ran: isSent ? 'unknown' : 'no', message }));
     };
     const request = createRequest(call, (response) => {
-      readBody(response).then(
+      phase = 'reading';
+      const countBytes = (bytes: number) => {
+        received += bytes;
+      };
+      readBody(response, Infinity, countBytes).then(
         (body) =>
           resolve(Ok({ status: response.statusCode ?? 0, headers: response.headers, body })),
         (reason: Error) => fail(reason.message),
       );
     });
     const timer = setTimeout(() => request.destroy(new Error('timeout')), call.timeout);
+    request.once('socket', () => {
+      phase = 'connecting';
+    });
     onConnected(request, () => {
-      connected = true;
+      phase = 'waiting for the head';
     });
     request.on('error', (error) => fail(error.message));
     request.on('close', () => clearTimeout(timer));
@@ -70,12 +82,20 @@
   return http.request(call.url, { method, headers, agent }, listener);
 }
 
-/** Reads a message's body. Rejects if the message is cut off or its body exceeds `limit` bytes. */
-export async function readBody(message: http.IncomingMessage, limit = Infinity): Promise<Buffer> {
+/**
+ * Reads a message's body. Rejects if the message is cut off or its body exceeds `limit` bytes.
+ * `onProgress` receives the size of each chunk.
+ */
+export async function readBody(
+  message: http.IncomingMessage,
+  limit = Infinity,
+  onProgress: (bytes: number) => void = () => undefined,
+): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let size = 0;
   for await (const chunk of message) {
     size += (chunk as Buffer).length;
+    onProgress((chunk as Buffer).length);
     if (size > limit) throw new RangeError(`body is larger than ${limit} bytes`);
     chunks.push(chunk as Buffer);
   }
--- a/packages/forwarding/src/follow.ts
+++ b/packages/forwarding/src/follow.ts
@@ -1,6 +1,6 @@
 import { Diagnostics, sleep } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
-import type { RowChange, RowStore, RowView } from '@pomeloroad/storage';
+import type { FetchError, RowChange, RowStore, RowView, StoreCall } from '@pomeloroad/storage';
 
 /** Maximum time that the store holds a call open; also bounds the detection of a dead feed. */
 const LONG_POLL_WAIT_MS: Milliseconds = 700;
@@ -32,6 +32,8 @@
 export interface FollowedTable {
   /** Reads all rows again, such as after a pause of the process; false if the store failed. */
   refresh(): Promise<boolean>;
+  /** Time since the start of the latest call that was answered; infinite before the first one. */
+  getAge(): Milliseconds;
 }
 
 /** Reads all rows of the partition, then follows the table's changes until the signal is aborted. */
@@ -40,14 +42,17 @@
   const { table, partition } = listener;
   let version = 0;
   let isUnavailable = false;
+  let currentAt: Milliseconds = -Infinity;
 
   async function refresh(): Promise<boolean> {
+    const startedAt = clock.elapsed();
     const view = await rows.list(table, partition ?? '');
     if (view.err) {
+      logFailure('list', view.val);
       markUnavailable(view.val.kind === 'unavailable' ? view.val.message : view.val.kind);
       return false;
     }
-    markAvailable();
+    markAvailable(startedAt);
     version = Math.max(version, view.val.version);
     listener.onView(view.val);
     log(Diagnostics.feedRestarted, { table, version: view.val.version });
@@ -64,29 +69,42 @@
 
   // Returns whether the feed can continue from the current version.
   async function readChanges(): Promise<boolean> {
+    const startedAt = clock.elapsed();
     const view = await rows.follow(table, version, LONG_POLL_WAIT_MS);
     if (view.err) {
+      logFailure('follow', view.val);
       if (view.val.kind === 'unavailable') markUnavailable(view.val.message);
       return false;
     }
-    markAvailable();
+    markAvailable(startedAt);
     version = Math.max(version, view.val.version);
     if (view.val.changes.length > 0) listener.onChanges(view.val.changes);
     return true;
   }
 
+  function logFailure(call: StoreCall, error: FetchError): void {
+    const message = error.kind === 'unavailable' ? error.message : undefined;
+    const age = Math.round(getAge());
+    log(Diagnostics.feedCallFailed, { table, call, version, age, outcome: error.kind, message });
+  }
+
+  function getAge(): Milliseconds {
+    return clock.elapsed() - currentAt;
+  }
+
   function markUnavailable(message: string): void {
     if (!isUnavailable) log(Diagnostics.platformUnavailable, { table, version, message });
     isUnavailable = true;
     listener.onUnavailable();
   }
 
-  function markAvailable(): void {
+  function markAvailable(startedAt: Milliseconds): void {
+    currentAt = Math.max(currentAt, startedAt);
     if (isUnavailable) log(Diagnostics.platformRecovered, { table, version });
     isUnavailable = false;
     listener.onAvailable();
   }
 
   pollChanges();
-  return { refresh };
+  return { refresh, getAge };
 }
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -73,7 +73,12 @@
   host: ForwardInstanceHost<Payload>,
 ): ForwardInstance<Payload> {
   const { clock, random, log } = host;
-  const { rows, isSilent } = watchStore(host.rows);
+  const metrics = createMetrics();
+  const forwardMetrics = createForwardMetrics(metrics);
+  const { rows, isSilent } = watchStore(clock, host.rows, ({ duration, table: name, ...ended }) => {
+    forwardMetrics.storeCalls.add(1, { ...ended, table: name ?? '' });
+    forwardMetrics.storeCall.record(duration);
+  });
   const stop = new AbortController();
   const following = { clock, log, rows, signal: stop.signal };
   let table: RouteTable | undefined;
@@ -121,7 +126,6 @@
     },
     ADMISSION_QUEUE_LIMIT,
   );
-  const metrics = createMetrics();
   const configurationFeed = followTable(following, {
     table: host.tables.configuration,
     partition: '',
@@ -131,6 +135,16 @@
     onUnavailable: () => undefined,
     onAvailable: () => undefined,
   });
+  metrics.gauge(
+    'pomeloroad_configuration_version',
+    'Version of the configuration in force; 0 while none is known.',
+    () => table?.configuration.version ?? 0,
+  );
+  metrics.gauge(
+    'pomeloroad_configuration_age_milliseconds',
+    'Time since the start of the latest read that confirmed the configuration.',
+    configurationFeed.getAge,
+  );
   const endpointFeed = followTable(following, {
     table: host.tables.endpoints,
     partition: '',
@@ -169,7 +183,7 @@
     directory,
     retryBudget: createRetryBudget(clock, host.getRetryAllowance, getInstanceCount),
     protocol: host.protocol,
-    metrics: createForwardMetrics(metrics),
+    metrics: forwardMetrics,
     findService: (name) => table?.findService(name),
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
--- a/packages/forwarding/src/forwardMetrics.ts
+++ b/packages/forwarding/src/forwardMetrics.ts
@@ -8,6 +8,10 @@
   attempts: Counter;
   /** Retries denied by the retry budget. */
   repeatsDenied: Counter;
+  /** Ended calls to the store by kind, table and outcome. */
+  storeCalls: Counter;
+  /** Milliseconds from the start of a call to the store to its end. */
+  storeCall: Histogram;
   /** Milliseconds from the request to the first byte of the answer. */
   firstByte: Histogram;
   /** Milliseconds from the request to the end of the answer. */
@@ -23,6 +27,11 @@
       'pomeloroad_repeats_denied_total',
       'Repeats that the retry budget did not allow.',
     ),
+    storeCalls: metrics.counter('pomeloroad_store_calls_total', 'Ended calls to the store.'),
+    storeCall: metrics.histogram(
+      'pomeloroad_store_call_milliseconds',
+      'Time from the start of a call to the store to its end.',
+    ),
     firstByte: metrics.histogram(
       'pomeloroad_first_byte_milliseconds',
       'Time from the request to the first byte of its answer.',
