Read a configuration as long as it keeps arriving; deny nothing by an old one

Cause: a call of the store had a total time (1 s a read, 1.2 s a feed call with its wait). A configuration of 1,900 routes needs 0.6 to 0.8 s of an idle 10 Mbit/s link; on a busy one it never fitted, what had arrived was thrown away and the next read began from the first byte. Class of fault: a time limit on the whole of a transfer whose size and rate are not known, and a definite answer ("there is no such route") from knowledge whose age nobody looked at.

Ruled out by it: the store turning reads away, reads waiting for one of the client's connections.

Now: the time limit of a call is one of silence, so a transfer ends if bytes keep arriving. What the configuration lacks is denied only if a read that began within config_apply_ms confirmed it; else 503, not run, come back. An instance at which one read takes longer than that (its link is overloaded) is not ready and closes connections after their answers, logs 6005 and 6006.

--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -62,6 +62,12 @@
   configurationStaged: diagnostic(6001, 'info', 'configuration staged'),
   configurationAccepted: diagnostic(6002, 'info', 'configuration in force'),
   configurationWithdrawn: diagnostic(6003, 'warn', 'configuration withdrawn'),
+  configurationLate: diagnostic(
+    6005,
+    'warn',
+    'a read of the configuration takes too long, no new callers are taken',
+  ),
+  configurationOnTime: diagnostic(6006, 'info', 'the configuration is read in time again'),
   configurationInDoubt: diagnostic(
     6004,
     'warn',
--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -9,6 +9,7 @@
   url: string;
   headers?: http.OutgoingHttpHeaders;
   body?: string | Buffer;
+  /** Longest time until the head of the response, and then between two parts of its body. */
   timeout: Milliseconds;
   agent?: http.Agent;
   /** PEM certificate of the authority that signed the server's certificate. */
@@ -46,6 +47,7 @@
       phase = 'reading';
       const countBytes = (bytes: number) => {
         received += bytes;
+        timer.refresh();
       };
       readBody(response, Infinity, countBytes).then(
         (body) =>
--- a/packages/forwarding/src/follow.ts
+++ b/packages/forwarding/src/follow.ts
@@ -34,6 +34,8 @@
   refresh(): Promise<boolean>;
   /** Time since the start of the latest call that was answered; infinite before the first one. */
   getAge(): Milliseconds;
+  /** Duration of the running call or of the last one, whichever is longer. */
+  getCallTime(): Milliseconds;
 }
 
 /** Reads all rows of the partition, then follows the table's changes until the signal is aborted. */
@@ -43,6 +45,8 @@
   let version = 0;
   let isUnavailable = false;
   let currentAt: Milliseconds = -Infinity;
+  let callStartedAt: Milliseconds | undefined;
+  let lastCallTime: Milliseconds = 0;
 
   async function refresh(): Promise<boolean> {
     const startedAt = clock.elapsed();
@@ -62,7 +66,10 @@
   async function pollChanges(): Promise<void> {
     let isCurrent = false;
     while (!signal.aborted) {
+      callStartedAt = clock.elapsed();
       isCurrent = isCurrent ? await readChanges() : await refresh();
+      lastCallTime = clock.elapsed() - callStartedAt;
+      callStartedAt = undefined;
       await sleep(clock, isCurrent ? listener.pause : RETRY_DELAY_MS, signal);
     }
   }
@@ -92,6 +99,11 @@
     return clock.elapsed() - currentAt;
   }
 
+  function getCallTime(): Milliseconds {
+    const running = callStartedAt === undefined ? 0 : clock.elapsed() - callStartedAt;
+    return Math.max(running, lastCallTime);
+  }
+
   function markUnavailable(message: string): void {
     if (!isUnavailable) log(Diagnostics.platformUnavailable, { table, version, message });
     isUnavailable = true;
@@ -106,5 +118,5 @@
   }
 
   pollChanges();
-  return { refresh, getAge };
+  return { refresh, getAge, getCallTime };
 }
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -47,13 +47,23 @@
   /** Decodes an endpoint's entry; `undefined` if it describes no usable endpoint. */
   decodeEndpoint(row: VersionedRow): EndpointRecord | undefined;
   getRetryAllowance(): RetryAllowance;
+  /** Returns the time within which an accepted configuration is to be in force. */
+  getConfigurationDelayLimit(): Milliseconds;
 }
 
 /** An instance that forwards requests by the configuration and the endpoints in the store. */
 export interface ForwardInstance<Payload> {
   /** Returns the configuration in force; `undefined` until one is known. */
   getTable(): RouteTable | undefined;
-  /** Whether a configuration and the endpoints are known. */
+  /**
+   * Whether the configuration was confirmed recently enough to deny what it lacks. What it contains
+   * is served in any case, because the store may be away for long.
+   */
+  isConfigurationCurrent(): boolean;
+  /**
+   * Whether new callers are welcome: a configuration and the endpoints are known, and a change of the
+   * configuration does not take too long to arrive, which shows that the network link is overloaded.
+   */
   isReady(): boolean;
   /** Forwards a request and answers its caller. */
   forward(request: ForwardRequest<Payload>, caller: Caller): Promise<void>;
@@ -84,6 +94,7 @@
   let table: RouteTable | undefined;
   let leaseStart: Promise<void> | undefined;
   let open = 0;
+  let wasConfigurationLate = false;
 
   const getInstanceCount = startInstanceCount(following);
   const lease = createEscrowLease({
@@ -204,6 +215,17 @@
     });
   }
 
+  function isConfigurationLate(): boolean {
+    const callTime = configurationFeed.getCallTime();
+    const isLate = callTime > host.getConfigurationDelayLimit();
+    if (isLate !== wasConfigurationLate) {
+      const event = isLate ? Diagnostics.configurationLate : Diagnostics.configurationOnTime;
+      log(event, { configuration: table?.configuration.version, callTime: Math.round(callTime) });
+    }
+    wasConfigurationLate = isLate;
+    return isLate;
+  }
+
   // Waits for a configuration, because it names the accounts whose grants the predecessor may hold.
   function startLease(): void {
     leaseStart ??= lease.start().then(async (predecessor) => {
@@ -225,7 +247,8 @@
 
   return {
     getTable: () => table,
-    isReady: () => table !== undefined && directory.isLoaded(),
+    isConfigurationCurrent: () => configurationFeed.getAge() <= host.getConfigurationDelayLimit(),
+    isReady: () => table !== undefined && directory.isLoaded() && !isConfigurationLate(),
     async forward(request, caller) {
       open += 1;
       try {
@@ -240,6 +263,7 @@
       instance: host.instance,
       incarnation: host.incarnation,
       configuration: table?.configuration.version,
+      configurationAge: configurationFeed.getAge(),
       open,
       waiting: admission.waiting(),
       instances: getInstanceCount(),
