Queue arrivals in the process: accept connections first, handle one request a turn

Cause: Node 20 (libuv 1.46) accepts one connection in a turn of the event loop (checked by itself: 50 connections that waited were accepted in 50 turns). With turns made long by requests, connections waited up to 2 s where the process does not see them; its clock for their time started afterwards, and its timers were never late, so the signs tried before could not show it. Ruled out: the link (1,000 Mbit/s there) and the store.

Now requests wait in the process, connections are accepted first, the wait counts against the request's time, callers that left are dropped, and long waits make the instance not ready.

--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -32,6 +32,12 @@
   settingsReloaded: diagnostic(1007, 'info', 'settings read again'),
   heartbeatFailed: diagnostic(3005, 'warn', 'instance could not announce itself'),
   processPaused: diagnostic(1008, 'warn', 'process was paused, cached state is read again'),
+  instanceOverloaded: diagnostic(
+    1009,
+    'warn',
+    'requests wait too long to be handled, no new callers are taken',
+  ),
+  instanceKeepsUp: diagnostic(1010, 'info', 'requests are handled in time again'),
   grantOpened: diagnostic(4001, 'info', 'grant opened'),
   grantResized: diagnostic(4002, 'info', 'grant resized'),
   grantClosed: diagnostic(4003, 'info', 'grant closed'),
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,3 +1,4 @@
+export * from './arrivalQueue';
 export * from './types';
 export * from './forwardTypes';
 export * from './forwardMetrics';
