Do not ask again for an answer that keeps arriving

An answer whose body took longer was given up and asked for at another endpoint, and when that was as slow (a busy link) the caller got 502. The patience now starts again with each part; the deadline of the request still ends it.

--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -157,7 +157,7 @@
   resumeAfter: string | undefined;
   /** Time until the request's deadline. */
   timeLeft: Milliseconds;
-  /** Timeout for the head of the answer. */
+  /** Longest time until the head of the answer, and then between two parts of a whole answer. */
   patience: Milliseconds;
   /** Aborted when the caller has disconnected or the deadline has passed. */
   signal: AbortSignal;
