Start feeds afresh when the store comes back from an older copy

A feed kept the highest version it had seen: it read everything each 100 ms until the counter had caught up (or was answered 410), and then missed changes whose versions were new to the store but not to it.

The store client returns the era of each read; a feed drops answers of an older era and reads all rows again in a newer one, with event 3007 and a gauge. Open: budgets (docs/design/platform.md).

--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -28,6 +28,11 @@
   rowUnreadable: diagnostic(3003, 'warn', 'row could not be parsed, ignored'),
   feedRestarted: diagnostic(3004, 'info', 'feed restarted with a full read'),
   feedCallFailed: diagnostic(3006, 'info', 'call of a feed failed'),
+  storeRewound: diagnostic(
+    3007,
+    'warn',
+    'the store came back from an older copy, all rows are read again',
+  ),
   linesDropped: diagnostic(1006, 'warn', 'log lines dropped under load'),
   settingsReloaded: diagnostic(1007, 'info', 'settings read again'),
   heartbeatFailed: diagnostic(3005, 'warn', 'instance could not announce itself'),
--- a/packages/forwarding/src/follow.ts
+++ b/packages/forwarding/src/follow.ts
@@ -1,6 +1,13 @@
 import { Diagnostics, sleep } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
-import type { FetchError, RowChange, RowStore, RowView, StoreCall } from '@pomeloroad/storage';
+import type {
+  FetchError,
+  RowChange,
+  RowStore,
+  RowView,
+  StoreCall,
+  StoreEra,
+} from '@pomeloroad/storage';
 
 /** Maximum time that the store holds a call open; also bounds the detection of a dead feed. */
 const LONG_POLL_WAIT_MS: Milliseconds = 700;
@@ -34,6 +41,8 @@
   refresh(): Promise<boolean>;
   /** Time since the start of the latest call that was answered; infinite before the first one. */
   getAge(): Milliseconds;
+  /** Returns the era of the latest answer; 0 before the first one. */
+  getEra(): StoreEra;
   /** Duration of the running call or of the last one, whichever is longer. */
   getCallTime(): Milliseconds;
 }
@@ -43,6 +52,7 @@
   const { clock, log, rows, signal } = host;
   const { table, partition } = listener;
   let version = 0;
+  let era: StoreEra = 0;
   let isUnavailable = false;
   let currentAt: Milliseconds = -Infinity;
   let callStartedAt: Milliseconds | undefined;
@@ -56,6 +66,8 @@
       markUnavailable(view.val.kind === 'unavailable' ? view.val.message : view.val.kind);
       return false;
     }
+    if (view.val.era < era) return false;
+    if (view.val.era > era) startEra(view.val.era);
     markAvailable(startedAt);
     version = Math.max(version, view.val.version);
     listener.onView(view.val);
@@ -83,12 +95,24 @@
       if (view.val.kind === 'unavailable') markUnavailable(view.val.message);
       return false;
     }
+    // Changes of another era do not continue from what is known: all rows are read again.
+    if (view.val.era !== era) return false;
     markAvailable(startedAt);
     version = Math.max(version, view.val.version);
     if (view.val.changes.length > 0) listener.onChanges(view.val.changes);
     return true;
   }
 
+  // Rows that are missing in a new era may be written again, as after an outage.
+  function startEra(next: StoreEra): void {
+    if (era > 0) {
+      log(Diagnostics.storeRewound, { table, before: era, era: next, version });
+      listener.onUnavailable();
+    }
+    era = next;
+    version = 0;
+  }
+
   function logFailure(call: StoreCall, error: FetchError): void {
     const message = error.kind === 'unavailable' ? error.message : undefined;
     const age = Math.round(getAge());
@@ -118,5 +142,5 @@
   }
 
   pollChanges();
-  return { refresh, getAge, getCallTime };
+  return { refresh, getAge, getEra: () => era, getCallTime };
 }
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -3,7 +3,7 @@
 import { BUDGET_TABLE, createEscrow, createEscrowLease } from '@pomeloroad/budgets';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
 import { watchStore } from '@pomeloroad/storage';
-import type { RowChange, RowStore, VersionedRow } from '@pomeloroad/storage';
+import type { RowChange, RowStore, StoreEra, VersionedRow } from '@pomeloroad/storage';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { createEndpointDirectory } from './endpointDirectory';
 import { followTable } from './follow';
@@ -174,6 +174,11 @@
     onUnavailable: () => undefined,
     onAvailable: () => undefined,
   });
+  metrics.gauge(
+    'pomeloroad_store_era',
+    'How often the store came back from an older copy, as the feeds know.',
+    getStoreEra,
+  );
   const guard = createPauseGuard(clock, async () => {
     log(Diagnostics.processPaused);
     await Promise.all([configurationFeed.refresh(), endpointFeed.refresh()]);
@@ -215,6 +220,11 @@
     });
   }
 
+  // The lowest era of the feeds: those that have not seen the newest one yet are behind.
+  function getStoreEra(): StoreEra {
+    return Math.min(configurationFeed.getEra(), endpointFeed.getEra());
+  }
+
   function isConfigurationLate(): boolean {
     const callTime = configurationFeed.getCallTime();
     const isLate = callTime > host.getConfigurationDelayLimit();
@@ -264,6 +274,7 @@
       incarnation: host.incarnation,
       configuration: table?.configuration.version,
       configurationAge: configurationFeed.getAge(),
+      storeEra: getStoreEra(),
       open,
       waiting: admission.waiting(),
       instances: getInstanceCount(),
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -10,3 +10,4 @@
 export * from './events';
 export * from './forwardInstance';
 export * from './drain';
+export * from './follow';
--- /dev/null
+++ b/packages/forwarding/test/follow.test.ts
@@ -0,0 +1,70 @@
+import { Ok } from 'ts-results';
+import { createManualClock, createSilentLog } from '@pomeloroad/core';
+import type { ManualClock } from '@pomeloroad/core';
+import { createMemoryRowStore } from '@pomeloroad/storage';
+import type { ChangeView, RowStore, VersionedRow } from '@pomeloroad/storage';
+import { followTable } from '../src';
+
+const key = { table: 'op', partition: '', key: 'config' };
+
+const row = (version: number, value: string): VersionedRow => ({ ...key, version, value });
+
+// Follows the table until `stop` is called; `seen` are the values in the order of their arrival.
+function follow(clock: ManualClock, rows: RowStore) {
+  const stop = new AbortController();
+  const seen: string[] = [];
+  followTable(
+    { clock, log: createSilentLog(), rows, signal: stop.signal },
+    {
+      table: 'op',
+      partition: '',
+      pause: 100,
+      onView: (view) => view.rows.forEach(({ value }) => seen.push(value)),
+      onChanges: (changes) => changes.forEach(({ value }) => seen.push(value ?? '')),
+      onUnavailable: () => undefined,
+      onAvailable: () => undefined,
+    },
+  );
+  return { seen, stop: () => stop.abort() };
+}
+
+test('an answer of an older era that comes late is dropped', async () => {
+  const clock = createManualClock();
+  const answers: ChangeView[] = [
+    { changes: [row(9, 'old')], version: 9, era: 1 },
+    { changes: [row(4, 'newer')], version: 4, era: 2 },
+  ];
+  const { seen, stop } = follow(clock, {
+    transact: async () => Ok(0),
+    list: async () => Ok({ rows: [row(3, 'listed')], version: 3, era: 2, now: 0 }),
+    follow: async () => Ok(answers.shift() ?? { changes: [], version: 4, era: 2 }),
+  });
+  await clock.advance(1000);
+  stop();
+  expect(seen).toEqual(['listed', 'listed', 'newer']);
+});
+
+test('a change whose version was given out before a rewind is not missed', async () => {
+  const clock = createManualClock();
+  const memory = createMemoryRowStore();
+  let lists = 0;
+  const put = (change: object) =>
+    memory.transact({ checks: [], puts: [{ ...key, value: '', ...change }], removals: [] });
+  const rewind = memory.copy();
+  for (let count = 0; count < 9; count += 1) await put({ key: 'lost', value: `${count}` });
+  const { seen, stop } = follow(clock, {
+    ...memory,
+    list(table, partition) {
+      lists += 1;
+      return memory.list(table, partition);
+    },
+  });
+  await clock.advance(500);
+  rewind();
+  await put({ value: 'after the rewind' });
+  for (let count = 0; count < 20; count += 1) await put({ table: 'other', value: `${count}` });
+  await clock.advance(1000);
+  stop();
+  expect(seen).toEqual(['8', 'after the rewind']);
+  expect(lists).toBe(2);
+});
--- a/packages/storage/src/rowStore.ts
+++ b/packages/storage/src/rowStore.ts
@@ -1,5 +1,11 @@
 import type { Milliseconds, Outcome } from '@pomeloroad/core';
 
+/**
+ * How often the store has come back from an older copy. Such a store gives out versions again, so
+ * versions are only comparable within one era.
+ */
+export type StoreEra = number;
+
 /** Identifies a row. Rows of one partition can change together in one transaction. */
 export interface RowKey {
   table: string;
@@ -48,6 +54,7 @@
 export interface RowView {
   rows: VersionedRow[];
   version: number;
+  era: StoreEra;
   /** Time on the store's monotonic clock when it read the rows. */
   now: Milliseconds;
 }
@@ -56,6 +63,7 @@
 export interface ChangeView {
   changes: RowChange[];
   version: number;
+  era: StoreEra;
 }
 
 /** A row store with transactions and a change feed. Its calls never throw. */
