Split following the configuration off the instance

forwardInstance.ts held routes, lateness and age of the configuration among everything else. They stand in configurationFeed.ts; no behaviour changed. 62 tests of platform and forwarding pass as before.

--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -5,6 +5,7 @@
 import { watchStore } from '@pomeloroad/storage';
 import type { RowChange, RowStore, StoreEra, VersionedRow } from '@pomeloroad/storage';
 import { createMetrics } from '@pomeloroad/telemetry';
+import { followConfiguration } from './configurationFeed';
 import { createEndpointDirectory } from './endpointDirectory';
 import { followTable } from './follow';
 import { forward } from './forward';
@@ -13,7 +14,6 @@
 import { startInstanceCount } from './instanceCount';
 import { createRetryBudget } from './retryBudget';
 import type { RetryAllowance } from './retryBudget';
-import { createRouteTable } from './routeTable';
 import type { RouteTable } from './routeTable';
 import type {
   Caller,
@@ -23,7 +23,6 @@
   ForwardRequest,
 } from './types';
 
-const CONFIGURATION_POLL_DELAY_MS: Milliseconds = 100;
 const ENDPOINT_POLL_DELAY_MS: Milliseconds = 400;
 const BUDGET_POLL_DELAY_MS: Milliseconds = 300;
 const REBALANCE_INTERVAL_MS: Milliseconds = 400;
@@ -91,10 +90,8 @@
   });
   const stop = new AbortController();
   const following = { clock, log, rows, signal: stop.signal };
-  let table: RouteTable | undefined;
   let leaseStart: Promise<void> | undefined;
   let open = 0;
-  let wasConfigurationLate = false;
 
   const getInstanceCount = startInstanceCount(following);
   const lease = createEscrowLease({
@@ -137,24 +134,25 @@
     },
     ADMISSION_QUEUE_LIMIT,
   );
-  const configurationFeed = followTable(following, {
+  const configuration = followConfiguration({
+    ...following,
     table: host.tables.configuration,
-    partition: '',
-    pause: CONFIGURATION_POLL_DELAY_MS,
-    onView: (view) => view.rows.forEach(applyConfiguration),
-    onChanges: (changes) => changes.filter(isPresent).forEach(applyConfiguration),
-    onUnavailable: () => undefined,
-    onAvailable: () => undefined,
+    decode: host.decodeConfiguration,
+    getDelayLimit: host.getConfigurationDelayLimit,
+    onAccepted(accepted) {
+      escrow.setLimits(getPrepaidLimits(accepted));
+      startLease();
+    },
   });
   metrics.gauge(
     'pomeloroad_configuration_version',
     'Version of the configuration in force; 0 while none is known.',
-    () => table?.configuration.version ?? 0,
+    () => configuration.getTable()?.configuration.version ?? 0,
   );
   metrics.gauge(
     'pomeloroad_configuration_age_milliseconds',
     'Time since the start of the latest read that confirmed the configuration.',
-    configurationFeed.getAge,
+    configuration.getAge,
   );
   const endpointFeed = followTable(following, {
     table: host.tables.endpoints,
@@ -181,7 +179,7 @@
   );
   const guard = createPauseGuard(clock, async () => {
     log(Diagnostics.processPaused);
-    await Promise.all([configurationFeed.refresh(), endpointFeed.refresh()]);
+    await Promise.all([configuration.refresh(), endpointFeed.refresh()]);
   });
   runPeriodically(
     clock,
@@ -200,40 +198,13 @@
     retryBudget: createRetryBudget(clock, host.getRetryAllowance, getInstanceCount),
     protocol: host.protocol,
     metrics: forwardMetrics,
-    findService: (name) => table?.findService(name),
+    findService: (name) => configuration.getTable()?.findService(name),
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
 
-  function applyConfiguration(row: VersionedRow): void {
-    const configuration = host.decodeConfiguration(row);
-    if (!configuration) return;
-    const current = table?.configuration.version ?? -Infinity;
-    if (configuration.version <= current) return;
-    table = createRouteTable(configuration);
-    escrow.setLimits(getPrepaidLimits(configuration));
-    startLease();
-    log(Diagnostics.configurationAccepted, {
-      configuration: configuration.version,
-      row: row.version,
-      routes: configuration.routes.length,
-      accounts: configuration.accounts.length,
-    });
-  }
-
   // The lowest era of the feeds: those that have not seen the newest one yet are behind.
   function getStoreEra(): StoreEra {
-    return Math.min(configurationFeed.getEra(), endpointFeed.getEra());
-  }
-
-  function isConfigurationLate(): boolean {
-    const callTime = configurationFeed.getCallTime();
-    const isLate = callTime > host.getConfigurationDelayLimit();
-    if (isLate !== wasConfigurationLate) {
-      const event = isLate ? Diagnostics.configurationLate : Diagnostics.configurationOnTime;
-      log(event, { configuration: table?.configuration.version, callTime: Math.round(callTime) });
-    }
-    wasConfigurationLate = isLate;
-    return isLate;
+    return Math.min(configuration.getEra(), endpointFeed.getEra());
   }
 
   // Waits for a configuration, because it names the accounts whose grants the predecessor may hold.
@@ -256,9 +227,10 @@
   }
 
   return {
-    getTable: () => table,
-    isConfigurationCurrent: () => configurationFeed.getAge() <= host.getConfigurationDelayLimit(),
-    isReady: () => table !== undefined && directory.isLoaded() && !isConfigurationLate(),
+    getTable: configuration.getTable,
+    isConfigurationCurrent: configuration.isCurrent,
+    isReady: () =>
+      configuration.getTable() !== undefined && directory.isLoaded() && !configuration.isLate(),
     async forward(request, caller) {
       open += 1;
       try {
@@ -272,8 +244,8 @@
     describe: () => ({
       instance: host.instance,
       incarnation: host.incarnation,
-      configuration: table?.configuration.version,
-      configurationAge: configurationFeed.getAge(),
+      configuration: configuration.getTable()?.configuration.version,
+      configurationAge: configuration.getAge(),
       storeEra: getStoreEra(),
       open,
       waiting: admission.waiting(),
@@ -290,9 +262,9 @@
   };
 }
 
-function getPrepaidLimits(configuration: ForwardConfiguration): Map<string, Tokens> {
+function getPrepaidLimits({ accounts }: ForwardConfiguration): Map<string, Tokens> {
   const limits = new Map<string, Tokens>();
-  configuration.accounts.forEach(({ name, prepaid }) => {
+  accounts.forEach(({ name, prepaid }) => {
     if (prepaid !== undefined) limits.set(name, prepaid);
   });
   return limits;
