--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,3 +1,6 @@
+export * from './budgetCommands';
 export * from './client';
-export * from './commands';
+export * from './fileCommands';
+export * from './instanceCommands';
+export * from './keyCommands';
 export * from './output';
--- a/packages/control/src/main.ts
+++ b/packages/control/src/main.ts
@@ -4,21 +4,10 @@
 import { Err, Ok } from 'ts-results';
 import type { Outcome } from '@pomeloroad/core';
 import type { OperatorTarget } from './client';
-import {
-  applyFile,
-  auditBudgets,
-  checkFile,
-  createKey,
-  diffFile,
-  drainEndpoint,
-  dumpState,
-  showConfiguration,
-  hashKey,
-  listHistory,
-  showStatus,
-  showUsage,
-  topUp,
-} from './commands';
+import { auditBudgets, showUsage, topUp } from './budgetCommands';
+import { applyFile, checkFile, diffFile, listHistory, showConfiguration } from './fileCommands';
+import { drainEndpoint, dumpState, showStatus } from './instanceCommands';
+import { createKey, hashKey } from './keyCommands';
 import { createFailure, ExitCode } from './output';
 import type { CommandResult } from './output';
 
