--- a/packages/budgets/test/escrowHarness.ts
+++ b/packages/budgets/test/escrowHarness.ts
@@ -2,7 +2,7 @@
 import { createManualClock, createRandom, createSilentLog } from '@pomeloroad/core';
 import type { Clock, ManualClock } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
-import type { RowStore, RowTransaction } from '@pomeloroad/storage';
+import type { MemoryRowStore, RowStore, RowTransaction } from '@pomeloroad/storage';
 import { BUDGET_TABLE, createEscrow, createEscrowLease } from '../src';
 import type { Escrow } from '../src';
 
@@ -19,7 +19,7 @@
 export type PlannedOutcome = 'done' | 'refused' | 'lost' | 'late';
 
 /** Creates a store whose next transactions end as planned; without a plan they succeed. */
-export function createUnreliableRows(memory: RowStore) {
+export function createUnreliableRows(memory: MemoryRowStore) {
   const plannedOutcomes: PlannedOutcome[] = [];
   let calls = 0;
   let late: RowTransaction[] = [];
@@ -70,7 +70,7 @@
 export function createFleet(count: number, disabledGuards: DisabledGuards = {}) {
   const clock = createManualClock();
   const memory = createMemoryRowStore(() => clock.elapsed());
-  const uncheckedRows: RowStore = {
+  const uncheckedRows: MemoryRowStore = {
     ...memory,
     transact: (t) => memory.transact({ ...t, checks: [] }),
   };
--- a/packages/budgets/test/escrowInterleavings.test.ts
+++ b/packages/budgets/test/escrowInterleavings.test.ts
@@ -28,11 +28,14 @@
   | { kind: 'topup'; tokens: number; at: number }
   /** Whether the instances believe that the store does not answer. */
   | { kind: 'silence'; isSilent: boolean }
+  /** Takes the copy of the store from which a rewind brings it back. */
+  | { kind: 'copy' }
+  | { kind: 'rewind' }
   | { kind: 'pass'; time: number };
 
 const at = fc.nat({ max: INSTANCES - 1 });
 const { constant } = fc;
-const step: fc.Arbitrary<Step> = fc.oneof(
+const weightedSteps: fc.WeightedArbitrary<Step>[] = [
   { weight: 7, arbitrary: fc.record({ kind: constant('reserve'), at, tokens: fc.nat(60) }) },
   {
     weight: 4,
@@ -53,8 +56,14 @@
   { weight: 1, arbitrary: fc.record({ kind: constant('topup'), tokens: fc.nat(100), at }) },
   { weight: 1, arbitrary: fc.record({ kind: constant('silence'), isSilent: fc.boolean() }) },
   { weight: 4, arbitrary: fc.record({ kind: constant('pass'), time: fc.nat(4000) }) },
-);
-const schedule = fc.array(step, { minLength: 10, maxLength: 80 });
+];
+const weightedRewinds: fc.WeightedArbitrary<Step>[] = [
+  { weight: 2, arbitrary: fc.record({ kind: constant('copy') }) },
+  { weight: 1, arbitrary: fc.record({ kind: constant('rewind') }) },
+];
+const bounds = { minLength: 10, maxLength: 80 };
+const schedule = fc.array(fc.oneof(...weightedSteps), bounds);
+const scheduleWithRewinds = fc.array(fc.oneof(...weightedSteps, ...weightedRewinds), bounds);
 
 interface OpenRequest {
   reservation: EscrowReservation;
@@ -68,6 +77,7 @@
     disabledGuards,
   );
   const open: OpenRequest[] = [];
+  let rewind: (() => void) | undefined;
   let paid = FIRST_LIMIT;
   let used = 0;
   let hasOverspent = false;
@@ -114,6 +124,8 @@
     if (action.kind === 'tell') await deliverChanges();
     if (action.kind === 'rebalance') getRun(action.at).escrow.rebalance(0);
     if (action.kind === 'silence') state.isStoreUnresponsive = action.isSilent;
+    if (action.kind === 'copy') rewind = store.memory.copy();
+    if (action.kind === 'rewind') rewind?.();
     if (action.kind === 'topup') {
       paid += action.tokens;
       limit(getRun(action.at));
@@ -131,6 +143,14 @@
   await fc.assert(property, { seed: SEED, numRuns: RUNS });
 });
 
+test('no schedule with rewinds of the store overspends a budget', async () => {
+  const property = fc.asyncProperty(
+    scheduleWithRewinds,
+    async (steps) => !(await isOverspent(steps)),
+  );
+  await fc.assert(property, { seed: SEED, numRuns: RUNS });
+});
+
 // Without one of the guards the same search must find an overspent budget.
 test.each<keyof DisabledGuards>(['hasNoConditions', 'reusesIncarnation'])(
   'search finds the missing guard: %s',
