--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -66,8 +66,6 @@
   isReady(): boolean;
   /** Forwards a request and answers its caller. */
   forward(request: ForwardRequest<Payload>, caller: Caller): Promise<void>;
-  /** Returns the number of requests that are being forwarded. */
-  countOpen(): number;
   renderMetrics(): string;
   /** Returns a dump of the state for operators. */
   describe(): unknown;
@@ -239,7 +237,6 @@
         open -= 1;
       }
     },
-    countOpen: () => open,
     renderMetrics: metrics.render,
     describe: () => ({
       instance: host.instance,
