Drop changes that were asked for before a rewind

Found when reading the change: a refresh after a pause of the process can begin the new era while a feed call of the old one is on its way. Its answer names the new era, but holds only what changed after a version of the old one; what lies before it would have been missed. A call's answer must be of the era that was known when it was sent. The new test fails with the comparison of before (seen).

--- a/packages/forwarding/src/follow.ts
+++ b/packages/forwarding/src/follow.ts
@@ -89,14 +89,15 @@
   // Returns whether the feed can continue from the current version.
   async function readChanges(): Promise<boolean> {
     const startedAt = clock.elapsed();
+    const eraBefore = era;
     const view = await rows.follow(table, version, LONG_POLL_WAIT_MS);
     if (view.err) {
       logFailure('follow', view.val);
       if (view.val.kind === 'unavailable') markUnavailable(view.val.message);
       return false;
     }
-    // Changes of another era do not continue from what is known: all rows are read again.
-    if (view.val.era !== era) return false;
+    // Changes of another era do not continue from the version asked for: all rows are read again.
+    if (view.val.era !== eraBefore) return false;
     markAvailable(startedAt);
     version = Math.max(version, view.val.version);
     if (view.val.changes.length > 0) listener.onChanges(view.val.changes);
--- a/packages/forwarding/test/follow.test.ts
+++ b/packages/forwarding/test/follow.test.ts
@@ -13,7 +13,7 @@
 function follow(clock: ManualClock, rows: RowStore) {
   const stop = new AbortController();
   const seen: string[] = [];
-  followTable(
+  const followed = followTable(
     { clock, log: createSilentLog(), rows, signal: stop.signal },
     {
       table: 'op',
@@ -25,7 +25,7 @@
       onAvailable: () => undefined,
     },
   );
-  return { seen, stop: () => stop.abort() };
+  return { seen, refresh: followed.refresh, stop: () => stop.abort() };
 }
 
 test('an answer of an older era that comes late is dropped', async () => {
@@ -68,3 +68,26 @@
   expect(seen).toEqual(['8', 'after the rewind']);
   expect(lists).toBe(2);
 });
+
+test('changes after a version of an older era are not taken for all changes', async () => {
+  const clock = createManualClock();
+  let era = 1;
+  let answer: ((view: ChangeView) => void) | undefined;
+  const { seen, refresh, stop } = follow(clock, {
+    transact: async () => Ok(0),
+    list: async () => Ok({ rows: [row(3, `listed in ${era}`)], version: 3, era, now: 0 }),
+    follow: (_table, after) =>
+      new Promise((resolve) => {
+        answer = (view) => resolve(Ok(view));
+        if (after === 9) resolve(Ok({ changes: [], version: 9, era }));
+      }),
+  });
+  await clock.advance(200);
+  era = 2;
+  await refresh();
+  // The call was sent before the rewind, so what changed before its version is missing.
+  answer?.({ changes: [row(9, 'changed')], version: 9, era });
+  await clock.advance(200);
+  stop();
+  expect(seen).toEqual(['listed in 1', 'listed in 2', 'listed in 2']);
+});
