Do not start the timer of a call again after its connection has closed

A part of a body that is read after the close restarted the cleared timer, which then ended nothing, but kept the call in memory for a second. Comments on two functions that log what they answer.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -47,7 +47,8 @@
       phase = 'reading';
       const countBytes = (bytes: number) => {
         received += bytes;
-        timer.refresh();
+        // A part may be read after the connection has closed; the timer must not start again then.
+        if (!request.destroyed) timer.refresh();
       };
       readBody(response, Infinity, countBytes).then(
         (body) =>
--- a/packages/forwarding/src/arrivalQueue.ts
+++ b/packages/forwarding/src/arrivalQueue.ts
@@ -67,6 +67,7 @@
     arrival.handle();
   }
 
+  // Logs the changes too: readiness is asked for each second, and by each answer.
   function isOverloaded(): boolean {
     const isNow = clock.elapsed() - overloadedAt < RECOVERY_MS;
     if (isNow !== wasOverloaded) {
--- a/packages/forwarding/src/configurationFeed.ts
+++ b/packages/forwarding/src/configurationFeed.ts
@@ -70,6 +70,7 @@
     });
   }
 
+  // Logs the changes too: readiness is asked for each second, and by each answer.
   function isLate(): boolean {
     const callTime = feed.getCallTime();
     const isNow = callTime > host.getDelayLimit();
