--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -89,7 +89,10 @@
     patience: getFirstByteTimeout(request.route, timeLeft, mayRetry),
     signal: stop.signal,
   });
-  if (reply.ok) slot.recordActivity();
+  if (reply.ok) {
+    slot.recordActivity();
+    run.framing = reply.val.head.framing;
+  }
   recordAttempt(run, endpoint, reply);
   return reply;
 }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -159,6 +159,8 @@
     declines: run.declines,
     events: run.events,
     spent: getSpentTokens(run),
+    framing: run.framing,
+    timeLeft: Math.round(getTimeLeft(run)),
     took: Math.round(duration),
     hasLeft: caller.signal.aborted,
     ...fields,
--- a/packages/forwarding/src/forwardMetrics.ts
+++ b/packages/forwarding/src/forwardMetrics.ts
@@ -6,6 +6,8 @@
   requests: Counter;
   /** Attempts on endpoints by outcome. */
   attempts: Counter;
+  /** Ends of endpoints' streams by kind of end and framing. */
+  streamEnds: Counter;
   /** Retries denied by the retry budget. */
   repeatsDenied: Counter;
   /** Ended calls to the store by kind, table and outcome. */
@@ -23,6 +25,10 @@
   return {
     requests: metrics.counter('pomeloroad_requests_total', 'Ended requests by outcome.'),
     attempts: metrics.counter('pomeloroad_attempts_total', 'Attempts on endpoints by outcome.'),
+    streamEnds: metrics.counter(
+      'pomeloroad_stream_ends_total',
+      'Ends of endpoints’ streams by kind of end and framing of the answer.',
+    ),
     repeatsDenied: metrics.counter(
       'pomeloroad_repeats_denied_total',
       'Repeats that the retry budget did not allow.',
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -35,6 +35,7 @@
       request: run.request.id,
       endpoint: next.val.slot.endpoint.name,
       after: run.lastEventId,
+      events: run.events,
     });
     stream = next.val.reply.stream;
     slot = next.val.slot;
@@ -50,6 +51,7 @@
     const step = await readStep(run, stream);
     if (step.kind !== 'events') {
       if (step.kind === 'broken') logBroken(run, step.message);
+      run.host.metrics.streamEnds.add(1, { end: step.kind, framing: run.framing ?? '' });
       return step;
     }
     slot.recordActivity();
@@ -67,12 +69,16 @@
   });
 }
 
-function logBroken<Payload>({ host, request, endpoint, events }: Run<Payload>, message: string) {
+function logBroken<Payload>(
+  { host, request, endpoint, framing, events }: Run<Payload>,
+  message: string,
+): void {
   host.log(Diagnostics.attemptFailed, {
     request: request.id,
     endpoint,
     outcome: 'broken',
     message,
+    framing,
     events,
   });
 }
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds, Tokens } from '@pomeloroad/core';
 import type { ForwardHost } from './forwardTypes';
 import { isRetryable } from './patience';
-import type { Caller, ForwardRequest, ReplyHead } from './types';
+import type { Caller, ForwardRequest, Framing, ReplyHead } from './types';
 
 /** State of a request that is being forwarded. */
 export interface Run<Payload> {
@@ -24,6 +24,8 @@
   failure: { head: ReplyHead; body: Buffer } | undefined;
   /** Id of the endpoint of the latest attempt. */
   endpoint: string | undefined;
+  /** Framing of the latest answer of an endpoint. */
+  framing: Framing | undefined;
   firstByteAt: Milliseconds | undefined;
 }
 
@@ -45,6 +47,7 @@
     lastEventId: request.resumeAfter,
     failure: undefined,
     endpoint: undefined,
+    framing: undefined,
     firstByteAt: undefined,
   };
 }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -113,9 +113,16 @@
   output: Tokens;
 }
 
-/** Status and unmodified headers of an endpoint's answer. */
+/**
+ * What marks the end of an endpoint's answer: its length, the last of its chunks, or only the close
+ * of its connection, which looks the same whether the answer is complete or its endpoint has died.
+ */
+export type Framing = 'length' | 'chunked' | 'close';
+
+/** Status, framing and unmodified headers of an endpoint's answer. */
 export interface ReplyHead {
   status: number;
+  framing: Framing;
   /** Alternating names and values. */
   headers: string[];
 }
