Do not take the close of a connection for the end of an answer

Cause: an endpoint's answer without a length and without chunks ends with its connection, and a close in order was taken for completeness. A killed process's kernel closes in order too. Why it works: the instance states no more than the endpoint did. Such an answer goes on without a length or chunks, ended by the close of the caller's connection, and by a reset if it is known to be broken. If the endpoint refuses connections though it isn't leaving, it has died: the answer is broken and asked for elsewhere where it may run again. Ruled out: to hold back each such end until the store tells of the endpoint (late answers, seconds); to repeat each (second runs); the maximum of output tokens (few answers reach it). Costs: one connection for each such answer; the caller's connection is not used again.

--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -6,6 +6,7 @@
 import { getFirstByteTimeout, getAdmissionWait, isRetryable } from './patience';
 import { getTimeLeft, takeRetry, hasAttemptsLeft } from './run';
 import type { Run } from './run';
+import { ENDPOINT_STOPPED, hasStopped } from './stoppedEndpoint';
 import type { EndpointRecord, RefusalKind, Reply, SendError } from './types';
 
 /** Number of endpoints that may decline one request before it is refused. */
@@ -81,7 +82,7 @@
   const timeLeft = getTimeLeft(run);
   const mayRetry = isRetryable(request.route) && run.runs + 1 < request.route.attempts;
   run.endpoint = endpoint.id;
-  const reply = await host.protocol.send({
+  const sent = await host.protocol.send({
     request,
     endpoint,
     resumeAfter: run.lastEventId,
@@ -89,6 +90,7 @@
     patience: getFirstByteTimeout(request.route, timeLeft, mayRetry),
     signal: stop.signal,
   });
+  const reply = await judgeWhole(run, sent, slot);
   if (reply.ok) {
     slot.recordActivity();
     run.framing = reply.val.head.framing;
@@ -97,6 +99,17 @@
   return reply;
 }
 
+// A whole answer that only the close of its connection ended is not taken from an endpoint that died.
+async function judgeWhole<Payload>(
+  run: Run<Payload>,
+  sent: Outcome<Reply, SendError>,
+  slot: Slot,
+): Promise<Outcome<Reply, SendError>> {
+  const isClosed = sent.ok && sent.val.kind === 'whole' && sent.val.head.framing === 'close';
+  if (!isClosed || !(await hasStopped(run, slot))) return sent;
+  return Err({ kind: 'broken', message: ENDPOINT_STOPPED });
+}
+
 function recordAttempt<Payload>(
   run: Run<Payload>,
   endpoint: EndpointRecord,
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -91,10 +91,12 @@
     return;
   }
   run.caller.begin(reply.head);
-  const isWhole = await relayStream(run, reply.stream, slot);
-  if (isWhole) run.caller.end();
+  const end = await relayStream(run, reply.stream, slot);
+  // An answer that was begun with chunks or a length can't be ended without stating more than is known.
+  const mayEnd = end === 'complete' || (end === 'closed' && reply.head.framing === 'close');
+  if (mayEnd) run.caller.end();
   else run.caller.cut();
-  recordEnd(run, isWhole ? 'answered' : 'cut', { status: reply.head.status });
+  recordEnd(run, mayEnd ? 'answered' : 'cut', { status: reply.head.status, end });
 }
 
 function refuse<Payload>(
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -130,7 +130,10 @@
 /** One result of reading a stream. `data` holds only complete events. */
 export type StreamStep =
   | { kind: 'events'; data: Buffer; count: number; lastId: string | undefined }
+  /** The endpoint has stated that the answer is complete. */
   | { kind: 'end' }
+  /** The connection was closed in order, which does not tell whether the answer is complete. */
+  | { kind: 'closed' }
   | { kind: 'broken'; message: string };
 
 /** The events of one answer, read one step at a time. */
@@ -170,9 +173,14 @@
   signal: AbortSignal;
 }
 
-/** Client of the endpoints' protocol. `send` never throws. */
+/** Whether an endpoint's address accepts connections; `unknown` if there was no answer in time. */
+export type Reachability = 'accepting' | 'refused' | 'unknown';
+
+/** Client of the endpoints' protocol. Its functions never throw. */
 export interface EndpointProtocol<Payload> {
   send(attempt: Attempt<Payload>): Promise<Outcome<Reply, SendError>>;
+  /** Opens and closes a connection to the endpoint; sends nothing. */
+  probe(endpoint: EndpointRecord): Promise<Reachability>;
 }
 
 /** Why a request was refused without an answer from an endpoint. */
@@ -198,14 +206,14 @@
 export interface Caller {
   /** Aborted once the caller has disconnected. */
   signal: AbortSignal;
-  /** Sends a complete answer. */
+  /** Sends a whole answer, whose end is marked as the endpoint's framing says. */
   answer(head: ReplyHead, body: Buffer): void;
   refuse(refusal: ForwardRefusal): void;
-  /** Starts a streamed answer. */
+  /** Starts a streamed answer, whose end is marked as the endpoint's framing says. */
   begin(head: ReplyHead): void;
   /** Writes a part of a streamed answer; resolves when more may be written. */
   write(data: Buffer): Promise<void>;
-  /** Completes a streamed answer. */
+  /** Ends a streamed answer; states that it is complete if its framing can. */
   end(): void;
   /** Aborts a streamed answer so that the caller can tell it is incomplete. */
   cut(): void;
