Do not take an endpoint's stop at its time limit for the end of a stream

Cause: an endpoint stops work when the time that it was given is over, and may end its answer in order then, with the last chunk as well as by closing. That time is what is left, in whole milliseconds, so on a fast link the stop arrives before the instance's own timer, and was taken for completeness. Why it works: an end within 2 ms of the deadline, the grain of both timers, is no statement of completeness; the answer is cut, as it is when the instance's own timer comes first. Nothing is asked for again at that time.

--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -1,5 +1,6 @@
 import { match } from 'ts-pattern';
 import { Diagnostics, withTimeout } from '@pomeloroad/core';
+import type { Milliseconds } from '@pomeloroad/core';
 import type { Slot, SlotResult } from '@pomeloroad/routing';
 import { sendWithRetries } from './attempts';
 import type { CloseTrust } from './closeTrust';
@@ -9,6 +10,12 @@
 import { ENDPOINT_STOPPED, hasStopped } from './stoppedEndpoint';
 import type { EventStream, StreamStep } from './types';
 
+/**
+ * An endpoint stops work when the time that it was given is over. That time is in whole milliseconds,
+ * and so are most timers, so its stop may come this much before the deadline.
+ */
+const ENDPOINT_STOP_TOLERANCE_MS: Milliseconds = 2;
+
 /**
  * How a stream ended: stated as complete by its endpoint, closed in order without such a statement,
  * or broken off.
@@ -54,7 +61,11 @@
     .with('closed', () => !run.host.closeTrust.isTrusted(slot.endpoint.name))
     .with('broken', () => true)
     .exhaustive();
-  return mayLackEvents && !run.stop.signal.aborted && hasAttemptsLeft(run) && takeRetry(run);
+  return mayLackEvents && isTimeLeft(run) && hasAttemptsLeft(run) && takeRetry(run);
+}
+
+function isTimeLeft<Payload>(run: Run<Payload>): boolean {
+  return !run.stop.signal.aborted && getTimeLeft(run) > ENDPOINT_STOP_TOLERANCE_MS;
 }
 
 async function resume<Payload>(run: Run<Payload>, { slot }: Source): Promise<Source | undefined> {
@@ -117,12 +128,22 @@
     logBroken(run, step.message);
     return 'broken';
   }
-  if (step.kind === 'end') return 'complete';
-  if (!(await hasStopped(run, slot))) return 'closed';
-  logBroken(run, ENDPOINT_STOPPED);
+  const fault = await findEndFault(run, step, slot);
+  if (fault === undefined) return step.kind === 'end' ? 'complete' : 'closed';
+  logBroken(run, fault);
   return 'broken';
 }
 
+// Returns why an end in order is not the end of the answer, if something shows that.
+async function findEndFault<Payload>(
+  run: Run<Payload>,
+  { kind }: EndStep,
+  slot: Slot,
+): Promise<string | undefined> {
+  if (getTimeLeft(run) <= ENDPOINT_STOP_TOLERANCE_MS) return 'ended at its time limit';
+  return kind === 'closed' && (await hasStopped(run, slot)) ? ENDPOINT_STOPPED : undefined;
+}
+
 function toSlotResult<Payload>(run: Run<Payload>, end: StreamEnd): SlotResult {
   return end !== 'broken' || run.stop.signal.aborted ? 'ok' : 'failed';
 }
