--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from './diagnostics';
 export * from './log';
 export * from './http';
+export * from './openRequests';
 export * from './manualClock';
 export * from './pauseGuard';
 export * from './lineWriter';
