Drain of the product's front: wait until answers are sent in full, cut them at the limit

Callers of the product's own front that read slowly could get an answer that broke off when an instance shut down, although the drain had time left.

Cause: as in the platform's front, a request was done when `response.end()` had been called. The server then closed "idle" connections every 100 ms, and Node counts a connection whose response has ended, but is not sent, among them. The other half: past its limit the drain waited without end for connections still open, so a supervisor had to kill the process; a killed process's connections close like finished ones.

Evidence: slowCaller.test.ts (a caller that has read nothing of a 14 MB answer). On the old code: `expect(await readOpen()).toBe(1)` received 0, and a drain with a limit of 300 ms reported true, as if it had cut nothing.

The server now uses the open requests of `core`. At the drain's limit, as its setting says, open answers are cut; one that would end with its connection is reset, so that it does not look complete. Over TLS there is no reset; a cut answer lacks the closing alert.

--- a/packages/core/src/openRequests.ts
+++ b/packages/core/src/openRequests.ts
@@ -1,4 +1,5 @@
 import net from 'node:net';
+import { TLSSocket } from 'node:tls';
 import type http from 'node:http';
 import type https from 'node:https';
 import type { ServerResponse } from 'node:http';
@@ -16,30 +17,32 @@
    * when all connections have closed.
    */
   close(): Promise<void>;
+  /** Closes the connections of all open requests, so that no response looks complete. */
+  cut(): void;
 }
 
 /** Creates the open requests of a server that has none yet. */
 export function createOpenRequests(server: http.Server | https.Server): OpenRequests {
-  let open = 0;
+  const open = new Set<ServerResponse>();
   let isClosing = false;
 
   // Node takes a connection for idle once its response has ended, although it may not be sent yet.
   function closeIdleConnections(): void {
-    if (isClosing && open === 0) server.closeIdleConnections();
+    if (isClosing && open.size === 0) server.closeIdleConnections();
   }
 
   return {
     async track(response, work) {
-      open += 1;
+      open.add(response);
       try {
         await work;
         await waitUntilSent(response);
       } finally {
-        open -= 1;
+        open.delete(response);
         closeIdleConnections();
       }
     },
-    count: () => open,
+    count: () => open.size,
     close() {
       isClosing = true;
       return new Promise((resolve) => {
@@ -48,9 +51,20 @@
         closeIdleConnections();
       });
     },
+    cut: () => open.forEach(cutResponse),
   };
 }
 
+/**
+ * Closes the response's connection before its end. A response that has no length and no chunks ends
+ * with its connection, so this is reset. TLS has no reset; its receiver misses the closing alert.
+ */
+export function cutResponse(response: ServerResponse): void {
+  const { socket } = response.req;
+  if (response.chunkedEncoding || socket instanceof TLSSocket) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 /** Resolves when the system has taken the whole response, or when its connection has closed. */
 export function waitUntilSent(response: ServerResponse): Promise<void> {
   const { socket } = response.req;
--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -4,6 +4,7 @@
 import { Err, Ok } from 'ts-results';
 import {
   createId,
+  createOpenRequests,
   hashText,
   listen,
   readBody,
@@ -32,7 +33,6 @@
 const SERVICE_PATH = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const NOT_READY_RETRY_AFTER_MS = 1000;
-const IDLE_SWEEP_INTERVAL_MS = 100;
 /** Longer than it takes to detect a lost runner and to take over its stream. */
 const REOPEN_TIMEOUT_MS = 10_000;
 const REOPEN_DELAY_MS = 1000;
@@ -71,10 +71,12 @@
 export interface CallerServer {
   /** Starts to listen and returns the address. */
   listen(): Promise<string>;
-  /** Number of requests that are not answered yet. */
+  /** Number of requests whose answers are not sent in full yet. */
   open(): number;
   /** Stops accepting connections. Resolves once all open ones have ended. */
   close(): Promise<void>;
+  /** Cuts the answers that are not sent in full. */
+  cut(): void;
 }
 
 /** A request of an authenticated caller, and the response to it. */
@@ -97,12 +99,15 @@
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
   };
   const server = tls
-    ? https.createServer({ ...serverOptions, ...tls }, handle)
-    : http.createServer(serverOptions, handle);
+    ? https.createServer({ ...serverOptions, ...tls })
+    : http.createServer(serverOptions);
   server.maxConnections = settings.connectionLimit;
   server.headersTimeout = settings.requestTimeout;
   server.requestTimeout = settings.requestTimeout;
-  let open = 0;
+  const openRequests = createOpenRequests(server);
+  server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+    openRequests.track(response, handle(request, response));
+  });
   let cachedIndex: { configuration: Configuration; keys: KeyIndex } | undefined;
 
   function getKeys(configuration: Configuration): KeyIndex {
@@ -115,14 +120,12 @@
   async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const id = createId();
     const startedAt = clock.elapsed();
-    open += 1;
     if (host.isDraining()) response.setHeader('connection', 'close');
     const refusal = await serve(request, response, id);
     if (refusal) {
       metrics.refused(refusal.code);
       writeRefusal(response, id, refusal);
     }
-    open -= 1;
     metrics.finished(clock.elapsed() - startedAt);
   }
 
@@ -261,16 +264,9 @@
 
   return {
     listen: () => listen(server, settings.callersAddress),
-    open: () => open,
-    close: () =>
-      new Promise((resolve) => {
-        // A connection whose request started before the drain becomes idle only after the answer.
-        const sweep = setInterval(() => server.closeIdleConnections(), IDLE_SWEEP_INTERVAL_MS);
-        server.close(() => {
-          clearInterval(sweep);
-          resolve();
-        });
-      }),
+    open: openRequests.count,
+    close: openRequests.close,
+    cut: openRequests.cut,
   };
 }
 
--- a/packages/entry/src/drain.ts
+++ b/packages/entry/src/drain.ts
@@ -48,7 +48,10 @@
   const isClosed = await closeGrants(host, deadline);
   await handOverAnswers(host);
   const isClean = isClosed && isIdle(host);
-  if (!isClean) log(Diagnostics.drainTimedOut);
+  if (!isClean) {
+    log(Diagnostics.drainTimedOut);
+    callers.cut();
+  }
   host.stopLoops();
   await fleet.withdraw();
   await Promise.all([callersClosed, operators.close(), network.close()]);
--- a/packages/entry/test/harness.ts
+++ b/packages/entry/test/harness.ts
@@ -31,8 +31,18 @@
   json: any;
 }
 
+/** Servers of a test in place of the stand-ins. */
+export interface TestServers {
+  engine?: http.Server;
+  service?: http.Server;
+}
+
 /** Starts an instance and its stand-ins; the engine takes `step` ms for each token. */
-export async function startHarness(step = 1, flags: Record<string, string> = {}): Promise<Harness> {
+export async function startHarness(
+  step = 1,
+  flags: Record<string, string> = {},
+  servers: TestServers = {},
+): Promise<Harness> {
   const platform = await startPlatform(
     { table: FREE_PORT, objects: FREE_PORT, membership: FREE_PORT },
     1,
@@ -40,8 +50,9 @@
   );
   const speed = { slots: 8, step, prefillRate: 1000, resumeWindow: 500 };
   const options = { ...speed, cacheBlocks: 8, loadLag: 50, eventLag: 0, seed: 1 };
-  const engine = createModelEngine(createSystemClock(), { ...options, checksFencing: true });
-  const service = createPlainService(1);
+  const engine =
+    servers.engine ?? createModelEngine(createSystemClock(), { ...options, checksFencing: true });
+  const service = servers.service ?? createPlainService(1);
   const engineAddress = await listen(engine, FREE_PORT);
   const serviceAddress = await listen(service, FREE_PORT);
   const settings = parseSettings(
