Pass on a service's answer with no more certainty than it came with

Callers of a plain service could get a part of its answer as a whole one: in chunks with the last chunk, also on a retry and through another instance.

Cause: an end was taken for completeness. A service's answer without a length and without chunks ends with its connection. A killed process's kernel closes with FIN as a finished one does, and Node reports an end even after a reset. The instance then sent its own last chunk, which stated that the answer is whole.

The head of an answer now carries whether it ends with its connection, also in retained answers and between instances; the caller gets it without chunks, with `Connection: close`. If it breaks off, the caller's connection is reset. A reset of the service's connection is a failure. A whole answer without a length stays a success. Not mended: if the instance itself is killed while it sends such an answer, its kernel sends FIN too.

--- /dev/null
+++ b/packages/core/src/framing.ts
@@ -0,0 +1,40 @@
+import type { IncomingMessage } from 'node:http';
+
+/**
+ * How a response states its end: by its length, its last chunk, its head, or not at all, if it ends
+ * with its connection. Only in the last case can a broken response look complete.
+ */
+export type ResponseFraming = 'length' | 'chunked' | 'no body' | 'close';
+
+const STATUS_NO_CONTENT = 204;
+const STATUS_NOT_MODIFIED = 304;
+const LAST_CODING_CHUNKED = /(^|[\s,])chunked\s*$/i;
+
+/** Returns how a received response to a request of `method` states its end. */
+export function getResponseFraming(
+  { headers, statusCode }: IncomingMessage,
+  method: string,
+): ResponseFraming {
+  const hasNoBody = statusCode === STATUS_NO_CONTENT || statusCode === STATUS_NOT_MODIFIED;
+  if (method === 'HEAD' || hasNoBody) return 'no body';
+  const coding = headers['transfer-encoding'];
+  if (coding !== undefined) return LAST_CODING_CHUNKED.test(coding) ? 'chunked' : 'close';
+  return headers['content-length'] === undefined ? 'close' : 'length';
+}
+
+/**
+ * Returns a function whose promise tells, once a response that ends with its connection has ended,
+ * whether the connection was closed rather than reset. Node reports an end after a reset too. Must
+ * be called when the response's head arrives.
+ */
+export function watchClose({ socket }: IncomingMessage): () => Promise<boolean> {
+  const closed = new Promise<boolean>((resolve) => {
+    let hadRemoteAddress = false;
+    // A reset that arrives together with data is reported as an end, but without a remote address.
+    socket.prependOnceListener('end', () => {
+      hadRemoteAddress = socket.remoteAddress !== undefined;
+    });
+    socket.once('close', (hadError: boolean) => resolve(hadRemoteAddress && !hadError));
+  });
+  return () => closed;
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from './condition';
 export * from './diagnostics';
 export * from './log';
+export * from './framing';
 export * from './http';
 export * from './openRequests';
 export * from './manualClock';
--- a/packages/entry/src/answerWriter.ts
+++ b/packages/entry/src/answerWriter.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import { writeJson } from '@pomeloroad/core';
+import { cutResponse, writeJson } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import { createRefusal, RefusalStatus } from '@pomeloroad/requests';
 import type { AnswerEnd, AnswerEvent, Refusal } from '@pomeloroad/requests';
@@ -195,22 +195,30 @@
 function createServiceWriter(response: ServerResponse, delivery: Delivery): AnswerWriter {
   return {
     async event(event) {
-      if (event.kind === 'head') {
-        response.writeHead(event.status, {
-          ...event.headers,
-          [CallerHeader.requestId]: delivery.request,
-        });
-      }
+      if (event.kind === 'head') writeServiceHead(response, delivery, event);
       if (event.kind === 'bytes') await writeBytes(response, event.data, delivery.writeTimeout);
     },
     end(end) {
       if (end.kind === 'complete') response.end();
-      else if (response.headersSent) response.destroy();
+      else if (response.headersSent) cutResponse(response);
       else writeRefusal(response, delivery.request, end.refusal);
     },
   };
 }
 
+function writeServiceHead(
+  response: ServerResponse,
+  { request }: Delivery,
+  { status, headers, endsWithConnection }: Extract<AnswerEvent, { kind: 'head' }>,
+): void {
+  if (endsWithConnection) {
+    // The last chunk would state that the answer is whole, which the service has not stated.
+    response.useChunkedEncodingByDefault = false;
+    response.setHeader('connection', 'close');
+  }
+  response.writeHead(status, { ...headers, [CallerHeader.requestId]: request });
+}
+
 // Applies backpressure: resolves once the caller has taken the data or disconnected. A caller that
 // takes none before the timeout is disconnected.
 function writeBytes(
@@ -220,7 +228,7 @@
 ): Promise<void> {
   if (response.destroyed || response.write(data)) return Promise.resolve();
   return new Promise((resolve) => {
-    const timer = setTimeout(() => response.destroy(), timeout);
+    const timer = setTimeout(() => cutResponse(response), timeout);
     const finish = () => {
       clearTimeout(timer);
       response.off('drain', finish);
--- a/packages/entry/src/serviceClient.ts
+++ b/packages/entry/src/serviceClient.ts
@@ -1,7 +1,8 @@
 import http from 'node:http';
 import { Err, Ok } from 'ts-results';
-import { onConnected } from '@pomeloroad/core';
+import { getResponseFraming, onConnected, watchClose } from '@pomeloroad/core';
 import type { Milliseconds, Outcome, RunStatus } from '@pomeloroad/core';
+import type { AnswerEvent } from '@pomeloroad/requests';
 import type { ServiceCall } from './runRequest';
 
 /** Why a call of a plain service got no complete answer. `ran` says whether the service ran it. */
@@ -11,9 +12,12 @@
   message: string;
 }
 
+/** The head of a plain service's answer. */
+export type ServiceHead = Omit<Extract<AnswerEvent, { kind: 'head' }>, 'kind'>;
+
 /** Receives the answer of a plain service. More bytes are read after the promise has resolved. */
 export interface ServiceSink {
-  head(status: number, headers: Record<string, string>): void;
+  head(head: ServiceHead): void;
   bytes(data: Buffer): Promise<void>;
 }
 
@@ -68,7 +72,7 @@
         request.setTimeout(options.firstByteTimeout, () => request.destroy(new Error('no answer')));
         const response = await sendRequest(request, call.body);
         request.setTimeout(options.betweenTimeout, () => request.destroy(new Error('silent')));
-        return await readAnswer(response, options.answerLimit, sink);
+        return await readAnswer(response, call.method, options.answerLimit, sink);
       } catch (error) {
         const ran: RunStatus = isSent ? 'unknown' : 'no';
         return Err({ kind: 'failed', ran, message: (error as Error).message });
@@ -87,6 +91,7 @@
 
 async function readAnswer(
   response: http.IncomingMessage,
+  method: string,
   limit: number,
   sink: ServiceSink,
 ): Promise<Outcome<void, ServiceError>> {
@@ -96,7 +101,9 @@
     response.resume();
     return Err({ kind: 'busy', ran: 'no', message: 'the service is busy' });
   }
-  sink.head(status, copyHeaders(response.headers));
+  const endsWithConnection = getResponseFraming(response, method) === 'close';
+  const isClosedProperly = watchClose(response);
+  sink.head({ status, headers: copyHeaders(response.headers), endsWithConnection });
   let size = 0;
   for await (const chunk of response) {
     size += (chunk as Buffer).length;
@@ -107,6 +114,7 @@
     }
     await sink.bytes(chunk as Buffer);
   }
+  if (endsWithConnection && !(await isClosedProperly())) throw new Error('connection reset');
   return Ok.EMPTY;
 }
 
--- a/packages/requests/src/types.ts
+++ b/packages/requests/src/types.ts
@@ -38,8 +38,16 @@
   | { kind: 'delta'; text: string }
   /** The end of a model's answer, with its token counts. */
   | { kind: 'usage'; promptTokens: Tokens; completionTokens: Tokens; finish: string }
-  /** Status and headers of a plain service's response. */
-  | { kind: 'head'; status: number; headers: Record<string, string> }
+  /**
+   * Status and headers of a plain service's response. `endsWithConnection`: the service stated
+   * neither a length nor chunks, so that nobody knows whether the response is whole.
+   */
+  | {
+      kind: 'head';
+      status: number;
+      headers: Record<string, string>;
+      endsWithConnection: boolean;
+    }
   /** A part of the body of a plain service's response. */
   | { kind: 'bytes'; data: Buffer };
 
