Send a service's answer from its start whatever last event the caller names

A caller of a plain service that sent `last-event-id`, as a client of a service's own event stream does when it reconnects, got a part of the answer or none of it as a whole one with status 200.

Cause: the position of the first event to send was taken from the header for every form but JSON. The events of a service's answer are its head and parts of its body, which callers do not number.

Evidence: the last test of serviceFraming.test.ts, `last-event-id: 7`. On the old code the content type was undefined in place of `text/plain`: the head was skipped. Run: entry's serviceFraming and instance tests.

--- a/packages/entry/src/answerWriter.ts
+++ b/packages/entry/src/answerWriter.ts
@@ -13,7 +13,7 @@
   form: 'json' | 'events' | 'service';
   request: string;
   model: string;
-  /** Position of the first event to send. */
+  /** Position of the first event to send in the form of events; other forms begin at the start. */
   from: number;
   createdAt: Date;
   writeTimeout: Milliseconds;
@@ -52,7 +52,7 @@
 ): Promise<void> {
   const writer = createAnswerWriter(response, delivery);
   let currentSource = source;
-  let position = delivery.form === 'json' ? 0 : delivery.from;
+  let position = delivery.form === 'events' ? delivery.from : 0;
   while (!response.destroyed) {
     const part = await raceWithClose(response, currentSource.read(position));
     if (!part) break;
--- a/packages/entry/test/serviceFraming.test.ts
+++ b/packages/entry/test/serviceFraming.test.ts
@@ -120,3 +120,10 @@
     ['keep-alive', undefined],
   ]);
 });
+
+test('an answer of a service is sent from its start whatever last event the caller names', async () => {
+  end = 'close';
+  const received = await send('/plain', { 'last-event-id': '7' });
+  expect(received.headers['content-type']).toBe('text/plain');
+  expect(received.body).toBe('text');
+});
