Do not complete a part of a lost run's service answer with another run's

A caller of a plain service could get the first part of one run's answer, ended as whole by the end of another run's, or joined with a part of it.

Cause: when the instance that ran a request is lost, the reader's instance asks again and goes on at the same event number. For an idempotent call of a service, that may start a second run, whose events are its own head and parts, of other sizes. If it has no more events than the first, its end was taken for the end of what had been sent.

Evidence: lostRunner.test.ts: a source is lost after `abc`, the second run answers `abcdef` in one part.

A source of an answer now names its run. Once something of a service's answer is sent, only the same run may go on with it; otherwise the answer is cut, and a retry reads the second run's from its start. Chat answers are not changed: a resumed stream has another run's name and the same events.

--- a/packages/entry/src/answerOpener.ts
+++ b/packages/entry/src/answerOpener.ts
@@ -80,7 +80,7 @@
 
   function openLocal(request: string): AnswerSource | Refusal {
     const answer = answers.get(request);
-    return answer ? createLocalSource(answer) : ANSWER_EXPIRED;
+    return answer ? createLocalSource(request, answer) : ANSWER_EXPIRED;
   }
 
   async function openNamed(
@@ -98,9 +98,11 @@
       .with({ kind: 'mismatch' }, () => KEY_REUSED)
       .with({ kind: 'lost' }, () => createLostRefusal())
       .with({ kind: 'run' }, ({ isProvisional = false }) =>
-        createLocalSource(runner.start({ ...request, isProvisional })),
+        createLocalSource(request.id, runner.start({ ...request, isProvisional })),
+      )
+      .with({ kind: 'resume' }, ({ state }) =>
+        createLocalSource(request.id, runner.resume(request, state)),
       )
-      .with({ kind: 'resume' }, ({ state }) => createLocalSource(runner.resume(request, state)))
       .with({ kind: 'attach' }, (held) => attach(held.runner, held.request))
       .exhaustive();
   }
@@ -120,7 +122,7 @@
     async open(request, issued) {
       if (issued) return openIssued(request, issued);
       if (request.name) return openNamed(request, request.name);
-      return createLocalSource(runner.start(request));
+      return createLocalSource(request.id, runner.start(request));
     },
   };
 }
--- a/packages/entry/src/answerSource.ts
+++ b/packages/entry/src/answerSource.ts
@@ -25,15 +25,18 @@
 
 /** A reader of an answer that is produced by this or by another instance. */
 export interface AnswerSource {
+  /** Id of the run that produces the answer. */
+  readonly run: string;
   /** Returns the events from a position on. May return none although more will follow. */
   read(from: number): Promise<Outcome<AnswerPart, AnswerSourceError>>;
   close(): void;
 }
 
 /** Creates a reader of an answer of this instance and attaches it. */
-export function createLocalSource(answer: Answer): AnswerSource {
+export function createLocalSource(run: string, answer: Answer): AnswerSource {
   answer.attach();
   return {
+    run,
     read: async (from) => Ok(await answer.read(from)),
     close: () => answer.detach(),
   };
@@ -46,6 +49,7 @@
   request: string,
 ): AnswerSource {
   return {
+    run: request,
     async read(from) {
       const part = await network.call(runner, readTopic, { request, from }, CALL_TIMEOUT_MS);
       if (part.err) return Err('runner-lost' as const);
--- a/packages/entry/src/answerWriter.ts
+++ b/packages/entry/src/answerWriter.ts
@@ -58,7 +58,7 @@
     if (!part) break;
     if (part.err) {
       currentSource.close();
-      const next = await reopen();
+      const next = acceptSource(delivery, position, currentSource.run, await reopen());
       if ('code' in next) {
         writer.end({ kind: 'refused', refusal: next });
         return;
@@ -79,6 +79,19 @@
   currentSource.close();
 }
 
+// Only the run whose first events were sent can go on with a service's answer: another run's answer
+// may differ, or arrive in other parts.
+function acceptSource(
+  { form }: Delivery,
+  position: number,
+  run: string,
+  next: AnswerSource | Refusal,
+): AnswerSource | Refusal {
+  if ('code' in next || form !== 'service' || position === 0 || next.run === run) return next;
+  next.close();
+  return createLostRefusal();
+}
+
 // Resolves to `undefined` if the caller disconnects first, so that no further event is awaited.
 async function raceWithClose<T>(
   response: ServerResponse,
