Take a control call's answer without its own framing for no answer

What callers could see: wrong refusals or charges after a store's answer was cut. A usage segment cut at a line's end reads as a whole one with fewer records; a cut list of rows that still parses would be taken for all there is; for a commit, `conflict` was believed from an answer nobody had finished.

Cause: an end was taken for completeness. `callHttp` read an answer without a length and without chunks until its connection ended. That end is the same for a whole answer, a killed process and, as Node reports it, a reset.

Answers cut within their length or chunks failed there already, and still do.

Such an answer is now `unavailable`, with `ran: unknown`, so a read is repeated and a write's outcome is found out as after a lost answer.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import https from 'node:https';
 import { Err, Ok } from 'ts-results';
+import { getResponseFraming } from './framing';
 import type { Milliseconds, Outcome, RunStatus } from './types';
 
 /** An HTTP request whose response is read in full. */
@@ -33,7 +34,10 @@
 
 type CallPhase = 'waiting for a connection' | 'connecting' | 'waiting for the head' | 'reading';
 
-/** Sends the request and reads the whole response. Never rejects: any error is an `HttpFailure`. */
+/**
+ * Sends the request and reads the whole response. Never rejects: any error is an `HttpFailure`. So is
+ * a response that states neither a length nor chunks, because nothing tells whether it is whole.
+ */
 export function callHttp(call: HttpCall): Promise<Outcome<HttpAnswer, HttpFailure>> {
   return new Promise((resolve) => {
     let phase: CallPhase = 'waiting for a connection';
@@ -45,6 +49,10 @@
     };
     const request = createRequest(call, (response) => {
       phase = 'reading';
+      if (getResponseFraming(response, call.method) === 'close') {
+        request.destroy(new Error('the answer states no length'));
+        return;
+      }
       const countBytes = (bytes: number) => {
         received += bytes;
         // A part may be read after the connection has closed; the timer must not start again then.
--- /dev/null
+++ b/packages/core/test/http.test.ts
@@ -0,0 +1,37 @@
+import http from 'node:http';
+import { callHttp, listen } from '../src';
+import type { HttpAnswer, HttpFailure, Outcome } from '../src';
+
+const TIMEOUT_MS = 2000;
+
+let server: http.Server | undefined;
+
+afterEach(() => server?.close());
+
+// Calls a server that answers with the raw text and closes the connection.
+async function call(raw: string, method = 'GET'): Promise<Outcome<HttpAnswer, HttpFailure>> {
+  server = http.createServer((request) => request.socket.end(raw));
+  const url = `http://${await listen(server, '127.0.0.1:0')}`;
+  return callHttp({ method, url, timeout: TIMEOUT_MS, agent: new http.Agent() });
+}
+
+test('an answer without a length is not known to be whole, even if it parses', async () => {
+  const answer = await call('HTTP/1.1 200 OK\r\n\r\n{"rows":[]}');
+  expect(answer.val).toMatchObject({ kind: 'unavailable', ran: 'unknown' });
+});
+
+test.each([
+  ['shorter than its length', 'HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{}'],
+  ['without its last chunk', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n'],
+])('an answer is incomplete: %s', async (_name, raw) => {
+  expect((await call(raw)).val).toMatchObject({ kind: 'unavailable', ran: 'unknown' });
+});
+
+test.each([
+  ['with its length', 'GET', 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}', '{}'],
+  ['with no body', 'DELETE', 'HTTP/1.1 204 No Content\r\n\r\n', ''],
+  ['to a request for the head', 'HEAD', 'HTTP/1.1 200 OK\r\n\r\n', ''],
+])('an answer is whole: %s', async (_name, method, raw, body) => {
+  const answer = (await call(raw, method)).unwrap();
+  expect(answer.body.toString()).toBe(body);
+});
