--- a/packages/entry/src/answerWriter.ts
+++ b/packages/entry/src/answerWriter.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import { writeJson } from '@pomeloroad/core';
+import { cutResponse, writeJson } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import { createRefusal, RefusalStatus } from '@pomeloroad/requests';
 import type { AnswerEnd, AnswerEvent, Refusal } from '@pomeloroad/requests';
@@ -13,7 +13,7 @@
   form: 'json' | 'events' | 'service';
   request: string;
   model: string;
-  /** Position of the first event to send. */
+  /** Position of the first event to send in the form of events; other forms begin at the start. */
   from: number;
   createdAt: Date;
   writeTimeout: Milliseconds;
@@ -52,13 +52,13 @@
 ): Promise<void> {
   const writer = createAnswerWriter(response, delivery);
   let currentSource = source;
-  let position = delivery.form === 'json' ? 0 : delivery.from;
+  let position = delivery.form === 'events' ? delivery.from : 0;
   while (!response.destroyed) {
     const part = await raceWithClose(response, currentSource.read(position));
     if (!part) break;
     if (part.err) {
       currentSource.close();
-      const next = await reopen();
+      const next = acceptSource(delivery, position, currentSource.run, await reopen());
       if ('code' in next) {
         writer.end({ kind: 'refused', refusal: next });
         return;
@@ -79,6 +79,19 @@
   currentSource.close();
 }
 
+// Only the run whose first events were sent can go on with a service's answer: another run's answer
+// may differ, or arrive in other parts.
+function acceptSource(
+  { form }: Delivery,
+  position: number,
+  run: string,
+  next: AnswerSource | Refusal,
+): AnswerSource | Refusal {
+  if ('code' in next || form !== 'service' || position === 0 || next.run === run) return next;
+  next.close();
+  return createLostRefusal();
+}
+
 // Resolves to `undefined` if the caller disconnects first, so that no further event is awaited.
 async function raceWithClose<T>(
   response: ServerResponse,
@@ -195,22 +208,30 @@
 function createServiceWriter(response: ServerResponse, delivery: Delivery): AnswerWriter {
   return {
     async event(event) {
-      if (event.kind === 'head') {
-        response.writeHead(event.status, {
-          ...event.headers,
-          [CallerHeader.requestId]: delivery.request,
-        });
-      }
+      if (event.kind === 'head') writeServiceHead(response, delivery, event);
       if (event.kind === 'bytes') await writeBytes(response, event.data, delivery.writeTimeout);
     },
     end(end) {
       if (end.kind === 'complete') response.end();
-      else if (response.headersSent) response.destroy();
+      else if (response.headersSent) cutResponse(response);
       else writeRefusal(response, delivery.request, end.refusal);
     },
   };
 }
 
+function writeServiceHead(
+  response: ServerResponse,
+  { request }: Delivery,
+  { status, headers, endsWithConnection }: Extract<AnswerEvent, { kind: 'head' }>,
+): void {
+  if (endsWithConnection) {
+    // The last chunk would state that the answer is whole, which the service has not stated.
+    response.useChunkedEncodingByDefault = false;
+    response.setHeader('connection', 'close');
+  }
+  response.writeHead(status, { ...headers, [CallerHeader.requestId]: request });
+}
+
 // Applies backpressure: resolves once the caller has taken the data or disconnected. A caller that
 // takes none before the timeout is disconnected.
 function writeBytes(
@@ -220,7 +241,7 @@
 ): Promise<void> {
   if (response.destroyed || response.write(data)) return Promise.resolve();
   return new Promise((resolve) => {
-    const timer = setTimeout(() => response.destroy(), timeout);
+    const timer = setTimeout(() => cutResponse(response), timeout);
     const finish = () => {
       clearTimeout(timer);
       response.off('drain', finish);
