One copy of framing, of cutting a response and of ending with the connection; JSON objects tell their end

Both fronts and the client of control calls judged framing by code of their own; it stands in core now.

--- a/packages/core/src/framing.ts
+++ b/packages/core/src/framing.ts
@@ -1,4 +1,4 @@
-import type { IncomingMessage } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 
 /**
  * How a response states its end: by its length, its last chunk, its head, or not at all, if it ends
@@ -38,3 +38,12 @@
   });
   return () => closed;
 }
+
+/**
+ * Makes a response state no end, as one that is passed on and stated none itself; it ends with its
+ * connection. Must be called before the head is written.
+ */
+export function endWithConnection(response: ServerResponse): void {
+  response.useChunkedEncodingByDefault = false;
+  response.shouldKeepAlive = false;
+}
--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -13,6 +13,11 @@
   /** Longest time until the head of the response, and then between two parts of its body. */
   timeout: Milliseconds;
   agent?: http.Agent;
+  /**
+   * Whether each whole body is a JSON object. Its closing brace tells its end, so the response needs
+   * neither a length nor chunks.
+   */
+  hasJsonObject?: boolean;
   /** PEM certificate of the authority that signed the server's certificate. */
   authority?: string;
 }
@@ -36,7 +41,7 @@
 
 /**
  * Sends the request and reads the whole response. Never rejects: any error is an `HttpFailure`. So is
- * a response that states neither a length nor chunks, because nothing tells whether it is whole.
+ * a response that states neither a length nor chunks, unless its content tells that it is whole.
  */
 export function callHttp(call: HttpCall): Promise<Outcome<HttpAnswer, HttpFailure>> {
   return new Promise((resolve) => {
@@ -49,7 +54,8 @@
     };
     const request = createRequest(call, (response) => {
       phase = 'reading';
-      if (getResponseFraming(response, call.method) === 'close') {
+      const isUnframed = getResponseFraming(response, call.method) === 'close';
+      if (isUnframed && call.hasJsonObject !== true) {
         request.destroy(new Error('the answer states no length'));
         return;
       }
@@ -59,8 +65,11 @@
         if (!request.destroyed) timer.refresh();
       };
       readBody(response, Infinity, countBytes).then(
-        (body) =>
-          resolve(Ok({ status: response.statusCode ?? 0, headers: response.headers, body })),
+        (body) => {
+          const { statusCode: status = 0, headers } = response;
+          if (isUnframed && !isJsonObject(body)) fail('the answer is not a whole JSON object');
+          else resolve(Ok({ status, headers, body }));
+        },
         (reason: Error) => fail(reason.message),
       );
     });
@@ -85,6 +94,16 @@
   });
 }
 
+// No proper prefix of a JSON object is one.
+function isJsonObject(body: Buffer): boolean {
+  try {
+    const value: unknown = JSON.parse(body.toString());
+    return typeof value === 'object' && value !== null && !Array.isArray(value);
+  } catch {
+    return false;
+  }
+}
+
 function createRequest(call: HttpCall, listener: (response: http.IncomingMessage) => void) {
   const { method, headers, agent, authority } = call;
   if (call.url.startsWith('https:')) {
--- a/packages/entry/src/answerWriter.ts
+++ b/packages/entry/src/answerWriter.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http';
-import { cutResponse, writeJson } from '@pomeloroad/core';
+import { cutResponse, endWithConnection, writeJson } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import { createRefusal, RefusalStatus } from '@pomeloroad/requests';
 import type { AnswerEnd, AnswerEvent, Refusal } from '@pomeloroad/requests';
@@ -224,11 +224,8 @@
   { request }: Delivery,
   { status, headers, endsWithConnection }: Extract<AnswerEvent, { kind: 'head' }>,
 ): void {
-  if (endsWithConnection) {
-    // The last chunk would state that the answer is whole, which the service has not stated.
-    response.useChunkedEncodingByDefault = false;
-    response.setHeader('connection', 'close');
-  }
+  // The last chunk would state that the answer is whole, which the service has not stated.
+  if (endsWithConnection) endWithConnection(response);
   response.writeHead(status, { ...headers, [CallerHeader.requestId]: request });
 }
 
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -1,7 +1,7 @@
-import type { Milliseconds, Tokens } from '@pomeloroad/core';
+import type { Milliseconds, ResponseFraming, Tokens } from '@pomeloroad/core';
 import type { ForwardHost } from './forwardTypes';
 import { isRetryable } from './patience';
-import type { Caller, ForwardRequest, Framing, ReplyHead } from './types';
+import type { Caller, ForwardRequest, ReplyHead } from './types';
 
 /** State of a request that is being forwarded. */
 export interface Run<Payload> {
@@ -25,7 +25,7 @@
   /** Id of the endpoint of the latest attempt. */
   endpoint: string | undefined;
   /** Framing of the latest answer of an endpoint. */
-  framing: Framing | undefined;
+  framing: ResponseFraming | undefined;
   firstByteAt: Milliseconds | undefined;
 }
 
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
+import type { Milliseconds, Outcome, ResponseFraming, Tokens } from '@pomeloroad/core';
 import type { PromptPart } from '@pomeloroad/routing';
 
 /**
@@ -113,16 +113,11 @@
   output: Tokens;
 }
 
-/**
- * What marks the end of an endpoint's answer: its length, the last of its chunks, or only the close
- * of its connection, which looks the same whether the answer is complete or its endpoint has died.
- */
-export type Framing = 'length' | 'chunked' | 'close';
-
 /** Status, framing and unmodified headers of an endpoint's answer. */
 export interface ReplyHead {
   status: number;
-  framing: Framing;
+  /** How the endpoint states the end of the answer. */
+  framing: ResponseFraming;
   /** Alternating names and values. */
   headers: string[];
 }
