The store stand-in of platform's tests moves to standins, so that a soak runs it as a process

Tests and the soak are to share one stand-in of the store. The linter's ban of wire names passes over packages/standins, which speaks the platform's protocol.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -24,7 +24,8 @@
   '@typescript-eslint/no-unnecessary-type-arguments': 'off',
 };
 
-// Names of the platform's wire protocol that only platform/ uses and translates.
+// Names of the platform's wire protocol that only platform/ uses and translates, and that the
+// stand-ins of the platform speak.
 const wireNames = [
   'x-attempt-id',
   'x-prefix-hash',
@@ -66,6 +67,7 @@
   },
   {
     files: ['packages/**/*.ts'],
+    ignores: ['packages/standins/**'],
     rules: {
       'no-restricted-imports': [
         'error',
--- a/packages/standins/src/faults.ts
+++ b/packages/standins/src/faults.ts
@@ -7,6 +7,7 @@
   latency: z.number().min(0).optional(),
   isDown: z.boolean().optional(),
   lostAnswerShare: z.number().min(0).max(1).optional(),
+  isFeedStalled: z.boolean().optional(),
 });
 
 /** Faults that a stand-in injects into its answers. */
@@ -17,6 +18,8 @@
   isDown: boolean;
   /** Share, from 0 to 1, of requests that take effect but get no answer. */
   lostAnswerShare: number;
+  /** Whether a feed of changes tells none. */
+  isFeedStalled: boolean;
 }
 
 /** Serves a request and resolves to the answer, or to `undefined` for an unknown route. */
@@ -41,11 +44,17 @@
   shouldServe(request: IncomingMessage, response: ServerResponse): Promise<boolean>;
   /** Decides at random whether the answer to a request that took effect is dropped. */
   shouldDropAnswer(): boolean;
+  isFeedStalled(): boolean;
 }
 
 /** Creates an injector with all faults off. */
 export function createFaultInjector(random: Random): FaultInjector {
-  const faults: InjectedFaults = { latency: 0, isDown: false, lostAnswerShare: 0 };
+  const faults: InjectedFaults = {
+    latency: 0,
+    isDown: false,
+    lostAnswerShare: 0,
+    isFeedStalled: false,
+  };
   return {
     async shouldServe(request, response) {
       if (request.url === '/standin/faults') {
@@ -60,6 +69,7 @@
       return !faults.isDown;
     },
     shouldDropAnswer: () => random.fraction() < faults.lostAnswerShare,
+    isFeedStalled: () => faults.isFeedStalled,
   };
 }
 
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -2,3 +2,5 @@
 export * from './modelEngine';
 export * from './plainService';
 export * from './platformServers';
+export * from './platformWire';
+export * from './storeService';
