Stand-ins of an endpoint and a caller of the operators' platform

The endpoint is a process that announces itself in the store with heartbeats and answers with a length, in chunks or with neither, as the request's path asks; it records each event before it sends it, so that the record outlives a kill. The caller's client tells whether an answer's framing states that it is complete.

--- /dev/null
+++ b/packages/standins/src/callerClient.ts
@@ -0,0 +1,97 @@
+import http from 'node:http';
+import { WireHeader } from './platformWire';
+import { signAnswer } from './soakWork';
+
+/** A request of a caller of the platform. */
+export interface CallerCall {
+  id: string;
+  /** `ip:port` of the instance. */
+  address: string;
+  host: string;
+  path: string;
+  key: string;
+  /** Time in milliseconds that the caller waits. */
+  timeLeft: number;
+  inputTokens: number;
+  outputTokens: number;
+  /** Last event that the caller has; 0 for a new stream. */
+  resumeAfter: number;
+  agent: http.Agent;
+}
+
+/** What a caller has seen of one answer. */
+export interface CallerAnswer {
+  /** 0 if no answer has begun. */
+  status: number;
+  framing: 'length' | 'chunked' | 'close';
+  /** Whether the framing states that the answer is complete: its length is met, or the last chunk. */
+  isStatedComplete: boolean;
+  /** Whether the answer names the request. */
+  isOwn: boolean;
+  /** Whether the signature is one of an endpoint for this request. */
+  isSigned: boolean;
+  body: string;
+  /** Times at which each part of the body arrived, in milliseconds of the Unix clock. */
+  error?: string;
+}
+
+/** Sends a request; resolves when its answer has ended, was cut off or the time has passed. */
+export function sendCallerCall(call: CallerCall): Promise<CallerAnswer> {
+  return new Promise((resolve) => {
+    const answer: CallerAnswer = {
+      status: 0,
+      framing: 'close',
+      isStatedComplete: false,
+      isOwn: true,
+      isSigned: false,
+      body: '',
+    };
+    const request = http.request(`http://${call.address}${call.path}`, {
+      method: 'POST',
+      agent: call.agent,
+      headers: {
+        host: call.host,
+        'content-length': 0,
+        [WireHeader.key]: `Token ${call.key}`,
+        [WireHeader.requestId]: call.id,
+        [WireHeader.timeLeft]: call.timeLeft,
+        [WireHeader.tokenBounds]: `${call.inputTokens},${call.outputTokens}`,
+        ...(call.resumeAfter > 0 ? { [WireHeader.resumeAfter]: call.resumeAfter } : {}),
+      },
+    });
+    const timer = setTimeout(() => request.destroy(new Error('caller gave up')), call.timeLeft);
+    const finish = (error?: Error) => {
+      clearTimeout(timer);
+      answer.error ??= error?.message;
+      resolve(answer);
+    };
+    request.on('error', finish);
+    request.on('response', (response) => {
+      readHead(answer, response, call);
+      response.on('data', (data: Buffer) => {
+        answer.body += data.toString();
+      });
+      response.on('error', (error) => {
+        answer.error = error.message;
+      });
+      response.on('close', () => {
+        answer.isStatedComplete = answer.framing !== 'close' && response.complete;
+        finish();
+      });
+    });
+    request.end();
+  });
+}
+
+function readHead(answer: CallerAnswer, response: http.IncomingMessage, call: CallerCall): void {
+  const { headers, statusCode = 0 } = response;
+  const read = answer;
+  read.status = statusCode;
+  if (headers['transfer-encoding'] !== undefined) read.framing = 'chunked';
+  else if (headers['content-length'] !== undefined) read.framing = 'length';
+  const echo = headers[WireHeader.requestId];
+  read.isOwn = echo === call.id;
+  const signature = String(headers[WireHeader.signature] ?? '');
+  const [endpoint = ''] = signature.split('.');
+  read.isSigned = signature === signAnswer(endpoint, call.id);
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,3 +4,7 @@
 export * from './platformServers';
 export * from './platformWire';
 export * from './storeService';
+export * from './callerClient';
+export * from './platformFiles';
+export * from './soakEndpoint';
+export * from './soakWork';
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -4,8 +4,11 @@
 import { createModelEngine } from './modelEngine';
 import { createPlainService } from './plainService';
 import { startPlatform } from './platformServers';
+import { runSoakEndpoint } from './soakEndpointProcess';
+import { startStore } from './storeService';
 
 const FREE_PORT = '127.0.0.1:0';
+const STORE_PAGE_ROWS = 500;
 
 const program = sade('standins');
 
@@ -66,6 +69,49 @@
     await listenAndReport(createPlainService(Number(flags.seed)), String(flags.address));
   });
 
+program
+  .command('store')
+  .describe('Run the metadata store of the operators’ platform.')
+  .option('--address', 'where to listen', FREE_PORT)
+  .option('--expiry', 'time in ms after which a silent endpoint’s entry is removed', 1200)
+  .option('--seed', 'seed of the answers that are lost', 1)
+  .action(async (flags: Record<string, string | number>) => {
+    const store = await startStore({
+      clock: createSystemClock(),
+      address: String(flags.address),
+      pageRows: STORE_PAGE_ROWS,
+      entryExpiry: Number(flags.expiry),
+      seed: Number(flags.seed),
+    });
+    reportListening({ address: store.address });
+  });
+
+program
+  .command('endpoint')
+  .describe('Run an endpoint that announces itself in the store of the operators’ platform.')
+  .option('--id', 'id of the endpoint')
+  .option('--address', 'where to listen', FREE_PORT)
+  .option('--advertised', 'address at which instances reach it')
+  .option('--store', 'address of the store')
+  .option('--service', 'name of its service')
+  .option('--data-centre', 'name of its data centre')
+  .option('--slots', 'requests at the same time', 16)
+  .option('--drain', 'time in ms that it serves after it has announced its leaving', 2000)
+  .action(async (flags: Record<string, string | number>) => {
+    const address = await runSoakEndpoint({
+      clock: createSystemClock(),
+      id: String(flags.id),
+      address: String(flags.address),
+      advertisedAddress: String(flags.advertised),
+      store: String(flags.store),
+      service: String(flags.service),
+      dataCentre: String(flags['data-centre']),
+      slots: Number(flags.slots),
+      drain: Number(flags.drain),
+    });
+    reportListening({ address });
+  });
+
 program.parse(process.argv);
 
 async function listenAndReport(server: http.Server, address: string): Promise<void> {
--- /dev/null
+++ b/packages/standins/src/soakEndpoint.ts
@@ -0,0 +1,144 @@
+import http from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { match } from 'ts-pattern';
+import { hashText, readBody, sleep } from '@pomeloroad/core';
+import type { Clock, Milliseconds } from '@pomeloroad/core';
+import { WireHeader } from './platformWire';
+import { decodeWork, renderEvent, renderEvents, signAnswer } from './soakWork';
+import type { AnswerFault, Work } from './soakWork';
+
+const LATE_ANSWER_DELAY_MS: Milliseconds = 1000;
+const MISDIRECTED_STATUS = 421;
+const DECLINED_STATUS = 503;
+/** Share of the requests with a fault, in 16 parts, that an endpoint answers with it. */
+const FAULTY_SIXTEENTHS = 8;
+
+/** What an endpoint of the soak records, one line for each step of a request. */
+export type EndpointLine =
+  | { event: 'run'; request: string; run: number; path: string; after: number; account: string }
+  | { event: 'sent'; request: string; run: number; number: number }
+  /** The answer is complete as far as the endpoint states it in its framing. */
+  | { event: 'stated'; request: string; run: number; number: number }
+  | { event: 'closed'; request: string; run: number; number: number }
+  | { event: 'declined'; request: string; reason: 'full' | 'leaving' | 'other-endpoint' };
+
+/** Dependencies and settings of an endpoint of the soak. */
+export interface SoakEndpointHost {
+  clock: Clock;
+  id: string;
+  slots: number;
+  record(line: EndpointLine): void;
+  /** Whether each request is declined, as by an endpoint with a full queue. */
+  isFull(): boolean;
+}
+
+/** Creates the server of an endpoint that sends what the path of a request asks for. */
+export function createSoakEndpoint(host: SoakEndpointHost): http.Server {
+  const { clock, id, slots, record } = host;
+  let active = 0;
+  let runs = 0;
+
+  async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const name = String(request.headers[WireHeader.requestId] ?? '');
+    const expected = request.headers[WireHeader.endpoint];
+    if (expected !== undefined && expected !== id) {
+      decline(response, name, MISDIRECTED_STATUS, 'other-endpoint');
+    } else if (active >= slots || host.isFull()) {
+      decline(response, name, DECLINED_STATUS, 'full');
+    } else {
+      active += 1;
+      await run(request, response, name).finally(() => {
+        active -= 1;
+      });
+    }
+  }
+
+  function decline(
+    response: ServerResponse,
+    request: string,
+    status: number,
+    reason: 'full' | 'other-endpoint',
+  ): void {
+    record({ event: 'declined', request, reason });
+    const headers = { [WireHeader.requestId]: request, [WireHeader.notRun]: '1' };
+    response.writeHead(status, { ...headers, 'content-length': 0 }).end();
+  }
+
+  async function run(
+    request: IncomingMessage,
+    response: ServerResponse,
+    name: string,
+  ): Promise<void> {
+    const path = request.url ?? '/';
+    const work = decodeWork(path);
+    const after = Number(request.headers[WireHeader.resumeAfter] ?? 0);
+    const account = String(request.headers[WireHeader.account] ?? '');
+    runs += 1;
+    const step = { request: name, run: runs };
+    record({ event: 'run', ...step, path, after, account });
+    const fault = hasFault(id, name) ? work.fault : 'none';
+    const last = fault === 'short' ? Math.floor((after + work.events) / 2) : work.events;
+    if (fault === 'late') await sleep(clock, LATE_ANSWER_DELAY_MS);
+    writeHead(response, name, work, after, fault);
+    let number = after;
+    while (number < last && !response.destroyed) {
+      await sleep(clock, work.pause);
+      if (response.destroyed) break;
+      number += 1;
+      // Recorded first: what the kernel has taken may arrive although the process is killed.
+      record({ event: 'sent', ...step, number });
+      response.write(renderEvent(name, number));
+    }
+    if (response.destroyed) record({ event: 'closed', ...step, number });
+    else {
+      if (fault !== 'short') record({ event: 'stated', ...step, number });
+      endAnswer(request, response, fault);
+    }
+  }
+
+  function writeHead(
+    response: ServerResponse,
+    name: string,
+    work: Work,
+    after: number,
+    fault: AnswerFault,
+  ): void {
+    const content = renderEvents(name, after, work.events);
+    const extra = fault === 'length' ? 1 : 0;
+    const framing = match(work.framing)
+      .with('length', () => ({ 'content-length': content.length + extra }))
+      .with('chunked', () => ({ 'transfer-encoding': 'chunked' }))
+      .with('close', () => ({ connection: 'close' }))
+      .exhaustive();
+    // Without this, Node frames an answer that has neither a length nor chunks in chunks.
+    response.useChunkedEncodingByDefault = work.framing === 'chunked';
+    response.writeHead(200, {
+      [WireHeader.requestId]: fault === 'other' ? `${name}-other` : name,
+      [WireHeader.signature]: signAnswer(id, name),
+      'content-type': 'text/event-stream',
+      ...framing,
+    });
+    response.flushHeaders();
+  }
+
+  return http.createServer((request, response) => {
+    readBody(request).then(
+      () => serve(request, response),
+      () => undefined,
+    );
+  });
+}
+
+// An answer cut short closes its connection in order and, in chunks, without the last one.
+function endAnswer(request: IncomingMessage, response: ServerResponse, fault: AnswerFault): void {
+  if (fault === 'short' || fault === 'length') request.socket.end();
+  else {
+    response.end();
+    if (fault === 'extra' && request.socket.writable)
+      request.socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore');
+  }
+}
+
+function hasFault(endpoint: string, request: string): boolean {
+  return parseInt(hashText(`${endpoint}/${request}`).slice(0, 1), 16) < FAULTY_SIXTEENTHS;
+}
--- /dev/null
+++ b/packages/standins/src/soakEndpointProcess.ts
@@ -0,0 +1,65 @@
+import { listen, sleep } from '@pomeloroad/core';
+import type { Clock, Milliseconds } from '@pomeloroad/core';
+import { announceEndpoint } from './announcement';
+import { createSoakEndpoint } from './soakEndpoint';
+import type { EndpointLine } from './soakEndpoint';
+
+/** Time beyond the announced one for which an endpoint that leaves still serves. */
+const EXTRA_SERVICE_MS: Milliseconds = 500;
+const POLL_INTERVAL_MS: Milliseconds = 50;
+
+/** Settings of the process of an endpoint. */
+export interface SoakEndpointSettings {
+  clock: Clock;
+  id: string;
+  address: string;
+  /** Address at which instances reach it. */
+  advertisedAddress: string;
+  store: string;
+  service: string;
+  dataCentre: string;
+  slots: number;
+  /** Time that it serves after the store has accepted that it leaves. */
+  drain: Milliseconds;
+}
+
+/**
+ * Serves and announces an endpoint until SIGTERM, after which it leaves in order. SIGUSR2 switches
+ * between a full queue and a free one. Resolves to the address at which it listens.
+ */
+export async function runSoakEndpoint(settings: SoakEndpointSettings): Promise<string> {
+  const { clock, id, slots, store, service, dataCentre, drain } = settings;
+  let isFull = false;
+  const server = createSoakEndpoint({ clock, id, slots, record, isFull: () => isFull });
+  const address = await listen(server, settings.address);
+  const entry = { id, service, address: settings.advertisedAddress, dataCentre, slots };
+  const announcement = announceEndpoint(clock, store, entry);
+  process.on('SIGUSR2', () => {
+    isFull = !isFull;
+  });
+  process.once('SIGTERM', async () => {
+    await announcement.leave();
+    record({ event: 'leaving' });
+    await sleep(clock, drain + EXTRA_SERVICE_MS);
+    await announcement.withdraw();
+    server.close();
+    while ((await countConnections()) > 0) {
+      server.closeIdleConnections();
+      await sleep(clock, POLL_INTERVAL_MS);
+    }
+    process.exit(0);
+  });
+
+  function countConnections(): Promise<number> {
+    return new Promise((resolve) => {
+      server.getConnections((_error, count) => resolve(count));
+    });
+  }
+
+  // Writes to a pipe are synchronous, so a line is not lost when the process is killed.
+  function record(line: EndpointLine | { event: 'leaving' }): void {
+    process.stdout.write(`${JSON.stringify({ at: clock.now().toISOString(), id, ...line })}\n`);
+  }
+
+  return address;
+}
--- /dev/null
+++ b/packages/standins/src/soakWork.ts
@@ -0,0 +1,66 @@
+import { hashText } from '@pomeloroad/core';
+
+/** How an answer tells its end: a length, chunks, or neither, so that it ends with its connection. */
+export type AnswerFraming = 'length' | 'chunked' | 'close';
+
+/** What an endpoint does to an answer; `none` sends it as it should be. */
+export type AnswerFault =
+  | 'none'
+  /** Ends too early: the connection is closed in order. */
+  | 'short'
+  /** Sends bytes after the end of the answer. */
+  | 'extra'
+  /** Names another request. */
+  | 'other'
+  /** Tells a length that is larger than the answer. */
+  | 'length'
+  /** Begins only after a second. */
+  | 'late';
+
+/** What a request asks an endpoint to send. It stands in the request's path. */
+export interface Work {
+  /** First segment of the path, which selects the route. */
+  route: string;
+  framing: AnswerFraming;
+  /** Number of events of a stream, or of lines of a whole answer. */
+  events: number;
+  /** Time between two events in milliseconds. */
+  pause: number;
+  fault: AnswerFault;
+}
+
+/** Returns the path of a request for the work. */
+export function encodeWork({ route, framing, events, pause, fault }: Work): string {
+  return `/${route}/${framing}/${events}/${pause}/${fault}`;
+}
+
+/** Returns the work that the path asks for. */
+export function decodeWork(path: string): Work {
+  const [, route = '', framing = '', events = '', pause = '', fault = ''] = path.split('/');
+  return {
+    route,
+    framing: framing as AnswerFraming,
+    events: Number(events),
+    pause: Number(pause),
+    fault: fault as AnswerFault,
+  };
+}
+
+/** Returns the event with the number, from 1, of the answer to a request. */
+export function renderEvent(request: string, number: number): string {
+  return `id: ${number}\ndata: ${hashText(`${request}.${number}`)}\n\n`;
+}
+
+/** Returns the events after the given one up to the last one. */
+export function renderEvents(request: string, after: number, last: number): string {
+  const numbers = Array.from(
+    { length: Math.max(0, last - after) },
+    (_, index) => after + index + 1,
+  );
+  return numbers.map((number) => renderEvent(request, number)).join('');
+}
+
+/** Returns the signature of an endpoint's answer to a request. */
+export function signAnswer(endpoint: string, request: string): string {
+  return `${endpoint}.${hashText(`${endpoint} ${request}`).slice(0, 16)}`;
+}
