--- a/packages/replay/src/paths.ts
+++ b/packages/replay/src/paths.ts
@@ -8,6 +8,9 @@
 /** Path of the program of the stand-ins. */
 export const STANDINS_PROGRAM = path.join(ROOT, 'packages', 'standins', 'dist', 'main.js');
 
+/** Path of the program that is deployed on the operators' platform; `npm run bundle` builds it. */
+export const BUNDLED_PROGRAM = path.join(ROOT, 'target', 'pomeloroad.js');
+
 /** Path of the program of the fault proxy. */
 export const PROXY_PROGRAM = path.join(__dirname, 'proxyMain.js');
 
--- a/packages/replay/src/programs.ts
+++ b/packages/replay/src/programs.ts
@@ -1,6 +1,7 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { createInterface } from 'node:readline';
+import { Diagnostics } from '@pomeloroad/core';
 
 const START_TIMEOUT_MS = 20_000;
 
@@ -67,7 +68,8 @@
     // The line with the addresses appears among ordinary log lines.
     createInterface({ input: child.stdout }).on('line', (line) => {
       const listening = JSON.parse(line) as Record<string, unknown>;
-      if (listening.event !== 'listening') {
+      const isStarted = listening.code === Diagnostics.instanceStarted.code;
+      if (listening.event !== 'listening' && !isStarted) {
         onLog(name, line);
         return;
       }
--- /dev/null
+++ b/packages/replay/src/soak/fleet.ts
@@ -0,0 +1,143 @@
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { renderSettings } from '@pomeloroad/standins';
+import { createFaultProxy } from '../faultProxy';
+import type { FaultProxy, Link } from '../faultProxy';
+import { BUNDLED_PROGRAM, STANDINS_PROGRAM } from '../paths';
+import type { Launcher, Program } from '../programs';
+
+const CALLERS_PORT = 8227;
+const READINESS_PORT = 8220;
+const DATA_CENTRES = ['derby', 'leicester'];
+/** Services of the endpoints: one that streams and one that answers whole. */
+const SERVICES = ['model', 'board'];
+const FIRST_SUBNET = 64;
+const SUBNETS = 128;
+
+/** Number of processes of each kind. */
+export interface FleetSize {
+  instances: number;
+  endpoints: number;
+}
+
+/** An instance: a process of the bundled program that may be started again. */
+export interface FleetInstance {
+  kind: 'instance';
+  name: string;
+  dataCentre: string;
+  readinessAddress: string;
+  /** Link of its callers, which is also the group of the link. */
+  callersLink: Link;
+  storeLink: Link;
+  settingsPath: string;
+  program: Program;
+  /** Whether the balancer sends it new connections. */
+  isReady: boolean;
+}
+
+/** An endpoint: a process of the stand-ins that may be started again under its id. */
+export interface FleetEndpoint {
+  kind: 'endpoint';
+  name: string;
+  dataCentre: string;
+  service: string;
+  link: Link;
+  program: Program;
+}
+
+/** A process of the fleet that faults stop. */
+export type FleetProcess = FleetInstance | FleetEndpoint;
+
+/** The running processes of a soak. */
+export interface Fleet {
+  proxy: FaultProxy;
+  /** Address of the store without the proxy. */
+  store: string;
+  instances: FleetInstance[];
+  endpoints: FleetEndpoint[];
+  /** Starts a process that has ended again, under its name. */
+  restart(process: FleetProcess): Promise<void>;
+  /** Stops the proxy and removes the settings files. */
+  close(): void;
+}
+
+/** Starts the store, the endpoints and the instances, each behind links of one fault proxy. */
+export async function startFleet(
+  launcher: Launcher,
+  size: FleetSize,
+  seed: number,
+): Promise<Fleet> {
+  const proxy = createFaultProxy(() => 'outside');
+  const directory = mkdtempSync(path.join(tmpdir(), 'pomeloroad-soak-'));
+  const storeArgs = ['store', '--seed', String(seed)];
+  const storeProgram = await launcher.start('store', STANDINS_PROGRAM, storeArgs);
+  const store = String(storeProgram.listening.address);
+  // Other soaks on this machine use other subnets, since the metrics' port is fixed.
+  const subnet = FIRST_SUBNET + (process.pid % SUBNETS);
+
+  async function startEndpoint(endpoint: Omit<FleetEndpoint, 'program'>): Promise<Program> {
+    const { name, service, dataCentre, link } = endpoint;
+    const program = await launcher.start(name, STANDINS_PROGRAM, [
+      'endpoint',
+      ...['--id', name, '--service', service, '--data-centre', dataCentre],
+      ...['--store', store, '--advertised', link.address],
+    ]);
+    proxy.setTarget(link.id, String(program.listening.address));
+    return program;
+  }
+
+  async function addEndpoint(index: number): Promise<FleetEndpoint> {
+    const name = `endpoint-${index + 1}`;
+    const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length] ?? '';
+    const service = SERVICES[Math.floor(index / DATA_CENTRES.length) % SERVICES.length] ?? '';
+    const link = await proxy.addLink(name);
+    const endpoint = { kind: 'endpoint' as const, name, dataCentre, service, link };
+    return { ...endpoint, program: await startEndpoint(endpoint) };
+  }
+
+  async function addInstance(index: number): Promise<FleetInstance> {
+    const name = `instance-${index + 1}`;
+    const site = index % DATA_CENTRES.length;
+    const dataCentre = DATA_CENTRES[site] ?? '';
+    const ip = `127.${subnet}.${site + 1}.${index + 1}`;
+    const callersAddress = `${ip}:${CALLERS_PORT}`;
+    const readinessAddress = `${ip}:${READINESS_PORT}`;
+    const callersLink = await proxy.addLink(name);
+    const storeLink = await proxy.addLink(`store of ${name}`);
+    proxy.setTarget(callersLink.id, callersAddress);
+    proxy.setTarget(storeLink.id, store);
+    const settingsPath = path.join(directory, `${name}.toml`);
+    const storeAddress = storeLink.address;
+    const settings = { instance: name, dataCentre, ip, callersAddress, readinessAddress };
+    writeFileSync(settingsPath, renderSettings({ ...settings, storeAddress }));
+    const program = await startInstance(name, settingsPath);
+    const links = { callersLink, storeLink };
+    const fields = { name, dataCentre, readinessAddress, settingsPath, program, ...links };
+    return { kind: 'instance', ...fields, isReady: false };
+  }
+
+  function startInstance(name: string, settingsPath: string): Promise<Program> {
+    return launcher.start(name, BUNDLED_PROGRAM, ['--settings', settingsPath]);
+  }
+
+  mkdirSync(directory, { recursive: true });
+  const createIndexes = (length: number) => Array.from({ length }, (_, index) => index);
+  return {
+    proxy,
+    store,
+    endpoints: await Promise.all(createIndexes(size.endpoints).map(addEndpoint)),
+    instances: await Promise.all(createIndexes(size.instances).map(addInstance)),
+    async restart(stopped) {
+      const fleetProcess = stopped;
+      fleetProcess.program =
+        fleetProcess.kind === 'instance'
+          ? await startInstance(fleetProcess.name, fleetProcess.settingsPath)
+          : await startEndpoint(fleetProcess);
+    },
+    close() {
+      proxy.close();
+      rmSync(directory, { recursive: true, force: true });
+    },
+  };
+}
--- /dev/null
+++ b/packages/replay/src/soak/requestRecord.ts
@@ -0,0 +1,45 @@
+import type { CallerAnswer, EndpointLine, Work } from '@pomeloroad/standins';
+
+/** What the soak knows of one request: what its caller saw and what endpoints recorded of it. */
+export interface RequestRecord {
+  id: string;
+  account: string;
+  work: Work;
+  instance: string;
+  inputTokens: number;
+  /** Last event that the caller had when it sent the request. */
+  resumeAfter: number;
+  /** Unix time in milliseconds at which the caller sent it. */
+  sentAt: number;
+  /** Unix time in milliseconds at which its answer ended; `undefined` while it is open. */
+  endedAt?: number;
+  answer?: CallerAnswer;
+  runs: EndpointRun[];
+  /** Lines of all processes that name the request. */
+  lines: LogLine[];
+}
+
+/** What an endpoint recorded of one run of a request. */
+export interface EndpointRun {
+  endpoint: string;
+  at: number;
+  account: string;
+  /** Event after which the run went on. */
+  after: number;
+  /** Number of the last event that it sent. */
+  sent: number;
+  /** Whether the endpoint stated that its answer is complete. */
+  isStated: boolean;
+  path: string;
+}
+
+/** A line that a process of the soak wrote, or that the soak wrote for a caller or a fault. */
+export interface LogLine {
+  /** Unix time in milliseconds. */
+  at: number;
+  source: string;
+  text: string;
+}
+
+/** A line of an endpoint with its time and the endpoint's id. */
+export type StampedEndpointLine = EndpointLine & { at: string; id: string };
