Fault proxy: slow links, one direction lost, connections cut at any byte in three ways

The soak is to use the one fault injector there is. New effects: a limited rate, bytes of one direction lost for good, and a connection that ends after N bytes, closed in order, reset or half-closed. An end of one side is now passed on as what it was, after the bytes before it: a reset as a reset, a half-close as such; before, a close could overtake buffered bytes and a reset became a close. Bytes also stay in order when a delay ends. The relay of one direction is a module of its own.

--- a/packages/replay/src/faultProxy.ts
+++ b/packages/replay/src/faultProxy.ts
@@ -1,14 +1,8 @@
 import net from 'node:net';
-import type { Milliseconds } from '@pomeloroad/core';
-
-/** What the proxy does to bytes from one group of processes to another. */
-export type Effect =
-  /** Bytes are dropped on open and new connections; connections are still accepted. */
-  | { kind: 'blackhole' }
-  /** Open connections are closed, and new ones as soon as they are accepted. */
-  | { kind: 'reset' }
-  /** Bytes are forwarded after a delay. */
-  | { kind: 'delay'; delay: Milliseconds };
+import { match } from 'ts-pattern';
+import type { Clock } from '@pomeloroad/core';
+import { createByteRelay } from './byteRelay';
+import type { ByteRelay, Effect } from './byteRelay';
 
 /** An effect on the bytes that one group sends to another; `*` matches any group. */
 export interface Rule {
@@ -39,16 +33,16 @@
   close(): void;
 }
 
-// A proxied connection: the groups at both ends, and its two sockets.
+// A proxied connection: the groups at both ends, its two sockets and a relay for each direction.
 interface Connection {
   source: string;
   destination: string;
   ends: [net.Socket, net.Socket];
-  isSilent: boolean;
+  relays: [ByteRelay, ByteRelay];
 }
 
 /** Creates a proxy without rules; `getGroup` returns the group of a dialer's IP address. */
-export function createFaultProxy(getGroup: (ip: string) => string): FaultProxy {
+export function createFaultProxy(clock: Clock, getGroup: (ip: string) => string): FaultProxy {
   const targets = new Map<string, string>();
   const servers: net.Server[] = [];
   const connections = new Set<Connection>();
@@ -67,45 +61,46 @@
       return;
     }
     const [host = '', port = '0'] = target.split(':');
-    const listener = net.connect({ host, port: Number(port) });
-    const ends: [net.Socket, net.Socket] = [dialer, listener];
-    const connection = { source, destination: group, ends, isSilent: false };
+    const listener = net.connect({ host, port: Number(port), allowHalfOpen: true });
+    const connection: Connection = {
+      source,
+      destination: group,
+      ends: [dialer, listener],
+      relays: [
+        createByteRelay(clock, dialer, listener, () => findEffect(source, group), silence),
+        createByteRelay(clock, listener, dialer, () => findEffect(group, source), silence),
+      ],
+    };
     connections.add(connection);
-    relayBytes(connection, dialer, listener, source, group);
-    relayBytes(connection, listener, dialer, group, source);
-    dialer.once('close', () => handleClose(connection, listener));
-    listener.once('close', () => handleClose(connection, dialer));
-  }
+    connection.ends.forEach((socket) => socket.once('close', removeIfClosed));
+
+    function silence(): void {
+      connection.relays.forEach((relay) => relay.silence());
+    }
 
-  // A close is not passed on over a silent connection, because a blackhole also drops it.
-  function handleClose(connection: Connection, other: net.Socket): void {
-    if (!connection.isSilent) other.destroy();
-    if (connection.ends.every((socket) => socket.destroyed)) connections.delete(connection);
+    function removeIfClosed(): void {
+      if (connection.ends.every((socket) => socket.destroyed)) connections.delete(connection);
+    }
   }
 
-  function relayBytes(
-    connection: Connection,
-    input: net.Socket,
-    output: net.Socket,
-    from: string,
-    to: string,
-  ): void {
-    const relayed = connection;
-    input.on('error', () => undefined);
-    input.on('data', (data) => {
-      const effect = findEffect(from, to);
-      if (effect?.kind === 'blackhole') relayed.isSilent = true;
-      if (relayed.isSilent) return;
-      if (effect?.kind === 'delay')
-        setTimeout(() => writeWithBackpressure(input, output, data), effect.delay);
-      else writeWithBackpressure(input, output, data);
+  function applyToOpen({ source, destination, ends, relays }: Connection): void {
+    const effects = [findEffect(source, destination), findEffect(destination, source)];
+    effects.forEach((effect, index) => {
+      match(effect)
+        .with({ kind: 'reset' }, () => ends.forEach((socket) => socket.destroy()))
+        .with({ kind: 'cut', after: 0 }, ({ cut }) => relays[index]?.cut(cut))
+        .with({ kind: 'cut' }, { kind: 'blackhole' }, { kind: 'delay' }, () => undefined)
+        .with({ kind: 'slow' }, { kind: 'one-way' }, undefined, () => undefined)
+        .exhaustive();
     });
   }
 
   return {
     addLink(group) {
       const id = `link-${servers.length}`;
-      const server = net.createServer((socket) => acceptConnection(id, group, socket));
+      const server = net.createServer({ allowHalfOpen: true }, (socket) =>
+        acceptConnection(id, group, socket),
+      );
       servers.push(server);
       return new Promise((resolve) => {
         server.listen(0, '127.0.0.1', () => {
@@ -117,19 +112,13 @@
     setTarget: (link, target) => targets.set(link, target),
     setRules(next) {
       rules = next;
-      connections.forEach((connection) => {
-        const { source, destination, ends } = connection;
-        const effects = [findEffect(source, destination), findEffect(destination, source)];
-        if (effects.some((effect) => effect?.kind === 'reset')) ends.forEach((s) => s.destroy());
-      });
+      connections.forEach(applyToOpen);
     },
     silence(from, to) {
-      connections.forEach((connection) => {
-        const silenced = connection;
-        const { source, destination } = connection;
+      connections.forEach(({ source, destination, relays }) => {
         const isBetween =
           (source === from && destination === to) || (source === to && destination === from);
-        if (isBetween) silenced.isSilent = true;
+        if (isBetween) relays.forEach((relay) => relay.silence());
       });
     },
     close() {
@@ -138,10 +127,3 @@
     },
   };
 }
-
-// Writes to the output and pauses the input until a full output buffer has drained.
-function writeWithBackpressure(input: net.Socket, output: net.Socket, data: Buffer): void {
-  if (output.destroyed || output.write(data)) return;
-  input.pause();
-  output.once('drain', () => input.resume());
-}
--- a/packages/replay/src/proxyMain.ts
+++ b/packages/replay/src/proxyMain.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import { listen, readBody, writeJson } from '@pomeloroad/core';
+import { createSystemClock, listen, readBody, writeJson } from '@pomeloroad/core';
 import { createFaultProxy } from './faultProxy';
 import type { Rule } from './faultProxy';
 import { getGroup } from './groups';
@@ -15,7 +15,7 @@
 }
 
 const names = process.argv.slice(2);
-const proxy = createFaultProxy((ip) => getGroup(names, ip));
+const proxy = createFaultProxy(createSystemClock(), (ip) => getGroup(names, ip));
 
 const server = http.createServer(async (request, response) => {
   const body = JSON.parse((await readBody(request)).toString()) as ControlBody;
--- a/packages/replay/src/soak/fleet.ts
+++ b/packages/replay/src/soak/fleet.ts
@@ -1,6 +1,7 @@
-import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
+import type { Clock } from '@pomeloroad/core';
 import { renderSettings } from '@pomeloroad/standins';
 import { createFaultProxy } from '../faultProxy';
 import type { FaultProxy, Link } from '../faultProxy';
@@ -64,11 +65,12 @@
 
 /** Starts the store, the endpoints and the instances, each behind links of one fault proxy. */
 export async function startFleet(
+  clock: Clock,
   launcher: Launcher,
   size: FleetSize,
   seed: number,
 ): Promise<Fleet> {
-  const proxy = createFaultProxy(() => 'outside');
+  const proxy = createFaultProxy(clock, () => 'outside');
   const directory = mkdtempSync(path.join(tmpdir(), 'pomeloroad-soak-'));
   const storeArgs = ['store', '--seed', String(seed)];
   const storeProgram = await launcher.start('store', STANDINS_PROGRAM, storeArgs);
@@ -121,7 +123,6 @@
     return launcher.start(name, BUNDLED_PROGRAM, ['--settings', settingsPath]);
   }
 
-  mkdirSync(directory, { recursive: true });
   const createIndexes = (length: number) => Array.from({ length }, (_, index) => index);
   return {
     proxy,
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -44,7 +44,7 @@
   });
   const plan = createPlan(seed, options, length);
   try {
-    const fleet = await startFleet(launcher, options, seed);
+    const fleet = await startFleet(clock, launcher, options, seed);
     await playPlan(clock, options, plan, fleet, evidence);
     fleet.close();
   } finally {
