--- a/packages/replay/src/programs.ts
+++ b/packages/replay/src/programs.ts
@@ -2,8 +2,10 @@
 import type { ChildProcess } from 'node:child_process';
 import { createInterface } from 'node:readline';
 import { Diagnostics } from '@pomeloroad/core';
+import { pause } from './pause';
 
 const START_TIMEOUT_MS = 20_000;
+const STOP_TIMEOUT_MS = 5000;
 
 /** A process that a launcher started. */
 export interface Program {
@@ -22,13 +24,27 @@
   start(name: string, script: string, args: string[]): Promise<Program>;
   /** Kills all processes that are still running. */
   stopAll(): void;
+  /** Does the same, starts no more and resolves to the ids of the processes that remain. */
+  close(): Promise<number[]>;
 }
 
 /** Creates a launcher that passes each line of the programs' logs to `onLog`. */
 export function createLauncher(onLog: (name: string, line: string) => void): Launcher {
   const children = new Set<ChildProcess>();
+  const exits: Promise<unknown>[] = [];
+  let isClosed = false;
+
+  function stopAll(): void {
+    children.forEach((child) => {
+      // A fault may have stopped the process with SIGSTOP; continue it before it is killed.
+      child.kill('SIGCONT');
+      child.kill('SIGKILL');
+    });
+  }
+
   return {
     start(name, script, args) {
+      if (isClosed) return Promise.reject(new Error(`${name} is not started after the end`));
       const child = spawn(process.execPath, [script, ...args], {
         stdio: ['ignore', 'pipe', 'pipe'],
       });
@@ -40,14 +56,16 @@
           resolve(code);
         });
       });
+      exits.push(exited);
       return waitForStart(name, child, exited, onLog);
     },
-    stopAll() {
-      children.forEach((child) => {
-        // A fault may have stopped the process with SIGSTOP; continue it before it is killed.
-        child.kill('SIGCONT');
-        child.kill('SIGKILL');
-      });
+    stopAll,
+    async close() {
+      isClosed = true;
+      stopAll();
+      const timeout = pause(STOP_TIMEOUT_MS);
+      await Promise.race([timeout, Promise.all(exits)]);
+      return [...children].map((child) => child.pid ?? 0);
     },
   };
 }
--- a/packages/replay/src/soak/callers.ts
+++ b/packages/replay/src/soak/callers.ts
@@ -1,15 +1,14 @@
 import http from 'node:http';
-import type { Clock, Milliseconds, Random } from '@pomeloroad/core';
 import { createRandom } from '@pomeloroad/core';
-import { encodeWork, sendCallerCall } from '@pomeloroad/standins';
-import type { AnswerFault, AnswerFraming, Work } from '@pomeloroad/standins';
+import type { Random } from '@pomeloroad/core';
+import type { AnswerFault, AnswerFraming, CallerAnswer, Work } from '@pomeloroad/standins';
 import { pause } from '../pause';
-import { ACCOUNTS, HOST, ROUTES, TOKENS_PER_EVENT } from './configuration';
-import type { Evidence } from './evidence';
+import { countEvents } from './checks';
+import { ROUTES } from './configuration';
+import { draw } from './draw';
 import type { Fleet, FleetInstance } from './fleet';
-import type { RequestRecord } from './requestRecord';
+import type { Sender } from './sender';
 
-const TIME_LIMIT_MS: Milliseconds = 4000;
 const PAUSE_MAX_MS = 120;
 const EVENTS_MAX = 12;
 const EVENT_PAUSE_MAX_MS = 60;
@@ -18,6 +17,9 @@
 const FAULTS: AnswerFault[] = ['short', 'extra', 'other', 'length', 'late'];
 /** One answer in this many has a fault. */
 const FAULT_RATIO = 12;
+/** One caller in this many leaves before its answer has ended. */
+const LEAVING_RATIO = 15;
+const PATIENCE_MAX_MS = 400;
 
 /** Callers that send one request after another. */
 export interface Callers {
@@ -27,11 +29,21 @@
 
 /** Dependencies of the callers. */
 export interface CallersHost {
-  clock: Clock;
   fleet: Fleet;
-  evidence: Evidence;
+  sender: Sender;
   seed: number;
   count: number;
+  /** Whether answers are to have faults. */
+  hasFaults: boolean;
+}
+
+// What a caller asks for next, but for the instance.
+interface Drawn {
+  work: Work;
+  account: string;
+  key: string;
+  inputTokens: number;
+  patience?: number;
 }
 
 /** Starts callers that each keep their connection to an instance until it closes. */
@@ -43,56 +55,26 @@
     const random = createRandom(host.seed * host.count + index);
     let instance: FleetInstance | undefined;
     let agent = createAgent();
+    let resumption: { work: Work; resumeAfter: number } | undefined;
     for (let number = 1; !isStopped; number += 1) {
-      const work = drawWork(random);
-      const drawn = drawAccount(random);
+      const drawn = drawRequest(random, host.hasFaults);
       const choice = random.fraction();
-      const inputTokens = random.integer(1, INPUT_TOKENS_MAX);
-      const delay = random.integer(0, PAUSE_MAX_MS);
-      if (!instance) {
-        instance = chooseInstance(host.fleet, choice);
+      const delay = random.integer(1, PAUSE_MAX_MS);
+      if (!instance || Object.keys(agent.freeSockets).length === 0) {
         agent.destroy();
         agent = createAgent();
+        instance = chooseInstance(host.fleet, choice);
       }
+      const { work, resumeAfter } = resumption ?? { work: drawn.work, resumeAfter: 0 };
       const id = `c${index + 1}-${number}`;
-      const answer = await send({ id, work, ...drawn, instance, inputTokens, agent });
-      // A caller stays at its instance for as long as its connection does.
-      if (answer.status === 0 || Object.keys(agent.freeSockets).length === 0) instance = undefined;
+      const request = { ...drawn, id, work, resumeAfter, instance, agent };
+      const answer = await host.sender.send(request);
+      resumption = findResumption(work, resumeAfter, answer);
       await pause(delay);
     }
     agent.destroy();
   }
 
-  async function send(request: {
-    id: string;
-    work: Work;
-    account: string;
-    key: string;
-    instance: FleetInstance;
-    inputTokens: number;
-    agent: http.Agent;
-  }) {
-    const { id, work, account, key, instance, inputTokens, agent } = request;
-    const now = () => host.clock.now().getTime();
-    const base = { id, account, work, instance: instance.name, inputTokens, resumeAfter: 0 };
-    const record: RequestRecord = { ...base, sentAt: now(), runs: [], lines: [] };
-    const path = encodeWork(work);
-    record.lines.push({ at: now(), source: 'caller', text: `sends ${path} to ${instance.name}` });
-    host.evidence.open(record);
-    const answer = await sendCallerCall({
-      ...{ id, host: HOST, path, key, inputTokens, agent, resumeAfter: 0 },
-      address: instance.callersLink.address,
-      timeLeft: TIME_LIMIT_MS,
-      outputTokens: work.events * TOKENS_PER_EVENT,
-    });
-    record.answer = answer;
-    record.endedAt = now();
-    const { body, ...head } = answer;
-    const text = JSON.stringify({ ...head, bytes: body.length });
-    record.lines.push({ at: now(), source: 'caller', text });
-    return answer;
-  }
-
   return {
     async stop() {
       isStopped = true;
@@ -101,6 +83,14 @@
   };
 }
 
+// A caller goes on with a stream that broke off, with a request of its own.
+function findResumption(work: Work, resumeAfter: number, answer: CallerAnswer) {
+  if (work.route !== 'stream' || answer.status !== 200) return undefined;
+  const received = resumeAfter + countEvents(answer.body);
+  if (received === resumeAfter || received >= work.events) return undefined;
+  return { work, resumeAfter: received };
+}
+
 function createAgent(): http.Agent {
   return new http.Agent({ keepAlive: true, maxSockets: 1 });
 }
@@ -112,22 +102,17 @@
   return candidates[Math.floor(choice * candidates.length)] as FleetInstance;
 }
 
-function drawAccount(random: Random): { account: string; key: string } {
-  const account = draw(random, ACCOUNTS);
-  return { account: account.name, key: account.keys[0] ?? '' };
-}
-
-function drawWork(random: Random): Work {
-  return {
+function drawRequest(random: Random, hasFaults: boolean): Drawn {
+  const account = draw(random, ['rich', 'poor']);
+  const work: Work = {
     route: draw(random, ROUTES).name,
     framing: draw(random, FRAMINGS),
     events: random.integer(1, EVENTS_MAX),
     pause: random.integer(0, EVENT_PAUSE_MAX_MS),
-    fault: random.integer(1, FAULT_RATIO) === 1 ? draw(random, FAULTS) : 'none',
+    fault: random.integer(1, FAULT_RATIO) === 1 && hasFaults ? draw(random, FAULTS) : 'none',
   };
-}
-
-/** Returns one of the items at random. */
-export function draw<T>(random: Random, items: readonly T[]): T {
-  return items[random.integer(0, items.length - 1)] as T;
+  const inputTokens = random.integer(1, INPUT_TOKENS_MAX);
+  const leaves = random.integer(1, LEAVING_RATIO) === 1;
+  const patience = leaves ? random.integer(1, PATIENCE_MAX_MS) : undefined;
+  return { work, account, key: `key-of-${account}`, inputTokens, patience };
 }
--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -1,61 +1,191 @@
-import { renderEvents } from '@pomeloroad/standins';
-import type { RequestRecord } from './requestRecord';
+import type { Milliseconds } from '@pomeloroad/core';
+import { PlatformBounds, renderEvents } from '@pomeloroad/standins';
+import type { ConfigurationHistory } from './configurationHistory';
+import type { FaultLog } from './faultLog';
+import type { EndpointRun, RequestRecord } from './requestRecord';
 
 /** Statuses with which an instance promises that a request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+/** Statuses that an older configuration may cause: no route, or no key. */
+const UNKNOWN_STATUSES = new Set([401, 403, 404]);
 const STATUS_OK = 200;
+/** Time before a moment in which nothing may have disturbed a process that a bound holds for. */
+const CONTACT_MS: Milliseconds = 3000;
+/** Time by which a disturbed store stretches the bound of the configuration. */
+const STORE_STRETCH_MS: Milliseconds = 5000;
+const RECOVERY_MS: Milliseconds = 5000;
+/** Time for which two runs of one stream may overlap. */
+const OVERLAP_MAX_MS: Milliseconds = 400;
+/** Requests sent later than this after SIGTERM may be cut by the end of the process. */
+const SHUTDOWN_ARRIVAL_MS: Milliseconds = 3000;
+/** Time after which an answer is held to have used up its caller's time. */
+const LONG_ANSWER_MS: Milliseconds = 3500;
 
-/** Name of a check; the result counts how often each was made. */
-export type CheckName =
-  'completeness' | 'content' | 'signature' | 'owner' | 'not-run' | 'at-most-once' | 'path';
+/** What checks know besides the request. */
+export interface CheckContext {
+  faults: FaultLog;
+  history: ConfigurationHistory;
+  departures: Departure[];
+}
+
+/** Unix times from the store's acceptance that an endpoint leaves until it starts again. */
+export interface Departure {
+  endpoint: string;
+  from: number;
+  to: number;
+}
 
-/** A check of one request: what is wrong with it, or `undefined`. */
-export type RequestCheck = (record: RequestRecord) => string | undefined;
+/** Outcome of a check; it is skipped if it does not concern the request. */
+export type CheckOutcome = 'skipped' | 'held' | { message: string };
 
-/** The checks of one request. A check that does not concern it returns `undefined`. */
-export const RequestChecks: Record<CheckName, RequestCheck> = {
+/** A check of one request. */
+export type RequestCheck = (record: RequestRecord, context: CheckContext) => CheckOutcome;
+
+/** The checks of one request. */
+export const RequestChecks = {
   completeness: checkCompleteness,
   content: checkContent,
-  signature: ({ answer }) =>
-    answer?.status === STATUS_OK && !answer.isSigned ? 'a success without signature' : undefined,
-  owner: ({ answer }) =>
-    answer?.status === STATUS_OK && !answer.isOwn ? 'an answer of another request' : undefined,
+  signature: ({ answer }) => {
+    if (answer?.status !== STATUS_OK) return 'skipped';
+    return answer.isSigned ? 'held' : { message: 'a success without signature' };
+  },
+  owner: ({ answer }) => {
+    if (answer?.status !== STATUS_OK) return 'skipped';
+    return answer.isOwn ? 'held' : { message: 'an answer of another request' };
+  },
   'not-run': checkNotRun,
   'at-most-once': checkAtMostOnce,
+  'one-at-a-time': checkOneAtATime,
   path: checkPath,
-};
+  leaving: checkLeaving,
+  shutdown: checkShutdown,
+  configuration: checkConfiguration,
+  'configuration-order': checkConfigurationOrder,
+  recovery: checkRecovery,
+} satisfies Record<string, RequestCheck>;
 
 // An endpoint's answer without a length ends with its connection, which states nothing.
-function checkCompleteness({ answer, work, resumeAfter, runs }: RequestRecord) {
-  if (answer?.status !== STATUS_OK || !answer.isStatedComplete) return undefined;
+function checkCompleteness({ answer, work, resumeAfter, runs }: RequestRecord): CheckOutcome {
+  if (answer?.status !== STATUS_OK || !answer.isStatedComplete) return 'skipped';
   const events = countEvents(answer.body);
-  if (events >= work.events - resumeAfter || runs.some((run) => run.isStated)) return undefined;
-  return `stated as complete after ${events} of ${work.events - resumeAfter} events`;
+  const expected = work.events - resumeAfter;
+  if (events >= expected || runs.some((run) => run.isStated)) return 'held';
+  return { message: `stated as complete after ${events} of ${expected} events` };
 }
 
-function checkContent({ id, answer, work, resumeAfter }: RequestRecord): string | undefined {
-  if (answer?.status !== STATUS_OK) return undefined;
-  const expected = renderEvents(id, resumeAfter, work.events);
-  if (expected.startsWith(answer.body)) return undefined;
-  return 'events are missing, repeated, out of order or of another request';
+function checkContent({ id, answer, work, resumeAfter }: RequestRecord): CheckOutcome {
+  if (answer?.status !== STATUS_OK) return 'skipped';
+  if (renderEvents(id, resumeAfter, work.events).startsWith(answer.body)) return 'held';
+  return { message: 'events are missing, repeated, out of order or of another request' };
 }
 
-function checkNotRun({ answer, runs }: RequestRecord): string | undefined {
-  if (!NOT_RUN_STATUSES.has(answer?.status ?? 0) || runs.length === 0) return undefined;
-  return `status ${answer?.status}, but it ran at ${runs.map((run) => run.endpoint).join(', ')}`;
+function checkNotRun({ answer, runs }: RequestRecord): CheckOutcome {
+  if (!NOT_RUN_STATUSES.has(answer?.status ?? 0)) return 'skipped';
+  if (runs.length === 0) return 'held';
+  return { message: `status ${answer?.status}, but it ran at ${listEndpoints(runs)}` };
 }
 
-function checkAtMostOnce({ work, runs }: RequestRecord): string | undefined {
-  const mayRepeat = work.route === 'stream' || work.route === 'often';
-  if (mayRepeat || runs.length <= 1) return undefined;
-  return `ran ${runs.length} times: ${runs.map((run) => run.endpoint).join(', ')}`;
+function checkAtMostOnce({ work, runs }: RequestRecord): CheckOutcome {
+  const mayRepeat = work.route !== 'once' && work.route !== 'stream-once';
+  if (mayRepeat || runs.length === 0) return 'skipped';
+  if (runs.length === 1) return 'held';
+  return { message: `ran ${runs.length} times: ${listEndpoints(runs)}` };
 }
 
-function checkPath({ account, runs, work }: RequestRecord): string | undefined {
-  const wrong = runs.find(
-    (run) => run.account !== account || !run.path.startsWith(`/${work.route}/`),
+function checkOneAtATime(record: RequestRecord, { faults }: CheckContext): CheckOutcome {
+  const { work, runs, instance } = record;
+  if (work.route !== 'stream' || runs.length < 2) return 'skipped';
+  const names = [instance, ...runs.map((run) => run.endpoint)];
+  const isLate = ({ lastAt }: EndpointRun, next: EndpointRun) =>
+    lastAt > next.at + OVERLAP_MAX_MS && !faults.isDisturbed(names, next.at - CONTACT_MS, lastAt);
+  const overlap = runs.find((run, index) =>
+    runs.slice(index + 1).some((next) => isLate(run, next)),
   );
-  return wrong && `ran at ${wrong.endpoint} as ${wrong.path} for account ${wrong.account}`;
+  if (!overlap) return 'held';
+  return { message: `still ran at ${overlap.endpoint} after it had gone on elsewhere` };
+}
+
+function checkPath({ account, runs, work }: RequestRecord): CheckOutcome {
+  if (runs.length === 0) return 'skipped';
+  const isWrong = (run: EndpointRun) =>
+    run.account !== account || !run.path.startsWith(`/${work.route}/`);
+  const wrong = runs.find(isWrong);
+  if (!wrong) return 'held';
+  return { message: `ran at ${wrong.endpoint} as ${wrong.path} for account ${wrong.account}` };
+}
+
+function checkLeaving(record: RequestRecord, context: CheckContext): CheckOutcome {
+  const { runs, instance, sentAt, endedAt = Infinity } = record;
+  const { departures, faults } = context;
+  const late = departures
+    .map(({ endpoint, from, to }) => ({ endpoint, from: from + PlatformBounds.drain, to }))
+    .filter(({ from, to }) => sentAt < to && endedAt > from)
+    .filter(({ from }) => {
+      const calmFrom = from - PlatformBounds.drain - CONTACT_MS;
+      return !faults.isDisturbed([instance, 'store'], calmFrom, endedAt);
+    });
+  if (late.length === 0) return 'skipped';
+  const run = runs.find(({ endpoint, at }) =>
+    late.some((other) => other.endpoint === endpoint && at > other.from && at < other.to),
+  );
+  return run ? { message: `ran at ${run.endpoint} although it was leaving` } : 'held';
+}
+
+// Only planned work may have touched the instance and the endpoints of the request.
+function checkShutdown(record: RequestRecord, { faults }: CheckContext): CheckOutcome {
+  const { instance, runs, sentAt, endedAt = Infinity, work, patience } = record;
+  const shutdown = faults.findShutdown(instance, sentAt, endedAt);
+  const isSound = work.fault === 'none' && patience === undefined;
+  if (!shutdown || runs.length === 0 || !isSound) return 'skipped';
+  const isLong = endedAt - sentAt > LONG_ANSWER_MS || sentAt > shutdown.from + SHUTDOWN_ARRIVAL_MS;
+  const names = [instance, 'store', ...runs.map((run) => run.endpoint)];
+  if (isLong || faults.isHarmed(names, sentAt - CONTACT_MS, endedAt)) return 'skipped';
+  const { status = 0, error = 'ended' } = record.answer ?? {};
+  if (isWhole(record) || (status !== 0 && status !== STATUS_OK)) return 'held';
+  return { message: `cut by a shutdown: ${error}` };
+}
+
+function checkConfiguration(record: RequestRecord, context: CheckContext): CheckOutcome {
+  const { faults, history } = context;
+  const { work, sentAt, endedAt = Infinity, instance, runs, answer } = record;
+  const span = history.find(work.route);
+  if (!span || !answer || answer.status === 0) return 'skipped';
+  const isKnown = !UNKNOWN_STATUSES.has(answer.status);
+  const isTouched = (since: number) =>
+    faults.isDisturbed([instance, 'store'], since - CONTACT_MS - STORE_STRETCH_MS, endedAt);
+  const isInForce =
+    sentAt > span.acknowledgedAt + PlatformBounds.configurationApply && endedAt < span.replacedFrom;
+  if (isInForce && !isTouched(span.acknowledgedAt)) {
+    return isKnown ? 'held' : { message: `status ${answer.status} for a route in force` };
+  }
+  const isOutOfForce = sentAt > span.replacedAt + PlatformBounds.configurationApply;
+  if (isOutOfForce && !isTouched(span.replacedAt)) {
+    return runs.length === 0 ? 'held' : { message: 'ran on a route that was removed' };
+  }
+  return 'skipped';
+}
+
+function checkConfigurationOrder(record: RequestRecord, { history }: CheckContext): CheckOutcome {
+  const status = record.answer?.status ?? 0;
+  if (status === 0) return 'skipped';
+  return history.checkOrder(record, !UNKNOWN_STATUSES.has(status));
+}
+
+function checkRecovery(record: RequestRecord, { faults }: CheckContext): CheckOutcome {
+  const { sentAt, work, account, patience } = record;
+  const isCalm = sentAt > faults.getCalmSince() + RECOVERY_MS;
+  const isSound = work.fault === 'none' && patience === undefined && account !== 'poor';
+  if (!isCalm || !isSound || work.route.startsWith('probe')) return 'skipped';
+  if (isWhole(record)) return 'held';
+  return { message: `not served after the last fault: status ${record.answer?.status}` };
+}
+
+function isWhole({ answer, work, resumeAfter }: RequestRecord): boolean {
+  return answer?.status === STATUS_OK && countEvents(answer.body) === work.events - resumeAfter;
+}
+
+function listEndpoints(runs: EndpointRun[]): string {
+  return runs.map((run) => run.endpoint).join(', ');
 }
 
 /** Returns the number of whole events in the body. */
--- a/packages/replay/src/soak/configuration.ts
+++ b/packages/replay/src/soak/configuration.ts
@@ -5,8 +5,11 @@
 export const HOST = 'soak.example';
 /** Tokens that one event of a stream counts as. */
 export const TOKENS_PER_EVENT = 5;
+const FIRST_BUDGET_TOKENS = 8000;
+const TOP_UP_TOKENS = 300;
+const LARGE_BUDGET_TOKENS = 100_000_000;
 
-/** Routes of the configuration, one for each kind of request. */
+/** Routes of every configuration, one for each kind of request. */
 export const ROUTES: ConfiguredRoute[] = [
   { name: 'stream', kind: 'streaming', isResumable: true, attempts: 3, service: 'model' },
   { name: 'stream-once', kind: 'streaming', isResumable: false, attempts: 1, service: 'model' },
@@ -14,19 +17,39 @@
   { name: 'once', kind: 'non-idempotent', isResumable: false, attempts: 1, service: 'board' },
 ];
 
-/** Client accounts of the configuration. The budget of the last one runs out. */
-export const ACCOUNTS: ConfiguredAccount[] = [
-  { name: 'rich', keys: ['key-of-rich'], prepaid: 10_000_000 },
-  { name: 'poor', keys: ['key-of-poor'], prepaid: 20_000 },
-];
+/** Returns the service of a route; probes are idempotent requests. */
+export function getService(route: string): string {
+  return ROUTES.find(({ name }) => name === route)?.service ?? 'board';
+}
+
+/** Returns the name of the route that only the configuration with this version holds. */
+export function getProbeRoute(version: number): string {
+  return `probe-${version}`;
+}
+
+/** Returns the key of the account `rich` that only the configuration with this version holds. */
+export function getProbeKey(version: number): string {
+  return `key-of-probe-${version}`;
+}
+
+/** Returns the client accounts of a version. The budget of `poor` grows with it and runs out. */
+export function createAccounts(version: number): ConfiguredAccount[] {
+  const tokens = FIRST_BUDGET_TOKENS + TOP_UP_TOKENS * version;
+  const keys = ['key-of-rich', getProbeKey(version)];
+  return [
+    { name: 'rich', keys, prepaid: LARGE_BUDGET_TOKENS },
+    { name: 'poor', keys: ['key-of-poor'], prepaid: tokens },
+  ];
+}
 
 /** Writes the configuration with the version; resolves to whether the store acknowledged it. */
 export function putConfiguration(store: string, version: number): Promise<boolean> {
+  const route = { kind: 'idempotent', isResumable: false, attempts: 3, service: 'board' } as const;
   const text = renderPlatformConfiguration({
     version,
     host: HOST,
-    routes: ROUTES,
-    accounts: ACCOUNTS,
+    routes: [...ROUTES, { name: getProbeRoute(version), ...route }],
+    accounts: createAccounts(version),
     tokensPerEvent: TOKENS_PER_EVENT,
   });
   return putRow(store, CONFIGURATION_TABLE, 'config', text);
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -1,12 +1,17 @@
 import { match } from 'ts-pattern';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { RequestChecks } from './checks';
+import type { Departure } from './checks';
+import { createConfigurationHistory } from './configurationHistory';
+import type { ConfigurationHistory } from './configurationHistory';
+import { createFaultLog } from './faultLog';
+import type { FaultLog } from './faultLog';
 import type { LogLine, RequestRecord, StampedEndpointLine } from './requestRecord';
+import { createTotals } from './totals';
+import type { Totals } from './totals';
 
 /** Time after its end for which a request is watched for a run that starts late. */
 const WATCH_TIME_MS: Milliseconds = 8000;
-/** Time around a request from which faults belong to its time line. */
-const FAULT_CONTEXT_MS: Milliseconds = 5000;
 
 /** A check that did not hold. */
 export interface Failure {
@@ -19,11 +24,18 @@
 
 /** Collects what callers and endpoints saw and checks each request once its watch time is over. */
 export interface Evidence {
+  faults: FaultLog;
+  history: ConfigurationHistory;
+  totals: Totals;
   open(record: RequestRecord): void;
   /** Adds a line of a process and, if it is an endpoint's, reads its step of a request. */
   addLine(source: string, text: string): void;
-  addFault(text: string): void;
+  /** A process is started again, so that what it had announced no longer holds. */
+  restarted(name: string): void;
+  /** Adds a failure that concerns no single request. */
   fail(check: string, message: string): void;
+  /** Counts a check that concerns no single request and adds a failure if there is a message. */
+  check(name: string, message: string | undefined): void;
   /** Checks the requests whose watch time is over, or all of them. */
   judge(isFinal: boolean): void;
   failures: Failure[];
@@ -31,35 +43,46 @@
   checks: Record<string, number>;
   /** Number of judged requests by how they ended. */
   outcomes: Record<string, number>;
-  listRecords(): RequestRecord[];
-  onJudged: (record: RequestRecord) => void;
 }
 
 /** Creates an empty collection. */
 export function createEvidence(clock: Clock): Evidence {
   const records = new Map<string, RequestRecord>();
-  const faultLines: LogLine[] = [];
+  const departures: Departure[] = [];
+  const faults = createFaultLog(clock);
+  const history = createConfigurationHistory(clock);
   const now = () => clock.now().getTime();
   const evidence: Evidence = {
+    faults,
+    history,
+    totals: createTotals(),
     failures: [],
     checks: {},
     outcomes: {},
-    onJudged: () => undefined,
     open: (record) => records.set(record.id, record),
     addLine,
-    addFault: (text) => faultLines.push({ at: now(), source: 'fault', text }),
+    restarted(name) {
+      const last = departures.filter(({ endpoint }) => endpoint === name).at(-1);
+      if (last) last.to = now();
+    },
     fail(check, message) {
-      evidence.failures.push({ check, message, timeLine: listFaults(now(), now()) });
+      evidence.failures.push({ check, message, timeLine: faults.listLines(now(), now()) });
+    },
+    check(name, message) {
+      count(evidence.checks, name);
+      if (message !== undefined) evidence.fail(name, message);
     },
     judge,
-    listRecords: () => [...records.values()],
   };
 
   function addLine(source: string, text: string): void {
     const line = parseLine(text);
-    const record = records.get(String(line?.request));
-    if (!line || !record) return;
-    record.lines.push({ at: Date.parse(String(line.at)), source, text });
+    if (!line) return;
+    const at = Date.parse(String(line.at));
+    if (line.event === 'leaving') departures.push({ endpoint: source, from: at, to: Infinity });
+    const record = records.get(String(line.request));
+    if (!record) return;
+    record.lines.push({ at, source, text });
     if ('event' in line) recordStep(record, line as unknown as StampedEndpointLine);
   }
 
@@ -71,30 +94,27 @@
       records.delete(record.id);
       judgeRecord(record);
     });
+    evidence.check('retries', evidence.totals.checkRetries(limit));
+    evidence.check('budget', evidence.totals.checkBudgets());
   }
 
   function judgeRecord(record: RequestRecord): void {
     Object.entries(RequestChecks).forEach(([check, apply]) => {
+      const outcome = apply(record, { faults, history, departures });
+      if (outcome === 'skipped') return;
       count(evidence.checks, check);
-      const message = apply(record);
-      if (message !== undefined) failRequest(record, check, message);
+      if (outcome !== 'held') failRequest(record, check, outcome.message);
     });
     count(evidence.outcomes, describeOutcome(record));
-    evidence.onJudged(record);
+    evidence.totals.add(record);
   }
 
   function failRequest(record: RequestRecord, check: string, message: string): void {
-    const context = listFaults(record.sentAt, record.endedAt ?? now());
+    const context = faults.listLines(record.sentAt, record.endedAt ?? now());
     const timeLine = [...record.lines, ...context].sort((a, b) => a.at - b.at);
     evidence.failures.push({ check, request: record.id, message, timeLine });
   }
 
-  function listFaults(from: number, to: number): LogLine[] {
-    return faultLines.filter(
-      ({ at }) => at >= from - FAULT_CONTEXT_MS && at <= to + FAULT_CONTEXT_MS,
-    );
-  }
-
   return evidence;
 }
 
@@ -108,20 +128,22 @@
 
 function recordStep(record: RequestRecord, line: StampedEndpointLine): void {
   const run = record.runs.filter((known) => known.endpoint === line.id).at(-1);
+  const at = Date.parse(line.at);
   match(line)
     .with({ event: 'run' }, ({ account, after, path }) => {
-      const at = Date.parse(line.at);
-      const fields = { endpoint: line.id, at, account, after, path };
+      const fields = { endpoint: line.id, at, lastAt: at, account, path };
       record.runs.push({ ...fields, sent: after, isStated: false });
+      record.arrivals.push(at);
     })
     .with({ event: 'sent' }, ({ number }) => {
-      if (run) run.sent = number;
+      if (run) Object.assign(run, { sent: number, lastAt: at });
     })
     .with({ event: 'stated' }, () => {
       // A close of the connection states nothing.
       if (run) run.isStated = record.work.framing !== 'close';
     })
-    .with({ event: 'closed' }, { event: 'declined' }, () => undefined)
+    .with({ event: 'declined' }, () => record.arrivals.push(at))
+    .with({ event: 'closed' }, () => undefined)
     .exhaustive();
 }
 
@@ -134,6 +156,5 @@
 
 /** Adds one to the count of the key. */
 export function count(counts: Record<string, number>, key: string): void {
-  // eslint-disable-next-line no-param-reassign
-  counts[key] = (counts[key] ?? 0) + 1;
+  Object.assign(counts, { [key]: (counts[key] ?? 0) + 1 });
 }
--- a/packages/replay/src/soak/fleet.ts
+++ b/packages/replay/src/soak/fleet.ts
@@ -10,7 +10,8 @@
 
 const CALLERS_PORT = 8227;
 const READINESS_PORT = 8220;
-const DATA_CENTRES = ['derby', 'leicester'];
+/** Names of the data centres. */
+export const DATA_CENTRES = ['derby', 'leicester'];
 /** Services of the endpoints: one that streams and one that answers whole. */
 const SERVICES = ['model', 'board'];
 const FIRST_SUBNET = 64;
@@ -35,6 +36,10 @@
   program: Program;
   /** Whether the balancer sends it new connections. */
   isReady: boolean;
+  /** How often its process was started. */
+  life: number;
+  /** Whether a fault is ending its process. */
+  isEnding: boolean;
 }
 
 /** An endpoint: a process of the stand-ins that may be started again under its id. */
@@ -45,6 +50,8 @@
   service: string;
   link: Link;
   program: Program;
+  /** Whether a fault is ending its process. */
+  isEnding: boolean;
 }
 
 /** A process of the fleet that faults stop. */
@@ -53,6 +60,7 @@
 /** The running processes of a soak. */
 export interface Fleet {
   proxy: FaultProxy;
+  storeProgram: Program;
   /** Address of the store without the proxy. */
   store: string;
   instances: FleetInstance[];
@@ -78,7 +86,9 @@
   // Other soaks on this machine use other subnets, since the metrics' port is fixed.
   const subnet = FIRST_SUBNET + (process.pid % SUBNETS);
 
-  async function startEndpoint(endpoint: Omit<FleetEndpoint, 'program'>): Promise<Program> {
+  async function startEndpoint(
+    endpoint: Omit<FleetEndpoint, 'program' | 'isEnding'>,
+  ): Promise<Program> {
     const { name, service, dataCentre, link } = endpoint;
     const program = await launcher.start(name, STANDINS_PROGRAM, [
       'endpoint',
@@ -95,7 +105,7 @@
     const service = SERVICES[Math.floor(index / DATA_CENTRES.length) % SERVICES.length] ?? '';
     const link = await proxy.addLink(name);
     const endpoint = { kind: 'endpoint' as const, name, dataCentre, service, link };
-    return { ...endpoint, program: await startEndpoint(endpoint) };
+    return { ...endpoint, program: await startEndpoint(endpoint), isEnding: false };
   }
 
   async function addInstance(index: number): Promise<FleetInstance> {
@@ -116,7 +126,7 @@
     const program = await startInstance(name, settingsPath);
     const links = { callersLink, storeLink };
     const fields = { name, dataCentre, readinessAddress, settingsPath, program, ...links };
-    return { kind: 'instance', ...fields, isReady: false };
+    return { kind: 'instance', ...fields, isReady: false, life: 1, isEnding: false };
   }
 
   function startInstance(name: string, settingsPath: string): Promise<Program> {
@@ -126,11 +136,13 @@
   const createIndexes = (length: number) => Array.from({ length }, (_, index) => index);
   return {
     proxy,
+    storeProgram,
     store,
     endpoints: await Promise.all(createIndexes(size.endpoints).map(addEndpoint)),
     instances: await Promise.all(createIndexes(size.instances).map(addInstance)),
     async restart(stopped) {
       const fleetProcess = stopped;
+      if (fleetProcess.kind === 'instance') fleetProcess.life += 1;
       fleetProcess.program =
         fleetProcess.kind === 'instance'
           ? await startInstance(fleetProcess.name, fleetProcess.settingsPath)
--- a/packages/replay/src/soak/injector.ts
+++ b/packages/replay/src/soak/injector.ts
@@ -1,30 +1,202 @@
+import { callHttp } from '@pomeloroad/core';
+import type { Milliseconds } from '@pomeloroad/core';
+import { ENDPOINT_TABLE, putRow } from '@pomeloroad/standins';
+import { match } from 'ts-pattern';
+import type { Rule } from '../faultProxy';
+import { pause } from '../pause';
+import { count } from './evidence';
 import type { Evidence } from './evidence';
+import { DATA_CENTRES } from './fleet';
 import type { Fleet, FleetProcess } from './fleet';
-import type { Fault } from './plan';
-import { pause } from '../pause';
+import type { Fault, PlannedFault, PlannedSignal, StoreFaultName, Target } from './plan';
+
+/** Longest time that a process has for its orderly end before it counts as hung. */
+const END_TIMEOUT_MS: Milliseconds = 10_000;
+const STORE_TIMEOUT_MS: Milliseconds = 2000;
+const SLOW_STORE_MS: Milliseconds = 400;
+const LOST_ANSWER_SHARE = 0.5;
+const UNREADABLE_ROWS = ['', '{"service":7}', '{"service":"board","address":"nowhere"}', '[1'];
 
 /** Plays faults on the processes of a fleet. */
 export interface Injector {
   /** Plays a fault; resolves when it is over. */
-  play(fault: Fault): Promise<void>;
+  play(planned: PlannedFault): Promise<void>;
+  /** How often each fault was played; one that met another on the same target is not. */
+  counts: Record<string, number>;
 }
 
 /** Creates an injector that records what it does. */
 export function createInjector(fleet: Fleet, evidence: Evidence): Injector {
-  const claimed = new Set<FleetProcess>();
-
-  async function play(fault: Fault): Promise<void> {
-    const endpoint = fleet.endpoints[fault.endpoint];
-    if (!endpoint || claimed.has(endpoint)) return;
-    claimed.add(endpoint);
-    evidence.addFault(`SIGKILL ${endpoint.name}`);
-    endpoint.program.child.kill('SIGKILL');
-    await endpoint.program.exited;
-    await pause(fault.pause);
-    evidence.addFault(`start ${endpoint.name}`);
-    await fleet.restart(endpoint);
-    claimed.delete(endpoint);
-  }
-
-  return { play };
+  const claimed = new Set<string>();
+  const counts: Record<string, number> = {};
+  let rules: Rule[] = [];
+
+  async function play({ name, fault }: PlannedFault): Promise<void> {
+    const names = listNames(fleet, fault);
+    if (names.some((target) => claimed.has(target))) return;
+    names.forEach((target) => claimed.add(target));
+    count(counts, name);
+    const text = `${name} ${JSON.stringify(fault)}`;
+    const isOrderly = fault.kind === 'signals' && fault.signals.every(isPlannedWork);
+    const end = evidence.faults.begin({ names, text: `${names.join(', ')}: ${text}`, isOrderly });
+    await apply(fault).catch((error: Error) =>
+      evidence.fail('injector', `${name}: ${error.message}`),
+    );
+    end();
+    names.forEach((target) => claimed.delete(target));
+  }
+
+  function apply(fault: Fault): Promise<void> {
+    return match(fault)
+      .with({ kind: 'signals' }, async ({ target, signals, pause: length }) => {
+        await Promise.all(
+          listProcesses(fleet, target).map((stopped) => sendSignals(stopped, signals, length)),
+        );
+      })
+      .with({ kind: 'link' }, disturbLink)
+      .with({ kind: 'store' }, ({ fault: name, length }) => disturbStore(name, length))
+      .with({ kind: 'unreadable-rows' }, writeUnreadableRows)
+      .with({ kind: 'full' }, async ({ index, length }) => {
+        const { child } = getEndpoint(index).program;
+        child.kill('SIGUSR2');
+        await pause(length);
+        child.kill('SIGUSR2');
+      })
+      .with({ kind: 'reused-address' }, async ({ index, length }) => {
+        const endpoint = getEndpoint(index);
+        const other = getEndpoint(index + 1);
+        fleet.proxy.setTarget(endpoint.link.id, String(other.program.listening.address));
+        await pause(length);
+        fleet.proxy.setTarget(endpoint.link.id, String(endpoint.program.listening.address));
+      })
+      .exhaustive();
+  }
+
+  async function sendSignals(
+    stopped: FleetProcess,
+    signals: PlannedSignal[],
+    length: Milliseconds,
+  ): Promise<void> {
+    const fleetProcess = stopped;
+    const { program, name } = fleetProcess;
+    const ends = signals.some(({ signal }) => signal === 'SIGTERM' || signal === 'SIGKILL');
+    fleetProcess.isEnding = ends;
+    for (const { signal, wait } of signals) {
+      await pause(wait);
+      program.child.kill(signal);
+    }
+    if (!ends) return;
+    const limit = pause(END_TIMEOUT_MS).then(() => 'hung' as const);
+    const code = await Promise.race([program.exited, limit]);
+    if (signals.every(isPlannedWork) && code !== 0) {
+      evidence.fail('shutdown', `${name} ended with ${code} after SIGTERM`);
+    }
+    if (code === 'hung') program.child.kill('SIGKILL');
+    await program.exited;
+    await pause(length);
+    evidence.restarted(name);
+    await fleet.restart(fleetProcess);
+    fleetProcess.isEnding = false;
+  }
+
+  async function disturbLink(fault: Extract<Fault, { kind: 'link' }>): Promise<void> {
+    const { group } = getLink(fleet, fault);
+    const ends =
+      fault.direction === 'request' ? { from: '*', to: group } : { from: group, to: '*' };
+    const rule = { ...ends, effect: fault.effect };
+    rules = [...rules, rule];
+    fleet.proxy.setRules(rules);
+    await pause(fault.length);
+    rules = rules.filter((other) => other !== rule);
+    fleet.proxy.setRules(rules);
+  }
+
+  async function disturbStore(name: StoreFaultName, length: Milliseconds): Promise<void> {
+    if (name === 'rewound') {
+      await callStore('copy');
+      await pause(length);
+      await callStore('rewind');
+      return;
+    }
+    const faults = match(name)
+      .with('down', () => ({ isDown: true }))
+      .with('slow', () => ({ latency: SLOW_STORE_MS }))
+      .with('lost-answers', () => ({ lostAnswerShare: LOST_ANSWER_SHARE }))
+      .with('stalled-feed', () => ({ isFeedStalled: true }))
+      .exhaustive();
+    await callStore('faults', faults);
+    await pause(length);
+    const none = { isDown: false, latency: 0, lostAnswerShare: 0, isFeedStalled: false };
+    await callStore('faults', none);
+  }
+
+  async function callStore(call: string, body: object = {}): Promise<void> {
+    const url = `http://${fleet.store}/standin/${call}`;
+    const text = JSON.stringify(body);
+    const answer = await callHttp({ method: 'PUT', url, body: text, timeout: STORE_TIMEOUT_MS });
+    answer.unwrap();
+  }
+
+  async function writeUnreadableRows(): Promise<void> {
+    const writes = UNREADABLE_ROWS.map((text, index) =>
+      putRow(fleet.store, ENDPOINT_TABLE, `unreadable-${index}`, text),
+    );
+    await Promise.all(writes);
+  }
+
+  function getEndpoint(index: number) {
+    const endpoint = fleet.endpoints[index % fleet.endpoints.length];
+    if (!endpoint) throw new Error('a fleet has at least one endpoint');
+    return endpoint;
+  }
+
+  return { play, counts };
+}
+
+function isPlannedWork({ signal }: PlannedSignal): boolean {
+  return signal === 'SIGTERM' || signal === 'SIGHUP';
+}
+
+// A fault keeps its targets to itself until it is over.
+function listNames(fleet: Fleet, fault: Fault): string[] {
+  return match(fault)
+    .with({ kind: 'signals' }, ({ target }) =>
+      listProcesses(fleet, target).map((stopped) => stopped.name),
+    )
+    .with({ kind: 'link' }, (link) => [getLink(fleet, link).name])
+    .with({ kind: 'store' }, { kind: 'unreadable-rows' }, () => ['store'])
+    .with({ kind: 'full' }, { kind: 'reused-address' }, ({ index }) =>
+      [index, index + 1].map((at) => fleet.endpoints[at % fleet.endpoints.length]?.name ?? ''),
+    )
+    .exhaustive();
+}
+
+function listProcesses(fleet: Fleet, target: Target): FleetProcess[] {
+  return match(target)
+    .with({ kind: 'instance' }, ({ index }) => fleet.instances.slice(index, index + 1))
+    .with({ kind: 'endpoint' }, ({ index }) => fleet.endpoints.slice(index, index + 1))
+    .with({ kind: 'data-centre' }, ({ index }) =>
+      fleet.instances.filter((instance) => instance.dataCentre === DATA_CENTRES[index]),
+    )
+    .with({ kind: 'all-instances' }, () => fleet.instances)
+    .exhaustive();
+}
+
+function getLink(fleet: Fleet, { link, index }: Extract<Fault, { kind: 'link' }>) {
+  const instance = fleet.instances[index];
+  const endpoint = fleet.endpoints[index];
+  return match(link)
+    .with('callers', () => ({
+      name: `${instance?.name} link`,
+      group: instance?.callersLink.group ?? '',
+    }))
+    .with('store', () => ({
+      name: `${instance?.name} store`,
+      group: instance?.storeLink.group ?? '',
+    }))
+    .with('endpoint', () => ({
+      name: `${endpoint?.name} link`,
+      group: endpoint?.link.group ?? '',
+    }))
+    .exhaustive();
 }
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -1,9 +1,15 @@
 import sade from 'sade';
 import { createSystemClock } from '@pomeloroad/core';
+import { DefaultFaults, FaultNames } from './plan';
 import { runSoak } from './soak';
+import type { SoakResult } from './soak';
 
 const MS_PER_MINUTE = 60_000;
 const EXIT_CHECK_FAILED = 1;
+const EXIT_USAGE = 2;
+const NAME_WIDTH = 28;
+/** Name of the faults of endpoints' answers, which requests ask for. */
+const ANSWERS = 'answers';
 
 sade('soak', true)
   .describe('Run the bundled program under faults, as real processes, and check what is seen.')
@@ -12,22 +18,52 @@
   .option('--instances', 'number of instances', 4)
   .option('--endpoints', 'number of endpoints', 4)
   .option('--callers', 'number of callers', 24)
+  .option('--faults', `some of ${[ANSWERS, ...FaultNames].join(', ')}; all but rewinds if left out`)
   .option('--verbose', 'print the logs of all processes')
   .option('--json', 'print the result as one JSON line')
   .action(main)
   .parse(process.argv);
 
 async function main(flags: Record<string, string | number | boolean | undefined>): Promise<void> {
+  const named = flags.faults === undefined ? undefined : String(flags.faults).split(',');
+  const faults = named ?? [ANSWERS, ...DefaultFaults];
+  const unknown = faults.filter((name) => name !== ANSWERS && !FaultNames.includes(name));
+  if (unknown.length > 0) {
+    process.stderr.write(`unknown faults: ${unknown.join(', ')}\n`);
+    process.exit(EXIT_USAGE);
+  }
+  const interrupted = new AbortController();
+  process.on('SIGINT', () => interrupted.abort());
+  process.on('SIGTERM', () => interrupted.abort());
   const result = await runSoak(createSystemClock(), {
     seed: Number(flags.seed),
     length: Number(flags.minutes) * MS_PER_MINUTE,
     instances: Number(flags.instances),
     endpoints: Number(flags.endpoints),
     callers: Number(flags.callers),
+    faults: faults.filter((name) => name !== ANSWERS),
+    hasAnswerFaults: faults.includes(ANSWERS),
+    signal: interrupted.signal,
     onLog(name, line) {
       if (flags.verbose) process.stderr.write(`${name}: ${line}\n`);
     },
   });
-  process.stdout.write(`${JSON.stringify(result, undefined, flags.json ? 0 : 2)}\n`);
+  if (flags.json) process.stdout.write(`${JSON.stringify(result)}\n`);
+  else printResult(result);
   process.exit(result.failures.length === 0 ? 0 : EXIT_CHECK_FAILED);
 }
+
+function printResult({ faults, checks, outcomes, failures }: SoakResult): void {
+  Object.entries({ faults, checks, outcomes }).forEach(([title, counts]) => {
+    process.stdout.write(`${title}\n`);
+    Object.entries(counts).forEach(([name, value]) => {
+      process.stdout.write(`  ${name.padEnd(NAME_WIDTH)} ${value}\n`);
+    });
+  });
+  failures.forEach(({ check, request = '', message, timeLine }) => {
+    process.stdout.write(`${check} ${request}: ${message}\n`);
+    timeLine.forEach(({ at, source, text }) => {
+      process.stdout.write(`  ${new Date(at).toISOString()} ${source}: ${text}\n`);
+    });
+  });
+}
--- a/packages/replay/src/soak/plan.ts
+++ b/packages/replay/src/soak/plan.ts
@@ -1,36 +1,212 @@
 import { createRandom } from '@pomeloroad/core';
-import type { Milliseconds } from '@pomeloroad/core';
-import { draw } from './callers';
+import type { Milliseconds, Random } from '@pomeloroad/core';
+import type { Effect } from '../byteRelay';
+import { draw } from './draw';
 import type { FleetSize } from './fleet';
 
-/** A fault of the plan. Processes are named by their number, from 0. */
-export interface Fault {
-  kind: 'kill';
-  endpoint: number;
-  /** Time until the process is started again. */
-  pause: Milliseconds;
+/** Processes that one fault stops. Instances and endpoints are named by their number, from 0. */
+export type Target =
+  | { kind: 'instance'; index: number }
+  | { kind: 'endpoint'; index: number }
+  | { kind: 'data-centre'; index: number }
+  | { kind: 'all-instances' };
+
+/** A signal and the time to wait before it is sent. */
+export interface PlannedSignal {
+  signal: 'SIGTERM' | 'SIGHUP' | 'SIGSTOP' | 'SIGCONT' | 'SIGKILL';
+  wait: Milliseconds;
 }
 
+/** Which connections a fault of the network concerns. */
+export type LinkTarget = 'callers' | 'store' | 'endpoint';
+
+/** What the store does wrong for a time. */
+export type StoreFaultName = 'down' | 'slow' | 'lost-answers' | 'stalled-feed' | 'rewound';
+
+/** A fault of the plan. */
+export type Fault =
+  /** `pause` is the time from the last signal, or from the end of the process, to its next start. */
+  | { kind: 'signals'; target: Target; signals: PlannedSignal[]; pause: Milliseconds }
+  | {
+      kind: 'link';
+      link: LinkTarget;
+      index: number;
+      direction: 'request' | 'answer';
+      effect: Effect;
+      length: Milliseconds;
+    }
+  | { kind: 'store'; fault: StoreFaultName; length: Milliseconds }
+  /** Rows that can't be decoded are written beside those of the endpoints. */
+  | { kind: 'unreadable-rows' }
+  /** The endpoint says that it is ready, but declines all requests. */
+  | { kind: 'full'; index: number; length: Milliseconds }
+  /** Another endpoint answers at the endpoint's address. */
+  | { kind: 'reused-address'; index: number; length: Milliseconds };
+
 /** A fault and the time, from the start of the soak, at which it begins. */
 export interface PlannedFault {
   at: Milliseconds;
+  name: string;
   fault: Fault;
 }
 
-const FIRST_FAULT_MS: Milliseconds = 2000;
-const FAULT_GAP_MIN_MS: Milliseconds = 200;
+const FIRST_FAULT_MS: Milliseconds = 3000;
+const FAULT_GAP_MIN_MS: Milliseconds = 50;
 const FAULT_GAP_MAX_MS: Milliseconds = 1500;
-const PAUSES: Milliseconds[] = [100, 500, 1500, 3000];
+/** One gap in this many is long, so that bounds that hold only in calm are checked as well. */
+const CALM_RATIO = 6;
+const CALM_GAP_MIN_MS: Milliseconds = 5000;
+const CALM_GAP_MAX_MS: Milliseconds = 9000;
+const LENGTH_MIN_MS: Milliseconds = 200;
+const LENGTH_MAX_MS: Milliseconds = 3000;
+const DELAY_MAX_MS: Milliseconds = 400;
+const DRAIN_PART_MS: Milliseconds = 1000;
+const DOUBLE_SIGNAL_GAP_MAX_MS: Milliseconds = 100;
+const CUT_BYTES_MAX = 1200;
+/** 7 Mbit/s and two slower rates. */
+const SLOW_RATES = [875_000, 50_000, 5000];
+
+type Draw = (random: Random, size: FleetSize) => Fault;
+
+/** How each fault of the plan is drawn, by its name in the result. */
+const Faults: Record<string, Draw> = {
+  'instance-term': stopInstance(() => [send('SIGTERM')]),
+  'instance-hup': stopInstance(() => [send('SIGHUP')]),
+  'instance-stop': stopInstance(drawFreeze),
+  'instance-kill': stopInstance(() => [send('SIGKILL')]),
+  'instance-restart-in-drain': stopInstance(() => [
+    send('SIGTERM'),
+    send('SIGKILL', DRAIN_PART_MS),
+  ]),
+  'instance-two-signals': stopInstance((random) => {
+    const wait = random.integer(0, DOUBLE_SIGNAL_GAP_MAX_MS);
+    return [send(draw(random, ['SIGTERM', 'SIGHUP'])), send('SIGTERM', wait)];
+  }),
+  'data-centre-kill': (random) =>
+    stop({ kind: 'data-centre', index: random.integer(0, 1) }, random),
+  'data-centre-term': (random) =>
+    stop({ kind: 'data-centre', index: random.integer(0, 1) }, random, [send('SIGTERM')]),
+  'all-kill': (random) => stop({ kind: 'all-instances' }, random),
+  'endpoint-kill': stopEndpoint(() => [send('SIGKILL')]),
+  'endpoint-term': stopEndpoint(() => [send('SIGTERM')]),
+  'endpoint-stop': stopEndpoint(drawFreeze),
+  'link-delay': disturbLink((random) => ({
+    kind: 'delay',
+    delay: random.integer(1, DELAY_MAX_MS),
+  })),
+  'link-slow': disturbLink((random) => ({
+    kind: 'slow',
+    bytesPerSecond: draw(random, SLOW_RATES),
+  })),
+  'link-one-way': disturbLink(() => ({ kind: 'one-way' })),
+  'link-blackhole': disturbLink(() => ({ kind: 'blackhole' })),
+  'link-close': disturbLink(drawCut('close')),
+  'link-reset': disturbLink(drawCut('reset')),
+  'link-half-close': disturbLink(drawCut('half-close')),
+  'store-down': disturbStore('down'),
+  'store-slow': disturbStore('slow'),
+  'store-lost-answers': disturbStore('lost-answers'),
+  'store-stalled-feed': disturbStore('stalled-feed'),
+  'unreadable-rows': () => ({ kind: 'unreadable-rows' }),
+  'endpoint-full': (random, size) => ({ kind: 'full', ...drawEndpoint(random, size) }),
+  'endpoint-reused-address': (random, size) => ({
+    kind: 'reused-address',
+    ...drawEndpoint(random, size),
+  }),
+};
+
+/** Name of the fault that returns the store to an older copy; it is only played if asked for. */
+const REWIND = 'store-rewound';
+
+/** Names of the faults that are played if none are named. */
+export const DefaultFaults = Object.keys(Faults);
+
+/** Names of all faults that a plan may hold. */
+export const FaultNames = [...DefaultFaults, REWIND];
 
-/** Returns the faults for a soak of the length; the same seed gives the same plan. */
-export function createPlan(seed: number, size: FleetSize, length: Milliseconds): PlannedFault[] {
+/** What a plan is made for. */
+export interface PlanOptions extends FleetSize {
+  seed: number;
+  /** Time after which no fault begins. */
+  length: Milliseconds;
+  /** Names of the faults to play. */
+  faults: string[];
+}
+
+/** Returns the faults of a soak; the same seed gives the same plan. Each name comes in turn. */
+export function createPlan({ seed, length, faults, ...size }: PlanOptions): PlannedFault[] {
   const random = createRandom(seed);
   const plan: PlannedFault[] = [];
+  let names: string[] = [];
   let at = FIRST_FAULT_MS;
-  while (at < length) {
-    const endpoint = random.integer(0, size.endpoints - 1);
-    plan.push({ at, fault: { kind: 'kill', endpoint, pause: draw(random, PAUSES) } });
-    at += random.integer(FAULT_GAP_MIN_MS, FAULT_GAP_MAX_MS);
+  while (at < length && faults.length > 0) {
+    if (names.length === 0) names = [...faults];
+    const [name = ''] = names.splice(random.integer(0, names.length - 1), 1);
+    const drawFault = name === REWIND ? disturbStore('rewound') : Faults[name];
+    if (drawFault) plan.push({ at, name, fault: drawFault(random, size) });
+    at += drawGap(random);
   }
   return plan;
 }
+
+function drawGap(random: Random): Milliseconds {
+  if (random.integer(1, CALM_RATIO) === 1) return random.integer(CALM_GAP_MIN_MS, CALM_GAP_MAX_MS);
+  return random.integer(FAULT_GAP_MIN_MS, FAULT_GAP_MAX_MS);
+}
+
+function send(signal: PlannedSignal['signal'], wait: Milliseconds = 0): PlannedSignal {
+  return { signal, wait };
+}
+
+function stop(target: Target, random: Random, signals = [send('SIGKILL')]): Fault {
+  return { kind: 'signals', target, signals, pause: drawLength(random) };
+}
+
+function stopInstance(drawSignals: (random: Random) => PlannedSignal[]): Draw {
+  return (random, size) => {
+    const index = random.integer(0, size.instances - 1);
+    return stop({ kind: 'instance', index }, random, drawSignals(random));
+  };
+}
+
+function stopEndpoint(drawSignals: (random: Random) => PlannedSignal[]): Draw {
+  return (random, size) => {
+    const index = random.integer(0, size.endpoints - 1);
+    return stop({ kind: 'endpoint', index }, random, drawSignals(random));
+  };
+}
+
+function drawFreeze(random: Random): PlannedSignal[] {
+  return [send('SIGSTOP'), send('SIGCONT', drawLength(random))];
+}
+
+function disturbLink(drawEffect: (random: Random) => Effect): Draw {
+  return (random, size) => {
+    const link = draw<LinkTarget>(random, ['callers', 'store', 'endpoint']);
+    const count = link === 'endpoint' ? size.endpoints : size.instances;
+    const index = random.integer(0, count - 1);
+    const direction = draw<'request' | 'answer'>(random, ['request', 'answer']);
+    const effect = drawEffect(random);
+    return { kind: 'link', link, index, direction, effect, length: drawLength(random) };
+  };
+}
+
+function drawCut(cut: Extract<Effect, { kind: 'cut' }>['cut']) {
+  return (random: Random): Effect => ({
+    kind: 'cut',
+    cut,
+    after: random.integer(0, 2) === 0 ? 0 : random.integer(1, CUT_BYTES_MAX),
+  });
+}
+
+function disturbStore(fault: StoreFaultName): Draw {
+  return (random) => ({ kind: 'store', fault, length: drawLength(random) });
+}
+
+function drawEndpoint(random: Random, size: FleetSize): { index: number; length: Milliseconds } {
+  return { index: random.integer(0, size.endpoints - 1), length: drawLength(random) };
+}
+
+function drawLength(random: Random): Milliseconds {
+  return random.integer(LENGTH_MIN_MS, LENGTH_MAX_MS);
+}
--- a/packages/replay/src/soak/requestRecord.ts
+++ b/packages/replay/src/soak/requestRecord.ts
@@ -6,7 +6,11 @@
   account: string;
   work: Work;
   instance: string;
+  /** How often the instance's process had been started when the request was sent. */
+  life: number;
   inputTokens: number;
+  /** Time in milliseconds after which its caller leaves; `undefined` for its time limit. */
+  patience?: number;
   /** Last event that the caller had when it sent the request. */
   resumeAfter: number;
   /** Unix time in milliseconds at which the caller sent it. */
@@ -15,6 +19,8 @@
   endedAt?: number;
   answer?: CallerAnswer;
   runs: EndpointRun[];
+  /** Unix times at which it reached an endpoint, whether that ran it or not. */
+  arrivals: number[];
   /** Lines of all processes that name the request. */
   lines: LogLine[];
 }
@@ -22,15 +28,16 @@
 /** What an endpoint recorded of one run of a request. */
 export interface EndpointRun {
   endpoint: string;
+  /** Unix time in milliseconds at which it began. */
   at: number;
+  /** Unix time in milliseconds at which it sent its last event. */
+  lastAt: number;
   account: string;
-  /** Event after which the run went on. */
-  after: number;
+  path: string;
   /** Number of the last event that it sent. */
   sent: number;
   /** Whether the endpoint stated that its answer is complete. */
   isStated: boolean;
-  path: string;
 }
 
 /** A line that a process of the soak wrote, or that the soak wrote for a caller or a fault. */
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -1,34 +1,53 @@
-import { callHttp, sleep } from '@pomeloroad/core';
+import { callHttp, runPeriodically } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
-import { createLauncher } from '../programs';
 import { pause } from '../pause';
+import { createLauncher } from '../programs';
+import type { Launcher } from '../programs';
 import { startCallers } from './callers';
-import { putConfiguration } from './configuration';
 import { createEvidence } from './evidence';
 import type { Evidence, Failure } from './evidence';
 import { startFleet } from './fleet';
 import type { Fleet, FleetSize } from './fleet';
 import { createInjector } from './injector';
+import { createOperator } from './operator';
 import { createPlan } from './plan';
 import type { PlannedFault } from './plan';
+import { checkProcesses } from './processChecks';
+import type { ProcessPeaks } from './processChecks';
+import { createSender } from './sender';
 
 /** Settings of a soak. */
 export interface SoakOptions extends FleetSize {
   seed: number;
+  /** Time from the first request to the last. */
   length: Milliseconds;
   callers: number;
+  /** Names of the faults to play. */
+  faults: string[];
+  /** Whether endpoints' answers are to have faults. */
+  hasAnswerFaults: boolean;
   onLog(name: string, line: string): void;
+  /** Aborted to end the soak early, and with it all processes. */
+  signal: AbortSignal;
 }
 
 /** The result of a soak. */
 export interface SoakResult {
   seed: number;
   plan: PlannedFault[];
+  /** How often each fault was played. */
+  faults: Record<string, number>;
+  /** How often each check was made. */
   checks: Record<string, number>;
+  /** Number of requests by how they ended. */
   outcomes: Record<string, number>;
+  spent: Record<string, number>;
+  peaks: ProcessPeaks;
   failures: Failure[];
 }
 
+/** Time at the end of a soak in which no fault begins, so that its recovery can be checked. */
+const CALM_MS: Milliseconds = 12_000;
 const READINESS_INTERVAL_MS: Milliseconds = 1000;
 const JUDGE_INTERVAL_MS: Milliseconds = 500;
 const POLL_INTERVAL_MS: Milliseconds = 50;
@@ -36,58 +55,85 @@
 
 /** Runs a soak: starts all processes, plays the plan of the seed and checks what was seen. */
 export async function runSoak(clock: Clock, options: SoakOptions): Promise<SoakResult> {
-  const { seed, length } = options;
   const evidence = createEvidence(clock);
   const launcher = createLauncher((name, line) => {
     options.onLog(name, line);
     evidence.addLine(name, line);
   });
-  const plan = createPlan(seed, options, length);
+  process.once('exit', launcher.stopAll);
+  const plan = createPlan({ ...options, length: options.length - CALM_MS });
+  const peaks: ProcessPeaks = { memoryMb: 0, files: 0 };
+  const aborted = new Promise<never>((_, reject) => {
+    options.signal.addEventListener('abort', () => reject(new Error('interrupted')));
+  });
   try {
-    const fleet = await startFleet(clock, launcher, options, seed);
-    await playPlan(clock, options, plan, fleet, evidence);
-    fleet.close();
+    const running = playSoak({ clock, options, plan, evidence, launcher, peaks });
+    const faults = await Promise.race([running, aborted]);
+    const left = await launcher.close();
+    evidence.check('left-behind', left.length > 0 ? `still running: ${left.join()}` : undefined);
+    const { checks, outcomes, failures, totals } = evidence;
+    const { spent } = totals;
+    return { seed: options.seed, plan, faults, checks, outcomes, spent, peaks, failures };
   } finally {
-    launcher.stopAll();
+    await launcher.close();
   }
-  const { checks, outcomes, failures } = evidence;
-  return { seed, plan, checks, outcomes, failures };
 }
 
-async function playPlan(
-  clock: Clock,
-  options: SoakOptions,
-  plan: PlannedFault[],
-  fleet: Fleet,
-  evidence: Evidence,
-): Promise<void> {
+interface SoakRun {
+  clock: Clock;
+  options: SoakOptions;
+  plan: PlannedFault[];
+  evidence: Evidence;
+  launcher: Launcher;
+  peaks: ProcessPeaks;
+}
+
+// Resolves to how often each fault was played.
+async function playSoak(run: SoakRun): Promise<Record<string, number>> {
+  const { clock, options, evidence, peaks } = run;
+  const fleet = await startFleet(clock, run.launcher, options, options.seed);
   const stopped = new AbortController();
-  await putConfiguration(fleet.store, 1);
+  const { signal } = stopped;
+  const sender = createSender(clock, evidence);
+  const operator = createOperator({ ...run, fleet, sender, seed: options.seed, signal });
+  await operator.start();
   const watches = [
-    repeat(clock, READINESS_INTERVAL_MS, stopped.signal, () => checkReadiness(fleet)),
-    repeat(clock, JUDGE_INTERVAL_MS, stopped.signal, async () => evidence.judge(false)),
+    runPeriodically(
+      clock,
+      () => READINESS_INTERVAL_MS,
+      signal,
+      () => checkReadiness(fleet),
+    ),
+    runPeriodically(
+      clock,
+      () => JUDGE_INTERVAL_MS,
+      signal,
+      async () => {
+        evidence.judge(false);
+        checkProcesses(fleet, evidence, peaks);
+      },
+    ),
   ];
   while (fleet.instances.some((instance) => !instance.isReady)) await pause(POLL_INTERVAL_MS);
   const startedAt = clock.elapsed();
-  const callers = startCallers({
-    clock,
-    fleet,
-    evidence,
-    seed: options.seed,
-    count: options.callers,
-  });
+  const waitUntil = (at: Milliseconds) => pause(Math.max(0, startedAt + at - clock.elapsed()));
+  const { seed, callers: count, hasAnswerFaults } = options;
+  const callers = startCallers({ fleet, sender, seed, count, hasFaults: hasAnswerFaults });
+  const operating = operator.run();
   const injector = createInjector(fleet, evidence);
-  const faults: Promise<void>[] = [];
-  for (const { at, fault } of plan) {
-    await pause(Math.max(0, startedAt + at - clock.elapsed()));
-    faults.push(injector.play(fault));
+  const playing: Promise<void>[] = [];
+  for (const planned of run.plan) {
+    await waitUntil(planned.at);
+    playing.push(injector.play(planned));
   }
-  await Promise.all(faults);
-  await pause(Math.max(0, startedAt + options.length - clock.elapsed()));
+  await Promise.all(playing);
+  await waitUntil(options.length);
   await callers.stop();
   stopped.abort();
-  await Promise.all(watches);
+  await Promise.all([operating, ...watches]);
   evidence.judge(true);
+  fleet.close();
+  return injector.counts;
 }
 
 async function checkReadiness(fleet: Fleet): Promise<void> {
@@ -100,15 +146,3 @@
     }),
   );
 }
-
-async function repeat(
-  clock: Clock,
-  interval: Milliseconds,
-  signal: AbortSignal,
-  step: () => Promise<void>,
-): Promise<void> {
-  while (!signal.aborted) {
-    await step();
-    await sleep(clock, interval, signal);
-  }
-}
--- a/packages/standins/src/callerClient.ts
+++ b/packages/standins/src/callerClient.ts
@@ -10,13 +10,16 @@
   host: string;
   path: string;
   key: string;
-  /** Time in milliseconds that the caller waits. */
+  /** Time in milliseconds that the caller says it will wait. */
   timeLeft: number;
+  /** Time in milliseconds after which it leaves. */
+  patience: number;
   inputTokens: number;
   outputTokens: number;
   /** Last event that the caller has; 0 for a new stream. */
   resumeAfter: number;
-  agent: http.Agent;
+  /** Connections to use; `false` opens a new one. */
+  agent: http.Agent | false;
 }
 
 /** What a caller has seen of one answer. */
@@ -31,7 +34,7 @@
   /** Whether the signature is one of an endpoint for this request. */
   isSigned: boolean;
   body: string;
-  /** Times at which each part of the body arrived, in milliseconds of the Unix clock. */
+  /** Why the answer is not whole, as far as the caller sees it. */
   error?: string;
 }
 
@@ -59,7 +62,7 @@
         ...(call.resumeAfter > 0 ? { [WireHeader.resumeAfter]: call.resumeAfter } : {}),
       },
     });
-    const timer = setTimeout(() => request.destroy(new Error('caller gave up')), call.timeLeft);
+    const timer = setTimeout(() => request.destroy(new Error('caller left')), call.patience);
     const finish = (error?: Error) => {
       clearTimeout(timer);
       answer.error ??= error?.message;
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -10,6 +10,7 @@
 const LATE_ANSWER_DELAY_MS: Milliseconds = 1000;
 const MISDIRECTED_STATUS = 421;
 const DECLINED_STATUS = 503;
+const EXTRA_ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore';
 /** Share of the requests with a fault, in 16 parts, that an endpoint answers with it. */
 const FAULTY_SIXTEENTHS = 8;
 
@@ -92,7 +93,7 @@
     if (response.destroyed) record({ event: 'closed', ...step, number });
     else {
       if (fault !== 'short') record({ event: 'stated', ...step, number });
-      endAnswer(request, response, fault);
+      endAnswer(request, response, work, fault);
     }
   }
 
@@ -130,13 +131,19 @@
 }
 
 // An answer cut short closes its connection in order and, in chunks, without the last one.
-function endAnswer(request: IncomingMessage, response: ServerResponse, fault: AnswerFault): void {
-  if (fault === 'short' || fault === 'length') request.socket.end();
-  else {
-    response.end();
-    if (fault === 'extra' && request.socket.writable)
-      request.socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore');
+function endAnswer(
+  request: IncomingMessage,
+  response: ServerResponse,
+  { framing }: Work,
+  fault: AnswerFault,
+): void {
+  if (fault === 'short' || fault === 'length') {
+    request.socket.end();
+    return;
   }
+  response.end();
+  // Without a length or chunks they would belong to the answer.
+  if (fault === 'extra' && framing !== 'close') request.socket.write(EXTRA_ANSWER);
 }
 
 function hasFault(endpoint: string, request: string): boolean {
--- a/packages/standins/src/storeService.ts
+++ b/packages/standins/src/storeService.ts
@@ -76,7 +76,8 @@
   const server = http.createServer(async (request, response) => {
     response.setHeader('Store-Era', memory.getEra());
     if (!(await injector.shouldServe(request, response))) return;
-    const body = await readBody(request);
+    const body = await readBody(request).catch(() => undefined);
+    if (!body) return;
     calls.push(`${request.method} ${request.url}`);
     const fault = faults.shift();
     if (typeof fault === 'function') await fault();
