Ask the relay for drained endpoints, so that a lost notice does not delay a drain

Cause: a drain is pushed once. Ruled out: load reports and the membership list (this endpoint left by the operators' order alone), and the announcement between data centres (the relay read the order itself).

Fix: each instance asks its relay twice a second for a list of drained endpoints newer than its own. If the relay does not answer within 0.5 s, or does not see itself as the relay, the instance reads the platform. Two faults of the same kind, found by reading: lists are now ordered by the version of their row, so that a late read or notice does not undo a newer list; and the announcement reads the platform up to three times, since it told all instances the old list if its first read was lost.

Weighed: sending notices until they are acknowledged (a silent connection is replaced after 3 s only), and reads of the platform by all instances (4,600 a second at the target size).

--- a/packages/configuration/src/distributor.ts
+++ b/packages/configuration/src/distributor.ts
@@ -2,11 +2,19 @@
 import { Diagnostics, getOwner, hashText } from '@pomeloroad/core';
 import type { Clock, Identity, Log, Milliseconds } from '@pomeloroad/core';
 import type { PeerNetwork } from '@pomeloroad/peers';
+import { createDrains } from './drains';
 import { intersectConfigurations } from './intersect';
 import { parseConfiguration } from './parse';
 import type { ConfigurationStore, StoredState } from './store';
 import { ConfigurationTopics } from './topics';
-import type { Acknowledgement, Notice, RelayRequest, VersionFile, VersionState } from './topics';
+import type {
+  Acknowledgement,
+  DrainList,
+  Notice,
+  RelayRequest,
+  VersionFile,
+  VersionState,
+} from './topics';
 import type { Configuration, VersionRow } from './types';
 
 const NOTICE_TIMEOUT_MS = 1000;
@@ -20,6 +28,11 @@
 const PROPOSAL_MAX_AGE_MS = 10_000;
 /** The relay reads the platform on each poll, other instances only on every n-th. */
 const POLLS_PER_PLATFORM_READ = 10;
+/**
+ * Reads of the drained endpoints before they are announced. The first may be lost on a connection
+ * that went silent.
+ */
+const ANNOUNCEMENT_READS_MAX = 3;
 
 /** Dependencies of the distributor. */
 export interface DistributorHost {
@@ -85,8 +98,8 @@
   let staged: (LoadedVersion & { at: Milliseconds }) | undefined;
   /** Served while the staged version is in doubt: what it and the version in force both allow. */
   let common: Configuration | undefined;
-  let drains: Record<string, string> = {};
   let pollCount = 0;
+  const drains = createDrains({ network, isRelay, onChange: host.onChange });
 
   network.handle(ConfigurationTopics.notice, async (_from, notice) => handleNotice(notice));
   network.handle(ConfigurationTopics.relay, async (_from, request) => relayNotice(request));
@@ -102,7 +115,7 @@
       .with({ kind: 'stage' }, ({ file }) => stage(file))
       .with({ kind: 'accept' }, ({ file }) => install(file))
       .with({ kind: 'withdraw' }, ({ version }) => dropStaged(version))
-      .with({ kind: 'drains' }, (next) => setDrains(next.drains))
+      .with({ kind: 'drains' }, (list) => replaceDrains(list))
       .exhaustive();
   }
 
@@ -146,10 +159,8 @@
     return { inForce: inForce?.file, staged: staged?.file };
   }
 
-  function setDrains(next: Record<string, string>): undefined {
-    if (JSON.stringify(next) === JSON.stringify(drains)) return;
-    drains = next;
-    host.onChange();
+  function replaceDrains({ version, drains: endpoints }: DrainList): undefined {
+    drains.replace({ version, drains: endpoints });
   }
 
   function isRelay(): boolean {
@@ -185,19 +196,26 @@
     return replies.flat();
   }
 
-  async function refresh(): Promise<void> {
+  // Returns whether the platform answered.
+  async function readPlatform(): Promise<boolean> {
     const state = await store.readState();
     if (state.ok) await applyStoredState(state.val);
+    return state.ok;
   }
 
   async function poll(): Promise<void> {
     pollCount += 1;
     checkDecisionTimeout();
     const isDue = isRelay() || !inForce || staged || pollCount % POLLS_PER_PLATFORM_READ === 0;
-    if (!isDue) return;
-    const state = await store.readState();
-    if (state.ok) await applyStoredState(state.val);
-    else if (!inForce || staged) await installFromPeers();
+    if (!isDue && (await pullDrains())) return;
+    const isAnswered = await readPlatform();
+    if (!isAnswered && (!inForce || staged)) await installFromPeers();
+  }
+
+  // A notice may be lost on a connection that went silent, so drains are also asked for.
+  async function pullDrains(): Promise<boolean> {
+    const relay = getRelay(host.getLocalInstances());
+    return relay !== undefined && drains.pull(relay);
   }
 
   function checkDecisionTimeout(): void {
@@ -207,11 +225,10 @@
     host.onChange();
   }
 
-  async function applyStoredState({ head, drains: stored }: StoredState): Promise<void> {
+  async function applyStoredState({ head, drainList }: StoredState): Promise<void> {
     const others = host.getLocalInstances().filter((instance) => instance !== self.instance);
-    if (JSON.stringify(stored) !== JSON.stringify(drains)) {
-      setDrains(stored);
-      if (isRelay()) await relayNotice({ notice: { kind: 'drains', drains }, instances: others });
+    if (drains.replace(drainList) && isRelay()) {
+      await relayNotice({ notice: { kind: 'drains', ...drainList }, instances: others });
     }
     const { accepted, proposed } = head;
     if (accepted && accepted.version > getVersion()) await installAccepted(accepted, others);
@@ -259,12 +276,16 @@
     getConfiguration: () => common ?? inForce?.configuration,
     getVersion,
     getText: () => inForce?.file.text ?? '',
-    getDrains: () => drains,
+    getDrains: () => drains.getList().drains,
     poll,
-    refresh,
+    async refresh() {
+      await readPlatform();
+    },
     async announceDrains() {
-      await refresh();
-      await announce({ kind: 'drains', drains }, host.getInstances());
+      for (let read = 0; read < ANNOUNCEMENT_READS_MAX; read += 1) {
+        if (await readPlatform()) break;
+      }
+      await announce({ kind: 'drains', ...drains.getList() }, host.getInstances());
     },
     announce,
     describe: () => ({
--- a/packages/configuration/src/store.ts
+++ b/packages/configuration/src/store.ts
@@ -3,7 +3,7 @@
 import { hashText } from '@pomeloroad/core';
 import type { Clock, Outcome } from '@pomeloroad/core';
 import type { ObjectStore, Row, Table } from '@pomeloroad/storage';
-import type { VersionFile } from './topics';
+import type { DrainList, VersionFile } from './topics';
 import type { HeadRow, VersionRow } from './types';
 
 const HEAD_KEY = 'configuration/head';
@@ -37,8 +37,7 @@
 /** The stored head and drains, from one read. */
 export interface StoredState {
   head: HeadRow;
-  /** Endpoints that operators drain, with the time of the order. */
-  drains: Record<string, string>;
+  drainList: DrainList;
 }
 
 /** Versions of the configuration in the platform's table and object store. */
@@ -107,7 +106,7 @@
       const read = await table.read([HEAD_KEY, DRAINS_KEY]);
       return read.map((rows) => ({
         head: parseHead(rows.find((row) => row.key === HEAD_KEY)),
-        drains: parseDrains(rows.find((row) => row.key === DRAINS_KEY)),
+        drainList: parseDrainList(rows.find((row) => row.key === DRAINS_KEY)),
       }));
     },
     async readFile(version) {
@@ -161,9 +160,9 @@
     setDrain: (endpoint, isDraining) =>
       updateRow(
         DRAINS_KEY,
-        (row) => endpoint in parseDrains(row) === isDraining,
+        (row) => endpoint in parseDrainList(row).drains === isDraining,
         (row) => {
-          const drains = { ...parseDrains(row) };
+          const drains = { ...parseDrainList(row).drains };
           if (isDraining) drains[endpoint] = clock.now().toISOString();
           else delete drains[endpoint];
           return Ok([{ key: DRAINS_KEY, version: 0, value: drains }]);
@@ -176,8 +175,9 @@
   return row ? HeadSchema.parse(row.value) : { lastVersion: 0 };
 }
 
-function parseDrains(row: Row | undefined): Record<string, string> {
-  return row ? DrainsSchema.parse(row.value) : {};
+function parseDrainList(row: Row | undefined): DrainList {
+  if (!row) return { version: 0, drains: {} };
+  return { version: row.version, drains: DrainsSchema.parse(row.value) };
 }
 
 function createHeadRow(head: HeadRow): Row {
--- a/packages/configuration/src/topics.ts
+++ b/packages/configuration/src/topics.ts
@@ -15,8 +15,28 @@
   | { kind: 'accept'; file: VersionFile }
   /** Drop the staged version. */
   | { kind: 'withdraw'; version: number }
-  /** Endpoints that operators drain, with the time of the order. */
-  | { kind: 'drains'; drains: Record<string, string> };
+  /** Replace an older list of drained endpoints. */
+  | ({ kind: 'drains' } & DrainList);
+
+/** The endpoints that operators drain. */
+export interface DrainList {
+  /** Version of the table's row. */
+  version: number;
+  /** Time of the order by endpoint. */
+  drains: Record<string, string>;
+}
+
+/** Asks the relay for a list of drained endpoints newer than this version. */
+export interface DrainsRequest {
+  version: number;
+}
+
+/** The relay's reply to a request for a newer list of drained endpoints. */
+export type DrainsReply =
+  | { kind: 'newer'; list: DrainList }
+  | { kind: 'current' }
+  /** The instance asked is not the relay, so its own list may be old. */
+  | { kind: 'not-relay' };
 
 /** Reply of an instance to a notice, or the failure to reach it. */
 export interface Acknowledgement {
@@ -42,5 +62,6 @@
 export const ConfigurationTopics = {
   notice: createTopic<Notice, Acknowledgement>('configuration.notice'),
   relay: createTopic<RelayRequest, Acknowledgement[]>('configuration.relay'),
+  drains: createTopic<DrainsRequest, DrainsReply>('configuration.drains'),
   state: createTopic<Record<string, never>, VersionState>('configuration.state'),
 } as const;
--- a/packages/peers/src/memoryNetwork.ts
+++ b/packages/peers/src/memoryNetwork.ts
@@ -8,6 +8,8 @@
   join(instance: string, dataCentre?: string): MemoryNetwork;
   /** Instances that are partitioned from all others. */
   cut: Set<string>;
+  /** Instances whose connections went silent: they count as connected, but calls get no reply. */
+  silent: Set<string>;
 }
 
 /** The network of one member of a memory fleet. */
@@ -24,11 +26,16 @@
 export function createMemoryFleet(): MemoryFleet {
   const members = new Map<string, MemoryMember>();
   const cut = new Set<string>();
+  const silent = new Set<string>();
 
   function isReachable(from: string, to: string): boolean {
     return from === to || (members.has(to) && !cut.has(from) && !cut.has(to));
   }
 
+  function isSilent(from: string, to: string): boolean {
+    return from !== to && (silent.has(from) || silent.has(to));
+  }
+
   function createNetwork({ self, handlers }: MemoryMember): MemoryNetwork {
     const { instance } = self;
     return {
@@ -39,6 +46,9 @@
         if (!isReachable(instance, to) || !handler) {
           return Err({ kind: 'unreachable', ran: 'no', message: `no connection to ${to}` });
         }
+        if (isSilent(instance, to)) {
+          return Err({ kind: 'timeout', ran: 'unknown', message: `no reply to ${topic.name}` });
+        }
         // The topic determines the type of its reply.
         return Ok((await handler(self, structuredClone(request))) as never);
       },
@@ -57,6 +67,7 @@
 
   return {
     cut,
+    silent,
     join(instance, dataCentre = 'kent') {
       const self = { instance, incarnation: `${instance}-1`, dataCentre };
       const member: MemoryMember = { self, handlers: new Map() };
