Do not run a request again once its answer has ended

Cause: a stream could not be resumed and its endpoint did not answer the first stop, so the caller was told at once that the outcome is unknown (08:30:09.543). Four seconds later the endpoint answered that it had never started the stream, and the request was sent to another endpoint (08:30:13.512). Each delta of that run failed on the ended answer and was taken for a fault of the endpoint (nine resumptions); the usage event at the end stopped the process. Ruled out: a second writer of the answer (one request, one run in the log), and the drain (it only happened to be under way; the process would have stopped anyway).

Fix: an attempt that ran nowhere is not followed by another once the answer has ended; the run ends as not run, so that its reservation and its name are free for the caller's retry. The same in two other places, found by reading: a resumed request, and the end of an answer at its limit.

Tests: the three in packages/entry/test/chatRun.test.ts failed before the change, each with the same assertion or a second run.

--- a/packages/entry/src/chatOutcome.ts
+++ b/packages/entry/src/chatOutcome.ts
@@ -53,6 +53,12 @@
     .exhaustive();
 }
 
+/** Ends a request whose endpoint confirmed that it never started the stream. */
+export function refuseNotRun(error: EngineError): AnswerEnd {
+  const text = `The endpoint never started the request: ${error.message}.`;
+  return refuse(createRefusal('endpoint_failed', 'no', text, RETRY_AFTER_MS));
+}
+
 /** Creates the refusal for an error after which the request may have run. */
 export function toFailureRefusal(error: EngineError): Refusal {
   const text = `The endpoint failed while it ran the request: ${error.message}.`;
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -23,6 +23,7 @@
   refuseCallerLeft,
   refuseEndpointLeaving,
   refuseKeeperLost,
+  refuseNotRun,
   toFailureRefusal,
 } from './chatOutcome';
 import type { AttemptOutcome } from './chatOutcome';
@@ -114,7 +115,8 @@
   deadline: Milliseconds,
   excluded: ReadonlySet<string>,
 ): Promise<Slot | undefined> {
-  if (run.signal.aborted) return undefined;
+  // An answer that ended while its stream could not be stopped can't take what another run returns.
+  if (run.signal.aborted || run.answer.isFinished()) return undefined;
   const next = await acquireSlot(run.host, { ...route, excluded }, deadline);
   return next.ok ? next.val : undefined;
 }
@@ -164,9 +166,8 @@
   }
   if (stopped.state === 'never') return concludeNotRun(outcome.val);
   const record = createRecord(run, stopped.promptTokens, stopped.completionTokens);
-  const end = isOverBound(run, progress)
-    ? completeAtLimit(run, stopped)
-    : refuse(toFailureRefusal(outcome.val));
+  const isCompletable = isOverBound(run, progress) && !run.answer.isFinished();
+  const end = isCompletable ? completeAtLimit(run, stopped) : refuse(toFailureRefusal(outcome.val));
   return { kind: 'done', end, record };
 }
 
@@ -190,6 +191,8 @@
     const stopped = await stopStream(run, state.placement);
     if (stopped?.state === 'never') {
       reservation?.settle(undefined);
+      // An answer that ended while the stream could not be stopped is not run again.
+      if (answer.isFinished()) return refuseNotRun(resumed.val);
       return runChat(host, request, chat, answer, signal);
     }
     const used = stopped ?? { promptTokens: state.tokens, completionTokens: 0 };
--- /dev/null
+++ b/packages/entry/test/chatRun.test.ts
@@ -0,0 +1,141 @@
+import { Err, Ok } from 'ts-results';
+import { createManualClock, createSilentLog } from '@pomeloroad/core';
+import type { ManualClock } from '@pomeloroad/core';
+import type { UsageRecord } from '@pomeloroad/budgets';
+import type { Endpoint } from '@pomeloroad/configuration';
+import { createAnswer } from '@pomeloroad/requests';
+import type { RunState } from '@pomeloroad/requests';
+import { resumeChat, runChat } from '../src/chatRun';
+import type { ChatRequest } from '../src/chatRequest';
+import type { EngineClient, EngineError, EngineEvent, StoppedUsage } from '../src/engineClient';
+import type { RunHost } from '../src/runHost';
+import type { RunRequest } from '../src/runRequest';
+
+const SILENT: EngineError = { kind: 'failed', ran: 'unknown', message: 'silent stream' };
+const NEVER: StoppedUsage = { state: 'never', promptTokens: 0, completionTokens: 0 };
+const USAGE: EngineEvent = { kind: 'usage', promptTokens: 1, completionTokens: 1, finish: 'stop' };
+const CHAT: ChatRequest = {
+  model: 'planner',
+  isStreamed: false,
+  promptBound: 4,
+  outputBound: 1,
+  body: {},
+};
+const REQUEST: RunRequest = {
+  id: 'r',
+  account: 'dispatch',
+  budget: 'dispatch/routes',
+  digest: '',
+  isIdempotent: true,
+  isProvisional: false,
+  needsClaim: false,
+  priority: 0,
+  patience: 8000,
+  work: { kind: 'chat', chat: CHAT },
+};
+
+/** A host whose requests run on the given engine, and the records that they settled. */
+function createHost(clock: ManualClock, engine: Partial<EngineClient>) {
+  const settled: (UsageRecord | undefined)[] = [];
+  const reservation = {
+    ...{ id: 'reservation', budget: 'dispatch/routes', keeper: 'a', tokens: 5 },
+    placement: undefined,
+    place: async () => true,
+    settle: (record: UsageRecord | undefined) => settled.push(record),
+  };
+  const endpoint = { name: 'e', address: 'e:1' } as Endpoint;
+  const slot = { endpoint, isLeaving: () => false, release: () => undefined };
+  const host = {
+    clock,
+    log: createSilentLog(),
+    settings: { budgetPatience: 0, resumeWindow: 0, firstByteTimeout: 1000, betweenTimeout: 1000 },
+    budgets: { reserve: async () => Ok(reservation), adopt: async () => reservation },
+    admission: { acquire: async () => Ok(slot) },
+    guard: { waitUntilFresh: async () => undefined },
+    refreshEndpoint: async () => undefined,
+    engine,
+  } as unknown as RunHost;
+  return { host, settled };
+}
+
+/** Runs a request on the engine until it has ended, or resumes it for a lost instance. */
+async function run(engine: Partial<EngineClient>, lost?: RunState) {
+  const clock = createManualClock();
+  const { host, settled } = createHost(clock, engine);
+  const answer = createAnswer();
+  const { signal } = new AbortController();
+  const starting = lost
+    ? resumeChat(host, REQUEST, CHAT, answer, signal, lost)
+    : runChat(host, REQUEST, CHAT, answer, signal);
+  let isOver = false;
+  const running = starting.finally(() => {
+    isOver = true;
+  });
+  // Handled below; here only so that a failure during the loop is not reported as unhandled.
+  running.catch(() => undefined);
+  while (!isOver) await clock.advance(1000);
+  const end = await running;
+  return { end, answer, settled };
+}
+
+test('an attempt that is given up is not repeated once its answer has ended', async () => {
+  const streams: string[] = [];
+  const stops = [Err(SILENT), Ok(NEVER)];
+  const { end, answer, settled } = await run({
+    async run(call, sink) {
+      streams.push(call.stream);
+      if (streams.length === 1) return Err(SILENT);
+      await sink(USAGE);
+      return Ok.EMPTY;
+    },
+    resume: async () => Err(SILENT),
+    stop: async () => stops.shift() ?? Ok(NEVER),
+  });
+  expect(streams).toEqual(['r.1']);
+  expect(answer.getEnd()).toMatchObject({ kind: 'refused', refusal: { ran: 'unknown' } });
+  expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'no' } });
+  expect(settled).toEqual([undefined]);
+});
+
+test('an answer that has ended gets no usage of a stream beyond its limit', async () => {
+  const delta = (index: number): EngineEvent => ({ kind: 'delta', index, text: 'x' });
+  const stops = [Err(SILENT)];
+  const { answer, settled } = await run({
+    async run(_call, sink) {
+      const sent = sink(delta(0)).then(() => sink(delta(1)));
+      return sent.then(
+        () => Ok.EMPTY,
+        () => Err(SILENT),
+      );
+    },
+    stop: async () =>
+      stops.shift() ?? Ok({ state: 'cancelled', promptTokens: 2, completionTokens: 2 }),
+  });
+  expect(answer.getEnd()).toMatchObject({ kind: 'refused' });
+  expect(settled).toMatchObject([{ tokens: 4 }]);
+});
+
+test('a resumed request is not run again once its answer has ended', async () => {
+  const placement = { endpoint: 'e', address: 'e:1', stream: 'lost.1' };
+  const reserved = {
+    budget: 'dispatch/routes',
+    reservation: 'reservation',
+    keeper: 'a',
+    tokens: 5,
+  };
+  const stops = [Err(SILENT)];
+  const streams: string[] = [];
+  const engine: Partial<EngineClient> = {
+    async run(call, sink) {
+      streams.push(call.stream);
+      await sink(USAGE);
+      return Ok.EMPTY;
+    },
+    resume: async () => Err(SILENT),
+    stop: async () => stops.shift() ?? Ok(NEVER),
+  };
+  const { end, settled } = await run(engine, { placement, ...reserved });
+  expect(streams).toEqual([]);
+  expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'no' } });
+  expect(settled).toEqual([undefined]);
+});
