Treat a run as provisional if its keeper did not decide it

Cause: the name's keeper is everett-2. The request arrived in tacoma at about 08:48:14.3 and again in bellingham 0.3 s later, while the connections between bellingham and everett were silent (given up at 15.5) and those between bellingham and tacoma became silent too (given up at 18.4). So bellingham's keeper changed, its search on all instances got no reply from tacoma, and the next keeper allowed the run. The run was not marked as provisional: completeness of the fleet and the transition of the view were checked before the first call, when nothing was noticed yet, and only completeness after the last, when everett was connected again (15.7 to 15.95). Inferred from the times of the connections and the keeper that the hash gives; calls for names are not logged.

Fix: a run is certain only if its keeper in a stable view allowed it. One that was allowed during a transition, or by this instance because no keeper answered in 4 s, is provisional, so that the reconciliation compares it with the keeper and credits the repeat.

Tests: the two new ones of registry.test.ts failed before the change.

--- a/packages/requests/src/requestRegistry.ts
+++ b/packages/requests/src/requestRegistry.ts
@@ -117,6 +117,10 @@
     return recentViews.length > 0;
   }
 
+  function isStable(): boolean {
+    return host.isFleetComplete() && !isInTransition();
+  }
+
   // After a membership change, other instances may still use an old keeper. Each caller registers
   // with the old keepers first and then with the new one, so that any two share a keeper.
   async function beginInTransition(request: BeginRequest): Promise<BeginReply | undefined> {
@@ -179,13 +183,14 @@
   async function beginWithRetry(request: BeginRequest): Promise<BeginReply> {
     const deadline = clock.elapsed() + KEEPER_RETRY_WINDOW_MS;
     while (clock.elapsed() < deadline) {
-      const reply = isInTransition()
+      const isMoving = isInTransition();
+      const reply = isMoving
         ? await beginInTransition(request)
         : await callBegin(getKeeper(view, request.name), request);
-      if (reply) return reply;
+      if (reply) return isMoving ? toProvisional(reply) : reply;
       await sleep(clock, KEEPER_RETRY_DELAY_MS);
     }
-    return keptEntries.begin(request);
+    return toProvisional(keptEntries.begin(request));
   }
 
   function sendFinish(keeper: string, name: RequestName, request: string, isKept: boolean): void {
@@ -230,11 +235,12 @@
 
   return {
     async begin(request) {
-      const wasStable = host.isFleetComplete() && !isInTransition();
+      const wasStable = isStable();
       const reply = await beginWithRetry(request);
       if (reply.kind === 'run' || reply.kind === 'resume') ownEntries.begin(request);
       if (reply.kind !== 'run') return reply;
-      return { ...reply, isProvisional: !wasStable || !host.isFleetComplete() };
+      const isCertain = wasStable && isStable() && !reply.isProvisional;
+      return { ...reply, isProvisional: !isCertain };
     },
     async recordRun(name, request, state) {
       ownEntries.setState(name, request, state);
@@ -247,7 +253,7 @@
     },
     isFleetComplete: host.isFleetComplete,
     async confirm(request) {
-      if (!host.isFleetComplete() || isInTransition()) return undefined;
+      if (!isStable()) return undefined;
       const keeper = getKeeper(view, request.name);
       const { confirm } = RequestTopics;
       const reply = await network.call(keeper, confirm, request, CALL_TIMEOUT_MS);
@@ -287,6 +293,11 @@
   );
 }
 
+// Another keeper, which did not answer or was not asked, may know of an earlier run.
+function toProvisional(reply: BeginReply): BeginReply {
+  return reply.kind === 'run' ? { ...reply, isProvisional: true } : reply;
+}
+
 function isSameView(left: Identity[], right: Identity[]): boolean {
   const toIncarnations = (view: Identity[]) =>
     view.map(({ instance, incarnation }) => `${instance}/${incarnation}`).sort();
--- a/packages/requests/test/registry.test.ts
+++ b/packages/requests/test/registry.test.ts
@@ -1,4 +1,4 @@
-import { createManualClock } from '@pomeloroad/core';
+import { createManualClock, getOwner } from '@pomeloroad/core';
 import type { Identity } from '@pomeloroad/core';
 import { createMemoryFleet } from '@pomeloroad/peers';
 import { createRequestRegistry } from '../src';
@@ -12,7 +12,7 @@
   const lost = new Set<string>();
   const joined = new Set<string>();
   const selves = new Map<string, Identity>();
-  const reservations = new Map<string, () => BeginReply>();
+  const reservations = new Map<string, () => BeginReply | undefined>();
 
   function join(instance: string) {
     const network = fleet.join(instance);
@@ -149,3 +149,35 @@
   const kinds = (await Promise.all(again)).map((reply) => reply.kind);
   expect(kinds).toEqual(names.map(() => 'attach'));
 });
+
+/** A stable fleet in which the keeper of the name is silent but still counts as connected. */
+async function silenceKeeper() {
+  const instances = ['a', 'b', 'c'];
+  const all = setUp(instances);
+  await all.clock.advance(10_000);
+  const keeper = getOwner(JSON.stringify([name.account, name.key]), instances) ?? '';
+  const [runner = '', other = ''] = instances.filter((instance) => instance !== keeper);
+  all.fleet.silent.add(keeper);
+  return { ...all, keeper, runner, other };
+}
+
+test('a run that a new keeper allowed is provisional though the old one is back', async () => {
+  const { fleet, clock, changeView, reservations, at, ...names } = await silenceKeeper();
+  const begun = at(names.runner).start('r1');
+  await clock.advance(100);
+  fleet.cut.add(names.keeper);
+  await changeView();
+  // The search for the name comes after the view change and before the new keeper is asked.
+  reservations.set(names.other, () => {
+    fleet.cut.clear();
+    fleet.silent.clear();
+    return undefined;
+  });
+  await clock.advance(1000);
+  expect(await begun).toMatchObject({ kind: 'run', isProvisional: true });
+});
+
+test('a run that no keeper allowed is provisional', async () => {
+  const { at, runner } = await silenceKeeper();
+  expect(await at(runner).begin('r1')).toMatchObject({ kind: 'run', isProvisional: true });
+});
