Cut open answers before the process of a drain exits

Callers could see: an answer without a length or chunks that a drain past its limit left open ended in order, since the kernel closes the connections of an exiting process with FIN. Cause: only the product's own front cut what was open. Why it works: what is open is reset, or closed without its last chunk, before the exit. A kill of the instance remains: nothing runs then, and the kernel closes in order.

--- a/packages/forwarding/src/drain.ts
+++ b/packages/forwarding/src/drain.ts
@@ -22,6 +22,8 @@
   };
   /** Stops accepting connections and closes idle ones. */
   closeListener(): void;
+  /** Cuts the answers that are not sent in full, so that none looks complete when the process exits. */
+  cutOpen(): void;
 }
 
 /** Graceful shutdown of an instance. */
@@ -55,6 +57,7 @@
     host.closeListener();
     if (instance.countOpen() > 0) log(Diagnostics.drainTimedOut, { open: instance.countOpen() });
     await instance.stop(forcedEnd - EXIT_MARGIN_MS - clock.elapsed());
+    host.cutOpen();
     log(Diagnostics.instanceStopped, { open: instance.countOpen() });
   }
 
--- a/packages/forwarding/test/drain.test.ts
+++ b/packages/forwarding/test/drain.test.ts
@@ -20,6 +20,7 @@
       stop: async () => record('stopped'),
     },
     closeListener: () => record('closed'),
+    cutOpen: () => record('cut'),
   });
   drain.run(GRACE_MS).then(() => record('ended'));
   const isDrainingAtOnce = drain.isDraining();
@@ -30,6 +31,12 @@
   return { times, isDrainingAtOnce };
 }
 
+test('answers that are still open are cut before the process exits', async () => {
+  const { times } = await drainUntil(Infinity);
+  expect(times.cut).toBeGreaterThanOrEqual(times.stopped ?? Infinity);
+  expect(times.cut).toBeLessThanOrEqual(times.ended ?? 0);
+});
+
 test('an idle instance stops after the notice period', async () => {
   const { times, isDrainingAtOnce } = await drainUntil(0);
   expect(isDrainingAtOnce).toBe(true);
