Cut a response that waits behind another one only at its turn

Callers could see: the answer before a cut one on a pipelined connection was lost, or the cut one hung. Cause: the connection was reset at once, or not at all, though the response had no connection yet. Why it works: a response without its connection is destroyed, which Node does when its turn comes.

--- a/packages/core/src/openRequests.ts
+++ b/packages/core/src/openRequests.ts
@@ -57,11 +57,12 @@
 
 /**
  * Closes the response's connection before its end. A response that has no length and no chunks ends
- * with its connection, so this is reset. TLS has no reset; its receiver misses the closing alert.
+ * with its connection, so this is reset. TLS has no reset; its receiver misses the closing alert. A
+ * response that waits behind another one on its connection is cut once that one is sent.
  */
 export function cutResponse(response: ServerResponse): void {
-  const { socket } = response.req;
-  if (response.chunkedEncoding || socket instanceof TLSSocket) socket.destroy();
+  const { socket } = response;
+  if (!socket || response.chunkedEncoding || socket instanceof TLSSocket) response.destroy();
   else socket.resetAndDestroy();
 }
 
