Judge the end of an answer by its arrival, whole answers too; free the slot meanwhile; simpler trust in closes

It is replaced: an endpoint that has stated the end of a stream before, and now closes without, has probably broken off, and the rest is asked for; of one that never stated any a close is the usual end, and nothing is run again for it.

--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -3,10 +3,10 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { Outcome } from '@pomeloroad/core';
 import type { RouteError, Slot, SlotResult } from '@pomeloroad/routing';
+import { findEndFault } from './answerEnd';
 import { getFirstByteTimeout, getAdmissionWait, isRetryable } from './patience';
 import { getTimeLeft, takeRetry, hasAttemptsLeft } from './run';
 import type { Run } from './run';
-import { ENDPOINT_STOPPED, hasStopped } from './stoppedEndpoint';
 import type { EndpointRecord, RefusalKind, Reply, SendError } from './types';
 
 /** Number of endpoints that may decline one request before it is refused. */
@@ -90,7 +90,7 @@
     patience: getFirstByteTimeout(request.route, timeLeft, mayRetry),
     signal: stop.signal,
   });
-  const reply = await judgeWhole(run, sent, slot);
+  const reply = await judgeWhole(run, slot, sent);
   if (reply.ok) {
     slot.recordActivity();
     run.framing = reply.val.head.framing;
@@ -99,15 +99,14 @@
   return reply;
 }
 
-// A whole answer that only the close of its connection ended is not taken from an endpoint that died.
 async function judgeWhole<Payload>(
   run: Run<Payload>,
-  sent: Outcome<Reply, SendError>,
   slot: Slot,
+  sent: Outcome<Reply, SendError>,
 ): Promise<Outcome<Reply, SendError>> {
-  const isClosed = sent.ok && sent.val.kind === 'whole' && sent.val.head.framing === 'close';
-  if (!isClosed || !(await hasStopped(run, slot))) return sent;
-  return Err({ kind: 'broken', message: ENDPOINT_STOPPED });
+  if (sent.err || sent.val.kind !== 'whole') return sent;
+  const message = await findEndFault(run, slot, sent.val.end);
+  return message === undefined ? sent : Err({ kind: 'broken', message });
 }
 
 function recordAttempt<Payload>(
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -92,7 +92,7 @@
   }
   run.caller.begin(reply.head);
   const end = await relayStream(run, reply.stream, slot);
-  // An answer that was begun with chunks or a length can't be ended without stating more than is known.
+  // An answer that was begun in chunks can't be ended without stating that it is complete.
   const mayEnd = end === 'complete' || (end === 'closed' && reply.head.framing === 'close');
   if (mayEnd) run.caller.end();
   else run.caller.cut();
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -5,9 +5,9 @@
 import { watchStore } from '@pomeloroad/storage';
 import type { RowChange, RowStore, StoreEra, VersionedRow } from '@pomeloroad/storage';
 import { createMetrics } from '@pomeloroad/telemetry';
-import { createCloseTrust } from './closeTrust';
 import { followConfiguration } from './configurationFeed';
 import { createEndpointDirectory } from './endpointDirectory';
+import { createEndStatements } from './endStatements';
 import { followTable } from './follow';
 import { forward } from './forward';
 import { createForwardMetrics } from './forwardMetrics';
@@ -197,7 +197,7 @@
     retryBudget: createRetryBudget(clock, host.getRetryAllowance, getInstanceCount),
     protocol: host.protocol,
     metrics: forwardMetrics,
-    closeTrust: createCloseTrust(),
+    endStatements: createEndStatements(),
     findService: (name) => configuration.getTable()?.findService(name),
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -1,8 +1,8 @@
 import type { Clock, Log, Random } from '@pomeloroad/core';
 import type { Escrow } from '@pomeloroad/budgets';
 import type { Admission } from '@pomeloroad/routing';
-import type { CloseTrust } from './closeTrust';
 import type { EndpointDirectory } from './endpointDirectory';
+import type { EndStatements } from './endStatements';
 import type { ForwardMetrics } from './forwardMetrics';
 import type { RetryBudget } from './retryBudget';
 import type { EndpointProtocol, ForwardService } from './types';
@@ -18,7 +18,7 @@
   retryBudget: RetryBudget;
   protocol: EndpointProtocol<Payload>;
   metrics: ForwardMetrics;
-  closeTrust: CloseTrust;
+  endStatements: EndStatements;
   findService(name: string): ForwardService | undefined;
   /** Resolves at once, or after a pause of the process once the store is read again. */
   waitForRefresh(): Promise<void>;
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -1,21 +1,13 @@
 import { match } from 'ts-pattern';
 import { Diagnostics, withTimeout } from '@pomeloroad/core';
-import type { Milliseconds } from '@pomeloroad/core';
-import type { Slot, SlotResult } from '@pomeloroad/routing';
+import type { Slot } from '@pomeloroad/routing';
+import { findEndFault } from './answerEnd';
 import { sendWithRetries } from './attempts';
-import type { CloseTrust } from './closeTrust';
 import { getStallTimeout } from './patience';
 import { getTimeLeft, takeRetry, hasAttemptsLeft } from './run';
 import type { Run } from './run';
-import { ENDPOINT_STOPPED, hasStopped } from './stoppedEndpoint';
 import type { EventStream, StreamStep } from './types';
 
-/**
- * An endpoint stops work when the time that it was given is over. That time is in whole milliseconds,
- * and so are most timers, so its stop may come this much before the deadline.
- */
-const ENDPOINT_STOP_TOLERANCE_MS: Milliseconds = 2;
-
 /**
  * How a stream ended: stated as complete by its endpoint, closed in order without such a statement,
  * or broken off.
@@ -28,78 +20,73 @@
   slot: Slot;
 }
 
+/** The end of a stream and the endpoint that it came from. */
+interface SourceEnd {
+  end: StreamEnd;
+  endpoint: string;
+}
+
 /**
- * Relays a stream to the caller. If it breaks off, or if its close does not tell whether it is
- * complete, the rest is requested from another endpoint.
+ * Relays a stream to the caller. If it has broken off, or has probably broken off, the rest is
+ * requested from another endpoint.
  */
 export async function relayStream<Payload>(
   run: Run<Payload>,
   stream: EventStream,
   slot: Slot,
 ): Promise<StreamEnd> {
-  let source: Source = { stream, slot };
-  let end = await relaySource(run, source);
-  while (shouldResume(run, end, source)) {
-    const next = await resume(run, source);
-    if (!next) return end;
+  let last = await relaySource(run, { stream, slot });
+  while (shouldResume(run, last)) {
     const eventsBefore = run.events;
-    const nextEnd = await relaySource(run, next);
-    const broughtMore = run.events > eventsBefore;
+    const source = await resume(run);
+    if (!source) return last.end;
+    const next = await relaySource(run, source);
     // A resumption that breaks off before its first event tells nothing about the stream.
-    if (broughtMore || nextEnd !== 'broken') {
-      if (end === 'closed') recordClose(run.host.closeTrust, source, !broughtMore);
-      end = nextEnd;
-    }
-    source = next;
+    if (run.events > eventsBefore || next.end !== 'broken') last = next;
   }
-  return end;
+  return last.end;
 }
 
-function shouldResume<Payload>(run: Run<Payload>, end: StreamEnd, { slot }: Source): boolean {
+function shouldResume<Payload>(run: Run<Payload>, { end, endpoint }: SourceEnd): boolean {
   const mayLackEvents = match(end)
     .with('complete', () => false)
-    .with('closed', () => !run.host.closeTrust.isTrusted(slot.endpoint.name))
+    .with('closed', () => run.host.endStatements.has(endpoint))
     .with('broken', () => true)
     .exhaustive();
-  return mayLackEvents && isTimeLeft(run) && hasAttemptsLeft(run) && takeRetry(run);
-}
-
-function isTimeLeft<Payload>(run: Run<Payload>): boolean {
-  return !run.stop.signal.aborted && getTimeLeft(run) > ENDPOINT_STOP_TOLERANCE_MS;
+  const hasTime = !run.stop.signal.aborted && getTimeLeft(run) > 0;
+  return mayLackEvents && hasTime && hasAttemptsLeft(run) && takeRetry(run);
 }
 
-async function resume<Payload>(run: Run<Payload>, { slot }: Source): Promise<Source | undefined> {
-  run.excluded.add(slot.endpoint.name);
+async function resume<Payload>(run: Run<Payload>): Promise<Source | undefined> {
   const next = await sendWithRetries(run);
   if (next.err) return undefined;
-  if (next.val.reply.kind !== 'stream') {
-    next.val.slot.release('failed');
+  const { reply, slot } = next.val;
+  if (reply.kind !== 'stream') {
+    slot.release('failed');
     return undefined;
   }
   run.host.log(Diagnostics.requestResumed, {
     request: run.request.id,
-    endpoint: next.val.slot.endpoint.name,
+    endpoint: slot.endpoint.name,
     after: run.lastEventId,
     events: run.events,
   });
-  return { stream: next.val.reply.stream, slot: next.val.slot };
-}
-
-function recordClose(trust: CloseTrust, { slot }: Source, wasComplete: boolean): void {
-  if (wasComplete) trust.add(slot.endpoint.name);
-  else trust.remove(slot.endpoint.name);
+  return { stream: reply.stream, slot };
 }
 
-async function relaySource<Payload>(run: Run<Payload>, source: Source): Promise<StreamEnd> {
+async function relaySource<Payload>(run: Run<Payload>, source: Source): Promise<SourceEnd> {
   const { stream, slot } = source;
+  const endpoint = slot.endpoint.name;
   const step = await relayEvents(run, source);
   // Two attempts of one request must not run at the same time.
   await stream.close();
-  const end = await judgeEnd(run, step, slot);
-  if (end === 'complete') run.host.closeTrust.remove(slot.endpoint.name);
-  slot.release(toSlotResult(run, end));
+  const end = await judgeEnd(run, slot, step);
+  // An end in order is no failure of the endpoint, even if the answer is not complete.
+  slot.release(step.kind !== 'broken' || run.stop.signal.aborted ? 'ok' : 'failed');
   run.host.metrics.streamEnds.add(1, { end, framing: run.framing ?? '' });
-  return end;
+  if (end === 'complete') run.host.endStatements.add(endpoint);
+  else run.excluded.add(endpoint);
+  return { end, endpoint };
 }
 
 type EndStep = Exclude<StreamStep, { kind: 'events' }>;
@@ -123,31 +110,13 @@
   });
 }
 
-async function judgeEnd<Payload>(run: Run<Payload>, step: EndStep, slot: Slot): Promise<StreamEnd> {
-  if (step.kind === 'broken') {
-    logBroken(run, step.message);
-    return 'broken';
-  }
-  const fault = await findEndFault(run, step, slot);
-  if (fault === undefined) return step.kind === 'end' ? 'complete' : 'closed';
+async function judgeEnd<Payload>(run: Run<Payload>, slot: Slot, step: EndStep): Promise<StreamEnd> {
+  const fault = step.kind === 'broken' ? step.message : await findEndFault(run, slot, step);
+  if (fault === undefined) return step.kind;
   logBroken(run, fault);
   return 'broken';
 }
 
-// Returns why an end in order is not the end of the answer, if something shows that.
-async function findEndFault<Payload>(
-  run: Run<Payload>,
-  { kind }: EndStep,
-  slot: Slot,
-): Promise<string | undefined> {
-  if (getTimeLeft(run) <= ENDPOINT_STOP_TOLERANCE_MS) return 'ended at its time limit';
-  return kind === 'closed' && (await hasStopped(run, slot)) ? ENDPOINT_STOPPED : undefined;
-}
-
-function toSlotResult<Payload>(run: Run<Payload>, end: StreamEnd): SlotResult {
-  return end !== 'broken' || run.stop.signal.aborted ? 'ok' : 'failed';
-}
-
 function logBroken<Payload>(
   { host, request, endpoint, framing, events }: Run<Payload>,
   message: string,
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds, Outcome, ResponseFraming, Tokens } from '@pomeloroad/core';
 import type { PromptPart } from '@pomeloroad/routing';
+import type { AnswerEnd } from './answerEnd';
 
 /**
  * Retry class of a route. A streaming request may be retried only if its route is marked as
@@ -126,9 +127,9 @@
 export type StreamStep =
   | { kind: 'events'; data: Buffer; count: number; lastId: string | undefined }
   /** The endpoint has stated that the answer is complete. */
-  | { kind: 'end' }
+  | ({ kind: 'complete' } & AnswerEnd)
   /** The connection was closed in order, which does not tell whether the answer is complete. */
-  | { kind: 'closed' }
+  | ({ kind: 'closed' } & AnswerEnd)
   | { kind: 'broken'; message: string };
 
 /** The events of one answer, read one step at a time. */
@@ -140,7 +141,7 @@
 
 /** A validated answer of an endpoint. */
 export type Reply =
-  | { kind: 'whole'; head: ReplyHead; body: Buffer }
+  | { kind: 'whole'; head: ReplyHead; body: Buffer; end: AnswerEnd }
   | { kind: 'stream'; head: ReplyHead; stream: EventStream };
 
 /** Why an attempt got no answer. */
--- /dev/null
+++ b/packages/forwarding/test/answerEnd.test.ts
@@ -0,0 +1,69 @@
+import { createManualClock } from '@pomeloroad/core';
+import type { ResponseFraming } from '@pomeloroad/core';
+import type { Slot } from '@pomeloroad/routing';
+import { findEndFault } from '../src/answerEnd';
+import type { Run } from '../src/run';
+import type { EndpointRecord, Reachability } from '../src';
+
+const DEADLINE_MS = 1000;
+
+interface Endpoint {
+  reachability?: Reachability;
+  isLeaving?: boolean;
+  isListed?: boolean;
+}
+
+// Judges an end that arrived `timeLeft` ms before the deadline; returns the fault and slot results.
+async function judge(framing: ResponseFraming, timeLeft: number, endpoint: Endpoint = {}) {
+  const { reachability = 'accepting', isLeaving = false, isListed = true } = endpoint;
+  const clock = createManualClock();
+  const at = DEADLINE_MS - timeLeft;
+  await clock.advance(at);
+  const released: string[] = [];
+  const slot = {
+    endpoint: { name: 'e/1' },
+    isLeaving: () => isLeaving,
+    release: (result: string) => released.push(result),
+  } as unknown as Slot;
+  const run = {
+    request: { deadline: DEADLINE_MS },
+    stop: new AbortController(),
+    host: {
+      clock,
+      directory: { find: () => (isListed ? ({ id: 'e' } as EndpointRecord) : undefined) },
+      protocol: { probe: async () => reachability },
+    },
+  } as unknown as Run<unknown>;
+  let fault: string | undefined = 'not judged';
+  const judged = findEndFault(run, slot, { framing, at }).then((found) => {
+    fault = found;
+  });
+  await clock.advance(DEADLINE_MS);
+  await judged;
+  return { fault, released };
+}
+
+test.each<[ResponseFraming, number, boolean]>([
+  ['chunked', 3, false],
+  ['chunked', 2, true],
+  ['chunked', 0, true],
+  ['close', 3, false],
+  ['close', 2, true],
+  ['length', 0, false],
+  ['no body', 0, false],
+])('an answer ended by %s with %i ms left is broken: %s', async (framing, timeLeft, isBroken) => {
+  const { fault } = await judge(framing, timeLeft);
+  expect(fault !== undefined).toBe(isBroken);
+});
+
+test.each<[Endpoint, boolean]>([
+  [{ reachability: 'refused' }, true],
+  [{ reachability: 'refused', isLeaving: true }, false],
+  [{ reachability: 'refused', isListed: false }, false],
+  [{ reachability: 'unknown' }, false],
+  [{ reachability: 'accepting' }, false],
+])('a close by an endpoint breaks its answer: %j %s', async (endpoint, isBroken) => {
+  const { fault, released } = await judge('close', 500, endpoint);
+  expect(fault !== undefined).toBe(isBroken);
+  expect(released).toEqual(['ok']);
+});
