Take an object for stored or read only if the object store says so

What operators could see: usage that was charged to no record. A segment that the object store had refused (403, 413) counted as stored, the grant's row then covered its records, and they were lost. The body of an error was read as the object, and a refused announcement counted as made.

Cause: an answer's end was taken for success. Only a 5xx status was a failure; `put` and `announce` ignored all others, and `get` returned the body of every status but 404.

Evidence: httpPlatform.test.ts of storage. On the old code 5 of its 9 tests failed: `put` with 403 and with 413, `get` with 403, `announce` with 400 and with 403 were successes.

`put`, `get` and `announce` now need a 2xx status; a 404 of `get` still says that there is no such object. `withdraw` is not changed, since a member that is not listed needs no withdrawal. Run: tests of storage and configuration, entry's instance test.

--- a/packages/storage/src/httpPlatform.ts
+++ b/packages/storage/src/httpPlatform.ts
@@ -12,6 +12,10 @@
 /** Shorter than the idle time after which middleboxes drop a connection. */
 const IDLE_SOCKET_TIMEOUT_MS = 4000;
 
+const STATUS_OK = 200;
+const STATUS_MULTIPLE_CHOICES = 300;
+const STATUS_NOT_FOUND = 404;
+
 /** Base URLs of the platform's services, and settings of the connections to them. */
 export interface PlatformOptions {
   tableUrl: string;
@@ -158,11 +162,12 @@
   return {
     async put(name, body) {
       const answer = await send('PUT', `/v1/objects/${encodeURIComponent(name)}`, body);
-      return answer.map(() => undefined);
+      return answer.andThen(requireSuccess).map(() => undefined);
     },
     async get(name) {
       const answer = await send('GET', `/v1/objects/${encodeURIComponent(name)}`);
-      return answer.map((value) => (value.status === 404 ? undefined : value.body.toString()));
+      if (answer.ok && answer.val.status === STATUS_NOT_FOUND) return Ok(undefined);
+      return answer.andThen(requireSuccess).map((value) => value.body.toString());
     },
     async list(prefix) {
       const answer = await send('GET', `/v1/objects?prefix=${encodeURIComponent(prefix)}`);
@@ -180,7 +185,7 @@
     async announce(member) {
       const path = `/v1/members/${encodeURIComponent(member.name)}`;
       const answer = await send('PUT', path, JSON.stringify(member));
-      return answer.map(() => undefined);
+      return answer.andThen(requireSuccess).map(() => undefined);
     },
     async withdraw(member) {
       const path = `/v1/members/${encodeURIComponent(member.name)}?incarnation=${member.incarnation}`;
@@ -190,6 +195,12 @@
   };
 }
 
+function requireSuccess(answer: HttpAnswer): Outcome<HttpAnswer, HttpFailure> {
+  const { status } = answer;
+  if (status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES) return Ok(answer);
+  return Err({ kind: 'unavailable', ran: 'unknown', message: `status ${status}` });
+}
+
 function parse<T>(schema: z.ZodType<T>, answer: HttpAnswer): Outcome<T, HttpFailure> {
   try {
     return Ok(schema.parse(JSON.parse(answer.body.toString())));
--- a/packages/storage/test/httpPlatform.test.ts
+++ b/packages/storage/test/httpPlatform.test.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import { createSystemClock, listen } from '@pomeloroad/core';
 import { createHttpPlatform } from '../src';
-import type { Platform } from '../src';
+import type { Member, Platform } from '../src';
 
 let server: http.Server | undefined;
 
@@ -33,3 +33,42 @@
   const outcome = await table.commit({ checks: [], writes: [] });
   expect(outcome.val).toMatchObject({ kind: 'unknown' });
 });
+
+const answerWith = (status: number, text: string) => (response: ServerResponse) => {
+  response.writeHead(status, { 'content-length': text.length });
+  response.end(text);
+};
+
+test.each([403, 413])('an object that was refused with status %i is not stored', async (status) => {
+  const { objects } = await setUp(answerWith(status, '{}'));
+  expect((await objects.put('usage/a', 'text')).val).toMatchObject({ kind: 'unavailable' });
+});
+
+test('the body of an error is not an object', async () => {
+  const { objects } = await setUp(answerWith(403, 'denied'));
+  expect((await objects.get('usage/a')).err).toBe(true);
+});
+
+test.each([
+  ['whole', 200, 'text'],
+  ['missing', 404, undefined],
+])('an object is known to be %s', async (_name, status, text) => {
+  const { objects } = await setUp(answerWith(status, 'text'));
+  expect((await objects.get('a')).unwrap()).toBe(text);
+});
+
+test.each([400, 403])(
+  'a member that was refused with status %i is not announced',
+  async (status) => {
+    const { membership } = await setUp(answerWith(status, '{}'));
+    const member: Member = {
+      name: 'a',
+      role: 'instance',
+      dataCentre: 'kent',
+      address: '127.0.0.1:1',
+      incarnation: 'i',
+      state: 'live',
+    };
+    expect((await membership.announce(member)).err).toBe(true);
+  },
+);
