Read a listed usage segment that is missing at first again

What callers could see: a named request that ran on both sides of a partition stays charged twice.

Cause: an absence was taken for an end. A segment that the object store lists but does not find yet was counted as read and empty, and never read again, so its provisional runs were not credited back.

Evidence: reconciler.test.ts: the segment is listed, not found at the first poll, found at the second. On the old code nothing was credited (expected ["r"], received []); the other test, of a segment that could not be read, passed there too. The segment is now read until it is found. Run: entry's reconciler test.

--- a/packages/entry/src/reconciler.ts
+++ b/packages/entry/src/reconciler.ts
@@ -59,9 +59,10 @@
 
   async function readSegment(name: string): Promise<void> {
     const segment = await objects.get(name);
-    if (segment.err) return;
+    // A listed segment that is not found yet may still be found later.
+    if (segment.err || segment.val === undefined) return;
     processedSegments.add(name);
-    const records = parseUsageSegment(segment.val ?? '').filter((record) => record.isProvisional);
+    const records = parseUsageSegment(segment.val).filter((record) => record.isProvisional);
     undecided.push(...records.filter((record) => record.key !== undefined));
   }
 
