Keep a draining instance until what it witnessed of lost holders is taken over

Cause: an instance that shut down while it was the witness of a killed holder took the holder's log with it. A successor takes a grant over only once the holder is replaced or silent for 10 s, and looks every 5 s, so a drain is usually faster. That the log was there is inferred: the grants' rows do not show their witness in the log of events.

Fix: after its requests have ended, a draining instance waits up to 30 s while open grants name it as their witness and their holder is out of reach.

--- a/packages/budgets/src/keepers.ts
+++ b/packages/budgets/src/keepers.ts
@@ -6,7 +6,7 @@
 import { createGrant, createKeeper } from './keeper';
 import type { Keeper, KeeperStatus, RecallSummary } from './keeperTypes';
 import { createLedger } from './ledger';
-import { getGrantPrefix, LedgerPrefix, parseGrant } from './rows';
+import { getGrantKey, getGrantPrefix, LedgerPrefix, parseGrant } from './rows';
 import { settleKeepers } from './settlement';
 import type { GrantPolicy } from './sizing';
 import { BudgetTopics } from './topics';
@@ -71,6 +71,11 @@
   adoptLost(): Promise<void>;
   /** Stops accepting reservations and closes unused grants; returns whether no grant is left. */
   close(): Promise<boolean>;
+  /**
+   * Returns how many open grants name this instance as their witness and have a holder that is out
+   * of reach. Without the witness's log, a lost holder's whole grant is charged.
+   */
+  countOrphanedLogs(): Promise<number>;
   /** Returns the state of each keeper for the state dump. */
   describe(): KeeperStatus[];
   /** Returns how many grants of peers this instance witnesses, and how many of them are sealed. */
@@ -151,7 +156,8 @@
   }
 
   async function recall(budget: string, grants: string[], tokens: Tokens): Promise<RecallSummary> {
-    const holders = [...new Set(grants.map(getGrantHolder))].filter((h) => h !== self.instance);
+    const names = grants.map((grant) => getGrantHolder(grant).instance);
+    const holders = [...new Set(names)].filter((holder) => holder !== self.instance);
     const replies = await Promise.all(
       holders.map((holder) =>
         network.call(holder, BudgetTopics.recall, { budget, tokens }, RECALL_TIMEOUT_MS),
@@ -212,6 +218,10 @@
     await Promise.all(confirmations);
   }
 
+  function isWitnessed(row: Row): boolean {
+    return parseGrant(row).witness?.incarnation === self.incarnation;
+  }
+
   async function trimKeeper(budget: string, keeper: Keeper): Promise<void> {
     const owner = getOwner(budget, host.getLocalInstances());
     if (owner === undefined || owner === self.instance) {
@@ -251,6 +261,16 @@
       const closed = await Promise.all(listKeepers().map((keeper) => keeper.close()));
       return closed.every((isClosed) => isClosed);
     },
+    async countOrphanedLogs() {
+      const grants = witness
+        .listOpenGrants()
+        .filter((grant) => !witnesses.isReachable(getGrantHolder(grant)));
+      if (grants.length === 0) return 0;
+      // The holder may have closed the grant or named another witness without reaching this one.
+      const rows = await table.read(grants.map(getGrantKey));
+      if (rows.err) return grants.length;
+      return rows.val.filter(isWitnessed).length;
+    },
     describe: () => listKeepers().map((keeper) => keeper.describe()),
     describeWitness: witness.describe,
   };
@@ -306,7 +326,8 @@
 
 const NO_USAGE: Usage = { promptTokens: 0, completionTokens: 0 };
 
-// Returns the name of the instance that opened the grant, which is a part of its identifier.
-function getGrantHolder(id: string): string {
-  return id.split('/')[1] ?? '';
+// Returns the instance that opened the grant, which is a part of its identifier.
+function getGrantHolder(id: string): Identity {
+  const [dataCentre = '', instance = '', incarnation = ''] = id.split('/');
+  return { instance, dataCentre, incarnation };
 }
--- a/packages/budgets/src/witness.ts
+++ b/packages/budgets/src/witness.ts
@@ -12,6 +12,8 @@
 export interface Witness {
   /** Returns the number of witnessed grants, and how many of them are sealed. */
   describe(): { grants: number; sealed: number };
+  /** Returns the identifiers of the grants whose logs no successor has sealed. */
+  listOpenGrants(): string[];
 }
 
 interface WitnessedGrant {
@@ -78,5 +80,6 @@
       grants: grants.size,
       sealed: [...grants.values()].filter((grant) => grant.isSealed).length,
     }),
+    listOpenGrants: () => [...grants.keys()].filter((grant) => findOpenGrant(grant) !== undefined),
   };
 }
--- a/packages/budgets/test/keepers.test.ts
+++ b/packages/budgets/test/keepers.test.ts
@@ -279,3 +279,23 @@
   await a.keepers.settle();
   expect((await all.audit()).records).toEqual([bill]);
 });
+
+test('the log of a lost holder counts as orphaned until a successor has sealed it', async () => {
+  const all = setUp(['a', 'b']);
+  const { b, holder } = await createTwoReservations(all);
+  expect(await b.keepers.countOrphanedLogs()).toBe(0);
+  all.fleet.cut.add(holder);
+  all.lost.add(holder);
+  expect(await b.keepers.countOrphanedLogs()).toBe(1);
+  await b.keepers.adoptLost();
+  expect(await b.keepers.countOrphanedLogs()).toBe(0);
+});
+
+test('the log of a grant that names another witness does not count as orphaned', async () => {
+  const all = setUp(['a', 'b']);
+  const { a, b, open, witness } = await createTwoReservations(all);
+  all.fleet.cut.add(witness);
+  await open.place(placement);
+  expect(await b.keepers.countOrphanedLogs()).toBe(0);
+  expect(await a.keepers.countOrphanedLogs()).toBe(0);
+});
--- a/packages/entry/src/drain.ts
+++ b/packages/entry/src/drain.ts
@@ -12,6 +12,10 @@
 
 /** Interval between checks for open requests and unclosed grants. */
 const POLL_INTERVAL_MS = 100;
+/** Interval between checks for grants of lost instances, each of which reads their rows. */
+const ADOPTION_POLL_INTERVAL_MS = 500;
+/** Longer than a successor takes to notice that a holder is lost and to take over its grants. */
+const ADOPTION_TIMEOUT_MS = 30_000;
 
 /** Parts and settings of an instance that a drain uses. */
 export interface DrainHost {
@@ -32,8 +36,8 @@
 }
 
 /**
- * Shuts the instance down: announces that it is leaving, finishes its open requests, closes its
- * grants, hands over its finished answers and stops its servers. Resolves to `false` if requests or
+ * Shuts the instance down: announces that it is leaving, finishes its open requests, waits until
+ * a successor has read what it witnessed of lost instances, closes its grants, hands over its finished answers and stops its servers. Resolves to `false` if requests or
  * grants were still open when the drain timeout had passed.
  */
 export async function drainInstance(host: DrainHost): Promise<boolean> {
@@ -45,6 +49,7 @@
   await sleep(clock, settings.drainNotice);
   const callersClosed = callers.close();
   while (!isIdle(host) && clock.elapsed() < deadline) await sleep(clock, POLL_INTERVAL_MS);
+  await waitForAdoption(host, deadline);
   const isClosed = await closeGrants(host, deadline);
   await handOverAnswers(host);
   const isClean = isClosed && isIdle(host);
@@ -60,6 +65,14 @@
   return callers.open() === 0 && runner.running() === 0 && budgets.countPendingSettlements() === 0;
 }
 
+// What this instance witnessed of a lost holder is gone with it, so a successor must have read it.
+async function waitForAdoption({ clock, keepers }: DrainHost, deadline: Milliseconds) {
+  const until = Math.min(deadline, clock.elapsed() + ADOPTION_TIMEOUT_MS);
+  while ((await keepers.countOrphanedLogs()) > 0 && clock.elapsed() < until) {
+    await sleep(clock, ADOPTION_POLL_INTERVAL_MS);
+  }
+}
+
 // Tries at least once, even after the deadline. Settles first, because only settled grants close.
 async function closeGrants(
   { clock, keepers }: DrainHost,
