--- a/packages/budgets/test/keepers.test.ts
+++ b/packages/budgets/test/keepers.test.ts
@@ -299,3 +299,29 @@
   expect(await b.keepers.countOrphanedLogs()).toBe(0);
   expect(await a.keepers.countOrphanedLogs()).toBe(0);
 });
+
+test('a run is billed once though the reply to an earlier reservation was lost', async () => {
+  const all = setUp(['a', 'b']);
+  const [first = '', second = ''] = rankNodes(BUDGET, ['a', 'b']);
+  await all.ledger.topUp(BUDGET, 'one', 1000);
+  const a = all.join(first, 'kent');
+  const b = all.join(second, 'kent');
+  const owner = { instance: second, incarnation: `${second}-1`, dataCentre: 'kent' };
+  const caller = all.fleet.join('c', 'kent');
+  const request = { id: 'lost', budget: BUDGET, tokens: 100, patience: 0, owner, draft, placement };
+  // The keeper notes this reservation, but the owner does not learn of it and asks the next keeper.
+  await caller.call(first, BudgetTopics.reserve, request, 100);
+  all.fleet.silent.add(first);
+  const held = (await b.client.reserve(draft, 100, 1000, placement)).unwrap();
+  held.settle(record(7));
+  await all.clock.advance(10);
+  await b.keepers.settle();
+  all.fleet.silent.clear();
+  all.lost.add(second);
+  await all.clock.advance(6000);
+  await a.keepers.reap();
+  await a.keepers.settle();
+  const { accounts, faults } = await all.audit();
+  expect(faults).toEqual([]);
+  expect(accounts[0]).toMatchObject({ billed: 7 });
+});
