Storage: an answer to a transaction names the store's era as well as the version

A transaction resolved to a bare number, so its caller could not tell that the store had come back from an older copy and given the number out again. It now resolves to one typed store version (era, revision), and a conflict names the era of its rows.

--- a/packages/budgets/src/escrowLease.ts
+++ b/packages/budgets/src/escrowLease.ts
@@ -165,7 +165,7 @@
       removals: [],
     });
     if (written.ok) {
-      version = written.val;
+      version = written.val.revision;
       isRenewalPending = false;
       return true;
     }
--- a/packages/budgets/src/escrowReclaim.ts
+++ b/packages/budgets/src/escrowReclaim.ts
@@ -1,6 +1,6 @@
 import { Diagnostics, sleep } from '@pomeloroad/core';
 import type { Milliseconds, Outcome } from '@pomeloroad/core';
-import type { FetchError, TransactError, VersionedRow } from '@pomeloroad/storage';
+import type { FetchError, StoreVersion, TransactError, VersionedRow } from '@pomeloroad/storage';
 import type { Predecessor } from './escrowLease';
 import {
   findRow,
@@ -18,7 +18,7 @@
 const RETRY_INTERVAL_MS: Milliseconds = 150;
 
 /** Holds the new rows' version; `undefined` if there was nothing to return. */
-type ReclaimResult = Outcome<number, TransactError | FetchError> | undefined;
+type ReclaimResult = Outcome<StoreVersion, TransactError | FetchError> | undefined;
 
 /**
  * Returns to the budget the tokens that an earlier run of the instance cannot have spent, by the
@@ -71,7 +71,7 @@
       account,
       predecessor: incarnation,
       tokens: unspent,
-      version: written.val,
+      version: written.val.revision,
     });
   }
   return written;
--- a/packages/budgets/src/escrowTransactions.ts
+++ b/packages/budgets/src/escrowTransactions.ts
@@ -91,11 +91,12 @@
     });
     if (outcome.err) return handleError(outcome.val, isRepeat);
     // The feed may have delivered a later change meanwhile.
-    if (outcome.val >= total.version) {
-      total = { allocated, calls, version: outcome.val };
+    const { revision } = outcome.val;
+    if (revision >= total.version) {
+      total = { allocated, calls, version: revision };
       totalReadAt = clock.elapsed();
     }
-    applyGrant({ held, ceiling, version: outcome.val });
+    applyGrant({ held, ceiling, version: revision });
     return { kind: 'changed' };
   }
 
--- a/packages/forwarding/test/follow.test.ts
+++ b/packages/forwarding/test/follow.test.ts
@@ -35,7 +35,7 @@
     { changes: [row(4, 'newer')], version: 4, era: 2 },
   ];
   const { seen, stop } = follow(clock, {
-    transact: async () => Ok(0),
+    transact: async () => Ok({ era: 1, revision: 0 }),
     list: async () => Ok({ rows: [row(3, 'listed')], version: 3, era: 2, now: 0 }),
     follow: async () => Ok(answers.shift() ?? { changes: [], version: 4, era: 2 }),
   });
@@ -74,7 +74,7 @@
   let era = 1;
   let answer: ((view: ChangeView) => void) | undefined;
   const { seen, refresh, stop } = follow(clock, {
-    transact: async () => Ok(0),
+    transact: async () => Ok({ era: 1, revision: 0 }),
     list: async () => Ok({ rows: [row(3, `listed in ${era}`)], version: 3, era, now: 0 }),
     follow: (_table, after) =>
       new Promise((resolve) => {
--- a/packages/storage/src/memoryRowStore.ts
+++ b/packages/storage/src/memoryRowStore.ts
@@ -33,7 +33,7 @@
     async transact({ checks, puts, removals }) {
       if (!checks.every(hasVersion)) {
         const found = checks.map((check) => rows.get(encodeKey(check)));
-        return Err({ kind: 'conflict', rows: found.filter((row) => row !== undefined) });
+        return Err({ kind: 'conflict', era, rows: found.filter((row) => row !== undefined) });
       }
       version += 1;
       puts.forEach((put) => rows.set(encodeKey(put), { ...put, version }));
@@ -41,7 +41,7 @@
         rows.delete(encodeKey(row));
         removed.set(encodeKey(row), { ...row, version });
       });
-      return Ok(version);
+      return Ok({ era, revision: version });
     },
     async list(table, partition) {
       const found = [...rows.values()].filter(
--- a/packages/storage/src/rowStore.ts
+++ b/packages/storage/src/rowStore.ts
@@ -6,6 +6,13 @@
  */
 export type StoreEra = number;
 
+/** A version of the store. Two of them are comparable only if they are of the same era. */
+export interface StoreVersion {
+  era: StoreEra;
+  /** Value of the counter that each transaction of the era increments. */
+  revision: number;
+}
+
 /** Identifies a row. Rows of one partition can change together in one transaction. */
 export interface RowKey {
   table: string;
@@ -39,8 +46,8 @@
 
 /** Why a transaction did not commit. `unknown`: it may have taken effect, or still may. */
 export type TransactError =
-  /** A check failed; `rows` are the current checked rows that exist. */
-  | { kind: 'conflict'; rows: VersionedRow[] }
+  /** A check failed; `rows` are the current checked rows that exist, with versions of this era. */
+  | { kind: 'conflict'; era: StoreEra; rows: VersionedRow[] }
   /** The transaction was not applied. */
   | { kind: 'unavailable'; message: string }
   | { kind: 'unknown'; message: string };
@@ -69,7 +76,7 @@
 /** A row store with transactions and a change feed. Its calls never throw. */
 export interface RowStore {
   /** Commits the transaction; resolves to the version of the written rows. */
-  transact(transaction: RowTransaction): Promise<Outcome<number, TransactError>>;
+  transact(transaction: RowTransaction): Promise<Outcome<StoreVersion, TransactError>>;
   /** Reads every row of a partition. */
   list(table: string, partition: string): Promise<Outcome<RowView, FetchError>>;
   /** Reads the changes of a table after a version; waits up to `wait` for the first one. */
