--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -1,20 +1,18 @@
 import { Err, Ok } from 'ts-results';
+import { match } from 'ts-pattern';
 import { Diagnostics, sleep } from '@pomeloroad/core';
 import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
-import type { RowCheck, TransactError, VersionedRow } from '@pomeloroad/storage';
-import {
-  findRow,
-  getGrantKey,
-  getSpendable,
-  getTotalKey,
-  parseGrant,
-  parseTotal,
-} from './escrowRows';
-import type { Grant } from './escrowRows';
+import type { StoreEra, VersionedRow } from '@pomeloroad/storage';
+import { LIMIT_REWRITE_MAX_MS } from './escrowRestoration';
+import type { Ancestry } from './escrowRestoration';
+import { getSpendable } from './escrowRows';
+import type { BudgetTotal, Grant } from './escrowRows';
 import type { EscrowError, EscrowHost, EscrowReservation, EscrowState } from './escrowTypes';
 import { createEscrowQueue } from './escrowQueue';
 import { getGrantTarget } from './escrowSizing';
 import type { GrantTarget } from './escrowSizing';
+import { createEscrowTransactions } from './escrowTransactions';
+import type { EscrowOutcome, StoreFailure } from './escrowTransactions';
 import { createRateMeter } from './rate';
 
 /** Time constant of the smoothed rate at which tokens are reserved. */
@@ -26,6 +24,9 @@
 /** Shortest interval between two calls on the other instances to return tokens. */
 const RETURN_CALL_INTERVAL_MS = 1000;
 
+/** Interval for each instance over which the calls that put back grants are spread. */
+const RESTORE_SPREAD_PER_INSTANCE_MS: Milliseconds = 16;
+
 /** First back-off after the store refused a call; doubled with each further refusal in a row. */
 const BACKOFF_MIN_MS = 60;
 /** Longest back-off after a refused call. */
@@ -55,6 +56,10 @@
   setLimit(limit: Tokens): void;
   /** Applies a change of the budget's row from the store's feed. */
   applyTotal(row: VersionedRow): void;
+  /** Follows the store into a new era, in which it has come back from an older copy. */
+  startEra(era: StoreEra): void;
+  /** Sets what is known of the grants of earlier processes of this machine. */
+  setAncestry(ancestry: Ancestry): void;
   /** Starts to resize the grant to what the rate of use calls for. */
   rebalance(): void;
   /** Returns all tokens that are not in use and holds no spare ones from now on. */
@@ -67,33 +72,28 @@
   describe(): EscrowState;
 }
 
-/** A change of the grant that is to be written, or whose outcome is not known yet. */
-interface GrantChange extends Grant {
-  /** Whether the change also calls on the other instances to return tokens. */
-  isReturnCall: boolean;
-  checks: RowCheck[];
-}
-
 /** Creates the escrow of an account; it holds no tokens at first. */
 export function createEscrowAccount(host: EscrowHost, account: string): EscrowAccount {
-  const { clock, log, rows } = host;
-  const totalKey = getTotalKey(account);
-  const grantKey = getGrantKey(account, host.incarnation);
+  const { clock, log } = host;
   const rate = createRateMeter(clock, RATE_TIME_CONSTANT_MS);
   let limit: Tokens = 0;
-  let total = { allocated: 0, calls: 0, version: 0 };
-  let totalReadAt: Milliseconds = -Infinity;
-  let grant = { held: 0, ceiling: 0, version: 0 };
+  let ancestry: Ancestry = { kind: 'pending' };
   /** Tokens spent or reserved. */
   let used: Tokens = 0;
   const queue = createEscrowQueue({ clock, getFreeTokens, openReservation, getWaitError });
-  let pendingChange: GrantChange | undefined;
+  const transactions = createEscrowTransactions({
+    escrow: host,
+    account,
+    getUse: () => ({ used, limit }),
+    getAncestry: () => ancestry,
+    onTotal: handleTotal,
+  });
+  const { getTotal, getGrant, getPendingChange } = transactions;
   let noSpareUntil: Milliseconds = -Infinity;
   let returnCalledAt: Milliseconds = -Infinity;
   let isRetired = false;
   /** Transactions left for the current rebalance. */
   let transactionsLeft = 0;
-  let hasConflicted = false;
   let consecutiveRefusals = 0;
   let isRunRequested = false;
   let activeRun: Promise<void> | undefined;
@@ -134,8 +134,9 @@
 
   // Time until the reserve covers the request as well, if nothing else changes.
   function getReserveDelay(tokens: Tokens): Milliseconds {
-    const missing = used + tokens - grant.ceiling;
-    const reserveTokens = grant.held - grant.ceiling;
+    const { held, ceiling } = getGrant();
+    const missing = used + tokens - ceiling;
+    const reserveTokens = held - ceiling;
     if (missing > reserveTokens) return Infinity;
     return Math.max(RESERVE_MIN_WAIT_MS, host.getReserveDelay(missing / reserveTokens));
   }
@@ -156,7 +157,10 @@
 
   function getWaitError(tokens: Tokens, since: Milliseconds): EscrowError {
     const isCovered = tokens <= getFreeTokens() + getUnallocated();
-    return totalReadAt >= since && !isCovered ? { kind: 'exhausted' } : UNREACHABLE_ERROR;
+    if (!transactions.canGrant()) return UNREACHABLE_ERROR;
+    return transactions.getTotalReadAt() >= since && !isCovered
+      ? { kind: 'exhausted' }
+      : UNREACHABLE_ERROR;
   }
 
   function retire(): void {
@@ -187,43 +191,75 @@
 
   // Returns whether there may be another step to run at once.
   async function runStep(): Promise<boolean> {
-    if (pendingChange) return commit(pendingChange);
+    if (!transactions.isRestored()) return restore();
+    const pending = getPendingChange();
+    if (pending) return handleOutcome(await transactions.repeat(pending));
     if (queue.count() > 0) return fetchForQueue();
     return transactionsLeft > 0 && resizeGrant();
   }
 
+  async function restore(): Promise<boolean> {
+    if (host.isStoreUnresponsive() || ancestry.kind === 'pending') return false;
+    // The limit counts if nothing is known of the earlier processes, so it must not be an old one.
+    const delay = ancestry.kind === 'unknown' ? LIMIT_REWRITE_MAX_MS - clock.elapsed() : 0;
+    if (delay > 0) {
+      clock.after(delay, requestRun);
+      return false;
+    }
+    return handleOutcome(await transactions.restore());
+  }
+
+  // All instances put back their grants in the same row after a rewind, so the calls are spread.
+  function scheduleRestore(): void {
+    const spread = host.countInstances() * RESTORE_SPREAD_PER_INSTANCE_MS;
+    clock.after(host.random.fraction() * spread, requestRun);
+  }
+
   // Changes the grant once for each rebalance, because the tokens that one change returns raise the
   // target of the next.
   async function resizeGrant(): Promise<boolean> {
     const left = transactionsLeft - 1;
     transactionsLeft = 0;
-    if (host.isStoreUnresponsive() || !needsResize(getTarget())) return false;
-    const hasMore = await commit(createChange(planGrant(0), false));
+    if (host.isStoreUnresponsive() || isHeldBack() || !needsResize(getTarget())) return false;
+    const outcome = await transactions.change(planGrant(0), false);
     // Other instances changed the budget first: try again with its present row.
-    if (hasMore && hasConflicted) transactionsLeft = Math.max(transactionsLeft, left);
-    return hasMore;
+    if (outcome.kind === 'conflict') transactionsLeft = Math.max(transactionsLeft, left);
+    return handleOutcome(outcome);
   }
 
   async function fetchForQueue(): Promise<boolean> {
     const needed = queue.sumTokens();
-    const available = grant.held + getUnallocated() - used;
-    if (needed <= available) return commit(createChange(planGrant(needed), false));
-    if (clock.elapsed() - totalReadAt > TOTAL_MAX_AGE_MS) return refreshTotal();
-    if (queue.getSmallest() <= available)
-      return commit(createChange(planGrant(queue.getSmallest()), false));
-    if (clock.elapsed() - returnCalledAt < RETURN_CALL_INTERVAL_MS) return false;
+    const available = getGrant().held + getUnallocated() - used;
+    if (needed <= available) return resizeFor(needed);
+    if (clock.elapsed() - transactions.getTotalReadAt() > TOTAL_MAX_AGE_MS)
+      return handleOutcome(await transactions.refreshTotal());
+    if (queue.getSmallest() <= available) return resizeFor(queue.getSmallest());
+    if (hasCalledRecently() || isHeldBack()) return false;
     returnCalledAt = clock.elapsed();
-    return commit(createChange(grant, true));
+    return handleOutcome(await transactions.change(getGrant(), true));
+  }
+
+  async function resizeFor(needed: Tokens): Promise<boolean> {
+    return handleOutcome(await transactions.change(planGrant(needed), false));
   }
 
   // Tokens that may be reserved now. A pending change counts only if it lowers this number.
   function getFreeTokens(): Tokens {
     const share = host.getReserveShare();
-    return Math.min(getSpendable(grant, share), getSpendable(pendingChange ?? grant, share)) - used;
+    const grant = getGrant();
+    const pending = getPendingChange() ?? grant;
+    return Math.min(getSpendable(grant, share), getSpendable(pending, share)) - used;
+  }
+
+  // Until all instances have put back their grants after a rewind of the store, an instance keeps
+  // what it holds, since it would not get it again.
+  function isHeldBack(): boolean {
+    return !isRetired && !transactions.canGrant();
   }
 
   function getUnallocated(): Tokens {
-    return Math.max(0, limit - total.allocated);
+    if (!transactions.canGrant()) return 0;
+    return Math.max(0, limit - getTotal().allocated);
   }
 
   function getTarget(): GrantTarget {
@@ -235,98 +271,45 @@
 
   // Hysteresis: small differences from the target are not worth a transaction.
   function needsResize({ spare, reserve: reserveTokens }: GrantTarget): boolean {
-    return (
-      isOutOfRange(grant.ceiling - used, spare) ||
-      isOutOfRange(grant.held - grant.ceiling, reserveTokens)
-    );
+    const { held, ceiling } = getGrant();
+    return isOutOfRange(ceiling - used, spare) || isOutOfRange(held - ceiling, reserveTokens);
   }
 
   // A grant that covers the tokens needed and, as far as unallocated tokens allow, the targets.
   function planGrant(needed: Tokens): Grant {
+    if (isHeldBack()) {
+      const { held, ceiling } = getGrant();
+      return { held, ceiling: Math.min(held, Math.max(ceiling, used + needed)) };
+    }
     const { spare, reserve: reserveTokens } = getTarget();
     const least = used + needed;
     const held = Math.max(
       least,
-      Math.min(least + spare + reserveTokens, grant.held + getUnallocated()),
+      Math.min(least + spare + reserveTokens, getGrant().held + getUnallocated()),
     );
     return { held, ceiling: Math.min(held, least + spare) };
   }
 
-  function createChange({ held, ceiling }: Grant, isReturnCall: boolean): GrantChange {
-    const checks = [
-      { ...totalKey, version: total.version },
-      { ...grantKey, version: grant.version },
-    ];
-    return { held, ceiling, isReturnCall, checks };
-  }
-
-  async function commit(next: GrantChange): Promise<boolean> {
-    const isRepeat = pendingChange === next;
-    pendingChange = next;
-    hasConflicted = false;
-    const { held, ceiling } = next;
-    const allocated = total.allocated + held - grant.held;
-    const calls = total.calls + (next.isReturnCall ? 1 : 0);
-    const outcome = await rows.transact({
-      checks: next.checks,
-      puts: [
-        { ...totalKey, value: JSON.stringify({ allocated, calls }) },
-        { ...grantKey, value: JSON.stringify({ held, ceiling }) },
-      ],
-      removals: [],
-    });
-    if (outcome.err) return handleError(outcome.val, isRepeat);
-    consecutiveRefusals = 0;
-    // The feed may have delivered a later change meanwhile.
-    if (outcome.val >= total.version) {
-      total = { allocated, calls, version: outcome.val };
-      totalReadAt = clock.elapsed();
-    }
-    applyGrant({ held, ceiling, version: outcome.val });
-    return true;
-  }
-
-  function handleError(error: TransactError, isRepeat: boolean): boolean {
-    if (error.kind === 'conflict') {
-      consecutiveRefusals = 0;
-      applyConflict(error.rows);
-      return true;
-    }
-    // The first attempt was refused, so none is in flight and the change will not take effect.
-    if (error.kind === 'unavailable' && !isRepeat) pendingChange = undefined;
-    handleStoreFailure(error);
-    return false;
-  }
-
-  // After a conflict no earlier attempt can take effect: either it has already, or its checks fail.
-  function applyConflict(found: VersionedRow[]): void {
-    const totalRow = findRow(found, totalKey);
-    const grantRow = findRow(found, grantKey);
-    if (totalRow) updateTotal(totalRow);
-    totalReadAt = clock.elapsed();
-    const granted = grantRow && parseGrant(grantRow.value);
-    if (grantRow && granted && grantRow.version !== grant.version) {
-      applyGrant({ ...granted, version: grantRow.version });
-      return;
-    }
-    pendingChange = undefined;
-    hasConflicted = true;
-  }
-
-  function applyGrant(next: Grant & { version: number }): void {
-    log(Diagnostics.grantResized, {
-      account,
-      ...next,
-      before: grant.held,
-      used,
-      allocated: total.allocated,
-      limit,
-    });
-    grant = next;
-    pendingChange = undefined;
+  // Returns whether there may be another step to run at once.
+  function handleOutcome(outcome: EscrowOutcome): boolean {
+    return match(outcome)
+      .with({ kind: 'failed' }, ({ error }) => {
+        handleStoreFailure(error);
+        return false;
+      })
+      .with({ kind: 'refreshed' }, () => true)
+      .with({ kind: 'contended' }, () => {
+        scheduleRestore();
+        return false;
+      })
+      .with({ kind: 'changed' }, { kind: 'conflict' }, () => {
+        consecutiveRefusals = 0;
+        return true;
+      })
+      .exhaustive();
   }
 
-  function handleStoreFailure(error: { kind: string; message: string }): void {
+  function handleStoreFailure(error: StoreFailure): void {
     log(Diagnostics.budgetStoreFailed, { account, ...error, waiting: queue.count() });
     // A store that refused a call may accept the next one, but one without an answer is not waited
     // for.
@@ -340,29 +323,10 @@
     clock.after(backoff, requestRun);
   }
 
-  async function refreshTotal(): Promise<boolean> {
-    const listed = await rows.list(totalKey.table, account);
-    if (listed.err) {
-      handleStoreFailure({ message: '', ...listed.val });
-      return false;
-    }
-    totalReadAt = clock.elapsed();
-    const row = findRow(listed.val.rows, totalKey);
-    if (row) updateTotal(row);
-    return true;
-  }
-
-  function updateTotal(row: VersionedRow): void {
-    if (row.version <= total.version) return;
-    const parsed = parseTotal(row.value);
-    if (!parsed) {
-      log(Diagnostics.rowUnreadable, { table: row.table, key: row.key, version: row.version });
-      return;
-    }
-    if (parsed.calls > total.calls && total.version > 0 && !hasCalledRecently()) {
+  function handleTotal(next: BudgetTotal, known: BudgetTotal & { version: number }): void {
+    if (next.calls > known.calls && known.version > 0 && !hasCalledRecently()) {
       noSpareUntil = clock.elapsed() + NO_SPARE_MS;
     }
-    total = { ...parsed, version: row.version };
   }
 
   function hasCalledRecently(): boolean {
@@ -376,32 +340,43 @@
       if (queue.count() > 0) requestRun();
     },
     applyTotal(row) {
-      updateTotal(row);
+      transactions.updateTotal(row);
       if (clock.elapsed() < noSpareUntil) startRebalance();
       else if (queue.count() > 0) requestRun();
     },
+    startEra(era) {
+      transactions.startEra(era);
+      if (!transactions.isRestored()) scheduleRestore();
+    },
+    setAncestry(next) {
+      ancestry = next;
+      if (!transactions.isRestored()) requestRun();
+    },
     rebalance: startRebalance,
     retire,
     async release(timeout) {
       retire();
       const deadline = clock.elapsed() + timeout;
       await activeRun;
-      while (grant.held > used && clock.elapsed() < deadline) {
+      while (getGrant().held > used && clock.elapsed() < deadline) {
         await sleep(clock, BACKOFF_MIN_MS);
         startRebalance();
         await activeRun;
       }
     },
-    isUsageCovered: () => used <= Math.min(grant.ceiling, pendingChange?.ceiling ?? grant.ceiling),
+    isUsageCovered() {
+      const { ceiling } = getGrant();
+      return used <= Math.min(ceiling, getPendingChange()?.ceiling ?? ceiling);
+    },
     describe: () => ({
       account,
       limit,
-      allocated: total.allocated,
-      held: grant.held,
-      ceiling: grant.ceiling,
+      allocated: getTotal().allocated,
+      held: getGrant().held,
+      ceiling: getGrant().ceiling,
       used,
       waiting: queue.count(),
-      isUncertain: pendingChange !== undefined,
+      isUncertain: getPendingChange() !== undefined,
     }),
   };
 }
--- a/packages/standins/src/storeService.ts
+++ b/packages/standins/src/storeService.ts
@@ -186,7 +186,7 @@
       })),
       removals: wire.delete.map(decode),
     });
-    if (outcome.ok) return { status: 200, body: { ver: outcome.val, now_ms: getNow() } };
+    if (outcome.ok) return { status: 200, body: { ver: outcome.val.revision, now_ms: getNow() } };
     const rows = outcome.val.kind === 'conflict' ? outcome.val.rows.map(encode) : [];
     return { status: 412, body: { rows } };
   }
