Start the turns of rebalances at a random one

In a large fleet each budget is rebalanced by a sixth of the instances at a time, but all of them counted turns from their start. Machines that start together had the same turn, so 89 instances wrote to the same budget within 400 ms and conflicted. The test fails before: two of three rounds see no transaction.

--- a/packages/budgets/src/escrow.ts
+++ b/packages/budgets/src/escrow.ts
@@ -6,6 +6,8 @@
 
 /** Most instances that rebalance one budget at a time, since their writes conflict in its row. */
 const MAX_INSTANCES_PER_TURN = 16;
+/** Turns from which an instance draws its first, so that a fleet started at once spreads over them. */
+const FIRST_TURN_MAX = 1000;
 
 /**
  * Creates the escrow on the store's rows. A budget's row counts the tokens granted to all
@@ -15,7 +17,7 @@
 export function createEscrow(host: EscrowHost): Escrow {
   const accounts = new Map<string, EscrowAccount>();
   let limits: ReadonlyMap<string, Tokens> = new Map();
-  let turn = 0;
+  let turn = host.random.integer(0, FIRST_TURN_MAX);
 
   function getAccount(name: string): EscrowAccount {
     const known = accounts.get(name);
--- a/packages/budgets/test/escrow.test.ts
+++ b/packages/budgets/test/escrow.test.ts
@@ -236,3 +236,15 @@
   const renewals = 40 * (2400 / 250);
   expect(store.countCalls() - before - renewals).toBeLessThan(40 * 6);
 });
+
+test('instances of a large fleet that start together rebalance a budget by turns', async () => {
+  const { clock, store, escrows } = await setUp(40, 1_000_000);
+  const calls: number[] = [];
+  for (let turn = 0; turn < 3; turn += 1) {
+    const before = store.countCalls();
+    escrows.forEach((escrow) => escrow.rebalance(0));
+    await clock.advance(1);
+    calls.push(store.countCalls() - before);
+  }
+  expect(Math.min(...calls)).toBeGreaterThan(0);
+});
