--- a/packages/forwarding/src/instanceCount.ts
+++ b/packages/forwarding/src/instanceCount.ts
@@ -6,7 +6,10 @@
 const COUNT_INTERVAL_MS: Milliseconds = 4000;
 /** Time without a lease renewal after which an instance is no longer counted. */
 const RENEWAL_TIMEOUT_MS: Milliseconds = 11_000;
-/** Count before the first reading; a high value is safe because it makes each share smaller. */
+/**
+ * Least count until the second reading, since the first one misses instances that start at the same
+ * time; a high value is safe because it makes each share smaller.
+ */
 const INITIAL_INSTANCE_COUNT = 8;
 
 /** Dependencies of counting instances. */
@@ -29,13 +32,13 @@
   const renewals = new Map<string, Renewal>();
   let instanceCount = INITIAL_INSTANCE_COUNT;
 
-  async function updateCount(): Promise<void> {
+  async function updateCount(least: number): Promise<void> {
     const views = await Promise.all(LEASE_PARTITIONS.map((name) => rows.list(LEASE_TABLE, name)));
     // No renewal can be seen while the store is unavailable, so the last count stays in force.
     if (views.some((view) => view.err)) return;
     views.forEach((view) => view.map(({ rows: found }) => found.forEach(recordRenewal)));
     const since = clock.elapsed() - RENEWAL_TIMEOUT_MS;
-    instanceCount = Math.max(1, [...renewals.values()].filter(({ at }) => at >= since).length);
+    instanceCount = Math.max(least, [...renewals.values()].filter(({ at }) => at >= since).length);
   }
 
   function recordRenewal(row: VersionedRow): void {
@@ -45,9 +48,10 @@
   }
 
   async function poll(): Promise<void> {
+    await updateCount(INITIAL_INSTANCE_COUNT);
     while (!signal.aborted) {
       await sleep(clock, COUNT_INTERVAL_MS, signal);
-      await updateCount();
+      await updateCount(1);
     }
   }
 
