Keep smaller reserves in a large fleet while a budget runs out

A request every few seconds gives an instance a rate whose reserve for 14 s is three times the request, and 89 of them leave nothing unallocated, so requests call on all instances to return tokens. In a fleet without idle shares the reserve now lasts 4 to 14 s, by what is left, as the spare tokens do.

--- a/packages/budgets/src/escrowSizing.ts
+++ b/packages/budgets/src/escrowSizing.ts
@@ -26,8 +26,10 @@
 const SPARE_HORIZON_MAX_MS: Milliseconds = 3000;
 /** Unallocated part of the limit from which on a budget is ample. */
 const AMPLE_UNALLOCATED_RATIO = 0.15;
-/** How long the reserve lasts beyond the spare tokens while the store does not answer. */
-const RESERVE_HORIZON_MS: Milliseconds = 14_000;
+/** Reserve in a large fleet while a budget runs out: many reserves would leave nothing to spend. */
+const RESERVE_HORIZON_MIN_MS: Milliseconds = 4000;
+/** How long the reserve of an ample budget lasts while the store does not answer. */
+const RESERVE_HORIZON_MAX_MS: Milliseconds = 14_000;
 const MS_PER_SECOND = 1000;
 /** Largest part of the unallocated tokens for one instance; an account's callers use only a few. */
 const INSTANCE_MAX_RATIO = 0.6;
@@ -44,12 +46,17 @@
   const idleShare = getIdleShare(unallocated, instances);
   const getUse = (horizon: Milliseconds) => (rate * horizon) / MS_PER_SECOND;
   const ampleness = getAmpleness(limit, unallocated);
-  const horizon = SPARE_HORIZON_MIN_MS + (SPARE_HORIZON_MAX_MS - SPARE_HORIZON_MIN_MS) * ampleness;
+  const getHorizon = (min: Milliseconds, max: Milliseconds) => min + (max - min) * ampleness;
+  const spareHorizon = getHorizon(SPARE_HORIZON_MIN_MS, SPARE_HORIZON_MAX_MS);
+  const reserveHorizon =
+    idleShare > 0
+      ? RESERVE_HORIZON_MAX_MS
+      : getHorizon(RESERVE_HORIZON_MIN_MS, RESERVE_HORIZON_MAX_MS);
   const spare = Math.min(
-    Math.max(getUse(horizon), idleShare * IDLE_SPARE_RATIO * ampleness),
+    Math.max(getUse(spareHorizon), idleShare * IDLE_SPARE_RATIO * ampleness),
     maxTokens,
   );
-  const reserve = Math.max(getUse(RESERVE_HORIZON_MS), idleShare);
+  const reserve = Math.max(getUse(reserveHorizon), idleShare);
   return {
     spare: Math.floor(spare),
     reserve: Math.floor(Math.min(reserve, maxTokens - spare)),
--- a/packages/budgets/test/escrowSizing.test.ts
+++ b/packages/budgets/test/escrowSizing.test.ts
@@ -16,3 +16,20 @@
   const demand = { rate: 0, limit: LIMIT, unallocated: LIMIT / 100, instances: 8 };
   expect(getGrantTarget(demand).reserve).toBe(625);
 });
+
+test('a grant on an ample budget covers the use of 3 s, and of 14 s without the store', () => {
+  const demand = { rate: 2000, limit: LIMIT, unallocated: LIMIT, instances: 89 };
+  expect(getGrantTarget(demand)).toEqual({ spare: 6000, reserve: 28_000 });
+});
+
+test('a grant on a budget that runs out leaves most of the rest to other instances', () => {
+  const demand = { rate: 2000, limit: LIMIT, unallocated: LIMIT / 50, instances: 89 };
+  const { spare, reserve } = getGrantTarget(demand);
+  expect(spare).toBeLessThan(2000 * 0.3);
+  expect(reserve).toBeLessThan(2000 * 4.5);
+});
+
+test('in a small fleet the reserve covers long cuts while a budget runs out', () => {
+  const demand = { rate: 200, limit: LIMIT, unallocated: LIMIT / 50, instances: 8 };
+  expect(getGrantTarget(demand).reserve).toBe(2800);
+});
