Do not delay the first rebalance

A likely cause, not proved: after a kill of all, tokens that requests did not use are not returned for 4.5 s. An instance that restarts still counts the fleet at once.

--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -1,10 +1,4 @@
-import {
-  createPauseGuard,
-  Diagnostics,
-  runPeriodically,
-  sleep,
-  withTimeout,
-} from '@pomeloroad/core';
+import { createPauseGuard, Diagnostics, runPeriodically, withTimeout } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds, Random, Tokens } from '@pomeloroad/core';
 import { BUDGET_TABLE, createEscrow, createEscrowLease } from '@pomeloroad/budgets';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
@@ -32,8 +26,6 @@
 const ENDPOINT_POLL_DELAY_MS: Milliseconds = 400;
 const BUDGET_POLL_DELAY_MS: Milliseconds = 300;
 const REBALANCE_INTERVAL_MS: Milliseconds = 400;
-/** By then an instance has counted those that started at the same time. */
-const FIRST_REBALANCE_DELAY_MS: Milliseconds = 4500;
 /** Maximum time that a request waits for the store to be read again after a pause of the process. */
 const REFRESH_TIMEOUT_MS: Milliseconds = 500;
 const ADMISSION_QUEUE_LIMIT = 500;
@@ -187,7 +179,12 @@
     log(Diagnostics.processPaused);
     await Promise.all([configuration.refresh(), endpointFeed.refresh()]);
   });
-  rebalanceRepeatedly();
+  runPeriodically(
+    clock,
+    () => REBALANCE_INTERVAL_MS,
+    stop.signal,
+    async () => escrow.rebalance(REBALANCE_INTERVAL_MS),
+  );
 
   const forwarding: ForwardHost<Payload> = {
     clock,
@@ -203,16 +200,6 @@
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
 
-  async function rebalanceRepeatedly(): Promise<void> {
-    await sleep(clock, FIRST_REBALANCE_DELAY_MS, stop.signal);
-    await runPeriodically(
-      clock,
-      () => REBALANCE_INTERVAL_MS,
-      stop.signal,
-      async () => escrow.rebalance(REBALANCE_INTERVAL_MS),
-    );
-  }
-
   // The lowest era of the feeds: those that have not seen the newest one yet are behind.
   function getStoreEra(): StoreEra {
     return Math.min(configuration.getEra(), endpointFeed.getEra());
