--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -14,7 +14,7 @@
 ) {
   execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: ROOT });
   const { signal } = new AbortController();
-  const size = { instances: 4, endpoints: 4, callers: 12 };
+  const size = { instances: 4, endpoints: 4, callers: 24 };
   return runSoak(createSystemClock(), { ...options, ...size, signal, onLog: () => undefined });
 }
 
@@ -28,7 +28,12 @@
   'a short soak with every kind of fault finds nothing',
   async () => {
     const times = { length: 31_000, calm: 12_000 };
-    const result = await soak({ seed: 266, ...times, faults: DefaultFaults, hasAnswerFaults: true });
+    const result = await soak({
+      seed: 266,
+      ...times,
+      faults: DefaultFaults,
+      hasAnswerFaults: true,
+    });
     expect(describeFailures(result)).toEqual([]);
     expect(Object.keys(result.faults).length).toBeGreaterThan(10);
     expect(result.outcomes['200']).toBeGreaterThan(100);
