--- a/packages/forwarding/test/answerEnd.test.ts
+++ b/packages/forwarding/test/answerEnd.test.ts
@@ -13,17 +13,17 @@
   isListed?: boolean;
 }
 
-// Judges an end that arrived `timeLeft` ms before the deadline; returns the fault and slot results.
+// Judges an end that arrived `timeLeft` ms before the deadline; returns the fault and the steps.
 async function judge(framing: ResponseFraming, timeLeft: number, endpoint: Endpoint = {}) {
   const { reachability = 'accepting', isLeaving = false, isListed = true } = endpoint;
   const clock = createManualClock();
   const at = DEADLINE_MS - timeLeft;
   await clock.advance(at);
-  const released: string[] = [];
+  const steps: string[] = [];
   const slot = {
     endpoint: { name: 'e/1' },
     isLeaving: () => isLeaving,
-    release: (result: string) => released.push(result),
+    release: (result: string) => steps.push(result),
   } as unknown as Slot;
   const run = {
     request: { deadline: DEADLINE_MS },
@@ -31,7 +31,12 @@
     host: {
       clock,
       directory: { find: () => (isListed ? ({ id: 'e' } as EndpointRecord) : undefined) },
-      protocol: { probe: async () => reachability },
+      protocol: {
+        async probe() {
+          steps.push('probe');
+          return reachability;
+        },
+      },
     },
   } as unknown as Run<unknown>;
   let fault: string | undefined = 'not judged';
@@ -40,7 +45,7 @@
   });
   await clock.advance(DEADLINE_MS);
   await judged;
-  return { fault, released };
+  return { fault, steps };
 }
 
 test.each<[ResponseFraming, number, boolean]>([
@@ -63,7 +68,10 @@
   [{ reachability: 'unknown' }, false],
   [{ reachability: 'accepting' }, false],
 ])('a close by an endpoint breaks its answer: %j %s', async (endpoint, isBroken) => {
-  const { fault, released } = await judge('close', 500, endpoint);
+  const { fault } = await judge('close', 500, endpoint);
   expect(fault !== undefined).toBe(isBroken);
-  expect(released).toEqual(['ok']);
+});
+
+test('an endpoint is asked only after its slot is released', async () => {
+  expect((await judge('close', 500)).steps).toEqual(['ok', 'probe']);
 });
