Say that only the first release of a slot counts

The check of an answer's end releases its slot early, and the release after it has no effect, as the code of admission has it; the doc line said exactly once.

--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -48,7 +48,7 @@
 /** How the request in a slot ended; `unreachable` means that nothing reached the endpoint. */
 export type SlotResult = 'ok' | 'failed' | 'unreachable';
 
-/** Capacity for one request on an endpoint; must be released exactly once. */
+/** Capacity for one request on an endpoint; must be released; only the first release counts. */
 export interface Slot {
   endpoint: Endpoint;
   /** Whether the endpoint is leaving by now, so that nothing may be sent to it. */
