--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -8,6 +8,8 @@
 import { getSpendable } from './escrowRows';
 import type { BudgetTotal, Grant } from './escrowRows';
 import type { EscrowError, EscrowHost, EscrowReservation, EscrowState } from './escrowTypes';
+import { needsResize, planGrant, raiseCeiling } from './escrowPlan';
+import type { GrantUse } from './escrowPlan';
 import { createEscrowQueue } from './escrowQueue';
 import { getGrantTarget } from './escrowSizing';
 import type { GrantTarget } from './escrowSizing';
@@ -43,11 +45,6 @@
 /** The error of a request that the store left without an answer. */
 const UNREACHABLE_ERROR: EscrowError = { kind: 'unreachable', retryAfter: RETRY_AFTER_MAX_MS };
 
-/** A grant is resized if its spare tokens or its reserve fall below this ratio to their target. */
-const RESIZE_LOWER_RATIO = 0.5;
-/** A grant is resized if its spare tokens or its reserve exceed this ratio to their target. */
-const RESIZE_UPPER_RATIO = 1.4;
-
 /** The grant that this instance holds on the budget of one client account. */
 export interface EscrowAccount {
   /** Reserves tokens; waits up to `maxWait` for tokens that other requests or instances return. */
@@ -220,8 +217,9 @@
   async function resizeGrant(): Promise<boolean> {
     const left = transactionsLeft - 1;
     transactionsLeft = 0;
-    if (host.isStoreUnresponsive() || isHeldBack() || !needsResize(getTarget())) return false;
-    const outcome = await transactions.change(planGrant(0), false);
+    if (host.isStoreUnresponsive() || isHeldBack() || !needsResize(getUse(), getTarget()))
+      return false;
+    const outcome = await transactions.change(planNextGrant(0), false);
     // Other instances changed the budget first: try again with its present row.
     if (outcome.kind === 'conflict') transactionsLeft = Math.max(transactionsLeft, left);
     return handleOutcome(outcome);
@@ -240,7 +238,7 @@
   }
 
   async function resizeFor(needed: Tokens): Promise<boolean> {
-    return handleOutcome(await transactions.change(planGrant(needed), false));
+    return handleOutcome(await transactions.change(planNextGrant(needed), false));
   }
 
   // Tokens that may be reserved now. A pending change counts only if it lowers this number.
@@ -269,25 +267,12 @@
     return getGrantTarget({ rate: rate.perSecond(), limit, unallocated, instances });
   }
 
-  // Hysteresis: small differences from the target are not worth a transaction.
-  function needsResize({ spare, reserve: reserveTokens }: GrantTarget): boolean {
-    const { held, ceiling } = getGrant();
-    return isOutOfRange(ceiling - used, spare) || isOutOfRange(held - ceiling, reserveTokens);
+  function getUse(): GrantUse {
+    return { grant: getGrant(), used, unallocated: getUnallocated() };
   }
 
-  // A grant that covers the tokens needed and, as far as unallocated tokens allow, the targets.
-  function planGrant(needed: Tokens): Grant {
-    if (isHeldBack()) {
-      const { held, ceiling } = getGrant();
-      return { held, ceiling: Math.min(held, Math.max(ceiling, used + needed)) };
-    }
-    const { spare, reserve: reserveTokens } = getTarget();
-    const least = used + needed;
-    const held = Math.max(
-      least,
-      Math.min(least + spare + reserveTokens, getGrant().held + getUnallocated()),
-    );
-    return { held, ceiling: Math.min(held, least + spare) };
+  function planNextGrant(needed: Tokens): Grant {
+    return isHeldBack() ? raiseCeiling(getUse(), needed) : planGrant(getUse(), getTarget(), needed);
   }
 
   // Returns whether there may be another step to run at once.
@@ -380,7 +365,3 @@
     }),
   };
 }
-
-function isOutOfRange(value: Tokens, target: Tokens): boolean {
-  return value < target * RESIZE_LOWER_RATIO || value > target * RESIZE_UPPER_RATIO;
-}
