--- a/packages/budgets/src/keeper.ts
+++ b/packages/budgets/src/keeper.ts
@@ -2,7 +2,7 @@
 import { createCondition, createId, Diagnostics, withTimeout } from '@pomeloroad/core';
 import type { Identity, Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
 import { createHeldGrant } from './heldGrant';
-import type { Sizer } from './ledger';
+import type { Sizer } from './ledgerPlans';
 import { getUnallocated } from './rows';
 import type { Keeper, KeeperHost } from './keeperTypes';
 import { createRateMeter } from './rate';
--- /dev/null
+++ b/packages/budgets/src/ledgerPlans.ts
@@ -0,0 +1,284 @@
+import { Err, Ok } from 'ts-results';
+import { assert } from '@pomeloroad/core';
+import type { Identity, Outcome, Tokens } from '@pomeloroad/core';
+import type { Row, Transaction } from '@pomeloroad/storage';
+import {
+  getBudgetKey,
+  getClosedGrantKey,
+  getCreditKey,
+  getGrantKey,
+  getTopUpKey,
+  getUnallocated,
+  parseBudget,
+  parseGrant,
+  parseTopUp,
+} from './rows';
+import type { BudgetRow, Grant, GrantRow, LedgerError } from './types';
+
+/** Returns a grant's new size, given the unallocated tokens of its budget and its present size. */
+export type Sizer = (unallocated: Tokens, size: Tokens) => Tokens;
+
+/** A grant that was moved to a successor. */
+export interface TakeOver {
+  /** Row of the lost holder's grant as it was closed. */
+  closed: GrantRow;
+  grant: Grant;
+}
+
+/** Whether a top-up added tokens or repeats an earlier one. */
+export type TopUpEffect = 'added' | 'repeated';
+
+/** Tokens added to a budget once for each identifier. */
+interface Payment {
+  budget: string;
+  id: string;
+  tokens: Tokens;
+  /** ISO 8601 time of the payment. */
+  at: string;
+}
+
+/** The transaction to commit, or a value if nothing needs to be written. */
+export type PlanStep<T> =
+  { kind: 'done'; value: T } | { kind: 'commit'; transaction: Transaction; value: T };
+/** What an operation writes, given the rows as read; each plan here is a pure function of them. */
+export type PlanResult<T> = Outcome<PlanStep<T>, LedgerError>;
+
+/** Plans a top-up; a repeat of one with the same amount changes nothing. */
+export function planTopUp(
+  { budget, id, tokens, at }: Payment,
+  rows: Map<string, Row>,
+): PlanResult<TopUpEffect> {
+  const budgetKey = getBudgetKey(budget);
+  const topUpKey = getTopUpKey(budget, id);
+  const known = rows.get(topUpKey);
+  if (known) return planRepeatedTopUp(id, tokens, parseTopUp(known).tokens);
+  const row = parseBudget(rows.get(budgetKey));
+  return planCommit<TopUpEffect>('added', {
+    checks: [createVersionCheck(budgetKey, rows), { key: topUpKey, version: 0 }],
+    writes: [
+      { key: budgetKey, value: { ...row, toppedUp: row.toppedUp + tokens } },
+      { key: topUpKey, value: { tokens, at } },
+    ],
+  });
+}
+
+/** Plans the return of a charge, identified by its request; a repeat changes nothing. */
+export function planCredit(
+  { budget, id, tokens, at }: Payment,
+  rows: Map<string, Row>,
+): PlanResult<void> {
+  const budgetKey = getBudgetKey(budget);
+  const key = getCreditKey(budget, id);
+  if (rows.has(key)) return skipCommit(undefined);
+  const row = parseBudget(rows.get(budgetKey));
+  return planCommit<void>(undefined, {
+    checks: [createVersionCheck(budgetKey, rows), { key, version: 0 }],
+    writes: [
+      { key: budgetKey, value: { ...row, credited: row.credited + tokens } },
+      { key, value: { request: id, tokens, at } },
+    ],
+  });
+}
+
+function planRepeatedTopUp(id: string, tokens: Tokens, known: Tokens): PlanResult<TopUpEffect> {
+  if (known === tokens) return Ok({ kind: 'done', value: 'repeated' });
+  const message = `top-up ${id} exists with ${known} tokens`;
+  return Err({ kind: 'mismatch', message });
+}
+
+/** Plans the opening of a grant or its new size. */
+export function planResize(
+  grant: Grant,
+  sizer: Sizer,
+  rows: Map<string, Row>,
+  mustWrite: boolean,
+): PlanResult<Grant> {
+  const current = readGrant(grant, rows);
+  if (current.err) return current;
+  const { row } = current.val;
+  const budget = parseBudget(rows.get(getBudgetKey(row.budget)));
+  const size = sizer(getUnallocated(budget), current.val.version === 0 ? 0 : row.size);
+  if (current.val.version === 0 && size === 0 && !mustWrite) return skipCommit(grant);
+  if (current.val.version > 0 && size === row.size && !mustWrite) return skipCommit(current.val);
+  const open = { ...budget.open, [grant.id]: size };
+  return planGrantWrite(current.val, { ...row, size }, { ...budget, open }, rows);
+}
+
+/** Plans the record of what a grant has spent. */
+export function planSettle(
+  grant: Grant,
+  spent: Tokens,
+  sequence: number,
+  rows: Map<string, Row>,
+): PlanResult<Grant> {
+  const current = readGrant(grant, rows);
+  if (current.err) return current;
+  const { row, version } = current.val;
+  assert(spent <= row.size, 'a grant is spent beyond its size');
+  if (row.sequence >= sequence) return skipCommit(current.val);
+  const next: Grant = { id: grant.id, version: version + 1, row: { ...row, spent, sequence } };
+  const key = getGrantKey(grant.id);
+  return planCommit(next, { checks: [{ key, version }], writes: [{ key, value: next.row }] });
+}
+
+/** Plans another witness of a grant, or none. */
+export function planSetWitness(
+  grant: Grant,
+  witness: Identity | undefined,
+  rows: Map<string, Row>,
+): PlanResult<Grant> {
+  const current = readGrant(grant, rows);
+  if (current.err) return current;
+  const { row, version } = current.val;
+  if (version === 0) return skipCommit({ ...grant, row: { ...grant.row, witness } });
+  if (isSameIncarnation(row.witness, witness)) return skipCommit(current.val);
+  const next: Grant = { id: grant.id, version: version + 1, row: { ...row, witness } };
+  const key = getGrantKey(grant.id);
+  return planCommit(next, { checks: [{ key, version }], writes: [{ key, value: next.row }] });
+}
+
+/** Plans the move of a lost holder's grant to a successor. */
+export function planTakeOver(
+  lost: Grant,
+  successor: Grant,
+  rows: Map<string, Row>,
+): PlanResult<TakeOver> {
+  const taken = rows.get(getGrantKey(successor.id));
+  const closed = rows.get(getClosedGrantKey(lost.id));
+  if (taken && closed) {
+    const grant = { ...successor, version: taken.version, row: parseGrant(taken) };
+    return skipCommit({ closed: parseGrant(closed), grant });
+  }
+  const current = readGrant(lost, rows);
+  if (current.err) return current;
+  if (current.val.version === 0) return Err({ kind: 'sealed' });
+  const closing = planMoveToClosed(current.val, current.val.row, rows);
+  return closing.map((step) => addSuccessor(step, current.val, successor));
+}
+
+function addSuccessor(step: PlanStep<Grant>, lost: Grant, successor: Grant): PlanStep<TakeOver> {
+  assert(step.kind === 'commit', 'closing a grant needs a write');
+  const { checks, writes } = step.transaction;
+  const [budgetWrite, ...others] = writes;
+  const row: GrantRow = { ...successor.row, size: lost.row.size - lost.row.spent };
+  const budget = budgetWrite?.value as BudgetRow;
+  const open = { ...budget.open, [successor.id]: row.size };
+  const key = getGrantKey(successor.id);
+  return {
+    kind: 'commit',
+    value: { closed: step.value.row, grant: { ...successor, version: 1, row } },
+    transaction: {
+      checks: [...checks, { key, version: 0 }],
+      writes: [
+        { key: getBudgetKey(row.budget), value: { ...budget, open } },
+        ...others,
+        { key, value: row },
+      ],
+    },
+  };
+}
+
+function isSameIncarnation(left: Identity | undefined, right: Identity | undefined): boolean {
+  return left?.incarnation === right?.incarnation;
+}
+
+/** Plans the close of a grant by its holder. */
+export function planClose(
+  grant: Grant,
+  spent: Tokens,
+  sequence: number,
+  rows: Map<string, Row>,
+): PlanResult<Grant> {
+  const current = readGrant(grant, rows);
+  if (current.err) return current;
+  const { row } = current.val;
+  assert(spent <= row.size, 'a grant is closed beyond its size');
+  return planMoveToClosed(current.val, { ...row, spent, sequence }, rows);
+}
+
+/** Plans the close of a lost holder's grant, which is charged the given tokens. */
+export function planSeal(
+  grant: Grant,
+  getCharge: (row: GrantRow) => Tokens,
+  rows: Map<string, Row>,
+): PlanResult<Grant> {
+  const current = readGrant(grant, rows);
+  if (current.err) return current;
+  const { row } = current.val;
+  const charged = Math.min(row.size, Math.max(row.spent, getCharge(row)));
+  return planMoveToClosed(current.val, { ...row, writtenOff: charged - row.spent }, rows);
+}
+
+// Moves the row to the closed grants, so that listing the open grants does not slow down with time.
+function planMoveToClosed(grant: Grant, row: GrantRow, rows: Map<string, Row>): PlanResult<Grant> {
+  const closed: GrantRow = { ...row, state: 'closed' };
+  const budget = parseBudget(rows.get(getBudgetKey(row.budget)));
+  const charged = chargeBudget(budget, grant.id, closed.spent + closed.writtenOff);
+  const budgetKey = getBudgetKey(row.budget);
+  const grantKey = getGrantKey(grant.id);
+  return planCommit<Grant>(
+    { id: grant.id, version: grant.version + 1, row: closed },
+    {
+      checks: [createVersionCheck(budgetKey, rows), { key: grantKey, version: grant.version }],
+      writes: [
+        { key: budgetKey, value: charged },
+        { key: grantKey, value: undefined },
+        { key: getClosedGrantKey(grant.id), value: closed },
+      ],
+    },
+  );
+}
+
+function chargeBudget(budget: BudgetRow, grantId: string, spent: Tokens): BudgetRow {
+  const open = { ...budget.open };
+  delete open[grantId];
+  return { ...budget, open, closedSpent: budget.closedSpent + spent };
+}
+
+function planGrantWrite(
+  grant: Grant,
+  row: GrantRow,
+  budget: BudgetRow,
+  rows: Map<string, Row>,
+): PlanResult<Grant> {
+  assert(getUnallocated(budget) >= 0, 'a grant would exceed its budget');
+  const budgetKey = getBudgetKey(row.budget);
+  const grantKey = getGrantKey(grant.id);
+  return planCommit<Grant>(
+    { id: grant.id, version: grant.version + 1, row },
+    {
+      checks: [createVersionCheck(budgetKey, rows), { key: grantKey, version: grant.version }],
+      writes: [
+        { key: budgetKey, value: budget },
+        { key: grantKey, value: row },
+      ],
+    },
+  );
+}
+
+// Only the holder resizes and settles its grant, so the stored row is its own latest write.
+function readGrant(grant: Grant, rows: Map<string, Row>): Outcome<Grant, LedgerError> {
+  if (rows.has(getClosedGrantKey(grant.id))) return Err({ kind: 'sealed' });
+  const stored = rows.get(getGrantKey(grant.id));
+  if (!stored) return Ok({ ...grant, version: 0 });
+  const row = parseGrant(stored);
+  if (!isSameIncarnation(row.holder, grant.row.holder)) return Err({ kind: 'sealed' });
+  return Ok({ id: grant.id, version: stored.version, row });
+}
+
+/** Returns the keys of the rows that a change of the grant's size reads. */
+export function getRowKeys(grant: Grant): string[] {
+  return [getBudgetKey(grant.row.budget), getGrantKey(grant.id), getClosedGrantKey(grant.id)];
+}
+
+function createVersionCheck(key: string, rows: Map<string, Row>) {
+  return { key, version: rows.get(key)?.version ?? 0 };
+}
+
+function skipCommit<T>(value: T): PlanResult<T> {
+  return Ok({ kind: 'done', value });
+}
+
+function planCommit<T>(value: T, transaction: Transaction): PlanResult<T> {
+  return Ok({ kind: 'commit', transaction, value });
+}
