Replay: the faults by what they hit, in modules of their own

Moved without a change of what they do: network, instance and operator faults, the names, and what they share.

--- a/packages/replay/src/main.ts
+++ b/packages/replay/src/main.ts
@@ -1,7 +1,7 @@
 import sade from 'sade';
 import { createSystemClock } from '@pomeloroad/core';
 import { Deployments } from './deployments';
-import { FaultNames, parseFaults } from './faultPlan';
+import { FaultNames, parseFaults } from './faultNames';
 import { MUST_BE_ZERO } from './judge';
 import type { Verdict } from './judge';
 import { getTracePath } from './paths';
--- a/packages/replay/src/prepareTrace.ts
+++ b/packages/replay/src/prepareTrace.ts
@@ -1,7 +1,7 @@
 import { createRandom } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import type { Deployment } from './deployments';
-import type { Fault } from './faultPlan';
+import type { Fault } from './faultNames';
 import { isRequest } from './trace';
 import type { TraceEvent } from './trace';
 
--- a/packages/replay/src/replay.ts
+++ b/packages/replay/src/replay.ts
@@ -4,7 +4,7 @@
 import type { Deployment } from './deployments';
 import type { Evidence, ActionLog } from './evidence';
 import { createFaultPlan } from './faultPlan';
-import type { Fault } from './faultPlan';
+import type { Fault } from './faultNames';
 import { judgeReplay } from './judge';
 import type { Judgement } from './judge';
 import { createLauncher } from './programs';
--- a/packages/replay/src/sweep.ts
+++ b/packages/replay/src/sweep.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '@pomeloroad/core';
 import type { Deployment } from './deployments';
 import { Deployments } from './deployments';
-import { FaultNames, parseFaults } from './faultPlan';
+import { FaultNames, parseFaults } from './faultNames';
 import { MUST_BE_ZERO } from './judge';
 import type { Verdict } from './judge';
 import { getTracePath } from './paths';
--- a/packages/replay/test/judge.test.ts
+++ b/packages/replay/test/judge.test.ts
@@ -2,7 +2,7 @@
 import { Deployments } from '../src/deployments';
 import type { Evidence } from '../src/evidence';
 import { generateTrace } from '../src/generateTrace';
-import { parseFaults } from '../src/faultPlan';
+import { parseFaults } from '../src/faultNames';
 import { isRequest } from '../src/trace';
 import type { TraceChat } from '../src/trace';
 
