--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -72,6 +72,7 @@
     'info',
     'caller disconnected before the response was complete',
   ),
+  idleConnectionClosed: diagnostic(5010, 'info', 'idle connection of a caller closed'),
   configurationStaged: diagnostic(6001, 'info', 'configuration staged'),
   configurationAccepted: diagnostic(6002, 'info', 'configuration in force'),
   configurationWithdrawn: diagnostic(6003, 'warn', 'configuration withdrawn'),
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -5,7 +5,7 @@
 import type { RouteError, Slot, SlotResult } from '@pomeloroad/routing';
 import { findEndFault } from './answerEnd';
 import { getFirstByteTimeout, getAdmissionWait, isRetryable } from './patience';
-import { getTimeLeft, takeRetry, hasAttemptsLeft } from './run';
+import { describeSilence, getTimeLeft, takeAttempt, takeRetry } from './run';
 import type { Run } from './run';
 import type { EndpointRecord, RefusalKind, Reply, SendError } from './types';
 
@@ -28,6 +28,7 @@
   for (;;) {
     if (run.stop.signal.aborted || getTimeLeft(run) < ATTEMPT_TIME_MIN_MS) return Err('timed-out');
     const slot = await acquireSlot(run);
+    if (slot.err) run.lack = slot.val.kind;
     if (slot.err) return Err(run.runs > 0 ? 'failed' : toRefusalKind(slot.val));
     const reply = await sendAttempt(run, slot.val);
     if (reply.ok && !shouldRetryReply(run, reply.val))
@@ -82,20 +83,22 @@
   const timeLeft = getTimeLeft(run);
   const mayRetry = isRetryable(request.route) && run.runs + 1 < request.route.attempts;
   run.endpoint = endpoint.id;
+  run.activeAt = host.clock.elapsed();
   const sent = await host.protocol.send({
     request,
     endpoint,
     resumeAfter: run.lastEventId,
     timeLeft,
     patience: getFirstByteTimeout(request.route, timeLeft, mayRetry),
+    onActivity() {
+      slot.recordActivity();
+      run.activeAt = host.clock.elapsed();
+    },
     signal: stop.signal,
   });
   const reply = await judgeWhole(run, slot, sent);
-  if (reply.ok) {
-    slot.recordActivity();
-    run.framing = reply.val.head.framing;
-  }
-  recordAttempt(run, endpoint, reply);
+  if (reply.ok) run.framing = reply.val.head.framing;
+  recordAttempt(run, slot, endpoint, reply);
   return reply;
 }
 
@@ -111,6 +114,7 @@
 
 function recordAttempt<Payload>(
   run: Run<Payload>,
+  slot: Slot,
   endpoint: EndpointRecord,
   reply: Outcome<Reply, SendError>,
 ): void {
@@ -127,13 +131,14 @@
     outcome: reply.val.kind,
     message: reply.val.message,
     events: run.events,
+    ...describeSilence(run, slot),
   });
 }
 
 // A server error may be specific to one endpoint, so another endpoint may answer the request.
 function shouldRetryReply<Payload>(run: Run<Payload>, reply: Reply): boolean {
   if (reply.head.status < SERVER_ERROR_STATUS || reply.kind === 'stream') return false;
-  return hasAttemptsLeft(run) && takeRetry(run);
+  return takeAttempt(run);
 }
 
 function saveFailure<Payload>(run: Run<Payload>, reply: Reply): void {
@@ -146,7 +151,7 @@
     .with('unreachable', () => true)
     .with('replaced', () => run.declines < DECLINES_MAX && takeRetry(run))
     .with('declined', () => run.declines < DECLINES_MAX && takeRetry(run))
-    .with('broken', () => hasAttemptsLeft(run) && takeRetry(run))
+    .with('broken', () => takeAttempt(run))
     .exhaustive();
 }
 
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -202,6 +202,7 @@
     protocol: host.protocol,
     metrics: forwardMetrics,
     endStatements: createEndStatements(),
+    getConfigurationVersion: () => configuration.getTable()?.configuration.version,
     findService: (name) => configuration.getTable()?.findService(name),
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -19,6 +19,8 @@
   protocol: EndpointProtocol<Payload>;
   metrics: ForwardMetrics;
   endStatements: EndStatements;
+  /** Returns the version of the configuration in force; `undefined` while none is known. */
+  getConfigurationVersion(): number | undefined;
   findService(name: string): ForwardService | undefined;
   /** Resolves at once, or after a pause of the process once the store is read again. */
   waitForRefresh(): Promise<void>;
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -4,7 +4,7 @@
 import { findEndFault } from './answerEnd';
 import { sendWithRetries } from './attempts';
 import { getStallTimeout } from './patience';
-import { getTimeLeft, takeRetry, hasAttemptsLeft } from './run';
+import { describeSilence, getTimeLeft, hasAttemptsLeft, takeAttempt } from './run';
 import type { Run } from './run';
 import type { EventStream, StreamStep } from './types';
 
@@ -54,7 +54,7 @@
     .with('broken', () => true)
     .exhaustive();
   const hasTime = !run.stop.signal.aborted && getTimeLeft(run) > 0;
-  return mayLackEvents && hasTime && hasAttemptsLeft(run) && takeRetry(run);
+  return mayLackEvents && hasTime && takeAttempt(run);
 }
 
 async function resume<Payload>(run: Run<Payload>): Promise<Source | undefined> {
@@ -91,11 +91,10 @@
 
 type EndStep = Exclude<StreamStep, { kind: 'events' }>;
 
-async function relayEvents<Payload>(run: Run<Payload>, { stream, slot }: Source): Promise<EndStep> {
+async function relayEvents<Payload>(run: Run<Payload>, { stream }: Source): Promise<EndStep> {
   for (;;) {
     const step = await readStep(run, stream);
     if (step.kind !== 'events') return step;
-    slot.recordActivity();
     run.events += step.count;
     run.lastEventId = step.lastId ?? run.lastEventId;
     await run.caller.write(step.data);
@@ -113,14 +112,12 @@
 async function judgeEnd<Payload>(run: Run<Payload>, slot: Slot, step: EndStep): Promise<StreamEnd> {
   const fault = step.kind === 'broken' ? step.message : await findEndFault(run, slot, step);
   if (fault === undefined) return step.kind;
-  logBroken(run, fault);
+  logBroken(run, slot, fault);
   return 'broken';
 }
 
-function logBroken<Payload>(
-  { host, request, endpoint, framing, events }: Run<Payload>,
-  message: string,
-): void {
+function logBroken<Payload>(run: Run<Payload>, slot: Slot, message: string): void {
+  const { host, request, endpoint, framing, events } = run;
   host.log(Diagnostics.attemptFailed, {
     request: request.id,
     endpoint,
@@ -128,5 +125,6 @@
     message,
     framing,
     events,
+    ...describeSilence(run, slot),
   });
 }
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -1,4 +1,5 @@
-import type { Milliseconds, ResponseFraming, Tokens } from '@pomeloroad/core';
+import type { LogFields, Milliseconds, ResponseFraming, Tokens } from '@pomeloroad/core';
+import type { RouteError, Slot } from '@pomeloroad/routing';
 import type { ForwardHost } from './forwardTypes';
 import { isRetryable } from './patience';
 import type { Caller, ForwardRequest, ReplyHead } from './types';
@@ -27,6 +28,10 @@
   /** Framing of the latest answer of an endpoint. */
   framing: ResponseFraming | undefined;
   firstByteAt: Milliseconds | undefined;
+  /** Time at which bytes of the latest attempt's answer last arrived, or else of its sending. */
+  activeAt: Milliseconds;
+  /** Why the latest further attempt was not begun. */
+  lack: 'attempt' | 'retry' | RouteError['kind'] | undefined;
 }
 
 /** Creates the state of a request before its first attempt. */
@@ -49,6 +54,8 @@
     endpoint: undefined,
     framing: undefined,
     firstByteAt: undefined,
+    activeAt: request.startedAt,
+    lack: undefined,
   };
 }
 
@@ -67,14 +74,39 @@
   return request.cost.input + Math.min(request.cost.output, events * perEvent);
 }
 
+/**
+ * Returns the log fields that tell a silent answer from a silent endpoint: milliseconds since bytes
+ * arrived of this answer, and since bytes arrived of any answer of its endpoint.
+ */
+export function describeSilence<Payload>({ host, activeAt }: Run<Payload>, slot: Slot): LogFields {
+  const now = host.clock.elapsed();
+  return {
+    silent: Math.round(now - activeAt),
+    endpointSilent: Math.round(now - slot.getActivityTime()),
+  };
+}
+
 /** Returns whether the request may run on one more endpoint. */
 export function hasAttemptsLeft<Payload>({ request, runs }: Run<Payload>): boolean {
   return isRetryable(request.route) && runs < request.route.attempts;
 }
 
+/**
+ * Takes one retry from the retry budget of the service for a request that may run on one more endpoint;
+ * returns false if it may not, or if none is left.
+ */
+export function takeAttempt<Payload>(run: Run<Payload>): boolean {
+  if (hasAttemptsLeft(run)) return takeRetry(run);
+  run.lack = 'attempt';
+  return false;
+}
+
 /** Takes one retry from the retry budget of the service; returns false if none is left. */
-export function takeRetry<Payload>({ host, request }: Run<Payload>): boolean {
+export function takeRetry<Payload>(run: Run<Payload>): boolean {
+  const { host, request } = run;
   const isAllowed = host.retryBudget.take(request.service);
-  if (!isAllowed) host.metrics.repeatsDenied.add();
-  return isAllowed;
+  if (isAllowed) return true;
+  run.lack = 'retry';
+  host.metrics.repeatsDenied.add();
+  return false;
 }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -165,6 +165,8 @@
   timeLeft: Milliseconds;
   /** Longest time until the head of the answer, and then between two parts of a whole answer. */
   patience: Milliseconds;
+  /** Called whenever bytes of the answer arrive. */
+  onActivity(): void;
   /** Aborted when the caller has disconnected or the deadline has passed. */
   signal: AbortSignal;
 }
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -75,6 +75,7 @@
       endpoint: view.endpoint,
       isLeaving: () => endpoints.isLeaving(view.endpoint.name),
       recordActivity: () => endpoints.recordActivity(view.endpoint.name),
+      getActivityTime: () => endpoints.getActivityTime(view.endpoint.name),
       release(result) {
         if (!isHeld) return;
         isHeld = false;
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -40,6 +40,8 @@
   take(name: string): void;
   /** Records that bytes arrived from the endpoint. */
   recordActivity(name: string): void;
+  /** Returns when bytes last arrived, or else when the first request in flight was sent. */
+  getActivityTime(name: string): Milliseconds;
   /** Counts one request less in flight and updates the endpoint's health from the result. */
   release(name: string, result: SlotResult): void;
   list(): EndpointView[];
@@ -54,6 +56,7 @@
   isStale(): boolean;
   take(): void;
   recordActivity(): void;
+  getActivityTime(): Milliseconds;
   release(result: SlotResult): void;
 }
 
@@ -94,6 +97,7 @@
     isLeaving: (name) => entries.get(name)?.view().isLeaving ?? true,
     take: (name) => entries.get(name)?.take(),
     recordActivity: (name) => entries.get(name)?.recordActivity(),
+    getActivityTime: (name) => entries.get(name)?.getActivityTime() ?? -Infinity,
     release: (name, result) => entries.get(name)?.release(result),
     list: () => [...entries.values()].map((entry) => entry.view()),
   };
@@ -190,6 +194,7 @@
     recordActivity() {
       lastActivityAt = clock.elapsed();
     },
+    getActivityTime: () => lastActivityAt,
     release(result) {
       inFlight = Math.max(0, inFlight - 1);
       if (result === 'ok') recordSuccess();
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -55,6 +55,8 @@
   isLeaving(): boolean;
   /** Records that bytes arrived; an endpoint that stays silent is chosen only as a last resort. */
   recordActivity(): void;
+  /** Time of `clock.elapsed()` at which bytes last arrived for any request on the endpoint. */
+  getActivityTime(): Milliseconds;
   release(result: SlotResult): void;
 }
 
