Log the version of an endpoint's software, and that a caller takes a stream up

Version on 7005, 7006, 5008 and at the end of a request; from and to on 5003; new event 5009 with the attempt named; counters of resumptions at the same or another version and of take-ups.

--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -67,6 +67,7 @@
   requestForwarded: diagnostic(5006, 'info', 'request answered by an endpoint'),
   requestFailed: diagnostic(5007, 'info', 'request ended without a complete response'),
   attemptFailed: diagnostic(5008, 'info', 'attempt on an endpoint failed'),
+  streamTakenUp: diagnostic(5009, 'info', 'caller takes a stream up'),
   callerDisconnected: diagnostic(
     5005,
     'info',
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -82,6 +82,7 @@
   const timeLeft = getTimeLeft(run);
   const mayRetry = isRetryable(request.route) && run.runs + 1 < request.route.attempts;
   run.endpoint = endpoint.id;
+  run.version = endpoint.version;
   const sent = await host.protocol.send({
     request,
     endpoint,
@@ -124,6 +125,7 @@
     request: request.id,
     endpoint: endpoint.id,
     sequence: endpoint.sequence,
+    version: endpoint.version,
     outcome: reply.val.kind,
     message: reply.val.message,
     events: run.events,
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -66,10 +66,11 @@
       isListed: true,
       usableUntil: Infinity,
     });
-    if (known?.isListed && isSameIncarnation && known.record.isLeaving === isLeaving) return false;
-    const { id, born, sequence, address, service } = record;
+    const { id, born, sequence, address, service, version } = record;
+    const isSameState = known?.record.version === version && known?.record.isLeaving === isLeaving;
+    if (known?.isListed && isSameIncarnation && isSameState) return false;
     const event = isLeaving ? Diagnostics.endpointLeaving : Diagnostics.endpointListed;
-    log(event, { endpoint: id, born, sequence, address, service });
+    log(event, { endpoint: id, born, sequence, address, service, version });
     return true;
   }
 
@@ -80,8 +81,8 @@
     known.usableUntil = Math.min(storeAvailableAt + LAPSED_GRACE_MS, clock.elapsed() + grace);
     const remaining = known.usableUntil - clock.elapsed();
     const mayReturn = remaining > 0;
-    const { born, sequence } = known.record;
-    log(Diagnostics.endpointUnlisted, { endpoint: id, born, sequence, mayReturn });
+    const { born, sequence, version } = known.record;
+    log(Diagnostics.endpointUnlisted, { endpoint: id, born, sequence, version, mayReturn });
     if (mayReturn) clock.after(remaining, () => expire(id, known));
     return true;
   }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -34,6 +34,7 @@
   caller: Caller,
 ): Promise<void> {
   const run = createRun(host, request, caller);
+  logTakeUp(run);
   const deadlineTimer = startDeadlineTimer(run);
   caller.signal.addEventListener('abort', () => run.stop.abort(), { once: true });
   host.retryBudget.countRequest(request.service);
@@ -45,6 +46,13 @@
   deadlineTimer.cancel();
 }
 
+function logTakeUp<Payload>({ host, request }: Run<Payload>): void {
+  const { id, service, resumes, resumeAfter: after } = request;
+  if (resumes === undefined && after === undefined) return;
+  host.metrics.takeUps.add();
+  host.log(Diagnostics.streamTakenUp, { request: id, service, resumes, after });
+}
+
 function startDeadlineTimer<Payload>({ host, request, stop }: Run<Payload>): Timer {
   return host.clock.after(request.deadline - host.clock.elapsed(), () => stop.abort());
 }
@@ -156,6 +164,9 @@
     route: request.route.name,
     account: request.account,
     endpoint: run.endpoint,
+    version: run.version,
+    resumes: request.resumes,
+    after: request.resumeAfter,
     configuration: request.configurationVersion,
     runs: run.runs,
     declines: run.declines,
--- a/packages/forwarding/src/forwardMetrics.ts
+++ b/packages/forwarding/src/forwardMetrics.ts
@@ -8,6 +8,10 @@
   attempts: Counter;
   /** Ends of endpoints' streams by kind of end and framing. */
   streamEnds: Counter;
+  /** Resumptions within an answer by whether the version stays the same. */
+  resumptions: Counter;
+  /** Streams that callers take up. */
+  takeUps: Counter;
   /** Retries denied by the retry budget. */
   repeatsDenied: Counter;
   /** Ended calls to the store by kind, table and outcome. */
@@ -29,6 +33,14 @@
       'pomeloroad_stream_ends_total',
       'Ends of endpoints’ streams by kind of end and framing of the answer.',
     ),
+    resumptions: metrics.counter(
+      'pomeloroad_stream_resumptions_total',
+      'Resumptions of streams within an answer by version: same or other.',
+    ),
+    takeUps: metrics.counter(
+      'pomeloroad_stream_take_ups_total',
+      'Streams that callers took up in a new request.',
+    ),
     repeatsDenied: metrics.counter(
       'pomeloroad_repeats_denied_total',
       'Repeats that the retry budget did not allow.',
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -65,13 +65,22 @@
     slot.release('failed');
     return undefined;
   }
+  recordResumption(run, slot);
+  return { stream: reply.stream, slot };
+}
+
+function recordResumption<Payload>(run: Run<Payload>, slot: Slot): void {
+  const { version, eventVersion } = run;
+  const isSame = !eventVersion || eventVersion.version === version;
+  run.host.metrics.resumptions.add(1, { version: isSame ? 'same' : 'other' });
   run.host.log(Diagnostics.requestResumed, {
     request: run.request.id,
     endpoint: slot.endpoint.name,
+    version,
+    fromVersion: eventVersion?.version,
     after: run.lastEventId,
     events: run.events,
   });
-  return { stream: reply.stream, slot };
 }
 
 async function relaySource<Payload>(run: Run<Payload>, source: Source): Promise<SourceEnd> {
@@ -97,6 +106,7 @@
     if (step.kind !== 'events') return step;
     slot.recordActivity();
     run.events += step.count;
+    run.eventVersion = { version: run.version };
     run.lastEventId = step.lastId ?? run.lastEventId;
     await run.caller.write(step.data);
   }
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -24,6 +24,10 @@
   failure: { head: ReplyHead; body: Buffer } | undefined;
   /** Id of the endpoint of the latest attempt. */
   endpoint: string | undefined;
+  /** Version of that endpoint. */
+  version: string | undefined;
+  /** Version of the endpoint that brought the latest event; `undefined` before the first one. */
+  eventVersion: { version: string | undefined } | undefined;
   /** Framing of the latest answer of an endpoint. */
   framing: ResponseFraming | undefined;
   firstByteAt: Milliseconds | undefined;
@@ -47,6 +51,8 @@
     lastEventId: request.resumeAfter,
     failure: undefined,
     endpoint: undefined,
+    version: undefined,
+    eventVersion: undefined,
     framing: undefined,
     firstByteAt: undefined,
   };
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -83,6 +83,8 @@
   isLeaving: boolean;
   /** Maximum number of requests in flight. */
   concurrency: number;
+  /** Version of the endpoint's software; a missing one is a version of its own. */
+  version?: string | undefined;
 }
 
 /** A caller's request, independent of the protocol it came by. */
@@ -104,6 +106,8 @@
   prefix: PromptPart[];
   /** Id of the last event that the caller received from an earlier stream. */
   resumeAfter: string | undefined;
+  /** Id of the attempt that brought the first event of the stream that the caller takes up. */
+  resumes?: string | undefined;
   /** Data that only the protocol layers interpret: method, path, headers, body. */
   payload: Payload;
 }
