Chat: silence closes no connection to an engine before another brings an event

What callers saw: a chat whose engine sends nothing for the stall timeout (2 s) and then goes on was refused with 502 and "unknown", and its whole reservation was charged, if the engine was as slow with the new connection as with the first: each attempt to follow the stream was closed after the same silence.

Cause: `readStream` destroyed the connection after the stall timeout, and only then was the stream followed anew. So silence was taken for death, and what still lived was ended before anything stood in its place.

Why this works: `followStream` opens a further connection beside the silent one, each later than the one before (twice the wait), and closes the others only once one has brought a new event. What ends an attempt now: the stream's end, an engine that declines it or does not know it (asked twice while a connection is open, which an engine may still begin), the caller's leaving, or the time limits that are set (first byte, between). The time that the caller takes is no silence of the engine. A further connection is never one of the pool, where others may be dead too.

The test host of chatRun.test.ts gets the setting `stallTimeout`, which moved there from the engine client; its tests are unchanged.

--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -1,4 +1,3 @@
-import { Err } from 'ts-results';
 import { Diagnostics, sleep } from '@pomeloroad/core';
 import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
 import type { HeldReservation, Placement, UsageRecord } from '@pomeloroad/budgets';
@@ -11,6 +10,8 @@
 import type { EngineCall, EngineError, EngineSink, StoppedUsage } from './engineClient';
 import type { RunHost } from './runHost';
 import type { RunRequest } from './runRequest';
+import { followStream } from './streamFollower';
+import type { StreamFollow } from './streamFollower';
 import { createStreamProgress } from './streamProgress';
 import type { StreamProgress } from './streamProgress';
 import { createUsageRecord } from './usage';
@@ -30,7 +31,6 @@
 
 const ATTEMPTS_MAX = 3;
 const ADMISSIONS_MAX = 3;
-const RESUME_DELAY_MS = 200;
 const BACKLOG_EVENTS_MAX = 64;
 const STOP_ATTEMPTS_MAX = 30;
 const STOP_RETRY_DELAY_MS = 1000;
@@ -134,10 +134,8 @@
   await run.host.guard.waitUntilFresh();
   await run.host.refreshEndpoint(slot.endpoint);
   if (slot.isLeaving()) return refuseEndpointLeaving();
-  const call = createCall(run, placement);
   const progress = createStreamProgress();
-  const sink = createSink(run, progress);
-  const outcome = await run.host.engine.run(call, sink);
+  const outcome = await followPlaced(run, placement, progress, 'run');
   return concludeAttempt(run, reservation, placement, progress, outcome);
 }
 
@@ -150,10 +148,6 @@
 ): Promise<AttemptOutcome> {
   if (outcome.ok) return completeAttempt(run, reservation, progress);
   if (outcome.val.ran === 'no') return concludeNotRun(outcome.val);
-  const resumed = isOverBound(run, progress)
-    ? outcome
-    : await resumeStream(run, placement, progress);
-  if (resumed.ok) return completeAttempt(run, reservation, progress);
   const stopped = await stopStream(run, placement);
   if (!stopped) {
     // The endpoint does not answer, so its usage is unknown and the whole reservation is charged.
@@ -186,7 +180,7 @@
   const run: ChatRun = { host, request, chat, answer, signal };
   const reservation = await host.budgets.adopt(state);
   const progress = createStreamProgress();
-  const resumed = await resumeStream(run, state.placement, progress);
+  const resumed = await followPlaced(run, state.placement, progress, 'resume');
   if (resumed.err) {
     const stopped = await stopStream(run, state.placement);
     if (stopped?.state === 'never') {
@@ -205,27 +199,26 @@
   return { kind: 'complete' };
 }
 
-async function resumeStream(
+function followPlaced(
   run: ChatRun,
   placement: Placement,
   progress: StreamProgress,
+  first: 'run' | 'resume',
 ): Promise<Outcome<void, EngineError>> {
-  const { host, request, signal } = run;
-  const call = createCall(run, placement);
-  let outcome: Outcome<void, EngineError> = Err(ABORTED);
-  let lastProgressAt = host.clock.elapsed();
-  while (
-    !signal.aborted &&
-    host.clock.elapsed() - lastProgressAt < getProgressTimeout(run, progress)
-  ) {
-    const deltasBefore = progress.countDeltas();
-    host.log(Diagnostics.requestResumed, { request: request.id, endpoint: placement.endpoint });
-    outcome = await host.engine.resume(call, progress.getLastIndex(), createSink(run, progress));
-    if (outcome.ok || outcome.val.kind === 'rejected') return outcome;
-    if (progress.countDeltas() > deltasBefore) lastProgressAt = host.clock.elapsed();
-    await sleep(host.clock, RESUME_DELAY_MS, signal);
-  }
-  return outcome;
+  const { clock, log, engine, settings } = run.host;
+  const { endpoint } = placement;
+  const follow: StreamFollow = {
+    clock,
+    engine,
+    call: createCall(run, placement),
+    progress,
+    sink: createSink(run, progress),
+    stallTimeout: settings.stallTimeout,
+    getTimeLimit: () => getProgressTimeout(run, progress),
+    isOverBound: () => isOverBound(run, progress),
+    onResume: () => log(Diagnostics.requestResumed, { request: run.request.id, endpoint }),
+  };
+  return followStream(follow, first);
 }
 
 // The longest time without a new delta after which a stream is still resumed.
@@ -234,9 +227,6 @@
   return progress.countDeltas() === 0 ? firstByteTimeout : betweenTimeout;
 }
 
-/** Returned if the request is cancelled before its stream is read again. */
-const ABORTED: EngineError = { kind: 'failed', ran: 'unknown', message: 'the caller left' };
-
 // Retried many times because only the endpoint knows the usage of a stream. The answer ends after
 // the first failure, so that its readers do not wait for the other attempts.
 async function stopStream(run: ChatRun, placement: Placement): Promise<StoppedUsage | undefined> {
--- a/packages/entry/src/engineClient.ts
+++ b/packages/entry/src/engineClient.ts
@@ -4,7 +4,7 @@
 import { Err, Ok } from 'ts-results';
 import { z } from 'zod';
 import { callHttp, onConnected, readBody } from '@pomeloroad/core';
-import type { Milliseconds, Outcome, RunStatus, Tokens } from '@pomeloroad/core';
+import type { Outcome, RunStatus, Tokens } from '@pomeloroad/core';
 import type { LoadReport } from '@pomeloroad/routing';
 
 const STREAM_HEADER = 'x-stream-id';
@@ -51,8 +51,6 @@
 
 /** Options of connections to engines. */
 export interface EngineClientOptions {
-  /** A connection is closed after this time without data; its stream can be resumed on another. */
-  stallTimeout: Milliseconds;
   /** Local IP address of connections; if it is empty, the system chooses one. */
   sourceAddress: string;
 }
@@ -73,7 +71,7 @@
 
 /** A client of the model engines' HTTP interface. */
 export interface EngineClient {
-  /** Runs a stream to its end. */
+  /** Runs a stream to its end. Silence ends neither this call nor `resume`; the signal does. */
   run(call: EngineCall, sink: EngineSink): Promise<Outcome<void, EngineError>>;
   /** Reads a started stream from the event after index `after`. */
   resume(call: EngineCall, after: number, sink: EngineSink): Promise<Outcome<void, EngineError>>;
@@ -130,12 +128,12 @@
         [STREAM_HEADER]: call.stream,
         'x-priority': call.priority,
       });
-      return readStream(request, body, options, sink);
+      return readStream(request, body, sink);
     },
     resume(call, after, sink) {
       const headers = { 'last-event-id': String(after) };
       const request = openRequest(call, 'GET', `/v1/streams/${call.stream}`, headers);
-      return readStream(request, undefined, options, sink);
+      return readStream(request, undefined, sink);
     },
     async stop(address, stream) {
       const stopped = await callControl('DELETE', address, `/v1/streams/${stream}`, StoppedStream);
@@ -157,7 +155,6 @@
 async function readStream(
   request: http.ClientRequest,
   body: string | undefined,
-  options: EngineClientOptions,
   sink: EngineSink,
 ): Promise<Outcome<void, EngineError>> {
   let isSent = false;
@@ -166,7 +163,6 @@
     isSent = true;
   });
   try {
-    request.setTimeout(options.stallTimeout, () => request.destroy(new Error('silent stream')));
     const response = await sendRequest(request, body);
     if (response.statusCode !== 200) return Err(await readRejection(response));
     await readEvents(response, async (event) => {
--- a/packages/entry/src/runHost.ts
+++ b/packages/entry/src/runHost.ts
@@ -14,7 +14,7 @@
   self: Identity;
   settings: Pick<
     Settings,
-    'budgetPatience' | 'resumeWindow' | 'firstByteTimeout' | 'betweenTimeout'
+    'budgetPatience' | 'resumeWindow' | 'stallTimeout' | 'firstByteTimeout' | 'betweenTimeout'
   >;
   budgets: BudgetClient;
   answers: AnswerStore;
--- a/packages/entry/test/chatRun.test.ts
+++ b/packages/entry/test/chatRun.test.ts
@@ -48,7 +48,10 @@
   const host = {
     clock,
     log: createSilentLog(),
-    settings: { budgetPatience: 0, resumeWindow: 0, firstByteTimeout: 1000, betweenTimeout: 1000 },
+    settings: {
+      ...{ budgetPatience: 0, resumeWindow: 0 },
+      ...{ stallTimeout: 300, firstByteTimeout: 1000, betweenTimeout: 1000 },
+    },
     budgets: { reserve: async () => Ok(reservation), adopt: async () => reservation },
     admission: { acquire: async () => Ok(slot) },
     guard: { waitUntilFresh: async () => undefined },
