Plain services: the time that a caller takes is no silence of the service

What callers saw: a caller that takes nothing of a large answer for 10 s (`--between-timeout`), though it may take 60 s (`--write-timeout`), got its answer cut, and the service's endpoint was charged with a failure.

Cause: the idle timer of the socket also runs while the instance itself does not read, because its caller is slow.

Why this works: the timer runs only while the next part of the answer is awaited.

--- a/packages/entry/src/serviceClient.ts
+++ b/packages/entry/src/serviceClient.ts
@@ -71,8 +71,8 @@
       try {
         request.setTimeout(options.firstByteTimeout, () => request.destroy(new Error('no answer')));
         const response = await sendRequest(request, call.body);
-        request.setTimeout(options.betweenTimeout, () => request.destroy(new Error('silent')));
-        return await readAnswer(response, call.method, options.answerLimit, sink);
+        request.setTimeout(0);
+        return await readAnswer(response, call.method, options, sink);
       } catch (error) {
         const ran: RunStatus = isSent ? 'unknown' : 'no';
         return Err({ kind: 'failed', ran, message: (error as Error).message });
@@ -92,7 +92,7 @@
 async function readAnswer(
   response: http.IncomingMessage,
   method: string,
-  limit: number,
+  { answerLimit, betweenTimeout }: ServiceOptions,
   sink: ServiceSink,
 ): Promise<Outcome<void, ServiceError>> {
   const status = response.statusCode ?? 0;
@@ -105,19 +105,37 @@
   const isClosedProperly = watchClose(response);
   sink.head({ status, headers: copyHeaders(response.headers), endsWithConnection });
   let size = 0;
-  for await (const chunk of response) {
-    size += (chunk as Buffer).length;
-    if (size > limit) {
+  for await (const chunk of readWithinTimeout(response, betweenTimeout)) {
+    size += chunk.length;
+    if (size > answerLimit) {
       response.destroy();
-      const message = `the answer is larger than ${limit} bytes`;
+      const message = `the answer is larger than ${answerLimit} bytes`;
       return Err({ kind: 'too-large', ran: 'unknown', message });
     }
-    await sink.bytes(chunk as Buffer);
+    await sink.bytes(chunk);
   }
   if (endsWithConnection && !(await isClosedProperly())) throw new Error('connection reset');
   return Ok.EMPTY;
 }
 
+// Fails if the service sends nothing for the timeout. The time that the reader takes does not count.
+async function* readWithinTimeout(
+  response: http.IncomingMessage,
+  timeout: Milliseconds,
+): AsyncGenerator<Buffer> {
+  const startTimer = () => setTimeout(() => response.destroy(new Error('silent')), timeout);
+  let timer = startTimer();
+  try {
+    for await (const chunk of response) {
+      clearTimeout(timer);
+      yield chunk as Buffer;
+      timer = startTimer();
+    }
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
 function copyHeaders(headers: http.IncomingHttpHeaders): Record<string, string> {
   const entries = Object.entries(headers)
     .filter(([name, value]) => value !== undefined && !SKIPPED_RESPONSE_HEADERS.has(name))
