Issued keys: repeat the start at an issuer that falls silent

What callers saw: a request whose idempotency key another instance issued was refused with `outcome_unknown` if that instance sent nothing for 2 s (or its connection closed) and then went on, though it may have started the request.

Cause: `openIssued` made one call and took its timeout for the loss of the issuer (`createLostRefusal`).

Evidence, before the fix, `npx jest packages/entry/test/answerOpener.test.ts`: ✕ a request with an issued key waits for an issuer that falls silent and goes on ✕ a request with an issued key waits for an issuer whose connection is lost for a moment - "run": "r", + "code": "outcome_unknown",

Why this works: the issuer starts a request once however often it is asked (`issuedRuns`), so the call is repeated until the request may not wait longer. Another incarnation in the issuer's place is evidence of its loss and ends that at once. An issuer without a connection is still refused at once, with a time to retry after.

--- a/packages/entry/src/answerOpener.ts
+++ b/packages/entry/src/answerOpener.ts
@@ -19,6 +19,7 @@
 import type { Runner } from './runner';
 
 const FORWARD_TIMEOUT_MS = 2000;
+const FORWARD_RETRY_DELAY_MS = 200;
 const BEGIN_RETRIES_MAX = 20;
 const BEGIN_RETRY_DELAY_MS = 100;
 
@@ -60,6 +61,7 @@
     return { kind: 'started', request: request.id };
   }
 
+  // Repeats the start while the issuer falls silent, because it starts a request only once.
   async function openIssued(
     request: RunRequest,
     { issuer }: IssuedKey,
@@ -68,12 +70,26 @@
       const started = startIssued(request);
       return started.kind === 'refused' ? started.refusal : openLocal(started.request);
     }
-    const current = network.getIdentity(issuer.instance);
-    if (current?.incarnation !== issuer.incarnation)
-      return current ? ISSUER_GONE : ISSUER_UNREACHABLE;
-    const { instance } = issuer;
+    if (!network.getIdentity(issuer.instance)) return ISSUER_UNREACHABLE;
+    const deadline = clock.elapsed() + request.patience;
+    let opened = await forwardIssued(request, issuer);
+    while (!opened && clock.elapsed() < deadline) {
+      await sleep(clock, FORWARD_RETRY_DELAY_MS);
+      const patience = Math.max(0, deadline - clock.elapsed());
+      opened = await forwardIssued({ ...request, patience }, issuer);
+    }
+    return opened ?? createLostRefusal();
+  }
+
+  // Returns `undefined` if it is not known whether the issuer has started the request.
+  async function forwardIssued(
+    request: RunRequest,
+    { instance, incarnation }: Identity,
+  ): Promise<AnswerSource | Refusal | undefined> {
+    const current = network.getIdentity(instance);
+    if (current && current.incarnation !== incarnation) return ISSUER_GONE;
     const reply = await network.call(instance, startTopic, request, FORWARD_TIMEOUT_MS);
-    if (reply.err) return reply.val.ran === 'no' ? ISSUER_UNREACHABLE : createLostRefusal();
+    if (reply.err) return undefined;
     if (reply.val.kind === 'refused') return reply.val.refusal;
     return createRemoteSource(network, instance, reply.val.request);
   }
