Soak: a check for answers given up while their endpoint goes on, and silences

Cause: the soak paused endpoints, but no check asked whether the endpoint of a cut or 502 answer would have gone on. The new check cut-while-alive reads it from the endpoints' own records: each run of the request went on until its answer was complete or its peer had closed. It passes over callers that left, answers beyond 3.5 s of the 4 s limit, and requests whose instance, endpoints or links a fault other than a silence or planned work touched from 3 s before the request.

Faults: endpoint-silent, endpoints-silent (three at once) and service-silent stop endpoints for 0.5 to 1.9 s; the answer fault silent pauses one answer for 1.5 s.

The first error now stays.

--- a/packages/replay/src/soak/callers.ts
+++ b/packages/replay/src/soak/callers.ts
@@ -3,10 +3,10 @@
 import type { Random } from '@pomeloroad/core';
 import type { AnswerFault, AnswerFraming, CallerAnswer, Work } from '@pomeloroad/standins';
 import { pause } from '../pause';
-import { countEvents } from './checks';
 import { ROUTES } from './configuration';
 import { draw } from './draw';
 import type { Fleet, FleetInstance } from './fleet';
+import { countEvents } from './requestRecord';
 import type { Sender } from './sender';
 
 const PAUSE_MAX_MS = 120;
@@ -14,7 +14,7 @@
 const EVENT_PAUSE_MAX_MS = 60;
 const INPUT_TOKENS_MAX = 60;
 const FRAMINGS: AnswerFraming[] = ['length', 'chunked', 'close'];
-const FAULTS: AnswerFault[] = ['short', 'extra', 'other', 'length', 'late'];
+const FAULTS: AnswerFault[] = ['short', 'extra', 'other', 'length', 'late', 'silent'];
 /** One answer in this many has a fault. */
 const FAULT_RATIO = 12;
 /** One caller in this many leaves before its answer has ended. */
--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -1,25 +1,21 @@
 import type { Milliseconds } from '@pomeloroad/core';
 import { PlatformBounds, renderEvents } from '@pomeloroad/standins';
 import type { ConfigurationHistory } from './configurationHistory';
+import { CONTACT_MS, STATUS_OK } from './checkBounds';
+import { checkCutWhileAlive, checkShutdown } from './cutChecks';
 import type { FaultLog } from './faultLog';
+import { countEvents, isWhole } from './requestRecord';
 import type { EndpointRun, RequestRecord } from './requestRecord';
 
 /** Statuses with which an instance promises that a request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 /** Statuses that an older configuration may cause: no route, or no key. */
 const UNKNOWN_STATUSES = new Set([401, 403, 404]);
-const STATUS_OK = 200;
-/** Time before a moment in which nothing may have disturbed a process that a bound holds for. */
-const CONTACT_MS: Milliseconds = 3000;
 /** Time by which a disturbed store stretches the bound of the configuration. */
 const STORE_STRETCH_MS: Milliseconds = 5000;
 const RECOVERY_MS: Milliseconds = 5000;
 /** Time for which two runs of one stream may overlap. */
 const OVERLAP_MAX_MS: Milliseconds = 400;
-/** Requests sent later than this after SIGTERM may be cut by the end of the process. */
-const SHUTDOWN_ARRIVAL_MS: Milliseconds = 3000;
-/** Time after which an answer is held to have used up its caller's time. */
-const LONG_ANSWER_MS: Milliseconds = 3500;
 
 /** What checks know besides the request. */
 export interface CheckContext {
@@ -59,6 +55,7 @@
   path: checkPath,
   leaving: checkLeaving,
   shutdown: checkShutdown,
+  'cut-while-alive': checkCutWhileAlive,
   configuration: checkConfiguration,
   'configuration-order': checkConfigurationOrder,
   recovery: checkRecovery,
@@ -131,20 +128,6 @@
   return run ? { message: `ran at ${run.endpoint} although it was leaving` } : 'held';
 }
 
-// Only planned work may have touched the instance and the endpoints of the request.
-function checkShutdown(record: RequestRecord, { faults }: CheckContext): CheckOutcome {
-  const { instance, runs, sentAt, endedAt = Infinity, work, patience } = record;
-  const shutdown = faults.findShutdown(instance, sentAt, endedAt);
-  const isSound = work.fault === 'none' && patience === undefined;
-  if (!shutdown || runs.length === 0 || !isSound) return 'skipped';
-  const isLong = endedAt - sentAt > LONG_ANSWER_MS || sentAt > shutdown.from + SHUTDOWN_ARRIVAL_MS;
-  const names = [instance, 'store', ...runs.map((run) => run.endpoint)];
-  if (isLong || faults.isHarmed(names, sentAt - CONTACT_MS, endedAt)) return 'skipped';
-  const { status = 0, error = 'ended' } = record.answer ?? {};
-  if (isWhole(record) || (status !== 0 && status !== STATUS_OK)) return 'held';
-  return { message: `cut by a shutdown: ${error}` };
-}
-
 function checkConfiguration(record: RequestRecord, context: CheckContext): CheckOutcome {
   const { faults, history } = context;
   const { work, sentAt, endedAt = Infinity, instance, runs, answer } = record;
@@ -180,15 +163,6 @@
   return { message: `not served after the last fault: status ${record.answer?.status}` };
 }
 
-function isWhole({ answer, work, resumeAfter }: RequestRecord): boolean {
-  return answer?.status === STATUS_OK && countEvents(answer.body) === work.events - resumeAfter;
-}
-
 function listEndpoints(runs: EndpointRun[]): string {
   return runs.map((run) => run.endpoint).join(', ');
 }
-
-/** Returns the number of whole events in the body. */
-export function countEvents(body: string): number {
-  return body.split('\n\n').length - 1;
-}
--- /dev/null
+++ b/packages/replay/src/soak/cutChecks.ts
@@ -0,0 +1,57 @@
+import type { Milliseconds } from '@pomeloroad/core';
+import { CALLER_LEFT } from '@pomeloroad/standins';
+import type { AnswerFault } from '@pomeloroad/standins';
+import type { CheckContext, CheckOutcome } from './checks';
+import { CONTACT_MS, STATUS_OK } from './checkBounds';
+import { isWhole } from './requestRecord';
+import type { RequestRecord } from './requestRecord';
+
+/** Requests sent later than this after SIGTERM may be cut by the end of the process. */
+const SHUTDOWN_ARRIVAL_MS: Milliseconds = 3000;
+/** Time after which an answer is held to have used up its caller's time. */
+const LONG_ANSWER_MS: Milliseconds = 3500;
+/** Faults with which an endpoint's answer is sound: it is whole, but falls silent on the way. */
+const SILENT_FAULTS: AnswerFault[] = ['none', 'late', 'silent'];
+/** Statuses of an answer that an instance has broken off or given up. */
+const CUT_STATUSES = [0, STATUS_OK, 502, 504];
+
+/** Checks that no answer is cut by an orderly shutdown beside which nothing else happened. */
+export function checkShutdown(record: RequestRecord, { faults }: CheckContext): CheckOutcome {
+  const { instance, runs, sentAt, endedAt = Infinity, work, patience } = record;
+  const shutdown = faults.findShutdown(instance, sentAt, endedAt);
+  const isSound = work.fault === 'none' && patience === undefined;
+  if (!shutdown || runs.length === 0 || !isSound || isOutOfTime(record, shutdown)) return 'skipped';
+  const names = [instance, 'store', ...runs.map((run) => run.endpoint)];
+  if (faults.isHarmed(names, sentAt - CONTACT_MS, endedAt)) return 'skipped';
+  const { status = 0, error = 'ended' } = record.answer ?? {};
+  if (isWhole(record) || (status !== 0 && status !== STATUS_OK)) return 'held';
+  return { message: `cut by a shutdown: ${error}` };
+}
+
+/**
+ * Checks that an answer is not given up while its endpoints go on with it, also after a silence. It
+ * concerns requests that have reached an endpoint and whose instance, endpoints and connections no
+ * fault but a silence or planned work has touched.
+ */
+export function checkCutWhileAlive(record: RequestRecord, { faults }: CheckContext): CheckOutcome {
+  const { answer, instance, runs, sentAt, endedAt, work } = record;
+  const isSound = SILENT_FAULTS.includes(work.fault) && answer?.error !== CALLER_LEFT;
+  const hasLived = runs.length > 0 && runs.every((run) => run.isEnded);
+  if (!answer || endedAt === undefined || !isSound || !hasLived) return 'skipped';
+  const shutdown = faults.findShutdown(instance, sentAt, endedAt);
+  const names = [instance, ...runs.map((run) => run.endpoint)];
+  const isHarmed = faults.isHarmed(names, sentAt - CONTACT_MS, endedAt);
+  if (isHarmed || isOutOfTime(record, shutdown)) return 'skipped';
+  if (isWhole(record) || !CUT_STATUSES.includes(answer.status)) return 'held';
+  const endpoints = runs.map(({ endpoint, sent }) => `${endpoint}, at event ${sent}`).join('; ');
+  const status = `status ${answer.status}, ${answer.error ?? 'ended'}`;
+  return { message: `given up (${status}) while it went on at ${endpoints}` };
+}
+
+function isOutOfTime(
+  { sentAt, endedAt = Infinity }: RequestRecord,
+  shutdown: { from: number } | undefined,
+): boolean {
+  const isLate = shutdown !== undefined && sentAt > shutdown.from + SHUTDOWN_ARRIVAL_MS;
+  return isLate || endedAt - sentAt > LONG_ANSWER_MS;
+}
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -136,7 +136,7 @@
   match(line)
     .with({ event: 'run' }, ({ account, after, path }) => {
       const fields = { endpoint: line.id, at, lastAt: at, account, path };
-      record.runs.push({ ...fields, sent: after, isStated: false });
+      record.runs.push({ ...fields, sent: after, isStated: false, isEnded: false });
       record.arrivals.push(at);
     })
     .with({ event: 'sent' }, ({ number }) => {
@@ -144,10 +144,13 @@
     })
     .with({ event: 'stated' }, () => {
       // A close of the connection states nothing.
-      if (run) run.isStated = record.work.framing !== 'close';
+      const isStated = record.work.framing !== 'close';
+      if (run) Object.assign(run, { isStated, isEnded: true });
     })
     .with({ event: 'declined' }, () => record.arrivals.push(at))
-    .with({ event: 'closed' }, () => undefined)
+    .with({ event: 'closed' }, () => {
+      if (run) run.isEnded = true;
+    })
     .exhaustive();
 }
 
--- a/packages/replay/src/soak/faultLog.ts
+++ b/packages/replay/src/soak/faultLog.ts
@@ -7,24 +7,27 @@
   text: string;
   from: number;
   to: number;
-  isOrderly: boolean;
+  nature: FaultNature;
 }
 
-/** What a fault concerns; `isOrderly` is a SIGTERM or SIGHUP alone, as planned work sends it. */
+/** What a fault concerns. */
 export interface FaultScope {
   /** Names of processes; `NAME link` and `NAME store` are the connections of an instance. */
   names: string[];
   text: string;
-  isOrderly?: boolean;
+  nature: FaultNature;
 }
 
+/** What a fault is; planned work is a SIGTERM or SIGHUP alone, a silence ends within its bound. */
+export type FaultNature = 'harm' | 'planned' | 'silence';
+
 /** The faults that were played. */
 export interface FaultLog {
   /** Adds a fault that begins now; the returned function ends it. */
   begin(scope: FaultScope): () => void;
   /** Whether a fault of one of the names, or of its connections, overlaps the time. */
   isDisturbed(names: string[], from: number, to: number): boolean;
-  /** As `isDisturbed`, without planned work. */
+  /** As `isDisturbed`, without planned work and silences. */
   isHarmed(names: string[], from: number, to: number): boolean;
   /** Returns the orderly end of the instance that overlaps the time. */
   findShutdown(name: string, from: number, to: number): { from: number; to: number } | undefined;
@@ -49,17 +52,20 @@
   }
 
   return {
-    begin({ names, text, isOrderly = false }) {
-      const span: FaultSpan = { names, text, isOrderly, from: now(), to: Infinity };
+    begin({ names, text, nature }) {
+      const span: FaultSpan = { names, text, nature, from: now(), to: Infinity };
       spans.push(span);
       return () => {
         span.to = now();
       };
     },
     isDisturbed: (names, from, to) => findSpans(names, from, to).length > 0,
-    isHarmed: (names, from, to) => findSpans(names, from, to).some((span) => !span.isOrderly),
+    isHarmed: (names, from, to) =>
+      findSpans(names, from, to).some((span) => span.nature === 'harm'),
     findShutdown: (name, from, to) =>
-      findSpans([name], from, to).find((span) => span.isOrderly && span.text.includes('SIGTERM')),
+      findSpans([name], from, to).find(
+        (span) => span.nature === 'planned' && span.text.includes('SIGTERM'),
+      ),
     listLines(from, to) {
       const near = spans.filter(
         (span) => span.from <= to + CONTEXT_MS && span.to >= from - CONTEXT_MS,
--- a/packages/replay/src/soak/fleet.ts
+++ b/packages/replay/src/soak/fleet.ts
@@ -12,7 +12,7 @@
 /** Names of the data centres. */
 export const DATA_CENTRES = ['derby', 'leicester'];
 /** Services of the endpoints: one that streams and one that answers whole. */
-const SERVICES = ['model', 'board'];
+export const SERVICES = ['model', 'board'];
 /** Shorter than endpoints announce, so that they close connections that are in use. */
 const IDLE_TIMEOUT_MS = 700;
 const FIRST_SUBNET = 64;
--- a/packages/replay/src/soak/injector.ts
+++ b/packages/replay/src/soak/injector.ts
@@ -6,12 +6,15 @@
 import { pause } from '../pause';
 import { count } from './evidence';
 import type { Evidence } from './evidence';
-import { DATA_CENTRES } from './fleet';
+import type { FaultNature } from './faultLog';
+import { DATA_CENTRES, SERVICES } from './fleet';
 import type { Fleet, FleetProcess } from './fleet';
 import type { Fault, PlannedFault, PlannedSignal, StoreFaultName, Target } from './plan';
 
 /** Longest time that a process has for its orderly end before it counts as hung. */
 const END_TIMEOUT_MS: Milliseconds = 10_000;
+/** Longest silence of an endpoint that is no failure. */
+const SILENCE_BOUND_MS: Milliseconds = 2000;
 const STORE_TIMEOUT_MS: Milliseconds = 2000;
 const SLOW_STORE_MS: Milliseconds = 400;
 const LOST_ANSWER_SHARE = 0.5;
@@ -37,8 +40,8 @@
     names.forEach((target) => claimed.add(target));
     count(counts, name);
     const text = `${name} ${JSON.stringify(fault)}`;
-    const isOrderly = fault.kind === 'signals' && fault.signals.every(isPlannedWork);
-    const end = evidence.faults.begin({ names, text: `${names.join(', ')}: ${text}`, isOrderly });
+    const scope = { names, text: `${names.join(', ')}: ${text}`, nature: getNature(fault) };
+    const end = evidence.faults.begin(scope);
     await apply(fault).catch((error: Error) =>
       evidence.fail('injector', `${name}: ${error.message}`),
     );
@@ -155,6 +158,26 @@
   return { play, counts };
 }
 
+function getNature(fault: Fault): FaultNature {
+  if (fault.kind !== 'signals') return 'harm';
+  if (fault.signals.every(isPlannedWork)) return 'planned';
+  return isSilence(fault) ? 'silence' : 'harm';
+}
+
+// Callers leave a stream after a longer one.
+function isSilence({ target, signals }: Extract<Fault, { kind: 'signals' }>): boolean {
+  const isEndpoint = target.kind === 'endpoints' || target.kind === 'service';
+  return isEndpoint && signals.every(isFreeze) && sumWaits(signals) <= SILENCE_BOUND_MS;
+}
+
+function isFreeze({ signal }: PlannedSignal): boolean {
+  return signal === 'SIGSTOP' || signal === 'SIGCONT';
+}
+
+function sumWaits(signals: PlannedSignal[]): Milliseconds {
+  return signals.reduce((sum, { wait }) => sum + wait, 0);
+}
+
 function isPlannedWork({ signal }: PlannedSignal): boolean {
   return signal === 'SIGTERM' || signal === 'SIGHUP';
 }
@@ -176,7 +199,12 @@
 function listProcesses(fleet: Fleet, target: Target): FleetProcess[] {
   return match(target)
     .with({ kind: 'instance' }, ({ index }) => fleet.instances.slice(index, index + 1))
-    .with({ kind: 'endpoint' }, ({ index }) => fleet.endpoints.slice(index, index + 1))
+    .with({ kind: 'endpoints' }, ({ index, count: length }) =>
+      fleet.endpoints.slice(index, index + length),
+    )
+    .with({ kind: 'service' }, ({ index }) =>
+      fleet.endpoints.filter((endpoint) => endpoint.service === SERVICES[index]),
+    )
     .with({ kind: 'data-centre' }, ({ index }) =>
       fleet.instances.filter((instance) => instance.dataCentre === DATA_CENTRES[index]),
     )
--- a/packages/replay/src/soak/plan.ts
+++ b/packages/replay/src/soak/plan.ts
@@ -4,10 +4,11 @@
 import { draw } from './draw';
 import type { FleetSize } from './fleet';
 
-/** Processes that one fault stops. Instances and endpoints are named by their number, from 0. */
+/** Processes that one fault stops; `index` is the number, from 0, of the first one. */
 export type Target =
   | { kind: 'instance'; index: number }
-  | { kind: 'endpoint'; index: number }
+  | { kind: 'endpoints'; index: number; count: number }
+  | { kind: 'service'; index: number }
   | { kind: 'data-centre'; index: number }
   | { kind: 'all-instances' };
 
@@ -60,6 +61,10 @@
 const LENGTH_MIN_MS: Milliseconds = 200;
 const LENGTH_MAX_MS: Milliseconds = 3000;
 const DELAY_MAX_MS: Milliseconds = 400;
+/** Silences after which an endpoint goes on; callers leave a stream after 2 s. */
+const SILENCE_MIN_MS: Milliseconds = 500;
+const SILENCE_MAX_MS: Milliseconds = 1900;
+const SILENT_ENDPOINTS = 3;
 const DRAIN_PART_MS: Milliseconds = 1000;
 const DOUBLE_SIGNAL_GAP_MAX_MS: Milliseconds = 100;
 const CUT_BYTES_MAX = 1200;
@@ -90,6 +95,13 @@
   'endpoint-kill': stopEndpoint(() => [send('SIGKILL')]),
   'endpoint-term': stopEndpoint(() => [send('SIGTERM')]),
   'endpoint-stop': stopEndpoint(drawFreeze),
+  'endpoint-silent': stopEndpoint(drawSilence),
+  'endpoints-silent': (random, size) => {
+    const index = random.integer(0, Math.max(0, size.endpoints - SILENT_ENDPOINTS));
+    return stop({ kind: 'endpoints', index, count: SILENT_ENDPOINTS }, random, drawSilence(random));
+  },
+  'service-silent': (random) =>
+    stop({ kind: 'service', index: random.integer(0, 1) }, random, drawSilence(random)),
   'link-delay': disturbLink((random) => ({
     kind: 'delay',
     delay: random.integer(1, DELAY_MAX_MS),
@@ -172,7 +184,7 @@
 function stopEndpoint(drawSignals: (random: Random) => PlannedSignal[]): Draw {
   return (random, size) => {
     const index = random.integer(0, size.endpoints - 1);
-    return stop({ kind: 'endpoint', index }, random, drawSignals(random));
+    return stop({ kind: 'endpoints', index, count: 1 }, random, drawSignals(random));
   };
 }
 
@@ -180,6 +192,10 @@
   return [send('SIGSTOP'), send('SIGCONT', drawLength(random))];
 }
 
+function drawSilence(random: Random): PlannedSignal[] {
+  return [send('SIGSTOP'), send('SIGCONT', random.integer(SILENCE_MIN_MS, SILENCE_MAX_MS))];
+}
+
 function disturbLink(drawEffect: (random: Random) => Effect): Draw {
   return (random, size) => {
     const link = draw<LinkTarget>(random, ['callers', 'store', 'endpoint']);
--- a/packages/replay/src/soak/requestRecord.ts
+++ b/packages/replay/src/soak/requestRecord.ts
@@ -1,4 +1,5 @@
 import type { CallerAnswer, EndpointLine, Work } from '@pomeloroad/standins';
+import { STATUS_OK } from './checkBounds';
 
 /** What the soak knows of one request: what its caller saw and what endpoints recorded of it. */
 export interface RequestRecord {
@@ -38,6 +39,8 @@
   sent: number;
   /** Whether the endpoint stated that its answer is complete. */
   isStated: boolean;
+  /** Whether the endpoint went on until its answer was complete or its peer had closed. */
+  isEnded: boolean;
 }
 
 /** A line that a process of the soak wrote, or that the soak wrote for a caller or a fault. */
@@ -50,3 +53,13 @@
 
 /** A line of an endpoint with its time and the endpoint's id. */
 export type StampedEndpointLine = EndpointLine & { at: string; id: string };
+
+/** Returns the number of whole events in the body. */
+export function countEvents(body: string): number {
+  return body.split('\n\n').length - 1;
+}
+
+/** Whether the caller got a success with all events that it asked for. */
+export function isWhole({ answer, work, resumeAfter }: RequestRecord): boolean {
+  return answer?.status === STATUS_OK && countEvents(answer.body) === work.events - resumeAfter;
+}
--- a/packages/replay/src/soak/totals.ts
+++ b/packages/replay/src/soak/totals.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@pomeloroad/core';
 import { PlatformBounds } from '@pomeloroad/standins';
-import { countEvents } from './checks';
 import { getService, TOKENS_PER_EVENT } from './configuration';
+import { countEvents } from './requestRecord';
 import type { RequestRecord } from './requestRecord';
 
 /** Figures over all judged requests. */
--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -53,3 +53,15 @@
   },
   TIMEOUT_MS,
 );
+
+test(
+  'seed 104729: no answer is given up while its silent endpoint goes on with it',
+  async () => {
+    const times = { length: 16_000, calm: 6000 };
+    const faults = ['endpoint-silent', 'endpoints-silent', 'service-silent'];
+    const result = await soak({ seed: 104729, ...times, faults, hasAnswerFaults: false });
+    expect(describeFailures(result)).toEqual([]);
+    expect(result.checks['cut-while-alive']).toBeGreaterThan(100);
+  },
+  TIMEOUT_MS,
+);
--- a/packages/standins/src/callerClient.ts
+++ b/packages/standins/src/callerClient.ts
@@ -2,6 +2,9 @@
 import { WireHeader } from './platformWire';
 import { signAnswer } from './soakWork';
 
+/** Error of an answer that the caller did not wait for. */
+export const CALLER_LEFT = 'caller left';
+
 /** A request of a caller of the platform. */
 export interface CallerCall {
   id: string;
@@ -62,7 +65,10 @@
         ...(call.resumeAfter > 0 ? { [WireHeader.resumeAfter]: call.resumeAfter } : {}),
       },
     });
-    const timer = setTimeout(() => request.destroy(new Error('caller left')), call.patience);
+    const timer = setTimeout(() => {
+      answer.error ??= CALLER_LEFT;
+      request.destroy();
+    }, call.patience);
     const finish = (error?: Error) => {
       clearTimeout(timer);
       answer.error ??= error?.message;
@@ -75,7 +81,7 @@
         answer.body += data.toString();
       });
       response.on('error', (error) => {
-        answer.error = error.message;
+        answer.error ??= error.message;
       });
       response.on('close', () => {
         answer.isStatedComplete = answer.framing !== 'close' && response.complete;
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -8,6 +8,7 @@
 import type { AnswerFault, Work } from './soakWork';
 
 const LATE_ANSWER_DELAY_MS: Milliseconds = 1000;
+const SILENCE_MS: Milliseconds = 1500;
 const MISDIRECTED_STATUS = 421;
 const DECLINED_STATUS = 503;
 /** Announces a time that the server's own idle timeout may undercut. */
@@ -80,12 +81,14 @@
     const step = { request: name, run: runs };
     record({ event: 'run', ...step, path, after, account });
     const fault = hasFault(id, name) ? work.fault : 'none';
-    const last = fault === 'short' ? Math.floor((after + work.events) / 2) : work.events;
+    const middle = Math.floor((after + work.events) / 2);
+    const last = fault === 'short' ? middle : work.events;
     if (fault === 'late') await sleep(clock, LATE_ANSWER_DELAY_MS);
     writeHead(response, name, work, after, fault);
     let number = after;
     while (number < last && !response.destroyed) {
-      await sleep(clock, work.pause);
+      const isSilent = fault === 'silent' && number === middle;
+      await sleep(clock, isSilent ? SILENCE_MS : work.pause);
       if (response.destroyed) break;
       number += 1;
       // Recorded first: what the kernel has taken may arrive although the process is killed.
--- a/packages/standins/src/soakWork.ts
+++ b/packages/standins/src/soakWork.ts
@@ -15,7 +15,9 @@
   /** Tells a length that is larger than the answer. */
   | 'length'
   /** Begins only after a second. */
-  | 'late';
+  | 'late'
+  /** Falls silent halfway for over a second and goes on. */
+  | 'silent';
 
 /** What a request asks an endpoint to send. It stands in the request's path. */
 export interface Work {
