Answers read from another instance: silence of the runner does not end them

What callers saw: an answer that another instance produces ended with `outcome_unknown`, or was cut once begun, - under an issued key: at the first time that the runner was silent for a second (a read waits 2 s there and 3 s here); - under any other key: at the second such silence, if the first was more than 10 s before, whatever came in between.

Cause: `deliver` reopened no answer of an issued key, although the issuer names the same run when it is asked again, and it counted its 10 s from the first loss of the whole answer.

Why this works: `createReopen` opens the answer again under the same key, whoever chose it, and goes on while the refusal is a temporary one (it says when to retry). Its 10 s are a limit on the time without progress: they start anew when the position has moved. An issuer with another incarnation, or a lost run that may not be repeated, ends it at once.

--- a/packages/entry/src/answerWriter.ts
+++ b/packages/entry/src/answerWriter.ts
@@ -19,8 +19,11 @@
   writeTimeout: Milliseconds;
 }
 
-/** Finds another source of an answer whose runner was lost. Returns a refusal if there is none. */
-export type Reopen = () => Promise<AnswerSource | Refusal>;
+/**
+ * Finds another source of an answer that can't be read further from a position on. Returns a refusal
+ * if there is none.
+ */
+export type Reopen = (position: number) => Promise<AnswerSource | Refusal>;
 
 /**
  * Sends a refusal as a JSON error with its HTTP status. Does nothing if headers were sent before or
@@ -58,7 +61,7 @@
     if (!part) break;
     if (part.err) {
       currentSource.close();
-      const next = acceptSource(delivery, position, currentSource.run, await reopen());
+      const next = acceptSource(delivery, position, currentSource.run, await reopen(position));
       if ('code' in next) {
         writer.end({ kind: 'refused', refusal: next });
         return;
--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -8,18 +8,16 @@
   hashText,
   listen,
   readBody,
-  sleep,
   withTimeout,
   writeJson,
 } from '@pomeloroad/core';
-import type { Clock, Identity, Milliseconds, Outcome } from '@pomeloroad/core';
+import type { Clock, Identity, Outcome } from '@pomeloroad/core';
 import { hasBudget } from '@pomeloroad/configuration';
 import type { Configuration, Service } from '@pomeloroad/configuration';
 import { createRefusal, issueKey, parseIssuedKey } from '@pomeloroad/requests';
 import type { Refusal } from '@pomeloroad/requests';
 import type { AnswerOpener } from './answerOpener';
-import type { AnswerSource } from './answerSource';
-import { createLostRefusal, deliverAnswer, writeRefusal } from './answerWriter';
+import { deliverAnswer, writeRefusal } from './answerWriter';
 import type { Delivery } from './answerWriter';
 import { CallerHeader, parseCallerHeaders } from './callerHeaders';
 import type { CallerOptions } from './callerHeaders';
@@ -27,15 +25,13 @@
 import { createKeyIndex } from './credentials';
 import type { Credentials, KeyIndex } from './credentials';
 import type { InstanceMetrics } from './instanceMetrics';
+import { createReopen } from './reopen';
 import type { RunRequest, Work } from './runRequest';
 import type { Settings } from './settings';
 
 const SERVICE_PATH = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const NOT_READY_RETRY_AFTER_MS = 1000;
-/** Longer than it takes to detect a lost runner and to take over its stream. */
-const REOPEN_TIMEOUT_MS = 10_000;
-const REOPEN_DELAY_MS = 1000;
 
 /** Request headers that are not passed on to a plain service. */
 const SKIPPED_REQUEST_HEADERS = new Set<string>([
@@ -228,28 +224,10 @@
     const { writeTimeout } = settings;
     const { from } = options;
     const delivery = { form, request: id, model, from, createdAt: clock.now(), writeTimeout };
-    await deliver(response, delivery, source, request, issued !== undefined);
+    await deliverAnswer(response, delivery, source, createReopen(host, request, issued));
     return undefined;
   }
 
-  async function deliver(
-    response: ServerResponse,
-    delivery: Delivery,
-    source: AnswerSource,
-    request: RunRequest,
-    isIssued: boolean,
-  ): Promise<void> {
-    let lostAt: Milliseconds | undefined;
-    await deliverAnswer(response, delivery, source, async () => {
-      lostAt ??= clock.elapsed();
-      const hasTimedOut = clock.elapsed() - lostAt > REOPEN_TIMEOUT_MS;
-      if (!request.name || isIssued || hasTimedOut) return createLostRefusal();
-      // The other instances consider a runner lost only after it has been silent for a while.
-      await sleep(clock, REOPEN_DELAY_MS);
-      return host.opener.open({ ...request, id: createId() }, undefined);
-    });
-  }
-
   async function readRequestBody(request: IncomingMessage): Promise<Outcome<Buffer, Refusal>> {
     const limit = settings.bodyLimit;
     if (Number(request.headers['content-length'] ?? 0) > limit) return Err(refuseTooLarge(limit));
