Chat: a stream that its engine does not know was not rejected by it

A request that its engine never began, as on a connection that had died, would have been refused as `invalid_request` instead of being run again.

--- a/packages/entry/src/streamFollower.ts
+++ b/packages/entry/src/streamFollower.ts
@@ -114,7 +114,7 @@
       return;
     }
     const isDeclined = kind === 'run' && outcome.val.ran === 'no';
-    lastError = isDeclined ? outcome.val : { ...outcome.val, ran: 'unknown' };
+    lastError = isDeclined ? outcome.val : { ...outcome.val, kind: 'failed', ran: 'unknown' };
     const isUnknown = kind === 'resume' && outcome.val.kind === 'rejected';
     if (isDeclined || follow.isOverBound() || (isUnknown && isLost())) result = Err(lastError);
     else if (connections.size === 0 || isUnknown) openAt = clock.elapsed() + RESUME_DELAY_MS;
--- a/packages/entry/test/chatRun.test.ts
+++ b/packages/entry/test/chatRun.test.ts
@@ -100,6 +100,23 @@
   expect(settled).toEqual([undefined]);
 });
 
+test('a request whose engine never began it is run again', async () => {
+  const streams: string[] = [];
+  const { end, settled } = await run({
+    async run(call, sink) {
+      streams.push(call.stream);
+      if (streams.length === 1) return Err(SILENT);
+      await sink(USAGE);
+      return Ok.EMPTY;
+    },
+    resume: async () => Err({ kind: 'rejected', ran: 'no', message: 'no such stream' }),
+    stop: async () => Ok(NEVER),
+  });
+  expect(streams).toEqual(['r.1', 'r.2']);
+  expect(end).toEqual({ kind: 'complete' });
+  expect(settled).toMatchObject([{ tokens: 2 }]);
+});
+
 test('an answer that has ended gets no usage of a stream beyond its limit', async () => {
   const delta = (index: number): EngineEvent => ({ kind: 'delta', index, text: 'x' });
   const stops = [Err(SILENT)];
