Chat: no second stream goes on with the text of one that its engine has forgotten

What callers saw: an engine that is restarted in the middle of an answer (with new software, say) knows none of its streams and says `never`. The request was sent to the next engine, and the text of the second stream, from its first word, followed the part of the first in one answer, which ended as whole.

Cause: `concludeAttempt` and `resumeChat` took `never` for proof that nothing had run, though events had come.

Evidence, before the fix, `npx jest packages/entry/test/chatRun.test.ts`: ✕ no second stream goes on with an answer whose engine has forgotten the first Array [ "r.1", + "r.2" ] ✕ no second stream goes on with a resumed answer whose engine has forgotten the first

Why this works: once an event of a stream has come, `never` means forgotten. The answer then ends as cut (`unknown`), and the whole reservation is charged, as for an engine that can't tell the usage. A stream lives in one engine's process, so this is stricter than a comparison of versions and needs none to be announced.

In chatRun.test.ts the placement of one test became a constant that two use; its checks are unchanged.

--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -149,8 +149,8 @@
   if (outcome.ok) return completeAttempt(run, reservation, progress);
   if (outcome.val.ran === 'no') return concludeNotRun(outcome.val);
   const stopped = await stopStream(run, placement);
-  if (!stopped) {
-    // The endpoint does not answer, so its usage is unknown and the whole reservation is charged.
+  if (!stopped || isForgotten(stopped, progress)) {
+    // The endpoint can't tell the usage, so the whole reservation is charged.
     const record = createRecord(
       run,
       reservation.tokens - run.chat.outputBound,
@@ -165,6 +165,12 @@
   return { kind: 'done', end, record };
 }
 
+// An engine that was restarted knows none of its streams. Another stream may not go on with the text
+// of this one, as its model or software may be of another version.
+function isForgotten(stopped: StoppedUsage, progress: StreamProgress): boolean {
+  return stopped.state === 'never' && progress.countDeltas() > 0;
+}
+
 /**
  * Takes over a stream that a lost instance started, reads it from its first event and settles its
  * usage. Runs the request again if the stream never started.
@@ -183,13 +189,14 @@
   const resumed = await followPlaced(run, state.placement, progress, 'resume');
   if (resumed.err) {
     const stopped = await stopStream(run, state.placement);
-    if (stopped?.state === 'never') {
+    const isKnown = stopped !== undefined && !isForgotten(stopped, progress);
+    if (isKnown && stopped.state === 'never') {
       reservation?.settle(undefined);
       // An answer that ended while the stream could not be stopped is not run again.
       if (answer.isFinished()) return refuseNotRun(resumed.val);
       return runChat(host, request, chat, answer, signal);
     }
-    const used = stopped ?? { promptTokens: state.tokens, completionTokens: 0 };
+    const used = isKnown ? stopped : { promptTokens: state.tokens, completionTokens: 0 };
     reservation?.settle(createRecord(run, used.promptTokens, used.completionTokens));
     return refuse(toFailureRefusal(resumed.val));
   }
--- a/packages/entry/test/chatRun.test.ts
+++ b/packages/entry/test/chatRun.test.ts
@@ -34,6 +34,14 @@
   work: { kind: 'chat', chat: CHAT },
 };
 
+const LOST: RunState = {
+  placement: { endpoint: 'e', address: 'e:1', stream: 'lost.1' },
+  budget: 'dispatch/routes',
+  reservation: 'reservation',
+  keeper: 'a',
+  tokens: 5,
+};
+
 /** A host whose requests run on the given engine, and the records that they settled. */
 function createHost(clock: ManualClock, engine: Partial<EngineClient>) {
   const settled: (UsageRecord | undefined)[] = [];
@@ -117,6 +125,47 @@
   expect(settled).toMatchObject([{ tokens: 2 }]);
 });
 
+test('no second stream goes on with an answer whose engine has forgotten the first', async () => {
+  const delta = (text: string): EngineEvent => ({ kind: 'delta', index: 0, text });
+  const streams: string[] = [];
+  const { end, answer, settled } = await run({
+    async run(call, sink) {
+      streams.push(call.stream);
+      await sink(delta(call.stream));
+      if (streams.length === 1) return Err(SILENT);
+      await sink(USAGE);
+      return Ok.EMPTY;
+    },
+    resume: async () => Err({ kind: 'rejected', ran: 'no', message: 'no such stream' }),
+    stop: async () => Ok(NEVER),
+  });
+  expect(streams).toEqual(['r.1']);
+  expect(answer.getEvents()).toEqual([{ kind: 'delta', text: 'r.1' }]);
+  expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'unknown' } });
+  expect(settled).toMatchObject([{ tokens: 5 }]);
+});
+
+test('no second stream goes on with a resumed answer whose engine has forgotten the first', async () => {
+  const streams: string[] = [];
+  const replies = [Err(SILENT)];
+  const engine: Partial<EngineClient> = {
+    async run(call, sink) {
+      streams.push(call.stream);
+      await sink(USAGE);
+      return Ok.EMPTY;
+    },
+    async resume(_call, _after, sink) {
+      await sink({ kind: 'delta', index: 0, text: 'x' });
+      return replies.shift() ?? Err({ kind: 'rejected', ran: 'no', message: 'no such stream' });
+    },
+    stop: async () => Ok(NEVER),
+  };
+  const { end, settled } = await run(engine, LOST);
+  expect(streams).toEqual([]);
+  expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'unknown' } });
+  expect(settled).toMatchObject([{ tokens: 5 }]);
+});
+
 test('an answer that has ended gets no usage of a stream beyond its limit', async () => {
   const delta = (index: number): EngineEvent => ({ kind: 'delta', index, text: 'x' });
   const stops = [Err(SILENT)];
@@ -136,13 +185,6 @@
 });
 
 test('a resumed request is not run again once its answer has ended', async () => {
-  const placement = { endpoint: 'e', address: 'e:1', stream: 'lost.1' };
-  const reserved = {
-    budget: 'dispatch/routes',
-    reservation: 'reservation',
-    keeper: 'a',
-    tokens: 5,
-  };
   const stops = [Err(SILENT)];
   const streams: string[] = [];
   const engine: Partial<EngineClient> = {
@@ -154,7 +196,7 @@
     resume: async () => Err(SILENT),
     stop: async () => stops.shift() ?? Ok(NEVER),
   };
-  const { end, settled } = await run(engine, { placement, ...reserved });
+  const { end, settled } = await run(engine, LOST);
   expect(streams).toEqual([]);
   expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'no' } });
   expect(settled).toEqual([undefined]);
