Answers: what was sent goes on only with the events of the stream that brought it

What callers saw: while a caller reads an answer, its runner is lost; another instance runs the request again, and the caller's answer goes on with the second stream at the position where the first ended, and ends as whole. The two streams may come from engines of two versions.

Cause: `acceptSource` asked for the same run only for plain services. A run that takes over a stream has an id of its own, so the run's id can't tell for chats.

Evidence, before the fix, `npx jest packages/entry/test/lostRunner.test.ts`: ✕ a streamed answer does not go on with the events of another stream text: "abz", isWhole: true ✕ a streamed answer does not end as whole with the end of another stream text: "ab", isWhole: true ✕ an answer in one piece is that of the second stream alone Expected "xyz", received "abz"

Why this works: an answer names its engine's stream, also where it is read from another instance or handed over, and what was sent of it is continued only by parts of that name. A stream that was taken over keeps its name. A streamed answer ends as cut otherwise (`outcome_unknown`); of an answer in one piece nothing was sent, so the second is sent. Instances of the earlier code name no stream: a mix with them is cut, not spliced.

--- a/packages/entry/src/answerSource.ts
+++ b/packages/entry/src/answerSource.ts
@@ -99,7 +99,7 @@
   const noEvents: AnswerPart = { from, events: [] };
   const part = await withTimeout(clock, wait, answer.read(from), noEvents);
   if (part.events.length <= EVENTS_PER_READ_MAX) return part;
-  return { from, events: part.events.slice(0, EVENTS_PER_READ_MAX) };
+  return { from, events: part.events.slice(0, EVENTS_PER_READ_MAX), stream: part.stream };
 }
 
 async function detachAfterLinger(clock: Clock, answer: Answer): Promise<void> {
--- a/packages/entry/src/answerWriter.ts
+++ b/packages/entry/src/answerWriter.ts
@@ -2,7 +2,7 @@
 import { cutResponse, endWithConnection, writeJson } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import { createRefusal, RefusalStatus } from '@pomeloroad/requests';
-import type { AnswerEnd, AnswerEvent, Refusal } from '@pomeloroad/requests';
+import type { AnswerEnd, AnswerEvent, AnswerPart, Refusal } from '@pomeloroad/requests';
 import type { AnswerSource } from './answerSource';
 import { CallerHeader } from './callerHeaders';
 
@@ -53,9 +53,12 @@
   source: AnswerSource,
   reopen: Reopen,
 ): Promise<void> {
-  const writer = createAnswerWriter(response, delivery);
+  const start = delivery.form === 'events' ? delivery.from : 0;
+  let writer = createAnswerWriter(response, delivery);
   let currentSource = source;
-  let position = delivery.form === 'events' ? delivery.from : 0;
+  let position = start;
+  /** The stream whose events were written. */
+  let stream: string | undefined;
   while (!response.destroyed) {
     const part = await raceWithClose(response, currentSource.read(position));
     if (!part) break;
@@ -67,12 +70,19 @@
         return;
       }
       currentSource = next;
+    } else if (position > start && isOfOtherStream(part.val, stream)) {
+      if (delivery.form !== 'json') {
+        writer.end({ kind: 'refused', refusal: createLostRefusal() });
+        break;
+      }
+      // Nothing was sent of an answer in one piece, so it is that of the other stream from its start.
+      writer = createAnswerWriter(response, delivery);
+      position = start;
     } else {
       const { events, end } = part.val;
-      for (const event of events) {
-        await writer.event(event, position);
-        position += 1;
-      }
+      if (events.length > 0) stream = part.val.stream;
+      await writeEvents(writer, events, position);
+      position += events.length;
       if (end) {
         writer.end(end);
         break;
@@ -82,6 +92,20 @@
   currentSource.close();
 }
 
+async function writeEvents(
+  writer: AnswerWriter,
+  events: AnswerEvent[],
+  from: number,
+): Promise<void> {
+  for (const [index, event] of events.entries()) await writer.event(event, from + index);
+}
+
+// Two streams write different texts, also for the same request; their engines may be of two versions.
+function isOfOtherStream({ events, end, stream }: AnswerPart, sent: string | undefined): boolean {
+  const hasContent = events.length > 0 || end?.kind === 'complete';
+  return hasContent && stream !== sent;
+}
+
 // Only the run whose first events were sent can go on with a service's answer: another run's answer
 // may differ, or arrive in other parts.
 function acceptSource(
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -213,7 +213,8 @@
   first: 'run' | 'resume',
 ): Promise<Outcome<void, EngineError>> {
   const { clock, log, engine, settings } = run.host;
-  const { endpoint } = placement;
+  const { endpoint, stream } = placement;
+  run.answer.setStream(stream);
   const follow: StreamFollow = {
     clock,
     engine,
--- a/packages/requests/src/answer.ts
+++ b/packages/requests/src/answer.ts
@@ -4,6 +4,8 @@
 /** Append-only event log of one request's answer, followed by any number of readers. */
 export interface Answer {
   append(event: AnswerEvent): void;
+  /** Names the stream of an engine whose events are appended from now on. */
+  setStream(stream: string): void;
   /** Sets how the answer ended. Later calls have no effect. */
   finish(end: AnswerEnd): void;
   /** Returns the events from a position on. Waits while there are none and no end is set. */
@@ -25,6 +27,7 @@
   length(): number;
   getEvents(): AnswerEvent[];
   getEnd(): AnswerEnd | undefined;
+  getStream(): string | undefined;
   /** Size of all events: characters of text plus bytes of response bodies. */
   size(): number;
 }
@@ -34,6 +37,7 @@
   const events: AnswerEvent[] = [];
   const changed = createCondition();
   let end: AnswerEnd | undefined;
+  let stream: string | undefined;
   let readers = 0;
   let furthestRead = 0;
   let size = 0;
@@ -45,6 +49,9 @@
       size += getEventSize(event);
       changed.notify();
     },
+    setStream(name) {
+      stream = name;
+    },
     finish(reason) {
       if (end) return;
       end = reason;
@@ -56,7 +63,7 @@
         changed.notify();
       }
       while (from >= events.length && !end) await changed.wait();
-      return { from, events: events.slice(from), end };
+      return { from, events: events.slice(from), end, stream };
     },
     async waitForBacklog(backlog) {
       while (readers > 0 && events.length - furthestRead > backlog && !end) await changed.wait();
@@ -76,6 +83,7 @@
     length: () => events.length,
     getEvents: () => events,
     getEnd: () => end,
+    getStream: () => stream,
     size: () => size,
   };
 }
--- a/packages/requests/src/answerStore.ts
+++ b/packages/requests/src/answerStore.ts
@@ -16,6 +16,7 @@
   request: string;
   events: AnswerEvent[];
   end: AnswerEnd;
+  stream: string | undefined;
 }
 
 /** Answers in the memory of this instance, by request id: unfinished ones and retained ones. */
@@ -79,12 +80,14 @@
     create,
     listRetained: () =>
       [...retainedSizes.keys()].flatMap((request) => {
-        const end = answers.get(request)?.getEnd();
-        const events = answers.get(request)?.getEvents() ?? [];
-        return end ? [{ request, events, end }] : [];
+        const answer = answers.get(request);
+        const end = answer?.getEnd();
+        if (!answer || !end) return [];
+        return [{ request, events: answer.getEvents(), end, stream: answer.getStream() }];
       }),
-    adopt({ request, events, end }) {
+    adopt({ request, events, end, stream }) {
       const answer = create(request);
+      if (stream !== undefined) answer.setStream(stream);
       events.forEach((event) => answer.append(event));
       answer.finish(end);
       retire(request, true);
--- a/packages/requests/src/types.ts
+++ b/packages/requests/src/types.ts
@@ -59,6 +59,8 @@
   from: number;
   events: AnswerEvent[];
   end?: AnswerEnd;
+  /** Name of the stream of an engine that brought the events. */
+  stream?: string;
 }
 
 /** Identifies a caller's request across retries. */
