Silence no longer ends an answer; only a replacement or evidence does

What callers saw: an answer cut 1.2 s after its last event, or a 502 from 400 ms on, while the endpoint was silent for a moment and would have gone on. Cause: relaySource closed the endpoint's answer after the stall timeout and only then asked for an attempt, a slot and a retry; send gave up at the first-byte timeout and within a whole answer. Where one of the three was missing, or the other endpoint declined, nothing was left to pass on.

Why it works: the wait for an attempt's next step (replacement.ts) has no timeout any more. After the same silence as before, a slot elsewhere and a retry are taken first, then a replacement is sent while the first is still read. The first ends when the replacement has begun, when it fails by itself, or, for a stream whose replacement has not begun after 240 ms, when its endpoint sends to others or accepts no connection. Else the replacement ends and its slot is released. So a stream is worked on twice for 320 ms at most. Pending attempts count against the route's attempts; every one that may have run counts as a run. An endpoint that was silent is less preferred until it sends again, and is not taken for failed. 5009 and pomeloroad_silent_answers_total tell what became of each silence and what a replacement lacked.

--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -72,6 +72,7 @@
     'info',
     'caller disconnected before the response was complete',
   ),
+  answerSilent: diagnostic(5009, 'info', 'answer silent past its threshold'),
   idleConnectionClosed: diagnostic(5010, 'info', 'idle connection of a caller closed'),
   configurationStaged: diagnostic(6001, 'info', 'configuration staged'),
   configurationAccepted: diagnostic(6002, 'info', 'configuration in force'),
--- /dev/null
+++ b/packages/forwarding/src/attempt.ts
@@ -0,0 +1,154 @@
+import { Err } from 'ts-results';
+import { match } from 'ts-pattern';
+import { Diagnostics } from '@pomeloroad/core';
+import type { LogFields, Milliseconds, Outcome } from '@pomeloroad/core';
+import type { Slot, SlotResult } from '@pomeloroad/routing';
+import { findEndFault } from './answerEnd';
+import { getTimeLeft } from './run';
+import type { Run } from './run';
+import type { EndpointRecord, Reply, SendError } from './types';
+
+const SERVER_ERROR_STATUS = 500;
+
+/** What an attempt ended with, or the head of its stream. */
+export type AttemptReply = Outcome<Reply, SendError>;
+
+/** A request that was sent to an endpoint, and the slot that it holds there. */
+export interface SentAttempt {
+  slot: Slot;
+  /** Entry of its endpoint; `undefined` if that had left, so that nothing was sent. */
+  endpoint: EndpointRecord | undefined;
+  reply: Promise<AttemptReply>;
+  /** Returns when bytes of the answer last arrived, or else when the request was sent. */
+  getActivityTime(): Milliseconds;
+  /** Closes the connection if the answer has not ended; resolves to the reply. */
+  end(): Promise<AttemptReply>;
+}
+
+/** Sends the request to the endpoint of the slot. Counts the attempt as pending until its reply. */
+export function sendAttempt<Payload>(run: Run<Payload>, slot: Slot): SentAttempt {
+  const { host, request, stop } = run;
+  const ending = new AbortController();
+  let activeAt = host.clock.elapsed();
+
+  async function send(endpoint: EndpointRecord): Promise<AttemptReply> {
+    run.pending += 1;
+    const sent = await host.protocol.send({
+      request,
+      endpoint,
+      resumeAfter: run.lastEventId,
+      timeLeft: getTimeLeft(run),
+      onActivity() {
+        slot.recordActivity();
+        activeAt = host.clock.elapsed();
+      },
+      signal: AbortSignal.any([stop.signal, ending.signal]),
+    });
+    const reply = await judgeWhole(run, slot, sent);
+    run.pending -= 1;
+    countAttempt(run, endpoint, reply, ending.signal.aborted);
+    if (reply.err && !ending.signal.aborted) logFailure(run, attempt, { ...reply.val });
+    return reply;
+  }
+
+  // The endpoint may have started to leave while the request waited for the slot.
+  const listed = host.directory.find(slot.endpoint.name);
+  const endpoint = slot.isLeaving() ? undefined : listed;
+  const attempt: SentAttempt = {
+    slot,
+    endpoint,
+    reply: endpoint
+      ? send(endpoint)
+      : Promise.resolve(Err({ kind: 'unreachable', message: 'the endpoint is leaving' })),
+    getActivityTime: () => activeAt,
+    end() {
+      ending.abort();
+      return attempt.reply;
+    },
+  };
+  return attempt;
+}
+
+async function judgeWhole<Payload>(
+  run: Run<Payload>,
+  slot: Slot,
+  sent: AttemptReply,
+): Promise<AttemptReply> {
+  if (sent.err || sent.val.kind !== 'whole') return sent;
+  const message = await findEndFault(run, slot, sent.val.end);
+  return message === undefined ? sent : Err({ kind: 'broken', message });
+}
+
+function countAttempt<Payload>(
+  run: Run<Payload>,
+  endpoint: EndpointRecord,
+  reply: AttemptReply,
+  isEnded: boolean,
+): void {
+  const { host } = run;
+  const failure = reply.err ? reply.val.kind : undefined;
+  const outcome = failure && isEnded ? 'ended' : (failure ?? 'answered');
+  host.metrics.attempts.add(1, { outcome });
+  if (failure === undefined || failure === 'broken') run.runs += 1;
+  if (failure === 'declined' || failure === 'replaced') run.declines += 1;
+  if (failure === 'replaced') host.directory.markReplaced(endpoint);
+}
+
+/** Logs that an attempt failed. */
+export function logFailure<Payload>(
+  run: Run<Payload>,
+  attempt: SentAttempt,
+  { kind, message }: SendError,
+): void {
+  run.host.log(Diagnostics.attemptFailed, {
+    ...describeAttempt(run, attempt),
+    outcome: kind,
+    message,
+  });
+}
+
+/**
+ * Returns the log fields of an attempt. They tell a silent answer from a silent endpoint: milliseconds
+ * since bytes arrived of this answer, and since bytes arrived of any answer of its endpoint.
+ */
+export function describeAttempt<Payload>(
+  { host, request, framing, events }: Run<Payload>,
+  { slot, endpoint, getActivityTime }: SentAttempt,
+): LogFields {
+  const now = host.clock.elapsed();
+  return {
+    request: request.id,
+    endpoint: endpoint?.id,
+    sequence: endpoint?.sequence,
+    framing,
+    events,
+    silent: Math.round(now - getActivityTime()),
+    endpointSilent: Math.round(now - slot.getActivityTime()),
+  };
+}
+
+/** Returns whether the endpoint answered with an error of its own, so that another one may do better. */
+export function isServerError(reply: Reply): boolean {
+  return reply.head.status >= SERVER_ERROR_STATUS && reply.kind === 'whole';
+}
+
+/** Releases the slot of an attempt that did not bring the answer, and excludes its endpoint. */
+export function leaveEndpoint<Payload>(
+  run: Run<Payload>,
+  { slot }: SentAttempt,
+  reply: AttemptReply,
+): void {
+  if (reply.ok && reply.val.kind === 'whole' && isServerError(reply.val)) {
+    run.failure = { head: reply.val.head, body: reply.val.body };
+  }
+  slot.release(reply.ok ? 'failed' : toSlotResult(reply.val));
+  run.excluded.add(slot.endpoint.name);
+}
+
+function toSlotResult({ kind }: SendError): SlotResult {
+  return match(kind)
+    .with('broken', () => 'failed' as const)
+    .with('unreachable', 'replaced', () => 'unreachable' as const)
+    .with('declined', () => 'ok' as const)
+    .exhaustive();
+}
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -81,17 +81,17 @@
 
 async function deliverReply<Payload>(
   run: Run<Payload>,
-  { reply, slot }: EndpointReply,
+  { reply, attempt }: EndpointReply,
 ): Promise<void> {
   run.firstByteAt = run.host.clock.elapsed();
   if (reply.kind === 'whole') {
     run.caller.answer(reply.head, reply.body);
-    slot.release(reply.head.status >= SERVER_ERROR_STATUS ? 'failed' : 'ok');
+    attempt.slot.release(reply.head.status >= SERVER_ERROR_STATUS ? 'failed' : 'ok');
     recordEnd(run, 'answered', { status: reply.head.status });
     return;
   }
   run.caller.begin(reply.head);
-  const end = await relayStream(run, reply.stream, slot);
+  const end = await relayStream(run, reply.stream, attempt);
   // An answer that was begun in chunks can't be ended without stating that it is complete.
   const mayEnd = end === 'complete' || (end === 'closed' && reply.head.framing === 'close');
   if (mayEnd) run.caller.end();
--- a/packages/forwarding/src/forwardMetrics.ts
+++ b/packages/forwarding/src/forwardMetrics.ts
@@ -8,6 +8,8 @@
   attempts: Counter;
   /** Ends of endpoints' streams by kind of end and framing. */
   streamEnds: Counter;
+  /** What became of answers that were silent past their threshold. */
+  silences: Counter;
   /** Retries denied by the retry budget. */
   repeatsDenied: Counter;
   /** Ended calls to the store by kind, table and outcome. */
@@ -29,6 +31,10 @@
       'pomeloroad_stream_ends_total',
       'Ends of endpoints’ streams by kind of end and framing of the answer.',
     ),
+    silences: metrics.counter(
+      'pomeloroad_silent_answers_total',
+      'Turns of answers that were silent past their threshold.',
+    ),
     repeatsDenied: metrics.counter(
       'pomeloroad_repeats_denied_total',
       'Repeats that the retry budget did not allow.',
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -1,10 +1,14 @@
 import { match } from 'ts-pattern';
-import { Diagnostics, withTimeout } from '@pomeloroad/core';
-import type { Slot } from '@pomeloroad/routing';
+import { Diagnostics } from '@pomeloroad/core';
+import type { SlotResult } from '@pomeloroad/routing';
 import { findEndFault } from './answerEnd';
+import { logFailure } from './attempt';
+import type { SentAttempt } from './attempt';
 import { sendWithRetries } from './attempts';
-import { getStallTimeout } from './patience';
-import { describeSilence, getTimeLeft, hasAttemptsLeft, takeAttempt } from './run';
+import { STREAM_THRESHOLD_MS } from './patience';
+import { awaitStep } from './replacement';
+import type { Progress } from './replacement';
+import { getTimeLeft, takeAttempt } from './run';
 import type { Run } from './run';
 import type { EventStream, StreamStep } from './types';
 
@@ -14,16 +18,18 @@
  */
 export type StreamEnd = 'complete' | 'closed' | 'broken';
 
-/** A stream of an endpoint and the slot that it holds. */
+/** A stream of an endpoint and the attempt that brought it. */
 interface Source {
   stream: EventStream;
-  slot: Slot;
+  attempt: SentAttempt;
 }
 
 /** The end of a stream and the endpoint that it came from. */
 interface SourceEnd {
   end: StreamEnd;
   endpoint: string;
+  /** The attempt that has taken the place of this one. */
+  replacement: SentAttempt | undefined;
 }
 
 /**
@@ -33,12 +39,12 @@
 export async function relayStream<Payload>(
   run: Run<Payload>,
   stream: EventStream,
-  slot: Slot,
+  attempt: SentAttempt,
 ): Promise<StreamEnd> {
-  let last = await relaySource(run, { stream, slot });
-  while (shouldResume(run, last)) {
+  let last = await relaySource(run, { stream, attempt });
+  while (last.replacement || shouldResume(run, last)) {
     const eventsBefore = run.events;
-    const source = await resume(run);
+    const source = await resume(run, last.replacement);
     if (!source) return last.end;
     const next = await relaySource(run, source);
     // A resumption that breaks off before its first event tells nothing about the stream.
@@ -57,10 +63,14 @@
   return mayLackEvents && hasTime && takeAttempt(run);
 }
 
-async function resume<Payload>(run: Run<Payload>): Promise<Source | undefined> {
-  const next = await sendWithRetries(run);
+async function resume<Payload>(
+  run: Run<Payload>,
+  replacement: SentAttempt | undefined,
+): Promise<Source | undefined> {
+  const next = await sendWithRetries(run, replacement);
   if (next.err) return undefined;
-  const { reply, slot } = next.val;
+  const { reply, attempt } = next.val;
+  const { slot } = attempt;
   if (reply.kind !== 'stream') {
     slot.release('failed');
     return undefined;
@@ -71,60 +81,80 @@
     after: run.lastEventId,
     events: run.events,
   });
-  return { stream: reply.stream, slot };
+  return { stream: reply.stream, attempt };
 }
 
 async function relaySource<Payload>(run: Run<Payload>, source: Source): Promise<SourceEnd> {
-  const { stream, slot } = source;
+  const { stream, attempt } = source;
+  const { slot } = attempt;
   const endpoint = slot.endpoint.name;
-  const step = await relayEvents(run, source);
+  const { step, replacement } = await relayEvents(run, source);
   // Two attempts of one request must not run at the same time.
   await stream.close();
-  const end = await judgeEnd(run, slot, step);
-  // An end in order is no failure of the endpoint, even if the answer is not complete.
-  slot.release(step.kind !== 'broken' || run.stop.signal.aborted ? 'ok' : 'failed');
-  run.host.metrics.streamEnds.add(1, { end, framing: run.framing ?? '' });
+  const end = step ? await judgeEnd(run, attempt, step) : 'broken';
+  slot.release(toSlotResult(run, step));
+  const framing = run.framing ?? '';
+  run.host.metrics.streamEnds.add(1, { end: step ? end : 'replaced', framing });
   if (end === 'complete') run.host.endStatements.add(endpoint);
   else run.excluded.add(endpoint);
-  return { end, endpoint };
+  return { end, endpoint, replacement };
+}
+
+// An end in order is no failure of the endpoint, even if the answer is not complete.
+function toSlotResult<Payload>(run: Run<Payload>, step: EndStep | undefined): SlotResult {
+  if (!step) return 'silent';
+  return step.kind !== 'broken' || run.stop.signal.aborted ? 'ok' : 'failed';
 }
 
 type EndStep = Exclude<StreamStep, { kind: 'events' }>;
 
-async function relayEvents<Payload>(run: Run<Payload>, { stream }: Source): Promise<EndStep> {
+/** The end of a stream, unless it was silent and is to be ended, and what has taken its place. */
+interface LastStep {
+  step: EndStep | undefined;
+  replacement: SentAttempt | undefined;
+}
+
+async function relayEvents<Payload>(
+  run: Run<Payload>,
+  { stream, attempt }: Source,
+): Promise<LastStep> {
   for (;;) {
-    const step = await readStep(run, stream);
-    if (step.kind !== 'events') return step;
+    const progress = await awaitEvents(run, stream, attempt);
+    if (progress.kind === 'replaced') {
+      const { by: replacement, failure } = progress;
+      return { step: failure?.kind === 'broken' ? failure : undefined, replacement };
+    }
+    const { step } = progress;
+    if (step.kind !== 'events') return { step, replacement: undefined };
     run.events += step.count;
     run.lastEventId = step.lastId ?? run.lastEventId;
     await run.caller.write(step.data);
   }
 }
 
-function readStep<Payload>(run: Run<Payload>, stream: EventStream): Promise<StreamStep> {
-  const timeout = getStallTimeout(getTimeLeft(run), hasAttemptsLeft(run));
-  return withTimeout<StreamStep>(run.host.clock, timeout, stream.next(), {
-    kind: 'broken',
-    message: 'no event within the stall timeout',
+function awaitEvents<Payload>(
+  run: Run<Payload>,
+  stream: EventStream,
+  attempt: SentAttempt,
+): Promise<Progress<StreamStep>> {
+  const startedAt = run.host.clock.elapsed();
+  return awaitStep(run, {
+    attempt,
+    step: stream.next(),
+    hasFailed: (step) => step.kind === 'broken',
+    threshold: STREAM_THRESHOLD_MS,
+    silentSince: () => startedAt,
   });
 }
 
-async function judgeEnd<Payload>(run: Run<Payload>, slot: Slot, step: EndStep): Promise<StreamEnd> {
-  const fault = step.kind === 'broken' ? step.message : await findEndFault(run, slot, step);
-  if (fault === undefined) return step.kind;
-  logBroken(run, slot, fault);
+async function judgeEnd<Payload>(
+  run: Run<Payload>,
+  attempt: SentAttempt,
+  step: EndStep,
+): Promise<StreamEnd> {
+  const message =
+    step.kind === 'broken' ? step.message : await findEndFault(run, attempt.slot, step);
+  if (message === undefined) return step.kind;
+  logFailure(run, attempt, { kind: 'broken', message });
   return 'broken';
 }
-
-function logBroken<Payload>(run: Run<Payload>, slot: Slot, message: string): void {
-  const { host, request, endpoint, framing, events } = run;
-  host.log(Diagnostics.attemptFailed, {
-    request: request.id,
-    endpoint,
-    outcome: 'broken',
-    message,
-    framing,
-    events,
-    ...describeSilence(run, slot),
-  });
-}
--- /dev/null
+++ b/packages/forwarding/src/replacement.ts
@@ -0,0 +1,202 @@
+import { match } from 'ts-pattern';
+import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
+import type { Milliseconds } from '@pomeloroad/core';
+import type { Slot } from '@pomeloroad/routing';
+import { describeAttempt, isServerError, leaveEndpoint, sendAttempt } from './attempt';
+import type { AttemptReply, SentAttempt } from './attempt';
+import { getTimeLeft, hasAttemptsLeft, mayBeDeclined, takeRetry } from './run';
+import type { Run } from './run';
+import { acquireSlot } from './slots';
+
+/** Time after which a replacement is looked for again. */
+const NEXT_LOOK_MS: Milliseconds = 300;
+/**
+ * Time for which a stream may be worked on at two endpoints until one of them is chosen. Together with
+ * the probe it is shorter than the 400 ms after which such work counts as done twice.
+ */
+const STREAM_OVERLAP_MS: Milliseconds = 240;
+const PROBE_TIMEOUT_MS: Milliseconds = 80;
+
+/** An attempt whose next step is awaited: its reply, or the next events or the end of its stream. */
+export interface AwaitedStep<Step> {
+  attempt: SentAttempt;
+  step: Promise<Step>;
+  /** Whether the step shows that the attempt has failed. */
+  hasFailed(step: Step): boolean;
+  /** Silence after which a replacement is looked for. */
+  threshold: Milliseconds;
+  /** Returns when the silence began. */
+  silentSince(): Milliseconds;
+}
+
+/**
+ * How a wait ended: with the step, or with a replacement that takes the attempt's place, which is then
+ * to be ended. `failure` is the attempt's step if it has failed by itself.
+ */
+export type Progress<Step> =
+  { kind: 'step'; step: Step } | { kind: 'replaced'; by: SentAttempt; failure: Step | undefined };
+
+/** What the attempt did meanwhile. */
+type Course = 'went on' | 'failed';
+/** What decides between an attempt and its replacement. */
+type Turn = Course | 'begun' | 'lost' | 'first is sound' | 'first is dead';
+
+/** A silent attempt and what it does meanwhile. */
+interface SilentAttempt {
+  attempt: SentAttempt;
+  course: Promise<Course>;
+  /** Returns the course once it is known. */
+  getCourse(): Course | undefined;
+  /** Aborted once the course is known. */
+  settled: AbortSignal;
+  /** Returns when the silence began. */
+  silentSince(): Milliseconds;
+  threshold: Milliseconds;
+}
+
+/**
+ * Waits for the next step of an attempt. If it stays silent, a replacement is sent, where the request may
+ * run once more and there is a slot and a retry for it. Silence never ends the attempt: it goes on
+ * until its replacement has begun, or until its endpoint or its connection turns out to be dead.
+ */
+export async function awaitStep<Payload, Step>(
+  run: Run<Payload>,
+  awaited: AwaitedStep<Step>,
+): Promise<Progress<Step>> {
+  const { attempt, step, hasFailed, silentSince, threshold } = awaited;
+  const { clock } = run.host;
+  const isStep = step.then(() => true);
+  const delay = silentSince() + threshold - clock.elapsed();
+  if (await withTimeout(clock, delay, isStep, false)) return { kind: 'step', step: await step };
+  const settled = new AbortController();
+  let known: Course | undefined;
+  const course = step.then((value) => {
+    known = hasFailed(value) ? 'failed' : 'went on';
+    settled.abort();
+    return known;
+  });
+  const getCourse = () => known;
+  const silent = { attempt, course, getCourse, settled: settled.signal, silentSince, threshold };
+  const by = await replaceSilent(run, silent);
+  if (!by) return { kind: 'step', step: await step };
+  return { kind: 'replaced', by, failure: known === 'failed' ? await step : undefined };
+}
+
+// Looks for a replacement until one takes the attempt's place or the attempt's course is known.
+async function replaceSilent<Payload>(
+  run: Run<Payload>,
+  silent: SilentAttempt,
+): Promise<SentAttempt | undefined> {
+  const { attempt, settled, silentSince, threshold } = silent;
+  const { clock } = run.host;
+  const report = createSilenceReport(run, attempt, silentSince());
+  while (!settled.aborted) {
+    const delay = silentSince() + threshold - clock.elapsed();
+    if (delay > 0) await sleep(clock, delay, settled);
+    else {
+      const slot = await findPlace(run, attempt, settled);
+      const replacement = slot && (await tryReplacement(run, silent, slot, report));
+      if (replacement) return replacement;
+      if (run.lack === 'attempt') break;
+      await sleep(clock, NEXT_LOOK_MS, settled);
+    }
+  }
+  report(await silent.course);
+  return undefined;
+}
+
+// Returns a slot for a replacement, with a retry taken from the budget; or else notes what is missing.
+async function findPlace<Payload>(
+  run: Run<Payload>,
+  { slot: { endpoint } }: SentAttempt,
+  settled: AbortSignal,
+): Promise<Slot | undefined> {
+  run.lack = hasAttemptsLeft(run) && mayBeDeclined(run) ? undefined : 'attempt';
+  if (run.lack) return undefined;
+  const excluded = new Set([...run.excluded, endpoint.name]);
+  const slot = await acquireSlot(run, excluded, settled);
+  if (slot.err) return undefined;
+  if (!settled.aborted && takeRetry(run)) return slot.val;
+  slot.val.release('unused');
+  return undefined;
+}
+
+// Sends a replacement; returns it if it takes the attempt's place, or else ends it.
+async function tryReplacement<Payload>(
+  run: Run<Payload>,
+  silent: SilentAttempt,
+  slot: Slot,
+  report: (outcome: Turn) => void,
+): Promise<SentAttempt | undefined> {
+  const replacement = sendAttempt(run, slot);
+  const turn = await race(run, silent, replacement);
+  report(turn);
+  return match(turn)
+    .with('begun', 'failed', 'first is dead', async () => replacement)
+    .with('lost', async () => {
+      leaveEndpoint(run, replacement, await replacement.reply);
+      return undefined;
+    })
+    .with('went on', 'first is sound', async () => {
+      await replacement.end();
+      slot.release('unused');
+      return undefined;
+    })
+    .exhaustive();
+}
+
+async function race<Payload>(
+  run: Run<Payload>,
+  { attempt, course, getCourse }: SilentAttempt,
+  { reply }: SentAttempt,
+): Promise<Turn> {
+  const decided = new AbortController();
+  const begun = reply.then((value): Turn => (isUsable(run, value) ? 'begun' : 'lost'));
+  const turns: Promise<Turn>[] = [course, begun];
+  if (run.request.route.kind === 'streaming') turns.push(choose(run, attempt, decided.signal));
+  const turn = await Promise.race(turns);
+  decided.abort();
+  return getCourse() ?? turn;
+}
+
+// Once a part of a stream was sent, only a stream can go on with it.
+function isUsable<Payload>(run: Run<Payload>, reply: AttemptReply): boolean {
+  if (reply.err || isServerError(reply.val)) return false;
+  return run.firstByteAt === undefined || reply.val.kind === 'stream';
+}
+
+// Tells, while neither attempt of a stream goes on, whether the first is on a dead connection.
+async function choose<Payload>(
+  { host: { clock, protocol } }: Run<Payload>,
+  { slot, endpoint, getActivityTime }: SentAttempt,
+  decided: AbortSignal,
+): Promise<Turn> {
+  await sleep(clock, STREAM_OVERLAP_MS, decided);
+  if (decided.aborted || !endpoint) return 'first is sound';
+  // The endpoint sends to others, but not on this connection.
+  if (slot.getActivityTime() > getActivityTime()) return 'first is dead';
+  const probe = protocol.probe(endpoint);
+  const reachability = await withTimeout(clock, PROBE_TIMEOUT_MS, probe, 'unknown');
+  return reachability === 'accepting' ? 'first is sound' : 'first is dead';
+}
+
+// Logs and counts what became of a silent answer, and what was missing for a replacement.
+function createSilenceReport<Payload>(
+  run: Run<Payload>,
+  attempt: SentAttempt,
+  since: Milliseconds,
+): (outcome: Turn) => void {
+  const { host } = run;
+  return (outcome) => {
+    host.metrics.silences.add(1, { outcome, lack: run.lack ?? '' });
+    host.log(Diagnostics.answerSilent, {
+      ...describeAttempt(run, attempt),
+      outcome,
+      lack: run.lack,
+      waited: Math.round(host.clock.elapsed() - since),
+      runs: run.runs,
+      declines: run.declines,
+      timeLeft: Math.round(getTimeLeft(run)),
+    });
+  };
+}
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -1,9 +1,12 @@
-import type { LogFields, Milliseconds, ResponseFraming, Tokens } from '@pomeloroad/core';
-import type { RouteError, Slot } from '@pomeloroad/routing';
+import type { Milliseconds, ResponseFraming, Tokens } from '@pomeloroad/core';
+import type { RouteError } from '@pomeloroad/routing';
 import type { ForwardHost } from './forwardTypes';
 import { isRetryable } from './patience';
 import type { Caller, ForwardRequest, ReplyHead } from './types';
 
+/** Number of endpoints that may decline one request before it is refused. */
+const DECLINES_MAX = 3;
+
 /** State of a request that is being forwarded. */
 export interface Run<Payload> {
   host: ForwardHost<Payload>;
@@ -15,6 +18,8 @@
   excluded: Set<string>;
   /** Number of attempts that may have run on an endpoint. */
   runs: number;
+  /** Number of attempts without a reply yet. */
+  pending: number;
   /** Number of attempts that ended as declined or replaced. */
   declines: number;
   /** Number of complete events sent to the caller. */
@@ -23,13 +28,11 @@
   lastEventId: string | undefined;
   /** Server error of an endpoint; sent to the caller if no other endpoint answers. */
   failure: { head: ReplyHead; body: Buffer } | undefined;
-  /** Id of the endpoint of the latest attempt. */
+  /** Id of the endpoint of the latest attempt that was not dropped for another one. */
   endpoint: string | undefined;
   /** Framing of the latest answer of an endpoint. */
   framing: ResponseFraming | undefined;
   firstByteAt: Milliseconds | undefined;
-  /** Time at which bytes of the latest attempt's answer last arrived, or else of its sending. */
-  activeAt: Milliseconds;
   /** Why the latest further attempt was not begun. */
   lack: 'attempt' | 'retry' | RouteError['kind'] | undefined;
 }
@@ -47,6 +50,7 @@
     stop: new AbortController(),
     excluded: new Set(),
     runs: 0,
+    pending: 0,
     declines: 0,
     events: 0,
     lastEventId: request.resumeAfter,
@@ -54,7 +58,6 @@
     endpoint: undefined,
     framing: undefined,
     firstByteAt: undefined,
-    activeAt: request.startedAt,
     lack: undefined,
   };
 }
@@ -74,21 +77,14 @@
   return request.cost.input + Math.min(request.cost.output, events * perEvent);
 }
 
-/**
- * Returns the log fields that tell a silent answer from a silent endpoint: milliseconds since bytes
- * arrived of this answer, and since bytes arrived of any answer of its endpoint.
- */
-export function describeSilence<Payload>({ host, activeAt }: Run<Payload>, slot: Slot): LogFields {
-  const now = host.clock.elapsed();
-  return {
-    silent: Math.round(now - activeAt),
-    endpointSilent: Math.round(now - slot.getActivityTime()),
-  };
+/** Returns whether the request may run on one more endpoint. */
+export function hasAttemptsLeft<Payload>({ request, runs, pending }: Run<Payload>): boolean {
+  return isRetryable(request.route) && runs + pending < request.route.attempts;
 }
 
-/** Returns whether the request may run on one more endpoint. */
-export function hasAttemptsLeft<Payload>({ request, runs }: Run<Payload>): boolean {
-  return isRetryable(request.route) && runs < request.route.attempts;
+/** Returns whether one more endpoint may decline the request. */
+export function mayBeDeclined<Payload>({ declines }: Run<Payload>): boolean {
+  return declines < DECLINES_MAX;
 }
 
 /**
--- /dev/null
+++ b/packages/forwarding/src/slots.ts
@@ -0,0 +1,26 @@
+import type { Outcome } from '@pomeloroad/core';
+import type { RouteError, Slot } from '@pomeloroad/routing';
+import { getAdmissionWait } from './patience';
+import { getTimeLeft } from './run';
+import type { Run } from './run';
+
+/** Waits for a slot on an endpoint that is not excluded, at most until the signal is aborted. */
+export async function acquireSlot<Payload>(
+  run: Run<Payload>,
+  excluded: ReadonlySet<string>,
+  signal: AbortSignal,
+): Promise<Outcome<Slot, RouteError>> {
+  const { host, request } = run;
+  const slot = await host.admission.acquire({
+    target: { kind: 'service', service: request.service },
+    account: request.account,
+    // In routing, a higher number means a higher priority.
+    priority: -request.priority,
+    patience: getAdmissionWait(request.route, getTimeLeft(run)),
+    excluded,
+    prefix: request.prefix,
+    signal,
+  });
+  if (slot.err) run.lack = slot.val.kind;
+  return slot;
+}
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -163,11 +163,9 @@
   resumeAfter: string | undefined;
   /** Time until the request's deadline. */
   timeLeft: Milliseconds;
-  /** Longest time until the head of the answer, and then between two parts of a whole answer. */
-  patience: Milliseconds;
   /** Called whenever bytes of the answer arrive. */
   onActivity(): void;
-  /** Aborted when the caller has disconnected or the deadline has passed. */
+  /** Aborted when the answer is not wanted any more; the connection is then closed. */
   signal: AbortSignal;
 }
 
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -123,6 +123,7 @@
   let failures = 0;
   let backoffRounds = 0;
   let wasUnreachable = false;
+  let isSilent = false;
   let lastActivityAt: Milliseconds = 0;
   let backoffUntil: Milliseconds = 0;
   let isListedLeaving = false;
@@ -142,9 +143,9 @@
   }
 
   // An unreachable endpoint is avoided at once; a single failure among answers may be transient.
-  function recordFailure(result: 'failed' | 'unreachable'): void {
+  function recordFailure(result: 'failed' | 'unreachable' | 'silent'): void {
     failures += 1;
-    if (result === 'failed' && failures < FAILURES_BEFORE_BACKOFF) return;
+    if (result !== 'unreachable' && failures < FAILURES_BEFORE_BACKOFF) return;
     if (clock.elapsed() < backoffUntil) return;
     backoffRounds += 1;
     backoffUntil = clock.elapsed() + Math.min(BACKOFF_STEP_MS * backoffRounds, BACKOFF_MAX_MS);
@@ -193,13 +194,19 @@
     },
     recordActivity() {
       lastActivityAt = clock.elapsed();
+      // Silence shows no more than that an endpoint is slow, until it sends again.
+      if (isSilent) recordSuccess();
+      isSilent = false;
     },
     getActivityTime: () => lastActivityAt,
     release(result) {
       inFlight = Math.max(0, inFlight - 1);
+      if (result === 'unused') return;
       if (result === 'ok') recordSuccess();
       else recordFailure(result);
+      isSilent = result === 'silent';
       wasUnreachable = result === 'unreachable';
+      if (isSilent) return;
       if (wasUnreachable) {
         reachability.markUnreachable(endpoint.dataCentre, endpoint.name);
       } else {
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -45,8 +45,11 @@
   signal?: AbortSignal;
 }
 
-/** How the request in a slot ended; `unreachable` means that nothing reached the endpoint. */
-export type SlotResult = 'ok' | 'failed' | 'unreachable';
+/**
+ * How the request in a slot ended. `unreachable` means that nothing reached the endpoint, `silent` that
+ * another endpoint answered sooner, `unused` that the result tells nothing about the endpoint.
+ */
+export type SlotResult = 'ok' | 'failed' | 'unreachable' | 'silent' | 'unused';
 
 /** Capacity for one request on an endpoint; must be released; only the first release counts. */
 export interface Slot {
