--- a/packages/forwarding/src/forwardMetrics.ts
+++ b/packages/forwarding/src/forwardMetrics.ts
@@ -12,6 +12,8 @@
   resumptions: Counter;
   /** Streams that callers take up. */
   takeUps: Counter;
+  /** What became of answers that were silent past their threshold. */
+  silences: Counter;
   /** Retries denied by the retry budget. */
   repeatsDenied: Counter;
   /** Ended calls to the store by kind, table and outcome. */
@@ -41,6 +43,10 @@
       'pomeloroad_stream_take_ups_total',
       'Streams that callers took up in a new request.',
     ),
+    silences: metrics.counter(
+      'pomeloroad_silent_answers_total',
+      'Turns of answers that were silent past their threshold.',
+    ),
     repeatsDenied: metrics.counter(
       'pomeloroad_repeats_denied_total',
       'Repeats that the retry budget did not allow.',
