--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -1,7 +1,6 @@
 import { match } from 'ts-pattern';
 import { Diagnostics } from '@pomeloroad/core';
-import type { SlotResult } from '@pomeloroad/routing';
-import type { Slot } from '@pomeloroad/routing';
+import type { SlotResult, Slot } from '@pomeloroad/routing';
 import { findEndFault } from './answerEnd';
 import { logFailure } from './attempt';
 import type { SentAttempt } from './attempt';
