Answers: the rest of an answer is not taken from a run that begins for it

What callers saw: a caller with the first events of an answer comes back with `last-event-id`, or its instance looks for the lost run again for it. If nobody has that run any more, the request was run anew, perhaps at an engine of another version, and the caller got the second text from its next number on. So did a caller that sent no key.

Cause: opening an answer did not know that the caller has a part of it; "not known" began a run, also one that was billed and that this caller could only get spliced.

Why this works: a request says that it is a continuation. It joins a run, or takes over its stream, but begins none: it is refused with `outcome_unknown`, and its entry is withdrawn, so that a retry from the start runs. An engine that says `never` to the stream of a continuation has forgotten it.

instance.test.ts, `a retry resumes from the event that the caller names`: it sent a key that had never been used, so what it called a retry was a first request whose first three events were dropped: the fault itself. It now sends the request first, and demands besides the number of the first event that the rest is that of the same answer.

--- a/packages/entry/src/answerOpener.ts
+++ b/packages/entry/src/answerOpener.ts
@@ -56,6 +56,7 @@
     const known = issuedRuns.get(id);
     if (known && known.digest !== request.digest) return { kind: 'refused', refusal: KEY_REUSED };
     if (known) return { kind: 'started', request: known.request };
+    if (request.isContinuation) return { kind: 'refused', refusal: createLostRefusal() };
     issuedRuns.set(id, { request: request.id, digest: request.digest });
     runner.start(request);
     return { kind: 'started', request: request.id };
@@ -114,7 +115,7 @@
       .with({ kind: 'mismatch' }, () => KEY_REUSED)
       .with({ kind: 'lost' }, () => createLostRefusal())
       .with({ kind: 'run' }, ({ isProvisional = false }) =>
-        createLocalSource(request.id, runner.start({ ...request, isProvisional })),
+        startNamed({ ...request, isProvisional }, name),
       )
       .with({ kind: 'resume' }, ({ state }) =>
         createLocalSource(request.id, runner.resume(request, state)),
@@ -123,6 +124,13 @@
       .exhaustive();
   }
 
+  function startNamed(request: RunRequest, name: RequestName): AnswerSource | Refusal {
+    if (!request.isContinuation) return createLocalSource(request.id, runner.start(request));
+    // Nobody has the answer any more whose part the caller received.
+    registry.recordFinish(name, request.id, false);
+    return createLostRefusal();
+  }
+
   // The answer of a request that did not run is dropped here shortly before its keeper is notified.
   function isForgotten(reply: BeginReply): boolean {
     if (reply.kind !== 'attach' || reply.runner.instance !== self.instance) return false;
@@ -138,11 +146,17 @@
     async open(request, issued) {
       if (issued) return openIssued(request, issued);
       if (request.name) return openNamed(request, request.name);
+      if (request.isContinuation) return CONTINUATION_WITHOUT_KEY;
       return createLocalSource(request.id, runner.start(request));
     },
   };
 }
 
+const CONTINUATION_WITHOUT_KEY = createRefusal(
+  'key_required',
+  'no',
+  'Only a request with an idempotency key can be resumed after an event.',
+);
 const KEY_REUSED = createRefusal('key_reused', 'no', 'The key was used for another request.');
 const ANSWER_EXPIRED = createRefusal('key_expired', 'unknown', 'The answer is not kept any more.');
 const ISSUER_UNREACHABLE = createRefusal(
--- a/packages/entry/src/answerWriter.ts
+++ b/packages/entry/src/answerWriter.ts
@@ -21,9 +21,9 @@
 
 /**
  * Finds another source of an answer that can't be read further from a position on. Returns a refusal
- * if there is none.
+ * if there is none. With `isContinuation`, only the run that brought the events before it may go on.
  */
-export type Reopen = (position: number) => Promise<AnswerSource | Refusal>;
+export type Reopen = (position: number, isContinuation: boolean) => Promise<AnswerSource | Refusal>;
 
 /**
  * Sends a refusal as a JSON error with its HTTP status. Does nothing if headers were sent before or
@@ -64,7 +64,9 @@
     if (!part) break;
     if (part.err) {
       currentSource.close();
-      const next = acceptSource(delivery, position, currentSource.run, await reopen(position));
+      const isContinuation = position > 0 && delivery.form !== 'json';
+      const found = await reopen(position, isContinuation);
+      const next = acceptSource(delivery, position, currentSource.run, found);
       if ('code' in next) {
         writer.end({ kind: 'refused', refusal: next });
         return;
--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -213,6 +213,7 @@
       digest,
       isIdempotent: options.isIdempotent && isIdempotentMethod(work),
       isProvisional: false,
+      isContinuation: form === 'events' && options.from > 0,
       needsClaim: !options.isIdempotent && !issued,
       priority: options.priority,
       patience: options.patience,
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -149,7 +149,7 @@
   if (outcome.ok) return completeAttempt(run, reservation, progress);
   if (outcome.val.ran === 'no') return concludeNotRun(outcome.val);
   const stopped = await stopStream(run, placement);
-  if (!stopped || isForgotten(stopped, progress)) {
+  if (!stopped || isForgotten(run, stopped, progress)) {
     // The endpoint can't tell the usage, so the whole reservation is charged.
     const record = createRecord(
       run,
@@ -167,8 +167,13 @@
 
 // An engine that was restarted knows none of its streams. Another stream may not go on with the text
 // of this one, as its model or software may be of another version.
-function isForgotten(stopped: StoppedUsage, progress: StreamProgress): boolean {
-  return stopped.state === 'never' && progress.countDeltas() > 0;
+function isForgotten(
+  { request }: ChatRun,
+  stopped: StoppedUsage,
+  progress: StreamProgress,
+): boolean {
+  const hasBegun = progress.countDeltas() > 0 || request.isContinuation;
+  return stopped.state === 'never' && hasBegun;
 }
 
 /**
@@ -189,7 +194,7 @@
   const resumed = await followPlaced(run, state.placement, progress, 'resume');
   if (resumed.err) {
     const stopped = await stopStream(run, state.placement);
-    const isKnown = stopped !== undefined && !isForgotten(stopped, progress);
+    const isKnown = stopped !== undefined && !isForgotten(run, stopped, progress);
     if (isKnown && stopped.state === 'never') {
       reservation?.settle(undefined);
       // An answer that ended while the stream could not be stopped is not run again.
--- a/packages/entry/src/reopen.ts
+++ b/packages/entry/src/reopen.ts
@@ -29,14 +29,14 @@
     return lost !== undefined && clock.elapsed() - lost.at > REOPEN_TIMEOUT_MS;
   }
 
-  return async (position) => {
+  return async (position, isContinuation) => {
     if (!request.name) return createLostRefusal();
     if (lost?.position !== position) lost = { at: clock.elapsed(), position };
     if (isTimeUp()) return createLostRefusal();
     for (;;) {
       // The other instances consider a runner lost only after it has been silent for a while.
       await sleep(clock, REOPEN_DELAY_MS);
-      const next = await opener.open({ ...request, id: createId() }, issued);
+      const next = await opener.open({ ...request, id: createId(), isContinuation }, issued);
       const isTemporary = 'code' in next && next.retryAfter !== undefined;
       if (!isTemporary || isTimeUp()) return next;
     }
--- a/packages/entry/src/runRequest.ts
+++ b/packages/entry/src/runRequest.ts
@@ -30,6 +30,8 @@
   isIdempotent: boolean;
   /** Whether an instance on another side of a partition may run the request as well. */
   isProvisional: boolean;
+  /** Whether the caller has a part of the answer, so that only the run that brought it may go on. */
+  isContinuation: boolean;
   /** Whether the name must be claimed in the table service before the request is sent. */
   needsClaim: boolean;
   priority: number;
--- a/packages/entry/test/answerOpener.test.ts
+++ b/packages/entry/test/answerOpener.test.ts
@@ -12,10 +12,17 @@
   patience: 10_000,
 } as RunRequest;
 
+const CONTINUATION: RunRequest = { ...REQUEST, isContinuation: true };
+
 function setUp() {
   const clock = createManualClock();
   const fleet = createMemoryFleet();
   const started: string[] = [];
+  const withdrawn: string[] = [];
+  const registry = {
+    begin: async () => ({ kind: 'run' }),
+    recordFinish: (_name: unknown, request: string) => withdrawn.push(request),
+  };
   const join = (instance: string) => {
     const network = fleet.join(instance);
     const answers = createAnswerStore(clock, { retention: 60_000, capacityBytes: 1e6 });
@@ -25,16 +32,16 @@
         return answers.create(request.id);
       },
     };
-    const host = { clock, self: network.self, network, answers, registry: {}, runner };
+    const host = { clock, self: network.self, network, answers, registry, runner };
     return createAnswerOpener(host as never);
   };
   join('issuer');
   const opener = join('other');
-  const open = (incarnation = 'issuer-1') => {
+  const open = (incarnation = 'issuer-1', request = REQUEST) => {
     const issuer = { instance: 'issuer', incarnation, dataCentre: 'kent' };
-    return opener.open(REQUEST, { account: 'dispatch', issuer });
+    return opener.open(request, { account: 'dispatch', issuer });
   };
-  return { clock, fleet, started, open };
+  return { clock, fleet, started, withdrawn, opener, open };
 }
 
 test('a request with an issued key waits for an issuer that falls silent and goes on', async () => {
@@ -73,3 +80,24 @@
   const { open } = setUp();
   expect(await open('issuer-0')).toMatchObject({ code: 'outcome_unknown', ran: 'unknown' });
 });
+
+test('the rest of an answer is not taken from a run that begins for it', async () => {
+  const { started, withdrawn, opener } = setUp();
+  const opened = await opener.open(CONTINUATION, undefined);
+  expect(opened).toMatchObject({ code: 'outcome_unknown', ran: 'unknown' });
+  expect(started).toEqual([]);
+  expect(withdrawn).toEqual(['r']);
+});
+
+test('the rest of an answer is not taken from a run that begins under an issued key', async () => {
+  const { started, open } = setUp();
+  expect(await open('issuer-1', CONTINUATION)).toMatchObject({ code: 'outcome_unknown' });
+  expect(started).toEqual([]);
+});
+
+test('the rest of an answer is read from the run that its issuer began', async () => {
+  const { started, open } = setUp();
+  await open();
+  expect(await open('issuer-1', { ...CONTINUATION, id: 's' })).toMatchObject({ run: 'r' });
+  expect(started).toEqual(['r']);
+});
--- a/packages/entry/test/chatRun.test.ts
+++ b/packages/entry/test/chatRun.test.ts
@@ -28,6 +28,7 @@
   digest: '',
   isIdempotent: true,
   isProvisional: false,
+  isContinuation: false,
   needsClaim: false,
   priority: 0,
   patience: 8000,
@@ -70,14 +71,14 @@
 }
 
 /** Runs a request on the engine until it has ended, or resumes it for a lost instance. */
-async function run(engine: Partial<EngineClient>, lost?: RunState) {
+async function run(engine: Partial<EngineClient>, lost?: RunState, request = REQUEST) {
   const clock = createManualClock();
   const { host, settled } = createHost(clock, engine);
   const answer = createAnswer();
   const { signal } = new AbortController();
   const starting = lost
-    ? resumeChat(host, REQUEST, CHAT, answer, signal, lost)
-    : runChat(host, REQUEST, CHAT, answer, signal);
+    ? resumeChat(host, request, CHAT, answer, signal, lost)
+    : runChat(host, request, CHAT, answer, signal);
   let isOver = false;
   const running = starting.finally(() => {
     isOver = true;
@@ -166,6 +167,23 @@
   expect(settled).toMatchObject([{ tokens: 5 }]);
 });
 
+test('the rest of a resumed answer is not taken from a run that begins for it', async () => {
+  const streams: string[] = [];
+  const engine: Partial<EngineClient> = {
+    async run(call, sink) {
+      streams.push(call.stream);
+      await sink(USAGE);
+      return Ok.EMPTY;
+    },
+    resume: async () => Err({ kind: 'rejected', ran: 'no', message: 'no such stream' }),
+    stop: async () => Ok(NEVER),
+  };
+  const { end, settled } = await run(engine, LOST, { ...REQUEST, isContinuation: true });
+  expect(streams).toEqual([]);
+  expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'unknown' } });
+  expect(settled).toMatchObject([{ tokens: 5 }]);
+});
+
 test('an answer that has ended gets no usage of a stream beyond its limit', async () => {
   const delta = (index: number): EngineEvent => ({ kind: 'delta', index, text: 'x' });
   const stops = [Err(SILENT)];
--- a/packages/entry/test/instance.test.ts
+++ b/packages/entry/test/instance.test.ts
@@ -65,14 +65,23 @@
 });
 
 test('a retry resumes from the event that the caller names', async () => {
-  const headers = { 'idempotency-key': 'resumed', 'last-event-id': '2' };
-  const reply = await harness.call(
-    'POST',
-    CHAT_PATH,
-    createChatBody('resumed', { stream: true }),
-    headers,
-  );
+  const body = createChatBody('resumed', { stream: true });
+  const headers = { 'idempotency-key': 'resumed' };
+  const whole = await harness.call('POST', CHAT_PATH, body, headers);
+  const retry = { ...headers, 'last-event-id': '2' };
+  const reply = await harness.call('POST', CHAT_PATH, body, retry);
   expect(reply.text).toMatch(/^id: 3\n/);
+  const toContents = (text: string) => [...text.matchAll(/"content":"[^"]*"/g)].map(String);
+  expect(toContents(reply.text)).toEqual(toContents(whole.text).slice(3));
+});
+
+test.each([
+  ['under a key that was not used', { 'idempotency-key': 'unused' }, 409, 'outcome_unknown'],
+  ['without a key', {}, 400, 'key_required'],
+])('the rest of an answer that nobody has is refused: %s', async (_name, key, status, code) => {
+  const body = createChatBody('rest', { stream: true });
+  const reply = await harness.call('POST', CHAT_PATH, body, { ...key, 'last-event-id': '2' });
+  expect([reply.status, reply.json.error.code]).toEqual([status, code]);
 });
 
 test('an idempotency key cannot be reused for another body', async () => {
--- a/packages/entry/test/reopen.test.ts
+++ b/packages/entry/test/reopen.test.ts
@@ -31,35 +31,42 @@
 
 test('an answer under an issued key is read on after its runner fell silent', async () => {
   const { clock, reopen } = setUp([SOURCE], NAMED, true);
-  expect(await finish(clock, reopen(3))).toBe(SOURCE);
+  expect(await finish(clock, reopen(3, true))).toBe(SOURCE);
 });
 
 test('an answer is read on though its runner is out of reach for a moment', async () => {
   const { clock, opened, reopen } = setUp([UNREACHABLE, UNREACHABLE, SOURCE], NAMED, true);
-  expect(await finish(clock, reopen(3))).toBe(SOURCE);
+  expect(await finish(clock, reopen(3, true))).toBe(SOURCE);
   expect(opened).toHaveLength(3);
 });
 
 test('an answer whose runner falls silent twice is read on if more of it came in between', async () => {
   const { clock, reopen } = setUp([SOURCE, SOURCE]);
-  await finish(clock, reopen(3));
-  expect(await finish(clock, reopen(4))).toBe(SOURCE);
+  await finish(clock, reopen(3, true));
+  expect(await finish(clock, reopen(4, true))).toBe(SOURCE);
 });
 
 test('an answer of which nothing more comes is given up', async () => {
   const { clock, reopen } = setUp([SOURCE, SOURCE]);
-  await finish(clock, reopen(3));
-  expect(await finish(clock, reopen(3))).toMatchObject({ code: 'outcome_unknown' });
+  await finish(clock, reopen(3, true));
+  expect(await finish(clock, reopen(3, true))).toMatchObject({ code: 'outcome_unknown' });
 });
 
 test('a runner that is gone is not waited for', async () => {
   const { clock, opened, reopen } = setUp([GONE], NAMED, true);
-  expect(await finish(clock, reopen(3))).toBe(GONE);
+  expect(await finish(clock, reopen(3, true))).toBe(GONE);
   expect(opened).toHaveLength(1);
 });
 
+test('an answer of which a part was sent is only continued', async () => {
+  const { clock, opened, reopen } = setUp([SOURCE, SOURCE]);
+  await finish(clock, reopen(0, false));
+  await finish(clock, reopen(3, true));
+  expect(opened.map((request) => request.isContinuation)).toEqual([false, true]);
+});
+
 test('a request without a key is not opened again', async () => {
   const { clock, opened, reopen } = setUp([SOURCE], { ...NAMED, name: undefined });
-  expect(await finish(clock, reopen(3))).toMatchObject({ code: 'outcome_unknown' });
+  expect(await finish(clock, reopen(3, true))).toMatchObject({ code: 'outcome_unknown' });
   expect(opened).toEqual([]);
 });
