Routing: test that a request whose only endpoints are silent is not refused

`preferCandidates` falls back to all available ones, and `isUnreachable`, which can refuse, does not depend on silence. No fault was found; the test passes on the present code.

--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -202,3 +202,14 @@
     { kind: 'unreachable' },
   ]);
 });
+
+test('a request whose only endpoints stay silent is not refused', async () => {
+  const { admission, clock } = setUp();
+  const slots = [];
+  for (let count = 0; count < 3; count += 1) {
+    slots.push((await admission.acquire(request())).unwrap());
+  }
+  await clock.advance(60_000);
+  const next = await admission.acquire(request());
+  expect(next.ok).toBe(true);
+});
