Runs: what an engine or service sends counts as its activity

What callers would see: an endpoint that has been busy for more than 600 ms counts as failing, however much it sends. So idle endpoints of other data centres go before the busy ones of the caller's own, and once all are busy, the truly silent ones are chosen as often as the others.

Cause: `isStalled` compares with the last recorded activity, and only the platform's front recorded any.

Evidence, before the fix, `npx jest packages/entry/test/silence.test.ts`: ✕ an engine that sends events all the time does not count as failing Expected: false, Received: true ✕ a service that sends parts all the time does not count as failing Expected: false, Received: true

Why this works: `chatRun` and `serviceRun` record each event, head and part in the slot of the attempt. The slot of the test host in chatRun.test.ts got the method that is called now.

--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -41,6 +41,8 @@
   chat: ChatRequest;
   answer: Answer;
   signal: AbortSignal;
+  /** Slot of the present attempt; there is none for a stream that was taken over. */
+  slot?: Slot;
 }
 
 /** Runs a chat completion and settles its usage. Returns how its answer ended. */
@@ -134,6 +136,7 @@
   await run.host.guard.waitUntilFresh();
   await run.host.refreshEndpoint(slot.endpoint);
   if (slot.isLeaving()) return refuseEndpointLeaving();
+  run.slot = slot;
   const progress = createStreamProgress();
   const outcome = await followPlaced(run, placement, progress, 'run');
   return concludeAttempt(run, reservation, placement, progress, outcome);
@@ -266,6 +269,7 @@
 
 function createSink(run: ChatRun, progress: StreamProgress): EngineSink {
   return async (event) => {
+    run.slot?.recordActivity();
     const text = progress.accept(event);
     if (text === undefined) return;
     if (isOverBound(run, progress)) throw new RangeError('the answer is longer than its limit');
--- a/packages/entry/src/serviceRun.ts
+++ b/packages/entry/src/serviceRun.ts
@@ -83,8 +83,12 @@
   await host.guard.waitUntilFresh();
   if (slot.isLeaving()) return { kind: 'busy', ran: 'no', message: 'the endpoint is leaving' };
   const outcome = await host.services.run(slot.endpoint.address, call, signal, {
-    head: (head) => answer.append({ kind: 'head', ...head }),
+    head(head) {
+      slot.recordActivity();
+      answer.append({ kind: 'head', ...head });
+    },
     async bytes(data) {
+      slot.recordActivity();
       answer.append({ kind: 'bytes', data });
       await answer.waitForBacklog(BACKLOG_EVENTS_MAX);
     },
--- a/packages/entry/test/chatRun.test.ts
+++ b/packages/entry/test/chatRun.test.ts
@@ -53,7 +53,10 @@
     settle: (record: UsageRecord | undefined) => settled.push(record),
   };
   const endpoint = { name: 'e', address: 'e:1' } as Endpoint;
-  const slot = { endpoint, isLeaving: () => false, release: () => undefined };
+  const slot = {
+    ...{ endpoint, isLeaving: () => false },
+    ...{ recordActivity: () => undefined, release: () => undefined },
+  };
   const host = {
     clock,
     log: createSilentLog(),
