A replacement that breaks before its first event is not taken up again

Cause: the end of the stream before it was kept, and with it the replacement that had been used. Why it works: what is kept of the stream before takes over the replacement of the latest one, if any.

--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -48,7 +48,8 @@
     if (!source) return last.end;
     const next = await relaySource(run, source);
     // A resumption that breaks off before its first event tells nothing about the stream.
-    if (run.events > eventsBefore || next.end !== 'broken') last = next;
+    const tellsNothing = run.events === eventsBefore && next.end === 'broken';
+    last = tellsNothing ? { ...last, replacement: next.replacement } : next;
   }
   return last.end;
 }
