Plain services: a silent budget keeper is no failure of the endpoint

What callers saw: a call whose budget keeper sent nothing for 3 s was refused as `endpoint_failed` ("The service gave no whole answer: the budget keeper was lost"), if no other endpoint serves it. The endpoint, which nothing had been sent to, was charged with a failure and excluded; after two of them it is avoided for 2 s.

Cause: `runAttempt` reported the keeper's silence as a failure of the service.

Why this works: nothing was sent, so the call is admitted again with another reservation, three times at most, as chats were (`admitRepeatedly`, which both use now). Then it is refused as `budget_unreachable`, which is the reason.

--- a/packages/entry/src/admit.ts
+++ b/packages/entry/src/admit.ts
@@ -2,12 +2,14 @@
 import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
 import type { HeldReservation, Placement, ReservationError } from '@pomeloroad/budgets';
 import { createRefusal } from '@pomeloroad/requests';
-import type { Refusal } from '@pomeloroad/requests';
+import type { AnswerEnd, Refusal } from '@pomeloroad/requests';
 import type { RouteError, RouteRequest, Slot } from '@pomeloroad/routing';
+import { isKeeperLost } from './chatOutcome';
 import type { RunHost } from './runHost';
 import type { RunRequest } from './runRequest';
 import { createUsageDraft } from './usage';
 
+const ADMISSIONS_MAX = 3;
 /** How long a slot is held while its request waits for tokens. */
 const SLOT_HOLD_MAX_MS = 250;
 const BUDGET_EXHAUSTED_RETRY_AFTER_MS = 30_000;
@@ -61,6 +63,15 @@
   return Ok({ slot: slot.val, reservation: reserved.val });
 }
 
+/** Admits and runs a request again while its budget keeper is lost before anything was sent. */
+export async function admitRepeatedly(admitAndRun: () => Promise<AnswerEnd>): Promise<AnswerEnd> {
+  let end = await admitAndRun();
+  for (let count = 1; count < ADMISSIONS_MAX && isKeeperLost(end); count += 1) {
+    end = await admitAndRun();
+  }
+  return end;
+}
+
 /** Waits for a slot of an endpoint, until the deadline at most. */
 export async function acquireSlot(
   host: RunHost,
--- a/packages/entry/src/chatOutcome.ts
+++ b/packages/entry/src/chatOutcome.ts
@@ -13,10 +13,9 @@
   | { kind: 'not-run'; refusal: Refusal; result: 'ok' | 'failed' };
 
 /** Ends a request whose budget keeper was lost before anything was sent. */
-export function refuseKeeperLost(): AttemptOutcome {
+export function refuseKeeperLost(): AnswerEnd {
   const message = 'The budget keeper was lost before the request was sent.';
-  const refusal = createRefusal('budget_unreachable', 'no', message, RETRY_AFTER_MS);
-  return { kind: 'done', end: refuse(refusal), record: undefined };
+  return refuse(createRefusal('budget_unreachable', 'no', message, RETRY_AFTER_MS));
 }
 
 /** Rejects an attempt whose endpoint began to leave before anything was sent. */
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -4,7 +4,7 @@
 import { createRefusal } from '@pomeloroad/requests';
 import type { Answer, AnswerEnd, RunState } from '@pomeloroad/requests';
 import type { RouteRequest, Slot } from '@pomeloroad/routing';
-import { acquireSlot, admitRequest, getPlacement } from './admit';
+import { acquireSlot, admitRepeatedly, admitRequest, getPlacement } from './admit';
 import type { ChatRequest } from './chatRequest';
 import { claimName, releaseName } from './claimName';
 import type { EngineCall, EngineError, EngineSink, StoppedUsage } from './engineClient';
@@ -18,7 +18,6 @@
 import {
   concludeNotRun,
   isEndpointFault,
-  isKeeperLost,
   isNotRun,
   refuse,
   refuseCallerLeft,
@@ -30,7 +29,6 @@
 import type { AttemptOutcome } from './chatOutcome';
 
 const ATTEMPTS_MAX = 3;
-const ADMISSIONS_MAX = 3;
 const BACKLOG_EVENTS_MAX = 64;
 const STOP_ATTEMPTS_MAX = 30;
 const STOP_RETRY_DELAY_MS = 1000;
@@ -55,12 +53,7 @@
 ): Promise<AnswerEnd> {
   const run: ChatRun = { host, request, chat, answer, signal };
   const deadline = host.clock.elapsed() + request.patience;
-  let end = await admitAndRun(run, deadline);
-  // If the budget keeper is lost before anything was sent, the request is admitted again.
-  for (let count = 1; count < ADMISSIONS_MAX && isKeeperLost(end); count += 1) {
-    end = await admitAndRun(run, deadline);
-  }
-  return end;
+  return admitRepeatedly(() => admitAndRun(run, deadline));
 }
 
 async function admitAndRun(run: ChatRun, deadline: Milliseconds): Promise<AnswerEnd> {
@@ -131,7 +124,8 @@
 ): Promise<AttemptOutcome> {
   const { request, signal } = run;
   const placement = getPlacement(request, slot, attempt);
-  if (!(await announcePlacement(run, reservation, placement))) return refuseKeeperLost();
+  const isPlaced = await announcePlacement(run, reservation, placement);
+  if (!isPlaced) return { kind: 'done', end: refuseKeeperLost(), record: undefined };
   if (signal.aborted) return { kind: 'done', end: refuseCallerLeft(), record: undefined };
   await run.host.guard.waitUntilFresh();
   await run.host.refreshEndpoint(slot.endpoint);
--- a/packages/entry/src/serviceRun.ts
+++ b/packages/entry/src/serviceRun.ts
@@ -3,7 +3,8 @@
 import type { HeldReservation, UsageRecord } from '@pomeloroad/budgets';
 import type { Milliseconds } from '@pomeloroad/core';
 import type { RouteRequest, Slot } from '@pomeloroad/routing';
-import { acquireSlot, admitRequest, getPlacement } from './admit';
+import { acquireSlot, admitRepeatedly, admitRequest, getPlacement } from './admit';
+import { refuse, refuseKeeperLost } from './chatOutcome';
 import { claimName, releaseName } from './claimName';
 import type { RunHost } from './runHost';
 import type { RunRequest, ServiceCall } from './runRequest';
@@ -14,6 +15,8 @@
 const BACKLOG_EVENTS_MAX = 16;
 const RETRY_AFTER_MS = 1000;
 
+type AttemptError = ServiceError | { kind: 'keeper-lost'; ran: 'no' };
+
 /** Runs a call of a plain service and settles its usage. Returns how its answer ended. */
 export async function runService(
   host: RunHost,
@@ -22,10 +25,19 @@
   answer: Answer,
   signal: AbortSignal,
 ): Promise<AnswerEnd> {
+  const run = { host, request, call, answer, signal };
+  const deadline = host.clock.elapsed() + request.patience;
+  return admitRepeatedly(() => admitAndRun(run, deadline));
+}
+
+async function admitAndRun(
+  run: Omit<ServiceRun, 'reservation'>,
+  deadline: Milliseconds,
+): Promise<AnswerEnd> {
+  const { host, request, call } = run;
   const { account, priority, patience } = request;
   const target = { kind: 'service' as const, service: call.service };
   const route: RouteRequest = { target, account, priority, patience, excluded: new Set() };
-  const deadline = host.clock.elapsed() + patience;
   const admitted = await admitRequest(host, request, route, call.tokens);
   if (admitted.err) return refuse(admitted.val);
   const { slot, reservation } = admitted.val;
@@ -35,7 +47,7 @@
     reservation?.settle(undefined);
     return refuse(claimed.val);
   }
-  return runAttempts({ host, request, call, answer, signal, reservation }, route, deadline, slot);
+  return runAttempts({ ...run, reservation }, route, deadline, slot);
 }
 
 interface ServiceRun {
@@ -63,6 +75,11 @@
       reservation?.settle(createRecord(run));
       return { kind: 'complete' };
     }
+    if (error.kind === 'keeper-lost') {
+      reservation?.settle(undefined);
+      await releaseName(host, request);
+      return refuseKeeperLost();
+    }
     excluded.add(slot.endpoint.name);
     const mayRetry = attempt < ATTEMPTS_MAX && !signal.aborted && isRetryable(run, error);
     const next = mayRetry ? await acquireSlot(host, { ...route, excluded }, deadline) : undefined;
@@ -75,11 +92,11 @@
   }
 }
 
-async function runAttempt(run: ServiceRun, slot: Slot): Promise<ServiceError | undefined> {
+async function runAttempt(run: ServiceRun, slot: Slot): Promise<AttemptError | undefined> {
   const { host, request, call, answer, signal, reservation } = run;
   const isAlreadyPlaced = !reservation || reservation.placement?.endpoint === slot.endpoint.name;
   const isPlaced = isAlreadyPlaced || (await reservation.place(getPlacement(request, slot, 1)));
-  if (!isPlaced) return { kind: 'failed', ran: 'no', message: 'the budget keeper was lost' };
+  if (!isPlaced) return { kind: 'keeper-lost', ran: 'no' };
   await host.guard.waitUntilFresh();
   if (slot.isLeaving()) return { kind: 'busy', ran: 'no', message: 'the endpoint is leaving' };
   const outcome = await host.services.run(slot.endpoint.address, call, signal, {
@@ -112,7 +129,3 @@
   const code = error.kind === 'busy' ? 'overloaded' : 'endpoint_failed';
   return createRefusal(code, error.ran, text, error.ran === 'no' ? RETRY_AFTER_MS : undefined);
 }
-
-function refuse(refusal: Refusal): AnswerEnd {
-  return { kind: 'refused', refusal };
-}
