Runs: a caller that leaves is no failure of its endpoint

What callers would see: two callers in a row that go away while their requests run make a sound endpoint avoided for 2 s (`FAILURES_BEFORE_BACKOFF`), longer if more follow.

Cause: the end of such a request is `endpoint_failed`, and the slot was released by that end.

Evidence, before the fix, `npx jest packages/entry/test/chatRun packages/entry/test/serviceRun`: ● a caller that leaves is no failure of the service ● a caller that leaves is no failure of the engine

Why this works: an end that the caller's leaving brought about says nothing about the endpoint, so it is not charged. The test host of chatRun.test.ts records how slots are released; its present tests are unchanged.

--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -85,7 +85,8 @@
   for (let attempt = 1; ; attempt += 1) {
     const outcome = await runAttempt(run, slot, reservation, attempt);
     if (outcome.kind === 'done') {
-      slot.release(isEndpointFault(outcome.end) ? 'failed' : 'ok');
+      const hasFailed = isEndpointFault(outcome.end) && !run.signal.aborted;
+      slot.release(hasFailed ? 'failed' : 'ok');
       reservation.settle(outcome.record);
       if (isNotRun(outcome.end)) await releaseName(host, request);
       return outcome.end;
--- a/packages/entry/src/serviceRun.ts
+++ b/packages/entry/src/serviceRun.ts
@@ -70,7 +70,7 @@
   let slot = firstSlot;
   for (let attempt = 1; ; attempt += 1) {
     const error = await runAttempt(run, slot);
-    slot.release(error?.kind === 'failed' ? 'failed' : 'ok');
+    slot.release(error?.kind === 'failed' && !signal.aborted ? 'failed' : 'ok');
     if (!error) {
       reservation?.settle(createRecord(run));
       return { kind: 'complete' };
--- a/packages/entry/test/chatRun.test.ts
+++ b/packages/entry/test/chatRun.test.ts
@@ -5,6 +5,7 @@
 import type { Endpoint } from '@pomeloroad/configuration';
 import { createAnswer } from '@pomeloroad/requests';
 import type { RunState } from '@pomeloroad/requests';
+import type { SlotResult } from '@pomeloroad/routing';
 import { resumeChat, runChat } from '../src/chatRun';
 import type { ChatRequest } from '../src/chatRequest';
 import type { EngineClient, EngineError, EngineEvent, StoppedUsage } from '../src/engineClient';
@@ -46,6 +47,7 @@
 /** A host whose requests run on the given engine, and the records that they settled. */
 function createHost(clock: ManualClock, engine: Partial<EngineClient>) {
   const settled: (UsageRecord | undefined)[] = [];
+  const released: SlotResult[] = [];
   const reservation = {
     ...{ id: 'reservation', budget: 'dispatch/routes', keeper: 'a', tokens: 5 },
     placement: undefined,
@@ -55,7 +57,8 @@
   const endpoint = { name: 'e', address: 'e:1' } as Endpoint;
   const slot = {
     ...{ endpoint, isLeaving: () => false },
-    ...{ recordActivity: () => undefined, release: () => undefined },
+    recordActivity: () => undefined,
+    release: (result: SlotResult) => released.push(result),
   };
   const host = {
     clock,
@@ -70,15 +73,19 @@
     refreshEndpoint: async () => undefined,
     engine,
   } as unknown as RunHost;
-  return { host, settled };
+  return { host, settled, released };
 }
 
 /** Runs a request on the engine until it has ended, or resumes it for a lost instance. */
-async function run(engine: Partial<EngineClient>, lost?: RunState, request = REQUEST) {
+async function run(
+  engine: Partial<EngineClient>,
+  lost?: RunState,
+  request = REQUEST,
+  { signal } = new AbortController(),
+) {
   const clock = createManualClock();
-  const { host, settled } = createHost(clock, engine);
+  const { host, settled, released } = createHost(clock, engine);
   const answer = createAnswer();
-  const { signal } = new AbortController();
   const starting = lost
     ? resumeChat(host, request, CHAT, answer, signal, lost)
     : runChat(host, request, CHAT, answer, signal);
@@ -90,7 +97,7 @@
   running.catch(() => undefined);
   while (!isOver) await clock.advance(1000);
   const end = await running;
-  return { end, answer, settled };
+  return { end, answer, settled, released };
 }
 
 test('an attempt that is given up is not repeated once its answer has ended', async () => {
@@ -222,3 +229,16 @@
   expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'no' } });
   expect(settled).toEqual([undefined]);
 });
+
+test('a caller that leaves is no failure of the engine', async () => {
+  const caller = new AbortController();
+  const engine: Partial<EngineClient> = {
+    async run() {
+      caller.abort();
+      return Err(SILENT);
+    },
+    stop: async () => Ok({ state: 'cancelled', promptTokens: 1, completionTokens: 0 }),
+  };
+  const { released } = await run(engine, undefined, REQUEST, caller);
+  expect(released).toEqual(['ok']);
+});
--- a/packages/entry/test/serviceRun.test.ts
+++ b/packages/entry/test/serviceRun.test.ts
@@ -70,6 +70,11 @@
   expect(released).not.toContain('failed');
 });
 
+test('a caller that leaves is no failure of the service', async () => {
+  const { released } = await run([], Err(CUT), AbortSignal.abort());
+  expect(released).toEqual(['ok']);
+});
+
 test('a service that cuts its answer has failed', async () => {
   const { end, released } = await run([], Err(CUT));
   expect(end).toMatchObject({ kind: 'refused', refusal: { code: 'endpoint_failed' } });
