The overlap of a stream's two attempts counts from the connection of the second

A replacement whose connection does not open works on nothing; the first was given up for it all the same once its endpoint sent to others, and its answer cut if the replacement proved unreachable.

--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -19,6 +19,8 @@
   /** Entry of its endpoint; `undefined` if that had left, so that nothing was sent. */
   endpoint: EndpointRecord | undefined;
   reply: Promise<AttemptReply>;
+  /** Resolves once the endpoint may have started to work. */
+  connected: Promise<void>;
   /** Returns when bytes of the answer last arrived, or else when the request was sent. */
   getActivityTime(): Milliseconds;
   /** Closes the connection if the answer has not ended; resolves to the reply. */
@@ -29,6 +31,10 @@
 export function sendAttempt<Payload>(run: Run<Payload>, slot: Slot): SentAttempt {
   const { host, request, stop } = run;
   const ending = new AbortController();
+  let onConnected: () => void;
+  const connected = new Promise<void>((resolve) => {
+    onConnected = resolve;
+  });
   let activeAt = host.clock.elapsed();
 
   async function send(endpoint: EndpointRecord): Promise<AttemptReply> {
@@ -38,6 +44,7 @@
       endpoint,
       resumeAfter: run.lastEventId,
       timeLeft: getTimeLeft(run),
+      onConnected,
       onActivity() {
         slot.recordActivity();
         activeAt = host.clock.elapsed();
@@ -60,6 +67,7 @@
     reply: endpoint
       ? send(endpoint)
       : Promise.resolve(Err({ kind: 'unreachable', message: 'the endpoint is leaving' })),
+    connected,
     getActivityTime: () => activeAt,
     end() {
       ending.abort();
--- a/packages/forwarding/src/replacement.ts
+++ b/packages/forwarding/src/replacement.ts
@@ -148,12 +148,14 @@
 async function race<Payload>(
   run: Run<Payload>,
   { attempt, course, getCourse }: SilentAttempt,
-  { reply }: SentAttempt,
+  replacement: SentAttempt,
 ): Promise<Turn> {
   const decided = new AbortController();
-  const begun = reply.then((value): Turn => (isUsable(run, value) ? 'begun' : 'lost'));
+  const begun = replacement.reply.then((reply) => (isUsable(run, reply) ? 'begun' : 'lost'));
   const turns: Promise<Turn>[] = [course, begun];
-  if (run.request.route.kind === 'streaming') turns.push(choose(run, attempt, decided.signal));
+  if (run.request.route.kind === 'streaming') {
+    turns.push(replacement.connected.then(() => choose(run, attempt, decided.signal)));
+  }
   const turn = await Promise.race(turns);
   decided.abort();
   return getCourse() ?? turn;
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -163,6 +163,8 @@
   resumeAfter: string | undefined;
   /** Time until the request's deadline. */
   timeLeft: Milliseconds;
+  /** Called when the connection is open, so that the endpoint may start to work. */
+  onConnected(): void;
   /** Called whenever bytes of the answer arrive. */
   onActivity(): void;
   /** Aborted when the answer is not wanted any more; the connection is then closed. */
