--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -135,6 +135,38 @@
   second.release('ok');
 });
 
+test('an endpoint that fell silent twice is avoided until it sends again', async () => {
+  const { admission, endpoints } = setUp();
+  const acquire = async () => (await admission.acquire(request())).unwrap();
+  const slot = await acquire();
+  const { name } = slot.endpoint;
+  const others = new Set(['k1', 'k2', 't1'].filter((other) => other !== name));
+  const again = (await admission.acquire(request({ excluded: others }))).unwrap();
+  const isFailing = () => endpoints.list().find((view) => view.endpoint.name === name)?.isFailing;
+  slot.release('silent');
+  expect(isFailing()).toBe(false);
+  again.release('silent');
+  expect(isFailing()).toBe(true);
+  again.recordActivity();
+  expect(isFailing()).toBe(false);
+});
+
+test('a slot released as unused tells nothing of its endpoint', async () => {
+  const { admission, endpoints } = setUp();
+  const slots = [];
+  for (let count = 0; count < 2; count += 1) {
+    slots.push((await admission.acquire(request({ excluded: new Set(['k2', 't1']) }))).unwrap());
+  }
+  const describe = () => JSON.stringify(endpoints.list());
+  slots[0]!.release('failed');
+  slots[1]!.release('unused');
+  expect(describe()).not.toContain('"isFailing":true');
+  const next = (await admission.acquire(request({ excluded: new Set(['k2', 't1']) }))).unwrap();
+  // Had the unused slot counted as a success, this would be the first failure.
+  next.release('failed');
+  expect(describe()).toContain('"isFailing":true');
+});
+
 test('an unreachable endpoint is avoided at once and tried again later', async () => {
   const { admission, clock } = setUp();
   const first = (await admission.acquire(request())).unwrap();
