Plain services: a call that may have run is not said not to have run

What callers would see: an idempotent call whose first service cut its connection, and whose second service declined it or was out of reach, was refused with `ran: "no"`, and nothing was charged, though the first may have run it.

Cause: the last attempt's error decided what the refusal says about the whole call.

Evidence, before the fix, `npx jest packages/entry/test/serviceRun.test.ts`: ✕ a call that a first service may have run is not said not to have run - "unknown" + "no" ✕ a call that a first service may have run is not admitted anew for a silent keeper

Why this works: the first error after which the call may have run decides the refusal and the charge. Such a call is not admitted anew either, since its first reservation has to pay for it.

--- a/packages/entry/src/serviceRun.ts
+++ b/packages/entry/src/serviceRun.ts
@@ -65,9 +65,11 @@
   deadline: Milliseconds,
   firstSlot: Slot,
 ): Promise<AnswerEnd> {
-  const { host, request, reservation, signal } = run;
+  const { host, reservation, signal } = run;
   const excluded = new Set<string>();
   let slot = firstSlot;
+  /** The first error after which the call may have run. */
+  let errorInDoubt: AttemptError | undefined;
   for (let attempt = 1; ; attempt += 1) {
     const error = await runAttempt(run, slot);
     slot.release(error?.kind === 'failed' && !signal.aborted ? 'failed' : 'ok');
@@ -75,23 +77,22 @@
       reservation?.settle(createRecord(run));
       return { kind: 'complete' };
     }
-    if (error.kind === 'keeper-lost') {
-      reservation?.settle(undefined);
-      await releaseName(host, request);
-      return refuseKeeperLost();
-    }
+    if (error.ran === 'unknown') errorInDoubt ??= error;
     excluded.add(slot.endpoint.name);
     const mayRetry = attempt < ATTEMPTS_MAX && !signal.aborted && isRetryable(run, error);
     const next = mayRetry ? await acquireSlot(host, { ...route, excluded }, deadline) : undefined;
-    if (!next?.ok) {
-      reservation?.settle(error.ran === 'no' ? undefined : createRecord(run));
-      if (error.ran === 'no') await releaseName(host, request);
-      return refuse(toRefusal(error));
-    }
+    if (!next?.ok) return conclude(run, errorInDoubt ?? error);
     slot = next.val;
   }
 }
 
+async function conclude(run: ServiceRun, error: AttemptError): Promise<AnswerEnd> {
+  const { host, request, reservation } = run;
+  reservation?.settle(error.ran === 'no' ? undefined : createRecord(run));
+  if (error.ran === 'no') await releaseName(host, request);
+  return error.kind === 'keeper-lost' ? refuseKeeperLost() : refuse(toRefusal(error));
+}
+
 async function runAttempt(run: ServiceRun, slot: Slot): Promise<AttemptError | undefined> {
   const { host, request, call, answer, signal, reservation } = run;
   const isAlreadyPlaced = !reservation || reservation.placement?.endpoint === slot.endpoint.name;
@@ -114,7 +115,8 @@
 }
 
 // A call that may have run is repeated only if it is idempotent and nothing was passed on yet.
-function isRetryable({ request, answer }: ServiceRun, error: ServiceError): boolean {
+function isRetryable({ request, answer }: ServiceRun, error: AttemptError): boolean {
+  if (error.kind === 'keeper-lost') return false;
   if (error.ran === 'no') return true;
   return request.isIdempotent && error.kind === 'failed' && answer.length() === 0;
 }
