Chat: a request that its only engine never began is run there again

What callers would see: the connection to an engine dies without notice before the request arrives, while the engine lives. The stream is asked for over a new connection, the engine does not know it and confirms that it will not begin it, and the request is refused as `endpoint_failed` if no other engine serves the model.

Cause: the engine was excluded from the further attempts, as if the silent connection were the engine's failure.

Evidence, before the fix, `npx jest packages/entry/test/chatRun.test.ts`: ✕ a request whose only engine never began it is run there again Array [ "r.1", - "r.2" ]

Why this works: `never` comes from the living engine and rules out a late start, so another stream can't double the run. Other engines go first; the same one is taken, once, if none is to be had. An engine that declines, or that can't be connected to, is excluded as before (second test). The fake of the admission in chatRun.test.ts honours `excluded` now.

--- a/packages/entry/src/chatOutcome.ts
+++ b/packages/entry/src/chatOutcome.ts
@@ -9,8 +9,11 @@
 /** The result of an attempt to run a request on one endpoint. */
 export type AttemptOutcome =
   | { kind: 'done'; end: AnswerEnd; record: UsageRecord | undefined }
-  /** The endpoint ran nothing, so another one may be tried. `result` is that of the slot. */
-  | { kind: 'not-run'; refusal: Refusal; result: 'ok' | 'failed' };
+  /**
+   * The endpoint ran nothing, so another one may be tried, or, with `isRepeatable`, the same one if
+   * there is no other. `result` is that of the slot.
+   */
+  | { kind: 'not-run'; refusal: Refusal; result: 'ok' | 'failed'; isRepeatable: boolean };
 
 /** Ends a request whose budget keeper was lost before anything was sent. */
 export function refuseKeeperLost(): AnswerEnd {
@@ -22,7 +25,7 @@
 export function refuseEndpointLeaving(): AttemptOutcome {
   const message = 'The endpoint began to leave before the request was sent.';
   const refusal = createRefusal('no_endpoint', 'no', message, RETRY_AFTER_MS);
-  return { kind: 'not-run', refusal, result: 'ok' };
+  return { kind: 'not-run', refusal, result: 'ok', isRepeatable: false };
 }
 
 /** Ends a request whose caller disconnected before anything was sent. */
@@ -38,6 +41,7 @@
       kind: 'not-run' as const,
       refusal: createRefusal('overloaded', 'no', text, RETRY_AFTER_MS),
       result: 'ok' as const,
+      isRepeatable: false,
     }))
     .with('rejected', () => ({
       kind: 'done' as const,
@@ -48,10 +52,18 @@
       kind: 'not-run' as const,
       refusal: createRefusal('endpoint_failed', 'no', text, RETRY_AFTER_MS),
       result: 'failed' as const,
+      isRepeatable: false,
     }))
     .exhaustive();
 }
 
+/** Concludes an attempt whose endpoint has confirmed that it neither began it nor will. */
+export function concludeNeverBegun(error: EngineError): AttemptOutcome {
+  const text = `The endpoint never began the request: ${error.message}.`;
+  const refusal = createRefusal('endpoint_failed', 'no', text, RETRY_AFTER_MS);
+  return { kind: 'not-run', refusal, result: 'failed', isRepeatable: true };
+}
+
 /** Ends a request whose endpoint confirmed that it never started the stream. */
 export function refuseNotRun(error: EngineError): AnswerEnd {
   const text = `The endpoint never started the request: ${error.message}.`;
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -16,6 +16,7 @@
 import type { StreamProgress } from './streamProgress';
 import { createUsageRecord } from './usage';
 import {
+  concludeNeverBegun,
   concludeNotRun,
   isEndpointFault,
   isNotRun,
@@ -80,7 +81,7 @@
   reservation: HeldReservation,
 ): Promise<AnswerEnd> {
   const { host, request } = run;
-  const excluded = new Set<string>();
+  let excluded = new Set<string>();
   let slot = firstSlot;
   for (let attempt = 1; ; attempt += 1) {
     const outcome = await runAttempt(run, slot, reservation, attempt);
@@ -92,10 +93,12 @@
       return outcome.end;
     }
     slot.release(outcome.result);
-    excluded.add(slot.endpoint.name);
     host.log(Diagnostics.requestRetried, { request: request.id, endpoint: slot.endpoint.name });
+    const others = new Set([...excluded, slot.endpoint.name]);
+    const choices = outcome.isRepeatable ? [others, excluded] : [others];
+    excluded = others;
     const next =
-      attempt < ATTEMPTS_MAX ? await acquireNextSlot(run, route, deadline, excluded) : undefined;
+      attempt < ATTEMPTS_MAX ? await acquireNextSlot(run, route, deadline, choices) : undefined;
     if (!next) {
       reservation.settle(undefined);
       await releaseName(host, request);
@@ -105,16 +108,20 @@
   }
 }
 
+// Tries the sets of excluded endpoints in order.
 async function acquireNextSlot(
   run: ChatRun,
   route: RouteRequest,
   deadline: Milliseconds,
-  excluded: ReadonlySet<string>,
+  choices: ReadonlySet<string>[],
 ): Promise<Slot | undefined> {
-  // An answer that ended while its stream could not be stopped can't take what another run returns.
-  if (run.signal.aborted || run.answer.isFinished()) return undefined;
-  const next = await acquireSlot(run.host, { ...route, excluded }, deadline);
-  return next.ok ? next.val : undefined;
+  for (const excluded of choices) {
+    // An answer that ended while its stream could not be stopped can't take what another run returns.
+    if (run.signal.aborted || run.answer.isFinished()) return undefined;
+    const next = await acquireSlot(run.host, { ...route, excluded }, deadline);
+    if (next.ok) return next.val;
+  }
+  return undefined;
 }
 
 async function runAttempt(
@@ -156,7 +163,7 @@
     );
     return { kind: 'done', end: refuse(toFailureRefusal(outcome.val)), record };
   }
-  if (stopped.state === 'never') return concludeNotRun(outcome.val);
+  if (stopped.state === 'never') return concludeNeverBegun(outcome.val);
   const record = createRecord(run, stopped.promptTokens, stopped.completionTokens);
   const isCompletable = isOverBound(run, progress) && !run.answer.isFinished();
   const end = isCompletable ? completeAtLimit(run, stopped) : refuse(toFailureRefusal(outcome.val));
--- a/packages/entry/test/chatRun.test.ts
+++ b/packages/entry/test/chatRun.test.ts
@@ -5,7 +5,7 @@
 import type { Endpoint } from '@pomeloroad/configuration';
 import { createAnswer } from '@pomeloroad/requests';
 import type { RunState } from '@pomeloroad/requests';
-import type { SlotResult } from '@pomeloroad/routing';
+import type { RouteRequest, SlotResult } from '@pomeloroad/routing';
 import { resumeChat, runChat } from '../src/chatRun';
 import type { ChatRequest } from '../src/chatRequest';
 import type { EngineClient, EngineError, EngineEvent, StoppedUsage } from '../src/engineClient';
@@ -68,7 +68,10 @@
       ...{ stallTimeout: 300, firstByteTimeout: 1000, betweenTimeout: 1000 },
     },
     budgets: { reserve: async () => Ok(reservation), adopt: async () => reservation },
-    admission: { acquire: async () => Ok(slot) },
+    admission: {
+      acquire: async ({ excluded }: RouteRequest) =>
+        excluded.has('e') ? Err({ kind: 'none' }) : Ok(slot),
+    },
     guard: { waitUntilFresh: async () => undefined },
     refreshEndpoint: async () => undefined,
     engine,
@@ -119,7 +122,7 @@
   expect(settled).toEqual([undefined]);
 });
 
-test('a request whose engine never began it is run again', async () => {
+test('a request whose only engine never began it is run there again', async () => {
   const streams: string[] = [];
   const { end, settled } = await run({
     async run(call, sink) {
@@ -242,3 +245,15 @@
   const { released } = await run(engine, undefined, REQUEST, caller);
   expect(released).toEqual(['ok']);
 });
+
+test('a request that its only engine declines is not sent there again', async () => {
+  const streams: string[] = [];
+  const { end } = await run({
+    async run(call) {
+      streams.push(call.stream);
+      return Err({ kind: 'busy', ran: 'no', message: 'status 503' });
+    },
+  });
+  expect(streams).toEqual(['r.1']);
+  expect(end).toMatchObject({ kind: 'refused', refusal: { code: 'overloaded', ran: 'no' } });
+});
