Soak: versions of endpoints' software, and streams that callers take up

Cause: the soak's endpoints had one version and its callers sent no Resumes, so that no check could see a stream that goes on at another version.

Endpoints announce a version, and each event of an answer names it. With 8 endpoints or more two versions serve from the start; roll-out starts endpoints of a new one and then ends those of the oldest one, and endpoint-renewed starts one again under its id with another version. Callers take a stream that broke off up to four times up, with Resumes and Last-Event-Id, at every second try at another instance. More callers leave (one in 6, before one in 15), and three in four requests are of the account that does not run out.

Checks: one-version, for each stream that went on; take-ups, once a run: of 12 or more streams taken up at instances in touch while two endpoints of their version serve, at least half as many go on as new ones begin.

--- a/packages/replay/src/soak/callers.ts
+++ b/packages/replay/src/soak/callers.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import { createRandom } from '@pomeloroad/core';
 import type { Random } from '@pomeloroad/core';
+import { listVersions } from '@pomeloroad/standins';
 import type { AnswerFault, AnswerFraming, CallerAnswer, Work } from '@pomeloroad/standins';
 import { pause } from '../pause';
 import { ROUTES } from './configuration';
@@ -18,8 +19,10 @@
 /** One answer in this many has a fault. */
 const FAULT_RATIO = 12;
 /** One caller in this many leaves before its answer has ended. */
-const LEAVING_RATIO = 15;
+const LEAVING_RATIO = 6;
 const PATIENCE_MAX_MS = 400;
+/** How often a caller tries to take a stream up again. */
+const TRIES_MAX = 4;
 
 /** Callers that send one request after another. */
 export interface Callers {
@@ -46,6 +49,17 @@
   patience?: number;
 }
 
+// A stream of which a caller has some events; a new one if it has none.
+interface Resumption {
+  work: Work;
+  resumes?: string;
+  resumeAfter: number;
+  heldVersions: string[];
+  tries: number;
+}
+
+const NOTHING_HELD = { resumeAfter: 0, heldVersions: [], tries: 0 };
+
 /** Starts callers that each keep their connection to an instance until it closes. */
 export function startCallers(host: CallersHost): Callers {
   let isStopped = false;
@@ -55,21 +69,22 @@
     const random = createRandom(host.seed * host.count + index);
     let instance: FleetInstance | undefined;
     let agent = createAgent();
-    let resumption: { work: Work; resumeAfter: number } | undefined;
+    let resumption: Resumption | undefined;
     for (let number = 1; !isStopped; number += 1) {
       const drawn = drawRequest(random, host.hasFaults);
       const choice = random.fraction();
       const delay = random.integer(1, PAUSE_MAX_MS);
-      if (!instance || Object.keys(agent.freeSockets).length === 0) {
+      const moves = resumption !== undefined && number % 2 === 0;
+      if (!instance || moves || Object.keys(agent.freeSockets).length === 0) {
         agent.destroy();
         agent = createAgent();
         instance = chooseInstance(host.fleet, choice);
       }
-      const { work, resumeAfter } = resumption ?? { work: drawn.work, resumeAfter: 0 };
       const id = `c${index + 1}-${number}`;
-      const request = { ...drawn, id, work, resumeAfter, instance, agent };
-      const answer = await host.sender.send(request);
-      resumption = findResumption(work, resumeAfter, answer);
+      const held = resumption ?? { ...NOTHING_HELD, work: drawn.work };
+      const patience = resumption ? undefined : drawn.patience;
+      const answer = await host.sender.send({ ...drawn, ...held, patience, id, instance, agent });
+      resumption = findResumption(id, held, answer);
       await pause(delay);
     }
     agent.destroy();
@@ -83,12 +98,19 @@
   };
 }
 
-// A caller goes on with a stream that broke off, with a request of its own.
-function findResumption(work: Work, resumeAfter: number, answer: CallerAnswer) {
-  if (work.route !== 'stream' || answer.status !== 200) return undefined;
-  const received = resumeAfter + countEvents(answer.body);
-  if (received === resumeAfter || received >= work.events) return undefined;
-  return { work, resumeAfter: received };
+// A caller takes a stream that broke off up again, with a request of its own.
+function findResumption(
+  id: string,
+  held: Resumption,
+  { status, body }: CallerAnswer,
+): Resumption | undefined {
+  const { work, tries, heldVersions, resumes = id } = held;
+  const brought = status === 200 ? body : '';
+  const resumeAfter = held.resumeAfter + countEvents(brought);
+  const isPartial = resumeAfter > 0 && resumeAfter < work.events;
+  if (work.route !== 'stream' || !isPartial || tries === TRIES_MAX) return undefined;
+  const versions = [...heldVersions, ...listVersions(brought)];
+  return { work, resumes, resumeAfter, heldVersions: versions, tries: tries + 1 };
 }
 
 function createAgent(): http.Agent {
@@ -103,7 +125,7 @@
 }
 
 function drawRequest(random: Random, hasFaults: boolean): Drawn {
-  const account = draw(random, ['rich', 'poor']);
+  const account = draw(random, ['rich', 'rich', 'rich', 'poor']);
   const work: Work = {
     route: draw(random, ROUTES).name,
     framing: draw(random, FRAMINGS),
--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -1,11 +1,12 @@
 import type { Milliseconds } from '@pomeloroad/core';
-import { PlatformBounds, renderEvents } from '@pomeloroad/standins';
+import { PlatformBounds, renderEvents, stripVersions } from '@pomeloroad/standins';
 import type { ConfigurationHistory } from './configurationHistory';
 import { CONTACT_MS, STATUS_OK } from './checkBounds';
 import { checkCutWhileAlive, checkShutdown } from './cutChecks';
 import type { FaultLog } from './faultLog';
 import { countEvents, isWhole } from './requestRecord';
 import type { EndpointRun, RequestRecord } from './requestRecord';
+import { checkOneVersion } from './versionChecks';
 
 /** Statuses with which an instance promises that a request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
@@ -59,6 +60,7 @@
   configuration: checkConfiguration,
   'configuration-order': checkConfigurationOrder,
   recovery: checkRecovery,
+  'one-version': checkOneVersion,
 } satisfies Record<string, RequestCheck>;
 
 // An endpoint's answer without a length ends with its connection, which states nothing.
@@ -72,7 +74,8 @@
 
 function checkContent({ id, answer, work, resumeAfter }: RequestRecord): CheckOutcome {
   if (answer?.status !== STATUS_OK) return 'skipped';
-  if (renderEvents(id, resumeAfter, work.events).startsWith(answer.body)) return 'held';
+  const expected = renderEvents(id, resumeAfter, work.events, '');
+  if (expected.startsWith(stripVersions(answer.body))) return 'held';
   return { message: 'events are missing, repeated, out of order or of another request' };
 }
 
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -9,6 +9,8 @@
 import type { LogLine, RequestRecord, StampedEndpointLine } from './requestRecord';
 import { createTotals } from './totals';
 import type { Totals } from './totals';
+import { createVersionHistory } from './versionChecks';
+import type { VersionHistory } from './versionChecks';
 
 /** Time after its end for which a request is watched for a run that starts late. */
 const WATCH_TIME_MS: Milliseconds = 8000;
@@ -27,6 +29,7 @@
   faults: FaultLog;
   history: ConfigurationHistory;
   totals: Totals;
+  versions: VersionHistory;
   open(record: RequestRecord): void;
   /** Adds a line of a process and, if it is an endpoint's, reads its step of a request. */
   addLine(source: string, text: string): void;
@@ -51,10 +54,12 @@
   const departures: Departure[] = [];
   const faults = createFaultLog(clock);
   const history = createConfigurationHistory(clock);
+  const versions = createVersionHistory(faults);
   const now = () => clock.now().getTime();
   const evidence: Evidence = {
     faults,
     history,
+    versions,
     totals: createTotals(),
     failures: [],
     checks: {},
@@ -64,6 +69,7 @@
     restarted(name) {
       const last = departures.filter(({ endpoint }) => endpoint === name).at(-1);
       if (last) last.to = now();
+      versions.unlist(name, now());
     },
     fail(check, message) {
       evidence.failures.push({ check, message, timeLine: faults.listLines(now(), now()) });
@@ -79,7 +85,13 @@
     const line = parseLine(text);
     if (!line) return;
     const at = Date.parse(String(line.at));
-    if (line.event === 'leaving') departures.push({ endpoint: source, from: at, to: Infinity });
+    if (line.event === 'leaving') {
+      departures.push({ endpoint: source, from: at, to: Infinity });
+      versions.unlist(source, at);
+    }
+    if (line.event === 'listed') {
+      versions.list(source, String(line.service), String(line.version), at);
+    }
     const record = records.get(String(line.request));
     if (line.event === 'run') {
       const message = `${source} ran ${String(line.request)}, which no caller waits for`;
@@ -100,6 +112,10 @@
     });
     evidence.check('retries', evidence.totals.checkRetries(limit));
     evidence.check('budget', evidence.totals.checkBudgets());
+    const takeUps = isFinal ? versions.check() : 'skipped';
+    if (takeUps !== 'skipped') {
+      evidence.check('take-ups', takeUps === 'held' ? undefined : takeUps.message);
+    }
   }
 
   function judgeRecord(record: RequestRecord): void {
@@ -111,6 +127,7 @@
     });
     count(evidence.outcomes, describeOutcome(record));
     evidence.totals.add(record);
+    versions.add(record);
   }
 
   function failRequest(record: RequestRecord, check: string, message: string): void {
--- a/packages/replay/src/soak/fleet.ts
+++ b/packages/replay/src/soak/fleet.ts
@@ -15,6 +15,8 @@
 export const SERVICES = ['model', 'board'];
 /** Shorter than endpoints announce, so that they close connections that are in use. */
 const IDLE_TIMEOUT_MS = 700;
+/** Number of versions that serve at the start. */
+export const FIRST_VERSIONS = 2;
 const FIRST_SUBNET = 64;
 const SUBNETS = 128;
 
@@ -49,6 +51,8 @@
   name: string;
   dataCentre: string;
   service: string;
+  /** Version of its software; a restart may change it. */
+  version: string;
   link: Link;
   program: Program;
   /** Whether a fault is ending its process. */
@@ -58,6 +62,11 @@
 /** A process of the fleet that faults stop. */
 export type FleetProcess = FleetInstance | FleetEndpoint;
 
+/** Returns the name of a version of endpoints' software. */
+export function getVersion(number: number): string {
+  return `v${number}`;
+}
+
 /** The running processes of a soak. */
 export interface Fleet {
   proxy: FaultProxy;
@@ -68,6 +77,8 @@
   endpoints: FleetEndpoint[];
   /** Starts a process that has ended again, under its name. */
   restart(process: FleetProcess): Promise<void>;
+  /** Starts an endpoint with the version that takes the place of another one, which runs on. */
+  replace(old: FleetEndpoint, version: string): Promise<FleetEndpoint>;
   /** Stops the proxy. */
   close(): void;
 }
@@ -93,22 +104,33 @@
   async function startEndpoint(
     endpoint: Omit<FleetEndpoint, 'program' | 'isEnding'>,
   ): Promise<Program> {
-    const { name, service, dataCentre, link } = endpoint;
+    const { name, service, version, dataCentre, link } = endpoint;
     const program = await launcher.start(name, STANDINS_PROGRAM, [
       'endpoint',
       ...['--id', name, '--service', service, '--data-centre', dataCentre],
+      ...['--software', version],
       ...['--store', store, '--advertised', link.address, '--idle', String(IDLE_TIMEOUT_MS)],
     ]);
     proxy.setTarget(link.id, String(program.listening.address));
     return program;
   }
 
-  async function addEndpoint(index: number): Promise<FleetEndpoint> {
-    const name = `endpoint-${index + 1}`;
+  // Each service has endpoints in each data centre; two versions of it serve if there are enough.
+  function addEndpoint(index: number): Promise<FleetEndpoint> {
+    const round = Math.floor(index / DATA_CENTRES.length);
     const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length] ?? '';
-    const service = SERVICES[Math.floor(index / DATA_CENTRES.length) % SERVICES.length] ?? '';
+    const service = SERVICES[round % SERVICES.length] ?? '';
+    const version = getVersion((Math.floor(round / SERVICES.length) % FIRST_VERSIONS) + 1);
+    return createEndpoint({ dataCentre, service, version });
+  }
+
+  async function createEndpoint(
+    place: Pick<FleetEndpoint, 'dataCentre' | 'service' | 'version'>,
+  ): Promise<FleetEndpoint> {
+    endpointsStarted += 1;
+    const name = `endpoint-${endpointsStarted}`;
     const link = await proxy.addLink(name);
-    const endpoint = { kind: 'endpoint' as const, name, dataCentre, service, link };
+    const endpoint = { kind: 'endpoint' as const, name, ...place, link };
     return { ...endpoint, program: await startEndpoint(endpoint), isEnding: false };
   }
 
@@ -137,12 +159,14 @@
     return launcher.start(name, BUNDLED_PROGRAM, ['--settings', settingsPath]);
   }
 
+  let endpointsStarted = 0;
   const createIndexes = (length: number) => Array.from({ length }, (_, index) => index);
+  const endpoints = await Promise.all(createIndexes(size.endpoints).map(addEndpoint));
   return {
     proxy,
     storeProgram,
     store,
-    endpoints: await Promise.all(createIndexes(size.endpoints).map(addEndpoint)),
+    endpoints,
     instances: await Promise.all(createIndexes(size.instances).map(addInstance)),
     async restart(stopped) {
       const fleetProcess = stopped;
@@ -152,6 +176,12 @@
           ? await startInstance(fleetProcess.name, fleetProcess.settingsPath)
           : await startEndpoint(fleetProcess);
     },
+    async replace(old, version) {
+      const { dataCentre, service } = old;
+      const endpoint = await createEndpoint({ dataCentre, service, version });
+      endpoints.splice(endpoints.indexOf(old), 1, endpoint);
+      return endpoint;
+    },
     close: proxy.close,
   };
 }
--- a/packages/replay/src/soak/injector.ts
+++ b/packages/replay/src/soak/injector.ts
@@ -7,17 +7,27 @@
 import { count } from './evidence';
 import type { Evidence } from './evidence';
 import type { FaultNature } from './faultLog';
-import { DATA_CENTRES, SERVICES } from './fleet';
-import type { Fleet, FleetProcess } from './fleet';
-import type { Fault, PlannedFault, PlannedSignal, StoreFaultName, Target } from './plan';
+import { DATA_CENTRES, FIRST_VERSIONS, getVersion, SERVICES } from './fleet';
+import type { Fleet, FleetEndpoint, FleetProcess } from './fleet';
+import type {
+  Fault,
+  PlannedFault,
+  PlannedSignal,
+  SignalFault,
+  StoreFaultName,
+  Target,
+} from './plan';
 
 /** Longest time that a process has for its orderly end before it counts as hung. */
 const END_TIMEOUT_MS: Milliseconds = 10_000;
 /** Longest silence of an endpoint that is no failure. */
 const SILENCE_BOUND_MS: Milliseconds = 2000;
 const STORE_TIMEOUT_MS: Milliseconds = 2000;
+/** Time between the steps of a roll-out. */
+const ROLL_OUT_STEP_MS: Milliseconds = 400;
 const SLOW_STORE_MS: Milliseconds = 400;
 const LOST_ANSWER_SHARE = 0.5;
+const { compare: compareNumbers } = new Intl.Collator('en', { numeric: true });
 const UNREADABLE_ROWS = ['', '{"service":7}', '{"service":"board","address":"nowhere"}', '[1'];
 
 /** Plays faults on the processes of a fleet. */
@@ -33,6 +43,7 @@
   const claimed = new Set<string>();
   const counts: Record<string, number> = {};
   let rules: Rule[] = [];
+  let versions = FIRST_VERSIONS;
 
   async function play({ name, fault }: PlannedFault): Promise<void> {
     const names = listNames(fleet, fault);
@@ -51,13 +62,11 @@
 
   function apply(fault: Fault): Promise<void> {
     return match(fault)
-      .with({ kind: 'signals' }, async ({ target, signals, pause: restartDelay }) => {
-        await Promise.all(
-          listProcesses(fleet, target).map((stopped) =>
-            sendSignals(stopped, signals, restartDelay),
-          ),
-        );
+      .with({ kind: 'signals' }, async (signals) => {
+        const processes = listProcesses(fleet, signals.target);
+        await Promise.all(processes.map((stopped) => disturbProcess(stopped, signals)));
       })
+      .with({ kind: 'roll-out' }, rollOut)
       .with({ kind: 'link' }, disturbLink)
       .with({ kind: 'store' }, ({ fault: name, length }) => disturbStore(name, length))
       .with({ kind: 'unreadable-rows' }, writeUnreadableRows)
@@ -77,20 +86,48 @@
       .exhaustive();
   }
 
-  async function sendSignals(
-    stopped: FleetProcess,
-    signals: PlannedSignal[],
-    restartDelay: Milliseconds,
-  ): Promise<void> {
+  async function disturbProcess(stopped: FleetProcess, fault: SignalFault): Promise<void> {
     const fleetProcess = stopped;
-    const { program, name } = fleetProcess;
-    const ends = signals.some(({ signal }) => signal === 'SIGTERM' || signal === 'SIGKILL');
+    const ends = fault.signals.some(({ signal }) => signal === 'SIGTERM' || signal === 'SIGKILL');
     fleetProcess.isEnding = ends;
+    await sendSignals(fleetProcess, fault.signals);
+    if (!ends) return;
+    await waitForEnd(fleetProcess, fault.signals);
+    await pause(fault.pause);
+    evidence.restarted(fleetProcess.name);
+    if (fault.isRenewed && fleetProcess.kind === 'endpoint') {
+      fleetProcess.version = findOtherVersion(fleet, fleetProcess);
+    }
+    await fleet.restart(fleetProcess);
+    fleetProcess.isEnding = false;
+  }
+
+  async function rollOut({ service }: Extract<Fault, { kind: 'roll-out' }>): Promise<void> {
+    versions += 1;
+    const version = getVersion(versions);
+    const replaced = listOldest(fleet, service).map(async (old, index) => {
+      await pause(index * ROLL_OUT_STEP_MS);
+      await fleet.replace(old, version);
+      await pause(ROLL_OUT_STEP_MS);
+      const signals: PlannedSignal[] = [{ signal: 'SIGTERM', wait: 0 }];
+      await sendSignals(old, signals);
+      await waitForEnd(old, signals);
+      evidence.restarted(old.name);
+    });
+    await Promise.all(replaced);
+  }
+
+  async function sendSignals({ program }: FleetProcess, signals: PlannedSignal[]): Promise<void> {
     for (const { signal, wait } of signals) {
       await pause(wait);
       program.child.kill(signal);
     }
-    if (!ends) return;
+  }
+
+  async function waitForEnd(
+    { name, program }: FleetProcess,
+    signals: PlannedSignal[],
+  ): Promise<void> {
     const limit = pause(END_TIMEOUT_MS).then(() => 'hung' as const);
     const code = await Promise.race([program.exited, limit]);
     if (signals.every(isPlannedWork) && code !== 0) {
@@ -98,10 +135,6 @@
     }
     if (code === 'hung') program.child.kill('SIGKILL');
     await program.exited;
-    await pause(restartDelay);
-    evidence.restarted(name);
-    await fleet.restart(fleetProcess);
-    fleetProcess.isEnding = false;
   }
 
   async function disturbLink(fault: Extract<Fault, { kind: 'link' }>): Promise<void> {
@@ -159,13 +192,14 @@
 }
 
 function getNature(fault: Fault): FaultNature {
+  if (fault.kind === 'roll-out') return 'planned';
   if (fault.kind !== 'signals') return 'harm';
   if (fault.signals.every(isPlannedWork)) return 'planned';
   return isSilence(fault) ? 'silence' : 'harm';
 }
 
 // Callers leave a stream after a longer one.
-function isSilence({ target, signals }: Extract<Fault, { kind: 'signals' }>): boolean {
+function isSilence({ target, signals }: SignalFault): boolean {
   const isEndpoint = target.kind === 'endpoints' || target.kind === 'service';
   return isEndpoint && signals.every(isFreeze) && sumWaits(signals) <= SILENCE_BOUND_MS;
 }
@@ -188,6 +222,7 @@
     .with({ kind: 'signals' }, ({ target }) =>
       listProcesses(fleet, target).map((stopped) => stopped.name),
     )
+    .with({ kind: 'roll-out' }, ({ service }) => listOldest(fleet, service).map(({ name }) => name))
     .with({ kind: 'link' }, (link) => [getLink(fleet, link).name])
     .with({ kind: 'store' }, { kind: 'unreadable-rows' }, () => ['store'])
     .with({ kind: 'full' }, { kind: 'reused-address' }, ({ index }) =>
@@ -212,6 +247,17 @@
     .exhaustive();
 }
 
+function listOldest(fleet: Fleet, service: number): FleetEndpoint[] {
+  const endpoints = fleet.endpoints.filter((endpoint) => endpoint.service === SERVICES[service]);
+  const [oldest] = endpoints.map(({ version }) => version).sort(compareNumbers);
+  return endpoints.filter(({ version }) => version === oldest);
+}
+
+function findOtherVersion({ endpoints }: Fleet, { service, version }: FleetEndpoint): string {
+  const other = endpoints.find((found) => found.service === service && found.version !== version);
+  return other?.version ?? version;
+}
+
 function getLink(fleet: Fleet, { link, index }: Extract<Fault, { kind: 'link' }>) {
   const instance = fleet.instances[index];
   const endpoint = fleet.endpoints[index];
--- a/packages/replay/src/soak/operator.ts
+++ b/packages/replay/src/soak/operator.ts
@@ -77,6 +77,7 @@
         key: getProbeKey(asked),
         inputTokens: 1,
         resumeAfter: 0,
+        heldVersions: [],
         instance,
       });
     }
--- a/packages/replay/src/soak/plan.ts
+++ b/packages/replay/src/soak/plan.ts
@@ -27,7 +27,16 @@
 /** A fault of the plan. */
 export type Fault =
   /** `pause` is the time from the last signal, or from the end of the process, to its next start. */
-  | { kind: 'signals'; target: Target; signals: PlannedSignal[]; pause: Milliseconds }
+  | {
+      kind: 'signals';
+      target: Target;
+      signals: PlannedSignal[];
+      pause: Milliseconds;
+      /** Whether endpoints start again with another version that serves already. */
+      isRenewed?: boolean;
+    }
+  /** Endpoints of a new version join a service, then those of its oldest version leave. */
+  | { kind: 'roll-out'; service: number }
   | {
       kind: 'link';
       link: LinkTarget;
@@ -71,7 +80,10 @@
 /** 7 Mbit/s and two slower rates. */
 const SLOW_RATES = [875_000, 50_000, 5000];
 
-type Draw = (random: Random, size: FleetSize) => Fault;
+/** Signals to processes. */
+export type SignalFault = Extract<Fault, { kind: 'signals' }>;
+
+type Draw<T extends Fault = Fault> = (random: Random, size: FleetSize) => T;
 
 /** How each fault of the plan is drawn, by its name in the result. */
 const Faults: Record<string, Draw> = {
@@ -102,6 +114,11 @@
   },
   'service-silent': (random) =>
     stop({ kind: 'service', index: random.integer(0, 1) }, random, drawSilence(random)),
+  'endpoint-renewed': (random, size) => {
+    const drawSignals = () => [send(draw(random, ['SIGTERM', 'SIGKILL']))];
+    return { ...stopEndpoint(drawSignals)(random, size), isRenewed: true };
+  },
+  'roll-out': (random) => ({ kind: 'roll-out', service: random.integer(0, 1) }),
   'link-delay': disturbLink((random) => ({
     kind: 'delay',
     delay: random.integer(1, DELAY_MAX_MS),
@@ -170,7 +187,7 @@
   return { signal, wait };
 }
 
-function stop(target: Target, random: Random, signals = [send('SIGKILL')]): Fault {
+function stop(target: Target, random: Random, signals = [send('SIGKILL')]): SignalFault {
   return { kind: 'signals', target, signals, pause: drawLength(random) };
 }
 
@@ -181,7 +198,7 @@
   };
 }
 
-function stopEndpoint(drawSignals: (random: Random) => PlannedSignal[]): Draw {
+function stopEndpoint(drawSignals: (random: Random) => PlannedSignal[]): Draw<SignalFault> {
   return (random, size) => {
     const index = random.integer(0, size.endpoints - 1);
     return stop({ kind: 'endpoints', index, count: 1 }, random, drawSignals(random));
--- a/packages/replay/src/soak/requestRecord.ts
+++ b/packages/replay/src/soak/requestRecord.ts
@@ -14,6 +14,10 @@
   patience?: number;
   /** Last event that the caller had when it sent the request. */
   resumeAfter: number;
+  /** Id of the request that brought the stream's first event, if the caller takes a stream up. */
+  resumes?: string;
+  /** Versions of the events that the caller had when it sent the request. */
+  heldVersions: string[];
   /** Unix time in milliseconds at which the caller sent it. */
   sentAt: number;
   /** Unix time in milliseconds at which its answer ended; `undefined` while it is open. */
--- a/packages/replay/src/soak/sender.ts
+++ b/packages/replay/src/soak/sender.ts
@@ -17,6 +17,8 @@
   key: string;
   inputTokens: number;
   resumeAfter: number;
+  resumes?: string;
+  heldVersions: string[];
   instance: FleetInstance;
   /** Connections to use; `undefined` opens a new one. */
   agent?: http.Agent;
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -18,6 +18,7 @@
 import { checkProcesses } from './processChecks';
 import type { ProcessPeaks } from './processChecks';
 import { createSender } from './sender';
+import type { VersionHistory } from './versionChecks';
 
 /** Settings of a soak. */
 export interface SoakOptions extends FleetSize {
@@ -47,6 +48,7 @@
   /** Number of requests by how they ended. */
   outcomes: Record<string, number>;
   spent: Record<string, number>;
+  streams: VersionHistory['shares'];
   peaks: ProcessPeaks;
   failures: Failure[];
 }
@@ -76,9 +78,10 @@
     const faults = await Promise.race([running, aborted]);
     const left = await launcher.close();
     evidence.check('left-behind', left.length > 0 ? `still running: ${left.join()}` : undefined);
-    const { checks, outcomes, failures, totals } = evidence;
-    const { spent } = totals;
-    return { seed: options.seed, plan, faults, checks, outcomes, spent, peaks, failures };
+    const { checks, outcomes, failures, totals, versions } = evidence;
+    const { seed } = options;
+    const figures = { spent: totals.spent, streams: versions.shares, peaks };
+    return { seed, plan, faults, checks, outcomes, ...figures, failures };
   } finally {
     await launcher.close();
     process.off('exit', launcher.stopAll);
--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -11,10 +11,11 @@
 // Real processes: they need the bundled program. `npm test` builds the stand-ins.
 function soak(
   options: Pick<SoakOptions, 'seed' | 'length' | 'calm' | 'faults' | 'hasAnswerFaults'>,
+  endpoints = 4,
 ) {
   execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: ROOT });
   const { signal } = new AbortController();
-  const size = { instances: 4, endpoints: 4, callers: 24 };
+  const size = { instances: 4, endpoints, callers: 24 };
   return runSoak(createSystemClock(), { ...options, ...size, signal, onLog: () => undefined });
 }
 
@@ -65,3 +66,15 @@
   },
   TIMEOUT_MS,
 );
+
+test(
+  'seed 104729: no stream holds events of two versions',
+  async () => {
+    const times = { length: 20_000, calm: 6000 };
+    const faults = ['roll-out', 'endpoint-renewed', 'endpoint-kill', 'instance-kill'];
+    const result = await soak({ seed: 104729, ...times, faults, hasAnswerFaults: false }, 8);
+    expect(describeFailures(result)).toEqual([]);
+    expect(result.checks['one-version']).toBeGreaterThan(20);
+  },
+  TIMEOUT_MS,
+);
--- a/packages/standins/src/announcement.ts
+++ b/packages/standins/src/announcement.ts
@@ -12,6 +12,8 @@
   address: string;
   dataCentre: string;
   slots: number;
+  /** Version of its software. */
+  version: string;
 }
 
 /** The entry of an endpoint, renewed until it is withdrawn. */
@@ -22,20 +24,22 @@
   withdraw(): Promise<void>;
 }
 
-/** Announces an endpoint in the store at the address and renews its entry. */
+/** Announces an endpoint in the store at the address, tells when it is listed and renews its entry. */
 export function announceEndpoint(
   clock: Clock,
   store: string,
-  { id, service, address, dataCentre, slots }: EndpointEntry,
+  { id, service, address, dataCentre, slots, version }: EndpointEntry,
+  onListed: () => void,
 ): Announcement {
   const born = clock.now().getTime();
   const stopped = new AbortController();
   let state: 'ready' | 'draining' = 'ready';
   let seq = 0;
+  let isListed = false;
 
   function write(): Promise<boolean> {
     seq += 1;
-    const entry = { service, address, zone: dataCentre, slots, state, seq, born, version: '1' };
+    const entry = { service, address, zone: dataCentre, slots, state, seq, born, version };
     return putRow(store, ENDPOINT_TABLE, id, JSON.stringify(entry));
   }
 
@@ -44,7 +48,9 @@
     () => HEARTBEAT_INTERVAL_MS,
     stopped.signal,
     async () => {
-      await write();
+      const isAccepted = await write();
+      if (isAccepted && !isListed) onListed();
+      isListed ||= isAccepted;
     },
   );
   return {
--- a/packages/standins/src/callerClient.ts
+++ b/packages/standins/src/callerClient.ts
@@ -21,6 +21,8 @@
   outputTokens: number;
   /** Last event that the caller has; 0 for a new stream. */
   resumeAfter: number;
+  /** Id of the request that brought the stream's first event. */
+  resumes?: string;
   /** Connections to use; `false` opens a new one. */
   agent: http.Agent | false;
 }
@@ -63,6 +65,7 @@
         [WireHeader.timeLeft]: call.timeLeft,
         [WireHeader.tokenBounds]: `${call.inputTokens},${call.outputTokens}`,
         ...(call.resumeAfter > 0 ? { [WireHeader.resumeAfter]: call.resumeAfter } : {}),
+        ...(call.resumes === undefined ? {} : { [WireHeader.resumes]: call.resumes }),
       },
     });
     const timer = setTimeout(() => {
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -96,6 +96,7 @@
   .option('--service', 'name of its service')
   .option('--data-centre', 'name of its data centre')
   .option('--slots', 'requests at the same time', 16)
+  .option('--software', 'version of its software', 'v1')
   .option('--idle', 'time in ms after which it closes an idle connection', 5000)
   .option('--drain', 'time in ms that it serves after it has announced its leaving', 2000)
   .action(async (flags: Record<string, string | number>) => {
@@ -108,6 +109,7 @@
       service: String(flags.service),
       dataCentre: String(flags['data-centre']),
       slots: Number(flags.slots),
+      version: String(flags.software),
       idleTimeout: Number(flags.idle),
       drain: Number(flags.drain),
     });
--- a/packages/standins/src/platformWire.ts
+++ b/packages/standins/src/platformWire.ts
@@ -12,6 +12,7 @@
   timeLeft: 'x-deadline-ms',
   tokenBounds: 'x-token-usage',
   resumeAfter: 'last-event-id',
+  resumes: 'resumes',
   signature: 'x-server-stamp',
   account: 'x-tenant',
   endpoint: 'x-expect-instance',
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -19,7 +19,15 @@
 
 /** What an endpoint of the soak records, one line for each step of a request. */
 export type EndpointLine =
-  | { event: 'run'; request: string; run: number; path: string; after: number; account: string }
+  | {
+      event: 'run';
+      request: string;
+      run: number;
+      path: string;
+      after: number;
+      account: string;
+      version: string;
+    }
   | { event: 'sent'; request: string; run: number; number: number }
   /** The answer is complete as far as the endpoint states it in its framing. */
   | { event: 'stated'; request: string; run: number; number: number }
@@ -31,6 +39,8 @@
   clock: Clock;
   id: string;
   slots: number;
+  /** Version of its software. */
+  version: string;
   record(line: EndpointLine): void;
   /** Whether each request is declined, as by an endpoint with a full queue. */
   isFull(): boolean;
@@ -38,7 +48,7 @@
 
 /** Creates the server of an endpoint that sends what the path of a request asks for. */
 export function createSoakEndpoint(host: SoakEndpointHost): http.Server {
-  const { clock, id, slots, record } = host;
+  const { clock, id, slots, version, record } = host;
   let active = 0;
   let runs = 0;
 
@@ -79,7 +89,7 @@
     const account = String(request.headers[WireHeader.account] ?? '');
     runs += 1;
     const step = { request: name, run: runs };
-    record({ event: 'run', ...step, path, after, account });
+    record({ event: 'run', ...step, path, after, account, version });
     const fault = hasFault(id, name) ? work.fault : 'none';
     const middle = Math.floor((after + work.events) / 2);
     const last = fault === 'short' ? middle : work.events;
@@ -93,7 +103,7 @@
       number += 1;
       // Recorded first: what the kernel has taken may arrive although the process is killed.
       record({ event: 'sent', ...step, number });
-      response.write(renderEvent(name, number));
+      response.write(renderEvent(name, number, version));
     }
     if (response.destroyed) record({ event: 'closed', ...step, number });
     else {
@@ -109,7 +119,7 @@
     after: number,
     fault: AnswerFault,
   ): void {
-    const content = renderEvents(name, after, work.events);
+    const content = renderEvents(name, after, work.events, version);
     const extra = fault === 'length' ? 1 : 0;
     const framing = match(work.framing)
       .with('length', () => ({ ...KEEP_ALIVE, 'content-length': content.length + extra }))
--- a/packages/standins/src/soakEndpointProcess.ts
+++ b/packages/standins/src/soakEndpointProcess.ts
@@ -5,7 +5,7 @@
 import type { EndpointLine } from './soakEndpoint';
 
 /** Time beyond the announced one for which an endpoint that leaves still serves. */
-const EXTRA_SERVICE_MS: Milliseconds = 500;
+const EXTRA_SERVICE_MS: Milliseconds = 2000;
 const POLL_INTERVAL_MS: Milliseconds = 50;
 
 /** Settings of the process of an endpoint. */
@@ -19,24 +19,30 @@
   service: string;
   dataCentre: string;
   slots: number;
+  /** Version of its software. */
+  version: string;
   /** Time after which it closes an idle connection; it announces a longer one. */
   idleTimeout: Milliseconds;
   /** Time that it serves after the store has accepted that it leaves. */
   drain: Milliseconds;
 }
 
+/** A change of the endpoint's entry that the store has accepted. */
+type StateLine = { event: 'leaving' } | { event: 'listed'; service: string; version: string };
+
 /**
  * Serves and announces an endpoint until SIGTERM, after which it leaves in order. SIGUSR2 switches
  * between a full queue and a free one. Resolves to the address at which it listens.
  */
 export async function runSoakEndpoint(settings: SoakEndpointSettings): Promise<string> {
-  const { clock, id, slots, store, service, dataCentre, drain } = settings;
+  const { clock, id, slots, version, store, service, dataCentre, drain } = settings;
   let isFull = false;
-  const server = createSoakEndpoint({ clock, id, slots, record, isFull: () => isFull });
+  const server = createSoakEndpoint({ clock, id, slots, version, record, isFull: () => isFull });
   server.keepAliveTimeout = settings.idleTimeout;
   const address = await listen(server, settings.address);
-  const entry = { id, service, address: settings.advertisedAddress, dataCentre, slots };
-  const announcement = announceEndpoint(clock, store, entry);
+  const entry = { id, service, address: settings.advertisedAddress, dataCentre, slots, version };
+  const onListed = () => record({ event: 'listed', service, version });
+  const announcement = announceEndpoint(clock, store, entry, onListed);
   process.on('SIGUSR2', () => {
     isFull = !isFull;
   });
@@ -60,7 +66,7 @@
   }
 
   // Writes to a pipe are synchronous, so a line is not lost when the process is killed.
-  function record(line: EndpointLine | { event: 'leaving' }): void {
+  function record(line: EndpointLine | StateLine): void {
     process.stdout.write(`${JSON.stringify({ at: clock.now().toISOString(), id, ...line })}\n`);
   }
 
--- a/packages/standins/src/soakWork.ts
+++ b/packages/standins/src/soakWork.ts
@@ -48,18 +48,34 @@
   };
 }
 
-/** Returns the event with the number, from 1, of the answer to a request. */
-export function renderEvent(request: string, number: number): string {
-  return `id: ${number}\ndata: ${hashText(`${request}.${number}`)}\n\n`;
+/** Returns the event with the number, from 1, of the answer to a request; it names its version. */
+export function renderEvent(request: string, number: number, version: string): string {
+  return `id: ${number}\ndata: ${hashText(`${request}.${number}`)} ${version}\n\n`;
+}
+
+/** Returns the versions that the events of a body name, each once. */
+export function listVersions(body: string): string[] {
+  const versions = [...body.matchAll(/^data: \S+ (\S+)$/gm)].map(([, version = '']) => version);
+  return [...new Set(versions)];
+}
+
+/** Returns the body without the versions that its events name. */
+export function stripVersions(body: string): string {
+  return body.replace(/^(data: \S+) \S*$/gm, '$1 ');
 }
 
 /** Returns the events after the given one up to the last one. */
-export function renderEvents(request: string, after: number, last: number): string {
+export function renderEvents(
+  request: string,
+  after: number,
+  last: number,
+  version: string,
+): string {
   const numbers = Array.from(
     { length: Math.max(0, last - after) },
     (_, index) => after + index + 1,
   );
-  return numbers.map((number) => renderEvent(request, number)).join('');
+  return numbers.map((number) => renderEvent(request, number, version)).join('');
 }
 
 /** Returns the signature of an endpoint's answer to a request. */
