--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -4,7 +4,7 @@
 import { createRefusal } from '@pomeloroad/requests';
 import type { Answer, AnswerEnd, RunState } from '@pomeloroad/requests';
 import type { RouteRequest, Slot } from '@pomeloroad/routing';
-import { acquireSlot, admitRequest, getPlacement } from './admit';
+import { acquireSlot, admitRepeatedly, admitRequest, getPlacement } from './admit';
 import type { ChatRequest } from './chatRequest';
 import { claimName, releaseName } from './claimName';
 import type { EngineCall, EngineError, EngineSink, StoppedUsage } from './engineClient';
@@ -18,7 +18,6 @@
 import {
   concludeNotRun,
   isEndpointFault,
-  isKeeperLost,
   isNotRun,
   refuse,
   refuseCallerLeft,
@@ -30,7 +29,6 @@
 import type { AttemptOutcome } from './chatOutcome';
 
 const ATTEMPTS_MAX = 3;
-const ADMISSIONS_MAX = 3;
 const BACKLOG_EVENTS_MAX = 64;
 const STOP_ATTEMPTS_MAX = 30;
 const STOP_RETRY_DELAY_MS = 1000;
@@ -41,6 +39,8 @@
   chat: ChatRequest;
   answer: Answer;
   signal: AbortSignal;
+  /** Slot of the present attempt; there is none for a stream that was taken over. */
+  slot?: Slot;
 }
 
 /** Runs a chat completion and settles its usage. Returns how its answer ended. */
@@ -53,12 +53,7 @@
 ): Promise<AnswerEnd> {
   const run: ChatRun = { host, request, chat, answer, signal };
   const deadline = host.clock.elapsed() + request.patience;
-  let end = await admitAndRun(run, deadline);
-  // If the budget keeper is lost before anything was sent, the request is admitted again.
-  for (let count = 1; count < ADMISSIONS_MAX && isKeeperLost(end); count += 1) {
-    end = await admitAndRun(run, deadline);
-  }
-  return end;
+  return admitRepeatedly(() => admitAndRun(run, deadline));
 }
 
 async function admitAndRun(run: ChatRun, deadline: Milliseconds): Promise<AnswerEnd> {
@@ -90,7 +85,8 @@
   for (let attempt = 1; ; attempt += 1) {
     const outcome = await runAttempt(run, slot, reservation, attempt);
     if (outcome.kind === 'done') {
-      slot.release(isEndpointFault(outcome.end) ? 'failed' : 'ok');
+      const hasFailed = isEndpointFault(outcome.end) && !run.signal.aborted;
+      slot.release(hasFailed ? 'failed' : 'ok');
       reservation.settle(outcome.record);
       if (isNotRun(outcome.end)) await releaseName(host, request);
       return outcome.end;
@@ -129,11 +125,13 @@
 ): Promise<AttemptOutcome> {
   const { request, signal } = run;
   const placement = getPlacement(request, slot, attempt);
-  if (!(await announcePlacement(run, reservation, placement))) return refuseKeeperLost();
+  const isPlaced = await announcePlacement(run, reservation, placement);
+  if (!isPlaced) return { kind: 'done', end: refuseKeeperLost(), record: undefined };
   if (signal.aborted) return { kind: 'done', end: refuseCallerLeft(), record: undefined };
   await run.host.guard.waitUntilFresh();
   await run.host.refreshEndpoint(slot.endpoint);
   if (slot.isLeaving()) return refuseEndpointLeaving();
+  run.slot = slot;
   const progress = createStreamProgress();
   const outcome = await followPlaced(run, placement, progress, 'run');
   return concludeAttempt(run, reservation, placement, progress, outcome);
@@ -149,8 +147,8 @@
   if (outcome.ok) return completeAttempt(run, reservation, progress);
   if (outcome.val.ran === 'no') return concludeNotRun(outcome.val);
   const stopped = await stopStream(run, placement);
-  if (!stopped) {
-    // The endpoint does not answer, so its usage is unknown and the whole reservation is charged.
+  if (!stopped || isForgotten(run, stopped, progress)) {
+    // The endpoint can't tell the usage, so the whole reservation is charged.
     const record = createRecord(
       run,
       reservation.tokens - run.chat.outputBound,
@@ -165,6 +163,17 @@
   return { kind: 'done', end, record };
 }
 
+// An engine that was restarted knows none of its streams. Another stream may not go on with the text
+// of this one, as its model or software may be of another version.
+function isForgotten(
+  { request }: ChatRun,
+  stopped: StoppedUsage,
+  progress: StreamProgress,
+): boolean {
+  const hasBegun = progress.countDeltas() > 0 || request.isContinuation;
+  return stopped.state === 'never' && hasBegun;
+}
+
 /**
  * Takes over a stream that a lost instance started, reads it from its first event and settles its
  * usage. Runs the request again if the stream never started.
@@ -183,13 +192,14 @@
   const resumed = await followPlaced(run, state.placement, progress, 'resume');
   if (resumed.err) {
     const stopped = await stopStream(run, state.placement);
-    if (stopped?.state === 'never') {
+    const isKnown = stopped !== undefined && !isForgotten(run, stopped, progress);
+    if (isKnown && stopped.state === 'never') {
       reservation?.settle(undefined);
       // An answer that ended while the stream could not be stopped is not run again.
       if (answer.isFinished()) return refuseNotRun(resumed.val);
       return runChat(host, request, chat, answer, signal);
     }
-    const used = stopped ?? { promptTokens: state.tokens, completionTokens: 0 };
+    const used = isKnown ? stopped : { promptTokens: state.tokens, completionTokens: 0 };
     reservation?.settle(createRecord(run, used.promptTokens, used.completionTokens));
     return refuse(toFailureRefusal(resumed.val));
   }
@@ -206,7 +216,8 @@
   first: 'run' | 'resume',
 ): Promise<Outcome<void, EngineError>> {
   const { clock, log, engine, settings } = run.host;
-  const { endpoint } = placement;
+  const { endpoint, stream } = placement;
+  run.answer.setStream(stream);
   const follow: StreamFollow = {
     clock,
     engine,
@@ -253,6 +264,7 @@
 
 function createSink(run: ChatRun, progress: StreamProgress): EngineSink {
   return async (event) => {
+    run.slot?.recordActivity();
     const text = progress.accept(event);
     if (text === undefined) return;
     if (isOverBound(run, progress)) throw new RangeError('the answer is longer than its limit');
--- a/packages/entry/test/chatRun.test.ts
+++ b/packages/entry/test/chatRun.test.ts
@@ -5,6 +5,7 @@
 import type { Endpoint } from '@pomeloroad/configuration';
 import { createAnswer } from '@pomeloroad/requests';
 import type { RunState } from '@pomeloroad/requests';
+import type { SlotResult } from '@pomeloroad/routing';
 import { resumeChat, runChat } from '../src/chatRun';
 import type { ChatRequest } from '../src/chatRequest';
 import type { EngineClient, EngineError, EngineEvent, StoppedUsage } from '../src/engineClient';
@@ -28,15 +29,25 @@
   digest: '',
   isIdempotent: true,
   isProvisional: false,
+  isContinuation: false,
   needsClaim: false,
   priority: 0,
   patience: 8000,
   work: { kind: 'chat', chat: CHAT },
 };
 
+const LOST: RunState = {
+  placement: { endpoint: 'e', address: 'e:1', stream: 'lost.1' },
+  budget: 'dispatch/routes',
+  reservation: 'reservation',
+  keeper: 'a',
+  tokens: 5,
+};
+
 /** A host whose requests run on the given engine, and the records that they settled. */
 function createHost(clock: ManualClock, engine: Partial<EngineClient>) {
   const settled: (UsageRecord | undefined)[] = [];
+  const released: SlotResult[] = [];
   const reservation = {
     ...{ id: 'reservation', budget: 'dispatch/routes', keeper: 'a', tokens: 5 },
     placement: undefined,
@@ -44,7 +55,11 @@
     settle: (record: UsageRecord | undefined) => settled.push(record),
   };
   const endpoint = { name: 'e', address: 'e:1' } as Endpoint;
-  const slot = { endpoint, isLeaving: () => false, release: () => undefined };
+  const slot = {
+    ...{ endpoint, isLeaving: () => false },
+    recordActivity: () => undefined,
+    release: (result: SlotResult) => released.push(result),
+  };
   const host = {
     clock,
     log: createSilentLog(),
@@ -58,18 +73,22 @@
     refreshEndpoint: async () => undefined,
     engine,
   } as unknown as RunHost;
-  return { host, settled };
+  return { host, settled, released };
 }
 
 /** Runs a request on the engine until it has ended, or resumes it for a lost instance. */
-async function run(engine: Partial<EngineClient>, lost?: RunState) {
+async function run(
+  engine: Partial<EngineClient>,
+  lost?: RunState,
+  request = REQUEST,
+  { signal } = new AbortController(),
+) {
   const clock = createManualClock();
-  const { host, settled } = createHost(clock, engine);
+  const { host, settled, released } = createHost(clock, engine);
   const answer = createAnswer();
-  const { signal } = new AbortController();
   const starting = lost
-    ? resumeChat(host, REQUEST, CHAT, answer, signal, lost)
-    : runChat(host, REQUEST, CHAT, answer, signal);
+    ? resumeChat(host, request, CHAT, answer, signal, lost)
+    : runChat(host, request, CHAT, answer, signal);
   let isOver = false;
   const running = starting.finally(() => {
     isOver = true;
@@ -78,7 +97,7 @@
   running.catch(() => undefined);
   while (!isOver) await clock.advance(1000);
   const end = await running;
-  return { end, answer, settled };
+  return { end, answer, settled, released };
 }
 
 test('an attempt that is given up is not repeated once its answer has ended', async () => {
@@ -100,6 +119,81 @@
   expect(settled).toEqual([undefined]);
 });
 
+test('a request whose engine never began it is run again', async () => {
+  const streams: string[] = [];
+  const { end, settled } = await run({
+    async run(call, sink) {
+      streams.push(call.stream);
+      if (streams.length === 1) return Err(SILENT);
+      await sink(USAGE);
+      return Ok.EMPTY;
+    },
+    resume: async () => Err({ kind: 'rejected', ran: 'no', message: 'no such stream' }),
+    stop: async () => Ok(NEVER),
+  });
+  expect(streams).toEqual(['r.1', 'r.2']);
+  expect(end).toEqual({ kind: 'complete' });
+  expect(settled).toMatchObject([{ tokens: 2 }]);
+});
+
+test('no second stream goes on with an answer whose engine has forgotten the first', async () => {
+  const delta = (text: string): EngineEvent => ({ kind: 'delta', index: 0, text });
+  const streams: string[] = [];
+  const { end, answer, settled } = await run({
+    async run(call, sink) {
+      streams.push(call.stream);
+      await sink(delta(call.stream));
+      if (streams.length === 1) return Err(SILENT);
+      await sink(USAGE);
+      return Ok.EMPTY;
+    },
+    resume: async () => Err({ kind: 'rejected', ran: 'no', message: 'no such stream' }),
+    stop: async () => Ok(NEVER),
+  });
+  expect(streams).toEqual(['r.1']);
+  expect(answer.getEvents()).toEqual([{ kind: 'delta', text: 'r.1' }]);
+  expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'unknown' } });
+  expect(settled).toMatchObject([{ tokens: 5 }]);
+});
+
+test('no second stream goes on with a resumed answer whose engine has forgotten the first', async () => {
+  const streams: string[] = [];
+  const replies = [Err(SILENT)];
+  const engine: Partial<EngineClient> = {
+    async run(call, sink) {
+      streams.push(call.stream);
+      await sink(USAGE);
+      return Ok.EMPTY;
+    },
+    async resume(_call, _after, sink) {
+      await sink({ kind: 'delta', index: 0, text: 'x' });
+      return replies.shift() ?? Err({ kind: 'rejected', ran: 'no', message: 'no such stream' });
+    },
+    stop: async () => Ok(NEVER),
+  };
+  const { end, settled } = await run(engine, LOST);
+  expect(streams).toEqual([]);
+  expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'unknown' } });
+  expect(settled).toMatchObject([{ tokens: 5 }]);
+});
+
+test('the rest of a resumed answer is not taken from a run that begins for it', async () => {
+  const streams: string[] = [];
+  const engine: Partial<EngineClient> = {
+    async run(call, sink) {
+      streams.push(call.stream);
+      await sink(USAGE);
+      return Ok.EMPTY;
+    },
+    resume: async () => Err({ kind: 'rejected', ran: 'no', message: 'no such stream' }),
+    stop: async () => Ok(NEVER),
+  };
+  const { end, settled } = await run(engine, LOST, { ...REQUEST, isContinuation: true });
+  expect(streams).toEqual([]);
+  expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'unknown' } });
+  expect(settled).toMatchObject([{ tokens: 5 }]);
+});
+
 test('an answer that has ended gets no usage of a stream beyond its limit', async () => {
   const delta = (index: number): EngineEvent => ({ kind: 'delta', index, text: 'x' });
   const stops = [Err(SILENT)];
@@ -119,13 +213,6 @@
 });
 
 test('a resumed request is not run again once its answer has ended', async () => {
-  const placement = { endpoint: 'e', address: 'e:1', stream: 'lost.1' };
-  const reserved = {
-    budget: 'dispatch/routes',
-    reservation: 'reservation',
-    keeper: 'a',
-    tokens: 5,
-  };
   const stops = [Err(SILENT)];
   const streams: string[] = [];
   const engine: Partial<EngineClient> = {
@@ -137,8 +224,21 @@
     resume: async () => Err(SILENT),
     stop: async () => stops.shift() ?? Ok(NEVER),
   };
-  const { end, settled } = await run(engine, { placement, ...reserved });
+  const { end, settled } = await run(engine, LOST);
   expect(streams).toEqual([]);
   expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'no' } });
   expect(settled).toEqual([undefined]);
 });
+
+test('a caller that leaves is no failure of the engine', async () => {
+  const caller = new AbortController();
+  const engine: Partial<EngineClient> = {
+    async run() {
+      caller.abort();
+      return Err(SILENT);
+    },
+    stop: async () => Ok({ state: 'cancelled', promptTokens: 1, completionTokens: 0 }),
+  };
+  const { released } = await run(engine, undefined, REQUEST, caller);
+  expect(released).toEqual(['ok']);
+});
