Admission: requests that wait for one service delay none for another

What callers saw: a request refused with 503 while its service's endpoints had no request at all, whenever another service had a full queue. Cause: a request behind any waiter was held to wait, by the number of all waiters and by one service time for all services (1 s at first), so a board with an objective of 121 ms was refused at once while model requests waited. Waiters and service times count for each target now.

--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -1,4 +1,5 @@
 import { Err, Ok } from 'ts-results';
+import { match } from 'ts-pattern';
 import type { Clock, Milliseconds, Outcome, Random } from '@pomeloroad/core';
 import type { Account, RoutingPolicy } from '@pomeloroad/configuration';
 import { chooseEndpoint, hasCapacity } from './choose';
@@ -41,9 +42,9 @@
 export function createAdmission(host: AdmissionHost, queueLimit: number): Admission {
   const { clock, random, endpoints } = host;
   const running = new Map<string, number>();
+  const serviceTimes = new Map<string, Milliseconds>();
   let waiters: Waiter[] = [];
   let sequence = 0;
-  let serviceTime = INITIAL_SERVICE_TIME_MS;
 
   function tryRoute(request: RouteRequest): Outcome<Slot, RouteError> {
     const candidates = endpoints.findCandidates(request);
@@ -56,7 +57,8 @@
     // A prefix cached by an engine saves more time than an engine in the local data centre.
     const localDataCentre = policy.kind === 'prefix-affinity' ? undefined : host.dataCentre;
     const preferred = preferCandidates(available, localDataCentre);
-    if (preferred.length === 0) return Err({ kind: 'busy', retryAfter: estimateWait(candidates) });
+    if (preferred.length === 0)
+      return Err({ kind: 'busy', retryAfter: estimateWait(request, candidates) });
     sequence += 1;
     const view = chooseEndpoint(policy, preferred, {
       random,
@@ -79,8 +81,7 @@
       release(result) {
         if (!isHeld) return;
         isHeld = false;
-        const duration = clock.elapsed() - startedAt;
-        serviceTime += (duration - serviceTime) * SERVICE_TIME_SMOOTHING_RATIO;
+        recordServiceTime(request, clock.elapsed() - startedAt);
         endpoints.release(view.endpoint.name, result);
         addRunning(request.account, -1);
         serveWaiters();
@@ -94,9 +95,25 @@
     else running.delete(account);
   }
 
-  function estimateWait(candidates: EndpointView[]): Milliseconds {
+  function recordServiceTime(request: RouteRequest, duration: Milliseconds): void {
+    const known = getServiceTime(request);
+    const next = known + (duration - known) * SERVICE_TIME_SMOOTHING_RATIO;
+    serviceTimes.set(getTargetName(request), next);
+  }
+
+  function getServiceTime(request: RouteRequest): Milliseconds {
+    return serviceTimes.get(getTargetName(request)) ?? INITIAL_SERVICE_TIME_MS;
+  }
+
+  // Requests for other targets wait for other endpoints.
+  function countWaitersAhead(request: RouteRequest): number {
+    const target = getTargetName(request);
+    return waiters.filter((waiter) => getTargetName(waiter.request) === target).length;
+  }
+
+  function estimateWait(request: RouteRequest, candidates: EndpointView[]): Milliseconds {
     const capacity = candidates.reduce((sum, view) => sum + view.endpoint.concurrency, 0);
-    return ((waiters.length + 1) * serviceTime) / capacity;
+    return ((countWaitersAhead(request) + 1) * getServiceTime(request)) / capacity;
   }
 
   // Within a priority, the account with the fewest running requests per weight goes first.
@@ -135,7 +152,7 @@
     const expired = waiters.filter((waiter) => clock.elapsed() >= waiter.deadline);
     expired.forEach((waiter) => {
       removeWaiter(waiter);
-      waiter.resolve(Err({ kind: 'busy', retryAfter: serviceTime }));
+      waiter.resolve(Err({ kind: 'busy', retryAfter: getServiceTime(waiter.request) }));
     });
   }
 
@@ -155,7 +172,7 @@
 
   return {
     async acquire(request) {
-      const isFirst = waiters.length === 0;
+      const isFirst = countWaitersAhead(request) === 0;
       const outcome = isFirst ? tryRoute(request) : checkBehindWaiters(request);
       if (outcome.ok || outcome.val.kind !== 'busy') return outcome;
       // Refuses at once if the estimated wait exceeds the request's patience.
@@ -167,7 +184,7 @@
         const waiter = { request, deadline, order: sequence, resolve };
         waiters.push(waiter);
         request.signal?.addEventListener('abort', () => removeAborted(waiter), { once: true });
-        if (isFirst) scheduleRecheck();
+        if (waiters.length === 1) scheduleRecheck();
         serveWaiters();
       });
     },
@@ -179,10 +196,17 @@
     const candidates = endpoints.findCandidates(request);
     if (candidates.length === 0) return Err({ kind: 'none' });
     if (candidates.every((view) => view.isUnreachable)) return Err({ kind: 'unreachable' });
-    return Err({ kind: 'busy', retryAfter: estimateWait(candidates) });
+    return Err({ kind: 'busy', retryAfter: estimateWait(request, candidates) });
   }
 }
 
+function getTargetName({ target }: RouteRequest): string {
+  return match(target)
+    .with({ kind: 'engine' }, ({ model }) => `engine ${model}`)
+    .with({ kind: 'service' }, ({ service }) => `service ${service}`)
+    .exhaustive();
+}
+
 // Allows one request at a time to probe whether an unreachable endpoint has recovered.
 function isAttemptAllowed({ isUnreachable, inFlight }: EndpointView): boolean {
   return !isUnreachable || inFlight === 0;
--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -1,6 +1,6 @@
 import { createManualClock, createRandom, createSilentLog } from '@pomeloroad/core';
 import { parseConfiguration } from '@pomeloroad/configuration';
-import type { RoutingPolicy } from '@pomeloroad/configuration';
+import type { Endpoint, RoutingPolicy } from '@pomeloroad/configuration';
 import { chooseEndpoint, createAdmission, createEndpoints } from '../src';
 import type { RouteRequest, Slot } from '../src';
 
@@ -245,3 +245,23 @@
   const next = await admission.acquire(request());
   expect(next.ok).toBe(true);
 });
+
+test('requests that wait for one target delay none for another', async () => {
+  const { admission, endpoints } = setUp();
+  const board: Endpoint = {
+    kind: 'service',
+    name: 'b1',
+    service: 'board',
+    address: '10.0.0.1:4',
+    dataCentre: 'kent',
+    concurrency: 2,
+    leaving: false,
+    checksFencing: false,
+  };
+  endpoints.configure([...endpoints.list().map((view) => view.endpoint), board]);
+  for (let count = 0; count < 6; count += 1) (await admission.acquire(request())).unwrap();
+  admission.acquire(request());
+  const target = { kind: 'service', service: 'board' } as const;
+  const slot = await admission.acquire(request({ target, patience: 1 }));
+  expect(slot.unwrap().endpoint.name).toBe('b1');
+});
