--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -4,7 +4,7 @@
 import { createRefusal } from '@pomeloroad/requests';
 import type { Answer, AnswerEnd, RunState } from '@pomeloroad/requests';
 import type { RouteRequest, Slot } from '@pomeloroad/routing';
-import { acquireSlot, admitRequest, getPlacement } from './admit';
+import { acquireSlot, admitRepeatedly, admitRequest, getPlacement } from './admit';
 import type { ChatRequest } from './chatRequest';
 import { claimName, releaseName } from './claimName';
 import type { EngineCall, EngineError, EngineSink, StoppedUsage } from './engineClient';
@@ -16,9 +16,9 @@
 import type { StreamProgress } from './streamProgress';
 import { createUsageRecord } from './usage';
 import {
+  concludeNeverBegun,
   concludeNotRun,
   isEndpointFault,
-  isKeeperLost,
   isNotRun,
   refuse,
   refuseCallerLeft,
@@ -30,7 +30,6 @@
 import type { AttemptOutcome } from './chatOutcome';
 
 const ATTEMPTS_MAX = 3;
-const ADMISSIONS_MAX = 3;
 const BACKLOG_EVENTS_MAX = 64;
 const STOP_ATTEMPTS_MAX = 30;
 const STOP_RETRY_DELAY_MS = 1000;
@@ -41,6 +40,8 @@
   chat: ChatRequest;
   answer: Answer;
   signal: AbortSignal;
+  /** Slot of the present attempt; there is none for a stream that was taken over. */
+  slot?: Slot;
 }
 
 /** Runs a chat completion and settles its usage. Returns how its answer ended. */
@@ -53,12 +54,7 @@
 ): Promise<AnswerEnd> {
   const run: ChatRun = { host, request, chat, answer, signal };
   const deadline = host.clock.elapsed() + request.patience;
-  let end = await admitAndRun(run, deadline);
-  // If the budget keeper is lost before anything was sent, the request is admitted again.
-  for (let count = 1; count < ADMISSIONS_MAX && isKeeperLost(end); count += 1) {
-    end = await admitAndRun(run, deadline);
-  }
-  return end;
+  return admitRepeatedly(() => admitAndRun(run, deadline));
 }
 
 async function admitAndRun(run: ChatRun, deadline: Milliseconds): Promise<AnswerEnd> {
@@ -85,21 +81,24 @@
   reservation: HeldReservation,
 ): Promise<AnswerEnd> {
   const { host, request } = run;
-  const excluded = new Set<string>();
+  let excluded = new Set<string>();
   let slot = firstSlot;
   for (let attempt = 1; ; attempt += 1) {
     const outcome = await runAttempt(run, slot, reservation, attempt);
     if (outcome.kind === 'done') {
-      slot.release(isEndpointFault(outcome.end) ? 'failed' : 'ok');
+      const hasFailed = isEndpointFault(outcome.end) && !run.signal.aborted;
+      slot.release(hasFailed ? 'failed' : 'ok');
       reservation.settle(outcome.record);
       if (isNotRun(outcome.end)) await releaseName(host, request);
       return outcome.end;
     }
     slot.release(outcome.result);
-    excluded.add(slot.endpoint.name);
     host.log(Diagnostics.requestRetried, { request: request.id, endpoint: slot.endpoint.name });
+    const others = new Set([...excluded, slot.endpoint.name]);
+    const choices = outcome.isRepeatable ? [others, excluded] : [others];
+    excluded = others;
     const next =
-      attempt < ATTEMPTS_MAX ? await acquireNextSlot(run, route, deadline, excluded) : undefined;
+      attempt < ATTEMPTS_MAX ? await acquireNextSlot(run, route, deadline, choices) : undefined;
     if (!next) {
       reservation.settle(undefined);
       await releaseName(host, request);
@@ -109,16 +108,20 @@
   }
 }
 
+// Tries the sets of excluded endpoints in order.
 async function acquireNextSlot(
   run: ChatRun,
   route: RouteRequest,
   deadline: Milliseconds,
-  excluded: ReadonlySet<string>,
+  choices: ReadonlySet<string>[],
 ): Promise<Slot | undefined> {
-  // An answer that ended while its stream could not be stopped can't take what another run returns.
-  if (run.signal.aborted || run.answer.isFinished()) return undefined;
-  const next = await acquireSlot(run.host, { ...route, excluded }, deadline);
-  return next.ok ? next.val : undefined;
+  for (const excluded of choices) {
+    // An answer that ended while its stream could not be stopped can't take what another run returns.
+    if (run.signal.aborted || run.answer.isFinished()) return undefined;
+    const next = await acquireSlot(run.host, { ...route, excluded }, deadline);
+    if (next.ok) return next.val;
+  }
+  return undefined;
 }
 
 async function runAttempt(
@@ -129,11 +132,13 @@
 ): Promise<AttemptOutcome> {
   const { request, signal } = run;
   const placement = getPlacement(request, slot, attempt);
-  if (!(await announcePlacement(run, reservation, placement))) return refuseKeeperLost();
+  const isPlaced = await announcePlacement(run, reservation, placement);
+  if (!isPlaced) return { kind: 'done', end: refuseKeeperLost(), record: undefined };
   if (signal.aborted) return { kind: 'done', end: refuseCallerLeft(), record: undefined };
   await run.host.guard.waitUntilFresh();
   await run.host.refreshEndpoint(slot.endpoint);
   if (slot.isLeaving()) return refuseEndpointLeaving();
+  run.slot = slot;
   const progress = createStreamProgress();
   const outcome = await followPlaced(run, placement, progress, 'run');
   return concludeAttempt(run, reservation, placement, progress, outcome);
@@ -149,7 +154,7 @@
   if (outcome.ok) return completeAttempt(run, reservation, progress);
   if (outcome.val.ran === 'no') return concludeNotRun(outcome.val);
   const stopped = await stopStream(run, placement);
-  if (!stopped || isForgotten(stopped, progress)) {
+  if (!stopped || isForgotten(run, stopped, progress)) {
     // The endpoint can't tell the usage, so the whole reservation is charged.
     const record = createRecord(
       run,
@@ -158,7 +163,7 @@
     );
     return { kind: 'done', end: refuse(toFailureRefusal(outcome.val)), record };
   }
-  if (stopped.state === 'never') return concludeNotRun(outcome.val);
+  if (stopped.state === 'never') return concludeNeverBegun(outcome.val);
   const record = createRecord(run, stopped.promptTokens, stopped.completionTokens);
   const isCompletable = isOverBound(run, progress) && !run.answer.isFinished();
   const end = isCompletable ? completeAtLimit(run, stopped) : refuse(toFailureRefusal(outcome.val));
@@ -167,8 +172,13 @@
 
 // An engine that was restarted knows none of its streams. Another stream may not go on with the text
 // of this one, as its model or software may be of another version.
-function isForgotten(stopped: StoppedUsage, progress: StreamProgress): boolean {
-  return stopped.state === 'never' && progress.countDeltas() > 0;
+function isForgotten(
+  { request }: ChatRun,
+  stopped: StoppedUsage,
+  progress: StreamProgress,
+): boolean {
+  const hasBegun = progress.countDeltas() > 0 || request.isContinuation;
+  return stopped.state === 'never' && hasBegun;
 }
 
 /**
@@ -189,7 +199,7 @@
   const resumed = await followPlaced(run, state.placement, progress, 'resume');
   if (resumed.err) {
     const stopped = await stopStream(run, state.placement);
-    const isKnown = stopped !== undefined && !isForgotten(stopped, progress);
+    const isKnown = stopped !== undefined && !isForgotten(run, stopped, progress);
     if (isKnown && stopped.state === 'never') {
       reservation?.settle(undefined);
       // An answer that ended while the stream could not be stopped is not run again.
@@ -261,6 +271,7 @@
 
 function createSink(run: ChatRun, progress: StreamProgress): EngineSink {
   return async (event) => {
+    run.slot?.recordActivity();
     const text = progress.accept(event);
     if (text === undefined) return;
     if (isOverBound(run, progress)) throw new RangeError('the answer is longer than its limit');
--- a/packages/entry/test/chatRun.test.ts
+++ b/packages/entry/test/chatRun.test.ts
@@ -5,6 +5,7 @@
 import type { Endpoint } from '@pomeloroad/configuration';
 import { createAnswer } from '@pomeloroad/requests';
 import type { RunState } from '@pomeloroad/requests';
+import type { RouteRequest, SlotResult } from '@pomeloroad/routing';
 import { resumeChat, runChat } from '../src/chatRun';
 import type { ChatRequest } from '../src/chatRequest';
 import type { EngineClient, EngineError, EngineEvent, StoppedUsage } from '../src/engineClient';
@@ -28,6 +29,7 @@
   digest: '',
   isIdempotent: true,
   isProvisional: false,
+  isContinuation: false,
   needsClaim: false,
   priority: 0,
   patience: 8000,
@@ -45,6 +47,7 @@
 /** A host whose requests run on the given engine, and the records that they settled. */
 function createHost(clock: ManualClock, engine: Partial<EngineClient>) {
   const settled: (UsageRecord | undefined)[] = [];
+  const released: SlotResult[] = [];
   const reservation = {
     ...{ id: 'reservation', budget: 'dispatch/routes', keeper: 'a', tokens: 5 },
     placement: undefined,
@@ -52,7 +55,11 @@
     settle: (record: UsageRecord | undefined) => settled.push(record),
   };
   const endpoint = { name: 'e', address: 'e:1' } as Endpoint;
-  const slot = { endpoint, isLeaving: () => false, release: () => undefined };
+  const slot = {
+    ...{ endpoint, isLeaving: () => false },
+    recordActivity: () => undefined,
+    release: (result: SlotResult) => released.push(result),
+  };
   const host = {
     clock,
     log: createSilentLog(),
@@ -61,23 +68,30 @@
       ...{ stallTimeout: 300, firstByteTimeout: 1000, betweenTimeout: 1000 },
     },
     budgets: { reserve: async () => Ok(reservation), adopt: async () => reservation },
-    admission: { acquire: async () => Ok(slot) },
+    admission: {
+      acquire: async ({ excluded }: RouteRequest) =>
+        excluded.has('e') ? Err({ kind: 'none' }) : Ok(slot),
+    },
     guard: { waitUntilFresh: async () => undefined },
     refreshEndpoint: async () => undefined,
     engine,
   } as unknown as RunHost;
-  return { host, settled };
+  return { host, settled, released };
 }
 
 /** Runs a request on the engine until it has ended, or resumes it for a lost instance. */
-async function run(engine: Partial<EngineClient>, lost?: RunState) {
+async function run(
+  engine: Partial<EngineClient>,
+  lost?: RunState,
+  request = REQUEST,
+  { signal } = new AbortController(),
+) {
   const clock = createManualClock();
-  const { host, settled } = createHost(clock, engine);
+  const { host, settled, released } = createHost(clock, engine);
   const answer = createAnswer();
-  const { signal } = new AbortController();
   const starting = lost
-    ? resumeChat(host, REQUEST, CHAT, answer, signal, lost)
-    : runChat(host, REQUEST, CHAT, answer, signal);
+    ? resumeChat(host, request, CHAT, answer, signal, lost)
+    : runChat(host, request, CHAT, answer, signal);
   let isOver = false;
   const running = starting.finally(() => {
     isOver = true;
@@ -86,7 +100,7 @@
   running.catch(() => undefined);
   while (!isOver) await clock.advance(1000);
   const end = await running;
-  return { end, answer, settled };
+  return { end, answer, settled, released };
 }
 
 test('an attempt that is given up is not repeated once its answer has ended', async () => {
@@ -108,7 +122,7 @@
   expect(settled).toEqual([undefined]);
 });
 
-test('a request whose engine never began it is run again', async () => {
+test('a request whose only engine never began it is run there again', async () => {
   const streams: string[] = [];
   const { end, settled } = await run({
     async run(call, sink) {
@@ -166,6 +180,23 @@
   expect(settled).toMatchObject([{ tokens: 5 }]);
 });
 
+test('the rest of a resumed answer is not taken from a run that begins for it', async () => {
+  const streams: string[] = [];
+  const engine: Partial<EngineClient> = {
+    async run(call, sink) {
+      streams.push(call.stream);
+      await sink(USAGE);
+      return Ok.EMPTY;
+    },
+    resume: async () => Err({ kind: 'rejected', ran: 'no', message: 'no such stream' }),
+    stop: async () => Ok(NEVER),
+  };
+  const { end, settled } = await run(engine, LOST, { ...REQUEST, isContinuation: true });
+  expect(streams).toEqual([]);
+  expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'unknown' } });
+  expect(settled).toMatchObject([{ tokens: 5 }]);
+});
+
 test('an answer that has ended gets no usage of a stream beyond its limit', async () => {
   const delta = (index: number): EngineEvent => ({ kind: 'delta', index, text: 'x' });
   const stops = [Err(SILENT)];
@@ -201,3 +232,28 @@
   expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'no' } });
   expect(settled).toEqual([undefined]);
 });
+
+test('a caller that leaves is no failure of the engine', async () => {
+  const caller = new AbortController();
+  const engine: Partial<EngineClient> = {
+    async run() {
+      caller.abort();
+      return Err(SILENT);
+    },
+    stop: async () => Ok({ state: 'cancelled', promptTokens: 1, completionTokens: 0 }),
+  };
+  const { released } = await run(engine, undefined, REQUEST, caller);
+  expect(released).toEqual(['ok']);
+});
+
+test('a request that its only engine declines is not sent there again', async () => {
+  const streams: string[] = [];
+  const { end } = await run({
+    async run(call) {
+      streams.push(call.stream);
+      return Err({ kind: 'busy', ran: 'no', message: 'status 503' });
+    },
+  });
+  expect(streams).toEqual(['r.1']);
+  expect(end).toMatchObject({ kind: 'refused', refusal: { code: 'overloaded', ran: 'no' } });
+});
