Billing: a stream name of its own for each reservation

What callers would see: one request is billed twice. A keeper notes a reservation with its placement, its reply is lost, the next keeper reserves, and the request runs and is settled there.

Cause: the silence of a keeper is taken for "not reserved", and the two reservations shared one stream name.

Evidence, before the fix, `npx jest packages/entry/test/chatRun packages/budgets/test/keepers`: ● a run is billed once though the reply to an earlier reservation was lost ● each reservation of a request has a stream of its own

Why this works: the name of a stream contains its reservation (`nameStream`), and the client asks for the placement once for each reservation. The engine never began the stream of the other reservation, says so, and nothing is billed for it.

The listed test changes: its fake said of every stream that it used 7 tokens, also of one that no engine began, so that no naming could have satisfied it. The fake now tells what each stream used, as an engine does; the checks (no fault of the audit, 7 billed) stand as they were. It still fails if both reservations get one name ("request r is billed twice", seen with `nameStream` returning the attempt alone). In chatRun.test.ts the names of streams end in their reservation; interleavings.test.ts passes its placement as a function.

--- a/packages/budgets/src/client.ts
+++ b/packages/budgets/src/client.ts
@@ -49,17 +49,29 @@
   tokens: Tokens;
 }
 
+/** Returns where the request of a reservation is about to run. */
+export type CreatePlacement = (reservation: string) => Placement;
+
+/**
+ * Returns the name of an attempt's stream under a reservation. Another reservation has another one:
+ * its keeper, which may know of it alone, must not bill the stream that ran under this one.
+ */
+export function nameStream(attempt: string, reservation: string): string {
+  return `${attempt}.${reservation}`;
+}
+
 /** Reserves tokens with the keepers of this data centre. */
 export interface BudgetClient {
   /**
    * Reserves tokens with the first keeper that can. `exhausted` is final; after any other error the
-   * next keeper is tried, and `unreachable` is returned if none is left.
+   * next keeper is tried, and `unreachable` is returned if none is left. `createPlacement` returns
+   * the placement to note for a reservation; it must name a stream of the reservation's own.
    */
   reserve(
     draft: UsageDraft,
     tokens: Tokens,
     patience: Milliseconds,
-    placement?: Placement,
+    createPlacement?: CreatePlacement,
   ): Promise<Outcome<HeldReservation, ReservationError>>;
   /** Takes over a reservation of a lost instance; `undefined` if its keeper does not confirm it. */
   adopt(held: RemoteReservation): Promise<HeldReservation | undefined>;
@@ -83,9 +95,10 @@
     draft: UsageDraft,
     tokens: Tokens,
     patience: Milliseconds,
-    placement?: Placement,
+    createPlacement?: CreatePlacement,
   ) {
     const id = createId();
+    const placement = createPlacement?.(id);
     const { budget } = draft;
     ownReservations.add(id);
     const request = { id, budget, tokens, patience, owner: self, draft, placement };
@@ -170,7 +183,7 @@
   }
 
   return {
-    async reserve(draft, tokens, patience, placement) {
+    async reserve(draft, tokens, patience, createPlacement) {
       const ranked = rankNodes(draft.budget, host.getLocalInstances());
       const keepers = ranked
         .map((instance) => network.getIdentity(instance))
@@ -178,7 +191,7 @@
         .slice(0, MAX_KEEPERS_TRIED);
       let message = 'no budget keeper in this data centre answers';
       for (const keeper of keepers) {
-        const outcome = await reserveWith(keeper, draft, tokens, patience, placement);
+        const outcome = await reserveWith(keeper, draft, tokens, patience, createPlacement);
         if (outcome.ok) return outcome;
         const error = outcome.val.kind === 'refused' ? outcome.val.error : outcome.val;
         if (error.kind === 'exhausted') return Err(error);
--- a/packages/budgets/test/interleavings.test.ts
+++ b/packages/budgets/test/interleavings.test.ts
@@ -128,7 +128,7 @@
     const request = `r${requests}`;
     const draft = { account: 'dispatch', budget: BUDGET, request, model: 'planner' };
     const placement = { endpoint: 'e', address: '127.0.0.1:1', stream: request };
-    const outcome = member.client.reserve(draft, tokens, 100, placement);
+    const outcome = member.client.reserve(draft, tokens, 100, () => placement);
     await clock.advance(200);
     const pending = Symbol('pending');
     const settled = await Promise.race([outcome, Promise.resolve(pending)]);
--- a/packages/budgets/test/keepers.test.ts
+++ b/packages/budgets/test/keepers.test.ts
@@ -3,13 +3,21 @@
 import { createMemoryObjects, createMemoryTable } from '@pomeloroad/storage';
 import type { MemoryTable } from '@pomeloroad/storage';
 import { createMemoryFleet } from '@pomeloroad/peers';
-import { auditLedger, BudgetTopics, createBudgetClient, createKeepers, createLedger } from '../src';
+import {
+  auditLedger,
+  BudgetTopics,
+  createBudgetClient,
+  createKeepers,
+  createLedger,
+  nameStream,
+} from '../src';
 import type { HeldReservation, UsageRecord } from '../src';
 
 const BUDGET = 'dispatch/routes';
 const draft = { account: 'dispatch', budget: BUDGET, request: 'r', model: 'planner' };
 
-function setUp(locals?: string[]) {
+/** With `used`, an engine tells what each stream used, and nothing for a stream that never began. */
+function setUp(locals?: string[], used?: Map<string, number>) {
   const clock = createManualClock();
   const table = createMemoryTable();
   const objects = createMemoryObjects();
@@ -35,7 +43,11 @@
       isTableUnreachable: () => false,
       isLive: (identity) => !lost.has(identity.instance),
       isLost: (identity) => lost.has(identity.instance),
-      stopRequest: async () => ({ promptTokens: 3, completionTokens: 4 }),
+      stopRequest: async (placements) => {
+        if (!used) return { promptTokens: 3, completionTokens: 4 };
+        const tokens = placements.map(({ stream }) => used.get(stream) ?? 0);
+        return { promptTokens: tokens.reduce((sum, count) => sum + count, 0), completionTokens: 0 };
+      },
     });
     const client = createBudgetClient({ ...shared, random: createRandom(1) });
     return { keepers, client };
@@ -301,18 +313,22 @@
 });
 
 test('a run is billed once though the reply to an earlier reservation was lost', async () => {
-  const all = setUp(['a', 'b']);
+  const used = new Map<string, number>();
+  const all = setUp(['a', 'b'], used);
+  const createPlacement = (id: string) => ({ ...placement, stream: nameStream('r.1', id) });
   const [first = '', second = ''] = rankNodes(BUDGET, ['a', 'b']);
   await all.ledger.topUp(BUDGET, 'one', 1000);
   const a = all.join(first, 'kent');
   const b = all.join(second, 'kent');
   const owner = { instance: second, incarnation: `${second}-1`, dataCentre: 'kent' };
   const caller = all.fleet.join('c', 'kent');
-  const request = { id: 'lost', budget: BUDGET, tokens: 100, patience: 0, owner, draft, placement };
+  const lost = { id: 'lost', placement: createPlacement('lost') };
+  const request = { ...lost, budget: BUDGET, tokens: 100, patience: 0, owner, draft };
   // The keeper notes this reservation, but the owner does not learn of it and asks the next keeper.
   await caller.call(first, BudgetTopics.reserve, request, 100);
   all.fleet.silent.add(first);
-  const held = (await b.client.reserve(draft, 100, 1000, placement)).unwrap();
+  const held = (await b.client.reserve(draft, 100, 1000, createPlacement)).unwrap();
+  used.set(held.placement?.stream ?? '', 7);
   held.settle(record(7));
   await all.clock.advance(10);
   await b.keepers.settle();
--- a/packages/entry/src/admit.ts
+++ b/packages/entry/src/admit.ts
@@ -1,6 +1,12 @@
 import { Err, Ok } from 'ts-results';
 import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
-import type { HeldReservation, Placement, ReservationError } from '@pomeloroad/budgets';
+import { nameStream } from '@pomeloroad/budgets';
+import type {
+  CreatePlacement,
+  HeldReservation,
+  Placement,
+  ReservationError,
+} from '@pomeloroad/budgets';
 import { createRefusal } from '@pomeloroad/requests';
 import type { AnswerEnd, Refusal } from '@pomeloroad/requests';
 import type { RouteError, RouteRequest, Slot } from '@pomeloroad/routing';
@@ -36,8 +42,15 @@
   const slot = await acquireSlot(host, route, deadline);
   if (slot.err) return slot;
   if (tokens === 0) return Ok({ slot: slot.val, reservation: undefined });
-  const placement = getPlacement(request, slot.val, 1);
-  const reserved = await reserve(host, request, tokens, deadline, SLOT_HOLD_MAX_MS, placement);
+  const createPlacement: CreatePlacement = (id) => getPlacement(request, slot.val, 1, id);
+  const reserved = await reserve(
+    host,
+    request,
+    tokens,
+    deadline,
+    SLOT_HOLD_MAX_MS,
+    createPlacement,
+  );
   if (reserved.ok) return Ok({ slot: slot.val, reservation: reserved.val });
   slot.val.release('ok');
   if (!isTransient(reserved.val, tokens)) return Err(refuseReservation(reserved.val));
@@ -90,16 +103,21 @@
   tokens: Tokens,
   deadline: Milliseconds,
   patience: Milliseconds,
-  placement?: Placement,
+  createPlacement?: CreatePlacement,
 ): Promise<Outcome<HeldReservation, ReservationError>> {
   const remainingTime = Math.max(0, Math.min(patience, deadline - host.clock.elapsed()));
-  return host.budgets.reserve(createUsageDraft(request), tokens, remainingTime, placement);
+  return host.budgets.reserve(createUsageDraft(request), tokens, remainingTime, createPlacement);
 }
 
-/** Returns where an attempt of a request runs, with the name of its stream. */
-export function getPlacement({ id, work }: RunRequest, slot: Slot, attempt: number): Placement {
+/** Returns where an attempt of a request runs under a reservation, with the name of its stream. */
+export function getPlacement(
+  { id, work }: RunRequest,
+  slot: Slot,
+  attempt: number,
+  reservation: string,
+): Placement {
   const { name: endpoint, address } = slot.endpoint;
-  const stream = work.kind === 'chat' ? `${id}.${attempt}` : '';
+  const stream = work.kind === 'chat' ? nameStream(`${id}.${attempt}`, reservation) : '';
   return { endpoint, address, stream };
 }
 
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -131,7 +131,7 @@
   attempt: number,
 ): Promise<AttemptOutcome> {
   const { request, signal } = run;
-  const placement = getPlacement(request, slot, attempt);
+  const placement = getPlacement(request, slot, attempt, reservation.id);
   const isPlaced = await announcePlacement(run, reservation, placement);
   if (!isPlaced) return { kind: 'done', end: refuseKeeperLost(), record: undefined };
   if (signal.aborted) return { kind: 'done', end: refuseCallerLeft(), record: undefined };
--- a/packages/entry/src/serviceRun.ts
+++ b/packages/entry/src/serviceRun.ts
@@ -96,7 +96,8 @@
 async function runAttempt(run: ServiceRun, slot: Slot): Promise<AttemptError | undefined> {
   const { host, request, call, answer, signal, reservation } = run;
   const isAlreadyPlaced = !reservation || reservation.placement?.endpoint === slot.endpoint.name;
-  const isPlaced = isAlreadyPlaced || (await reservation.place(getPlacement(request, slot, 1)));
+  const isPlaced =
+    isAlreadyPlaced || (await reservation.place(getPlacement(request, slot, 1, reservation.id)));
   if (!isPlaced) return { kind: 'keeper-lost', ran: 'no' };
   await host.guard.waitUntilFresh();
   if (slot.isLeaving()) return { kind: 'busy', ran: 'no', message: 'the endpoint is leaving' };
--- a/packages/entry/test/chatRun.test.ts
+++ b/packages/entry/test/chatRun.test.ts
@@ -1,7 +1,7 @@
 import { Err, Ok } from 'ts-results';
 import { createManualClock, createSilentLog } from '@pomeloroad/core';
 import type { ManualClock } from '@pomeloroad/core';
-import type { UsageRecord } from '@pomeloroad/budgets';
+import type { Placement, UsageRecord } from '@pomeloroad/budgets';
 import type { Endpoint } from '@pomeloroad/configuration';
 import { createAnswer } from '@pomeloroad/requests';
 import type { RunState } from '@pomeloroad/requests';
@@ -116,7 +116,7 @@
     resume: async () => Err(SILENT),
     stop: async () => stops.shift() ?? Ok(NEVER),
   });
-  expect(streams).toEqual(['r.1']);
+  expect(streams).toEqual(['r.1.reservation']);
   expect(answer.getEnd()).toMatchObject({ kind: 'refused', refusal: { ran: 'unknown' } });
   expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'no' } });
   expect(settled).toEqual([undefined]);
@@ -134,7 +134,7 @@
     resume: async () => Err({ kind: 'rejected', ran: 'no', message: 'no such stream' }),
     stop: async () => Ok(NEVER),
   });
-  expect(streams).toEqual(['r.1', 'r.2']);
+  expect(streams).toEqual(['r.1.reservation', 'r.2.reservation']);
   expect(end).toEqual({ kind: 'complete' });
   expect(settled).toMatchObject([{ tokens: 2 }]);
 });
@@ -153,8 +153,8 @@
     resume: async () => Err({ kind: 'rejected', ran: 'no', message: 'no such stream' }),
     stop: async () => Ok(NEVER),
   });
-  expect(streams).toEqual(['r.1']);
-  expect(answer.getEvents()).toEqual([{ kind: 'delta', text: 'r.1' }]);
+  expect(streams).toEqual(['r.1.reservation']);
+  expect(answer.getEvents()).toEqual([{ kind: 'delta', text: 'r.1.reservation' }]);
   expect(end).toMatchObject({ kind: 'refused', refusal: { ran: 'unknown' } });
   expect(settled).toMatchObject([{ tokens: 5 }]);
 });
@@ -246,6 +246,35 @@
   expect(released).toEqual(['ok']);
 });
 
+test('each reservation of a request has a stream of its own', async () => {
+  const clock = createManualClock();
+  const streams: string[] = [];
+  const { host } = createHost(clock, {
+    async run(call, sink) {
+      streams.push(call.stream);
+      await sink(USAGE);
+      return Ok.EMPTY;
+    },
+  });
+  // The first keeper notes the placement, but its reply is lost.
+  const replies = [false, true];
+  const createReservation = (id: string) => ({
+    ...{ id, budget: 'dispatch/routes', keeper: id, tokens: 5, placement: undefined },
+    async place({ stream }: Placement) {
+      streams.push(stream);
+      return replies.shift() ?? true;
+    },
+    settle: () => undefined,
+  });
+  const reservations = ['a', 'b'].map(createReservation);
+  Object.assign(host.budgets, { reserve: async () => Ok(reservations.shift()) });
+  const answer = createAnswer();
+  await runChat(host, REQUEST, CHAT, answer, new AbortController().signal);
+  const [lost, noted, begun] = streams;
+  expect(begun).toBe(noted);
+  expect(noted).not.toBe(lost);
+});
+
 test('a request that its only engine declines is not sent there again', async () => {
   const streams: string[] = [];
   const { end } = await run({
@@ -254,6 +283,6 @@
       return Err({ kind: 'busy', ran: 'no', message: 'status 503' });
     },
   });
-  expect(streams).toEqual(['r.1']);
+  expect(streams).toEqual(['r.1.reservation']);
   expect(end).toMatchObject({ kind: 'refused', refusal: { code: 'overloaded', ran: 'no' } });
 });
