Billing: failing test of a service's call that is billed twice after a lost reply

`npx jest packages/budgets/test/keepers.test.ts`: ✕ a call of a service is billed once though the reply to an earlier reservation was lost "message": "request r is billed twice"

--- a/packages/budgets/test/keepers.test.ts
+++ b/packages/budgets/test/keepers.test.ts
@@ -341,3 +341,34 @@
   expect(faults).toEqual([]);
   expect(accounts[0]).toMatchObject({ billed: 7 });
 });
+
+test('a call of a service is billed once though the reply to an earlier reservation was lost', async () => {
+  const used = new Map<string, number>();
+  const all = setUp(['a', 'b'], used);
+  const createPlacement = () => ({ ...placement, stream: '' });
+  // A service keeps no record of its calls, so what was reserved counts as used.
+  used.set('', 100);
+  const [first = '', second = ''] = rankNodes(BUDGET, ['a', 'b']);
+  await all.ledger.topUp(BUDGET, 'one', 1000);
+  const a = all.join(first, 'kent');
+  const b = all.join(second, 'kent');
+  const owner = { instance: second, incarnation: `${second}-1`, dataCentre: 'kent' };
+  const caller = all.fleet.join('c', 'kent');
+  const lost = { id: 'lost', placement: createPlacement() };
+  const request = { ...lost, budget: BUDGET, tokens: 100, patience: 0, owner, draft };
+  // The keeper notes this reservation, but the owner does not learn of it and asks the next keeper.
+  await caller.call(first, BudgetTopics.reserve, request, 100);
+  all.fleet.silent.add(first);
+  const held = (await b.client.reserve(draft, 100, 1000, createPlacement)).unwrap();
+  held.settle(record(100));
+  await all.clock.advance(10);
+  await b.keepers.settle();
+  all.fleet.silent.clear();
+  all.lost.add(second);
+  await all.clock.advance(6000);
+  await a.keepers.reap();
+  await a.keepers.settle();
+  const { accounts, faults } = await all.audit();
+  expect(faults).toEqual([]);
+  expect(accounts[0]).toMatchObject({ billed: 100 });
+});
