A pause of the instance itself is no silence of its endpoints

What callers lost: after a pause of the process its timers ran before its sockets were read, so every stream whose threshold had passed took a retry and its last attempt, though its endpoint had sent all the while. One turn of the event loop is waited for before the time counts.

--- a/packages/forwarding/src/replacement.ts
+++ b/packages/forwarding/src/replacement.ts
@@ -1,6 +1,6 @@
 import { match } from 'ts-pattern';
 import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
-import type { Milliseconds } from '@pomeloroad/core';
+import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { Slot } from '@pomeloroad/routing';
 import { describeAttempt, isServerError, leaveEndpoint, sendAttempt } from './attempt';
 import type { AttemptReply, SentAttempt } from './attempt';
@@ -8,6 +8,8 @@
 import type { Run } from './run';
 import { acquireSlot } from './slots';
 
+/** Enough for one turn of the event loop, which reads the connections that have data. */
+const READ_TURN_MS: Milliseconds = 1;
 /** Time after which a replacement is looked for again. */
 const NEXT_LOOK_MS: Milliseconds = 300;
 /**
@@ -65,9 +67,8 @@
 ): Promise<Progress<Step>> {
   const { attempt, step, hasFailed, silentSince, threshold } = awaited;
   const { clock } = run.host;
-  const isStep = step.then(() => true);
   const delay = silentSince() + threshold - clock.elapsed();
-  if (await withTimeout(clock, delay, isStep, false)) return { kind: 'step', step: await step };
+  if (await isSettledWithin(clock, delay, step)) return { kind: 'step', step: await step };
   const settled = new AbortController();
   let known: Course | undefined;
   const course = step.then((value) => {
@@ -82,6 +83,17 @@
   return { kind: 'replaced', by, failure: known === 'failed' ? await step : undefined };
 }
 
+// What arrived while the process was held up is read before the time counts as silence.
+async function isSettledWithin(
+  clock: Clock,
+  delay: Milliseconds,
+  step: Promise<unknown>,
+): Promise<boolean> {
+  const isSettled = step.then(() => true);
+  if (await withTimeout(clock, delay, isSettled, false)) return true;
+  return withTimeout(clock, READ_TURN_MS, isSettled, false);
+}
+
 // Looks for a replacement until one takes the attempt's place or the attempt's course is known.
 async function replaceSilent<Payload>(
   run: Run<Payload>,
