A stream goes on only at the version that began it

Cause: the version that began a stream was knowledge of nobody. It was neither read nor kept, and the instance that a caller comes back to is mostly not the one that served it, and mostly comes back because that one died.

Fix: the service and version that bring the first event bind the rest of the stream, in one answer (the admission takes only endpoints of that version) and in a take-up, which the caller names by its first attempt. An instance remembers its streams for 15 s. While any service has had several versions within the last 15 s it also records them in one row of its own in the store: at once, batched at 100 ms or more, under the row's version so that a late write changes nothing. A take-up elsewhere reads these rows after it came; one not found is looked for once more 250 ms later, and then refused as not run (503 with a time to retry). So nothing is guessed: an origin that was lost, or a view of the endpoints that is old or has just begun, costs the stream and never mixes it. With one version in the remembered time and a current view nothing is written or read.

An endpoint whose version changes under one id and start is a new one to the directory. A missing version, and values of other types, are versions of their own.

--- a/packages/configuration/src/types.ts
+++ b/packages/configuration/src/types.ts
@@ -63,7 +63,7 @@
 /** A back end that runs requests: a model engine or one server of a plain service. */
 export type Endpoint =
   | (EndpointBase & { kind: 'engine'; models: string[] })
-  | (EndpointBase & { kind: 'service'; service: string });
+  | (EndpointBase & { kind: 'service'; service: string; version?: string | undefined });
 
 /** Content of a configuration file. */
 export interface Configuration {
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -35,6 +35,8 @@
   markStoreAvailable(): void;
   /** Returns all endpoints; those that may not be used are marked as leaving. */
   list(): Endpoint[];
+  /** Returns the entries that are listed or still usable, also of endpoints that are leaving. */
+  listServing(): EndpointRecord[];
   find(name: string): EndpointRecord | undefined;
   /** Whether a complete reading was received. */
   isLoaded(): boolean;
@@ -59,7 +61,7 @@
   function applyRecord(record: EndpointRecord): boolean {
     const known = entries.get(record.id);
     if (known && isOutdated(record, known.record)) return false;
-    const isSameIncarnation = known?.record.born === record.born;
+    const isSameIncarnation = known !== undefined && isSameRun(record, known.record);
     const isLeaving = record.isLeaving || (isSameIncarnation && known.record.isLeaving);
     entries.set(record.id, {
       record: { ...record, isLeaving },
@@ -67,8 +69,7 @@
       usableUntil: Infinity,
     });
     const { id, born, sequence, address, service, version } = record;
-    const isSameState = known?.record.version === version && known?.record.isLeaving === isLeaving;
-    if (known?.isListed && isSameIncarnation && isSameState) return false;
+    if (known?.isListed && isSameIncarnation && known.record.isLeaving === isLeaving) return false;
     const event = isLeaving ? Diagnostics.endpointLeaving : Diagnostics.endpointListed;
     log(event, { endpoint: id, born, sequence, address, service, version });
     return true;
@@ -130,6 +131,10 @@
       isStoreUnavailable = false;
     },
     list: () => [...entries.values()].map((entry) => toEndpoint(entry.record, !isUsable(entry))),
+    listServing: () =>
+      [...entries.values()]
+        .filter(({ isListed, usableUntil }) => isListed || clock.elapsed() < usableUntil)
+        .map(({ record }) => record),
     find: (name) => [...entries.values()].find(({ record }) => getName(record) === name)?.record,
     isLoaded: () => isLoaded,
   };
@@ -138,16 +143,22 @@
 // Returns whether the record is of an earlier incarnation or has a lower sequence.
 function isOutdated(record: EndpointRecord, known: EndpointRecord): boolean {
   if (record.born !== known.born) return record.born < known.born;
+  if (!isSameRun(record, known)) return false;
   return record.sequence < known.sequence;
 }
 
 // Each incarnation gets its own name because nothing known about an earlier one applies to it.
-function getName({ id, born }: EndpointRecord): string {
-  return `${id}/${born}`;
+function getName({ id, born, version }: EndpointRecord): string {
+  return version === undefined ? `${id}/${born}` : `${id}/${born}/${version}`;
+}
+
+// An endpoint that tells no start has started again if its version is another one.
+function isSameRun(left: EndpointRecord, right: EndpointRecord): boolean {
+  return left.born === right.born && left.version === right.version;
 }
 
 function toEndpoint(record: EndpointRecord, leaving: boolean): Endpoint {
-  const { service, address, dataCentre, concurrency } = record;
+  const { service, address, dataCentre, concurrency, version } = record;
   return {
     kind: 'service',
     name: getName(record),
@@ -157,5 +168,6 @@
     concurrency,
     leaving,
     checksFencing: false,
+    version,
   };
 }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -9,6 +9,7 @@
 import { relayStream } from './relay';
 import { createRun, getSpentTokens, getTimeLeft } from './run';
 import type { Run } from './run';
+import { placeTakeUp } from './takeUp';
 import type { Caller, ForwardRefusal, ForwardRequest, RefusalKind } from './types';
 
 /** Maximum time that a request waits for tokens that other requests or instances may return. */
@@ -34,23 +35,21 @@
   caller: Caller,
 ): Promise<void> {
   const run = createRun(host, request, caller);
-  logTakeUp(run);
   const deadlineTimer = startDeadlineTimer(run);
   caller.signal.addEventListener('abort', () => run.stop.abort(), { once: true });
   host.retryBudget.countRequest(request.service);
   // After a pause of the process, its view of the store is outdated until the store is read again.
   await host.waitForRefresh();
-  const reservation = await reserveTokens(run);
-  if (reservation.err) refuseForBudget(run, reservation.val);
-  else await forwardReserved(run, reservation.val);
+  const placed = await placeTakeUp(run);
+  if (placed.err) refuse(run, placed.val);
+  else await forwardPlaced(run);
   deadlineTimer.cancel();
 }
 
-function logTakeUp<Payload>({ host, request }: Run<Payload>): void {
-  const { id, service, resumes, resumeAfter: after } = request;
-  if (resumes === undefined && after === undefined) return;
-  host.metrics.takeUps.add();
-  host.log(Diagnostics.streamTakenUp, { request: id, service, resumes, after });
+async function forwardPlaced<Payload>(run: Run<Payload>): Promise<void> {
+  const reservation = await reserveTokens(run);
+  if (reservation.err) refuseForBudget(run, reservation.val);
+  else await forwardReserved(run, reservation.val);
 }
 
 function startDeadlineTimer<Payload>({ host, request, stop }: Run<Payload>): Timer {
@@ -129,7 +128,7 @@
 function getRetryAfter<Payload>(run: Run<Payload>, kind: RefusalKind): Milliseconds | undefined {
   return match(kind)
     .with('not-ready', () => NOT_READY_RETRY_AFTER_MS)
-    .with('no-endpoint', () => NO_ENDPOINT_RETRY_AFTER_MS)
+    .with('no-endpoint', 'version-unknown', () => NO_ENDPOINT_RETRY_AFTER_MS)
     .with('overloaded', () => Math.max(RETRY_AFTER_MIN_MS, run.request.route.objective / 2))
     .with('timed-out', () => RETRY_AFTER_MIN_MS)
     .with('budget-exhausted', 'budget-unreachable', 'failed', () => undefined)
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -13,6 +13,8 @@
 import { createForwardMetrics } from './forwardMetrics';
 import type { ForwardHost } from './forwardTypes';
 import { startInstanceCount } from './instanceCount';
+import { startStreamOrigins } from './streamOrigins';
+import { createVersionHistory } from './versionHistory';
 import { createRetryBudget } from './retryBudget';
 import type { RetryAllowance } from './retryBudget';
 import type { RouteTable } from './routeTable';
@@ -117,10 +119,12 @@
     clock,
     log,
     onChange() {
+      versions.update(directory.listServing());
       endpoints.configure(directory.list());
       admission.wake();
     },
   });
+  const versions = createVersionHistory(clock);
   const admission = createAdmission(
     {
       clock,
@@ -203,6 +207,15 @@
     metrics: forwardMetrics,
     endStatements: createEndStatements(),
     getConfigurationVersion: () => configuration.getTable()?.configuration.version,
+    origins: startStreamOrigins({
+      clock,
+      rows,
+      signal: stop.signal,
+      instance: host.instance,
+      versions,
+      countInstances: getInstanceCount,
+      getViewAge: endpointFeed.getAge,
+    }),
     findService: (name) => configuration.getTable()?.findService(name),
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -4,6 +4,7 @@
 import type { EndpointDirectory } from './endpointDirectory';
 import type { EndStatements } from './endStatements';
 import type { ForwardMetrics } from './forwardMetrics';
+import type { StreamOrigins } from './streamOrigins';
 import type { RetryBudget } from './retryBudget';
 import type { EndpointProtocol, ForwardService } from './types';
 
@@ -21,6 +22,7 @@
   endStatements: EndStatements;
   /** Returns the version of the configuration in force; `undefined` while none is known. */
   getConfigurationVersion(): number | undefined;
+  origins: StreamOrigins;
   findService(name: string): ForwardService | undefined;
   /** Resolves at once, or after a pause of the process once the store is read again. */
   waitForRefresh(): Promise<void>;
--- /dev/null
+++ b/packages/forwarding/src/originRows.ts
@@ -0,0 +1,58 @@
+import { checkDefined, getOwner, hashText } from '@pomeloroad/core';
+import type { RowKey } from '@pomeloroad/storage';
+import type { StreamOrigin } from './originMemory';
+
+const ORIGIN_TABLE = 'origins';
+/** Several, because the store serialises the transactions of each partition. */
+const PARTITIONS: readonly string[] = ['0', '1', '2', '3'];
+/** Hexadecimal digits of a stream's name in a row. */
+const STREAM_NAME_DIGITS = 16;
+
+/** Origins of streams by their names in rows. */
+export type OriginsByName = Map<string, StreamOrigin[]>;
+
+/** Returns the partitions of the table, each of which holds rows of some instances. */
+export function getOriginPartitions(): Pick<RowKey, 'table' | 'partition'>[] {
+  return PARTITIONS.map((partition) => ({ table: ORIGIN_TABLE, partition }));
+}
+
+/** Returns the key of the row in which an instance records where its streams began. */
+export function getOriginKey(instance: string): RowKey {
+  const partition = checkDefined(getOwner(instance, PARTITIONS), 'there is no partition');
+  return { table: ORIGIN_TABLE, partition, key: instance };
+}
+
+/** Returns the name of a stream in rows: of one length, whatever a caller's id is. */
+export function getStreamName(stream: string): string {
+  return hashText(stream).slice(0, STREAM_NAME_DIGITS);
+}
+
+/** Encodes the origins of streams by name: for each origin its service, version and streams. */
+export function encodeOrigins(streams: [name: string, origin: StreamOrigin][]): string {
+  const groups = new Map<string, string[]>();
+  streams.forEach(([name, { service, version }]) => {
+    const origin = JSON.stringify([service, version ?? null]);
+    groups.set(origin, [...(groups.get(origin) ?? []), name]);
+  });
+  return JSON.stringify([...groups].map(([origin, names]) => [...JSON.parse(origin), names]));
+}
+
+/** Adds the origins of a row; one that can't be read adds none. */
+export function decodeOrigins(value: string, origins: OriginsByName): void {
+  parseGroups(value).forEach((group) => {
+    if (!Array.isArray(group)) return;
+    const [service, version, names] = group as unknown[];
+    if (typeof service !== 'string' || !Array.isArray(names)) return;
+    const origin = { service, version: typeof version === 'string' ? version : undefined };
+    names.forEach((name) => origins.set(`${name}`, [...(origins.get(`${name}`) ?? []), origin]));
+  });
+}
+
+function parseGroups(value: string): unknown[] {
+  try {
+    const groups: unknown = JSON.parse(value);
+    return Array.isArray(groups) ? groups : [];
+  } catch {
+    return [];
+  }
+}
--- /dev/null
+++ b/packages/forwarding/src/originWriter.ts
@@ -0,0 +1,125 @@
+import { runPeriodically, sleep } from '@pomeloroad/core';
+import type { Clock, Milliseconds } from '@pomeloroad/core';
+import type { RowStore } from '@pomeloroad/storage';
+import type { OriginMemory } from './originMemory';
+import { STREAM_TIME_MAX_MS } from './versionHistory';
+import { decodeOrigins, encodeOrigins, getOriginKey } from './originRows';
+import type { OriginsByName } from './originRows';
+
+/** Shortest interval between two writes. */
+const WRITE_INTERVAL_MIN_MS: Milliseconds = 100;
+/** Interval for each instance: a larger fleet writes less often, because it shares the store. */
+const WRITE_INTERVAL_PER_INSTANCE_MS: Milliseconds = 4;
+/** Interval between checks for writes that no new stream causes, such as after a failure. */
+const CHECK_INTERVAL_MS: Milliseconds = 300;
+const EMPTY_VALUE = encodeOrigins([]);
+
+/** Dependencies of writing origins. */
+export interface OriginWriterHost {
+  clock: Clock;
+  rows: RowStore;
+  signal: AbortSignal;
+  instance: string;
+  /** Origins of this instance's streams by their names in rows. */
+  memory: OriginMemory;
+  countInstances(): number;
+  /** Whether other instances may need the origins. */
+  isNeeded(): boolean;
+}
+
+/** Writes origins to the store. */
+export interface OriginWriter {
+  /** Notes that there is a new origin. */
+  note(): void;
+}
+
+/**
+ * Records the origins of this instance's streams in one row while others may need them, so that
+ * they outlive the instance. What an earlier run of the instance recorded is kept.
+ */
+export function startOriginWriter(host: OriginWriterHost): OriginWriter {
+  const { clock, rows, signal, memory } = host;
+  const key = getOriginKey(host.instance);
+  let version = 0;
+  let isDirty = true;
+  let isRestored = false;
+  let isWriting = false;
+  let lastWriteAt: Milliseconds = -Infinity;
+  let isRowEmpty = true;
+  /** Time of `clock.elapsed()` until which the origins of an earlier run are kept. */
+  let keepUntil: Milliseconds = -Infinity;
+
+  const isNeeded = () => host.isNeeded() || clock.elapsed() < keepUntil;
+
+  async function restore(): Promise<boolean> {
+    const view = await rows.list(key.table, key.partition);
+    if (view.err) return false;
+    const row = view.val.rows.find((candidate) => candidate.key === key.key);
+    if (!row) return true;
+    version = row.version;
+    isRowEmpty = row.value === EMPTY_VALUE;
+    if (!isRowEmpty) keepUntil = clock.elapsed() + STREAM_TIME_MAX_MS;
+    const origins: OriginsByName = new Map();
+    decodeOrigins(row.value, origins);
+    origins.forEach(([origin], name) => {
+      if (origin && !memory.find(name)) memory.set(name, origin);
+    });
+    return true;
+  }
+
+  async function write(): Promise<boolean> {
+    const value = isNeeded() ? encodeOrigins(memory.list()) : EMPTY_VALUE;
+    // Streams that an empty row leaves out are written once they are needed.
+    isDirty = value === EMPTY_VALUE;
+    const written = await rows.transact({
+      checks: [{ ...key, version }],
+      puts: [{ ...key, value }],
+      removals: [],
+    });
+    if (written.ok) {
+      version = written.val.revision;
+      isRowEmpty = value === EMPTY_VALUE;
+      return true;
+    }
+    isDirty = true;
+    // An earlier write without an answer has taken effect, or the store came back from a copy.
+    if (written.val.kind === 'conflict') {
+      version = written.val.rows.find((row) => row.key === key.key)?.version ?? 0;
+    }
+    return false;
+  }
+
+  function shouldWrite(): boolean {
+    return isNeeded() ? isDirty && memory.list().length > 0 : !isRowEmpty;
+  }
+
+  function getInterval(): Milliseconds {
+    const interval = host.countInstances() * WRITE_INTERVAL_PER_INSTANCE_MS;
+    return Math.max(WRITE_INTERVAL_MIN_MS, interval);
+  }
+
+  // Writes at once, or an interval after the last write.
+  async function flush(): Promise<void> {
+    if (isWriting || !isRestored || !shouldWrite()) return;
+    isWriting = true;
+    await sleep(clock, Math.max(0, lastWriteAt + getInterval() - clock.elapsed()), signal);
+    lastWriteAt = clock.elapsed();
+    const isWritten = !signal.aborted && (await write());
+    isWriting = false;
+    if (isWritten) flush();
+  }
+
+  // Also notices that origins have come to be needed, or are needed no more.
+  async function check(): Promise<void> {
+    if (!isRestored) isRestored = await restore();
+    await flush();
+  }
+
+  runPeriodically(clock, () => CHECK_INTERVAL_MS, signal, check);
+  return {
+    note() {
+      isDirty = true;
+      flush();
+    },
+  };
+}
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -10,6 +10,7 @@
 import type { Progress } from './replacement';
 import { getTimeLeft, takeAttempt } from './run';
 import type { Run } from './run';
+import { getVersion, noteEvents } from './takeUp';
 import type { EventStream, StreamStep } from './types';
 
 /**
@@ -81,14 +82,14 @@
 }
 
 function recordResumption<Payload>(run: Run<Payload>, slot: Slot): void {
-  const { version, eventVersion } = run;
-  const isSame = !eventVersion || eventVersion.version === version;
+  const version = getVersion(slot.endpoint);
+  const isSame = !run.origin || run.origin.version === version;
   run.host.metrics.resumptions.add(1, { version: isSame ? 'same' : 'other' });
   run.host.log(Diagnostics.requestResumed, {
     request: run.request.id,
     endpoint: slot.endpoint.name,
     version,
-    fromVersion: eventVersion?.version,
+    fromVersion: run.origin?.version,
     after: run.lastEventId,
     events: run.events,
   });
@@ -137,7 +138,7 @@
     const { step } = progress;
     if (step.kind !== 'events') return { step, replacement: undefined };
     run.events += step.count;
-    run.eventVersion = { version: run.version };
+    noteEvents(run, attempt.slot.endpoint);
     run.lastEventId = step.lastId ?? run.lastEventId;
     await run.caller.write(step.data);
   }
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds, ResponseFraming, Tokens } from '@pomeloroad/core';
 import type { RouteError } from '@pomeloroad/routing';
 import type { ForwardHost } from './forwardTypes';
+import type { StreamOrigin } from './originMemory';
 import { isRetryable } from './patience';
 import type { Caller, ForwardRequest, ReplyHead } from './types';
 
@@ -32,8 +33,8 @@
   endpoint: string | undefined;
   /** Version of that endpoint. */
   version: string | undefined;
-  /** Version of the endpoint that brought the latest event; `undefined` before the first one. */
-  eventVersion: { version: string | undefined } | undefined;
+  /** Where the stream began; only endpoints of its version may go on with it. */
+  origin: StreamOrigin | undefined;
   /** Framing of the latest answer of an endpoint. */
   framing: ResponseFraming | undefined;
   firstByteAt: Milliseconds | undefined;
@@ -61,7 +62,7 @@
     failure: undefined,
     endpoint: undefined,
     version: undefined,
-    eventVersion: undefined,
+    origin: undefined,
     framing: undefined,
     firstByteAt: undefined,
     lack: undefined,
--- a/packages/forwarding/src/slots.ts
+++ b/packages/forwarding/src/slots.ts
@@ -12,7 +12,7 @@
 ): Promise<Outcome<Slot, RouteError>> {
   const { host, request } = run;
   const slot = await host.admission.acquire({
-    target: { kind: 'service', service: request.service },
+    target: { kind: 'service', service: request.service, origin: run.origin },
     account: request.account,
     // In routing, a higher number means a higher priority.
     priority: -request.priority,
--- /dev/null
+++ b/packages/forwarding/src/streamOrigins.ts
@@ -0,0 +1,106 @@
+import { sleep } from '@pomeloroad/core';
+import type { Clock, Milliseconds } from '@pomeloroad/core';
+import type { RowStore } from '@pomeloroad/storage';
+import { createOriginMemory } from './originMemory';
+import type { StreamOrigin } from './originMemory';
+import { createOriginReader } from './originReader';
+import { getStreamName } from './originRows';
+import { startOriginWriter } from './originWriter';
+import { STREAM_TIME_MAX_MS } from './versionHistory';
+import type { VersionHistory } from './versionHistory';
+
+/** Age of the knowledge of endpoints beyond which a version may serve that is not known. */
+const VIEW_AGE_MAX_MS: Milliseconds = 2500;
+/** Pause before the store is read again for an origin that may be on its way to it. */
+const READ_AGAIN_DELAY_MS: Milliseconds = 250;
+
+/** Dependencies of knowing origins. */
+export interface StreamOriginsHost {
+  clock: Clock;
+  rows: RowStore;
+  signal: AbortSignal;
+  instance: string;
+  versions: VersionHistory;
+  countInstances(): number;
+  /** Returns the age of the knowledge of endpoints. */
+  getViewAge(): Milliseconds;
+}
+
+/** What is known about the version at which a stream has to go on. */
+export type TakeUp =
+  /** Only one version has served the service lately. */
+  | { kind: 'any' }
+  | { kind: 'known'; origin: StreamOrigin; source: 'memory' | 'store' }
+  | { kind: 'unknown'; reason: 'not recorded' | 'store unavailable' };
+
+/** Where streams began, as far as anyone knows. */
+export interface StreamOrigins {
+  /** Remembers where a stream began; called before its caller gets the first event. */
+  note(stream: string, origin: StreamOrigin): void;
+  /**
+   * Returns where a stream may go on that began at the first of the services, or else at one of the
+   * others.
+   */
+  find(stream: string, services: string[]): Promise<TakeUp>;
+}
+
+/** Starts remembering origins and, while a service has several versions, recording them. */
+export function startStreamOrigins(host: StreamOriginsHost): StreamOrigins {
+  const { clock, versions } = host;
+  const startedAt = clock.elapsed();
+  const memory = createOriginMemory(clock);
+  const readOrigins = createOriginReader(clock, host.rows);
+  const writer = startOriginWriter({ ...host, memory, isNeeded: versions.hasSeveralAnywhere });
+
+  function mayMissVersions(): boolean {
+    const hasJustStarted = clock.elapsed() - startedAt < STREAM_TIME_MAX_MS;
+    return hasJustStarted || host.getViewAge() > VIEW_AGE_MAX_MS;
+  }
+
+  async function findRecorded(name: string, services: string[]): Promise<TakeUp> {
+    const origins = await readOrigins();
+    if (!origins) return { kind: 'unknown', reason: 'store unavailable' };
+    const origin = choose(origins.get(name) ?? [], services);
+    if (origin) return { kind: 'known', origin, source: 'store' };
+    const recorded = [...origins.values()].flat();
+    return services.some((service) => hasSeveral(service, recorded))
+      ? { kind: 'unknown', reason: 'not recorded' }
+      : { kind: 'any' };
+  }
+
+  function hasSeveral(service: string, recorded: StreamOrigin[] = []): boolean {
+    const ofService = recorded.filter((origin) => origin.service === service);
+    return versions.hasSeveral(
+      service,
+      ofService.map(({ version }) => version),
+    );
+  }
+
+  return {
+    note(stream, origin) {
+      memory.set(getStreamName(stream), origin);
+      writer.note();
+    },
+    async find(stream, services) {
+      const name = getStreamName(stream);
+      const own = memory.find(name);
+      const origin = own && choose([own], services);
+      if (origin) return { kind: 'known', origin, source: 'memory' };
+      if (!services.some((service) => hasSeveral(service)) && !mayMissVersions()) {
+        return { kind: 'any' };
+      }
+      const found = await findRecorded(name, services);
+      if (found.kind !== 'unknown') return found;
+      await sleep(clock, READ_AGAIN_DELAY_MS, host.signal);
+      return findRecorded(name, services);
+    },
+  };
+}
+
+// Prefers the first service. Two versions of it contradict each other.
+function choose(origins: StreamOrigin[], services: string[]): StreamOrigin | undefined {
+  const service = services.find((name) => origins.some((origin) => origin.service === name));
+  const [first, ...others] = origins.filter((origin) => origin.service === service);
+  const isClear = others.every((origin) => origin.version === first?.version);
+  return isClear ? first : undefined;
+}
--- /dev/null
+++ b/packages/forwarding/src/takeUp.ts
@@ -0,0 +1,70 @@
+import { Err, Ok } from 'ts-results';
+import { match } from 'ts-pattern';
+import { Diagnostics } from '@pomeloroad/core';
+import type { Outcome } from '@pomeloroad/core';
+import type { Endpoint } from '@pomeloroad/configuration';
+import type { Run } from './run';
+import type { TakeUp } from './streamOrigins';
+import type { RefusalKind } from './types';
+
+/**
+ * If the caller takes a stream up, binds the run to the service and version that began the stream.
+ * Refuses one of which that is not known.
+ */
+export async function placeTakeUp<Payload>(run: Run<Payload>): Promise<Outcome<void, RefusalKind>> {
+  if (!isTakeUp(run)) return Ok(undefined);
+  const { service, route } = run.request;
+  const others = route.targets.map((target) => target.service).filter((name) => name !== service);
+  const takeUp = await run.host.origins.find(getStream(run), [service, ...others]);
+  recordTakeUp(run, takeUp);
+  return match(takeUp)
+    .with({ kind: 'any' }, () => Ok(undefined))
+    .with({ kind: 'known' }, ({ origin }) => {
+      run.origin = origin;
+      run.host.origins.note(getStream(run), origin);
+      run.request = { ...run.request, service: origin.service };
+      return Ok(undefined);
+    })
+    .with({ kind: 'unknown' }, () => Err('version-unknown' as const))
+    .exhaustive();
+}
+
+/** Binds the run to the version that brought its first event, and remembers it for take-ups. */
+export function noteEvents<Payload>(run: Run<Payload>, endpoint: Endpoint): void {
+  const { host, request } = run;
+  if (run.origin || !request.route.isResumable) return;
+  run.origin = { service: request.service, version: getVersion(endpoint) };
+  host.origins.note(getStream(run), run.origin);
+}
+
+/** Returns the version of an endpoint's software. */
+export function getVersion(endpoint: Endpoint): string | undefined {
+  return endpoint.kind === 'service' ? endpoint.version : undefined;
+}
+
+function isTakeUp<Payload>({ request }: Run<Payload>): boolean {
+  const { route, resumes, resumeAfter } = request;
+  const isResumable = route.kind === 'streaming' && route.isResumable;
+  return isResumable && (resumes !== undefined || resumeAfter !== undefined);
+}
+
+// The stream is named by the attempt that brought its first event.
+function getStream<Payload>({ request }: Run<Payload>): string {
+  return request.resumes ?? request.id;
+}
+
+function recordTakeUp<Payload>({ host, request }: Run<Payload>, takeUp: TakeUp): void {
+  host.metrics.takeUps.add(1, { knowledge: takeUp.kind });
+  const { id, service, resumes, resumeAfter: after } = request;
+  const fields = match(takeUp)
+    .with({ kind: 'any' }, () => ({}))
+    .with({ kind: 'known' }, ({ origin, source }) => ({
+      source,
+      version: origin.version,
+      origin: origin.service,
+    }))
+    .with({ kind: 'unknown' }, ({ reason }) => ({ reason }))
+    .exhaustive();
+  const details = { ...fields, knowledge: takeUp.kind };
+  host.log(Diagnostics.streamTakenUp, { request: id, service, resumes, after, ...details });
+}
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -190,6 +190,8 @@
   | 'not-ready'
   | 'overloaded'
   | 'no-endpoint'
+  /** The version that began a stream is not known, so the stream can't go on. */
+  | 'version-unknown'
   | 'budget-exhausted'
   | 'budget-unreachable'
   | 'timed-out'
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -107,7 +107,8 @@
   if (target.kind === 'engine') {
     return endpoint.kind === 'engine' && endpoint.models.includes(target.model);
   }
-  return endpoint.kind === 'service' && endpoint.service === target.service;
+  if (endpoint.kind !== 'service' || endpoint.service !== target.service) return false;
+  return !target.origin || target.origin.version === endpoint.version;
 }
 
 function createEntry(
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -28,10 +28,17 @@
   tokens: Tokens;
 }
 
+/** A service; with an origin, only endpoints of that version of its software serve the target. */
+export interface ServiceTarget {
+  kind: 'service';
+  service: string;
+  origin?: { version: string | undefined } | undefined;
+}
+
 /** A request for a slot on an endpoint. */
 export interface RouteRequest {
   /** The model of an engine or the name of a service. */
-  target: { kind: 'engine'; model: string } | { kind: 'service'; service: string };
+  target: { kind: 'engine'; model: string } | ServiceTarget;
   account: string;
   /** A higher number is served first. */
   priority: number;
