--- /dev/null
+++ b/packages/forwarding/test/streamOrigins.test.ts
@@ -0,0 +1,219 @@
+import { Err } from 'ts-results';
+import { createManualClock } from '@pomeloroad/core';
+import { createMemoryRowStore } from '@pomeloroad/storage';
+import type { RowStore } from '@pomeloroad/storage';
+import { startStreamOrigins } from '../src/streamOrigins';
+import type { TakeUp } from '../src/streamOrigins';
+import { createVersionHistory } from '../src/versionHistory';
+import type { EndpointRecord } from '../src';
+
+const LLM_V1 = { service: 'llm', version: 'v1' };
+const REMEMBERED_MS = 16_000;
+
+function createRecord(service: string, version: string | undefined): EndpointRecord {
+  return {
+    id: `${service}-${version}`,
+    born: 1,
+    sequence: 1,
+    service,
+    address: '10.0.0.1:80',
+    dataCentre: 'kent',
+    isLeaving: false,
+    concurrency: 4,
+    version,
+  };
+}
+
+type Clock = ReturnType<typeof createManualClock>;
+
+// Starts an instance that knows the given versions of one service; counts its calls to the store.
+function startInstance(clock: Clock, store: RowStore, instance: string, names: string[]) {
+  let calls = 0;
+  let viewAge = 0;
+  let isStoreLost = false;
+  const versions = createVersionHistory(clock);
+  const setVersions = (next: (string | undefined)[]) =>
+    versions.update(next.map((version) => createRecord('llm', version)));
+  setVersions(names);
+
+  function count<Args extends unknown[], Result>(call: (...args: Args) => Promise<Result>) {
+    return (...args: Args): Promise<Result> => {
+      calls += 1;
+      return call(...args);
+    };
+  }
+
+  const rows: RowStore = {
+    ...store,
+    list: count(async (table: string, partition: string) =>
+      isStoreLost
+        ? Err({ kind: 'unavailable' as const, message: 'lost' })
+        : store.list(table, partition),
+    ),
+    transact: count(store.transact),
+  };
+  const origins = startStreamOrigins({
+    clock,
+    rows,
+    signal: new AbortController().signal,
+    instance,
+    versions,
+    countInstances: () => 8,
+    getViewAge: () => viewAge,
+  });
+  return {
+    ...origins,
+    setVersions,
+    countCalls: () => calls,
+    setViewAge(age: number) {
+      viewAge = age;
+    },
+    loseStore() {
+      isStoreLost = true;
+    },
+  };
+}
+
+async function find(
+  clock: Clock,
+  { find: findOrigin }: ReturnType<typeof startInstance>,
+  stream: string,
+  services = ['llm'],
+): Promise<TakeUp> {
+  const found = findOrigin(stream, services);
+  await clock.advance(2000);
+  return found;
+}
+
+test('with one version in the remembered time nothing is written or read', async () => {
+  const clock = createManualClock();
+  const one = startInstance(clock, createMemoryRowStore(), 'one', ['v1']);
+  await clock.advance(REMEMBERED_MS);
+  const before = one.countCalls();
+  one.note('a', LLM_V1);
+  expect(await find(clock, one, 'b')).toEqual({ kind: 'any' });
+  expect(one.countCalls()).toBe(before);
+});
+
+test('streams that begin at once are recorded together', async () => {
+  const clock = createManualClock();
+  const one = startInstance(clock, createMemoryRowStore(), 'one', ['v1', 'v2']);
+  await clock.advance(REMEMBERED_MS);
+  const before = one.countCalls();
+  for (let index = 0; index < 50; index += 1) {
+    one.note(`stream-${index}`, LLM_V1);
+    await clock.advance(4);
+  }
+  await clock.advance(1000);
+  expect(one.countCalls() - before).toBeLessThanOrEqual(3);
+});
+
+test('a recorded stream is known elsewhere, and only that one', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
+  const two = startInstance(clock, store, 'two', ['v1', 'v2']);
+  await clock.advance(REMEMBERED_MS);
+  one.note('a', LLM_V1);
+  await clock.advance(200);
+  expect(await find(clock, two, 'a')).toEqual({ kind: 'known', origin: LLM_V1, source: 'store' });
+  expect(await find(clock, two, 'b')).toEqual({ kind: 'unknown', reason: 'not recorded' });
+});
+
+test('a stream that began before the second version came is recorded when it comes', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = startInstance(clock, store, 'one', ['v1']);
+  const two = startInstance(clock, store, 'two', ['v1']);
+  await clock.advance(REMEMBERED_MS);
+  one.note('a', LLM_V1);
+  [one, two].forEach((instance) => instance.setVersions(['v1', 'v2']));
+  await clock.advance(500);
+  expect(await find(clock, two, 'a')).toMatchObject({ kind: 'known', origin: LLM_V1 });
+});
+
+test('a version that has gone counts while streams of it may be taken up', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
+  await clock.advance(REMEMBERED_MS);
+  one.setVersions(['v2']);
+  await clock.advance(12_000);
+  expect(await find(clock, one, 'a')).toMatchObject({ kind: 'unknown' });
+  await clock.advance(REMEMBERED_MS);
+  expect(await find(clock, one, 'a')).toEqual({ kind: 'any' });
+});
+
+test('an instance whose view is old or that has just started looks into the store', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
+  const behind = startInstance(clock, store, 'behind', ['v1']);
+  await clock.advance(REMEMBERED_MS);
+  one.note('a', { service: 'llm', version: 'v2' });
+  await clock.advance(200);
+  behind.setViewAge(5000);
+  const started = startInstance(clock, store, 'started', ['v1']);
+  const known = { kind: 'known', origin: { service: 'llm', version: 'v2' } };
+  expect(await find(clock, behind, 'a')).toMatchObject(known);
+  expect(await find(clock, started, 'a')).toMatchObject(known);
+});
+
+test('nothing is taken up by an old view while the store is lost', async () => {
+  const clock = createManualClock();
+  const one = startInstance(clock, createMemoryRowStore(), 'one', ['v1']);
+  await clock.advance(REMEMBERED_MS);
+  one.setViewAge(5000);
+  one.loseStore();
+  expect(await find(clock, one, 'a')).toEqual({ kind: 'unknown', reason: 'store unavailable' });
+});
+
+test('a run that follows another one keeps what that recorded', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const first = startInstance(clock, store, 'one', ['v1', 'v2']);
+  await clock.advance(REMEMBERED_MS);
+  first.note('a', LLM_V1);
+  await clock.advance(200);
+  const second = startInstance(clock, store, 'one', ['v2']);
+  await clock.advance(1000);
+  second.note('b', { service: 'llm', version: 'v2' });
+  const two = startInstance(clock, store, 'two', ['v2']);
+  await clock.advance(1000);
+  expect(await find(clock, two, 'a')).toMatchObject({ kind: 'known', origin: LLM_V1 });
+  expect(await find(clock, two, 'b')).toMatchObject({ kind: 'known', origin: { version: 'v2' } });
+});
+
+test('versions of one service say nothing of another’s', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
+  await clock.advance(REMEMBERED_MS);
+  one.note('a', LLM_V1);
+  one.note('c', { service: 'chat', version: undefined });
+  await clock.advance(200);
+  const started = startInstance(clock, store, 'started', ['v1', 'v2']);
+  expect(await find(clock, started, 'b', ['chat'])).toEqual({ kind: 'any' });
+  expect(await find(clock, started, 'b', ['llm'])).toMatchObject({ kind: 'unknown' });
+});
+
+test('a stream stays at the service that began it while its route names that', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
+  one.note('a', LLM_V1);
+  expect(await find(clock, one, 'a', ['chat', 'llm'])).toMatchObject({ origin: LLM_V1 });
+});
+
+test('two versions that two instances recorded for one stream contradict each other', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
+  const two = startInstance(clock, store, 'two', ['v1', 'v2']);
+  const three = startInstance(clock, store, 'three', ['v1', 'v2']);
+  await clock.advance(1000);
+  one.note('a', LLM_V1);
+  two.note('a', { service: 'llm', version: 'v2' });
+  await clock.advance(1000);
+  expect(await find(clock, three, 'a')).toMatchObject({ kind: 'unknown' });
+});
