A probe that the process read late is no evidence against an endpoint

Suspected cause: the choice between two attempts took a probe without an answer within 80 ms for a dead endpoint, also if the process itself had not run; and it compared activity in the moment in which an endpoint goes on for all. What its endpoint sends on other connections counts only if 80 ms later nothing has come on this one.

npx jest platform/test/silence packages/forwarding packages/routing: 98 passed.

--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -93,7 +93,7 @@
   // Two attempts of one request must not run at the same time.
   await stream.close();
   const end = step ? await judgeEnd(run, attempt, step) : 'broken';
-  slot.release(toSlotResult(run, step));
+  slot.release(getSlotResult(run, step));
   const framing = run.framing ?? '';
   run.host.metrics.streamEnds.add(1, { end: step ? end : 'replaced', framing });
   if (end === 'complete') run.host.endStatements.add(endpoint);
@@ -102,7 +102,7 @@
 }
 
 // An end in order is no failure of the endpoint, even if the answer is not complete.
-function toSlotResult<Payload>(run: Run<Payload>, step: EndStep | undefined): SlotResult {
+function getSlotResult<Payload>(run: Run<Payload>, step: EndStep | undefined): SlotResult {
   if (!step) return 'silent';
   return step.kind !== 'broken' || run.stop.signal.aborted ? 'ok' : 'failed';
 }
--- a/packages/forwarding/src/replacement.ts
+++ b/packages/forwarding/src/replacement.ts
@@ -11,11 +11,13 @@
 /** Time after which a replacement is looked for again. */
 const NEXT_LOOK_MS: Milliseconds = 300;
 /**
- * Time for which a stream may be worked on at two endpoints until one of them is chosen. Together with
- * the probe it is shorter than the 400 ms after which such work counts as done twice.
+ * Time after which one of the two endpoints that work on a stream is chosen. Together with the last chance
+ * it is shorter than the 400 ms after which such work counts as done twice.
  */
 const STREAM_OVERLAP_MS: Milliseconds = 240;
-const PROBE_TIMEOUT_MS: Milliseconds = 80;
+const LAST_CHANCE_MS: Milliseconds = 80;
+/** A probe that took longer was not read in time. */
+const PROBE_TIME_MAX_MS: Milliseconds = 370;
 
 /** An attempt whose next step is awaited: its reply, or the next events or the end of its stream. */
 export interface AwaitedStep<Step> {
@@ -175,11 +177,17 @@
 ): Promise<Turn> {
   await sleep(clock, STREAM_OVERLAP_MS, decided);
   if (decided.aborted || !endpoint) return 'first is sound';
-  // The endpoint sends to others, but not on this connection.
-  if (slot.getActivityTime() > getActivityTime()) return 'first is dead';
+  const heardAt = slot.getActivityTime();
+  const startedAt = clock.elapsed();
   const probe = protocol.probe(endpoint);
-  const reachability = await withTimeout(clock, PROBE_TIMEOUT_MS, probe, 'unknown');
-  return reachability === 'accepting' ? 'first is sound' : 'first is dead';
+  // Leaves time for what the endpoint sends on this connection at the same moment as to others.
+  await sleep(clock, LAST_CHANCE_MS, decided);
+  const reachability = await probe;
+  const isLate = clock.elapsed() - startedAt > PROBE_TIME_MAX_MS;
+  // A process that is slow itself has not read what may have come.
+  if (isLate) return 'first is sound';
+  const isHeardElsewhere = heardAt > getActivityTime();
+  return isHeardElsewhere || reachability !== 'accepting' ? 'first is dead' : 'first is sound';
 }
 
 // Logs and counts what became of a silent answer, and what was missing for a replacement.
