Close the connection of a declined request whose answer does not end

Seen: after a 421 or a 503 that states that nothing ran, the endpoint's body was read at full speed on a connection that nothing bounded any more; it was open when the request had long had its refusal. Cause: the answer was let flow (resume) with the timers of the request already cancelled. Fix: discardBody reads 64 KiB and 250 ms of it, enough to keep the connection after a short one. Evidence: npx jest platform/test/endless -t 'another endpoint|a decline': 4 failed before, pass.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -4,6 +4,10 @@
 import { getResponseFraming } from './framing';
 import type { Milliseconds, Outcome, RunStatus } from './types';
 
+/** Size and time of the rest of an unused response, within which its connection is kept. */
+const UNUSED_BODY_MAX_BYTES = 65_536;
+const UNUSED_BODY_TIMEOUT_MS: Milliseconds = 250;
+
 /** An HTTP request whose response is read in full. */
 export interface HttpCall {
   method: string;
@@ -171,3 +175,18 @@
   const host = address.slice(0, separator).replace(/^\[|\]$/g, '');
   return { host, port: Number(address.slice(separator + 1)) };
 }
+
+/**
+ * Drops the body of a response that is not used. A short one is read, so that its connection can be
+ * used again; that of a longer one is closed.
+ */
+export function discardBody(request: http.ClientRequest, response: http.IncomingMessage): void {
+  let size = 0;
+  const timer = setTimeout(() => request.destroy(), UNUSED_BODY_TIMEOUT_MS);
+  request.once('close', () => clearTimeout(timer));
+  response.on('error', () => undefined);
+  response.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size > UNUSED_BODY_MAX_BYTES) request.destroy();
+  });
+}
