Chat: a stream is stopped over a connection of its own

What callers would see: the kept connections to an engine have died without notice. A request sent over one of them is looked for over a new one, and the engine does not know it; but the call that rules out a late start went over the next dead one, and after 1 s without a reply the request was refused as `endpoint_failed` with `ran: "unknown"`.

That this was their way fits the times but is not proved. Before `followStream` the stream was asked for over the kept connections too, and each failure closed one of them, so the call to stop seldom met one.

Evidence, before the fix, `npx jest packages/entry/test/engineClient.test.ts`: ✕ a stream is stopped though the kept connections to its engine have died "message": "timeout while waiting for the head, 0 bytes received"

Why this works: the call follows a failure, so it opens a connection, as following a stream does.

--- a/packages/entry/src/engineClient.ts
+++ b/packages/entry/src/engineClient.ts
@@ -108,10 +108,11 @@
     address: string,
     path: string,
     schema: z.ZodType<T>,
-    body?: string,
+    extra: { body?: string; agent?: http.Agent } = {},
   ): Promise<Outcome<T, EngineError>> {
     const url = `http://${address}${path}`;
-    const answer = await callHttp({ method, url, body, timeout: CONTROL_CALL_TIMEOUT_MS, agent });
+    const timeout = CONTROL_CALL_TIMEOUT_MS;
+    const answer = await callHttp({ method, url, timeout, agent, ...extra });
     if (answer.err)
       return Err({ kind: 'failed', ran: answer.val.ran, message: answer.val.message });
     const parsed = schema.safeParse(parseJson(answer.val.body.toString()));
@@ -136,7 +137,10 @@
       return readStream(request, undefined, sink);
     },
     async stop(address, stream) {
-      const stopped = await callControl('DELETE', address, `/v1/streams/${stream}`, StoppedStream);
+      // Follows a failure, after which connections of the pool may be dead too.
+      const own = { agent: new http.Agent({ localAddress }) };
+      const path = `/v1/streams/${stream}`;
+      const stopped = await callControl('DELETE', address, path, StoppedStream, own);
       return stopped.map((value) => ({
         state: value.state,
         promptTokens: value.prompt_tokens,
@@ -145,7 +149,7 @@
     },
     async order(address, fencing, order) {
       const body = JSON.stringify({ fencing, order });
-      const taken = await callControl('POST', address, '/v1/orders', OrderReply, body);
+      const taken = await callControl('POST', address, '/v1/orders', OrderReply, { body });
       return taken.map(() => undefined);
     },
     getLoad: (address) => callControl('GET', address, '/v1/load', Load),
--- /dev/null
+++ b/packages/entry/test/engineClient.test.ts
@@ -0,0 +1,28 @@
+import http from 'node:http';
+import type { Socket } from 'node:net';
+import { listen } from '@pomeloroad/core';
+import { createEngineClient } from '../src/engineClient';
+
+const REPLY = { state: 'live', running: 0, queued: 0, prompt_tokens: 1, completion_tokens: 2 };
+
+let server: http.Server | undefined;
+
+afterEach(() => {
+  server?.close();
+  server?.closeAllConnections();
+});
+
+test('a stream is stopped though the kept connections to its engine have died', async () => {
+  const dead = new Set<Socket>();
+  server = http.createServer((request, response) => {
+    if (dead.has(request.socket)) return;
+    const state = request.method === 'DELETE' ? 'cancelled' : 'live';
+    response.end(JSON.stringify({ ...REPLY, state }));
+    dead.add(request.socket);
+  });
+  const address = await listen(server, '127.0.0.1:0');
+  const client = createEngineClient({ sourceAddress: '' });
+  expect((await client.getLoad(address)).ok).toBe(true);
+  const stopped = await client.stop(address, 's');
+  expect(stopped.val).toMatchObject({ state: 'cancelled', promptTokens: 1, completionTokens: 2 });
+});
