--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -9,6 +9,7 @@
 import { relayStream } from './relay';
 import { createRun, getSpentTokens, getTimeLeft } from './run';
 import type { Run } from './run';
+import { placeTakeUp } from './takeUp';
 import type { Caller, ForwardRefusal, ForwardRequest, RefusalKind } from './types';
 
 /** Maximum time that a request waits for tokens that other requests or instances may return. */
@@ -39,10 +40,16 @@
   host.retryBudget.countRequest(request.service);
   // After a pause of the process, its view of the store is outdated until the store is read again.
   await host.waitForRefresh();
+  const placed = await placeTakeUp(run);
+  if (placed.err) refuse(run, placed.val);
+  else await forwardPlaced(run);
+  deadlineTimer.cancel();
+}
+
+async function forwardPlaced<Payload>(run: Run<Payload>): Promise<void> {
   const reservation = await reserveTokens(run);
   if (reservation.err) refuseForBudget(run, reservation.val);
   else await forwardReserved(run, reservation.val);
-  deadlineTimer.cancel();
 }
 
 function startDeadlineTimer<Payload>({ host, request, stop }: Run<Payload>): Timer {
@@ -81,17 +88,17 @@
 
 async function deliverReply<Payload>(
   run: Run<Payload>,
-  { reply, slot }: EndpointReply,
+  { reply, attempt }: EndpointReply,
 ): Promise<void> {
   run.firstByteAt = run.host.clock.elapsed();
   if (reply.kind === 'whole') {
     run.caller.answer(reply.head, reply.body);
-    slot.release(reply.head.status >= SERVER_ERROR_STATUS ? 'failed' : 'ok');
+    attempt.slot.release(reply.head.status >= SERVER_ERROR_STATUS ? 'failed' : 'ok');
     recordEnd(run, 'answered', { status: reply.head.status });
     return;
   }
   run.caller.begin(reply.head);
-  const end = await relayStream(run, reply.stream, slot);
+  const end = await relayStream(run, reply.stream, attempt);
   // An answer that was begun in chunks can't be ended without stating that it is complete.
   const mayEnd = end === 'complete' || (end === 'closed' && reply.head.framing === 'close');
   if (mayEnd) run.caller.end();
@@ -121,7 +128,7 @@
 function getRetryAfter<Payload>(run: Run<Payload>, kind: RefusalKind): Milliseconds | undefined {
   return match(kind)
     .with('not-ready', () => NOT_READY_RETRY_AFTER_MS)
-    .with('no-endpoint', () => NO_ENDPOINT_RETRY_AFTER_MS)
+    .with('no-endpoint', 'version-unknown', () => NO_ENDPOINT_RETRY_AFTER_MS)
     .with('overloaded', () => Math.max(RETRY_AFTER_MIN_MS, run.request.route.objective / 2))
     .with('timed-out', () => RETRY_AFTER_MIN_MS)
     .with('budget-exhausted', 'budget-unreachable', 'failed', () => undefined)
@@ -156,11 +163,16 @@
     route: request.route.name,
     account: request.account,
     endpoint: run.endpoint,
+    version: run.version,
+    resumes: request.resumes,
+    after: request.resumeAfter,
     configuration: request.configurationVersion,
+    configurationAtEnd: host.getConfigurationVersion(),
     runs: run.runs,
     declines: run.declines,
     events: run.events,
     spent: getSpentTokens(run),
+    lack: run.lack,
     framing: run.framing,
     timeLeft: Math.round(getTimeLeft(run)),
     took: Math.round(duration),
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -1,8 +1,13 @@
 import type { Milliseconds, ResponseFraming, Tokens } from '@pomeloroad/core';
+import type { RouteError } from '@pomeloroad/routing';
 import type { ForwardHost } from './forwardTypes';
+import type { StreamOrigin } from './originMemory';
 import { isRetryable } from './patience';
 import type { Caller, ForwardRequest, ReplyHead } from './types';
 
+/** Number of endpoints that may decline one request before it is refused. */
+const DECLINES_MAX = 3;
+
 /** State of a request that is being forwarded. */
 export interface Run<Payload> {
   host: ForwardHost<Payload>;
@@ -14,6 +19,8 @@
   excluded: Set<string>;
   /** Number of attempts that may have run on an endpoint. */
   runs: number;
+  /** Number of attempts without a reply yet. */
+  pending: number;
   /** Number of attempts that ended as declined or replaced. */
   declines: number;
   /** Number of complete events sent to the caller. */
@@ -22,11 +29,17 @@
   lastEventId: string | undefined;
   /** Server error of an endpoint; sent to the caller if no other endpoint answers. */
   failure: { head: ReplyHead; body: Buffer } | undefined;
-  /** Id of the endpoint of the latest attempt. */
+  /** Id of the endpoint of the latest attempt that was not dropped for another one. */
   endpoint: string | undefined;
+  /** Version of that endpoint. */
+  version: string | undefined;
+  /** Where the stream began; only endpoints of its version may go on with it. */
+  origin: StreamOrigin | undefined;
   /** Framing of the latest answer of an endpoint. */
   framing: ResponseFraming | undefined;
   firstByteAt: Milliseconds | undefined;
+  /** Why the latest further attempt was not begun. */
+  lack: 'attempt' | 'retry' | RouteError['kind'] | undefined;
 }
 
 /** Creates the state of a request before its first attempt. */
@@ -42,13 +55,17 @@
     stop: new AbortController(),
     excluded: new Set(),
     runs: 0,
+    pending: 0,
     declines: 0,
     events: 0,
     lastEventId: request.resumeAfter,
     failure: undefined,
     endpoint: undefined,
+    version: undefined,
+    origin: undefined,
     framing: undefined,
     firstByteAt: undefined,
+    lack: undefined,
   };
 }
 
@@ -68,13 +85,31 @@
 }
 
 /** Returns whether the request may run on one more endpoint. */
-export function hasAttemptsLeft<Payload>({ request, runs }: Run<Payload>): boolean {
-  return isRetryable(request.route) && runs < request.route.attempts;
+export function hasAttemptsLeft<Payload>({ request, runs, pending }: Run<Payload>): boolean {
+  return isRetryable(request.route) && runs + pending < request.route.attempts;
+}
+
+/** Returns whether one more endpoint may decline the request. */
+export function mayBeDeclined<Payload>({ declines }: Run<Payload>): boolean {
+  return declines < DECLINES_MAX;
+}
+
+/**
+ * Takes one retry from the retry budget of the service for a request that may run on one more endpoint;
+ * returns false if it may not, or if none is left.
+ */
+export function takeAttempt<Payload>(run: Run<Payload>): boolean {
+  if (hasAttemptsLeft(run)) return takeRetry(run);
+  run.lack = 'attempt';
+  return false;
 }
 
 /** Takes one retry from the retry budget of the service; returns false if none is left. */
-export function takeRetry<Payload>({ host, request }: Run<Payload>): boolean {
+export function takeRetry<Payload>(run: Run<Payload>): boolean {
+  const { host, request } = run;
   const isAllowed = host.retryBudget.take(request.service);
-  if (!isAllowed) host.metrics.repeatsDenied.add();
-  return isAllowed;
+  if (isAllowed) return true;
+  run.lack = 'retry';
+  host.metrics.repeatsDenied.add();
+  return false;
 }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -83,6 +83,8 @@
   isLeaving: boolean;
   /** Maximum number of requests in flight. */
   concurrency: number;
+  /** Version of the endpoint's software; a missing one is a version of its own. */
+  version?: string | undefined;
 }
 
 /** A caller's request, independent of the protocol it came by. */
@@ -104,6 +106,8 @@
   prefix: PromptPart[];
   /** Id of the last event that the caller received from an earlier stream. */
   resumeAfter: string | undefined;
+  /** Id of the attempt that brought the first event of the stream that the caller takes up. */
+  resumes?: string | undefined;
   /** Data that only the protocol layers interpret: method, path, headers, body. */
   payload: Payload;
 }
@@ -163,9 +167,11 @@
   resumeAfter: string | undefined;
   /** Time until the request's deadline. */
   timeLeft: Milliseconds;
-  /** Longest time until the head of the answer, and then between two parts of a whole answer. */
-  patience: Milliseconds;
-  /** Aborted when the caller has disconnected or the deadline has passed. */
+  /** Called when the connection is open, so that the endpoint may start to work. */
+  onConnected(): void;
+  /** Called whenever bytes of the answer arrive. */
+  onActivity(): void;
+  /** Aborted when the answer is not wanted any more; the connection is then closed. */
   signal: AbortSignal;
 }
 
@@ -184,6 +190,8 @@
   | 'not-ready'
   | 'overloaded'
   | 'no-endpoint'
+  /** The version that began a stream is not known, so the stream can't go on. */
+  | 'version-unknown'
   | 'budget-exhausted'
   | 'budget-unreachable'
   | 'timed-out'
--- a/packages/replay/src/soak/plan.ts
+++ b/packages/replay/src/soak/plan.ts
@@ -4,10 +4,11 @@
 import { draw } from './draw';
 import type { FleetSize } from './fleet';
 
-/** Processes that one fault stops. Instances and endpoints are named by their number, from 0. */
+/** Processes that one fault stops; `index` is the number, from 0, of the first one. */
 export type Target =
   | { kind: 'instance'; index: number }
-  | { kind: 'endpoint'; index: number }
+  | { kind: 'endpoints'; index: number; count: number }
+  | { kind: 'service'; index: number }
   | { kind: 'data-centre'; index: number }
   | { kind: 'all-instances' };
 
@@ -26,7 +27,16 @@
 /** A fault of the plan. */
 export type Fault =
   /** `pause` is the time from the last signal, or from the end of the process, to its next start. */
-  | { kind: 'signals'; target: Target; signals: PlannedSignal[]; pause: Milliseconds }
+  | {
+      kind: 'signals';
+      target: Target;
+      signals: PlannedSignal[];
+      pause: Milliseconds;
+      /** Whether endpoints start again with another version that serves already. */
+      isRenewed?: boolean;
+    }
+  /** Endpoints of a new version join a service, then those of its oldest version leave. */
+  | { kind: 'roll-out'; service: number }
   | {
       kind: 'link';
       link: LinkTarget;
@@ -60,13 +70,20 @@
 const LENGTH_MIN_MS: Milliseconds = 200;
 const LENGTH_MAX_MS: Milliseconds = 3000;
 const DELAY_MAX_MS: Milliseconds = 400;
+/** Silences after which an endpoint goes on; callers leave a stream after 2 s. */
+const SILENCE_MIN_MS: Milliseconds = 500;
+const SILENCE_MAX_MS: Milliseconds = 1900;
+const SILENT_ENDPOINTS = 3;
 const DRAIN_PART_MS: Milliseconds = 1000;
 const DOUBLE_SIGNAL_GAP_MAX_MS: Milliseconds = 100;
 const CUT_BYTES_MAX = 1200;
 /** 7 Mbit/s and two slower rates. */
 const SLOW_RATES = [875_000, 50_000, 5000];
 
-type Draw = (random: Random, size: FleetSize) => Fault;
+/** Signals to processes. */
+export type SignalFault = Extract<Fault, { kind: 'signals' }>;
+
+type Draw<T extends Fault = Fault> = (random: Random, size: FleetSize) => T;
 
 /** How each fault of the plan is drawn, by its name in the result. */
 const Faults: Record<string, Draw> = {
@@ -90,6 +107,18 @@
   'endpoint-kill': stopEndpoint(() => [send('SIGKILL')]),
   'endpoint-term': stopEndpoint(() => [send('SIGTERM')]),
   'endpoint-stop': stopEndpoint(drawFreeze),
+  'endpoint-silent': stopEndpoint(drawSilence),
+  'endpoints-silent': (random, size) => {
+    const index = random.integer(0, Math.max(0, size.endpoints - SILENT_ENDPOINTS));
+    return stop({ kind: 'endpoints', index, count: SILENT_ENDPOINTS }, random, drawSilence(random));
+  },
+  'service-silent': (random) =>
+    stop({ kind: 'service', index: random.integer(0, 1) }, random, drawSilence(random)),
+  'endpoint-renewed': (random, size) => {
+    const drawSignals = () => [send(draw(random, ['SIGTERM', 'SIGKILL']))];
+    return { ...stopEndpoint(drawSignals)(random, size), isRenewed: true };
+  },
+  'roll-out': (random) => ({ kind: 'roll-out', service: random.integer(0, 1) }),
   'link-delay': disturbLink((random) => ({
     kind: 'delay',
     delay: random.integer(1, DELAY_MAX_MS),
@@ -158,7 +187,7 @@
   return { signal, wait };
 }
 
-function stop(target: Target, random: Random, signals = [send('SIGKILL')]): Fault {
+function stop(target: Target, random: Random, signals = [send('SIGKILL')]): SignalFault {
   return { kind: 'signals', target, signals, pause: drawLength(random) };
 }
 
@@ -169,10 +198,10 @@
   };
 }
 
-function stopEndpoint(drawSignals: (random: Random) => PlannedSignal[]): Draw {
+function stopEndpoint(drawSignals: (random: Random) => PlannedSignal[]): Draw<SignalFault> {
   return (random, size) => {
     const index = random.integer(0, size.endpoints - 1);
-    return stop({ kind: 'endpoint', index }, random, drawSignals(random));
+    return stop({ kind: 'endpoints', index, count: 1 }, random, drawSignals(random));
   };
 }
 
@@ -180,6 +209,10 @@
   return [send('SIGSTOP'), send('SIGCONT', drawLength(random))];
 }
 
+function drawSilence(random: Random): PlannedSignal[] {
+  return [send('SIGSTOP'), send('SIGCONT', random.integer(SILENCE_MIN_MS, SILENCE_MAX_MS))];
+}
+
 function disturbLink(drawEffect: (random: Random) => Effect): Draw {
   return (random, size) => {
     const link = draw<LinkTarget>(random, ['callers', 'store', 'endpoint']);
--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -11,10 +11,11 @@
 // Real processes: they need the bundled program. `npm test` builds the stand-ins.
 function soak(
   options: Pick<SoakOptions, 'seed' | 'length' | 'calm' | 'faults' | 'hasAnswerFaults'>,
+  endpoints = 4,
 ) {
   execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: ROOT });
   const { signal } = new AbortController();
-  const size = { instances: 4, endpoints: 4, callers: 24 };
+  const size = { instances: 4, endpoints, callers: 24 };
   return runSoak(createSystemClock(), { ...options, ...size, signal, onLog: () => undefined });
 }
 
@@ -53,3 +54,27 @@
   },
   TIMEOUT_MS,
 );
+
+test(
+  'seed 104729: no answer is given up while its silent endpoint goes on with it',
+  async () => {
+    const times = { length: 16_000, calm: 6000 };
+    const faults = ['endpoint-silent', 'endpoints-silent', 'service-silent'];
+    const result = await soak({ seed: 104729, ...times, faults, hasAnswerFaults: false });
+    expect(describeFailures(result)).toEqual([]);
+    expect(result.checks['cut-while-alive']).toBeGreaterThan(100);
+  },
+  TIMEOUT_MS,
+);
+
+test(
+  'seed 104729: no stream holds events of two versions',
+  async () => {
+    const times = { length: 20_000, calm: 6000 };
+    const faults = ['roll-out', 'endpoint-renewed', 'endpoint-kill', 'instance-kill'];
+    const result = await soak({ seed: 104729, ...times, faults, hasAnswerFaults: false }, 8);
+    expect(describeFailures(result)).toEqual([]);
+    expect(result.checks['one-version']).toBeGreaterThan(20);
+  },
+  TIMEOUT_MS,
+);
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -40,6 +40,8 @@
   take(name: string): void;
   /** Records that bytes arrived from the endpoint. */
   recordActivity(name: string): void;
+  /** Returns when bytes last arrived, or else when the first request in flight was sent. */
+  getActivityTime(name: string): Milliseconds;
   /** Counts one request less in flight and updates the endpoint's health from the result. */
   release(name: string, result: SlotResult): void;
   list(): EndpointView[];
@@ -54,6 +56,7 @@
   isStale(): boolean;
   take(): void;
   recordActivity(): void;
+  getActivityTime(): Milliseconds;
   release(result: SlotResult): void;
 }
 
@@ -94,6 +97,7 @@
     isLeaving: (name) => entries.get(name)?.view().isLeaving ?? true,
     take: (name) => entries.get(name)?.take(),
     recordActivity: (name) => entries.get(name)?.recordActivity(),
+    getActivityTime: (name) => entries.get(name)?.getActivityTime() ?? -Infinity,
     release: (name, result) => entries.get(name)?.release(result),
     list: () => [...entries.values()].map((entry) => entry.view()),
   };
@@ -103,7 +107,8 @@
   if (target.kind === 'engine') {
     return endpoint.kind === 'engine' && endpoint.models.includes(target.model);
   }
-  return endpoint.kind === 'service' && endpoint.service === target.service;
+  if (endpoint.kind !== 'service' || endpoint.service !== target.service) return false;
+  return !target.origin || target.origin.version === endpoint.version;
 }
 
 function createEntry(
@@ -119,6 +124,7 @@
   let failures = 0;
   let backoffRounds = 0;
   let wasUnreachable = false;
+  let isSilent = false;
   let lastActivityAt: Milliseconds = 0;
   let backoffUntil: Milliseconds = 0;
   let isListedLeaving = false;
@@ -138,9 +144,9 @@
   }
 
   // An unreachable endpoint is avoided at once; a single failure among answers may be transient.
-  function recordFailure(result: 'failed' | 'unreachable'): void {
+  function recordFailure(result: 'failed' | 'unreachable' | 'silent'): void {
     failures += 1;
-    if (result === 'failed' && failures < FAILURES_BEFORE_BACKOFF) return;
+    if (result !== 'unreachable' && failures < FAILURES_BEFORE_BACKOFF) return;
     if (clock.elapsed() < backoffUntil) return;
     backoffRounds += 1;
     backoffUntil = clock.elapsed() + Math.min(BACKOFF_STEP_MS * backoffRounds, BACKOFF_MAX_MS);
@@ -189,12 +195,19 @@
     },
     recordActivity() {
       lastActivityAt = clock.elapsed();
+      // Silence shows no more than that an endpoint is slow, until it sends again.
+      if (isSilent) recordSuccess();
+      isSilent = false;
     },
+    getActivityTime: () => lastActivityAt,
     release(result) {
       inFlight = Math.max(0, inFlight - 1);
+      if (result === 'unused') return;
       if (result === 'ok') recordSuccess();
       else recordFailure(result);
+      isSilent = result === 'silent';
       wasUnreachable = result === 'unreachable';
+      if (isSilent) return;
       if (wasUnreachable) {
         reachability.markUnreachable(endpoint.dataCentre, endpoint.name);
       } else {
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -28,10 +28,17 @@
   tokens: Tokens;
 }
 
+/** A service; with an origin, only endpoints of that version of its software serve the target. */
+export interface ServiceTarget {
+  kind: 'service';
+  service: string;
+  origin?: { version: string | undefined } | undefined;
+}
+
 /** A request for a slot on an endpoint. */
 export interface RouteRequest {
   /** The model of an engine or the name of a service. */
-  target: { kind: 'engine'; model: string } | { kind: 'service'; service: string };
+  target: { kind: 'engine'; model: string } | ServiceTarget;
   account: string;
   /** A higher number is served first. */
   priority: number;
@@ -45,8 +52,11 @@
   signal?: AbortSignal;
 }
 
-/** How the request in a slot ended; `unreachable` means that nothing reached the endpoint. */
-export type SlotResult = 'ok' | 'failed' | 'unreachable';
+/**
+ * How the request in a slot ended. `unreachable` means that nothing reached the endpoint, `silent` that
+ * another endpoint answered sooner, `unused` that the result tells nothing about the endpoint.
+ */
+export type SlotResult = 'ok' | 'failed' | 'unreachable' | 'silent' | 'unused';
 
 /** Capacity for one request on an endpoint; must be released; only the first release counts. */
 export interface Slot {
@@ -55,6 +65,8 @@
   isLeaving(): boolean;
   /** Records that bytes arrived; an endpoint that stays silent is chosen only as a last resort. */
   recordActivity(): void;
+  /** Time of `clock.elapsed()` at which bytes last arrived for any request on the endpoint. */
+  getActivityTime(): Milliseconds;
   release(result: SlotResult): void;
 }
 
--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -1,6 +1,6 @@
 import { createManualClock, createRandom, createSilentLog } from '@pomeloroad/core';
 import { parseConfiguration } from '@pomeloroad/configuration';
-import type { RoutingPolicy } from '@pomeloroad/configuration';
+import type { Endpoint, RoutingPolicy } from '@pomeloroad/configuration';
 import { chooseEndpoint, createAdmission, createEndpoints } from '../src';
 import type { RouteRequest, Slot } from '../src';
 
@@ -135,6 +135,38 @@
   second.release('ok');
 });
 
+test('an endpoint that fell silent twice is avoided until it sends again', async () => {
+  const { admission, endpoints } = setUp();
+  const acquire = async () => (await admission.acquire(request())).unwrap();
+  const slot = await acquire();
+  const { name } = slot.endpoint;
+  const others = new Set(['k1', 'k2', 't1'].filter((other) => other !== name));
+  const again = (await admission.acquire(request({ excluded: others }))).unwrap();
+  const isFailing = () => endpoints.list().find((view) => view.endpoint.name === name)?.isFailing;
+  slot.release('silent');
+  expect(isFailing()).toBe(false);
+  again.release('silent');
+  expect(isFailing()).toBe(true);
+  again.recordActivity();
+  expect(isFailing()).toBe(false);
+});
+
+test('a slot released as unused tells nothing of its endpoint', async () => {
+  const { admission, endpoints } = setUp();
+  const slots = [];
+  for (let count = 0; count < 2; count += 1) {
+    slots.push((await admission.acquire(request({ excluded: new Set(['k2', 't1']) }))).unwrap());
+  }
+  const describe = () => JSON.stringify(endpoints.list());
+  slots[0]!.release('failed');
+  slots[1]!.release('unused');
+  expect(describe()).not.toContain('"isFailing":true');
+  const next = (await admission.acquire(request({ excluded: new Set(['k2', 't1']) }))).unwrap();
+  // Had the unused slot counted as a success, this would be the first failure.
+  next.release('failed');
+  expect(describe()).toContain('"isFailing":true');
+});
+
 test('an unreachable endpoint is avoided at once and tried again later', async () => {
   const { admission, clock } = setUp();
   const first = (await admission.acquire(request())).unwrap();
@@ -213,3 +245,23 @@
   const next = await admission.acquire(request());
   expect(next.ok).toBe(true);
 });
+
+test('requests that wait for one target delay none for another', async () => {
+  const { admission, endpoints } = setUp();
+  const board: Endpoint = {
+    kind: 'service',
+    name: 'b1',
+    service: 'board',
+    address: '10.0.0.1:4',
+    dataCentre: 'kent',
+    concurrency: 2,
+    leaving: false,
+    checksFencing: false,
+  };
+  endpoints.configure([...endpoints.list().map((view) => view.endpoint), board]);
+  for (let count = 0; count < 6; count += 1) (await admission.acquire(request())).unwrap();
+  admission.acquire(request());
+  const target = { kind: 'service', service: 'board' } as const;
+  const slot = await admission.acquire(request({ target, patience: 1 }));
+  expect(slot.unwrap().endpoint.name).toBe('b1');
+});
--- a/packages/standins/src/callerClient.ts
+++ b/packages/standins/src/callerClient.ts
@@ -2,6 +2,9 @@
 import { WireHeader } from './platformWire';
 import { signAnswer } from './soakWork';
 
+/** Error of an answer that the caller did not wait for. */
+export const CALLER_LEFT = 'caller left';
+
 /** A request of a caller of the platform. */
 export interface CallerCall {
   id: string;
@@ -18,6 +21,8 @@
   outputTokens: number;
   /** Last event that the caller has; 0 for a new stream. */
   resumeAfter: number;
+  /** Id of the request that brought the stream's first event. */
+  resumes?: string;
   /** Connections to use; `false` opens a new one. */
   agent: http.Agent | false;
 }
@@ -60,9 +65,13 @@
         [WireHeader.timeLeft]: call.timeLeft,
         [WireHeader.tokenBounds]: `${call.inputTokens},${call.outputTokens}`,
         ...(call.resumeAfter > 0 ? { [WireHeader.resumeAfter]: call.resumeAfter } : {}),
+        ...(call.resumes === undefined ? {} : { [WireHeader.resumes]: call.resumes }),
       },
     });
-    const timer = setTimeout(() => request.destroy(new Error('caller left')), call.patience);
+    const timer = setTimeout(() => {
+      answer.error ??= CALLER_LEFT;
+      request.destroy();
+    }, call.patience);
     const finish = (error?: Error) => {
       clearTimeout(timer);
       answer.error ??= error?.message;
@@ -75,7 +84,7 @@
         answer.body += data.toString();
       });
       response.on('error', (error) => {
-        answer.error = error.message;
+        answer.error ??= error.message;
       });
       response.on('close', () => {
         answer.isStatedComplete = answer.framing !== 'close' && response.complete;
