Chat: two replies at once that a stream is unknown are one look at its engine

What callers would see: after a pause of the instance or the engine, two connections that ask for a stream are answered together with 404, an instant before the engine begins the stream for the first one. The begun request was given up, stopped and, if the stop came too late, refused with `ran: "unknown"`.

Cause: `followStream` counted the replies, not whether the second was asked for after the first.

Why this works: a reply counts as the second only if its connection was opened after the first had come, which is 200 ms later at the earliest.

--- a/packages/entry/src/streamFollower.ts
+++ b/packages/entry/src/streamFollower.ts
@@ -6,8 +6,6 @@
 
 /** Pause before a stream is read anew after its only connection has ended. */
 const RESUME_DELAY_MS = 200;
-/** Times that an engine must not know a stream while an open connection may still begin it. */
-const UNKNOWN_REPLIES_MAX = 2;
 
 /** Dependencies of following a stream, and its limits. */
 export interface StreamFollow {
@@ -29,6 +27,7 @@
 
 interface Connection {
   kind: 'run' | 'resume';
+  openedAt: Milliseconds;
   abort: AbortController;
   isReplaced: boolean;
 }
@@ -50,14 +49,17 @@
   let lastProgressAt = clock.elapsed();
   let openAt = Infinity;
   let stallDelay = stallTimeout;
-  let unknownReplies = 0;
+  /** When the engine first said that it does not know the stream. */
+  let unknownAt = Infinity;
   /** Events that the sink has not taken yet. Until then the engine is not the one that is silent. */
   let eventsInSink = 0;
 
   async function open(kind: Connection['kind']): Promise<void> {
-    const connection: Connection = { kind, abort: new AbortController(), isReplaced: false };
+    const openedAt = clock.elapsed();
+    const abort = new AbortController();
+    const connection: Connection = { kind, openedAt, abort, isReplaced: false };
     connections.add(connection);
-    openAt = clock.elapsed() + stallDelay;
+    openAt = openedAt + stallDelay;
     const signal = AbortSignal.any([call.signal, connection.abort.signal]);
     // A connection of the pool may have died without notice, like the one that is silent.
     const hasOwnConnection = call.hasOwnConnection || kind === 'resume';
@@ -68,7 +70,7 @@
         ? await engine.run(ownCall, receive)
         : await engine.resume(ownCall, progress.getLastIndex(), receive);
     connections.delete(connection);
-    if (!connection.isReplaced) conclude(kind, outcome);
+    if (!connection.isReplaced) conclude(connection, outcome);
     ended.notify();
   }
 
@@ -108,7 +110,8 @@
     openAt = lastProgressAt + stallDelay;
   }
 
-  function conclude(kind: Connection['kind'], outcome: Outcome<void, EngineError>): void {
+  function conclude(connection: Connection, outcome: Outcome<void, EngineError>): void {
+    const { kind, openedAt } = connection;
     if (outcome.ok) {
       result = outcome;
       return;
@@ -116,14 +119,17 @@
     const isDeclined = kind === 'run' && outcome.val.ran === 'no';
     lastError = isDeclined ? outcome.val : { ...outcome.val, kind: 'failed', ran: 'unknown' };
     const isUnknown = kind === 'resume' && outcome.val.kind === 'rejected';
-    if (isDeclined || follow.isOverBound() || (isUnknown && isLost())) result = Err(lastError);
+    if (isDeclined || follow.isOverBound() || (isUnknown && isLost(openedAt)))
+      result = Err(lastError);
     else if (connections.size === 0 || isUnknown) openAt = clock.elapsed() + RESUME_DELAY_MS;
   }
 
-  // An engine that does not know the stream may still be about to begin it for an open connection.
-  function isLost(): boolean {
-    unknownReplies += 1;
-    return connections.size === 0 || unknownReplies >= UNKNOWN_REPLIES_MAX;
+  // An engine that does not know the stream may still be about to begin it for an open connection, so
+  // it is asked once more after its first reply.
+  function isLost(askedAt: Milliseconds): boolean {
+    const wasUnknown = askedAt > unknownAt;
+    unknownAt = Math.min(unknownAt, clock.elapsed());
+    return connections.size === 0 || wasUnknown;
   }
 
   function isTimeUp(): boolean {
--- a/packages/entry/test/streamFollower.test.ts
+++ b/packages/entry/test/streamFollower.test.ts
@@ -127,3 +127,9 @@
   const { outcome } = await follow([[STALL_TIMEOUT_MS + 50, delta(0), USAGE], [UNKNOWN]]);
   expect(outcome.ok).toBe(true);
 });
+
+test('two replies at once that a stream is unknown are one look at its engine', async () => {
+  const run = [STALL_TIMEOUT_MS * 4, delta(0), USAGE];
+  const { outcome } = await follow([run, [250, UNKNOWN], [50, UNKNOWN]]);
+  expect(outcome.ok).toBe(true);
+});
