Stand-in engine: a caller that goes away is no failure

A caller that closes its connection while the engine waits for an injected latency, or reads the request, made the handler reject ("aborted"), unhandled: the process of the stand-in would end with it, and a test failed for it (silence.test.ts, twice). Only that error is passed over; any other still rejects.

--- a/packages/standins/src/modelEngine.ts
+++ b/packages/standins/src/modelEngine.ts
@@ -142,8 +142,17 @@
     if (stream.state() === 'cancelled') response.destroy();
   }
 
+  // A caller that goes away while its request is read is no failure of the engine.
+  async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      await handle(request, response);
+    } catch (error) {
+      if (request.errored !== error) throw error;
+    }
+  }
+
   refreshLoad();
-  return http.createServer({ keepAliveTimeout: 60_000 }, handle);
+  return http.createServer({ keepAliveTimeout: 60_000 }, serve);
 }
 
 function writeToken(response: ServerResponse, stream: Stream, position: number): void {
