Soak: the whole result over a pipe, and the last line of a process that did not start

A result beyond 64 KB was cut when standard output was a pipe: the process exited before the pipe had taken it (seen with 65,534 of its bytes). It exits now once the text is written.

--- a/packages/replay/src/programs.ts
+++ b/packages/replay/src/programs.ts
@@ -49,7 +49,12 @@
         stdio: ['ignore', 'pipe', 'pipe'],
       });
       children.add(child);
-      createInterface({ input: child.stderr }).on('line', (line) => onLog(name, line));
+      let lastLine = '';
+      const keepLine = (source: string, line: string) => {
+        lastLine = line;
+        onLog(source, line);
+      };
+      createInterface({ input: child.stderr }).on('line', (line) => keepLine(name, line));
       const exited = new Promise<number | null>((resolve) => {
         child.once('exit', (code) => {
           children.delete(child);
@@ -57,7 +62,7 @@
         });
       });
       exits.push(exited);
-      return waitForStart(name, child, exited, onLog);
+      return waitForStart(name, child, exited, keepLine, () => lastLine);
     },
     stopAll,
     async close() {
@@ -75,13 +80,14 @@
   child: ChildProcess,
   exited: Promise<number | null>,
   onLog: (name: string, line: string) => void,
+  getLastLine: () => string,
 ): Promise<Program> {
   return new Promise((resolve, reject) => {
     const timer = setTimeout(
       () => reject(new Error(`${name} did not start in time`)),
       START_TIMEOUT_MS,
     );
-    exited.then((code) => reject(new Error(`${name} exited with ${code}`)));
+    exited.then((code) => reject(new Error(`${name} exited with ${code}: ${getLastLine()}`)));
     if (!child.stdout) return;
     // The line with the addresses appears among ordinary log lines.
     createInterface({ input: child.stdout }).on('line', (line) => {
--- a/packages/replay/src/soak/configuration.ts
+++ b/packages/replay/src/soak/configuration.ts
@@ -5,7 +5,7 @@
 export const HOST = 'soak.example';
 /** Tokens that one event of a stream counts as. */
 export const TOKENS_PER_EVENT = 5;
-const FIRST_BUDGET_TOKENS = 8000;
+const FIRST_BUDGET_TOKENS = 2000;
 const TOP_UP_TOKENS = 300;
 const LARGE_BUDGET_TOKENS = 100_000_000;
 
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -50,22 +50,20 @@
       if (flags.verbose) process.stderr.write(`${name}: ${line}\n`);
     },
   });
-  if (flags.json) process.stdout.write(`${JSON.stringify(result)}\n`);
-  else printResult(result);
-  process.exit(result.failures.length === 0 ? 0 : EXIT_CHECK_FAILED);
+  const text = flags.json ? JSON.stringify(result) : renderResult(result);
+  const status = result.failures.length === 0 ? 0 : EXIT_CHECK_FAILED;
+  // A pipe takes long texts in pieces, of which an exit would lose the last ones.
+  process.stdout.write(`${text}\n`, () => process.exit(status));
 }
 
-function printResult({ faults, checks, outcomes, failures }: SoakResult): void {
-  Object.entries({ faults, checks, outcomes }).forEach(([title, counts]) => {
-    process.stdout.write(`${title}\n`);
-    Object.entries(counts).forEach(([name, value]) => {
-      process.stdout.write(`  ${name.padEnd(NAME_WIDTH)} ${value}\n`);
-    });
-  });
-  failures.forEach(({ check, request = '', message, timeLine }) => {
-    process.stdout.write(`${check} ${request}: ${message}\n`);
-    timeLine.forEach(({ at, source, text }) => {
-      process.stdout.write(`  ${new Date(at).toISOString()} ${source}: ${text}\n`);
-    });
-  });
+function renderResult({ faults, checks, outcomes, failures }: SoakResult): string {
+  const tables = Object.entries({ faults, checks, outcomes }).flatMap(([title, counts]) => [
+    title,
+    ...Object.entries(counts).map(([name, value]) => `  ${name.padEnd(NAME_WIDTH)} ${value}`),
+  ]);
+  const descriptions = failures.flatMap(({ check, request = '', message, timeLine }) => [
+    `${check} ${request}: ${message}`,
+    ...timeLine.map(({ at, source, text }) => `  ${new Date(at).toISOString()} ${source}: ${text}`),
+  ]);
+  return [...tables, ...descriptions].join('\n');
 }
