End a call whose answer trickles, and bound its body

Seen: a call with a timeout of 200 ms had no end after 10 s while its answer brought a byte each 20 ms. Cause: the timer restarts with each part, as it must for a large configuration over a slow link, and the body had no maximum. Fix: after ten timeouts the body must have brought 1 KiB for each further one, and 64 MiB end it. There is no limit on the whole transfer. Tried first: 1 KiB in each timeout. It broke 'a read that arrives slowly, but keeps arriving' and went.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -8,6 +8,13 @@
 const UNUSED_BODY_MAX_BYTES = 65_536;
 const UNUSED_BODY_TIMEOUT_MS: Milliseconds = 250;
 
+/** Largest body that a call reads. The largest known is a table that is read as a whole. */
+const CALL_BODY_MAX_BYTES = 67_108_864;
+/** Bytes that the body must bring for each timeout after the first ones: a packet. */
+const CALL_PROGRESS_MIN_BYTES = 1024;
+/** Timeouts before a body that keeps arriving may be a trickle. */
+const CALL_PROGRESS_GRACE_TIMEOUTS = 10;
+
 /** An HTTP request whose response is read in full. */
 export interface HttpCall {
   method: string;
@@ -51,6 +58,7 @@
   return new Promise((resolve) => {
     let phase: CallPhase = 'waiting for a connection';
     let received = 0;
+    let headAt: Milliseconds = 0;
     const fail = (reason: string) => {
       const isSent = phase === 'waiting for the head' || phase === 'reading';
       const message = `${reason} while ${phase}, ${received} bytes received`;
@@ -58,6 +66,7 @@
     };
     const request = createRequest(call, (response) => {
       phase = 'reading';
+      headAt = performance.now();
       const isUnframed = getResponseFraming(response, call.method) === 'close';
       if (isUnframed && call.hasJsonObject !== true) {
         request.destroy(new Error('the answer states no length'));
@@ -65,10 +74,13 @@
       }
       const countBytes = (bytes: number) => {
         received += bytes;
+        const timeouts = (performance.now() - headAt) / call.timeout;
+        const least = (timeouts - CALL_PROGRESS_GRACE_TIMEOUTS) * CALL_PROGRESS_MIN_BYTES;
+        if (received < least) request.destroy(new Error('trickle'));
         // A part may be read after the connection has closed; the timer must not start again then.
         if (!request.destroyed) timer.refresh();
       };
-      readBody(response, Infinity, countBytes).then(
+      readBody(response, CALL_BODY_MAX_BYTES, countBytes).then(
         (body) => {
           const { statusCode: status = 0, headers } = response;
           if (isUnframed && !isJsonObject(body)) fail('the answer is not a whole JSON object');
