Bound an engine's event and the rest of a busy service's answer

Seen: an event of an engine without end filled the memory (heap of 2 GB, process ended); comments kept its stream for ever; the body of a service that declined was read on (no end after 10 s, both). Cause: the parser keeps what is no event yet without a limit, and the answer was let flow. Fix: 4 Mi characters without the end of an event break the stream; the rest of a decline is discarded as on the platform (64 KiB, 250 ms). A trickle of comments of an engine stays open to the caller's time limit.

--- a/packages/entry/src/engineClient.ts
+++ b/packages/entry/src/engineClient.ts
@@ -9,6 +9,8 @@
 
 const STREAM_HEADER = 'x-stream-id';
 const ERROR_BODY_LIMIT_BYTES = 4096;
+/** Maximum number of characters of a stream without the end of an event. */
+const EVENT_MAX_LENGTH = 4_194_304;
 /** Shorter than the idle timeout after which middleboxes drop a connection. */
 const IDLE_SOCKET_TIMEOUT_MS = 4000;
 
@@ -206,8 +208,12 @@
   const messages: EventSourceMessage[] = [];
   const parser = createParser({ onEvent: (message) => messages.push(message) });
   response.setEncoding('utf8');
+  let pendingLength = 0;
   for await (const text of response) {
+    pendingLength += (text as string).length;
+    if (pendingLength > EVENT_MAX_LENGTH) throw new RangeError('too many bytes without an event');
     parser.feed(text as string);
+    if (messages.length > 0) pendingLength = 0;
     for (const message of messages.splice(0)) {
       for (const event of toEvents(message)) await sink(event);
     }
--- a/packages/entry/src/serviceClient.ts
+++ b/packages/entry/src/serviceClient.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
 import { Err, Ok } from 'ts-results';
-import { getResponseFraming, onConnected, watchClose } from '@pomeloroad/core';
+import { discardBody, getResponseFraming, onConnected, watchClose } from '@pomeloroad/core';
 import type { Milliseconds, Outcome, RunStatus } from '@pomeloroad/core';
 import type { AnswerEvent } from '@pomeloroad/requests';
 import type { ServiceCall } from './runRequest';
@@ -72,7 +72,7 @@
         request.setTimeout(options.firstByteTimeout, () => request.destroy(new Error('no answer')));
         const response = await sendRequest(request, call.body);
         request.setTimeout(options.betweenTimeout, () => request.destroy(new Error('silent')));
-        return await readAnswer(response, call.method, options.answerLimit, sink);
+        return await readAnswer(request, response, call.method, options.answerLimit, sink);
       } catch (error) {
         const ran: RunStatus = isSent ? 'unknown' : 'no';
         return Err({ kind: 'failed', ran, message: (error as Error).message });
@@ -90,6 +90,7 @@
 }
 
 async function readAnswer(
+  request: http.ClientRequest,
   response: http.IncomingMessage,
   method: string,
   limit: number,
@@ -98,7 +99,7 @@
   const status = response.statusCode ?? 0;
   // A service that answers 503 with this header did not run the call.
   if (status === 503 && response.headers['x-not-run'] === 'true') {
-    response.resume();
+    discardBody(request, response);
     return Err({ kind: 'busy', ran: 'no', message: 'the service is busy' });
   }
   const endsWithConnection = getResponseFraming(response, method) === 'close';
