Log: warnings and errors have a reserve of rate and buffer; 1006 counts dropped lines by importance

The writer dropped any line alike above 1000 lines/s or 256 KiB, so that the lines that would explain a failure could be among those that are missing. Lines now have an importance, by their severity or as marked by the caller of the log. Important ones use the common limits first, then 200 lines/s and 128 KiB that ordinary ones can't use. Lines that a write error lost were not counted at all; now they are. 1006 keeps 'lines' as the sum and adds 'ordinary' and 'important'; two gauges tell the same.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,3 +12,4 @@
 export * from './manualClock';
 export * from './pauseGuard';
 export * from './lineWriter';
+export * from './droppedLines';
--- /dev/null
+++ b/packages/core/test/lineWriter.test.ts
@@ -0,0 +1,129 @@
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import {
+  createLineWriter,
+  createLog,
+  createManualClock,
+  Diagnostics,
+  reportDroppedLines,
+} from '../src';
+import type { DroppedLines, Importance, LogFields } from '../src';
+
+const LONG_LINE = 'x'.repeat(32_767);
+
+let directory: string;
+
+beforeEach(() => {
+  directory = mkdtempSync(path.join(os.tmpdir(), 'lines-'));
+});
+
+afterEach(() => rmSync(directory, { recursive: true }));
+
+// Opens a writer to a file; a file that is only read takes no line.
+function openWriter(flags = 'w+') {
+  const file = path.join(directory, 'log');
+  closeSync(openSync(file, 'a'));
+  const descriptor = openSync(file, flags);
+  const clock = createManualClock();
+  const writer = createLineWriter(clock, descriptor);
+  function write(importance: Importance, count: number, line: string = importance): void {
+    for (let index = 0; index < count; index += 1) writer.write(line, importance);
+  }
+  async function close(): Promise<string[]> {
+    await writer.flush();
+    closeSync(descriptor);
+    return readFileSync(file, 'utf8').split('\n').slice(0, -1);
+  }
+  return { clock, writer, write, close };
+}
+
+test('ordinary lines over the rate leave the reserve to important ones', async () => {
+  const { writer, write, close } = openWriter();
+  write('ordinary', 1500);
+  write('important', 100);
+  expect(writer.dropped()).toEqual({ ordinary: 500, important: 0 });
+  const lines = await close();
+  expect(lines.filter((line) => line === 'important')).toHaveLength(100);
+  expect(lines).toHaveLength(1100);
+});
+
+test('the rate of the reserve is bounded and refilled', async () => {
+  const { clock, writer, write, close } = openWriter();
+  write('ordinary', 1000);
+  write('important', 250);
+  expect(writer.dropped()).toEqual({ ordinary: 0, important: 50 });
+  await clock.advance(500);
+  write('ordinary', 600);
+  write('important', 150);
+  expect(writer.dropped()).toEqual({ ordinary: 100, important: 100 });
+  expect(await close()).toHaveLength(1800);
+});
+
+test('important lines use the common rate first', async () => {
+  const { writer, write, close } = openWriter();
+  write('important', 1100);
+  write('ordinary', 1);
+  write('important', 100);
+  expect(writer.dropped()).toEqual({ ordinary: 1, important: 0 });
+  expect(await close()).toHaveLength(1200);
+});
+
+test('a buffer full of ordinary lines has room for important ones, within a bound', async () => {
+  const { writer, write, close } = openWriter();
+  write('ordinary', 10, LONG_LINE);
+  expect(writer.dropped()).toEqual({ ordinary: 2, important: 0 });
+  write('important', 6, LONG_LINE);
+  expect(writer.dropped()).toEqual({ ordinary: 2, important: 2 });
+  expect(await close()).toHaveLength(12);
+});
+
+test('the buffer takes lines of either kind again once it is written', async () => {
+  const { writer, write, close } = openWriter();
+  write('important', 12, LONG_LINE);
+  await writer.flush();
+  write('important', 4, LONG_LINE);
+  write('ordinary', 4, LONG_LINE);
+  expect(writer.dropped()).toEqual({ ordinary: 0, important: 0 });
+  expect(await close()).toHaveLength(20);
+});
+
+test('lines that could not be written are counted', async () => {
+  const { writer, write, close } = openWriter('r');
+  write('ordinary', 3);
+  write('important', 2);
+  expect(await close()).toEqual([]);
+  expect(writer.dropped()).toEqual({ ordinary: 3, important: 2 });
+});
+
+test('warnings and errors are important, and lines that are marked so', () => {
+  const importances: Importance[] = [];
+  const log = createLog(createManualClock(), 'info', {}, (_line, importance) =>
+    importances.push(importance),
+  );
+  log(Diagnostics.endpointFailed);
+  log(Diagnostics.invariantBroken);
+  log(Diagnostics.requestForwarded);
+  log(Diagnostics.requestForwarded, {}, 'important');
+  expect(importances).toEqual(['important', 'important', 'ordinary', 'important']);
+});
+
+test('dropped lines are reported by importance, each once', async () => {
+  const clock = createManualClock();
+  const reports: (LogFields | undefined)[] = [];
+  const stop = new AbortController();
+  let dropped: DroppedLines = { ordinary: 0, important: 0 };
+  reportDroppedLines(
+    { clock, log: (_event, fields) => reports.push(fields), signal: stop.signal },
+    () => dropped,
+  );
+  await clock.advance(6000);
+  dropped = { ordinary: 7, important: 2 };
+  await clock.advance(12_000);
+  dropped = { ordinary: 7, important: 3 };
+  await clock.advance(6000);
+  expect(reports).toEqual([
+    { lines: 9, ordinary: 7, important: 2 },
+    { lines: 1, ordinary: 0, important: 1 },
+  ]);
+});
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -1,5 +1,5 @@
 import { createPauseGuard, Diagnostics, runPeriodically, withTimeout } from '@pomeloroad/core';
-import type { Clock, Log, Milliseconds, Random, Tokens } from '@pomeloroad/core';
+import type { Clock, DroppedLines, Log, Milliseconds, Random, Tokens } from '@pomeloroad/core';
 import { BUDGET_TABLE, createEscrow, createEscrowLease } from '@pomeloroad/budgets';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
 import { watchStore } from '@pomeloroad/storage';
@@ -51,6 +51,8 @@
   getRetryAllowance(): RetryAllowance;
   /** Returns the time within which an accepted configuration is to be in force. */
   getConfigurationDelayLimit(): Milliseconds;
+  /** Returns how many lines of the log were dropped so far; left out where that is not counted. */
+  getDroppedLines?(): DroppedLines;
 }
 
 /** An instance that forwards requests by the configuration and the endpoints in the store. */
@@ -184,6 +186,16 @@
     'How often the store came back from an older copy, as the feeds know.',
     getStoreEra,
   );
+  metrics.gauge(
+    'pomeloroad_ordinary_lines_dropped',
+    'Ordinary lines of the log that were dropped since the start.',
+    () => host.getDroppedLines?.().ordinary ?? 0,
+  );
+  metrics.gauge(
+    'pomeloroad_important_lines_dropped',
+    'Important lines of the log that were dropped since the start.',
+    () => host.getDroppedLines?.().important ?? 0,
+  );
   const guard = createPauseGuard(clock, async () => {
     log(Diagnostics.processPaused);
     await Promise.all([configuration.refresh(), endpointFeed.refresh()]);
