Ends of the last second by endpoint: 7007 names those of an endpoint that fails, leaves or is gone

A memory of at most 2000 ends of the last second; 7007 (warn) names up to 20 requests and how long before, once each, when the endpoint fails (any failure that the endpoint table counts, but not silence), is avoided (7002), leaves (7001), is gone (7006) or starts again (7005 with another start or version). Counted by pomeloroad_ends_before_loss_total. Seen: the tests failed first (no such module); the case of another version was added with its code and not seen to fail; now 17 pass.

--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -74,6 +74,7 @@
     'caller disconnected before the response was complete',
   ),
   answerSilent: diagnostic(5009, 'info', 'answer silent past its threshold'),
+  endSuspicious: diagnostic(5012, 'warn', 'end in order that may not be the end of the answer'),
   idleConnectionClosed: diagnostic(5010, 'info', 'idle connection of a caller closed'),
   configurationStaged: diagnostic(6001, 'info', 'configuration staged'),
   configurationAccepted: diagnostic(6002, 'info', 'configuration in force'),
@@ -94,5 +95,10 @@
   endpointListed: diagnostic(7005, 'info', 'endpoint is listed'),
   endpointUnlisted: diagnostic(7006, 'info', 'endpoint is no longer listed'),
   endpointRecovered: diagnostic(7003, 'info', 'endpoint answers again'),
+  endpointLostAfterEnds: diagnostic(
+    7007,
+    'warn',
+    'endpoint failed or left within a second after it ended answers',
+  ),
   orderFailed: diagnostic(7004, 'warn', 'order to an endpoint failed'),
 } as const satisfies Record<string, Diagnostic>;
--- a/packages/forwarding/src/forwardMetrics.ts
+++ b/packages/forwarding/src/forwardMetrics.ts
@@ -8,6 +8,10 @@
   attempts: Counter;
   /** Ends of endpoints' streams by kind of end and framing. */
   streamEnds: Counter;
+  /** Suspicious ends of endpoints' answers by reason and by what was done. */
+  suspiciousEnds: Counter;
+  /** Ends of answers within the second before their endpoint was lost, by what became of it. */
+  endsBeforeLoss: Counter;
   /** Resumptions within an answer by whether the version stays the same. */
   resumptions: Counter;
   /** Streams that callers take up. */
@@ -35,6 +39,14 @@
       'pomeloroad_stream_ends_total',
       'Ends of endpoints’ streams by kind of end and framing of the answer.',
     ),
+    suspiciousEnds: metrics.counter(
+      'pomeloroad_suspicious_ends_total',
+      'Ends in order that may not be the end of the answer, by reason and outcome.',
+    ),
+    endsBeforeLoss: metrics.counter(
+      'pomeloroad_ends_before_loss_total',
+      'Ends in order within the second before their endpoint was lost, by what became of it.',
+    ),
     resumptions: metrics.counter(
       'pomeloroad_stream_resumptions_total',
       'Resumptions of streams within an answer by version: same or other.',
--- /dev/null
+++ b/packages/forwarding/src/recentEnds.ts
@@ -0,0 +1,108 @@
+import { match, P } from 'ts-pattern';
+import { Diagnostics } from '@pomeloroad/core';
+import type { Clock, Log, LogFields, Milliseconds } from '@pomeloroad/core';
+import type { ForwardMetrics } from './forwardMetrics';
+import type { EndpointRecord } from './types';
+
+/** Time after an end within which its endpoint's loss makes it doubtful. */
+const RECENT_END_MS: Milliseconds = 1000;
+/** Maximum number of ends that are remembered; the oldest is forgotten first. */
+const ENDS_MAX = 2000;
+/** Maximum number of requests that one line names. */
+const NAMED_REQUESTS_MAX = 20;
+
+/** What became of an endpoint. `failed` is a connection or an answer that it broke off or an error. */
+export type EndpointFate =
+  'failed' | 'unreachable' | 'avoided' | 'leaving' | 'gone' | 'started again';
+
+/** Dependencies of the memory of ends. */
+export interface RecentEndsHost {
+  clock: Clock;
+  log: Log;
+  metrics: Pick<ForwardMetrics, 'endsBeforeLoss'>;
+}
+
+/** An incarnation of an endpoint: its name here, and what tells it in its entry in the store. */
+export interface EndpointIdentity extends Pick<EndpointRecord, 'id' | 'born' | 'version'> {
+  name: string;
+}
+
+/** The ends in order that endpoints stated within the last second. */
+export interface RecentEnds {
+  add(endpoint: EndpointIdentity, request: string): void;
+  /** Logs which answers the endpoint of this name has just ended, each of them once. */
+  noteFate(name: string, fate: EndpointFate): void;
+  /** Returns the log with the same lines, each of which is read for what it tells of an endpoint. */
+  watch(log: Log): Log;
+}
+
+interface RecentEnd {
+  endpoint: EndpointIdentity;
+  request: string;
+  at: Milliseconds;
+}
+
+/** Which incarnations a fate is of. */
+type Concern = (endpoint: EndpointIdentity) => boolean;
+
+/** Creates a memory of no ends. */
+export function createRecentEnds({ clock, log, metrics }: RecentEndsHost): RecentEnds {
+  let ends: RecentEnd[] = [];
+
+  function forgetOld(): void {
+    const since = clock.elapsed() - RECENT_END_MS;
+    const first = ends.findIndex(({ at }) => at >= since);
+    if (first !== 0) ends = first < 0 ? [] : ends.slice(first);
+  }
+
+  function report(fate: EndpointFate, isConcerned: Concern): void {
+    forgetOld();
+    const found = ends.filter(({ endpoint }) => isConcerned(endpoint)).reverse();
+    const [newest] = found;
+    if (!newest) return;
+    ends = ends.filter(({ endpoint }) => !isConcerned(endpoint));
+    metrics.endsBeforeLoss.add(found.length, { fate });
+    log(Diagnostics.endpointLostAfterEnds, {
+      endpoint: newest.endpoint.id,
+      fate,
+      ends: found.length,
+      requests: found.slice(0, NAMED_REQUESTS_MAX).map(describe).join(', '),
+    });
+  }
+
+  function describe({ request, at }: RecentEnd): string {
+    return `${request} ${Math.round(clock.elapsed() - at)}`;
+  }
+
+  return {
+    add(endpoint, request) {
+      if (ends.length >= ENDS_MAX) ends.shift();
+      ends.push({ endpoint, request, at: clock.elapsed() });
+    },
+    noteFate: (name, fate) => report(fate, (endpoint) => endpoint.name === name),
+    watch: (watched) => (event, fields, importance) => {
+      watched(event, fields, importance);
+      const fate = findFate(event.code, fields);
+      if (fate) report(fate, createConcern(fate, fields));
+    },
+  };
+}
+
+function findFate(code: number, fields: LogFields | undefined): EndpointFate | undefined {
+  if (fields?.endpoint === undefined) return undefined;
+  return match(code)
+    .with(Diagnostics.endpointFailed.code, () => 'avoided' as const)
+    .with(Diagnostics.endpointLeaving.code, () => 'leaving' as const)
+    .with(Diagnostics.endpointUnlisted.code, () => 'gone' as const)
+    .with(Diagnostics.endpointListed.code, () => 'started again' as const)
+    .with(P.number, () => undefined)
+    .exhaustive();
+}
+
+// Lines name an incarnation by its name, or by the id and start of its entry.
+function createConcern(fate: EndpointFate, { endpoint, born, version }: LogFields = {}): Concern {
+  if (fate === 'started again') {
+    return (known) => known.id === endpoint && (known.born !== born || known.version !== version);
+  }
+  return (known) => known.name === endpoint || (known.id === endpoint && known.born === born);
+}
--- /dev/null
+++ b/packages/forwarding/test/recentEnds.test.ts
@@ -0,0 +1,101 @@
+import { createManualClock, Diagnostics } from '@pomeloroad/core';
+import type { LogFields } from '@pomeloroad/core';
+import { createMetrics } from '@pomeloroad/telemetry';
+import { createForwardMetrics } from '../src';
+import { createRecentEnds } from '../src/recentEnds';
+
+// Creates a memory of ends, its lines, and the metrics that it counts in.
+function createStand() {
+  const clock = createManualClock();
+  const lines: LogFields[] = [];
+  const metrics = createMetrics();
+  const ends = createRecentEnds({
+    clock,
+    log: (event, fields) => lines.push({ code: event.code, ...fields }),
+    metrics: createForwardMetrics(metrics),
+  });
+  const add = (request: string, id = 'e', born = 1) =>
+    ends.add({ name: `${id}/${born}`, id, born }, request);
+  return { clock, lines, metrics, ends, add, watched: ends.watch(() => {}) };
+}
+
+test('the ends of an endpoint that fails within a second are named', async () => {
+  const { clock, lines, metrics, ends, add } = createStand();
+  add('old');
+  await clock.advance(600);
+  add('a');
+  add('of another', 'f');
+  await clock.advance(300);
+  add('b');
+  await clock.advance(200);
+  ends.noteFate('e/1', 'failed');
+  expect(lines).toEqual([
+    {
+      code: 7007,
+      endpoint: 'e',
+      fate: 'failed',
+      ends: 2,
+      requests: 'b 200, a 500',
+    },
+  ]);
+  expect(metrics.render()).toContain('pomeloroad_ends_before_loss_total{fate="failed"} 2');
+});
+
+test('an end is named once, and no line tells of an endpoint without one', async () => {
+  const { lines, ends, add } = createStand();
+  ends.noteFate('e/1', 'failed');
+  add('a');
+  ends.noteFate('e/1', 'unreachable');
+  ends.noteFate('e/1', 'failed');
+  expect(lines).toMatchObject([{ fate: 'unreachable', requests: 'a 0' }]);
+});
+
+test('an end of more than a second ago is forgotten', async () => {
+  const { clock, lines, ends, add } = createStand();
+  add('a');
+  await clock.advance(1001);
+  ends.noteFate('e/1', 'failed');
+  expect(lines).toEqual([]);
+});
+
+test('the newest ends are named, the others counted', () => {
+  const { lines, ends, add } = createStand();
+  for (let index = 0; index < 30; index += 1) add(`r${index}`);
+  ends.noteFate('e/1', 'failed');
+  expect(lines[0]?.ends).toBe(30);
+  const named = String(lines[0]?.requests).split(', ');
+  expect([named.length, named[0], named[19]]).toEqual([20, 'r29 0', 'r10 0']);
+});
+
+test('a bounded number of ends is kept', () => {
+  const { lines, ends, add } = createStand();
+  for (let index = 0; index < 5000; index += 1) add(`r${index}`);
+  ends.noteFate('e/1', 'failed');
+  expect(lines[0]?.ends).toBe(2000);
+});
+
+test.each([
+  [Diagnostics.endpointFailed, { endpoint: 'e/1' }, 'avoided'],
+  [Diagnostics.endpointLeaving, { endpoint: 'e/1' }, 'leaving'],
+  [Diagnostics.endpointLeaving, { endpoint: 'e', born: 1 }, 'leaving'],
+  [Diagnostics.endpointUnlisted, { endpoint: 'e', born: 1 }, 'gone'],
+  [Diagnostics.endpointUnlisted, { endpoint: 'e', born: 1, isReplaced: true }, 'gone'],
+  [Diagnostics.endpointListed, { endpoint: 'e', born: 2 }, 'started again'],
+  [Diagnostics.endpointListed, { endpoint: 'e', born: 1, version: '2' }, 'started again'],
+  [Diagnostics.endpointListed, { endpoint: 'e', born: 1 }, undefined],
+  [Diagnostics.endpointLeaving, { endpoint: 'e', born: 2 }, undefined],
+  [Diagnostics.endpointRecovered, { endpoint: 'e/1' }, undefined],
+  [Diagnostics.attemptFailed, { endpoint: 'e', outcome: 'broken' }, undefined],
+])('%j %j tells that the endpoint is %s', (event, fields, fate) => {
+  const { lines, watched, add } = createStand();
+  add('a');
+  watched(event, fields);
+  expect(lines.map((line) => line.fate)).toEqual(fate === undefined ? [] : [fate]);
+});
+
+test('a watched log passes its lines on', () => {
+  const { ends } = createStand();
+  const passed: unknown[] = [];
+  ends.watch((...line) => passed.push(line))(Diagnostics.endpointFailed, { a: 1 }, 'ordinary');
+  expect(passed).toEqual([[Diagnostics.endpointFailed, { a: 1 }, 'ordinary']]);
+});
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -20,6 +20,8 @@
 export interface EndpointsHost {
   clock: Clock;
   log: Log;
+  /** Called when an endpoint has failed; not for one that was only silent. */
+  onFailure?(name: string, result: 'failed' | 'unreachable'): void;
 }
 
 /** The endpoints that this instance knows, with their load and health. */
@@ -36,6 +38,8 @@
   findCandidates(request: RouteRequest): EndpointView[];
   /** Whether the endpoint is leaving or no longer known. */
   isLeaving(name: string): boolean;
+  /** Whether the endpoint should be chosen only as a last resort; false if it is not known. */
+  isFailing(name: string): boolean;
   /** Counts one more request in flight. */
   take(name: string): void;
   /** Records that bytes arrived from the endpoint. */
@@ -95,6 +99,7 @@
         .filter((view) => !view.isLeaving && !excluded.has(view.endpoint.name))
         .filter((view) => isServing(view.endpoint, target)),
     isLeaving: (name) => entries.get(name)?.view().isLeaving ?? true,
+    isFailing: (name) => entries.get(name)?.view().isFailing ?? false,
     take: (name) => entries.get(name)?.take(),
     recordActivity: (name) => entries.get(name)?.recordActivity(),
     getActivityTime: (name) => entries.get(name)?.getActivityTime() ?? -Infinity,
@@ -112,7 +117,7 @@
 }
 
 function createEntry(
-  { clock, log }: EndpointsHost,
+  { clock, log, onFailure }: EndpointsHost,
   reachability: Reachability,
   initial: Endpoint,
 ): Entry {
@@ -146,6 +151,7 @@
   // An unreachable endpoint is avoided at once; a single failure among answers may be transient.
   function recordFailure(result: 'failed' | 'unreachable' | 'silent'): void {
     failures += 1;
+    if (result !== 'silent') onFailure?.(endpoint.name, result);
     if (result !== 'unreachable' && failures < FAILURES_BEFORE_BACKOFF) return;
     if (clock.elapsed() < backoffUntil) return;
     backoffRounds += 1;
