--- /dev/null
+++ b/packages/forwarding/src/answerCourse.ts
@@ -0,0 +1,45 @@
+import type { Milliseconds } from '@pomeloroad/core';
+
+/** The time limit that an endpoint was told with a request, and when. */
+export interface ToldLimit {
+  limit: Milliseconds;
+  /** Time of `clock.elapsed()`. */
+  at: Milliseconds;
+}
+
+/** What an attempt tells of the answer that it brings. */
+export interface AnswerSource {
+  told: ToldLimit;
+  /** Returns when bytes of the answer last arrived. */
+  getActivityTime(): Milliseconds;
+}
+
+/** What was done after an end in order. A whole answer that is believed is passed on or, as an error, retried. */
+export type EndOutcome =
+  'passed on' | 'rest requested' | 'cut' | 'refused' | 'believed' | 'disbelieved';
+
+/** How an answer has come so far, for the lines of its end. */
+export interface AnswerCourse {
+  /** The attempt that brings the answer. */
+  source: AnswerSource | undefined;
+  lastEventAt: Milliseconds | undefined;
+  resumptions: number;
+  /** Number of events before the latest resumption. */
+  eventsBefore: number;
+  /** Whether an end of the request was suspicious, so that its lines have to survive load. */
+  isSuspicious: boolean;
+  /** Reports the latest end of a stream; `undefined` once that is done. */
+  reportEnd: ((outcome: EndOutcome) => void) | undefined;
+}
+
+/** Creates the course of an answer of which nothing has come. */
+export function createAnswerCourse(): AnswerCourse {
+  return {
+    source: undefined,
+    lastEventAt: undefined,
+    resumptions: 0,
+    eventsBefore: 0,
+    isSuspicious: false,
+    reportEnd: undefined,
+  };
+}
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -4,6 +4,8 @@
 import type { LogFields, Milliseconds, Outcome } from '@pomeloroad/core';
 import type { Slot, SlotResult } from '@pomeloroad/routing';
 import { findEndFault } from './answerEnd';
+import type { AnswerSource } from './answerCourse';
+import { noteEnd } from './endReport';
 import { getTimeLeft } from './run';
 import type { Run } from './run';
 import type { EndpointRecord, Reply, SendError } from './types';
@@ -14,7 +16,7 @@
 export type AttemptReply = Outcome<Reply, SendError>;
 
 /** A request that was sent to an endpoint, and the slot that it holds there. */
-export interface SentAttempt {
+export interface SentAttempt extends AnswerSource {
   slot: Slot;
   /** Entry of its endpoint; `undefined` if that had left, so that nothing was sent. */
   endpoint: EndpointRecord | undefined;
@@ -36,6 +38,7 @@
     onConnected = resolve;
   });
   let activeAt = host.clock.elapsed();
+  const told = { limit: getTimeLeft(run), at: activeAt };
 
   async function send(endpoint: EndpointRecord): Promise<AttemptReply> {
     run.pending += 1;
@@ -43,7 +46,7 @@
       request,
       endpoint,
       resumeAfter: run.lastEventId,
-      timeLeft: getTimeLeft(run),
+      timeLeft: told.limit,
       onConnected,
       onActivity() {
         slot.recordActivity();
@@ -51,7 +54,7 @@
       },
       signal: AbortSignal.any([stop.signal, ending.signal]),
     });
-    const reply = await judgeWhole(run, slot, sent);
+    const reply = await judgeWhole(run, attempt, sent);
     run.pending -= 1;
     countAttempt(run, endpoint, reply, ending.signal.aborted);
     if (reply.err && !ending.signal.aborted) logFailure(run, attempt, { ...reply.val });
@@ -64,6 +67,7 @@
   const attempt: SentAttempt = {
     slot,
     endpoint,
+    told,
     reply: endpoint
       ? send(endpoint)
       : Promise.resolve(Err({ kind: 'unreachable', message: 'the endpoint is leaving' })),
@@ -79,11 +83,13 @@
 
 async function judgeWhole<Payload>(
   run: Run<Payload>,
-  slot: Slot,
+  attempt: SentAttempt,
   sent: AttemptReply,
 ): Promise<AttemptReply> {
   if (sent.err || sent.val.kind !== 'whole') return sent;
-  const message = await findEndFault(run, slot, sent.val.end);
+  const report = noteEnd(run, attempt, 'complete', sent.val.end);
+  const message = await findEndFault(run, attempt.slot, sent.val.end);
+  report(message === undefined ? 'believed' : 'disbelieved');
   return message === undefined ? sent : Err({ kind: 'broken', message });
 }
 
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -35,6 +35,7 @@
     const { attempt, reply } = await finishAttempt(run, started.val);
     if (reply.ok && !shouldRetryReply(run, reply.val)) {
       run.framing = reply.val.head.framing;
+      run.course.source = attempt;
       return Ok({ reply: reply.val, attempt });
     }
     leaveEndpoint(run, attempt, reply);
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -5,7 +5,9 @@
 import type { EscrowError, EscrowReservation } from '@pomeloroad/budgets';
 import { sendWithRetries } from './attempts';
 import type { EndpointReply } from './attempts';
+import type { EndOutcome } from './answerCourse';
 import type { ForwardHost } from './forwardTypes';
+import { describeCourse, reportEnd } from './endReport';
 import { relayStream } from './relay';
 import { createRun, getSpentTokens, getTimeLeft } from './run';
 import type { Run } from './run';
@@ -25,6 +27,9 @@
 /** Lowest HTTP status of a server error. */
 const SERVER_ERROR_STATUS = 500;
 
+/** How a request has ended. */
+type RunOutcome = 'answered' | 'refused' | 'cut';
+
 /**
  * Reserves a request's tokens, forwards it to an endpoint and sends its caller the answer or a
  * refusal; then settles the tokens that it used. Resolves when all of that is done.
@@ -141,11 +146,7 @@
 }
 
 // Updates the metrics and writes the log line of a request that has ended.
-function recordEnd<Payload>(
-  run: Run<Payload>,
-  outcome: 'answered' | 'refused' | 'cut',
-  fields: LogFields,
-): void {
+function recordEnd<Payload>(run: Run<Payload>, outcome: RunOutcome, fields: LogFields): void {
   const { host, request, caller } = run;
   const duration = host.clock.elapsed() - request.startedAt;
   host.metrics.requests.add(1, { outcome, route: request.route.kind });
@@ -158,7 +159,9 @@
     .with('refused', () => Diagnostics.requestRefused)
     .with('cut', () => Diagnostics.requestFailed)
     .exhaustive();
-  host.log(diagnostic, {
+  reportEnd(run, toEndOutcome(outcome));
+  const importance = run.course.isSuspicious ? 'important' : undefined;
+  const details = {
     request: request.id,
     route: request.route.name,
     account: request.account,
@@ -177,6 +180,15 @@
     timeLeft: Math.round(getTimeLeft(run)),
     took: Math.round(duration),
     hasLeft: caller.signal.aborted,
+    ...describeCourse(run),
     ...fields,
-  });
+  };
+  host.log(diagnostic, details, importance);
+}
+
+function toEndOutcome(outcome: RunOutcome): EndOutcome {
+  return match(outcome)
+    .with('answered', () => 'passed on' as const)
+    .with('refused', 'cut', (same) => same)
+    .exhaustive();
 }
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -8,6 +8,8 @@
 import { followConfiguration } from './configurationFeed';
 import { createEndpointDirectory } from './endpointDirectory';
 import { createEndStatements } from './endStatements';
+import { findEndpointState } from './endpointState';
+import { createRecentEnds } from './recentEnds';
 import { followTable } from './follow';
 import { forward } from './forward';
 import { createForwardMetrics } from './forwardMetrics';
@@ -84,9 +86,11 @@
 export function startForwardInstance<Payload>(
   host: ForwardInstanceHost<Payload>,
 ): ForwardInstance<Payload> {
-  const { clock, random, log } = host;
+  const { clock, random } = host;
   const metrics = createMetrics();
   const forwardMetrics = createForwardMetrics(metrics);
+  const recentEnds = createRecentEnds({ clock, log: host.log, metrics: forwardMetrics });
+  const log = recentEnds.watch(host.log);
   const { rows, isSilent } = watchStore(clock, host.rows, ({ duration, table: name, ...ended }) => {
     forwardMetrics.storeCalls.add(1, { ...ended, table: name ?? '' });
     forwardMetrics.storeCall.record(duration);
@@ -116,7 +120,7 @@
     getReserveDelay: lease.getReserveDelay,
     countInstances: getInstanceCount,
   });
-  const endpoints = createEndpoints({ clock, log });
+  const endpoints = createEndpoints({ clock, log, onFailure: recentEnds.noteFate });
   const directory = createEndpointDirectory({
     clock,
     log,
@@ -218,6 +222,8 @@
     protocol: host.protocol,
     metrics: forwardMetrics,
     endStatements: createEndStatements(),
+    recentEnds,
+    getEndpointState: (name) => findEndpointState(directory, endpoints, name),
     getConfigurationVersion: () => configuration.getTable()?.configuration.version,
     origins: startStreamOrigins({
       clock,
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -2,8 +2,10 @@
 import type { Escrow } from '@pomeloroad/budgets';
 import type { Admission } from '@pomeloroad/routing';
 import type { EndpointDirectory } from './endpointDirectory';
+import type { EndpointState } from './endpointState';
 import type { EndStatements } from './endStatements';
 import type { ForwardMetrics } from './forwardMetrics';
+import type { RecentEnds } from './recentEnds';
 import type { StreamOrigins } from './streamOrigins';
 import type { RetryBudget } from './retryBudget';
 import type { EndpointProtocol, ForwardService } from './types';
@@ -20,6 +22,9 @@
   protocol: EndpointProtocol<Payload>;
   metrics: ForwardMetrics;
   endStatements: EndStatements;
+  recentEnds: RecentEnds;
+  /** Returns what is known of the endpoint of this name. */
+  getEndpointState(name: string): EndpointState;
   /** Returns the version of the configuration in force; `undefined` while none is known. */
   getConfigurationVersion(): number | undefined;
   origins: StreamOrigins;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -4,6 +4,7 @@
 export * from './forwardMetrics';
 export * from './routeTable';
 export * from './endpointDirectory';
+export * from './endpointState';
 export * from './retryBudget';
 export * from './patience';
 export * from './forward';
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -5,6 +5,7 @@
 import { logFailure } from './attempt';
 import type { SentAttempt } from './attempt';
 import { sendWithRetries } from './attempts';
+import { noteResumption, noteStreamEnd, reportEnd } from './endReport';
 import { STREAM_THRESHOLD_MS } from './patience';
 import { awaitStep } from './replacement';
 import type { Progress } from './replacement';
@@ -44,6 +45,7 @@
 ): Promise<StreamEnd> {
   let last = await relaySource(run, { stream, attempt });
   while (last.replacement || shouldResume(run, last)) {
+    reportEnd(run, 'rest requested');
     const eventsBefore = run.events;
     const source = await resume(run, last.replacement);
     if (!source) return last.end;
@@ -78,6 +80,7 @@
     return undefined;
   }
   recordResumption(run, slot);
+  noteResumption(run);
   return { stream: reply.stream, attempt };
 }
 
@@ -139,6 +142,7 @@
     if (step.kind !== 'events') return { step, replacement: undefined };
     run.events += step.count;
     noteEvents(run, attempt.slot.endpoint);
+    run.course.lastEventAt = run.host.clock.elapsed();
     run.lastEventId = step.lastId ?? run.lastEventId;
     await run.caller.write(step.data);
   }
@@ -164,6 +168,7 @@
   attempt: SentAttempt,
   step: EndStep,
 ): Promise<StreamEnd> {
+  noteStreamEnd(run, attempt, step);
   const message =
     step.kind === 'broken' ? step.message : await findEndFault(run, attempt.slot, step);
   if (message === undefined) return step.kind;
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -1,5 +1,7 @@
 import type { Milliseconds, ResponseFraming, Tokens } from '@pomeloroad/core';
 import type { RouteError } from '@pomeloroad/routing';
+import { createAnswerCourse } from './answerCourse';
+import type { AnswerCourse } from './answerCourse';
 import type { ForwardHost } from './forwardTypes';
 import type { StreamOrigin } from './originMemory';
 import { isRetryable } from './patience';
@@ -37,6 +39,8 @@
   origin: StreamOrigin | undefined;
   /** Framing of the latest answer of an endpoint. */
   framing: ResponseFraming | undefined;
+  /** How the answer has come so far. */
+  course: AnswerCourse;
   firstByteAt: Milliseconds | undefined;
   /** Why the latest further attempt was not begun. */
   lack: 'attempt' | 'retry' | RouteError['kind'] | undefined;
@@ -64,6 +68,7 @@
     version: undefined,
     origin: undefined,
     framing: undefined,
+    course: createAnswerCourse(),
     firstByteAt: undefined,
     lack: undefined,
   };
