--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -16,7 +16,12 @@
     2,
   )}${endpoint('t1', 'tacoma', 3)}`;
   const configuration = parseConfiguration(file).unwrap();
-  const endpoints = createEndpoints({ clock, log: createSilentLog() });
+  const failures: string[] = [];
+  const endpoints = createEndpoints({
+    clock,
+    log: createSilentLog(),
+    onFailure: (name, result) => failures.push(`${name} ${result}`),
+  });
   endpoints.configure(configuration.endpoints);
   const admission = createAdmission(
     {
@@ -29,7 +34,7 @@
     },
     100,
   );
-  return { clock, endpoints, admission, random };
+  return { clock, endpoints, admission, random, failures };
 }
 
 function request(changes: Partial<RouteRequest> = {}): RouteRequest {
@@ -265,3 +270,23 @@
   const slot = await admission.acquire(request({ target, patience: 1 }));
   expect(slot.unwrap().endpoint.name).toBe('b1');
 });
+
+test('each failure of an endpoint is told, its silence is not', () => {
+  const { endpoints, failures } = setUp();
+  (['failed', 'ok', 'silent', 'unused', 'unreachable', 'failed'] as const).forEach((result) => {
+    endpoints.take('k1');
+    endpoints.release('k1', result);
+  });
+  expect(failures).toEqual(['k1 failed', 'k1 unreachable', 'k1 failed']);
+});
+
+test('an endpoint fails after two failures, until it answers', () => {
+  const { endpoints } = setUp();
+  const fail = (result: 'failed' | 'ok') => {
+    endpoints.take('k1');
+    endpoints.release('k1', result);
+    return endpoints.isFailing('k1');
+  };
+  expect([fail('failed'), fail('failed'), fail('ok')]).toEqual([false, true, false]);
+  expect(endpoints.isFailing('unknown')).toBe(false);
+});
