Ends: 7007 tells time left and events of each end; lines of resumed and taken-up streams survive load

Cause: an end whose endpoint is lost only afterwards has written its 5006 by then, as an ordinary line that load may have dropped, so 7007 has to tell by itself whether the end was far from the limit.

--- a/packages/forwarding/src/answerCourse.ts
+++ b/packages/forwarding/src/answerCourse.ts
@@ -26,7 +26,7 @@
   resumptions: number;
   /** Number of events before the latest resumption. */
   eventsBefore: number;
-  /** Whether an end of the request was suspicious, so that its lines have to survive load. */
+  /** Whether an end of the request was suspicious. */
   isSuspicious: boolean;
   /** Reports the latest end of a stream; `undefined` once that is done. */
   reportEnd: ((outcome: EndOutcome) => void) | undefined;
--- a/packages/forwarding/src/endReport.ts
+++ b/packages/forwarding/src/endReport.ts
@@ -1,6 +1,6 @@
 import { match } from 'ts-pattern';
 import { Diagnostics } from '@pomeloroad/core';
-import type { LogFields, Milliseconds } from '@pomeloroad/core';
+import type { Importance, LogFields, Milliseconds } from '@pomeloroad/core';
 import type { EndOutcome } from './answerCourse';
 import type { AnswerEnd } from './answerEnd';
 import type { SentAttempt } from './attempt';
@@ -58,7 +58,13 @@
   if (isProven(end)) return () => undefined;
   const { host, request } = run;
   const { slot, endpoint } = attempt;
-  if (endpoint) host.recentEnds.add({ ...endpoint, name: slot.endpoint.name }, request.id);
+  const timeLeft = request.deadline - end.at;
+  if (endpoint) {
+    const { id, born, version } = endpoint;
+    const identity = { name: slot.endpoint.name, id, born, version };
+    const { events } = run;
+    host.recentEnds.add(identity, { request: request.id, at: end.at, timeLeft, events });
+  }
   const state = host.getEndpointState(slot.endpoint.name);
   const reason = findReason(run, state, end);
   if (!reason) return () => undefined;
@@ -72,7 +78,7 @@
     end: kind,
     framing: end.framing,
     events: run.events,
-    timeLeft: Math.round(request.deadline - end.at),
+    timeLeft: Math.round(timeLeft),
     ...describeSource(run, attempt, end.at),
   };
   return (outcome) => {
@@ -86,13 +92,13 @@
 }
 
 function findReason<Payload>(
-  { course, request, events }: Run<Payload>,
+  run: Run<Payload>,
   state: EndpointState,
   { at }: AnswerEnd,
 ): EndReason | undefined {
+  const { course, request, events } = run;
   if (course.resumptions > 0 && events === course.eventsBefore) return 'nothing since resumption';
-  const isTakeUp = request.resumes !== undefined || request.resumeAfter !== undefined;
-  if (isTakeUp && events === 0) return 'nothing since take-up';
+  if (isTakeUp(run) && events === 0) return 'nothing since take-up';
   if (request.deadline - at < NEAR_LIMIT_MS) return 'near limit';
   return match(state)
     .with('sound', () => undefined)
@@ -102,6 +108,20 @@
     .exhaustive();
 }
 
+/**
+ * Returns the importance of the line of a request's end: it has to survive load if an endpoint has
+ * answered and the answer may lack events.
+ */
+export function getEndImportance<Payload>(run: Run<Payload>): Importance {
+  const { source, isSuspicious, resumptions } = run.course;
+  const isRest = source !== undefined && isTakeUp(run);
+  return isSuspicious || resumptions > 0 || isRest ? 'important' : 'ordinary';
+}
+
+function isTakeUp<Payload>({ request }: Run<Payload>): boolean {
+  return request.resumes !== undefined || request.resumeAfter !== undefined;
+}
+
 /** Returns the log fields of the course of a request's answer; none if a length proves its end. */
 export function describeCourse<Payload>(run: Run<Payload>): LogFields {
   const { host, request, framing, course } = run;
@@ -112,17 +132,19 @@
 
 // What the endpoint was told and when, and how long before `at` the last event came, or else bytes.
 function describeSource<Payload>(
-  { course, events }: Run<Payload>,
+  { course, events, origin }: Run<Payload>,
   { told, getActivityTime }: Pick<SentAttempt, 'told' | 'getActivityTime'>,
   at: Milliseconds,
 ): LogFields {
   const lastAt = course.lastEventAt ?? getActivityTime();
+  const isResumed = course.resumptions > 0;
   return {
     told: Math.floor(told.limit),
     toldAgo: Math.round(at - told.at),
     // An event that waits for a slow caller is read only after the end has arrived.
     lastEventAgo: Math.max(0, Math.round(at - lastAt)),
     resumptions: course.resumptions,
-    eventsSinceResumption: course.resumptions > 0 ? events - course.eventsBefore : undefined,
+    eventsSinceResumption: isResumed ? events - course.eventsBefore : undefined,
+    fromVersion: isResumed ? origin?.version : undefined,
   };
 }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -7,7 +7,7 @@
 import type { EndpointReply } from './attempts';
 import type { EndOutcome } from './answerCourse';
 import type { ForwardHost } from './forwardTypes';
-import { describeCourse, reportEnd } from './endReport';
+import { describeCourse, getEndImportance, reportEnd } from './endReport';
 import { relayStream } from './relay';
 import { createRun, getSpentTokens, getTimeLeft } from './run';
 import type { Run } from './run';
@@ -160,7 +160,6 @@
     .with('cut', () => Diagnostics.requestFailed)
     .exhaustive();
   reportEnd(run, toEndOutcome(outcome));
-  const importance = run.course.isSuspicious ? 'important' : undefined;
   const details = {
     request: request.id,
     route: request.route.name,
@@ -183,7 +182,7 @@
     ...describeCourse(run),
     ...fields,
   };
-  host.log(diagnostic, details, importance);
+  host.log(diagnostic, details, getEndImportance(run));
 }
 
 function toEndOutcome(outcome: RunOutcome): EndOutcome {
--- a/packages/forwarding/src/recentEnds.ts
+++ b/packages/forwarding/src/recentEnds.ts
@@ -27,19 +27,28 @@
   name: string;
 }
 
+/** An end in order of an answer. */
+export interface RecentEnd {
+  /** Id of the request. */
+  request: string;
+  /** Time of `clock.elapsed()` when the end arrived. */
+  at: Milliseconds;
+  timeLeft: Milliseconds;
+  /** Number of events of the whole stream; 0 of another answer. */
+  events: number;
+}
+
 /** The ends in order that endpoints stated within the last second. */
 export interface RecentEnds {
-  add(endpoint: EndpointIdentity, request: string): void;
+  add(endpoint: EndpointIdentity, end: RecentEnd): void;
   /** Logs which answers the endpoint of this name has just ended, each of them once. */
   noteFate(name: string, fate: EndpointFate): void;
   /** Returns the log with the same lines, each of which is read for what it tells of an endpoint. */
   watch(log: Log): Log;
 }
 
-interface RecentEnd {
+interface KnownEnd extends RecentEnd {
   endpoint: EndpointIdentity;
-  request: string;
-  at: Milliseconds;
 }
 
 /** Which incarnations a fate is of. */
@@ -47,12 +56,11 @@
 
 /** Creates a memory of no ends. */
 export function createRecentEnds({ clock, log, metrics }: RecentEndsHost): RecentEnds {
-  let ends: RecentEnd[] = [];
+  let ends: KnownEnd[] = [];
 
   function forgetOld(): void {
     const since = clock.elapsed() - RECENT_END_MS;
-    const first = ends.findIndex(({ at }) => at >= since);
-    if (first !== 0) ends = first < 0 ? [] : ends.slice(first);
+    ends = ends.filter(({ at }) => at >= since);
   }
 
   function report(fate: EndpointFate, isConcerned: Concern): void {
@@ -70,14 +78,15 @@
     });
   }
 
-  function describe({ request, at }: RecentEnd): string {
-    return `${request} ${Math.round(clock.elapsed() - at)}`;
+  function describe({ request, at, timeLeft, events }: RecentEnd): string {
+    const ago = Math.round(clock.elapsed() - at);
+    return `${request} ${ago} ago ${Math.round(timeLeft)} left ${events} events`;
   }
 
   return {
-    add(endpoint, request) {
+    add(endpoint, end) {
       if (ends.length >= ENDS_MAX) ends.shift();
-      ends.push({ endpoint, request, at: clock.elapsed() });
+      ends.push({ ...end, endpoint });
     },
     noteFate: (name, fate) => report(fate, (endpoint) => endpoint.name === name),
     watch: (watched) => (event, fields, importance) => {
--- a/packages/forwarding/test/endReport.test.ts
+++ b/packages/forwarding/test/endReport.test.ts
@@ -185,7 +185,7 @@
     lastEventAgo: 100,
     resumptions: 0,
     timeLeft: 2000,
-    importance: undefined,
+    importance: 'ordinary',
   });
   expect(answered).toHaveProperty('eventsSinceResumption', undefined);
   expect(suspicious).toEqual([]);
@@ -204,6 +204,8 @@
     lastEventAgo: 10,
     resumptions: 1,
     eventsSinceResumption: 1,
+    fromVersion: 'v1',
+    importance: 'important',
   });
   expect(suspicious).toEqual([]);
 });
@@ -255,6 +257,7 @@
       events: 1,
       resumptions: 0,
       eventsSinceResumption: undefined,
+      fromVersion: undefined,
       timeLeft: 100,
       told: 2500,
       toldAgo: 2400,
@@ -281,6 +284,7 @@
       events: 2,
       resumptions: 1,
       eventsSinceResumption: 0,
+      fromVersion: 'v1',
       timeLeft: 1980,
       told: 2100,
       toldAgo: 120,
@@ -289,6 +293,18 @@
   ]);
 });
 
+test('the line of a stream that the caller takes up survives load', async () => {
+  const { answered, suspicious } = await run([{ events: [20] }], { resumes: 'q' });
+  expect(answered).toMatchObject({ resumes: 'q', importance: 'important' });
+  expect(suspicious).toEqual([]);
+});
+
+test('the refusal of a take-up to which nobody answered is an ordinary line', async () => {
+  const { lines } = await run([], { resumes: 'q' });
+  const [refused] = lines.filter(({ code }) => code === 5002);
+  expect(refused).toMatchObject({ kind: 'no-endpoint', importance: 'ordinary' });
+});
+
 test('an end without an event of a stream that the caller takes up is suspicious', async () => {
   const { suspicious } = await run([{ pause: 20 }], { resumes: 'q', resumeAfter: '3' });
   expect(suspicious).toMatchObject([{ reason: 'nothing since take-up', events: 0 }]);
@@ -335,7 +351,7 @@
 });
 
 test.each<[Milliseconds, string[]]>([
-  [400, ['r 400']],
+  [400, ['r 400 ago 2300 left 1 events']],
   [1100, []],
 ])('a stream whose endpoint fails %i ms after its end is named: %j', async (failsAfter, named) => {
   const { lines } = await run([{ events: [100], failsAfter }]);
--- a/packages/forwarding/test/recentEnds.test.ts
+++ b/packages/forwarding/test/recentEnds.test.ts
@@ -14,8 +14,8 @@
     log: (event, fields) => lines.push({ code: event.code, ...fields }),
     metrics: createForwardMetrics(metrics),
   });
-  const add = (request: string, id = 'e', born = 1) =>
-    ends.add({ name: `${id}/${born}`, id, born }, request);
+  const add = (request: string, id = 'e', born = 1, at = clock.elapsed()) =>
+    ends.add({ name: `${id}/${born}`, id, born }, { request, at, timeLeft: 1800.4, events: 3 });
   return { clock, lines, metrics, ends, add, watched: ends.watch(() => {}) };
 }
 
@@ -35,7 +35,7 @@
       endpoint: 'e',
       fate: 'failed',
       ends: 2,
-      requests: 'b 200, a 500',
+      requests: 'b 200 ago 1800 left 3 events, a 500 ago 1800 left 3 events',
     },
   ]);
   expect(metrics.render()).toContain('pomeloroad_ends_before_loss_total{fate="failed"} 2');
@@ -47,7 +47,7 @@
   add('a');
   ends.noteFate('e/1', 'unreachable');
   ends.noteFate('e/1', 'failed');
-  expect(lines).toMatchObject([{ fate: 'unreachable', requests: 'a 0' }]);
+  expect(lines).toMatchObject([{ fate: 'unreachable', requests: 'a 0 ago 1800 left 3 events' }]);
 });
 
 test('an end of more than a second ago is forgotten', async () => {
@@ -64,7 +64,22 @@
   ends.noteFate('e/1', 'failed');
   expect(lines[0]?.ends).toBe(30);
   const named = String(lines[0]?.requests).split(', ');
-  expect([named.length, named[0], named[19]]).toEqual([20, 'r29 0', 'r10 0']);
+  expect([named.length, named[0], named[19]]).toMatchObject([
+    20,
+    expect.stringMatching(/^r29 0 ago/),
+    expect.stringMatching(/^r10 0 ago/),
+  ]);
+});
+
+test('an end that was read late counts from its arrival', async () => {
+  const { clock, lines, ends, add } = createStand();
+  await clock.advance(1500);
+  add('new');
+  add('late', 'e', 1, 400);
+  add('late, but recent', 'e', 1, 1000);
+  ends.noteFate('e/1', 'failed');
+  expect(lines).toMatchObject([{ ends: 2 }]);
+  expect(String(lines[0]?.requests)).toMatch(/^late, but recent 500 ago.*, new 0 ago/);
 });
 
 test('a bounded number of ends is kept', () => {
