Give endpoints a time limit that ends after the request's deadline

Cause: an endpoint was told the time left, so that an endpoint that stops in order somewhat before it, a step of its batch for instance, was taken for one that had finished. The 2 ms of answerEnd.ts were a guess about that. Ruled out: cutting tens of milliseconds before the deadline, which would cut whole answers, and a wider tolerance, which would too. Now the endpoint's limit ends 250 ms after the deadline, at which the instance cuts the answer and closes the connection, so that an endpoint's stop at its limit always comes after the cut.

--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -11,6 +11,12 @@
 import type { EndpointRecord, Reply, SendError } from './types';
 
 const SERVER_ERROR_STATUS = 500;
+/**
+ * Time after the request's deadline until which an endpoint may work. An endpoint that keeps to a time
+ * limit may end its answer in order somewhat before it, so its limit comes after the deadline, at
+ * which the instance cuts the answer and closes the connection. Platforms allow half a second.
+ */
+const ENDPOINT_LIMIT_MARGIN_MS: Milliseconds = 250;
 
 /** What an attempt ended with, or the head of its stream. */
 export type AttemptReply = Outcome<Reply, SendError>;
@@ -38,7 +44,7 @@
     onConnected = resolve;
   });
   let activeAt = host.clock.elapsed();
-  const told = { limit: getTimeLeft(run), at: activeAt };
+  const told = { limit: getTimeLeft(run) + ENDPOINT_LIMIT_MARGIN_MS, at: activeAt };
 
   async function send(endpoint: EndpointRecord): Promise<AttemptReply> {
     run.pending += 1;
@@ -46,7 +52,7 @@
       request,
       endpoint,
       resumeAfter: run.lastEventId,
-      timeLeft: told.limit,
+      timeLimit: told.limit,
       onConnected,
       onActivity() {
         slot.recordActivity();
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -165,8 +165,8 @@
   endpoint: EndpointRecord;
   /** Id of the last event that the caller already received. */
   resumeAfter: string | undefined;
-  /** Time until the request's deadline. */
-  timeLeft: Milliseconds;
+  /** Time after which the endpoint is to stop work; it ends after the request's deadline. */
+  timeLimit: Milliseconds;
   /** Called when the connection is open, so that the endpoint may start to work. */
   onConnected(): void;
   /** Called whenever bytes of the answer arrive. */
