Do not take a resumption without any event for the end of its stream

Cause: a stream broke off, another endpoint was asked for the rest and stated the end at once, and that was passed on as the end of the whole; so was such an answer to a caller that takes a stream up. Whether anything is left is what nobody knows then. An end without an event of the rest is now doubtful: another endpoint is asked, within the attempts, the retries and the time of the request. If it states the same, the stream is complete; if it has events, it goes on; else the answer is cut. A caller that takes a stream up where nobody else can be asked gets the answer as it came, since it is the only one. An end that was judged and not believed is doubtful too, so that a second endpoint may confirm it.

--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -26,6 +26,8 @@
   slot: Slot;
   /** Entry of its endpoint; `undefined` if that had left, so that nothing was sent. */
   endpoint: EndpointRecord | undefined;
+  /** Id of the event after which the endpoint is asked to go on; `undefined` for the whole answer. */
+  resumeAfter: string | undefined;
   reply: Promise<AttemptReply>;
   /** Resolves once the endpoint may have started to work. */
   connected: Promise<void>;
@@ -43,6 +45,7 @@
   const connected = new Promise<void>((resolve) => {
     onConnected = resolve;
   });
+  const resumeAfter = run.lastEventId;
   let activeAt = host.clock.elapsed();
   const told = { limit: getTimeLeft(run) + ENDPOINT_LIMIT_MARGIN_MS, at: activeAt };
 
@@ -51,7 +54,7 @@
     const sent = await host.protocol.send({
       request,
       endpoint,
-      resumeAfter: run.lastEventId,
+      resumeAfter,
       timeLimit: told.limit,
       onConnected,
       onActivity() {
@@ -73,6 +76,7 @@
   const attempt: SentAttempt = {
     slot,
     endpoint,
+    resumeAfter,
     told,
     reply: endpoint
       ? send(endpoint)
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -16,9 +16,9 @@
 
 /**
  * How a stream ended: stated as complete by its endpoint, closed in order without such a statement,
- * or broken off.
+ * ended in either way though something speaks against it, or broken off.
  */
-export type StreamEnd = 'complete' | 'closed' | 'broken';
+export type StreamEnd = 'complete' | 'closed' | 'doubtful' | 'broken';
 
 /** A stream of an endpoint and the attempt that brought it. */
 interface Source {
@@ -29,7 +29,11 @@
 /** The end of a stream and the endpoint that it came from. */
 interface SourceEnd {
   end: StreamEnd;
+  /** The end as its endpoint told it. */
+  toldEnd: StreamEnd;
   endpoint: string;
+  /** Whether the endpoint was asked for the rest of a stream and sent no event. */
+  isEmpty: boolean;
   /** The attempt that has taken the place of this one. */
   replacement: SentAttempt | undefined;
 }
@@ -46,22 +50,32 @@
   let last = await relaySource(run, { stream, attempt });
   while (last.replacement || shouldResume(run, last)) {
     reportEnd(run, 'rest requested');
-    const eventsBefore = run.events;
     const source = await resume(run, last.replacement);
-    if (!source) return last.end;
-    const next = await relaySource(run, source);
-    // A resumption that breaks off before its first event tells nothing about the stream.
-    const tellsNothing = run.events === eventsBefore && next.end === 'broken';
-    last = tellsNothing ? { ...last, replacement: next.replacement } : next;
+    if (!source) break;
+    last = combineEnds(last, await relaySource(run, source));
   }
-  return last.end;
+  return last.isEmpty && isOnlyAnswer(run) ? last.toldEnd : last.end;
+}
+
+// One endpoint that sends nothing of the rest does not show that nothing is left of the stream; two do.
+function combineEnds(last: SourceEnd, next: SourceEnd): SourceEnd {
+  if (!next.isEmpty) return next;
+  // A resumption that breaks off before its first event tells nothing about the stream.
+  if (next.end === 'broken') return { ...last, replacement: next.replacement };
+  return last.end === 'broken' ? next : { ...next, end: next.toldEnd };
+}
+
+// Whether a caller takes a stream up of which nobody else may say whether anything is left.
+function isOnlyAnswer<Payload>({ request, events, lack }: Run<Payload>): boolean {
+  const isTakeUp = request.resumeAfter !== undefined && events === 0;
+  return isTakeUp && (request.route.attempts === 1 || lack === 'none');
 }
 
 function shouldResume<Payload>(run: Run<Payload>, { end, endpoint }: SourceEnd): boolean {
   const mayLackEvents = match(end)
     .with('complete', () => false)
     .with('closed', () => run.host.endStatements.has(endpoint))
-    .with('broken', () => true)
+    .with('doubtful', 'broken', () => true)
     .exhaustive();
   const hasTime = !run.stop.signal.aborted && getTimeLeft(run) > 0;
   return mayLackEvents && hasTime && takeAttempt(run);
@@ -102,16 +116,19 @@
   const { stream, attempt } = source;
   const { slot } = attempt;
   const endpoint = slot.endpoint.name;
+  const eventsBefore = run.events;
   const { step, replacement } = await relayEvents(run, source);
   // Two attempts of one request must not run at the same time.
   await stream.close();
-  const end = step ? await judgeEnd(run, attempt, step) : 'broken';
+  const isEmpty = attempt.resumeAfter !== undefined && run.events === eventsBefore;
+  const toldEnd = step ? await judgeEnd(run, attempt, step) : 'broken';
+  const end = isEmpty && toldEnd !== 'broken' ? 'doubtful' : toldEnd;
   slot.release(getSlotResult(run, step));
   const framing = run.framing ?? '';
   run.host.metrics.streamEnds.add(1, { end: step ? end : 'replaced', framing });
   if (end === 'complete') run.host.endStatements.add(endpoint);
   else run.excluded.add(endpoint);
-  return { end, endpoint, replacement };
+  return { end, toldEnd, endpoint, isEmpty, replacement };
 }
 
 // An end in order is no failure of the endpoint, even if the answer is not complete.
@@ -169,9 +186,12 @@
   step: EndStep,
 ): Promise<StreamEnd> {
   noteStreamEnd(run, attempt, step);
-  const message =
-    step.kind === 'broken' ? step.message : await findEndFault(run, attempt.slot, step);
-  if (message === undefined) return step.kind;
-  logFailure(run, attempt, { kind: 'broken', message });
-  return 'broken';
+  if (step.kind === 'broken') {
+    logFailure(run, attempt, step);
+    return 'broken';
+  }
+  const fault = await findEndFault(run, attempt.slot, step);
+  if (fault === undefined) return step.kind;
+  logFailure(run, attempt, { kind: 'broken', message: fault });
+  return 'doubtful';
 }
