Hold a resumable stream's stated end until its endpoint has not exited

One rival of the time limit: an endpoint whose answers end in order because it goes down, and which exits at once. It states the end, so nothing of the answer shows it; the connection, which was to be kept, shows it. The stated end of a stream that may be resumed is held for 20 ms, without its slot. If the connection closes meanwhile, the endpoint is asked whether it accepts connections, as after an answer without framing; if it does not, the end is doubtful and the rest is asked for elsewhere. Price: such streams end 20 ms later; their events do not.

--- a/packages/forwarding/src/answerEnd.ts
+++ b/packages/forwarding/src/answerEnd.ts
@@ -9,6 +9,8 @@
  * and so are most timers, so its stop may come this much before the deadline.
  */
 const STOP_TOLERANCE_MS: Milliseconds = 2;
+/** Time for which the stated end of a stream is held, so that an exit of its endpoint shows. */
+const END_HOLD_MS: Milliseconds = 20;
 /** Maximum time between the closes of a dying process's connections and of its listening socket. */
 const PROCESS_END_MS: Milliseconds = 50;
 
@@ -17,6 +19,8 @@
   framing: ResponseFraming;
   /** Time of `clock.elapsed()` when the end arrived. */
   at: Milliseconds;
+  /** Whether the connection has closed by now, although it was to be kept after the answer. */
+  hasClosed(): boolean;
 }
 
 /**
@@ -26,17 +30,35 @@
 export async function findEndFault<Payload>(
   run: Run<Payload>,
   slot: Slot,
-  { framing, at }: AnswerEnd,
+  end: AnswerEnd,
 ): Promise<string | undefined> {
+  const { framing, at } = end;
   // A length proves by itself that the answer is complete.
   if (framing === 'length' || framing === 'no body') return undefined;
   if (run.request.deadline - at <= STOP_TOLERANCE_MS) return 'ended at its time limit';
-  if (framing === 'chunked') return undefined;
+  if (framing === 'chunked' && !(await closesConnection(run, slot, end))) return undefined;
   slot.release('ok');
   const isDead = await isEndpointDead(run, slot);
   return isDead ? 'closed by an endpoint that accepts no connections any more' : undefined;
 }
 
+/**
+ * Returns whether the connection of a stream that may be resumed closes just after the stated end, as
+ * that of a process does which ends its answers in order and exits. A whole answer is not held up, and
+ * the connection of a stream that may not be resumed closes in any case.
+ */
+async function closesConnection<Payload>(
+  run: Run<Payload>,
+  slot: Slot,
+  end: AnswerEnd,
+): Promise<boolean> {
+  const { kind, isResumable } = run.request.route;
+  if (kind !== 'streaming' || !isResumable) return false;
+  slot.release('ok');
+  await sleep(run.host.clock, Math.max(0, Math.min(END_HOLD_MS, getTimeLeft(run))));
+  return end.hasClosed();
+}
+
 /**
  * Returns whether the endpoint has died, that is, stopped without having announced it; false also if
  * that is not known. The kernel closes the connections of a killed process just as an endpoint does
--- a/packages/forwarding/test/answerEnd.test.ts
+++ b/packages/forwarding/test/answerEnd.test.ts
@@ -11,11 +11,14 @@
   reachability?: Reachability;
   isLeaving?: boolean;
   isListed?: boolean;
+  /** Whether the connection closes just after the end. */
+  hasClosed?: boolean;
 }
 
 // Judges an end that arrived `timeLeft` ms before the deadline; returns the fault and the steps.
 async function judge(framing: ResponseFraming, timeLeft: number, endpoint: Endpoint = {}) {
   const { reachability = 'accepting', isLeaving = false, isListed = true } = endpoint;
+  const { hasClosed = false } = endpoint;
   const clock = createManualClock();
   const at = DEADLINE_MS - timeLeft;
   await clock.advance(at);
@@ -26,7 +29,7 @@
     release: (result: string) => steps.push(result),
   } as unknown as Slot;
   const run = {
-    request: { deadline: DEADLINE_MS },
+    request: { deadline: DEADLINE_MS, route: { kind: 'streaming', isResumable: true } },
     stop: new AbortController(),
     host: {
       clock,
@@ -40,9 +43,11 @@
     },
   } as unknown as Run<unknown>;
   let fault: string | undefined = 'not judged';
-  const judged = findEndFault(run, slot, { framing, at }).then((found) => {
-    fault = found;
-  });
+  const judged = findEndFault(run, slot, { framing, at, hasClosed: () => hasClosed }).then(
+    (found) => {
+      fault = found;
+    },
+  );
   await clock.advance(DEADLINE_MS);
   await judged;
   return { fault, steps };
@@ -72,6 +77,16 @@
   expect(fault !== undefined).toBe(isBroken);
 });
 
+test.each<[Endpoint, boolean]>([
+  [{ hasClosed: true, reachability: 'refused' }, true],
+  [{ hasClosed: true, reachability: 'refused', isLeaving: true }, false],
+  [{ hasClosed: true, reachability: 'accepting' }, false],
+  [{ hasClosed: false, reachability: 'refused' }, false],
+])('a stated end by an endpoint breaks its answer: %j %s', async (endpoint, isBroken) => {
+  const { fault } = await judge('chunked', 500, endpoint);
+  expect(fault !== undefined).toBe(isBroken);
+});
+
 test('an endpoint is asked only after its slot is released', async () => {
   expect((await judge('close', 500)).steps).toEqual(['ok', 'probe']);
 });
