An endpoint that declined a replacement once may be asked again for that request

What callers saw: a request whose connection is dead, and whose only other endpoint was full when the replacement was sent, waited until its time was over (504), though that endpoint had room 300 ms later. Cause: leaveEndpoint excludes each endpoint that did not bring the answer, also one that stated that it did not run the request. A full queue is a matter of a moment. Ruled out: that the search for a replacement had ended. It went on, each 300 ms, without that endpoint. The fix: a replacement that is declined is noted apart from those that failed. The next search prefers other endpoints and comes back to it only if they have no room. The number of declines of a request (3) and the budget of retries bound it as before.

--- a/packages/forwarding/src/replacement.ts
+++ b/packages/forwarding/src/replacement.ts
@@ -2,11 +2,11 @@
 import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { Slot } from '@pomeloroad/routing';
-import { describeAttempt, isServerError, leaveEndpoint, sendAttempt } from './attempt';
+import { describeAttempt, isServerError, sendAttempt } from './attempt';
 import type { AttemptReply, SentAttempt } from './attempt';
+import { findReplacementSlot, noteLoss } from './replacementSlot';
 import { getTimeLeft, hasAttemptsLeft, mayBeDeclined, takeRetry } from './run';
 import type { Run } from './run';
-import { acquireSlot } from './slots';
 
 /** Enough for one turn of the event loop, which reads the connections that have data. */
 const READ_TURN_MS: Milliseconds = 1;
@@ -104,12 +104,13 @@
   const { attempt, settled, silentSince, threshold } = silent;
   const { clock } = run.host;
   const report = createSilenceReport(run, attempt, silentSince());
+  const declined = new Set<string>();
   while (!settled.aborted) {
     const delay = silentSince() + threshold - clock.elapsed();
     if (delay > 0) await sleep(clock, delay, settled);
     else {
-      const slot = await findPlace(run, attempt, settled);
-      const replacement = slot && (await tryReplacement(run, silent, slot, report));
+      const slot = await findPlace(run, attempt, declined, settled);
+      const replacement = slot && (await tryReplacement(run, silent, slot, declined, report));
       if (replacement) return replacement;
       if (run.lack === 'attempt') break;
       await sleep(clock, NEXT_LOOK_MS, settled);
@@ -123,12 +124,13 @@
 async function findPlace<Payload>(
   run: Run<Payload>,
   { slot: { endpoint } }: SentAttempt,
+  declined: ReadonlySet<string>,
   settled: AbortSignal,
 ): Promise<Slot | undefined> {
   run.lack = hasAttemptsLeft(run) && mayBeDeclined(run) ? undefined : 'attempt';
   if (run.lack) return undefined;
   const excluded = new Set([...run.excluded, endpoint.name]);
-  const slot = await acquireSlot(run, excluded, settled);
+  const slot = await findReplacementSlot(run, excluded, declined, settled);
   if (slot.err) return undefined;
   if (!settled.aborted && takeRetry(run)) return slot.val;
   slot.val.release('unused');
@@ -140,6 +142,7 @@
   run: Run<Payload>,
   silent: SilentAttempt,
   slot: Slot,
+  declined: Set<string>,
   report: (outcome: Turn) => void,
 ): Promise<SentAttempt | undefined> {
   const replacement = sendAttempt(run, slot);
@@ -148,7 +151,7 @@
   return match(turn)
     .with('begun', 'failed', 'first is dead', async () => replacement)
     .with('lost', async () => {
-      leaveEndpoint(run, replacement, await replacement.reply);
+      noteLoss(run, replacement, await replacement.reply, declined);
       return undefined;
     })
     .with('went on', 'first is sound', async () => {
