A connection that opens late does not exclude a request's only endpoint

What callers saw: 503 no-endpoint after 350 ms, with 3.6 s left, while the only endpoint of the service was slow to accept connections (its queue of new ones was full for a second). Cause: a connection that is not open after 350 ms counts as unreachable, and leaveEndpoint excludes its endpoint for the rest of the request. With one endpoint nothing is left. Ruled out: the retry budget and the attempts of the route; neither is asked, since nothing was sent. The fix: such a failure says that it was late and not refused. Once nobody else serves the request, the late endpoints are tried again over new connections, which need not wait for the retransmission of a lost packet, for at most 1.5 s and half of the remaining time. Then the request is refused as before (503, nothing was sent). An endpoint that refuses connections is still not asked again. Weighed: a longer limit for the connection alone. It holds every request longer where others could serve it, and the packet that was lost is sent again only after a second. Open: a request that arrives while another one tries the unreachable endpoint is still refused at once.

--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -4,11 +4,12 @@
 import type { RouteError } from '@pomeloroad/routing';
 import { isServerError, leaveEndpoint, sendAttempt } from './attempt';
 import type { AttemptReply, SentAttempt } from './attempt';
+import { createLateEndpoints } from './lateEndpoints';
+import type { LateEndpoints } from './lateEndpoints';
 import { getFirstByteThreshold } from './patience';
 import { awaitStep } from './replacement';
 import { getTimeLeft, mayBeDeclined, takeAttempt, takeRetry } from './run';
 import type { Run } from './run';
-import { acquireSlot } from './slots';
 import type { RefusalKind, Reply, SendError } from './types';
 
 /** Remaining time below which no attempt is started, because it could not be answered. */
@@ -28,9 +29,10 @@
   run: Run<Payload>,
   pending?: SentAttempt,
 ): Promise<Outcome<EndpointReply, RefusalKind>> {
+  const late = createLateEndpoints(run);
   let next = pending;
   for (;;) {
-    const started = next ? Ok(next) : await startAttempt(run);
+    const started = next ? Ok(next) : await startAttempt(run, late);
     if (started.err) return started;
     const { attempt, reply } = await finishAttempt(run, started.val);
     if (reply.ok && !shouldRetryReply(run, reply.val)) {
@@ -38,6 +40,7 @@
       return Ok({ reply: reply.val, attempt });
     }
     leaveEndpoint(run, attempt, reply);
+    late.note(attempt, reply);
     if (reply.err && !shouldRetryError(run, reply.val))
       return Err(toFinalRefusalKind(run, reply.val));
     next = undefined;
@@ -46,9 +49,10 @@
 
 async function startAttempt<Payload>(
   run: Run<Payload>,
+  late: LateEndpoints,
 ): Promise<Outcome<SentAttempt, RefusalKind>> {
   if (run.stop.signal.aborted || getTimeLeft(run) < ATTEMPT_TIME_MIN_MS) return Err('timed-out');
-  const slot = await acquireSlot(run, run.excluded, run.stop.signal);
+  const slot = await late.acquireSlot();
   if (slot.err) return Err(run.runs > 0 ? 'failed' : toRefusalKind(slot.val));
   return Ok(sendAttempt(run, slot.val));
 }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -150,8 +150,8 @@
 
 /** Why an attempt got no answer. */
 export type SendError =
-  /** No connection could be made, so nothing was sent. */
-  | { kind: 'unreachable'; message: string }
+  /** No connection could be made, so nothing was sent; `isLate` if it was not refused but took too long. */
+  | { kind: 'unreachable'; message: string; isLate?: boolean }
   /** Another endpoint now uses the address; the request was not run. */
   | { kind: 'replaced'; message: string }
   /** The endpoint reported that it did not run the request. */
