A silent stream is judged by what its endpoint reports of its runs

What callers saw: event 1, then a cut. Three ways: a stream whose endpoint was frozen, since its slow replacement was dropped; a stream that its endpoint had put behind others, since these others were taken as a sign of a dead connection; a stream that only made a pause, since one probe was lost. Cause, one for all: of two attempts that are both silent one has to be chosen within 400 ms, and the choice had no knowledge of the run, only of the endpoint. Ruled out, as each case was kept at the cost of the next: other limits of time; a second look; taking the activity of others for nothing (a dead connection beside others is then kept, silence.test.ts). Weighed: asking before a replacement is sent (a report for each silence, not for each choice). The fix: the first endpoint is asked for its report of runs, in place of a guess. Listed: the first is kept. Missing from a complete report, at least a second after the run was last heard: it is dropped; so it is if the endpoint has made events that did not arrive. A request that waits there unnamed makes a report incomplete. An endpoint that does not answer is compared with that of the replacement. Where nobody tells anything the choice is as before. The stand-ins of the tests and of the soak answer the report. Open: what reports of the platform's servers say of a preempted run is taken from the protocol, not seen.

--- a/packages/forwarding/src/replacement.ts
+++ b/packages/forwarding/src/replacement.ts
@@ -4,6 +4,8 @@
 import type { Slot } from '@pomeloroad/routing';
 import { describeAttempt, isServerError, sendAttempt } from './attempt';
 import type { AttemptReply, SentAttempt } from './attempt';
+import { choose } from './choice';
+import type { Choice } from './choice';
 import { findReplacementSlot, noteLoss } from './replacementSlot';
 import { getTimeLeft, hasAttemptsLeft, mayBeDeclined, takeRetry } from './run';
 import type { Run } from './run';
@@ -12,15 +14,6 @@
 const READ_TURN_MS: Milliseconds = 1;
 /** Time after which a replacement is looked for again. */
 const NEXT_LOOK_MS: Milliseconds = 300;
-/**
- * Time after which one of the two endpoints that work on a stream is chosen. Together with the last chance
- * it is shorter than the 400 ms after which such work counts as done twice.
- */
-const STREAM_OVERLAP_MS: Milliseconds = 240;
-const LAST_CHANCE_MS: Milliseconds = 80;
-/** A probe that took longer was not read in time. */
-const PROBE_TIME_MAX_MS: Milliseconds = 370;
-
 /** An attempt whose next step is awaited: its reply, or the next events or the end of its stream. */
 export interface AwaitedStep<Step> {
   attempt: SentAttempt;
@@ -43,7 +36,7 @@
 /** What the attempt did meanwhile. */
 type Course = 'went on' | 'failed';
 /** What decides between an attempt and its replacement. */
-type Turn = Course | 'begun' | 'lost' | 'first is sound' | 'first is dead';
+type Turn = Course | Choice | 'begun' | 'lost';
 
 /** A silent attempt and what it does meanwhile. */
 interface SilentAttempt {
@@ -149,7 +142,7 @@
   const turn = await race(run, silent, replacement);
   report(turn);
   return match(turn)
-    .with('begun', 'failed', 'first is dead', async () => replacement)
+    .with('begun', 'failed', 'first is dead', 'second is ahead', async () => replacement)
     .with('lost', async () => {
       noteLoss(run, replacement, await replacement.reply, declined);
       return undefined;
@@ -171,7 +164,11 @@
   const begun = replacement.reply.then((reply) => (isUsable(run, reply) ? 'begun' : 'lost'));
   const turns: Promise<Turn>[] = [course, begun];
   if (run.request.route.kind === 'streaming') {
-    turns.push(replacement.connected.then(() => choose(run, attempt, decided.signal)));
+    turns.push(
+      replacement.connected.then(() =>
+        choose(run, { first: attempt, second: replacement }, decided.signal),
+      ),
+    );
   }
   const turn = await Promise.race(turns);
   decided.abort();
@@ -184,27 +181,6 @@
   return run.firstByteAt === undefined || reply.val.kind === 'stream';
 }
 
-// Tells, while neither attempt of a stream goes on, whether the first is on a dead connection.
-async function choose<Payload>(
-  { host: { clock, protocol } }: Run<Payload>,
-  { slot, endpoint, getActivityTime }: SentAttempt,
-  decided: AbortSignal,
-): Promise<Turn> {
-  await sleep(clock, STREAM_OVERLAP_MS, decided);
-  if (decided.aborted || !endpoint) return 'first is sound';
-  const heardAt = slot.getActivityTime();
-  const startedAt = clock.elapsed();
-  const probe = protocol.probe(endpoint);
-  // Leaves time for what the endpoint sends on this connection at the same moment as to others.
-  await sleep(clock, LAST_CHANCE_MS, decided);
-  const reachability = await probe;
-  const isLate = clock.elapsed() - startedAt > PROBE_TIME_MAX_MS;
-  // A process that is slow itself has not read what may have come.
-  if (isLate) return 'first is sound';
-  const isHeardElsewhere = heardAt > getActivityTime();
-  return isHeardElsewhere || reachability !== 'accepting' ? 'first is dead' : 'first is sound';
-}
-
 // Logs and counts what became of a silent answer, and what was missing for a replacement.
 function createSilenceReport<Payload>(
   run: Run<Payload>,
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -178,11 +178,24 @@
 /** Whether an endpoint's address accepts connections; `unknown` if there was no answer in time. */
 export type Reachability = 'accepting' | 'refused' | 'unknown';
 
+/** What an endpoint tells of a run, some hundred milliseconds late. */
+export type RunState =
+  /** It has the run, and has made so many events of it. */
+  | { kind: 'listed'; events: number }
+  /** It has not the run, nor any that it does not name. */
+  | { kind: 'missing' }
+  /** It answered, but does not tell. */
+  | { kind: 'untold' }
+  /** It did not answer in time. */
+  | { kind: 'silent' };
+
 /** Client of the endpoints' protocol. Its functions never throw. */
 export interface EndpointProtocol<Payload> {
   send(attempt: Attempt<Payload>): Promise<Outcome<Reply, SendError>>;
   /** Opens and closes a connection to the endpoint; sends nothing. */
   probe(endpoint: EndpointRecord): Promise<Reachability>;
+  /** Asks the endpoint about the run of the request with the id. Costs as much as a probe. */
+  findRun(endpoint: EndpointRecord, id: string): Promise<RunState>;
 }
 
 /** Why a request was refused without an answer from an endpoint. */
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -2,7 +2,7 @@
 import { createManualClock, sleep } from '@pomeloroad/core';
 import type { LogFields, Outcome } from '@pomeloroad/core';
 import type { RouteError, RouteRequest, Slot } from '@pomeloroad/routing';
-import type { Attempt, Reachability } from '../src';
+import type { Attempt, EndpointRecord, Reachability, RunState } from '../src';
 import type { SentAttempt } from '../src/attempt';
 import { awaitStep } from '../src/replacement';
 import type { Run } from '../src/run';
@@ -14,6 +14,8 @@
   search?: 'busy' | 'slot';
   hasRetries?: boolean;
   attempts?: number;
+  /** Silence after which a replacement is looked for. */
+  threshold?: number;
   /** A stream, whose replacement connects and stays silent. */
   stream?: {
     /** What a probe of the first endpoint says, and after how long. */
@@ -21,12 +23,14 @@
     /** When the first endpoint sends on other connections, and then on this one. */
     heardAt?: number;
     activeAt?: number;
+    /** What each endpoint tells of its run; none tells anything if this is left out. */
+    tells?: Record<string, RunState>;
   };
 }
 
 // Awaits a step that comes after the delay; returns how the wait ended and what it did meanwhile.
 async function wait(delay: number, stand: Stand) {
-  const { search, hasRetries = true, attempts = 2, stream } = stand;
+  const { search, hasRetries = true, attempts = 2, threshold = THRESHOLD_MS, stream } = stand;
   const clock = createManualClock();
   const steps: string[] = [];
   const lines: LogFields[] = [];
@@ -56,10 +60,12 @@
     await sleep(clock, stream?.probe.after ?? 0);
     return stream?.probe.says ?? 'accepting';
   };
+  const findRun = ({ id }: EndpointRecord): Promise<RunState> =>
+    Promise.resolve(stream?.tells?.[id] ?? { kind: 'silent' });
   const isPast = (at = Infinity) => clock.elapsed() >= at;
   const run = {
     host: {
-      protocol: { send, probe },
+      protocol: { send, probe, findRun },
       directory: { find: () => ({ id: 'e2' }) },
       clock,
       admission: { acquire },
@@ -80,6 +86,7 @@
     runs: 0,
     pending: 1,
     declines: 0,
+    events: 1,
   } as unknown as Run<unknown>;
   const attempt = {
     slot: {
@@ -96,7 +103,7 @@
     attempt,
     step,
     hasFailed: () => false,
-    threshold: THRESHOLD_MS,
+    threshold,
     silentSince: () => 0,
   });
   await clock.advance(5000);
@@ -150,6 +157,45 @@
   expect(steps).toEqual(['search without e1/1', 'released unused']);
 });
 
+const LISTED: RunState = { kind: 'listed', events: 1 };
+const SENDS_TO_OTHERS = { probe: ACCEPTS, heardAt: 500 };
+const MISSES_IT: Stand['stream'] = { probe: ACCEPTS, tells: { e1: { kind: 'missing' } } };
+const DOES_NOT_ANSWER = { probe: { says: 'unknown' as const, after: 350 } };
+
+test.each<[string, Stand['stream']]>([
+  ['lists its run, though it sends to others', { ...SENDS_TO_OTHERS, tells: { e1: LISTED } }],
+  ['lists its run, though a probe is lost', { ...DOES_NOT_ANSWER, tells: { e1: LISTED } }],
+  [
+    'answers without a list, though a probe is lost',
+    { ...DOES_NOT_ANSWER, tells: { e1: { kind: 'untold' } } },
+  ],
+  ['reports from before the run began', MISSES_IT],
+  ['answers, as its replacement does', { probe: ACCEPTS, tells: { e1: LISTED, e2: LISTED } }],
+])('a silent stream is kept if its endpoint %s', async (_name, stream) => {
+  const { progress } = await wait(DELAY_MS, { search: 'slot', stream });
+  expect(progress).toEqual({ kind: 'step', step: 'went on' });
+});
+
+test.each<[string, Stand['stream']]>([
+  [
+    'has made events that did not arrive',
+    { probe: ACCEPTS, tells: { e1: { kind: 'listed', events: 2 } } },
+  ],
+  ['tells nothing, and that of the replacement does', { probe: ACCEPTS, tells: { e2: LISTED } }],
+  [
+    'sends to others and does not list runs',
+    { ...SENDS_TO_OTHERS, tells: { e1: { kind: 'untold' } } },
+  ],
+])('a silent stream is left for its replacement if its endpoint %s', async (_name, stream) => {
+  const { progress } = await wait(DELAY_MS, { search: 'slot', stream });
+  expect(progress).toMatchObject({ kind: 'replaced', failure: undefined });
+});
+
+test('a silent stream is left for its replacement if its endpoint has lost its run', async () => {
+  const { progress } = await wait(DELAY_MS, { search: 'slot', threshold: 1000, stream: MISSES_IT });
+  expect(progress).toMatchObject({ kind: 'replaced', failure: undefined });
+});
+
 test.each<[string, Stand['stream']]>([
   ['refuses connections', { probe: { says: 'refused', after: 1 } }],
   ['does not answer', { probe: { says: 'unknown', after: 350 } }],
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { match } from 'ts-pattern';
-import { hashText, readBody, sleep } from '@pomeloroad/core';
+import { hashText, readBody, sleep, writeJson } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { WireHeader } from './platformWire';
 import { decodeWork, renderEvent, renderEvents, signAnswer } from './soakWork';
@@ -17,6 +17,12 @@
 /** Share of the requests with a fault, in 16 parts, that an endpoint answers with it. */
 const FAULTY_SIXTEENTHS = 8;
 
+/** Where an endpoint reports its runs. */
+const REPORT_PATH = '/v1/report';
+
+/** One of the runs of a report: id, tokens in memory, events made, priority. */
+type RunEntry = [string, number, number, number];
+
 /** What an endpoint of the soak records, one line for each step of a request. */
 export type EndpointLine =
   | {
@@ -51,6 +57,7 @@
   const { clock, id, slots, version, record } = host;
   let active = 0;
   let runs = 0;
+  const underWay = new Map<number, RunEntry>();
 
   async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const name = String(request.headers[WireHeader.requestId] ?? '');
@@ -89,6 +96,9 @@
     const account = String(request.headers[WireHeader.account] ?? '');
     runs += 1;
     const step = { request: name, run: runs };
+    const entry: RunEntry = [name, 0, 0, 0];
+    underWay.set(step.run, entry);
+    response.once('close', () => underWay.delete(step.run));
     record({ event: 'run', ...step, path, after, account, version });
     const fault = hasFault(id, name) ? work.fault : 'none';
     const middle = Math.floor((after + work.events) / 2);
@@ -101,6 +111,7 @@
       await sleep(clock, isSilent ? SILENCE_MS : work.pause);
       if (response.destroyed) break;
       number += 1;
+      entry[2] = number - after;
       // Recorded first: what the kernel has taken may arrive although the process is killed.
       record({ event: 'sent', ...step, number });
       response.write(renderEvent(name, number, version));
@@ -138,6 +149,11 @@
   }
 
   return http.createServer((request, response) => {
+    if (request.url === REPORT_PATH) {
+      const list = [...underWay.values()];
+      writeJson(response, 200, { queued: 0, active: list.length, runs: list });
+      return;
+    }
     readBody(request).then(
       () => serve(request, response),
       () => undefined,
