Product's front: an engine's stream with missing events is not whole

What callers saw: an answer that ends with [DONE], a finish reason and its usage although events of it are missing: the rest after a resumption that stated the end at once, an event that the rest left out, the first event, an event that is no JSON, or, from an engine that numbers nothing, all but the first. Cause: the usage event was taken for the end of the whole wherever it came. streamProgress took any number above the last one, engineClient dropped what it could not read and read a missing number as 0. Fix: each numbered event counts, also one without a text; one whose predecessor is missing is refused, so that the stream is asked for again after the last one that came, until the time limit on its silence. The end is an event with a number of its own; one without a number is believed only after an event on the same connection. A refused event is no progress.

--- a/packages/entry/src/engineClient.ts
+++ b/packages/entry/src/engineClient.ts
@@ -34,8 +34,16 @@
 
 /** An event of an engine's stream. */
 export type EngineEvent =
+  /** Event number `index` of the stream, from 0 on; its text is empty if it has none. */
   | { kind: 'delta'; index: number; text: string }
-  | { kind: 'usage'; promptTokens: Tokens; completionTokens: Tokens; finish: string };
+  /** The end. Without a number it follows the event before it on the same connection. */
+  | {
+      kind: 'usage';
+      index?: number | undefined;
+      promptTokens: Tokens;
+      completionTokens: Tokens;
+      finish: string;
+    };
 
 /** Why a call of an engine failed. `ran` says whether the engine ran the request. */
 export interface EngineError {
@@ -131,12 +139,12 @@
         [STREAM_HEADER]: call.stream,
         'x-priority': call.priority,
       });
-      return readStream(request, body, sink);
+      return readStream(request, body, false, sink);
     },
     resume(call, after, sink) {
       const headers = { 'last-event-id': String(after) };
       const request = openRequest(call, 'GET', `/v1/streams/${call.stream}`, headers);
-      return readStream(request, undefined, sink);
+      return readStream(request, undefined, true, sink);
     },
     async stop(address, stream) {
       // Follows a failure, after which connections of the pool may be dead too.
@@ -161,10 +169,12 @@
 async function readStream(
   request: http.ClientRequest,
   body: string | undefined,
+  isRest: boolean,
   sink: EngineSink,
 ): Promise<Outcome<void, EngineError>> {
   let isSent = false;
   let isComplete = false;
+  let hasEvents = false;
   onConnected(request, () => {
     isSent = true;
   });
@@ -172,6 +182,11 @@
     const response = await sendRequest(request, body);
     if (response.statusCode !== 200) return Err(await readRejection(response));
     await readEvents(response, async (event) => {
+      const isUnplaced = event.kind === 'usage' && event.index === undefined;
+      // Nothing tells whether such an end is that of the events that were received before.
+      if (isUnplaced && isRest && !hasEvents)
+        throw new Error('the rest has an end without a number');
+      hasEvents = true;
       isComplete = isComplete || event.kind === 'usage';
       await sink(event);
     });
@@ -220,25 +235,31 @@
   }
 }
 
-function toEvents(message: EventSourceMessage): EngineEvent[] {
-  if (!message.data.startsWith('{')) return [];
-  const chunk = parseJson(message.data) as Chunk | undefined;
-  const choice = chunk?.choices?.[0];
-  const text = choice?.delta?.content;
-  const events: EngineEvent[] = [];
-  if (typeof text === 'string' && text !== '') {
-    events.push({ kind: 'delta', index: Number(message.id ?? 0), text });
-  }
-  const usage = toUsage(chunk, String(choice?.finish_reason ?? 'stop'));
-  if (usage) events.push(usage);
-  return events;
+// Each numbered event counts, also one without a text, so that a missing one is noticed.
+function toEvents({ id, data }: EventSourceMessage): EngineEvent[] {
+  const index = parseIndex(id);
+  const chunk = data.startsWith('{') ? (parseJson(data) as Chunk | undefined) : {};
+  if (!chunk) throw new Error('an event can not be read');
+  const choice = chunk.choices?.[0];
+  const content = choice?.delta?.content;
+  const text = typeof content === 'string' ? content : '';
+  const usage = toUsage(chunk, index, String(choice?.finish_reason ?? 'stop'));
+  if (usage && text === '') return [usage];
+  if (index === undefined && text !== '') throw new Error('an event with text has no number');
+  const deltas: EngineEvent[] = index === undefined ? [] : [{ kind: 'delta', index, text }];
+  return usage ? [...deltas, usage] : deltas;
+}
+
+function parseIndex(id: string | undefined): number | undefined {
+  const index = id === undefined || id === '' ? undefined : Number(id);
+  return isCount(index) ? index : undefined;
 }
 
-function toUsage(chunk: Chunk | undefined, finish: string): EngineEvent | undefined {
-  const promptTokens = chunk?.usage?.prompt_tokens;
-  const completionTokens = chunk?.usage?.completion_tokens;
+function toUsage(chunk: Chunk, index: number | undefined, finish: string): EngineEvent | undefined {
+  const promptTokens = chunk.usage?.prompt_tokens;
+  const completionTokens = chunk.usage?.completion_tokens;
   if (!isCount(promptTokens) || !isCount(completionTokens)) return undefined;
-  return { kind: 'usage', promptTokens, completionTokens, finish };
+  return { kind: 'usage', index, promptTokens, completionTokens, finish };
 }
 
 function isCount(value: unknown): value is number {
--- a/packages/entry/src/streamFollower.ts
+++ b/packages/entry/src/streamFollower.ts
@@ -79,10 +79,13 @@
     event: Parameters<EngineSink>[0],
   ): Promise<void> {
     if (connection.isReplaced) return;
-    const deltasBefore = progress.countDeltas();
+    const indexBefore = progress.getLastIndex();
+    const hadEnded = progress.usage() !== undefined;
     eventsInSink += 1;
     const taken = sink(event);
-    const isNew = event.kind === 'usage' || progress.countDeltas() > deltasBefore;
+    // An event that is refused because one before it is missing is no progress.
+    const hasEnded = !hadEnded && progress.usage() !== undefined;
+    const isNew = hasEnded || progress.getLastIndex() > indexBefore;
     if (isNew) replaceOthers(connection);
     try {
       await taken;
