Product's front: only an engine that says why its text ends has finished it

What callers saw: finish_reason "stop", the usage and [DONE] for a stream that its engine stopped, with its usage and the reason "abort", "error" or none, as one does at a time limit of its own. And "stop" for a text that was cut at its length, if the engine states the reason in an event before the one with the usage, as OpenAI's servers do. Cause: usage alone was taken for the end of the text; the reason was read from the event with the usage only, "stop" by default. Evidence: five tests of packages/entry/test/streamEnds.test.ts fail on ("a stream that its engine stops with its usage and the reason ...", three of them, and "the reason that an engine states before its usage is passed on", "a reason that came before a resumption is passed on"). Fix: the reason is kept from whatever event states it, over all connections of the stream. Without one of the reasons with which model servers state a finished text the run has failed: the caller gets no [DONE], and pays what the engine reports. Test changed: the engine of slowCaller.test.ts sent no reason at all, which no model server does for a finished text; it states "stop" now. What that file checks is unchanged, and its tests pass before and after.

--- a/packages/entry/src/engineClient.ts
+++ b/packages/entry/src/engineClient.ts
@@ -34,15 +34,18 @@
 
 /** An event of an engine's stream. */
 export type EngineEvent =
-  /** Event number `index` of the stream, from 0 on; its text is empty if it has none. */
-  | { kind: 'delta'; index: number; text: string }
+  /**
+   * Event number `index` of the stream, from 0 on; its text is empty if it has none. `finish` is the
+   * engine's word for why the text ends there.
+   */
+  | { kind: 'delta'; index: number; text: string; finish?: string | undefined }
   /** The end. Without a number it follows the event before it on the same connection. */
   | {
       kind: 'usage';
       index?: number | undefined;
       promptTokens: Tokens;
       completionTokens: Tokens;
-      finish: string;
+      finish?: string | undefined;
     };
 
 /** Why a call of an engine failed. `ran` says whether the engine ran the request. */
@@ -243,10 +246,12 @@
   const choice = chunk.choices?.[0];
   const content = choice?.delta?.content;
   const text = typeof content === 'string' ? content : '';
-  const usage = toUsage(chunk, index, String(choice?.finish_reason ?? 'stop'));
+  const reason = choice?.finish_reason;
+  const finish = typeof reason === 'string' ? reason : undefined;
+  const usage = toUsage(chunk, index, finish);
   if (usage && text === '') return [usage];
   if (index === undefined && text !== '') throw new Error('an event with text has no number');
-  const deltas: EngineEvent[] = index === undefined ? [] : [{ kind: 'delta', index, text }];
+  const deltas: EngineEvent[] = index === undefined ? [] : [{ kind: 'delta', index, text, finish }];
   return usage ? [...deltas, usage] : deltas;
 }
 
@@ -255,7 +260,11 @@
   return isCount(index) ? index : undefined;
 }
 
-function toUsage(chunk: Chunk, index: number | undefined, finish: string): EngineEvent | undefined {
+function toUsage(
+  chunk: Chunk,
+  index: number | undefined,
+  finish: string | undefined,
+): EngineEvent | undefined {
   const promptTokens = chunk.usage?.prompt_tokens;
   const completionTokens = chunk.usage?.completion_tokens;
   if (!isCount(promptTokens) || !isCount(completionTokens)) return undefined;
--- a/packages/entry/src/streamFollower.ts
+++ b/packages/entry/src/streamFollower.ts
@@ -80,12 +80,12 @@
   ): Promise<void> {
     if (connection.isReplaced) return;
     const indexBefore = progress.getLastIndex();
-    const hadEnded = progress.usage() !== undefined;
+    const hadEnded = progress.hasEnded();
     eventsInSink += 1;
     const taken = sink(event);
     // An event that is refused because one before it is missing is no progress.
-    const hasEnded = !hadEnded && progress.usage() !== undefined;
-    const isNew = hasEnded || progress.getLastIndex() > indexBefore;
+    const isEnd = !hadEnded && progress.hasEnded();
+    const isNew = isEnd || progress.getLastIndex() > indexBefore;
     if (isNew) replaceOthers(connection);
     try {
       await taken;
@@ -116,7 +116,7 @@
   function conclude(connection: Connection, outcome: Outcome<void, EngineError>): void {
     const { kind, openedAt } = connection;
     if (outcome.ok) {
-      result = outcome;
+      result = progress.usage() ? outcome : Err(UNFINISHED);
       return;
     }
     const isDeclined = kind === 'run' && outcome.val.ran === 'no';
@@ -164,4 +164,9 @@
   return result ?? Err(lastError);
 }
 
+const UNFINISHED: EngineError = {
+  kind: 'failed',
+  ran: 'unknown',
+  message: 'the engine ended the stream without stating that its text is finished',
+};
 const SILENT: EngineError = { kind: 'failed', ran: 'unknown', message: 'the stream fell silent' };
--- a/packages/entry/test/slowCaller.test.ts
+++ b/packages/entry/test/slowCaller.test.ts
@@ -27,7 +27,8 @@
       return `id: ${index}\ndata: ${delta}\n\n`;
     });
     response.writeHead(200, { 'content-type': 'text/event-stream' });
-    response.end(`${chunks.join('')}data: ${JSON.stringify({ choices: [], usage })}\n\n`);
+    const choices = [{ delta: {}, finish_reason: 'stop' }];
+    response.end(`${chunks.join('')}data: ${JSON.stringify({ choices, usage })}\n\n`);
   });
 }
 
--- a/packages/entry/test/streamEnds.test.ts
+++ b/packages/entry/test/streamEnds.test.ts
@@ -118,3 +118,22 @@
   const answer = await ask({ events: [first, empty, text(2), done] });
   expect(answer).toMatchObject({ text: 'ac', isWhole: true });
 });
+
+test.each(['abort', 'error', null])(
+  'a stream that its engine stops with its usage and the reason %s is not whole',
+  async (finish) => {
+    const answer = await ask({ events: [text(0), end(finish, 'id: 1\n')] });
+    expect(answer).toMatchObject({ text: 'a', isWhole: false });
+  },
+);
+
+test('the reason that an engine states before its usage is passed on', async () => {
+  const events = [text(0), text(1), text(2, 'length'), end(null)];
+  expect(await ask({ events })).toEqual({ text: 'abc', isWhole: true, finish: 'length' });
+});
+
+test('a reason that came before a resumption is passed on', async () => {
+  const first = { events: [text(0), text(1), text(2, 'length')], isReset: true };
+  const answer = await ask(first, { events: [end(null)] });
+  expect(answer).toEqual({ text: 'abc', isWhole: true, finish: 'length' });
+});
