Product's front: an answer is not ended as whole for a caller beyond its end

What callers saw: [DONE] at once, without an event, in answer to a last event id that the answer under that key does not reach: the event came from another stream (a lost run's, longer than the present answer). Cause: Answer.read returns no events and the end for each position from the answer's length on, and the writer took that for the rest. A position below the length is checked against the stream where it is known. Fix: a part tells in `from` how far the answer reaches, also between instances; the caller is refused with outcome_unknown, as for every event whose stream is lost. Naming the last event still gets [DONE].

--- a/packages/entry/src/answerWriter.ts
+++ b/packages/entry/src/answerWriter.ts
@@ -81,7 +81,8 @@
       writer = createAnswerWriter(response, delivery);
       position = start;
     } else {
-      const { events, end } = part.val;
+      const { events } = part.val;
+      const end = getEnd(part.val, position);
       if (events.length > 0) stream = part.val.stream;
       await writeEvents(writer, events, position);
       position += events.length;
@@ -102,6 +103,12 @@
   for (const [index, event] of events.entries()) await writer.event(event, from + index);
 }
 
+// An answer that ends before the event that the caller named is not the one that brought that event.
+function getEnd({ from, end }: AnswerPart, position: number): AnswerEnd | undefined {
+  const isOfOther = end?.kind === 'complete' && from < position;
+  return isOfOther ? { kind: 'refused', refusal: createLostRefusal() } : end;
+}
+
 // Two streams write different texts, also for the same request; their engines may be of two versions.
 function isOfOtherStream({ events, end, stream }: AnswerPart, sent: string | undefined): boolean {
   const hasContent = events.length > 0 || end?.kind === 'complete';
--- a/packages/entry/test/instance.test.ts
+++ b/packages/entry/test/instance.test.ts
@@ -75,6 +75,18 @@
   expect(toContents(reply.text)).toEqual(toContents(whole.text).slice(3));
 });
 
+test('an answer is not ended as whole for a caller that names an event beyond it', async () => {
+  const body = createChatBody('short', { stream: true });
+  const headers = { 'idempotency-key': 'short' };
+  const whole = await harness.call('POST', CHAT_PATH, body, headers);
+  const last = [...whole.text.matchAll(/^id: (\d+)$/gm)].length - 1;
+  const ask = (event: number) =>
+    harness.call('POST', CHAT_PATH, body, { ...headers, 'last-event-id': String(event) });
+  expect((await ask(last)).text).toBe('data: [DONE]\n\n');
+  const beyond = await ask(last + 1);
+  expect([beyond.status, beyond.json?.error.code]).toEqual([409, 'outcome_unknown']);
+});
+
 test.each([
   ['under a key that was not used', { 'idempotency-key': 'unused' }, 409, 'outcome_unknown'],
   ['without a key', {}, 400, 'key_required'],
--- a/packages/requests/src/answer.ts
+++ b/packages/requests/src/answer.ts
@@ -8,7 +8,10 @@
   setStream(stream: string): void;
   /** Sets how the answer ended. Later calls have no effect. */
   finish(end: AnswerEnd): void;
-  /** Returns the events from a position on. Waits while there are none and no end is set. */
+  /**
+   * Returns the events from a position on. Waits while there are none and no end is set. If the answer
+   * ends before that position, the part begins where the answer ends.
+   */
   read(from: number): Promise<AnswerPart>;
   /**
    * Applies backpressure to the writer. Resolves when the fastest reader is at most `backlog`
@@ -63,7 +66,7 @@
         changed.notify();
       }
       while (from >= events.length && !end) await changed.wait();
-      return { from, events: events.slice(from), end, stream };
+      return { from: Math.min(from, events.length), events: events.slice(from), end, stream };
     },
     async waitForBacklog(backlog) {
       while (readers > 0 && events.length - furthestRead > backlog && !end) await changed.wait();
--- a/packages/requests/src/types.ts
+++ b/packages/requests/src/types.ts
@@ -54,7 +54,10 @@
 /** How an answer ended. */
 export type AnswerEnd = { kind: 'complete' } | { kind: 'refused'; refusal: Refusal };
 
-/** Events of an answer from position `from` on. Without `end`, more events will follow. */
+/**
+ * Events of an answer from position `from` on. Without `end`, more events will follow. With it, `from`
+ * is lower than the position that was asked for if the answer does not reach that far.
+ */
 export interface AnswerPart {
   from: number;
   events: AnswerEvent[];
--- a/packages/requests/test/requests.test.ts
+++ b/packages/requests/test/requests.test.ts
@@ -17,6 +17,14 @@
   expect(await waiting).toEqual({ from: 2, events: [], end: { kind: 'complete' } });
 });
 
+test('a part beyond the end of an answer begins where the answer ends', async () => {
+  const answer = createAnswer();
+  answer.append(delta('a'));
+  const waiting = answer.read(3);
+  answer.finish({ kind: 'complete' });
+  expect(await waiting).toEqual({ from: 1, events: [], end: { kind: 'complete' } });
+});
+
 test('finishing an answer again does not change its end', async () => {
   const answer = createAnswer();
   answer.finish({ kind: 'complete' });
