Audit: a listed usage segment that is not found fails the audit

What operators saw: `pomeloctl usage` and `audit` answered in order with a bill that lacks the records of a segment which the object store lists but does not find yet. Cause: auditLedger read a missing object as an empty one. Fix: the audit fails with the segment's name, and the operators' interface answers 503, as when the store does not answer. Segments are never removed, so one that is listed is there.

--- a/packages/budgets/src/audit.ts
+++ b/packages/budgets/src/audit.ts
@@ -55,7 +55,7 @@
 
 /**
  * Reads the whole ledger and the usage records and checks that they account for each token.
- * Fails if the table or the object store does not answer.
+ * Fails if the table or the object store does not answer, or a listed object is not found.
  */
 export async function auditLedger(
   table: Table,
@@ -101,7 +101,9 @@
   for (const name of names.val) {
     const segment = await objects.get(name);
     if (segment.err) return segment;
-    records.push(...parseUsageSegment(segment.val ?? ''));
+    // A listed segment may not be found for a while; without its records the bill is too low.
+    if (segment.val === undefined) return Err({ message: `the usage segment ${name} is missing` });
+    records.push(...parseUsageSegment(segment.val));
   }
   return Ok(records);
 }
