Usage: a bill of which records are missing is not shown as whole

What operators saw: `pomeloctl usage` listed the records that it found and exited with 0, also when the grants' rows say that there are more, as while the object store's list lacks a segment. Only `audit` said so. Cause: the end of the list was taken for the end of the bill; GET /v1/usage left out the faults that the same read found. Faults of rows alone, which differ for a moment while grants change, are left to the audit. An answer that doesn't state them, that of an older instance, is unexpected.

--- a/packages/budgets/src/audit.ts
+++ b/packages/budgets/src/audit.ts
@@ -18,6 +18,8 @@
   /** Key of the row. */
   key: string;
   message: string;
+  /** With `records`, the usage records that were found are not the bill that the rows state. */
+  subject: 'records' | 'rows';
 }
 
 /** The balance of one budget. */
@@ -123,11 +125,14 @@
   grants.forEach((grant, id) => {
     const records = [...(byGrant.get(id)?.values() ?? [])];
     const tokens = records.reduce((sum, record) => sum + record.tokens, 0);
-    const key = `${LedgerPrefix.grant}${id}`;
+    const place = { key: `${LedgerPrefix.grant}${id}`, subject: 'records' as const };
     if (records.length !== grant.sequence) {
-      faults.push({ key, message: `${records.length} records stored of ${grant.sequence}` });
+      faults.push({ ...place, message: `${records.length} records stored of ${grant.sequence}` });
     } else if (tokens !== grant.spent) {
-      faults.push({ key, message: `records add up to ${tokens}, the row says ${grant.spent}` });
+      faults.push({
+        ...place,
+        message: `records add up to ${tokens}, the row says ${grant.spent}`,
+      });
     }
   });
   const records = [...byGrant.values()].flatMap((entries) => [...entries.values()]);
@@ -137,7 +142,8 @@
 function checkBudgets({ budgets, topUps, credits, grants }: LedgerRows): AuditFault[] {
   const faults: AuditFault[] = [];
   budgets.forEach((row, budget) => {
-    const report = (message: string) => faults.push({ key: LedgerPrefix.budget + budget, message });
+    const key = LedgerPrefix.budget + budget;
+    const report = (message: string) => faults.push({ key, message, subject: 'rows' });
     const own = [...grants].filter(([, grant]) => grant.budget === budget);
     const toppedUp = topUps
       .filter((topUp) => isTopUpOf(topUp, budget))
@@ -177,7 +183,7 @@
     seen.set(record.request, record);
     if (!other) return [];
     const key = `${LedgerPrefix.grant}${record.grant}`;
-    return [{ key, message: `request ${record.request} is billed twice` }];
+    return [{ key, message: `request ${record.request} is billed twice`, subject: 'records' }];
   });
 }
 
--- a/packages/control/src/answers.ts
+++ b/packages/control/src/answers.ts
@@ -25,7 +25,9 @@
   unallocated: z.number(),
 });
 
-/** Budgets and billed requests. */
+const FaultsSchema = z.array(z.object({ key: z.string(), message: z.string() }));
+
+/** Budgets and billed requests; with faults, the records are not the bill that the ledger states. */
 export const UsageSchema = z.object({
   accounts: z.array(BudgetAccountSchema),
   records: z.array(
@@ -41,12 +43,13 @@
       tokens: z.number(),
     }),
   ),
+  faults: FaultsSchema,
 });
 
 /** The outcome of an audit of the ledger. */
 export const AuditSchema = z.object({
   accounts: z.array(BudgetAccountSchema),
-  faults: z.array(z.object({ key: z.string(), message: z.string() })),
+  faults: FaultsSchema,
   records: z.number(),
 });
 
--- a/packages/control/src/budgetCommands.ts
+++ b/packages/control/src/budgetCommands.ts
@@ -23,12 +23,15 @@
   return createSuccess(text, answer.val.body);
 }
 
-/** Shows budgets and billed requests, either of one client account or of all. */
+/**
+ * Shows budgets and billed requests, either of one client account or of all. Fails, and shows what is
+ * known, if the records that were found are not the bill that the ledger states.
+ */
 export async function showUsage(target: OperatorTarget, account?: string): Promise<CommandResult> {
   const query = account ? `?account=${encodeURIComponent(account)}` : '';
   const usage = await fetchParsed(target, `/v1/usage${query}`, UsageSchema);
   if (usage.err) return usage.val;
-  const { accounts, records } = usage.val;
+  const { accounts, records, faults } = usage.val;
   const matching = accounts.filter((entry) => !account || entry.budget.startsWith(`${account}/`));
   const budgets = formatAccounts(matching);
   const rows = records.map((record) => [
@@ -43,7 +46,11 @@
   ]);
   const head = ['at', 'budget', 'request', 'key', 'model', 'prompt', 'completion', 'tokens'];
   const text = `${budgets}\n\n${formatTable(head, rows)}`;
-  return createSuccess(text, { accounts: matching, records });
+  const [first] = faults;
+  const data = { accounts: matching, records, faults };
+  if (!first) return createSuccess(text, data);
+  const doubt = `the bill does not add up: ${first.key}: ${first.message}`;
+  return createFailure(ExitCode.auditFault, `${text}\n${doubt}`, data);
 }
 
 function formatAccounts(accounts: z.output<typeof BudgetAccountSchema>[]): string {
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -142,7 +142,9 @@
     if (result.err) return createErrorReply(503, 'unavailable', result.val.message);
     const account = url.searchParams.get('account');
     const records = result.val.records.filter((r) => account === null || r.account === account);
-    return createReply(200, { records, accounts: result.val.accounts });
+    const { accounts } = result.val;
+    const faults = result.val.faults.filter(({ subject }) => subject === 'records');
+    return createReply(200, { records, accounts, faults });
   }
 
   return {
--- a/packages/entry/test/instance.test.ts
+++ b/packages/entry/test/instance.test.ts
@@ -96,6 +96,10 @@
   expect([reply.status, reply.json.error.code]).toEqual([status, code]);
 });
 
+test('the bill states that no record of it is missing', async () => {
+  expect((await harness.callAsOperator('GET', '/v1/usage')).json.faults).toEqual([]);
+});
+
 test('an idempotency key cannot be reused for another body', async () => {
   const headers = { 'idempotency-key': 'one-content' };
   await harness.call('POST', CHAT_PATH, createChatBody('this'), headers);
