Audit: the records of a grant that closes meanwhile are on the bill

What operators saw: while grants close, `usage` and `audit` could drop all records of one, and the audit named faults of a ledger without any. Cause: five scans were sent at once, and each was taken for the whole at the same moment. A grant that closes after the scan of the closed ones and before that of the open ones is in neither; a record whose grant has no row is not counted. Fix: grants only go from open to closed, so the open ones are read first; one that closes then is found among the closed ones, which replace it. The budgets' rows are read after the open ones too.

--- a/packages/budgets/src/audit.ts
+++ b/packages/budgets/src/audit.ts
@@ -77,10 +77,15 @@
 }
 
 async function readRows(table: Table): Promise<Outcome<LedgerRows, { message: string }>> {
-  const prefixes = Object.values(LedgerPrefix);
-  const scans = await Promise.all(prefixes.map((prefix) => table.scan(prefix)));
-  const [budgets, topUps, open, closed, credit] = scans;
-  if (!budgets?.ok || !topUps?.ok || !open?.ok || !closed?.ok || !credit?.ok) {
+  const open = await table.scan(LedgerPrefix.grant);
+  // A grant may be closed meanwhile. Read after the open ones, the closed ones hold it then.
+  const [budgets, topUps, closed, credit] = await Promise.all([
+    table.scan(LedgerPrefix.budget),
+    table.scan(LedgerPrefix.topUp),
+    table.scan(LedgerPrefix.closed),
+    table.scan(LedgerPrefix.credit),
+  ]);
+  if (!budgets.ok || !topUps.ok || !open.ok || !closed.ok || !credit.ok) {
     return Err({ message: 'the table service does not answer' });
   }
   const grants = [
--- a/packages/budgets/test/audit.test.ts
+++ b/packages/budgets/test/audit.test.ts
@@ -1,7 +1,8 @@
 import { Ok } from 'ts-results';
 import { createManualClock } from '@pomeloroad/core';
 import { createMemoryObjects, createMemoryTable } from '@pomeloroad/storage';
-import { auditLedger, createLedger, USAGE_SEGMENT_PREFIX } from '../src';
+import type { Table } from '@pomeloroad/storage';
+import { auditLedger, createLedger, LedgerPrefix, USAGE_SEGMENT_PREFIX } from '../src';
 import type { Grant } from '../src';
 
 const BUDGET = 'dispatch/routes';
@@ -32,6 +33,23 @@
   expect(audit.faults).toContainEqual({ key: 'grant/kent/g', message, subject: 'records' });
 });
 
+test('the records of a grant that is closed during the audit are on the bill', async () => {
+  const { table, ledger, grant } = await createSpentGrant();
+  const objects = createMemoryObjects();
+  const record = { grant: grant.id, ordinal: 1, request: 'r', budget: BUDGET, tokens: SPENT };
+  await objects.put(`${USAGE_SEGMENT_PREFIX}2026-12-04/kent/a/1`, JSON.stringify(record));
+  const closing: Table = {
+    ...table,
+    async scan(prefix) {
+      if (prefix === LedgerPrefix.grant) await ledger.close(grant, SPENT, 1);
+      return table.scan(prefix);
+    },
+  };
+  const audit = (await auditLedger(closing, objects)).unwrap();
+  expect(audit.records).toMatchObject([{ request: 'r' }]);
+  expect(audit.faults).toEqual([]);
+});
+
 test('a listed usage segment that is not found is no empty one', async () => {
   const name = `${USAGE_SEGMENT_PREFIX}2026-12-04/kent/a/1`;
   const objects = { ...createMemoryObjects(), list: async () => Ok([name]) };
