Product's front: what a dead service closed is not passed on as ended in order

What callers saw: the first part of a service's answer without a length or chunks, ended by a close in order like a whole one, when the service's process was killed in mid-answer; a retry under the same key got the same part. Cause: the close of a connection was taken for the end of the answer; the kernel of a killed process closes with FIN. Fix: 50 ms after such an end a connection is opened. If it is refused and the service has not announced that it leaves, the attempt has failed, and the caller's connection is reset, which docs/API.md names as the sign of a broken answer. The end of such answers comes 50 ms later.

--- a/packages/entry/src/serviceClient.ts
+++ b/packages/entry/src/serviceClient.ts
@@ -1,6 +1,13 @@
 import http from 'node:http';
+import net from 'node:net';
 import { Err, Ok } from 'ts-results';
-import { discardBody, getResponseFraming, onConnected, watchClose } from '@pomeloroad/core';
+import {
+  discardBody,
+  getResponseFraming,
+  onConnected,
+  splitAddress,
+  watchClose,
+} from '@pomeloroad/core';
 import type { Milliseconds, Outcome, RunStatus } from '@pomeloroad/core';
 import type { AnswerEvent } from '@pomeloroad/requests';
 import type { ServiceCall } from './runRequest';
@@ -39,8 +46,12 @@
     signal: AbortSignal,
     sink: ServiceSink,
   ): Promise<Outcome<void, ServiceError>>;
+  /** Whether a connection to the address is refused; `false` also if that is not known within 1 s. */
+  isRefusing(address: string): Promise<boolean>;
 }
 
+const PROBE_TIMEOUT_MS: Milliseconds = 1000;
+
 /** Response headers that belong to one connection or that the instance sets itself. */
 const SKIPPED_RESPONSE_HEADERS = new Set([
   'connection',
@@ -56,13 +67,23 @@
 
 /** Creates a client for all plain services. Each call opens a new connection. */
 export function createServiceClient(options: ServiceOptions): ServiceClient {
+  const localAddress = options.sourceAddress || undefined;
   return {
+    isRefusing(address) {
+      const socket = net.connect({ ...splitAddress(address), localAddress });
+      socket.setTimeout(PROBE_TIMEOUT_MS, () => socket.destroy());
+      return new Promise((resolve) => {
+        socket.once('connect', () => socket.destroy());
+        socket.once('error', ({ code }: NodeJS.ErrnoException) => resolve(code === 'ECONNREFUSED'));
+        socket.once('close', () => resolve(false));
+      });
+    },
     async run(address, call, signal, sink) {
       let isSent = false;
       const request = http.request(`http://${address}${call.path}`, {
         method: call.method,
         headers: { ...call.headers, 'content-length': call.body.length },
-        agent: new http.Agent({ localAddress: options.sourceAddress || undefined }),
+        agent: new http.Agent({ localAddress }),
         signal,
       });
       onConnected(request, () => {
--- a/packages/entry/src/serviceRun.ts
+++ b/packages/entry/src/serviceRun.ts
@@ -1,6 +1,7 @@
 import { createRefusal } from '@pomeloroad/requests';
 import type { Answer, AnswerEnd, Refusal } from '@pomeloroad/requests';
 import type { HeldReservation, UsageRecord } from '@pomeloroad/budgets';
+import { sleep } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import type { RouteRequest, Slot } from '@pomeloroad/routing';
 import { acquireSlot, admitRepeatedly, admitRequest, getPlacement } from './admit';
@@ -14,6 +15,8 @@
 const ATTEMPTS_MAX = 3;
 const BACKLOG_EVENTS_MAX = 16;
 const RETRY_AFTER_MS = 1000;
+/** Maximum time between the closes of a dying process's connections and of its listening socket. */
+const PROCESS_END_MS: Milliseconds = 50;
 
 type AttemptError = ServiceError | { kind: 'keeper-lost'; ran: 'no' };
 
@@ -101,8 +104,10 @@
   if (!isPlaced) return { kind: 'keeper-lost', ran: 'no' };
   await host.guard.waitUntilFresh();
   if (slot.isLeaving()) return { kind: 'busy', ran: 'no', message: 'the endpoint is leaving' };
+  let endsWithConnection = false;
   const outcome = await host.services.run(slot.endpoint.address, call, signal, {
     head(head) {
+      endsWithConnection = head.endsWithConnection;
       slot.recordActivity();
       answer.append({ kind: 'head', ...head });
     },
@@ -112,9 +117,23 @@
       await answer.waitForBacklog(BACKLOG_EVENTS_MAX);
     },
   });
-  return outcome.err ? outcome.val : undefined;
+  if (outcome.err) return outcome.val;
+  return endsWithConnection && (await isServiceDead(run, slot)) ? DEAD : undefined;
 }
 
+// The kernel closes the connections of a killed process just as a service does after a whole answer.
+async function isServiceDead({ host, signal }: ServiceRun, slot: Slot): Promise<boolean> {
+  await sleep(host.clock, PROCESS_END_MS);
+  if (signal.aborted || slot.isLeaving()) return false;
+  return (await host.services.isRefusing(slot.endpoint.address)) && !slot.isLeaving();
+}
+
+const DEAD: ServiceError = {
+  kind: 'failed',
+  ran: 'unknown',
+  message: 'closed by a service that accepts no connections any more',
+};
+
 // A call that may have run is repeated only if it is idempotent and nothing was passed on yet.
 function isRetryable({ request, answer }: ServiceRun, error: AttemptError): boolean {
   if (error.kind === 'keeper-lost') return false;
