Launcher: no timer outlives the children

Cause: close() raced the children's ends against a pause of 5 s, twice per soak, and a pause keeps the process alive; a program that exits while it starts left the 20 s of its start limit as well. The soak still leaves a timer of the injector behind.

--- a/packages/replay/src/programs.ts
+++ b/packages/replay/src/programs.ts
@@ -1,8 +1,7 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { createInterface } from 'node:readline';
-import { Diagnostics } from '@pomeloroad/core';
-import { pause } from './pause';
+import { createSystemClock, Diagnostics, withTimeout } from '@pomeloroad/core';
 
 const START_TIMEOUT_MS = 20_000;
 const STOP_TIMEOUT_MS = 5000;
@@ -68,8 +67,8 @@
     async close() {
       isClosed = true;
       stopAll();
-      const timeout = pause(STOP_TIMEOUT_MS);
-      await Promise.race([timeout, Promise.all(exits)]);
+      // A pause would keep this process alive after its children have ended.
+      await withTimeout(createSystemClock(), STOP_TIMEOUT_MS, Promise.all(exits), []);
       return [...children].map((child) => child.pid ?? 0);
     },
   };
@@ -87,7 +86,10 @@
       () => reject(new Error(`${name} did not start in time`)),
       START_TIMEOUT_MS,
     );
-    exited.then((code) => reject(new Error(`${name} exited with ${code}: ${getLastLine()}`)));
+    exited.then((code) => {
+      clearTimeout(timer);
+      reject(new Error(`${name} exited with ${code}: ${getLastLine()}`));
+    });
     if (!child.stdout) return;
     // The line with the addresses appears among ordinary log lines.
     createInterface({ input: child.stdout }).on('line', (line) => {
