Soak: ends in order that endpoints state too early, and the check of them

The soak's endpoints never stated such an end, so no soak could show it.

New: endpoints keep to the time limit that they are told (x-deadline-ms from the request's arrival) and stop, in order, before the event that would come later; further callers (one to six others) ask for limits that fall in mid-stream (short-limits) or for streams that break off and whose resumption is ended at once (empty-ends); endpoint-exit is SIGINT, after which an endpoint ends its open answers in order and exits. Each is the line "stopped" with its reason, never "stated"; falseEnds counts those in chunks. The draws of the other callers are unchanged.

Checks: completeness no longer holds by any run's true end: an answer that states its end has all events, with those that the caller held. false-ends is the same where an endpoint stated a false end. cut-while-alive counts its margin from the request's own limit.

--- a/packages/replay/src/soak/callers.ts
+++ b/packages/replay/src/soak/callers.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { match } from 'ts-pattern';
 import { createRandom } from '@pomeloroad/core';
 import type { Random } from '@pomeloroad/core';
 import { listVersions } from '@pomeloroad/standins';
@@ -21,9 +22,19 @@
 /** One caller in this many leaves before its answer has ended. */
 const LEAVING_RATIO = 6;
 const PATIENCE_MAX_MS = 400;
+/** One caller that asks for answers that end early to this many others. */
+const EARLY_END_RATIO = 6;
+const EARLY_END_EVENTS_MIN = 3;
+const EARLY_END_PAUSE_MIN_MS = 10;
+/** Least part of an answer's length that is its time limit. */
+const TIME_LIMIT_PART_MIN = 0.3;
 /** How often a caller tries to take a stream up again. */
 const TRIES_MAX = 4;
 
+/** Ends in order of answers that are not whole, which some callers ask for. */
+export const EarlyEnds = ['short-limits', 'empty-ends'] as const;
+export type EarlyEnd = (typeof EarlyEnds)[number];
+
 /** Callers that send one request after another. */
 export interface Callers {
   /** Stops sending; resolves when the last answer has ended. */
@@ -38,6 +49,8 @@
   count: number;
   /** Whether answers are to have faults. */
   hasFaults: boolean;
+  /** Ends that callers beyond the count ask for. */
+  earlyEnds: EarlyEnd[];
 }
 
 // What a caller asks for next, but for the instance.
@@ -47,6 +60,7 @@
   key: string;
   inputTokens: number;
   patience?: number;
+  timeLimit?: number;
 }
 
 // A stream of which a caller has some events; a new one if it has none.
@@ -58,12 +72,14 @@
   tries: number;
 }
 
+const NO_LIMITS: Pick<Drawn, 'patience' | 'timeLimit'> = {};
 const NOTHING_HELD = { resumeAfter: 0, heldVersions: [], tries: 0 };
 
 /** Starts callers that each keep their connection to an instance until it closes. */
 export function startCallers(host: CallersHost): Callers {
   let isStopped = false;
-  const loops = Array.from({ length: host.count }, (_, index) => runCaller(index));
+  const extra = host.earlyEnds.length > 0 ? Math.ceil(host.count / EARLY_END_RATIO) : 0;
+  const loops = Array.from({ length: host.count + extra }, (_, index) => runCaller(index));
 
   async function runCaller(index: number): Promise<void> {
     const random = createRandom(host.seed * host.count + index);
@@ -71,7 +87,10 @@
     let agent = createAgent();
     let resumption: Resumption | undefined;
     for (let number = 1; !isStopped; number += 1) {
-      const drawn = drawRequest(random, host.hasFaults);
+      const drawn =
+        index < host.count
+          ? drawRequest(random, host.hasFaults)
+          : drawEarlyEnd(random, host.earlyEnds);
       const choice = random.fraction();
       const delay = random.integer(1, PAUSE_MAX_MS);
       const moves = resumption !== undefined && number % 2 === 0;
@@ -82,8 +101,9 @@
       }
       const id = `c${index + 1}-${number}`;
       const held = resumption ?? { ...NOTHING_HELD, work: drawn.work };
-      const patience = resumption ? undefined : drawn.patience;
-      const answer = await host.sender.send({ ...drawn, ...held, patience, id, instance, agent });
+      const { patience, timeLimit } = resumption ? NO_LIMITS : drawn;
+      const request = { ...drawn, ...held, patience, timeLimit, id, instance, agent };
+      const answer = await host.sender.send(request);
       resumption = findResumption(id, held, answer);
       await pause(delay);
     }
@@ -138,3 +158,24 @@
   const patience = leaves ? random.integer(1, PATIENCE_MAX_MS) : undefined;
   return { work, account, key: `key-of-${account}`, inputTokens, patience };
 }
+
+// The time limit of an answer falls between two of its events; an empty end needs a stream.
+function drawEarlyEnd(random: Random, earlyEnds: EarlyEnd[]): Drawn {
+  const base = { account: 'rich', key: 'key-of-rich', inputTokens: 1 };
+  const events = random.integer(EARLY_END_EVENTS_MIN, EVENTS_MAX);
+  const pauseLength = random.integer(EARLY_END_PAUSE_MIN_MS, EVENT_PAUSE_MAX_MS);
+  const part = TIME_LIMIT_PART_MIN + random.fraction() * (1 - TIME_LIMIT_PART_MIN);
+  const route = draw(random, ROUTES).name;
+  const work = { framing: 'chunked' as const, events, pause: pauseLength };
+  return match(draw(random, earlyEnds))
+    .with('short-limits', () => ({
+      ...base,
+      work: { ...work, route, fault: 'none' as const },
+      timeLimit: Math.ceil(events * pauseLength * part),
+    }))
+    .with('empty-ends', () => ({
+      ...base,
+      work: { ...work, route: 'stream', fault: 'empty' as const },
+    }))
+    .exhaustive();
+}
--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -41,6 +41,7 @@
 /** The checks of one request. */
 export const RequestChecks = {
   completeness: checkCompleteness,
+  'false-ends': checkFalseEnds,
   content: checkContent,
   signature: ({ answer }) => {
     if (answer?.status !== STATUS_OK) return 'skipped';
@@ -64,12 +65,29 @@
 } satisfies Record<string, RequestCheck>;
 
 // An endpoint's answer without a length ends with its connection, which states nothing.
-function checkCompleteness({ answer, work, resumeAfter, runs }: RequestRecord): CheckOutcome {
+function checkCompleteness(record: RequestRecord): CheckOutcome {
+  const { answer } = record;
   if (answer?.status !== STATUS_OK || !answer.isStatedComplete) return 'skipped';
-  const events = countEvents(answer.body);
-  const expected = work.events - resumeAfter;
-  if (events >= expected || runs.some((run) => run.isStated)) return 'held';
-  return { message: `stated as complete after ${events} of ${expected} events` };
+  return hasFalseEnd(record) ? 'skipped' : findMissing(record);
+}
+
+// Endpoints may state ends falsely; no such end may reach the caller as the end of its answer.
+function checkFalseEnds(record: RequestRecord): CheckOutcome {
+  if (!hasFalseEnd(record)) return 'skipped';
+  const { answer } = record;
+  const looksComplete = answer?.status === STATUS_OK && answer.isStatedComplete;
+  return looksComplete ? findMissing(record) : 'held';
+}
+
+function hasFalseEnd({ runs }: RequestRecord): boolean {
+  return runs.some((run) => run.isFalselyStated);
+}
+
+// Counts the events that the caller had before too.
+function findMissing({ answer, work, resumeAfter }: RequestRecord): CheckOutcome {
+  const events = resumeAfter + countEvents(answer?.body ?? '');
+  if (events >= work.events) return 'held';
+  return { message: `looks complete to a caller that holds ${events} of ${work.events} events` };
 }
 
 function checkContent({ id, answer, work, resumeAfter }: RequestRecord): CheckOutcome {
@@ -158,9 +176,10 @@
 }
 
 function checkRecovery(record: RequestRecord, { faults }: CheckContext): CheckOutcome {
-  const { sentAt, work, account, patience } = record;
+  const { sentAt, work, account, patience, timeLimit } = record;
   const isCalm = sentAt > faults.getCalmSince() + RECOVERY_MS;
-  const isSound = work.fault === 'none' && patience === undefined && account !== 'poor';
+  const isPatient = patience === undefined && timeLimit === undefined;
+  const isSound = work.fault === 'none' && isPatient && account !== 'poor';
   if (!isCalm || !isSound || work.route.startsWith('probe')) return 'skipped';
   if (isWhole(record)) return 'held';
   return { message: `not served after the last fault: status ${record.answer?.status}` };
--- a/packages/replay/src/soak/cutChecks.ts
+++ b/packages/replay/src/soak/cutChecks.ts
@@ -5,11 +5,12 @@
 import { CONTACT_MS, STATUS_OK } from './checkBounds';
 import { isWhole } from './requestRecord';
 import type { RequestRecord } from './requestRecord';
+import { TIME_LIMIT_MS } from './sender';
 
 /** Requests sent later than this after SIGTERM may be cut by the end of the process. */
 const SHUTDOWN_ARRIVAL_MS: Milliseconds = 3000;
-/** Time after which an answer is held to have used up its caller's time. */
-const LONG_ANSWER_MS: Milliseconds = 3500;
+/** Time before its limit from which on an answer is held to have used up its caller's time. */
+const LIMIT_MARGIN_MS: Milliseconds = 500;
 /** Faults with which an endpoint's answer is sound: it is whole, but falls silent on the way. */
 const SILENT_FAULTS: AnswerFault[] = ['none', 'late', 'silent'];
 /** Statuses of an answer that an instance has broken off or given up. */
@@ -49,9 +50,9 @@
 }
 
 function isOutOfTime(
-  { sentAt, endedAt = Infinity }: RequestRecord,
+  { sentAt, endedAt = Infinity, timeLimit = TIME_LIMIT_MS }: RequestRecord,
   shutdown: { from: number } | undefined,
 ): boolean {
   const isLate = shutdown !== undefined && sentAt > shutdown.from + SHUTDOWN_ARRIVAL_MS;
-  return isLate || endedAt - sentAt > LONG_ANSWER_MS;
+  return isLate || endedAt - sentAt > timeLimit - LIMIT_MARGIN_MS;
 }
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -44,6 +44,8 @@
   failures: Failure[];
   /** How often each check was made. */
   checks: Record<string, number>;
+  /** How often endpoints stated the end of an answer with events missing, by the reason. */
+  falseEnds: Record<string, number>;
   /** Number of judged requests by how they ended. */
   outcomes: Record<string, number>;
 }
@@ -63,6 +65,7 @@
     totals: createTotals(),
     failures: [],
     checks: {},
+    falseEnds: {},
     outcomes: {},
     open: (record) => records.set(record.id, record),
     addLine,
@@ -99,7 +102,10 @@
     }
     if (!record) return;
     record.lines.push({ at, source, text });
-    if ('event' in line) recordStep(record, line as unknown as StampedEndpointLine);
+    if (!('event' in line)) return;
+    recordStep(record, line as unknown as StampedEndpointLine);
+    const isFalse = line.event === 'stopped' && record.runs.some((run) => run.isFalselyStated);
+    if (isFalse) count(evidence.falseEnds, String(line.reason));
   }
 
   function judge(isFinal: boolean): void {
@@ -153,7 +159,8 @@
   match(line)
     .with({ event: 'run' }, ({ account, after, path }) => {
       const fields = { endpoint: line.id, at, lastAt: at, account, path };
-      record.runs.push({ ...fields, sent: after, isStated: false, isEnded: false });
+      const ends = { isStated: false, isFalselyStated: false, isEnded: false };
+      record.runs.push({ ...fields, ...ends, sent: after });
       record.arrivals.push(at);
     })
     .with({ event: 'sent' }, ({ number }) => {
@@ -164,6 +171,10 @@
       const isStated = record.work.framing !== 'close';
       if (run) Object.assign(run, { isStated, isEnded: true });
     })
+    .with({ event: 'stopped' }, () => {
+      // A length that is not met and a close of the connection state nothing.
+      if (run) run.isFalselyStated = record.work.framing === 'chunked';
+    })
     .with({ event: 'declined' }, () => record.arrivals.push(at))
     .with({ event: 'closed' }, () => {
       if (run) run.isEnded = true;
--- a/packages/replay/src/soak/injector.ts
+++ b/packages/replay/src/soak/injector.ts
@@ -26,6 +26,7 @@
 /** Time between the steps of a roll-out. */
 const ROLL_OUT_STEP_MS: Milliseconds = 400;
 const SLOW_STORE_MS: Milliseconds = 400;
+const ENDING_SIGNALS: PlannedSignal['signal'][] = ['SIGTERM', 'SIGINT', 'SIGKILL'];
 const LOST_ANSWER_SHARE = 0.5;
 const { compare: compareNumbers } = new Intl.Collator('en', { numeric: true });
 const UNREADABLE_ROWS = ['', '{"service":7}', '{"service":"board","address":"nowhere"}', '[1'];
@@ -88,7 +89,7 @@
 
   async function disturbProcess(stopped: FleetProcess, fault: SignalFault): Promise<void> {
     const fleetProcess = stopped;
-    const ends = fault.signals.some(({ signal }) => signal === 'SIGTERM' || signal === 'SIGKILL');
+    const ends = fault.signals.some(({ signal }) => ENDING_SIGNALS.includes(signal));
     fleetProcess.isEnding = ends;
     await sendSignals(fleetProcess, fault.signals);
     if (!ends) return;
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -1,5 +1,6 @@
 import sade from 'sade';
 import { createSystemClock } from '@pomeloroad/core';
+import { EarlyEnds } from './callers';
 import { DefaultFaults, FaultNames } from './plan';
 import { runSoak } from './soak';
 import type { SoakResult } from './soak';
@@ -11,6 +12,8 @@
 const NAME_WIDTH = 28;
 /** Name of the faults of endpoints' answers, which requests ask for. */
 const ANSWERS = 'answers';
+/** Faults that requests ask for. */
+const RequestFaults: string[] = [ANSWERS, ...EarlyEnds];
 
 sade('soak', true)
   .describe('Run the bundled program under faults, as real processes, and check what is seen.')
@@ -19,7 +22,10 @@
   .option('--instances', 'number of instances', 4)
   .option('--endpoints', 'number of endpoints', 8)
   .option('--callers', 'number of callers', 24)
-  .option('--faults', `some of ${[ANSWERS, ...FaultNames].join(', ')}; all but rewinds if left out`)
+  .option(
+    '--faults',
+    `some of ${[...RequestFaults, ...FaultNames].join(', ')}; all but rewinds if left out`,
+  )
   .option('--verbose', 'print the logs of all processes')
   .option('--json', 'print the result as one JSON line')
   .action(main)
@@ -27,8 +33,9 @@
 
 async function main(flags: Record<string, string | number | boolean | undefined>): Promise<void> {
   const named = flags.faults === undefined ? undefined : String(flags.faults).split(',');
-  const faults = named ?? [ANSWERS, ...DefaultFaults];
-  const unknown = faults.filter((name) => name !== ANSWERS && !FaultNames.includes(name));
+  const faults = named ?? [...RequestFaults, ...DefaultFaults];
+  const known = [...RequestFaults, ...FaultNames];
+  const unknown = faults.filter((name) => !known.includes(name));
   if (unknown.length > 0) {
     process.stderr.write(`unknown faults: ${unknown.join(', ')}\n`);
     process.exit(EXIT_USAGE);
@@ -43,8 +50,9 @@
     instances: Number(flags.instances),
     endpoints: Number(flags.endpoints),
     callers: Number(flags.callers),
-    faults: faults.filter((name) => name !== ANSWERS),
+    faults: faults.filter((name) => !RequestFaults.includes(name)),
     hasAnswerFaults: faults.includes(ANSWERS),
+    earlyEnds: EarlyEnds.filter((name) => faults.includes(name)),
     signal: interrupted.signal,
     onLog(name, line) {
       if (flags.verbose) process.stderr.write(`${name}: ${line}\n`);
@@ -56,11 +64,13 @@
   process.stdout.write(`${text}\n`, () => process.exit(status));
 }
 
-function renderResult({ faults, checks, outcomes, failures }: SoakResult): string {
-  const tables = Object.entries({ faults, checks, outcomes }).flatMap(([title, counts]) => [
-    title,
-    ...Object.entries(counts).map(([name, value]) => `  ${name.padEnd(NAME_WIDTH)} ${value}`),
-  ]);
+function renderResult({ faults, falseEnds, checks, outcomes, failures }: SoakResult): string {
+  const tables = Object.entries({ faults, 'false ends': falseEnds, checks, outcomes }).flatMap(
+    ([title, counts]) => [
+      title,
+      ...Object.entries(counts).map(([name, value]) => `  ${name.padEnd(NAME_WIDTH)} ${value}`),
+    ],
+  );
   const descriptions = failures.flatMap(({ check, request = '', message, timeLine }) => [
     `${check} ${request}: ${message}`,
     ...timeLine.map(({ at, source, text }) => `  ${new Date(at).toISOString()} ${source}: ${text}`),
--- a/packages/replay/src/soak/plan.ts
+++ b/packages/replay/src/soak/plan.ts
@@ -14,7 +14,7 @@
 
 /** A signal and the time to wait before it is sent. */
 export interface PlannedSignal {
-  signal: 'SIGTERM' | 'SIGHUP' | 'SIGSTOP' | 'SIGCONT' | 'SIGKILL';
+  signal: 'SIGTERM' | 'SIGINT' | 'SIGHUP' | 'SIGSTOP' | 'SIGCONT' | 'SIGKILL';
   wait: Milliseconds;
 }
 
@@ -106,6 +106,8 @@
   'all-kill': (random) => stop({ kind: 'all-instances' }, random),
   'endpoint-kill': stopEndpoint(() => [send('SIGKILL')]),
   'endpoint-term': stopEndpoint(() => [send('SIGTERM')]),
+  // The endpoint ends its answers as if they were complete.
+  'endpoint-exit': stopEndpoint(() => [send('SIGINT')]),
   'endpoint-stop': stopEndpoint(drawFreeze),
   'endpoint-silent': stopEndpoint(drawSilence),
   'endpoints-silent': (random, size) => {
--- a/packages/replay/src/soak/requestRecord.ts
+++ b/packages/replay/src/soak/requestRecord.ts
@@ -12,6 +12,8 @@
   inputTokens: number;
   /** Time in milliseconds after which its caller leaves; `undefined` for its time limit. */
   patience?: number;
+  /** Time in milliseconds that its caller gives it; `undefined` for the usual one. */
+  timeLimit?: number;
   /** Last event that the caller had when it sent the request. */
   resumeAfter: number;
   /** Id of the request that brought the stream's first event, if the caller takes a stream up. */
@@ -43,6 +45,8 @@
   sent: number;
   /** Whether the endpoint stated that its answer is complete. */
   isStated: boolean;
+  /** Whether the endpoint stated that its answer is complete, with events missing. */
+  isFalselyStated: boolean;
   /** Whether the endpoint went on until its answer was complete or its peer had closed. */
   isEnded: boolean;
 }
--- a/packages/replay/src/soak/sender.ts
+++ b/packages/replay/src/soak/sender.ts
@@ -7,7 +7,8 @@
 import type { FleetInstance } from './fleet';
 import type { RequestRecord } from './requestRecord';
 
-const TIME_LIMIT_MS: Milliseconds = 4000;
+/** Time that callers usually give a request. */
+export const TIME_LIMIT_MS: Milliseconds = 4000;
 
 /** A request that a caller sends. */
 export interface SoakRequest {
@@ -24,6 +25,8 @@
   agent?: http.Agent;
   /** Time after which the caller leaves; `undefined` for its time limit. */
   patience?: Milliseconds;
+  /** Time that it gives the request; `undefined` for the usual one. It waits as long all the same. */
+  timeLimit?: Milliseconds;
 }
 
 /** Sends requests of callers and records what they see. */
@@ -35,18 +38,19 @@
 export function createSender(clock: Clock, evidence: Evidence): Sender {
   const now = () => clock.now().getTime();
   return {
-    async send({ work, key, instance, agent, patience, ...fields }) {
+    async send({ work, key, instance, agent, patience, timeLimit, ...fields }) {
       const path = encodeWork(work);
       const text = `sends ${path} to ${instance.name} after event ${fields.resumeAfter}`;
       const lines = [{ at: now(), source: 'caller', text }];
-      const base = { ...fields, work, patience, instance: instance.name, life: instance.life };
+      const patiences = { patience, timeLimit };
+      const base = { ...fields, ...patiences, work, instance: instance.name, life: instance.life };
       const record: RequestRecord = { ...base, sentAt: now(), runs: [], arrivals: [], lines };
       evidence.open(record);
       const answer = await sendCallerCall({
         ...fields,
         ...{ host: HOST, path, key, agent: agent ?? false },
         address: instance.callersLink.address,
-        timeLeft: TIME_LIMIT_MS,
+        timeLeft: timeLimit ?? TIME_LIMIT_MS,
         patience: patience ?? TIME_LIMIT_MS,
         outputTokens: work.events * TOKENS_PER_EVENT,
       });
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -7,6 +7,7 @@
 import { createLauncher } from '../programs';
 import type { Launcher } from '../programs';
 import { startCallers } from './callers';
+import type { EarlyEnd } from './callers';
 import { createEvidence } from './evidence';
 import type { Evidence, Failure } from './evidence';
 import { startFleet } from './fleet';
@@ -32,6 +33,8 @@
   faults: string[];
   /** Whether endpoints' answers are to have faults. */
   hasAnswerFaults: boolean;
+  /** Ends in order of answers that are not whole, which further callers ask for. */
+  earlyEnds: EarlyEnd[];
   onLog(name: string, line: string): void;
   /** Aborted to end the soak early, and with it all processes. */
   signal: AbortSignal;
@@ -45,6 +48,8 @@
   faults: Record<string, number>;
   /** How often each check was made. */
   checks: Record<string, number>;
+  /** How often endpoints stated the end of an answer with events missing, by the reason. */
+  falseEnds: Record<string, number>;
   /** Number of requests by how they ended. */
   outcomes: Record<string, number>;
   spent: Record<string, number>;
@@ -78,10 +83,10 @@
     const faults = await Promise.race([running, aborted]);
     const left = await launcher.close();
     evidence.check('left-behind', left.length > 0 ? `still running: ${left.join()}` : undefined);
-    const { checks, outcomes, failures, totals, versions } = evidence;
+    const { checks, falseEnds, outcomes, failures, totals, versions } = evidence;
     const { seed } = options;
     const figures = { spent: totals.spent, streams: versions.shares, peaks };
-    return { seed, plan, faults, checks, outcomes, ...figures, failures };
+    return { seed, plan, faults, checks, falseEnds, outcomes, ...figures, failures };
   } finally {
     await launcher.close();
     process.off('exit', launcher.stopAll);
@@ -129,8 +134,8 @@
   while (fleet.instances.some((instance) => !instance.isReady)) await pause(POLL_INTERVAL_MS);
   const startedAt = clock.elapsed();
   const waitUntil = (at: Milliseconds) => pause(Math.max(0, startedAt + at - clock.elapsed()));
-  const { seed, callers: count, hasAnswerFaults } = options;
-  const callers = startCallers({ fleet, sender, seed, count, hasFaults: hasAnswerFaults });
+  const { seed, callers: count, hasAnswerFaults: hasFaults, earlyEnds } = options;
+  const callers = startCallers({ fleet, sender, seed, count, hasFaults, earlyEnds });
   const operating = operator.run();
   const injector = createInjector(fleet, evidence);
   const playing: Promise<void>[] = [];
--- a/packages/replay/src/soak/versionChecks.ts
+++ b/packages/replay/src/soak/versionChecks.ts
@@ -82,7 +82,8 @@
     unlist,
     add(record) {
       const { work, answer, account, patience, sentAt, endedAt, heldVersions, instance } = record;
-      const isSound = work.fault === 'none' && patience === undefined && account === 'rich';
+      const isPatient = patience === undefined && record.timeLimit === undefined;
+      const isSound = work.fault === 'none' && isPatient && account === 'rich';
       if (work.route !== 'stream' || !isSound || endedAt === undefined) return;
       if (faults.isDisturbed([instance, 'store'], sentAt - CONTACT_MS, endedAt)) return;
       const isServing = (version: string) =>
--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -1,6 +1,7 @@
 import { execFileSync } from 'node:child_process';
 import path from 'node:path';
 import { createSystemClock } from '@pomeloroad/core';
+import { EarlyEnds } from '../src/soak/callers';
 import { DefaultFaults } from '../src/soak/plan';
 import { runSoak } from '../src/soak/soak';
 import type { SoakOptions, SoakResult } from '../src/soak/soak';
@@ -10,13 +11,15 @@
 
 // Real processes: they need the bundled program. `npm test` builds the stand-ins.
 function soak(
-  options: Pick<SoakOptions, 'seed' | 'length' | 'calm' | 'faults' | 'hasAnswerFaults'>,
+  options: Pick<SoakOptions, 'seed' | 'length' | 'calm' | 'faults' | 'hasAnswerFaults'> &
+    Partial<Pick<SoakOptions, 'earlyEnds'>>,
   endpoints = 4,
 ) {
   execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: ROOT });
   const { signal } = new AbortController();
   const size = { instances: 4, endpoints, callers: 24 };
-  return runSoak(createSystemClock(), { ...options, ...size, signal, onLog: () => undefined });
+  const host = { signal, onLog: () => undefined };
+  return runSoak(createSystemClock(), { earlyEnds: [], ...options, ...size, ...host });
 }
 
 function describeFailures({ failures }: SoakResult): string[] {
@@ -34,6 +37,7 @@
       ...times,
       faults: DefaultFaults,
       hasAnswerFaults: true,
+      earlyEnds: [...EarlyEnds],
     });
     expect(describeFailures(result)).toEqual([]);
     expect(Object.keys(result.faults).length).toBeGreaterThan(10);
@@ -78,3 +82,17 @@
   },
   TIMEOUT_MS,
 );
+
+test(
+  'seed 1: no answer looks complete whose endpoint stated its end too early',
+  async () => {
+    const times = { length: 16_000, calm: 3000 };
+    const ends = { faults: ['endpoint-exit'], earlyEnds: [...EarlyEnds] };
+    const result = await soak({ seed: 1, ...times, ...ends, hasAnswerFaults: false });
+    expect(describeFailures(result)).toEqual([]);
+    const { exit, resumed, 'time-limit': limit } = result.falseEnds;
+    expect([exit, resumed, limit]).toEqual(Array(3).fill(expect.any(Number)));
+    expect(result.checks['false-ends']).toBeGreaterThan(20);
+  },
+  TIMEOUT_MS,
+);
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -9,6 +9,8 @@
 
 const LATE_ANSWER_DELAY_MS: Milliseconds = 1000;
 const SILENCE_MS: Milliseconds = 1500;
+/** Time within which the ends of open answers are sent before the process exits. */
+const EXIT_TIMEOUT_MS: Milliseconds = 200;
 const MISDIRECTED_STATUS = 421;
 const DECLINED_STATUS = 503;
 /** Announces a time that the server's own idle timeout may undercut. */
@@ -17,6 +19,12 @@
 /** Share of the requests with a fault, in 16 parts, that an endpoint answers with it. */
 const FAULTY_SIXTEENTHS = 8;
 
+/**
+ * Why an answer ends in order though it is not whole: the next event would come after its time limit,
+ * it was to go on after some events, or the process exits.
+ */
+export type EarlyEndReason = 'time-limit' | 'resumed' | 'exit';
+
 /** What an endpoint of the soak records, one line for each step of a request. */
 export type EndpointLine =
   | {
@@ -31,6 +39,8 @@
   | { event: 'sent'; request: string; run: number; number: number }
   /** The answer is complete as far as the endpoint states it in its framing. */
   | { event: 'stated'; request: string; run: number; number: number }
+  /** The answer ends in order, with events missing. */
+  | { event: 'stopped'; request: string; run: number; number: number; reason: EarlyEndReason }
   | { event: 'closed'; request: string; run: number; number: number }
   | { event: 'declined'; request: string; reason: 'full' | 'leaving' | 'other-endpoint' };
 
@@ -46,9 +56,26 @@
   isFull(): boolean;
 }
 
-/** Creates the server of an endpoint that sends what the path of a request asks for. */
-export function createSoakEndpoint(host: SoakEndpointHost): http.Server {
+/** An answer that has begun. */
+interface OpenAnswer {
+  response: ServerResponse;
+  stop(reason: EarlyEndReason): void;
+}
+
+/** An endpoint that serves. */
+export interface SoakEndpoint {
+  server: http.Server;
+  /** Ends all open answers in order, with events missing; resolves when that is sent. */
+  endAnswers(): Promise<void>;
+}
+
+/**
+ * Creates an endpoint that sends what the path of a request asks for. It keeps to the time limit that
+ * it is told, counted from the request's arrival: it begins no event that would come later.
+ */
+export function createSoakEndpoint(host: SoakEndpointHost): SoakEndpoint {
   const { clock, id, slots, version, record } = host;
+  const openAnswers = new Set<OpenAnswer>();
   let active = 0;
   let runs = 0;
 
@@ -84,6 +111,7 @@
     name: string,
   ): Promise<void> {
     const path = request.url ?? '/';
+    const deadline = clock.elapsed() + Number(request.headers[WireHeader.timeLeft] ?? Infinity);
     const work = decodeWork(path);
     const after = Number(request.headers[WireHeader.resumeAfter] ?? 0);
     const account = String(request.headers[WireHeader.account] ?? '');
@@ -92,23 +120,39 @@
     record({ event: 'run', ...step, path, after, account, version });
     const fault = hasFault(id, name) ? work.fault : 'none';
     const middle = Math.floor((after + work.events) / 2);
-    const last = fault === 'short' ? middle : work.events;
+    const isShort = fault === 'short' || (fault === 'empty' && after === 0);
+    const last = isShort ? middle : work.events;
     if (fault === 'late') await sleep(clock, LATE_ANSWER_DELAY_MS);
     writeHead(response, name, work, after, fault);
     let number = after;
-    while (number < last && !response.destroyed) {
+    const answer: OpenAnswer = {
+      response,
+      stop(reason) {
+        record({ event: 'stopped', ...step, number, reason });
+        if (work.framing === 'length') request.socket.end();
+        else response.end();
+      },
+    };
+    openAnswers.add(answer);
+    response.once('close', () => openAnswers.delete(answer));
+    if (fault === 'empty' && after > 0 && after < last) answer.stop('resumed');
+    while (number < last && isOpen(response)) {
+      if (clock.elapsed() + work.pause > deadline) answer.stop('time-limit');
+      if (!isOpen(response)) break;
       const isSilent = fault === 'silent' && number === middle;
       await sleep(clock, isSilent ? SILENCE_MS : work.pause);
-      if (response.destroyed) break;
+      if (!isOpen(response)) break;
       number += 1;
       // Recorded first: what the kernel has taken may arrive although the process is killed.
       record({ event: 'sent', ...step, number });
       response.write(renderEvent(name, number, version));
     }
+    openAnswers.delete(answer);
+    if (response.writableEnded) return;
     if (response.destroyed) record({ event: 'closed', ...step, number });
     else {
-      if (fault !== 'short') record({ event: 'stated', ...step, number });
-      endAnswer(request, response, work, fault);
+      if (!isShort) record({ event: 'stated', ...step, number });
+      endAnswer(request, response, work, isShort ? 'short' : fault);
     }
   }
 
@@ -137,12 +181,29 @@
     response.flushHeaders();
   }
 
-  return http.createServer((request, response) => {
+  const server = http.createServer((request, response) => {
     readBody(request).then(
       () => serve(request, response),
       () => undefined,
     );
   });
+  return {
+    server,
+    async endAnswers() {
+      const ending = [...openAnswers].map(({ response, stop }) => {
+        stop('exit');
+        return new Promise((resolve) => {
+          response.once('close', resolve);
+          response.once('finish', resolve);
+        });
+      });
+      await Promise.race([sleep(clock, EXIT_TIMEOUT_MS), Promise.all(ending)]);
+    },
+  };
+}
+
+function isOpen(response: ServerResponse): boolean {
+  return !response.destroyed && !response.writableEnded;
 }
 
 // An answer cut short closes its connection in order and, in chunks, without the last one.
--- a/packages/standins/src/soakEndpointProcess.ts
+++ b/packages/standins/src/soakEndpointProcess.ts
@@ -31,13 +31,15 @@
 type StateLine = { event: 'leaving' } | { event: 'listed'; service: string; version: string };
 
 /**
- * Serves and announces an endpoint until SIGTERM, after which it leaves in order. SIGUSR2 switches
- * between a full queue and a free one. Resolves to the address at which it listens.
+ * Serves and announces an endpoint until SIGTERM, after which it leaves in order. After SIGINT it ends
+ * its answers as if they were complete and exits. SIGUSR2 switches between a full queue and a free
+ * one. Resolves to the address at which it listens.
  */
 export async function runSoakEndpoint(settings: SoakEndpointSettings): Promise<string> {
   const { clock, id, slots, version, store, service, dataCentre, drain } = settings;
   let isFull = false;
-  const server = createSoakEndpoint({ clock, id, slots, version, record, isFull: () => isFull });
+  const host = { clock, id, slots, version, record, isFull: () => isFull };
+  const { server, endAnswers } = createSoakEndpoint(host);
   server.keepAliveTimeout = settings.idleTimeout;
   const address = await listen(server, settings.address);
   const entry = { id, service, address: settings.advertisedAddress, dataCentre, slots, version };
@@ -46,6 +48,10 @@
   process.on('SIGUSR2', () => {
     isFull = !isFull;
   });
+  process.once('SIGINT', async () => {
+    await endAnswers();
+    process.exit(0);
+  });
   process.once('SIGTERM', async () => {
     await announcement.leave();
     record({ event: 'leaving' });
--- a/packages/standins/src/soakWork.ts
+++ b/packages/standins/src/soakWork.ts
@@ -17,7 +17,9 @@
   /** Begins only after a second. */
   | 'late'
   /** Falls silent halfway for over a second and goes on. */
-  | 'silent';
+  | 'silent'
+  /** Ends too early, and states the end at once, with no event, if asked to go on. */
+  | 'empty';
 
 /** What a request asks an endpoint to send. It stands in the request's path. */
 export interface Work {
