Soak: two soaks at once never share a subnet; a start that fails closes what listens

The subnet came from the process's id modulo 128, so two soaks met; and the proxy's links still listened after the start had failed.

Now a soak claims its subnet by listening in it, and takes the next one otherwise; links close if a start fails. A collision was not forced.

--- a/packages/replay/src/soak/fleet.ts
+++ b/packages/replay/src/soak/fleet.ts
@@ -1,5 +1,7 @@
 import { writeFileSync } from 'node:fs';
+import http from 'node:http';
 import path from 'node:path';
+import { listen } from '@pomeloroad/core';
 import type { Clock } from '@pomeloroad/core';
 import { renderSettings } from '@pomeloroad/standins';
 import { createFaultProxy } from '../faultProxy';
@@ -98,8 +100,7 @@
   const storeArgs = ['store', '--seed', String(seed)];
   const storeProgram = await launcher.start('store', STANDINS_PROGRAM, storeArgs);
   const store = String(storeProgram.listening.address);
-  // Other soaks on this machine use other subnets, since the metrics' port is fixed.
-  const subnet = FIRST_SUBNET + (process.pid % SUBNETS);
+  const { subnet, release } = await claimSubnet();
 
   async function startEndpoint(
     endpoint: Omit<FleetEndpoint, 'program' | 'isEnding'>,
@@ -161,13 +162,26 @@
 
   let endpointsStarted = 0;
   const createIndexes = (length: number) => Array.from({ length }, (_, index) => index);
-  const endpoints = await Promise.all(createIndexes(size.endpoints).map(addEndpoint));
+  function close(): void {
+    proxy.close();
+    release();
+  }
+
+  // What still listens would keep this process alive.
+  const closeOnError = (error: Error) => {
+    close();
+    throw error;
+  };
+  const adding = createIndexes(size.endpoints).map(addEndpoint);
+  const endpoints = await Promise.all(adding).catch(closeOnError);
+  const starting = createIndexes(size.instances).map(addInstance);
+  const instances = await Promise.all(starting).catch(closeOnError);
   return {
     proxy,
     storeProgram,
     store,
     endpoints,
-    instances: await Promise.all(createIndexes(size.instances).map(addInstance)),
+    instances,
     async restart(stopped) {
       const fleetProcess = stopped;
       if (fleetProcess.kind === 'instance') fleetProcess.life += 1;
@@ -182,6 +196,21 @@
       endpoints.splice(endpoints.indexOf(old), 1, endpoint);
       return endpoint;
     },
-    close: proxy.close,
+    close,
   };
 }
+
+// Soaks on one machine use different subnets, since the metrics' port is fixed.
+async function claimSubnet(): Promise<{ subnet: number; release(): void }> {
+  for (let step = 0; step < SUBNETS; step += 1) {
+    const subnet = FIRST_SUBNET + ((process.pid + step) % SUBNETS);
+    const server = http.createServer();
+    const listening = listen(server, `127.${subnet}.0.1:${CALLERS_PORT}`);
+    const isFree = await listening.then(
+      () => true,
+      () => false,
+    );
+    if (isFree) return { subnet, release: () => server.close() };
+  }
+  throw new Error('another soak uses each subnet');
+}
