--- a/packages/forwarding/src/endReport.ts
+++ b/packages/forwarding/src/endReport.ts
@@ -36,7 +36,7 @@
   step: Exclude<StreamStep, { kind: 'events' }>,
 ): void {
   if (step.kind === 'broken') return;
-  run.course.reportEnd = noteEnd(run, attempt, step.kind, step);
+  run.course.reportEnd = noteEnd(run, attempt, step);
 }
 
 /** Reports what was done after the latest end of a stream, unless that is reported. */
@@ -52,7 +52,6 @@
 export function noteEnd<Payload>(
   run: Run<Payload>,
   attempt: SentAttempt,
-  kind: 'complete' | 'closed',
   end: AnswerEnd,
 ): (outcome: EndOutcome) => void {
   if (isProven(end)) return () => undefined;
@@ -75,7 +74,7 @@
     version: endpoint?.version,
     reason,
     state,
-    end: kind,
+    end: end.framing === 'close' ? 'closed' : 'complete',
     framing: end.framing,
     events: run.events,
     timeLeft: Math.round(timeLeft),
--- a/packages/forwarding/test/endReport.test.ts
+++ b/packages/forwarding/test/endReport.test.ts
@@ -344,6 +344,11 @@
   expect(disbelieved.suspicious).toMatchObject([{ timeLeft: 1, outcome: 'disbelieved' }]);
 });
 
+test('a whole answer that ends with its connection is reported as closed', async () => {
+  const { suspicious } = await run([{ end: 'whole', framing: 'close', pause: 2200 }]);
+  expect(suspicious).toMatchObject([{ end: 'closed', framing: 'close', outcome: 'believed' }]);
+});
+
 test('no end that a length proves is suspicious', async () => {
   const stream = await run([{ framing: 'length', events: [100], pause: 2200, state: 'failing' }]);
   const whole = await run([{ end: 'whole', framing: 'length', pause: 2300 }]);
