--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -11,6 +11,12 @@
 import type { EndpointRecord, Reply, SendError } from './types';
 
 const SERVER_ERROR_STATUS = 500;
+/**
+ * Time after the request's deadline until which an endpoint may work. An endpoint that keeps to a time
+ * limit may end its answer in order somewhat before it, so its limit comes after the deadline, at
+ * which the instance cuts the answer and closes the connection. Platforms allow half a second.
+ */
+const ENDPOINT_LIMIT_MARGIN_MS: Milliseconds = 250;
 
 /** What an attempt ended with, or the head of its stream. */
 export type AttemptReply = Outcome<Reply, SendError>;
@@ -20,6 +26,8 @@
   slot: Slot;
   /** Entry of its endpoint; `undefined` if that had left, so that nothing was sent. */
   endpoint: EndpointRecord | undefined;
+  /** Id of the event after which the endpoint is asked to go on; `undefined` for the whole answer. */
+  resumeAfter: string | undefined;
   reply: Promise<AttemptReply>;
   /** Resolves once the endpoint may have started to work. */
   connected: Promise<void>;
@@ -37,16 +45,17 @@
   const connected = new Promise<void>((resolve) => {
     onConnected = resolve;
   });
+  const resumeAfter = run.lastEventId;
   let activeAt = host.clock.elapsed();
-  const told = { limit: getTimeLeft(run), at: activeAt };
+  const told = { limit: getTimeLeft(run) + ENDPOINT_LIMIT_MARGIN_MS, at: activeAt };
 
   async function send(endpoint: EndpointRecord): Promise<AttemptReply> {
     run.pending += 1;
     const sent = await host.protocol.send({
       request,
       endpoint,
-      resumeAfter: run.lastEventId,
-      timeLeft: told.limit,
+      resumeAfter,
+      timeLimit: told.limit,
       onConnected,
       onActivity() {
         slot.recordActivity();
@@ -67,6 +76,7 @@
   const attempt: SentAttempt = {
     slot,
     endpoint,
+    resumeAfter,
     told,
     reply: endpoint
       ? send(endpoint)
