Distributor: notices and their relays have a file of their own

Code moved to noticeSender.ts; relayNotice is relay there. Behaviour unchanged; packages/configuration passes.

--- a/packages/configuration/src/distributor.ts
+++ b/packages/configuration/src/distributor.ts
@@ -1,23 +1,16 @@
 import { match } from 'ts-pattern';
-import { Diagnostics, getOwner, hashText } from '@pomeloroad/core';
+import { Diagnostics, hashText } from '@pomeloroad/core';
 import type { Clock, Identity, Log, Milliseconds } from '@pomeloroad/core';
 import type { PeerNetwork } from '@pomeloroad/peers';
 import { createDrains } from './drains';
 import { intersectConfigurations } from './intersect';
+import { createNoticeSender, getRelay } from './noticeSender';
 import { parseConfiguration } from './parse';
 import type { ConfigurationStore, StoredState } from './store';
 import { ConfigurationTopics } from './topics';
-import type {
-  Acknowledgement,
-  DrainList,
-  Notice,
-  RelayRequest,
-  VersionFile,
-  VersionState,
-} from './topics';
+import type { Acknowledgement, DrainList, Notice, VersionFile, VersionState } from './topics';
 import type { Configuration, VersionRow } from './types';
 
-const NOTICE_TIMEOUT_MS = 1000;
 const STATE_TIMEOUT_MS = 1000;
 /**
  * Time after which a staged version that was neither accepted nor withdrawn is in doubt. From then
@@ -100,9 +93,10 @@
   let common: Configuration | undefined;
   let pollCount = 0;
   const drains = createDrains({ network, isRelay, onChange: host.onChange });
+  const sender = createNoticeSender(network);
 
   network.handle(ConfigurationTopics.notice, async (_from, notice) => handleNotice(notice));
-  network.handle(ConfigurationTopics.relay, async (_from, request) => relayNotice(request));
+  network.handle(ConfigurationTopics.relay, async (_from, request) => sender.relay(request));
   network.handle(ConfigurationTopics.state, async () => getState());
 
   function handleNotice(notice: Notice): Acknowledgement {
@@ -167,35 +161,6 @@
     return getRelay(host.getLocalInstances()) === self.instance;
   }
 
-  async function relayNotice({ notice, instances }: RelayRequest): Promise<Acknowledgement[]> {
-    return Promise.all(instances.map((instance) => sendNotice(instance, notice)));
-  }
-
-  async function sendNotice(instance: string, notice: Notice): Promise<Acknowledgement> {
-    const { notice: topic } = ConfigurationTopics;
-    const reply = await network.call(instance, topic, notice, NOTICE_TIMEOUT_MS);
-    return reply.ok ? reply.val : { instance, isDone: false, reason: reply.val.message };
-  }
-
-  async function announceToGroup(notice: Notice, instances: string[]): Promise<Acknowledgement[]> {
-    const relay = getRelay(instances.filter((instance) => network.isConnected(instance)));
-    if (relay === undefined) {
-      return instances.map((instance) => ({ instance, isDone: false, reason: 'unreachable' }));
-    }
-    const timeout = NOTICE_TIMEOUT_MS * 2;
-    const request = { notice, instances };
-    const reply = await network.call(relay, ConfigurationTopics.relay, request, timeout);
-    if (reply.ok) return reply.val;
-    const reason = reply.val.message;
-    return instances.map((instance) => ({ instance, isDone: false, reason }));
-  }
-
-  async function announce(notice: Notice, instances: Identity[]): Promise<Acknowledgement[]> {
-    const groups = groupByDataCentre(instances);
-    const replies = await Promise.all(groups.map((group) => announceToGroup(notice, group)));
-    return replies.flat();
-  }
-
   // Returns whether the platform answered.
   async function readPlatform(): Promise<boolean> {
     const state = await store.readState();
@@ -228,7 +193,7 @@
   async function applyStoredState({ head, drainList }: StoredState): Promise<void> {
     const others = host.getLocalInstances().filter((instance) => instance !== self.instance);
     if (drains.replace(drainList) && isRelay()) {
-      await relayNotice({ notice: { kind: 'drains', ...drainList }, instances: others });
+      await sender.relay({ notice: { kind: 'drains', ...drainList }, instances: others });
     }
     const { accepted, proposed } = head;
     if (accepted && accepted.version > getVersion()) await installAccepted(accepted, others);
@@ -241,7 +206,7 @@
     const file = await fetchFile(accepted);
     if (!file) return;
     install(file);
-    if (isRelay()) await relayNotice({ notice: { kind: 'accept', file }, instances: others });
+    if (isRelay()) await sender.relay({ notice: { kind: 'accept', file }, instances: others });
   }
 
   async function handleProposed(proposed: VersionRow): Promise<void> {
@@ -285,9 +250,9 @@
       for (let read = 0; read < ANNOUNCEMENT_READS_MAX; read += 1) {
         if (await readPlatform()) break;
       }
-      await announce({ kind: 'drains', ...drains.getList() }, host.getInstances());
+      await sender.announce({ kind: 'drains', ...drains.getList() }, host.getInstances());
     },
-    announce,
+    announce: sender.announce,
     describe: () => ({
       version: getVersion(),
       digest: inForce?.file.version.digest ?? '',
@@ -304,16 +269,3 @@
   const parsed = parseConfiguration(file.text);
   return parsed.ok ? { file, configuration: parsed.val } : undefined;
 }
-
-// Selects the instance that distributes notices within a group, the same one on every instance.
-function getRelay(instances: string[]): string | undefined {
-  return getOwner('configuration', instances);
-}
-
-function groupByDataCentre(instances: Identity[]): string[][] {
-  const groups = new Map<string, string[]>();
-  instances.forEach(({ dataCentre, instance }) => {
-    groups.set(dataCentre, [...(groups.get(dataCentre) ?? []), instance]);
-  });
-  return [...groups.values()];
-}
