--- a/packages/budgets/src/index.ts
+++ b/packages/budgets/src/index.ts
@@ -4,6 +4,7 @@
 export * from './ledger';
 export * from './sizing';
 export * from './keepers';
+export type { Usage } from './reaper';
 export * from './settlement';
 export * from './client';
 export * from './topics';
--- a/packages/budgets/src/keepers.ts
+++ b/packages/budgets/src/keepers.ts
@@ -1,38 +1,29 @@
 import { createId, Diagnostics, getOwner } from '@pomeloroad/core';
-import type { Clock, Identity, Log, Milliseconds, Tokens } from '@pomeloroad/core';
-import type { PeerNetwork } from '@pomeloroad/peers';
+import type { Identity, Tokens } from '@pomeloroad/core';
 import type { ObjectStore, Row, Table } from '@pomeloroad/storage';
 import type { Reservation } from './heldGrant';
 import { createGrant, createKeeper } from './keeper';
 import type { Keeper, KeeperStatus, RecallSummary } from './keeperTypes';
 import { createLedger } from './ledger';
+import { createReaper } from './reaper';
+import type { ReaperHost } from './reaper';
 import { getGrantKey, getGrantPrefix, LedgerPrefix, parseGrant } from './rows';
 import { settleKeepers } from './settlement';
 import type { GrantPolicy } from './sizing';
 import { BudgetTopics } from './topics';
 import type { ReservationReply, SettlementReply, WitnessLog } from './topics';
-import type { Grant, Placement, ReservationError, UsageRecord } from './types';
+import type { Grant, ReservationError, UsageRecord } from './types';
 import { createWitness } from './witness';
 import { createWitnessLink } from './witnessLink';
 import type { SealOutcome } from './witnessLink';
 
 const RECALL_TIMEOUT_MS = 1500;
-const CONFIRM_TIMEOUT_MS = 1000;
-/** The owner is not asked to confirm reservations younger than this. */
-const CONFIRM_MIN_AGE_MS = 10_000;
-/** Younger reservations are neither confirmed nor settled for a lost owner. */
-const ORPHAN_MIN_AGE_MS = 5000;
-/** How long a retry may take over a request with an idempotency key from a lost instance. */
-const TAKE_OVER_WINDOW_MS = 12_000;
 
 /** Services and settings that the budget keepers of an instance depend on. */
-export interface KeepersHost {
-  clock: Clock;
-  log: Log;
+export interface KeepersHost extends ReaperHost {
   self: Identity;
   table: Table;
   objects: ObjectStore;
-  network: PeerNetwork;
   policy: GrantPolicy;
   /** Number of data centres that share the budgets. */
   getDataCentres(): number;
@@ -40,18 +31,8 @@
   getLocalInstances(): string[];
   /** Whether the table service does not answer. */
   isTableUnreachable(): boolean;
-  /** Whether the incarnation answered recently. */
-  isLive(identity: Identity): boolean;
   /** Whether the incarnation has left for good, according to the membership list. */
   isLost(identity: Identity): boolean;
-  /** Stops a request on its endpoints and returns what it used; `undefined` if not known yet. */
-  stopRequest(placements: Placement[], reserved: Tokens): Promise<Usage | undefined>;
-}
-
-/** Tokens that a stopped request used. */
-export interface Usage {
-  promptTokens: Tokens;
-  completionTokens: Tokens;
 }
 
 /** The budget keepers of one instance. */
@@ -91,6 +72,7 @@
   let inherited: Keeper[] = [];
   const witnesses = createWitnessLink(host);
   const witness = createWitness(clock, network);
+  const reaper = createReaper(host);
   const keeperHost = {
     ...host,
     ledger,
@@ -98,8 +80,6 @@
     witnesses,
     isTableUnreachable: host.isTableUnreachable,
   };
-  /** When each owner of reservations was first seen not to be live, by incarnation. */
-  const lostSince = new Map<string, Milliseconds>();
   let isClosing = false;
 
   network.handle(BudgetTopics.reserve, async (_from, request): Promise<ReservationReply> => {
@@ -172,52 +152,6 @@
     return summary;
   }
 
-  async function reapKeeper(keeper: Keeper): Promise<void> {
-    const old = keeper.reservations().filter((r) => clock.elapsed() - r.at > ORPHAN_MIN_AGE_MS);
-    const lost = old.filter((reservation) => isAbandoned(reservation));
-    const live = old.filter((reservation) => host.isLive(reservation.owner));
-    await Promise.all(lost.map((reservation) => settleOrphan(keeper, reservation)));
-    await confirmReservations(keeper, live);
-  }
-
-  // A reservation with an idempotency key is kept for a while, as a retry may take it over.
-  function isAbandoned({ owner, draft }: Reservation): boolean {
-    if (host.isLive(owner)) {
-      lostSince.delete(owner.incarnation);
-      return false;
-    }
-    const since = lostSince.get(owner.incarnation) ?? clock.elapsed();
-    lostSince.set(owner.incarnation, since);
-    return draft.key === undefined || clock.elapsed() - since >= TAKE_OVER_WINDOW_MS;
-  }
-
-  async function settleOrphan(keeper: Keeper, reservation: Reservation): Promise<void> {
-    const { id, placements, draft, tokens: reserved } = reservation;
-    const usage = placements.length === 0 ? NO_USAGE : await host.stopRequest(placements, reserved);
-    if (!usage || host.isLive(reservation.owner)) return;
-    const { promptTokens, completionTokens } = usage;
-    logEvent(Diagnostics.reservationOrphaned, { reservation: id, promptTokens, completionTokens });
-    const tokens = promptTokens + completionTokens;
-    const record: UsageRecord = { ...draft, ...usage, tokens, at: clock.now().toISOString() };
-    await keeper.settle(id, record);
-  }
-
-  async function confirmReservations(keeper: Keeper, reservations: Reservation[]): Promise<void> {
-    const byOwner = new Map<string, string[]>();
-    reservations
-      .filter((reservation) => clock.elapsed() - reservation.at > CONFIRM_MIN_AGE_MS)
-      .forEach(({ id, owner }) => {
-        byOwner.set(owner.instance, [...(byOwner.get(owner.instance) ?? []), id]);
-      });
-    const confirmations = [...byOwner].map(async ([owner, ids]) => {
-      const request = { reservations: ids };
-      const reply = await network.call(owner, BudgetTopics.confirm, request, CONFIRM_TIMEOUT_MS);
-      if (reply.err) return;
-      await Promise.all(reply.val.map((id) => keeper.settle(id, undefined)));
-    });
-    await Promise.all(confirmations);
-  }
-
   function isWitnessed(row: Row): boolean {
     return parseGrant(row).witness?.incarnation === self.incarnation;
   }
@@ -241,7 +175,7 @@
       const isTableUnreachable = host.isTableUnreachable();
       await Promise.all(listKeepers().map((keeper) => keeper.maintainWitness(isTableUnreachable)));
       await Promise.all([...keepers.values()].map((keeper) => keeper.growEarly()));
-      await Promise.all(listKeepers().map(reapKeeper));
+      await Promise.all(listKeepers().map(reaper.reap));
       await closeInherited();
     },
     findReservationsByKey: (account, key) =>
@@ -324,8 +258,6 @@
   message: 'the keeper is leaving',
 };
 
-const NO_USAGE: Usage = { promptTokens: 0, completionTokens: 0 };
-
 // Returns the instance that opened the grant, which is a part of its identifier.
 function getGrantHolder(id: string): Identity {
   const [dataCentre = '', instance = '', incarnation = ''] = id.split('/');
