--- a/packages/budgets/src/keeper.ts
+++ b/packages/budgets/src/keeper.ts
@@ -1,11 +1,12 @@
-import { Err, Ok } from 'ts-results';
+import { Ok } from 'ts-results';
 import { createCondition, createId, Diagnostics, withTimeout } from '@pomeloroad/core';
-import type { Identity, Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
+import type { Identity, Outcome, Tokens } from '@pomeloroad/core';
 import { createHeldGrant } from './heldGrant';
 import type { Sizer } from './ledgerPlans';
 import { getUnallocated } from './rows';
 import type { Keeper, KeeperHost } from './keeperTypes';
 import { createRateMeter } from './rate';
+import { createReservationQueue } from './reservationQueue';
 import type { WitnessLog } from './topics';
 import type { NoteOutcome } from './witnessLink';
 import { getGrantGrowth, getIdleLimit } from './sizing';
@@ -13,7 +14,6 @@
   BudgetRow,
   Grant,
   LedgerError,
-  ReservationError,
   ReservationRequest,
   SettledRecord,
   UsageRecord,
@@ -24,12 +24,6 @@
 const REFILL_BACKOFF_MAX_MS = 400;
 const MAX_ENDED_RESERVATIONS = 1000;
 
-interface Waiter {
-  request: ReservationRequest;
-  deadline: Milliseconds;
-  resolve(outcome: Outcome<void, ReservationError>): void;
-}
-
 /**
  * Creates the keeper of a budget without writing to the table. It opens a grant for the first
  * reservation, unless it takes over an inherited grant of a lost holder.
@@ -42,6 +36,7 @@
   const { clock, log, ledger, policy, self, witnesses } = host;
   const rate = createRateMeter(clock, RATE_TIME_CONSTANT_MS);
   const changed = createCondition();
+  const queue = createReservationQueue(clock, tryReserve);
   let held = inherited
     ? createHeldGrant(inherited.grant, inherited.log)
     : createHeldGrant(createGrant(self, budget));
@@ -49,7 +44,6 @@
   const ended = new Map<string, SettledRecord | undefined>();
   /** Whether the witness's log says that the whole grant is charged if this holder is lost. */
   let isFullChargeNoted = false;
-  let waiters: Waiter[] = [];
   let isRefilling = false;
   /** Largest recent reservation; it decays by a tenth with each request. */
   let recentPeakTokens = 0;
@@ -64,14 +58,20 @@
     return result;
   }
 
+  function tryReserve(request: ReservationRequest): boolean {
+    if (held.free() < request.tokens) return false;
+    held.reserve(request, clock.elapsed());
+    return true;
+  }
+
   // Retries with exponential back-off until no request waits.
   async function refill(): Promise<void> {
     if (isRefilling) return;
     isRefilling = true;
     let wait = REFILL_BACKOFF_MIN_MS;
-    while (waiters.length > 0) {
+    while (queue.count() > 0) {
       await refillOnce();
-      if (waiters.length > 0) await withTimeout(clock, wait, changed.wait(), undefined);
+      if (queue.count() > 0) await withTimeout(clock, wait, changed.wait(), undefined);
       wait = Math.min(wait * 2, REFILL_BACKOFF_MAX_MS);
     }
     isRefilling = false;
@@ -79,16 +79,16 @@
 
   async function refillOnce(): Promise<void> {
     const grown = await grow();
-    serveWaiters();
+    queue.serve();
     if (grown.err) {
-      refuseExpired({ kind: 'unreachable', message: 'the table service does not answer' });
+      queue.refuseExpired({ kind: 'unreachable', message: 'the table service does not answer' });
       return;
     }
-    if (waiters.length === 0) return;
+    if (queue.count() === 0) return;
     const remaining = await recallOthers();
-    serveWaiters();
-    refuseOversized(remaining);
-    refuseExpired({ kind: 'exhausted', remaining });
+    queue.serve();
+    queue.refuseOversized(remaining);
+    queue.refuseExpired({ kind: 'exhausted', remaining });
   }
 
   // Returns how many tokens may become available to a request here at most; `Infinity` if that
@@ -110,8 +110,7 @@
   }
 
   function getShortage(): Tokens {
-    const wanted = waiters.reduce((sum, waiter) => sum + waiter.request.tokens, 0);
-    return Math.max(0, wanted - held.free());
+    return Math.max(0, queue.sumTokens() - held.free());
   }
 
   function grow(): Promise<Outcome<Grant, LedgerError>> {
@@ -196,29 +195,6 @@
     log(event, { budget, grant: held.grant().id, size, spent: held.spent() });
   }
 
-  function serveWaiters(): void {
-    waiters = waiters.filter((waiter) => {
-      if (held.free() < waiter.request.tokens) return true;
-      held.reserve(waiter.request, clock.elapsed());
-      waiter.resolve(Ok.EMPTY);
-      return false;
-    });
-  }
-
-  function refuseOversized(remaining: Tokens): void {
-    refuseIf((waiter) => waiter.request.tokens > remaining, { kind: 'exhausted', remaining });
-  }
-
-  function refuseExpired(error: ReservationError): void {
-    refuseIf((waiter) => clock.elapsed() >= waiter.deadline, error);
-  }
-
-  function refuseIf(isRefused: (waiter: Waiter) => boolean, error: ReservationError): void {
-    const refused = waiters.filter(isRefused);
-    waiters = waiters.filter((waiter) => !refused.includes(waiter));
-    refused.forEach((waiter) => waiter.resolve(Err(error)));
-  }
-
   // Shrinks the grant, at most down to the tokens in use, and returns the number released.
   async function shrinkTo(getKept: () => Tokens): Promise<Tokens> {
     return runExclusively(async () => {
@@ -239,7 +215,7 @@
     ended.set(id, held.endReservation(id, record));
     const [oldest] = ended.keys();
     if (ended.size > MAX_ENDED_RESERVATIONS && oldest !== undefined) ended.delete(oldest);
-    serveWaiters();
+    queue.serve();
     changed.notify();
   }
 
@@ -255,16 +231,11 @@
     async reserve(request) {
       recentPeakTokens = Math.max(recentPeakTokens * 0.9, request.tokens);
       if (held.reservations().has(request.id)) return Ok.EMPTY;
-      if (waiters.length === 0 && held.free() >= request.tokens) {
-        held.reserve(request, clock.elapsed());
-        return Ok.EMPTY;
-      }
-      const deadline = clock.elapsed() + request.patience;
-      return new Promise((resolve) => {
-        waiters.push({ request, deadline, resolve });
-        changed.notify();
-        refill();
-      });
+      if (queue.count() === 0 && tryReserve(request)) return Ok.EMPTY;
+      const waited = queue.add(request);
+      changed.notify();
+      refill();
+      return waited;
     },
     async settle(reservation, record) {
       const current = held;
@@ -294,16 +265,16 @@
       if (outcome === 'sealed') abandonGrant();
     },
     release: (mustYield) =>
-      waiters.length > 0 && !mustYield ? Promise.resolve(0) : shrinkTo(() => 0),
+      queue.count() > 0 && !mustYield ? Promise.resolve(0) : shrinkTo(() => 0),
     async trim() {
       const limit = getIdleLimit(policy, rate.perSecond(), recentPeakTokens);
-      if (waiters.length > 0 || held.free() <= limit) return;
+      if (queue.count() > 0 || held.free() <= limit) return;
       await shrinkTo(() => held.spent() + held.reserved() + Math.ceil(limit / 2));
     },
     hasReservation: (reservation) => held.reservations().has(reservation) || ended.has(reservation),
     async growEarly() {
       if (policy.kind !== 'adaptive' || held.grant().version === 0) return;
-      if (waiters.length > 0 || host.isTableUnreachable()) return;
+      if (queue.count() > 0 || host.isTableUnreachable()) return;
       if (held.free() < freeAfterResize / 2) await grow();
     },
     reservations: () => [...held.reservations().values()],
@@ -321,7 +292,7 @@
     close: () =>
       runExclusively(async () => {
         const isUsed = held.reservations().size > 0 || held.unsettledRecords().length > 0;
-        if (isUsed || waiters.length > 0) return false;
+        if (isUsed || queue.count() > 0) return false;
         if (held.grant().version === 0 && !held.isUncertain()) return true;
         const spent = held.spent();
         held.lowerLimit(spent);
@@ -346,7 +317,7 @@
       free: held.free(),
       reservations: held.reservations().size,
       unsettled: held.unsettledRecords().length,
-      waiting: waiters.length,
+      waiting: queue.count(),
       rate: Math.round(rate.perSecond()),
     }),
   };
