--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -12,14 +12,13 @@
 } from '@pomeloroad/core';
 import type { Identity, Milliseconds } from '@pomeloroad/core';
 import { createBudgetClient, createKeepers, createLedger } from '@pomeloroad/budgets';
-import type { GrantPolicy, Placement, Usage } from '@pomeloroad/budgets';
+import type { GrantPolicy } from '@pomeloroad/budgets';
 import { createConfigurationStore, createDistributor } from '@pomeloroad/configuration';
 import type { RoutingPolicy } from '@pomeloroad/configuration';
 import { createPeerNetwork } from '@pomeloroad/peers';
 import type { Peer } from '@pomeloroad/peers';
 import { createBatchTable, createHttpPlatform, createLease } from '@pomeloroad/storage';
 import { createAnswerStore, createClaims, createRequestRegistry } from '@pomeloroad/requests';
-import type { BeginReply, BeginRequest } from '@pomeloroad/requests';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
 import type { RouteRequest } from '@pomeloroad/routing';
 import { serveAnswers } from './answerSource';
@@ -30,6 +29,7 @@
 import { createInstanceMetrics } from './instanceMetrics';
 import { createLoadCollector } from './loads';
 import { createAnswerOpener } from './answerOpener';
+import { findLostRequest, stopLostRequest } from './lostRequests';
 import { createOperatorServer } from './operators';
 import { createReconciler } from './reconciler';
 import { createOrderIssuer } from './orders';
@@ -177,7 +177,7 @@
     isTableUnreachable: () => isTableUnavailable,
     isLive,
     isLost,
-    stopRequest,
+    stopRequest: (placements, reserved) => stopLostRequest(engine, placements, reserved),
   });
 
   const answers = createAnswerStore(clock, {
@@ -193,7 +193,7 @@
     getInstances,
     isLive,
     isFleetComplete: fleet.isComplete,
-    findReservation,
+    findReservation: (request) => findLostRequest({ self, keepers, isLive }, request),
   });
   const ledger = createLedger({ clock, table });
   const { objects } = platform;
@@ -268,36 +268,6 @@
     return found?.policy ?? { kind: 'least-in-flight' };
   }
 
-  // A keeper's reservation of a request whose owner is not live tells where its stream runs.
-  function findReservation({ name, digest }: BeginRequest): BeginReply | undefined {
-    const [orphaned] = keepers
-      .findReservationsByKey(name.account, name.key)
-      .filter((r) => !isLive(r.owner));
-    const placement = orphaned?.placements[orphaned.placements.length - 1];
-    if (!orphaned || !placement || placement.stream === '') return undefined;
-    if (orphaned.draft.digest !== digest) return { kind: 'mismatch' };
-    const { id: reservation, tokens, draft } = orphaned;
-    const state = { placement, budget: draft.budget, reservation, keeper: instance, tokens };
-    return { kind: 'resume', request: draft.request, state };
-  }
-
-  // Returns what the request used; `undefined` if an endpoint does not confirm that it stopped.
-  async function stopRequest(
-    placements: Placement[],
-    reserved: number,
-  ): Promise<Usage | undefined> {
-    const used: Usage = { promptTokens: 0, completionTokens: 0 };
-    for (const { address, stream } of placements) {
-      // A plain service keeps no record of its runs. The call may have run, so it is charged in full.
-      if (stream === '') return { promptTokens: reserved, completionTokens: 0 };
-      const stopped = await engine.stop(address, stream);
-      if (stopped.err) return undefined;
-      used.promptTokens += stopped.val.promptTokens;
-      used.completionTokens += stopped.val.completionTokens;
-    }
-    return used;
-  }
-
   function dump(): unknown {
     return {
       identity: self,
