--- a/packages/budgets/src/audit.ts
+++ b/packages/budgets/src/audit.ts
@@ -18,6 +18,8 @@
   /** Key of the row. */
   key: string;
   message: string;
+  /** With `records`, the usage records that were found are not the bill that the rows state. */
+  subject: 'records' | 'rows';
 }
 
 /** The balance of one budget. */
@@ -55,7 +57,7 @@
 
 /**
  * Reads the whole ledger and the usage records and checks that they account for each token.
- * Fails if the table or the object store does not answer.
+ * Fails if the table or the object store does not answer, or a listed object is not found.
  */
 export async function auditLedger(
   table: Table,
@@ -75,10 +77,15 @@
 }
 
 async function readRows(table: Table): Promise<Outcome<LedgerRows, { message: string }>> {
-  const prefixes = Object.values(LedgerPrefix);
-  const scans = await Promise.all(prefixes.map((prefix) => table.scan(prefix)));
-  const [budgets, topUps, open, closed, credit] = scans;
-  if (!budgets?.ok || !topUps?.ok || !open?.ok || !closed?.ok || !credit?.ok) {
+  const open = await table.scan(LedgerPrefix.grant);
+  // A grant may be closed meanwhile. Read after the open ones, the closed ones hold it then.
+  const [budgets, topUps, closed, credit] = await Promise.all([
+    table.scan(LedgerPrefix.budget),
+    table.scan(LedgerPrefix.topUp),
+    table.scan(LedgerPrefix.closed),
+    table.scan(LedgerPrefix.credit),
+  ]);
+  if (!budgets.ok || !topUps.ok || !open.ok || !closed.ok || !credit.ok) {
     return Err({ message: 'the table service does not answer' });
   }
   const grants = [
@@ -101,7 +108,9 @@
   for (const name of names.val) {
     const segment = await objects.get(name);
     if (segment.err) return segment;
-    records.push(...parseUsageSegment(segment.val ?? ''));
+    // A listed segment may not be found for a while; without its records the bill is too low.
+    if (segment.val === undefined) return Err({ message: `the usage segment ${name} is missing` });
+    records.push(...parseUsageSegment(segment.val));
   }
   return Ok(records);
 }
@@ -121,11 +130,14 @@
   grants.forEach((grant, id) => {
     const records = [...(byGrant.get(id)?.values() ?? [])];
     const tokens = records.reduce((sum, record) => sum + record.tokens, 0);
-    const key = `${LedgerPrefix.grant}${id}`;
+    const place = { key: `${LedgerPrefix.grant}${id}`, subject: 'records' as const };
     if (records.length !== grant.sequence) {
-      faults.push({ key, message: `${records.length} records stored of ${grant.sequence}` });
+      faults.push({ ...place, message: `${records.length} records stored of ${grant.sequence}` });
     } else if (tokens !== grant.spent) {
-      faults.push({ key, message: `records add up to ${tokens}, the row says ${grant.spent}` });
+      faults.push({
+        ...place,
+        message: `records add up to ${tokens}, the row says ${grant.spent}`,
+      });
     }
   });
   const records = [...byGrant.values()].flatMap((entries) => [...entries.values()]);
@@ -135,7 +147,8 @@
 function checkBudgets({ budgets, topUps, credits, grants }: LedgerRows): AuditFault[] {
   const faults: AuditFault[] = [];
   budgets.forEach((row, budget) => {
-    const report = (message: string) => faults.push({ key: LedgerPrefix.budget + budget, message });
+    const key = LedgerPrefix.budget + budget;
+    const report = (message: string) => faults.push({ key, message, subject: 'rows' });
     const own = [...grants].filter(([, grant]) => grant.budget === budget);
     const toppedUp = topUps
       .filter((topUp) => isTopUpOf(topUp, budget))
@@ -175,7 +188,7 @@
     seen.set(record.request, record);
     if (!other) return [];
     const key = `${LedgerPrefix.grant}${record.grant}`;
-    return [{ key, message: `request ${record.request} is billed twice` }];
+    return [{ key, message: `request ${record.request} is billed twice`, subject: 'records' }];
   });
 }
 
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -4,20 +4,30 @@
 import type { LogFields, Milliseconds, Outcome } from '@pomeloroad/core';
 import type { Slot, SlotResult } from '@pomeloroad/routing';
 import { findEndFault } from './answerEnd';
+import type { AnswerSource } from './answerCourse';
+import { noteEnd } from './endReport';
 import { getTimeLeft } from './run';
 import type { Run } from './run';
 import type { EndpointRecord, Reply, SendError } from './types';
 
 const SERVER_ERROR_STATUS = 500;
+/**
+ * Time after the request's deadline until which an endpoint may work. An endpoint that keeps to a time
+ * limit may end its answer in order somewhat before it, so its limit comes after the deadline, at
+ * which the instance cuts the answer and closes the connection. Platforms allow half a second.
+ */
+const ENDPOINT_LIMIT_MARGIN_MS: Milliseconds = 250;
 
 /** What an attempt ended with, or the head of its stream. */
 export type AttemptReply = Outcome<Reply, SendError>;
 
 /** A request that was sent to an endpoint, and the slot that it holds there. */
-export interface SentAttempt {
+export interface SentAttempt extends AnswerSource {
   slot: Slot;
   /** Entry of its endpoint; `undefined` if that had left, so that nothing was sent. */
   endpoint: EndpointRecord | undefined;
+  /** Id of the event after which the endpoint is asked to go on; `undefined` for the whole answer. */
+  resumeAfter: string | undefined;
   reply: Promise<AttemptReply>;
   /** Resolves once the endpoint may have started to work. */
   connected: Promise<void>;
@@ -35,15 +45,17 @@
   const connected = new Promise<void>((resolve) => {
     onConnected = resolve;
   });
+  const resumeAfter = run.lastEventId;
   let activeAt = host.clock.elapsed();
+  const told = { limit: getTimeLeft(run) + ENDPOINT_LIMIT_MARGIN_MS, at: activeAt };
 
   async function send(endpoint: EndpointRecord): Promise<AttemptReply> {
     run.pending += 1;
     const sent = await host.protocol.send({
       request,
       endpoint,
-      resumeAfter: run.lastEventId,
-      timeLeft: getTimeLeft(run),
+      resumeAfter,
+      timeLimit: told.limit,
       onConnected,
       onActivity() {
         slot.recordActivity();
@@ -51,7 +63,7 @@
       },
       signal: AbortSignal.any([stop.signal, ending.signal]),
     });
-    const reply = await judgeWhole(run, slot, sent);
+    const reply = await judgeWhole(run, attempt, sent);
     run.pending -= 1;
     countAttempt(run, endpoint, reply, ending.signal.aborted);
     if (reply.err && !ending.signal.aborted) logFailure(run, attempt, { ...reply.val });
@@ -64,6 +76,8 @@
   const attempt: SentAttempt = {
     slot,
     endpoint,
+    resumeAfter,
+    told,
     reply: endpoint
       ? send(endpoint)
       : Promise.resolve(Err({ kind: 'unreachable', message: 'the endpoint is leaving' })),
@@ -79,11 +93,13 @@
 
 async function judgeWhole<Payload>(
   run: Run<Payload>,
-  slot: Slot,
+  attempt: SentAttempt,
   sent: AttemptReply,
 ): Promise<AttemptReply> {
   if (sent.err || sent.val.kind !== 'whole') return sent;
-  const message = await findEndFault(run, slot, sent.val.end);
+  const report = noteEnd(run, attempt, 'complete', sent.val.end);
+  const message = await findEndFault(run, attempt.slot, sent.val.end);
+  report(message === undefined ? 'believed' : 'disbelieved');
   return message === undefined ? sent : Err({ kind: 'broken', message });
 }
 
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -1,5 +1,5 @@
 import { createPauseGuard, Diagnostics, runPeriodically, withTimeout } from '@pomeloroad/core';
-import type { Clock, Log, Milliseconds, Random, Tokens } from '@pomeloroad/core';
+import type { Clock, DroppedLines, Log, Milliseconds, Random, Tokens } from '@pomeloroad/core';
 import { BUDGET_TABLE, createEscrow, createEscrowLease } from '@pomeloroad/budgets';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
 import { watchStore } from '@pomeloroad/storage';
@@ -8,6 +8,8 @@
 import { followConfiguration } from './configurationFeed';
 import { createEndpointDirectory } from './endpointDirectory';
 import { createEndStatements } from './endStatements';
+import { findEndpointState } from './endpointState';
+import { createRecentEnds } from './recentEnds';
 import { followTable } from './follow';
 import { forward } from './forward';
 import { createForwardMetrics } from './forwardMetrics';
@@ -51,6 +53,8 @@
   getRetryAllowance(): RetryAllowance;
   /** Returns the time within which an accepted configuration is to be in force. */
   getConfigurationDelayLimit(): Milliseconds;
+  /** Returns how many lines of the log were dropped so far; left out where that is not counted. */
+  getDroppedLines?(): DroppedLines;
 }
 
 /** An instance that forwards requests by the configuration and the endpoints in the store. */
@@ -82,9 +86,11 @@
 export function startForwardInstance<Payload>(
   host: ForwardInstanceHost<Payload>,
 ): ForwardInstance<Payload> {
-  const { clock, random, log } = host;
+  const { clock, random } = host;
   const metrics = createMetrics();
   const forwardMetrics = createForwardMetrics(metrics);
+  const recentEnds = createRecentEnds({ clock, log: host.log, metrics: forwardMetrics });
+  const log = recentEnds.watch(host.log);
   const { rows, isSilent } = watchStore(clock, host.rows, ({ duration, table: name, ...ended }) => {
     forwardMetrics.storeCalls.add(1, { ...ended, table: name ?? '' });
     forwardMetrics.storeCall.record(duration);
@@ -114,7 +120,7 @@
     getReserveDelay: lease.getReserveDelay,
     countInstances: getInstanceCount,
   });
-  const endpoints = createEndpoints({ clock, log });
+  const endpoints = createEndpoints({ clock, log, onFailure: recentEnds.noteFate });
   const directory = createEndpointDirectory({
     clock,
     log,
@@ -184,6 +190,16 @@
     'How often the store came back from an older copy, as the feeds know.',
     getStoreEra,
   );
+  metrics.gauge(
+    'pomeloroad_ordinary_lines_dropped',
+    'Ordinary lines of the log that were dropped since the start.',
+    () => host.getDroppedLines?.().ordinary ?? 0,
+  );
+  metrics.gauge(
+    'pomeloroad_important_lines_dropped',
+    'Important lines of the log that were dropped since the start.',
+    () => host.getDroppedLines?.().important ?? 0,
+  );
   const guard = createPauseGuard(clock, async () => {
     log(Diagnostics.processPaused);
     await Promise.all([configuration.refresh(), endpointFeed.refresh()]);
@@ -206,6 +222,8 @@
     protocol: host.protocol,
     metrics: forwardMetrics,
     endStatements: createEndStatements(),
+    recentEnds,
+    getEndpointState: (name) => findEndpointState(directory, endpoints, name),
     getConfigurationVersion: () => configuration.getTable()?.configuration.version,
     origins: startStreamOrigins({
       clock,
