Fleet: a list that lacks a connected peer does not end the connection to it

What callers saw: with a membership list that lacks an instance which goes on (it couldn't announce itself for a while, or the service came back with few entries), the other instances closed their connections to it. Calls to it ended as unreachable, and answers that are read from it had to be opened again. Cause: the end of the list was taken for the end of the instances that it lacks. It may lag, and an instance that ends announces it. Evidence: "a list that lacks a connected peer does not end the connection to it" (packages/entry/test/fleet.test.ts) fails on the commit before. Fix: an instance that left the list without having announced it stays a peer while its connection holds, whose heartbeat tells that it goes on. Without a connection it is no peer any more, as before. Who owns what is not changed.

--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -142,7 +142,11 @@
   }
 
   function getPeers(): Peer[] {
-    const listed = members
+    // A list that lacks a peer does not say that it has ended; its connection says that it goes on.
+    const connected = [...unlisted.values()]
+      .map(({ member }) => member)
+      .filter((member) => network.isConnected(member.name));
+    const listed = [...members, ...connected]
       .filter((member) => member.role === 'instance' && member.name !== self.instance)
       .map((member) => ({ identity: toIdentity(member), address: member.address }));
     const addresses = new Set(listed.map((peer) => peer.address));
