A replacement of a silent stream has begun with its first event, not with its head

What callers saw: event 1, then nothing more, though the endpoint went on after 1.6 s: its replacement had sent a head, took its place with it and then stayed silent. Cause: the reply of an attempt resolves with the head, and that counted as the begin of the replacement. An endpoint may send its head while the request waits for its turn. Ruled out: the choice between two silent attempts; it was never reached. The fix: a replacement's stream is read up to its first event before it takes the other's place; that event stays the first for the reader after. When its head comes the first endpoint is asked for its runs: one that has lost the run is left at once. Where nothing is known of the first, a second that has sent its head is kept as before. Weighed: the first event without a report; a queueing endpoint would mostly be dropped within 320 ms, and a dead first one be kept for it.

--- a/packages/forwarding/src/choice.ts
+++ b/packages/forwarding/src/choice.ts
@@ -2,6 +2,7 @@
 import { sleep } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import type { SentAttempt } from './attempt';
+import type { Replacement } from './readAhead';
 import type { Run } from './run';
 import { inquire } from './runInquiry';
 
@@ -21,7 +22,7 @@
 /** Two attempts at one stream. */
 export interface Rivals {
   first: SentAttempt;
-  second: SentAttempt;
+  second: Replacement;
 }
 
 /**
@@ -34,30 +35,38 @@
   decided: AbortSignal,
 ): Promise<Choice> {
   const { clock, protocol } = run.host;
-  await sleep(clock, STREAM_OVERLAP_MS, decided);
+  const overlap = sleep(clock, STREAM_OVERLAP_MS, decided);
+  await Promise.race([overlap, second.head]);
   if (decided.aborted || !first.endpoint) return 'first is sound';
+  const told = inquire(run, first, first.endpoint);
+  if (second.hasHead()) await Promise.race([overlap, told.death]);
+  if (told.get() === 'dead') return 'first is dead';
+  await overlap;
+  if (decided.aborted) return 'first is sound';
   const heardAt = first.slot.getActivityTime();
   const startedAt = clock.elapsed();
   const probe = protocol.probe(first.endpoint);
-  const told = inquire(run, first, first.endpoint);
   // What the first sends at the same moment as to others, or before its report, is read meanwhile.
   await Promise.race([told.death, sleep(clock, LAST_CHANCE_MS, decided)]);
   // An endpoint of which nothing is heard is compared with that of its replacement.
+  const { endpoint } = second.attempt;
   const isCompared = told.get() === 'silent' && !decided.aborted;
-  const other = isCompared && second.endpoint && inquire(run, second, second.endpoint);
+  const other = isCompared && endpoint && inquire(run, second.attempt, endpoint);
   await Promise.race([told.death, sleep(clock, LAST_CHANCE_MS, decided)]);
   if (told.get() === 'silent') await probe;
   // A process that is slow itself has not read what may have come.
   const isLate = clock.elapsed() - startedAt > PROBE_TIME_MAX_MS;
   const isHeardElsewhere = !isLate && heardAt > first.getActivityTime();
+  // Where nothing is known of the first, a second that has sent its head is the better one.
+  const unproved = () => (second.hasHead() ? 'second is ahead' : 'first is sound');
   return match(told.get())
     .with('alive', () => 'first is sound' as const)
     .with('dead', () => 'first is dead' as const)
-    .with('answered', () => (isHeardElsewhere ? 'first is dead' : 'first is sound'))
+    .with('answered', () => (isHeardElsewhere ? 'first is dead' : unproved()))
     .with('silent', async () => {
-      if (isLate) return 'first is sound';
+      if (isLate) return unproved();
       if (isHeardElsewhere || (await probe) !== 'accepting') return 'first is dead';
-      return other && other.get() !== 'silent' ? 'second is ahead' : 'first is sound';
+      return other && other.get() !== 'silent' ? 'second is ahead' : unproved();
     })
     .exhaustive();
 }
--- /dev/null
+++ b/packages/forwarding/src/readAhead.ts
@@ -0,0 +1,64 @@
+import { Ok } from 'ts-results';
+import { isServerError } from './attempt';
+import type { AttemptReply, SentAttempt } from './attempt';
+import type { Run } from './run';
+import type { EventStream, StreamStep } from './types';
+
+/** Whether a replacement can go on with the answer. */
+export type Beginning = 'begun' | 'lost';
+
+/** A replacement whose stream is read up to its first event before it takes the place of another attempt. */
+export interface Replacement {
+  /** The attempt; its stream begins with what was read. */
+  attempt: SentAttempt;
+  /** Resolves once the head of its stream has arrived; else stays pending. */
+  head: Promise<void>;
+  /** Whether that head has arrived. */
+  hasHead(): boolean;
+  /** Resolves with its whole answer, the first event of its stream, or its failure. */
+  beginning: Promise<Beginning>;
+}
+
+/** Reads the first step of the attempt's stream, which stays the first one for the reader after. */
+export function readAhead<Payload>(run: Run<Payload>, sent: SentAttempt): Replacement {
+  let first: Promise<StreamStep> | undefined;
+  let onHead: () => void;
+  const head = new Promise<void>((resolve) => {
+    onHead = resolve;
+  });
+
+  const reply = sent.reply.then((result): AttemptReply => {
+    if (result.err || result.val.kind !== 'stream') return result;
+    const { stream } = result.val;
+    first = stream.next();
+    onHead();
+    return Ok({ ...result.val, stream: prepend(first, stream) });
+  });
+
+  async function begin(): Promise<Beginning> {
+    if (!isUsable(run, await reply)) return 'lost';
+    const step = await first;
+    return step?.kind === 'broken' ? 'lost' : 'begun';
+  }
+
+  const attempt = { ...sent, reply, end: () => sent.end().then(() => reply) };
+  return { attempt, head, hasHead: () => first !== undefined, beginning: begin() };
+}
+
+function prepend(first: Promise<StreamStep>, stream: EventStream): EventStream {
+  let isRead = false;
+  return {
+    next() {
+      if (isRead) return stream.next();
+      isRead = true;
+      return first;
+    },
+    close: () => stream.close(),
+  };
+}
+
+// Once a part of a stream was sent, only a stream can go on with it.
+function isUsable<Payload>(run: Run<Payload>, reply: AttemptReply): boolean {
+  if (reply.err || isServerError(reply.val)) return false;
+  return run.firstByteAt === undefined || reply.val.kind === 'stream';
+}
--- a/packages/forwarding/src/replacement.ts
+++ b/packages/forwarding/src/replacement.ts
@@ -2,10 +2,12 @@
 import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { Slot } from '@pomeloroad/routing';
-import { describeAttempt, isServerError, sendAttempt } from './attempt';
-import type { AttemptReply, SentAttempt } from './attempt';
+import { describeAttempt, sendAttempt } from './attempt';
+import type { SentAttempt } from './attempt';
 import { choose } from './choice';
 import type { Choice } from './choice';
+import { readAhead } from './readAhead';
+import type { Replacement } from './readAhead';
 import { findReplacementSlot, noteLoss } from './replacementSlot';
 import { getTimeLeft, hasAttemptsLeft, mayBeDeclined, takeRetry } from './run';
 import type { Run } from './run';
@@ -54,7 +56,7 @@
 /**
  * Waits for the next step of an attempt. If it stays silent, a replacement is sent, where the request may
  * run once more and there is a slot and a retry for it. Silence never ends the attempt: it goes on
- * until its replacement has begun, or until its endpoint or its connection turns out to be dead.
+ * until its replacement has begun (a stream with its first event), or until its endpoint or its connection turns out to be dead.
  */
 export async function awaitStep<Payload, Step>(
   run: Run<Payload>,
@@ -138,8 +140,9 @@
   declined: Set<string>,
   report: (outcome: Turn) => void,
 ): Promise<SentAttempt | undefined> {
-  const replacement = sendAttempt(run, slot);
-  const turn = await race(run, silent, replacement);
+  const second = readAhead(run, sendAttempt(run, slot));
+  const turn = await race(run, silent, second);
+  const replacement = second.attempt;
   report(turn);
   return match(turn)
     .with('begun', 'failed', 'first is dead', 'second is ahead', async () => replacement)
@@ -158,29 +161,19 @@
 async function race<Payload>(
   run: Run<Payload>,
   { attempt, course, getCourse }: SilentAttempt,
-  replacement: SentAttempt,
+  second: Replacement,
 ): Promise<Turn> {
   const decided = new AbortController();
-  const begun = replacement.reply.then((reply) => (isUsable(run, reply) ? 'begun' : 'lost'));
-  const turns: Promise<Turn>[] = [course, begun];
+  const turns: Promise<Turn>[] = [course, second.beginning];
   if (run.request.route.kind === 'streaming') {
-    turns.push(
-      replacement.connected.then(() =>
-        choose(run, { first: attempt, second: replacement }, decided.signal),
-      ),
-    );
+    const { connected } = second.attempt;
+    turns.push(connected.then(() => choose(run, { first: attempt, second }, decided.signal)));
   }
   const turn = await Promise.race(turns);
   decided.abort();
   return getCourse() ?? turn;
 }
 
-// Once a part of a stream was sent, only a stream can go on with it.
-function isUsable<Payload>(run: Run<Payload>, reply: AttemptReply): boolean {
-  if (reply.err || isServerError(reply.val)) return false;
-  return run.firstByteAt === undefined || reply.val.kind === 'stream';
-}
-
 // Logs and counts what became of a silent answer, and what was missing for a replacement.
 function createSilenceReport<Payload>(
   run: Run<Payload>,
--- a/packages/forwarding/src/replacementSlot.ts
+++ b/packages/forwarding/src/replacementSlot.ts
@@ -1,6 +1,6 @@
 import type { Outcome } from '@pomeloroad/core';
 import type { RouteError, Slot } from '@pomeloroad/routing';
-import { leaveEndpoint } from './attempt';
+import { leaveEndpoint, logFailure } from './attempt';
 import type { AttemptReply, SentAttempt } from './attempt';
 import type { Run } from './run';
 import { acquireSlot } from './slots';
@@ -30,6 +30,10 @@
   reply: AttemptReply,
   declined: Set<string>,
 ): void {
+  if (reply.ok && reply.val.kind === 'stream') {
+    const message = 'the stream broke off before its first event';
+    logFailure(run, replacement, { kind: 'broken', message });
+  }
   if (reply.ok || reply.val.kind !== 'declined') {
     leaveEndpoint(run, replacement, reply);
     return;
