A request may return to the endpoint whose attempt was dropped for the first one

What callers saw: event 1, then a cut, or 502, with time left and a sound endpoint: the first endpoint died, or reset its connection, just after the replacement was ended since the first was held to go on. Cause: a dropped replacement has used one of the route's attempts up, so that none was left for the rest. Ruled out: the end of the first stream. It was judged right (broken, as its endpoint accepts no connections any more); the judgement only came after the replacement was dropped. The fix: a route's attempts are a number of endpoints, and the dropped one is among them already. So once an attempt has failed and no further endpoint may be used, the request may be sent once more to one whose attempt was dropped, for a retry of the budget, and to no other one. A silence alone leads to no return.

--- a/packages/forwarding/src/replacement.ts
+++ b/packages/forwarding/src/replacement.ts
@@ -153,6 +153,7 @@
     .with('went on', 'first is sound', async () => {
       await replacement.end();
       slot.release('unused');
+      run.dropped.add(slot.endpoint.name);
       return undefined;
     })
     .exhaustive();
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -17,6 +17,8 @@
   stop: AbortController;
   /** Names of the endpoints that failed this request. */
   excluded: Set<string>;
+  /** Names of the endpoints whose attempt was dropped for one that went on. */
+  dropped: Set<string>;
   /** Number of attempts that may have run on an endpoint. */
   runs: number;
   /** Number of attempts without a reply yet. */
@@ -54,6 +56,7 @@
     caller,
     stop: new AbortController(),
     excluded: new Set(),
+    dropped: new Set(),
     runs: 0,
     pending: 0,
     declines: 0,
@@ -89,17 +92,29 @@
   return isRetryable(request.route) && runs + pending < request.route.attempts;
 }
 
+/**
+ * Returns whether the request has been sent to as many endpoints as it may. It may then only return to
+ * those whose attempt was dropped.
+ */
+export function mayOnlyReturn<Payload>(run: Run<Payload>): boolean {
+  return isRetryable(run.request.route) && run.runs > 0 && !hasAttemptsLeft(run);
+}
+
+function canReturn<Payload>(run: Run<Payload>): boolean {
+  return mayOnlyReturn(run) && [...run.dropped].some((name) => !run.excluded.has(name));
+}
+
 /** Returns whether one more endpoint may decline the request. */
 export function mayBeDeclined<Payload>({ declines }: Run<Payload>): boolean {
   return declines < DECLINES_MAX;
 }
 
 /**
- * Takes one retry from the retry budget of the service for a request that may run on one more endpoint;
- * returns false if it may not, or if none is left.
+ * Takes one retry from the retry budget of the service for a request that may run on one more endpoint,
+ * or once more on one whose attempt was dropped; returns false if it may not, or if none is left.
  */
 export function takeAttempt<Payload>(run: Run<Payload>): boolean {
-  if (hasAttemptsLeft(run)) return takeRetry(run);
+  if (hasAttemptsLeft(run) || canReturn(run)) return takeRetry(run);
   run.lack = 'attempt';
   return false;
 }
--- a/packages/forwarding/src/slots.ts
+++ b/packages/forwarding/src/slots.ts
@@ -1,7 +1,7 @@
 import type { Outcome } from '@pomeloroad/core';
 import type { RouteError, Slot } from '@pomeloroad/routing';
 import { getAdmissionWait } from './patience';
-import { getTimeLeft } from './run';
+import { getTimeLeft, mayOnlyReturn } from './run';
 import type { Run } from './run';
 
 /** Waits for a slot on an endpoint that is not excluded, at most until the signal is aborted. */
@@ -18,6 +18,7 @@
     priority: -request.priority,
     patience: getAdmissionWait(request.route, getTimeLeft(run)),
     excluded,
+    only: mayOnlyReturn(run) ? run.dropped : undefined,
     prefix: request.prefix,
     signal,
   });
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -89,10 +89,11 @@
     },
     report: (name, report) => entries.get(name)?.report(report),
     isStale: (name) => entries.get(name)?.isStale() ?? true,
-    findCandidates: ({ target, excluded }) =>
+    findCandidates: ({ target, excluded, only }) =>
       [...entries.values()]
         .map((entry) => entry.view())
         .filter((view) => !view.isLeaving && !excluded.has(view.endpoint.name))
+        .filter((view) => !only || only.has(view.endpoint.name))
         .filter((view) => isServing(view.endpoint, target)),
     isLeaving: (name) => entries.get(name)?.view().isLeaving ?? true,
     take: (name) => entries.get(name)?.take(),
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -46,6 +46,8 @@
   patience: Milliseconds;
   /** Names of the endpoints that already failed this request. */
   excluded: ReadonlySet<string>;
+  /** If set, no other endpoints may be used. */
+  only?: ReadonlySet<string> | undefined;
   /** Parts of the prompt in order; only the last one is not shared with other requests. */
   prefix?: PromptPart[];
   /** Aborted when the caller has disconnected; a waiting request is then removed. */
