Cut a take-up of which only one endpoint says that nothing is left

That nobody else serves at the moment is no evidence. Only where the route allows one endpoint, so that no second one can ever be asked, does such an answer go on as it came.

--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -65,10 +65,10 @@
   return last.end === 'broken' ? next : { ...next, end: next.toldEnd };
 }
 
-// Whether a caller takes a stream up of which nobody else may say whether anything is left.
-function isOnlyAnswer<Payload>({ request, events, lack }: Run<Payload>): boolean {
+// Whether a caller takes a stream up that may be sent to one endpoint only, so that nobody can confirm it.
+function isOnlyAnswer<Payload>({ request, events }: Run<Payload>): boolean {
   const isTakeUp = request.resumeAfter !== undefined && events === 0;
-  return isTakeUp && (request.route.attempts === 1 || lack === 'none');
+  return isTakeUp && request.route.attempts === 1;
 }
 
 function shouldResume<Payload>(run: Run<Payload>, { end, endpoint }: SourceEnd): boolean {
