--- a/packages/forwarding/src/answerEnd.ts
+++ b/packages/forwarding/src/answerEnd.ts
@@ -1,6 +1,7 @@
 import { sleep, withTimeout } from '@pomeloroad/core';
 import type { Milliseconds, ResponseFraming } from '@pomeloroad/core';
 import type { Slot } from '@pomeloroad/routing';
+import { isRetryable } from './patience';
 import { getTimeLeft } from './run';
 import type { Run } from './run';
 
@@ -9,7 +10,7 @@
  * and so are most timers, so its stop may come this much before the deadline.
  */
 const STOP_TOLERANCE_MS: Milliseconds = 2;
-/** Time for which the stated end of a stream is held, so that an exit of its endpoint shows. */
+/** Time for which the stated end of an answer is held, so that an exit of its endpoint shows. */
 const END_HOLD_MS: Milliseconds = 20;
 /** Maximum time between the closes of a dying process's connections and of its listening socket. */
 const PROCESS_END_MS: Milliseconds = 50;
@@ -43,17 +44,16 @@
 }
 
 /**
- * Returns whether the connection of a stream that may be resumed closes just after the stated end, as
- * that of a process does which ends its answers in order and exits. A whole answer is not held up, and
- * the connection of a stream that may not be resumed closes in any case.
+ * Returns whether the connection of a request that may be sent again closes just after the stated end of
+ * its answer, as that of a process does which ends its answers in order and exits. Other requests have
+ * connections that close in any case.
  */
 async function closesConnection<Payload>(
   run: Run<Payload>,
   slot: Slot,
   end: AnswerEnd,
 ): Promise<boolean> {
-  const { kind, isResumable } = run.request.route;
-  if (kind !== 'streaming' || !isResumable) return false;
+  if (!isRetryable(run.request.route)) return false;
   slot.release('ok');
   await sleep(run.host.clock, Math.max(0, Math.min(END_HOLD_MS, getTimeLeft(run))));
   return end.hasClosed();
