--- a/packages/forwarding/src/choice.ts
+++ b/packages/forwarding/src/choice.ts
@@ -48,6 +48,7 @@
   const probe = protocol.probe(first.endpoint);
   // What the first sends at the same moment as to others, or before its report, is read meanwhile.
   await Promise.race([told.death, sleep(clock, LAST_CHANCE_MS, decided)]);
+  if (told.get() === 'alive') return 'first is sound';
   // An endpoint of which nothing is heard is compared with that of its replacement.
   const { endpoint } = second.attempt;
   const isCompared = told.get() === 'silent' && !decided.aborted;
