Ask an endpoint that closed its connection after the end for an answer, not for a connection

If the connection closes while a stated end is held, the endpoint is now asked for its runs; no answer at all means that it has gone.

--- a/packages/forwarding/src/answerEnd.ts
+++ b/packages/forwarding/src/answerEnd.ts
@@ -37,7 +37,12 @@
   // A length proves by itself that the answer is complete.
   if (framing === 'length' || framing === 'no body') return undefined;
   if (run.request.deadline - at <= STOP_TOLERANCE_MS) return 'ended at its time limit';
-  if (framing === 'chunked' && !(await closesConnection(run, slot, end))) return undefined;
+  if (framing === 'chunked') {
+    const hasExited = (await closesConnection(run, slot, end)) && (await isEndpointGone(run, slot));
+    return hasExited
+      ? 'stated by an endpoint that closed its connection and answers no more'
+      : undefined;
+  }
   slot.release('ok');
   const isDead = await isEndpointDead(run, slot);
   return isDead ? 'closed by an endpoint that accepts no connections any more' : undefined;
@@ -59,6 +64,19 @@
   return end.hasClosed();
 }
 
+/**
+ * Returns whether the endpoint has gone without having announced it; false also if that is not known. An
+ * answer is asked for, since something else may accept connections at its address.
+ */
+async function isEndpointGone<Payload>(run: Run<Payload>, slot: Slot): Promise<boolean> {
+  const { clock, directory, protocol } = run.host;
+  const endpoint = directory.find(slot.endpoint.name);
+  if (!endpoint || run.stop.signal.aborted) return false;
+  const asked = protocol.findRun(endpoint, run.request.id);
+  const state = await withTimeout(clock, Math.max(0, getTimeLeft(run)), asked, { kind: 'untold' });
+  return state.kind === 'silent' && !slot.isLeaving();
+}
+
 /**
  * Returns whether the endpoint has died, that is, stopped without having announced it; false also if
  * that is not known. The kernel closes the connections of a killed process just as an endpoint does
--- a/packages/forwarding/test/answerEnd.test.ts
+++ b/packages/forwarding/test/answerEnd.test.ts
@@ -39,6 +39,7 @@
           steps.push('probe');
           return reachability;
         },
+        findRun: async () => ({ kind: reachability === 'accepting' ? 'untold' : 'silent' }),
       },
     },
   } as unknown as Run<unknown>;
