--- a/packages/replay/src/faultProxy.ts
+++ b/packages/replay/src/faultProxy.ts
@@ -1,5 +1,6 @@
 import net from 'node:net';
 import { match } from 'ts-pattern';
+import { listen } from '@pomeloroad/core';
 import type { Clock } from '@pomeloroad/core';
 import { createByteRelay } from './byteRelay';
 import type { ByteRelay, Effect } from './byteRelay';
@@ -21,8 +22,10 @@
 
 /** A TCP proxy that injects network faults between groups of processes. */
 export interface FaultProxy {
-  /** Starts listening on a free port for a target in the group. */
-  addLink(group: string): Promise<Link>;
+  /** Starts listening on a free port for a target in the group; 127.0.0.1 if no host is named. */
+  addLink(group: string, host?: string): Promise<Link>;
+  /** Refuses new connections of a link until its target is set, as the kernel does without a process. */
+  refuse(link: string): void;
   /** Sets the address, `ip:port`, that new connections of a link are forwarded to. */
   setTarget(link: string, target: string): void;
   /** Replaces all rules. */
@@ -44,7 +47,7 @@
 /** Creates a proxy without rules; `getGroup` returns the group of a dialer's IP address. */
 export function createFaultProxy(clock: Clock, getGroup: (ip: string) => string): FaultProxy {
   const targets = new Map<string, string>();
-  const servers: net.Server[] = [];
+  const links = new Map<string, { server: net.Server; address: string }>();
   const connections = new Set<Connection>();
   let rules: Rule[] = [];
 
@@ -96,20 +99,24 @@
   }
 
   return {
-    addLink(group) {
-      const id = `link-${servers.length}`;
+    async addLink(group, host = '127.0.0.1') {
+      const id = `link-${links.size}`;
       const server = net.createServer({ allowHalfOpen: true }, (socket) =>
         acceptConnection(id, group, socket),
       );
-      servers.push(server);
-      return new Promise((resolve) => {
-        server.listen(0, '127.0.0.1', () => {
-          const { port } = server.address() as net.AddressInfo;
-          resolve({ id, group, address: `127.0.0.1:${port}` });
-        });
-      });
+      const link = { server, address: '' };
+      links.set(id, link);
+      link.address = await listen(server, `${host}:0`);
+      return { id, group, address: link.address };
+    },
+    refuse(id) {
+      links.get(id)?.server.close();
+    },
+    setTarget(id, target) {
+      targets.set(id, target);
+      const link = links.get(id);
+      if (link && !link.server.listening) listen(link.server, link.address);
     },
-    setTarget: (link, target) => targets.set(link, target),
     setRules(next) {
       rules = next;
       connections.forEach(applyToOpen);
@@ -122,7 +129,7 @@
       });
     },
     close() {
-      servers.forEach((server) => server.close());
+      links.forEach(({ server }) => server.close());
       connections.forEach(({ ends }) => ends.forEach((socket) => socket.destroy()));
     },
   };
--- a/packages/replay/src/soak/plan.ts
+++ b/packages/replay/src/soak/plan.ts
@@ -69,6 +69,8 @@
 const CALM_GAP_MAX_MS: Milliseconds = 9000;
 const LENGTH_MIN_MS: Milliseconds = 200;
 const LENGTH_MAX_MS: Milliseconds = 3000;
+/** Longest time for which an instance can't reach the store; configurations change meanwhile. */
+const CUT_OFF_MAX_MS: Milliseconds = 9000;
 const DELAY_MAX_MS: Milliseconds = 400;
 /** Silences after which an endpoint goes on; callers leave a stream after 2 s. */
 const SILENCE_MIN_MS: Milliseconds = 500;
@@ -131,6 +133,14 @@
   })),
   'link-one-way': disturbLink(() => ({ kind: 'one-way' })),
   'link-blackhole': disturbLink(() => ({ kind: 'blackhole' })),
+  'link-cut-off': (random, size) => ({
+    kind: 'link',
+    link: 'store',
+    index: random.integer(0, size.instances - 1),
+    direction: draw<'request' | 'answer'>(random, ['request', 'answer']),
+    effect: { kind: 'blackhole' },
+    length: random.integer(LENGTH_MAX_MS, CUT_OFF_MAX_MS),
+  }),
   'link-close': disturbLink(drawCut('close')),
   'link-reset': disturbLink(drawCut('reset')),
   'link-half-close': disturbLink(drawCut('half-close')),
