Soak: an endpoint that leaves exits once it works on nothing

The stand-in waited for the end of each connection, also of one whose request the blackhole had dropped, which is never idle.

--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -72,6 +72,8 @@
 /** An endpoint that serves. */
 export interface SoakEndpoint {
   server: http.Server;
+  /** Number of requests that it works on. */
+  countActive(): number;
   /** Ends all open answers in order, with events missing; resolves when that is sent. */
   endAnswers(): Promise<void>;
 }
@@ -209,6 +211,7 @@
   });
   return {
     server,
+    countActive: () => active,
     async endAnswers() {
       const ending = [...openAnswers].map(({ response, stop }) => {
         const sent = new Promise((resolve) => {
--- a/packages/standins/src/soakEndpointProcess.ts
+++ b/packages/standins/src/soakEndpointProcess.ts
@@ -39,7 +39,7 @@
   const { clock, id, slots, version, store, service, dataCentre, drain } = settings;
   let isFull = false;
   const host = { clock, id, slots, version, record, isFull: () => isFull };
-  const { server, endAnswers } = createSoakEndpoint(host);
+  const { server, countActive, endAnswers } = createSoakEndpoint(host);
   server.keepAliveTimeout = settings.idleTimeout;
   const address = await listen(server, settings.address);
   const entry = { id, service, address: settings.advertisedAddress, dataCentre, slots, version };
@@ -58,19 +58,13 @@
     await sleep(clock, drain + EXTRA_SERVICE_MS);
     await announcement.withdraw();
     server.close();
-    while ((await countConnections()) > 0) {
-      server.closeIdleConnections();
-      await sleep(clock, POLL_INTERVAL_MS);
-    }
+    // A connection may stay open for long whose other side a fault of the link has cut off.
+    while (countActive() > 0) await sleep(clock, POLL_INTERVAL_MS);
+    await sleep(clock, POLL_INTERVAL_MS);
+    server.closeAllConnections();
     process.exit(0);
   });
 
-  function countConnections(): Promise<number> {
-    return new Promise((resolve) => {
-      server.getConnections((_error, count) => resolve(count));
-    });
-  }
-
   // Writes to a pipe are synchronous, so a line is not lost when the process is killed.
   function record(line: EndpointLine | StateLine): void {
     process.stdout.write(`${JSON.stringify({ at: clock.now().toISOString(), id, ...line })}\n`);
