--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import https from 'node:https';
+import type net from 'node:net';
 import { Err, Ok } from 'ts-results';
 import { getResponseFraming } from './framing';
 import type { Milliseconds, Outcome, RunStatus } from './types';
@@ -168,7 +169,7 @@
  * Starts listening on `ip:port`; port 0 takes a free one. Resolves to the bound address. Rejects if
  * it can't be bound.
  */
-export function listen(server: http.Server, address: string): Promise<string> {
+export function listen(server: net.Server, address: string): Promise<string> {
   const { host, port } = splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once('error', reject);
--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -42,6 +42,7 @@
 export const RequestChecks = {
   completeness: checkCompleteness,
   'false-ends': checkFalseEnds,
+  'time-limits': checkTimeLimits,
   content: checkContent,
   signature: ({ answer }) => {
     if (answer?.status !== STATUS_OK) return 'skipped';
@@ -73,7 +74,18 @@
 
 // Endpoints may state ends falsely; no such end may reach the caller as the end of its answer.
 function checkFalseEnds(record: RequestRecord): CheckOutcome {
-  if (!hasFalseEnd(record)) return 'skipped';
+  return hasFalseEnd(record) ? findFalseEnd(record) : 'skipped';
+}
+
+// A time limit that ends an endpoint's work in the middle is not the end of the answer either.
+function checkTimeLimits(record: RequestRecord): CheckOutcome {
+  const { timeLimit, runs } = record;
+  const isUnfinished = runs.length > 0 && runs.every((run) => !run.isStated);
+  if (timeLimit === undefined || !isUnfinished || hasFalseEnd(record)) return 'skipped';
+  return findFalseEnd(record);
+}
+
+function findFalseEnd(record: RequestRecord): CheckOutcome {
   const { answer } = record;
   const looksComplete = answer?.status === STATUS_OK && answer.isStatedComplete;
   return looksComplete ? findMissing(record) : 'held';
@@ -155,15 +167,16 @@
   const span = history.find(work.route);
   if (!span || !answer || answer.status === 0) return 'skipped';
   const isKnown = !UNKNOWN_STATUSES.has(answer.status);
-  const isTouched = (since: number) =>
-    faults.isDisturbed([instance, 'store'], since - CONTACT_MS - STORE_STRETCH_MS, endedAt);
   const isInForce =
     sentAt > span.acknowledgedAt + PlatformBounds.configurationApply && endedAt < span.replacedFrom;
-  if (isInForce && !isTouched(span.acknowledgedAt)) {
+  // An instance that can't read the store denies nothing that it may not know yet.
+  const knownFrom = span.acknowledgedAt - CONTACT_MS - STORE_STRETCH_MS;
+  if (isInForce && !faults.isDisturbed(['store'], knownFrom, endedAt)) {
     return isKnown ? 'held' : { message: `status ${answer.status} for a route in force` };
   }
   const isOutOfForce = sentAt > span.replacedAt + PlatformBounds.configurationApply;
-  if (isOutOfForce && !isTouched(span.replacedAt)) {
+  const oldFrom = span.replacedAt - CONTACT_MS - STORE_STRETCH_MS;
+  if (isOutOfForce && !faults.isDisturbed([instance, 'store'], oldFrom, endedAt)) {
     return runs.length === 0 ? 'held' : { message: 'ran on a route that was removed' };
   }
   return 'skipped';
--- a/packages/replay/src/soak/fleet.ts
+++ b/packages/replay/src/soak/fleet.ts
@@ -15,6 +15,8 @@
 export const DATA_CENTRES = ['derby', 'leicester'];
 /** Services of the endpoints: one that streams and one that answers whole. */
 export const SERVICES = ['model', 'board'];
+/** No outgoing connection has this address, so a link finds its port free when it listens again. */
+const ENDPOINT_LINK_HOST = '127.0.0.2';
 /** Shorter than endpoints announce, so that they close connections that are in use. */
 const IDLE_TIMEOUT_MS = 700;
 /** Number of versions that serve at the start. */
@@ -113,6 +115,7 @@
       ...['--store', store, '--advertised', link.address, '--idle', String(IDLE_TIMEOUT_MS)],
     ]);
     proxy.setTarget(link.id, String(program.listening.address));
+    program.exited.then(() => proxy.refuse(link.id));
     return program;
   }
 
@@ -130,7 +133,7 @@
   ): Promise<FleetEndpoint> {
     endpointsStarted += 1;
     const name = `endpoint-${endpointsStarted}`;
-    const link = await proxy.addLink(name);
+    const link = await proxy.addLink(name, ENDPOINT_LINK_HOST);
     const endpoint = { kind: 'endpoint' as const, name, ...place, link };
     return { ...endpoint, program: await startEndpoint(endpoint), isEnding: false };
   }
