--- a/packages/forwarding/src/answerEnd.ts
+++ b/packages/forwarding/src/answerEnd.ts
@@ -6,10 +6,10 @@
 import type { Run } from './run';
 
 /**
- * An endpoint stops work when the time that it was given is over. That time is in whole milliseconds,
- * and so are most timers, so its stop may come this much before the deadline.
+ * An end this close to the deadline counts as one that comes after it: the time limits of callers and
+ * endpoints are in whole milliseconds, and so are most timers.
  */
-const STOP_TOLERANCE_MS: Milliseconds = 2;
+const DEADLINE_TOLERANCE_MS: Milliseconds = 2;
 /** Time for which the stated end of an answer is held, so that an exit of its endpoint shows. */
 const END_HOLD_MS: Milliseconds = 20;
 /** Maximum time between the closes of a dying process's connections and of its listening socket. */
@@ -36,7 +36,7 @@
   const { framing, at } = end;
   // A length proves by itself that the answer is complete.
   if (framing === 'length' || framing === 'no body') return undefined;
-  if (run.request.deadline - at <= STOP_TOLERANCE_MS) return 'ended at its time limit';
+  if (run.request.deadline - at <= DEADLINE_TOLERANCE_MS) return 'ended at its time limit';
   if (framing === 'chunked') {
     const hasExited = (await closesConnection(run, slot, end)) && (await isEndpointGone(run, slot));
     return hasExited
