--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -113,11 +113,16 @@
   const failure = reply.err ? reply.val.kind : undefined;
   const outcome = failure && isEnded ? 'ended' : (failure ?? 'answered');
   host.metrics.attempts.add(1, { outcome });
-  if (failure === undefined || failure === 'broken') run.runs += 1;
+  if (mayHaveRun(reply)) run.runs += 1;
   if (failure === 'declined' || failure === 'replaced') run.declines += 1;
   if (failure === 'replaced') host.directory.markReplaced(endpoint);
 }
 
+/** Returns whether the endpoint may have run the request. */
+export function mayHaveRun(reply: AttemptReply): boolean {
+  return reply.ok || reply.val.kind === 'broken';
+}
+
 /** Logs that an attempt failed. */
 export function logFailure<Payload>(
   run: Run<Payload>,
--- a/packages/forwarding/src/replacement.ts
+++ b/packages/forwarding/src/replacement.ts
@@ -2,7 +2,7 @@
 import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { Slot } from '@pomeloroad/routing';
-import { describeAttempt, sendAttempt } from './attempt';
+import { describeAttempt, mayHaveRun, sendAttempt } from './attempt';
 import type { SentAttempt } from './attempt';
 import { choose } from './choice';
 import type { Choice } from './choice';
@@ -151,9 +151,9 @@
       return undefined;
     })
     .with('went on', 'first is sound', async () => {
-      await replacement.end();
+      const reply = await replacement.end();
       slot.release('unused');
-      run.dropped.add(slot.endpoint.name);
+      if (mayHaveRun(reply)) run.dropped.add(slot.endpoint.name);
       return undefined;
     })
     .exhaustive();
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -16,6 +16,8 @@
   attempts?: number;
   /** Silence after which a replacement is looked for. */
   threshold?: number;
+  /** Whether no connection to the replacement opens. */
+  isUnreachable?: boolean;
   /** A stream, whose replacement connects and stays silent. */
   stream?: {
     /** What a probe of the first endpoint says, and after how long. */
@@ -51,9 +53,10 @@
     });
   };
   const send = ({ signal, onConnected }: Attempt<unknown>) => {
-    onConnected();
+    if (!stand.isUnreachable) onConnected();
+    const kind = stand.isUnreachable ? 'unreachable' : 'broken';
     return new Promise((resolve) => {
-      signal.addEventListener('abort', () => resolve(Err({ kind: 'broken', message: 'ended' })));
+      signal.addEventListener('abort', () => resolve(Err({ kind, message: 'ended' })));
     });
   };
   const probe = async () => {
@@ -108,7 +111,7 @@
     silentSince: () => 0,
   });
   await clock.advance(5000);
-  return { progress: await progress, steps, lines };
+  return { progress: await progress, steps, lines, dropped: [...run.dropped] };
 }
 
 test('an attempt that is not silent for long enough gets no replacement', async () => {
@@ -117,6 +120,17 @@
   expect([steps, lines]).toEqual([[], []]);
 });
 
+test.each([
+  [false, ['e2/1']],
+  [true, []],
+])(
+  'a dropped replacement that was unreachable: %s is one to return to: %j',
+  async (isUnreachable, names) => {
+    const { dropped } = await wait(1000, { search: 'slot', isUnreachable });
+    expect(dropped).toEqual(names);
+  },
+);
+
 test('the search for a slot ends when the silent attempt goes on', async () => {
   const { progress, steps } = await wait(1000, {});
   expect(progress).toEqual({ kind: 'step', step: 'went on' });
