Watch the connection for 20 ms from the end of the answer, and only for a close by its endpoint

Now it is cut if no time is left to ask; - the slot of a whole answer in chunks was released as sound before its status was judged, so that an endpoint that answers 500 in chunks was never avoided.

--- a/packages/forwarding/src/answerEnd.ts
+++ b/packages/forwarding/src/answerEnd.ts
@@ -11,7 +11,7 @@
  */
 const DEADLINE_TOLERANCE_MS: Milliseconds = 2;
 /** Time for which the stated end of an answer is held, so that an exit of its endpoint shows. */
-const END_HOLD_MS: Milliseconds = 20;
+export const END_HOLD_MS: Milliseconds = 20;
 /** Maximum time between the closes of a dying process's connections and of its listening socket. */
 const PROCESS_END_MS: Milliseconds = 50;
 
@@ -20,8 +20,11 @@
   framing: ResponseFraming;
   /** Time of `clock.elapsed()` when the end arrived. */
   at: Milliseconds;
-  /** Whether the connection has closed by now, although it was to be kept after the answer. */
-  hasClosed(): boolean;
+  /**
+   * Resolves `END_HOLD_MS` after the end to whether the endpoint has closed the connection, which was to
+   * be kept; earlier if that is not to be watched.
+   */
+  closes: Promise<boolean>;
 }
 
 /**
@@ -37,14 +40,9 @@
   // A length proves by itself that the answer is complete.
   if (framing === 'length' || framing === 'no body') return undefined;
   if (run.request.deadline - at <= DEADLINE_TOLERANCE_MS) return 'ended at its time limit';
-  if (framing === 'chunked') {
-    const hasExited = (await closesConnection(run, slot, end)) && (await isEndpointGone(run, slot));
-    return hasExited
-      ? 'stated by an endpoint that closed its connection and answers no more'
-      : undefined;
-  }
-  slot.release('ok');
-  const isDead = await isEndpointDead(run, slot);
+  if (framing === 'chunked' && !(await closesConnection(run, slot, end))) return undefined;
+  if (framing === 'close') slot.release('ok');
+  const isDead = await isEndpointDead(run, slot, framing === 'chunked');
   return isDead ? 'closed by an endpoint that accepts no connections any more' : undefined;
 }
 
@@ -54,41 +52,34 @@
  * connections that close in any case.
  */
 async function closesConnection<Payload>(
-  run: Run<Payload>,
+  { request: { route } }: Run<Payload>,
   slot: Slot,
-  end: AnswerEnd,
+  { closes }: AnswerEnd,
 ): Promise<boolean> {
-  if (!isRetryable(run.request.route)) return false;
-  slot.release('ok');
-  await sleep(run.host.clock, Math.max(0, Math.min(END_HOLD_MS, getTimeLeft(run))));
-  return end.hasClosed();
+  if (!isRetryable(route)) return false;
+  // How a whole answer leaves its slot depends on its status.
+  if (route.kind === 'streaming') slot.release('ok');
+  return closes;
 }
 
 /**
- * Returns whether the endpoint has gone without having announced it; false also if that is not known. An
- * answer is asked for, since something else may accept connections at its address.
+ * Returns whether the endpoint has died, that is, stopped without having announced it; `fallback` if no
+ * time is left to find out. The kernel closes the connections of a killed process just as an endpoint
+ * does after a complete answer.
  */
-async function isEndpointGone<Payload>(run: Run<Payload>, slot: Slot): Promise<boolean> {
-  const { clock, directory, protocol } = run.host;
-  const endpoint = directory.find(slot.endpoint.name);
-  if (!endpoint || run.stop.signal.aborted) return false;
-  const asked = protocol.findRun(endpoint, run.request.id);
-  const state = await withTimeout(clock, Math.max(0, getTimeLeft(run)), asked, { kind: 'untold' });
-  return state.kind === 'silent' && !slot.isLeaving();
-}
-
-/**
- * Returns whether the endpoint has died, that is, stopped without having announced it; false also if
- * that is not known. The kernel closes the connections of a killed process just as an endpoint does
- * after a complete answer.
- */
-async function isEndpointDead<Payload>(run: Run<Payload>, slot: Slot): Promise<boolean> {
+async function isEndpointDead<Payload>(
+  run: Run<Payload>,
+  slot: Slot,
+  fallback: boolean,
+): Promise<boolean> {
   const { clock, directory, protocol } = run.host;
   const endpoint = directory.find(slot.endpoint.name);
-  if (!endpoint || run.stop.signal.aborted) return false;
+  if (!endpoint) return false;
+  if (run.stop.signal.aborted) return fallback;
   const getPatience = (): Milliseconds => Math.max(0, getTimeLeft(run));
   await sleep(clock, Math.min(PROCESS_END_MS, getPatience()));
   const probe = protocol.probe(endpoint);
   const reachability = await withTimeout(clock, getPatience(), probe, 'unknown');
+  if (getTimeLeft(run) <= 0) return fallback;
   return reachability === 'refused' && !slot.isLeaving();
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -6,6 +6,7 @@
 export * from './endpointDirectory';
 export * from './endpointState';
 export * from './retryBudget';
+export { END_HOLD_MS } from './answerEnd';
 export * from './patience';
 export * from './forward';
 export * from './events';
--- a/packages/forwarding/test/answerEnd.test.ts
+++ b/packages/forwarding/test/answerEnd.test.ts
@@ -39,12 +39,11 @@
           steps.push('probe');
           return reachability;
         },
-        findRun: async () => ({ kind: reachability === 'accepting' ? 'untold' : 'silent' }),
       },
     },
   } as unknown as Run<unknown>;
   let fault: string | undefined = 'not judged';
-  const judged = findEndFault(run, slot, { framing, at, hasClosed: () => hasClosed }).then(
+  const judged = findEndFault(run, slot, { framing, at, closes: Promise.resolve(hasClosed) }).then(
     (found) => {
       fault = found;
     },
--- a/packages/forwarding/test/endReport.test.ts
+++ b/packages/forwarding/test/endReport.test.ts
@@ -58,7 +58,7 @@
       if (delay === undefined) {
         if (end === 'broken') return { kind: 'broken', message: 'reset' };
         const kind = end === 'closed' ? 'closed' : 'complete';
-        return { kind, framing, at: clock.elapsed(), hasClosed: () => false };
+        return { kind, framing, at: clock.elapsed(), closes: sleep(clock, 20).then(() => false) };
       }
       sent += 1;
       onActivity();
@@ -80,7 +80,7 @@
     attempt.onActivity();
     await sleep(clock, pause);
     const body = Buffer.from('body');
-    const told = { framing, at: clock.elapsed(), hasClosed: () => false };
+    const told = { framing, at: clock.elapsed(), closes: sleep(clock, 20).then(() => false) };
     return Ok({ kind: 'whole' as const, head, body, end: told });
   }
 
