--- a/packages/forwarding/src/readAhead.ts
+++ b/packages/forwarding/src/readAhead.ts
@@ -38,7 +38,8 @@
   async function begin(): Promise<Beginning> {
     if (!isUsable(run, await reply)) return 'lost';
     const step = await first;
-    return step?.kind === 'broken' ? 'lost' : 'begun';
+    // A whole answer has no steps. An end without an event does not show that the other attempt is at its end.
+    return step === undefined || step.kind === 'events' ? 'begun' : 'lost';
   }
 
   const attempt = { ...sent, reply, end: () => sent.end().then(() => reply) };
--- a/packages/forwarding/src/replacementSlot.ts
+++ b/packages/forwarding/src/replacementSlot.ts
@@ -31,7 +31,7 @@
   declined: Set<string>,
 ): void {
   if (reply.ok && reply.val.kind === 'stream') {
-    const message = 'the stream broke off before its first event';
+    const message = 'the stream ended before its first event';
     logFailure(run, replacement, { kind: 'broken', message });
   }
   if (reply.ok || reply.val.kind !== 'declined') {
