Ask elsewhere after a stream that ended in order without any event

It is doubtful now, as a resumption without an event is; what may run once only is passed on as it came.

--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -6,7 +6,7 @@
 import type { SentAttempt } from './attempt';
 import { sendWithRetries } from './attempts';
 import { noteResumption, noteStreamEnd, reportEnd } from './endReport';
-import { STREAM_THRESHOLD_MS } from './patience';
+import { isRetryable, STREAM_THRESHOLD_MS } from './patience';
 import { awaitStep } from './replacement';
 import type { Progress } from './replacement';
 import { getTimeLeft, takeAttempt } from './run';
@@ -32,7 +32,7 @@
   /** The end as its endpoint told it. */
   toldEnd: StreamEnd;
   endpoint: string;
-  /** Whether the endpoint was asked for the rest of a stream and sent no event. */
+  /** Whether the endpoint sent no event, of a whole stream or of the rest of one. */
   isEmpty: boolean;
   /** The attempt that has taken the place of this one. */
   replacement: SentAttempt | undefined;
@@ -65,10 +65,9 @@
   return last.end === 'broken' ? next : { ...next, end: next.toldEnd };
 }
 
-// Whether a caller takes a stream up that may be sent to one endpoint only, so that nobody can confirm it.
-function isOnlyAnswer<Payload>({ request, events }: Run<Payload>): boolean {
-  const isTakeUp = request.resumeAfter !== undefined && events === 0;
-  return isTakeUp && request.route.attempts === 1;
+// Whether nothing was brought to the caller and the request may run once only, so that nobody can confirm it.
+function isOnlyAnswer<Payload>({ request: { route }, events }: Run<Payload>): boolean {
+  return events === 0 && (route.attempts === 1 || !isRetryable(route));
 }
 
 function shouldResume<Payload>(run: Run<Payload>, { end, endpoint }: SourceEnd): boolean {
@@ -120,7 +119,7 @@
   const { step, replacement } = await relayEvents(run, source);
   // Two attempts of one request must not run at the same time.
   await stream.close();
-  const isEmpty = attempt.resumeAfter !== undefined && run.events === eventsBefore;
+  const isEmpty = run.events === eventsBefore;
   const toldEnd = step ? await judgeEnd(run, attempt, step) : 'broken';
   const end = isEmpty && toldEnd !== 'broken' ? 'doubtful' : toldEnd;
   slot.release(getSlotResult(run, step));
