Log which endpoints die under requests, with the shared parts of their prompts

An endpoint that breaks a request off is probed now, twice; one that refuses, or comes back as another incarnation, has crashed: 7008 names it, the requests and the shared parts of their prompts. No request is treated otherwise than before.

Six unit tests.

--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -100,5 +100,6 @@
     'warn',
     'endpoint failed or left within a second after it ended answers',
   ),
+  endpointCrashed: diagnostic(7008, 'warn', 'endpoint died without notice under requests'),
   orderFailed: diagnostic(7004, 'warn', 'order to an endpoint failed'),
 } as const satisfies Record<string, Diagnostic>;
--- /dev/null
+++ b/packages/forwarding/src/crashWatch.ts
@@ -0,0 +1,131 @@
+import { Ok } from 'ts-results';
+import { Diagnostics, sleep } from '@pomeloroad/core';
+import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
+import type { EndpointDirectory } from './endpointDirectory';
+import type { ForwardMetrics } from './forwardMetrics';
+import { getSharedParts } from './sharedParts';
+import type { Attempt, EndpointProtocol, EndpointRecord, EventStream } from './types';
+
+/** Pause before the second probe: a dying process closes its connections before its listening socket. */
+const SECOND_PROBE_DELAY_MS: Milliseconds = 100;
+/** Time for which an endpoint that answered both probes is watched for a new start or its removal. */
+const WATCH_TIME_MS: Milliseconds = 5000;
+const WATCH_INTERVAL_MS: Milliseconds = 500;
+/** Maximum number of requests that one line names. */
+const NAMED_REQUESTS_MAX = 20;
+
+/** An endpoint's incarnation that crashed, and shared prompt parts of the requests that it broke off. */
+export interface EndpointCrash {
+  /** Identifies the incarnation; the same at all instances. */
+  incarnation: string;
+  parts: Set<string>;
+}
+
+/** Dependencies of watching endpoints for crashes. */
+export interface CrashWatchHost<Payload> {
+  clock: Clock;
+  log: Log;
+  metrics: Pick<ForwardMetrics, 'crashes'>;
+  protocol: EndpointProtocol<Payload>;
+  directory: Pick<EndpointDirectory, 'getFate'>;
+  onCrash(crash: EndpointCrash): void;
+}
+
+/** An endpoint that has broken off requests and is examined. */
+interface Examination {
+  broken: Map<string, string[]>;
+  verdict: Promise<void>;
+}
+
+/**
+ * Returns the protocol with the same results. An endpoint that breaks off a request is probed; if it has
+ * died, without having announced that it leaves, that is reported as a crash.
+ */
+export function watchCrashes<Payload>(host: CrashWatchHost<Payload>): EndpointProtocol<Payload> {
+  const { clock, log, metrics, protocol, directory } = host;
+  const examinations = new Map<string, Examination>();
+
+  function examine({ endpoint, request, signal }: Attempt<Payload>): void {
+    const { isLeaving } = endpoint;
+    if (signal.aborted || isLeaving) return;
+    const incarnation = getIncarnation(endpoint);
+    const known = examinations.get(incarnation);
+    const broken = known?.broken ?? new Map<string, string[]>();
+    broken.set(request.id, getSharedParts(request));
+    if (known) return;
+    const verdict = judge(endpoint, broken).finally(() => examinations.delete(incarnation));
+    examinations.set(incarnation, { broken, verdict });
+  }
+
+  async function judge(endpoint: EndpointRecord, broken: Map<string, string[]>): Promise<void> {
+    if (!(await hasDied(endpoint))) return;
+    const parts = new Set([...broken.values()].flat());
+    metrics.crashes.add(1);
+    log(Diagnostics.endpointCrashed, {
+      endpoint: endpoint.id,
+      born: endpoint.born,
+      count: broken.size,
+      requests: describe(broken),
+    });
+    host.onCrash({ incarnation: getIncarnation(endpoint), parts });
+  }
+
+  async function hasDied(endpoint: EndpointRecord): Promise<boolean> {
+    if (await isRefusing(endpoint)) return true;
+    await sleep(clock, SECOND_PROBE_DELAY_MS);
+    return (await isRefusing(endpoint)) || isGoneSoon(endpoint);
+  }
+
+  async function isRefusing(endpoint: EndpointRecord): Promise<boolean> {
+    return (await protocol.probe(endpoint)) === 'refused';
+  }
+
+  // One that starts again at once accepts connections by then, but as another incarnation.
+  async function isGoneSoon(endpoint: EndpointRecord): Promise<boolean> {
+    const until = clock.elapsed() + WATCH_TIME_MS;
+    while (clock.elapsed() < until) {
+      const fate = directory.getFate(endpoint);
+      if (fate === 'started again') return true;
+      if (fate === 'leaving') return false;
+      if (fate === 'gone') return isRefusing(endpoint);
+      await sleep(clock, WATCH_INTERVAL_MS);
+    }
+    return false;
+  }
+
+  function watchStream(attempt: Attempt<Payload>, stream: EventStream): EventStream {
+    return {
+      async next() {
+        const step = await stream.next();
+        if (step.kind === 'broken') examine(attempt);
+        return step;
+      },
+      close: () => stream.close(),
+    };
+  }
+
+  return {
+    ...protocol,
+    async send(attempt) {
+      const sent = await protocol.send(attempt);
+      if (sent.err) {
+        if (sent.val.kind === 'broken') examine(attempt);
+        return sent;
+      }
+      const reply = sent.val;
+      if (reply.kind === 'whole') return sent;
+      return Ok({ ...reply, stream: watchStream(attempt, reply.stream) });
+    },
+  };
+}
+
+function getIncarnation({ id, born }: EndpointRecord): string {
+  return `${id}/${born}`;
+}
+
+function describe(broken: Map<string, string[]>): string {
+  return [...broken]
+    .slice(0, NAMED_REQUESTS_MAX)
+    .map(([request, parts]) => `${request} ${parts.join(',')}`)
+    .join('; ');
+}
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/endpointDirectory.ts
@@ -19,6 +19,9 @@
   onChange(): void;
 }
 
+/** What has become of an endpoint's incarnation, as its entry in the store tells. */
+export type IncarnationFate = 'listed' | 'leaving' | 'gone' | 'started again';
+
 /** Endpoints known from their entries in the store, and whether each may be used. */
 export interface EndpointDirectory {
   /** Replaces the entries by a complete reading; entries missing from it are unlisted. */
@@ -38,6 +41,8 @@
   /** Returns the entries that are listed or still usable, also of endpoints that are leaving. */
   listServing(): EndpointRecord[];
   find(name: string): EndpointRecord | undefined;
+  /** Returns what has become of the incarnation. */
+  getFate(record: EndpointRecord): IncarnationFate;
   /** Whether a complete reading was received. */
   isLoaded(): boolean;
 }
@@ -136,6 +141,13 @@
         .filter(({ isListed, usableUntil }) => isListed || clock.elapsed() < usableUntil)
         .map(({ record }) => record),
     find: (name) => [...entries.values()].find(({ record }) => getName(record) === name)?.record,
+    getFate(record) {
+      const known = entries.get(record.id);
+      if (!known) return 'gone';
+      if (known.record.born > record.born) return 'started again';
+      if (known.record.isLeaving) return 'leaving';
+      return known.isListed || clock.elapsed() < known.usableUntil ? 'listed' : 'gone';
+    },
     isLoaded: () => isLoaded,
   };
 }
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -6,6 +6,7 @@
 import type { RowChange, RowStore, StoreEra, VersionedRow } from '@pomeloroad/storage';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { followConfiguration } from './configurationFeed';
+import { watchCrashes } from './crashWatch';
 import { createEndpointDirectory } from './endpointDirectory';
 import { createEndStatements } from './endStatements';
 import { findEndpointState } from './endpointState';
@@ -219,7 +220,10 @@
     admission,
     directory,
     retryBudget: createRetryBudget(clock, host.getRetryAllowance, getInstanceCount),
-    protocol: host.protocol,
+    protocol: watchCrashes({
+      ...{ clock, log, metrics: forwardMetrics, protocol: host.protocol, directory },
+      onCrash: () => undefined,
+    }),
     metrics: forwardMetrics,
     endStatements: createEndStatements(),
     recentEnds,
--- a/packages/forwarding/src/forwardMetrics.ts
+++ b/packages/forwarding/src/forwardMetrics.ts
@@ -12,6 +12,8 @@
   suspiciousEnds: Counter;
   /** Ends of answers within the second before their endpoint was lost, by what became of it. */
   endsBeforeLoss: Counter;
+  /** Endpoints that died without notice under requests of this instance. */
+  crashes: Counter;
   /** Resumptions within an answer by whether the version stays the same. */
   resumptions: Counter;
   /** Streams that callers take up. */
@@ -47,6 +49,10 @@
       'pomeloroad_ends_before_loss_total',
       'Ends in order within the second before their endpoint was lost, by what became of it.',
     ),
+    crashes: metrics.counter(
+      'pomeloroad_endpoint_crashes_total',
+      'Endpoints that died without notice under requests of this instance.',
+    ),
     resumptions: metrics.counter(
       'pomeloroad_stream_resumptions_total',
       'Resumptions of streams within an answer by version: same or other.',
--- /dev/null
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -0,0 +1,98 @@
+import { Err, Ok } from 'ts-results';
+import { createManualClock } from '@pomeloroad/core';
+import type { LogFields } from '@pomeloroad/core';
+import { createMetrics } from '@pomeloroad/telemetry';
+import { createForwardMetrics } from '../src';
+import type { Attempt, EndpointRecord, Reachability, StreamStep } from '../src';
+import type { IncarnationFate } from '../src/endpointDirectory';
+import { watchCrashes } from '../src/crashWatch';
+import type { EndpointCrash } from '../src/crashWatch';
+
+const ENDPOINT: EndpointRecord = {
+  id: 'e',
+  born: 7,
+  sequence: 1,
+  service: 'llm',
+  address: '10.0.0.1:80',
+  dataCentre: 'kent',
+  isLeaving: false,
+  concurrency: 4,
+};
+const BROKEN: StreamStep = { kind: 'broken', message: 'reset' };
+const FAILED = Err({ kind: 'broken' as const, message: 'reset' });
+
+function createAttempt(id: string, parts: string[], signal = new AbortController().signal) {
+  const prefix = [...parts, `${id} alone`].map((part) => ({ id: part, tokens: 1 }));
+  return { request: { id, prefix }, endpoint: ENDPOINT, signal } as unknown as Attempt<void>;
+}
+
+// Creates a watched protocol whose attempts break off, or whose streams do after their head.
+function createStand(probes: Reachability[], fate: IncarnationFate = 'listed', isStream = false) {
+  const clock = createManualClock();
+  const crashes: EndpointCrash[] = [];
+  const lines: LogFields[] = [];
+  const stream = { next: async () => BROKEN, close: async () => undefined };
+  const head = { status: 200, framing: 'chunked' as const, headers: [] };
+  const protocol = watchCrashes<void>({
+    clock,
+    log: (event, fields) => lines.push({ code: event.code, ...fields }),
+    metrics: createForwardMetrics(createMetrics()),
+    protocol: {
+      send: async () => (isStream ? Ok({ kind: 'stream', head, stream }) : FAILED),
+      probe: async () => probes.shift() ?? 'accepting',
+      findRun: async () => ({ kind: 'silent' }),
+    },
+    directory: { getFate: () => fate },
+    onCrash: (crash) => crashes.push(crash),
+  });
+  return { clock, crashes, lines, protocol };
+}
+
+test('an endpoint that refuses connections after it broke requests off has crashed', async () => {
+  const { clock, crashes, lines, protocol } = createStand(['refused']);
+  await Promise.all([
+    protocol.send(createAttempt('a', ['first', 'second'])),
+    protocol.send(createAttempt('b', ['first'])),
+  ]);
+  await clock.advance(0);
+  expect(crashes).toEqual([{ incarnation: 'e/7', parts: new Set(['first', 'second']) }]);
+  expect(lines).toEqual([
+    { code: 7008, endpoint: 'e', born: 7, count: 2, requests: 'a first,second; b first' },
+  ]);
+});
+
+test('a stream that breaks off at an endpoint that has died shows a crash', async () => {
+  const { clock, crashes, protocol } = createStand(['accepting', 'refused'], 'listed', true);
+  const sent = await protocol.send(createAttempt('a', ['first']));
+  expect(sent.ok && sent.val.kind === 'stream' && (await sent.val.stream.next())).toBe(BROKEN);
+  await clock.advance(150);
+  expect(crashes).toEqual([{ incarnation: 'e/7', parts: new Set(['first']) }]);
+});
+
+test('an endpoint that has started again has crashed', async () => {
+  const { clock, crashes, protocol } = createStand([], 'started again');
+  await protocol.send(createAttempt('a', ['first']));
+  await clock.advance(150);
+  expect(crashes).toHaveLength(1);
+});
+
+test('a connection that an endpoint closes while it lives shows no crash', async () => {
+  const { clock, crashes, protocol } = createStand(['accepting', 'unknown']);
+  await protocol.send(createAttempt('a', ['first']));
+  await clock.advance(20_000);
+  expect(crashes).toEqual([]);
+});
+
+test('an endpoint that leaves shows no crash', async () => {
+  const { clock, crashes, protocol } = createStand(['accepting', 'accepting'], 'leaving');
+  await protocol.send(createAttempt('a', ['first']));
+  await clock.advance(20_000);
+  expect(crashes).toEqual([]);
+});
+
+test('an attempt that the instance ends itself shows no crash', async () => {
+  const { clock, crashes, protocol } = createStand(['refused']);
+  await protocol.send(createAttempt('a', ['first'], AbortSignal.abort()));
+  await clock.advance(20_000);
+  expect(crashes).toEqual([]);
+});
