Block a part of prompts under which endpoints crash, at all instances

Cause: what crashed the endpoints was knowledge of nobody. Each instance avoided the endpoint that had failed and sent the next such request to the next one; half of the crashes were second attempts. Class of fault: a failure is put down to the place where the work failed, never to the work.

Ruled out: a cascade under load (endpoints died under 1 to 5 requests, and the tests crash them with 40 sound requests a second beside). Repeats alone: streams that may run once crash endpoints as well.

Now: an endpoint that dies is noted with the shared parts of the prompts it worked on, less those that were answered lately, in one row a part that all instances follow. Three crashes block a part, two hold a repeat; an answer anywhere clears it; one request of the fleet tries it after a minute and ten minutes. Refused with 503, before tokens are reserved.

Fakes of two tests get the new dependency; their checks are unchanged.

--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -6,7 +6,7 @@
 import { findEndFault } from './answerEnd';
 import type { AnswerSource } from './answerCourse';
 import { noteEnd } from './endReport';
-import { getTimeLeft } from './run';
+import { getTimeLeft, isWithheld } from './run';
 import type { Run } from './run';
 import type { EndpointRecord, Reply, SendError } from './types';
 
@@ -70,17 +70,22 @@
     return reply;
   }
 
+  async function start(): Promise<AttemptReply> {
+    if (isBlocked) return Err({ kind: 'withheld', message: 'a part of the prompt is blocked' });
+    if (endpoint) return send(endpoint);
+    return Err({ kind: 'unreachable', message: 'the endpoint is leaving' });
+  }
+
   // The endpoint may have started to leave while the request waited for the slot.
   const listed = host.directory.find(slot.endpoint.name);
   const endpoint = slot.isLeaving() ? undefined : listed;
+  const isBlocked = isWithheld(run);
   const attempt: SentAttempt = {
     slot,
-    endpoint,
+    endpoint: isBlocked ? undefined : endpoint,
     resumeAfter,
     told,
-    reply: endpoint
-      ? send(endpoint)
-      : Promise.resolve(Err({ kind: 'unreachable', message: 'the endpoint is leaving' })),
+    reply: start(),
     connected,
     getActivityTime: () => activeAt,
     end() {
@@ -180,5 +185,6 @@
     .with('broken', () => 'failed' as const)
     .with('unreachable', 'replaced', () => 'unreachable' as const)
     .with('declined', () => 'ok' as const)
+    .with('withheld', () => 'unused' as const)
     .exhaustive();
 }
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -107,10 +107,12 @@
     .with('unreachable', () => true)
     .with('replaced', 'declined', () => mayBeDeclined(run) && takeRetry(run))
     .with('broken', () => takeAttempt(run))
+    .with('withheld', () => false)
     .exhaustive();
 }
 
 function toFinalRefusalKind<Payload>(run: Run<Payload>, error: SendError): RefusalKind {
   if (run.stop.signal.aborted) return 'timed-out';
-  return error.kind === 'broken' || run.runs > 0 ? 'failed' : 'overloaded';
+  if (error.kind === 'broken' || run.runs > 0) return 'failed';
+  return error.kind === 'withheld' ? 'prompt-blocked' : 'overloaded';
 }
--- a/packages/forwarding/src/crashWatch.ts
+++ b/packages/forwarding/src/crashWatch.ts
@@ -1,6 +1,6 @@
 import { Ok } from 'ts-results';
-import { Diagnostics, sleep } from '@pomeloroad/core';
-import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
+import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
+import type { Clock, Log, Milliseconds, ResponseFraming } from '@pomeloroad/core';
 import type { EndpointDirectory } from './endpointDirectory';
 import type { ForwardMetrics } from './forwardMetrics';
 import { getSharedParts } from './sharedParts';
@@ -11,6 +11,10 @@
 /** Time for which an endpoint that answered both probes is watched for a new start or its removal. */
 const WATCH_TIME_MS: Milliseconds = 5000;
 const WATCH_INTERVAL_MS: Milliseconds = 500;
+/** Maximum time that a failed attempt waits to learn whether its endpoint has died. */
+const VERDICT_TIMEOUT_MS: Milliseconds = 150;
+/** Lowest HTTP status of an error. */
+const ERROR_STATUS_MIN = 400;
 /** Maximum number of requests that one line names. */
 const NAMED_REQUESTS_MAX = 20;
 
@@ -29,6 +33,10 @@
   protocol: EndpointProtocol<Payload>;
   directory: Pick<EndpointDirectory, 'getFate'>;
   onCrash(crash: EndpointCrash): void;
+  /** Called when an incarnation has answered a prompt of these shared parts to its end. */
+  onAnswer(parts: string[], incarnation: string): void;
+  /** Whether a crash under one of these parts decides if a request may be sent again. */
+  isSuspicious(parts: string[]): boolean;
 }
 
 /** An endpoint that has broken off requests and is examined. */
@@ -45,16 +53,34 @@
   const { clock, log, metrics, protocol, directory } = host;
   const examinations = new Map<string, Examination>();
 
-  function examine({ endpoint, request, signal }: Attempt<Payload>): void {
-    const { isLeaving } = endpoint;
-    if (signal.aborted || isLeaving) return;
+  // Resolves once it is known whether the endpoint has died.
+  async function examine({ endpoint, request, signal }: Attempt<Payload>): Promise<void> {
+    if (signal.aborted || endpoint.isLeaving) return;
     const incarnation = getIncarnation(endpoint);
     const known = examinations.get(incarnation);
     const broken = known?.broken ?? new Map<string, string[]>();
     broken.set(request.id, getSharedParts(request));
-    if (known) return;
-    const verdict = judge(endpoint, broken).finally(() => examinations.delete(incarnation));
-    examinations.set(incarnation, { broken, verdict });
+    const verdict = known?.verdict ?? judge(endpoint, broken);
+    if (!known) {
+      examinations.set(incarnation, { broken, verdict });
+      verdict.finally(() => examinations.delete(incarnation));
+    }
+    await verdict;
+  }
+
+  // Whether the request is sent once more may depend on the verdict.
+  async function handleBreak(attempt: Attempt<Payload>): Promise<void> {
+    const verdict = examine(attempt);
+    if (!host.isSuspicious(getSharedParts(attempt.request))) return;
+    await withTimeout(clock, VERDICT_TIMEOUT_MS, verdict, undefined);
+  }
+
+  // The kernel ends the connections of a dead process in order too.
+  function handleEnd(attempt: Attempt<Payload>, framing: ResponseFraming): void {
+    const parts = getSharedParts(attempt.request);
+    if (parts.length === 0) return;
+    if (framing === 'close') examine(attempt);
+    host.onAnswer(parts, getIncarnation(attempt.endpoint));
   }
 
   async function judge(endpoint: EndpointRecord, broken: Map<string, string[]>): Promise<void> {
@@ -97,7 +123,8 @@
     return {
       async next() {
         const step = await stream.next();
-        if (step.kind === 'broken') examine(attempt);
+        if (step.kind === 'broken') await handleBreak(attempt);
+        else if (step.kind !== 'events') handleEnd(attempt, step.framing);
         return step;
       },
       close: () => stream.close(),
@@ -109,12 +136,15 @@
     async send(attempt) {
       const sent = await protocol.send(attempt);
       if (sent.err) {
-        if (sent.val.kind === 'broken') examine(attempt);
+        if (sent.val.kind === 'broken') await handleBreak(attempt);
         return sent;
       }
       const reply = sent.val;
-      if (reply.kind === 'whole') return sent;
-      return Ok({ ...reply, stream: watchStream(attempt, reply.stream) });
+      if (reply.kind === 'stream') {
+        return Ok({ ...reply, stream: watchStream(attempt, reply.stream) });
+      }
+      if (reply.head.status < ERROR_STATUS_MIN) handleEnd(attempt, reply.head.framing);
+      return sent;
     },
   };
 }
--- a/packages/forwarding/src/follow.ts
+++ b/packages/forwarding/src/follow.ts
@@ -9,7 +9,7 @@
   StoreEra,
 } from '@pomeloroad/storage';
 
-/** Maximum time that the store holds a call open; also bounds the detection of a dead feed. */
+/** Time that the store holds a call open at most; also bounds the detection of a dead feed. */
 const LONG_POLL_WAIT_MS: Milliseconds = 700;
 const RETRY_DELAY_MS: Milliseconds = 100;
 
@@ -28,6 +28,8 @@
   partition: string | undefined;
   /** Delay between calls, so that changes arrive in batches. */
   pause: Milliseconds;
+  /** Time that the store holds a call open at most, if not the usual one. */
+  wait?: Milliseconds;
   /** Receives all rows of the partition. */
   onView(view: RowView): void;
   onChanges(changes: RowChange[]): void;
@@ -90,7 +92,7 @@
   async function readChanges(): Promise<boolean> {
     const startedAt = clock.elapsed();
     const eraBefore = era;
-    const view = await rows.follow(table, version, LONG_POLL_WAIT_MS);
+    const view = await rows.follow(table, version, listener.wait ?? LONG_POLL_WAIT_MS);
     if (view.err) {
       logFailure('follow', view.val);
       if (view.val.kind === 'unavailable') markUnavailable(view.val.message);
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -1,4 +1,4 @@
-import { Ok } from 'ts-results';
+import { Err, Ok } from 'ts-results';
 import { match } from 'ts-pattern';
 import { Diagnostics } from '@pomeloroad/core';
 import type { LogFields, Milliseconds, Outcome, Timer } from '@pomeloroad/core';
@@ -11,6 +11,7 @@
 import { relayStream } from './relay';
 import { createRun, getSpentTokens, getTimeLeft } from './run';
 import type { Run } from './run';
+import { getSharedParts } from './sharedParts';
 import { placeTakeUp } from './takeUp';
 import type { Caller, ForwardRefusal, ForwardRequest, RefusalKind } from './types';
 
@@ -20,6 +21,8 @@
 export const NOT_READY_RETRY_AFTER_MS: Milliseconds = 250;
 /** Retry delay advised to callers while no endpoint of the service is known. */
 const NO_ENDPOINT_RETRY_AFTER_MS = 250;
+/** Retry delay advised while a part of the prompt is blocked; sooner, the answer would be the same. */
+const PROMPT_BLOCKED_RETRY_AFTER_MS: Milliseconds = 600_000;
 /** Minimum retry delay advised under overload; also the delay advised after a timeout. */
 const RETRY_AFTER_MIN_MS = 50;
 /** Maximum random addition to a retry delay, as a fraction of it. */
@@ -45,10 +48,32 @@
   host.retryBudget.countRequest(request.service);
   // After a pause of the process, its view of the store is outdated until the store is read again.
   await host.waitForRefresh();
+  const admitted = await admit(run);
+  if (admitted.err) refuse(run, admitted.val);
+  else await forwardAdmitted(run);
+  deadlineTimer.cancel();
+}
+
+async function admit<Payload>(run: Run<Payload>): Promise<Outcome<void, RefusalKind>> {
+  const admittance = await run.host.suspects.admit(getSharedParts(run.request));
+  return match(admittance)
+    .with({ kind: 'allowed' }, () => Ok(undefined))
+    .with({ kind: 'probe' }, ({ part }) => {
+      run.probedPart = part;
+      return Ok(undefined);
+    })
+    .with({ kind: 'blocked' }, ({ part }) => {
+      run.blockedPart = part;
+      return Err('prompt-blocked' as const);
+    })
+    .with({ kind: 'unknown' }, () => Err('not-ready' as const))
+    .exhaustive();
+}
+
+async function forwardAdmitted<Payload>(run: Run<Payload>): Promise<void> {
   const placed = await placeTakeUp(run);
   if (placed.err) refuse(run, placed.val);
   else await forwardPlaced(run);
-  deadlineTimer.cancel();
 }
 
 async function forwardPlaced<Payload>(run: Run<Payload>): Promise<void> {
@@ -136,6 +161,7 @@
     .with('no-endpoint', 'version-unknown', () => NO_ENDPOINT_RETRY_AFTER_MS)
     .with('overloaded', () => Math.max(RETRY_AFTER_MIN_MS, run.request.route.objective / 2))
     .with('timed-out', () => RETRY_AFTER_MIN_MS)
+    .with('prompt-blocked', () => PROMPT_BLOCKED_RETRY_AFTER_MS)
     .with('budget-exhausted', 'budget-unreachable', 'failed', () => undefined)
     .exhaustive();
 }
@@ -175,6 +201,7 @@
     events: run.events,
     spent: getSpentTokens(run),
     lack: run.lack,
+    blockedPart: run.blockedPart,
     framing: run.framing,
     timeLeft: Math.round(getTimeLeft(run)),
     took: Math.round(duration),
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events';
 import { createPauseGuard, Diagnostics, runPeriodically, withTimeout } from '@pomeloroad/core';
 import type { Clock, DroppedLines, Log, Milliseconds, Random, Tokens } from '@pomeloroad/core';
 import { BUDGET_TABLE, createEscrow, createEscrowLease } from '@pomeloroad/budgets';
@@ -17,6 +18,7 @@
 import type { ForwardHost } from './forwardTypes';
 import { startInstanceCount } from './instanceCount';
 import { startStreamOrigins } from './streamOrigins';
+import { startSuspects } from './suspects';
 import { createVersionHistory } from './versionHistory';
 import { createRetryBudget } from './retryBudget';
 import type { RetryAllowance } from './retryBudget';
@@ -35,6 +37,8 @@
 /** Maximum time that a request waits for the store to be read again after a pause of the process. */
 const REFRESH_TIMEOUT_MS: Milliseconds = 500;
 const ADMISSION_QUEUE_LIMIT = 500;
+/** Number of loops that may sleep at once until the instance stops. */
+const LOOPS_MAX = 20;
 
 /** Dependencies and identity of an instance. */
 export interface ForwardInstanceHost<Payload> {
@@ -97,6 +101,7 @@
     forwardMetrics.storeCall.record(duration);
   });
   const stop = new AbortController();
+  setMaxListeners(LOOPS_MAX, stop.signal);
   const following = { clock, log, rows, signal: stop.signal };
   let leaseStart: Promise<void> | undefined;
   let open = 0;
@@ -201,9 +206,15 @@
     'Important lines of the log that were dropped since the start.',
     () => host.getDroppedLines?.().important ?? 0,
   );
+  const suspects = startSuspects({ ...following, random });
+  metrics.gauge(
+    'pomeloroad_blocked_prompt_parts',
+    'Parts of prompts that are blocked because endpoints crash under them.',
+    () => suspects.listBlocked().length,
+  );
   const guard = createPauseGuard(clock, async () => {
     log(Diagnostics.processPaused);
-    await Promise.all([configuration.refresh(), endpointFeed.refresh()]);
+    await Promise.all([configuration.refresh(), endpointFeed.refresh(), suspects.refresh()]);
   });
   runPeriodically(
     clock,
@@ -222,7 +233,9 @@
     retryBudget: createRetryBudget(clock, host.getRetryAllowance, getInstanceCount),
     protocol: watchCrashes({
       ...{ clock, log, metrics: forwardMetrics, protocol: host.protocol, directory },
-      onCrash: () => undefined,
+      onCrash: suspects.noteCrash,
+      onAnswer: suspects.noteAnswer,
+      isSuspicious: (parts) => suspects.judge(parts) !== 'none',
     }),
     metrics: forwardMetrics,
     endStatements: createEndStatements(),
@@ -238,6 +251,7 @@
       countInstances: getInstanceCount,
       getViewAge: endpointFeed.getAge,
     }),
+    suspects,
     findService: (name) => configuration.getTable()?.findService(name),
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
@@ -270,7 +284,10 @@
     getTable: configuration.getTable,
     isConfigurationCurrent: configuration.isCurrent,
     isReady: () =>
-      configuration.getTable() !== undefined && directory.isLoaded() && !configuration.isLate(),
+      configuration.getTable() !== undefined &&
+      directory.isLoaded() &&
+      suspects.isLoaded() &&
+      !configuration.isLate(),
     async forward(request, caller) {
       open += 1;
       try {
@@ -291,6 +308,7 @@
       instances: getInstanceCount(),
       budgets: escrow.describe(),
       endpoints: endpoints.list(),
+      blockedPromptParts: suspects.listBlocked(),
     }),
     retire: escrow.retire,
     async stop(patience) {
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -5,6 +5,7 @@
 import type { ForwardHost } from './forwardTypes';
 import type { StreamOrigin } from './originMemory';
 import { isRetryable } from './patience';
+import { getSharedParts } from './sharedParts';
 import type { Caller, ForwardRequest, ReplyHead } from './types';
 
 /** Number of endpoints that may decline one request before it is refused. */
@@ -21,6 +22,10 @@
   excluded: Set<string>;
   /** Names of the endpoints whose attempt was dropped for one that went on. */
   dropped: Set<string>;
+  /** Part of the prompt that the request is to try in spite of its block. */
+  probedPart: string | undefined;
+  /** Part of the prompt for which the request was refused. */
+  blockedPart: string | undefined;
   /** Number of attempts that may have run on an endpoint. */
   runs: number;
   /** Number of attempts without a reply yet. */
@@ -61,6 +66,8 @@
     stop: new AbortController(),
     excluded: new Set(),
     dropped: new Set(),
+    probedPart: undefined,
+    blockedPart: undefined,
     runs: 0,
     pending: 0,
     declines: 0,
@@ -93,8 +100,24 @@
 }
 
 /** Returns whether the request may run on one more endpoint. */
-export function hasAttemptsLeft<Payload>({ request, runs, pending }: Run<Payload>): boolean {
-  return isRetryable(request.route) && runs + pending < request.route.attempts;
+export function hasAttemptsLeft<Payload>(run: Run<Payload>): boolean {
+  const { request, runs, pending } = run;
+  if (!isRetryable(request.route) || runs + pending >= request.route.attempts) return false;
+  return !isWithheld(run);
+}
+
+/**
+ * Returns whether the request may not be sent to an endpoint now, because endpoints crash under a part of
+ * its prompt. One that may have run at an endpoint may have been what crashed it.
+ */
+export function isWithheld<Payload>(run: Run<Payload>): boolean {
+  const { host, request, runs, pending, probedPart } = run;
+  const isRepeat = runs + pending > 0;
+  if (isRepeat && probedPart !== undefined) return true;
+  const suspicion = host.suspects.judge(
+    getSharedParts(request).filter((part) => part !== probedPart),
+  );
+  return suspicion === 'blocked' || (isRepeat && suspicion === 'suspected');
 }
 
 /**
--- /dev/null
+++ b/packages/forwarding/src/suspectRows.ts
@@ -0,0 +1,45 @@
+import type { RowKey } from '@pomeloroad/storage';
+
+/** Table of the prompt parts under which endpoints have crashed. */
+export const SUSPECT_TABLE = 'suspects';
+/** Its only partition: rows are written when an endpoint has crashed, and else hardly ever. */
+export const SUSPECT_PARTITION = '';
+
+/** A part of prompts under which endpoints have crashed. */
+export interface Suspect {
+  /** Incarnations of endpoints that crashed while they worked on a prompt with the part. */
+  crashes: string[];
+  /** Number of requests that were let through, to find out whether it still crashes endpoints. */
+  probes: number;
+}
+
+/** Returns the key of a part's row. */
+export function getSuspectKey(part: string): RowKey {
+  return { table: SUSPECT_TABLE, partition: SUSPECT_PARTITION, key: part };
+}
+
+/** Encodes the value of a part's row. */
+export function encodeSuspect({ crashes, probes }: Suspect): string {
+  return JSON.stringify([probes, ...crashes]);
+}
+
+/** Decodes the value of a part's row; `undefined` if it can't be read. */
+export function decodeSuspect(value: string): Suspect | undefined {
+  const fields = parseList(value);
+  const [probes, ...crashes] = fields;
+  if (typeof probes !== 'number' || !crashes.every(isText)) return undefined;
+  return { crashes, probes };
+}
+
+function parseList(value: string): unknown[] {
+  try {
+    const list: unknown = JSON.parse(value);
+    return Array.isArray(list) ? list : [];
+  } catch {
+    return [];
+  }
+}
+
+function isText(value: unknown): value is string {
+  return typeof value === 'string';
+}
--- /dev/null
+++ b/packages/forwarding/src/suspectTable.ts
@@ -0,0 +1,186 @@
+import { match } from 'ts-pattern';
+import { Diagnostics, sleep } from '@pomeloroad/core';
+import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
+import type {
+  RowChange,
+  RowStore,
+  RowTransaction,
+  RowView,
+  StoreEra,
+  VersionedRow,
+} from '@pomeloroad/storage';
+import { followTable } from './follow';
+import {
+  decodeSuspect,
+  encodeSuspect,
+  getSuspectKey,
+  SUSPECT_PARTITION,
+  SUSPECT_TABLE,
+} from './suspectRows';
+import type { Suspect } from './suspectRows';
+
+/** Longer than of other tables, which change more often; a dead connection is still noticed within 2 s. */
+const FEED_WAIT_MS: Milliseconds = 1500;
+const FEED_PAUSE_MS: Milliseconds = 100;
+/** Number of rows that one transaction changes. */
+const BATCH_SIZE = 50;
+/** Tries of a change whose rows others change at the same time. */
+const TRIES_MAX = 5;
+const TRY_DELAY_MS: Milliseconds = 20;
+const NO_CRASHES: Suspect = { crashes: [], probes: 0 };
+
+/** Dependencies of the table. */
+export interface SuspectTableHost {
+  clock: Clock;
+  log: Log;
+  rows: RowStore;
+  signal: AbortSignal;
+  /** Called when rows of these parts have changed or are gone. */
+  onChange(parts: string[]): void;
+  /** Called with rows that the store has lost by coming back from an older copy. */
+  onLost(lost: Map<string, Suspect>): void;
+}
+
+/** A part's row. */
+export interface StoredSuspect extends Suspect {
+  version: number;
+  /** Time of `clock.elapsed()` when the version became known. */
+  changedAt: Milliseconds;
+}
+
+/** Returns what a part's row is to become; `undefined` leaves it as it is. */
+export type SuspectUpdate = (
+  part: string,
+  stored: StoredSuspect | undefined,
+) => Suspect | 'removed' | undefined;
+
+/** `failed`: the store did not answer, or others were always faster. */
+export type UpdateResult = 'written' | 'unchanged' | 'failed';
+
+/** The rows of suspected parts, as the store's feed tells them. */
+export interface SuspectTable {
+  isLoaded(): boolean;
+  get(part: string): StoredSuspect | undefined;
+  list(): string[];
+  /** Changes rows; the update is asked again about rows that others have changed meanwhile. */
+  update(parts: string[], next: SuspectUpdate): Promise<UpdateResult>;
+  /** Reads all rows again; false if the store failed. */
+  refresh(): Promise<boolean>;
+}
+
+/** Starts following the table. */
+export function followSuspects(host: SuspectTableHost): SuspectTable {
+  const { clock, log, rows, signal } = host;
+  let stored = new Map<string, StoredSuspect>();
+  let era: StoreEra | undefined;
+
+  // A row that can't be read tells nothing, and is written anew.
+  function decode({ key, version, value = '' }: RowChange): StoredSuspect {
+    const suspect = decodeSuspect(value);
+    if (!suspect) log(Diagnostics.rowUnreadable, { table: SUSPECT_TABLE, key });
+    return { ...(suspect ?? NO_CRASHES), version, changedAt: clock.elapsed() };
+  }
+
+  function replaceAll(view: RowView): void {
+    const before = stored;
+    stored = new Map();
+    view.rows.forEach((row) => {
+      const known = before.get(row.key);
+      const isSame = era === view.era && known?.version === row.version;
+      stored.set(row.key, isSame ? known : decode(row));
+    });
+    const lost = [...before].filter(([part]) => !stored.has(part));
+    if (era !== undefined && era !== view.era) host.onLost(new Map(lost));
+    era = view.era;
+    host.onChange([...new Set([...before.keys(), ...stored.keys()])]);
+  }
+
+  function applyChange(change: RowChange): void {
+    const known = stored.get(change.key);
+    // An update of this instance may have become known before.
+    if (known && known.version >= change.version) return;
+    if (change.value === undefined) stored.delete(change.key);
+    else stored.set(change.key, decode(change));
+  }
+
+  function applyChanges(changes: RowChange[]): void {
+    changes.forEach(applyChange);
+    host.onChange(changes.map(({ key }) => key));
+  }
+
+  const feed = followTable(host, {
+    table: SUSPECT_TABLE,
+    partition: SUSPECT_PARTITION,
+    pause: FEED_PAUSE_MS,
+    wait: FEED_WAIT_MS,
+    onView: replaceAll,
+    onChanges: applyChanges,
+    onUnavailable: () => undefined,
+    onAvailable: () => undefined,
+  });
+
+  function createTransaction(parts: string[], next: SuspectUpdate): RowTransaction {
+    const transaction: RowTransaction = { checks: [], puts: [], removals: [] };
+    parts.forEach((part) => {
+      const known = stored.get(part);
+      const value = next(part, known);
+      if (value === undefined || (value === 'removed' && !known)) return;
+      const key = getSuspectKey(part);
+      transaction.checks.push({ ...key, version: known?.version ?? 0 });
+      if (value === 'removed') transaction.removals.push(key);
+      else transaction.puts.push({ ...key, value: encodeSuspect(value) });
+    });
+    return transaction;
+  }
+
+  async function updateBatch(parts: string[], next: SuspectUpdate): Promise<UpdateResult> {
+    for (let tries = 0; tries < TRIES_MAX && !signal.aborted; tries += 1) {
+      const transaction = createTransaction(parts, next);
+      if (transaction.checks.length === 0) return 'unchanged';
+      const written = await rows.transact(transaction);
+      if (written.ok) {
+        adopt(transaction, written.val.revision);
+        return 'written';
+      }
+      if (written.val.kind !== 'conflict') return 'failed';
+      adoptConflict(transaction, written.val.rows);
+      await sleep(clock, TRY_DELAY_MS);
+    }
+    return 'failed';
+  }
+
+  function adoptConflict({ checks }: RowTransaction, current: VersionedRow[]): void {
+    checks.forEach(({ key }) => stored.delete(key));
+    current.forEach((row) => stored.set(row.key, decode(row)));
+    host.onChange(checks.map(({ key }) => key));
+  }
+
+  // What was written replaces what was known, also if the versions of another era were higher.
+  function adopt({ checks, puts, removals }: RowTransaction, version: number): void {
+    puts.forEach((put) => stored.set(put.key, decode({ ...put, version })));
+    removals.forEach(({ key }) => stored.delete(key));
+    host.onChange(checks.map(({ key }) => key));
+  }
+
+  return {
+    isLoaded: () => era !== undefined,
+    get: (part) => stored.get(part),
+    list: () => [...stored.keys()],
+    async update(parts, next) {
+      let result: UpdateResult = 'unchanged';
+      for (let from = 0; from < parts.length; from += BATCH_SIZE) {
+        const outcome = await updateBatch(parts.slice(from, from + BATCH_SIZE), next);
+        result = combine(result, outcome);
+      }
+      return result;
+    },
+    refresh: feed.refresh,
+  };
+}
+
+function combine(first: UpdateResult, second: UpdateResult): UpdateResult {
+  return match([first, second] as const)
+    .with(['failed', 'written'], ['failed', 'unchanged'], () => 'failed' as const)
+    .with(['written', 'unchanged'], () => 'written' as const)
+    .otherwise(() => second);
+}
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -1,6 +1,6 @@
 import { Err, Ok } from 'ts-results';
 import { createManualClock } from '@pomeloroad/core';
-import type { LogFields } from '@pomeloroad/core';
+import type { LogFields, ResponseFraming } from '@pomeloroad/core';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { createForwardMetrics } from '../src';
 import type { Attempt, EndpointRecord, Reachability, StreamStep } from '../src';
@@ -27,25 +27,35 @@
 }
 
 // Creates a watched protocol whose attempts break off, or whose streams do after their head.
-function createStand(probes: Reachability[], fate: IncarnationFate = 'listed', isStream = false) {
+function createStand(
+  probes: Reachability[],
+  {
+    fate = 'listed',
+    step = undefined as StreamStep | undefined,
+    isSuspicious = false,
+  } = {},
+) {
   const clock = createManualClock();
   const crashes: EndpointCrash[] = [];
   const lines: LogFields[] = [];
-  const stream = { next: async () => BROKEN, close: async () => undefined };
+  const answers: string[] = [];
+  const stream = { next: async () => step ?? BROKEN, close: async () => undefined };
   const head = { status: 200, framing: 'chunked' as const, headers: [] };
   const protocol = watchCrashes<void>({
     clock,
     log: (event, fields) => lines.push({ code: event.code, ...fields }),
     metrics: createForwardMetrics(createMetrics()),
     protocol: {
-      send: async () => (isStream ? Ok({ kind: 'stream', head, stream }) : FAILED),
+      send: async () => (step ? Ok({ kind: 'stream', head, stream }) : FAILED),
       probe: async () => probes.shift() ?? 'accepting',
       findRun: async () => ({ kind: 'silent' }),
     },
     directory: { getFate: () => fate },
     onCrash: (crash) => crashes.push(crash),
+    onAnswer: (parts, incarnation) => answers.push(`${incarnation} ${parts.join(',')}`),
+    isSuspicious: () => isSuspicious,
   });
-  return { clock, crashes, lines, protocol };
+  return { clock, crashes, answers, lines, protocol };
 }
 
 test('an endpoint that refuses connections after it broke requests off has crashed', async () => {
@@ -62,7 +72,7 @@
 });
 
 test('a stream that breaks off at an endpoint that has died shows a crash', async () => {
-  const { clock, crashes, protocol } = createStand(['accepting', 'refused'], 'listed', true);
+  const { clock, crashes, protocol } = createStand(['accepting', 'refused'], { step: BROKEN });
   const sent = await protocol.send(createAttempt('a', ['first']));
   expect(sent.ok && sent.val.kind === 'stream' && (await sent.val.stream.next())).toBe(BROKEN);
   await clock.advance(150);
@@ -70,7 +80,7 @@
 });
 
 test('an endpoint that has started again has crashed', async () => {
-  const { clock, crashes, protocol } = createStand([], 'started again');
+  const { clock, crashes, protocol } = createStand([], { fate: 'started again' });
   await protocol.send(createAttempt('a', ['first']));
   await clock.advance(150);
   expect(crashes).toHaveLength(1);
@@ -84,7 +94,7 @@
 });
 
 test('an endpoint that leaves shows no crash', async () => {
-  const { clock, crashes, protocol } = createStand(['accepting', 'accepting'], 'leaving');
+  const { clock, crashes, protocol } = createStand(['accepting', 'accepting'], { fate: 'leaving' });
   await protocol.send(createAttempt('a', ['first']));
   await clock.advance(20_000);
   expect(crashes).toEqual([]);
@@ -96,3 +106,31 @@
   await clock.advance(20_000);
   expect(crashes).toEqual([]);
 });
+
+test('a stream that ends with its connection at an endpoint that has died shows a crash', async () => {
+  const step = createEnd('close');
+  const { clock, crashes, protocol } = createStand(['refused'], { step });
+  const sent = await protocol.send(createAttempt('a', ['first']));
+  if (sent.ok && sent.val.kind === 'stream') await sent.val.stream.next();
+  await clock.advance(0);
+  expect(crashes).toHaveLength(1);
+});
+
+test('the end of a stream tells that the parts of its prompt were answered', async () => {
+  const { answers, crashes, protocol } = createStand(['refused'], { step: createEnd('chunked') });
+  const sent = await protocol.send(createAttempt('a', ['first', 'second']));
+  if (sent.ok && sent.val.kind === 'stream') await sent.val.stream.next();
+  expect(answers).toEqual(['e/7 first,second']);
+  expect(crashes).toEqual([]);
+});
+
+test('an attempt with a suspicious part fails only once it is known whether its endpoint died', async () => {
+  const { crashes, protocol } = createStand(['refused'], { isSuspicious: true });
+  await protocol.send(createAttempt('a', ['first']));
+  expect(crashes).toHaveLength(1);
+});
+
+function createEnd(framing: ResponseFraming): StreamStep {
+  const closes = Promise.resolve(false);
+  return { kind: framing === 'close' ? 'closed' : 'complete', framing, at: 0, closes };
+}
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -73,6 +73,7 @@
       clock,
       admission: { acquire },
       retryBudget: { take: () => hasRetries },
+      suspects: { judge: () => 'none' },
       metrics: {
         attempts: { add: () => {} },
         silences: { add: () => {} },
@@ -82,6 +83,7 @@
     },
     request: {
       deadline: 5000,
+      prefix: [],
       route: { kind: stream ? 'streaming' : 'idempotent', isResumable: true, attempts },
     },
     stop: new AbortController(),
--- /dev/null
+++ b/packages/forwarding/test/suspects.test.ts
@@ -0,0 +1,232 @@
+import { Err } from 'ts-results';
+import { createManualClock, createRandom, sleep } from '@pomeloroad/core';
+import type { LogFields, Milliseconds } from '@pomeloroad/core';
+import { createMemoryRowStore } from '@pomeloroad/storage';
+import type { RowStore, RowTransaction } from '@pomeloroad/storage';
+import { startSuspects } from '../src/suspects';
+
+const PROPAGATION_MS = 1000;
+const FIRST_PROBE_MS = 61_000;
+const SECOND_PROBE_MS = 601_000;
+const RETENTION_MS = 3_700_000;
+
+// Instances over one store, whose answers may be lost for each instance by itself.
+function createStand(count: number) {
+  const clock = createManualClock();
+  const memory = createMemoryRowStore();
+  const calls = { transactions: 0 };
+  let waiters: (() => void)[] = [];
+  const instances = Array.from({ length: count }, (_, index) => start(index));
+
+  // Answers as soon as there is a change, or after the wait.
+  async function follow(table: string, after: number, wait: Milliseconds) {
+    const view = await memory.follow(table, after, wait);
+    if (view.err || view.val.changes.length > 0) return view;
+    const changed = new Promise<void>((resolve) => {
+      waiters.push(resolve);
+    });
+    await Promise.race([changed, sleep(clock, wait)]);
+    return memory.follow(table, after, wait);
+  }
+
+  async function transact(transaction: RowTransaction) {
+    calls.transactions += 1;
+    const result = await memory.transact(transaction);
+    waiters.forEach((resolve) => resolve());
+    waiters = [];
+    return result;
+  }
+
+  function start(seed: number) {
+    const link = { isCut: false };
+    const lines: LogFields[] = [];
+    const fail = async () => Err({ kind: 'unavailable' as const, message: 'cut' });
+    const rows: RowStore = {
+      transact: (...args) => (link.isCut ? fail() : transact(...args)),
+      list: (...args) => (link.isCut ? fail() : memory.list(...args)),
+      follow: (...args) => (link.isCut ? fail() : follow(...args)),
+    };
+    const suspects = startSuspects({
+      clock,
+      random: createRandom(seed + 1),
+      log: (event, fields) => lines.push({ code: event.code, ...fields }),
+      rows,
+      signal: new AbortController().signal,
+    });
+    return { ...suspects, link, lines };
+  }
+
+  const crash = (index: number, incarnation: string, parts: string[]) =>
+    instances[index]?.noteCrash({ incarnation, parts: new Set(parts) });
+  const judgeAll = (part: string) => instances.map(({ judge }) => judge([part]));
+  return { clock, memory, calls, instances, start, crash, judgeAll };
+}
+
+test('crashes that several instances see one each block a part at all of them', async () => {
+  const { clock, instances, crash, judgeAll } = createStand(4);
+  await clock.advance(PROPAGATION_MS);
+  crash(0, 'a/1', ['bad', 'x']);
+  crash(1, 'b/1', ['bad', 'y']);
+  await clock.advance(PROPAGATION_MS);
+  expect(judgeAll('bad')).toEqual(Array(4).fill('suspected'));
+  crash(2, 'c/1', ['bad', 'z']);
+  await clock.advance(PROPAGATION_MS);
+  expect(judgeAll('bad')).toEqual(Array(4).fill('blocked'));
+  expect(judgeAll('x')).toEqual(Array(4).fill('weak'));
+  expect(await instances[3]?.admit(['x', 'bad'])).toEqual({ kind: 'blocked', part: 'bad' });
+  expect(instances[3]?.lines).toMatchObject([
+    { code: 3004 },
+    { code: 5013, part: 'bad', crashes: 'a/1, b/1, c/1' },
+  ]);
+});
+
+test('one crash that several instances see counts once', async () => {
+  const { clock, crash, judgeAll } = createStand(4);
+  await clock.advance(PROPAGATION_MS);
+  [0, 1, 2, 3].forEach((index) => crash(index, 'a/1', ['bad']));
+  await clock.advance(PROPAGATION_MS);
+  expect(judgeAll('bad')).toEqual(Array(4).fill('weak'));
+});
+
+test('a part that endpoints answer is not blocked by crashes beside it', async () => {
+  const { clock, instances, crash, judgeAll } = createStand(3);
+  instances.forEach(({ noteAnswer }) => noteAnswer(['first'], 'e/1'));
+  await clock.advance(1100);
+  ['a/1', 'b/1', 'c/1', 'd/1'].forEach((incarnation, index) =>
+    crash(index % 3, incarnation, ['first', 'bad']),
+  );
+  await clock.advance(PROPAGATION_MS);
+  expect(judgeAll('first')).toEqual(Array(3).fill('none'));
+  expect(judgeAll('bad')).toEqual(Array(3).fill('blocked'));
+});
+
+test('an answer at one instance clears a part that the others had blocked', async () => {
+  const { clock, instances, crash, judgeAll } = createStand(3);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['sound']));
+  await clock.advance(PROPAGATION_MS);
+  expect(judgeAll('sound')).toEqual(Array(3).fill('blocked'));
+  instances[2]?.noteAnswer(['sound'], 'e/1');
+  await clock.advance(2 * PROPAGATION_MS);
+  expect(judgeAll('sound')).toEqual(Array(3).fill('none'));
+});
+
+test('an answer whose endpoint dies just after it clears nothing', async () => {
+  const { clock, instances, crash, judgeAll } = createStand(1);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => {
+    instances[0]?.noteAnswer(['bad'], incarnation);
+    crash(0, incarnation, ['bad']);
+  });
+  await clock.advance(5000);
+  expect(judgeAll('bad')).toEqual(['blocked']);
+});
+
+test('a blocked part is tried by one request of the fleet at a time, twice at most', async () => {
+  const { clock, instances, crash } = createStand(8);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['bad']));
+  const countProbes = async () => {
+    const admitting = Promise.all(instances.map(({ admit }) => admit(['bad'])));
+    await clock.advance(PROPAGATION_MS);
+    const admitted = await admitting;
+    return admitted.filter(({ kind }) => kind === 'probe').length;
+  };
+  await clock.advance(PROPAGATION_MS);
+  expect(await countProbes()).toBe(0);
+  await clock.advance(FIRST_PROBE_MS);
+  expect(await countProbes()).toBe(1);
+  crash(3, 'd/1', ['bad']);
+  await clock.advance(FIRST_PROBE_MS);
+  expect(await countProbes()).toBe(0);
+  await clock.advance(SECOND_PROBE_MS);
+  expect(await countProbes()).toBe(1);
+  crash(3, 'e/1', ['bad']);
+  await clock.advance(SECOND_PROBE_MS);
+  expect(await countProbes()).toBe(0);
+});
+
+test('a request that tries a blocked part and is answered ends the block everywhere', async () => {
+  const { clock, instances, crash, judgeAll } = createStand(3);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['cured']));
+  await clock.advance(FIRST_PROBE_MS);
+  expect(await instances[1]?.admit(['cured'])).toEqual({ kind: 'probe', part: 'cured' });
+  instances[1]?.noteAnswer(['cured'], 'e/1');
+  await clock.advance(2 * PROPAGATION_MS);
+  expect(judgeAll('cured')).toEqual(Array(3).fill('none'));
+});
+
+test('a block lasts as long as requests for its part come, and then an hour', async () => {
+  const { clock, memory, instances, crash, judgeAll } = createStand(2);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['bad']));
+  await clock.advance(RETENTION_MS / 2);
+  await instances[1]?.admit(['bad']);
+  await clock.advance(RETENTION_MS / 2);
+  expect(judgeAll('bad')).toEqual(['blocked', 'blocked']);
+  await clock.advance(RETENTION_MS / 2);
+  const view = await memory.list('suspects', '');
+  expect(view.ok && view.val.rows).toEqual([]);
+  expect(judgeAll('bad')).toEqual(['none', 'none']);
+}, 30_000);
+
+test('an instance without the store blocks a part by the crashes that it sees', async () => {
+  const { clock, instances, crash, judgeAll } = createStand(2);
+  await clock.advance(PROPAGATION_MS);
+  instances[0]!.link.isCut = true;
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['bad']));
+  await clock.advance(PROPAGATION_MS);
+  expect(judgeAll('bad')).toEqual(['blocked', 'none']);
+  instances[0]!.link.isCut = false;
+  await clock.advance(PROPAGATION_MS);
+  expect(judgeAll('bad')).toEqual(['blocked', 'blocked']);
+});
+
+test('an instance that starts sends nothing with shared parts until it knows the suspects', async () => {
+  const { clock, crash, start } = createStand(1);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['bad']));
+  await clock.advance(PROPAGATION_MS);
+  const late = start(9);
+  expect(await late.admit(['any'])).toEqual({ kind: 'unknown' });
+  expect(await late.admit([])).toEqual({ kind: 'allowed' });
+  await clock.advance(PROPAGATION_MS);
+  expect(await late.admit(['any'])).toEqual({ kind: 'allowed' });
+  expect(await late.admit(['bad'])).toEqual({ kind: 'blocked', part: 'bad' });
+});
+
+test('rows that the store lost are written again', async () => {
+  const { clock, memory, crash, start } = createStand(3);
+  await clock.advance(PROPAGATION_MS);
+  const comeBack = memory.copy();
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['bad']));
+  await clock.advance(PROPAGATION_MS);
+  comeBack();
+  await clock.advance(2 * PROPAGATION_MS);
+  const late = start(9);
+  await clock.advance(PROPAGATION_MS);
+  expect(await late.admit(['bad'])).toEqual({ kind: 'blocked', part: 'bad' });
+});
+
+test('a row that can not be read is written anew', async () => {
+  const { clock, memory, crash, judgeAll } = createStand(2);
+  const key = { table: 'suspects', partition: '', key: 'bad' };
+  await memory.transact({ checks: [], puts: [{ ...key, value: '{' }], removals: [] });
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['bad']));
+  await clock.advance(PROPAGATION_MS);
+  expect(judgeAll('bad')).toEqual(['blocked', 'blocked']);
+});
+
+test('crashes of a whole data centre at once cost few transactions', async () => {
+  const { clock, calls, instances, crash } = createStand(30);
+  await clock.advance(PROPAGATION_MS);
+  instances.forEach((_, index) =>
+    Array.from({ length: 10 }, (__, endpoint) =>
+      crash(index, `e-${endpoint}/1`, ['first', `session-${index}-${endpoint}`]),
+    ),
+  );
+  await clock.advance(5000);
+  expect(calls.transactions).toBeLessThan(30 * 6);
+});
