--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -26,14 +26,17 @@
   return { request: { id, prefix }, endpoint: ENDPOINT, signal } as unknown as Attempt<void>;
 }
 
-// Creates a watched protocol whose attempts break off, or whose streams do after their head.
+interface StandOptions {
+  fate?: IncarnationFate;
+  /** What the attempts' streams bring; left out, the attempts break off. */
+  step?: StreamStep;
+  isSuspicious?: boolean;
+}
+
+// Creates a watched protocol over endpoints that give the probes' answers one after another.
 function createStand(
   probes: Reachability[],
-  {
-    fate = 'listed',
-    step = undefined as StreamStep | undefined,
-    isSuspicious = false,
-  } = {},
+  { fate = 'listed', step, isSuspicious = false }: StandOptions = {},
 ) {
   const clock = createManualClock();
   const crashes: EndpointCrash[] = [];
