Try a sound part soon that was blocked beside the one to blame

Nothing had been answered before, so the first parts stood in all crashes as the bad one did, and what is blocked can't be answered any more.

Now a part that stands only in some of another one's crashes is not blocked, and one in more of the broken requests than another is tried after one and two seconds, by a request without a likelier part. A stream that has gone on for a second shows sound parts before its end.

--- a/packages/forwarding/src/crashWatch.ts
+++ b/packages/forwarding/src/crashWatch.ts
@@ -11,6 +11,8 @@
 /** Time for which an endpoint that answered both probes is watched for a new start or its removal. */
 const WATCH_TIME_MS: Milliseconds = 5000;
 const WATCH_INTERVAL_MS: Milliseconds = 500;
+/** Time from the first event of a stream after which its endpoint has borne the prompt. */
+const SOUND_AFTER_MS: Milliseconds = 1000;
 /** Maximum time that a failed attempt waits to learn whether its endpoint has died. */
 const VERDICT_TIMEOUT_MS: Milliseconds = 150;
 /** Lowest HTTP status of an error. */
@@ -18,11 +20,12 @@
 /** Maximum number of requests that one line names. */
 const NAMED_REQUESTS_MAX = 20;
 
-/** An endpoint's incarnation that crashed, and shared prompt parts of the requests that it broke off. */
+/** An endpoint's incarnation that crashed, and what it worked on for this instance. */
 export interface EndpointCrash {
   /** Identifies the incarnation; the same at all instances. */
   incarnation: string;
-  parts: Set<string>;
+  /** Shared prompt parts, and how many of the requests that were broken off have each. */
+  parts: Map<string, number>;
 }
 
 /** Dependencies of watching endpoints for crashes. */
@@ -33,7 +36,7 @@
   protocol: EndpointProtocol<Payload>;
   directory: Pick<EndpointDirectory, 'getFate'>;
   onCrash(crash: EndpointCrash): void;
-  /** Called when an incarnation has answered a prompt of these shared parts to its end. */
+  /** Called when an incarnation has answered a prompt of these shared parts, at least for a while. */
   onAnswer(parts: string[], incarnation: string): void;
   /** Whether a crash under one of these parts decides if a request may be sent again. */
   isSuspicious(parts: string[]): boolean;
@@ -85,7 +88,8 @@
 
   async function judge(endpoint: EndpointRecord, broken: Map<string, string[]>): Promise<void> {
     if (!(await hasDied(endpoint))) return;
-    const parts = new Set([...broken.values()].flat());
+    const parts = new Map<string, number>();
+    [...broken.values()].flat().forEach((part) => parts.set(part, (parts.get(part) ?? 0) + 1));
     metrics.crashes.add(1);
     log(Diagnostics.endpointCrashed, {
       endpoint: endpoint.id,
@@ -120,11 +124,23 @@
   }
 
   function watchStream(attempt: Attempt<Payload>, stream: EventStream): EventStream {
+    let begunAt: Milliseconds | undefined;
+    let isSound = false;
+
+    // A long stream shows before its end that its endpoint bears the prompt.
+    function handleEvents(): void {
+      begunAt ??= clock.elapsed();
+      if (isSound || clock.elapsed() - begunAt < SOUND_AFTER_MS) return;
+      isSound = true;
+      host.onAnswer(getSharedParts(attempt.request), getIncarnation(attempt.endpoint));
+    }
+
     return {
       async next() {
         const step = await stream.next();
         if (step.kind === 'broken') await handleBreak(attempt);
-        else if (step.kind !== 'events') handleEnd(attempt, step.framing);
+        else if (step.kind === 'events') handleEvents();
+        else handleEnd(attempt, step.framing);
         return step;
       },
       close: () => stream.close(),
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -58,8 +58,8 @@
   const admittance = await run.host.suspects.admit(getSharedParts(run.request));
   return match(admittance)
     .with({ kind: 'allowed' }, () => Ok(undefined))
-    .with({ kind: 'probe' }, ({ part }) => {
-      run.probedPart = part;
+    .with({ kind: 'probe' }, ({ parts }) => {
+      run.probedParts = parts;
       return Ok(undefined);
     })
     .with({ kind: 'blocked' }, ({ part }) => {
@@ -74,6 +74,8 @@
   const placed = await placeTakeUp(run);
   if (placed.err) refuse(run, placed.val);
   else await forwardPlaced(run);
+  const { probedParts, runs, host } = run;
+  if (probedParts.length > 0 && runs === 0) host.suspects.giveBack(probedParts);
 }
 
 async function forwardPlaced<Payload>(run: Run<Payload>): Promise<void> {
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -22,8 +22,8 @@
   excluded: Set<string>;
   /** Names of the endpoints whose attempt was dropped for one that went on. */
   dropped: Set<string>;
-  /** Part of the prompt that the request is to try in spite of its block. */
-  probedPart: string | undefined;
+  /** Parts of the prompt that the request is to try in spite of their block. */
+  probedParts: string[];
   /** Part of the prompt for which the request was refused. */
   blockedPart: string | undefined;
   /** Number of attempts that may have run on an endpoint. */
@@ -66,7 +66,7 @@
     stop: new AbortController(),
     excluded: new Set(),
     dropped: new Set(),
-    probedPart: undefined,
+    probedParts: [],
     blockedPart: undefined,
     runs: 0,
     pending: 0,
@@ -111,11 +111,11 @@
  * its prompt. One that may have run at an endpoint may have been what crashed it.
  */
 export function isWithheld<Payload>(run: Run<Payload>): boolean {
-  const { host, request, runs, pending, probedPart } = run;
+  const { host, request, runs, pending, probedParts } = run;
   const isRepeat = runs + pending > 0;
-  if (isRepeat && probedPart !== undefined) return true;
+  if (isRepeat && probedParts.length > 0) return true;
   const suspicion = host.suspects.judge(
-    getSharedParts(request).filter((part) => part !== probedPart),
+    getSharedParts(request).filter((part) => !probedParts.includes(part)),
   );
   return suspicion === 'blocked' || (isRepeat && suspicion === 'suspected');
 }
--- a/packages/forwarding/src/soundParts.ts
+++ b/packages/forwarding/src/soundParts.ts
@@ -9,7 +9,7 @@
 
 /** The prompt parts that endpoints have lately answered without harm. */
 export interface SoundParts {
-  /** An incarnation of an endpoint has answered a prompt of these parts to its end. */
+  /** An incarnation of an endpoint has answered a prompt of these parts, at least for a while. */
   noteAnswer(parts: string[], incarnation: string): void;
   /** The incarnation has crashed, so what it answered just before shows nothing. */
   noteCrash(incarnation: string): void;
--- a/packages/forwarding/src/suspectRows.ts
+++ b/packages/forwarding/src/suspectRows.ts
@@ -9,6 +9,8 @@
 export interface Suspect {
   /** Incarnations of endpoints that crashed while they worked on a prompt with the part. */
   crashes: string[];
+  /** Number of requests with the part that were broken off by these crashes. */
+  requests: number;
   /** Number of requests that were let through, to find out whether it still crashes endpoints. */
   probes: number;
 }
@@ -19,16 +21,16 @@
 }
 
 /** Encodes the value of a part's row. */
-export function encodeSuspect({ crashes, probes }: Suspect): string {
-  return JSON.stringify([probes, ...crashes]);
+export function encodeSuspect({ crashes, requests, probes }: Suspect): string {
+  return JSON.stringify([probes, requests, ...crashes]);
 }
 
 /** Decodes the value of a part's row; `undefined` if it can't be read. */
 export function decodeSuspect(value: string): Suspect | undefined {
   const fields = parseList(value);
-  const [probes, ...crashes] = fields;
-  if (typeof probes !== 'number' || !crashes.every(isText)) return undefined;
-  return { crashes, probes };
+  const [probes, requests, ...crashes] = fields;
+  if (typeof probes !== 'number' || typeof requests !== 'number') return undefined;
+  return crashes.every(isText) ? { crashes, requests, probes } : undefined;
 }
 
 function parseList(value: string): unknown[] {
--- a/packages/forwarding/src/suspectTable.ts
+++ b/packages/forwarding/src/suspectTable.ts
@@ -27,7 +27,7 @@
 /** Tries of a change whose rows others change at the same time. */
 const TRIES_MAX = 5;
 const TRY_DELAY_MS: Milliseconds = 20;
-const NO_CRASHES: Suspect = { crashes: [], probes: 0 };
+const NO_CRASHES: Suspect = { crashes: [], requests: 0, probes: 0 };
 
 /** Dependencies of the table. */
 export interface SuspectTableHost {
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -68,7 +68,15 @@
     protocol.send(createAttempt('b', ['first'])),
   ]);
   await clock.advance(0);
-  expect(crashes).toEqual([{ incarnation: 'e/7', parts: new Set(['first', 'second']) }]);
+  expect(crashes).toEqual([
+    {
+      incarnation: 'e/7',
+      parts: new Map([
+        ['first', 2],
+        ['second', 1],
+      ]),
+    },
+  ]);
   expect(lines).toEqual([
     { code: 7008, endpoint: 'e', born: 7, count: 2, requests: 'a first,second; b first' },
   ]);
@@ -79,7 +87,7 @@
   const sent = await protocol.send(createAttempt('a', ['first']));
   expect(sent.ok && sent.val.kind === 'stream' && (await sent.val.stream.next())).toBe(BROKEN);
   await clock.advance(150);
-  expect(crashes).toEqual([{ incarnation: 'e/7', parts: new Set(['first']) }]);
+  expect(crashes).toEqual([{ incarnation: 'e/7', parts: new Map([['first', 1]]) }]);
 });
 
 test('an endpoint that has started again has crashed', async () => {
--- a/packages/forwarding/test/suspects.test.ts
+++ b/packages/forwarding/test/suspects.test.ts
@@ -57,7 +57,7 @@
   }
 
   const crash = (index: number, incarnation: string, parts: string[]) =>
-    instances[index]?.noteCrash({ incarnation, parts: new Set(parts) });
+    instances[index]?.noteCrash({ incarnation, parts: new Map(parts.map((part) => [part, 1])) });
   const judgeAll = (part: string) => instances.map(({ judge }) => judge([part]));
   return { clock, memory, calls, instances, start, crash, judgeAll };
 }
@@ -151,12 +151,84 @@
   await clock.advance(PROPAGATION_MS);
   ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['cured']));
   await clock.advance(FIRST_PROBE_MS);
-  expect(await instances[1]?.admit(['cured'])).toEqual({ kind: 'probe', part: 'cured' });
+  expect(await instances[1]?.admit(['cured'])).toEqual({ kind: 'probe', parts: ['cured'] });
   instances[1]?.noteAnswer(['cured'], 'e/1');
   await clock.advance(2 * PROPAGATION_MS);
   expect(judgeAll('cured')).toEqual(Array(3).fill('none'));
 });
 
+test('a sound part that was blocked beside the bad one is tried soon, without the bad one', async () => {
+  const { clock, instances, judgeAll } = createStand(3);
+  await clock.advance(PROPAGATION_MS);
+  const parts = new Map([
+    ['first', 9],
+    ['second', 4],
+    ['bad', 1],
+  ]);
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => instances[0]?.noteCrash({ incarnation, parts }));
+  await clock.advance(PROPAGATION_MS);
+  expect(judgeAll('first')).toEqual(Array(3).fill('blocked'));
+  await clock.advance(PROPAGATION_MS);
+  const [, second, third] = instances;
+  expect(await third?.admit(['first', 'second', 'bad'])).toMatchObject({ kind: 'blocked' });
+  expect(await third?.admit(['bad'])).toMatchObject({ kind: 'blocked' });
+  expect(await second?.admit(['first', 'second'])).toMatchObject({ kind: 'probe' });
+  expect(await third?.admit(['first'])).toMatchObject({ kind: 'blocked' });
+  second?.noteAnswer(['first', 'second'], 'e/1');
+  await clock.advance(2 * PROPAGATION_MS);
+  expect(judgeAll('first')).toEqual(Array(3).fill('none'));
+  expect(judgeAll('second')).toEqual(Array(3).fill('none'));
+  expect(await third?.admit(['bad'])).toMatchObject({ kind: 'blocked' });
+});
+
+test('a part that stands in some of the crashes of another one is not blocked', async () => {
+  const { clock, crash, judgeAll } = createStand(2);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['bad', 'often']));
+  await clock.advance(PROPAGATION_MS);
+  expect(judgeAll('often')).toEqual(['blocked', 'blocked']);
+  crash(1, 'd/1', ['bad']);
+  await clock.advance(PROPAGATION_MS);
+  expect(judgeAll('often')).toEqual(['suspected', 'suspected']);
+  expect(judgeAll('bad')).toEqual(['blocked', 'blocked']);
+});
+
+test('a probe that reached no endpoint is given back', async () => {
+  const { clock, instances, crash } = createStand(2);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['bad']));
+  await clock.advance(FIRST_PROBE_MS);
+  expect(await instances[1]?.admit(['bad'])).toMatchObject({ kind: 'probe' });
+  instances[1]?.giveBack(['bad']);
+  await clock.advance(FIRST_PROBE_MS);
+  expect(await instances[0]?.admit(['bad'])).toMatchObject({ kind: 'probe' });
+});
+
+test('a first part that is to blame is not tried again and again beside a rarer one', async () => {
+  const { clock, instances, judgeAll } = createStand(3);
+  await clock.advance(PROPAGATION_MS);
+  const crash = (incarnation: string) =>
+    instances[0]?.noteCrash({
+      incarnation,
+      parts: new Map([
+        ['first', 9],
+        ['rare', 1],
+      ]),
+    });
+  ['a/1', 'b/1', 'c/1'].forEach(crash);
+  let probes = 0;
+  for (let second = 0; second < 50; second += 1) {
+    await clock.advance(1000);
+    const admitted = await instances[second % 3]?.admit(['first', `${second}`]);
+    if (admitted?.kind === 'probe') {
+      probes += 1;
+      crash(`${second}/1`);
+    }
+  }
+  expect(probes).toBe(2);
+  expect(judgeAll('first')).toEqual(Array(3).fill('blocked'));
+});
+
 test('a block lasts as long as requests for its part come, and then an hour', async () => {
   const { clock, memory, instances, crash, judgeAll } = createStand(2);
   await clock.advance(PROPAGATION_MS);
