Soak: endpoints that crash on a part of prompts

Some callers send prompts with a part under which an endpoint dies 30 ms after the head; it starts again after 2 s. Checks: crashing-parts (at most 3 such requests later than 3 s after the fifth crash, by instances in touch) and sound-parts (sound requests of the routes begin at least half as often from 6 s after it).

--- a/packages/replay/src/soak/callers.ts
+++ b/packages/replay/src/soak/callers.ts
@@ -24,15 +24,18 @@
 const PATIENCE_MAX_MS = 400;
 /** One caller that asks for answers that end early to this many others. */
 const EARLY_END_RATIO = 6;
+/** Time in which all answers end as they should, for comparison. */
+const EARLY_END_START_MS = 2500;
 const EARLY_END_EVENTS_MIN = 3;
 const EARLY_END_PAUSE_MIN_MS = 10;
 /** Least part of an answer's length that is its time limit. */
 const TIME_LIMIT_PART_MIN = 0.3;
+const STREAM_ROUTES = ROUTES.filter(({ kind }) => kind === 'streaming').map(({ name }) => name);
 /** How often a caller tries to take a stream up again. */
 const TRIES_MAX = 4;
 
-/** Ends in order of answers that are not whole, which some callers ask for. */
-export const EarlyEnds = ['short-limits', 'empty-ends'] as const;
+/** Ends of answers that are not whole, which some callers ask for: in order, or by a crash. */
+export const EarlyEnds = ['short-limits', 'empty-ends', 'crashing-parts'] as const;
 export type EarlyEnd = (typeof EarlyEnds)[number];
 
 /** Callers that send one request after another. */
@@ -86,6 +89,7 @@
     let instance: FleetInstance | undefined;
     let agent = createAgent();
     let resumption: Resumption | undefined;
+    if (index >= host.count) await pause(EARLY_END_START_MS);
     for (let number = 1; !isStopped; number += 1) {
       const drawn =
         index < host.count
@@ -102,7 +106,8 @@
       const id = `c${index + 1}-${number}`;
       const held = resumption ?? { ...NOTHING_HELD, work: drawn.work };
       const { patience, timeLimit } = resumption ? NO_LIMITS : drawn;
-      const request = { ...drawn, ...held, patience, timeLimit, id, instance, agent };
+      const hasPrompt = host.earlyEnds.includes('crashing-parts');
+      const request = { ...drawn, ...held, patience, timeLimit, id, instance, agent, hasPrompt };
       const answer = await host.sender.send(request);
       resumption = findResumption(id, held, answer);
       await pause(delay);
@@ -177,5 +182,9 @@
       ...base,
       work: { ...work, route: 'stream', fault: 'empty' as const },
     }))
+    .with('crashing-parts', () => ({
+      ...base,
+      work: { ...work, route: draw(random, STREAM_ROUTES), fault: 'crash' as const },
+    }))
     .exhaustive();
 }
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -4,6 +4,8 @@
 import type { Departure } from './checks';
 import { createConfigurationHistory } from './configurationHistory';
 import type { ConfigurationHistory } from './configurationHistory';
+import { createCrashHistory } from './crashChecks';
+import type { CrashHistory } from './crashChecks';
 import { createFaultLog } from './faultLog';
 import type { FaultLog } from './faultLog';
 import type { LogLine, RequestRecord, StampedEndpointLine } from './requestRecord';
@@ -30,6 +32,7 @@
   history: ConfigurationHistory;
   totals: Totals;
   versions: VersionHistory;
+  crashes: CrashHistory;
   open(record: RequestRecord): void;
   /** Adds a line of a process and, if it is an endpoint's, reads its step of a request. */
   addLine(source: string, text: string): void;
@@ -37,6 +40,8 @@
   restarted(name: string): void;
   /** Adds a failure that concerns no single request. */
   fail(check: string, message: string): void;
+  /** Called when an endpoint is about to die of a request; set by whoever starts it again. */
+  onCrash(name: string): void;
   /** Counts a check that concerns no single request and adds a failure if there is a message. */
   check(name: string, message: string | undefined): void;
   /** Checks the requests whose watch time is over, or all of them. */
@@ -54,25 +59,30 @@
 export function createEvidence(clock: Clock): Evidence {
   const records = new Map<string, RequestRecord>();
   const departures: Departure[] = [];
+  const dying = new Set<string>();
   const faults = createFaultLog(clock);
   const history = createConfigurationHistory(clock);
   const versions = createVersionHistory(faults);
+  const crashes = createCrashHistory(faults);
   const now = () => clock.now().getTime();
   const evidence: Evidence = {
     faults,
     history,
     versions,
+    crashes,
     totals: createTotals(),
     failures: [],
     checks: {},
     falseEnds: {},
     outcomes: {},
+    onCrash: () => undefined,
     open: (record) => records.set(record.id, record),
     addLine,
     restarted(name) {
       const last = departures.filter(({ endpoint }) => endpoint === name).at(-1);
       if (last) last.to = now();
       versions.unlist(name, now());
+      dying.delete(name);
     },
     fail(check, message) {
       evidence.failures.push({ check, message, timeLine: faults.listLines(now(), now()) });
@@ -96,6 +106,12 @@
       versions.list(source, String(line.service), String(line.version), at);
     }
     const record = records.get(String(line.request));
+    // A process that dies may have begun several such answers.
+    if (line.event === 'crash' && !dying.has(source)) {
+      dying.add(source);
+      crashes.addCrash(at);
+      evidence.onCrash(source);
+    }
     if (line.event === 'run') {
       const message = `${source} ran ${String(line.request)}, which no caller waits for`;
       evidence.check('unasked', record ? undefined : message);
@@ -118,10 +134,16 @@
     });
     evidence.check('retries', evidence.totals.checkRetries(limit));
     evidence.check('budget', evidence.totals.checkBudgets());
-    const takeUps = isFinal ? versions.check() : 'skipped';
-    if (takeUps !== 'skipped') {
-      evidence.check('take-ups', takeUps === 'held' ? undefined : takeUps.message);
-    }
+    if (!isFinal) return;
+    const outcomes = {
+      'take-ups': versions.check(),
+      'crashing-parts': crashes.checkArrivals(),
+      'sound-parts': crashes.checkSound(),
+    };
+    Object.entries(outcomes).forEach(([check, outcome]) => {
+      if (outcome === 'skipped') return;
+      evidence.check(check, outcome === 'held' ? undefined : outcome.message);
+    });
   }
 
   function judgeRecord(record: RequestRecord): void {
@@ -134,6 +156,7 @@
     count(evidence.outcomes, describeOutcome(record));
     evidence.totals.add(record);
     versions.add(record);
+    crashes.add(record);
   }
 
   function failRequest(record: RequestRecord, check: string, message: string): void {
@@ -176,6 +199,7 @@
       if (run) run.isFalselyStated = record.work.framing === 'chunked';
     })
     .with({ event: 'declined' }, () => record.arrivals.push(at))
+    .with({ event: 'crash' }, () => undefined)
     .with({ event: 'closed' }, () => {
       if (run) run.isEnded = true;
     })
--- a/packages/replay/src/soak/injector.ts
+++ b/packages/replay/src/soak/injector.ts
@@ -26,6 +26,9 @@
 /** Time between the steps of a roll-out. */
 const ROLL_OUT_STEP_MS: Milliseconds = 400;
 const SLOW_STORE_MS: Milliseconds = 400;
+const CLAIM_INTERVAL_MS: Milliseconds = 50;
+/** Time until an endpoint that has died of a request starts again. */
+const CRASH_PAUSE_MS: Milliseconds = 2000;
 const ENDING_SIGNALS: PlannedSignal['signal'][] = ['SIGTERM', 'SIGINT', 'SIGKILL'];
 const LOST_ANSWER_SHARE = 0.5;
 const { compare: compareNumbers } = new Intl.Collator('en', { numeric: true });
@@ -35,6 +38,8 @@
 export interface Injector {
   /** Plays a fault; resolves when it is over. */
   play(planned: PlannedFault): Promise<void>;
+  /** Starts an endpoint again that is about to die of a request. */
+  restart(name: string): Promise<void>;
   /** How often each fault was played; one that met another on the same target is not. */
   counts: Record<string, number>;
 }
@@ -70,6 +75,7 @@
       .with({ kind: 'roll-out' }, rollOut)
       .with({ kind: 'link' }, disturbLink)
       .with({ kind: 'store' }, ({ fault: name, length }) => disturbStore(name, length))
+      .with({ kind: 'crash' }, ({ name }) => restartCrashed(name))
       .with({ kind: 'unreadable-rows' }, writeUnreadableRows)
       .with({ kind: 'full' }, async ({ index, length }) => {
         const { child } = getEndpoint(index).program;
@@ -87,6 +93,15 @@
       .exhaustive();
   }
 
+  async function restartCrashed(name: string): Promise<void> {
+    const endpoint = findEndpoint(name);
+    if (!endpoint || endpoint.program.isRunning()) return;
+    await pause(CRASH_PAUSE_MS);
+    evidence.restarted(name);
+    await fleet.restart(endpoint);
+    endpoint.isEnding = false;
+  }
+
   async function disturbProcess(stopped: FleetProcess, fault: SignalFault): Promise<void> {
     const fleetProcess = stopped;
     const ends = fault.signals.some(({ signal }) => ENDING_SIGNALS.includes(signal));
@@ -189,7 +204,21 @@
     return endpoint;
   }
 
-  return { play, counts };
+  function findEndpoint(name: string): FleetEndpoint | undefined {
+    return fleet.endpoints.find((endpoint) => endpoint.name === name);
+  }
+
+  // A fault that has hold of the endpoint may start it again too.
+  async function restart(name: string): Promise<void> {
+    const endpoint = findEndpoint(name);
+    if (!endpoint) return;
+    endpoint.isEnding = true;
+    await endpoint.program.exited;
+    while (claimed.has(name)) await pause(CLAIM_INTERVAL_MS);
+    await play({ at: 0, name: 'crash', fault: { kind: 'crash', name } });
+  }
+
+  return { play, restart, counts };
 }
 
 function getNature(fault: Fault): FaultNature {
@@ -226,6 +255,7 @@
     .with({ kind: 'roll-out' }, ({ service }) => listOldest(fleet, service).map(({ name }) => name))
     .with({ kind: 'link' }, (link) => [getLink(fleet, link).name])
     .with({ kind: 'store' }, { kind: 'unreadable-rows' }, () => ['store'])
+    .with({ kind: 'crash' }, ({ name }) => [name])
     .with({ kind: 'full' }, { kind: 'reused-address' }, ({ index }) =>
       [index, index + 1].map((at) => fleet.endpoints[at % fleet.endpoints.length]?.name ?? ''),
     )
--- a/packages/replay/src/soak/plan.ts
+++ b/packages/replay/src/soak/plan.ts
@@ -50,6 +50,8 @@
   | { kind: 'unreadable-rows' }
   /** The endpoint says that it is ready, but declines all requests. */
   | { kind: 'full'; index: number; length: Milliseconds }
+  /** The endpoint dies by itself, of a request, and starts again. */
+  | { kind: 'crash'; name: string }
   /** Another endpoint answers at the endpoint's address. */
   | { kind: 'reused-address'; index: number; length: Milliseconds };
 
--- a/packages/replay/src/soak/sender.ts
+++ b/packages/replay/src/soak/sender.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
-import { encodeWork, sendCallerCall } from '@pomeloroad/standins';
+import { encodePrompt, encodeWork, sendCallerCall } from '@pomeloroad/standins';
 import type { CallerAnswer, Work } from '@pomeloroad/standins';
 import { HOST, TOKENS_PER_EVENT } from './configuration';
 import type { Evidence } from './evidence';
@@ -17,6 +17,8 @@
   account: string;
   key: string;
   inputTokens: number;
+  /** Whether the request tells the parts of its prompt. */
+  hasPrompt?: boolean;
   resumeAfter: number;
   resumes?: string;
   heldVersions: string[];
@@ -38,7 +40,7 @@
 export function createSender(clock: Clock, evidence: Evidence): Sender {
   const now = () => clock.now().getTime();
   return {
-    async send({ work, key, instance, agent, patience, timeLimit, ...fields }) {
+    async send({ work, key, instance, agent, patience, timeLimit, hasPrompt, ...fields }) {
       const path = encodeWork(work);
       const text = `sends ${path} to ${instance.name} after event ${fields.resumeAfter}`;
       const lines = [{ at: now(), source: 'caller', text }];
@@ -53,6 +55,7 @@
         timeLeft: timeLimit ?? TIME_LIMIT_MS,
         patience: patience ?? TIME_LIMIT_MS,
         outputTokens: work.events * TOKENS_PER_EVENT,
+        prompt: hasPrompt ? encodePrompt(work, fields.id) : undefined,
       });
       record.answer = answer;
       record.endedAt = now();
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -137,8 +137,9 @@
   const { seed, callers: count, hasAnswerFaults: hasFaults, earlyEnds } = options;
   const callers = startCallers({ fleet, sender, seed, count, hasFaults, earlyEnds });
   const operating = operator.run();
-  const injector = createInjector(fleet, evidence);
   const playing: Promise<void>[] = [];
+  const injector = createInjector(fleet, evidence);
+  evidence.onCrash = (name) => playing.push(injector.restart(name));
   for (const planned of run.plan) {
     await waitUntil(planned.at);
     playing.push(injector.play(planned));
--- a/packages/standins/src/callerClient.ts
+++ b/packages/standins/src/callerClient.ts
@@ -19,6 +19,8 @@
   patience: number;
   inputTokens: number;
   outputTokens: number;
+  /** Parts of the prompt; `undefined` if the request tells none. */
+  prompt?: string | undefined;
   /** Last event that the caller has; 0 for a new stream. */
   resumeAfter: number;
   /** Id of the request that brought the stream's first event. */
@@ -64,6 +66,7 @@
         [WireHeader.requestId]: call.id,
         [WireHeader.timeLeft]: call.timeLeft,
         [WireHeader.tokenBounds]: `${call.inputTokens},${call.outputTokens}`,
+        ...(call.prompt === undefined ? {} : { [WireHeader.promptParts]: call.prompt }),
         ...(call.resumeAfter > 0 ? { [WireHeader.resumeAfter]: call.resumeAfter } : {}),
         ...(call.resumes === undefined ? {} : { [WireHeader.resumes]: call.resumes }),
       },
--- a/packages/standins/src/platformWire.ts
+++ b/packages/standins/src/platformWire.ts
@@ -11,6 +11,7 @@
   requestId: 'x-attempt-id',
   timeLeft: 'x-deadline-ms',
   tokenBounds: 'x-token-usage',
+  promptParts: 'x-prefix-hash',
   resumeAfter: 'last-event-id',
   resumes: 'resumes',
   signature: 'x-server-stamp',
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -4,11 +4,12 @@
 import { hashText, readBody, sleep, writeJson } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { WireHeader } from './platformWire';
-import { decodeWork, renderEvent, renderEvents, signAnswer } from './soakWork';
+import { decodeWork, isCrashing, renderEvent, renderEvents, signAnswer } from './soakWork';
 import type { AnswerFault, Work } from './soakWork';
 
 const LATE_ANSWER_DELAY_MS: Milliseconds = 1000;
 const SILENCE_MS: Milliseconds = 1500;
+const CRASH_DELAY_MS: Milliseconds = 30;
 /** Time within which the ends of open answers are sent before the process exits. */
 const EXIT_TIMEOUT_MS: Milliseconds = 200;
 const MISDIRECTED_STATUS = 421;
@@ -49,6 +50,8 @@
   /** The answer ends in order, with events missing. */
   | { event: 'stopped'; request: string; run: number; number: number; reason: EarlyEndReason }
   | { event: 'closed'; request: string; run: number; number: number }
+  /** The process dies of a part of the prompt. */
+  | { event: 'crash'; request: string; run: number }
   | { event: 'declined'; request: string; reason: 'full' | 'leaving' | 'other-endpoint' };
 
 /** Dependencies and settings of an endpoint of the soak. */
@@ -61,6 +64,8 @@
   record(line: EndpointLine): void;
   /** Whether each request is declined, as by an endpoint with a full queue. */
   isFull(): boolean;
+  /** Ends the process at once. */
+  die(): void;
 }
 
 /** An answer that has begun. */
@@ -137,6 +142,11 @@
     const last = isShort ? middle : work.events;
     if (fault === 'late') await sleep(clock, LATE_ANSWER_DELAY_MS);
     writeHead(response, name, work, after, fault);
+    if (isCrashing(String(request.headers[WireHeader.promptParts] ?? ''))) {
+      record({ event: 'crash', ...step });
+      await sleep(clock, CRASH_DELAY_MS);
+      host.die();
+    }
     let number = after;
     const answer: OpenAnswer = {
       response,
--- a/packages/standins/src/soakEndpointProcess.ts
+++ b/packages/standins/src/soakEndpointProcess.ts
@@ -38,7 +38,8 @@
 export async function runSoakEndpoint(settings: SoakEndpointSettings): Promise<string> {
   const { clock, id, slots, version, store, service, dataCentre, drain } = settings;
   let isFull = false;
-  const host = { clock, id, slots, version, record, isFull: () => isFull };
+  const die = () => process.kill(process.pid, 'SIGKILL');
+  const host = { clock, id, slots, version, record, isFull: () => isFull, die };
   const { server, countActive, endAnswers } = createSoakEndpoint(host);
   server.keepAliveTimeout = settings.idleTimeout;
   const address = await listen(server, settings.address);
--- a/packages/standins/src/soakWork.ts
+++ b/packages/standins/src/soakWork.ts
@@ -19,7 +19,9 @@
   /** Falls silent halfway for over a second and goes on. */
   | 'silent'
   /** Ends too early, and states the end at once, with no event, if asked to go on. */
-  | 'empty';
+  | 'empty'
+  /** The prompt holds a part under which the endpoint dies soon after the head. */
+  | 'crash';
 
 /** What a request asks an endpoint to send. It stands in the request's path. */
 export interface Work {
@@ -33,6 +35,23 @@
   fault: AnswerFault;
 }
 
+const CRASHING_PART = 'bad';
+const PART_TOKENS = 10;
+/** Number of second parts of prompts that requests of one route share. */
+const SECOND_PARTS = 5;
+
+/** Returns the prompt of a request: parts that others of its route share, and one of its own. */
+export function encodePrompt({ route, events, fault }: Work, id: string): string {
+  const bad = fault === 'crash' ? [CRASHING_PART] : [];
+  const parts = [route, `${route}-${events % SECOND_PARTS}`, ...bad, id];
+  return parts.map((part) => `${part}:${PART_TOKENS}`).join(',');
+}
+
+/** Whether endpoints crash under the prompt. */
+export function isCrashing(prompt: string): boolean {
+  return prompt.split(',').includes(`${CRASHING_PART}:${PART_TOKENS}`);
+}
+
 /** Returns the path of a request for the work. */
 export function encodeWork({ route, framing, events, pause, fault }: Work): string {
   return `/${route}/${framing}/${events}/${pause}/${fault}`;
