--- /dev/null
+++ b/packages/forwarding/test/suspectsFleet.test.ts
@@ -0,0 +1,105 @@
+import { Err } from 'ts-results';
+import { createManualClock, createRandom, sleep } from '@pomeloroad/core';
+import type { Milliseconds } from '@pomeloroad/core';
+import { createMemoryRowStore } from '@pomeloroad/storage';
+import type { RowStore } from '@pomeloroad/storage';
+import { startSuspects } from '../src/suspects';
+import type { Suspects } from '../src/suspects';
+
+/** The platform's bound in the largest deployments. */
+const CONTACT_MS: Milliseconds = 4000;
+const CRASHES_FREE = 5;
+const LATE_REQUESTS_MAX = 3;
+const STORE_CALL_MS: Milliseconds = 10;
+const CRASH_DELAY_MS: Milliseconds = 60;
+const STEP_MS: Milliseconds = 50;
+const PLAY_MS: Milliseconds = 60_000;
+const HARM_INTERVAL_MS: Milliseconds = 700;
+const CUT_MS: Milliseconds = 3000;
+
+interface Instance {
+  suspects: Suspects;
+  stop: AbortController;
+  isCut: boolean;
+  /** Time from which on the instance is in touch again. */
+  calmFrom: Milliseconds;
+}
+
+// Plays bad requests at random instances, which are restarted or cut off from the store by turns.
+async function play(count: number, requestsPerSecond: number, seed: number) {
+  const clock = createManualClock();
+  const random = createRandom(seed);
+  const memory = createMemoryRowStore();
+  const instances = Array.from({ length: count }, start);
+  const crashes: Milliseconds[] = [];
+  const sent: { at: Milliseconds; isInTouch: boolean }[] = [];
+
+  function start(): Instance {
+    const stop = new AbortController();
+    async function call<T>(answer: () => Promise<T>) {
+      await sleep(clock, STORE_CALL_MS);
+      return instance.isCut ? Err({ kind: 'unavailable' as const, message: 'cut' }) : answer();
+    }
+    const rows: RowStore = {
+      transact: (...args) => call(() => memory.transact(...args)),
+      list: (...args) => call(() => memory.list(...args)),
+      follow: (...args) => call(() => memory.follow(...args)),
+    };
+    const host = { clock, random, log: () => undefined, rows, signal: stop.signal };
+    const instance: Instance = { stop, isCut: false, calmFrom: CONTACT_MS, suspects: null! };
+    instance.suspects = startSuspects(host);
+    return instance;
+  }
+
+  // The endpoint dies under the request; its instance learns so unless it was stopped meanwhile.
+  async function send({ suspects, calmFrom }: Instance): Promise<void> {
+    const { kind } = await suspects.admit(['first', 'bad']);
+    if (kind === 'blocked' || kind === 'unknown') return;
+    sent.push({ at: clock.elapsed(), isInTouch: clock.elapsed() >= calmFrom });
+    const incarnation = `e-${sent.length}/1`;
+    await sleep(clock, CRASH_DELAY_MS);
+    crashes.push(clock.elapsed());
+    suspects.noteCrash({ incarnation, parts: new Map([['bad', 1]]) });
+  }
+
+  async function harm(): Promise<void> {
+    const index = random.integer(0, count - 1);
+    const harmed = instances[index]!;
+    if (random.fraction() < 0.5) {
+      harmed.stop.abort();
+      instances[index] = { ...start(), calmFrom: clock.elapsed() + CONTACT_MS };
+      return;
+    }
+    harmed.isCut = true;
+    harmed.calmFrom = Infinity;
+    await sleep(clock, CUT_MS);
+    harmed.isCut = false;
+    harmed.calmFrom = clock.elapsed() + CONTACT_MS;
+  }
+
+  for (let at = 0; at < PLAY_MS; at += STEP_MS) {
+    if (random.fraction() < (requestsPerSecond * STEP_MS) / 1000) {
+      send(instances[random.integer(0, count - 1)]!);
+    }
+    if (at % HARM_INTERVAL_MS === 0) harm();
+    await clock.advance(STEP_MS);
+  }
+  instances.forEach(({ stop }) => stop.abort());
+  const from = (crashes[CRASHES_FREE - 1] ?? Infinity) + CONTACT_MS;
+  return sent.filter(({ at, isInTouch }) => isInTouch && at > from).length;
+}
+
+test.each([
+  [8, 2, 1],
+  [8, 8, 2],
+  [30, 8, 3],
+  [89, 4, 4],
+  [89, 16, 5],
+])(
+  '%i instances, restarted and cut off, hold a part of %i requests a second (seed %i)',
+  async (instances, requestsPerSecond, seed) => {
+    const late = await play(instances, requestsPerSecond, seed);
+    expect(late).toBeLessThanOrEqual(LATE_REQUESTS_MAX);
+  },
+  60_000,
+);
