Log the limit of requests that an endpoint names, and its end

The adapter decodes it once; 7009 and 7010 tell when it comes, changes and ends. Nothing is sent otherwise than before.

--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -108,5 +108,7 @@
     'endpoint failed or left within a second after it ended answers',
   ),
   endpointCrashed: diagnostic(7008, 'warn', 'endpoint died without notice under requests'),
+  rateLimitNamed: diagnostic(7009, 'info', 'endpoint names the requests a second that it takes'),
+  rateLimitEnded: diagnostic(7010, 'info', 'endpoint names no limit of requests any more'),
   orderFailed: diagnostic(7004, 'warn', 'order to an endpoint failed'),
 } as const satisfies Record<string, Diagnostic>;
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -61,6 +61,7 @@
         slot.recordActivity();
         activeAt = host.clock.elapsed();
       },
+      onRateLimit: (limit) => host.rateLimits.note(slot.endpoint.name, limit, told.at),
       signal: AbortSignal.any([stop.signal, ending.signal]),
     });
     const reply = await judgeWhole(run, attempt, sent);
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -11,6 +11,7 @@
 import { createEndpointDirectory } from './endpointDirectory';
 import { createEndStatements } from './endStatements';
 import { findEndpointState } from './endpointState';
+import { createRateLimits } from './rateLimits';
 import { createRecentEnds } from './recentEnds';
 import { followTable } from './follow';
 import { forward } from './forward';
@@ -252,6 +253,7 @@
       getViewAge: endpointFeed.getAge,
     }),
     suspects,
+    rateLimits: createRateLimits({ clock, log }),
     findService: (name) => configuration.getTable()?.findService(name),
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -7,6 +7,7 @@
 import type { ForwardMetrics } from './forwardMetrics';
 import type { RecentEnds } from './recentEnds';
 import type { StreamOrigins } from './streamOrigins';
+import type { RateLimits } from './rateLimits';
 import type { Suspects } from './suspects';
 import type { RetryBudget } from './retryBudget';
 import type { EndpointProtocol, ForwardService } from './types';
@@ -30,6 +31,7 @@
   getConfigurationVersion(): number | undefined;
   origins: StreamOrigins;
   suspects: Suspects;
+  rateLimits: RateLimits;
   findService(name: string): ForwardService | undefined;
   /** Resolves at once, or after a pause of the process once the store is read again. */
   waitForRefresh(): Promise<void>;
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -173,6 +173,11 @@
   onConnected(): void;
   /** Called whenever bytes of the answer arrive. */
   onActivity(): void;
+  /**
+   * Called with the head of each answer: the requests a second that its endpoint says it takes from all
+   * instances together; `undefined` if it names no limit.
+   */
+  onRateLimit(limit: number | undefined): void;
   /** Aborted when the answer is not wanted any more; the connection is then closed. */
   signal: AbortSignal;
 }
--- a/packages/forwarding/test/endReport.test.ts
+++ b/packages/forwarding/test/endReport.test.ts
@@ -119,6 +119,7 @@
       note: () => {},
       find: async () => ({ kind: 'any' }),
     },
+    rateLimits: { note: () => {} },
     suspects: { admit: async () => ({ kind: 'allowed' }), judge: () => 'none' },
     findService: () => undefined,
     waitForRefresh: async () => {},
