Keep to the limits of requests that endpoints name, over all instances

Callers saw nothing; an endpoint in need got as many requests as before (LIMIT: 24 in 4 s where 23 are allowed, 21 where 19 are).

Cause: the limit was read by nobody. Class of fault: an endpoint's word about itself that isn't part of its entry is lost with the answer that brings it. Ruled out: limits kept by each instance for itself, and placement that prefers endpoints in need (no more requests than at others).

Now a limit that one instance is told stands in a row that all follow. Where all endpoints of a service name limits, what they can't take is refused at once with the time until a share is free.

A fake's refusal gets the new field; its checks are unchanged.

--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -11,7 +11,7 @@
 import { createEndpointDirectory } from './endpointDirectory';
 import { createEndStatements } from './endStatements';
 import { findEndpointState } from './endpointState';
-import { createRateLimits } from './rateLimits';
+import { startRateLimits } from './rateLimits';
 import { createRecentEnds } from './recentEnds';
 import { followTable } from './follow';
 import { forward } from './forward';
@@ -107,7 +107,13 @@
   let leaseStart: Promise<void> | undefined;
   let open = 0;
 
-  const getInstanceCount = startInstanceCount(following);
+  let instanceNames: string[] = [];
+  const getInstanceCount = startInstanceCount({
+    ...following,
+    onCounted(names) {
+      instanceNames = names;
+    },
+  });
   const lease = createEscrowLease({
     ...following,
     instance: host.instance,
@@ -213,6 +219,17 @@
     'Parts of prompts that are blocked because endpoints crash under them.',
     () => suspects.listBlocked().length,
   );
+  const rateLimits = startRateLimits({
+    ...following,
+    random,
+    instance: host.instance,
+    listInstances: () => instanceNames,
+    isListed: (name) => directory.find(name) !== undefined,
+    setRateShares(shares) {
+      endpoints.setRateShares(shares);
+      admission.wake();
+    },
+  });
   const guard = createPauseGuard(clock, async () => {
     log(Diagnostics.processPaused);
     await Promise.all([configuration.refresh(), endpointFeed.refresh(), suspects.refresh()]);
@@ -253,7 +270,7 @@
       getViewAge: endpointFeed.getAge,
     }),
     suspects,
-    rateLimits: createRateLimits({ clock, log }),
+    rateLimits,
     findService: (name) => configuration.getTable()?.findService(name),
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
@@ -310,6 +327,7 @@
       instances: getInstanceCount(),
       budgets: escrow.describe(),
       endpoints: endpoints.list(),
+      rateLimits: rateLimits.list(),
       blockedPromptParts: suspects.listBlocked(),
     }),
     retire: escrow.retire,
--- a/packages/forwarding/src/instanceCount.ts
+++ b/packages/forwarding/src/instanceCount.ts
@@ -17,6 +17,8 @@
   clock: Clock;
   rows: RowStore;
   signal: AbortSignal;
+  /** Called with the names of the counted instances, from the second reading on. */
+  onCounted?(names: string[]): void;
 }
 
 interface Renewal {
@@ -28,7 +30,12 @@
  * Starts counting the instances that renew their leases, until the signal is aborted. The returned
  * function gives the latest count, at least 1.
  */
-export function startInstanceCount({ clock, rows, signal }: InstanceCountHost): () => number {
+export function startInstanceCount({
+  clock,
+  rows,
+  signal,
+  onCounted,
+}: InstanceCountHost): () => number {
   const renewals = new Map<string, Renewal>();
   let instanceCount = INITIAL_INSTANCE_COUNT;
 
@@ -38,7 +45,9 @@
     if (views.some((view) => view.err)) return;
     views.forEach((view) => view.map(({ rows: found }) => found.forEach(recordRenewal)));
     const since = clock.elapsed() - RENEWAL_TIMEOUT_MS;
-    instanceCount = Math.max(least, [...renewals.values()].filter(({ at }) => at >= since).length);
+    const counted = [...renewals].filter(([, { at }]) => at >= since).map(([name]) => name);
+    instanceCount = Math.max(least, counted.length);
+    if (least === 1) onCounted?.(counted);
   }
 
   function recordRenewal(row: VersionedRow): void {
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -49,6 +49,8 @@
   /** How the answer has come so far. */
   course: AnswerCourse;
   firstByteAt: Milliseconds | undefined;
+  /** Wait for a slot where all endpoints name limits of requests; infinite if none is to be had here. */
+  limitedWait: Milliseconds | undefined;
   /** Why the latest further attempt was not begun. */
   lack: 'attempt' | 'retry' | RouteError['kind'] | undefined;
 }
@@ -80,6 +82,7 @@
     framing: undefined,
     course: createAnswerCourse(),
     firstByteAt: undefined,
+    limitedWait: undefined,
     lack: undefined,
   };
 }
--- a/packages/forwarding/src/slots.ts
+++ b/packages/forwarding/src/slots.ts
@@ -23,5 +23,7 @@
     signal,
   });
   if (slot.err) run.lack = slot.val.kind;
+  const isLimited = slot.err && slot.val.kind === 'busy' && slot.val.isLimited;
+  run.limitedWait = isLimited ? slot.val.retryAfter : undefined;
   return slot;
 }
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -44,7 +44,8 @@
   const acquire = ({ excluded, signal }: RouteRequest): Promise<Outcome<Slot, RouteError>> => {
     steps.push(`search without ${[...excluded].join()}`);
     if (search === 'slot') return Promise.resolve(Ok(slot));
-    if (search === 'busy') return Promise.resolve(Err({ kind: 'busy', retryAfter: 1 }));
+    if (search === 'busy')
+      return Promise.resolve(Err({ kind: 'busy', retryAfter: 1, isLimited: false }));
     return new Promise((resolve) => {
       signal?.addEventListener('abort', () => {
         steps.push('search ended');
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -10,6 +10,7 @@
 /** Weight of the newest observation in the moving average of the service time. */
 const SERVICE_TIME_SMOOTHING_RATIO = 0.1;
 const RECHECK_INTERVAL_MS = 200;
+const MS_PER_SECOND = 1000;
 
 /** Dependencies of the admission queue. */
 export interface AdmissionHost {
@@ -49,7 +50,7 @@
   function tryRoute(request: RouteRequest): Outcome<Slot, RouteError> {
     const candidates = endpoints.findCandidates(request);
     if (candidates.length === 0) return Err({ kind: 'none' });
-    const available = candidates.filter(hasCapacity).filter(isAttemptAllowed);
+    const available = candidates.filter(hasCapacity).filter(isAttemptAllowed).filter(isDue);
     if (available.length === 0 && candidates.every((view) => view.isUnreachable)) {
       return Err({ kind: 'unreachable' });
     }
@@ -57,8 +58,7 @@
     // A prefix cached by an engine saves more time than an engine in the local data centre.
     const localDataCentre = policy.kind === 'prefix-affinity' ? undefined : host.dataCentre;
     const preferred = preferCandidates(available, localDataCentre);
-    if (preferred.length === 0)
-      return Err({ kind: 'busy', retryAfter: estimateWait(request, candidates) });
+    if (preferred.length === 0) return Err(createBusyError(request, candidates));
     sequence += 1;
     const view = chooseEndpoint(policy, preferred, {
       random,
@@ -111,9 +111,18 @@
     return waiters.filter((waiter) => getTargetName(waiter.request) === target).length;
   }
 
+  function createBusyError(
+    request: RouteRequest,
+    candidates: EndpointView[],
+  ): Extract<RouteError, { kind: 'busy' }> {
+    const isLimited = candidates.every(({ rateShare }) => rateShare !== undefined);
+    return { kind: 'busy', retryAfter: estimateWait(request, candidates), isLimited };
+  }
+
   function estimateWait(request: RouteRequest, candidates: EndpointView[]): Milliseconds {
-    const capacity = candidates.reduce((sum, view) => sum + view.endpoint.concurrency, 0);
-    return ((countWaitersAhead(request) + 1) * getServiceTime(request)) / capacity;
+    const serviceTime = getServiceTime(request);
+    const throughput = candidates.reduce((sum, view) => sum + getThroughput(view, serviceTime), 0);
+    return (countWaitersAhead(request) + 1) / throughput;
   }
 
   // Within a priority, the account with the fewest running requests per weight goes first.
@@ -152,7 +161,9 @@
     const expired = waiters.filter((waiter) => clock.elapsed() >= waiter.deadline);
     expired.forEach((waiter) => {
       removeWaiter(waiter);
-      waiter.resolve(Err({ kind: 'busy', retryAfter: getServiceTime(waiter.request) }));
+      const { request } = waiter;
+      const { isLimited } = createBusyError(request, endpoints.findCandidates(request));
+      waiter.resolve(Err({ kind: 'busy', retryAfter: getServiceTime(request), isLimited }));
     });
   }
 
@@ -196,10 +207,16 @@
     const candidates = endpoints.findCandidates(request);
     if (candidates.length === 0) return Err({ kind: 'none' });
     if (candidates.every((view) => view.isUnreachable)) return Err({ kind: 'unreachable' });
-    return Err({ kind: 'busy', retryAfter: estimateWait(request, candidates) });
+    return Err(createBusyError(request, candidates));
   }
 }
 
+// Requests a millisecond that the endpoint ends, or that it takes from this instance.
+function getThroughput({ endpoint, rateShare }: EndpointView, serviceTime: Milliseconds): number {
+  const capacity = endpoint.concurrency / serviceTime;
+  return rateShare === undefined ? capacity : Math.min(capacity, rateShare / MS_PER_SECOND);
+}
+
 function getTargetName({ target }: RouteRequest): string {
   return match(target)
     .with({ kind: 'engine' }, ({ model }) => `engine ${model}`)
@@ -212,6 +229,10 @@
   return !isUnreachable || inFlight === 0;
 }
 
+function isDue({ isPaced }: EndpointView): boolean {
+  return !isPaced;
+}
+
 // Prefers healthy local endpoints, then healthy ones of other data centres, then failing ones.
 function preferCandidates(
   available: EndpointView[],
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -15,6 +15,7 @@
 const STALL_TIMEOUT_MS = 600;
 /** Must be shorter than the time within which a leaving endpoint must get no new requests. */
 const LOAD_REPORT_MAX_AGE_MS = 1500;
+const MS_PER_SECOND = 1000;
 
 /** Dependencies of the endpoint table. */
 export interface EndpointsHost {
@@ -30,6 +31,8 @@
   configure(endpoints: Endpoint[]): void;
   /** Sets the endpoints that must get no new requests by the membership list or by operators. */
   setLeaving(names: Set<string>): void;
+  /** Sets the requests a second that may be sent to each limited endpoint; others have no limit. */
+  setRateShares(shares: Map<string, number>): void;
   /** Stores an endpoint's load report. */
   report(name: string, report: LoadReport): void;
   /** Whether the endpoint's latest load report is missing or too old to be used. */
@@ -56,6 +59,7 @@
   view(): EndpointView;
   configure(endpoint: Endpoint): void;
   setListedLeaving(isListed: boolean): void;
+  setRateShare(share: number | undefined): void;
   report(report: LoadReport): void;
   isStale(): boolean;
   take(): void;
@@ -69,10 +73,12 @@
   const entries = new Map<string, Entry>();
   const reachability = createReachability(host.clock);
   let leaving = new Set<string>();
+  let rateShares = new Map<string, number>();
 
   function addEntry(endpoint: Endpoint): void {
     const entry = createEntry(host, reachability, endpoint);
     entry.setListedLeaving(leaving.has(endpoint.name));
+    entry.setRateShare(rateShares.get(endpoint.name));
     entries.set(endpoint.name, entry);
   }
 
@@ -91,6 +97,10 @@
       leaving = names;
       entries.forEach((entry, name) => entry.setListedLeaving(names.has(name)));
     },
+    setRateShares(shares) {
+      rateShares = shares;
+      entries.forEach((entry, name) => entry.setRateShare(shares.get(name)));
+    },
     report: (name, report) => entries.get(name)?.report(report),
     isStale: (name) => entries.get(name)?.isStale() ?? true,
     findCandidates: ({ target, excluded, only }) =>
@@ -134,6 +144,8 @@
   let lastActivityAt: Milliseconds = 0;
   let backoffUntil: Milliseconds = 0;
   let isListedLeaving = false;
+  let rateShare: number | undefined;
+  let lastTakenAt: Milliseconds = clock.elapsed();
 
   // A healthy engine sends data for some request all the time, so one that sends none has failed.
   const isStalled = () => inFlight > 0 && clock.elapsed() - lastActivityAt > STALL_TIMEOUT_MS;
@@ -141,6 +153,9 @@
   const isUnreachable = () =>
     (isBackingOff() && wasUnreachable) || reachability.isUnreachable(endpoint.dataCentre);
   const isFailing = () => isBackingOff() || isStalled() || isUnreachable();
+  // Requests are spaced evenly, because instances that share a limit know nothing of each other's bursts.
+  const isPaced = () =>
+    rateShare !== undefined && (clock.elapsed() - lastTakenAt) * rateShare < MS_PER_SECOND;
   const isLeaving = () => endpoint.leaving || isListedLeaving || lastReport.state === 'leaving';
 
   function applyChange(change: () => void): void {
@@ -177,6 +192,8 @@
       isLeaving: isLeaving(),
       isFailing: isFailing(),
       isUnreachable: isUnreachable(),
+      rateShare,
+      isPaced: isPaced(),
     }),
     configure(next) {
       applyChange(() => {
@@ -188,6 +205,9 @@
         isListedLeaving = isListed;
       });
     },
+    setRateShare(share) {
+      rateShare = share;
+    },
     isStale: () => clock.elapsed() - reportedAt > LOAD_REPORT_MAX_AGE_MS,
     report(report) {
       reportedAt = clock.elapsed();
@@ -198,6 +218,7 @@
     },
     take() {
       if (inFlight === 0) lastActivityAt = clock.elapsed();
+      lastTakenAt = clock.elapsed();
       inFlight += 1;
     },
     recordActivity() {
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -20,6 +20,10 @@
   isFailing: boolean;
   /** Whether the endpoint or its data centre could not be reached recently. */
   isUnreachable: boolean;
+  /** Requests a second that this instance may send there; `undefined` without a limit. */
+  rateShare: number | undefined;
+  /** Whether the next one of these requests may not be sent yet. */
+  isPaced: boolean;
 }
 
 /** A part of a prompt. Requests may share parts, and engines cache the parts they have read. */
@@ -77,7 +81,12 @@
   /** No endpoint that may be used serves the target. */
   | { kind: 'none' }
   /** All endpoints are busy, and the wait exceeds the request's patience or the queue is full. */
-  | { kind: 'busy'; retryAfter: Milliseconds }
+  | {
+      kind: 'busy';
+      retryAfter: Milliseconds;
+      /** Whether all endpoints that serve the target name limits of requests. */
+      isLimited: boolean;
+    }
   /** No endpoint can be reached, and each one is already being probed by a request. */
   | { kind: 'unreachable' }
   /** The caller disconnected while the request waited. */
