--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -6,6 +6,7 @@
 import type { ConfigurationHistory } from './configurationHistory';
 import { createCrashHistory } from './crashChecks';
 import type { CrashHistory } from './crashChecks';
+import { createLimitHistory } from './limitChecks';
 import { createFaultLog } from './faultLog';
 import type { FaultLog } from './faultLog';
 import type { LogLine, RequestRecord, StampedEndpointLine } from './requestRecord';
@@ -64,6 +65,7 @@
   const history = createConfigurationHistory(clock);
   const versions = createVersionHistory(faults);
   const crashes = createCrashHistory(faults);
+  const limits = createLimitHistory(faults);
   const now = () => clock.now().getTime();
   const evidence: Evidence = {
     faults,
@@ -83,6 +85,7 @@
       if (last) last.to = now();
       versions.unlist(name, now());
       dying.delete(name);
+      limits.set(name, undefined, now());
     },
     fail(check, message) {
       evidence.failures.push({ check, message, timeLine: faults.listLines(now(), now()) });
@@ -106,6 +109,7 @@
       versions.list(source, String(line.service), String(line.version), at);
     }
     const record = records.get(String(line.request));
+    if (line.event === 'limited') limits.set(source, line.limit as number | undefined, at);
     // A process that dies may have begun several such answers.
     if (line.event === 'crash' && !dying.has(source)) {
       dying.add(source);
@@ -139,6 +143,7 @@
       'take-ups': versions.check(),
       'crashing-parts': crashes.checkArrivals(),
       'sound-parts': crashes.checkSound(),
+      'rate-limits': limits.check(),
     };
     Object.entries(outcomes).forEach(([check, outcome]) => {
       if (outcome === 'skipped') return;
@@ -157,6 +162,7 @@
     evidence.totals.add(record);
     versions.add(record);
     crashes.add(record);
+    limits.add(record);
   }
 
   function failRequest(record: RequestRecord, check: string, message: string): void {
--- a/packages/replay/src/soak/injector.ts
+++ b/packages/replay/src/soak/injector.ts
@@ -83,6 +83,12 @@
         await pause(length);
         child.kill('SIGUSR2');
       })
+      .with({ kind: 'limited' }, async ({ index, length }) => {
+        const { program } = getEndpoint(index);
+        program.child.kill('SIGHUP');
+        await pause(length);
+        program.child.kill('SIGHUP');
+      })
       .with({ kind: 'reused-address' }, async ({ index, length }) => {
         const endpoint = getEndpoint(index);
         const other = getEndpoint(index + 1);
@@ -256,6 +262,9 @@
     .with({ kind: 'link' }, (link) => [getLink(fleet, link).name])
     .with({ kind: 'store' }, { kind: 'unreadable-rows' }, () => ['store'])
     .with({ kind: 'crash' }, ({ name }) => [name])
+    .with({ kind: 'limited' }, ({ index }) => [
+      `${fleet.endpoints[index % fleet.endpoints.length]?.name} limit`,
+    ])
     .with({ kind: 'full' }, { kind: 'reused-address' }, ({ index }) =>
       [index, index + 1].map((at) => fleet.endpoints[at % fleet.endpoints.length]?.name ?? ''),
     )
--- a/packages/replay/src/soak/plan.ts
+++ b/packages/replay/src/soak/plan.ts
@@ -52,6 +52,8 @@
   | { kind: 'full'; index: number; length: Milliseconds }
   /** The endpoint dies by itself, of a request, and starts again. */
   | { kind: 'crash'; name: string }
+  /** The endpoint names a limit of requests. */
+  | { kind: 'limited'; index: number; length: Milliseconds }
   /** Another endpoint answers at the endpoint's address. */
   | { kind: 'reused-address'; index: number; length: Milliseconds };
 
@@ -158,14 +160,25 @@
   }),
 };
 
-/** Name of the fault that returns the store to an older copy; it is only played if asked for. */
-const REWIND = 'store-rewound';
+const LIMITED_MIN_MS: Milliseconds = 8000;
+const LIMITED_MAX_MS: Milliseconds = 12_000;
+
+/** Faults that are only played if asked for. */
+const RareFaults: Record<string, Draw> = {
+  'endpoint-limited': (random, { endpoints }) => ({
+    kind: 'limited',
+    index: random.integer(0, endpoints - 1),
+    length: random.integer(LIMITED_MIN_MS, LIMITED_MAX_MS),
+  }),
+  // Returns the store to an older copy.
+  'store-rewound': disturbStore('rewound'),
+};
 
 /** Names of the faults that are played if none are named. */
 export const DefaultFaults = Object.keys(Faults);
 
 /** Names of all faults that a plan may hold. */
-export const FaultNames = [...DefaultFaults, REWIND];
+export const FaultNames = [...DefaultFaults, ...Object.keys(RareFaults)];
 
 /** What a plan is made for. */
 export interface PlanOptions extends FleetSize {
@@ -185,7 +198,7 @@
   while (at < length && faults.length > 0) {
     if (names.length === 0) names = [...faults];
     const [name = ''] = names.splice(random.integer(0, names.length - 1), 1);
-    const drawFault = name === REWIND ? disturbStore('rewound') : Faults[name];
+    const drawFault = RareFaults[name] ?? Faults[name];
     if (drawFault) plan.push({ at, name, fault: drawFault(random, size) });
     at += drawGap(random);
   }
--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -123,3 +123,15 @@
   },
   TIMEOUT_MS,
 );
+
+test(
+  'seed 2: endpoints that name limits of requests get no more from all instances',
+  async () => {
+    const times = { length: 24_000, calm: 3000 };
+    const faults = ['endpoint-limited', 'instance-kill'];
+    const result = await soak({ seed: 2, ...times, faults, hasAnswerFaults: false });
+    expect(describeFailures(result)).toEqual([]);
+    expect(result.checks['rate-limits']).toBe(1);
+  },
+  TIMEOUT_MS,
+);
--- a/packages/standins/src/platformWire.ts
+++ b/packages/standins/src/platformWire.ts
@@ -18,6 +18,7 @@
   account: 'x-tenant',
   endpoint: 'x-expect-instance',
   notRun: 'x-not-executed',
+  rateLimit: 'server-limit',
   key: 'authorization',
 } as const;
 
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -66,6 +66,8 @@
   isFull(): boolean;
   /** Ends the process at once. */
   die(): void;
+  /** Returns the requests a second that answers name as its limit; `undefined` for none. */
+  getRateLimit(): number | undefined;
 }
 
 /** An answer that has begun. */
@@ -199,6 +201,8 @@
       .exhaustive();
     // Without this, Node frames an answer that has neither a length nor chunks in chunks.
     response.useChunkedEncodingByDefault = work.framing === 'chunked';
+    const limit = host.getRateLimit();
+    if (limit !== undefined) response.setHeader(WireHeader.rateLimit, limit);
     response.writeHead(200, {
       [WireHeader.requestId]: fault === 'other' ? `${name}-other` : name,
       [WireHeader.signature]: signAnswer(id, name),
--- a/packages/standins/src/soakEndpointProcess.ts
+++ b/packages/standins/src/soakEndpointProcess.ts
@@ -6,6 +6,8 @@
 
 /** Time beyond the announced one for which an endpoint that leaves still serves. */
 const EXTRA_SERVICE_MS: Milliseconds = 2000;
+/** Requests a second that a limited endpoint takes from all instances together. */
+const RATE_LIMIT = 2.3;
 const POLL_INTERVAL_MS: Milliseconds = 50;
 
 /** Settings of the process of an endpoint. */
@@ -28,18 +30,24 @@
 }
 
 /** A change of the endpoint's entry that the store has accepted. */
-type StateLine = { event: 'leaving' } | { event: 'listed'; service: string; version: string };
+type StateLine =
+  | { event: 'leaving' }
+  /** It begins to name a limit of requests a second, or none any more. */
+  | { event: 'limited'; limit: number | undefined }
+  | { event: 'listed'; service: string; version: string };
 
 /**
  * Serves and announces an endpoint until SIGTERM, after which it leaves in order. After SIGINT it ends
  * its answers as if they were complete and exits. SIGUSR2 switches between a full queue and a free
- * one. Resolves to the address at which it listens.
+ * one, SIGHUP between a limit of requests and none. Resolves to the address at which it listens.
  */
 export async function runSoakEndpoint(settings: SoakEndpointSettings): Promise<string> {
   const { clock, id, slots, version, store, service, dataCentre, drain } = settings;
   let isFull = false;
+  let rateLimit: number | undefined;
   const die = () => process.kill(process.pid, 'SIGKILL');
-  const host = { clock, id, slots, version, record, isFull: () => isFull, die };
+  const getRateLimit = () => rateLimit;
+  const host = { clock, id, slots, version, record, isFull: () => isFull, die, getRateLimit };
   const { server, countActive, endAnswers } = createSoakEndpoint(host);
   server.keepAliveTimeout = settings.idleTimeout;
   const address = await listen(server, settings.address);
@@ -49,6 +57,10 @@
   process.on('SIGUSR2', () => {
     isFull = !isFull;
   });
+  process.on('SIGHUP', () => {
+    rateLimit = rateLimit === undefined ? RATE_LIMIT : undefined;
+    record({ event: 'limited', limit: rateLimit });
+  });
   process.once('SIGINT', async () => {
     await endAnswers();
     process.exit(0);
