--- a/packages/forwarding/src/answerEnd.ts
+++ b/packages/forwarding/src/answerEnd.ts
@@ -1,9 +1,10 @@
 import { sleep, withTimeout } from '@pomeloroad/core';
-import type { Milliseconds, ResponseFraming } from '@pomeloroad/core';
+import type { Milliseconds } from '@pomeloroad/core';
 import type { Slot } from '@pomeloroad/routing';
 import { isRetryable } from './patience';
 import { getTimeLeft } from './run';
 import type { Run } from './run';
+import type { AnswerEnd } from './types';
 
 /**
  * An end this close to the deadline counts as one that comes after it: the time limits of callers and
@@ -15,18 +16,6 @@
 /** Maximum time between the closes of a dying process's connections and of its listening socket. */
 const PROCESS_END_MS: Milliseconds = 50;
 
-/** An end in order of an endpoint's answer. */
-export interface AnswerEnd {
-  framing: ResponseFraming;
-  /** Time of `clock.elapsed()` when the end arrived. */
-  at: Milliseconds;
-  /**
-   * Resolves `END_HOLD_MS` after the end to whether the endpoint has closed the connection, which was to
-   * be kept; earlier if that is not to be watched.
-   */
-  closes: Promise<boolean>;
-}
-
 /**
  * Returns why an end in order is not the end of the answer, or `undefined` if nothing shows that it
  * is not. Releases the slot if it has to ask the endpoint.
--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempt.ts
@@ -1,13 +1,13 @@
 import { Err } from 'ts-results';
 import { match } from 'ts-pattern';
 import { Diagnostics } from '@pomeloroad/core';
-import type { LogFields, Milliseconds, Outcome } from '@pomeloroad/core';
+import type { LogFields, Milliseconds } from '@pomeloroad/core';
 import type { Slot, SlotResult } from '@pomeloroad/routing';
 import { findEndFault } from './answerEnd';
-import type { AnswerSource } from './answerCourse';
 import { noteEnd } from './endReport';
 import { getTimeLeft, isWithheld } from './run';
 import type { Run } from './run';
+import type { AttemptReply, SentAttempt } from './sentAttempt';
 import type { EndpointRecord, Reply, SendError } from './types';
 
 const SERVER_ERROR_STATUS = 500;
@@ -18,25 +18,6 @@
  */
 const ENDPOINT_LIMIT_MARGIN_MS: Milliseconds = 250;
 
-/** What an attempt ended with, or the head of its stream. */
-export type AttemptReply = Outcome<Reply, SendError>;
-
-/** A request that was sent to an endpoint, and the slot that it holds there. */
-export interface SentAttempt extends AnswerSource {
-  slot: Slot;
-  /** Entry of its endpoint; `undefined` if that had left, so that nothing was sent. */
-  endpoint: EndpointRecord | undefined;
-  /** Id of the event after which the endpoint is asked to go on; `undefined` for the whole answer. */
-  resumeAfter: string | undefined;
-  reply: Promise<AttemptReply>;
-  /** Resolves once the endpoint may have started to work. */
-  connected: Promise<void>;
-  /** Returns when bytes of the answer last arrived, or else when the request was sent. */
-  getActivityTime(): Milliseconds;
-  /** Closes the connection if the answer has not ended; resolves to the reply. */
-  end(): Promise<AttemptReply>;
-}
-
 /** Sends the request to the endpoint of the slot. Counts the attempt as pending until its reply. */
 export function sendAttempt<Payload>(run: Run<Payload>, slot: Slot): SentAttempt {
   const { host, request, stop } = run;
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -3,7 +3,7 @@
 import type { Outcome } from '@pomeloroad/core';
 import type { RouteError } from '@pomeloroad/routing';
 import { isServerError, leaveEndpoint, sendAttempt } from './attempt';
-import type { AttemptReply, SentAttempt } from './attempt';
+import type { AttemptReply, SentAttempt } from './sentAttempt';
 import { createLateEndpoints } from './lateEndpoints';
 import type { LateEndpoints } from './lateEndpoints';
 import { getFirstByteThreshold } from './patience';
--- a/packages/forwarding/src/lateEndpoints.ts
+++ b/packages/forwarding/src/lateEndpoints.ts
@@ -1,7 +1,7 @@
 import { sleep } from '@pomeloroad/core';
 import type { Milliseconds, Outcome } from '@pomeloroad/core';
 import type { RouteError, Slot } from '@pomeloroad/routing';
-import type { AttemptReply, SentAttempt } from './attempt';
+import type { AttemptReply, SentAttempt } from './sentAttempt';
 import { getTimeLeft } from './run';
 import type { Run } from './run';
 import { acquireSlot } from './slots';
--- a/packages/forwarding/src/readAhead.ts
+++ b/packages/forwarding/src/readAhead.ts
@@ -1,6 +1,6 @@
 import { Ok } from 'ts-results';
 import { isServerError } from './attempt';
-import type { AttemptReply, SentAttempt } from './attempt';
+import type { AttemptReply, SentAttempt } from './sentAttempt';
 import type { Run } from './run';
 import type { EventStream, StreamStep } from './types';
 
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/relay.ts
@@ -3,7 +3,7 @@
 import type { SlotResult, Slot } from '@pomeloroad/routing';
 import { findEndFault } from './answerEnd';
 import { logFailure } from './attempt';
-import type { SentAttempt } from './attempt';
+import type { SentAttempt } from './sentAttempt';
 import { sendWithRetries } from './attempts';
 import { noteResumption, noteStreamEnd, reportEnd } from './endReport';
 import { isRetryable, STREAM_THRESHOLD_MS } from './patience';
--- a/packages/forwarding/src/replacement.ts
+++ b/packages/forwarding/src/replacement.ts
@@ -3,7 +3,7 @@
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { Slot } from '@pomeloroad/routing';
 import { describeAttempt, mayHaveRun, sendAttempt } from './attempt';
-import type { SentAttempt } from './attempt';
+import type { SentAttempt } from './sentAttempt';
 import { choose } from './choice';
 import type { Choice } from './choice';
 import { readAhead } from './readAhead';
--- a/packages/forwarding/src/runInquiry.ts
+++ b/packages/forwarding/src/runInquiry.ts
@@ -1,7 +1,7 @@
 import { match } from 'ts-pattern';
 import { sleep } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
-import type { SentAttempt } from './attempt';
+import type { SentAttempt } from './sentAttempt';
 import type { Run } from './run';
 import type { EndpointRecord, RunState } from './types';
 
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,6 +1,5 @@
 import type { Milliseconds, Outcome, ResponseFraming, Tokens } from '@pomeloroad/core';
 import type { PromptPart } from '@pomeloroad/routing';
-import type { AnswerEnd } from './answerEnd';
 
 /**
  * Retry class of a route. A streaming request may be retried only if its route is marked as
@@ -127,6 +126,18 @@
   headers: string[];
 }
 
+/** An end in order of an endpoint's answer. */
+export interface AnswerEnd {
+  framing: ResponseFraming;
+  /** Time of `clock.elapsed()` when the end arrived. */
+  at: Milliseconds;
+  /**
+   * Resolves shortly after the end to whether the endpoint has closed the connection, which was to
+   * be kept; earlier if that is not to be watched.
+   */
+  closes: Promise<boolean>;
+}
+
 /** One result of reading a stream. `data` holds only complete events. */
 export type StreamStep =
   | { kind: 'events'; data: Buffer; count: number; lastId: string | undefined }
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -3,7 +3,7 @@
 import type { LogFields, Outcome } from '@pomeloroad/core';
 import type { RouteError, RouteRequest, Slot } from '@pomeloroad/routing';
 import type { Attempt, EndpointRecord, Reachability, RunState } from '../src';
-import type { SentAttempt } from '../src/attempt';
+import type { SentAttempt } from '../src/sentAttempt';
 import { awaitStep } from '../src/replacement';
 import type { Run } from '../src/run';
 
