Bound the writes of limits that vary, and ask an endpoint that names a limit of nothing

Limits within a tenth count as the same, and one below 0.1 is kept as 0.1, which stays within the five requests that are free.

--- a/packages/forwarding/src/rateLimits.ts
+++ b/packages/forwarding/src/rateLimits.ts
@@ -19,6 +19,8 @@
 const REVIEW_INTERVAL_MS: Milliseconds = 1000;
 /** Maximum random delay of a write, so that not all instances that were told write at once. */
 const WRITE_DELAY_MAX_MS: Milliseconds = 200;
+/** Change of a limit, as a part of it, up to which it counts as the same: some name another one each time. */
+const SAME_LIMIT_RATIO = 0.1;
 
 /** Dependencies of keeping to rate limits. */
 export interface RateLimitsHost {
@@ -62,8 +64,9 @@
 
   function set(endpoint: string, limit: number): void {
     const before = known.get(endpoint);
-    known.set(endpoint, { limit, namedAt: clock.elapsed() });
-    if (before?.limit === limit) return;
+    const isKnown = before && isSame(before.limit, limit);
+    known.set(endpoint, { limit: isKnown ? before.limit : limit, namedAt: clock.elapsed() });
+    if (isKnown) return;
     log(Diagnostics.rateLimitNamed, { endpoint, limit });
     applyShares();
   }
@@ -91,7 +94,8 @@
       log(Diagnostics.rowUnreadable, { table: RATE_LIMIT_TABLE, key });
     if (row) {
       stored.set(key, row);
-      if (known.get(row.endpoint)?.limit !== row.limit) set(row.endpoint, row.limit);
+      const told = known.get(row.endpoint)?.limit;
+      if (told === undefined || !isSame(told, row.limit)) set(row.endpoint, row.limit);
       return;
     }
     stored.delete(key);
@@ -115,7 +119,7 @@
     const key = getRateLimitKey(endpoint);
     const limit = known.get(endpoint)?.limit;
     const row = stored.get(key.key);
-    if (row?.limit === limit) return;
+    if (limit === undefined ? !row : row && isSame(row.limit, limit)) return;
     const puts =
       limit === undefined ? [] : [{ ...key, value: encodeRateLimit({ endpoint, limit }) }];
     const removals = limit === undefined ? [key] : [];
@@ -129,10 +133,8 @@
     applyShares();
     const gone = [...known.keys()].filter((endpoint) => !host.isListed(endpoint));
     gone.forEach(end);
-    const unwritten = [...known].filter(
-      ([endpoint, { limit }]) => stored.get(getRateLimitKey(endpoint).key)?.limit !== limit,
-    );
-    await Promise.all([...gone, ...unwritten.map(([endpoint]) => endpoint)].map(write));
+    // What the store has already is not written.
+    await Promise.all([...gone, ...known.keys()].map(write));
   }
 
   followTable(host, {
@@ -151,7 +153,7 @@
       const before = known.get(endpoint);
       if (limit !== undefined) {
         set(endpoint, limit);
-        if (before?.limit !== limit) write(endpoint);
+        if (!before) write(endpoint);
         return;
       }
       // Answers on other connections may overtake each other: this one may be from before the limit.
@@ -162,3 +164,7 @@
     list: () => Object.fromEntries([...known].map(([endpoint, { limit }]) => [endpoint, limit])),
   };
 }
+
+function isSame(left: number, right: number): boolean {
+  return Math.abs(left - right) <= SAME_LIMIT_RATIO * Math.max(left, right);
+}
--- a/packages/forwarding/src/rateShares.ts
+++ b/packages/forwarding/src/rateShares.ts
@@ -6,10 +6,12 @@
  */
 const OWNERS_PER_LIMIT = 1.6;
 const OWNERS_EXTRA = 4;
+/** An endpoint that takes less is asked as if it took so much; else nobody would learn that it takes more. */
+const LIMIT_MIN_PER_S = 0.1;
 
 /**
  * Returns the requests a second that an instance may send to an endpoint which takes `limit` of them from
- * all instances together; 0 if it is none of the endpoint's owners.
+ * all instances together; 0 if the instance is none of the endpoint's owners.
  */
 export function getRateShare(
   endpoint: string,
@@ -17,7 +19,8 @@
   instance: string,
   instances: readonly string[],
 ): number {
-  const count = Math.min(instances.length, Math.floor(limit * OWNERS_PER_LIMIT) + OWNERS_EXTRA);
+  const asked = Math.max(limit, LIMIT_MIN_PER_S);
+  const count = Math.min(instances.length, Math.floor(asked * OWNERS_PER_LIMIT) + OWNERS_EXTRA);
   const owners = rankNodes(endpoint, instances).slice(0, count);
-  return owners.includes(instance) ? limit / owners.length : 0;
+  return owners.includes(instance) ? asked / owners.length : 0;
 }
