See at once that an endpoint crashes soon after it had closed a connection

Found in the reading of the change: an endpoint that breaks a request off and accepts connections is watched for 5 s, and requests that it broke off meanwhile waited for that verdict. So a crash after a reset was told only when the endpoint's entry lapsed, up to 4 s late, past the bound of the block. Each break has an examination of its own now once the two probes are done. The new test failed before.

--- a/packages/forwarding/src/crashWatch.ts
+++ b/packages/forwarding/src/crashWatch.ts
@@ -87,7 +87,11 @@
   }
 
   async function judge(endpoint: EndpointRecord, broken: Map<string, string[]>): Promise<void> {
-    if (!(await hasDied(endpoint))) return;
+    if (await hasDied(endpoint)) report(endpoint, broken);
+    else watch(endpoint, broken);
+  }
+
+  function report(endpoint: EndpointRecord, broken: Map<string, string[]>): void {
     const parts = new Map<string, number>();
     [...broken.values()].flat().forEach((part) => parts.set(part, (parts.get(part) ?? 0) + 1));
     metrics.crashes.add(1);
@@ -103,7 +107,12 @@
   async function hasDied(endpoint: EndpointRecord): Promise<boolean> {
     if (await isRefusing(endpoint)) return true;
     await sleep(clock, SECOND_PROBE_DELAY_MS);
-    return (await isRefusing(endpoint)) || isGoneSoon(endpoint);
+    return isRefusing(endpoint);
+  }
+
+  // What breaks off meanwhile is examined by itself, so that a crash soon after shows at once.
+  async function watch(endpoint: EndpointRecord, broken: Map<string, string[]>): Promise<void> {
+    if (await isGoneSoon(endpoint)) report(endpoint, broken);
   }
 
   async function isRefusing(endpoint: EndpointRecord): Promise<boolean> {
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -104,6 +104,15 @@
   expect(crashes).toEqual([]);
 });
 
+test('a crash soon after an endpoint had only closed a connection shows at once', async () => {
+  const { clock, crashes, protocol } = createStand(['accepting', 'accepting', 'refused']);
+  await protocol.send(createAttempt('a', ['first']));
+  await clock.advance(1000);
+  await protocol.send(createAttempt('b', ['second']));
+  await clock.advance(0);
+  expect(crashes).toEqual([{ incarnation: 'e/7', parts: new Map([['second', 1]]) }]);
+});
+
 test('an endpoint that leaves shows no crash', async () => {
   const { clock, crashes, protocol } = createStand(['accepting', 'accepting'], { fate: 'leaving' });
   await protocol.send(createAttempt('a', ['first']));
