--- a/packages/core/src/hash.ts
+++ b/packages/core/src/hash.ts
@@ -1,10 +1,18 @@
 import { createHash, createHmac, timingSafeEqual } from 'node:crypto';
 
+const FIELD_HASH_BYTES = 16;
+
 /** Returns the SHA-256 hash of the text in hexadecimal. */
 export function hashText(text: string | Buffer): string {
   return createHash('sha256').update(text).digest('hex');
 }
 
+/** Returns 128 bits of the SHA-256 hash of the texts, each by itself, and of the data, in base64url. */
+export function hashFields(texts: readonly string[], data: Buffer): string {
+  const hash = createHash('sha256').update(JSON.stringify(texts)).update(data).digest();
+  return hash.subarray(0, FIELD_HASH_BYTES).toString('base64url');
+}
+
 /** Returns the HMAC-SHA-256 of the text in base64url. */
 export function signText(key: string, text: string): string {
   return createHmac('sha256', key).update(text).digest('base64url');
--- a/packages/forwarding/src/crashWatch.ts
+++ b/packages/forwarding/src/crashWatch.ts
@@ -42,9 +42,15 @@
   isSuspicious(parts: string[]): boolean;
 }
 
+/** What other requests may share with one that was broken off. */
+interface BrokenRequest {
+  fingerprint: string;
+  parts: string[];
+}
+
 /** An endpoint that has broken off requests and is examined. */
 interface Examination {
-  broken: Map<string, string[]>;
+  broken: Map<string, BrokenRequest>;
   verdict: Promise<void>;
 }
 
@@ -61,8 +67,11 @@
     if (signal.aborted || endpoint.isLeaving) return;
     const incarnation = getIncarnation(endpoint);
     const known = examinations.get(incarnation);
-    const broken = known?.broken ?? new Map<string, string[]>();
-    broken.set(request.id, getSharedParts(request));
+    const broken = known?.broken ?? new Map<string, BrokenRequest>();
+    broken.set(request.id, {
+      fingerprint: request.fingerprint,
+      parts: getSharedParts(request),
+    });
     const verdict = known?.verdict ?? judge(endpoint, broken);
     if (!known) {
       examinations.set(incarnation, { broken, verdict });
@@ -86,14 +95,16 @@
     host.onAnswer(parts, getIncarnation(attempt.endpoint));
   }
 
-  async function judge(endpoint: EndpointRecord, broken: Map<string, string[]>): Promise<void> {
+  async function judge(endpoint: EndpointRecord, broken: Map<string, BrokenRequest>): Promise<void> {
     if (await hasDied(endpoint)) report(endpoint, broken);
     else watch(endpoint, broken);
   }
 
-  function report(endpoint: EndpointRecord, broken: Map<string, string[]>): void {
+  function report(endpoint: EndpointRecord, broken: Map<string, BrokenRequest>): void {
     const parts = new Map<string, number>();
-    [...broken.values()].flat().forEach((part) => parts.set(part, (parts.get(part) ?? 0) + 1));
+    [...broken.values()]
+      .flatMap((request) => request.parts)
+      .forEach((part) => parts.set(part, (parts.get(part) ?? 0) + 1));
     metrics.crashes.add(1);
     log(Diagnostics.endpointCrashed, {
       endpoint: endpoint.id,
@@ -111,7 +122,7 @@
   }
 
   // What breaks off meanwhile is examined by itself, so that a crash soon after shows at once.
-  async function watch(endpoint: EndpointRecord, broken: Map<string, string[]>): Promise<void> {
+  async function watch(endpoint: EndpointRecord, broken: Map<string, BrokenRequest>): Promise<void> {
     if (await isGoneSoon(endpoint)) report(endpoint, broken);
   }
 
@@ -178,9 +189,9 @@
   return `${id}/${born}`;
 }
 
-function describe(broken: Map<string, string[]>): string {
+function describe(broken: Map<string, BrokenRequest>): string {
   return [...broken]
     .slice(0, NAMED_REQUESTS_MAX)
-    .map(([request, parts]) => `${request} ${parts.join(',')}`)
+    .map(([request, { fingerprint, parts }]) => [request, fingerprint, ...parts].join(' '))
     .join('; ');
 }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -103,6 +103,8 @@
   cost: Cost;
   /** Parts of the prompt in order; only the last one is not shared with other requests. */
   prefix: PromptPart[];
+  /** Hash of account, method, path and body: the same whenever a caller sends the same request again. */
+  fingerprint: string;
   /** Id of the last event that the caller received from an earlier stream. */
   resumeAfter: string | undefined;
   /** Id of the attempt that brought the first event of the stream that the caller takes up. */
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -23,7 +23,8 @@
 
 function createAttempt(id: string, parts: string[], signal = new AbortController().signal) {
   const prefix = [...parts, `${id} alone`].map((part) => ({ id: part, tokens: 1 }));
-  return { request: { id, prefix }, endpoint: ENDPOINT, signal } as unknown as Attempt<void>;
+  const request = { id, prefix, fingerprint: `print-${id}` };
+  return { request, endpoint: ENDPOINT, signal } as unknown as Attempt<void>;
 }
 
 interface StandOptions {
@@ -78,7 +79,7 @@
     },
   ]);
   expect(lines).toEqual([
-    { code: 7008, endpoint: 'e', born: 7, count: 2, requests: 'a first,second; b first' },
+    { code: 7008, endpoint: 'e', born: 7, count: 2, requests: 'a print-a first second; b print-b first' },
   ]);
 });
 
--- a/packages/forwarding/test/endReport.test.ts
+++ b/packages/forwarding/test/endReport.test.ts
@@ -143,6 +143,7 @@
     configurationVersion: 1,
     cost: { input: 0, output: 0 },
     prefix: [],
+    fingerprint: 'same',
     resumeAfter: undefined,
     payload: undefined,
     ...more,
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -85,6 +85,7 @@
     request: {
       deadline: 5000,
       prefix: [],
+      fingerprint: 'same',
       route: { kind: stream ? 'streaming' : 'idempotent', isResumable: true, attempts },
     },
     stop: new AbortController(),
