--- a/packages/forwarding/src/crashWatch.ts
+++ b/packages/forwarding/src/crashWatch.ts
@@ -95,7 +95,10 @@
     host.onAnswer(parts, getIncarnation(attempt.endpoint));
   }
 
-  async function judge(endpoint: EndpointRecord, broken: Map<string, BrokenRequest>): Promise<void> {
+  async function judge(
+    endpoint: EndpointRecord,
+    broken: Map<string, BrokenRequest>,
+  ): Promise<void> {
     if (await hasDied(endpoint)) report(endpoint, broken);
     else watch(endpoint, broken);
   }
@@ -122,7 +125,10 @@
   }
 
   // What breaks off meanwhile is examined by itself, so that a crash soon after shows at once.
-  async function watch(endpoint: EndpointRecord, broken: Map<string, BrokenRequest>): Promise<void> {
+  async function watch(
+    endpoint: EndpointRecord,
+    broken: Map<string, BrokenRequest>,
+  ): Promise<void> {
     if (await isGoneSoon(endpoint)) report(endpoint, broken);
   }
 
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -79,7 +79,13 @@
     },
   ]);
   expect(lines).toEqual([
-    { code: 7008, endpoint: 'e', born: 7, count: 2, requests: 'a print-a first second; b print-b first' },
+    {
+      code: 7008,
+      endpoint: 'e',
+      born: 7,
+      count: 2,
+      requests: 'a print-a first second; b print-b first',
+    },
   ]);
 });
 
