Forwarding: one folder a matter in place of 52 files in one

Files moved and imports rewritten by a script; nothing else changed. store/ follows the platform's rows, attempts/ places and sends, ends/ judges ends of answers, origins/ knows where streams began, limits/ and suspects/ hold what the fleet shares. Tests of the package pass.

--- a/packages/forwarding/src/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -3,12 +3,12 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { LogFields, Milliseconds } from '@pomeloroad/core';
 import type { Slot, SlotResult } from '@pomeloroad/routing';
-import { findEndFault } from './answerEnd';
-import { noteEnd } from './endReport';
-import { getTimeLeft, isWithheld } from './run';
-import type { Run } from './run';
+import { findEndFault } from '../ends/answerEnd';
+import { noteEnd } from '../ends/endReport';
+import { getTimeLeft, isWithheld } from '../run';
+import type { Run } from '../run';
 import type { AttemptReply, SentAttempt } from './sentAttempt';
-import type { EndpointRecord, Reply, SendError } from './types';
+import type { EndpointRecord, Reply, SendError } from '../types';
 
 const SERVER_ERROR_STATUS = 500;
 /**
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts/attempts.ts
@@ -8,9 +8,9 @@
 import type { LateEndpoints } from './lateEndpoints';
 import { getFirstByteThreshold } from './patience';
 import { awaitStep } from './replacement';
-import { getTimeLeft, mayBeDeclined, takeAttempt, takeRetry } from './run';
-import type { Run } from './run';
-import type { RefusalKind, Reply, SendError } from './types';
+import { getTimeLeft, mayBeDeclined, takeAttempt, takeRetry } from '../run';
+import type { Run } from '../run';
+import type { RefusalKind, Reply, SendError } from '../types';
 
 /** Remaining time below which no attempt is started, because it could not be answered. */
 const ATTEMPT_TIME_MIN_MS = 10;
--- a/packages/forwarding/src/choice.ts
+++ b/packages/forwarding/src/attempts/choice.ts
@@ -3,8 +3,8 @@
 import type { Milliseconds } from '@pomeloroad/core';
 import type { SentAttempt } from './sentAttempt';
 import type { Replacement } from './readAhead';
-import type { Run } from './run';
-import { inquire } from './runInquiry';
+import type { Run } from '../run';
+import { inquire } from '../ends/runInquiry';
 
 /**
  * Time after which one of the two endpoints that work on a stream is chosen. Together with the two last
--- a/packages/forwarding/src/lateEndpoints.ts
+++ b/packages/forwarding/src/attempts/lateEndpoints.ts
@@ -2,8 +2,8 @@
 import type { Milliseconds, Outcome } from '@pomeloroad/core';
 import type { RouteError, Slot } from '@pomeloroad/routing';
 import type { AttemptReply, SentAttempt } from './sentAttempt';
-import { getTimeLeft } from './run';
-import type { Run } from './run';
+import { getTimeLeft } from '../run';
+import type { Run } from '../run';
 import { acquireSlot } from './slots';
 
 /** Time for which a request waits for an endpoint that opens connections late. */
--- a/packages/forwarding/src/patience.ts
+++ b/packages/forwarding/src/attempts/patience.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '@pomeloroad/core';
-import type { Route } from './types';
+import type { Route } from '../types';
 
 /** Maximum wait for a free slot, as a fraction of the route's objective. */
 const ADMISSION_WAIT_OBJECTIVE_RATIO = 0.6;
--- a/packages/forwarding/src/readAhead.ts
+++ b/packages/forwarding/src/attempts/readAhead.ts
@@ -1,8 +1,8 @@
 import { Ok } from 'ts-results';
 import { isServerError } from './attempt';
 import type { AttemptReply, SentAttempt } from './sentAttempt';
-import type { Run } from './run';
-import type { EventStream, StreamStep } from './types';
+import type { Run } from '../run';
+import type { EventStream, StreamStep } from '../types';
 
 /** Whether a replacement can go on with the answer. */
 export type Beginning = 'begun' | 'lost';
--- a/packages/forwarding/src/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -1,18 +1,18 @@
 import { match } from 'ts-pattern';
 import { Diagnostics } from '@pomeloroad/core';
 import type { SlotResult, Slot } from '@pomeloroad/routing';
-import { findEndFault } from './answerEnd';
+import { findEndFault } from '../ends/answerEnd';
 import { logFailure } from './attempt';
 import type { SentAttempt } from './sentAttempt';
 import { sendWithRetries } from './attempts';
-import { noteResumption, noteStreamEnd, reportEnd } from './endReport';
+import { noteResumption, noteStreamEnd, reportEnd } from '../ends/endReport';
 import { isRetryable, STREAM_THRESHOLD_MS } from './patience';
 import { awaitStep } from './replacement';
 import type { Progress } from './replacement';
-import { getTimeLeft, takeAttempt } from './run';
-import type { Run } from './run';
-import { getVersion, noteEvents } from './takeUp';
-import type { EventStream, StreamStep } from './types';
+import { getTimeLeft, takeAttempt } from '../run';
+import type { Run } from '../run';
+import { getVersion, noteEvents } from '../origins/takeUp';
+import type { EventStream, StreamStep } from '../types';
 
 /**
  * How a stream ended: stated as complete by its endpoint, closed in order without such a statement,
--- a/packages/forwarding/src/replacement.ts
+++ b/packages/forwarding/src/attempts/replacement.ts
@@ -9,8 +9,8 @@
 import { readAhead } from './readAhead';
 import type { Replacement } from './readAhead';
 import { findReplacementSlot, noteLoss } from './replacementSlot';
-import { getTimeLeft, hasAttemptsLeft, mayBeDeclined, takeRetry } from './run';
-import type { Run } from './run';
+import { getTimeLeft, hasAttemptsLeft, mayBeDeclined, takeRetry } from '../run';
+import type { Run } from '../run';
 
 /** Enough for one turn of the event loop, which reads the connections that have data. */
 const READ_TURN_MS: Milliseconds = 1;
--- a/packages/forwarding/src/replacementSlot.ts
+++ b/packages/forwarding/src/attempts/replacementSlot.ts
@@ -2,7 +2,7 @@
 import type { RouteError, Slot } from '@pomeloroad/routing';
 import { leaveEndpoint, logFailure } from './attempt';
 import type { AttemptReply, SentAttempt } from './sentAttempt';
-import type { Run } from './run';
+import type { Run } from '../run';
 import { acquireSlot } from './slots';
 
 /**
--- a/packages/forwarding/src/sentAttempt.ts
+++ b/packages/forwarding/src/attempts/sentAttempt.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds, Outcome } from '@pomeloroad/core';
 import type { Slot } from '@pomeloroad/routing';
-import type { AnswerSource } from './answerCourse';
-import type { EndpointRecord, Reply, SendError } from './types';
+import type { AnswerSource } from '../ends/answerCourse';
+import type { EndpointRecord, Reply, SendError } from '../types';
 
 /** What an attempt ended with, or the head of its stream. */
 export type AttemptReply = Outcome<Reply, SendError>;
--- a/packages/forwarding/src/slots.ts
+++ b/packages/forwarding/src/attempts/slots.ts
@@ -1,8 +1,8 @@
 import type { Outcome } from '@pomeloroad/core';
 import type { RouteError, Slot } from '@pomeloroad/routing';
 import { getAdmissionWait } from './patience';
-import { getTimeLeft, mayOnlyReturn } from './run';
-import type { Run } from './run';
+import { getTimeLeft, mayOnlyReturn } from '../run';
+import type { Run } from '../run';
 
 /** Waits for a slot on an endpoint that is not excluded, at most until the signal is aborted. */
 export async function acquireSlot<Payload>(
--- a/packages/forwarding/src/answerEnd.ts
+++ b/packages/forwarding/src/ends/answerEnd.ts
@@ -1,10 +1,10 @@
 import { sleep, withTimeout } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import type { Slot } from '@pomeloroad/routing';
-import { isRetryable } from './patience';
-import { getTimeLeft } from './run';
-import type { Run } from './run';
-import type { AnswerEnd } from './types';
+import { isRetryable } from '../attempts/patience';
+import { getTimeLeft } from '../run';
+import type { Run } from '../run';
+import type { AnswerEnd } from '../types';
 
 /**
  * An end this close to the deadline counts as one that comes after it: the time limits of callers and
--- a/packages/forwarding/src/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -2,10 +2,10 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { Importance, LogFields, Milliseconds } from '@pomeloroad/core';
 import type { EndOutcome } from './answerCourse';
-import type { AnswerEnd, StreamStep } from './types';
-import type { SentAttempt } from './sentAttempt';
-import type { EndpointState } from './endpointState';
-import type { Run } from './run';
+import type { AnswerEnd, StreamStep } from '../types';
+import type { SentAttempt } from '../attempts/sentAttempt';
+import type { EndpointState } from '../store/endpointState';
+import type { Run } from '../run';
 
 /**
  * Time left at an end below which the time limit may have caused it. It covers a step of an engine,
--- a/packages/forwarding/src/recentEnds.ts
+++ b/packages/forwarding/src/ends/recentEnds.ts
@@ -1,8 +1,8 @@
 import { match, P } from 'ts-pattern';
 import { Diagnostics } from '@pomeloroad/core';
 import type { Clock, Log, LogFields, Milliseconds } from '@pomeloroad/core';
-import type { ForwardMetrics } from './forwardMetrics';
-import type { EndpointRecord } from './types';
+import type { ForwardMetrics } from '../forwardMetrics';
+import type { EndpointRecord } from '../types';
 
 /** Time after an end within which its endpoint's loss makes it doubtful. */
 const RECENT_END_MS: Milliseconds = 1000;
--- a/packages/forwarding/src/runInquiry.ts
+++ b/packages/forwarding/src/ends/runInquiry.ts
@@ -1,9 +1,9 @@
 import { match } from 'ts-pattern';
 import { sleep } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
-import type { SentAttempt } from './sentAttempt';
-import type { Run } from './run';
-import type { EndpointRecord, RunState } from './types';
+import type { SentAttempt } from '../attempts/sentAttempt';
+import type { Run } from '../run';
+import type { EndpointRecord, RunState } from '../types';
 
 /** Enough for one turn of the event loop, which reads the connections that have data. */
 const READ_TURN_MS: Milliseconds = 1;
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -3,16 +3,16 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { LogFields, Milliseconds, Outcome, Timer } from '@pomeloroad/core';
 import type { EscrowError, EscrowReservation } from '@pomeloroad/budgets';
-import { sendWithRetries } from './attempts';
-import type { EndpointReply } from './attempts';
-import type { EndOutcome } from './answerCourse';
+import { sendWithRetries } from './attempts/attempts';
+import type { EndpointReply } from './attempts/attempts';
+import type { EndOutcome } from './ends/answerCourse';
 import type { ForwardHost } from './forwardTypes';
-import { describeCourse, getEndImportance, reportEnd } from './endReport';
-import { relayStream } from './relay';
+import { describeCourse, getEndImportance, reportEnd } from './ends/endReport';
+import { relayStream } from './attempts/relay';
 import { createRun, getSpentTokens, getTimeLeft } from './run';
 import type { Run } from './run';
-import { getSharedParts } from './sharedParts';
-import { placeTakeUp } from './takeUp';
+import { getSharedParts } from './suspects/sharedParts';
+import { placeTakeUp } from './origins/takeUp';
 import type { Caller, ForwardRefusal, ForwardRequest, RefusalKind } from './types';
 
 /** Maximum time that a request waits for tokens that other requests or instances may return. */
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -1,15 +1,15 @@
 import type { Clock, Log, Random } from '@pomeloroad/core';
 import type { Escrow } from '@pomeloroad/budgets';
 import type { Admission } from '@pomeloroad/routing';
-import type { EndpointDirectory } from './endpointDirectory';
-import type { EndpointState } from './endpointState';
-import type { EndStatements } from './endStatements';
+import type { EndpointDirectory } from './store/endpointDirectory';
+import type { EndpointState } from './store/endpointState';
+import type { EndStatements } from './ends/endStatements';
 import type { ForwardMetrics } from './forwardMetrics';
-import type { RecentEnds } from './recentEnds';
-import type { StreamOrigins } from './streamOrigins';
-import type { RateLimits } from './rateLimits';
-import type { Suspects } from './suspects';
-import type { RetryBudget } from './retryBudget';
+import type { RecentEnds } from './ends/recentEnds';
+import type { StreamOrigins } from './origins/streamOrigins';
+import type { RateLimits } from './limits/rateLimits';
+import type { Suspects } from './suspects/suspects';
+import type { RetryBudget } from './limits/retryBudget';
 import type { EndpointProtocol, ForwardService } from './types';
 
 /** Dependencies of forwarding a request. */
--- a/packages/forwarding/src/rateLimits.ts
+++ b/packages/forwarding/src/limits/rateLimits.ts
@@ -1,7 +1,7 @@
 import { Diagnostics, runPeriodically, sleep } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds, Random } from '@pomeloroad/core';
 import type { RowChange, RowStore, RowView, StoreEra } from '@pomeloroad/storage';
-import { followTable } from './follow';
+import { followTable } from '../store/follow';
 import {
   decodeRateLimit,
   encodeRateLimit,
--- a/packages/forwarding/src/takeUp.ts
+++ b/packages/forwarding/src/origins/takeUp.ts
@@ -3,9 +3,9 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { Outcome } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
-import type { Run } from './run';
+import type { Run } from '../run';
 import type { TakeUp } from './streamOrigins';
-import type { RefusalKind } from './types';
+import type { RefusalKind } from '../types';
 
 /**
  * If the caller takes a stream up, binds the run to the service and version that began the stream.
--- a/packages/forwarding/src/versionHistory.ts
+++ b/packages/forwarding/src/origins/versionHistory.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '@pomeloroad/core';
-import type { EndpointRecord } from './types';
+import type { EndpointRecord } from '../types';
 
 /** Longest time from the first event of a stream until a caller may take it up. */
 export const STREAM_TIME_MAX_MS: Milliseconds = 15_000;
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -1,11 +1,11 @@
 import type { Milliseconds, ResponseFraming, Tokens } from '@pomeloroad/core';
 import type { RouteError } from '@pomeloroad/routing';
-import { createAnswerCourse } from './answerCourse';
-import type { AnswerCourse } from './answerCourse';
+import { createAnswerCourse } from './ends/answerCourse';
+import type { AnswerCourse } from './ends/answerCourse';
 import type { ForwardHost } from './forwardTypes';
-import type { StreamOrigin } from './originMemory';
-import { isRetryable } from './patience';
-import { getSharedParts } from './sharedParts';
+import type { StreamOrigin } from './origins/originMemory';
+import { isRetryable } from './attempts/patience';
+import { getSharedParts } from './suspects/sharedParts';
 import type { Caller, ForwardRequest, ReplyHead } from './types';
 
 /** Number of endpoints that may decline one request before it is refused. */
--- a/packages/forwarding/src/configurationFeed.ts
+++ b/packages/forwarding/src/store/configurationFeed.ts
@@ -5,7 +5,7 @@
 import type { FollowHost } from './follow';
 import { createRouteTable } from './routeTable';
 import type { RouteTable } from './routeTable';
-import type { ForwardConfiguration } from './types';
+import type { ForwardConfiguration } from '../types';
 
 const POLL_DELAY_MS: Milliseconds = 100;
 
--- a/packages/forwarding/src/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -1,7 +1,7 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
-import type { EndpointRecord } from './types';
+import type { EndpointRecord } from '../types';
 
 /**
  * Time after an outage of the store during which a missing entry may reappear: entries lapse while
--- a/packages/forwarding/src/routeTable.ts
+++ b/packages/forwarding/src/store/routeTable.ts
@@ -1,6 +1,6 @@
 import { checkDefined } from '@pomeloroad/core';
 import type { Random } from '@pomeloroad/core';
-import type { ForwardAccount, ForwardConfiguration, ForwardService, Route } from './types';
+import type { ForwardAccount, ForwardConfiguration, ForwardService, Route } from '../types';
 
 /** One version of the configuration, indexed for lookups. */
 export interface RouteTable {
--- a/packages/forwarding/src/crashWatch.ts
+++ b/packages/forwarding/src/suspects/crashWatch.ts
@@ -1,10 +1,10 @@
 import { Ok } from 'ts-results';
 import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds, ResponseFraming } from '@pomeloroad/core';
-import type { EndpointDirectory } from './endpointDirectory';
-import type { ForwardMetrics } from './forwardMetrics';
+import type { EndpointDirectory } from '../store/endpointDirectory';
+import type { ForwardMetrics } from '../forwardMetrics';
 import { getSharedParts } from './sharedParts';
-import type { Attempt, EndpointProtocol, EndpointRecord, EventStream } from './types';
+import type { Attempt, EndpointProtocol, EndpointRecord, EventStream } from '../types';
 
 /** Pause before the second probe: a dying process closes its connections before its listening socket. */
 const SECOND_PROBE_DELAY_MS: Milliseconds = 100;
--- a/packages/forwarding/src/suspectTable.ts
+++ b/packages/forwarding/src/suspects/suspectTable.ts
@@ -9,7 +9,7 @@
   StoreEra,
   VersionedRow,
 } from '@pomeloroad/storage';
-import { followTable } from './follow';
+import { followTable } from '../store/follow';
 import {
   decodeSuspect,
   encodeSuspect,
--- a/packages/forwarding/test/answerEnd.test.ts
+++ b/packages/forwarding/test/answerEnd.test.ts
@@ -1,7 +1,7 @@
 import { createManualClock } from '@pomeloroad/core';
 import type { ResponseFraming } from '@pomeloroad/core';
 import type { Slot } from '@pomeloroad/routing';
-import { findEndFault } from '../src/answerEnd';
+import { findEndFault } from '../src/ends/answerEnd';
 import type { Run } from '../src/run';
 import type { EndpointRecord, Reachability } from '../src';
 
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -4,9 +4,9 @@
 import { createMetrics } from '@pomeloroad/telemetry';
 import { createForwardMetrics } from '../src';
 import type { Attempt, EndpointRecord, Reachability, StreamStep } from '../src';
-import type { IncarnationFate } from '../src/endpointDirectory';
-import { watchCrashes } from '../src/crashWatch';
-import type { EndpointCrash } from '../src/crashWatch';
+import type { IncarnationFate } from '../src/store/endpointDirectory';
+import { watchCrashes } from '../src/suspects/crashWatch';
+import type { EndpointCrash } from '../src/suspects/crashWatch';
 
 const ENDPOINT: EndpointRecord = {
   id: 'e',
--- a/packages/forwarding/test/endReport.test.ts
+++ b/packages/forwarding/test/endReport.test.ts
@@ -18,7 +18,7 @@
   ForwardRequest,
   StreamStep,
 } from '../src';
-import { createRecentEnds } from '../src/recentEnds';
+import { createRecentEnds } from '../src/ends/recentEnds';
 
 const DEADLINE_MS = 2500;
 // Endpoints are told 250 ms more than what is left, and a stated end is held for 20 ms.
--- a/packages/forwarding/test/instanceCount.test.ts
+++ b/packages/forwarding/test/instanceCount.test.ts
@@ -1,7 +1,7 @@
 import { createManualClock } from '@pomeloroad/core';
 import { getLeaseKey } from '@pomeloroad/budgets';
 import { createMemoryRowStore } from '@pomeloroad/storage';
-import { startInstanceCount } from '../src/instanceCount';
+import { startInstanceCount } from '../src/store/instanceCount';
 
 async function setUp(instances: number) {
   const clock = createManualClock();
--- a/packages/forwarding/test/rateLimits.test.ts
+++ b/packages/forwarding/test/rateLimits.test.ts
@@ -2,7 +2,7 @@
 import { createManualClock, createRandom } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
 import type { RowStore } from '@pomeloroad/storage';
-import { startRateLimits } from '../src/rateLimits';
+import { startRateLimits } from '../src/limits/rateLimits';
 
 const PROPAGATION_MS = 2000;
 
--- a/packages/forwarding/test/rateShares.test.ts
+++ b/packages/forwarding/test/rateShares.test.ts
@@ -1,5 +1,5 @@
 import { createRandom } from '@pomeloroad/core';
-import { getRateShare } from '../src/rateShares';
+import { getRateShare } from '../src/limits/rateShares';
 
 const ENDPOINT = 'e/1';
 const WINDOW_S = 4;
--- a/packages/forwarding/test/recentEnds.test.ts
+++ b/packages/forwarding/test/recentEnds.test.ts
@@ -2,7 +2,7 @@
 import type { LogFields } from '@pomeloroad/core';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { createForwardMetrics } from '../src';
-import { createRecentEnds } from '../src/recentEnds';
+import { createRecentEnds } from '../src/ends/recentEnds';
 
 // Creates a memory of ends, its lines, and the metrics that it counts in.
 function createStand() {
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -3,8 +3,8 @@
 import type { LogFields, Outcome } from '@pomeloroad/core';
 import type { RouteError, RouteRequest, Slot } from '@pomeloroad/routing';
 import type { Attempt, EndpointRecord, Reachability, RunState } from '../src';
-import type { SentAttempt } from '../src/sentAttempt';
-import { awaitStep } from '../src/replacement';
+import type { SentAttempt } from '../src/attempts/sentAttempt';
+import { awaitStep } from '../src/attempts/replacement';
 import type { Run } from '../src/run';
 
 const THRESHOLD_MS = 400;
--- a/packages/forwarding/test/streamOrigins.test.ts
+++ b/packages/forwarding/test/streamOrigins.test.ts
@@ -2,9 +2,9 @@
 import { createManualClock } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
 import type { RowStore } from '@pomeloroad/storage';
-import { startStreamOrigins } from '../src/streamOrigins';
-import type { TakeUp } from '../src/streamOrigins';
-import { createVersionHistory } from '../src/versionHistory';
+import { startStreamOrigins } from '../src/origins/streamOrigins';
+import type { TakeUp } from '../src/origins/streamOrigins';
+import { createVersionHistory } from '../src/origins/versionHistory';
 import type { EndpointRecord } from '../src';
 
 const LLM_V1 = { service: 'llm', version: 'v1' };
--- a/packages/forwarding/test/suspects.test.ts
+++ b/packages/forwarding/test/suspects.test.ts
@@ -3,7 +3,7 @@
 import type { LogFields, Milliseconds } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
 import type { RowStore, RowTransaction } from '@pomeloroad/storage';
-import { startSuspects } from '../src/suspects';
+import { startSuspects } from '../src/suspects/suspects';
 
 const PROPAGATION_MS = 1000;
 const FIRST_PROBE_MS = 61_000;
--- a/packages/forwarding/test/suspectsFleet.test.ts
+++ b/packages/forwarding/test/suspectsFleet.test.ts
@@ -3,8 +3,8 @@
 import type { Milliseconds } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
 import type { RowStore } from '@pomeloroad/storage';
-import { startSuspects } from '../src/suspects';
-import type { Suspects } from '../src/suspects';
+import { startSuspects } from '../src/suspects/suspects';
+import type { Suspects } from '../src/suspects/suspects';
 
 /** The platform's bound in the largest deployments. */
 const CONTACT_MS: Milliseconds = 4000;
