Name what endpoints crash under a suspect, be it a part of prompts or more

Names only; what is suspected is unchanged. Events 5013 to 5015, the refusal 'blocked' (was 'prompt-blocked'), the metric pomeloroad_blocked_suspects and the dump's blockedSuspects no longer say that it is a part of prompts. Tests have the new names; their checks are unchanged.

--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -75,13 +75,13 @@
   ),
   answerSilent: diagnostic(5009, 'info', 'answer silent past its threshold'),
   endSuspicious: diagnostic(5012, 'warn', 'end in order that may not be the end of the answer'),
-  promptPartBlocked: diagnostic(
+  suspectBlocked: diagnostic(
     5013,
     'warn',
-    'endpoints crash under a part of prompts, requests with it are refused',
+    'endpoints crash under a suspect, requests with it are refused',
   ),
-  promptPartCleared: diagnostic(5014, 'info', 'requests with a part of prompts are sent again'),
-  promptPartProbed: diagnostic(5015, 'info', 'a request with a blocked part is sent to try it'),
+  suspectCleared: diagnostic(5014, 'info', 'requests with a suspect are sent again'),
+  suspectProbed: diagnostic(5015, 'info', 'a request with a blocked suspect is sent to try it'),
   idleConnectionClosed: diagnostic(5010, 'info', 'idle connection of a caller closed'),
   configurationStaged: diagnostic(6001, 'info', 'configuration staged'),
   configurationAccepted: diagnostic(6002, 'info', 'configuration in force'),
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -53,7 +53,7 @@
   }
 
   async function start(): Promise<AttemptReply> {
-    if (isBlocked) return Err({ kind: 'withheld', message: 'a part of the prompt is blocked' });
+    if (isBlocked) return Err({ kind: 'withheld', message: 'a suspect is blocked' });
     if (endpoint) return send(endpoint);
     return Err({ kind: 'unreachable', message: 'the endpoint is leaving' });
   }
--- a/packages/forwarding/src/attempts/attempts.ts
+++ b/packages/forwarding/src/attempts/attempts.ts
@@ -114,5 +114,5 @@
 function toFinalRefusalKind<Payload>(run: Run<Payload>, error: SendError): RefusalKind {
   if (run.stop.signal.aborted) return 'timed-out';
   if (error.kind === 'broken' || run.runs > 0) return 'failed';
-  return error.kind === 'withheld' ? 'prompt-blocked' : 'overloaded';
+  return error.kind === 'withheld' ? 'blocked' : 'overloaded';
 }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -11,7 +11,7 @@
 import { relayStream } from './attempts/relay';
 import { createRun, getSpentTokens, getTimeLeft } from './run';
 import type { Run } from './run';
-import { getSharedParts } from './suspects/sharedParts';
+import { getSuspectNames } from './suspects/suspectNames';
 import { placeTakeUp } from './origins/takeUp';
 import type { Caller, ForwardRefusal, ForwardRequest, RefusalKind } from './types';
 
@@ -21,8 +21,8 @@
 export const NOT_READY_RETRY_AFTER_MS: Milliseconds = 250;
 /** Retry delay advised to callers while no endpoint of the service is known. */
 const NO_ENDPOINT_RETRY_AFTER_MS = 250;
-/** Retry delay advised while a part of the prompt is blocked; sooner, the answer would be the same. */
-const PROMPT_BLOCKED_RETRY_AFTER_MS: Milliseconds = 600_000;
+/** Retry delay advised while a suspect is blocked; sooner, the answer would be the same. */
+const BLOCKED_RETRY_AFTER_MS: Milliseconds = 600_000;
 /** Maximum retry delay advised where endpoints limit requests; another instance may have a share. */
 const LIMITED_RETRY_AFTER_MAX_MS: Milliseconds = 10_000;
 /** Minimum retry delay advised under overload; also the delay advised after a timeout. */
@@ -57,16 +57,16 @@
 }
 
 async function admit<Payload>(run: Run<Payload>): Promise<Outcome<void, RefusalKind>> {
-  const admittance = await run.host.suspects.admit(getSharedParts(run.request));
+  const admittance = await run.host.suspects.admit(getSuspectNames(run.request));
   return match(admittance)
     .with({ kind: 'allowed' }, () => Ok(undefined))
-    .with({ kind: 'probe' }, ({ parts }) => {
-      run.probedParts = parts;
+    .with({ kind: 'probe' }, ({ names }) => {
+      run.probedSuspects = names;
       return Ok(undefined);
     })
-    .with({ kind: 'blocked' }, ({ part }) => {
-      run.blockedPart = part;
-      return Err('prompt-blocked' as const);
+    .with({ kind: 'blocked' }, ({ name }) => {
+      run.blockedSuspect = name;
+      return Err('blocked' as const);
     })
     .with({ kind: 'unknown' }, () => Err('not-ready' as const))
     .exhaustive();
@@ -76,8 +76,8 @@
   const placed = await placeTakeUp(run);
   if (placed.err) refuse(run, placed.val);
   else await forwardPlaced(run);
-  const { probedParts, runs, host } = run;
-  if (probedParts.length > 0 && runs === 0) host.suspects.giveBack(probedParts);
+  const { probedSuspects, runs, host } = run;
+  if (probedSuspects.length > 0 && runs === 0) host.suspects.giveBack(probedSuspects);
 }
 
 async function forwardPlaced<Payload>(run: Run<Payload>): Promise<void> {
@@ -165,7 +165,7 @@
     .with('no-endpoint', 'version-unknown', () => NO_ENDPOINT_RETRY_AFTER_MS)
     .with('overloaded', () => getOverloadDelay(run))
     .with('timed-out', () => RETRY_AFTER_MIN_MS)
-    .with('prompt-blocked', () => PROMPT_BLOCKED_RETRY_AFTER_MS)
+    .with('blocked', () => BLOCKED_RETRY_AFTER_MS)
     .with('budget-exhausted', 'budget-unreachable', 'failed', () => undefined)
     .exhaustive();
 }
@@ -211,7 +211,7 @@
     events: run.events,
     spent: getSpentTokens(run),
     lack: run.lack,
-    blockedPart: run.blockedPart,
+    blockedSuspect: run.blockedSuspect,
     framing: run.framing,
     timeLeft: Math.round(getTimeLeft(run)),
     took: Math.round(duration),
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -215,8 +215,8 @@
   );
   const suspects = startSuspects({ ...following, random });
   metrics.gauge(
-    'pomeloroad_blocked_prompt_parts',
-    'Parts of prompts that are blocked because endpoints crash under them.',
+    'pomeloroad_blocked_suspects',
+    'Requests and parts of prompts that are blocked because endpoints crash under them.',
     () => suspects.listBlocked().length,
   );
   const rateLimits = startRateLimits({
@@ -253,7 +253,7 @@
       ...{ clock, log, metrics: forwardMetrics, protocol: host.protocol, directory },
       onCrash: suspects.noteCrash,
       onAnswer: suspects.noteAnswer,
-      isSuspicious: (parts) => suspects.judge(parts) !== 'none',
+      isSuspicious: (names) => suspects.judge(names) !== 'none',
     }),
     metrics: forwardMetrics,
     endStatements: createEndStatements(),
@@ -328,7 +328,7 @@
       budgets: escrow.describe(),
       endpoints: endpoints.list(),
       rateLimits: rateLimits.list(),
-      blockedPromptParts: suspects.listBlocked(),
+      blockedSuspects: suspects.listBlocked(),
     }),
     retire: escrow.retire,
     async stop(patience) {
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -5,7 +5,7 @@
 import type { ForwardHost } from './forwardTypes';
 import type { StreamOrigin } from './origins/originMemory';
 import { isRetryable } from './attempts/patience';
-import { getSharedParts } from './suspects/sharedParts';
+import { getSuspectNames } from './suspects/suspectNames';
 import type { Caller, ForwardRequest, ReplyHead } from './types';
 
 /** Number of endpoints that may decline one request before it is refused. */
@@ -23,9 +23,9 @@
   /** Names of the endpoints whose attempt was dropped for one that went on. */
   dropped: Set<string>;
   /** Parts of the prompt that the request is to try in spite of their block. */
-  probedParts: string[];
+  probedSuspects: string[];
   /** Part of the prompt for which the request was refused. */
-  blockedPart: string | undefined;
+  blockedSuspect: string | undefined;
   /** Number of attempts that may have run on an endpoint. */
   runs: number;
   /** Number of attempts without a reply yet. */
@@ -68,8 +68,8 @@
     stop: new AbortController(),
     excluded: new Set(),
     dropped: new Set(),
-    probedParts: [],
-    blockedPart: undefined,
+    probedSuspects: [],
+    blockedSuspect: undefined,
     runs: 0,
     pending: 0,
     declines: 0,
@@ -110,15 +110,15 @@
 }
 
 /**
- * Returns whether the request may not be sent to an endpoint now, because endpoints crash under a part of
- * its prompt. One that may have run at an endpoint may have been what crashed it.
+ * Returns whether the request may not be sent to an endpoint now, because endpoints crash under a
+ * suspect in it. One that may have run at an endpoint may have been what crashed it.
  */
 export function isWithheld<Payload>(run: Run<Payload>): boolean {
-  const { host, request, runs, pending, probedParts } = run;
+  const { host, request, runs, pending, probedSuspects } = run;
   const isRepeat = runs + pending > 0;
-  if (isRepeat && probedParts.length > 0) return true;
+  if (isRepeat && probedSuspects.length > 0) return true;
   const suspicion = host.suspects.judge(
-    getSharedParts(request).filter((part) => !probedParts.includes(part)),
+    getSuspectNames(request).filter((name) => !probedSuspects.includes(name)),
   );
   return suspicion === 'blocked' || (isRepeat && suspicion === 'suspected');
 }
--- a/packages/forwarding/src/suspects/crashWatch.ts
+++ b/packages/forwarding/src/suspects/crashWatch.ts
@@ -3,7 +3,7 @@
 import type { Clock, Log, Milliseconds, ResponseFraming } from '@pomeloroad/core';
 import type { EndpointDirectory } from '../store/endpointDirectory';
 import type { ForwardMetrics } from '../forwardMetrics';
-import { getSharedParts } from './sharedParts';
+import { getSuspectNames } from './suspectNames';
 import type { Attempt, EndpointProtocol, EndpointRecord, EventStream } from '../types';
 
 /** Pause before the second probe: a dying process closes its connections before its listening socket. */
@@ -24,8 +24,8 @@
 export interface EndpointCrash {
   /** Identifies the incarnation; the same at all instances. */
   incarnation: string;
-  /** Shared prompt parts, and how many of the requests that were broken off have each. */
-  parts: Map<string, number>;
+  /** Names of suspects, and how many of the requests that were broken off have each. */
+  names: Map<string, number>;
 }
 
 /** Dependencies of watching endpoints for crashes. */
@@ -36,16 +36,16 @@
   protocol: EndpointProtocol<Payload>;
   directory: Pick<EndpointDirectory, 'getFate'>;
   onCrash(crash: EndpointCrash): void;
-  /** Called when an incarnation has answered a prompt of these shared parts, at least for a while. */
-  onAnswer(parts: string[], incarnation: string): void;
-  /** Whether a crash under one of these parts decides if a request may be sent again. */
-  isSuspicious(parts: string[]): boolean;
+  /** Called when an incarnation has answered a request with these names, at least for a while. */
+  onAnswer(names: string[], incarnation: string): void;
+  /** Whether a crash under one of these suspects decides if a request may be sent again. */
+  isSuspicious(names: string[]): boolean;
 }
 
 /** What other requests may share with one that was broken off. */
 interface BrokenRequest {
   fingerprint: string;
-  parts: string[];
+  names: string[];
 }
 
 /** An endpoint that has broken off requests and is examined. */
@@ -70,7 +70,7 @@
     const broken = known?.broken ?? new Map<string, BrokenRequest>();
     broken.set(request.id, {
       fingerprint: request.fingerprint,
-      parts: getSharedParts(request),
+      names: getSuspectNames(request),
     });
     const verdict = known?.verdict ?? judge(endpoint, broken);
     if (!known) {
@@ -83,16 +83,16 @@
   // Whether the request is sent once more may depend on the verdict.
   async function handleBreak(attempt: Attempt<Payload>): Promise<void> {
     const verdict = examine(attempt);
-    if (!host.isSuspicious(getSharedParts(attempt.request))) return;
+    if (!host.isSuspicious(getSuspectNames(attempt.request))) return;
     await withTimeout(clock, VERDICT_TIMEOUT_MS, verdict, undefined);
   }
 
   // The kernel ends the connections of a dead process in order too.
   function handleEnd(attempt: Attempt<Payload>, framing: ResponseFraming): void {
-    const parts = getSharedParts(attempt.request);
-    if (parts.length === 0) return;
+    const names = getSuspectNames(attempt.request);
+    if (names.length === 0) return;
     if (framing === 'close') examine(attempt);
-    host.onAnswer(parts, getIncarnation(attempt.endpoint));
+    host.onAnswer(names, getIncarnation(attempt.endpoint));
   }
 
   async function judge(
@@ -104,10 +104,10 @@
   }
 
   function report(endpoint: EndpointRecord, broken: Map<string, BrokenRequest>): void {
-    const parts = new Map<string, number>();
+    const names = new Map<string, number>();
     [...broken.values()]
-      .flatMap((request) => request.parts)
-      .forEach((part) => parts.set(part, (parts.get(part) ?? 0) + 1));
+      .flatMap((request) => request.names)
+      .forEach((name) => names.set(name, (names.get(name) ?? 0) + 1));
     metrics.crashes.add(1);
     log(Diagnostics.endpointCrashed, {
       endpoint: endpoint.id,
@@ -115,7 +115,7 @@
       count: broken.size,
       requests: describe(broken),
     });
-    host.onCrash({ incarnation: getIncarnation(endpoint), parts });
+    host.onCrash({ incarnation: getIncarnation(endpoint), names });
   }
 
   async function hasDied(endpoint: EndpointRecord): Promise<boolean> {
@@ -158,7 +158,7 @@
       begunAt ??= clock.elapsed();
       if (isSound || clock.elapsed() - begunAt < SOUND_AFTER_MS) return;
       isSound = true;
-      host.onAnswer(getSharedParts(attempt.request), getIncarnation(attempt.endpoint));
+      host.onAnswer(getSuspectNames(attempt.request), getIncarnation(attempt.endpoint));
     }
 
     return {
@@ -198,6 +198,6 @@
 function describe(broken: Map<string, BrokenRequest>): string {
   return [...broken]
     .slice(0, NAMED_REQUESTS_MAX)
-    .map(([request, { fingerprint, parts }]) => [request, fingerprint, ...parts].join(' '))
+    .map(([request, { fingerprint, names }]) => [request, fingerprint, ...names].join(' '))
     .join('; ');
 }
--- a/packages/forwarding/src/suspects/soundParts.ts
+++ b/packages/forwarding/src/suspects/soundNames.ts
@@ -1,22 +1,22 @@
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 
-/** Time after an answer within which a crash of its endpoint may be its doing; later, it shows sound parts. */
+/** Time after an answer within which a crash of its endpoint may be its doing; later, it shows sound ones. */
 export const CONFIRM_TIME_MS: Milliseconds = 1000;
-/** Time for which an answer shows that the parts of its prompt are sound. */
+/** Time for which an answer shows that what the request shares is sound. */
 const SOUND_TIME_MS: Milliseconds = 30_000;
-/** Maximum number of parts that are remembered; the one that was answered least lately is forgotten first. */
+/** Maximum number of names that are remembered; the one that was answered least lately is forgotten first. */
 const PARTS_MAX = 2000;
 
-/** The prompt parts that endpoints have lately answered without harm. */
-export interface SoundParts {
-  /** An incarnation of an endpoint has answered a prompt of these parts, at least for a while. */
-  noteAnswer(parts: string[], incarnation: string): void;
+/** What requests share that endpoints have lately answered without harm. */
+export interface SoundNames {
+  /** An incarnation of an endpoint has answered a request with these names, at least for a while. */
+  noteAnswer(names: string[], incarnation: string): void;
   /** The incarnation has crashed, so what it answered just before shows nothing. */
   noteCrash(incarnation: string): void;
-  has(part: string): boolean;
+  has(name: string): boolean;
 }
 
-/** The answers to prompts with one part. */
+/** The answers to requests with one name. */
 interface Answers {
   /** When the latest one ended that no crash followed. */
   confirmedAt: Milliseconds;
@@ -24,8 +24,8 @@
   latest: { incarnation: string; at: Milliseconds } | undefined;
 }
 
-/** Creates a memory of no part. */
-export function createSoundParts(clock: Clock): SoundParts {
+/** Creates a memory of no name. */
+export function createSoundNames(clock: Clock): SoundNames {
   const known = new Map<string, Answers>();
 
   function confirm(answers: Answers): Answers {
@@ -35,21 +35,21 @@
   }
 
   function forgetOldest(): void {
-    for (const part of known.keys()) {
+    for (const name of known.keys()) {
       if (known.size <= PARTS_MAX) return;
-      known.delete(part);
+      known.delete(name);
     }
   }
 
   return {
-    noteAnswer(parts, incarnation) {
-      parts.forEach((part) => {
+    noteAnswer(names, incarnation) {
+      names.forEach((name) => {
         const { confirmedAt, latest } = confirm(
-          known.get(part) ?? { confirmedAt: -Infinity, latest: undefined },
+          known.get(name) ?? { confirmedAt: -Infinity, latest: undefined },
         );
         // Entries stand in the order of their latest answers.
-        known.delete(part);
-        known.set(part, {
+        known.delete(name);
+        known.set(name, {
           confirmedAt,
           latest: latest ?? { incarnation, at: clock.elapsed() },
         });
@@ -57,14 +57,14 @@
       forgetOldest();
     },
     noteCrash(incarnation) {
-      known.forEach((answers, part) => {
+      known.forEach((answers, name) => {
         const { confirmedAt, latest } = confirm(answers);
         if (latest?.incarnation === incarnation)
-          known.set(part, { confirmedAt, latest: undefined });
+          known.set(name, { confirmedAt, latest: undefined });
       });
     },
-    has(part) {
-      const answers = known.get(part);
+    has(name) {
+      const answers = known.get(name);
       return (
         answers !== undefined && clock.elapsed() - confirm(answers).confirmedAt < SOUND_TIME_MS
       );
--- a/packages/forwarding/src/suspects/sharedParts.ts
+++ b/packages/forwarding/src/suspects/suspectNames.ts
@@ -8,7 +8,7 @@
  * Returns the names of the parts of a prompt that other requests share: all but the last one. Ids are
  * hexadecimal, so their case does not matter.
  */
-export function getSharedParts({ prefix }: { prefix: PromptPart[] }): string[] {
+export function getSuspectNames({ prefix }: { prefix: PromptPart[] }): string[] {
   return [...new Set(prefix.slice(0, -1).map(({ id }) => getPartName(id)))];
 }
 
--- a/packages/forwarding/src/suspects/suspectProbes.ts
+++ b/packages/forwarding/src/suspects/suspectProbes.ts
@@ -7,15 +7,15 @@
  * a block. There are few, since each may cost an endpoint and all streams on it.
  */
 const PROBE_DELAYS_MS: readonly Milliseconds[] = [60_000, 600_000];
-/** Those times for a part beside one that is at least as likely to blame. */
+/** Those times for a suspect beside one that is at least as likely to blame. */
 const CONTESTED_PROBE_DELAYS_MS: readonly Milliseconds[] = [1000, 2000, 600_000];
 
-/** Requests of the whole fleet that are sent although parts of their prompts are blocked. */
+/** Requests of the whole fleet that are sent although suspects in them are blocked. */
 export interface SuspectProbes {
-  /** Takes the next probe of all parts, or of none; false if one of them has none now. */
-  take(parts: string[]): Promise<boolean>;
+  /** Takes the next probe of all suspects, or of none; false if one of them has none now. */
+  take(names: string[]): Promise<boolean>;
   /** Gives a probe back that reached no endpoint. */
-  giveBack(parts: string[]): void;
+  giveBack(names: string[]): void;
 }
 
 /** Creates the probes that the rows of the store allow. */
@@ -25,19 +25,19 @@
   evidence: EvidenceBook,
 ): SuspectProbes {
   // Parts beside the one to blame stand in the same crashes, but mostly in more requests.
-  function isContested(part: string): boolean {
-    const own = evidence.countRequests(part);
-    return evidence.listRivals(part).some((other) => evidence.countRequests(other) <= own);
+  function isContested(name: string): boolean {
+    const own = evidence.countRequests(name);
+    return evidence.listRivals(name).some((other) => evidence.countRequests(other) <= own);
   }
 
-  function isLikeliest(part: string): boolean {
-    const own = evidence.countRequests(part);
-    return evidence.listRivals(part).every((other) => evidence.countRequests(other) >= own);
+  function isLikeliest(name: string): boolean {
+    const own = evidence.countRequests(name);
+    return evidence.listRivals(name).every((other) => evidence.countRequests(other) >= own);
   }
 
-  function getDelays(parts: string[]): readonly Milliseconds[] | undefined {
-    const isAlone = parts.length === 1;
-    if (parts.every(isContested) && (isAlone || !parts.some(isLikeliest)))
+  function getDelays(names: string[]): readonly Milliseconds[] | undefined {
+    const isAlone = names.length === 1;
+    if (names.every(isContested) && (isAlone || !names.some(isLikeliest)))
       return CONTESTED_PROBE_DELAYS_MS;
     return isAlone ? PROBE_DELAYS_MS : undefined;
   }
@@ -49,18 +49,18 @@
   }
 
   return {
-    async take(parts) {
-      const delays = getDelays(parts);
-      if (!delays || !parts.every((part) => isDue(table.get(part), delays))) return false;
-      const probes = new Map(parts.map((part) => [part, table.get(part)?.probes]));
-      const isFree = () => parts.every((part) => table.get(part)?.probes === probes.get(part));
-      const result = await table.update(parts, (_, stored) =>
+    async take(names) {
+      const delays = getDelays(names);
+      if (!delays || !names.every((name) => isDue(table.get(name), delays))) return false;
+      const probes = new Map(names.map((name) => [name, table.get(name)?.probes]));
+      const isFree = () => names.every((name) => table.get(name)?.probes === probes.get(name));
+      const result = await table.update(names, (_, stored) =>
         stored && isFree() ? { ...stored, probes: stored.probes + 1 } : undefined,
       );
       return result === 'written';
     },
-    giveBack(parts) {
-      table.update(parts, (_, stored) =>
+    giveBack(names) {
+      table.update(names, (_, stored) =>
         stored && stored.probes > 0 ? { ...stored, probes: stored.probes - 1 } : undefined,
       );
     },
--- a/packages/forwarding/src/suspects/suspectRows.ts
+++ b/packages/forwarding/src/suspects/suspectRows.ts
@@ -1,31 +1,31 @@
 import type { RowKey } from '@pomeloroad/storage';
 
-/** Table of the prompt parts under which endpoints have crashed. */
+/** Table of the suspects under which endpoints have crashed. */
 export const SUSPECT_TABLE = 'suspects';
 /** Its only partition: rows are written when an endpoint has crashed, and else hardly ever. */
 export const SUSPECT_PARTITION = '';
 
-/** A part of prompts under which endpoints have crashed. */
+/** A suspect under which endpoints have crashed. */
 export interface Suspect {
-  /** Incarnations of endpoints that crashed while they worked on a prompt with the part. */
+  /** Incarnations of endpoints that crashed while they worked on a request with the name. */
   crashes: string[];
-  /** Number of requests with the part that were broken off by these crashes. */
+  /** Number of requests with the suspect that were broken off by these crashes. */
   requests: number;
   /** Number of requests that were let through, to find out whether it still crashes endpoints. */
   probes: number;
 }
 
-/** Returns the key of a part's row. */
-export function getSuspectKey(part: string): RowKey {
-  return { table: SUSPECT_TABLE, partition: SUSPECT_PARTITION, key: part };
+/** Returns the key of a suspect's row. */
+export function getSuspectKey(name: string): RowKey {
+  return { table: SUSPECT_TABLE, partition: SUSPECT_PARTITION, key: name };
 }
 
-/** Encodes the value of a part's row. */
+/** Encodes the value of a suspect's row. */
 export function encodeSuspect({ crashes, requests, probes }: Suspect): string {
   return JSON.stringify([probes, requests, ...crashes]);
 }
 
-/** Decodes the value of a part's row; `undefined` if it can't be read. */
+/** Decodes the value of a suspect's row; `undefined` if it can't be read. */
 export function decodeSuspect(value: string): Suspect | undefined {
   const fields = parseList(value);
   const [probes, requests, ...crashes] = fields;
--- a/packages/forwarding/src/suspects/suspectTable.ts
+++ b/packages/forwarding/src/suspects/suspectTable.ts
@@ -35,35 +35,35 @@
   log: Log;
   rows: RowStore;
   signal: AbortSignal;
-  /** Called when rows of these parts have changed or are gone. */
-  onChange(parts: string[]): void;
+  /** Called when rows of these suspects have changed or are gone. */
+  onChange(names: string[]): void;
   /** Called with rows that the store has lost by coming back from an older copy. */
   onLost(lost: Map<string, Suspect>): void;
 }
 
-/** A part's row. */
+/** A suspect's row. */
 export interface StoredSuspect extends Suspect {
   version: number;
   /** Time of `clock.elapsed()` when the version became known. */
   changedAt: Milliseconds;
 }
 
-/** Returns what a part's row is to become; `undefined` leaves it as it is. */
+/** Returns what a suspect's row is to become; `undefined` leaves it as it is. */
 export type SuspectUpdate = (
-  part: string,
+  name: string,
   stored: StoredSuspect | undefined,
 ) => Suspect | 'removed' | undefined;
 
 /** `failed`: the store did not answer, or others were always faster. */
 export type UpdateResult = 'written' | 'unchanged' | 'failed';
 
-/** The rows of suspected parts, as the store's feed tells them. */
+/** The rows of suspects, as the store's feed tells them. */
 export interface SuspectTable {
   isLoaded(): boolean;
-  get(part: string): StoredSuspect | undefined;
+  get(name: string): StoredSuspect | undefined;
   list(): string[];
   /** Changes rows; the update is asked again about rows that others have changed meanwhile. */
-  update(parts: string[], next: SuspectUpdate): Promise<UpdateResult>;
+  update(names: string[], next: SuspectUpdate): Promise<UpdateResult>;
   /** Reads all rows again; false if the store failed. */
   refresh(): Promise<boolean>;
 }
@@ -89,7 +89,7 @@
       const isSame = era === view.era && known?.version === row.version;
       stored.set(row.key, isSame ? known : decode(row));
     });
-    const lost = [...before].filter(([part]) => !stored.has(part));
+    const lost = [...before].filter(([name]) => !stored.has(name));
     if (era !== undefined && era !== view.era) host.onLost(new Map(lost));
     era = view.era;
     host.onChange([...new Set([...before.keys(), ...stored.keys()])]);
@@ -119,13 +119,13 @@
     onAvailable: () => undefined,
   });
 
-  function createTransaction(parts: string[], next: SuspectUpdate): RowTransaction {
+  function createTransaction(names: string[], next: SuspectUpdate): RowTransaction {
     const transaction: RowTransaction = { checks: [], puts: [], removals: [] };
-    parts.forEach((part) => {
-      const known = stored.get(part);
-      const value = next(part, known);
+    names.forEach((name) => {
+      const known = stored.get(name);
+      const value = next(name, known);
       if (value === undefined || (value === 'removed' && !known)) return;
-      const key = getSuspectKey(part);
+      const key = getSuspectKey(name);
       transaction.checks.push({ ...key, version: known?.version ?? 0 });
       if (value === 'removed') transaction.removals.push(key);
       else transaction.puts.push({ ...key, value: encodeSuspect(value) });
@@ -133,9 +133,9 @@
     return transaction;
   }
 
-  async function updateBatch(parts: string[], next: SuspectUpdate): Promise<UpdateResult> {
+  async function updateBatch(names: string[], next: SuspectUpdate): Promise<UpdateResult> {
     for (let tries = 0; tries < TRIES_MAX && !signal.aborted; tries += 1) {
-      const transaction = createTransaction(parts, next);
+      const transaction = createTransaction(names, next);
       if (transaction.checks.length === 0) return 'unchanged';
       const written = await rows.transact(transaction);
       if (written.ok) {
@@ -164,12 +164,12 @@
 
   return {
     isLoaded: () => era !== undefined,
-    get: (part) => stored.get(part),
+    get: (name) => stored.get(name),
     list: () => [...stored.keys()],
-    async update(parts, next) {
+    async update(names, next) {
       let result: UpdateResult = 'unchanged';
-      for (let from = 0; from < parts.length; from += BATCH_SIZE) {
-        const outcome = await updateBatch(parts.slice(from, from + BATCH_SIZE), next);
+      for (let from = 0; from < names.length; from += BATCH_SIZE) {
+        const outcome = await updateBatch(names.slice(from, from + BATCH_SIZE), next);
         result = combine(result, outcome);
       }
       return result;
--- a/packages/forwarding/src/suspects/suspects.ts
+++ b/packages/forwarding/src/suspects/suspects.ts
@@ -2,7 +2,7 @@
 import type { Clock, Log, Milliseconds, Random } from '@pomeloroad/core';
 import type { RowStore } from '@pomeloroad/storage';
 import type { EndpointCrash } from './crashWatch';
-import { CONFIRM_TIME_MS, createSoundParts } from './soundParts';
+import { CONFIRM_TIME_MS, createSoundNames } from './soundNames';
 import { CRASHES_TO_HOLD, createEvidenceBook } from './suspectEvidence';
 import type { Suspicion } from './suspectEvidence';
 import { createSuspectProbes } from './suspectProbes';
@@ -10,9 +10,9 @@
 import { followSuspects } from './suspectTable';
 import type { StoredSuspect } from './suspectTable';
 
-/** Time without a request for a part after which its row is removed. */
+/** Time without a request for a suspect after which its row is removed. */
 const RETENTION_MS: Milliseconds = 3_600_000;
-/** Age of a row from which on a request for its part renews it. */
+/** Age of a row from which on a request for its suspect renews it. */
 const RENEWAL_AGE_MS: Milliseconds = 1_800_000;
 const SWEEP_INTERVAL_MS: Milliseconds = 60_000;
 /** Time within which further crashes are collected for the next write. */
@@ -35,25 +35,25 @@
 /** Whether a request may be sent. `unknown`: the suspects are not known yet. */
 export type Admittance =
   | { kind: 'allowed' }
-  /** Allowed once, to find out whether these parts still crash endpoints. */
-  | { kind: 'probe'; parts: string[] }
-  | { kind: 'blocked'; part: string }
+  /** Allowed once, to find out whether these suspects still crash endpoints. */
+  | { kind: 'probe'; names: string[] }
+  | { kind: 'blocked'; name: string }
   | { kind: 'unknown' };
 
 /**
- * Prompt parts under which endpoints have crashed, as all instances know them. A part is blocked after
- * several crashes, unless prompts with it have lately been answered.
+ * Suspects under which endpoints have crashed, as all instances know them. A suspect is blocked after
+ * several crashes, unless requests with it have lately been answered.
  */
 export interface Suspects {
-  /** Decides on a new request with these shared parts. */
-  admit(parts: string[]): Promise<Admittance>;
+  /** Decides on a new request with these names. */
+  admit(names: string[]): Promise<Admittance>;
   /** Takes back that a request was admitted as a probe; it has reached no endpoint. */
-  giveBack(parts: string[]): void;
-  /** Returns the gravest suspicion against one of the parts, as it is known now. */
-  judge(parts: string[]): Suspicion;
+  giveBack(names: string[]): void;
+  /** Returns the gravest suspicion against one of the suspects, as it is known now. */
+  judge(names: string[]): Suspicion;
   noteCrash(crash: EndpointCrash): void;
-  /** An incarnation of an endpoint has answered a prompt of these parts, at least for a while. */
-  noteAnswer(parts: string[], incarnation: string): void;
+  /** An incarnation of an endpoint has answered a request with these names, at least for a while. */
+  noteAnswer(names: string[], incarnation: string): void;
   isLoaded(): boolean;
   /** Reads the suspects of other instances again; false if the store failed. */
   refresh(): Promise<boolean>;
@@ -63,29 +63,29 @@
 /** Starts knowing the suspects of all instances. */
 export function startSuspects(host: SuspectsHost): Suspects {
   const { clock, random, log, signal } = host;
-  const sound = createSoundParts(clock);
+  const sound = createSoundNames(clock);
   const table = followSuspects({ ...host, onChange: handleChange, onLost: handleLost });
   const evidence = createEvidenceBook(table, sound.has);
   const probes = createSuspectProbes(clock, table, evidence);
   let blocked: string[] = [];
   let isWriting = false;
 
-  const isBlocked = (part: string) => evidence.judge(part) === 'blocked';
+  const isBlocked = (name: string) => evidence.judge(name) === 'blocked';
 
-  function handleChange(parts: string[]): void {
+  function handleChange(names: string[]): void {
     logBlocks();
-    const cleared = parts.filter((part) => table.get(part) && isCleared(part));
+    const cleared = names.filter((name) => table.get(name) && isCleared(name));
     if (cleared.length > 0) remove(cleared);
   }
 
-  // One crash holds nothing, so its row stays until the part is answered again.
-  function isCleared(part: string): boolean {
-    return sound.has(part) && evidence.getCrashes(part).size >= CRASHES_TO_HOLD;
+  // One crash holds nothing, so its row stays until the suspect is answered again.
+  function isCleared(name: string): boolean {
+    return sound.has(name) && evidence.getCrashes(name).size >= CRASHES_TO_HOLD;
   }
 
   // A copy of the store that came back lacks these rows: they are written again.
   function handleLost(lost: Map<string, Suspect>): void {
-    lost.forEach((suspect, part) => evidence.add(part, suspect));
+    lost.forEach((suspect, name) => evidence.add(name, suspect));
     write();
   }
 
@@ -93,90 +93,90 @@
     const before = blocked;
     blocked = evidence.listBlocked();
     before
-      .filter((part) => !blocked.includes(part))
-      .forEach((part) => log(Diagnostics.promptPartCleared, { part }));
-    blocked.filter((part) => !before.includes(part)).forEach(logBlock);
+      .filter((name) => !blocked.includes(name))
+      .forEach((name) => log(Diagnostics.suspectCleared, { name }));
+    blocked.filter((name) => !before.includes(name)).forEach(logBlock);
   }
 
-  function logBlock(part: string): void {
-    const crashes = [...evidence.getCrashes(part)].join(', ');
-    const requests = evidence.countRequests(part);
-    log(Diagnostics.promptPartBlocked, { part, crashes, requests });
+  function logBlock(name: string): void {
+    const crashes = [...evidence.getCrashes(name)].join(', ');
+    const requests = evidence.countRequests(name);
+    log(Diagnostics.suspectBlocked, { name, crashes, requests });
   }
 
   async function write(): Promise<void> {
-    const parts = evidence.listPending();
-    if (isWriting || parts.length === 0 || signal.aborted) return;
+    const names = evidence.listPending();
+    if (isWriting || names.length === 0 || signal.aborted) return;
     isWriting = true;
     await sleep(clock, WRITE_DELAY_MS);
     const result = await table.update(evidence.listPending(), evidence.merge);
     evidence
       .listPending()
-      .filter((part) => evidence.merge(part) === undefined)
+      .filter((name) => evidence.merge(name) === undefined)
       .forEach(evidence.drop);
     if (result === 'failed') await sleep(clock, RETRY_DELAY_MS);
     isWriting = false;
     write();
   }
 
-  // The parts have been answered, so crashes beside them were not their doing.
-  async function remove(parts: string[]): Promise<void> {
-    parts.forEach(evidence.drop);
+  // The suspects have been answered, so crashes beside them were not their doing.
+  async function remove(names: string[]): Promise<void> {
+    names.forEach(evidence.drop);
     await sleep(clock, random.integer(0, REMOVAL_DELAY_MAX_MS));
-    await table.update(parts, (part) => (sound.has(part) ? 'removed' : undefined));
+    await table.update(names, (name) => (sound.has(name) ? 'removed' : undefined));
   }
 
   function getAge({ changedAt }: StoredSuspect): Milliseconds {
     return clock.elapsed() - changedAt;
   }
 
-  // A block lasts as long as requests for its part come.
-  function renew(part: string): void {
-    const found = table.get(part);
+  // A block lasts as long as requests for its suspect come.
+  function renew(name: string): void {
+    const found = table.get(name);
     if (!found || getAge(found) < RENEWAL_AGE_MS) return;
-    table.update([part], (_, stored) =>
+    table.update([name], (_, stored) =>
       stored && getAge(stored) >= RENEWAL_AGE_MS ? stored : undefined,
     );
   }
 
   async function sweep(): Promise<void> {
     const isOld = (stored: StoredSuspect | undefined) => stored && getAge(stored) >= RETENTION_MS;
-    const old = table.list().filter((part) => isOld(table.get(part)));
+    const old = table.list().filter((name) => isOld(table.get(name)));
     if (old.length === 0) return;
     await table.update(old, (_, stored) => (isOld(stored) ? 'removed' : undefined));
   }
 
   runPeriodically(clock, () => SWEEP_INTERVAL_MS, signal, sweep);
   return {
-    async admit(parts) {
-      if (parts.length === 0) return { kind: 'allowed' };
+    async admit(names) {
+      if (names.length === 0) return { kind: 'allowed' };
       if (!table.isLoaded()) return { kind: 'unknown' };
-      const found = parts.filter(isBlocked);
-      const [part] = found;
-      if (part === undefined) return { kind: 'allowed' };
+      const found = names.filter(isBlocked);
+      const [name] = found;
+      if (name === undefined) return { kind: 'allowed' };
       if (await probes.take(found)) {
-        log(Diagnostics.promptPartProbed, { parts: found.join(', ') });
-        return { kind: 'probe', parts: found };
+        log(Diagnostics.suspectProbed, { names: found.join(', ') });
+        return { kind: 'probe', names: found };
       }
       found.forEach(renew);
-      return { kind: 'blocked', part };
+      return { kind: 'blocked', name };
     },
     giveBack: probes.giveBack,
-    judge(parts) {
-      const found = new Set(parts.map(evidence.judge));
+    judge(names) {
+      const found = new Set(names.map(evidence.judge));
       return SUSPICIONS.find((suspicion) => found.has(suspicion)) ?? 'none';
     },
-    noteCrash({ incarnation, parts }) {
+    noteCrash({ incarnation, names }) {
       sound.noteCrash(incarnation);
-      parts.forEach((requests, part) => {
-        if (!sound.has(part)) evidence.add(part, { crashes: [incarnation], requests });
+      names.forEach((requests, name) => {
+        if (!sound.has(name)) evidence.add(name, { crashes: [incarnation], requests });
       });
       logBlocks();
       write();
     },
-    noteAnswer(parts, incarnation) {
-      sound.noteAnswer(parts, incarnation);
-      const suspected = parts.filter(evidence.has);
+    noteAnswer(names, incarnation) {
+      sound.noteAnswer(names, incarnation);
+      const suspected = names.filter(evidence.has);
       if (suspected.length === 0) return;
       clock.after(CONFIRM_TIME_MS, () => {
         const cleared = suspected.filter(sound.has);
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -169,7 +169,7 @@
   | { kind: 'replaced'; message: string }
   /** The endpoint reported that it did not run the request. */
   | { kind: 'declined'; message: string }
-  /** Nothing was sent, because endpoints crash under a part of the prompt. */
+  /** Nothing was sent, because endpoints crash under the request or a part of its prompt. */
   | { kind: 'withheld'; message: string }
   /** The connection failed after the request was sent, so the request may have run. */
   | { kind: 'broken'; message: string };
@@ -225,8 +225,8 @@
   | 'no-endpoint'
   /** The version that began a stream is not known, so the stream can't go on. */
   | 'version-unknown'
-  /** Endpoints crash under a part of the prompt. */
-  | 'prompt-blocked'
+  /** Endpoints crash under the request or a part of its prompt. */
+  | 'blocked'
   | 'budget-exhausted'
   | 'budget-unreachable'
   | 'timed-out'
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -21,8 +21,8 @@
 const BROKEN: StreamStep = { kind: 'broken', message: 'reset' };
 const FAILED = Err({ kind: 'broken' as const, message: 'reset' });
 
-function createAttempt(id: string, parts: string[], signal = new AbortController().signal) {
-  const prefix = [...parts, `${id} alone`].map((part) => ({ id: part, tokens: 1 }));
+function createAttempt(id: string, names: string[], signal = new AbortController().signal) {
+  const prefix = [...names, `${id} alone`].map((name) => ({ id: name, tokens: 1 }));
   const request = { id, prefix, fingerprint: `print-${id}` };
   return { request, endpoint: ENDPOINT, signal } as unknown as Attempt<void>;
 }
@@ -56,7 +56,7 @@
     },
     directory: { getFate: () => fate },
     onCrash: (crash) => crashes.push(crash),
-    onAnswer: (parts, incarnation) => answers.push(`${incarnation} ${parts.join(',')}`),
+    onAnswer: (names, incarnation) => answers.push(`${incarnation} ${names.join(',')}`),
     isSuspicious: () => isSuspicious,
   });
   return { clock, crashes, answers, lines, protocol };
@@ -72,7 +72,7 @@
   expect(crashes).toEqual([
     {
       incarnation: 'e/7',
-      parts: new Map([
+      names: new Map([
         ['first', 2],
         ['second', 1],
       ]),
@@ -94,7 +94,7 @@
   const sent = await protocol.send(createAttempt('a', ['first']));
   expect(sent.ok && sent.val.kind === 'stream' && (await sent.val.stream.next())).toBe(BROKEN);
   await clock.advance(150);
-  expect(crashes).toEqual([{ incarnation: 'e/7', parts: new Map([['first', 1]]) }]);
+  expect(crashes).toEqual([{ incarnation: 'e/7', names: new Map([['first', 1]]) }]);
 });
 
 test('an endpoint that has started again has crashed', async () => {
@@ -117,7 +117,7 @@
   await clock.advance(1000);
   await protocol.send(createAttempt('b', ['second']));
   await clock.advance(0);
-  expect(crashes).toEqual([{ incarnation: 'e/7', parts: new Map([['second', 1]]) }]);
+  expect(crashes).toEqual([{ incarnation: 'e/7', names: new Map([['second', 1]]) }]);
 });
 
 test('an endpoint that leaves shows no crash', async () => {
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -91,7 +91,7 @@
     stop: new AbortController(),
     excluded: new Set<string>(),
     dropped: new Set<string>(),
-    probedParts: [],
+    probedSuspects: [],
     runs: 0,
     pending: 1,
     declines: 0,
--- a/packages/forwarding/test/suspects.test.ts
+++ b/packages/forwarding/test/suspects.test.ts
@@ -56,9 +56,9 @@
     return { ...suspects, link, lines };
   }
 
-  const crash = (index: number, incarnation: string, parts: string[]) =>
-    instances[index]?.noteCrash({ incarnation, parts: new Map(parts.map((part) => [part, 1])) });
-  const judgeAll = (part: string) => instances.map(({ judge }) => judge([part]));
+  const crash = (index: number, incarnation: string, names: string[]) =>
+    instances[index]?.noteCrash({ incarnation, names: new Map(names.map((name) => [name, 1])) });
+  const judgeAll = (name: string) => instances.map(({ judge }) => judge([name]));
   return { clock, memory, calls, instances, start, crash, judgeAll };
 }
 
@@ -73,10 +73,10 @@
   await clock.advance(PROPAGATION_MS);
   expect(judgeAll('bad')).toEqual(Array(4).fill('blocked'));
   expect(judgeAll('x')).toEqual(Array(4).fill('weak'));
-  expect(await instances[3]?.admit(['x', 'bad'])).toEqual({ kind: 'blocked', part: 'bad' });
+  expect(await instances[3]?.admit(['x', 'bad'])).toEqual({ kind: 'blocked', name: 'bad' });
   expect(instances[3]?.lines).toMatchObject([
     { code: 3004 },
-    { code: 5013, part: 'bad', crashes: 'a/1, b/1, c/1' },
+    { code: 5013, name: 'bad', crashes: 'a/1, b/1, c/1' },
   ]);
 });
 
@@ -151,7 +151,7 @@
   await clock.advance(PROPAGATION_MS);
   ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['cured']));
   await clock.advance(FIRST_PROBE_MS);
-  expect(await instances[1]?.admit(['cured'])).toEqual({ kind: 'probe', parts: ['cured'] });
+  expect(await instances[1]?.admit(['cured'])).toEqual({ kind: 'probe', names: ['cured'] });
   instances[1]?.noteAnswer(['cured'], 'e/1');
   await clock.advance(2 * PROPAGATION_MS);
   expect(judgeAll('cured')).toEqual(Array(3).fill('none'));
@@ -160,12 +160,12 @@
 test('a sound part that was blocked beside the bad one is tried soon, without the bad one', async () => {
   const { clock, instances, judgeAll } = createStand(3);
   await clock.advance(PROPAGATION_MS);
-  const parts = new Map([
+  const names = new Map([
     ['first', 9],
     ['second', 4],
     ['bad', 1],
   ]);
-  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => instances[0]?.noteCrash({ incarnation, parts }));
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => instances[0]?.noteCrash({ incarnation, names }));
   await clock.advance(PROPAGATION_MS);
   expect(judgeAll('first')).toEqual(Array(3).fill('blocked'));
   await clock.advance(PROPAGATION_MS);
@@ -210,7 +210,7 @@
   const crash = (incarnation: string) =>
     instances[0]?.noteCrash({
       incarnation,
-      parts: new Map([
+      names: new Map([
         ['first', 9],
         ['rare', 1],
       ]),
@@ -265,7 +265,7 @@
   expect(await late.admit([])).toEqual({ kind: 'allowed' });
   await clock.advance(PROPAGATION_MS);
   expect(await late.admit(['any'])).toEqual({ kind: 'allowed' });
-  expect(await late.admit(['bad'])).toEqual({ kind: 'blocked', part: 'bad' });
+  expect(await late.admit(['bad'])).toEqual({ kind: 'blocked', name: 'bad' });
 });
 
 test('rows that the store lost are written again', async () => {
@@ -278,7 +278,7 @@
   await clock.advance(2 * PROPAGATION_MS);
   const late = start(9);
   await clock.advance(PROPAGATION_MS);
-  expect(await late.admit(['bad'])).toEqual({ kind: 'blocked', part: 'bad' });
+  expect(await late.admit(['bad'])).toEqual({ kind: 'blocked', name: 'bad' });
 });
 
 test('a row that can not be read is written anew', async () => {
--- a/packages/forwarding/test/suspectsFleet.test.ts
+++ b/packages/forwarding/test/suspectsFleet.test.ts
@@ -59,7 +59,7 @@
     const incarnation = `e-${sent.length}/1`;
     await sleep(clock, CRASH_DELAY_MS);
     crashes.push(clock.elapsed());
-    suspects.noteCrash({ incarnation, parts: new Map([['bad', 1]]) });
+    suspects.noteCrash({ incarnation, names: new Map([['bad', 1]]) });
   }
 
   async function harm(): Promise<void> {
