--- /dev/null
+++ b/packages/core/src/connect.ts
@@ -0,0 +1,39 @@
+import net from 'node:net';
+import { Err, Ok } from 'ts-results';
+import type { Clock, Milliseconds, Outcome } from './types';
+import { splitAddress } from './http';
+
+/** Why a connection did not open. Nothing was sent on it. */
+export interface ConnectError {
+  /** `refused`: the address answered that nothing listens there. `late`: it did not answer in time. */
+  kind: 'refused' | 'late' | 'failed';
+  message: string;
+}
+
+/** Opens a TCP connection to `ip:port` within the timeout. Never rejects. */
+export function connect(
+  clock: Clock,
+  address: string,
+  timeout: Milliseconds,
+): Promise<Outcome<net.Socket, ConnectError>> {
+  const socket = net.connect(splitAddress(address));
+  return new Promise((resolve) => {
+    const timer = clock.after(timeout, () =>
+      fail({ kind: 'late', message: 'connection timed out' }),
+    );
+    function fail(error: ConnectError): void {
+      timer.cancel();
+      socket.destroy();
+      resolve(Err(error));
+    }
+    function handleError({ code, message }: NodeJS.ErrnoException): void {
+      fail({ kind: code === 'ECONNREFUSED' ? 'refused' : 'failed', message });
+    }
+    socket.once('error', handleError);
+    socket.once('connect', () => {
+      timer.cancel();
+      socket.off('error', handleError);
+      resolve(Ok(socket));
+    });
+  });
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export * from './log';
 export * from './framing';
 export * from './http';
+export * from './connect';
 export * from './openRequests';
 export * from './manualClock';
 export * from './pauseGuard';
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -26,6 +26,8 @@
 import type { RouteTable } from './store/routeTable';
 import type {
   Caller,
+  Connect,
+  Dial,
   EndpointProtocol,
   EndpointRecord,
   ForwardConfiguration,
@@ -38,6 +40,8 @@
 /** Maximum time that a request waits for the store to be read again after a pause of the process. */
 const REFRESH_TIMEOUT_MS: Milliseconds = 500;
 const ADMISSION_QUEUE_LIMIT = 500;
+/** Links take a few milliseconds; a lost SYN packet is retransmitted only after a second. */
+const CONNECT_TIMEOUT_MS: Milliseconds = 350;
 /** Number of loops that may sleep at once until the instance stops. */
 const LOOPS_MAX = 20;
 
@@ -47,7 +51,10 @@
   random: Random;
   log: Log;
   rows: RowStore;
-  protocol: EndpointProtocol<Payload>;
+  /** Opens connections to endpoints over this instance's own path. */
+  connect: Connect;
+  /** Creates the client of the endpoints' protocol, which opens its connections by the function. */
+  createProtocol(dial: Dial): EndpointProtocol<Payload>;
   instance: string;
   incarnation: string;
   dataCentre: string;
@@ -250,7 +257,8 @@
     directory,
     retryBudget: createRetryBudget(clock, host.getRetryAllowance, getInstanceCount),
     protocol: watchCrashes({
-      ...{ clock, log, metrics: forwardMetrics, protocol: host.protocol, directory },
+      ...{ clock, log, metrics: forwardMetrics, directory },
+      protocol: host.createProtocol((address) => host.connect(address, CONNECT_TIMEOUT_MS)),
       onCrash: suspects.noteCrash,
       onAnswer: suspects.noteAnswer,
       isSuspicious: (names) => suspects.judge(names) !== 'none',
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,4 +1,11 @@
-import type { Milliseconds, Outcome, ResponseFraming, Tokens } from '@pomeloroad/core';
+import type { Duplex } from 'node:stream';
+import type {
+  ConnectError,
+  Milliseconds,
+  Outcome,
+  ResponseFraming,
+  Tokens,
+} from '@pomeloroad/core';
 import type { PromptPart } from '@pomeloroad/routing';
 
 /**
@@ -209,6 +216,15 @@
   /** It did not answer in time. */
   | { kind: 'silent' };
 
+/** Opens a TCP connection to the address, `ip:port`, within the timeout. Never rejects. */
+export type Connect = (
+  address: string,
+  timeout: Milliseconds,
+) => Promise<Outcome<Duplex, ConnectError>>;
+
+/** Opens a connection to the endpoint at the address, `ip:port`. Never rejects. */
+export type Dial = (address: string) => Promise<Outcome<Duplex, ConnectError>>;
+
 /** Client of the endpoints' protocol. Its functions never throw. */
 export interface EndpointProtocol<Payload> {
   send(attempt: Attempt<Payload>): Promise<Outcome<Reply, SendError>>;
