Carry connections to endpoints for instances that lost their path

Callers saw: instances that were cut off from all endpoints refused every request, while others reached the same endpoints. Cause: an instance had only its own path. A second fault of the same cause: a refused connection counted as the endpoint's death, and the fleet blocked a sound part of prompts; the probe now asks a relay too, by the same way.

--- a/packages/core/src/connect.ts
+++ b/packages/core/src/connect.ts
@@ -1,8 +1,19 @@
 import net from 'node:net';
+import type { Duplex } from 'node:stream';
 import { Err, Ok } from 'ts-results';
 import type { Clock, Milliseconds, Outcome } from './types';
 import { splitAddress } from './http';
 
+/**
+ * An open connection. Whoever opened it emits `retired`, and sets `isRetired`, once its way is not to be
+ * used for further requests.
+ */
+export interface Connection extends Duplex {
+  /** Missing once the connection was reset. */
+  remoteAddress?: string | undefined;
+  isRetired?: boolean;
+}
+
 /** Why a connection did not open. Nothing was sent on it. */
 export interface ConnectError {
   /** `refused`: the address answered that nothing listens there. `late`: it did not answer in time. */
--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -110,5 +110,12 @@
   endpointCrashed: diagnostic(7008, 'warn', 'endpoint died without notice under requests'),
   rateLimitNamed: diagnostic(7009, 'info', 'endpoint names the requests a second that it takes'),
   rateLimitEnded: diagnostic(7010, 'info', 'endpoint names no limit of requests any more'),
+  tunnelsUnavailable: diagnostic(
+    7013,
+    'warn',
+    'no connections are carried for other instances, the port is not available',
+  ),
+  pathLost: diagnostic(7011, 'warn', 'endpoint is only reached through other instances'),
+  pathRegained: diagnostic(7012, 'info', 'endpoint is reached by the own path again'),
   orderFailed: diagnostic(7004, 'warn', 'order to an endpoint failed'),
 } as const satisfies Record<string, Diagnostic>;
--- a/packages/core/src/framing.ts
+++ b/packages/core/src/framing.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Connection } from './connect';
 
 /**
  * How a response states its end: by its length, its last chunk, its head, or not at all, if it ends
@@ -23,18 +24,18 @@
 }
 
 /**
- * Returns a function whose promise tells, once a response that ends with its connection has ended,
+ * Returns a function whose promise tells, once a connection has ended, such as that of a response,
  * whether the connection was closed rather than reset. Node reports an end after a reset too. Must
  * be called when the response's head arrives.
  */
-export function watchClose({ socket }: IncomingMessage): () => Promise<boolean> {
+export function watchClose({ socket }: { socket: Connection }): () => Promise<boolean> {
   const closed = new Promise<boolean>((resolve) => {
     let hadRemoteAddress = false;
     // A reset that arrives together with data is reported as an end, but without a remote address.
     socket.prependOnceListener('end', () => {
       hadRemoteAddress = socket.remoteAddress !== undefined;
     });
-    socket.once('close', (hadError: boolean) => resolve(hadRemoteAddress && !hadError));
+    socket.once('close', (hadError?: boolean) => resolve(hadRemoteAddress && !hadError));
   });
   return () => closed;
 }
--- a/packages/forwarding/src/attempts/replacement.ts
+++ b/packages/forwarding/src/attempts/replacement.ts
@@ -91,6 +91,16 @@
   return withTimeout(clock, READ_TURN_MS, isSettled, false);
 }
 
+// A silent endpoint may be one that this instance does not reach any more.
+function checkPath<Payload>(
+  { host }: Run<Payload>,
+  { slot, endpoint }: SentAttempt,
+  threshold: Milliseconds,
+): void {
+  const isSilent = host.clock.elapsed() - slot.getActivityTime() >= threshold;
+  if (endpoint && isSilent) host.checkPath(endpoint);
+}
+
 // Looks for a replacement until one takes the attempt's place or the attempt's course is known.
 async function replaceSilent<Payload>(
   run: Run<Payload>,
@@ -104,6 +114,7 @@
     const delay = silentSince() + threshold - clock.elapsed();
     if (delay > 0) await sleep(clock, delay, settled);
     else {
+      checkPath(run, attempt, threshold);
       const slot = await findPlace(run, attempt, declined, settled);
       const replacement = slot && (await tryReplacement(run, silent, slot, declined, report));
       if (replacement) return replacement;
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -1,6 +1,16 @@
 import { setMaxListeners } from 'node:events';
 import { createPauseGuard, Diagnostics, runPeriodically, withTimeout } from '@pomeloroad/core';
-import type { Clock, DroppedLines, Log, Milliseconds, Random, Tokens } from '@pomeloroad/core';
+import type {
+  Clock,
+  Connection,
+  DroppedLines,
+  Log,
+  Milliseconds,
+  Outcome,
+  Random,
+  Tokens,
+} from '@pomeloroad/core';
+import type { TunnelAddress, TunnelRefusal } from '@pomeloroad/peers';
 import { BUDGET_TABLE, createEscrow, createEscrowLease } from '@pomeloroad/budgets';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
 import { watchStore } from '@pomeloroad/storage';
@@ -9,6 +19,9 @@
 import { followConfiguration } from './store/configurationFeed';
 import { watchCrashes } from './suspects/crashWatch';
 import { createEndpointDirectory } from './store/endpointDirectory';
+import { createDialer } from './relays/dialer';
+import type { OpenTunnel } from './relays/dialer';
+import { startRelayDirectory } from './relays/relayDirectory';
 import { createEndStatements } from './ends/endStatements';
 import { findEndpointState } from './store/endpointState';
 import { startRateLimits } from './limits/rateLimits';
@@ -40,8 +53,6 @@
 /** Maximum time that a request waits for the store to be read again after a pause of the process. */
 const REFRESH_TIMEOUT_MS: Milliseconds = 500;
 const ADMISSION_QUEUE_LIMIT = 500;
-/** Links take a few milliseconds; a lost SYN packet is retransmitted only after a second. */
-const CONNECT_TIMEOUT_MS: Milliseconds = 350;
 /** Number of loops that may sleep at once until the instance stops. */
 const LOOPS_MAX = 20;
 
@@ -53,6 +64,10 @@
   rows: RowStore;
   /** Opens connections to endpoints over this instance's own path. */
   connect: Connect;
+  /** Opens connections to endpoints through other instances. */
+  openTunnel: OpenTunnel;
+  /** Where this instance carries connections for others; left out if it does not. */
+  relay?: TunnelAddress;
   /** Creates the client of the endpoints' protocol, which opens its connections by the function. */
   createProtocol(dial: Dial): EndpointProtocol<Payload>;
   instance: string;
@@ -89,7 +104,12 @@
   renderMetrics(): string;
   /** Returns a dump of the state for operators. */
   describe(): unknown;
-  /** Gives up all unused tokens, now and from now on; called when a shutdown starts. */
+  /** Opens a connection to the endpoint with the id for another instance, by the own path only. */
+  openForPeer(endpoint: string): Promise<Outcome<Connection, TunnelRefusal>>;
+  /**
+   * Gives up all unused tokens, and carries no more connections for others, now and from now on; called
+   * when a shutdown starts.
+   */
   retire(): void;
   /** Returns grants within the given time and renews the lease no more; called when a shutdown ends. */
   stop(patience: Milliseconds): Promise<void>;
@@ -220,6 +240,23 @@
     'Important lines of the log that were dropped since the start.',
     () => host.getDroppedLines?.().important ?? 0,
   );
+  const relays = startRelayDirectory({
+    ...following,
+    self: host.relay && { instance: host.instance, dataCentre: host.dataCentre, ...host.relay },
+    onGone: (instance) => dialer.retireRelay(instance),
+  });
+  const dialer = createDialer({
+    ...{ clock, random, log, metrics: forwardMetrics, dataCentre: host.dataCentre },
+    connect: host.connect,
+    openTunnel: host.openTunnel,
+    listEndpoints: directory.listServing,
+    listRelays: relays.list,
+  });
+  metrics.gauge(
+    'pomeloroad_cut_paths',
+    'Endpoints that are only reached through other instances.',
+    () => dialer.listCut().length,
+  );
   const suspects = startSuspects({ ...following, random });
   metrics.gauge(
     'pomeloroad_blocked_suspects',
@@ -258,7 +295,7 @@
     retryBudget: createRetryBudget(clock, host.getRetryAllowance, getInstanceCount),
     protocol: watchCrashes({
       ...{ clock, log, metrics: forwardMetrics, directory },
-      protocol: host.createProtocol((address) => host.connect(address, CONNECT_TIMEOUT_MS)),
+      protocol: host.createProtocol(dialer.dial),
       onCrash: suspects.noteCrash,
       onAnswer: suspects.noteAnswer,
       isSuspicious: (names) => suspects.judge(names) !== 'none',
@@ -279,6 +316,7 @@
     }),
     suspects,
     rateLimits,
+    checkPath: ({ address }) => dialer.check(address),
     findService: (name) => configuration.getTable()?.findService(name),
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
@@ -337,8 +375,14 @@
       endpoints: endpoints.list(),
       rateLimits: rateLimits.list(),
       blockedSuspects: suspects.listBlocked(),
+      relays: relays.list().map((relay) => relay.instance),
+      cutPaths: dialer.listCut(),
     }),
-    retire: escrow.retire,
+    openForPeer: dialer.openForPeer,
+    retire() {
+      escrow.retire();
+      relays.withdraw();
+    },
     async stop(patience) {
       await escrow.release(patience);
       stop.abort();
--- a/packages/forwarding/src/forwardMetrics.ts
+++ b/packages/forwarding/src/forwardMetrics.ts
@@ -14,6 +14,8 @@
   endsBeforeLoss: Counter;
   /** Endpoints that died without notice under requests of this instance. */
   crashes: Counter;
+  /** Connections to endpoints by way and outcome. */
+  connections: Counter;
   /** Resumptions within an answer by whether the version stays the same. */
   resumptions: Counter;
   /** Streams that callers take up. */
@@ -53,6 +55,10 @@
       'pomeloroad_endpoint_crashes_total',
       'Endpoints that died without notice under requests of this instance.',
     ),
+    connections: metrics.counter(
+      'pomeloroad_connections_total',
+      'Connections to endpoints by way, own or through a relay, and outcome.',
+    ),
     resumptions: metrics.counter(
       'pomeloroad_stream_resumptions_total',
       'Resumptions of streams within an answer by version: same or other.',
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -10,7 +10,7 @@
 import type { RateLimits } from './limits/rateLimits';
 import type { Suspects } from './suspects/suspects';
 import type { RetryBudget } from './limits/retryBudget';
-import type { EndpointProtocol, ForwardService } from './types';
+import type { EndpointProtocol, EndpointRecord, ForwardService } from './types';
 
 /** Dependencies of forwarding a request. */
 export interface ForwardHost<Payload> {
@@ -32,6 +32,8 @@
   origins: StreamOrigins;
   suspects: Suspects;
   rateLimits: RateLimits;
+  /** Tries this instance's path to a silent endpoint; requests go other ways if it hangs. */
+  checkPath(endpoint: EndpointRecord): Promise<void>;
   findService(name: string): ForwardService | undefined;
   /** Resolves at once, or after a pause of the process once the store is read again. */
   waitForRefresh(): Promise<void>;
--- /dev/null
+++ b/packages/forwarding/src/relays/dialer.ts
@@ -0,0 +1,244 @@
+import { Err, Ok } from 'ts-results';
+import { Diagnostics, withTimeout } from '@pomeloroad/core';
+import type {
+  Clock,
+  ConnectError,
+  Connection,
+  Log,
+  Milliseconds,
+  Outcome,
+  Random,
+} from '@pomeloroad/core';
+import type { TunnelAddress, TunnelError, TunnelRefusal } from '@pomeloroad/peers';
+import type { ForwardMetrics } from '../forwardMetrics';
+import type { Connect, EndpointRecord } from '../types';
+import { createOpenConnections } from './openConnections';
+import { createPaths } from './paths';
+import { raceConnections } from './race';
+import type { Way } from './race';
+import { createRelayChoice } from './relayChoice';
+import type { Relay } from './relayRows';
+
+/** Links take a few milliseconds; a lost SYN packet is retransmitted only after a second. */
+const OWN_TIMEOUT_MS: Milliseconds = 350;
+/** Time for which the own path is awaited alone. */
+const RELAY_DELAY_MS: Milliseconds = 150;
+/** Time for which one relay is awaited alone. */
+const NEXT_RELAY_DELAY_MS: Milliseconds = 100;
+const RELAY_TIMEOUT_MS: Milliseconds = 250;
+const RELAYS_MAX = 3;
+/** Time until all ways have failed. */
+const DIAL_TIMEOUT_MS: Milliseconds = 450;
+/** Time for which this instance tries its own path for another one. */
+const CARRIED_TIMEOUT_MS: Milliseconds = 200;
+const REFERENCE_TIMEOUT_MS: Milliseconds = 100;
+/** Endpoints that are tried to learn whether this instance has a path at all. */
+const REFERENCES_MAX = 3;
+/** Interval at which all paths are tried, if one hangs. */
+const SURVEY_INTERVAL_MS: Milliseconds = 2000;
+
+/** Opens a connection to the endpoint through another instance within the timeout. */
+export type OpenTunnel = (
+  relay: TunnelAddress,
+  endpoint: string,
+  timeout: Milliseconds,
+) => Promise<Outcome<Connection, TunnelError>>;
+
+/** Dependencies of opening connections to endpoints. */
+export interface DialerHost {
+  clock: Clock;
+  random: Random;
+  log: Log;
+  metrics: Pick<ForwardMetrics, 'connections'>;
+  dataCentre: string;
+  connect: Connect;
+  openTunnel: OpenTunnel;
+  listEndpoints(): EndpointRecord[];
+  listRelays(): Relay[];
+}
+
+/** Opens connections to endpoints, by this instance's own path or through other instances. */
+export interface Dialer {
+  /** Opens a connection to the endpoint at the address, by whichever way opens one. */
+  dial(address: string): Promise<Outcome<Connection, ConnectError>>;
+  /** Opens a connection to the endpoint for another instance, by the own path only. */
+  openForPeer(endpoint: string): Promise<Outcome<Connection, TunnelRefusal>>;
+  /** Tries the own path to an endpoint that is silent, and all others if it hangs. */
+  check(address: string): Promise<void>;
+  /** Uses connections through the instance for no further requests. */
+  retireRelay(instance: string): void;
+  /** Returns the addresses that are only reached through others. */
+  listCut(): string[];
+}
+
+/** Creates a dialer that takes all paths for sound. */
+export function createDialer(host: DialerHost): Dialer {
+  const { clock, random, log, metrics } = host;
+  const paths = createPaths(clock);
+  const choice = createRelayChoice(clock, random, host.dataCentre);
+  const open = createOpenConnections();
+  const checks = new Map<string, Promise<void>>();
+  let surveyedAt: Milliseconds = -Infinity;
+
+  async function connectOwn(
+    address: string,
+    timeout: Milliseconds,
+  ): Promise<Outcome<Connection, ConnectError>> {
+    const connected = await host.connect(address, timeout);
+    const outcome = connected.err ? connected.val.kind : 'opened';
+    metrics.connections.add(1, { way: 'own', outcome });
+    if (connected.err) {
+      paths.noteFailed(address, connected.val.kind);
+      return connected;
+    }
+    if (paths.isCut(address)) log(Diagnostics.pathRegained, { address });
+    paths.noteOpened(address);
+    open.add(connected.val, { address, relay: undefined });
+    return connected;
+  }
+
+  async function connectThrough(
+    relay: Relay,
+    { id, address }: EndpointRecord,
+    timeout: Milliseconds,
+  ): Promise<Outcome<Connection, TunnelError>> {
+    const opened = await host.openTunnel(relay, id, timeout);
+    metrics.connections.add(1, { way: 'relay', outcome: opened.err ? opened.val : 'opened' });
+    if (opened.err) {
+      choice.noteFailure(relay, id, opened.val);
+      return opened;
+    }
+    choice.noteSuccess(relay, id);
+    open.add(opened.val, { address, relay: relay.instance });
+    return opened;
+  }
+
+  async function dial(address: string): Promise<Outcome<Connection, ConnectError>> {
+    const endpoint = findEndpoint(address);
+    const relays = endpoint && paths.mayRelay(address) ? host.listRelays() : [];
+    if (!endpoint || relays.length === 0) return connectOwn(address, OWN_TIMEOUT_MS);
+    const isDoubtful = paths.isDoubtful(address);
+    if (isDoubtful) probeOwn(address);
+    const until = clock.elapsed() + DIAL_TIMEOUT_MS;
+    const getTimeLeft = (most: Milliseconds) =>
+      Math.max(1, Math.min(most, until - clock.elapsed()));
+    let relayed: Relay | undefined;
+
+    // The own path may turn out to have failed after a relay has opened a connection.
+    function noteWays(): void {
+      if (!relayed || !paths.noteRelayed(address)) return;
+      log(Diagnostics.pathLost, { address, endpoint: endpoint?.id, relay: relayed.instance });
+    }
+
+    const own: Way<DialFailure> = {
+      delay: 0,
+      async open() {
+        const connected = await connectOwn(address, getTimeLeft(OWN_TIMEOUT_MS));
+        if (connected.err) noteWays();
+        return connected.mapErr((error) => ({ kind: 'own' as const, error }));
+      },
+    };
+    const through = choice
+      .pick(endpoint.id, relays, RELAYS_MAX)
+      .map((relay, index): Way<DialFailure> => ({
+        delay: index === 0 ? RELAY_DELAY_MS : NEXT_RELAY_DELAY_MS,
+        async open() {
+          const opened = await connectThrough(relay, endpoint, getTimeLeft(RELAY_TIMEOUT_MS));
+          if (opened.ok) {
+            relayed = relay;
+            noteWays();
+          }
+          return opened.mapErr((error) => ({ kind: 'relay' as const, error }));
+        },
+      }));
+    const ways = isDoubtful ? [...through, { ...own, delay: RELAY_DELAY_MS }] : [own, ...through];
+    const dialed = await raceConnections(clock, ways);
+    if (dialed.ok) return dialed;
+    paths.noteUnreachable(address);
+    return Err(toConnectError(dialed.val));
+  }
+
+  function findEndpoint(address: string): EndpointRecord | undefined {
+    return host
+      .listEndpoints()
+      .filter((endpoint) => endpoint.address === address)
+      .at(-1);
+  }
+
+  // Callers' requests are not used to find out whether the path works again.
+  async function probeOwn(address: string): Promise<void> {
+    if (!paths.takeProbe(address)) return;
+    const connected = await connectOwn(address, OWN_TIMEOUT_MS);
+    if (connected.ok) connected.val.destroy();
+  }
+
+  async function tryOwn(address: string): Promise<void> {
+    const connected = await connectOwn(address, OWN_TIMEOUT_MS);
+    if (connected.ok) connected.val.destroy();
+    else if (connected.val.kind === 'late') open.retire((way) => isOwnWay(way, address));
+  }
+
+  async function checkPath(address: string): Promise<void> {
+    await tryOwn(address);
+    const isSurveyDue = clock.elapsed() - surveyedAt >= SURVEY_INTERVAL_MS;
+    if (!paths.isDoubtful(address) || !isSurveyDue) return;
+    surveyedAt = clock.elapsed();
+    const others = host.listEndpoints().filter((endpoint) => endpoint.address !== address);
+    await Promise.all(others.map((endpoint) => tryOwn(endpoint.address)));
+  }
+
+  // Where nothing is reached, a refusal tells of this instance's path and not of the endpoint.
+  async function hasPath(endpoint: EndpointRecord): Promise<boolean> {
+    if (paths.hasOpened()) return true;
+    const others = host.listEndpoints().filter(({ address }) => address !== endpoint.address);
+    if (others.length === 0) return true;
+    const from = random.integer(0, others.length - 1);
+    const references = [...others.slice(from), ...others].slice(0, REFERENCES_MAX);
+    await Promise.all(
+      references.map(async ({ address }) => {
+        const connected = await connectOwn(address, REFERENCE_TIMEOUT_MS);
+        if (connected.ok) connected.val.destroy();
+      }),
+    );
+    return paths.hasOpened();
+  }
+
+  return {
+    dial,
+    async openForPeer(id) {
+      const endpoint = host.listEndpoints().find((record) => record.id === id);
+      if (!endpoint) return Err('unknown-endpoint');
+      if (paths.isCut(endpoint.address)) return Err('no-path');
+      const connected = await connectOwn(endpoint.address, CARRIED_TIMEOUT_MS);
+      if (connected.ok) return Ok(connected.val);
+      const isRefused = connected.val.kind === 'refused' && (await hasPath(endpoint));
+      return Err(isRefused ? 'refused' : 'no-path');
+    },
+    check(address) {
+      const running = checks.get(address);
+      if (running) return running;
+      const check = checkPath(address).finally(() => checks.delete(address));
+      checks.set(address, check);
+      return withTimeout(clock, DIAL_TIMEOUT_MS, check, undefined);
+    },
+    retireRelay: (instance) => open.retire(({ relay }) => relay === instance),
+    listCut: paths.listCut,
+  };
+}
+
+type DialFailure = { kind: 'own'; error: ConnectError } | { kind: 'relay'; error: TunnelError };
+
+function isOwnWay(way: { address: string; relay: string | undefined }, address: string): boolean {
+  return way.relay === undefined && way.address === address;
+}
+
+// Nothing listens at an address if a relay says so, or if no relay could be asked.
+function toConnectError(failures: DialFailure[]): ConnectError {
+  const own = failures.find((failure) => failure.kind === 'own');
+  const told = failures.filter((failure) => failure.kind === 'relay').map(({ error }) => error);
+  const message = own?.error.message ?? 'no way to the endpoint';
+  if (told.includes('refused')) return { kind: 'refused', message };
+  if (own?.error.kind === 'late') return { kind: 'late', message };
+  const hasPathDoubt = told.includes('no-path');
+  return { kind: own?.error.kind === 'refused' && !hasPathDoubt ? 'refused' : 'failed', message };
+}
--- /dev/null
+++ b/packages/forwarding/src/relays/relayDirectory.ts
@@ -0,0 +1,98 @@
+import { Diagnostics, sleep } from '@pomeloroad/core';
+import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
+import type { RowChange, RowStore } from '@pomeloroad/storage';
+import { followTable } from '../store/follow';
+import { decodeRelay, encodeRelay, getRelayKey, RELAY_PARTITION, RELAY_TABLE } from './relayRows';
+import type { Relay } from './relayRows';
+
+/** Rows change when instances start and stop, and else hardly ever. */
+const FEED_WAIT_MS: Milliseconds = 1500;
+const FEED_PAUSE_MS: Milliseconds = 100;
+const RETRY_DELAY_MS: Milliseconds = 300;
+
+/** Dependencies of knowing relays. */
+export interface RelayDirectoryHost {
+  clock: Clock;
+  log: Log;
+  rows: RowStore;
+  signal: AbortSignal;
+  /** This instance, if it carries connections for others. */
+  self: Relay | undefined;
+  /** Called with the name of an instance that carries no connections any more, or restarted. */
+  onGone(instance: string): void;
+}
+
+/** The instances that carry connections for others, as the store's feed tells them. */
+export interface RelayDirectory {
+  /** Returns the others; the last known ones while the store is away. */
+  list(): Relay[];
+  /** Takes this instance out, now and from now on. */
+  withdraw(): void;
+}
+
+/** Announces this instance and starts following the others. */
+export function startRelayDirectory(host: RelayDirectoryHost): RelayDirectory {
+  const { clock, log, rows, signal, self } = host;
+  const known = new Map<string, Relay>();
+  let isWithdrawn = false;
+  let isWriting = false;
+
+  function set(key: string, value: string | undefined): void {
+    const relay = value === undefined ? undefined : decodeRelay({ key, value });
+    if (value !== undefined && !relay) log(Diagnostics.rowUnreadable, { table: RELAY_TABLE, key });
+    const before = known.get(key);
+    if (relay) known.set(key, relay);
+    else known.delete(key);
+    if (before && before.secret !== relay?.secret) host.onGone(key);
+  }
+
+  function handleChanges(changes: RowChange[]): void {
+    changes.forEach(({ key, value }) => set(key, value));
+    announce();
+  }
+
+  // The row may be missing after the store came back from an older copy, or be a predecessor's.
+  async function announce(): Promise<void> {
+    if (!self || isWriting) return;
+    isWriting = true;
+    while (!isAnnounced(self) && !signal.aborted) {
+      const key = getRelayKey(self.instance);
+      const written = await rows.transact({
+        checks: [],
+        puts: isWithdrawn ? [] : [{ ...key, value: encodeRelay(self) }],
+        removals: isWithdrawn ? [key] : [],
+      });
+      if (written.ok) set(self.instance, isWithdrawn ? undefined : encodeRelay(self));
+      else await sleep(clock, RETRY_DELAY_MS, signal);
+    }
+    isWriting = false;
+  }
+
+  function isAnnounced({ instance, secret }: Relay): boolean {
+    const stored = known.get(instance);
+    return isWithdrawn ? stored === undefined : stored?.secret === secret;
+  }
+
+  followTable(host, {
+    table: RELAY_TABLE,
+    partition: RELAY_PARTITION,
+    pause: FEED_PAUSE_MS,
+    wait: FEED_WAIT_MS,
+    onView(view) {
+      const found = new Map(view.rows.map(({ key, value }) => [key, value]));
+      new Set([...known.keys(), ...found.keys()]).forEach((key) => set(key, found.get(key)));
+      announce();
+    },
+    onChanges: handleChanges,
+    onUnavailable: () => undefined,
+    onAvailable: () => undefined,
+  });
+
+  return {
+    list: () => [...known.values()].filter(({ instance }) => instance !== self?.instance),
+    withdraw() {
+      isWithdrawn = true;
+      announce();
+    },
+  };
+}
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -1,6 +1,6 @@
-import type { Duplex } from 'node:stream';
 import type {
   ConnectError,
+  Connection,
   Milliseconds,
   Outcome,
   ResponseFraming,
@@ -220,10 +220,10 @@
 export type Connect = (
   address: string,
   timeout: Milliseconds,
-) => Promise<Outcome<Duplex, ConnectError>>;
+) => Promise<Outcome<Connection, ConnectError>>;
 
 /** Opens a connection to the endpoint at the address, `ip:port`. Never rejects. */
-export type Dial = (address: string) => Promise<Outcome<Duplex, ConnectError>>;
+export type Dial = (address: string) => Promise<Outcome<Connection, ConnectError>>;
 
 /** Client of the endpoints' protocol. Its functions never throw. */
 export interface EndpointProtocol<Payload> {
--- a/packages/standins/src/platformFiles.ts
+++ b/packages/standins/src/platformFiles.ts
@@ -10,6 +10,9 @@
 } as const;
 
 const MS_PER_SECOND = 1000;
+/** Ports for connections between instances. */
+const FIRST_PEER_PORT = 7340;
+const LAST_PEER_PORT = 7355;
 
 /** What differs between the settings files of two instances. */
 export interface InstanceSettings {
@@ -27,6 +30,7 @@
 role = "entry"
 ip = "${settings.ip}"
 zone = "${settings.dataCentre}"
+port_range = [${FIRST_PEER_PORT},${LAST_PEER_PORT}]
 [listen]
 front = "${settings.callersAddress}"
 readiness = "${settings.readinessAddress}"
