Know after a kill of all instances which versions served before it

Callers saw (in a report from a system like ours): after all instances were killed, streams were taken up at another version. Cause here: an instance that starts took its own history for all there is: one version that serves now counted as the only one lately. Origins are recorded only while there are several versions. Now each version that serves has a row in the store (one write a version, one read at a start and each ten seconds); one that served before the start counts as having served until then, for as long as a stream can be taken up.

--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -33,6 +33,7 @@
 import { startInstanceCount } from './store/instanceCount';
 import { startStreamOrigins } from './origins/streamOrigins';
 import { startSuspects } from './suspects/suspects';
+import { startVersionRows } from './origins/versionRows';
 import { createVersionHistory } from './origins/versionHistory';
 import { createRetryBudget } from './limits/retryBudget';
 import type { RetryAllowance } from './limits/retryBudget';
@@ -166,11 +167,13 @@
     log,
     onChange() {
       versions.update(directory.listServing());
+      versionRows.update();
       endpoints.configure(directory.list());
       admission.wake();
     },
   });
   const versions = createVersionHistory(clock);
+  const versionRows = startVersionRows({ clock, rows, signal: stop.signal, versions });
   const admission = createAdmission(
     {
       clock,
@@ -313,6 +316,7 @@
       versions,
       countInstances: getInstanceCount,
       getViewAge: endpointFeed.getAge,
+      areVersionsLoaded: versionRows.isLoaded,
     }),
     suspects,
     rateLimits,
--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -24,6 +24,8 @@
   countInstances(): number;
   /** Returns the age of the knowledge of endpoints. */
   getViewAge(): Milliseconds;
+  /** Whether the versions are known that served before this instance started. */
+  areVersionsLoaded(): boolean;
 }
 
 /** What is known about the version at which a stream has to go on. */
@@ -59,7 +61,8 @@
 
   async function findRecorded(name: string, services: string[]): Promise<TakeUp> {
     const origins = await readOrigins();
-    if (!origins) return { kind: 'unknown', reason: 'store unavailable' };
+    if (!origins || !host.areVersionsLoaded())
+      return { kind: 'unknown', reason: 'store unavailable' };
     const origin = choose(origins.get(name) ?? [], services);
     if (origin) return { kind: 'known', origin, source: 'store' };
     const recorded = [...origins.values()].flat();
--- a/packages/forwarding/src/origins/versionHistory.ts
+++ b/packages/forwarding/src/origins/versionHistory.ts
@@ -4,6 +4,12 @@
 /** Longest time from the first event of a stream until a caller may take it up. */
 export const STREAM_TIME_MAX_MS: Milliseconds = 15_000;
 
+/** A version of endpoints' software that served a service; a missing one is a version of its own. */
+export interface ServedVersion {
+  service: string;
+  version?: string | undefined;
+}
+
 /** The versions of endpoints' software that served each service lately. */
 export interface VersionHistory {
   /** Replaces the endpoints that serve. */
@@ -13,6 +19,10 @@
    * the given ones.
    */
   hasSeveral(service: string, more?: (string | undefined)[]): boolean;
+  /** Adds versions that served until now at the latest. */
+  remember(served: ServedVersion[]): void;
+  /** Returns the versions that served within the time. */
+  list(duration: Milliseconds): ServedVersion[];
   /** Whether that is so for any service. */
   hasSeveralAnywhere(): boolean;
 }
@@ -31,23 +41,31 @@
     );
   }
 
-  function markServing({ service, version }: EndpointRecord): void {
+  function mark({ service, version }: ServedVersion, time: Milliseconds): void {
     const times = lastServed.get(service) ?? new Map<string | undefined, Milliseconds>();
-    times.set(version, Infinity);
+    times.set(version, Math.max(time, times.get(version) ?? -Infinity));
     lastServed.set(service, times);
   }
 
+  function list(duration: Milliseconds): ServedVersion[] {
+    const since = clock.elapsed() - duration;
+    return [...lastServed].flatMap(([service, times]) =>
+      [...times].filter(([, time]) => time >= since).map(([version]) => ({ service, version })),
+    );
+  }
+
   function hasSeveral(service: string, more: (string | undefined)[] = []): boolean {
-    const since = clock.elapsed() - STREAM_TIME_MAX_MS;
-    const recent = [...(lastServed.get(service) ?? [])].filter(([, time]) => time >= since);
-    return new Set([...recent.map(([version]) => version), ...more]).size > 1;
+    const recent = list(STREAM_TIME_MAX_MS).filter((served) => served.service === service);
+    return new Set([...recent.map(({ version }) => version), ...more]).size > 1;
   }
 
   return {
     update(records) {
       markGone();
-      records.forEach(markServing);
+      records.forEach((record) => mark(record, Infinity));
     },
+    remember: (served) => served.forEach((version) => mark(version, clock.elapsed())),
+    list,
     hasSeveral,
     hasSeveralAnywhere: () => [...lastServed.keys()].some((service) => hasSeveral(service)),
   };
--- /dev/null
+++ b/packages/forwarding/src/origins/versionRows.ts
@@ -0,0 +1,117 @@
+import { hashFields, runPeriodically, sleep } from '@pomeloroad/core';
+import type { Clock, Milliseconds } from '@pomeloroad/core';
+import type { RowChange, RowKey, RowStore } from '@pomeloroad/storage';
+import { STREAM_TIME_MAX_MS } from './versionHistory';
+import type { ServedVersion, VersionHistory } from './versionHistory';
+
+const VERSION_TABLE = 'versions';
+const VERSION_PARTITION = '';
+const RETRY_DELAY_MS: Milliseconds = 200;
+const CHECK_INTERVAL_MS: Milliseconds = 10_000;
+/** Time after a version has served last until its row is removed: no stream of it is left. */
+const RETENTION_MS: Milliseconds = 4 * STREAM_TIME_MAX_MS;
+
+/** Dependencies of recording versions. */
+export interface VersionRowsHost {
+  clock: Clock;
+  rows: RowStore;
+  signal: AbortSignal;
+  versions: VersionHistory;
+}
+
+/** The versions that have served, recorded so that they outlive all instances. */
+export interface VersionRows {
+  /** Whether the versions are known that served before this instance started. */
+  isLoaded(): boolean;
+  /** Records versions that are not yet; called when the endpoints that serve have changed. */
+  update(): void;
+}
+
+/**
+ * Reads which versions have served, and records new ones. A version that served before the start counts as
+ * having served until then, since nobody knows when it ended.
+ */
+export function startVersionRows({ clock, rows, signal, versions }: VersionRowsHost): VersionRows {
+  const recorded = new Map<string, RowChange['version']>();
+  let isLoaded = false;
+  let isWriting = false;
+
+  async function read(): Promise<boolean> {
+    const view = await rows.list(VERSION_TABLE, VERSION_PARTITION);
+    if (view.err) return false;
+    recorded.clear();
+    view.val.rows.forEach(({ key, version }) => recorded.set(key, version));
+    if (!isLoaded)
+      versions.remember(view.val.rows.map(({ value }) => decode(value)).filter(isDefined));
+    isLoaded = true;
+    return true;
+  }
+
+  async function load(): Promise<void> {
+    while (!signal.aborted && !(await read())) await sleep(clock, RETRY_DELAY_MS, signal);
+    update();
+  }
+
+  function listMissing(): ServedVersion[] {
+    return versions.list(STREAM_TIME_MAX_MS).filter((served) => !recorded.has(getKey(served).key));
+  }
+
+  async function update(): Promise<void> {
+    if (!isLoaded || isWriting) return;
+    isWriting = true;
+    for (let missing = listMissing(); missing.length > 0; missing = listMissing()) {
+      const puts = missing.map((served) => ({ ...getKey(served), value: encode(served) }));
+      const written = await rows.transact({ checks: [], puts, removals: [] });
+      if (written.ok) puts.forEach(({ key }) => recorded.set(key, written.val.revision));
+      else await sleep(clock, RETRY_DELAY_MS, signal);
+      if (signal.aborted) break;
+    }
+    isWriting = false;
+  }
+
+  // Rows may be lost with the store's latest writes, or have outlived their version.
+  async function check(): Promise<void> {
+    if (!(await read())) return;
+    update();
+    const kept = new Set(versions.list(RETENTION_MS).map((served) => getKey(served).key));
+    const old = [...recorded].filter(([key]) => !kept.has(key));
+    if (old.length === 0) return;
+    const checks = old.map(([key, version]) => ({ ...toRowKey(key), version }));
+    await rows.transact({ checks, puts: [], removals: old.map(([key]) => toRowKey(key)) });
+  }
+
+  load();
+  runPeriodically(clock, () => CHECK_INTERVAL_MS, signal, check);
+  return {
+    isLoaded: () => isLoaded,
+    update() {
+      update();
+    },
+  };
+}
+
+function toRowKey(key: string): RowKey {
+  return { table: VERSION_TABLE, partition: VERSION_PARTITION, key };
+}
+
+function getKey(served: ServedVersion): RowKey {
+  return toRowKey(hashFields([encode(served)], Buffer.alloc(0)));
+}
+
+function encode({ service, version }: ServedVersion): string {
+  return JSON.stringify([service, version ?? null]);
+}
+
+function decode(value: string): ServedVersion | undefined {
+  try {
+    const [service, version] = JSON.parse(value) as unknown[];
+    if (typeof service !== 'string') return undefined;
+    return { service, version: typeof version === 'string' ? version : undefined };
+  } catch {
+    return undefined;
+  }
+}
+
+function isDefined(served: ServedVersion | undefined): served is ServedVersion {
+  return served !== undefined;
+}
--- a/packages/forwarding/test/streamOrigins.test.ts
+++ b/packages/forwarding/test/streamOrigins.test.ts
@@ -60,6 +60,7 @@
     versions,
     countInstances: () => 8,
     getViewAge: () => viewAge,
+    areVersionsLoaded: () => true,
   });
   return {
     ...origins,
