Keep to what endpoints say of themselves: that they leave, want nothing for a time, or are brittle

Server-Leaving: the incarnation gets no more requests from this instance, from the answer that says so on. Server-Brittle: the fleet's instances share the endpoint's slots as they share rates, so that nothing has to be rejected; rows tell it to all.

--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -7,6 +7,7 @@
 import { noteEnd } from '../ends/endReport';
 import { getTimeLeft, isWithheld } from '../run';
 import type { Run } from '../run';
+import { applyStatements } from './statements';
 import type { AttemptReply, SentAttempt } from './sentAttempt';
 import type { EndpointRecord, Reply, SendError } from '../types';
 
@@ -42,7 +43,8 @@
         slot.recordActivity();
         activeAt = host.clock.elapsed();
       },
-      onRateLimit: (limit) => host.rateLimits.note(slot.endpoint.name, limit, told.at),
+      onStatements: (statements) =>
+        applyStatements(host, slot.endpoint.name, endpoint, statements, told.at),
       signal: AbortSignal.any([stop.signal, ending.signal]),
     });
     const reply = await judgeWhole(run, attempt, sent);
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -25,6 +25,7 @@
 import { createEndStatements } from './ends/endStatements';
 import { findEndpointState } from './store/endpointState';
 import { startRateLimits } from './limits/rateLimits';
+import { startSlotShares } from './limits/slotShares';
 import { createRecentEnds } from './ends/recentEnds';
 import { followTable } from './store/follow';
 import { forward } from './forward';
@@ -277,6 +278,18 @@
       admission.wake();
     },
   });
+  const slotShares = startSlotShares({
+    ...following,
+    random,
+    instance: host.instance,
+    listInstances: () => instanceNames,
+    isListed: (name) => directory.find(name) !== undefined,
+    findSlots: (name) => directory.find(name)?.concurrency,
+    setSlotShares(shares) {
+      endpoints.setSlotShares(shares);
+      admission.wake();
+    },
+  });
   const guard = createPauseGuard(clock, async () => {
     log(Diagnostics.processPaused);
     await Promise.all([configuration.refresh(), endpointFeed.refresh(), suspects.refresh()]);
@@ -319,7 +332,9 @@
       areVersionsLoaded: versionRows.isLoaded,
     }),
     suspects,
+    endpoints,
     rateLimits,
+    slotShares,
     checkPath: ({ address }) => dialer.check(address),
     findService: (name) => configuration.getTable()?.findService(name),
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
@@ -378,6 +393,7 @@
       budgets: escrow.describe(),
       endpoints: endpoints.list(),
       rateLimits: rateLimits.list(),
+      brittleEndpoints: slotShares.list(),
       blockedSuspects: suspects.listBlocked(),
       relays: relays.list().map((relay) => relay.instance),
       cutPaths: dialer.listCut(),
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -1,13 +1,13 @@
 import type { Clock, Log, Random } from '@pomeloroad/core';
 import type { Escrow } from '@pomeloroad/budgets';
-import type { Admission } from '@pomeloroad/routing';
+import type { Admission, Endpoints } from '@pomeloroad/routing';
 import type { EndpointDirectory } from './store/endpointDirectory';
 import type { EndpointState } from './store/endpointState';
 import type { EndStatements } from './ends/endStatements';
 import type { ForwardMetrics } from './forwardMetrics';
 import type { RecentEnds } from './ends/recentEnds';
 import type { StreamOrigins } from './origins/streamOrigins';
-import type { RateLimits } from './limits/rateLimits';
+import type { StatedLimits } from './limits/statedLimits';
 import type { Suspects } from './suspects/suspects';
 import type { RetryBudget } from './limits/retryBudget';
 import type { EndpointProtocol, EndpointRecord, ForwardService } from './types';
@@ -31,7 +31,9 @@
   getConfigurationVersion(): number | undefined;
   origins: StreamOrigins;
   suspects: Suspects;
-  rateLimits: RateLimits;
+  endpoints: Pick<Endpoints, 'pause'>;
+  rateLimits: StatedLimits;
+  slotShares: StatedLimits;
   /** Tries this instance's path to a silent endpoint; requests go other ways if it hangs. */
   checkPath(endpoint: EndpointRecord): Promise<void>;
   findService(name: string): ForwardService | undefined;
--- /dev/null
+++ b/packages/forwarding/src/limits/statedLimits.ts
@@ -0,0 +1,165 @@
+import { Diagnostics, runPeriodically, sleep } from '@pomeloroad/core';
+import type { Clock, Diagnostic, Log, Milliseconds, Random } from '@pomeloroad/core';
+import type { RowChange, RowStore, RowView, StoreEra } from '@pomeloroad/storage';
+import { followTable } from '../store/follow';
+import {
+  decodeStatedLimit,
+  encodeStatedLimit,
+  getStatedLimitKey,
+  STATED_LIMIT_PARTITION,
+} from './statedLimitRows';
+import type { StatedLimitRow, StatedLimitTable } from './statedLimitRows';
+
+/** A dead connection is noticed within 3 s. */
+const FEED_WAIT_MS: Milliseconds = 2500;
+const FEED_PAUSE_MS: Milliseconds = 100;
+/** Interval at which shares follow the instances that are known, and lost rows are written again. */
+const REVIEW_INTERVAL_MS: Milliseconds = 1000;
+/** Maximum random delay of a write, so that not all instances that were told write at once. */
+const WRITE_DELAY_MAX_MS: Milliseconds = 200;
+/** Change of a limit, as a part of it, up to which it counts as the same: some name another one each time. */
+const SAME_LIMIT_RATIO = 0.1;
+
+/** Dependencies of knowing the limits that endpoints name. */
+export interface StatedLimitsHost {
+  clock: Clock;
+  random: Random;
+  log: Log;
+  rows: RowStore;
+  signal: AbortSignal;
+  /** Whether the endpoint's incarnation is known and has not gone. */
+  isListed(endpoint: string): boolean;
+  /** Called with the limits in force, when they have changed and each second. */
+  apply(limits: ReadonlyMap<string, number>): void;
+}
+
+/** One kind of limit that endpoints name. */
+export interface StatedLimitKind {
+  table: StatedLimitTable;
+  named: Diagnostic;
+  ended: Diagnostic;
+}
+
+/** The limits that endpoints name, as all instances know them. */
+export interface StatedLimits {
+  /**
+   * Notes the limit that the head of an answer named, or that it named none. `sentAt` is the time of `clock.elapsed()` when its request was sent.
+   */
+  note(endpoint: string, limit: number | undefined, sentAt: Milliseconds): void;
+  list(): Record<string, number>;
+}
+
+/** A limit and when this instance learned of it last. */
+interface KnownLimit {
+  limit: number;
+  namedAt: Milliseconds;
+}
+
+/** Starts knowing the limits of one kind that endpoints name to any instance. */
+export function startStatedLimits(host: StatedLimitsHost, kind: StatedLimitKind): StatedLimits {
+  const { clock, random, log, rows, signal } = host;
+  const known = new Map<string, KnownLimit>();
+  /** Limits in the rows of the store, by the rows' keys. */
+  const stored = new Map<string, StatedLimitRow>();
+  let era: StoreEra | undefined;
+
+  function set(endpoint: string, limit: number): void {
+    const before = known.get(endpoint);
+    const isKnown = before && isSame(before.limit, limit);
+    known.set(endpoint, { limit: isKnown ? before.limit : limit, namedAt: clock.elapsed() });
+    if (isKnown) return;
+    log(kind.named, { endpoint, limit });
+    applyLimits();
+  }
+
+  function end(endpoint: string): void {
+    const before = known.get(endpoint);
+    if (!before || !known.delete(endpoint)) return;
+    log(kind.ended, { endpoint, limit: before.limit });
+    applyLimits();
+  }
+
+  function applyLimits(): void {
+    host.apply(new Map([...known].map(([endpoint, { limit }]) => [endpoint, limit])));
+  }
+
+  function applyChange({ key, value }: RowChange): void {
+    const row = value === undefined ? undefined : decodeStatedLimit(value);
+    const before = stored.get(key);
+    if (value !== undefined && !row) log(Diagnostics.rowUnreadable, { table: kind.table, key });
+    if (row) {
+      stored.set(key, row);
+      const told = known.get(row.endpoint)?.limit;
+      if (told === undefined || !isSame(told, row.limit)) set(row.endpoint, row.limit);
+      return;
+    }
+    stored.delete(key);
+    if (before) end(before.endpoint);
+  }
+
+  // Rows that are missing in a new era were lost with an older copy of the store, and are written again.
+  function replaceAll(view: RowView): void {
+    const keys = new Set(view.rows.map(({ key }) => key));
+    const missing = [...stored].filter(([key]) => !keys.has(key));
+    missing.forEach(([key, { endpoint }]) => {
+      stored.delete(key);
+      if (view.era === era) end(endpoint);
+    });
+    era = view.era;
+    view.rows.forEach(applyChange);
+  }
+
+  async function write(endpoint: string): Promise<void> {
+    await sleep(clock, random.integer(0, WRITE_DELAY_MAX_MS));
+    const key = getStatedLimitKey(kind.table, endpoint);
+    const limit = known.get(endpoint)?.limit;
+    const row = stored.get(key.key);
+    if (limit === undefined ? !row : row && isSame(row.limit, limit)) return;
+    const puts =
+      limit === undefined ? [] : [{ ...key, value: encodeStatedLimit({ endpoint, limit }) }];
+    const removals = limit === undefined ? [key] : [];
+    const written = await rows.transact({ checks: [], puts, removals });
+    if (written.err) return;
+    if (limit === undefined) stored.delete(key.key);
+    else stored.set(key.key, { endpoint, limit });
+  }
+
+  async function review(): Promise<void> {
+    applyLimits();
+    const gone = [...known.keys()].filter((endpoint) => !host.isListed(endpoint));
+    gone.forEach(end);
+    // What the store has already is not written.
+    await Promise.all([...gone, ...known.keys()].map(write));
+  }
+
+  followTable(host, {
+    table: kind.table,
+    partition: STATED_LIMIT_PARTITION,
+    pause: FEED_PAUSE_MS,
+    wait: FEED_WAIT_MS,
+    onView: replaceAll,
+    onChanges: (changes) => changes.forEach(applyChange),
+    onUnavailable: () => undefined,
+    onAvailable: () => undefined,
+  });
+  runPeriodically(clock, () => REVIEW_INTERVAL_MS, signal, review);
+  return {
+    note(endpoint, limit, sentAt) {
+      const before = known.get(endpoint);
+      if (limit !== undefined) {
+        set(endpoint, limit);
+        if (!before) write(endpoint);
+        return;
+      }
+      // Answers on other connections may overtake each other: this one may be from before the limit.
+      if (!before || sentAt < before.namedAt) return;
+      end(endpoint);
+      write(endpoint);
+    },
+    list: () => Object.fromEntries([...known].map(([endpoint, { limit }]) => [endpoint, limit])),
+  };
+}
+
+function isSame(left: number, right: number): boolean {
+  return Math.abs(left - right) <= SAME_LIMIT_RATIO * Math.max(left, right);
+}
--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -32,6 +32,8 @@
   remove(id: string): void;
   /** Excludes an incarnation for good because another endpoint answers at its address. */
   markReplaced(record: EndpointRecord): void;
+  /** Excludes an incarnation for good because it said that it is leaving. */
+  markLeaving(record: EndpointRecord): void;
   /** Records that the store does not answer, so that entries that lapse may reappear later. */
   markStoreUnavailable(): void;
   /** Records that the store answers. */
@@ -128,6 +130,14 @@
       log(Diagnostics.endpointUnlisted, { endpoint: id, born, isReplaced: true });
       host.onChange();
     },
+    markLeaving({ id, born, version }) {
+      const known = entries.get(id);
+      if (!known || !isSameRun(known.record, { ...known.record, born, version })) return;
+      if (known.record.isLeaving) return;
+      known.record = { ...known.record, isLeaving: true };
+      log(Diagnostics.endpointLeaving, { endpoint: id, born, version, isStated: true });
+      host.onChange();
+    },
     markStoreUnavailable() {
       isStoreUnavailable = true;
     },
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -181,6 +181,17 @@
   /** The connection failed after the request was sent, so the request may have run. */
   | { kind: 'broken'; message: string };
 
+/** What an endpoint says of itself in the head of an answer. */
+export type EndpointStatement =
+  /** It takes so many requests a second from all instances together. */
+  | { kind: 'rate-limit'; limit: number }
+  /** It is leaving, and is to get no new requests. */
+  | { kind: 'leaving' }
+  /** It rejected the request, and wants no other one from this instance for the time. */
+  | { kind: 'pause'; duration: Milliseconds }
+  /** It fails if it has to reject more than so many requests a second. */
+  | { kind: 'brittle'; rejections: number };
+
 /** One attempt to run a request on one endpoint. */
 export interface Attempt<Payload> {
   request: ForwardRequest<Payload>;
@@ -193,11 +204,8 @@
   onConnected(): void;
   /** Called whenever bytes of the answer arrive. */
   onActivity(): void;
-  /**
-   * Called with the head of each answer: the requests a second that its endpoint says it takes from all
-   * instances together; `undefined` if it names no limit.
-   */
-  onRateLimit(limit: number | undefined): void;
+  /** Called with the head of each answer; what it does not say does not hold any more, but for leaving. */
+  onStatements(statements: EndpointStatement[]): void;
   /** Aborted when the answer is not wanted any more; the connection is then closed. */
   signal: AbortSignal;
 }
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -75,6 +75,7 @@
       admission: { acquire },
       retryBudget: { take: () => hasRetries },
       suspects: { judge: () => 'none' },
+      checkPath: async () => undefined,
       metrics: {
         attempts: { add: () => {} },
         silences: { add: () => {} },
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -115,13 +115,17 @@
     request: RouteRequest,
     candidates: EndpointView[],
   ): Extract<RouteError, { kind: 'busy' }> {
-    const isLimited = candidates.every(({ rateShare }) => rateShare !== undefined);
+    const isLimited = candidates.every(
+      ({ rateShare, pausedFor }) => rateShare !== undefined || pausedFor > 0,
+    );
     return { kind: 'busy', retryAfter: estimateWait(request, candidates), isLimited };
   }
 
   function estimateWait(request: RouteRequest, candidates: EndpointView[]): Milliseconds {
     const serviceTime = getServiceTime(request);
-    const throughput = candidates.reduce((sum, view) => sum + getThroughput(view, serviceTime), 0);
+    const open = candidates.filter(({ pausedFor }) => pausedFor === 0);
+    if (open.length === 0) return Math.min(...candidates.map(({ pausedFor }) => pausedFor));
+    const throughput = open.reduce((sum, view) => sum + getThroughput(view, serviceTime), 0);
     return (countWaitersAhead(request) + 1) / throughput;
   }
 
@@ -212,8 +216,11 @@
 }
 
 // Requests a millisecond that the endpoint ends, or that it takes from this instance.
-function getThroughput({ endpoint, rateShare }: EndpointView, serviceTime: Milliseconds): number {
-  const capacity = endpoint.concurrency / serviceTime;
+function getThroughput(
+  { endpoint, rateShare, slotShare = Infinity }: EndpointView,
+  serviceTime: Milliseconds,
+): number {
+  const capacity = Math.min(endpoint.concurrency, slotShare) / serviceTime;
   return rateShare === undefined ? capacity : Math.min(capacity, rateShare / MS_PER_SECOND);
 }
 
@@ -229,8 +236,8 @@
   return !isUnreachable || inFlight === 0;
 }
 
-function isDue({ isPaced }: EndpointView): boolean {
-  return !isPaced;
+function isDue({ isPaced, pausedFor }: EndpointView): boolean {
+  return !isPaced && pausedFor === 0;
 }
 
 // Prefers healthy local endpoints, then healthy ones of other data centres, then failing ones.
--- a/packages/routing/src/choose.ts
+++ b/packages/routing/src/choose.ts
@@ -11,7 +11,8 @@
 
 /** Returns whether the endpoint can take one more request. */
 export function hasCapacity(view: EndpointView): boolean {
-  return getLoad(view) < view.endpoint.concurrency;
+  const isWithinShare = view.slotShare === undefined || view.inFlight < view.slotShare;
+  return isWithinShare && getLoad(view) < view.endpoint.concurrency;
 }
 
 /** Maximum load of an endpoint that is chosen for its cache, as a multiple of the mean load. */
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -33,6 +33,10 @@
   setLeaving(names: Set<string>): void;
   /** Sets the requests a second that may be sent to each limited endpoint; others have no limit. */
   setRateShares(shares: Map<string, number>): void;
+  /** Sets the requests that may be in flight at endpoints that bear no rejections; others have no limit. */
+  setSlotShares(shares: Map<string, number>): void;
+  /** Keeps requests away from the endpoint until the time of `clock.elapsed()`. */
+  pause(name: string, until: Milliseconds): void;
   /** Stores an endpoint's load report. */
   report(name: string, report: LoadReport): void;
   /** Whether the endpoint's latest load report is missing or too old to be used. */
@@ -60,6 +64,8 @@
   configure(endpoint: Endpoint): void;
   setListedLeaving(isListed: boolean): void;
   setRateShare(share: number | undefined): void;
+  setSlotShare(share: number | undefined): void;
+  pause(until: Milliseconds): void;
   report(report: LoadReport): void;
   isStale(): boolean;
   take(): void;
@@ -74,11 +80,13 @@
   const reachability = createReachability(host.clock);
   let leaving = new Set<string>();
   let rateShares = new Map<string, number>();
+  let slotShares = new Map<string, number>();
 
   function addEntry(endpoint: Endpoint): void {
     const entry = createEntry(host, reachability, endpoint);
     entry.setListedLeaving(leaving.has(endpoint.name));
     entry.setRateShare(rateShares.get(endpoint.name));
+    entry.setSlotShare(slotShares.get(endpoint.name));
     entries.set(endpoint.name, entry);
   }
 
@@ -101,6 +109,11 @@
       rateShares = shares;
       entries.forEach((entry, name) => entry.setRateShare(shares.get(name)));
     },
+    setSlotShares(shares) {
+      slotShares = shares;
+      entries.forEach((entry, name) => entry.setSlotShare(shares.get(name)));
+    },
+    pause: (name, until) => entries.get(name)?.pause(until),
     report: (name, report) => entries.get(name)?.report(report),
     isStale: (name) => entries.get(name)?.isStale() ?? true,
     findCandidates: ({ target, excluded, only }) =>
@@ -145,6 +158,8 @@
   let backoffUntil: Milliseconds = 0;
   let isListedLeaving = false;
   let rateShare: number | undefined;
+  let slotShare: number | undefined;
+  let pausedUntil: Milliseconds = 0;
   let lastTakenAt: Milliseconds = clock.elapsed();
 
   // A healthy engine sends data for some request all the time, so one that sends none has failed.
@@ -194,6 +209,8 @@
       isUnreachable: isUnreachable(),
       rateShare,
       isPaced: isPaced(),
+      slotShare,
+      pausedFor: Math.max(0, pausedUntil - clock.elapsed()),
     }),
     configure(next) {
       applyChange(() => {
@@ -208,6 +225,12 @@
     setRateShare(share) {
       rateShare = share;
     },
+    setSlotShare(share) {
+      slotShare = share;
+    },
+    pause(until) {
+      pausedUntil = Math.max(pausedUntil, until);
+    },
     isStale: () => clock.elapsed() - reportedAt > LOAD_REPORT_MAX_AGE_MS,
     report(report) {
       reportedAt = clock.elapsed();
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -24,6 +24,10 @@
   rateShare: number | undefined;
   /** Whether the next one of these requests may not be sent yet. */
   isPaced: boolean;
+  /** Requests that this instance may have in flight there; `undefined` without a limit. */
+  slotShare: number | undefined;
+  /** Time for which the endpoint wants no requests; 0 if it wants them. */
+  pausedFor: Milliseconds;
 }
 
 /** A part of a prompt. Requests may share parts, and engines cache the parts they have read. */
