Soak: a request that crashes endpoints

Oracles as for parts: at most three such requests later than the bound after the third crash, and half of the sound ones beside them served.

--- a/packages/replay/src/soak/callers.ts
+++ b/packages/replay/src/soak/callers.ts
@@ -34,9 +34,19 @@
 /** How often a caller tries to take a stream up again. */
 const TRIES_MAX = 4;
 
+/** The same each time, so that all of them are one request that comes again. */
+const CRASHING_REQUEST: Work = {
+  route: 'often',
+  framing: 'length',
+  events: 3,
+  pause: 10,
+  fault: 'crash-request',
+};
 /** Ends of answers that are not whole, which some callers ask for: in order, or by a crash. */
 export const EarlyEnds = ['short-limits', 'empty-ends', 'crashing-parts'] as const;
-export type EarlyEnd = (typeof EarlyEnds)[number];
+/** Those that are only asked for by name. */
+export const RareEarlyEnds = ['crashing-requests'] as const;
+export type EarlyEnd = (typeof EarlyEnds | typeof RareEarlyEnds)[number];
 
 /** Callers that send one request after another. */
 export interface Callers {
@@ -186,5 +196,6 @@
       ...base,
       work: { ...work, route: draw(random, STREAM_ROUTES), fault: 'crash' as const },
     }))
+    .with('crashing-requests', () => ({ ...base, work: CRASHING_REQUEST }))
     .exhaustive();
 }
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -4,7 +4,7 @@
 import type { Departure } from './checks';
 import { createConfigurationHistory } from './configurationHistory';
 import type { ConfigurationHistory } from './configurationHistory';
-import { createCrashHistory } from './crashChecks';
+import { CrashKinds, createCrashHistory } from './crashChecks';
 import type { CrashHistory } from './crashChecks';
 import { createLimitHistory } from './limitChecks';
 import { createFaultLog } from './faultLog';
@@ -64,7 +64,8 @@
   const faults = createFaultLog(clock);
   const history = createConfigurationHistory(clock);
   const versions = createVersionHistory(faults);
-  const crashes = createCrashHistory(faults);
+  const crashes = createCrashHistory(faults, CrashKinds.part);
+  const requestCrashes = createCrashHistory(faults, CrashKinds.request);
   const limits = createLimitHistory(faults);
   const now = () => clock.now().getTime();
   const evidence: Evidence = {
@@ -113,7 +114,8 @@
     // A process that dies may have begun several such answers.
     if (line.event === 'crash' && !dying.has(source)) {
       dying.add(source);
-      crashes.addCrash(at);
+      const isPart = record?.work.fault === CrashKinds.part.fault;
+      (isPart ? crashes : requestCrashes).addCrash(at);
       evidence.onCrash(source);
     }
     if (line.event === 'run') {
@@ -143,6 +145,8 @@
       'take-ups': versions.check(),
       'crashing-parts': crashes.checkArrivals(),
       'sound-parts': crashes.checkSound(),
+      'crashing-requests': requestCrashes.checkArrivals(),
+      'sound-requests': requestCrashes.checkSound(),
       'rate-limits': limits.check(),
     };
     Object.entries(outcomes).forEach(([check, outcome]) => {
@@ -162,6 +166,7 @@
     evidence.totals.add(record);
     versions.add(record);
     crashes.add(record);
+    requestCrashes.add(record);
     limits.add(record);
   }
 
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -1,6 +1,6 @@
 import sade from 'sade';
 import { createSystemClock } from '@pomeloroad/core';
-import { EarlyEnds } from './callers';
+import { EarlyEnds, RareEarlyEnds } from './callers';
 import { DefaultFaults, FaultNames } from './plan';
 import { runSoak } from './soak';
 import type { SoakResult } from './soak';
@@ -13,7 +13,8 @@
 /** Name of the faults of endpoints' answers, which requests ask for. */
 const ANSWERS = 'answers';
 /** Faults that requests ask for. */
-const RequestFaults: string[] = [ANSWERS, ...EarlyEnds];
+const DefaultRequestFaults: string[] = [ANSWERS, ...EarlyEnds];
+const RequestFaults = [...DefaultRequestFaults, ...RareEarlyEnds];
 
 sade('soak', true)
   .describe('Run the bundled program under faults, as real processes, and check what is seen.')
@@ -24,7 +25,7 @@
   .option('--callers', 'number of callers', 24)
   .option(
     '--faults',
-    `some of ${[...RequestFaults, ...FaultNames].join(', ')}; all but rewinds if left out`,
+    `some of ${[...RequestFaults, ...FaultNames].join(', ')}; all but the rare ones if left out`,
   )
   .option('--verbose', 'print the logs of all processes')
   .option('--json', 'print the result as one JSON line')
@@ -33,7 +34,7 @@
 
 async function main(flags: Record<string, string | number | boolean | undefined>): Promise<void> {
   const named = flags.faults === undefined ? undefined : String(flags.faults).split(',');
-  const faults = named ?? [...RequestFaults, ...DefaultFaults];
+  const faults = named ?? [...DefaultRequestFaults, ...DefaultFaults];
   const known = [...RequestFaults, ...FaultNames];
   const unknown = faults.filter((name) => !known.includes(name));
   if (unknown.length > 0) {
@@ -52,7 +53,7 @@
     callers: Number(flags.callers),
     faults: faults.filter((name) => !RequestFaults.includes(name)),
     hasAnswerFaults: faults.includes(ANSWERS),
-    earlyEnds: EarlyEnds.filter((name) => faults.includes(name)),
+    earlyEnds: [...EarlyEnds, ...RareEarlyEnds].filter((name) => faults.includes(name)),
     signal: interrupted.signal,
     onLog(name, line) {
       if (flags.verbose) process.stderr.write(`${name}: ${line}\n`);
--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -124,6 +124,20 @@
   TIMEOUT_MS,
 );
 
+test(
+  'seed 1: a request that crashes endpoints is soon sent to none',
+  async () => {
+    const times = { length: 24_000, calm: 3000 };
+    const faults = ['instance-kill', 'instance-term', 'link-cut-off'];
+    const ends = { faults, earlyEnds: ['crashing-requests' as const] };
+    const result = await soak({ seed: 1, ...times, ...ends, hasAnswerFaults: false }, 8);
+    expect(describeFailures(result)).toEqual([]);
+    expect(result.faults.crash).toBeGreaterThan(2);
+    expect(result.checks['crashing-requests']).toBe(1);
+  },
+  TIMEOUT_MS,
+);
+
 test(
   'seed 2: endpoints that name limits of requests get no more from all instances',
   async () => {
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -50,7 +50,7 @@
   /** The answer ends in order, with events missing. */
   | { event: 'stopped'; request: string; run: number; number: number; reason: EarlyEndReason }
   | { event: 'closed'; request: string; run: number; number: number }
-  /** The process dies of a part of the prompt. */
+  /** The process dies of the request or of a part of its prompt. */
   | { event: 'crash'; request: string; run: number }
   | { event: 'declined'; request: string; reason: 'full' | 'leaving' | 'other-endpoint' };
 
@@ -144,7 +144,8 @@
     const last = isShort ? middle : work.events;
     if (fault === 'late') await sleep(clock, LATE_ANSWER_DELAY_MS);
     writeHead(response, name, work, after, fault);
-    if (isCrashing(String(request.headers[WireHeader.promptParts] ?? ''))) {
+    const prompt = String(request.headers[WireHeader.promptParts] ?? '');
+    if (work.fault === 'crash-request' || isCrashing(prompt)) {
       record({ event: 'crash', ...step });
       await sleep(clock, CRASH_DELAY_MS);
       host.die();
--- a/packages/standins/src/soakWork.ts
+++ b/packages/standins/src/soakWork.ts
@@ -21,7 +21,9 @@
   /** Ends too early, and states the end at once, with no event, if asked to go on. */
   | 'empty'
   /** The prompt holds a part under which the endpoint dies soon after the head. */
-  | 'crash';
+  | 'crash'
+  /** The endpoint dies soon after the head, whatever the prompt holds. */
+  | 'crash-request';
 
 /** What a request asks an endpoint to send. It stands in the request's path. */
 export interface Work {
