Relays: count a tunnel as closed once its connection is, and end it when the endpoint has

Found by a test of a draining relay: a tunnel whose endpoint had ended first kept its stream open, because nobody read it any more, so the relay counted it for good and its drain would have waited until the forced end.

--- a/packages/peers/src/tunnelListener.ts
+++ b/packages/peers/src/tunnelListener.ts
@@ -74,7 +74,7 @@
     const tunnel = createTunnelStream(upgraded, target.remoteAddress ?? '');
     tunnels.add(tunnel);
     join(tunnel, target);
-    tunnel.once('close', () => tunnels.delete(tunnel));
+    upgraded.once('close', () => tunnels.delete(tunnel));
   }
 
   return {
@@ -116,6 +116,9 @@
   target.on('error', () => tunnel.destroy());
   tunnel.pipe(target);
   target.pipe(tunnel, { end: false });
-  if (await isClosedProperly()) tunnel.end();
+  const isProper = await isClosedProperly();
+  // What still arrives has no reader any more, and the tunnel closes only once it is read.
+  tunnel.resume();
+  if (isProper) tunnel.end();
   else tunnel.destroy();
 }
--- a/packages/peers/test/tunnels.test.ts
+++ b/packages/peers/test/tunnels.test.ts
@@ -160,3 +160,15 @@
   expect(tunnel.val).toBe('unreachable');
   expect(performance.now() - startedAt).toBeLessThan(TIMEOUT_MS);
 });
+
+test('a tunnel whose endpoint has ended is not counted any more', async () => {
+  const relay = await startRelayTo((socket) => socket.end('whole'));
+  const connection = await open(relay);
+  await readAll(connection);
+  while (relay.listener.count() > 0) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+  expect(relay.listener.count()).toBe(0);
+});
