--- a/packages/peers/src/tunnelListener.ts
+++ b/packages/peers/src/tunnelListener.ts
@@ -66,7 +66,13 @@
     } else if (socket.destroyed) {
       opened.val.destroy();
     } else {
-      upgrades.handleUpgrade(request, socket, head, (upgraded) => carry(upgraded, opened.val));
+      // An upgrade that is not valid closes the socket without a tunnel.
+      const closeTarget = () => opened.val.destroy();
+      socket.once('close', closeTarget);
+      upgrades.handleUpgrade(request, socket, head, (upgraded) => {
+        socket.off('close', closeTarget);
+        carry(upgraded, opened.val);
+      });
     }
   });
 
