Relays: what was too slow to answer tells nothing of the endpoint

A dial whose relays timed out took the endpoint for one that nobody reaches, and asked no relay for it for 2 s, although the own path was known to be cut: under load a cut instance would refuse all that while. Only a relay's statement that the endpoint refuses counts now. The test failed before ('too busy to answer').

--- a/packages/forwarding/src/relays/dialer.ts
+++ b/packages/forwarding/src/relays/dialer.ts
@@ -154,7 +154,8 @@
     const ways = isDoubtful ? [...through, { ...own, delay: RELAY_DELAY_MS }] : [own, ...through];
     const dialed = await raceConnections(clock, ways);
     if (dialed.ok) return dialed;
-    paths.noteUnreachable(address);
+    // Relays that did not answer, or have no path either, tell nothing of the endpoint.
+    if (isRefusedByRelay(dialed.val)) paths.noteUnreachable(address);
     return Err(toConnectError(dialed.val));
   }
 
@@ -228,6 +229,10 @@
 
 type DialFailure = { kind: 'own'; error: ConnectError } | { kind: 'relay'; error: TunnelError };
 
+function isRefusedByRelay(failures: DialFailure[]): boolean {
+  return failures.some(({ kind, error }) => kind === 'relay' && error === 'refused');
+}
+
 function isOwnWay(way: { address: string; relay: string | undefined }, address: string): boolean {
   return way.relay === undefined && way.address === address;
 }
--- a/packages/forwarding/test/dialer.test.ts
+++ b/packages/forwarding/test/dialer.test.ts
@@ -235,3 +235,15 @@
   dialer.retireRelay('near');
   expect(retired).toHaveLength(1);
 });
+
+test('a cut path is relayed again at once after relays were too busy to answer', async () => {
+  const relays: StandOptions['relays'] = { near: 'opens' };
+  const { clock, faults, dial } = createStand({ relays });
+  faults.set('a:80', 'refused');
+  expect((await dial('a:80')).result).toBe('opened');
+  relays.near = 'silent';
+  expect((await dial('a:80')).result).not.toBe('opened');
+  relays.near = 'opens';
+  await clock.advance(100);
+  expect((await dial('a:80')).result).toBe('opened');
+});
