--- a/packages/forwarding/src/limits/statedLimits.ts
+++ b/packages/forwarding/src/limits/statedLimits.ts
@@ -43,7 +43,8 @@
 /** The limits that endpoints name, as all instances know them. */
 export interface StatedLimits {
   /**
-   * Notes the limit that the head of an answer named, or that it named none. `sentAt` is the time of `clock.elapsed()` when its request was sent.
+   * Notes the limit that the head of an answer named, or that it named none. `sentAt` is the time of
+   * `clock.elapsed()` when its request was sent.
    */
   note(endpoint: string, limit: number | undefined, sentAt: Milliseconds): void;
   list(): Record<string, number>;
