--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -125,6 +125,7 @@
   { reply, attempt }: EndpointReply,
 ): Promise<void> {
   run.firstByteAt = run.host.clock.elapsed();
+  run.isAnswered = true;
   if (reply.kind === 'whole') {
     run.caller.answer(reply.head, reply.body);
     attempt.slot.release(reply.head.status >= SERVER_ERROR_STATUS ? 'failed' : 'ok');
@@ -147,6 +148,7 @@
 ): void {
   // If an endpoint answered with a server error, that answer is sent instead of a refusal.
   if (run.failure) {
+    run.isAnswered = true;
     run.caller.answer(run.failure.head, run.failure.body);
     recordEnd(run, 'answered', { status: run.failure.head.status });
     return;
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -49,6 +49,8 @@
   /** How the answer has come so far. */
   course: AnswerCourse;
   firstByteAt: Milliseconds | undefined;
+  /** Whether the caller has been sent any part of an endpoint's answer. */
+  isAnswered: boolean;
   /** Wait for a slot where all endpoints name limits of requests; infinite if none is to be had here. */
   limitedWait: Milliseconds | undefined;
   /** Why the latest further attempt was not begun. */
@@ -82,6 +84,7 @@
     framing: undefined,
     course: createAnswerCourse(),
     firstByteAt: undefined,
+    isAnswered: false,
     limitedWait: undefined,
     lack: undefined,
   };
@@ -93,11 +96,16 @@
 }
 
 /**
- * Returns the tokens to settle: the whole input once the request may have run, and the output of
- * the events sent to the caller.
+ * Returns the tokens to settle: the whole input, once for all attempts, and the output of the events
+ * sent to the caller. A request of whose answer the caller was sent nothing costs nothing.
  */
-export function getSpentTokens<Payload>({ host, request, runs, events }: Run<Payload>): Tokens {
-  if (runs === 0) return 0;
+export function getSpentTokens<Payload>({
+  host,
+  request,
+  isAnswered,
+  events,
+}: Run<Payload>): Tokens {
+  if (!isAnswered) return 0;
   const perEvent = host.findService(request.service)?.tokensPerEvent ?? 1;
   return request.cost.input + Math.min(request.cost.output, events * perEvent);
 }
--- a/packages/replay/src/soak/totals.ts
+++ b/packages/replay/src/soak/totals.ts
@@ -50,13 +50,13 @@
   return {
     spent,
     add(record) {
-      const { account, inputTokens, runs, work, answer, sentAt } = record;
+      const { account, inputTokens, work, answer, sentAt } = record;
       const service = getService(work.route);
       arrivals.push({ service, at: sentAt, isRepeat: false });
       record.arrivals.slice(1).forEach((at) => arrivals.push({ service, at, isRepeat: true }));
       const isStream = work.route.startsWith('stream');
-      const hasRun = runs.some((run) => run.lastAt > run.at);
-      const input = hasRun ? inputTokens : 0;
+      // An account pays the input once any part of an endpoint's answer, also of a failure, has come.
+      const input = answer?.isSigned ? inputTokens : 0;
       const output = isStream ? countEvents(answer?.body ?? '') * TOKENS_PER_EVENT : 0;
       spent[account] = (spent[account] ?? 0) + input + output;
     },
