Budgets: an account known to be at its end refuses at once

Cause: each request of an exhausted account asked the others for tokens and waited 0.7 s by itself, also where another one had just waited in vain; the objectives are 0.4 to 0.6 s. What a request of a full wait learned now holds for later ones of no less size, for 3 s or until a settlement, a return or a top-up covers them, and for those that wait beside it. A request with little time to wait tells nothing.

--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -11,6 +11,7 @@
 import { needsResize, planGrant, raiseCeiling } from './escrowPlan';
 import type { GrantUse } from './escrowPlan';
 import { createEscrowQueue } from './escrowQueue';
+import { createEscrowShortage } from './escrowShortage';
 import { getGrantTarget } from './escrowSizing';
 import type { GrantTarget } from './escrowSizing';
 import { createEscrowTransactions } from './escrowTransactions';
@@ -23,6 +24,8 @@
 const TOTAL_MAX_AGE_MS = 60;
 /** How long an instance holds no spare tokens after another one asked for their return. */
 const NO_SPARE_MS = 1500;
+/** Time within which the others return what they can spare: a pause of their feed and a transaction. */
+const RETURN_TIME_MS: Milliseconds = 400;
 /** Shortest interval between two calls on the other instances to return tokens. */
 const RETURN_CALL_INTERVAL_MS = 1000;
 
@@ -77,7 +80,14 @@
   let ancestry: Ancestry = { kind: 'pending' };
   /** Tokens spent or reserved. */
   let used: Tokens = 0;
-  const queue = createEscrowQueue({ clock, getFreeTokens, openReservation, getWaitError });
+  const shortage = createEscrowShortage(clock);
+  const queue = createEscrowQueue({
+    clock,
+    getFreeTokens,
+    openReservation,
+    getWaitError,
+    isExhausted,
+  });
   const transactions = createEscrowTransactions({
     escrow: host,
     account,
@@ -103,6 +113,7 @@
     const deadline = clock.elapsed() + maxWait;
     for (;;) {
       if (queue.count() === 0 && tokens <= getFreeTokens()) return Ok(openReservation(tokens));
+      if (isExhausted(tokens)) return Err({ kind: 'exhausted' });
       const left = deadline - clock.elapsed();
       if (!host.isStoreUnresponsive() && left > 0) {
         const waited = await waitInQueue(tokens, left);
@@ -155,9 +166,16 @@
   function getWaitError(tokens: Tokens, since: Milliseconds): EscrowError {
     const isCovered = tokens <= getFreeTokens() + getUnallocated();
     if (!transactions.canGrant()) return UNREACHABLE_ERROR;
-    return transactions.getTotalReadAt() >= since && !isCovered
-      ? { kind: 'exhausted' }
-      : UNREACHABLE_ERROR;
+    if (isCovered || transactions.getTotalReadAt() < since) return UNREACHABLE_ERROR;
+    if (clock.elapsed() - since >= RETURN_TIME_MS) shortage.note(tokens);
+    return { kind: 'exhausted' };
+  }
+
+  // A request that waited in vain shows that the others can spare nothing. What they return later is
+  // unallocated, so that it counts as available.
+  function isExhausted(tokens: Tokens): boolean {
+    if (host.isStoreUnresponsive() || !transactions.canGrant()) return false;
+    return shortage.covers(tokens) && tokens > getAvailable();
   }
 
   function retire(): void {
@@ -227,7 +245,7 @@
 
   async function fetchForQueue(): Promise<boolean> {
     const needed = queue.sumTokens();
-    const available = getGrant().held + getUnallocated() - used;
+    const available = getAvailable();
     if (needed <= available) return resizeFor(needed);
     if (clock.elapsed() - transactions.getTotalReadAt() > TOTAL_MAX_AGE_MS)
       return handleOutcome(await transactions.refreshTotal());
@@ -237,6 +255,11 @@
     return handleOutcome(await transactions.change(getGrant(), true));
   }
 
+  // Tokens that this instance may reserve now or after a transaction.
+  function getAvailable(): Tokens {
+    return getGrant().held + getUnallocated() - used;
+  }
+
   async function resizeFor(needed: Tokens): Promise<boolean> {
     return handleOutcome(await transactions.change(planNextGrant(needed), false));
   }
--- a/packages/budgets/src/escrowQueue.ts
+++ b/packages/budgets/src/escrowQueue.ts
@@ -11,6 +11,8 @@
   openReservation(tokens: Tokens): EscrowReservation;
   /** The error for a request that has waited in vain since the given time. */
   getWaitError(tokens: Tokens, since: Milliseconds): EscrowError;
+  /** Whether the account is known to have too little left for a request of this size. */
+  isExhausted(tokens: Tokens): boolean;
 }
 
 /** A queue of one account's requests that wait for tokens from the store or from other requests. */
@@ -46,13 +48,24 @@
     waiter.resolve(outcome);
   }
 
+  function expire(waiter: Waiter, since: Milliseconds): void {
+    const error = host.getWaitError(waiter.tokens, since);
+    finish(waiter, Err(error));
+    // Requests for no fewer tokens would wait in vain as well.
+    if (host.isExhausted(waiter.tokens)) refuseFrom(waiter.tokens, error);
+  }
+
+  function refuseFrom(tokens: Tokens, error: EscrowError): void {
+    waiters
+      .filter((waiter) => waiter.tokens >= tokens)
+      .forEach((waiter) => finish(waiter, Err(error)));
+  }
+
   return {
     add(tokens, maxWait) {
       const since = clock.elapsed();
       return new Promise((resolve) => {
-        const timer = clock.after(maxWait, () => {
-          finish(waiter, Err(host.getWaitError(tokens, since)));
-        });
+        const timer = clock.after(maxWait, () => expire(waiter, since));
         const waiter: Waiter = { tokens, timer, resolve };
         waiters.push(waiter);
       });
@@ -63,9 +76,7 @@
           finish(waiter, Ok(host.openReservation(waiter.tokens)));
       });
     },
-    refuseAll(error) {
-      [...waiters].forEach((waiter) => finish(waiter, Err(error)));
-    },
+    refuseAll: (error) => refuseFrom(0, error),
     count: () => waiters.length,
     sumTokens: () => waiters.reduce((sum, waiter) => sum + waiter.tokens, 0),
     getSmallest: () => Math.min(...waiters.map((waiter) => waiter.tokens)),
--- a/packages/budgets/test/escrow.test.ts
+++ b/packages/budgets/test/escrow.test.ts
@@ -1,3 +1,4 @@
+import { sleep } from '@pomeloroad/core';
 import { getLeaseKey } from '../src';
 import { ACCOUNT, createFleet } from './escrowHarness';
 
@@ -39,6 +40,85 @@
   expect((await reserved).val).toEqual({ kind: 'exhausted' });
 });
 
+test('the next requests of an exhausted account are refused at once', async () => {
+  const { clock, escrows, store } = await setUp(2);
+  const reserve = (tokens: number) => escrows[0]!.reserve(ACCOUNT, tokens, MAX_WAIT_MS);
+  const first = reserve(LIMIT - 10);
+  await clock.advance(100);
+  const spending = (await first).unwrap();
+  const refused = reserve(1000);
+  await clock.advance(MAX_WAIT_MS);
+  expect((await refused).val).toEqual({ kind: 'exhausted' });
+  const calls = store.countCalls();
+  const next = await Promise.race([reserve(1500), sleep(clock, 1)]);
+  expect(next?.val).toEqual({ kind: 'exhausted' });
+  expect(store.countCalls()).toBe(calls);
+  // What a settlement frees, and what is enough for a smaller request, is given out all the same.
+  const small = reserve(10);
+  await clock.advance(100);
+  expect((await small).ok).toBe(true);
+  spending.settle(5000);
+  expect((await reserve(1500)).ok).toBe(true);
+});
+
+test('a request that waits for tokens is refused with one that needed no more', async () => {
+  const { clock, escrows } = await setUp(2);
+  const reserve = (tokens: number) => escrows[0]!.reserve(ACCOUNT, tokens, MAX_WAIT_MS);
+  reserve(LIMIT - 10);
+  await clock.advance(100);
+  const first = reserve(1000);
+  await clock.advance(MAX_WAIT_MS / 2);
+  const second = reserve(1000);
+  await clock.advance(MAX_WAIT_MS / 2);
+  expect((await first).val).toEqual({ kind: 'exhausted' });
+  expect((await Promise.race([second, sleep(clock, 1)]))?.val).toEqual({ kind: 'exhausted' });
+});
+
+test('a request that had little time to wait tells nothing to the next one', async () => {
+  const { clock, escrows, deliverChanges } = await setUp(2);
+  const held = escrows[1]!.reserve(ACCOUNT, LIMIT, MAX_WAIT_MS);
+  await clock.advance(0);
+  (await held).unwrap().settle(LIMIT / 2);
+  const brief = escrows[0]!.reserve(ACCOUNT, LIMIT / 2, 20);
+  await clock.advance(20);
+  expect((await brief).err).toBe(true);
+  const patient = escrows[0]!.reserve(ACCOUNT, LIMIT / 2, MAX_WAIT_MS);
+  await deliverChanges();
+  await clock.advance(100);
+  await deliverChanges();
+  await clock.advance(100);
+  expect((await Promise.race([patient, sleep(clock, 1)]))?.ok).toBe(true);
+});
+
+test('an exhausted account is served at once after a top-up', async () => {
+  const { clock, escrows } = await setUp(1);
+  const [escrow] = escrows;
+  const refused = escrow!.reserve(ACCOUNT, LIMIT + 1, MAX_WAIT_MS);
+  await clock.advance(MAX_WAIT_MS);
+  expect((await refused).val).toEqual({ kind: 'exhausted' });
+  escrow!.setLimits(new Map([[ACCOUNT, LIMIT + 1]]));
+  const served = escrow!.reserve(ACCOUNT, LIMIT + 1, MAX_WAIT_MS);
+  await clock.advance(50);
+  expect((await served).ok).toBe(true);
+});
+
+test('tokens that others return end the refusals of an exhausted account', async () => {
+  const { clock, escrows, deliverChanges } = await setUp(2);
+  const [escrow, other] = escrows;
+  const held = other!.reserve(ACCOUNT, LIMIT, MAX_WAIT_MS);
+  await clock.advance(0);
+  const refused = escrow!.reserve(ACCOUNT, 1000, MAX_WAIT_MS);
+  await clock.advance(MAX_WAIT_MS);
+  expect((await refused).val).toEqual({ kind: 'exhausted' });
+  (await held).unwrap().settle(2000);
+  other!.rebalance(0);
+  await clock.advance(0);
+  await deliverChanges();
+  const served = escrow!.reserve(ACCOUNT, 1000, MAX_WAIT_MS);
+  await clock.advance(50);
+  expect((await served).ok).toBe(true);
+});
+
 test('tokens that a settled request did not spend are free for other instances', async () => {
   const { clock, escrows, deliverChanges } = await setUp(2);
   const first = escrows[0]!.reserve(ACCOUNT, LIMIT, MAX_WAIT_MS);
