--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -286,7 +286,8 @@
   function getTarget(): GrantTarget {
     if (isRetired || clock.elapsed() < noSpareUntil) return { spare: 0, reserve: 0 };
     const unallocated = getUnallocated();
-    const instances = host.countInstances();
+    // Shares of a fleet that is still starting would be too large, and be taken all at once.
+    const instances = host.isFleetCounted() ? host.countInstances() : Infinity;
     return getGrantTarget({ rate: rate.perSecond(), limit, unallocated, instances });
   }
 
--- a/packages/budgets/src/escrowPlan.ts
+++ b/packages/budgets/src/escrowPlan.ts
@@ -2,9 +2,9 @@
 import type { Grant } from './escrowRows';
 import type { GrantTarget } from './escrowSizing';
 
-/** A grant is resized if its spare tokens or its reserve fall below this ratio to their target. */
+/** A grant is resized if its spare tokens, or all it holds idle, fall below this ratio to their target. */
 const RESIZE_LOWER_RATIO = 0.5;
-/** A grant is resized if its spare tokens or its reserve exceed this ratio to their target. */
+/** A grant is resized if its spare tokens, or all it holds idle, exceed this ratio to their target. */
 const RESIZE_UPPER_RATIO = 1.4;
 
 /** A grant and what its next size depends on. */
@@ -19,18 +19,26 @@
 /** Returns whether a grant differs so much from its target that a transaction is worthwhile. */
 export function needsResize({ grant, used }: GrantUse, { spare, reserve }: GrantTarget): boolean {
   const { held, ceiling } = grant;
-  return isOutOfRange(ceiling - used, spare) || isOutOfRange(held - ceiling, reserve);
+  return isOutOfRange(ceiling - used, spare) || isOutOfRange(held - used, spare + reserve);
 }
 
-/** Returns a grant that covers the tokens needed and, as far as unallocated tokens allow, the target. */
-export function planGrant(
-  { grant, used, unallocated }: GrantUse,
+/**
+ * Returns a grant that covers the tokens needed and, as far as unallocated tokens allow, the target. The
+ * tokens held stay as they are while they are near the target: all instances change the budget's row.
+ */
+export function planGrant(use: GrantUse, target: GrantTarget, needed: Tokens): Grant {
+  const least = use.used + needed;
+  const held = planHeld(use, target, least);
+  return { held, ceiling: Math.min(held, least + target.spare) };
+}
+
+function planHeld(
+  { grant, unallocated }: GrantUse,
   { spare, reserve }: GrantTarget,
-  needed: Tokens,
-): Grant {
-  const least = used + needed;
-  const held = Math.max(least, Math.min(least + spare + reserve, grant.held + unallocated));
-  return { held, ceiling: Math.min(held, least + spare) };
+  least: Tokens,
+): Tokens {
+  if (!isOutOfRange(grant.held - least, spare + reserve)) return grant.held;
+  return Math.max(least, Math.min(least + spare + reserve, grant.held + unallocated));
 }
 
 /** Returns the same grant with a ceiling that covers the tokens needed, as far as it holds them. */
--- a/packages/budgets/src/escrowTransactions.ts
+++ b/packages/budgets/src/escrowTransactions.ts
@@ -20,6 +20,8 @@
 export interface GrantChange extends Grant {
   /** Whether the change also calls on the other instances to return tokens. */
   isReturnCall: boolean;
+  /** Whether the budget's row changes too; a new ceiling alone concerns no other instance. */
+  changesTotal: boolean;
   checks: RowCheck[];
 }
 
@@ -199,11 +201,11 @@
   }
 
   function createChange({ held, ceiling }: Grant, isReturnCall: boolean): GrantChange {
-    const checks = [
-      { ...totalKey, version: total.version },
-      { ...grantKey, version: grant.version },
-    ];
-    return { held, ceiling, isReturnCall, checks };
+    const changesTotal = held !== grant.held || isReturnCall;
+    const grantCheck = { ...grantKey, version: grant.version };
+    const totalCheck = { ...totalKey, version: total.version };
+    const checks = changesTotal ? [totalCheck, grantCheck] : [grantCheck];
+    return { held, ceiling, isReturnCall, changesTotal, checks };
   }
 
   async function commit(next: GrantChange): Promise<EscrowOutcome> {
@@ -213,19 +215,18 @@
     const allocated = total.allocated + held - grant.held;
     const calls = total.calls + (next.isReturnCall ? 1 : 0);
     const restoration = total.restoration && { ...total.restoration, isOpen: canGrantMore() };
+    const totalPut = { ...totalKey, value: JSON.stringify({ allocated, calls, restoration }) };
+    const grantPut = { ...grantKey, value: JSON.stringify({ held, ceiling }) };
     const outcome = await send({
       checks: next.checks,
-      puts: [
-        { ...totalKey, value: JSON.stringify({ allocated, calls, restoration }) },
-        { ...grantKey, value: JSON.stringify({ held, ceiling }) },
-      ],
+      puts: next.changesTotal ? [totalPut, grantPut] : [grantPut],
       removals: [],
     });
     if (outcome.kind === 'rewound') return { kind: 'refreshed' };
-    if (outcome.kind === 'failed') return handleError(outcome.error, isRepeat);
+    if (outcome.kind === 'failed') return handleError(outcome.error, next, isRepeat);
     // The feed may have delivered a later change meanwhile.
     const { revision } = outcome.version;
-    if (revision >= total.version) {
+    if (next.changesTotal && revision >= total.version) {
       total = { allocated, calls, restoration, version: revision };
       totalReadAt = clock.elapsed();
     }
@@ -233,19 +234,23 @@
     return { kind: 'changed' };
   }
 
-  function handleError(error: TransactError, isRepeat: boolean): EscrowOutcome {
-    if (error.kind === 'conflict') return applyConflict(error.rows);
+  function handleError(
+    error: TransactError,
+    { changesTotal }: GrantChange,
+    isRepeat: boolean,
+  ): EscrowOutcome {
+    if (error.kind === 'conflict') return applyConflict(error.rows, changesTotal);
     // The first attempt was refused, so none is in flight and the change will not take effect.
     if (error.kind === 'unavailable' && !isRepeat) pendingChange = undefined;
     return { kind: 'failed', error };
   }
 
   // After a conflict no earlier attempt can take effect: either it has already, or its checks fail.
-  function applyConflict(found: VersionedRow[]): EscrowOutcome {
+  function applyConflict(found: VersionedRow[], isTotalRead: boolean): EscrowOutcome {
     const totalRow = findRow(found, totalKey);
     const grantRow = findRow(found, grantKey);
     if (totalRow) updateTotal(totalRow);
-    totalReadAt = clock.elapsed();
+    if (isTotalRead) totalReadAt = clock.elapsed();
     const granted = grantRow && parseGrant(grantRow.value);
     if (grantRow && granted && grantRow.version !== grant.version) {
       applyGrant({ ...granted, version: grantRow.version });
--- a/packages/budgets/src/escrowTypes.ts
+++ b/packages/budgets/src/escrowTypes.ts
@@ -20,6 +20,8 @@
   getReserveDelay(share: number): Milliseconds;
   /** The number of instances that share the budgets, this one included. */
   countInstances(): number;
+  /** Whether that number covers all instances that started together with this one. */
+  isFleetCounted(): boolean;
 }
 
 /** Tokens reserved for one request. */
--- a/packages/budgets/test/escrow.test.ts
+++ b/packages/budgets/test/escrow.test.ts
@@ -1,5 +1,5 @@
 import { sleep } from '@pomeloroad/core';
-import { getLeaseKey } from '../src';
+import { BUDGET_TABLE, getLeaseKey } from '../src';
 import { ACCOUNT, createFleet } from './escrowHarness';
 
 const LIMIT = 10_000;
@@ -291,6 +291,36 @@
   expect(clock.elapsed() - at).toBeLessThanOrEqual(150);
 });
 
+test('a grant whose ceiling alone changes leaves the row that all instances change', async () => {
+  const { clock, escrows, store } = await setUp(2, 1_000_000);
+  const [escrow] = escrows;
+  const getTotalVersion = async () =>
+    (await store.memory.list(BUDGET_TABLE, ACCOUNT)).unwrap().rows[0]?.version;
+  escrow!.rebalance(0);
+  await clock.advance(0);
+  const { held, ceiling } = escrow!.describe()[0]!;
+  const version = await getTotalVersion();
+  const calls = store.countCalls();
+  const reserved = escrow!.reserve(ACCOUNT, ceiling + 1, MAX_WAIT_MS);
+  await clock.advance(0);
+  expect((await reserved).ok).toBe(true);
+  expect(escrow!.describe()[0]).toMatchObject({ held });
+  expect(escrow!.describe()[0]!.ceiling).toBeGreaterThan(ceiling);
+  expect(await getTotalVersion()).toBe(version);
+  expect(store.countCalls()).toBe(calls + 1);
+});
+
+test('instances that start together take no idle shares before all are counted', async () => {
+  const { clock, escrows, store, state } = await setUp(20);
+  state.isFleetCounted = false;
+  const calls = store.countCalls();
+  escrows.forEach((escrow) => escrow.rebalance(0));
+  await clock.advance(0);
+  escrows.forEach((escrow) => escrow.rebalance(0));
+  await clock.advance(200);
+  expect(store.countCalls() - calls).toBe(0);
+});
+
 test('calls to a store that keeps refusing back off', async () => {
   const { clock, store, escrows } = await setUp(1);
   store.plannedOutcomes.push(...Array.from({ length: 500 }, () => 'refused' as const));
--- a/packages/budgets/test/escrowHarness.ts
+++ b/packages/budgets/test/escrowHarness.ts
@@ -75,7 +75,7 @@
     transact: (t) => memory.transact({ ...t, checks: [] }),
   };
   const store = createUnreliableRows(disabledGuards.hasNoConditions ? uncheckedRows : memory);
-  const state = { isStoreUnresponsive: false };
+  const state = { isStoreUnresponsive: false, isFleetCounted: true };
   let runCount = 0;
 
   function start(instance: string): InstanceRun {
@@ -107,6 +107,7 @@
       getReserveShare: lease.getReserveShare,
       getReserveDelay: lease.getReserveDelay,
       countInstances: () => count,
+      isFleetCounted: () => state.isFleetCounted,
     });
     run.kill = () => {
       run.isAlive = false;
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -58,7 +58,7 @@
   let open = 0;
 
   let instanceNames: string[] = [];
-  const getInstanceCount = startInstanceCount({
+  const instanceCount = startInstanceCount({
     ...following,
     onCounted(names) {
       instanceNames = names;
@@ -68,7 +68,7 @@
     ...following,
     instance: host.instance,
     incarnation: host.incarnation,
-    countInstances: getInstanceCount,
+    countInstances: instanceCount.get,
     isUsageCovered: () => escrow.isUsageCovered(),
   });
   const escrow = createEscrow({
@@ -81,7 +81,8 @@
     isStoreUnresponsive: isSilent,
     getReserveShare: lease.getReserveShare,
     getReserveDelay: lease.getReserveDelay,
-    countInstances: getInstanceCount,
+    countInstances: instanceCount.get,
+    isFleetCounted: instanceCount.isConfirmed,
   });
   const endpoints = createEndpoints({ clock, log, onFailure: recentEnds.noteFate });
   const directory = createEndpointDirectory({
@@ -229,7 +230,7 @@
     escrow,
     admission,
     directory,
-    retryBudget: createRetryBudget(clock, host.getRetryAllowance, getInstanceCount),
+    retryBudget: createRetryBudget(clock, host.getRetryAllowance, instanceCount.get),
     protocol: watchCrashes({
       ...{ clock, log, metrics: forwardMetrics, directory },
       protocol: host.createProtocol(dialer.dial),
@@ -248,7 +249,7 @@
       signal: stop.signal,
       instance: host.instance,
       versions,
-      countInstances: getInstanceCount,
+      countInstances: instanceCount.get,
       getViewAge: endpointFeed.getAge,
       areVersionsLoaded: versionRows.isLoaded,
     }),
@@ -310,7 +311,7 @@
       storeEra: getStoreEra(),
       open,
       waiting: admission.waiting(),
-      instances: getInstanceCount(),
+      instances: instanceCount.get(),
       budgets: escrow.describe(),
       endpoints: endpoints.list(),
       rateLimits: rateLimits.list(),
--- a/packages/forwarding/src/store/instanceCount.ts
+++ b/packages/forwarding/src/store/instanceCount.ts
@@ -21,23 +21,29 @@
   onCounted?(names: string[]): void;
 }
 
+/** How many instances renew their leases. */
+export interface InstanceCount {
+  /** Returns the latest count, at least 1. */
+  get(): number;
+  /** Whether all instances that started together with this one are counted. */
+  isConfirmed(): boolean;
+}
+
 interface Renewal {
   version: number;
   at: Milliseconds;
 }
 
-/**
- * Starts counting the instances that renew their leases, until the signal is aborted. The returned
- * function gives the latest count, at least 1.
- */
+/** Starts counting the instances that renew their leases, until the signal is aborted. */
 export function startInstanceCount({
   clock,
   rows,
   signal,
   onCounted,
-}: InstanceCountHost): () => number {
+}: InstanceCountHost): InstanceCount {
   const renewals = new Map<string, Renewal>();
   let instanceCount = INITIAL_INSTANCE_COUNT;
+  let isConfirmed = false;
 
   async function updateCount(least: number): Promise<void> {
     const views = await Promise.all(LEASE_PARTITIONS.map((name) => rows.list(LEASE_TABLE, name)));
@@ -47,7 +53,9 @@
     const since = clock.elapsed() - RENEWAL_TIMEOUT_MS;
     const counted = [...renewals].filter(([, { at }]) => at >= since).map(([name]) => name);
     instanceCount = Math.max(least, counted.length);
-    if (least === 1) onCounted?.(counted);
+    if (least > 1) return;
+    isConfirmed = true;
+    onCounted?.(counted);
   }
 
   function recordRenewal(row: VersionedRow): void {
@@ -65,5 +73,5 @@
   }
 
   poll();
-  return () => instanceCount;
+  return { get: () => instanceCount, isConfirmed: () => isConfirmed };
 }
--- a/packages/forwarding/test/instanceCount.test.ts
+++ b/packages/forwarding/test/instanceCount.test.ts
@@ -12,27 +12,29 @@
     await rows.transact({ checks: [], puts, removals: [] });
   }
   await addLeases(instances);
-  const countInstances = startInstanceCount({ clock, rows, signal: new AbortController().signal });
+  const count = startInstanceCount({ clock, rows, signal: new AbortController().signal });
   await clock.advance(0);
-  return { clock, addLeases, countInstances };
+  return { clock, addLeases, count };
 }
 
 test('an instance that restarts counts the others at once', async () => {
-  const { countInstances } = await setUp(89);
-  expect(countInstances()).toBe(89);
+  const { count } = await setUp(89);
+  expect(count.get()).toBe(89);
 });
 
 test('instances that start together are counted some seconds later', async () => {
-  const { clock, addLeases, countInstances } = await setUp(0);
-  expect(countInstances()).toBe(8);
+  const { clock, addLeases, count } = await setUp(0);
+  expect(count.get()).toBe(8);
+  expect(count.isConfirmed()).toBe(false);
   await addLeases(89);
   await clock.advance(4000);
-  expect(countInstances()).toBe(89);
+  expect(count.get()).toBe(89);
+  expect(count.isConfirmed()).toBe(true);
 });
 
 test('a fleet may be smaller than the count at the start', async () => {
-  const { clock, countInstances } = await setUp(3);
-  expect(countInstances()).toBe(8);
+  const { clock, count } = await setUp(3);
+  expect(count.get()).toBe(8);
   await clock.advance(4000);
-  expect(countInstances()).toBe(3);
+  expect(count.get()).toBe(3);
 });
