Budgets: in a large fleet with an ample budget tokens stay while their use pauses

An instance sees a request of an account each few seconds; its rate, and with it the grant's target, falls in between, so that tokens were returned and fetched again around each request. Above 16 instances and while the budget is ample, an instance now returns only what exceeds eight times its target, some 10 s after the last request; as the budget runs out, 1.4 times.

--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -12,8 +12,8 @@
 import type { GrantUse } from './escrowPlan';
 import { createEscrowQueue } from './escrowQueue';
 import { createEscrowShortage } from './escrowShortage';
-import { getGrantTarget } from './escrowSizing';
-import type { GrantTarget } from './escrowSizing';
+import { getGrantTarget, getReturnRatio } from './escrowSizing';
+import type { GrantDemand, GrantTarget } from './escrowSizing';
 import { createEscrowTransactions } from './escrowTransactions';
 import type { EscrowOutcome, StoreFailure } from './escrowTransactions';
 import { createRateMeter } from './rate';
@@ -285,14 +285,18 @@
 
   function getTarget(): GrantTarget {
     if (isRetired || clock.elapsed() < noSpareUntil) return { spare: 0, reserve: 0 };
-    const unallocated = getUnallocated();
+    return getGrantTarget(getDemand());
+  }
+
+  function getDemand(): GrantDemand {
     // Shares of a fleet that is still starting would be too large, and be taken all at once.
     const instances = host.isFleetCounted() ? host.countInstances() : Infinity;
-    return getGrantTarget({ rate: rate.perSecond(), limit, unallocated, instances });
+    return { rate: rate.perSecond(), limit, unallocated: getUnallocated(), instances };
   }
 
   function getUse(): GrantUse {
-    return { grant: getGrant(), used, unallocated: getUnallocated() };
+    const returnRatio = getReturnRatio(getDemand());
+    return { grant: getGrant(), used, unallocated: getUnallocated(), returnRatio };
   }
 
   function planNextGrant(needed: Tokens): Grant {
--- a/packages/budgets/src/escrowPlan.ts
+++ b/packages/budgets/src/escrowPlan.ts
@@ -4,8 +4,8 @@
 
 /** A grant is resized if its spare tokens, or all it holds idle, fall below this ratio to their target. */
 const RESIZE_LOWER_RATIO = 0.5;
-/** A grant is resized if its spare tokens, or all it holds idle, exceed this ratio to their target. */
-const RESIZE_UPPER_RATIO = 1.4;
+/** A grant's ceiling is lowered if its spare tokens exceed this ratio to their target. */
+const SPARE_UPPER_RATIO = 1.4;
 
 /** A grant and what its next size depends on. */
 export interface GrantUse {
@@ -14,12 +14,20 @@
   used: Tokens;
   /** Tokens of the budget that no instance holds. */
   unallocated: Tokens;
+  /** Ratio of what is held idle to its target above which the rest is returned. */
+  returnRatio: number;
 }
 
 /** Returns whether a grant differs so much from its target that a transaction is worthwhile. */
-export function needsResize({ grant, used }: GrantUse, { spare, reserve }: GrantTarget): boolean {
+export function needsResize(
+  { grant, used, returnRatio }: GrantUse,
+  { spare, reserve }: GrantTarget,
+): boolean {
   const { held, ceiling } = grant;
-  return isOutOfRange(ceiling - used, spare) || isOutOfRange(held - used, spare + reserve);
+  return (
+    isOutOfRange(ceiling - used, spare, SPARE_UPPER_RATIO) ||
+    isOutOfRange(held - used, spare + reserve, returnRatio)
+  );
 }
 
 /**
@@ -33,11 +41,11 @@
 }
 
 function planHeld(
-  { grant, unallocated }: GrantUse,
+  { grant, unallocated, returnRatio }: GrantUse,
   { spare, reserve }: GrantTarget,
   least: Tokens,
 ): Tokens {
-  if (!isOutOfRange(grant.held - least, spare + reserve)) return grant.held;
+  if (!isOutOfRange(grant.held - least, spare + reserve, returnRatio)) return grant.held;
   return Math.max(least, Math.min(least + spare + reserve, grant.held + unallocated));
 }
 
@@ -47,6 +55,6 @@
   return { held, ceiling: Math.min(held, Math.max(ceiling, used + needed)) };
 }
 
-function isOutOfRange(value: Tokens, target: Tokens): boolean {
-  return value < target * RESIZE_LOWER_RATIO || value > target * RESIZE_UPPER_RATIO;
+function isOutOfRange(value: Tokens, target: Tokens, upperRatio: number): boolean {
+  return value < target * RESIZE_LOWER_RATIO || value > target * upperRatio;
 }
--- a/packages/budgets/src/escrowSizing.ts
+++ b/packages/budgets/src/escrowSizing.ts
@@ -30,6 +30,12 @@
 const RESERVE_HORIZON_MIN_MS: Milliseconds = 4000;
 /** How long the reserve of an ample budget lasts while the store does not answer. */
 const RESERVE_HORIZON_MAX_MS: Milliseconds = 14_000;
+/** Largest fleet in which tokens are returned as soon as the rate of use falls. */
+const RETURN_EAGERLY_MAX_INSTANCES = 16;
+/** Return ratio in a small fleet, or while a budget runs out. */
+const RETURN_RATIO_MIN = 1.4;
+/** Return ratio in a large fleet with an ample budget: the rate falls by so much within some 10 s. */
+const RETURN_RATIO_MAX = 8;
 const MS_PER_SECOND = 1000;
 /** Largest part of the unallocated tokens for one instance; an account's callers use only a few. */
 const INSTANCE_MAX_RATIO = 0.6;
@@ -40,6 +46,17 @@
 /** Part of an idle instance's share that is spare rather than reserve while the budget is ample. */
 const IDLE_SPARE_RATIO = 0.1;
 
+/**
+ * Returns the ratio of what an instance holds idle to its target above which it returns the rest. Where many
+ * instances share an ample budget each has a request now and then only, so that its rate falls and rises
+ * with each of them; to return tokens each time would cost more calls than requests.
+ */
+export function getReturnRatio({ limit, unallocated, instances }: GrantDemand): number {
+  if (instances <= RETURN_EAGERLY_MAX_INSTANCES) return RETURN_RATIO_MIN;
+  const range = RETURN_RATIO_MAX - RETURN_RATIO_MIN;
+  return RETURN_RATIO_MIN + range * getAmpleness(limit, unallocated);
+}
+
 /** Returns how much an instance should hold: enough for long cuts, little as a budget runs out. */
 export function getGrantTarget({ rate, limit, unallocated, instances }: GrantDemand): GrantTarget {
   const maxTokens = unallocated * INSTANCE_MAX_RATIO;
--- a/packages/budgets/test/escrow.test.ts
+++ b/packages/budgets/test/escrow.test.ts
@@ -358,3 +358,22 @@
   }
   expect(Math.min(...calls)).toBeGreaterThan(0);
 });
+
+test('instances of a large fleet whose callers pause change the budget seldom', async () => {
+  const instances = 64;
+  const { clock, escrows, store, deliverChanges } = await setUp(instances, 10_000_000);
+  // Each instance has a request each 8 s, twice.
+  for (let second = 0; second < 16; second += 1) {
+    for (const escrow of escrows.filter((_, index) => index % 8 === second % 8)) {
+      const reserved = escrow.reserve(ACCOUNT, 1000, MAX_WAIT_MS);
+      await clock.advance(1);
+      (await reserved).unwrap().settle(1000);
+    }
+    for (let round = 0; round < 3; round += 1) {
+      escrows.forEach((escrow) => escrow.rebalance(300));
+      await clock.advance(300);
+      await deliverChanges();
+    }
+  }
+  expect(store.countBudgetWrites()).toBeLessThanOrEqual(2 * instances);
+});
--- a/packages/budgets/test/escrowHarness.ts
+++ b/packages/budgets/test/escrowHarness.ts
@@ -22,11 +22,13 @@
 export function createUnreliableRows(memory: MemoryRowStore) {
   const plannedOutcomes: PlannedOutcome[] = [];
   let calls = 0;
+  let budgetWrites = 0;
   let late: RowTransaction[] = [];
   const rows: RowStore = {
     ...memory,
     async transact(transaction) {
       calls += 1;
+      if (transaction.puts.some(({ table }) => table === BUDGET_TABLE)) budgetWrites += 1;
       if (calls > MAX_CALLS) throw new RangeError('escrow calls the store without end');
       const outcome = plannedOutcomes.shift() ?? 'done';
       if (outcome === 'refused') return Err({ kind: 'unavailable', message: 'refused' });
@@ -41,7 +43,15 @@
     late = [];
     for (const transaction of delivered) await memory.transact(transaction);
   }
-  return { rows, memory, plannedOutcomes, deliverLate, countCalls: () => calls };
+  return {
+    rows,
+    memory,
+    plannedOutcomes,
+    deliverLate,
+    countCalls: () => calls,
+    /** Transactions that would change a budget's row, conflicts included. */
+    countBudgetWrites: () => budgetWrites,
+  };
 }
 
 /** One run of an instance, from its start until it is killed. */
--- a/packages/budgets/test/escrowSizing.test.ts
+++ b/packages/budgets/test/escrowSizing.test.ts
@@ -1,4 +1,4 @@
-import { getGrantTarget } from '../src';
+import { getGrantTarget, getReturnRatio } from '../src';
 
 const LIMIT = 1_000_000;
 
@@ -33,3 +33,10 @@
   const demand = { rate: 200, limit: LIMIT, unallocated: LIMIT / 50, instances: 8 };
   expect(getGrantTarget(demand).reserve).toBe(2800);
 });
+
+test('a large fleet with an ample budget keeps tokens while their use pauses', () => {
+  const demand = { rate: 0, limit: LIMIT, unallocated: LIMIT, instances: 89 };
+  expect(getReturnRatio(demand)).toBe(8);
+  expect(getReturnRatio({ ...demand, unallocated: 0 })).toBe(1.4);
+  expect(getReturnRatio({ ...demand, instances: 8 })).toBe(1.4);
+});
