--- a/packages/forwarding/test/sharedFeed.test.ts
+++ b/packages/forwarding/test/sharedFeed.test.ts
@@ -20,7 +20,7 @@
       return memory.follow(...args);
     },
   };
-  const {signal} = new AbortController();
+  const { signal } = new AbortController();
   const feed = startSharedFeed({ clock, log: createSilentLog(), rows, signal });
   const seen: Record<string, string[]> = { limits: [], relays: [] };
   const listen = (partition: 'limits' | 'relays') =>
