--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -85,7 +85,7 @@
     clock,
     getFreeTokens,
     openReservation,
-    getWaitError,
+    judgeWait,
     isExhausted,
   });
   const transactions = createEscrowTransactions({
@@ -163,7 +163,7 @@
     };
   }
 
-  function getWaitError(tokens: Tokens, since: Milliseconds): EscrowError {
+  function judgeWait(tokens: Tokens, since: Milliseconds): EscrowError {
     const isCovered = tokens <= getFreeTokens() + getUnallocated();
     if (!transactions.canGrant()) return UNREACHABLE_ERROR;
     if (isCovered || transactions.getTotalReadAt() < since) return UNREACHABLE_ERROR;
@@ -171,8 +171,8 @@
     return { kind: 'exhausted' };
   }
 
-  // A request that waited in vain shows that the others can spare nothing. What they return later is
-  // unallocated, so that it counts as available.
+  // Once a request has waited in vain the others can spare nothing. What they return later is unallocated,
+  // so that it counts as available.
   function isExhausted(tokens: Tokens): boolean {
     if (host.isStoreUnresponsive() || !transactions.canGrant()) return false;
     return shortage.covers(tokens) && tokens > getAvailable();
--- a/packages/budgets/src/escrowQueue.ts
+++ b/packages/budgets/src/escrowQueue.ts
@@ -9,8 +9,8 @@
   getFreeTokens(): Tokens;
   /** Reserves tokens that are free. */
   openReservation(tokens: Tokens): EscrowReservation;
-  /** The error for a request that has waited in vain since the given time. */
-  getWaitError(tokens: Tokens, since: Milliseconds): EscrowError;
+  /** Decides with what error a request ends that has waited in vain since the given time. */
+  judgeWait(tokens: Tokens, since: Milliseconds): EscrowError;
   /** Whether the account is known to have too little left for a request of this size. */
   isExhausted(tokens: Tokens): boolean;
 }
@@ -49,7 +49,7 @@
   }
 
   function expire(waiter: Waiter, since: Milliseconds): void {
-    const error = host.getWaitError(waiter.tokens, since);
+    const error = host.judgeWait(waiter.tokens, since);
     finish(waiter, Err(error));
     // Requests for no fewer tokens would wait in vain as well.
     if (host.isExhausted(waiter.tokens)) refuseFrom(waiter.tokens, error);
