Review, case 2: streams that end early look complete

Cause: an answer without framing is passed on without framing, so that the end of a killed process ends it in order; and the end of a leaving server's answer is not doubted. Change: the script kills a process of the system; with VARIANT=leaving it takes a server away as before.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,10 +1,11 @@
-// A server is taken away: it reports `draining`, goes on serving for a while and is gone. Its answers have neither a
-// length nor chunks, so those in progress end with their connections.
+// One process of the system is killed while it passes streams on that have neither a length nor chunks. With
+// VARIANT=leaving a server is taken away instead: it reports `draining`, goes on serving for a while and is gone.
 /* eslint-disable no-await-in-loop, no-restricted-syntax -- off in the house rules of TypeScript too */
 /* eslint-disable import-x/extensions -- Node.js finds modules by their whole names */
 import net from 'node:net';
 import { randomBytes } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
+import process from 'node:process';
 import { clearTimeout, setTimeout } from 'node:timers';
 import {
   createConfig,
@@ -24,9 +25,11 @@
 const EVENT_MS = 100;
 const LIMIT_MS = 12_000;
 const INTERVAL_MS = 100;
-const DRAIN_MS = 2000;
+/** A process that was killed is started again after a short delay. */
+const RESTART_DELAY_MS = 1000;
 /** `drain_ms` and a little longer. */
-const EXIT_AFTER_MS = DRAIN_MS + 500;
+const EXIT_AFTER_MS = 2500;
+const isServerLeaving = process.env.VARIANT === 'leaving';
 
 await runCase(import.meta.dirname, async ({ record, say, defer }) => {
   const site = await startSite({ record, defer, config: createConfig() });
@@ -111,13 +114,19 @@
   machines.forEach(keepAsking);
   const startedAt = performance.now();
   await sleep(6000);
-  if (hasTrouble) {
+  if (hasTrouble && isServerLeaving) {
     const [leaving] = servers;
     leaving.reportDraining();
     await sleep(EXIT_AFTER_MS);
     leaving.kill();
     store.remove('servers', leaving.id);
     say(`${leaving.id} reported draining, and is gone ${EXIT_AFTER_MS} ms later`);
+  } else if (hasTrouble) {
+    const [killed] = machines;
+    killed.signal('SIGKILL');
+    say(`the process of ${killed.name} is killed`);
+    await sleep(RESTART_DELAY_MS);
+    killed.start();
   } else await sleep(EXIT_AFTER_MS);
   await sleep(1000);
   isOver = true;
