--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -20,7 +20,8 @@
 const LOST_ALLOWED = 3;
 /** A process that has ended is started again after a short delay. */
 const RESTART_DELAY_MS = 500;
-const PARTS = ['5c1e07a2', '91bd3f06', 'e4402b7d', '07a25c1e', '3f0691bd', '2b7de440', 'a25c1e07'];
+/** Parts that prompts share; each has a server of its own that mostly gets it. */
+const PARTS = 100;
 
 await runCase(import.meta.dirname, async ({ record: write, say, defer }) => {
   const running = new Set();
@@ -52,7 +53,7 @@
   let lost = 0;
 
   async function ask(machine) {
-    const part = PARTS[Math.floor(Math.random() * PARTS.length)];
+    const part = (0x5c1e07a2 + Math.floor(Math.random() * PARTS)).toString(16);
     const own = Math.floor(Math.random() * 2 ** 32).toString(16);
     const answer = await caller.send({
       ...{ to: machine.front, path: '/lohu930/2f', limitMs: 5000, body: Buffer.alloc(600) },
