--- a/review/lib/script.mjs
+++ b/review/lib/script.mjs
@@ -41,6 +41,11 @@
     process.exit(code);
   }
 
+  const giveUp = (reason) =>
+    end(COULD_NOT_RUN, `RESULT: could not run: ${reason?.stack ?? reason}`);
+  ['SIGINT', 'SIGTERM', 'uncaughtException', 'unhandledRejection'].forEach((event) =>
+    process.once(event, giveUp),
+  );
   timer = setTimeout(() => end(COULD_NOT_RUN, 'RESULT: took too long'), TIME_LIMIT_MS);
   try {
     const isBroken = await play({ record, say, defer: (stop) => deferred.push(stop) });
