--- a/packages/core/src/connect.ts
+++ b/packages/core/src/connect.ts
@@ -1,6 +1,6 @@
 import net from 'node:net';
 import type { Duplex } from 'node:stream';
-import { Err, Ok } from 'ts-results';
+import { Err, Ok, Result } from 'ts-results';
 import type { Clock, Milliseconds, Outcome } from './types';
 import { splitAddress } from './http';
 
@@ -21,13 +21,15 @@
   message: string;
 }
 
-/** Opens a TCP connection to `ip:port` within the timeout. Never rejects. */
-export function connect(
+/** Opens a TCP connection to `ip:port` within the timeout. Never rejects, whatever the address is. */
+export async function connect(
   clock: Clock,
   address: string,
   timeout: Milliseconds,
 ): Promise<Outcome<net.Socket, ConnectError>> {
-  const socket = net.connect(splitAddress(address));
+  const opened = Result.wrap<net.Socket, Error>(() => net.connect(splitAddress(address)));
+  if (opened.err) return Err({ kind: 'failed', message: opened.val.message });
+  const socket = opened.val;
   return new Promise((resolve) => {
     const timer = clock.after(timeout, () =>
       fail({ kind: 'late', message: 'connection timed out' }),
--- a/packages/core/test/http.test.ts
+++ b/packages/core/test/http.test.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import { callHttp, listen } from '../src';
+import { callHttp, connect, createSystemClock, listen } from '../src';
 import type { HttpAnswer, HttpFailure, Outcome } from '../src';
 
 const TIMEOUT_MS = 2000;
@@ -49,3 +49,12 @@
   const answer = (await call(raw, method)).unwrap();
   expect(answer.body.toString()).toBe(body);
 });
+
+// Guards against a process that ends because of an address that no program may connect to.
+test.each(['127.0.0.1:99999', '127.0.0.1:', 'no address'])(
+  'a connection to %j fails and does not throw',
+  async (address) => {
+    const opened = await connect(createSystemClock(), address, 200);
+    expect(opened.err).toBe(true);
+  },
+);
