Answers to callers state their end, and a leaving endpoint's close is doubted too

Cause: an endpoint's missing framing was passed on, so the kernel of a killed instance ended such an answer as a whole one ends; and a leaving endpoint whose process had gone was believed. Found in reading: an endpoint that has started again was never asked, and its next incarnation at the same address answered for it. Ruled out: lost or reordered events. Why it works: the last chunk is sent by the instance itself once it believes the end.

--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -87,7 +87,7 @@
 ): Promise<AttemptReply> {
   if (sent.err || sent.val.kind !== 'whole') return sent;
   const report = noteEnd(run, attempt, sent.val.end);
-  const message = await findEndFault(run, attempt.slot, sent.val.end);
+  const message = await findEndFault(run, attempt, sent.val.end);
   report(message === undefined ? 'believed' : 'disbelieved');
   return message === undefined ? sent : Err({ kind: 'broken', message });
 }
--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -189,7 +189,7 @@
     logFailure(run, attempt, step);
     return 'broken';
   }
-  const fault = await findEndFault(run, attempt.slot, step);
+  const fault = await findEndFault(run, attempt, step);
   if (fault === undefined) return step.kind;
   logFailure(run, attempt, { kind: 'broken', message: fault });
   return 'doubtful';
--- a/packages/forwarding/src/ends/answerEnd.ts
+++ b/packages/forwarding/src/ends/answerEnd.ts
@@ -1,7 +1,7 @@
 import { sleep, withTimeout } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
-import type { Slot } from '@pomeloroad/routing';
 import { isRetryable } from '../attempts/patience';
+import type { SentAttempt } from '../attempts/sentAttempt';
 import { getTimeLeft } from '../run';
 import type { Run } from '../run';
 import type { AnswerEnd } from '../types';
@@ -16,23 +16,29 @@
 /** Maximum time between the closes of a dying process's connections and of its listening socket. */
 const PROCESS_END_MS: Milliseconds = 50;
 
+/** An attempt whose answer has ended. */
+type EndedAttempt = Pick<SentAttempt, 'slot' | 'endpoint'>;
+
 /**
  * Returns why an end in order is not the end of the answer, or `undefined` if nothing shows that it
  * is not. Releases the slot if it has to ask the endpoint.
  */
 export async function findEndFault<Payload>(
   run: Run<Payload>,
-  slot: Slot,
+  attempt: EndedAttempt,
   end: AnswerEnd,
 ): Promise<string | undefined> {
+  const { slot } = attempt;
   const { framing, at } = end;
   // A length proves by itself that the answer is complete.
   if (framing === 'length' || framing === 'no body') return undefined;
   if (run.request.deadline - at <= DEADLINE_TOLERANCE_MS) return 'ended at its time limit';
-  if (framing === 'chunked' && !(await closesConnection(run, slot, end))) return undefined;
+  if (framing === 'chunked' && !(await closesConnection(run, attempt, end))) return undefined;
   if (framing === 'close') slot.release('ok');
-  const isDead = await isEndpointDead(run, slot, framing === 'chunked');
-  return isDead ? 'closed by an endpoint that accepts no connections any more' : undefined;
+  const isGone = await isEndpointGone(run, attempt, framing === 'chunked');
+  // An endpoint that leaves may exit after its last answer, but only a stated end tells that it was whole.
+  const isDoubtful = isGone && (framing === 'close' || !slot.isLeaving());
+  return isDoubtful ? 'closed by an endpoint that accepts no connections any more' : undefined;
 }
 
 /**
@@ -42,7 +48,7 @@
  */
 async function closesConnection<Payload>(
   { request: { route } }: Run<Payload>,
-  slot: Slot,
+  { slot }: EndedAttempt,
   { closes }: AnswerEnd,
 ): Promise<boolean> {
   if (!isRetryable(route)) return false;
@@ -52,17 +58,15 @@
 }
 
 /**
- * Returns whether the endpoint has died, that is, stopped without having announced it; `fallback` if no
- * time is left to find out. The kernel closes the connections of a killed process just as an endpoint
- * does after a complete answer.
+ * Returns whether the process of the endpoint has ended; `fallback` if no time is left to find out. The
+ * kernel closes the connections of a killed process just as an endpoint does after a complete answer.
  */
-async function isEndpointDead<Payload>(
+async function isEndpointGone<Payload>(
   run: Run<Payload>,
-  slot: Slot,
+  { endpoint }: EndedAttempt,
   fallback: boolean,
 ): Promise<boolean> {
   const { clock, directory, protocol } = run.host;
-  const endpoint = directory.find(slot.endpoint.name);
   if (!endpoint) return false;
   if (run.stop.signal.aborted) return fallback;
   const getPatience = (): Milliseconds => Math.max(0, getTimeLeft(run));
@@ -70,5 +74,6 @@
   const probe = protocol.probe(endpoint);
   const reachability = await withTimeout(clock, getPatience(), probe, 'unknown');
   if (getTimeLeft(run) <= 0) return fallback;
-  return reachability === 'refused' && !slot.isLeaving();
+  // Its next incarnation may have the same address.
+  return reachability === 'refused' || directory.getFate(endpoint) === 'started again';
 }
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -134,7 +134,7 @@
   }
   run.caller.begin(reply.head);
   const end = await relayStream(run, reply.stream, attempt);
-  // An answer that was begun in chunks can't be ended without stating that it is complete.
+  // To the caller each end states that the answer is complete; a close counts only where nothing else can.
   const mayEnd = end === 'complete' || (end === 'closed' && reply.head.framing === 'close');
   if (mayEnd) run.caller.end();
   else run.caller.cut();
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -269,14 +269,14 @@
 export interface Caller {
   /** Aborted once the caller has disconnected. */
   signal: AbortSignal;
-  /** Sends a whole answer, whose end is marked as the endpoint's framing says. */
+  /** Sends a whole answer and states its end. */
   answer(head: ReplyHead, body: Buffer): void;
   refuse(refusal: ForwardRefusal): void;
-  /** Starts a streamed answer, whose end is marked as the endpoint's framing says. */
+  /** Starts a streamed answer. */
   begin(head: ReplyHead): void;
   /** Writes a part of a streamed answer; resolves when more may be written. */
   write(data: Buffer): Promise<void>;
-  /** Ends a streamed answer; states that it is complete if its framing can. */
+  /** Ends a streamed answer and states that it is complete. */
   end(): void;
   /** Aborts a streamed answer so that the caller can tell it is incomplete. */
   cut(): void;
--- a/packages/forwarding/test/answerEnd.test.ts
+++ b/packages/forwarding/test/answerEnd.test.ts
@@ -4,20 +4,21 @@
 import { findEndFault } from '../src/ends/answerEnd';
 import type { Run } from '../src/run';
 import type { EndpointRecord, Reachability } from '../src';
+import type { IncarnationFate } from '../src/store/endpointDirectory';
 
 const DEADLINE_MS = 1000;
 
 interface Endpoint {
   reachability?: Reachability;
   isLeaving?: boolean;
-  isListed?: boolean;
+  fate?: IncarnationFate;
   /** Whether the connection closes just after the end. */
   hasClosed?: boolean;
 }
 
 // Judges an end that arrived `timeLeft` ms before the deadline; returns the fault and the steps.
 async function judge(framing: ResponseFraming, timeLeft: number, endpoint: Endpoint = {}) {
-  const { reachability = 'accepting', isLeaving = false, isListed = true } = endpoint;
+  const { reachability = 'accepting', isLeaving = false, fate = 'listed' } = endpoint;
   const { hasClosed = false } = endpoint;
   const clock = createManualClock();
   const at = DEADLINE_MS - timeLeft;
@@ -33,7 +34,7 @@
     stop: new AbortController(),
     host: {
       clock,
-      directory: { find: () => (isListed ? ({ id: 'e' } as EndpointRecord) : undefined) },
+      directory: { getFate: () => fate },
       protocol: {
         async probe() {
           steps.push('probe');
@@ -43,11 +44,11 @@
     },
   } as unknown as Run<unknown>;
   let fault: string | undefined = 'not judged';
-  const judged = findEndFault(run, slot, { framing, at, closes: Promise.resolve(hasClosed) }).then(
-    (found) => {
-      fault = found;
-    },
-  );
+  const attempt = { slot, endpoint: { id: 'e' } as EndpointRecord };
+  const end = { framing, at, closes: Promise.resolve(hasClosed) };
+  const judged = findEndFault(run, attempt, end).then((found) => {
+    fault = found;
+  });
   await clock.advance(DEADLINE_MS);
   await judged;
   return { fault, steps };
@@ -68,8 +69,10 @@
 
 test.each<[Endpoint, boolean]>([
   [{ reachability: 'refused' }, true],
-  [{ reachability: 'refused', isLeaving: true }, false],
-  [{ reachability: 'refused', isListed: false }, false],
+  [{ reachability: 'refused', isLeaving: true }, true],
+  [{ reachability: 'refused', fate: 'gone' }, true],
+  [{ reachability: 'accepting', fate: 'started again' }, true],
+  [{ reachability: 'accepting', isLeaving: true, fate: 'leaving' }, false],
   [{ reachability: 'unknown' }, false],
   [{ reachability: 'accepting' }, false],
 ])('a close by an endpoint breaks its answer: %j %s', async (endpoint, isBroken) => {
--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -40,6 +40,7 @@
 
 /** The checks of one request. */
 export const RequestChecks = {
+  framing: checkFraming,
   completeness: checkCompleteness,
   'false-ends': checkFalseEnds,
   'time-limits': checkTimeLimits,
@@ -65,11 +66,22 @@
   'one-version': checkOneVersion,
 } satisfies Record<string, RequestCheck>;
 
-// An endpoint's answer without a length ends with its connection, which states nothing.
 function checkCompleteness(record: RequestRecord): CheckOutcome {
   const { answer } = record;
-  if (answer?.status !== STATUS_OK || !answer.isStatedComplete) return 'skipped';
-  return hasFalseEnd(record) ? 'skipped' : findMissing(record);
+  if (answer?.status !== STATUS_OK || !answer.looksComplete) return 'skipped';
+  return hasFalseEnd(record) || isCutUnseen(record) ? 'skipped' : findMissing(record);
+}
+
+// Nothing tells a whole answer without a length from one that a living endpoint ends in order too early.
+function isCutUnseen({ work, runs }: RequestRecord): boolean {
+  return work.framing === 'close' && work.fault === 'short' && runs.length > 0;
+}
+
+// The kernel closes the connections of an instance that is killed in order, as after a whole answer.
+function checkFraming({ answer }: RequestRecord): CheckOutcome {
+  if (!answer || answer.status === 0) return 'skipped';
+  if (answer.framing !== 'close') return 'held';
+  return { message: 'only the end of its connection ends the answer' };
 }
 
 // Endpoints may state ends falsely; no such end may reach the caller as the end of its answer.
@@ -87,7 +99,7 @@
 
 function findFalseEnd(record: RequestRecord): CheckOutcome {
   const { answer } = record;
-  const looksComplete = answer?.status === STATUS_OK && answer.isStatedComplete;
+  const looksComplete = answer?.status === STATUS_OK && answer.looksComplete;
   return looksComplete ? findMissing(record) : 'held';
 }
 
--- a/packages/standins/src/callerClient.ts
+++ b/packages/standins/src/callerClient.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import { watchClose } from '@pomeloroad/core';
 import { WireHeader } from './platformWire';
 import { signAnswer } from './soakWork';
 
@@ -34,8 +35,11 @@
   /** 0 if no answer has begun. */
   status: number;
   framing: 'length' | 'chunked' | 'close';
-  /** Whether the framing states that the answer is complete: its length is met, or the last chunk. */
-  isStatedComplete: boolean;
+  /**
+   * Whether the caller takes the answer for complete: its length is met, its last chunk has come, or it has
+   * neither and its connection was closed in order.
+   */
+  looksComplete: boolean;
   /** Whether the answer names the request. */
   isOwn: boolean;
   /** Whether the signature is one of an endpoint for this request. */
@@ -51,7 +55,7 @@
     const answer: CallerAnswer = {
       status: 0,
       framing: 'close',
-      isStatedComplete: false,
+      looksComplete: false,
       isOwn: true,
       isSigned: false,
       body: '',
@@ -83,14 +87,16 @@
     request.on('error', finish);
     request.on('response', (response) => {
       readHead(answer, response, call);
+      const hasEnded =
+        answer.framing === 'close' ? watchClose(response) : async () => response.complete;
       response.on('data', (data: Buffer) => {
         answer.body += data.toString();
       });
       response.on('error', (error) => {
         answer.error ??= error.message;
       });
-      response.on('close', () => {
-        answer.isStatedComplete = answer.framing !== 'close' && response.complete;
+      response.on('close', async () => {
+        answer.looksComplete = await hasEnded();
         finish();
       });
     });
