Each exchange with an endpoint ends when its connection does, and a head that can't be passed on is no answer

Cause: an exchange ended by a response or an error only, and Node.js reports neither for a 101 that nobody asked for. Related, found in looking for calls that may throw: a status below 100 and a header's name with a space are read but can't be written, an event's id may not fit into a header; callHttp and the clients of the product's own interface waited for a response or an error too. Ruled out by reading: a missed deadline.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import https from 'node:https';
 import type net from 'node:net';
-import { Err, Ok } from 'ts-results';
+import { Err, Ok, Result } from 'ts-results';
 import { getResponseFraming } from './framing';
 import type { Milliseconds, Outcome, RunStatus } from './types';
 
@@ -65,7 +65,13 @@
       const message = `${reason} while ${phase}, ${received} bytes received`;
       resolve(Err({ kind: 'unavailable', ran: isSent ? 'unknown' : 'no', message }));
     };
-    const request = createRequest(call, (response) => {
+    const created = Result.wrap<http.ClientRequest, Error>(() => createRequest(call));
+    if (created.err) {
+      fail(created.val.message);
+      return;
+    }
+    const request = created.val;
+    request.on('response', (response) => {
       phase = 'reading';
       headAt = performance.now();
       const isUnframed = getResponseFraming(response, call.method) === 'close';
@@ -98,7 +104,11 @@
       phase = 'waiting for the head';
     });
     request.on('error', (error) => fail(error.message));
-    request.on('close', () => clearTimeout(timer));
+    request.on('close', () => {
+      clearTimeout(timer);
+      // Such as after an answer 101, which brings neither a response nor an error.
+      if (phase !== 'reading') fail('closed without an answer');
+    });
     request.end(call.body);
   });
 }
@@ -121,12 +131,11 @@
   }
 }
 
-function createRequest(call: HttpCall, listener: (response: http.IncomingMessage) => void) {
-  const { method, headers, agent, authority } = call;
-  if (call.url.startsWith('https:')) {
-    return https.request(call.url, { method, headers, agent, ca: authority }, listener);
-  }
-  return http.request(call.url, { method, headers, agent }, listener);
+// Throws if the address or a header can't be used.
+function createRequest({ url, method, headers, agent, authority }: HttpCall): http.ClientRequest {
+  if (url.startsWith('https:'))
+    return https.request(url, { method, headers, agent, ca: authority });
+  return http.request(url, { method, headers, agent });
 }
 
 /**
--- a/packages/core/test/http.test.ts
+++ b/packages/core/test/http.test.ts
@@ -58,3 +58,17 @@
     expect(opened.err).toBe(true);
   },
 );
+
+// Guards against calls without an end, and the feeds that wait for them.
+test('a call that is answered 101 fails', async () => {
+  const answer = await call('HTTP/1.1 101 Go\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n');
+  expect(answer.val).toMatchObject({ kind: 'unavailable', ran: 'unknown' });
+});
+
+test.each(['http://127.0.0.1:99999/', 'http://', 'nothing'])(
+  'a call of %j fails and does not throw',
+  async (url) => {
+    const answer = await callHttp({ method: 'GET', url, timeout: TIMEOUT_MS });
+    expect(answer.val).toMatchObject({ kind: 'unavailable', ran: 'no' });
+  },
+);
--- a/packages/entry/src/engineClient.ts
+++ b/packages/entry/src/engineClient.ts
@@ -208,6 +208,7 @@
   return new Promise((resolve, reject) => {
     request.once('response', resolve);
     request.on('error', reject);
+    request.once('close', () => reject(new Error('closed without an answer')));
     request.end(body);
   });
 }
--- a/packages/entry/src/serviceClient.ts
+++ b/packages/entry/src/serviceClient.ts
@@ -50,6 +50,8 @@
   isRefusing(address: string): Promise<boolean>;
 }
 
+/** Lower ones can't be passed on. */
+const STATUS_MIN = 100;
 const PROBE_TIMEOUT_MS: Milliseconds = 1000;
 
 /** Response headers that belong to one connection or that the instance sets itself. */
@@ -106,6 +108,7 @@
   return new Promise((resolve, reject) => {
     request.once('response', resolve);
     request.on('error', reject);
+    request.once('close', () => reject(new Error('closed without an answer')));
     request.end(body);
   });
 }
@@ -118,6 +121,7 @@
   sink: ServiceSink,
 ): Promise<Outcome<void, ServiceError>> {
   const status = response.statusCode ?? 0;
+  if (status < STATUS_MIN) throw new Error(`status ${status}`);
   // A service that answers 503 with this header did not run the call.
   if (status === 503 && response.headers['x-not-run'] === 'true') {
     discardBody(request, response);
--- a/packages/entry/test/engineClient.test.ts
+++ b/packages/entry/test/engineClient.test.ts
@@ -26,3 +26,15 @@
   const stopped = await client.stop(address, 's');
   expect(stopped.val).toMatchObject({ state: 'cancelled', promptTokens: 1, completionTokens: 2 });
 });
+
+// Guards against requests without an end.
+test('a stream that is answered 101 fails', async () => {
+  server = http.createServer((request) => {
+    request.socket.write('HTTP/1.1 101 Go\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n');
+  });
+  const address = await listen(server, '127.0.0.1:0');
+  const { signal } = new AbortController();
+  const call = { address, stream: 's', body: {}, priority: 0, hasOwnConnection: true, signal };
+  const outcome = await createEngineClient({ sourceAddress: '' }).run(call, async () => undefined);
+  expect(outcome.val).toMatchObject({ kind: 'failed', ran: 'unknown' });
+});
--- a/packages/entry/test/serviceClient.test.ts
+++ b/packages/entry/test/serviceClient.test.ts
@@ -57,3 +57,11 @@
   const { outcome } = await readAnswer((_request, response) => response.write('part'), 0);
   expect(outcome.val).toMatchObject({ kind: 'failed', ran: 'unknown', message: 'silent' });
 });
+
+// Guards against requests without an end.
+test.each(['101 Go', '000 Nothing'])('a call that is answered %s fails', async (status) => {
+  const { outcome } = await readAnswer((request) => {
+    request.socket.write(`HTTP/1.1 ${status}\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n`);
+  }, 0);
+  expect(outcome.val).toMatchObject({ kind: 'failed', ran: 'unknown' });
+});
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -169,6 +169,6 @@
     .with('broken', () => 'failed' as const)
     .with('unreachable', 'replaced', () => 'unreachable' as const)
     .with('declined', () => 'ok' as const)
-    .with('withheld', () => 'unused' as const)
+    .with('withheld', 'unsendable', () => 'unused' as const)
     .exhaustive();
 }
--- a/packages/forwarding/src/attempts/attempts.ts
+++ b/packages/forwarding/src/attempts/attempts.ts
@@ -107,12 +107,16 @@
     .with('unreachable', () => true)
     .with('replaced', 'declined', () => mayBeDeclined(run) && takeRetry(run))
     .with('broken', () => takeAttempt(run))
-    .with('withheld', () => false)
+    .with('withheld', 'unsendable', () => false)
     .exhaustive();
 }
 
 function toFinalRefusalKind<Payload>(run: Run<Payload>, error: SendError): RefusalKind {
   if (run.stop.signal.aborted) return 'timed-out';
-  if (error.kind === 'broken' || run.runs > 0) return 'failed';
-  return error.kind === 'withheld' ? 'blocked' : 'overloaded';
+  if (run.runs > 0) return 'failed';
+  return match(error.kind)
+    .with('broken', 'unsendable', () => 'failed' as const)
+    .with('withheld', () => 'blocked' as const)
+    .with('unreachable', 'replaced', 'declined', () => 'overloaded' as const)
+    .exhaustive();
 }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -178,6 +178,8 @@
   | { kind: 'declined'; message: string }
   /** Nothing was sent, because endpoints crash under the request or a part of its prompt. */
   | { kind: 'withheld'; message: string }
+  /** Nothing was sent, because the request can't be written in the endpoint's protocol. */
+  | { kind: 'unsendable'; message: string }
   /** The connection failed after the request was sent, so the request may have run. */
   | { kind: 'broken'; message: string };
 
