--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -109,6 +109,8 @@
     tokens: Tokens,
     maxWait: Milliseconds,
   ): Promise<Outcome<EscrowReservation, EscrowError>> {
+    // No grant could ever cover it, so it tells nothing of what the account needs.
+    if (tokens > limit) return Err({ kind: 'exhausted' });
     rate.add(tokens);
     const deadline = clock.elapsed() + maxWait;
     for (;;) {
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -114,10 +114,13 @@
   run: Run<Payload>,
   reservation: EscrowReservation | undefined,
 ): Promise<void> {
-  const reply = await sendWithRetries(run);
-  if (reply.err) refuse(run, reply.val);
-  else await deliverReply(run, reply.val);
-  reservation?.settle(getSpentTokens(run));
+  try {
+    const reply = await sendWithRetries(run);
+    if (reply.err) refuse(run, reply.val);
+    else await deliverReply(run, reply.val);
+  } finally {
+    reservation?.settle(getSpentTokens(run));
+  }
 }
 
 async function deliverReply<Payload>(
