Rows of our own, frames and addresses that can't be used end one attempt, never the process

A name that is an object, or a field that is null, in a row of origins or of a budget threw in a feed's listener; new WebSocket and http.request throw for addresses that any member may announce; a frame without its fields ended a process of the product's own interface, even from a peer that does not know the fleet's key; a timer beyond 24 days fires at once. Each such call is wrapped where it is made, each such value is decoded first.

--- a/packages/budgets/src/escrowRows.ts
+++ b/packages/budgets/src/escrowRows.ts
@@ -107,7 +107,10 @@
     value as Partial<Restoration>;
   return (
     Array.isArray(instances) &&
+    instances.every((instance) => typeof instance === 'string') &&
     typeof carried === 'object' &&
+    // A row may hold any value, whatever the type says.
+    (carried as unknown) !== null &&
     Object.values(carried).every(isCount) &&
     isCount(writtenOff) &&
     isCount(limit) &&
--- a/packages/core/src/clock.ts
+++ b/packages/core/src/clock.ts
@@ -1,12 +1,15 @@
 import type { Clock, Milliseconds, Random, Timer } from './types';
 
+/** Longest delay of Node's timers; a longer one fires at once. */
+const TIMER_MAX_MS: Milliseconds = 2 ** 31 - 1;
+
 /** Creates a clock on the system time. Its timers do not keep the process alive. */
 export function createSystemClock(): Clock {
   return {
     now: () => new Date(),
     elapsed: () => performance.now(),
     after(delay, callback) {
-      const handle = setTimeout(callback, delay);
+      const handle = setTimeout(callback, Math.min(delay, TIMER_MAX_MS));
       handle.unref();
       return { cancel: () => clearTimeout(handle) };
     },
--- a/packages/core/test/core.test.ts
+++ b/packages/core/test/core.test.ts
@@ -1,4 +1,12 @@
-import { createManualClock, createRandom, getOwner, rankNodes, sleep, withTimeout } from '../src';
+import {
+  createManualClock,
+  createRandom,
+  createSystemClock,
+  getOwner,
+  rankNodes,
+  sleep,
+  withTimeout,
+} from '../src';
 
 test('manual clock runs timers in order of their due times', async () => {
   const clock = createManualClock();
@@ -45,3 +53,13 @@
     if (owner !== 'c') expect(getOwner(key, rest)).toBe(owner);
   });
 });
+
+// Guards against time limits that pass at once because they are longer than a timer takes.
+test('a timer longer than Node.js takes does not fire at once', async () => {
+  const clock = createSystemClock();
+  const calls: string[] = [];
+  const timer = clock.after(2 ** 40, () => calls.push('fired'));
+  await sleep(clock, 30);
+  timer.cancel();
+  expect(calls).toEqual([]);
+});
--- a/packages/entry/src/engineClient.ts
+++ b/packages/entry/src/engineClient.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import { createParser } from 'eventsource-parser';
 import type { EventSourceMessage } from 'eventsource-parser';
-import { Err, Ok } from 'ts-results';
+import { Err, Ok, Result } from 'ts-results';
 import { z } from 'zod';
 import { callHttp, onConnected, readBody } from '@pomeloroad/core';
 import type { Outcome, RunStatus, Tokens } from '@pomeloroad/core';
@@ -108,12 +108,14 @@
     path: string,
     headers: http.OutgoingHttpHeaders,
   ) {
-    return http.request(`http://${call.address}${path}`, {
-      method,
-      headers,
-      agent: call.hasOwnConnection ? new http.Agent({ localAddress }) : agent,
-      signal: call.signal,
-    });
+    return Result.wrap<http.ClientRequest, Error>(() =>
+      http.request(`http://${call.address}${path}`, {
+        method,
+        headers,
+        agent: call.hasOwnConnection ? new http.Agent({ localAddress }) : agent,
+        signal: call.signal,
+      }),
+    );
   }
 
   async function callControl<T>(
@@ -170,11 +172,13 @@
 }
 
 async function readStream(
-  request: http.ClientRequest,
+  opened: Outcome<http.ClientRequest, Error>,
   body: string | undefined,
   isRest: boolean,
   sink: EngineSink,
 ): Promise<Outcome<void, EngineError>> {
+  if (opened.err) return Err({ kind: 'failed', ran: 'no', message: opened.val.message });
+  const request = opened.val;
   let isSent = false;
   let isComplete = false;
   let hasEvents = false;
--- a/packages/entry/src/serviceClient.ts
+++ b/packages/entry/src/serviceClient.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
 import net from 'node:net';
-import { Err, Ok } from 'ts-results';
+import { Err, Ok, Result } from 'ts-results';
 import {
   discardBody,
   getResponseFraming,
@@ -72,7 +72,11 @@
   const localAddress = options.sourceAddress || undefined;
   return {
     isRefusing(address) {
-      const socket = net.connect({ ...splitAddress(address), localAddress });
+      const opened = Result.wrap<net.Socket, Error>(() =>
+        net.connect({ ...splitAddress(address), localAddress }),
+      );
+      if (opened.err) return Promise.resolve(false);
+      const socket = opened.val;
       socket.setTimeout(PROBE_TIMEOUT_MS, () => socket.destroy());
       return new Promise((resolve) => {
         socket.once('connect', () => socket.destroy());
@@ -82,12 +86,16 @@
     },
     async run(address, call, signal, sink) {
       let isSent = false;
-      const request = http.request(`http://${address}${call.path}`, {
-        method: call.method,
-        headers: { ...call.headers, 'content-length': call.body.length },
-        agent: new http.Agent({ localAddress }),
-        signal,
-      });
+      const opened = Result.wrap<http.ClientRequest, Error>(() =>
+        http.request(`http://${address}${call.path}`, {
+          method: call.method,
+          headers: { ...call.headers, 'content-length': call.body.length },
+          agent: new http.Agent({ localAddress }),
+          signal,
+        }),
+      );
+      if (opened.err) return Err({ kind: 'failed', ran: 'no', message: opened.val.message });
+      const request = opened.val;
       onConnected(request, () => {
         isSent = true;
       });
--- a/packages/entry/test/engineClient.test.ts
+++ b/packages/entry/test/engineClient.test.ts
@@ -38,3 +38,12 @@
   const outcome = await createEngineClient({ sourceAddress: '' }).run(call, async () => undefined);
   expect(outcome.val).toMatchObject({ kind: 'failed', ran: 'unknown' });
 });
+
+// Guards against a process that ends because of an address that a member announces.
+test('an engine whose address can not be used fails and does not throw', async () => {
+  const { signal } = new AbortController();
+  const place = { address: '127.0.0.1:99999', stream: 's', hasOwnConnection: true };
+  const call = { ...place, body: {}, priority: 0, signal };
+  const outcome = await createEngineClient({ sourceAddress: '' }).run(call, async () => undefined);
+  expect(outcome.val).toMatchObject({ kind: 'failed', ran: 'no' });
+});
--- a/packages/entry/test/serviceClient.test.ts
+++ b/packages/entry/test/serviceClient.test.ts
@@ -65,3 +65,13 @@
   }, 0);
   expect(outcome.val).toMatchObject({ kind: 'failed', ran: 'unknown' });
 });
+
+// Guards against a process that ends because of an address that a member announces.
+test('a service whose address can not be used fails and does not throw', async () => {
+  const options = { firstByteTimeout: 100, betweenTimeout: 100, answerLimit: 1, sourceAddress: '' };
+  const client = createServiceClient(options);
+  const sink = { head: () => undefined, bytes: async () => undefined };
+  const outcome = await client.run('127.0.0.1:99999', CALL, new AbortController().signal, sink);
+  expect(outcome.val).toMatchObject({ kind: 'failed', ran: 'no' });
+  expect(await client.isRefusing('127.0.0.1:99999')).toBe(false);
+});
--- a/packages/forwarding/src/limits/statedLimitRows.ts
+++ b/packages/forwarding/src/limits/statedLimitRows.ts
@@ -28,10 +28,12 @@
 export function decodeStatedLimit(value: string): StatedLimitRow | undefined {
   try {
     const [endpoint, limit] = JSON.parse(value) as unknown[];
-    return typeof endpoint === 'string' && typeof limit === 'number'
-      ? { endpoint, limit }
-      : undefined;
+    return typeof endpoint === 'string' && isLimit(limit) ? { endpoint, limit } : undefined;
   } catch {
     return undefined;
   }
 }
+
+function isLimit(value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
--- a/packages/forwarding/src/origins/originRows.ts
+++ b/packages/forwarding/src/origins/originRows.ts
@@ -44,10 +44,16 @@
     const [service, version, names] = group as unknown[];
     if (typeof service !== 'string' || !Array.isArray(names)) return;
     const origin = { service, version: typeof version === 'string' ? version : undefined };
-    names.forEach((name) => origins.set(`${name}`, [...(origins.get(`${name}`) ?? []), origin]));
+    names.filter(isText).forEach((name) => {
+      origins.set(name, [...(origins.get(name) ?? []), origin]);
+    });
   });
 }
 
+function isText(value: unknown): value is string {
+  return typeof value === 'string';
+}
+
 function parseGroups(value: string): unknown[] {
   try {
     const groups: unknown = JSON.parse(value);
--- a/packages/peers/src/dialer.ts
+++ b/packages/peers/src/dialer.ts
@@ -1,5 +1,5 @@
 import { WebSocket } from 'ws';
-import { Err, Ok } from 'ts-results';
+import { Err, Ok, Result } from 'ts-results';
 import { createId, Diagnostics, jitter, sleep } from '@pomeloroad/core';
 import type { Clock, Identity, Log, Milliseconds, Outcome, Random } from '@pomeloroad/core';
 import { createChannel } from './channel';
@@ -170,13 +170,19 @@
   };
 }
 
-function openChannel(host: DialerHost, address: string): Promise<Channel | undefined> {
+async function openChannel(host: DialerHost, address: string): Promise<Channel | undefined> {
   const scheme = host.authority ? 'wss' : 'ws';
-  const socket = new WebSocket(`${scheme}://${address}/peer`, {
-    handshakeTimeout: CONNECT_TIMEOUT_MS,
-    ca: host.authority,
-    localAddress: host.sourceAddress,
-  });
+  // Throws if the address, which any member may have announced, can't be used.
+  const opened = Result.wrap<WebSocket, Error>(
+    () =>
+      new WebSocket(`${scheme}://${address}/peer`, {
+        handshakeTimeout: CONNECT_TIMEOUT_MS,
+        ca: host.authority,
+        localAddress: host.sourceAddress,
+      }),
+  );
+  if (opened.err) return undefined;
+  const socket = opened.val;
   // Created before the socket opens: the listener sends the first frame, which may arrive together
   // with the response to the upgrade.
   const channel = createChannel(socket);
--- a/packages/peers/src/tunnelDialer.ts
+++ b/packages/peers/src/tunnelDialer.ts
@@ -1,5 +1,5 @@
 import { WebSocket } from 'ws';
-import { Err, Ok } from 'ts-results';
+import { Err, Ok, Result } from 'ts-results';
 import type { Connection, Milliseconds, Outcome } from '@pomeloroad/core';
 import { TUNNEL_PATH } from './tunnelListener';
 import { createTunnelStream } from './tunnelStream';
@@ -12,17 +12,25 @@
   secret: string;
 }
 
-/** Opens a connection to the endpoint through another instance within the timeout. Never rejects. */
-export function openTunnel(
+/**
+ * Opens a connection to the endpoint through another instance within the timeout. Never rejects, whatever
+ * the address or the endpoint's name is.
+ */
+export async function openTunnel(
   { address, secret }: TunnelAddress,
   endpoint: string,
   timeout: Milliseconds,
 ): Promise<Outcome<Connection, TunnelError>> {
-  const socket = new WebSocket(`ws://${address}${TUNNEL_PATH}${encodeURIComponent(endpoint)}`, {
-    headers: { authorization: `Bearer ${secret}` },
-    handshakeTimeout: Math.max(1, timeout),
-    perMessageDeflate: false,
+  const opened = Result.wrap<WebSocket, Error>(() => {
+    const url = `ws://${address}${TUNNEL_PATH}${encodeURIComponent(endpoint)}`;
+    return new WebSocket(url, {
+      headers: { authorization: `Bearer ${secret}` },
+      handshakeTimeout: Math.max(1, timeout),
+      perMessageDeflate: false,
+    });
   });
+  if (opened.err) return Err('unreachable');
+  const socket = opened.val;
   return new Promise((resolve) => {
     // The listener stays, because ending a refused upgrade is reported as an error too.
     socket.on('error', () => resolve(Err('unreachable')));
--- a/packages/peers/test/network.test.ts
+++ b/packages/peers/test/network.test.ts
@@ -1,5 +1,7 @@
 import { once } from 'node:events';
 import net from 'node:net';
+import { pack } from 'msgpackr';
+import { WebSocket } from 'ws';
 import { createRandom, createSilentLog, createSystemClock } from '@pomeloroad/core';
 import type { Identity } from '@pomeloroad/core';
 import { createPeerNetwork, createTopic } from '../src';
@@ -103,3 +105,29 @@
   expect(hasConnected).toBe(false);
   expect(a.network.describe()[0]?.state).toBe('connecting');
 });
+
+// Guards against a process that ends because of a frame of someone who does not know the fleet key.
+test.each([
+  { kind: 'hello', oldest: 1, newest: 1, nonce: 'n', proof: 'p' },
+  { kind: 'hello', oldest: 1, newest: 1, nonce: 'n', proof: 'p', identity: null },
+  { kind: 'hello', oldest: 1, newest: 1, nonce: 7, proof: 'p', identity: {} },
+  { kind: 'constructor' },
+])('the frame %j ends its connection only', async (frame) => {
+  const { peer } = await start('a');
+  const socket = new WebSocket(`ws://${peer.address}/peer`);
+  socket.on('error', () => undefined);
+  await once(socket, 'message');
+  socket.send(pack(frame));
+  await once(socket, 'close');
+  const other = await start('b');
+  other.network.setPeers([peer]);
+  expect(await waitForConnect(other.network)).toMatchObject({ instance: 'a' });
+});
+
+test('a peer with an address that can not be used does not end the process', async () => {
+  const { network } = await start('a');
+  const { peer } = await start('b');
+  const odd = { ...peer, identity: { ...peer.identity, instance: 'c', incarnation: 'c-1' } };
+  network.setPeers([{ ...odd, address: '127.0.0.1:99999' }, peer]);
+  expect(await waitForConnect(network)).toMatchObject({ instance: 'b' });
+});
--- a/packages/peers/test/tunnels.test.ts
+++ b/packages/peers/test/tunnels.test.ts
@@ -172,3 +172,13 @@
   }
   expect(relay.listener.count()).toBe(0);
 });
+
+// Guards against a process that ends because of a row that names a relay or an endpoint.
+test.each([
+  ['127.0.0.1:99999', 'e1'],
+  ['no address', 'e1'],
+  ['127.0.0.1:9', '\ud800'],
+])('a tunnel by %j to %j fails and does not throw', async (address, endpoint) => {
+  const opened = await openTunnel({ address, secret: SECRET }, endpoint, TIMEOUT_MS);
+  expect(opened.val).toBe('unreachable');
+});
