--- a/packages/replay/src/paths.ts
+++ b/packages/replay/src/paths.ts
@@ -1,6 +1,7 @@
 import path from 'node:path';
 
-const ROOT = path.join(__dirname, '..', '..', '..');
+/** Path of the repository. */
+export const ROOT = path.join(__dirname, '..', '..', '..');
 
 /** Path of the program of an instance. */
 export const INSTANCE_PROGRAM = path.join(ROOT, 'packages', 'entry', 'dist', 'main.js');
--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -23,6 +23,8 @@
   faults: FaultLog;
   history: ConfigurationHistory;
   departures: Departure[];
+  /** Whether the first process of each instance runs an older build. */
+  hasOlderBuild: boolean;
 }
 
 /** Unix times from the store's acceptance that an endpoint leaves until it starts again. */
@@ -66,8 +68,9 @@
   'one-version': checkOneVersion,
 } satisfies Record<string, RequestCheck>;
 
-function checkCompleteness(record: RequestRecord): CheckOutcome {
+function checkCompleteness(record: RequestRecord, context: CheckContext): CheckOutcome {
   const { answer } = record;
+  if (answer?.framing === 'close' && isOlderBuild(record, context)) return 'skipped';
   if (answer?.status !== STATUS_OK || !answer.looksComplete) return 'skipped';
   return hasFalseEnd(record) || isCutUnseen(record) ? 'skipped' : findMissing(record);
 }
@@ -77,9 +80,15 @@
   return work.framing === 'close' && work.fault === 'short' && runs.length > 0;
 }
 
+// What is asked since then of answers does not hold for a build that is older.
+function isOlderBuild({ life }: RequestRecord, { hasOlderBuild }: CheckContext): boolean {
+  return hasOlderBuild && life === 1;
+}
+
 // The kernel closes the connections of an instance that is killed in order, as after a whole answer.
-function checkFraming({ answer }: RequestRecord): CheckOutcome {
-  if (!answer || answer.status === 0) return 'skipped';
+function checkFraming(record: RequestRecord, context: CheckContext): CheckOutcome {
+  const { answer } = record;
+  if (!answer || answer.status === 0 || isOlderBuild(record, context)) return 'skipped';
   if (answer.framing !== 'close') return 'held';
   return { message: 'only the end of its connection ends the answer' };
 }
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -57,7 +57,7 @@
 }
 
 /** Creates an empty collection. */
-export function createEvidence(clock: Clock): Evidence {
+export function createEvidence(clock: Clock, hasOlderBuild = false): Evidence {
   const records = new Map<string, RequestRecord>();
   const departures: Departure[] = [];
   const dying = new Set<string>();
@@ -157,7 +157,7 @@
 
   function judgeRecord(record: RequestRecord): void {
     Object.entries(RequestChecks).forEach(([check, apply]) => {
-      const outcome = apply(record, { faults, history, departures });
+      const outcome = apply(record, { faults, history, departures, hasOlderBuild });
       if (outcome === 'skipped') return;
       count(evidence.checks, check);
       if (outcome !== 'held') failRequest(record, check, outcome.message);
--- a/packages/replay/src/soak/fleet.ts
+++ b/packages/replay/src/soak/fleet.ts
@@ -41,6 +41,8 @@
   storeLink: Link;
   settingsPath: string;
   program: Program;
+  /** Program of its next process. */
+  script: string;
   /** Whether the balancer sends it new connections. */
   isReady: boolean;
   /** How often its process was started. */
@@ -71,6 +73,16 @@
   return `v${number}`;
 }
 
+/** The programs of the instances. */
+export interface FleetPrograms {
+  /** What an instance runs at the start. */
+  first: string;
+  /** What it runs once it has been started again. */
+  next: string;
+}
+
+const BUNDLED: FleetPrograms = { first: BUNDLED_PROGRAM, next: BUNDLED_PROGRAM };
+
 /** The running processes of a soak. */
 export interface Fleet {
   proxy: FaultProxy;
@@ -97,6 +109,7 @@
   size: FleetSize,
   seed: number,
   directory: string,
+  programs: FleetPrograms = BUNDLED,
 ): Promise<Fleet> {
   const proxy = createFaultProxy(clock, () => 'outside');
   const storeArgs = ['store', '--seed', String(seed)];
@@ -153,14 +166,15 @@
     const storeAddress = storeLink.address;
     const settings = { instance: name, dataCentre, ip, callersAddress, readinessAddress };
     writeFileSync(settingsPath, renderSettings({ ...settings, storeAddress }));
-    const program = await startInstance(name, settingsPath);
+    const program = await startInstance(name, programs.first, settingsPath);
     const links = { callersLink, storeLink };
-    const fields = { name, dataCentre, readinessAddress, settingsPath, program, ...links };
+    const files = { settingsPath, script: programs.next };
+    const fields = { name, dataCentre, readinessAddress, program, ...files, ...links };
     return { kind: 'instance', ...fields, isReady: false, life: 1, isEnding: false };
   }
 
-  function startInstance(name: string, settingsPath: string): Promise<Program> {
-    return launcher.start(name, BUNDLED_PROGRAM, ['--settings', settingsPath]);
+  function startInstance(name: string, script: string, settingsPath: string): Promise<Program> {
+    return launcher.start(name, script, ['--settings', settingsPath]);
   }
 
   let endpointsStarted = 0;
@@ -190,7 +204,7 @@
       if (fleetProcess.kind === 'instance') fleetProcess.life += 1;
       fleetProcess.program =
         fleetProcess.kind === 'instance'
-          ? await startInstance(fleetProcess.name, fleetProcess.settingsPath)
+          ? await startInstance(fleetProcess.name, fleetProcess.script, fleetProcess.settingsPath)
           : await startEndpoint(fleetProcess);
     },
     async replace(old, version) {
--- a/packages/replay/src/soak/injector.ts
+++ b/packages/replay/src/soak/injector.ts
@@ -7,6 +7,7 @@
 import { count } from './evidence';
 import type { Evidence } from './evidence';
 import type { FaultNature } from './faultLog';
+import { UNREADABLE_ROWS } from './unreadableRows';
 import { DATA_CENTRES, FIRST_VERSIONS, getVersion, SERVICES } from './fleet';
 import type { Fleet, FleetEndpoint, FleetProcess } from './fleet';
 import type {
@@ -32,7 +33,6 @@
 const ENDING_SIGNALS: PlannedSignal['signal'][] = ['SIGTERM', 'SIGINT', 'SIGKILL'];
 const LOST_ANSWER_SHARE = 0.5;
 const { compare: compareNumbers } = new Intl.Collator('en', { numeric: true });
-const UNREADABLE_ROWS = ['', '{"service":7}', '{"service":"board","address":"nowhere"}', '[1'];
 
 /** Plays faults on the processes of a fleet. */
 export interface Injector {
@@ -198,8 +198,8 @@
   }
 
   async function writeUnreadableRows(): Promise<void> {
-    const writes = UNREADABLE_ROWS.map((text, index) =>
-      putRow(fleet.store, ENDPOINT_TABLE, `unreadable-${index}`, text),
+    const writes = UNREADABLE_ROWS.map(({ key, text }) =>
+      putRow(fleet.store, ENDPOINT_TABLE, key, text),
     );
     await Promise.all(writes);
   }
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -27,6 +27,7 @@
     '--faults',
     `some of ${[...RequestFaults, ...FaultNames].join(', ')}; all but the rare ones if left out`,
   )
+  .option('--older', 'a commit whose build the instances run until they are started again')
   .option('--verbose', 'print the logs of all processes')
   .option('--json', 'print the result as one JSON line')
   .action(main)
@@ -54,6 +55,7 @@
     faults: faults.filter((name) => !RequestFaults.includes(name)),
     hasAnswerFaults: faults.includes(ANSWERS),
     earlyEnds: [...EarlyEnds, ...RareEarlyEnds].filter((name) => faults.includes(name)),
+    olderRevision: flags.older === undefined ? undefined : String(flags.older),
     signal: interrupted.signal,
     onLog(name, line) {
       if (flags.verbose) process.stderr.write(`${name}: ${line}\n`);
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import { callHttp, runPeriodically } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
+import { BUNDLED_PROGRAM } from '../paths';
 import { pause } from '../pause';
 import { createLauncher } from '../programs';
 import type { Launcher } from '../programs';
@@ -16,6 +17,7 @@
 import { createOperator } from './operator';
 import { createPlan } from './plan';
 import type { PlannedFault } from './plan';
+import { buildRevision } from './olderBuild';
 import { checkProcesses } from './processChecks';
 import type { ProcessPeaks } from './processChecks';
 import { createSender } from './sender';
@@ -35,6 +37,8 @@
   hasAnswerFaults: boolean;
   /** Ends in order of answers that are not whole, which further callers ask for. */
   earlyEnds: EarlyEnd[];
+  /** Commit whose program the instances run until they are started again; `undefined` for the present one. */
+  olderRevision?: string | undefined;
   onLog(name: string, line: string): void;
   /** Aborted to end the soak early, and with it all processes. */
   signal: AbortSignal;
@@ -65,7 +69,7 @@
 
 /** Runs a soak: starts all processes, plays the plan of the seed and checks what was seen. */
 export async function runSoak(clock: Clock, options: SoakOptions): Promise<SoakResult> {
-  const evidence = createEvidence(clock);
+  const evidence = createEvidence(clock, options.olderRevision !== undefined);
   const launcher = createLauncher((name, line) => {
     options.onLog(name, line);
     evidence.addLine(name, line);
@@ -108,7 +112,10 @@
 // Resolves to how often each fault was played.
 async function playSoak(run: SoakRun): Promise<Record<string, number>> {
   const { clock, options, evidence, peaks } = run;
-  const fleet = await startFleet(clock, run.launcher, options, options.seed, run.directory);
+  const { seed, olderRevision } = options;
+  const first = olderRevision ? buildRevision(olderRevision, run.directory) : BUNDLED_PROGRAM;
+  const programs = { first, next: BUNDLED_PROGRAM };
+  const fleet = await startFleet(clock, run.launcher, options, seed, run.directory, programs);
   const stopped = new AbortController();
   const { signal } = stopped;
   const sender = createSender(clock, evidence);
@@ -134,7 +141,7 @@
   while (fleet.instances.some((instance) => !instance.isReady)) await pause(POLL_INTERVAL_MS);
   const startedAt = clock.elapsed();
   const waitUntil = (at: Milliseconds) => pause(Math.max(0, startedAt + at - clock.elapsed()));
-  const { seed, callers: count, hasAnswerFaults: hasFaults, earlyEnds } = options;
+  const { callers: count, hasAnswerFaults: hasFaults, earlyEnds } = options;
   const callers = startCallers({ fleet, sender, seed, count, hasFaults, earlyEnds });
   const operating = operator.run();
   const playing: Promise<void>[] = [];
