--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -193,25 +193,23 @@
     'Requests and parts of prompts that are blocked because endpoints crash under them.',
     () => suspects.listBlocked().length,
   );
-  const rateLimits = startRateLimits({
+  const sharing = {
     ...following,
     feed,
     random,
     instance: host.instance,
     listInstances: () => instanceNames,
-    isListed: (name) => directory.find(name) !== undefined,
+    isListed: (name: string) => directory.find(name) !== undefined,
+  };
+  const rateLimits = startRateLimits({
+    ...sharing,
     setRateShares(shares) {
       endpoints.setRateShares(shares);
       admission.wake();
     },
   });
   const slotShares = startSlotShares({
-    ...following,
-    feed,
-    random,
-    instance: host.instance,
-    listInstances: () => instanceNames,
-    isListed: (name) => directory.find(name) !== undefined,
+    ...sharing,
     findSlots: (name) => directory.find(name)?.concurrency,
     setSlotShares(shares) {
       endpoints.setSlotShares(shares);
