--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -23,7 +23,7 @@
   faults: FaultLog;
   history: ConfigurationHistory;
   departures: Departure[];
-  /** Whether the first process of each instance runs an older build. */
+  /** Whether the first process of each instance runs an older build, whose answers may lack framing. */
   hasOlderBuild: boolean;
 }
 
@@ -80,7 +80,7 @@
   return work.framing === 'close' && work.fault === 'short' && runs.length > 0;
 }
 
-// What is asked since then of answers does not hold for a build that is older.
+// The older build passes the missing framing of an endpoint on.
 function isOlderBuild({ life }: RequestRecord, { hasOlderBuild }: CheckContext): boolean {
   return hasOlderBuild && life === 1;
 }
--- a/packages/replay/src/soak/olderBuild.ts
+++ b/packages/replay/src/soak/olderBuild.ts
@@ -1,4 +1,4 @@
-import { execFileSync } from 'node:child_process';
+import { execFileSync, spawnSync } from 'node:child_process';
 import { mkdirSync, symlinkSync } from 'node:fs';
 import path from 'node:path';
 import { ROOT } from '../paths';
@@ -12,6 +12,11 @@
   'platform',
 ];
 
+/** Whether the history has the commit; an archive of the sources or a shallow clone may not. */
+export function hasRevision(revision: string): boolean {
+  return spawnSync('git', ['cat-file', '-e', `${revision}^{commit}`], { cwd: ROOT }).status === 0;
+}
+
 /**
  * Builds the bundled program of a commit of the history in a folder of the directory, with the packages
  * that are installed here. Returns its path; throws if the history does not have the commit.
