Forwarding: gauges are registered in a file of their own; constants that two files use stand once

No behaviour changes: the tests of the front, of malformed input, of the service client and of metrics pass (49).

--- a/packages/core/src/framing.ts
+++ b/packages/core/src/framing.ts
@@ -7,6 +7,8 @@
  */
 export type ResponseFraming = 'length' | 'chunked' | 'no body' | 'close';
 
+/** Lowest status of a response that can be passed on; Node.js writes no lower one. */
+export const STATUS_MIN = 100;
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 const LAST_CODING_CHUNKED = /(^|[\s,])chunked\s*$/i;
--- a/packages/entry/src/serviceClient.ts
+++ b/packages/entry/src/serviceClient.ts
@@ -6,6 +6,7 @@
   getResponseFraming,
   onConnected,
   splitAddress,
+  STATUS_MIN,
   watchClose,
 } from '@pomeloroad/core';
 import type { Milliseconds, Outcome, RunStatus } from '@pomeloroad/core';
@@ -50,8 +51,6 @@
   isRefusing(address: string): Promise<boolean>;
 }
 
-/** Lower ones can't be passed on. */
-const STATUS_MIN = 100;
 const PROBE_TIMEOUT_MS: Milliseconds = 1000;
 
 /** Response headers that belong to one connection or that the instance sets itself. */
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -1,6 +1,6 @@
 import { setMaxListeners } from 'node:events';
 import { createPauseGuard, Diagnostics, runPeriodically, withTimeout } from '@pomeloroad/core';
-import type { Milliseconds, Tokens } from '@pomeloroad/core';
+import type { DroppedLines, Milliseconds, Tokens } from '@pomeloroad/core';
 import { BUDGET_TABLE, createEscrow, createEscrowLease } from '@pomeloroad/budgets';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
 import { watchStore } from '@pomeloroad/storage';
@@ -18,6 +18,7 @@
 import { createRecentEnds } from './ends/recentEnds';
 import { followTable } from './store/follow';
 import { forward } from './forward';
+import { registerGauges } from './forwardGauges';
 import { createForwardMetrics } from './forwardMetrics';
 import type { ForwardHost } from './forwardTypes';
 import { startSharedFeed } from './store/sharedFeed';
@@ -38,6 +39,7 @@
 const ADMISSION_QUEUE_LIMIT = 500;
 /** Number of loops that may sleep at once until the instance stops. */
 const LOOPS_MAX = 20;
+const NO_DROPPED_LINES: DroppedLines = { ordinary: 0, important: 0 };
 
 /** Starts an instance, which follows the store until it is stopped. */
 export function startForwardInstance<Payload>(
@@ -122,16 +124,6 @@
       startLease();
     },
   });
-  metrics.gauge(
-    'pomeloroad_configuration_version',
-    'Version of the configuration in force; 0 while none is known.',
-    () => configuration.getTable()?.configuration.version ?? 0,
-  );
-  metrics.gauge(
-    'pomeloroad_configuration_age_milliseconds',
-    'Time since the start of the latest read that confirmed the configuration.',
-    configuration.getAge,
-  );
   const endpointFeed = followTable(following, {
     table: host.tables.endpoints,
     partitions: [''],
@@ -154,21 +146,6 @@
     onUnavailable: () => undefined,
     onAvailable: () => undefined,
   });
-  metrics.gauge(
-    'pomeloroad_store_era',
-    'How often the store came back from an older copy, as the feeds know.',
-    getStoreEra,
-  );
-  metrics.gauge(
-    'pomeloroad_ordinary_lines_dropped',
-    'Ordinary lines of the log that were dropped since the start.',
-    () => host.getDroppedLines?.().ordinary ?? 0,
-  );
-  metrics.gauge(
-    'pomeloroad_important_lines_dropped',
-    'Important lines of the log that were dropped since the start.',
-    () => host.getDroppedLines?.().important ?? 0,
-  );
   const relays = startRelayDirectory({
     ...following,
     feed,
@@ -182,17 +159,7 @@
     listEndpoints: directory.listServing,
     listRelays: relays.list,
   });
-  metrics.gauge(
-    'pomeloroad_cut_paths',
-    'Endpoints that are only reached through other instances.',
-    () => dialer.listCut().length,
-  );
   const suspects = startSuspects({ ...following, feed, random });
-  metrics.gauge(
-    'pomeloroad_blocked_suspects',
-    'Requests and parts of prompts that are blocked because endpoints crash under them.',
-    () => suspects.listBlocked().length,
-  );
   const sharing = {
     ...following,
     feed,
@@ -216,6 +183,14 @@
       admission.wake();
     },
   });
+  registerGauges(metrics, {
+    getConfigurationVersion: () => configuration.getTable()?.configuration.version,
+    getConfigurationAge: configuration.getAge,
+    getStoreEra,
+    getDroppedLines: () => host.getDroppedLines?.() ?? NO_DROPPED_LINES,
+    listCutPaths: dialer.listCut,
+    listBlockedSuspects: suspects.listBlocked,
+  });
   const guard = createPauseGuard(clock, async () => {
     log(Diagnostics.processPaused);
     await Promise.all([configuration.refresh(), endpointFeed.refresh(), suspects.refresh()]);
