A stream that goes on at one version waits only for others that do

Seen: callers who took a stream up were refused with 503 'overloaded' while new streams of the same service began, or while endpoints of the version had free slots.

Cause: the queue estimated the wait of a request that is bound to one version as if all waiters of the service, which any endpoint may serve, were to be served by the few endpoints of that version. It was refused at once. And vice versa: streams that wait for one version's endpoints made new streams, and those of other versions, be refused beside free slots.

Ruled out: too few slots (the same endpoints served new streams meanwhile).

Now a bound request is delayed only by those bound to the same version, and goes before unbound ones of its priority; work that has begun is finished first, and only few endpoints may finish it. Unbound requests are not held up by bound ones, whose wait is for other endpoints.

--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -4,7 +4,7 @@
 import type { Account, RoutingPolicy } from '@pomeloroad/configuration';
 import { chooseEndpoint, hasCapacity } from './choose';
 import type { Endpoints } from './endpoints';
-import type { EndpointView, RouteError, RouteRequest, Slot } from './types';
+import type { EndpointView, RouteError, RouteRequest, ServiceTarget, Slot } from './types';
 
 const INITIAL_SERVICE_TIME_MS = 1000;
 /** Weight of the newest observation in the moving average of the service time. */
@@ -105,10 +105,15 @@
     return serviceTimes.get(getTargetName(request)) ?? INITIAL_SERVICE_TIME_MS;
   }
 
-  // Requests for other targets wait for other endpoints.
   function countWaitersAhead(request: RouteRequest): number {
+    return waiters.filter((waiter) => canDelay(waiter.request, request)).length;
+  }
+
+  function hasBoundWaiter(request: RouteRequest): boolean {
     const target = getTargetName(request);
-    return waiters.filter((waiter) => getTargetName(waiter.request) === target).length;
+    return waiters.some(
+      (waiter) => isBound(waiter.request) && getTargetName(waiter.request) === target,
+    );
   }
 
   function createBusyError(
@@ -129,11 +134,13 @@
     return (countWaitersAhead(request) + 1) / throughput;
   }
 
-  // Within a priority, the account with the fewest running requests per weight goes first.
+  // Within a priority, requests that are bound to one version go first, because only few endpoints may
+  // serve them; then those of the account with the fewest running requests per weight.
   function compareWaiters(a: Waiter, b: Waiter): number {
     const byPriority = b.request.priority - a.request.priority;
+    const byBinding = Number(isBound(b.request)) - Number(isBound(a.request));
     const byShare = getRelativeUse(a.request.account) - getRelativeUse(b.request.account);
-    return byPriority || byShare || a.order - b.order;
+    return byPriority || byBinding || byShare || a.order - b.order;
   }
 
   function getRelativeUse(account: string): number {
@@ -187,6 +194,8 @@
 
   return {
     async acquire(request) {
+      // Waiters that are bound to a version take what has become free since the last recheck.
+      if (!isBound(request) && hasBoundWaiter(request)) serveWaiters();
       const isFirst = countWaitersAhead(request) === 0;
       const outcome = isFirst ? tryRoute(request) : checkBehindWaiters(request);
       if (outcome.ok || outcome.val.kind !== 'busy') return outcome;
@@ -224,6 +233,26 @@
   return rateShare === undefined ? capacity : Math.min(capacity, rateShare / MS_PER_SECOND);
 }
 
+// Requests for other targets wait for other endpoints. Those that are bound to a version go before the
+// others, and delay only each other: the others may be served by endpoints of any version.
+function canDelay(waiting: RouteRequest, request: RouteRequest): boolean {
+  const isSameTarget = getTargetName(waiting) === getTargetName(request);
+  const origin = getOrigin(waiting);
+  return (
+    isSameTarget &&
+    origin?.version === getOrigin(request)?.version &&
+    isBound(waiting) === isBound(request)
+  );
+}
+
+function isBound(request: RouteRequest): boolean {
+  return getOrigin(request) !== undefined;
+}
+
+function getOrigin({ target }: RouteRequest): ServiceTarget['origin'] {
+  return target.kind === 'service' ? target.origin : undefined;
+}
+
 function getTargetName({ target }: RouteRequest): string {
   return match(target)
     .with({ kind: 'engine' }, ({ model }) => `engine ${model}`)
