Streams are recorded while an instance that starts may look for them

Cause: the rows of versions are kept for a minute, and an instance that starts counts each of them as serving until its start, so that it looks for the record of every stream for 15 s. The others, who know that the old version has been gone for 15 s, had stopped recording. So from 15 to 75 s after a roll-out all streams of others were refused at instances that had just started, in a rolling restart of the fleet too.

Ruled out: records that came too late (the streams were never written; the later try at an instance that knew them went on).

Instances now record while the store lists several versions of a service, or did within the time in which streams may be taken up: whoever may look for a record started before the row went, and looks for 15 s. The price: about a minute more of writes after a roll-out, at most one a new stream and one in 100 ms (4 ms an instance of larger fleets).

Evidence: of startedInstances.test.ts the cases of 30 and 60 s failed before ('unknown') and pass; recording ends in the time tested.

--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -231,6 +231,7 @@
       countInstances: instanceCount.get,
       getViewAge: endpointFeed.getAge,
       areVersionsLoaded: versionRows.isLoaded,
+      areSeveralRecorded: versionRows.hasSeveral,
     }),
     suspects,
     endpoints,
--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -26,6 +26,8 @@
   getViewAge(): Milliseconds;
   /** Whether the versions are known that served before this instance started. */
   areVersionsLoaded(): boolean;
+  /** Whether an instance that has started lately may count several versions of a service. */
+  areSeveralRecorded(): boolean;
 }
 
 /** What is known about the version at which a stream has to go on. */
@@ -52,7 +54,9 @@
   const startedAt = clock.elapsed();
   const memory = createOriginMemory(clock);
   const readOrigins = createOriginReader(clock, host.rows);
-  const writer = startOriginWriter({ ...host, memory, isNeeded: versions.hasSeveralAnywhere });
+  // An instance that starts counts versions that others know to have gone, and looks for all streams then.
+  const isNeeded = () => versions.hasSeveralAnywhere() || host.areSeveralRecorded();
+  const writer = startOriginWriter({ ...host, memory, isNeeded });
 
   function mayMissVersions(): boolean {
     const hasJustStarted = clock.elapsed() - startedAt < STREAM_TIME_MAX_MS;
--- a/packages/forwarding/src/origins/versionHistory.ts
+++ b/packages/forwarding/src/origins/versionHistory.ts
@@ -1,5 +1,4 @@
 import type { Clock, Milliseconds } from '@pomeloroad/core';
-import type { EndpointRecord } from '../types';
 
 /** Longest time from the first event of a stream until a caller may take it up. */
 export const STREAM_TIME_MAX_MS: Milliseconds = 15_000;
@@ -12,8 +11,8 @@
 
 /** The versions of endpoints' software that served each service lately. */
 export interface VersionHistory {
-  /** Replaces the endpoints that serve. */
-  update(records: EndpointRecord[]): void;
+  /** Replaces the versions that serve. */
+  update(served: ServedVersion[]): void;
   /**
    * Whether streams that callers may still take up began at several versions of the service, counting
    * the given ones.
@@ -60,9 +59,9 @@
   }
 
   return {
-    update(records) {
+    update(served) {
       markGone();
-      records.forEach((record) => mark(record, Infinity));
+      served.forEach((version) => mark(version, Infinity));
     },
     remember: (served) => served.forEach((version) => mark(version, clock.elapsed())),
     list,
--- a/packages/forwarding/src/origins/versionRows.ts
+++ b/packages/forwarding/src/origins/versionRows.ts
@@ -1,7 +1,7 @@
 import { hashFields, runPeriodically, sleep } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { RowChange, RowKey, RowStore } from '@pomeloroad/storage';
-import { STREAM_TIME_MAX_MS } from './versionHistory';
+import { createVersionHistory, STREAM_TIME_MAX_MS } from './versionHistory';
 import type { ServedVersion, VersionHistory } from './versionHistory';
 
 const VERSION_TABLE = 'versions';
@@ -23,6 +23,11 @@
 export interface VersionRows {
   /** Whether the versions are known that served before this instance started. */
   isLoaded(): boolean;
+  /**
+   * Whether the store lists several versions of a service, or did until lately; an instance that starts
+   * then counts them.
+   */
+  hasSeveral(): boolean;
   /** Records versions that are not yet; called when the endpoints that serve have changed. */
   update(): void;
 }
@@ -33,6 +38,7 @@
  */
 export function startVersionRows({ clock, rows, signal, versions }: VersionRowsHost): VersionRows {
   const recorded = new Map<string, RowChange['version']>();
+  const listed = createVersionHistory(clock);
   let isLoaded = false;
   let isWriting = false;
 
@@ -41,8 +47,9 @@
     if (view.err) return false;
     recorded.clear();
     view.val.rows.forEach(({ key, version }) => recorded.set(key, version));
-    if (!isLoaded)
-      versions.remember(view.val.rows.map(({ value }) => decode(value)).filter(isDefined));
+    const served = view.val.rows.map(({ value }) => decode(value)).filter(isDefined);
+    listed.update(served);
+    if (!isLoaded) versions.remember(served);
     isLoaded = true;
     return true;
   }
@@ -84,6 +91,7 @@
   runPeriodically(clock, () => CHECK_INTERVAL_MS, signal, check);
   return {
     isLoaded: () => isLoaded,
+    hasSeveral: listed.hasSeveralAnywhere,
     update() {
       update();
     },
--- /dev/null
+++ b/packages/forwarding/test/startedInstances.test.ts
@@ -0,0 +1,75 @@
+import { createManualClock } from '@pomeloroad/core';
+import { createMemoryRowStore } from '@pomeloroad/storage';
+import type { RowStore } from '@pomeloroad/storage';
+import { startStreamOrigins } from '../src/origins/streamOrigins';
+import type { TakeUp } from '../src/origins/streamOrigins';
+import { createVersionHistory } from '../src/origins/versionHistory';
+import { startVersionRows } from '../src/origins/versionRows';
+
+const LLM_V1 = { service: 'llm', version: 'v1' };
+const LLM_V2 = { service: 'llm', version: 'v2' };
+
+type Clock = ReturnType<typeof createManualClock>;
+
+// Starts an instance that records versions and streams in the store; it serves no version until it is told.
+async function startInstance(clock: Clock, rows: RowStore, instance: string) {
+  const ending = new AbortController();
+  const versions = createVersionHistory(clock);
+  const versionRows = startVersionRows({ clock, rows, signal: ending.signal, versions });
+  const origins = startStreamOrigins({
+    clock,
+    rows,
+    signal: ending.signal,
+    instance,
+    versions,
+    countInstances: () => 8,
+    getViewAge: () => 0,
+    areVersionsLoaded: versionRows.isLoaded,
+    areSeveralRecorded: versionRows.hasSeveral,
+  });
+  async function serve(...names: string[]): Promise<void> {
+    versions.update(names.map((version) => ({ service: 'llm', version })));
+    versionRows.update();
+    await clock.advance(500);
+  }
+  async function find(stream: string): Promise<TakeUp> {
+    const found = origins.find(stream, ['llm']);
+    await clock.advance(2000);
+    return found;
+  }
+  return { serve, find, note: origins.note, stop: () => ending.abort() };
+}
+
+test.each([10_000, 30_000, 60_000, 75_000, 90_000])(
+  '%d ms after a roll-out an instance that has just started takes up the streams of others',
+  async (time) => {
+    const clock = createManualClock();
+    const store = createMemoryRowStore();
+    const one = await startInstance(clock, store, 'one');
+    await one.serve('v1', 'v2');
+    await one.serve('v2');
+    await clock.advance(time);
+    const started = await startInstance(clock, store, 'started');
+    await started.serve('v2');
+    one.note('a', LLM_V2);
+    await clock.advance(200);
+    expect((await started.find('a')).kind).not.toBe('unknown');
+  },
+);
+
+test('streams are recorded no more some time after a roll-out', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = await startInstance(clock, store, 'one');
+  await one.serve('v1', 'v2');
+  one.note('a', LLM_V1);
+  await one.serve('v2');
+  await clock.advance(120_000);
+  one.note('b', LLM_V2);
+  await clock.advance(1000);
+  const partitions = await Promise.all(
+    ['0', '1', '2', '3'].map((part) => store.list('origins', part)),
+  );
+  const values = partitions.flatMap((view) => view.unwrap().rows).map(({ value }) => value);
+  expect(values).toEqual(['[]']);
+});
--- a/packages/forwarding/test/streamOrigins.test.ts
+++ b/packages/forwarding/test/streamOrigins.test.ts
@@ -61,6 +61,7 @@
     countInstances: () => 8,
     getViewAge: () => viewAge,
     areVersionsLoaded: () => true,
+    areSeveralRecorded: () => false,
   });
   return {
     ...origins,
