A stop keeps to its patience while the store is silent

Callers saw nothing by themselves, but an instance that lost its path to the store after its stop signal did not exit in its grace period and was killed.

Cause: `release` awaited the active run of the account's transactions. A run ends only when nothing more has been asked of it; rebalances ask every 400 ms and a call without an answer takes 1 s, so once a change is pending (repeated at each step) a run of a silent store never ends. `release` looked at its deadline only between runs.

Ruled out: waiting answers (all had ended), the writing of the log, the relays' listener.

The test on the account alone was never released before, and is within its 3 s now.

The patience now bounds the whole release; the transactions that go on end with the process.

--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -1,6 +1,6 @@
 import { Err, Ok } from 'ts-results';
 import { match } from 'ts-pattern';
-import { Diagnostics, sleep } from '@pomeloroad/core';
+import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
 import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
 import type { StoreEra, VersionedRow } from '@pomeloroad/storage';
 import { LIMIT_REWRITE_MAX_MS } from './escrowRestoration';
@@ -64,7 +64,7 @@
   rebalance(): void;
   /** Returns all tokens that are not in use and holds no spare ones from now on. */
   retire(): void;
-  /** Retires, and retries until all unused tokens are returned or the timeout has passed. */
+  /** Retires, and retries until all unused tokens are returned; resolves within the timeout. */
   release(timeout: Milliseconds): Promise<void>;
   /** Whether the ceiling in the grant's row covers all tokens spent or reserved. */
   isUsageCovered(): boolean;
@@ -197,12 +197,11 @@
   }
 
   async function runSteps(): Promise<void> {
-    let hasMore = false;
     do {
       isRunRequested = false;
       queue.serve();
-      hasMore = await runStep();
-    } while (hasMore || isRunRequested);
+      if (await runStep()) isRunRequested = true;
+    } while (isRunRequested);
     activeRun = undefined;
   }
 
@@ -338,6 +337,16 @@
     clock.after(backoff, requestRun);
   }
 
+  // A run ends only once nothing more is asked of it, which may be never while the store is silent.
+  async function returnUnused(deadline: Milliseconds): Promise<void> {
+    await activeRun;
+    while (getGrant().held > used && clock.elapsed() < deadline) {
+      await sleep(clock, BACKOFF_MIN_MS);
+      startRebalance();
+      await activeRun;
+    }
+  }
+
   function handleTotal(next: BudgetTotal, known: BudgetTotal & { version: number }): void {
     if (next.calls > known.calls && known.version > 0 && !hasCalledRecently()) {
       noSpareUntil = clock.elapsed() + NO_SPARE_MS;
@@ -371,13 +380,7 @@
     retire,
     async release(timeout) {
       retire();
-      const deadline = clock.elapsed() + timeout;
-      await activeRun;
-      while (getGrant().held > used && clock.elapsed() < deadline) {
-        await sleep(clock, BACKOFF_MIN_MS);
-        startRebalance();
-        await activeRun;
-      }
+      await withTimeout(clock, timeout, returnUnused(clock.elapsed() + timeout), undefined);
     },
     isUsageCovered() {
       const { ceiling } = getGrant();
--- a/packages/budgets/test/escrow.test.ts
+++ b/packages/budgets/test/escrow.test.ts
@@ -377,3 +377,23 @@
   }
   expect(store.countBudgetWrites()).toBeLessThanOrEqual(2 * instances);
 });
+
+test('a stop does not wait beyond its patience for a store that went silent while it rebalances', async () => {
+  const { clock, escrows, members } = await setUp(1);
+  const [escrow] = escrows;
+  const held = escrow!.reserve(ACCOUNT, 100, MAX_WAIT_MS);
+  await clock.advance(100);
+  (await held).unwrap().settle(0);
+  members[0]!.isSilent = true;
+  const startedAt = clock.elapsed();
+  let releasedAt = Infinity;
+  escrow!.release(3000).then(() => {
+    releasedAt = clock.elapsed();
+  });
+  // The instance goes on to rebalance, faster than its calls time out.
+  for (let round = 0; round < 30; round += 1) {
+    escrow!.rebalance(0);
+    await clock.advance(200);
+  }
+  expect(releasedAt - startedAt).toBeLessThanOrEqual(3000);
+});
--- a/packages/budgets/test/escrowHarness.ts
+++ b/packages/budgets/test/escrowHarness.ts
@@ -1,6 +1,6 @@
 import { Err } from 'ts-results';
-import { createManualClock, createRandom, createSilentLog } from '@pomeloroad/core';
-import type { Clock, ManualClock } from '@pomeloroad/core';
+import { createManualClock, createRandom, createSilentLog, sleep } from '@pomeloroad/core';
+import type { Clock, ManualClock, Milliseconds } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
 import type { MemoryRowStore, RowStore, RowTransaction } from '@pomeloroad/storage';
 import { BUDGET_TABLE, createEscrow, createEscrowLease } from '../src';
@@ -11,6 +11,8 @@
 
 /** Limit of transactions in one test, to end an escrow that repeats them for ever. */
 const MAX_CALLS = 5000;
+/** Time after which a call without an answer ends. */
+const CALL_TIMEOUT_MS: Milliseconds = 1000;
 
 /**
  * How a transaction ends: `refused` ones have no effect, `lost` ones take effect but are not
@@ -60,6 +62,8 @@
   escrow: Escrow;
   /** Whether it is cut off from the store: reads fail, and transactions become `late`. */
   isCut: boolean;
+  /** Whether its transactions get no answer until they time out. */
+  isSilent: boolean;
   isAlive: boolean;
   kill(): void;
 }
@@ -91,9 +95,9 @@
   function start(instance: string): InstanceRun {
     runCount += 1;
     const stop = new AbortController();
-    const run = { instance, isCut: false, isAlive: true } as InstanceRun;
+    const run = { instance, isCut: false, isSilent: false, isAlive: true } as InstanceRun;
     const processClock = createProcessClock(clock);
-    const rows = createRunRows(store.rows, run, store.plannedOutcomes);
+    const rows = createRunRows(clock, store.rows, run, store.plannedOutcomes);
     const incarnation = disabledGuards.reusesIncarnation ? instance : `life-${runCount}`;
     const log = createSilentLog();
     const lease = createEscrowLease({
@@ -157,14 +161,19 @@
 // Restricts the store for one run: a killed run gets no answers and has no effect, and transactions
 // of a cut-off one may still take effect later.
 function createRunRows(
+  clock: Clock,
   rows: RowStore,
   run: InstanceRun,
   plannedOutcomes: PlannedOutcome[],
 ): RowStore {
   const never = new Promise<never>(() => {});
   return {
-    transact(transaction) {
+    async transact(transaction) {
       if (!run.isAlive) return never;
+      if (run.isSilent) {
+        await sleep(clock, CALL_TIMEOUT_MS);
+        return Err({ kind: 'unknown', message: 'timed out' });
+      }
       if (run.isCut) plannedOutcomes.unshift('late');
       return rows.transact(transaction);
     },
