The record of an instance that is gone for good counts no version for ever

Seen in a test: ten minutes after a roll-out, an instance that has just started (or whose view of the endpoints is old) refuses every stream that began elsewhere ('not recorded'), if an instance that recorded streams of the old version was removed for good: its row stays in the store, so that two versions seem to serve, while all others, who know of one, record nothing.

A row now tells when it was written. What it says of versions counts for 75 s (15 s plus a minute for differences of clocks); the streams in it are found as before. Rows of older builds tell no time and count as before; older builds pass over the number (decodeOrigins of reads only entries that are lists).

Evidence: 'a version that an instance recorded which is gone for good does not count for ever' failed before ('unknown', 'not recorded'), passes now; streamOrigins, versionRows and rows tests pass.

--- a/packages/forwarding/src/origins/originReader.ts
+++ b/packages/forwarding/src/origins/originReader.ts
@@ -1,14 +1,22 @@
 import { withTimeout } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { RowStore } from '@pomeloroad/storage';
-import { decodeOrigins, getOriginPartitions } from './originRows';
+import { decodeOrigins, getOriginPartitions, isRecentRow } from './originRows';
+import type { StreamOrigin } from './originMemory';
 import type { OriginsByName } from './originRows';
 
 /** Maximum time of a read; a caller that waits longer would give up. */
 const READ_TIMEOUT_MS: Milliseconds = 700;
 
-/** Returns the origins that all instances have recorded, or `undefined` if the store fails. */
-export type ReadOrigins = () => Promise<OriginsByName | undefined>;
+/** The origins that all instances have recorded. */
+export interface RecordedOrigins {
+  byName: OriginsByName;
+  /** Those in rows that were written lately. */
+  recent: StreamOrigin[];
+}
+
+/** Returns the recorded origins, or `undefined` if the store fails. */
+export type ReadOrigins = () => Promise<RecordedOrigins | undefined>;
 
 /**
  * Creates a reader whose reads start after they were asked for. Those that are asked for while one
@@ -16,20 +24,27 @@
  */
 export function createOriginReader(clock: Clock, rows: RowStore): ReadOrigins {
   let current: Promise<unknown> = Promise.resolve();
-  let next: Promise<OriginsByName | undefined> | undefined;
+  let next: Promise<RecordedOrigins | undefined> | undefined;
 
-  async function read(): Promise<OriginsByName | undefined> {
+  async function read(): Promise<RecordedOrigins | undefined> {
     const lists = getOriginPartitions().map(({ table, partition }) => rows.list(table, partition));
     const views = await withTimeout(clock, READ_TIMEOUT_MS, Promise.all(lists), undefined);
     if (!views || views.some((view) => view.err)) return undefined;
-    const origins: OriginsByName = new Map();
-    views.forEach((view) =>
-      view.map((found) => found.rows.forEach(({ value }) => decodeOrigins(value, origins))),
-    );
-    return origins;
+    const values = views.flatMap((view) => (view.ok ? view.val.rows : [])).map((row) => row.value);
+    return collect(values);
+  }
+
+  function collect(values: string[]): RecordedOrigins {
+    const byName: OriginsByName = new Map();
+    const recent: OriginsByName = new Map();
+    values.forEach((value) => {
+      decodeOrigins(value, byName);
+      if (isRecentRow(value, clock.now())) decodeOrigins(value, recent);
+    });
+    return { byName, recent: [...recent.values()].flat() };
   }
 
-  async function readAfter(previous: Promise<unknown>): Promise<OriginsByName | undefined> {
+  async function readAfter(previous: Promise<unknown>): Promise<RecordedOrigins | undefined> {
     await previous;
     next = undefined;
     const reading = read();
--- a/packages/forwarding/src/origins/originRows.ts
+++ b/packages/forwarding/src/origins/originRows.ts
@@ -1,13 +1,21 @@
 import { checkDefined, getOwner, hashText } from '@pomeloroad/core';
+import type { Milliseconds } from '@pomeloroad/core';
 import type { RowKey } from '@pomeloroad/storage';
 import type { StreamOrigin } from './originMemory';
+import { STREAM_TIME_MAX_MS } from './versionHistory';
 
 const ORIGIN_TABLE = 'origins';
 /** Several, because the store serialises the transactions of each partition. */
 const PARTITIONS: readonly string[] = ['0', '1', '2', '3'];
+/** Value of a row without origins. */
+export const EMPTY_ROW = '[]';
 /** Hexadecimal digits of a stream's name in a row. */
 const STREAM_NAME_DIGITS = 16;
 
+/** Age of a row from which on it says nothing of the versions that serve, however clocks differ. */
+const ROW_AGE_MAX_MS: Milliseconds = STREAM_TIME_MAX_MS + 60_000;
+const WRITTEN_AT_PATTERN = /^\[(\d+),/;
+
 /** Origins of streams by their names in rows. */
 export type OriginsByName = Map<string, StreamOrigin[]>;
 
@@ -27,14 +35,28 @@
   return hashText(stream).slice(0, STREAM_NAME_DIGITS);
 }
 
-/** Encodes the origins of streams by name: for each origin its service, version and streams. */
-export function encodeOrigins(streams: [name: string, origin: StreamOrigin][]): string {
+/**
+ * Encodes the time of writing and the origins of streams by name: for each origin its service, version
+ * and streams.
+ */
+export function encodeOrigins(
+  streams: [name: string, origin: StreamOrigin][],
+  writtenAt: Date,
+): string {
+  if (streams.length === 0) return EMPTY_ROW;
   const groups = new Map<string, string[]>();
   streams.forEach(([name, { service, version }]) => {
     const origin = JSON.stringify([service, version ?? null]);
     groups.set(origin, [...(groups.get(origin) ?? []), name]);
   });
-  return JSON.stringify([...groups].map(([origin, names]) => [...JSON.parse(origin), names]));
+  const origins = [...groups].map(([origin, names]) => [...JSON.parse(origin), names]);
+  return JSON.stringify([writtenAt.getTime(), ...origins]);
+}
+
+/** Returns whether an encoded row was written lately; one that does not tell counts as such. */
+export function isRecentRow(value: string, now: Date): boolean {
+  const writtenAt = WRITTEN_AT_PATTERN.exec(value)?.[1];
+  return writtenAt === undefined || now.getTime() - Number(writtenAt) < ROW_AGE_MAX_MS;
 }
 
 /** Adds the origins of a row; one that can't be read adds none. */
--- a/packages/forwarding/src/origins/originWriter.ts
+++ b/packages/forwarding/src/origins/originWriter.ts
@@ -3,7 +3,7 @@
 import type { RowStore } from '@pomeloroad/storage';
 import type { OriginMemory } from './originMemory';
 import { STREAM_TIME_MAX_MS } from './versionHistory';
-import { decodeOrigins, encodeOrigins, getOriginKey } from './originRows';
+import { decodeOrigins, EMPTY_ROW, encodeOrigins, getOriginKey } from './originRows';
 import type { OriginsByName } from './originRows';
 
 /** Shortest interval between two writes. */
@@ -12,7 +12,6 @@
 const WRITE_INTERVAL_PER_INSTANCE_MS: Milliseconds = 4;
 /** Interval between checks for writes that no new stream causes, such as after a failure. */
 const CHECK_INTERVAL_MS: Milliseconds = 300;
-const EMPTY_VALUE = encodeOrigins([]);
 
 /** Dependencies of writing origins. */
 export interface OriginWriterHost {
@@ -57,7 +56,7 @@
     const row = view.val.rows.find((candidate) => candidate.key === key.key);
     if (!row) return true;
     version = row.version;
-    isRowEmpty = row.value === EMPTY_VALUE;
+    isRowEmpty = row.value === EMPTY_ROW;
     if (!isRowEmpty) keepUntil = clock.elapsed() + STREAM_TIME_MAX_MS;
     const origins: OriginsByName = new Map();
     decodeOrigins(row.value, origins);
@@ -68,9 +67,9 @@
   }
 
   async function write(): Promise<boolean> {
-    const value = isNeeded() ? encodeOrigins(memory.list()) : EMPTY_VALUE;
+    const value = isNeeded() ? encodeOrigins(memory.list(), clock.now()) : EMPTY_ROW;
     // Streams that an empty row leaves out are written once they are needed.
-    isDirty = value === EMPTY_VALUE;
+    isDirty = value === EMPTY_ROW;
     const written = await rows.transact({
       checks: [{ ...key, version }],
       puts: [{ ...key, value }],
@@ -78,7 +77,7 @@
     });
     if (written.ok) {
       version = written.val.revision;
-      isRowEmpty = value === EMPTY_VALUE;
+      isRowEmpty = value === EMPTY_ROW;
       return true;
     }
     isDirty = true;
--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -67,10 +67,9 @@
     const origins = await readOrigins();
     if (!origins || !host.areVersionsLoaded())
       return { kind: 'unknown', reason: 'store unavailable' };
-    const origin = choose(origins.get(name) ?? [], services);
+    const origin = choose(origins.byName.get(name) ?? [], services);
     if (origin) return { kind: 'known', origin, source: 'store' };
-    const recorded = [...origins.values()].flat();
-    return services.some((service) => hasSeveral(service, recorded))
+    return services.some((service) => hasSeveral(service, origins.recent))
       ? { kind: 'unknown', reason: 'not recorded' }
       : { kind: 'any' };
   }
--- a/packages/forwarding/test/startedInstances.test.ts
+++ b/packages/forwarding/test/startedInstances.test.ts
@@ -73,3 +73,20 @@
   const values = partitions.flatMap((view) => view.unwrap().rows).map(({ value }) => value);
   expect(values).toEqual(['[]']);
 });
+
+test('a version that an instance recorded which is gone for good does not count for ever', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const gone = await startInstance(clock, store, 'gone');
+  const one = await startInstance(clock, store, 'one');
+  await gone.serve('v1', 'v2');
+  gone.note('a', LLM_V1);
+  await clock.advance(1000);
+  gone.stop();
+  await one.serve('v2');
+  await clock.advance(600_000);
+  const started = await startInstance(clock, store, 'started');
+  await started.serve('v2');
+  one.note('b', LLM_V2);
+  expect(await started.find('b')).toEqual({ kind: 'any' });
+});
