A run costs what its events held at the service where it began

The run now keeps the size of an event from its beginning, or from its binding to the service where its stream began; an event of a service that is not configured any more may hold the whole output. Ruled out: reservations, which are sized by the request alone.

--- a/packages/forwarding/src/origins/takeUp.ts
+++ b/packages/forwarding/src/origins/takeUp.ts
@@ -3,6 +3,7 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { Outcome } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
+import { setService } from '../run';
 import type { Run } from '../run';
 import type { TakeUp } from './streamOrigins';
 import type { RefusalKind } from '../types';
@@ -22,7 +23,7 @@
     .with({ kind: 'known' }, ({ origin }) => {
       run.origin = origin;
       run.host.origins.note(getStream(run), origin);
-      run.request = { ...run.request, service: origin.service };
+      setService(run, origin.service);
       return Ok(undefined);
     })
     .with({ kind: 'unknown' }, () => Err('version-unknown' as const))
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -34,6 +34,8 @@
   declines: number;
   /** Number of complete events sent to the caller. */
   events: number;
+  /** Most tokens of one event, as the service was configured when the run began or was bound to it. */
+  tokensPerEvent: Tokens;
   /** Id of the last event that the caller has received. */
   lastEventId: string | undefined;
   /** Server error of an endpoint; sent to the caller if no other endpoint answers. */
@@ -76,6 +78,7 @@
     pending: 0,
     declines: 0,
     events: 0,
+    tokensPerEvent: findTokensPerEvent(host, request.service),
     lastEventId: request.resumeAfter,
     failure: undefined,
     endpoint: undefined,
@@ -100,14 +103,25 @@
  * sent to the caller. A request of whose answer the caller was sent nothing costs nothing.
  */
 export function getSpentTokens<Payload>({
-  host,
-  request,
+  request: { cost },
   isAnswered,
   events,
+  tokensPerEvent,
 }: Run<Payload>): Tokens {
   if (!isAnswered) return 0;
-  const perEvent = host.findService(request.service)?.tokensPerEvent ?? 1;
-  return request.cost.input + Math.min(request.cost.output, events * perEvent);
+  const output = events === 0 ? 0 : Math.min(cost.output, events * tokensPerEvent);
+  return cost.input + output;
+}
+
+/** Binds the run to another service, at which its stream began. */
+export function setService<Payload>(run: Run<Payload>, service: string): void {
+  run.request = { ...run.request, service };
+  run.tokensPerEvent = findTokensPerEvent(run.host, service);
+}
+
+// An event of a service that is not configured any more may hold the whole output.
+function findTokensPerEvent<Payload>(host: ForwardHost<Payload>, service: string): Tokens {
+  return host.findService(service)?.tokensPerEvent ?? Infinity;
 }
 
 /** Returns whether the request may run on one more endpoint. */
