A request is passed on only when the answers before it on its connection are sent

What callers saw: a request that was sent behind one that still runs, on the same connection, was passed on to its endpoint, run, and never answered. The connection was closed with the answer before it, because that said `Connection: close` (a draining instance, one that is not ready or has too much to do), or because that answer was cut.

Cause: requests on one connection were handled side by side, but Node ends the connection with the first response that closes it and drops those behind. Whether a response closes its connection was decided without a look at what had been read behind it.

Now a request waits for its turn on its connection before anything of it is passed on, and is dropped if an answer before it closes that. An answer does not announce the close while another request is there already, so that one is answered too; the last one announces it. A request whose time passes while it waits is refused as not run.

The refusal has a test of its own.

--- /dev/null
+++ b/packages/core/src/connectionTurns.ts
@@ -0,0 +1,38 @@
+import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { waitUntilSent } from './openRequests';
+
+/** The order of the requests that callers send on a connection before earlier ones are answered. */
+export interface ConnectionTurns {
+  /** Adds the request of the response behind those that its connection has brought before. */
+  add(response: ServerResponse): void;
+  /**
+   * Resolves once all requests before it on its connection are answered: to `false` if the connection
+   * has closed, or closes with the answer before it, so that this one can't be answered any more.
+   */
+  wait(response: ServerResponse): Promise<boolean>;
+  /** Whether no request has come behind it; only then may its answer close the connection. */
+  isLatest(response: ServerResponse): boolean;
+}
+
+/** Creates the turns of a server without connections. */
+export function createConnectionTurns(): ConnectionTurns {
+  const latest = new WeakMap<Socket, ServerResponse>();
+  const previous = new WeakMap<ServerResponse, ServerResponse>();
+  return {
+    add(response) {
+      const { socket } = response.req;
+      const before = latest.get(socket);
+      if (before) previous.set(response, before);
+      latest.set(socket, response);
+    },
+    async wait(response) {
+      const before = previous.get(response);
+      if (before) await waitUntilSent(before);
+      previous.delete(response);
+      // Node gives a response its connection when the one before it has ended, unless that closes it.
+      return response.socket?.writable === true;
+    },
+    isLatest: (response) => latest.get(response.req.socket) === response,
+  };
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * from './framing';
 export * from './http';
 export * from './connect';
+export * from './connectionTurns';
 export * from './openRequests';
 export * from './manualClock';
 export * from './pauseGuard';
--- a/packages/replay/test/plannedStopHarness.ts
+++ b/packages/replay/test/plannedStopHarness.ts
@@ -29,6 +29,7 @@
   version: 1,
   routes: [
     createRoute('once', 'non_idempotent'),
+    createRoute('brief', 'non_idempotent', { timeout_ms: 400 }),
     createRoute('often', 'idempotent', { attempts: 2 }),
     createRoute('single', 'streaming'),
     createRoute('stream', 'streaming', { resumable: true, attempts: 2 }),
--- a/packages/replay/test/plannedStops.test.ts
+++ b/packages/replay/test/plannedStops.test.ts
@@ -1,5 +1,6 @@
 import { execFileSync } from 'node:child_process';
-import { createSystemClock, sleep } from '@pomeloroad/core';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createSystemClock, Diagnostics, sleep } from '@pomeloroad/core';
 import { WireHeader } from '@pomeloroad/standins';
 import { ROOT } from '../src/paths';
 import { endTrial, openRaw, renderRequest, startTrial, waitUntil } from './plannedStopHarness';
@@ -39,3 +40,76 @@
   await Promise.all(asking);
   expect(took).toBeLessThan(GRACE_MS);
 });
+
+// Answers after the delay that the path names.
+function answerLate({ url }: IncomingMessage, response: ServerResponse): void {
+  const delay = Number(/\d+$/.exec(url ?? ''));
+  setTimeout(() => response.end(`answer to ${url}`), delay);
+}
+
+test('a stop signal does not lose the request that a caller sent behind one that runs', async () => {
+  const trial = await startTrial();
+  await trial.addEndpoint('e1', answerLate);
+  const first = renderRequest('/once/300');
+  const caller = openRaw(trial.address, first + renderRequest('/once/600'));
+  await waitUntil(() => trial.received.length > 0);
+  trial.instance.child.kill('SIGTERM');
+  await caller.closed;
+  expect(caller.getText()).toContain('answer to /once/300');
+  expect(caller.getText()).toContain('answer to /once/600');
+});
+
+test('a request sent behind one that runs in a draining instance is answered', async () => {
+  const trial = await startTrial();
+  await trial.addEndpoint('e1', answerLate);
+  trial.instance.child.kill('SIGTERM');
+  await waitUntil(() => trial.hasLogged(Diagnostics.instanceDraining.text));
+  const caller = openRaw(trial.address, renderRequest('/once/300'));
+  await waitUntil(() => trial.received.length > 0);
+  caller.socket.write(renderRequest('/once/100'));
+  await caller.closed;
+  expect(caller.getText()).toContain('answer to /once/300');
+  expect(caller.getText()).toContain('answer to /once/100');
+});
+
+test('a request behind an answer that announces the close of its connection is not passed on', async () => {
+  const trial = await startTrial();
+  await trial.addEndpoint('e1', (_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    response.write('id: 1\ndata: a\n\n');
+    setTimeout(() => response.end('id: 2\ndata: b\n\n'), 300);
+  });
+  trial.instance.child.kill('SIGTERM');
+  await waitUntil(() => trial.hasLogged(Diagnostics.instanceDraining.text));
+  const caller = openRaw(trial.address, renderRequest('/single/a'));
+  await waitUntil(() => caller.getText().includes('data: a'));
+  expect(caller.getText().toLowerCase()).toContain('connection: close');
+  caller.socket.write(renderRequest('/once/100'));
+  await caller.closed;
+  expect(caller.getText()).toContain('data: b');
+  expect(trial.received).toEqual(['/single/a']);
+});
+
+test('a request behind an answer that is cut is not passed on', async () => {
+  const trial = await startTrial();
+  await trial.addEndpoint('e1', (_request, response) => {
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    response.write('id: 1\ndata: a\n\n');
+    setTimeout(() => response.destroy(), 300);
+  });
+  const first = renderRequest('/single/a');
+  const caller = openRaw(trial.address, first + renderRequest('/once/100'));
+  await caller.closed;
+  expect(caller.getText()).toContain('data: a');
+  expect(trial.received).toEqual(['/single/a']);
+});
+
+test('a request whose time passes behind one that runs is refused and not passed on', async () => {
+  const trial = await startTrial();
+  await trial.addEndpoint('e1', answerLate);
+  const caller = openRaw(trial.address, renderRequest('/once/800') + renderRequest('/brief/0'));
+  await waitUntil(() => caller.getText().includes('HTTP/1.1 503'));
+  caller.socket.destroy();
+  expect(caller.getText()).toMatch(/answer to \/once\/800HTTP\/1.1 503 /);
+  expect(trial.received).toEqual(['/once/800']);
+});
