Soak: callers on plain sockets, and a check that what ran is answered

Callers on plain sockets now draw rounds at random by the seed: up to four requests in one write, in pieces of 1 to 50 bytes or apart, in eight forms (Expect, upgrade, trailers, HTTP/1.0, Connection: close ...), at once behind an answer, after a pause or at four fifths of the idle timeout; twelve kinds of what no server may run behind them, in the same write or up to 300 ms later; slow and stalled readers; FINs and resets. Half of the connections go past the proxy. Each behaviour is counted and printed.

The parser of answers is its own. Checks that are new or wider: - answered: a request that an endpoint has run gets its answer, whole, or a failure that may be true; status 0, a 4xx or 501/505 and a cut fail. Excused are the caller that leaves, its time limit, an endpoint that breaks off, harm to the instance or its callers' link. Trouble of the store is no excuse. - owner: every answer names its request, refusals too; it was 200s only. - readable, strays: bytes that are no answer; answers without a request, but one refusal of what can't be read. - path: the endpoint got the body that the caller sent. - framing and completeness leave out answers to HTTP/1.0, which knows no chunks. The idle timeout of the soak's configurations is 2.5 s (15 s before), so that four fifths of it fit into a run.

--- a/packages/replay/src/soak/callers.ts
+++ b/packages/replay/src/soak/callers.ts
@@ -3,25 +3,17 @@
 import { createRandom } from '@pomeloroad/core';
 import type { Random } from '@pomeloroad/core';
 import { listVersions } from '@pomeloroad/standins';
-import type { AnswerFault, AnswerFraming, CallerAnswer, Work } from '@pomeloroad/standins';
+import type { CallerAnswer, Work } from '@pomeloroad/standins';
 import { pause } from '../pause';
 import { ROUTES } from './configuration';
 import { draw } from './draw';
+import { chooseInstance, drawRequest, EVENT_PAUSE_MAX_MS, EVENTS_MAX } from './drawnRequest';
+import type { DrawnRequest } from './drawnRequest';
 import type { Fleet, FleetInstance } from './fleet';
 import { countEvents } from './requestRecord';
 import type { Sender } from './sender';
 
 const PAUSE_MAX_MS = 120;
-const EVENTS_MAX = 12;
-const EVENT_PAUSE_MAX_MS = 60;
-const INPUT_TOKENS_MAX = 60;
-const FRAMINGS: AnswerFraming[] = ['length', 'chunked', 'close'];
-const FAULTS: AnswerFault[] = ['short', 'extra', 'other', 'length', 'late', 'silent'];
-/** One answer in this many has a fault. */
-const FAULT_RATIO = 12;
-/** One caller in this many leaves before its answer has ended. */
-const LEAVING_RATIO = 6;
-const PATIENCE_MAX_MS = 400;
 /** One caller that asks for answers that end early to this many others. */
 const EARLY_END_RATIO = 6;
 /** Time in which all answers end as they should, for comparison. */
@@ -66,16 +58,6 @@
   earlyEnds: EarlyEnd[];
 }
 
-// What a caller asks for next, but for the instance.
-interface Drawn {
-  work: Work;
-  account: string;
-  key: string;
-  inputTokens: number;
-  patience?: number;
-  timeLimit?: number;
-}
-
 // A stream of which a caller has some events; a new one if it has none.
 interface Resumption {
   work: Work;
@@ -85,7 +67,7 @@
   tries: number;
 }
 
-const NO_LIMITS: Pick<Drawn, 'patience' | 'timeLimit'> = {};
+const NO_LIMITS: Pick<DrawnRequest, 'patience' | 'timeLimit'> = {};
 const NOTHING_HELD = { resumeAfter: 0, heldVersions: [], tries: 0 };
 
 /** Starts callers that each keep their connection to an instance until it closes. */
@@ -152,30 +134,8 @@
   return new http.Agent({ keepAlive: true, maxSockets: 1 });
 }
 
-// As the platform does: all instances count if fewer than half of them are in rotation.
-function chooseInstance({ instances }: Fleet, choice: number): FleetInstance {
-  const ready = instances.filter((instance) => instance.isReady);
-  const candidates = ready.length * 2 < instances.length ? instances : ready;
-  return candidates[Math.floor(choice * candidates.length)] as FleetInstance;
-}
-
-function drawRequest(random: Random, hasFaults: boolean): Drawn {
-  const account = draw(random, ['rich', 'rich', 'rich', 'poor']);
-  const work: Work = {
-    route: draw(random, ROUTES).name,
-    framing: draw(random, FRAMINGS),
-    events: random.integer(1, EVENTS_MAX),
-    pause: random.integer(0, EVENT_PAUSE_MAX_MS),
-    fault: random.integer(1, FAULT_RATIO) === 1 && hasFaults ? draw(random, FAULTS) : 'none',
-  };
-  const inputTokens = random.integer(1, INPUT_TOKENS_MAX);
-  const leaves = random.integer(1, LEAVING_RATIO) === 1;
-  const patience = leaves ? random.integer(1, PATIENCE_MAX_MS) : undefined;
-  return { work, account, key: `key-of-${account}`, inputTokens, patience };
-}
-
 // The time limit of an answer falls between two of its events; an empty end needs a stream.
-function drawEarlyEnd(random: Random, earlyEnds: EarlyEnd[]): Drawn {
+function drawEarlyEnd(random: Random, earlyEnds: EarlyEnd[]): DrawnRequest {
   const base = { account: 'rich', key: 'key-of-rich', inputTokens: 1 };
   const events = random.integer(EARLY_END_EVENTS_MIN, EVENTS_MAX);
   const pauseLength = random.integer(EARLY_END_PAUSE_MIN_MS, EVENT_PAUSE_MAX_MS);
--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -1,7 +1,9 @@
+import { hashText } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import { PlatformBounds, renderEvents, stripVersions } from '@pomeloroad/standins';
 import type { ConfigurationHistory } from './configurationHistory';
 import { CONTACT_MS, STATUS_OK } from './checkBounds';
+import { checkAnswered, checkOwner } from './answerChecks';
 import { checkCutWhileAlive, checkShutdown } from './cutChecks';
 import type { FaultLog } from './faultLog';
 import { countEvents, isWhole } from './requestRecord';
@@ -51,10 +53,8 @@
     if (answer?.status !== STATUS_OK) return 'skipped';
     return answer.isSigned ? 'held' : { message: 'a success without signature' };
   },
-  owner: ({ answer }) => {
-    if (answer?.status !== STATUS_OK) return 'skipped';
-    return answer.isOwn ? 'held' : { message: 'an answer of another request' };
-  },
+  owner: checkOwner,
+  answered: checkAnswered,
   'not-run': checkNotRun,
   'at-most-once': checkAtMostOnce,
   'one-at-a-time': checkOneAtATime,
@@ -70,7 +70,7 @@
 
 function checkCompleteness(record: RequestRecord, context: CheckContext): CheckOutcome {
   const { answer } = record;
-  if (answer?.framing === 'close' && isOlderBuild(record, context)) return 'skipped';
+  if (answer?.framing === 'close' && hasNoChunks(record, context)) return 'skipped';
   if (answer?.status !== STATUS_OK || !answer.looksComplete) return 'skipped';
   return hasFalseEnd(record) || isCutUnseen(record) ? 'skipped' : findMissing(record);
 }
@@ -80,15 +80,15 @@
   return work.framing === 'close' && work.fault === 'short' && runs.length > 0;
 }
 
-// The older build passes the missing framing of an endpoint on.
-function isOlderBuild({ life }: RequestRecord, { hasOlderBuild }: CheckContext): boolean {
-  return hasOlderBuild && life === 1;
+// The older build passes the missing framing of an endpoint on, and HTTP/1.0 has none but a length.
+function hasNoChunks(record: RequestRecord, { hasOlderBuild }: CheckContext): boolean {
+  return record.isOldVersion === true || (hasOlderBuild && record.life === 1);
 }
 
 // The kernel closes the connections of an instance that is killed in order, as after a whole answer.
 function checkFraming(record: RequestRecord, context: CheckContext): CheckOutcome {
   const { answer } = record;
-  if (!answer || answer.status === 0 || isOlderBuild(record, context)) return 'skipped';
+  if (!answer || answer.status === 0 || hasNoChunks(record, context)) return 'skipped';
   if (answer.framing !== 'close') return 'held';
   return { message: 'only the end of its connection ends the answer' };
 }
@@ -156,11 +156,13 @@
   return { message: `still ran at ${overlap.endpoint} after it had gone on elsewhere` };
 }
 
-function checkPath({ account, runs, work }: RequestRecord): CheckOutcome {
+function checkPath({ account, runs, work, body = '' }: RequestRecord): CheckOutcome {
   if (runs.length === 0) return 'skipped';
   const isWrong = (run: EndpointRun) =>
     run.account !== account || !run.path.startsWith(`/${work.route}/`);
   const wrong = runs.find(isWrong);
+  const changed = runs.find((run) => run.body !== hashText(body));
+  if (changed) return { message: `ran at ${changed.endpoint} with another body` };
   if (!wrong) return 'held';
   return { message: `ran at ${wrong.endpoint} as ${wrong.path} for account ${wrong.account}` };
 }
--- a/packages/replay/src/soak/configuration.ts
+++ b/packages/replay/src/soak/configuration.ts
@@ -5,6 +5,8 @@
 export const HOST = 'soak.example';
 /** Tokens that one event of a stream counts as. */
 export const TOKENS_PER_EVENT = 5;
+/** Time after which an instance may close an idle connection of a caller. */
+export const IDLE_TIMEOUT_MS = 2500;
 const FIRST_BUDGET_TOKENS = 2000;
 const TOP_UP_TOKENS = 300;
 const LARGE_BUDGET_TOKENS = 100_000_000;
@@ -51,6 +53,7 @@
     routes: [...ROUTES, { name: getProbeRoute(version), ...route }],
     accounts: createAccounts(version),
     tokensPerEvent: TOKENS_PER_EVENT,
+    idleTimeout: IDLE_TIMEOUT_MS,
   });
   return putRow(store, CONFIGURATION_TABLE, 'config', text);
 }
--- a/packages/replay/src/soak/cutChecks.ts
+++ b/packages/replay/src/soak/cutChecks.ts
@@ -12,7 +12,7 @@
 /** Time before its limit from which on an answer is held to have used up its caller's time. */
 const LIMIT_MARGIN_MS: Milliseconds = 500;
 /** Faults with which an endpoint's answer is sound: it is whole, but falls silent on the way. */
-const SILENT_FAULTS: AnswerFault[] = ['none', 'late', 'silent'];
+export const SILENT_FAULTS: AnswerFault[] = ['none', 'late', 'silent'];
 /** Statuses of an answer that an instance has broken off or given up. */
 const CUT_STATUSES = [0, STATUS_OK, 502, 504];
 
@@ -49,7 +49,8 @@
   return { message: `given up (${status}) while it went on at ${endpoints}` };
 }
 
-function isOutOfTime(
+/** Whether a request had used up its time, or came too late before the end of its process. */
+export function isOutOfTime(
   { sentAt, endedAt = Infinity, timeLimit = TIME_LIMIT_MS }: RequestRecord,
   shutdown: { from: number } | undefined,
 ): boolean {
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -52,6 +52,8 @@
   checks: Record<string, number>;
   /** How often endpoints stated the end of an answer with events missing, by the reason. */
   falseEnds: Record<string, number>;
+  /** How often callers on plain sockets did each thing, by its name. */
+  behaviours: Record<string, number>;
   /** Number of judged requests by how they ended. */
   outcomes: Record<string, number>;
 }
@@ -77,6 +79,7 @@
     failures: [],
     checks: {},
     falseEnds: {},
+    behaviours: {},
     outcomes: {},
     onCrash: () => undefined,
     open: (record) => records.set(record.id, record),
@@ -191,8 +194,8 @@
   const run = record.runs.filter((known) => known.endpoint === line.id).at(-1);
   const at = Date.parse(line.at);
   match(line)
-    .with({ event: 'run' }, ({ account, after, path }) => {
-      const fields = { endpoint: line.id, at, lastAt: at, account, path };
+    .with({ event: 'run' }, ({ account, after, path, body }) => {
+      const fields = { endpoint: line.id, at, lastAt: at, account, path, body };
       const ends = { isStated: false, isFalselyStated: false, isEnded: false };
       record.runs.push({ ...fields, ...ends, sent: after });
       record.arrivals.push(at);
--- a/packages/replay/src/soak/faultLog.ts
+++ b/packages/replay/src/soak/faultLog.ts
@@ -29,6 +29,8 @@
   isDisturbed(names: string[], from: number, to: number): boolean;
   /** As `isDisturbed`, without planned work and silences. */
   isHarmed(names: string[], from: number, to: number): boolean;
+  /** As `isHarmed`, but trouble of the instance's path to the store does not count. */
+  isCut(instance: string, from: number, to: number): boolean;
   /** Returns the orderly end of the instance that overlaps the time. */
   findShutdown(name: string, from: number, to: number): { from: number; to: number } | undefined;
   /** Returns a line for the start and the end of each fault near the time. */
@@ -62,6 +64,10 @@
     isDisturbed: (names, from, to) => findSpans(names, from, to).length > 0,
     isHarmed: (names, from, to) =>
       findSpans(names, from, to).some((span) => span.nature === 'harm'),
+    isCut: (instance, from, to) =>
+      findSpans([instance], from, to).some(
+        (span) => span.nature === 'harm' && !span.names.includes(`${instance} store`),
+      ),
     findShutdown: (name, from, to) =>
       findSpans([name], from, to).find(
         (span) => span.nature === 'planned' && span.text.includes('SIGTERM'),
--- a/packages/replay/src/soak/fleet.ts
+++ b/packages/replay/src/soak/fleet.ts
@@ -36,6 +36,8 @@
   name: string;
   dataCentre: string;
   readinessAddress: string;
+  /** Address of its callers without the proxy. */
+  callersAddress: string;
   /** Link of its callers, which is also the group of the link. */
   callersLink: Link;
   storeLink: Link;
@@ -169,7 +171,8 @@
     const program = await startInstance(name, programs.first, settingsPath);
     const links = { callersLink, storeLink };
     const files = { settingsPath, script: programs.next };
-    const fields = { name, dataCentre, readinessAddress, program, ...files, ...links };
+    const addresses = { readinessAddress, callersAddress };
+    const fields = { name, dataCentre, ...addresses, program, ...files, ...links };
     return { kind: 'instance', ...fields, isReady: false, life: 1, isEnding: false };
   }
 
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -23,6 +23,7 @@
   .option('--instances', 'number of instances', 4)
   .option('--endpoints', 'number of endpoints', 8)
   .option('--callers', 'number of callers', 24)
+  .option('--sockets', 'number of callers on plain sockets', 12)
   .option(
     '--faults',
     `some of ${[...RequestFaults, ...FaultNames].join(', ')}; all but the rare ones if left out`,
@@ -52,6 +53,7 @@
     instances: Number(flags.instances),
     endpoints: Number(flags.endpoints),
     callers: Number(flags.callers),
+    sockets: Number(flags.sockets),
     faults: faults.filter((name) => !RequestFaults.includes(name)),
     hasAnswerFaults: faults.includes(ANSWERS),
     earlyEnds: [...EarlyEnds, ...RareEarlyEnds].filter((name) => faults.includes(name)),
@@ -67,13 +69,15 @@
   process.stdout.write(`${text}\n`, () => process.exit(status));
 }
 
-function renderResult({ faults, falseEnds, checks, outcomes, failures }: SoakResult): string {
-  const tables = Object.entries({ faults, 'false ends': falseEnds, checks, outcomes }).flatMap(
-    ([title, counts]) => [
-      title,
-      ...Object.entries(counts).map(([name, value]) => `  ${name.padEnd(NAME_WIDTH)} ${value}`),
-    ],
-  );
+function renderResult(result: SoakResult): string {
+  const { faults, falseEnds, behaviours, checks, outcomes, failures } = result;
+  const counted = { faults, 'false ends': falseEnds, behaviours, checks, outcomes };
+  const tables = Object.entries(counted).flatMap(([title, counts]) => [
+    title,
+    ...Object.entries(counts)
+      .sort()
+      .map(([name, value]) => `  ${name.padEnd(NAME_WIDTH)} ${value}`),
+  ]);
   const descriptions = failures.flatMap(({ check, request = '', message, timeLine }) => [
     `${check} ${request}: ${message}`,
     ...timeLine.map(({ at, source, text }) => `  ${new Date(at).toISOString()} ${source}: ${text}`),
--- a/packages/replay/src/soak/requestRecord.ts
+++ b/packages/replay/src/soak/requestRecord.ts
@@ -14,6 +14,12 @@
   patience?: number;
   /** Time in milliseconds that its caller gives it; `undefined` for the usual one. */
   timeLimit?: number;
+  /** Its body; `undefined` for none. */
+  body?: string;
+  /** Whether the instance may refuse it as malformed. */
+  mayBeRefused?: boolean;
+  /** Whether it is of a version of HTTP without chunks. */
+  isOldVersion?: boolean;
   /** Last event that the caller had when it sent the request. */
   resumeAfter: number;
   /** Id of the request that brought the stream's first event, if the caller takes a stream up. */
@@ -41,6 +47,8 @@
   lastAt: number;
   account: string;
   path: string;
+  /** Hash of the body that it got. */
+  body: string;
   /** Number of the last event that it sent. */
   sent: number;
   /** Whether the endpoint stated that its answer is complete. */
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -21,6 +21,7 @@
 import { checkProcesses } from './processChecks';
 import type { ProcessPeaks } from './processChecks';
 import { createSender } from './sender';
+import { startSocketCallers } from './socketCallers';
 import type { VersionHistory } from './versionChecks';
 
 /** Settings of a soak. */
@@ -31,6 +32,8 @@
   /** Time at the end in which no fault begins, so that the recovery can be checked. */
   calm: Milliseconds;
   callers: number;
+  /** Number of callers on plain sockets, besides the others. */
+  sockets: number;
   /** Names of the faults to play. */
   faults: string[];
   /** Whether endpoints' answers are to have faults. */
@@ -54,6 +57,8 @@
   checks: Record<string, number>;
   /** How often endpoints stated the end of an answer with events missing, by the reason. */
   falseEnds: Record<string, number>;
+  /** How often callers on plain sockets did each thing. */
+  behaviours: Record<string, number>;
   /** Number of requests by how they ended. */
   outcomes: Record<string, number>;
   spent: Record<string, number>;
@@ -87,10 +92,10 @@
     const faults = await Promise.race([running, aborted]);
     const left = await launcher.close();
     evidence.check('left-behind', left.length > 0 ? `still running: ${left.join()}` : undefined);
-    const { checks, falseEnds, outcomes, failures, totals, versions } = evidence;
+    const { checks, falseEnds, behaviours, outcomes, failures, totals, versions } = evidence;
     const { seed } = options;
     const figures = { spent: totals.spent, streams: versions.shares, peaks };
-    return { seed, plan, faults, checks, falseEnds, outcomes, ...figures, failures };
+    return { seed, plan, faults, checks, falseEnds, behaviours, outcomes, ...figures, failures };
   } finally {
     await launcher.close();
     process.off('exit', launcher.stopAll);
@@ -142,7 +147,9 @@
   const startedAt = clock.elapsed();
   const waitUntil = (at: Milliseconds) => pause(Math.max(0, startedAt + at - clock.elapsed()));
   const { callers: count, hasAnswerFaults: hasFaults, earlyEnds } = options;
-  const callers = startCallers({ fleet, sender, seed, count, hasFaults, earlyEnds });
+  const base = { fleet, sender, seed, hasFaults };
+  const callers = startCallers({ ...base, count, earlyEnds });
+  const socketCallers = startSocketCallers({ ...base, evidence, count: options.sockets });
   const operating = operator.run();
   const playing: Promise<void>[] = [];
   const injector = createInjector(fleet, evidence);
@@ -153,7 +160,7 @@
   }
   await Promise.all(playing);
   await waitUntil(options.length);
-  await callers.stop();
+  await Promise.all([callers.stop(), socketCallers.stop()]);
   stopped.abort();
   await Promise.all([operating, ...watches]);
   evidence.judge(true);
--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -16,14 +16,14 @@
 // Real processes: they need the bundled program. `npm test` builds the stand-ins.
 function soak(
   options: Pick<SoakOptions, 'seed' | 'length' | 'calm' | 'faults' | 'hasAnswerFaults'> &
-    Partial<Pick<SoakOptions, 'earlyEnds' | 'olderRevision'>>,
+    Partial<Pick<SoakOptions, 'earlyEnds' | 'olderRevision' | 'callers' | 'sockets'>>,
   endpoints = 4,
 ) {
   execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: ROOT });
   const { signal } = new AbortController();
-  const size = { instances: 4, endpoints, callers: 24 };
+  const size = { instances: 4, endpoints, callers: 24, sockets: 0 };
   const host = { signal, onLog: () => undefined };
-  return runSoak(createSystemClock(), { earlyEnds: [], ...options, ...size, ...host });
+  return runSoak(createSystemClock(), { earlyEnds: [], ...size, ...options, ...host });
 }
 
 function describeFailures({ failures }: SoakResult): string[] {
@@ -180,6 +180,21 @@
   TIMEOUT_MS,
 );
 
+// Guards against what can't be read on a connection deciding over the requests before it.
+test(
+  'seed 1: callers on plain sockets get each answer of a request that ran, whole and in order',
+  async () => {
+    const times = { length: 20_000, calm: 6000 };
+    const faults = ['instance-term', 'instance-hup', 'endpoint-term', 'store-slow', 'link-delay'];
+    const callers = { callers: 6, sockets: 16 };
+    const result = await soak({ seed: 1, ...times, faults, hasAnswerFaults: true, ...callers }, 8);
+    expect(describeFailures(result)).toEqual([]);
+    expect(result.checks.answered).toBeGreaterThan(300);
+    expect(Object.keys(result.behaviours).length).toBeGreaterThan(35);
+  },
+  TIMEOUT_MS,
+);
+
 // Instances of two builds share rows, relays and budgets while one after the other is replaced.
 testWithHistory(
   'seed 1: instances of an older build and of this one serve side by side',
--- a/packages/standins/src/callerClient.ts
+++ b/packages/standins/src/callerClient.ts
@@ -6,18 +6,14 @@
 /** Error of an answer that the caller did not wait for. */
 export const CALLER_LEFT = 'caller left';
 
-/** A request of a caller of the platform. */
-export interface CallerCall {
+/** What the head of a caller's request tells. */
+export interface CallerFields {
   id: string;
-  /** `ip:port` of the instance. */
-  address: string;
   host: string;
   path: string;
   key: string;
   /** Time in milliseconds that the caller says it will wait. */
   timeLeft: number;
-  /** Time in milliseconds after which it leaves. */
-  patience: number;
   inputTokens: number;
   outputTokens: number;
   /** Parts of the prompt; `undefined` if the request tells none. */
@@ -26,6 +22,14 @@
   resumeAfter: number;
   /** Id of the request that brought the stream's first event. */
   resumes?: string;
+}
+
+/** A request of a caller of the platform. */
+export interface CallerCall extends CallerFields {
+  /** `ip:port` of the instance. */
+  address: string;
+  /** Time in milliseconds after which it leaves. */
+  patience: number;
   /** Connections to use; `false` opens a new one. */
   agent: http.Agent | false;
 }
@@ -52,28 +56,11 @@
 /** Sends a request; resolves when its answer has ended, was cut off or the time has passed. */
 export function sendCallerCall(call: CallerCall): Promise<CallerAnswer> {
   return new Promise((resolve) => {
-    const answer: CallerAnswer = {
-      status: 0,
-      framing: 'close',
-      looksComplete: false,
-      isOwn: true,
-      isSigned: false,
-      body: '',
-    };
+    const answer = createCallerAnswer();
     const request = http.request(`http://${call.address}${call.path}`, {
       method: 'POST',
       agent: call.agent,
-      headers: {
-        host: call.host,
-        'content-length': 0,
-        [WireHeader.key]: `Token ${call.key}`,
-        [WireHeader.requestId]: call.id,
-        [WireHeader.timeLeft]: call.timeLeft,
-        [WireHeader.tokenBounds]: `${call.inputTokens},${call.outputTokens}`,
-        ...(call.prompt === undefined ? {} : { [WireHeader.promptParts]: call.prompt }),
-        ...(call.resumeAfter > 0 ? { [WireHeader.resumeAfter]: call.resumeAfter } : {}),
-        ...(call.resumes === undefined ? {} : { [WireHeader.resumes]: call.resumes }),
-      },
+      headers: { ...createCallerHeaders(call), 'content-length': 0 },
     });
     const timer = setTimeout(() => {
       answer.error ??= CALLER_LEFT;
@@ -86,7 +73,8 @@
     };
     request.on('error', finish);
     request.on('response', (response) => {
-      readHead(answer, response, call);
+      const { statusCode = 0, headers } = response;
+      readCallerHead(answer, call.id, statusCode, headers);
       const hasEnded =
         answer.framing === 'close' ? watchClose(response) : async () => response.complete;
       response.on('data', (data: Buffer) => {
@@ -104,15 +92,39 @@
   });
 }
 
-function readHead(answer: CallerAnswer, response: http.IncomingMessage, call: CallerCall): void {
-  const { headers, statusCode = 0 } = response;
+/** Returns the fields of the head of a caller's request, without those of its body. */
+export function createCallerHeaders(call: CallerFields): Record<string, string> {
+  return {
+    host: call.host,
+    [WireHeader.key]: `Token ${call.key}`,
+    [WireHeader.requestId]: call.id,
+    [WireHeader.timeLeft]: `${call.timeLeft}`,
+    [WireHeader.tokenBounds]: `${call.inputTokens},${call.outputTokens}`,
+    ...(call.prompt === undefined ? {} : { [WireHeader.promptParts]: call.prompt }),
+    ...(call.resumeAfter > 0 ? { [WireHeader.resumeAfter]: `${call.resumeAfter}` } : {}),
+    ...(call.resumes === undefined ? {} : { [WireHeader.resumes]: call.resumes }),
+  };
+}
+
+/** Returns what a caller has seen before an answer begins. */
+export function createCallerAnswer(): CallerAnswer {
+  const answer = { status: 0, framing: 'close' as const, looksComplete: false };
+  return { ...answer, isOwn: true, isSigned: false, body: '' };
+}
+
+/** Adds the head of an answer to what the caller of the request has seen. */
+export function readCallerHead(
+  answer: CallerAnswer,
+  id: string,
+  status: number,
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): void {
   const read = answer;
-  read.status = statusCode;
+  read.status = status;
   if (headers['transfer-encoding'] !== undefined) read.framing = 'chunked';
   else if (headers['content-length'] !== undefined) read.framing = 'length';
-  const echo = headers[WireHeader.requestId];
-  read.isOwn = echo === call.id;
+  read.isOwn = headers[WireHeader.requestId] === id;
   const signature = String(headers[WireHeader.signature] ?? '');
   const [endpoint = ''] = signature.split('.');
-  read.isSigned = signature === signAnswer(endpoint, call.id);
+  read.isSigned = signature === signAnswer(endpoint, id);
 }
--- a/packages/standins/src/platformFiles.ts
+++ b/packages/standins/src/platformFiles.ts
@@ -70,11 +70,13 @@
   routes: ConfiguredRoute[];
   accounts: ConfiguredAccount[];
   tokensPerEvent: number;
+  /** Time in milliseconds after which instances may close callers' idle connections. */
+  idleTimeout: number;
 }
 
 const ROUTE_TIMEOUT_MS = 6000;
 const ROUTE_OBJECTIVE_MS = 500;
-const CALLER_LIMITS = { max_body_bytes: 100_000, idle_timeout_ms: 15_000 };
+const BODY_MAX_BYTES = 100_000;
 
 /** Returns the text of the row that holds a configuration. */
 export function renderPlatformConfiguration(configuration: PlatformConfiguration): string {
@@ -102,6 +104,6 @@
       api_keys: keys,
       prepaid,
     })),
-    limits: CALLER_LIMITS,
+    limits: { max_body_bytes: BODY_MAX_BYTES, idle_timeout_ms: configuration.idleTimeout },
   });
 }
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -43,6 +43,8 @@
       after: number;
       account: string;
       version: string;
+      /** Hash of the body that came. */
+      body: string;
     }
   | { event: 'sent'; request: string; run: number; number: number }
   /** The answer is complete as far as the endpoint states it in its framing. */
@@ -96,7 +98,11 @@
   let runs = 0;
   const underWay = new Map<number, RunEntry>();
 
-  async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async function serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): Promise<void> {
     const name = String(request.headers[WireHeader.requestId] ?? '');
     const expected = request.headers[WireHeader.endpoint];
     if (expected !== undefined && expected !== id) {
@@ -105,7 +111,7 @@
       decline(response, name, DECLINED_STATUS, 'full');
     } else {
       active += 1;
-      await run(request, response, name).finally(() => {
+      await run(request, response, name, body).finally(() => {
         active -= 1;
       });
     }
@@ -126,6 +132,7 @@
     request: IncomingMessage,
     response: ServerResponse,
     name: string,
+    body: string,
   ): Promise<void> {
     const path = request.url ?? '/';
     const deadline = clock.elapsed() + Number(request.headers[WireHeader.timeLeft] ?? Infinity);
@@ -137,7 +144,7 @@
     const entry: RunEntry = [name, 0, 0, 0];
     underWay.set(step.run, entry);
     response.once('close', () => underWay.delete(step.run));
-    record({ event: 'run', ...step, path, after, account, version });
+    record({ event: 'run', ...step, path, after, account, version, body });
     const fault = hasFault(id, name) ? work.fault : 'none';
     const middle = Math.floor((after + work.events) / 2);
     const isShort = fault === 'short' || (fault === 'empty' && after === 0);
@@ -220,7 +227,7 @@
       return;
     }
     readBody(request).then(
-      () => serve(request, response),
+      (body) => serve(request, response, hashText(String(body))),
       () => undefined,
     );
   });
