Soak: what can't be read is a fault by name, and an answer that its endpoint broke off may be missing

A refusal in its place still fails. The message tells requests lost behind a part of an answer. recovery leaves out requests that may go unread, behind HTTP/1.0 or Connection: close.

--- a/packages/replay/src/soak/answerChecks.ts
+++ b/packages/replay/src/soak/answerChecks.ts
@@ -31,10 +31,10 @@
   const isCut = context.faults.isCut(instance, sentAt - CONTACT_MS, endedAt);
   if (isCut || isOutOfTime(record, shutdown)) return 'skipped';
   const { status, error = 'ended' } = answer;
-  if (status === 0) return { message: `lost: ran, but no answer (${error})` };
   if (isRefusal(status)) return { message: `misplaced: ran, but status ${status}` };
-  if (status !== STATUS_OK || isWhole(record)) return 'held';
-  return hasBrokenOff(record, context) ? 'skipped' : { message: `cut: ${error}` };
+  if (status > STATUS_OK || isWhole(record)) return 'held';
+  if (hasBrokenOff(record, context)) return 'skipped';
+  return { message: status === 0 ? `lost: ran, but no answer (${error})` : `cut: ${error}` };
 }
 
 function isRefusal(status: number): boolean {
--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -212,11 +212,11 @@
 }
 
 function checkRecovery(record: RequestRecord, { faults }: CheckContext): CheckOutcome {
-  const { sentAt, work, account, patience, timeLimit } = record;
+  const { sentAt, work, account, patience, timeLimit, mayBeRefused = false } = record;
   const isCalm = sentAt > faults.getCalmSince() + RECOVERY_MS;
   const isPatient = patience === undefined && timeLimit === undefined;
   const isSound = work.fault === 'none' && isPatient && account !== 'poor';
-  if (!isCalm || !isSound || work.route.startsWith('probe')) return 'skipped';
+  if (!isCalm || !isSound || mayBeRefused || work.route.startsWith('probe')) return 'skipped';
   if (isWhole(record)) return 'held';
   return { message: `not served after the last fault: status ${record.answer?.status}` };
 }
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -12,8 +12,10 @@
 const NAME_WIDTH = 28;
 /** Name of the faults of endpoints' answers, which requests ask for. */
 const ANSWERS = 'answers';
+/** Name of what no server may run, which callers on plain sockets send. */
+const UNREADABLE = 'unreadable';
 /** Faults that requests ask for. */
-const DefaultRequestFaults: string[] = [ANSWERS, ...EarlyEnds];
+const DefaultRequestFaults: string[] = [ANSWERS, UNREADABLE, ...EarlyEnds];
 const RequestFaults = [...DefaultRequestFaults, ...RareEarlyEnds];
 
 sade('soak', true)
@@ -56,6 +58,7 @@
     sockets: Number(flags.sockets),
     faults: faults.filter((name) => !RequestFaults.includes(name)),
     hasAnswerFaults: faults.includes(ANSWERS),
+    hasUnreadable: faults.includes(UNREADABLE),
     earlyEnds: [...EarlyEnds, ...RareEarlyEnds].filter((name) => faults.includes(name)),
     olderRevision: flags.older === undefined ? undefined : String(flags.older),
     signal: interrupted.signal,
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -38,6 +38,8 @@
   faults: string[];
   /** Whether endpoints' answers are to have faults. */
   hasAnswerFaults: boolean;
+  /** Whether callers on plain sockets send what no server may run. */
+  hasUnreadable: boolean;
   /** Ends in order of answers that are not whole, which further callers ask for. */
   earlyEnds: EarlyEnd[];
   /** Commit whose program the instances run until they are started again; `undefined` for the present one. */
@@ -149,7 +151,8 @@
   const { callers: count, hasAnswerFaults: hasFaults, earlyEnds } = options;
   const base = { fleet, sender, seed, hasFaults };
   const callers = startCallers({ ...base, count, earlyEnds });
-  const socketCallers = startSocketCallers({ ...base, evidence, count: options.sockets });
+  const { sockets, hasUnreadable } = options;
+  const socketCallers = startSocketCallers({ ...base, evidence, count: sockets, hasUnreadable });
   const operating = operator.run();
   const playing: Promise<void>[] = [];
   const injector = createInjector(fleet, evidence);
--- a/packages/replay/src/soak/socketCallers.ts
+++ b/packages/replay/src/soak/socketCallers.ts
@@ -14,7 +14,7 @@
 import { openSocket } from './socketConnection';
 import type { SocketConnection } from './socketConnection';
 import { drawRound, endsConnection, listBehaviours } from './socketRound';
-import type { RoundRequest, SocketRound } from './socketRound';
+import type { RoundOptions, RoundRequest, SocketRound } from './socketRound';
 
 const SEED_STEP = 1009;
 const PAUSE_MAX_MS: Milliseconds = 120;
@@ -34,7 +34,7 @@
 const STATUS_REFUSED_MIN = 400;
 
 /** Dependencies of callers on plain sockets. */
-export interface SocketCallersHost extends Omit<CallersHost, 'earlyEnds'> {
+export interface SocketCallersHost extends Omit<CallersHost, 'earlyEnds'>, RoundOptions {
   evidence: Evidence;
 }
 
@@ -56,7 +56,7 @@
     const random = createRandom(host.seed * SEED_STEP + index);
     let held: Held | undefined;
     for (let number = 1; !isStopped; number += 1) {
-      const round = drawRound(random, host.hasFaults);
+      const round = drawRound(random, host);
       const choice = random.fraction();
       const isDirect = random.integer(0, 1) === 0;
       if (!held?.connection.isOpen()) held = open(choice, isDirect);
--- a/packages/replay/src/soak/socketConnection.ts
+++ b/packages/replay/src/soak/socketConnection.ts
@@ -63,9 +63,11 @@
   });
 
   function giveUp(reason: string): void {
+    const partial = parser.getPartial();
     expected.splice(0).forEach(({ id, resolve }, index) => {
-      const partial = index === 0 ? parser.getPartial() : undefined;
-      resolve({ ...toCallerAnswer(id, partial), error: reason });
+      const behind = partial && index > 0 && !hasLeft ? ' behind a part of an answer' : '';
+      const answer = toCallerAnswer(id, index === 0 ? partial : undefined);
+      resolve({ ...answer, error: `${reason}${behind}` });
     });
   }
 
--- a/packages/replay/src/soak/socketRound.ts
+++ b/packages/replay/src/soak/socketRound.ts
@@ -55,9 +55,18 @@
   leaving?: { kind: (typeof LEAVES)[number]; after: Milliseconds };
 }
 
+/** What rounds may hold. */
+export interface RoundOptions {
+  /** Whether answers are to have faults. */
+  hasFaults: boolean;
+  /** Whether something that no server may run is to come behind requests. */
+  hasUnreadable: boolean;
+}
+
 /** Returns a round at random. */
-export function drawRound(random: Random, hasFaults: boolean): SocketRound {
-  const unreadable = drawUnreadable(random);
+export function drawRound(random: Random, { hasFaults, hasUnreadable }: RoundOptions): SocketRound {
+  const drawn = drawUnreadable(random);
+  const unreadable = hasUnreadable ? drawn : undefined;
   const isEmpty = random.integer(1, EMPTY_RATIO) === 1 && unreadable !== undefined;
   const count = random.integer(1, REQUESTS_MAX);
   const requests = Array.from({ length: count }, () => drawRoundRequest(random, hasFaults));
