--- a/packages/replay/test/plannedStops.test.ts
+++ b/packages/replay/test/plannedStops.test.ts
@@ -1,4 +1,5 @@
 import { execFileSync } from 'node:child_process';
+import { writeFileSync } from 'node:fs';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createSystemClock, Diagnostics, sleep } from '@pomeloroad/core';
 import { WireHeader } from '@pomeloroad/standins';
@@ -14,14 +15,16 @@
 });
 afterEach(endTrial);
 
+// Returns the answer to a request on a connection of its own.
+async function ask(address: string, target: string, headers: string[] = []): Promise<string> {
+  const caller = openRaw(address, renderRequest(target, 'r1', ['Connection: close', ...headers]));
+  await caller.closed;
+  return caller.getText();
+}
+
 // Asks for tokens, one request after another on new connections, until none is accepted.
 async function keepAsking(address: string): Promise<void> {
-  for (let number = 1; ; number += 1) {
-    const headers = [`${WireHeader.tokenBounds}: 10,10`, 'Connection: close'];
-    const caller = openRaw(address, renderRequest('/once/a', `r${number}`, headers));
-    await caller.closed;
-    if (caller.getText() === '') return;
-  }
+  while ((await ask(address, '/once/a', [`${WireHeader.tokenBounds}: 10,10`])) !== '');
 }
 
 test('an instance whose store falls silent after its stop signal exits within the grace period', async () => {
@@ -113,3 +116,19 @@
   expect(caller.getText()).toMatch(/answer to \/once\/800HTTP\/1.1 503 /);
   expect(trial.received).toEqual(['/once/800']);
 });
+
+test('requests that run are answered whole although settings and configuration drop what they use', async () => {
+  const trial = await startTrial();
+  await trial.addEndpoint('e1', answerLate);
+  const callers = ['/once/1500', '/often/1500'].map((target) =>
+    openRaw(trial.address, renderRequest(target)),
+  );
+  await waitUntil(() => trial.received.length === 2);
+  writeFileSync(trial.settingsPath, '');
+  trial.instance.child.kill('SIGHUP');
+  await trial.put('op', 'config', { version: 2, routes: [], services: [], tenants: [] });
+  await waitUntil(async () => (await ask(trial.address, '/once/0')).includes('HTTP/1.1 404'));
+  await waitUntil(() => callers.every((caller) => caller.getText().includes('answer to ')));
+  callers.forEach(({ socket }) => socket.destroy());
+  callers.forEach((caller) => expect(caller.getText()).toContain('HTTP/1.1 200'));
+});
