--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -10,3 +10,4 @@
 export * from './platformFiles';
 export * from './soakEndpoint';
 export * from './soakWork';
+export * from './plainCaller';
