--- a/packages/core/src/connectionTurns.ts
+++ b/packages/core/src/connectionTurns.ts
@@ -11,8 +11,6 @@
    * has closed, or closes with the answer before it, so that this one can't be answered any more.
    */
   wait(response: ServerResponse): Promise<boolean>;
-  /** Whether no request has come behind it; only then may its answer close the connection. */
-  isLatest(response: ServerResponse): boolean;
 }
 
 /** Creates the turns of a server without connections. */
@@ -33,6 +31,5 @@
       // Node gives a response its connection when the one before it has ended, unless that closes it.
       return response.socket?.writable === true;
     },
-    isLatest: (response) => latest.get(response.req.socket) === response,
   };
 }
--- a/packages/core/src/serverConnections.ts
+++ b/packages/core/src/serverConnections.ts
@@ -146,6 +146,10 @@
   function prepareClose(): void {
     // Node closes a connection by this method after a response that announced it.
     Object.assign(socket, { destroySoon: close });
+    // Node tells only the first of the open responses that the connection has closed.
+    socket.once('close', () => {
+      [...open].filter((response) => !response.destroyed).forEach(closeResponse);
+    });
   }
 
   function refuse(status: number | undefined): void {
@@ -227,6 +231,11 @@
   };
 }
 
+function closeResponse(response: ServerResponse): void {
+  response.destroy();
+  response.emit('close');
+}
+
 function createRefusal(status: number): string {
   const head = [
     `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`,
