Own interface: requests are answered before what comes behind them is refused

A body in chunks above the limit behind a running request left a rejection in `waitUntilSent` that nobody handled, since the iterator takes the socket off the request; main.ts ends the process on one (read, not run).

The server uses serverConnections.ts, as that of the platform does. A body above the limit that stated no length closes the connection after its refusal, since its rest may have no end.

--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -1,17 +1,20 @@
 import http from 'node:http';
 import https from 'node:https';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { Err, Ok } from 'ts-results';
+import { Err } from 'ts-results';
+import { match } from 'ts-pattern';
 import {
+  closeAfter,
   createId,
   createOpenRequests,
   hashText,
   listen,
-  readBody,
+  readRequestBody,
+  serveInOrder,
   withTimeout,
   writeJson,
 } from '@pomeloroad/core';
-import type { Clock, Identity, Outcome } from '@pomeloroad/core';
+import type { BodyFault, Clock, Identity, Outcome } from '@pomeloroad/core';
 import { hasBudget } from '@pomeloroad/configuration';
 import type { Configuration, Service } from '@pomeloroad/configuration';
 import { createRefusal, issueKey, parseIssuedKey } from '@pomeloroad/requests';
@@ -93,6 +96,7 @@
   const serverOptions = {
     maxHeaderSize: settings.headerLimit,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    requireHostHeader: false,
   };
   const server = tls
     ? https.createServer({ ...serverOptions, ...tls })
@@ -101,7 +105,7 @@
   server.headersTimeout = settings.requestTimeout;
   server.requestTimeout = settings.requestTimeout;
   const openRequests = createOpenRequests(server);
-  server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+  serveInOrder(server, (request, response) => {
     openRequests.track(response, handle(request, response));
   });
   let cachedIndex: { configuration: Configuration; keys: KeyIndex } | undefined;
@@ -116,7 +120,7 @@
   async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const id = createId();
     const startedAt = clock.elapsed();
-    if (host.isDraining()) response.setHeader('connection', 'close');
+    if (host.isDraining()) closeAfter(response);
     const refusal = await serve(request, response, id);
     if (refusal) {
       metrics.refused(refusal.code);
@@ -163,7 +167,7 @@
   async function serveChat(exchange: Exchange): Promise<Refusal | undefined> {
     const headers = parseCallerHeaders(exchange.request.headers, settings);
     if (headers.err) return headers.val;
-    const body = await readRequestBody(exchange.request);
+    const body = await receiveBody(exchange);
     if (body.err) return body.val;
     const text = body.val.toString('utf8');
     const chat = parseChatRequest(exchange.configuration, text);
@@ -183,7 +187,7 @@
     if (!service) return createRefusal('not_found', 'no', `There is no service "${name}".`);
     const headers = parseCallerHeaders(request.headers, settings);
     if (headers.err) return headers.val;
-    const body = await readRequestBody(request);
+    const body = await receiveBody(exchange);
     if (body.err) return body.val;
     const work = createServiceWork(request, service, path + query, body.val);
     const content = [request.method, path, query, body.val.toString('base64')];
@@ -229,16 +233,26 @@
     return undefined;
   }
 
-  async function readRequestBody(request: IncomingMessage): Promise<Outcome<Buffer, Refusal>> {
+  // Resolves to an error without a refusal if the connection is refused as a whole.
+  async function receiveBody({
+    request,
+    response,
+  }: Exchange): Promise<Outcome<Buffer, Refusal | undefined>> {
     const limit = settings.bodyLimit;
     if (Number(request.headers['content-length'] ?? 0) > limit) return Err(refuseTooLarge(limit));
-    const reading = readBody(request, limit).then(
-      (body): Outcome<Buffer, Refusal> => Ok(body),
-      (error: Error): Outcome<Buffer, Refusal> =>
-        Err(error instanceof RangeError ? refuseTooLarge(limit) : INCOMPLETE_BODY),
+    const reading: Promise<Outcome<Buffer, BodyFault | 'timed-out'>> = readRequestBody(
+      request,
+      limit,
     );
-    const timedOut: Outcome<Buffer, Refusal> = Err(BODY_TIMED_OUT);
-    return withTimeout(clock, settings.requestTimeout, reading, timedOut);
+    const read = await withTimeout(clock, settings.requestTimeout, reading, Err('timed-out'));
+    if (read.ok) return read;
+    closeAfter(response);
+    return match(read.val)
+      .with('too-large', () => Err(refuseTooLarge(limit)))
+      .with('timed-out', () => Err(BODY_TIMED_OUT))
+      .with('disconnected', () => Err(INCOMPLETE_BODY))
+      .with('unreadable', () => Err(undefined))
+      .exhaustive();
   }
 
   return {
