A 100 Continue stands before the head of its answer, not in its body

What callers saw: a request with `Expect: 100-continue` behind a running one got its answer with "HTTP/1.1 100 Continue" between head and body, so that its body was wrong and its last 25 bytes stood where the next answer belongs (MIXED).

Cause: Node queues the interim response of a request that waits for its turn, and puts the head of a final response that ends before that turn in front of the queue. Ruled out: the endpoint (its lines are whole) and the soak's parser (the test reads the same).

Now the interim response is written in the turn of its response, and only if the body has not come and no final head is written.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,7 @@
 export * from './connect';
 export * from './connectionTurns';
 export * from './openRequests';
+export * from './expectations';
 export * from './serverConnections';
 export * from './manualClock';
 export * from './pauseGuard';
--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -4,6 +4,7 @@
 import { Err } from 'ts-results';
 import { match } from 'ts-pattern';
 import {
+  answerExpectations,
   closeAfter,
   createId,
   createOpenRequests,
@@ -104,6 +105,7 @@
   server.maxConnections = settings.connectionLimit;
   server.headersTimeout = settings.requestTimeout;
   server.requestTimeout = settings.requestTimeout;
+  answerExpectations(server);
   const openRequests = createOpenRequests(server);
   serveInOrder(server, (request, response) => {
     openRequests.track(response, handle(request, response));
