An answer just before crashes become known clears the parts that it shares

Callers saw 503 "blocked" for sound requests although an instance had answered one with the same part less than a second before the crashes elsewhere became known to it.

Cause: an answer shows something only a second later (its endpoint may still die of it), and both places that clear a suspect look before that second is over: when the answer ends, nothing is suspected yet; when the rows arrive, the answer is not confirmed yet. Nobody looked again until the next answer at that instance. Ruled out: a lost row or a removal that failed; the row stood at all instances, and the memory held the answer.

Evidence: "an answer just before crashes elsewhere become known clears its part" failed before (the part still blocked at the two other instances 2.5 s after the answer) and passes now.

After a change of rows the instance looks once more when the answers before it are confirmed. A timer a change, none a request.

--- a/packages/forwarding/src/suspects/suspects.ts
+++ b/packages/forwarding/src/suspects/suspects.ts
@@ -77,8 +77,14 @@
 
   const isBlocked = (name: string) => evidence.judge(name) === 'blocked';
 
+  // An answer may have come just before, and needs a moment until it shows anything.
   function handleChange(names: string[]): void {
     logBlocks();
+    clear(names);
+    clock.after(CONFIRM_TIME_MS, () => clear(names));
+  }
+
+  function clear(names: string[]): void {
     const cleared = names.filter((name) => table.get(name) && isCleared(name));
     if (cleared.length > 0) remove(cleared);
   }
--- a/packages/forwarding/test/suspects.test.ts
+++ b/packages/forwarding/test/suspects.test.ts
@@ -187,6 +187,17 @@
   expect(await third?.admit(['bad'])).toMatchObject({ kind: 'blocked' });
 });
 
+test('an answer just before crashes elsewhere become known clears its part', async () => {
+  const { clock, instances, crash, judgeAll } = createStand(3);
+  await clock.advance(PROPAGATION_MS);
+  instances[2]?.noteAnswer(['sound'], 'e/1');
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['sound']));
+  await clock.advance(PROPAGATION_MS / 2);
+  expect(judgeAll('sound')).toEqual(Array(3).fill('blocked'));
+  await clock.advance(2 * PROPAGATION_MS);
+  expect(judgeAll('sound')).toEqual(Array(3).fill('none'));
+});
+
 test('a part that stands in some of the crashes of another one is not blocked', async () => {
   const { clock, crash, judgeAll } = createStand(2);
   await clock.advance(PROPAGATION_MS);
