Sound parts that stand in each crash beside the bad one are tried soon, also together

Callers saw 503 "blocked" for all sound requests with a first part, for as long as a part beside it crashed endpoints (and for an hour after), at all instances. Nothing was sent, so nothing could show that they were sound.

Cause: if endpoints crash before anything with a sound part was answered in the last 30 s, that part stands in the same crashes as the one to blame. Ruled out, by reading: answers that were forgotten (the sound memory of one instance clears the row for all).

Three new tests of suspects.test.ts failed before.

A probe is now chosen by what it tells: a request that lacks a suspect as likely as each of its own is tried 1 and 2 s after the crash, whatever else is blocked in it; while any other suspect is in doubt, 3 and 6 s; else as before. Each part still gets three probes at most, so the bound on bad requests holds.

--- a/packages/forwarding/src/suspects/suspectEvidence.ts
+++ b/packages/forwarding/src/suspects/suspectEvidence.ts
@@ -28,6 +28,8 @@
   countRequests(name: string): number;
   /** Returns the other suspects that may be to blame for the crashes under the suspect, which block them too. */
   listRivals(name: string): string[];
+  /** Returns the suspects under which enough endpoints crashed, and that were not answered lately. */
+  listCandidates(): string[];
   listBlocked(): string[];
   /** Returns the suspects with evidence that is not in the store yet. */
   listPending(): string[];
@@ -61,7 +63,6 @@
     return (pending.get(name)?.crashes ?? []).every((crash) => stored.includes(crash));
   }
 
-  // Parts that stand in enough crashes and have not been answered lately.
   function listCandidates(): string[] {
     const names = new Set([...table.list(), ...pending.keys()]);
     return [...names].filter(
@@ -113,6 +114,7 @@
         (other) => other !== name && countShared(crashes, getCrashes(other)) >= CRASHES_TO_BLOCK,
       );
     },
+    listCandidates,
     listBlocked,
     listPending: () => [...pending.keys()],
     merge(name) {
--- a/packages/forwarding/src/suspects/suspectProbes.ts
+++ b/packages/forwarding/src/suspects/suspectProbes.ts
@@ -7,8 +7,10 @@
  * a block. There are few, since each may cost an endpoint and all streams on it.
  */
 const PROBE_DELAYS_MS: readonly Milliseconds[] = [60_000, 600_000];
-/** Those times for a suspect beside one that is at least as likely to blame. */
+/** Those times for a request without a suspect that is as likely to blame as each of those in it. */
 const CONTESTED_PROBE_DELAYS_MS: readonly Milliseconds[] = [1000, 2000, 600_000];
+/** Those times while there is any other suspect that may be to blame. */
+const DOUBTED_PROBE_DELAYS_MS: readonly Milliseconds[] = [3000, 6000, 600_000];
 
 /** Requests of the whole fleet that are sent although suspects in them are blocked. */
 export interface SuspectProbes {
@@ -24,22 +26,23 @@
   table: SuspectTable,
   evidence: EvidenceBook,
 ): SuspectProbes {
-  // Parts beside the one to blame stand in the same crashes, but mostly in more requests.
-  function isContested(name: string): boolean {
-    const own = evidence.countRequests(name);
-    return evidence.listRivals(name).some((other) => evidence.countRequests(other) <= own);
+  // Whether the other one stands in as many crashes, but in no more of the requests that they broke off.
+  function isAsLikely(other: string, name: string): boolean {
+    const hasCrashes = evidence.getCrashes(other).size >= evidence.getCrashes(name).size;
+    return hasCrashes && evidence.countRequests(other) <= evidence.countRequests(name);
   }
 
-  function isLikeliest(name: string): boolean {
-    const own = evidence.countRequests(name);
-    return evidence.listRivals(name).every((other) => evidence.countRequests(other) >= own);
+  // A request without a suspect that is as likely to blame tells that one and its own apart.
+  function tellsApart(names: string[], name: string): boolean {
+    return evidence
+      .listRivals(name)
+      .some((other) => !names.includes(other) && isAsLikely(other, name));
   }
 
-  function getDelays(names: string[]): readonly Milliseconds[] | undefined {
-    const isAlone = names.length === 1;
-    if (names.every(isContested) && (isAlone || !names.some(isLikeliest)))
-      return CONTESTED_PROBE_DELAYS_MS;
-    return isAlone ? PROBE_DELAYS_MS : undefined;
+  function getDelays(names: string[]): readonly Milliseconds[] {
+    if (names.every((name) => tellsApart(names, name))) return CONTESTED_PROBE_DELAYS_MS;
+    const isDoubted = evidence.listCandidates().some((other) => !names.includes(other));
+    return isDoubted ? DOUBTED_PROBE_DELAYS_MS : PROBE_DELAYS_MS;
   }
 
   function isDue(stored: StoredSuspect | undefined, delays: readonly Milliseconds[]): boolean {
@@ -51,7 +54,7 @@
   return {
     async take(names) {
       const delays = getDelays(names);
-      if (!delays || !names.every((name) => isDue(table.get(name), delays))) return false;
+      if (!names.every((name) => isDue(table.get(name), delays))) return false;
       const probes = new Map(names.map((name) => [name, table.get(name)?.probes]));
       const isFree = () => names.every((name) => table.get(name)?.probes === probes.get(name));
       const result = await table.update(names, (_, stored) =>
--- a/packages/forwarding/test/suspects.test.ts
+++ b/packages/forwarding/test/suspects.test.ts
@@ -187,6 +187,21 @@
   expect(await third?.admit(['bad'])).toMatchObject({ kind: 'blocked' });
 });
 
+test('sound parts that stand in each crash beside the bad one are tried soon, together', async () => {
+  const { clock, instances, crash, judgeAll } = createStand(3);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['first', 'second', 'bad']));
+  await clock.advance(2 * PROPAGATION_MS);
+  const [, second, third] = instances;
+  expect(await third?.admit(['first', 'second', 'bad'])).toMatchObject({ kind: 'blocked' });
+  expect(await second?.admit(['first', 'second'])).toMatchObject({ kind: 'probe' });
+  second?.noteAnswer(['first', 'second'], 'e/1');
+  await clock.advance(2 * PROPAGATION_MS);
+  expect(judgeAll('first')).toEqual(Array(3).fill('none'));
+  expect(judgeAll('second')).toEqual(Array(3).fill('none'));
+  expect(judgeAll('bad')).toEqual(Array(3).fill('blocked'));
+});
+
 test('an answer just before crashes elsewhere become known clears its part', async () => {
   const { clock, instances, crash, judgeAll } = createStand(3);
   await clock.advance(PROPAGATION_MS);
@@ -198,6 +213,27 @@
   expect(judgeAll('sound')).toEqual(Array(3).fill('none'));
 });
 
+test('several sound parts that endpoints died under at once are tried after a minute', async () => {
+  const { clock, instances, crash } = createStand(2);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['first', 'second']));
+  await clock.advance(FIRST_PROBE_MS);
+  expect(await instances[1]?.admit(['first', 'second'])).toMatchObject({ kind: 'probe' });
+});
+
+test('a sound part with a crash more than the bad one is tried soon', async () => {
+  const { clock, instances, crash, judgeAll } = createStand(2);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1', 'c/1'].forEach((incarnation) => crash(0, incarnation, ['first', 'bad']));
+  crash(0, 'killed/1', ['first']);
+  await clock.advance(4 * PROPAGATION_MS);
+  expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  instances[1]?.noteAnswer(['first'], 'e/1');
+  await clock.advance(2 * PROPAGATION_MS);
+  expect(judgeAll('first')).toEqual(['none', 'none']);
+  expect(judgeAll('bad')).toEqual(['blocked', 'blocked']);
+});
+
 test('a part that stands in some of the crashes of another one is not blocked', async () => {
   const { clock, crash, judgeAll } = createStand(2);
   await clock.advance(PROPAGATION_MS);
