A stream of an endpoint that came back as another version is not mixed

Cause: the version of a stream was that of the entry known when the first event came; nothing looked back when a later entry showed another one.

Now the directory tells of an endpoint that is listed with another version. The streams that began at it in the 2.5 s before (the age up to which a view of the endpoints counts as current), and those whose first event comes later from an attempt under its old entry, are in doubt: they are refused as not run when they are taken up ('doubted' in 5011), their answers go on nowhere, and they leave the row. Streams of other endpoints, older ones and those of an endpoint that comes back with the same version go on as before.

Not closed: a take-up at another instance before the new entry is known where the stream began, and an entry known later than 2.5 s after.

--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -157,7 +157,7 @@
     const { step } = progress;
     if (step.kind !== 'events') return { step, replacement: undefined };
     run.events += step.count;
-    noteEvents(run, attempt.slot.endpoint);
+    noteEvents(run, attempt);
     run.course.lastEventAt = run.host.clock.elapsed();
     run.lastEventId = step.lastId ?? run.lastEventId;
     await run.caller.write(step.data);
--- a/packages/forwarding/src/attempts/slots.ts
+++ b/packages/forwarding/src/attempts/slots.ts
@@ -1,6 +1,8 @@
+import { Err } from 'ts-results';
 import type { Outcome } from '@pomeloroad/core';
 import type { RouteError, Slot } from '@pomeloroad/routing';
 import { getAdmissionWait } from './patience';
+import { isOriginDoubted } from '../origins/takeUp';
 import { getTimeLeft, mayOnlyReturn } from '../run';
 import type { Run } from '../run';
 
@@ -11,6 +13,10 @@
   signal: AbortSignal,
 ): Promise<Outcome<Slot, RouteError>> {
   const { host, request } = run;
+  if (isOriginDoubted(run)) {
+    run.lack = 'none';
+    return Err({ kind: 'none' });
+  }
   const slot = await host.admission.acquire({
     target: { kind: 'service', service: request.service, origin: run.origin },
     account: request.account,
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -92,6 +92,7 @@
   const directory = createEndpointDirectory({
     clock,
     log,
+    onVersionChanged: (id, version) => origins.doubt(id, version),
     onChange() {
       versions.update(directory.listServing());
       versionRows.update();
@@ -202,6 +203,17 @@
     async () => escrow.rebalance(REBALANCE_INTERVAL_MS),
   );
 
+  const origins = startStreamOrigins({
+    clock,
+    rows,
+    signal: stop.signal,
+    instance: host.instance,
+    versions,
+    countInstances: instanceCount.get,
+    getViewAge: endpointFeed.getAge,
+    areVersionsLoaded: versionRows.isLoaded,
+    areSeveralRecorded: versionRows.hasSeveral,
+  });
   const forwarding: ForwardHost<Payload> = {
     clock,
     random,
@@ -222,17 +234,7 @@
     recentEnds,
     getEndpointState: (name) => findEndpointState(directory, endpoints, name),
     getConfigurationVersion: () => configuration.getTable()?.configuration.version,
-    origins: startStreamOrigins({
-      clock,
-      rows,
-      signal: stop.signal,
-      instance: host.instance,
-      versions,
-      countInstances: instanceCount.get,
-      getViewAge: endpointFeed.getAge,
-      areVersionsLoaded: versionRows.isLoaded,
-      areSeveralRecorded: versionRows.hasSeveral,
-    }),
+    origins,
     suspects,
     endpoints,
     rateLimits,
--- a/packages/forwarding/src/origins/originMemory.ts
+++ b/packages/forwarding/src/origins/originMemory.ts
@@ -13,15 +13,30 @@
 
 /** The origins of the streams that began lately at this instance or were taken up at it. */
 export interface OriginMemory {
-  set(stream: string, origin: StreamOrigin): void;
+  /** Remembers the origin; `endpoint` is the id of the endpoint if the stream began here. */
+  set(stream: string, origin: StreamOrigin, endpoint?: string): void;
   find(stream: string): StreamOrigin | undefined;
-  /** Returns the streams with their origins, the oldest first. */
+  /**
+   * Tells the version with which the endpoint has started again. Doubts the origins of streams that began
+   * there within the time, and of those that are still said to begin there with another version.
+   */
+  doubt(endpoint: string, version: string | undefined, duration: Milliseconds): void;
+  isDoubted(stream: string): boolean;
+  /** Returns the streams with their origins, the oldest first, without those that are doubted. */
   list(): [stream: string, origin: StreamOrigin][];
 }
 
+interface Entry {
+  origin: StreamOrigin;
+  endpoint: string | undefined;
+  setAt: Milliseconds;
+  isDoubted: boolean;
+}
+
 /** Creates a memory of no stream. */
 export function createOriginMemory(clock: Clock): OriginMemory {
-  const entries = new Map<string, { origin: StreamOrigin; setAt: Milliseconds }>();
+  const entries = new Map<string, Entry>();
+  const renewed = new Map<string, string | undefined>();
 
   function prune(): void {
     const since = clock.elapsed() - STREAM_TIME_MAX_MS;
@@ -32,19 +47,36 @@
     }
   }
 
+  function isOutdated(endpoint: string | undefined, { version }: StreamOrigin): boolean {
+    if (endpoint === undefined || !renewed.has(endpoint)) return false;
+    return renewed.get(endpoint) !== version;
+  }
+
   return {
-    set(stream, origin) {
+    set(stream, origin, endpoint) {
       entries.delete(stream);
-      entries.set(stream, { origin, setAt: clock.elapsed() });
+      const isDoubted = isOutdated(endpoint, origin);
+      entries.set(stream, { origin, endpoint, setAt: clock.elapsed(), isDoubted });
       prune();
     },
     find(stream) {
       prune();
       return entries.get(stream)?.origin;
     },
+    doubt(endpoint, version, duration) {
+      renewed.set(endpoint, version);
+      const since = clock.elapsed() - duration;
+      entries.forEach((entry, stream) => {
+        const isAffected = entry.endpoint === endpoint && entry.setAt >= since;
+        if (isAffected) entries.set(stream, { ...entry, isDoubted: true });
+      });
+    },
+    isDoubted: (stream) => entries.get(stream)?.isDoubted ?? false,
     list() {
       prune();
-      return [...entries].map(([stream, { origin }]) => [stream, origin]);
+      return [...entries]
+        .filter(([, { isDoubted }]) => !isDoubted)
+        .map(([stream, { origin }]) => [stream, origin]);
     },
   };
 }
--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -35,12 +35,19 @@
   /** Only one version has served the service lately. */
   | { kind: 'any' }
   | { kind: 'known'; origin: StreamOrigin; source: 'memory' | 'store' }
-  | { kind: 'unknown'; reason: 'not recorded' | 'store unavailable' };
+  | { kind: 'unknown'; reason: 'not recorded' | 'store unavailable' | 'doubted' };
 
 /** Where streams began, as far as anyone knows. */
 export interface StreamOrigins {
   /** Remembers where a stream began; called before its caller gets the first event. */
-  note(stream: string, origin: StreamOrigin): void;
+  note(stream: string, origin: StreamOrigin, endpoint?: string): void;
+  /**
+   * Tells that the endpoint with the id has started again with another version, the given one: streams
+   * that it began shortly before may be of either.
+   */
+  doubt(endpoint: string, version: string | undefined): void;
+  /** Whether a stream that began here may be of another version than was noted. */
+  isDoubted(stream: string): boolean;
   /**
    * Returns where a stream may go on that began at the first of the services, or else at one of the
    * others.
@@ -83,12 +90,19 @@
   }
 
   return {
-    note(stream, origin) {
-      memory.set(getStreamName(stream), origin);
+    note(stream, origin, endpoint) {
+      memory.set(getStreamName(stream), origin, endpoint);
+      writer.note();
+    },
+    doubt(endpoint, version) {
+      memory.doubt(endpoint, version, VIEW_AGE_MAX_MS);
+      // The row is written again without these streams.
       writer.note();
     },
+    isDoubted: (stream) => memory.isDoubted(getStreamName(stream)),
     async find(stream, services) {
       const name = getStreamName(stream);
+      if (memory.isDoubted(name)) return { kind: 'unknown', reason: 'doubted' };
       const own = memory.find(name);
       const origin = own && choose([own], services);
       if (origin) return { kind: 'known', origin, source: 'memory' };
--- a/packages/forwarding/src/origins/takeUp.ts
+++ b/packages/forwarding/src/origins/takeUp.ts
@@ -3,6 +3,7 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { Outcome } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
+import type { SentAttempt } from '../attempts/sentAttempt';
 import { setService } from '../run';
 import type { Run } from '../run';
 import type { TakeUp } from './streamOrigins';
@@ -31,11 +32,16 @@
 }
 
 /** Binds the run to the version that brought its first event, and remembers it for take-ups. */
-export function noteEvents<Payload>(run: Run<Payload>, endpoint: Endpoint): void {
+export function noteEvents<Payload>(run: Run<Payload>, { slot, endpoint }: SentAttempt): void {
   const { host, request } = run;
   if (run.origin || !request.route.isResumable) return;
-  run.origin = { service: request.service, version: getVersion(endpoint) };
-  host.origins.note(getStream(run), run.origin);
+  run.origin = { service: request.service, version: getVersion(slot.endpoint) };
+  host.origins.note(getStream(run), run.origin, endpoint?.id);
+}
+
+/** Returns whether the version that began the run's stream is in doubt, so that no endpoint may go on. */
+export function isOriginDoubted<Payload>(run: Run<Payload>): boolean {
+  return run.origin !== undefined && run.host.origins.isDoubted(getStream(run));
 }
 
 /** Returns the version of an endpoint's software. */
--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -17,6 +17,8 @@
   log: Log;
   /** Called when the usable endpoints may have changed. */
   onChange(): void;
+  /** Called when an endpoint has started again under its id with another version of its software. */
+  onVersionChanged(id: string, version: string | undefined): void;
 }
 
 /** What has become of an endpoint's incarnation, as its entry in the store tells. */
@@ -76,6 +78,7 @@
       usableUntil: Infinity,
     });
     const { id, born, sequence, address, service, version } = record;
+    if (known && known.record.version !== version) host.onVersionChanged(id, version);
     if (known?.isListed && isSameIncarnation && known.record.isLeaving === isLeaving) return false;
     const event = isLeaving ? Diagnostics.endpointLeaving : Diagnostics.endpointListed;
     log(event, { endpoint: id, born, sequence, address, service, version });
--- a/packages/forwarding/test/directory.test.ts
+++ b/packages/forwarding/test/directory.test.ts
@@ -13,7 +13,12 @@
   const onChange = () => {
     changes += 1;
   };
-  const directory = createEndpointDirectory({ clock, log: createSilentLog(), onChange });
+  const directory = createEndpointDirectory({
+    clock,
+    log: createSilentLog(),
+    onChange,
+    onVersionChanged: () => undefined,
+  });
   const usable = () =>
     directory
       .list()
