--- a/packages/core/src/expectations.ts
+++ b/packages/core/src/expectations.ts
@@ -9,7 +9,10 @@
 export function answerExpectations(server: http.Server | https.Server): void {
   server.on('checkContinue', (message: IncomingMessage, response: ServerResponse) => {
     if (response.socket) response.writeContinue();
-    else response.once('socket', () => tellToGoOn(message, response));
+    else {
+      keepConnection(response);
+      response.once('socket', () => tellToGoOn(message, response));
+    }
     server.emit('request', message, response);
   });
 }
@@ -18,3 +21,9 @@
 function tellToGoOn(message: IncomingMessage, response: ServerResponse): void {
   if (!message.complete && !response.headersSent) response.writeContinue();
 }
+
+// Node closes the connection after a response whose caller was not told, since it may not send its body; it
+// would take along the requests behind it. Servers answer here once they have read the body, or close.
+function keepConnection(response: ServerResponse): void {
+  Object.assign(response, { _expect_continue: false });
+}
--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -122,10 +122,10 @@
   async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const id = createId();
     const startedAt = clock.elapsed();
-    if (host.isDraining()) closeAfter(response);
     const refusal = await serve(request, response, id);
     if (refusal) {
       metrics.refused(refusal.code);
+      closeAfterDrain(response);
       writeRefusal(response, id, refusal);
     }
     metrics.finished(clock.elapsed() - startedAt);
@@ -152,12 +152,14 @@
     }
     if (path === '/v1/models') {
       if (method !== 'GET') return METHOD_NOT_ALLOWED;
+      closeAfterDrain(response);
       writeJson(response, 200, listModels(configuration));
       return undefined;
     }
     if (path === '/v1/idempotency-keys') {
       if (method !== 'POST') return METHOD_NOT_ALLOWED;
       const key = issueKey(settings.fleetKey, self, credentials.account.name);
+      closeAfterDrain(response);
       writeJson(response, 201, { key });
       return undefined;
     }
@@ -231,10 +233,16 @@
     const { writeTimeout } = settings;
     const { from } = options;
     const delivery = { form, request: id, model, from, createdAt: clock.now(), writeTimeout };
+    closeAfterDrain(response);
     await deliverAnswer(response, delivery, source, createReopen(host, request, issued));
     return undefined;
   }
 
+  // Decided as late as possible: requests that have come behind it by then are answered too.
+  function closeAfterDrain(response: ServerResponse): void {
+    if (host.isDraining()) closeAfter(response);
+  }
+
   // Resolves to an error without a refusal if the connection is refused as a whole.
   async function receiveBody({
     request,
