A request whose turn is asked for as the answer before it ends keeps its connection

Found in review, on the component only: Node hands a connection on to the next response at the end of the turn in which the one before is sent. Asked in between, the turn was taken for lost, and the request would have been dropped unanswered on a connection that stays open. No schedule through the real server is known. The test failed before and passes now.

--- a/packages/core/src/connectionTurns.ts
+++ b/packages/core/src/connectionTurns.ts
@@ -1,3 +1,4 @@
+import { setImmediate } from 'node:timers/promises';
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { waitUntilSent } from './openRequests';
@@ -26,9 +27,10 @@
     },
     async wait(response) {
       const before = previous.get(response);
-      if (before) await waitUntilSent(before);
       previous.delete(response);
-      // Node gives a response its connection when the one before it has ended, unless that closes it.
+      if (before) await waitUntilSent(before);
+      // Node gives a response its connection in the turn in which the one before it ends, unless that closes it.
+      if (before) await setImmediate();
       return response.socket?.writable === true;
     },
   };
