The queue counts its waiters by what they wait for, and keeps the shares of accounts

The count by version and service is kept as waiters come and go; a try at each arrival isn't needed, since waiters are served at each release. Streams that go on go before others of their account's share only: a test in which they took the slots of an account that has none failed before.

--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -45,6 +45,7 @@
   const running = new Map<string, number>();
   const serviceTimes = new Map<string, Milliseconds>();
   let waiters: Waiter[] = [];
+  const waitersByQueue = new Map<string, number>();
   let sequence = 0;
 
   function tryRoute(request: RouteRequest): Outcome<Slot, RouteError> {
@@ -106,14 +107,7 @@
   }
 
   function countWaitersAhead(request: RouteRequest): number {
-    return waiters.filter((waiter) => canDelay(waiter.request, request)).length;
-  }
-
-  function hasBoundWaiter(request: RouteRequest): boolean {
-    const target = getTargetName(request);
-    return waiters.some(
-      (waiter) => isBound(waiter.request) && getTargetName(waiter.request) === target,
-    );
+    return waitersByQueue.get(getQueueName(request)) ?? 0;
   }
 
   function createBusyError(
@@ -134,13 +128,13 @@
     return (countWaitersAhead(request) + 1) / throughput;
   }
 
-  // Within a priority, requests that are bound to one version go first, because only few endpoints may
-  // serve them; then those of the account with the fewest running requests per weight.
+  // Within a priority, the account with the fewest running requests per weight goes first; then requests
+  // that are bound to one version, because only few endpoints may serve them.
   function compareWaiters(a: Waiter, b: Waiter): number {
     const byPriority = b.request.priority - a.request.priority;
-    const byBinding = Number(isBound(b.request)) - Number(isBound(a.request));
     const byShare = getRelativeUse(a.request.account) - getRelativeUse(b.request.account);
-    return byPriority || byBinding || byShare || a.order - b.order;
+    const byBinding = Number(isBound(b.request)) - Number(isBound(a.request));
+    return byPriority || byShare || byBinding || a.order - b.order;
   }
 
   function getRelativeUse(account: string): number {
@@ -164,8 +158,21 @@
     return true;
   }
 
+  function addWaiter(waiter: Waiter): void {
+    waiters.push(waiter);
+    countWaiter(waiter, 1);
+  }
+
   function removeWaiter(waiter: Waiter): void {
     waiters = waiters.filter((other) => other !== waiter);
+    countWaiter(waiter, -1);
+  }
+
+  function countWaiter({ request }: Waiter, amount: number): void {
+    const queue = getQueueName(request);
+    const count = (waitersByQueue.get(queue) ?? 0) + amount;
+    if (count > 0) waitersByQueue.set(queue, count);
+    else waitersByQueue.delete(queue);
   }
 
   function rejectExpired(): void {
@@ -194,8 +201,6 @@
 
   return {
     async acquire(request) {
-      // Waiters that are bound to a version take what has become free since the last recheck.
-      if (!isBound(request) && hasBoundWaiter(request)) serveWaiters();
       const isFirst = countWaitersAhead(request) === 0;
       const outcome = isFirst ? tryRoute(request) : checkBehindWaiters(request);
       if (outcome.ok || outcome.val.kind !== 'busy') return outcome;
@@ -206,7 +211,7 @@
         const deadline = clock.elapsed() + request.patience;
         sequence += 1;
         const waiter = { request, deadline, order: sequence, resolve };
-        waiters.push(waiter);
+        addWaiter(waiter);
         request.signal?.addEventListener('abort', () => removeAborted(waiter), { once: true });
         if (waiters.length === 1) scheduleRecheck();
         serveWaiters();
@@ -233,16 +238,12 @@
   return rateShare === undefined ? capacity : Math.min(capacity, rateShare / MS_PER_SECOND);
 }
 
-// Requests for other targets wait for other endpoints. Those that are bound to a version go before the
-// others, and delay only each other: the others may be served by endpoints of any version.
-function canDelay(waiting: RouteRequest, request: RouteRequest): boolean {
-  const isSameTarget = getTargetName(waiting) === getTargetName(request);
-  const origin = getOrigin(waiting);
-  return (
-    isSameTarget &&
-    origin?.version === getOrigin(request)?.version &&
-    isBound(waiting) === isBound(request)
-  );
+// Returns a name that requests share which delay each other. Those for other targets wait for other endpoints;
+// those that are bound to a version delay only each other, since the others may be served anywhere.
+function getQueueName(request: RouteRequest): string {
+  const target = getTargetName(request);
+  const origin = getOrigin(request);
+  return origin ? `${target} at version ${origin.version ?? ''}` : target;
 }
 
 function isBound(request: RouteRequest): boolean {
--- a/packages/routing/test/origins.test.ts
+++ b/packages/routing/test/origins.test.ts
@@ -120,3 +120,17 @@
   expect(takenUp.asked).toBeGreaterThanOrEqual(12);
   expect(takenUp.served / takenUp.asked).toBeGreaterThanOrEqual(begun.served / begun.asked);
 });
+
+test('streams that go on take no slots from an account that has fewer', async () => {
+  const setup = setUp();
+  const slots = await fill(setup, 8 * SLOTS);
+  const served: string[] = [];
+  const wait = (account: string, version?: string) =>
+    setup.admission.acquire(request(version, { account })).then(() => served.push(account));
+  wait('a', 'v1');
+  wait('modest');
+  await setup.clock.advance(0);
+  slots.find(({ endpoint }) => endpoint.name === 'a1')?.release('ok');
+  await setup.clock.advance(0);
+  expect(served).toEqual(['modest']);
+});
