A suspect is in doubt only if another one stands in its crashes

Found in review by reading: two parts that crash different endpoints under different requests put each other in doubt, so that each was tried after 3 and 6 s instead of one and ten minutes, at the price of an endpoint each time. Only suspects with a crash in common may be to blame for each other's.

--- a/packages/forwarding/src/suspects/suspectProbes.ts
+++ b/packages/forwarding/src/suspects/suspectProbes.ts
@@ -9,7 +9,7 @@
 const PROBE_DELAYS_MS: readonly Milliseconds[] = [60_000, 600_000];
 /** Those times for a request without a suspect that is as likely to blame as each of those in it. */
 const CONTESTED_PROBE_DELAYS_MS: readonly Milliseconds[] = [1000, 2000, 600_000];
-/** Those times while there is any other suspect that may be to blame. */
+/** Those times while another suspect may be to blame for one of the crashes. */
 const DOUBTED_PROBE_DELAYS_MS: readonly Milliseconds[] = [3000, 6000, 600_000];
 
 /** Requests of the whole fleet that are sent although suspects in them are blocked. */
@@ -39,10 +39,18 @@
       .some((other) => !names.includes(other) && isAsLikely(other, name));
   }
 
+  // Whether a suspect that the request lacks stands in one of the crashes too.
+  function isDoubted(names: string[], name: string): boolean {
+    const crashes = evidence.getCrashes(name);
+    return evidence
+      .listCandidates()
+      .filter((other) => !names.includes(other))
+      .some((other) => [...evidence.getCrashes(other)].some((crash) => crashes.has(crash)));
+  }
+
   function getDelays(names: string[]): readonly Milliseconds[] {
     if (names.every((name) => tellsApart(names, name))) return CONTESTED_PROBE_DELAYS_MS;
-    const isDoubted = evidence.listCandidates().some((other) => !names.includes(other));
-    return isDoubted ? DOUBTED_PROBE_DELAYS_MS : PROBE_DELAYS_MS;
+    return names.some((name) => isDoubted(names, name)) ? DOUBTED_PROBE_DELAYS_MS : PROBE_DELAYS_MS;
   }
 
   function isDue(stored: StoredSuspect | undefined, delays: readonly Milliseconds[]): boolean {
