--- a/packages/forwarding/test/endReport.test.ts
+++ b/packages/forwarding/test/endReport.test.ts
@@ -117,6 +117,7 @@
     getConfigurationVersion: () => 1,
     origins: {
       note: () => {},
+      isDoubted: () => false,
       find: async () => ({ kind: 'any' }),
     },
     rateLimits: { note: () => {} },
