Chat runs: placing, following and stopping a stream in a module of their own

chatRun.ts had 351 lines: the loop over attempts and what one attempt does with its stream. Only moves; what was private and is used by both is exported. The 152 tests of packages/entry pass.

--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -1,20 +1,19 @@
-import { Diagnostics, sleep } from '@pomeloroad/core';
-import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
-import type { HeldReservation, Placement, UsageRecord } from '@pomeloroad/budgets';
+import { Diagnostics } from '@pomeloroad/core';
+import type { Milliseconds, Outcome } from '@pomeloroad/core';
+import type { HeldReservation, Placement } from '@pomeloroad/budgets';
 import { createRefusal } from '@pomeloroad/requests';
 import type { Answer, AnswerEnd, RunState } from '@pomeloroad/requests';
 import type { RouteRequest, Slot } from '@pomeloroad/routing';
 import { acquireSlot, admitRepeatedly, admitRequest, getPlacement } from './admit';
 import type { ChatRequest } from './chatRequest';
+import { createRecord, followPlaced, isForgotten, isOverBound, stopStream } from './chatStream';
+import type { ChatRun } from './chatStream';
 import { claimName, releaseName } from './claimName';
-import type { EngineCall, EngineError, EngineSink, StoppedUsage } from './engineClient';
+import type { EngineError, StoppedUsage } from './engineClient';
 import type { RunHost } from './runHost';
 import type { RunRequest } from './runRequest';
-import { followStream } from './streamFollower';
-import type { StreamFollow } from './streamFollower';
 import { createStreamProgress } from './streamProgress';
 import type { StreamProgress } from './streamProgress';
-import { createUsageRecord } from './usage';
 import {
   concludeNeverBegun,
   concludeNotRun,
@@ -30,19 +29,6 @@
 import type { AttemptOutcome } from './chatOutcome';
 
 const ATTEMPTS_MAX = 3;
-const BACKLOG_EVENTS_MAX = 64;
-const STOP_ATTEMPTS_MAX = 30;
-const STOP_RETRY_DELAY_MS = 1000;
-
-interface ChatRun {
-  host: RunHost;
-  request: RunRequest;
-  chat: ChatRequest;
-  answer: Answer;
-  signal: AbortSignal;
-  /** Slot of the present attempt; there is none for a stream that was taken over. */
-  slot?: Slot;
-}
 
 /** Runs a chat completion and settles its usage. Returns how its answer ended. */
 export async function runChat(
@@ -170,17 +156,6 @@
   return { kind: 'done', end, record };
 }
 
-// An engine that was restarted knows none of its streams. Another stream may not go on with the text
-// of this one, as its model or software may be of another version.
-function isForgotten(
-  { request }: ChatRun,
-  stopped: StoppedUsage,
-  progress: StreamProgress,
-): boolean {
-  const hasBegun = progress.countDeltas() > 0 || request.isContinuation;
-  return stopped.state === 'never' && hasBegun;
-}
-
 /**
  * Takes over a stream that a lost instance started, reads it from its first event and settles its
  * usage. Runs the request again if the stream never started.
@@ -216,74 +191,6 @@
   return { kind: 'complete' };
 }
 
-function followPlaced(
-  run: ChatRun,
-  placement: Placement,
-  progress: StreamProgress,
-  first: 'run' | 'resume',
-): Promise<Outcome<void, EngineError>> {
-  const { clock, log, engine, settings } = run.host;
-  const { endpoint, stream } = placement;
-  run.answer.setStream(stream);
-  const follow: StreamFollow = {
-    clock,
-    engine,
-    call: createCall(run, placement),
-    progress,
-    sink: createSink(run, progress),
-    stallTimeout: settings.stallTimeout,
-    getTimeLimit: () => getProgressTimeout(run, progress),
-    isOverBound: () => isOverBound(run, progress),
-    onResume: () => log(Diagnostics.requestResumed, { request: run.request.id, endpoint }),
-  };
-  return followStream(follow, first);
-}
-
-// The longest time without a new delta after which a stream is still resumed.
-function getProgressTimeout({ host }: ChatRun, progress: StreamProgress): Milliseconds {
-  const { firstByteTimeout, betweenTimeout } = host.settings;
-  return progress.countDeltas() === 0 ? firstByteTimeout : betweenTimeout;
-}
-
-// Retried many times because only the endpoint knows the usage of a stream. The answer ends after
-// the first failure, so that its readers do not wait for the other attempts.
-async function stopStream(run: ChatRun, placement: Placement): Promise<StoppedUsage | undefined> {
-  const { host } = run;
-  for (let attempt = 0; attempt < STOP_ATTEMPTS_MAX; attempt += 1) {
-    const stopped = await host.engine.stop(placement.address, placement.stream);
-    if (stopped.ok) return stopped.val;
-    if (attempt === 0) run.answer.finish(refuse(toFailureRefusal(stopped.val)));
-    await sleep(host.clock, STOP_RETRY_DELAY_MS);
-  }
-  return undefined;
-}
-
-function createCall({ chat, request, signal }: ChatRun, placement: Placement): EngineCall {
-  return {
-    address: placement.address,
-    stream: placement.stream,
-    body: chat.body,
-    priority: request.priority,
-    hasOwnConnection: !request.isIdempotent,
-    signal,
-  };
-}
-
-function createSink(run: ChatRun, progress: StreamProgress): EngineSink {
-  return async (event) => {
-    run.slot?.recordActivity();
-    const text = progress.accept(event);
-    if (text === undefined) return;
-    if (isOverBound(run, progress)) throw new RangeError('the answer is longer than its limit');
-    run.answer.append({ kind: 'delta', text });
-    await run.answer.waitForBacklog(BACKLOG_EVENTS_MAX);
-  };
-}
-
-function isOverBound({ chat }: ChatRun, progress: StreamProgress): boolean {
-  return progress.countDeltas() > chat.outputBound;
-}
-
 // Tells the keepers of the request's name and budget where the attempt runs, so that it can be
 // taken over or billed without this instance. Returns whether the budget keeper noted it.
 async function announcePlacement(
@@ -340,10 +247,6 @@
   return { kind: 'complete' };
 }
 
-function createRecord(run: ChatRun, promptTokens: Tokens, completionTokens: Tokens): UsageRecord {
-  return createUsageRecord(run.host.clock, run.request, promptTokens, completionTokens);
-}
-
 function getRoute(request: RunRequest, chat: ChatRequest): RouteRequest {
   const { account, priority, patience } = request;
   const target = { kind: 'engine' as const, model: chat.model };
