A relay that has just lost its path does not take endpoints for dead

Who asked then took the endpoint for dead, asked no relay for it for 2 s, and its callers got 503 (no-endpoint, lack none and unreachable). Cause: any connection that had opened in the last 2 s counted as a path, also one from before the cut. Fix: whether this instance reaches endpoints at all is a module of its own (reach.ts): a refusal is believed only if another endpoint is reached after it. Ruled out: the store (rows and configuration are read all the time), the endpoints (the uncut instance is served). Evidence: the new test gets "refused" on and "no-path" now.

--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -155,6 +155,7 @@
   });
   const dialer = createDialer({
     ...{ clock, random, log, metrics: forwardMetrics, dataCentre: host.dataCentre },
+    signal: stop.signal,
     connect: host.connect,
     openTunnel: host.openTunnel,
     listEndpoints: directory.listServing,
--- a/packages/forwarding/src/relays/dialer.ts
+++ b/packages/forwarding/src/relays/dialer.ts
@@ -16,6 +16,7 @@
 import { createPaths } from './paths';
 import { raceConnections } from './race';
 import type { Way } from './race';
+import { createReach } from './reach';
 import { createRelayChoice } from './relayChoice';
 import type { Relay } from './relayRows';
 
@@ -31,9 +32,6 @@
 const DIAL_TIMEOUT_MS: Milliseconds = 450;
 /** Time for which this instance tries its own path for another one. */
 const CARRIED_TIMEOUT_MS: Milliseconds = 200;
-const REFERENCE_TIMEOUT_MS: Milliseconds = 100;
-/** Endpoints that are tried to learn whether this instance has a path at all. */
-const REFERENCES_MAX = 3;
 /** Interval at which all paths are tried, if one hangs. */
 const SURVEY_INTERVAL_MS: Milliseconds = 2000;
 
@@ -48,6 +46,8 @@
 export interface DialerHost {
   clock: Clock;
   random: Random;
+  /** Aborted when the instance stops. */
+  signal: AbortSignal;
   log: Log;
   metrics: Pick<ForwardMetrics, 'connections'>;
   dataCentre: string;
@@ -77,6 +77,17 @@
   const paths = createPaths(clock);
   const choice = createRelayChoice(clock, random, host.dataCentre);
   const open = createOpenConnections();
+  const reach = createReach({
+    clock,
+    random,
+    signal: host.signal,
+    listAddresses: () => host.listEndpoints().map(({ address }) => address),
+    async connect(address, timeout) {
+      const connected = await connectOwn(address, timeout);
+      if (connected.ok) connected.val.destroy();
+    },
+    onChange: () => undefined,
+  });
   const checks = new Map<string, Promise<void>>();
   let surveyedAt: Milliseconds = -Infinity;
 
@@ -89,10 +100,12 @@
     metrics.connections.add(1, { way: 'own', outcome });
     if (connected.err) {
       paths.noteFailed(address, connected.val.kind);
+      reach.noteFailed(address);
       return connected;
     }
     if (paths.isCut(address)) log(Diagnostics.pathRegained, { address });
     paths.noteOpened(address);
+    reach.noteOpened();
     open.add(connected.val, { address, relay: undefined });
     return connected;
   }
@@ -188,31 +201,17 @@
     await Promise.all(others.map((endpoint) => tryOwn(endpoint.address)));
   }
 
-  // Where nothing is reached, a refusal tells of this instance's path and not of the endpoint.
-  async function hasPath(endpoint: EndpointRecord): Promise<boolean> {
-    if (paths.hasOpened()) return true;
-    const others = host.listEndpoints().filter(({ address }) => address !== endpoint.address);
-    if (others.length === 0) return true;
-    const from = random.integer(0, others.length - 1);
-    const references = [...others.slice(from), ...others].slice(0, REFERENCES_MAX);
-    await Promise.all(
-      references.map(async ({ address }) => {
-        const connected = await connectOwn(address, REFERENCE_TIMEOUT_MS);
-        if (connected.ok) connected.val.destroy();
-      }),
-    );
-    return paths.hasOpened();
-  }
-
   return {
     dial,
     async openForPeer(id) {
       const endpoint = host.listEndpoints().find((record) => record.id === id);
       if (!endpoint) return Err('unknown-endpoint');
-      if (paths.isCut(endpoint.address)) return Err('no-path');
-      const connected = await connectOwn(endpoint.address, CARRIED_TIMEOUT_MS);
+      const { address } = endpoint;
+      if (reach.isLost() || paths.isCut(address)) return Err('no-path');
+      const connected = await connectOwn(address, CARRIED_TIMEOUT_MS);
       if (connected.ok) return Ok(connected.val);
-      const isRefused = connected.val.kind === 'refused' && (await hasPath(endpoint));
+      // Where nothing is reached, a refusal tells of this instance's path and not of the endpoint.
+      const isRefused = connected.val.kind === 'refused' && (await reach.confirm(address));
       return Err(isRefused ? 'refused' : 'no-path');
     },
     check(address) {
--- a/packages/forwarding/src/relays/paths.ts
+++ b/packages/forwarding/src/relays/paths.ts
@@ -4,8 +4,6 @@
 const PROBE_INTERVAL_MS: Milliseconds = 1000;
 /** Time for which relays are not asked for an endpoint that none of them reached. */
 const UNREACHABLE_TIME_MS: Milliseconds = 2000;
-/** Time for which an opened connection shows that the instance has a path to endpoints. */
-const SOUND_TIME_MS: Milliseconds = 2000;
 
 /** Maximum number of addresses that are remembered; the one that was noted first is forgotten first. */
 const PATHS_MAX = 1000;
@@ -37,15 +35,12 @@
   /** Notes that a relay opened a connection; returns whether this shows that the own path is cut. */
   noteRelayed(address: string): boolean;
   noteUnreachable(address: string): void;
-  /** Whether a connection to any endpoint opened lately. */
-  hasOpened(): boolean;
   listCut(): string[];
 }
 
 /** Creates paths of which nothing is known, which are taken for sound. */
 export function createPaths(clock: Clock): Paths {
   const paths = new Map<string, Path>();
-  let openedAt: Milliseconds = -Infinity;
 
   function find(address: string): Path {
     const known = paths.get(address);
@@ -74,7 +69,6 @@
       return true;
     },
     noteOpened(address) {
-      openedAt = clock.elapsed();
       paths.delete(address);
     },
     noteFailed(address, failure) {
@@ -95,7 +89,6 @@
       path.isCut = false;
       path.unreachableAt = clock.elapsed();
     },
-    hasOpened: () => clock.elapsed() - openedAt < SOUND_TIME_MS,
     listCut: () => [...paths].filter(([, { isCut }]) => isCut).map(([address]) => address),
   };
 }
--- a/packages/forwarding/test/dialer.test.ts
+++ b/packages/forwarding/test/dialer.test.ts
@@ -41,6 +41,7 @@
   const dialer = createDialer({
     clock,
     random: createRandom(1),
+    signal: new AbortController().signal,
     log: (event, fields) => lines.push({ code: event.code, ...fields }),
     metrics: createForwardMetrics(createMetrics()),
     dataCentre: 'kent',
@@ -226,6 +227,15 @@
   expect((await dialer.openForPeer('unknown')).val).toBe('unknown-endpoint');
 });
 
+test('a relay that lost its path a moment ago does not take endpoints for dead', async () => {
+  const { clock, faults, dialer, dial } = createStand();
+  await dial('b:80');
+  faults.set('all', 'refused');
+  const opening = dialer.openForPeer('a');
+  await clock.advance(1000);
+  expect((await opening).val).toBe('no-path');
+});
+
 test('connections through a relay that is gone are retired', async () => {
   const { faults, open, dialer, dial } = createStand();
   faults.set('a:80', 'refused');
