An instance that reaches no endpoint says so, and is asked for no tunnel

Cause: nobody knows of another instance's reach but by asking it, for four seconds and one endpoint at a time. Fix: the row of an instance among the relays says that it is cut off, until it reaches an endpoint again. Others leave it out as long as any other one is not cut off. Older instances don't read the field. Where this instance itself is cut off, a refused connection tells nothing of an endpoint, also if no relay has said that it has no path.

--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -160,6 +160,7 @@
     openTunnel: host.openTunnel,
     listEndpoints: directory.listServing,
     listRelays: relays.list,
+    onReachChange: relays.setCutOff,
   });
   const suspects = startSuspects({ ...following, feed, random });
   const sharing = {
--- a/packages/forwarding/src/relays/dialer.ts
+++ b/packages/forwarding/src/relays/dialer.ts
@@ -55,6 +55,8 @@
   openTunnel: OpenTunnel;
   listEndpoints(): EndpointRecord[];
   listRelays(): Relay[];
+  /** Called when this instance reaches no endpoint any more, and when it reaches one again. */
+  onReachChange(isLost: boolean): void;
 }
 
 /** Opens connections to endpoints, by this instance's own path or through other instances. */
@@ -86,7 +88,7 @@
       const connected = await connectOwn(address, timeout);
       if (connected.ok) connected.val.destroy();
     },
-    onChange: () => undefined,
+    onChange: host.onReachChange,
   });
   const checks = new Map<string, Promise<void>>();
   let surveyedAt: Milliseconds = -Infinity;
@@ -169,7 +171,7 @@
     if (dialed.ok) return dialed;
     // Relays that did not answer, or have no path either, tell nothing of the endpoint.
     if (isRefusedByRelay(dialed.val)) paths.noteUnreachable(address);
-    return Err(toConnectError(dialed.val));
+    return Err(toConnectError(dialed.val, reach.isLost()));
   }
 
   function findEndpoint(address: string): EndpointRecord | undefined {
@@ -237,12 +239,12 @@
 }
 
 // Nothing listens at an address if a relay says so, or if no relay could be asked.
-function toConnectError(failures: DialFailure[]): ConnectError {
+function toConnectError(failures: DialFailure[], isReachLost: boolean): ConnectError {
   const own = failures.find((failure) => failure.kind === 'own');
   const told = failures.filter((failure) => failure.kind === 'relay').map(({ error }) => error);
   const message = own?.error.message ?? 'no way to the endpoint';
   if (told.includes('refused')) return { kind: 'refused', message };
   if (own?.error.kind === 'late') return { kind: 'late', message };
-  const hasPathDoubt = told.includes('no-path');
+  const hasPathDoubt = isReachLost || told.includes('no-path');
   return { kind: own?.error.kind === 'refused' && !hasPathDoubt ? 'refused' : 'failed', message };
 }
--- a/packages/forwarding/src/relays/relayChoice.ts
+++ b/packages/forwarding/src/relays/relayChoice.ts
@@ -21,7 +21,7 @@
 
 /**
  * Creates a choice at random among the relays of the data centre, then of the others. While some fail,
- * those that opened a tunnel lately come first.
+ * those that opened a tunnel lately come first. Those that reach no endpoint themselves are left out.
  */
 export function createRelayChoice(clock: Clock, random: Random, dataCentre: string): RelayChoice {
   const failures = createMemory(clock, AVOIDANCE_MS);
@@ -37,7 +37,10 @@
 
   return {
     pick(endpoint, relays, count) {
-      const ranked = relays.map((relay) => ({
+      const reaching = relays.filter(({ isCutOff }) => !isCutOff);
+      // What the rows tell may have changed, so all are asked where none is said to reach endpoints.
+      const asked = reaching.length > 0 ? reaching : relays;
+      const ranked = asked.map((relay) => ({
         relay,
         rank: STANDINGS.indexOf(judge(relay, endpoint)),
         draw: random.fraction(),
--- a/packages/forwarding/src/relays/relayDirectory.ts
+++ b/packages/forwarding/src/relays/relayDirectory.ts
@@ -16,7 +16,7 @@
   feed: SharedFeed;
   signal: AbortSignal;
   /** This instance, if it carries connections for others. */
-  self: Relay | undefined;
+  self: Omit<Relay, 'isCutOff'> | undefined;
   /** Called with the name of an instance that carries no connections any more, or restarted. */
   onGone(instance: string): void;
 }
@@ -27,11 +27,14 @@
   list(): Relay[];
   /** Takes this instance out, now and from now on. */
   withdraw(): void;
+  /** Tells the others whether this instance reaches no endpoint itself. */
+  setCutOff(isCutOff: boolean): void;
 }
 
 /** Announces this instance and starts following the others. */
 export function startRelayDirectory(host: RelayDirectoryHost): RelayDirectory {
-  const { clock, log, rows, signal, self } = host;
+  const { clock, log, rows, signal } = host;
+  let self = host.self && { ...host.self, isCutOff: false };
   const known = new Map<string, Relay>();
   let isWithdrawn = false;
   let isWriting = false;
@@ -56,20 +59,22 @@
     isWriting = true;
     while (!isAnnounced(self) && !signal.aborted) {
       const key = getRelayKey(self.instance);
+      const value = isWithdrawn ? undefined : encodeRelay(self);
       const written = await rows.transact({
         checks: [],
-        puts: isWithdrawn ? [] : [{ ...key, value: encodeRelay(self) }],
-        removals: isWithdrawn ? [key] : [],
+        puts: value === undefined ? [] : [{ ...key, value }],
+        removals: value === undefined ? [key] : [],
       });
-      if (written.ok) set(self.instance, isWithdrawn ? undefined : encodeRelay(self));
+      if (written.ok) set(self.instance, value);
       else await sleep(clock, RETRY_DELAY_MS, signal);
     }
     isWriting = false;
   }
 
-  function isAnnounced({ instance, secret }: Relay): boolean {
+  function isAnnounced({ instance, secret, isCutOff }: Relay): boolean {
     const stored = known.get(instance);
-    return isWithdrawn ? stored === undefined : stored?.secret === secret;
+    if (isWithdrawn || !stored) return isWithdrawn && !stored;
+    return stored.secret === secret && stored.isCutOff === isCutOff;
   }
 
   host.feed.listen('relays', {
@@ -82,10 +87,14 @@
   });
 
   return {
-    list: () => [...known.values()].filter(({ instance }) => instance !== self?.instance),
+    list: () => [...known.values()].filter(({ instance }) => instance !== host.self?.instance),
     withdraw() {
       isWithdrawn = true;
       announce();
     },
+    setCutOff(isCutOff) {
+      self = self && { ...self, isCutOff };
+      announce();
+    },
   };
 }
--- a/packages/forwarding/src/relays/relayRows.ts
+++ b/packages/forwarding/src/relays/relayRows.ts
@@ -9,6 +9,8 @@
   address: string;
   /** Opens its tunnels; new at each start. */
   secret: string;
+  /** Whether it reaches no endpoint itself, so that it can carry nothing now. */
+  isCutOff: boolean;
 }
 
 /** Returns the key of an instance's row. */
@@ -17,8 +19,8 @@
 }
 
 /** Encodes the value of an instance's row. */
-export function encodeRelay({ dataCentre, address, secret }: Relay): string {
-  return JSON.stringify({ dataCentre, address, secret });
+export function encodeRelay({ dataCentre, address, secret, isCutOff }: Relay): string {
+  return JSON.stringify({ dataCentre, address, secret, cutOff: isCutOff || undefined });
 }
 
 /** Decodes an instance's row; `undefined` if it can't be read. */
@@ -27,10 +29,10 @@
   value,
 }: Pick<VersionedRow, 'key' | 'value'>): Relay | undefined {
   try {
-    const fields = JSON.parse(value) as Partial<Record<keyof Relay, unknown>> | null;
-    const { dataCentre, address, secret } = fields ?? {};
+    const fields = JSON.parse(value) as Partial<Record<string, unknown>> | null;
+    const { dataCentre, address, secret, cutOff } = fields ?? {};
     if (!isText(dataCentre) || !isText(address) || !isText(secret)) return undefined;
-    return { instance: key, dataCentre, address, secret };
+    return { instance: key, dataCentre, address, secret, isCutOff: cutOff === true };
   } catch {
     return undefined;
   }
--- a/packages/forwarding/test/dialer.test.ts
+++ b/packages/forwarding/test/dialer.test.ts
@@ -31,6 +31,8 @@
   const steps: string[] = [];
   const lines: LogFields[] = [];
   const open: Duplex[] = [];
+  const reachChanges: boolean[] = [];
+  const cutOff = new Set<string>();
 
   function createConnection(): Duplex {
     const connection = new Duplex({ read: () => undefined });
@@ -69,7 +71,9 @@
         dataCentre: instance === 'far' ? 'tacoma' : 'kent',
         address: instance,
         secret: 's',
+        isCutOff: cutOff.has(instance),
       })),
+    onReachChange: (isLost) => reachChanges.push(isLost),
   });
 
   // Dials, and returns the outcome and the time that it took.
@@ -85,7 +89,7 @@
     return { result, took };
   }
 
-  return { clock, faults, steps, lines, open, dialer, dial };
+  return { clock, faults, steps, lines, open, reachChanges, cutOff, dialer, dial };
 }
 
 test('a sound path asks no relay', async () => {
@@ -257,3 +261,42 @@
   await clock.advance(100);
   expect((await dial('a:80')).result).toBe('opened');
 });
+
+test('relays that reach no endpoint themselves are not asked while another one does', async () => {
+  const cut = ['p', 'q', 'r', 's', 't', 'u'];
+  const answers = cut.map((name) => [name, 'no-path' as const]);
+  const { faults, steps, cutOff, dial } = createStand({
+    relays: { ...Object.fromEntries(answers), near: 'opens' },
+  });
+  cut.forEach((name) => cutOff.add(name));
+  faults.set('all', 'refused');
+  for (const id of ['a', 'b', 'c']) expect((await dial(`${id}:80`)).result).toBe('opened');
+  expect(steps.filter((step) => !step.startsWith('own'))).toEqual(['near a', 'near b', 'near c']);
+});
+
+test('relays are asked though all are said to reach no endpoint', async () => {
+  const { faults, cutOff, dial } = createStand();
+  cutOff.add('near');
+  faults.set('all', 'refused');
+  expect((await dial('a:80')).result).toBe('opened');
+});
+
+test('an instance that reaches no endpoint tells it, until it reaches one without a request', async () => {
+  const { clock, faults, reachChanges, dial } = createStand();
+  faults.set('all', 'refused');
+  for (const id of ['a', 'b', 'c']) await dial(`${id}:80`);
+  await clock.advance(200);
+  expect(reachChanges).toEqual([true]);
+  faults.clear();
+  await clock.advance(1500);
+  expect(reachChanges).toEqual([true, false]);
+});
+
+test('an instance that reaches one endpoint of several is not cut off', async () => {
+  const { clock, faults, reachChanges, dial } = createStand();
+  faults.set('a:80', 'refused');
+  faults.set('b:80', 'refused');
+  for (const id of ['a', 'b', 'a', 'b']) await dial(`${id}:80`);
+  await clock.advance(3000);
+  expect(reachChanges).toEqual([]);
+});
