--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -155,10 +155,12 @@
   });
   const dialer = createDialer({
     ...{ clock, random, log, metrics: forwardMetrics, dataCentre: host.dataCentre },
+    signal: stop.signal,
     connect: host.connect,
     openTunnel: host.openTunnel,
     listEndpoints: directory.listServing,
     listRelays: relays.list,
+    onReachChange: relays.setCutOff,
   });
   const suspects = startSuspects({ ...following, feed, random });
   const sharing = {
