What an endpoint sent to others as a silence began does not show that a stream is dead

Cause: of a silent stream whose endpoint does not answer, the choice takes bytes of the endpoint on other connections for proof that only this connection is dead. Any byte after the stream's last one counted, also one that came 1 ms after it, with nothing from the endpoint for 1.5 s since. So a stopped endpoint with other streams was taken for one that serves them, the first was ended ("first is dead"), and its replacement was declined. Ruled out: the probe. The line reads silent 1528, endpointSilent 1527, so bytes for others had come 1 ms after the stream's; and the choice took 327 ms, so nothing was awaited after its two last chances, as the probe would have been. The fix: only bytes for others count that came once the stream had been silent past its threshold, the silence from which on it is held to be silent at all.

--- a/packages/forwarding/src/attempts/choice.ts
+++ b/packages/forwarding/src/attempts/choice.ts
@@ -23,6 +23,8 @@
 export interface Rivals {
   first: SentAttempt;
   second: Replacement;
+  /** Silence from which on the first counts as silent. */
+  threshold: Milliseconds;
 }
 
 /**
@@ -31,7 +33,7 @@
  */
 export async function choose<Payload>(
   run: Run<Payload>,
-  { first, second }: Rivals,
+  { first, second, threshold }: Rivals,
   decided: AbortSignal,
 ): Promise<Choice> {
   const { clock, protocol } = run.host;
@@ -57,7 +59,8 @@
   if (told.get() === 'silent') await probe;
   // A process that is slow itself has not read what may have come.
   const isLate = clock.elapsed() - startedAt > PROBE_TIME_MAX_MS;
-  const isHeardElsewhere = !isLate && heardAt > first.getActivityTime();
+  // What it sent to others as the silence began does not show that it still sends.
+  const isHeardElsewhere = !isLate && heardAt - first.getActivityTime() >= threshold;
   // Where nothing is known of the first, a second that has sent its head is the better one.
   const unproved = () => (second.hasHead() ? 'second is ahead' : 'first is sound');
   return match(told.get())
--- a/packages/forwarding/src/attempts/replacement.ts
+++ b/packages/forwarding/src/attempts/replacement.ts
@@ -172,14 +172,15 @@
 
 async function race<Payload>(
   run: Run<Payload>,
-  { attempt, course, getCourse }: SilentAttempt,
+  { attempt, course, getCourse, threshold }: SilentAttempt,
   second: Replacement,
 ): Promise<Turn> {
   const decided = new AbortController();
   const turns: Promise<Turn>[] = [course, second.beginning];
   if (run.request.route.kind === 'streaming') {
     const { connected } = second.attempt;
-    turns.push(connected.then(() => choose(run, { first: attempt, second }, decided.signal)));
+    const rivals = { first: attempt, second, threshold };
+    turns.push(connected.then(() => choose(run, rivals, decided.signal)));
   }
   const turn = await Promise.race(turns);
   decided.abort();
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -172,6 +172,12 @@
   ['is probed by a slow process', { probe: { says: 'unknown', after: 500 } }],
   ['sends to all at that moment', { probe: ACCEPTS, heardAt: 630, activeAt: 650 }],
   ['sends to others too late to tell', { probe: ACCEPTS, heardAt: 650 }],
+  ['sent to others last at the start of the silence', { probe: ACCEPTS, heardAt: 1 }],
+  ['sent to others last just before its silence was long', { probe: ACCEPTS, heardAt: 399 }],
+  [
+    'sent to others last at the start of the silence and does not list runs',
+    { probe: ACCEPTS, heardAt: 1, tells: { e1: { kind: 'untold' } } },
+  ],
 ])('a silent stream is kept if its endpoint %s', async (_name, stream) => {
   const { progress, steps } = await wait(DELAY_MS, { search: 'slot', stream });
   expect(progress).toEqual({ kind: 'step', step: 'went on' });
