A request that has begun waits for endpoints whose entries lapsed while they were silent

Cause: an entry that is not renewed three times goes, so after such a silence both endpoints are unlisted until they have written again and the feed has told of it, some 0.1 to 0.8 s after they go on. The reset comes in that time. No endpoint is a candidate then (lack none), and the request was given up at once, as one that has not run and may be refused safely. Ruled out: an attempt that is left unused. Nor is it unavoidable: the route is resumable and has a second attempt. The fix: a request that may have run, for which nothing is left but a failure, waits while its only endpoints have lapsed within the last 2.2 s and have not said that they leave: at most 1.5 s and half of its time. They get nothing before they are listed again, so what must reach no leaving endpoint still does not. One that has not run is refused at once as before.

--- a/packages/forwarding/src/attempts/attempts.ts
+++ b/packages/forwarding/src/attempts/attempts.ts
@@ -4,6 +4,7 @@
 import type { RouteError } from '@pomeloroad/routing';
 import { isServerError, leaveEndpoint, sendAttempt } from './attempt';
 import type { AttemptReply, SentAttempt } from './sentAttempt';
+import { awaitLapsedEndpoints } from './lapsedEndpoints';
 import { createLateEndpoints } from './lateEndpoints';
 import type { LateEndpoints } from './lateEndpoints';
 import { getFirstByteThreshold } from './patience';
@@ -53,7 +54,7 @@
   late: LateEndpoints,
 ): Promise<Outcome<SentAttempt, RefusalKind>> {
   if (run.stop.signal.aborted || getTimeLeft(run) < ATTEMPT_TIME_MIN_MS) return Err('timed-out');
-  const slot = await late.acquireSlot();
+  const slot = await awaitLapsedEndpoints(run, late.acquireSlot);
   if (slot.err) return Err(run.runs > 0 ? 'failed' : toRefusalKind(slot.val));
   return Ok(sendAttempt(run, slot.val));
 }
--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -4,8 +4,8 @@
 import type { EndpointRecord } from '../types';
 
 /**
- * Time after an outage of the store during which a missing entry may reappear: entries lapse while
- * endpoints cannot renew them, and live endpoints renew within about two seconds.
+ * Time after an outage of the store, or of an endpoint, during which a missing entry may reappear: entries
+ * lapse while endpoints cannot renew them, and live endpoints renew within about two seconds.
  */
 const LAPSED_GRACE_MS: Milliseconds = 2200;
 /** Limit of that time for an entry that the feed reports as removed: its endpoint may be leaving. */
@@ -24,6 +24,9 @@
 /** What has become of an endpoint's incarnation, as its entry in the store tells. */
 export type IncarnationFate = 'listed' | 'leaving' | 'gone' | 'started again';
 
+/** An endpoint whose entry has gone, as it does after a silence too. */
+export type LapsedEndpoint = Pick<EndpointRecord, 'service' | 'version'> & { name: string };
+
 /** Endpoints known from their entries in the store, and whether each may be used. */
 export interface EndpointDirectory {
   /** Replaces the entries by a complete reading; entries missing from it are unlisted. */
@@ -44,6 +47,8 @@
   list(): Endpoint[];
   /** Returns the entries that are listed or still usable, also of endpoints that are leaving. */
   listServing(): EndpointRecord[];
+  /** Returns endpoints that have just lost their entries without saying that they leave, and may come back. */
+  listLapsed(): LapsedEndpoint[];
   find(name: string): EndpointRecord | undefined;
   /** Returns what has become of the incarnation. */
   getFate(record: EndpointRecord): IncarnationFate;
@@ -56,6 +61,8 @@
   isListed: boolean;
   /** Time of `clock.elapsed()` until which an unlisted entry may be used. */
   usableUntil: Milliseconds;
+  /** Time of `clock.elapsed()` when the entry was unlisted; `Infinity` while it is listed. */
+  unlistedAt: Milliseconds;
 }
 
 /** Creates an empty directory. */
@@ -76,6 +83,7 @@
       record: { ...record, isLeaving },
       isListed: true,
       usableUntil: Infinity,
+      unlistedAt: Infinity,
     });
     const { id, born, sequence, address, service, version } = record;
     if (known && known.record.version !== version) host.onVersionChanged(id, version);
@@ -89,6 +97,7 @@
     const known = entries.get(id);
     if (!known?.isListed) return false;
     known.isListed = false;
+    known.unlistedAt = clock.elapsed();
     known.usableUntil = Math.min(storeAvailableAt + LAPSED_GRACE_MS, clock.elapsed() + grace);
     const remaining = known.usableUntil - clock.elapsed();
     const mayReturn = remaining > 0;
@@ -109,6 +118,10 @@
     return !record.isLeaving && (isListed || clock.elapsed() < usableUntil);
   }
 
+  function hasLapsed({ record, isListed, unlistedAt }: Entry): boolean {
+    return !isListed && !record.isLeaving && clock.elapsed() - unlistedAt < LAPSED_GRACE_MS;
+  }
+
   return {
     replaceAll(records) {
       isLoaded = true;
@@ -153,6 +166,7 @@
       [...entries.values()]
         .filter(({ isListed, usableUntil }) => isListed || clock.elapsed() < usableUntil)
         .map(({ record }) => record),
+    listLapsed: () => [...entries.values()].filter(hasLapsed).map(({ record }) => toLapsed(record)),
     find: (name) => [...entries.values()].find(({ record }) => getName(record) === name)?.record,
     getFate(record) {
       const known = entries.get(record.id);
@@ -177,6 +191,10 @@
   return version === undefined ? `${id}/${born}` : `${id}/${born}/${version}`;
 }
 
+function toLapsed(record: EndpointRecord): LapsedEndpoint {
+  return { name: getName(record), service: record.service, version: record.version };
+}
+
 // An endpoint that tells no start has started again if its version is another one.
 function isSameRun(left: EndpointRecord, right: EndpointRecord): boolean {
   return left.born === right.born && left.version === right.version;
--- a/packages/forwarding/test/endReport.test.ts
+++ b/packages/forwarding/test/endReport.test.ts
@@ -107,7 +107,7 @@
     random: createRandom(1),
     log,
     admission: { acquire },
-    directory: { find, getFate: () => 'listed', markReplaced: () => {} },
+    directory: { find, getFate: () => 'listed', markReplaced: () => {}, listLapsed: () => [] },
     retryBudget: { countRequest: () => {}, take: () => true },
     protocol: { send, probe: async () => 'accepting' },
     metrics: forwardMetrics,
