A reading of a table that is older than its feed is dropped

What callers could see: requests sent to an endpoint that has left. Cause: a reading that is slow may arrive after the feed has told of a removal that is newer than it. It replaced what the feed had told, and the feed goes on from the higher of both versions, so the removal was not told again. Ruled out: readings that begin a feed, or follow a gap in it; they are applied as before, also where their version is lower. The fix: while the feed is without a gap, a reading of a lower version is dropped, since all that it holds is known.

--- a/packages/forwarding/src/store/follow.ts
+++ b/packages/forwarding/src/store/follow.ts
@@ -56,6 +56,7 @@
   const { table, partitions } = listener;
   let version = 0;
   let era: StoreEra = 0;
+  let isCurrent = false;
   let isUnavailable = false;
   let currentAt: Milliseconds = -Infinity;
   let callStartedAt: Milliseconds | undefined;
@@ -72,6 +73,8 @@
     if (view.val.era < era) return false;
     if (view.val.era > era) startEra(view.val.era);
     markAvailable(startedAt);
+    // The feed was faster: what it has told is newer than this reading, and is not told again.
+    if (isCurrent && view.val.version < version) return true;
     version = Math.max(version, view.val.version);
     listener.onView(view.val);
     log(Diagnostics.feedRestarted, { table, version: view.val.version });
@@ -79,7 +82,6 @@
   }
 
   async function pollChanges(): Promise<void> {
-    let isCurrent = false;
     while (!signal.aborted) {
       callStartedAt = clock.elapsed();
       isCurrent = isCurrent ? await readChanges() : await refresh();
--- a/packages/forwarding/test/follow.test.ts
+++ b/packages/forwarding/test/follow.test.ts
@@ -1,5 +1,5 @@
 import { Ok } from 'ts-results';
-import { createManualClock, createSilentLog } from '@pomeloroad/core';
+import { createManualClock, createSilentLog, sleep } from '@pomeloroad/core';
 import type { ManualClock } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
 import type { ChangeView, RowStore, VersionedRow } from '@pomeloroad/storage';
@@ -69,6 +69,29 @@
   expect(lists).toBe(2);
 });
 
+test('a reading that is older than the feed brings no removed row back', async () => {
+  const clock = createManualClock();
+  const memory = createMemoryRowStore();
+  await memory.transact({ checks: [], puts: [{ ...key, value: 'listed' }], removals: [] });
+  let delay = 0;
+  const { seen, refresh, stop } = follow(clock, {
+    ...memory,
+    async list(table, partition) {
+      const view = await memory.list(table, partition);
+      await sleep(clock, delay);
+      return view;
+    },
+  });
+  await clock.advance(200);
+  delay = 300;
+  const refreshed = refresh();
+  await memory.transact({ checks: [], puts: [], removals: [key] });
+  await clock.advance(1000);
+  expect(await refreshed).toBe(true);
+  stop();
+  expect(seen).toEqual(['listed', '']);
+});
+
 test('changes after a version of an older era are not taken for all changes', async () => {
   const clock = createManualClock();
   let era = 1;
