A probe that ended without a verdict is given back if no endpoint has died of it

Cause: a blocked sound part has two quick probes of the whole fleet. A probe is counted in the part's row before it is sent, and only its own instance learns what came of it. Where that instance ends within the 2 s after which an answer shows something, the probe is lost. Two in a row leave the part blocked until the third, after 600 s. Ruled out: giving back by the instance that sent it, which is gone; an owner in the row, since an owner that is gone does not tell whether its probe had crashed an endpoint. The fix: what tells is the endpoints' table, which all instances follow. An instance that has seen the row get the probe gives it back after 6 s, if the row has not changed since, its view of the endpoints is newer than that, no entry has gone since but those of crashes that the row names already, and the store has answered all the while; and only if another suspect is as likely to blame. The row's version is a condition, so one of all instances gives it back. A probe is not sent later than a second after it was taken, or its crash would come too late to count; an owner that gives back after 6 s does so only if nobody else has. The bound: a part that crashes an endpoint by each probe gets none back, also if its instances end with the probes (tested), nor does one that alone is to blame. Not covered: a crash that comes seconds after its probe was sent, when the instance has ended as well. Tests: the models tell their instances of endpoints that have gone, as the feed does; the stand of suspects.test.ts moves to a file of its own.

--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -12,6 +12,7 @@
 import { createRun, getSpentTokens, getTimeLeft } from './run';
 import type { Run } from './run';
 import { getSuspectNames } from './suspects/suspectNames';
+import { PROBE_SEND_TIME_MS } from './suspects/suspectProbes';
 import { placeTakeUp } from './origins/takeUp';
 import type { Caller, ForwardRefusal, ForwardRequest, RefusalKind } from './types';
 
@@ -62,6 +63,7 @@
     .with({ kind: 'allowed' }, () => Ok(undefined))
     .with({ kind: 'probe' }, ({ names }) => {
       run.probedSuspects = names;
+      run.probesUntil = run.host.clock.elapsed() + PROBE_SEND_TIME_MS;
       return Ok(undefined);
     })
     .with({ kind: 'blocked' }, ({ name }) => {
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -7,8 +7,9 @@
 import type { RowChange, StoreEra, VersionedRow } from '@pomeloroad/storage';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { followConfiguration } from './store/configurationFeed';
-import { watchCrashes } from './suspects/crashWatch';
+import { getIncarnation, watchCrashes } from './suspects/crashWatch';
 import { createEndpointDirectory } from './store/endpointDirectory';
+import { createEndpointLosses } from './store/endpointLosses';
 import { createDialer } from './relays/dialer';
 import { startRelayDirectory } from './relays/relayDirectory';
 import { createEndStatements } from './ends/endStatements';
@@ -89,9 +90,11 @@
     isFleetCounted: instanceCount.isConfirmed,
   });
   const endpoints = createEndpoints({ clock, log, onFailure: recentEnds.noteFate });
+  const losses = createEndpointLosses(clock);
   const directory = createEndpointDirectory({
     clock,
     log,
+    onLost: (record) => losses.note(getIncarnation(record)),
     onVersionChanged: (id, version) => origins.doubt(id, version),
     onChange() {
       versions.update(directory.listServing());
@@ -131,7 +134,10 @@
     pause: ENDPOINT_POLL_DELAY_MS,
     onView: (view) => directory.replaceAll(view.rows.map(decodeEndpointRow).filter(isDefined)),
     onChanges: (changes) => changes.forEach(applyEndpointChange),
-    onUnavailable: directory.markStoreUnavailable,
+    onUnavailable() {
+      directory.markStoreUnavailable();
+      losses.noteUnknown();
+    },
     onAvailable: directory.markStoreAvailable,
   });
   followTable(following, {
@@ -160,7 +166,15 @@
     listEndpoints: directory.listServing,
     listRelays: relays.list,
   });
-  const suspects = startSuspects({ ...following, feed, random });
+  const suspects = startSuspects({
+    ...following,
+    feed,
+    random,
+    losses: {
+      mayHaveOthers: losses.mayHaveOthers,
+      getViewTime: () => clock.elapsed() - endpointFeed.getAge(),
+    },
+  });
   const sharing = {
     ...following,
     feed,
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -24,6 +24,8 @@
   dropped: Set<string>;
   /** Parts of the prompt that the request is to try in spite of their block. */
   probedSuspects: string[];
+  /** Time of `clock.elapsed()` after which it does not try them any more. */
+  probesUntil: Milliseconds;
   /** Part of the prompt for which the request was refused. */
   blockedSuspect: string | undefined;
   /** Number of attempts that may have run on an endpoint. */
@@ -73,6 +75,7 @@
     excluded: new Set(),
     dropped: new Set(),
     probedSuspects: [],
+    probesUntil: Infinity,
     blockedSuspect: undefined,
     runs: 0,
     pending: 0,
@@ -136,9 +139,9 @@
  * suspect in it. One that may have run at an endpoint may have been what crashed it.
  */
 export function isWithheld<Payload>(run: Run<Payload>): boolean {
-  const { host, request, runs, pending, probedSuspects } = run;
+  const { host, request, runs, pending, probedSuspects, probesUntil } = run;
   const isRepeat = runs + pending > 0;
-  if (isRepeat && probedSuspects.length > 0) return true;
+  if (probedSuspects.length > 0 && (isRepeat || host.clock.elapsed() > probesUntil)) return true;
   const suspicion = host.suspects.judge(
     getSuspectNames(request).filter((name) => !probedSuspects.includes(name)),
   );
--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -17,6 +17,8 @@
   log: Log;
   /** Called when the usable endpoints may have changed. */
   onChange(): void;
+  /** Called when an incarnation's entry has gone, or that of a later one has taken its place. */
+  onLost(record: EndpointRecord): void;
   /** Called when an endpoint has started again under its id with another version of its software. */
   onVersionChanged(id: string, version: string | undefined): void;
 }
@@ -86,6 +88,7 @@
       unlistedAt: Infinity,
     });
     const { id, born, sequence, address, service, version } = record;
+    if (known?.isListed && !isSameIncarnation) host.onLost(known.record);
     if (known && known.record.version !== version) host.onVersionChanged(id, version);
     if (known?.isListed && isSameIncarnation && known.record.isLeaving === isLeaving) return false;
     const event = isLeaving ? Diagnostics.endpointLeaving : Diagnostics.endpointListed;
@@ -98,6 +101,7 @@
     if (!known?.isListed) return false;
     known.isListed = false;
     known.unlistedAt = clock.elapsed();
+    host.onLost(known.record);
     known.usableUntil = Math.min(storeAvailableAt + LAPSED_GRACE_MS, clock.elapsed() + grace);
     const remaining = known.usableUntil - clock.elapsed();
     const mayReturn = remaining > 0;
--- a/packages/forwarding/src/suspects/crashWatch.ts
+++ b/packages/forwarding/src/suspects/crashWatch.ts
@@ -196,7 +196,8 @@
   };
 }
 
-function getIncarnation({ id, born }: EndpointRecord): string {
+/** Returns the name of an endpoint's incarnation, which is the same at all instances. */
+export function getIncarnation({ id, born }: Pick<EndpointRecord, 'id' | 'born'>): string {
   return `${id}/${born}`;
 }
 
--- a/packages/forwarding/src/suspects/suspectProbes.ts
+++ b/packages/forwarding/src/suspects/suspectProbes.ts
@@ -1,4 +1,6 @@
-import type { Clock, Milliseconds } from '@pomeloroad/core';
+import { sleep } from '@pomeloroad/core';
+import type { Clock, Milliseconds, Random } from '@pomeloroad/core';
+import type { EndpointLosses } from '../store/endpointLosses';
 import type { EvidenceBook } from './suspectEvidence';
 import type { StoredSuspect, SuspectTable } from './suspectTable';
 
@@ -12,17 +14,46 @@
 /** Those times while another suspect may be to blame for one of the crashes. */
 const DOUBTED_PROBE_DELAYS_MS: readonly Milliseconds[] = [3000, 6000, 600_000];
 
+/** A probe that was not sent within this time is not sent any more. */
+export const PROBE_SEND_TIME_MS: Milliseconds = 1000;
+/**
+ * Time after a probe until which it is known at all instances if an endpoint has died of it: the time to send
+ * it, three renewals that its entry misses, 1.2 s each in the largest deployments, and the feed's delay.
+ */
+const VERDICT_TIME_MS: Milliseconds = 6000;
+/** Longest time between a probe and the moment at which this instance knows it; endpoints are known sooner. */
+const PROBE_DELAY_MAX_MS: Milliseconds = 2000;
+const VERDICT_RETRY_MS: Milliseconds = 500;
+/** Maximum random delay of giving back, so that not all instances write at once. */
+const GIVE_BACK_DELAY_MAX_MS: Milliseconds = 500;
+
+/** Dependencies of the probes. */
+export interface SuspectProbesHost {
+  clock: Clock;
+  random: Random;
+  losses: KnownLosses;
+  signal: AbortSignal;
+}
+
+/** What this instance knows of endpoints that were lost. */
+export interface KnownLosses extends Pick<EndpointLosses, 'mayHaveOthers'> {
+  /** Time of `clock.elapsed()` until which all losses are known. */
+  getViewTime(): Milliseconds;
+}
+
 /** Requests of the whole fleet that are sent although suspects in them are blocked. */
 export interface SuspectProbes {
   /** Takes the next probe of all suspects, or of none; false if one of them has none now. */
   take(names: string[]): Promise<boolean>;
   /** Gives a probe back that reached no endpoint. */
   giveBack(names: string[]): void;
+  /** Follows the probes that these rows may have got, and gives those back that ended without a verdict. */
+  follow(names: string[]): void;
 }
 
 /** Creates the probes that the rows of the store allow. */
 export function createSuspectProbes(
-  clock: Clock,
+  { clock, random, losses, signal }: SuspectProbesHost,
   table: SuspectTable,
   evidence: EvidenceBook,
 ): SuspectProbes {
@@ -59,20 +90,66 @@
     return clock.elapsed() - stored.changedAt >= delay;
   }
 
+  // A suspect that nothing else may be to blame for keeps its probes: each of them is likely to cost an endpoint.
+  function mayBeSound(name: string): boolean {
+    return evidence.listRivals(name).some((other) => isAsLikely(other, name));
+  }
+
+  const followed = new Map<string, number>();
+  const taken = new Map<string, { version: number | undefined; at: Milliseconds }>();
+
+  // After some time, others may have given it back.
+  function isOwn(name: string, { version }: StoredSuspect): boolean {
+    const own = taken.get(name);
+    if (!own) return false;
+    return clock.elapsed() - own.at < VERDICT_TIME_MS || version === own.version;
+  }
+
+  // Neither an answer nor a crash has come of the probe, as where its instance has ended meanwhile.
+  async function judge(
+    name: string,
+    { version, crashes, changedAt }: StoredSuspect,
+  ): Promise<void> {
+    const isOpen = () => !signal.aborted && table.get(name)?.version === version;
+    const until = changedAt + VERDICT_TIME_MS;
+    await sleep(clock, VERDICT_TIME_MS, signal);
+    while (isOpen() && losses.getViewTime() < until) await sleep(clock, VERDICT_RETRY_MS, signal);
+    if (!isOpen() || losses.mayHaveOthers(crashes, changedAt - PROBE_DELAY_MAX_MS)) return;
+    if (!mayBeSound(name)) return;
+    await sleep(clock, random.integer(0, GIVE_BACK_DELAY_MAX_MS), signal);
+    await table.update([name], (_, stored) =>
+      stored?.version === version ? { ...stored, probes: stored.probes - 1 } : undefined,
+    );
+  }
+
+  async function followProbe(name: string): Promise<void> {
+    const stored = table.get(name);
+    if (!stored?.isProbe || followed.get(name) === stored.version) return;
+    followed.set(name, stored.version);
+    await judge(name, stored);
+    if (followed.get(name) === stored.version) followed.delete(name);
+  }
+
   return {
+    follow: (names) => names.forEach(followProbe),
     async take(names) {
       const delays = getDelays(names);
       if (!names.every((name) => isDue(table.get(name), delays))) return false;
       const probes = new Map(names.map((name) => [name, table.get(name)?.probes]));
+      const at = clock.elapsed();
       const isFree = () => names.every((name) => table.get(name)?.probes === probes.get(name));
       const result = await table.update(names, (_, stored) =>
         stored && isFree() ? { ...stored, probes: stored.probes + 1 } : undefined,
       );
-      return result === 'written';
+      if (result !== 'written') return false;
+      names.forEach((name) => taken.set(name, { version: table.get(name)?.version, at }));
+      return true;
     },
     giveBack(names) {
-      table.update(names, (_, stored) =>
-        stored && stored.probes > 0 ? { ...stored, probes: stored.probes - 1 } : undefined,
+      table.update(names, (name, stored) =>
+        stored && stored.probes > 0 && isOwn(name, stored)
+          ? { ...stored, probes: stored.probes - 1 }
+          : undefined,
       );
     },
   };
--- a/packages/forwarding/src/suspects/suspectTable.ts
+++ b/packages/forwarding/src/suspects/suspectTable.ts
@@ -38,6 +38,8 @@
   version: number;
   /** Time of `clock.elapsed()` when the version became known. */
   changedAt: Milliseconds;
+  /** Whether this instance has seen the version add a probe to the one before. */
+  isProbe: boolean;
 }
 
 /** Returns what a suspect's row is to become; `undefined` leaves it as it is. */
@@ -70,7 +72,13 @@
   function decode({ table, key, version, value = '' }: RowChange): StoredSuspect {
     const suspect = decodeSuspect(value);
     if (!suspect) log(Diagnostics.rowUnreadable, { table, key });
-    return { ...(suspect ?? NO_CRASHES), version, changedAt: clock.elapsed() };
+    return { ...(suspect ?? NO_CRASHES), version, changedAt: clock.elapsed(), isProbe: false };
+  }
+
+  function decodeNext(change: RowChange): StoredSuspect {
+    const next = decode(change);
+    const known = stored.get(change.key);
+    return { ...next, isProbe: known !== undefined && next.probes > known.probes };
   }
 
   function replaceAll(view: RowView): void {
@@ -92,7 +100,7 @@
     // An update of this instance may have become known before.
     if (known && known.version >= change.version) return;
     if (change.value === undefined) stored.delete(change.key);
-    else stored.set(change.key, decode(change));
+    else stored.set(change.key, decodeNext(change));
   }
 
   function applyChanges(changes: RowChange[]): void {
@@ -140,7 +148,7 @@
 
   // What was written replaces what was known, also if the versions of another era were higher.
   function adopt({ checks, puts, removals }: RowTransaction, version: number): void {
-    puts.forEach((put) => stored.set(put.key, decode({ ...put, version })));
+    puts.forEach((put) => stored.set(put.key, decodeNext({ ...put, version })));
     removals.forEach(({ key }) => stored.delete(key));
     host.onChange(checks.map(({ key }) => key));
   }
--- a/packages/forwarding/src/suspects/suspects.ts
+++ b/packages/forwarding/src/suspects/suspects.ts
@@ -8,6 +8,7 @@
 import type { SharedFeed } from '../store/sharedFeed';
 import { isRequestName } from './suspectNames';
 import { createSuspectProbes } from './suspectProbes';
+import type { KnownLosses } from './suspectProbes';
 import type { Suspect } from './suspectRows';
 import { followSuspects } from './suspectTable';
 import type { StoredSuspect } from './suspectTable';
@@ -34,6 +35,7 @@
   log: Log;
   rows: RowStore;
   feed: SharedFeed;
+  losses: KnownLosses;
   signal: AbortSignal;
 }
 
@@ -71,7 +73,7 @@
   const sound = createSoundNames(clock);
   const table = followSuspects({ ...host, onChange: handleChange, onLost: handleLost });
   const evidence = createEvidenceBook(table, sound.has);
-  const probes = createSuspectProbes(clock, table, evidence);
+  const probes = createSuspectProbes(host, table, evidence);
   let blocked: string[] = [];
   let isWriting = false;
 
@@ -81,6 +83,7 @@
   function handleChange(names: string[]): void {
     logBlocks();
     clear(names);
+    probes.follow(names);
     clock.after(CONFIRM_TIME_MS, () => clear(names));
   }
 
--- a/packages/forwarding/test/directory.test.ts
+++ b/packages/forwarding/test/directory.test.ts
@@ -17,6 +17,7 @@
     clock,
     log: createSilentLog(),
     onChange,
+    onLost: () => undefined,
     onVersionChanged: () => undefined,
   });
   const usable = () =>
--- /dev/null
+++ b/packages/forwarding/test/suspectProbes.test.ts
@@ -0,0 +1,131 @@
+import { createManualClock } from '@pomeloroad/core';
+import type { ForwardHost } from '../src/forwardTypes';
+import { createRun, isWithheld } from '../src/run';
+import type { Caller, ForwardRequest } from '../src/types';
+import { createStand } from './suspectsStand';
+
+const PROPAGATION_MS = 1000;
+/** Time after which a probe without a verdict has been given back, and the next one is due. */
+const NEXT_PROBE_MS = 12_000;
+const CRASHES = ['a/1', 'b/1', 'c/1'];
+
+// A sound part that is blocked beside a bad one.
+async function createBlocked(count = 3) {
+  const stand = createStand(count);
+  await stand.clock.advance(PROPAGATION_MS);
+  CRASHES.forEach((incarnation) => stand.crash(0, incarnation, ['first', 'bad']));
+  await stand.clock.advance(2 * PROPAGATION_MS);
+  return stand;
+}
+
+// The same after both its quick probes at the second instance, which has ended.
+async function probeTwice(count = 3) {
+  const stand = await createBlocked(count);
+  const { clock, instances } = stand;
+  expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  await clock.advance(3 * PROPAGATION_MS);
+  expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  instances[1]?.stop.abort();
+  await clock.advance(3 * PROPAGATION_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'blocked' });
+  return stand;
+}
+
+test('a probe that was lost with its instance is given back if no endpoint has died', async () => {
+  const { clock, instances } = await probeTwice();
+  await clock.advance(NEXT_PROBE_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+});
+
+test('a probe that many instances know of is given back once', async () => {
+  const { clock, instances } = await probeTwice(8);
+  await clock.advance(NEXT_PROBE_MS);
+  const [, , ...others] = instances;
+  const admitting = Promise.all(others.map(({ admit }) => admit(['first'])));
+  await clock.advance(PROPAGATION_MS);
+  const kinds = (await admitting).map(({ kind }) => kind);
+  expect(kinds.filter((kind) => kind === 'probe')).toHaveLength(1);
+  await clock.advance(3 * PROPAGATION_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'blocked' });
+});
+
+test('a probe after which an endpoint has gone is not given back', async () => {
+  const { clock, losses, instances } = await probeTwice();
+  losses.note('d/1');
+  await clock.advance(NEXT_PROBE_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'blocked' });
+});
+
+test('an endpoint that had crashed before the probe does not count against it', async () => {
+  const { clock, losses, instances } = await probeTwice();
+  losses.note('c/1');
+  await clock.advance(NEXT_PROBE_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+});
+
+test('a probe during which the store was silent is not given back', async () => {
+  const { clock, losses, instances } = await probeTwice();
+  losses.noteUnknown();
+  await clock.advance(NEXT_PROBE_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'blocked' });
+});
+
+test('a probe that others have given back is not given back again', async () => {
+  const { clock, instances } = await createBlocked();
+  expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  await clock.advance(3 * PROPAGATION_MS);
+  expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  await clock.advance(8 * PROPAGATION_MS);
+  instances[1]?.giveBack(['first']);
+  await clock.advance(2 * PROPAGATION_MS);
+  const probes: boolean[] = [];
+  for (let index = 0; index < 3; index += 1) {
+    probes.push((await instances[2]?.admit(['first']))?.kind === 'probe');
+    await clock.advance(3 * PROPAGATION_MS);
+  }
+  expect(probes).toEqual([true, false, false]);
+});
+
+test('an instance that has not seen a probe does not give it back', async () => {
+  const { clock, instances, start } = await probeTwice();
+  instances.forEach(({ stop }) => stop.abort());
+  const started = start(9);
+  await clock.advance(NEXT_PROBE_MS);
+  expect(await started.admit(['first'])).toMatchObject({ kind: 'blocked' });
+});
+
+test('the only part that may be to blame gets no probe back', async () => {
+  const { clock, instances, crash } = createStand(2);
+  await clock.advance(PROPAGATION_MS);
+  CRASHES.forEach((incarnation) => crash(0, incarnation, ['bad']));
+  await clock.advance(61_000);
+  expect(await instances[1]?.admit(['bad'])).toMatchObject({ kind: 'probe' });
+  await clock.advance(100_000);
+  expect(await instances[1]?.admit(['bad'])).toMatchObject({ kind: 'blocked' });
+});
+
+test('a part that crashes an endpoint by each probe is probed twice, though their instances end', async () => {
+  const { clock, losses, instances } = await probeTwice(8);
+  losses.note('e/1');
+  let probes = 0;
+  for (let index = 2; index < 8; index += 1) {
+    await clock.advance(NEXT_PROBE_MS);
+    if ((await instances[index]?.admit(['first']))?.kind === 'probe') probes += 1;
+    losses.note(`f-${index}/1`);
+    instances[index]?.stop.abort();
+  }
+  expect(probes).toBe(0);
+});
+
+test('a request that was to be a probe and has waited too long for a slot is not sent', async () => {
+  const clock = createManualClock();
+  const suspects = { judge: () => 'none' };
+  const host = { clock, suspects, findService: () => undefined } as unknown as ForwardHost<unknown>;
+  const request = { service: 'llm', prefix: [] } as unknown as ForwardRequest<unknown>;
+  const run = createRun(host, request, {} as Caller);
+  run.probedSuspects = ['first'];
+  run.probesUntil = 1000;
+  expect(isWithheld(run)).toBe(false);
+  await clock.advance(1001);
+  expect(isWithheld(run)).toBe(true);
+});
--- a/packages/forwarding/test/suspects.test.ts
+++ b/packages/forwarding/test/suspects.test.ts
@@ -1,73 +1,10 @@
-import { Err } from 'ts-results';
-import { createManualClock, createRandom, sleep } from '@pomeloroad/core';
-import type { Diagnostic, LogFields, Milliseconds } from '@pomeloroad/core';
-import { createMemoryRowStore } from '@pomeloroad/storage';
-import type { RowStore, RowTransaction } from '@pomeloroad/storage';
-import { startSharedFeed } from '../src/store/sharedFeed';
-import { startSuspects } from '../src/suspects/suspects';
+import { createStand } from './suspectsStand';
 
 const PROPAGATION_MS = 1000;
 const FIRST_PROBE_MS = 61_000;
 const SECOND_PROBE_MS = 601_000;
 const RETENTION_MS = 3_700_000;
 
-// Instances over one store, whose answers may be lost for each instance by itself.
-function createStand(count: number) {
-  const clock = createManualClock();
-  const memory = createMemoryRowStore();
-  const calls = { transactions: 0 };
-  let waiters: (() => void)[] = [];
-  const instances = Array.from({ length: count }, (_, index) => start(index));
-
-  // Answers as soon as there is a change, or after the wait.
-  async function follow(table: string, after: number, wait: Milliseconds) {
-    const view = await memory.follow(table, after, wait);
-    if (view.err || view.val.changes.length > 0) return view;
-    const changed = new Promise<void>((resolve) => {
-      waiters.push(resolve);
-    });
-    await Promise.race([changed, sleep(clock, wait)]);
-    return memory.follow(table, after, wait);
-  }
-
-  async function transact(transaction: RowTransaction) {
-    calls.transactions += 1;
-    const result = await memory.transact(transaction);
-    waiters.forEach((resolve) => resolve());
-    waiters = [];
-    return result;
-  }
-
-  function start(seed: number) {
-    const link = { isCut: false };
-    const lines: LogFields[] = [];
-    const fail = async () => Err({ kind: 'unavailable' as const, message: 'cut' });
-    const rows: RowStore = {
-      transact: (...args) => (link.isCut ? fail() : transact(...args)),
-      list: (...args) => (link.isCut ? fail() : memory.list(...args)),
-      follow: (...args) => (link.isCut ? fail() : follow(...args)),
-    };
-    const following = {
-      clock,
-      log: (event: Diagnostic, fields: LogFields = {}) =>
-        lines.push({ code: event.code, ...fields }),
-      rows,
-      signal: new AbortController().signal,
-    };
-    const suspects = startSuspects({
-      ...following,
-      feed: startSharedFeed(following),
-      random: createRandom(seed + 1),
-    });
-    return { ...suspects, link, lines };
-  }
-
-  const crash = (index: number, incarnation: string, names: string[]) =>
-    instances[index]?.noteCrash({ incarnation, names: new Map(names.map((name) => [name, 1])) });
-  const judgeAll = (name: string) => instances.map(({ judge }) => judge([name]));
-  return { clock, memory, calls, instances, start, crash, judgeAll };
-}
-
 test('crashes that several instances see one each block a part at all of them', async () => {
   const { clock, instances, crash, judgeAll } = createStand(4);
   await clock.advance(PROPAGATION_MS);
--- a/packages/forwarding/test/suspectsBeside.test.ts
+++ b/packages/forwarding/test/suspectsBeside.test.ts
@@ -38,6 +38,7 @@
   ['part', 'all-killed', 30, 1, 1, 1, 0, 1500, 3036],
   ['part', 'roll-out', 8, 1, 4, 1, 0, 300, 217],
   ['part', 'roll-out', 8, 4, 4, 4, 0, 1500, 463],
+  ['part', 'roll-out', 8, 1, 8, 1, 0, 1500, 9015],
   ['part', 'rewind', 8, 4, 8, 1, 0, 6000, 530],
   ['part', 'leaving-callers', 8, 20, 8, 1, 0, 1500, 626],
   ['request', 'none', 8, 4, 4, 1, 0, 1500, 5002],
--- a/packages/forwarding/test/suspectsFleet.test.ts
+++ b/packages/forwarding/test/suspectsFleet.test.ts
@@ -4,6 +4,7 @@
 import { createMemoryRowStore } from '@pomeloroad/storage';
 import type { RowStore } from '@pomeloroad/storage';
 import { startSharedFeed } from '../src/store/sharedFeed';
+import { createEndpointLosses } from '../src/store/endpointLosses';
 import { startSuspects } from '../src/suspects/suspects';
 import type { Suspicion } from '../src/suspects/suspectEvidence';
 import type { Suspects } from '../src/suspects/suspects';
@@ -19,6 +20,8 @@
 const STEP_MS: Milliseconds = 50;
 const PLAY_MS: Milliseconds = 60_000;
 const HARM_INTERVAL_MS: Milliseconds = 700;
+/** Time after an endpoint's death at which its entry goes. */
+const LAPSE_MS: Milliseconds = 1400;
 const CUT_MS: Milliseconds = 3000;
 
 const HELD = new Set<Suspicion>(['suspected', 'blocked']);
@@ -42,6 +45,7 @@
   const clock = createManualClock();
   const random = createRandom(seed);
   const memory = createMemoryRowStore();
+  const losses = createEndpointLosses(clock);
   const instances = Array.from({ length: count }, start);
   const crashes: Milliseconds[] = [];
   const sent: { at: Milliseconds; isInTouch: boolean }[] = [];
@@ -58,7 +62,11 @@
       follow: (...args) => call(() => memory.follow(...args)),
     };
     const following = { clock, log: () => undefined, rows, signal: stop.signal };
-    const host = { ...following, feed: startSharedFeed(following), random };
+    const known = {
+      mayHaveOthers: losses.mayHaveOthers,
+      getViewTime: () => (instance.isCut ? -Infinity : clock.elapsed()),
+    };
+    const host = { ...following, feed: startSharedFeed(following), random, losses: known };
     const instance: Instance = { stop, isCut: false, calmFrom: CONTACT_MS, suspects: null! };
     instance.suspects = startSuspects(host);
     return instance;
@@ -75,6 +83,7 @@
       const incarnation = `e-${sent.length}/1`;
       await sleep(clock, CRASH_DELAY_MS);
       crashes.push(clock.elapsed());
+      clock.after(LAPSE_MS, () => losses.note(incarnation));
       suspects.noteCrash({ incarnation, names: new Map([[name, 1]]) });
     }
   }
--- a/packages/forwarding/test/suspectsModel.ts
+++ b/packages/forwarding/test/suspectsModel.ts
@@ -5,6 +5,7 @@
 import type { RowStore } from '@pomeloroad/storage';
 import { startSharedFeed } from '../src/store/sharedFeed';
 import { startSuspects } from '../src/suspects/suspects';
+import { createEndpointLosses } from '../src/store/endpointLosses';
 import type { Suspects } from '../src/suspects/suspects';
 
 const CONTACT_MS: Milliseconds = 3000;
@@ -20,6 +21,8 @@
 const HARM_INTERVAL_MS: Milliseconds = 700;
 const CUT_MS: Milliseconds = 3000;
 const CALL_WAIT_MS: Milliseconds = 2000;
+/** Time after an endpoint's death at which its entry goes. */
+const LAPSE_MS: Milliseconds = 1400;
 const COPY_AGE_MS: Milliseconds = 2000;
 
 /** What happens to instances, endpoints or the store beside the bad requests. */
@@ -88,6 +91,7 @@
   const clock = createManualClock();
   const random = createRandom(schedule.seed);
   const memory = createMemoryRowStore();
+  const losses = createEndpointLosses(clock);
   const instances = Array.from({ length: schedule.instances }, start);
   const endpoints = Array.from({ length: schedule.endpoints }, (_, index): Endpoint => ({
     id: `e-${index}`,
@@ -113,7 +117,11 @@
       follow: (...args) => call(() => memory.follow(...args)),
     };
     const following = { clock, log: () => undefined, rows, signal: stop.signal };
-    const host = { ...following, feed: startSharedFeed(following), random };
+    const known = {
+      mayHaveOthers: losses.mayHaveOthers,
+      getViewTime: () => (instance.isCut ? -Infinity : clock.elapsed()),
+    };
+    const host = { ...following, feed: startSharedFeed(following), random, losses: known };
     const instance: Instance = { stop, isCut: false, calmFrom: 0, suspects: null! };
     instance.suspects = startSuspects(host);
     return instance;
@@ -130,6 +138,7 @@
     endpoint.works.clear();
     reportLater(incarnation, works);
     works.forEach(({ end }) => end('broken'));
+    clock.after(LAPSE_MS, () => losses.note(incarnation));
     await sleep(clock, random.integer(1500, 4000));
     Object.assign(endpoint, { born: endpoint.born + 1, isAlive: true });
   }
