The stated end of an endpoint that has exited is judged by its entry as it is now

Cause: an end that is stated just before an exit is doubted unless the endpoint is known to be leaving. What is known may be 0.4 s old: the feed of endpoints pauses so long between two calls. So the doubt rested on knowledge of no known age. Ruled out: to believe more ends. The entry must have told of the leaving before the endpoint was gone: an entry that is still there, or that of a later start, leaves the doubt as it was. A killed endpoint's entry goes after three renewals that it misses, 0.8 s after its death at the earliest (1.2 s less the 0.4 s since its last one, in our soak), so a reading that takes longer than 0.3 s counts for nothing. The fix: before the doubt, the entries are read again, one call for all that ask meanwhile, which starts after the question. It is made only where an endpoint has stated the end, closed its kept connection and refuses new ones, and was not known to leave. Open: an entry that was removed while it stays in use after an outage of the store is still no sign of leaving, since entries lapse in outages as well.

--- a/packages/forwarding/src/ends/answerEnd.ts
+++ b/packages/forwarding/src/ends/answerEnd.ts
@@ -16,6 +16,9 @@
 /** Maximum time between the closes of a dying process's connections and of its listening socket. */
 const PROCESS_END_MS: Milliseconds = 50;
 
+/** Time for which the entries of endpoints are read again; a killed endpoint keeps its entry for longer. */
+const REREAD_TIME_MS: Milliseconds = 300;
+
 /** An attempt whose answer has ended. */
 type EndedAttempt = Pick<SentAttempt, 'slot' | 'endpoint'>;
 
@@ -37,7 +40,7 @@
   if (framing === 'close') slot.release('ok');
   const isGone = await isEndpointGone(run, attempt, framing === 'chunked');
   // An endpoint that leaves may exit after its last answer, but only a stated end tells that it was whole.
-  const isDoubtful = isGone && (framing === 'close' || !slot.isLeaving());
+  const isDoubtful = isGone && (framing === 'close' || !(await hasLeft(run, attempt)));
   return isDoubtful ? 'closed by an endpoint that accepts no connections any more' : undefined;
 }
 
@@ -57,6 +60,20 @@
   return closes;
 }
 
+// Its entry may have told of its leaving just before, and not have been read yet.
+async function hasLeft<Payload>(
+  run: Run<Payload>,
+  { slot, endpoint }: EndedAttempt,
+): Promise<boolean> {
+  const { clock, directory, refreshEndpoints } = run.host;
+  if (slot.isLeaving()) return true;
+  if (!endpoint) return false;
+  const patience = Math.min(REREAD_TIME_MS, Math.max(0, getTimeLeft(run)));
+  const reading = refreshEndpoints().then(() => directory.getFate(endpoint));
+  const fate = await withTimeout(clock, patience, reading, 'listed');
+  return fate === 'leaving' || fate === 'gone';
+}
+
 /**
  * Returns whether the process of the endpoint has ended; `fallback` if no time is left to find out. The
  * kernel closes the connections of a killed process just as an endpoint does after a complete answer.
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -18,6 +18,7 @@
 import { startSlotShares } from './limits/slotShares';
 import { createRecentEnds } from './ends/recentEnds';
 import { followTable } from './store/follow';
+import { shareCalls } from './store/sharedCalls';
 import { forward } from './forward';
 import { registerGauges } from './forwardGauges';
 import { createForwardMetrics } from './forwardMetrics';
@@ -255,6 +256,7 @@
     slotShares,
     checkPath: ({ address }) => dialer.check(address),
     findService: (name) => configuration.getTable()?.findService(name),
+    refreshEndpoints: shareCalls(endpointFeed.refresh),
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
 
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -37,6 +37,8 @@
   /** Tries this instance's path to a silent endpoint; requests go other ways if it hangs. */
   checkPath(endpoint: EndpointRecord): Promise<void>;
   findService(name: string): ForwardService | undefined;
+  /** Reads the entries of all endpoints again, once for all that ask meanwhile. */
+  refreshEndpoints(): Promise<unknown>;
   /** Resolves at once, or after a pause of the process once the store is read again. */
   waitForRefresh(): Promise<void>;
 }
--- a/packages/forwarding/test/answerEnd.test.ts
+++ b/packages/forwarding/test/answerEnd.test.ts
@@ -1,4 +1,4 @@
-import { createManualClock } from '@pomeloroad/core';
+import { createManualClock, sleep } from '@pomeloroad/core';
 import type { ResponseFraming } from '@pomeloroad/core';
 import type { Slot } from '@pomeloroad/routing';
 import { findEndFault } from '../src/ends/answerEnd';
@@ -12,6 +12,8 @@
   reachability?: Reachability;
   isLeaving?: boolean;
   fate?: IncarnationFate;
+  /** The fate once the entries are read again, and how long that takes. */
+  reading?: { fate: IncarnationFate; takes: number };
   /** Whether the connection closes just after the end. */
   hasClosed?: boolean;
 }
@@ -20,7 +22,9 @@
 async function judge(framing: ResponseFraming, timeLeft: number, endpoint: Endpoint = {}) {
   const { reachability = 'accepting', isLeaving = false, fate = 'listed' } = endpoint;
   const { hasClosed = false } = endpoint;
+  const { reading = { fate, takes: 1 } } = endpoint;
   const clock = createManualClock();
+  let isRead = false;
   const at = DEADLINE_MS - timeLeft;
   await clock.advance(at);
   const steps: string[] = [];
@@ -34,7 +38,12 @@
     stop: new AbortController(),
     host: {
       clock,
-      directory: { getFate: () => fate },
+      directory: { getFate: () => (isRead ? reading.fate : fate) },
+      async refreshEndpoints() {
+        steps.push('refresh');
+        await sleep(clock, reading.takes);
+        isRead = true;
+      },
       protocol: {
         async probe() {
           steps.push('probe');
@@ -90,6 +99,33 @@
   expect(fault !== undefined).toBe(isBroken);
 });
 
+const EXITED = { hasClosed: true, reachability: 'refused' as const };
+
+test.each<[Endpoint['reading'], boolean]>([
+  [{ fate: 'leaving', takes: 1 }, false],
+  [{ fate: 'leaving', takes: 250 }, false],
+  [{ fate: 'gone', takes: 1 }, false],
+  [{ fate: 'listed', takes: 1 }, true],
+  [{ fate: 'started again', takes: 1 }, true],
+  // An entry that goes later may have lapsed since its endpoint was killed.
+  [{ fate: 'gone', takes: 350 }, true],
+  [{ fate: 'leaving', takes: Infinity }, true],
+])(
+  'a stated end of an endpoint that has exited counts by its entry read after that: %j %s',
+  async (reading, isBroken) => {
+    const { fault, steps } = await judge('chunked', 900, { ...EXITED, reading });
+    expect(steps).toEqual(['ok', 'probe', 'refresh']);
+    expect(fault !== undefined).toBe(isBroken);
+  },
+);
+
+test('the entries are not read again where the exit of an endpoint decides nothing', async () => {
+  const { steps } = await judge('chunked', 900, { hasClosed: true });
+  expect([...steps, ...(await judge('close', 900, EXITED)).steps]).not.toContain('refresh');
+  const leaving = await judge('chunked', 900, { ...EXITED, isLeaving: true });
+  expect(leaving.steps).not.toContain('refresh');
+});
+
 test('an endpoint is asked only after its slot is released', async () => {
   expect((await judge('close', 500)).steps).toEqual(['ok', 'probe']);
 });
