--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -7,8 +7,9 @@
 import type { RowChange, StoreEra, VersionedRow } from '@pomeloroad/storage';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { followConfiguration } from './store/configurationFeed';
-import { watchCrashes } from './suspects/crashWatch';
+import { getIncarnation, watchCrashes } from './suspects/crashWatch';
 import { createEndpointDirectory } from './store/endpointDirectory';
+import { createEndpointLosses } from './store/endpointLosses';
 import { createDialer } from './relays/dialer';
 import { startRelayDirectory } from './relays/relayDirectory';
 import { createEndStatements } from './ends/endStatements';
@@ -17,6 +18,7 @@
 import { startSlotShares } from './limits/slotShares';
 import { createRecentEnds } from './ends/recentEnds';
 import { followTable } from './store/follow';
+import { shareCalls } from './store/sharedCalls';
 import { forward } from './forward';
 import { registerGauges } from './forwardGauges';
 import { createForwardMetrics } from './forwardMetrics';
@@ -89,9 +91,11 @@
     isFleetCounted: instanceCount.isConfirmed,
   });
   const endpoints = createEndpoints({ clock, log, onFailure: recentEnds.noteFate });
+  const losses = createEndpointLosses(clock);
   const directory = createEndpointDirectory({
     clock,
     log,
+    onLost: (record) => losses.note(getIncarnation(record)),
     onVersionChanged: (id, version) => origins.doubt(id, version),
     onChange() {
       versions.update(directory.listServing());
@@ -131,7 +135,10 @@
     pause: ENDPOINT_POLL_DELAY_MS,
     onView: (view) => directory.replaceAll(view.rows.map(decodeEndpointRow).filter(isDefined)),
     onChanges: (changes) => changes.forEach(applyEndpointChange),
-    onUnavailable: directory.markStoreUnavailable,
+    onUnavailable() {
+      directory.markStoreUnavailable();
+      losses.noteUnknown();
+    },
     onAvailable: directory.markStoreAvailable,
   });
   followTable(following, {
@@ -162,7 +169,15 @@
     listRelays: relays.list,
     onReachChange: relays.setCutOff,
   });
-  const suspects = startSuspects({ ...following, feed, random });
+  const suspects = startSuspects({
+    ...following,
+    feed,
+    random,
+    losses: {
+      mayHaveOthers: losses.mayHaveOthers,
+      getViewTime: () => clock.elapsed() - endpointFeed.getAge(),
+    },
+  });
   const sharing = {
     ...following,
     feed,
@@ -243,6 +258,7 @@
     slotShares,
     checkPath: ({ address }) => dialer.check(address),
     findService: (name) => configuration.getTable()?.findService(name),
+    refreshEndpoints: shareCalls(endpointFeed.refresh),
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
 
