A budget opens without an instance only with the rest written off

An instance that is cut off from the store was not counted after 11 s, though what it was granted after the copy stood in no row. In the same way an instance that started was counted in the place of one that is missing.

The row of the budget now names those who are missing: each instance that puts back its grant tells whose leases it saw renewed before the rewind. A budget opens without them, once they renew no lease, with all that nobody is known to hold counted as granted to them; what that leaves uncovered is answered 503. When the last of them has put back its grant, nothing stays written off. The largest limit that was granted against is kept in the row, so that an instance with an older configuration does not write off too little.

Ruled out: a longer wait (a cut has no named length); an end of spending while the lease is not renewed (instances serve what they hold while the store is away).

Tests changed: escrowRows has the two new fields, and a case of a row without them; two contributions in escrowRewind got the new field; the fleet's harness counts instances by name.

--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -167,7 +167,7 @@
 
   function judgeWait(tokens: Tokens, since: Milliseconds): EscrowError {
     const isCovered = tokens <= getFreeTokens() + getUnallocated();
-    if (!transactions.canGrant()) return UNREACHABLE_ERROR;
+    if (!transactions.isRestKnown()) return UNREACHABLE_ERROR;
     if (isCovered || transactions.getTotalReadAt() < since) return UNREACHABLE_ERROR;
     if (clock.elapsed() - since >= RETURN_TIME_MS) shortage.note(tokens);
     return { kind: 'exhausted' };
@@ -176,7 +176,7 @@
   // Once a request has waited in vain the others can spare nothing. What they return later is unallocated,
   // so that it counts as available.
   function isExhausted(tokens: Tokens): boolean {
-    if (host.isStoreUnresponsive() || !transactions.canGrant()) return false;
+    if (host.isStoreUnresponsive() || !transactions.isRestKnown()) return false;
     return shortage.covers(tokens) && tokens > getAvailable();
   }
 
@@ -210,12 +210,15 @@
     if (!transactions.isRestored()) return restore();
     const pending = getPendingChange();
     if (pending) return handleOutcome(await transactions.repeat(pending));
+    if (transactions.isOverdue() && !host.isStoreUnresponsive())
+      return handleOutcome(await transactions.open());
     if (queue.count() > 0) return fetchForQueue();
     return transactionsLeft > 0 && resizeGrant();
   }
 
   async function restore(): Promise<boolean> {
     if (host.isStoreUnresponsive() || ancestry.kind === 'pending') return false;
+    if (!host.listInstances()) return false;
     // The limit counts if nothing is known of the earlier processes, so it must not be an old one.
     const delay = ancestry.kind === 'unknown' ? LIMIT_REWRITE_MAX_MS - clock.elapsed() : 0;
     if (delay > 0) {
--- a/packages/budgets/src/escrowRestoration.ts
+++ b/packages/budgets/src/escrowRestoration.ts
@@ -36,6 +36,8 @@
   limit: Tokens;
   /** The number of instances that have to put back their grants before more is granted. */
   instances: number;
+  /** Instances that may hold tokens granted in an earlier era, as far as this one knows. */
+  holders: string[];
 }
 
 /** Returns what the rows tell about the earlier processes of an instance, all of which have ended. */
@@ -54,9 +56,35 @@
   return !restoration || restoration.instances.includes(instance);
 }
 
-/** Whether more may be granted: nothing that was granted in an earlier era is missing. */
+/** Whether more may be granted: what was granted in an earlier era is all put back, or counts as granted. */
 export function canGrant({ restoration }: BudgetTotal, instances: number): boolean {
-  return !restoration || restoration.isOpen || restoration.instances.length >= instances;
+  if (!restoration || restoration.isOpen) return true;
+  return restoration.missing.length === 0 && restoration.instances.length >= instances;
+}
+
+/**
+ * Whether the budget is to open without the missing instances: all that renew their leases have put back
+ * their grants. `counted` are the instances that renew their leases.
+ */
+export function isOverdue({ restoration }: BudgetTotal, counted: string[]): boolean {
+  if (!restoration || restoration.isOpen || restoration.missing.length === 0) return false;
+  const { instances, missing } = restoration;
+  return instances.length >= counted.length && !missing.some((name) => counted.includes(name));
+}
+
+/**
+ * Returns the budget's row with all tokens that nobody is known to hold written off until the missing
+ * instances have put back their grants, so that only what is returned or topped up is granted again.
+ */
+export function openWithoutMissing(total: BudgetTotal, limit: Tokens): BudgetTotal {
+  const { restoration, allocated } = total;
+  if (!restoration) return total;
+  const missingTokens = Math.max(0, Math.max(restoration.limit, limit) - allocated);
+  return {
+    ...total,
+    allocated: allocated + missingTokens,
+    restoration: { ...restoration, isOpen: true, missingTokens },
+  };
 }
 
 /** Returns the budget's row of this era with a process's contribution. */
@@ -65,26 +93,40 @@
   const before = present?.restoration ?? carryOver(rows);
   const granted = listGrants(rows.grants, rows.era);
   const carried = mergeCarried(before.carried, added, granted);
-  const restoration: Restoration = {
-    instances: [...before.instances, added.instance],
-    carried,
-    writtenOff: Math.max(before.writtenOff, getWrittenOff(added.ancestry)),
-    limit: Math.max(before.limit, added.limit),
-    isUncertain: before.isUncertain || added.ancestry.kind !== 'known',
-    isOpen: false,
-  };
+  const instances = [...before.instances, added.instance];
+  const missing = mergeMissing(before, added);
+  const limit = Math.max(before.limit, added.limit);
+  const isUncertain = before.isUncertain || added.ancestry.kind !== 'known';
   const known = sum(carried) + sum(granted) + added.held;
+  let writtenOff = Math.max(before.writtenOff, getWrittenOff(added.ancestry));
   // What an unknown process was granted is at most all that nobody else holds.
-  if (restoration.isUncertain)
-    restoration.writtenOff = Math.max(restoration.writtenOff, restoration.limit - known);
-  restoration.isOpen = restoration.instances.length >= added.instances;
+  if (isUncertain) writtenOff = Math.max(writtenOff, limit - known);
+  const isOpen = instances.length >= added.instances && (missing.length === 0 || before.isOpen);
+  const isWrittenOff = isOpen && missing.length > 0;
+  const missingTokens = isWrittenOff ? Math.max(0, limit - known - writtenOff) : 0;
   return {
-    allocated: known + restoration.writtenOff,
+    allocated: known + writtenOff + missingTokens,
     calls: present?.calls ?? 0,
-    restoration,
+    restoration: {
+      instances,
+      carried,
+      writtenOff,
+      limit,
+      isUncertain,
+      isOpen,
+      missing,
+      missingTokens,
+    },
   };
 }
 
+// Once the budget is open, an instance that nobody missed has nothing to tell of the others.
+function mergeMissing(before: Restoration, { instance, holders }: Contribution): string[] {
+  const isHeard = !before.isOpen || before.missing.includes(instance);
+  const names = new Set([...before.missing, ...(isHeard ? holders : [])]);
+  return [...names].filter((name) => name !== instance && !before.instances.includes(name));
+}
+
 // The rows that the copy holds of the latest earlier era. They are complete for processes that had
 // ended when the copy was made; all others put back their own grants or leave a successor.
 function carryOver({ era, totals, grants }: AccountRows): Restoration {
@@ -98,6 +140,8 @@
     limit: restoration?.limit ?? 0,
     isUncertain: false,
     isOpen: false,
+    missing: restoration?.missing ?? [],
+    missingTokens: 0,
   };
 }
 
--- a/packages/budgets/src/escrowRows.ts
+++ b/packages/budgets/src/escrowRows.ts
@@ -22,12 +22,16 @@
   carried: Record<string, Tokens>;
   /** Tokens that may have been granted to processes of which nothing is known. */
   writtenOff: Tokens;
-  /** Largest limit that an instance knew when it put its grant back. */
+  /** Largest limit that an instance knew when it put its grant back, or was granted more. */
   limit: Tokens;
   /** Whether an instance does not know what an earlier process of its machine was granted. */
   isUncertain: boolean;
-  /** Whether all instances have put back their grants, so that more may be granted. */
+  /** Whether more may be granted: all instances have put back their grants, or `missingTokens` counts. */
   isOpen: boolean;
+  /** Instances that may hold tokens granted after the copy, and have not put back their grants. */
+  missing: string[];
+  /** The most that the missing instances may hold in all beyond what is carried; 0 until it is open. */
+  missingTokens: Tokens;
 }
 
 /** Key of the row of a budget in its partition, in the first era. */
@@ -98,16 +102,19 @@
   const { allocated, calls, restoration } = parseObject(value);
   if (!isCount(allocated) || !isCount(calls)) return undefined;
   if (restoration === undefined) return { allocated, calls };
-  return isRestoration(restoration) ? { allocated, calls, restoration } : undefined;
+  // Rows of earlier builds do not name the missing instances.
+  const named = toObject(restoration);
+  const complete = named && { missing: [], missingTokens: 0, ...named };
+  return isRestoration(complete) ? { allocated, calls, restoration: complete } : undefined;
 }
 
-function isRestoration(value: unknown): value is Restoration {
-  if (typeof value !== 'object' || value === null) return false;
-  const { instances, carried, writtenOff, limit, isUncertain, isOpen } =
-    value as Partial<Restoration>;
+function isRestoration(value: Partial<Restoration> | undefined): value is Restoration {
+  if (!value) return false;
+  const { instances, carried, writtenOff, limit, isUncertain, isOpen } = value;
   return (
-    Array.isArray(instances) &&
-    instances.every((instance) => typeof instance === 'string') &&
+    isNames(instances) &&
+    isNames(value.missing) &&
+    isCount(value.missingTokens) &&
     typeof carried === 'object' &&
     // A row may hold any value, whatever the type says.
     (carried as unknown) !== null &&
@@ -157,13 +164,21 @@
 
 function parseObject(text: string): Record<string, unknown> {
   try {
-    const value: unknown = JSON.parse(text);
-    return typeof value === 'object' && value !== null ? (value as Record<string, unknown>) : {};
+    return toObject(JSON.parse(text)) ?? {};
   } catch {
     return {};
   }
 }
 
+function toObject(value: unknown): Record<string, unknown> | undefined {
+  const isObject = typeof value === 'object' && value !== null;
+  return isObject ? (value as Record<string, unknown>) : undefined;
+}
+
+function isNames(value: unknown): value is string[] {
+  return Array.isArray(value) && value.every((name) => typeof name === 'string');
+}
+
 function isCount(value: unknown): value is number {
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
--- a/packages/budgets/src/escrowTransactions.ts
+++ b/packages/budgets/src/escrowTransactions.ts
@@ -10,7 +10,13 @@
   VersionedRow,
 } from '@pomeloroad/storage';
 import { listAccountRows } from './escrowListing';
-import { addContribution, canGrant, hasRestored } from './escrowRestoration';
+import {
+  addContribution,
+  canGrant,
+  hasRestored,
+  isOverdue,
+  openWithoutMissing,
+} from './escrowRestoration';
 import type { Ancestry } from './escrowRestoration';
 import { findRow, getGrantKey, getTotalKey, parseGrant, parseTotal, splitEra } from './escrowRows';
 import type { BudgetTotal, Grant } from './escrowRows';
@@ -82,6 +88,12 @@
   restore(): Promise<EscrowOutcome>;
   /** Whether more may be granted: no grant of an earlier era is missing. */
   canGrant(): boolean;
+  /** Whether it is known what is left of the budget: no tokens are written off for missing instances. */
+  isRestKnown(): boolean;
+  /** Whether the budget is to open without instances that have not put back their grants. */
+  isOverdue(): boolean;
+  /** Opens it: what nobody is known to hold counts as granted to them. */
+  open(): Promise<EscrowOutcome>;
   /** Writes a new size of the grant; there must be no pending change. */
   change(next: Grant, isReturnCall: boolean): Promise<EscrowOutcome>;
   /** Sends the pending change again under the same conditions. */
@@ -104,6 +116,12 @@
   let totalReadAt: Milliseconds = -Infinity;
   let grant = { held: 0, ceiling: 0, version: 0 };
   let pendingChange: GrantChange | undefined;
+  /** Instances that may hold tokens of an earlier era. */
+  let holders: string[] = [];
+  /** Whether the leases had been read when the present era began here. */
+  let areHoldersListed = true;
+
+  const listInstances = () => host.escrow.listInstances() ?? [];
 
   // A change of the old era whose outcome is not known counts only if it lowers the grant. Versions
   // of the old era are not used again.
@@ -120,6 +138,10 @@
     era = next;
     totalKey = getTotalKey(account, era);
     grantKey = getGrantKey(account, incarnation, era);
+    // What was seen before the rewind counts: the copy may lack it, and it may be forgotten soon.
+    const unsettled = isRestored ? [] : holders;
+    holders = [...unsettled, ...(total.restoration?.missing ?? []), ...listInstances()];
+    areHoldersListed = host.escrow.listInstances() !== undefined;
     total = NO_TOTAL;
     totalReadAt = -Infinity;
     isRestored = false;
@@ -132,6 +154,8 @@
     startEra(listed.val.era);
     if (era !== sentIn) return { kind: 'refreshed' };
     if (listed.val.era !== era) return OUTDATED;
+    if (!areHoldersListed) holders.push(...listInstances());
+    areHoldersListed = true;
     const totalRow = findRow(listed.val.totals, totalKey);
     const grantRow = findRow(listed.val.grants, grantKey);
     const present = totalRow && parseTotal(totalRow.value);
@@ -146,6 +170,7 @@
       ancestry: host.getAncestry(),
       limit: host.getUse().limit,
       instances: host.escrow.countInstances(),
+      holders,
     });
     const { held, ceiling } = grant;
     const outcome = await send({
@@ -200,6 +225,33 @@
     return isRestored && canGrant(total, host.escrow.countInstances());
   }
 
+  async function open(): Promise<EscrowOutcome> {
+    const next = openWithoutMissing(total, host.getUse().limit);
+    const outcome = await send({
+      checks: [{ ...totalKey, version: total.version }],
+      puts: [{ ...totalKey, value: JSON.stringify(next) }],
+      removals: [],
+    });
+    if (outcome.kind === 'rewound') return { kind: 'refreshed' };
+    if (outcome.kind === 'failed') {
+      if (outcome.error.kind !== 'conflict') return { kind: 'failed', error: outcome.error };
+      const found = findRow(outcome.error.rows, totalKey);
+      if (found) updateTotal(found);
+      return { kind: 'conflict' };
+    }
+    const { revision } = outcome.version;
+    log(Diagnostics.budgetOpened, {
+      account,
+      era,
+      allocated: next.allocated,
+      missing: next.restoration?.missing.join(' '),
+      missingTokens: next.restoration?.missingTokens,
+      version: revision,
+    });
+    if (revision >= total.version) total = { ...next, version: revision };
+    return { kind: 'changed' };
+  }
+
   function createChange({ held, ceiling }: Grant, isReturnCall: boolean): GrantChange {
     const changesTotal = held !== grant.held || isReturnCall;
     const grantCheck = { ...grantKey, version: grant.version };
@@ -214,7 +266,12 @@
     const { held, ceiling } = next;
     const allocated = total.allocated + held - grant.held;
     const calls = total.calls + (next.isReturnCall ? 1 : 0);
-    const restoration = total.restoration && { ...total.restoration, isOpen: canGrantMore() };
+    const limit = Math.max(total.restoration?.limit ?? 0, host.getUse().limit);
+    const restoration = total.restoration && {
+      ...total.restoration,
+      limit,
+      isOpen: canGrantMore(),
+    };
     const totalPut = { ...totalKey, value: JSON.stringify({ allocated, calls, restoration }) };
     const grantPut = { ...grantKey, value: JSON.stringify({ held, ceiling }) };
     const outcome = await send({
@@ -307,6 +364,9 @@
     isRestored: () => isRestored,
     restore,
     canGrant: canGrantMore,
+    isRestKnown: () => canGrantMore() && !total.restoration?.missing.length,
+    isOverdue: () => isRestored && isOverdue(total, listInstances()),
+    open,
     change: (next, isReturnCall) => commit(createChange(next, isReturnCall)),
     repeat: commit,
     refreshTotal,
--- a/packages/budgets/src/escrowTypes.ts
+++ b/packages/budgets/src/escrowTypes.ts
@@ -20,6 +20,8 @@
   getReserveDelay(share: number): Milliseconds;
   /** The number of instances that share the budgets, this one included. */
   countInstances(): number;
+  /** Names of these instances; `undefined` until the leases have been read. */
+  listInstances(): string[] | undefined;
   /** Whether that number covers all instances that started together with this one. */
   isFleetCounted(): boolean;
 }
--- a/packages/budgets/src/index.ts
+++ b/packages/budgets/src/index.ts
@@ -12,5 +12,5 @@
 export * from './escrow';
 export * from './escrowTypes';
 export * from './escrowLease';
-export { LEASE_PARTITIONS, LEASE_TABLE, getLeaseKey } from './escrowRows';
+export { LEASE_PARTITIONS, LEASE_TABLE, getLeaseKey, parseLease } from './escrowRows';
 export * from './escrowSizing';
--- a/packages/budgets/test/escrowHarness.ts
+++ b/packages/budgets/test/escrowHarness.ts
@@ -78,6 +78,8 @@
   trustsOldLeases?: boolean;
   /** The lease is renewed even if the ceilings in the rows do not cover what was spent. */
   renewsUncovered?: boolean;
+  /** Instances that are not counted any more may hold nothing of an earlier era. */
+  forgetsMissing?: boolean;
 }
 
 /** Creates instances that share one budget in one store. */
@@ -89,7 +91,13 @@
     transact: (t) => memory.transact({ ...t, checks: [] }),
   };
   const store = createUnreliableRows(disabledGuards.hasNoConditions ? uncheckedRows : memory);
-  const state = { isStoreUnresponsive: false, isFleetCounted: true };
+  const names = Array.from({ length: count }, (_, index) => `instance-${index}`);
+  const state = {
+    isStoreUnresponsive: false,
+    isFleetCounted: true,
+    /** Instances whose leases were renewed of late. */
+    counted: new Set(names),
+  };
   let runCount = 0;
 
   function start(instance: string): InstanceRun {
@@ -107,7 +115,7 @@
       instance,
       incarnation,
       signal: stop.signal,
-      countInstances: () => count,
+      countInstances: () => state.counted.size,
       isUsageCovered: () => disabledGuards.renewsUncovered === true || run.escrow.isUsageCovered(),
     });
     run.escrow = createEscrow({
@@ -120,7 +128,8 @@
       isStoreUnresponsive: () => state.isStoreUnresponsive,
       getReserveShare: lease.getReserveShare,
       getReserveDelay: lease.getReserveDelay,
-      countInstances: () => count,
+      countInstances: () => state.counted.size,
+      listInstances: () => (disabledGuards.forgetsMissing ? [] : [...state.counted]),
       isFleetCounted: () => state.isFleetCounted,
     });
     run.kill = () => {
@@ -144,7 +153,7 @@
     reached.forEach((run) => run.escrow.applyChanges(view.changes));
   }
 
-  const members = Array.from({ length: count }, (_, index) => start(`instance-${index}`));
+  const members = names.map(start);
   return { clock, state, store, members, start, deliverChanges };
 }
 
--- a/packages/budgets/test/escrowInterleavings.test.ts
+++ b/packages/budgets/test/escrowInterleavings.test.ts
@@ -19,7 +19,11 @@
   | { kind: 'settle'; pick: number; share: number }
   /** Kills a process and restarts it on its machine after `down` milliseconds. */
   | { kind: 'kill'; at: number; down: number }
+  /** Kills a process whose machine is gone, unless a later step restarts it. */
+  | { kind: 'remove'; at: number }
   | { kind: 'cut'; at: number; isCut: boolean }
+  /** An instance that is cut off or gone is not counted any more. */
+  | { kind: 'forget'; at: number }
   /** Plans the outcome of the next transaction that has no plan yet. */
   | { kind: 'fate'; next: PlannedOutcome }
   /** Delivers the late transactions. */
@@ -33,6 +37,8 @@
   /** Takes the copy of the store from which a rewind brings it back. */
   | { kind: 'copy' }
   | { kind: 'rewind' }
+  /** Rewinds the store while an instance is cut off or lost, for longer than it is counted. */
+  | { kind: 'drill'; at: number; isRemoved: boolean }
   /** Lets the instances that are not cut off exchange what they know and rebalance. */
   | { kind: 'converge' }
   | { kind: 'pass'; time: number };
@@ -86,9 +92,20 @@
   { weight: 4, arbitrary: fc.record({ kind: constant('converge') }) },
   { weight: 1, arbitrary: fc.record({ kind: constant('pass'), time: fc.nat(6000) }) },
 ];
+// Instances are cut off from the store for any time, or gone for good, when it comes back from a copy.
+const losses: fc.WeightedArbitrary<Step>[] = [
+  ...frequentRewinds,
+  { weight: 2, arbitrary: fc.record({ kind: constant('cut'), at, isCut: fc.boolean() }) },
+  { weight: 2, arbitrary: fc.record({ kind: constant('forget'), at }) },
+  { weight: 1, arbitrary: fc.record({ kind: constant('remove'), at }) },
+  { weight: 6, arbitrary: fc.record({ kind: constant('reserve'), at, tokens: fc.nat(200) }) },
+  { weight: 3, arbitrary: fc.record({ kind: constant('copy') }) },
+  { weight: 4, arbitrary: fc.record({ kind: constant('drill'), at, isRemoved: fc.boolean() }) },
+];
 const bounds = { minLength: 10, maxLength: 80 };
 const schedule = fc.array(fc.oneof(...weightedSteps), bounds);
 const scheduleOfRewinds = fc.array(fc.oneof(...frequentRewinds), bounds);
+const scheduleOfLosses = fc.array(fc.oneof(...losses), bounds);
 const scheduleWithRewinds = fc.array(fc.oneof(...weightedSteps, ...weightedRewinds), bounds);
 
 interface OpenRequest {
@@ -131,12 +148,21 @@
     request.reservation.settle(spent);
   }
 
+  function setCut(run: InstanceRun, isCut: boolean): void {
+    Object.assign(run, { isCut });
+    if (!isCut && run.isAlive) state.counted.add(run.instance);
+  }
+
+  function forget({ instance, isCut, isAlive }: InstanceRun): void {
+    if (isCut || !isAlive) state.counted.delete(instance);
+  }
+
   async function kill(index: number, down: number): Promise<void> {
     const { instance, isCut } = getRun(index);
     getRun(index).kill();
     await clock.advance(down);
     members[index] = start(instance);
-    getRun(index).isCut = isCut;
+    setCut(getRun(index), isCut);
     limit(getRun(index));
   }
 
@@ -148,11 +174,22 @@
     }
   }
 
+  async function drill(run: InstanceRun, isRemoved: boolean): Promise<void> {
+    if (isRemoved) run.kill();
+    else setCut(run, true);
+    rewind?.();
+    await converge();
+    forget(run);
+    await converge();
+  }
+
   async function play(action: Step): Promise<void> {
     if (action.kind === 'reserve') reserve(getRun(action.at), action.tokens);
     if (action.kind === 'settle') settle(action.pick, action.share);
     if (action.kind === 'kill') await kill(action.at, action.down);
-    if (action.kind === 'cut') getRun(action.at).isCut = action.isCut;
+    if (action.kind === 'cut') setCut(getRun(action.at), action.isCut);
+    if (action.kind === 'forget') forget(getRun(action.at));
+    if (action.kind === 'remove') getRun(action.at).kill();
     if (action.kind === 'fate') store.plannedOutcomes.push(action.next);
     if (action.kind === 'arrive') await store.deliverLate();
     if (action.kind === 'tell') await deliverChanges();
@@ -160,6 +197,7 @@
     if (action.kind === 'silence') state.isStoreUnresponsive = action.isSilent;
     if (action.kind === 'copy') rewind = store.memory.copy();
     if (action.kind === 'rewind') rewind?.();
+    if (action.kind === 'drill') await drill(getRun(action.at), action.isRemoved);
     if (action.kind === 'converge') await converge();
     if (action.kind === 'topup') {
       paid += action.tokens;
@@ -194,6 +232,20 @@
   await fc.assert(property, { seed: SEED, numRuns: RUNS });
 });
 
+test('no schedule of rewinds, cuts and lost machines overspends a budget', async () => {
+  const property = fc.asyncProperty(scheduleOfLosses, async (steps) => !(await isOverspent(steps)));
+  await fc.assert(property, { seed: SEED, numRuns: RUNS });
+});
+
+test('search over rewinds, cuts and lost machines finds the missing guard: forgetsMissing', async () => {
+  const property = fc.asyncProperty(
+    scheduleOfLosses,
+    async (steps) => !(await isOverspent(steps, { forgetsMissing: true })),
+  );
+  const options = { seed: SEED, numRuns: GUARD_MAX_RUNS, endOnFailure: true };
+  expect((await fc.check(property, options)).failed).toBe(true);
+});
+
 // Without one of the guards the same search must find an overspent budget.
 test.each<keyof DisabledGuards>(['hasNoConditions', 'reusesIncarnation'])(
   'search finds the missing guard: %s',
--- a/packages/budgets/test/escrowRewind.test.ts
+++ b/packages/budgets/test/escrowRewind.test.ts
@@ -67,6 +67,83 @@
   expect(await reserve(members[1]!, 250)).toBe('ok');
 });
 
+test('nothing is granted over what an instance holds that is cut off and not counted any more', async () => {
+  const { members, state, store, reserve, settle } = await setUp(2);
+  const rewind = store.memory.copy();
+  expect(await reserve(members[0]!, 700)).toBe('ok');
+  members[0]!.isCut = true;
+  rewind();
+  await settle(2);
+  state.counted.delete('instance-0');
+  await settle(4);
+  expect(await reserve(members[1]!, 400)).toBe('unreachable');
+  members[0]!.isCut = false;
+  state.counted.add('instance-0');
+  await settle(4);
+  expect(await reserve(members[1]!, 400)).toBe('exhausted');
+  expect(await reserve(members[1]!, 250)).toBe('ok');
+});
+
+test('nothing is granted over what an instance holds that never comes back', async () => {
+  const { members, state, store, reserve, settle } = await setUp(3);
+  await settle(2);
+  const rewind = store.memory.copy();
+  expect(await reserve(members[0]!, 500)).toBe('ok');
+  members[0]!.kill();
+  rewind();
+  await settle(2);
+  state.counted.delete('instance-0');
+  await settle(4);
+  const spare = describeAccount(members[1]!).held + describeAccount(members[2]!).held;
+  expect(await reserve(members[1]!, spare + 200)).toBe('unreachable');
+});
+
+test('tokens that are returned are granted again though an instance never came back', async () => {
+  const { members, state, store, reserve, settle } = await setUp(3);
+  expect(await reserve(members[1]!, 10)).toBe('ok');
+  await settle(2);
+  const rewind = store.memory.copy();
+  members[0]!.kill();
+  rewind();
+  await settle(2);
+  state.counted.delete('instance-0');
+  await settle(4);
+  const { held, used } = describeAccount(members[1]!);
+  expect(held - used).toBeGreaterThan(30);
+  members[1]!.escrow.retire();
+  await settle(2);
+  expect(await reserve(members[2]!, describeAccount(members[2]!).held + 20)).toBe('ok');
+});
+
+test('an instance that starts does not stand for one that is missing', async () => {
+  const { clock, members, state, store, reserve, settle, start } = await setUp(2);
+  const rewind = store.memory.copy();
+  expect(await reserve(members[0]!, 700)).toBe('ok');
+  members[0]!.isCut = true;
+  rewind();
+  members.push(start('instance-2'));
+  members[2]!.escrow.setLimits(new Map([[ACCOUNT, LIMIT]]));
+  await clock.advance(10);
+  await settle(4);
+  expect(state.counted.size).toBe(2);
+  expect(await reserve(members[1]!, 400)).toBe('unreachable');
+});
+
+test('an instance that went before the copy is not awaited by one that starts later', async () => {
+  const { clock, members, state, store, reserve, settle, start } = await setUp(3);
+  const rewind = store.memory.copy();
+  members[0]!.kill();
+  state.counted.delete('instance-0');
+  rewind();
+  await settle(4);
+  state.counted.add('instance-0');
+  members.push(start('instance-3'));
+  members[3]!.escrow.setLimits(new Map([[ACCOUNT, LIMIT]]));
+  await clock.advance(10);
+  await settle(4);
+  expect(await reserve(members[1]!, 800)).toBe('ok');
+});
+
 test('while others are awaited an instance keeps and spends what it holds', async () => {
   const { members, store, reserve, settle } = await setUp(2);
   await settle(2);
@@ -199,6 +276,7 @@
     ancestry: NO_ANCESTRY,
     limit: LIMIT,
     instances: 1,
+    holders: [],
   });
   expect(next.allocated).toBe(750);
 });
@@ -213,6 +291,7 @@
       ancestry: { kind: 'known', held: {}, writtenOff: 900 },
       limit: LIMIT,
       instances: 1,
+      holders: [],
     },
   );
   expect(next.allocated).toBe(950);
--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -58,6 +58,11 @@
   leaseLost: diagnostic(4011, 'error', 'another process holds the lease of this instance'),
   budgetRewound: diagnostic(4013, 'warn', 'the store came back from an older copy of a budget'),
   grantRestored: diagnostic(4014, 'info', 'grant put back after the store came back'),
+  budgetOpened: diagnostic(
+    4015,
+    'warn',
+    'budget opened without instances that are gone or cut off',
+  ),
   reserveOpened: diagnostic(4012, 'warn', 'lease renewal overdue, spending from the reserve'),
   reservationOrphaned: diagnostic(4007, 'warn', 'reservation of a lost instance settled'),
   requestAnswered: diagnostic(5001, 'debug', 'request answered'),
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -86,6 +86,7 @@
     getReserveShare: lease.getReserveShare,
     getReserveDelay: lease.getReserveDelay,
     countInstances: instanceCount.get,
+    listInstances: instanceCount.list,
     isFleetCounted: instanceCount.isConfirmed,
   });
   const endpoints = createEndpoints({ clock, log, onFailure: recentEnds.noteFate });
