--- a/packages/peers/test/tunnels.test.ts
+++ b/packages/peers/test/tunnels.test.ts
@@ -1,3 +1,4 @@
+import { randomBytes } from 'node:crypto';
 import net from 'node:net';
 import type { Socket } from 'node:net';
 import { Err } from 'ts-results';
@@ -76,6 +77,21 @@
   expect((await readAll(connection)).length).toBe(LARGE_BYTES);
 });
 
+test('many bytes in one write pass whole and in order', async () => {
+  const sent = randomBytes(LARGE_BYTES);
+  const received: Buffer[] = [];
+  const relay = await startRelayTo((socket) =>
+    socket.on('data', (data) => {
+      received.push(data);
+      if (received.reduce((sum, { length }) => sum + length, 0) === LARGE_BYTES) socket.end('all');
+    }),
+  );
+  const connection = await open(relay);
+  connection.write(sent);
+  expect((await readAll(connection)).toString()).toBe('all');
+  expect(Buffer.concat(received).equals(sent)).toBe(true);
+});
+
 test('a reset by the endpoint does not look like an end in order', async () => {
   const relay = await startRelayTo((socket) => {
     socket.write('half');
