A pause that an endpoint asks for holds for as long as it asks

Cause: a bound of 30 s on each pause. Values that are no finite number were refused before and are.

Not tried: real processes.

--- a/packages/forwarding/src/attempts/statements.ts
+++ b/packages/forwarding/src/attempts/statements.ts
@@ -4,9 +4,6 @@
 import type { ForwardHost } from '../forwardTypes';
 import type { EndpointRecord, EndpointStatement } from '../types';
 
-/** Longest time for which one rejection keeps requests away. */
-const PAUSE_MAX_MS: Milliseconds = 30_000;
-
 type StatementHost = Pick<
   ForwardHost<unknown>,
   'clock' | 'log' | 'directory' | 'endpoints' | 'rateLimits' | 'slotShares'
@@ -41,8 +38,11 @@
   host.slotShares.note(name, rejections, sentAt);
 }
 
-function pause({ clock, log, endpoints }: StatementHost, name: string, asked: Milliseconds): void {
-  const duration = Math.min(asked, PAUSE_MAX_MS);
+function pause(
+  { clock, log, endpoints }: StatementHost,
+  name: string,
+  duration: Milliseconds,
+): void {
   log(Diagnostics.endpointPaused, { endpoint: name, duration });
   endpoints.pause(name, clock.elapsed() + duration);
 }
