An endpoint that had left the list is not used again because of an older copy

The copy brings its entry back, and the directory kept that an incarnation is leaving, but not that its entry was gone.

An entry that was gone before the rewind, and not just lapsed in an outage, is now held back when the copy brings it back: it is listed once it changes, or if it is still there after 5 s, more than the three check-ins (3.6 s) after which a silent endpoint's entry lapses. So an endpoint that lives and had lapsed waits 5 s at most. Ruled out: to hold it back for good, since a check-in alone changes no entry.

Not covered: an instance that started after the removal.

--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -4,7 +4,7 @@
 import { BUDGET_TABLE, createEscrow, createEscrowLease } from '@pomeloroad/budgets';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
 import { watchStore } from '@pomeloroad/storage';
-import type { RowChange, StoreEra, VersionedRow } from '@pomeloroad/storage';
+import type { RowChange, RowView, StoreEra, VersionedRow } from '@pomeloroad/storage';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { followConfiguration } from './store/configurationFeed';
 import { watchCrashes } from './suspects/crashWatch';
@@ -60,6 +60,7 @@
   const feed = startSharedFeed(following);
   let leaseStart: Promise<void> | undefined;
   let open = 0;
+  let endpointEra: StoreEra | undefined;
 
   let instanceNames: string[] = [];
   const instanceCount = startInstanceCount({
@@ -130,7 +131,7 @@
     table: host.tables.endpoints,
     partitions: [''],
     pause: ENDPOINT_POLL_DELAY_MS,
-    onView: (view) => directory.replaceAll(view.rows.map(decodeEndpointRow).filter(isDefined)),
+    onView: applyEndpointView,
     onChanges: (changes) => changes.forEach(applyEndpointChange),
     onUnavailable: directory.markStoreUnavailable,
     onAvailable: directory.markStoreAvailable,
@@ -263,6 +264,14 @@
     return record;
   }
 
+  function applyEndpointView({ rows: listed, era }: RowView): void {
+    const records = listed.map(decodeEndpointRow).filter(isDefined);
+    const isCopy = endpointEra !== undefined && era > endpointEra;
+    endpointEra = era;
+    if (isCopy) directory.replaceByCopy(records);
+    else directory.replaceAll(records);
+  }
+
   function applyEndpointChange(change: RowChange): void {
     const record = isPresent(change) ? decodeEndpointRow(change) : undefined;
     if (record) directory.upsert(record);
--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -10,6 +10,11 @@
 const LAPSED_GRACE_MS: Milliseconds = 2200;
 /** Limit of that time for an entry that the feed reports as removed: its endpoint may be leaving. */
 const REMOVED_GRACE_MS: Milliseconds = 900;
+/**
+ * Time after which an entry that an older copy of the store brought back has lapsed again, unless its
+ * endpoint renews it.
+ */
+const REVIVED_HOLD_MS: Milliseconds = 5000;
 
 /** Dependencies of the directory. */
 export interface DirectoryHost {
@@ -28,6 +33,11 @@
 export interface EndpointDirectory {
   /** Replaces the entries by a complete reading; entries missing from it are unlisted. */
   replaceAll(records: EndpointRecord[]): void;
+  /**
+   * Replaces the entries by those of an older copy of the store. Entries that were gone before are listed
+   * once they change, or if they have not lapsed again after some seconds.
+   */
+  replaceByCopy(records: EndpointRecord[]): void;
   /** Adds or updates an entry; outdated records are ignored. */
   upsert(record: EndpointRecord): void;
   /** Unlists the entry; shortly after an outage it may stay usable for a while. */
@@ -62,6 +72,8 @@
 export function createEndpointDirectory(host: DirectoryHost): EndpointDirectory {
   const { clock, log } = host;
   const entries = new Map<string, Entry>();
+  /** Entries that an older copy has brought back, and that are not listed yet. */
+  const revived = new Map<string, EndpointRecord>();
   let isStoreUnavailable = false;
   let storeAvailableAt: Milliseconds = -Infinity;
   let isLoaded = false;
@@ -109,21 +121,50 @@
     return !record.isLeaving && (isListed || clock.elapsed() < usableUntil);
   }
 
+  function replaceAll(records: EndpointRecord[]): void {
+    isLoaded = true;
+    const listed = new Set(records.map((record) => record.id));
+    const missing = [...entries.keys()].filter((id) => !listed.has(id));
+    missing.forEach((id) => revived.delete(id));
+    const changes = [
+      ...records.filter((record) => !isRevived(record)).map(applyRecord),
+      ...missing.map((id) => unlist(id, LAPSED_GRACE_MS)),
+    ];
+    if (changes.some(Boolean)) host.onChange();
+  }
+
+  function isRevived(record: EndpointRecord): boolean {
+    const held = revived.get(record.id);
+    return held !== undefined && isSameRun(held, record) && held.sequence === record.sequence;
+  }
+
+  // An endpoint that was gone before the rewind is not used because of what the copy says of it.
+  function holdBack(record: EndpointRecord): void {
+    const known = entries.get(record.id);
+    if (!known || known.isListed || clock.elapsed() < known.usableUntil) return;
+    if (!isSameRun(record, known.record) || record.sequence > known.record.sequence) return;
+    revived.set(record.id, record);
+    clock.after(REVIVED_HOLD_MS, () => release(record));
+  }
+
+  function release(record: EndpointRecord): void {
+    if (revived.get(record.id) !== record) return;
+    revived.delete(record.id);
+    if (applyRecord(record)) host.onChange();
+  }
+
   return {
-    replaceAll(records) {
-      isLoaded = true;
-      const listed = new Set(records.map((record) => record.id));
-      const missing = [...entries.keys()].filter((id) => !listed.has(id));
-      const changes = [
-        ...records.map(applyRecord),
-        ...missing.map((id) => unlist(id, LAPSED_GRACE_MS)),
-      ];
-      if (changes.some(Boolean)) host.onChange();
+    replaceAll,
+    replaceByCopy(records) {
+      records.forEach(holdBack);
+      replaceAll(records);
     },
     upsert(record) {
+      revived.delete(record.id);
       if (applyRecord(record)) host.onChange();
     },
     remove(id) {
+      revived.delete(id);
       if (unlist(id, REMOVED_GRACE_MS)) host.onChange();
     },
     markReplaced({ id, born }) {
--- a/packages/forwarding/test/directory.test.ts
+++ b/packages/forwarding/test/directory.test.ts
@@ -141,3 +141,58 @@
   await clock.advance(2199.6);
   expect(usable()).toEqual([]);
 });
+
+// An endpoint whose entry was removed, and then brought back by an older copy of the store.
+function setUpRevived() {
+  const fixture = setUp();
+  fixture.directory.replaceAll([record(), record({ id: 'b' })]);
+  fixture.directory.remove('a');
+  fixture.directory.markStoreUnavailable();
+  fixture.directory.markStoreAvailable();
+  fixture.directory.replaceByCopy([record(), record({ id: 'b' })]);
+  return fixture;
+}
+
+test('an entry that was removed is not used though an older copy brings it back', async () => {
+  const { clock, directory, usable } = setUpRevived();
+  expect(usable()).toEqual(['b/5']);
+  directory.replaceAll([record(), record({ id: 'b' })]);
+  expect(usable()).toEqual(['b/5']);
+  await clock.advance(3600);
+  expect(usable()).toEqual(['b/5']);
+  directory.remove('a');
+  await clock.advance(10_000);
+  expect(usable()).toEqual(['b/5']);
+});
+
+test('an entry that an older copy brings back is used once its endpoint renews it', () => {
+  const { directory, usable } = setUpRevived();
+  directory.upsert(record());
+  expect(usable()).toEqual(['a/5', 'b/5']);
+});
+
+test('an entry that an older copy brings back is used if it does not lapse again', async () => {
+  const { clock, usable, countChanges } = setUpRevived();
+  const before = countChanges();
+  await clock.advance(5000);
+  expect(usable()).toEqual(['a/5', 'b/5']);
+  expect(countChanges()).toBe(before + 1);
+});
+
+test('another incarnation that an older copy brings back is used at once', () => {
+  const { directory, usable } = setUp();
+  directory.replaceAll([record()]);
+  directory.remove('a');
+  directory.replaceByCopy([record({ born: 6 })]);
+  expect(usable()).toEqual(['a/6']);
+});
+
+test('an entry that lapsed in the outage before stays usable when the copy brings it back', () => {
+  const { directory, usable } = setUp();
+  directory.replaceAll([record()]);
+  directory.markStoreUnavailable();
+  directory.markStoreAvailable();
+  directory.remove('a');
+  directory.replaceByCopy([record()]);
+  expect(usable()).toEqual(['a/5']);
+});
