--- a/packages/replay/test/plannedStops.test.ts
+++ b/packages/replay/test/plannedStops.test.ts
@@ -4,11 +4,21 @@
 import { createSystemClock, Diagnostics, sleep } from '@pomeloroad/core';
 import { WireHeader } from '@pomeloroad/standins';
 import { ROOT } from '../src/paths';
-import { endTrial, openRaw, renderRequest, startTrial, waitUntil } from './plannedStopHarness';
+import {
+  CONFIGURATION,
+  createRoute,
+  endTrial,
+  openRaw,
+  renderRequest,
+  startTrial,
+  waitUntil,
+} from './plannedStopHarness';
 
 const clock = createSystemClock();
 const GRACE_MS = 8000;
 const STORE_CUT_DELAY_MS = 700;
+/** Time in which requests begin to wait. */
+const WAITING_MS = 100;
 
 beforeAll(() => {
   if (!process.env.TRIAL_PROGRAM) execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: ROOT });
@@ -132,3 +142,38 @@
   callers.forEach(({ socket }) => socket.destroy());
   callers.forEach((caller) => expect(caller.getText()).toContain('HTTP/1.1 200'));
 });
+
+// Guards against requests that a stop loses while they wait for an endpoint that wants a pause.
+test.each(['answers', 'is silent'])(
+  'requests that wait at a stop signal are answered while the store %s',
+  async (store) => {
+    const routes = [createRoute('once', 'non_idempotent', { slo_ms: 8000 })];
+    const trial = await startTrial({ ...CONFIGURATION, routes });
+    let isPausing = true;
+    const ran: string[] = [];
+    await trial.addEndpoint('e1', (request, response) => {
+      if (isPausing) {
+        isPausing = false;
+        response.writeHead(503, { [WireHeader.notRun]: '1', 'retry-after': '1' }).end();
+        return;
+      }
+      ran.push(`${request.url}`);
+      answerLate(request, response);
+    });
+    const declined = openRaw(trial.address, renderRequest('/once/0'));
+    await waitUntil(() => !isPausing);
+    const targets = ['/once/10', '/once/200', '/once/400', '/once/600'];
+    const callers = targets.map((target) => openRaw(trial.address, renderRequest(target)));
+    await sleep(clock, WAITING_MS);
+    expect(ran).toEqual([]);
+    trial.instance.child.kill('SIGTERM');
+    if (store === 'is silent') {
+      trial.proxy.setRules([{ from: '*', to: 'store', effect: { kind: 'blackhole' } }]);
+    }
+    await Promise.all([declined, ...callers].map((caller) => caller.closed));
+    callers.forEach((caller, index) =>
+      expect(caller.getText()).toContain(`answer to ${targets[index]}`),
+    );
+    expect(ran.filter((path) => path !== '/once/0').sort()).toEqual(targets);
+  },
+);
