A planned exit waits for connections whose callers still send

Cause: the drain counts open requests only. Then Node's closeIdleConnections destroys connections whose answers have ended, and process.exit closes all sockets. What the caller sends then is unread or meets no socket, so the kernel resets the connection and drops what is to be sent.

A connection that closes takes what its caller sends for a second at most (serverConnections). Idle connections are now closed, and the process exits, once no connection lingers so, at the latest at the drain's forced end. packages/entry awaits that all its connections have closed and gets the same order by openRequests. Ruled out: the same without sending (8 MB, read after the exit) was whole before.

--- a/packages/core/src/openRequests.ts
+++ b/packages/core/src/openRequests.ts
@@ -1,8 +1,10 @@
 import net from 'node:net';
+import { setImmediate } from 'node:timers/promises';
 import { TLSSocket } from 'node:tls';
 import type http from 'node:http';
 import type https from 'node:https';
 import type { ServerResponse } from 'node:http';
+import { waitUntilClosed } from './serverConnections';
 
 /** The requests of an HTTP server whose responses are not sent in full yet. */
 export interface OpenRequests {
@@ -12,6 +14,8 @@
    */
   track(response: ServerResponse, work: Promise<void>): Promise<void>;
   count(): number;
+  /** Returns the number of responses that are sent and whose connections close but have not closed yet. */
+  countLingering(): number;
   /**
    * Stops accepting connections, and closes the idle ones once no response is being sent. Resolves
    * when all connections have closed.
@@ -24,11 +28,22 @@
 /** Creates the open requests of a server that has none yet. */
 export function createOpenRequests(server: http.Server | https.Server): OpenRequests {
   const open = new Set<ServerResponse>();
+  const lingering = new Set<ServerResponse>();
   let isClosing = false;
 
-  // Node takes a connection for idle once its response has ended, although it may not be sent yet.
+  // Node takes a connection for idle once its response has ended, although it may not be sent yet, and its
+  // caller may still send.
   function closeIdleConnections(): void {
-    if (isClosing && open.size === 0) server.closeIdleConnections();
+    if (isClosing && open.size === 0 && lingering.size === 0) server.closeIdleConnections();
+  }
+
+  async function linger(response: ServerResponse): Promise<void> {
+    lingering.add(response);
+    // Node closes a connection in the turn in which it tells that the response has ended.
+    await setImmediate();
+    await waitUntilClosed(response);
+    lingering.delete(response);
+    closeIdleConnections();
   }
 
   return {
@@ -39,10 +54,11 @@
         await waitUntilSent(response);
       } finally {
         open.delete(response);
-        closeIdleConnections();
+        linger(response);
       }
     },
     count: () => open.size,
+    countLingering: () => lingering.size,
     close() {
       isClosing = true;
       return new Promise((resolve) => {
--- a/packages/core/src/serverConnections.ts
+++ b/packages/core/src/serverConnections.ts
@@ -38,6 +38,8 @@
    * sent last.
    */
   refuse(status: number | undefined): void;
+  /** Resolves at once unless the connection is being closed; then, once it has closed. */
+  waitUntilClosed(): Promise<void>;
   /** Makes up for the listeners that Node takes off a socket that asks for a tunnel. */
   restoreListeners(): void;
 }
@@ -84,6 +86,14 @@
   if (!connection || connection.isLatest(response)) response.shouldKeepAlive = false;
 }
 
+/**
+ * Resolves at once unless the response's connection closes with it; then, once its caller can send nothing more
+ * that would take the end of the response from it.
+ */
+export async function waitUntilClosed(response: ServerResponse): Promise<void> {
+  await connections.get(response.req.socket)?.waitUntilClosed();
+}
+
 /** Reads the body of a request that `serveInOrder` has passed on; leaves its connection open. */
 export function readRequestBody(
   message: IncomingMessage,
@@ -221,6 +231,12 @@
     },
     dropInput,
     refuse,
+    waitUntilClosed() {
+      if (!isClosing || socket.destroyed) return Promise.resolve();
+      return new Promise((resolve) => {
+        socket.once('close', () => resolve());
+      });
+    },
     restoreListeners() {
       socket.on('error', () => undefined);
       socket.on('drain', () => {
--- a/packages/forwarding/src/drain.ts
+++ b/packages/forwarding/src/drain.ts
@@ -22,6 +22,8 @@
   };
   /** Stops accepting connections and closes idle ones. */
   closeListener(): void;
+  /** Returns the number of connections whose answers are sent but may be lost if the process exits. */
+  countLingering(): number;
   /** Cuts the answers that are not sent in full, so that none looks complete when the process exits. */
   cutOpen(): void;
 }
@@ -57,6 +59,9 @@
     host.closeListener();
     if (instance.countOpen() > 0) log(Diagnostics.drainTimedOut, { open: instance.countOpen() });
     await instance.stop(forcedEnd - EXIT_MARGIN_MS - clock.elapsed());
+    while (host.countLingering() > 0 && clock.elapsed() < forcedEnd - EXIT_MARGIN_MS) {
+      await sleep(clock, POLL_INTERVAL_MS);
+    }
     host.cutOpen();
     log(Diagnostics.instanceStopped, { open: instance.countOpen() });
   }
--- a/packages/forwarding/test/drain.test.ts
+++ b/packages/forwarding/test/drain.test.ts
@@ -4,8 +4,8 @@
 const GRACE_MS = 8000;
 const STEP_MS = 50;
 
-// Drains with a request open until `endsAt`; returns the time of each step.
-async function drainUntil(endsAt: number) {
+// Drains with a request open until `endsAt` and a connection that lingers until `closesAt`; returns the time of each step.
+async function drainUntil(endsAt: number, closesAt = 0) {
   const clock = createManualClock();
   const times: Record<string, number> = {};
   const record = (name: string) => {
@@ -20,6 +20,7 @@
       stop: async () => record('stopped'),
     },
     closeListener: () => record('closed'),
+    countLingering: () => (clock.elapsed() < closesAt ? 1 : 0),
     cutOpen: () => record('cut'),
   });
   drain.run(GRACE_MS).then(() => record('ended'));
@@ -58,3 +59,10 @@
   expect(late.times.closed).toBeGreaterThanOrEqual((GRACE_MS * 5) / 6);
   expect(late.times.ended).toBeLessThan(GRACE_MS);
 });
+
+test('the process does not exit while a connection lingers, but before its forced end', async () => {
+  const waiting = await drainUntil(0, 5000);
+  expect(waiting.times.ended).toBeGreaterThanOrEqual(5000);
+  const forced = await drainUntil(0, Infinity);
+  expect(forced.times.ended).toBeLessThan(GRACE_MS);
+});
--- a/packages/replay/test/plannedStops.test.ts
+++ b/packages/replay/test/plannedStops.test.ts
@@ -17,6 +17,10 @@
 const clock = createSystemClock();
 const GRACE_MS = 8000;
 const STORE_CUT_DELAY_MS = 700;
+/** Ends when a process that has nothing else to do would exit at once. */
+const LATE_WORK_MS = 3000;
+/** Shorter than the time for which the caller of a closed connection may still send. */
+const UNREAD_MS = 500;
 /** Time in which requests begin to wait. */
 const WAITING_MS = 100;
 
@@ -177,3 +181,27 @@
     expect(ran.filter((path) => path !== '/once/0').sort()).toEqual(targets);
   },
 );
+
+// Guards against a reset by the exit, which takes the end of an answer that its caller has not read yet.
+test('an answer is whole at a caller that goes on sending while the process exits', async () => {
+  const trial = await startTrial();
+  const body = 'x'.repeat(1_000_000);
+  let isAnswered = false;
+  await trial.addEndpoint('e1', (_request, response) => {
+    setTimeout(() => {
+      isAnswered = true;
+      response.end(body);
+    }, LATE_WORK_MS);
+  });
+  const caller = openRaw(trial.address, renderRequest('/once/a'));
+  await waitUntil(() => trial.received.length > 0);
+  trial.instance.child.kill('SIGTERM');
+  caller.socket.pause();
+  await waitUntil(() => isAnswered);
+  const sending = setInterval(() => caller.socket.write('x'), 1);
+  await sleep(clock, UNREAD_MS);
+  clearInterval(sending);
+  caller.socket.resume();
+  await caller.closed;
+  expect(caller.getText().length).toBeGreaterThan(body.length);
+});
