Endpoints that started again are forgotten beyond a thousand

The thousand latest are kept, as of streams; an older one tells only of attempts that were sent before it and have brought no event since.

--- a/packages/forwarding/src/origins/originMemory.ts
+++ b/packages/forwarding/src/origins/originMemory.ts
@@ -3,6 +3,8 @@
 
 /** Maximum number of streams that are remembered; the oldest is forgotten first. */
 const STREAMS_MAX = 1000;
+/** Maximum number of endpoints that are remembered as started again; the oldest is forgotten first. */
+const RENEWED_MAX = 1000;
 
 /** Where the first event of a stream came from. */
 export interface StreamOrigin {
@@ -47,6 +49,13 @@
     }
   }
 
+  function noteRenewed(endpoint: string, version: string | undefined): void {
+    renewed.delete(endpoint);
+    renewed.set(endpoint, version);
+    const [oldest] = renewed.keys();
+    if (renewed.size > RENEWED_MAX && oldest !== undefined) renewed.delete(oldest);
+  }
+
   function isOutdated(endpoint: string | undefined, { version }: StreamOrigin): boolean {
     if (endpoint === undefined || !renewed.has(endpoint)) return false;
     return renewed.get(endpoint) !== version;
@@ -64,7 +73,7 @@
       return entries.get(stream)?.origin;
     },
     doubt(endpoint, version, duration) {
-      renewed.set(endpoint, version);
+      noteRenewed(endpoint, version);
       const since = clock.elapsed() - duration;
       entries.forEach((entry, stream) => {
         const isAffected = entry.endpoint === endpoint && entry.setAt >= since;
