--- a/packages/replay/test/plannedStops.test.ts
+++ b/packages/replay/test/plannedStops.test.ts
@@ -4,11 +4,25 @@
 import { createSystemClock, Diagnostics, sleep } from '@pomeloroad/core';
 import { WireHeader } from '@pomeloroad/standins';
 import { ROOT } from '../src/paths';
-import { endTrial, openRaw, renderRequest, startTrial, waitUntil } from './plannedStopHarness';
+import {
+  CONFIGURATION,
+  createRoute,
+  endTrial,
+  openRaw,
+  renderRequest,
+  startTrial,
+  waitUntil,
+} from './plannedStopHarness';
 
 const clock = createSystemClock();
 const GRACE_MS = 8000;
 const STORE_CUT_DELAY_MS = 700;
+/** Ends when a process that has nothing else to do would exit at once. */
+const LATE_WORK_MS = 3000;
+/** Shorter than the time for which the caller of a closed connection may still send. */
+const UNREAD_MS = 500;
+/** Time in which requests begin to wait. */
+const WAITING_MS = 100;
 
 beforeAll(() => {
   if (!process.env.TRIAL_PROGRAM) execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: ROOT });
@@ -132,3 +146,62 @@
   callers.forEach(({ socket }) => socket.destroy());
   callers.forEach((caller) => expect(caller.getText()).toContain('HTTP/1.1 200'));
 });
+
+// Guards against requests that a stop loses while they wait for an endpoint that wants a pause.
+test.each(['answers', 'is silent'])(
+  'requests that wait at a stop signal are answered while the store %s',
+  async (store) => {
+    const routes = [createRoute('once', 'non_idempotent', { slo_ms: 8000 })];
+    const trial = await startTrial({ ...CONFIGURATION, routes });
+    let isPausing = true;
+    const ran: string[] = [];
+    await trial.addEndpoint('e1', (request, response) => {
+      if (isPausing) {
+        isPausing = false;
+        response.writeHead(503, { [WireHeader.notRun]: '1', 'retry-after': '1' }).end();
+        return;
+      }
+      ran.push(`${request.url}`);
+      answerLate(request, response);
+    });
+    const declined = openRaw(trial.address, renderRequest('/once/0'));
+    await waitUntil(() => !isPausing);
+    const targets = ['/once/10', '/once/200', '/once/400', '/once/600'];
+    const callers = targets.map((target) => openRaw(trial.address, renderRequest(target)));
+    await sleep(clock, WAITING_MS);
+    expect(ran).toEqual([]);
+    trial.instance.child.kill('SIGTERM');
+    if (store === 'is silent') {
+      trial.proxy.setRules([{ from: '*', to: 'store', effect: { kind: 'blackhole' } }]);
+    }
+    await Promise.all([declined, ...callers].map((caller) => caller.closed));
+    callers.forEach((caller, index) =>
+      expect(caller.getText()).toContain(`answer to ${targets[index]}`),
+    );
+    expect(ran.filter((path) => path !== '/once/0').sort()).toEqual(targets);
+  },
+);
+
+// Guards against a reset by the exit, which takes the end of an answer that its caller has not read yet.
+test('an answer is whole at a caller that goes on sending while the process exits', async () => {
+  const trial = await startTrial();
+  const body = 'x'.repeat(1_000_000);
+  let isAnswered = false;
+  await trial.addEndpoint('e1', (_request, response) => {
+    setTimeout(() => {
+      isAnswered = true;
+      response.end(body);
+    }, LATE_WORK_MS);
+  });
+  const caller = openRaw(trial.address, renderRequest('/once/a'));
+  await waitUntil(() => trial.received.length > 0);
+  trial.instance.child.kill('SIGTERM');
+  caller.socket.pause();
+  await waitUntil(() => isAnswered);
+  const sending = setInterval(() => caller.socket.write('x'), 1);
+  await sleep(clock, UNREAD_MS);
+  clearInterval(sending);
+  caller.socket.resume();
+  await caller.closed;
+  expect(caller.getText().length).toBeGreaterThan(body.length);
+});
