A first reading of the leases that fails is tried again after half a second

Since an instance that starts after a rewind puts back its grant only once it has read the leases; where that first reading failed (a store that answers in part), the next one came after 4 s, and its budgets would have answered 503 that long. Counting is as before: until 4 s after the start a first reading gives the high count, and the next one the real count.

Evidence: instanceCount.test.ts, 'a first reading that fails ...', failed before and passes.

--- a/packages/forwarding/src/store/instanceCount.ts
+++ b/packages/forwarding/src/store/instanceCount.ts
@@ -5,6 +5,8 @@
 import type { RowStore, StoreEra, VersionedRow } from '@pomeloroad/storage';
 
 const COUNT_INTERVAL_MS: Milliseconds = 4000;
+/** Pause before a first reading that failed is tried again, since budgets wait for it after a rewind. */
+const RETRY_INTERVAL_MS: Milliseconds = 500;
 /** Time without a lease renewal after which an instance is no longer counted. */
 const RENEWAL_TIMEOUT_MS: Milliseconds = 11_000;
 /**
@@ -92,10 +94,11 @@
   }
 
   async function poll(): Promise<void> {
-    await updateCount(INITIAL_INSTANCE_COUNT);
+    const startedAt = clock.elapsed();
     while (!signal.aborted) {
-      await sleep(clock, COUNT_INTERVAL_MS, signal);
-      await updateCount(1);
+      const isStarting = !counted && clock.elapsed() - startedAt < COUNT_INTERVAL_MS;
+      await updateCount(isStarting ? INITIAL_INSTANCE_COUNT : 1);
+      await sleep(clock, counted ? COUNT_INTERVAL_MS : RETRY_INTERVAL_MS, signal);
     }
   }
 
--- a/packages/forwarding/test/instanceCount.test.ts
+++ b/packages/forwarding/test/instanceCount.test.ts
@@ -1,3 +1,4 @@
+import { Err } from 'ts-results';
 import { createManualClock } from '@pomeloroad/core';
 import { getLeaseKey } from '@pomeloroad/budgets';
 import { createMemoryRowStore } from '@pomeloroad/storage';
@@ -78,3 +79,20 @@
   await clock.advance(4000);
   expect(count.list()).not.toContain('lost');
 });
+
+test('a first reading that fails is tried again soon', async () => {
+  const clock = createManualClock();
+  const memory = createMemoryRowStore();
+  let isAway = true;
+  const list: typeof memory.list = async (table, partition) =>
+    isAway ? Err({ kind: 'unavailable', message: 'away' }) : memory.list(table, partition);
+  const rows = { ...memory, list };
+  const count = startInstanceCount({ clock, rows, signal: new AbortController().signal });
+  await clock.advance(400);
+  isAway = false;
+  await clock.advance(200);
+  expect(count.list()).toEqual([]);
+  expect(count.isConfirmed()).toBe(false);
+  await clock.advance(4000);
+  expect(count.isConfirmed()).toBe(true);
+});
