Soak: a crash of an endpoint counts from its own line on

No caller of the fleet lost anything: the endpoint had died in the middle of the answer.

Cause: the crash counted as a fault from the moment at which the soak had seen the exit of the endpoint's process. The caller of the soak may see the end of its answer before.

--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -62,7 +62,7 @@
 export function createEvidence(clock: Clock, hasOlderBuild = false): Evidence {
   const records = new Map<string, RequestRecord>();
   const departures: Departure[] = [];
-  const dying = new Set<string>();
+  const dying = new Map<string, () => void>();
   const faults = createFaultLog(clock);
   const history = createConfigurationHistory(clock);
   const versions = createVersionHistory(faults);
@@ -88,6 +88,7 @@
       const last = departures.filter(({ endpoint }) => endpoint === name).at(-1);
       if (last) last.to = now();
       versions.unlist(name, now());
+      dying.get(name)?.();
       dying.delete(name);
       limits.set(name, undefined, now());
     },
@@ -116,7 +117,9 @@
     if (line.event === 'limited') limits.set(source, line.limit as number | undefined, at);
     // A process that dies may have begun several such answers.
     if (line.event === 'crash' && !dying.has(source)) {
-      dying.add(source);
+      // Its callers may see the end of their answers before its exit is seen here.
+      const scope = { names: [source], text: `${source} dies`, nature: 'harm' as const };
+      dying.set(source, faults.begin(scope, at));
       const isPart = record?.work.fault === CrashKinds.part.fault;
       (isPart ? crashes : requestCrashes).addCrash(at);
       evidence.onCrash(source);
--- a/packages/replay/src/soak/faultLog.ts
+++ b/packages/replay/src/soak/faultLog.ts
@@ -23,8 +23,8 @@
 
 /** The faults that were played. */
 export interface FaultLog {
-  /** Adds a fault that begins now; the returned function ends it. */
-  begin(scope: FaultScope): () => void;
+  /** Adds a fault that begins at the Unix time, or now; the returned function ends it. */
+  begin(scope: FaultScope, from?: number): () => void;
   /** Whether a fault of one of the names, or of its connections, overlaps the time. */
   isDisturbed(names: string[], from: number, to: number): boolean;
   /** As `isDisturbed`, without planned work and silences. */
@@ -54,8 +54,8 @@
   }
 
   return {
-    begin({ names, text, nature }) {
-      const span: FaultSpan = { names, text, nature, from: now(), to: Infinity };
+    begin({ names, text, nature }, from = now()) {
+      const span: FaultSpan = { names, text, nature, from, to: Infinity };
       spans.push(span);
       return () => {
         span.to = now();
