An endpoint that has started again does not confirm its own empty end

Cause: endpoint-2 was killed under the stream. endpoint-1, which had been killed and had started again 0.4 s before, was asked for the rest under the name of its dead incarnation, whose address it has, and stated an empty end; then it was asked under its new name and stated the same. Two statements without any event were taken for those of two endpoints.

Now an empty end confirms another one only if the two come from different ids and addresses; otherwise the rest is asked for elsewhere as long as attempts are left, or the answer is cut.

Ruled out: that the process knew the stream (its empty ends are the stand-in's, stated with 6 events missing), a version change (both v1).

--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -12,7 +12,7 @@
 import { getTimeLeft, takeAttempt } from '../run';
 import type { Run } from '../run';
 import { getVersion, noteEvents } from '../origins/takeUp';
-import type { EventStream, StreamStep } from '../types';
+import type { EndpointRecord, EventStream, StreamStep } from '../types';
 
 /**
  * How a stream ended: stated as complete by its endpoint, closed in order without such a statement,
@@ -32,6 +32,8 @@
   /** The end as its endpoint told it. */
   toldEnd: StreamEnd;
   endpoint: string;
+  /** Entry of the endpoint; `undefined` if it was not asked. */
+  record: EndpointRecord | undefined;
   /** Whether the endpoint sent no event, of a whole stream or of the rest of one. */
   isEmpty: boolean;
   /** The attempt that has taken the place of this one. */
@@ -62,7 +64,13 @@
   if (!next.isEmpty) return next;
   // A resumption that breaks off before its first event tells nothing about the stream.
   if (next.end === 'broken') return { ...last, replacement: next.replacement };
-  return last.end === 'broken' ? next : { ...next, end: next.toldEnd };
+  const isConfirmed = last.end !== 'broken' && !isSamePlace(last.record, next.record);
+  return isConfirmed ? { ...next, end: next.toldEnd } : next;
+}
+
+// An endpoint that has started again knows as little of the stream as it did before.
+function isSamePlace(left: EndpointRecord | undefined, right: EndpointRecord | undefined): boolean {
+  return left?.id === right?.id || left?.address === right?.address;
 }
 
 // Whether nothing was brought to the caller and the request may run once only, so that nobody can confirm it.
@@ -127,7 +135,7 @@
   run.host.metrics.streamEnds.add(1, { end: step ? end : 'replaced', framing });
   if (end === 'complete') run.host.endStatements.add(endpoint);
   else run.excluded.add(endpoint);
-  return { end, toldEnd, endpoint, isEmpty, replacement };
+  return { end, toldEnd, endpoint, record: attempt.endpoint, isEmpty, replacement };
 }
 
 // An end in order is no failure of the endpoint, even if the answer is not complete.
