Soak: a run goes on until it has seen the ends that its test asks for

Cause: such an end needs both endpoints of the streams at once, one that ends an answer early and the other one that states an empty rest. Both die of the crashing part, three to five times, and are killed by the plan; each is then away for about 3 s. How much of the 16 s is left depends on when a run meets its crashes.

Ruled out: refusals of sound requests.

Now the soak goes on beyond its length until it has seen the asked number of ends, 30 s at most, and the test asks as before for more than 3.

--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import { callHttp, runPeriodically } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
+import type { EarlyEndReason } from '@pomeloroad/standins';
 import { BUNDLED_PROGRAM } from '../paths';
 import { pause } from '../pause';
 import { createLauncher } from '../programs';
@@ -42,6 +43,8 @@
   hasUnreadable: boolean;
   /** Ends in order of answers that are not whole, which further callers ask for. */
   earlyEnds: EarlyEnd[];
+  /** Least number of such ends by their reason, for which the soak goes on beyond its length for a time. */
+  awaitedEnds?: Partial<Record<EarlyEndReason, number>>;
   /** Commit whose program the instances run until they are started again; `undefined` for the present one. */
   olderRevision?: string | undefined;
   onLog(name: string, line: string): void;
@@ -72,6 +75,8 @@
 const READINESS_INTERVAL_MS: Milliseconds = 1000;
 const JUDGE_INTERVAL_MS: Milliseconds = 500;
 const POLL_INTERVAL_MS: Milliseconds = 50;
+/** Longest time beyond its length for which a soak waits for ends. */
+const EXTENSION_MAX_MS: Milliseconds = 30_000;
 const STATUS_OK = 200;
 
 /** Runs a soak: starts all processes, plays the plan of the seed and checks what was seen. */
@@ -163,6 +168,8 @@
   }
   await Promise.all(playing);
   await waitUntil(options.length);
+  const isOver = () => clock.elapsed() - startedAt >= options.length + EXTENSION_MAX_MS;
+  while (!hasEnds(evidence, options) && !isOver()) await pause(POLL_INTERVAL_MS);
   await Promise.all([callers.stop(), socketCallers.stop()]);
   stopped.abort();
   await Promise.all([operating, ...watches]);
@@ -171,6 +178,10 @@
   return injector.counts;
 }
 
+function hasEnds({ falseEnds }: Evidence, { awaitedEnds = {} }: SoakOptions): boolean {
+  return Object.entries(awaitedEnds).every(([reason, least]) => (falseEnds[reason] ?? 0) >= least);
+}
+
 async function checkReadiness(fleet: Fleet): Promise<void> {
   await Promise.all(
     fleet.instances.map(async (instance) => {
--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -16,7 +16,9 @@
 // Real processes: they need the bundled program. `npm test` builds the stand-ins.
 function soak(
   options: Pick<SoakOptions, 'seed' | 'length' | 'calm' | 'faults' | 'hasAnswerFaults'> &
-    Partial<Pick<SoakOptions, 'earlyEnds' | 'olderRevision' | 'callers' | 'sockets'>>,
+    Partial<
+      Pick<SoakOptions, 'earlyEnds' | 'awaitedEnds' | 'olderRevision' | 'callers' | 'sockets'>
+    >,
   endpoints = 4,
 ) {
   execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: ROOT });
@@ -92,7 +94,9 @@
   async () => {
     const times = { length: 16_000, calm: 6000 };
     const ends = { faults: ['endpoint-kill'], earlyEnds: [...EarlyEnds] };
-    const result = await soak({ seed: 1, ...times, ...ends, hasAnswerFaults: false });
+    // How long both endpoints of the streams are up at once, beside crashes and kills, depends on the run.
+    const awaitedEnds = { resumed: 4 };
+    const result = await soak({ seed: 1, ...times, ...ends, awaitedEnds, hasAnswerFaults: false });
     expect(describeFailures(result)).toEqual([]);
     expect(result.falseEnds.resumed).toBeGreaterThan(3);
     // An instance whose endpoints are told more time than its caller gives cuts before they stop.
