Soak: a caller on a plain socket uses no connection whose answer announced the close

Cause, likely: callers on plain sockets took a connection for open until its end had arrived. A caller of HTTP leaves such a connection.

Shown by: socketCallers "a connection whose answer announces the close is used again or not" fails before and passes after. As strict as before: a connection whose answer announces nothing is used again (tested beside it), so a request that is lost behind such an answer still counts, and what answers come behind an announced close is still looked at.

--- a/packages/replay/src/soak/socketCallers.ts
+++ b/packages/replay/src/soak/socketCallers.ts
@@ -126,7 +126,7 @@
   const limit = setTimeout(() => connection.leave('reset'), TIME_LIMIT_MS + EXTRA_PATIENCE_MS);
   await Promise.all(answers);
   clearTimeout(limit);
-  if (endsConnection(round) || leaving) {
+  if (endsConnection(round) || leaving || !connection.isOpen()) {
     await Promise.race([connection.closed, pause(CLOSE_TIMEOUT_MS)]);
     connection.leave('fin');
   }
--- a/packages/replay/src/soak/socketConnection.ts
+++ b/packages/replay/src/soak/socketConnection.ts
@@ -9,6 +9,7 @@
 
 /** A connection of a caller that writes its requests itself. */
 export interface SocketConnection {
+  /** Whether it takes a further request: it is open, and no answer has announced its close. */
   isOpen(): boolean;
   /** Resolves to the answer that comes next once those expected before have come. */
   expect(id: string): Promise<CallerAnswer>;
@@ -45,9 +46,11 @@
   let error: string | undefined;
   let isClosed = false;
   let hasLeft = false;
+  let isEnding = false;
 
   const parser = createAnswerParser({
     onAnswer(answer) {
+      isEnding ||= answer.headers.connection === 'close';
       const next = expected.shift();
       if (next) next.resolve(toCallerAnswer(next.id, answer));
       else if (!hasLeft) strays.push(answer.status);
@@ -84,7 +87,7 @@
     error ??= message;
   });
   return {
-    isOpen: () => !isClosed && socket.writable,
+    isOpen: () => !isClosed && !isEnding && socket.writable,
     expect: (id) =>
       new Promise((resolve) => {
         expected.push({ id, resolve });
--- a/packages/replay/test/socketCallers.test.ts
+++ b/packages/replay/test/socketCallers.test.ts
@@ -80,10 +80,10 @@
   expect(parse(text, 1000).unreadable).toHaveLength(1);
 });
 
-async function serveBytes(text: string) {
+async function serveBytes(text: string, keepsOpen = false) {
   const server = net.createServer((socket) => {
     socket.on('error', () => undefined);
-    socket.once('data', () => socket.end(text));
+    socket.once('data', () => (keepsOpen ? socket.write(text) : socket.end(text)));
   });
   return { address: await listen(server, '127.0.0.1:0'), close: () => server.close() };
 }
@@ -122,6 +122,22 @@
   close();
 });
 
+test.each([
+  ['announces the close', LENGTH.replace('Content', 'Connection: close\r\nContent'), false],
+  ['does not', LENGTH, true],
+])('a connection whose answer %s is used again or not', async (_, text, isOpen) => {
+  const { address, close } = await serveBytes(text, true);
+  const connection = openSocket(address);
+  const answer = connection.expect('a');
+  connection.write('x');
+  await answer;
+  const isUsed = connection.isOpen();
+  connection.leave('reset');
+  await connection.closed;
+  close();
+  expect(isUsed).toBe(isOpen);
+});
+
 test('a caller that leaves sees no more of its answers', async () => {
   const { address, close } = await serveBytes(LENGTH);
   const connection = openSocket(address);
