A connection that its caller did not wait for tells nothing of its endpoint

Cause: an attempt whose caller's time limit passes, or whose caller leaves, before its connection is open ended as "unreachable". Its endpoint was avoided at once, for 2 s, but for one request that tries it; two such endpoints took their data centre away. Sound requests that arrived meanwhile were refused where no other endpoint was left. Now such an attempt leaves the endpoint as it was. That a connection does not open in time is still noted by the dialer, and by each request that waits for it.

Shown by: platform/test/shortLimits: behind a caller that gave 60 ms while the path hung, 3 of 5 requests were served before, 5 of 5 after.

--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -160,14 +160,16 @@
   if (reply.ok && reply.val.kind === 'whole' && isServerError(reply.val)) {
     run.failure = { head: reply.val.head, body: reply.val.body };
   }
-  slot.release(reply.ok ? 'failed' : toSlotResult(reply.val));
+  slot.release(reply.ok ? 'failed' : toSlotResult(run, reply.val));
   run.excluded.add(slot.endpoint.name);
 }
 
-function toSlotResult({ kind }: SendError): SlotResult {
+// A connection that nobody waits for any more may still open in time.
+function toSlotResult<Payload>({ stop }: Run<Payload>, { kind }: SendError): SlotResult {
   return match(kind)
     .with('broken', () => 'failed' as const)
-    .with('unreachable', 'replaced', () => 'unreachable' as const)
+    .with('unreachable', () => (stop.signal.aborted ? 'unused' : 'unreachable'))
+    .with('replaced', () => 'unreachable' as const)
     .with('declined', () => 'ok' as const)
     .with('withheld', 'unsendable', () => 'unused' as const)
     .exhaustive();
