--- a/packages/forwarding/src/relays/dialer.ts
+++ b/packages/forwarding/src/relays/dialer.ts
@@ -1,4 +1,5 @@
 import { Err, Ok } from 'ts-results';
+import { match } from 'ts-pattern';
 import { Diagnostics, withTimeout } from '@pomeloroad/core';
 import type {
   Clock,
@@ -19,6 +20,8 @@
 import { createReach } from './reach';
 import { createRelayChoice } from './relayChoice';
 import type { Relay } from './relayRows';
+import { createTunnels } from './tunnels';
+import type { TunnelFailure } from './tunnels';
 
 /** Links take a few milliseconds; a lost SYN packet is retransmitted only after a second. */
 const OWN_TIMEOUT_MS: Milliseconds = 350;
@@ -27,6 +30,8 @@
 /** Time for which one relay is awaited alone. */
 const NEXT_RELAY_DELAY_MS: Milliseconds = 100;
 const RELAY_TIMEOUT_MS: Milliseconds = 250;
+/** Time after which a tunnel that nobody waits for any more is given up. */
+const LATE_TUNNEL_TIMEOUT_MS: Milliseconds = 3000;
 const RELAYS_MAX = 3;
 /** Time until all ways have failed. */
 const DIAL_TIMEOUT_MS: Milliseconds = 450;
@@ -79,6 +84,7 @@
   const paths = createPaths(clock);
   const choice = createRelayChoice(clock, random, host.dataCentre);
   const open = createOpenConnections();
+  const tunnels = createTunnels({ clock, open: openTunnel });
   const reach = createReach({
     clock,
     random,
@@ -112,12 +118,11 @@
     return connected;
   }
 
-  async function connectThrough(
+  async function openTunnel(
     relay: Relay,
     { id, address }: EndpointRecord,
-    timeout: Milliseconds,
   ): Promise<Outcome<Connection, TunnelError>> {
-    const opened = await host.openTunnel(relay, id, timeout);
+    const opened = await host.openTunnel(relay, id, LATE_TUNNEL_TIMEOUT_MS);
     metrics.connections.add(1, { way: 'relay', outcome: opened.err ? opened.val : 'opened' });
     if (opened.err) {
       choice.noteFailure(relay, id, opened.val);
@@ -128,6 +133,19 @@
     return opened;
   }
 
+  async function connectThrough(
+    relay: Relay,
+    endpoint: EndpointRecord,
+    timeout: Milliseconds,
+  ): Promise<Outcome<Connection, TunnelFailure>> {
+    const opened = await tunnels.get(relay, endpoint, timeout);
+    if (opened.err && opened.val === 'late') {
+      metrics.connections.add(1, { way: 'relay', outcome: 'late' });
+      choice.noteFailure(relay, endpoint.id, 'unreachable');
+    }
+    return opened;
+  }
+
   async function dial(address: string): Promise<Outcome<Connection, ConnectError>> {
     const endpoint = findEndpoint(address);
     const relays = endpoint && paths.mayRelay(address) ? host.listRelays() : [];
@@ -139,6 +157,13 @@
       Math.max(1, Math.min(most, until - clock.elapsed()));
     let relayed: Relay | undefined;
 
+    // Where no endpoint is reached at all, the own paths are tried without requests.
+    function getOrder(): 'own first' | 'relays first' | 'relays only' {
+      if (!isDoubtful) return 'own first';
+      const hasReaching = relays.some(({ isCutOff }) => !isCutOff);
+      return reach.isLost() && hasReaching ? 'relays only' : 'relays first';
+    }
+
     // The own path may turn out to have failed after a relay has opened a connection.
     function noteWays(): void {
       if (!relayed || !paths.noteRelayed(address)) return;
@@ -153,20 +178,25 @@
         return connected.mapErr((error) => ({ kind: 'own' as const, error }));
       },
     };
-    const through = choice
-      .pick(endpoint.id, relays, RELAYS_MAX)
-      .map((relay, index): Way<DialFailure> => ({
-        delay: index === 0 ? RELAY_DELAY_MS : NEXT_RELAY_DELAY_MS,
-        async open() {
-          const opened = await connectThrough(relay, endpoint, getTimeLeft(RELAY_TIMEOUT_MS));
-          if (opened.ok) {
-            relayed = relay;
-            noteWays();
-          }
-          return opened.mapErr((error) => ({ kind: 'relay' as const, error }));
-        },
-      }));
-    const ways = isDoubtful ? [...through, { ...own, delay: RELAY_DELAY_MS }] : [own, ...through];
+    const relaysAsked = choice.pick(endpoint.id, relays, RELAYS_MAX);
+    const through = relaysAsked.map((relay, index): Way<DialFailure> => ({
+      delay: index === 0 ? RELAY_DELAY_MS : NEXT_RELAY_DELAY_MS,
+      async open() {
+        const isLast = index === relaysAsked.length - 1;
+        const timeout = getTimeLeft(isLast ? DIAL_TIMEOUT_MS : RELAY_TIMEOUT_MS);
+        const opened = await connectThrough(relay, endpoint, timeout);
+        if (opened.ok) {
+          relayed = relay;
+          noteWays();
+        }
+        return opened.mapErr((error) => ({ kind: 'relay' as const, error }));
+      },
+    }));
+    const ways = match(getOrder())
+      .with('own first', () => [own, ...through])
+      .with('relays first', () => [...through, { ...own, delay: RELAY_DELAY_MS }])
+      .with('relays only', () => through)
+      .exhaustive();
     const dialed = await raceConnections(clock, ways);
     if (dialed.ok) return dialed;
     // Relays that did not answer, or have no path either, tell nothing of the endpoint.
@@ -228,7 +258,7 @@
   };
 }
 
-type DialFailure = { kind: 'own'; error: ConnectError } | { kind: 'relay'; error: TunnelError };
+type DialFailure = { kind: 'own'; error: ConnectError } | { kind: 'relay'; error: TunnelFailure };
 
 function isRefusedByRelay(failures: DialFailure[]): boolean {
   return failures.some(({ kind, error }) => kind === 'relay' && error === 'refused');
@@ -244,6 +274,7 @@
   const told = failures.filter((failure) => failure.kind === 'relay').map(({ error }) => error);
   const message = own?.error.message ?? 'no way to the endpoint';
   if (told.includes('refused')) return { kind: 'refused', message };
+  if (isReachLost && told.includes('late')) return { kind: 'late', message };
   if (own?.error.kind === 'late') return { kind: 'late', message };
   const hasPathDoubt = isReachLost || told.includes('no-path');
   return { kind: own?.error.kind === 'refused' && !hasPathDoubt ? 'refused' : 'failed', message };
