What a caller sends behind a running request is bounded

Cause: a body is read as soon as its head has come, whatever waits.

Now bodies are read on while a megabyte is held at most, except that of the request whose turn it is; and beyond 64 requests the connection is not read (waitingBodies). A pause of the socket alone does nothing where bodies are read, since each one resumes it; so the bodies are paused. All answers come in order.

--- a/packages/core/src/serverConnections.ts
+++ b/packages/core/src/serverConnections.ts
@@ -4,6 +4,8 @@
 import { Err, Ok } from 'ts-results';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Milliseconds, Outcome } from './types';
+import { createWaitingBodies } from './waitingBodies';
+import type { WaitingBodies } from './waitingBodies';
 
 /** Time and bytes within which the caller of a closed connection may still send without a reset. */
 const LINGER_MS: Milliseconds = 1000;
@@ -24,6 +26,7 @@
 
 /** A connection of a server, with the requests that are accepted on it. */
 interface ServerConnection {
+  bodies: WaitingBodies;
   isDropping(): boolean;
   /** Whether the latest accepted request's response is the last one. */
   isEnding(): boolean;
@@ -108,7 +111,7 @@
       resolve(Err(fault));
     };
     connection.onUnreadable(() => fail('unreadable'));
-    message.on('data', (chunk: Buffer) => {
+    connection.bodies.read(message, (chunk) => {
       size += chunk.length;
       if (size > limit) fail('too-large');
       else chunks.push(chunk);
@@ -134,6 +137,7 @@
 function createConnection(socket: Socket): ServerConnection {
   /** Responses that are not sent in full, in the order of their requests. */
   const open = new Set<ServerResponse>();
+  const bodies = createWaitingBodies(socket);
   let latest: ServerResponse | undefined;
   let abandonBody: () => void = () => undefined;
   let isDropping = false;
@@ -149,8 +153,15 @@
     open.add(response);
     response.once('finish', () => {
       open.delete(response);
+      bodies.release(response.req);
       closeRefused();
+      limitInput();
     });
+    limitInput();
+  }
+
+  function limitInput(): void {
+    if (!isDropping) bodies.limit(open.size);
   }
 
   function prepareClose(): void {
@@ -222,6 +233,7 @@
   }
 
   return {
+    bodies,
     isDropping: () => isDropping,
     isEnding: () => latest?.shouldKeepAlive === false,
     isLatest: (response) => latest === response,
--- a/packages/core/test/serverConnections.test.ts
+++ b/packages/core/test/serverConnections.test.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
 import { openPlainCaller, parseAnswers } from '@pomeloroad/standins';
+import type { PlainCaller } from '@pomeloroad/standins';
 import { createOpenRequests, listen, readRequestBody, serveInOrder } from '../src';
 import type { OpenRequests } from '../src';
 
@@ -70,3 +71,59 @@
   expect(statuses).toEqual([200, 408]);
   expect(served).toEqual(['GET']);
 });
+
+/** Requests that a caller sends behind one that runs, by their number: far more than the system buffers. */
+const MANY: [string, number, string, string][] = [
+  ['bodies', 500, 'Content-Length: 90000', 'x'.repeat(90_000)],
+  ['heads', 5000, `X-A: ${'x'.repeat(9000)}`, ''],
+];
+/** What a server may hold for one caller: a megabyte, and what the system reads in one turn of the event loop. */
+const HELD_MAX_BYTES = 4_000_000;
+const SETTLED_MS = 300;
+
+const settle = () =>
+  new Promise((resolve) => {
+    setTimeout(resolve, SETTLED_MS);
+  });
+
+async function waitUntilSettled(count: () => number): Promise<number> {
+  const before = count();
+  await settle();
+  return before > 0 && count() === before ? before : waitUntilSettled(count);
+}
+
+async function waitForAnswers(caller: PlainCaller, count: number): Promise<void> {
+  if (parseAnswers(caller.text()).length >= count) return;
+  await settle();
+  await waitForAnswers(caller, count);
+}
+
+// Guards against a caller for whom a server holds any number of requests.
+test.each(MANY)('the %s behind a request that runs are bounded', async (_, count, header, body) => {
+  server = http.createServer();
+  let endWork = () => {};
+  const work = new Promise<void>((resolve) => {
+    endWork = resolve;
+  });
+  serveInOrder(server, async (message, response) => {
+    if ((await readRequestBody(message)).err) return;
+    await work;
+    response.end(message.url);
+  });
+  let parsed = 0;
+  server.on('request', () => {
+    parsed += 1;
+  });
+  const caller = openPlainCaller(await listen(server, '127.0.0.1:0'));
+  const targets = Array.from({ length: count }, (__, index) => `/${index}`);
+  const requests = targets.map(
+    (target) => `POST ${target} HTTP/1.1\r\nHost: a\r\n${header}\r\n\r\n${body}`,
+  );
+  requests.forEach((request) => caller.socket.write(request));
+  const held = await waitUntilSettled(() => parsed);
+  expect(held * requests[0]!.length).toBeLessThan(HELD_MAX_BYTES);
+  endWork();
+  await waitForAnswers(caller, count);
+  expect(parseAnswers(caller.text()).map((answer) => answer.body)).toEqual(targets);
+  caller.socket.destroy();
+});
