A test of connections in order over TLS

packages/entry serves its callers over TLS (--tls-cert), and the tests of serverConnections spoke plain HTTP only. A shared key takes the place of a certificate.

--- /dev/null
+++ b/packages/core/test/secureConnections.test.ts
@@ -0,0 +1,60 @@
+import https from 'node:https';
+import tls from 'node:tls';
+import { parseAnswers } from '@pomeloroad/standins';
+import { listen, serveInOrder, splitAddress } from '../src';
+
+const WORK_MS = 200;
+const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
+/** A shared key, so that no certificate is needed. */
+const KEY = Buffer.from('0123456789abcdef');
+const CIPHERS: tls.SecureContextOptions = { ciphers: 'PSK', maxVersion: 'TLSv1.2' };
+/** What can't be served, and the status of its refusal. */
+const REFUSED: [string, string, number][] = [
+  ['bytes that are no request', 'no request\r\n\r\n', 400],
+  [
+    'two lengths',
+    'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab',
+    400,
+  ],
+  ['a tunnel', 'CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n', 400],
+];
+
+let server: https.Server;
+
+afterEach(() => {
+  server.closeAllConnections();
+  server.close();
+});
+
+async function startServer(): Promise<string> {
+  server = https.createServer({ ...CIPHERS, pskCallback: () => KEY, requireHostHeader: false });
+  serveInOrder(server, (_, response) => {
+    setTimeout(() => response.end('done'), WORK_MS);
+  });
+  return listen(server, '127.0.0.1:0');
+}
+
+// Sends the bytes, and resolves to what came until the connection closed, and whether it closed in order.
+function send(address: string, bytes: string): Promise<{ text: string; isClosed: boolean }> {
+  const socket = tls.connect({
+    ...splitAddress(address),
+    ...CIPHERS,
+    pskCallback: () => ({ psk: KEY, identity: 'a' }),
+    checkServerIdentity: () => undefined,
+  });
+  let text = '';
+  socket.on('data', (data: Buffer) => {
+    text += data.toString('latin1');
+  });
+  socket.on('error', () => undefined);
+  socket.write(bytes);
+  return new Promise((resolve) => {
+    socket.on('close', (hadError) => resolve({ text, isClosed: !hadError }));
+  });
+}
+
+test.each(REFUSED)('over TLS, %s are refused after the answers', async (_, bytes, status) => {
+  const { text, isClosed } = await send(await startServer(), REQUEST + REQUEST + bytes);
+  expect(parseAnswers(text).map((answer) => answer.status)).toEqual([200, 200, status]);
+  expect(isClosed).toBe(true);
+});
