A change told before a rewind is not taken for one of the era after it

Callers: what changed in a table soon after a rewind could stay unknown to one instance until its feed started again: a budget's limit, the configuration, an endpoint's entry. Found in reading; not seen in a run of the fleet.

Cause: readChanges compared the era of the answer with the era in which it had asked, but not with the present one. If all rows were read again meanwhile (refresh, as after a pause of the process or an answer's doubtful end) and that reading was of the next era, a late answer of the era before was applied over it, and its version, higher than those of the new era, was asked for next.

Ruled out: the late answer of an older era where no reading came between; that was dropped before (first test of the file).

Evidence: 'an answer of the era before that comes after a reading of the next one is dropped' failed on ('lost' was applied) and passes; npx jest packages/forwarding/test/follow.

--- a/packages/forwarding/src/store/follow.ts
+++ b/packages/forwarding/src/store/follow.ts
@@ -102,7 +102,7 @@
       return false;
     }
     // Changes of another era do not continue from the version asked for: all rows are read again.
-    if (view.val.era !== eraBefore) return false;
+    if (view.val.era !== eraBefore || era !== eraBefore) return false;
     markAvailable(startedAt);
     version = Math.max(version, view.val.version);
     if (view.val.changes.length > 0) listener.onChanges(view.val.changes);
--- a/packages/forwarding/test/follow.test.ts
+++ b/packages/forwarding/test/follow.test.ts
@@ -114,3 +114,28 @@
   stop();
   expect(seen).toEqual(['listed in 1', 'listed in 2', 'listed in 2']);
 });
+
+test('an answer of the era before that comes after a reading of the next one is dropped', async () => {
+  const clock = createManualClock();
+  let era = 1;
+  const answers: ((view: ChangeView) => void)[] = [];
+  const asked: number[] = [];
+  const { seen, refresh, stop } = follow(clock, {
+    transact: async () => Ok({ era: 1, revision: 0 }),
+    list: async () => Ok({ rows: [row(3, `listed in ${era}`)], version: 3, era, now: 0 }),
+    follow: (_table, after) => {
+      asked.push(after);
+      return new Promise((resolve) => {
+        answers.push((view) => resolve(Ok(view)));
+      });
+    },
+  });
+  await clock.advance(200);
+  era = 2;
+  await refresh();
+  answers[0]?.({ changes: [row(9, 'lost')], version: 9, era: 1 });
+  await clock.advance(400);
+  stop();
+  expect(seen).toEqual(['listed in 1', 'listed in 2', 'listed in 2']);
+  expect(asked).toEqual([3, 3]);
+});
