Changes that are older than a reading of their table do not undo it

Callers: an endpoint that had left could be used again by one instance, for as long as its feed went on, and an endpoint that had come back could stay unused.

Cause: a reading of all rows may overtake an answer of the feed that was on its way. The answer's changes were applied over the reading, while the feed went on from the reading's version: a removal between the two was not told again.

Ruled out: an answer as new as the reading or newer; its changes end in the same rows.

Evidence: 'changes that are older than a reading do not undo it' failed on ('renewed' after the removal) and passes; npx jest packages/forwarding/test/follow.

--- a/packages/forwarding/src/store/follow.ts
+++ b/packages/forwarding/src/store/follow.ts
@@ -104,7 +104,9 @@
     // Changes of another era do not continue from the version asked for: all rows are read again.
     if (view.val.era !== eraBefore || era !== eraBefore) return false;
     markAvailable(startedAt);
-    version = Math.max(version, view.val.version);
+    // A reading was faster: it is newer than these changes, and the feed goes on from it.
+    if (view.val.version < version) return true;
+    version = view.val.version;
     if (view.val.changes.length > 0) listener.onChanges(view.val.changes);
     return true;
   }
--- a/packages/forwarding/test/follow.test.ts
+++ b/packages/forwarding/test/follow.test.ts
@@ -115,6 +115,30 @@
   expect(seen).toEqual(['listed in 1', 'listed in 2', 'listed in 2']);
 });
 
+test('changes that are older than a reading do not undo it', async () => {
+  const clock = createManualClock();
+  const memory = createMemoryRowStore();
+  await memory.transact({ checks: [], puts: [{ ...key, value: 'listed' }], removals: [] });
+  let delay = 0;
+  const { seen, refresh, stop } = follow(clock, {
+    ...memory,
+    async follow(table, after, wait) {
+      const view = await memory.follow(table, after, wait);
+      await sleep(clock, delay);
+      return view;
+    },
+  });
+  await clock.advance(200);
+  delay = 300;
+  await memory.transact({ checks: [], puts: [{ ...key, value: 'renewed' }], removals: [] });
+  await clock.advance(100);
+  await memory.transact({ checks: [], puts: [], removals: [key] });
+  await refresh();
+  await clock.advance(1000);
+  stop();
+  expect(seen).toEqual(['listed']);
+});
+
 test('an answer of the era before that comes after a reading of the next one is dropped', async () => {
   const clock = createManualClock();
   let era = 1;
