A refusal is believed where many endpoints died together, and refusals are confirmed together

Review of: an instance that is asked for a tunnel believes a refusal only if it reaches another endpoint after it, of three. Where these three had died too, it said no-path, and the endpoint was not taken for dead: a crash was not seen, and an answer that its kill had cut in order could look whole. Each refused tunnel also opened three connections of its own. Now eight others are tried, by one look for all who ask meanwhile.

--- a/packages/forwarding/src/relays/reach.ts
+++ b/packages/forwarding/src/relays/reach.ts
@@ -1,9 +1,12 @@
 import { sleep } from '@pomeloroad/core';
 import type { Clock, Milliseconds, Random } from '@pomeloroad/core';
+import { shareCalls } from '../store/sharedCalls';
 
 const REFERENCE_TIMEOUT_MS: Milliseconds = 100;
 /** Endpoints that are tried to learn whether this instance has a path at all. */
 const REFERENCES_MAX = 3;
+/** Endpoints that are tried before a refusal is taken for a lost path, since many may have died together. */
+const CONFIRM_REFERENCES_MAX = 8;
 /** Interval at which a lost reach is tried again. */
 const RETRY_INTERVAL_MS: Milliseconds = 1000;
 
@@ -44,10 +47,13 @@
     host.onChange(next);
   }
 
-  function pickReferences(isExcluded: (address: string) => boolean = () => false): string[] {
+  function pickReferences(
+    most: number,
+    isExcluded: (address: string) => boolean = () => false,
+  ): string[] {
     const others = host.listAddresses().filter((address) => !isExcluded(address));
     const from = random.integer(0, Math.max(0, others.length - 1));
-    return [...others.slice(from), ...others.slice(0, from)].slice(0, REFERENCES_MAX);
+    return [...others.slice(from), ...others.slice(0, from)].slice(0, most);
   }
 
   async function reachesAny(references: string[]): Promise<boolean> {
@@ -58,16 +64,20 @@
 
   async function look(): Promise<void> {
     isLooking = true;
-    let isReached = await reachesAny(pickReferences((address) => failed.has(address)));
+    let isReached = await reachesAny(
+      pickReferences(REFERENCES_MAX, (address) => failed.has(address)),
+    );
     if (!isReached) setLost(true);
     // No request may come that would tell that the paths work again.
     while (!isReached && !signal.aborted) {
       await sleep(clock, RETRY_INTERVAL_MS, signal);
-      isReached = !isLost || (await reachesAny(pickReferences()));
+      isReached = !isLost || (await reachesAny(pickReferences(REFERENCES_MAX)));
     }
     isLooking = false;
   }
 
+  const confirmAny = shareCalls(() => reachesAny(pickReferences(CONFIRM_REFERENCES_MAX)));
+
   // One endpoint alone does not tell its own death from a lost path.
   function isDoubtful(): boolean {
     const known = host.listAddresses().length;
@@ -87,8 +97,7 @@
     isLost: () => isLost,
     async confirm(address) {
       if (isLost) return false;
-      const references = pickReferences((other) => other === address);
-      return references.length === 0 || (await reachesAny(references));
+      return host.listAddresses().every((other) => other === address) || confirmAny();
     },
   };
 }
