--- a/packages/budgets/src/escrow.ts
+++ b/packages/budgets/src/escrow.ts
@@ -1,10 +1,9 @@
 import type { Tokens } from '@pomeloroad/core';
 import { createEscrowAccount } from './escrowAccount';
-import type { EscrowAccount } from './escrowAccount';
 import { reclaimGrant } from './escrowReclaim';
 import { LIMIT_REWRITE_MAX_MS, NO_ANCESTRY } from './escrowRestoration';
 import type { Predecessor } from './escrowLease';
-import type { Escrow, EscrowHost } from './escrowTypes';
+import type { Escrow, EscrowAccount, EscrowHost } from './escrowTypes';
 
 /** Most instances that rebalance one budget at a time, since their writes conflict in its row. */
 const MAX_INSTANCES_PER_TURN = 16;
--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -2,12 +2,11 @@
 import { match } from 'ts-pattern';
 import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
 import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
-import type { StoreEra, VersionedRow } from '@pomeloroad/storage';
 import { LIMIT_REWRITE_MAX_MS } from './escrowRestoration';
 import type { Ancestry } from './escrowRestoration';
 import { getSpendable } from './escrowRows';
 import type { BudgetTotal, Grant } from './escrowRows';
-import type { EscrowError, EscrowHost, EscrowReservation, EscrowState } from './escrowTypes';
+import type { EscrowAccount, EscrowError, EscrowHost, EscrowReservation } from './escrowTypes';
 import { needsResize, planGrant, raiseCeiling } from './escrowPlan';
 import type { GrantUse } from './escrowPlan';
 import { createEscrowQueue } from './escrowQueue';
@@ -28,7 +27,6 @@
 const RETURN_TIME_MS: Milliseconds = 400;
 /** Shortest interval between two calls on the other instances to return tokens. */
 const RETURN_CALL_INTERVAL_MS = 1000;
-
 /** Interval for each instance over which the calls that put back grants are spread. */
 const RESTORE_SPREAD_PER_INSTANCE_MS: Milliseconds = 16;
 
@@ -48,30 +46,6 @@
 /** The error of a request that the store left without an answer. */
 const UNREACHABLE_ERROR: EscrowError = { kind: 'unreachable', retryAfter: RETRY_AFTER_MAX_MS };
 
-/** The grant that this instance holds on the budget of one client account. */
-export interface EscrowAccount {
-  /** Reserves tokens; waits up to `maxWait` for tokens that other requests or instances return. */
-  reserve(tokens: Tokens, maxWait: Milliseconds): Promise<Outcome<EscrowReservation, EscrowError>>;
-  /** Sets the tokens that the account has paid for. */
-  setLimit(limit: Tokens): void;
-  /** Applies a change of the budget's row from the store's feed. */
-  applyTotal(row: VersionedRow): void;
-  /** Follows the store into a new era, in which it has come back from an older copy. */
-  startEra(era: StoreEra): void;
-  /** Sets what is known of the grants of earlier processes of this machine. */
-  setAncestry(ancestry: Ancestry): void;
-  /** Starts to resize the grant to what the rate of use calls for. */
-  rebalance(): void;
-  /** Returns all tokens that are not in use and holds no spare ones from now on. */
-  retire(): void;
-  /** Retires, and retries until all unused tokens are returned; resolves within the timeout. */
-  release(timeout: Milliseconds): Promise<void>;
-  /** Whether the ceiling in the grant's row covers all tokens spent or reserved. */
-  isUsageCovered(): boolean;
-  /** The account's state for a state dump. */
-  describe(): EscrowState;
-}
-
 /** Creates the escrow of an account; it holds no tokens at first. */
 export function createEscrowAccount(host: EscrowHost, account: string): EscrowAccount {
   const { clock, log } = host;
--- a/packages/budgets/src/escrowTypes.ts
+++ b/packages/budgets/src/escrowTypes.ts
@@ -1,6 +1,7 @@
 import type { Clock, Log, Milliseconds, Outcome, Random, Tokens } from '@pomeloroad/core';
-import type { RowChange, RowStore, StoreEra } from '@pomeloroad/storage';
+import type { RowChange, RowStore, StoreEra, VersionedRow } from '@pomeloroad/storage';
 import type { Predecessor } from './escrowLease';
+import type { Ancestry } from './escrowRestoration';
 
 /** Dependencies of the escrow. */
 export interface EscrowHost {
@@ -94,3 +95,27 @@
 
 /** Table of the grants: one row for each account and incarnation. */
 export const GRANT_TABLE = 'grants';
+
+/** The grant that this instance holds on the budget of one client account. */
+export interface EscrowAccount {
+  /** Reserves tokens; waits up to `maxWait` for tokens that other requests or instances return. */
+  reserve(tokens: Tokens, maxWait: Milliseconds): Promise<Outcome<EscrowReservation, EscrowError>>;
+  /** Sets the tokens that the account has paid for. */
+  setLimit(limit: Tokens): void;
+  /** Applies a change of the budget's row from the store's feed. */
+  applyTotal(row: VersionedRow): void;
+  /** Follows the store into a new era, in which it has come back from an older copy. */
+  startEra(era: StoreEra): void;
+  /** Sets what is known of the grants of earlier processes of this machine. */
+  setAncestry(ancestry: Ancestry): void;
+  /** Starts to resize the grant to what the rate of use calls for. */
+  rebalance(): void;
+  /** Returns all tokens that are not in use and holds no spare ones from now on. */
+  retire(): void;
+  /** Retires, and retries until all unused tokens are returned; resolves within the timeout. */
+  release(timeout: Milliseconds): Promise<void>;
+  /** Whether the ceiling in the grant's row covers all tokens spent or reserved. */
+  isUsageCovered(): boolean;
+  /** The account's state for a state dump. */
+  describe(): EscrowState;
+}
