--- a/packages/forwarding/test/suspectsFleet.test.ts
+++ b/packages/forwarding/test/suspectsFleet.test.ts
@@ -1,13 +1,10 @@
-import { Err } from 'ts-results';
 import { createManualClock, createRandom, sleep } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
-import type { RowStore } from '@pomeloroad/storage';
-import { startSharedFeed } from '../src/store/sharedFeed';
 import { createEndpointLosses } from '../src/store/endpointLosses';
-import { startSuspects } from '../src/suspects/suspects';
 import type { Suspicion } from '../src/suspects/suspectEvidence';
-import type { Suspects } from '../src/suspects/suspects';
+import { startInstance } from './suspectsInstance';
+import type { Instance } from './suspectsInstance';
 
 /** The platform's bound in the largest deployments. */
 const CONTACT_MS: Milliseconds = 4000;
@@ -26,14 +23,6 @@
 
 const HELD = new Set<Suspicion>(['suspected', 'blocked']);
 
-interface Instance {
-  suspects: Suspects;
-  stop: AbortController;
-  isCut: boolean;
-  /** Time from which on the instance is in touch again. */
-  calmFrom: Milliseconds;
-}
-
 // Plays bad requests at random instances, which are restarted or cut off from the store by turns.
 async function play(
   kind: 'part' | 'request',
@@ -51,25 +40,8 @@
   const sent: { at: Milliseconds; isInTouch: boolean }[] = [];
 
   function start(): Instance {
-    const stop = new AbortController();
-    async function call<T>(answer: () => Promise<T>) {
-      await sleep(clock, STORE_CALL_MS);
-      return instance.isCut ? Err({ kind: 'unavailable' as const, message: 'cut' }) : answer();
-    }
-    const rows: RowStore = {
-      transact: (...args) => call(() => memory.transact(...args)),
-      list: (...args) => call(() => memory.list(...args)),
-      follow: (...args) => call(() => memory.follow(...args)),
-    };
-    const following = { clock, log: () => undefined, rows, signal: stop.signal };
-    const known = {
-      mayHaveOthers: losses.mayHaveOthers,
-      getViewTime: () => (instance.isCut ? -Infinity : clock.elapsed()),
-    };
-    const host = { ...following, feed: startSharedFeed(following), random, losses: known };
-    const instance: Instance = { stop, isCut: false, calmFrom: CONTACT_MS, suspects: null! };
-    instance.suspects = startSuspects(host);
-    return instance;
+    const shared = { clock, random, memory, losses, storeCall: STORE_CALL_MS };
+    return startInstance(shared, CONTACT_MS);
   }
 
   // The endpoint dies under the request; its instance learns so unless it was stopped meanwhile.
--- a/packages/forwarding/test/suspectsModel.ts
+++ b/packages/forwarding/test/suspectsModel.ts
@@ -1,12 +1,9 @@
-import { Err } from 'ts-results';
 import { createManualClock, createRandom, sleep } from '@pomeloroad/core';
 import type { Milliseconds, Random } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
-import type { RowStore } from '@pomeloroad/storage';
-import { startSharedFeed } from '../src/store/sharedFeed';
-import { startSuspects } from '../src/suspects/suspects';
 import { createEndpointLosses } from '../src/store/endpointLosses';
-import type { Suspects } from '../src/suspects/suspects';
+import { startInstance } from './suspectsInstance';
+import type { Instance } from './suspectsInstance';
 
 const CONTACT_MS: Milliseconds = 3000;
 /** Crashes after which bad requests are limited: of a part of prompts, and of one whole request. */
@@ -65,14 +62,6 @@
   refused: number;
 }
 
-interface Instance {
-  suspects: Suspects;
-  stop: AbortController;
-  isCut: boolean;
-  /** Time from which on the instance is in touch again. */
-  calmFrom: Milliseconds;
-}
-
 interface Work {
   instance: Instance;
   names: string[];
@@ -106,25 +95,8 @@
   let requests = 0;
 
   function start(): Instance {
-    const stop = new AbortController();
-    async function call<T>(answer: () => Promise<T>) {
-      await sleep(clock, STORE_CALL_MS);
-      return instance.isCut ? Err({ kind: 'unavailable' as const, message: 'cut' }) : answer();
-    }
-    const rows: RowStore = {
-      transact: (...args) => call(() => memory.transact(...args)),
-      list: (...args) => call(() => memory.list(...args)),
-      follow: (...args) => call(() => memory.follow(...args)),
-    };
-    const following = { clock, log: () => undefined, rows, signal: stop.signal };
-    const known = {
-      mayHaveOthers: losses.mayHaveOthers,
-      getViewTime: () => (instance.isCut ? -Infinity : clock.elapsed()),
-    };
-    const host = { ...following, feed: startSharedFeed(following), random, losses: known };
-    const instance: Instance = { stop, isCut: false, calmFrom: 0, suspects: null! };
-    instance.suspects = startSuspects(host);
-    return instance;
+    const shared = { clock, random, memory, losses, storeCall: STORE_CALL_MS };
+    return startInstance(shared, 0);
   }
 
   const isInTouch = ({ calmFrom, stop }: Instance) =>
