--- a/packages/replay/src/soak/callers.ts
+++ b/packages/replay/src/soak/callers.ts
@@ -37,7 +37,7 @@
 /** Ends of answers that are not whole, which some callers ask for: in order, or by a crash. */
 export const EarlyEnds = ['short-limits', 'empty-ends', 'crashing-parts'] as const;
 /** Those that are only asked for by name. */
-export const RareEarlyEnds = ['crashing-requests'] as const;
+export const RareEarlyEnds = ['crashing-requests', 'forgotten-ends'] as const;
 export type EarlyEnd = (typeof EarlyEnds | typeof RareEarlyEnds)[number];
 
 /** Callers that send one request after another. */
@@ -142,16 +142,15 @@
   const part = TIME_LIMIT_PART_MIN + random.fraction() * (1 - TIME_LIMIT_PART_MIN);
   const route = draw(random, ROUTES).name;
   const work = { framing: 'chunked' as const, events, pause: pauseLength };
+  const stream = { ...work, route: 'stream' };
   return match(draw(random, earlyEnds))
     .with('short-limits', () => ({
       ...base,
       work: { ...work, route, fault: 'none' as const },
       timeLimit: Math.ceil(events * pauseLength * part),
     }))
-    .with('empty-ends', () => ({
-      ...base,
-      work: { ...work, route: 'stream', fault: 'empty' as const },
-    }))
+    .with('empty-ends', () => ({ ...base, work: { ...stream, fault: 'empty' as const } }))
+    .with('forgotten-ends', () => ({ ...base, work: { ...stream, fault: 'forgotten' as const } }))
     .with('crashing-parts', () => ({
       ...base,
       work: { ...work, route: draw(random, STREAM_ROUTES), fault: 'crash' as const },
--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -5,8 +5,9 @@
 import { CONTACT_MS, STATUS_OK } from './checkBounds';
 import { checkAnswered, checkOwner } from './answerChecks';
 import { checkCutWhileAlive, checkShutdown } from './cutChecks';
+import { checkCompleteness, checkFalseEnds, checkFraming, checkTimeLimits } from './endChecks';
 import type { FaultLog } from './faultLog';
-import { countEvents, isWhole } from './requestRecord';
+import { isWhole } from './requestRecord';
 import type { EndpointRun, RequestRecord } from './requestRecord';
 import { checkOneVersion } from './versionChecks';
 
@@ -68,61 +69,6 @@
   'one-version': checkOneVersion,
 } satisfies Record<string, RequestCheck>;
 
-function checkCompleteness(record: RequestRecord, context: CheckContext): CheckOutcome {
-  const { answer } = record;
-  if (answer?.framing === 'close' && hasNoChunks(record, context)) return 'skipped';
-  if (answer?.status !== STATUS_OK || !answer.looksComplete) return 'skipped';
-  return hasFalseEnd(record) || isCutUnseen(record) ? 'skipped' : findMissing(record);
-}
-
-// Nothing tells a whole answer without a length from one that a living endpoint ends in order too early.
-function isCutUnseen({ work, runs }: RequestRecord): boolean {
-  return work.framing === 'close' && work.fault === 'short' && runs.length > 0;
-}
-
-// The older build passes the missing framing of an endpoint on, and HTTP/1.0 has none but a length.
-function hasNoChunks(record: RequestRecord, { hasOlderBuild }: CheckContext): boolean {
-  return record.isOldVersion === true || (hasOlderBuild && record.life === 1);
-}
-
-// The kernel closes the connections of an instance that is killed in order, as after a whole answer.
-function checkFraming(record: RequestRecord, context: CheckContext): CheckOutcome {
-  const { answer } = record;
-  if (!answer || answer.status === 0 || hasNoChunks(record, context)) return 'skipped';
-  if (answer.framing !== 'close') return 'held';
-  return { message: 'only the end of its connection ends the answer' };
-}
-
-// Endpoints may state ends falsely; no such end may reach the caller as the end of its answer.
-function checkFalseEnds(record: RequestRecord): CheckOutcome {
-  return hasFalseEnd(record) ? findFalseEnd(record) : 'skipped';
-}
-
-// A time limit that ends an endpoint's work in the middle is not the end of the answer either.
-function checkTimeLimits(record: RequestRecord): CheckOutcome {
-  const { timeLimit, runs } = record;
-  const isUnfinished = runs.length > 0 && runs.every((run) => !run.isStated);
-  if (timeLimit === undefined || !isUnfinished || hasFalseEnd(record)) return 'skipped';
-  return findFalseEnd(record);
-}
-
-function findFalseEnd(record: RequestRecord): CheckOutcome {
-  const { answer } = record;
-  const looksComplete = answer?.status === STATUS_OK && answer.looksComplete;
-  return looksComplete ? findMissing(record) : 'held';
-}
-
-function hasFalseEnd({ runs }: RequestRecord): boolean {
-  return runs.some((run) => run.isFalselyStated);
-}
-
-// Counts the events that the caller had before too.
-function findMissing({ answer, work, resumeAfter }: RequestRecord): CheckOutcome {
-  const events = resumeAfter + countEvents(answer?.body ?? '');
-  if (events >= work.events) return 'held';
-  return { message: `looks complete to a caller that holds ${events} of ${work.events} events` };
-}
-
 function checkContent({ id, answer, work, resumeAfter }: RequestRecord): CheckOutcome {
   if (answer?.status !== STATUS_OK) return 'skipped';
   const expected = renderEvents(id, resumeAfter, work.events, '');
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -6,6 +6,8 @@
 import type { ConfigurationHistory } from './configurationHistory';
 import { CrashKinds, createCrashHistory } from './crashChecks';
 import type { CrashHistory } from './crashChecks';
+import { addEarlyEnds } from './endChecks';
+import type { EarlyEndCount } from './endChecks';
 import { createLimitHistory } from './limitChecks';
 import { createFaultLog } from './faultLog';
 import type { FaultLog } from './faultLog';
@@ -52,6 +54,8 @@
   checks: Record<string, number>;
   /** How often endpoints stated the end of an answer with events missing, by the reason. */
   falseEnds: Record<string, number>;
+  /** The same of judged requests, by the kind of the end, with those that callers took for whole. */
+  earlyEnds: Record<string, EarlyEndCount>;
   /** How often callers on plain sockets did each thing, by its name. */
   behaviours: Record<string, number>;
   /** Number of judged requests by how they ended. */
@@ -79,6 +83,7 @@
     failures: [],
     checks: {},
     falseEnds: {},
+    earlyEnds: {},
     behaviours: {},
     outcomes: {},
     onCrash: () => undefined,
@@ -132,7 +137,7 @@
     record.lines.push({ at, source, text });
     if (!('event' in line)) return;
     recordStep(record, line as unknown as StampedEndpointLine);
-    const isFalse = line.event === 'stopped' && record.runs.some((run) => run.isFalselyStated);
+    const isFalse = line.event === 'stopped' && record.runs.some((run) => run.earlyEnd);
     if (isFalse) count(evidence.falseEnds, String(line.reason));
   }
 
@@ -166,6 +171,7 @@
       const outcome = apply(record, { faults, history, departures, hasOlderBuild });
       if (outcome === 'skipped') return;
       count(evidence.checks, check);
+      if (check === 'false-ends') addEarlyEnds(evidence.earlyEnds, record, outcome);
       if (outcome !== 'held') failRequest(record, check, outcome.message);
     });
     count(evidence.outcomes, describeOutcome(record));
@@ -199,7 +205,7 @@
   match(line)
     .with({ event: 'run' }, ({ account, after, path, body }) => {
       const fields = { endpoint: line.id, at, lastAt: at, account, path, body };
-      const ends = { isStated: false, isFalselyStated: false, isEnded: false };
+      const ends = { isStated: false, isEnded: false };
       record.runs.push({ ...fields, ...ends, sent: after });
       record.arrivals.push(at);
     })
@@ -211,9 +217,9 @@
       const isStated = record.work.framing !== 'close';
       if (run) Object.assign(run, { isStated, isEnded: true });
     })
-    .with({ event: 'stopped' }, () => {
-      // A length that is not met and a close of the connection state nothing.
-      if (run) run.isFalselyStated = record.work.framing === 'chunked';
+    .with({ event: 'stopped' }, ({ reason }) => {
+      // A length that is not met states nothing.
+      if (run && record.work.framing !== 'length') run.earlyEnd = reason;
     })
     .with({ event: 'declined' }, () => record.arrivals.push(at))
     .with({ event: 'crash' }, () => undefined)
--- a/packages/replay/src/soak/injector.ts
+++ b/packages/replay/src/soak/injector.ts
@@ -1,6 +1,6 @@
 import { callHttp } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
-import { ENDPOINT_TABLE, putRow } from '@pomeloroad/standins';
+import { ENDPOINT_TABLE, ORDERLY_END_PATH, putRow } from '@pomeloroad/standins';
 import { match } from 'ts-pattern';
 import type { Rule } from '../faultProxy';
 import { pause } from '../pause';
@@ -72,23 +72,17 @@
         const processes = listProcesses(fleet, signals.target);
         await Promise.all(processes.map((stopped) => disturbProcess(stopped, signals)));
       })
+      .with({ kind: 'orderly-end' }, async (ends) => {
+        const processes = listProcesses(fleet, ends.target);
+        await Promise.all(processes.map((ended) => endInOrder(ended, ends)));
+      })
       .with({ kind: 'roll-out' }, rollOut)
       .with({ kind: 'link' }, disturbLink)
       .with({ kind: 'store' }, ({ fault: name, length }) => disturbStore(name, length))
       .with({ kind: 'crash' }, ({ name }) => restartCrashed(name))
       .with({ kind: 'unreadable-rows' }, writeUnreadableRows)
-      .with({ kind: 'full' }, async ({ index, length }) => {
-        const { child } = getEndpoint(index).program;
-        child.kill('SIGUSR2');
-        await pause(length);
-        child.kill('SIGUSR2');
-      })
-      .with({ kind: 'limited' }, async ({ index, length }) => {
-        const { program } = getEndpoint(index);
-        program.child.kill('SIGHUP');
-        await pause(length);
-        program.child.kill('SIGHUP');
-      })
+      .with({ kind: 'full' }, (full) => switchOver(full, 'SIGUSR2'))
+      .with({ kind: 'limited' }, (limited) => switchOver(limited, 'SIGHUP'))
       .with({ kind: 'reused-address' }, async ({ index, length }) => {
         const endpoint = getEndpoint(index);
         const other = getEndpoint(index + 1);
@@ -99,13 +93,21 @@
       .exhaustive();
   }
 
+  async function switchOver(
+    { index, length }: Extract<Fault, { kind: 'full' | 'limited' }>,
+    signal: NodeJS.Signals,
+  ): Promise<void> {
+    const { child } = getEndpoint(index).program;
+    child.kill(signal);
+    await pause(length);
+    child.kill(signal);
+  }
+
   async function restartCrashed(name: string): Promise<void> {
     const endpoint = findEndpoint(name);
     if (!endpoint || endpoint.program.isRunning()) return;
     await pause(CRASH_PAUSE_MS);
-    evidence.restarted(name);
-    await fleet.restart(endpoint);
-    endpoint.isEnding = false;
+    await startAgain(endpoint);
   }
 
   async function disturbProcess(stopped: FleetProcess, fault: SignalFault): Promise<void> {
@@ -116,14 +118,32 @@
     if (!ends) return;
     await waitForEnd(fleetProcess, fault.signals);
     await pause(fault.pause);
-    evidence.restarted(fleetProcess.name);
     if (fault.isRenewed && fleetProcess.kind === 'endpoint') {
       fleetProcess.version = findOtherVersion(fleet, fleetProcess);
     }
+    await startAgain(fleetProcess);
+  }
+
+  async function startAgain(ended: FleetProcess): Promise<void> {
+    const fleetProcess = ended;
+    evidence.restarted(fleetProcess.name);
     await fleet.restart(fleetProcess);
     fleetProcess.isEnding = false;
   }
 
+  async function endInOrder(
+    ended: FleetProcess,
+    { end, pause: length }: Extract<Fault, { kind: 'orderly-end' }>,
+  ): Promise<void> {
+    const fleetProcess = ended;
+    const exits = end.exitAfter !== undefined || end.reason === 'leaving';
+    fleetProcess.isEnding = exits;
+    await callStandIn(fleetProcess.program.listening.address, ORDERLY_END_PATH, end);
+    if (exits) await waitForEnd(fleetProcess, []);
+    await pause(length);
+    if (exits) await startAgain(fleetProcess);
+  }
+
   async function rollOut({ service }: Extract<Fault, { kind: 'roll-out' }>): Promise<void> {
     versions += 1;
     const version = getVersion(versions);
@@ -190,8 +210,12 @@
     await callStore('faults', none);
   }
 
-  async function callStore(call: string, body: object = {}): Promise<void> {
-    const url = `http://${fleet.store}/standin/${call}`;
+  function callStore(call: string, body: object = {}): Promise<void> {
+    return callStandIn(fleet.store, `/standin/${call}`, body);
+  }
+
+  async function callStandIn(address: unknown, path: string, body: object): Promise<void> {
+    const url = `http://${String(address)}${path}`;
     const text = JSON.stringify(body);
     const answer = await callHttp({ method: 'PUT', url, body: text, timeout: STORE_TIMEOUT_MS });
     answer.unwrap();
@@ -255,7 +279,7 @@
 // A fault keeps its targets to itself until it is over.
 function listNames(fleet: Fleet, fault: Fault): string[] {
   return match(fault)
-    .with({ kind: 'signals' }, ({ target }) =>
+    .with({ kind: 'signals' }, { kind: 'orderly-end' }, ({ target }) =>
       listProcesses(fleet, target).map((stopped) => stopped.name),
     )
     .with({ kind: 'roll-out' }, ({ service }) => listOldest(fleet, service).map(({ name }) => name))
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -9,7 +9,7 @@
 const CALM_MS = 12_000;
 const EXIT_CHECK_FAILED = 1;
 const EXIT_USAGE = 2;
-const NAME_WIDTH = 28;
+const NAME_WIDTH = 50;
 /** Name of the faults of endpoints' answers, which requests ask for. */
 const ANSWERS = 'answers';
 /** Name of what no server may run, which callers on plain sockets send. */
@@ -74,7 +74,14 @@
 
 function renderResult(result: SoakResult): string {
   const { faults, falseEnds, behaviours, checks, outcomes, failures } = result;
-  const counted = { faults, 'false ends': falseEnds, behaviours, checks, outcomes };
+  const earlyEnds = Object.entries(result.earlyEnds).map(([kind, { ended, taken }]) => [
+    kind,
+    `${taken} of ${ended}`,
+  ]);
+  const counted = {
+    ...{ faults, 'false ends': falseEnds, behaviours, checks, outcomes },
+    'early ends taken for whole': Object.fromEntries(earlyEnds) as Record<string, string>,
+  };
   const tables = Object.entries(counted).flatMap(([title, counts]) => [
     title,
     ...Object.entries(counts)
--- a/packages/replay/src/soak/plan.ts
+++ b/packages/replay/src/soak/plan.ts
@@ -1,5 +1,6 @@
 import { createRandom } from '@pomeloroad/core';
 import type { Milliseconds, Random } from '@pomeloroad/core';
+import type { OrderlyEnd, OrderlyEndReason } from '@pomeloroad/standins';
 import type { Effect } from '../byteRelay';
 import { draw } from './draw';
 import type { FleetSize } from './fleet';
@@ -35,6 +36,8 @@
       /** Whether endpoints start again with another version that serves already. */
       isRenewed?: boolean;
     }
+  /** Endpoints end their answers in order; `pause` is the time until they serve on or start again. */
+  | { kind: 'orderly-end'; target: Target; end: OrderlyEnd; pause: Milliseconds }
   /** Endpoints of a new version join a service, then those of its oldest version leave. */
   | { kind: 'roll-out'; service: number }
   | {
@@ -162,6 +165,12 @@
 
 const LIMITED_MIN_MS: Milliseconds = 8000;
 const LIMITED_MAX_MS: Milliseconds = 12_000;
+/** Largest part of the endpoints that end their answers at once. */
+const ENDING_PART_MAX = 0.25;
+const ENDING_REASONS: OrderlyEndReason[] = ['exit', 'leaving', 'no-room', 'preempted'];
+const ENDING_DELAY_MAX_MS: Milliseconds = 300;
+/** Times from the ends to the exit; `undefined` for endpoints that live on. */
+const EXIT_DELAYS_MS = [0, 30, 100, 300, 500, undefined, undefined];
 
 /** Faults that are only played if asked for. */
 const RareFaults: Record<string, Draw> = {
@@ -170,6 +179,17 @@
     index: random.integer(0, endpoints - 1),
     length: random.integer(LIMITED_MIN_MS, LIMITED_MAX_MS),
   }),
+  'endpoint-ends-early': (random, { endpoints }) => {
+    const count = random.integer(1, Math.ceil(endpoints * ENDING_PART_MAX));
+    const index = random.integer(0, endpoints - count);
+    const end = {
+      reason: draw(random, ENDING_REASONS),
+      delay: random.integer(0, ENDING_DELAY_MAX_MS),
+      exitAfter: draw(random, EXIT_DELAYS_MS),
+    };
+    const target = { kind: 'endpoints' as const, index, count };
+    return { kind: 'orderly-end', target, end, pause: drawLength(random) };
+  },
   // Returns the store to an older copy.
   'store-rewound': disturbStore('rewound'),
 };
--- a/packages/replay/src/soak/requestRecord.ts
+++ b/packages/replay/src/soak/requestRecord.ts
@@ -1,4 +1,4 @@
-import type { CallerAnswer, EndpointLine, Work } from '@pomeloroad/standins';
+import type { CallerAnswer, EarlyEndReason, EndpointLine, Work } from '@pomeloroad/standins';
 import { STATUS_OK } from './checkBounds';
 
 /** What the soak knows of one request: what its caller saw and what endpoints recorded of it. */
@@ -53,8 +53,8 @@
   sent: number;
   /** Whether the endpoint stated that its answer is complete. */
   isStated: boolean;
-  /** Whether the endpoint stated that its answer is complete, with events missing. */
-  isFalselyStated: boolean;
+  /** Why the endpoint ended its answer in order with events missing; `undefined` if it did not. */
+  earlyEnd?: EarlyEndReason;
   /** Whether the endpoint went on until its answer was complete or its peer had closed. */
   isEnded: boolean;
 }
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -62,6 +62,8 @@
   checks: Record<string, number>;
   /** How often endpoints stated the end of an answer with events missing, by the reason. */
   falseEnds: Record<string, number>;
+  /** The same by kind, with how often callers took such an answer for whole. */
+  earlyEnds: Evidence['earlyEnds'];
   /** How often callers on plain sockets did each thing. */
   behaviours: Record<string, number>;
   /** Number of requests by how they ended. */
@@ -99,10 +101,12 @@
     const faults = await Promise.race([running, aborted]);
     const left = await launcher.close();
     evidence.check('left-behind', left.length > 0 ? `still running: ${left.join()}` : undefined);
-    const { checks, falseEnds, behaviours, outcomes, failures, totals, versions } = evidence;
+    const { checks, falseEnds, earlyEnds, behaviours, outcomes, failures } = evidence;
+    const { totals, versions } = evidence;
     const { seed } = options;
+    const counts = { faults, checks, falseEnds, earlyEnds, behaviours, outcomes };
     const figures = { spent: totals.spent, streams: versions.shares, peaks };
-    return { seed, plan, faults, checks, falseEnds, behaviours, outcomes, ...figures, failures };
+    return { seed, plan, ...counts, ...figures, failures };
   } finally {
     await launcher.close();
     process.off('exit', launcher.stopAll);
--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -2,6 +2,7 @@
 import path from 'node:path';
 import { createSystemClock } from '@pomeloroad/core';
 import { EarlyEnds } from '../src/soak/callers';
+import type { EarlyEnd } from '../src/soak/callers';
 import { hasRevision } from '../src/soak/olderBuild';
 import { DefaultFaults } from '../src/soak/plan';
 import { runSoak } from '../src/soak/soak';
@@ -118,6 +119,45 @@
   TIMEOUT_MS,
 );
 
+let soakOfEarlyEnds: Promise<SoakResult> | undefined;
+
+// Endpoints that are stopped, leave, have no room or preempt end their answers in order; some forget streams.
+function playEarlyEnds(): Promise<SoakResult> {
+  const times = { length: 20_000, calm: 3000 };
+  const faults = ['endpoint-ends-early', 'endpoint-exit'];
+  const earlyEnds: EarlyEnd[] = ['short-limits', 'empty-ends', 'forgotten-ends'];
+  const callers = { callers: 48, hasAnswerFaults: false };
+  soakOfEarlyEnds ??= soak({ seed: 1, ...times, faults, earlyEnds, ...callers }, 16);
+  return soakOfEarlyEnds;
+}
+
+function countEarlyEnds({ earlyEnds }: SoakResult, part: string): number {
+  const kinds = Object.entries(earlyEnds).filter(([kind]) => kind.includes(part));
+  return kinds.reduce((sum, [, { ended }]) => sum + ended, 0);
+}
+
+test(
+  'seed 1: no stream that may be resumed looks complete after an early end in order',
+  async () => {
+    const result = await playEarlyEnds();
+    const failures = describeFailures(result).filter((text) => !text.includes(', not resumable,'));
+    expect(failures).toEqual([]);
+    expect(countEarlyEnds(result, ', resumable,')).toBeGreaterThan(40);
+  },
+  TIMEOUT_MS,
+);
+
+test(
+  'seed 1: no answer that may not be resumed looks complete after an early end in order',
+  async () => {
+    const result = await playEarlyEnds();
+    const failures = describeFailures(result).filter((text) => text.includes(', not resumable,'));
+    expect(failures).toEqual([]);
+    expect(countEarlyEnds(result, ', not resumable,')).toBeGreaterThan(4);
+  },
+  TIMEOUT_MS,
+);
+
 test(
   'seed 1: a part of prompts that crashes endpoints is soon sent to none',
   async () => {
--- a/packages/replay/test/soakEvidence.test.ts
+++ b/packages/replay/test/soakEvidence.test.ts
@@ -2,6 +2,7 @@
 import { createCallerAnswer } from '@pomeloroad/standins';
 import type { Work } from '@pomeloroad/standins';
 import { createEvidence } from '../src/soak/evidence';
+import type { EarlyEndCount } from '../src/soak/endChecks';
 import type { RequestRecord } from '../src/soak/requestRecord';
 
 const SENT_AT = 100_000;
@@ -71,3 +72,67 @@
 ])('an answer that is cut beside %s is a failure', (_, crash) => {
   expect(judgeCutAnswer(crash)).toEqual(['cut: aborted']);
 });
+
+interface EndedAnswer {
+  work: Partial<Work>;
+  /** Id of the request whose stream the caller takes up, of which it has an event. */
+  resumes?: string;
+  /** Events that endpoint-1 and then endpoint-2 send before they end the answer. */
+  sent: number[];
+  /** Events that the caller gets before the end. */
+  received: number;
+  looksComplete: boolean;
+}
+
+// Two endpoints end the answer in order, after the events that each of them sends.
+function judgeEndedAnswer({ work, resumes, sent, received, looksComplete }: EndedAnswer) {
+  const clock = { ...createSystemClock(), now: () => new Date(SENT_AT) };
+  const evidence = createEvidence(clock);
+  const resumeAfter = resumes === undefined ? 0 : 1;
+  const record: RequestRecord = { ...createRecord(), resumes, resumeAfter };
+  record.work = { ...WORK, ...work };
+  evidence.open(record);
+  sent.forEach((number, index) => {
+    const id = `endpoint-${index + 1}`;
+    const step = { request: record.id, run: 1, at: new Date(SENT_AT).toISOString(), id };
+    const arrival = { path: '', after: resumeAfter, account: 'rich', version: 'v1', body: '' };
+    const end = { event: 'stopped', ...step, number, reason: 'preempted' };
+    [{ event: 'run', ...step, ...arrival }, end].forEach((line) =>
+      evidence.addLine(id, JSON.stringify(line)),
+    );
+  });
+  record.endedAt = SENT_AT + 200;
+  const body = 'id: 1\n\n'.repeat(received);
+  const answer = { ...createCallerAnswer(), framing: 'chunked' as const, status: 200 };
+  record.answer = { ...answer, body, looksComplete };
+  evidence.judge(true);
+  const failed = evidence.failures.filter(({ check }) => check === 'false-ends');
+  return { earlyEnds: evidence.earlyEnds, messages: failed.map(({ message }) => message) };
+}
+
+test('an early end that a caller takes for whole is a failure, counted by its kind', () => {
+  const work = { route: 'stream', framing: 'close' as const };
+  const ended = { work, sent: [1, 2], received: 2, looksComplete: true };
+  const { earlyEnds, messages } = judgeEndedAnswer(ended);
+  const counts: Record<string, EarlyEndCount> = {
+    'preempted, unframed, resumable, first answer': { ended: 1, taken: 0 },
+    'preempted, unframed, resumable, resumption': { ended: 1, taken: 1 },
+  };
+  expect(earlyEnds).toEqual(counts);
+  const [message = ''] = messages;
+  expect(messages).toHaveLength(1);
+  expect(message).toContain('2 of 12 events: preempted, unframed, resumable, resumption');
+});
+
+test.each([
+  ['looks cut', {}, 3, false, 0],
+  ['looks complete and is', { events: 3 }, 3, true, 0],
+  ['looks complete and is not', {}, 3, true, 1],
+  ['looks complete to a caller that takes it up', { route: 'stream' }, 3, true, 1, 'c8-9'],
+  ['is framed by a length that it falls short of', { framing: 'length' as const }, 3, true],
+])('an answer that ends early and %s counts as such', (...row) => {
+  const [, work, received, looksComplete, taken, resumes] = row;
+  const ended = { work, resumes, sent: [1], received, looksComplete };
+  const counts = Object.values(judgeEndedAnswer(ended).earlyEnds);
+  expect(counts).toEqual(taken === undefined ? [] : [{ ended: 1, taken }]);
+});
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -12,6 +12,7 @@
 const CRASH_DELAY_MS: Milliseconds = 30;
 /** Time within which the ends of open answers are sent before the process exits. */
 const EXIT_TIMEOUT_MS: Milliseconds = 200;
+const HALT_INTERVAL_MS: Milliseconds = 10;
 const MISDIRECTED_STATUS = 421;
 const DECLINED_STATUS = 503;
 /** Announces a time that the server's own idle timeout may undercut. */
@@ -19,16 +20,30 @@
 const EXTRA_ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore';
 /** Share of the requests with a fault, in 16 parts, that an endpoint answers with it. */
 const FAULTY_SIXTEENTHS = 8;
-/** One endpoint in this many states the ends of streams that it is asked to go on with at once. */
+/** One endpoint in this many states the ends of `empty` streams that it is asked to go on with at once. */
 const FORGETFUL_STEP = 4;
 
+/** Why an endpoint ends all its answers in order though they are not whole. */
+export type OrderlyEndReason = 'exit' | 'leaving' | 'no-room' | 'preempted';
 /**
  * Why an answer ends in order though it is not whole: the next event would come after its time limit,
- * it was to go on after some events, or the process exits.
+ * it was to go on after some events, or all answers of its endpoint end.
  */
-export type EarlyEndReason = 'time-limit' | 'resumed' | 'exit';
+export type EarlyEndReason = 'time-limit' | 'resumed' | OrderlyEndReason;
+
+/** How an endpoint ends all its answers in order though they are not whole. */
+export interface OrderlyEnd {
+  reason: OrderlyEndReason;
+  /** Time until the ends; an endpoint that preempts sends nothing meanwhile. */
+  delay: Milliseconds;
+  /** Time from the ends to the exit of the process; `undefined` if it serves on. */
+  exitAfter?: Milliseconds | undefined;
+}
+
 /** Where an endpoint reports its runs. */
 const REPORT_PATH = '/v1/report';
+/** Where an endpoint is told to end all its answers, with an `OrderlyEnd`. */
+export const ORDERLY_END_PATH = '/standin/end';
 
 /** One of the runs of a report: id, tokens in memory, events made, priority. */
 type RunEntry = [string, number, number, number];
@@ -70,6 +85,8 @@
   die(): void;
   /** Returns the requests a second that answers name as its limit; `undefined` for none. */
   getRateLimit(): number | undefined;
+  /** Is told to end all answers in order. */
+  end(end: OrderlyEnd): void;
 }
 
 /** An answer that has begun. */
@@ -83,8 +100,10 @@
   server: http.Server;
   /** Number of requests that it works on. */
   countActive(): number;
-  /** Ends all open answers in order, with events missing; resolves when that is sent. */
-  endAnswers(): Promise<void>;
+  /** Ends all open answers, and those that come, in order with events missing; resolves when that is sent. */
+  endAnswers(end: OrderlyEnd): Promise<void>;
+  /** Sends answers that come whole again. */
+  resume(): void;
 }
 
 /**
@@ -96,6 +115,8 @@
   const openAnswers = new Set<OpenAnswer>();
   let active = 0;
   let runs = 0;
+  let isHalted = false;
+  let endReason: EarlyEndReason | undefined;
   const underWay = new Map<number, RunEntry>();
 
   async function serve(
@@ -147,7 +168,8 @@
     record({ event: 'run', ...step, path, after, account, version, body });
     const fault = hasFault(id, name) ? work.fault : 'none';
     const middle = Math.floor((after + work.events) / 2);
-    const isShort = fault === 'short' || (fault === 'empty' && after === 0);
+    const isShort =
+      fault === 'short' || ((fault === 'empty' || fault === 'forgotten') && after === 0);
     const last = isShort ? middle : work.events;
     if (fault === 'late') await sleep(clock, LATE_ANSWER_DELAY_MS);
     writeHead(response, name, work, after, fault);
@@ -169,14 +191,15 @@
     };
     openAnswers.add(answer);
     response.once('close', () => openAnswers.delete(answer));
-    if (work.fault === 'empty' && hasForgotten(id) && after > 0 && after < last) {
-      answer.stop('resumed');
-    }
+    const isForgotten = after > 0 && hasForgotten(id, work);
+    const early = endReason ?? (isForgotten ? 'resumed' : undefined);
+    if (early && after < last) answer.stop(early);
     while (number < last && isOpen(response)) {
       if (clock.elapsed() + work.pause > deadline) answer.stop('time-limit');
       if (!isOpen(response)) break;
       const isSilent = fault === 'silent' && number === middle;
       await sleep(clock, isSilent ? SILENCE_MS : work.pause);
+      while (isHalted) await sleep(clock, HALT_INTERVAL_MS);
       if (!isOpen(response)) break;
       number += 1;
       entry[2] = number - after;
@@ -226,25 +249,34 @@
       writeJson(response, 200, { queued: 0, active: list.length, runs: list });
       return;
     }
-    readBody(request).then(
-      (body) => serve(request, response, hashText(String(body))),
-      () => undefined,
-    );
+    const accept = async (body: Buffer) => {
+      if (request.url !== ORDERLY_END_PATH) return serve(request, response, hashText(String(body)));
+      response.end();
+      return host.end(JSON.parse(String(body)) as OrderlyEnd);
+    };
+    readBody(request).then(accept, () => undefined);
   });
   return {
     server,
     countActive: () => active,
-    async endAnswers() {
+    async endAnswers({ reason, delay }) {
+      isHalted = reason === 'preempted';
+      await sleep(clock, delay);
+      isHalted = false;
+      endReason = reason;
       const ending = [...openAnswers].map(({ response, stop }) => {
         const sent = new Promise((resolve) => {
           response.once('close', resolve);
           response.once('finish', resolve);
         });
-        stop('exit');
+        stop(reason);
         return sent;
       });
       await Promise.race([sleep(clock, EXIT_TIMEOUT_MS), Promise.all(ending)]);
     },
+    resume() {
+      endReason = undefined;
+    },
   };
 }
 
@@ -272,8 +304,8 @@
   return parseInt(hashText(`${endpoint}/${request}`).slice(0, 1), 16) < FAULTY_SIXTEENTHS;
 }
 
-// Nothing tells a false end that two endpoints state from a true one, so one of two that serve a version
-// states it, as they are numbered.
-function hasForgotten(endpoint: string): boolean {
-  return Number(endpoint.split('-').at(-1)) % FORGETFUL_STEP === 1;
+// As endpoints are numbered, one of two that serve a version; of many, several confirm each other.
+function hasForgotten(endpoint: string, { fault }: Work): boolean {
+  const isForgetful = Number(endpoint.split('-').at(-1)) % FORGETFUL_STEP === 1;
+  return fault === 'forgotten' || (fault === 'empty' && isForgetful);
 }
--- a/packages/standins/src/soakEndpointProcess.ts
+++ b/packages/standins/src/soakEndpointProcess.ts
@@ -2,13 +2,15 @@
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { announceEndpoint } from './announcement';
 import { createSoakEndpoint } from './soakEndpoint';
-import type { EndpointLine } from './soakEndpoint';
+import type { EndpointLine, OrderlyEnd } from './soakEndpoint';
 
 /** Time beyond the announced one for which an endpoint that leaves still serves. */
 const EXTRA_SERVICE_MS: Milliseconds = 2000;
 /** Requests a second that a limited endpoint takes from all instances together. */
 const RATE_LIMIT = 2.3;
 const POLL_INTERVAL_MS: Milliseconds = 50;
+/** Time for which an endpoint that lives on ends all answers in order. */
+const ORDERLY_ENDS_MS: Milliseconds = 500;
 
 /** Settings of the process of an endpoint. */
 export interface SoakEndpointSettings {
@@ -37,8 +39,8 @@
   | { event: 'listed'; service: string; version: string };
 
 /**
- * Serves and announces an endpoint until SIGTERM, after which it leaves in order. After SIGINT it ends
- * its answers as if they were complete and exits. SIGUSR2 switches between a full queue and a free
+ * Serves and announces an endpoint until SIGTERM, after which it leaves in order. After SIGINT, or when
+ * told, it ends its answers as if they were complete. SIGUSR2 switches between a full queue and a free
  * one, SIGHUP between a limit of requests and none. Resolves to the address at which it listens.
  */
 export async function runSoakEndpoint(settings: SoakEndpointSettings): Promise<string> {
@@ -47,8 +49,9 @@
   let rateLimit: number | undefined;
   const die = () => process.kill(process.pid, 'SIGKILL');
   const getRateLimit = () => rateLimit;
-  const host = { clock, id, slots, version, record, isFull: () => isFull, die, getRateLimit };
-  const { server, countActive, endAnswers } = createSoakEndpoint(host);
+  const base = { clock, id, slots, version, record, isFull: () => isFull, die, getRateLimit };
+  const endpoint = createSoakEndpoint({ ...base, end });
+  const { server, countActive } = endpoint;
   server.keepAliveTimeout = settings.idleTimeout;
   const address = await listen(server, settings.address);
   const entry = { id, service, address: settings.advertisedAddress, dataCentre, slots, version };
@@ -61,13 +64,28 @@
     rateLimit = rateLimit === undefined ? RATE_LIMIT : undefined;
     record({ event: 'limited', limit: rateLimit });
   });
-  process.once('SIGINT', async () => {
-    await endAnswers();
-    process.exit(0);
-  });
+  process.once('SIGINT', () => end({ reason: 'exit', delay: 0, exitAfter: 0 }));
   process.once('SIGTERM', async () => {
+    await announceLeaving();
+    await leave();
+  });
+
+  async function end(orderly: OrderlyEnd): Promise<void> {
+    const { reason, exitAfter } = orderly;
+    if (reason === 'leaving') await announceLeaving();
+    await endpoint.endAnswers(orderly);
+    await sleep(clock, exitAfter ?? ORDERLY_ENDS_MS);
+    if (exitAfter !== undefined) process.exit(0);
+    endpoint.resume();
+    if (reason === 'leaving') await leave();
+  }
+
+  async function announceLeaving(): Promise<void> {
     await announcement.leave();
     record({ event: 'leaving' });
+  }
+
+  async function leave(): Promise<void> {
     await sleep(clock, drain + EXTRA_SERVICE_MS);
     await announcement.withdraw();
     server.close();
@@ -76,7 +94,7 @@
     await sleep(clock, POLL_INTERVAL_MS);
     server.closeAllConnections();
     process.exit(0);
-  });
+  }
 
   // Writes to a pipe are synchronous, so a line is not lost when the process is killed.
   function record(line: EndpointLine | StateLine): void {
--- a/packages/standins/src/soakWork.ts
+++ b/packages/standins/src/soakWork.ts
@@ -20,6 +20,8 @@
   | 'silent'
   /** Ends too early, and states the end at once, with no event, if asked to go on. */
   | 'empty'
+  /** As `empty`, but at all endpoints that are asked to go on. */
+  | 'forgotten'
   /** The prompt holds a part under which the endpoint dies soon after the head. */
   | 'crash'
   /** The endpoint dies soon after the head, whatever the prompt holds. */
