Soak: a later start of an endpoint does not make its earlier leaving longer

Cause: each start of an endpoint set the end of its last leaving anew, so that the time in between counted as leaving once it was started a second time (there by a fault 7 s later). A start now ends a leaving that is open and moves none that has ended. Evidence: the new test failed before ("ran at endpoint-1 although it was leaving"); the one beside it shows that a run at an endpoint that has not started again since is still a failure. No bound changes.

--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -91,7 +91,7 @@
     addLine,
     restarted(name) {
       const last = departures.filter(({ endpoint }) => endpoint === name).at(-1);
-      if (last) last.to = now();
+      if (last) last.to = Math.min(last.to, now());
       versions.unlist(name, now());
       dying.get(name)?.();
       dying.delete(name);
--- a/packages/replay/test/soakEvidence.test.ts
+++ b/packages/replay/test/soakEvidence.test.ts
@@ -136,3 +136,33 @@
   const counts = Object.values(judgeEndedAnswer(ended).earlyEnds);
   expect(counts).toEqual(taken === undefined ? [] : [{ ended: 1, taken }]);
 });
+
+// An endpoint announces that it leaves, runs a request and is started again at the Unix times.
+function judgeAfterDeparture(restarts: number[], ranAt: number): string[] {
+  let now = SENT_AT;
+  const clock = { ...createSystemClock(), now: () => new Date(now) };
+  const evidence = createEvidence(clock);
+  const addLine = (at: number, line: object) =>
+    evidence.addLine('endpoint-1', JSON.stringify({ at: new Date(at), id: 'endpoint-1', ...line }));
+  addLine(SENT_AT, { event: 'leaving' });
+  const record = { ...createRecord(), sentAt: ranAt - 5, endedAt: ranAt + 100 };
+  evidence.open(record);
+  const arrival = { path: '/stream-once/', after: 0, account: 'rich', version: 'v1', body: '' };
+  addLine(ranAt, { event: 'run', request: record.id, run: 1, ...arrival });
+  restarts.forEach((at) => {
+    now = at;
+    evidence.restarted('endpoint-1');
+  });
+  evidence.judge(true);
+  return evidence.failures.filter(({ check }) => check === 'leaving').map(({ message }) => message);
+}
+
+test('an endpoint that left and started again may run requests, also if it is started once more', () => {
+  const restarts = [SENT_AT + 1000, SENT_AT + 9000];
+  expect(judgeAfterDeparture(restarts, SENT_AT + 5000)).toEqual([]);
+});
+
+test('a run at an endpoint that has not started again since it announced its leaving is a failure', () => {
+  const message = 'ran at endpoint-1 although it was leaving';
+  expect(judgeAfterDeparture([SENT_AT + 9000], SENT_AT + 5000)).toEqual([message]);
+});
