An end of a stream is confirmed by an endpoint that sends the last event again, and asked for where something speaks against it

An end against which something spoke (its endpoint leaves, fails, is gone, is near the limit; a close without a statement) was believed without asking anybody. Whether an end counts was decided by times in milliseconds, by the list, and by what one instance had seen of one endpoint; none of these is evidence of the rest.

Now whoever is to go on, for the instance or for a caller that takes a stream up, is asked from the event before the last one that the caller has. The repeated event is left out. One that sends it and then ends has confirmed the end; one that ends without it has told nothing, however many say so. After an end against which something speaks, the rest is asked for if the request may be resumed; if nobody can tell, it is passed on, so that no whole answer is cut for it. endStatements (one instance, one endpoint) is gone: what a check has shown is remembered for the service and the endpoint.

Ruled out: the caller's estimate of the length calls half of all whole streams cut, or finds half of the cut ones at a price of a tenth of all.

--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -4,10 +4,13 @@
 import type { LogFields, Milliseconds } from '@pomeloroad/core';
 import type { Slot, SlotResult } from '@pomeloroad/routing';
 import { findEndFault } from '../ends/answerEnd';
-import { noteEnd } from '../ends/endReport';
+import { rememberEnd, reviewEnd } from '../ends/endReport';
 import { getTimeLeft, isWithheld } from '../run';
 import type { Run } from '../run';
 import { applyStatements } from './statements';
+import { isRetryable } from './patience';
+import { createResumePoint } from './resumePoint';
+import type { ResumePoint } from './resumePoint';
 import type { AttemptReply, SentAttempt } from './sentAttempt';
 import type { EndpointRecord, Reply, SendError } from '../types';
 
@@ -27,7 +30,7 @@
   const connected = new Promise<void>((resolve) => {
     onConnected = resolve;
   });
-  const resumeAfter = run.lastEventId;
+  const resumePoint = getResumePoint(run);
   let activeAt = host.clock.elapsed();
   const told = { limit: getTimeLeft(run) + ENDPOINT_LIMIT_MARGIN_MS, at: activeAt };
 
@@ -36,7 +39,7 @@
     const sent = await host.protocol.send({
       request,
       endpoint,
-      resumeAfter,
+      resumePoint,
       timeLimit: told.limit,
       onConnected,
       onActivity() {
@@ -67,7 +70,7 @@
   const attempt: SentAttempt = {
     slot,
     endpoint: isBlocked ? undefined : endpoint,
-    resumeAfter,
+    resumePoint,
     told,
     reply: start(),
     connected,
@@ -80,14 +83,21 @@
   return attempt;
 }
 
+// Of what may not be resumed, the id is the endpoint's matter.
+function getResumePoint<Payload>({ request: { route }, lastEventId }: Run<Payload>): ResumePoint {
+  const isResumable = route.kind === 'streaming' && isRetryable(route);
+  return isResumable ? createResumePoint(lastEventId) : { after: lastEventId, repeated: undefined };
+}
+
 async function judgeWhole<Payload>(
   run: Run<Payload>,
   attempt: SentAttempt,
   sent: AttemptReply,
 ): Promise<AttemptReply> {
   if (sent.err || sent.val.kind !== 'whole') return sent;
-  const report = noteEnd(run, attempt, sent.val.end);
+  rememberEnd(run, attempt, sent.val.end);
   const message = await findEndFault(run, attempt, sent.val.end);
+  const { report } = reviewEnd(run, attempt, sent.val.end);
   report(message === undefined ? 'believed' : 'disbelieved');
   return message === undefined ? sent : Err({ kind: 'broken', message });
 }
--- a/packages/forwarding/src/attempts/events.ts
+++ b/packages/forwarding/src/attempts/events.ts
@@ -24,7 +24,8 @@
  */
 export const EVENT_MAX_BYTES = 4_194_304;
 
-const BLOCK_END = Buffer.from('\n\n');
+/** What ends each block of a stream, an event or a comment. */
+export const BLOCK_END = '\n\n';
 const ID_FIELD_PATTERN = /^id: ?(.*)$/gm;
 /** Matches a line that makes its block an event; comments and unknown fields do not. */
 const EVENT_LINE_PATTERN = /^(?:data|id)(?::|$)/gm;
@@ -79,11 +80,20 @@
 function findEventsEnd(text: string): number {
   const lines = [...text.matchAll(EVENT_LINE_PATTERN)];
   const last = lines[lines.length - 1];
-  return last ? text.indexOf('\n\n', last.index) + BLOCK_END.length : 0;
+  return last ? text.indexOf(BLOCK_END, last.index) + BLOCK_END.length : 0;
 }
 
 function toEventBatch(data: Buffer, text: string): EventBatch {
+  return { data, count: countEvents(text.split(BLOCK_END)), lastId: findEventId(text) };
+}
+
+/** Returns how many of the blocks are events. */
+export function countEvents(blocks: string[]): number {
+  return blocks.filter((block) => block.search(EVENT_LINE_PATTERN) >= 0).length;
+}
+
+/** Returns the id of the last event in the text that has one. */
+export function findEventId(text: string): string | undefined {
   const ids = [...text.matchAll(ID_FIELD_PATTERN)];
-  const events = text.split('\n\n').filter((block) => block.search(EVENT_LINE_PATTERN) >= 0);
-  return { data, count: events.length, lastId: ids[ids.length - 1]?.[1] };
+  return ids[ids.length - 1]?.[1];
 }
--- a/packages/forwarding/src/attempts/readAhead.ts
+++ b/packages/forwarding/src/attempts/readAhead.ts
@@ -22,6 +22,7 @@
 /** Reads the first step of the attempt's stream, which stays the first one for the reader after. */
 export function readAhead<Payload>(run: Run<Payload>, sent: SentAttempt): Replacement {
   let first: Promise<StreamStep> | undefined;
+  let hasRepeated = () => false;
   let onHead: () => void;
   const head = new Promise<void>((resolve) => {
     onHead = resolve;
@@ -31,6 +32,7 @@
     if (result.err || result.val.kind !== 'stream') return result;
     const { stream } = result.val;
     first = stream.next();
+    hasRepeated = stream.hasRepeated;
     onHead();
     return Ok({ ...result.val, stream: prepend(first, stream) });
   });
@@ -38,8 +40,10 @@
   async function begin(): Promise<Beginning> {
     if (!isUsable(run, await reply)) return 'lost';
     const step = await first;
-    // A whole answer has no steps. An end without an event does not show that the other attempt is at its end.
-    return step === undefined || step.kind === 'events' ? 'begun' : 'lost';
+    // A whole answer has no steps. An end without an event does not show that the other attempt is at its end,
+    // unless the endpoint has shown that it could go on.
+    if (step === undefined || step.kind === 'events') return 'begun';
+    return step.kind !== 'broken' && hasRepeated() ? 'begun' : 'lost';
   }
 
   const attempt = { ...sent, reply, end: () => sent.end().then(() => reply) };
@@ -54,6 +58,7 @@
       isRead = true;
       return first;
     },
+    hasRepeated: () => stream.hasRepeated(),
     close: () => stream.close(),
   };
 }
--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -1,24 +1,17 @@
-import { match } from 'ts-pattern';
 import { Diagnostics } from '@pomeloroad/core';
 import type { SlotResult, Slot } from '@pomeloroad/routing';
-import { findEndFault } from '../ends/answerEnd';
-import { logFailure } from './attempt';
 import type { SentAttempt } from './sentAttempt';
 import { sendWithRetries } from './attempts';
-import { noteResumption, noteStreamEnd, reportEnd } from '../ends/endReport';
-import { isRetryable, STREAM_THRESHOLD_MS } from './patience';
+import { noteResumption, reportEnd } from '../ends/endReport';
+import { combineEnds, concludeEnd, judgeSource, mayLackEvents } from '../ends/streamEnd';
+import type { EndStep, SourceEnd, StreamEnd } from '../ends/streamEnd';
+import { STREAM_THRESHOLD_MS } from './patience';
 import { awaitStep } from './replacement';
 import type { Progress } from './replacement';
 import { getTimeLeft, takeAttempt } from '../run';
 import type { Run } from '../run';
 import { getVersion, noteEvents } from '../origins/takeUp';
-import type { EndpointRecord, EventStream, StreamStep } from '../types';
-
-/**
- * How a stream ended: stated as complete by its endpoint, closed in order without such a statement,
- * ended in either way though something speaks against it, or broken off.
- */
-export type StreamEnd = 'complete' | 'closed' | 'doubtful' | 'broken';
+import type { EventStream, StreamStep } from '../types';
 
 /** A stream of an endpoint and the attempt that brought it. */
 interface Source {
@@ -26,66 +19,35 @@
   attempt: SentAttempt;
 }
 
-/** The end of a stream and the endpoint that it came from. */
-interface SourceEnd {
-  end: StreamEnd;
-  /** The end as its endpoint told it. */
-  toldEnd: StreamEnd;
-  endpoint: string;
-  /** Entry of the endpoint; `undefined` if it was not asked. */
-  record: EndpointRecord | undefined;
-  /** Whether the endpoint sent no event, of a whole stream or of the rest of one. */
-  isEmpty: boolean;
-  /** The attempt that has taken the place of this one. */
+/** The end of a source, and the attempt that has taken its place. */
+interface RelayedSource {
+  end: SourceEnd;
   replacement: SentAttempt | undefined;
 }
 
 /**
- * Relays a stream to the caller. If it has broken off, or has probably broken off, the rest is
- * requested from another endpoint.
+ * Relays a stream to the caller. If it has broken off, or something speaks against its end, the rest is
+ * requested from another endpoint, which confirms the end if it has no more.
  */
 export async function relayStream<Payload>(
   run: Run<Payload>,
   stream: EventStream,
   attempt: SentAttempt,
 ): Promise<StreamEnd> {
-  let last = await relaySource(run, { stream, attempt });
-  while (last.replacement || shouldResume(run, last)) {
-    reportEnd(run, 'rest requested');
-    const source = await resume(run, last.replacement);
+  let { end, replacement } = await relaySource(run, { stream, attempt });
+  while (replacement || shouldResume(run, end)) {
+    const source = await resume(run, replacement);
     if (!source) break;
-    last = combineEnds(last, await relaySource(run, source));
+    const next = await relaySource(run, source);
+    replacement = next.replacement;
+    end = combineEnds(run, end, next.end);
   }
-  return last.isEmpty && isOnlyAnswer(run) ? last.toldEnd : last.end;
-}
-
-// One endpoint that sends nothing of the rest does not show that nothing is left of the stream; two do.
-function combineEnds(last: SourceEnd, next: SourceEnd): SourceEnd {
-  if (!next.isEmpty) return next;
-  // A resumption that breaks off before its first event tells nothing about the stream.
-  if (next.end === 'broken') return { ...last, replacement: next.replacement };
-  const isConfirmed = last.end !== 'broken' && !isSamePlace(last.record, next.record);
-  return isConfirmed ? { ...next, end: next.toldEnd } : next;
-}
-
-// An endpoint that has started again knows as little of the stream as it did before.
-function isSamePlace(left: EndpointRecord | undefined, right: EndpointRecord | undefined): boolean {
-  return left?.id === right?.id || left?.address === right?.address;
-}
-
-// Whether nothing was brought to the caller and the request may run once only, so that nobody can confirm it.
-function isOnlyAnswer<Payload>({ request: { route }, events }: Run<Payload>): boolean {
-  return events === 0 && (route.attempts === 1 || !isRetryable(route));
+  return concludeEnd(run, end);
 }
 
-function shouldResume<Payload>(run: Run<Payload>, { end, endpoint }: SourceEnd): boolean {
-  const mayLackEvents = match(end)
-    .with('complete', () => false)
-    .with('closed', () => run.host.endStatements.has(endpoint))
-    .with('doubtful', 'broken', () => true)
-    .exhaustive();
+function shouldResume<Payload>(run: Run<Payload>, { end }: SourceEnd): boolean {
   const hasTime = !run.stop.signal.aborted && getTimeLeft(run) > 0;
-  return mayLackEvents && hasTime && takeAttempt(run);
+  return mayLackEvents(end) && hasTime && takeAttempt(run);
 }
 
 async function resume<Payload>(
@@ -100,6 +62,7 @@
     slot.release('failed');
     return undefined;
   }
+  reportEnd(run, 'rest requested');
   recordResumption(run, slot);
   noteResumption(run);
   return { stream: reply.stream, attempt };
@@ -119,23 +82,19 @@
   });
 }
 
-async function relaySource<Payload>(run: Run<Payload>, source: Source): Promise<SourceEnd> {
+async function relaySource<Payload>(run: Run<Payload>, source: Source): Promise<RelayedSource> {
   const { stream, attempt } = source;
   const { slot } = attempt;
-  const endpoint = slot.endpoint.name;
   const eventsBefore = run.events;
   const { step, replacement } = await relayEvents(run, source);
   // Two attempts of one request must not run at the same time.
   await stream.close();
-  const isEmpty = run.events === eventsBefore;
-  const toldEnd = step ? await judgeEnd(run, attempt, step) : 'broken';
-  const end = isEmpty && toldEnd !== 'broken' ? 'doubtful' : toldEnd;
+  const end = await judgeSource(run, attempt, stream, step, run.events === eventsBefore);
   slot.release(getSlotResult(run, step));
   const framing = run.framing ?? '';
-  run.host.metrics.streamEnds.add(1, { end: step ? end : 'replaced', framing });
-  if (end === 'complete') run.host.endStatements.add(endpoint);
-  else run.excluded.add(endpoint);
-  return { end, toldEnd, endpoint, record: attempt.endpoint, isEmpty, replacement };
+  run.host.metrics.streamEnds.add(1, { end: step ? end.end : 'replaced', framing });
+  if (end.end !== 'complete') run.excluded.add(slot.endpoint.name);
+  return { end, replacement };
 }
 
 // An end in order is no failure of the endpoint, even if the answer is not complete.
@@ -144,8 +103,6 @@
   return step.kind !== 'broken' || run.stop.signal.aborted ? 'ok' : 'failed';
 }
 
-type EndStep = Exclude<StreamStep, { kind: 'events' }>;
-
 /** The end of a stream, unless it was silent and is to be ended, and what has taken its place. */
 interface LastStep {
   step: EndStep | undefined;
@@ -186,19 +143,3 @@
     silentSince: () => startedAt,
   });
 }
-
-async function judgeEnd<Payload>(
-  run: Run<Payload>,
-  attempt: SentAttempt,
-  step: EndStep,
-): Promise<StreamEnd> {
-  noteStreamEnd(run, attempt, step);
-  if (step.kind === 'broken') {
-    logFailure(run, attempt, step);
-    return 'broken';
-  }
-  const fault = await findEndFault(run, attempt, step);
-  if (fault === undefined) return step.kind;
-  logFailure(run, attempt, { kind: 'broken', message: fault });
-  return 'doubtful';
-}
--- /dev/null
+++ b/packages/forwarding/src/attempts/resumePoint.ts
@@ -0,0 +1,60 @@
+import { BLOCK_END, countEvents, findEventId } from './events';
+import type { EventBatch } from './events';
+
+/** Ids of this form are counted up by their endpoints, so that the one before an id is known. */
+const COUNTED_ID_PATTERN = /^\d{1,15}$/;
+
+/** Where an endpoint is to go on with a stream. */
+export interface ResumePoint {
+  /** Id of the event after which it is to go on; `undefined` for the start of the stream. */
+  after: string | undefined;
+  /** Id of the last event that the caller has, which the endpoint is asked to send again. */
+  repeated: string | undefined;
+}
+
+/**
+ * Returns where to go on for a caller that has the event with the id, or nothing yet. The endpoint is
+ * asked for that event again: one that sends it and then ends has shown that nothing follows, while an end
+ * without any event may be that of an endpoint that could not go on.
+ */
+export function createResumePoint(lastEventId: string | undefined): ResumePoint {
+  if (lastEventId === undefined || !COUNTED_ID_PATTERN.test(lastEventId)) {
+    return { after: lastEventId, repeated: undefined };
+  }
+  const before = Number(lastEventId) - 1;
+  return { after: before > 0 ? `${before}` : undefined, repeated: lastEventId };
+}
+
+/** Leaves out of a stream the events that its caller has. */
+export interface RepeatFilter {
+  /** Returns the new ones among the events; `undefined` if there are none. */
+  filter(events: EventBatch): EventBatch | undefined;
+  /** Whether the event has come that was to be sent again. */
+  hasRepeated(): boolean;
+}
+
+/** Creates a filter for a stream that is to begin with the event of the id; without one, all are new. */
+export function createRepeatFilter(repeated: string | undefined): RepeatFilter {
+  const last = Number(repeated ?? 0);
+  let isPassed = repeated === undefined;
+  let hasRepeated = false;
+
+  function isNew(block: string): boolean {
+    const id = findEventId(block);
+    hasRepeated ||= id === repeated;
+    isPassed ||= id !== undefined && !(Number(id) <= last);
+    return isPassed;
+  }
+
+  return {
+    filter(events) {
+      if (isPassed) return events;
+      const blocks = events.data.toString('latin1').split(BLOCK_END).slice(0, -1);
+      const kept = blocks.filter(isNew);
+      if (kept.length === 0) return undefined;
+      const data = Buffer.from(kept.map((block) => block + BLOCK_END).join(''), 'latin1');
+      return { data, count: countEvents(kept), lastId: events.lastId };
+    },
+    hasRepeated: () => hasRepeated,
+  };
+}
--- a/packages/forwarding/src/attempts/sentAttempt.ts
+++ b/packages/forwarding/src/attempts/sentAttempt.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds, Outcome } from '@pomeloroad/core';
 import type { Slot } from '@pomeloroad/routing';
 import type { AnswerSource } from '../ends/answerCourse';
+import type { ResumePoint } from './resumePoint';
 import type { EndpointRecord, Reply, SendError } from '../types';
 
 /** What an attempt ended with, or the head of its stream. */
@@ -11,8 +12,7 @@
   slot: Slot;
   /** Entry of its endpoint; `undefined` if that had left, so that nothing was sent. */
   endpoint: EndpointRecord | undefined;
-  /** Id of the event after which the endpoint is asked to go on; `undefined` for the whole answer. */
-  resumeAfter: string | undefined;
+  resumePoint: ResumePoint;
   reply: Promise<AttemptReply>;
   /** Resolves once the endpoint may have started to work. */
   connected: Promise<void>;
--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -2,7 +2,7 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { Importance, LogFields, Milliseconds } from '@pomeloroad/core';
 import type { EndOutcome } from './answerCourse';
-import type { AnswerEnd, StreamStep } from '../types';
+import type { AnswerEnd } from '../types';
 import type { SentAttempt } from '../attempts/sentAttempt';
 import type { EndpointState } from '../store/endpointState';
 import type { Run } from '../run';
@@ -18,6 +18,8 @@
   | 'nothing since resumption'
   | 'nothing since take-up'
   | 'near limit'
+  | 'not stated'
+  | 'endpoint ended early'
   | 'endpoint failing'
   | 'endpoint leaving'
   | 'endpoint gone';
@@ -28,14 +30,19 @@
   run.course.eventsBefore = run.events;
 }
 
-/** Notes an end in order of a stream, whose outcome `reportEnd` tells. */
-export function noteStreamEnd<Payload>(
+/**
+ * Looks for what speaks against an end in order of a stream, whose outcome `reportEnd` tells. `hasRepeated` tells
+ * whether its endpoint has sent an event again that the caller had.
+ */
+export function reviewStreamEnd<Payload>(
   run: Run<Payload>,
   attempt: SentAttempt,
-  step: Exclude<StreamStep, { kind: 'events' }>,
-): void {
-  if (step.kind === 'broken') return;
-  run.course.reportEnd = noteEnd(run, attempt, step);
+  end: AnswerEnd,
+  hasRepeated: boolean,
+): EndReason | undefined {
+  const { reason, report } = reviewEnd(run, attempt, end, hasRepeated);
+  run.course.reportEnd = report;
+  return reason;
 }
 
 /** Reports what was done after the latest end of a stream, unless that is reported. */
@@ -44,28 +51,42 @@
   run.course.reportEnd = undefined;
 }
 
-/**
- * Remembers an end in order that no length proves. Returns a function that takes what was done after it,
- * and logs and counts the end if it is suspicious.
- */
-export function noteEnd<Payload>(
+/** Remembers an end in order that no length proves, for what becomes of its endpoint. */
+export function rememberEnd<Payload>(
+  { host, request, events }: Run<Payload>,
+  { slot, endpoint }: SentAttempt,
+  { framing, at }: AnswerEnd,
+): void {
+  if (isProven({ framing }) || !endpoint) return;
+  const { id, born, version } = endpoint;
+  const identity = { name: slot.endpoint.name, id, born, version };
+  const timeLeft = request.deadline - at;
+  host.recentEnds.add(identity, { request: request.id, at, timeLeft, events });
+}
+
+/** What speaks against an end in order. */
+export interface ReviewedEnd {
+  reason: EndReason | undefined;
+  /** Takes what was done after the end, and logs and counts the end if there is a reason. */
+  report(outcome: EndOutcome): void;
+}
+
+/** Looks for what speaks against an end in order, by what is known of its endpoint now. */
+export function reviewEnd<Payload>(
   run: Run<Payload>,
   attempt: SentAttempt,
   end: AnswerEnd,
-): (outcome: EndOutcome) => void {
-  if (isProven(end)) return () => undefined;
+  hasRepeated = false,
+): ReviewedEnd {
+  if (isProven(end)) return { reason: undefined, report: () => undefined };
   const { host, request } = run;
   const { slot, endpoint } = attempt;
-  const timeLeft = request.deadline - end.at;
-  if (endpoint) {
-    const { id, born, version } = endpoint;
-    const identity = { name: slot.endpoint.name, id, born, version };
-    const { events } = run;
-    host.recentEnds.add(identity, { request: request.id, at: end.at, timeLeft, events });
-  }
   const state = host.getEndpointState(slot.endpoint.name);
-  const reason = findReason(run, state, end);
-  if (!reason) return () => undefined;
+  const reason =
+    (hasRepeated ? undefined : findGap(run)) ??
+    findTrouble(run, state, end) ??
+    findDoubt(run, slot.endpoint.name, end);
+  if (!reason) return { reason, report: () => undefined };
   run.course.isSuspicious = true;
   const fields = {
     request: request.id,
@@ -76,12 +97,15 @@
     end: end.framing === 'close' ? 'closed' : 'complete',
     framing: end.framing,
     events: run.events,
-    timeLeft: Math.round(timeLeft),
+    timeLeft: Math.round(request.deadline - end.at),
     ...describeSource(run, attempt, end.at),
   };
-  return (outcome) => {
-    host.metrics.suspiciousEnds.add(1, { reason, outcome });
-    host.log(Diagnostics.endSuspicious, { ...fields, outcome });
+  return {
+    reason,
+    report(outcome) {
+      host.metrics.suspiciousEnds.add(1, { reason, outcome });
+      host.log(Diagnostics.endSuspicious, { ...fields, outcome });
+    },
   };
 }
 
@@ -89,14 +113,17 @@
   return framing === 'length' || framing === 'no body';
 }
 
-function findReason<Payload>(
-  run: Run<Payload>,
+function findGap<Payload>(run: Run<Payload>): EndReason | undefined {
+  const { course, events } = run;
+  if (course.resumptions > 0 && events === course.eventsBefore) return 'nothing since resumption';
+  return isTakeUp(run) && events === 0 ? 'nothing since take-up' : undefined;
+}
+
+function findTrouble<Payload>(
+  { request }: Run<Payload>,
   state: EndpointState,
   { at }: AnswerEnd,
 ): EndReason | undefined {
-  const { course, request, events } = run;
-  if (course.resumptions > 0 && events === course.eventsBefore) return 'nothing since resumption';
-  if (isTakeUp(run) && events === 0) return 'nothing since take-up';
   if (request.deadline - at < NEAR_LIMIT_MS) return 'near limit';
   return match(state)
     .with('sound', () => undefined)
@@ -106,6 +133,16 @@
     .exhaustive();
 }
 
+function findDoubt<Payload>(
+  { host: { endHistory }, request: { route, service } }: Run<Payload>,
+  endpoint: string,
+  { framing }: AnswerEnd,
+): EndReason | undefined {
+  if (route.kind !== 'streaming') return undefined;
+  if (framing === 'close' && !endHistory.endsByClose(service)) return 'not stated';
+  return endHistory.endsEarly(endpoint) ? 'endpoint ended early' : undefined;
+}
+
 /**
  * Returns the importance of the line of a request's end: it has to survive load if an endpoint has
  * answered and the answer may lack events.
--- /dev/null
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -0,0 +1,124 @@
+import { match } from 'ts-pattern';
+import { logFailure } from '../attempts/attempt';
+import { isRetryable } from '../attempts/patience';
+import type { SentAttempt } from '../attempts/sentAttempt';
+import type { Run } from '../run';
+import type { EndpointRecord, EventStream, StreamStep } from '../types';
+import { findEndFault } from './answerEnd';
+import { rememberEnd, reviewStreamEnd } from './endReport';
+
+/**
+ * What the end of a stream is worth:
+ * - `complete`: its endpoint has stated it and nothing speaks against it, or another endpoint has confirmed it;
+ * - `unconfirmed`: in order, but something speaks against it; counts unless another endpoint has more;
+ * - `closed`: as that, by an endpoint that has closed the connection without a statement;
+ * - `doubtful`: in order, but not to be believed unless another endpoint confirms it;
+ * - `broken`: broken off.
+ */
+export type StreamEnd = 'complete' | 'unconfirmed' | 'closed' | 'doubtful' | 'broken';
+
+/** The step that ends a stream. */
+export type EndStep = Exclude<StreamStep, { kind: 'events' }>;
+
+/** The end of what one endpoint sent of a stream. */
+export interface SourceEnd {
+  end: StreamEnd;
+  /** The end, if what the endpoint sent before it did not matter. */
+  ownEnd: StreamEnd;
+  /** Name of the endpoint. */
+  endpoint: string;
+  /** Its entry; `undefined` if it was not asked. */
+  record: EndpointRecord | undefined;
+  /** Whether the endpoint sent no new event. */
+  isEmpty: boolean;
+  /** Whether the endpoint has shown that it could go on, by sending the caller's last event again. */
+  hasRepeated: boolean;
+}
+
+/** Judges what an endpoint sent of a stream by its last step; that is missing if another one took its place. */
+export async function judgeSource<Payload>(
+  run: Run<Payload>,
+  attempt: SentAttempt,
+  stream: EventStream,
+  step: EndStep | undefined,
+  isEmpty: boolean,
+): Promise<SourceEnd> {
+  const hasRepeated = stream.hasRepeated();
+  const ownEnd = step ? await judgeStep(run, attempt, step, hasRepeated) : 'broken';
+  const isInOrder = ownEnd !== 'broken';
+  const end = isInOrder && isEmpty && !hasRepeated ? 'doubtful' : ownEnd;
+  const { slot, endpoint: record } = attempt;
+  return { end, ownEnd, endpoint: slot.endpoint.name, record, isEmpty, hasRepeated };
+}
+
+async function judgeStep<Payload>(
+  run: Run<Payload>,
+  attempt: SentAttempt,
+  step: EndStep,
+  hasRepeated: boolean,
+): Promise<StreamEnd> {
+  if (step.kind === 'broken') {
+    logFailure(run, attempt, step);
+    return 'broken';
+  }
+  rememberEnd(run, attempt, step);
+  if (step.kind === 'complete') run.host.endHistory.noteStatement(run.request.service);
+  const fault = await findEndFault(run, attempt, step);
+  const reason = reviewStreamEnd(run, attempt, step, hasRepeated);
+  if (fault !== undefined) {
+    logFailure(run, attempt, { kind: 'broken', message: fault });
+    return 'doubtful';
+  }
+  if (reason === undefined) return 'complete';
+  return step.kind === 'closed' ? 'closed' : 'unconfirmed';
+}
+
+/** Returns the end of a stream whose last end was doubted, after what the next endpoint sent. */
+export function combineEnds<Payload>(
+  run: Run<Payload>,
+  last: SourceEnd,
+  next: SourceEnd,
+): SourceEnd {
+  const { endHistory } = run.host;
+  if (!next.isEmpty) {
+    if (last.end !== 'broken') endHistory.noteChecked(last.endpoint, true);
+    return next;
+  }
+  if (!confirms(run, last, next)) return last;
+  endHistory.noteChecked(last.endpoint, false);
+  if (next.ownEnd === 'closed') endHistory.noteConfirmedClose(run.request.service);
+  return { ...next, end: 'complete' };
+}
+
+// Where no event can be sent again, two endpoints that send nothing show that there is nothing.
+function confirms<Payload>({ lastEventId }: Run<Payload>, last: SourceEnd, next: SourceEnd) {
+  const isInOrder = match(next.ownEnd)
+    .with('complete', 'unconfirmed', 'closed', () => true)
+    .with('doubtful', 'broken', () => false)
+    .exhaustive();
+  if (!isInOrder) return false;
+  if (next.hasRepeated) return true;
+  const isEmptyStream = lastEventId === undefined && last.end !== 'broken';
+  return isEmptyStream && !isSamePlace(last.record, next.record);
+}
+
+// An endpoint that has started again knows as little of the stream as it did before.
+function isSamePlace(left: EndpointRecord | undefined, right: EndpointRecord | undefined): boolean {
+  return left?.id === right?.id || left?.address === right?.address;
+}
+
+/** Returns whether the rest of a stream is to be asked for after such an end. */
+export function mayLackEvents(end: StreamEnd): boolean {
+  return end !== 'complete';
+}
+
+/** Returns the end that the caller is told. */
+export function concludeEnd<Payload>(run: Run<Payload>, last: SourceEnd): StreamEnd {
+  return last.isEmpty && isOnlyAnswer(run) ? last.ownEnd : last.end;
+}
+
+// Whether nothing was brought, nothing can be sent again, and the request may run once only.
+function isOnlyAnswer<Payload>({ request: { route }, events, lastEventId }: Run<Payload>): boolean {
+  const isEmptyStream = events === 0 && lastEventId === undefined;
+  return isEmptyStream && (route.attempts === 1 || !isRetryable(route));
+}
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -1,13 +1,14 @@
 import { Err, Ok } from 'ts-results';
 import { match } from 'ts-pattern';
 import { Diagnostics } from '@pomeloroad/core';
-import type { LogFields, Milliseconds, Outcome, Timer } from '@pomeloroad/core';
+import type { LogFields, Milliseconds, Outcome, ResponseFraming, Timer } from '@pomeloroad/core';
 import type { EscrowError, EscrowReservation } from '@pomeloroad/budgets';
 import { sendWithRetries } from './attempts/attempts';
 import type { EndpointReply } from './attempts/attempts';
 import type { EndOutcome } from './ends/answerCourse';
 import type { ForwardHost } from './forwardTypes';
 import { describeCourse, getEndImportance, reportEnd } from './ends/endReport';
+import type { StreamEnd } from './ends/streamEnd';
 import { relayStream } from './attempts/relay';
 import { createRun, getSpentTokens, getTimeLeft } from './run';
 import type { Run } from './run';
@@ -139,13 +140,21 @@
   }
   run.caller.begin(reply.head);
   const end = await relayStream(run, reply.stream, attempt);
-  // To the caller each end states that the answer is complete; a close counts only where nothing else can.
-  const mayEnd = end === 'complete' || (end === 'closed' && reply.head.framing === 'close');
+  const mayEnd = countsAsWhole(end, reply.head.framing);
   if (mayEnd) run.caller.end();
   else run.caller.cut();
   recordEnd(run, mayEnd ? 'answered' : 'cut', { status: reply.head.status, end });
 }
 
+// To the caller each end states that the answer is complete; a close counts only where nothing else can.
+function countsAsWhole(end: StreamEnd, framing: ResponseFraming): boolean {
+  return match(end)
+    .with('complete', 'unconfirmed', () => true)
+    .with('closed', () => framing === 'close')
+    .with('doubtful', 'broken', () => false)
+    .exhaustive();
+}
+
 function refuse<Payload>(
   run: Run<Payload>,
   kind: RefusalKind,
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -12,7 +12,7 @@
 import { createEndpointLosses } from './store/endpointLosses';
 import { createDialer } from './relays/dialer';
 import { startRelayDirectory } from './relays/relayDirectory';
-import { createEndStatements } from './ends/endStatements';
+import { createEndHistory } from './ends/endHistory';
 import { findEndpointState } from './store/endpointState';
 import { startRateLimits } from './limits/rateLimits';
 import { startSlotShares } from './limits/slotShares';
@@ -249,7 +249,7 @@
       isSuspicious: (names) => suspects.judge(names) !== 'none',
     }),
     metrics: forwardMetrics,
-    endStatements: createEndStatements(),
+    endHistory: createEndHistory(),
     recentEnds,
     getEndpointState: (name) => findEndpointState(directory, endpoints, name),
     getConfigurationVersion: () => configuration.getTable()?.configuration.version,
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -3,7 +3,7 @@
 import type { Admission, Endpoints } from '@pomeloroad/routing';
 import type { EndpointDirectory } from './store/endpointDirectory';
 import type { EndpointState } from './store/endpointState';
-import type { EndStatements } from './ends/endStatements';
+import type { EndHistory } from './ends/endHistory';
 import type { ForwardMetrics } from './forwardMetrics';
 import type { RecentEnds } from './ends/recentEnds';
 import type { StreamOrigins } from './origins/streamOrigins';
@@ -23,7 +23,7 @@
   retryBudget: RetryBudget;
   protocol: EndpointProtocol<Payload>;
   metrics: ForwardMetrics;
-  endStatements: EndStatements;
+  endHistory: EndHistory;
   recentEnds: RecentEnds;
   /** Returns what is known of the endpoint of this name. */
   getEndpointState(name: string): EndpointState;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -10,6 +10,7 @@
 export * from './attempts/patience';
 export * from './forward';
 export * from './attempts/events';
+export * from './attempts/resumePoint';
 export * from './forwardInstanceTypes';
 export * from './forwardInstance';
 export * from './drain';
--- a/packages/forwarding/src/suspects/crashWatch.ts
+++ b/packages/forwarding/src/suspects/crashWatch.ts
@@ -173,6 +173,7 @@
         else handleEnd(attempt, step.framing);
         return step;
       },
+      hasRepeated: () => stream.hasRepeated(),
       close: () => stream.close(),
     };
   }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -7,6 +7,7 @@
   Tokens,
 } from '@pomeloroad/core';
 import type { PromptPart } from '@pomeloroad/routing';
+import type { ResumePoint } from './attempts/resumePoint';
 
 /**
  * Retry class of a route. A streaming request may be retried only if its route is marked as
@@ -159,6 +160,8 @@
 /** The events of one answer, read one step at a time. */
 export interface EventStream {
   next(): Promise<StreamStep>;
+  /** Whether the endpoint has sent the event again that it was asked to repeat. */
+  hasRepeated(): boolean;
   /** Closes the connection; resolves once it is closed and another attempt may start. */
   close(): Promise<void>;
 }
@@ -198,8 +201,7 @@
 export interface Attempt<Payload> {
   request: ForwardRequest<Payload>;
   endpoint: EndpointRecord;
-  /** Id of the last event that the caller already received. */
-  resumeAfter: string | undefined;
+  resumePoint: ResumePoint;
   /** Time after which the endpoint is to stop work; it ends after the request's deadline. */
   timeLimit: Milliseconds;
   /** Called when the connection is open, so that the endpoint may start to work. */
--- a/packages/forwarding/test/accountsParts.ts
+++ b/packages/forwarding/test/accountsParts.ts
@@ -130,12 +130,12 @@
 
 function openStream(
   clock: Clock,
-  { request, resumeAfter, signal }: Attempt<Work>,
+  { request, resumePoint: { after, repeated }, signal }: Attempt<Work>,
   stride: Tokens,
 ): EventStream {
   const { events, breaksAfter } = request.payload;
-  const isFirst = resumeAfter === undefined;
-  let sent = Number(resumeAfter ?? 0);
+  const isFirst = repeated === undefined;
+  let sent = Number(repeated ?? after ?? 0);
   return {
     async next() {
       await sleep(clock, EVENT_INTERVAL_MS, signal);
@@ -148,6 +148,7 @@
       sent += 1;
       return { kind: 'events', data: Buffer.from(`${stride}\n`), count: 1, lastId: `${sent}` };
     },
+    hasRepeated: () => sent >= events,
     close: async () => undefined,
   };
 }
--- /dev/null
+++ b/packages/forwarding/test/answerStand.ts
@@ -0,0 +1,195 @@
+import { Err, Ok } from 'ts-results';
+import { createManualClock, createRandom, Diagnostics, sleep } from '@pomeloroad/core';
+import type {
+  Diagnostic,
+  Importance,
+  LogFields,
+  Milliseconds,
+  ResponseFraming,
+} from '@pomeloroad/core';
+import type { Slot } from '@pomeloroad/routing';
+import { createMetrics } from '@pomeloroad/telemetry';
+import { createForwardMetrics, forward } from '../src';
+import type {
+  Attempt,
+  Caller,
+  EndpointState,
+  ForwardHost,
+  ForwardRequest,
+  StreamStep,
+} from '../src';
+import { createEndHistory } from '../src/ends/endHistory';
+import { createRecentEnds } from '../src/ends/recentEnds';
+
+const DEADLINE_MS: Milliseconds = 2500;
+/** What one endpoint does: its events and its end, each so long after the step before it. */
+export interface StandAnswer {
+  framing?: ResponseFraming;
+  /** Pauses before each event. */
+  events?: Milliseconds[];
+  /** Pause before the end. */
+  pause?: Milliseconds;
+  end?: 'complete' | 'closed' | 'broken' | 'whole';
+  /** State of the endpoint at the end. */
+  state?: EndpointState;
+  /** Whether the endpoint sends the caller's last event again, if it is asked to. */
+  repeats?: boolean;
+  /** How long after the answer the endpoint fails. */
+  failsAfter?: Milliseconds;
+}
+
+/**
+ * Forwards a request to endpoints e1, e2 and so on, which give the answers in turn; returns what the caller got
+ * and what was logged. Endpoints are told 250 ms more than what is left, and a stated end is held for 20 ms.
+ */
+export async function forwardTo(
+  answers: StandAnswer[],
+  more: Partial<ForwardRequest<unknown>> = {},
+  attempts = 2,
+  endHistory = createEndHistory(),
+) {
+  const clock = createManualClock();
+  const lines: LogFields[] = [];
+  const metrics = createMetrics();
+  const forwardMetrics = createForwardMetrics(metrics);
+  const log = (event: Diagnostic, fields?: LogFields, importance?: Importance) => {
+    lines.push({ code: event.code, importance, ...fields });
+  };
+  const recentEnds = createRecentEnds({ clock, log, metrics: forwardMetrics });
+  let turn = 0;
+
+  function openStream(answer: StandAnswer, { onActivity, resumePoint }: Attempt<unknown>) {
+    const { framing = 'chunked', events = [], pause = 0, end = 'complete', repeats } = answer;
+    let sent = 0;
+    async function next(): Promise<StreamStep> {
+      const delay = events[sent];
+      await sleep(clock, delay ?? pause);
+      if (delay === undefined) {
+        if (end === 'broken') return { kind: 'broken', message: 'reset' };
+        const kind = end === 'closed' ? 'closed' : 'complete';
+        return { kind, framing, at: clock.elapsed(), closes: sleep(clock, 20).then(() => false) };
+      }
+      sent += 1;
+      onActivity();
+      return { kind: 'events', data: Buffer.from('e'), count: 1, lastId: `${sent}` };
+    }
+    return {
+      next,
+      hasRepeated: () => repeats === true && resumePoint.repeated !== undefined,
+      close: async () => {},
+    };
+  }
+
+  async function send(attempt: Attempt<unknown>) {
+    const answer = answers[Number(attempt.endpoint.id.slice(1)) - 1] ?? {};
+    const { framing = 'chunked', events = [], pause = 0, end } = answer;
+    await sleep(clock, 100);
+    attempt.onActivity();
+    const head = { status: 200, framing, headers: [] };
+    if (end !== 'whole') {
+      return Ok({ kind: 'stream' as const, head, stream: openStream(answer, attempt) });
+    }
+    await sleep(clock, events[0] ?? 0);
+    attempt.onActivity();
+    await sleep(clock, pause);
+    const body = Buffer.from('body');
+    const told = { framing, at: clock.elapsed(), closes: sleep(clock, 20).then(() => false) };
+    return Ok({ kind: 'whole' as const, head, body, end: told });
+  }
+
+  async function acquire() {
+    turn += 1;
+    if (turn > answers.length) return Err({ kind: 'none' });
+    const name = `e${turn}/1`;
+    const slot: Slot = {
+      endpoint: { kind: 'service', name, version: `v${turn}` } as Slot['endpoint'],
+      isLeaving: () => false,
+      recordActivity: () => {},
+      getActivityTime: () => clock.elapsed(),
+      release: () => {},
+    };
+    return Ok(slot);
+  }
+
+  const find = (name: string) => {
+    const [id = ''] = name.split('/');
+    return { id, born: 1, sequence: 1, version: `v${id.slice(1)}` };
+  };
+  const host = {
+    clock,
+    random: createRandom(1),
+    log,
+    admission: { acquire },
+    directory: { find, getFate: () => 'listed', markReplaced: () => {}, listLapsed: () => [] },
+    retryBudget: { countRequest: () => {}, take: () => true },
+    protocol: { send, probe: async () => 'accepting' },
+    metrics: forwardMetrics,
+    endHistory,
+    recentEnds,
+    getEndpointState: (name: string) => answers[Number(name[1]) - 1]?.state ?? 'sound',
+    getConfigurationVersion: () => 1,
+    origins: {
+      note: () => {},
+      isDoubted: () => false,
+      find: async () => ({ kind: 'any' }),
+    },
+    rateLimits: { note: () => {} },
+    suspects: { admit: async () => ({ kind: 'allowed' }), judge: () => 'none' },
+    findService: () => undefined,
+    waitForRefresh: async () => {},
+  } as unknown as ForwardHost<unknown>;
+  const isWhole = answers.some(({ end }) => end === 'whole');
+  const request = {
+    id: 'r',
+    route: {
+      name: 'digest',
+      kind: isWhole ? 'idempotent' : 'streaming',
+      isResumable: true,
+      attempts,
+      objective: 4000,
+      targets: [],
+    },
+    service: 's',
+    account: '',
+    priority: 1,
+    deadline: DEADLINE_MS,
+    startedAt: 0,
+    configurationVersion: 1,
+    cost: { input: 0, output: 0 },
+    prefix: [],
+    fingerprint: 'same',
+    resumeAfter: undefined,
+    payload: undefined,
+    ...more,
+  } as unknown as ForwardRequest<unknown>;
+  const calls: string[] = [];
+  const caller: Caller = {
+    signal: new AbortController().signal,
+    answer: () => calls.push('answer'),
+    refuse: () => calls.push('refuse'),
+    begin: () => calls.push('begin'),
+    write: async () => {},
+    end() {
+      calls.push('end');
+      const { failsAfter } = answers[turn - 1] ?? {};
+      if (failsAfter === undefined) return;
+      clock.after(failsAfter, () => recentEnds.noteFate(`e${turn}/1`, 'failed'));
+    },
+    cut: () => calls.push('cut'),
+  };
+  const done = forward(host, request, caller);
+  await clock.advance(2 * DEADLINE_MS);
+  await done;
+  const select = (event: Diagnostic) => lines.filter(({ code }) => code === event.code);
+  const [answered] = [
+    ...select(Diagnostics.requestForwarded),
+    ...select(Diagnostics.requestFailed),
+  ];
+  return {
+    calls,
+    answered,
+    suspicious: select(Diagnostics.endSuspicious),
+    lines,
+    rendered: metrics.render(),
+  };
+}
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -46,7 +46,11 @@
   const crashes: EndpointCrash[] = [];
   const lines: LogFields[] = [];
   const answers: string[] = [];
-  const stream = { next: async () => step ?? BROKEN, close: async () => undefined };
+  const stream = {
+    next: async () => step ?? BROKEN,
+    hasRepeated: () => false,
+    close: async () => undefined,
+  };
   const head = { status: 200, framing: 'chunked' as const, headers: [] };
   const protocol = watchCrashes<void>({
     clock,
--- /dev/null
+++ b/packages/forwarding/test/streamEnd.test.ts
@@ -0,0 +1,100 @@
+import { createEndHistory } from '../src/ends/endHistory';
+import { forwardTo } from './answerStand';
+import type { StandAnswer } from './answerStand';
+
+// An end in order against which something speaks.
+const DOUBTED: [string, StandAnswer][] = [
+  ['of an endpoint that leaves', { events: [100], state: 'leaving' }],
+  ['of an endpoint that is gone', { events: [100], state: 'gone' }],
+  ['of an endpoint that fails', { events: [100], state: 'failing' }],
+  ['near the time limit', { events: [100], pause: 1800 }],
+  ['that only the connection tells', { events: [100], framing: 'close', end: 'closed' }],
+];
+const MORE: StandAnswer = { repeats: true, events: [0, 0] };
+const NO_MORE: StandAnswer = { repeats: true };
+const UNABLE: StandAnswer = {};
+const BROKEN: StandAnswer = { events: [100], end: 'broken' };
+
+test.each(DOUBTED)(
+  'an end %s is passed on once a second endpoint has confirmed it',
+  async (_, first) => {
+    const { calls, answered } = await forwardTo([first, NO_MORE, MORE], {}, 3);
+    expect(calls).toEqual(['begin', 'end']);
+    expect(answered).toMatchObject({ code: 5006, events: 1, resumptions: 1 });
+  },
+);
+
+test.each(DOUBTED)('an end %s is none if a second endpoint has more', async (_, first) => {
+  const { calls, answered } = await forwardTo([first, MORE]);
+  expect(calls).toEqual(['begin', 'end']);
+  expect(answered).toMatchObject({ code: 5006, events: 3, resumptions: 1 });
+});
+
+test.each(DOUBTED)('an end %s is passed on if nobody else can be asked', async (_, first) => {
+  const { calls } = await forwardTo([first]);
+  expect(calls).toEqual(['begin', 'end']);
+});
+
+test.each(DOUBTED)(
+  'an end %s is asked for anew after an endpoint that can not go on',
+  async (_, first) => {
+    const { answered } = await forwardTo([first, UNABLE, MORE], {}, 3);
+    expect(answered).toMatchObject({ code: 5006, events: 3 });
+  },
+);
+
+test.each([
+  ['confirmed', [BROKEN, NO_MORE], 'end'],
+  ['cut after an endpoint that can not go on', [BROKEN, UNABLE], 'cut'],
+  ['cut after two endpoints that can not go on', [BROKEN, UNABLE, UNABLE], 'cut'],
+  ['cut after an endpoint that breaks off in turn', [BROKEN, { ...NO_MORE, end: 'broken' }], 'cut'],
+  ['cut after an end at the time limit', [BROKEN, { ...NO_MORE, pause: 2199 }], 'cut'],
+] satisfies [string, StandAnswer[], string][])(
+  'a stream that has broken off is %s',
+  async (_, answers, end) => {
+    const { calls } = await forwardTo(answers, {}, 3);
+    expect(calls).toEqual(['begin', end]);
+  },
+);
+
+test('an end of a stream that may not be resumed is passed on', async () => {
+  const route = {
+    kind: 'streaming',
+    isResumable: false,
+    attempts: 2,
+    objective: 4000,
+    targets: [],
+  };
+  const { calls, answered } = await forwardTo([{ events: [100], state: 'leaving' }, MORE], {
+    route,
+  } as never);
+  expect(calls).toEqual(['begin', 'end']);
+  expect(answered).toMatchObject({ events: 1, resumptions: 0 });
+});
+
+test('an end against which nothing speaks is passed on at once', async () => {
+  const { answered } = await forwardTo([{ events: [100] }, MORE]);
+  expect(answered).toMatchObject({ events: 1, resumptions: 0 });
+});
+
+test('the ends of an endpoint are asked for after one that came too early', async () => {
+  const history = createEndHistory();
+  await forwardTo([{ events: [100], state: 'leaving' }, MORE], {}, 2, history);
+  const { answered, suspicious } = await forwardTo([{ events: [100] }, NO_MORE], {}, 2, history);
+  expect(answered).toMatchObject({ events: 1, resumptions: 1 });
+  expect(suspicious).toMatchObject([{ endpoint: 'e1', reason: 'endpoint ended early' }]);
+  const confirmed = await forwardTo([{ events: [100] }, MORE], {}, 2, history);
+  expect(confirmed.answered).toMatchObject({ events: 1, resumptions: 0 });
+});
+
+test('a close ends the streams of a service whose endpoints never state an end, once confirmed', async () => {
+  const history = createEndHistory();
+  const closed: StandAnswer = { events: [100], framing: 'close', end: 'closed' };
+  const answers = [closed, { ...closed, events: [], repeats: true }];
+  await forwardTo(answers, {}, 2, history);
+  const known = await forwardTo(answers, {}, 2, history);
+  expect(known.answered).toMatchObject({ events: 1, resumptions: 0 });
+  await forwardTo([{ events: [100] }], {}, 2, history);
+  const stated = await forwardTo(answers, {}, 2, history);
+  expect(stated.answered).toMatchObject({ events: 1, resumptions: 1 });
+});
