What an instance holds that is gone is remembered, so that a rewind grants it to nobody else

Callers of one client account could get 1,100 of 1,000 paid tokens: an instance was cut off from the store for more than 11 s before the store came back from a copy that is older than the cut. It spends what it holds, as it should, and the others grant the same tokens again.

Cause: holders and the count of instances were one list. An instance is not counted after 11 s without a renewal of its lease, and what it was granted after the copy stands in no row. A longer list does not help, since a cut has no named length, and to name every instance that was ever seen would write off the whole rest after each machine that left.

Now an instance that is not counted any more stays a holder by name until its grants' rows have been read (once for each account and loss). What they say is kept in memory until its lease is renewed again, and is put back as carried into the rows of the next era. That holds for any length of the cut and any age of the copy, and it is exact: nothing is awaited or written off for such an instance. A budget's row is unchanged.

The search over schedules has a step of its own, a rewind after an instance was cut off or lost for longer than it is counted: on the code before it fails after 159 schedules, with the change 400 schedules of each kind pass.

--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -186,10 +186,16 @@
     if (pending) return handleOutcome(await transactions.repeat(pending));
     if (transactions.isOverdue() && !host.isStoreUnresponsive())
       return handleOutcome(await transactions.open());
+    if (needsHolders()) return handleOutcome(await transactions.readHolders());
     if (queue.count() > 0) return fetchForQueue();
     return transactionsLeft > 0 && resizeGrant();
   }
 
+  function needsHolders(): boolean {
+    if (transactionsLeft === 0 || host.isStoreUnresponsive()) return false;
+    return transactions.hasUnreadHolders();
+  }
+
   async function restore(): Promise<boolean> {
     if (host.isStoreUnresponsive() || ancestry.kind === 'pending') return false;
     if (!host.listInstances()) return false;
--- a/packages/budgets/src/escrowReclaim.ts
+++ b/packages/budgets/src/escrowReclaim.ts
@@ -7,6 +7,7 @@
 import { listAccountRows } from './escrowListing';
 import {
   findRow,
+  formatGrant,
   getEraKey,
   getGrantKey,
   getSpendable,
@@ -61,7 +62,7 @@
 
 // Returns `undefined` if there is nothing to return.
 async function tryReclaim(
-  { rows, log }: EscrowHost,
+  { rows, log, instance }: EscrowHost,
   account: string,
   { incarnation, reserveShare }: Predecessor,
   { era, totals, grants }: AccountRows,
@@ -81,7 +82,7 @@
     checks: [toCheck(totalRow), toCheck(grantRow)],
     puts: [
       { ...totalKey, value: JSON.stringify({ ...total, allocated }) },
-      { ...grantKey, value: JSON.stringify({ held: spendable, ceiling: spendable }) },
+      { ...grantKey, value: formatGrant({ held: spendable, ceiling: spendable }, instance) },
     ],
     removals: [],
   });
--- a/packages/budgets/src/escrowRestoration.ts
+++ b/packages/budgets/src/escrowRestoration.ts
@@ -33,6 +33,8 @@
   /** Tokens that its own grant holds. */
   held: Tokens;
   ancestry: Ancestry;
+  /** Tokens held by incarnations of instances that are gone and not awaited. */
+  heldByGone: Record<string, Tokens>;
   limit: Tokens;
   /** The number of instances that have to put back their grants before more is granted. */
   instances: number;
@@ -148,16 +150,26 @@
 // A grant that has a row of this era counts by that row.
 function mergeCarried(
   before: Record<string, Tokens>,
-  { incarnation, ancestry }: Contribution,
+  { incarnation, ancestry, heldByGone }: Contribution,
   granted: Record<string, Tokens>,
 ): Record<string, Tokens> {
-  const known = ancestry.kind === 'known' ? ancestry.held : {};
-  const names = [...Object.keys(before), ...Object.keys(known)].filter(
-    (name) => name !== incarnation && granted[name] === undefined,
-  );
-  return Object.fromEntries(
-    names.map((name) => [name, Math.max(before[name] ?? 0, known[name] ?? 0)]),
+  const known = mergeHeld(ancestry.kind === 'known' ? ancestry.held : {}, heldByGone);
+  const counted = Object.entries(mergeHeld(before, known)).filter(
+    ([name]) => name !== incarnation && granted[name] === undefined,
   );
+  return Object.fromEntries(counted);
+}
+
+/** Returns the larger number of tokens that either side knows of each incarnation. */
+export function mergeHeld(
+  one: Record<string, Tokens>,
+  other: Record<string, Tokens>,
+): Record<string, Tokens> {
+  const merged = { ...one };
+  Object.entries(other).forEach(([name, tokens]) => {
+    merged[name] = Math.max(merged[name] ?? 0, tokens);
+  });
+  return merged;
 }
 
 function getWrittenOff(ancestry: Ancestry): Tokens {
--- a/packages/budgets/src/escrowRows.ts
+++ b/packages/budgets/src/escrowRows.ts
@@ -60,7 +60,7 @@
   return { name: key.slice(0, at), era };
 }
 
-/** The row of a grant. */
+/** The size of a grant. */
 export interface Grant {
   /** Tokens granted to one incarnation of an instance, spent ones included. */
   held: Tokens;
@@ -68,6 +68,12 @@
   ceiling: Tokens;
 }
 
+/** The row of a grant. */
+export interface GrantRow extends Grant {
+  /** The instance that holds the grant; rows of earlier builds do not name it. */
+  instance?: string | undefined;
+}
+
 /** Returns the most tokens that a holder may spend when it may spend this share of its reserve. */
 export function getSpendable({ held, ceiling }: Grant, reserveShare: number): Tokens {
   return ceiling + Math.ceil((held - ceiling) * reserveShare);
@@ -144,9 +150,15 @@
 }
 
 /** Parses a grant's row; returns `undefined` if it is malformed. */
-export function parseGrant(value: string): Grant | undefined {
-  const { held, ceiling } = parseObject(value);
-  return isCount(held) && isCount(ceiling) ? { held, ceiling } : undefined;
+export function parseGrant(value: string): GrantRow | undefined {
+  const { held, ceiling, instance } = parseObject(value);
+  if (!isCount(held) || !isCount(ceiling)) return undefined;
+  return typeof instance === 'string' ? { held, ceiling, instance } : { held, ceiling };
+}
+
+/** Returns the value of a grant's row. */
+export function formatGrant({ held, ceiling }: Grant, instance: string): string {
+  return JSON.stringify({ held, ceiling, instance });
 }
 
 /** Parses a lease's row; returns `undefined` if it is malformed. */
--- a/packages/budgets/src/escrowTransactions.ts
+++ b/packages/budgets/src/escrowTransactions.ts
@@ -9,16 +9,26 @@
   TransactError,
   VersionedRow,
 } from '@pomeloroad/storage';
+import { createEscrowHolders } from './escrowHolders';
 import { listAccountRows } from './escrowListing';
 import {
   addContribution,
   canGrant,
   hasRestored,
   isOverdue,
+  mergeHeld,
   openWithoutMissing,
 } from './escrowRestoration';
 import type { Ancestry } from './escrowRestoration';
-import { findRow, getGrantKey, getTotalKey, parseGrant, parseTotal, splitEra } from './escrowRows';
+import {
+  findRow,
+  formatGrant,
+  getGrantKey,
+  getTotalKey,
+  parseGrant,
+  parseTotal,
+  splitEra,
+} from './escrowRows';
 import type { BudgetTotal, Grant } from './escrowRows';
 import type { EscrowHost } from './escrowTypes';
 
@@ -98,6 +108,10 @@
   change(next: Grant, isReturnCall: boolean): Promise<EscrowOutcome>;
   /** Sends the pending change again under the same conditions. */
   repeat(pending: GrantChange): Promise<EscrowOutcome>;
+  /** Whether an instance renews its lease no more, and what it holds has not been read since. */
+  hasUnreadHolders(): boolean;
+  /** Reads what the instances hold that renew their leases no more. */
+  readHolders(): Promise<EscrowOutcome>;
   /** Reads the budget's row. */
   refreshTotal(): Promise<EscrowOutcome>;
   /** Applies the budget's row if it is newer than the known one. */
@@ -118,9 +132,13 @@
   let pendingChange: GrantChange | undefined;
   /** Instances that may hold tokens of an earlier era. */
   let holders: string[] = [];
+  /** Tokens of an earlier era held by incarnations that are gone, as far as this instance knows. */
+  let heldByGone: Record<string, Tokens> = {};
   /** Whether the leases had been read when the present era began here. */
   let areHoldersListed = true;
 
+  const known = createEscrowHolders(host.escrow);
+
   const listInstances = () => host.escrow.listInstances() ?? [];
 
   // A change of the old era whose outcome is not known counts only if it lowers the grant. Versions
@@ -140,8 +158,11 @@
     grantKey = getGrantKey(account, incarnation, era);
     // What was seen before the rewind counts: the copy may lack it, and it may be forgotten soon.
     const unsettled = isRestored ? [] : holders;
-    holders = [...unsettled, ...(total.restoration?.missing ?? []), ...listInstances()];
-    areHoldersListed = host.escrow.listInstances() !== undefined;
+    const listed = known.list();
+    holders = [...unsettled, ...(total.restoration?.missing ?? []), ...(listed ?? [])];
+    areHoldersListed = listed !== undefined;
+    const heldBefore = mergeHeld(isRestored ? {} : heldByGone, total.restoration?.carried ?? {});
+    heldByGone = mergeHeld(heldBefore, known.getHeld());
     total = NO_TOTAL;
     totalReadAt = -Infinity;
     isRestored = false;
@@ -154,7 +175,7 @@
     startEra(listed.val.era);
     if (era !== sentIn) return { kind: 'refreshed' };
     if (listed.val.era !== era) return OUTDATED;
-    if (!areHoldersListed) holders.push(...listInstances());
+    if (!areHoldersListed) holders.push(...(known.list() ?? []));
     areHoldersListed = true;
     const totalRow = findRow(listed.val.totals, totalKey);
     const grantRow = findRow(listed.val.grants, grantKey);
@@ -168,11 +189,11 @@
       incarnation,
       held: grant.held,
       ancestry: host.getAncestry(),
+      heldByGone,
       limit: host.getUse().limit,
       instances: host.escrow.countInstances(),
       holders,
     });
-    const { held, ceiling } = grant;
     const outcome = await send({
       checks: [
         { ...totalKey, version: totalRow?.version ?? 0 },
@@ -180,7 +201,7 @@
       ],
       puts: [
         { ...totalKey, value: JSON.stringify(next) },
-        { ...grantKey, value: JSON.stringify({ held, ceiling }) },
+        { ...grantKey, value: formatGrant(grant, instance) },
       ],
       removals: [],
     });
@@ -273,7 +294,7 @@
       isOpen: canGrantMore(),
     };
     const totalPut = { ...totalKey, value: JSON.stringify({ allocated, calls, restoration }) };
-    const grantPut = { ...grantKey, value: JSON.stringify({ held, ceiling }) };
+    const grantPut = { ...grantKey, value: formatGrant(next, instance) };
     const outcome = await send({
       checks: next.checks,
       puts: next.changesTotal ? [totalPut, grantPut] : [grantPut],
@@ -310,7 +331,8 @@
     if (isTotalRead) totalReadAt = clock.elapsed();
     const granted = grantRow && parseGrant(grantRow.value);
     if (grantRow && granted && grantRow.version !== grant.version) {
-      applyGrant({ ...granted, version: grantRow.version });
+      const { held, ceiling } = granted;
+      applyGrant({ held, ceiling, version: grantRow.version });
       return { kind: 'changed' };
     }
     pendingChange = undefined;
@@ -329,6 +351,25 @@
     pendingChange = undefined;
   }
 
+  // The rows of an era tell nothing of an instance that has not put back its grant into it.
+  function listUnreadHolders(): string[] {
+    if (!isRestored) return [];
+    const missing = total.restoration?.missing ?? [];
+    return known.listUnread().filter((name) => !missing.includes(name));
+  }
+
+  async function readHolders(): Promise<EscrowOutcome> {
+    const sentIn = era;
+    const names = listUnreadHolders();
+    const listed = await rows.list(grantKey.table, account);
+    if (listed.err) return { kind: 'failed', error: { message: '', ...listed.val } };
+    startEra(listed.val.era);
+    if (era !== sentIn) return { kind: 'refreshed' };
+    if (listed.val.era !== era) return OUTDATED;
+    known.noteGrants(names, listed.val.rows, era);
+    return { kind: 'refreshed' };
+  }
+
   async function refreshTotal(): Promise<EscrowOutcome> {
     const sentIn = era;
     const listed = await rows.list(totalKey.table, account);
@@ -369,6 +410,8 @@
     open,
     change: (next, isReturnCall) => commit(createChange(next, isReturnCall)),
     repeat: commit,
+    hasUnreadHolders: () => listUnreadHolders().length > 0,
+    readHolders,
     refreshTotal,
     updateTotal,
   };
--- a/packages/budgets/test/escrowInterleavings.test.ts
+++ b/packages/budgets/test/escrowInterleavings.test.ts
@@ -39,6 +39,8 @@
   | { kind: 'rewind' }
   /** Rewinds the store while an instance is cut off or lost, for longer than it is counted. */
   | { kind: 'drill'; at: number; isRemoved: boolean }
+  /** Rewinds the store after an instance was cut off or lost for longer than it is counted. */
+  | { kind: 'lateDrill'; at: number; isRemoved: boolean; rounds: number }
   /** Lets the instances that are not cut off exchange what they know and rebalance. */
   | { kind: 'converge' }
   | { kind: 'pass'; time: number };
@@ -101,6 +103,15 @@
   { weight: 6, arbitrary: fc.record({ kind: constant('reserve'), at, tokens: fc.nat(200) }) },
   { weight: 3, arbitrary: fc.record({ kind: constant('copy') }) },
   { weight: 4, arbitrary: fc.record({ kind: constant('drill'), at, isRemoved: fc.boolean() }) },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: constant('lateDrill'),
+      at,
+      isRemoved: fc.boolean(),
+      rounds: fc.nat(2),
+    }),
+  },
 ];
 const bounds = { minLength: 10, maxLength: 80 };
 const schedule = fc.array(fc.oneof(...weightedSteps), bounds);
@@ -183,6 +194,16 @@
     await converge();
   }
 
+  async function drillLate(run: InstanceRun, isRemoved: boolean, rounds: number): Promise<void> {
+    if (isRemoved) run.kill();
+    else setCut(run, true);
+    await converge();
+    forget(run);
+    for (let round = 0; round < rounds; round += 1) await converge();
+    rewind?.();
+    await converge();
+  }
+
   async function play(action: Step): Promise<void> {
     if (action.kind === 'reserve') reserve(getRun(action.at), action.tokens);
     if (action.kind === 'settle') settle(action.pick, action.share);
@@ -198,6 +219,8 @@
     if (action.kind === 'copy') rewind = store.memory.copy();
     if (action.kind === 'rewind') rewind?.();
     if (action.kind === 'drill') await drill(getRun(action.at), action.isRemoved);
+    if (action.kind === 'lateDrill')
+      await drillLate(getRun(action.at), action.isRemoved, action.rounds);
     if (action.kind === 'converge') await converge();
     if (action.kind === 'topup') {
       paid += action.tokens;
