An older lease that a copy brings back is no renewal

After a rewind callers were refused (503) for 11 s more than needed: an instance that had not been counted for long was counted again, since its lease in the copy has another version than the one that was seen last. A budget then awaits that instance, and opens with the whole rest written off, though what the instance holds is known and it was not to be awaited.

Cause: any other version of a lease counted as a renewal. Now the first reading of an era only takes note of the versions of those that were not counted before; the next renewal of a living one, at most 4 s later, counts it again.

Evidence: the new test of instanceCount failed before ('cut' was listed 4 s after the rewind) and passes.

--- a/packages/forwarding/src/store/instanceCount.ts
+++ b/packages/forwarding/src/store/instanceCount.ts
@@ -64,8 +64,8 @@
     // No renewal can be seen while the store is unavailable, so the last count stays in force.
     if (views.some((view) => view.err)) return;
     const found = views.map((view) => view.unwrap());
-    keepThroughRewind(Math.max(...found.map((view) => view.era)));
     const leases = found.flatMap((view) => view.rows);
+    keepThroughRewind(Math.max(...found.map((view) => view.era)), leases);
     if (!counted) former = findFormer(leases);
     leases.forEach(recordRenewal);
     const since = clock.elapsed() - RENEWAL_TIMEOUT_MS;
@@ -76,14 +76,19 @@
     onCounted?.(counted);
   }
 
-  // The copy may lack the lease of an instance that is cut off, so it counts as renewed at the rewind.
-  function keepThroughRewind(next: StoreEra): void {
+  // The copy may lack the lease of an instance that is cut off, so it counts as renewed at the rewind. The
+  // lease of one that was not counted before is an older one, which is no renewal.
+  function keepThroughRewind(next: StoreEra, leases: VersionedRow[]): void {
     if (next <= era) return;
     era = next;
     counted?.forEach((name) => {
       const known = renewals.get(name);
       if (known) renewals.set(name, { ...known, at: clock.elapsed() });
     });
+    leases.forEach(({ key, version }) => {
+      const known = renewals.get(key);
+      if (known && !counted?.includes(key)) renewals.set(key, { ...known, version });
+    });
   }
 
   function recordRenewal(row: VersionedRow): void {
--- a/packages/forwarding/test/instanceCount.test.ts
+++ b/packages/forwarding/test/instanceCount.test.ts
@@ -80,6 +80,21 @@
   expect(count.list()).not.toContain('lost');
 });
 
+// Guards against a budget that awaits for 11 s an instance whose grants are known.
+test('an instance that was not listed before the rewind is not listed for its lease in the copy', async () => {
+  const { clock, rows, count, renew } = await setUp(1, { cut: 5000 });
+  const rewind = rows.copy();
+  await renew(['cut'], NOW_MS);
+  for (let reading = 0; reading < 4; reading += 1) await clock.advance(4000);
+  expect(count.list()).not.toContain('cut');
+  rewind();
+  await clock.advance(4000);
+  expect(count.list()).not.toContain('cut');
+  await renew(['cut'], NOW_MS + 20_000);
+  await clock.advance(4000);
+  expect(count.list()).toContain('cut');
+});
+
 test('a first reading that fails is tried again soon', async () => {
   const clock = createManualClock();
   const memory = createMemoryRowStore();
