An instance that can not renew its lease is granted nothing more

Callers of one client account could get more than they paid for: part of the store is away, so that an instance can not renew its lease for more than 11 s but still writes its grants; then the store comes back from an older copy while that instance is cut off. The others have read what it holds by then, and what it was granted since counts as granted to nobody.

Cause: a lease decided about reserves only. Now, once the whole reserve may be spent (5.5 s after the last renewal that began), an instance is granted nothing beyond what it holds; it raises its ceilings, so that its use is covered and the lease can be renewed, and looks every 100 ms whether it is while requests wait. Others take it for gone after 11 s.

Tests changed: the fleet's harness can refuse the renewals of one lease.

--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -1,7 +1,7 @@
 import { Err, Ok } from 'ts-results';
 import { match } from 'ts-pattern';
 import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
-import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
+import type { Milliseconds, Outcome, Timer, Tokens } from '@pomeloroad/core';
 import { LIMIT_REWRITE_MAX_MS } from './escrowRestoration';
 import type { Ancestry } from './escrowRestoration';
 import { getSpendable } from './escrowRows';
@@ -34,6 +34,8 @@
 const BACKOFF_MIN_MS = 60;
 /** Longest back-off after a refused call. */
 const BACKOFF_MAX_MS = 2000;
+/** Pause after which it is looked whether an overdue lease has been renewed, while requests wait. */
+const LEASE_CHECK_INTERVAL_MS: Milliseconds = 100;
 /** Most transactions for one rebalance; the second is based on the rows of the first's conflict. */
 const REBALANCE_MAX_TRANSACTIONS = 2;
 
@@ -78,6 +80,7 @@
   let consecutiveRefusals = 0;
   let isRunRequested = false;
   let activeRun: Promise<void> | undefined;
+  let leaseCheck: Timer | undefined;
 
   async function reserve(
     tokens: Tokens,
@@ -229,8 +232,9 @@
 
   async function fetchForQueue(): Promise<boolean> {
     const needed = queue.sumTokens();
-    const available = getAvailable();
+    const available = getGrant().held + getGrantable() - used;
     if (needed <= available) return resizeFor(needed);
+    if (isLeaseOverdue()) return awaitLease();
     if (clock.elapsed() - transactions.getTotalReadAt() > TOTAL_MAX_AGE_MS)
       return handleOutcome(await transactions.refreshTotal());
     if (queue.getSmallest() <= available) return resizeFor(queue.getSmallest());
@@ -244,6 +248,15 @@
     return getGrant().held + getUnallocated() - used;
   }
 
+  // The lease is renewed only once the rows cover what is used.
+  async function awaitLease(): Promise<boolean> {
+    if (used > getGrant().ceiling)
+      return handleOutcome(await transactions.change(raiseCeiling(getUse(), 0), false));
+    leaseCheck?.cancel();
+    leaseCheck = clock.after(LEASE_CHECK_INTERVAL_MS, requestRun);
+    return false;
+  }
+
   async function resizeFor(needed: Tokens): Promise<boolean> {
     return handleOutcome(await transactions.change(planNextGrant(needed), false));
   }
@@ -267,6 +280,16 @@
     return Math.max(0, limit - getTotal().allocated);
   }
 
+  // An instance that does not renew its lease is soon taken for gone, and what others read of its grant
+  // then is all that counts as granted to it after a rewind.
+  function isLeaseOverdue(): boolean {
+    return host.getReserveShare() >= 1;
+  }
+
+  function getGrantable(): Tokens {
+    return isLeaseOverdue() ? 0 : getUnallocated();
+  }
+
   function getTarget(): GrantTarget {
     if (isRetired || clock.elapsed() < noSpareUntil) return { spare: 0, reserve: 0 };
     return getGrantTarget(getDemand());
@@ -280,7 +303,7 @@
 
   function getUse(): GrantUse {
     const returnRatio = getReturnRatio(getDemand());
-    return { grant: getGrant(), used, unallocated: getUnallocated(), returnRatio };
+    return { grant: getGrant(), used, unallocated: getGrantable(), returnRatio };
   }
 
   function planNextGrant(needed: Tokens): Grant {
--- a/packages/budgets/test/escrowHarness.ts
+++ b/packages/budgets/test/escrowHarness.ts
@@ -3,7 +3,7 @@
 import type { Clock, ManualClock, Milliseconds } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
 import type { MemoryRowStore, RowStore, RowTransaction } from '@pomeloroad/storage';
-import { BUDGET_TABLE, createEscrow, createEscrowLease } from '../src';
+import { BUDGET_TABLE, createEscrow, createEscrowLease, LEASE_TABLE } from '../src';
 import type { Escrow } from '../src';
 
 /** The client account used by the escrow tests. */
@@ -64,10 +64,14 @@
   isCut: boolean;
   /** Whether its transactions get no answer until they time out. */
   isSilent: boolean;
+  /** Whether the part of the store with its lease refuses its transactions. */
+  isLeaseRefused: boolean;
   isAlive: boolean;
   kill(): void;
 }
 
+const UNDISTURBED = { isCut: false, isSilent: false, isLeaseRefused: false, isAlive: true };
+
 /** Guards that a fleet leaves out, to show that the tests find the missing guard. */
 export interface DisabledGuards {
   /** Transactions are committed without their checks. */
@@ -103,7 +107,7 @@
   function start(instance: string): InstanceRun {
     runCount += 1;
     const stop = new AbortController();
-    const run = { instance, isCut: false, isSilent: false, isAlive: true } as InstanceRun;
+    const run = { ...UNDISTURBED, instance } as InstanceRun;
     const processClock = createProcessClock(clock);
     const rows = createRunRows(clock, store.rows, run, store.plannedOutcomes);
     const incarnation = disabledGuards.reusesIncarnation ? instance : `life-${runCount}`;
@@ -183,6 +187,8 @@
         await sleep(clock, CALL_TIMEOUT_MS);
         return Err({ kind: 'unknown', message: 'timed out' });
       }
+      if (run.isLeaseRefused && transaction.puts.some(({ table }) => table === LEASE_TABLE))
+        return Err({ kind: 'unavailable', message: 'refused' });
       if (run.isCut) plannedOutcomes.unshift('late');
       return rows.transact(transaction);
     },
--- a/packages/budgets/test/escrowRewind.test.ts
+++ b/packages/budgets/test/escrowRewind.test.ts
@@ -116,6 +116,37 @@
   expect(await reserve(members[1]!, 400)).toBe('unreachable');
 });
 
+// Guards against tokens granted twice (BUDGET): what others know that an instance holds is not what it holds.
+test('an instance that can not renew its lease is granted nothing more', async () => {
+  const { members, state, store, reserve, settle } = await setUp(2);
+  await settle(2);
+  members[0]!.isLeaseRefused = true;
+  await settle(30);
+  state.counted.delete('instance-0');
+  await settle(4);
+  const rewind = store.memory.copy();
+  expect(await reserve(members[0]!, 700)).toBe('unreachable');
+  members[0]!.isCut = true;
+  rewind();
+  await settle(4);
+  expect(await reserve(members[1]!, 400)).toBe('ok');
+  members[0]!.isCut = false;
+  members[0]!.isLeaseRefused = false;
+  state.counted.add('instance-0');
+  await settle(4);
+  expect(await reserve(members[0]!, 550)).toBe('ok');
+});
+
+test('an instance that can not renew its lease spends what it holds', async () => {
+  const { members, reserve, settle } = await setUp(2);
+  await settle(2);
+  members[0]!.isLeaseRefused = true;
+  await settle(30);
+  const { held, used } = describeAccount(members[0]!);
+  expect(held).toBeGreaterThan(100);
+  expect(await reserve(members[0]!, held - used)).toBe('ok');
+});
+
 test('nothing is granted over what an instance holds that never comes back', async () => {
   const { members, state, store, reserve, settle } = await setUp(3);
   await settle(2);
