A budget opens without the missing instances only by a limit that is read after the rewind

Callers of a client account whose budget was topped up just before the store came back from an older copy could get the top-up twice. An instance that is missing was granted tokens by the higher limit; another one opened the budget by the limit that it knew, which the copy or a late reading left behind, and wrote off the rest of that only. The top-up then counted as granted to nobody.

Cause: nothing asked of what age the limit is. Now a budget opens without the missing only by limits that were read 5 s or more after the rewind became known, the time within which the operator's rows are written again.

The step "drill" of the search lets 5 s pass for the same reason, so that budgets open in it as before. The harness tells the age of the limits.

--- a/packages/budgets/src/escrowTransactions.ts
+++ b/packages/budgets/src/escrowTransactions.ts
@@ -16,6 +16,7 @@
   canGrant,
   hasRestored,
   isOverdue,
+  LIMIT_REWRITE_MAX_MS,
   mergeHeld,
   openWithoutMissing,
 } from './escrowRestoration';
@@ -123,6 +124,8 @@
   const { account } = host;
   const { clock, log, rows, instance, incarnation } = host.escrow;
   let era = FIRST_ERA;
+  /** When the present era became known here. */
+  let eraStartedAt: Milliseconds = -Infinity;
   let totalKey = getTotalKey(account, era);
   let grantKey = getGrantKey(account, incarnation, era);
   let isRestored = true;
@@ -154,6 +157,7 @@
     };
     pendingChange = undefined;
     era = next;
+    eraStartedAt = clock.elapsed();
     totalKey = getTotalKey(account, era);
     grantKey = getGrantKey(account, incarnation, era);
     // What was seen before the rewind counts: the copy may lack it, and it may be forgotten soon.
@@ -246,6 +250,12 @@
     return isRestored && canGrant(total, host.escrow.countInstances());
   }
 
+  // The missing instances were granted tokens by limits that may have to be written again.
+  function areLimitsRead(): boolean {
+    const readAt = clock.elapsed() - host.escrow.getLimitsAge();
+    return readAt >= eraStartedAt + LIMIT_REWRITE_MAX_MS;
+  }
+
   async function open(): Promise<EscrowOutcome> {
     const next = openWithoutMissing(total, host.getUse().limit);
     const outcome = await send({
@@ -406,7 +416,7 @@
     restore,
     canGrant: canGrantMore,
     isRestKnown: () => canGrantMore() && !total.restoration?.missing.length,
-    isOverdue: () => isRestored && isOverdue(total, listInstances()),
+    isOverdue: () => isRestored && isOverdue(total, listInstances()) && areLimitsRead(),
     open,
     change: (next, isReturnCall) => commit(createChange(next, isReturnCall)),
     repeat: commit,
--- a/packages/budgets/src/escrowTypes.ts
+++ b/packages/budgets/src/escrowTypes.ts
@@ -25,6 +25,8 @@
   listInstances(): string[] | undefined;
   /** Whether that number covers all instances that started together with this one. */
   isFleetCounted(): boolean;
+  /** Time since the limits were last read. */
+  getLimitsAge(): Milliseconds;
 }
 
 /** Tokens reserved for one request. */
--- a/packages/budgets/test/escrowHarness.ts
+++ b/packages/budgets/test/escrowHarness.ts
@@ -99,6 +99,8 @@
   const state = {
     isStoreUnresponsive: false,
     isFleetCounted: true,
+    /** Age of the last reading of the limits. */
+    limitsAge: 0,
     /** Instances whose leases were renewed of late. */
     counted: new Set(names),
   };
@@ -135,6 +137,7 @@
       countInstances: () => state.counted.size,
       listInstances: () => (disabledGuards.forgetsMissing ? [] : [...state.counted]),
       isFleetCounted: () => state.isFleetCounted,
+      getLimitsAge: () => state.limitsAge,
     });
     run.kill = () => {
       run.isAlive = false;
--- a/packages/budgets/test/escrowInterleavings.test.ts
+++ b/packages/budgets/test/escrowInterleavings.test.ts
@@ -1,5 +1,6 @@
 import * as fc from 'fast-check';
 import type { EscrowReservation } from '../src';
+import { LIMIT_REWRITE_MAX_MS } from '../src/escrowRestoration';
 import { ACCOUNT, createFleet } from './escrowHarness';
 import type { DisabledGuards, InstanceRun, PlannedOutcome } from './escrowHarness';
 
@@ -191,6 +192,7 @@
     rewind?.();
     await converge();
     forget(run);
+    await clock.advance(LIMIT_REWRITE_MAX_MS);
     await converge();
   }
 
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -91,6 +91,7 @@
     countInstances: instanceCount.get,
     listInstances: instanceCount.list,
     isFleetCounted: instanceCount.isConfirmed,
+    getLimitsAge: () => configuration.getAge(),
   });
   const endpoints = createEndpoints({ clock, log, onFailure: recentEnds.noteFate });
   const losses = createEndpointLosses(clock);
