While an instance is missing, requests that would wait in vain are refused at once

After a rewind, while an instance that is missing had not put back its grant, callers of an account without tokens left waited up to 700 ms each for a 503, and read the budget's rows every 60 ms meanwhile: what a wait in vain teaches was kept only where the rest of a budget is known.

Now it is kept here too, apart from the other, and refuses with 503 and the time to retry for 3 s. It begins 3 s after the rewind became known, since within that time instances usually put back their grants and a wait pays. What is available is looked at first, so that tokens that come back are granted at once; and it is forgotten when the rest is known, so that it never leads to a 402.

--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -11,6 +11,7 @@
 import type { GrantUse } from './escrowPlan';
 import { createEscrowQueue } from './escrowQueue';
 import { createEscrowShortage } from './escrowShortage';
+import type { EscrowShortage } from './escrowShortage';
 import { getGrantTarget, getReturnRatio } from './escrowSizing';
 import type { GrantDemand, GrantTarget } from './escrowSizing';
 import { createEscrowTransactions } from './escrowTransactions';
@@ -27,6 +28,8 @@
 const RETURN_TIME_MS: Milliseconds = 400;
 /** Shortest interval between two calls on the other instances to return tokens. */
 const RETURN_CALL_INTERVAL_MS = 1000;
+/** Time within which all instances that are not missing put back their grants. */
+const RESTORE_USUAL_MS: Milliseconds = 3000;
 /** Interval for each instance over which the calls that put back grants are spread. */
 const RESTORE_SPREAD_PER_INSTANCE_MS: Milliseconds = 16;
 
@@ -57,12 +60,14 @@
   /** Tokens spent or reserved. */
   let used: Tokens = 0;
   const shortage = createEscrowShortage(clock);
+  /** What is short while it is not known what is left of the budget. */
+  const restShortage = createEscrowShortage(clock);
   const queue = createEscrowQueue({
     clock,
     getFreeTokens,
     openReservation,
     judgeWait,
-    isExhausted,
+    findRefusal,
   });
   const transactions = createEscrowTransactions({
     escrow: host,
@@ -92,7 +97,8 @@
     const deadline = clock.elapsed() + maxWait;
     for (;;) {
       if (queue.count() === 0 && tokens <= getFreeTokens()) return Ok(openReservation(tokens));
-      if (isExhausted(tokens)) return Err({ kind: 'exhausted' });
+      const refusal = findRefusal(tokens);
+      if (refusal) return Err(refusal);
       const left = deadline - clock.elapsed();
       if (!host.isStoreUnresponsive() && left > 0) {
         const waited = await waitInQueue(tokens, left);
@@ -144,17 +150,25 @@
 
   function judgeWait(tokens: Tokens, since: Milliseconds): EscrowError {
     const isCovered = tokens <= getFreeTokens() + getUnallocated();
-    if (!transactions.isRestKnown()) return UNREACHABLE_ERROR;
     if (isCovered || transactions.getTotalReadAt() < since) return UNREACHABLE_ERROR;
-    if (clock.elapsed() - since >= RETURN_TIME_MS) shortage.note(tokens);
-    return { kind: 'exhausted' };
+    const { known, error } = getShortage();
+    if (clock.elapsed() - since >= RETURN_TIME_MS) known?.note(tokens);
+    return error;
   }
 
   // Once a request has waited in vain the others can spare nothing. What they return later is unallocated,
   // so that it counts as available.
-  function isExhausted(tokens: Tokens): boolean {
-    if (host.isStoreUnresponsive() || !transactions.isRestKnown()) return false;
-    return shortage.covers(tokens) && tokens > getAvailable();
+  function findRefusal(tokens: Tokens): EscrowError | undefined {
+    if (host.isStoreUnresponsive() || tokens <= getAvailable()) return undefined;
+    const { known, error } = getShortage();
+    return known?.covers(tokens) ? error : undefined;
+  }
+
+  // What is short while other instances have to put back their grants says nothing of the time after.
+  function getShortage(): { known: EscrowShortage | undefined; error: EscrowError } {
+    if (transactions.isRestKnown()) return { known: shortage, error: { kind: 'exhausted' } };
+    const isLasting = transactions.getEraAge() >= RESTORE_USUAL_MS;
+    return { known: isLasting ? restShortage : undefined, error: UNREACHABLE_ERROR };
   }
 
   function retire(): void {
--- a/packages/budgets/src/escrowQueue.ts
+++ b/packages/budgets/src/escrowQueue.ts
@@ -11,8 +11,8 @@
   openReservation(tokens: Tokens): EscrowReservation;
   /** Decides with what error a request ends that has waited in vain since the given time. */
   judgeWait(tokens: Tokens, since: Milliseconds): EscrowError;
-  /** Whether the account is known to have too little left for a request of this size. */
-  isExhausted(tokens: Tokens): boolean;
+  /** The error of a request of this size that is known to wait in vain, if it is. */
+  findRefusal(tokens: Tokens): EscrowError | undefined;
 }
 
 /** A queue of one account's requests that wait for tokens from the store or from other requests. */
@@ -52,7 +52,7 @@
     const error = host.judgeWait(waiter.tokens, since);
     finish(waiter, Err(error));
     // Requests for no fewer tokens would wait in vain as well.
-    if (host.isExhausted(waiter.tokens)) refuseFrom(waiter.tokens, error);
+    if (host.findRefusal(waiter.tokens)) refuseFrom(waiter.tokens, error);
   }
 
   function refuseFrom(tokens: Tokens, error: EscrowError): void {
--- a/packages/budgets/src/escrowTransactions.ts
+++ b/packages/budgets/src/escrowTransactions.ts
@@ -93,6 +93,8 @@
   getTotalReadAt(): Milliseconds;
   /** Follows the store into a later era; does nothing in any other. */
   startEra(next: StoreEra): void;
+  /** Time since the present era became known here. */
+  getEraAge(): Milliseconds;
   /** Whether the own grant is in the rows of the present era; nothing else may be written before. */
   isRestored(): boolean;
   /** Puts the own grant, and what earlier processes of the machine held, into the present era. */
@@ -412,6 +414,7 @@
     getPendingChange: () => pendingChange,
     getTotalReadAt: () => totalReadAt,
     startEra,
+    getEraAge: () => clock.elapsed() - eraStartedAt,
     isRestored: () => isRestored,
     restore,
     canGrant: canGrantMore,
--- a/packages/budgets/test/escrowRewind.test.ts
+++ b/packages/budgets/test/escrowRewind.test.ts
@@ -174,6 +174,26 @@
   },
 );
 
+// Guards against callers that wait for nothing, each of which reads rows meanwhile.
+test('while an instance is missing only some requests wait for tokens in vain', async () => {
+  const { clock, members, store, reserve, settle } = await setUp(2);
+  const rewind = store.memory.copy();
+  expect(await reserve(members[0]!, 700)).toBe('ok');
+  members[0]!.isCut = true;
+  rewind();
+  await settle(8);
+  expect(await reserve(members[1]!, 400)).toBe('unreachable');
+  const outcomes: string[] = [];
+  members[1]!.escrow
+    .reserve(ACCOUNT, 500, MAX_WAIT_MS)
+    .then((outcome) => outcomes.push(outcome.ok ? 'ok' : outcome.val.kind));
+  await clock.advance(0);
+  expect(outcomes).toEqual(['unreachable']);
+  members[0]!.isCut = false;
+  await settle(2);
+  expect(await reserve(members[1]!, 250)).toBe('ok');
+});
+
 test('nothing is granted over what an instance holds that never comes back', async () => {
   const { members, state, store, reserve, settle } = await setUp(3);
   await settle(2);
