What a successor gave back before a rewind is not counted again by the copy

Tokens were stranded for good after a drill, though no process had died unread: a process was killed and started again, its successor gave back what it can't have spent, and the store came back from a copy from before that. Callers got 402 for tokens that nobody held.

Cause: of what the copy, the instances that had read rows earlier, and the successor say of an incarnation the largest counted. Only the successor can know: its predecessor had ended, and what that can have spent at most is fixed. Now it says so (`ended`), its figure goes before the others, and the budget's row keeps which incarnations are so settled (`settled`), so that those who put back their grants later, and the next era, don't raise it again. Builds before ignore the field and drop it, which counts the larger figure, as before.

Tests changed: escrowRows has the new field, a bad value of it, and grants with and without their instance; a contribution in escrowRewind has the new field (empty).

--- a/packages/budgets/src/escrowReclaim.ts
+++ b/packages/budgets/src/escrowReclaim.ts
@@ -57,7 +57,8 @@
   const grant = row && parseGrant(row.value);
   if (ancestry.kind !== 'known' || !grant) return ancestry;
   const spendable = getSpendable(grant, reserveShare);
-  return { ...ancestry, held: { ...ancestry.held, [incarnation]: spendable } };
+  const ended = { [incarnation]: spendable };
+  return { ...ancestry, held: { ...ancestry.held, ...ended }, ended };
 }
 
 // Returns `undefined` if there is nothing to return.
--- a/packages/budgets/src/escrowRestoration.ts
+++ b/packages/budgets/src/escrowRestoration.ts
@@ -11,13 +11,19 @@
 export type Ancestry =
   | { kind: 'pending' }
   | { kind: 'unknown' }
-  | { kind: 'known'; held: Record<string, Tokens>; writtenOff: Tokens };
+  | {
+      kind: 'known';
+      held: Record<string, Tokens>;
+      /** The most that the latest of them can have spent, if it was granted any. */
+      ended: Record<string, Tokens>;
+      writtenOff: Tokens;
+    };
 
 /** Time within which the operator's rows are written again after a rewind of the store. */
 export const LIMIT_REWRITE_MAX_MS: Milliseconds = 5000;
 
 /** The ancestry of the first process on a machine. */
-export const NO_ANCESTRY: Ancestry = { kind: 'known', held: {}, writtenOff: 0 };
+export const NO_ANCESTRY: Ancestry = { kind: 'known', held: {}, ended: {}, writtenOff: 0 };
 
 /** Rows of one account, all read in one era. */
 export interface AccountRows {
@@ -49,6 +55,7 @@
   return {
     kind: 'known',
     held: { ...restoration?.carried, ...listGrants(grants, era) },
+    ended: {},
     writtenOff: restoration?.writtenOff ?? 0,
   };
 }
@@ -94,7 +101,8 @@
   const present = findTotal(rows.totals, rows.era);
   const before = present?.restoration ?? carryOver(rows);
   const granted = listGrants(rows.grants, rows.era);
-  const carried = mergeCarried(before.carried, added, granted);
+  const carried = mergeCarried(before, added, granted);
+  const settled = mergeSettled(before, added).filter((name) => carried[name] !== undefined);
   const instances = [...before.instances, added.instance];
   const missing = mergeMissing(before, added);
   const limit = Math.max(before.limit, added.limit);
@@ -112,6 +120,7 @@
     restoration: {
       instances,
       carried,
+      settled,
       writtenOff,
       limit,
       isUncertain,
@@ -138,6 +147,7 @@
   return {
     instances: [],
     carried: { ...restoration?.carried, ...listGrants(grants, base) },
+    settled: restoration?.settled ?? [],
     writtenOff: restoration?.writtenOff ?? 0,
     limit: restoration?.limit ?? 0,
     isUncertain: false,
@@ -147,19 +157,38 @@
   };
 }
 
-// A grant that has a row of this era counts by that row.
+// A grant that has a row of this era counts by that row. What a successor tells goes before what the
+// copy, or an instance that read the rows earlier, says.
 function mergeCarried(
-  before: Record<string, Tokens>,
+  { carried, settled }: Restoration,
   { incarnation, ancestry, heldByGone }: Contribution,
   granted: Record<string, Tokens>,
 ): Record<string, Tokens> {
   const known = mergeHeld(ancestry.kind === 'known' ? ancestry.held : {}, heldByGone);
-  const counted = Object.entries(mergeHeld(before, known)).filter(
+  const told = settled.filter((name) => carried[name] !== undefined);
+  const merged = {
+    ...mergeHeld(carried, known),
+    ...pick(carried, told),
+    ...getEnded(ancestry),
+  };
+  const counted = Object.entries(merged).filter(
     ([name]) => name !== incarnation && granted[name] === undefined,
   );
   return Object.fromEntries(counted);
 }
 
+function mergeSettled({ settled }: Restoration, { ancestry }: Contribution): string[] {
+  return [...new Set([...settled, ...Object.keys(getEnded(ancestry))])];
+}
+
+function pick(tokens: Record<string, Tokens>, names: string[]): Record<string, Tokens> {
+  return Object.fromEntries(names.map((name) => [name, tokens[name] ?? 0]));
+}
+
+function getEnded(ancestry: Ancestry): Record<string, Tokens> {
+  return ancestry.kind === 'known' ? ancestry.ended : {};
+}
+
 /** Returns the larger number of tokens that either side knows of each incarnation. */
 export function mergeHeld(
   one: Record<string, Tokens>,
--- a/packages/budgets/src/escrowRows.ts
+++ b/packages/budgets/src/escrowRows.ts
@@ -20,6 +20,8 @@
   instances: string[];
   /** Tokens granted in earlier eras, by the incarnation that has not put them back itself. */
   carried: Record<string, Tokens>;
+  /** Incarnations whose carried tokens their successor has told, which knows them better than any copy. */
+  settled: string[];
   /** Tokens that may have been granted to processes of which nothing is known. */
   writtenOff: Tokens;
   /** Largest limit that an instance knew when it put its grant back, or was granted more. */
@@ -108,9 +110,9 @@
   const { allocated, calls, restoration } = parseObject(value);
   if (!isCount(allocated) || !isCount(calls)) return undefined;
   if (restoration === undefined) return { allocated, calls };
-  // Rows of earlier builds do not name the missing instances.
+  // Rows of earlier builds name neither the missing instances nor settled incarnations.
   const named = toObject(restoration);
-  const complete = named && { missing: [], missingTokens: 0, ...named };
+  const complete = named && { missing: [], missingTokens: 0, settled: [], ...named };
   return isRestoration(complete) ? { allocated, calls, restoration: complete } : undefined;
 }
 
@@ -120,6 +122,7 @@
   return (
     isNames(instances) &&
     isNames(value.missing) &&
+    isNames(value.settled) &&
     isCount(value.missingTokens) &&
     typeof carried === 'object' &&
     // A row may hold any value, whatever the type says.
--- a/packages/budgets/test/escrowRewind.test.ts
+++ b/packages/budgets/test/escrowRewind.test.ts
@@ -330,6 +330,24 @@
   expect(await reserve(members[1]!, 400)).toBe('ok');
 });
 
+// Guards against tokens that are stranded by a copy that is older than a restart.
+test('what a successor gave back before a rewind is not counted again by the copy', async () => {
+  const { members, store, reserve, restart, settle } = await setUp(3);
+  expect(await reserve(members[0]!, 300)).toBe('ok');
+  await settle(4);
+  const { held } = describeAccount(members[0]!);
+  expect(held).toBeGreaterThan(400);
+  const rewind = store.memory.copy();
+  await restart(0);
+  await settle(2);
+  rewind();
+  await settle(6);
+  const heldByLiving = members.reduce((sum, run) => sum + describeAccount(run).held, 0);
+  const { allocated } = describeAccount(members[0]!);
+  expect(allocated - heldByLiving).toBeGreaterThanOrEqual(300);
+  expect(allocated - heldByLiving).toBeLessThan(held);
+});
+
 test('two rewinds in a row lose no grant', async () => {
   const { members, store, reserve, settle } = await setUp(2);
   const rewind = store.memory.copy();
@@ -399,7 +417,7 @@
       instance: 'instance-1',
       incarnation: 'life-1',
       held: 50,
-      ancestry: { kind: 'known', held: {}, writtenOff: 900 },
+      ancestry: { kind: 'known', held: {}, ended: {}, writtenOff: 900 },
       heldByGone: {},
       limit: LIMIT,
       instances: 1,
--- a/packages/budgets/test/escrowRows.test.ts
+++ b/packages/budgets/test/escrowRows.test.ts
@@ -1,4 +1,4 @@
-import { parseTotal } from '../src/escrowRows';
+import { formatGrant, parseGrant, parseTotal } from '../src/escrowRows';
 
 /** As rows of builds tell that did not name missing instances. */
 const EARLIER = {
@@ -9,7 +9,7 @@
   isUncertain: false,
   isOpen: true,
 };
-const RESTORATION = { ...EARLIER, missing: ['b'], missingTokens: 3 };
+const RESTORATION = { ...EARLIER, missing: ['b'], missingTokens: 3, settled: ['a-1'] };
 
 function parse(restoration: object) {
   return parseTotal(JSON.stringify({ allocated: 1, calls: 0, restoration }));
@@ -20,7 +20,15 @@
 });
 
 test('a row of an earlier build, which names no missing instances, is read', () => {
-  expect(parse(EARLIER)?.restoration).toEqual({ ...EARLIER, missing: [], missingTokens: 0 });
+  const added = { missing: [], missingTokens: 0, settled: [] };
+  expect(parse(EARLIER)?.restoration).toEqual({ ...EARLIER, ...added });
+});
+
+test('a grant is read with its instance, and without it as earlier builds write it', () => {
+  const grant = { held: 7, ceiling: 5 };
+  expect(parseGrant(formatGrant(grant, 'a'))).toEqual({ ...grant, instance: 'a' });
+  expect(parseGrant(JSON.stringify(grant))).toEqual(grant);
+  expect(parseGrant(JSON.stringify({ ...grant, instance: 7 }))).toEqual(grant);
 });
 
 // Guards against processes that end because of a row of a budget that can't be read.
@@ -31,6 +39,7 @@
   { limit: '10' },
   { missing: 'b' },
   { missingTokens: -1 },
+  { settled: [7] },
 ])('a row whose restoration has %j can not be read', (fields) => {
   expect(parse({ ...RESTORATION, ...fields })).toBeUndefined();
 });
