--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -1,7 +1,7 @@
 import { Err, Ok } from 'ts-results';
 import { match } from 'ts-pattern';
 import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
-import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
+import type { Milliseconds, Outcome, Timer, Tokens } from '@pomeloroad/core';
 import { LIMIT_REWRITE_MAX_MS } from './escrowRestoration';
 import type { Ancestry } from './escrowRestoration';
 import { getSpendable } from './escrowRows';
@@ -11,6 +11,7 @@
 import type { GrantUse } from './escrowPlan';
 import { createEscrowQueue } from './escrowQueue';
 import { createEscrowShortage } from './escrowShortage';
+import type { EscrowShortage } from './escrowShortage';
 import { getGrantTarget, getReturnRatio } from './escrowSizing';
 import type { GrantDemand, GrantTarget } from './escrowSizing';
 import { createEscrowTransactions } from './escrowTransactions';
@@ -27,6 +28,8 @@
 const RETURN_TIME_MS: Milliseconds = 400;
 /** Shortest interval between two calls on the other instances to return tokens. */
 const RETURN_CALL_INTERVAL_MS = 1000;
+/** Time within which all instances that are not missing put back their grants. */
+const RESTORE_USUAL_MS: Milliseconds = 3000;
 /** Interval for each instance over which the calls that put back grants are spread. */
 const RESTORE_SPREAD_PER_INSTANCE_MS: Milliseconds = 16;
 
@@ -34,6 +37,8 @@
 const BACKOFF_MIN_MS = 60;
 /** Longest back-off after a refused call. */
 const BACKOFF_MAX_MS = 2000;
+/** Pause after which it is looked whether an overdue lease has been renewed, while requests wait. */
+const LEASE_CHECK_INTERVAL_MS: Milliseconds = 100;
 /** Most transactions for one rebalance; the second is based on the rows of the first's conflict. */
 const REBALANCE_MAX_TRANSACTIONS = 2;
 
@@ -55,12 +60,14 @@
   /** Tokens spent or reserved. */
   let used: Tokens = 0;
   const shortage = createEscrowShortage(clock);
+  /** What is short while it is not known what is left of the budget. */
+  const restShortage = createEscrowShortage(clock);
   const queue = createEscrowQueue({
     clock,
     getFreeTokens,
     openReservation,
     judgeWait,
-    isExhausted,
+    findRefusal,
   });
   const transactions = createEscrowTransactions({
     escrow: host,
@@ -78,6 +85,7 @@
   let consecutiveRefusals = 0;
   let isRunRequested = false;
   let activeRun: Promise<void> | undefined;
+  let leaseCheck: Timer | undefined;
 
   async function reserve(
     tokens: Tokens,
@@ -89,7 +97,8 @@
     const deadline = clock.elapsed() + maxWait;
     for (;;) {
       if (queue.count() === 0 && tokens <= getFreeTokens()) return Ok(openReservation(tokens));
-      if (isExhausted(tokens)) return Err({ kind: 'exhausted' });
+      const refusal = findRefusal(tokens);
+      if (refusal) return Err(refusal);
       const left = deadline - clock.elapsed();
       if (!host.isStoreUnresponsive() && left > 0) {
         const waited = await waitInQueue(tokens, left);
@@ -141,17 +150,25 @@
 
   function judgeWait(tokens: Tokens, since: Milliseconds): EscrowError {
     const isCovered = tokens <= getFreeTokens() + getUnallocated();
-    if (!transactions.isRestKnown()) return UNREACHABLE_ERROR;
     if (isCovered || transactions.getTotalReadAt() < since) return UNREACHABLE_ERROR;
-    if (clock.elapsed() - since >= RETURN_TIME_MS) shortage.note(tokens);
-    return { kind: 'exhausted' };
+    const { known, error } = getShortage();
+    if (clock.elapsed() - since >= RETURN_TIME_MS) known?.note(tokens);
+    return error;
   }
 
   // Once a request has waited in vain the others can spare nothing. What they return later is unallocated,
   // so that it counts as available.
-  function isExhausted(tokens: Tokens): boolean {
-    if (host.isStoreUnresponsive() || !transactions.isRestKnown()) return false;
-    return shortage.covers(tokens) && tokens > getAvailable();
+  function findRefusal(tokens: Tokens): EscrowError | undefined {
+    if (host.isStoreUnresponsive() || tokens <= getAvailable()) return undefined;
+    const { known, error } = getShortage();
+    return known?.covers(tokens) ? error : undefined;
+  }
+
+  // What is short while other instances have to put back their grants says nothing of the time after.
+  function getShortage(): { known: EscrowShortage | undefined; error: EscrowError } {
+    if (transactions.isRestKnown()) return { known: shortage, error: { kind: 'exhausted' } };
+    const isLasting = transactions.getEraAge() >= RESTORE_USUAL_MS;
+    return { known: isLasting ? restShortage : undefined, error: UNREACHABLE_ERROR };
   }
 
   function retire(): void {
@@ -186,10 +203,16 @@
     if (pending) return handleOutcome(await transactions.repeat(pending));
     if (transactions.isOverdue() && !host.isStoreUnresponsive())
       return handleOutcome(await transactions.open());
+    if (needsHolders()) return handleOutcome(await transactions.readHolders());
     if (queue.count() > 0) return fetchForQueue();
     return transactionsLeft > 0 && resizeGrant();
   }
 
+  function needsHolders(): boolean {
+    if (transactionsLeft === 0 || host.isStoreUnresponsive()) return false;
+    return transactions.hasUnreadHolders();
+  }
+
   async function restore(): Promise<boolean> {
     if (host.isStoreUnresponsive() || ancestry.kind === 'pending') return false;
     if (!host.listInstances()) return false;
@@ -223,8 +246,9 @@
 
   async function fetchForQueue(): Promise<boolean> {
     const needed = queue.sumTokens();
-    const available = getAvailable();
+    const available = getGrant().held + getGrantable() - used;
     if (needed <= available) return resizeFor(needed);
+    if (isLeaseOverdue()) return awaitLease();
     if (clock.elapsed() - transactions.getTotalReadAt() > TOTAL_MAX_AGE_MS)
       return handleOutcome(await transactions.refreshTotal());
     if (queue.getSmallest() <= available) return resizeFor(queue.getSmallest());
@@ -238,6 +262,15 @@
     return getGrant().held + getUnallocated() - used;
   }
 
+  // The lease is renewed only once the rows cover what is used.
+  async function awaitLease(): Promise<boolean> {
+    if (used > getGrant().ceiling)
+      return handleOutcome(await transactions.change(raiseCeiling(getUse(), 0), false));
+    leaseCheck?.cancel();
+    leaseCheck = clock.after(LEASE_CHECK_INTERVAL_MS, requestRun);
+    return false;
+  }
+
   async function resizeFor(needed: Tokens): Promise<boolean> {
     return handleOutcome(await transactions.change(planNextGrant(needed), false));
   }
@@ -261,6 +294,16 @@
     return Math.max(0, limit - getTotal().allocated);
   }
 
+  // An instance that does not renew its lease is soon taken for gone, and what others read of its grant
+  // then is all that counts as granted to it after a rewind.
+  function isLeaseOverdue(): boolean {
+    return host.getReserveShare() >= 1;
+  }
+
+  function getGrantable(): Tokens {
+    return isLeaseOverdue() ? 0 : getUnallocated();
+  }
+
   function getTarget(): GrantTarget {
     if (isRetired || clock.elapsed() < noSpareUntil) return { spare: 0, reserve: 0 };
     return getGrantTarget(getDemand());
@@ -274,7 +317,7 @@
 
   function getUse(): GrantUse {
     const returnRatio = getReturnRatio(getDemand());
-    return { grant: getGrant(), used, unallocated: getUnallocated(), returnRatio };
+    return { grant: getGrant(), used, unallocated: getGrantable(), returnRatio };
   }
 
   function planNextGrant(needed: Tokens): Grant {
--- a/packages/budgets/src/escrowRows.ts
+++ b/packages/budgets/src/escrowRows.ts
@@ -20,6 +20,8 @@
   instances: string[];
   /** Tokens granted in earlier eras, by the incarnation that has not put them back itself. */
   carried: Record<string, Tokens>;
+  /** Incarnations whose carried tokens their successor has told, which knows them better than any copy. */
+  settled: string[];
   /** Tokens that may have been granted to processes of which nothing is known. */
   writtenOff: Tokens;
   /** Largest limit that an instance knew when it put its grant back, or was granted more. */
@@ -60,7 +62,7 @@
   return { name: key.slice(0, at), era };
 }
 
-/** The row of a grant. */
+/** The size of a grant. */
 export interface Grant {
   /** Tokens granted to one incarnation of an instance, spent ones included. */
   held: Tokens;
@@ -68,6 +70,12 @@
   ceiling: Tokens;
 }
 
+/** The row of a grant. */
+export interface GrantRow extends Grant {
+  /** The instance that holds the grant; rows of earlier builds do not name it. */
+  instance?: string | undefined;
+}
+
 /** Returns the most tokens that a holder may spend when it may spend this share of its reserve. */
 export function getSpendable({ held, ceiling }: Grant, reserveShare: number): Tokens {
   return ceiling + Math.ceil((held - ceiling) * reserveShare);
@@ -102,9 +110,9 @@
   const { allocated, calls, restoration } = parseObject(value);
   if (!isCount(allocated) || !isCount(calls)) return undefined;
   if (restoration === undefined) return { allocated, calls };
-  // Rows of earlier builds do not name the missing instances.
+  // Rows of earlier builds name neither the missing instances nor settled incarnations.
   const named = toObject(restoration);
-  const complete = named && { missing: [], missingTokens: 0, ...named };
+  const complete = named && { missing: [], missingTokens: 0, settled: [], ...named };
   return isRestoration(complete) ? { allocated, calls, restoration: complete } : undefined;
 }
 
@@ -114,6 +122,7 @@
   return (
     isNames(instances) &&
     isNames(value.missing) &&
+    isNames(value.settled) &&
     isCount(value.missingTokens) &&
     typeof carried === 'object' &&
     // A row may hold any value, whatever the type says.
@@ -144,9 +153,15 @@
 }
 
 /** Parses a grant's row; returns `undefined` if it is malformed. */
-export function parseGrant(value: string): Grant | undefined {
-  const { held, ceiling } = parseObject(value);
-  return isCount(held) && isCount(ceiling) ? { held, ceiling } : undefined;
+export function parseGrant(value: string): GrantRow | undefined {
+  const { held, ceiling, instance } = parseObject(value);
+  if (!isCount(held) || !isCount(ceiling)) return undefined;
+  return typeof instance === 'string' ? { held, ceiling, instance } : { held, ceiling };
+}
+
+/** Returns the value of a grant's row. */
+export function formatGrant({ held, ceiling }: Grant, instance: string): string {
+  return JSON.stringify({ held, ceiling, instance });
 }
 
 /** Parses a lease's row; returns `undefined` if it is malformed. */
--- a/packages/budgets/src/escrowTransactions.ts
+++ b/packages/budgets/src/escrowTransactions.ts
@@ -9,16 +9,27 @@
   TransactError,
   VersionedRow,
 } from '@pomeloroad/storage';
+import { createEscrowHolders } from './escrowHolders';
 import { listAccountRows } from './escrowListing';
 import {
   addContribution,
   canGrant,
   hasRestored,
   isOverdue,
+  LIMIT_REWRITE_MAX_MS,
+  mergeHeld,
   openWithoutMissing,
 } from './escrowRestoration';
 import type { Ancestry } from './escrowRestoration';
-import { findRow, getGrantKey, getTotalKey, parseGrant, parseTotal, splitEra } from './escrowRows';
+import {
+  findRow,
+  formatGrant,
+  getGrantKey,
+  getTotalKey,
+  parseGrant,
+  parseTotal,
+  splitEra,
+} from './escrowRows';
 import type { BudgetTotal, Grant } from './escrowRows';
 import type { EscrowHost } from './escrowTypes';
 
@@ -82,6 +93,8 @@
   getTotalReadAt(): Milliseconds;
   /** Follows the store into a later era; does nothing in any other. */
   startEra(next: StoreEra): void;
+  /** Time since the present era became known here. */
+  getEraAge(): Milliseconds;
   /** Whether the own grant is in the rows of the present era; nothing else may be written before. */
   isRestored(): boolean;
   /** Puts the own grant, and what earlier processes of the machine held, into the present era. */
@@ -98,6 +111,10 @@
   change(next: Grant, isReturnCall: boolean): Promise<EscrowOutcome>;
   /** Sends the pending change again under the same conditions. */
   repeat(pending: GrantChange): Promise<EscrowOutcome>;
+  /** Whether an instance renews its lease no more, and what it holds has not been read since. */
+  hasUnreadHolders(): boolean;
+  /** Reads what the instances hold that renew their leases no more. */
+  readHolders(): Promise<EscrowOutcome>;
   /** Reads the budget's row. */
   refreshTotal(): Promise<EscrowOutcome>;
   /** Applies the budget's row if it is newer than the known one. */
@@ -109,6 +126,8 @@
   const { account } = host;
   const { clock, log, rows, instance, incarnation } = host.escrow;
   let era = FIRST_ERA;
+  /** When the present era became known here. */
+  let eraStartedAt: Milliseconds = -Infinity;
   let totalKey = getTotalKey(account, era);
   let grantKey = getGrantKey(account, incarnation, era);
   let isRestored = true;
@@ -118,9 +137,13 @@
   let pendingChange: GrantChange | undefined;
   /** Instances that may hold tokens of an earlier era. */
   let holders: string[] = [];
+  /** Tokens of an earlier era held by incarnations that are gone, as far as this instance knows. */
+  let heldByGone: Record<string, Tokens> = {};
   /** Whether the leases had been read when the present era began here. */
   let areHoldersListed = true;
 
+  const known = createEscrowHolders(host.escrow);
+
   const listInstances = () => host.escrow.listInstances() ?? [];
 
   // A change of the old era whose outcome is not known counts only if it lowers the grant. Versions
@@ -136,12 +159,16 @@
     };
     pendingChange = undefined;
     era = next;
+    eraStartedAt = clock.elapsed();
     totalKey = getTotalKey(account, era);
     grantKey = getGrantKey(account, incarnation, era);
     // What was seen before the rewind counts: the copy may lack it, and it may be forgotten soon.
     const unsettled = isRestored ? [] : holders;
-    holders = [...unsettled, ...(total.restoration?.missing ?? []), ...listInstances()];
-    areHoldersListed = host.escrow.listInstances() !== undefined;
+    const listed = known.list();
+    holders = [...unsettled, ...(total.restoration?.missing ?? []), ...(listed ?? [])];
+    areHoldersListed = listed !== undefined;
+    const heldBefore = mergeHeld(isRestored ? {} : heldByGone, total.restoration?.carried ?? {});
+    heldByGone = mergeHeld(heldBefore, known.getHeld());
     total = NO_TOTAL;
     totalReadAt = -Infinity;
     isRestored = false;
@@ -154,7 +181,7 @@
     startEra(listed.val.era);
     if (era !== sentIn) return { kind: 'refreshed' };
     if (listed.val.era !== era) return OUTDATED;
-    if (!areHoldersListed) holders.push(...listInstances());
+    if (!areHoldersListed) holders.push(...(known.list() ?? []));
     areHoldersListed = true;
     const totalRow = findRow(listed.val.totals, totalKey);
     const grantRow = findRow(listed.val.grants, grantKey);
@@ -168,11 +195,11 @@
       incarnation,
       held: grant.held,
       ancestry: host.getAncestry(),
+      heldByGone,
       limit: host.getUse().limit,
       instances: host.escrow.countInstances(),
       holders,
     });
-    const { held, ceiling } = grant;
     const outcome = await send({
       checks: [
         { ...totalKey, version: totalRow?.version ?? 0 },
@@ -180,7 +207,7 @@
       ],
       puts: [
         { ...totalKey, value: JSON.stringify(next) },
-        { ...grantKey, value: JSON.stringify({ held, ceiling }) },
+        { ...grantKey, value: formatGrant(grant, instance) },
       ],
       removals: [],
     });
@@ -225,6 +252,12 @@
     return isRestored && canGrant(total, host.escrow.countInstances());
   }
 
+  // The missing instances were granted tokens by limits that may have to be written again.
+  function areLimitsRead(): boolean {
+    const readAt = clock.elapsed() - host.escrow.getLimitsAge();
+    return readAt >= eraStartedAt + LIMIT_REWRITE_MAX_MS;
+  }
+
   async function open(): Promise<EscrowOutcome> {
     const next = openWithoutMissing(total, host.getUse().limit);
     const outcome = await send({
@@ -273,7 +306,7 @@
       isOpen: canGrantMore(),
     };
     const totalPut = { ...totalKey, value: JSON.stringify({ allocated, calls, restoration }) };
-    const grantPut = { ...grantKey, value: JSON.stringify({ held, ceiling }) };
+    const grantPut = { ...grantKey, value: formatGrant(next, instance) };
     const outcome = await send({
       checks: next.checks,
       puts: next.changesTotal ? [totalPut, grantPut] : [grantPut],
@@ -310,7 +343,8 @@
     if (isTotalRead) totalReadAt = clock.elapsed();
     const granted = grantRow && parseGrant(grantRow.value);
     if (grantRow && granted && grantRow.version !== grant.version) {
-      applyGrant({ ...granted, version: grantRow.version });
+      const { held, ceiling } = granted;
+      applyGrant({ held, ceiling, version: grantRow.version });
       return { kind: 'changed' };
     }
     pendingChange = undefined;
@@ -329,6 +363,25 @@
     pendingChange = undefined;
   }
 
+  // The rows of an era tell nothing of an instance that has not put back its grant into it.
+  function listUnreadHolders(): string[] {
+    if (!isRestored) return [];
+    const missing = total.restoration?.missing ?? [];
+    return known.listUnread().filter((name) => !missing.includes(name));
+  }
+
+  async function readHolders(): Promise<EscrowOutcome> {
+    const sentIn = era;
+    const names = listUnreadHolders();
+    const listed = await rows.list(grantKey.table, account);
+    if (listed.err) return { kind: 'failed', error: { message: '', ...listed.val } };
+    startEra(listed.val.era);
+    if (era !== sentIn) return { kind: 'refreshed' };
+    if (listed.val.era !== era) return OUTDATED;
+    known.noteGrants(names, listed.val.rows, era);
+    return { kind: 'refreshed' };
+  }
+
   async function refreshTotal(): Promise<EscrowOutcome> {
     const sentIn = era;
     const listed = await rows.list(totalKey.table, account);
@@ -361,14 +414,17 @@
     getPendingChange: () => pendingChange,
     getTotalReadAt: () => totalReadAt,
     startEra,
+    getEraAge: () => clock.elapsed() - eraStartedAt,
     isRestored: () => isRestored,
     restore,
     canGrant: canGrantMore,
     isRestKnown: () => canGrantMore() && !total.restoration?.missing.length,
-    isOverdue: () => isRestored && isOverdue(total, listInstances()),
+    isOverdue: () => isRestored && isOverdue(total, listInstances()) && areLimitsRead(),
     open,
     change: (next, isReturnCall) => commit(createChange(next, isReturnCall)),
     repeat: commit,
+    hasUnreadHolders: () => listUnreadHolders().length > 0,
+    readHolders,
     refreshTotal,
     updateTotal,
   };
