--- a/packages/core/src/serverConnections.ts
+++ b/packages/core/src/serverConnections.ts
@@ -1,8 +1,11 @@
 import http from 'node:http';
 import type https from 'node:https';
 import type { Socket } from 'node:net';
+import { TLSSocket } from 'node:tls';
 import { Err, Ok } from 'ts-results';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { holdInput } from './heldInput';
+import { renderPlainHead } from './plainHead';
 import type { Milliseconds, Outcome } from './types';
 import { createWaitingBodies } from './waitingBodies';
 import type { WaitingBodies } from './waitingBodies';
@@ -12,11 +15,12 @@
 const LINGER_MAX_BYTES = 16 * 1024 * 1024;
 
 const STATUS_BAD_REQUEST = 400;
+const STATUS_HEAD_TOO_LARGE = 431;
 /** Statuses by the codes of Node's errors; each other one is a bad request. */
 const STATUS_BY_ERROR_CODE: Record<string, number> = {
   ERR_HTTP_REQUEST_TIMEOUT: 408,
   HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
-  HPE_HEADER_OVERFLOW: 431,
+  HPE_HEADER_OVERFLOW: STATUS_HEAD_TOO_LARGE,
 };
 /** Error code for bytes behind a message that announced the close of its connection. */
 const CLOSED_CONNECTION_CODE = 'HPE_CLOSED_CONNECTION';
@@ -43,8 +47,16 @@
   refuse(status: number | undefined): void;
   /** Resolves at once unless the connection is being closed; then, once it has closed. */
   waitUntilClosed(): Promise<void>;
-  /** Makes up for the listeners that Node takes off a socket that asks for a tunnel. */
-  restoreListeners(): void;
+  /**
+   * Makes up for the listeners that Node takes off a socket that asks for a tunnel or for another
+   * protocol; returns a function that removes them again.
+   */
+  restoreListeners(): () => void;
+  /**
+   * Holds the input, of which the pieces were read already, and calls back for a new parser once all
+   * accepted requests are answered, unless the connection closes then.
+   */
+  parseLater(pieces: Buffer[], parse: () => void): void;
 }
 
 const connections = new WeakMap<Socket, ServerConnection>();
@@ -53,7 +65,8 @@
  * Calls `serve` with each request of the server, and keeps what arrives behind a request from ending
  * its connection: input that can't be read, or that asks for a tunnel, is refused once all responses
  * before it are sent, and then the connection closes. What follows it is dropped, and so is what
- * follows a response that announces the close. The server must not require a `Host` by itself.
+ * follows a response that announces the close. A request that asks for another protocol is served as
+ * one that does not. The server must not require a `Host` by itself.
  */
 export function serveInOrder(
   server: http.Server | https.Server,
@@ -78,6 +91,20 @@
     connection.restoreListeners();
     connection.refuse(STATUS_BAD_REQUEST);
   });
+  // Without a listener Node serves the request too, but drops what arrived in the same read behind it.
+  server.on('upgrade', (message: IncomingMessage, socket: Socket, rest: Buffer) => {
+    const connection = getConnection(socket);
+    const head = renderPlainHead(message);
+    if (head) connection.parseLater([head, rest], () => addParser(server, socket));
+    else {
+      connection.restoreListeners();
+      connection.refuse(STATUS_HEAD_TOO_LARGE);
+    }
+  });
+}
+
+function addParser(server: http.Server | https.Server, socket: Socket): void {
+  server.emit(socket instanceof TLSSocket ? 'secureConnection' : 'connection', socket);
 }
 
 /**
@@ -151,6 +178,8 @@
   let refusal: number | undefined;
   let isClosing = false;
   let dropped = 0;
+  /** Gives the connection a new parser for the input that is held, if any is. */
+  let parseHeld: (() => void) | undefined;
 
   function accept(response: ServerResponse): void {
     if (!latest) prepareClose();
@@ -162,10 +191,54 @@
       bodies.release(response.req);
       closeRefused();
       limitInput();
+      scheduleHeld();
     });
     limitInput();
   }
 
+  function parseLater(pieces: Buffer[], parse: () => void): void {
+    const removeListeners = restoreListeners();
+    if (isDropping) {
+      socket.resume();
+      return;
+    }
+    const held = holdInput(socket, pieces);
+    parseHeld = () => {
+      held.giveBack();
+      removeListeners();
+      // The timer of idle connections may run since the last response.
+      socket.setTimeout(0);
+      parse();
+      socket.resume();
+    };
+    scheduleHeld();
+  }
+
+  // Node still handles the latest response's end, or the parser that it has taken off, in this turn.
+  function scheduleHeld(): void {
+    if (parseHeld && open.size === 0) setImmediate(endHold);
+  }
+
+  function endHold(): void {
+    const parse = parseHeld;
+    parseHeld = undefined;
+    if (!isDropping && !socket.destroyed && !socket.readableEnded) parse?.();
+  }
+
+  function restoreListeners(): () => void {
+    const ignore = () => undefined;
+    const tellDrained = () => {
+      const [current] = open;
+      current?.emit('drain');
+    };
+    socket.on('error', ignore);
+    socket.on('drain', tellDrained);
+    return () => {
+      socket.off('error', ignore);
+      socket.off('drain', tellDrained);
+    };
+  }
+
   function limitInput(): void {
     if (!isDropping) bodies.limit(open.size);
   }
@@ -176,6 +249,8 @@
     // Node tells only the first of the open responses that the connection has closed.
     socket.once('close', () => {
       [...open].filter((response) => !response.destroyed).forEach(closeResponse);
+      // Nor does it tell the requests if it has taken the parser off.
+      open.forEach((response) => response.req.destroy());
     });
   }
 
@@ -229,6 +304,7 @@
   function dropInput(): void {
     if (isDropping) return;
     isDropping = true;
+    parseHeld = undefined;
     socket.removeAllListeners('data');
     socket.on('data', (data: Buffer) => {
       dropped += data.length;
@@ -255,13 +331,8 @@
         socket.once('close', () => resolve());
       });
     },
-    restoreListeners() {
-      socket.on('error', () => undefined);
-      socket.on('drain', () => {
-        const [current] = open;
-        current?.emit('drain');
-      });
-    },
+    restoreListeners,
+    parseLater,
   };
 }
 
--- a/packages/core/test/secureConnections.test.ts
+++ b/packages/core/test/secureConnections.test.ts
@@ -58,3 +58,11 @@
   expect(parseAnswers(text).map((answer) => answer.status)).toEqual([200, 200, status]);
   expect(isClosed).toBe(true);
 });
+
+test('over TLS, what is sent in one write with an upgrade is answered', async () => {
+  const upgrade = REQUEST.replace('\r\n\r\n', '\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n');
+  const last = REQUEST.replace('\r\n\r\n', '\r\nConnection: close\r\n\r\n');
+  const { text, isClosed } = await send(await startServer(), REQUEST + upgrade + upgrade + last);
+  expect(parseAnswers(text).map((answer) => answer.status)).toEqual([200, 200, 200, 200]);
+  expect(isClosed).toBe(true);
+});
