Soak: callers on plain sockets send requests with `Upgrade` anywhere, and these may not be refused

They sent at most one in a round, at its end, since an instance swallowed what came behind it, and a refusal of it was passed over. Both checks are stricter now.

--- a/packages/replay/src/soak/socketRound.ts
+++ b/packages/replay/src/soak/socketRound.ts
@@ -25,7 +25,7 @@
 /** Forms after which the instance reads nothing more of the connection. */
 const ENDING_FORMS: RequestForm[] = ['http-1.0', 'close'];
 /** Forms that an instance may refuse as malformed. */
-const REFUSABLE_FORMS: RequestForm[] = ['upgrade', 'http-1.0'];
+const REFUSABLE_FORMS: RequestForm[] = ['http-1.0'];
 
 /** A request of a round. */
 export interface RoundRequest {
@@ -78,7 +78,7 @@
   };
   return {
     start: draw(random, STARTS),
-    requests: isEmpty ? [] : markUnread(moveUpgrades(requests)),
+    requests: isEmpty ? [] : markUnread(requests),
     delivery: draw(random, DELIVERIES),
     reading,
     ...(unreadable ? { unreadable } : {}),
@@ -121,13 +121,6 @@
   return { drawn, form, body, mayBeRefused: REFUSABLE_FORMS.includes(form) };
 }
 
-// What arrives in one read behind a request with an upgrade is not read, so there is at most one, at the end.
-function moveUpgrades(requests: RoundRequest[]): RoundRequest[] {
-  const upgrade = requests.find(({ form }) => form === 'upgrade');
-  const others = requests.filter(({ form }) => form !== 'upgrade');
-  return upgrade ? [...others, upgrade] : others;
-}
-
 function markUnread(requests: RoundRequest[]): RoundRequest[] {
   const last = requests.findIndex(({ form }) => ENDING_FORMS.includes(form));
   if (last < 0) return requests;
