A quick probe of a blocked part does not hold the one to blame behind it

The second quick probe, due 6 s later, then went to a request with the bad part: doubt was asked of the blocked names of a request only, so the bad part, though in the request, counted as one that it lacks. It crashed its endpoint, told nothing, and the third one is due after 600 s. Each part keeps three probes at most, so the bound on bad requests holds.

--- a/packages/forwarding/src/suspects/suspectProbes.ts
+++ b/packages/forwarding/src/suspects/suspectProbes.ts
@@ -43,8 +43,8 @@
 
 /** Requests of the whole fleet that are sent although suspects in them are blocked. */
 export interface SuspectProbes {
-  /** Takes the next probe of all suspects, or of none; false if one of them has none now. */
-  take(names: string[]): Promise<boolean>;
+  /** Takes the next probe of all blocked suspects of a request, or of none; false if one of them has none now. */
+  take(names: string[], blocked: string[]): Promise<boolean>;
   /** Gives a probe back that reached no endpoint. */
   giveBack(names: string[]): void;
   /** Follows the probes that these rows may have got, and gives those back that ended without a verdict. */
@@ -70,18 +70,28 @@
       .some((other) => !names.includes(other) && isAsLikely(other, name));
   }
 
-  // Whether a suspect that the request lacks stands in one of the crashes too.
-  function isDoubted(names: string[], name: string): boolean {
+  // Those that the request lacks and that stand in more crashes than any that it holds behind its blocked ones.
+  function listLikelierOthers(names: string[], blocked: string[]): string[] {
+    const count = (name: string) => evidence.getCrashes(name).size;
+    const candidates = evidence.listCandidates();
+    const hidden = candidates.filter((name) => names.includes(name) && !blocked.includes(name));
+    const most = Math.max(0, ...hidden.map(count));
+    return candidates.filter((other) => !names.includes(other) && count(other) > most);
+  }
+
+  // Whether one of the others stands in one of the crashes too.
+  function isDoubted(name: string, others: string[]): boolean {
     const crashes = evidence.getCrashes(name);
-    return evidence
-      .listCandidates()
-      .filter((other) => !names.includes(other))
-      .some((other) => [...evidence.getCrashes(other)].some((crash) => crashes.has(crash)));
+    return others.some((other) =>
+      [...evidence.getCrashes(other)].some((crash) => crashes.has(crash)),
+    );
   }
 
-  function getDelays(names: string[]): readonly Milliseconds[] {
-    if (names.every((name) => tellsApart(names, name))) return CONTESTED_PROBE_DELAYS_MS;
-    return names.some((name) => isDoubted(names, name)) ? DOUBTED_PROBE_DELAYS_MS : PROBE_DELAYS_MS;
+  function getDelays(names: string[], blocked: string[]): readonly Milliseconds[] {
+    if (blocked.every((name) => tellsApart(names, name))) return CONTESTED_PROBE_DELAYS_MS;
+    const others = listLikelierOthers(names, blocked);
+    const isInDoubt = blocked.some((name) => isDoubted(name, others));
+    return isInDoubt ? DOUBTED_PROBE_DELAYS_MS : PROBE_DELAYS_MS;
   }
 
   function isDue(stored: StoredSuspect | undefined, delays: readonly Milliseconds[]): boolean {
@@ -132,17 +142,17 @@
 
   return {
     follow: (names) => names.forEach(followProbe),
-    async take(names) {
-      const delays = getDelays(names);
-      if (!names.every((name) => isDue(table.get(name), delays))) return false;
-      const probes = new Map(names.map((name) => [name, table.get(name)?.probes]));
+    async take(names, blocked) {
+      const delays = getDelays(names, blocked);
+      if (!blocked.every((name) => isDue(table.get(name), delays))) return false;
+      const probes = new Map(blocked.map((name) => [name, table.get(name)?.probes]));
       const at = clock.elapsed();
-      const isFree = () => names.every((name) => table.get(name)?.probes === probes.get(name));
-      const result = await table.update(names, (_, stored) =>
+      const isFree = () => blocked.every((name) => table.get(name)?.probes === probes.get(name));
+      const result = await table.update(blocked, (_, stored) =>
         stored && isFree() ? { ...stored, probes: stored.probes + 1 } : undefined,
       );
       if (result !== 'written') return false;
-      names.forEach((name) => taken.set(name, { version: table.get(name)?.version, at }));
+      blocked.forEach((name) => taken.set(name, { version: table.get(name)?.version, at }));
       return true;
     },
     giveBack(names) {
--- a/packages/forwarding/src/suspects/suspects.ts
+++ b/packages/forwarding/src/suspects/suspects.ts
@@ -173,7 +173,7 @@
       const found = names.filter(isBlocked);
       const [name] = found;
       if (name === undefined) return { kind: 'allowed' };
-      if (await probes.take(found)) {
+      if (await probes.take(names, found)) {
         log(Diagnostics.suspectProbed, { names: found.join(', ') });
         return { kind: 'probe', names: found };
       }
--- a/packages/forwarding/test/suspectProbes.test.ts
+++ b/packages/forwarding/test/suspectProbes.test.ts
@@ -117,6 +117,29 @@
   expect(probes).toBe(0);
 });
 
+test('no quick probe holds the part to blame behind a sound one, and none of those that lack it waits', async () => {
+  const { clock, instances, crash } = await createBlocked();
+  // An endpoint that died of another cause under a request without the bad part.
+  crash(0, 'd/1', ['first']);
+  await clock.advance(2 * PROPAGATION_MS);
+  expect(instances[1]?.judge(['bad'])).toBe('suspected');
+  await clock.advance(10_000);
+  expect(await instances[1]?.admit(['first', 'bad'])).toMatchObject({ kind: 'blocked' });
+  expect(await instances[1]?.admit(['first', 'other'])).toMatchObject({ kind: 'probe' });
+});
+
+test('a request with a hidden part in as many crashes as the one that it lacks is no quick probe', async () => {
+  const { clock, instances, crash } = createStand(2);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1'].forEach((name) => crash(0, name, ['first', 'second', 'bad']));
+  crash(0, 'c/1', ['first', 'second']);
+  crash(0, 'd/1', ['first', 'bad']);
+  await clock.advance(10_000);
+  expect(await instances[1]?.admit(['first', 'bad'])).toMatchObject({ kind: 'blocked' });
+  expect(await instances[1]?.admit(['first', 'second'])).toMatchObject({ kind: 'blocked' });
+  expect(await instances[1]?.admit(['first', 'third'])).toMatchObject({ kind: 'probe' });
+});
+
 test('a request that was to be a probe and has waited too long for a slot is not sent', async () => {
   const clock = createManualClock();
   const suspects = { judge: () => 'none' };
