A probe that has waited longer than a second is asked for again instead of dropped

Cause: a probe of a blocked part may be sent within 1 s after it was taken, since others judge 6 s after that whether an endpoint died of it. The waits for tokens (up to 0.7 s) and for a slot (0.6 of the route's objective) are a part of that second. One that waited longer was withheld, given back, and the next request waited as long. The fix: just before it is sent, a probe that is older than a second has its rows written again, on condition that they are as its instance left them. All instances see the new version and count the 6 s from it. If others have given it back or written a crash, it is withheld as before. It stays one probe, so the bound on bad requests holds. Price: one transaction for such a probe.

--- a/packages/forwarding/src/attempts/attempts.ts
+++ b/packages/forwarding/src/attempts/attempts.ts
@@ -9,6 +9,7 @@
 import type { LateEndpoints } from './lateEndpoints';
 import { getFirstByteThreshold } from './patience';
 import { awaitStep } from './replacement';
+import { renewWaitingProbe } from './waitingProbe';
 import { getTimeLeft, mayBeDeclined, takeAttempt, takeRetry } from '../run';
 import type { Run } from '../run';
 import type { RefusalKind, Reply, SendError } from '../types';
@@ -56,6 +57,7 @@
   if (run.stop.signal.aborted || getTimeLeft(run) < ATTEMPT_TIME_MIN_MS) return Err('timed-out');
   const slot = await awaitLapsedEndpoints(run, late.acquireSlot);
   if (slot.err) return Err(run.runs > 0 ? 'failed' : toRefusalKind(slot.val));
+  await renewWaitingProbe(run);
   return Ok(sendAttempt(run, slot.val));
 }
 
--- a/packages/forwarding/src/suspects/suspectProbes.ts
+++ b/packages/forwarding/src/suspects/suspectProbes.ts
@@ -2,6 +2,7 @@
 import type { Clock, Milliseconds, Random } from '@pomeloroad/core';
 import type { EndpointLosses } from '../store/endpointLosses';
 import type { EvidenceBook } from './suspectEvidence';
+import { VERDICT_TIME_MS } from './suspectTable';
 import type { StoredSuspect, SuspectTable } from './suspectTable';
 
 /**
@@ -16,11 +17,6 @@
 
 /** A probe that was not sent within this time is not sent any more. */
 export const PROBE_SEND_TIME_MS: Milliseconds = 1000;
-/**
- * Time after a probe until which it is known at all instances if an endpoint has died of it: the time to send
- * it, three renewals that its entry misses, 1.2 s each in the largest deployments, and the feed's delay.
- */
-const VERDICT_TIME_MS: Milliseconds = 6000;
 /** Longest time between a probe and the moment at which this instance knows it; endpoints are known sooner. */
 const PROBE_DELAY_MAX_MS: Milliseconds = 2000;
 const VERDICT_RETRY_MS: Milliseconds = 500;
@@ -45,6 +41,8 @@
 export interface SuspectProbes {
   /** Takes the next probe of all blocked suspects of a request, or of none; false if one of them has none now. */
   take(names: string[], blocked: string[]): Promise<boolean>;
+  /** Writes a probe that has waited again, so that it may be sent now; false if others have changed its rows. */
+  renew(names: string[]): Promise<boolean>;
   /** Gives a probe back that reached no endpoint. */
   giveBack(names: string[]): void;
   /** Follows the probes that these rows may have got, and gives those back that ended without a verdict. */
@@ -108,6 +106,14 @@
   const followed = new Map<string, number>();
   const taken = new Map<string, { version: number | undefined; at: Milliseconds }>();
 
+  function noteTaken(names: string[], at: Milliseconds): void {
+    names.forEach((name) => taken.set(name, { version: table.get(name)?.version, at }));
+  }
+
+  function isHeld(name: string, stored: StoredSuspect | undefined): boolean {
+    return stored !== undefined && stored.version === taken.get(name)?.version;
+  }
+
   // After some time, others may have given it back.
   function isOwn(name: string, { version }: StoredSuspect): boolean {
     const own = taken.get(name);
@@ -152,7 +158,15 @@
         stored && isFree() ? { ...stored, probes: stored.probes + 1 } : undefined,
       );
       if (result !== 'written') return false;
-      blocked.forEach((name) => taken.set(name, { version: table.get(name)?.version, at }));
+      noteTaken(blocked, at);
+      return true;
+    },
+    async renew(names) {
+      const at = clock.elapsed();
+      const isHeldYet = () => names.every((name) => isHeld(name, table.get(name)));
+      const result = await table.update(names, (_, stored) => (isHeldYet() ? stored : undefined));
+      if (result !== 'written') return false;
+      noteTaken(names, at);
       return true;
     },
     giveBack(names) {
--- a/packages/forwarding/src/suspects/suspectTable.ts
+++ b/packages/forwarding/src/suspects/suspectTable.ts
@@ -18,6 +18,11 @@
 /** Tries of a change whose rows others change at the same time. */
 const TRIES_MAX = 5;
 const TRY_DELAY_MS: Milliseconds = 20;
+/**
+ * Time after a probe until which it is known at all instances if an endpoint has died of it: the time to send
+ * it, three renewals that its entry misses, 1.2 s each in the largest deployments, and the feed's delay.
+ */
+export const VERDICT_TIME_MS: Milliseconds = 6000;
 const NO_CRASHES: Suspect = { crashes: [], requests: 0, probes: 0 };
 
 /** Dependencies of the table. */
@@ -78,7 +83,7 @@
   function decodeNext(change: RowChange): StoredSuspect {
     const next = decode(change);
     const known = stored.get(change.key);
-    return { ...next, isProbe: known !== undefined && next.probes > known.probes };
+    return { ...next, isProbe: known !== undefined && isNewProbe(known, next) };
   }
 
   function replaceAll(view: RowView): void {
@@ -169,6 +174,13 @@
   };
 }
 
+// One that has waited is written again without a change, before its verdict is due.
+function isNewProbe(known: StoredSuspect, next: StoredSuspect): boolean {
+  if (next.probes > known.probes) return true;
+  const isRecent = next.changedAt - known.changedAt < VERDICT_TIME_MS;
+  return known.isProbe && isRecent && encodeSuspect(next) === encodeSuspect(known);
+}
+
 function combine(first: UpdateResult, second: UpdateResult): UpdateResult {
   return match([first, second] as const)
     .with(['failed', 'written'], ['failed', 'unchanged'], () => 'failed' as const)
--- a/packages/forwarding/src/suspects/suspects.ts
+++ b/packages/forwarding/src/suspects/suspects.ts
@@ -54,6 +54,8 @@
 export interface Suspects {
   /** Decides on a new request with these names. */
   admit(names: string[]): Promise<Admittance>;
+  /** Asks again for a request that was admitted as a probe and has waited; false if it may not be sent any more. */
+  renewProbe(names: string[]): Promise<boolean>;
   /** Takes back that a request was admitted as a probe; it has reached no endpoint. */
   giveBack(names: string[]): void;
   /** Returns the gravest suspicion against one of the suspects, as it is known now. */
@@ -180,6 +182,7 @@
       found.forEach(renew);
       return { kind: 'blocked', name };
     },
+    renewProbe: probes.renew,
     giveBack: probes.giveBack,
     judge(names) {
       const found = new Set(names.map(evidence.judge));
--- a/packages/forwarding/test/suspectProbes.test.ts
+++ b/packages/forwarding/test/suspectProbes.test.ts
@@ -1,4 +1,5 @@
 import { createManualClock } from '@pomeloroad/core';
+import type { Milliseconds } from '@pomeloroad/core';
 import type { ForwardHost } from '../src/forwardTypes';
 import { createRun, isWithheld } from '../src/run';
 import type { Caller, ForwardRequest } from '../src/types';
@@ -140,6 +141,59 @@
   expect(await instances[1]?.admit(['first', 'third'])).toMatchObject({ kind: 'probe' });
 });
 
+// The second instance has taken a probe, waited, and asked again for it.
+async function renewProbe(wait: Milliseconds) {
+  const stand = await createBlocked();
+  const { clock, instances } = stand;
+  expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  await clock.advance(wait);
+  expect(await instances[1]?.renewProbe(['first'])).toBe(true);
+  await clock.advance(PROPAGATION_MS);
+  return stand;
+}
+
+test('a probe that has waited holds off the next one from the time that it was asked for again', async () => {
+  const { clock, instances } = await renewProbe(1800);
+  await clock.advance(500);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'blocked' });
+  await clock.advance(PROPAGATION_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+});
+
+test('a probe that has waited is given back once if its instance ends and no endpoint has died', async () => {
+  const { clock, instances } = await renewProbe(4000);
+  instances[1]?.stop.abort();
+  await clock.advance(NEXT_PROBE_MS);
+  const probes: boolean[] = [];
+  for (let index = 0; index < 3; index += 1) {
+    probes.push((await instances[2]?.admit(['first']))?.kind === 'probe');
+    await clock.advance(3 * PROPAGATION_MS);
+  }
+  expect(probes).toEqual([true, true, false]);
+});
+
+test('a probe that has waited counts if an endpoint has gone within the time after it was sent', async () => {
+  const { clock, losses, instances } = await renewProbe(4000);
+  instances[1]?.stop.abort();
+  await clock.advance(4000);
+  losses.note('d/1');
+  await clock.advance(NEXT_PROBE_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  await clock.advance(3 * PROPAGATION_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'blocked' });
+});
+
+test('a probe that others have given back, or under which an endpoint has crashed, is not sent any more', async () => {
+  const { clock, instances, crash } = await createBlocked();
+  expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  await clock.advance(8 * PROPAGATION_MS);
+  expect(await instances[1]?.renewProbe(['first'])).toBe(false);
+  expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  crash(2, 'd/1', ['first', 'bad']);
+  await clock.advance(PROPAGATION_MS);
+  expect(await instances[1]?.renewProbe(['first'])).toBe(false);
+});
+
 test('a request that was to be a probe and has waited too long for a slot is not sent', async () => {
   const clock = createManualClock();
   const suspects = { judge: () => 'none' };
