A probe of a block that has ended is forgotten

What callers could see: a request that an ended block let through and that reached no endpoint gave back a probe of a later block of the same part, whose bound on bad requests is then one higher. Fix: it forgets them when their row goes, so it remembers no more names than the table has rows.

--- a/packages/forwarding/src/suspects/suspectProbes.ts
+++ b/packages/forwarding/src/suspects/suspectProbes.ts
@@ -138,6 +138,11 @@
     );
   }
 
+  // A suspect's next row has probes of its own.
+  function forgetEnded(names: string[]): void {
+    names.filter((name) => !table.get(name)).forEach((name) => taken.delete(name));
+  }
+
   async function followProbe(name: string): Promise<void> {
     const stored = table.get(name);
     if (!stored?.isProbe || followed.get(name) === stored.version) return;
@@ -147,7 +152,10 @@
   }
 
   return {
-    follow: (names) => names.forEach(followProbe),
+    follow(names) {
+      forgetEnded(names);
+      names.forEach(followProbe);
+    },
     async take(names, blocked) {
       const delays = getDelays(names, blocked);
       if (!blocked.every((name) => isDue(table.get(name), delays))) return false;
--- a/packages/forwarding/test/suspectProbes.test.ts
+++ b/packages/forwarding/test/suspectProbes.test.ts
@@ -141,6 +141,22 @@
   expect(await instances[1]?.admit(['first', 'third'])).toMatchObject({ kind: 'probe' });
 });
 
+test('a probe of a block that has ended is not given back to a later block of the same part', async () => {
+  const { clock, instances, crash } = await createBlocked();
+  expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  instances[0]?.noteAnswer(['first'], 'z/1');
+  await clock.advance(1.5 * PROPAGATION_MS);
+  expect(instances[2]?.judge(['first'])).toBe('none');
+  instances[0]?.stop.abort();
+  ['d/1', 'e/1', 'f/1'].forEach((incarnation) => crash(2, incarnation, ['first', 'worse']));
+  await clock.advance(1.5 * PROPAGATION_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  instances[1]?.giveBack(['first']);
+  await clock.advance(1.5 * PROPAGATION_MS);
+  // The second quick probe of the later block is due 2 s after the first one.
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'blocked' });
+});
+
 // The second instance has taken a probe, waited, and asked again for it.
 async function renewProbe(wait: Milliseconds) {
   const stand = await createBlocked();
