--- a/packages/forwarding/src/suspects/suspectProbes.ts
+++ b/packages/forwarding/src/suspects/suspectProbes.ts
@@ -2,6 +2,7 @@
 import type { Clock, Milliseconds, Random } from '@pomeloroad/core';
 import type { EndpointLosses } from '../store/endpointLosses';
 import type { EvidenceBook } from './suspectEvidence';
+import { VERDICT_TIME_MS } from './suspectTable';
 import type { StoredSuspect, SuspectTable } from './suspectTable';
 
 /**
@@ -16,11 +17,6 @@
 
 /** A probe that was not sent within this time is not sent any more. */
 export const PROBE_SEND_TIME_MS: Milliseconds = 1000;
-/**
- * Time after a probe until which it is known at all instances if an endpoint has died of it: the time to send
- * it, three renewals that its entry misses, 1.2 s each in the largest deployments, and the feed's delay.
- */
-const VERDICT_TIME_MS: Milliseconds = 6000;
 /** Longest time between a probe and the moment at which this instance knows it; endpoints are known sooner. */
 const PROBE_DELAY_MAX_MS: Milliseconds = 2000;
 const VERDICT_RETRY_MS: Milliseconds = 500;
@@ -43,8 +39,10 @@
 
 /** Requests of the whole fleet that are sent although suspects in them are blocked. */
 export interface SuspectProbes {
-  /** Takes the next probe of all suspects, or of none; false if one of them has none now. */
-  take(names: string[]): Promise<boolean>;
+  /** Takes the next probe of all blocked suspects of a request, or of none; false if one of them has none now. */
+  take(names: string[], blocked: string[]): Promise<boolean>;
+  /** Writes a probe that has waited again, so that it may be sent now; false if others have changed its rows. */
+  renew(names: string[]): Promise<boolean>;
   /** Gives a probe back that reached no endpoint. */
   giveBack(names: string[]): void;
   /** Follows the probes that these rows may have got, and gives those back that ended without a verdict. */
@@ -70,18 +68,28 @@
       .some((other) => !names.includes(other) && isAsLikely(other, name));
   }
 
-  // Whether a suspect that the request lacks stands in one of the crashes too.
-  function isDoubted(names: string[], name: string): boolean {
+  // Those that the request lacks and that stand in more crashes than any that it holds behind its blocked ones.
+  function listLikelierOthers(names: string[], blocked: string[]): string[] {
+    const count = (name: string) => evidence.getCrashes(name).size;
+    const candidates = evidence.listCandidates();
+    const hidden = candidates.filter((name) => names.includes(name) && !blocked.includes(name));
+    const most = Math.max(0, ...hidden.map(count));
+    return candidates.filter((other) => !names.includes(other) && count(other) > most);
+  }
+
+  // Whether one of the others stands in one of the crashes too.
+  function isDoubted(name: string, others: string[]): boolean {
     const crashes = evidence.getCrashes(name);
-    return evidence
-      .listCandidates()
-      .filter((other) => !names.includes(other))
-      .some((other) => [...evidence.getCrashes(other)].some((crash) => crashes.has(crash)));
+    return others.some((other) =>
+      [...evidence.getCrashes(other)].some((crash) => crashes.has(crash)),
+    );
   }
 
-  function getDelays(names: string[]): readonly Milliseconds[] {
-    if (names.every((name) => tellsApart(names, name))) return CONTESTED_PROBE_DELAYS_MS;
-    return names.some((name) => isDoubted(names, name)) ? DOUBTED_PROBE_DELAYS_MS : PROBE_DELAYS_MS;
+  function getDelays(names: string[], blocked: string[]): readonly Milliseconds[] {
+    if (blocked.every((name) => tellsApart(names, name))) return CONTESTED_PROBE_DELAYS_MS;
+    const others = listLikelierOthers(names, blocked);
+    const isInDoubt = blocked.some((name) => isDoubted(name, others));
+    return isInDoubt ? DOUBTED_PROBE_DELAYS_MS : PROBE_DELAYS_MS;
   }
 
   function isDue(stored: StoredSuspect | undefined, delays: readonly Milliseconds[]): boolean {
@@ -98,6 +106,14 @@
   const followed = new Map<string, number>();
   const taken = new Map<string, { version: number | undefined; at: Milliseconds }>();
 
+  function noteTaken(names: string[], at: Milliseconds): void {
+    names.forEach((name) => taken.set(name, { version: table.get(name)?.version, at }));
+  }
+
+  function isHeld(name: string, stored: StoredSuspect | undefined): boolean {
+    return stored !== undefined && stored.version === taken.get(name)?.version;
+  }
+
   // After some time, others may have given it back.
   function isOwn(name: string, { version }: StoredSuspect): boolean {
     const own = taken.get(name);
@@ -122,6 +138,11 @@
     );
   }
 
+  // A suspect's next row has probes of its own.
+  function forgetEnded(names: string[]): void {
+    names.filter((name) => !table.get(name)).forEach((name) => taken.delete(name));
+  }
+
   async function followProbe(name: string): Promise<void> {
     const stored = table.get(name);
     if (!stored?.isProbe || followed.get(name) === stored.version) return;
@@ -131,18 +152,29 @@
   }
 
   return {
-    follow: (names) => names.forEach(followProbe),
-    async take(names) {
-      const delays = getDelays(names);
-      if (!names.every((name) => isDue(table.get(name), delays))) return false;
-      const probes = new Map(names.map((name) => [name, table.get(name)?.probes]));
+    follow(names) {
+      forgetEnded(names);
+      names.forEach(followProbe);
+    },
+    async take(names, blocked) {
+      const delays = getDelays(names, blocked);
+      if (!blocked.every((name) => isDue(table.get(name), delays))) return false;
+      const probes = new Map(blocked.map((name) => [name, table.get(name)?.probes]));
       const at = clock.elapsed();
-      const isFree = () => names.every((name) => table.get(name)?.probes === probes.get(name));
-      const result = await table.update(names, (_, stored) =>
+      const isFree = () => blocked.every((name) => table.get(name)?.probes === probes.get(name));
+      const result = await table.update(blocked, (_, stored) =>
         stored && isFree() ? { ...stored, probes: stored.probes + 1 } : undefined,
       );
       if (result !== 'written') return false;
-      names.forEach((name) => taken.set(name, { version: table.get(name)?.version, at }));
+      noteTaken(blocked, at);
+      return true;
+    },
+    async renew(names) {
+      const at = clock.elapsed();
+      const isHeldYet = () => names.every((name) => isHeld(name, table.get(name)));
+      const result = await table.update(names, (_, stored) => (isHeldYet() ? stored : undefined));
+      if (result !== 'written') return false;
+      noteTaken(names, at);
       return true;
     },
     giveBack(names) {
--- a/packages/forwarding/test/suspectProbes.test.ts
+++ b/packages/forwarding/test/suspectProbes.test.ts
@@ -1,4 +1,5 @@
 import { createManualClock } from '@pomeloroad/core';
+import type { Milliseconds } from '@pomeloroad/core';
 import type { ForwardHost } from '../src/forwardTypes';
 import { createRun, isWithheld } from '../src/run';
 import type { Caller, ForwardRequest } from '../src/types';
@@ -117,6 +118,98 @@
   expect(probes).toBe(0);
 });
 
+test('no quick probe holds the part to blame behind a sound one, and none of those that lack it waits', async () => {
+  const { clock, instances, crash } = await createBlocked();
+  // An endpoint that died of another cause under a request without the bad part.
+  crash(0, 'd/1', ['first']);
+  await clock.advance(2 * PROPAGATION_MS);
+  expect(instances[1]?.judge(['bad'])).toBe('suspected');
+  await clock.advance(10_000);
+  expect(await instances[1]?.admit(['first', 'bad'])).toMatchObject({ kind: 'blocked' });
+  expect(await instances[1]?.admit(['first', 'other'])).toMatchObject({ kind: 'probe' });
+});
+
+test('a request with a hidden part in as many crashes as the one that it lacks is no quick probe', async () => {
+  const { clock, instances, crash } = createStand(2);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1'].forEach((name) => crash(0, name, ['first', 'second', 'bad']));
+  crash(0, 'c/1', ['first', 'second']);
+  crash(0, 'd/1', ['first', 'bad']);
+  await clock.advance(10_000);
+  expect(await instances[1]?.admit(['first', 'bad'])).toMatchObject({ kind: 'blocked' });
+  expect(await instances[1]?.admit(['first', 'second'])).toMatchObject({ kind: 'blocked' });
+  expect(await instances[1]?.admit(['first', 'third'])).toMatchObject({ kind: 'probe' });
+});
+
+test('a probe of a block that has ended is not given back to a later block of the same part', async () => {
+  const { clock, instances, crash } = await createBlocked();
+  expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  instances[0]?.noteAnswer(['first'], 'z/1');
+  await clock.advance(1.5 * PROPAGATION_MS);
+  expect(instances[2]?.judge(['first'])).toBe('none');
+  instances[0]?.stop.abort();
+  ['d/1', 'e/1', 'f/1'].forEach((incarnation) => crash(2, incarnation, ['first', 'worse']));
+  await clock.advance(1.5 * PROPAGATION_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  instances[1]?.giveBack(['first']);
+  await clock.advance(1.5 * PROPAGATION_MS);
+  // The second quick probe of the later block is due 2 s after the first one.
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'blocked' });
+});
+
+// The second instance has taken a probe, waited, and asked again for it.
+async function renewProbe(wait: Milliseconds) {
+  const stand = await createBlocked();
+  const { clock, instances } = stand;
+  expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  await clock.advance(wait);
+  expect(await instances[1]?.renewProbe(['first'])).toBe(true);
+  await clock.advance(PROPAGATION_MS);
+  return stand;
+}
+
+test('a probe that has waited holds off the next one from the time that it was asked for again', async () => {
+  const { clock, instances } = await renewProbe(1800);
+  await clock.advance(500);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'blocked' });
+  await clock.advance(PROPAGATION_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+});
+
+test('a probe that has waited is given back once if its instance ends and no endpoint has died', async () => {
+  const { clock, instances } = await renewProbe(4000);
+  instances[1]?.stop.abort();
+  await clock.advance(NEXT_PROBE_MS);
+  const probes: boolean[] = [];
+  for (let index = 0; index < 3; index += 1) {
+    probes.push((await instances[2]?.admit(['first']))?.kind === 'probe');
+    await clock.advance(3 * PROPAGATION_MS);
+  }
+  expect(probes).toEqual([true, true, false]);
+});
+
+test('a probe that has waited counts if an endpoint has gone within the time after it was sent', async () => {
+  const { clock, losses, instances } = await renewProbe(4000);
+  instances[1]?.stop.abort();
+  await clock.advance(4000);
+  losses.note('d/1');
+  await clock.advance(NEXT_PROBE_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  await clock.advance(3 * PROPAGATION_MS);
+  expect(await instances[2]?.admit(['first'])).toMatchObject({ kind: 'blocked' });
+});
+
+test('a probe that others have given back, or under which an endpoint has crashed, is not sent any more', async () => {
+  const { clock, instances, crash } = await createBlocked();
+  expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  await clock.advance(8 * PROPAGATION_MS);
+  expect(await instances[1]?.renewProbe(['first'])).toBe(false);
+  expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
+  crash(2, 'd/1', ['first', 'bad']);
+  await clock.advance(PROPAGATION_MS);
+  expect(await instances[1]?.renewProbe(['first'])).toBe(false);
+});
+
 test('a request that was to be a probe and has waited too long for a slot is not sent', async () => {
   const clock = createManualClock();
   const suspects = { judge: () => 'none' };
