--- a/packages/forwarding/src/origins/originReader.ts
+++ b/packages/forwarding/src/origins/originReader.ts
@@ -1,6 +1,6 @@
 import { withTimeout } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
-import type { RowStore } from '@pomeloroad/storage';
+import type { RowStore, RowView } from '@pomeloroad/storage';
 import { decodeOrigins, getOriginPartitions, isRecentRow } from './originRows';
 import type { StreamOrigin } from './originMemory';
 import type { OriginsByName } from './originRows';
@@ -30,16 +30,18 @@
     const lists = getOriginPartitions().map(({ table, partition }) => rows.list(table, partition));
     const views = await withTimeout(clock, READ_TIMEOUT_MS, Promise.all(lists), undefined);
     if (!views || views.some((view) => view.err)) return undefined;
-    const values = views.flatMap((view) => (view.ok ? view.val.rows : [])).map((row) => row.value);
-    return collect(values);
+    return collect(views.flatMap((view) => (view.ok ? [view.val] : [])));
   }
 
-  function collect(values: string[]): RecordedOrigins {
+  function collect(views: RowView[]): RecordedOrigins {
     const byName: OriginsByName = new Map();
     const recent: OriginsByName = new Map();
-    values.forEach((value) => {
-      decodeOrigins(value, byName);
-      if (isRecentRow(value, clock.now())) decodeOrigins(value, recent);
+    views.forEach((view) => {
+      const now = { timeOfDay: clock.now(), storeTime: view.now };
+      view.rows.forEach(({ value }) => {
+        decodeOrigins(value, byName);
+        if (isRecentRow(value, now)) decodeOrigins(value, recent);
+      });
     });
     return { byName, recent: [...recent.values()].flat() };
   }
--- a/packages/forwarding/src/origins/originRows.ts
+++ b/packages/forwarding/src/origins/originRows.ts
@@ -12,9 +12,16 @@
 /** Hexadecimal digits of a stream's name in a row. */
 const STREAM_NAME_DIGITS = 16;
 
-/** Age of a row from which on it says nothing of the versions that serve, however clocks differ. */
+/** Age of a row from which on it says nothing of the versions that serve, however late readings come. */
 const ROW_AGE_MAX_MS: Milliseconds = STREAM_TIME_MAX_MS + 60_000;
-const WRITTEN_AT_PATTERN = /^\[(\d+),/;
+/** Earlier builds write the time of day only, and read the first time only. */
+const TIMES_PATTERN = /^\[(\d+),(?:(\d+),)?/;
+
+/** One moment by two clocks. */
+export interface RowTime {
+  timeOfDay: Date;
+  storeTime: Milliseconds;
+}
 
 /** Origins of streams by their names in rows. */
 export type OriginsByName = Map<string, StreamOrigin[]>;
@@ -41,7 +48,7 @@
  */
 export function encodeOrigins(
   streams: [name: string, origin: StreamOrigin][],
-  writtenAt: Date,
+  { timeOfDay, storeTime }: RowTime,
 ): string {
   if (streams.length === 0) return EMPTY_ROW;
   const groups = new Map<string, string[]>();
@@ -50,13 +57,21 @@
     groups.set(origin, [...(groups.get(origin) ?? []), name]);
   });
   const origins = [...groups].map(([origin, names]) => [...JSON.parse(origin), names]);
-  return JSON.stringify([writtenAt.getTime(), ...origins]);
+  return JSON.stringify([timeOfDay.getTime(), Math.round(storeTime), ...origins]);
 }
 
-/** Returns whether an encoded row was written lately; one that does not tell counts as such. */
-export function isRecentRow(value: string, now: Date): boolean {
-  const writtenAt = WRITTEN_AT_PATTERN.exec(value)?.[1];
-  return writtenAt === undefined || now.getTime() - Number(writtenAt) < ROW_AGE_MAX_MS;
+/**
+ * Returns whether an encoded row was written lately; one that does not tell counts as such. The time of
+ * day of an instance may jump, so it decides only where a row does not tell the store's time.
+ */
+export function isRecentRow(value: string, now: RowTime): boolean {
+  const [, timeOfDay, storeTime] = TIMES_PATTERN.exec(value) ?? [];
+  if (timeOfDay === undefined) return true;
+  const age =
+    storeTime === undefined
+      ? now.timeOfDay.getTime() - Number(timeOfDay)
+      : now.storeTime - Number(storeTime);
+  return age < ROW_AGE_MAX_MS;
 }
 
 /** Adds the origins of a row; one that can't be read adds none. */
--- a/packages/forwarding/src/origins/originWriter.ts
+++ b/packages/forwarding/src/origins/originWriter.ts
@@ -1,10 +1,11 @@
 import { runPeriodically, sleep } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
-import type { RowStore } from '@pomeloroad/storage';
+import type { RowStore, VersionedRow } from '@pomeloroad/storage';
 import type { OriginMemory } from './originMemory';
 import { STREAM_TIME_MAX_MS } from './versionHistory';
 import { decodeOrigins, EMPTY_ROW, encodeOrigins, getOriginKey } from './originRows';
 import type { OriginsByName } from './originRows';
+import { createStoreTime } from './storeTime';
 
 /** Shortest interval between two writes. */
 const WRITE_INTERVAL_MIN_MS: Milliseconds = 100;
@@ -12,6 +13,8 @@
 const WRITE_INTERVAL_PER_INSTANCE_MS: Milliseconds = 4;
 /** Interval between checks for writes that no new stream causes, such as after a failure. */
 const CHECK_INTERVAL_MS: Milliseconds = 300;
+/** Age from which on the store's time is read again, since the clocks of two machines drift apart. */
+const STORE_TIME_AGE_MAX_MS: Milliseconds = 60_000;
 
 /** Dependencies of writing origins. */
 export interface OriginWriterHost {
@@ -39,6 +42,7 @@
 export function startOriginWriter(host: OriginWriterHost): OriginWriter {
   const { clock, rows, signal, memory } = host;
   const key = getOriginKey(host.instance);
+  const storeTime = createStoreTime(clock);
   let version = 0;
   let isDirty = true;
   let isRestored = false;
@@ -50,10 +54,17 @@
 
   const isNeeded = () => host.isNeeded() || clock.elapsed() < keepUntil;
 
-  async function restore(): Promise<boolean> {
+  async function read(): Promise<VersionedRow[] | undefined> {
     const view = await rows.list(key.table, key.partition);
-    if (view.err) return false;
-    const row = view.val.rows.find((candidate) => candidate.key === key.key);
+    if (view.err) return undefined;
+    storeTime.note(view.val.now);
+    return view.val.rows;
+  }
+
+  async function restore(): Promise<boolean> {
+    const found = await read();
+    if (!found) return false;
+    const row = found.find((candidate) => candidate.key === key.key);
     if (!row) return true;
     version = row.version;
     isRowEmpty = row.value === EMPTY_ROW;
@@ -66,8 +77,15 @@
     return true;
   }
 
+  async function encode(): Promise<string> {
+    // Without a new reading the time goes on from the last one.
+    if (storeTime.getAge() > STORE_TIME_AGE_MAX_MS) await read();
+    const writtenAt = { timeOfDay: clock.now(), storeTime: storeTime.get() };
+    return encodeOrigins(memory.list(), writtenAt);
+  }
+
   async function write(): Promise<boolean> {
-    const value = isNeeded() ? encodeOrigins(memory.list(), clock.now()) : EMPTY_ROW;
+    const value = isNeeded() ? await encode() : EMPTY_ROW;
     // Streams that an empty row leaves out are written once they are needed.
     isDirty = value === EMPTY_ROW;
     const written = await rows.transact({
--- a/packages/forwarding/test/startedInstances.test.ts
+++ b/packages/forwarding/test/startedInstances.test.ts
@@ -76,7 +76,7 @@
 
 test('a version that an instance recorded which is gone for good does not count for ever', async () => {
   const clock = createManualClock();
-  const store = createMemoryRowStore();
+  const store = createMemoryRowStore(clock.elapsed);
   const gone = await startInstance(clock, store, 'gone');
   const one = await startInstance(clock, store, 'one');
   await gone.serve('v1', 'v2');
--- a/packages/forwarding/test/streamOrigins.test.ts
+++ b/packages/forwarding/test/streamOrigins.test.ts
@@ -2,6 +2,7 @@
 import { createManualClock } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
 import type { RowStore } from '@pomeloroad/storage';
+import { encodeOrigins, isRecentRow } from '../src/origins/originRows';
 import { startStreamOrigins } from '../src/origins/streamOrigins';
 import type { TakeUp } from '../src/origins/streamOrigins';
 import { createVersionHistory } from '../src/origins/versionHistory';
@@ -26,6 +27,11 @@
 
 type Clock = ReturnType<typeof createManualClock>;
 
+// Returns the clock of an instance whose time of day is ahead of that of others.
+function shiftDay(clock: Clock, ahead: number): Clock {
+  return { ...clock, now: () => new Date(clock.now().getTime() + ahead) };
+}
+
 // Starts an instance that knows the given versions of one service; counts its calls to the store.
 function startInstance(clock: Clock, store: RowStore, instance: string, names: string[]) {
   let calls = 0;
@@ -161,6 +167,64 @@
   expect(await find(clock, started, 'a')).toMatchObject(known);
 });
 
+test.each([
+  [0, 100_000],
+  [0, -100_000],
+  [100_000, 0],
+  [-100_000, 0],
+])(
+  'a stream that is not recorded goes on nowhere if days are %d and %d ms ahead',
+  async (writer, reader) => {
+    const clock = createManualClock();
+    const store = createMemoryRowStore(clock.elapsed);
+    const one = startInstance(shiftDay(clock, writer), store, 'one', ['v1', 'v2']);
+    await clock.advance(REMEMBERED_MS);
+    one.note('a', LLM_V1);
+    await clock.advance(200);
+    const started = startInstance(shiftDay(clock, reader), store, 'started', ['v2']);
+    const unknown = { kind: 'unknown', reason: 'not recorded' };
+    expect(await find(clock, started, 'b')).toEqual(unknown);
+  },
+);
+
+test.each([
+  [0, 100_000],
+  [0, -100_000],
+  [100_000, 0],
+  [-100_000, 0],
+])('what was recorded long ago does not count if days are %d and %d ms ahead', async (...days) => {
+  const [writer, reader] = days;
+  const clock = createManualClock();
+  const store = createMemoryRowStore(clock.elapsed);
+  const one = startInstance(shiftDay(clock, writer), store, 'one', ['v1', 'v2']);
+  await clock.advance(REMEMBERED_MS);
+  one.note('a', LLM_V1);
+  await clock.advance(80_000);
+  const started = startInstance(shiftDay(clock, reader), store, 'started', ['v2']);
+  expect(await find(clock, started, 'b')).toEqual({ kind: 'any' });
+});
+
+test('the time of a row is right though its writer read the store long ago', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore(() => clock.elapsed() * 2);
+  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
+  await clock.advance(500_000);
+  one.note('a', LLM_V1);
+  await clock.advance(200);
+  const started = startInstance(clock, store, 'started', ['v2']);
+  expect(await find(clock, started, 'b')).toMatchObject({ kind: 'unknown' });
+});
+
+// Guards against rows that instances of earlier builds no longer read, or can't be read from.
+test('rows of earlier builds and of this one tell their age to each other', () => {
+  const now = new Date(1_800_000_000_000);
+  const time = { timeOfDay: now, storeTime: 500_000 };
+  const value = encodeOrigins([['a', LLM_V1]], time);
+  expect(Number(/^\[(\d+),/.exec(value)?.[1])).toBe(now.getTime());
+  expect(isRecentRow(`[${now.getTime()},["llm","v1",["a"]]]`, time)).toBe(true);
+  expect(isRecentRow(`[${now.getTime() - 80_000},["llm","v1",["a"]]]`, time)).toBe(false);
+});
+
 test('nothing is taken up by an old view while the store is lost', async () => {
   const clock = createManualClock();
   const one = startInstance(clock, createMemoryRowStore(), 'one', ['v1']);
