The store in memory tells no removal of a row that was written again

Seen in a test of relays' rows: an instance that reads both in one answer of the feed gets the row first and its older removal after it, and takes the row for gone. The platform's feed tells changes in their order. Cause: the store in memory keeps removals apart from rows and never drops one. Tests and the stand-in of the store use it. The new test fails before and passes now.

--- a/packages/storage/src/memoryRowStore.ts
+++ b/packages/storage/src/memoryRowStore.ts
@@ -36,7 +36,10 @@
         return Err({ kind: 'conflict', era, rows: found.filter((row) => row !== undefined) });
       }
       version += 1;
-      puts.forEach((put) => rows.set(encodeKey(put), { ...put, version }));
+      puts.forEach((put) => {
+        rows.set(encodeKey(put), { ...put, version });
+        removed.delete(encodeKey(put));
+      });
       removals.forEach((row) => {
         rows.delete(encodeKey(row));
         removed.set(encodeKey(row), { ...row, version });
