Rows of relays whose instances are gone for good are removed

The fix: an instance that has not found another one among those that renew their leases for 30 s removes its row, on condition of the row's version. An instance that lives writes its row again when it sees that it is missing; one that is not counted itself, or has not read the leases, removes none.

--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -158,7 +158,9 @@
   });
   const relays = startRelayDirectory({
     ...following,
+    random,
     feed,
+    listInstances: instanceCount.list,
     self: host.relay && { instance: host.instance, dataCentre: host.dataCentre, ...host.relay },
     onGone: (instance) => dialer.retireRelay(instance),
   });
--- a/packages/forwarding/src/relays/relayDirectory.ts
+++ b/packages/forwarding/src/relays/relayDirectory.ts
@@ -1,22 +1,27 @@
 import { Diagnostics, sleep } from '@pomeloroad/core';
-import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
+import type { Clock, Log, Milliseconds, Random } from '@pomeloroad/core';
 import type { RowChange, RowStore } from '@pomeloroad/storage';
 import { SHARED_TABLE } from '../store/sharedFeed';
 import type { SharedFeed } from '../store/sharedFeed';
 import { decodeRelay, encodeRelay, getRelayKey } from './relayRows';
 import type { Relay } from './relayRows';
+import { startRelaySweep } from './relaySweep';
+import type { StoredRelay } from './relaySweep';
 
 const RETRY_DELAY_MS: Milliseconds = 300;
 
 /** Dependencies of knowing relays. */
 export interface RelayDirectoryHost {
   clock: Clock;
+  random: Random;
   log: Log;
   rows: RowStore;
   feed: SharedFeed;
   signal: AbortSignal;
   /** This instance, if it carries connections for others. */
   self: Omit<Relay, 'isCutOff'> | undefined;
+  /** Names of the instances that renew their leases; `undefined` until these have been read. */
+  listInstances(): string[] | undefined;
   /** Called with the name of an instance that carries no connections any more, or restarted. */
   onGone(instance: string): void;
 }
@@ -35,21 +40,21 @@
 export function startRelayDirectory(host: RelayDirectoryHost): RelayDirectory {
   const { clock, log, rows, signal } = host;
   let self = host.self && { ...host.self, isCutOff: false };
-  const known = new Map<string, Relay>();
+  const known = new Map<string, StoredRelay>();
   let isWithdrawn = false;
   let isWriting = false;
 
-  function set(key: string, value: string | undefined): void {
+  function set(key: string, value: string | undefined, version: number): void {
     const relay = value === undefined ? undefined : decodeRelay({ key, value });
     if (value !== undefined && !relay) log(Diagnostics.rowUnreadable, { table: SHARED_TABLE, key });
     const before = known.get(key);
-    if (relay) known.set(key, relay);
+    if (relay) known.set(key, { ...relay, version });
     else known.delete(key);
     if (before && before.secret !== relay?.secret) host.onGone(key);
   }
 
   function handleChanges(changes: RowChange[]): void {
-    changes.forEach(({ key, value }) => set(key, value));
+    changes.forEach(({ key, value, version }) => set(key, value, version));
     announce();
   }
 
@@ -65,7 +70,7 @@
         puts: value === undefined ? [] : [{ ...key, value }],
         removals: value === undefined ? [key] : [],
       });
-      if (written.ok) set(self.instance, value);
+      if (written.ok) set(self.instance, value, written.val.revision);
       else await sleep(clock, RETRY_DELAY_MS, signal);
     }
     isWriting = false;
@@ -79,12 +84,16 @@
 
   host.feed.listen('relays', {
     onView(view) {
-      const found = new Map(view.rows.map(({ key, value }) => [key, value]));
-      new Set([...known.keys(), ...found.keys()]).forEach((key) => set(key, found.get(key)));
+      const found = new Map(view.rows.map((row) => [row.key, row]));
+      new Set([...known.keys(), ...found.keys()]).forEach((key) => {
+        const { value, version = 0 } = found.get(key) ?? {};
+        set(key, value, version);
+      });
       announce();
     },
     onChanges: handleChanges,
   });
+  startRelaySweep({ ...host, listRelays: () => [...known.values()] });
 
   return {
     list: () => [...known.values()].filter(({ instance }) => instance !== host.self?.instance),
--- a/packages/forwarding/test/relayDirectory.test.ts
+++ b/packages/forwarding/test/relayDirectory.test.ts
@@ -1,4 +1,4 @@
-import { createManualClock, createSilentLog } from '@pomeloroad/core';
+import { createManualClock, createRandom, createSilentLog } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
 import { startRelayDirectory } from '../src/relays/relayDirectory';
 import { startSharedFeed } from '../src/store/sharedFeed';
@@ -7,20 +7,31 @@
 async function createStand() {
   const clock = createManualClock();
   const rows = createMemoryRowStore();
-  const { signal } = new AbortController();
   const gone: string[] = [];
+  const counted = new Set(['one', 'two']);
   const start = (instance: string) => {
-    const following = { clock, log: createSilentLog(), rows, signal };
+    const stop = new AbortController();
+    const following = { clock, log: createSilentLog(), rows, signal: stop.signal };
     const self = { instance, dataCentre: 'kent', address: `${instance}:1`, secret: instance };
-    const feed = startSharedFeed(following);
-    return startRelayDirectory({ ...following, feed, self, onGone: (name) => gone.push(name) });
+    const directory = startRelayDirectory({
+      ...following,
+      random: createRandom(1),
+      feed: startSharedFeed(following),
+      self,
+      listInstances: () => [...counted],
+      onGone: (name) => gone.push(name),
+    });
+    return { ...directory, stop };
   };
   const one = start('one');
   const two = start('two');
   await clock.advance(1000);
-  return { clock, one, two, gone };
+  return { clock, rows, counted, one, two, gone };
 }
 
+/** Two sweeps at their longest interval, and the time without a lease. */
+const SWEPT_MS = 75_000;
+
 test('an instance knows of the others that they are cut off, and that they no longer are', async () => {
   const { clock, one, two, gone } = await createStand();
   expect(two.list()).toMatchObject([{ instance: 'one', isCutOff: false }]);
@@ -42,3 +53,47 @@
   expect(two.list()).toEqual([]);
   expect(gone).toContain('one');
 });
+
+test('the row of an instance that is gone, which an older copy brought back, goes after some time', async () => {
+  const { clock, rows, counted, one, two } = await createStand();
+  const comeBack = rows.copy();
+  one.withdraw();
+  await clock.advance(1000);
+  one.stop.abort();
+  counted.delete('one');
+  comeBack();
+  await clock.advance(2000);
+  expect(two.list()).toMatchObject([{ instance: 'one' }]);
+  await clock.advance(SWEPT_MS);
+  expect(two.list()).toEqual([]);
+});
+
+test('the rows of instances that renew their leases stay, and others where an instance counts nobody', async () => {
+  const { clock, counted, two, gone } = await createStand();
+  await clock.advance(SWEPT_MS);
+  counted.clear();
+  await clock.advance(SWEPT_MS);
+  expect(two.list()).toMatchObject([{ instance: 'one' }]);
+  expect(gone).toEqual([]);
+});
+
+test('the row of an instance that is cut off from the store for some seconds stays', async () => {
+  const { clock, counted, gone } = await createStand();
+  await clock.advance(SWEPT_MS);
+  counted.delete('one');
+  await clock.advance(SWEPT_MS / 3);
+  counted.add('one');
+  await clock.advance(SWEPT_MS);
+  expect(gone).toEqual([]);
+});
+
+test('an instance that lives and was not counted for some time is known again', async () => {
+  const { clock, counted, one, two, gone } = await createStand();
+  counted.delete('one');
+  await clock.advance(SWEPT_MS);
+  counted.add('one');
+  await clock.advance(2000);
+  expect(gone).toContain('one');
+  expect(two.list()).toMatchObject([{ instance: 'one' }]);
+  one.stop.abort();
+});
