--- a/packages/core/src/serverConnections.ts
+++ b/packages/core/src/serverConnections.ts
@@ -10,8 +10,10 @@
 import { createWaitingBodies } from './waitingBodies';
 import type { WaitingBodies } from './waitingBodies';
 
+/** Silence after which the caller of a closed connection is taken to send nothing more. */
+const LINGER_SILENCE_MS: Milliseconds = 1000;
 /** Time and bytes within which the caller of a closed connection may still send without a reset. */
-const LINGER_MS: Milliseconds = 1000;
+const LINGER_MAX_MS: Milliseconds = 10_000;
 const LINGER_MAX_BYTES = 16 * 1024 * 1024;
 
 const STATUS_BAD_REQUEST = 400;
@@ -292,10 +294,17 @@
       socket.destroySoon();
       return;
     }
-    socket.end(() => {
-      dropped = 0;
-      const timer = setTimeout(() => socket.destroy(), LINGER_MS);
-      socket.once('close', () => clearTimeout(timer));
+    socket.end(linger);
+  }
+
+  function linger(): void {
+    dropped = 0;
+    const silence = setTimeout(() => socket.destroy(), LINGER_SILENCE_MS);
+    const longest = setTimeout(() => socket.destroy(), LINGER_MAX_MS);
+    socket.on('data', () => silence.refresh());
+    socket.once('close', () => {
+      clearTimeout(silence);
+      clearTimeout(longest);
     });
   }
 
--- a/packages/core/test/serverConnections.test.ts
+++ b/packages/core/test/serverConnections.test.ts
@@ -5,6 +5,7 @@
 import type { OpenRequests } from '../src';
 
 const WORK_MS = 400;
+const SETTLED_MS = 300;
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 /** Requests that are not sent to their end. */
 const UNFINISHED: [string, string][] = [
@@ -39,6 +40,11 @@
   return { address: await listen(server, '127.0.0.1:0'), served, openRequests };
 }
 
+const settle = () =>
+  new Promise((resolve) => {
+    setTimeout(resolve, SETTLED_MS);
+  });
+
 async function waitUntilNoneIsOpen(openRequests: OpenRequests): Promise<void> {
   while (openRequests.count() > 0) {
     await new Promise((resolve) => {
@@ -72,6 +78,48 @@
   expect(served).toEqual(['GET']);
 });
 
+/** Parts of a request that are sent behind the last answer of a connection, more than 2 s in all. */
+const LATE_PIECES = 12;
+const PIECE_PAUSE_MS = 200;
+/** Longer than a connection is kept for a caller that sends for ever. */
+const SENDING_MAX_MS = 15_000;
+
+async function sendLate(caller: PlainCaller, pieces: number): Promise<void> {
+  if (pieces === 0) return;
+  caller.socket.write('GET');
+  await new Promise((resolve) => {
+    setTimeout(resolve, PIECE_PAUSE_MS);
+  });
+  await sendLate(caller, pieces - 1);
+}
+
+test('a caller that reads late has its last answer although it still sends', async () => {
+  const { address } = await startServer();
+  const caller = openPlainCaller(address);
+  caller.socket.pause();
+  caller.socket.write(REQUEST.replace('\r\n\r\n', '\r\nConnection: close\r\n\r\n'));
+  await sendLate(caller, LATE_PIECES);
+  caller.socket.resume();
+  expect(await caller.closed).toBe(true);
+  expect(parseAnswers(caller.text())).toEqual([{ status: 200, body: 'done', isWhole: true }]);
+});
+
+test('a connection whose caller goes on sending behind the last answer ends', async () => {
+  const { address, openRequests } = await startServer();
+  const caller = openPlainCaller(address);
+  caller.socket.pause();
+  caller.socket.write(REQUEST.replace('\r\n\r\n', '\r\nConnection: close\r\n\r\n'));
+  const startedAt = performance.now();
+  const sending = setInterval(() => caller.socket.write('GET'), PIECE_PAUSE_MS);
+  while (openRequests.countLingering() === 0) await settle();
+  while (openRequests.countLingering() > 0 && performance.now() - startedAt < SENDING_MAX_MS) {
+    await settle();
+  }
+  clearInterval(sending);
+  caller.socket.destroy();
+  expect(openRequests.countLingering()).toBe(0);
+});
+
 /** Requests that a caller sends behind one that runs, by their number: far more than the system buffers. */
 const MANY: [string, number, string, string][] = [
   ['bodies', 500, 'Content-Length: 90000', 'x'.repeat(90_000)],
@@ -79,13 +127,6 @@
 ];
 /** What a server may hold for one caller: a megabyte, and what the system reads in one turn of the event loop. */
 const HELD_MAX_BYTES = 4_000_000;
-const SETTLED_MS = 300;
-
-const settle = () =>
-  new Promise((resolve) => {
-    setTimeout(resolve, SETTLED_MS);
-  });
-
 async function waitUntilSettled(count: () => number): Promise<number> {
   const before = count();
   await settle();
