--- a/packages/core/test/serverConnections.test.ts
+++ b/packages/core/test/serverConnections.test.ts
@@ -168,3 +168,32 @@
   expect(parseAnswers(caller.text()).map((answer) => answer.body)).toEqual(targets);
   caller.socket.destroy();
 });
+
+const LEAVING = ['end', 'resetAndDestroy'] as const;
+/** Numbers of requests, and bytes of each body, of which the last ones are not parsed while one runs. */
+const BEYOND = [
+  [100, 0],
+  [18, 100_000],
+] as const;
+
+test.each(LEAVING.flatMap((way) => BEYOND.map(([count, bytes]) => [way, count, bytes] as const)))(
+  'a caller that leaves by %s is noticed behind %d requests with %d bytes each',
+  async (way, count, bytes) => {
+    server = http.createServer();
+    let left = 0;
+    serveInOrder(server, async (message, response) => {
+      response.on('close', () => {
+        left += 1;
+      });
+      await readRequestBody(message);
+    });
+    const caller = openPlainCaller(await listen(server, '127.0.0.1:0'));
+    const head = `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${bytes}\r\n\r\n`;
+    caller.socket.write(REQUEST + `${head}${'x'.repeat(bytes)}`.repeat(count));
+    await settle();
+    expect(left).toBe(0);
+    caller.socket[way]();
+    await settle();
+    expect(left).toBeGreaterThan(0);
+  },
+);
