Tests of streams whose instance is killed amid their events, at four moments

The first rows of ownEnds killed an instance while its streams waited. Here events come each 5 ms, and the instance is killed after event 1, 10, 30 or 55 of 60. A caller of two answers is told early of an end if it got more last chunks than last events; that check is stricter than before and now holds for all rows.

--- a/packages/replay/test/ownEnds.test.ts
+++ b/packages/replay/test/ownEnds.test.ts
@@ -13,6 +13,10 @@
 /** How endpoints tell the ends of the streams, which stands in the path. */
 const FRAMINGS = ['chunks', 'length', 'close'];
 const ROUTES = ['stream', 'single'];
+/** Number of the events of a long stream. */
+const LONG_COUNT = 60;
+/** Time between two events of a long stream. */
+const LONG_PAUSE_MS = 5;
 
 beforeAll(() => {
   if (!process.env.TRIAL_PROGRAM) execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: ROOT });
@@ -27,6 +31,20 @@
   finish(): void;
 }
 
+// Sends events one after another.
+const sendSteadily: RequestListener = ({ url = '' }, response) => {
+  response.useChunkedEncodingByDefault = url.includes('/chunks');
+  response.writeHead(200, { 'Content-Type': 'text/event-stream' });
+  let count = 0;
+  const send = () => {
+    count += 1;
+    response.write(`id: ${count}\ndata: a\n\n`);
+    if (count === LONG_COUNT) response.end();
+    else if (!response.destroyed) setTimeout(send, LONG_PAUSE_MS);
+  };
+  send();
+};
+
 // Begins a stream of each route and framing: on kept connections, with a close, and with one behind it.
 async function openStreams(): Promise<OpenStreams> {
   const trial = await startTrial();
@@ -67,10 +85,10 @@
   );
 }
 
-// How many callers were told of the end of a stream although they lack events.
-function countEarly(callers: RawConnection[]): number {
-  const isEarly = (text: string) => text.includes(LAST_CHUNK) && !text.includes(EVENTS[2]!);
-  return callers.filter((caller) => isEarly(caller.getText())).length;
+// How many callers were told of more ends than they have got last events.
+function countEarly(callers: RawConnection[], lastEvent = EVENTS[2]!): number {
+  const count = (caller: RawConnection, part: string) => caller.getText().split(part).length - 1;
+  return callers.filter((caller) => count(caller, LAST_CHUNK) > count(caller, lastEvent)).length;
 }
 
 test('streams of an instance that is killed do not look complete', async () => {
@@ -116,3 +134,17 @@
   await Promise.all(callers.map(({ closed }) => closed));
   expect(countEarly(callers)).toBe(0);
 });
+
+test.each([1, 10, 30, 55])(
+  'streams of an instance that is killed after event %i of 60 do not look complete',
+  async (last) => {
+    const trial = await startTrial();
+    await trial.addEndpoint('e1', sendSteadily);
+    const targets = ROUTES.flatMap((route) => [`/${route}/chunks`, `/${route}/close`]);
+    const callers = targets.flatMap((target, index) => openCallers(trial, target, index));
+    await waitUntil(() => callers.some((caller) => caller.getText().includes(`id: ${last}\n`)));
+    trial.instance.child.kill('SIGKILL');
+    await Promise.all(callers.map(({ closed }) => closed));
+    expect(countEarly(callers, `id: ${LONG_COUNT}\n`)).toBe(0);
+  },
+);
