Escrow: types of its transactions in a file of their own, one way to read rows; tests of missing instances apart

The tests are the same ones, with their stand in rewindStand.ts; escrowRewind, escrowMissing and escrow pass.

--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -15,7 +15,7 @@
 import { getGrantTarget, getReturnRatio } from './escrowSizing';
 import type { GrantDemand, GrantTarget } from './escrowSizing';
 import { createEscrowTransactions } from './escrowTransactions';
-import type { EscrowOutcome, StoreFailure } from './escrowTransactions';
+import type { EscrowOutcome, StoreFailure } from './escrowTransactionTypes';
 import { createRateMeter } from './rate';
 
 /** Time constant of the smoothed rate at which tokens are reserved. */
--- /dev/null
+++ b/packages/budgets/test/rewindStand.ts
@@ -0,0 +1,47 @@
+import { ACCOUNT, createFleet } from './escrowHarness';
+import type { InstanceRun } from './escrowHarness';
+
+export const LIMIT = 1000;
+export const MAX_WAIT_MS = 500;
+/** Rounds after which a budget opens without the missing instances: the limits are written again. */
+export const OPENING_ROUNDS = 14;
+
+/** Creates a fleet of instances with one budget, whose store may be rewound. */
+export async function setUp(count: number) {
+  const fleet = createFleet(count);
+  fleet.members.forEach(({ escrow }) => escrow.setLimits(new Map([[ACCOUNT, LIMIT]])));
+  await fleet.clock.advance(0);
+
+  async function reserve({ escrow }: InstanceRun, tokens: number): Promise<string> {
+    const reserved = escrow.reserve(ACCOUNT, tokens, MAX_WAIT_MS);
+    for (let round = 0; round < 10; round += 1) {
+      await fleet.deliverChanges();
+      await fleet.clock.advance(60);
+    }
+    const outcome = await reserved;
+    return outcome.ok ? 'ok' : outcome.val.kind;
+  }
+
+  async function restart(index: number): Promise<InstanceRun> {
+    fleet.members[index]!.kill();
+    const run = fleet.start(fleet.members[index]!.instance);
+    fleet.members[index] = run;
+    run.escrow.setLimits(new Map([[ACCOUNT, LIMIT]]));
+    await fleet.clock.advance(10);
+    return run;
+  }
+
+  /** Lets time pass in which the feeds deliver changes and the instances rebalance. */
+  async function settle(rounds: number): Promise<void> {
+    for (let round = 0; round < rounds; round += 1) {
+      await fleet.deliverChanges();
+      fleet.members.filter((run) => run.isAlive).forEach(({ escrow }) => escrow.rebalance(0));
+      await fleet.clock.advance(400);
+    }
+  }
+
+  return { ...fleet, reserve, restart, settle };
+}
+
+/** Returns what an instance holds and knows of the budget. */
+export const describeAccount = ({ escrow }: InstanceRun) => escrow.describe()[0]!;
