An entry that was written since an outage of the store has not lapsed in it

Cause: for 2.2 s after an outage (0.9 s after a removal that the feed tells) a missing entry counts as one that may come back, since endpoints can't renew their entries meanwhile. So the entry of an endpoint that was taken out counts as listed, and the exit after the stated end as one that nobody announced. The fix: an entry that the feed has told to be written since the outage can't have lapsed in it: its removal takes effect at once. What a reading tells does not count, since it may have been written before the outage.

--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -75,6 +75,8 @@
   usableUntil: Milliseconds;
   /** Time of `clock.elapsed()` when the entry was unlisted; `Infinity` while it is listed. */
   unlistedAt: Milliseconds;
+  /** Time of `clock.elapsed()` at which the feed last told that it was written. */
+  writtenAt: Milliseconds;
 }
 
 /** Creates an empty directory. */
@@ -88,7 +90,7 @@
   let isLoaded = false;
 
   // Returns whether the change may affect routing.
-  function applyRecord(record: EndpointRecord): boolean {
+  function applyRecord(record: EndpointRecord, writtenAt?: Milliseconds): boolean {
     const known = entries.get(record.id);
     if (known && isOutdated(record, known.record)) return false;
     const isSameIncarnation = known !== undefined && isSameRun(record, known.record);
@@ -98,6 +100,7 @@
       isListed: true,
       usableUntil: Infinity,
       unlistedAt: Infinity,
+      writtenAt: writtenAt ?? known?.writtenAt ?? -Infinity,
     });
     const { id, born, sequence, address, service, version } = record;
     if (known?.isListed && !isSameIncarnation) host.onLost(known.record);
@@ -114,7 +117,9 @@
     known.isListed = false;
     known.unlistedAt = clock.elapsed();
     host.onLost(known.record);
-    known.usableUntil = Math.min(storeAvailableAt + LAPSED_GRACE_MS, clock.elapsed() + grace);
+    known.usableUntil = mayHaveLapsed(known)
+      ? Math.min(storeAvailableAt + LAPSED_GRACE_MS, clock.elapsed() + grace)
+      : -Infinity;
     const remaining = known.usableUntil - clock.elapsed();
     const mayReturn = remaining > 0;
     const { born, sequence, version } = known.record;
@@ -123,6 +128,11 @@
     return true;
   }
 
+  // One that was written since the outage is gone for another reason.
+  function mayHaveLapsed({ writtenAt }: Entry): boolean {
+    return writtenAt <= storeAvailableAt;
+  }
+
   // Does not compare with the clock because the timer may fire slightly early.
   function expire(id: string, entry: Entry): void {
     if (entries.get(id) !== entry || entry.isListed) return;
@@ -144,7 +154,7 @@
     const missing = [...entries.keys()].filter((id) => !listed.has(id));
     missing.forEach((id) => revived.delete(id));
     const changes = [
-      ...records.filter((record) => !isRevived(record)).map(applyRecord),
+      ...records.filter((record) => !isRevived(record)).map((record) => applyRecord(record)),
       ...missing.map((id) => unlist(id, LAPSED_GRACE_MS)),
     ];
     if (changes.some(Boolean)) host.onChange();
@@ -178,7 +188,7 @@
     },
     upsert(record) {
       revived.delete(record.id);
-      if (applyRecord(record)) host.onChange();
+      if (applyRecord(record, clock.elapsed())) host.onChange();
     },
     remove(id) {
       revived.delete(id);
--- a/packages/forwarding/test/directory.test.ts
+++ b/packages/forwarding/test/directory.test.ts
@@ -119,6 +119,34 @@
   expect(countChanges()).toBeGreaterThan(before);
 });
 
+test('a removal soon after an outage takes effect at once if the entry was renewed since', async () => {
+  const { clock, directory, usable } = setUp();
+  directory.upsert(record());
+  directory.markStoreUnavailable();
+  await clock.advance(3000);
+  directory.markStoreAvailable();
+  directory.replaceAll([record()]);
+  await clock.advance(400);
+  directory.upsert(record({ sequence: 2 }));
+  await clock.advance(400);
+  directory.remove('a');
+  expect(usable()).toEqual([]);
+  expect(directory.getFate(record())).toBe('gone');
+});
+
+test('a reading after an outage, newer than what was known, is no renewal', async () => {
+  const { clock, directory, usable } = setUp();
+  directory.upsert(record());
+  directory.markStoreUnavailable();
+  await clock.advance(3000);
+  directory.markStoreAvailable();
+  await clock.advance(1);
+  directory.replaceAll([record({ sequence: 2 })]);
+  await clock.advance(400);
+  directory.remove('a');
+  expect(usable()).toEqual(['a/5']);
+});
+
 test('a change is reported when a lapsed entry expires', async () => {
   const { clock, directory, countChanges } = setUp();
   directory.replaceAll([record()]);
