--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -136,6 +136,17 @@
   return kinds.reduce((sum, [, { ended }]) => sum + ended, 0);
 }
 
+test(
+  'seed 1: no stream looks complete because endpoints could not go on with it',
+  async () => {
+    const result = await playEarlyEnds();
+    const failures = describeFailures(result).filter((text) => text.includes(': resumed,'));
+    expect(failures).toEqual([]);
+    expect(countEarlyEnds(result, 'resumed,')).toBeGreaterThan(40);
+  },
+  TIMEOUT_MS,
+);
+
 test(
   'seed 1: no stream that may be resumed looks complete after an early end in order',
   async () => {
