--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -12,6 +12,11 @@
  * which doesn't begin one that would pass the limit.
  */
 const NEAR_LIMIT_MS: Milliseconds = 300;
+/**
+ * Time between a last event and an end that come together. An engine knows with its last token that it is
+ * the last one; what ends a stream later has another cause. It covers a busy process or link.
+ */
+const END_WITH_EVENT_MS: Milliseconds = 5;
 
 /** Why an end in order may not be the end of the answer. */
 export type EndReason =
@@ -19,6 +24,7 @@
   | 'nothing since take-up'
   | 'near limit'
   | 'not stated'
+  | 'apart from last event'
   | 'endpoint ended early'
   | 'endpoint failing'
   | 'endpoint leaving'
@@ -136,9 +142,10 @@
 function findDoubt<Payload>(
   { host: { endHistory }, request: { route, service } }: Run<Payload>,
   endpoint: string,
-  { framing }: AnswerEnd,
+  { framing, sinceEvent = 0 }: AnswerEnd,
 ): EndReason | undefined {
   if (route.kind !== 'streaming') return undefined;
+  if (sinceEvent > END_WITH_EVENT_MS) return 'apart from last event';
   if (framing === 'close' && !endHistory.endsByClose(service)) return 'not stated';
   return endHistory.endsEarly(endpoint) ? 'endpoint ended early' : undefined;
 }
--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -6,6 +6,7 @@
 import type { EndpointRecord, EventStream, StreamStep } from '../types';
 import { findEndFault } from './answerEnd';
 import { rememberEnd, reviewStreamEnd } from './endReport';
+import type { EndReason } from './endReport';
 
 /**
  * What the end of a stream is worth:
@@ -33,6 +34,8 @@
   isEmpty: boolean;
   /** Whether the endpoint has shown that it could go on, by sending the caller's last event again. */
   hasRepeated: boolean;
+  /** What speaks against the end. */
+  reason: EndReason | undefined;
 }
 
 /** Judges what an endpoint sent of a stream by its last step; that is missing if another one took its place. */
@@ -44,22 +47,23 @@
   isEmpty: boolean,
 ): Promise<SourceEnd> {
   const hasRepeated = stream.hasRepeated();
-  const ownEnd = step ? await judgeStep(run, attempt, step, hasRepeated) : 'broken';
+  const { ownEnd, reason } = await judgeStep(run, attempt, step, hasRepeated);
   const isInOrder = ownEnd !== 'broken';
   const end = isInOrder && isEmpty && !hasRepeated ? 'doubtful' : ownEnd;
   const { slot, endpoint: record } = attempt;
-  return { end, ownEnd, endpoint: slot.endpoint.name, record, isEmpty, hasRepeated };
+  return { end, ownEnd, endpoint: slot.endpoint.name, record, isEmpty, hasRepeated, reason };
 }
 
 async function judgeStep<Payload>(
   run: Run<Payload>,
   attempt: SentAttempt,
-  step: EndStep,
+  step: EndStep | undefined,
   hasRepeated: boolean,
-): Promise<StreamEnd> {
+): Promise<Pick<SourceEnd, 'ownEnd' | 'reason'>> {
+  if (!step) return { ownEnd: 'broken', reason: undefined };
   if (step.kind === 'broken') {
     logFailure(run, attempt, step);
-    return 'broken';
+    return { ownEnd: 'broken', reason: undefined };
   }
   rememberEnd(run, attempt, step);
   if (step.kind === 'complete') run.host.endHistory.noteStatement(run.request.service);
@@ -67,10 +71,10 @@
   const reason = reviewStreamEnd(run, attempt, step, hasRepeated);
   if (fault !== undefined) {
     logFailure(run, attempt, { kind: 'broken', message: fault });
-    return 'doubtful';
+    return { ownEnd: 'doubtful', reason };
   }
-  if (reason === undefined) return 'complete';
-  return step.kind === 'closed' ? 'closed' : 'unconfirmed';
+  if (reason === undefined) return { ownEnd: 'complete', reason };
+  return { ownEnd: step.kind === 'closed' ? 'closed' : 'unconfirmed', reason };
 }
 
 /** Returns the end of a stream whose last end was doubted, after what the next endpoint sent. */
@@ -96,7 +100,8 @@
     .with('complete', 'unconfirmed', 'closed', () => true)
     .with('doubtful', 'broken', () => false)
     .exhaustive();
-  if (!isInOrder) return false;
+  // One that stops some time after the repeated event may have been about to send more.
+  if (!isInOrder || next.reason === 'apart from last event') return false;
   if (next.hasRepeated) return true;
   const isEmptyStream = lastEventId === undefined && last.end !== 'broken';
   return isEmptyStream && !isSamePlace(last.record, next.record);
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -141,6 +141,8 @@
   framing: ResponseFraming;
   /** Time of `clock.elapsed()` when the end arrived. */
   at: Milliseconds;
+  /** Time from the last event of a stream to the end; `undefined` if there was none, or no stream. */
+  sinceEvent?: Milliseconds | undefined;
   /**
    * Resolves shortly after the end to whether the endpoint has closed the connection, which was to
    * be kept; earlier if that is not to be watched.
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -32,6 +32,8 @@
   end?: 'complete' | 'closed' | 'broken' | 'whole';
   /** State of the endpoint at the end. */
   state?: EndpointState;
+  /** Time from the last event to the end, apart from delays on the way. */
+  sinceEvent?: Milliseconds;
   /** Whether the endpoint sends the caller's last event again, if it is asked to. */
   repeats?: boolean;
   /** How long after the answer the endpoint fails. */
@@ -67,7 +69,14 @@
       if (delay === undefined) {
         if (end === 'broken') return { kind: 'broken', message: 'reset' };
         const kind = end === 'closed' ? 'closed' : 'complete';
-        return { kind, framing, at: clock.elapsed(), closes: sleep(clock, 20).then(() => false) };
+        const { sinceEvent } = answer;
+        return {
+          kind,
+          framing,
+          sinceEvent,
+          at: clock.elapsed(),
+          closes: sleep(clock, 20).then(() => false),
+        };
       }
       sent += 1;
       onActivity();
--- a/packages/forwarding/test/streamEnd.test.ts
+++ b/packages/forwarding/test/streamEnd.test.ts
@@ -8,6 +8,7 @@
   ['of an endpoint that is gone', { events: [100], state: 'gone' }],
   ['of an endpoint that fails', { events: [100], state: 'failing' }],
   ['near the time limit', { events: [100], pause: 1800 }],
+  ['some time after the last event', { events: [100], pause: 6, sinceEvent: 6 }],
   ['that only the connection tells', { events: [100], framing: 'close', end: 'closed' }],
 ];
 const MORE: StandAnswer = { repeats: true, events: [0, 0] };
@@ -72,8 +73,16 @@
   expect(answered).toMatchObject({ events: 1, resumptions: 0 });
 });
 
+test('an end some time after the event that was sent again confirms nothing', async () => {
+  const late: StandAnswer = { ...NO_MORE, sinceEvent: 6 };
+  expect((await forwardTo([BROKEN, late, NO_MORE], {}, 3)).answered).toMatchObject({
+    resumptions: 2,
+  });
+  expect((await forwardTo([BROKEN, late])).calls).toEqual(['begin', 'cut']);
+});
+
 test('an end against which nothing speaks is passed on at once', async () => {
-  const { answered } = await forwardTo([{ events: [100] }, MORE]);
+  const { answered } = await forwardTo([{ events: [100], sinceEvent: 5 }, MORE]);
   expect(answered).toMatchObject({ events: 1, resumptions: 0 });
 });
 
