An end after the repeated event confirms a stream only if nothing speaks against that end too

What callers saw: a stream that broke off, or whose end was doubted, was told as whole though events were left, because the second endpoint sent the last event again and then ended in order while it was leaving, gone, failing or near its limit, or only closed.

Cause: combineEnds made the end `complete` whatever spoke against the end that confirms. It is the cause of the report once more: an end in order taken for the whole. After a new event the same end was `unconfirmed` and asked for again.

Now that end keeps its own worth, so the rest is asked for while attempts and retries are left, and it is passed on otherwise. A close still confirms an end in order, as nothing else can where all streams end so.

--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -85,9 +85,18 @@
     return next;
   }
   if (!confirms(run, last, next)) return last;
+  const end = next.hasRepeated ? confirmEnd(last.end, next.ownEnd) : 'complete';
+  if (end !== 'complete') return { ...next, end };
   endHistory.noteChecked(last.endpoint, false);
   if (next.ownEnd === 'closed') endHistory.noteConfirmedClose(run.request.service);
-  return { ...next, end: 'complete' };
+  return { ...next, end };
+}
+
+// What speaks against the end that is to confirm another one may be what ended it. Two closes confirm each
+// other, as nothing else can where all streams end so.
+function confirmEnd(last: StreamEnd, next: StreamEnd): StreamEnd {
+  if (next !== 'closed') return next;
+  return last === 'broken' || last === 'doubtful' ? 'closed' : 'complete';
 }
 
 // Where no event can be sent again, two endpoints that send nothing show that there is nothing.
--- /dev/null
+++ b/packages/forwarding/test/confirmedEnds.test.ts
@@ -0,0 +1,36 @@
+import { forwardTo } from './answerStand';
+import type { StandAnswer } from './answerStand';
+
+const BROKEN: StandAnswer = { events: [100], end: 'broken' };
+const LEAVING: StandAnswer = { events: [100], state: 'leaving' };
+const MORE: StandAnswer = { repeats: true, events: [0, 0] };
+const DEADLINE = { deadline: 900 };
+// An end after the caller's last event against which something speaks.
+const DOUBTED: [string, StandAnswer][] = [
+  ['leaves', { repeats: true, state: 'leaving' }],
+  ['is gone', { repeats: true, state: 'gone' }],
+  ['fails', { repeats: true, state: 'failing' }],
+  ['is near its time limit', { repeats: true, pause: 350 }],
+];
+const CLOSES: StandAnswer = { repeats: true, framing: 'close', end: 'closed' };
+
+test.each([...DOUBTED, ['only closes', CLOSES] as [string, StandAnswer]])(
+  'an endpoint that %s does not confirm the end of a stream that broke off',
+  async (_, second) => {
+    const { answered } = await forwardTo([BROKEN, second, MORE], DEADLINE, 3);
+    expect(answered).toMatchObject({ code: 5006, events: 3 });
+  },
+);
+
+test.each(DOUBTED)('an endpoint that %s does not confirm a doubted end', async (_, second) => {
+  const { answered } = await forwardTo([LEAVING, second, MORE], DEADLINE, 3);
+  expect(answered).toMatchObject({ code: 5006, events: 3 });
+});
+
+test.each(DOUBTED)(
+  'an end by an endpoint that %s is passed on if nobody else can be asked',
+  async (_, second) => {
+    expect((await forwardTo([BROKEN, second], DEADLINE)).calls).toEqual(['begin', 'end']);
+    expect((await forwardTo([LEAVING, second], DEADLINE)).calls).toEqual(['begin', 'end']);
+  },
+);
