Only two closes make closes usual, and a break clears no endpoint that ends streams early

What callers saw: after one close that followed a stream which had broken off, or which a leaving endpoint had ended in chunks, early closes of the service were passed on as whole without asking. And an endpoint known to end streams early was believed again after a connection of it had broken behind the last event.

Cause: what a check has shown was noted by the second end alone. A close is confirmed only if it is the first one of two, and a break tells nothing of how an endpoint ends streams.

confirmedEnds: the three rows failed on (1 event, no resumption; 3 events expected) and pass now.

--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -87,8 +87,10 @@
   if (!confirms(run, last, next)) return last;
   const end = next.hasRepeated ? confirmEnd(last.end, next.ownEnd) : 'complete';
   if (end !== 'complete') return { ...next, end };
-  endHistory.noteChecked(last.endpoint, false);
-  if (next.ownEnd === 'closed') endHistory.noteConfirmedClose(run.request.service);
+  if (last.end !== 'broken') endHistory.noteChecked(last.endpoint, false);
+  if (last.end === 'closed' && next.ownEnd === 'closed') {
+    endHistory.noteConfirmedClose(run.request.service);
+  }
   return { ...next, end };
 }
 
--- a/packages/forwarding/test/confirmedEnds.test.ts
+++ b/packages/forwarding/test/confirmedEnds.test.ts
@@ -1,9 +1,12 @@
+import { createEndHistory } from '../src/ends/endHistory';
 import { forwardTo } from './answerStand';
 import type { StandAnswer } from './answerStand';
 
 const BROKEN: StandAnswer = { events: [100], end: 'broken' };
 const LEAVING: StandAnswer = { events: [100], state: 'leaving' };
+const CLOSED: StandAnswer = { events: [100], framing: 'close', end: 'closed' };
 const MORE: StandAnswer = { repeats: true, events: [0, 0] };
+const NO_MORE: StandAnswer = { repeats: true };
 const DEADLINE = { deadline: 900 };
 // An end after the caller's last event against which something speaks.
 const DOUBTED: [string, StandAnswer][] = [
@@ -34,3 +37,21 @@
     expect((await forwardTo([LEAVING, second], DEADLINE)).calls).toEqual(['begin', 'end']);
   },
 );
+
+test.each([
+  ['broke off', BROKEN],
+  ['a leaving endpoint ended', LEAVING],
+])('a close after a stream that %s does not make closes usual', async (_, first) => {
+  const history = createEndHistory();
+  await forwardTo([first, CLOSES], {}, 2, history);
+  const { answered } = await forwardTo([CLOSED, MORE], {}, 2, history);
+  expect(answered).toMatchObject({ events: 3, resumptions: 1 });
+});
+
+test('a break after the last event does not clear an endpoint that ends streams early', async () => {
+  const history = createEndHistory();
+  await forwardTo([LEAVING, MORE], {}, 2, history);
+  await forwardTo([BROKEN, NO_MORE], {}, 2, history);
+  const { answered } = await forwardTo([{ events: [100] }, MORE], {}, 2, history);
+  expect(answered).toMatchObject({ events: 3, resumptions: 1 });
+});
