A replacement that ends after the repeated event takes a silent attempt's place only if nothing speaks against its end

What callers saw: a stream whose endpoint paused for more than 1.2 s was told as whole after event 1 of 3, because the replacement sent that event again and then ended in order while it was leaving, gone or failing; the first attempt, which had the rest, was ended.

Cause: readAhead took each end in order after the repeated event as a beginning. Now it asks what speaks against the end, as for the end of a stream, so such a replacement loses and the first attempt goes on.

confirmedEnds: the three rows failed before (1 event, 3 expected) and pass now; replacement and silenceStreams pass.

--- a/packages/forwarding/src/attempts/readAhead.ts
+++ b/packages/forwarding/src/attempts/readAhead.ts
@@ -1,6 +1,7 @@
 import { Ok } from 'ts-results';
 import { isServerError } from './attempt';
 import type { AttemptReply, SentAttempt } from './sentAttempt';
+import { reviewEnd } from '../ends/endReport';
 import type { Run } from '../run';
 import type { EventStream, StreamStep } from '../types';
 
@@ -41,9 +42,10 @@
     if (!isUsable(run, await reply)) return 'lost';
     const step = await first;
     // A whole answer has no steps. An end without an event does not show that the other attempt is at its end,
-    // unless the endpoint has shown that it could go on.
+    // unless the endpoint has shown that it could go on, and nothing speaks against its end.
     if (step === undefined || step.kind === 'events') return 'begun';
-    return step.kind !== 'broken' && hasRepeated() ? 'begun' : 'lost';
+    if (step.kind === 'broken' || !hasRepeated()) return 'lost';
+    return reviewEnd(run, sent, step, true).reason === undefined ? 'begun' : 'lost';
   }
 
   const attempt = { ...sent, reply, end: () => sent.end().then(() => reply) };
--- a/packages/forwarding/test/confirmedEnds.test.ts
+++ b/packages/forwarding/test/confirmedEnds.test.ts
@@ -55,3 +55,11 @@
   const { answered } = await forwardTo([{ events: [100] }, MORE], {}, 2, history);
   expect(answered).toMatchObject({ events: 3, resumptions: 1 });
 });
+
+test.each(DOUBTED.slice(0, 3))(
+  'a silent stream goes on although its replacement %s and ends',
+  async (_, second) => {
+    const { answered } = await forwardTo([{ events: [100, 1500, 0] }, second]);
+    expect(answered).toMatchObject({ code: 5006, events: 3 });
+  },
+);
