A replacement that sends nothing but a comment does not take the place of a silent attempt

What callers saw: a stream whose endpoint paused for more than 1.2 s was cut after event 1 of 3, because its replacement sent a comment and ended, and the first attempt, which had the rest, was ended for it.

Cause: the comments before an end are a step of kind `events` with a count of 0, which readAhead took for a beginning. Such a step comes just before an end only, so the replacement loses.

--- a/packages/forwarding/src/attempts/readAhead.ts
+++ b/packages/forwarding/src/attempts/readAhead.ts
@@ -43,7 +43,9 @@
     const step = await first;
     // A whole answer has no steps. An end without an event does not show that the other attempt is at its end,
     // unless the endpoint has shown that it could go on, and nothing speaks against its end.
-    if (step === undefined || step.kind === 'events') return 'begun';
+    if (step === undefined) return 'begun';
+    // Comments alone come just before an end.
+    if (step.kind === 'events') return step.count > 0 ? 'begun' : 'lost';
     if (step.kind === 'broken' || !hasRepeated()) return 'lost';
     return reviewEnd(run, sent, step, true).reason === undefined ? 'begun' : 'lost';
   }
