An event without an id behind the repeated one is passed on

What callers saw: where an event without an id followed the last one that the caller has, and the stream broke off between the two, it was missing from the stream, which was told as whole. On the operators' platform all events have ids, so this is about other endpoints.

Cause: the filter passed nothing until an event of a later id came. Behind the repeated event, one without an id is new as far as its place tells. As before, a caller that had it gets it twice.

endChecks: the test failed before and passes now; resumePoint and pieces pass.

--- a/packages/forwarding/src/attempts/resumePoint.ts
+++ b/packages/forwarding/src/attempts/resumePoint.ts
@@ -43,7 +43,8 @@
     const id = findEventId(block);
     hasRepeated ||= id === repeated;
     isPassed ||= id !== undefined && !(Number(id) <= last);
-    return isPassed;
+    // Of an event without an id only its place is known.
+    return isPassed || (id === undefined && hasRepeated && countEvents([block]) > 0);
   }
 
   return {
