A retry for the rest of a stream is given back if it was sent to no endpoint

What callers saw: streams that broke off were cut although another endpoint had the rest, after 40 whole streams without framing of a service with one endpoint.

Cause: the retry for the rest is taken before an endpoint is looked for. Since each end against which something speaks takes one, also where nobody can be asked, so such ends use up the retries of those that can. Now it is given back if no endpoint has got the request: the oldest one of the window, so that none that was sent is forgotten before its time.

--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -54,8 +54,13 @@
   run: Run<Payload>,
   replacement: SentAttempt | undefined,
 ): Promise<Source | undefined> {
+  const arrivals = run.runs + run.declines;
   const next = await sendWithRetries(run, replacement);
-  if (next.err) return undefined;
+  if (next.err) {
+    const isUnused = !replacement && run.runs + run.declines === arrivals;
+    if (isUnused) run.host.retryBudget.giveBack(run.request.service);
+    return undefined;
+  }
   const { reply, attempt } = next.val;
   const { slot } = attempt;
   if (reply.kind !== 'stream') {
--- a/packages/forwarding/src/limits/retryBudget.ts
+++ b/packages/forwarding/src/limits/retryBudget.ts
@@ -21,6 +21,8 @@
   countRequest(service: string): void;
   /** Takes one retry; returns false if none is left in the window. */
   take(service: string): boolean;
+  /** Gives a retry back that was taken and sent to no endpoint. */
+  giveBack(service: string): void;
 }
 
 /** Requests and retries per bucket, newest first; `bucket` is the index of the newest. */
@@ -69,6 +71,12 @@
       repeats[0] = (repeats[0] ?? 0) + 1;
       return true;
     },
+    giveBack(service) {
+      const { repeats } = getCurrentUsage(service);
+      // The oldest one, so that none that was sent is forgotten before its time.
+      const oldest = repeats.map((count) => count > 0).lastIndexOf(true);
+      if (oldest >= 0) repeats[oldest] = (repeats[oldest] ?? 0) - 1;
+    },
   };
 }
 
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -121,7 +121,7 @@
     log,
     admission: { acquire },
     directory: { find, getFate: () => 'listed', markReplaced: () => {}, listLapsed: () => [] },
-    retryBudget: { countRequest: () => {}, take: () => true },
+    retryBudget: { countRequest: () => {}, take: () => true, giveBack: () => {} },
     protocol: { send, probe: async () => 'accepting' },
     metrics: forwardMetrics,
     endHistory,
--- a/packages/forwarding/test/pieces.test.ts
+++ b/packages/forwarding/test/pieces.test.ts
@@ -42,6 +42,24 @@
   expect(takeAll()).toBeGreaterThan(0);
 });
 
+test('a retry that is given back makes room for one, and forgets none that is newer', async () => {
+  const clock = createManualClock();
+  const allowance = { window: 10_000, ratio: 0, extra: 2.5 };
+  const budget = createRetryBudget(
+    clock,
+    () => allowance,
+    () => 1,
+  );
+  budget.giveBack('llm');
+  expect(budget.take('llm')).toBe(true);
+  await clock.advance(5000);
+  expect([budget.take('llm'), budget.take('llm')]).toEqual([true, false]);
+  budget.giveBack('llm');
+  expect([budget.take('llm'), budget.take('llm')]).toEqual([true, false]);
+  await clock.advance(8000);
+  expect(budget.take('llm')).toBe(false);
+});
+
 function route(prefix: string, changes: Partial<Route> = {}): Route {
   return {
     name: prefix,
