Ids of more than 15 digits are counted too

What callers saw: a caller that took up a stream after its last event, with ids of 16 digits or more, got an answer that was cut each time, though nothing was left. Since two empty ends do not confirm such a stream, and the repeated event was asked for only up to 15 digits.

Now ids are counted as integers of any size up to 40 digits. Of the filter only that changes: an empty id is still none of a later event, and one that is not a number is still new.

oddIds: 4 of 12 failed before (ids of 15 digits past the last one, of 16, of 17, past 2^53), all pass now; resumePoint and staleAnswers pass.

--- a/packages/forwarding/src/attempts/resumePoint.ts
+++ b/packages/forwarding/src/attempts/resumePoint.ts
@@ -2,7 +2,7 @@
 import type { EventBatch } from './events';
 
 /** Ids of this form are counted up by their endpoints, so that the one before an id is known. */
-const COUNTED_ID_PATTERN = /^\d{1,15}$/;
+const COUNTED_ID_PATTERN = /^\d{1,40}$/;
 
 /** Where an endpoint is to go on with a stream. */
 export interface ResumePoint {
@@ -21,8 +21,8 @@
   if (lastEventId === undefined || !COUNTED_ID_PATTERN.test(lastEventId)) {
     return { after: lastEventId, repeated: undefined };
   }
-  const before = Number(lastEventId) - 1;
-  return { after: before > 0 ? `${before}` : undefined, repeated: lastEventId };
+  const before = BigInt(lastEventId) - 1n;
+  return { after: before > 0n ? `${before}` : undefined, repeated: lastEventId };
 }
 
 /** Leaves out of a stream the events that its caller has. */
@@ -35,14 +35,14 @@
 
 /** Creates a filter for a stream that is to begin with the event of the id; without one, all are new. */
 export function createRepeatFilter(repeated: string | undefined): RepeatFilter {
-  const last = Number(repeated ?? 0);
+  const last = BigInt(repeated ?? 0);
   let isPassed = repeated === undefined;
   let hasRepeated = false;
 
   function isNew(block: string): boolean {
     const id = findEventId(block);
     hasRepeated ||= id === repeated;
-    isPassed ||= id !== undefined && !(Number(id) <= last);
+    isPassed ||= id !== undefined && isAfter(id.trim(), last);
     // Of an event without an id only its place is known.
     return isPassed || (id === undefined && hasRepeated && countEvents([block]) > 0);
   }
@@ -59,3 +59,9 @@
     hasRepeated: () => hasRepeated,
   };
 }
+
+// An id that is not counted is that of another stream, and an empty one tells nothing.
+function isAfter(id: string, last: bigint): boolean {
+  if (id === '') return false;
+  return !COUNTED_ID_PATTERN.test(id) || BigInt(id) > last;
+}
