An end that nobody confirms in time is passed on, and the one that was asked is let go

An end that would be passed on in any case now waits 1.2 s for the endpoint that is asked, the silence after which another attempt may help; then it is passed on and that attempt is ended. The time decides nothing about the end, only how long its confirmation is awaited.

--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -1,4 +1,4 @@
-import { Diagnostics } from '@pomeloroad/core';
+import { Diagnostics, withTimeout } from '@pomeloroad/core';
 import type { SlotResult, Slot } from '@pomeloroad/routing';
 import type { SentAttempt } from './sentAttempt';
 import { sendWithRetries } from './attempts';
@@ -36,15 +36,40 @@
 ): Promise<StreamEnd> {
   let { end, replacement } = await relaySource(run, { stream, attempt });
   while (replacement || shouldResume(run, end)) {
-    const source = await resume(run, replacement);
-    if (!source) break;
-    const next = await relaySource(run, source);
+    const next = await relayRest(run, replacement, end);
+    if (!next) break;
     replacement = next.replacement;
     end = combineEnds(run, end, next.end);
   }
   return concludeEnd(run, end);
 }
 
+// An end that would be passed on in any case does not wait for an endpoint that has nothing to say.
+async function relayRest<Payload>(
+  run: Run<Payload>,
+  replacement: SentAttempt | undefined,
+  last: SourceEnd,
+): Promise<RelayedSource | undefined> {
+  const rest = relayNext(run, replacement);
+  if (last.end !== 'unconfirmed' && last.end !== 'closed') return rest;
+  const eventsBefore = run.events;
+  const { clock } = run.host;
+  const isSettled = rest.then(() => true);
+  const isInTime = await withTimeout(clock, STREAM_THRESHOLD_MS, isSettled, false);
+  if (isInTime || run.events > eventsBefore) return rest;
+  run.isConcluded = true;
+  run.stop.abort();
+  return undefined;
+}
+
+async function relayNext<Payload>(
+  run: Run<Payload>,
+  replacement: SentAttempt | undefined,
+): Promise<RelayedSource | undefined> {
+  const source = await resume(run, replacement);
+  return source && relaySource(run, source);
+}
+
 function shouldResume<Payload>(run: Run<Payload>, { end }: SourceEnd): boolean {
   const hasTime = !run.stop.signal.aborted && getTimeLeft(run) > 0;
   return mayLackEvents(end) && hasTime && takeAttempt(run);
@@ -125,6 +150,7 @@
       return { step: failure?.kind === 'broken' ? failure : undefined, replacement };
     }
     const { step } = progress;
+    if (run.isConcluded) return { step: undefined, replacement: undefined };
     if (step.kind !== 'events') return { step, replacement: undefined };
     run.events += step.count;
     noteEvents(run, attempt);
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -53,6 +53,8 @@
   /** How the answer has come so far. */
   course: AnswerCourse;
   firstByteAt: Milliseconds | undefined;
+  /** Whether the caller was told the end of its stream while another endpoint was still asked for the rest. */
+  isConcluded: boolean;
   /** Whether the caller has been sent any part of an endpoint's answer. */
   isAnswered: boolean;
   /** Wait for a slot where all endpoints name limits of requests; infinite if none is to be had here. */
@@ -90,6 +92,7 @@
     framing: undefined,
     course: createAnswerCourse(),
     firstByteAt: undefined,
+    isConcluded: false,
     isAnswered: false,
     limitedWait: undefined,
     lack: undefined,
