--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -145,7 +145,8 @@
   { framing, sinceEvent = 0 }: AnswerEnd,
 ): EndReason | undefined {
   if (route.kind !== 'streaming') return undefined;
-  if (sinceEvent > END_WITH_EVENT_MS) return 'apart from last event';
+  // A close is a step of its own, which comes later.
+  if (framing !== 'close' && sinceEvent > END_WITH_EVENT_MS) return 'apart from last event';
   if (framing === 'close' && !endHistory.endsByClose(service)) return 'not stated';
   return endHistory.endsEarly(endpoint) ? 'endpoint ended early' : undefined;
 }
