Lines of ends tell the pauses in which an endpoint has made its answer

The latest pauses of endpoints and services are remembered (pauseHistory); nothing decides by them yet.

--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -4,6 +4,7 @@
 import type { LogFields, Milliseconds } from '@pomeloroad/core';
 import type { Slot, SlotResult } from '@pomeloroad/routing';
 import { findEndFault } from '../ends/answerEnd';
+import { createAnswerPauses } from '../ends/answerPauses';
 import { rememberEnd, reviewEnd } from '../ends/endReport';
 import { getTimeLeft, isWithheld } from '../run';
 import type { Run } from '../run';
@@ -33,6 +34,7 @@
   const resumePoint = getResumePoint(run);
   let activeAt = host.clock.elapsed();
   const told = { limit: getTimeLeft(run) + ENDPOINT_LIMIT_MARGIN_MS, at: activeAt };
+  const pauses = createAnswerPauses(host.clock);
 
   async function send(endpoint: EndpointRecord): Promise<AttemptReply> {
     run.pending += 1;
@@ -46,6 +48,11 @@
         slot.recordActivity();
         activeAt = host.clock.elapsed();
       },
+      onProgress() {
+        const pause = pauses.note();
+        const isStep = pause !== undefined && request.route.kind === 'streaming';
+        if (isStep) host.pauseHistory.note(slot.endpoint.name, request.service, pause);
+      },
       onStatements: (statements) =>
         applyStatements(host, slot.endpoint.name, endpoint, statements, told.at),
       signal: AbortSignal.any([stop.signal, ending.signal]),
@@ -72,6 +79,7 @@
     endpoint: isBlocked ? undefined : endpoint,
     resumePoint,
     told,
+    pauses,
     reply: start(),
     connected,
     getActivityTime: () => activeAt,
--- a/packages/forwarding/src/ends/answerCourse.ts
+++ b/packages/forwarding/src/ends/answerCourse.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from '@pomeloroad/core';
+import type { AnswerPauses } from './answerPauses';
 
 /** The time limit that an endpoint was told with a request, and when. */
 export interface ToldLimit {
@@ -10,6 +11,7 @@
 /** What an attempt tells of the answer that it brings. */
 export interface AnswerSource {
   told: ToldLimit;
+  pauses: AnswerPauses;
   /** Returns when bytes of the answer last arrived. */
   getActivityTime(): Milliseconds;
 }
--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -1,7 +1,7 @@
 import { match } from 'ts-pattern';
 import { Diagnostics } from '@pomeloroad/core';
 import type { Importance, LogFields, Milliseconds } from '@pomeloroad/core';
-import type { EndOutcome } from './answerCourse';
+import type { AnswerSource, EndOutcome } from './answerCourse';
 import type { AnswerEnd } from '../types';
 import type { SentAttempt } from '../attempts/sentAttempt';
 import type { EndpointState } from '../store/endpointState';
@@ -176,7 +176,7 @@
 // What the endpoint was told and when, and how long before `at` the last event came, or else bytes.
 function describeSource<Payload>(
   { course, events, origin }: Run<Payload>,
-  { told, getActivityTime }: Pick<SentAttempt, 'told' | 'getActivityTime'>,
+  { told, pauses, getActivityTime }: AnswerSource,
   at: Milliseconds,
 ): LogFields {
   const lastAt = course.lastEventAt ?? getActivityTime();
@@ -184,6 +184,8 @@
   return {
     told: Math.floor(told.limit),
     toldAgo: Math.round(at - told.at),
+    firstAfter: roundTime(pauses.getFirst()),
+    longestPause: roundTime(pauses.getLongest()),
     // An event that waits for a slow caller is read only after the end has arrived.
     lastEventAgo: Math.max(0, Math.round(at - lastAt)),
     resumptions: course.resumptions,
@@ -191,3 +193,7 @@
     fromVersion: isResumed ? origin?.version : undefined,
   };
 }
+
+function roundTime(time: Milliseconds | undefined): number | undefined {
+  return time === undefined ? undefined : Math.round(time);
+}
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -16,6 +16,7 @@
 import { findEndpointState } from './store/endpointState';
 import { startRateLimits } from './limits/rateLimits';
 import { startSlotShares } from './limits/slotShares';
+import { createPauseHistory } from './ends/pauseHistory';
 import { createRecentEnds } from './ends/recentEnds';
 import { followTable } from './store/follow';
 import { shareCalls } from './store/sharedCalls';
@@ -254,6 +255,7 @@
     metrics: forwardMetrics,
     endHistory: createEndHistory(),
     recentEnds,
+    pauseHistory: createPauseHistory(clock),
     getEndpointState: (name) => findEndpointState(directory, endpoints, name),
     getConfigurationVersion: () => configuration.getTable()?.configuration.version,
     origins,
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -5,6 +5,7 @@
 import type { EndpointState } from './store/endpointState';
 import type { EndHistory } from './ends/endHistory';
 import type { ForwardMetrics } from './forwardMetrics';
+import type { PauseHistory } from './ends/pauseHistory';
 import type { RecentEnds } from './ends/recentEnds';
 import type { StreamOrigins } from './origins/streamOrigins';
 import type { StatedLimits } from './limits/statedLimits';
@@ -25,6 +26,7 @@
   metrics: ForwardMetrics;
   endHistory: EndHistory;
   recentEnds: RecentEnds;
+  pauseHistory: PauseHistory;
   /** Returns what is known of the endpoint of this name. */
   getEndpointState(name: string): EndpointState;
   /** Returns the version of the configuration in force; `undefined` while none is known. */
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -19,6 +19,7 @@
   StreamStep,
 } from '../src';
 import { createEndHistory } from '../src/ends/endHistory';
+import { createPauseHistory } from '../src/ends/pauseHistory';
 import { createRecentEnds } from '../src/ends/recentEnds';
 
 const DEADLINE_MS: Milliseconds = 2500;
@@ -60,7 +61,8 @@
   const recentEnds = createRecentEnds({ clock, log, metrics: forwardMetrics });
   let turn = 0;
 
-  function openStream(answer: StandAnswer, { onActivity, resumePoint }: Attempt<unknown>) {
+  function openStream(answer: StandAnswer, attempt: Attempt<unknown>) {
+    const { onActivity, onProgress, resumePoint } = attempt;
     const { framing = 'chunked', events = [], pause = 0, end = 'complete', repeats } = answer;
     let sent = 0;
     async function next(): Promise<StreamStep> {
@@ -80,6 +82,7 @@
       }
       sent += 1;
       onActivity();
+      onProgress();
       return { kind: 'events', data: Buffer.from('e'), count: 1, lastId: `${sent}` };
     }
     return {
@@ -100,6 +103,7 @@
     }
     await sleep(clock, events[0] ?? 0);
     attempt.onActivity();
+    attempt.onProgress();
     await sleep(clock, pause);
     const body = Buffer.from('body');
     const told = { framing, at: clock.elapsed(), closes: sleep(clock, 20).then(() => false) };
@@ -135,6 +139,7 @@
     metrics: forwardMetrics,
     endHistory,
     recentEnds,
+    pauseHistory: createPauseHistory(clock),
     getEndpointState: (name: string) => answers[Number(name[1]) - 1]?.state ?? 'sound',
     getConfigurationVersion: () => 1,
     origins: {
--- /dev/null
+++ b/packages/forwarding/test/pauseHistory.test.ts
@@ -0,0 +1,48 @@
+import { createManualClock } from '@pomeloroad/core';
+import { createAnswerPauses } from '../src/ends/answerPauses';
+import { createPauseHistory } from '../src/ends/pauseHistory';
+
+test('an endpoint without pauses of its own has those of its service', () => {
+  const history = createPauseHistory(createManualClock());
+  expect(history.getLongest('e1', 's')).toBe(0);
+  history.note('e2', 's', 300);
+  history.note('e3', 'other', 900);
+  expect(history.getLongest('e1', 's')).toBe(300);
+  history.note('e1', 's', 40);
+  expect(history.getLongest('e1', 's')).toBe(40);
+});
+
+test.each([
+  [4999, 300],
+  [9999, 300],
+  [10_000, 20],
+])('after %i ms the longest pause is %i', async (time, longest) => {
+  const clock = createManualClock();
+  const history = createPauseHistory(clock);
+  history.note('e', 's', 300);
+  await clock.advance(4999);
+  history.note('e', 's', 20);
+  await clock.advance(time - 4999);
+  if (time >= 5000) history.note('e', 's', 20);
+  expect(history.getLongest('e', 's')).toBe(longest);
+});
+
+test('many endpoints do not make the history grow for ever', () => {
+  const history = createPauseHistory(createManualClock());
+  history.note('first', 'none', 300);
+  for (let index = 0; index < 1000; index += 1) history.note(`e${index}`, `s${index}`, 1);
+  expect(history.getLongest('first', 'none')).toBe(0);
+});
+
+test('the pauses of an answer begin with its second part', async () => {
+  const clock = createManualClock();
+  const pauses = createAnswerPauses(clock);
+  expect(pauses.getFirst()).toBeUndefined();
+  await clock.advance(700);
+  expect(pauses.note()).toBeUndefined();
+  await clock.advance(200);
+  expect(pauses.note()).toBe(200);
+  await clock.advance(50);
+  expect(pauses.note()).toBe(50);
+  expect([pauses.getFirst(), pauses.getLongest()]).toEqual([700, 200]);
+});
