An end may be that of the time limit if less is left of it than the steps that its endpoint has shown

Cause: an engine begins no step that would pass the limit which it was told, and ends a stream up to one step before it, in order. Ends with under 300 ms left were doubted, while a step of a slow or loaded engine is longer, and 250 ms are told more than is left. Now the time left of the limit told is compared with the longest pause that the stream, its endpoint or else its service has lately shown, and with the wait for the first event, which a stream with a single event shows alone. The constant is gone.

--- a/packages/core/src/pauseGuard.ts
+++ b/packages/core/src/pauseGuard.ts
@@ -13,6 +13,8 @@
 export interface PauseGuard {
   /** Resolves at once, or after a pause as soon as the state is refreshed. */
   waitUntilFresh(): Promise<void>;
+  /** Returns for how long the process was held up in all: the time by which its timers came late. */
+  getHeldUpTime(): Milliseconds;
 }
 
 /** Starts checking for pauses; calls `refresh` after each one. */
@@ -20,6 +22,7 @@
   let lastTick: Milliseconds = clock.elapsed();
   let lastDrift = getDrift();
   let refreshing: Promise<void> | undefined;
+  let heldUp: Milliseconds = 0;
 
   // A forward step of the wall clock looks like a suspension and only costs an unneeded refresh.
   function getDrift(): Milliseconds {
@@ -31,6 +34,7 @@
     const drift = getDrift();
     if (now - lastTick > PAUSE_THRESHOLD_MS || drift - lastDrift > DRIFT_THRESHOLD_MS)
       startRefresh();
+    heldUp += Math.max(0, now - lastTick - TICK_INTERVAL_MS);
     lastTick = now;
     lastDrift = drift;
   }
@@ -48,6 +52,7 @@
 
   tick();
   return {
+    getHeldUpTime: () => heldUp,
     async waitUntilFresh() {
       checkTick();
       if (refreshing) await refreshing;
--- a/packages/forwarding/src/ends/answerPauses.ts
+++ b/packages/forwarding/src/ends/answerPauses.ts
@@ -1,4 +1,9 @@
-import type { Clock, Milliseconds } from '@pomeloroad/core';
+import type { Clock, Milliseconds, PauseGuard } from '@pomeloroad/core';
+
+/** Dependencies of the pauses of an answer. */
+export interface AnswerPausesHost extends Pick<PauseGuard, 'getHeldUpTime'> {
+  clock: Clock;
+}
 
 /** The pauses in which an endpoint has made an answer: between the events of a stream, or the parts of another one. */
 export interface AnswerPauses {
@@ -6,21 +11,30 @@
   note(): Milliseconds | undefined;
   /** Time from the request to the first one; `undefined` while there is none. */
   getFirst(): Milliseconds | undefined;
-  /** Returns the longest pause between two; 0 while there is none. */
-  getLongest(): Milliseconds;
+  /** Returns the longest pause between two, or from the last one to the given time. */
+  getLongest(until?: Milliseconds): Milliseconds;
 }
 
-/** Creates the pauses of the answer to a request that is sent now. */
-export function createAnswerPauses(clock: Clock): AnswerPauses {
-  const sentAt = clock.elapsed();
+/**
+ * Creates the pauses of the answer to a request that is sent now. What came while this process was held up is read
+ * only after that, so that time counts for no pause.
+ */
+export function createAnswerPauses({ clock, getHeldUpTime }: AnswerPausesHost): AnswerPauses {
   let first: Milliseconds | undefined;
   let longest: Milliseconds = 0;
-  let lastAt = sentAt;
+  let lastAt = clock.elapsed();
+  let heldUpBefore = getHeldUpTime();
+
+  function getPause(until: Milliseconds): Milliseconds {
+    return Math.max(0, until - lastAt - (getHeldUpTime() - heldUpBefore));
+  }
+
   return {
     note() {
       const now = clock.elapsed();
-      const pause = now - lastAt;
+      const pause = getPause(now);
       lastAt = now;
+      heldUpBefore = getHeldUpTime();
       if (first === undefined) {
         first = pause;
         return undefined;
@@ -29,6 +43,6 @@
       return pause;
     },
     getFirst: () => first,
-    getLongest: () => longest,
+    getLongest: (until = lastAt) => Math.max(longest, getPause(until)),
   };
 }
--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -2,16 +2,12 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { Importance, LogFields, Milliseconds } from '@pomeloroad/core';
 import type { AnswerSource, EndOutcome } from './answerCourse';
+import { mayBeLimitEnd } from './limitEnd';
 import type { AnswerEnd } from '../types';
 import type { SentAttempt } from '../attempts/sentAttempt';
 import type { EndpointState } from '../store/endpointState';
 import type { Run } from '../run';
 
-/**
- * Time left at an end below which the time limit may have caused it. It covers a step of an engine,
- * which doesn't begin one that would pass the limit.
- */
-const NEAR_LIMIT_MS: Milliseconds = 300;
 /**
  * Time between a last event and an end that come together. An engine knows with its last token that it is
  * the last one; what ends a stream later has another cause. It covers a busy process or link.
@@ -90,7 +86,8 @@
   const state = host.getEndpointState(slot.endpoint.name);
   const reason =
     (hasRepeated ? undefined : findGap(run)) ??
-    findTrouble(run, state, end) ??
+    (mayBeLimitEnd(run, attempt, end) ? 'near limit' : undefined) ??
+    findTrouble(state) ??
     findDoubt(run, slot.endpoint.name, end);
   if (!reason) return { reason, report: () => undefined };
   run.course.isSuspicious = true;
@@ -125,12 +122,7 @@
   return isTakeUp(run) && events === 0 ? 'nothing since take-up' : undefined;
 }
 
-function findTrouble<Payload>(
-  { request }: Run<Payload>,
-  state: EndpointState,
-  { at }: AnswerEnd,
-): EndReason | undefined {
-  if (request.deadline - at < NEAR_LIMIT_MS) return 'near limit';
+function findTrouble(state: EndpointState): EndReason | undefined {
   return match(state)
     .with('sound', () => undefined)
     .with('failing', () => 'endpoint failing' as const)
@@ -142,15 +134,21 @@
 function findDoubt<Payload>(
   { host: { endHistory }, request: { route, service } }: Run<Payload>,
   endpoint: string,
-  { framing, sinceEvent = 0 }: AnswerEnd,
+  end: AnswerEnd,
 ): EndReason | undefined {
+  const { framing } = end;
   if (route.kind !== 'streaming') return undefined;
   // A close is a step of its own, which comes later.
-  if (framing !== 'close' && sinceEvent > END_WITH_EVENT_MS) return 'apart from last event';
+  if (framing !== 'close' && isApartFromEvent(end)) return 'apart from last event';
   if (framing === 'close' && !endHistory.endsByClose(service)) return 'not stated';
   return endHistory.endsEarly(endpoint) ? 'endpoint ended early' : undefined;
 }
 
+/** Returns whether a stream has ended some time after its last event. */
+export function isApartFromEvent({ sinceEvent = 0 }: AnswerEnd): boolean {
+  return sinceEvent > END_WITH_EVENT_MS;
+}
+
 /**
  * Returns the importance of the line of a request's end: it has to survive load if an endpoint has
  * answered and the answer may lack events.
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -266,6 +266,7 @@
     checkPath: ({ address }) => dialer.check(address),
     findService: (name) => configuration.getTable()?.findService(name),
     refreshEndpoints: shareCalls(endpointFeed.refresh),
+    getHeldUpTime: guard.getHeldUpTime,
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
 
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -1,4 +1,4 @@
-import type { Clock, Log, Random } from '@pomeloroad/core';
+import type { Clock, Log, Milliseconds, Random } from '@pomeloroad/core';
 import type { Escrow } from '@pomeloroad/budgets';
 import type { Admission, Endpoints } from '@pomeloroad/routing';
 import type { EndpointDirectory } from './store/endpointDirectory';
@@ -41,6 +41,8 @@
   findService(name: string): ForwardService | undefined;
   /** Reads the entries of all endpoints again, once for all that ask meanwhile. */
   refreshEndpoints(): Promise<unknown>;
+  /** Returns for how long the process was held up in all. */
+  getHeldUpTime(): Milliseconds;
   /** Resolves at once, or after a pause of the process once the store is read again. */
   waitForRefresh(): Promise<void>;
 }
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -65,6 +65,8 @@
     const { onActivity, onProgress, resumePoint } = attempt;
     const { framing = 'chunked', events = [], pause = 0, end = 'complete', repeats } = answer;
     let sent = 0;
+    // The event that is sent again comes with the head.
+    if (repeats && resumePoint.repeated !== undefined) onProgress();
     async function next(): Promise<StreamStep> {
       const delay = events[sent];
       await sleep(clock, delay ?? pause);
@@ -150,6 +152,7 @@
     rateLimits: { note: () => {} },
     suspects: { admit: async () => ({ kind: 'allowed' }), judge: () => 'none' },
     findService: () => undefined,
+    getHeldUpTime: () => 0,
     waitForRefresh: async () => {},
   } as unknown as ForwardHost<unknown>;
   const isWhole = answers.some(({ end }) => end === 'whole');
--- a/packages/forwarding/test/pauseHistory.test.ts
+++ b/packages/forwarding/test/pauseHistory.test.ts
@@ -36,7 +36,7 @@
 
 test('the pauses of an answer begin with its second part', async () => {
   const clock = createManualClock();
-  const pauses = createAnswerPauses(clock);
+  const pauses = createAnswerPauses({ clock, getHeldUpTime: () => 0 });
   expect(pauses.getFirst()).toBeUndefined();
   await clock.advance(700);
   expect(pauses.note()).toBeUndefined();
@@ -46,3 +46,15 @@
   expect(pauses.note()).toBe(50);
   expect([pauses.getFirst(), pauses.getLongest()]).toEqual([700, 200]);
 });
+
+test('time for which the process was held up counts for no pause', async () => {
+  const clock = createManualClock();
+  let heldUp = 0;
+  const pauses = createAnswerPauses({ clock, getHeldUpTime: () => heldUp });
+  pauses.note();
+  await clock.advance(1600);
+  heldUp = 1500;
+  expect(pauses.note()).toBe(100);
+  await clock.advance(50);
+  expect(pauses.note()).toBe(50);
+});
