What is doubted and not confirmed is cut, where its caller may resume the stream

Cause: the check of a doubted end was made and its result thrown away: where many endpoints are in the same trouble, or too little time is left, nobody confirms it, and it was told as complete, since most such ends are true. By harm: a caller whose stream is cut goes on from its last event or knows that something is missing; one that is told 'complete' never learns. Now a doubted end of a stream that may be resumed is cut unless it is confirmed, also a close that no second endpoint of the service has confirmed, within 1.2 s. Of streams that may not be resumed only one is cut that the time limit may have ended, which comes late in any case; others are passed on, as their callers could not get a whole answer again. Whole answers in chunks are not passed on if their limit may have ended them. Two closes confirm each other only if nothing else speaks against them. Ruled out: moving a constant; a longer wait for the confirmation (the caller leaves after 2 s).

--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -34,7 +34,7 @@
   const resumePoint = getResumePoint(run);
   let activeAt = host.clock.elapsed();
   const told = { limit: getTimeLeft(run) + ENDPOINT_LIMIT_MARGIN_MS, at: activeAt };
-  const pauses = createAnswerPauses(host.clock);
+  const pauses = createAnswerPauses(host);
 
   async function send(endpoint: EndpointRecord): Promise<AttemptReply> {
     run.pending += 1;
@@ -104,8 +104,9 @@
 ): Promise<AttemptReply> {
   if (sent.err || sent.val.kind !== 'whole') return sent;
   rememberEnd(run, attempt, sent.val.end);
-  const message = await findEndFault(run, attempt, sent.val.end);
-  const { report } = reviewEnd(run, attempt, sent.val.end);
+  const fault = await findEndFault(run, attempt, sent.val.end);
+  const { reason, report } = reviewEnd(run, attempt, sent.val.end);
+  const message = fault ?? (reason === 'near limit' ? 'ended short of its time limit' : undefined);
   report(message === undefined ? 'believed' : 'disbelieved');
   return message === undefined ? sent : Err({ kind: 'broken', message });
 }
--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -3,7 +3,13 @@
 import type { SentAttempt } from './sentAttempt';
 import { sendWithRetries } from './attempts';
 import { noteResumption, reportEnd } from '../ends/endReport';
-import { combineEnds, concludeEnd, judgeSource, mayLackEvents } from '../ends/streamEnd';
+import {
+  combineEnds,
+  concludeEnd,
+  judgeSource,
+  mayBeWhole,
+  mayLackEvents,
+} from '../ends/streamEnd';
 import type { EndStep, SourceEnd, StreamEnd } from '../ends/streamEnd';
 import { STREAM_THRESHOLD_MS } from './patience';
 import { awaitStep } from './replacement';
@@ -44,14 +50,14 @@
   return concludeEnd(run, end);
 }
 
-// An end that would be passed on in any case does not wait for an endpoint that has nothing to say.
+// A caller whose stream ended in order is not kept waiting for longer than it is for an event.
 async function relayRest<Payload>(
   run: Run<Payload>,
   replacement: SentAttempt | undefined,
   last: SourceEnd,
 ): Promise<RelayedSource | undefined> {
   const rest = relayNext(run, replacement);
-  if (last.end !== 'unconfirmed' && last.end !== 'closed') return rest;
+  if (!mayBeWhole(last)) return rest;
   const eventsBefore = run.events;
   const { clock } = run.host;
   const isSettled = rest.then(() => true);
--- a/packages/forwarding/src/attempts/slots.ts
+++ b/packages/forwarding/src/attempts/slots.ts
@@ -6,11 +6,26 @@
 import { getTimeLeft, mayOnlyReturn } from '../run';
 import type { Run } from '../run';
 
-/** Waits for a slot on an endpoint that is not excluded, at most until the signal is aborted. */
+/**
+ * Waits for a slot on an endpoint that is not excluded, at most until the signal is aborted. The rest of a stream is
+ * asked of one that is known to end streams early only if there is no other one.
+ */
 export async function acquireSlot<Payload>(
   run: Run<Payload>,
   excluded: ReadonlySet<string>,
   signal: AbortSignal,
+): Promise<Outcome<Slot, RouteError>> {
+  if (run.firstByteAt === undefined) return acquireAny(run, excluded, signal);
+  const early = [...run.host.endHistory.listEarly()];
+  const slot = await acquireAny(run, new Set([...excluded, ...early]), signal);
+  const hasNone = early.length > 0 && slot.err && slot.val.kind === 'none';
+  return hasNone ? acquireAny(run, excluded, signal) : slot;
+}
+
+async function acquireAny<Payload>(
+  run: Run<Payload>,
+  excluded: ReadonlySet<string>,
+  signal: AbortSignal,
 ): Promise<Outcome<Slot, RouteError>> {
   const { host, request } = run;
   if (isOriginDoubted(run)) {
--- a/packages/forwarding/src/ends/endHistory.ts
+++ b/packages/forwarding/src/ends/endHistory.ts
@@ -1,6 +1,21 @@
 /** Maximum number of services, and of endpoints, that are remembered; the longest known is forgotten first. */
 const NAMES_MAX = 1000;
 
+/** Number of ends from which on it shows how the streams of a service usually end. */
+const ENDS_MIN = 20;
+/** Number of ends at which earlier ones begin to count less. */
+const ENDS_MAX = 60;
+/** Fraction of the ends that makes a way of ending the usual one. */
+const USUAL_RATIO = 0.75;
+
+/** Ends of a service's streams, and those apart from the last event. */
+interface EndCount {
+  ends: number;
+  apart: number;
+}
+
+const NO_ENDS: EndCount = { ends: 0, apart: 0 };
+
 /** What earlier ends of streams have shown, wherever a second endpoint was asked for the rest. */
 export interface EndHistory {
   /** Notes that an endpoint of the service has stated the end of a stream. */
@@ -16,12 +31,21 @@
   noteChecked(endpoint: string, isEarly: boolean): void;
   /** Whether the latest end by the endpoint that was checked came too early. */
   endsEarly(endpoint: string): boolean;
+  /** Returns the names of the endpoints of which that holds. */
+  listEarly(): Iterable<string>;
+  /** Notes that an endpoint of the service has ended a stream, and whether apart from its last event. */
+  noteEnd(service: string, isApart: boolean): void;
+  /** Notes that another endpoint had more after an end apart from the last event. */
+  noteEarlyApart(service: string): void;
+  /** Whether nearly all streams of the service lately end so, as those of engines that need a step to end one. */
+  endsApart(service: string): boolean;
 }
 
 /** Creates a history of no ends. */
 export function createEndHistory(): EndHistory {
   const closing = new Set<string>();
   const early = new Set<string>();
+  const counts = new Map<string, EndCount>();
   return {
     noteStatement: (service) => closing.delete(service),
     noteConfirmedClose: (service) => remember(closing, service),
@@ -31,6 +55,20 @@
       else early.delete(endpoint);
     },
     endsEarly: (endpoint) => early.has(endpoint),
+    listEarly: () => early,
+    noteEnd(service, isApart) {
+      const { ends, apart } = counts.get(service) ?? NO_ENDS;
+      const scale = ends < ENDS_MAX ? 1 : 0.5;
+      counts.delete(service);
+      counts.set(service, { ends: ends * scale + 1, apart: apart * scale + (isApart ? 1 : 0) });
+      const [oldest] = counts.keys();
+      if (counts.size > NAMES_MAX && oldest !== undefined) counts.delete(oldest);
+    },
+    noteEarlyApart: (service) => counts.delete(service),
+    endsApart(service) {
+      const { ends, apart } = counts.get(service) ?? NO_ENDS;
+      return ends >= ENDS_MIN && apart >= ends * USUAL_RATIO;
+    },
   };
 }
 
--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -5,14 +5,14 @@
 import type { Run } from '../run';
 import type { EndpointRecord, EventStream, StreamStep } from '../types';
 import { findEndFault } from './answerEnd';
-import { rememberEnd, reviewStreamEnd } from './endReport';
+import { isApartFromEvent, rememberEnd, reviewStreamEnd } from './endReport';
 import type { EndReason } from './endReport';
 
 /**
  * What the end of a stream is worth:
  * - `complete`: its endpoint has stated it and nothing speaks against it, or another endpoint has confirmed it;
  * - `unconfirmed`: in order, but something speaks against it; counts unless another endpoint has more;
- * - `closed`: as that, by an endpoint that has closed the connection without a statement;
+ * - `closed`: in order, by an endpoint that has closed the connection without a statement;
  * - `doubtful`: in order, but not to be believed unless another endpoint confirms it;
  * - `broken`: broken off.
  */
@@ -66,15 +66,30 @@
     return { ownEnd: 'broken', reason: undefined };
   }
   rememberEnd(run, attempt, step);
-  if (step.kind === 'complete') run.host.endHistory.noteStatement(run.request.service);
+  if (step.kind === 'complete') {
+    run.host.endHistory.noteStatement(run.request.service);
+    run.host.endHistory.noteEnd(run.request.service, isApartFromEvent(step));
+  }
   const fault = await findEndFault(run, attempt, step);
   const reason = reviewStreamEnd(run, attempt, step, hasRepeated);
   if (fault !== undefined) {
     logFailure(run, attempt, { kind: 'broken', message: fault });
     return { ownEnd: 'doubtful', reason };
   }
-  if (reason === undefined) return { ownEnd: 'complete', reason };
-  return { ownEnd: step.kind === 'closed' ? 'closed' : 'unconfirmed', reason };
+  return { ownEnd: judgeReason(run, reason), reason };
+}
+
+// A caller that may resume its stream can go on after a cut, but never learns what a false end has hidden. Another
+// one could not get a whole answer again; but one that its time limit may have ended comes late in any case.
+function judgeReason<Payload>(
+  { host: { endHistory }, request: { route, service } }: Run<Payload>,
+  reason: EndReason | undefined,
+): StreamEnd {
+  if (reason === undefined) return 'complete';
+  if (reason === 'not stated') return 'closed';
+  if (!isRetryable(route)) return reason === 'near limit' ? 'doubtful' : 'unconfirmed';
+  const isUsual = reason === 'apart from last event' && endHistory.endsApart(service);
+  return isUsual ? 'unconfirmed' : 'doubtful';
 }
 
 /** Returns the end of a stream whose last end was doubted, after what the next endpoint sent. */
@@ -85,19 +100,29 @@
 ): SourceEnd {
   const { endHistory } = run.host;
   if (!next.isEmpty) {
-    if (last.end !== 'broken') endHistory.noteChecked(last.endpoint, true);
+    noteChecked(run, last, true);
     return next;
   }
   if (!confirms(run, last, next)) return last;
   const end = next.hasRepeated ? confirmEnd(last.end, next.ownEnd) : 'complete';
   if (end !== 'complete') return { ...next, end };
-  if (last.end !== 'broken') endHistory.noteChecked(last.endpoint, false);
+  noteChecked(run, last, false);
   if (last.end === 'closed' && next.ownEnd === 'closed') {
     endHistory.noteConfirmedClose(run.request.service);
   }
   return { ...next, end };
 }
 
+function noteChecked<Payload>(
+  { host: { endHistory }, request: { service } }: Run<Payload>,
+  { end, endpoint, reason }: SourceEnd,
+  isEarly: boolean,
+): void {
+  if (end === 'broken') return;
+  endHistory.noteChecked(endpoint, isEarly);
+  if (isEarly && reason === 'apart from last event') endHistory.noteEarlyApart(service);
+}
+
 // What speaks against the end that is to confirm another one may be what ended it. Two closes confirm each
 // other, as nothing else can where all streams end so.
 function confirmEnd(last: StreamEnd, next: StreamEnd): StreamEnd {
@@ -123,6 +148,11 @@
   return left?.id === right?.id || left?.address === right?.address;
 }
 
+/** Returns whether an end in order may be that of the whole stream, as far as its endpoint could tell. */
+export function mayBeWhole({ end, isEmpty, hasRepeated }: SourceEnd): boolean {
+  return end !== 'broken' && (!isEmpty || hasRepeated);
+}
+
 /** Returns whether the rest of a stream is to be asked for after such an end. */
 export function mayLackEvents(end: StreamEnd): boolean {
   return end !== 'complete';
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -5,6 +5,7 @@
 import type { EscrowError, EscrowReservation } from '@pomeloroad/budgets';
 import { sendWithRetries } from './attempts/attempts';
 import type { EndpointReply } from './attempts/attempts';
+import { isRetryable } from './attempts/patience';
 import type { EndOutcome } from './ends/answerCourse';
 import type { ForwardHost } from './forwardTypes';
 import { describeCourse, getEndImportance, reportEnd } from './ends/endReport';
@@ -140,17 +141,21 @@
   }
   run.caller.begin(reply.head);
   const end = await relayStream(run, reply.stream, attempt);
-  const mayEnd = countsAsWhole(end, reply.head.framing);
+  const mayEnd = countsAsWhole(run, end, reply.head.framing);
   if (mayEnd) run.caller.end();
   else run.caller.cut();
   recordEnd(run, mayEnd ? 'answered' : 'cut', { status: reply.head.status, end });
 }
 
 // To the caller each end states that the answer is complete; a close counts only where nothing else can.
-function countsAsWhole(end: StreamEnd, framing: ResponseFraming): boolean {
+function countsAsWhole<Payload>(
+  { request: { route } }: Run<Payload>,
+  end: StreamEnd,
+  framing: ResponseFraming,
+): boolean {
   return match(end)
     .with('complete', 'unconfirmed', () => true)
-    .with('closed', () => framing === 'close')
+    .with('closed', () => framing === 'close' && !isRetryable(route))
     .with('doubtful', 'broken', () => false)
     .exhaustive();
 }
--- a/packages/forwarding/test/confirmedEnds.test.ts
+++ b/packages/forwarding/test/confirmedEnds.test.ts
@@ -8,12 +8,14 @@
 const MORE: StandAnswer = { repeats: true, events: [0, 0] };
 const NO_MORE: StandAnswer = { repeats: true };
 const DEADLINE = { deadline: 900 };
+/** Leaves more time than the longest pause. */
+const LONG = { deadline: 4000 };
 // An end after the caller's last event against which something speaks.
 const DOUBTED: [string, StandAnswer][] = [
   ['leaves', { repeats: true, state: 'leaving' }],
   ['is gone', { repeats: true, state: 'gone' }],
   ['fails', { repeats: true, state: 'failing' }],
-  ['is near its time limit', { repeats: true, pause: 350 }],
+  ['is near its time limit', { repeats: true, pause: 450 }],
 ];
 const CLOSES: StandAnswer = { repeats: true, framing: 'close', end: 'closed' };
 
@@ -31,13 +33,19 @@
 });
 
 test.each(DOUBTED)(
-  'an end by an endpoint that %s is passed on if nobody else can be asked',
+  'an end by an endpoint that %s is cut if nobody else can be asked',
   async (_, second) => {
-    expect((await forwardTo([BROKEN, second], DEADLINE)).calls).toEqual(['begin', 'end']);
-    expect((await forwardTo([LEAVING, second], DEADLINE)).calls).toEqual(['begin', 'end']);
+    expect((await forwardTo([BROKEN, second], DEADLINE)).calls).toEqual(['begin', 'cut']);
+    expect((await forwardTo([LEAVING, second], DEADLINE)).calls).toEqual(['begin', 'cut']);
   },
 );
 
+test('two closes near the time limit do not confirm each other', async () => {
+  const late: StandAnswer = { ...CLOSED, events: [50, 560] };
+  const { calls } = await forwardTo([late, CLOSES], DEADLINE);
+  expect(calls).toEqual(['begin', 'cut']);
+});
+
 test.each([
   ['broke off', BROKEN],
   ['a leaving endpoint ended', LEAVING],
@@ -59,7 +67,7 @@
 test.each(DOUBTED.slice(0, 3))(
   'a silent stream goes on although its replacement %s and ends',
   async (_, second) => {
-    const { answered } = await forwardTo([{ events: [100, 1500, 0] }, second]);
+    const { answered } = await forwardTo([{ events: [100, 1500, 0] }, second], LONG);
     expect(answered).toMatchObject({ code: 5006, events: 3 });
   },
 );
--- a/packages/forwarding/test/endReport.test.ts
+++ b/packages/forwarding/test/endReport.test.ts
@@ -63,8 +63,8 @@
 });
 
 test.each<[Milliseconds, number]>([
-  [2000, 0],
-  [2001, 1],
+  [1275, 0],
+  [1276, 1],
   [2300, 1],
 ])('an end %i ms after the only event counts as near the limit: %i', async (pause, count) => {
   const { suspicious } = await forwardTo([{ events: [100], pause }]);
@@ -94,12 +94,12 @@
       firstAfter: 200,
       longestPause: 0,
       lastEventAgo: 2200,
-      outcome: 'passed on',
+      outcome: 'cut',
     },
   ]);
   expect(answered?.importance).toBe('important');
   expect(rendered).toContain(
-    'pomeloroad_suspicious_ends_total{reason="near limit",outcome="passed on"} 1',
+    'pomeloroad_suspicious_ends_total{reason="near limit",outcome="cut"} 1',
   );
 });
 
@@ -168,16 +168,29 @@
 });
 
 test('a whole answer in chunks near its limit is reported as believed or not', async () => {
-  const believed = await forwardTo([{ end: 'whole', pause: 2300 }]);
-  expect(believed.suspicious).toMatchObject([
-    { reason: 'near limit', timeLeft: 100, told: 2750, lastEventAgo: 2300, outcome: 'believed' },
+  const late = await forwardTo([{ end: 'whole', pause: 2300 }]);
+  expect(late.suspicious).toMatchObject([
+    { reason: 'near limit', timeLeft: 100, told: 2750, lastEventAgo: 2300, outcome: 'disbelieved' },
   ]);
-  const disbelieved = await forwardTo([{ end: 'whole', pause: 2399 }]);
-  expect(disbelieved.suspicious).toMatchObject([{ timeLeft: 1, outcome: 'disbelieved' }]);
+  expect(late.calls).toEqual(['refuse']);
+  const last = await forwardTo([{ end: 'whole', pause: 2399 }]);
+  expect(last.suspicious).toMatchObject([{ timeLeft: 1, outcome: 'disbelieved' }]);
+});
+
+test('a whole answer in chunks by a failing endpoint is reported as believed', async () => {
+  const { suspicious, calls } = await forwardTo([{ end: 'whole', state: 'failing' }]);
+  expect(suspicious).toMatchObject([{ reason: 'endpoint failing', outcome: 'believed' }]);
+  expect(calls).toEqual(['answer']);
+});
+
+test('a whole answer that may be that of the time limit is asked for elsewhere', async () => {
+  const { calls, answered } = await forwardTo([{ end: 'whole', pause: 1400 }, { end: 'whole' }]);
+  expect(calls).toEqual(['answer']);
+  expect(answered).toMatchObject({ endpoint: 'e2', status: 200 });
 });
 
 test('a whole answer that ends with its connection is reported as closed', async () => {
-  const { suspicious } = await forwardTo([{ end: 'whole', framing: 'close', pause: 2200 }]);
+  const { suspicious } = await forwardTo([{ end: 'whole', framing: 'close', state: 'failing' }]);
   expect(suspicious).toMatchObject([{ end: 'closed', framing: 'close', outcome: 'believed' }]);
 });
 
--- a/packages/forwarding/test/streamEnd.test.ts
+++ b/packages/forwarding/test/streamEnd.test.ts
@@ -2,12 +2,13 @@
 import { forwardTo } from './answerStand';
 import type { StandAnswer } from './answerStand';
 
+const NEAR_LIMIT = 'near the time limit';
 // An end in order against which something speaks.
 const DOUBTED: [string, StandAnswer][] = [
   ['of an endpoint that leaves', { events: [100], state: 'leaving' }],
   ['of an endpoint that is gone', { events: [100], state: 'gone' }],
   ['of an endpoint that fails', { events: [100], state: 'failing' }],
-  ['near the time limit', { events: [100], pause: 1800 }],
+  [NEAR_LIMIT, { events: [100], pause: 1800 }],
   ['some time after the last event', { events: [100], pause: 6, sinceEvent: 6 }],
   ['that only the connection tells', { events: [100], framing: 'close', end: 'closed' }],
 ];
@@ -31,9 +32,10 @@
   expect(answered).toMatchObject({ code: 5006, events: 3, resumptions: 1 });
 });
 
-test.each(DOUBTED)('an end %s is passed on if nobody else can be asked', async (_, first) => {
-  const { calls } = await forwardTo([first]);
-  expect(calls).toEqual(['begin', 'end']);
+test.each(DOUBTED)('an end %s is cut if nobody confirms it', async (_, first) => {
+  expect((await forwardTo([first])).calls).toEqual(['begin', 'cut']);
+  expect((await forwardTo([first, UNABLE])).calls).toEqual(['begin', 'cut']);
+  expect((await forwardTo([first, MORE], {}, 1)).calls).toEqual(['begin', 'cut']);
 });
 
 test.each(DOUBTED)(
@@ -58,20 +60,27 @@
   },
 );
 
-test('an end of a stream that may not be resumed is passed on', async () => {
-  const route = {
-    kind: 'streaming',
-    isResumable: false,
-    attempts: 2,
-    objective: 4000,
-    targets: [],
-  };
-  const { calls, answered } = await forwardTo([{ events: [100], state: 'leaving' }, MORE], {
-    route,
-  } as never);
-  expect(calls).toEqual(['begin', 'end']);
-  expect(answered).toMatchObject({ events: 1, resumptions: 0 });
-});
+const SINGLE = {
+  route: { kind: 'streaming', isResumable: false, attempts: 2, objective: 4000, targets: [] },
+} as never;
+
+test.each(DOUBTED.filter(([name]) => name !== NEAR_LIMIT))(
+  'an end %s of a stream that may not be resumed is passed on',
+  async (_, first) => {
+    const { calls, answered } = await forwardTo([first, MORE], SINGLE);
+    expect(calls).toEqual(['begin', 'end']);
+    expect(answered).toMatchObject({ events: 1, resumptions: 0 });
+  },
+);
+
+test.each(DOUBTED.filter(([name]) => name === NEAR_LIMIT))(
+  'an end %s of a stream that may not be resumed is cut',
+  async (_, first) => {
+    const { calls, answered } = await forwardTo([first, MORE], SINGLE);
+    expect(calls).toEqual(['begin', 'cut']);
+    expect(answered).toMatchObject({ events: 1, resumptions: 0 });
+  },
+);
 
 test('an end some time after the event that was sent again confirms nothing', async () => {
   const late: StandAnswer = { ...NO_MORE, sinceEvent: 6 };
@@ -86,6 +95,17 @@
   expect(answered).toMatchObject({ events: 1, resumptions: 0 });
 });
 
+test('an end apart from the last event counts where nearly all streams end so', async () => {
+  const history = createEndHistory();
+  const apart: StandAnswer = { events: [100], sinceEvent: 6 };
+  for (let count = 1; count < 20; count += 1) {
+    expect((await forwardTo([apart], {}, 2, history)).calls).toEqual(['begin', 'cut']);
+  }
+  expect((await forwardTo([apart], {}, 2, history)).calls).toEqual(['begin', 'end']);
+  expect((await forwardTo([apart, MORE], {}, 2, history)).answered).toMatchObject({ events: 3 });
+  expect((await forwardTo([apart], {}, 2, history)).calls).toEqual(['begin', 'cut']);
+});
+
 test('the ends of an endpoint are asked for after one that came too early', async () => {
   const history = createEndHistory();
   await forwardTo([{ events: [100], state: 'leaving' }, MORE], {}, 2, history);
