--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -17,7 +17,7 @@
 } from '@pomeloroad/core';
 import type { BodyFault, Clock, Identity, Outcome } from '@pomeloroad/core';
 import { hasBudget } from '@pomeloroad/configuration';
-import type { Configuration, Service } from '@pomeloroad/configuration';
+import type { Configuration } from '@pomeloroad/configuration';
 import { createRefusal, issueKey, parseIssuedKey } from '@pomeloroad/requests';
 import type { Refusal } from '@pomeloroad/requests';
 import type { AnswerOpener } from './answerOpener';
@@ -31,33 +31,21 @@
 import type { InstanceMetrics } from './instanceMetrics';
 import { createReopen } from './reopen';
 import type { RunRequest, Work } from './runRequest';
+import {
+  createServiceCall,
+  findService,
+  hashServiceCall,
+  isIdempotentCall,
+  parseServiceUrl,
+} from './serviceRequest';
+import type { ServiceTarget } from './serviceRequest';
 import type { Settings } from './settings';
 
 /** Not created for each request, because creating an error takes long. */
 const BODY_LATE = Err('timed-out' as const);
-const SERVICE_PATH = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const NOT_READY_RETRY_AFTER_MS = 1000;
 
-/** Request headers that are not passed on to a plain service. */
-const SKIPPED_REQUEST_HEADERS = new Set<string>([
-  'authorization',
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'te',
-  'transfer-encoding',
-  'upgrade',
-  CallerHeader.budget,
-  CallerHeader.priority,
-  CallerHeader.deadline,
-]);
-
-/** Methods that HTTP defines as idempotent. */
-const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD', 'PUT', 'DELETE', 'OPTIONS']);
-
 /** Dependencies of the callers' HTTP interface. */
 export interface CallerServerHost {
   clock: Clock;
@@ -165,8 +153,8 @@
       writeJson(response, 201, { key });
       return undefined;
     }
-    const service = SERVICE_PATH.exec(url);
-    if (service) return serveService(exchange, service);
+    const target = parseServiceUrl(url);
+    if (target) return serveService(exchange, target);
     return createRefusal('not_found', 'no', `There is nothing at ${path}.`);
   }
 
@@ -186,18 +174,18 @@
 
   async function serveService(
     exchange: Exchange,
-    [, name = '', path = '/', query = '']: RegExpExecArray,
+    target: ServiceTarget,
   ): Promise<Refusal | undefined> {
     const { request, configuration } = exchange;
-    const service = configuration.services.find((candidate) => candidate.name === name);
-    if (!service) return createRefusal('not_found', 'no', `There is no service "${name}".`);
+    const service = findService(configuration, target.name);
+    if (service.err) return service.val;
     const headers = parseCallerHeaders(request.headers, settings);
     if (headers.err) return headers.val;
     const body = await receiveBody(exchange);
     if (body.err) return body.val;
-    const work = createServiceWork(request, service, path + query, body.val);
-    const content = [request.method, path, query, body.val.toString('base64')];
-    return run(exchange, headers.val, work, hashText(JSON.stringify(content)), 'service');
+    const call = createServiceCall(request, service.val, target, body.val);
+    const digest = hashServiceCall(call, target);
+    return run(exchange, headers.val, { kind: 'call', call }, digest, 'service');
   }
 
   async function run(
@@ -221,7 +209,7 @@
       budget: `${account.name}/${budget}`,
       name: options.key ? { account: account.name, key: options.key } : undefined,
       digest,
-      isIdempotent: options.isIdempotent && isIdempotentMethod(work),
+      isIdempotent: options.isIdempotent && isIdempotentWork(work),
       isProvisional: false,
       isContinuation: form === 'events' && options.from > 0,
       needsClaim: !options.isIdempotent && !issued,
@@ -275,30 +263,8 @@
   };
 }
 
-function isIdempotentMethod(work: Work): boolean {
-  return work.kind === 'chat' || IDEMPOTENT_METHODS.has(work.call.method);
-}
-
-function createServiceWork(
-  request: IncomingMessage,
-  service: Service,
-  path: string,
-  body: Buffer,
-): Work {
-  const headers = Object.entries(request.headers)
-    .filter(([name, value]) => value !== undefined && !SKIPPED_REQUEST_HEADERS.has(name))
-    .map(([name, value]): [string, string] => [name, String(value)]);
-  return {
-    kind: 'call',
-    call: {
-      service: service.name,
-      method: request.method ?? 'GET',
-      path,
-      headers: Object.fromEntries(headers),
-      body,
-      tokens: service.tokensPerCall,
-    },
-  };
+function isIdempotentWork(work: Work): boolean {
+  return work.kind === 'chat' || isIdempotentCall(work.call);
 }
 
 function listModels(configuration: Configuration) {
