--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -1,8 +1,6 @@
 import http from 'node:http';
 import https from 'node:https';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { Err } from 'ts-results';
-import { match } from 'ts-pattern';
 import {
   answerExpectations,
   closeAfter,
@@ -10,12 +8,10 @@
   createOpenRequests,
   hashText,
   listen,
-  readRequestBody,
   serveInOrder,
-  withTimeout,
   writeJson,
 } from '@pomeloroad/core';
-import type { BodyFault, Clock, Identity, Outcome } from '@pomeloroad/core';
+import type { Clock, Identity } from '@pomeloroad/core';
 import { hasBudget } from '@pomeloroad/configuration';
 import type { Configuration } from '@pomeloroad/configuration';
 import { createRefusal, issueKey, parseIssuedKey } from '@pomeloroad/requests';
@@ -23,6 +19,7 @@
 import type { AnswerOpener } from './answerOpener';
 import { deliverAnswer, writeRefusal } from './answerWriter';
 import type { Delivery } from './answerWriter';
+import { receiveBody } from './callerBody';
 import { CallerHeader, parseCallerHeaders } from './callerHeaders';
 import type { CallerOptions } from './callerHeaders';
 import { parseChatRequest } from './chatRequest';
@@ -41,8 +38,6 @@
 import type { ServiceTarget } from './serviceRequest';
 import type { Settings } from './settings';
 
-/** Not created for each request, because creating an error takes long. */
-const BODY_LATE = Err('timed-out' as const);
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const NOT_READY_RETRY_AFTER_MS = 1000;
 
@@ -159,9 +154,10 @@
   }
 
   async function serveChat(exchange: Exchange): Promise<Refusal | undefined> {
-    const headers = parseCallerHeaders(exchange.request.headers, settings);
+    const { request, response } = exchange;
+    const headers = parseCallerHeaders(request.headers, settings);
     if (headers.err) return headers.val;
-    const body = await receiveBody(exchange);
+    const body = await receiveBody(clock, settings, request, response);
     if (body.err) return body.val;
     const text = body.val.toString('utf8');
     const chat = parseChatRequest(exchange.configuration, text);
@@ -176,12 +172,12 @@
     exchange: Exchange,
     target: ServiceTarget,
   ): Promise<Refusal | undefined> {
-    const { request, configuration } = exchange;
+    const { request, response, configuration } = exchange;
     const service = findService(configuration, target.name);
     if (service.err) return service.val;
     const headers = parseCallerHeaders(request.headers, settings);
     if (headers.err) return headers.val;
-    const body = await receiveBody(exchange);
+    const body = await receiveBody(clock, settings, request, response);
     if (body.err) return body.val;
     const call = createServiceCall(request, service.val, target, body.val);
     const digest = hashServiceCall(call, target);
@@ -233,28 +229,6 @@
     if (host.isDraining()) closeAfter(response);
   }
 
-  // Resolves to an error without a refusal if the connection is refused as a whole.
-  async function receiveBody({
-    request,
-    response,
-  }: Exchange): Promise<Outcome<Buffer, Refusal | undefined>> {
-    const limit = settings.bodyLimit;
-    if (Number(request.headers['content-length'] ?? 0) > limit) return Err(refuseTooLarge(limit));
-    const reading: Promise<Outcome<Buffer, BodyFault | 'timed-out'>> = readRequestBody(
-      request,
-      limit,
-    );
-    const read = await withTimeout(clock, settings.requestTimeout, reading, BODY_LATE);
-    if (read.ok) return read;
-    closeAfter(response);
-    return match(read.val)
-      .with('too-large', () => Err(refuseTooLarge(limit)))
-      .with('timed-out', () => Err(BODY_TIMED_OUT))
-      .with('disconnected', () => Err(INCOMPLETE_BODY))
-      .with('unreadable', () => Err(undefined))
-      .exhaustive();
-  }
-
   return {
     listen: () => listen(server, settings.callersAddress),
     open: openRequests.count,
@@ -277,10 +251,6 @@
   return { object: 'list', data };
 }
 
-function refuseTooLarge(limit: number): Refusal {
-  return createRefusal('body_too_large', 'no', `The body is larger than ${limit} bytes.`);
-}
-
 // With a key, it is unknown whether another instance has run an earlier attempt under the same key.
 function refuseNotReady({ headers }: IncomingMessage): Refusal {
   const ran = headers[CallerHeader.key] === undefined ? 'no' : 'unknown';
@@ -295,13 +265,3 @@
   'no',
   'The key was issued to another account.',
 );
-const INCOMPLETE_BODY = createRefusal(
-  'invalid_request',
-  'no',
-  'The request was not sent to its end.',
-);
-const BODY_TIMED_OUT = createRefusal(
-  'request_timeout',
-  'no',
-  'The request took too long to be sent.',
-);
