Budgets: what an answer of the store says of its era stands once

No change of behaviour. Three calls of escrowTransactions.ts (the transaction, the reading of a table and the reading before a grant is put back) each compared the era before the call with the answer's; escrowCalls.ts does so now.

--- a/packages/budgets/src/escrowTransactions.ts
+++ b/packages/budgets/src/escrowTransactions.ts
@@ -1,14 +1,8 @@
 import { Diagnostics } from '@pomeloroad/core';
-import { Err, Ok } from 'ts-results';
-import type { Milliseconds, Outcome, Tokens } from '@pomeloroad/core';
+import type { Milliseconds, Tokens } from '@pomeloroad/core';
 import { FIRST_ERA } from '@pomeloroad/storage';
-import type {
-  RowTransaction,
-  StoreEra,
-  StoreVersion,
-  TransactError,
-  VersionedRow,
-} from '@pomeloroad/storage';
+import type { StoreEra, TransactError, VersionedRow } from '@pomeloroad/storage';
+import { createEscrowCalls } from './escrowCalls';
 import { createEscrowHolders } from './escrowHolders';
 import { listAccountRows } from './escrowListing';
 import {
@@ -37,18 +31,7 @@
   GrantChange,
 } from './escrowTransactionTypes';
 
-/** `rewound`: the store is in another era than the one in which the transaction was sent. */
-type SendOutcome =
-  | { kind: 'written'; version: StoreVersion }
-  | { kind: 'rewound' }
-  | { kind: 'failed'; error: TransactError };
-
 const NO_TOTAL = { allocated: 0, calls: 0, version: 0 };
-/** An answer of an era that is over. */
-const OUTDATED = {
-  kind: 'failed',
-  error: { kind: 'unknown', message: 'the answer is of an older era' },
-} as const;
 
 /** Creates the transactions of an account that holds no tokens. */
 export function createEscrowTransactions(host: EscrowTransactionsHost): EscrowTransactions {
@@ -72,6 +55,7 @@
   let areHoldersListed = true;
 
   const known = createEscrowHolders(host.escrow);
+  const storeCalls = createEscrowCalls({ rows, getEra: () => era, startEra });
 
   const listInstances = () => host.escrow.listInstances() ?? [];
 
@@ -105,11 +89,8 @@
 
   async function restore(): Promise<EscrowOutcome> {
     const sentIn = era;
-    const listed = await listAccountRows(rows, account);
-    if (listed.err) return { kind: 'failed', error: { message: '', ...listed.val } };
-    startEra(listed.val.era);
-    if (era !== sentIn) return { kind: 'refreshed' };
-    if (listed.val.era !== era) return OUTDATED;
+    const listed = storeCalls.acceptRows(sentIn, await listAccountRows(rows, account));
+    if (listed.err) return listed.val;
     if (!areHoldersListed) holders.push(...(known.list() ?? []));
     areHoldersListed = true;
     const totalRow = findRow(listed.val.totals, totalKey);
@@ -129,7 +110,7 @@
       instances: host.escrow.countInstances(),
       holders,
     });
-    const outcome = await send({
+    const outcome = await storeCalls.send({
       checks: [
         { ...totalKey, version: totalRow?.version ?? 0 },
         { ...grantKey, version: grantRow?.version ?? 0 },
@@ -165,18 +146,6 @@
     });
   }
 
-  // An answer of another era says nothing about the rows of the era in which the call was sent.
-  async function send(transaction: RowTransaction): Promise<SendOutcome> {
-    const sentIn = era;
-    const outcome = await rows.transact(transaction);
-    const answeredIn = getEra(outcome);
-    if (answeredIn !== undefined) startEra(answeredIn);
-    if (era !== sentIn) return { kind: 'rewound' };
-    if (answeredIn !== undefined && answeredIn !== era) return OUTDATED;
-    if (outcome.err) return { kind: 'failed', error: outcome.val };
-    return { kind: 'written', version: outcome.val };
-  }
-
   function canGrantMore(): boolean {
     return isRestored && canGrant(total, host.escrow.countInstances());
   }
@@ -189,7 +158,7 @@
 
   async function open(): Promise<EscrowOutcome> {
     const next = openWithoutMissing(total, host.getUse().limit);
-    const outcome = await send({
+    const outcome = await storeCalls.send({
       checks: [{ ...totalKey, version: total.version }],
       puts: [{ ...totalKey, value: JSON.stringify(next) }],
       removals: [],
@@ -236,7 +205,7 @@
     };
     const totalPut = { ...totalKey, value: JSON.stringify({ allocated, calls, restoration }) };
     const grantPut = { ...grantKey, value: formatGrant(next, instance) };
-    const outcome = await send({
+    const outcome = await storeCalls.send({
       checks: next.checks,
       puts: next.changesTotal ? [totalPut, grantPut] : [grantPut],
       removals: [],
@@ -301,31 +270,23 @@
 
   async function readHolders(): Promise<EscrowOutcome> {
     const names = listUnreadHolders();
-    const read = await readRows(grantKey.table);
+    const sentIn = era;
+    const read = storeCalls.acceptRows(sentIn, await rows.list(grantKey.table, account));
     if (read.err) return read.val;
-    known.noteGrants(names, read.val, era);
+    known.noteGrants(names, read.val.rows, era);
     return { kind: 'refreshed' };
   }
 
   async function refreshTotal(): Promise<EscrowOutcome> {
-    const read = await readRows(totalKey.table);
+    const sentIn = era;
+    const read = storeCalls.acceptRows(sentIn, await rows.list(totalKey.table, account));
     if (read.err) return read.val;
     totalReadAt = clock.elapsed();
-    const row = findRow(read.val, totalKey);
+    const row = findRow(read.val.rows, totalKey);
     if (row) updateTotal(row);
     return { kind: 'refreshed' };
   }
 
-  // Returns the account's rows of the table in the era in which they were asked for, or what else came of it.
-  async function readRows(table: string): Promise<Outcome<VersionedRow[], EscrowOutcome>> {
-    const sentIn = era;
-    const listed = await rows.list(table, account);
-    if (listed.err) return Err({ kind: 'failed', error: { message: '', ...listed.val } });
-    startEra(listed.val.era);
-    if (era !== sentIn) return Err({ kind: 'refreshed' });
-    return listed.val.era === era ? Ok(listed.val.rows) : Err(OUTDATED);
-  }
-
   function updateTotal(row: VersionedRow): void {
     startEra(splitEra(row.key).era);
     if (row.key !== totalKey.key) return;
@@ -360,8 +321,3 @@
     updateTotal,
   };
 }
-
-function getEra(outcome: Outcome<StoreVersion, TransactError>): StoreEra | undefined {
-  if (outcome.ok) return outcome.val.era;
-  return outcome.val.kind === 'conflict' ? outcome.val.era : undefined;
-}
