--- a/packages/budgets/src/escrowTransactions.ts
+++ b/packages/budgets/src/escrowTransactions.ts
@@ -1,8 +1,9 @@
 import { Diagnostics } from '@pomeloroad/core';
-import type { Milliseconds, Tokens } from '@pomeloroad/core';
+import type { Milliseconds } from '@pomeloroad/core';
 import { FIRST_ERA } from '@pomeloroad/storage';
 import type { StoreEra, TransactError, VersionedRow } from '@pomeloroad/storage';
 import { createEscrowCalls } from './escrowCalls';
+import { createEscrowEarlierEras } from './escrowEarlierEras';
 import { createEscrowHolders } from './escrowHolders';
 import { listAccountRows } from './escrowListing';
 import {
@@ -11,7 +12,6 @@
   hasRestored,
   isOverdue,
   LIMIT_REWRITE_MAX_MS,
-  mergeHeld,
   openWithoutMissing,
 } from './escrowRestoration';
 import {
@@ -47,14 +47,9 @@
   let totalReadAt: Milliseconds = -Infinity;
   let grant = { held: 0, ceiling: 0, version: 0 };
   let pendingChange: GrantChange | undefined;
-  /** Instances that may hold tokens of an earlier era. */
-  let holders: string[] = [];
-  /** Tokens of an earlier era held by incarnations that are gone, as far as this instance knows. */
-  let heldByGone: Record<string, Tokens> = {};
-  /** Whether the leases had been read when the present era began here. */
-  let areHoldersListed = true;
 
   const known = createEscrowHolders(host.escrow);
+  const earlierEras = createEscrowEarlierEras(known);
   const storeCalls = createEscrowCalls({ rows, getEra: () => era, startEra });
 
   const listInstances = () => host.escrow.listInstances() ?? [];
@@ -75,13 +70,7 @@
     eraStartedAt = clock.elapsed();
     totalKey = getTotalKey(account, era);
     grantKey = getGrantKey(account, incarnation, era);
-    // What was seen before the rewind counts: the copy may lack it, and it may be forgotten soon.
-    const unsettled = isRestored ? [] : holders;
-    const listed = known.list();
-    holders = [...unsettled, ...(total.restoration?.missing ?? []), ...(listed ?? [])];
-    areHoldersListed = listed !== undefined;
-    const heldBefore = mergeHeld(isRestored ? {} : heldByGone, total.restoration?.carried ?? {});
-    heldByGone = mergeHeld(heldBefore, known.getHeld());
+    earlierEras.endEra(total, isRestored);
     total = NO_TOTAL;
     totalReadAt = -Infinity;
     isRestored = false;
@@ -91,8 +80,6 @@
     const sentIn = era;
     const listed = storeCalls.acceptRows(sentIn, await listAccountRows(rows, account));
     if (listed.err) return listed.val;
-    if (!areHoldersListed) holders.push(...(known.list() ?? []));
-    areHoldersListed = true;
     const totalRow = findRow(listed.val.totals, totalKey);
     const grantRow = findRow(listed.val.grants, grantKey);
     const present = totalRow && parseTotal(totalRow.value);
@@ -105,10 +92,10 @@
       incarnation,
       held: grant.held,
       ancestry: host.getAncestry(),
-      heldByGone,
+      heldByGone: earlierEras.getHeldByGone(),
       limit: host.getUse().limit,
       instances: host.escrow.countInstances(),
-      holders,
+      holders: earlierEras.listHolders(),
     });
     const outcome = await storeCalls.send({
       checks: [
