Budgets: the requests that reserve or wait have a module of their own

No change of behaviour. escrowAccount.ts held both sides of an account's grant: requests that take of it, wait or are refused, and the transactions that resize it.

--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -1,17 +1,14 @@
-import { Err, Ok } from 'ts-results';
+import { Err } from 'ts-results';
 import { match } from 'ts-pattern';
 import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
 import type { Milliseconds, Outcome, Timer, Tokens } from '@pomeloroad/core';
 import { LIMIT_REWRITE_MAX_MS } from './escrowRestoration';
 import type { Ancestry } from './escrowRestoration';
-import { getSpendable } from './escrowRows';
 import type { BudgetTotal, Grant } from './escrowRows';
 import type { EscrowAccount, EscrowError, EscrowHost, EscrowReservation } from './escrowTypes';
 import { needsResize, planGrant, raiseCeiling } from './escrowPlan';
 import type { GrantUse } from './escrowPlan';
-import { createEscrowQueue } from './escrowQueue';
-import { createEscrowShortage } from './escrowShortage';
-import type { EscrowShortage } from './escrowShortage';
+import { createEscrowReservations, UNREACHABLE_ERROR } from './escrowReservations';
 import { getGrantTarget, getReturnRatio } from './escrowSizing';
 import type { GrantDemand, GrantTarget } from './escrowSizing';
 import { createEscrowTransactions } from './escrowTransactions';
@@ -24,12 +21,8 @@
 const TOTAL_MAX_AGE_MS = 60;
 /** How long an instance holds no spare tokens after another one asked for their return. */
 const NO_SPARE_MS = 1500;
-/** Time within which the others return what they can spare: a pause of their feed and a transaction. */
-const RETURN_TIME_MS: Milliseconds = 400;
 /** Shortest interval between two calls on the other instances to return tokens. */
 const RETURN_CALL_INTERVAL_MS = 1000;
-/** Time within which all instances that are not missing put back their grants. */
-const RESTORE_USUAL_MS: Milliseconds = 3000;
 /** Interval for each instance over which the calls that put back grants are spread. */
 const RESTORE_SPREAD_PER_INSTANCE_MS: Milliseconds = 16;
 
@@ -42,41 +35,27 @@
 /** Most transactions for one rebalance; the second is based on the rows of the first's conflict. */
 const REBALANCE_MAX_TRANSACTIONS = 2;
 
-/** Longest time that a request waits until more of the reserve may be spent. */
-const RESERVE_MAX_WAIT_MS = 350;
-/** Shortest such wait. */
-const RESERVE_MIN_WAIT_MS = 1;
-/** Longest `retryAfter`; used also if the whole reserve is too small. Outages last some seconds. */
-const RETRY_AFTER_MAX_MS: Milliseconds = 3000;
-/** The error of a request that the store left without an answer. */
-const UNREACHABLE_ERROR: EscrowError = { kind: 'unreachable', retryAfter: RETRY_AFTER_MAX_MS };
-
 /** Creates the escrow of an account; it holds no tokens at first. */
 export function createEscrowAccount(host: EscrowHost, account: string): EscrowAccount {
   const { clock, log } = host;
   const rate = createRateMeter(clock, RATE_TIME_CONSTANT_MS);
   let limit: Tokens = 0;
   let ancestry: Ancestry = { kind: 'pending' };
-  /** Tokens spent or reserved. */
-  let used: Tokens = 0;
-  const shortage = createEscrowShortage(clock);
-  /** What is short while it is not known what is left of the budget. */
-  const restShortage = createEscrowShortage(clock);
-  const queue = createEscrowQueue({
-    clock,
-    getFreeTokens,
-    openReservation,
-    judgeWait,
-    findRefusal,
-  });
   const transactions = createEscrowTransactions({
     escrow: host,
     account,
-    getUse: () => ({ used, limit }),
+    getUse: () => ({ used: getUsed(), limit }),
     getAncestry: () => ancestry,
     onTotal: handleTotal,
   });
   const { getTotal, getGrant, getPendingChange } = transactions;
+  const reservations = createEscrowReservations({
+    escrow: host,
+    transactions,
+    getUnallocated,
+    fetchTokens: requestRun,
+  });
+  const { queue, getUsed } = reservations;
   let noSpareUntil: Milliseconds = -Infinity;
   let returnCalledAt: Milliseconds = -Infinity;
   let isRetired = false;
@@ -87,88 +66,14 @@
   let activeRun: Promise<void> | undefined;
   let leaseCheck: Timer | undefined;
 
-  async function reserve(
+  function reserve(
     tokens: Tokens,
     maxWait: Milliseconds,
   ): Promise<Outcome<EscrowReservation, EscrowError>> {
     // No grant could ever cover it, so it tells nothing of what the account needs.
-    if (tokens > limit) return Err({ kind: 'exhausted' });
+    if (tokens > limit) return Promise.resolve(Err({ kind: 'exhausted' }));
     rate.add(tokens);
-    const deadline = clock.elapsed() + maxWait;
-    for (;;) {
-      if (queue.count() === 0 && tokens <= getFreeTokens()) return Ok(openReservation(tokens));
-      const refusal = findRefusal(tokens);
-      if (refusal) return Err(refusal);
-      const left = deadline - clock.elapsed();
-      if (!host.isStoreUnresponsive() && left > 0) {
-        const waited = await waitInQueue(tokens, left);
-        if (waited.ok || waited.val.kind === 'exhausted') return waited;
-      }
-      // A request does not wait for a store that does not answer, but it waits for a reserve that
-      // may be spent soon.
-      const delay = getReserveDelay(tokens);
-      if (delay > Math.min(RESERVE_MAX_WAIT_MS, deadline - clock.elapsed())) {
-        return Err({ kind: 'unreachable', retryAfter: Math.min(delay, RETRY_AFTER_MAX_MS) });
-      }
-      await sleep(clock, delay);
-    }
-  }
-
-  function waitInQueue(
-    tokens: Tokens,
-    maxWait: Milliseconds,
-  ): Promise<Outcome<EscrowReservation, EscrowError>> {
-    const waited = queue.add(tokens, maxWait);
-    const delay = getReserveDelay(tokens);
-    if (delay < maxWait) clock.after(delay, queue.serve);
-    requestRun();
-    return waited;
-  }
-
-  // Time until the reserve covers the request as well, if nothing else changes.
-  function getReserveDelay(tokens: Tokens): Milliseconds {
-    const { held, ceiling } = getGrant();
-    const missing = used + tokens - ceiling;
-    const reserveTokens = held - ceiling;
-    if (missing > reserveTokens) return Infinity;
-    return Math.max(RESERVE_MIN_WAIT_MS, host.getReserveDelay(missing / reserveTokens));
-  }
-
-  function openReservation(tokens: Tokens): EscrowReservation {
-    let isOpen = true;
-    used += tokens;
-    return {
-      tokens,
-      settle(spent) {
-        if (!isOpen) return;
-        isOpen = false;
-        used -= Math.max(0, tokens - spent);
-        if (queue.count() > 0) requestRun();
-      },
-    };
-  }
-
-  function judgeWait(tokens: Tokens, since: Milliseconds): EscrowError {
-    const isCovered = tokens <= getFreeTokens() + getUnallocated();
-    if (isCovered || transactions.getTotalReadAt() < since) return UNREACHABLE_ERROR;
-    const { known, error } = getShortage();
-    if (clock.elapsed() - since >= RETURN_TIME_MS) known?.note(tokens);
-    return error;
-  }
-
-  // Once a request has waited in vain the others can spare nothing. What they return later is unallocated,
-  // so that it counts as available.
-  function findRefusal(tokens: Tokens): EscrowError | undefined {
-    if (host.isStoreUnresponsive() || tokens <= getAvailable()) return undefined;
-    const { known, error } = getShortage();
-    return known?.covers(tokens) ? error : undefined;
-  }
-
-  // What is short while other instances have to put back their grants says nothing of the time after.
-  function getShortage(): { known: EscrowShortage | undefined; error: EscrowError } {
-    if (transactions.isRestKnown()) return { known: shortage, error: { kind: 'exhausted' } };
-    const isLasting = transactions.getEraAge() >= RESTORE_USUAL_MS;
-    return { known: isLasting ? restShortage : undefined, error: UNREACHABLE_ERROR };
+    return reservations.reserve(tokens, maxWait);
   }
 
   function retire(): void {
@@ -246,7 +151,7 @@
 
   async function fetchForQueue(): Promise<boolean> {
     const needed = queue.sumTokens();
-    const available = getGrant().held + getGrantable() - used;
+    const available = getGrant().held + getGrantable() - getUsed();
     if (needed <= available) return resizeFor(needed);
     if (isLeaseOverdue()) return awaitLease();
     if (clock.elapsed() - transactions.getTotalReadAt() > TOTAL_MAX_AGE_MS)
@@ -257,14 +162,9 @@
     return handleOutcome(await transactions.change(getGrant(), true));
   }
 
-  // Tokens that this instance may reserve now or after a transaction.
-  function getAvailable(): Tokens {
-    return getGrant().held + getUnallocated() - used;
-  }
-
   // The lease is renewed only once the rows cover what is used.
   async function awaitLease(): Promise<boolean> {
-    if (used > getGrant().ceiling)
+    if (getUsed() > getGrant().ceiling)
       return handleOutcome(await transactions.change(raiseCeiling(getUse(), 0), false));
     leaseCheck?.cancel();
     leaseCheck = clock.after(LEASE_CHECK_INTERVAL_MS, requestRun);
@@ -275,14 +175,6 @@
     return handleOutcome(await transactions.change(planNextGrant(needed), false));
   }
 
-  // Tokens that may be reserved now. A pending change counts only if it lowers this number.
-  function getFreeTokens(): Tokens {
-    const share = host.getReserveShare();
-    const grant = getGrant();
-    const pending = getPendingChange() ?? grant;
-    return Math.min(getSpendable(grant, share), getSpendable(pending, share)) - used;
-  }
-
   // Until all instances have put back their grants after a rewind of the store, an instance keeps
   // what it holds, since it would not get it again.
   function isHeldBack(): boolean {
@@ -317,7 +209,7 @@
 
   function getUse(): GrantUse {
     const returnRatio = getReturnRatio(getDemand());
-    return { grant: getGrant(), used, unallocated: getGrantable(), returnRatio };
+    return { grant: getGrant(), used: getUsed(), unallocated: getGrantable(), returnRatio };
   }
 
   function planNextGrant(needed: Tokens): Grant {
@@ -360,7 +252,7 @@
   // A run ends only once nothing more is asked of it, which may be never while the store is silent.
   async function returnUnused(deadline: Milliseconds): Promise<void> {
     await activeRun;
-    while (getGrant().held > used && clock.elapsed() < deadline) {
+    while (getGrant().held > getUsed() && clock.elapsed() < deadline) {
       await sleep(clock, BACKOFF_MIN_MS);
       startRebalance();
       await activeRun;
@@ -404,7 +296,7 @@
     },
     isUsageCovered() {
       const { ceiling } = getGrant();
-      return used <= Math.min(ceiling, getPendingChange()?.ceiling ?? ceiling);
+      return getUsed() <= Math.min(ceiling, getPendingChange()?.ceiling ?? ceiling);
     },
     describe: () => ({
       account,
@@ -412,7 +304,7 @@
       allocated: getTotal().allocated,
       held: getGrant().held,
       ceiling: getGrant().ceiling,
-      used,
+      used: getUsed(),
       waiting: queue.count(),
       isUncertain: getPendingChange() !== undefined,
     }),
