--- a/packages/budgets/test/rewindStand.ts
+++ b/packages/budgets/test/rewindStand.ts
@@ -4,7 +4,7 @@
 export const LIMIT = 1000;
 export const MAX_WAIT_MS = 500;
 /** Rounds after which a budget opens without the missing instances: the limits are written again. */
-export const OPENING_ROUNDS = 14;
+const OPENING_ROUNDS = 14;
 
 /** Creates a fleet of instances with one budget, whose store may be rewound. */
 export async function setUp(count: number) {
@@ -40,7 +40,27 @@
     }
   }
 
-  return { ...fleet, reserve, restart, settle };
+  /** Lets the first instance count as one that renews its lease no more. */
+  function forgetFirst(): void {
+    fleet.state.counted.delete(fleet.members[0]!.instance);
+  }
+
+  /** The first instance reaches the store again and renews its lease. */
+  async function reconnectFirst(): Promise<void> {
+    fleet.members[0]!.isCut = false;
+    fleet.state.counted.add(fleet.members[0]!.instance);
+    await settle(4);
+  }
+
+  /** Rewinds the store and lets the budget open without the first instance. */
+  async function rewindWithoutFirst(rewind: () => void): Promise<void> {
+    rewind();
+    await settle(2);
+    forgetFirst();
+    await settle(OPENING_ROUNDS);
+  }
+
+  return { ...fleet, reserve, restart, settle, forgetFirst, reconnectFirst, rewindWithoutFirst };
 }
 
 /** Returns what an instance holds and knows of the budget. */
