Budgets: the two tests of a lost reply have one course of events

They differed in the name of the streams and the tokens used; both pass through settleAfterLostReply now, and check the same.

--- a/packages/budgets/test/keepers.test.ts
+++ b/packages/budgets/test/keepers.test.ts
@@ -11,7 +11,7 @@
   createLedger,
   nameStream,
 } from '../src';
-import type { HeldReservation, UsageRecord } from '../src';
+import type { CreatePlacement, HeldReservation, UsageRecord } from '../src';
 
 const BUDGET = 'dispatch/routes';
 const draft = { account: 'dispatch', budget: BUDGET, request: 'r', model: 'planner' };
@@ -312,10 +312,13 @@
   expect(await a.keepers.countOrphanedLogs()).toBe(0);
 });
 
-test('a run is billed once though the reply to an earlier reservation was lost', async () => {
+/**
+ * Reserves a request's tokens twice, since the first keeper's reply is lost, and settles the second reservation;
+ * then its owner is lost and the first keeper ends what it holds for it. Each stream used the given tokens.
+ */
+async function settleAfterLostReply(createPlacement: CreatePlacement, tokens: number) {
   const used = new Map<string, number>();
   const all = setUp(['a', 'b'], used);
-  const createPlacement = (id: string) => ({ ...placement, stream: nameStream('r.1', id) });
   const [first = '', second = ''] = rankNodes(BUDGET, ['a', 'b']);
   await all.ledger.topUp(BUDGET, 'one', 1000);
   const a = all.join(first, 'kent');
@@ -328,8 +331,8 @@
   await caller.call(first, BudgetTopics.reserve, request, 100);
   all.fleet.silent.add(first);
   const held = (await b.client.reserve(draft, 100, 1000, createPlacement)).unwrap();
-  used.set(held.placement?.stream ?? '', 7);
-  held.settle(record(7));
+  used.set(held.placement?.stream ?? '', tokens);
+  held.settle(record(tokens));
   await all.clock.advance(10);
   await b.keepers.settle();
   all.fleet.silent.clear();
@@ -337,38 +340,22 @@
   await all.clock.advance(6000);
   await a.keepers.reap();
   await a.keepers.settle();
-  const { accounts, faults } = await all.audit();
+  return all.audit();
+}
+
+test('a run is billed once though the reply to an earlier reservation was lost', async () => {
+  const createPlacement = (id: string) => ({ ...placement, stream: nameStream('r.1', id) });
+  const { accounts, faults } = await settleAfterLostReply(createPlacement, 7);
   expect(faults).toEqual([]);
   expect(accounts[0]).toMatchObject({ billed: 7 });
 });
 
 test('a call of a service is billed once though the reply to an earlier reservation was lost', async () => {
-  const used = new Map<string, number>();
-  const all = setUp(['a', 'b'], used);
-  const createPlacement = () => ({ ...placement, stream: '' });
   // A service keeps no record of its calls, so what was reserved counts as used.
-  used.set('', 100);
-  const [first = '', second = ''] = rankNodes(BUDGET, ['a', 'b']);
-  await all.ledger.topUp(BUDGET, 'one', 1000);
-  const a = all.join(first, 'kent');
-  const b = all.join(second, 'kent');
-  const owner = { instance: second, incarnation: `${second}-1`, dataCentre: 'kent' };
-  const caller = all.fleet.join('c', 'kent');
-  const lost = { id: 'lost', placement: createPlacement() };
-  const request = { ...lost, budget: BUDGET, tokens: 100, patience: 0, owner, draft };
-  // The keeper notes this reservation, but the owner does not learn of it and asks the next keeper.
-  await caller.call(first, BudgetTopics.reserve, request, 100);
-  all.fleet.silent.add(first);
-  const held = (await b.client.reserve(draft, 100, 1000, createPlacement)).unwrap();
-  held.settle(record(100));
-  await all.clock.advance(10);
-  await b.keepers.settle();
-  all.fleet.silent.clear();
-  all.lost.add(second);
-  await all.clock.advance(6000);
-  await a.keepers.reap();
-  await a.keepers.settle();
-  const { accounts, faults } = await all.audit();
+  const { accounts, faults } = await settleAfterLostReply(
+    () => ({ ...placement, stream: '' }),
+    100,
+  );
   expect(faults).toEqual([]);
   expect(accounts[0]).toMatchObject({ billed: 100 });
 });
