Budgets: the witness of a keeper's grant has a module of its own

No change of behaviour. Finding, replacing and maintaining the witness, and whether its log says that the whole grant is charged, stood in keeper.ts (grantWitness.ts now).

--- /dev/null
+++ b/packages/budgets/src/grantWitness.ts
@@ -0,0 +1,84 @@
+import type { Identity, Outcome } from '@pomeloroad/core';
+import type { HeldGrant } from './heldGrant';
+import type { Ledger } from './ledger';
+import type { Grant, LedgerError } from './types';
+import type { NoteOutcome, WitnessLink } from './witnessLink';
+
+/** Dependencies of the witness of a keeper's grant. */
+export interface GrantWitnessHost {
+  budget: string;
+  ledger: Ledger;
+  witnesses: WitnessLink;
+  /** The grant that the keeper holds at present. */
+  getHeld(): HeldGrant;
+  /** Runs a step that writes the grant's row once the earlier ones have ended. */
+  runExclusively<T>(step: () => Promise<T>): Promise<T>;
+  /** Applies the outcome of a write of the row that left its size as it was. */
+  applySettlement(outcome: Outcome<Grant, LedgerError>): void;
+  /** Drops the grant, since a successor has closed it. */
+  abandonGrant(): void;
+}
+
+/** The witness of a keeper's grant, whose log tells a successor what the grant's row does not. */
+export interface GrantWitness {
+  /** Finds a witness for a grant that is not written yet. */
+  open(): Promise<void>;
+  /**
+   * Returns whether a successor would learn of the noted change or charge the whole grant anyway.
+   * Replaces a witness that cannot be reached.
+   */
+  ensureNoted(outcome: NoteOutcome): Promise<boolean>;
+  /** Finds or replaces the witness, as `maintainWitness` of the keeper says. */
+  maintain(isTableUnreachable: boolean): Promise<void>;
+}
+
+/** Creates the witness of a keeper. */
+export function createGrantWitness(host: GrantWitnessHost): GrantWitness {
+  const { budget, ledger, witnesses, getHeld, abandonGrant } = host;
+  /** Whether the witness's log says that the whole grant is charged if this holder is lost. */
+  let isFullChargeNoted = false;
+
+  // Returns a peer that has opened a log, if any: a grant's row must not name a witness without one.
+  async function openAtPeer(failed?: Identity): Promise<Identity | undefined> {
+    const witness = witnesses.pickPeer(budget, failed);
+    const isOpen = witness && (await witnesses.openLog(getHeld(), witness, false)) === 'noted';
+    return isOpen ? witness : undefined;
+  }
+
+  function replace(): Promise<boolean> {
+    return host.runExclusively(async () => {
+      const witness = await openAtPeer(getHeld().grant().row.witness);
+      const outcome = await ledger.setWitness(getHeld().grant(), witness);
+      host.applySettlement(outcome);
+      return outcome.ok;
+    });
+  }
+
+  return {
+    async open() {
+      const witness = await openAtPeer();
+      isFullChargeNoted = false;
+      getHeld().setWitness(witness);
+    },
+    async ensureNoted(outcome) {
+      if (outcome === 'noted') return true;
+      if (outcome === 'sealed') {
+        abandonGrant();
+        return false;
+      }
+      return isFullChargeNoted || replace();
+    },
+    async maintain(isTableUnreachable) {
+      if (getHeld().grant().version === 0) return;
+      const { witness } = getHeld().grant().row;
+      if (!witness || !witnesses.isReachable(witness)) {
+        if (!isTableUnreachable && (witness || witnesses.pickPeer(budget))) await replace();
+        return;
+      }
+      if (isTableUnreachable === isFullChargeNoted) return;
+      const outcome = await witnesses.openLog(getHeld(), witness, isTableUnreachable);
+      if (outcome === 'noted') isFullChargeNoted = isTableUnreachable;
+      if (outcome === 'sealed') abandonGrant();
+    },
+  };
+}
--- a/packages/budgets/src/keeper.ts
+++ b/packages/budgets/src/keeper.ts
@@ -1,6 +1,7 @@
 import { Ok } from 'ts-results';
 import { createCondition, createId, Diagnostics, withTimeout } from '@pomeloroad/core';
 import type { Identity, Outcome, Tokens } from '@pomeloroad/core';
+import { createGrantWitness } from './grantWitness';
 import { createHeldGrant } from './heldGrant';
 import type { Sizer } from './ledgerPlans';
 import { getUnallocated } from './rows';
@@ -8,7 +9,6 @@
 import { createRateMeter } from './rate';
 import { createReservationQueue } from './reservationQueue';
 import type { WitnessLog } from './topics';
-import type { NoteOutcome } from './witnessLink';
 import { getGrantGrowth, getIdleLimit } from './sizing';
 import type {
   BudgetRow,
@@ -42,8 +42,6 @@
     : createHeldGrant(createGrant(self, budget));
   /** Records of ended reservations by identifier, kept to recognize repeated settlements. */
   const ended = new Map<string, SettledRecord | undefined>();
-  /** Whether the witness's log says that the whole grant is charged if this holder is lost. */
-  let isFullChargeNoted = false;
   let isRefilling = false;
   /** Largest recent reservation; it decays by a tenth with each request. */
   let recentPeakTokens = 0;
@@ -51,6 +49,16 @@
   let freeAfterResize = 0;
   let lastTableTask: Promise<unknown> = Promise.resolve();
 
+  const witness = createGrantWitness({
+    budget,
+    ledger,
+    witnesses,
+    getHeld: () => held,
+    runExclusively,
+    applySettlement,
+    abandonGrant,
+  });
+
   // Runs one table operation at a time, because the grant's row must have a single writer.
   function runExclusively<T>(step: () => Promise<T>): Promise<T> {
     const result = lastTableTask.then(step);
@@ -117,7 +125,7 @@
     return runExclusively(async () => {
       const row = await ledger.readBudget(budget);
       if (row.err) return row;
-      if (held.grant().version === 0) await openWitness();
+      if (held.grant().version === 0) await witness.open();
       const outcome = await ledger.resize(held.grant(), createSizer(row.val), held.isUncertain());
       applyOutcome(outcome);
       return outcome;
@@ -139,37 +147,6 @@
     };
   }
 
-  // Opens the witness's log first: a grant's row must not name a witness without a log.
-  async function openWitness(): Promise<void> {
-    const witness = witnesses.pickPeer(budget);
-    const isOpen = witness && (await witnesses.openLog(held, witness, false)) === 'noted';
-    isFullChargeNoted = false;
-    held.setWitness(isOpen ? witness : undefined);
-  }
-
-  // Returns whether a successor would learn of the noted change or charge the whole grant anyway.
-  // Replaces a witness that cannot be reached.
-  async function ensureWitnessed(outcome: NoteOutcome): Promise<boolean> {
-    if (outcome === 'noted') return true;
-    if (outcome === 'sealed') {
-      abandonGrant();
-      return false;
-    }
-    return isFullChargeNoted || replaceWitness();
-  }
-
-  function replaceWitness(): Promise<boolean> {
-    return runExclusively(async () => {
-      const witness = witnesses.pickPeer(budget, held.grant().row.witness);
-      const isOpen = witness && (await witnesses.openLog(held, witness, false)) === 'noted';
-      const next = isOpen ? witness : undefined;
-      const outcome = await ledger.setWitness(held.grant(), next);
-      if (outcome.ok) held.applySettlement(outcome.val);
-      else if (outcome.val.kind === 'sealed') abandonGrant();
-      return outcome.ok;
-    });
-  }
-
   function applyOutcome(outcome: Outcome<Grant, LedgerError>): void {
     if (outcome.ok) {
       const { version, row } = outcome.val;
@@ -183,6 +160,12 @@
     else held.markUncertain();
   }
 
+  // Applies the outcome of a write of the row that left its size as it was.
+  function applySettlement(outcome: Outcome<Grant, LedgerError>): void {
+    if (outcome.ok) held.applySettlement(outcome.val);
+    else if (outcome.val.kind === 'sealed') abandonGrant();
+  }
+
   // Drops a grant that another instance has closed because it considered this one lost.
   // Nothing more may be spent from it.
   function abandonGrant(): void {
@@ -223,7 +206,9 @@
     const current = held;
     const reservation = current.reservations().get(id);
     if (!reservation) return false;
-    const isNoted = await ensureWitnessed(await witnesses.noteReservation(current, reservation));
+    const isNoted = await witness.ensureNoted(
+      await witnesses.noteReservation(current, reservation),
+    );
     return isNoted && held === current;
   }
 
@@ -242,7 +227,7 @@
       if (current.reservations().has(reservation)) endReservation(reservation, record);
       else if (!ended.has(reservation)) return 'unknown';
       const outcome = await witnesses.noteEnd(current, reservation, ended.get(reservation));
-      return (await ensureWitnessed(outcome)) && held === current ? 'settled' : 'unknown';
+      return (await witness.ensureNoted(outcome)) && held === current ? 'settled' : 'unknown';
     },
     async place(reservation, placement) {
       if (!held.place(reservation, placement)) return false;
@@ -252,18 +237,7 @@
       if (!held.changeOwner(reservation, owner)) return false;
       return noteReservation(reservation);
     },
-    async maintainWitness(isTableUnreachable) {
-      if (held.grant().version === 0) return;
-      const { witness } = held.grant().row;
-      if (!witness || !witnesses.isReachable(witness)) {
-        if (!isTableUnreachable && (witness || witnesses.pickPeer(budget))) await replaceWitness();
-        return;
-      }
-      if (isTableUnreachable === isFullChargeNoted) return;
-      const outcome = await witnesses.openLog(held, witness, isTableUnreachable);
-      if (outcome === 'noted') isFullChargeNoted = isTableUnreachable;
-      if (outcome === 'sealed') abandonGrant();
-    },
+    maintainWitness: witness.maintain,
     release: (mustYield) =>
       queue.count() > 0 && !mustYield ? Promise.resolve(0) : shrinkTo(() => 0),
     async trim() {
@@ -285,8 +259,7 @@
         const records = held.unsettledRecords().filter((record) => record.ordinal <= sequence);
         const spent = records.reduce((sum, r) => sum + r.tokens, held.grant().row.spent);
         const outcome = await ledger.settle(held.grant(), spent, sequence);
-        if (outcome.ok) held.applySettlement(outcome.val);
-        else if (outcome.val.kind === 'sealed') abandonGrant();
+        applySettlement(outcome);
       }),
     isChargedInFull: () => inherited?.log.isWhole ?? false,
     close: () =>
