Forwarding: the endpoints' table is followed in a module of its own

No change of behaviour. What the rows of endpoints mean to the directory stood in forwardInstance.ts, which wires an instance; store/endpointFeed.ts does it now, beside store/configurationFeed.ts. forwardInstance.ts 364 -> 330 lines.

--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -4,11 +4,12 @@
 import { BUDGET_TABLE, createEscrow, createEscrowLease } from '@pomeloroad/budgets';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
 import { watchStore } from '@pomeloroad/storage';
-import type { RowChange, RowView, StoreEra, VersionedRow } from '@pomeloroad/storage';
+import type { StoreEra } from '@pomeloroad/storage';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { followConfiguration } from './store/configurationFeed';
 import { getIncarnation, watchCrashes } from './suspects/crashWatch';
 import { createEndpointDirectory } from './store/endpointDirectory';
+import { followEndpoints } from './store/endpointFeed';
 import { createEndpointLosses } from './store/endpointLosses';
 import { createDialer } from './relays/dialer';
 import { startRelayDirectory } from './relays/relayDirectory';
@@ -32,9 +33,8 @@
 import { createVersionHistory } from './origins/versionHistory';
 import { createRetryBudget } from './limits/retryBudget';
 import type { ForwardInstance, ForwardInstanceHost } from './forwardInstanceTypes';
-import type { EndpointRecord, ForwardConfiguration } from './types';
+import type { ForwardConfiguration } from './types';
 
-const ENDPOINT_POLL_DELAY_MS: Milliseconds = 400;
 const BUDGET_POLL_DELAY_MS: Milliseconds = 300;
 const REBALANCE_INTERVAL_MS: Milliseconds = 400;
 /** Maximum time that a request waits for the store to be read again after a pause of the process. */
@@ -63,7 +63,6 @@
   const feed = startSharedFeed(following);
   let leaseStart: Promise<void> | undefined;
   let open = 0;
-  let endpointEra: StoreEra | undefined;
 
   let instanceNames: string[] = [];
   const instanceCount = startInstanceCount({
@@ -133,17 +132,12 @@
       startLease();
     },
   });
-  const endpointFeed = followTable(following, {
+  const endpointFeed = followEndpoints({
+    ...following,
     table: host.tables.endpoints,
-    partitions: [''],
-    pause: ENDPOINT_POLL_DELAY_MS,
-    onView: applyEndpointView,
-    onChanges: (changes) => changes.forEach(applyEndpointChange),
-    onUnavailable() {
-      directory.markStoreUnavailable();
-      losses.noteUnknown();
-    },
-    onAvailable: directory.markStoreAvailable,
+    decode: host.decodeEndpoint,
+    directory,
+    losses,
   });
   followTable(following, {
     table: BUDGET_TABLE,
@@ -281,26 +275,6 @@
     });
   }
 
-  function decodeEndpointRow(row: VersionedRow): EndpointRecord | undefined {
-    const record = host.decodeEndpoint(row);
-    if (!record) log(Diagnostics.rowUnreadable, { table: row.table, key: row.key });
-    return record;
-  }
-
-  function applyEndpointView({ rows: listed, era }: RowView): void {
-    const records = listed.map(decodeEndpointRow).filter(isDefined);
-    const isCopy = endpointEra !== undefined && era > endpointEra;
-    endpointEra = era;
-    if (isCopy) directory.replaceByCopy(records);
-    else directory.replaceAll(records);
-  }
-
-  function applyEndpointChange(change: RowChange): void {
-    const record = isPresent(change) ? decodeEndpointRow(change) : undefined;
-    if (record) directory.upsert(record);
-    else directory.remove(change.key);
-  }
-
   return {
     getTable: configuration.getTable,
     isConfigurationCurrent: configuration.isCurrent,
@@ -354,11 +328,3 @@
   });
   return limits;
 }
-
-function isPresent(change: RowChange): change is VersionedRow {
-  return change.value !== undefined;
-}
-
-function isDefined(record: EndpointRecord | undefined): record is EndpointRecord {
-  return record !== undefined;
-}
