--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -1,7 +1,6 @@
 import { setMaxListeners } from 'node:events';
-import { createPauseGuard, Diagnostics, runPeriodically, withTimeout } from '@pomeloroad/core';
-import type { DroppedLines, Milliseconds, Tokens } from '@pomeloroad/core';
-import { BUDGET_TABLE, createEscrow, createEscrowLease } from '@pomeloroad/budgets';
+import { createPauseGuard, Diagnostics, withTimeout } from '@pomeloroad/core';
+import type { DroppedLines, Milliseconds } from '@pomeloroad/core';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
 import { watchStore } from '@pomeloroad/storage';
 import type { StoreEra } from '@pomeloroad/storage';
@@ -15,11 +14,11 @@
 import { startRelayDirectory } from './relays/relayDirectory';
 import { createEndHistory } from './ends/endHistory';
 import { findEndpointState } from './store/endpointState';
+import { startPrepaidBudgets } from './limits/prepaidBudgets';
 import { startRateLimits } from './limits/rateLimits';
 import { startSlotShares } from './limits/slotShares';
 import { createPauseHistory } from './ends/pauseHistory';
 import { createRecentEnds } from './ends/recentEnds';
-import { followTable } from './store/follow';
 import { shareCalls } from './store/sharedCalls';
 import { forward } from './forward';
 import { registerGauges } from './forwardGauges';
@@ -33,10 +32,7 @@
 import { createVersionHistory } from './origins/versionHistory';
 import { createRetryBudget } from './limits/retryBudget';
 import type { ForwardInstance, ForwardInstanceHost } from './forwardInstanceTypes';
-import type { ForwardConfiguration } from './types';
 
-const BUDGET_POLL_DELAY_MS: Milliseconds = 300;
-const REBALANCE_INTERVAL_MS: Milliseconds = 400;
 /** Maximum time that a request waits for the store to be read again after a pause of the process. */
 const REFRESH_TIMEOUT_MS: Milliseconds = 500;
 const ADMISSION_QUEUE_LIMIT = 500;
@@ -61,7 +57,6 @@
   setMaxListeners(LOOPS_MAX, stop.signal);
   const following = { clock, log, rows, signal: stop.signal };
   const feed = startSharedFeed(following);
-  let leaseStart: Promise<void> | undefined;
   let open = 0;
 
   let instanceNames: string[] = [];
@@ -71,28 +66,6 @@
       instanceNames = names;
     },
   });
-  const lease = createEscrowLease({
-    ...following,
-    instance: host.instance,
-    incarnation: host.incarnation,
-    countInstances: instanceCount.get,
-    isUsageCovered: () => escrow.isUsageCovered(),
-  });
-  const escrow = createEscrow({
-    clock,
-    random,
-    log,
-    rows,
-    instance: host.instance,
-    incarnation: host.incarnation,
-    isStoreUnresponsive: isSilent,
-    getReserveShare: lease.getReserveShare,
-    getReserveDelay: lease.getReserveDelay,
-    countInstances: instanceCount.get,
-    listInstances: instanceCount.list,
-    isFleetCounted: instanceCount.isConfirmed,
-    getLimitsAge: () => configuration.getAge(),
-  });
   const endpoints = createEndpoints({ clock, log, onFailure: recentEnds.noteFate });
   const losses = createEndpointLosses(clock);
   const directory = createEndpointDirectory({
@@ -127,10 +100,7 @@
     table: host.tables.configuration,
     decode: host.decodeConfiguration,
     getDelayLimit: host.getConfigurationDelayLimit,
-    onAccepted(accepted) {
-      escrow.setLimits(getPrepaidLimits(accepted));
-      startLease();
-    },
+    onAccepted: (accepted) => budgets.configure(accepted),
   });
   const endpointFeed = followEndpoints({
     ...following,
@@ -139,19 +109,16 @@
     directory,
     losses,
   });
-  followTable(following, {
-    table: BUDGET_TABLE,
-    // All rows of interest are in other partitions; the feed tells of their changes.
-    partitions: [''],
-    pause: BUDGET_POLL_DELAY_MS,
-    onView(view) {
-      escrow.startEra(view.era);
-      escrow.applyChanges(view.rows);
-    },
-    onChanges: escrow.applyChanges,
-    onUnavailable: () => undefined,
-    onAvailable: () => undefined,
+  const budgets = startPrepaidBudgets({
+    ...following,
+    random,
+    instance: host.instance,
+    incarnation: host.incarnation,
+    instanceCount,
+    isStoreUnresponsive: isSilent,
+    getConfigurationAge: configuration.getAge,
   });
+  const { escrow } = budgets;
   const relays = startRelayDirectory({
     ...following,
     random,
@@ -213,13 +180,6 @@
     log(Diagnostics.processPaused);
     await Promise.all([configuration.refresh(), endpointFeed.refresh(), suspects.refresh()]);
   });
-  runPeriodically(
-    clock,
-    () => REBALANCE_INTERVAL_MS,
-    stop.signal,
-    async () => escrow.rebalance(REBALANCE_INTERVAL_MS),
-  );
-
   const origins = startStreamOrigins({
     clock,
     rows,
@@ -268,13 +228,6 @@
     return Math.min(configuration.getEra(), endpointFeed.getEra());
   }
 
-  // Waits for a configuration, because it names the accounts whose grants the predecessor may hold.
-  function startLease(): void {
-    leaseStart ??= lease.start().then(async (predecessor) => {
-      await escrow.reclaim(predecessor);
-    });
-  }
-
   return {
     getTable: configuration.getTable,
     isConfigurationCurrent: configuration.isCurrent,
@@ -320,11 +273,3 @@
     },
   };
 }
-
-function getPrepaidLimits({ accounts }: ForwardConfiguration): Map<string, Tokens> {
-  const limits = new Map<string, Tokens>();
-  accounts.forEach(({ name, prepaid }) => {
-    if (prepaid !== undefined) limits.set(name, prepaid);
-  });
-  return limits;
-}
