Entry: the state dump and the periodic tasks stand beside the drain

No change of behaviour. startInstance wired an instance and also held its state dump and the intervals of its tasks: instanceDump.ts and periodicTasks.ts now, which get the same parts as drain.ts.

--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -7,10 +7,8 @@
   createSystemClock,
   createSystemRandom,
   Diagnostics,
-  getOwner,
-  runPeriodically,
 } from '@pomeloroad/core';
-import type { Identity, Milliseconds } from '@pomeloroad/core';
+import type { Identity } from '@pomeloroad/core';
 import { createBudgetClient, createKeepers, createLedger } from '@pomeloroad/budgets';
 import type { GrantPolicy } from '@pomeloroad/budgets';
 import { createConfigurationStore, createDistributor } from '@pomeloroad/configuration';
@@ -26,6 +24,7 @@
 import { drainInstance } from './drain';
 import { createEngineClient } from './engineClient';
 import { createFleet } from './fleet';
+import { dumpInstance } from './instanceDump';
 import { createInstanceMetrics } from './instanceMetrics';
 import { createLoadCollector } from './loads';
 import { createAnswerOpener } from './answerOpener';
@@ -33,19 +32,12 @@
 import { createOperatorServer } from './operators';
 import { createReconciler } from './reconciler';
 import { createOrderIssuer } from './orders';
+import { startPeriodicTasks } from './periodicTasks';
 import { createRunner } from './runner';
 import { createServiceClient } from './serviceClient';
 import type { Settings } from './settings';
 
 const STDOUT_FD = 1;
-const FLEET_POLL_INTERVAL_MS = 1000;
-const CONFIGURATION_POLL_INTERVAL_MS = 500;
-const LOAD_POLL_INTERVAL_MS = 500;
-const REAP_INTERVAL_MS = 1000;
-const TRIM_INTERVAL_MS = 5000;
-const ADOPT_INTERVAL_MS = 5000;
-const RECONCILE_INTERVAL_MS = 1000;
-const ORDER_POLL_INTERVAL_MS = 1000;
 const ORDER_LEASE_TTL_MS = 5000;
 const WRITE_RETRY_TIMEOUT_MS = 5000;
 
@@ -246,11 +238,18 @@
       distributor,
       isReady: () => !isDraining && getConfiguration() !== undefined,
       renderMetrics: metrics.render,
-      dump,
+      dump: () => dumpInstance(parts),
     },
     tls,
   );
 
+  /** What the state dump, the drain and the periodic tasks use of the instance. */
+  const parts = {
+    ...{ clock, log, self, settings, fleet, network, distributor, endpoints, admission, loads },
+    ...{ orders, budgets, keepers, answers, registry, reconciler, runner, callers, operators },
+    isDraining: () => isDraining,
+  };
+
   function refreshRouting(): void {
     const configuration = getConfiguration();
     if (configuration) endpoints.configure(configuration.endpoints);
@@ -268,72 +267,15 @@
     return found?.policy ?? { kind: 'least-in-flight' };
   }
 
-  function dump(): unknown {
-    return {
-      identity: self,
-      isDraining,
-      uptimeSeconds: Math.round(process.uptime()),
-      memoryBytes: process.memoryUsage.rss(),
-      processorSeconds: process.cpuUsage().user / 1e6 + process.cpuUsage().system / 1e6,
-      requests: { open: callers.open(), running: runner.running(), waiting: admission.waiting() },
-      answers: { count: answers.count(), retainedBytes: answers.retainedBytes() },
-      names: registry.count(),
-      pendingSettlements: budgets.countPendingSettlements(),
-      provisionalRuns: reconciler.pending(),
-      isFleetComplete: fleet.isComplete(),
-      configuration: distributor.describe(),
-      drains: distributor.getDrains(),
-      peers: network.describe(),
-      localInstances: getLocalInstances(),
-      budgets: keepers.describe(),
-      witness: keepers.describeWitness(),
-      endpoints: endpoints.list(),
-    };
-  }
-
-  // Hashing over the local instances selects the issuer. An instance with a wrong view of the fleet
-  // only makes a needless attempt, because the lease admits one issuer at a time.
-  async function pollOrders(): Promise<void> {
-    if (!isDraining && getOwner('orders', getLocalInstances()) === instance) await orders.poll();
-  }
-
-  function startLoops(): void {
-    const schedule = (delay: Milliseconds, step: () => Promise<void>) =>
-      runPeriodically(clock, () => delay, stop.signal, step);
-    schedule(FLEET_POLL_INTERVAL_MS, fleet.poll);
-    schedule(CONFIGURATION_POLL_INTERVAL_MS, distributor.poll);
-    schedule(LOAD_POLL_INTERVAL_MS, loads.poll);
-    schedule(settings.settleInterval, keepers.settle);
-    schedule(REAP_INTERVAL_MS, keepers.reap);
-    schedule(TRIM_INTERVAL_MS, keepers.trim);
-    schedule(ADOPT_INTERVAL_MS, keepers.adoptLost);
-    schedule(RECONCILE_INTERVAL_MS, reconciler.poll);
-    schedule(ORDER_POLL_INTERVAL_MS, pollOrders);
-  }
-
   async function drain(): Promise<boolean> {
     isDraining = true;
-    return drainInstance({
-      clock,
-      log,
-      settings,
-      fleet,
-      callers,
-      operators,
-      runner,
-      budgets,
-      keepers,
-      answers,
-      registry,
-      network,
-      stopLoops: () => stop.abort(),
-    });
+    return drainInstance({ ...parts, stopLoops: () => stop.abort() });
   }
 
   await fleet.poll();
   await distributor.poll();
   await loads.poll();
-  startLoops();
+  startPeriodicTasks({ ...parts, signal: stop.signal });
   const callersAddress = await callers.listen();
   const operatorsAddress = await operators.listen();
   log(Diagnostics.instanceStarted, { callersAddress, peersAddress, operatorsAddress });
