--- a/packages/budgets/src/escrowTransactionTypes.ts
+++ b/packages/budgets/src/escrowTransactionTypes.ts
@@ -20,8 +20,9 @@
 }
 
 /**
- * What a call to the store led to. `changed`: the grant was written. `conflict`: another instance
- * changed the budget first; `contended`: it did so while the grant was put back. `failed`: the store refused the call or did not answer.
+ * What a call to the store led to. `changed`: the grant or the budget was written. `refreshed`: rows were
+ * read, or another era has begun. `conflict`: another instance changed the budget first; `contended`: it did
+ * so while the grant was put back. `failed`: the store refused the call or did not answer.
  */
 export type EscrowOutcome =
   | { kind: 'changed' }
--- a/packages/entry/src/drain.ts
+++ b/packages/entry/src/drain.ts
@@ -36,9 +36,9 @@
 }
 
 /**
- * Shuts the instance down: announces that it is leaving, finishes its open requests, waits until
- * a successor has read what it witnessed of lost instances, closes its grants, hands over its finished answers and stops its servers. Resolves to `false` if requests or
- * grants were still open when the drain timeout had passed.
+ * Shuts the instance down: announces that it is leaving, finishes its open requests, waits until a successor
+ * has read what it witnessed of lost instances, closes its grants, hands over its finished answers and stops
+ * its servers. Resolves to `false` if requests or grants were still open when the drain timeout had passed.
  */
 export async function drainInstance(host: DrainHost): Promise<boolean> {
   const { clock, log, settings, fleet, callers, operators, network } = host;
--- a/packages/standins/src/socketRequest.ts
+++ b/packages/standins/src/socketRequest.ts
@@ -13,6 +13,8 @@
   'http-1.0',
   'close',
 ] as const;
+
+/** One of the forms. */
 export type RequestForm = (typeof RequestForms)[number];
 
 /** What no server may run. */
@@ -30,6 +32,8 @@
   'cut-head',
   'cut-body',
 ] as const;
+
+/** One of the kinds of what no server may run. */
 export type UnreadableKind = (typeof UnreadableKinds)[number];
 
 const LINE_END = '\r\n';
