Requests: who keeps a name has a module of its own

Checked: packages/requests, 19 tests, green before and after; packages/entry, 152 tests, green after; tsc, ESLint, Prettier.

--- a/packages/requests/src/requestRegistry.ts
+++ b/packages/requests/src/requestRegistry.ts
@@ -1,14 +1,14 @@
 import { createTopic } from '@pomeloroad/peers';
 import type { PeerNetwork } from '@pomeloroad/peers';
-import { getOwner, sleep } from '@pomeloroad/core';
-import type { Clock, Identity, Milliseconds } from '@pomeloroad/core';
+import { sleep } from '@pomeloroad/core';
+import type { Identity, Milliseconds } from '@pomeloroad/core';
 import { createRequestEntries } from './requestEntries';
 import type { RequestEntry } from './requestEntries';
+import { createRequestKeepers } from './requestKeepers';
+import type { RequestKeepersHost } from './requestKeepers';
 import type { BeginReply, BeginRequest, RequestName, RunState } from './types';
 
 const CALL_TIMEOUT_MS = 1000;
-/** Longer than the views of two instances differ after the membership of the fleet changes. */
-const VIEW_TRANSITION_MS = 5000;
 /** How long `begin` retries a keeper that is connected but does not answer. */
 const KEEPER_RETRY_WINDOW_MS = 4000;
 const KEEPER_RETRY_DELAY_MS = 200;
@@ -32,19 +32,13 @@
 } as const;
 
 /** Dependencies of the request registry. */
-export interface RequestRegistryHost {
-  clock: Clock;
-  self: Identity;
+export interface RequestRegistryHost extends RequestKeepersHost {
   network: PeerNetwork;
   /** How long the entry of a finished request is kept. */
   retention: Milliseconds;
   getLocalInstances(): string[];
-  /** Connected instances of the whole fleet, this one included unless it is leaving. */
-  getInstances(): Identity[];
   /** Whether this incarnation may still act. */
   isLive(identity: Identity): boolean;
-  /** Whether every instance known as live is connected. */
-  isFleetComplete(): boolean;
   /**
    * Looks up a request whose runner is lost in the reservations that the budget keepers of this
    * instance hold. Returns `undefined` if there is none to resume.
@@ -80,14 +74,12 @@
 
 /** Creates the registry and handles the peer messages for the names that this instance keeps. */
 export function createRequestRegistry(host: RequestRegistryHost): RequestRegistry {
-  const { clock, self, network } = host;
+  const { clock, network } = host;
+  const keepers = createRequestKeepers(host);
   /** Requests whose keeper this instance is. */
   const keptEntries = createRequestEntries(host);
   /** Requests that this instance runs or has run. */
   const ownEntries = createRequestEntries(host);
-  let view = readView();
-  /** Earlier views that other instances may still use, the oldest first. */
-  let recentViews: { view: Identity[]; until: Milliseconds }[] = [];
 
   network.handle(RequestTopics.begin, async (_from, request) => keptEntries.begin(request));
   network.handle(RequestTopics.find, async (_from, request) => findLocally(request));
@@ -102,30 +94,17 @@
     handoffs.forEach(({ name, entry }) => keptEntries.insert(name, entry)),
   );
 
-  function readView(): Identity[] {
-    return host.getInstances();
-  }
-
   function findLocally(request: BeginRequest): BeginReply {
     const found =
       keptEntries.find(request) ?? ownEntries.find(request) ?? host.findReservation(request);
     return found ?? { kind: 'run' };
   }
 
-  function isInTransition(): boolean {
-    recentViews = recentViews.filter((recent) => clock.elapsed() < recent.until);
-    return recentViews.length > 0;
-  }
-
-  function isStable(): boolean {
-    return host.isFleetComplete() && !isInTransition();
-  }
-
   // After a membership change, other instances may still use an old keeper. Each caller registers
   // with the old keepers first and then with the new one, so that any two share a keeper.
   async function beginInTransition(request: BeginRequest): Promise<BeginReply | undefined> {
-    const next = getKeeper(view, request.name);
-    const old = getRecentKeepers(request.name).filter((keeper) => keeper !== next);
+    const next = keepers.get(request.name);
+    const old = keepers.listRecent(request.name).filter((keeper) => keeper !== next);
     const reachable = old.filter((keeper) => network.isConnected(keeper));
     const registered: string[] = [];
     for (const keeper of reachable) {
@@ -144,13 +123,8 @@
     return last;
   }
 
-  function withdrawFrom(keepers: string[], { name, request }: BeginRequest): void {
-    keepers.forEach((keeper) => sendFinish(keeper, name, request, false));
-  }
-
-  function getRecentKeepers(name: RequestName): string[] {
-    const keepers = recentViews.map((recent) => getKeeper(recent.view, name));
-    return [...new Set(keepers)];
+  function withdrawFrom(registered: string[], { name, request }: BeginRequest): void {
+    registered.forEach((keeper) => sendFinish(keeper, name, request, false));
   }
 
   // Registers with the new keeper, so that only one retry resumes the stream.
@@ -167,7 +141,7 @@
   }
 
   async function findOnAllInstances(request: BeginRequest): Promise<BeginReply | undefined> {
-    const others = view.map((identity) => identity.instance);
+    const others = keepers.listInstances();
     const replies = await Promise.all(
       others.map((other) => network.call(other, RequestTopics.find, request, CALL_TIMEOUT_MS)),
     );
@@ -183,10 +157,10 @@
   async function beginWithRetry(request: BeginRequest): Promise<BeginReply> {
     const deadline = clock.elapsed() + KEEPER_RETRY_WINDOW_MS;
     while (clock.elapsed() < deadline) {
-      const isMoving = isInTransition();
+      const isMoving = keepers.isInTransition();
       const reply = isMoving
         ? await beginInTransition(request)
-        : await callBegin(getKeeper(view, request.name), request);
+        : await callBegin(keepers.get(request.name), request);
       if (reply) return isMoving ? toProvisional(reply) : reply;
       await sleep(clock, KEEPER_RETRY_DELAY_MS);
     }
@@ -208,9 +182,9 @@
     const body = { name, request, isKept };
     const { finish } = RequestTopics;
     for (let attempt = 0; attempt < FINISH_ATTEMPTS; attempt += 1) {
-      const keepers = [...new Set([getKeeper(view, name), ...getRecentKeepers(name)])];
+      const informed = [...new Set([keepers.get(name), ...keepers.listRecent(name)])];
       const replies = await Promise.all(
-        keepers.map((keeper) => network.call(keeper, finish, body, CALL_TIMEOUT_MS)),
+        informed.map((keeper) => network.call(keeper, finish, body, CALL_TIMEOUT_MS)),
       );
       if (replies.every((reply) => reply.ok)) return;
       await sleep(clock, FINISH_RETRY_DELAY_MS);
@@ -220,7 +194,7 @@
   function sendHandoffs(entries: Handoff[]): Promise<unknown> {
     const byKeeper = new Map<string, Handoff[]>();
     entries.forEach((handoff) => {
-      const keeper = getKeeper(view, handoff.name);
+      const keeper = keepers.get(handoff.name);
       byKeeper.set(keeper, [...(byKeeper.get(keeper) ?? []), handoff]);
     });
     const calls = [...byKeeper].map(([keeper, handoffs]) =>
@@ -229,23 +203,19 @@
     return Promise.all(calls);
   }
 
-  function hasKeeperChanged(before: Identity[], name: RequestName): boolean {
-    return getKeeper(before, name) !== getKeeper(view, name);
-  }
-
   return {
     async begin(request) {
-      const wasStable = isStable();
+      const wasStable = keepers.isStable();
       const reply = await beginWithRetry(request);
       if (reply.kind === 'run' || reply.kind === 'resume') ownEntries.begin(request);
       if (reply.kind !== 'run') return reply;
-      const isCertain = wasStable && isStable() && !reply.isProvisional;
+      const isCertain = wasStable && keepers.isStable() && !reply.isProvisional;
       return { ...reply, isProvisional: !isCertain };
     },
     async recordRun(name, request, state) {
       ownEntries.setState(name, request, state);
       const body = { name, request, state };
-      await network.call(getKeeper(view, name), RequestTopics.run, body, CALL_TIMEOUT_MS);
+      await network.call(keepers.get(name), RequestTopics.run, body, CALL_TIMEOUT_MS);
     },
     recordFinish(name, request, isKept) {
       ownEntries.finish(name, request, isKept);
@@ -253,8 +223,8 @@
     },
     isFleetComplete: host.isFleetComplete,
     async confirm(request) {
-      if (!isStable()) return undefined;
-      const keeper = getKeeper(view, request.name);
+      if (!keepers.isStable()) return undefined;
+      const keeper = keepers.get(request.name);
       const { confirm } = RequestTopics;
       const reply = await network.call(keeper, confirm, request, CALL_TIMEOUT_MS);
       return reply.ok ? reply.val : undefined;
@@ -264,42 +234,16 @@
       await sendHandoffs(moved.map(({ name, entry }) => ({ name, entry: { ...entry, runner } })));
     },
     updateView() {
-      const next = readView();
-      if (isSameView(view, next)) return;
-      const before = view;
-      recentViews.push({ view: before, until: clock.elapsed() + VIEW_TRANSITION_MS });
-      view = next;
+      const hasMoved = keepers.update();
+      if (!hasMoved) return;
       const entries = [...keptEntries.list(), ...ownEntries.list()];
-      sendHandoffs(entries.filter(({ name }) => hasKeeperChanged(before, name)));
+      sendHandoffs(entries.filter(({ name }) => hasMoved(name)));
     },
     count: () => keptEntries.list().length,
   };
-
-  function getKeeper(instances: Identity[], name: RequestName): string {
-    return findKeeper(instances, name) ?? self.instance;
-  }
-}
-
-// Selects the data centre first and then the instance in it. In a large fleet, a name's keeper then
-// depends only on how the home data centre sees its own members.
-function findKeeper(instances: Identity[], { account, key }: RequestName): string | undefined {
-  const id = JSON.stringify([account, key]);
-  const dataCentres = [...new Set(instances.map((identity) => identity.dataCentre))];
-  const home = getOwner(id, dataCentres);
-  const members = instances.filter((identity) => identity.dataCentre === home);
-  return getOwner(
-    id,
-    members.map((identity) => identity.instance),
-  );
 }
 
 // Another keeper, which did not answer or was not asked, may know of an earlier run.
 function toProvisional(reply: BeginReply): BeginReply {
   return reply.kind === 'run' ? { ...reply, isProvisional: true } : reply;
 }
-
-function isSameView(left: Identity[], right: Identity[]): boolean {
-  const toIncarnations = (view: Identity[]) =>
-    view.map(({ instance, incarnation }) => `${instance}/${incarnation}`).sort();
-  return JSON.stringify(toIncarnations(left)) === JSON.stringify(toIncarnations(right));
-}
