Budgets: the write of a grant's row alone is planned once

No change of behaviour. planSettle and planSetWitness of ledgerPlans.ts wrote the same check and write (planRowWrite now).

--- a/packages/budgets/src/ledgerPlans.ts
+++ b/packages/budgets/src/ledgerPlans.ts
@@ -113,12 +113,10 @@
 ): PlanResult<Grant> {
   const current = readGrant(grant, rows);
   if (current.err) return current;
-  const { row, version } = current.val;
+  const { row } = current.val;
   assert(spent <= row.size, 'a grant is spent beyond its size');
   if (row.sequence >= sequence) return skipCommit(current.val);
-  const next: Grant = { id: grant.id, version: version + 1, row: { ...row, spent, sequence } };
-  const key = getGrantKey(grant.id);
-  return planCommit(next, { checks: [{ key, version }], writes: [{ key, value: next.row }] });
+  return planRowWrite(current.val, { ...row, spent, sequence });
 }
 
 /** Plans another witness of a grant, or none. */
@@ -132,9 +130,14 @@
   const { row, version } = current.val;
   if (version === 0) return skipCommit({ ...grant, row: { ...grant.row, witness } });
   if (isSameIncarnation(row.witness, witness)) return skipCommit(current.val);
-  const next: Grant = { id: grant.id, version: version + 1, row: { ...row, witness } };
-  const key = getGrantKey(grant.id);
-  return planCommit(next, { checks: [{ key, version }], writes: [{ key, value: next.row }] });
+  return planRowWrite(current.val, { ...row, witness });
+}
+
+// Writes the grant's row alone: its size stays as the budget's row says.
+function planRowWrite({ id, version }: Grant, row: GrantRow): PlanResult<Grant> {
+  const key = getGrantKey(id);
+  const written: Grant = { id, version: version + 1, row };
+  return planCommit(written, { checks: [{ key, version }], writes: [{ key, value: row }] });
 }
 
 /** Plans the move of a lost holder's grant to a successor. */
