Entry: a run's request is made in a function of its own

No change of behaviour. run of callerServer.ts took five arguments and made the request between its checks and the call; what a caller asked for is one value now (CallerRequest), and createRunRequest makes the request. run 39 -> 21 lines, callerServer.ts 267 -> 283. Checked: packages/entry, 152 tests, green before and after; tsc, ESLint, Prettier.

--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -15,7 +15,7 @@
 import { hasBudget } from '@pomeloroad/configuration';
 import type { Configuration } from '@pomeloroad/configuration';
 import { createRefusal, issueKey, parseIssuedKey } from '@pomeloroad/requests';
-import type { Refusal } from '@pomeloroad/requests';
+import type { IssuedKey, Refusal } from '@pomeloroad/requests';
 import type { AnswerOpener } from './answerOpener';
 import { deliverAnswer, writeRefusal } from './answerWriter';
 import type { Delivery } from './answerWriter';
@@ -73,6 +73,16 @@
   credentials: Credentials;
 }
 
+/** What a caller has asked for. */
+interface CallerRequest {
+  options: CallerOptions;
+  work: Work;
+  /** Hash of the request's content. */
+  digest: string;
+  /** How the answer is delivered. */
+  form: Delivery['form'];
+}
+
 /** Creates a server that does not listen yet; it uses HTTPS if a certificate is given. */
 export function createCallerServer(
   host: CallerServerHost,
@@ -165,7 +175,7 @@
     const form = chat.val.isStreamed ? 'events' : 'json';
     const digest = hashText(JSON.stringify(Object.entries(chat.val.body).sort()));
     const work: Work = { kind: 'chat', chat: chat.val };
-    return run(exchange, headers.val, work, digest, form);
+    return run(exchange, { options: headers.val, work, digest, form });
   }
 
   async function serveService(
@@ -181,17 +191,13 @@
     if (body.err) return body.val;
     const call = createServiceCall(request, service.val, target, body.val);
     const digest = hashServiceCall(call, target);
-    return run(exchange, headers.val, { kind: 'call', call }, digest, 'service');
+    const work: Work = { kind: 'call', call };
+    return run(exchange, { options: headers.val, work, digest, form: 'service' });
   }
 
-  async function run(
-    exchange: Exchange,
-    options: CallerOptions,
-    work: Work,
-    digest: string,
-    form: Delivery['form'],
-  ): Promise<Refusal | undefined> {
+  async function run(exchange: Exchange, asked: CallerRequest): Promise<Refusal | undefined> {
     const { id, response, credentials } = exchange;
+    const { options, work, form } = asked;
     const { account, key } = credentials;
     const budget = options.budget ?? key.budget;
     if (!hasBudget(account, budget)) {
@@ -199,20 +205,7 @@
     }
     const issued = options.key ? parseIssuedKey(settings.fleetKey, options.key) : undefined;
     if (issued && issued.account !== account.name) return KEY_OF_OTHER_ACCOUNT;
-    const request: RunRequest = {
-      id,
-      account: account.name,
-      budget: `${account.name}/${budget}`,
-      name: options.key ? { account: account.name, key: options.key } : undefined,
-      digest,
-      isIdempotent: options.isIdempotent && isIdempotentWork(work),
-      isProvisional: false,
-      isContinuation: form === 'events' && options.from > 0,
-      needsClaim: !options.isIdempotent && !issued,
-      priority: options.priority,
-      patience: options.patience,
-      work,
-    };
+    const request = createRunRequest(exchange, asked, budget, issued);
     const source = await host.opener.open(request, issued);
     if ('code' in source) return source;
     const model = work.kind === 'chat' ? work.chat.model : work.call.service;
@@ -237,6 +230,29 @@
   };
 }
 
+function createRunRequest(
+  { id, credentials }: Exchange,
+  { options, work, digest, form }: CallerRequest,
+  budget: string,
+  issued: IssuedKey | undefined,
+): RunRequest {
+  const account = credentials.account.name;
+  return {
+    id,
+    account,
+    budget: `${account}/${budget}`,
+    name: options.key ? { account, key: options.key } : undefined,
+    digest,
+    isIdempotent: options.isIdempotent && isIdempotentWork(work),
+    isProvisional: false,
+    isContinuation: form === 'events' && options.from > 0,
+    needsClaim: !options.isIdempotent && !issued,
+    priority: options.priority,
+    patience: options.patience,
+    work,
+  };
+}
+
 function isIdempotentWork(work: Work): boolean {
   return work.kind === 'chat' || isIdempotentCall(work.call);
 }
