Budgets: putting back a grant is three steps

No change of behaviour. restore of escrowTransactions.ts read the rows, made the contribution and wrote it in one function of 40 lines; the latter two are functions of their own now.

--- a/packages/budgets/src/escrowTransactions.ts
+++ b/packages/budgets/src/escrowTransactions.ts
@@ -14,6 +14,7 @@
   LIMIT_REWRITE_MAX_MS,
   openWithoutMissing,
 } from './escrowRestoration';
+import type { AccountRows } from './escrowRestoration';
 import {
   findRow,
   formatGrant,
@@ -81,13 +82,17 @@
     const listed = storeCalls.acceptRows(sentIn, await listAccountRows(rows, account));
     if (listed.err) return listed.val;
     const totalRow = findRow(listed.val.totals, totalKey);
-    const grantRow = findRow(listed.val.grants, grantKey);
+    const grantVersion = findRow(listed.val.grants, grantKey)?.version ?? 0;
     const present = totalRow && parseTotal(totalRow.value);
     if (present && hasRestored(present, instance)) {
-      applyRestored({ ...present, version: totalRow.version }, grantRow?.version ?? 0);
+      applyRestored({ ...present, version: totalRow.version }, grantVersion);
       return { kind: 'changed' };
     }
-    const next = addContribution(listed.val, {
+    return putBack(addOwnContribution(listed.val), totalRow?.version ?? 0, grantVersion);
+  }
+
+  function addOwnContribution(present: AccountRows): BudgetTotal {
+    return addContribution(present, {
       instance,
       incarnation,
       held: grant.held,
@@ -97,10 +102,17 @@
       instances: host.escrow.countInstances(),
       holders: earlierEras.listHolders(),
     });
+  }
+
+  async function putBack(
+    next: BudgetTotal,
+    totalVersion: number,
+    grantVersion: number,
+  ): Promise<EscrowOutcome> {
     const outcome = await storeCalls.send({
       checks: [
-        { ...totalKey, version: totalRow?.version ?? 0 },
-        { ...grantKey, version: grantRow?.version ?? 0 },
+        { ...totalKey, version: totalVersion },
+        { ...grantKey, version: grantVersion },
       ],
       puts: [
         { ...totalKey, value: JSON.stringify(next) },
@@ -109,7 +121,8 @@
       removals: [],
     });
     if (outcome.kind === 'written') {
-      applyRestored({ ...next, version: outcome.version.revision }, outcome.version.revision);
+      const { revision } = outcome.version;
+      applyRestored({ ...next, version: revision }, revision);
       return { kind: 'changed' };
     }
     if (outcome.kind === 'rewound') return { kind: 'refreshed' };
