--- a/packages/replay/src/bench.ts
+++ b/packages/replay/src/bench.ts
@@ -1,12 +1,10 @@
-import http from 'node:http';
 import sade from 'sade';
-import { createParser } from 'eventsource-parser';
 import { createSystemClock } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { createMetrics } from '@pomeloroad/telemetry';
 import type { Histogram } from '@pomeloroad/telemetry';
+import { BENCH_ACCOUNT, BENCH_MODEL, runClosedLoop, runStream } from './benchStreams';
 import type { Deployment } from './deployments';
-import { getSecret } from './deployments';
 import { topUp } from './operatorActions';
 import { pause } from './pause';
 import { createLauncher } from './programs';
@@ -37,25 +35,15 @@
 /** One data centre with one instance and two engines. */
 const benchDeployment: Deployment = {
   name: 'bench',
-  model: 'planner',
+  model: BENCH_MODEL,
   service: 'boards',
   sites: [{ name: 'kent', instances: 1, engines: 2, services: 0 }],
-  accounts: [{ name: 'bench', share: 1, budgets: [{ name: 'all', tokens: BUDGET_TOKENS }] }],
+  accounts: [{ name: BENCH_ACCOUNT, share: 1, budgets: [{ name: 'all', tokens: BUDGET_TOKENS }] }],
   tasks: [],
   reads: [],
   orders: [],
 };
 
-/** Times of one stream. */
-interface StreamTimes {
-  /** Time from the request to the first token. */
-  first: Milliseconds;
-  /** Average time between its tokens. */
-  between: Milliseconds;
-  tokens: number;
-  isWhole: boolean;
-}
-
 /** Latencies of the streams over one path: first token and average time between tokens. */
 interface LatencySeries {
   first: Histogram;
@@ -242,68 +230,6 @@
   return (await readState(testbed, instance)).memoryBytes;
 }
 
-// Keeps the given number of streams open until the time is up, starting a new one as one ends.
-async function runClosedLoop(
-  clock: Clock,
-  time: Milliseconds,
-  concurrency: number,
-  start: () => Promise<StreamTimes>,
-): Promise<StreamTimes[]> {
-  const endAt = clock.elapsed() + time;
-  const results: StreamTimes[] = [];
-  const runLoop = async () => {
-    while (clock.elapsed() < endAt) results.push(await start());
-  };
-  await Promise.all(Array.from({ length: concurrency }, runLoop));
-  return results;
-}
-
-const agent = new http.Agent({ keepAlive: true, maxSockets: Infinity });
-let prompts = 0;
-
-function runStream(clock: Clock, url: string, maxTokens: number): Promise<StreamTimes> {
-  prompts += 1;
-  const messages = [{ role: 'user', content: `[bench ${prompts}] Plan a route.` }];
-  const content = { model: benchDeployment.model, messages, max_tokens: maxTokens, stream: true };
-  const body = JSON.stringify(content);
-  const startedAt = clock.elapsed();
-  const times: StreamTimes = { first: 0, between: 0, tokens: 0, isWhole: false };
-  return new Promise((resolve) => {
-    const finish = () => resolve(times);
-    const request = http.request(`${url}/v1/chat/completions`, {
-      method: 'POST',
-      agent,
-      headers: {
-        authorization: `Bearer ${getSecret('bench')}`,
-        'content-type': 'application/json',
-        'content-length': Buffer.byteLength(body),
-      },
-    });
-    request.on('error', finish);
-    request.on('response', (response) => {
-      response.setEncoding('utf8');
-      const parser = createParser({
-        onEvent({ data }) {
-          if (data === '[DONE]') times.isWhole = true;
-          else if (data.includes('"content"')) recordToken(clock, startedAt, times);
-        },
-      });
-      response.on('data', (text: string) => parser.feed(text));
-      response.on('end', finish);
-      response.on('error', finish);
-    });
-    request.end(body);
-  });
-}
-
-function recordToken(clock: Clock, startedAt: Milliseconds, times: StreamTimes): void {
-  const updated = times;
-  const passed = clock.elapsed() - startedAt;
-  if (times.tokens === 0) updated.first = passed;
-  else updated.between = (passed - times.first) / times.tokens;
-  updated.tokens += 1;
-}
-
 function round(value: number): number {
   return Math.round(value * 100) / 100;
 }
