--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -70,6 +70,7 @@
   const run = {
     host: {
       protocol: { send, probe, findRun },
+      getHeldUpTime: () => 0,
       directory: { find: () => ({ id: 'e2' }) },
       clock,
       admission: { acquire },
