--- a/packages/forwarding/src/ends/limitEnd.ts
+++ b/packages/forwarding/src/ends/limitEnd.ts
@@ -25,8 +25,9 @@
   const longest = pauses.getLongest(endedAt);
   // What has run once and came in one piece is taken as it is: its caller must not think that it has failed.
   if (route.kind === 'non-idempotent') return longest;
-  // The wait for the first event or part holds at least one step, and an answer with only one shows no other.
-  const own = Math.max(pauses.getFirst() ?? 0, longest);
+  // The wait for the first event or part holds at least one step; an answer with only one shows no other.
+  const isOnly = pauses.getLongest() === 0;
+  const own = isOnly ? Math.max(pauses.getFirst() ?? 0, longest) : longest;
   if (route.kind === 'idempotent') return own;
   return Math.max(own, host.pauseHistory.getLongest(slot.endpoint.name, service));
 }
--- a/packages/forwarding/test/limitEnd.test.ts
+++ b/packages/forwarding/test/limitEnd.test.ts
@@ -43,6 +43,7 @@
   ['after quick events late', { pauses: [900, 400, 400] }, true],
   ['one step before the limit', { pauses: [100, 700, 700] }, true],
   ['more than one step before it', { pauses: [100, 600, 600] }, false],
+  ['after a long wait and quick events', { pauses: [1500, 20, 20] }, false],
   ['with its first event after half of the limit', { pauses: [1001] }, true],
   ['with its first event before that', { pauses: [999] }, false],
   ['after a pause as long as what is left', { pauses: [100, 20], end: 941 }, true],
