--- a/packages/forwarding/src/suspects/suspectEvidence.ts
+++ b/packages/forwarding/src/suspects/suspectEvidence.ts
@@ -30,6 +30,8 @@
   listRivals(name: string): string[];
   /** Returns the suspects under which enough endpoints crashed, and that were not answered lately. */
   listCandidates(): string[];
+  /** Returns the suspects under which several endpoints crashed, and that were not answered lately. */
+  listRepeated(): string[];
   listBlocked(): string[];
   /** Returns the suspects with evidence that is not in the store yet. */
   listPending(): string[];
@@ -63,16 +65,18 @@
     return (pending.get(name)?.crashes ?? []).every((crash) => stored.includes(crash));
   }
 
-  function listCandidates(): string[] {
+  function listFrom(crashes: number): string[] {
     const names = new Set([...table.list(), ...pending.keys()]);
     return [...names].filter(
       (name) =>
-        countCrashesAtMost(name) >= CRASHES_TO_BLOCK &&
-        getCrashes(name).size >= CRASHES_TO_BLOCK &&
-        !isSound(name),
+        countCrashesAtMost(name) >= crashes && getCrashes(name).size >= crashes && !isSound(name),
     );
   }
 
+  function listCandidates(): string[] {
+    return listFrom(CRASHES_TO_BLOCK);
+  }
+
   // The suspect to blame stands in all crashes; those that stand only in some of them stood beside it.
   function isExplained(name: string, candidates: string[]): boolean {
     const crashes = getCrashes(name);
@@ -115,6 +119,7 @@
       );
     },
     listCandidates,
+    listRepeated: () => listFrom(CRASHES_TO_HOLD),
     listBlocked,
     listPending: () => [...pending.keys()],
     merge(name) {
--- a/packages/forwarding/src/suspects/suspectProbes.ts
+++ b/packages/forwarding/src/suspects/suspectProbes.ts
@@ -1,7 +1,9 @@
 import { sleep } from '@pomeloroad/core';
 import type { Clock, Milliseconds, Random } from '@pomeloroad/core';
 import type { EndpointLosses } from '../store/endpointLosses';
+import { CRASHES_TO_BLOCK } from './suspectEvidence';
 import type { EvidenceBook } from './suspectEvidence';
+import { isRequestName } from './suspectNames';
 import { VERDICT_TIME_MS } from './suspectTable';
 import type { StoredSuspect, SuspectTable } from './suspectTable';
 
@@ -15,6 +17,12 @@
 /** Those times while another suspect may be to blame for one of the crashes. */
 const DOUBTED_PROBE_DELAYS_MS: readonly Milliseconds[] = [3000, 6000, 600_000];
 
+/**
+ * Crashes of another cause with which a suspect that has too few crashes for a block may be to blame for the
+ * block of one that stands beside it.
+ */
+const OTHER_CRASHES_MAX = 2;
+
 /** A probe that was not sent within this time is not sent any more. */
 export const PROBE_SEND_TIME_MS: Milliseconds = 1000;
 /** Longest time between a probe and the moment at which this instance knows it; endpoints are known sooner. */
@@ -68,21 +76,25 @@
       .some((other) => !names.includes(other) && isAsLikely(other, name));
   }
 
+  // A whole request that is sent again stands in two crashes by itself.
+  function listPossible(): string[] {
+    const parts = evidence.listRepeated().filter((name) => !isRequestName(name));
+    return [...new Set([...evidence.listCandidates(), ...parts])];
+  }
+
   // Those that the request lacks and that stand in more crashes than any that it holds behind its blocked ones.
   function listLikelierOthers(names: string[], blocked: string[]): string[] {
     const count = (name: string) => evidence.getCrashes(name).size;
-    const candidates = evidence.listCandidates();
-    const hidden = candidates.filter((name) => names.includes(name) && !blocked.includes(name));
+    const possible = listPossible();
+    const hidden = possible.filter((name) => names.includes(name) && !blocked.includes(name));
     const most = Math.max(0, ...hidden.map(count));
-    return candidates.filter((other) => !names.includes(other) && count(other) > most);
+    return possible.filter((other) => !names.includes(other) && count(other) > most);
   }
 
-  // Whether one of the others stands in one of the crashes too.
+  // Whether one of the others may be to blame for crashes under the suspect.
   function isDoubted(name: string, others: string[]): boolean {
     const crashes = evidence.getCrashes(name);
-    return others.some((other) =>
-      [...evidence.getCrashes(other)].some((crash) => crashes.has(crash)),
-    );
+    return others.some((other) => mayExplain(evidence.getCrashes(other), crashes));
   }
 
   function getDelays(names: string[], blocked: string[]): readonly Milliseconds[] {
@@ -186,3 +198,10 @@
     },
   };
 }
+
+// One under too few crashes for a block stands in all of its own beside the other, which has few more.
+function mayExplain(own: ReadonlySet<string>, crashes: ReadonlySet<string>): boolean {
+  const shared = [...own].filter((crash) => crashes.has(crash)).length;
+  if (own.size >= CRASHES_TO_BLOCK) return shared > 0;
+  return shared === own.size && crashes.size - shared <= OTHER_CRASHES_MAX;
+}
--- a/packages/forwarding/test/suspectProbes.test.ts
+++ b/packages/forwarding/test/suspectProbes.test.ts
@@ -141,6 +141,32 @@
   expect(await instances[1]?.admit(['first', 'third'])).toMatchObject({ kind: 'probe' });
 });
 
+test.each([
+  [['c/1'], 'probe'],
+  [['c/1', 'd/1'], 'probe'],
+  [['c/1', 'd/1', 'e/1'], 'blocked'],
+])(
+  'a sound part beside a bad one under two crashes, and under further deaths %j, is: %s',
+  async (others, kind) => {
+    const { clock, instances, crash } = createStand(2);
+    await clock.advance(PROPAGATION_MS);
+    ['a/1', 'b/1'].forEach((name) => crash(0, name, ['first', 'bad']));
+    others.forEach((name) => crash(0, name, ['first']));
+    await clock.advance(5000);
+    expect(await instances[1]?.admit(['first', 'bad'])).toMatchObject({ kind: 'blocked' });
+    expect(await instances[1]?.admit(['first', 'other'])).toMatchObject({ kind });
+  },
+);
+
+test('a request that crashed two endpoints by being sent again makes no quick probe of the part in it', async () => {
+  const { clock, instances, crash } = createStand(2);
+  await clock.advance(PROPAGATION_MS);
+  ['a/1', 'b/1'].forEach((name) => crash(0, name, ['bad', 'request:1']));
+  crash(0, 'c/1', ['bad', 'request:2']);
+  await clock.advance(10_000);
+  expect(await instances[1]?.admit(['bad', 'request:3'])).toMatchObject({ kind: 'blocked' });
+});
+
 test('a probe of a block that has ended is not given back to a later block of the same part', async () => {
   const { clock, instances, crash } = await createBlocked();
   expect(await instances[1]?.admit(['first'])).toMatchObject({ kind: 'probe' });
