--- a/packages/core/src/serverConnections.ts
+++ b/packages/core/src/serverConnections.ts
@@ -5,6 +5,7 @@
 import { Err, Ok } from 'ts-results';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { holdInput } from './heldInput';
+import { createLookAhead } from './lookAhead';
 import { renderPlainHead } from './plainHead';
 import type { Milliseconds, Outcome } from './types';
 import { createWaitingBodies } from './waitingBodies';
@@ -172,7 +173,8 @@
 function createConnection(socket: Socket): ServerConnection {
   /** Responses that are not sent in full, in the order of their requests. */
   const open = new Set<ServerResponse>();
-  const bodies = createWaitingBodies(socket);
+  const lookAhead = createLookAhead(socket);
+  const bodies = createWaitingBodies(socket, startLookAhead);
   let latest: ServerResponse | undefined;
   let abandonBody: () => void = () => undefined;
   let isDropping = false;
@@ -183,6 +185,11 @@
   /** Gives the connection a new parser for the input that is held, if any is. */
   let parseHeld: (() => void) | undefined;
 
+  // There is no parser to look ahead of while the input is dropped, or held for a new one.
+  function startLookAhead(): void {
+    if (!isDropping && !parseHeld) lookAhead.start();
+  }
+
   function accept(response: ServerResponse): void {
     if (!latest) prepareClose();
     latest = response;
@@ -204,7 +211,7 @@
       socket.resume();
       return;
     }
-    const held = holdInput(socket, pieces);
+    const held = holdInput(socket, [...pieces, ...lookAhead.stop()]);
     parseHeld = () => {
       held.giveBack();
       removeListeners();
@@ -314,6 +321,7 @@
     if (isDropping) return;
     isDropping = true;
     parseHeld = undefined;
+    lookAhead.stop();
     socket.removeAllListeners('data');
     socket.on('data', (data: Buffer) => {
       dropped += data.length;
--- a/packages/core/src/waitingBodies.ts
+++ b/packages/core/src/waitingBodies.ts
@@ -15,8 +15,8 @@
   release(message: IncomingMessage): void;
 }
 
-/** Creates the bodies of a connection that has brought none. */
-export function createWaitingBodies(socket: Socket): WaitingBodies {
+/** Creates the bodies of a connection that has brought none; `lookAhead` is called before input is left unread. */
+export function createWaitingBodies(socket: Socket, lookAhead: () => void): WaitingBodies {
   /** Bytes of the bodies that are being read or have been, in their order. */
   const held = new Map<IncomingMessage, number>();
   let heldBytes = 0;
@@ -29,6 +29,7 @@
     held.set(message, (held.get(message) ?? 0) + bytes);
     heldBytes += bytes;
     if (mayRead(message)) return;
+    lookAhead();
     message.pause();
     paused.add(message);
   }
@@ -62,6 +63,7 @@
     limit(requests) {
       const wasFull = isFull;
       isFull = requests > REQUESTS_MAX;
+      if (isFull) lookAhead();
       // A pause would be undone if the reading of a body had resumed the connection in the same turn.
       if (isFull) setImmediate(pauseFull);
       else if (wasFull) socket.resume();
@@ -75,6 +77,7 @@
         });
       });
       readNext();
+      if (unread.has(message)) lookAhead();
     },
     release(message) {
       heldBytes -= held.get(message) ?? 0;
--- a/packages/core/test/serverConnections.test.ts
+++ b/packages/core/test/serverConnections.test.ts
@@ -125,7 +125,7 @@
   ['bodies', 500, 'Content-Length: 90000', 'x'.repeat(90_000)],
   ['heads', 5000, `X-A: ${'x'.repeat(9000)}`, ''],
 ];
-/** What a server may hold for one caller: a megabyte, and what the system reads in one turn of the event loop. */
+/** What a server may read for one caller: two megabytes, and what the system reads in one turn of the event loop. */
 const HELD_MAX_BYTES = 4_000_000;
 async function waitUntilSettled(count: () => number): Promise<number> {
   const before = count();
@@ -152,8 +152,10 @@
     response.end(message.url);
   });
   let parsed = 0;
-  server.on('request', () => {
+  let countRead = () => 0;
+  server.on('request', ({ socket }) => {
     parsed += 1;
+    countRead = () => socket.bytesRead;
   });
   const caller = openPlainCaller(await listen(server, '127.0.0.1:0'));
   const targets = Array.from({ length: count }, (__, index) => `/${index}`);
@@ -163,12 +165,17 @@
   requests.forEach((request) => caller.socket.write(request));
   const held = await waitUntilSettled(() => parsed);
   expect(held * requests[0]!.length).toBeLessThan(HELD_MAX_BYTES);
+  expect(countRead()).toBeLessThan(HELD_MAX_BYTES);
   endWork();
   await waitForAnswers(caller, count);
   expect(parseAnswers(caller.text()).map((answer) => answer.body)).toEqual(targets);
   caller.socket.destroy();
 });
 
+/** More requests than one caller may have waiting. */
+const WAITING = 100;
+/** Bytes of each of their bodies, together more than may wait and less than is read in all. */
+const AHEAD_BYTES = 18_000;
 const LEAVING = ['end', 'resetAndDestroy'] as const;
 /** Numbers of requests, and bytes of each body, of which the last ones are not parsed while one runs. */
 const BEYOND = [
@@ -197,3 +204,28 @@
     expect(left).toBeGreaterThan(0);
   },
 );
+
+test('unreadable bytes behind many waiting requests are refused after their answers', async () => {
+  const { address, served, openRequests } = await startServer();
+  const caller = openPlainCaller(address);
+  caller.socket.write(`${REQUEST.repeat(WAITING)}no request\r\n\r\n`);
+  expect(await caller.closed).toBe(true);
+  const statuses = parseAnswers(caller.text()).map(({ status }) => status);
+  expect(statuses).toEqual([...Array.from({ length: WAITING }, () => 200), 400]);
+  expect(served).toHaveLength(WAITING);
+  await waitUntilNoneIsOpen(openRequests);
+});
+
+test('what a caller that leaves has sent far ahead is not served', async () => {
+  const { address, served, openRequests } = await startServer();
+  const caller = openPlainCaller(address);
+  const head = `POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${AHEAD_BYTES}\r\n\r\n`;
+  caller.socket.write(`${head}${'x'.repeat(AHEAD_BYTES)}`.repeat(WAITING));
+  await settle();
+  caller.socket.end();
+  await waitUntilNoneIsOpen(openRequests);
+  const before = served.length;
+  await settle();
+  expect(before).toBeLessThan(WAITING);
+  expect(served).toHaveLength(before);
+});
--- a/packages/core/test/upgrades.test.ts
+++ b/packages/core/test/upgrades.test.ts
@@ -8,6 +8,11 @@
 const LATER_MS = 100;
 const WAIT_MAX_MS = 10_000;
 const MANY = 500;
+const BODY_BYTES = 7000;
+/** Every so many requests ask for another protocol, so that more than a caller may have waiting lie between. */
+const UPGRADE_INTERVAL = 150;
+/** Every so many requests their bodies come apart from their heads. */
+const PIECE_INTERVAL = 7;
 /** Headers from which on Node drops the rest of a head. */
 const HEADERS_MAX = 1000;
 const UPGRADE = 'Connection: Upgrade\r\nUpgrade: websocket';
@@ -127,6 +132,24 @@
   caller.socket.destroy();
 });
 
+// Guards against input that is lost or overtaken where a connection that is read ahead gets a new parser.
+test('upgrades among many waiting requests with bodies in pieces are answered in order', async () => {
+  const { address } = await startServer(0);
+  const paths = Array.from({ length: MANY }, (_, index) => `/${index}`);
+  const body = 'x'.repeat(BODY_BYTES);
+  const caller = openPlainCaller(address);
+  for (const [index, path] of paths.entries()) {
+    const header = `Content-Length: ${BODY_BYTES}`;
+    const isUpgrade = index % UPGRADE_INTERVAL === UPGRADE_INTERVAL - 1;
+    caller.socket.write(render(path, isUpgrade ? `${UPGRADE}\r\n${header}` : header));
+    if (index % PIECE_INTERVAL === 0) await sleep(0);
+    caller.socket.write(body);
+  }
+  const bodies = await waitForBodies(caller.text, MANY);
+  expect(bodies).toEqual(paths.map((path) => `${path} ${body}`));
+  caller.socket.destroy();
+});
+
 test('what follows a request with an upgrade that closes its connection is not served', async () => {
   const { address, served } = await startServer();
   const closing = render('/closing', 'Connection: Upgrade, close\r\nUpgrade: websocket');
