A slow caller's time counts for no pause of its endpoint

What callers saw: beside one caller that reads a long stream slowly, whole streams of the same endpoint are doubted for up to 10 s, and those of new endpoints of the service; cut where nobody confirms them, and always on routes that may not be resumed. By reading, not seen. Cause: reading pauses while 64 steps are queued for a caller. The time until it goes on was noted as a pause between two events. Ruled out: callers with a shorter queue; their events are read as they arrive. After: reading again is told first, and a pause begins there. Conclusion: pauses are measured only while the stream is read.

--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -53,6 +53,7 @@
         const isStep = pause !== undefined && request.route.kind === 'streaming';
         if (isStep) host.pauseHistory.note(slot.endpoint.name, request.service, pause);
       },
+      onReadAgain: pauses.restart,
       onStatements: (statements) =>
         applyStatements(host, slot.endpoint.name, endpoint, statements, told.at),
       signal: AbortSignal.any([stop.signal, ending.signal]),
--- a/packages/forwarding/src/ends/answerPauses.ts
+++ b/packages/forwarding/src/ends/answerPauses.ts
@@ -9,6 +9,8 @@
 export interface AnswerPauses {
   /** Notes an event or part; returns the pause since the one before, `undefined` for the first. */
   note(): Milliseconds | undefined;
+  /** Lets the present pause begin now, as what came before was not read. */
+  restart(): void;
   /** Time from the request to the first one; `undefined` while there is none. */
   getFirst(): Milliseconds | undefined;
   /** Returns the longest pause between two, or from the last one to the given time. */
@@ -29,12 +31,15 @@
     return Math.max(0, until - lastAt - (getHeldUpTime() - heldUpBefore));
   }
 
+  function restart(): void {
+    lastAt = clock.elapsed();
+    heldUpBefore = getHeldUpTime();
+  }
+
   return {
     note() {
-      const now = clock.elapsed();
-      const pause = getPause(now);
-      lastAt = now;
-      heldUpBefore = getHeldUpTime();
+      const pause = getPause(clock.elapsed());
+      restart();
       if (first === undefined) {
         first = pause;
         return undefined;
@@ -42,6 +47,7 @@
       longest = Math.max(longest, pause);
       return pause;
     },
+    restart,
     getFirst: () => first,
     getLongest: (until = lastAt) => Math.max(longest, getPause(until)),
   };
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -212,6 +212,8 @@
   onActivity(): void;
   /** Called whenever an event of a stream, or a part of the body of another answer, has arrived. */
   onProgress(): void;
+  /** Called when reading goes on that had paused because the caller is slow. */
+  onReadAgain(): void;
   /** Called with the head of each answer; what it does not say does not hold any more, but for leaving. */
   onStatements(statements: EndpointStatement[]): void;
   /** Aborted when the answer is not wanted any more; the connection is then closed. */
--- a/packages/forwarding/test/pauseHistory.test.ts
+++ b/packages/forwarding/test/pauseHistory.test.ts
@@ -58,3 +58,14 @@
   await clock.advance(50);
   expect(pauses.note()).toBe(50);
 });
+
+test('time for which an answer was not read counts for no pause', async () => {
+  const clock = createManualClock();
+  const pauses = createAnswerPauses({ clock, getHeldUpTime: () => 0 });
+  pauses.note();
+  await clock.advance(3000);
+  pauses.restart();
+  await clock.advance(50);
+  expect(pauses.note()).toBe(50);
+  expect(pauses.getLongest()).toBe(50);
+});
