The stand of replacements tells for how long the process was held up

21 of 26 tests of packages/forwarding/test/replacement.test.ts failed on with 'getHeldUpTime is not a function': attempts read it since their pauses are measured, and this stand has a host of its own. With it 26 of 26 pass.

--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -71,6 +71,7 @@
     host: {
       protocol: { send, probe, findRun },
       directory: { find: () => ({ id: 'e2' }) },
+      getHeldUpTime: () => 0,
       clock,
       admission: { acquire },
       retryBudget: { take: () => hasRetries },
