An end just before the limit of a stream that may be resumed is doubted however short the steps before were

What callers saw: a stream of 112 events, one each 20 ms, that ended in order 60 ms before its caller's deadline was told as complete. Cause: doubt near the limit went by the steps that were seen alone. On ends with under 300 ms left were doubted; with short steps none was any more, though the next step may be longer than all before, or the endpoint keeps a reserve. Ruled out: routes that may not be resumed; there a doubt of this kind would cut, where before it only wrote a line. Before: 'begin', 'end' (the new test of streamEnd, failed). After: 'begin', 'cut'; one that ends 320 ms before the deadline is believed. Conclusion: a step counts as 550 ms at least, the 300 ms of before and the 250 ms that endpoints are told more.

--- a/packages/forwarding/src/ends/limitEnd.ts
+++ b/packages/forwarding/src/ends/limitEnd.ts
@@ -1,8 +1,15 @@
 import type { Milliseconds } from '@pomeloroad/core';
+import { isRetryable } from '../attempts/patience';
 import type { SentAttempt } from '../attempts/sentAttempt';
 import type { Run } from '../run';
 import type { AnswerEnd } from '../types';
 
+/**
+ * Minimum step that an engine may need for an event of a stream, however short the steps before were. An end this
+ * close to its limit may lack events, and a caller that may resume the stream gets them again.
+ */
+const STEP_MIN_MS: Milliseconds = 550;
+
 /**
  * Returns whether the time limit that an endpoint was told may have ended its answer. An engine works in steps
  * and begins none that would pass the limit, so it stops up to one step before it, in order.
@@ -18,7 +25,7 @@
 }
 
 function getLongestStep<Payload>(
-  { host, request: { route, service } }: Run<Payload>,
+  { host: { pauseHistory }, request: { route, service } }: Run<Payload>,
   { slot, pauses }: SentAttempt,
   endedAt: Milliseconds,
 ): Milliseconds {
@@ -28,5 +35,6 @@
   // The wait for the first event or part holds at least one step, and an answer with only one shows no other.
   const own = Math.max(pauses.getFirst() ?? 0, longest);
   if (route.kind === 'idempotent') return own;
-  return Math.max(own, host.pauseHistory.getLongest(slot.endpoint.name, service));
+  const known = pauseHistory.getLongest(slot.endpoint.name, service);
+  return Math.max(own, known, isRetryable(route) ? STEP_MIN_MS : 0);
 }
--- a/packages/forwarding/test/streamEnd.test.ts
+++ b/packages/forwarding/test/streamEnd.test.ts
@@ -127,3 +127,12 @@
   const stated = await forwardTo(answers, {}, 2, history);
   expect(stated.answered).toMatchObject({ events: 1, resumptions: 1 });
 });
+
+test.each([
+  [112, 'cut'],
+  [99, 'end'],
+])('a stream of %i quick events that ends near the deadline: %s', async (count, end) => {
+  const events = Array.from({ length: count }, () => 20);
+  const { calls } = await forwardTo([{ events }]);
+  expect(calls).toEqual(['begin', end]);
+});
