No rest is asked for of a stream whose caller has events without ids alone

What callers saw: all events twice, and an end that looked complete, if a stream without event ids ended some time after its last event, broke off or fell silent, on a route that may be resumed. Cause: with no id there is no place to go on from, so the next endpoint is asked from the start, and what it sends is relayed in full. Ruled out: streams of which nothing came yet, which begin anew, and those with an id somewhere. The stand of replacements now has the id of the event that it counts; none of its checks changed. Conclusion: such a request has no attempt left.

--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -133,10 +133,16 @@
 /** Returns whether the request may run on one more endpoint. */
 export function hasAttemptsLeft<Payload>(run: Run<Payload>): boolean {
   const { request, runs, pending } = run;
+  if (!mayGoOn(run)) return false;
   if (!isRetryable(request.route) || runs + pending >= request.route.attempts) return false;
   return !isWithheld(run);
 }
 
+// Another endpoint would send all events again if none of those that the caller has bore an id.
+function mayGoOn<Payload>({ events, lastEventId }: Run<Payload>): boolean {
+  return events === 0 || lastEventId !== undefined;
+}
+
 /**
  * Returns whether the request may not be sent to an endpoint now, because endpoints crash under a
  * suspect in it. One that may have run at an endpoint may have been what crashed it.
@@ -160,7 +166,9 @@
 }
 
 function canReturn<Payload>(run: Run<Payload>): boolean {
-  return mayOnlyReturn(run) && [...run.dropped].some((name) => !run.excluded.has(name));
+  return (
+    mayGoOn(run) && mayOnlyReturn(run) && [...run.dropped].some((name) => !run.excluded.has(name))
+  );
 }
 
 /** Returns whether one more endpoint may decline the request. */
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -98,6 +98,7 @@
     pending: 1,
     declines: 0,
     events: 1,
+    lastEventId: '1',
   } as unknown as Run<unknown>;
   const attempt = {
     slot: {
