An end that the time limit has caused casts no doubt on the next one of its endpoint

What callers saw: on a route that may be resumed, whole streams of a sound endpoint were cut, far from their limit, if nobody could be asked: all of them from its first stop short of a limit to the next end that another endpoint confirmed. Cause: whoever had more after an end near the limit marked that endpoint as one that ends early. Since unconfirmed ends are cut, the mark cuts; under overload, when such stops are many and retries few, it stays. Ruled out: ends with another reason, whose mark is kept; the next end near its own limit is doubted all the same. Before: 'endpoint ended early', 'begin', 'cut' (the new test of streamEnd, failed). After: 'begin', 'end'. Conclusion: only an end that has no cause outside the endpoint marks it.

--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -118,7 +118,8 @@
   { end, endpoint, reason }: SourceEnd,
   isEarly: boolean,
 ): void {
-  if (end === 'broken') return;
+  // An end that the time limit has caused says nothing of the endpoint's next one.
+  if (end === 'broken' || (isEarly && reason === 'near limit')) return;
   endHistory.noteChecked(endpoint, isEarly);
   if (isEarly && reason === 'apart from last event') endHistory.noteEarlyApart(service);
 }
--- a/packages/forwarding/test/streamEnd.test.ts
+++ b/packages/forwarding/test/streamEnd.test.ts
@@ -136,3 +136,12 @@
   const { calls } = await forwardTo([{ events }]);
   expect(calls).toEqual(['begin', end]);
 });
+
+test('an end that the time limit has caused does not cast doubt on the next one of its endpoint', async () => {
+  const history = createEndHistory();
+  const late: StandAnswer = { events: [900] };
+  const stopped = await forwardTo([late, MORE], { deadline: 1700 }, 2, history);
+  expect(stopped.answered).toMatchObject({ events: 3, resumptions: 1 });
+  const { calls, suspicious } = await forwardTo([{ events: [100] }], {}, 2, history);
+  expect({ calls, suspicious }).toEqual({ calls: ['begin', 'end'], suspicious: [] });
+});
