The least step of an end near the limit is at most half of the limit

'a quick stream of a caller with a short limit is whole' failed before. Two merges of the same line in the stand of replacements are joined.

--- a/packages/forwarding/src/ends/limitEnd.ts
+++ b/packages/forwarding/src/ends/limitEnd.ts
@@ -9,6 +9,8 @@
  * close to its limit may lack events, and a caller that may resume the stream gets them again.
  */
 const STEP_MIN_MS: Milliseconds = 550;
+/** Fraction of the limit that a step without any sign of it takes at most, so that short limits allow an end. */
+const STEP_MIN_LIMIT_RATIO = 0.5;
 
 /**
  * Returns whether the time limit that an endpoint was told may have ended its answer. An engine works in steps
@@ -26,7 +28,7 @@
 
 function getLongestStep<Payload>(
   { host: { pauseHistory }, request: { route, service } }: Run<Payload>,
-  { slot, pauses }: SentAttempt,
+  { slot, pauses, told }: SentAttempt,
   endedAt: Milliseconds,
 ): Milliseconds {
   const longest = pauses.getLongest(endedAt);
@@ -37,5 +39,6 @@
   const own = isOnly ? Math.max(pauses.getFirst() ?? 0, longest) : longest;
   if (route.kind === 'idempotent') return own;
   const known = pauseHistory.getLongest(slot.endpoint.name, service);
-  return Math.max(own, known, isRetryable(route) ? STEP_MIN_MS : 0);
+  const least = isRetryable(route) ? Math.min(STEP_MIN_MS, told.limit * STEP_MIN_LIMIT_RATIO) : 0;
+  return Math.max(own, known, least);
 }
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -72,7 +72,6 @@
       protocol: { send, probe, findRun },
       getHeldUpTime: () => 0,
       directory: { find: () => ({ id: 'e2' }) },
-      getHeldUpTime: () => 0,
       clock,
       admission: { acquire },
       retryBudget: { take: () => hasRetries },
--- a/packages/forwarding/test/streamEnd.test.ts
+++ b/packages/forwarding/test/streamEnd.test.ts
@@ -137,6 +137,11 @@
   expect(calls).toEqual(['begin', end]);
 });
 
+test('a quick stream of a caller with a short limit is whole', async () => {
+  const { calls } = await forwardTo([{ events: [20, 20] }], { deadline: 300 });
+  expect(calls).toEqual(['begin', 'end']);
+});
+
 test('an end that the time limit has caused does not cast doubt on the next one of its endpoint', async () => {
   const history = createEndHistory();
   const late: StandAnswer = { events: [900] };
