An engine's next step may take twice as long as those that it has shown

Cause: what is left of the limit was compared with the longest step that was seen, to the millisecond; a batch that grows, a prompt that is read in between or a reserve makes the next one longer.

--- a/packages/forwarding/src/ends/limitEnd.ts
+++ b/packages/forwarding/src/ends/limitEnd.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '@pomeloroad/core';
-import { isRetryable } from '../attempts/patience';
+import { isRetryable, STREAM_THRESHOLD_MS } from '../attempts/patience';
 import type { SentAttempt } from '../attempts/sentAttempt';
 import type { Run } from '../run';
 import type { AnswerEnd } from '../types';
@@ -9,6 +9,11 @@
  * close to its limit may lack events, and a caller that may resume the stream gets them again.
  */
 const STEP_MIN_MS: Milliseconds = 550;
+/**
+ * Step that an engine may reckon with, as a multiple of the longest one shown: a step takes longer while the batch grows
+ * or a prompt is read, and an engine may keep a reserve.
+ */
+const STEP_GROWTH_RATIO = 2;
 /** Fraction of the limit that a step without any sign of it takes at most, so that short limits allow an end. */
 const STEP_MIN_LIMIT_RATIO = 0.5;
 
@@ -27,18 +32,33 @@
 }
 
 function getLongestStep<Payload>(
-  { host: { pauseHistory }, request: { route, service } }: Run<Payload>,
-  { slot, pauses, told }: SentAttempt,
+  run: Run<Payload>,
+  attempt: SentAttempt,
   endedAt: Milliseconds,
 ): Milliseconds {
-  const longest = pauses.getLongest(endedAt);
+  const { route } = run.request;
+  const { pauses, told } = attempt;
+  const own = Math.max(getReckonedStep(pauses.getLongest()), pauses.getLongest(endedAt));
   // What has run once and came in one piece is taken as it is: its caller must not think that it has failed.
-  if (route.kind === 'non-idempotent') return longest;
+  if (route.kind === 'non-idempotent') return own;
   // The wait for the first event or part holds at least one step; an answer with only one shows no other.
   const isOnly = pauses.getLongest() === 0;
-  const own = isOnly ? Math.max(pauses.getFirst() ?? 0, longest) : longest;
-  if (route.kind === 'idempotent') return own;
-  const known = pauseHistory.getLongest(slot.endpoint.name, service);
+  const first = isOnly ? (pauses.getFirst() ?? 0) : 0;
+  if (route.kind === 'idempotent') return Math.max(own, first);
+  const known = getKnownStep(run, attempt);
   const least = isRetryable(route) ? Math.min(STEP_MIN_MS, told.limit * STEP_MIN_LIMIT_RATIO) : 0;
-  return Math.max(own, known, least);
+  return Math.max(own, first, known, least);
+}
+
+// Of other streams of the endpoint.
+function getKnownStep<Payload>(
+  { host: { pauseHistory }, request: { service } }: Run<Payload>,
+  { slot }: SentAttempt,
+): Milliseconds {
+  return getReckonedStep(pauseHistory.getLongest(slot.endpoint.name, service));
+}
+
+// A longer pause is a silence, and no step that could grow.
+function getReckonedStep(shown: Milliseconds): Milliseconds {
+  return Math.max(shown, Math.min(shown * STEP_GROWTH_RATIO, STREAM_THRESHOLD_MS));
 }
--- a/packages/forwarding/test/limitEnd.test.ts
+++ b/packages/forwarding/test/limitEnd.test.ts
@@ -41,23 +41,23 @@
 test.each<[string, Answer, boolean]>([
   ['after quick events', { pauses: [100, 20, 20] }, false],
   ['after quick events late', { pauses: [900, 400, 400] }, true],
-  ['one step before the limit', { pauses: [100, 700, 700] }, true],
-  ['more than one step before it', { pauses: [100, 600, 600] }, false],
+  ['two steps before the limit', { pauses: [201, 600] }, true],
+  ['more than two steps before it', { pauses: [199, 600] }, false],
   ['after a long wait and quick events', { pauses: [1500, 20, 20] }, false],
   ['with its first event after half of the limit', { pauses: [1001] }, true],
   ['with its first event before that', { pauses: [999] }, false],
   ['after a pause as long as what is left', { pauses: [100, 20], end: 941 }, true],
   ['after a shorter pause', { pauses: [100, 20], end: 939 }, false],
-  ['of an endpoint with long steps', { pauses: [900, 20], elsewhere: 1081 }, true],
-  ['of an endpoint with shorter ones', { pauses: [900, 20], elsewhere: 1079 }, false],
+  ['of an endpoint with long steps', { pauses: [900, 20], elsewhere: 541 }, true],
+  ['of an endpoint with shorter ones', { pauses: [900, 20], elsewhere: 539 }, false],
 ])('an end %s may be that of the time limit', async (_, answer, expected) => {
   expect(await judge(answer)).toBe(expected);
 });
 
 test.each<[string, Answer, boolean]>([
   ['in one part', { pauses: [1900] }, false],
-  ['in parts', { pauses: [500, 800] }, true],
-  ['in parts with time left', { pauses: [500, 700] }, false],
+  ['in parts', { pauses: [502, 500] }, true],
+  ['in parts with time left', { pauses: [498, 500] }, false],
   ['beside slow streams', { pauses: [500], elsewhere: 1900 }, false],
 ])('the end of a whole answer %s may be that of the time limit', async (_, answer, expected) => {
   expect(await judge({ kind: 'non-idempotent', ...answer })).toBe(expected);
