--- a/packages/forwarding/src/ends/answerPauses.ts
+++ b/packages/forwarding/src/ends/answerPauses.ts
@@ -1,5 +1,8 @@
 import type { Clock, Milliseconds, PauseGuard } from '@pomeloroad/core';
 
+/** What comes within this time of what came before belongs to the same step. */
+const STEP_SPREAD_MS: Milliseconds = 5;
+
 /** Dependencies of the pauses of an answer. */
 export interface AnswerPausesHost extends Pick<PauseGuard, 'getHeldUpTime'> {
   clock: Clock;
@@ -7,13 +10,13 @@
 
 /** The pauses in which an endpoint has made an answer: between the events of a stream, or the parts of another one. */
 export interface AnswerPauses {
-  /** Notes an event or part; returns the pause since the one before, `undefined` for the first. */
+  /** Notes an event or part; returns the pause since the step before, `undefined` if it is of the same or the first one. */
   note(): Milliseconds | undefined;
   /** Lets the present pause begin now, as what came before was not read. */
   restart(): void;
   /** Time from the request to the first one; `undefined` while there is none. */
   getFirst(): Milliseconds | undefined;
-  /** Returns the longest pause between two, or from the last one to the given time. */
+  /** Returns the longest pause between two steps, 0 if there was one only, or that from the last one to the given time. */
   getLongest(until?: Milliseconds): Milliseconds;
 }
 
@@ -44,6 +47,7 @@
         first = pause;
         return undefined;
       }
+      if (pause < STEP_SPREAD_MS) return undefined;
       longest = Math.max(longest, pause);
       return pause;
     },
--- a/packages/forwarding/test/pauseHistory.test.ts
+++ b/packages/forwarding/test/pauseHistory.test.ts
@@ -47,6 +47,16 @@
   expect([pauses.getFirst(), pauses.getLongest()]).toEqual([700, 200]);
 });
 
+test('events of one step show no pause', async () => {
+  const clock = createManualClock();
+  const pauses = createAnswerPauses({ clock, getHeldUpTime: () => 0 });
+  await clock.advance(800);
+  pauses.note();
+  await clock.advance(1);
+  expect(pauses.note()).toBeUndefined();
+  expect([pauses.getFirst(), pauses.getLongest()]).toEqual([800, 0]);
+});
+
 test('time for which the process was held up counts for no pause', async () => {
   const clock = createManualClock();
   let heldUp = 0;
