--- a/packages/replay/src/soak/callers.ts
+++ b/packages/replay/src/soak/callers.ts
@@ -3,7 +3,7 @@
 import { createRandom } from '@pomeloroad/core';
 import type { Random } from '@pomeloroad/core';
 import { listVersions } from '@pomeloroad/standins';
-import type { CallerAnswer, Work } from '@pomeloroad/standins';
+import type { AnswerFraming, CallerAnswer, Work } from '@pomeloroad/standins';
 import { pause } from '../pause';
 import { ROUTES } from './configuration';
 import { draw } from './draw';
@@ -20,6 +20,12 @@
 const EARLY_END_START_MS = 2500;
 const EARLY_END_EVENTS_MIN = 3;
 const EARLY_END_PAUSE_MIN_MS = 10;
+/** Streams of engines that work in steps. */
+const STEPPED_EVENTS_MIN = 2;
+const STEPPED_EVENTS_MAX = 6;
+const STEPPED_FRAMINGS: AnswerFraming[] = ['chunked', 'chunked', 'close'];
+const STEPPED_LIMIT_MIN_MS = 1000;
+const STEPPED_LIMIT_MAX_MS = 2500;
 /** Least part of an answer's length that is its time limit. */
 const TIME_LIMIT_PART_MIN = 0.3;
 const STREAM_ROUTES = ROUTES.filter(({ kind }) => kind === 'streaming').map(({ name }) => name);
@@ -37,7 +43,7 @@
 /** Ends of answers that are not whole, which some callers ask for: in order, or by a crash. */
 export const EarlyEnds = ['short-limits', 'empty-ends', 'crashing-parts'] as const;
 /** Those that are only asked for by name. */
-export const RareEarlyEnds = ['crashing-requests', 'forgotten-ends'] as const;
+export const RareEarlyEnds = ['crashing-requests', 'forgotten-ends', 'engine-steps'] as const;
 export type EarlyEnd = (typeof EarlyEnds | typeof RareEarlyEnds)[number];
 
 /** Callers that send one request after another. */
@@ -73,8 +79,8 @@
 /** Starts callers that each keep their connection to an instance until it closes. */
 export function startCallers(host: CallersHost): Callers {
   let isStopped = false;
-  const extra = host.earlyEnds.length > 0 ? Math.ceil(host.count / EARLY_END_RATIO) : 0;
-  const loops = Array.from({ length: host.count + extra }, (_, index) => runCaller(index));
+  const length = host.count + countFurther(host);
+  const loops = Array.from({ length }, (_, index) => runCaller(index));
 
   async function runCaller(index: number): Promise<void> {
     const random = createRandom(host.seed * host.count + index);
@@ -115,6 +121,12 @@
   };
 }
 
+// Engines that work in steps are asked for more than they can make.
+function countFurther({ earlyEnds, count }: CallersHost): number {
+  if (earlyEnds.includes('engine-steps')) return count;
+  return earlyEnds.length > 0 ? Math.ceil(count / EARLY_END_RATIO) : 0;
+}
+
 // A caller takes a stream that broke off up again, with a request of its own.
 function findResumption(
   id: string,
@@ -156,5 +168,15 @@
       work: { ...work, route: draw(random, STREAM_ROUTES), fault: 'crash' as const },
     }))
     .with('crashing-requests', () => ({ ...base, work: CRASHING_REQUEST }))
+    .with('engine-steps', () => ({ ...base, ...drawStepped(random) }))
     .exhaustive();
 }
+
+// The engine decides when the events come.
+function drawStepped(random: Random): Pick<DrawnRequest, 'work' | 'timeLimit'> {
+  const route = draw(random, STREAM_ROUTES);
+  const events = random.integer(STEPPED_EVENTS_MIN, STEPPED_EVENTS_MAX);
+  const timeLimit = random.integer(STEPPED_LIMIT_MIN_MS, STEPPED_LIMIT_MAX_MS);
+  const framing = draw(random, STEPPED_FRAMINGS);
+  return { work: { route, framing, events, pause: 0, fault: 'steps' }, timeLimit };
+}
--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -124,7 +124,7 @@
       return !faults.isDisturbed([instance, 'store'], calmFrom, endedAt);
     });
   if (late.length === 0) return 'skipped';
-  const run = runs.find(({ endpoint, at }) =>
+  const run = runs.find(({ endpoint, arrivedAt: at }) =>
     late.some((other) => other.endpoint === endpoint && at > other.from && at < other.to),
   );
   return run ? { message: `ran at ${run.endpoint} although it was leaving` } : 'held';
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -203,11 +203,12 @@
   const run = record.runs.filter((known) => known.endpoint === line.id).at(-1);
   const at = Date.parse(line.at);
   match(line)
-    .with({ event: 'run' }, ({ account, after, path, body }) => {
-      const fields = { endpoint: line.id, at, lastAt: at, account, path, body };
+    .with({ event: 'run' }, ({ account, after, path, body, waited = 0 }) => {
+      const arrivedAt = at - waited;
+      const fields = { endpoint: line.id, arrivedAt, at, lastAt: at, account, path, body };
       const ends = { isStated: false, isEnded: false };
       record.runs.push({ ...fields, ...ends, sent: after });
-      record.arrivals.push(at);
+      record.arrivals.push(arrivedAt);
     })
     .with({ event: 'sent' }, ({ number }) => {
       if (run) Object.assign(run, { sent: number, lastAt: at });
@@ -221,7 +222,7 @@
       // A length that is not met states nothing.
       if (run && record.work.framing !== 'length') run.earlyEnd = reason;
     })
-    .with({ event: 'declined' }, () => record.arrivals.push(at))
+    .with({ event: 'declined' }, ({ waited = 0 }) => record.arrivals.push(at - waited))
     .with({ event: 'crash' }, () => undefined)
     .with({ event: 'closed' }, () => {
       if (run) run.isEnded = true;
--- a/packages/replay/src/soak/fleet.ts
+++ b/packages/replay/src/soak/fleet.ts
@@ -21,6 +21,8 @@
 const IDLE_TIMEOUT_MS = 700;
 /** Number of versions that serve at the start. */
 export const FIRST_VERSIONS = 2;
+/** Distance between the seeds of the endpoints of two soaks. */
+const ENDPOINT_SEEDS = 1000;
 const FIRST_SUBNET = 64;
 const SUBNETS = 128;
 
@@ -128,6 +130,7 @@
       ...['--id', name, '--service', service, '--data-centre', dataCentre],
       ...['--software', version],
       ...['--store', store, '--advertised', link.address, '--idle', String(IDLE_TIMEOUT_MS)],
+      ...['--seed', String(seed * ENDPOINT_SEEDS + Number(name.split('-').at(-1)))],
     ]);
     proxy.setTarget(link.id, String(program.listening.address));
     program.exited.then(() => proxy.refuse(link.id));
--- a/packages/replay/src/soak/requestRecord.ts
+++ b/packages/replay/src/soak/requestRecord.ts
@@ -41,6 +41,8 @@
 /** What an endpoint recorded of one run of a request. */
 export interface EndpointRun {
   endpoint: string;
+  /** Unix time in milliseconds at which the request arrived. */
+  arrivedAt: number;
   /** Unix time in milliseconds at which it began. */
   at: number;
   /** Unix time in milliseconds at which it sent its last event. */
--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -169,6 +169,23 @@
   TIMEOUT_MS,
 );
 
+// Engines work in steps of up to 700 ms, are asked for more than they can make, and begin no step that would pass
+// the limit that they were told.
+test(
+  'seed 1: no stream looks complete because its engine stops short of its limit',
+  async () => {
+    const times = { length: 16_000, calm: 3000 };
+    const engines = { faults: ['roll-out'], earlyEnds: ['engine-steps' as const] };
+    const result = await soak({ seed: 1, ...times, ...engines, hasAnswerFaults: false }, 8);
+    const checks = ['false-ends', 'time-limits', 'completeness'];
+    const failures = result.failures.filter(({ check }) => checks.includes(check));
+    expect(describeFailures({ ...result, failures })).toEqual([]);
+    const { 'false-ends': falseEnds = 0, 'time-limits': timeLimits = 0 } = result.checks;
+    expect(falseEnds + timeLimits).toBeGreaterThan(20);
+  },
+  TIMEOUT_MS,
+);
+
 test(
   'seed 1: a part of prompts that crashes endpoints is soon sent to none',
   async () => {
--- a/packages/replay/test/soakEvidence.test.ts
+++ b/packages/replay/test/soakEvidence.test.ts
@@ -1,5 +1,5 @@
 import { createSystemClock } from '@pomeloroad/core';
-import { createCallerAnswer } from '@pomeloroad/standins';
+import { createCallerAnswer, PlatformBounds } from '@pomeloroad/standins';
 import type { Work } from '@pomeloroad/standins';
 import { createEvidence } from '../src/soak/evidence';
 import type { EarlyEndCount } from '../src/soak/endChecks';
@@ -138,17 +138,17 @@
 });
 
 // An endpoint announces that it leaves, runs a request and is started again at the Unix times.
-function judgeAfterDeparture(restarts: number[], ranAt: number): string[] {
+function judgeAfterDeparture(restarts: number[], ranAt: number, waited = 0): string[] {
   let now = SENT_AT;
   const clock = { ...createSystemClock(), now: () => new Date(now) };
   const evidence = createEvidence(clock);
   const addLine = (at: number, line: object) =>
     evidence.addLine('endpoint-1', JSON.stringify({ at: new Date(at), id: 'endpoint-1', ...line }));
   addLine(SENT_AT, { event: 'leaving' });
-  const record = { ...createRecord(), sentAt: ranAt - 5, endedAt: ranAt + 100 };
+  const record = { ...createRecord(), sentAt: ranAt - waited - 5, endedAt: ranAt + 100 };
   evidence.open(record);
   const arrival = { path: '/stream-once/', after: 0, account: 'rich', version: 'v1', body: '' };
-  addLine(ranAt, { event: 'run', request: record.id, run: 1, ...arrival });
+  addLine(ranAt, { event: 'run', request: record.id, run: 1, ...arrival, waited });
   restarts.forEach((at) => {
     now = at;
     evidence.restarted('endpoint-1');
@@ -166,3 +166,11 @@
   const message = 'ran at endpoint-1 although it was leaving';
   expect(judgeAfterDeparture([SENT_AT + 9000], SENT_AT + 5000)).toEqual([message]);
 });
+
+test.each([
+  ['came before', 600, []],
+  ['came after', 400, ['ran at endpoint-1 although it was leaving']],
+])('a run that waited in line counts as leaving by its arrival: it %s the bound', (...row) => {
+  const [, waited, messages] = row;
+  expect(judgeAfterDeparture([], SENT_AT + PlatformBounds.drain + 500, waited)).toEqual(messages);
+});
--- a/packages/replay/test/socketCallers.test.ts
+++ b/packages/replay/test/socketCallers.test.ts
@@ -153,6 +153,7 @@
   const work = { route: 'once', framing: 'length', events: 1, pause: 0, fault: 'none' } as const;
   const run = {
     endpoint: 'endpoint-1',
+    arrivedAt: 1100,
     at: 1100,
     lastAt: 1150,
     account: 'rich',
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -8,6 +8,7 @@
 export * from './callerClient';
 export * from './socketRequest';
 export * from './platformFiles';
+export * from './endpointLines';
 export * from './soakEndpoint';
 export * from './soakWork';
 export * from './plainCaller';
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -99,6 +99,7 @@
   .option('--software', 'version of its software', 'v1')
   .option('--idle', 'time in ms after which it closes an idle connection', 5000)
   .option('--drain', 'time in ms that it serves after it has announced its leaving', 2000)
+  .option('--seed', 'seed of the pace of its engine', 1)
   .action(async (flags: Record<string, string | number>) => {
     const address = await runSoakEndpoint({
       clock: createSystemClock(),
@@ -112,6 +113,7 @@
       version: String(flags.software),
       idleTimeout: Number(flags.idle),
       drain: Number(flags.drain),
+      seed: Number(flags.seed),
     });
     reportListening({ address });
   });
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -1,11 +1,14 @@
 import http from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { match } from 'ts-pattern';
 import { hashText, readBody, sleep, writeJson } from '@pomeloroad/core';
-import type { Clock, Milliseconds } from '@pomeloroad/core';
+import type { Clock, Milliseconds, Random } from '@pomeloroad/core';
+import { ORDERLY_END_PATH } from './endpointLines';
+import type { EarlyEndReason, EndpointLine, OrderlyEnd } from './endpointLines';
 import { WireHeader } from './platformWire';
-import { decodeWork, isCrashing, renderEvent, renderEvents, signAnswer } from './soakWork';
+import { endAnswer, hasFault, hasForgotten, isOpen, writeHead } from './soakAnswer';
+import { decodeWork, isCrashing, renderEvent } from './soakWork';
 import type { AnswerFault, Work } from './soakWork';
+import { createSteppedEngine } from './steppedEngine';
 
 const LATE_ANSWER_DELAY_MS: Milliseconds = 1000;
 const SILENCE_MS: Milliseconds = 1500;
@@ -15,65 +18,16 @@
 const HALT_INTERVAL_MS: Milliseconds = 10;
 const MISDIRECTED_STATUS = 421;
 const DECLINED_STATUS = 503;
-/** Announces a time that the server's own idle timeout may undercut. */
-const KEEP_ALIVE = { connection: 'keep-alive', 'keep-alive': 'timeout=5' };
-const EXTRA_ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore';
-/** Share of the requests with a fault, in 16 parts, that an endpoint answers with it. */
-const FAULTY_SIXTEENTHS = 8;
-/** One endpoint in this many states the ends of `empty` streams that it is asked to go on with at once. */
-const FORGETFUL_STEP = 4;
-
-/** Why an endpoint ends all its answers in order though they are not whole. */
-export type OrderlyEndReason = 'exit' | 'leaving' | 'no-room' | 'preempted';
-/**
- * Why an answer ends in order though it is not whole: the next event would come after its time limit,
- * it was to go on after some events, or all answers of its endpoint end.
- */
-export type EarlyEndReason = 'time-limit' | 'resumed' | OrderlyEndReason;
-
-/** How an endpoint ends all its answers in order though they are not whole. */
-export interface OrderlyEnd {
-  reason: OrderlyEndReason;
-  /** Time until the ends; an endpoint that preempts sends nothing meanwhile. */
-  delay: Milliseconds;
-  /** Time from the ends to the exit of the process; `undefined` if it serves on. */
-  exitAfter?: Milliseconds | undefined;
-}
-
 /** Where an endpoint reports its runs. */
 const REPORT_PATH = '/v1/report';
-/** Where an endpoint is told to end all its answers, with an `OrderlyEnd`. */
-export const ORDERLY_END_PATH = '/standin/end';
-
 /** One of the runs of a report: id, tokens in memory, events made, priority. */
 type RunEntry = [string, number, number, number];
 
-/** What an endpoint of the soak records, one line for each step of a request. */
-export type EndpointLine =
-  | {
-      event: 'run';
-      request: string;
-      run: number;
-      path: string;
-      after: number;
-      account: string;
-      version: string;
-      /** Hash of the body that came. */
-      body: string;
-    }
-  | { event: 'sent'; request: string; run: number; number: number }
-  /** The answer is complete as far as the endpoint states it in its framing. */
-  | { event: 'stated'; request: string; run: number; number: number }
-  /** The answer ends in order, with events missing. */
-  | { event: 'stopped'; request: string; run: number; number: number; reason: EarlyEndReason }
-  | { event: 'closed'; request: string; run: number; number: number }
-  /** The process dies of the request or of a part of its prompt. */
-  | { event: 'crash'; request: string; run: number }
-  | { event: 'declined'; request: string; reason: 'full' | 'leaving' | 'other-endpoint' };
-
 /** Dependencies and settings of an endpoint of the soak. */
 export interface SoakEndpointHost {
   clock: Clock;
+  /** Draws the pace of its engine. */
+  random: Random;
   id: string;
   slots: number;
   /** Version of its software. */
@@ -89,6 +43,19 @@
   end(end: OrderlyEnd): void;
 }
 
+/** A run of a request. */
+interface Run {
+  step: { request: string; run: number };
+  entry: RunEntry;
+  request: IncomingMessage;
+  response: ServerResponse;
+  work: Work;
+  /** Last event that the instance had. */
+  after: number;
+  /** Last event that was sent. */
+  number: number;
+}
+
 /** An answer that has begun. */
 interface OpenAnswer {
   response: ServerResponse;
@@ -108,10 +75,12 @@
 
 /**
  * Creates an endpoint that sends what the path of a request asks for. It keeps to the time limit that
- * it is told, counted from the request's arrival: it begins no event that would come later.
+ * it is told, counted from the request's arrival: it begins no event that would come later. An engine makes
+ * the streams that are asked for in steps.
  */
 export function createSoakEndpoint(host: SoakEndpointHost): SoakEndpoint {
   const { clock, id, slots, version, record } = host;
+  const engine = createSteppedEngine(clock, host.random);
   const openAnswers = new Set<OpenAnswer>();
   let active = 0;
   let runs = 0;
@@ -131,8 +100,10 @@
     } else if (active >= slots || host.isFull()) {
       decline(response, name, DECLINED_STATUS, 'full');
     } else {
+      const { fault } = decodeWork(request.url ?? '/');
+      const serving = fault === 'steps' ? runInSteps : runWithPauses;
       active += 1;
-      await run(request, response, name, body).finally(() => {
+      await serving(request, response, name, body).finally(() => {
         active -= 1;
       });
     }
@@ -142,73 +113,53 @@
     response: ServerResponse,
     request: string,
     status: number,
-    reason: 'full' | 'other-endpoint',
+    reason: 'full' | 'other-endpoint' | 'time-limit',
+    waited?: Milliseconds,
   ): void {
-    record({ event: 'declined', request, reason });
+    record({ event: 'declined', request, reason, waited });
     const headers = { [WireHeader.requestId]: request, [WireHeader.notRun]: '1' };
     response.writeHead(status, { ...headers, 'content-length': 0 }).end();
   }
 
-  async function run(
+  async function runWithPauses(
     request: IncomingMessage,
     response: ServerResponse,
     name: string,
     body: string,
   ): Promise<void> {
-    const path = request.url ?? '/';
-    const deadline = clock.elapsed() + Number(request.headers[WireHeader.timeLeft] ?? Infinity);
-    const work = decodeWork(path);
-    const after = Number(request.headers[WireHeader.resumeAfter] ?? 0);
-    const account = String(request.headers[WireHeader.account] ?? '');
-    runs += 1;
-    const step = { request: name, run: runs };
-    const entry: RunEntry = [name, 0, 0, 0];
-    underWay.set(step.run, entry);
-    response.once('close', () => underWay.delete(step.run));
-    record({ event: 'run', ...step, path, after, account, version, body });
+    const deadline = getDeadline(request);
+    const begun = begin(request, response, name, body);
+    const { step, work, after } = begun;
     const fault = hasFault(id, name) ? work.fault : 'none';
     const middle = Math.floor((after + work.events) / 2);
     const isShort =
       fault === 'short' || ((fault === 'empty' || fault === 'forgotten') && after === 0);
     const last = isShort ? middle : work.events;
     if (fault === 'late') await sleep(clock, LATE_ANSWER_DELAY_MS);
-    writeHead(response, name, work, after, fault);
+    tellHead(begun, fault);
+    response.flushHeaders();
     const prompt = String(request.headers[WireHeader.promptParts] ?? '');
     if (work.fault === 'crash-request' || isCrashing(prompt)) {
       record({ event: 'crash', ...step });
       await sleep(clock, CRASH_DELAY_MS);
       host.die();
     }
-    let number = after;
-    const answer: OpenAnswer = {
-      response,
-      stop(reason) {
-        record({ event: 'stopped', ...step, number, reason });
-        // What a length still promises is never sent.
-        if (work.framing === 'length') request.socket.destroySoon();
-        else response.end();
-      },
-    };
-    openAnswers.add(answer);
-    response.once('close', () => openAnswers.delete(answer));
+    const answer = open(begun);
     const isForgotten = after > 0 && hasForgotten(id, work);
     const early = endReason ?? (isForgotten ? 'resumed' : undefined);
     if (early && after < last) answer.stop(early);
-    while (number < last && isOpen(response)) {
+    while (begun.number < last && isOpen(response)) {
       if (clock.elapsed() + work.pause > deadline) answer.stop('time-limit');
       if (!isOpen(response)) break;
-      const isSilent = fault === 'silent' && number === middle;
+      const isSilent = fault === 'silent' && begun.number === middle;
       await sleep(clock, isSilent ? SILENCE_MS : work.pause);
       while (isHalted) await sleep(clock, HALT_INTERVAL_MS);
       if (!isOpen(response)) break;
-      number += 1;
-      entry[2] = number - after;
-      // Recorded first: what the kernel has taken may arrive although the process is killed.
-      record({ event: 'sent', ...step, number });
-      response.write(renderEvent(name, number, version));
+      sendEvent(begun);
     }
     openAnswers.delete(answer);
     if (response.writableEnded) return;
+    const { number } = begun;
     if (response.destroyed) record({ event: 'closed', ...step, number });
     else {
       if (!isShort) record({ event: 'stated', ...step, number });
@@ -216,37 +167,106 @@
     }
   }
 
-  function writeHead(
+  function runInSteps(
+    request: IncomingMessage,
     response: ServerResponse,
     name: string,
-    work: Work,
-    after: number,
-    fault: AnswerFault,
-  ): void {
-    const content = renderEvents(name, after, work.events, version);
-    const extra = fault === 'length' ? 1 : 0;
-    const framing = match(work.framing)
-      .with('length', () => ({ ...KEEP_ALIVE, 'content-length': content.length + extra }))
-      .with('chunked', () => ({ ...KEEP_ALIVE, 'transfer-encoding': 'chunked' }))
-      .with('close', () => ({ connection: 'close' }))
-      .exhaustive();
-    // Without this, Node frames an answer that has neither a length nor chunks in chunks.
-    response.useChunkedEncodingByDefault = work.framing === 'chunked';
-    const limit = host.getRateLimit();
-    if (limit !== undefined) response.setHeader(WireHeader.rateLimit, limit);
-    response.writeHead(200, {
-      [WireHeader.requestId]: fault === 'other' ? `${name}-other` : name,
-      [WireHeader.signature]: signAnswer(id, name),
-      'content-type': 'text/event-stream',
-      ...framing,
+    body: string,
+  ): Promise<void> {
+    const arrivedAt = clock.elapsed();
+    const getWait = () => Math.round(clock.elapsed() - arrivedAt);
+    let stream: { run: Run; answer: OpenAnswer } | undefined;
+    engine.add({
+      deadline: getDeadline(request),
+      isOpen: () => isOpen(response),
+      begin() {
+        const begun = begin(request, response, name, body, getWait());
+        tellHead(begun, 'none');
+        stream = { run: begun, answer: open(begun) };
+      },
+      sendEvent() {
+        if (stream) sendStep(stream.run);
+      },
+      stop: () => stream?.answer.stop('time-limit'),
+      decline: () => decline(response, name, DECLINED_STATUS, 'time-limit', getWait()),
     });
-    response.flushHeaders();
+    return new Promise((resolve) => {
+      response.once('close', () => {
+        if (stream && !response.writableEnded) {
+          record({ event: 'closed', ...stream.run.step, number: stream.run.number });
+        }
+        resolve();
+      });
+    });
+  }
+
+  function sendStep(run: Run): void {
+    const { step, response, work } = run;
+    sendEvent(run);
+    if (run.number < work.events) return;
+    record({ event: 'stated', ...step, number: run.number });
+    response.end();
+  }
+
+  function getDeadline({ headers }: IncomingMessage): Milliseconds {
+    return clock.elapsed() + Number(headers[WireHeader.timeLeft] ?? Infinity);
+  }
+
+  function begin(
+    request: IncomingMessage,
+    response: ServerResponse,
+    name: string,
+    body: string,
+    waited?: Milliseconds,
+  ): Run {
+    const path = request.url ?? '/';
+    const after = Number(request.headers[WireHeader.resumeAfter] ?? 0);
+    const account = String(request.headers[WireHeader.account] ?? '');
+    runs += 1;
+    const step = { request: name, run: runs };
+    const entry: RunEntry = [name, 0, 0, 0];
+    underWay.set(step.run, entry);
+    response.once('close', () => underWay.delete(step.run));
+    record({ event: 'run', ...step, path, after, account, version, body, waited });
+    return { step, entry, request, response, work: decodeWork(path), after, number: after };
+  }
+
+  function tellHead({ step, response, work, after }: Run, fault: AnswerFault): void {
+    const rateLimit = host.getRateLimit();
+    const head = { endpoint: id, version, name: step.request, work, after, fault, rateLimit };
+    writeHead(response, head);
+  }
+
+  function open(run: Run): OpenAnswer {
+    const { step, request, response, work } = run;
+    const answer: OpenAnswer = {
+      response,
+      stop(reason) {
+        record({ event: 'stopped', ...step, number: run.number, reason });
+        // What a length still promises is never sent.
+        if (work.framing === 'length') request.socket.destroySoon();
+        else response.end();
+      },
+    };
+    openAnswers.add(answer);
+    response.once('close', () => openAnswers.delete(answer));
+    return answer;
+  }
+
+  function sendEvent(run: Run): void {
+    const { step, entry, response, after } = run;
+    run.number += 1;
+    entry[2] = run.number - after;
+    // Recorded first: what the kernel has taken may arrive although the process is killed.
+    record({ event: 'sent', ...step, number: run.number });
+    response.write(renderEvent(step.request, run.number, version));
   }
 
   const server = http.createServer((request, response) => {
     if (request.url === REPORT_PATH) {
       const list = [...underWay.values()];
-      writeJson(response, 200, { queued: 0, active: list.length, runs: list });
+      const queued = engine.countWaiting();
+      writeJson(response, 200, { queued, active: list.length, runs: list });
       return;
     }
     const accept = async (body: Buffer) => {
@@ -279,33 +299,3 @@
     },
   };
 }
-
-function isOpen(response: ServerResponse): boolean {
-  return !response.destroyed && !response.writableEnded;
-}
-
-// An answer cut short closes its connection in order and, in chunks, without the last one.
-function endAnswer(
-  request: IncomingMessage,
-  response: ServerResponse,
-  { framing }: Work,
-  fault: AnswerFault,
-): void {
-  if (fault === 'short' || fault === 'length') {
-    request.socket.end();
-    return;
-  }
-  response.end();
-  // Without a length or chunks they would belong to the answer.
-  if (fault === 'extra' && framing !== 'close') request.socket.write(EXTRA_ANSWER);
-}
-
-function hasFault(endpoint: string, request: string): boolean {
-  return parseInt(hashText(`${endpoint}/${request}`).slice(0, 1), 16) < FAULTY_SIXTEENTHS;
-}
-
-// As endpoints are numbered, one of two that serve a version; of many, several confirm each other.
-function hasForgotten(endpoint: string, { fault }: Work): boolean {
-  const isForgetful = Number(endpoint.split('-').at(-1)) % FORGETFUL_STEP === 1;
-  return fault === 'forgotten' || (fault === 'empty' && isForgetful);
-}
--- a/packages/standins/src/soakEndpointProcess.ts
+++ b/packages/standins/src/soakEndpointProcess.ts
@@ -1,8 +1,8 @@
-import { listen, sleep } from '@pomeloroad/core';
+import { createRandom, listen, sleep } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { announceEndpoint } from './announcement';
+import type { EndpointLine, OrderlyEnd } from './endpointLines';
 import { createSoakEndpoint } from './soakEndpoint';
-import type { EndpointLine, OrderlyEnd } from './soakEndpoint';
 
 /** Time beyond the announced one for which an endpoint that leaves still serves. */
 const EXTRA_SERVICE_MS: Milliseconds = 2000;
@@ -15,6 +15,8 @@
 /** Settings of the process of an endpoint. */
 export interface SoakEndpointSettings {
   clock: Clock;
+  /** Seed of the pace of its engine. */
+  seed: number;
   id: string;
   address: string;
   /** Address at which instances reach it. */
@@ -49,7 +51,18 @@
   let rateLimit: number | undefined;
   const die = () => process.kill(process.pid, 'SIGKILL');
   const getRateLimit = () => rateLimit;
-  const base = { clock, id, slots, version, record, isFull: () => isFull, die, getRateLimit };
+  const random = createRandom(settings.seed);
+  const base = {
+    clock,
+    random,
+    id,
+    slots,
+    version,
+    record,
+    isFull: () => isFull,
+    die,
+    getRateLimit,
+  };
   const endpoint = createSoakEndpoint({ ...base, end });
   const { server, countActive } = endpoint;
   server.keepAliveTimeout = settings.idleTimeout;
--- a/packages/standins/src/soakWork.ts
+++ b/packages/standins/src/soakWork.ts
@@ -25,7 +25,9 @@
   /** The prompt holds a part under which the endpoint dies soon after the head. */
   | 'crash'
   /** The endpoint dies soon after the head, whatever the prompt holds. */
-  | 'crash-request';
+  | 'crash-request'
+  /** Comes from an engine that works in steps and stops short of its time limit, at all endpoints. */
+  | 'steps';
 
 /** What a request asks an endpoint to send. It stands in the request's path. */
 export interface Work {
