--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -1,8 +1,6 @@
 import http from 'node:http';
 import https from 'node:https';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { Err } from 'ts-results';
-import { match } from 'ts-pattern';
 import {
   answerExpectations,
   closeAfter,
@@ -10,19 +8,18 @@
   createOpenRequests,
   hashText,
   listen,
-  readRequestBody,
   serveInOrder,
-  withTimeout,
   writeJson,
 } from '@pomeloroad/core';
-import type { BodyFault, Clock, Identity, Outcome } from '@pomeloroad/core';
+import type { Clock, Identity } from '@pomeloroad/core';
 import { hasBudget } from '@pomeloroad/configuration';
-import type { Configuration, Service } from '@pomeloroad/configuration';
+import type { Configuration } from '@pomeloroad/configuration';
 import { createRefusal, issueKey, parseIssuedKey } from '@pomeloroad/requests';
-import type { Refusal } from '@pomeloroad/requests';
+import type { IssuedKey, Refusal } from '@pomeloroad/requests';
 import type { AnswerOpener } from './answerOpener';
 import { deliverAnswer, writeRefusal } from './answerWriter';
 import type { Delivery } from './answerWriter';
+import { receiveBody } from './callerBody';
 import { CallerHeader, parseCallerHeaders } from './callerHeaders';
 import type { CallerOptions } from './callerHeaders';
 import { parseChatRequest } from './chatRequest';
@@ -31,33 +28,19 @@
 import type { InstanceMetrics } from './instanceMetrics';
 import { createReopen } from './reopen';
 import type { RunRequest, Work } from './runRequest';
+import {
+  createServiceCall,
+  findService,
+  hashServiceCall,
+  isIdempotentCall,
+  parseServiceUrl,
+} from './serviceRequest';
+import type { ServiceTarget } from './serviceRequest';
 import type { Settings } from './settings';
 
-/** Not created for each request, because creating an error takes long. */
-const BODY_LATE = Err('timed-out' as const);
-const SERVICE_PATH = /^\/v1\/services\/([^/?]+)(\/[^?]*)?(\?.*)?$/;
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const NOT_READY_RETRY_AFTER_MS = 1000;
 
-/** Request headers that are not passed on to a plain service. */
-const SKIPPED_REQUEST_HEADERS = new Set<string>([
-  'authorization',
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'te',
-  'transfer-encoding',
-  'upgrade',
-  CallerHeader.budget,
-  CallerHeader.priority,
-  CallerHeader.deadline,
-]);
-
-/** Methods that HTTP defines as idempotent. */
-const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD', 'PUT', 'DELETE', 'OPTIONS']);
-
 /** Dependencies of the callers' HTTP interface. */
 export interface CallerServerHost {
   clock: Clock;
@@ -90,6 +73,16 @@
   credentials: Credentials;
 }
 
+/** What a caller has asked for. */
+interface CallerRequest {
+  options: CallerOptions;
+  work: Work;
+  /** Hash of the request's content. */
+  digest: string;
+  /** How the answer is delivered. */
+  form: Delivery['form'];
+}
+
 /** Creates a server that does not listen yet; it uses HTTPS if a certificate is given. */
 export function createCallerServer(
   host: CallerServerHost,
@@ -165,15 +158,16 @@
       writeJson(response, 201, { key });
       return undefined;
     }
-    const service = SERVICE_PATH.exec(url);
-    if (service) return serveService(exchange, service);
+    const target = parseServiceUrl(url);
+    if (target) return serveService(exchange, target);
     return createRefusal('not_found', 'no', `There is nothing at ${path}.`);
   }
 
   async function serveChat(exchange: Exchange): Promise<Refusal | undefined> {
-    const headers = parseCallerHeaders(exchange.request.headers, settings);
+    const { request, response } = exchange;
+    const headers = parseCallerHeaders(request.headers, settings);
     if (headers.err) return headers.val;
-    const body = await receiveBody(exchange);
+    const body = await receiveBody(clock, settings, request, response);
     if (body.err) return body.val;
     const text = body.val.toString('utf8');
     const chat = parseChatRequest(exchange.configuration, text);
@@ -181,33 +175,29 @@
     const form = chat.val.isStreamed ? 'events' : 'json';
     const digest = hashText(JSON.stringify(Object.entries(chat.val.body).sort()));
     const work: Work = { kind: 'chat', chat: chat.val };
-    return run(exchange, headers.val, work, digest, form);
+    return run(exchange, { options: headers.val, work, digest, form });
   }
 
   async function serveService(
     exchange: Exchange,
-    [, name = '', path = '/', query = '']: RegExpExecArray,
+    target: ServiceTarget,
   ): Promise<Refusal | undefined> {
-    const { request, configuration } = exchange;
-    const service = configuration.services.find((candidate) => candidate.name === name);
-    if (!service) return createRefusal('not_found', 'no', `There is no service "${name}".`);
+    const { request, response, configuration } = exchange;
+    const service = findService(configuration, target.name);
+    if (service.err) return service.val;
     const headers = parseCallerHeaders(request.headers, settings);
     if (headers.err) return headers.val;
-    const body = await receiveBody(exchange);
+    const body = await receiveBody(clock, settings, request, response);
     if (body.err) return body.val;
-    const work = createServiceWork(request, service, path + query, body.val);
-    const content = [request.method, path, query, body.val.toString('base64')];
-    return run(exchange, headers.val, work, hashText(JSON.stringify(content)), 'service');
+    const call = createServiceCall(request, service.val, target, body.val);
+    const digest = hashServiceCall(call, target);
+    const work: Work = { kind: 'call', call };
+    return run(exchange, { options: headers.val, work, digest, form: 'service' });
   }
 
-  async function run(
-    exchange: Exchange,
-    options: CallerOptions,
-    work: Work,
-    digest: string,
-    form: Delivery['form'],
-  ): Promise<Refusal | undefined> {
+  async function run(exchange: Exchange, asked: CallerRequest): Promise<Refusal | undefined> {
     const { id, response, credentials } = exchange;
+    const { options, work, form } = asked;
     const { account, key } = credentials;
     const budget = options.budget ?? key.budget;
     if (!hasBudget(account, budget)) {
@@ -215,20 +205,7 @@
     }
     const issued = options.key ? parseIssuedKey(settings.fleetKey, options.key) : undefined;
     if (issued && issued.account !== account.name) return KEY_OF_OTHER_ACCOUNT;
-    const request: RunRequest = {
-      id,
-      account: account.name,
-      budget: `${account.name}/${budget}`,
-      name: options.key ? { account: account.name, key: options.key } : undefined,
-      digest,
-      isIdempotent: options.isIdempotent && isIdempotentMethod(work),
-      isProvisional: false,
-      isContinuation: form === 'events' && options.from > 0,
-      needsClaim: !options.isIdempotent && !issued,
-      priority: options.priority,
-      patience: options.patience,
-      work,
-    };
+    const request = createRunRequest(exchange, asked, budget, issued);
     const source = await host.opener.open(request, issued);
     if ('code' in source) return source;
     const model = work.kind === 'chat' ? work.chat.model : work.call.service;
@@ -245,28 +222,6 @@
     if (host.isDraining()) closeAfter(response);
   }
 
-  // Resolves to an error without a refusal if the connection is refused as a whole.
-  async function receiveBody({
-    request,
-    response,
-  }: Exchange): Promise<Outcome<Buffer, Refusal | undefined>> {
-    const limit = settings.bodyLimit;
-    if (Number(request.headers['content-length'] ?? 0) > limit) return Err(refuseTooLarge(limit));
-    const reading: Promise<Outcome<Buffer, BodyFault | 'timed-out'>> = readRequestBody(
-      request,
-      limit,
-    );
-    const read = await withTimeout(clock, settings.requestTimeout, reading, BODY_LATE);
-    if (read.ok) return read;
-    closeAfter(response);
-    return match(read.val)
-      .with('too-large', () => Err(refuseTooLarge(limit)))
-      .with('timed-out', () => Err(BODY_TIMED_OUT))
-      .with('disconnected', () => Err(INCOMPLETE_BODY))
-      .with('unreadable', () => Err(undefined))
-      .exhaustive();
-  }
-
   return {
     listen: () => listen(server, settings.callersAddress),
     open: openRequests.count,
@@ -275,32 +230,33 @@
   };
 }
 
-function isIdempotentMethod(work: Work): boolean {
-  return work.kind === 'chat' || IDEMPOTENT_METHODS.has(work.call.method);
-}
-
-function createServiceWork(
-  request: IncomingMessage,
-  service: Service,
-  path: string,
-  body: Buffer,
-): Work {
-  const headers = Object.entries(request.headers)
-    .filter(([name, value]) => value !== undefined && !SKIPPED_REQUEST_HEADERS.has(name))
-    .map(([name, value]): [string, string] => [name, String(value)]);
+function createRunRequest(
+  { id, credentials }: Exchange,
+  { options, work, digest, form }: CallerRequest,
+  budget: string,
+  issued: IssuedKey | undefined,
+): RunRequest {
+  const account = credentials.account.name;
   return {
-    kind: 'call',
-    call: {
-      service: service.name,
-      method: request.method ?? 'GET',
-      path,
-      headers: Object.fromEntries(headers),
-      body,
-      tokens: service.tokensPerCall,
-    },
+    id,
+    account,
+    budget: `${account}/${budget}`,
+    name: options.key ? { account, key: options.key } : undefined,
+    digest,
+    isIdempotent: options.isIdempotent && isIdempotentWork(work),
+    isProvisional: false,
+    isContinuation: form === 'events' && options.from > 0,
+    needsClaim: !options.isIdempotent && !issued,
+    priority: options.priority,
+    patience: options.patience,
+    work,
   };
 }
 
+function isIdempotentWork(work: Work): boolean {
+  return work.kind === 'chat' || isIdempotentCall(work.call);
+}
+
 function listModels(configuration: Configuration) {
   const data = configuration.pools.map((pool) => ({
     id: pool.model,
@@ -311,10 +267,6 @@
   return { object: 'list', data };
 }
 
-function refuseTooLarge(limit: number): Refusal {
-  return createRefusal('body_too_large', 'no', `The body is larger than ${limit} bytes.`);
-}
-
 // With a key, it is unknown whether another instance has run an earlier attempt under the same key.
 function refuseNotReady({ headers }: IncomingMessage): Refusal {
   const ran = headers[CallerHeader.key] === undefined ? 'no' : 'unknown';
@@ -329,13 +281,3 @@
   'no',
   'The key was issued to another account.',
 );
-const INCOMPLETE_BODY = createRefusal(
-  'invalid_request',
-  'no',
-  'The request was not sent to its end.',
-);
-const BODY_TIMED_OUT = createRefusal(
-  'request_timeout',
-  'no',
-  'The request took too long to be sent.',
-);
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -1,24 +1,24 @@
 import { setMaxListeners } from 'node:events';
-import { createPauseGuard, Diagnostics, runPeriodically, withTimeout } from '@pomeloroad/core';
-import type { DroppedLines, Milliseconds, Tokens } from '@pomeloroad/core';
-import { BUDGET_TABLE, createEscrow, createEscrowLease } from '@pomeloroad/budgets';
+import { createPauseGuard, Diagnostics, withTimeout } from '@pomeloroad/core';
+import type { DroppedLines, Milliseconds } from '@pomeloroad/core';
 import { createAdmission, createEndpoints } from '@pomeloroad/routing';
 import { watchStore } from '@pomeloroad/storage';
-import type { RowChange, RowView, StoreEra, VersionedRow } from '@pomeloroad/storage';
+import type { StoreEra } from '@pomeloroad/storage';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { followConfiguration } from './store/configurationFeed';
 import { getIncarnation, watchCrashes } from './suspects/crashWatch';
 import { createEndpointDirectory } from './store/endpointDirectory';
+import { followEndpoints } from './store/endpointFeed';
 import { createEndpointLosses } from './store/endpointLosses';
 import { createDialer } from './relays/dialer';
 import { startRelayDirectory } from './relays/relayDirectory';
 import { createEndHistory } from './ends/endHistory';
 import { findEndpointState } from './store/endpointState';
+import { startPrepaidBudgets } from './limits/prepaidBudgets';
 import { startRateLimits } from './limits/rateLimits';
 import { startSlotShares } from './limits/slotShares';
 import { createPauseHistory } from './ends/pauseHistory';
 import { createRecentEnds } from './ends/recentEnds';
-import { followTable } from './store/follow';
 import { shareCalls } from './store/sharedCalls';
 import { forward } from './forward';
 import { registerGauges } from './forwardGauges';
@@ -32,11 +32,7 @@
 import { createVersionHistory } from './origins/versionHistory';
 import { createRetryBudget } from './limits/retryBudget';
 import type { ForwardInstance, ForwardInstanceHost } from './forwardInstanceTypes';
-import type { EndpointRecord, ForwardConfiguration } from './types';
 
-const ENDPOINT_POLL_DELAY_MS: Milliseconds = 400;
-const BUDGET_POLL_DELAY_MS: Milliseconds = 300;
-const REBALANCE_INTERVAL_MS: Milliseconds = 400;
 /** Maximum time that a request waits for the store to be read again after a pause of the process. */
 const REFRESH_TIMEOUT_MS: Milliseconds = 500;
 const ADMISSION_QUEUE_LIMIT = 500;
@@ -61,9 +57,7 @@
   setMaxListeners(LOOPS_MAX, stop.signal);
   const following = { clock, log, rows, signal: stop.signal };
   const feed = startSharedFeed(following);
-  let leaseStart: Promise<void> | undefined;
   let open = 0;
-  let endpointEra: StoreEra | undefined;
 
   let instanceNames: string[] = [];
   const instanceCount = startInstanceCount({
@@ -72,28 +66,6 @@
       instanceNames = names;
     },
   });
-  const lease = createEscrowLease({
-    ...following,
-    instance: host.instance,
-    incarnation: host.incarnation,
-    countInstances: instanceCount.get,
-    isUsageCovered: () => escrow.isUsageCovered(),
-  });
-  const escrow = createEscrow({
-    clock,
-    random,
-    log,
-    rows,
-    instance: host.instance,
-    incarnation: host.incarnation,
-    isStoreUnresponsive: isSilent,
-    getReserveShare: lease.getReserveShare,
-    getReserveDelay: lease.getReserveDelay,
-    countInstances: instanceCount.get,
-    listInstances: instanceCount.list,
-    isFleetCounted: instanceCount.isConfirmed,
-    getLimitsAge: () => configuration.getAge(),
-  });
   const endpoints = createEndpoints({ clock, log, onFailure: recentEnds.noteFate });
   const losses = createEndpointLosses(clock);
   const directory = createEndpointDirectory({
@@ -128,36 +100,25 @@
     table: host.tables.configuration,
     decode: host.decodeConfiguration,
     getDelayLimit: host.getConfigurationDelayLimit,
-    onAccepted(accepted) {
-      escrow.setLimits(getPrepaidLimits(accepted));
-      startLease();
-    },
+    onAccepted: (accepted) => budgets.configure(accepted),
   });
-  const endpointFeed = followTable(following, {
+  const endpointFeed = followEndpoints({
+    ...following,
     table: host.tables.endpoints,
-    partitions: [''],
-    pause: ENDPOINT_POLL_DELAY_MS,
-    onView: applyEndpointView,
-    onChanges: (changes) => changes.forEach(applyEndpointChange),
-    onUnavailable() {
-      directory.markStoreUnavailable();
-      losses.noteUnknown();
-    },
-    onAvailable: directory.markStoreAvailable,
+    decode: host.decodeEndpoint,
+    directory,
+    losses,
   });
-  followTable(following, {
-    table: BUDGET_TABLE,
-    // All rows of interest are in other partitions; the feed tells of their changes.
-    partitions: [''],
-    pause: BUDGET_POLL_DELAY_MS,
-    onView(view) {
-      escrow.startEra(view.era);
-      escrow.applyChanges(view.rows);
-    },
-    onChanges: escrow.applyChanges,
-    onUnavailable: () => undefined,
-    onAvailable: () => undefined,
+  const budgets = startPrepaidBudgets({
+    ...following,
+    random,
+    instance: host.instance,
+    incarnation: host.incarnation,
+    instanceCount,
+    isStoreUnresponsive: isSilent,
+    getConfigurationAge: configuration.getAge,
   });
+  const { escrow } = budgets;
   const relays = startRelayDirectory({
     ...following,
     random,
@@ -219,13 +180,6 @@
     log(Diagnostics.processPaused);
     await Promise.all([configuration.refresh(), endpointFeed.refresh(), suspects.refresh()]);
   });
-  runPeriodically(
-    clock,
-    () => REBALANCE_INTERVAL_MS,
-    stop.signal,
-    async () => escrow.rebalance(REBALANCE_INTERVAL_MS),
-  );
-
   const origins = startStreamOrigins({
     clock,
     rows,
@@ -266,6 +220,7 @@
     checkPath: ({ address }) => dialer.check(address),
     findService: (name) => configuration.getTable()?.findService(name),
     refreshEndpoints: shareCalls(endpointFeed.refresh),
+    getHeldUpTime: guard.getHeldUpTime,
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
 
@@ -274,33 +229,6 @@
     return Math.min(configuration.getEra(), endpointFeed.getEra());
   }
 
-  // Waits for a configuration, because it names the accounts whose grants the predecessor may hold.
-  function startLease(): void {
-    leaseStart ??= lease.start().then(async (predecessor) => {
-      await escrow.reclaim(predecessor);
-    });
-  }
-
-  function decodeEndpointRow(row: VersionedRow): EndpointRecord | undefined {
-    const record = host.decodeEndpoint(row);
-    if (!record) log(Diagnostics.rowUnreadable, { table: row.table, key: row.key });
-    return record;
-  }
-
-  function applyEndpointView({ rows: listed, era }: RowView): void {
-    const records = listed.map(decodeEndpointRow).filter(isDefined);
-    const isCopy = endpointEra !== undefined && era > endpointEra;
-    endpointEra = era;
-    if (isCopy) directory.replaceByCopy(records);
-    else directory.replaceAll(records);
-  }
-
-  function applyEndpointChange(change: RowChange): void {
-    const record = isPresent(change) ? decodeEndpointRow(change) : undefined;
-    if (record) directory.upsert(record);
-    else directory.remove(change.key);
-  }
-
   return {
     getTable: configuration.getTable,
     isConfigurationCurrent: configuration.isCurrent,
@@ -346,19 +274,3 @@
     },
   };
 }
-
-function getPrepaidLimits({ accounts }: ForwardConfiguration): Map<string, Tokens> {
-  const limits = new Map<string, Tokens>();
-  accounts.forEach(({ name, prepaid }) => {
-    if (prepaid !== undefined) limits.set(name, prepaid);
-  });
-  return limits;
-}
-
-function isPresent(change: RowChange): change is VersionedRow {
-  return change.value !== undefined;
-}
-
-function isDefined(record: EndpointRecord | undefined): record is EndpointRecord {
-  return record !== undefined;
-}
