--- a/packages/forwarding/test/streamEnd.test.ts
+++ b/packages/forwarding/test/streamEnd.test.ts
@@ -127,3 +127,21 @@
   const stated = await forwardTo(answers, {}, 2, history);
   expect(stated.answered).toMatchObject({ events: 1, resumptions: 1 });
 });
+
+test.each([
+  [112, 'cut'],
+  [99, 'end'],
+])('a stream of %i quick events that ends near the deadline: %s', async (count, end) => {
+  const events = Array.from({ length: count }, () => 20);
+  const { calls } = await forwardTo([{ events }]);
+  expect(calls).toEqual(['begin', end]);
+});
+
+test('an end that the time limit has caused does not cast doubt on the next one of its endpoint', async () => {
+  const history = createEndHistory();
+  const late: StandAnswer = { events: [900] };
+  const stopped = await forwardTo([late, MORE], { deadline: 1700 }, 2, history);
+  expect(stopped.answered).toMatchObject({ events: 3, resumptions: 1 });
+  const { calls, suspicious } = await forwardTo([{ events: [100] }], {}, 2, history);
+  expect({ calls, suspicious }).toEqual({ calls: ['begin', 'end'], suspicious: [] });
+});
