--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -70,7 +70,9 @@
   const run = {
     host: {
       protocol: { send, probe, findRun },
+      getHeldUpTime: () => 0,
       directory: { find: () => ({ id: 'e2' }) },
+      getHeldUpTime: () => 0,
       clock,
       admission: { acquire },
       retryBudget: { take: () => hasRetries },
@@ -97,6 +99,7 @@
     pending: 1,
     declines: 0,
     events: 1,
+    lastEventId: '1',
   } as unknown as Run<unknown>;
   const attempt = {
     slot: {
