--- a/packages/forwarding/src/ends/endHistory.ts
+++ b/packages/forwarding/src/ends/endHistory.ts
@@ -16,7 +16,7 @@
 
 const NO_ENDS: EndCount = { ends: 0, apart: 0 };
 
-/** What earlier ends of streams have shown, wherever a second endpoint was asked for the rest. */
+/** How streams have ended lately, and what was shown where a second endpoint was asked for the rest. */
 export interface EndHistory {
   /** Notes that an endpoint of the service has stated the end of a stream. */
   noteStatement(service: string): void;
