--- a/packages/forwarding/src/ends/limitEnd.ts
+++ b/packages/forwarding/src/ends/limitEnd.ts
@@ -1,21 +1,27 @@
 import type { Milliseconds } from '@pomeloroad/core';
-import { isRetryable, STREAM_THRESHOLD_MS } from '../attempts/patience';
+import { STREAM_THRESHOLD_MS } from '../attempts/patience';
 import type { SentAttempt } from '../attempts/sentAttempt';
 import type { Run } from '../run';
+import type { ToldLimit } from './answerCourse';
 import type { AnswerEnd } from '../types';
 
-/**
- * Minimum step that an engine may need for an event of a stream, however short the steps before were. An end this
- * close to its limit may lack events, and a caller that may resume the stream gets them again.
- */
-const STEP_MIN_MS: Milliseconds = 550;
 /**
  * Step that an engine may reckon with, as a multiple of the longest one shown: a step takes longer while the batch grows
  * or a prompt is read, and an engine may keep a reserve.
  */
 const STEP_GROWTH_RATIO = 2;
-/** Fraction of the limit that a step without any sign of it takes at most, so that short limits allow an end. */
-const STEP_MIN_LIMIT_RATIO = 0.5;
+/** An end with less left of its limit may be that of the limit, though no step shows it. */
+const SHORT_TIME_MS: Milliseconds = 550;
+/** As `SHORT_TIME_MS`, as a fraction of a short limit. */
+const SHORT_TIME_RATIO = 0.5;
+
+/** Returns whether little of the time limit that an endpoint was told was left at the end of its answer. */
+export function isLittleTimeLeft(
+  { told }: Pick<SentAttempt, 'told'>,
+  end: Pick<AnswerEnd, 'at'>,
+): boolean {
+  return getLimitLeft(told, end) < Math.min(SHORT_TIME_MS, told.limit * SHORT_TIME_RATIO);
+}
 
 /**
  * Returns whether the time limit that an endpoint was told may have ended its answer. An engine works in steps
@@ -26,9 +32,11 @@
   attempt: SentAttempt,
   end: Pick<AnswerEnd, 'at'>,
 ): boolean {
-  const { told } = attempt;
-  const limitLeft = told.at + told.limit - end.at;
-  return limitLeft < getLongestStep(run, attempt, end.at);
+  return getLimitLeft(attempt.told, end) < getLongestStep(run, attempt, end.at);
+}
+
+function getLimitLeft(told: ToldLimit, end: Pick<AnswerEnd, 'at'>): Milliseconds {
+  return told.at + told.limit - end.at;
 }
 
 function getLongestStep<Payload>(
@@ -36,26 +44,31 @@
   attempt: SentAttempt,
   endedAt: Milliseconds,
 ): Milliseconds {
-  const { route } = run.request;
-  const { pauses, told } = attempt;
+  const { kind } = run.request.route;
+  const { pauses } = attempt;
   const own = Math.max(getReckonedStep(pauses.getLongest()), pauses.getLongest(endedAt));
   // What has run once and came in one piece is taken as it is: its caller must not think that it has failed.
-  if (route.kind === 'non-idempotent') return own;
-  // The wait for the first event or part holds at least one step; an answer with only one shows no other.
-  const isOnly = pauses.getLongest() === 0;
-  const first = isOnly ? (pauses.getFirst() ?? 0) : 0;
-  if (route.kind === 'idempotent') return Math.max(own, first);
-  const known = getKnownStep(run, attempt);
-  const least = isRetryable(route) ? Math.min(STEP_MIN_MS, told.limit * STEP_MIN_LIMIT_RATIO) : 0;
-  return Math.max(own, first, known, least);
+  if (kind === 'non-idempotent') return own;
+  const known =
+    kind === 'streaming' ? getKnownStep(run, attempt) : { step: 0, isOfEndpoint: false };
+  // The wait for the first event or part holds at least one step, where nothing else shows one.
+  const isShown = pauses.getLongest() > 0 || known.isOfEndpoint;
+  const first = isShown ? 0 : (pauses.getFirst() ?? 0);
+  return Math.max(own, first, known.step);
+}
+
+/** What other streams have shown of an engine's steps. */
+interface KnownStep {
+  step: Milliseconds;
+  isOfEndpoint: boolean;
 }
 
-// Of other streams of the endpoint.
 function getKnownStep<Payload>(
   { host: { pauseHistory }, request: { service } }: Run<Payload>,
   { slot }: SentAttempt,
-): Milliseconds {
-  return getReckonedStep(pauseHistory.getLongest(slot.endpoint.name, service));
+): KnownStep {
+  const { pause, isOfEndpoint } = pauseHistory.getLongest(slot.endpoint.name, service);
+  return { step: getReckonedStep(pause), isOfEndpoint };
 }
 
 // A longer pause is a silence, and no step that could grow.
--- a/packages/forwarding/test/limitEnd.test.ts
+++ b/packages/forwarding/test/limitEnd.test.ts
@@ -46,6 +46,11 @@
   ['after a long wait and quick events', { pauses: [1500, 20, 20] }, false],
   ['with its first event after half of the limit', { pauses: [1001] }, true],
   ['with its first event before that', { pauses: [999] }, false],
+  [
+    'with its first event, of an endpoint with short steps',
+    { pauses: [1500], elsewhere: 20 },
+    false,
+  ],
   ['after a pause as long as what is left', { pauses: [100, 20], end: 941 }, true],
   ['after a shorter pause', { pauses: [100, 20], end: 939 }, false],
   ['of an endpoint with long steps', { pauses: [900, 20], elsewhere: 541 }, true],
