--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -2,7 +2,7 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { Importance, LogFields, Milliseconds } from '@pomeloroad/core';
 import type { AnswerSource, EndOutcome } from './answerCourse';
-import { isLittleTimeLeft, mayBeLimitEnd } from './limitEnd';
+import { mayBeLimitEnd } from './limitEnd';
 import type { AnswerEnd } from '../types';
 import type { SentAttempt } from '../attempts/sentAttempt';
 import type { EndpointState } from '../store/endpointState';
@@ -19,7 +19,6 @@
   | 'nothing since resumption'
   | 'nothing since take-up'
   | 'near limit'
-  | 'little time left'
   | 'not stated'
   | 'apart from last event'
   | 'endpoint ended early'
@@ -89,8 +88,7 @@
     (hasRepeated ? undefined : findGap(run)) ??
     (mayBeLimitEnd(run, attempt, end) ? 'near limit' : undefined) ??
     findTrouble(state) ??
-    findDoubt(run, slot.endpoint.name, end) ??
-    (isLittleTimeLeft(attempt, end) ? 'little time left' : undefined);
+    findDoubt(run, slot.endpoint.name, end);
   if (!reason) return { reason, report: () => undefined };
   run.course.isSuspicious = true;
   const fields = {
--- a/packages/forwarding/src/ends/limitEnd.ts
+++ b/packages/forwarding/src/ends/limitEnd.ts
@@ -1,8 +1,7 @@
 import type { Milliseconds } from '@pomeloroad/core';
-import { STREAM_THRESHOLD_MS } from '../attempts/patience';
+import { isRetryable, STREAM_THRESHOLD_MS } from '../attempts/patience';
 import type { SentAttempt } from '../attempts/sentAttempt';
 import type { Run } from '../run';
-import type { ToldLimit } from './answerCourse';
 import type { AnswerEnd } from '../types';
 
 /**
@@ -10,18 +9,13 @@
  * or a prompt is read, and an engine may keep a reserve.
  */
 const STEP_GROWTH_RATIO = 2;
-/** An end with less left of its limit may be that of the limit, though no step shows it. */
-const SHORT_TIME_MS: Milliseconds = 550;
-/** As `SHORT_TIME_MS`, as a fraction of a short limit. */
-const SHORT_TIME_RATIO = 0.5;
-
-/** Returns whether little of the time limit that an endpoint was told was left at the end of its answer. */
-export function isLittleTimeLeft(
-  { told }: Pick<SentAttempt, 'told'>,
-  end: Pick<AnswerEnd, 'at'>,
-): boolean {
-  return getLimitLeft(told, end) < Math.min(SHORT_TIME_MS, told.limit * SHORT_TIME_RATIO);
-}
+/**
+ * Minimum step of an engine, however short the steps before were. An end this close to its limit may lack events, and
+ * a caller that may resume the stream gets them again.
+ */
+const STEP_MIN_MS: Milliseconds = 550;
+/** Maximum of that minimum as a fraction of the limit, so that short limits allow an end. */
+const STEP_MIN_LIMIT_RATIO = 0.5;
 
 /**
  * Returns whether the time limit that an endpoint was told may have ended its answer. An engine works in steps
@@ -32,11 +26,9 @@
   attempt: SentAttempt,
   end: Pick<AnswerEnd, 'at'>,
 ): boolean {
-  return getLimitLeft(attempt.told, end) < getLongestStep(run, attempt, end.at);
-}
-
-function getLimitLeft(told: ToldLimit, end: Pick<AnswerEnd, 'at'>): Milliseconds {
-  return told.at + told.limit - end.at;
+  const { told } = attempt;
+  const limitLeft = told.at + told.limit - end.at;
+  return limitLeft < getLongestStep(run, attempt, end.at);
 }
 
 function getLongestStep<Payload>(
@@ -44,17 +36,21 @@
   attempt: SentAttempt,
   endedAt: Milliseconds,
 ): Milliseconds {
-  const { kind } = run.request.route;
-  const { pauses } = attempt;
+  const { route } = run.request;
+  const { pauses, told } = attempt;
   const own = Math.max(getReckonedStep(pauses.getLongest()), pauses.getLongest(endedAt));
   // What has run once and came in one piece is taken as it is: its caller must not think that it has failed.
-  if (kind === 'non-idempotent') return own;
-  const known =
-    kind === 'streaming' ? getKnownStep(run, attempt) : { step: 0, isOfEndpoint: false };
-  // The wait for the first event or part holds at least one step, where nothing else shows one.
+  if (route.kind === 'non-idempotent') return own;
+  const known = route.kind === 'streaming' ? getKnownStep(run, attempt) : NO_STEP;
+  // The wait for the first event or part holds at least one step.
+  const first = pauses.getFirst() ?? 0;
+  if (route.kind === 'streaming' && isRetryable(route)) {
+    const least = Math.min(STEP_MIN_MS, told.limit * STEP_MIN_LIMIT_RATIO);
+    return Math.max(own, first, known.step, least);
+  }
+  // A caller that could not get the rest loses a whole answer, so it counts only where nothing else shows a step.
   const isShown = pauses.getLongest() > 0 || known.isOfEndpoint;
-  const first = isShown ? 0 : (pauses.getFirst() ?? 0);
-  return Math.max(own, first, known.step);
+  return Math.max(own, isShown ? 0 : first, known.step);
 }
 
 /** What other streams have shown of an engine's steps. */
@@ -63,6 +59,8 @@
   isOfEndpoint: boolean;
 }
 
+const NO_STEP: KnownStep = { step: 0, isOfEndpoint: false };
+
 function getKnownStep<Payload>(
   { host: { pauseHistory }, request: { service } }: Run<Payload>,
   { slot }: SentAttempt,
--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -88,8 +88,6 @@
   if (reason === undefined) return 'complete';
   if (reason === 'not stated') return 'closed';
   if (!isRetryable(route)) return reason === 'near limit' ? 'doubtful' : 'unconfirmed';
-  // No step shows that the limit was the cause.
-  if (reason === 'little time left') return 'unconfirmed';
   const isUsual = reason === 'apart from last event' && endHistory.endsApart(service);
   return isUsual ? 'unconfirmed' : 'doubtful';
 }
--- a/packages/forwarding/test/streamEnd.test.ts
+++ b/packages/forwarding/test/streamEnd.test.ts
@@ -129,17 +129,18 @@
 });
 
 test.each([
-  [112, ['little time left']],
-  [99, []],
-])(
-  'a stream of %i quick events that ends near the deadline is doubted: %j',
-  async (count, reasons) => {
-    const events = Array.from({ length: count }, () => 20);
-    const { calls, suspicious } = await forwardTo([{ events }]);
-    expect(calls).toEqual(['begin', 'end']);
-    expect(suspicious.map(({ reason }) => reason)).toEqual(reasons);
-  },
-);
+  [112, 'cut'],
+  [99, 'end'],
+])('a stream of %i quick events that ends near the deadline: %s', async (count, end) => {
+  const events = Array.from({ length: count }, () => 20);
+  const { calls } = await forwardTo([{ events }]);
+  expect(calls).toEqual(['begin', end]);
+});
+
+test('a stream that may be resumed is cut if it had waited longer than is left', async () => {
+  const { calls } = await forwardTo([{ events: [1300, 100, 100] }]);
+  expect(calls).toEqual(['begin', 'cut']);
+});
 
 test('a stream that ends with little time left goes on at an endpoint that has more', async () => {
   const events = Array.from({ length: 110 }, () => 20);
