--- a/packages/forwarding/src/ends/limitEnd.ts
+++ b/packages/forwarding/src/ends/limitEnd.ts
@@ -41,32 +41,23 @@
   const own = Math.max(getReckonedStep(pauses.getLongest()), pauses.getLongest(endedAt));
   // What has run once and came in one piece is taken as it is: its caller must not think that it has failed.
   if (route.kind === 'non-idempotent') return own;
-  const known = route.kind === 'streaming' ? getKnownStep(run, attempt) : NO_STEP;
+  const known = route.kind === 'streaming' ? getKnownStep(run, attempt) : 0;
   // The wait for the first event or part holds at least one step.
   const first = pauses.getFirst() ?? 0;
   if (route.kind === 'streaming' && isRetryable(route)) {
     const least = Math.min(STEP_MIN_MS, told.limit * STEP_MIN_LIMIT_RATIO);
-    return Math.max(own, first, known.step, least);
+    return Math.max(own, first, known, least);
   }
-  // A caller that could not get the rest loses a whole answer, so it counts only where nothing else shows a step.
-  const isShown = pauses.getLongest() > 0 || known.isOfEndpoint;
-  return Math.max(own, isShown ? 0 : first, known.step);
+  // A caller that could not get the rest loses a whole answer, so it counts only where the answer shows no other step.
+  return Math.max(own, pauses.getLongest() > 0 ? 0 : first, known);
 }
 
-/** What other streams have shown of an engine's steps. */
-interface KnownStep {
-  step: Milliseconds;
-  isOfEndpoint: boolean;
-}
-
-const NO_STEP: KnownStep = { step: 0, isOfEndpoint: false };
-
+// Of other streams of the endpoint.
 function getKnownStep<Payload>(
   { host: { pauseHistory }, request: { service } }: Run<Payload>,
   { slot }: SentAttempt,
-): KnownStep {
-  const { pause, isOfEndpoint } = pauseHistory.getLongest(slot.endpoint.name, service);
-  return { step: getReckonedStep(pause), isOfEndpoint };
+): Milliseconds {
+  return getReckonedStep(pauseHistory.getLongest(slot.endpoint.name, service));
 }
 
 // A longer pause is a silence, and no step that could grow.
--- a/packages/forwarding/src/ends/pauseHistory.ts
+++ b/packages/forwarding/src/ends/pauseHistory.ts
@@ -9,13 +9,7 @@
 export interface PauseHistory {
   note(endpoint: string, service: string, pause: Milliseconds): void;
   /** Returns the longest one of the endpoint, or of its service if none of its own is known; 0 if none at all is. */
-  getLongest(endpoint: string, service: string): KnownPause;
-}
-
-/** A pause that was shown, and whether the endpoint itself has shown it. */
-export interface KnownPause {
-  pause: Milliseconds;
-  isOfEndpoint: boolean;
+  getLongest(endpoint: string, service: string): Milliseconds;
 }
 
 /** The longest pause in each of two spans of time. */
@@ -55,10 +49,6 @@
       note(endpoints, endpoint, pause);
       note(services, service, pause);
     },
-    getLongest(endpoint, service) {
-      const own = get(endpoints.get(endpoint));
-      if (own > 0) return { pause: own, isOfEndpoint: true };
-      return { pause: get(services.get(service)), isOfEndpoint: false };
-    },
+    getLongest: (endpoint, service) => get(endpoints.get(endpoint)) || get(services.get(service)),
   };
 }
--- a/packages/forwarding/test/limitEnd.test.ts
+++ b/packages/forwarding/test/limitEnd.test.ts
@@ -49,7 +49,7 @@
   [
     'with its first event, of an endpoint with short steps',
     { pauses: [1500], elsewhere: 20 },
-    false,
+    true,
   ],
   ['after a pause as long as what is left', { pauses: [100, 20], end: 941 }, true],
   ['after a shorter pause', { pauses: [100, 20], end: 939 }, false],
--- a/packages/forwarding/test/pauseHistory.test.ts
+++ b/packages/forwarding/test/pauseHistory.test.ts
@@ -4,12 +4,12 @@
 
 test('an endpoint without pauses of its own has those of its service', () => {
   const history = createPauseHistory(createManualClock());
-  expect(history.getLongest('e1', 's').pause).toBe(0);
+  expect(history.getLongest('e1', 's')).toBe(0);
   history.note('e2', 's', 300);
   history.note('e3', 'other', 900);
-  expect(history.getLongest('e1', 's')).toEqual({ pause: 300, isOfEndpoint: false });
+  expect(history.getLongest('e1', 's')).toBe(300);
   history.note('e1', 's', 40);
-  expect(history.getLongest('e1', 's')).toEqual({ pause: 40, isOfEndpoint: true });
+  expect(history.getLongest('e1', 's')).toBe(40);
 });
 
 test.each([
@@ -24,14 +24,14 @@
   history.note('e', 's', 20);
   await clock.advance(time - 4999);
   if (time >= 5000) history.note('e', 's', 20);
-  expect(history.getLongest('e', 's').pause).toBe(longest);
+  expect(history.getLongest('e', 's')).toBe(longest);
 });
 
 test('many endpoints do not make the history grow for ever', () => {
   const history = createPauseHistory(createManualClock());
   history.note('first', 'none', 300);
   for (let index = 0; index < 1000; index += 1) history.note(`e${index}`, `s${index}`, 1);
-  expect(history.getLongest('first', 'none').pause).toBe(0);
+  expect(history.getLongest('first', 'none')).toBe(0);
 });
 
 test('the pauses of an answer begin with its second part', async () => {
