A silence after which an endpoint went on does not cut a stream that may not be resumed

Cause: a silence counted as a step. Above the time at which a replacement is sent a pause is a silence, and the caller of such a stream can't get the rest. limitEnd.test has a row that failed before.

--- a/packages/forwarding/src/ends/limitEnd.ts
+++ b/packages/forwarding/src/ends/limitEnd.ts
@@ -49,7 +49,14 @@
     return Math.max(own, first, known, least);
   }
   // A caller that could not get the rest loses a whole answer, so it counts only where the answer shows no other step.
-  return Math.max(own, pauses.getLongest() > 0 ? 0 : first, known);
+  if (pauses.getLongest() === 0) return Math.max(own, first, ignoreSilence(known));
+  // Nor do silences count after which the endpoint went on.
+  const hasGoneOn = own === pauses.getLongest();
+  return Math.max(hasGoneOn ? ignoreSilence(own) : own, ignoreSilence(known));
+}
+
+function ignoreSilence(pause: Milliseconds): Milliseconds {
+  return pause > STREAM_THRESHOLD_MS ? 0 : pause;
 }
 
 // Of other streams of the endpoint.
--- a/packages/forwarding/test/limitEnd.test.ts
+++ b/packages/forwarding/test/limitEnd.test.ts
@@ -46,6 +46,7 @@
   ['after a long wait and quick events', { pauses: [1500, 20, 20] }, false],
   ['with its first event after half of the limit', { pauses: [1001] }, true],
   ['with its first event before that', { pauses: [999] }, false],
+  ['after a silence', { pauses: [100, 1381, 20] }, false],
   [
     'with its first event, of an endpoint with short steps',
     { pauses: [1500], elsewhere: 20 },
