Soak: ends apart from the last event, busy loops, instances in turn, both harms by kind

Endpoints now end all streams or a third of them 0 to 100 ms after the last event (ends-apart, some-ends-apart), the check whole-cut concerns cuts behind the last event, and the result tells cut sound answers and early ends taken for whole side by side, by kind.

--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationHistory } from './configurationHistory';
 import { CONTACT_MS, STATUS_OK } from './checkBounds';
 import { checkAnswered, checkOwner } from './answerChecks';
-import { checkCutWhileAlive, checkShutdown } from './cutChecks';
+import { checkCutWhileAlive, checkShutdown, checkWholeCut } from './cutChecks';
 import { checkCompleteness, checkFalseEnds, checkFraming, checkTimeLimits } from './endChecks';
 import type { FaultLog } from './faultLog';
 import { isWhole } from './requestRecord';
@@ -63,6 +63,7 @@
   leaving: checkLeaving,
   shutdown: checkShutdown,
   'cut-while-alive': checkCutWhileAlive,
+  'whole-cut': checkWholeCut,
   configuration: checkConfiguration,
   'configuration-order': checkConfigurationOrder,
   recovery: checkRecovery,
--- a/packages/replay/src/soak/cutChecks.ts
+++ b/packages/replay/src/soak/cutChecks.ts
@@ -49,6 +49,26 @@
   return { message: `given up (${status}) while it went on at ${endpoints}` };
 }
 
+/**
+ * Checks that no answer is cut behind its last event though its endpoints have sent it to its end. It concerns the
+ * same requests as `checkCutWhileAlive`.
+ */
+export function checkWholeCut(record: RequestRecord, context: CheckContext): CheckOutcome {
+  if (!isWhole(record) || checkCutWhileAlive(record, context) === 'skipped') return 'skipped';
+  const { answer, runs, work } = record;
+  if (answer?.looksComplete || !runs.some(({ sent }) => sent === work.events)) return 'held';
+  const endpoints = runs.map(({ endpoint, sent }) => `${endpoint}, event ${sent}`).join('; ');
+  return { message: `cut with all events (${answer?.error ?? 'ended'}), sent by ${endpoints}` };
+}
+
+/** Whether a sound endpoint's answer held all events, but had not ended before its time limit came near. */
+export function isWholeAtLimit(record: RequestRecord): boolean {
+  const { runs, work, patience } = record;
+  const isSound = SILENT_FAULTS.includes(work.fault) && patience === undefined;
+  const hasAll = isWhole(record) && runs.some((run) => run.isEnded && run.sent === work.events);
+  return isSound && hasAll && isOutOfTime(record, undefined);
+}
+
 /** Whether a request had used up its time, or came too late before the end of its process. */
 export function isOutOfTime(
   { sentAt, endedAt = Infinity, timeLimit = TIME_LIMIT_MS }: RequestRecord,
--- /dev/null
+++ b/packages/replay/src/soak/endCounts.ts
@@ -0,0 +1,57 @@
+import type { CheckOutcome } from './checks';
+import { isWholeAtLimit } from './cutChecks';
+import type { RequestRecord } from './requestRecord';
+
+/** The two harms of wrong ends, of requests of one kind, each with the number of requests it could have come to. */
+export interface EndCount {
+  /** Answers that sound endpoints sent to their end. */
+  sound: number;
+  /** Those that callers saw cut. */
+  cut: number;
+  /** Whole ones that came to their end, or were cut or left, only at the request's time limit. */
+  late: number;
+  /** Answers that endpoints ended early. */
+  early: number;
+  /** Those that callers took for whole. */
+  taken: number;
+}
+
+const NOTHING: EndCount = { sound: 0, cut: 0, late: 0, early: 0, taken: 0 };
+/** Names of the checks that a cut of a sound endpoint's answer fails. */
+const CUT_CHECKS = ['cut-while-alive', 'whole-cut'];
+/** Names of the checks that an early end fails which its caller took for the end of the whole. */
+const EARLY_CHECKS = ['false-ends', 'time-limits'];
+
+/** Adds what the checks of a request found, by their names, to the counts by kind. */
+export function addEnds(
+  counts: Record<string, EndCount>,
+  record: RequestRecord,
+  outcomes: Record<string, CheckOutcome>,
+): void {
+  const kind = Kinds[record.work.route] ?? 'whole answer';
+  const { sound, cut, late, early, taken } = counts[kind] ?? NOTHING;
+  const [cutsMade, cutsFailed] = countOutcomes(outcomes, CUT_CHECKS);
+  const [endsMade, endsFailed] = countOutcomes(outcomes, EARLY_CHECKS);
+  Object.assign(counts, {
+    [kind]: {
+      sound: sound + cutsMade,
+      cut: cut + cutsFailed,
+      late: late + (isWholeAtLimit(record) ? 1 : 0),
+      early: early + endsMade,
+      taken: taken + endsFailed,
+    },
+  });
+}
+
+const Kinds: Record<string, string> = { stream: 'resumable stream', 'stream-once': 'other stream' };
+
+// A request counts once: whether one of the checks was made, and whether one failed.
+function countOutcomes(
+  outcomes: Record<string, CheckOutcome>,
+  names: string[],
+): [made: number, failed: number] {
+  const made = names
+    .map((name) => outcomes[name] ?? 'skipped')
+    .filter((each) => each !== 'skipped');
+  return [Math.min(1, made.length), made.some((each) => each !== 'held') ? 1 : 0];
+}
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -1,13 +1,15 @@
 import { match } from 'ts-pattern';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { RequestChecks } from './checks';
-import type { Departure } from './checks';
+import type { CheckOutcome, Departure } from './checks';
 import { createConfigurationHistory } from './configurationHistory';
 import type { ConfigurationHistory } from './configurationHistory';
 import { CrashKinds, createCrashHistory } from './crashChecks';
 import type { CrashHistory } from './crashChecks';
 import { addEarlyEnds } from './endChecks';
 import type { EarlyEndCount } from './endChecks';
+import { addEnds } from './endCounts';
+import type { EndCount } from './endCounts';
 import { createLimitHistory } from './limitChecks';
 import { createFaultLog } from './faultLog';
 import type { FaultLog } from './faultLog';
@@ -56,6 +58,8 @@
   falseEnds: Record<string, number>;
   /** The same of judged requests, by the kind of the end, with those that callers took for whole. */
   earlyEnds: Record<string, EarlyEndCount>;
+  /** Sound answers that were cut, and early ends that were taken for whole, by the kind of request. */
+  ends: Record<string, EndCount>;
   /** How often callers on plain sockets did each thing, by its name. */
   behaviours: Record<string, number>;
   /** Number of judged requests by how they ended. */
@@ -84,6 +88,7 @@
     checks: {},
     falseEnds: {},
     earlyEnds: {},
+    ends: {},
     behaviours: {},
     outcomes: {},
     onCrash: () => undefined,
@@ -167,13 +172,16 @@
   }
 
   function judgeRecord(record: RequestRecord): void {
+    const outcomes: Record<string, CheckOutcome> = {};
     Object.entries(RequestChecks).forEach(([check, apply]) => {
       const outcome = apply(record, { faults, history, departures, hasOlderBuild });
+      outcomes[check] = outcome;
       if (outcome === 'skipped') return;
       count(evidence.checks, check);
       if (check === 'false-ends') addEarlyEnds(evidence.earlyEnds, record, outcome);
       if (outcome !== 'held') failRequest(record, check, outcome.message);
     });
+    addEnds(evidence.ends, record, outcomes);
     count(evidence.outcomes, describeOutcome(record));
     evidence.totals.add(record);
     versions.add(record);
--- a/packages/replay/src/soak/fleet.ts
+++ b/packages/replay/src/soak/fleet.ts
@@ -30,6 +30,8 @@
 export interface FleetSize {
   instances: number;
   endpoints: number;
+  /** Share of the endpoints' streams whose end comes some time after their last event. */
+  apartShare?: number;
 }
 
 /** An instance: a process of the bundled program that may be started again. */
@@ -131,6 +133,7 @@
       ...['--software', version],
       ...['--store', store, '--advertised', link.address, '--idle', String(IDLE_TIMEOUT_MS)],
       ...['--seed', String(seed * ENDPOINT_SEEDS + Number(name.split('-').at(-1)))],
+      ...['--apart', String(size.apartShare ?? 0)],
     ]);
     proxy.setTarget(link.id, String(program.listening.address));
     program.exited.then(() => proxy.refuse(link.id));
--- a/packages/replay/src/soak/injector.ts
+++ b/packages/replay/src/soak/injector.ts
@@ -77,6 +77,9 @@
         await Promise.all(processes.map((ended) => endInOrder(ended, ends)));
       })
       .with({ kind: 'roll-out' }, rollOut)
+      .with({ kind: 'instances-in-turn' }, async ({ stops }) => {
+        for (const stop of stops) await play({ at: 0, name: 'instance-term', fault: stop });
+      })
       .with({ kind: 'link' }, disturbLink)
       .with({ kind: 'store' }, ({ fault: name, length }) => disturbStore(name, length))
       .with({ kind: 'crash' }, ({ name }) => restartCrashed(name))
@@ -252,7 +255,7 @@
 }
 
 function getNature(fault: Fault): FaultNature {
-  if (fault.kind === 'roll-out') return 'planned';
+  if (fault.kind === 'roll-out' || fault.kind === 'instances-in-turn') return 'planned';
   if (fault.kind !== 'signals') return 'harm';
   if (fault.signals.every(isPlannedWork)) return 'planned';
   return isSilence(fault) ? 'silence' : 'harm';
@@ -283,6 +286,7 @@
       listProcesses(fleet, target).map((stopped) => stopped.name),
     )
     .with({ kind: 'roll-out' }, ({ service }) => listOldest(fleet, service).map(({ name }) => name))
+    .with({ kind: 'instances-in-turn' }, ({ kind }) => [kind])
     .with({ kind: 'link' }, (link) => [getLink(fleet, link).name])
     .with({ kind: 'store' }, { kind: 'unreadable-rows' }, () => ['store'])
     .with({ kind: 'crash' }, ({ name }) => [name])
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -1,5 +1,6 @@
 import sade from 'sade';
 import { createSystemClock } from '@pomeloroad/core';
+import { BUSY_LOOPS_MAX } from './busyLoops';
 import { EarlyEnds, RareEarlyEnds } from './callers';
 import { DefaultFaults, FaultNames } from './plan';
 import { runSoak } from './soak';
@@ -16,7 +17,9 @@
 const UNREADABLE = 'unreadable';
 /** Faults that requests ask for. */
 const DefaultRequestFaults: string[] = [ANSWERS, UNREADABLE, ...EarlyEnds];
-const RequestFaults = [...DefaultRequestFaults, ...RareEarlyEnds];
+/** Share of the streams whose end comes apart from their last event, by the fault that asks for it. */
+const ApartShares: Record<string, number> = { 'ends-apart': 1, 'some-ends-apart': 1 / 3 };
+const RequestFaults = [...DefaultRequestFaults, ...RareEarlyEnds, ...Object.keys(ApartShares)];
 
 sade('soak', true)
   .describe('Run the bundled program under faults, as real processes, and check what is seen.')
@@ -31,6 +34,8 @@
     `some of ${[...RequestFaults, ...FaultNames].join(', ')}; all but the rare ones if left out`,
   )
   .option('--older', 'a commit whose build the instances run until they are started again')
+  .option('--keep-older', 'run it after that too')
+  .option('--busy', `processes that burn processor time, at most ${BUSY_LOOPS_MAX}`, 0)
   .option('--verbose', 'print the logs of all processes')
   .option('--json', 'print the result as one JSON line')
   .action(main)
@@ -60,7 +65,10 @@
     hasAnswerFaults: faults.includes(ANSWERS),
     hasUnreadable: faults.includes(UNREADABLE),
     earlyEnds: [...EarlyEnds, ...RareEarlyEnds].filter((name) => faults.includes(name)),
+    apartShare: Math.max(0, ...faults.map((name) => ApartShares[name] ?? 0)),
+    busyLoops: Number(flags.busy),
     olderRevision: flags.older === undefined ? undefined : String(flags.older),
+    keepsOlder: Boolean(flags['keep-older']),
     signal: interrupted.signal,
     onLog(name, line) {
       if (flags.verbose) process.stderr.write(`${name}: ${line}\n`);
@@ -78,8 +86,16 @@
     kind,
     `${taken} of ${ended}`,
   ]);
+  const ends = Object.entries(result.ends).map(([kind, { sound, cut, late, early, taken }]) => [
+    kind,
+    `${cut} of ${sound} (${late} at the limit), ${taken} of ${early}`,
+  ]);
   const counted = {
     ...{ faults, 'false ends': falseEnds, behaviours, checks, outcomes },
+    'sound answers cut, early ends taken for whole': Object.fromEntries(ends) as Record<
+      string,
+      string
+    >,
     'early ends taken for whole': Object.fromEntries(earlyEnds) as Record<string, string>,
   };
   const tables = Object.entries(counted).flatMap(([title, counts]) => [
--- a/packages/replay/src/soak/plan.ts
+++ b/packages/replay/src/soak/plan.ts
@@ -40,6 +40,8 @@
   | { kind: 'orderly-end'; target: Target; end: OrderlyEnd; pause: Milliseconds }
   /** Endpoints of a new version join a service, then those of its oldest version leave. */
   | { kind: 'roll-out'; service: number }
+  /** All instances are stopped in order and started again, one after the other. */
+  | { kind: 'instances-in-turn'; stops: SignalFault[] }
   | {
       kind: 'link';
       link: LinkTarget;
@@ -190,6 +192,12 @@
     const target = { kind: 'endpoints' as const, index, count };
     return { kind: 'orderly-end', target, end, pause: drawLength(random) };
   },
+  'instances-in-turn': (random, { instances }) => ({
+    kind: 'instances-in-turn',
+    stops: Array.from({ length: instances }, (_, index) =>
+      stop({ kind: 'instance', index }, random, [send('SIGTERM')]),
+    ),
+  }),
   // Returns the store to an older copy.
   'store-rewound': disturbStore('rewound'),
 };
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -8,6 +8,7 @@
 import { pause } from '../pause';
 import { createLauncher } from '../programs';
 import type { Launcher } from '../programs';
+import { startBusyLoops } from './busyLoops';
 import { startCallers } from './callers';
 import type { EarlyEnd } from './callers';
 import { createEvidence } from './evidence';
@@ -43,10 +44,14 @@
   hasUnreadable: boolean;
   /** Ends in order of answers that are not whole, which further callers ask for. */
   earlyEnds: EarlyEnd[];
+  /** Number of processes beside the soak that only burn processor time. */
+  busyLoops?: number;
   /** Least number of such ends by their reason, for which the soak goes on beyond its length for a time. */
   awaitedEnds?: Partial<Record<EarlyEndReason, number>>;
   /** Commit whose program the instances run until they are started again; `undefined` for the present one. */
   olderRevision?: string | undefined;
+  /** Whether they run it after that too. */
+  keepsOlder?: boolean;
   onLog(name: string, line: string): void;
   /** Aborted to end the soak early, and with it all processes. */
   signal: AbortSignal;
@@ -64,6 +69,8 @@
   falseEnds: Record<string, number>;
   /** The same by kind, with how often callers took such an answer for whole. */
   earlyEnds: Evidence['earlyEnds'];
+  /** Both harms of wrong ends side by side, by the kind of request. */
+  ends: Evidence['ends'];
   /** How often callers on plain sockets did each thing. */
   behaviours: Record<string, number>;
   /** Number of requests by how they ended. */
@@ -93,6 +100,7 @@
   const directory = mkdtempSync(path.join(tmpdir(), 'pomeloroad-soak-'));
   const plan = createPlan({ ...options, length: options.length - options.calm });
   const peaks: ProcessPeaks = { memoryMb: 0, files: 0 };
+  const stopBusyLoops = startBusyLoops(options.busyLoops ?? 0);
   const aborted = new Promise<never>((_, reject) => {
     options.signal.addEventListener('abort', () => reject(new Error('interrupted')));
   });
@@ -102,12 +110,13 @@
     const left = await launcher.close();
     evidence.check('left-behind', left.length > 0 ? `still running: ${left.join()}` : undefined);
     const { checks, falseEnds, earlyEnds, behaviours, outcomes, failures } = evidence;
-    const { totals, versions } = evidence;
+    const { totals, versions, ends } = evidence;
     const { seed } = options;
-    const counts = { faults, checks, falseEnds, earlyEnds, behaviours, outcomes };
+    const counts = { faults, checks, falseEnds, earlyEnds, ends, behaviours, outcomes };
     const figures = { spent: totals.spent, streams: versions.shares, peaks };
     return { seed, plan, ...counts, ...figures, failures };
   } finally {
+    stopBusyLoops();
     await launcher.close();
     process.off('exit', launcher.stopAll);
     rmSync(directory, { recursive: true, force: true });
@@ -128,9 +137,9 @@
 // Resolves to how often each fault was played.
 async function playSoak(run: SoakRun): Promise<Record<string, number>> {
   const { clock, options, evidence, peaks } = run;
-  const { seed, olderRevision } = options;
+  const { seed, olderRevision, keepsOlder } = options;
   const first = olderRevision ? buildRevision(olderRevision, run.directory) : BUNDLED_PROGRAM;
-  const programs = { first, next: BUNDLED_PROGRAM };
+  const programs = { first, next: keepsOlder ? first : BUNDLED_PROGRAM };
   const fleet = await startFleet(clock, run.launcher, options, seed, run.directory, programs);
   const stopped = new AbortController();
   const { signal } = stopped;
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -100,6 +100,7 @@
   .option('--idle', 'time in ms after which it closes an idle connection', 5000)
   .option('--drain', 'time in ms that it serves after it has announced its leaving', 2000)
   .option('--seed', 'seed of the pace of its engine', 1)
+  .option('--apart', 'share of the streams whose end comes apart from their last event', 0)
   .action(async (flags: Record<string, string | number>) => {
     const address = await runSoakEndpoint({
       clock: createSystemClock(),
@@ -114,6 +115,7 @@
       idleTimeout: Number(flags.idle),
       drain: Number(flags.drain),
       seed: Number(flags.seed),
+      apartShare: Number(flags.apart),
     });
     reportListening({ address });
   });
--- a/packages/standins/src/soakAnswer.ts
+++ b/packages/standins/src/soakAnswer.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { match } from 'ts-pattern';
 import { hashText } from '@pomeloroad/core';
+import type { Milliseconds, Random } from '@pomeloroad/core';
 import { WireHeader } from './platformWire';
 import { renderEvents, signAnswer } from './soakWork';
 import type { AnswerFault, Work } from './soakWork';
@@ -10,6 +11,10 @@
 const EXTRA_ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore';
 /** Share of the requests with a fault, in 16 parts, that an endpoint answers with it. */
 const FAULTY_SIXTEENTHS = 8;
+/** Longest time between the last event of a stream and an end that comes apart from it. */
+const END_DELAY_MAX_MS: Milliseconds = 100;
+/** Values of the part of a hash that decides whether an end comes apart. */
+const HASH_VALUES = 0x10000;
 /** One endpoint in this many states the ends of `empty` streams that it is asked to go on with at once. */
 const FORGETFUL_STEP = 4;
 
@@ -84,3 +89,12 @@
   const isForgetful = Number(endpoint.split('-').at(-1)) % FORGETFUL_STEP === 1;
   return fault === 'forgotten' || (fault === 'empty' && isForgetful);
 }
+
+/**
+ * Returns the time from a stream's last event to its end. It is not 0 for the share of the streams that end
+ * apart, at all endpoints alike.
+ */
+export function drawEndDelay(random: Random, request: string, share: number): Milliseconds {
+  const isApart = parseInt(hashText(request).slice(0, 4), 16) < share * HASH_VALUES;
+  return isApart ? random.integer(0, END_DELAY_MAX_MS) : 0;
+}
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -5,7 +5,7 @@
 import { ORDERLY_END_PATH } from './endpointLines';
 import type { EarlyEndReason, EndpointLine, OrderlyEnd } from './endpointLines';
 import { WireHeader } from './platformWire';
-import { endAnswer, hasFault, hasForgotten, isOpen, writeHead } from './soakAnswer';
+import { drawEndDelay, endAnswer, hasFault, hasForgotten, isOpen, writeHead } from './soakAnswer';
 import { decodeWork, isCrashing, renderEvent } from './soakWork';
 import type { AnswerFault, Work } from './soakWork';
 import { createSteppedEngine } from './steppedEngine';
@@ -26,8 +26,10 @@
 /** Dependencies and settings of an endpoint of the soak. */
 export interface SoakEndpointHost {
   clock: Clock;
-  /** Draws the pace of its engine. */
+  /** Draws the pace of its engine and how late ends come. */
   random: Random;
+  /** Share of the streams whose end comes apart from their last event. */
+  apartShare: number;
   id: string;
   slots: number;
   /** Version of its software. */
@@ -160,6 +162,7 @@
     openAnswers.delete(answer);
     if (response.writableEnded) return;
     const { number } = begun;
+    if (!isShort) await waitForEnd(begun);
     if (response.destroyed) record({ event: 'closed', ...step, number });
     else {
       if (!isShort) record({ event: 'stated', ...step, number });
@@ -167,6 +170,11 @@
     }
   }
 
+  async function waitForEnd({ step, work }: Run): Promise<void> {
+    const delay = drawEndDelay(host.random, step.request, host.apartShare);
+    if (work.route.startsWith('stream') && delay > 0) await sleep(clock, delay);
+  }
+
   function runInSteps(
     request: IncomingMessage,
     response: ServerResponse,
@@ -178,7 +186,7 @@
     let stream: { run: Run; answer: OpenAnswer } | undefined;
     engine.add({
       deadline: getDeadline(request),
-      isOpen: () => isOpen(response),
+      isOpen: () => isOpen(response) && !(stream && hasSentAll(stream.run)),
       begin() {
         const begun = begin(request, response, name, body, getWait());
         tellHead(begun, 'none');
@@ -200,11 +208,12 @@
     });
   }
 
-  function sendStep(run: Run): void {
-    const { step, response, work } = run;
-    sendEvent(run);
-    if (run.number < work.events) return;
-    record({ event: 'stated', ...step, number: run.number });
+  async function sendStep(run: Run): Promise<void> {
+    const { step, response, number } = sendEvent(run);
+    if (!hasSentAll(run)) return;
+    await waitForEnd(run);
+    if (!isOpen(response)) return;
+    record({ event: 'stated', ...step, number });
     response.end();
   }
 
@@ -253,13 +262,14 @@
     return answer;
   }
 
-  function sendEvent(run: Run): void {
+  function sendEvent(run: Run): Run {
     const { step, entry, response, after } = run;
     run.number += 1;
     entry[2] = run.number - after;
     // Recorded first: what the kernel has taken may arrive although the process is killed.
     record({ event: 'sent', ...step, number: run.number });
     response.write(renderEvent(step.request, run.number, version));
+    return run;
   }
 
   const server = http.createServer((request, response) => {
@@ -299,3 +309,7 @@
     },
   };
 }
+
+function hasSentAll({ number, work }: Run): boolean {
+  return number >= work.events;
+}
--- a/packages/standins/src/soakEndpointProcess.ts
+++ b/packages/standins/src/soakEndpointProcess.ts
@@ -15,8 +15,10 @@
 /** Settings of the process of an endpoint. */
 export interface SoakEndpointSettings {
   clock: Clock;
-  /** Seed of the pace of its engine. */
+  /** Seed of the pace of its engine and of how late ends come. */
   seed: number;
+  /** Share of the streams whose end comes apart from their last event. */
+  apartShare: number;
   id: string;
   address: string;
   /** Address at which instances reach it. */
@@ -55,6 +57,7 @@
   const base = {
     clock,
     random,
+    apartShare: settings.apartShare,
     id,
     slots,
     version,
