--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -18,7 +18,10 @@
 function soak(
   options: Pick<SoakOptions, 'seed' | 'length' | 'calm' | 'faults' | 'hasAnswerFaults'> &
     Partial<
-      Pick<SoakOptions, 'earlyEnds' | 'awaitedEnds' | 'olderRevision' | 'callers' | 'sockets'>
+      Pick<
+        SoakOptions,
+        'earlyEnds' | 'awaitedEnds' | 'apartShare' | 'olderRevision' | 'callers' | 'sockets'
+      >
     >,
   endpoints = 4,
 ) {
@@ -290,6 +293,24 @@
   TIMEOUT_MS,
 );
 
+test.each([
+  ['all', 1],
+  ['a third', 1 / 3],
+])(
+  'seed 1: no whole answer of a sound endpoint is cut because its end comes apart from its last event: %s',
+  async (_, apartShare) => {
+    const times = { length: 20_000, calm: 6000 };
+    const faults = ['instances-in-turn', 'instance-hup', 'roll-out'];
+    const planned = { seed: 1, ...times, faults, hasAnswerFaults: false };
+    const result = await soak({ ...planned, apartShare }, 8);
+    expect(Object.values(result.ends).map(({ cut }) => cut)).toEqual([0, 0, 0]);
+    expect(describeFailures(result)).toEqual([]);
+    expect(result.ends['resumable stream']?.sound).toBeGreaterThan(150);
+    expect(result.ends['other stream']?.sound).toBeGreaterThan(150);
+  },
+  TIMEOUT_MS,
+);
+
 // Instances of two builds share rows, relays and budgets while one after the other is replaced.
 testWithHistory(
   'seed 1: instances of an older build and of this one serve side by side',
