A doubted end leaves its answer open until it is proved, and is asked about again

Cause: a doubt that was not resolved at once was decided, by a cut; before by a false "complete". Neither is needed, since the caller has all that has come and only the last chunk waits.

Now such an answer stays open. It is asked about again, at longer and longer intervals, also at endpoints that had no room or that have ended it before (no further endpoint for the request's attempts), with at most half of the retries. An endpoint that has sent the last event again and whose end comes apart is asked once more, for what follows that event: an event disproves the end, an empty end against which nothing speaks confirms it, however late either was stated. What nobody confirms is cut at its time limit, as is an end of a stream that may not be resumed that its limit may have caused. `openFor` in 5006, 5007 and 5012 tells for how long an answer stayed open.

Ruled out as ways: to take two ends apart at the same event as proof (all rows of unconfirmedEnds end so), to wait for a constant time (1.2 s before; an endpoint that works is waited for, one that does not list the run is left).

The stand ends a step when the attempt is given up, and can be asked again.

--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -10,7 +10,7 @@
 import type { Run } from '../run';
 import { applyStatements } from './statements';
 import { isRetryable } from './patience';
-import { createResumePoint } from './resumePoint';
+import { createConfirmationPoint, createResumePoint } from './resumePoint';
 import type { ResumePoint } from './resumePoint';
 import type { AttemptReply, SentAttempt } from './sentAttempt';
 import type { EndpointRecord, Reply, SendError } from '../types';
@@ -25,7 +25,7 @@
 
 /** Sends the request to the endpoint of the slot. Counts the attempt as pending until its reply. */
 export function sendAttempt<Payload>(run: Run<Payload>, slot: Slot): SentAttempt {
-  const { host, request, stop } = run;
+  const { host, request, stop, question } = run;
   const ending = new AbortController();
   let onConnected: () => void;
   const connected = new Promise<void>((resolve) => {
@@ -56,7 +56,7 @@
       onReadAgain: pauses.restart,
       onStatements: (statements) =>
         applyStatements(host, slot.endpoint.name, endpoint, statements, told.at),
-      signal: AbortSignal.any([stop.signal, ending.signal]),
+      signal: AbortSignal.any([stop.signal, question.signal, ending.signal]),
     });
     const reply = await judgeWhole(run, attempt, sent);
     run.pending -= 1;
@@ -89,11 +89,15 @@
       return attempt.reply;
     },
   };
+  run.latest = attempt;
   return attempt;
 }
 
 // Of what may not be resumed, the id is the endpoint's matter.
-function getResumePoint<Payload>({ request: { route }, lastEventId }: Run<Payload>): ResumePoint {
+function getResumePoint<Payload>(run: Run<Payload>): ResumePoint {
+  const { confirmer, lastEventId } = run;
+  const { route } = run.request;
+  if (confirmer !== undefined) return createConfirmationPoint(lastEventId);
   const isResumable = route.kind === 'streaming' && isRetryable(route);
   return isResumable ? createResumePoint(lastEventId) : { after: lastEventId, repeated: undefined };
 }
@@ -185,10 +189,11 @@
 }
 
 // A connection that nobody waits for any more may still open in time.
-function toSlotResult<Payload>({ stop }: Run<Payload>, { kind }: SendError): SlotResult {
+function toSlotResult<Payload>({ stop, question }: Run<Payload>, { kind }: SendError): SlotResult {
+  const isLeft = stop.signal.aborted || question.signal.aborted;
   return match(kind)
-    .with('broken', () => 'failed' as const)
-    .with('unreachable', () => (stop.signal.aborted ? 'unused' : 'unreachable'))
+    .with('broken', () => (question.signal.aborted ? 'silent' : 'failed'))
+    .with('unreachable', () => (isLeft ? 'unused' : 'unreachable'))
     .with('replaced', () => 'unreachable' as const)
     .with('declined', () => 'ok' as const)
     .with('withheld', 'unsendable', () => 'unused' as const)
--- a/packages/forwarding/src/attempts/attempts.ts
+++ b/packages/forwarding/src/attempts/attempts.ts
@@ -105,7 +105,7 @@
 }
 
 function shouldRetryError<Payload>(run: Run<Payload>, error: SendError): boolean {
-  if (run.stop.signal.aborted) return false;
+  if (run.stop.signal.aborted || isQuestionOver(run)) return false;
   return match(error.kind)
     .with('unreachable', () => true)
     .with('replaced', 'declined', () => mayBeDeclined(run) && takeRetry(run))
@@ -114,6 +114,11 @@
     .exhaustive();
 }
 
+// One that is asked for what follows the last event can't be replaced by another one.
+function isQuestionOver<Payload>({ question, confirmer }: Run<Payload>): boolean {
+  return question.signal.aborted || confirmer !== undefined;
+}
+
 function toFinalRefusalKind<Payload>(run: Run<Payload>, error: SendError): RefusalKind {
   if (run.stop.signal.aborted) return 'timed-out';
   if (run.runs > 0) return 'failed';
--- a/packages/forwarding/src/attempts/lapsedEndpoints.ts
+++ b/packages/forwarding/src/attempts/lapsedEndpoints.ts
@@ -32,10 +32,10 @@
 }
 
 function hasLapsed<Payload>(run: Run<Payload>): boolean {
-  const { host, request, origin, excluded, dropped } = run;
+  const { host, request, origin, excluded, returnable } = run;
   return host.directory
     .listLapsed()
     .filter(({ service }) => service === request.service)
     .filter(({ version }) => !origin || origin.version === version)
-    .some(({ name }) => !excluded.has(name) && (!mayOnlyReturn(run) || dropped.has(name)));
+    .some(({ name }) => !excluded.has(name) && (!mayOnlyReturn(run) || returnable.has(name)));
 }
--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -2,19 +2,22 @@
 import type { SlotResult, Slot } from '@pomeloroad/routing';
 import type { SentAttempt } from './sentAttempt';
 import { sendWithRetries } from './attempts';
-import { noteResumption, reportEnd } from '../ends/endReport';
+import { noteOpenEnd, noteResumption, reportEnd } from '../ends/endReport';
 import {
   combineEnds,
   concludeEnd,
   judgeSource,
-  mayBeWhole,
   mayLackEvents,
+  mayStayOpen,
+  renewEnd,
 } from '../ends/streamEnd';
 import type { EndStep, SourceEnd, StreamEnd } from '../ends/streamEnd';
+import { createPace } from './pace';
+import type { Pace } from './pace';
 import { STREAM_THRESHOLD_MS } from './patience';
 import { awaitStep } from './replacement';
 import type { Progress } from './replacement';
-import { getTimeLeft, takeAttempt } from '../run';
+import { getTimeLeft, takeAttempt, takeSpareAttempt } from '../run';
 import type { Run } from '../run';
 import { getVersion, noteEvents } from '../origins/takeUp';
 import type { EventStream, StreamStep } from '../types';
@@ -33,39 +36,71 @@
 
 /**
  * Relays a stream to the caller. If it has broken off, or something speaks against its end, the rest is
- * requested from another endpoint, which confirms the end if it has no more.
+ * requested from another endpoint, which confirms the end if it has no more. An end in order that nobody has
+ * confirmed yet leaves the answer open, and is asked about again.
  */
 export async function relayStream<Payload>(
   run: Run<Payload>,
   stream: EventStream,
   attempt: SentAttempt,
 ): Promise<StreamEnd> {
+  const pace = createPace(run);
   let { end, replacement } = await relaySource(run, { stream, attempt });
-  while (replacement || shouldResume(run, end)) {
-    const next = await relayRest(run, replacement, end);
-    if (!next) break;
-    replacement = next.replacement;
-    end = combineEnds(run, end, next.end);
+  while (replacement || mayLackEvents(end.end)) {
+    if (mayStayOpen(run, end)) noteOpenEnd(run);
+    const next = await relayRest(run, replacement, end, pace);
+    replacement = next?.replacement;
+    if (next) end = combineEnds(run, end, next.end);
+    else if (run.stop.signal.aborted || !mayStayOpen(run, end)) break;
+    else if (!mayWaitForConfirmer(run)) run.confirmer = undefined;
+    if (!replacement && mayStayOpen(run, end)) {
+      await pace.wait(next !== undefined);
+      end = renewEnd(run, end);
+    }
   }
   return concludeEnd(run, end);
 }
 
-// A caller whose stream ended in order is not kept waiting for longer than it is for an event.
+// One that says nothing about the end of an open answer is left for another one.
 async function relayRest<Payload>(
   run: Run<Payload>,
   replacement: SentAttempt | undefined,
   last: SourceEnd,
+  pace: Pace,
 ): Promise<RelayedSource | undefined> {
+  if (!replacement && !shouldResume(run, pace)) return undefined;
+  run.question = new AbortController();
   const rest = relayNext(run, replacement);
-  if (!mayBeWhole(last)) return rest;
+  if (mayStayOpen(run, last)) leaveIfSilent(run, rest, run.question);
+  return rest;
+}
+
+// One that has no room now, or for which there is no retry now, is still the one that has shown that it can go on.
+function mayWaitForConfirmer<Payload>({ lack }: Run<Payload>): boolean {
+  return lack === 'busy' || lack === 'retry';
+}
+
+async function leaveIfSilent<Payload>(
+  run: Run<Payload>,
+  rest: Promise<unknown>,
+  question: AbortController,
+): Promise<void> {
   const eventsBefore = run.events;
-  const { clock } = run.host;
   const isSettled = rest.then(() => true);
-  const isInTime = await withTimeout(clock, STREAM_THRESHOLD_MS, isSettled, false);
-  if (isInTime || run.events > eventsBefore) return rest;
-  run.isConcluded = true;
-  run.stop.abort();
-  return undefined;
+  let isAtWork = true;
+  while (isAtWork) {
+    const isInTime = await withTimeout(run.host.clock, STREAM_THRESHOLD_MS, isSettled, false);
+    if (isInTime || run.events > eventsBefore) return;
+    isAtWork = await worksOnLatest(run);
+  }
+  question.abort();
+}
+
+// An endpoint that lists the run is only slow.
+async function worksOnLatest<Payload>({ host, request, latest }: Run<Payload>): Promise<boolean> {
+  if (!latest?.endpoint) return false;
+  const { kind } = await host.protocol.findRun(latest.endpoint, request.id);
+  return kind === 'listed';
 }
 
 async function relayNext<Payload>(
@@ -76,9 +111,9 @@
   return source && relaySource(run, source);
 }
 
-function shouldResume<Payload>(run: Run<Payload>, { end }: SourceEnd): boolean {
-  const hasTime = !run.stop.signal.aborted && getTimeLeft(run) > 0;
-  return mayLackEvents(end) && hasTime && takeAttempt(run);
+function shouldResume<Payload>(run: Run<Payload>, pace: Pace): boolean {
+  if (run.stop.signal.aborted || getTimeLeft(run) <= 0) return false;
+  return pace.hasWaited() ? takeSpareAttempt(run) : takeAttempt(run);
 }
 
 async function resume<Payload>(
@@ -130,12 +165,13 @@
   const framing = run.framing ?? '';
   run.host.metrics.streamEnds.add(1, { end: step ? end.end : 'replaced', framing });
   if (end.end !== 'complete') run.excluded.add(slot.endpoint.name);
+  if (end.end !== 'broken') run.returnable.add(slot.endpoint.name);
   return { end, replacement };
 }
 
 // An end in order is no failure of the endpoint, even if the answer is not complete.
 function getSlotResult<Payload>(run: Run<Payload>, step: EndStep | undefined): SlotResult {
-  if (!step) return 'silent';
+  if (!step || run.question.signal.aborted) return 'silent';
   return step.kind !== 'broken' || run.stop.signal.aborted ? 'ok' : 'failed';
 }
 
@@ -156,11 +192,11 @@
       return { step: failure?.kind === 'broken' ? failure : undefined, replacement };
     }
     const { step } = progress;
-    if (run.isConcluded) return { step: undefined, replacement: undefined };
     if (step.kind !== 'events') return { step, replacement: undefined };
     run.events += step.count;
     noteEvents(run, attempt);
     run.course.lastEventAt = run.host.clock.elapsed();
+    run.course.openSince = undefined;
     run.lastEventId = step.lastId ?? run.lastEventId;
     await run.caller.write(step.data);
   }
--- a/packages/forwarding/src/attempts/replacement.ts
+++ b/packages/forwarding/src/attempts/replacement.ts
@@ -133,7 +133,8 @@
   declined: ReadonlySet<string>,
   settled: AbortSignal,
 ): Promise<Slot | undefined> {
-  run.lack = hasAttemptsLeft(run) && mayBeDeclined(run) ? undefined : 'attempt';
+  const mayReplace = hasAttemptsLeft(run) && mayBeDeclined(run) && run.confirmer === undefined;
+  run.lack = mayReplace ? undefined : 'attempt';
   if (run.lack) return undefined;
   const excluded = new Set([...run.excluded, endpoint.name]);
   const slot = await findReplacementSlot(run, excluded, declined, settled);
@@ -164,7 +165,7 @@
     .with('went on', 'first is sound', async () => {
       const reply = await replacement.end();
       slot.release('unused');
-      if (mayHaveRun(reply)) run.dropped.add(slot.endpoint.name);
+      if (mayHaveRun(reply)) run.returnable.add(slot.endpoint.name);
       return undefined;
     })
     .exhaustive();
--- a/packages/forwarding/src/attempts/resumePoint.ts
+++ b/packages/forwarding/src/attempts/resumePoint.ts
@@ -8,7 +8,7 @@
 export interface ResumePoint {
   /** Id of the event after which it is to go on; `undefined` for the start of the stream. */
   after: string | undefined;
-  /** Id of the last event that the caller has, which the endpoint is asked to send again. */
+  /** Id of the last event that the caller has, which the endpoint is asked to send again, or is left out if it does. */
   repeated: string | undefined;
 }
 
@@ -25,6 +25,19 @@
   return { after: before > 0n ? `${before}` : undefined, repeated: lastEventId };
 }
 
+/**
+ * Returns where to go on for an endpoint that has sent the caller's last event again, and is asked whether any
+ * other one follows.
+ */
+export function createConfirmationPoint(lastEventId: string | undefined): ResumePoint {
+  return { after: lastEventId, repeated: lastEventId };
+}
+
+/** Returns whether an endpoint is asked for what follows the caller's last event, and not for that one again. */
+export function isConfirmationPoint({ after, repeated }: ResumePoint): boolean {
+  return after !== undefined && after === repeated;
+}
+
 /** Leaves out of a stream the events that its caller has. */
 export interface RepeatFilter {
   /** Returns the new ones among the events; `undefined` if there are none. */
--- a/packages/forwarding/src/attempts/slots.ts
+++ b/packages/forwarding/src/attempts/slots.ts
@@ -15,6 +15,7 @@
   excluded: ReadonlySet<string>,
   signal: AbortSignal,
 ): Promise<Outcome<Slot, RouteError>> {
+  if (run.confirmer !== undefined) return acquireAny(run, new Set(), signal);
   if (run.firstByteAt === undefined) return acquireAny(run, excluded, signal);
   const early = [...run.host.endHistory.listEarly()];
   const slot = await acquireAny(run, new Set([...excluded, ...early]), signal);
@@ -39,7 +40,7 @@
     priority: -request.priority,
     patience: getAdmissionWait(request.route, getTimeLeft(run)),
     excluded,
-    only: mayOnlyReturn(run) ? run.dropped : undefined,
+    only: findPlaces(run),
     prefix: request.prefix,
     signal,
   });
@@ -48,3 +49,9 @@
   run.limitedWait = isLimited ? slot.val.retryAfter : undefined;
   return slot;
 }
+
+// Returns the only endpoints at which the request may run; `undefined` if it may run at any.
+function findPlaces<Payload>(run: Run<Payload>): ReadonlySet<string> | undefined {
+  if (run.confirmer !== undefined) return new Set([run.confirmer]);
+  return mayOnlyReturn(run) ? run.returnable : undefined;
+}
--- a/packages/forwarding/src/ends/answerCourse.ts
+++ b/packages/forwarding/src/ends/answerCourse.ts
@@ -28,6 +28,8 @@
   resumptions: number;
   /** Number of events before the latest resumption. */
   eventsBefore: number;
+  /** Since when the answer is open although an endpoint has ended it in order; `undefined` if it is not. */
+  openSince: Milliseconds | undefined;
   /** Whether an end of the request was suspicious. */
   isSuspicious: boolean;
   /** Reports the latest end of a stream; `undefined` once that is done. */
@@ -41,6 +43,7 @@
     lastEventAt: undefined,
     resumptions: 0,
     eventsBefore: 0,
+    openSince: undefined,
     isSuspicious: false,
     reportEnd: undefined,
   };
--- a/packages/forwarding/src/ends/endHistory.ts
+++ b/packages/forwarding/src/ends/endHistory.ts
@@ -8,13 +8,17 @@
 /** Fraction of the ends that makes a way of ending the usual one. */
 const USUAL_RATIO = 0.75;
 
-/** Ends of a service's streams, and those apart from the last event. */
+/** Number of ends apart from the last event that have to be confirmed, with none too early, before they are usual. */
+const CONFIRMED_MIN = 10;
+
+/** Ends of a service's streams, those apart from the last event, and those of them that were confirmed. */
 interface EndCount {
   ends: number;
   apart: number;
+  confirmed: number;
 }
 
-const NO_ENDS: EndCount = { ends: 0, apart: 0 };
+const NO_ENDS: EndCount = { ends: 0, apart: 0, confirmed: 0 };
 
 /** How streams have ended lately, and what was shown where a second endpoint was asked for the rest. */
 export interface EndHistory {
@@ -35,9 +39,12 @@
   listEarly(): Iterable<string>;
   /** Notes that an endpoint of the service has ended a stream, and whether apart from its last event. */
   noteEnd(service: string, isApart: boolean): void;
-  /** Notes that another endpoint had more after an end apart from the last event. */
-  noteEarlyApart(service: string): void;
-  /** Whether nearly all streams of the service lately end so, as those of engines that need a step to end one. */
+  /** Notes whether another endpoint had more after an end apart from the last event. */
+  noteCheckedApart(service: string, isEarly: boolean): void;
+  /**
+   * Whether nearly all streams of the service lately end so, as those of engines that need a step to end one, and
+   * those that were checked were whole.
+   */
   endsApart(service: string): boolean;
 }
 
@@ -57,17 +64,22 @@
     endsEarly: (endpoint) => early.has(endpoint),
     listEarly: () => early,
     noteEnd(service, isApart) {
-      const { ends, apart } = counts.get(service) ?? NO_ENDS;
+      const { ends, apart, confirmed } = counts.get(service) ?? NO_ENDS;
       const scale = ends < ENDS_MAX ? 1 : 0.5;
       counts.delete(service);
-      counts.set(service, { ends: ends * scale + 1, apart: apart * scale + (isApart ? 1 : 0) });
+      const more = isApart ? 1 : 0;
+      counts.set(service, { ends: ends * scale + 1, apart: apart * scale + more, confirmed });
       const [oldest] = counts.keys();
       if (counts.size > NAMES_MAX && oldest !== undefined) counts.delete(oldest);
     },
-    noteEarlyApart: (service) => counts.delete(service),
+    noteCheckedApart(service, isEarly) {
+      const count = counts.get(service);
+      if (isEarly) counts.delete(service);
+      else if (count) counts.set(service, { ...count, confirmed: count.confirmed + 1 });
+    },
     endsApart(service) {
-      const { ends, apart } = counts.get(service) ?? NO_ENDS;
-      return ends >= ENDS_MIN && apart >= ends * USUAL_RATIO;
+      const { ends, apart, confirmed } = counts.get(service) ?? NO_ENDS;
+      return ends >= ENDS_MIN && apart >= ends * USUAL_RATIO && confirmed >= CONFIRMED_MIN;
     },
   };
 }
--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -1,7 +1,7 @@
 import { match } from 'ts-pattern';
 import { Diagnostics } from '@pomeloroad/core';
 import type { Importance, LogFields, Milliseconds } from '@pomeloroad/core';
-import type { AnswerSource, EndOutcome } from './answerCourse';
+import type { AnswerCourse, AnswerSource, EndOutcome } from './answerCourse';
 import { mayBeLimitEnd } from './limitEnd';
 import type { AnswerEnd } from '../types';
 import type { SentAttempt } from '../attempts/sentAttempt';
@@ -32,6 +32,11 @@
   run.course.eventsBefore = run.events;
 }
 
+/** Notes that the answer stays open after an end, unless it does since an earlier one. */
+export function noteOpenEnd<Payload>(run: Run<Payload>): void {
+  run.course.openSince ??= run.host.clock.elapsed();
+}
+
 /**
  * Looks for what speaks against an end in order of a stream, whose outcome `reportEnd` tells. `hasRepeated` tells
  * whether its endpoint has sent an event again that the caller had.
@@ -187,11 +192,16 @@
     // An event that waits for a slow caller is read only after the end has arrived.
     lastEventAgo: Math.max(0, Math.round(at - lastAt)),
     resumptions: course.resumptions,
+    openFor: getOpenTime(course, at),
     eventsSinceResumption: isResumed ? events - course.eventsBefore : undefined,
     fromVersion: isResumed ? origin?.version : undefined,
   };
 }
 
+function getOpenTime(course: AnswerCourse, at: Milliseconds): Milliseconds | undefined {
+  return course.openSince === undefined ? undefined : Math.round(at - course.openSince);
+}
+
 function roundTime(time: Milliseconds | undefined): number | undefined {
   return time === undefined ? undefined : Math.round(time);
 }
--- a/packages/forwarding/src/ends/limitEnd.ts
+++ b/packages/forwarding/src/ends/limitEnd.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '@pomeloroad/core';
 import { isRetryable, STREAM_THRESHOLD_MS } from '../attempts/patience';
+import { isConfirmationPoint } from '../attempts/resumePoint';
 import type { SentAttempt } from '../attempts/sentAttempt';
 import type { Run } from '../run';
 import type { AnswerEnd } from '../types';
@@ -46,6 +47,8 @@
   const first = pauses.getFirst() ?? 0;
   if (route.kind === 'streaming' && isRetryable(route)) {
     const least = Math.min(STEP_MIN_MS, told.limit * STEP_MIN_LIMIT_RATIO);
+    // One that is asked for nothing waits for its turn, and not for a step, where steps are known.
+    if (known > 0 && isConfirmationPoint(attempt.resumePoint)) return Math.max(known, least);
     return Math.max(own, first, known, least);
   }
   // A caller that could not get the rest loses a whole answer, so it counts only where the answer shows no other step.
--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -1,6 +1,7 @@
 import { match } from 'ts-pattern';
 import { logFailure } from '../attempts/attempt';
 import { isRetryable } from '../attempts/patience';
+import { isConfirmationPoint } from '../attempts/resumePoint';
 import type { SentAttempt } from '../attempts/sentAttempt';
 import type { Run } from '../run';
 import type { EndpointRecord, EventStream, StreamStep } from '../types';
@@ -34,10 +35,17 @@
   isEmpty: boolean;
   /** Whether the endpoint has shown that it could go on, by sending the caller's last event again. */
   hasRepeated: boolean;
+  /** Whether the endpoint was asked only for what follows the caller's last event, which it had sent again. */
+  isConfirmation: boolean;
   /** What speaks against the end. */
   reason: EndReason | undefined;
+  /** What shows that it is not the end of the answer. */
+  fault: string | undefined;
 }
 
+/** What is made of the last step of a source. */
+type JudgedStep = Pick<SourceEnd, 'ownEnd' | 'reason' | 'fault'>;
+
 /** Judges what an endpoint sent of a stream by its last step; that is missing if another one took its place. */
 export async function judgeSource<Payload>(
   run: Run<Payload>,
@@ -47,36 +55,40 @@
   isEmpty: boolean,
 ): Promise<SourceEnd> {
   const hasRepeated = stream.hasRepeated();
-  const { ownEnd, reason } = await judgeStep(run, attempt, step, hasRepeated);
-  const isInOrder = ownEnd !== 'broken';
-  const end = isInOrder && isEmpty && !hasRepeated ? 'doubtful' : ownEnd;
+  const isConfirmation = isConfirmationPoint(attempt.resumePoint);
+  const judged = await judgeStep(run, attempt, step, { hasRepeated, isConfirmation });
+  const isInOrder = judged.ownEnd !== 'broken';
+  const end = isInOrder && isEmpty && !hasRepeated ? 'doubtful' : judged.ownEnd;
   const { slot, endpoint: record } = attempt;
-  return { end, ownEnd, endpoint: slot.endpoint.name, record, isEmpty, hasRepeated, reason };
+  const { name: endpoint } = slot.endpoint;
+  return { ...judged, end, endpoint, record, isEmpty, hasRepeated, isConfirmation };
 }
 
 async function judgeStep<Payload>(
   run: Run<Payload>,
   attempt: SentAttempt,
   step: EndStep | undefined,
-  hasRepeated: boolean,
-): Promise<Pick<SourceEnd, 'ownEnd' | 'reason'>> {
-  if (!step) return { ownEnd: 'broken', reason: undefined };
+  { hasRepeated, isConfirmation }: Pick<SourceEnd, 'hasRepeated' | 'isConfirmation'>,
+): Promise<JudgedStep> {
+  const broken = { ownEnd: 'broken' as const, reason: undefined, fault: undefined };
+  if (!step) return broken;
   if (step.kind === 'broken') {
     logFailure(run, attempt, step);
-    return { ownEnd: 'broken', reason: undefined };
+    return broken;
   }
   rememberEnd(run, attempt, step);
   if (step.kind === 'complete') {
     run.host.endHistory.noteStatement(run.request.service);
-    run.host.endHistory.noteEnd(run.request.service, isApartFromEvent(step));
+    // What was asked for nothing has no last event.
+    if (!isConfirmation) run.host.endHistory.noteEnd(run.request.service, isApartFromEvent(step));
   }
   const fault = await findEndFault(run, attempt, step);
-  const reason = reviewStreamEnd(run, attempt, step, hasRepeated);
+  const reason = reviewStreamEnd(run, attempt, step, hasRepeated || isConfirmation);
   if (fault !== undefined) {
     logFailure(run, attempt, { kind: 'broken', message: fault });
-    return { ownEnd: 'doubtful', reason };
+    return { ownEnd: 'doubtful', reason, fault };
   }
-  return { ownEnd: judgeReason(run, reason), reason };
+  return { ownEnd: judgeReason(run, reason), reason, fault };
 }
 
 // A caller that may resume its stream can go on after a cut, but never learns what a false end has hidden. Another
@@ -92,6 +104,12 @@
   return isUsual ? 'unconfirmed' : 'doubtful';
 }
 
+/** Judges the end of an open answer anew, by what is known of the service by now. */
+export function renewEnd<Payload>(run: Run<Payload>, last: SourceEnd): SourceEnd {
+  if (last.end !== 'doubtful' || last.fault !== undefined || !mayBeWhole(last)) return last;
+  return { ...last, end: judgeReason(run, last.reason) };
+}
+
 /** Returns the end of a stream whose last end was doubted, after what the next endpoint sent. */
 export function combineEnds<Payload>(
   run: Run<Payload>,
@@ -99,12 +117,15 @@
   next: SourceEnd,
 ): SourceEnd {
   const { endHistory } = run.host;
+  run.confirmer = undefined;
   if (!next.isEmpty) {
     noteChecked(run, last, true);
     return next;
   }
+  if (mayConfirm(last, next)) run.confirmer = next.endpoint;
   if (!confirms(run, last, next)) return last;
-  const end = next.hasRepeated ? confirmEnd(last.end, next.ownEnd) : 'complete';
+  const isUsual = last.end === 'unconfirmed' && next.ownEnd === 'unconfirmed';
+  const end = next.hasRepeated && !isUsual ? confirmEnd(last.end, next.ownEnd) : 'complete';
   if (end !== 'complete') return { ...next, end };
   noteChecked(run, last, false);
   if (last.end === 'closed' && next.ownEnd === 'closed') {
@@ -121,7 +142,7 @@
   // An end that the time limit has caused says nothing of the endpoint's next one.
   if (end === 'broken' || (isEarly && reason === 'near limit')) return;
   endHistory.noteChecked(endpoint, isEarly);
-  if (isEarly && reason === 'apart from last event') endHistory.noteEarlyApart(service);
+  if (reason === 'apart from last event') endHistory.noteCheckedApart(service, isEarly);
 }
 
 // What speaks against the end that is to confirm another one may be what ended it. Two closes confirm each
@@ -131,15 +152,31 @@
   return last === 'broken' || last === 'doubtful' ? 'closed' : 'complete';
 }
 
+// One that stops some time after the repeated event may have been about to send more, and one that had ended the
+// stream before may do so for the same reason again. Both have shown that they could go on, so each is asked once
+// more, for what follows that event.
+function mayConfirm(last: SourceEnd, next: SourceEnd): boolean {
+  if (!next.hasRepeated || next.isConfirmation || next.fault !== undefined) return false;
+  if (next.reason === 'apart from last event') return last.end !== 'unconfirmed';
+  return next.endpoint === last.endpoint && next.ownEnd === 'complete';
+}
+
 // Where no event can be sent again, two endpoints that send nothing show that there is nothing.
-function confirms<Payload>({ lastEventId }: Run<Payload>, last: SourceEnd, next: SourceEnd) {
+function confirms<Payload>(
+  { lastEventId, confirmer }: Run<Payload>,
+  last: SourceEnd,
+  next: SourceEnd,
+) {
+  if (next.isConfirmation) return next.ownEnd === 'complete' && !next.hasRepeated;
+  if (confirmer !== undefined || next.fault !== undefined) return false;
+  // Where ends apart from the last event are usual, a second one at the same event is what it would be.
+  if (next.hasRepeated && last.end === 'unconfirmed' && next.ownEnd === 'unconfirmed') return true;
   const isInOrder = match(next.ownEnd)
     .with('complete', 'unconfirmed', 'closed', () => true)
     .with('doubtful', 'broken', () => false)
     .exhaustive();
-  // One that stops some time after the repeated event may have been about to send more.
   if (!isInOrder || next.reason === 'apart from last event') return false;
-  if (next.hasRepeated) return true;
+  if (next.hasRepeated) return next.endpoint !== last.endpoint;
   const isEmptyStream = lastEventId === undefined && last.end !== 'broken';
   return isEmptyStream && !isSamePlace(last.record, next.record);
 }
@@ -154,6 +191,20 @@
   return end !== 'broken' && (!isEmpty || hasRepeated);
 }
 
+/**
+ * Returns whether the answer stays open after the end until it is proved or the time limit passes: the caller has all
+ * that has come, so nothing is gained by a cut. Where nobody can be asked, only an end that the limit may have caused
+ * is left to it.
+ */
+export function mayStayOpen<Payload>(
+  { request: { route } }: Run<Payload>,
+  last: SourceEnd,
+): boolean {
+  const isDoubted = last.end === 'doubtful' || last.end === 'closed';
+  if (!isDoubted || !mayBeWhole(last)) return false;
+  return isRetryable(route) || (last.reason === 'near limit' && last.fault === undefined);
+}
+
 /** Returns whether the rest of a stream is to be asked for after such an end. */
 export function mayLackEvents(end: StreamEnd): boolean {
   return end !== 'complete';
--- a/packages/forwarding/src/limits/retryBudget.ts
+++ b/packages/forwarding/src/limits/retryBudget.ts
@@ -5,6 +5,9 @@
 /** Fraction of the allowance to use; a margin because the instances' windows do not align. */
 const ALLOWANCE_RATIO = 0.9;
 
+/** Fraction of the retries that may be taken for what others may need more. */
+const SPARE_RATIO = 0.5;
+
 /** Limit on the retries that the whole fleet may send to a service in a sliding window. */
 export interface RetryAllowance {
   /** Length of the window. */
@@ -21,6 +24,8 @@
   countRequest(service: string): void;
   /** Takes one retry; returns false if none is left in the window. */
   take(service: string): boolean;
+  /** Takes one retry if more than half of them are left in the window. */
+  takeSpare(service: string): boolean;
   /** Gives a retry back that was taken and sent to no endpoint. */
   giveBack(service: string): void;
 }
@@ -58,19 +63,22 @@
     return Math.floor((clock.elapsed() * WINDOW_BUCKETS) / getAllowance().window);
   }
 
+  function takeWithin(service: string, share: number): boolean {
+    const { ratio, extra } = getAllowance();
+    const { requests, repeats } = getCurrentUsage(service);
+    const allowed = ALLOWANCE_RATIO * (ratio * sum(requests) + extra / countInstances());
+    if (sum(repeats) + 1 > share * allowed) return false;
+    repeats[0] = (repeats[0] ?? 0) + 1;
+    return true;
+  }
+
   return {
     countRequest(service) {
       const { requests } = getCurrentUsage(service);
       requests[0] = (requests[0] ?? 0) + 1;
     },
-    take(service) {
-      const { ratio, extra } = getAllowance();
-      const { requests, repeats } = getCurrentUsage(service);
-      const allowed = ALLOWANCE_RATIO * (ratio * sum(requests) + extra / countInstances());
-      if (sum(repeats) + 1 > allowed) return false;
-      repeats[0] = (repeats[0] ?? 0) + 1;
-      return true;
-    },
+    take: (service) => takeWithin(service, 1),
+    takeSpare: (service) => takeWithin(service, SPARE_RATIO),
     giveBack(service) {
       const { repeats } = getCurrentUsage(service);
       // The oldest one, so that none that was sent is forgotten before its time.
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -5,6 +5,7 @@
 import type { ForwardHost } from './forwardTypes';
 import type { StreamOrigin } from './origins/originMemory';
 import { isRetryable } from './attempts/patience';
+import type { SentAttempt } from './attempts/sentAttempt';
 import { getSuspectNames } from './suspects/suspectNames';
 import type { Caller, ForwardRequest, ReplyHead } from './types';
 
@@ -20,8 +21,17 @@
   stop: AbortController;
   /** Names of the endpoints that failed this request. */
   excluded: Set<string>;
-  /** Names of the endpoints whose attempt was dropped for one that went on. */
-  dropped: Set<string>;
+  /**
+   * Names of the endpoints at which the request may run once more: those whose attempt was dropped for one that
+   * went on, and those that have ended its stream in order.
+   */
+  returnable: Set<string>;
+  /** The latest attempt. */
+  latest: SentAttempt | undefined;
+  /** Aborted when the endpoint that is asked about the end of an open answer has said nothing for too long. */
+  question: AbortController;
+  /** Name of the endpoint that has sent the caller's last event again, and is asked whether any other one follows. */
+  confirmer: string | undefined;
   /** Parts of the prompt that the request is to try in spite of their block. */
   probedSuspects: string[];
   /** Time of `clock.elapsed()` after which it does not try them any more. */
@@ -53,8 +63,6 @@
   /** How the answer has come so far. */
   course: AnswerCourse;
   firstByteAt: Milliseconds | undefined;
-  /** Whether the caller was told the end of its stream while another endpoint was still asked for the rest. */
-  isConcluded: boolean;
   /** Whether the caller has been sent any part of an endpoint's answer. */
   isAnswered: boolean;
   /** Wait for a slot where all endpoints name limits of requests; infinite if none is to be had here. */
@@ -75,7 +83,10 @@
     caller,
     stop: new AbortController(),
     excluded: new Set(),
-    dropped: new Set(),
+    returnable: new Set(),
+    latest: undefined,
+    question: new AbortController(),
+    confirmer: undefined,
     probedSuspects: [],
     probesUntil: Infinity,
     blockedSuspect: undefined,
@@ -92,7 +103,6 @@
     framing: undefined,
     course: createAnswerCourse(),
     firstByteAt: undefined,
-    isConcluded: false,
     isAnswered: false,
     limitedWait: undefined,
     lack: undefined,
@@ -159,16 +169,16 @@
 
 /**
  * Returns whether the request has been sent to as many endpoints as it may. It may then only return to
- * those whose attempt was dropped.
+ * some of them.
  */
 export function mayOnlyReturn<Payload>(run: Run<Payload>): boolean {
   return isRetryable(run.request.route) && run.runs > 0 && !hasAttemptsLeft(run);
 }
 
 function canReturn<Payload>(run: Run<Payload>): boolean {
-  return (
-    mayGoOn(run) && mayOnlyReturn(run) && [...run.dropped].some((name) => !run.excluded.has(name))
-  );
+  const { returnable, excluded } = run;
+  const hasPlace = [...returnable].some((name) => !excluded.has(name));
+  return mayGoOn(run) && mayOnlyReturn(run) && hasPlace;
 }
 
 /** Returns whether one more endpoint may decline the request. */
@@ -178,14 +188,23 @@
 
 /**
  * Takes one retry from the retry budget of the service for a request that may run on one more endpoint,
- * or once more on one whose attempt was dropped; returns false if it may not, or if none is left.
+ * or return to one; returns false if it may not, or if none is left.
  */
 export function takeAttempt<Payload>(run: Run<Payload>): boolean {
-  if (hasAttemptsLeft(run) || canReturn(run)) return takeRetry(run);
+  if (run.confirmer !== undefined || hasAttemptsLeft(run) || canReturn(run)) return takeRetry(run);
   run.lack = 'attempt';
   return false;
 }
 
+/**
+ * Takes one attempt as `takeAttempt` does, but for a return only if other requests do not need the retries that
+ * are left.
+ */
+export function takeSpareAttempt<Payload>(run: Run<Payload>): boolean {
+  if (run.confirmer !== undefined || hasAttemptsLeft(run)) return takeRetry(run);
+  return canReturn(run) && run.host.retryBudget.takeSpare(run.request.service);
+}
+
 /** Takes one retry from the retry budget of the service; returns false if none is left. */
 export function takeRetry<Payload>(run: Run<Payload>): boolean {
   const { host, request } = run;
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -7,7 +7,7 @@
   Milliseconds,
   ResponseFraming,
 } from '@pomeloroad/core';
-import type { Slot } from '@pomeloroad/routing';
+import type { RouteRequest, Slot } from '@pomeloroad/routing';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { createForwardMetrics, forward } from '../src';
 import type {
@@ -37,13 +37,15 @@
   sinceEvent?: Milliseconds;
   /** Whether the endpoint sends the caller's last event again, if it is asked to. */
   repeats?: boolean;
+  /** What it does when it is asked once more; left out, it sends nothing new. */
+  again?: StandAnswer;
   /** How long after the answer the endpoint fails. */
   failsAfter?: Milliseconds;
 }
 
 /**
- * Forwards a request to endpoints e1, e2 and so on, which give the answers in turn; returns what the caller got
- * and what was logged. Endpoints are told 250 ms more than what is left, and a stated end is held for 20 ms.
+ * Forwards a request to endpoints e1, e2 and so on, which give the answers in turn, or to those to which it may only
+ * return; returns what the caller got, when it was told the end, and what was logged. Endpoints are told 250 ms more than what is left, and a stated end is held for 20 ms.
  */
 export async function forwardTo(
   answers: StandAnswer[],
@@ -60,6 +62,8 @@
   };
   const recentEnds = createRecentEnds({ clock, log, metrics: forwardMetrics });
   let turn = 0;
+  let endedAt: Milliseconds | undefined;
+  const asked = new Map<string, StandAnswer>();
 
   function openStream(answer: StandAnswer, attempt: Attempt<unknown>) {
     const { onActivity, onProgress, resumePoint } = attempt;
@@ -69,7 +73,9 @@
     if (repeats && resumePoint.repeated !== undefined) onProgress();
     async function next(): Promise<StreamStep> {
       const delay = events[sent];
-      await sleep(clock, delay ?? pause);
+      const due = clock.elapsed() + (delay ?? pause);
+      await sleep(clock, delay ?? pause, attempt.signal);
+      if (clock.elapsed() < due) return { kind: 'broken', message: 'not wanted any more' };
       if (delay === undefined) {
         if (end === 'broken') return { kind: 'broken', message: 'reset' };
         const kind = end === 'closed' ? 'closed' : 'complete';
@@ -94,8 +100,17 @@
     };
   }
 
+  function getAnswer(id: string): StandAnswer {
+    const before = asked.get(id);
+    const answer = before
+      ? (before.again ?? { ...before, events: [] })
+      : (answers[Number(id.slice(1)) - 1] ?? {});
+    asked.set(id, answer);
+    return answer;
+  }
+
   async function send(attempt: Attempt<unknown>) {
-    const answer = answers[Number(attempt.endpoint.id.slice(1)) - 1] ?? {};
+    const answer = getAnswer(attempt.endpoint.id);
     const { framing = 'chunked', events = [], pause = 0, end } = answer;
     await sleep(clock, 100);
     attempt.onActivity();
@@ -112,10 +127,12 @@
     return Ok({ kind: 'whole' as const, head, body, end: told });
   }
 
-  async function acquire() {
-    turn += 1;
+  async function acquire({ only, excluded }: Pick<RouteRequest, 'only' | 'excluded'>) {
+    const [place] = [...(only ?? [])].filter((known) => !excluded.has(known));
+    if (only && place === undefined) return Err({ kind: 'none' });
+    if (!only) turn += 1;
     if (turn > answers.length) return Err({ kind: 'none' });
-    const name = `e${turn}/1`;
+    const name = place ?? `e${turn}/1`;
     const slot: Slot = {
       endpoint: { kind: 'service', name, version: `v${turn}` } as Slot['endpoint'],
       isLeaving: () => false,
@@ -136,13 +153,18 @@
     log,
     admission: { acquire },
     directory: { find, getFate: () => 'listed', markReplaced: () => {}, listLapsed: () => [] },
-    retryBudget: { countRequest: () => {}, take: () => true, giveBack: () => {} },
-    protocol: { send, probe: async () => 'accepting' },
+    retryBudget: {
+      countRequest: () => {},
+      take: () => true,
+      takeSpare: () => true,
+      giveBack: () => {},
+    },
+    protocol: { send, probe: async () => 'accepting', findRun: async () => ({ kind: 'silent' }) },
     metrics: forwardMetrics,
     endHistory,
     recentEnds,
     pauseHistory: createPauseHistory(clock),
-    getEndpointState: (name: string) => answers[Number(name[1]) - 1]?.state ?? 'sound',
+    getEndpointState: (name: string) => asked.get(`e${name[1]}`)?.state ?? 'sound',
     getConfigurationVersion: () => 1,
     origins: {
       note: () => {},
@@ -188,11 +210,15 @@
     write: async () => {},
     end() {
       calls.push('end');
+      endedAt = clock.elapsed();
       const { failsAfter } = answers[turn - 1] ?? {};
       if (failsAfter === undefined) return;
       clock.after(failsAfter, () => recentEnds.noteFate(`e${turn}/1`, 'failed'));
     },
-    cut: () => calls.push('cut'),
+    cut() {
+      calls.push('cut');
+      endedAt = clock.elapsed();
+    },
   };
   const done = forward(host, request, caller);
   await clock.advance(2 * DEADLINE_MS);
@@ -204,6 +230,7 @@
   ];
   return {
     calls,
+    endedAt,
     answered,
     suspicious: select(Diagnostics.endSuspicious),
     lines,
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -92,7 +92,8 @@
     },
     stop: new AbortController(),
     excluded: new Set<string>(),
-    dropped: new Set<string>(),
+    returnable: new Set<string>(),
+    question: new AbortController(),
     probedSuspects: [],
     runs: 0,
     pending: 1,
@@ -119,7 +120,7 @@
     silentSince: () => 0,
   });
   await clock.advance(5000);
-  return { progress: await progress, steps, lines, dropped: [...run.dropped] };
+  return { progress: await progress, steps, lines, returnable: [...run.returnable] };
 }
 
 test('an attempt that is not silent for long enough gets no replacement', async () => {
@@ -132,10 +133,10 @@
   [false, ['e2/1']],
   [true, []],
 ])(
-  'a dropped replacement that was unreachable: %s is one to return to: %j',
+  'a returnable replacement that was unreachable: %s is one to return to: %j',
   async (isUnreachable, names) => {
-    const { dropped } = await wait(1000, { search: 'slot', isUnreachable });
-    expect(dropped).toEqual(names);
+    const { returnable } = await wait(1000, { search: 'slot', isUnreachable });
+    expect(returnable).toEqual(names);
   },
 );
 
--- a/packages/forwarding/test/streamEnd.test.ts
+++ b/packages/forwarding/test/streamEnd.test.ts
@@ -15,6 +15,8 @@
 const MORE: StandAnswer = { repeats: true, events: [0, 0] };
 const NO_MORE: StandAnswer = { repeats: true };
 const UNABLE: StandAnswer = {};
+// Sends the caller's last event again, ends some time after it, and has nothing that follows it.
+const SECOND_APART: StandAnswer = { repeats: true, sinceEvent: 6, again: {} };
 const BROKEN: StandAnswer = { events: [100], end: 'broken' };
 
 test.each(DOUBTED)(
@@ -99,13 +101,24 @@
   const history = createEndHistory();
   const apart: StandAnswer = { events: [100], sinceEvent: 6 };
   for (let count = 1; count < 20; count += 1) {
-    expect((await forwardTo([apart], {}, 2, history)).calls).toEqual(['begin', 'cut']);
+    expect((await forwardTo([apart, SECOND_APART], {}, 2, history)).calls).toEqual([
+      'begin',
+      'end',
+    ]);
   }
   expect((await forwardTo([apart], {}, 2, history)).calls).toEqual(['begin', 'end']);
   expect((await forwardTo([apart, MORE], {}, 2, history)).answered).toMatchObject({ events: 3 });
   expect((await forwardTo([apart], {}, 2, history)).calls).toEqual(['begin', 'cut']);
 });
 
+test('ends apart from the last event that nobody has confirmed are not usual, however many', async () => {
+  const history = createEndHistory();
+  for (let count = 1; count < 40; count += 1) {
+    const { calls } = await forwardTo([{ events: [100], sinceEvent: 6 }], {}, 2, history);
+    expect(calls).toEqual(['begin', 'cut']);
+  }
+});
+
 test('the ends of an endpoint are asked for after one that came too early', async () => {
   const history = createEndHistory();
   await forwardTo([{ events: [100], state: 'leaving' }, MORE], {}, 2, history);
