An exit on an error writes the lines that wait, and names the open requests

Now the buffered lines are written first, then that line, with instance, incarnation, the number of open requests and up to 20 of their ids. All is synchronous, and bounded: where nobody reads the log for 0.5 s, the rest is given up, and the process ends by SIGKILL, since an exit waits for a thread that is in a write (seen in a trial: process.exit with such a write was still there after 4 s). Lines that a thread is writing get 20 ms, so that the order is kept.

Not covered: the end by the heap limit, at which no code of ours runs.

--- a/packages/core/src/lineWriter.ts
+++ b/packages/core/src/lineWriter.ts
@@ -1,4 +1,5 @@
 import { write } from 'node:fs';
+import { pauseProcess, writeBeforeExit } from './exitWrite';
 import type { Importance } from './log';
 import type { Clock, Milliseconds } from './types';
 
@@ -11,6 +12,8 @@
 /** Further limits for important lines only. */
 const RESERVE_LIMIT_BYTES = 131_072;
 const RESERVE_LINES_PER_SECOND = 200;
+/** Time for lines that another thread writes already; it can't be asked whether it has. */
+const THREAD_WRITE_MS: Milliseconds = 20;
 
 /** Numbers of lines that were dropped, by their importance. */
 export type DroppedLines = Record<Importance, number>;
@@ -22,6 +25,11 @@
   dropped(): DroppedLines;
   /** Writes all buffered lines. Called before the process exits. */
   flush(): Promise<void>;
+  /**
+   * Writes all buffered lines and then this one before it returns, for a process that is about to exit. Returns false
+   * if they could not be written in half a second; an exit may then wait for a write for ever.
+   */
+  writeLast(line: string): boolean;
 }
 
 interface Line {
@@ -109,6 +117,12 @@
       await flushing;
       await flush();
     },
+    writeLast(line) {
+      if (flushing) pauseProcess(THREAD_WRITE_MS);
+      const text = lines.map((buffered) => buffered.text).join('');
+      lines = [];
+      return writeBeforeExit(descriptor, Buffer.from(`${text}${line}\n`));
+    },
   };
 }
 
--- a/packages/core/src/openRequests.ts
+++ b/packages/core/src/openRequests.ts
@@ -3,7 +3,7 @@
 import { TLSSocket } from 'node:tls';
 import type http from 'node:http';
 import type https from 'node:https';
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { waitUntilClosed } from './serverConnections';
 
 /** The requests of an HTTP server whose responses are not sent in full yet. */
@@ -14,6 +14,8 @@
    */
   track(response: ServerResponse, work: Promise<void>): Promise<void>;
   count(): number;
+  /** Returns the requests that count as open, in the order of their arrival. */
+  list(): IncomingMessage[];
   /** Returns the number of responses that are sent and whose connections close but have not closed yet. */
   countLingering(): number;
   /**
@@ -58,6 +60,7 @@
       }
     },
     count: () => open.size,
+    list: () => [...open].map(({ req }) => req),
     countLingering: () => lingering.size,
     close() {
       isClosing = true;
--- a/packages/core/test/lineWriter.test.ts
+++ b/packages/core/test/lineWriter.test.ts
@@ -1,3 +1,4 @@
+import { spawn } from 'node:child_process';
 import { closeSync, mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
@@ -11,6 +12,8 @@
 import type { DroppedLines, Importance, LogFields } from '../src';
 
 const LONG_LINE = 'x'.repeat(32_767);
+const BUILT_PACKAGE = path.join(__dirname, '..', 'dist');
+const UNREAD_EXIT_MAX_MS = 5000;
 
 let directory: string;
 
@@ -96,6 +99,59 @@
   expect(writer.dropped()).toEqual({ ordinary: 3, important: 2 });
 });
 
+test('the last line of a process follows those that are buffered', async () => {
+  const { writer, write, close } = openWriter();
+  write('ordinary', 2);
+  write('important', 1);
+  expect(writer.writeLast('last')).toBe(true);
+  expect(await close()).toEqual(['ordinary', 'ordinary', 'important', 'last']);
+});
+
+test('the last line of a process follows those that are being written', async () => {
+  const { writer, write, close } = openWriter();
+  write('ordinary', 2);
+  const flushed = writer.flush();
+  write('important', 1);
+  expect(writer.writeLast('last')).toBe(true);
+  await flushed;
+  expect(await close()).toEqual(['ordinary', 'ordinary', 'important', 'last']);
+});
+
+test('a last line that could not be written is told', () => {
+  const { writer, write } = openWriter('r');
+  write('ordinary', 1);
+  expect(writer.writeLast('last')).toBe(false);
+});
+
+// Returns how the program ended whose output nobody reads, `undefined` if it goes on.
+function runUnread(program: string): Promise<number | NodeJS.Signals | undefined> {
+  const child = spawn(process.execPath, ['-e', program], { stdio: ['ignore', 'pipe', 'ignore'] });
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => {
+      resolve(undefined);
+      child.kill('SIGKILL');
+    }, UNREAD_EXIT_MAX_MS);
+    child.once('exit', (code, signal) => {
+      clearTimeout(timer);
+      resolve(code ?? signal ?? undefined);
+    });
+  });
+}
+
+// Guards against an exit that waits for a reader of the log for ever.
+test.each(['', 'lines.flush();'])('a last line that nobody reads ends: %s', async (before) => {
+  const program = `
+    const { createLineWriter, createSystemClock } = require(${JSON.stringify(BUILT_PACKAGE)});
+    const lines = createLineWriter(createSystemClock(), 1);
+    for (let index = 0; index < 10; index += 1) lines.write('x'.repeat(40_000), 'important');
+    ${before}
+    setTimeout(() => {
+      lines.write('x'.repeat(200_000), 'important');
+      process.kill(process.pid, lines.writeLast('x'.repeat(300_000)) ? 'SIGTERM' : 'SIGKILL');
+    }, 200);`;
+  expect(await runUnread(program)).toBe('SIGKILL');
+});
+
 test('warnings and errors are important, and lines that are marked so', () => {
   const importances: Importance[] = [];
   const log = createLog(createManualClock(), 'info', {}, (_line, importance) =>
--- a/packages/replay/test/plannedStopHarness.ts
+++ b/packages/replay/test/plannedStopHarness.ts
@@ -68,8 +68,11 @@
 let launcher: Launcher | undefined;
 let directory = '';
 
-/** Starts an instance that is ready and has the configuration. */
-export async function startTrial(configuration: object = CONFIGURATION): Promise<Trial> {
+/** Starts an instance that is ready and has the configuration. Its process runs the prelude first. */
+export async function startTrial(
+  configuration: object = CONFIGURATION,
+  prelude = '',
+): Promise<Trial> {
   directory = mkdtempSync(path.join(tmpdir(), 'pomeloroad-stops-'));
   const store = await startStore({
     clock,
@@ -98,7 +101,9 @@
   await put('op', 'config', configuration);
   launcher = createLauncher((_name, line) => log.push(parse(line)));
   closers.push(store.stop, proxy.close);
-  const instance = await launcher.start('one', TRIAL_PROGRAM, ['--settings', settingsPath]);
+  const program = path.join(directory, 'program.js');
+  writeFileSync(program, `${prelude}\nrequire(${JSON.stringify(TRIAL_PROGRAM)});`);
+  const instance = await launcher.start('one', program, ['--settings', settingsPath]);
   await waitUntil(async () => (await getReady(readinessAddress)) === 200);
 
   async function addEndpoint(id: string, handler: http.RequestListener): Promise<void> {
