--- a/packages/replay/test/plannedStopHarness.ts
+++ b/packages/replay/test/plannedStopHarness.ts
@@ -68,7 +68,7 @@
 let launcher: Launcher | undefined;
 let directory = '';
 
-/** Starts an instance that is ready and has the configuration. Its process runs the prelude first. */
+/** Starts an instance; resolves once it is ready or has ended. Its process runs the prelude first. */
 export async function startTrial(
   configuration: object = CONFIGURATION,
   prelude = '',
@@ -104,7 +104,7 @@
   const program = path.join(directory, 'program.js');
   writeFileSync(program, `${prelude}\nrequire(${JSON.stringify(TRIAL_PROGRAM)});`);
   const instance = await launcher.start('one', program, ['--settings', settingsPath]);
-  await waitUntil(async () => (await getReady(readinessAddress)) === 200);
+  await waitUntil(async () => !instance.isRunning() || (await getReady(readinessAddress)) === 200);
 
   async function addEndpoint(id: string, handler: http.RequestListener): Promise<void> {
     const server = http.createServer((request, response) => {
