A stream of a route that is split over services is taken up at the service that began it

Cause: the service of each request was drawn at random. Within an answer and at the instance where a stream began its origin is known; another instance looks for origins only while a service has several versions, so it drew a service of its own for the rest. Now the name of a stream decides, by the weights: each instance comes to the same service without a record or a call.

--- a/packages/forwarding/src/store/routeTable.ts
+++ b/packages/forwarding/src/store/routeTable.ts
@@ -1,7 +1,11 @@
-import { checkDefined } from '@pomeloroad/core';
+import { checkDefined, hashText } from '@pomeloroad/core';
 import type { Random } from '@pomeloroad/core';
 import type { ForwardAccount, ForwardConfiguration, ForwardService, Route } from '../types';
 
+/** Hexadecimal digits of a hash that a fraction holds without loss. */
+const FRACTION_DIGITS = 13;
+const HEX_BASE = 16;
+
 /** One version of the configuration, indexed for lookups. */
 export interface RouteTable {
   configuration: ForwardConfiguration;
@@ -39,8 +43,18 @@
   };
 }
 
+/**
+ * Returns the one of the route's services to which streams of the name belong, by their weights. It is the same
+ * at all instances, so that a stream is taken up at the service that began it.
+ */
+export function placeStream(route: Route, stream: string): string {
+  const digits = hashText(stream).slice(0, FRACTION_DIGITS);
+  const fraction = parseInt(digits, HEX_BASE) / HEX_BASE ** FRACTION_DIGITS;
+  return chooseService(route, { fraction: () => fraction });
+}
+
 /** Chooses one of the route's services at random by their weights. */
-export function chooseService(route: Route, random: Random): string {
+export function chooseService(route: Route, random: Pick<Random, 'fraction'>): string {
   const sum = route.targets.reduce((total, target) => total + target.weight, 0);
   let remaining = random.fraction() * sum;
   const chosen = route.targets.find((target) => {
--- a/packages/forwarding/test/pieces.test.ts
+++ b/packages/forwarding/test/pieces.test.ts
@@ -1,5 +1,11 @@
 import { createManualClock, createRandom } from '@pomeloroad/core';
-import { chooseService, createEventSplitter, createRetryBudget, createRouteTable } from '../src';
+import {
+  chooseService,
+  createEventSplitter,
+  createRetryBudget,
+  createRouteTable,
+  placeStream,
+} from '../src';
 import type { Route } from '../src';
 
 test('only complete events are returned for any chunk size', () => {
@@ -104,3 +110,17 @@
   expect(share).toBeGreaterThan(0.05);
   expect(share).toBeLessThan(0.15);
 });
+
+test('streams are placed in proportion to the weights, and those of one name together', () => {
+  const targets = [
+    { service: 'new', weight: 10 },
+    { service: 'old', weight: 90 },
+  ];
+  const split = route('/', { targets });
+  const names = Array.from({ length: 1000 }, (_, index) => `attempt-${index}`);
+  const placed = names.map((name) => placeStream(split, name));
+  expect(names.map((name) => placeStream(split, name))).toEqual(placed);
+  const share = placed.filter((service) => service === 'new').length / placed.length;
+  expect(share).toBeGreaterThan(0.05);
+  expect(share).toBeLessThan(0.15);
+});
