A stream whose route has moved to another service does not go on there

Cause: what binds a stream to its service and version was looked for among the services of the route as it is now. Once a change of the configuration has moved the route, the origin that the instance itself remembers was left aside, nothing was recorded for other instances (each service had one version), and the rest was asked of the new service, whose events were joined to those of the former one. The same at a change of weights, for the share that moves. Now each instance remembers for 15 s what routes led to before. Streams are recorded meanwhile, as with several versions; one whose name would have led elsewhere is looked for; it is refused as not run if its route does not lead to its service any more, or if its origin is not found. Routes that are added or dropped beside others count too. Steady routes cost nothing.

Price: those take-ups are refused (503, not run), as those whose version is gone. Not covered: an instance that has started since the change knows of it by records only.

--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -29,6 +29,7 @@
 import { startStreamOrigins } from './origins/streamOrigins';
 import { startSuspects } from './suspects/suspects';
 import { startVersionRows } from './origins/versionRows';
+import { createTargetHistory } from './origins/targetHistory';
 import { createVersionHistory } from './origins/versionHistory';
 import { createRetryBudget } from './limits/retryBudget';
 import type { ForwardInstance, ForwardInstanceHost } from './forwardInstanceTypes';
@@ -81,6 +82,7 @@
     },
   });
   const versions = createVersionHistory(clock);
+  const targets = createTargetHistory(clock);
   const versionRows = startVersionRows({ clock, rows, signal: stop.signal, versions });
   const admission = createAdmission(
     {
@@ -100,7 +102,10 @@
     table: host.tables.configuration,
     decode: host.decodeConfiguration,
     getDelayLimit: host.getConfigurationDelayLimit,
-    onAccepted: (accepted) => budgets.configure(accepted),
+    onAccepted(table) {
+      targets.update(table);
+      budgets.configure(table.configuration);
+    },
   });
   const endpointFeed = followEndpoints({
     ...following,
@@ -186,6 +191,7 @@
     signal: stop.signal,
     instance: host.instance,
     versions,
+    targets,
     countInstances: instanceCount.get,
     getViewAge: endpointFeed.getAge,
     areVersionsLoaded: versionRows.isLoaded,
--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -7,7 +7,9 @@
 import { getStreamName } from './originRows';
 import { startOriginWriter } from './originWriter';
 import { STREAM_TIME_MAX_MS } from './versionHistory';
+import type { TargetHistory } from './targetHistory';
 import type { VersionHistory } from './versionHistory';
+import type { Route } from '../types';
 
 /** Age of the knowledge of endpoints beyond which a version may serve that is not known. */
 const VIEW_AGE_MAX_MS: Milliseconds = 2500;
@@ -21,6 +23,7 @@
   signal: AbortSignal;
   instance: string;
   versions: VersionHistory;
+  targets: TargetHistory;
   countInstances(): number;
   /** Returns the age of the knowledge of endpoints. */
   getViewAge(): Milliseconds;
@@ -32,10 +35,10 @@
 
 /** What is known about the version at which a stream has to go on. */
 export type TakeUp =
-  /** Only one version has served the service lately. */
+  /** Only one service and version has served the stream's route lately. */
   | { kind: 'any' }
   | { kind: 'known'; origin: StreamOrigin; source: 'memory' | 'store' }
-  | { kind: 'unknown'; reason: 'not recorded' | 'store unavailable' | 'doubted' };
+  | { kind: 'unknown'; reason: 'not recorded' | 'not routed' | 'store unavailable' | 'doubted' };
 
 /** Where streams began, as far as anyone knows. */
 export interface StreamOrigins {
@@ -49,20 +52,21 @@
   /** Whether a stream that began here may be of another version than was noted. */
   isDoubted(stream: string): boolean;
   /**
-   * Returns where a stream may go on that began at the first of the services, or else at one of the
-   * others.
+   * Returns where a stream of the route may go on that began at the first of the services, or else at one
+   * of the others.
    */
-  find(stream: string, services: string[]): Promise<TakeUp>;
+  find(stream: string, services: string[], route: Route): Promise<TakeUp>;
 }
 
 /** Starts remembering origins and, while a service has several versions, recording them. */
 export function startStreamOrigins(host: StreamOriginsHost): StreamOrigins {
-  const { clock, versions } = host;
+  const { clock, versions, targets } = host;
   const startedAt = clock.elapsed();
   const memory = createOriginMemory(clock);
   const readOrigins = createOriginReader(clock, host.rows);
   // An instance that starts counts versions that others know to have gone, and looks for all streams then.
-  const isNeeded = () => versions.hasSeveralAnywhere() || host.areSeveralRecorded();
+  const isNeeded = () =>
+    versions.hasSeveralAnywhere() || host.areSeveralRecorded() || targets.hasChangedAnywhere();
   const writer = startOriginWriter({ ...host, memory, isNeeded });
 
   function mayMissVersions(): boolean {
@@ -70,13 +74,19 @@
     return hasJustStarted || host.getViewAge() > VIEW_AGE_MAX_MS;
   }
 
-  async function findRecorded(name: string, services: string[]): Promise<TakeUp> {
+  async function findRecorded(
+    name: string,
+    services: string[],
+    hasMoved: boolean,
+  ): Promise<TakeUp> {
     const origins = await readOrigins();
     if (!origins || !host.areVersionsLoaded())
       return { kind: 'unknown', reason: 'store unavailable' };
-    const origin = choose(origins.byName.get(name) ?? [], services);
+    const recorded = origins.byName.get(name) ?? [];
+    const origin = choose(recorded, services);
     if (origin) return { kind: 'known', origin, source: 'store' };
-    return services.some((service) => hasSeveral(service, origins.recent))
+    if (isElsewhere(recorded, services)) return { kind: 'unknown', reason: 'not routed' };
+    return hasMoved || services.some((service) => hasSeveral(service, origins.recent))
       ? { kind: 'unknown', reason: 'not recorded' }
       : { kind: 'any' };
   }
@@ -100,23 +110,28 @@
       writer.note();
     },
     isDoubted: (stream) => memory.isDoubted(getStreamName(stream)),
-    async find(stream, services) {
+    async find(stream, services, route) {
       const name = getStreamName(stream);
       if (memory.isDoubted(name)) return { kind: 'unknown', reason: 'doubted' };
       const own = memory.find(name);
-      const origin = own && choose([own], services);
-      if (origin) return { kind: 'known', origin, source: 'memory' };
-      if (!services.some((service) => hasSeveral(service)) && !mayMissVersions()) {
-        return { kind: 'any' };
-      }
-      const found = await findRecorded(name, services);
-      if (found.kind !== 'unknown') return found;
+      if (own && isElsewhere([own], services)) return { kind: 'unknown', reason: 'not routed' };
+      if (own) return { kind: 'known', origin: own, source: 'memory' };
+      const hasMoved = targets.findServices(route, stream).length > 1;
+      const isUnclear = hasMoved || services.some((service) => hasSeveral(service));
+      if (!isUnclear && !mayMissVersions()) return { kind: 'any' };
+      const found = await findRecorded(name, services, hasMoved);
+      if (found.kind !== 'unknown' || found.reason === 'not routed') return found;
       await sleep(clock, READ_AGAIN_DELAY_MS, host.signal);
-      return findRecorded(name, services);
+      return findRecorded(name, services, hasMoved);
     },
   };
 }
 
+// Whether a stream began at services to none of which its route leads any more.
+function isElsewhere(origins: StreamOrigin[], services: string[]): boolean {
+  return origins.length > 0 && origins.every(({ service }) => !services.includes(service));
+}
+
 // Prefers the first service. Two versions of it contradict each other.
 function choose(origins: StreamOrigin[], services: string[]): StreamOrigin | undefined {
   const service = services.find((name) => origins.some((origin) => origin.service === name));
--- a/packages/forwarding/src/origins/takeUp.ts
+++ b/packages/forwarding/src/origins/takeUp.ts
@@ -17,7 +17,7 @@
   if (!isTakeUp(run)) return Ok(undefined);
   const { service, route } = run.request;
   const others = route.targets.map((target) => target.service).filter((name) => name !== service);
-  const takeUp = await run.host.origins.find(getStream(run), [service, ...others]);
+  const takeUp = await run.host.origins.find(getStream(run), [service, ...others], route);
   recordTakeUp(run, takeUp);
   return match(takeUp)
     .with({ kind: 'any' }, () => Ok(undefined))
--- a/packages/forwarding/src/store/configurationFeed.ts
+++ b/packages/forwarding/src/store/configurationFeed.ts
@@ -18,7 +18,7 @@
   /** Returns the time within which an accepted configuration is to be in force. */
   getDelayLimit(): Milliseconds;
   /** Called with each configuration that comes into force. */
-  onAccepted(configuration: ForwardConfiguration): void;
+  onAccepted(table: RouteTable): void;
 }
 
 /** The configuration in force, and how well it is known. */
@@ -61,7 +61,7 @@
     const current = table?.configuration.version ?? -Infinity;
     if (configuration.version <= current) return;
     table = createRouteTable(configuration);
-    host.onAccepted(configuration);
+    host.onAccepted(table);
     log(Diagnostics.configurationAccepted, {
       configuration: configuration.version,
       row: row.version,
--- a/packages/forwarding/test/startedInstances.test.ts
+++ b/packages/forwarding/test/startedInstances.test.ts
@@ -3,11 +3,14 @@
 import type { RowStore } from '@pomeloroad/storage';
 import { startStreamOrigins } from '../src/origins/streamOrigins';
 import type { TakeUp } from '../src/origins/streamOrigins';
+import { createTargetHistory } from '../src/origins/targetHistory';
 import { createVersionHistory } from '../src/origins/versionHistory';
 import { startVersionRows } from '../src/origins/versionRows';
+import type { Route } from '../src';
 
 const LLM_V1 = { service: 'llm', version: 'v1' };
 const LLM_V2 = { service: 'llm', version: 'v2' };
+const ROUTE = { host: 'a', prefix: '/', targets: [{ service: 'llm', weight: 1 }] };
 
 type Clock = ReturnType<typeof createManualClock>;
 
@@ -22,6 +25,7 @@
     signal: ending.signal,
     instance,
     versions,
+    targets: createTargetHistory(clock),
     countInstances: () => 8,
     getViewAge: () => 0,
     areVersionsLoaded: versionRows.isLoaded,
@@ -33,7 +37,7 @@
     await clock.advance(500);
   }
   async function find(stream: string): Promise<TakeUp> {
-    const found = origins.find(stream, ['llm']);
+    const found = origins.find(stream, ['llm'], ROUTE as Route);
     await clock.advance(2000);
     return found;
   }
--- a/packages/forwarding/test/streamOrigins.test.ts
+++ b/packages/forwarding/test/streamOrigins.test.ts
@@ -5,8 +5,10 @@
 import { encodeOrigins, isRecentRow } from '../src/origins/originRows';
 import { startStreamOrigins } from '../src/origins/streamOrigins';
 import type { TakeUp } from '../src/origins/streamOrigins';
+import { createTargetHistory } from '../src/origins/targetHistory';
 import { createVersionHistory } from '../src/origins/versionHistory';
-import type { EndpointRecord } from '../src';
+import { createRouteTable } from '../src';
+import type { EndpointRecord, ForwardConfiguration, Route } from '../src';
 
 const LLM_V1 = { service: 'llm', version: 'v1' };
 const REMEMBERED_MS = 16_000;
@@ -27,6 +29,16 @@
 
 type Clock = ReturnType<typeof createManualClock>;
 
+// A route that sends the same share of its requests to each of the services.
+function createRoute(services: string[], prefix = '/'): Route {
+  const targets = services.map((service) => ({ service, weight: 1 }));
+  return { host: 'a', prefix, isResumable: true, targets } as unknown as Route;
+}
+
+function createConfiguration(routes: Route[]): ForwardConfiguration {
+  return { version: 1, routes, accounts: [], services: [] } as unknown as ForwardConfiguration;
+}
+
 // Returns the clock of an instance whose time of day is ahead of that of others.
 function shiftDay(clock: Clock, ahead: number): Clock {
   return { ...clock, now: () => new Date(clock.now().getTime() + ahead) };
@@ -41,6 +53,7 @@
   const setVersions = (next: (string | undefined)[]) =>
     versions.update(next.map((version) => createRecord('llm', version)));
   setVersions(names);
+  const targets = createTargetHistory(clock);
 
   function count<Args extends unknown[], Result>(call: (...args: Args) => Promise<Result>) {
     return (...args: Args): Promise<Result> => {
@@ -64,6 +77,7 @@
     signal: new AbortController().signal,
     instance,
     versions,
+    targets,
     countInstances: () => 8,
     getViewAge: () => viewAge,
     areVersionsLoaded: () => true,
@@ -72,6 +86,8 @@
   return {
     ...origins,
     setVersions,
+    setRoutes: (...routes: Route[]) =>
+      targets.update(createRouteTable(createConfiguration(routes))),
     countCalls: () => calls,
     setViewAge(age: number) {
       viewAge = age;
@@ -88,7 +104,7 @@
   stream: string,
   services = ['llm'],
 ): Promise<TakeUp> {
-  const found = findOrigin(stream, services);
+  const found = findOrigin(stream, services, createRoute(services));
   await clock.advance(2000);
   return found;
 }
@@ -283,3 +299,52 @@
   await clock.advance(1000);
   expect(await find(clock, three, 'a')).toMatchObject({ kind: 'unknown' });
 });
+
+test('a stream whose route has moved is not taken up at its new service', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = startInstance(clock, store, 'one', ['v1']);
+  const two = startInstance(clock, store, 'two', ['v1']);
+  [one, two].forEach((instance) => instance.setRoutes(createRoute(['llm'])));
+  await clock.advance(REMEMBERED_MS);
+  one.note('a', LLM_V1);
+  [one, two].forEach((instance) => instance.setRoutes(createRoute(['chat'])));
+  await clock.advance(500);
+  const notRouted = { kind: 'unknown', reason: 'not routed' };
+  expect(await find(clock, one, 'a', ['chat'])).toEqual(notRouted);
+  expect(await find(clock, two, 'a', ['chat'])).toEqual(notRouted);
+  const notRecorded = { kind: 'unknown', reason: 'not recorded' };
+  expect(await find(clock, two, 'b', ['chat'])).toEqual(notRecorded);
+  await clock.advance(REMEMBERED_MS);
+  expect(await find(clock, two, 'b', ['chat'])).toEqual({ kind: 'any' });
+});
+
+test.each<[string, Route[], Route[]]>([
+  ['is new', [createRoute(['llm'])], [createRoute(['llm']), createRoute(['chat'], '/x/')]],
+  ['is gone', [createRoute(['llm']), createRoute(['chat'], '/x/')], [createRoute(['llm'])]],
+])(
+  'where a route %s beside another one, a stream of unknown origin is not guessed',
+  async (_, before, after) => {
+    const clock = createManualClock();
+    const one = startInstance(clock, createMemoryRowStore(), 'one', ['v1']);
+    one.setRoutes(...before);
+    await clock.advance(REMEMBERED_MS);
+    one.setRoutes(...after);
+    const route = after.at(-1)!;
+    const services = route.targets.map(({ service }) => service);
+    const found = one.find('b', services, route);
+    await clock.advance(2000);
+    expect(await found).toEqual({ kind: 'unknown', reason: 'not recorded' });
+  },
+);
+
+test('routes that change in other ways leave take-ups as they are', async () => {
+  const clock = createManualClock();
+  const one = startInstance(clock, createMemoryRowStore(), 'one', ['v1']);
+  one.setRoutes(createRoute(['llm']), createRoute(['chat'], '/x/'));
+  await clock.advance(REMEMBERED_MS);
+  const before = one.countCalls();
+  one.setRoutes({ ...createRoute(['llm']), timeout: 7 }, createRoute(['other'], '/x/'));
+  expect(await find(clock, one, 'b')).toEqual({ kind: 'any' });
+  expect(one.countCalls()).toBe(before);
+});
