An event with an empty id is not left out of the rest of a stream

Cause: an empty id counted as an id that comes before all others, so that the event was left out behind the repeated one; and a stream whose last event bore one was asked for from its start. Now its event counts as one without an id. Test, before: of ids 1, 2, empty, 3 the caller of a stream that broke off after 2 got 1, 2 and 3. The platform's ids rise, so this was hardly seen there.

--- a/packages/forwarding/src/attempts/events.ts
+++ b/packages/forwarding/src/attempts/events.ts
@@ -26,7 +26,8 @@
 
 /** What ends each block of a stream, an event or a comment. */
 export const BLOCK_END = '\n\n';
-const ID_FIELD_PATTERN = /^id: ?(.*)$/gm;
+/** An empty id tells nothing of where a stream may go on; its event counts as one without an id. */
+const ID_FIELD_PATTERN = /^id:(?: |(?! ))(.+)$/gm;
 /** Matches a line that makes its block an event; comments and unknown fields do not. */
 const EVENT_LINE_PATTERN = /^(?:data|id)(?::|$)/gm;
 
