Server connections: one connection, and input that is dropped, in files of their own

That the input is dropped is known by it being there, in place of a second flag. Behaviour is the same; no test changed.

--- /dev/null
+++ b/packages/core/src/serverConnection.ts
@@ -0,0 +1,234 @@
+import http from 'node:http';
+import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { createDroppedInput } from './droppedInput';
+import type { DroppedInput } from './droppedInput';
+import { holdInput } from './heldInput';
+import { createLookAhead } from './lookAhead';
+import { createWaitingBodies } from './waitingBodies';
+import type { WaitingBodies } from './waitingBodies';
+
+/** A connection of a server, with the requests that are accepted on it. */
+export interface ServerConnection {
+  bodies: WaitingBodies;
+  isDropping(): boolean;
+  /** Whether the latest accepted request's response is the last one. */
+  isEnding(): boolean;
+  isLatest(response: ServerResponse): boolean;
+  accept(response: ServerResponse): void;
+  /** Calls back when the body of the latest request turns out to be unreadable. */
+  onUnreadable(callback: () => void): void;
+  /** Drops what still arrives. */
+  dropInput(): void;
+  /**
+   * Closes the connection once the accepted requests are answered; the status, if there is one, is
+   * sent last.
+   */
+  refuse(status: number | undefined): void;
+  /** Resolves at once unless the connection is being closed; then, once it has closed. */
+  waitUntilClosed(): Promise<void>;
+  /**
+   * Makes up for the listeners that Node takes off a socket that asks for a tunnel or for another
+   * protocol; returns a function that removes them again.
+   */
+  restoreListeners(): () => void;
+  /**
+   * Holds the input, of which the pieces were read already, and calls back for a new parser once all
+   * accepted requests are answered, unless the connection closes then.
+   */
+  parseLater(pieces: Buffer[], parse: () => void): void;
+}
+
+const connections = new WeakMap<Socket, ServerConnection>();
+
+/** Returns the connection of a socket if one has been created for it. */
+export function findConnection(socket: Socket): ServerConnection | undefined {
+  return connections.get(socket);
+}
+
+/** Returns the connection of a server's socket; creates it if none is known. */
+export function getConnection(socket: Socket): ServerConnection {
+  const known = connections.get(socket);
+  if (known) return known;
+  const connection = createConnection(socket);
+  connections.set(socket, connection);
+  return connection;
+}
+
+function createConnection(socket: Socket): ServerConnection {
+  /** Responses that are not sent in full, in the order of their requests. */
+  const open = new Set<ServerResponse>();
+  const lookAhead = createLookAhead(socket);
+  const bodies = createWaitingBodies(socket, startLookAhead);
+  let latest: ServerResponse | undefined;
+  let abandonBody: () => void = () => undefined;
+  let isRefused = false;
+  let refusal: number | undefined;
+  let isClosing = false;
+  /** What still arrives, once it is dropped. */
+  let dropped: DroppedInput | undefined;
+  /** Gives the connection a new parser for the input that is held, if any is. */
+  let parseHeld: (() => void) | undefined;
+
+  // There is no parser to look ahead of while the input is dropped, or held for a new one.
+  function startLookAhead(): void {
+    if (!dropped && !parseHeld) lookAhead.start();
+  }
+
+  function accept(response: ServerResponse): void {
+    if (!latest) prepareClose();
+    latest = response;
+    abandonBody = () => undefined;
+    open.add(response);
+    response.once('finish', () => {
+      open.delete(response);
+      bodies.release(response.req);
+      closeRefused();
+      limitInput();
+      scheduleHeld();
+    });
+    limitInput();
+  }
+
+  function parseLater(pieces: Buffer[], parse: () => void): void {
+    const removeListeners = restoreListeners();
+    if (dropped) {
+      socket.resume();
+      return;
+    }
+    const held = holdInput(socket, [...pieces, ...lookAhead.stop()]);
+    parseHeld = () => {
+      held.giveBack();
+      removeListeners();
+      // The timer of idle connections may run since the last response.
+      socket.setTimeout(0);
+      parse();
+      socket.resume();
+    };
+    scheduleHeld();
+  }
+
+  // Node still handles the latest response's end, or the parser that it has taken off, in this turn.
+  function scheduleHeld(): void {
+    if (parseHeld && open.size === 0) setImmediate(endHold);
+  }
+
+  function endHold(): void {
+    const parse = parseHeld;
+    parseHeld = undefined;
+    if (!dropped && !socket.destroyed && !socket.readableEnded) parse?.();
+  }
+
+  function restoreListeners(): () => void {
+    const ignore = () => undefined;
+    const tellDrained = () => {
+      const [current] = open;
+      current?.emit('drain');
+    };
+    socket.on('error', ignore);
+    socket.on('drain', tellDrained);
+    return () => {
+      socket.off('error', ignore);
+      socket.off('drain', tellDrained);
+    };
+  }
+
+  function limitInput(): void {
+    if (!dropped) bodies.limit(open.size);
+  }
+
+  function prepareClose(): void {
+    // Node closes a connection by this method after a response that announced it.
+    Object.assign(socket, { destroySoon: close });
+    // Node tells only the first of the open responses that the connection has closed.
+    socket.once('close', () => {
+      [...open].filter((response) => !response.destroyed).forEach(closeResponse);
+      // Nor does it tell the requests if it has taken the parser off.
+      open.forEach((response) => response.req.destroy());
+    });
+  }
+
+  function refuse(status: number | undefined): void {
+    if (dropped) return;
+    // A caller that has closed its side has left, so a response that runs is given up.
+    const hasLeft = socket.readableEnded && open.size > 0;
+    dropInput();
+    if (hasLeft) {
+      socket.end();
+      return;
+    }
+    isRefused = true;
+    refusal = status;
+    if (latest && !latest.req.complete) refuseBody(latest);
+    closeRefused();
+  }
+
+  // The refusal takes the place of the answer of the request whose body can't be read, unless it has one.
+  function refuseBody(response: ServerResponse): void {
+    if (response.headersSent) refusal = undefined;
+    else open.delete(response);
+    abandonBody();
+  }
+
+  function closeRefused(): void {
+    if (!isRefused || isClosing || open.size > 0) return;
+    if (refusal !== undefined && socket.writable) socket.write(createRefusal(refusal));
+    close();
+  }
+
+  // Closes the connection once all is sent. Closing it with unread input would reset it, and take from
+  // the caller what it has not read yet.
+  function close(): void {
+    if (isClosing) return;
+    isClosing = true;
+    const input = dropInput();
+    if (!latest) {
+      socket.destroySoon();
+      return;
+    }
+    socket.end(input.linger);
+  }
+
+  function dropInput(): DroppedInput {
+    if (dropped) return dropped;
+    parseHeld = undefined;
+    lookAhead.stop();
+    dropped = createDroppedInput(socket);
+    return dropped;
+  }
+
+  return {
+    bodies,
+    isDropping: () => dropped !== undefined,
+    isEnding: () => latest?.shouldKeepAlive === false,
+    isLatest: (response) => latest === response,
+    accept,
+    onUnreadable(callback) {
+      abandonBody = callback;
+    },
+    dropInput,
+    refuse,
+    waitUntilClosed() {
+      if (!isClosing || socket.destroyed) return Promise.resolve();
+      return new Promise((resolve) => {
+        socket.once('close', () => resolve());
+      });
+    },
+    restoreListeners,
+    parseLater,
+  };
+}
+
+function closeResponse(response: ServerResponse): void {
+  response.destroy();
+  response.emit('close');
+}
+
+function createRefusal(status: number): string {
+  const head = [
+    `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`,
+    'Connection: close',
+    'Content-Length: 0',
+  ];
+  return `${head.join('\r\n')}\r\n\r\n`;
+}
