Escrow transactions: the rows as last known in a file of their own

escrowTransactions.ts (323 lines) held both what is known of a budget's and a grant's rows in an era and the transactions on them. The row of a budget or grant with its version gets a name (KnownTotal, KnownGrant) in place of a type that was spelled out at each use. Behaviour is the same; no test changed.

--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -4,7 +4,7 @@
 import type { Milliseconds, Outcome, Timer, Tokens } from '@pomeloroad/core';
 import { LIMIT_REWRITE_MAX_MS } from './escrowRestoration';
 import type { Ancestry } from './escrowRestoration';
-import type { BudgetTotal, Grant } from './escrowRows';
+import type { BudgetTotal, Grant, KnownTotal } from './escrowRows';
 import type { EscrowAccount, EscrowError, EscrowHost, EscrowReservation } from './escrowTypes';
 import { needsResize, planGrant, raiseCeiling } from './escrowPlan';
 import type { GrantUse } from './escrowPlan';
@@ -259,7 +259,7 @@
     }
   }
 
-  function handleTotal(next: BudgetTotal, known: BudgetTotal & { version: number }): void {
+  function handleTotal(next: BudgetTotal, known: KnownTotal): void {
     if (next.calls > known.calls && known.version > 0 && !hasCalledRecently()) {
       noSpareUntil = clock.elapsed() + NO_SPARE_MS;
     }
--- a/packages/budgets/src/escrowRows.ts
+++ b/packages/budgets/src/escrowRows.ts
@@ -14,6 +14,11 @@
   restoration?: Restoration | undefined;
 }
 
+/** The row of a budget as last known. */
+export interface KnownTotal extends BudgetTotal {
+  version: number;
+}
+
 /** What has been put back into a budget since the era of its row began. */
 export interface Restoration {
   /** Instances that have put back their grants. */
@@ -70,6 +75,11 @@
   ceiling: Tokens;
 }
 
+/** The size of a grant as last known, with the version of its row. */
+export interface KnownGrant extends Grant {
+  version: number;
+}
+
 /** The row of a grant. */
 export interface GrantRow extends Grant {
   /** The instance that holds the grant; rows of earlier builds do not name it. */
--- a/packages/budgets/src/escrowTransactionTypes.ts
+++ b/packages/budgets/src/escrowTransactionTypes.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds, Tokens } from '@pomeloroad/core';
 import type { RowCheck, StoreEra, VersionedRow } from '@pomeloroad/storage';
 import type { Ancestry } from './escrowRestoration';
-import type { BudgetTotal, Grant } from './escrowRows';
+import type { BudgetTotal, Grant, KnownTotal } from './escrowRows';
 import type { EscrowHost } from './escrowTypes';
 
 /** A change of the grant that is to be written, or whose outcome is not known yet. */
@@ -39,7 +39,7 @@
   getUse(): { used: Tokens; limit: Tokens };
   getAncestry(): Ancestry;
   /** Called before a newer row of the budget replaces the known one. */
-  onTotal(next: BudgetTotal, known: BudgetTotal & { version: number }): void;
+  onTotal(next: BudgetTotal, known: KnownTotal): void;
 }
 
 /** The rows of a budget and of this instance's grant on it, as last known, and their changes. */
--- a/packages/budgets/src/escrowTransactions.ts
+++ b/packages/budgets/src/escrowTransactions.ts
@@ -1,7 +1,5 @@
 import { Diagnostics } from '@pomeloroad/core';
-import type { Milliseconds } from '@pomeloroad/core';
-import { FIRST_ERA } from '@pomeloroad/storage';
-import type { StoreEra, TransactError, VersionedRow } from '@pomeloroad/storage';
+import type { TransactError, VersionedRow } from '@pomeloroad/storage';
 import { createEscrowCalls } from './escrowCalls';
 import { createEscrowEarlierEras } from './escrowEarlierEras';
 import { createEscrowHolders } from './escrowHolders';
@@ -15,16 +13,9 @@
   openWithoutMissing,
 } from './escrowRestoration';
 import type { AccountRows } from './escrowRestoration';
-import {
-  findRow,
-  formatGrant,
-  getGrantKey,
-  getTotalKey,
-  parseGrant,
-  parseTotal,
-  splitEra,
-} from './escrowRows';
+import { findRow, formatGrant, parseGrant, parseTotal } from './escrowRows';
 import type { BudgetTotal, Grant } from './escrowRows';
+import { createEscrowRowCache } from './escrowRowCache';
 import type {
   EscrowOutcome,
   EscrowTransactions,
@@ -32,60 +23,27 @@
   GrantChange,
 } from './escrowTransactionTypes';
 
-const NO_TOTAL = { allocated: 0, calls: 0, version: 0 };
-
 /** Creates the transactions of an account that holds no tokens. */
 export function createEscrowTransactions(host: EscrowTransactionsHost): EscrowTransactions {
   const { account } = host;
   const { clock, log, rows, instance, incarnation } = host.escrow;
-  let era = FIRST_ERA;
-  /** When the present era became known here. */
-  let eraStartedAt: Milliseconds = -Infinity;
-  let totalKey = getTotalKey(account, era);
-  let grantKey = getGrantKey(account, incarnation, era);
-  let isRestored = true;
-  let total: BudgetTotal & { version: number } = NO_TOTAL;
-  let totalReadAt: Milliseconds = -Infinity;
-  let grant = { held: 0, ceiling: 0, version: 0 };
-  let pendingChange: GrantChange | undefined;
-
   const known = createEscrowHolders(host.escrow);
   const earlierEras = createEscrowEarlierEras(known);
-  const storeCalls = createEscrowCalls({ rows, getEra: () => era, startEra });
+  const cache = createEscrowRowCache({ ...host, onEraEnd: earlierEras.endEra });
+  const { getEra, getTotal, getTotalKey, getGrant, getGrantKey, isRestored } = cache;
+  const storeCalls = createEscrowCalls({ rows, getEra, startEra: cache.startEra });
 
   const listInstances = () => host.escrow.listInstances() ?? [];
 
-  // A change of the old era whose outcome is not known counts only if it lowers the grant. Versions
-  // of the old era are not used again.
-  function startEra(next: StoreEra): void {
-    if (next <= era) return;
-    const { held, ceiling } = pendingChange ?? grant;
-    log(Diagnostics.budgetRewound, { account, before: era, era: next, held: grant.held });
-    grant = {
-      held: Math.min(grant.held, held),
-      ceiling: Math.min(grant.ceiling, ceiling),
-      version: 0,
-    };
-    pendingChange = undefined;
-    era = next;
-    eraStartedAt = clock.elapsed();
-    totalKey = getTotalKey(account, era);
-    grantKey = getGrantKey(account, incarnation, era);
-    earlierEras.endEra(total, isRestored);
-    total = NO_TOTAL;
-    totalReadAt = -Infinity;
-    isRestored = false;
-  }
-
   async function restore(): Promise<EscrowOutcome> {
-    const sentIn = era;
+    const sentIn = getEra();
     const listed = storeCalls.acceptRows(sentIn, await listAccountRows(rows, account));
     if (listed.err) return listed.val;
-    const totalRow = findRow(listed.val.totals, totalKey);
-    const grantVersion = findRow(listed.val.grants, grantKey)?.version ?? 0;
+    const totalRow = findRow(listed.val.totals, getTotalKey());
+    const grantVersion = findRow(listed.val.grants, getGrantKey())?.version ?? 0;
     const present = totalRow && parseTotal(totalRow.value);
     if (present && hasRestored(present, instance)) {
-      applyRestored({ ...present, version: totalRow.version }, grantVersion);
+      cache.applyRestored({ ...present, version: totalRow.version }, grantVersion);
       return { kind: 'changed' };
     }
     return putBack(addOwnContribution(listed.val), totalRow?.version ?? 0, grantVersion);
@@ -95,7 +53,7 @@
     return addContribution(present, {
       instance,
       incarnation,
-      held: grant.held,
+      held: getGrant().held,
       ancestry: host.getAncestry(),
       heldByGone: earlierEras.getHeldByGone(),
       limit: host.getUse().limit,
@@ -109,6 +67,8 @@
     totalVersion: number,
     grantVersion: number,
   ): Promise<EscrowOutcome> {
+    const totalKey = getTotalKey();
+    const grantKey = getGrantKey();
     const outcome = await storeCalls.send({
       checks: [
         { ...totalKey, version: totalVersion },
@@ -116,13 +76,13 @@
       ],
       puts: [
         { ...totalKey, value: JSON.stringify(next) },
-        { ...grantKey, value: formatGrant(grant, instance) },
+        { ...grantKey, value: formatGrant(getGrant(), instance) },
       ],
       removals: [],
     });
     if (outcome.kind === 'written') {
       const { revision } = outcome.version;
-      applyRestored({ ...next, version: revision }, revision);
+      cache.applyRestored({ ...next, version: revision }, revision);
       return { kind: 'changed' };
     }
     if (outcome.kind === 'rewound') return { kind: 'refreshed' };
@@ -130,33 +90,19 @@
     return { kind: 'failed', error: outcome.error };
   }
 
-  function applyRestored(next: BudgetTotal & { version: number }, grantVersion: number): void {
-    total = next;
-    totalReadAt = clock.elapsed();
-    grant = { ...grant, version: grantVersion };
-    isRestored = true;
-    const { allocated, restoration } = next;
-    log(Diagnostics.grantRestored, {
-      account,
-      era,
-      held: grant.held,
-      allocated,
-      writtenOff: restoration?.writtenOff,
-      isOpen: restoration?.isOpen,
-    });
-  }
-
   function canGrantMore(): boolean {
-    return isRestored && canGrant(total, host.escrow.countInstances());
+    return isRestored() && canGrant(getTotal(), host.escrow.countInstances());
   }
 
   // The missing instances were granted tokens by limits that may have to be written again.
   function areLimitsRead(): boolean {
     const readAt = clock.elapsed() - host.escrow.getLimitsAge();
-    return readAt >= eraStartedAt + LIMIT_REWRITE_MAX_MS;
+    return readAt >= cache.getEraStartedAt() + LIMIT_REWRITE_MAX_MS;
   }
 
   async function open(): Promise<EscrowOutcome> {
+    const total = getTotal();
+    const totalKey = getTotalKey();
     const next = openWithoutMissing(total, host.getUse().limit);
     const outcome = await storeCalls.send({
       checks: [{ ...totalKey, version: total.version }],
@@ -167,35 +113,37 @@
     if (outcome.kind === 'failed') {
       if (outcome.error.kind !== 'conflict') return { kind: 'failed', error: outcome.error };
       const found = findRow(outcome.error.rows, totalKey);
-      if (found) updateTotal(found);
+      if (found) cache.updateTotal(found);
       return { kind: 'conflict' };
     }
     const { revision } = outcome.version;
     log(Diagnostics.budgetOpened, {
       account,
-      era,
+      era: getEra(),
       allocated: next.allocated,
       missing: next.restoration?.missing.join(' '),
       missingTokens: next.restoration?.missingTokens,
       version: revision,
     });
-    if (revision >= total.version) total = { ...next, version: revision };
+    cache.replaceTotal({ ...next, version: revision });
     return { kind: 'changed' };
   }
 
   function createChange({ held, ceiling }: Grant, isReturnCall: boolean): GrantChange {
+    const grant = getGrant();
     const changesTotal = held !== grant.held || isReturnCall;
-    const grantCheck = { ...grantKey, version: grant.version };
-    const totalCheck = { ...totalKey, version: total.version };
+    const grantCheck = { ...getGrantKey(), version: grant.version };
+    const totalCheck = { ...getTotalKey(), version: getTotal().version };
     const checks = changesTotal ? [totalCheck, grantCheck] : [grantCheck];
     return { held, ceiling, isReturnCall, changesTotal, checks };
   }
 
   async function commit(next: GrantChange): Promise<EscrowOutcome> {
-    const isRepeat = pendingChange === next;
-    pendingChange = next;
+    const isRepeat = cache.getPendingChange() === next;
+    cache.setPendingChange(next);
     const { held, ceiling } = next;
-    const allocated = total.allocated + held - grant.held;
+    const total = getTotal();
+    const allocated = total.allocated + held - getGrant().held;
     const calls = total.calls + (next.isReturnCall ? 1 : 0);
     const limit = Math.max(total.restoration?.limit ?? 0, host.getUse().limit);
     const restoration = total.restoration && {
@@ -203,8 +151,8 @@
       limit,
       isOpen: canGrantMore(),
     };
-    const totalPut = { ...totalKey, value: JSON.stringify({ allocated, calls, restoration }) };
-    const grantPut = { ...grantKey, value: formatGrant(next, instance) };
+    const totalPut = { ...getTotalKey(), value: JSON.stringify({ allocated, calls, restoration }) };
+    const grantPut = { ...getGrantKey(), value: formatGrant(next, instance) };
     const outcome = await storeCalls.send({
       checks: next.checks,
       puts: next.changesTotal ? [totalPut, grantPut] : [grantPut],
@@ -212,13 +160,12 @@
     });
     if (outcome.kind === 'rewound') return { kind: 'refreshed' };
     if (outcome.kind === 'failed') return handleError(outcome.error, next, isRepeat);
-    // The feed may have delivered a later change meanwhile.
     const { revision } = outcome.version;
-    if (next.changesTotal && revision >= total.version) {
-      total = { allocated, calls, restoration, version: revision };
-      totalReadAt = clock.elapsed();
+    if (next.changesTotal) {
+      const isLatest = cache.replaceTotal({ allocated, calls, restoration, version: revision });
+      if (isLatest) cache.noteTotalRead();
     }
-    applyGrant({ held, ceiling, version: revision });
+    cache.applyGrant({ held, ceiling, version: revision });
     return { kind: 'changed' };
   }
 
@@ -229,95 +176,70 @@
   ): EscrowOutcome {
     if (error.kind === 'conflict') return applyConflict(error.rows, changesTotal);
     // The first attempt was refused, so none is in flight and the change will not take effect.
-    if (error.kind === 'unavailable' && !isRepeat) pendingChange = undefined;
+    if (error.kind === 'unavailable' && !isRepeat) cache.setPendingChange(undefined);
     return { kind: 'failed', error };
   }
 
   // After a conflict no earlier attempt can take effect: either it has already, or its checks fail.
   function applyConflict(found: VersionedRow[], isTotalRead: boolean): EscrowOutcome {
-    const totalRow = findRow(found, totalKey);
-    const grantRow = findRow(found, grantKey);
-    if (totalRow) updateTotal(totalRow);
-    if (isTotalRead) totalReadAt = clock.elapsed();
+    const totalRow = findRow(found, getTotalKey());
+    const grantRow = findRow(found, getGrantKey());
+    if (totalRow) cache.updateTotal(totalRow);
+    if (isTotalRead) cache.noteTotalRead();
     const granted = grantRow && parseGrant(grantRow.value);
-    if (grantRow && granted && grantRow.version !== grant.version) {
+    if (grantRow && granted && grantRow.version !== getGrant().version) {
       const { held, ceiling } = granted;
-      applyGrant({ held, ceiling, version: grantRow.version });
+      cache.applyGrant({ held, ceiling, version: grantRow.version });
       return { kind: 'changed' };
     }
-    pendingChange = undefined;
+    cache.setPendingChange(undefined);
     return { kind: 'conflict' };
   }
 
-  function applyGrant(next: Grant & { version: number }): void {
-    log(Diagnostics.grantResized, {
-      account,
-      ...next,
-      before: grant.held,
-      allocated: total.allocated,
-      ...host.getUse(),
-    });
-    grant = next;
-    pendingChange = undefined;
-  }
-
   // The rows of an era tell nothing of an instance that has not put back its grant into it.
   function listUnreadHolders(): string[] {
-    if (!isRestored) return [];
-    const missing = total.restoration?.missing ?? [];
+    if (!isRestored()) return [];
+    const missing = getTotal().restoration?.missing ?? [];
     return known.listUnread().filter((name) => !missing.includes(name));
   }
 
   async function readHolders(): Promise<EscrowOutcome> {
     const names = listUnreadHolders();
-    const sentIn = era;
-    const read = storeCalls.acceptRows(sentIn, await rows.list(grantKey.table, account));
+    const sentIn = getEra();
+    const read = storeCalls.acceptRows(sentIn, await rows.list(getGrantKey().table, account));
     if (read.err) return read.val;
-    known.noteGrants(names, read.val.rows, era);
+    known.noteGrants(names, read.val.rows, getEra());
     return { kind: 'refreshed' };
   }
 
   async function refreshTotal(): Promise<EscrowOutcome> {
-    const sentIn = era;
-    const read = storeCalls.acceptRows(sentIn, await rows.list(totalKey.table, account));
+    const sentIn = getEra();
+    const read = storeCalls.acceptRows(sentIn, await rows.list(getTotalKey().table, account));
     if (read.err) return read.val;
-    totalReadAt = clock.elapsed();
-    const row = findRow(read.val.rows, totalKey);
-    if (row) updateTotal(row);
+    cache.noteTotalRead();
+    const row = findRow(read.val.rows, getTotalKey());
+    if (row) cache.updateTotal(row);
     return { kind: 'refreshed' };
   }
 
-  function updateTotal(row: VersionedRow): void {
-    startEra(splitEra(row.key).era);
-    if (row.key !== totalKey.key) return;
-    if (row.version <= total.version) return;
-    const parsed = parseTotal(row.value);
-    if (!parsed) {
-      log(Diagnostics.rowUnreadable, { table: row.table, key: row.key, version: row.version });
-      return;
-    }
-    host.onTotal(parsed, total);
-    total = { ...parsed, version: row.version };
-  }
-
   return {
-    getTotal: () => total,
-    getGrant: () => grant,
-    getPendingChange: () => pendingChange,
-    getTotalReadAt: () => totalReadAt,
-    startEra,
-    getEraAge: () => clock.elapsed() - eraStartedAt,
-    isRestored: () => isRestored,
+    getTotal,
+    getGrant,
+    getPendingChange: cache.getPendingChange,
+    getTotalReadAt: cache.getTotalReadAt,
+    startEra: cache.startEra,
+    getEraAge: () => clock.elapsed() - cache.getEraStartedAt(),
+    isRestored,
     restore,
     canGrant: canGrantMore,
-    isRestKnown: () => canGrantMore() && !total.restoration?.missing.length,
-    isOverdue: () => isRestored && isOverdue(total, listInstances()) && areLimitsRead(),
+    isRestKnown: () => canGrantMore() && !getTotal().restoration?.missing.length,
+    isOverdue: () => isRestored() && isOverdue(getTotal(), listInstances()) && areLimitsRead(),
     open,
     change: (next, isReturnCall) => commit(createChange(next, isReturnCall)),
     repeat: commit,
     hasUnreadHolders: () => listUnreadHolders().length > 0,
     readHolders,
     refreshTotal,
-    updateTotal,
+    updateTotal: cache.updateTotal,
   };
 }
