--- a/packages/budgets/src/heldGrant.ts
+++ b/packages/budgets/src/heldGrant.ts
@@ -1,4 +1,4 @@
-import { assert } from '@pomeloroad/core';
+import { assert, createId } from '@pomeloroad/core';
 import type { Identity, Milliseconds, Tokens } from '@pomeloroad/core';
 import type { WitnessLog } from './topics';
 import type {
@@ -154,3 +154,22 @@
 function sumTokens(parts: { tokens: Tokens }[]): Tokens {
   return parts.reduce((sum, part) => sum + part.tokens, 0);
 }
+
+/** Returns an empty grant with a new identifier that is not written to the table yet. */
+export function createGrant(self: Identity, budget: string): Grant {
+  const id = `${self.dataCentre}/${self.instance}/${self.incarnation}/${budget}/${createId()}`;
+  return {
+    id,
+    version: 0,
+    row: {
+      budget,
+      holder: self,
+      witness: undefined,
+      size: 0,
+      spent: 0,
+      sequence: 0,
+      state: 'open',
+      writtenOff: 0,
+    },
+  };
+}
--- a/packages/budgets/src/keeper.ts
+++ b/packages/budgets/src/keeper.ts
@@ -1,10 +1,10 @@
 import { Ok } from 'ts-results';
-import { createCondition, createId, Diagnostics, withTimeout } from '@pomeloroad/core';
-import type { Identity, Outcome, Tokens } from '@pomeloroad/core';
+import { createCondition, Diagnostics } from '@pomeloroad/core';
+import type { Outcome, Tokens } from '@pomeloroad/core';
+import { createGrantRefill } from './grantRefill';
 import { createGrantWitness } from './grantWitness';
-import { createHeldGrant } from './heldGrant';
+import { createGrant, createHeldGrant } from './heldGrant';
 import type { Sizer } from './ledgerPlans';
-import { getUnallocated } from './rows';
 import type { Keeper, KeeperHost } from './keeperTypes';
 import { createRateMeter } from './rate';
 import { createReservationQueue } from './reservationQueue';
@@ -20,8 +20,6 @@
 } from './types';
 
 const RATE_TIME_CONSTANT_MS = 60_000;
-const REFILL_BACKOFF_MIN_MS = 25;
-const REFILL_BACKOFF_MAX_MS = 400;
 const MAX_ENDED_RESERVATIONS = 1000;
 
 /**
@@ -42,7 +40,6 @@
     : createHeldGrant(createGrant(self, budget));
   /** Records of ended reservations by identifier, kept to recognize repeated settlements. */
   const ended = new Map<string, SettledRecord | undefined>();
-  let isRefilling = false;
   /** Largest recent reservation; it decays by a tenth with each request. */
   let recentPeakTokens = 0;
   /** Free tokens after the last change of the grant's size. */
@@ -59,6 +56,18 @@
     abandonGrant,
   });
 
+  const refill = createGrantRefill({
+    budget,
+    clock,
+    ledger,
+    queue,
+    changed,
+    getHeld: () => held,
+    getShortage,
+    grow,
+    recall: host.recall,
+  });
+
   // Runs one table operation at a time, because the grant's row must have a single writer.
   function runExclusively<T>(step: () => Promise<T>): Promise<T> {
     const result = lastTableTask.then(step);
@@ -72,51 +81,6 @@
     return true;
   }
 
-  // Retries with exponential back-off until no request waits.
-  async function refill(): Promise<void> {
-    if (isRefilling) return;
-    isRefilling = true;
-    let wait = REFILL_BACKOFF_MIN_MS;
-    while (queue.count() > 0) {
-      await refillOnce();
-      if (queue.count() > 0) await withTimeout(clock, wait, changed.wait(), undefined);
-      wait = Math.min(wait * 2, REFILL_BACKOFF_MAX_MS);
-    }
-    isRefilling = false;
-  }
-
-  async function refillOnce(): Promise<void> {
-    const grown = await grow();
-    queue.serve();
-    if (grown.err) {
-      queue.refuseExpired({ kind: 'unreachable', message: 'the table service does not answer' });
-      return;
-    }
-    if (queue.count() === 0) return;
-    const remaining = await recallOthers();
-    queue.serve();
-    queue.refuseOversized(remaining);
-    queue.refuseExpired({ kind: 'exhausted', remaining });
-  }
-
-  // Returns how many tokens may become available to a request here at most; `Infinity` if that
-  // is unknown or if another holder has just released some.
-  async function recallOthers(): Promise<Tokens> {
-    const row = await ledger.readBudget(budget);
-    if (row.err) return Infinity;
-    const others = Object.keys(row.val.open).filter((id) => id !== held.grant().id);
-    const summary = await host.recall(budget, others, getShortage());
-    if (summary.released > 0) {
-      await grow();
-      return Infinity;
-    }
-    return getUnspentTokens() + summary.pending + getUnallocated(row.val);
-  }
-
-  function getUnspentTokens(): Tokens {
-    return held.free() + held.reserved();
-  }
-
   function getShortage(): Tokens {
     return Math.max(0, queue.sumTokens() - held.free());
   }
@@ -219,7 +183,7 @@
       if (queue.count() === 0 && tryReserve(request)) return Ok.EMPTY;
       const waited = queue.add(request);
       changed.notify();
-      refill();
+      refill.run();
       return waited;
     },
     async settle(reservation, record) {
@@ -295,22 +259,3 @@
     }),
   };
 }
-
-/** Returns an empty grant with a new identifier that is not written to the table yet. */
-export function createGrant(self: Identity, budget: string, witness?: Identity): Grant {
-  const id = `${self.dataCentre}/${self.instance}/${self.incarnation}/${budget}/${createId()}`;
-  return {
-    id,
-    version: 0,
-    row: {
-      budget,
-      holder: self,
-      witness,
-      size: 0,
-      spent: 0,
-      sequence: 0,
-      state: 'open',
-      writtenOff: 0,
-    },
-  };
-}
--- a/packages/budgets/src/keepers.ts
+++ b/packages/budgets/src/keepers.ts
@@ -1,8 +1,9 @@
 import { createId, Diagnostics, getOwner } from '@pomeloroad/core';
 import type { Identity, Tokens } from '@pomeloroad/core';
 import type { ObjectStore, Row, Table } from '@pomeloroad/storage';
+import { createGrant } from './heldGrant';
 import type { Reservation } from './heldGrant';
-import { createGrant, createKeeper } from './keeper';
+import { createKeeper } from './keeper';
 import type { Keeper, KeeperStatus, RecallSummary } from './keeperTypes';
 import { createLedger } from './ledger';
 import { createReaper } from './reaper';
