--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -4,13 +4,10 @@
 import type { Milliseconds, Outcome, Timer, Tokens } from '@pomeloroad/core';
 import { LIMIT_REWRITE_MAX_MS } from './escrowRestoration';
 import type { Ancestry } from './escrowRestoration';
-import type { BudgetTotal, Grant, KnownTotal } from './escrowRows';
+import type { BudgetTotal, KnownTotal } from './escrowRows';
 import type { EscrowAccount, EscrowError, EscrowHost, EscrowReservation } from './escrowTypes';
-import { needsResize, planGrant, raiseCeiling } from './escrowPlan';
-import type { GrantUse } from './escrowPlan';
+import { createEscrowPlanner } from './escrowPlanner';
 import { createEscrowReservations, UNREACHABLE_ERROR } from './escrowReservations';
-import { getGrantTarget, getReturnRatio } from './escrowSizing';
-import type { GrantDemand, GrantTarget } from './escrowSizing';
 import { createEscrowTransactions } from './escrowTransactions';
 import type { EscrowOutcome, StoreFailure } from './escrowTransactionTypes';
 import { createRateMeter } from './rate';
@@ -49,10 +46,19 @@
     onTotal: handleTotal,
   });
   const { getTotal, getGrant, getPendingChange } = transactions;
+  const planner = createEscrowPlanner({
+    escrow: host,
+    transactions,
+    rate,
+    getLimit: () => limit,
+    getUsed: () => reservations.getUsed(),
+    isRetired: () => isRetired,
+    isAskedToReturn,
+  });
   const reservations = createEscrowReservations({
     escrow: host,
     transactions,
-    getUnallocated,
+    getUnallocated: planner.getUnallocated,
     fetchTokens: requestRun,
   });
   const { queue, getUsed } = reservations;
@@ -141,9 +147,8 @@
   async function resizeGrant(): Promise<boolean> {
     const left = transactionsLeft - 1;
     transactionsLeft = 0;
-    if (host.isStoreUnresponsive() || isHeldBack() || !needsResize(getUse(), getTarget()))
-      return false;
-    const outcome = await transactions.change(planNextGrant(0), false);
+    if (host.isStoreUnresponsive() || planner.isHeldBack() || !planner.needsResize()) return false;
+    const outcome = await transactions.change(planner.plan(0), false);
     // Other instances changed the budget first: try again with its present row.
     if (outcome.kind === 'conflict') transactionsLeft = Math.max(transactionsLeft, left);
     return handleOutcome(outcome);
@@ -151,13 +156,13 @@
 
   async function fetchForQueue(): Promise<boolean> {
     const needed = queue.sumTokens();
-    const available = getGrant().held + getGrantable() - getUsed();
+    const available = planner.getAvailable();
     if (needed <= available) return resizeFor(needed);
-    if (isLeaseOverdue()) return awaitLease();
+    if (planner.isLeaseOverdue()) return awaitLease();
     if (clock.elapsed() - transactions.getTotalReadAt() > TOTAL_MAX_AGE_MS)
       return handleOutcome(await transactions.refreshTotal());
     if (queue.getSmallest() <= available) return resizeFor(queue.getSmallest());
-    if (hasCalledRecently() || isHeldBack()) return false;
+    if (hasCalledRecently() || planner.isHeldBack()) return false;
     returnCalledAt = clock.elapsed();
     return handleOutcome(await transactions.change(getGrant(), true));
   }
@@ -165,55 +170,14 @@
   // The lease is renewed only once the rows cover what is used.
   async function awaitLease(): Promise<boolean> {
     if (getUsed() > getGrant().ceiling)
-      return handleOutcome(await transactions.change(raiseCeiling(getUse(), 0), false));
+      return handleOutcome(await transactions.change(planner.planCeiling(), false));
     leaseCheck?.cancel();
     leaseCheck = clock.after(LEASE_CHECK_INTERVAL_MS, requestRun);
     return false;
   }
 
   async function resizeFor(needed: Tokens): Promise<boolean> {
-    return handleOutcome(await transactions.change(planNextGrant(needed), false));
-  }
-
-  // Until all instances have put back their grants after a rewind of the store, an instance keeps
-  // what it holds, since it would not get it again.
-  function isHeldBack(): boolean {
-    return !isRetired && !transactions.canGrant();
-  }
-
-  function getUnallocated(): Tokens {
-    if (!transactions.canGrant()) return 0;
-    return Math.max(0, limit - getTotal().allocated);
-  }
-
-  // An instance that does not renew its lease is soon taken for gone, and what others read of its grant
-  // then is all that counts as granted to it after a rewind.
-  function isLeaseOverdue(): boolean {
-    return host.getReserveShare() >= 1;
-  }
-
-  function getGrantable(): Tokens {
-    return isLeaseOverdue() ? 0 : getUnallocated();
-  }
-
-  function getTarget(): GrantTarget {
-    if (isRetired || clock.elapsed() < noSpareUntil) return { spare: 0, reserve: 0 };
-    return getGrantTarget(getDemand());
-  }
-
-  function getDemand(): GrantDemand {
-    // Shares of a fleet that is still starting would be too large, and be taken all at once.
-    const instances = host.isFleetCounted() ? host.countInstances() : Infinity;
-    return { rate: rate.perSecond(), limit, unallocated: getUnallocated(), instances };
-  }
-
-  function getUse(): GrantUse {
-    const returnRatio = getReturnRatio(getDemand());
-    return { grant: getGrant(), used: getUsed(), unallocated: getGrantable(), returnRatio };
-  }
-
-  function planNextGrant(needed: Tokens): Grant {
-    return isHeldBack() ? raiseCeiling(getUse(), needed) : planGrant(getUse(), getTarget(), needed);
+    return handleOutcome(await transactions.change(planner.plan(needed), false));
   }
 
   // Returns whether there may be another step to run at once.
@@ -265,6 +229,10 @@
     }
   }
 
+  function isAskedToReturn(): boolean {
+    return clock.elapsed() < noSpareUntil;
+  }
+
   function hasCalledRecently(): boolean {
     return clock.elapsed() - returnCalledAt < RETURN_CALL_INTERVAL_MS;
   }
@@ -277,7 +245,7 @@
     },
     applyTotal(row) {
       transactions.updateTotal(row);
-      if (clock.elapsed() < noSpareUntil) startRebalance();
+      if (isAskedToReturn()) startRebalance();
       else if (queue.count() > 0) requestRun();
     },
     startEra(era) {
