--- a/packages/entry/src/answerOpener.ts
+++ b/packages/entry/src/answerOpener.ts
@@ -14,7 +14,7 @@
 } from '@pomeloroad/requests';
 import { createLocalSource, createRemoteSource } from './answerSource';
 import type { AnswerSource } from './answerSource';
-import { createLostRefusal } from './answerWriter';
+import { createLostRefusal } from './deliverAnswer';
 import type { RunRequest } from './runRequest';
 import type { Runner } from './runner';
 
--- a/packages/entry/src/answerWriter.ts
+++ b/packages/entry/src/answerWriter.ts
@@ -1,9 +1,8 @@
 import type { ServerResponse } from 'node:http';
 import { cutResponse, endWithConnection, writeJson } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
-import { createRefusal, RefusalStatus } from '@pomeloroad/requests';
-import type { AnswerEnd, AnswerEvent, AnswerPart, Refusal } from '@pomeloroad/requests';
-import type { AnswerSource } from './answerSource';
+import { RefusalStatus } from '@pomeloroad/requests';
+import type { AnswerEnd, AnswerEvent, Refusal } from '@pomeloroad/requests';
 import { CallerHeader } from './callerHeaders';
 
 const MS_PER_SECOND = 1000;
@@ -19,12 +18,6 @@
   writeTimeout: Milliseconds;
 }
 
-/**
- * Finds another source of an answer that can't be read further from a position on. Returns a refusal
- * if there is none. With `isContinuation`, only the run that brought the events before it may go on.
- */
-export type Reopen = (position: number, isContinuation: boolean) => Promise<AnswerSource | Refusal>;
-
 /**
  * Sends a refusal as a JSON error with its HTTP status. Does nothing if headers were sent before or
  * the caller has disconnected.
@@ -46,110 +39,14 @@
   return Math.ceil(delay / MS_PER_SECOND);
 }
 
-/** Sends an answer as it is produced. Resolves once all is sent or the caller has disconnected. */
-export async function deliverAnswer(
-  response: ServerResponse,
-  delivery: Delivery,
-  source: AnswerSource,
-  reopen: Reopen,
-): Promise<void> {
-  const start = delivery.form === 'events' ? delivery.from : 0;
-  let writer = createAnswerWriter(response, delivery);
-  let currentSource = source;
-  let position = start;
-  /** The stream whose events were written. */
-  let stream: string | undefined;
-  while (!response.destroyed) {
-    const part = await raceWithClose(response, currentSource.read(position));
-    if (!part) break;
-    if (part.err) {
-      currentSource.close();
-      const isContinuation = position > 0 && delivery.form !== 'json';
-      const found = await reopen(position, isContinuation);
-      const next = acceptSource(delivery, position, currentSource.run, found);
-      if ('code' in next) {
-        writer.end({ kind: 'refused', refusal: next });
-        return;
-      }
-      currentSource = next;
-    } else if (position > start && isOfOtherStream(part.val, stream)) {
-      if (delivery.form !== 'json') {
-        writer.end({ kind: 'refused', refusal: createLostRefusal() });
-        break;
-      }
-      // Nothing was sent of an answer in one piece, so it is that of the other stream from its start.
-      writer = createAnswerWriter(response, delivery);
-      position = start;
-    } else {
-      const { events } = part.val;
-      const end = getEnd(part.val, position);
-      if (events.length > 0) stream = part.val.stream;
-      await writeEvents(writer, events, position);
-      position += events.length;
-      if (end) {
-        writer.end(end);
-        break;
-      }
-    }
-  }
-  currentSource.close();
-}
-
-async function writeEvents(
-  writer: AnswerWriter,
-  events: AnswerEvent[],
-  from: number,
-): Promise<void> {
-  for (const [index, event] of events.entries()) await writer.event(event, from + index);
-}
-
-// An answer that ends before the event that the caller named is not the one that brought that event.
-function getEnd({ from, end }: AnswerPart, position: number): AnswerEnd | undefined {
-  const isOfOther = end?.kind === 'complete' && from < position;
-  return isOfOther ? { kind: 'refused', refusal: createLostRefusal() } : end;
-}
-
-// Two streams write different texts, also for the same request; their engines may be of two versions.
-function isOfOtherStream({ events, end, stream }: AnswerPart, sent: string | undefined): boolean {
-  const hasContent = events.length > 0 || end?.kind === 'complete';
-  return hasContent && stream !== sent;
-}
-
-// Only the run whose first events were sent can go on with a service's answer: another run's answer
-// may differ, or arrive in other parts.
-function acceptSource(
-  { form }: Delivery,
-  position: number,
-  run: string,
-  next: AnswerSource | Refusal,
-): AnswerSource | Refusal {
-  if ('code' in next || form !== 'service' || position === 0 || next.run === run) return next;
-  next.close();
-  return createLostRefusal();
-}
-
-// Resolves to `undefined` if the caller disconnects first, so that no further event is awaited.
-async function raceWithClose<T>(
-  response: ServerResponse,
-  work: Promise<T>,
-): Promise<T | undefined> {
-  let onClose: () => void = () => undefined;
-  const closed = new Promise<undefined>((resolve) => {
-    onClose = () => resolve(undefined);
-    response.once('close', onClose);
-  });
-  const result = await Promise.race([work, closed]);
-  response.off('close', onClose);
-  return result;
-}
-
 /** Writes an answer in one of the forms of delivery. */
-interface AnswerWriter {
+export interface AnswerWriter {
   event(event: AnswerEvent, position: number): Promise<void>;
   end(end: AnswerEnd): void;
 }
 
-function createAnswerWriter(response: ServerResponse, delivery: Delivery): AnswerWriter {
+/** Creates the writer of an answer of which nothing is written. */
+export function createAnswerWriter(response: ServerResponse, delivery: Delivery): AnswerWriter {
   if (delivery.form === 'events') return createEventWriter(response, delivery);
   if (delivery.form === 'service') return createServiceWriter(response, delivery);
   return createJsonWriter(response, delivery);
@@ -285,9 +182,3 @@
     response.once('close', finish);
   });
 }
-
-/** Creates the refusal for an answer whose runner is lost and that no instance can take over. */
-export function createLostRefusal(): Refusal {
-  const message = 'The instance that ran this request is lost; how it ended is not known.';
-  return createRefusal('outcome_unknown', 'unknown', message);
-}
--- a/packages/entry/src/reopen.ts
+++ b/packages/entry/src/reopen.ts
@@ -2,8 +2,8 @@
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { IssuedKey } from '@pomeloroad/requests';
 import type { AnswerOpener } from './answerOpener';
-import { createLostRefusal } from './answerWriter';
-import type { Reopen } from './answerWriter';
+import { createLostRefusal } from './deliverAnswer';
+import type { Reopen } from './deliverAnswer';
 import type { RunRequest } from './runRequest';
 
 /** Longer than it takes to detect a lost runner and to take over its stream. */
--- a/packages/entry/test/lostRunner.test.ts
+++ b/packages/entry/test/lostRunner.test.ts
@@ -2,8 +2,8 @@
 import { Err, Ok } from 'ts-results';
 import { createSystemClock, listen } from '@pomeloroad/core';
 import type { AnswerEvent } from '@pomeloroad/requests';
-import { deliverAnswer } from '../src/answerWriter';
 import type { Delivery } from '../src/answerWriter';
+import { deliverAnswer } from '../src/deliverAnswer';
 import type { AnswerSource } from '../src/answerSource';
 
 const HEAD: AnswerEvent = { kind: 'head', status: 200, headers: {}, endsWithConnection: false };
