--- a/packages/entry/src/deliverAnswer.ts
+++ b/packages/entry/src/deliverAnswer.ts
@@ -24,33 +24,19 @@
   let position = start;
   /** The stream whose events were written. */
   let stream: string | undefined;
+
   while (!response.destroyed) {
     const part = await raceWithClose(response, currentSource.read(position));
     if (!part) break;
     if (part.err) {
-      currentSource.close();
-      const isContinuation = position > 0 && delivery.form !== 'json';
-      const found = await reopen(position, isContinuation);
-      const next = acceptSource(delivery, position, currentSource.run, found);
+      const next = await replaceSource();
       if ('code' in next) {
         writer.end({ kind: 'refused', refusal: next });
         return;
       }
       currentSource = next;
-    } else if (position > start && isOfOtherStream(part.val, stream)) {
-      if (delivery.form !== 'json') {
-        writer.end({ kind: 'refused', refusal: createLostRefusal() });
-        break;
-      }
-      // Nothing was sent of an answer in one piece, so it is that of the other stream from its start.
-      writer = createAnswerWriter(response, delivery);
-      position = start;
     } else {
-      const { events } = part.val;
-      const end = getEnd(part.val, position);
-      if (events.length > 0) stream = part.val.stream;
-      await writeEvents(writer, events, position);
-      position += events.length;
+      const end = await writePart(part.val);
       if (end) {
         writer.end(end);
         break;
@@ -58,6 +44,33 @@
     }
   }
   currentSource.close();
+
+  // Closes the source, and returns one that goes on with the answer, or why there is none.
+  async function replaceSource(): Promise<AnswerSource | Refusal> {
+    currentSource.close();
+    const isContinuation = position > 0 && delivery.form !== 'json';
+    const found = await reopen(position, isContinuation);
+    return acceptSource(delivery, position, currentSource.run, found);
+  }
+
+  // Returns the end of the answer if it ends with this part.
+  async function writePart(part: AnswerPart): Promise<AnswerEnd | undefined> {
+    if (position > start && isOfOtherStream(part, stream)) return startOver();
+    const { events } = part;
+    const end = getEnd(part, position);
+    if (events.length > 0) stream = part.stream;
+    await writeEvents(writer, events, position);
+    position += events.length;
+    return end;
+  }
+
+  // Nothing was sent of an answer in one piece, so it is that of the other stream from its start.
+  function startOver(): AnswerEnd | undefined {
+    if (delivery.form !== 'json') return { kind: 'refused', refusal: createLostRefusal() };
+    writer = createAnswerWriter(response, delivery);
+    position = start;
+    return undefined;
+  }
 }
 
 async function writeEvents(
