--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -1,4 +1,3 @@
-import { readFileSync } from 'node:fs';
 import {
   createId,
   createLineWriter,
@@ -13,7 +12,6 @@
 import type { GrantPolicy } from '@pomeloroad/budgets';
 import { createConfigurationStore, createDistributor } from '@pomeloroad/configuration';
 import type { RoutingPolicy } from '@pomeloroad/configuration';
-import { createPeerNetwork } from '@pomeloroad/peers';
 import type { Peer } from '@pomeloroad/peers';
 import { createBatchTable, createHttpPlatform, createLease } from '@pomeloroad/storage';
 import { createAnswerStore, createClaims, createRequestRegistry } from '@pomeloroad/requests';
@@ -26,6 +24,7 @@
 import { createFleet } from './fleet';
 import { dumpInstance } from './instanceDump';
 import { createInstanceMetrics } from './instanceMetrics';
+import { createInstanceNetwork, readCertificate } from './instanceNetwork';
 import { createLoadCollector } from './loads';
 import { createAnswerOpener } from './answerOpener';
 import { findLostRequest, stopLostRequest } from './lostRequests';
@@ -78,17 +77,7 @@
     writesPerSecond: settings.writesPerSecond,
     patience: WRITE_RETRY_TIMEOUT_MS,
   });
-  const network = createPeerNetwork(
-    { clock, random, log },
-    {
-      self,
-      address: settings.peersAddress,
-      fleetKey: settings.fleetKey,
-      certificate: readCertificate(settings.peersTlsCert, settings.peersTlsKey),
-      authority: readOptionalFile(settings.peersTlsAuthority),
-      sourceAddress: settings.sourceAddress || undefined,
-    },
-  );
+  const network = createInstanceNetwork({ clock, random, log }, self, settings);
   const peersAddress = await network.listen();
   const fleet = createFleet(
     {
@@ -290,12 +279,3 @@
 function createSeedPeer(address: string): Peer {
   return { identity: { instance: `seed ${address}`, incarnation: '', dataCentre: '' }, address };
 }
-
-function readCertificate(cert: string, key: string): { cert: string; key: string } | undefined {
-  if (cert === '') return undefined;
-  return { cert: readFileSync(cert, 'utf8'), key: readFileSync(key, 'utf8') };
-}
-
-function readOptionalFile(path: string): string | undefined {
-  return path === '' ? undefined : readFileSync(path, 'utf8');
-}
