Tests of rewinds: an instance that starts later has a set-up of its own

rewindStand starts a process, sets its limit and lets it begin in join, which restart uses too; two tests of escrowMissing wrote the same steps out.

--- a/packages/budgets/test/escrowMissing.test.ts
+++ b/packages/budgets/test/escrowMissing.test.ts
@@ -167,27 +167,23 @@
 });
 
 test('an instance that starts does not stand for one that is missing', async () => {
-  const { clock, members, state, rewind, reserve, settle, start } = await setUpCutOff();
+  const { members, state, rewind, reserve, settle, join } = await setUpCutOff();
   rewind();
-  members.push(start('instance-2'));
-  members[2]!.escrow.setLimits(new Map([[ACCOUNT, LIMIT]]));
-  await clock.advance(10);
+  await join('instance-2');
   await settle(4);
   expect(state.counted.size).toBe(2);
   expect(await reserve(members[1]!, 400)).toBe('unreachable');
 });
 
 test('an instance that went before the copy is not awaited by one that starts later', async () => {
-  const { clock, members, state, store, reserve, settle, start, forgetFirst } = await setUp(3);
+  const { members, state, store, reserve, settle, join, forgetFirst } = await setUp(3);
   const rewind = store.memory.copy();
   members[0]!.kill();
   forgetFirst();
   rewind();
   await settle(4);
   state.counted.add('instance-0');
-  members.push(start('instance-3'));
-  members[3]!.escrow.setLimits(new Map([[ACCOUNT, LIMIT]]));
-  await clock.advance(10);
+  await join('instance-3');
   await settle(4);
   expect(await reserve(members[1]!, 800)).toBe('ok');
 });
--- a/packages/budgets/test/rewindStand.ts
+++ b/packages/budgets/test/rewindStand.ts
@@ -22,15 +22,21 @@
     return outcome.ok ? 'ok' : outcome.val.kind;
   }
 
-  async function restart(index: number): Promise<InstanceRun> {
-    fleet.members[index]!.kill();
-    const run = fleet.start(fleet.members[index]!.instance);
+  /** Starts a process of an instance, as the member of that index. */
+  async function join(name: string, index = fleet.members.length): Promise<InstanceRun> {
+    const run = fleet.start(name);
     fleet.members[index] = run;
     run.escrow.setLimits(new Map([[ACCOUNT, LIMIT]]));
     await fleet.clock.advance(10);
     return run;
   }
 
+  async function restart(index: number): Promise<InstanceRun> {
+    const { kill, instance } = fleet.members[index]!;
+    kill();
+    return join(instance, index);
+  }
+
   /** Lets time pass in which the feeds deliver changes and the instances rebalance. */
   async function settle(rounds: number): Promise<void> {
     for (let round = 0; round < rounds; round += 1) {
@@ -60,7 +66,16 @@
     await settle(OPENING_ROUNDS);
   }
 
-  return { ...fleet, reserve, restart, settle, forgetFirst, reconnectFirst, rewindWithoutFirst };
+  return {
+    ...fleet,
+    reserve,
+    join,
+    restart,
+    settle,
+    forgetFirst,
+    reconnectFirst,
+    rewindWithoutFirst,
+  };
 }
 
 /** Returns what an instance holds and knows of the budget. */
