Stand-in of the store: its protocol and its faulty answers in files of their own

Behaviour is the same; no test changed: packages/standins/test, storeClient, rewind and plannedStops, 40 tests, passed.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,6 +4,7 @@
 export * from './platformServers';
 export * from './platformWire';
 export * from './storeService';
+export type { StoreFault } from './storeAnswer';
 export * from './answerParser';
 export * from './callerClient';
 export * from './socketRequest';
--- a/packages/standins/src/storeService.ts
+++ b/packages/standins/src/storeService.ts
@@ -11,43 +11,26 @@
 } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
-import type { RowChange, RowKey, RowTransaction } from '@pomeloroad/storage';
+import type { RowTransaction } from '@pomeloroad/storage';
 import { createFaultInjector } from './faults';
 import { ENDPOINT_TABLE } from './platformWire';
-
-/** Key of a row in the store's protocol. */
-interface WireKey {
-  table: string;
-  part: string;
-  key: string;
-}
-
-/** Body of a transaction in the store's protocol. */
-interface WireTransaction {
-  expected_rev: (WireKey & { ver: number })[];
-  put: (WireKey & { value: string })[];
-  delete: WireKey[];
-  across?: boolean;
-}
-
-/**
- * A fault that one call meets. `lost` applies a transaction but drops its answer, `slow` sends the
- * answer in pieces over more time than the head of an answer may take, `stalled` stops halfway, `without
- * has_more` and `without rows` leave that member out of the answer.
- */
-export type StoreFault =
-  | 'busy'
-  | 'silent'
-  | 'forgotten'
-  | 'lost'
-  | 'slow'
-  | 'stalled'
-  | 'without has_more'
-  | 'without rows';
+import { sendAnswer } from './storeAnswer';
+import type { StoreFault } from './storeAnswer';
+import { decodeTransaction, encodeRow } from './storeWire';
+import type { WireTransaction } from './storeWire';
 
 /** A change of the store's rows that is made before a call is served. */
 export type Change = () => Promise<unknown>;
 
+/** A call of the store and the fault that it meets. */
+interface StoreCall {
+  request: IncomingMessage;
+  response: ServerResponse;
+  url: URL;
+  body: Buffer;
+  fault: StoreFault | undefined;
+}
+
 /** Settings of the stand-in of the store. */
 export interface StoreOptions {
   clock: Clock;
@@ -64,8 +47,6 @@
 }
 
 const EXPIRY_CHECK_INTERVAL_MS: Milliseconds = 100;
-const SLOW_PIECES = 16;
-const SLOW_PIECE_DELAY_MS: Milliseconds = 100;
 
 /**
  * Starts a stand-in of the platform's store that speaks its published protocol. Each call consumes
@@ -93,51 +74,54 @@
     if (fault === 'busy') writeJson(response, 503, {});
     else if (fault === 'forgotten') writeJson(response, 410, {});
     else if (fault !== 'silent') {
-      await serve(request, response, body, typeof fault === 'function' ? undefined : fault);
+      const url = new URL(request.url ?? '/', 'http://store');
+      const met = typeof fault === 'function' ? undefined : fault;
+      await serve({ request, response, url, body, fault: met });
     }
   });
 
-  async function serve(
-    request: IncomingMessage,
-    response: ServerResponse,
-    body: Buffer,
-    fault: StoreFault | undefined,
-  ): Promise<void> {
-    const answerWith = (status: number, answer: object) => {
-      if (fault === 'slow') writeInPieces(response, answer, SLOW_PIECES);
-      else if (fault === 'stalled') writeInPieces(response, answer, SLOW_PIECES / 2);
-      else writeJson(response, status, omitMember(answer, fault));
-    };
-    const url = new URL(request.url ?? '/', 'http://store');
-    const get = (name: string) => url.searchParams.get(name) ?? '';
-    if (url.pathname.startsWith('/standin/')) {
-      if (url.pathname === '/standin/copy') rewind = memory.copy();
-      else rewind();
-      changed.notify();
-      writeJson(response, 200, {});
-    } else if (url.pathname === '/v1/rows-tx') {
-      const answer = await transact(JSON.parse(body.toString()) as WireTransaction);
-      if (fault === 'lost' || injector.shouldDropAnswer()) request.socket.destroy();
-      else answerWith(answer.status, answer.body);
-    } else if (url.pathname === '/v1/rows-get') {
-      const view = (await memory.list(get('table'), get('part'))).unwrap();
-      const sorted = view.rows
-        .filter((row) => row.key >= get('from'))
-        .sort((a, b) => (a.key < b.key ? -1 : 1));
-      answerWith(200, {
-        rows: sorted.slice(0, pageRows).map(encode),
-        has_more: sorted.length > pageRows,
-        ver: view.version,
-        now_ms: getNow(),
-      });
-    } else {
-      const view = await followRows(get('table'), Number(get('after')), Number(get('wait_ms')));
-      if (view.err) answerWith(410, {});
-      else {
-        const rows = view.val.changes.map(encode);
-        answerWith(200, { rows, ver: view.val.version, now_ms: getNow() });
-      }
+  async function serve(call: StoreCall): Promise<void> {
+    const { pathname } = call.url;
+    if (pathname.startsWith('/standin/')) serveCopy(call);
+    else if (pathname === '/v1/rows-tx') await serveTransaction(call);
+    else if (pathname === '/v1/rows-get') await serveList(call);
+    else await serveChanges(call);
+  }
+
+  function serveCopy({ url, response }: StoreCall): void {
+    if (url.pathname === '/standin/copy') rewind = memory.copy();
+    else rewind();
+    changed.notify();
+    writeJson(response, 200, {});
+  }
+
+  async function serveTransaction({ request, response, body, fault }: StoreCall): Promise<void> {
+    const answer = await transact(JSON.parse(body.toString()) as WireTransaction);
+    if (fault === 'lost' || injector.shouldDropAnswer()) request.socket.destroy();
+    else sendAnswer(response, answer.status, answer.body, fault);
+  }
+
+  async function serveList({ url, response, fault }: StoreCall): Promise<void> {
+    const from = getParameter(url, 'from');
+    const view = await memory.list(getParameter(url, 'table'), getParameter(url, 'part'));
+    const { rows, version } = view.unwrap();
+    const sorted = rows.filter((row) => row.key >= from).sort((a, b) => (a.key < b.key ? -1 : 1));
+    const page = sorted.slice(0, pageRows).map(encodeRow);
+    const hasMore = sorted.length > pageRows;
+    const answer = { rows: page, has_more: hasMore, ver: version, now_ms: getNow() };
+    sendAnswer(response, 200, answer, fault);
+  }
+
+  async function serveChanges({ url, response, fault }: StoreCall): Promise<void> {
+    const after = Number(getParameter(url, 'after'));
+    const wait = Number(getParameter(url, 'wait_ms'));
+    const view = await followRows(getParameter(url, 'table'), after, wait);
+    if (view.err) {
+      sendAnswer(response, 410, {}, fault);
+      return;
     }
+    const rows = view.val.changes.map(encodeRow);
+    sendAnswer(response, 200, { rows, ver: view.val.version, now_ms: getNow() }, fault);
   }
 
   // Waits for the first change after the version, at most for the given time.
@@ -178,16 +162,9 @@
       [...wire.expected_rev, ...wire.put, ...wire.delete].map((row) => row.part),
     );
     if (parts.size > 1 && wire.across !== true) return { status: 400, body: {} };
-    const outcome = await applyTransaction({
-      checks: wire.expected_rev.map((row) => ({ ...decode(row), version: row.ver })),
-      puts: wire.put.map((row) => ({
-        ...decode(row),
-        value: Buffer.from(row.value, 'base64').toString(),
-      })),
-      removals: wire.delete.map(decode),
-    });
+    const outcome = await applyTransaction(decodeTransaction(wire));
     if (outcome.ok) return { status: 200, body: { ver: outcome.val.revision, now_ms: getNow() } };
-    const rows = outcome.val.kind === 'conflict' ? outcome.val.rows.map(encode) : [];
+    const rows = outcome.val.kind === 'conflict' ? outcome.val.rows.map(encodeRow) : [];
     return { status: 412, body: { rows } };
   }
 
@@ -212,32 +189,6 @@
   };
 }
 
-// Sends the given number of the body's pieces, one at a time; the answer ends after the last one.
-function writeInPieces(response: ServerResponse, answer: object, pieces: number): void {
-  const text = Buffer.from(JSON.stringify(answer));
-  const size = Math.ceil(text.length / SLOW_PIECES);
-  response.writeHead(200, { 'content-type': 'application/json', 'content-length': text.length });
-  let sent = 0;
-  const timer = setInterval(() => {
-    response.write(text.subarray(sent * size, (sent + 1) * size));
-    sent += 1;
-    if (sent >= pieces) clearInterval(timer);
-    if (sent >= SLOW_PIECES) response.end();
-  }, SLOW_PIECE_DELAY_MS);
-  response.on('close', () => clearInterval(timer));
-}
-
-function omitMember(answer: object, fault: StoreFault | undefined): object {
-  if (fault === 'without has_more') return { ...answer, has_more: undefined };
-  return fault === 'without rows' ? { ...answer, rows: undefined } : answer;
-}
-
-function decode({ table, part, key }: WireKey): RowKey {
-  return { table, partition: part, key };
-}
-
-function encode({ table, partition, key, version, value }: RowChange): object {
-  const row = { table, part: partition, key, ver: version };
-  if (value === undefined) return { ...row, deleted: true };
-  return { ...row, value: Buffer.from(value).toString('base64') };
+function getParameter(url: URL, name: string): string {
+  return url.searchParams.get(name) ?? '';
 }
