Storage: the check of a member of the membership list stands once

The client of the platform and the stand-in of the membership list spelled out the same schema; both use MemberSchema of storage now.

--- a/packages/standins/src/membershipService.ts
+++ b/packages/standins/src/membershipService.ts
@@ -1,19 +1,10 @@
-import { z } from 'zod';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
+import { MemberSchema } from '@pomeloroad/storage';
 import type { Member } from '@pomeloroad/storage';
 import type { RequestHandler } from './faults';
 
 const MEMBERS_PATH = '/v1/members';
 
-const MemberSchema: z.ZodType<Member> = z.object({
-  name: z.string(),
-  role: z.enum(['instance', 'endpoint']),
-  dataCentre: z.string(),
-  address: z.string(),
-  incarnation: z.string(),
-  state: z.enum(['live', 'leaving']),
-});
-
 /** Delays of the membership list. */
 export interface MembershipOptions {
   /** Delay until a change of the list becomes visible to readers. */
--- a/packages/storage/src/httpPlatform.ts
+++ b/packages/storage/src/httpPlatform.ts
@@ -5,6 +5,7 @@
 import type { Clock, HttpAnswer, HttpFailure, Milliseconds, Outcome } from '@pomeloroad/core';
 import { createBreaker } from './breaker';
 import type { Breaker } from './breaker';
+import { MemberSchema } from './memberSchema';
 import type { CommitError, Membership, ObjectStore, Platform, Table } from './types';
 
 const BREAKER_COOLDOWN_MS = 500;
@@ -46,18 +47,7 @@
 });
 const CommitReply = z.object({ committed: z.boolean(), conflicts: z.array(z.string()) });
 const NameList = z.object({ names: z.array(z.string()) });
-const MemberList = z.object({
-  members: z.array(
-    z.object({
-      name: z.string(),
-      role: z.enum(['instance', 'endpoint']),
-      dataCentre: z.string(),
-      address: z.string(),
-      incarnation: z.string(),
-      state: z.enum(['live', 'leaving']),
-    }),
-  ),
-});
+const MemberList = z.object({ members: z.array(MemberSchema) });
 
 /** Creates a client of the platform's services over HTTP. Each service has its own breaker. */
 export function createHttpPlatform(host: PlatformHost, options: PlatformOptions): Platform {
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -2,6 +2,7 @@
 export * from './breaker';
 export * from './memoryObjects';
 export * from './memoryTable';
+export * from './memberSchema';
 export * from './httpPlatform';
 export * from './batchTable';
 export * from './lease';
