--- a/packages/entry/test/chatRun.test.ts
+++ b/packages/entry/test/chatRun.test.ts
@@ -79,6 +79,16 @@
   return { host, settled, released };
 }
 
+/** Creates an engine's run that notes its stream, and completes it after this number of silent ones. */
+function createRun(streams: string[], silentRuns = 0): EngineClient['run'] {
+  return async (call, sink) => {
+    streams.push(call.stream);
+    if (streams.length <= silentRuns) return Err(SILENT);
+    await sink(USAGE);
+    return Ok.EMPTY;
+  };
+}
+
 /** Runs a request on the engine until it has ended, or resumes it for a lost instance. */
 async function run(
   engine: Partial<EngineClient>,
@@ -107,12 +117,7 @@
   const streams: string[] = [];
   const stops = [Err(SILENT), Ok(NEVER)];
   const { end, answer, settled } = await run({
-    async run(call, sink) {
-      streams.push(call.stream);
-      if (streams.length === 1) return Err(SILENT);
-      await sink(USAGE);
-      return Ok.EMPTY;
-    },
+    run: createRun(streams, 1),
     resume: async () => Err(SILENT),
     stop: async () => stops.shift() ?? Ok(NEVER),
   });
@@ -125,12 +130,7 @@
 test('a request whose only engine never began it is run there again', async () => {
   const streams: string[] = [];
   const { end, settled } = await run({
-    async run(call, sink) {
-      streams.push(call.stream);
-      if (streams.length === 1) return Err(SILENT);
-      await sink(USAGE);
-      return Ok.EMPTY;
-    },
+    run: createRun(streams, 1),
     resume: async () => Err({ kind: 'rejected', ran: 'no', message: 'no such stream' }),
     stop: async () => Ok(NEVER),
   });
@@ -163,11 +163,7 @@
   const streams: string[] = [];
   const replies = [Err(SILENT)];
   const engine: Partial<EngineClient> = {
-    async run(call, sink) {
-      streams.push(call.stream);
-      await sink(USAGE);
-      return Ok.EMPTY;
-    },
+    run: createRun(streams),
     async resume(_call, _after, sink) {
       await sink({ kind: 'delta', index: 0, text: 'x' });
       return replies.shift() ?? Err({ kind: 'rejected', ran: 'no', message: 'no such stream' });
@@ -183,11 +179,7 @@
 test('the rest of a resumed answer is not taken from a run that begins for it', async () => {
   const streams: string[] = [];
   const engine: Partial<EngineClient> = {
-    async run(call, sink) {
-      streams.push(call.stream);
-      await sink(USAGE);
-      return Ok.EMPTY;
-    },
+    run: createRun(streams),
     resume: async () => Err({ kind: 'rejected', ran: 'no', message: 'no such stream' }),
     stop: async () => Ok(NEVER),
   };
@@ -219,11 +211,7 @@
   const stops = [Err(SILENT)];
   const streams: string[] = [];
   const engine: Partial<EngineClient> = {
-    async run(call, sink) {
-      streams.push(call.stream);
-      await sink(USAGE);
-      return Ok.EMPTY;
-    },
+    run: createRun(streams),
     resume: async () => Err(SILENT),
     stop: async () => stops.shift() ?? Ok(NEVER),
   };
@@ -249,13 +237,7 @@
 test('each reservation of a request has a stream of its own', async () => {
   const clock = createManualClock();
   const streams: string[] = [];
-  const { host } = createHost(clock, {
-    async run(call, sink) {
-      streams.push(call.stream);
-      await sink(USAGE);
-      return Ok.EMPTY;
-    },
-  });
+  const { host } = createHost(clock, { run: createRun(streams) });
   // The first keeper notes the placement, but its reply is lost.
   const replies = [false, true];
   const createReservation = (id: string) => ({
