--- a/packages/entry/src/chatOutcome.ts
+++ b/packages/entry/src/chatOutcome.ts
@@ -2,7 +2,7 @@
 import type { UsageRecord } from '@pomeloroad/budgets';
 import { createRefusal } from '@pomeloroad/requests';
 import type { AnswerEnd, Refusal } from '@pomeloroad/requests';
-import type { EngineError } from './engineClient';
+import type { EngineError } from './engineTypes';
 
 const RETRY_AFTER_MS = 1000;
 
--- a/packages/entry/src/chatRun.ts
+++ b/packages/entry/src/chatRun.ts
@@ -9,7 +9,7 @@
 import { createRecord, followPlaced, isForgotten, isOverBound, stopStream } from './chatStream';
 import type { ChatRun } from './chatStream';
 import { claimName, releaseName } from './claimName';
-import type { EngineError, StoppedUsage } from './engineClient';
+import type { EngineError, StoppedUsage } from './engineTypes';
 import type { RunHost } from './runHost';
 import type { RunRequest } from './runRequest';
 import { createStreamProgress } from './streamProgress';
--- a/packages/entry/src/chatStream.ts
+++ b/packages/entry/src/chatStream.ts
@@ -5,7 +5,7 @@
 import type { Slot } from '@pomeloroad/routing';
 import { refuse, toFailureRefusal } from './chatOutcome';
 import type { ChatRequest } from './chatRequest';
-import type { EngineCall, EngineError, EngineSink, StoppedUsage } from './engineClient';
+import type { EngineCall, EngineError, EngineSink, StoppedUsage } from './engineTypes';
 import type { RunHost } from './runHost';
 import type { RunRequest } from './runRequest';
 import { followStream } from './streamFollower';
--- a/packages/entry/src/loads.ts
+++ b/packages/entry/src/loads.ts
@@ -4,7 +4,7 @@
 import type { PeerNetwork } from '@pomeloroad/peers';
 import type { Endpoint } from '@pomeloroad/configuration';
 import type { Endpoints, LoadReport } from '@pomeloroad/routing';
-import type { EngineClient } from './engineClient';
+import type { EngineClient } from './engineTypes';
 
 const SEND_TIMEOUT_MS: Milliseconds = 1000;
 
--- a/packages/entry/src/lostRequests.ts
+++ b/packages/entry/src/lostRequests.ts
@@ -1,7 +1,7 @@
 import type { Keepers, Placement, Usage } from '@pomeloroad/budgets';
 import type { Identity, Tokens } from '@pomeloroad/core';
 import type { BeginReply, BeginRequest } from '@pomeloroad/requests';
-import type { EngineClient } from './engineClient';
+import type { EngineClient } from './engineTypes';
 
 /** Knowledge of this instance that finding requests of lost instances depends on. */
 export interface LostRequestHost {
--- a/packages/entry/src/orders.ts
+++ b/packages/entry/src/orders.ts
@@ -3,7 +3,7 @@
 import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
 import type { Lease } from '@pomeloroad/storage';
-import type { EngineClient } from './engineClient';
+import type { EngineClient } from './engineTypes';
 
 /** An accepted order is sent again at this interval because the engine may have restarted. */
 const RESEND_INTERVAL_MS: Milliseconds = 30_000;
--- a/packages/entry/src/runHost.ts
+++ b/packages/entry/src/runHost.ts
@@ -3,7 +3,7 @@
 import type { BudgetClient } from '@pomeloroad/budgets';
 import type { AnswerStore, Claims, RequestRegistry } from '@pomeloroad/requests';
 import type { Admission } from '@pomeloroad/routing';
-import type { EngineClient } from './engineClient';
+import type { EngineClient } from './engineTypes';
 import type { ServiceClient } from './serviceClient';
 import type { Settings } from './settings';
 
--- a/packages/entry/src/streamFollower.ts
+++ b/packages/entry/src/streamFollower.ts
@@ -1,7 +1,7 @@
 import { Err } from 'ts-results';
 import { createCondition, withTimeout } from '@pomeloroad/core';
 import type { Clock, Milliseconds, Outcome } from '@pomeloroad/core';
-import type { EngineCall, EngineClient, EngineError, EngineSink } from './engineClient';
+import type { EngineCall, EngineClient, EngineError, EngineSink } from './engineTypes';
 import type { StreamProgress } from './streamProgress';
 
 /** Pause before a stream is read anew after its only connection has ended. */
--- a/packages/entry/src/streamProgress.ts
+++ b/packages/entry/src/streamProgress.ts
@@ -1,5 +1,5 @@
 import type { AnswerEvent } from '@pomeloroad/requests';
-import type { EngineEvent } from './engineClient';
+import type { EngineEvent } from './engineTypes';
 
 /** The end of a stream, with the tokens that it used and why its text ends. */
 export type StreamEnd = Extract<AnswerEvent, { kind: 'usage' }>;
--- a/packages/entry/test/chatRun.test.ts
+++ b/packages/entry/test/chatRun.test.ts
@@ -8,7 +8,7 @@
 import type { RouteRequest, SlotResult } from '@pomeloroad/routing';
 import { resumeChat, runChat } from '../src/chatRun';
 import type { ChatRequest } from '../src/chatRequest';
-import type { EngineClient, EngineError, EngineEvent, StoppedUsage } from '../src/engineClient';
+import type { EngineClient, EngineError, EngineEvent, StoppedUsage } from '../src/engineTypes';
 import type { RunHost } from '../src/runHost';
 import type { RunRequest } from '../src/runRequest';
 
--- a/packages/entry/test/streamFollower.test.ts
+++ b/packages/entry/test/streamFollower.test.ts
@@ -1,7 +1,7 @@
 import { Err, Ok } from 'ts-results';
 import { createManualClock, sleep } from '@pomeloroad/core';
 import type { Clock, Outcome } from '@pomeloroad/core';
-import type { EngineCall, EngineError, EngineEvent, EngineSink } from '../src/engineClient';
+import type { EngineCall, EngineError, EngineEvent, EngineSink } from '../src/engineTypes';
 import { followStream } from '../src/streamFollower';
 import { createStreamProgress } from '../src/streamProgress';
 
