--- a/packages/budgets/src/keepers.ts
+++ b/packages/budgets/src/keepers.ts
@@ -1,22 +1,21 @@
-import { createId, Diagnostics, getOwner } from '@pomeloroad/core';
+import { createId, getOwner } from '@pomeloroad/core';
 import type { Identity, Tokens } from '@pomeloroad/core';
 import type { ObjectStore, Row, Table } from '@pomeloroad/storage';
-import { createGrant } from './heldGrant';
+import { createGrantAdoption } from './grantAdoption';
 import type { Reservation } from './heldGrant';
 import { createKeeper } from './keeper';
 import type { Keeper, KeeperStatus, RecallSummary } from './keeperTypes';
 import { createLedger } from './ledger';
 import { createReaper } from './reaper';
 import type { ReaperHost } from './reaper';
-import { getGrantKey, getGrantPrefix, LedgerPrefix, parseGrant } from './rows';
+import { getGrantKey, parseGrant } from './rows';
 import { settleKeepers } from './settlement';
 import type { GrantPolicy } from './sizing';
 import { BudgetTopics } from './topics';
-import type { ReservationReply, SettlementReply, WitnessLog } from './topics';
-import type { Grant, ReservationError, UsageRecord } from './types';
+import type { ReservationReply, SettlementReply } from './topics';
+import type { ReservationError, UsageRecord } from './types';
 import { createWitness } from './witness';
 import { createWitnessLink } from './witnessLink';
-import type { SealOutcome } from './witnessLink';
 
 const RECALL_TIMEOUT_MS = 1500;
 
@@ -66,21 +65,19 @@
 
 /** Creates the keepers and the witness of an instance and registers their message handlers. */
 export function createKeepers(host: KeepersHost): Keepers {
-  const { clock, log: logEvent, self, network, table } = host;
+  const { clock, self, network, table } = host;
   const ledger = createLedger({ clock, table });
   const keepers = new Map<string, Keeper>();
-  /** Grants of lost holders, until their last reservation has ended. */
-  let inherited: Keeper[] = [];
   const witnesses = createWitnessLink(host);
   const witness = createWitness(clock, network);
   const reaper = createReaper(host);
-  const keeperHost = {
+  const keeperHost = { ...host, ledger, recall, witnesses };
+  const adoption = createGrantAdoption({
     ...host,
     ledger,
-    recall,
     witnesses,
-    isTableUnreachable: host.isTableUnreachable,
-  };
+    createSuccessor: (budget, inherited) => createKeeper(keeperHost, budget, inherited),
+  });
   let isClosing = false;
 
   network.handle(BudgetTopics.reserve, async (_from, request): Promise<ReservationReply> => {
@@ -114,7 +111,7 @@
   });
 
   function listKeepers(): Keeper[] {
-    return [...keepers.values(), ...inherited];
+    return [...keepers.values(), ...adoption.listKeepers()];
   }
 
   function findHolder(reservation: string): Keeper | undefined {
@@ -177,20 +174,14 @@
       await Promise.all(listKeepers().map((keeper) => keeper.maintainWitness(isTableUnreachable)));
       await Promise.all([...keepers.values()].map((keeper) => keeper.growEarly()));
       await Promise.all(listKeepers().map(reaper.reap));
-      await closeInherited();
+      await adoption.closeUnused();
     },
     findReservationsByKey: (account, key) =>
       listKeepers()
         .flatMap((keeper) => keeper.reservations())
         .filter(({ draft }) => draft.account === account && draft.key === key)
         .filter(({ placements }) => placements.length > 0),
-    async adoptLost() {
-      if (getOwner('grants', host.getLocalInstances()) !== self.instance) return;
-      const rows = await table.scan(getGrantPrefix(self.dataCentre));
-      if (rows.err) return;
-      const grants = rows.val.map(toGrant).filter((grant) => host.isLost(grant.row.holder));
-      await Promise.all(grants.map(adoptGrant));
-    },
+    adoptLost: adoption.adoptLost,
     async close() {
       isClosing = true;
       const closed = await Promise.all(listKeepers().map((keeper) => keeper.close()));
@@ -209,49 +200,6 @@
     describe: () => listKeepers().map((keeper) => keeper.describe()),
     describeWitness: witness.describe,
   };
-
-  // The witness's log lists what may have been sent to endpoints. With it, this instance continues
-  // the grant where the lost holder stopped. Without a log the whole grant is charged.
-  async function adoptGrant(lost: Grant): Promise<void> {
-    const { witness: named, budget } = lost.row;
-    const sealed: SealOutcome = named ? await witnesses.sealLog(lost.id, named) : { kind: 'whole' };
-    if (sealed.kind === 'log') await takeOverGrant(lost, sealed.log, budget);
-    else if (sealed.kind === 'whole' || (named && host.isLost(named))) await chargeGrant(lost);
-  }
-
-  async function takeOverGrant(lost: Grant, log: WitnessLog, budget: string): Promise<void> {
-    const taken = await ledger.takeOver(lost, createGrant(self, budget));
-    if (taken.err) return;
-    const { closed, grant } = taken.val;
-    const records = log.records.filter((record) => record.ordinal > closed.sequence);
-    const rest = { reservations: log.reservations, records, isWhole: log.isWhole };
-    inherited.push(createKeeper(keeperHost, budget, { grant, log: rest }));
-    const reservations = log.reservations.length;
-    const { isWhole } = log;
-    logEvent(Diagnostics.lostGrantClosed, { grant: lost.id, isWhole, reservations });
-  }
-
-  async function chargeGrant(lost: Grant): Promise<void> {
-    const outcome = await ledger.seal(lost, (row) => row.size);
-    if (outcome.err) return;
-    const { writtenOff } = outcome.val.row;
-    logEvent(Diagnostics.lostGrantClosed, { grant: lost.id, writtenOff });
-  }
-
-  async function closeInherited(): Promise<void> {
-    const rest = await Promise.all(
-      inherited.map(async (keeper) => {
-        if (!keeper.isChargedInFull()) await keeper.release(true);
-        return (await keeper.close()) ? [] : [keeper];
-      }),
-    );
-    inherited = rest.flat();
-  }
-}
-
-function toGrant(row: Row): Grant {
-  const id = row.key.slice(LedgerPrefix.grant.length);
-  return { id, version: row.version, row: parseGrant(row) };
 }
 
 const SHUTTING_DOWN: ReservationError = {
