A stop answers the requests that wait at its end, and passes on what comes until half a second before it

Cause: 0.9 s before the forced end, which are there to return grants, the drain cut all that was open and exited. Now grants are returned meanwhile; answers are passed on until 0.5 s before the forced end; then what is open is given up: those of whose answer nothing was sent get 504, or 503 where nothing was passed on or it was declined, those behind them on their connection 503, and streams that have begun are cut. The line of the deadline names up to 20 requests.

--- a/packages/forwarding/src/drain.ts
+++ b/packages/forwarding/src/drain.ts
@@ -7,6 +7,8 @@
 const ACCEPT_REQUESTS_MS: Milliseconds = 2800;
 /** Time reserved for settling and returning grants before the forced end. */
 const SETTLEMENT_RESERVE_MS: Milliseconds = 900;
+/** Time before the forced end at which requests that are still open are given up. */
+const GIVE_UP_MS: Milliseconds = 500;
 /** Time left before the forced end to write the last log lines. */
 const EXIT_MARGIN_MS: Milliseconds = 300;
 const POLL_INTERVAL_MS: Milliseconds = 50;
@@ -17,6 +19,8 @@
   log: Log;
   instance: {
     countOpen(): number;
+    /** Returns the ids of the first requests that are open, for the log. */
+    nameOpen(): string;
     retire(): void;
     stop(patience: Milliseconds): Promise<void>;
   };
@@ -24,6 +28,8 @@
   closeListener(): void;
   /** Returns the number of connections whose answers are sent but may be lost if the process exits. */
   countLingering(): number;
+  /** Answers the open requests of whose answers nothing was sent, and cuts the others. */
+  giveUp(): void;
   /** Cuts the answers that are not sent in full, so that none looks complete when the process exits. */
   cutOpen(): void;
 }
@@ -44,6 +50,10 @@
   let draining: Promise<void> | undefined;
   let isRejecting = false;
 
+  async function poll(isAwaited: () => boolean, until: Milliseconds): Promise<void> {
+    while (isAwaited() && clock.elapsed() < until) await sleep(clock, POLL_INTERVAL_MS);
+  }
+
   async function drain(grace: Milliseconds): Promise<void> {
     const startedAt = clock.elapsed();
     const forcedEnd = startedAt + grace;
@@ -57,11 +67,18 @@
     }
     isRejecting = true;
     host.closeListener();
-    if (instance.countOpen() > 0) log(Diagnostics.drainTimedOut, { open: instance.countOpen() });
-    await instance.stop(forcedEnd - EXIT_MARGIN_MS - clock.elapsed());
-    while (host.countLingering() > 0 && clock.elapsed() < forcedEnd - EXIT_MARGIN_MS) {
-      await sleep(clock, POLL_INTERVAL_MS);
+    if (instance.countOpen() > 0) {
+      log(Diagnostics.drainTimedOut, {
+        open: instance.countOpen(),
+        requests: instance.nameOpen(),
+      });
     }
+    const stopped = instance.stop(forcedEnd - EXIT_MARGIN_MS - clock.elapsed());
+    await poll(() => instance.countOpen() > 0, forcedEnd - GIVE_UP_MS);
+    host.giveUp();
+    await poll(() => instance.countOpen() > 0, forcedEnd - EXIT_MARGIN_MS);
+    await stopped;
+    await poll(() => host.countLingering() > 0, forcedEnd - EXIT_MARGIN_MS);
     host.cutOpen();
     log(Diagnostics.instanceStopped, { open: instance.countOpen() });
   }
--- a/packages/forwarding/test/drain.test.ts
+++ b/packages/forwarding/test/drain.test.ts
@@ -16,11 +16,13 @@
     log: createSilentLog(),
     instance: {
       countOpen: () => (clock.elapsed() < endsAt ? 1 : 0),
+      nameOpen: () => 'r1',
       retire: () => record('retired'),
       stop: async () => record('stopped'),
     },
     closeListener: () => record('closed'),
     countLingering: () => (clock.elapsed() < closesAt ? 1 : 0),
+    giveUp: () => record('givenUp'),
     cutOpen: () => record('cut'),
   });
   drain.run(GRACE_MS).then(() => record('ended'));
@@ -60,6 +62,17 @@
   expect(late.times.ended).toBeLessThan(GRACE_MS);
 });
 
+test('the drain waits for answers until half a second before the forced end', async () => {
+  const { times } = await drainUntil(7400);
+  expect(times.givenUp).toBeGreaterThanOrEqual(7400);
+  expect(times.ended).toBeLessThan(7600);
+});
+
+test('requests that are given up have time for an answer before they are cut', async () => {
+  const { times } = await drainUntil(Infinity);
+  expect((times.cut ?? 0) - (times.givenUp ?? Infinity)).toBeGreaterThanOrEqual(200);
+});
+
 test('the process does not exit while a connection lingers, but before its forced end', async () => {
   const waiting = await drainUntil(0, 5000);
   expect(waiting.times.ended).toBeGreaterThanOrEqual(5000);
--- a/packages/replay/test/plannedStopHarness.ts
+++ b/packages/replay/test/plannedStopHarness.ts
@@ -21,6 +21,7 @@
 /** Time within which an instance knows of an endpoint that was announced. */
 const ANNOUNCEMENT_MS: Milliseconds = 500;
 const REPORT_PATH = '/v1/report';
+const TIME_LEFT_MS: Milliseconds = 6000;
 /** Program of the instances; the variable names one of another build, to compare with. */
 const TRIAL_PROGRAM = process.env.TRIAL_PROGRAM ?? BUNDLED_PROGRAM;
 
@@ -196,13 +197,18 @@
 }
 
 /** Returns a request without a body, on a connection that is kept. */
-export function renderRequest(target: string, id = 'r1', headers: string[] = []): string {
+export function renderRequest(
+  target: string,
+  id = 'r1',
+  headers: string[] = [],
+  timeLeft: Milliseconds = TIME_LEFT_MS,
+): string {
   const head = [
     `GET ${target} HTTP/1.1`,
     'Host: a.example',
     'Authorization: Token rich-key',
     `${WireHeader.requestId}: ${id}`,
-    `${WireHeader.timeLeft}: 6000`,
+    `${WireHeader.timeLeft}: ${timeLeft}`,
     ...headers,
   ];
   return `${head.join('\r\n')}\r\n\r\n`;
