--- a/packages/replay/test/soakEvidence.test.ts
+++ b/packages/replay/test/soakEvidence.test.ts
@@ -1,5 +1,5 @@
 import { createSystemClock } from '@pomeloroad/core';
-import { createCallerAnswer, PlatformBounds } from '@pomeloroad/standins';
+import { CALLER_LEFT, createCallerAnswer, PlatformBounds } from '@pomeloroad/standins';
 import type { Work } from '@pomeloroad/standins';
 import { createEvidence } from '../src/soak/evidence';
 import type { EarlyEndCount } from '../src/soak/endChecks';
@@ -137,6 +137,50 @@
   expect(counts).toEqual(taken === undefined ? [] : [{ ended: 1, taken }]);
 });
 
+// An endpoint sends the answer to its end, and the caller sees it end so long after it was sent.
+function judgeSentAnswer(route: string, looksComplete: boolean, length: number, error?: string) {
+  const clock = { ...createSystemClock(), now: () => new Date(SENT_AT + length) };
+  const evidence = createEvidence(clock);
+  const record = createRecord();
+  record.work = { ...WORK, route, events: 1 };
+  evidence.open(record);
+  const id = 'endpoint-1';
+  const step = { request: record.id, run: 1, at: new Date(SENT_AT).toISOString(), id };
+  const arrival = { path: '', after: 0, account: 'rich', version: 'v1', body: '' };
+  const ends = ['sent', 'stated'].map((event) => ({ event, ...step, number: 1 }));
+  [{ event: 'run', ...step, ...arrival }, ...ends].forEach((line) =>
+    evidence.addLine(id, JSON.stringify(line)),
+  );
+  record.endedAt = SENT_AT + length;
+  const answer = { ...createCallerAnswer(), status: 200, body: 'id: 1\n\n' };
+  record.answer = { ...answer, looksComplete, ...(error === undefined ? {} : { error }) };
+  evidence.judge(true);
+  const failed = evidence.failures.filter(({ check }) => check === 'whole-cut');
+  return { ends: evidence.ends, failed: failed.length };
+}
+
+const NO_ENDS = { sound: 1, cut: 0, late: 0, early: 0, taken: 0 };
+
+test.each([
+  ['is cut', 'stream', false, 200, 'aborted', { 'resumable stream': { ...NO_ENDS, cut: 1 } }],
+  ['is cut', 'stream-once', false, 200, 'aborted', { 'other stream': { ...NO_ENDS, cut: 1 } }],
+  ['is cut', 'once', false, 200, 'aborted', { 'whole answer': { ...NO_ENDS, cut: 1 } }],
+  ['looks complete', 'once', true, 200, undefined, { 'whole answer': NO_ENDS }],
+  ['is left', 'once', false, 200, CALLER_LEFT, { 'whole answer': { ...NO_ENDS, sound: 0 } }],
+  [
+    'is cut at its time limit',
+    'stream',
+    false,
+    3800,
+    'aborted',
+    { 'resumable stream': { ...NO_ENDS, sound: 0, late: 1 } },
+  ],
+])('a whole answer that %s counts as such: %s', (...row) => {
+  const [, route, looksComplete, length, error, ends] = row;
+  const failed = Object.values(ends).reduce((sum, { cut }) => sum + cut, 0);
+  expect(judgeSentAnswer(route, looksComplete, length, error)).toEqual({ ends, failed });
+});
+
 // An endpoint announces that it leaves, runs a request and is started again at the Unix times.
 function judgeAfterDeparture(restarts: number[], ranAt: number, waited = 0): string[] {
   let now = SENT_AT;
