Where ends are known to come late, a second late end at the same event is proof enough, and questions leave retries to others

Cause: what earlier questions had shown of the service was not used.

Once three ends apart of a service were confirmed in full, with none too early since, a second endpoint that sends the last event again and ends apart at the same event confirms the first, unless the stream broke off; an answer that waits with such a second end is concluded as soon as that is known. A first question takes any retry; those that are asked again, or about ends that count as usual, only spare ones.

--- a/packages/forwarding/src/attempts/pace.ts
+++ b/packages/forwarding/src/attempts/pace.ts
@@ -15,18 +15,20 @@
    * Lets the request return to endpoints that it has left.
    */
   wait(wasAsked: boolean): Promise<void>;
-  /** Whether it has waited. */
-  hasWaited(): boolean;
+  /** Whether it has waited after an endpoint was asked. */
+  hasAsked(): boolean;
 }
 
 /** Creates the times of a request that has asked nobody yet. */
 export function createPace<Payload>(run: Run<Payload>): Pace {
   let delay = FIRST_WAIT_MS;
+  let hasAsked = false;
   return {
-    hasWaited: () => delay > FIRST_WAIT_MS,
+    hasAsked: () => hasAsked,
     async wait(wasAsked) {
       const isNext = run.confirmer !== undefined || hasAttemptsLeft(run);
       if (wasAsked && isNext) return;
+      hasAsked ||= wasAsked;
       await sleep(run.host.clock, delay, run.stop.signal);
       allowOthers(run, delay > FIRST_WAIT_MS);
       delay = Math.min(2 * delay, WAIT_MAX_MS);
--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -68,7 +68,7 @@
   last: SourceEnd,
   pace: Pace,
 ): Promise<RelayedSource | undefined> {
-  if (!replacement && !shouldResume(run, pace)) return undefined;
+  if (!replacement && !shouldResume(run, last, pace)) return undefined;
   run.question = new AbortController();
   const rest = relayNext(run, replacement);
   if (mayStayOpen(run, last)) leaveIfSilent(run, rest, run.question);
@@ -111,9 +111,12 @@
   return source && relaySource(run, source);
 }
 
-function shouldResume<Payload>(run: Run<Payload>, pace: Pace): boolean {
+function shouldResume<Payload>(run: Run<Payload>, last: SourceEnd, pace: Pace): boolean {
   if (run.stop.signal.aborted || getTimeLeft(run) <= 0) return false;
-  return pace.hasWaited() ? takeSpareAttempt(run) : takeAttempt(run);
+  // What is asked again, or counts in any case, leaves retries to others.
+  const isRepeat = pace.hasAsked() && run.confirmer === undefined;
+  const isSpare = isRepeat || last.end === 'unconfirmed';
+  return isSpare ? takeSpareAttempt(run) : takeAttempt(run);
 }
 
 async function resume<Payload>(
--- a/packages/forwarding/src/ends/endHistory.ts
+++ b/packages/forwarding/src/ends/endHistory.ts
@@ -10,6 +10,8 @@
 
 /** Number of ends apart from the last event that have to be confirmed, with none too early, before they are usual. */
 const CONFIRMED_MIN = 10;
+/** Number of them that shows that endpoints of a service state ends late. */
+const LATE_MIN = 3;
 
 /** Ends of a service's streams, those apart from the last event, and those of them that were confirmed. */
 interface EndCount {
@@ -41,6 +43,8 @@
   noteEnd(service: string, isApart: boolean): void;
   /** Notes whether another endpoint had more after an end apart from the last event. */
   noteCheckedApart(service: string, isEarly: boolean): void;
+  /** Whether several ends of the service apart from the last event were confirmed since one came too early. */
+  statesEndsLate(service: string): boolean;
   /**
    * Whether nearly all streams of the service lately end so, as those of engines that need a step to end one, and
    * those that were checked were whole.
@@ -77,6 +81,7 @@
       if (isEarly) counts.delete(service);
       else if (count) counts.set(service, { ...count, confirmed: count.confirmed + 1 });
     },
+    statesEndsLate: (service) => (counts.get(service) ?? NO_ENDS).confirmed >= LATE_MIN,
     endsApart(service) {
       const { ends, apart, confirmed } = counts.get(service) ?? NO_ENDS;
       return ends >= ENDS_MIN && apart >= ends * USUAL_RATIO && confirmed >= CONFIRMED_MIN;
--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -106,7 +106,14 @@
 
 /** Judges the end of an open answer anew, by what is known of the service by now. */
 export function renewEnd<Payload>(run: Run<Payload>, last: SourceEnd): SourceEnd {
-  if (last.end !== 'doubtful' || last.fault !== undefined || !mayBeWhole(last)) return last;
+  const { confirmer, host, request } = run;
+  const hasSecond = confirmer !== undefined && confirmer !== last.endpoint;
+  if (hasSecond && host.endHistory.statesEndsLate(request.service)) {
+    run.confirmer = undefined;
+    noteChecked(run, last, false);
+    return { ...last, end: 'complete' };
+  }
+  if (last.end !== 'doubtful' || last.fault !== undefined) return last;
   return { ...last, end: judgeReason(run, last.reason) };
 }
 
@@ -122,10 +129,9 @@
     noteChecked(run, last, true);
     return next;
   }
-  if (mayConfirm(last, next)) run.confirmer = next.endpoint;
+  if (mayConfirm(run, last, next)) run.confirmer = next.endpoint;
   if (!confirms(run, last, next)) return last;
-  const isUsual = last.end === 'unconfirmed' && next.ownEnd === 'unconfirmed';
-  const end = next.hasRepeated && !isUsual ? confirmEnd(last.end, next.ownEnd) : 'complete';
+  const end = next.hasRepeated && !isApart(next) ? confirmEnd(last.end, next.ownEnd) : 'complete';
   if (end !== 'complete') return { ...next, end };
   noteChecked(run, last, false);
   if (last.end === 'closed' && next.ownEnd === 'closed') {
@@ -155,27 +161,38 @@
 // One that stops some time after the repeated event may have been about to send more, and one that had ended the
 // stream before may do so for the same reason again. Both have shown that they could go on, so each is asked once
 // more, for what follows that event.
-function mayConfirm(last: SourceEnd, next: SourceEnd): boolean {
+function mayConfirm<Payload>(run: Run<Payload>, last: SourceEnd, next: SourceEnd): boolean {
   if (!next.hasRepeated || next.isConfirmation || next.fault !== undefined) return false;
-  if (next.reason === 'apart from last event') return last.end !== 'unconfirmed';
+  if (isApart(next)) return !confirmsLate(run, last, next);
   return next.endpoint === last.endpoint && next.ownEnd === 'complete';
 }
 
-// Where no event can be sent again, two endpoints that send nothing show that there is nothing.
-function confirms<Payload>(
-  { lastEventId, confirmer }: Run<Payload>,
+// Where endpoints of the service are known to state ends late, a second one that does so at the same event is enough.
+function confirmsLate<Payload>(
+  { host: { endHistory }, request: { service } }: Run<Payload>,
   last: SourceEnd,
   next: SourceEnd,
-) {
+): boolean {
+  const isSecond = next.hasRepeated && next.endpoint !== last.endpoint;
+  if (!isSecond || !isApart(next) || last.end === 'broken') return false;
+  return last.end === 'unconfirmed' || endHistory.statesEndsLate(service);
+}
+
+function isApart({ reason }: SourceEnd): boolean {
+  return reason === 'apart from last event';
+}
+
+// Where no event can be sent again, two endpoints that send nothing show that there is nothing.
+function confirms<Payload>(run: Run<Payload>, last: SourceEnd, next: SourceEnd): boolean {
+  const { lastEventId, confirmer } = run;
   if (next.isConfirmation) return next.ownEnd === 'complete' && !next.hasRepeated;
   if (confirmer !== undefined || next.fault !== undefined) return false;
-  // Where ends apart from the last event are usual, a second one at the same event is what it would be.
-  if (next.hasRepeated && last.end === 'unconfirmed' && next.ownEnd === 'unconfirmed') return true;
+  if (isApart(next)) return confirmsLate(run, last, next);
   const isInOrder = match(next.ownEnd)
     .with('complete', 'unconfirmed', 'closed', () => true)
     .with('doubtful', 'broken', () => false)
     .exhaustive();
-  if (!isInOrder || next.reason === 'apart from last event') return false;
+  if (!isInOrder) return false;
   if (next.hasRepeated) return next.endpoint !== last.endpoint;
   const isEmptyStream = lastEventId === undefined && last.end !== 'broken';
   return isEmptyStream && !isSamePlace(last.record, next.record);
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -191,18 +191,21 @@
  * or return to one; returns false if it may not, or if none is left.
  */
 export function takeAttempt<Payload>(run: Run<Payload>): boolean {
-  if (run.confirmer !== undefined || hasAttemptsLeft(run) || canReturn(run)) return takeRetry(run);
+  if (mayRunOnce(run)) return takeRetry(run);
   run.lack = 'attempt';
   return false;
 }
 
-/**
- * Takes one attempt as `takeAttempt` does, but for a return only if other requests do not need the retries that
- * are left.
- */
+/** Takes one attempt as `takeAttempt` does, but only if other requests do not need the retries that are left. */
 export function takeSpareAttempt<Payload>(run: Run<Payload>): boolean {
-  if (run.confirmer !== undefined || hasAttemptsLeft(run)) return takeRetry(run);
-  return canReturn(run) && run.host.retryBudget.takeSpare(run.request.service);
+  if (!mayRunOnce(run)) return false;
+  const isAllowed = run.host.retryBudget.takeSpare(run.request.service);
+  if (!isAllowed) run.lack = 'retry';
+  return isAllowed;
+}
+
+function mayRunOnce<Payload>(run: Run<Payload>): boolean {
+  return run.confirmer !== undefined || hasAttemptsLeft(run) || canReturn(run);
 }
 
 /** Takes one retry from the retry budget of the service; returns false if none is left. */
