An endpoint that answers a question about an end with an error is not asked again at once

Callers whose answer was left open took the whole retry budget of their service, so that streams that broke off at the same time found no retry and were cut. Cause: an endpoint that is asked for what follows the last event can't be replaced, and after an error of the connection it is not; after a whole answer of status 500 or higher a retry was taken and the same endpoint was asked again without a wait, as long as a retry was left. Now the answer ends the question, and the next one waits its turn.

--- a/packages/forwarding/src/attempts/attempts.ts
+++ b/packages/forwarding/src/attempts/attempts.ts
@@ -101,7 +101,7 @@
 
 // A server error may be specific to one endpoint, so another endpoint may answer the request.
 function shouldRetryReply<Payload>(run: Run<Payload>, reply: Reply): boolean {
-  return isServerError(reply) && takeAttempt(run);
+  return isServerError(reply) && !isQuestionOver(run) && takeAttempt(run);
 }
 
 function shouldRetryError<Payload>(run: Run<Payload>, error: SendError): boolean {
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -31,6 +31,8 @@
   /** Pause before the end. */
   pause?: Milliseconds;
   end?: 'complete' | 'closed' | 'broken' | 'whole';
+  /** Status of a whole answer. */
+  status?: number;
   /** State of the endpoint at the end. */
   state?: EndpointState;
   /** Time from the last event to the end, apart from delays on the way. */
@@ -111,10 +113,10 @@
 
   async function send(attempt: Attempt<unknown>) {
     const answer = getAnswer(attempt.endpoint.id);
-    const { framing = 'chunked', events = [], pause = 0, end } = answer;
+    const { framing = 'chunked', events = [], pause = 0, end, status = 200 } = answer;
     await sleep(clock, 100);
     attempt.onActivity();
-    const head = { status: 200, framing, headers: [] };
+    const head = { status, framing, headers: [] };
     if (end !== 'whole') {
       return Ok({ kind: 'stream' as const, head, stream: openStream(answer, attempt) });
     }
--- a/packages/forwarding/test/openEnds.test.ts
+++ b/packages/forwarding/test/openEnds.test.ts
@@ -101,6 +101,12 @@
   expect({ calls, endedAt }).toEqual({ calls: ['begin', 'cut'], endedAt: DEADLINE_MS });
 });
 
+test('an endpoint that answers with an error when it is asked once more is not asked again at once', async () => {
+  const again: StandAnswer = { end: 'whole', status: 500 };
+  const { answered } = await forwardTo([APART, { ...REPEATS, again }]);
+  expect(answered?.runs).toBeLessThan(9);
+});
+
 test('a stream that has broken off is cut at once if nobody can go on with it', async () => {
   const { calls, endedAt } = await forwardTo([BROKEN, UNABLE]);
   expect(calls).toEqual(['begin', 'cut']);
