A question about an end that waits for a slot is not taken for a silent endpoint

Callers got no end of a whole stream, and were cut at their limit, while the endpoints that could confirm it were full for over 1.2 s: the question was given up after 1.2 s though nothing had been sent, the wait for a slot went on, and the slot was thrown away when it came; so each time. Cause: whether an endpoint is at work was asked of the latest attempt, which until the question is sent is the one whose stream has ended and is not listed any more. Now the time begins when the question is sent.

Evidence: the new test (a slot after 1.5 s, a limit of 4 s, a confirmation at once) was cut before, and ends with two runs and one resumption with this. The stand's endpoints refuse what is given up before it is sent, as the client of the endpoints does.

--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -70,8 +70,9 @@
 ): Promise<RelayedSource | undefined> {
   if (!replacement && !shouldResume(run, pace)) return undefined;
   run.question = new AbortController();
+  const before = replacement ? undefined : run.latest;
   const rest = relayNext(run, replacement);
-  if (mayStayOpen(run, last)) leaveIfSilent(run, rest, run.question);
+  if (mayStayOpen(run, last)) leaveIfSilent(run, rest, run.question, before);
   return rest;
 }
 
@@ -84,14 +85,18 @@
   run: Run<Payload>,
   rest: Promise<unknown>,
   question: AbortController,
+  before: SentAttempt | undefined,
 ): Promise<void> {
   const eventsBefore = run.events;
   const isSettled = rest.then(() => true);
   let isAtWork = true;
   while (isAtWork) {
+    const { latest } = run;
     const isInTime = await withTimeout(run.host.clock, STREAM_THRESHOLD_MS, isSettled, false);
     if (isInTime || run.events > eventsBefore) return;
-    isAtWork = await worksOnLatest(run);
+    // While the question waits for a slot, or has just got one, nobody is silent.
+    const isUnsent = run.latest === before || run.latest !== latest;
+    isAtWork = isUnsent || (await worksOnLatest(run));
   }
   question.abort();
 }
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -33,6 +33,8 @@
   end?: 'complete' | 'closed' | 'broken' | 'whole';
   /** Status of a whole answer. */
   status?: number;
+  /** Time for which the endpoint has no free slot. */
+  slotAfter?: Milliseconds;
   /** State of the endpoint at the end. */
   state?: EndpointState;
   /** Time from the last event to the end, apart from delays on the way. */
@@ -114,6 +116,7 @@
   async function send(attempt: Attempt<unknown>) {
     const answer = getAnswer(attempt.endpoint.id);
     const { framing = 'chunked', events = [], pause = 0, end, status = 200 } = answer;
+    if (attempt.signal.aborted) return Err({ kind: 'unreachable', message: 'not wanted any more' });
     await sleep(clock, 100);
     attempt.onActivity();
     const head = { status, framing, headers: [] };
@@ -135,6 +138,7 @@
     if (!only) turn += 1;
     if (turn > answers.length) return Err({ kind: 'none' });
     const name = place ?? `e${turn}/1`;
+    await sleep(clock, answers[Number(name[1]) - 1]?.slotAfter ?? 0);
     const slot: Slot = {
       endpoint: { kind: 'service', name, version: `v${turn}` } as Slot['endpoint'],
       isLeaving: () => false,
--- a/packages/forwarding/test/openEnds.test.ts
+++ b/packages/forwarding/test/openEnds.test.ts
@@ -107,6 +107,12 @@
   expect(answered?.runs).toBeLessThan(9);
 });
 
+test('a whole stream ends though the endpoint that confirms it is free only after 1.5 s', async () => {
+  const { calls, answered } = await forwardTo([APART, { repeats: true, slotAfter: 1500 }], LONG);
+  expect(calls).toEqual(['begin', 'end']);
+  expect(answered).toMatchObject({ runs: 2, resumptions: 1 });
+});
+
 test('a stream that has broken off is cut at once if nobody can go on with it', async () => {
   const { calls, endedAt } = await forwardTo([BROKEN, UNABLE]);
   expect(calls).toEqual(['begin', 'cut']);
