An endpoint that sends what is left out confirms no end

Callers were told that a stream of three events is complete after two. Two endpoints ended it apart from event 2; the second one, asked once more for what follows that event, began anew and stopped after event 1, or sent an event without an id. Cause: what comes before an event with a later id is left out, so either looked like an empty end, which confirms since. Now an endpoint that was asked for what follows and sent any event that is left out confirms nothing: it is not where the caller is, or there is more.

Evidence: both tests of confirmations had a whole answer with 2 of 3 events, and have none with this; openEnds passes as before.

--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -54,8 +54,10 @@
   step: EndStep | undefined,
   isEmpty: boolean,
 ): Promise<SourceEnd> {
-  const hasRepeated = stream.hasRepeated();
   const isConfirmation = isConfirmationPoint(attempt.resumePoint);
+  // One that was asked for what follows and sent anything that is left out is not where the caller is.
+  const hasSent = isConfirmation && attempt.pauses.getFirst() !== undefined;
+  const hasRepeated = stream.hasRepeated() || hasSent;
   const judged = await judgeStep(run, attempt, step, { hasRepeated, isConfirmation });
   const isInOrder = judged.ownEnd !== 'broken';
   const end = isInOrder && isEmpty && !hasRepeated ? 'doubtful' : judged.ownEnd;
