An endpoint that has no room any more is not waited for because a question before found none

Callers were cut at their limit with a whole stream that another endpoint would have confirmed. Cause: an endpoint that has sent the last event again is kept for the next question while a slot or a retry is missing, which was read from the run's latest lack; that was never reset, so after one busy moment an endpoint that declines, or is gone, was asked again and again until the limit. Now each question begins without a lack, and one that is refused for want of spare retries or attempts notes that.

Evidence: the new test (an endpoint that is busy once, ends apart and then declines, and a third one that confirms) was cut before, and ends with this; openEnds passes.

--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -118,6 +118,8 @@
 
 function shouldResume<Payload>(run: Run<Payload>, pace: Pace): boolean {
   if (run.stop.signal.aborted || getTimeLeft(run) <= 0) return false;
+  // What was missing for an earlier question says nothing of this one.
+  run.lack = undefined;
   return pace.hasWaited() ? takeSpareAttempt(run) : takeAttempt(run);
 }
 
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -202,7 +202,10 @@
  */
 export function takeSpareAttempt<Payload>(run: Run<Payload>): boolean {
   if (run.confirmer !== undefined || hasAttemptsLeft(run)) return takeRetry(run);
-  return canReturn(run) && run.host.retryBudget.takeSpare(run.request.service);
+  const mayReturn = canReturn(run);
+  const isAllowed = mayReturn && run.host.retryBudget.takeSpare(run.request.service);
+  if (!isAllowed) run.lack = mayReturn ? 'retry' : 'attempt';
+  return isAllowed;
 }
 
 /** Takes one retry from the retry budget of the service; returns false if none is left. */
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -30,11 +30,13 @@
   events?: Milliseconds[];
   /** Pause before the end. */
   pause?: Milliseconds;
-  end?: 'complete' | 'closed' | 'broken' | 'whole';
+  end?: 'complete' | 'closed' | 'broken' | 'whole' | 'declined';
   /** Status of a whole answer. */
   status?: number;
   /** Time for which the endpoint has no free slot. */
   slotAfter?: Milliseconds;
+  /** Number of times that it has none at all before. */
+  refusals?: number;
   /** State of the endpoint at the end. */
   state?: EndpointState;
   /** Time from the last event to the end, apart from delays on the way. */
@@ -66,6 +68,7 @@
   };
   const recentEnds = createRecentEnds({ clock, log, metrics: forwardMetrics });
   let turn = 0;
+  let refused = 0;
   let endedAt: Milliseconds | undefined;
   const asked = new Map<string, StandAnswer>();
 
@@ -119,6 +122,7 @@
     if (attempt.signal.aborted) return Err({ kind: 'unreachable', message: 'not wanted any more' });
     await sleep(clock, 100);
     attempt.onActivity();
+    if (end === 'declined') return Err({ kind: 'declined', message: 'no room' });
     const head = { status, framing, headers: [] };
     if (end !== 'whole') {
       return Ok({ kind: 'stream' as const, head, stream: openStream(answer, attempt) });
@@ -135,6 +139,11 @@
   async function acquire({ only, excluded }: Pick<RouteRequest, 'only' | 'excluded'>) {
     const [place] = [...(only ?? [])].filter((known) => !excluded.has(known));
     if (only && place === undefined) return Err({ kind: 'none' });
+    const { refusals = 0 } = answers[turn] ?? {};
+    if (!only && refused < refusals) {
+      refused += 1;
+      return Err({ kind: 'busy', isLimited: false });
+    }
     if (!only) turn += 1;
     if (turn > answers.length) return Err({ kind: 'none' });
     const name = place ?? `e${turn}/1`;
--- a/packages/forwarding/test/openEnds.test.ts
+++ b/packages/forwarding/test/openEnds.test.ts
@@ -113,6 +113,13 @@
   expect(answered).toMatchObject({ runs: 2, resumptions: 1 });
 });
 
+test('a whole stream is confirmed by a third endpoint if the one that ended apart has no room any more', async () => {
+  const again: StandAnswer = { end: 'declined', again: { end: 'declined' } };
+  const second: StandAnswer = { ...REPEATS, refusals: 1, again };
+  const { calls } = await forwardTo([APART, second, { repeats: true }], LONG, 3);
+  expect(calls).toEqual(['begin', 'end']);
+});
+
 test('a stream that has broken off is cut at once if nobody can go on with it', async () => {
   const { calls, endedAt } = await forwardTo([BROKEN, UNABLE]);
   expect(calls).toEqual(['begin', 'cut']);
