An endpoint that answers a rest with an error of the caller does not count as failing

Callers of other streams had their ends doubted ("endpoint failing") and waited, where an endpoint answers a question about an end with a status such as 404, since nothing follows. Cause: any answer to a rest that is no stream was a failure of the endpoint, and two in a row make it one that is avoided; an answer that stays open asks up to twice in 1.6 s. Now only a server error is, as it is for first answers.

--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -1,5 +1,6 @@
 import { Diagnostics, withTimeout } from '@pomeloroad/core';
 import type { SlotResult, Slot } from '@pomeloroad/routing';
+import { isServerError } from './attempt';
 import type { SentAttempt } from './sentAttempt';
 import { sendWithRetries } from './attempts';
 import { noteOpenEnd, noteResumption, reportEnd } from '../ends/endReport';
@@ -137,7 +138,7 @@
   const { reply, attempt } = next.val;
   const { slot } = attempt;
   if (reply.kind !== 'stream') {
-    slot.release('failed');
+    slot.release(isServerError(reply) ? 'failed' : 'ok');
     return undefined;
   }
   reportEnd(run, 'rest requested');
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -7,7 +7,7 @@
   Milliseconds,
   ResponseFraming,
 } from '@pomeloroad/core';
-import type { RouteRequest, Slot } from '@pomeloroad/routing';
+import type { RouteRequest, Slot, SlotResult } from '@pomeloroad/routing';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { createForwardMetrics, forward } from '../src';
 import type {
@@ -67,6 +67,7 @@
     lines.push({ code: event.code, importance, ...fields });
   };
   const recentEnds = createRecentEnds({ clock, log, metrics: forwardMetrics });
+  const releases: SlotResult[] = [];
   let turn = 0;
   let refused = 0;
   let endedAt: Milliseconds | undefined;
@@ -153,7 +154,7 @@
       isLeaving: () => false,
       recordActivity: () => {},
       getActivityTime: () => clock.elapsed(),
-      release: () => {},
+      release: (result) => releases.push(result),
     };
     return Ok(slot);
   }
@@ -249,6 +250,7 @@
     answered,
     suspicious: select(Diagnostics.endSuspicious),
     lines,
+    releases,
     rendered: metrics.render(),
   };
 }
--- a/packages/forwarding/test/openEnds.test.ts
+++ b/packages/forwarding/test/openEnds.test.ts
@@ -107,6 +107,12 @@
   expect(answered?.runs).toBeLessThan(9);
 });
 
+test('an endpoint that answers 404 when it is asked once more does not count as failing', async () => {
+  const again: StandAnswer = { end: 'whole', status: 404 };
+  const { releases } = await forwardTo([APART, { ...REPEATS, again }]);
+  expect(releases).not.toContain('failed');
+});
+
 test('a whole stream ends though the endpoint that confirms it is free only after 1.5 s', async () => {
   const { calls, answered } = await forwardTo([APART, { repeats: true, slotAfter: 1500 }], LONG);
   expect(calls).toEqual(['begin', 'end']);
