--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -1,5 +1,6 @@
 import { Diagnostics, withTimeout } from '@pomeloroad/core';
 import type { SlotResult, Slot } from '@pomeloroad/routing';
+import { isServerError } from './attempt';
 import type { SentAttempt } from './sentAttempt';
 import { sendWithRetries } from './attempts';
 import { noteOpenEnd, noteResumption, reportEnd } from '../ends/endReport';
@@ -70,8 +71,9 @@
 ): Promise<RelayedSource | undefined> {
   if (!replacement && !shouldResume(run, last, pace)) return undefined;
   run.question = new AbortController();
+  const before = replacement ? undefined : run.latest;
   const rest = relayNext(run, replacement);
-  if (mayStayOpen(run, last)) leaveIfSilent(run, rest, run.question);
+  if (mayStayOpen(run, last)) leaveIfSilent(run, rest, run.question, before);
   return rest;
 }
 
@@ -84,14 +86,18 @@
   run: Run<Payload>,
   rest: Promise<unknown>,
   question: AbortController,
+  before: SentAttempt | undefined,
 ): Promise<void> {
   const eventsBefore = run.events;
   const isSettled = rest.then(() => true);
   let isAtWork = true;
   while (isAtWork) {
+    const { latest } = run;
     const isInTime = await withTimeout(run.host.clock, STREAM_THRESHOLD_MS, isSettled, false);
     if (isInTime || run.events > eventsBefore) return;
-    isAtWork = await worksOnLatest(run);
+    // While the question waits for a slot, or has just got one, nobody is silent.
+    const isUnsent = run.latest === before || run.latest !== latest;
+    isAtWork = isUnsent || (await worksOnLatest(run));
   }
   question.abort();
 }
@@ -113,6 +119,8 @@
 
 function shouldResume<Payload>(run: Run<Payload>, last: SourceEnd, pace: Pace): boolean {
   if (run.stop.signal.aborted || getTimeLeft(run) <= 0) return false;
+  // What was missing for an earlier question says nothing of this one.
+  run.lack = undefined;
   // What is asked again, or counts in any case, leaves retries to others.
   const isRepeat = pace.hasAsked() && run.confirmer === undefined;
   const isSpare = isRepeat || last.end === 'unconfirmed';
@@ -133,7 +141,7 @@
   const { reply, attempt } = next.val;
   const { slot } = attempt;
   if (reply.kind !== 'stream') {
-    slot.release('failed');
+    slot.release(isServerError(reply) ? 'failed' : 'ok');
     return undefined;
   }
   reportEnd(run, 'rest requested');
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -198,9 +198,9 @@
 
 /** Takes one attempt as `takeAttempt` does, but only if other requests do not need the retries that are left. */
 export function takeSpareAttempt<Payload>(run: Run<Payload>): boolean {
-  if (!mayRunOnce(run)) return false;
-  const isAllowed = run.host.retryBudget.takeSpare(run.request.service);
-  if (!isAllowed) run.lack = 'retry';
+  const mayRun = mayRunOnce(run);
+  const isAllowed = mayRun && run.host.retryBudget.takeSpare(run.request.service);
+  if (!isAllowed) run.lack = mayRun ? 'retry' : 'attempt';
   return isAllowed;
 }
 
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -7,7 +7,7 @@
   Milliseconds,
   ResponseFraming,
 } from '@pomeloroad/core';
-import type { RouteRequest, Slot } from '@pomeloroad/routing';
+import type { RouteRequest, Slot, SlotResult } from '@pomeloroad/routing';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { createForwardMetrics, forward } from '../src';
 import type {
@@ -30,7 +30,13 @@
   events?: Milliseconds[];
   /** Pause before the end. */
   pause?: Milliseconds;
-  end?: 'complete' | 'closed' | 'broken' | 'whole';
+  end?: 'complete' | 'closed' | 'broken' | 'whole' | 'declined';
+  /** Status of a whole answer. */
+  status?: number;
+  /** Time for which the endpoint has no free slot. */
+  slotAfter?: Milliseconds;
+  /** Number of times that it has none at all before. */
+  refusals?: number;
   /** State of the endpoint at the end. */
   state?: EndpointState;
   /** Time from the last event to the end, apart from delays on the way. */
@@ -61,7 +67,9 @@
     lines.push({ code: event.code, importance, ...fields });
   };
   const recentEnds = createRecentEnds({ clock, log, metrics: forwardMetrics });
+  const releases: SlotResult[] = [];
   let turn = 0;
+  let refused = 0;
   let endedAt: Milliseconds | undefined;
   const asked = new Map<string, StandAnswer>();
 
@@ -111,10 +119,12 @@
 
   async function send(attempt: Attempt<unknown>) {
     const answer = getAnswer(attempt.endpoint.id);
-    const { framing = 'chunked', events = [], pause = 0, end } = answer;
+    const { framing = 'chunked', events = [], pause = 0, end, status = 200 } = answer;
+    if (attempt.signal.aborted) return Err({ kind: 'unreachable', message: 'not wanted any more' });
     await sleep(clock, 100);
     attempt.onActivity();
-    const head = { status: 200, framing, headers: [] };
+    if (end === 'declined') return Err({ kind: 'declined', message: 'no room' });
+    const head = { status, framing, headers: [] };
     if (end !== 'whole') {
       return Ok({ kind: 'stream' as const, head, stream: openStream(answer, attempt) });
     }
@@ -130,15 +140,21 @@
   async function acquire({ only, excluded }: Pick<RouteRequest, 'only' | 'excluded'>) {
     const [place] = [...(only ?? [])].filter((known) => !excluded.has(known));
     if (only && place === undefined) return Err({ kind: 'none' });
+    const { refusals = 0 } = answers[turn] ?? {};
+    if (!only && refused < refusals) {
+      refused += 1;
+      return Err({ kind: 'busy', isLimited: false });
+    }
     if (!only) turn += 1;
     if (turn > answers.length) return Err({ kind: 'none' });
     const name = place ?? `e${turn}/1`;
+    await sleep(clock, answers[Number(name[1]) - 1]?.slotAfter ?? 0);
     const slot: Slot = {
       endpoint: { kind: 'service', name, version: `v${turn}` } as Slot['endpoint'],
       isLeaving: () => false,
       recordActivity: () => {},
       getActivityTime: () => clock.elapsed(),
-      release: () => {},
+      release: (result) => releases.push(result),
     };
     return Ok(slot);
   }
@@ -234,6 +250,7 @@
     answered,
     suspicious: select(Diagnostics.endSuspicious),
     lines,
+    releases,
     rendered: metrics.render(),
   };
 }
--- a/packages/forwarding/test/openEnds.test.ts
+++ b/packages/forwarding/test/openEnds.test.ts
@@ -101,6 +101,31 @@
   expect({ calls, endedAt }).toEqual({ calls: ['begin', 'cut'], endedAt: DEADLINE_MS });
 });
 
+test('an endpoint that answers with an error when it is asked once more is not asked again at once', async () => {
+  const again: StandAnswer = { end: 'whole', status: 500 };
+  const { answered } = await forwardTo([APART, { ...REPEATS, again }]);
+  expect(answered?.runs).toBeLessThan(9);
+});
+
+test('an endpoint that answers 404 when it is asked once more does not count as failing', async () => {
+  const again: StandAnswer = { end: 'whole', status: 404 };
+  const { releases } = await forwardTo([APART, { ...REPEATS, again }]);
+  expect(releases).not.toContain('failed');
+});
+
+test('a whole stream ends though the endpoint that confirms it is free only after 1.5 s', async () => {
+  const { calls, answered } = await forwardTo([APART, { repeats: true, slotAfter: 1500 }], LONG);
+  expect(calls).toEqual(['begin', 'end']);
+  expect(answered).toMatchObject({ runs: 2, resumptions: 1 });
+});
+
+test('a whole stream is confirmed by a third endpoint if the one that ended apart has no room any more', async () => {
+  const again: StandAnswer = { end: 'declined', again: { end: 'declined' } };
+  const second: StandAnswer = { ...REPEATS, refusals: 1, again };
+  const { calls } = await forwardTo([APART, second, { repeats: true }], LONG, 3);
+  expect(calls).toEqual(['begin', 'end']);
+});
+
 test('a stream that has broken off is cut at once if nobody can go on with it', async () => {
   const { calls, endedAt } = await forwardTo([BROKEN, UNABLE]);
   expect(calls).toEqual(['begin', 'cut']);
