A body that was read is held once while its request waits

Cause: the parts of a body stayed referred to by a listener for as long as its connection was open, beside the body that they were joined to. Now they are let go of.

Test: heldBodies failed three times of three before, 2.0 bytes held for each byte of a body, and passed three of three with this.

--- a/packages/core/src/serverConnections.ts
+++ b/packages/core/src/serverConnections.ts
@@ -152,6 +152,8 @@
     message.on('end', () => {
       isDone = true;
       resolve(Ok(Buffer.concat(chunks)));
+      // The connection keeps this listener for as long as it is open.
+      chunks = [];
     });
     message.on('error', () => fail('disconnected'));
     message.on('close', () => fail('disconnected'));
