--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -95,13 +95,21 @@
   const names = [instance, ...runs.map((run) => run.endpoint)];
   const isLate = ({ lastAt }: EndpointRun, next: EndpointRun) =>
     lastAt > next.at + OVERLAP_MAX_MS && !faults.isDisturbed(names, next.at - CONTACT_MS, lastAt);
-  const overlap = runs.find((run, index) =>
-    runs.slice(index + 1).some((next) => isLate(run, next)),
-  );
+  const overlap = runs.find((run, index) => {
+    const beside = runs.slice(index + 1).filter(({ at }) => at <= run.lastAt);
+    const isAlone = beside.every((next) => isDropped(record, next));
+    return !isAlone && beside.some((next) => isLate(run, next));
+  });
   if (!overlap) return 'held';
   return { message: `still ran at ${overlap.endpoint} after it had gone on elsewhere` };
 }
 
+// Whether a run was closed in time, while its caller still waited, so that the request went on without it.
+function isDropped({ endedAt = Infinity }: RequestRecord, run: EndpointRun): boolean {
+  const { at, closedAt = Infinity } = run;
+  return closedAt <= at + OVERLAP_MAX_MS && closedAt < endedAt;
+}
+
 function checkPath({ account, runs, work, body = '' }: RequestRecord): CheckOutcome {
   if (runs.length === 0) return 'skipped';
   const isWrong = (run: EndpointRun) =>
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -225,7 +225,7 @@
     .with({ event: 'declined' }, ({ waited = 0 }) => record.arrivals.push(at - waited))
     .with({ event: 'crash' }, () => undefined)
     .with({ event: 'closed' }, () => {
-      if (run) run.isEnded = true;
+      if (run) Object.assign(run, { isEnded: true, closedAt: at });
     })
     .exhaustive();
 }
--- a/packages/replay/src/soak/requestRecord.ts
+++ b/packages/replay/src/soak/requestRecord.ts
@@ -59,6 +59,8 @@
   earlyEnd?: EarlyEndReason;
   /** Whether the endpoint went on until its answer was complete or its peer had closed. */
   isEnded: boolean;
+  /** Unix time in milliseconds at which the endpoint noticed that its peer had closed; `undefined` if it did not. */
+  closedAt?: number;
 }
 
 /** A line that a process of the soak wrote, or that the soak wrote for a caller or a fault. */
