Adoption of grants: a grant adopted while others close is not dropped

What would be seen: a grant that an instance takes over from a lost holder belongs to no keeper. Its reservations are neither settled nor billed, and its tokens stay held, until that instance is itself lost; as it then names no witness, the whole of it is charged.

Cause: closeUnused, a part of the periodic reap, asked the keepers of adopted grants to close, waited for the store, and then set the list to those of them that were left. adoptLost is a task of its own; a keeper that it added meanwhile was not among them. Found by reading; not seen in a run.

The keepers are a set now, from which each is removed once it has closed; nothing else is taken out or put back.

--- a/packages/budgets/src/grantAdoption.ts
+++ b/packages/budgets/src/grantAdoption.ts
@@ -37,7 +37,7 @@
 /** Creates the adoption of an instance that has adopted nothing. */
 export function createGrantAdoption(host: GrantAdoptionHost): GrantAdoption {
   const { log: logEvent, self, ledger, witnesses } = host;
-  let inherited: Keeper[] = [];
+  const inherited = new Set<Keeper>();
 
   async function adoptLost(): Promise<void> {
     if (getOwner('grants', host.getLocalInstances()) !== self.instance) return;
@@ -62,7 +62,7 @@
     const { closed, grant } = taken.val;
     const records = log.records.filter((record) => record.ordinal > closed.sequence);
     const rest = { reservations: log.reservations, records, isWhole: log.isWhole };
-    inherited.push(host.createSuccessor(budget, { grant, log: rest }));
+    inherited.add(host.createSuccessor(budget, { grant, log: rest }));
     const reservations = log.reservations.length;
     const { isWhole } = log;
     logEvent(Diagnostics.lostGrantClosed, { grant: lost.id, isWhole, reservations });
@@ -75,17 +75,17 @@
     logEvent(Diagnostics.lostGrantClosed, { grant: lost.id, writtenOff });
   }
 
+  // Grants may be adopted meanwhile, so only keepers that have closed are removed.
   async function closeUnused(): Promise<void> {
-    const rest = await Promise.all(
-      inherited.map(async (keeper) => {
-        if (!keeper.isChargedInFull()) await keeper.release(true);
-        return (await keeper.close()) ? [] : [keeper];
-      }),
-    );
-    inherited = rest.flat();
+    await Promise.all([...inherited].map(closeIfUnused));
   }
 
-  return { listKeepers: () => inherited, adoptLost, closeUnused };
+  async function closeIfUnused(keeper: Keeper): Promise<void> {
+    if (!keeper.isChargedInFull()) await keeper.release(true);
+    if (await keeper.close()) inherited.delete(keeper);
+  }
+
+  return { listKeepers: () => [...inherited], adoptLost, closeUnused };
 }
 
 function toGrant(row: Row): Grant {
