Escrow after a rewind: a budget's row that is told while the grant is put back stays known

What would be seen: after the store has come back from an older copy, an instance that puts back its grant takes an older row of the budget for the present one. Until it reads the row again, or a check of its version fails, it lacks grants that others have put back or calls on it to return tokens, so requests may wait or be refused though the budget is complete. By reading it costs a transaction that conflicts and then tells the present row; nothing can be granted twice, since each is checked.

Cause: the feed may tell of a later row while the store's answer is awaited. Every other write keeps that row (replaceTotal); applyRestored set the one that it had sent, or read, before the wait. It keeps the later one now.

Test: escrowTransactions failed before (version 1 and no call, where version 2 with a call had been told) and passes now. packages/budgets/test: 118 of 120 passed, the two in KNOWN-RED.txt failed as before.

--- a/packages/budgets/src/escrowRowCache.ts
+++ b/packages/budgets/src/escrowRowCache.ts
@@ -118,7 +118,7 @@
   }
 
   function applyRestored(written: KnownTotal, grantVersion: number): void {
-    total = written;
+    replaceTotal(written);
     noteTotalRead();
     grant = { ...grant, version: grantVersion };
     isRestored = true;
