Budget keepers: what is noted while a witness is being named is in its log

What would be seen: unbilled requests after an instance is lost. A request that is placed while its keeper's grant gets a witness is missing in that witness's log, for good; of one that is settled meanwhile the log lacks the record. The successor goes by the log: it neither bills the one nor knows that the other used anything.

The log is taken from what is held, then two calls are waited for, the peer's and the store's, and only then is the peer told of changes. Until then they went to the witness before it, or to nobody if there was none, which counted as noted since the whole grant would be charged; the row that names the new witness ends that. One that replaces a witness out of reach was not concerned as far as each note failed there and led to a further replacement.

A peer that has been sent the log gets each note from then on, beside the named witness, until the row names it or another one. If the row's write fails, its outcome may be unknown, so the peer still gets them. A note that it does not take leads to a replacement, as one of the witness does, also while the full charge is noted, which is in the other log only. Price: a second message for notes sent meanwhile, and such a note is refused if both that peer and the store are out of reach.

--- a/packages/budgets/src/grantWitness.ts
+++ b/packages/budgets/src/grantWitness.ts
@@ -24,10 +24,11 @@
   /** Finds a witness for a grant that is not written yet. */
   open(): Promise<void>;
   /**
-   * Returns whether a successor would learn of the noted change or charge the whole grant anyway.
-   * Replaces a witness that cannot be reached.
+   * Sends a note of a change to the witness, and to one that is about to be named. Returns whether a
+   * successor would learn of the change or charge the whole grant anyway. Replaces a witness that
+   * cannot be reached.
    */
-  ensureNoted(outcome: NoteOutcome): Promise<boolean>;
+  note(send: (witness: Identity | undefined) => Promise<NoteOutcome>): Promise<boolean>;
   /** Finds or replaces the witness, as `maintainWitness` of the keeper says. */
   maintain(isTableUnreachable: boolean): Promise<void>;
 }
@@ -37,11 +38,15 @@
   const { budget, ledger, witnesses, getHeld, abandonGrant } = host;
   /** Whether the witness's log says that the whole grant is charged if this holder is lost. */
   let isFullChargeNoted = false;
+  /** A peer that has the grant's log and that the row may come to name, so it needs the notes too. */
+  let candidate: { grant: string; witness: Identity } | undefined;
 
   // Returns a peer that has opened a log, if any: a grant's row must not name a witness without one.
   async function openAtPeer(failed?: Identity): Promise<Identity | undefined> {
     const witness = witnesses.pickPeer(budget, failed);
+    candidate = witness && { grant: getHeld().grant().id, witness };
     const isOpen = witness && (await witnesses.openLog(getHeld(), witness, false)) === 'noted';
+    if (!isOpen) candidate = undefined;
     return isOpen ? witness : undefined;
   }
 
@@ -50,23 +55,35 @@
       const witness = await openAtPeer(getHeld().grant().row.witness);
       const outcome = await ledger.setWitness(getHeld().grant(), witness);
       host.applySettlement(outcome);
+      // The row may name the candidate even if the write failed.
+      if (outcome.ok) candidate = undefined;
       return outcome.ok;
     });
   }
 
+  async function ensureNoted(atWitness: NoteOutcome, atCandidate: NoteOutcome): Promise<boolean> {
+    if (atWitness === 'sealed' || atCandidate === 'sealed') {
+      abandonGrant();
+      return false;
+    }
+    const isCovered = atWitness === 'noted' || isFullChargeNoted;
+    return (isCovered && atCandidate === 'noted') || replace();
+  }
+
+  function getCandidate(): Identity | undefined {
+    return candidate?.grant === getHeld().grant().id ? candidate.witness : undefined;
+  }
+
   return {
     async open() {
       const witness = await openAtPeer();
       isFullChargeNoted = false;
       getHeld().setWitness(witness);
+      candidate = undefined;
     },
-    async ensureNoted(outcome) {
-      if (outcome === 'noted') return true;
-      if (outcome === 'sealed') {
-        abandonGrant();
-        return false;
-      }
-      return isFullChargeNoted || replace();
+    async note(send) {
+      const { witness } = getHeld().grant().row;
+      return ensureNoted(...(await Promise.all([send(witness), send(getCandidate())])));
     },
     async maintain(isTableUnreachable) {
       if (getHeld().grant().version === 0) return;
--- a/packages/budgets/src/keeper.ts
+++ b/packages/budgets/src/keeper.ts
@@ -170,8 +170,8 @@
     const current = held;
     const reservation = current.reservations().get(id);
     if (!reservation) return false;
-    const isNoted = await witness.ensureNoted(
-      await witnesses.noteReservation(current, reservation),
+    const isNoted = await witness.note((receiver) =>
+      witnesses.noteReservation(current, reservation, receiver),
     );
     return isNoted && held === current;
   }
@@ -190,8 +190,10 @@
       const current = held;
       if (current.reservations().has(reservation)) endReservation(reservation, record);
       else if (!ended.has(reservation)) return 'unknown';
-      const outcome = await witnesses.noteEnd(current, reservation, ended.get(reservation));
-      return (await witness.ensureNoted(outcome)) && held === current ? 'settled' : 'unknown';
+      const isNoted = await witness.note((receiver) =>
+        witnesses.noteEnd(current, reservation, ended.get(reservation), receiver),
+      );
+      return isNoted && held === current ? 'settled' : 'unknown';
     },
     async place(reservation, placement) {
       if (!held.place(reservation, placement)) return false;
--- a/packages/budgets/src/witnessLink.ts
+++ b/packages/budgets/src/witnessLink.ts
@@ -30,13 +30,18 @@
    * `isWhole` no further note is needed, and a successor charges the whole grant.
    */
   openLog(held: HeldGrant, witness: Identity, isWhole: boolean): Promise<NoteOutcome>;
-  /** Adds a reservation to the log, or updates it. */
-  noteReservation(held: HeldGrant, reservation: Reservation): Promise<NoteOutcome>;
-  /** Removes a reservation from the log and adds its record, if any. */
+  /** Adds a reservation to the witness's log, or updates it; `noted` without a witness. */
+  noteReservation(
+    held: HeldGrant,
+    reservation: Reservation,
+    witness: Identity | undefined,
+  ): Promise<NoteOutcome>;
+  /** Removes a reservation from the witness's log and adds its record, if any. */
   noteEnd(
     held: HeldGrant,
     reservation: string,
     record: SettledRecord | undefined,
+    witness: Identity | undefined,
   ): Promise<NoteOutcome>;
   /** Deletes the log of a closed grant without waiting for the reply. */
   dropLog(held: HeldGrant): void;
@@ -60,10 +65,9 @@
   }
 
   async function sendNote(
-    held: HeldGrant,
+    witness: Identity | undefined,
     send: (instance: string) => Promise<{ ok: boolean; val: unknown }>,
   ): Promise<NoteOutcome> {
-    const { witness } = held.grant().row;
     if (!witness) return 'noted';
     if (!isReachable(witness)) return 'unreachable';
     const reply = await send(witness.instance);
@@ -89,13 +93,13 @@
       if (reply.err) return 'unreachable';
       return reply.val ? 'noted' : 'sealed';
     },
-    noteReservation: (held, reservation) =>
-      sendNote(held, (instance) => {
+    noteReservation: (held, reservation, witness) =>
+      sendNote(witness, (instance) => {
         const request = { grant: held.grant().id, reservation };
         return network.call(instance, WitnessTopics.note, request, NOTE_TIMEOUT_MS);
       }),
-    noteEnd: (held, reservation, record) =>
-      sendNote(held, (instance) => {
+    noteEnd: (held, reservation, record, witness) =>
+      sendNote(witness, (instance) => {
         const { id: grant, row } = held.grant();
         const request = { grant, reservation, record, settled: row.sequence };
         return network.call(instance, WitnessTopics.end, request, NOTE_TIMEOUT_MS);
