Budget keepers: a full charge counts as noted only at the witness that was told of it

What would be seen: unbilled requests after an instance is lost. While the store is away the witness is told that the whole grant is charged, and notes that fail do not count then. Where another witness took its place, which was not told, they did not count either until the next look at the witness (about a second), or longer where the first one's answer came after the replacement: such a request is missing in the log by which the successor goes.

What was told stands by witness and grant now. Found by reading.

--- a/packages/budgets/src/grantWitness.ts
+++ b/packages/budgets/src/grantWitness.ts
@@ -33,13 +33,19 @@
   maintain(isTableUnreachable: boolean): Promise<void>;
 }
 
+/** A peer with the log of a grant. */
+interface LogKeeper {
+  grant: string;
+  witness: Identity;
+}
+
 /** Creates the witness of a keeper. */
 export function createGrantWitness(host: GrantWitnessHost): GrantWitness {
   const { budget, ledger, witnesses, getHeld, abandonGrant } = host;
-  /** Whether the witness's log says that the whole grant is charged if this holder is lost. */
-  let isFullChargeNoted = false;
+  /** The witness whose log says that the whole grant is charged if this holder is lost. */
+  let told: LogKeeper | undefined;
   /** A peer that has the grant's log and that the row may come to name, so it needs the notes too. */
-  let candidate: { grant: string; witness: Identity } | undefined;
+  let candidate: LogKeeper | undefined;
 
   // Returns a peer that has opened a log, if any: a grant's row must not name a witness without one.
   async function openAtPeer(failed?: Identity): Promise<Identity | undefined> {
@@ -56,8 +62,10 @@
       const outcome = await ledger.setWitness(getHeld().grant(), witness);
       host.applySettlement(outcome);
       // The row may name the candidate even if the write failed.
-      if (outcome.ok) candidate = undefined;
-      return outcome.ok;
+      if (outcome.err) return false;
+      candidate = undefined;
+      told = undefined;
+      return true;
     });
   }
 
@@ -66,10 +74,16 @@
       abandonGrant();
       return false;
     }
-    const isCovered = atWitness === 'noted' || isFullChargeNoted;
+    const isCovered = atWitness === 'noted' || isFullChargeNoted();
     return (isCovered && atCandidate === 'noted') || replace();
   }
 
+  // The answer of a witness may come when the row names another one.
+  function isFullChargeNoted(): boolean {
+    const { id, row } = getHeld().grant();
+    return told?.grant === id && told.witness.incarnation === row.witness?.incarnation;
+  }
+
   function getCandidate(): Identity | undefined {
     return candidate?.grant === getHeld().grant().id ? candidate.witness : undefined;
   }
@@ -77,7 +91,6 @@
   return {
     async open() {
       const witness = await openAtPeer();
-      isFullChargeNoted = false;
       getHeld().setWitness(witness);
       candidate = undefined;
     },
@@ -87,14 +100,15 @@
     },
     async maintain(isTableUnreachable) {
       if (getHeld().grant().version === 0) return;
-      const { witness } = getHeld().grant().row;
+      const { id: grant, row } = getHeld().grant();
+      const { witness } = row;
       if (!witness || !witnesses.isReachable(witness)) {
         if (!isTableUnreachable && (witness || witnesses.pickPeer(budget))) await replace();
         return;
       }
-      if (isTableUnreachable === isFullChargeNoted) return;
+      if (isTableUnreachable === isFullChargeNoted()) return;
       const outcome = await witnesses.openLog(getHeld(), witness, isTableUnreachable);
-      if (outcome === 'noted') isFullChargeNoted = isTableUnreachable;
+      if (outcome === 'noted') told = isTableUnreachable ? { grant, witness } : undefined;
       if (outcome === 'sealed') abandonGrant();
     },
   };
--- a/packages/budgets/test/grantWitness.test.ts
+++ b/packages/budgets/test/grantWitness.test.ts
@@ -5,6 +5,7 @@
 import type { UsageRecord } from '../src';
 import { createKeeper } from '../src/keeper';
 import { WitnessTopics } from '../src/topics';
+import type { GrantRow } from '../src/types';
 import { createWitness } from '../src/witness';
 import { createWitnessLink } from '../src/witnessLink';
 
@@ -14,15 +15,16 @@
 const cost = { promptTokens: 3, completionTokens: 4, tokens: 7 };
 const record: UsageRecord = { ...draft, ...cost, at: '2026-01-01T00:00:00.000Z' };
 
-/** A keeper with a grant that no peer witnesses, and a peer; the peer's naming waits for `name`. */
+/** A keeper with a grant that no peer witnesses, and peers; the naming of one waits for `name`. */
 async function setUp() {
   const clock = createManualClock();
   const fleet = createMemoryFleet();
   const network = fleet.join('a');
-  const peer = fleet.join('b');
-  createWitness(clock, peer);
+  createWitness(clock, fleet.join('b'));
+  createWitness(clock, fleet.join('c'));
   const locals = ['a'];
-  const ledger = createLedger({ clock, table: createMemoryTable() });
+  const table = createMemoryTable();
+  const ledger = createLedger({ clock, table });
   let name: () => void = () => undefined;
   const named = new Promise<void>((resolve) => {
     name = resolve;
@@ -31,9 +33,15 @@
   const naming = new Promise<void>((resolve) => {
     noteNaming = resolve;
   });
+  let answer: () => void = () => undefined;
+  const answered = new Promise<void>((resolve) => {
+    answer = resolve;
+  });
+  const { self } = network;
+  const link = createWitnessLink({ self, network, getLocalInstances: () => locals });
   const keeper = createKeeper(
     {
-      ...{ clock, log: createSilentLog(), self: network.self },
+      ...{ clock, log: createSilentLog(), self },
       policy: { kind: 'adaptive', horizonSeconds: 3600 },
       ledger: {
         ...ledger,
@@ -44,18 +52,21 @@
         },
       },
       getDataCentres: () => 1,
-      witnesses: createWitnessLink({
-        self: network.self,
-        network,
-        getLocalInstances: () => locals,
-      }),
+      witnesses: {
+        ...link,
+        async openLog(held, witness, isWhole) {
+          const outcome = await link.openLog(held, witness, isWhole);
+          if (isWhole) await answered;
+          return outcome;
+        },
+      },
       isTableUnreachable: () => false,
       recall: async () => ({ released: 0, pending: 0 }),
     },
     BUDGET,
   );
   await ledger.topUp(BUDGET, 'one', 1000);
-  const request = { budget: BUDGET, tokens: 100, patience: 1000, owner: network.self, draft };
+  const request = { budget: BUDGET, tokens: 100, patience: 1000, owner: self, draft };
   const reserve = (id: string) => keeper.reserve({ ...request, id });
   await reserve('first');
   locals.push('b');
@@ -65,7 +76,26 @@
     return (await network.call('b', WitnessTopics.seal, { grant }, 100)).unwrap();
   }
 
-  return { keeper, naming, name, reserve, readLog };
+  function findWitness(): unknown {
+    const row = table.rows().find(({ key }) => key.startsWith('grant/'));
+    return (row?.value as GrantRow).witness?.instance;
+  }
+
+  // Names a witness that is told that the whole grant is charged, and then another one in its place.
+  async function replaceToldWitness(isAnswerLate: boolean): Promise<void> {
+    name();
+    await keeper.maintainWitness(false);
+    const told = keeper.maintainWitness(true);
+    if (!isAnswerLate) answer();
+    if (!isAnswerLate) await told;
+    fleet.cut.add('b');
+    locals.push('c');
+    await keeper.maintainWitness(false);
+    answer();
+    await told;
+  }
+
+  return { keeper, fleet, naming, name, reserve, readLog, findWitness, replaceToldWitness };
 }
 
 test('a request placed while a witness is named is in its log', async () => {
@@ -91,3 +121,15 @@
   expect(await settled).toBe('settled');
   expect(await readLog()).toMatchObject({ reservations: [], records: [{ tokens: 7 }] });
 });
+
+test.each([false, true])(
+  'a witness that was not told of a full charge is replaced if it gets no note (late answer: %s)',
+  async (isAnswerLate) => {
+    const { keeper, fleet, findWitness, replaceToldWitness } = await setUp();
+    await replaceToldWitness(isAnswerLate);
+    expect(findWitness()).toBe('c');
+    fleet.cut.add('c');
+    expect(await keeper.place('first', placement)).toBe(true);
+    expect(findWitness()).toBeUndefined();
+  },
+);
