Budget keepers: a full charge that is being taken back counts no more

What would be seen: unbilled requests after an instance is lost, if a note to the witness fails while, as the store is back, that witness is told that the grant is no longer charged in full: such a note did not count, and the log that the witness has by then was taken from what was held before it.

Now it stands as not certain meanwhile, and also where no answer came: a note that fails leads to a replacement, and the witness is told again at the next look. Found by reading.

--- a/packages/budgets/src/grantWitness.ts
+++ b/packages/budgets/src/grantWitness.ts
@@ -42,8 +42,11 @@
 /** Creates the witness of a keeper. */
 export function createGrantWitness(host: GrantWitnessHost): GrantWitness {
   const { budget, ledger, witnesses, getHeld, abandonGrant } = host;
-  /** The witness whose log says that the whole grant is charged if this holder is lost. */
-  let told: LogKeeper | undefined;
+  /**
+   * The witness that was told that the whole grant is charged if this holder is lost; it is not
+   * certain that its log says so while that is taken back.
+   */
+  let told: (LogKeeper & { isCertain: boolean }) | undefined;
   /** A peer that has the grant's log and that the row may come to name, so it needs the notes too. */
   let candidate: LogKeeper | undefined;
 
@@ -74,14 +77,15 @@
       abandonGrant();
       return false;
     }
-    const isCovered = atWitness === 'noted' || isFullChargeNoted();
+    const isCovered = atWitness === 'noted' || findTold()?.isCertain === true;
     return (isCovered && atCandidate === 'noted') || replace();
   }
 
   // The answer of a witness may come when the row names another one.
-  function isFullChargeNoted(): boolean {
+  function findTold(): typeof told {
     const { id, row } = getHeld().grant();
-    return told?.grant === id && told.witness.incarnation === row.witness?.incarnation;
+    const isPresent = told?.witness.incarnation === row.witness?.incarnation;
+    return told?.grant === id && isPresent ? told : undefined;
   }
 
   function getCandidate(): Identity | undefined {
@@ -106,9 +110,12 @@
         if (!isTableUnreachable && (witness || witnesses.pickPeer(budget))) await replace();
         return;
       }
-      if (isTableUnreachable === isFullChargeNoted()) return;
+      const before = findTold();
+      if (isTableUnreachable ? before?.isCertain : !before) return;
+      if (before) before.isCertain = false;
       const outcome = await witnesses.openLog(getHeld(), witness, isTableUnreachable);
-      if (outcome === 'noted') told = isTableUnreachable ? { grant, witness } : undefined;
+      if (outcome === 'noted')
+        told = isTableUnreachable ? { grant, witness, isCertain: true } : undefined;
       if (outcome === 'sealed') abandonGrant();
     },
   };
--- a/packages/budgets/test/grantWitness.test.ts
+++ b/packages/budgets/test/grantWitness.test.ts
@@ -95,7 +95,7 @@
     await told;
   }
 
-  return { keeper, fleet, naming, name, reserve, readLog, findWitness, replaceToldWitness };
+  return { keeper, fleet, naming, name, answer, reserve, readLog, findWitness, replaceToldWitness };
 }
 
 test('a request placed while a witness is named is in its log', async () => {
@@ -133,3 +133,16 @@
     expect(findWitness()).toBeUndefined();
   },
 );
+
+test('a witness whose full charge is being taken back is replaced if it gets no note', async () => {
+  const { keeper, fleet, name, answer, findWitness } = await setUp();
+  name();
+  answer();
+  await keeper.maintainWitness(false);
+  await keeper.maintainWitness(true);
+  const told = keeper.maintainWitness(false);
+  fleet.cut.add('b');
+  expect(await keeper.place('first', placement)).toBe(true);
+  await told;
+  expect(findWitness()).toBeUndefined();
+});
