Budget keepers: a late answer does not bring back a grant that was dropped

What would be seen: a keeper that has dropped its grant, since a successor sealed its log, takes it up again with nothing spent or reserved. Requests reserve from it and are refused once they are to be noted; and as tokens in use count as free, a resize before the successor has written the row returns them to the budget, by reading a way to overspend.

Cause: a write of the row was sent before, took effect, and was answered after the grant was dropped; its outcome was applied to the grant held by then, a new one. The shape of once more: what is there now is replaced by what was there before the wait. The outcome of a write counts only for the grant that it names.

--- a/packages/budgets/src/keeper.ts
+++ b/packages/budgets/src/keeper.ts
@@ -112,6 +112,7 @@
   }
 
   function applyOutcome(outcome: Outcome<Grant, LedgerError>): void {
+    if (isOfDropped(outcome)) return;
     if (outcome.ok) {
       const { version, row } = outcome.val;
       if (held.grant().version === 0 && version > 0) logGrant(Diagnostics.grantOpened, row.size);
@@ -126,10 +127,16 @@
 
   // Applies the outcome of a write of the row that left its size as it was.
   function applySettlement(outcome: Outcome<Grant, LedgerError>): void {
+    if (isOfDropped(outcome)) return;
     if (outcome.ok) held.applySettlement(outcome.val);
     else if (outcome.val.kind === 'sealed') abandonGrant();
   }
 
+  // A grant may be dropped while a write of its row is waited for.
+  function isOfDropped(outcome: Outcome<Grant, LedgerError>): boolean {
+    return outcome.ok && outcome.val.id !== held.grant().id;
+  }
+
   // Drops a grant that another instance has closed because it considered this one lost.
   // Nothing more may be spent from it.
   function abandonGrant(): void {
--- a/packages/budgets/test/grantWitness.test.ts
+++ b/packages/budgets/test/grantWitness.test.ts
@@ -38,6 +38,7 @@
     answer = resolve;
   });
   const { self } = network;
+  const state = { resizeAnswer: Promise.resolve() };
   const link = createWitnessLink({ self, network, getLocalInstances: () => locals });
   const keeper = createKeeper(
     {
@@ -45,6 +46,11 @@
       policy: { kind: 'adaptive', horizonSeconds: 3600 },
       ledger: {
         ...ledger,
+        async resize(...change) {
+          const outcome = await ledger.resize(...change);
+          await state.resizeAnswer;
+          return outcome;
+        },
         async setWitness(grant, witness) {
           noteNaming();
           await named;
@@ -95,7 +101,18 @@
     await told;
   }
 
-  return { keeper, fleet, naming, name, answer, reserve, readLog, findWitness, replaceToldWitness };
+  return {
+    keeper,
+    fleet,
+    state,
+    naming,
+    name,
+    answer,
+    reserve,
+    readLog,
+    findWitness,
+    replaceToldWitness,
+  };
 }
 
 test('a request placed while a witness is named is in its log', async () => {
@@ -146,3 +163,21 @@
   await told;
   expect(findWitness()).toBeUndefined();
 });
+
+test('a resize answered after the grant was closed by another instance does not bring it back', async () => {
+  const { keeper, state, name, readLog } = await setUp();
+  name();
+  await keeper.maintainWitness(false);
+  const { grant } = keeper.describe();
+  let answerResize: () => void = () => undefined;
+  state.resizeAnswer = new Promise((resolve) => {
+    answerResize = resolve;
+  });
+  const released = keeper.release(true);
+  await readLog();
+  expect(await keeper.place('first', placement)).toBe(false);
+  answerResize();
+  expect(await released).toBeGreaterThan(0);
+  expect(keeper.describe()).toMatchObject({ size: 0, free: 0 });
+  expect(keeper.describe().grant).not.toBe(grant);
+});
