--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -121,9 +121,9 @@
   if (run.stop.signal.aborted || getTimeLeft(run) <= 0) return false;
   // What was missing for an earlier question says nothing of this one.
   run.lack = undefined;
-  // What is asked again, or counts in any case, leaves retries to others.
-  const isRepeat = pace.hasAsked() && run.confirmer === undefined;
-  const isSpare = isRepeat || last.end === 'unconfirmed';
+  // What is asked again, or counts in any case, leaves retries to answers that broke off.
+  const isAgain = pace.hasAsked() && run.confirmer === undefined;
+  const isSpare = isAgain || last.end === 'unconfirmed';
   return isSpare ? takeSpareAttempt(run) : takeAttempt(run);
 }
 
--- a/packages/forwarding/src/limits/retryBudget.ts
+++ b/packages/forwarding/src/limits/retryBudget.ts
@@ -6,7 +6,7 @@
 const ALLOWANCE_RATIO = 0.9;
 
 /** Fraction of the retries that may be taken for what others may need more. */
-const SPARE_RATIO = 0.5;
+const SPARE_RATIO = 0.25;
 
 /** Limit on the retries that the whole fleet may send to a service in a sliding window. */
 export interface RetryAllowance {
@@ -24,7 +24,7 @@
   countRequest(service: string): void;
   /** Takes one retry; returns false if none is left in the window. */
   take(service: string): boolean;
-  /** Takes one retry if more than half of them are left in the window. */
+  /** Takes one retry if more than three quarters of them are left in the window. */
   takeSpare(service: string): boolean;
   /** Gives a retry back that was taken and sent to no endpoint. */
   giveBack(service: string): void;
