An end apart does not count as usual at an endpoint whose latest checked end came too early

Cause: that an end is apart is the first reason that is found, and hides the endpoint's mark. The new case of lateEnds failed before (end), and is cut at its limit now.

--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -90,20 +90,21 @@
     logFailure(run, attempt, { kind: 'broken', message: fault });
     return { ownEnd: 'doubtful', reason, fault };
   }
-  return { ownEnd: judgeReason(run, reason), reason, fault };
+  return { ownEnd: judgeReason(run, attempt.slot.endpoint.name, reason), reason, fault };
 }
 
 // A caller that may resume its stream can go on after a cut, but never learns what a false end has hidden. Another
 // one could not get a whole answer again; but one that its time limit may have ended comes late in any case.
 function judgeReason<Payload>(
   { host: { endHistory }, request: { route, service } }: Run<Payload>,
+  endpoint: string,
   reason: EndReason | undefined,
 ): StreamEnd {
   if (reason === undefined) return 'complete';
   if (reason === 'not stated') return 'closed';
   if (!isRetryable(route)) return reason === 'near limit' ? 'doubtful' : 'unconfirmed';
   const isUsual = reason === 'apart from last event' && endHistory.endsApart(service);
-  return isUsual ? 'unconfirmed' : 'doubtful';
+  return isUsual && !endHistory.endsEarly(endpoint) ? 'unconfirmed' : 'doubtful';
 }
 
 /** Judges the end of an open answer anew, by what is known of the service by now. */
@@ -116,7 +117,7 @@
     return { ...last, end: 'complete' };
   }
   if (last.end !== 'doubtful' || last.fault !== undefined) return last;
-  return { ...last, end: judgeReason(run, last.reason) };
+  return { ...last, end: judgeReason(run, last.endpoint, last.reason) };
 }
 
 /** Returns the end of a stream whose last end was doubted, after what the next endpoint sent. */
--- a/packages/forwarding/test/lateEnds.test.ts
+++ b/packages/forwarding/test/lateEnds.test.ts
@@ -34,6 +34,13 @@
   },
 );
 
+test('an end apart is not usual at an endpoint whose latest checked end came too early', async () => {
+  const history = await confirmEnds(20);
+  expect((await forwardTo([APART], {}, 1, history)).calls).toEqual(['begin', 'end']);
+  history.noteChecked('e1/1', true);
+  expect((await forwardTo([APART], {}, 1, history)).calls).toEqual(['begin', 'cut']);
+});
+
 test('late ends are known no more once one came too early', async () => {
   const history = await confirmEnds(3);
   await forwardTo([APART, { repeats: true, events: [0] }], {}, 2, history);
