--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -93,9 +93,12 @@
 }
 
 // Of what may not be resumed, the id is the endpoint's matter.
-function getResumePoint<Payload>({ request: { route }, lastEventId }: Run<Payload>): ResumePoint {
+function getResumePoint<Payload>(run: Run<Payload>): ResumePoint {
+  const { request, lastEventId, unnumbered } = run;
+  const { route } = request;
   const isResumable = route.kind === 'streaming' && isRetryable(route);
-  return isResumable ? createResumePoint(lastEventId) : { after: lastEventId, repeated: undefined };
+  if (!isResumable) return { after: lastEventId, repeated: undefined };
+  return createResumePoint(lastEventId, unnumbered);
 }
 
 async function judgeWhole<Payload>(
--- a/packages/forwarding/src/attempts/events.ts
+++ b/packages/forwarding/src/attempts/events.ts
@@ -4,6 +4,8 @@
   count: number;
   /** Id of the last event that has one. */
   lastId: string | undefined;
+  /** Number of events behind that one, or of all if none has an id; none if left out. */
+  unnumbered?: number;
 }
 
 /** Splits a stream of bytes at the ends of events. */
@@ -85,7 +87,19 @@
 }
 
 function toEventBatch(data: Buffer, text: string): EventBatch {
-  return { data, count: countEvents(text.split(BLOCK_END)), lastId: findEventId(text) };
+  const blocks = text.split(BLOCK_END);
+  return {
+    data,
+    count: countEvents(blocks),
+    lastId: findEventId(text),
+    unnumbered: countUnnumbered(blocks),
+  };
+}
+
+/** Returns how many events stand behind the last one with an id. */
+export function countUnnumbered(blocks: string[]): number {
+  const last = [...blocks].reverse().findIndex((block) => findEventId(block) !== undefined);
+  return countEvents(last < 0 ? blocks : blocks.slice(blocks.length - last));
 }
 
 /** Returns how many of the blocks are events. */
--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -161,6 +161,8 @@
     run.events += step.count;
     noteEvents(run, attempt);
     run.course.lastEventAt = run.host.clock.elapsed();
+    const unnumbered = step.unnumbered ?? 0;
+    run.unnumbered = step.lastId === undefined ? run.unnumbered + unnumbered : unnumbered;
     run.lastEventId = step.lastId ?? run.lastEventId;
     await run.caller.write(step.data);
   }
--- a/packages/forwarding/src/attempts/resumePoint.ts
+++ b/packages/forwarding/src/attempts/resumePoint.ts
@@ -1,4 +1,4 @@
-import { BLOCK_END, countEvents, findEventId } from './events';
+import { BLOCK_END, countEvents, countUnnumbered, findEventId } from './events';
 import type { EventBatch } from './events';
 
 /** Ids of this form are counted up by their endpoints, so that the one before an id is known. */
@@ -10,6 +10,8 @@
   after: string | undefined;
   /** Id of the last event that the caller has, which the endpoint is asked to send again. */
   repeated: string | undefined;
+  /** Number of events without an id that the caller has behind that one; none if left out. */
+  unnumbered?: number;
 }
 
 /**
@@ -17,12 +19,13 @@
  * asked for that event again: one that sends it and then ends has shown that nothing follows, while an end
  * without any event may be that of an endpoint that could not go on.
  */
-export function createResumePoint(lastEventId: string | undefined): ResumePoint {
+export function createResumePoint(lastEventId: string | undefined, unnumbered = 0): ResumePoint {
   if (lastEventId === undefined || !COUNTED_ID_PATTERN.test(lastEventId)) {
     return { after: lastEventId, repeated: undefined };
   }
   const before = BigInt(lastEventId) - 1n;
-  return { after: before > 0n ? `${before}` : undefined, repeated: lastEventId };
+  const after = before > 0n ? `${before}` : undefined;
+  return { after, repeated: lastEventId, ...(unnumbered > 0 && { unnumbered }) };
 }
 
 /** Leaves out of a stream the events that its caller has. */
@@ -34,17 +37,21 @@
 }
 
 /** Creates a filter for a stream that is to begin with the event of the id; without one, all are new. */
-export function createRepeatFilter(repeated: string | undefined): RepeatFilter {
+export function createRepeatFilter(repeated: string | undefined, unnumbered = 0): RepeatFilter {
   const last = BigInt(repeated ?? 0);
   let isPassed = repeated === undefined;
   let hasRepeated = false;
+  let toSkip = unnumbered;
 
   function isNew(block: string): boolean {
     const id = findEventId(block);
     hasRepeated ||= id === repeated;
     isPassed ||= id !== undefined && isAfter(id.trim(), last);
+    if (isPassed) return true;
     // Of an event without an id only its place is known.
-    return isPassed || (id === undefined && hasRepeated && countEvents([block]) > 0);
+    if (id !== undefined || !hasRepeated || countEvents([block]) === 0) return false;
+    toSkip -= 1;
+    return toSkip < 0;
   }
 
   return {
@@ -54,7 +61,8 @@
       const kept = blocks.filter(isNew);
       if (kept.length === 0) return undefined;
       const data = Buffer.from(kept.map((block) => block + BLOCK_END).join(''), 'latin1');
-      return { data, count: countEvents(kept), lastId: events.lastId };
+      const lastId = findEventId(kept.join(BLOCK_END));
+      return { data, count: countEvents(kept), lastId, unnumbered: countUnnumbered(kept) };
     },
     hasRepeated: () => hasRepeated,
   };
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -40,6 +40,8 @@
   tokensPerEvent: Tokens;
   /** Id of the last event that the caller has received. */
   lastEventId: string | undefined;
+  /** Number of events without an id that it has received behind that one. */
+  unnumbered: number;
   /** Server error of an endpoint; sent to the caller if no other endpoint answers. */
   failure: { head: ReplyHead; body: Buffer } | undefined;
   /** Id of the endpoint of the latest attempt that was not dropped for another one. */
@@ -85,6 +87,7 @@
     events: 0,
     tokensPerEvent: findTokensPerEvent(host, request.service),
     lastEventId: request.resumeAfter,
+    unnumbered: 0,
     failure: undefined,
     endpoint: undefined,
     version: undefined,
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -7,6 +7,7 @@
   Tokens,
 } from '@pomeloroad/core';
 import type { PromptPart } from '@pomeloroad/routing';
+import type { EventBatch } from './attempts/events';
 import type { ResumePoint } from './attempts/resumePoint';
 
 /**
@@ -152,7 +153,7 @@
 
 /** One result of reading a stream. `data` holds only complete events. */
 export type StreamStep =
-  | { kind: 'events'; data: Buffer; count: number; lastId: string | undefined }
+  | ({ kind: 'events' } & EventBatch)
   /** The endpoint has stated that the answer is complete. */
   | ({ kind: 'complete' } & AnswerEnd)
   /** The connection was closed in order, which does not tell whether the answer is complete. */
