--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -95,11 +95,12 @@
 
 // Of what may not be resumed, the id is the endpoint's matter.
 function getResumePoint<Payload>(run: Run<Payload>): ResumePoint {
-  const { confirmer, lastEventId } = run;
-  const { route } = run.request;
+  const { request, confirmer, lastEventId, unnumbered } = run;
+  const { route } = request;
   if (confirmer !== undefined) return createConfirmationPoint(lastEventId);
   const isResumable = route.kind === 'streaming' && isRetryable(route);
-  return isResumable ? createResumePoint(lastEventId) : { after: lastEventId, repeated: undefined };
+  if (!isResumable) return { after: lastEventId, repeated: undefined };
+  return createResumePoint(lastEventId, unnumbered);
 }
 
 async function judgeWhole<Payload>(
--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -208,6 +208,8 @@
     noteEvents(run, attempt);
     run.course.lastEventAt = run.host.clock.elapsed();
     run.course.openSince = undefined;
+    const unnumbered = step.unnumbered ?? 0;
+    run.unnumbered = step.lastId === undefined ? run.unnumbered + unnumbered : unnumbered;
     run.lastEventId = step.lastId ?? run.lastEventId;
     await run.caller.write(step.data);
   }
