--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -12,7 +12,8 @@
 /**
  * What the end of a stream is worth:
  * - `complete`: its endpoint has stated it and nothing speaks against it, or another endpoint has confirmed it;
- * - `unconfirmed`: in order, but something speaks against it; counts unless another endpoint has more;
+ * - `unconfirmed`: in order, but something speaks against it that is usual or that nobody can be asked about; counts
+ *   unless another endpoint has more;
  * - `closed`: in order, by an endpoint that has closed the connection without a statement;
  * - `doubtful`: in order, but not to be believed unless another endpoint confirms it;
  * - `broken`: broken off.
@@ -93,8 +94,8 @@
   return { ownEnd: judgeReason(run, attempt.slot.endpoint.name, reason), reason, fault };
 }
 
-// A caller that may resume its stream can go on after a cut, but never learns what a false end has hidden. Another
-// one could not get a whole answer again; but one that its time limit may have ended comes late in any case.
+// A doubtful end leaves the answer open. Where nobody can be asked for the rest, only one that the time limit may have
+// caused does, as such an answer comes late in any case.
 function judgeReason<Payload>(
   { host: { endHistory }, request: { route, service } }: Run<Payload>,
   endpoint: string,
