Names and places: questions about open ends have a module of their own; no shared memory in the last write; a route's successor

No behaviour is changed: the pause of the last write keeps the process busy where it slept on shared memory, which the project does not use.

--- a/packages/core/src/exitWrite.ts
+++ b/packages/core/src/exitWrite.ts
@@ -23,9 +23,10 @@
   return true;
 }
 
-/** Stops the whole process for the time. */
+/** Keeps the process busy for the time, so that no turn of its event loop begins meanwhile. */
 export function pauseProcess(time: Milliseconds): void {
-  Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0, time);
+  const until = performance.now() + time;
+  while (performance.now() < until);
 }
 
 // Node makes the pipe or socket of a stream one that does not block; others, files among them, are no streams to it.
--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -1,4 +1,4 @@
-import { Diagnostics, withTimeout } from '@pomeloroad/core';
+import { Diagnostics } from '@pomeloroad/core';
 import type { SlotResult, Slot } from '@pomeloroad/routing';
 import { isServerError } from './attempt';
 import type { SentAttempt } from './sentAttempt';
@@ -16,6 +16,7 @@
 import { createPace } from './pace';
 import type { Pace } from './pace';
 import { STREAM_THRESHOLD_MS } from './patience';
+import { leaveIfSilent, mayWaitForConfirmer } from './question';
 import { awaitStep } from './replacement';
 import type { Progress } from './replacement';
 import { getTimeLeft, takeAttempt, takeSpareAttempt } from '../run';
@@ -77,38 +78,6 @@
   return rest;
 }
 
-// One that has no room now, or for which there is no retry now, is still the one that has shown that it can go on.
-function mayWaitForConfirmer<Payload>({ lack }: Run<Payload>): boolean {
-  return lack === 'busy' || lack === 'retry';
-}
-
-async function leaveIfSilent<Payload>(
-  run: Run<Payload>,
-  rest: Promise<unknown>,
-  question: AbortController,
-  before: SentAttempt | undefined,
-): Promise<void> {
-  const eventsBefore = run.events;
-  const isSettled = rest.then(() => true);
-  let isAtWork = true;
-  while (isAtWork) {
-    const { latest } = run;
-    const isInTime = await withTimeout(run.host.clock, STREAM_THRESHOLD_MS, isSettled, false);
-    if (isInTime || run.events > eventsBefore) return;
-    // While the question waits for a slot, or has just got one, nobody is silent.
-    const isUnsent = run.latest === before || run.latest !== latest;
-    isAtWork = isUnsent || (await worksOnLatest(run));
-  }
-  question.abort();
-}
-
-// An endpoint that lists the run is only slow.
-async function worksOnLatest<Payload>({ host, request, latest }: Run<Payload>): Promise<boolean> {
-  if (!latest?.endpoint) return false;
-  const { kind } = await host.protocol.findRun(latest.endpoint, request.id);
-  return kind === 'listed';
-}
-
 async function relayNext<Payload>(
   run: Run<Payload>,
   replacement: SentAttempt | undefined,
--- a/packages/forwarding/src/origins/targetHistory.ts
+++ b/packages/forwarding/src/origins/targetHistory.ts
@@ -21,7 +21,7 @@
 interface FormerRoute {
   route: Route;
   /** Host and prefix of the one that is in its place. */
-  heir: string;
+  successor: string;
   replacedAt: Milliseconds;
 }
 
@@ -37,9 +37,9 @@
     if (kept !== 0) former = kept < 0 ? [] : former.slice(kept);
   }
 
-  function noteFormer(route: Route | undefined, heir: Route | undefined): void {
-    if (!route?.isResumable || !heir || hasSameTargets(route, heir)) return;
-    former.push({ route, heir: getKey(heir), replacedAt: clock.elapsed() });
+  function noteFormer(route: Route | undefined, successor: Route | undefined): void {
+    if (!route?.isResumable || !successor || hasSameTargets(route, successor)) return;
+    former.push({ route, successor: getKey(successor), replacedAt: clock.elapsed() });
   }
 
   return {
@@ -59,7 +59,7 @@
     findServices(route, stream) {
       prune();
       const key = getKey(route);
-      const routes = former.filter(({ heir }) => heir === key).map((each) => each.route);
+      const routes = former.filter(({ successor }) => successor === key).map((each) => each.route);
       return [...new Set([route, ...routes].map((each) => placeStream(each, stream)))];
     },
     hasChangedAnywhere() {
