--- a/packages/forwarding/src/attempts/attempts.ts
+++ b/packages/forwarding/src/attempts/attempts.ts
@@ -114,7 +114,7 @@
     .exhaustive();
 }
 
-// One that is asked for what follows the last event can't be replaced by another one.
+// A confirmer can't be replaced by another endpoint, and a question that was given up is not asked again at once.
 function isQuestionOver<Payload>({ question, confirmer }: Run<Payload>): boolean {
   return question.signal.aborted || confirmer !== undefined;
 }
--- a/packages/forwarding/src/ends/limitEnd.ts
+++ b/packages/forwarding/src/ends/limitEnd.ts
@@ -47,7 +47,7 @@
   const first = pauses.getFirst() ?? 0;
   if (route.kind === 'streaming' && isRetryable(route)) {
     const least = Math.min(STEP_MIN_MS, told.limit * STEP_MIN_LIMIT_RATIO);
-    // One that is asked for nothing waits for its turn, and not for a step, where steps are known.
+    // The wait of one that is asked whether any event follows is for its turn and holds no step, where steps are known.
     if (known > 0 && isConfirmationPoint(attempt.resumePoint)) return Math.max(known, least);
     return Math.max(own, first, known, least);
   }
--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -82,7 +82,7 @@
   rememberEnd(run, attempt, step);
   if (step.kind === 'complete') {
     run.host.endHistory.noteStatement(run.request.service);
-    // What was asked for nothing has no last event.
+    // An answer to what follows the last event has no event of its own to end with.
     if (!isConfirmation) run.host.endHistory.noteEnd(run.request.service, isApartFromEvent(step));
   }
   const fault = await findEndFault(run, attempt, step);
