--- a/packages/budgets/src/ledgerPlans.ts
+++ b/packages/budgets/src/grantPlans.ts
@@ -2,16 +2,15 @@
 import { assert } from '@pomeloroad/core';
 import type { Identity, Outcome, Tokens } from '@pomeloroad/core';
 import type { Row, Transaction } from '@pomeloroad/storage';
+import { createVersionCheck, planCommit, skipCommit } from './planSteps';
+import type { PlanResult, PlanStep } from './planSteps';
 import {
   getBudgetKey,
   getClosedGrantKey,
-  getCreditKey,
   getGrantKey,
-  getTopUpKey,
   getUnallocated,
   parseBudget,
   parseGrant,
-  parseTopUp,
 } from './rows';
 import type { BudgetRow, Grant, GrantRow, LedgerError } from './types';
 
@@ -25,67 +24,6 @@
   grant: Grant;
 }
 
-/** Whether a top-up added tokens or repeats an earlier one. */
-export type TopUpEffect = 'added' | 'repeated';
-
-/** Tokens added to a budget once for each identifier. */
-interface Payment {
-  budget: string;
-  id: string;
-  tokens: Tokens;
-  /** ISO 8601 time of the payment. */
-  at: string;
-}
-
-/** The transaction to commit, or a value if nothing needs to be written. */
-export type PlanStep<T> =
-  { kind: 'done'; value: T } | { kind: 'commit'; transaction: Transaction; value: T };
-/** What an operation writes, given the rows as read; each plan here is a pure function of them. */
-export type PlanResult<T> = Outcome<PlanStep<T>, LedgerError>;
-
-/** Plans a top-up; a repeat of one with the same amount changes nothing. */
-export function planTopUp(
-  { budget, id, tokens, at }: Payment,
-  rows: Map<string, Row>,
-): PlanResult<TopUpEffect> {
-  const budgetKey = getBudgetKey(budget);
-  const topUpKey = getTopUpKey(budget, id);
-  const known = rows.get(topUpKey);
-  if (known) return planRepeatedTopUp(id, tokens, parseTopUp(known).tokens);
-  const row = parseBudget(rows.get(budgetKey));
-  return planCommit<TopUpEffect>('added', {
-    checks: [createVersionCheck(budgetKey, rows), { key: topUpKey, version: 0 }],
-    writes: [
-      { key: budgetKey, value: { ...row, toppedUp: row.toppedUp + tokens } },
-      { key: topUpKey, value: { tokens, at } },
-    ],
-  });
-}
-
-/** Plans the return of a charge, identified by its request; a repeat changes nothing. */
-export function planCredit(
-  { budget, id, tokens, at }: Payment,
-  rows: Map<string, Row>,
-): PlanResult<void> {
-  const budgetKey = getBudgetKey(budget);
-  const key = getCreditKey(budget, id);
-  if (rows.has(key)) return skipCommit(undefined);
-  const row = parseBudget(rows.get(budgetKey));
-  return planCommit<void>(undefined, {
-    checks: [createVersionCheck(budgetKey, rows), { key, version: 0 }],
-    writes: [
-      { key: budgetKey, value: { ...row, credited: row.credited + tokens } },
-      { key, value: { request: id, tokens, at } },
-    ],
-  });
-}
-
-function planRepeatedTopUp(id: string, tokens: Tokens, known: Tokens): PlanResult<TopUpEffect> {
-  if (known === tokens) return Ok({ kind: 'done', value: 'repeated' });
-  const message = `top-up ${id} exists with ${known} tokens`;
-  return Err({ kind: 'mismatch', message });
-}
-
 /** Plans the opening of a grant or its new size. */
 export function planResize(
   grant: Grant,
@@ -100,8 +38,11 @@
   const size = sizer(getUnallocated(budget), current.val.version === 0 ? 0 : row.size);
   if (current.val.version === 0 && size === 0 && !mustWrite) return skipCommit(grant);
   if (current.val.version > 0 && size === row.size && !mustWrite) return skipCommit(current.val);
-  const open = { ...budget.open, [grant.id]: size };
-  return planGrantWrite(current.val, { ...row, size }, { ...budget, open }, rows);
+  const resized = { ...row, size };
+  const changed = { ...budget, open: { ...budget.open, [grant.id]: size } };
+  assert(getUnallocated(changed) >= 0, 'a grant would exceed its budget');
+  const writes = [{ key: getGrantKey(grant.id), value: resized }];
+  return planBudgetWrite({ ...current.val, row: resized }, changed, writes, rows);
 }
 
 /** Plans the record of what a grant has spent. */
@@ -217,19 +158,11 @@
   const closed: GrantRow = { ...row, state: 'closed' };
   const budget = parseBudget(rows.get(getBudgetKey(row.budget)));
   const charged = chargeBudget(budget, grant.id, closed.spent + closed.writtenOff);
-  const budgetKey = getBudgetKey(row.budget);
-  const grantKey = getGrantKey(grant.id);
-  return planCommit<Grant>(
-    { id: grant.id, version: grant.version + 1, row: closed },
-    {
-      checks: [createVersionCheck(budgetKey, rows), { key: grantKey, version: grant.version }],
-      writes: [
-        { key: budgetKey, value: charged },
-        { key: grantKey, value: undefined },
-        { key: getClosedGrantKey(grant.id), value: closed },
-      ],
-    },
-  );
+  const writes = [
+    { key: getGrantKey(grant.id), value: undefined },
+    { key: getClosedGrantKey(grant.id), value: closed },
+  ];
+  return planBudgetWrite({ ...grant, row: closed }, charged, writes, rows);
 }
 
 function chargeBudget(budget: BudgetRow, grantId: string, spent: Tokens): BudgetRow {
@@ -238,25 +171,17 @@
   return { ...budget, open, closedSpent: budget.closedSpent + spent };
 }
 
-function planGrantWrite(
-  grant: Grant,
-  row: GrantRow,
+// Writes the budget's row, then those of the grant.
+function planBudgetWrite(
+  { id, version, row }: Grant,
   budget: BudgetRow,
+  grantWrites: Transaction['writes'],
   rows: Map<string, Row>,
 ): PlanResult<Grant> {
-  assert(getUnallocated(budget) >= 0, 'a grant would exceed its budget');
   const budgetKey = getBudgetKey(row.budget);
-  const grantKey = getGrantKey(grant.id);
-  return planCommit<Grant>(
-    { id: grant.id, version: grant.version + 1, row },
-    {
-      checks: [createVersionCheck(budgetKey, rows), { key: grantKey, version: grant.version }],
-      writes: [
-        { key: budgetKey, value: budget },
-        { key: grantKey, value: row },
-      ],
-    },
-  );
+  const checks = [createVersionCheck(budgetKey, rows), { key: getGrantKey(id), version }];
+  const writes = [{ key: budgetKey, value: budget }, ...grantWrites];
+  return planCommit<Grant>({ id, version: version + 1, row }, { checks, writes });
 }
 
 // Only the holder resizes and settles its grant, so the stored row is its own latest write.
@@ -273,15 +198,3 @@
 export function getRowKeys(grant: Grant): string[] {
   return [getBudgetKey(grant.row.budget), getGrantKey(grant.id), getClosedGrantKey(grant.id)];
 }
-
-function createVersionCheck(key: string, rows: Map<string, Row>) {
-  return { key, version: rows.get(key)?.version ?? 0 };
-}
-
-function skipCommit<T>(value: T): PlanResult<T> {
-  return Ok({ kind: 'done', value });
-}
-
-function planCommit<T>(value: T, transaction: Transaction): PlanResult<T> {
-  return Ok({ kind: 'commit', transaction, value });
-}
--- a/packages/budgets/src/keeper.ts
+++ b/packages/budgets/src/keeper.ts
@@ -4,7 +4,7 @@
 import { createGrantRefill } from './grantRefill';
 import { createGrantWitness } from './grantWitness';
 import { createGrant, createHeldGrant } from './heldGrant';
-import type { Sizer } from './ledgerPlans';
+import type { Sizer } from './grantPlans';
 import type { Keeper, KeeperHost } from './keeperTypes';
 import { createRateMeter } from './rate';
 import { createReservationQueue } from './reservationQueue';
--- a/packages/budgets/src/ledger.ts
+++ b/packages/budgets/src/ledger.ts
@@ -4,15 +4,16 @@
 import {
   getRowKeys,
   planClose,
-  planCredit,
   planResize,
   planSeal,
   planSettle,
   planSetWitness,
   planTakeOver,
-  planTopUp,
-} from './ledgerPlans';
-import type { PlanResult, Sizer, TakeOver, TopUpEffect } from './ledgerPlans';
+} from './grantPlans';
+import type { Sizer, TakeOver } from './grantPlans';
+import { planCredit, planTopUp } from './paymentPlans';
+import type { TopUpEffect } from './paymentPlans';
+import type { PlanResult } from './planSteps';
 import {
   getBudgetKey,
   getClosedGrantKey,
