Suspects: a late answer of the store replaces no row that the feed has told since

What callers saw: nothing that we know of; found by reading. Shown without network: an instance whose write is answered after the feed has told a later crash judges the part "suspected" where all others judge it "blocked", and sends what the others refuse; one whose write is answered after the removal keeps a row that nobody has. As the feed tells each change once, this lasts until the row changes again or is refused as outdated.

Cause: adopt and adoptConflict put the row of the answer in the place of whatever was known. Comparing the row's version alone would not do: a removed row has none, and after the store has come back from an older copy versions count from a lower one. There the late row also hid the feed's rows until their versions had passed its own.

Fix: toldVersion.ts keeps how far the feed has told the partition, with its era. An answer that it includes tells nothing new. A row that a conflict lacks is dropped only if it is still the one that was checked. A probe is noted with the version that was written and not with the row as it is by then: else it could be renewed although an endpoint had crashed under it; so `update` returns that version.

Open: an update whose row an older copy has lost still returns "written"; evidence is written again, as it is not found in the table.

--- a/packages/forwarding/src/suspects/suspectProbes.ts
+++ b/packages/forwarding/src/suspects/suspectProbes.ts
@@ -116,10 +116,11 @@
   }
 
   const followed = new Map<string, number>();
-  const taken = new Map<string, { version: number | undefined; at: Milliseconds }>();
+  const taken = new Map<string, { version: number; at: Milliseconds }>();
 
-  function noteTaken(names: string[], at: Milliseconds): void {
-    names.forEach((name) => taken.set(name, { version: table.get(name)?.version, at }));
+  // Others may have changed or removed the rows since they were written, as after a crash under the probe.
+  function noteTaken(names: string[], version: number, at: Milliseconds): void {
+    names.filter((name) => table.get(name)).forEach((name) => taken.set(name, { version, at }));
   }
 
   function isHeld(name: string, stored: StoredSuspect | undefined): boolean {
@@ -177,16 +178,16 @@
       const result = await table.update(blocked, (_, stored) =>
         stored && isFree() ? { ...stored, probes: stored.probes + 1 } : undefined,
       );
-      if (result !== 'written') return false;
-      noteTaken(blocked, at);
+      if (result.kind !== 'written') return false;
+      noteTaken(blocked, result.version, at);
       return true;
     },
     async renew(names) {
       const at = clock.elapsed();
       const isHeldYet = () => names.every((name) => isHeld(name, table.get(name)));
       const result = await table.update(names, (_, stored) => (isHeldYet() ? stored : undefined));
-      if (result !== 'written') return false;
-      noteTaken(names, at);
+      if (result.kind !== 'written') return false;
+      noteTaken(names, result.version, at);
       return true;
     },
     giveBack(names) {
--- a/packages/forwarding/src/suspects/suspectTable.ts
+++ b/packages/forwarding/src/suspects/suspectTable.ts
@@ -1,15 +1,18 @@
-import { match } from 'ts-pattern';
+import { match, P } from 'ts-pattern';
 import { Diagnostics, sleep } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
 import type {
   RowChange,
+  RowCheck,
   RowStore,
   RowTransaction,
   RowView,
   StoreEra,
-  VersionedRow,
+  StoreVersion,
+  TransactError,
 } from '@pomeloroad/storage';
 import type { SharedFeed } from '../store/sharedFeed';
+import { createToldVersion } from '../store/toldVersion';
 import { decodeSuspect, encodeSuspect, getSuspectKey } from './suspectRows';
 import type { Suspect } from './suspectRows';
 
@@ -47,14 +50,21 @@
   isProbe: boolean;
 }
 
+type Conflict = Extract<TransactError, { kind: 'conflict' }>;
+
 /** Returns what a suspect's row is to become; `undefined` leaves it as it is. */
 export type SuspectUpdate = (
   name: string,
   stored: StoredSuspect | undefined,
 ) => Suspect | 'removed' | undefined;
 
-/** `failed`: the store did not answer, or others were always faster. */
-export type UpdateResult = 'written' | 'unchanged' | 'failed';
+/** How an update of rows ended. */
+export type UpdateResult =
+  /** `version` is that of the rows written last; others may have changed them since. */
+  | { kind: 'written'; version: number }
+  | { kind: 'unchanged' }
+  /** The store did not answer, or others were always faster. */
+  | { kind: 'failed' };
 
 /** The rows of suspects, as the store's feed tells them. */
 export interface SuspectTable {
@@ -70,6 +80,7 @@
 /** Starts following the table. */
 export function followSuspects(host: SuspectTableHost): SuspectTable {
   const { clock, log, rows, signal } = host;
+  const told = createToldVersion();
   let stored = new Map<string, StoredSuspect>();
   let era: StoreEra | undefined;
 
@@ -87,6 +98,7 @@
   }
 
   function replaceAll(view: RowView): void {
+    told.noteView(view);
     const before = stored;
     stored = new Map();
     view.rows.forEach((row) => {
@@ -109,6 +121,7 @@
   }
 
   function applyChanges(changes: RowChange[]): void {
+    told.noteChanges(changes);
     changes.forEach(applyChange);
     host.onChange(changes.map(({ key }) => key));
   }
@@ -132,28 +145,40 @@
   async function updateBatch(names: string[], next: SuspectUpdate): Promise<UpdateResult> {
     for (let tries = 0; tries < TRIES_MAX && !signal.aborted; tries += 1) {
       const transaction = createTransaction(names, next);
-      if (transaction.checks.length === 0) return 'unchanged';
+      if (transaction.checks.length === 0) return { kind: 'unchanged' };
       const written = await rows.transact(transaction);
       if (written.ok) {
-        adopt(transaction, written.val.revision);
-        return 'written';
+        adopt(transaction, written.val);
+        return { kind: 'written', version: written.val.revision };
       }
-      if (written.val.kind !== 'conflict') return 'failed';
-      adoptConflict(transaction, written.val.rows);
+      if (written.val.kind !== 'conflict') return { kind: 'failed' };
+      adoptConflict(transaction, written.val);
       await sleep(clock, TRY_DELAY_MS);
     }
-    return 'failed';
+    return { kind: 'failed' };
   }
 
-  function adoptConflict({ checks }: RowTransaction, current: VersionedRow[]): void {
-    checks.forEach(({ key }) => stored.delete(key));
-    current.forEach((row) => stored.set(row.key, decode(row)));
+  // The feed may have told later rows while the answer was under way.
+  function adoptConflict(
+    { checks }: RowTransaction,
+    { era: answerEra, rows: current }: Conflict,
+  ): void {
+    if (era !== undefined && era > answerEra) return;
+    checks.filter(isAsChecked).forEach(({ key }) => stored.delete(key));
+    current
+      .filter(({ version }) => !told.includes({ era: answerEra, revision: version }))
+      .forEach((row) => stored.set(row.key, decode(row)));
     host.onChange(checks.map(({ key }) => key));
   }
 
-  // What was written replaces what was known, also if the versions of another era were higher.
-  function adopt({ checks, puts, removals }: RowTransaction, version: number): void {
-    puts.forEach((put) => stored.set(put.key, decodeNext({ ...put, version })));
+  function isAsChecked({ key, version }: RowCheck): boolean {
+    return stored.get(key)?.version === version;
+  }
+
+  // What was written replaces what was known, also if the versions of an earlier era were higher.
+  function adopt({ checks, puts, removals }: RowTransaction, at: StoreVersion): void {
+    if (told.includes(at)) return;
+    puts.forEach((put) => stored.set(put.key, decodeNext({ ...put, version: at.revision })));
     removals.forEach(({ key }) => stored.delete(key));
     host.onChange(checks.map(({ key }) => key));
   }
@@ -163,7 +188,7 @@
     get: (name) => stored.get(name),
     list: () => [...stored.keys()],
     async update(names, next) {
-      let result: UpdateResult = 'unchanged';
+      let result: UpdateResult = { kind: 'unchanged' };
       for (let from = 0; from < names.length; from += BATCH_SIZE) {
         const outcome = await updateBatch(names.slice(from, from + BATCH_SIZE), next);
         result = combine(result, outcome);
@@ -183,7 +208,7 @@
 
 function combine(first: UpdateResult, second: UpdateResult): UpdateResult {
   return match([first, second] as const)
-    .with(['failed', 'written'], ['failed', 'unchanged'], () => 'failed' as const)
-    .with(['written', 'unchanged'], () => 'written' as const)
+    .with([{ kind: 'failed' }, { kind: 'written' }], () => first)
+    .with([P.any, { kind: 'unchanged' }], () => first)
     .otherwise(() => second);
 }
--- a/packages/forwarding/src/suspects/suspects.ts
+++ b/packages/forwarding/src/suspects/suspects.ts
@@ -130,7 +130,7 @@
       .listPending()
       .filter((name) => evidence.merge(name) === undefined)
       .forEach(evidence.drop);
-    if (result === 'failed') await sleep(clock, RETRY_DELAY_MS);
+    if (result.kind === 'failed') await sleep(clock, RETRY_DELAY_MS);
     isWriting = false;
     write();
   }
--- a/packages/forwarding/test/suspectProbes.test.ts
+++ b/packages/forwarding/test/suspectProbes.test.ts
@@ -236,6 +236,33 @@
   expect(await instances[1]?.renewProbe(['first'])).toBe(false);
 });
 
+// The store's answer to the second instance comes after the feed has told what the others did meanwhile.
+async function takeLate(whileWaiting: (stand: ReturnType<typeof createStand>) => void) {
+  const stand = await createBlocked();
+  const { clock, instances } = stand;
+  instances[1]!.link.answerDelay = 2 * PROPAGATION_MS;
+  const admitted = instances[1]!.admit(['first']);
+  await clock.advance(100);
+  whileWaiting(stand);
+  await clock.advance(2 * PROPAGATION_MS);
+  expect(await admitted).toMatchObject({ kind: 'probe' });
+  instances[1]!.link.answerDelay = 0;
+  return stand;
+}
+
+test('a probe under which an endpoint has crashed before the store answered is not sent any more', async () => {
+  const { instances } = await takeLate(({ crash }) => crash(2, 'd/1', ['first', 'bad']));
+  expect(instances[1]?.judge(['first'])).toBe('blocked');
+  expect(await instances[1]?.renewProbe(['first'])).toBe(false);
+});
+
+test('a row that was removed before the store answered that it is written is not known any more', async () => {
+  const { instances } = await takeLate(({ instances: [first] }) =>
+    first?.noteAnswer(['first'], 'z/1'),
+  );
+  expect(instances.map(({ judge }) => judge(['first']))).toEqual(['none', 'none', 'none']);
+});
+
 test('a request that was to be a probe and has waited too long for a slot is not sent', async () => {
   const clock = createManualClock();
   const suspects = { judge: () => 'none' };
--- a/packages/forwarding/test/suspectsStand.ts
+++ b/packages/forwarding/test/suspectsStand.ts
@@ -27,20 +27,21 @@
     return memory.follow(table, after, wait);
   }
 
-  async function transact(transaction: RowTransaction) {
+  async function transact(transaction: RowTransaction, answerDelay: Milliseconds) {
     calls.transactions += 1;
     const result = await memory.transact(transaction);
     waiters.forEach((resolve) => resolve());
     waiters = [];
+    if (answerDelay > 0) await sleep(clock, answerDelay);
     return result;
   }
 
   function start(seed: number) {
-    const link = { isCut: false };
+    const link = { isCut: false, answerDelay: 0 };
     const lines: LogFields[] = [];
     const fail = async () => Err({ kind: 'unavailable' as const, message: 'cut' });
     const rows: RowStore = {
-      transact: (...args) => (link.isCut ? fail() : transact(...args)),
+      transact: (transaction) => (link.isCut ? fail() : transact(transaction, link.answerDelay)),
       list: (...args) => (link.isCut ? fail() : memory.list(...args)),
       follow: (...args) => (link.isCut ? fail() : follow(...args)),
     };
