Origins: a stream that begins while the row is encoded is recorded

What callers saw: nothing that we know of; found by reading. The origin of a stream that began in one microtask between the listing of the streams and the change of `isDirty` was not written until another stream began: its caller could not take it up elsewhere if its instance ended meanwhile.

Cause: `isDirty` was cleared after `await encode()`, so that it forgot a note which came after the list had been made. The reading of the store's time, for which encode was asynchronous, comes first now; listing and clearing are one step.

--- a/packages/forwarding/src/origins/originWriter.ts
+++ b/packages/forwarding/src/origins/originWriter.ts
@@ -77,15 +77,16 @@
     return true;
   }
 
-  async function encode(): Promise<string> {
-    // Without a new reading the time goes on from the last one.
-    if (storeTime.getAge() > STORE_TIME_AGE_MAX_MS) await read();
+  function encode(): string {
     const writtenAt = { timeOfDay: clock.now(), storeTime: storeTime.get() };
     return encodeOrigins(memory.list(), writtenAt);
   }
 
   async function write(): Promise<boolean> {
-    const value = isNeeded() ? await encode() : EMPTY_ROW;
+    // Without a new reading the time goes on from the last one.
+    if (isNeeded() && storeTime.getAge() > STORE_TIME_AGE_MAX_MS) await read();
+    // In one step with the change of `isDirty`: a stream that is noted in between would be missed.
+    const value = isNeeded() ? encode() : EMPTY_ROW;
     // Streams that an empty row leaves out are written once they are needed.
     isDirty = value === EMPTY_ROW;
     const written = await rows.transact({
