Stated limits: a late answer of the store replaces no row that the feed has told since

What callers saw: nothing that we know of; found by reading. Shown without network: an instance writes a limit, another one removes the row, both are told, and only then comes the answer to the write. The first instance believed from then on that the row is there, so a limit that was named again was never written and no other instance kept to it. Where the feed told only the removal, the limit went on at the first instance alone; where another instance had written another limit since, that one was written over.

Cause: `write` entered what it had written whenever its answer came. Now it does so only if the feed has not told that version yet (toldVersion.ts, as for suspects). If the feed has told the removal without the write, the limit ends, unless an answer has named it since or the store came back from an older copy; then it is written again, as before.

--- a/packages/forwarding/src/limits/statedLimits.ts
+++ b/packages/forwarding/src/limits/statedLimits.ts
@@ -1,7 +1,8 @@
 import { Diagnostics, runPeriodically, sleep } from '@pomeloroad/core';
 import type { Clock, Diagnostic, Log, Milliseconds, Random } from '@pomeloroad/core';
-import type { RowChange, RowStore, RowView, StoreEra } from '@pomeloroad/storage';
+import type { RowChange, RowStore, RowView, StoreEra, StoreVersion } from '@pomeloroad/storage';
 import type { SharedFeed } from '../store/sharedFeed';
+import { createToldVersion } from '../store/toldVersion';
 import { decodeStatedLimit, encodeStatedLimit, getStatedLimitKey } from './statedLimitRows';
 import type { StatedLimitPartition, StatedLimitRow } from './statedLimitRows';
 
@@ -52,6 +53,7 @@
 /** Starts knowing the limits of one kind that endpoints name to any instance. */
 export function startStatedLimits(host: StatedLimitsHost, kind: StatedLimitKind): StatedLimits {
   const { clock, random, log, rows, signal } = host;
+  const told = createToldVersion();
   const known = new Map<string, KnownLimit>();
   /** Limits in the rows of the store, by the rows' keys. */
   const stored = new Map<string, StatedLimitRow>();
@@ -83,16 +85,22 @@
     if (value !== undefined && !row) log(Diagnostics.rowUnreadable, { table, key });
     if (row) {
       stored.set(key, row);
-      const told = known.get(row.endpoint)?.limit;
-      if (told === undefined || !isSame(told, row.limit)) set(row.endpoint, row.limit);
+      const limit = known.get(row.endpoint)?.limit;
+      if (limit === undefined || !isSame(limit, row.limit)) set(row.endpoint, row.limit);
       return;
     }
     stored.delete(key);
     if (before) end(before.endpoint);
   }
 
+  function applyChanges(changes: RowChange[]): void {
+    told.noteChanges(changes);
+    changes.forEach(applyChange);
+  }
+
   // Rows that are missing in a new era were lost with an older copy of the store, and are written again.
   function replaceAll(view: RowView): void {
+    told.noteView(view);
     const keys = new Set(view.rows.map(({ key }) => key));
     const missing = [...stored].filter(([key]) => !keys.has(key));
     missing.forEach(([key, { endpoint }]) => {
@@ -106,7 +114,8 @@
   async function write(endpoint: string): Promise<void> {
     await sleep(clock, random.integer(0, WRITE_DELAY_MAX_MS));
     const key = getStatedLimitKey(kind.partition, endpoint);
-    const limit = known.get(endpoint)?.limit;
+    const named = known.get(endpoint);
+    const limit = named?.limit;
     const row = stored.get(key.key);
     if (limit === undefined ? !row : row && isSame(row.limit, limit)) return;
     const puts =
@@ -114,10 +123,18 @@
     const removals = limit === undefined ? [key] : [];
     const written = await rows.transact({ checks: [], puts, removals });
     if (written.err) return;
-    if (limit === undefined) stored.delete(key.key);
+    if (told.includes(written.val)) endRemoved(endpoint, named, written.val);
+    else if (limit === undefined) stored.delete(key.key);
     else stored.set(key.key, { endpoint, limit });
   }
 
+  // The feed may tell that a row is gone without having told that it was written.
+  function endRemoved(endpoint: string, named: KnownLimit | undefined, at: StoreVersion): void {
+    const isStored = stored.has(getStatedLimitKey(kind.partition, endpoint).key);
+    const isNamedSince = known.get(endpoint) !== named;
+    if (!isStored && !isNamedSince && at.era === era) end(endpoint);
+  }
+
   async function review(): Promise<void> {
     applyLimits();
     const gone = [...known.keys()].filter((endpoint) => !host.isListed(endpoint));
@@ -128,7 +145,7 @@
 
   host.feed.listen(kind.partition, {
     onView: replaceAll,
-    onChanges: (changes) => changes.forEach(applyChange),
+    onChanges: applyChanges,
   });
   runPeriodically(clock, () => REVIEW_INTERVAL_MS, signal, review);
   return {
