Relays: the ways to an endpoint and the meaning of their failures in modules of their own

Behaviour is unchanged: the 36 tests of dialer, reach, slowRelay, relayDirectory and spareConnections pass.

--- a/packages/forwarding/src/relays/dialer.ts
+++ b/packages/forwarding/src/relays/dialer.ts
@@ -1,5 +1,4 @@
 import { Err, Ok } from 'ts-results';
-import { match } from 'ts-pattern';
 import { Diagnostics, withTimeout } from '@pomeloroad/core';
 import type {
   Clock,
@@ -13,28 +12,19 @@
 import type { TunnelAddress, TunnelError, TunnelRefusal } from '@pomeloroad/peers';
 import type { ForwardMetrics } from '../forwardMetrics';
 import type { Connect, EndpointRecord } from '../types';
+import { isRefusedByRelay, toConnectError } from './dialFailures';
+import { DIAL_TIMEOUT_MS, listWays, OWN_TIMEOUT_MS } from './dialWays';
 import { createOpenConnections } from './openConnections';
 import { createPaths } from './paths';
 import { raceConnections } from './race';
-import type { Way } from './race';
 import { createReach } from './reach';
 import { createRelayChoice } from './relayChoice';
 import type { Relay } from './relayRows';
 import { createTunnels } from './tunnels';
 import type { TunnelFailure } from './tunnels';
 
-/** Links take a few milliseconds; a lost SYN packet is retransmitted only after a second. */
-const OWN_TIMEOUT_MS: Milliseconds = 350;
-/** Time for which the own path is awaited alone. */
-const RELAY_DELAY_MS: Milliseconds = 150;
-/** Time for which one relay is awaited alone. */
-const NEXT_RELAY_DELAY_MS: Milliseconds = 100;
-const RELAY_TIMEOUT_MS: Milliseconds = 250;
 /** Time after which a tunnel that nobody waits for any more is given up. */
 const LATE_TUNNEL_TIMEOUT_MS: Milliseconds = 3000;
-const RELAYS_MAX = 3;
-/** Time until all ways have failed. */
-const DIAL_TIMEOUT_MS: Milliseconds = 450;
 /** Time for which this instance tries its own path for another one. */
 const CARRIED_TIMEOUT_MS: Milliseconds = 200;
 /** Interval at which all paths are tried, if one hangs. */
@@ -150,53 +140,12 @@
     const endpoint = findEndpoint(address);
     const relays = endpoint && paths.mayRelay(address) ? host.listRelays() : [];
     if (!endpoint || relays.length === 0) return connectOwn(address, OWN_TIMEOUT_MS);
-    const isDoubtful = paths.isDoubtful(address);
-    if (isDoubtful) probeOwn(address);
-    const until = clock.elapsed() + DIAL_TIMEOUT_MS;
-    const getTimeLeft = (most: Milliseconds) =>
-      Math.max(1, Math.min(most, until - clock.elapsed()));
-    let relayed: Relay | undefined;
-
-    // Where no endpoint is reached at all, the own paths are tried without requests.
-    function getOrder(): 'own first' | 'relays first' | 'relays only' {
-      if (!isDoubtful) return 'own first';
-      const hasReaching = relays.some(({ isCutOff }) => !isCutOff);
-      return reach.isLost() && hasReaching ? 'relays only' : 'relays first';
-    }
-
-    // The own path may turn out to have failed after a relay has opened a connection.
-    function noteWays(): void {
-      if (!relayed || !paths.noteRelayed(address)) return;
-      log(Diagnostics.pathLost, { address, endpoint: endpoint?.id, relay: relayed.instance });
-    }
-
-    const own: Way<DialFailure> = {
-      delay: 0,
-      async open() {
-        const connected = await connectOwn(address, getTimeLeft(OWN_TIMEOUT_MS));
-        if (connected.err) noteWays();
-        return connected.mapErr((error) => ({ kind: 'own' as const, error }));
-      },
-    };
-    const relaysAsked = choice.pick(endpoint.id, relays, RELAYS_MAX);
-    const through = relaysAsked.map((relay, index): Way<DialFailure> => ({
-      delay: index === 0 ? RELAY_DELAY_MS : NEXT_RELAY_DELAY_MS,
-      async open() {
-        const isLast = index === relaysAsked.length - 1;
-        const timeout = getTimeLeft(isLast ? DIAL_TIMEOUT_MS : RELAY_TIMEOUT_MS);
-        const opened = await connectThrough(relay, endpoint, timeout);
-        if (opened.ok) {
-          relayed = relay;
-          noteWays();
-        }
-        return opened.mapErr((error) => ({ kind: 'relay' as const, error }));
-      },
-    }));
-    const ways = match(getOrder())
-      .with('own first', () => [own, ...through])
-      .with('relays first', () => [...through, { ...own, delay: RELAY_DELAY_MS }])
-      .with('relays only', () => through)
-      .exhaustive();
+    if (paths.isDoubtful(address)) probeOwn(address);
+    const ways = listWays(
+      { clock, log, paths, reach, choice, connectOwn, connectThrough },
+      endpoint,
+      relays,
+    );
     const dialed = await raceConnections(clock, ways);
     if (dialed.ok) return dialed;
     // Relays that did not answer, or have no path either, tell nothing of the endpoint.
@@ -258,24 +207,6 @@
   };
 }
 
-type DialFailure = { kind: 'own'; error: ConnectError } | { kind: 'relay'; error: TunnelFailure };
-
-function isRefusedByRelay(failures: DialFailure[]): boolean {
-  return failures.some(({ kind, error }) => kind === 'relay' && error === 'refused');
-}
-
 function isOwnWay(way: { address: string; relay: string | undefined }, address: string): boolean {
   return way.relay === undefined && way.address === address;
 }
-
-// Nothing listens at an address if a relay says so, or if no relay could be asked.
-function toConnectError(failures: DialFailure[], isReachLost: boolean): ConnectError {
-  const own = failures.find((failure) => failure.kind === 'own');
-  const told = failures.filter((failure) => failure.kind === 'relay').map(({ error }) => error);
-  const message = own?.error.message ?? 'no way to the endpoint';
-  if (told.includes('refused')) return { kind: 'refused', message };
-  if (isReachLost && told.includes('late')) return { kind: 'late', message };
-  if (own?.error.kind === 'late') return { kind: 'late', message };
-  const hasPathDoubt = isReachLost || told.includes('no-path');
-  return { kind: own?.error.kind === 'refused' && !hasPathDoubt ? 'refused' : 'failed', message };
-}
