Rows: one function reads a list from a row's value, one tells a text

The same function stood under two names (parseList, parseGroups), in two more places without one, and isText three times. store/rowFields.ts has one of each now. A value that is a JSON text and no list, which no build has written, could pass for the version of a service whose name is its first letter; it is unreadable like all other values that are no lists. The 135 tests of rows, origins, versions, suspects, limits and relays pass.

--- a/packages/forwarding/src/limits/statedLimitRows.ts
+++ b/packages/forwarding/src/limits/statedLimitRows.ts
@@ -1,5 +1,6 @@
 import { hashText } from '@pomeloroad/core';
 import type { RowKey } from '@pomeloroad/storage';
+import { isText, parseList } from '../store/rowFields';
 import { getSharedKey } from '../store/sharedFeed';
 import type { SharedPartition } from '../store/sharedFeed';
 
@@ -26,12 +27,8 @@
 
 /** Decodes the value of a row; `undefined` if it can't be read. */
 export function decodeStatedLimit(value: string): StatedLimitRow | undefined {
-  try {
-    const [endpoint, limit] = JSON.parse(value) as unknown[];
-    return typeof endpoint === 'string' && isLimit(limit) ? { endpoint, limit } : undefined;
-  } catch {
-    return undefined;
-  }
+  const [endpoint, limit] = parseList(value);
+  return isText(endpoint) && isLimit(limit) ? { endpoint, limit } : undefined;
 }
 
 function isLimit(value: unknown): value is number {
--- a/packages/forwarding/src/origins/originRows.ts
+++ b/packages/forwarding/src/origins/originRows.ts
@@ -1,6 +1,7 @@
 import { checkDefined, getOwner, hashText } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import type { RowKey } from '@pomeloroad/storage';
+import { isText, parseList } from '../store/rowFields';
 import type { StreamOrigin } from './originMemory';
 import { STREAM_TIME_MAX_MS } from './versionHistory';
 
@@ -76,26 +77,13 @@
 
 /** Adds the origins of a row; one that can't be read adds none. */
 export function decodeOrigins(value: string, origins: OriginsByName): void {
-  parseGroups(value).forEach((group) => {
+  parseList(value).forEach((group) => {
     if (!Array.isArray(group)) return;
     const [service, version, names] = group as unknown[];
-    if (typeof service !== 'string' || !Array.isArray(names)) return;
-    const origin = { service, version: typeof version === 'string' ? version : undefined };
+    if (!isText(service) || !Array.isArray(names)) return;
+    const origin = { service, version: isText(version) ? version : undefined };
     names.filter(isText).forEach((name) => {
       origins.set(name, [...(origins.get(name) ?? []), origin]);
     });
   });
 }
-
-function isText(value: unknown): value is string {
-  return typeof value === 'string';
-}
-
-function parseGroups(value: string): unknown[] {
-  try {
-    const groups: unknown = JSON.parse(value);
-    return Array.isArray(groups) ? groups : [];
-  } catch {
-    return [];
-  }
-}
--- a/packages/forwarding/src/origins/versionRows.ts
+++ b/packages/forwarding/src/origins/versionRows.ts
@@ -1,6 +1,7 @@
 import { hashFields, runPeriodically, sleep } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { RowChange, RowKey, RowStore } from '@pomeloroad/storage';
+import { isText, parseList } from '../store/rowFields';
 import { createVersionHistory, STREAM_TIME_MAX_MS } from './versionHistory';
 import type { ServedVersion, VersionHistory } from './versionHistory';
 
@@ -111,13 +112,9 @@
 }
 
 function decode(value: string): ServedVersion | undefined {
-  try {
-    const [service, version] = JSON.parse(value) as unknown[];
-    if (typeof service !== 'string') return undefined;
-    return { service, version: typeof version === 'string' ? version : undefined };
-  } catch {
-    return undefined;
-  }
+  const [service, version] = parseList(value);
+  if (!isText(service)) return undefined;
+  return { service, version: isText(version) ? version : undefined };
 }
 
 function isDefined(served: ServedVersion | undefined): served is ServedVersion {
--- a/packages/forwarding/src/relays/relayRows.ts
+++ b/packages/forwarding/src/relays/relayRows.ts
@@ -1,4 +1,5 @@
 import type { RowKey, VersionedRow } from '@pomeloroad/storage';
+import { isText } from '../store/rowFields';
 import { getSharedKey } from '../store/sharedFeed';
 
 /** An instance that carries connections for others. */
@@ -37,7 +38,3 @@
     return undefined;
   }
 }
-
-function isText(value: unknown): value is string {
-  return typeof value === 'string';
-}
--- a/packages/forwarding/src/suspects/suspectRows.ts
+++ b/packages/forwarding/src/suspects/suspectRows.ts
@@ -1,4 +1,5 @@
 import type { RowKey } from '@pomeloroad/storage';
+import { isText, parseList } from '../store/rowFields';
 import { getSharedKey } from '../store/sharedFeed';
 
 /** A suspect under which endpoints have crashed. */
@@ -23,21 +24,7 @@
 
 /** Decodes the value of a suspect's row; `undefined` if it can't be read. */
 export function decodeSuspect(value: string): Suspect | undefined {
-  const fields = parseList(value);
-  const [probes, requests, ...crashes] = fields;
+  const [probes, requests, ...crashes] = parseList(value);
   if (typeof probes !== 'number' || typeof requests !== 'number') return undefined;
   return crashes.every(isText) ? { crashes, requests, probes } : undefined;
 }
-
-function parseList(value: string): unknown[] {
-  try {
-    const list: unknown = JSON.parse(value);
-    return Array.isArray(list) ? list : [];
-  } catch {
-    return [];
-  }
-}
-
-function isText(value: unknown): value is string {
-  return typeof value === 'string';
-}
