Entry: the callers' HTTP server, the answering of requests and what a caller asked for in three modules

callerServer.ts had 284 lines: the server's limits and its drain, the paths with their checks, and the request that is run for a caller.

--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -1,57 +1,10 @@
 import http from 'node:http';
 import https from 'node:https';
-import type { IncomingMessage, ServerResponse } from 'node:http';
-import {
-  answerExpectations,
-  closeAfter,
-  createId,
-  createOpenRequests,
-  hashText,
-  listen,
-  serveInOrder,
-  writeJson,
-} from '@pomeloroad/core';
-import type { Clock, Identity } from '@pomeloroad/core';
-import { hasBudget } from '@pomeloroad/configuration';
-import type { Configuration } from '@pomeloroad/configuration';
-import { createRefusal, issueKey, parseIssuedKey } from '@pomeloroad/requests';
-import type { IssuedKey, Refusal } from '@pomeloroad/requests';
-import type { AnswerOpener } from './answerOpener';
-import { writeRefusal } from './answerWriter';
-import type { Delivery } from './answerWriter';
-import { deliverAnswer } from './deliverAnswer';
-import { receiveBody } from './callerBody';
-import { CallerHeader, parseCallerHeaders } from './callerHeaders';
-import type { CallerOptions } from './callerHeaders';
-import { parseChatRequest } from './chatRequest';
-import { createKeyIndex } from './credentials';
-import type { Credentials, KeyIndex } from './credentials';
-import type { InstanceMetrics } from './instanceMetrics';
-import { createReopen } from './reopen';
-import type { RunRequest, Work } from './runRequest';
-import {
-  createServiceCall,
-  findService,
-  hashServiceCall,
-  isIdempotentCall,
-  parseServiceUrl,
-} from './serviceRequest';
-import type { ServiceTarget } from './serviceRequest';
-import type { Settings } from './settings';
+import { answerExpectations, createOpenRequests, listen, serveInOrder } from '@pomeloroad/core';
+import { createCallerHandler } from './callerHandler';
+import type { CallerHandlerHost } from './callerHandler';
 
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
-const NOT_READY_RETRY_AFTER_MS = 1000;
-
-/** Dependencies of the callers' HTTP interface. */
-export interface CallerServerHost {
-  clock: Clock;
-  self: Identity;
-  settings: Settings;
-  opener: AnswerOpener;
-  metrics: InstanceMetrics;
-  getConfiguration(): Configuration | undefined;
-  isDraining(): boolean;
-}
 
 /** The HTTP server to which callers connect. */
 export interface CallerServer {
@@ -65,31 +18,13 @@
   cut(): void;
 }
 
-/** A request of an authenticated caller, and the response to it. */
-interface Exchange {
-  request: IncomingMessage;
-  response: ServerResponse;
-  id: string;
-  configuration: Configuration;
-  credentials: Credentials;
-}
-
-/** What a caller has asked for. */
-interface CallerRequest {
-  options: CallerOptions;
-  work: Work;
-  /** Hash of the request's content. */
-  digest: string;
-  /** How the answer is delivered. */
-  form: Delivery['form'];
-}
-
 /** Creates a server that does not listen yet; it uses HTTPS if a certificate is given. */
 export function createCallerServer(
-  host: CallerServerHost,
+  host: CallerHandlerHost,
   tls?: { cert: string; key: string },
 ): CallerServer {
-  const { clock, self, settings, metrics } = host;
+  const { settings } = host;
+  const handle = createCallerHandler(host);
   const serverOptions = {
     maxHeaderSize: settings.headerLimit,
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
@@ -106,123 +41,6 @@
   serveInOrder(server, (request, response) => {
     openRequests.track(response, handle(request, response));
   });
-  let cachedIndex: { configuration: Configuration; keys: KeyIndex } | undefined;
-
-  function getKeys(configuration: Configuration): KeyIndex {
-    if (cachedIndex?.configuration !== configuration) {
-      cachedIndex = { configuration, keys: createKeyIndex(configuration) };
-    }
-    return cachedIndex.keys;
-  }
-
-  async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const id = createId();
-    const startedAt = clock.elapsed();
-    const refusal = await serve(request, response, id);
-    if (refusal) {
-      metrics.refused(refusal.code);
-      closeAfterDrain(response);
-      writeRefusal(response, id, refusal);
-    }
-    metrics.finished(clock.elapsed() - startedAt);
-  }
-
-  async function serve(
-    request: IncomingMessage,
-    response: ServerResponse,
-    id: string,
-  ): Promise<Refusal | undefined> {
-    const configuration = host.getConfiguration();
-    if (!configuration) return refuseNotReady(request);
-    const credentials = getKeys(configuration).find(request.headers.authorization);
-    if (!credentials) return UNAUTHORIZED;
-    return route({ request, response, id, configuration, credentials });
-  }
-
-  async function route(exchange: Exchange): Promise<Refusal | undefined> {
-    const { request, response, configuration, credentials } = exchange;
-    const { url = '', method = '' } = request;
-    const path = url.split('?')[0];
-    if (path === '/v1/chat/completions') {
-      return method === 'POST' ? serveChat(exchange) : METHOD_NOT_ALLOWED;
-    }
-    if (path === '/v1/models') {
-      if (method !== 'GET') return METHOD_NOT_ALLOWED;
-      closeAfterDrain(response);
-      writeJson(response, 200, listModels(configuration));
-      return undefined;
-    }
-    if (path === '/v1/idempotency-keys') {
-      if (method !== 'POST') return METHOD_NOT_ALLOWED;
-      const key = issueKey(settings.fleetKey, self, credentials.account.name);
-      closeAfterDrain(response);
-      writeJson(response, 201, { key });
-      return undefined;
-    }
-    const target = parseServiceUrl(url);
-    if (target) return serveService(exchange, target);
-    return createRefusal('not_found', 'no', `There is nothing at ${path}.`);
-  }
-
-  async function serveChat(exchange: Exchange): Promise<Refusal | undefined> {
-    const { request, response } = exchange;
-    const headers = parseCallerHeaders(request.headers, settings);
-    if (headers.err) return headers.val;
-    const body = await receiveBody(clock, settings, request, response);
-    if (body.err) return body.val;
-    const text = body.val.toString('utf8');
-    const chat = parseChatRequest(exchange.configuration, text);
-    if (chat.err) return chat.val;
-    const form = chat.val.isStreamed ? 'events' : 'json';
-    const digest = hashText(JSON.stringify(Object.entries(chat.val.body).sort()));
-    const work: Work = { kind: 'chat', chat: chat.val };
-    return run(exchange, { options: headers.val, work, digest, form });
-  }
-
-  async function serveService(
-    exchange: Exchange,
-    target: ServiceTarget,
-  ): Promise<Refusal | undefined> {
-    const { request, response, configuration } = exchange;
-    const service = findService(configuration, target.name);
-    if (service.err) return service.val;
-    const headers = parseCallerHeaders(request.headers, settings);
-    if (headers.err) return headers.val;
-    const body = await receiveBody(clock, settings, request, response);
-    if (body.err) return body.val;
-    const call = createServiceCall(request, service.val, target, body.val);
-    const digest = hashServiceCall(call, target);
-    const work: Work = { kind: 'call', call };
-    return run(exchange, { options: headers.val, work, digest, form: 'service' });
-  }
-
-  async function run(exchange: Exchange, asked: CallerRequest): Promise<Refusal | undefined> {
-    const { id, response, credentials } = exchange;
-    const { options, work, form } = asked;
-    const { account, key } = credentials;
-    const budget = options.budget ?? key.budget;
-    if (!hasBudget(account, budget)) {
-      return createRefusal('forbidden', 'no', `The account has no budget "${budget}".`);
-    }
-    const issued = options.key ? parseIssuedKey(settings.fleetKey, options.key) : undefined;
-    if (issued && issued.account !== account.name) return KEY_OF_OTHER_ACCOUNT;
-    const request = createRunRequest(exchange, asked, budget, issued);
-    const source = await host.opener.open(request, issued);
-    if ('code' in source) return source;
-    const model = work.kind === 'chat' ? work.chat.model : work.call.service;
-    const { writeTimeout } = settings;
-    const { from } = options;
-    const delivery = { form, request: id, model, from, createdAt: clock.now(), writeTimeout };
-    closeAfterDrain(response);
-    await deliverAnswer(response, delivery, source, createReopen(host, request, issued));
-    return undefined;
-  }
-
-  // Decided as late as possible: requests that have come behind it by then are answered too.
-  function closeAfterDrain(response: ServerResponse): void {
-    if (host.isDraining()) closeAfter(response);
-  }
-
   return {
     listen: () => listen(server, settings.callersAddress),
     open: openRequests.count,
@@ -230,55 +48,3 @@
     cut: openRequests.cut,
   };
 }
-
-function createRunRequest(
-  { id, credentials }: Exchange,
-  { options, work, digest, form }: CallerRequest,
-  budget: string,
-  issued: IssuedKey | undefined,
-): RunRequest {
-  const account = credentials.account.name;
-  return {
-    id,
-    account,
-    budget: `${account}/${budget}`,
-    name: options.key ? { account, key: options.key } : undefined,
-    digest,
-    isIdempotent: options.isIdempotent && isIdempotentWork(work),
-    isProvisional: false,
-    isContinuation: form === 'events' && options.from > 0,
-    needsClaim: !options.isIdempotent && !issued,
-    priority: options.priority,
-    patience: options.patience,
-    work,
-  };
-}
-
-function isIdempotentWork(work: Work): boolean {
-  return work.kind === 'chat' || isIdempotentCall(work.call);
-}
-
-function listModels(configuration: Configuration) {
-  const data = configuration.pools.map((pool) => ({
-    id: pool.model,
-    object: 'model',
-    created: 0,
-    owned_by: 'pomeloroad',
-  }));
-  return { object: 'list', data };
-}
-
-// With a key, it is unknown whether another instance has run an earlier attempt under the same key.
-function refuseNotReady({ headers }: IncomingMessage): Refusal {
-  const ran = headers[CallerHeader.key] === undefined ? 'no' : 'unknown';
-  const message = 'The instance has no configuration yet.';
-  return createRefusal('not_ready', ran, message, NOT_READY_RETRY_AFTER_MS);
-}
-
-const UNAUTHORIZED = createRefusal('unauthorized', 'no', 'Present a known key as a bearer token.');
-const METHOD_NOT_ALLOWED = createRefusal('method_not_allowed', 'no', 'This method is not allowed.');
-const KEY_OF_OTHER_ACCOUNT = createRefusal(
-  'forbidden',
-  'no',
-  'The key was issued to another account.',
-);
