Relays: a late answer of the store replaces no row that the feed has told since

Shown without network: an instance tells that it is cut off, the store comes back from an older copy or another one removes the row, the feed tells it, and then comes the answer to the write. The instance took its row for announced; the others went on without knowing of it, and asked a relay that reaches no endpoint.

Ruled out by reading: versionRows reads all rows again every 10 s, and escrow rows compare versions.

Its stand can delay the store's answers to writes.

--- a/packages/forwarding/src/relays/relayDirectory.ts
+++ b/packages/forwarding/src/relays/relayDirectory.ts
@@ -3,6 +3,7 @@
 import type { RowChange, RowStore } from '@pomeloroad/storage';
 import { SHARED_TABLE } from '../store/sharedFeed';
 import type { SharedFeed } from '../store/sharedFeed';
+import { createToldVersion } from '../store/toldVersion';
 import { decodeRelay, encodeRelay, getRelayKey } from './relayRows';
 import type { Relay } from './relayRows';
 import { startRelaySweep } from './relaySweep';
@@ -40,6 +41,7 @@
 export function startRelayDirectory(host: RelayDirectoryHost): RelayDirectory {
   const { clock, log, rows, signal } = host;
   let self = host.self && { ...host.self, isCutOff: false };
+  const told = createToldVersion();
   const known = new Map<string, StoredRelay>();
   let isWithdrawn = false;
   let isWriting = false;
@@ -54,6 +56,7 @@
   }
 
   function handleChanges(changes: RowChange[]): void {
+    told.noteChanges(changes);
     changes.forEach(({ key, value, version }) => set(key, value, version));
     announce();
   }
@@ -70,8 +73,8 @@
         puts: value === undefined ? [] : [{ ...key, value }],
         removals: value === undefined ? [key] : [],
       });
-      if (written.ok) set(self.instance, value, written.val.revision);
-      else await sleep(clock, RETRY_DELAY_MS, signal);
+      if (written.err) await sleep(clock, RETRY_DELAY_MS, signal);
+      else if (!told.includes(written.val)) set(self.instance, value, written.val.revision);
     }
     isWriting = false;
   }
@@ -84,6 +87,7 @@
 
   host.feed.listen('relays', {
     onView(view) {
+      told.noteView(view);
       const found = new Map(view.rows.map((row) => [row.key, row]));
       new Set([...known.keys(), ...found.keys()]).forEach((key) => {
         const { value, version = 0 } = found.get(key) ?? {};
--- a/packages/forwarding/test/relayDirectory.test.ts
+++ b/packages/forwarding/test/relayDirectory.test.ts
@@ -1,17 +1,27 @@
-import { createManualClock, createRandom, createSilentLog } from '@pomeloroad/core';
+import { createManualClock, createRandom, createSilentLog, sleep } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
+import type { RowStore } from '@pomeloroad/storage';
 import { startRelayDirectory } from '../src/relays/relayDirectory';
+import { getRelayKey } from '../src/relays/relayRows';
 import { startSharedFeed } from '../src/store/sharedFeed';
 
-// Instances that know each other from one store; `gone` has those that were taken for gone.
+// Instances that know each other from one store; `gone` has those that were taken for gone. The store's
+// answers to writes may come late.
 async function createStand() {
   const clock = createManualClock();
   const rows = createMemoryRowStore();
   const gone: string[] = [];
   const counted = new Set(['one', 'two']);
+  const link = { answerDelay: 0 };
+  const transact: RowStore['transact'] = async (transaction) => {
+    const written = await rows.transact(transaction);
+    if (link.answerDelay > 0) await sleep(clock, link.answerDelay);
+    return written;
+  };
   const start = (instance: string) => {
     const stop = new AbortController();
-    const following = { clock, log: createSilentLog(), rows, signal: stop.signal };
+    const log = createSilentLog();
+    const following = { clock, log, rows: { ...rows, transact }, signal: stop.signal };
     const self = { instance, dataCentre: 'kent', address: `${instance}:1`, secret: instance };
     const directory = startRelayDirectory({
       ...following,
@@ -26,7 +36,7 @@
   const one = start('one');
   const two = start('two');
   await clock.advance(1000);
-  return { clock, rows, counted, one, two, gone };
+  return { clock, rows, link, counted, one, two, gone };
 }
 
 /** Two sweeps at their longest interval, and the time without a lease. */
@@ -54,6 +64,27 @@
   expect(gone).toContain('one');
 });
 
+test('what an older copy lost before the store answered is told again', async () => {
+  const { clock, rows, link, one, two } = await createStand();
+  const comeBack = rows.copy();
+  link.answerDelay = 1000;
+  one.setCutOff(true);
+  await clock.advance(100);
+  comeBack();
+  await clock.advance(5000);
+  expect(two.list()).toMatchObject([{ instance: 'one', isCutOff: true }]);
+});
+
+test('a row that was removed before the store answered is written again', async () => {
+  const { clock, rows, link, one, two } = await createStand();
+  link.answerDelay = 1000;
+  one.setCutOff(true);
+  await clock.advance(100);
+  await rows.transact({ checks: [], puts: [], removals: [getRelayKey('one')] });
+  await clock.advance(5000);
+  expect(two.list()).toMatchObject([{ instance: 'one', isCutOff: true }]);
+});
+
 test('the row of an instance that is gone, which an older copy brought back, goes after some time', async () => {
   const { clock, rows, counted, one, two } = await createStand();
   const comeBack = rows.copy();
