--- a/packages/configuration/src/distributor.ts
+++ b/packages/configuration/src/distributor.ts
@@ -1,22 +1,15 @@
 import { match } from 'ts-pattern';
-import { Diagnostics, hashText } from '@pomeloroad/core';
-import type { Clock, Identity, Log, Milliseconds } from '@pomeloroad/core';
+import type { Clock, Identity, Log } from '@pomeloroad/core';
 import type { PeerNetwork } from '@pomeloroad/peers';
 import { createDrains } from './drains';
-import { intersectConfigurations } from './intersect';
 import { createNoticeSender, getRelay } from './noticeSender';
-import { parseConfiguration } from './parse';
 import type { ConfigurationStore, StoredState } from './store';
 import { ConfigurationTopics } from './topics';
 import type { Acknowledgement, DrainList, Notice, VersionFile, VersionState } from './topics';
 import type { Configuration, VersionRow } from './types';
+import { createVersionStages } from './versionStages';
 
 const STATE_TIMEOUT_MS = 1000;
-/**
- * Time after which a staged version that was neither accepted nor withdrawn is in doubt. From then
- * on, the instance serves only what both the version in force and the staged one allow.
- */
-const DECISION_TIMEOUT_MS = 3000;
 /** Age from which a proposal's coordinator counts as gone: any instance withdraws the proposal. */
 const PROPOSAL_MAX_AGE_MS = 10_000;
 /** The relay reads the platform on each poll, other instances only on every n-th. */
@@ -78,19 +71,11 @@
   isRelay: boolean;
 }
 
-/** A version file with its parsed configuration. */
-interface LoadedVersion {
-  file: VersionFile;
-  configuration: Configuration;
-}
-
 /** Creates the distributor and handles the notices of other instances. */
 export function createDistributor(host: DistributorHost): Distributor {
   const { clock, log, self, network, store } = host;
-  let inForce: LoadedVersion | undefined;
-  let staged: (LoadedVersion & { at: Milliseconds }) | undefined;
-  /** Served while the staged version is in doubt: what it and the version in force both allow. */
-  let common: Configuration | undefined;
+  const versions = createVersionStages({ clock, log, onChange: host.onChange });
+  const { getVersion, getInForce, getStaged } = versions;
   let pollCount = 0;
   const drains = createDrains({ network, isRelay, onChange: host.onChange });
   const sender = createNoticeSender(network);
@@ -106,51 +91,15 @@
 
   function applyNotice(notice: Notice): string | undefined {
     return match(notice)
-      .with({ kind: 'stage' }, ({ file }) => stage(file))
-      .with({ kind: 'accept' }, ({ file }) => install(file))
-      .with({ kind: 'withdraw' }, ({ version }) => dropStaged(version))
+      .with({ kind: 'stage' }, ({ file }) => versions.stage(file))
+      .with({ kind: 'accept' }, ({ file }) => versions.install(file))
+      .with({ kind: 'withdraw' }, ({ version }) => versions.dropStaged(version))
       .with({ kind: 'drains' }, (list) => replaceDrains(list))
       .exhaustive();
   }
 
-  function stage(file: VersionFile): string | undefined {
-    const { version } = file.version;
-    if (version <= getVersion()) return `serves version ${getVersion()}`;
-    if (staged && staged.file.version.version > version) return 'a later version is staged';
-    const loaded = load(file);
-    if (!loaded) return 'the file does not pass the checks of this instance';
-    staged = { ...loaded, at: clock.elapsed() };
-    log(Diagnostics.configurationStaged, { version });
-    return undefined;
-  }
-
-  function install(file: VersionFile): string | undefined {
-    const { version } = file.version;
-    if (version <= getVersion()) return undefined;
-    const loaded = staged?.file.version.digest === file.version.digest ? staged : load(file);
-    if (!loaded) return 'the file does not pass the checks of this instance';
-    inForce = { file, configuration: loaded.configuration };
-    if (staged && staged.file.version.version <= version) staged = undefined;
-    common = undefined;
-    log(Diagnostics.configurationAccepted, { version });
-    host.onChange();
-    return undefined;
-  }
-
-  function dropStaged(version: number): undefined {
-    if (staged?.file.version.version !== version) return;
-    staged = undefined;
-    common = undefined;
-    log(Diagnostics.configurationWithdrawn, { version });
-    host.onChange();
-  }
-
-  function getVersion(): number {
-    return inForce?.file.version.version ?? 0;
-  }
-
   function getState(): VersionState {
-    return { inForce: inForce?.file, staged: staged?.file };
+    return { inForce: getInForce(), staged: getStaged() };
   }
 
   function replaceDrains({ version, drains: endpoints }: DrainList): undefined {
@@ -170,11 +119,12 @@
 
   async function poll(): Promise<void> {
     pollCount += 1;
-    checkDecisionTimeout();
-    const isDue = isRelay() || !inForce || staged || pollCount % POLLS_PER_PLATFORM_READ === 0;
+    versions.checkDecisionTimeout();
+    const isDue =
+      isRelay() || !getInForce() || getStaged() || pollCount % POLLS_PER_PLATFORM_READ === 0;
     if (!isDue && (await pullDrains())) return;
     const isAnswered = await readPlatform();
-    if (!isAnswered && (!inForce || staged)) await installFromPeers();
+    if (!isAnswered && (!getInForce() || getStaged())) await installFromPeers();
   }
 
   // A notice may be lost on a connection that went silent, so drains are also asked for.
@@ -183,13 +133,6 @@
     return relay !== undefined && drains.pull(relay);
   }
 
-  function checkDecisionTimeout(): void {
-    if (!staged || common || clock.elapsed() - staged.at < DECISION_TIMEOUT_MS) return;
-    log(Diagnostics.configurationInDoubt, { version: staged.file.version.version });
-    if (inForce) common = intersectConfigurations(inForce.configuration, staged.configuration);
-    host.onChange();
-  }
-
   async function applyStoredState({ head, drainList }: StoredState): Promise<void> {
     const others = host.getLocalInstances().filter((instance) => instance !== self.instance);
     if (drains.replace(drainList) && isRelay()) {
@@ -198,14 +141,14 @@
     const { accepted, proposed } = head;
     if (accepted && accepted.version > getVersion()) await installAccepted(accepted, others);
     if (proposed) await handleProposed(proposed);
-    const isDecided = staged && staged.file.version.version !== proposed?.version;
-    if (staged && isDecided) dropStaged(staged.file.version.version);
+    const staged = getStaged()?.version.version;
+    if (staged !== undefined && staged !== proposed?.version) versions.dropStaged(staged);
   }
 
   async function installAccepted(accepted: VersionRow, others: string[]): Promise<void> {
     const file = await fetchFile(accepted);
     if (!file) return;
-    install(file);
+    versions.install(file);
     if (isRelay()) await sender.relay({ notice: { kind: 'accept', file }, instances: others });
   }
 
@@ -215,13 +158,14 @@
       await store.withdraw(proposed);
       return;
     }
-    if (proposed.version <= (staged?.file.version.version ?? 0)) return;
+    if (proposed.version <= (getStaged()?.version.version ?? 0)) return;
     const file = await fetchFile(proposed);
-    if (file) stage(file);
+    if (file) versions.stage(file);
   }
 
   async function fetchFile(version: VersionRow): Promise<VersionFile | undefined> {
-    if (staged?.file.version.digest === version.digest) return { ...staged.file, version };
+    const staged = getStaged();
+    if (staged?.version.digest === version.digest) return { ...staged, version };
     const file = await store.readFile(version);
     return file.ok ? file.val : undefined;
   }
@@ -233,14 +177,14 @@
       peers.map((peer) => network.call(peer.instance, state, {}, STATE_TIMEOUT_MS)),
     );
     replies.forEach((reply) => {
-      if (reply.ok && reply.val.inForce) install(reply.val.inForce);
+      if (reply.ok && reply.val.inForce) versions.install(reply.val.inForce);
     });
   }
 
   return {
-    getConfiguration: () => common ?? inForce?.configuration,
+    getConfiguration: versions.getConfiguration,
     getVersion,
-    getText: () => inForce?.file.text ?? '',
+    getText: () => getInForce()?.text ?? '',
     getDrains: () => drains.getList().drains,
     poll,
     async refresh() {
@@ -255,17 +199,10 @@
     announce: sender.announce,
     describe: () => ({
       version: getVersion(),
-      digest: inForce?.file.version.digest ?? '',
-      staged: staged?.file.version.version ?? 0,
-      isInDoubt: common !== undefined,
+      digest: getInForce()?.version.digest ?? '',
+      staged: getStaged()?.version.version ?? 0,
+      isInDoubt: versions.isInDoubt(),
       isRelay: isRelay(),
     }),
   };
 }
-
-// Returns `undefined` if the digest does not match or the file has faults.
-function load(file: VersionFile): LoadedVersion | undefined {
-  if (hashText(file.text) !== file.version.digest) return undefined;
-  const parsed = parseConfiguration(file.text);
-  return parsed.ok ? { file, configuration: parsed.val } : undefined;
-}
