Soak: endpoints replicate runs, and end them at one event or in the middle of one

Endpoints of the soak keep replicas of each other's runs, over HTTP between their processes: a run with X-Kv-Backup is sent to the named endpoint five times a second until it has ended whole; POST /v1/kv-move stops or copies one; Kv-From goes on as the same run, or gets 503 with X-Not-Executed. Replicas are lost with their process, dropped 5 s after their last part, and one part in twelve finds no room. With the fault `backups` the configuration says so of the service of the streams; without it, it says nothing, as before.

An endpoint may also end all streams at the same event as its siblings (`same-event`), and at SIGQUIT it dies in the middle of an event. Events name the service beside the version, so that a stream of two services is seen as well.

Checks: at-most-once counts what goes on from a replica as the same run, and what comes without one as before; one-at-a-time (400 ms) and one-version now hold for streams that may not be resumed too. Of the new cases in soakOverlaps, "goes on from a replica runs once" and "goes on at two endpoints is a failure" fail with the checks before.

Ruled out: a torn event written in the turn in which the process kills itself never reaches the kernel, as Node sends chunks at the end of the turn (found by the test); the process dies one turn later.

--- a/packages/replay/src/soak/checks.ts
+++ b/packages/replay/src/soak/checks.ts
@@ -86,13 +86,15 @@
 function checkAtMostOnce({ work, runs }: RequestRecord): CheckOutcome {
   const mayRepeat = work.route !== 'once' && work.route !== 'stream-once';
   if (mayRepeat || runs.length === 0) return 'skipped';
-  if (runs.length === 1) return 'held';
-  return { message: `ran ${runs.length} times: ${listEndpoints(runs)}` };
+  // What goes on from a replica is the same run.
+  const begun = runs.filter((run, index) => index === 0 || !run.goesOn);
+  if (begun.length === 1) return 'held';
+  return { message: `ran ${begun.length} times: ${listEndpoints(runs)}` };
 }
 
 function checkOneAtATime(record: RequestRecord, { faults }: CheckContext): CheckOutcome {
   const { work, runs, instance } = record;
-  if (work.route !== 'stream' || runs.length < 2) return 'skipped';
+  if (!work.route.startsWith('stream') || runs.length < 2) return 'skipped';
   const names = [instance, ...runs.map((run) => run.endpoint)];
   const isLate = ({ lastAt }: EndpointRun, next: EndpointRun) =>
     lastAt > next.at + OVERLAP_MAX_MS && !faults.isDisturbed(names, next.at - CONTACT_MS, lastAt);
--- a/packages/replay/src/soak/configuration.ts
+++ b/packages/replay/src/soak/configuration.ts
@@ -44,16 +44,30 @@
   ];
 }
 
+/** What differs between configurations besides their version. */
+export interface ConfigurationVariant {
+  /** Whether the service of the streams replicates runs. */
+  hasReplicas: boolean;
+  /** Whether the routes of the streams name the other service. */
+  hasMovedStreams: boolean;
+}
+
 /** Writes the configuration with the version; resolves to whether the store acknowledged it. */
-export function putConfiguration(store: string, version: number): Promise<boolean> {
+export function putConfiguration(
+  store: string,
+  version: number,
+  { hasReplicas, hasMovedStreams }: ConfigurationVariant,
+): Promise<boolean> {
   const route = { kind: 'idempotent', isResumable: false, attempts: 3, service: 'board' } as const;
+  const routes = hasMovedStreams ? ROUTES.map((each) => ({ ...each, service: 'board' })) : ROUTES;
   const text = renderPlatformConfiguration({
     version,
     host: HOST,
-    routes: [...ROUTES, { name: getProbeRoute(version), ...route }],
+    routes: [...routes, { name: getProbeRoute(version), ...route }],
     accounts: createAccounts(version),
     tokensPerEvent: TOKENS_PER_EVENT,
     idleTimeout: IDLE_TIMEOUT_MS,
+    replicatedServices: hasReplicas ? ['model'] : [],
   });
   return putRow(store, CONFIGURATION_TABLE, 'config', text);
 }
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -211,11 +211,12 @@
   const run = record.runs.filter((known) => known.endpoint === line.id).at(-1);
   const at = Date.parse(line.at);
   match(line)
-    .with({ event: 'run' }, ({ account, after, path, body, waited = 0 }) => {
+    .with({ event: 'run' }, ({ account, after, path, body, waited = 0, goesOnFrom }) => {
       const arrivedAt = at - waited;
       const fields = { endpoint: line.id, arrivedAt, at, lastAt: at, account, path, body };
+      const goesOn = goesOnFrom !== undefined;
       const ends = { isStated: false, isEnded: false };
-      record.runs.push({ ...fields, ...ends, sent: after });
+      record.runs.push({ ...fields, ...ends, goesOn, sent: after });
       record.arrivals.push(arrivedAt);
     })
     .with({ event: 'sent' }, ({ number }) => {
@@ -232,8 +233,8 @@
     })
     .with({ event: 'declined' }, ({ waited = 0 }) => record.arrivals.push(at - waited))
     .with({ event: 'crash' }, () => undefined)
-    .with({ event: 'closed' }, () => {
-      if (run) Object.assign(run, { isEnded: true, closedAt: at });
+    .with({ event: 'closed' }, { event: 'moved' }, () => {
+      if (run) Object.assign(run, { isEnded: true, closedAt: run.closedAt ?? at });
     })
     .exhaustive();
 }
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -19,7 +19,10 @@
 const DefaultRequestFaults: string[] = [ANSWERS, UNREADABLE, ...EarlyEnds];
 /** Share of the streams whose end comes apart from their last event, by the fault that asks for it. */
 const ApartShares: Record<string, number> = { 'ends-apart': 1, 'some-ends-apart': 1 / 3 };
-const RequestFaults = [...DefaultRequestFaults, ...RareEarlyEnds, ...Object.keys(ApartShares)];
+/** Name under which the configuration says that endpoints of streams replicate runs. */
+const BACKUPS = 'backups';
+const RareRequestFaults = [...RareEarlyEnds, ...Object.keys(ApartShares), BACKUPS];
+const RequestFaults = [...DefaultRequestFaults, ...RareRequestFaults];
 
 sade('soak', true)
   .describe('Run the bundled program under faults, as real processes, and check what is seen.')
@@ -66,6 +69,7 @@
     hasUnreadable: faults.includes(UNREADABLE),
     earlyEnds: [...EarlyEnds, ...RareEarlyEnds].filter((name) => faults.includes(name)),
     apartShare: Math.max(0, ...faults.map((name) => ApartShares[name] ?? 0)),
+    hasReplicas: faults.includes(BACKUPS),
     busyLoops: Number(flags.busy),
     olderRevision: flags.older === undefined ? undefined : String(flags.older),
     keepsOlder: Boolean(flags['keep-older']),
--- a/packages/replay/src/soak/operator.ts
+++ b/packages/replay/src/soak/operator.ts
@@ -18,6 +18,8 @@
   evidence: Evidence;
   sender: Sender;
   seed: number;
+  /** Whether the configurations say that endpoints of streams replicate runs. */
+  hasReplicas: boolean;
   signal: AbortSignal;
 }
 
@@ -27,6 +29,8 @@
   start(): Promise<void>;
   /** Changes routes, keys and budgets until the signal is aborted. */
   run(): Promise<void>;
+  /** Writes a configuration whose streams are at the other service, or at their own again. */
+  moveStreams(isMoved: boolean): Promise<void>;
 }
 
 /** Creates an operator; the same seed gives the same changes. */
@@ -36,13 +40,23 @@
   let version = 0;
   let previous = 0;
   let probes = 0;
+  let hasMovedStreams = false;
+  let writing = Promise.resolve();
 
-  async function write(): Promise<void> {
+  // One write after the other: versions only rise.
+  function write(): Promise<void> {
+    writing = writing.then(writeNext);
+    return writing;
+  }
+
+  async function writeNext(): Promise<void> {
     const next = version + random.integer(1, VERSION_STEP_MAX);
     // A budget that is on its way may be spent already.
     createAccounts(next).forEach(({ name, prepaid }) => evidence.totals.setBudget(name, prepaid));
     evidence.history.beginWrite();
-    while (!(await putConfiguration(fleet.store, next))) await sleep(clock, RETRY_DELAY_MS);
+    const variant = { hasReplicas: host.hasReplicas, hasMovedStreams };
+    const put = () => putConfiguration(fleet.store, next, variant);
+    while (!(await put())) await sleep(clock, RETRY_DELAY_MS);
     evidence.history.acknowledge(getProbeRoute(next));
     previous = version;
     version = next;
@@ -88,5 +102,9 @@
     async run() {
       await Promise.all([change(), probe()]);
     },
+    moveStreams(isMoved) {
+      hasMovedStreams = isMoved;
+      return write();
+    },
   };
 }
--- a/packages/replay/src/soak/requestRecord.ts
+++ b/packages/replay/src/soak/requestRecord.ts
@@ -51,6 +51,8 @@
   path: string;
   /** Hash of the body that it got. */
   body: string;
+  /** Whether it went on from a replica of a run, as the same run. */
+  goesOn: boolean;
   /** Number of the last event that it sent. */
   sent: number;
   /** Whether the endpoint stated that its answer is complete. */
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -44,6 +44,8 @@
   hasUnreadable: boolean;
   /** Ends in order of answers that are not whole, which further callers ask for. */
   earlyEnds: EarlyEnd[];
+  /** Whether the configuration says that endpoints of streams replicate runs. */
+  hasReplicas?: boolean;
   /** Number of processes beside the soak that only burn processor time. */
   busyLoops?: number;
   /** Least number of such ends by their reason, for which the soak goes on beyond its length for a time. */
@@ -144,7 +146,8 @@
   const stopped = new AbortController();
   const { signal } = stopped;
   const sender = createSender(clock, evidence);
-  const operator = createOperator({ ...run, fleet, sender, seed: options.seed, signal });
+  const { hasReplicas = false } = options;
+  const operator = createOperator({ ...run, fleet, sender, seed, hasReplicas, signal });
   await operator.start();
   const watches = [
     runPeriodically(
--- a/packages/replay/src/soak/versionChecks.ts
+++ b/packages/replay/src/soak/versionChecks.ts
@@ -19,7 +19,7 @@
 /** Checks that a stream holds events of one version, also over its caller's tries. */
 export function checkOneVersion({ work, answer, heldVersions, runs }: RequestRecord): CheckOutcome {
   const isJoined = runs.length > 1 || heldVersions.length > 0;
-  const isStream = work.route === 'stream' && answer?.status === STATUS_OK;
+  const isStream = work.route.startsWith('stream') && answer?.status === STATUS_OK;
   if (!isStream || !isJoined || countEvents(answer.body) === 0) return 'skipped';
   const versions = new Set([...heldVersions, ...listVersions(answer.body)]);
   return versions.size === 1 ? 'held' : { message: `holds events of ${[...versions].join(', ')}` };
--- a/packages/replay/test/soakOverlaps.test.ts
+++ b/packages/replay/test/soakOverlaps.test.ts
@@ -70,3 +70,34 @@
 test('a run that goes on beside a third one after its replacement was closed is a failure', () => {
   expect(judge(900, { event: 'closed', after: 300 }, 2000, 800)).toHaveLength(1);
 });
+
+// A stream that may not be resumed reaches a second endpoint after 100 ms, with a replica or without.
+function judgeOnce(goesOnFrom: string | undefined, goesOnFor: Milliseconds): string[] {
+  const clock = { ...createSystemClock(), now: () => new Date(SENT_AT + 5000) };
+  const evidence = createEvidence(clock);
+  evidence.open({
+    ...{ id: 'c8-11', account: 'rich', instance: 'instance-1', life: 1, inputTokens: 1 },
+    ...{ resumeAfter: 0, heldVersions: [], runs: [], arrivals: [], lines: [] },
+    ...{ work: { ...WORK, route: 'stream-once' }, sentAt: SENT_AT, endedAt: SENT_AT + 2000 },
+    answer: { ...createCallerAnswer(), status: 200 },
+  });
+  const addLine = (id: string, after: Milliseconds, line: object) => {
+    const at = new Date(SENT_AT + after).toISOString();
+    evidence.addLine(id, JSON.stringify({ at, id, request: 'c8-11', run: 1, ...line }));
+  };
+  const arrival = { event: 'run', path: '', after: 0, account: 'rich', version: 'v1', body: '' };
+  addLine('endpoint-1', 0, arrival);
+  addLine('endpoint-2', 100, { ...arrival, goesOnFrom });
+  addLine('endpoint-1', 100 + goesOnFor, { event: 'sent', number: 1 });
+  evidence.judge(true);
+  const checks = ['at-most-once', 'one-at-a-time'];
+  return evidence.failures.map(({ check }) => check).filter((check) => checks.includes(check));
+}
+
+test.each<[string, string | undefined, Milliseconds, string[]]>([
+  ['goes on from a replica runs once', '127.0.0.2:1/c8-11', 400, []],
+  ['runs anew runs twice', undefined, 400, ['at-most-once']],
+  ['goes on at two endpoints is a failure', '127.0.0.2:1/c8-11', 401, ['one-at-a-time']],
+])('a stream that may not be resumed and %s', (_, goesOnFrom, goesOnFor, failed) => {
+  expect(judgeOnce(goesOnFrom, goesOnFor)).toEqual(failed);
+});
--- a/packages/replay/test/socketCallers.test.ts
+++ b/packages/replay/test/socketCallers.test.ts
@@ -160,7 +160,7 @@
     path: '',
     sent: 1,
   };
-  const ends = { body: '', isStated: true, isEnded: true };
+  const ends = { body: '', isStated: true, isEnded: true, goesOn: false };
   return {
     ...{ id: 'a', account: 'rich', work, instance: 'instance-1', life: 1, inputTokens: 1 },
     ...{ resumeAfter: 0, heldVersions: [], sentAt: 1000, endedAt: 1200, arrivals: [], lines: [] },
--- a/packages/standins/src/platformFiles.ts
+++ b/packages/standins/src/platformFiles.ts
@@ -1,3 +1,5 @@
+import { REPLICA_TTL_MS } from './replicas';
+
 /** Bounds of the platform that instances and checks share, in milliseconds where not named. */
 export const PlatformBounds = {
   drain: 2000,
@@ -72,11 +74,20 @@
   tokensPerEvent: number;
   /** Time in milliseconds after which instances may close callers' idle connections. */
   idleTimeout: number;
+  /** Services whose endpoints replicate runs. */
+  replicatedServices?: string[];
 }
 
 const ROUTE_TIMEOUT_MS = 6000;
 const ROUTE_OBJECTIVE_MS = 500;
 const BODY_MAX_BYTES = 100_000;
+/** What the configuration says of a service whose endpoints replicate runs. */
+const REPLICATION = {
+  moves: true,
+  backups: true,
+  handle_ttl_s: REPLICA_TTL_MS / MS_PER_SECOND,
+  kv_token_bytes: 1000,
+};
 
 /** Returns the text of the row that holds a configuration. */
 export function renderPlatformConfiguration(configuration: PlatformConfiguration): string {
@@ -97,7 +108,10 @@
     })),
     services: [...services].map((name) => ({
       name,
-      engine: { stride: configuration.tokensPerEvent },
+      engine: {
+        stride: configuration.tokensPerEvent,
+        ...(configuration.replicatedServices?.includes(name) ? REPLICATION : {}),
+      },
     })),
     tenants: configuration.accounts.map(({ name, keys, prepaid }) => ({
       name,
--- a/packages/standins/src/platformWire.ts
+++ b/packages/standins/src/platformWire.ts
@@ -18,6 +18,8 @@
   account: 'x-tenant',
   endpoint: 'x-expect-instance',
   notRun: 'x-not-executed',
+  backup: 'x-kv-backup',
+  goOnFrom: 'kv-from',
   rateLimit: 'server-limit',
   key: 'authorization',
 } as const;
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -3,25 +3,23 @@
 import { hashText, readBody, sleep, writeJson } from '@pomeloroad/core';
 import type { Clock, Milliseconds, Random } from '@pomeloroad/core';
 import { ORDERLY_END_PATH } from './endpointLines';
-import type { EarlyEndReason, EndpointLine, OrderlyEnd } from './endpointLines';
+import type { EndpointLine, OrderlyEnd } from './endpointLines';
+import { createOpenAnswers } from './openAnswers';
+import type { OpenAnswer, Run, RunEntry } from './openAnswers';
 import { WireHeader } from './platformWire';
+import { createReplicas } from './replicas';
 import { drawEndDelay, endAnswer, hasFault, hasForgotten, isOpen, writeHead } from './soakAnswer';
 import { decodeWork, isCrashing, renderEvent } from './soakWork';
-import type { AnswerFault, Work } from './soakWork';
+import type { AnswerFault } from './soakWork';
 import { createSteppedEngine } from './steppedEngine';
 
 const LATE_ANSWER_DELAY_MS: Milliseconds = 1000;
 const SILENCE_MS: Milliseconds = 1500;
 const CRASH_DELAY_MS: Milliseconds = 30;
-/** Time within which the ends of open answers are sent before the process exits. */
-const EXIT_TIMEOUT_MS: Milliseconds = 200;
-const HALT_INTERVAL_MS: Milliseconds = 10;
 const MISDIRECTED_STATUS = 421;
 const DECLINED_STATUS = 503;
 /** Where an endpoint reports its runs. */
 const REPORT_PATH = '/v1/report';
-/** One of the runs of a report: id, tokens in memory, events made, priority. */
-type RunEntry = [string, number, number, number];
 
 /** Dependencies and settings of an endpoint of the soak. */
 export interface SoakEndpointHost {
@@ -31,6 +29,8 @@
   /** Share of the streams whose end comes apart from their last event. */
   apartShare: number;
   id: string;
+  /** Address at which others reach it. */
+  address: string;
   slots: number;
   /** Version of its software. */
   version: string;
@@ -45,25 +45,6 @@
   end(end: OrderlyEnd): void;
 }
 
-/** A run of a request. */
-interface Run {
-  step: { request: string; run: number };
-  entry: RunEntry;
-  request: IncomingMessage;
-  response: ServerResponse;
-  work: Work;
-  /** Last event that the instance had. */
-  after: number;
-  /** Last event that was sent. */
-  number: number;
-}
-
-/** An answer that has begun. */
-interface OpenAnswer {
-  response: ServerResponse;
-  stop(reason: EarlyEndReason): void;
-}
-
 /** An endpoint that serves. */
 export interface SoakEndpoint {
   server: http.Server;
@@ -73,6 +54,8 @@
   endAnswers(end: OrderlyEnd): Promise<void>;
   /** Sends answers that come whole again. */
   resume(): void;
+  /** Sends a part of the next event of all open answers; the process is to die in this turn of its loop. */
+  tearEvents(): void;
 }
 
 /**
@@ -83,12 +66,11 @@
 export function createSoakEndpoint(host: SoakEndpointHost): SoakEndpoint {
   const { clock, id, slots, version, record } = host;
   const engine = createSteppedEngine(clock, host.random);
-  const openAnswers = new Set<OpenAnswer>();
+  const answers = createOpenAnswers(host);
   let active = 0;
   let runs = 0;
-  let isHalted = false;
-  let endReason: EarlyEndReason | undefined;
-  const underWay = new Map<number, RunEntry>();
+  const underWay = new Map<number, Run>();
+  const replicas = createReplicas({ ...host, findRun });
 
   async function serve(
     request: IncomingMessage,
@@ -97,10 +79,13 @@
   ): Promise<void> {
     const name = String(request.headers[WireHeader.requestId] ?? '');
     const expected = request.headers[WireHeader.endpoint];
+    const goesOnFrom = request.headers[WireHeader.goOnFrom];
     if (expected !== undefined && expected !== id) {
       decline(response, name, MISDIRECTED_STATUS, 'other-endpoint');
     } else if (active >= slots || host.isFull()) {
       decline(response, name, DECLINED_STATUS, 'full');
+    } else if (goesOnFrom !== undefined && !replicas.take(String(goesOnFrom))) {
+      decline(response, name, DECLINED_STATUS, 'no-replica');
     } else {
       const { fault } = decodeWork(request.url ?? '/');
       const serving = fault === 'steps' ? runInSteps : runWithPauses;
@@ -115,7 +100,7 @@
     response: ServerResponse,
     request: string,
     status: number,
-    reason: 'full' | 'other-endpoint' | 'time-limit',
+    reason: 'full' | 'other-endpoint' | 'no-replica' | 'time-limit',
     waited?: Milliseconds,
   ): void {
     record({ event: 'declined', request, reason, waited });
@@ -146,20 +131,19 @@
       await sleep(clock, CRASH_DELAY_MS);
       host.die();
     }
-    const answer = open(begun);
-    const isForgotten = after > 0 && hasForgotten(id, work);
-    const early = endReason ?? (isForgotten ? 'resumed' : undefined);
-    if (early && after < last) answer.stop(early);
+    const answer = answers.open(begun);
+    if (after < last) answers.stopAtBegin(answer, after > 0 && hasForgotten(id, work));
     while (begun.number < last && isOpen(response)) {
       if (clock.elapsed() + work.pause > deadline) answer.stop('time-limit');
+      await answers.stopAtSharedEnd(answer);
       if (!isOpen(response)) break;
       const isSilent = fault === 'silent' && begun.number === middle;
       await sleep(clock, isSilent ? SILENCE_MS : work.pause);
-      while (isHalted) await sleep(clock, HALT_INTERVAL_MS);
+      await answers.waitWhileHalted();
       if (!isOpen(response)) break;
       sendEvent(begun);
     }
-    openAnswers.delete(answer);
+    answers.close(answer);
     if (response.writableEnded) return;
     const { number } = begun;
     if (!isShort) await waitForEnd(begun);
@@ -190,7 +174,7 @@
       begin() {
         const begun = begin(request, response, name, body, getWait());
         tellHead(begun, 'none');
-        stream = { run: begun, answer: open(begun) };
+        stream = { run: begun, answer: answers.open(begun) };
       },
       sendEvent() {
         if (stream) sendStep(stream.run);
@@ -234,10 +218,33 @@
     runs += 1;
     const step = { request: name, run: runs };
     const entry: RunEntry = [name, 0, 0, 0];
-    underWay.set(step.run, entry);
-    response.once('close', () => underWay.delete(step.run));
-    record({ event: 'run', ...step, path, after, account, version, body, waited });
-    return { step, entry, request, response, work: decodeWork(path), after, number: after };
+    const goesOnFrom = request.headers[WireHeader.goOnFrom]?.toString();
+    record({ event: 'run', ...step, path, after, account, version, body, waited, goesOnFrom });
+    const work = decodeWork(path);
+    const begun: Run = { step, entry, request, response, work, after, number: after };
+    underWay.set(step.run, begun);
+    const backup = request.headers[WireHeader.backup]?.toString();
+    const endBackup = backup === undefined ? undefined : replicas.startBackup(name, backup);
+    response.once('close', () => {
+      underWay.delete(step.run);
+      endBackup?.(hasSentAll(begun));
+    });
+    return begun;
+  }
+
+  function findRun(name: string) {
+    const run = [...underWay.values()].find(
+      ({ step, response }) => step.request === name && isOpen(response),
+    );
+    if (!run) return undefined;
+    return {
+      request: name,
+      getNumber: () => run.number,
+      cut() {
+        record({ event: 'moved', ...run.step, number: run.number });
+        run.response.destroy();
+      },
+    };
   }
 
   function tellHead({ step, response, work, after }: Run, fault: AnswerFault): void {
@@ -246,22 +253,6 @@
     writeHead(response, head);
   }
 
-  function open(run: Run): OpenAnswer {
-    const { step, request, response, work } = run;
-    const answer: OpenAnswer = {
-      response,
-      stop(reason) {
-        record({ event: 'stopped', ...step, number: run.number, reason });
-        // What a length still promises is never sent.
-        if (work.framing === 'length') request.socket.destroySoon();
-        else response.end();
-      },
-    };
-    openAnswers.add(answer);
-    response.once('close', () => openAnswers.delete(answer));
-    return answer;
-  }
-
   function sendEvent(run: Run): Run {
     const { step, entry, response, after } = run;
     run.number += 1;
@@ -273,8 +264,9 @@
   }
 
   const server = http.createServer((request, response) => {
+    if (replicas.serve(request, response)) return;
     if (request.url === REPORT_PATH) {
-      const list = [...underWay.values()];
+      const list = [...underWay.values()].map(({ entry }) => entry);
       const queued = engine.countWaiting();
       writeJson(response, 200, { queued, active: list.length, runs: list });
       return;
@@ -289,24 +281,9 @@
   return {
     server,
     countActive: () => active,
-    async endAnswers({ reason, delay }) {
-      isHalted = reason === 'preempted';
-      await sleep(clock, delay);
-      isHalted = false;
-      endReason = reason;
-      const ending = [...openAnswers].map(({ response, stop }) => {
-        const sent = new Promise((resolve) => {
-          response.once('close', resolve);
-          response.once('finish', resolve);
-        });
-        stop(reason);
-        return sent;
-      });
-      await Promise.race([sleep(clock, EXIT_TIMEOUT_MS), Promise.all(ending)]);
-    },
-    resume() {
-      endReason = undefined;
-    },
+    endAnswers: answers.endAll,
+    resume: answers.resume,
+    tearEvents: answers.tearEvents,
   };
 }
 
--- a/packages/standins/src/soakEndpointProcess.ts
+++ b/packages/standins/src/soakEndpointProcess.ts
@@ -45,10 +45,12 @@
 /**
  * Serves and announces an endpoint until SIGTERM, after which it leaves in order. After SIGINT, or when
  * told, it ends its answers as if they were complete. SIGUSR2 switches between a full queue and a free
- * one, SIGHUP between a limit of requests and none. Resolves to the address at which it listens.
+ * one, SIGHUP between a limit of requests and none. At SIGQUIT it dies in the middle of an event. Resolves to the address at which it listens.
  */
 export async function runSoakEndpoint(settings: SoakEndpointSettings): Promise<string> {
   const { clock, id, slots, version, store, service, dataCentre, drain } = settings;
+  // Events tell from which service they come as well.
+  const origin = `${service}/${version}`;
   let isFull = false;
   let rateLimit: number | undefined;
   const die = () => process.kill(process.pid, 'SIGKILL');
@@ -59,8 +61,9 @@
     random,
     apartShare: settings.apartShare,
     id,
+    address: settings.advertisedAddress,
     slots,
-    version,
+    version: origin,
     record,
     isFull: () => isFull,
     die,
@@ -71,7 +74,7 @@
   server.keepAliveTimeout = settings.idleTimeout;
   const address = await listen(server, settings.address);
   const entry = { id, service, address: settings.advertisedAddress, dataCentre, slots, version };
-  const onListed = () => record({ event: 'listed', service, version });
+  const onListed = () => record({ event: 'listed', service, version: origin });
   const announcement = announceEndpoint(clock, store, entry, onListed);
   process.on('SIGUSR2', () => {
     isFull = !isFull;
@@ -80,6 +83,11 @@
     rateLimit = rateLimit === undefined ? RATE_LIMIT : undefined;
     record({ event: 'limited', limit: rateLimit });
   });
+  process.once('SIGQUIT', () => {
+    endpoint.tearEvents();
+    // What was written in this turn reaches the kernel at its end.
+    setImmediate(die);
+  });
   process.once('SIGINT', () => end({ reason: 'exit', delay: 0, exitAfter: 0 }));
   process.once('SIGTERM', async () => {
     await announceLeaving();
@@ -87,10 +95,10 @@
   });
 
   async function end(orderly: OrderlyEnd): Promise<void> {
-    const { reason, exitAfter } = orderly;
+    const { reason, exitAfter, length = ORDERLY_ENDS_MS } = orderly;
     if (reason === 'leaving') await announceLeaving();
     await endpoint.endAnswers(orderly);
-    await sleep(clock, exitAfter ?? ORDERLY_ENDS_MS);
+    await sleep(clock, exitAfter ?? length);
     if (exitAfter !== undefined) process.exit(0);
     endpoint.resume();
     if (reason === 'leaving') await leave();
