Soak: faults that were never in it together, and wrong events counted by the kind of request

New faults, played by name: all endpoints of the streams, or all but one, end each stream at the same event and live on (`endpoints-end-early`); one ends all its answers, listed or leaving, and exits 0 to 300 ms later (`endpoint-ends-and-exits`); one dies in the middle of an event (`endpoint-torn-event`); the streams' routes name the other service while an endpoint starts again under its id with another version (`routes-move`); more callers leave streams and take them up (`take-ups`).

--- a/packages/replay/src/soak/callers.ts
+++ b/packages/replay/src/soak/callers.ts
@@ -43,7 +43,13 @@
 /** Ends of answers that are not whole, which some callers ask for: in order, or by a crash. */
 export const EarlyEnds = ['short-limits', 'empty-ends', 'crashing-parts'] as const;
 /** Those that are only asked for by name. */
-export const RareEarlyEnds = ['crashing-requests', 'forgotten-ends', 'engine-steps'] as const;
+// Callers of `take-ups` leave by themselves, and take the stream up at the same or another instance.
+export const RareEarlyEnds = [
+  'crashing-requests',
+  'forgotten-ends',
+  'engine-steps',
+  'take-ups',
+] as const;
 export type EarlyEnd = (typeof EarlyEnds | typeof RareEarlyEnds)[number];
 
 /** Callers that send one request after another. */
@@ -167,6 +173,11 @@
       ...base,
       work: { ...work, route: draw(random, STREAM_ROUTES), fault: 'crash' as const },
     }))
+    .with('take-ups', () => ({
+      ...base,
+      work: { ...stream, fault: 'none' as const },
+      patience: Math.ceil(events * pauseLength * part),
+    }))
     .with('crashing-requests', () => ({ ...base, work: CRASHING_REQUEST }))
     .with('engine-steps', () => ({ ...base, ...drawStepped(random) }))
     .exhaustive();
--- a/packages/replay/src/soak/endCounts.ts
+++ b/packages/replay/src/soak/endCounts.ts
@@ -2,7 +2,7 @@
 import { isWholeAtLimit } from './cutChecks';
 import type { RequestRecord } from './requestRecord';
 
-/** The two harms of wrong ends, of requests of one kind, each with the number of requests it could have come to. */
+/** The harms of wrong ends and events to requests of one kind, each with the number of those it could have come to. */
 export interface EndCount {
   /** Answers that sound endpoints sent to their end. */
   sound: number;
@@ -14,13 +14,19 @@
   early: number;
   /** Those that callers took for whole. */
   taken: number;
+  /** Successes. */
+  answers: number;
+  /** Those with events missing, twice, out of order, or of another request, service or version. */
+  mixed: number;
 }
 
-const NOTHING: EndCount = { sound: 0, cut: 0, late: 0, early: 0, taken: 0 };
+const NOTHING: EndCount = { sound: 0, cut: 0, late: 0, early: 0, taken: 0, answers: 0, mixed: 0 };
 /** Names of the checks that a cut of a sound endpoint's answer fails. */
 const CUT_CHECKS = ['cut-while-alive', 'whole-cut'];
 /** Names of the checks that an early end fails which its caller took for the end of the whole. */
 const EARLY_CHECKS = ['false-ends', 'time-limits'];
+/** Names of the checks of the events of an answer. */
+const EVENT_CHECKS = ['content', 'one-version'];
 
 /** Adds what the checks of a request found, by their names, to the counts by kind. */
 export function addEnds(
@@ -29,9 +35,10 @@
   outcomes: Record<string, CheckOutcome>,
 ): void {
   const kind = Kinds[record.work.route] ?? 'whole answer';
-  const { sound, cut, late, early, taken } = counts[kind] ?? NOTHING;
+  const { sound, cut, late, early, taken, answers, mixed } = counts[kind] ?? NOTHING;
   const [cutsMade, cutsFailed] = countOutcomes(outcomes, CUT_CHECKS);
   const [endsMade, endsFailed] = countOutcomes(outcomes, EARLY_CHECKS);
+  const [eventsMade, eventsFailed] = countOutcomes(outcomes, EVENT_CHECKS);
   Object.assign(counts, {
     [kind]: {
       sound: sound + cutsMade,
@@ -39,6 +46,8 @@
       late: late + (isWholeAtLimit(record) ? 1 : 0),
       early: early + endsMade,
       taken: taken + endsFailed,
+      answers: answers + eventsMade,
+      mixed: mixed + eventsFailed,
     },
   });
 }
--- a/packages/replay/src/soak/injector.ts
+++ b/packages/replay/src/soak/injector.ts
@@ -7,6 +7,7 @@
 import { count } from './evidence';
 import type { Evidence } from './evidence';
 import type { FaultNature } from './faultLog';
+import type { Operator } from './operator';
 import { UNREADABLE_ROWS } from './unreadableRows';
 import { DATA_CENTRES, FIRST_VERSIONS, getVersion, SERVICES } from './fleet';
 import type { Fleet, FleetEndpoint, FleetProcess } from './fleet';
@@ -30,7 +31,7 @@
 const CLAIM_INTERVAL_MS: Milliseconds = 50;
 /** Time until an endpoint that has died of a request starts again. */
 const CRASH_PAUSE_MS: Milliseconds = 2000;
-const ENDING_SIGNALS: PlannedSignal['signal'][] = ['SIGTERM', 'SIGINT', 'SIGKILL'];
+const ENDING_SIGNALS: PlannedSignal['signal'][] = ['SIGTERM', 'SIGINT', 'SIGKILL', 'SIGQUIT'];
 const LOST_ANSWER_SHARE = 0.5;
 const { compare: compareNumbers } = new Intl.Collator('en', { numeric: true });
 
@@ -45,7 +46,7 @@
 }
 
 /** Creates an injector that records what it does. */
-export function createInjector(fleet: Fleet, evidence: Evidence): Injector {
+export function createInjector(fleet: Fleet, evidence: Evidence, operator: Operator): Injector {
   const claimed = new Set<string>();
   const counts: Record<string, number> = {};
   let rules: Rule[] = [];
@@ -76,6 +77,10 @@
         const processes = listProcesses(fleet, ends.target);
         await Promise.all(processes.map((ended) => endInOrder(ended, ends)));
       })
+      .with({ kind: 'moved-routes' }, async ({ stop }) => {
+        await Promise.all([operator.moveStreams(true), apply(stop)]);
+        await operator.moveStreams(false);
+      })
       .with({ kind: 'roll-out' }, rollOut)
       .with({ kind: 'instances-in-turn' }, async ({ stops }) => {
         for (const stop of stops) await play({ at: 0, name: 'instance-term', fault: stop });
@@ -255,6 +260,7 @@
 }
 
 function getNature(fault: Fault): FaultNature {
+  if (fault.kind === 'moved-routes') return getNature(fault.stop);
   if (fault.kind === 'roll-out' || fault.kind === 'instances-in-turn') return 'planned';
   if (fault.kind !== 'signals') return 'harm';
   if (fault.signals.every(isPlannedWork)) return 'planned';
@@ -285,6 +291,7 @@
     .with({ kind: 'signals' }, { kind: 'orderly-end' }, ({ target }) =>
       listProcesses(fleet, target).map((stopped) => stopped.name),
     )
+    .with({ kind: 'moved-routes' }, ({ kind, stop }) => [kind, ...listNames(fleet, stop)])
     .with({ kind: 'roll-out' }, ({ service }) => listOldest(fleet, service).map(({ name }) => name))
     .with({ kind: 'instances-in-turn' }, ({ kind }) => [kind])
     .with({ kind: 'link' }, (link) => [getLink(fleet, link).name])
@@ -305,9 +312,10 @@
     .with({ kind: 'endpoints' }, ({ index, count: length }) =>
       fleet.endpoints.slice(index, index + length),
     )
-    .with({ kind: 'service' }, ({ index }) =>
-      fleet.endpoints.filter((endpoint) => endpoint.service === SERVICES[index]),
-    )
+    .with({ kind: 'service' }, ({ index, spared = 0 }) => {
+      const served = fleet.endpoints.filter((endpoint) => endpoint.service === SERVICES[index]);
+      return served.slice(0, served.length - spared);
+    })
     .with({ kind: 'data-centre' }, ({ index }) =>
       fleet.instances.filter((instance) => instance.dataCentre === DATA_CENTRES[index]),
     )
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -90,16 +90,18 @@
     kind,
     `${taken} of ${ended}`,
   ]);
-  const ends = Object.entries(result.ends).map(([kind, { sound, cut, late, early, taken }]) => [
-    kind,
-    `${cut} of ${sound} (${late} at the limit), ${taken} of ${early}`,
-  ]);
+  const ends = Object.entries(result.ends).map(([kind, count]) => {
+    const { sound, cut, late, early, taken, answers, mixed } = count;
+    return [
+      kind,
+      `${cut} of ${sound} (${late} at the limit), ${taken} of ${early}, ${mixed} of ${answers}`,
+    ];
+  });
   const counted = {
     ...{ faults, 'false ends': falseEnds, behaviours, checks, outcomes },
-    'sound answers cut, early ends taken for whole': Object.fromEntries(ends) as Record<
-      string,
-      string
-    >,
+    'sound answers cut, early ends taken for whole, answers with wrong events': Object.fromEntries(
+      ends,
+    ) as Record<string, string>,
     'early ends taken for whole': Object.fromEntries(earlyEnds) as Record<string, string>,
   };
   const tables = Object.entries(counted).flatMap(([title, counts]) => [
--- a/packages/replay/src/soak/plan.ts
+++ b/packages/replay/src/soak/plan.ts
@@ -9,13 +9,14 @@
 export type Target =
   | { kind: 'instance'; index: number }
   | { kind: 'endpoints'; index: number; count: number }
-  | { kind: 'service'; index: number }
+  /** All endpoints of a service but the last `spared` ones. */
+  | { kind: 'service'; index: number; spared?: number }
   | { kind: 'data-centre'; index: number }
   | { kind: 'all-instances' };
 
 /** A signal and the time to wait before it is sent. */
 export interface PlannedSignal {
-  signal: 'SIGTERM' | 'SIGINT' | 'SIGHUP' | 'SIGSTOP' | 'SIGCONT' | 'SIGKILL';
+  signal: 'SIGTERM' | 'SIGINT' | 'SIGHUP' | 'SIGSTOP' | 'SIGCONT' | 'SIGKILL' | 'SIGQUIT';
   wait: Milliseconds;
 }
 
@@ -38,6 +39,8 @@
     }
   /** Endpoints end their answers in order; `pause` is the time until they serve on or start again. */
   | { kind: 'orderly-end'; target: Target; end: OrderlyEnd; pause: Milliseconds }
+  /** The streams' routes move to the other service while an endpoint is stopped and starts again. */
+  | { kind: 'moved-routes'; stop: SignalFault }
   /** Endpoints of a new version join a service, then those of its oldest version leave. */
   | { kind: 'roll-out'; service: number }
   /** All instances are stopped in order and started again, one after the other. */
@@ -192,6 +195,35 @@
     const target = { kind: 'endpoints' as const, index, count };
     return { kind: 'orderly-end', target, end, pause: drawLength(random) };
   },
+  // As `endpoint-ends-early`, but one endpoint that exits each time.
+  'endpoint-ends-and-exits': (random, size) => ({
+    kind: 'orderly-end',
+    target: { kind: 'endpoints', index: random.integer(0, size.endpoints - 1), count: 1 },
+    end: {
+      reason: draw(random, ['exit', 'leaving']),
+      delay: random.integer(0, ENDING_DELAY_MAX_MS),
+      exitAfter: random.integer(0, ENDING_DELAY_MAX_MS),
+    },
+    pause: drawLength(random),
+  }),
+  // All endpoints that streams have, or all but one, end each stream at the same event and live on.
+  'endpoints-end-early': (random) => {
+    const length = drawLength(random);
+    const delay = random.integer(0, ENDING_DELAY_MAX_MS);
+    const target = { kind: 'service' as const, index: 0, spared: random.integer(0, 1) };
+    return {
+      kind: 'orderly-end',
+      target,
+      end: { reason: 'same-event', delay, length },
+      pause: length,
+    };
+  },
+  'endpoint-torn-event': stopEndpoint(() => [send('SIGQUIT')]),
+  'routes-move': (random, size) => {
+    const drawSignals = () => [send(draw(random, ['SIGTERM', 'SIGKILL']))];
+    const renewed = { ...stopEndpoint(drawSignals)(random, size), isRenewed: true };
+    return { kind: 'moved-routes', stop: renewed };
+  },
   'instances-in-turn': (random, { instances }) => ({
     kind: 'instances-in-turn',
     stops: Array.from({ length: instances }, (_, index) =>
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -176,7 +176,7 @@
   const socketCallers = startSocketCallers({ ...base, evidence, count: sockets, hasUnreadable });
   const operating = operator.run();
   const playing: Promise<void>[] = [];
-  const injector = createInjector(fleet, evidence);
+  const injector = createInjector(fleet, evidence, operator);
   evidence.onCrash = (name) => playing.push(injector.restart(name));
   for (const planned of run.plan) {
     await waitUntil(planned.at);
--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -20,7 +20,13 @@
     Partial<
       Pick<
         SoakOptions,
-        'earlyEnds' | 'awaitedEnds' | 'apartShare' | 'olderRevision' | 'callers' | 'sockets'
+        | 'earlyEnds'
+        | 'awaitedEnds'
+        | 'apartShare'
+        | 'olderRevision'
+        | 'callers'
+        | 'sockets'
+        | 'hasReplicas'
       >
     >,
   endpoints = 4,
@@ -122,6 +128,22 @@
   TIMEOUT_MS,
 );
 
+// Streams break off in the middle of events, and their callers take them up, while versions and services change.
+test(
+  'seed 1: no stream holds wrong events beside torn ones, moved routes and take-ups',
+  async () => {
+    const times = { length: 20_000, calm: 3000 };
+    const faults = ['endpoint-torn-event', 'routes-move', 'roll-out', 'endpoint-renewed'];
+    const ends = { earlyEnds: ['take-ups' as const], hasReplicas: true };
+    const result = await soak({ seed: 1, ...times, faults, ...ends, hasAnswerFaults: false }, 8);
+    expect(describeFailures(result)).toEqual([]);
+    expect(Object.keys(result.faults).length).toBeGreaterThan(2);
+    expect(result.checks['one-version']).toBeGreaterThan(20);
+    expect(Object.values(result.ends).map(({ mixed }) => mixed)).toEqual([0, 0, 0]);
+  },
+  TIMEOUT_MS,
+);
+
 let soakOfEarlyEnds: Promise<SoakResult> | undefined;
 
 // Endpoints that are stopped, leave, have no room or preempt end their answers in order; some forget streams.
--- a/packages/replay/test/soakEvidence.test.ts
+++ b/packages/replay/test/soakEvidence.test.ts
@@ -1,5 +1,5 @@
 import { createSystemClock } from '@pomeloroad/core';
-import { CALLER_LEFT, createCallerAnswer, PlatformBounds } from '@pomeloroad/standins';
+import { CALLER_LEFT, createCallerAnswer, PlatformBounds, renderEvent } from '@pomeloroad/standins';
 import type { Work } from '@pomeloroad/standins';
 import { createEvidence } from '../src/soak/evidence';
 import type { EarlyEndCount } from '../src/soak/endChecks';
@@ -152,14 +152,15 @@
     evidence.addLine(id, JSON.stringify(line)),
   );
   record.endedAt = SENT_AT + length;
-  const answer = { ...createCallerAnswer(), status: 200, body: 'id: 1\n\n' };
+  const body = renderEvent(record.id, 1, 'v1');
+  const answer = { ...createCallerAnswer(), status: 200, body };
   record.answer = { ...answer, looksComplete, ...(error === undefined ? {} : { error }) };
   evidence.judge(true);
   const failed = evidence.failures.filter(({ check }) => check === 'whole-cut');
   return { ends: evidence.ends, failed: failed.length };
 }
 
-const NO_ENDS = { sound: 1, cut: 0, late: 0, early: 0, taken: 0 };
+const NO_ENDS = { sound: 1, cut: 0, late: 0, early: 0, taken: 0, answers: 1, mixed: 0 };
 
 test.each([
   ['is cut', 'stream', false, 200, 'aborted', { 'resumable stream': { ...NO_ENDS, cut: 1 } }],
@@ -181,6 +182,37 @@
   expect(judgeSentAnswer(route, looksComplete, length, error)).toEqual({ ends, failed });
 });
 
+// The caller gets the events after it was sent to two endpoints.
+function judgeEvents(route: string, body: string) {
+  const clock = { ...createSystemClock(), now: () => new Date(SENT_AT) };
+  const evidence = createEvidence(clock);
+  const record = { ...createRecord(), work: { ...WORK, route }, endedAt: SENT_AT + 200 };
+  evidence.open(record);
+  const arrival = { path: '', after: 0, account: 'rich', version: 'v1', body: '' };
+  ['endpoint-1', 'endpoint-2'].forEach((id) => {
+    const step = { request: record.id, run: 1, at: new Date(SENT_AT).toISOString(), id };
+    evidence.addLine(id, JSON.stringify({ event: 'run', ...step, ...arrival }));
+  });
+  Object.assign(record, { answer: { ...createCallerAnswer(), status: 200, body } });
+  evidence.judge(true);
+  return Object.entries(evidence.ends).map(([kind, { answers, mixed }]) => [kind, answers, mixed]);
+}
+
+const [FIRST, SECOND, THIRD] = [1, 2, 3].map((each) => renderEvent('c8-11', each, 'model/v1'));
+
+test.each([
+  ['missing', [FIRST, THIRD], 1],
+  ['twice', [FIRST, SECOND, SECOND], 1],
+  ['of another request', [FIRST, renderEvent('c8-12', 2, 'model/v1')], 1],
+  ['of another version', [FIRST, renderEvent('c8-11', 2, 'model/v2')], 1],
+  ['of another service', [FIRST, renderEvent('c8-11', 2, 'board/v1')], 1],
+  ['right', [FIRST, SECOND], 0],
+])('events that are %s count by the kind of request', (_, events, mixed) => {
+  const body = events.join('');
+  expect(judgeEvents('stream', body)).toEqual([['resumable stream', 1, mixed]]);
+  expect(judgeEvents('stream-once', body)).toEqual([['other stream', 1, mixed]]);
+});
+
 // An endpoint announces that it leaves, runs a request and is started again at the Unix times.
 function judgeAfterDeparture(restarts: number[], ranAt: number, waited = 0): string[] {
   let now = SENT_AT;
