--- a/packages/budgets/src/escrowSizing.ts
+++ b/packages/budgets/src/escrowSizing.ts
@@ -1,3 +1,4 @@
+import { MS_PER_SECOND } from '@pomeloroad/core';
 import type { Milliseconds, Tokens } from '@pomeloroad/core';
 
 /** What the target size of an instance's grant depends on. */
@@ -36,7 +37,6 @@
 const RETURN_RATIO_MIN = 1.4;
 /** Return ratio in a large fleet with an ample budget: the rate falls by so much within some 10 s. */
 const RETURN_RATIO_MAX = 8;
-const MS_PER_SECOND = 1000;
 /** Largest part of the unallocated tokens for one instance; an account's callers use only a few. */
 const INSTANCE_MAX_RATIO = 0.6;
 /** Part of the unallocated tokens held by all instances whatever their rates, for sudden cuts. */
--- a/packages/budgets/src/rate.ts
+++ b/packages/budgets/src/rate.ts
@@ -1,7 +1,6 @@
+import { MS_PER_SECOND } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 
-const MS_PER_SECOND = 1000;
-
 /** An exponentially weighted moving average of a rate. */
 export interface RateMeter {
   /** Counts an amount as of now. */
--- a/packages/core/src/clock.ts
+++ b/packages/core/src/clock.ts
@@ -1,5 +1,7 @@
 import type { Clock, Milliseconds, Random, Timer } from './types';
 
+/** Milliseconds in a second. */
+export const MS_PER_SECOND: Milliseconds = 1000;
 /** Longest delay of Node's timers; a longer one fires at once. */
 const TIMER_MAX_MS: Milliseconds = 2 ** 31 - 1;
 
--- a/packages/core/src/lineWriter.ts
+++ b/packages/core/src/lineWriter.ts
@@ -1,10 +1,10 @@
 import { write } from 'node:fs';
+import { MS_PER_SECOND } from './clock';
 import { pauseProcess, writeBeforeExit } from './exitWrite';
 import type { Importance } from './log';
 import type { Clock, Milliseconds } from './types';
 
 const FLUSH_DELAY_MS = 100;
-const MS_PER_SECOND = 1000;
 /** Limit of the buffer while the reader is slow or gone; further lines are dropped. */
 const BUFFER_LIMIT_BYTES = 262_144;
 /** Refill rate and burst size of the rate limit; further lines are dropped and counted. */
--- a/packages/entry/src/answerWriter.ts
+++ b/packages/entry/src/answerWriter.ts
@@ -1,12 +1,10 @@
 import type { ServerResponse } from 'node:http';
-import { cutResponse, endWithConnection, writeJson } from '@pomeloroad/core';
+import { cutResponse, endWithConnection, MS_PER_SECOND, writeJson } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import { RefusalStatus } from '@pomeloroad/requests';
 import type { AnswerEnd, AnswerEvent, Refusal } from '@pomeloroad/requests';
 import { CallerHeader } from './callerHeaders';
 
-const MS_PER_SECOND = 1000;
-
 /** How an answer is sent to its caller. */
 export interface Delivery {
   form: 'json' | 'events' | 'service';
--- a/packages/replay/src/bench.ts
+++ b/packages/replay/src/bench.ts
@@ -1,5 +1,5 @@
 import sade from 'sade';
-import { createSystemClock } from '@pomeloroad/core';
+import { createSystemClock, MS_PER_SECOND } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { createMetrics } from '@pomeloroad/telemetry';
 import type { Histogram } from '@pomeloroad/telemetry';
@@ -12,7 +12,6 @@
 import { startTestbed } from './testbed';
 import type { Testbed, TestbedInstance } from './testbed';
 
-const MS_PER_SECOND = 1000;
 const BUDGET_TOKENS = 1_000_000_000;
 const WARM_UP_MS = 1500;
 const WARM_UP_CONCURRENCY = 16;
--- a/packages/replay/src/byteRelay.ts
+++ b/packages/replay/src/byteRelay.ts
@@ -1,7 +1,7 @@
 import type net from 'node:net';
+import { MS_PER_SECOND } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 
-const MS_PER_SECOND = 1000;
 const NO_BYTES = Buffer.alloc(0);
 
 /** How a connection ends: closed in order, reset, or closed in order towards the receiver only. */
--- a/packages/replay/src/controlBench.ts
+++ b/packages/replay/src/controlBench.ts
@@ -1,5 +1,5 @@
 import sade from 'sade';
-import { createSystemClock } from '@pomeloroad/core';
+import { createSystemClock, MS_PER_SECOND } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { Deployment } from './deployments';
 import { topUp } from './operatorActions';
@@ -9,7 +9,6 @@
 import { startTestbed } from './testbed';
 import type { Testbed } from './testbed';
 
-const MS_PER_SECOND = 1000;
 const SETTLE_DELAY_MS = 4000;
 const MEASURE_MS = 8000;
 const CONNECT_POLL_MS = 250;
--- a/packages/replay/src/judge.ts
+++ b/packages/replay/src/judge.ts
@@ -1,4 +1,4 @@
-import { hashText } from '@pomeloroad/core';
+import { hashText, MS_PER_SECOND } from '@pomeloroad/core';
 import { generateAnswer } from '@pomeloroad/standins';
 import type { Attempt } from './callers';
 import type { Evidence } from './evidence';
@@ -11,7 +11,6 @@
 
 /** Time during which an endpoint that is leaving may still receive new requests. */
 const LEAVING_GRACE_MS = 2000;
-const MS_PER_SECOND = 1000;
 
 /** The figures of a replay. */
 export interface Verdict {
--- a/packages/replay/src/main.ts
+++ b/packages/replay/src/main.ts
@@ -1,5 +1,5 @@
 import sade from 'sade';
-import { createSystemClock } from '@pomeloroad/core';
+import { createSystemClock, MS_PER_SECOND } from '@pomeloroad/core';
 import { Deployments } from './deployments';
 import { FaultNames, parseFaults } from './faultNames';
 import { MUST_BE_ZERO } from './judge';
@@ -10,7 +10,6 @@
 import { prepareTrace } from './prepareTrace';
 import { readTrace } from './trace';
 
-const MS_PER_SECOND = 1000;
 const EXIT_CHECK_FAILED = 1;
 const EXIT_USAGE = 2;
 
--- a/packages/replay/src/sweep.ts
+++ b/packages/replay/src/sweep.ts
@@ -1,6 +1,6 @@
 import { writeFileSync } from 'node:fs';
 import sade from 'sade';
-import { createSystemClock } from '@pomeloroad/core';
+import { createSystemClock, MS_PER_SECOND } from '@pomeloroad/core';
 import type { Clock } from '@pomeloroad/core';
 import type { Deployment } from './deployments';
 import { Deployments } from './deployments';
@@ -12,8 +12,6 @@
 import { runReplay } from './replay';
 import { readTrace } from './trace';
 
-const MS_PER_SECOND = 1000;
-
 /** Figures of the table besides those that must be 0. */
 const SHOWN_FIGURES: (keyof Verdict)[] = [
   'answered',
--- a/packages/routing/src/candidates.ts
+++ b/packages/routing/src/candidates.ts
@@ -1,9 +1,8 @@
+import { MS_PER_SECOND } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import { hasCapacity } from './choose';
 import type { EndpointView } from './types';
 
-const MS_PER_SECOND = 1000;
-
 /** Returns the candidates to which a request may be sent now. */
 export function findAvailable(candidates: EndpointView[]): EndpointView[] {
   return candidates.filter(hasCapacity).filter(isAttemptAllowed).filter(isDue);
--- a/packages/routing/src/endpointEntry.ts
+++ b/packages/routing/src/endpointEntry.ts
@@ -1,4 +1,4 @@
-import { Diagnostics } from '@pomeloroad/core';
+import { Diagnostics, MS_PER_SECOND } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
 import type { Reachability } from './reachability';
@@ -14,7 +14,6 @@
 const STALL_TIMEOUT_MS = 600;
 /** Must be shorter than the time within which a leaving endpoint must get no new requests. */
 const LOAD_REPORT_MAX_AGE_MS = 1500;
-const MS_PER_SECOND = 1000;
 
 /** Dependencies of an endpoint's entry. */
 export interface EndpointEntryHost {
--- a/packages/standins/src/platformFiles.ts
+++ b/packages/standins/src/platformFiles.ts
@@ -1,3 +1,4 @@
+import { MS_PER_SECOND } from '@pomeloroad/core';
 import { REPLICA_TTL_MS } from './replicas';
 
 /** Bounds of the platform that instances and checks share, in milliseconds where not named. */
@@ -11,7 +12,6 @@
   retryExtra: 56,
 } as const;
 
-const MS_PER_SECOND = 1000;
 /** Ports for connections between instances. */
 const FIRST_PEER_PORT = 7340;
 const LAST_PEER_PORT = 7355;
--- a/packages/storage/src/batchTable.ts
+++ b/packages/storage/src/batchTable.ts
@@ -1,12 +1,11 @@
 import { Err, Ok } from 'ts-results';
-import { sleep, jitter } from '@pomeloroad/core';
+import { jitter, MS_PER_SECOND, sleep } from '@pomeloroad/core';
 import type { Clock, Milliseconds, Outcome, Random } from '@pomeloroad/core';
 import type { CommitError, Table, Transaction } from './types';
 
 /** Maximum number of rows that the table service accepts in one transaction. */
 export const MAX_ROWS_PER_TRANSACTION = 100;
 
-const MS_PER_SECOND = 1000;
 const MAX_BATCHES_IN_FLIGHT = 4;
 /** Batches that may be sent at once after an idle time, beyond the average rate. */
 const BURST_BATCHES = 10;
