Stated limits: a limit that ends while its row is being written does not come back

What callers saw: nothing that we know of; found by reading, shown without network. An answer without the limit came while the store was writing the row. There was no row to remove yet, so none was removed; the feed then told the row, and all instances kept to a limit that had ended until the next answer without it.

Fix: such a row tells nothing, and is removed as soon as the write is answered or given up. A row of another instance that comes after the removal counts again. `write` is split into what is to be done, `put` and `remove`.

--- a/packages/forwarding/src/limits/statedLimits.ts
+++ b/packages/forwarding/src/limits/statedLimits.ts
@@ -1,6 +1,13 @@
 import { Diagnostics, runPeriodically, sleep } from '@pomeloroad/core';
 import type { Clock, Diagnostic, Log, Milliseconds, Random } from '@pomeloroad/core';
-import type { RowChange, RowStore, RowView, StoreEra, StoreVersion } from '@pomeloroad/storage';
+import type {
+  RowChange,
+  RowKey,
+  RowStore,
+  RowView,
+  StoreEra,
+  StoreVersion,
+} from '@pomeloroad/storage';
 import type { SharedFeed } from '../store/sharedFeed';
 import { createToldVersion } from '../store/toldVersion';
 import { decodeStatedLimit, encodeStatedLimit, getStatedLimitKey } from './statedLimitRows';
@@ -57,6 +64,10 @@
   const known = new Map<string, KnownLimit>();
   /** Limits in the rows of the store, by the rows' keys. */
   const stored = new Map<string, StatedLimitRow>();
+  /** Endpoints whose limits are being written. */
+  const writing = new Set<string>();
+  /** Those of them whose limits have ended since; their rows are to be removed and tell nothing. */
+  const endedSince = new Set<string>();
   let era: StoreEra | undefined;
 
   function set(endpoint: string, limit: number): void {
@@ -85,6 +96,7 @@
     if (value !== undefined && !row) log(Diagnostics.rowUnreadable, { table, key });
     if (row) {
       stored.set(key, row);
+      if (endedSince.has(row.endpoint)) return;
       const limit = known.get(row.endpoint)?.limit;
       if (limit === undefined || !isSame(limit, row.limit)) set(row.endpoint, row.limit);
       return;
@@ -113,28 +125,47 @@
 
   async function write(endpoint: string): Promise<void> {
     await sleep(clock, random.integer(0, WRITE_DELAY_MAX_MS));
-    const key = getStatedLimitKey(kind.partition, endpoint);
     const named = known.get(endpoint);
-    const limit = named?.limit;
+    const row = stored.get(getKey(endpoint).key);
+    if (!named) {
+      if (row) await remove(endpoint);
+    } else if (!row || !isSame(row.limit, named.limit)) {
+      await put(endpoint, named);
+    }
+  }
+
+  async function put(endpoint: string, named: KnownLimit): Promise<void> {
+    const key = getKey(endpoint);
+    const row = { endpoint, limit: named.limit };
+    const puts = [{ ...key, value: encodeStatedLimit(row) }];
+    writing.add(endpoint);
+    const written = await rows.transact({ checks: [], puts, removals: [] });
+    writing.delete(endpoint);
+    if (written.ok && told.includes(written.val)) endRemoved(endpoint, named, written.val);
+    else if (written.ok) stored.set(key.key, row);
+    if (endedSince.has(endpoint)) await remove(endpoint);
+  }
+
+  async function remove(endpoint: string): Promise<void> {
+    const key = getKey(endpoint);
+    const written = await rows.transact({ checks: [], puts: [], removals: [key] });
+    if (written.ok && !told.includes(written.val)) stored.delete(key.key);
+    // A row that is there yet is that of another instance.
     const row = stored.get(key.key);
-    if (limit === undefined ? !row : row && isSame(row.limit, limit)) return;
-    const puts =
-      limit === undefined ? [] : [{ ...key, value: encodeStatedLimit({ endpoint, limit }) }];
-    const removals = limit === undefined ? [key] : [];
-    const written = await rows.transact({ checks: [], puts, removals });
-    if (written.err) return;
-    if (told.includes(written.val)) endRemoved(endpoint, named, written.val);
-    else if (limit === undefined) stored.delete(key.key);
-    else stored.set(key.key, { endpoint, limit });
+    if (endedSince.delete(endpoint) && row) set(endpoint, row.limit);
   }
 
   // The feed may tell that a row is gone without having told that it was written.
-  function endRemoved(endpoint: string, named: KnownLimit | undefined, at: StoreVersion): void {
-    const isStored = stored.has(getStatedLimitKey(kind.partition, endpoint).key);
+  function endRemoved(endpoint: string, named: KnownLimit, at: StoreVersion): void {
+    const isStored = stored.has(getKey(endpoint).key);
     const isNamedSince = known.get(endpoint) !== named;
     if (!isStored && !isNamedSince && at.era === era) end(endpoint);
   }
 
+  function getKey(endpoint: string): RowKey {
+    return getStatedLimitKey(kind.partition, endpoint);
+  }
+
   async function review(): Promise<void> {
     applyLimits();
     const gone = [...known.keys()].filter((endpoint) => !host.isListed(endpoint));
@@ -152,12 +183,14 @@
     note(endpoint, limit, sentAt) {
       const before = known.get(endpoint);
       if (limit !== undefined) {
+        endedSince.delete(endpoint);
         set(endpoint, limit);
         if (!before) write(endpoint);
         return;
       }
       // Answers on other connections may overtake each other: this one may be from before the limit.
       if (!before || sentAt < before.namedAt) return;
+      if (writing.has(endpoint)) endedSince.add(endpoint);
       end(endpoint);
       write(endpoint);
     },
--- a/packages/forwarding/test/statedLimits.test.ts
+++ b/packages/forwarding/test/statedLimits.test.ts
@@ -144,3 +144,45 @@
   await clock.advance(REVIEW_TIME_MS);
   expect(countWrites()).toBe(1);
 });
+
+test.each(['before', 'after'])(
+  'a limit that ends while its row is written, told %s the answer, is removed',
+  async (order) => {
+    const { clock, note, tell, answer, countWrites, list } = await write();
+    note('e/1', undefined, clock.elapsed());
+    await clock.advance(WRITE_TIME_MS);
+    if (order === 'before') tell(createRow(5, 10));
+    await answer({ era: 1, revision: 5 });
+    if (order === 'after') tell(createRow(5, 10));
+    expect(countWrites()).toBe(2);
+    await answer({ era: 1, revision: 6 });
+    tell(createRemoval(6));
+    expect(list()).toEqual({});
+    await clock.advance(REVIEW_TIME_MS);
+    expect(countWrites()).toBe(2);
+  },
+);
+
+test('a limit that ends and is named again while its row is written stays', async () => {
+  const { clock, note, answer, countWrites, list } = await write();
+  note('e/1', undefined, clock.elapsed());
+  note('e/1', 10, clock.elapsed());
+  await answer({ era: 1, revision: 5 });
+  await clock.advance(REVIEW_TIME_MS);
+  expect(list()).toEqual({ 'e/1': 10 });
+  expect(countWrites()).toBe(1);
+});
+
+test('a limit that another instance writes after the removal of one that has ended is known', async () => {
+  const { clock, note, tell, answer, countWrites, list } = await write();
+  note('e/1', undefined, clock.elapsed());
+  await answer({ era: 1, revision: 5 });
+  expect(countWrites()).toBe(2);
+  tell(createRow(5, 10));
+  expect(list()).toEqual({});
+  tell(createRow(7, 20));
+  await answer({ era: 1, revision: 6 });
+  await clock.advance(REVIEW_TIME_MS);
+  expect(list()).toEqual({ 'e/1': 20 });
+  expect(countWrites()).toBe(2);
+});
