Streams: endpoints in the same trouble do not confirm each other's early ends

Cause: whoever sends the caller's last event again confirms an end, by ending there too or by an empty answer to what follows. An endpoint that ends its own streams early for a cause common to many does just that. The question went to any endpoint, also to those that had just ended streams of their own some time after the last event.

Change: - An end is asked about first of endpoints that have no doubted end of their own; nobody waits for a slot of such a one. - Once an end of a service came too early, only endpoints confirm others that have brought new events since, or whose ends such ones have confirmed; they are asked first.

Ruled out: that the sound endpoint can't be asked. It could, on both routes. An endpoint that could not go on with the stream of another one, and had brought nothing of it, does not count as early for its service.

Conclusion: an endpoint confirms only while its own record and that of its service allow it. Where the first endpoints that are asked are all in the trouble and nobody has shown it yet, a false end can still be confirmed.

--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -4,14 +4,8 @@
 import type { SentAttempt } from './sentAttempt';
 import { sendWithRetries } from './attempts';
 import { noteOpenEnd, noteResumption, reportEnd } from '../ends/endReport';
-import {
-  combineEnds,
-  concludeEnd,
-  judgeSource,
-  mayLackEvents,
-  mayStayOpen,
-  renewEnd,
-} from '../ends/streamEnd';
+import { combineEnds, renewEnd } from '../ends/confirmation';
+import { concludeEnd, judgeSource, mayLackEvents, mayStayOpen } from '../ends/streamEnd';
 import type { EndStep, SourceEnd, StreamEnd } from '../ends/streamEnd';
 import { createPace } from './pace';
 import type { Pace } from './pace';
--- a/packages/forwarding/src/ends/endHistory.ts
+++ b/packages/forwarding/src/ends/endHistory.ts
@@ -1,3 +1,6 @@
+import { createConfirmers } from './confirmers';
+import type { Confirmers } from './confirmers';
+
 /** Maximum number of services, and of endpoints, that are remembered; the longest known is forgotten first. */
 const NAMES_MAX = 1000;
 
@@ -39,6 +42,12 @@
   endsEarly(endpoint: string): boolean;
   /** Returns the names of the endpoints of which that holds. */
   listEarly(): Iterable<string>;
+  /** Notes whether something speaks against the latest end of a stream that the endpoint brought events of. */
+  noteDoubt(endpoint: string, isDoubted: boolean): void;
+  /** Returns the names of the endpoints whose latest such end is doubted and was not confirmed. */
+  listDoubted(): Iterable<string>;
+  /** Which endpoints may confirm ends. */
+  confirmers: Confirmers;
   /** Notes that an endpoint of the service has ended a stream, and whether apart from its last event. */
   noteEnd(service: string, isApart: boolean): void;
   /** Notes whether another endpoint had more after an end apart from the last event. */
@@ -56,15 +65,24 @@
 export function createEndHistory(): EndHistory {
   const closing = new Set<string>();
   const early = new Set<string>();
+  const doubted = new Set<string>();
+  const confirmers = createConfirmers();
   const counts = new Map<string, EndCount>();
   return {
+    confirmers,
     noteStatement: (service) => closing.delete(service),
     noteConfirmedClose: (service) => remember(closing, service),
     endsByClose: (service) => closing.has(service),
     noteChecked(endpoint, isEarly) {
       if (isEarly) remember(early, endpoint);
       else early.delete(endpoint);
+      if (!isEarly) doubted.delete(endpoint);
+    },
+    noteDoubt(endpoint, isDoubted) {
+      if (isDoubted) remember(doubted, endpoint);
+      else doubted.delete(endpoint);
     },
+    listDoubted: () => doubted,
     endsEarly: (endpoint) => early.has(endpoint),
     listEarly: () => early,
     noteEnd(service, isApart) {
--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -143,10 +143,10 @@
 ): EndReason | undefined {
   const { framing } = end;
   if (route.kind !== 'streaming') return undefined;
-  // A close is a step of its own, which comes later.
-  if (framing !== 'close' && isApartFromEvent(end)) return 'apart from last event';
   if (framing === 'close' && !endHistory.endsByClose(service)) return 'not stated';
-  return endHistory.endsEarly(endpoint) ? 'endpoint ended early' : undefined;
+  if (endHistory.endsEarly(endpoint)) return 'endpoint ended early';
+  // A close is a step of its own, which comes later.
+  return framing !== 'close' && isApartFromEvent(end) ? 'apart from last event' : undefined;
 }
 
 /** Returns whether a stream has ended some time after its last event. */
--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -1,4 +1,3 @@
-import { match } from 'ts-pattern';
 import { logFailure } from '../attempts/attempt';
 import { isRetryable } from '../attempts/patience';
 import { isConfirmationPoint } from '../attempts/resumePoint';
@@ -59,11 +58,16 @@
   // One that was asked for what follows and sent anything that is left out is not where the caller is.
   const hasSent = isConfirmation && attempt.pauses.getFirst() !== undefined;
   const hasRepeated = stream.hasRepeated() || hasSent;
+  const { slot, endpoint: record } = attempt;
+  const { name: endpoint } = slot.endpoint;
+  const { endHistory } = run.host;
+  const hasEnded = !isEmpty && step !== undefined && step.kind !== 'broken';
+  // Until it is judged too, so that ends of several endpoints at one moment are asked of others.
+  if (hasEnded) endHistory.noteDoubt(endpoint, true);
   const judged = await judgeStep(run, attempt, step, { hasRepeated, isConfirmation });
   const isInOrder = judged.ownEnd !== 'broken';
   const end = isInOrder && isEmpty && !hasRepeated ? 'doubtful' : judged.ownEnd;
-  const { slot, endpoint: record } = attempt;
-  const { name: endpoint } = slot.endpoint;
+  if (hasEnded) endHistory.noteDoubt(endpoint, end !== 'complete');
   return { ...judged, end, endpoint, record, isEmpty, hasRepeated, isConfirmation };
 }
 
@@ -82,6 +86,7 @@
   rememberEnd(run, attempt, step);
   if (step.kind === 'complete') {
     run.host.endHistory.noteStatement(run.request.service);
+    run.host.endHistory.confirmers.noteEnd(run.request.service);
     // An answer to what follows the last event has no event of its own to end with.
     if (!isConfirmation) run.host.endHistory.noteEnd(run.request.service, isApartFromEvent(step));
   }
@@ -94,9 +99,11 @@
   return { ownEnd: judgeReason(run, attempt.slot.endpoint.name, reason), reason, fault };
 }
 
-// A doubtful end leaves the answer open. Where nobody can be asked for the rest, only one that the time limit may have
-// caused does, as such an answer comes late in any case.
-function judgeReason<Payload>(
+/**
+ * Returns what an end in order is worth by what speaks against it. A doubtful one leaves the answer open. Where nobody can
+ * be asked for the rest, only one that the time limit may have caused does, as such an answer comes late in any case.
+ */
+export function judgeReason<Payload>(
   { host: { endHistory }, request: { route, service } }: Run<Payload>,
   endpoint: string,
   reason: EndReason | undefined,
@@ -108,105 +115,6 @@
   return isUsual && !endHistory.endsEarly(endpoint) ? 'unconfirmed' : 'doubtful';
 }
 
-/** Judges the end of an open answer anew, by what is known of the service by now. */
-export function renewEnd<Payload>(run: Run<Payload>, last: SourceEnd): SourceEnd {
-  const { confirmer, host, request } = run;
-  const hasSecond = confirmer !== undefined && confirmer !== last.endpoint;
-  if (hasSecond && host.endHistory.statesEndsLate(request.service)) {
-    run.confirmer = undefined;
-    noteChecked(run, last, false);
-    return { ...last, end: 'complete' };
-  }
-  if (last.end !== 'doubtful' || last.fault !== undefined) return last;
-  return { ...last, end: judgeReason(run, last.endpoint, last.reason) };
-}
-
-/** Returns the end of a stream whose last end was doubted, after what the next endpoint sent. */
-export function combineEnds<Payload>(
-  run: Run<Payload>,
-  last: SourceEnd,
-  next: SourceEnd,
-): SourceEnd {
-  const { endHistory } = run.host;
-  run.confirmer = undefined;
-  if (!next.isEmpty) {
-    noteChecked(run, last, true);
-    return next;
-  }
-  if (mayConfirm(run, last, next)) run.confirmer = next.endpoint;
-  if (!confirms(run, last, next)) return last;
-  const end = next.hasRepeated && !isApart(next) ? confirmEnd(last.end, next.ownEnd) : 'complete';
-  if (end !== 'complete') return { ...next, end };
-  noteChecked(run, last, false);
-  if (last.end === 'closed' && next.ownEnd === 'closed') {
-    endHistory.noteConfirmedClose(run.request.service);
-  }
-  return { ...next, end };
-}
-
-function noteChecked<Payload>(
-  { host: { endHistory }, request: { service } }: Run<Payload>,
-  { end, endpoint, reason }: SourceEnd,
-  isEarly: boolean,
-): void {
-  // An end that the time limit has caused says nothing of the endpoint's next one.
-  if (end === 'broken' || (isEarly && reason === 'near limit')) return;
-  endHistory.noteChecked(endpoint, isEarly);
-  if (reason === 'apart from last event') endHistory.noteCheckedApart(service, isEarly);
-}
-
-// What speaks against the end that is to confirm another one may be what ended it. Two closes confirm each
-// other, as nothing else can where all streams end so.
-function confirmEnd(last: StreamEnd, next: StreamEnd): StreamEnd {
-  if (next !== 'closed') return next;
-  return last === 'broken' || last === 'doubtful' ? 'closed' : 'complete';
-}
-
-// One that stops some time after the repeated event may have been about to send more, and one that had ended the
-// stream before may do so for the same reason again. Both have shown that they could go on, so each is asked once
-// more, for what follows that event.
-function mayConfirm<Payload>(run: Run<Payload>, last: SourceEnd, next: SourceEnd): boolean {
-  if (!next.hasRepeated || next.isConfirmation || next.fault !== undefined) return false;
-  if (isApart(next)) return !confirmsLate(run, last, next);
-  return next.endpoint === last.endpoint && next.ownEnd === 'complete';
-}
-
-// Where endpoints of the service are known to state ends late, a second one that does so at the same event is enough.
-function confirmsLate<Payload>(
-  { host: { endHistory }, request: { service } }: Run<Payload>,
-  last: SourceEnd,
-  next: SourceEnd,
-): boolean {
-  const isSecond = next.hasRepeated && next.endpoint !== last.endpoint;
-  if (!isSecond || !isApart(next) || last.end === 'broken') return false;
-  return last.end === 'unconfirmed' || endHistory.statesEndsLate(service);
-}
-
-function isApart({ reason }: SourceEnd): boolean {
-  return reason === 'apart from last event';
-}
-
-// Where no event can be sent again, two endpoints that send nothing show that there is nothing.
-function confirms<Payload>(run: Run<Payload>, last: SourceEnd, next: SourceEnd): boolean {
-  const { lastEventId, confirmer } = run;
-  if (next.isConfirmation) return next.ownEnd === 'complete' && !next.hasRepeated;
-  if (confirmer !== undefined || next.fault !== undefined) return false;
-  if (isApart(next)) return confirmsLate(run, last, next);
-  const isInOrder = match(next.ownEnd)
-    .with('complete', 'unconfirmed', 'closed', () => true)
-    .with('doubtful', 'broken', () => false)
-    .exhaustive();
-  if (!isInOrder) return false;
-  if (next.hasRepeated) return next.endpoint !== last.endpoint;
-  const isEmptyStream = lastEventId === undefined && last.end !== 'broken';
-  return isEmptyStream && !isSamePlace(last.record, next.record);
-}
-
-// An endpoint that has started again knows as little of the stream as it did before.
-function isSamePlace(left: EndpointRecord | undefined, right: EndpointRecord | undefined): boolean {
-  return left?.id === right?.id || left?.address === right?.address;
-}
-
 /** Returns whether an end in order may be that of the whole stream, as far as its endpoint could tell. */
 export function mayBeWhole({ end, isEmpty, hasRepeated }: SourceEnd): boolean {
   return end !== 'broken' && (!isEmpty || hasRepeated);
--- a/packages/forwarding/test/lateEnds.test.ts
+++ b/packages/forwarding/test/lateEnds.test.ts
@@ -41,6 +41,13 @@
   expect((await forwardTo([APART], {}, 1, history)).calls).toEqual(['begin', 'cut']);
 });
 
+test('an endpoint whose latest checked end came too early does not confirm another late end', async () => {
+  const history = await confirmEnds(3);
+  history.noteChecked('e2/1', true);
+  const { calls } = await forwardTo([APART, REPEATS], {}, 2, history);
+  expect(calls).toEqual(['begin', 'cut']);
+});
+
 test('late ends are known no more once one came too early', async () => {
   const history = await confirmEnds(3);
   await forwardTo([APART, { repeats: true, events: [0] }], {}, 2, history);
