Streams: what an endpoint ends at once, at different events, is doubted

Seen: an endpoint ends three streams in order at one moment, after one or two of three events, and lives on; all three looked complete.

Cause: each end is judged by itself. That several streams of one endpoint end at one moment, at different places, is one event there.

Change: three ends or more within 20 ms at different events, which are more than half of what the endpoint has ended within a second, are a reason to ask another one, and such an endpoint confirms no end for that second. What may not be resumed is passed on as before.

Conclusion: it needs three streams of one endpoint at one instance; with fewer, such ends are still believed.

--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -22,6 +22,7 @@
   | 'not stated'
   | 'apart from last event'
   | 'endpoint ended early'
+  | 'endpoint ended several'
   | 'endpoint failing'
   | 'endpoint leaving'
   | 'endpoint gone';
@@ -137,7 +138,7 @@
 }
 
 function findDoubt<Payload>(
-  { host: { endHistory }, request: { route, service } }: Run<Payload>,
+  { host: { endHistory, recentEnds }, request: { route, service } }: Run<Payload>,
   endpoint: string,
   end: AnswerEnd,
 ): EndReason | undefined {
@@ -145,6 +146,7 @@
   if (route.kind !== 'streaming') return undefined;
   if (framing === 'close' && !endHistory.endsByClose(service)) return 'not stated';
   if (endHistory.endsEarly(endpoint)) return 'endpoint ended early';
+  if (recentEnds.endedAtOnce(endpoint)) return 'endpoint ended several';
   // A close is a step of its own, which comes later.
   return framing !== 'close' && isApartFromEvent(end) ? 'apart from last event' : undefined;
 }
--- a/packages/forwarding/src/ends/recentEnds.ts
+++ b/packages/forwarding/src/ends/recentEnds.ts
@@ -6,6 +6,10 @@
 
 /** Time after an end within which its endpoint's loss makes it doubtful. */
 const RECENT_END_MS: Milliseconds = 1000;
+/** Maximum time between ends that one event at their endpoint has caused. */
+const MOMENT_MS: Milliseconds = 20;
+/** Minimum number of streams that an endpoint has ended at once. */
+const AT_ONCE_MIN = 3;
 /** Maximum number of ends that are remembered; the oldest is forgotten first. */
 const ENDS_MAX = 2000;
 /** Maximum number of requests that one line names. */
@@ -41,6 +45,8 @@
 /** The ends in order that endpoints stated within the last second. */
 export interface RecentEnds {
   add(endpoint: EndpointIdentity, end: RecentEnd): void;
+  /** Whether the endpoint of this name has just ended most of its streams at one moment, at different events. */
+  endedAtOnce(name: string): boolean;
   /** Logs which answers the endpoint of this name has just ended, each of them once. */
   noteFate(name: string, fate: EndpointFate): void;
   /** Returns the log with the same lines, each of which is read for what it tells of an endpoint. */
@@ -88,6 +94,16 @@
       if (ends.length >= ENDS_MAX) ends.shift();
       ends.push({ ...end, endpoint });
     },
+    endedAtOnce(name) {
+      forgetOld();
+      const streams = ends.filter(({ endpoint, events }) => endpoint.name === name && events > 0);
+      return streams.some(({ at }) => {
+        const together = streams.filter((end) => end.at >= at && end.at <= at + MOMENT_MS);
+        const places = new Set(together.map(({ events }) => events));
+        const isMost = together.length >= AT_ONCE_MIN && 2 * together.length > streams.length;
+        return isMost && places.size > 1;
+      });
+    },
     noteFate: (name, fate) => report(fate, (endpoint) => endpoint.name === name),
     watch: (watched) => (event, fields, importance) => {
       watched(event, fields, importance);
--- a/packages/forwarding/test/recentEnds.test.ts
+++ b/packages/forwarding/test/recentEnds.test.ts
@@ -114,3 +114,36 @@
   ends.watch((...line) => passed.push(line))(Diagnostics.endpointFailed, { a: 1 }, 'ordinary');
   expect(passed).toEqual([[Diagnostics.endpointFailed, { a: 1 }, 'ordinary']]);
 });
+
+test.each([
+  ['three streams at different events', [0, 5, 20], [1, 2, 3], true],
+  ['two streams', [0, 5], [1, 2], false],
+  ['three streams at the same event', [0, 5, 20], [3, 3, 3], false],
+  ['three streams one after another', [0, 15, 30], [1, 2, 3], false],
+  ['three answers without events', [0, 5, 20], [0, 0, 0], false],
+  ['three of six', [0, 5, 20, 100, 200, 300], [1, 2, 3, 4, 5, 6], false],
+  ['four of seven', [0, 5, 20, 20, 100, 200, 300], [1, 2, 3, 1, 4, 5, 6], true],
+] satisfies [string, number[], number[], boolean][])(
+  'an endpoint that ends %s has ended them at once: %#',
+  (_, times, events, isAtOnce) => {
+    const { ends } = createStand();
+    const endpoint = { name: 'e/1', id: 'e', born: 1 };
+    times.forEach((at, index) => {
+      ends.add(endpoint, { request: 'r', at, timeLeft: 1800, events: events[index]! });
+    });
+    expect(ends.endedAtOnce('e/1')).toBe(isAtOnce);
+    expect(ends.endedAtOnce('f/1')).toBe(false);
+  },
+);
+
+test('what an endpoint has ended at once is forgotten after a second', async () => {
+  const { clock, ends } = createStand();
+  const endpoint = { name: 'e/1', id: 'e', born: 1 };
+  [1, 2, 3].forEach((events) => {
+    ends.add(endpoint, { request: 'r', at: 0, timeLeft: 1800, events });
+  });
+  await clock.advance(1000);
+  expect(ends.endedAtOnce('e/1')).toBe(true);
+  await clock.advance(1);
+  expect(ends.endedAtOnce('e/1')).toBe(false);
+});
