Streams: a full endpoint confirms an end only by what follows the last event

Cause: nothing was asked of the endpoint's room, though its report tells it.

Change: the report of an endpoint that is about to confirm an end is read (one probe). One that does not tell its memory confirms as before.

Tests: the stand has the room of an endpoint. No check was changed.

--- a/packages/forwarding/src/ends/confirmation.ts
+++ b/packages/forwarding/src/ends/confirmation.ts
@@ -75,13 +75,13 @@
   return !run.course.isAmidTrouble || confirmers.listAble(service).has(endpoint);
 }
 
-// One that stops some time after the repeated event may have been about to send more, and one that had ended the
-// stream before may do so for the same reason again. Both have shown that they could go on, so each is asked once
-// more, for what follows that event.
+// One that stops some time after the repeated event may have been about to send more, one that had ended the stream
+// before may do so for the same reason again, and one that is full may have no room for more. All have shown that they
+// could go on, so each is asked once more, for what follows that event.
 function mayConfirm<Payload>(run: Run<Payload>, last: SourceEnd, next: SourceEnd): boolean {
   if (!next.hasRepeated || next.isConfirmation || next.fault !== undefined) return false;
   if (isApart(next)) return !confirmsLate(run, last, next);
-  return next.endpoint === last.endpoint && next.ownEnd === 'complete';
+  return (next.endpoint === last.endpoint || next.isFull) && next.ownEnd === 'complete';
 }
 
 // Where endpoints of the service are known to state ends late, a second one that does so at the same event is enough.
--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -37,6 +37,11 @@
   hasRepeated: boolean;
   /** Whether the endpoint was asked only for what follows the caller's last event, which it had sent again. */
   isConfirmation: boolean;
+  /**
+   * Whether the endpoint, which has sent nothing but that event, says that its memory is full, so that it may have had
+   * no room for the next one.
+   */
+  isFull: boolean;
   /** What speaks against the end. */
   reason: EndReason | undefined;
   /** What shows that it is not the end of the answer. */
@@ -68,7 +73,18 @@
   const isInOrder = judged.ownEnd !== 'broken';
   const end = isInOrder && isEmpty && !hasRepeated ? 'doubtful' : judged.ownEnd;
   if (hasEnded) endHistory.noteDoubt(endpoint, end !== 'complete');
-  return { ...judged, end, endpoint, record, isEmpty, hasRepeated, isConfirmation };
+  const isRepeat = judged.ownEnd === 'complete' && isEmpty && hasRepeated && !isConfirmation;
+  const room = isRepeat && record ? await run.host.protocol.findRoom(record) : 'untold';
+  return {
+    ...judged,
+    end,
+    endpoint,
+    record,
+    isEmpty,
+    hasRepeated,
+    isConfirmation,
+    isFull: room === 'short',
+  };
 }
 
 async function judgeStep<Payload>(
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -235,6 +235,9 @@
   /** It did not answer in time. */
   | { kind: 'silent' };
 
+/** Whether an endpoint says that its memory has room for more of its runs; `untold` if it does not say. */
+export type RoomState = 'free' | 'short' | 'untold';
+
 /** Opens a TCP connection to the address, `ip:port`, within the timeout. Never rejects. */
 export type Connect = (
   address: string,
@@ -251,6 +254,8 @@
   probe(endpoint: EndpointRecord): Promise<Reachability>;
   /** Asks the endpoint about the run of the request with the id. Costs as much as a probe. */
   findRun(endpoint: EndpointRecord, id: string): Promise<RunState>;
+  /** Asks the endpoint whether it has room. Costs as much as a probe. */
+  findRoom(endpoint: EndpointRecord): Promise<RoomState>;
 }
 
 /** Why a request was refused without an answer from an endpoint. */
--- a/packages/forwarding/test/accountsParts.ts
+++ b/packages/forwarding/test/accountsParts.ts
@@ -125,6 +125,7 @@
     },
     probe: async () => 'accepting',
     findRun: async () => ({ kind: 'untold' }),
+    findRoom: async () => 'untold',
   };
 }
 
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -16,6 +16,7 @@
   EndpointState,
   ForwardHost,
   ForwardRequest,
+  RoomState,
   StreamStep,
 } from '../src';
 import { createEndHistory } from '../src/ends/endHistory';
@@ -37,6 +38,8 @@
   slotAfter?: Milliseconds;
   /** Number of times that it has none at all before. */
   refusals?: number;
+  /** Whether the endpoint says that its memory has room. */
+  room?: RoomState;
   /** State of the endpoint at the end. */
   state?: EndpointState;
   /** Time from the last event to the end, apart from delays on the way. */
@@ -175,7 +178,12 @@
       takeSpare: () => true,
       giveBack: () => {},
     },
-    protocol: { send, probe: async () => 'accepting', findRun: async () => ({ kind: 'silent' }) },
+    protocol: {
+      send,
+      probe: async () => 'accepting',
+      findRun: async () => ({ kind: 'silent' }),
+      findRoom: async ({ id }: { id: string }) => asked.get(id)?.room ?? 'untold',
+    },
     metrics: forwardMetrics,
     endHistory,
     recentEnds,
--- a/packages/forwarding/test/confirmers.test.ts
+++ b/packages/forwarding/test/confirmers.test.ts
@@ -53,6 +53,28 @@
   expect((await forwardTo([LEAVING, NO_MORE], {}, 2, history)).calls).toEqual(['begin', 'cut']);
 });
 
+test.each([
+  ['has no room', { end: 'declined' }, 'cut'],
+  ['breaks off', { end: 'broken' }, 'cut'],
+  ['has nothing more', {}, 'end'],
+] satisfies [string, StandAnswer, string][])(
+  'a full endpoint that %s for what follows the repeated event: %s',
+  async (_, again, end) => {
+    const full: StandAnswer = { repeats: true, room: 'short', again };
+    expect((await forwardTo([LEAVING, full])).calls).toEqual(['begin', end]);
+  },
+);
+
+test('a full endpoint brings the event that follows the repeated one', async () => {
+  const full: StandAnswer = { repeats: true, room: 'short', again: { events: [0, 0] } };
+  expect((await forwardTo([LEAVING, full])).answered).toMatchObject({ code: 5006, events: 3 });
+});
+
+test('an endpoint with room confirms an end without a further question', async () => {
+  const { answered } = await forwardTo([LEAVING, { ...NO_MORE, room: 'free' }]);
+  expect(answered).toMatchObject({ code: 5006, resumptions: 1 });
+});
+
 test('early ends count until three ends are confirmed or twenty have come', () => {
   const confirmers = createConfirmers();
   const troubled = () => confirmers.hasTrouble('s');
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -63,6 +63,7 @@
       },
       probe: async () => probes.shift() ?? 'accepting',
       findRun: async () => ({ kind: 'silent' }),
+      findRoom: async () => 'untold',
     },
     directory: { getFate: () => fate },
     onCrash: (crash) => crashes.push(crash),
--- a/packages/forwarding/test/lapsedEndpoints.test.ts
+++ b/packages/forwarding/test/lapsedEndpoints.test.ts
@@ -75,6 +75,7 @@
       send,
       probe: async () => 'accepting',
       findRun: async () => ({ kind: 'silent' }),
+      findRoom: async () => 'untold',
     }),
     instance: 'one',
     incarnation: 'life-1',
