Streams that may not be resumed: their ends are held until it is known what became of the endpoint

Cause: no exit was looked for after the end of what may not be sent again, since its connection closes in any case; and an end by close was believed unless a probe was refused, so also where nobody could be reached.

Change: the slot is released, the caller has all events, and only the end waits. One question an endpoint and moment decides for all that wait, and only if no sign has come by itself: events of other streams 0.15 s after the end, an answer to a request sent 0.4 s after it. An endpoint that exited unannounced cuts the ends, unless at its death it broke off more streams in chunks than it ended at that moment. Where it is known to leave, nothing is held, as before. An unframed end needs an endpoint that lives. What the limit may have ended is not held; it stays open until then, as before. Where nobody can tell, a stated end is believed (nothing learned within 1.5 s), an unframed one stays open until its limit; a true end within 0.7 s before the unannounced death of an endpoint without other streams here is cut.

Ruled out: breaks of streams with a length as a sign of a death.

Tests changed: answerStand gives its host the new part; answerEnd.test casts its attempt, of which more is read.

--- a/packages/forwarding/src/ends/answerEnd.ts
+++ b/packages/forwarding/src/ends/answerEnd.ts
@@ -1,3 +1,4 @@
+import { match } from 'ts-pattern';
 import { sleep, withTimeout } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import { isRetryable } from '../attempts/patience';
@@ -5,6 +6,7 @@
 import { getTimeLeft } from '../run';
 import type { Run } from '../run';
 import type { AnswerEnd } from '../types';
+import { mayBeLimitEnd } from './limitEnd';
 
 /**
  * An end this close to the deadline counts as one that comes after it: the time limits of callers and
@@ -19,8 +21,13 @@
 /** Time for which the entries of endpoints are read again; a killed endpoint keeps its entry for longer. */
 const REREAD_TIME_MS: Milliseconds = 300;
 
-/** An attempt whose answer has ended. */
-type EndedAttempt = Pick<SentAttempt, 'slot' | 'endpoint'>;
+/** Time from the last event for which the end of a stream is held at most; its caller leaves after 2 s. */
+const HOLD_MAX_MS: Milliseconds = 1500;
+/** Fraction of the time left for which it is held at most, so that the end arrives in time. */
+const HOLD_TIME_LEFT_RATIO = 0.5;
+
+/** What is said of an end whose endpoint has gone. */
+const GONE_MESSAGE = 'closed by an endpoint that accepts no connections any more';
 
 /**
  * Returns why an end in order is not the end of the answer, or `undefined` if nothing shows that it
@@ -28,7 +35,7 @@
  */
 export async function findEndFault<Payload>(
   run: Run<Payload>,
-  attempt: EndedAttempt,
+  attempt: SentAttempt,
   end: AnswerEnd,
 ): Promise<string | undefined> {
   const { slot } = attempt;
@@ -36,12 +43,50 @@
   // A length proves by itself that the answer is complete.
   if (framing === 'length' || framing === 'no body') return undefined;
   if (run.request.deadline - at <= DEADLINE_TOLERANCE_MS) return 'ended at its time limit';
+  if (isSingleStream(run)) {
+    // One that its limit may have ended stays open until then, whatever becomes of its endpoint.
+    return mayBeLimitEnd(run, attempt, end) ? undefined : findSingleStreamFault(run, attempt, end);
+  }
   if (framing === 'chunked' && !(await closesConnection(run, attempt, end))) return undefined;
   if (framing === 'close') slot.release('ok');
   const isGone = await isEndpointGone(run, attempt, framing === 'chunked');
   // An endpoint that leaves may exit after its last answer, but only a stated end tells that it was whole.
   const isDoubtful = isGone && (framing === 'close' || !(await hasLeft(run, attempt)));
-  return isDoubtful ? 'closed by an endpoint that accepts no connections any more' : undefined;
+  return isDoubtful ? GONE_MESSAGE : undefined;
+}
+
+function isSingleStream<Payload>({ request: { route } }: Run<Payload>): boolean {
+  return route.kind === 'streaming' && !isRetryable(route);
+}
+
+/**
+ * As `findEndFault`, for a stream that may not be resumed: nobody else can tell its end, and its connection closes after
+ * it in any case. The caller has all events, so the end is held until it is known what became of the endpoint.
+ */
+async function findSingleStreamFault<Payload>(
+  run: Run<Payload>,
+  attempt: SentAttempt,
+  { framing, sinceEvent = 0 }: AnswerEnd,
+): Promise<string | undefined> {
+  const { endpointLife, metrics } = run.host;
+  const { slot, endpoint } = attempt;
+  slot.release('ok');
+  const isStated = framing === 'chunked';
+  // One that leaves may exit after its last answer, but only a stated end tells that it was whole.
+  if (!endpoint || (isStated && slot.isLeaving())) return undefined;
+  const timeLeft = Math.max(0, getTimeLeft(run));
+  const statedPatience = Math.min(HOLD_MAX_MS - sinceEvent, timeLeft * HOLD_TIME_LEFT_RATIO);
+  const patience = isStated ? Math.max(0, statedPatience) : timeLeft;
+  const verdict = await endpointLife.learn(endpoint, patience, run.stop.signal);
+  metrics.heldEnds.add(1, { verdict, framing });
+  return match(verdict)
+    .with('lives', () => undefined)
+    .with('exited', async () =>
+      isStated && (await hasLeft(run, attempt)) ? undefined : GONE_MESSAGE,
+    )
+    .with('died amid streams', () => (isStated ? undefined : GONE_MESSAGE))
+    .with('unknown', () => (isStated ? undefined : 'closed by an endpoint that nobody reaches'))
+    .exhaustive();
 }
 
 /**
@@ -51,7 +96,7 @@
  */
 async function closesConnection<Payload>(
   { request: { route } }: Run<Payload>,
-  { slot }: EndedAttempt,
+  { slot }: SentAttempt,
   { closes }: AnswerEnd,
 ): Promise<boolean> {
   if (!isRetryable(route)) return false;
@@ -63,7 +108,7 @@
 // Its entry may have told of its leaving just before, and not have been read yet.
 async function hasLeft<Payload>(
   run: Run<Payload>,
-  { slot, endpoint }: EndedAttempt,
+  { slot, endpoint }: SentAttempt,
 ): Promise<boolean> {
   const { clock, directory, refreshEndpoints } = run.host;
   if (slot.isLeaving()) return true;
@@ -80,7 +125,7 @@
  */
 async function isEndpointGone<Payload>(
   run: Run<Payload>,
-  { endpoint }: EndedAttempt,
+  { endpoint }: SentAttempt,
   fallback: boolean,
 ): Promise<boolean> {
   const { clock, directory, protocol } = run.host;
--- /dev/null
+++ b/packages/forwarding/src/ends/incarnationLife.ts
@@ -0,0 +1,190 @@
+import { match } from 'ts-pattern';
+import { sleep, withTimeout } from '@pomeloroad/core';
+import type { Clock, Milliseconds } from '@pomeloroad/core';
+import type { EndpointDirectory } from '../store/endpointDirectory';
+import type { EndpointProtocol, EndpointRecord, Reachability } from '../types';
+
+/** Time within which a process that ends its answers in order exits. */
+const EXIT_TIME_MS: Milliseconds = 400;
+/** Time for which a sign of life is awaited after that, before the endpoint is asked for one. */
+const SIGN_WAIT_MS: Milliseconds = 300;
+/** Fraction of a wait after which the endpoint is asked at the latest. */
+const ASK_RATIO = 0.6;
+/** Time within which a process ends all streams that it has. */
+const ENDS_SPREAD_MS: Milliseconds = 150;
+/** Time between ends that belong to one event at their endpoint. */
+const SAME_MOMENT_MS: Milliseconds = 50;
+/** Pause before an endpoint that could not be reached is asked again. */
+const ASK_AGAIN_MS: Milliseconds = 200;
+/** Maximum of that pause, which doubles. */
+const ASK_AGAIN_MAX_MS: Milliseconds = 1600;
+/** Time for which ends are remembered; longer than an endpoint takes to end streams and to exit. */
+const RETENTION_MS: Milliseconds = 2000;
+
+/**
+ * What became of an endpoint after an end in order: it lives on; it has exited; it has died and broken other streams
+ * off, which one that ends its answers before it exits does not; or nothing could be learned in time.
+ */
+export type LifeVerdict = 'lives' | 'exited' | 'died amid streams' | 'unknown';
+
+/** What is noted of an incarnation. */
+export interface LifeSigns {
+  /** Notes that an event of a stream has arrived that was not kept back here. */
+  noteEvent(): void;
+  /** Notes an answer to a request that was sent at the time of `getTime()`. */
+  noteAnswer(sentAt: Milliseconds): void;
+  /** Notes that a stream that had begun was ended in order by a statement, or broken off. */
+  noteEnd(kind: 'stated' | 'broken'): void;
+}
+
+/** What becomes of one incarnation after the ends that it has stated. */
+export interface IncarnationLife extends LifeSigns {
+  /** As `EndpointLife.learn`. */
+  learn(patience: Milliseconds, signal: AbortSignal): Promise<LifeVerdict>;
+}
+
+/** Dependencies of learning what becomes of an incarnation. */
+export interface IncarnationLifeHost {
+  clock: Clock;
+  /** Returns the time, without that for which this process was held up and read nothing. */
+  getTime(): Milliseconds;
+  probe: EndpointProtocol<unknown>['probe'];
+  directory: Pick<EndpointDirectory, 'getFate'>;
+  /** Aborted when all that wait are to be told at once what can be learned. */
+  hurry: AbortSignal;
+}
+
+/** An end whose endpoint is watched. */
+interface Waiting {
+  endedAt: Milliseconds;
+  /** Time from which on an answer or connection shows that the endpoint has not exited after the end. */
+  provenFrom: Milliseconds;
+  /** Time at which the endpoint is asked. */
+  askAt: Milliseconds;
+  resolve(verdict: LifeVerdict): void;
+}
+
+/** Starts to watch an incarnation of which nothing is known. */
+export function createIncarnationLife(
+  { clock, getTime, probe, directory, hurry }: IncarnationLifeHost,
+  endpoint: EndpointRecord,
+): IncarnationLife {
+  const waiting = new Set<Waiting>();
+  let eventAt: Milliseconds = -Infinity;
+  let aliveAt: Milliseconds = -Infinity;
+  let ends: { kind: 'stated' | 'broken'; at: Milliseconds }[] = [];
+  let isAsked = false;
+
+  async function learn(patience: Milliseconds, signal: AbortSignal): Promise<LifeVerdict> {
+    if (signal.aborted) return 'unknown';
+    let resolve: (verdict: LifeVerdict) => void = () => undefined;
+    const told = new Promise<LifeVerdict>((onTold) => {
+      resolve = onTold;
+    });
+    const entry = createWaiting(getTime(), patience, resolve);
+    const giveUp = () => resolve('unknown');
+    waiting.add(entry);
+    signal.addEventListener('abort', giveUp, { once: true });
+    askWhenDue();
+    const verdict = await withTimeout(clock, patience, told, 'unknown');
+    signal.removeEventListener('abort', giveUp);
+    waiting.delete(entry);
+    return verdict;
+  }
+
+  // Asks once for all that wait, as long as somebody does.
+  async function askWhenDue(): Promise<void> {
+    if (isAsked) return;
+    isAsked = true;
+    let pause = ASK_AGAIN_MS;
+    while (waiting.size > 0) {
+      const left = Math.min(...[...waiting].map(({ askAt }) => askAt)) - getTime();
+      if (left > 0 && !hurry.aborted) await sleep(clock, left, hurry);
+      else {
+        const askedAt = getTime();
+        const reachability = await probe(endpoint);
+        settle(reachability, askedAt);
+        if (reachability === 'unknown' && waiting.size > 0) {
+          await sleep(clock, pause, hurry);
+          pause = Math.min(2 * pause, ASK_AGAIN_MAX_MS);
+        }
+      }
+    }
+    isAsked = false;
+  }
+
+  function settle(reachability: Reachability, askedAt: Milliseconds): void {
+    // Its next incarnation may have the same address.
+    const hasRestarted = directory.getFate(endpoint) === 'started again';
+    match(hasRestarted ? 'refused' : reachability)
+      .with('accepting', () => {
+        noteAnswer(askedAt);
+        if (hurry.aborted) tellAll(() => 'lives');
+      })
+      .with('refused', () => tellAll(judgeDeath))
+      .with('unknown', () => {
+        if (hurry.aborted) tellAll(() => 'unknown');
+      })
+      .exhaustive();
+  }
+
+  function noteAnswer(at: Milliseconds): void {
+    aliveAt = Math.max(aliveAt, at);
+    tellLiving();
+  }
+
+  // One that goes on with other streams has not ended all that it has.
+  function tellLiving(): void {
+    waiting.forEach((entry) => {
+      const goesOn = eventAt >= entry.endedAt + ENDS_SPREAD_MS;
+      if (goesOn || aliveAt >= entry.provenFrom) tell(entry, 'lives');
+    });
+  }
+
+  function tellAll(judge: (entry: Waiting) => LifeVerdict): void {
+    waiting.forEach((entry) => tell(entry, judge(entry)));
+  }
+
+  function tell(entry: Waiting, verdict: LifeVerdict): void {
+    waiting.delete(entry);
+    entry.resolve(verdict);
+  }
+
+  // Streams that end in order at one moment have one cause, which is more likely the exit than the ends of all of them.
+  function judgeDeath({ endedAt }: Waiting): LifeVerdict {
+    const since = endedAt - SAME_MOMENT_MS;
+    const broken = ends.filter(({ kind, at }) => kind === 'broken' && at >= since);
+    const stated = ends.filter(
+      ({ kind, at }) => kind === 'stated' && Math.abs(at - endedAt) <= SAME_MOMENT_MS,
+    );
+    const isAmidStreams = broken.length > 0 && broken.length >= stated.length;
+    return isAmidStreams ? 'died amid streams' : 'exited';
+  }
+
+  return {
+    noteEvent() {
+      eventAt = getTime();
+      tellLiving();
+    },
+    noteAnswer,
+    noteEnd(kind) {
+      const at = getTime();
+      ends = [...ends.filter((end) => at - end.at < RETENTION_MS), { kind, at }];
+    },
+    learn,
+  };
+}
+
+function createWaiting(
+  endedAt: Milliseconds,
+  patience: Milliseconds,
+  resolve: (verdict: LifeVerdict) => void,
+): Waiting {
+  const latest = patience * ASK_RATIO;
+  return {
+    endedAt,
+    provenFrom: endedAt + Math.min(EXIT_TIME_MS, latest),
+    askAt: endedAt + Math.min(EXIT_TIME_MS + SIGN_WAIT_MS, latest),
+    resolve,
+  };
+}
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -13,6 +13,8 @@
 import { createDialer } from './relays/dialer';
 import { startRelayDirectory } from './relays/relayDirectory';
 import { createEndHistory } from './ends/endHistory';
+import { createEndpointLife } from './ends/endpointLife';
+import { watchLives } from './ends/lifeWatch';
 import { findEndpointState } from './store/endpointState';
 import { startPrepaidBudgets } from './limits/prepaidBudgets';
 import { startRateLimits } from './limits/rateLimits';
@@ -197,6 +199,11 @@
     areVersionsLoaded: versionRows.isLoaded,
     areSeveralRecorded: versionRows.hasSeveral,
   });
+  const endpointProtocol = host.createProtocol(dialer.dial);
+  const endpointLife = createEndpointLife({
+    ...{ clock, directory, getHeldUpTime: guard.getHeldUpTime },
+    probe: endpointProtocol.probe,
+  });
   const forwarding: ForwardHost<Payload> = {
     clock,
     random,
@@ -207,13 +214,14 @@
     retryBudget: createRetryBudget(clock, host.getRetryAllowance, instanceCount.get),
     protocol: watchCrashes({
       ...{ clock, log, metrics: forwardMetrics, directory },
-      protocol: host.createProtocol(dialer.dial),
+      protocol: watchLives(endpointProtocol, endpointLife),
       onCrash: suspects.noteCrash,
       onAnswer: suspects.noteAnswer,
       isSuspicious: (names) => suspects.judge(names) !== 'none',
     }),
     metrics: forwardMetrics,
     endHistory: createEndHistory(),
+    endpointLife,
     recentEnds,
     pauseHistory: createPauseHistory(clock),
     getEndpointState: (name) => findEndpointState(directory, endpoints, name),
@@ -275,6 +283,7 @@
       relays.withdraw();
     },
     async stop(patience) {
+      endpointLife.hurry();
       await escrow.release(patience);
       stop.abort();
     },
--- a/packages/forwarding/src/forwardMetrics.ts
+++ b/packages/forwarding/src/forwardMetrics.ts
@@ -12,6 +12,8 @@
   suspiciousEnds: Counter;
   /** Ends of answers within the second before their endpoint was lost, by what became of it. */
   endsBeforeLoss: Counter;
+  /** Ends that were held until it was known what became of their endpoint, by that and by framing. */
+  heldEnds: Counter;
   /** Endpoints that died without notice under requests of this instance. */
   crashes: Counter;
   /** Connections to endpoints by way and outcome. */
@@ -51,6 +53,10 @@
       'pomeloroad_ends_before_loss_total',
       'Ends in order within the second before their endpoint was lost, by what became of it.',
     ),
+    heldEnds: metrics.counter(
+      'pomeloroad_held_ends_total',
+      'Ends of streams held until it was known what became of their endpoint, by verdict and framing.',
+    ),
     crashes: metrics.counter(
       'pomeloroad_endpoint_crashes_total',
       'Endpoints that died without notice under requests of this instance.',
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -4,6 +4,7 @@
 import type { EndpointDirectory } from './store/endpointDirectory';
 import type { EndpointState } from './store/endpointState';
 import type { EndHistory } from './ends/endHistory';
+import type { EndpointLife } from './ends/endpointLife';
 import type { ForwardMetrics } from './forwardMetrics';
 import type { PauseHistory } from './ends/pauseHistory';
 import type { RecentEnds } from './ends/recentEnds';
@@ -25,6 +26,7 @@
   protocol: EndpointProtocol<Payload>;
   metrics: ForwardMetrics;
   endHistory: EndHistory;
+  endpointLife: EndpointLife;
   recentEnds: RecentEnds;
   pauseHistory: PauseHistory;
   /** Returns what is known of the endpoint of this name. */
--- a/packages/forwarding/test/answerEnd.test.ts
+++ b/packages/forwarding/test/answerEnd.test.ts
@@ -2,6 +2,7 @@
 import type { ResponseFraming } from '@pomeloroad/core';
 import type { Slot } from '@pomeloroad/routing';
 import { findEndFault } from '../src/ends/answerEnd';
+import type { SentAttempt } from '../src/attempts/sentAttempt';
 import type { Run } from '../src/run';
 import type { EndpointRecord, Reachability } from '../src';
 import type { IncarnationFate } from '../src/store/endpointDirectory';
@@ -53,7 +54,7 @@
     },
   } as unknown as Run<unknown>;
   let fault: string | undefined = 'not judged';
-  const attempt = { slot, endpoint: { id: 'e' } as EndpointRecord };
+  const attempt = { slot, endpoint: { id: 'e' } as EndpointRecord } as SentAttempt;
   const end = { framing, at, closes: Promise.resolve(hasClosed) };
   const judged = findEndFault(run, attempt, end).then((found) => {
     fault = found;
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -20,6 +20,7 @@
   StreamStep,
 } from '../src';
 import { createEndHistory } from '../src/ends/endHistory';
+import { createEndpointLife } from '../src/ends/endpointLife';
 import { createPauseHistory } from '../src/ends/pauseHistory';
 import { createRecentEnds } from '../src/ends/recentEnds';
 
@@ -166,12 +167,14 @@
     const [id = ''] = name.split('/');
     return { id, born: 1, sequence: 1, version: `v${id.slice(1)}` };
   };
+  const getFate = () => 'listed' as const;
+  const probe = async () => 'accepting' as const;
   const host = {
     clock,
     random: createRandom(1),
     log,
     admission: { acquire },
-    directory: { find, getFate: () => 'listed', markReplaced: () => {}, listLapsed: () => [] },
+    directory: { find, getFate, markReplaced: () => {}, listLapsed: () => [] },
     retryBudget: {
       countRequest: () => {},
       take: () => true,
@@ -180,12 +183,18 @@
     },
     protocol: {
       send,
-      probe: async () => 'accepting',
+      probe,
       findRun: async () => ({ kind: 'silent' }),
       findRoom: async ({ id }: { id: string }) => asked.get(id)?.room ?? 'untold',
     },
     metrics: forwardMetrics,
     endHistory,
+    endpointLife: createEndpointLife({
+      clock,
+      probe,
+      directory: { getFate },
+      getHeldUpTime: () => 0,
+    }),
     recentEnds,
     pauseHistory: createPauseHistory(clock),
     getEndpointState: (name: string) => asked.get(`e${name[1]}`)?.state ?? 'sound',
