Streams that run once go on at a second endpoint from the copy of their run

What callers saw: a stream that may not be resumed was lost with its endpoint, and was told as whole where a leaving, failing or gone endpoint had ended it early, as nobody else could be asked.

Cause: such a request may run once, so no rest of it was ever asked for. Engines can go on with a run as the same run, from a copy that grows with it; that was not used.

Now a second endpoint is named for the copy while the service has an endpoint in trouble, and is asked for what follows if the stream breaks off or its end is doubted. Where the configuration does not say that engines do it, nothing changes.

Not done: moves of open runs when an endpoint begins to leave.

--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -88,6 +88,7 @@
   suspectCleared: diagnostic(5014, 'info', 'requests with a suspect are sent again'),
   suspectProbed: diagnostic(5015, 'info', 'a request with a blocked suspect is sent to try it'),
   requestAborted: diagnostic(5016, 'error', 'request ended by an unexpected error'),
+  runContinued: diagnostic(5017, 'warn', 'the holder of a copy was asked to go on with a run'),
   idleConnectionClosed: diagnostic(5010, 'info', 'idle connection of a caller closed'),
   configurationStaged: diagnostic(6001, 'info', 'configuration staged'),
   configurationAccepted: diagnostic(6002, 'info', 'configuration in force'),
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -3,6 +3,8 @@
 import { Diagnostics } from '@pomeloroad/core';
 import type { LogFields, Milliseconds } from '@pomeloroad/core';
 import type { Slot, SlotResult } from '@pomeloroad/routing';
+import { chooseCopyHolder } from '../copies/copyHolder';
+import { createCopyPoint } from '../copies/copyPoint';
 import { findEndFault } from '../ends/answerEnd';
 import { createAnswerPauses } from '../ends/answerPauses';
 import { rememberEnd, reviewEnd } from '../ends/endReport';
@@ -13,7 +15,7 @@
 import { createConfirmationPoint, createResumePoint } from './resumePoint';
 import type { ResumePoint } from './resumePoint';
 import type { AttemptReply, SentAttempt } from './sentAttempt';
-import type { EndpointRecord, Reply, SendError } from '../types';
+import type { EndpointRecord, Reply, RunCopy, SendError } from '../types';
 
 const SERVER_ERROR_STATUS = 500;
 /**
@@ -23,15 +25,23 @@
  */
 const ENDPOINT_LIMIT_MARGIN_MS: Milliseconds = 250;
 
-/** Sends the request to the endpoint of the slot. Counts the attempt as pending until its reply. */
-export function sendAttempt<Payload>(run: Run<Payload>, slot: Slot): SentAttempt {
+/**
+ * Sends the request to the endpoint of the slot, which goes on from the copy if there is one. Counts the attempt as
+ * pending until its reply.
+ */
+export function sendAttempt<Payload>(
+  run: Run<Payload>,
+  slot: Slot,
+  continued?: RunCopy,
+): SentAttempt {
   const { host, request, stop, question } = run;
   const ending = new AbortController();
   let onConnected: () => void;
   const connected = new Promise<void>((resolve) => {
     onConnected = resolve;
   });
-  const resumePoint = getResumePoint(run);
+  const resumePoint = continued ? createCopyPoint(run) : getResumePoint(run);
+  const copy = continued ? undefined : chooseCopyHolder(run, slot.endpoint);
   let activeAt = host.clock.elapsed();
   const told = { limit: getTimeLeft(run) + ENDPOINT_LIMIT_MARGIN_MS, at: activeAt };
   const pauses = createAnswerPauses(host);
@@ -42,6 +52,8 @@
       request,
       endpoint,
       resumePoint,
+      copyTo: copy,
+      continued,
       timeLimit: told.limit,
       onConnected,
       onActivity() {
@@ -79,6 +91,7 @@
     slot,
     endpoint: isBlocked ? undefined : endpoint,
     resumePoint,
+    copy,
     told,
     pauses,
     reply: start(),
--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -1,8 +1,11 @@
+import { match } from 'ts-pattern';
 import { Diagnostics } from '@pomeloroad/core';
 import type { SlotResult, Slot } from '@pomeloroad/routing';
 import { isServerError } from './attempt';
 import type { SentAttempt } from './sentAttempt';
 import { sendWithRetries } from './attempts';
+import { continueFromCopy } from '../copies/continuation';
+import { combineCopyEnds } from '../copies/copyEnd';
 import { noteOpenEnd, noteResumption, reportEnd } from '../ends/endReport';
 import { combineEnds, renewEnd } from '../ends/confirmation';
 import { concludeEnd, judgeSource, mayLackEvents, mayStayOpen } from '../ends/streamEnd';
@@ -42,6 +45,7 @@
 ): Promise<StreamEnd> {
   const pace = createPace(run);
   let { end, replacement } = await relaySource(run, { stream, attempt });
+  if (!replacement) end = await relayFromCopy(run, attempt, end);
   while (replacement || mayLackEvents(end.end)) {
     if (mayStayOpen(run, end)) noteOpenEnd(run);
     const next = await relayRest(run, replacement, end, pace);
@@ -57,6 +61,32 @@
   return concludeEnd(run, end);
 }
 
+// A run that may not be sent again goes on from its copy. A holder that has no copy any more confirms the end.
+async function relayFromCopy<Payload>(
+  run: Run<Payload>,
+  source: SentAttempt,
+  last: SourceEnd,
+): Promise<SourceEnd> {
+  const continuation = await continueFromCopy(run, source, last);
+  if (!continuation) return last;
+  return match(continuation)
+    .with({ kind: 'unknown' }, () => last)
+    .with({ kind: 'ended' }, () => ({ ...last, end: 'complete' as const }))
+    .with({ kind: 'stream' }, async ({ stream, attempt }) => {
+      noteContinuation(run, attempt);
+      const next = await relaySource(run, { stream, attempt });
+      return combineCopyEnds(last, next.end);
+    })
+    .exhaustive();
+}
+
+function noteContinuation<Payload>(run: Run<Payload>, attempt: SentAttempt): void {
+  run.course.source = attempt;
+  reportEnd(run, 'rest requested');
+  recordResumption(run, attempt.slot);
+  noteResumption(run);
+}
+
 // One that says nothing about the end of an open answer is left for another one.
 async function relayRest<Payload>(
   run: Run<Payload>,
--- a/packages/forwarding/src/attempts/resumePoint.ts
+++ b/packages/forwarding/src/attempts/resumePoint.ts
@@ -20,7 +20,7 @@
  * without any event may be that of an endpoint that could not go on.
  */
 export function createResumePoint(lastEventId: string | undefined, unnumbered = 0): ResumePoint {
-  if (lastEventId === undefined || !COUNTED_ID_PATTERN.test(lastEventId)) {
+  if (lastEventId === undefined || !isCountedId(lastEventId)) {
     return { after: lastEventId, repeated: undefined };
   }
   const before = BigInt(lastEventId) - 1n;
@@ -41,6 +41,11 @@
   return after !== undefined && after === repeated;
 }
 
+/** Returns whether ids of this form are counted up by their endpoints. */
+export function isCountedId(id: string): boolean {
+  return COUNTED_ID_PATTERN.test(id);
+}
+
 /** Leaves out of a stream the events that its caller has. */
 export interface RepeatFilter {
   /** Returns the new ones among the events; `undefined` if there are none. */
@@ -84,5 +89,5 @@
 // An id that is not counted is that of another stream, and an empty one tells nothing.
 function isAfter(id: string, last: bigint): boolean {
   if (id === '') return false;
-  return !COUNTED_ID_PATTERN.test(id) || BigInt(id) > last;
+  return !isCountedId(id) || BigInt(id) > last;
 }
--- a/packages/forwarding/src/attempts/sentAttempt.ts
+++ b/packages/forwarding/src/attempts/sentAttempt.ts
@@ -2,7 +2,7 @@
 import type { Slot } from '@pomeloroad/routing';
 import type { AnswerSource } from '../ends/answerCourse';
 import type { ResumePoint } from './resumePoint';
-import type { EndpointRecord, Reply, SendError } from '../types';
+import type { EndpointRecord, Reply, RunCopy, SendError } from '../types';
 
 /** What an attempt ended with, or the head of its stream. */
 export type AttemptReply = Outcome<Reply, SendError>;
@@ -13,6 +13,8 @@
   /** Entry of its endpoint; `undefined` if that had left, so that nothing was sent. */
   endpoint: EndpointRecord | undefined;
   resumePoint: ResumePoint;
+  /** Where its run is copied to. */
+  copy: RunCopy | undefined;
   reply: Promise<AttemptReply>;
   /** Resolves once the endpoint may have started to work. */
   connected: Promise<void>;
--- a/packages/forwarding/src/attempts/slots.ts
+++ b/packages/forwarding/src/attempts/slots.ts
@@ -64,6 +64,15 @@
   return choices;
 }
 
+/** Waits for a slot on the endpoint of this name. */
+export function acquireSlotAt<Payload>(
+  run: Run<Payload>,
+  name: string,
+): Promise<Outcome<Slot, RouteError>> {
+  const choice = { only: new Set([name]), excluded: new Set<string>(), isBinding: true };
+  return acquireAny(run, choice, run.stop.signal);
+}
+
 async function acquireAny<Payload>(
   run: Run<Payload>,
   { only, excluded, isBinding }: Choice,
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -5,6 +5,7 @@
 import { watchStore } from '@pomeloroad/storage';
 import type { StoreEra } from '@pomeloroad/storage';
 import { createMetrics } from '@pomeloroad/telemetry';
+import { createServiceTroubles } from './copies/serviceTroubles';
 import { followConfiguration } from './store/configurationFeed';
 import { getIncarnation, watchCrashes } from './suspects/crashWatch';
 import { createEndpointDirectory } from './store/endpointDirectory';
@@ -69,15 +70,29 @@
       instanceNames = names;
     },
   });
-  const endpoints = createEndpoints({ clock, log, onFailure: recentEnds.noteFate });
+  const troubles = createServiceTroubles(clock);
+  const endpoints = createEndpoints({
+    clock,
+    log,
+    onFailure(name, result) {
+      recentEnds.noteFate(name, result);
+      const failed = directory.find(name);
+      // What can't be reached may be cut off from this instance alone.
+      if (failed && result === 'failed') troubles.note(failed.service);
+    },
+  });
   const losses = createEndpointLosses(clock);
   const directory = createEndpointDirectory({
     clock,
     log,
-    onLost: (record) => losses.note(getIncarnation(record)),
+    onLost(record) {
+      losses.note(getIncarnation(record));
+      troubles.note(record.service);
+    },
     onVersionChanged: (id, version) => origins.doubt(id, version),
     onChange() {
       versions.update(directory.listServing());
+      troubles.update(directory.listServing());
       versionRows.update();
       endpoints.configure(directory.list());
       admission.wake();
@@ -208,6 +223,7 @@
     clock,
     random,
     log,
+    dataCentre: host.dataCentre,
     escrow,
     admission,
     directory,
@@ -226,6 +242,7 @@
     pauseHistory: createPauseHistory(clock),
     getEndpointState: (name) => findEndpointState(directory, endpoints, name),
     getConfigurationVersion: () => configuration.getTable()?.configuration.version,
+    serviceTroubles: troubles,
     origins,
     suspects,
     endpoints,
--- a/packages/forwarding/src/forwardMetrics.ts
+++ b/packages/forwarding/src/forwardMetrics.ts
@@ -20,6 +20,10 @@
   connections: Counter;
   /** Resumptions within an answer by whether the version stays the same. */
   resumptions: Counter;
+  /** Runs by whether another endpoint was found to copy them to. */
+  copiedRuns: Counter;
+  /** Requests to the holders of copies to go on with a run, by outcome and by the end of the run. */
+  continuations: Counter;
   /** Streams that callers take up. */
   takeUps: Counter;
   /** What became of answers that were silent past their threshold. */
@@ -69,6 +73,14 @@
       'pomeloroad_stream_resumptions_total',
       'Resumptions of streams within an answer by version: same or other.',
     ),
+    copiedRuns: metrics.counter(
+      'pomeloroad_copied_runs_total',
+      'Runs of services that copy runs, by whether another endpoint was found to copy them to.',
+    ),
+    continuations: metrics.counter(
+      'pomeloroad_run_continuations_total',
+      'Requests to go on with a run from its copy, by outcome and by the end of the run.',
+    ),
     takeUps: metrics.counter(
       'pomeloroad_stream_take_ups_total',
       'Streams that callers took up in a new request.',
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -1,6 +1,7 @@
 import type { Clock, Log, Milliseconds, Random } from '@pomeloroad/core';
 import type { Escrow } from '@pomeloroad/budgets';
 import type { Admission, Endpoints } from '@pomeloroad/routing';
+import type { ServiceTroubles } from './copies/serviceTroubles';
 import type { EndpointDirectory } from './store/endpointDirectory';
 import type { EndpointState } from './store/endpointState';
 import type { EndHistory } from './ends/endHistory';
@@ -19,6 +20,8 @@
   clock: Clock;
   random: Random;
   log: Log;
+  /** Data centre of this instance. */
+  dataCentre: string;
   escrow: Escrow;
   admission: Admission;
   directory: EndpointDirectory;
@@ -33,9 +36,10 @@
   getEndpointState(name: string): EndpointState;
   /** Returns the version of the configuration in force; `undefined` while none is known. */
   getConfigurationVersion(): number | undefined;
+  serviceTroubles: Pick<ServiceTroubles, 'has'>;
   origins: StreamOrigins;
   suspects: Suspects;
-  endpoints: Pick<Endpoints, 'pause'>;
+  endpoints: Pick<Endpoints, 'pause' | 'findCandidates'>;
   rateLimits: StatedLimits;
   slotShares: StatedLimits;
   /** Tries this instance's path to a silent endpoint; requests go other ways if it hangs. */
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -48,6 +48,14 @@
   name: string;
   /** Maximum number of model tokens in one event of a stream. */
   tokensPerEvent: Tokens;
+  /** How its endpoints copy runs to each other; left out if they do not. */
+  copies?: CopySettings | undefined;
+}
+
+/** How endpoints of a service copy the memory of their runs to each other. */
+export interface CopySettings {
+  /** Time for which a copy is kept after its last part if its run does not end. */
+  keptFor: Milliseconds;
 }
 
 /** A client account with its keys and its prepaid budget. */
@@ -95,6 +103,13 @@
   version?: string | undefined;
 }
 
+/** A copy of a run's memory, from which one other endpoint can go on with the run. */
+export interface RunCopy {
+  /** Name of the endpoint that holds the copy. */
+  name: string;
+  endpoint: EndpointRecord;
+}
+
 /** A caller's request, independent of the protocol it came by. */
 export interface ForwardRequest<Payload> {
   id: string;
@@ -180,8 +195,11 @@
   | { kind: 'unreachable'; message: string; isLate?: boolean }
   /** Another endpoint now uses the address; the request was not run. */
   | { kind: 'replaced'; message: string }
-  /** The endpoint reported that it did not run the request. */
-  | { kind: 'declined'; message: string }
+  /**
+   * The endpoint reported that it did not run the request; `lacksCopy` if it gave no other reason than that it
+   * has not the copy from which it was to go on.
+   */
+  | { kind: 'declined'; message: string; lacksCopy?: boolean }
   /** Nothing was sent, because endpoints crash under the request or a part of its prompt. */
   | { kind: 'withheld'; message: string }
   /** Nothing was sent, because the request can't be written in the endpoint's protocol. */
@@ -205,6 +223,10 @@
   request: ForwardRequest<Payload>;
   endpoint: EndpointRecord;
   resumePoint: ResumePoint;
+  /** Where the endpoint is to copy the run to; left out if nowhere. */
+  copyTo?: RunCopy | undefined;
+  /** Copy of the same run from which the endpoint is to go on; left out if it is to begin. */
+  continued?: RunCopy | undefined;
   /** Time after which the endpoint is to stop work; it ends after the request's deadline. */
   timeLimit: Milliseconds;
   /** Called when the connection is open, so that the endpoint may start to work. */
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -25,7 +25,7 @@
   /** Whether the endpoint's latest load report is missing or too old to be used. */
   isStale(name: string): boolean;
   /** Returns the endpoints that serve the target, are not leaving and are not excluded. */
-  findCandidates(request: RouteRequest): EndpointView[];
+  findCandidates(request: Pick<RouteRequest, 'target' | 'excluded' | 'only'>): EndpointView[];
   /** Whether the endpoint is leaving or no longer known. */
   isLeaving(name: string): boolean;
   /** Whether the endpoint should be chosen only as a last resort; false if it is not known. */
