Run copies: only a holder with room confirms an end, and one that begins anew is left

Cause: a holder that never had room answers just like one whose copy was dropped as the run had ended; a missing header decided. Now its report has to tell that it has room. A holder that sends an event the caller has runs the request anew: its stream is broken off, and nothing of it passed on (before, its later events were joined to the first run's). The wait for a holder ends 1.9 s after the caller's last event, as callers leave after two, and an end that counts in any case takes spare retries only.

--- a/packages/forwarding/src/copies/continuation.ts
+++ b/packages/forwarding/src/copies/continuation.ts
@@ -10,6 +10,8 @@
 import type { Run } from '../run';
 import type { EventStream, RunCopy } from '../types';
 
+/** Time from the last event after which a caller may leave soon. */
+const CALLER_PATIENCE_MS: Milliseconds = 1900;
 /** Remaining time below which an endpoint can't go on with a run. */
 const TIME_LEFT_MIN_MS: Milliseconds = 50;
 /** Time from the first event after which a run may have a copy. */
@@ -125,10 +127,10 @@
   return run.host.getEndpointState(name) === 'sound' && !isWithheld(run);
 }
 
-// What is failing by the instance's own count most often ends its streams whole, and leaves retries to others.
-function takeOne<Payload>(run: Run<Payload>, { end, reason }: SourceEnd): boolean {
+// An end that counts in any case leaves retries to others.
+function takeOne<Payload>(run: Run<Payload>, { end }: SourceEnd): boolean {
   const { host, request } = run;
-  const isSpare = end === 'unconfirmed' && reason === 'endpoint failing';
+  const isSpare = end === 'unconfirmed';
   return isSpare ? host.retryBudget.takeSpare(request.service) : takeRetry(run);
 }
 
@@ -139,18 +141,43 @@
   attempt: SentAttempt,
 ): Promise<Continuation> {
   const { clock } = run.host;
-  const reply = await withTimeout(clock, STREAM_THRESHOLD_MS, attempt.reply, undefined);
+  const reply = await withTimeout(clock, getPatience(run), attempt.reply, undefined);
   if (!reply) {
     await attempt.end();
     attempt.slot.release('silent');
     return toUnknown('silent');
   }
   if (reply.ok && reply.val.kind === 'stream') {
-    return { kind: 'stream', stream: reply.val.stream, attempt };
+    return { kind: 'stream', stream: rejectRepeats(reply.val.stream), attempt };
   }
   leaveEndpoint(run, attempt, reply);
   if (reply.ok || reply.val.kind !== 'declined') return toUnknown('failed');
-  return reply.val.lacksCopy && knowsEnd(run, ended) ? { kind: 'ended' } : toUnknown('declined');
+  const isKnown = reply.val.lacksCopy && knowsEnd(run, ended) && (await hasRoom(run, ended));
+  return isKnown ? { kind: 'ended' } : toUnknown('declined');
+}
+
+// One without room has taken no copy, and says the same as one that has dropped it.
+async function hasRoom<Payload>({ host }: Run<Payload>, { copy }: EndedRun): Promise<boolean> {
+  return (await host.protocol.findRoom(copy.endpoint)) === 'free';
+}
+
+// A holder that sends what the caller has does not go on, but runs the request anew.
+function rejectRepeats(stream: EventStream): EventStream {
+  return {
+    ...stream,
+    async next() {
+      const step = await stream.next();
+      if (!stream.hasRepeated()) return step;
+      return { kind: 'broken', message: 'the run was begun anew' };
+    },
+  };
+}
+
+// The caller leaves when nothing has come for long, also not the end of what it has.
+function getPatience<Payload>({ host, course }: Run<Payload>): Milliseconds {
+  const now = host.clock.elapsed();
+  const left = CALLER_PATIENCE_MS - (now - (course.lastEventAt ?? now));
+  return Math.max(0, Math.min(STREAM_THRESHOLD_MS, left));
 }
 
 // Whether a holder without the copy would still have it, had the run not ended.
