Streams: who may confirm an end is judged by what is known now

What callers could get (review, shown by a trial test: cut at the limit, whole without trouble): a whole stream that was asked about while its service was in trouble stayed open to its limit though the trouble had passed, if the endpoints that had shown that they can go on had left. Cause: the answer kept to the trouble to its end.

--- a/packages/forwarding/src/ends/answerCourse.ts
+++ b/packages/forwarding/src/ends/answerCourse.ts
@@ -30,8 +30,6 @@
   eventsBefore: number;
   /** Since when the answer is open although an endpoint has ended it in order; `undefined` if it is not. */
   openSince: Milliseconds | undefined;
-  /** Whether another end of its service came too early while one of its own was asked about. */
-  isAmidTrouble: boolean;
   /** Whether an end of the request was suspicious. */
   isSuspicious: boolean;
   /** Reports the latest end of a stream; `undefined` once that is done. */
@@ -46,7 +44,6 @@
     resumptions: 0,
     eventsBefore: 0,
     openSince: undefined,
-    isAmidTrouble: false,
     isSuspicious: false,
     reportEnd: undefined,
   };
--- a/packages/forwarding/src/ends/confirmation.ts
+++ b/packages/forwarding/src/ends/confirmation.ts
@@ -70,9 +70,8 @@
   const { endHistory } = run.host;
   const { service } = run.request;
   const { confirmers } = endHistory;
-  run.course.isAmidTrouble ||= confirmers.hasTrouble(service);
   if (endHistory.endsEarly(endpoint)) return false;
-  return !run.course.isAmidTrouble || confirmers.listAble(service).has(endpoint);
+  return !confirmers.hasTrouble(service) || confirmers.listAble(service).has(endpoint);
 }
 
 // One that stops some time after the repeated event may have been about to send more, one that had ended the stream
