Held ends: only a sign that is later than an exit takes, and no time in which nothing is read

What callers could get (review, trial tests that failed): a false "complete" where an endpoint ended its streams one after the other and exited (an event of a later one counted as life after 0.15 s), where it ended them a second after the last event (the hold shrank to a fraction), where a second stream waited with less patience (it was not asked about in time) and where this process was held up during the wait. Now any sign has to come 0.4 s after the end, the question comes 0.15 s before the wait ends at the latest, and time for which the process was held up does not count. Asked at 0.5 s instead of 0.7 s, fewer true ends just before a crash are cut.

--- a/packages/forwarding/src/ends/answerEnd.ts
+++ b/packages/forwarding/src/ends/answerEnd.ts
@@ -22,7 +22,7 @@
 const REREAD_TIME_MS: Milliseconds = 300;
 
 /** Time from the last event for which the end of a stream is held at most; its caller leaves after 2 s. */
-const HOLD_MAX_MS: Milliseconds = 1500;
+const HOLD_MAX_MS: Milliseconds = 1800;
 /** Fraction of the time left for which it is held at most, so that the end arrives in time. */
 const HOLD_TIME_LEFT_RATIO = 0.5;
 
@@ -59,6 +59,11 @@
   return route.kind === 'streaming' && !isRetryable(route);
 }
 
+function getHoldPatience<Payload>(run: Run<Payload>, sinceEvent = 0): Milliseconds {
+  const timeLeft = Math.max(0, getTimeLeft(run));
+  return Math.max(0, Math.min(HOLD_MAX_MS - sinceEvent, timeLeft * HOLD_TIME_LEFT_RATIO));
+}
+
 /**
  * As `findEndFault`, for a stream that may not be resumed: nobody else can tell its end, and its connection closes after
  * it in any case. The caller has all events, so the end is held until it is known what became of the endpoint.
@@ -66,7 +71,7 @@
 async function findSingleStreamFault<Payload>(
   run: Run<Payload>,
   attempt: SentAttempt,
-  { framing, sinceEvent = 0 }: AnswerEnd,
+  { framing, sinceEvent }: AnswerEnd,
 ): Promise<string | undefined> {
   const { endpointLife, metrics } = run.host;
   const { slot, endpoint } = attempt;
@@ -74,9 +79,7 @@
   const isStated = framing === 'chunked';
   // One that leaves may exit after its last answer, but only a stated end tells that it was whole.
   if (!endpoint || (isStated && slot.isLeaving())) return undefined;
-  const timeLeft = Math.max(0, getTimeLeft(run));
-  const statedPatience = Math.min(HOLD_MAX_MS - sinceEvent, timeLeft * HOLD_TIME_LEFT_RATIO);
-  const patience = isStated ? Math.max(0, statedPatience) : timeLeft;
+  const patience = isStated ? getHoldPatience(run, sinceEvent) : Math.max(0, getTimeLeft(run));
   const verdict = await endpointLife.learn(endpoint, patience, run.stop.signal);
   metrics.heldEnds.add(1, { verdict, framing });
   return match(verdict)
--- a/packages/forwarding/src/ends/incarnationLife.ts
+++ b/packages/forwarding/src/ends/incarnationLife.ts
@@ -7,11 +7,11 @@
 /** Time within which a process that ends its answers in order exits. */
 const EXIT_TIME_MS: Milliseconds = 400;
 /** Time for which a sign of life is awaited after that, before the endpoint is asked for one. */
-const SIGN_WAIT_MS: Milliseconds = 300;
-/** Fraction of a wait after which the endpoint is asked at the latest. */
-const ASK_RATIO = 0.6;
-/** Time within which a process ends all streams that it has. */
-const ENDS_SPREAD_MS: Milliseconds = 150;
+const SIGN_WAIT_MS: Milliseconds = 100;
+/** Time that a question takes, so that it is asked so long before a wait ends at the latest. */
+const ASK_TIME_MS: Milliseconds = 150;
+/** Longest sleep before it is looked anew when to ask, as somebody with less patience may wait by then. */
+const ASK_STEP_MS: Milliseconds = 50;
 /** Time between ends that belong to one event at their endpoint. */
 const SAME_MOMENT_MS: Milliseconds = 50;
 /** Pause before an endpoint that could not be reached is asked again. */
@@ -70,7 +70,6 @@
   endpoint: EndpointRecord,
 ): IncarnationLife {
   const waiting = new Set<Waiting>();
-  let eventAt: Milliseconds = -Infinity;
   let aliveAt: Milliseconds = -Infinity;
   let ends: { kind: 'stated' | 'broken'; at: Milliseconds }[] = [];
   let isAsked = false;
@@ -82,16 +81,28 @@
       resolve = onTold;
     });
     const entry = createWaiting(getTime(), patience, resolve);
+    const until = entry.endedAt + patience;
     const giveUp = () => resolve('unknown');
     waiting.add(entry);
     signal.addEventListener('abort', giveUp, { once: true });
     askWhenDue();
-    const verdict = await withTimeout(clock, patience, told, 'unknown');
+    const verdict = await waitUntil(told, until);
     signal.removeEventListener('abort', giveUp);
     waiting.delete(entry);
     return verdict;
   }
 
+  // While this process is held up nothing is learned, so that time does not count.
+  async function waitUntil(told: Promise<LifeVerdict>, until: Milliseconds): Promise<LifeVerdict> {
+    let left = until - getTime();
+    while (left > 0) {
+      const verdict = await withTimeout(clock, left, told, undefined);
+      if (verdict) return verdict;
+      left = until - getTime();
+    }
+    return 'unknown';
+  }
+
   // Asks once for all that wait, as long as somebody does.
   async function askWhenDue(): Promise<void> {
     if (isAsked) return;
@@ -99,7 +110,7 @@
     let pause = ASK_AGAIN_MS;
     while (waiting.size > 0) {
       const left = Math.min(...[...waiting].map(({ askAt }) => askAt)) - getTime();
-      if (left > 0 && !hurry.aborted) await sleep(clock, left, hurry);
+      if (left > 0 && !hurry.aborted) await sleep(clock, Math.min(left, ASK_STEP_MS), hurry);
       else {
         const askedAt = getTime();
         const reachability = await probe(endpoint);
@@ -133,11 +144,9 @@
     tellLiving();
   }
 
-  // One that goes on with other streams has not ended all that it has.
   function tellLiving(): void {
     waiting.forEach((entry) => {
-      const goesOn = eventAt >= entry.endedAt + ENDS_SPREAD_MS;
-      if (goesOn || aliveAt >= entry.provenFrom) tell(entry, 'lives');
+      if (aliveAt >= entry.provenFrom) tell(entry, 'lives');
     });
   }
 
@@ -162,10 +171,7 @@
   }
 
   return {
-    noteEvent() {
-      eventAt = getTime();
-      tellLiving();
-    },
+    noteEvent: () => noteAnswer(getTime()),
     noteAnswer,
     noteEnd(kind) {
       const at = getTime();
@@ -180,7 +186,7 @@
   patience: Milliseconds,
   resolve: (verdict: LifeVerdict) => void,
 ): Waiting {
-  const latest = patience * ASK_RATIO;
+  const latest = Math.max(0, patience - ASK_TIME_MS);
   return {
     endedAt,
     provenFrom: endedAt + Math.min(EXIT_TIME_MS, latest),
