--- a/packages/replay/src/soak/endCounts.ts
+++ b/packages/replay/src/soak/endCounts.ts
@@ -28,13 +28,24 @@
 /** Names of the checks of the events of an answer. */
 const EVENT_CHECKS = ['content', 'one-version'];
 
-/** Adds what the checks of a request found, by their names, to the counts by kind. */
+/** Returns the kind of request by whether its answer is a stream and may be resumed. */
+export function getEndKind({ work }: RequestRecord): string {
+  return Kinds[work.route] ?? 'whole answer';
+}
+
+/** Returns the kind of request by its route and by how its endpoints frame the answer. */
+export function getFramedKind({ work }: RequestRecord): string {
+  const framing = work.framing === 'close' ? 'unframed' : work.framing;
+  return `${work.route}, ${framing}`;
+}
+
+/** Adds what the checks of a request found, by their names, to the counts of its kind. */
 export function addEnds(
   counts: Record<string, EndCount>,
+  kind: string,
   record: RequestRecord,
   outcomes: Record<string, CheckOutcome>,
 ): void {
-  const kind = Kinds[record.work.route] ?? 'whole answer';
   const { sound, cut, late, early, taken, answers, mixed } = counts[kind] ?? NOTHING;
   const [cutsMade, cutsFailed] = countOutcomes(outcomes, CUT_CHECKS);
   const [endsMade, endsFailed] = countOutcomes(outcomes, EARLY_CHECKS);
--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -8,7 +8,7 @@
 import type { CrashHistory } from './crashChecks';
 import { addEarlyEnds } from './endChecks';
 import type { EarlyEndCount } from './endChecks';
-import { addEnds } from './endCounts';
+import { addEnds, getEndKind, getFramedKind } from './endCounts';
 import type { EndCount } from './endCounts';
 import { createLimitHistory } from './limitChecks';
 import { createFaultLog } from './faultLog';
@@ -60,6 +60,8 @@
   earlyEnds: Record<string, EarlyEndCount>;
   /** Sound answers that were cut, and early ends that were taken for whole, by the kind of request. */
   ends: Record<string, EndCount>;
+  /** The same by route and framing. */
+  framedEnds: Record<string, EndCount>;
   /** How often callers on plain sockets did each thing, by its name. */
   behaviours: Record<string, number>;
   /** Number of judged requests by how they ended. */
@@ -89,6 +91,7 @@
     falseEnds: {},
     earlyEnds: {},
     ends: {},
+    framedEnds: {},
     behaviours: {},
     outcomes: {},
     onCrash: () => undefined,
@@ -181,7 +184,8 @@
       if (check === 'false-ends') addEarlyEnds(evidence.earlyEnds, record, outcome);
       if (outcome !== 'held') failRequest(record, check, outcome.message);
     });
-    addEnds(evidence.ends, record, outcomes);
+    addEnds(evidence.ends, getEndKind(record), record, outcomes);
+    addEnds(evidence.framedEnds, getFramedKind(record), record, outcomes);
     count(evidence.outcomes, describeOutcome(record));
     evidence.totals.add(record);
     versions.add(record);
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -90,7 +90,7 @@
     kind,
     `${taken} of ${ended}`,
   ]);
-  const ends = Object.entries(result.ends).map(([kind, count]) => {
+  const ends = Object.entries({ ...result.ends, ...result.framedEnds }).map(([kind, count]) => {
     const { sound, cut, late, early, taken, answers, mixed } = count;
     return [
       kind,
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -73,6 +73,8 @@
   earlyEnds: Evidence['earlyEnds'];
   /** Both harms of wrong ends side by side, by the kind of request. */
   ends: Evidence['ends'];
+  /** The same by route and framing. */
+  framedEnds: Evidence['framedEnds'];
   /** How often callers on plain sockets did each thing. */
   behaviours: Record<string, number>;
   /** Number of requests by how they ended. */
@@ -112,9 +114,9 @@
     const left = await launcher.close();
     evidence.check('left-behind', left.length > 0 ? `still running: ${left.join()}` : undefined);
     const { checks, falseEnds, earlyEnds, behaviours, outcomes, failures } = evidence;
-    const { totals, versions, ends } = evidence;
+    const { totals, versions, ends, framedEnds } = evidence;
     const { seed } = options;
-    const counts = { faults, checks, falseEnds, earlyEnds, ends, behaviours, outcomes };
+    const counts = { faults, checks, falseEnds, earlyEnds, ends, framedEnds, behaviours, outcomes };
     const figures = { spent: totals.spent, streams: versions.shares, peaks };
     return { seed, plan, ...counts, ...figures, failures };
   } finally {
