--- a/packages/forwarding/src/ends/answerEnd.ts
+++ b/packages/forwarding/src/ends/answerEnd.ts
@@ -29,6 +29,8 @@
 /** What is said of an end whose endpoint has gone. */
 const GONE_MESSAGE = 'closed by an endpoint that accepts no connections any more';
 
+const CLOSED_MESSAGE = 'ended with its connection, though its service keeps connections';
+
 /**
  * Returns why an end in order is not the end of the answer, or `undefined` if nothing shows that it
  * is not. Releases the slot if it has to ask the endpoint.
@@ -47,7 +49,13 @@
     // One that its limit may have ended stays open until then, whatever becomes of its endpoint.
     return mayBeLimitEnd(run, attempt, end) ? undefined : findSingleStreamFault(run, attempt, end);
   }
-  if (framing === 'chunked' && !(await closesConnection(run, attempt, end))) return undefined;
+  if (framing === 'chunked') {
+    // How a whole answer leaves its slot depends on its status.
+    if (run.request.route.kind === 'streaming') slot.release('ok');
+    const fate = await end.connection;
+    if (fate === 'kept' || fate === 'not kept') return undefined;
+    if (fate === 'closed' && (await isUnusualClose(run, attempt))) return CLOSED_MESSAGE;
+  }
   if (framing === 'close') slot.release('ok');
   const isGone = await isEndpointGone(run, attempt, framing === 'chunked');
   // An endpoint that leaves may exit after its last answer, but only a stated end tells that it was whole.
@@ -71,7 +79,7 @@
 async function findSingleStreamFault<Payload>(
   run: Run<Payload>,
   attempt: SentAttempt,
-  { framing, sinceEvent }: AnswerEnd,
+  { framing, sinceEvent, connection }: AnswerEnd,
 ): Promise<string | undefined> {
   const { endpointLife, metrics } = run.host;
   const { slot, endpoint } = attempt;
@@ -79,6 +87,9 @@
   const isStated = framing === 'chunked';
   // One that leaves may exit after its last answer, but only a stated end tells that it was whole.
   if (!endpoint || (isStated && slot.isLeaving())) return undefined;
+  if (isStated && (await connection) === 'closed' && (await isUnusualClose(run, attempt))) {
+    return CLOSED_MESSAGE;
+  }
   const patience = isStated ? getHoldPatience(run, sinceEvent) : Math.max(0, getTimeLeft(run));
   const verdict = await endpointLife.learn(endpoint, patience, run.stop.signal);
   metrics.heldEnds.add(1, { verdict, framing });
@@ -92,20 +103,11 @@
     .exhaustive();
 }
 
-/**
- * Returns whether the connection of a request that may be sent again closes just after the stated end of
- * its answer, as that of a process does which ends its answers in order and exits. Other requests have
- * connections that close in any case.
- */
-async function closesConnection<Payload>(
-  { request: { route } }: Run<Payload>,
-  { slot }: SentAttempt,
-  { closes }: AnswerEnd,
-): Promise<boolean> {
-  if (!isRetryable(route)) return false;
-  // How a whole answer leaves its slot depends on its status.
-  if (route.kind === 'streaming') slot.release('ok');
-  return closes;
+// An endpoint that has closed a connection without an announcement, though endpoints of its service keep them, ends what it has
+// and goes, or has lost what it had. One that leaves closes its connections as well.
+async function isUnusualClose<Payload>(run: Run<Payload>, attempt: SentAttempt): Promise<boolean> {
+  const { host, request } = run;
+  return host.closeHistory.isCloseUnusual(request.service) && !(await hasLeft(run, attempt));
 }
 
 // Its entry may have told of its leaving just before, and not have been read yet.
--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -59,12 +59,18 @@
   run.course.reportEnd = undefined;
 }
 
-/** Remembers an end in order that no length proves, for what becomes of its endpoint. */
+/** Remembers what becomes of the connection of an end in order and, where no length proves the end, of its endpoint. */
 export function rememberEnd<Payload>(
   { host, request, events }: Run<Payload>,
   { slot, endpoint }: SentAttempt,
-  { framing, at }: AnswerEnd,
+  { framing, at, connection }: AnswerEnd,
 ): void {
+  connection.then((fate) => {
+    // A close with an end that may be too early tells nothing of other closes.
+    if (fate === 'kept' || (fate === 'closed' && isProven({ framing }))) {
+      host.closeHistory.note(request.service, fate);
+    }
+  });
   if (isProven({ framing }) || !endpoint) return;
   const { id, born, version } = endpoint;
   const identity = { name: slot.endpoint.name, id, born, version };
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -13,6 +13,7 @@
 import { createEndpointLosses } from './store/endpointLosses';
 import { createDialer } from './relays/dialer';
 import { startRelayDirectory } from './relays/relayDirectory';
+import { createCloseHistory } from './ends/closeHistory';
 import { createEndHistory } from './ends/endHistory';
 import { createEndpointLife } from './ends/endpointLife';
 import { watchLives } from './ends/lifeWatch';
@@ -237,6 +238,7 @@
     }),
     metrics: forwardMetrics,
     endHistory: createEndHistory(),
+    closeHistory: createCloseHistory(),
     endpointLife,
     recentEnds,
     pauseHistory: createPauseHistory(clock),
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -4,6 +4,7 @@
 import type { ServiceTroubles } from './copies/serviceTroubles';
 import type { EndpointDirectory } from './store/endpointDirectory';
 import type { EndpointState } from './store/endpointState';
+import type { CloseHistory } from './ends/closeHistory';
 import type { EndHistory } from './ends/endHistory';
 import type { EndpointLife } from './ends/endpointLife';
 import type { ForwardMetrics } from './forwardMetrics';
@@ -29,6 +30,7 @@
   protocol: EndpointProtocol<Payload>;
   metrics: ForwardMetrics;
   endHistory: EndHistory;
+  closeHistory: CloseHistory;
   endpointLife: EndpointLife;
   recentEnds: RecentEnds;
   pauseHistory: PauseHistory;
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -159,13 +159,21 @@
   at: Milliseconds;
   /** Time from the last event of a stream to the end; `undefined` if there was none, or no stream. */
   sinceEvent?: Milliseconds | undefined;
-  /**
-   * Resolves shortly after the end to whether the endpoint has closed the connection, which was to
-   * be kept; earlier if that is not to be watched.
-   */
-  closes: Promise<boolean>;
+  /** Resolves shortly after the end to what has become of the connection; at once if it was not to be kept. */
+  connection: Promise<ConnectionFate>;
 }
 
+/** What becomes of a connection with the end of an answer. */
+export type ConnectionFate =
+  /** It stays open for the next request. */
+  | 'kept'
+  /** The endpoint has closed it while it was idle, although it had not announced that. */
+  | 'closed'
+  /** It was closed while it served the next request, for which either side may have had its reasons. */
+  | 'lost'
+  /** It was not to be kept. */
+  | 'not kept';
+
 /** One result of reading a stream. `data` holds only complete events. */
 export type StreamStep =
   | ({ kind: 'events' } & EventBatch)
--- a/packages/forwarding/test/accountsParts.ts
+++ b/packages/forwarding/test/accountsParts.ts
@@ -143,8 +143,8 @@
       if (signal.aborted) return { kind: 'broken', message: 'closed' };
       if (isFirst && sent >= breaksAfter) return { kind: 'broken', message: 'crashed' };
       if (sent >= events) {
-        const closes = Promise.resolve(false);
-        return { kind: 'complete', framing: 'chunked', at: clock.elapsed(), closes };
+        const connection = Promise.resolve('kept' as const);
+        return { kind: 'complete', framing: 'chunked', at: clock.elapsed(), connection };
       }
       sent += 1;
       return { kind: 'events', data: Buffer.from(`${stride}\n`), count: 1, lastId: `${sent}` };
--- a/packages/forwarding/test/answerEnd.test.ts
+++ b/packages/forwarding/test/answerEnd.test.ts
@@ -4,7 +4,7 @@
 import { findEndFault } from '../src/ends/answerEnd';
 import type { SentAttempt } from '../src/attempts/sentAttempt';
 import type { Run } from '../src/run';
-import type { EndpointRecord, Reachability } from '../src';
+import type { ConnectionFate, EndpointRecord, Reachability } from '../src';
 import type { IncarnationFate } from '../src/store/endpointDirectory';
 
 const DEADLINE_MS = 1000;
@@ -17,12 +17,14 @@
   reading?: { fate: IncarnationFate; takes: number };
   /** Whether the connection closes just after the end. */
   hasClosed?: boolean;
+  /** Whether endpoints of the service are known to keep connections. */
+  isCloseUnusual?: boolean;
 }
 
 // Judges an end that arrived `timeLeft` ms before the deadline; returns the fault and the steps.
 async function judge(framing: ResponseFraming, timeLeft: number, endpoint: Endpoint = {}) {
   const { reachability = 'accepting', isLeaving = false, fate = 'listed' } = endpoint;
-  const { hasClosed = false } = endpoint;
+  const { hasClosed = false, isCloseUnusual = false } = endpoint;
   const { reading = { fate, takes: 1 } } = endpoint;
   const clock = createManualClock();
   let isRead = false;
@@ -39,6 +41,7 @@
     stop: new AbortController(),
     host: {
       clock,
+      closeHistory: { isCloseUnusual: () => isCloseUnusual },
       directory: { getFate: () => (isRead ? reading.fate : fate) },
       async refreshEndpoints() {
         steps.push('refresh');
@@ -55,7 +58,11 @@
   } as unknown as Run<unknown>;
   let fault: string | undefined = 'not judged';
   const attempt = { slot, endpoint: { id: 'e' } as EndpointRecord } as SentAttempt;
-  const end = { framing, at, closes: Promise.resolve(hasClosed) };
+  const end = {
+    framing,
+    at,
+    connection: Promise.resolve<ConnectionFate>(hasClosed ? 'closed' : 'kept'),
+  };
   const judged = findEndFault(run, attempt, end).then((found) => {
     fault = found;
   });
@@ -95,6 +102,9 @@
   [{ hasClosed: true, reachability: 'refused', isLeaving: true }, false],
   [{ hasClosed: true, reachability: 'accepting' }, false],
   [{ hasClosed: false, reachability: 'refused' }, false],
+  [{ hasClosed: true, reachability: 'accepting', isCloseUnusual: true }, true],
+  [{ hasClosed: true, reachability: 'accepting', isCloseUnusual: true, isLeaving: true }, false],
+  [{ hasClosed: false, reachability: 'accepting', isCloseUnusual: true }, false],
 ])('a stated end by an endpoint breaks its answer: %j %s', async (endpoint, isBroken) => {
   const { fault } = await judge('chunked', 500, endpoint);
   expect(fault !== undefined).toBe(isBroken);
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -19,6 +19,7 @@
   RoomState,
   StreamStep,
 } from '../src';
+import { createCloseHistory } from '../src/ends/closeHistory';
 import { createEndHistory } from '../src/ends/endHistory';
 import { createEndpointLife } from '../src/ends/endpointLife';
 import { createPauseHistory } from '../src/ends/pauseHistory';
@@ -97,7 +98,7 @@
           framing,
           sinceEvent,
           at: clock.elapsed(),
-          closes: sleep(clock, 20).then(() => false),
+          connection: sleep(clock, 20).then(() => 'kept' as const),
         };
       }
       sent += 1;
@@ -137,7 +138,11 @@
     attempt.onProgress();
     await sleep(clock, pause);
     const body = Buffer.from('body');
-    const told = { framing, at: clock.elapsed(), closes: sleep(clock, 20).then(() => false) };
+    const told = {
+      framing,
+      at: clock.elapsed(),
+      connection: sleep(clock, 20).then(() => 'kept' as const),
+    };
     return Ok({ kind: 'whole' as const, head, body, end: told });
   }
 
@@ -189,6 +194,7 @@
     },
     metrics: forwardMetrics,
     endHistory,
+    closeHistory: createCloseHistory(),
     endpointLife: createEndpointLife({
       clock,
       probe,
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -202,6 +202,6 @@
 }
 
 function createEnd(framing: ResponseFraming): StreamStep {
-  const closes = Promise.resolve(false);
-  return { kind: framing === 'close' ? 'closed' : 'complete', framing, at: 0, closes };
+  const connection = Promise.resolve('kept' as const);
+  return { kind: framing === 'close' ? 'closed' : 'complete', framing, at: 0, connection };
 }
--- a/packages/forwarding/test/lapsedEndpoints.test.ts
+++ b/packages/forwarding/test/lapsedEndpoints.test.ts
@@ -33,7 +33,7 @@
   kind: 'whole',
   head: HEAD,
   body: Buffer.from('whole'),
-  end: { framing: 'length', at: 0, closes: Promise.resolve(false) },
+  end: { framing: 'length', at: 0, connection: Promise.resolve('kept') },
 });
 const BROKEN: Sent = Err({ kind: 'broken', message: 'read ECONNRESET' });
 const BOTH = ['1', '2'];
