--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -15,7 +15,7 @@
 import { createConfirmationPoint, createResumePoint } from './resumePoint';
 import type { ResumePoint } from './resumePoint';
 import type { AttemptReply, SentAttempt } from './sentAttempt';
-import type { EndpointRecord, Reply, RunCopy, SendError } from '../types';
+import type { EndpointRecord, Reply, RunCopy, SendError, WholeAnswer } from '../types';
 
 const SERVER_ERROR_STATUS = 500;
 /**
@@ -126,8 +126,17 @@
   const fault = await findEndFault(run, attempt, sent.val.end);
   const { reason, report } = reviewEnd(run, attempt, sent.val.end);
   const message = fault ?? (reason === 'near limit' ? 'ended short of its time limit' : undefined);
-  report(message === undefined ? 'believed' : 'disbelieved');
-  return message === undefined ? sent : Err({ kind: 'broken', message });
+  if (message !== undefined) {
+    report('disbelieved');
+    return Err({ kind: 'broken', message });
+  }
+  if (reason === undefined || !isRetryable(run.request.route) || isServerError(sent.val)) {
+    report('believed');
+    return sent;
+  }
+  report('asked elsewhere');
+  const { head, body } = sent.val;
+  return Err({ kind: 'doubted', message: reason, answer: { head, body } });
 }
 
 function countAttempt<Payload>(
@@ -147,7 +156,7 @@
 
 /** Returns whether the endpoint may have run the request. */
 export function mayHaveRun(reply: AttemptReply): boolean {
-  return reply.ok || reply.val.kind === 'broken';
+  return reply.ok || reply.val.kind === 'broken' || reply.val.kind === 'doubted';
 }
 
 /** Logs that an attempt failed. */
@@ -198,10 +207,17 @@
   if (reply.ok && reply.val.kind === 'whole' && isServerError(reply.val)) {
     run.failure = { head: reply.val.head, body: reply.val.body };
   }
+  if (reply.err && reply.val.kind === 'doubted')
+    run.doubted = chooseLonger(run.doubted, reply.val.answer);
   slot.release(reply.ok ? 'failed' : toSlotResult(run, reply.val));
   run.excluded.add(slot.endpoint.name);
 }
 
+// Of two answers that may lack their ends the longer one lacks less.
+function chooseLonger(known: WholeAnswer | undefined, next: WholeAnswer): WholeAnswer {
+  return known && known.body.length > next.body.length ? known : next;
+}
+
 // A connection that nobody waits for any more may still open in time.
 function toSlotResult<Payload>({ stop, question }: Run<Payload>, { kind }: SendError): SlotResult {
   const isLeft = stop.signal.aborted || question.signal.aborted;
@@ -209,7 +225,7 @@
     .with('broken', () => (question.signal.aborted ? 'silent' : 'failed'))
     .with('unreachable', () => (isLeft ? 'unused' : 'unreachable'))
     .with('replaced', () => 'unreachable' as const)
-    .with('declined', () => 'ok' as const)
+    .with('declined', 'doubted', () => 'ok' as const)
     .with('withheld', 'unsendable', () => 'unused' as const)
     .exhaustive();
 }
--- a/packages/forwarding/src/attempts/attempts.ts
+++ b/packages/forwarding/src/attempts/attempts.ts
@@ -44,12 +44,21 @@
     }
     leaveEndpoint(run, attempt, reply);
     late.note(attempt, reply);
+    if (reply.err && reply.val.kind === 'doubted') limitQuestion(run);
     if (reply.err && !shouldRetryError(run, reply.val))
       return Err(toFinalRefusalKind(run, reply.val));
     next = undefined;
   }
 }
 
+// A doubted answer is ready, so the question about it must not make it late.
+function limitQuestion<Payload>(run: Run<Payload>): void {
+  const { clock } = run.host;
+  const { question } = run;
+  const patience = getFirstByteThreshold(run.request.route, Math.max(0, getTimeLeft(run)));
+  clock.after(patience, () => question.abort());
+}
+
 async function startAttempt<Payload>(
   run: Run<Payload>,
   late: LateEndpoints,
@@ -109,7 +118,7 @@
   return match(error.kind)
     .with('unreachable', () => true)
     .with('replaced', 'declined', () => mayBeDeclined(run) && takeRetry(run))
-    .with('broken', () => takeAttempt(run))
+    .with('broken', 'doubted', () => takeAttempt(run))
     .with('withheld', 'unsendable', () => false)
     .exhaustive();
 }
@@ -123,7 +132,7 @@
   if (run.stop.signal.aborted) return 'timed-out';
   if (run.runs > 0) return 'failed';
   return match(error.kind)
-    .with('broken', 'unsendable', () => 'failed' as const)
+    .with('broken', 'doubted', 'unsendable', () => 'failed' as const)
     .with('withheld', () => 'blocked' as const)
     .with('unreachable', 'replaced', 'declined', () => 'overloaded' as const)
     .exhaustive();
--- a/packages/forwarding/src/ends/answerCourse.ts
+++ b/packages/forwarding/src/ends/answerCourse.ts
@@ -16,9 +16,18 @@
   getActivityTime(): Milliseconds;
 }
 
-/** What was done after an end in order. A whole answer that is believed is passed on or, as an error, retried. */
+/**
+ * What was done after an end in order. A whole answer that is believed is passed on or, as an error, retried; one that is
+ * asked for elsewhere is passed on if nobody answers.
+ */
 export type EndOutcome =
-  'passed on' | 'rest requested' | 'cut' | 'refused' | 'believed' | 'disbelieved';
+  | 'passed on'
+  | 'rest requested'
+  | 'cut'
+  | 'refused'
+  | 'believed'
+  | 'disbelieved'
+  | 'asked elsewhere';
 
 /** How an answer has come so far, for the lines of its end. */
 export interface AnswerCourse {
--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -165,11 +165,13 @@
   kind: RefusalKind,
   delay: Milliseconds | undefined = getRetryAfter(run, kind),
 ): void {
-  // If an endpoint answered with a server error, that answer is sent instead of a refusal.
-  if (run.failure) {
+  // An answer that an endpoint gave is sent instead of a refusal, also one whose end is doubted, or a server error.
+  const answer = run.doubted ?? run.failure;
+  if (answer) {
     run.isAnswered = true;
-    run.caller.answer(run.failure.head, run.failure.body);
-    recordEnd(run, 'answered', { status: run.failure.head.status });
+    run.caller.answer(answer.head, answer.body);
+    const end = run.doubted ? 'unconfirmed' : undefined;
+    recordEnd(run, 'answered', { status: answer.head.status, end });
     return;
   }
   const hasRun = run.runs > 0;
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -7,7 +7,7 @@
 import { isRetryable } from './attempts/patience';
 import type { SentAttempt } from './attempts/sentAttempt';
 import { getSuspectNames } from './suspects/suspectNames';
-import type { Caller, ForwardRequest, ReplyHead } from './types';
+import type { Caller, ForwardRequest, WholeAnswer } from './types';
 
 /** Number of endpoints that may decline one request before it is refused. */
 const DECLINES_MAX = 3;
@@ -53,7 +53,9 @@
   /** Number of events without an id that it has received behind that one. */
   unnumbered: number;
   /** Server error of an endpoint; sent to the caller if no other endpoint answers. */
-  failure: { head: ReplyHead; body: Buffer } | undefined;
+  failure: WholeAnswer | undefined;
+  /** Answer whose end is doubted; sent to the caller if no other endpoint answers. */
+  doubted: WholeAnswer | undefined;
   /** Id of the endpoint of the latest attempt that was not dropped for another one. */
   endpoint: string | undefined;
   /** Version of that endpoint. */
@@ -100,6 +102,7 @@
     lastEventId: request.resumeAfter,
     unnumbered: 0,
     failure: undefined,
+    doubted: undefined,
     endpoint: undefined,
     version: undefined,
     origin: undefined,
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -192,9 +192,15 @@
   close(): Promise<void>;
 }
 
+/** An answer that was read to its end. */
+export interface WholeAnswer {
+  head: ReplyHead;
+  body: Buffer;
+}
+
 /** A validated answer of an endpoint. */
 export type Reply =
-  | { kind: 'whole'; head: ReplyHead; body: Buffer; end: AnswerEnd }
+  | ({ kind: 'whole'; end: AnswerEnd } & WholeAnswer)
   | { kind: 'stream'; head: ReplyHead; stream: EventStream };
 
 /** Why an attempt got no answer. */
@@ -212,6 +218,8 @@
   | { kind: 'withheld'; message: string }
   /** Nothing was sent, because the request can't be written in the endpoint's protocol. */
   | { kind: 'unsendable'; message: string }
+  /** A whole answer came, but something speaks against its end, which another endpoint may tell. */
+  | { kind: 'doubted'; message: string; answer: WholeAnswer }
   /** The connection failed after the request was sent, so the request may have run. */
   | { kind: 'broken'; message: string };
 
