--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -23,6 +23,7 @@
   | 'apart from last event'
   | 'endpoint ended early'
   | 'endpoint ended several'
+  | 'endpoint ended several apart'
   | 'endpoint failing'
   | 'endpoint leaving'
   | 'endpoint gone';
@@ -152,9 +153,12 @@
   if (route.kind !== 'streaming') return undefined;
   if (framing === 'close' && !endHistory.endsByClose(service)) return 'not stated';
   if (endHistory.endsEarly(endpoint)) return 'endpoint ended early';
-  if (recentEnds.endedAtOnce(endpoint)) return 'endpoint ended several';
   // A close is a step of its own, which comes later.
-  return framing !== 'close' && isApartFromEvent(end) ? 'apart from last event' : undefined;
+  const isApart = framing !== 'close' && isApartFromEvent(end);
+  if (recentEnds.endedAtOnce(endpoint)) {
+    return isApart ? 'endpoint ended several apart' : 'endpoint ended several';
+  }
+  return isApart ? 'apart from last event' : undefined;
 }
 
 /** Returns whether a stream has ended some time after its last event. */
--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -117,7 +117,8 @@
 
 /**
  * Returns what an end in order is worth by what speaks against it. A doubtful one leaves the answer open. Where nobody can
- * be asked for the rest, only one that the time limit may have caused does, as such an answer comes late in any case.
+ * be asked for the rest, only one that the time limit may have caused does, as such an answer comes late in any case, and
+ * one against which two signs speak.
  */
 export function judgeReason<Payload>(
   { host: { endHistory }, request: { route, service } }: Run<Payload>,
@@ -126,11 +127,17 @@
 ): StreamEnd {
   if (reason === undefined) return 'complete';
   if (reason === 'not stated') return 'closed';
-  if (!isRetryable(route)) return reason === 'near limit' ? 'doubtful' : 'unconfirmed';
+  if (!isRetryable(route)) return isStrong(reason) ? 'doubtful' : 'unconfirmed';
   const isUsual = reason === 'apart from last event' && endHistory.endsApart(service);
   return isUsual && !endHistory.endsEarly(endpoint) ? 'unconfirmed' : 'doubtful';
 }
 
+// One sign may have another cause. Streams that end at one moment, at different events, and all some time after their last
+// ones were ended by what ended the others.
+function isStrong(reason: EndReason | undefined): boolean {
+  return reason === 'near limit' || reason === 'endpoint ended several apart';
+}
+
 /** Returns whether an end in order may be that of the whole stream, as far as its endpoint could tell. */
 export function mayBeWhole({ end, isEmpty, hasRepeated }: SourceEnd): boolean {
   return end !== 'broken' && (!isEmpty || hasRepeated);
@@ -138,8 +145,7 @@
 
 /**
  * Returns whether the answer stays open after the end until it is proved or the time limit passes: the caller has all
- * that has come, so nothing is gained by a cut. Where nobody can be asked, only an end that the limit may have caused
- * is left to it.
+ * that has come, so nothing is gained by a cut. Where nobody can be asked, only an end with strong evidence against it is.
  */
 export function mayStayOpen<Payload>(
   { request: { route } }: Run<Payload>,
@@ -147,7 +153,7 @@
 ): boolean {
   const isDoubted = last.end === 'doubtful' || last.end === 'closed';
   if (!isDoubted || !mayBeWhole(last)) return false;
-  return isRetryable(route) || (last.reason === 'near limit' && last.fault === undefined);
+  return isRetryable(route) || (isStrong(last.reason) && last.fault === undefined);
 }
 
 /** Returns whether the rest of a stream is to be asked for after such an end. */
