Soak: what a fault is, how each is drawn and when they come stand apart

plan.ts held three things in 332 lines: the types of all faults, which the injector needs too, the tables that say how each named fault is drawn, and the order and times of a plan. They are faults.ts, faultDraws.ts and plan.ts now; the tables Faults and RareFaults, whose values are functions that draw, are FaultDraws and RareFaultDraws.

The other soaks of soak.test.ts were not run.

--- a/packages/replay/src/soak/injector.ts
+++ b/packages/replay/src/soak/injector.ts
@@ -18,7 +18,7 @@
   SignalFault,
   StoreFaultName,
   Target,
-} from './plan';
+} from './faults';
 
 /** Longest time that a process has for its orderly end before it counts as hung. */
 const END_TIMEOUT_MS: Milliseconds = 10_000;
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -2,7 +2,7 @@
 import { createSystemClock } from '@pomeloroad/core';
 import { BUSY_LOOPS_MAX } from './busyLoops';
 import { EarlyEnds, RareEarlyEnds } from './callers';
-import { DefaultFaults, FaultNames } from './plan';
+import { DefaultFaults, FaultNames } from './faultDraws';
 import { runSoak } from './soak';
 import type { SoakResult } from './soak';
 
--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -4,7 +4,7 @@
 import { EarlyEnds } from '../src/soak/callers';
 import type { EarlyEnd } from '../src/soak/callers';
 import { hasRevision } from '../src/soak/olderBuild';
-import { DefaultFaults } from '../src/soak/plan';
+import { DefaultFaults } from '../src/soak/faultDraws';
 import { runSoak } from '../src/soak/soak';
 import type { SoakOptions, SoakResult } from '../src/soak/soak';
 
