Fleet: the members that the list has named stand apart from who is live

fleet.ts kept the list's members, those that left it without a word and the age of the list beside what tells whether an incarnation is live or lost, and asked for role 'instance' in five places, once by isInstance. memberList.ts holds the members; Map values { member, at } have a name.

Behaviour is unchanged: the tests of fleet, instance, drain and lostRunner pass.

--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -3,6 +3,13 @@
 import { createTopic } from '@pomeloroad/peers';
 import type { Peer, PeerNetwork } from '@pomeloroad/peers';
 import type { Member, Membership } from '@pomeloroad/storage';
+import {
+  createMemberList,
+  getIncarnationKey,
+  isInstance,
+  mergeIdentities,
+  toIdentity,
+} from './memberList';
 
 const PEER_CALL_TIMEOUT_MS = 1000;
 /** Silence of an instance after which others take over its requests. */
@@ -10,12 +17,6 @@
 /** Silence of an instance that is not listed after which others close its grants. */
 const LOSS_TIMEOUT_MS = 10_000;
 const WITHDRAW_RETRY_DELAY_MS = 200;
-/**
- * How long an instance that left the list without announcing it is taken for running but
- * disconnected.
- */
-const UNLISTED_RETENTION_MS = 3_600_000;
-
 const FleetTopics = {
   members: createTopic<Record<string, never>, Member[]>('fleet.members'),
   leaving: createTopic<Identity>('fleet.leaving'),
@@ -76,12 +77,12 @@
   const { clock, self, network, membership } = host;
   const lastSeen = new Map<string, Milliseconds>();
   const leavingPeers = new Set<string>();
-  const unlisted = new Map<string, { member: Member; at: Milliseconds }>();
-  let members: Member[] = [];
-  let listedAt = -Infinity;
+  const members = createMemberList(clock, (identity) =>
+    leavingPeers.has(getIncarnationKey(identity)),
+  );
   let isLeaving = false;
 
-  network.handle(FleetTopics.members, async () => [...members, createMember()]);
+  network.handle(FleetTopics.members, async () => [...members.list(), createMember()]);
   network.handle(FleetTopics.leaving, async (_from, identity) => {
     leavingPeers.add(getIncarnationKey(identity));
     host.onChange();
@@ -104,50 +105,26 @@
   async function poll(): Promise<void> {
     await membership.announce(createMember());
     const list = await membership.list();
-    if (list.ok) applyList(list.val);
+    if (list.ok) members.replace(list.val);
     else await askPeers();
     updatePeers();
     host.onChange();
   }
 
-  function applyList(listed: Member[]): void {
-    const names = new Set(listed.map((member) => member.name));
-    // An instance announces that it leaves; one that disappears without that may be disconnected.
-    members.filter(isInstance).forEach((member) => {
-      if (names.has(member.name) || member.state === 'leaving') return;
-      unlisted.set(member.name, { member, at: clock.elapsed() });
-    });
-    unlisted.forEach(({ member, at }, name) => {
-      const isAccountedFor =
-        names.has(name) || leavingPeers.has(getIncarnationKey(toIdentity(member)));
-      if (isAccountedFor || clock.elapsed() - at > UNLISTED_RETENTION_MS) unlisted.delete(name);
-    });
-    members = listed;
-    listedAt = clock.elapsed();
-  }
-
   async function askPeers(): Promise<void> {
     const peers = getPeers().map((peer) => peer.identity.instance);
     const replies = await Promise.all(
       peers.map((peer) => network.call(peer, FleetTopics.members, {}, PEER_CALL_TIMEOUT_MS)),
     );
-    const known = new Map(members.map((member) => [member.name, member]));
-    replies.forEach((reply) => {
-      if (!reply.ok) return;
-      reply.val
-        .filter((member) => !known.has(member.name) && member.name !== self.instance)
-        .forEach((member) => known.set(member.name, member));
-    });
-    members = [...known.values()];
+    const named = replies.map((reply) => (reply.ok ? reply.val : []));
+    members.add(named.map((list) => list.filter((member) => member.name !== self.instance)));
   }
 
   function getPeers(): Peer[] {
     // A list that lacks a peer does not say that it has ended; its connection says that it goes on.
-    const connected = [...unlisted.values()]
-      .map(({ member }) => member)
-      .filter((member) => network.isConnected(member.name));
-    const listed = [...members, ...connected]
-      .filter((member) => member.role === 'instance' && member.name !== self.instance)
+    const connected = members.listUnlisted().filter((member) => network.isConnected(member.name));
+    const listed = [...members.listInstances(), ...connected]
+      .filter((member) => member.name !== self.instance)
       .map((member) => ({ identity: toIdentity(member), address: member.address }));
     const addresses = new Set(listed.map((peer) => peer.address));
     addresses.add(address);
@@ -160,7 +137,8 @@
 
   function getConnectedInstances(): Identity[] {
     const peers = members
-      .filter((member) => member.role === 'instance' && member.state === 'live')
+      .listInstances()
+      .filter((member) => member.state === 'live')
       .map((member) => network.getIdentity(member.name))
       .filter((identity) => identity !== undefined)
       .filter((identity) => identity.instance !== self.instance)
@@ -191,24 +169,24 @@
     getInstances: getConnectedInstances,
     async listInstances() {
       const list = await membership.list();
-      const identities = list.map((listed) =>
-        listed.filter((member) => member.role === 'instance').map(toIdentity),
-      );
+      const identities = list.map((listed) => listed.filter(isInstance).map(toIdentity));
       return identities.map((listed) =>
         mergeIdentities([self, ...listed, ...getConnectedInstances()]),
       );
     },
     isComplete() {
-      const live = members.filter((member) => isInstance(member) && member.state === 'live');
-      const silent = [...unlisted.values()].map(({ member }) => member);
-      return [...live, ...silent].every((member) => network.isConnected(member.name));
+      const live = members.listInstances().filter((member) => member.state === 'live');
+      return [...live, ...members.listUnlisted()].every((member) =>
+        network.isConnected(member.name),
+      );
     },
     getDataCentres: () => {
-      const named = members.filter((member) => member.role === 'instance');
-      return [...new Set([self.dataCentre, ...named.map((member) => member.dataCentre)])];
+      const named = members.listInstances().map((member) => member.dataCentre);
+      return [...new Set([self.dataCentre, ...named])];
     },
     getLeavingEndpoints: () =>
       members
+        .list()
         .filter((member) => member.role === 'endpoint' && member.state === 'leaving')
         .map((member) => member.name),
     isLive(identity) {
@@ -219,8 +197,8 @@
     isLost(identity) {
       if (identity.incarnation === self.incarnation || isConnected(identity)) return false;
       if (isReplaced(identity)) return true;
-      const isListFresh = clock.elapsed() - listedAt < LIVENESS_TIMEOUT_MS;
-      const isListed = members.some((member) => member.incarnation === identity.incarnation);
+      const isListFresh = members.getAge() < LIVENESS_TIMEOUT_MS;
+      const isListed = members.list().some((member) => member.incarnation === identity.incarnation);
       return isListFresh && !isListed && getSilence(identity) > LOSS_TIMEOUT_MS;
     },
     async leave() {
@@ -239,20 +217,3 @@
     },
   };
 }
-
-function isInstance(member: Member): boolean {
-  return member.role === 'instance';
-}
-
-function toIdentity(member: Member): Identity {
-  const { name: instance, incarnation, dataCentre } = member;
-  return { instance, incarnation, dataCentre };
-}
-
-function getIncarnationKey(identity: Identity): string {
-  return `${identity.instance}/${identity.incarnation}`;
-}
-
-function mergeIdentities(identities: Identity[]): Identity[] {
-  return [...new Map(identities.map((identity) => [identity.instance, identity])).values()];
-}
