Endpoint directory: records and entries held back stand apart

The directory's file compared records, named incarnations, held back what an older copy brought back, and kept the entries; whether an entry still counts was written out three times (isServing now). endpointRecords.ts says what two records tell of each other, revivedEntries.ts holds entries back after a rewind.

--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -2,6 +2,9 @@
 import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
 import type { EndpointRecord } from '../types';
+import { getName, isOutdated, isSameRun, toEndpoint, toLapsed } from './endpointRecords';
+import type { LapsedEndpoint } from './endpointRecords';
+import { createRevivedEntries } from './revivedEntries';
 
 /**
  * Time after an outage of the store, or of an endpoint, during which a missing entry may reappear: entries
@@ -10,11 +13,6 @@
 const LAPSED_GRACE_MS: Milliseconds = 2200;
 /** Limit of that time for an entry that the feed reports as removed: its endpoint may be leaving. */
 const REMOVED_GRACE_MS: Milliseconds = 900;
-/**
- * Time after which an entry that an older copy of the store brought back has lapsed again, unless its
- * endpoint renews it.
- */
-const REVIVED_HOLD_MS: Milliseconds = 5000;
 
 /** Dependencies of the directory. */
 export interface DirectoryHost {
@@ -31,9 +29,6 @@
 /** What has become of an endpoint's incarnation, as its entry in the store tells. */
 export type IncarnationFate = 'listed' | 'leaving' | 'gone' | 'started again';
 
-/** An endpoint whose entry has gone, as it does after a silence too. */
-export type LapsedEndpoint = Pick<EndpointRecord, 'service' | 'version'> & { name: string };
-
 /** Endpoints known from their entries in the store, and whether each may be used. */
 export interface EndpointDirectory {
   /** Replaces the entries by a complete reading; entries missing from it are unlisted. */
@@ -83,8 +78,9 @@
 export function createEndpointDirectory(host: DirectoryHost): EndpointDirectory {
   const { clock, log } = host;
   const entries = new Map<string, Entry>();
-  /** Entries that an older copy has brought back, and that are not listed yet. */
-  const revived = new Map<string, EndpointRecord>();
+  const revived = createRevivedEntries(clock, (record) => {
+    if (applyRecord(record)) host.onChange();
+  });
   let isStoreUnavailable = false;
   let storeAvailableAt: Milliseconds = -Infinity;
   let isLoaded = false;
@@ -140,8 +136,12 @@
     host.onChange();
   }
 
-  function isUsable({ record, isListed, usableUntil }: Entry): boolean {
-    return !record.isLeaving && (isListed || clock.elapsed() < usableUntil);
+  function isUsable(entry: Entry): boolean {
+    return !entry.record.isLeaving && isServing(entry);
+  }
+
+  function isServing({ isListed, usableUntil }: Entry): boolean {
+    return isListed || clock.elapsed() < usableUntil;
   }
 
   function hasLapsed({ record, isListed, unlistedAt }: Entry): boolean {
@@ -152,32 +152,20 @@
     isLoaded = true;
     const listed = new Set(records.map((record) => record.id));
     const missing = [...entries.keys()].filter((id) => !listed.has(id));
-    missing.forEach((id) => revived.delete(id));
+    missing.forEach((id) => revived.remove(id));
     const changes = [
-      ...records.filter((record) => !isRevived(record)).map((record) => applyRecord(record)),
+      ...records.filter((record) => !revived.has(record)).map((record) => applyRecord(record)),
       ...missing.map((id) => unlist(id, LAPSED_GRACE_MS)),
     ];
     if (changes.some(Boolean)) host.onChange();
   }
 
-  function isRevived(record: EndpointRecord): boolean {
-    const held = revived.get(record.id);
-    return held !== undefined && isSameRun(held, record) && held.sequence === record.sequence;
-  }
-
   // An endpoint that was gone before the rewind is not used because of what the copy says of it.
   function holdBack(record: EndpointRecord): void {
     const known = entries.get(record.id);
-    if (!known || known.isListed || clock.elapsed() < known.usableUntil) return;
+    if (!known || isServing(known)) return;
     if (!isSameRun(record, known.record) || record.sequence > known.record.sequence) return;
-    revived.set(record.id, record);
-    clock.after(REVIVED_HOLD_MS, () => release(record));
-  }
-
-  function release(record: EndpointRecord): void {
-    if (revived.get(record.id) !== record) return;
-    revived.delete(record.id);
-    if (applyRecord(record)) host.onChange();
+    revived.hold(record);
   }
 
   return {
@@ -187,11 +175,11 @@
       replaceAll(records);
     },
     upsert(record) {
-      revived.delete(record.id);
+      revived.remove(record.id);
       if (applyRecord(record, clock.elapsed())) host.onChange();
     },
     remove(id) {
-      revived.delete(id);
+      revived.remove(id);
       if (unlist(id, REMOVED_GRACE_MS)) host.onChange();
     },
     markReplaced({ id, born }) {
@@ -217,10 +205,7 @@
       isStoreUnavailable = false;
     },
     list: () => [...entries.values()].map((entry) => toEndpoint(entry.record, !isUsable(entry))),
-    listServing: () =>
-      [...entries.values()]
-        .filter(({ isListed, usableUntil }) => isListed || clock.elapsed() < usableUntil)
-        .map(({ record }) => record),
+    listServing: () => [...entries.values()].filter(isServing).map(({ record }) => record),
     listLapsed: () => [...entries.values()].filter(hasLapsed).map(({ record }) => toLapsed(record)),
     find: (name) => [...entries.values()].find(({ record }) => getName(record) === name)?.record,
     getFate(record) {
@@ -228,44 +213,8 @@
       if (!known) return 'gone';
       if (known.record.born > record.born) return 'started again';
       if (known.record.isLeaving) return 'leaving';
-      return known.isListed || clock.elapsed() < known.usableUntil ? 'listed' : 'gone';
+      return isServing(known) ? 'listed' : 'gone';
     },
     isLoaded: () => isLoaded,
   };
 }
-
-// Returns whether the record is of an earlier incarnation or has a lower sequence.
-function isOutdated(record: EndpointRecord, known: EndpointRecord): boolean {
-  if (record.born !== known.born) return record.born < known.born;
-  if (!isSameRun(record, known)) return false;
-  return record.sequence < known.sequence;
-}
-
-// Each incarnation gets its own name because nothing known about an earlier one applies to it.
-function getName({ id, born, version }: EndpointRecord): string {
-  return version === undefined ? `${id}/${born}` : `${id}/${born}/${version}`;
-}
-
-function toLapsed(record: EndpointRecord): LapsedEndpoint {
-  return { name: getName(record), service: record.service, version: record.version };
-}
-
-// An endpoint that tells no start has started again if its version is another one.
-function isSameRun(left: EndpointRecord, right: EndpointRecord): boolean {
-  return left.born === right.born && left.version === right.version;
-}
-
-function toEndpoint(record: EndpointRecord, leaving: boolean): Endpoint {
-  const { service, address, dataCentre, concurrency, version } = record;
-  return {
-    kind: 'service',
-    name: getName(record),
-    service,
-    address,
-    dataCentre,
-    concurrency,
-    leaving,
-    checksFencing: false,
-    version,
-  };
-}
