Suspects: which of them may be to blame stands apart from their probes

suspectProbes.ts first weighed the evidence against suspects that stand beside each other, with six functions and their bounds, and then took, followed and gave back probes. suspectBlame.ts weighs now; a probe that was taken has a named type.

Behaviour is unchanged: the tests of suspect* and crashWatch pass.

--- a/packages/forwarding/src/suspects/suspectProbes.ts
+++ b/packages/forwarding/src/suspects/suspectProbes.ts
@@ -1,28 +1,11 @@
 import { sleep } from '@pomeloroad/core';
 import type { Clock, Milliseconds, Random } from '@pomeloroad/core';
 import type { EndpointLosses } from '../store/endpointLosses';
-import { CRASHES_TO_BLOCK } from './suspectEvidence';
+import { createSuspectBlame } from './suspectBlame';
 import type { EvidenceBook } from './suspectEvidence';
-import { isRequestName } from './suspectNames';
 import { VERDICT_TIME_MS } from './suspectTable';
 import type { StoredSuspect, SuspectTable } from './suspectTable';
 
-/**
- * Times since the last crash or probe after which one request of the whole fleet may be sent in spite of
- * a block. There are few, since each may cost an endpoint and all streams on it.
- */
-const PROBE_DELAYS_MS: readonly Milliseconds[] = [60_000, 600_000];
-/** Those times for a request without a suspect that is as likely to blame as each of those in it. */
-const CONTESTED_PROBE_DELAYS_MS: readonly Milliseconds[] = [1000, 2000, 600_000];
-/** Those times while another suspect may be to blame for one of the crashes. */
-const DOUBTED_PROBE_DELAYS_MS: readonly Milliseconds[] = [3000, 6000, 600_000];
-
-/**
- * Crashes of another cause with which a suspect that has too few crashes for a block may be to blame for the
- * block of one that stands beside it.
- */
-const OTHER_CRASHES_MAX = 2;
-
 /** A probe that was not sent within this time is not sent any more. */
 export const PROBE_SEND_TIME_MS: Milliseconds = 1000;
 /** Longest time between a probe and the moment at which this instance knows it; endpoints are known sooner. */
@@ -57,52 +40,24 @@
   follow(names: string[]): void;
 }
 
+/** A probe that this instance has taken. */
+interface TakenProbe {
+  /** Version of the row that counts it. */
+  version: number;
+  /** Time of `clock.elapsed()` when it was asked for. */
+  at: Milliseconds;
+}
+
 /** Creates the probes that the rows of the store allow. */
 export function createSuspectProbes(
   { clock, random, losses, signal }: SuspectProbesHost,
   table: SuspectTable,
   evidence: EvidenceBook,
 ): SuspectProbes {
-  // Whether the other one stands in as many crashes, but in no more of the requests that they broke off.
-  function isAsLikely(other: string, name: string): boolean {
-    const hasCrashes = evidence.getCrashes(other).size >= evidence.getCrashes(name).size;
-    return hasCrashes && evidence.countRequests(other) <= evidence.countRequests(name);
-  }
-
-  // A request without a suspect that is as likely to blame tells that one and its own apart.
-  function tellsApart(names: string[], name: string): boolean {
-    return evidence
-      .listRivals(name)
-      .some((other) => !names.includes(other) && isAsLikely(other, name));
-  }
-
-  // A whole request that is sent again stands in two crashes by itself.
-  function listPossible(): string[] {
-    const parts = evidence.listRepeated().filter((name) => !isRequestName(name));
-    return [...new Set([...evidence.listCandidates(), ...parts])];
-  }
-
-  // Those that the request lacks and that stand in more crashes than any that it holds behind its blocked ones.
-  function listLikelierOthers(names: string[], blocked: string[]): string[] {
-    const count = (name: string) => evidence.getCrashes(name).size;
-    const possible = listPossible();
-    const hidden = possible.filter((name) => names.includes(name) && !blocked.includes(name));
-    const most = Math.max(0, ...hidden.map(count));
-    return possible.filter((other) => !names.includes(other) && count(other) > most);
-  }
-
-  // Whether one of the others may be to blame for crashes under the suspect.
-  function isDoubted(name: string, others: string[]): boolean {
-    const crashes = evidence.getCrashes(name);
-    return others.some((other) => mayExplain(evidence.getCrashes(other), crashes));
-  }
-
-  function getDelays(names: string[], blocked: string[]): readonly Milliseconds[] {
-    if (blocked.every((name) => tellsApart(names, name))) return CONTESTED_PROBE_DELAYS_MS;
-    const others = listLikelierOthers(names, blocked);
-    const isInDoubt = blocked.some((name) => isDoubted(name, others));
-    return isInDoubt ? DOUBTED_PROBE_DELAYS_MS : PROBE_DELAYS_MS;
-  }
+  const blame = createSuspectBlame(evidence);
+  /** Versions of the rows whose probes are followed, by the names of their suspects. */
+  const followed = new Map<string, number>();
+  const taken = new Map<string, TakenProbe>();
 
   function isDue(stored: StoredSuspect | undefined, delays: readonly Milliseconds[]): boolean {
     if (!stored) return false;
@@ -110,14 +65,6 @@
     return clock.elapsed() - stored.changedAt >= delay;
   }
 
-  // A suspect that nothing else may be to blame for keeps its probes: each of them is likely to cost an endpoint.
-  function mayBeSound(name: string): boolean {
-    return evidence.listRivals(name).some((other) => isAsLikely(other, name));
-  }
-
-  const followed = new Map<string, number>();
-  const taken = new Map<string, { version: number; at: Milliseconds }>();
-
   // Others may have changed or removed the rows since they were written, as after a crash under the probe.
   function noteTaken(names: string[], version: number, at: Milliseconds): void {
     names.filter((name) => table.get(name)).forEach((name) => taken.set(name, { version, at }));
@@ -144,7 +91,7 @@
     await sleep(clock, VERDICT_TIME_MS, signal);
     while (isOpen() && losses.getViewTime() < until) await sleep(clock, VERDICT_RETRY_MS, signal);
     if (!isOpen() || losses.mayHaveOthers(crashes, changedAt - PROBE_DELAY_MAX_MS)) return;
-    if (!mayBeSound(name)) return;
+    if (!blame.mayBeSound(name)) return;
     await sleep(clock, random.integer(0, GIVE_BACK_DELAY_MAX_MS), signal);
     await table.update([name], (_, stored) =>
       stored?.version === version ? { ...stored, probes: stored.probes - 1 } : undefined,
@@ -170,7 +117,7 @@
       names.forEach(followProbe);
     },
     async take(names, blocked) {
-      const delays = getDelays(names, blocked);
+      const delays = blame.getProbeDelays(names, blocked);
       if (!blocked.every((name) => isDue(table.get(name), delays))) return false;
       const probes = new Map(blocked.map((name) => [name, table.get(name)?.probes]));
       const at = clock.elapsed();
@@ -199,10 +146,3 @@
     },
   };
 }
-
-// One under too few crashes for a block stands in all of its own beside the other, which has few more.
-function mayExplain(own: ReadonlySet<string>, crashes: ReadonlySet<string>): boolean {
-  const shared = [...own].filter((crash) => crashes.has(crash)).length;
-  if (own.size >= CRASHES_TO_BLOCK) return shared > 0;
-  return shared === own.size && crashes.size - shared <= OTHER_CRASHES_MAX;
-}
