Limits: sharing what endpoints name stands once

rateLimits.ts and slotShares.ts each built a map of this instance's share from the limits in force, by way of pairs, and started the stated limits with it; their hosts repeated the instance and the list of instances. sharedLimits.ts does that for both; what a share is stays with each.

--- a/packages/forwarding/src/limits/slotShares.ts
+++ b/packages/forwarding/src/limits/slotShares.ts
@@ -1,12 +1,16 @@
 import { Diagnostics, rankNodes } from '@pomeloroad/core';
-import { startStatedLimits } from './statedLimits';
-import type { StatedLimits, StatedLimitsHost } from './statedLimits';
+import { startSharedLimits } from './sharedLimits';
+import type { SharedLimitsHost } from './sharedLimits';
+import type { StatedLimitKind, StatedLimits } from './statedLimits';
+
+const BRITTLENESS: StatedLimitKind = {
+  partition: 'brittle',
+  named: Diagnostics.brittlenessNamed,
+  ended: Diagnostics.brittlenessEnded,
+};
 
 /** Dependencies of sharing the slots of brittle endpoints. */
-export interface SlotSharesHost extends Omit<StatedLimitsHost, 'apply'> {
-  instance: string;
-  /** Returns the names of the instances that run; empty until they are known. */
-  listInstances(): string[];
+export interface SlotSharesHost extends SharedLimitsHost {
   /** Returns the endpoint's slots; `undefined` if it is not known. */
   findSlots(endpoint: string): number | undefined;
   /** Sets the requests that this instance may have in flight at each brittle endpoint. */
@@ -18,23 +22,11 @@
  * no more than is run at once and nothing has to be rejected.
  */
 export function startSlotShares(host: SlotSharesHost): StatedLimits {
-  function apply(limits: ReadonlyMap<string, number>): void {
-    const instances = host.listInstances();
-    const shares = [...limits.keys()].map((endpoint): [string, number] => [
-      endpoint,
+  return startSharedLimits(host, BRITTLENESS, {
+    getShare: (endpoint, _, instances) =>
       getSlotShare(endpoint, host.findSlots(endpoint) ?? 0, host.instance, instances),
-    ]);
-    host.setSlotShares(new Map(shares));
-  }
-
-  return startStatedLimits(
-    { ...host, apply },
-    {
-      partition: 'brittle',
-      named: Diagnostics.brittlenessNamed,
-      ended: Diagnostics.brittlenessEnded,
-    },
-  );
+    setShares: (shares) => host.setSlotShares(shares),
+  });
 }
 
 /**
