Tests: rows that are answered as the test says stand once

statedLimits.test.ts and suspectTable.test.ts each built the same store: transactions whose answers are held, and a feed with one listener. It is createAnsweredRows now.

--- a/packages/forwarding/test/statedLimits.test.ts
+++ b/packages/forwarding/test/statedLimits.test.ts
@@ -1,11 +1,8 @@
-import { Ok } from 'ts-results';
 import { createManualClock, createRandom, createSilentLog, Diagnostics } from '@pomeloroad/core';
-import type { RowChange, RowStore, RowTransaction, StoreVersion } from '@pomeloroad/storage';
+import type { StoreVersion } from '@pomeloroad/storage';
 import { encodeStatedLimit, getStatedLimitKey } from '../src/limits/statedLimitRows';
 import { startStatedLimits } from '../src/limits/statedLimits';
-import type { PartitionListener } from '../src/store/sharedFeed';
-
-type TransactResult = Awaited<ReturnType<RowStore['transact']>>;
+import { createAnsweredRows } from './answeredRows';
 
 const WRITE_TIME_MS = 250;
 const REVIEW_TIME_MS = 2500;
@@ -19,17 +16,7 @@
 
 // One instance that knows of no limit; the store's answers and the feed come as the test says.
 function createStand() {
-  const answers: ((result: TransactResult) => void)[] = [];
-  const transactions: RowTransaction[] = [];
-  let listener!: PartitionListener;
-  const rows = {
-    transact(transaction: RowTransaction) {
-      transactions.push(transaction);
-      return new Promise<TransactResult>((resolve) => {
-        answers.push(resolve);
-      });
-    },
-  } as unknown as RowStore;
+  const { rows, feed, transactions, view, tell, commitAll } = createAnsweredRows();
   const clock = createManualClock();
   const limits = startStatedLimits(
     {
@@ -37,30 +24,23 @@
       random: createRandom(1),
       log: createSilentLog(),
       rows,
-      feed: {
-        listen(_, partitionListener) {
-          listener = partitionListener;
-        },
-        refresh: async () => true,
-      },
+      feed,
       signal: new AbortController().signal,
       isListed: () => true,
       apply: () => undefined,
     },
     { partition: 'limits', named: Diagnostics.rateLimitNamed, ended: Diagnostics.rateLimitEnded },
   );
-  const view = (at: StoreVersion, ...found: ReturnType<typeof createRow>[]) =>
-    listener.onView({ rows: found, version: at.revision, era: at.era, now: 0 });
   view({ era: 1, revision: 3 });
   return {
     clock,
     ...limits,
     view,
-    tell: (...changes: RowChange[]) => listener.onChanges(changes),
+    tell,
     countWrites: () => transactions.length,
     /** Answers all transactions that have come, as committed at the version. */
     async answer(version: StoreVersion) {
-      answers.splice(0).forEach((resolve) => resolve(Ok(version)));
+      commitAll(version);
       await clock.advance(0);
     },
   };
--- a/packages/forwarding/test/suspectTable.test.ts
+++ b/packages/forwarding/test/suspectTable.test.ts
@@ -1,12 +1,10 @@
 import { Err, Ok } from 'ts-results';
 import { createManualClock, createSilentLog } from '@pomeloroad/core';
-import type { RowChange, RowStore, RowTransaction, StoreVersion } from '@pomeloroad/storage';
-import type { PartitionListener } from '../src/store/sharedFeed';
 import { encodeSuspect, getSuspectKey } from '../src/suspects/suspectRows';
 import type { Suspect } from '../src/suspects/suspectRows';
 import { followSuspects } from '../src/suspects/suspectTable';
-
-type TransactResult = Awaited<ReturnType<RowStore['transact']>>;
+import { createAnsweredRows } from './answeredRows';
+import type { TransactResult } from './answeredRows';
 
 const key = getSuspectKey('part');
 const ownVersion = { era: 1, revision: 5 };
@@ -22,42 +20,25 @@
 
 // A table whose row has the version 3; the store's answers and the feed come as the test says.
 function createStand() {
-  const answers: ((result: TransactResult) => void)[] = [];
-  const transactions: RowTransaction[] = [];
-  let listener!: PartitionListener;
-  const rows = {
-    transact(transaction: RowTransaction) {
-      transactions.push(transaction);
-      return new Promise<TransactResult>((resolve) => {
-        answers.push(resolve);
-      });
-    },
-  } as unknown as RowStore;
+  const { rows, feed, transactions, view, tell, answer } = createAnsweredRows();
   const clock = createManualClock();
   const table = followSuspects({
     clock,
     log: createSilentLog(),
     rows,
-    feed: {
-      listen(_, partitionListener) {
-        listener = partitionListener;
-      },
-      refresh: async () => true,
-    },
+    feed,
     signal: new AbortController().signal,
     onChange: () => undefined,
     onLost: () => undefined,
   });
-  const view = (at: StoreVersion, ...found: ReturnType<typeof createRow>[]) =>
-    listener.onView({ rows: found, version: at.revision, era: at.era, now: 0 });
   view({ era: 1, revision: 3 }, createRow(3, { ...own, probes: 0 }));
   return {
     clock,
     table,
     transactions,
     view,
-    tell: (...changes: RowChange[]) => listener.onChanges(changes),
-    answer: (result: TransactResult) => answers.shift()?.(result),
+    tell,
+    answer,
   };
 }
 
