Replay: the testbed's control calls, endpoints and configuration stand apart

testbed.ts held the types, the start of all processes, the proxy's control calls, the start of the endpoints and the configuration's text; an instance's name, site and link stood as a bare object type in three signatures. testbedControl.ts, testbedEndpoints.ts and testbedConfiguration.ts hold the latter; PlacedInstance names the three.

--- a/packages/replay/src/record.ts
+++ b/packages/replay/src/record.ts
@@ -5,7 +5,8 @@
 import type { Platform, Row } from '@pomeloroad/storage';
 import type { CallRecord, StreamRecord } from '@pomeloroad/standins';
 import { pause } from './pause';
-import type { Testbed, TestbedEndpoint } from './testbed';
+import type { Testbed } from './testbed';
+import type { TestbedEndpoint } from './testbedEndpoints';
 import { getMessages, isRequest } from './trace';
 import type { TraceEvent, TraceRequest } from './trace';
 
--- a/packages/replay/src/testbed.ts
+++ b/packages/replay/src/testbed.ts
@@ -1,25 +1,30 @@
-import { callHttp, hashText } from '@pomeloroad/core';
-import { stringify } from 'yaml';
+import { callHttp } from '@pomeloroad/core';
 import type { Deployment } from './deployments';
-import { getSecret } from './deployments';
 import type { Link, Rule } from './faultProxy';
 import { getSourceAddress, PLATFORM_GROUP } from './groups';
 import { INSTANCE_PROGRAM, PROXY_PROGRAM, STANDINS_PROGRAM } from './paths';
 import type { Program, Launcher } from './programs';
+import { renderConfiguration } from './testbedConfiguration';
+import { CONTROL_TIMEOUT_MS, createControlClient, openLink } from './testbedControl';
+import { startEndpoints } from './testbedEndpoints';
+import type { EndpointOptions, TestbedEndpoint } from './testbedEndpoints';
 
 const OPERATOR_KEY = 'operator-of-the-replay';
 const FLEET_KEY = 'fleet-key-of-the-replay';
 const FREE_LOCAL_ADDRESS = '127.0.0.1:0';
-const CONTROL_TIMEOUT_MS = 15_000;
 const MEMBER_EXPIRY_MS = 5000;
 const MEMBERSHIP_LAG_MS = 500;
 
-/** A running instance of the fleet. */
-export interface TestbedInstance {
+/** Name, place and link of an instance, which it keeps when it is started again. */
+export interface PlacedInstance {
   name: string;
   site: string;
   /** Proxy link through which its peers reach it. */
   link: Link;
+}
+
+/** A running instance of the fleet. */
+export interface TestbedInstance extends PlacedInstance {
   program: Program;
   callersUrl: string;
   operatorsUrl: string;
@@ -29,31 +34,15 @@
   isClaimed: boolean;
 }
 
-/** A running model engine or server of the plain service. */
-export interface TestbedEndpoint {
-  name: string;
-  site: string;
-  kind: 'engine' | 'service';
-  program: Program;
-  /** URL without the proxy, at which the replay reads the endpoint's record. */
-  url: string;
-  /** Address at which instances reach it. */
-  address: string;
-}
-
 /** Settings of the processes of a testbed. */
-export interface TestbedOptions {
+export interface TestbedOptions extends EndpointOptions {
   /** How grants are sized: `adaptive`, `even` or `central`. */
   grants: string;
   seed: number;
   /** Extra settings of every instance. */
   settings: string[];
-  /** Extra arguments of every engine. */
-  engineArgs?: string[];
   /** Maximum number of concurrent requests of an endpoint. */
   concurrency?: number;
-  /** Whether instances reach endpoints without the proxy, which would distort measurements. */
-  isDirect?: boolean;
 }
 
 /** The running processes of a deployment and the means to control them. */
@@ -108,20 +97,15 @@
   };
   const endpoints = await startEndpoints(launcher, control, deployment, options);
 
-  async function startInstance(name: string, site: string, link: Link): Promise<TestbedInstance> {
+  async function startInstance(placed: PlacedInstance): Promise<TestbedInstance> {
+    const { name, site, link } = placed;
     const program = await launcher.start(name, INSTANCE_PROGRAM, [
-      'serve',
-      ...['--instance', name, '--data-centre', site],
-      ...['--callers-address', FREE_LOCAL_ADDRESS, '--peers-address', FREE_LOCAL_ADDRESS],
-      ...['--operators-address', FREE_LOCAL_ADDRESS, '--advertised-address', link.address],
+      ...createInstanceArguments(placed, options),
       ...['--source-address', getSourceAddress(sites, site)],
-      ...['--seeds', instanceLinks.map((other) => other.link.address).join(',')],
+      ...['--seeds', placements.map((other) => other.link.address).join(',')],
       ...['--table-url', `http://${proxiedAddresses.table.address}`],
       ...['--objects-url', `http://${proxiedAddresses.objects.address}`],
       ...['--membership-url', `http://${proxiedAddresses.membership.address}`],
-      ...['--fleet-key', FLEET_KEY, '--operator-key', OPERATOR_KEY],
-      ...['--grants', options.grants, '--settle-interval', '500', '--drain-notice', '400'],
-      ...['--writes-per-second', '40', '--default-deadline', '8000', '--budget-patience', '4000'],
       ...options.settings,
     ]);
     const { listening } = program;
@@ -140,16 +124,14 @@
     };
   }
 
-  const instanceLinks: { name: string; site: string; link: Link }[] = [];
+  const placements: PlacedInstance[] = [];
   for (const site of deployment.sites) {
     for (let index = 1; index <= site.instances; index += 1) {
       const link = (await control('/links', { group: site.name })) as Link;
-      instanceLinks.push({ name: `${site.name}-${index}`, site: site.name, link });
+      placements.push({ name: `${site.name}-${index}`, site: site.name, link });
     }
   }
-  const instances = await Promise.all(
-    instanceLinks.map(({ name, site, link }) => startInstance(name, site, link)),
-  );
+  const instances = await Promise.all(placements.map(startInstance));
 
   return {
     deployment,
@@ -174,7 +156,7 @@
       await Promise.all(calls);
     },
     async restart(instance) {
-      const started = await startInstance(instance.name, instance.site, instance.link);
+      const started = await startInstance(instance);
       Object.assign(instance, { ...started, isClaimed: instance.isClaimed });
     },
     async callOperator(instance, method, path, body) {
@@ -193,90 +175,22 @@
   };
 }
 
-// Sends a PUT request to a control path and resolves to the parsed answer; rejects on failure.
-type ControlClient = (path: string, body: unknown) => Promise<unknown>;
-
-function createControlClient(url: string): ControlClient {
-  return async (path, body) => {
-    const text = JSON.stringify(body);
-    const call = { method: 'PUT', url: `${url}${path}`, body: text, timeout: CONTROL_TIMEOUT_MS };
-    const answer = await callHttp(call);
-    return JSON.parse(answer.unwrap().body.toString()) as unknown;
-  };
-}
-
-async function openLink(control: ControlClient, group: string, target: string): Promise<Link> {
-  const link = (await control('/links', { group })) as Link;
-  await control('/target', { link: link.id, target });
-  return link;
+function createInstanceArguments(
+  { name, site, link }: PlacedInstance,
+  { grants }: TestbedOptions,
+): string[] {
+  return [
+    'serve',
+    ...['--instance', name, '--data-centre', site],
+    ...['--callers-address', FREE_LOCAL_ADDRESS, '--peers-address', FREE_LOCAL_ADDRESS],
+    ...['--operators-address', FREE_LOCAL_ADDRESS, '--advertised-address', link.address],
+    ...['--fleet-key', FLEET_KEY, '--operator-key', OPERATOR_KEY],
+    ...['--grants', grants, '--settle-interval', '500', '--drain-notice', '400'],
+    ...['--writes-per-second', '40', '--default-deadline', '8000', '--budget-patience', '4000'],
+  ];
 }
 
 function readPlatformAddresses(program: Program) {
   const { table, objects, membership } = program.listening;
   return { table: String(table), objects: String(objects), membership: String(membership) };
 }
-
-async function startEndpoints(
-  launcher: Launcher,
-  control: ControlClient,
-  deployment: Deployment,
-  options: TestbedOptions,
-): Promise<TestbedEndpoint[]> {
-  const starting = deployment.sites.flatMap((site) => {
-    const startEndpoint = async (
-      kind: TestbedEndpoint['kind'],
-      index: number,
-    ): Promise<TestbedEndpoint> => {
-      const name = `${site.name}-${kind}-${index + 1}`;
-      const program = await launcher.start(name, STANDINS_PROGRAM, [
-        kind,
-        ...(kind === 'engine' ? (options.engineArgs ?? []) : []),
-      ]);
-      const target = String(program.listening.address);
-      const link = await openLink(control, site.name, target);
-      const address = options.isDirect ? target : link.address;
-      return { name, site: site.name, kind, program, url: `http://${target}`, address };
-    };
-    const engines = Array.from({ length: site.engines }, (_, index) =>
-      startEndpoint('engine', index),
-    );
-    const services = Array.from({ length: site.services }, (_, index) =>
-      startEndpoint('service', index),
-    );
-    return [...engines, ...services];
-  });
-  return Promise.all(starting);
-}
-
-function renderConfiguration(
-  deployment: Deployment,
-  endpoints: TestbedEndpoint[],
-  weight: number,
-  concurrency?: number,
-): string {
-  const { accounts, model, service } = deployment;
-  return stringify({
-    accounts: accounts.map((client, index) => ({
-      name: client.name,
-      weight: index === 0 ? weight : 1,
-      budgets: client.budgets.map((budget) => budget.name),
-      keys: [
-        {
-          name: 'replay',
-          hash: hashText(getSecret(client.name)),
-          budget: client.budgets[0]?.name,
-        },
-      ],
-    })),
-    pools: [{ model }],
-    services: [{ name: service }],
-    endpoints: endpoints.map(({ name, kind, site, address }) => ({
-      name,
-      kind,
-      dataCentre: site,
-      address,
-      concurrency,
-      ...(kind === 'engine' ? { models: [model] } : { service }),
-    })),
-  });
-}
