--- a/packages/budgets/src/keeper.ts
+++ b/packages/budgets/src/keeper.ts
@@ -1,23 +1,15 @@
 import { Ok } from 'ts-results';
 import { createCondition, Diagnostics } from '@pomeloroad/core';
-import type { Outcome, Tokens } from '@pomeloroad/core';
+import type { Diagnostic, Outcome, Tokens } from '@pomeloroad/core';
 import { createGrantRefill } from './grantRefill';
+import { createGrantSize, isOfDropped } from './grantSize';
 import { createGrantWitness } from './grantWitness';
 import { createGrant, createHeldGrant } from './heldGrant';
-import type { Sizer } from './grantPlans';
 import type { Keeper, KeeperHost } from './keeperTypes';
 import { createRateMeter } from './rate';
 import { createReservationQueue } from './reservationQueue';
 import type { WitnessLog } from './topics';
-import { getGrantGrowth, getIdleLimit } from './sizing';
-import type {
-  BudgetRow,
-  Grant,
-  LedgerError,
-  ReservationRequest,
-  SettledRecord,
-  UsageRecord,
-} from './types';
+import type { Grant, LedgerError, ReservationRequest, SettledRecord, UsageRecord } from './types';
 
 const RATE_TIME_CONSTANT_MS = 60_000;
 const MAX_ENDED_RESERVATIONS = 1000;
@@ -31,7 +23,7 @@
   budget: string,
   inherited?: { grant: Grant; log: WitnessLog },
 ): Keeper {
-  const { clock, log, ledger, policy, self, witnesses } = host;
+  const { clock, log, ledger, self, witnesses } = host;
   const rate = createRateMeter(clock, RATE_TIME_CONSTANT_MS);
   const changed = createCondition();
   const queue = createReservationQueue(clock, tryReserve);
@@ -40,10 +32,6 @@
     : createHeldGrant(createGrant(self, budget));
   /** Records of ended reservations by identifier, kept to recognize repeated settlements. */
   const ended = new Map<string, SettledRecord | undefined>();
-  /** Largest recent reservation; it decays by a tenth with each request. */
-  let recentPeakTokens = 0;
-  /** Free tokens after the last change of the grant's size. */
-  let freeAfterResize = 0;
   let lastTableTask: Promise<unknown> = Promise.resolve();
 
   const witness = createGrantWitness({
@@ -56,6 +44,19 @@
     abandonGrant,
   });
 
+  const size = createGrantSize({
+    ...host,
+    budget,
+    queue,
+    rate,
+    witness,
+    getHeld: () => held,
+    getShortage,
+    runExclusively,
+    abandonGrant,
+    logGrant,
+  });
+
   const refill = createGrantRefill({
     budget,
     clock,
@@ -64,7 +65,7 @@
     changed,
     getHeld: () => held,
     getShortage,
-    grow,
+    grow: size.grow,
     recall: host.recall,
   });
 
@@ -85,58 +86,13 @@
     return Math.max(0, queue.sumTokens() - held.free());
   }
 
-  function grow(): Promise<Outcome<Grant, LedgerError>> {
-    return runExclusively(async () => {
-      const row = await ledger.readBudget(budget);
-      if (row.err) return row;
-      if (held.grant().version === 0) await witness.open();
-      const outcome = await ledger.resize(held.grant(), createSizer(row.val), held.isUncertain());
-      applyOutcome(outcome);
-      return outcome;
-    });
-  }
-
-  function createSizer(row: BudgetRow): Sizer {
-    return (unallocated, size) => {
-      const needed = getShortage();
-      const demand = {
-        needed,
-        unallocated,
-        size,
-        toppedUp: row.toppedUp,
-        rate: rate.perSecond(),
-        dataCentres: host.getDataCentres(),
-      };
-      return size + getGrantGrowth(policy, demand);
-    };
-  }
-
-  function applyOutcome(outcome: Outcome<Grant, LedgerError>): void {
-    if (isOfDropped(outcome)) return;
-    if (outcome.ok) {
-      const { version, row } = outcome.val;
-      if (held.grant().version === 0 && version > 0) logGrant(Diagnostics.grantOpened, row.size);
-      else if (row.size !== held.grant().row.size) logGrant(Diagnostics.grantResized, row.size);
-      held.applyResize(outcome.val);
-      freeAfterResize = held.free();
-      return;
-    }
-    if (outcome.val.kind === 'sealed') abandonGrant();
-    else held.markUncertain();
-  }
-
   // Applies the outcome of a write of the row that left its size as it was.
   function applySettlement(outcome: Outcome<Grant, LedgerError>): void {
-    if (isOfDropped(outcome)) return;
+    if (isOfDropped(outcome, held)) return;
     if (outcome.ok) held.applySettlement(outcome.val);
     else if (outcome.val.kind === 'sealed') abandonGrant();
   }
 
-  // A grant may be dropped while a write of its row is waited for.
-  function isOfDropped(outcome: Outcome<Grant, LedgerError>): boolean {
-    return outcome.ok && outcome.val.id !== held.grant().id;
-  }
-
   // Drops a grant that another instance has closed because it considered this one lost.
   // Nothing more may be spent from it.
   function abandonGrant(): void {
@@ -145,23 +101,8 @@
     held = createHeldGrant(createGrant(self, budget));
   }
 
-  function logGrant(event: (typeof Diagnostics)[keyof typeof Diagnostics], size: Tokens): void {
-    log(event, { budget, grant: held.grant().id, size, spent: held.spent() });
-  }
-
-  // Shrinks the grant, at most down to the tokens in use, and returns the number released.
-  async function shrinkTo(getKept: () => Tokens): Promise<Tokens> {
-    return runExclusively(async () => {
-      const before = held;
-      const kept = Math.max(getKept(), before.spent() + before.reserved());
-      const released = before.limit() - kept;
-      if (released <= 0 || before.grant().version === 0) return 0;
-      // The released tokens stay unusable even if the write fails, since it may still take effect.
-      before.lowerLimit(kept);
-      const outcome = await ledger.resize(before.grant(), () => kept, before.isUncertain());
-      applyOutcome(outcome);
-      return outcome.ok ? released : 0;
-    });
+  function logGrant(event: Diagnostic, tokens: Tokens): void {
+    log(event, { budget, grant: held.grant().id, size: tokens, spent: held.spent() });
   }
 
   function endReservation(id: string, record: UsageRecord | undefined): void {
@@ -185,7 +126,7 @@
 
   return {
     async reserve(request) {
-      recentPeakTokens = Math.max(recentPeakTokens * 0.9, request.tokens);
+      size.noteRequest(request.tokens);
       if (held.reservations().has(request.id)) return Ok.EMPTY;
       if (queue.count() === 0 && tryReserve(request)) return Ok.EMPTY;
       const waited = queue.add(request);
@@ -212,18 +153,10 @@
     },
     maintainWitness: witness.maintain,
     release: (mustYield) =>
-      queue.count() > 0 && !mustYield ? Promise.resolve(0) : shrinkTo(() => 0),
-    async trim() {
-      const limit = getIdleLimit(policy, rate.perSecond(), recentPeakTokens);
-      if (queue.count() > 0 || held.free() <= limit) return;
-      await shrinkTo(() => held.spent() + held.reserved() + Math.ceil(limit / 2));
-    },
+      queue.count() > 0 && !mustYield ? Promise.resolve(0) : size.shrinkTo(() => 0),
+    trim: size.trim,
     hasReservation: (reservation) => held.reservations().has(reservation) || ended.has(reservation),
-    async growEarly() {
-      if (policy.kind !== 'adaptive' || held.grant().version === 0) return;
-      if (queue.count() > 0 || host.isTableUnreachable()) return;
-      if (held.free() < freeAfterResize / 2) await grow();
-    },
+    growEarly: size.growEarly,
     reservations: () => [...held.reservations().values()],
     unsettledRecords: () => held.unsettledRecords(),
     advanceRow: (grant, sequence) =>
