--- a/packages/forwarding/src/attempts/attempts.ts
+++ b/packages/forwarding/src/attempts/attempts.ts
@@ -37,7 +37,8 @@
     const started = next ? Ok(next) : await startAttempt(run, late);
     if (started.err) return started;
     const { attempt, reply } = await finishAttempt(run, started.val);
-    if (reply.ok && !shouldRetryReply(run, reply.val)) {
+    const isRetried = reply.ok && shouldRetryReply(run, reply.val);
+    if (reply.ok && !isRetried && !isWorseThanDoubted(run, reply.val)) {
       run.framing = reply.val.head.framing;
       run.course.source = attempt;
       return Ok({ reply: reply.val, attempt });
@@ -45,6 +46,7 @@
     leaveEndpoint(run, attempt, reply);
     late.note(attempt, reply);
     if (reply.err && reply.val.kind === 'doubted') limitQuestion(run);
+    if (reply.ok && !isRetried) return Err('failed');
     if (reply.err && !shouldRetryError(run, reply.val))
       return Err(toFinalRefusalKind(run, reply.val));
     next = undefined;
@@ -113,6 +115,11 @@
   return isServerError(reply) && !isQuestionOver(run) && takeAttempt(run);
 }
 
+// An endpoint that fails tells nothing of the end of an answer that another one gave.
+function isWorseThanDoubted<Payload>({ doubted }: Run<Payload>, reply: Reply): boolean {
+  return doubted !== undefined && isServerError(reply);
+}
+
 function shouldRetryError<Payload>(run: Run<Payload>, error: SendError): boolean {
   if (run.stop.signal.aborted || isQuestionOver(run)) return false;
   return match(error.kind)
