--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -219,13 +219,19 @@
 }
 
 // A connection that nobody waits for any more may still open in time.
-function toSlotResult<Payload>({ stop, question }: Run<Payload>, { kind }: SendError): SlotResult {
+function toSlotResult<Payload>(run: Run<Payload>, { kind }: SendError): SlotResult {
+  const { stop, question } = run;
   const isLeft = stop.signal.aborted || question.signal.aborted;
   return match(kind)
-    .with('broken', () => (question.signal.aborted ? 'silent' : 'failed'))
+    .with('broken', () => (question.signal.aborted ? toAskedResult(run) : 'failed'))
     .with('unreachable', () => (isLeft ? 'unused' : 'unreachable'))
     .with('replaced', () => 'unreachable' as const)
     .with('declined', 'doubted', () => 'ok' as const)
     .with('withheld', 'unsendable', () => 'unused' as const)
     .exhaustive();
 }
+
+// The question about a doubted answer is given up for its caller's sake, however sound the endpoint is that was asked.
+function toAskedResult<Payload>({ doubted }: Run<Payload>): SlotResult {
+  return doubted ? 'unused' : 'silent';
+}
--- a/packages/forwarding/test/doubtedAnswers.test.ts
+++ b/packages/forwarding/test/doubtedAnswers.test.ts
@@ -30,3 +30,15 @@
   expect(calls).toEqual(['begin', 'end']);
   expect(answered).toMatchObject({ code: 5006, events: 4 });
 });
+
+test('an endpoint does not count as silent because its caller has waited long enough for a second answer', async () => {
+  const { calls, releases } = await forwardTo(
+    [
+      { end: 'whole', state: 'leaving' },
+      { end: 'whole', pause: 1500 },
+    ],
+    { route: { ...STREAMING.route!, kind: 'idempotent' } as never },
+  );
+  expect(calls).toEqual(['answer']);
+  expect(releases).not.toContain('silent');
+});
