--- a/packages/core/src/connect.ts
+++ b/packages/core/src/connect.ts
@@ -12,6 +12,8 @@
   /** Missing once the connection was reset. */
   remoteAddress?: string | undefined;
   isRetired?: boolean;
+  /** Whether another instance carries it, whose end cuts it as a reset by its target does. */
+  isCarried?: boolean;
 }
 
 /** Why a connection did not open. Nothing was sent on it. */
--- a/packages/peers/src/tunnelStream.ts
+++ b/packages/peers/src/tunnelStream.ts
@@ -19,7 +19,7 @@
   socket.prependOnceListener('close', (code: number) => {
     if (!STATED_ENDS.has(code)) stream.destroy(new Error('the tunnel was cut'));
   });
-  return Object.assign(stream, { remoteAddress }, createSocketOptions(stream));
+  return Object.assign(stream, { remoteAddress, isCarried: true }, createSocketOptions(stream));
 }
 
 // Each message is sent once the one before it is taken, so that no second copy of a body is held.
