--- a/packages/forwarding/src/attempts/attempts.ts
+++ b/packages/forwarding/src/attempts/attempts.ts
@@ -1,6 +1,6 @@
 import { Err, Ok } from 'ts-results';
 import { match } from 'ts-pattern';
-import type { Outcome } from '@pomeloroad/core';
+import type { Outcome, Timer } from '@pomeloroad/core';
 import type { RouteError } from '@pomeloroad/routing';
 import { isServerError, leaveEndpoint, sendAttempt } from './attempt';
 import type { AttemptReply, SentAttempt } from './sentAttempt';
@@ -30,6 +30,37 @@
 export async function sendWithRetries<Payload>(
   run: Run<Payload>,
   pending?: SentAttempt,
+): Promise<Outcome<EndpointReply, RefusalKind>> {
+  const limit = createQuestionLimit(run);
+  const result = await sendInTurn(run, limit, pending);
+  limit.cancel();
+  return result;
+}
+
+/** Limits the time for which another endpoint is asked about a doubted answer. */
+interface QuestionLimit {
+  /** Gives the question up after a while, counted from the first call. */
+  start(): void;
+  cancel(): void;
+}
+
+// A doubted answer is ready, so the question about it must not make it late.
+function createQuestionLimit<Payload>(run: Run<Payload>): QuestionLimit {
+  const { question, host, request } = run;
+  let timer: Timer | undefined;
+  return {
+    start() {
+      const patience = getFirstByteThreshold(request.route, Math.max(0, getTimeLeft(run)));
+      timer ??= host.clock.after(patience, () => question.abort());
+    },
+    cancel: () => timer?.cancel(),
+  };
+}
+
+async function sendInTurn<Payload>(
+  run: Run<Payload>,
+  limit: QuestionLimit,
+  pending: SentAttempt | undefined,
 ): Promise<Outcome<EndpointReply, RefusalKind>> {
   const late = createLateEndpoints(run);
   let next = pending;
@@ -37,28 +68,22 @@
     const started = next ? Ok(next) : await startAttempt(run, late);
     if (started.err) return started;
     const { attempt, reply } = await finishAttempt(run, started.val);
-    if (reply.ok && !shouldRetryReply(run, reply.val)) {
+    const isRetried = reply.ok && shouldRetryReply(run, reply.val);
+    if (reply.ok && !isRetried && !isWorseThanDoubted(run, reply.val)) {
       run.framing = reply.val.head.framing;
       run.course.source = attempt;
       return Ok({ reply: reply.val, attempt });
     }
     leaveEndpoint(run, attempt, reply);
     late.note(attempt, reply);
-    if (reply.err && reply.val.kind === 'doubted') limitQuestion(run);
+    if (reply.err && reply.val.kind === 'doubted') limit.start();
+    if (reply.ok && !isRetried) return Err('failed');
     if (reply.err && !shouldRetryError(run, reply.val))
       return Err(toFinalRefusalKind(run, reply.val));
     next = undefined;
   }
 }
 
-// A doubted answer is ready, so the question about it must not make it late.
-function limitQuestion<Payload>(run: Run<Payload>): void {
-  const { clock } = run.host;
-  const { question } = run;
-  const patience = getFirstByteThreshold(run.request.route, Math.max(0, getTimeLeft(run)));
-  clock.after(patience, () => question.abort());
-}
-
 async function startAttempt<Payload>(
   run: Run<Payload>,
   late: LateEndpoints,
@@ -113,6 +138,11 @@
   return isServerError(reply) && !isQuestionOver(run) && takeAttempt(run);
 }
 
+// An endpoint that fails tells nothing of the end of an answer that another one gave.
+function isWorseThanDoubted<Payload>({ doubted }: Run<Payload>, reply: Reply): boolean {
+  return doubted !== undefined && isServerError(reply);
+}
+
 function shouldRetryError<Payload>(run: Run<Payload>, error: SendError): boolean {
   if (run.stop.signal.aborted || isQuestionOver(run)) return false;
   return match(error.kind)
