--- a/packages/replay/src/programs.ts
+++ b/packages/replay/src/programs.ts
@@ -20,7 +20,7 @@
 /** Starts Node.js programs and keeps track of their processes. */
 export interface Launcher {
   /** Resolves once the program is listening; rejects if it exits first or takes too long. */
-  start(name: string, script: string, args: string[]): Promise<Program>;
+  start(name: string, script: string, args: string[], nodeOptions?: string[]): Promise<Program>;
   /** Kills all processes that are still running. */
   stopAll(): void;
   /** Does the same, starts no more and resolves to the ids of the processes that remain. */
@@ -42,9 +42,9 @@
   }
 
   return {
-    start(name, script, args) {
+    start(name, script, args, nodeOptions = []) {
       if (isClosed) return Promise.reject(new Error(`${name} is not started after the end`));
-      const child = spawn(process.execPath, [script, ...args], {
+      const child = spawn(process.execPath, [...nodeOptions, script, ...args], {
         stdio: ['ignore', 'pipe', 'pipe'],
       });
       children.add(child);
--- a/packages/replay/test/plannedStopHarness.ts
+++ b/packages/replay/test/plannedStopHarness.ts
@@ -53,6 +53,7 @@
   instance: Program;
   /** `ip:port` for callers. */
   address: string;
+  readinessAddress: string;
   settingsPath: string;
   /** Lines of the instance's log. */
   log: Record<string, unknown>[];
@@ -73,6 +74,7 @@
 export async function startTrial(
   configuration: object = CONFIGURATION,
   prelude = '',
+  nodeOptions: string[] = [],
 ): Promise<Trial> {
   directory = mkdtempSync(path.join(tmpdir(), 'pomeloroad-stops-'));
   const store = await startStore({
@@ -104,7 +106,8 @@
   closers.push(store.stop, proxy.close);
   const program = path.join(directory, 'program.js');
   writeFileSync(program, `${prelude}\nrequire(${JSON.stringify(TRIAL_PROGRAM)});`);
-  const instance = await launcher.start('one', program, ['--settings', settingsPath]);
+  const args = ['--settings', settingsPath];
+  const instance = await launcher.start('one', program, args, nodeOptions);
   await waitUntil(async () => !instance.isRunning() || (await getReady(readinessAddress)) === 200);
 
   async function addEndpoint(id: string, handler: http.RequestListener): Promise<void> {
@@ -125,7 +128,7 @@
   }
   const hasLogged = (text: string) => log.some((line) => line.text === text);
   return {
-    ...{ instance, address, settingsPath, log, received, proxy },
+    ...{ instance, address, readinessAddress, settingsPath, log, received, proxy },
     ...{ put, addEndpoint, hasLogged },
   };
 }
