Bodies: pieces are joined as they arrive, so that chunks of one byte don't end a process

Callers saw: 20 of them, who send bodies in chunks of one byte, ended a process (heap out of memory), which answered nobody any more.

Cause: readRequestBody kept each piece as a Buffer of its own, some hundred bytes for one. Pieces below 2 KB are now copied into blocks of up to 16 KB.

A million bytes one by one take less than 8 MB (joinedPieces.test).

Ruled out as the only mending: a bound on the sum of bodies, since what is counted there was 8 MB in that crowd.

--- a/packages/core/src/serverConnections.ts
+++ b/packages/core/src/serverConnections.ts
@@ -4,6 +4,8 @@
 import type { Socket } from 'node:net';
 import { TLSSocket } from 'node:tls';
 import { Err, Ok } from 'ts-results';
+import { createJoinedPieces } from './joinedPieces';
+import type { JoinedPieces } from './joinedPieces';
 import { renderPlainHead } from './plainHead';
 import { findConnection, getConnection } from './serverConnection';
 import type { Outcome } from './types';
@@ -92,26 +94,26 @@
 ): Promise<Outcome<Buffer, BodyFault>> {
   const connection = getConnection(message.socket);
   return new Promise((resolve) => {
-    let chunks: Buffer[] = [];
+    // The connection keeps these listeners for as long as it is open.
+    let pieces: JoinedPieces | undefined = createJoinedPieces();
     let size = 0;
     let isDone = false;
     const fail = (fault: BodyFault) => {
       if (isDone) return;
       isDone = true;
-      chunks = [];
+      pieces = undefined;
       resolve(Err(fault));
     };
     connection.onUnreadable(() => fail('unreadable'));
     connection.bodies.read(message, (chunk) => {
       size += chunk.length;
       if (size > limit) fail('too-large');
-      else chunks.push(chunk);
+      else pieces?.add(chunk);
     });
     message.on('end', () => {
       isDone = true;
-      resolve(Ok(Buffer.concat(chunks)));
-      // The connection keeps this listener for as long as it is open.
-      chunks = [];
+      if (pieces) resolve(Ok(pieces.join()));
+      pieces = undefined;
     });
     message.on('error', () => fail('disconnected'));
     message.on('close', () => fail('disconnected'));
