Requests ahead: a connection's parser gets its input bit by bit, so that the bound on requests holds

Callers saw: 40 of them, who send requests ahead and read no answers, ended a process (heap out of memory), with the usual headers or without; nobody was answered any more.

Cause: no more than 64 requests of a caller were to wait, but the connection was paused in the next turn, and until then Node parsed all that had arrived: 1,400 short requests in 64 KB, up to 32 such reads of each connection in one turn. Now the input is taken over from the parser when the connection begins, the parser gets 2 KB at once, cut behind the last head in them, and before each of them it is asked whether it may get more. The same rule keeps a body that waits for others from being parsed into a buffer for each byte.

A body above its limit ends the turn, so that what serves it can close the connection before more requests are accepted on it (platform/test/behind, "chunks above the limit", failed without that: three requests behind were served; heads cut in the middle let Node's time for heads run, "unreadable bytes behind many waiting requests").

--- a/packages/core/src/serverConnection.ts
+++ b/packages/core/src/serverConnection.ts
@@ -8,9 +8,16 @@
 import { createWaitingBodies } from './waitingBodies';
 import type { WaitingBodies } from './waitingBodies';
 
+/** Requests that one caller may have waiting for their answers; no more is parsed beyond these. */
+const REQUESTS_MAX = 64;
+
 /** A connection of a server, with the requests that are accepted on it. */
 export interface ServerConnection {
   bodies: WaitingBodies;
+  /** Takes the input over from Node's parser, which gets it bit by bit. */
+  readAhead(): void;
+  /** Parses no more in this turn, so that whoever serves a request can close the connection first. */
+  yieldInput(): void;
   isDropping(): boolean;
   /** Whether the latest accepted request's response is the last one. */
   isEnding(): boolean;
@@ -58,20 +65,25 @@
 function createConnection(socket: Socket): ServerConnection {
   /** Responses that are not sent in full, in the order of their requests. */
   const open = new Set<ServerResponse>();
-  const lookAhead = createLookAhead(socket);
-  const bodies = createWaitingBodies(socket, startLookAhead);
+  const bodies = createWaitingBodies();
+  const lookAhead = createLookAhead(socket, {
+    mayParse: () => !isYielding && open.size <= REQUESTS_MAX && !bodies.isFull(),
+    mayHold: () => true,
+    hold: () => undefined,
+  });
   let latest: ServerResponse | undefined;
   let abandonBody: () => void = () => undefined;
   let isRefused = false;
   let refusal: number | undefined;
   let isClosing = false;
+  let isYielding = false;
   /** What still arrives, once it is dropped. */
   let dropped: DroppedInput | undefined;
   /** Gives the connection a new parser for the input that is held, if any is. */
   let parseHeld: (() => void) | undefined;
 
   // There is no parser to look ahead of while the input is dropped, or held for a new one.
-  function startLookAhead(): void {
+  function readAhead(): void {
     if (!dropped && !parseHeld) lookAhead.start();
   }
 
@@ -84,10 +96,9 @@
       open.delete(response);
       bodies.release(response.req);
       closeRefused();
-      limitInput();
+      lookAhead.schedule();
       scheduleHeld();
     });
-    limitInput();
   }
 
   function parseLater(pieces: Buffer[], parse: () => void): void {
@@ -119,6 +130,15 @@
     if (!dropped && !socket.destroyed && !socket.readableEnded) parse?.();
   }
 
+  function yieldInput(): void {
+    if (isYielding) return;
+    isYielding = true;
+    setImmediate(() => {
+      isYielding = false;
+      lookAhead.schedule();
+    });
+  }
+
   function restoreListeners(): () => void {
     const ignore = () => undefined;
     const tellDrained = () => {
@@ -133,10 +153,6 @@
     };
   }
 
-  function limitInput(): void {
-    if (!dropped) bodies.limit(open.size);
-  }
-
   function prepareClose(): void {
     // Node closes a connection by this method after a response that announced it.
     Object.assign(socket, { destroySoon: close });
@@ -199,6 +215,8 @@
 
   return {
     bodies,
+    readAhead,
+    yieldInput,
     isDropping: () => dropped !== undefined,
     isEnding: () => latest?.shouldKeepAlive === false,
     isLatest: (response) => latest === response,
--- a/packages/core/src/serverConnections.ts
+++ b/packages/core/src/serverConnections.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type https from 'node:https';
+import https from 'node:https';
 import type { Socket } from 'node:net';
 import { TLSSocket } from 'node:tls';
 import { Err, Ok } from 'ts-results';
@@ -35,6 +35,8 @@
   server: http.Server | https.Server,
   serve: (message: IncomingMessage, response: ServerResponse) => void,
 ): void {
+  const event = server instanceof https.Server ? 'secureConnection' : 'connection';
+  server.on(event, (socket: Socket) => getConnection(socket).readAhead());
   server.on('request', (message: IncomingMessage, response: ServerResponse) => {
     const connection = getConnection(message.socket);
     if (connection.isDropping()) return;
@@ -102,6 +104,7 @@
       if (isDone) return;
       isDone = true;
       pieces = undefined;
+      connection.yieldInput();
       resolve(Err(fault));
     };
     connection.onUnreadable(() => fail('unreadable'));
--- a/packages/core/src/waitingBodies.ts
+++ b/packages/core/src/waitingBodies.ts
@@ -1,35 +1,31 @@
 import type { IncomingMessage } from 'node:http';
-import type { Socket } from 'node:net';
 
-/** Requests and bytes of their bodies that one caller may have waiting; no more is read beyond these. */
-const REQUESTS_MAX = 64;
+/** Bytes of bodies that one caller may have waiting; no more is read beyond these. */
 const BYTES_MAX = 1024 * 1024;
 
 /** The bodies of the requests that one caller has sent and that are not answered yet. */
 export interface WaitingBodies {
-  /** Notes the number of requests that are not answered; pauses the connection if it is too high. */
-  limit(requests: number): void;
+  /** Whether a body is left unread because of those before it, so that no more is to be parsed. */
+  isFull(): boolean;
   /** Reads the body once few enough others are held; the first one at once. */
   read(message: IncomingMessage, onData: (chunk: Buffer) => void): void;
   /** Forgets the body of a request that is answered. */
   release(message: IncomingMessage): void;
 }
 
-/** Creates the bodies of a connection that has brought none; `lookAhead` is called before input is left unread. */
-export function createWaitingBodies(socket: Socket, lookAhead: () => void): WaitingBodies {
+/** Creates the bodies of a connection that has brought none. */
+export function createWaitingBodies(): WaitingBodies {
   /** Bytes of the bodies that are being read or have been, in their order. */
   const held = new Map<IncomingMessage, number>();
   let heldBytes = 0;
   /** Begins to read each of the others. */
   const unread = new Map<IncomingMessage, () => void>();
   const paused = new Set<IncomingMessage>();
-  let isFull = false;
 
   function hold(message: IncomingMessage, bytes: number): void {
     held.set(message, (held.get(message) ?? 0) + bytes);
     heldBytes += bytes;
     if (mayRead(message)) return;
-    lookAhead();
     message.pause();
     paused.add(message);
   }
@@ -55,19 +51,8 @@
     }
   }
 
-  function pauseFull(): void {
-    if (isFull) socket.pause();
-  }
-
   return {
-    limit(requests) {
-      const wasFull = isFull;
-      isFull = requests > REQUESTS_MAX;
-      if (isFull) lookAhead();
-      // A pause would be undone if the reading of a body had resumed the connection in the same turn.
-      if (isFull) setImmediate(pauseFull);
-      else if (wasFull) socket.resume();
-    },
+    isFull: () => unread.size + paused.size > 0,
     read(message, onData) {
       unread.set(message, () => {
         held.set(message, 0);
@@ -77,7 +62,6 @@
         });
       });
       readNext();
-      if (unread.has(message)) lookAhead();
     },
     release(message) {
       heldBytes -= held.get(message) ?? 0;
