Memory of callers: one account for the process, so that what many send stays under a bound

Callers saw: 120 of them, who send chunked bodies of 4.1 MB and stop short of the last chunk, brought a process to 543 MB (machine: 350), and 300 who ask for readiness ahead to 502 MB. On a machine with that limit the process ends.

Cause: each body, and what is read ahead of a connection (1 MB), had a bound of its own, their sum none. Above half of it, those that hold more than 64 KB are read in turn and the others go on; the one that stops in its turn is refused, above all of it the one that holds most. A body is refused with 503 and Retry-After (nothing has run); a connection with more open requests is closed. Event 1011 counts them every 5 s. A body that is given up, at its time limit too, is freed at once and not when its connection has closed.

The default: 3,900 requests without bodies, or the largest body, are under half of it.

Ruled out: refusing at once whenever half is held, which refuses large bodies that are still moving; pausing without an end, which lets those that stop keep all others out.

--- a/packages/core/src/diagnostics.ts
+++ b/packages/core/src/diagnostics.ts
@@ -43,6 +43,11 @@
     'requests wait too long to be handled, no new callers are taken',
   ),
   instanceKeepsUp: diagnostic(1010, 'info', 'requests are handled in time again'),
+  memoryRefused: diagnostic(
+    1011,
+    'warn',
+    'callers refused or their connections closed, they held too much memory',
+  ),
   grantOpened: diagnostic(4001, 'info', 'grant opened'),
   grantResized: diagnostic(4002, 'info', 'grant resized'),
   grantClosed: diagnostic(4003, 'info', 'grant closed'),
--- a/packages/core/src/heldInput.ts
+++ b/packages/core/src/heldInput.ts
@@ -10,10 +10,14 @@
 }
 
 /**
- * Holds what arrives, behind the pieces that were read already. The connection is still read, since
+ * Holds what arrives, behind the pieces that were read already, and notes the bytes that it holds or gives back. The connection is still read, since
  * its caller's leaving would go unnoticed otherwise.
  */
-export function holdInput(socket: Socket, pieces: Buffer[]): HeldInput {
+export function holdInput(
+  socket: Socket,
+  pieces: Buffer[],
+  note: (bytes: number) => void,
+): HeldInput {
   const held: Buffer[] = [];
   let heldBytes = 0;
 
@@ -21,6 +25,7 @@
     if (piece.length === 0) return;
     held.push(piece);
     heldBytes += piece.length;
+    note(piece.length);
     if (heldBytes > HELD_MAX_BYTES) socket.pause();
   }
 
@@ -37,6 +42,7 @@
       socket.off('data', hold);
       socket.off('end', leave);
       socket.pause();
+      note(-heldBytes);
       held.reverse().forEach((piece) => socket.unshift(piece));
     },
   };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,5 +16,6 @@
 export * from './manualClock';
 export * from './pauseGuard';
 export * from './memoryAccount';
+export * from './memoryRefusals';
 export * from './lineWriter';
 export * from './droppedLines';
--- a/packages/core/src/serverConnection.ts
+++ b/packages/core/src/serverConnection.ts
@@ -1,15 +1,18 @@
 import http from 'node:http';
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { createDroppedInput } from './droppedInput';
 import type { DroppedInput } from './droppedInput';
 import { holdInput } from './heldInput';
 import { createLookAhead } from './lookAhead';
+import type { MemoryAccount } from './memoryAccount';
 import { createWaitingBodies } from './waitingBodies';
 import type { WaitingBodies } from './waitingBodies';
 
 /** Requests that one caller may have waiting for their answers; no more is parsed beyond these. */
 const REQUESTS_MAX = 64;
+/** Memory of a request until it is answered, besides its head and body. */
+const REQUEST_BYTES = 8 * 1024;
 
 /** A connection of a server, with the requests that are accepted on it. */
 export interface ServerConnection {
@@ -23,8 +26,8 @@
   isEnding(): boolean;
   isLatest(response: ServerResponse): boolean;
   accept(response: ServerResponse): void;
-  /** Calls back when the body of the latest request turns out to be unreadable. */
-  onUnreadable(callback: () => void): void;
+  /** Calls back when the body of the latest request turns out to be unreadable, or is not read on for want of memory. */
+  onAbandoned(callback: (fault: AbandonedBody) => void): void;
   /** Drops what still arrives. */
   dropInput(): void;
   /**
@@ -46,6 +49,9 @@
   parseLater(pieces: Buffer[], parse: () => void): void;
 }
 
+/** Why a body is not read to its end. */
+export type AbandonedBody = 'unreadable' | 'no-memory';
+
 const connections = new WeakMap<Socket, ServerConnection>();
 
 /** Returns the connection of a socket if one has been created for it. */
@@ -53,30 +59,38 @@
   return connections.get(socket);
 }
 
-/** Returns the connection of a server's socket; creates it if none is known. */
-export function getConnection(socket: Socket): ServerConnection {
+/** Returns the connection of a server's socket; creates it if none is known. What it holds is added to the account. */
+export function getConnection(socket: Socket, memory: MemoryAccount): ServerConnection {
   const known = connections.get(socket);
   if (known) return known;
-  const connection = createConnection(socket);
+  const connection = createConnection(socket, memory);
   connections.set(socket, connection);
   return connection;
 }
 
-function createConnection(socket: Socket): ServerConnection {
+function createConnection(socket: Socket, memory: MemoryAccount): ServerConnection {
   /** Responses that are not sent in full, in the order of their requests. */
   const open = new Set<ServerResponse>();
-  const bodies = createWaitingBodies();
+  const share = memory.open({
+    resume: () => lookAhead.schedule(),
+    mayRefuse: () => aheadBytes > 0 || open.size > 1 || isReading(),
+    refuse: giveUp,
+  });
+  const bodies = createWaitingBodies(share.hold);
   const lookAhead = createLookAhead(socket, {
-    mayParse: () => !isYielding && open.size <= REQUESTS_MAX && !bodies.isFull(),
-    mayHold: () => true,
-    hold: () => undefined,
+    mayParse: () => !isYielding && open.size <= REQUESTS_MAX && !bodies.isFull() && share.mayRead(),
+    mayHold: share.mayRead,
+    hold: holdAhead,
   });
   let latest: ServerResponse | undefined;
-  let abandonBody: () => void = () => undefined;
+  let abandonBody: ((fault: AbandonedBody) => void) | undefined;
+  /** Bytes that arrived and are not parsed. */
+  let aheadBytes = 0;
   let isRefused = false;
   let refusal: number | undefined;
   let isClosing = false;
   let isYielding = false;
+  socket.once('close', share.close);
   /** What still arrives, once it is dropped. */
   let dropped: DroppedInput | undefined;
   /** Gives the connection a new parser for the input that is held, if any is. */
@@ -90,11 +104,14 @@
   function accept(response: ServerResponse): void {
     if (!latest) prepareClose();
     latest = response;
-    abandonBody = () => undefined;
+    abandonBody = undefined;
     open.add(response);
+    const bytes = measureHead(response.req) + REQUEST_BYTES;
+    share.hold(bytes);
     response.once('finish', () => {
       open.delete(response);
       bodies.release(response.req);
+      share.hold(-bytes);
       closeRefused();
       lookAhead.schedule();
       scheduleHeld();
@@ -107,7 +124,7 @@
       socket.resume();
       return;
     }
-    const held = holdInput(socket, [...pieces, ...lookAhead.stop()]);
+    const held = holdInput(socket, [...pieces, ...lookAhead.stop()], holdAhead);
     parseHeld = () => {
       held.giveBack();
       removeListeners();
@@ -130,6 +147,25 @@
     if (!dropped && !socket.destroyed && !socket.readableEnded) parse?.();
   }
 
+  function holdAhead(bytes: number): void {
+    aheadBytes += bytes;
+    share.hold(bytes);
+  }
+
+  function isReading(): boolean {
+    return latest !== undefined && open.has(latest) && !latest.req.complete;
+  }
+
+  // A body is refused, since nothing has run yet; with others open the connection is closed, which promises nothing.
+  function giveUp(): void {
+    if (open.size === 1 && isReading() && abandonBody && latest) {
+      abandonBody('no-memory');
+      bodies.release(latest.req);
+    } else {
+      socket.destroy();
+    }
+  }
+
   function yieldInput(): void {
     if (isYielding) return;
     isYielding = true;
@@ -183,7 +219,7 @@
   function refuseBody(response: ServerResponse): void {
     if (response.headersSent) refusal = undefined;
     else open.delete(response);
-    abandonBody();
+    abandonBody?.('unreadable');
   }
 
   function closeRefused(): void {
@@ -221,7 +257,7 @@
     isEnding: () => latest?.shouldKeepAlive === false,
     isLatest: (response) => latest === response,
     accept,
-    onUnreadable(callback) {
+    onAbandoned(callback) {
       abandonBody = callback;
     },
     dropInput,
@@ -242,6 +278,10 @@
   response.emit('close');
 }
 
+function measureHead({ rawHeaders, url = '' }: IncomingMessage): number {
+  return rawHeaders.reduce((bytes, text) => bytes + text.length, url.length);
+}
+
 function createRefusal(status: number): string {
   const head = [
     `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`,
--- a/packages/core/src/serverConnections.ts
+++ b/packages/core/src/serverConnections.ts
@@ -7,6 +7,9 @@
 import { createJoinedPieces } from './joinedPieces';
 import type { JoinedPieces } from './joinedPieces';
 import { renderPlainHead } from './plainHead';
+import { createSystemClock } from './clock';
+import { createMemoryAccount } from './memoryAccount';
+import type { MemoryAccount } from './memoryAccount';
 import { findConnection, getConnection } from './serverConnection';
 import type { Outcome } from './types';
 
@@ -21,11 +24,12 @@
 /** Error code for bytes behind a message that announced the close of its connection. */
 const CLOSED_CONNECTION_CODE = 'HPE_CLOSED_CONNECTION';
 
-/** Why a request's body was not read: it is too large, it is malformed, or the caller disconnected. */
-export type BodyFault = 'too-large' | 'unreadable' | 'disconnected';
+/** Why a request's body was not read: it is too large or malformed, the process holds too much already, or
+ * the caller disconnected. */
+export type BodyFault = 'too-large' | 'unreadable' | 'no-memory' | 'disconnected';
 
 /**
- * Calls `serve` with each request of the server, and keeps what arrives behind a request from ending
+ * Calls `serve` with each request of the server, adds what its connections hold to the account, and keeps what arrives behind a request from ending
  * its connection: input that can't be read, or that asks for a tunnel, is refused once all responses
  * before it are sent, and then the connection closes. What follows it is dropped, and so is what
  * follows a response that announces the close. A request that asks for another protocol is served as
@@ -34,11 +38,12 @@
 export function serveInOrder(
   server: http.Server | https.Server,
   serve: (message: IncomingMessage, response: ServerResponse) => void,
+  memory: MemoryAccount = createMemoryAccount({ clock: createSystemClock() }),
 ): void {
   const event = server instanceof https.Server ? 'secureConnection' : 'connection';
-  server.on(event, (socket: Socket) => getConnection(socket).readAhead());
+  server.on(event, (socket: Socket) => getConnection(socket, memory).readAhead());
   server.on('request', (message: IncomingMessage, response: ServerResponse) => {
-    const connection = getConnection(message.socket);
+    const connection = getConnection(message.socket, memory);
     if (connection.isDropping()) return;
     if (connection.isEnding()) connection.dropInput();
     else if (isHostMissing(message)) connection.refuse(STATUS_BAD_REQUEST);
@@ -49,16 +54,18 @@
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     const status = STATUS_BY_ERROR_CODE[error.code ?? ''] ?? STATUS_BAD_REQUEST;
-    getConnection(socket).refuse(error.code === CLOSED_CONNECTION_CODE ? undefined : status);
+    getConnection(socket, memory).refuse(
+      error.code === CLOSED_CONNECTION_CODE ? undefined : status,
+    );
   });
   server.on('connect', (_message: IncomingMessage, socket: Socket) => {
-    const connection = getConnection(socket);
+    const connection = getConnection(socket, memory);
     connection.restoreListeners();
     connection.refuse(STATUS_BAD_REQUEST);
   });
   // Without a listener Node serves the request too, but drops what arrived in the same read behind it.
   server.on('upgrade', (message: IncomingMessage, socket: Socket, rest: Buffer) => {
-    const connection = getConnection(socket);
+    const connection = getConnection(socket, memory);
     const head = renderPlainHead(message);
     if (head) connection.parseLater([head, rest], () => addParser(server, socket));
     else {
@@ -94,7 +101,8 @@
   message: IncomingMessage,
   limit = Infinity,
 ): Promise<Outcome<Buffer, BodyFault>> {
-  const connection = getConnection(message.socket);
+  const connection = findConnection(message.socket);
+  if (!connection) return Promise.resolve(Err('disconnected'));
   return new Promise((resolve) => {
     // The connection keeps these listeners for as long as it is open.
     let pieces: JoinedPieces | undefined = createJoinedPieces();
@@ -107,11 +115,14 @@
       connection.yieldInput();
       resolve(Err(fault));
     };
-    connection.onUnreadable(() => fail('unreadable'));
-    connection.bodies.read(message, (chunk) => {
+    connection.onAbandoned(fail);
+    const read = (chunk: Buffer) => {
       size += chunk.length;
       if (size > limit) fail('too-large');
       else pieces?.add(chunk);
+    };
+    connection.bodies.read(message, read, () => {
+      pieces = undefined;
     });
     message.on('end', () => {
       isDone = true;
--- a/packages/core/src/waitingBodies.ts
+++ b/packages/core/src/waitingBodies.ts
@@ -7,25 +7,37 @@
 export interface WaitingBodies {
   /** Whether a body is left unread because of those before it, so that no more is to be parsed. */
   isFull(): boolean;
-  /** Reads the body once few enough others are held; the first one at once. */
-  read(message: IncomingMessage, onData: (chunk: Buffer) => void): void;
-  /** Forgets the body of a request that is answered. */
+  /**
+   * Reads the body once few enough others are held; the first one at once. `onRelease` is called when what was
+   * read is not to be kept any more.
+   */
+  read(message: IncomingMessage, onData: (chunk: Buffer) => void, onRelease: () => void): void;
+  /** Forgets the body of a request that is answered or given up. */
   release(message: IncomingMessage): void;
 }
 
-/** Creates the bodies of a connection that has brought none. */
-export function createWaitingBodies(): WaitingBodies {
-  /** Bytes of the bodies that are being read or have been, in their order. */
-  const held = new Map<IncomingMessage, number>();
+/** A body that is being read or has been. */
+interface HeldBody {
+  bytes: number;
+  onRelease(): void;
+}
+
+/** Creates the bodies of a connection that has brought none; `note` gets the bytes that they add or free. */
+export function createWaitingBodies(note: (bytes: number) => void): WaitingBodies {
+  /** The bodies that are being read or have been, in their order. */
+  const held = new Map<IncomingMessage, HeldBody>();
   let heldBytes = 0;
   /** Begins to read each of the others. */
   const unread = new Map<IncomingMessage, () => void>();
   const paused = new Set<IncomingMessage>();
 
   function hold(message: IncomingMessage, bytes: number): void {
-    held.set(message, (held.get(message) ?? 0) + bytes);
+    const body = held.get(message);
+    if (!body) return;
+    body.bytes += bytes;
     heldBytes += bytes;
-    if (mayRead(message)) return;
+    note(bytes);
+    if (!held.has(message) || mayRead(message)) return;
     message.pause();
     paused.add(message);
   }
@@ -53,20 +65,23 @@
 
   return {
     isFull: () => unread.size + paused.size > 0,
-    read(message, onData) {
+    read(message, onData, onRelease) {
       unread.set(message, () => {
-        held.set(message, 0);
+        held.set(message, { bytes: 0, onRelease });
         message.on('data', (chunk: Buffer) => {
           onData(chunk);
-          if (held.has(message)) hold(message, chunk.length);
+          hold(message, chunk.length);
         });
       });
       readNext();
     },
     release(message) {
-      heldBytes -= held.get(message) ?? 0;
+      const { bytes, onRelease } = held.get(message) ?? { bytes: 0, onRelease: undefined };
       held.delete(message);
       unread.delete(message);
+      heldBytes -= bytes;
+      onRelease?.();
+      note(-bytes);
       // What is left of a body whose request is answered is dropped, so that the next one can be read.
       if (paused.delete(message)) message.resume();
       resumePaused();
--- a/packages/entry/src/callerBody.ts
+++ b/packages/entry/src/callerBody.ts
@@ -10,6 +10,8 @@
 /** Not created for each request, because creating an error takes long. */
 const BODY_LATE = Err('timed-out' as const);
 
+const NO_MEMORY_RETRY_AFTER_MS = 1000;
+
 type Limits = Pick<Settings, 'bodyLimit' | 'requestTimeout'>;
 
 /**
@@ -35,6 +37,7 @@
     .with('too-large', () => Err(refuseTooLarge(bodyLimit)))
     .with('timed-out', () => Err(BODY_TIMED_OUT))
     .with('disconnected', () => Err(INCOMPLETE_BODY))
+    .with('no-memory', () => Err(NO_MEMORY))
     .with('unreadable', () => Err(undefined))
     .exhaustive();
 }
@@ -53,3 +56,9 @@
   'no',
   'The request took too long to be sent.',
 );
+const NO_MEMORY = createRefusal(
+  'overloaded',
+  'no',
+  'The instance holds too much for its callers.',
+  NO_MEMORY_RETRY_AFTER_MS,
+);
--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -1,11 +1,18 @@
 import http from 'node:http';
 import https from 'node:https';
 import { answerExpectations, createOpenRequests, listen, serveInOrder } from '@pomeloroad/core';
+import type { MemoryAccount } from '@pomeloroad/core';
 import { createCallerHandler } from './callerHandler';
 import type { CallerHandlerHost } from './callerHandler';
 
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 
+/** Dependencies of the server. */
+export interface CallerServerHost extends CallerHandlerHost {
+  /** The account of what callers send. */
+  memory: MemoryAccount;
+}
+
 /** The HTTP server to which callers connect. */
 export interface CallerServer {
   /** Starts to listen and returns the address. */
@@ -20,7 +27,7 @@
 
 /** Creates a server that does not listen yet; it uses HTTPS if a certificate is given. */
 export function createCallerServer(
-  host: CallerHandlerHost,
+  host: CallerServerHost,
   tls?: { cert: string; key: string },
 ): CallerServer {
   const { settings } = host;
@@ -38,9 +45,13 @@
   server.requestTimeout = settings.requestTimeout;
   answerExpectations(server);
   const openRequests = createOpenRequests(server);
-  serveInOrder(server, (request, response) => {
-    openRequests.track(response, handle(request, response));
-  });
+  serveInOrder(
+    server,
+    (request, response) => {
+      openRequests.track(response, handle(request, response));
+    },
+    host.memory,
+  );
   return {
     listen: () => listen(server, settings.callersAddress),
     open: openRequests.count,
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -2,10 +2,12 @@
   createId,
   createLineWriter,
   createLog,
+  createMemoryAccount,
   createPauseGuard,
   createSystemClock,
   createSystemRandom,
   Diagnostics,
+  reportMemoryRefusals,
 } from '@pomeloroad/core';
 import type { Identity } from '@pomeloroad/core';
 import { createBudgetClient, createKeepers, createLedger } from '@pomeloroad/budgets';
@@ -214,8 +216,18 @@
   });
 
   const tls = readCertificate(settings.tlsCert, settings.tlsKey);
+  const memory = createMemoryAccount({ clock, limit: settings.memoryLimit });
   const callers = createCallerServer(
-    { clock, self, settings, opener, metrics, getConfiguration, isDraining: () => isDraining },
+    {
+      clock,
+      self,
+      settings,
+      memory,
+      opener,
+      metrics,
+      getConfiguration,
+      isDraining: () => isDraining,
+    },
     tls,
   );
   const operators = createOperatorServer(
@@ -265,6 +277,7 @@
   await distributor.poll();
   await loads.poll();
   startPeriodicTasks({ ...parts, signal: stop.signal });
+  reportMemoryRefusals({ clock, log, signal: stop.signal }, memory);
   const callersAddress = await callers.listen();
   const operatorsAddress = await operators.listen();
   log(Diagnostics.instanceStarted, { callersAddress, peersAddress, operatorsAddress });
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { Err, Ok } from 'ts-results';
 import { z } from 'zod';
+import { DEFAULT_MEMORY_LIMIT_BYTES } from '@pomeloroad/core';
 import type { Outcome } from '@pomeloroad/core';
 
 const ADDRESS_PATTERN = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/;
@@ -93,6 +94,12 @@
   bodyLimit: define(count(1), '1048576', 'bytes', 'largest request body'),
   answerLimit: define(count(1), '16777216', 'bytes', 'largest answer of a plain service'),
   headerLimit: define(count(1024), '16384', 'bytes', 'largest request head'),
+  memoryLimit: define(
+    count(1),
+    `${DEFAULT_MEMORY_LIMIT_BYTES}`,
+    'bytes',
+    'held for callers at most',
+  ),
   connectionLimit: define(count(1), '10000', '', 'open connections of callers'),
   requestTimeout: define(count(1), '10000', 'ms', 'how long a caller may take to send its request'),
   writeTimeout: define(count(1), '60000', 'ms', 'how long a caller may take no data of its answer'),
