--- a/packages/replay/test/memoryHarness.ts
+++ b/packages/replay/test/memoryHarness.ts
@@ -16,7 +16,11 @@
 const QUIET_MS: Milliseconds = 1000;
 const ARRIVAL_MAX_MS: Milliseconds = 6000;
 const POLL_INTERVAL_MS: Milliseconds = 50;
+const GROUP_INTERVAL_MS: Milliseconds = 50;
 const STATUS_OK = 200;
+/** Path whose answer is large. */
+export const LARGE_PATH = '/long/large';
+const LARGE_ANSWER = Buffer.alloc(14_000_000, 'x');
 
 const CONFIGURATION = {
   version: 1,
@@ -46,6 +50,10 @@
   piece: Buffer;
   /** How often each sends the piece. */
   pieces: number;
+  /** How long after their connection has closed they come back; they do not unless given. */
+  comesBackAfter?: Milliseconds;
+  /** How many come at once, so that none waits to be accepted; all unless given. */
+  group?: number;
 }
 
 /** A crowd that has connected. */
@@ -62,7 +70,7 @@
   const trial = await startTrial(CONFIGURATION, '', NODE_OPTIONS);
   await trial.addEndpoint('e1', (request, response) => {
     request.resume();
-    response.end('answer');
+    response.end(request.url === LARGE_PATH ? LARGE_ANSWER : 'answer');
   });
   return trial;
 }
@@ -74,10 +82,29 @@
   const noteMove = () => {
     movedAt = clock.elapsed();
   };
-  const sockets = Array.from({ length: crowd.callers }, () => send(address, crowd, noteMove));
+  const sockets = new Set<net.Socket>();
+  let hasLeft = false;
+  const come = () => {
+    if (hasLeft) return;
+    const socket = send(address, crowd, noteMove);
+    sockets.add(socket);
+    socket.on('close', () => {
+      sockets.delete(socket);
+      if (crowd.comesBackAfter !== undefined) clock.after(crowd.comesBackAfter, come);
+    });
+  };
+  const { callers, group = callers } = crowd;
+  for (let first = 0; first < callers; first += group) {
+    const comeTogether = () => Array.from({ length: group }).forEach(come);
+    if (first === 0) comeTogether();
+    else clock.after((first / group) * GROUP_INTERVAL_MS, comeTogether);
+  }
   return {
     arrived: waitUntilQuiet(() => movedAt),
-    leave: () => sockets.forEach((socket) => socket.destroy()),
+    leave() {
+      hasLeft = true;
+      sockets.forEach((socket) => socket.destroy());
+    },
   };
 }
 
--- a/packages/replay/test/memoryUnderCallers.test.ts
+++ b/packages/replay/test/memoryUnderCallers.test.ts
@@ -3,6 +3,7 @@
 import {
   isReady,
   isServed,
+  LARGE_PATH,
   readFootprint,
   sendCrowd,
   startDeployed,
@@ -51,6 +52,24 @@
   '40 callers that ask for metrics ahead': createStatusCrowd(40, '/metrics'),
   '40 callers that ask for readiness ahead': createStatusCrowd(40, '/v1/readyz'),
   '300 callers that ask for readiness ahead': createStatusCrowd(300, '/v1/readyz'),
+  '4,200 connections of callers that bring half a head': createIdleCrowd('callers'),
+  '4,200 connections that bring half a head at the address of readiness':
+    createIdleCrowd('readiness'),
+  '60 callers that do not read an answer of 14 MB': {
+    callers: 60,
+    port: 'callers',
+    head: '',
+    piece: Buffer.from(`GET ${LARGE_PATH} HTTP/1.1\r\n${USUAL_HEADERS}\r\n\r\n`),
+    pieces: 1,
+  },
+  '120 bodies in large chunks that come back': {
+    callers: 120,
+    port: 'callers',
+    head: CHUNKED_HEAD,
+    piece: LARGE_CHUNK,
+    pieces: Infinity,
+    comesBackAfter: 100,
+  },
 };
 const NAMES = Object.keys(CROWDS);
 
@@ -63,6 +82,11 @@
   return { callers, port: 'readiness', head: '', piece, pieces: Infinity };
 }
 
+function createIdleCrowd(port: Crowd['port']): Crowd {
+  const head = { head: 'GET /', piece: Buffer.from('long/'), pieces: 1 };
+  return { callers: 4200, group: 200, port, ...head };
+}
+
 beforeAll(() => {
   if (!process.env.TRIAL_PROGRAM) execFileSync('npm', ['run', '--silent', 'bundle'], { cwd: ROOT });
 });
