--- a/packages/core/src/serverConnections.ts
+++ b/packages/core/src/serverConnections.ts
@@ -1,10 +1,15 @@
 import type http from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type https from 'node:https';
+import https from 'node:https';
 import type { Socket } from 'node:net';
 import { TLSSocket } from 'node:tls';
 import { Err, Ok } from 'ts-results';
+import { createJoinedPieces } from './joinedPieces';
+import type { JoinedPieces } from './joinedPieces';
 import { renderPlainHead } from './plainHead';
+import { createSystemClock } from './clock';
+import { createMemoryAccount } from './memoryAccount';
+import type { MemoryAccount } from './memoryAccount';
 import { findConnection, getConnection } from './serverConnection';
 import type { Outcome } from './types';
 
@@ -19,11 +24,12 @@
 /** Error code for bytes behind a message that announced the close of its connection. */
 const CLOSED_CONNECTION_CODE = 'HPE_CLOSED_CONNECTION';
 
-/** Why a request's body was not read: it is too large, it is malformed, or the caller disconnected. */
-export type BodyFault = 'too-large' | 'unreadable' | 'disconnected';
+/** Why a request's body was not read: it is too large or malformed, the process holds too much already, or
+ * the caller disconnected. */
+export type BodyFault = 'too-large' | 'unreadable' | 'no-memory' | 'disconnected';
 
 /**
- * Calls `serve` with each request of the server, and keeps what arrives behind a request from ending
+ * Calls `serve` with each request of the server, adds what its connections hold to the account, and keeps what arrives behind a request from ending
  * its connection: input that can't be read, or that asks for a tunnel, is refused once all responses
  * before it are sent, and then the connection closes. What follows it is dropped, and so is what
  * follows a response that announces the close. A request that asks for another protocol is served as
@@ -32,9 +38,12 @@
 export function serveInOrder(
   server: http.Server | https.Server,
   serve: (message: IncomingMessage, response: ServerResponse) => void,
+  memory: MemoryAccount = createMemoryAccount({ clock: createSystemClock() }),
 ): void {
+  const event = server instanceof https.Server ? 'secureConnection' : 'connection';
+  server.on(event, (socket: Socket) => getConnection(socket, memory).readAhead());
   server.on('request', (message: IncomingMessage, response: ServerResponse) => {
-    const connection = getConnection(message.socket);
+    const connection = getConnection(message.socket, memory);
     if (connection.isDropping()) return;
     if (connection.isEnding()) connection.dropInput();
     else if (isHostMissing(message)) connection.refuse(STATUS_BAD_REQUEST);
@@ -45,16 +54,18 @@
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     const status = STATUS_BY_ERROR_CODE[error.code ?? ''] ?? STATUS_BAD_REQUEST;
-    getConnection(socket).refuse(error.code === CLOSED_CONNECTION_CODE ? undefined : status);
+    getConnection(socket, memory).refuse(
+      error.code === CLOSED_CONNECTION_CODE ? undefined : status,
+    );
   });
   server.on('connect', (_message: IncomingMessage, socket: Socket) => {
-    const connection = getConnection(socket);
+    const connection = getConnection(socket, memory);
     connection.restoreListeners();
     connection.refuse(STATUS_BAD_REQUEST);
   });
   // Without a listener Node serves the request too, but drops what arrived in the same read behind it.
   server.on('upgrade', (message: IncomingMessage, socket: Socket, rest: Buffer) => {
-    const connection = getConnection(socket);
+    const connection = getConnection(socket, memory);
     const head = renderPlainHead(message);
     if (head) connection.parseLater([head, rest], () => addParser(server, socket));
     else {
@@ -90,28 +101,33 @@
   message: IncomingMessage,
   limit = Infinity,
 ): Promise<Outcome<Buffer, BodyFault>> {
-  const connection = getConnection(message.socket);
+  const connection = findConnection(message.socket);
+  if (!connection) return Promise.resolve(Err('disconnected'));
   return new Promise((resolve) => {
-    let chunks: Buffer[] = [];
+    // The connection keeps these listeners for as long as it is open.
+    let pieces: JoinedPieces | undefined = createJoinedPieces();
     let size = 0;
     let isDone = false;
     const fail = (fault: BodyFault) => {
       if (isDone) return;
       isDone = true;
-      chunks = [];
+      pieces = undefined;
+      connection.yieldInput();
       resolve(Err(fault));
     };
-    connection.onUnreadable(() => fail('unreadable'));
-    connection.bodies.read(message, (chunk) => {
+    connection.onAbandoned(fail);
+    const read = (chunk: Buffer) => {
       size += chunk.length;
       if (size > limit) fail('too-large');
-      else chunks.push(chunk);
+      else pieces?.add(chunk);
+    };
+    connection.bodies.read(message, read, () => {
+      pieces = undefined;
     });
     message.on('end', () => {
       isDone = true;
-      resolve(Ok(Buffer.concat(chunks)));
-      // The connection keeps this listener for as long as it is open.
-      chunks = [];
+      if (pieces) resolve(Ok(pieces.join()));
+      pieces = undefined;
     });
     message.on('error', () => fail('disconnected'));
     message.on('close', () => fail('disconnected'));
