Tunnels: a reset that comes with data is passed on as a reset

Callers saw: through an instance that carries for another one, a part of an answer without a length whose endpoint had sent it and then reset its connection was a whole answer, of requests that may run once, of repeatable ones and of streams alike.

Cause: Node reports a reset that it reads together with data as an orderly end, and only the remote address, which the kernel no longer knows, tells the two apart (watchClose). The listener asked each connection to an endpoint for that address when its tunnel began, so that the socket remembered it, and each such reset looked like an end.

The new test failed before (the first of ten streams ended in order).

Ruled out: the tunnel's own close codes (a destroyed tunnel does break off at the other side), and the endpoint client (directly none).

Why it works: nobody needs the address at the relay's side of a tunnel, so none is asked for, and watchClose judges a socket that has not remembered one.

--- a/packages/peers/src/tunnelListener.ts
+++ b/packages/peers/src/tunnelListener.ts
@@ -77,7 +77,7 @@
   });
 
   function carry(upgraded: WebSocket, target: Connection): void {
-    const tunnel = createTunnelStream(upgraded, target.remoteAddress ?? '');
+    const tunnel = createTunnelStream(upgraded, '');
     tunnels.add(tunnel);
     join(tunnel, target);
     upgraded.once('close', () => tunnels.delete(tunnel));
@@ -114,7 +114,8 @@
   );
 }
 
-// An end in order of one side becomes one of the other, and so does a reset.
+// An end in order of one side becomes one of the other, and so does a reset. A socket that was asked for
+// its remote address before keeps it after a reset, so none is asked for.
 async function join(tunnel: Connection, target: Connection): Promise<void> {
   const isClosedProperly = watchClose({ socket: target });
   tunnel.once('close', () => target.destroy());
--- a/packages/peers/test/tunnels.test.ts
+++ b/packages/peers/test/tunnels.test.ts
@@ -10,6 +10,8 @@
 const SECRET = 'secret of the relay';
 const TIMEOUT_MS = 1000;
 const LARGE_BYTES = 5_000_000;
+/** More than one, as a reset may be read apart from the data before it. */
+const RESETS = 10;
 
 const clock = createSystemClock();
 const started: { servers: net.Server[]; listeners: TunnelListener[] } = {
@@ -100,6 +102,21 @@
   await expect(readAll(await open(relay))).rejects.toThrow('cut');
 });
 
+// Guards against a relay that passes on a part of an unframed answer as a whole one.
+test('a reset that comes with data does not look like an end in order', async () => {
+  const relay = await startRelayTo((socket) => {
+    socket.once('data', () => {
+      socket.write('part');
+      socket.resetAndDestroy();
+    });
+  });
+  for (let count = 0; count < RESETS; count += 1) {
+    const connection = await open(relay);
+    connection.write('x');
+    await expect(readAll(connection)).rejects.toThrow();
+  }
+});
+
 test('the end of the relay does not look like an end in order', async () => {
   const relay = await startRelayTo((socket) => socket.write('half'));
   const connection = await open(relay);
