An unframed answer whose connection ends under its upload is not whole

Callers may see: an endpoint answers a long upload at once with a 200 (or an error) without a length, sends a part of the body and ends its connection while the upload is still being written; the caller got that part as a complete answer, with a length of its own.

Cause: an end of the endpoint's direction was believed at once, since Node then closes the connection by itself and drops what was not yet written, so that neither the failing write nor a reset behind the end is seen. A process that is killed under an upload ends its connection so, too, if it has read all that had come until then; if not, the kernel resets it.

Ruled out: resets and closes with data unread (none looked whole, directly); a length or chunks (the parser refuses them); the tunnel (the dialing side sees no end in order).

Why it works: watchClose takes an end for one in order only if the connection had taken all that was written by then. Both kinds of instance and the relay ask it.

--- a/packages/core/src/framing.ts
+++ b/packages/core/src/framing.ts
@@ -27,17 +27,23 @@
 
 /**
  * Returns a function whose promise tells, once a connection has ended, such as that of a response,
- * whether the connection was closed rather than reset. Node reports an end after a reset too. Must
- * be called when the response's head arrives.
+ * whether the connection was closed rather than reset. Node reports an end after a reset too. An end
+ * that comes while the request is still being written is none in order: a process that dies under an
+ * upload ends its connection so, if it has read what had come. Must be called when the response's head
+ * arrives.
  */
 export function watchClose({ socket }: { socket: Connection }): () => Promise<boolean> {
   const closed = new Promise<boolean>((resolve) => {
     let hadRemoteAddress = false;
+    let hadTakenAll = false;
     // A reset that arrives together with data is reported as an end, but without a remote address.
     socket.prependOnceListener('end', () => {
       hadRemoteAddress = socket.remoteAddress !== undefined;
+      hadTakenAll = socket.writableLength === 0;
     });
-    socket.once('close', (hadError?: boolean) => resolve(hadRemoteAddress && !hadError));
+    socket.once('close', (hadError?: boolean) =>
+      resolve(hadRemoteAddress && hadTakenAll && !hadError),
+    );
   });
   return () => closed;
 }
