Only statuses of answers, 200 to 599, are passed on

Callers got answers with the status 600 or 999, complete and with a signature, as the endpoint's; and one with 101 where the endpoint sent that without the header that names a protocol.

Cause: what was below 100 was refused, as Node writes no such status, and nothing else was. Node's parser reads any three digits, and hands a 101 without an upgrade on as a response.

--- a/packages/core/src/framing.ts
+++ b/packages/core/src/framing.ts
@@ -7,12 +7,18 @@
  */
 export type ResponseFraming = 'length' | 'chunked' | 'no body' | 'close';
 
-/** Lowest status of a response that can be passed on; Node.js writes no lower one. */
-export const STATUS_MIN = 100;
+/** Statuses of answers; a lower one is that of an interim response, or none. */
+const STATUS_MIN = 200;
+const STATUS_MAX = 599;
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 const LAST_CODING_CHUNKED = /(^|[\s,])chunked\s*$/i;
 
+/** Whether a response with the status is an answer, which can be passed on. */
+export function isAnswerStatus(status: number): boolean {
+  return status >= STATUS_MIN && status <= STATUS_MAX;
+}
+
 /** Returns how a received response to a request of `method` states its end. */
 export function getResponseFraming(
   { headers, statusCode }: IncomingMessage,
--- a/packages/entry/src/serviceClient.ts
+++ b/packages/entry/src/serviceClient.ts
@@ -4,9 +4,9 @@
 import {
   discardBody,
   getResponseFraming,
+  isAnswerStatus,
   onConnected,
   splitAddress,
-  STATUS_MIN,
   watchClose,
 } from '@pomeloroad/core';
 import type { Milliseconds, Outcome, RunStatus } from '@pomeloroad/core';
@@ -128,7 +128,7 @@
   sink: ServiceSink,
 ): Promise<Outcome<void, ServiceError>> {
   const status = response.statusCode ?? 0;
-  if (status < STATUS_MIN) throw new Error(`status ${status}`);
+  if (!isAnswerStatus(status)) throw new Error(`status ${status}`);
   // A service that answers 503 with this header did not run the call.
   if (status === 503 && response.headers['x-not-run'] === 'true') {
     discardBody(request, response);
--- a/packages/entry/test/uploads.test.ts
+++ b/packages/entry/test/uploads.test.ts
@@ -18,6 +18,8 @@
   'a larger length': `Content-Length: 800\r\n\r\n${EVENT}`,
   'no last chunk': `Transfer-Encoding: chunked\r\n\r\n${EVENT.length.toString(16)}\r\n${EVENT}\r\n`,
 };
+const LENGTH = `Content-Length: ${EVENT.length}\r\n\r\n${EVENT}`;
+const NO_STATUSES = ['000', '001', '099', '101', '199', '600', '999', '1000', '20', '2x0', '-200'];
 
 type Ending = (typeof ENDINGS)[number];
 
@@ -91,3 +93,13 @@
     expect(wrong).toEqual([]);
   },
 );
+
+test('a status that is none is no answer of a service', async () => {
+  const wrong: string[] = [];
+  for (const status of NO_STATUSES) {
+    const address = await startServer(`HTTP/1.1 ${status} Go\r\n${LENGTH}`, 'close', 10);
+    if (await callService(address)) wrong.push(status);
+    server?.close();
+  }
+  expect(wrong).toEqual([]);
+});
