A write that fails behind a whole answer does not end the process

Callers may see: all open requests of an instance break off at once. An endpoint answers a long upload of a repeatable request with a whole answer before it has read it, and then closes its connection (in order, or by a reset through a tunnel) while the rest of the upload is being written: the process ends with an uncaught error (write EPIPE; through a tunnel, WebSocket is not open).

Cause: Node keeps a connection for the next request once the request is written, and calls that written also when the write fails. It takes its listener for errors away then, finds the connection closed, keeps it not, and the error that follows finds no listener. So does an engine's connection at the other kind of instance, and every call on a kept connection (the store's).

Ruled out: a reset that is read (ECONNRESET) directly, as Node's listener is still there; requests on connections of their own, directly.

Why it works: each socket of a request has a listener of its own that outlasts the request; the close still tells the agent and the request.

--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -71,6 +71,7 @@
       return;
     }
     const request = created.val;
+    outlastErrors(request);
     request.on('response', (response) => {
       phase = 'reading';
       headAt = performance.now();
@@ -121,6 +122,20 @@
   });
 }
 
+/**
+ * Gives the request's socket a listener for errors that outlasts the request. Node takes its own away when
+ * the request is written, or when that fails, as it may behind a whole answer.
+ */
+export function outlastErrors(request: http.ClientRequest): void {
+  request.once('socket', (socket) => {
+    if (!socket.listeners('error').includes(ignoreError)) socket.on('error', ignoreError);
+  });
+}
+
+function ignoreError(): void {
+  // The socket closes, which its agent and its request are told.
+}
+
 // No proper prefix of a JSON object is one.
 function isJsonObject(body: Buffer): boolean {
   try {
--- a/packages/entry/test/uploads.test.ts
+++ b/packages/entry/test/uploads.test.ts
@@ -94,11 +94,12 @@
   },
 );
 
-test('a status that is none is no answer of a service', async () => {
+// Guards against a process that ends, too: nobody listened to the errors of a kept connection any more.
+test.each(CLIENTS)('a status that is none is no answer: %s', async (_name, call) => {
   const wrong: string[] = [];
   for (const status of NO_STATUSES) {
     const address = await startServer(`HTTP/1.1 ${status} Go\r\n${LENGTH}`, 'close', 10);
-    if (await callService(address)) wrong.push(status);
+    if (await call(address)) wrong.push(status);
     server?.close();
   }
   expect(wrong).toEqual([]);
