Tests: a process lives on though endpoints answer uploads early and close

The bundled program, four uploads of 4 MiB of a repeatable request, each answered whole at once and closed 100 ms later with the rest unread.

--- a/packages/replay/test/memoryUnderEndpoints.test.ts
+++ b/packages/replay/test/memoryUnderEndpoints.test.ts
@@ -183,3 +183,19 @@
   sockets.splice(0).forEach((socket) => socket.destroy());
   expect(await isServed(trial)).toBe(true);
 });
+
+// Guards against a process that ends by the error of a connection that nobody listens to.
+test('a process lives on though endpoints answer uploads early and close', async () => {
+  const trial = await startTrial(CONFIGURATION, '', NODE_OPTIONS);
+  await trial.addEndpoint('e1', (request, response) => {
+    answerUnread(request, response);
+    setTimeout(() => request.socket.destroySoon(), 100);
+  });
+  const body = Buffer.alloc(UPLOAD_BYTES, 'b');
+  for (let count = 0; count < 4; count += 1) {
+    send(trial.address, { ...STREAM, path: '/long/x', body, isReading: true } as Crowd);
+  }
+  await sleep(clock, 1000);
+  expect(trial.instance.isRunning()).toBe(true);
+  expect(await isServed(trial)).toBe(true);
+});
