--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -17,6 +17,7 @@
 /** Silence of an instance that is not listed after which others close its grants. */
 const LOSS_TIMEOUT_MS = 10_000;
 const WITHDRAW_RETRY_DELAY_MS = 200;
+
 const FleetTopics = {
   members: createTopic<Record<string, never>, Member[]>('fleet.members'),
   leaving: createTopic<Identity>('fleet.leaving'),
