Core: grouping by a key stands once

Four places built a map of lists by a key (the reaper by owner, notices by data centre, origins of streams, the registry's handoffs by keeper), each copying its list for every item. groupBy does it; keys and items keep their order, so rows and messages are the same.

Behaviour is unchanged: the tests of requests and configuration, of budgets interleavings and of forwarding's origin* and versionRows pass.

--- a/packages/budgets/src/reaper.ts
+++ b/packages/budgets/src/reaper.ts
@@ -1,4 +1,4 @@
-import { Diagnostics } from '@pomeloroad/core';
+import { Diagnostics, groupBy } from '@pomeloroad/core';
 import type { Clock, Identity, Log, Milliseconds, Tokens } from '@pomeloroad/core';
 import type { PeerNetwork } from '@pomeloroad/peers';
 import type { Reservation } from './heldGrant';
@@ -76,14 +76,10 @@
   }
 
   async function confirmReservations(keeper: Keeper, reservations: Reservation[]): Promise<void> {
-    const byOwner = new Map<string, string[]>();
-    reservations
-      .filter((reservation) => clock.elapsed() - reservation.at > CONFIRM_MIN_AGE_MS)
-      .forEach(({ id, owner }) => {
-        byOwner.set(owner.instance, [...(byOwner.get(owner.instance) ?? []), id]);
-      });
-    const confirmations = [...byOwner].map(async ([owner, ids]) => {
-      const request = { reservations: ids };
+    const old = reservations.filter(({ at }) => clock.elapsed() - at > CONFIRM_MIN_AGE_MS);
+    const byOwner = groupBy(old, (reservation) => reservation.owner.instance);
+    const confirmations = [...byOwner].map(async ([owner, owned]) => {
+      const request = { reservations: owned.map(({ id }) => id) };
       const reply = await network.call(owner, BudgetTopics.confirm, request, CONFIRM_TIMEOUT_MS);
       if (reply.err) return;
       await Promise.all(reply.val.map((id) => keeper.settle(id, undefined)));
--- a/packages/configuration/src/noticeSender.ts
+++ b/packages/configuration/src/noticeSender.ts
@@ -1,4 +1,4 @@
-import { getOwner } from '@pomeloroad/core';
+import { getOwner, groupBy } from '@pomeloroad/core';
 import type { Identity } from '@pomeloroad/core';
 import type { PeerNetwork } from '@pomeloroad/peers';
 import { ConfigurationTopics } from './topics';
@@ -57,9 +57,6 @@
 }
 
 function groupByDataCentre(instances: Identity[]): string[][] {
-  const groups = new Map<string, string[]>();
-  instances.forEach(({ dataCentre, instance }) => {
-    groups.set(dataCentre, [...(groups.get(dataCentre) ?? []), instance]);
-  });
-  return [...groups.values()];
+  const groups = groupBy(instances, ({ dataCentre }) => dataCentre);
+  return [...groups.values()].map((group) => group.map(({ instance }) => instance));
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './random';
 export * from './invariant';
 export * from './hash';
+export * from './groupBy';
 export * from './condition';
 export * from './diagnostics';
 export * from './log';
--- a/packages/forwarding/src/origins/originRows.ts
+++ b/packages/forwarding/src/origins/originRows.ts
@@ -1,4 +1,4 @@
-import { checkDefined, getOwner, hashText } from '@pomeloroad/core';
+import { checkDefined, getOwner, groupBy, hashText } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import type { RowKey } from '@pomeloroad/storage';
 import { isText, parseList } from '../store/rowFields';
@@ -52,12 +52,13 @@
   { timeOfDay, storeTime }: RowTime,
 ): string {
   if (streams.length === 0) return EMPTY_ROW;
-  const groups = new Map<string, string[]>();
-  streams.forEach(([name, { service, version }]) => {
-    const origin = JSON.stringify([service, version ?? null]);
-    groups.set(origin, [...(groups.get(origin) ?? []), name]);
-  });
-  const origins = [...groups].map(([origin, names]) => [...JSON.parse(origin), names]);
+  const groups = groupBy(streams, ([, { service, version }]) =>
+    JSON.stringify([service, version ?? null]),
+  );
+  const origins = [...groups].map(([origin, group]) => [
+    ...JSON.parse(origin),
+    group.map(([name]) => name),
+  ]);
   return JSON.stringify([timeOfDay.getTime(), Math.round(storeTime), ...origins]);
 }
 
--- a/packages/requests/src/requestRegistry.ts
+++ b/packages/requests/src/requestRegistry.ts
@@ -1,6 +1,6 @@
 import { createTopic } from '@pomeloroad/peers';
 import type { PeerNetwork } from '@pomeloroad/peers';
-import { sleep } from '@pomeloroad/core';
+import { groupBy, sleep } from '@pomeloroad/core';
 import type { Identity, Milliseconds } from '@pomeloroad/core';
 import { createRequestEntries } from './requestEntries';
 import type { RequestEntry } from './requestEntries';
@@ -192,11 +192,7 @@
   }
 
   function sendHandoffs(entries: Handoff[]): Promise<unknown> {
-    const byKeeper = new Map<string, Handoff[]>();
-    entries.forEach((handoff) => {
-      const keeper = keepers.get(handoff.name);
-      byKeeper.set(keeper, [...(byKeeper.get(keeper) ?? []), handoff]);
-    });
+    const byKeeper = groupBy(entries, ({ name }) => keepers.get(name));
     const calls = [...byKeeper].map(([keeper, handoffs]) =>
       network.call(keeper, RequestTopics.handoff, handoffs, CALL_TIMEOUT_MS),
     );
