Named types for a map, a tuple and points

Map<string, string[]> stood in six signatures of crashWatch.ts and abandonedRequests.ts for requests and their suspects (RequestSuspects now); a report's run was four unnamed members; the fitted line of the control bench took [number, number][].

Behaviour is unchanged: the tests of crashWatch, suspectsFleet and soakEndpoint pass.

--- a/packages/forwarding/src/suspects/abandonedRequests.ts
+++ b/packages/forwarding/src/suspects/abandonedRequests.ts
@@ -3,12 +3,15 @@
 /** Time after which an endpoint has stopped work on a request whose connection was closed. */
 const STOP_TIME_MS: Milliseconds = 2000;
 
+/** Names of suspects in requests that were broken off or given up, by the requests' ids. */
+export type RequestSuspects = Map<string, string[]>;
+
 /** Requests that were given up lately while endpoints worked on them, and may crash those yet. */
 export interface AbandonedRequests {
   note(incarnation: string, request: string, names: string[]): void;
   has(incarnation: string): boolean;
   /** Removes those at the incarnation, and returns the names of each. */
-  take(incarnation: string): Map<string, string[]>;
+  take(incarnation: string): RequestSuspects;
 }
 
 interface AbandonedRequest {
--- a/packages/forwarding/src/suspects/crashWatch.ts
+++ b/packages/forwarding/src/suspects/crashWatch.ts
@@ -4,6 +4,7 @@
 import type { EndpointDirectory } from '../store/endpointDirectory';
 import type { ForwardMetrics } from '../forwardMetrics';
 import { createAbandonedRequests } from './abandonedRequests';
+import type { RequestSuspects } from './abandonedRequests';
 import { getSharedParts, getSuspectNames } from './suspectNames';
 import type { Attempt, EndpointProtocol, EndpointRecord, EventStream } from '../types';
 
@@ -45,7 +46,7 @@
 
 /** An endpoint that has broken off requests and is examined. */
 interface Examination {
-  broken: Map<string, string[]>;
+  broken: RequestSuspects;
   verdict: Promise<void>;
 }
 
@@ -60,7 +61,7 @@
 
   function startExamination(endpoint: EndpointRecord): Examination {
     const incarnation = getIncarnation(endpoint);
-    const broken = new Map<string, string[]>();
+    const broken: RequestSuspects = new Map();
     const examination = { broken, verdict: judge(endpoint, broken) };
     examinations.set(incarnation, examination);
     examination.verdict.finally(() => examinations.delete(incarnation));
@@ -105,12 +106,12 @@
     host.onAnswer(names, getIncarnation(attempt.endpoint));
   }
 
-  async function judge(endpoint: EndpointRecord, broken: Map<string, string[]>): Promise<void> {
+  async function judge(endpoint: EndpointRecord, broken: RequestSuspects): Promise<void> {
     if (await hasDied(endpoint)) report(endpoint, broken);
     else watch(endpoint, broken);
   }
 
-  function report(endpoint: EndpointRecord, found: Map<string, string[]>): void {
+  function report(endpoint: EndpointRecord, found: RequestSuspects): void {
     const incarnation = getIncarnation(endpoint);
     const broken = new Map([...found, ...abandoned.take(incarnation)]);
     const names = new Map<string, number>();
@@ -132,7 +133,7 @@
   }
 
   // What breaks off meanwhile is examined by itself, so that a crash soon after shows at once.
-  async function watch(endpoint: EndpointRecord, broken: Map<string, string[]>): Promise<void> {
+  async function watch(endpoint: EndpointRecord, broken: RequestSuspects): Promise<void> {
     if (await isGoneSoon(endpoint)) report(endpoint, broken);
   }
 
@@ -202,7 +203,7 @@
   return `${id}/${born}`;
 }
 
-function describe(broken: Map<string, string[]>): string {
+function describe(broken: RequestSuspects): string {
   return [...broken]
     .slice(0, NAMED_REQUESTS_MAX)
     .map(([request, names]) => [request, ...names].join(' '))
--- a/packages/replay/src/controlBench.ts
+++ b/packages/replay/src/controlBench.ts
@@ -38,6 +38,12 @@
   tableWritesPerSecond: number;
 }
 
+/** A measured cost of a fleet. */
+interface Point {
+  instances: number;
+  cost: number;
+}
+
 /** A line fitted to the measured points: cost = base + slope x instances. */
 interface Fit {
   base: number;
@@ -201,20 +207,25 @@
     'tableReadsPerSecond',
     'tableWritesPerSecond',
   ] as const;
-  const fits = keys.map((key) => [key, fitLine(costs.map((cost) => [cost.instances, cost[key]]))]);
+  const fits = keys.map((key) => [
+    key,
+    fitLine(costs.map((cost) => ({ instances: cost.instances, cost: cost[key] }))),
+  ]);
   return Object.fromEntries(fits) as Record<string, Fit>;
 }
 
 // Fits a line by least squares.
-function fitLine(points: [number, number][]): Fit {
+function fitLine(points: Point[]): Fit {
   const mean = (values: number[]) => values.reduce((a, b) => a + b, 0) / values.length;
-  const meanX = mean(points.map(([x]) => x));
-  const meanY = mean(points.map(([, y]) => y));
-  const spread = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
-  const slope = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0) / spread;
+  const meanX = mean(points.map(({ instances }) => instances));
+  const meanY = mean(points.map(({ cost }) => cost));
+  const spread = points.reduce((sum, { instances: x }) => sum + (x - meanX) ** 2, 0);
+  const products = points.map(({ instances, cost }) => (instances - meanX) * (cost - meanY));
+  const slope = products.reduce((sum, product) => sum + product, 0) / spread;
   const base = meanY - slope * meanX;
-  const largest = Math.max(...points.map(([, y]) => Math.abs(y)), Number.MIN_VALUE);
-  const worst = Math.max(...points.map(([x, y]) => Math.abs(y - base - slope * x)));
+  const largest = Math.max(...points.map(({ cost }) => Math.abs(cost)), Number.MIN_VALUE);
+  const residuals = points.map(({ instances, cost }) => Math.abs(cost - base - slope * instances));
+  const worst = Math.max(...residuals);
   return { base: round(base), slope: round(slope), error: round(worst / largest) };
 }
 
--- a/packages/standins/src/openAnswers.ts
+++ b/packages/standins/src/openAnswers.ts
@@ -10,8 +10,8 @@
 const EXIT_TIMEOUT_MS: Milliseconds = 200;
 const HALT_INTERVAL_MS: Milliseconds = 10;
 
-/** One of the runs of a report: id, tokens in memory, events made, priority. */
-export type RunEntry = [string, number, number, number];
+/** One of the runs of a report. */
+export type RunEntry = [id: string, tokensInMemory: number, events: number, priority: number];
 
 /** A run of a request. */
 export interface Run {
