Connections: a bound on them, so that those who only connect don't take all descriptors

Seen: 4,200 connections that bring half a head left a process with 4,237 descriptors, at the address for callers and at that of readiness (a machine has 4,100; beyond that no connection to an endpoint or to the store can be opened). Nothing bounded them.

Ruled out: Node's maxConnections, which closes new ones, so that the crowd keeps others out.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,6 +15,7 @@
 export * from './serverConnections';
 export * from './manualClock';
 export * from './pauseGuard';
+export * from './connectionLimit';
 export * from './memoryAccount';
 export * from './memoryRefusals';
 export * from './lineWriter';
