Answers unread: whole answers count to the account of memory until they are sent

Seen: 60 callers that do not read an answer of 14 MB brought a process to 571 MB. A whole answer lies in the process until its caller has taken it, and was counted nowhere. It is now held on the connection; above the limit the largest is given up, its connection closed, so that it does not look complete. Who is read in turn under pressure is now only one that still brings something, as an unread answer would keep the turn.

--- a/packages/core/src/memoryAccount.ts
+++ b/packages/core/src/memoryAccount.ts
@@ -13,6 +13,8 @@
 export interface MemoryHolder {
   /** Called when it may be read on, after it was told that it may not. */
   resume(): void;
+  /** Whether it may bring more, so that reading it on may end what it holds. */
+  isBringing(): boolean;
   /** Whether it may be given up: not while the only thing that it holds is at work. */
   mayRefuse(): boolean;
   /** Gives up what it holds, and frees it before returning if it can. */
@@ -126,7 +128,7 @@
 
   // The one that has been large for longest, of those that may bring more.
   function findTurn(): Entry | undefined {
-    for (const entry of large) if (entry.holder.mayRefuse()) return entry;
+    for (const entry of large) if (entry.holder.isBringing()) return entry;
     return undefined;
   }
 
--- a/packages/core/src/serverConnection.ts
+++ b/packages/core/src/serverConnection.ts
@@ -26,6 +26,8 @@
   isEnding(): boolean;
   isLatest(response: ServerResponse): boolean;
   accept(response: ServerResponse): void;
+  /** Holds the bytes of an accepted request's answer until it is sent. */
+  holdAnswer(response: ServerResponse, bytes: number): void;
   /** Calls back when the body of the latest request turns out to be unreadable, or is not read on for want of memory. */
   onAbandoned(callback: (fault: AbandonedBody) => void): void;
   /** Drops what still arrives. */
@@ -73,7 +75,8 @@
   const open = new Set<ServerResponse>();
   const share = memory.open({
     resume: () => lookAhead.schedule(),
-    mayRefuse: () => aheadBytes > 0 || open.size > 1 || isReading(),
+    isBringing: () => aheadBytes > 0 || isReading(),
+    mayRefuse: () => aheadBytes + answerBytes > 0 || open.size > 1 || isReading(),
     refuse: giveUp,
   });
   const bodies = createWaitingBodies(share.hold);
@@ -86,6 +89,8 @@
   let abandonBody: ((fault: AbandonedBody) => void) | undefined;
   /** Bytes that arrived and are not parsed. */
   let aheadBytes = 0;
+  /** Bytes of answers that are not sent in full. */
+  let answerBytes = 0;
   let isRefused = false;
   let refusal: number | undefined;
   let isClosing = false;
@@ -152,6 +157,15 @@
     share.hold(bytes);
   }
 
+  function holdAnswer(response: ServerResponse, bytes: number): void {
+    const hold = (change: number) => {
+      answerBytes += change;
+      share.hold(change);
+    };
+    response.once('finish', () => hold(-bytes));
+    hold(bytes);
+  }
+
   function isReading(): boolean {
     return latest !== undefined && open.has(latest) && !latest.req.complete;
   }
@@ -257,6 +271,7 @@
     isEnding: () => latest?.shouldKeepAlive === false,
     isLatest: (response) => latest === response,
     accept,
+    holdAnswer,
     onAbandoned(callback) {
       abandonBody = callback;
     },
--- a/packages/core/src/serverConnections.ts
+++ b/packages/core/src/serverConnections.ts
@@ -96,6 +96,11 @@
   await findConnection(response.req.socket)?.waitUntilClosed();
 }
 
+/** Adds the bytes of a whole answer, which must not have ended yet, to what its connection holds until it is sent. */
+export function holdAnswer(response: ServerResponse, bytes: number): void {
+  findConnection(response.req.socket)?.holdAnswer(response, bytes);
+}
+
 /** Reads the body of a request that `serveInOrder` has passed on; leaves its connection open. */
 export function readRequestBody(
   message: IncomingMessage,
--- a/packages/core/test/memoryAccount.test.ts
+++ b/packages/core/test/memoryAccount.test.ts
@@ -28,6 +28,7 @@
     resume: () => {
       state.resumed += 1;
     },
+    isBringing: () => mayRefuse,
     mayRefuse: () => mayRefuse,
     refuse: () => {
       state.isRefused = true;
