--- a/packages/replay/test/memoryUnderCallers.test.ts
+++ b/packages/replay/test/memoryUnderCallers.test.ts
@@ -55,6 +55,14 @@
   '4,200 connections of callers that bring half a head': createIdleCrowd('callers'),
   '4,200 connections that bring half a head at the address of readiness':
     createIdleCrowd('readiness'),
+  '2,500 heads of 60 KB that stop short of their end': {
+    callers: 2500,
+    group: 200,
+    port: 'callers',
+    head: 'GET /long/x HTTP/1.1\r\n',
+    piece: Buffer.from(`X-A: ${'x'.repeat(600)}\r\n`.repeat(10)),
+    pieces: 10,
+  },
   '60 callers that do not read an answer of 14 MB': {
     callers: 60,
     port: 'callers',
