Heads: what the parser holds of a head counts to the account of memory

Seen: 2,500 callers who send 60 KB of a head and stop ended a process (heap out of memory). A head was on the account once its request had been parsed, and not while it arrives. What the parser gets since the latest request counts now, and heads count twice, as they are strings in the heap (128 MB) that are joined while they arrive; counted once, the process still ended.

--- a/packages/core/src/lookAhead.ts
+++ b/packages/core/src/lookAhead.ts
@@ -28,6 +28,8 @@
   mayHold(): boolean;
   /** Notes bytes that are held, or fewer than none that are not any more. */
   hold(bytes: number): void;
+  /** Called before the parser gets bytes. */
+  onParse(bytes: number): void;
 }
 
 /** Creates the look-ahead of a connection of an HTTP server, which has not begun. It begins while a parser listens. */
@@ -61,7 +63,9 @@
     isParsing = true;
     try {
       while (parse && heldBytes > 0 && !isHolding && !hasLeft() && host.mayParse()) {
-        parse(takeSlice());
+        const slice = takeSlice();
+        host.onParse(slice.length);
+        parse(slice);
       }
     } finally {
       isParsing = false;
--- a/packages/core/src/serverConnection.ts
+++ b/packages/core/src/serverConnection.ts
@@ -14,6 +14,9 @@
 /** Memory of a request until it is answered, besides its head and body. */
 const REQUEST_BYTES = 8 * 1024;
 
+/** Memory of a byte of a head: heads are strings, which lie in the heap and are joined while they arrive. */
+const HEAD_RATIO = 2;
+
 /** A connection of a server, with the requests that are accepted on it. */
 export interface ServerConnection {
   bodies: WaitingBodies;
@@ -75,8 +78,8 @@
   const open = new Set<ServerResponse>();
   const share = memory.open({
     resume: () => lookAhead.schedule(),
-    isBringing: () => aheadBytes > 0 || isReading(),
-    mayRefuse: () => aheadBytes + answerBytes > 0 || open.size > 1 || isReading(),
+    isBringing: () => aheadBytes + headBytes > 0 || isReading(),
+    mayRefuse: () => aheadBytes + headBytes + answerBytes > 0 || open.size > 1 || isReading(),
     refuse: giveUp,
   });
   const bodies = createWaitingBodies(share.hold);
@@ -84,11 +87,14 @@
     mayParse: () => !isYielding && open.size <= REQUESTS_MAX && !bodies.isFull() && share.mayRead(),
     mayHold: share.mayRead,
     hold: holdAhead,
+    onParse: holdHead,
   });
   let latest: ServerResponse | undefined;
   let abandonBody: ((fault: AbandonedBody) => void) | undefined;
   /** Bytes that arrived and are not parsed. */
   let aheadBytes = 0;
+  /** Bytes that the parser got since the latest request, of a head that has not ended. */
+  let headBytes = 0;
   /** Bytes of answers that are not sent in full. */
   let answerBytes = 0;
   let isRefused = false;
@@ -110,6 +116,7 @@
     if (!latest) prepareClose();
     latest = response;
     abandonBody = undefined;
+    endHead();
     open.add(response);
     const bytes = measureHead(response.req) + REQUEST_BYTES;
     share.hold(bytes);
@@ -157,6 +164,17 @@
     share.hold(bytes);
   }
 
+  function holdHead(bytes: number): void {
+    if (latest && !latest.req.complete) return;
+    headBytes += bytes * HEAD_RATIO;
+    share.hold(bytes * HEAD_RATIO);
+  }
+
+  function endHead(): void {
+    share.hold(-headBytes);
+    headBytes = 0;
+  }
+
   function holdAnswer(response: ServerResponse, bytes: number): void {
     const hold = (change: number) => {
       answerBytes += change;
@@ -294,7 +312,7 @@
 }
 
 function measureHead({ rawHeaders, url = '' }: IncomingMessage): number {
-  return rawHeaders.reduce((bytes, text) => bytes + text.length, url.length);
+  return HEAD_RATIO * rawHeaders.reduce((bytes, text) => bytes + text.length, url.length);
 }
 
 function createRefusal(status: number): string {
