--- a/packages/forwarding/src/attempts/lapsedEndpoints.ts
+++ b/packages/forwarding/src/attempts/lapsedEndpoints.ts
@@ -22,7 +22,8 @@
   const { clock } = run.host;
   const wait = Math.min(LAPSED_WAIT_MAX_MS, getTimeLeft(run) * LAPSED_WAIT_TIME_LEFT_RATIO);
   const until = clock.elapsed() + wait;
-  const mayWait = () => clock.elapsed() < until && !run.stop.signal.aborted && hasLapsed(run);
+  const isGivenUp = () => run.stop.signal.aborted || run.question.signal.aborted;
+  const mayWait = () => clock.elapsed() < until && !isGivenUp() && hasLapsed(run);
   let slot = await acquire();
   while (slot.err && slot.val.kind === 'none' && run.runs > 0 && mayWait()) {
     await sleep(clock, NEXT_LOOK_MS, run.stop.signal);
--- a/packages/forwarding/test/lapsedEndpoints.test.ts
+++ b/packages/forwarding/test/lapsedEndpoints.test.ts
@@ -35,6 +35,12 @@
   body: Buffer.from('whole'),
   end: { framing: 'length', at: 0, connection: Promise.resolve('kept') },
 });
+const DOUBTED: Sent = Ok({
+  kind: 'whole',
+  head: { ...HEAD, framing: 'chunked' },
+  body: Buffer.from('whole'),
+  end: { framing: 'chunked', at: 0, connection: Promise.resolve('kept') },
+});
 const BROKEN: Sent = Err({ kind: 'broken', message: 'read ECONNRESET' });
 const BOTH = ['1', '2'];
 /** When the endpoints stop, and when the first of them resets the connection that it has kept. */
@@ -172,3 +178,18 @@
   await clock.advance(1);
   expect(outcomes).toEqual(['no-endpoint']);
 });
+
+test('a doubted answer does not wait for a lapsed entry for longer than another endpoint would be asked', async () => {
+  const { clock, forward, list, unlist, asked, outcomes } = await start(() => ({
+    after: 300,
+    sent: DOUBTED,
+  }));
+  forward();
+  await clock.advance(100);
+  await unlist(BOTH.filter((id) => id !== asked[0]));
+  await list([asked[0]!], 'leaving');
+  await clock.advance(300);
+  expect(outcomes).toEqual([]);
+  await clock.advance(600);
+  expect(outcomes).toEqual(['whole']);
+});
