--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -156,7 +156,9 @@
   // A close is a step of its own, which comes later.
   const isApart = framing !== 'close' && isApartFromEvent(end);
   if (recentEnds.endedAtOnce(endpoint)) {
-    return isApart ? 'endpoint ended several apart' : 'endpoint ended several';
+    // Where all ends come apart, that is no sign of its own.
+    const isUnusual = isApart && !endHistory.endsApart(service);
+    return isUnusual ? 'endpoint ended several apart' : 'endpoint ended several';
   }
   return isApart ? 'apart from last event' : undefined;
 }
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -24,6 +24,7 @@
 import { createEndpointLife } from '../src/ends/endpointLife';
 import { createPauseHistory } from '../src/ends/pauseHistory';
 import { createRecentEnds } from '../src/ends/recentEnds';
+import type { RecentEnd } from '../src/ends/recentEnds';
 
 const DEADLINE_MS: Milliseconds = 2500;
 /** What one endpoint does: its events and its end, each so long after the step before it. */
@@ -56,13 +57,14 @@
 
 /**
  * Forwards a request to endpoints e1, e2 and so on, which give the answers in turn, or to those to which it may only
- * return; returns what the caller got, when it was told the end, and what was logged. Endpoints are told 250 ms more than what is left, and a stated end is held for 20 ms.
+ * return; `others` are ends of other streams of e1. Returns what the caller got, when it was told the end, and what was logged. Endpoints are told 250 ms more than what is left, and a stated end is held for 20 ms.
  */
 export async function forwardTo(
   answers: StandAnswer[],
   more: Partial<ForwardRequest<unknown>> = {},
   attempts = 2,
   endHistory = createEndHistory(),
+  others: RecentEnd[] = [],
 ) {
   const clock = createManualClock();
   const lines: LogFields[] = [];
@@ -72,6 +74,8 @@
     lines.push({ code: event.code, importance, ...fields });
   };
   const recentEnds = createRecentEnds({ clock, log, metrics: forwardMetrics });
+  const first = { name: 'e1/1', id: 'e1', born: 1, version: 'v1' };
+  others.forEach((end) => recentEnds.add(first, end));
   const releases: SlotResult[] = [];
   let turn = 0;
   let refused = 0;
