--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -189,6 +189,7 @@
   run: Run<Payload>,
   { stream, attempt }: Source,
 ): Promise<LastStep> {
+  const eventsBefore = run.events;
   for (;;) {
     const progress = await awaitEvents(run, stream, attempt);
     if (progress.kind === 'replaced') {
@@ -198,6 +199,8 @@
     const { step } = progress;
     if (step.kind !== 'events') return { step, replacement: undefined };
     run.events += step.count;
+    const hasGoneOn = stream.hasRepeated() || run.events - eventsBefore > 1;
+    if (hasGoneOn) run.host.endHistory.apartEnds.clear(attempt.slot.endpoint.name);
     noteEvents(run, attempt);
     run.course.lastEventAt = run.host.clock.elapsed();
     run.course.openSince = undefined;
--- a/packages/forwarding/src/attempts/slots.ts
+++ b/packages/forwarding/src/attempts/slots.ts
@@ -28,13 +28,13 @@
 ): Promise<Outcome<Slot, RouteError>> {
   if (run.confirmer !== undefined)
     return acquireAny(run, { excluded: new Set(), isBinding: true }, signal);
-  if (run.firstByteAt !== undefined) {
-    for (const choice of listChoices(run, excluded)) {
-      const slot = await acquireAny(run, choice, signal);
-      if (slot.ok || !mayAskOthers(choice, slot.val)) return slot;
-    }
+  if (run.firstByteAt === undefined) return acquireAny(run, { excluded, isBinding: true }, signal);
+  const unfit = new Set([...excluded, ...listSharers(run)]);
+  for (const choice of listChoices(run, unfit)) {
+    const slot = await acquireAny(run, choice, signal);
+    if (slot.ok || !mayAskOthers(choice, slot.val)) return slot;
   }
-  return acquireAny(run, { excluded, isBinding: true }, signal);
+  return acquireAny(run, { excluded: unfit, isBinding: true }, signal);
 }
 
 function mayAskOthers({ isBinding }: Choice, { kind }: RouteError): boolean {
@@ -45,6 +45,13 @@
     .exhaustive();
 }
 
+// Whether an open answer is whole is not asked of those that may have ended their own streams for the same reason: they
+// would use its attempts up.
+function listSharers<Payload>({ host, request, course }: Run<Payload>): ReadonlySet<string> {
+  if (course.openSince === undefined) return new Set();
+  return host.endHistory.apartEnds.listShared(request.service, host.clock.elapsed());
+}
+
 // The best first. Endpoints whose latest end is doubted itself may be in the same trouble.
 function listChoices<Payload>(run: Run<Payload>, excluded: ReadonlySet<string>): Choice[] {
   const { host, request, course } = run;
--- a/packages/forwarding/src/ends/confirmation.ts
+++ b/packages/forwarding/src/ends/confirmation.ts
@@ -67,10 +67,11 @@
 // One that has ended a stream early may end this one for the same reason, and so may all others of its service that have
 // not gone on with one since.
 function isTrusted<Payload>(run: Run<Payload>, endpoint: string): boolean {
-  const { endHistory } = run.host;
+  const { clock, endHistory } = run.host;
   const { service } = run.request;
-  const { confirmers } = endHistory;
+  const { apartEnds, confirmers } = endHistory;
   if (endHistory.endsEarly(endpoint)) return false;
+  if (apartEnds.listShared(service, clock.elapsed()).has(endpoint)) return false;
   return !confirmers.hasTrouble(service) || confirmers.listAble(service).has(endpoint);
 }
 
--- a/packages/forwarding/src/ends/endHistory.ts
+++ b/packages/forwarding/src/ends/endHistory.ts
@@ -1,3 +1,5 @@
+import { createApartEnds } from './apartEnds';
+import type { ApartEnds } from './apartEnds';
 import { createConfirmers } from './confirmers';
 import type { Confirmers } from './confirmers';
 
@@ -48,6 +50,8 @@
   listDoubted(): Iterable<string>;
   /** Which endpoints may confirm ends. */
   confirmers: Confirmers;
+  /** Which endpoints have ended streams apart from their last events. */
+  apartEnds: ApartEnds;
   /** Notes that an endpoint of the service has ended a stream, and whether apart from its last event. */
   noteEnd(service: string, isApart: boolean): void;
   /** Notes whether another endpoint had more after an end apart from the last event. */
@@ -67,16 +71,20 @@
   const early = new Set<string>();
   const doubted = new Set<string>();
   const confirmers = createConfirmers();
+  const apartEnds = createApartEnds();
   const counts = new Map<string, EndCount>();
   return {
     confirmers,
+    apartEnds,
     noteStatement: (service) => closing.delete(service),
     noteConfirmedClose: (service) => remember(closing, service),
     endsByClose: (service) => closing.has(service),
     noteChecked(endpoint, isEarly) {
       if (isEarly) remember(early, endpoint);
       else early.delete(endpoint);
-      if (!isEarly) doubted.delete(endpoint);
+      if (isEarly) return;
+      doubted.delete(endpoint);
+      apartEnds.clear(endpoint);
     },
     noteDoubt(endpoint, isDoubted) {
       if (isDoubted) remember(doubted, endpoint);
--- a/packages/forwarding/src/ends/streamEnd.ts
+++ b/packages/forwarding/src/ends/streamEnd.ts
@@ -69,6 +69,10 @@
   const hasEnded = !isEmpty && step !== undefined && step.kind !== 'broken';
   // Until it is judged too, so that ends of several endpoints at one moment are asked of others.
   if (hasEnded) endHistory.noteDoubt(endpoint, true);
+  if (hasEnded && step.kind === 'complete') {
+    const isApart = isApartFromEvent(step);
+    endHistory.apartEnds.note(run.request.service, endpoint, isApart, step.at);
+  }
   const judged = await judgeStep(run, attempt, step, { hasRepeated, isConfirmation });
   const isInOrder = judged.ownEnd !== 'broken';
   const end = isInOrder && isEmpty && !hasRepeated ? 'doubtful' : judged.ownEnd;
