--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -67,9 +67,8 @@
   { framing, at, connection }: AnswerEnd,
 ): void {
   connection.then((fate) => {
-    // A close with an end that may be too early tells nothing of other closes.
-    if (fate === 'kept' || (fate === 'closed' && isProven({ framing }))) {
-      host.closeHistory.note(request.service, fate);
+    if (fate === 'kept' || fate === 'closed') {
+      host.closeHistory.note(request.service, fate, isProven({ framing }));
     }
   });
   if (isProven({ framing }) || !endpoint) return;
