--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -169,7 +169,7 @@
   | 'kept'
   /** The endpoint has closed it while it was idle, although it had not announced that. */
   | 'closed'
-  /** It was closed while it served the next request, or cut on its way, which tells nothing of the endpoint. */
+  /** It was closed while it took the rest of a body or the next request, or cut on its way, which tells nothing of the endpoint. */
   | 'lost'
   /** It was not to be kept. */
   | 'not kept';
