Look-ahead: a body of a stated length is parsed in the pieces that it arrives in

The bound on requests ahead gave the parser 2 KB at once, of bodies too, and each answer woke it though nothing was held. Bytes that are of one stated body hold no request.

--- a/packages/core/src/lookAhead.ts
+++ b/packages/core/src/lookAhead.ts
@@ -28,6 +28,8 @@
   mayHold(): boolean;
   /** Notes bytes that are held, or fewer than none that are not any more. */
   hold(bytes: number): void;
+  /** Bytes that the parser may get at once, since they are of one body. */
+  bodyBytesLeft(): number;
   /** Called before the parser gets bytes. */
   onParse(bytes: number): void;
 }
@@ -75,7 +77,7 @@
 
   function takeSlice(): Buffer {
     const [piece = Buffer.alloc(0)] = held;
-    const slice = piece.subarray(0, findCut(piece));
+    const slice = piece.subarray(0, Math.max(findCut(piece), host.bodyBytesLeft()));
     if (slice.length === piece.length) held.shift();
     else held[0] = piece.subarray(slice.length);
     heldBytes -= slice.length;
@@ -92,7 +94,7 @@
     if (!parse) return;
     const isFull = heldBytes > HELD_MAX_BYTES || (heldBytes > 0 && !host.mayHold());
     if (isFull) net.Socket.prototype.pause.call(socket);
-    else net.Socket.prototype.resume.call(socket);
+    else if (socket.isPaused()) net.Socket.prototype.resume.call(socket);
   }
 
   // What a caller that has left sent before is not served any more.
@@ -127,7 +129,9 @@
       socket.push('');
       schedule();
     },
-    schedule,
+    schedule() {
+      if (heldBytes > 0) schedule();
+    },
     stop() {
       if (!parse) return [];
       parse = undefined;
--- a/packages/core/src/serverConnection.ts
+++ b/packages/core/src/serverConnection.ts
@@ -87,7 +87,8 @@
     mayParse: () => !isYielding && open.size <= REQUESTS_MAX && !bodies.isFull() && share.mayRead(),
     mayHold: share.mayRead,
     hold: holdAhead,
-    onParse: holdHead,
+    bodyBytesLeft: () => (isReading() ? bodyBytesLeft : 0),
+    onParse: noteParsed,
   });
   let latest: ServerResponse | undefined;
   let abandonBody: ((fault: AbandonedBody) => void) | undefined;
@@ -95,6 +96,8 @@
   let aheadBytes = 0;
   /** Bytes that the parser got since the latest request, of a head that has not ended. */
   let headBytes = 0;
+  /** Bytes that are still to come of the latest request's body, of which the length was stated; at most a slice less are. */
+  let bodyBytesLeft = 0;
   /** Bytes of answers that are not sent in full. */
   let answerBytes = 0;
   let isRefused = false;
@@ -117,6 +120,7 @@
     latest = response;
     abandonBody = undefined;
     endHead();
+    bodyBytesLeft = Number(response.req.headers['content-length']) || 0;
     open.add(response);
     const bytes = measureHead(response.req) + REQUEST_BYTES;
     share.hold(bytes);
@@ -164,7 +168,8 @@
     share.hold(bytes);
   }
 
-  function holdHead(bytes: number): void {
+  function noteParsed(bytes: number): void {
+    bodyBytesLeft -= bytes;
     if (latest && !latest.req.complete) return;
     headBytes += bytes * HEAD_RATIO;
     share.hold(bytes * HEAD_RATIO);
