The rest of an answered upload is dropped at the other kind of instance too

The function goes to core, and their clients call it. Calls of the store and of control interfaces have a time limit of their own, which is refreshed by parts of an answer alone, and close by it.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,5 +15,6 @@
 export * from './serverConnections';
 export * from './manualClock';
 export * from './pauseGuard';
+export * from './lateUpload';
 export * from './lineWriter';
 export * from './droppedLines';
--- a/platform/src/lateUpload.ts
+++ b/packages/core/src/lateUpload.ts
@@ -1,12 +1,12 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
-import type { Milliseconds } from '@pomeloroad/core';
+import type { Milliseconds } from './types';
 
-/** Time in which an endpoint that has answered must take more of the body; that of an unused answer too. */
+/** Time in which a server that has answered must take more of the body; that of an unused answer too. */
 const LATE_UPLOAD_SILENCE_MS: Milliseconds = 250;
 
 /**
- * Closes the connection of a request that is answered but not wholly written once its endpoint takes
- * nothing more. Nobody waits for the rest, which would be held for as long as the endpoint lives.
+ * Closes the connection of a request that is answered but not wholly written once its server takes
+ * nothing more. Nobody waits for the rest, which would be held for as long as the server lives.
  */
 export function limitLateUpload(request: ClientRequest): void {
   const close = () => request.destroy();
--- a/packages/entry/src/engineStream.ts
+++ b/packages/entry/src/engineStream.ts
@@ -2,7 +2,7 @@
 import { createParser } from 'eventsource-parser';
 import type { EventSourceMessage } from 'eventsource-parser';
 import { Err, Ok } from 'ts-results';
-import { onConnected, outlastErrors, readBody } from '@pomeloroad/core';
+import { limitLateUpload, onConnected, outlastErrors, readBody } from '@pomeloroad/core';
 import type { Outcome, RunStatus } from '@pomeloroad/core';
 import type { EngineError, EngineEvent, EngineSink } from './engineTypes';
 
@@ -32,6 +32,7 @@
   let isComplete = false;
   let hasEvents = false;
   outlastErrors(request);
+  limitLateUpload(request);
   onConnected(request, () => {
     isSent = true;
   });
--- a/packages/entry/src/serviceClient.ts
+++ b/packages/entry/src/serviceClient.ts
@@ -5,6 +5,7 @@
   discardBody,
   getResponseFraming,
   isAnswerStatus,
+  limitLateUpload,
   onConnected,
   splitAddress,
   watchClose,
@@ -95,6 +96,7 @@
       );
       if (opened.err) return Err({ kind: 'failed', ran: 'no', message: opened.val.message });
       const request = opened.val;
+      limitLateUpload(request);
       onConnected(request, () => {
         isSent = true;
       });
--- a/packages/entry/test/uploads.test.ts
+++ b/packages/entry/test/uploads.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import net from 'node:net';
 import type { Socket } from 'node:net';
 import { createSystemClock, listen, sleep } from '@pomeloroad/core';
@@ -9,6 +10,8 @@
 /** More than the kernel takes of a connection that nobody reads. */
 const LONG_UPLOAD = 'b'.repeat(16_777_216);
 const SILENCE_MS: Milliseconds = 300;
+/** Time for which a server reads nothing of an upload that it has answered. */
+const UNREAD_MS: Milliseconds = 1000;
 const ENDINGS = ['reset', 'close', 'half'] as const;
 const DELAYS: Milliseconds[] = [0, 10, 100];
 const EVENT = 'id: 0\ndata: {"choices":[{"delta":{"content":"a"}}]}\n\n';
@@ -21,7 +24,7 @@
 const LENGTH = `Content-Length: ${EVENT.length}\r\n\r\n${EVENT}`;
 const NO_STATUSES = ['000', '001', '099', '101', '199', '600', '999', '1000', '20', '2x0', '-200'];
 
-type Ending = (typeof ENDINGS)[number];
+type Ending = (typeof ENDINGS)[number] | 'none';
 
 let server: net.Server | undefined;
 const sockets: Socket[] = [];
@@ -104,3 +107,19 @@
   }
   expect(wrong).toEqual([]);
 });
+
+test.each(CLIENTS)(
+  'the rest of an upload that was answered early and is not read is dropped: %s',
+  async (_name, call) => {
+    const address = await startServer(`HTTP/1.1 404 No\r\n${LENGTH}`, 'none', 0);
+    await call(address);
+    await sleep(createSystemClock(), UNREAD_MS);
+    const [socket] = sockets;
+    let read = 0;
+    socket?.on('data', ({ length }) => {
+      read += length;
+    });
+    await Promise.allSettled([once(socket!.resume(), 'end')]);
+    expect(read).toBeLessThan(LONG_UPLOAD.length / 2);
+  },
+);
