Through a tunnel, an end under an upload is not one in order

Cause: the dialing side had handed its whole body to the tunnel, and the relay's connection to the endpoint had taken what had come until then, so neither saw that the endpoint had not.

Evidence: the new tests, an instance with 16 endpoints, answers that are none or not whole, reset or half-closed before an upload of 8 MB is read; callers that send a length, chunks, or wait to be told to go on; four routes, directly and through another instance.

Why it works: once an endpoint has ended in order, the relay asks the other side by a ping, whose answer comes behind all that was sent, and passes the end on only if nothing more came.

A failed try: a test of the listener alone with an endpoint that reads nothing hung, as the relay's connection does not close while the rest can't be written; the attempt then ends by its time limit.

--- a/packages/peers/src/tunnelListener.ts
+++ b/packages/peers/src/tunnelListener.ts
@@ -79,7 +79,7 @@
   function carry(upgraded: WebSocket, target: Connection): void {
     const tunnel = createTunnelStream(upgraded, '');
     tunnels.add(tunnel);
-    join(tunnel, target);
+    join(upgraded, tunnel, target);
     upgraded.once('close', () => tunnels.delete(tunnel));
   }
 
@@ -116,7 +116,7 @@
 
 // An end in order of one side becomes one of the other, and so does a reset. A socket that was asked for
 // its remote address before keeps it after a reset, so none is asked for.
-async function join(tunnel: Connection, target: Connection): Promise<void> {
+async function join(upgraded: WebSocket, tunnel: Connection, target: Connection): Promise<void> {
   const isClosedProperly = watchClose({ socket: target });
   tunnel.once('close', () => target.destroy());
   tunnel.on('error', () => target.destroy());
@@ -124,8 +124,21 @@
   tunnel.pipe(target);
   target.pipe(tunnel, { end: false });
   const isProper = await isClosedProperly();
-  // What still arrives has no reader any more, and the tunnel closes only once it is read.
-  tunnel.resume();
-  if (isProper) tunnel.end();
+  if (isProper && !(await hasUntaken(upgraded, tunnel))) tunnel.end();
   else tunnel.destroy();
 }
+
+// Whether the other side has sent bytes that the target has not taken. What it has sent comes before its
+// answer to a ping. What arrives has no reader any more, and the tunnel closes only once it is read.
+function hasUntaken(upgraded: WebSocket, tunnel: Connection): Promise<boolean> {
+  return new Promise((resolve) => {
+    let hasMore = tunnel.readableLength > 0;
+    upgraded.on('message', () => {
+      hasMore = true;
+    });
+    upgraded.once('pong', () => resolve(hasMore));
+    upgraded.once('close', () => resolve(true));
+    tunnel.resume();
+    upgraded.ping();
+  });
+}
