--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,5 +19,6 @@
 export * from './connectionLimit';
 export * from './memoryAccount';
 export * from './memoryRefusals';
+export * from './lateUpload';
 export * from './lineWriter';
 export * from './droppedLines';
