--- a/packages/forwarding/src/ends/answerEnd.ts
+++ b/packages/forwarding/src/ends/answerEnd.ts
@@ -29,6 +29,7 @@
 /** What is said of an end whose endpoint has gone. */
 const GONE_MESSAGE = 'closed by an endpoint that accepts no connections any more';
 
+/** What is said of one whose connection closes with it, unannounced. */
 const CLOSED_MESSAGE = 'ended with its connection, though its service keeps connections';
 
 /**
@@ -73,8 +74,8 @@
 }
 
 /**
- * As `findEndFault`, for a stream that may not be resumed: nobody else can tell its end, and its connection closes after
- * it in any case. The caller has all events, so the end is held until it is known what became of the endpoint.
+ * As `findEndFault`, for a stream that may not be resumed: nobody else can tell its end. The caller has all events, so the
+ * end is held until it is known what became of the endpoint.
  */
 async function findSingleStreamFault<Payload>(
   run: Run<Payload>,
