--- a/packages/forwarding/src/ends/answerCourse.ts
+++ b/packages/forwarding/src/ends/answerCourse.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from '@pomeloroad/core';
+import type { ConnectionFate } from '../types';
 import type { AnswerPauses } from './answerPauses';
 
 /** The time limit that an endpoint was told with a request, and when. */
@@ -39,6 +40,8 @@
   eventsBefore: number;
   /** Since when the answer is open although an endpoint has ended it in order; `undefined` if it is not. */
   openSince: Milliseconds | undefined;
+  /** What became of the connection of the latest end; `undefined` until it is known. */
+  connection: ConnectionFate | undefined;
   /** Whether an end of the request was suspicious. */
   isSuspicious: boolean;
   /** Reports the latest end of a stream; `undefined` once that is done. */
@@ -53,6 +56,7 @@
     resumptions: 0,
     eventsBefore: 0,
     openSince: undefined,
+    connection: undefined,
     isSuspicious: false,
     reportEnd: undefined,
   };
--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -62,11 +62,14 @@
 
 /** Remembers what becomes of the connection of an end in order and, where no length proves the end, of its endpoint. */
 export function rememberEnd<Payload>(
-  { host, request, events }: Run<Payload>,
+  run: Run<Payload>,
   { slot, endpoint }: SentAttempt,
   { framing, at, connection }: AnswerEnd,
 ): void {
+  const { host, request, events } = run;
+  run.course.connection = undefined;
   connection.then((fate) => {
+    run.course.connection = fate;
     if (fate === 'kept' || fate === 'closed') {
       host.closeHistory.note(request.service, fate, isProven({ framing }));
     }
@@ -206,6 +209,7 @@
     lastEventAgo: Math.max(0, Math.round(at - lastAt)),
     resumptions: course.resumptions,
     openFor: getOpenTime(course, at),
+    connection: course.connection,
     eventsSinceResumption: isResumed ? events - course.eventsBefore : undefined,
     fromVersion: isResumed ? origin?.version : undefined,
   };
--- a/packages/forwarding/test/endReport.test.ts
+++ b/packages/forwarding/test/endReport.test.ts
@@ -82,6 +82,7 @@
       version: 'v1',
       reason: 'near limit',
       state: 'sound',
+      connection: 'kept',
       end: 'complete',
       framing: 'chunked',
       events: 1,
@@ -212,3 +213,9 @@
   const lost = lines.filter(({ code }) => code === 7007);
   expect(lost.map(({ requests }) => requests)).toEqual(named);
 });
+
+test('the line of a doubted end tells what became of its connection', async () => {
+  const { suspicious, answered } = await forwardTo([{ end: 'whole', state: 'failing' }]);
+  expect(suspicious).toMatchObject([{ connection: 'kept' }]);
+  expect(answered).toMatchObject({ end: 'unconfirmed' });
+});
