--- a/review/lib-2/stand.mjs
+++ b/review/lib-2/stand.mjs
@@ -228,7 +228,7 @@
 }
 
 /** Starts an endpoint in this process: an HTTP server that announces itself in the store. */
-async function startEndpoint(store, { id, service, zone, slots, version = 'v1', serve }) {
+async function startEndpoint(store, { id, service, zone, slots, version = 'v1', serve, bound }) {
   const sockets = new Set();
   const server = http.createServer({ keepAliveTimeout: 30_000 }, serve);
   server.on('connection', (socket) => {
@@ -236,9 +236,10 @@
     socket.on('error', () => undefined);
     socket.once('close', () => sockets.delete(socket));
   });
-  const host = newHost();
+  // One that starts again has its address already.
+  const [host, port] = (bound ?? `${newHost()}:0`).split(':');
   await new Promise((resolve) => {
-    server.listen(0, host, resolve);
+    server.listen(Number(port), host, resolve);
   });
   const address = `${host}:${server.address().port}`;
   const endpoint = { id, service, address, state: 'ready', born: Date.now(), isSilent: false };
