--- a/packages/core/src/connect.ts
+++ b/packages/core/src/connect.ts
@@ -14,6 +14,8 @@
   isRetired?: boolean;
   /** Whether another instance carries it, whose end cuts it as a reset by its target does. */
   isCarried?: boolean;
+  /** Time of `clock.elapsed()` when it opened, if whoever opened it tells. */
+  openedAt?: Milliseconds;
 }
 
 /** Why a connection did not open. Nothing was sent on it. */
--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -185,7 +185,7 @@
     request: request.id,
     endpoint: endpoint?.id,
     sequence: endpoint?.sequence,
-    version: endpoint?.version,
+    ...describeIncarnation(host, endpoint),
     framing,
     events,
     silent: Math.round(now - getActivityTime()),
@@ -193,6 +193,17 @@
   };
 }
 
+/** Returns the log fields that tell the endpoint's incarnations apart, with the age of what is known of this one. */
+export function describeIncarnation<Payload>(
+  { directory }: Run<Payload>['host'],
+  endpoint: EndpointRecord | undefined,
+): LogFields {
+  if (!endpoint) return {};
+  const { born, version } = endpoint;
+  const known = directory.getKnownTime(endpoint);
+  return { born, version, known: known === undefined ? undefined : Math.round(known) };
+}
+
 /** Returns whether the endpoint answered with an error of its own, so that another one may do better. */
 export function isServerError(reply: Reply): boolean {
   return reply.head.status >= SERVER_ERROR_STATUS && reply.kind === 'whole';
--- a/packages/forwarding/src/attempts/readAhead.ts
+++ b/packages/forwarding/src/attempts/readAhead.ts
@@ -57,13 +57,12 @@
 function prepend(first: Promise<StreamStep>, stream: EventStream): EventStream {
   let isRead = false;
   return {
+    ...stream,
     next() {
       if (isRead) return stream.next();
       isRead = true;
       return first;
     },
-    hasRepeated: () => stream.hasRepeated(),
-    close: () => stream.close(),
   };
 }
 
--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -1,7 +1,7 @@
 import { match } from 'ts-pattern';
 import { Diagnostics } from '@pomeloroad/core';
-import type { SlotResult, Slot } from '@pomeloroad/routing';
-import { isServerError } from './attempt';
+import type { SlotResult } from '@pomeloroad/routing';
+import { describeIncarnation, isServerError } from './attempt';
 import type { SentAttempt } from './sentAttempt';
 import { sendWithRetries } from './attempts';
 import { continueFromCopy } from '../copies/continuation';
@@ -73,17 +73,17 @@
     .with({ kind: 'unknown' }, () => last)
     .with({ kind: 'ended' }, () => ({ ...last, end: 'complete' as const }))
     .with({ kind: 'stream' }, async ({ stream, attempt }) => {
-      noteContinuation(run, attempt);
+      noteContinuation(run, { stream, attempt });
       const next = await relaySource(run, { stream, attempt });
       return combineCopyEnds(last, next.end);
     })
     .exhaustive();
 }
 
-function noteContinuation<Payload>(run: Run<Payload>, attempt: SentAttempt): void {
-  run.course.source = attempt;
+function noteContinuation<Payload>(run: Run<Payload>, source: Source): void {
+  run.course.source = source.attempt;
   reportEnd(run, 'rest requested');
-  recordResumption(run, attempt.slot);
+  recordResumption(run, source);
   noteResumption(run);
 }
 
@@ -137,21 +137,28 @@
     slot.release(isServerError(reply) ? 'failed' : 'ok');
     return undefined;
   }
+  const source = { stream: reply.stream, attempt };
   reportEnd(run, 'rest requested');
-  recordResumption(run, slot);
+  recordResumption(run, source);
   noteResumption(run);
-  return { stream: reply.stream, attempt };
+  return source;
 }
 
-function recordResumption<Payload>(run: Run<Payload>, slot: Slot): void {
+function recordResumption<Payload>(
+  run: Run<Payload>,
+  { stream, attempt: { slot, endpoint } }: Source,
+): void {
   const version = getVersion(slot.endpoint);
+  const { connectionAge } = stream;
   const isSame = !run.origin || run.origin.version === version;
   run.host.metrics.resumptions.add(1, { version: isSame ? 'same' : 'other' });
   run.host.log(Diagnostics.requestResumed, {
     request: run.request.id,
     endpoint: slot.endpoint.name,
+    ...describeIncarnation(run.host, endpoint),
     version,
     fromVersion: run.origin?.version,
+    connectionAge: connectionAge === undefined ? undefined : Math.round(connectionAge),
     after: run.lastEventId,
     events: run.events,
   });
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -252,6 +252,7 @@
     slotShares,
     checkPath: ({ address }) => dialer.check(address),
     findService: (name) => configuration.getTable()?.findService(name),
+    getViewAge: endpointFeed.getAge,
     refreshEndpoints: shareCalls(endpointFeed.refresh),
     getHeldUpTime: guard.getHeldUpTime,
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
--- a/packages/forwarding/src/forwardTypes.ts
+++ b/packages/forwarding/src/forwardTypes.ts
@@ -47,8 +47,10 @@
   /** Tries this instance's path to a silent endpoint; requests go other ways if it hangs. */
   checkPath(endpoint: EndpointRecord): Promise<void>;
   findService(name: string): ForwardService | undefined;
-  /** Reads the entries of all endpoints again, once for all that ask meanwhile. */
-  refreshEndpoints(): Promise<unknown>;
+  /** Returns the age of the knowledge of endpoints; infinite before the first reading. */
+  getViewAge(): Milliseconds;
+  /** Reads the entries of all endpoints again, once for all that ask meanwhile; false if the store failed. */
+  refreshEndpoints(): Promise<boolean>;
   /** Returns for how long the process was held up in all. */
   getHeldUpTime(): Milliseconds;
   /** Resolves at once, or after a pause of the process once the store is read again. */
--- a/packages/forwarding/src/origins/takeUp.ts
+++ b/packages/forwarding/src/origins/takeUp.ts
@@ -72,6 +72,6 @@
     }))
     .with({ kind: 'unknown' }, ({ reason }) => ({ reason }))
     .exhaustive();
-  const details = { ...fields, knowledge: takeUp.kind };
+  const details = { ...fields, knowledge: takeUp.kind, view: Math.round(host.getViewAge()) };
   host.log(Diagnostics.streamTakenUp, { request: id, service, resumes, after, ...details });
 }
--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -59,6 +59,8 @@
   find(name: string): EndpointRecord | undefined;
   /** Returns what has become of the incarnation. */
   getFate(record: EndpointRecord): IncarnationFate;
+  /** Returns the time since the incarnation's entry was first known; `undefined` if a later one is. */
+  getKnownTime(record: EndpointRecord): Milliseconds | undefined;
   /** Whether a complete reading was received. */
   isLoaded(): boolean;
 }
@@ -72,6 +74,8 @@
   unlistedAt: Milliseconds;
   /** Time of `clock.elapsed()` at which the feed last told that it was written. */
   writtenAt: Milliseconds;
+  /** Time of `clock.elapsed()` at which the incarnation was first known. */
+  knownAt: Milliseconds;
 }
 
 /** Creates an empty directory. */
@@ -97,6 +101,7 @@
       usableUntil: Infinity,
       unlistedAt: Infinity,
       writtenAt: writtenAt ?? known?.writtenAt ?? -Infinity,
+      knownAt: isSameIncarnation ? known.knownAt : clock.elapsed(),
     });
     const { id, born, sequence, address, service, version } = record;
     if (known?.isListed && !isSameIncarnation) host.onLost(known.record);
@@ -215,6 +220,11 @@
       if (known.record.isLeaving) return 'leaving';
       return isServing(known) ? 'listed' : 'gone';
     },
+    getKnownTime(record) {
+      const known = entries.get(record.id);
+      if (!known || !isSameRun(known.record, record)) return undefined;
+      return clock.elapsed() - known.knownAt;
+    },
     isLoaded: () => isLoaded,
   };
 }
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -186,6 +186,8 @@
 /** The events of one answer, read one step at a time. */
 export interface EventStream {
   next(): Promise<StreamStep>;
+  /** Time for which its connection was open when its head arrived; left out if that is not known. */
+  connectionAge?: Milliseconds | undefined;
   /** Whether the endpoint has sent the event again that it was asked to repeat. */
   hasRepeated(): boolean;
   /** Closes the connection; resolves once it is closed and another attempt may start. */
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -183,7 +183,13 @@
     random: createRandom(1),
     log,
     admission: { acquire },
-    directory: { find, getFate, markReplaced: () => {}, listLapsed: () => [] },
+    directory: {
+      find,
+      getFate,
+      getKnownTime: () => 0,
+      markReplaced: () => {},
+      listLapsed: () => [],
+    },
     retryBudget: {
       countRequest: () => {},
       take: () => true,
