--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -15,7 +15,14 @@
 import { createConfirmationPoint, createResumePoint } from './resumePoint';
 import type { ResumePoint } from './resumePoint';
 import type { AttemptReply, SentAttempt } from './sentAttempt';
-import type { EndpointRecord, Reply, RunCopy, SendError, WholeAnswer } from '../types';
+import type {
+  EndpointRecord,
+  IncarnationNeed,
+  Reply,
+  RunCopy,
+  SendError,
+  WholeAnswer,
+} from '../types';
 
 const SERVER_ERROR_STATUS = 500;
 /**
@@ -51,6 +58,7 @@
     const sent = await host.protocol.send({
       request,
       endpoint,
+      need: getIncarnationNeed(run, copy, continued),
       resumePoint,
       copyTo: copy,
       continued,
@@ -106,6 +114,20 @@
   return attempt;
 }
 
+// What two versions write does not fit together, so the version of whoever begins a stream that may go on has to be known.
+function getIncarnationNeed<Payload>(
+  run: Run<Payload>,
+  copy: RunCopy | undefined,
+  continued: RunCopy | undefined,
+): IncarnationNeed {
+  const { request, origin, lastEventId } = run;
+  const { route, resumes } = request;
+  if (continued) return 'required';
+  if (route.kind !== 'streaming' || !isRetryable(route)) return copy ? 'preferred' : 'any';
+  const goesOn = origin !== undefined || lastEventId !== undefined || resumes !== undefined;
+  return goesOn ? 'required' : 'preferred';
+}
+
 // Of what may not be resumed, the id is the endpoint's matter.
 function getResumePoint<Payload>(run: Run<Payload>): ResumePoint {
   const { request, confirmer, lastEventId, unnumbered } = run;
@@ -151,7 +173,13 @@
   host.metrics.attempts.add(1, { outcome });
   if (mayHaveRun(reply)) run.runs += 1;
   if (failure === 'declined' || failure === 'replaced') run.declines += 1;
-  if (failure === 'replaced') host.directory.markReplaced(endpoint);
+  if (isReplaced(reply)) host.directory.markReplaced(endpoint);
+}
+
+function isReplaced(reply: AttemptReply): boolean {
+  if (reply.ok) return false;
+  const { val: error } = reply;
+  return error.kind === 'replaced' || (error.kind === 'unreachable' && error.isReplaced === true);
 }
 
 /** Returns whether the endpoint may have run the request. */
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -203,6 +203,7 @@
     log(Diagnostics.processPaused);
     await Promise.all([configuration.refresh(), endpointFeed.refresh(), suspects.refresh()]);
   });
+  const refreshEndpoints = shareCalls(endpointFeed.refresh);
   const origins = startStreamOrigins({
     clock,
     rows,
@@ -212,6 +213,7 @@
     targets,
     countInstances: instanceCount.get,
     getViewAge: endpointFeed.getAge,
+    refreshEndpoints,
     areVersionsLoaded: versionRows.isLoaded,
     areSeveralRecorded: versionRows.hasSeveral,
   });
@@ -253,7 +255,7 @@
     checkPath: ({ address }) => dialer.check(address),
     findService: (name) => configuration.getTable()?.findService(name),
     getViewAge: endpointFeed.getAge,
-    refreshEndpoints: shareCalls(endpointFeed.refresh),
+    refreshEndpoints,
     getHeldUpTime: guard.getHeldUpTime,
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
--- a/packages/forwarding/src/origins/originMemory.ts
+++ b/packages/forwarding/src/origins/originMemory.ts
@@ -13,10 +13,19 @@
   version: string | undefined;
 }
 
+/** Who sent the first event of a stream that began here, as far as it bears on what is known of its version. */
+export type OriginSource =
+  /** The incarnation that was listed: it has told its start. */
+  | { kind: 'proved' }
+  /** An endpoint that tells no start: the one with the id, unless another incarnation of it is listed soon. */
+  | { kind: 'listed'; endpoint: string }
+  /** Nobody knows which incarnation. */
+  | { kind: 'unproved' };
+
 /** The origins of the streams that began lately at this instance or were taken up at it. */
 export interface OriginMemory {
-  /** Remembers the origin; `endpoint` is the id of the endpoint if the stream began here. */
-  set(stream: string, origin: StreamOrigin, endpoint?: string): void;
+  /** Remembers the origin, and who sent the first event if the stream began here. */
+  set(stream: string, origin: StreamOrigin, source?: OriginSource): void;
   find(stream: string): StreamOrigin | undefined;
   /**
    * Tells the version with which the endpoint has started again. Doubts the origins of streams that began
@@ -62,9 +71,10 @@
   }
 
   return {
-    set(stream, origin, endpoint) {
+    set(stream, origin, source) {
       entries.delete(stream);
-      const isDoubted = isOutdated(endpoint, origin);
+      const endpoint = source?.kind === 'listed' ? source.endpoint : undefined;
+      const isDoubted = source?.kind === 'unproved' || isOutdated(endpoint, origin);
       entries.set(stream, { origin, endpoint, setAt: clock.elapsed(), isDoubted });
       prune();
     },
--- a/packages/forwarding/src/origins/originReader.ts
+++ b/packages/forwarding/src/origins/originReader.ts
@@ -6,7 +6,7 @@
 import type { OriginsByName } from './originRows';
 
 /** Maximum time of a read; a caller that waits longer would give up. */
-const READ_TIMEOUT_MS: Milliseconds = 700;
+export const READ_TIMEOUT_MS: Milliseconds = 700;
 
 /** The origins that all instances have recorded. */
 export interface RecordedOrigins {
--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -1,9 +1,9 @@
-import { sleep } from '@pomeloroad/core';
+import { sleep, withTimeout } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { RowStore } from '@pomeloroad/storage';
 import { createOriginMemory } from './originMemory';
-import type { StreamOrigin } from './originMemory';
-import { createOriginReader } from './originReader';
+import type { OriginSource, StreamOrigin } from './originMemory';
+import { createOriginReader, READ_TIMEOUT_MS } from './originReader';
 import { getStreamName } from './originRows';
 import { startOriginWriter } from './originWriter';
 import { STREAM_TIME_MAX_MS } from './versionHistory';
@@ -11,8 +11,10 @@
 import type { VersionHistory } from './versionHistory';
 import type { Route } from '../types';
 
-/** Age of the knowledge of endpoints beyond which a version may serve that is not known. */
+/** Age of the knowledge of endpoints beyond which a version may have come and gone unseen. */
 const VIEW_AGE_MAX_MS: Milliseconds = 2500;
+/** Time for which the origin of a stream is in doubt whose endpoint tells no start. */
+const DOUBT_TIME_MS: Milliseconds = 2500;
 /** Pause before the store is read again for an origin that may be on its way to it. */
 const READ_AGAIN_DELAY_MS: Milliseconds = 250;
 
@@ -27,6 +29,8 @@
   countInstances(): number;
   /** Returns the age of the knowledge of endpoints. */
   getViewAge(): Milliseconds;
+  /** Reads the entries of all endpoints again; false if the store failed. */
+  refreshEndpoints(): Promise<boolean>;
   /** Whether the versions are known that served before this instance started. */
   areVersionsLoaded(): boolean;
   /** Whether an instance that has started lately may count several versions of a service. */
@@ -42,8 +46,8 @@
 
 /** Where streams began, as far as anyone knows. */
 export interface StreamOrigins {
-  /** Remembers where a stream began; called before its caller gets the first event. */
-  note(stream: string, origin: StreamOrigin, endpoint?: string): void;
+  /** Remembers where a stream began, before its caller gets the first event, and who sent that if it began here. */
+  note(stream: string, origin: StreamOrigin, source?: OriginSource): void;
   /**
    * Tells that the endpoint with the id has started again with another version, the given one: streams
    * that it began shortly before may be of either.
@@ -100,12 +104,12 @@
   }
 
   return {
-    note(stream, origin, endpoint) {
-      memory.set(getStreamName(stream), origin, endpoint);
+    note(stream, origin, source) {
+      memory.set(getStreamName(stream), origin, source);
       writer.note();
     },
     doubt(endpoint, version) {
-      memory.doubt(endpoint, version, VIEW_AGE_MAX_MS);
+      memory.doubt(endpoint, version, DOUBT_TIME_MS);
       // The row is written again without these streams.
       writer.note();
     },
@@ -116,9 +120,13 @@
       const own = memory.find(name);
       if (own && isElsewhere([own], services)) return { kind: 'unknown', reason: 'not routed' };
       if (own) return { kind: 'known', origin: own, source: 'memory' };
+      const mayMiss = mayMissVersions();
+      // A stream begins only at an incarnation that is listed, maybe one of which only another instance knows yet.
+      const isCurrent = await withTimeout(clock, READ_TIMEOUT_MS, host.refreshEndpoints(), false);
       const hasMoved = targets.findServices(route, stream).length > 1;
       const isUnclear = hasMoved || services.some((service) => hasSeveral(service));
-      if (!isUnclear && !mayMissVersions()) return { kind: 'any' };
+      if (!isUnclear && !isCurrent) return { kind: 'unknown', reason: 'store unavailable' };
+      if (!isUnclear && !mayMiss) return { kind: 'any' };
       const found = await findRecorded(name, services, hasMoved);
       if (found.kind !== 'unknown' || found.reason === 'not routed') return found;
       await sleep(clock, READ_AGAIN_DELAY_MS, host.signal);
--- a/packages/forwarding/src/origins/takeUp.ts
+++ b/packages/forwarding/src/origins/takeUp.ts
@@ -7,7 +7,7 @@
 import { setService } from '../run';
 import type { Run } from '../run';
 import type { TakeUp } from './streamOrigins';
-import type { RefusalKind } from '../types';
+import type { EventStream, RefusalKind } from '../types';
 
 /**
  * If the caller takes a stream up, binds the run to the service and version that began the stream.
@@ -32,11 +32,16 @@
 }
 
 /** Binds the run to the version that brought its first event, and remembers it for take-ups. */
-export function noteEvents<Payload>(run: Run<Payload>, { slot, endpoint }: SentAttempt): void {
+export function noteEvents<Payload>(
+  run: Run<Payload>,
+  { slot, endpoint }: SentAttempt,
+  { incarnation }: EventStream,
+): void {
   const { host, request } = run;
   if (run.origin || !request.route.isResumable) return;
   run.origin = { service: request.service, version: getVersion(slot.endpoint) };
-  host.origins.note(getStream(run), run.origin, endpoint?.id);
+  const listed = { kind: 'listed' as const, endpoint: endpoint?.id ?? '' };
+  host.origins.note(getStream(run), run.origin, incarnation ? { kind: incarnation } : listed);
 }
 
 /** Returns whether the version that began the run's stream is in doubt, so that no endpoint may go on. */
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -188,6 +188,8 @@
   next(): Promise<StreamStep>;
   /** Time for which its connection was open when its head arrived; left out if that is not known. */
   connectionAge?: Milliseconds | undefined;
+  /** Whether it comes from the incarnation of the entry; left out if the endpoint does not tell. */
+  incarnation?: 'proved' | 'unproved' | undefined;
   /** Whether the endpoint has sent the event again that it was asked to repeat. */
   hasRepeated(): boolean;
   /** Closes the connection; resolves once it is closed and another attempt may start. */
@@ -207,8 +209,11 @@
 
 /** Why an attempt got no answer. */
 export type SendError =
-  /** No connection could be made, so nothing was sent; `isLate` if it was not refused but took too long. */
-  | { kind: 'unreachable'; message: string; isLate?: boolean }
+  /**
+   * No connection could be made, so nothing was sent; `isLate` if it was not refused but took too long, `isReplaced`
+   * if it leads to a later incarnation.
+   */
+  | { kind: 'unreachable'; message: string; isLate?: boolean; isReplaced?: boolean }
   /** Another endpoint now uses the address; the request was not run. */
   | { kind: 'replaced'; message: string }
   /**
@@ -236,10 +241,17 @@
   /** It fails if it has to reject more than so many requests a second. */
   | { kind: 'brittle'; rejections: number };
 
+/**
+ * Which process an attempt may reach: any at the endpoint's address; that of the entry, unless it does not tell
+ * who it is; or that of the entry only.
+ */
+export type IncarnationNeed = 'any' | 'preferred' | 'required';
+
 /** One attempt to run a request on one endpoint. */
 export interface Attempt<Payload> {
   request: ForwardRequest<Payload>;
   endpoint: EndpointRecord;
+  need: IncarnationNeed;
   resumePoint: ResumePoint;
   /** Where the endpoint is to copy the run to; left out if nowhere. */
   copyTo?: RunCopy | undefined;
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -203,6 +203,7 @@
       findRoom: async ({ id }: { id: string }) => asked.get(id)?.room ?? 'untold',
     },
     metrics: forwardMetrics,
+    getViewAge: () => 0,
     endHistory,
     closeHistory: createCloseHistory(),
     endpointLife: createEndpointLife({
--- a/packages/forwarding/test/originMemory.test.ts
+++ b/packages/forwarding/test/originMemory.test.ts
@@ -10,7 +10,22 @@
   memory.doubt('first', 'v2', 1000);
   memory.doubt('second', 'v2', 1000);
   for (let index = 0; index < RENEWED_MAX - 1; index += 1) memory.doubt(`e${index}`, 'v2', 1000);
-  memory.set('a', OLD, 'first');
-  memory.set('b', OLD, 'second');
+  memory.set('a', OLD, { kind: 'listed', endpoint: 'first' });
+  memory.set('b', OLD, { kind: 'listed', endpoint: 'second' });
   expect(['a', 'b'].map(memory.isDoubted)).toEqual([false, true]);
 });
+
+test('a stream of an incarnation that told its start is not doubted when the next one is listed', () => {
+  const memory = createOriginMemory(createManualClock());
+  memory.set('proved', OLD, { kind: 'proved' });
+  memory.set('listed', OLD, { kind: 'listed', endpoint: 'e' });
+  memory.doubt('e', 'v2', 1000);
+  expect(['proved', 'listed'].map(memory.isDoubted)).toEqual([false, true]);
+});
+
+test('a stream of which nobody knows the incarnation is doubted and not recorded', () => {
+  const memory = createOriginMemory(createManualClock());
+  memory.set('a', OLD, { kind: 'unproved' });
+  expect(memory.isDoubted('a')).toBe(true);
+  expect(memory.list()).toEqual([]);
+});
--- a/packages/forwarding/test/replacement.test.ts
+++ b/packages/forwarding/test/replacement.test.ts
@@ -71,7 +71,7 @@
     host: {
       protocol: { send, probe, findRun },
       getHeldUpTime: () => 0,
-      directory: { find: () => ({ id: 'e2' }) },
+      directory: { find: () => ({ id: 'e2' }), getKnownTime: () => 0 },
       clock,
       admission: { acquire },
       retryBudget: { take: () => hasRetries },
--- a/packages/forwarding/test/startedInstances.test.ts
+++ b/packages/forwarding/test/startedInstances.test.ts
@@ -28,6 +28,7 @@
     targets: createTargetHistory(clock),
     countInstances: () => 8,
     getViewAge: () => 0,
+    refreshEndpoints: async () => true,
     areVersionsLoaded: versionRows.isLoaded,
     areSeveralRecorded: versionRows.hasSeveral,
   });
--- a/packages/forwarding/test/streamOrigins.test.ts
+++ b/packages/forwarding/test/streamOrigins.test.ts
@@ -47,8 +47,9 @@
 // Starts an instance that knows the given versions of one service; counts its calls to the store.
 function startInstance(clock: Clock, store: RowStore, instance: string, names: string[]) {
   let calls = 0;
-  let viewAge = 0;
   let isStoreLost = false;
+  let viewAge = 0;
+  let unread: (string | undefined)[] | undefined;
   const versions = createVersionHistory(clock);
   const setVersions = (next: (string | undefined)[]) =>
     versions.update(next.map((version) => createRecord('llm', version)));
@@ -80,6 +81,10 @@
     targets,
     countInstances: () => 8,
     getViewAge: () => viewAge,
+    async refreshEndpoints() {
+      if (unread) setVersions(unread);
+      return !isStoreLost;
+    },
     areVersionsLoaded: () => true,
     areSeveralRecorded: () => false,
   });
@@ -92,6 +97,10 @@
     setViewAge(age: number) {
       viewAge = age;
     },
+    /** Sets the versions that the next reading of the entries brings. */
+    setUnread(next: (string | undefined)[]) {
+      unread = next;
+    },
     loseStore() {
       isStoreLost = true;
     },
@@ -183,6 +192,19 @@
   expect(await find(clock, started, 'a')).toMatchObject(known);
 });
 
+test('a version that another instance knew first counts at once', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
+  const behind = startInstance(clock, store, 'behind', ['v1']);
+  await clock.advance(REMEMBERED_MS);
+  one.note('a', { service: 'llm', version: 'v2' });
+  await clock.advance(200);
+  behind.setUnread(['v1', 'v2']);
+  const known = { kind: 'known', origin: { service: 'llm', version: 'v2' } };
+  expect(await find(clock, behind, 'a')).toMatchObject(known);
+});
+
 test.each([
   [0, 100_000],
   [0, -100_000],
@@ -241,14 +263,17 @@
   expect(isRecentRow(`[${now.getTime() - 80_000},["llm","v1",["a"]]]`, time)).toBe(false);
 });
 
-test('nothing is taken up by an old view while the store is lost', async () => {
-  const clock = createManualClock();
-  const one = startInstance(clock, createMemoryRowStore(), 'one', ['v1']);
-  await clock.advance(REMEMBERED_MS);
-  one.setViewAge(5000);
-  one.loseStore();
-  expect(await find(clock, one, 'a')).toEqual({ kind: 'unknown', reason: 'store unavailable' });
-});
+test.each([0, 5000])(
+  'nothing is taken up by a view of %d ms ago while the store is lost',
+  async (age) => {
+    const clock = createManualClock();
+    const one = startInstance(clock, createMemoryRowStore(), 'one', ['v1']);
+    await clock.advance(REMEMBERED_MS);
+    one.setViewAge(age);
+    one.loseStore();
+    expect(await find(clock, one, 'a')).toEqual({ kind: 'unknown', reason: 'store unavailable' });
+  },
+);
 
 test('a run that follows another one keeps what that recorded', async () => {
   const clock = createManualClock();
