--- a/packages/forwarding/src/forward.ts
+++ b/packages/forwarding/src/forward.ts
@@ -1,16 +1,15 @@
 import { Err, Ok } from 'ts-results';
 import { match } from 'ts-pattern';
-import { Diagnostics } from '@pomeloroad/core';
-import type { LogFields, Milliseconds, Outcome, ResponseFraming, Timer } from '@pomeloroad/core';
+import type { Milliseconds, Outcome, ResponseFraming, Timer } from '@pomeloroad/core';
 import type { EscrowError, EscrowReservation } from '@pomeloroad/budgets';
 import { sendWithRetries } from './attempts/attempts';
 import type { EndpointReply } from './attempts/attempts';
 import { isRetryable } from './attempts/patience';
-import type { EndOutcome } from './ends/answerCourse';
+import { recordEnd } from './endRecord';
 import type { ForwardHost } from './forwardTypes';
-import { describeCourse, getEndImportance, reportEnd } from './ends/endReport';
 import type { StreamEnd } from './ends/streamEnd';
 import { relayStream } from './attempts/relay';
+import { addJitter, getRetryAfter } from './retryAdvice';
 import { createRun, getSpentTokens, getTimeLeft } from './run';
 import type { Run } from './run';
 import { getSuspectNames } from './suspects/suspectNames';
@@ -20,24 +19,9 @@
 
 /** Maximum time that a request waits for tokens that other requests or instances may return. */
 const BUDGET_WAIT_MAX_MS = 700;
-/** Retry delay advised to callers while no configuration is known. */
-export const NOT_READY_RETRY_AFTER_MS: Milliseconds = 250;
-/** Retry delay advised to callers while no endpoint of the service is known. */
-const NO_ENDPOINT_RETRY_AFTER_MS = 250;
-/** Retry delay advised while a suspect is blocked; sooner, the answer would be the same. */
-const BLOCKED_RETRY_AFTER_MS: Milliseconds = 600_000;
-/** Maximum retry delay advised where endpoints limit requests; another instance may have a share. */
-const LIMITED_RETRY_AFTER_MAX_MS: Milliseconds = 10_000;
-/** Minimum retry delay advised under overload; also the delay advised after a timeout. */
-const RETRY_AFTER_MIN_MS = 50;
-/** Maximum random addition to a retry delay, as a fraction of it. */
-const RETRY_AFTER_JITTER_RATIO = 0.4;
 /** Lowest HTTP status of a server error. */
 const SERVER_ERROR_STATUS = 500;
 
-/** How a request has ended. */
-type RunOutcome = 'answered' | 'refused' | 'cut';
-
 /**
  * Reserves a request's tokens, forwards it to an endpoint and sends its caller the answer or a
  * refusal; then settles the tokens that it used. Resolves when all of that is done.
@@ -181,73 +165,3 @@
   run.caller.refuse(refusal);
   recordEnd(run, 'refused', { kind, hasRun, retryAfter });
 }
-
-function getRetryAfter<Payload>(run: Run<Payload>, kind: RefusalKind): Milliseconds | undefined {
-  return match(kind)
-    .with('not-ready', () => NOT_READY_RETRY_AFTER_MS)
-    .with('no-endpoint', 'version-unknown', () => NO_ENDPOINT_RETRY_AFTER_MS)
-    .with('overloaded', () => getOverloadDelay(run))
-    .with('timed-out', () => RETRY_AFTER_MIN_MS)
-    .with('blocked', () => BLOCKED_RETRY_AFTER_MS)
-    .with('budget-exhausted', 'budget-unreachable', 'failed', () => undefined)
-    .exhaustive();
-}
-
-// Where endpoints limit requests, capacity comes at known times; elsewhere answers free it soon.
-function getOverloadDelay<Payload>({ request, limitedWait = 0 }: Run<Payload>): Milliseconds {
-  const usual = Math.max(RETRY_AFTER_MIN_MS, request.route.objective / 2);
-  return Math.max(usual, Math.min(limitedWait, LIMITED_RETRY_AFTER_MAX_MS));
-}
-
-// Adds jitter so that callers refused at the same time do not retry at the same time.
-function addJitter<Payload>({ host }: Run<Payload>, delay: Milliseconds): Milliseconds {
-  return Math.ceil(delay * (1 + RETRY_AFTER_JITTER_RATIO * host.random.fraction()));
-}
-
-// Updates the metrics and writes the log line of a request that has ended.
-function recordEnd<Payload>(run: Run<Payload>, outcome: RunOutcome, fields: LogFields): void {
-  const { host, request, caller } = run;
-  const duration = host.clock.elapsed() - request.startedAt;
-  host.metrics.requests.add(1, { outcome, route: request.route.kind });
-  host.metrics.duration.record(duration);
-  if (run.firstByteAt !== undefined) {
-    host.metrics.firstByte.record(run.firstByteAt - request.startedAt);
-  }
-  const diagnostic = match(outcome)
-    .with('answered', () => Diagnostics.requestForwarded)
-    .with('refused', () => Diagnostics.requestRefused)
-    .with('cut', () => Diagnostics.requestFailed)
-    .exhaustive();
-  reportEnd(run, toEndOutcome(outcome));
-  const details = {
-    request: request.id,
-    route: request.route.name,
-    account: request.account,
-    endpoint: run.endpoint,
-    version: run.version,
-    resumes: request.resumes,
-    after: request.resumeAfter,
-    configuration: request.configurationVersion,
-    configurationAtEnd: host.getConfigurationVersion(),
-    runs: run.runs,
-    declines: run.declines,
-    events: run.events,
-    spent: getSpentTokens(run),
-    lack: run.lack,
-    blockedSuspect: run.blockedSuspect,
-    framing: run.framing,
-    timeLeft: Math.round(getTimeLeft(run)),
-    took: Math.round(duration),
-    hasLeft: caller.signal.aborted,
-    ...describeCourse(run),
-    ...fields,
-  };
-  host.log(diagnostic, details, getEndImportance(run));
-}
-
-function toEndOutcome(outcome: RunOutcome): EndOutcome {
-  return match(outcome)
-    .with('answered', () => 'passed on' as const)
-    .with('refused', 'cut', (same) => same)
-    .exhaustive();
-}
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -9,6 +9,7 @@
 export { END_HOLD_MS } from './ends/answerEnd';
 export * from './attempts/patience';
 export * from './forward';
+export { NOT_READY_RETRY_AFTER_MS } from './retryAdvice';
 export * from './attempts/events';
 export * from './attempts/resumePoint';
 export * from './forwardInstanceTypes';
