--- a/packages/budgets/src/escrowAccount.ts
+++ b/packages/budgets/src/escrowAccount.ts
@@ -1,32 +1,20 @@
 import { Err } from 'ts-results';
-import { match } from 'ts-pattern';
-import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
+import { sleep, withTimeout } from '@pomeloroad/core';
 import type { Milliseconds, Outcome, Timer, Tokens } from '@pomeloroad/core';
 import { LIMIT_REWRITE_MAX_MS } from './escrowRestoration';
 import type { Ancestry } from './escrowRestoration';
-import type { BudgetTotal, KnownTotal } from './escrowRows';
 import type { EscrowAccount, EscrowError, EscrowHost, EscrowReservation } from './escrowTypes';
+import { BACKOFF_MIN_MS, createEscrowOutcomes } from './escrowOutcomes';
 import { createEscrowPlanner } from './escrowPlanner';
-import { createEscrowReservations, UNREACHABLE_ERROR } from './escrowReservations';
+import { createEscrowReservations } from './escrowReservations';
+import { createReturnCalls } from './escrowReturnCalls';
 import { createEscrowTransactions } from './escrowTransactions';
-import type { EscrowOutcome, StoreFailure } from './escrowTransactionTypes';
 import { createRateMeter } from './rate';
 
 /** Time constant of the smoothed rate at which tokens are reserved. */
 const RATE_TIME_CONSTANT_MS = 5000;
 /** Greatest age of the last read of the budget's row at which a request may be refused by it. */
 const TOTAL_MAX_AGE_MS = 60;
-/** How long an instance holds no spare tokens after another one asked for their return. */
-const NO_SPARE_MS = 1500;
-/** Shortest interval between two calls on the other instances to return tokens. */
-const RETURN_CALL_INTERVAL_MS = 1000;
-/** Interval for each instance over which the calls that put back grants are spread. */
-const RESTORE_SPREAD_PER_INSTANCE_MS: Milliseconds = 16;
-
-/** First back-off after the store refused a call; doubled with each further refusal in a row. */
-const BACKOFF_MIN_MS = 60;
-/** Longest back-off after a refused call. */
-const BACKOFF_MAX_MS = 2000;
 /** Pause after which it is looked whether an overdue lease has been renewed, while requests wait. */
 const LEASE_CHECK_INTERVAL_MS: Milliseconds = 100;
 /** Most transactions for one rebalance; the second is based on the rows of the first's conflict. */
@@ -34,7 +22,8 @@
 
 /** Creates the escrow of an account; it holds no tokens at first. */
 export function createEscrowAccount(host: EscrowHost, account: string): EscrowAccount {
-  const { clock, log } = host;
+  const { clock } = host;
+  const returnCalls = createReturnCalls(clock);
   const rate = createRateMeter(clock, RATE_TIME_CONSTANT_MS);
   let limit: Tokens = 0;
   let ancestry: Ancestry = { kind: 'pending' };
@@ -43,7 +32,7 @@
     account,
     getUse: () => ({ used: getUsed(), limit }),
     getAncestry: () => ancestry,
-    onTotal: handleTotal,
+    onTotal: returnCalls.noteTotal,
   });
   const { getTotal, getGrant, getPendingChange } = transactions;
   const planner = createEscrowPlanner({
@@ -53,7 +42,7 @@
     getLimit: () => limit,
     getUsed: () => reservations.getUsed(),
     isRetired: () => isRetired,
-    isAskedToReturn,
+    isAskedToReturn: returnCalls.isAskedToReturn,
   });
   const reservations = createEscrowReservations({
     escrow: host,
@@ -62,12 +51,10 @@
     fetchTokens: requestRun,
   });
   const { queue, getUsed } = reservations;
-  let noSpareUntil: Milliseconds = -Infinity;
-  let returnCalledAt: Milliseconds = -Infinity;
+  const outcomes = createEscrowOutcomes({ escrow: host, account, queue, requestRun });
   let isRetired = false;
   /** Transactions left for the current rebalance. */
   let transactionsLeft = 0;
-  let consecutiveRefusals = 0;
   let isRunRequested = false;
   let activeRun: Promise<void> | undefined;
   let leaseCheck: Timer | undefined;
@@ -111,10 +98,10 @@
   async function runStep(): Promise<boolean> {
     if (!transactions.isRestored()) return restore();
     const pending = getPendingChange();
-    if (pending) return handleOutcome(await transactions.repeat(pending));
+    if (pending) return outcomes.handle(await transactions.repeat(pending));
     if (transactions.isOverdue() && !host.isStoreUnresponsive())
-      return handleOutcome(await transactions.open());
-    if (needsHolders()) return handleOutcome(await transactions.readHolders());
+      return outcomes.handle(await transactions.open());
+    if (needsHolders()) return outcomes.handle(await transactions.readHolders());
     if (queue.count() > 0) return fetchForQueue();
     return transactionsLeft > 0 && resizeGrant();
   }
@@ -133,13 +120,7 @@
       clock.after(delay, requestRun);
       return false;
     }
-    return handleOutcome(await transactions.restore());
-  }
-
-  // All instances put back their grants in the same row after a rewind, so the calls are spread.
-  function scheduleRestore(): void {
-    const spread = host.countInstances() * RESTORE_SPREAD_PER_INSTANCE_MS;
-    clock.after(host.random.fraction() * spread, requestRun);
+    return outcomes.handle(await transactions.restore());
   }
 
   // Changes the grant once for each rebalance, because the tokens that one change returns raise the
@@ -151,7 +132,7 @@
     const outcome = await transactions.change(planner.plan(0), false);
     // Other instances changed the budget first: try again with its present row.
     if (outcome.kind === 'conflict') transactionsLeft = Math.max(transactionsLeft, left);
-    return handleOutcome(outcome);
+    return outcomes.handle(outcome);
   }
 
   async function fetchForQueue(): Promise<boolean> {
@@ -160,57 +141,24 @@
     if (needed <= available) return resizeFor(needed);
     if (planner.isLeaseOverdue()) return awaitLease();
     if (clock.elapsed() - transactions.getTotalReadAt() > TOTAL_MAX_AGE_MS)
-      return handleOutcome(await transactions.refreshTotal());
+      return outcomes.handle(await transactions.refreshTotal());
     if (queue.getSmallest() <= available) return resizeFor(queue.getSmallest());
-    if (hasCalledRecently() || planner.isHeldBack()) return false;
-    returnCalledAt = clock.elapsed();
-    return handleOutcome(await transactions.change(getGrant(), true));
+    if (returnCalls.hasCalledRecently() || planner.isHeldBack()) return false;
+    returnCalls.noteOwn();
+    return outcomes.handle(await transactions.change(getGrant(), true));
   }
 
   // The lease is renewed only once the rows cover what is used.
   async function awaitLease(): Promise<boolean> {
     if (getUsed() > getGrant().ceiling)
-      return handleOutcome(await transactions.change(planner.planCeiling(), false));
+      return outcomes.handle(await transactions.change(planner.planCeiling(), false));
     leaseCheck?.cancel();
     leaseCheck = clock.after(LEASE_CHECK_INTERVAL_MS, requestRun);
     return false;
   }
 
   async function resizeFor(needed: Tokens): Promise<boolean> {
-    return handleOutcome(await transactions.change(planner.plan(needed), false));
-  }
-
-  // Returns whether there may be another step to run at once.
-  function handleOutcome(outcome: EscrowOutcome): boolean {
-    return match(outcome)
-      .with({ kind: 'failed' }, ({ error }) => {
-        handleStoreFailure(error);
-        return false;
-      })
-      .with({ kind: 'refreshed' }, () => true)
-      .with({ kind: 'contended' }, () => {
-        scheduleRestore();
-        return false;
-      })
-      .with({ kind: 'changed' }, { kind: 'conflict' }, () => {
-        consecutiveRefusals = 0;
-        return true;
-      })
-      .exhaustive();
-  }
-
-  function handleStoreFailure(error: StoreFailure): void {
-    log(Diagnostics.budgetStoreFailed, { account, ...error, waiting: queue.count() });
-    // A store that refused a call may accept the next one, but one without an answer is not waited
-    // for.
-    if (error.kind === 'unavailable') scheduleRetry();
-    else queue.refuseAll(UNREACHABLE_ERROR);
-  }
-
-  function scheduleRetry(): void {
-    const backoff = Math.min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2 ** consecutiveRefusals);
-    consecutiveRefusals += 1;
-    clock.after(backoff, requestRun);
+    return outcomes.handle(await transactions.change(planner.plan(needed), false));
   }
 
   // A run ends only once nothing more is asked of it, which may be never while the store is silent.
@@ -223,20 +171,6 @@
     }
   }
 
-  function handleTotal(next: BudgetTotal, known: KnownTotal): void {
-    if (next.calls > known.calls && known.version > 0 && !hasCalledRecently()) {
-      noSpareUntil = clock.elapsed() + NO_SPARE_MS;
-    }
-  }
-
-  function isAskedToReturn(): boolean {
-    return clock.elapsed() < noSpareUntil;
-  }
-
-  function hasCalledRecently(): boolean {
-    return clock.elapsed() - returnCalledAt < RETURN_CALL_INTERVAL_MS;
-  }
-
   return {
     reserve,
     setLimit(next) {
@@ -245,12 +179,12 @@
     },
     applyTotal(row) {
       transactions.updateTotal(row);
-      if (isAskedToReturn()) startRebalance();
+      if (returnCalls.isAskedToReturn()) startRebalance();
       else if (queue.count() > 0) requestRun();
     },
     startEra(era) {
       transactions.startEra(era);
-      if (!transactions.isRestored()) scheduleRestore();
+      if (!transactions.isRestored()) outcomes.scheduleRestore();
     },
     setAncestry(next) {
       ancestry = next;
