--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from 'node:events';
 import { createPauseGuard, Diagnostics, withTimeout } from '@pomeloroad/core';
 import type { DroppedLines, Milliseconds } from '@pomeloroad/core';
-import { createAdmission, createEndpoints } from '@pomeloroad/routing';
+import { createEndpoints } from '@pomeloroad/routing';
 import { watchStore } from '@pomeloroad/storage';
 import type { StoreEra } from '@pomeloroad/storage';
 import { createMetrics } from '@pomeloroad/telemetry';
@@ -11,20 +11,20 @@
 import { createEndpointDirectory } from './store/endpointDirectory';
 import { followEndpoints } from './store/endpointFeed';
 import { createEndpointLosses } from './store/endpointLosses';
-import { createDialer } from './relays/dialer';
-import { startRelayDirectory } from './relays/relayDirectory';
+import { startEndpointPaths } from './relays/endpointPaths';
 import { createCloseHistory } from './ends/closeHistory';
 import { createEndHistory } from './ends/endHistory';
 import { createEndpointLife } from './ends/endpointLife';
 import { watchLives } from './ends/lifeWatch';
 import { findEndpointState } from './store/endpointState';
 import { startPrepaidBudgets } from './limits/prepaidBudgets';
-import { startRateLimits } from './limits/rateLimits';
-import { startSlotShares } from './limits/slotShares';
+import { startEndpointLimits } from './limits/endpointLimits';
 import { createPauseHistory } from './ends/pauseHistory';
 import { createRecentEnds } from './ends/recentEnds';
 import { shareCalls } from './store/sharedCalls';
 import { forward } from './forward';
+import { createForwardAdmission } from './forwardAdmission';
+import { describeInstance } from './forwardDescription';
 import { registerGauges } from './forwardGauges';
 import { createForwardMetrics } from './forwardMetrics';
 import type { ForwardHost } from './forwardTypes';
@@ -40,7 +40,6 @@
 
 /** Maximum time that a request waits for the store to be read again after a pause of the process. */
 const REFRESH_TIMEOUT_MS: Milliseconds = 500;
-const ADMISSION_QUEUE_LIMIT = 500;
 /** Number of loops that may sleep at once until the instance stops. */
 const LOOPS_MAX = 20;
 const NO_DROPPED_LINES: DroppedLines = { ordinary: 0, important: 0 };
@@ -102,19 +101,12 @@
   const versions = createVersionHistory(clock);
   const targets = createTargetHistory(clock);
   const versionRows = startVersionRows({ clock, rows, signal: stop.signal, versions });
-  const admission = createAdmission(
-    {
-      clock,
-      random,
-      dataCentre: host.dataCentre,
-      endpoints,
-      getPolicy: ({ prefix = [] }) => ({
-        kind: prefix.length > 0 ? 'prefix-affinity' : 'least-in-flight',
-      }),
-      getAccount: () => undefined,
-    },
-    ADMISSION_QUEUE_LIMIT,
-  );
+  const admission = createForwardAdmission({
+    clock,
+    random,
+    endpoints,
+    dataCentre: host.dataCentre,
+  });
   const configuration = followConfiguration({
     ...following,
     table: host.tables.configuration,
@@ -142,22 +134,18 @@
     getConfigurationAge: configuration.getAge,
   });
   const { escrow } = budgets;
-  const relays = startRelayDirectory({
+  const { relays, dialer } = startEndpointPaths({
     ...following,
     random,
     feed,
-    listInstances: instanceCount.list,
-    self: host.relay && { instance: host.instance, dataCentre: host.dataCentre, ...host.relay },
-    onGone: (instance) => dialer.retireRelay(instance),
-  });
-  const dialer = createDialer({
-    ...{ clock, random, log, metrics: forwardMetrics, dataCentre: host.dataCentre },
-    signal: stop.signal,
+    metrics: forwardMetrics,
+    instance: host.instance,
+    dataCentre: host.dataCentre,
+    relay: host.relay,
     connect: host.connect,
     openTunnel: host.openTunnel,
+    listInstances: instanceCount.list,
     listEndpoints: directory.listServing,
-    listRelays: relays.list,
-    onReachChange: relays.setCutOff,
   });
   const suspects = startSuspects({
     ...following,
@@ -168,36 +156,26 @@
       getViewTime: () => clock.elapsed() - endpointFeed.getAge(),
     },
   });
-  const sharing = {
+  const { rateLimits, slotShares } = startEndpointLimits({
     ...following,
     feed,
     random,
     instance: host.instance,
     listInstances: () => instanceNames,
-    isListed: (name: string) => directory.find(name) !== undefined,
-  };
-  const rateLimits = startRateLimits({
-    ...sharing,
-    setRateShares(shares) {
-      endpoints.setRateShares(shares);
-      admission.wake();
-    },
-  });
-  const slotShares = startSlotShares({
-    ...sharing,
-    findSlots: (name) => directory.find(name)?.concurrency,
-    setSlotShares(shares) {
-      endpoints.setSlotShares(shares);
-      admission.wake();
-    },
+    directory,
+    endpoints,
+    onShares: admission.wake,
   });
-  registerGauges(metrics, {
-    getConfigurationVersion: () => configuration.getTable()?.configuration.version,
+  const sources = {
+    getConfigurationVersion,
     getConfigurationAge: configuration.getAge,
     getStoreEra,
-    getDroppedLines: () => host.getDroppedLines?.() ?? NO_DROPPED_LINES,
     listCutPaths: dialer.listCut,
     listBlockedSuspects: suspects.listBlocked,
+  };
+  registerGauges(metrics, {
+    ...sources,
+    getDroppedLines: () => host.getDroppedLines?.() ?? NO_DROPPED_LINES,
   });
   const guard = createPauseGuard(clock, async () => {
     log(Diagnostics.processPaused);
@@ -243,7 +221,7 @@
     recentEnds,
     pauseHistory: createPauseHistory(clock),
     getEndpointState: (name) => findEndpointState(directory, endpoints, name),
-    getConfigurationVersion: () => configuration.getTable()?.configuration.version,
+    getConfigurationVersion,
     serviceTroubles: troubles,
     origins,
     suspects,
@@ -257,6 +235,10 @@
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
 
+  function getConfigurationVersion(): number | undefined {
+    return configuration.getTable()?.configuration.version;
+  }
+
   // The lowest era of the feeds: those that have not seen the newest one yet are behind.
   function getStoreEra(): StoreEra {
     return Math.min(configuration.getEra(), endpointFeed.getEra());
@@ -279,23 +261,20 @@
       }
     },
     renderMetrics: metrics.render,
-    describe: () => ({
-      instance: host.instance,
-      incarnation: host.incarnation,
-      configuration: configuration.getTable()?.configuration.version,
-      configurationAge: configuration.getAge(),
-      storeEra: getStoreEra(),
-      open,
-      waiting: admission.waiting(),
-      instances: instanceCount.get(),
-      budgets: escrow.describe(),
-      endpoints: endpoints.list(),
-      rateLimits: rateLimits.list(),
-      brittleEndpoints: slotShares.list(),
-      blockedSuspects: suspects.listBlocked(),
-      relays: relays.list().map((relay) => relay.instance),
-      cutPaths: dialer.listCut(),
-    }),
+    describe: () =>
+      describeInstance({
+        ...sources,
+        instance: host.instance,
+        incarnation: host.incarnation,
+        countOpen: () => open,
+        countInstances: instanceCount.get,
+        admission,
+        escrow,
+        endpoints,
+        rateLimits,
+        slotShares,
+        relays,
+      }),
     openForPeer: dialer.openForPeer,
     retire() {
       escrow.retire();
