--- a/packages/budgets/src/escrowRows.ts
+++ b/packages/budgets/src/escrowRows.ts
@@ -1,4 +1,4 @@
-import { assert, getOwner } from '@pomeloroad/core';
+import { assert, getOwner, isCount, parseJson } from '@pomeloroad/core';
 import type { Milliseconds, Tokens } from '@pomeloroad/core';
 import { FIRST_ERA } from '@pomeloroad/storage';
 import type { RowKey, StoreEra, VersionedRow } from '@pomeloroad/storage';
@@ -188,11 +188,7 @@
 }
 
 function parseObject(text: string): Record<string, unknown> {
-  try {
-    return toObject(JSON.parse(text)) ?? {};
-  } catch {
-    return {};
-  }
+  return toObject(parseJson(text)) ?? {};
 }
 
 function toObject(value: unknown): Record<string, unknown> | undefined {
@@ -203,7 +199,3 @@
 function isNames(value: unknown): value is string[] {
   return Array.isArray(value) && value.every((name) => typeof name === 'string');
 }
-
-function isCount(value: unknown): value is number {
-  return Number.isSafeInteger(value) && (value as number) >= 0;
-}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export * from './hash';
 export * from './groupBy';
 export * from './condition';
+export * from './json';
 export * from './diagnostics';
 export * from './log';
 export * from './framing';
--- a/packages/entry/src/engineClient.ts
+++ b/packages/entry/src/engineClient.ts
@@ -1,9 +1,9 @@
 import http from 'node:http';
 import { Err, Ok, Result } from 'ts-results';
 import { z } from 'zod';
-import { callHttp } from '@pomeloroad/core';
+import { callHttp, parseJson } from '@pomeloroad/core';
 import type { Outcome } from '@pomeloroad/core';
-import { parseJson, readStream } from './engineStream';
+import { readStream } from './engineStream';
 import type { EngineCall, EngineClient, EngineError } from './engineTypes';
 
 const STREAM_HEADER = 'x-stream-id';
--- a/packages/entry/src/engineStream.ts
+++ b/packages/entry/src/engineStream.ts
@@ -2,7 +2,14 @@
 import { createParser } from 'eventsource-parser';
 import type { EventSourceMessage } from 'eventsource-parser';
 import { Err, Ok } from 'ts-results';
-import { limitLateUpload, onConnected, outlastErrors, readBody } from '@pomeloroad/core';
+import {
+  isCount,
+  limitLateUpload,
+  onConnected,
+  outlastErrors,
+  parseJson,
+  readBody,
+} from '@pomeloroad/core';
 import type { Outcome, RunStatus } from '@pomeloroad/core';
 import type { EngineError, EngineEvent, EngineSink } from './engineTypes';
 
@@ -126,16 +133,3 @@
   if (!isCount(promptTokens) || !isCount(completionTokens)) return undefined;
   return { kind: 'usage', index, promptTokens, completionTokens, finish };
 }
-
-function isCount(value: unknown): value is number {
-  return Number.isSafeInteger(value) && (value as number) >= 0;
-}
-
-/** Returns the value of a JSON text, `undefined` if it is none. */
-export function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/forwarding/src/relays/relayRows.ts
+++ b/packages/forwarding/src/relays/relayRows.ts
@@ -1,3 +1,4 @@
+import { parseJson } from '@pomeloroad/core';
 import type { RowKey, VersionedRow } from '@pomeloroad/storage';
 import { isText } from '../store/rowFields';
 import { getSharedKey } from '../store/sharedFeed';
@@ -29,12 +30,8 @@
   key,
   value,
 }: Pick<VersionedRow, 'key' | 'value'>): Relay | undefined {
-  try {
-    const fields = JSON.parse(value) as Partial<Record<string, unknown>> | null;
-    const { dataCentre, address, secret, cutOff } = fields ?? {};
-    if (!isText(dataCentre) || !isText(address) || !isText(secret)) return undefined;
-    return { instance: key, dataCentre, address, secret, isCutOff: cutOff === true };
-  } catch {
-    return undefined;
-  }
+  const fields = parseJson(value) as Partial<Record<string, unknown>> | null | undefined;
+  const { dataCentre, address, secret, cutOff } = fields ?? {};
+  if (!isText(dataCentre) || !isText(address) || !isText(secret)) return undefined;
+  return { instance: key, dataCentre, address, secret, isCutOff: cutOff === true };
 }
--- a/packages/forwarding/src/store/rowFields.ts
+++ b/packages/forwarding/src/store/rowFields.ts
@@ -1,11 +1,9 @@
+import { parseJson } from '@pomeloroad/core';
+
 /** Returns the list that a row's value encodes; an empty one if it can't be read. */
 export function parseList(value: string): unknown[] {
-  try {
-    const list: unknown = JSON.parse(value);
-    return Array.isArray(list) ? list : [];
-  } catch {
-    return [];
-  }
+  const list = parseJson(value);
+  return Array.isArray(list) ? list : [];
 }
 
 /** Whether a field of a row is a text. */
