--- a/packages/core/test/connectionLimit.test.ts
+++ b/packages/core/test/connectionLimit.test.ts
@@ -4,9 +4,9 @@
 import type { PlainCaller } from '@pomeloroad/standins';
 import { limitConnections, listen } from '../src';
 import type { BusyVictim } from '../src';
+import { waitUntil } from './waitUntil';
 
 const LIMIT = 3;
-const POLL_MS = 10;
 const HALF_HEAD = 'GET /';
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 
@@ -31,14 +31,6 @@
   address = await listen(server, '127.0.0.1:0');
 }
 
-async function waitUntil(holds: () => boolean): Promise<void> {
-  while (!holds()) {
-    await new Promise((resolve) => {
-      setTimeout(resolve, POLL_MS);
-    });
-  }
-}
-
 async function open(text: string): Promise<PlainCaller> {
   const before = accepted;
   const caller = openPlainCaller(address);
--- a/packages/core/test/connectionMemory.test.ts
+++ b/packages/core/test/connectionMemory.test.ts
@@ -13,10 +13,10 @@
   serveInOrder,
 } from '../src';
 import type { MemoryAccount } from '../src';
+import { waitUntil } from './waitUntil';
 
 const LIMIT = 2_000_000;
 const SEEDS = Array.from({ length: 12 }, (_, seed) => seed);
-const POLL_MS = 10;
 const STATUS_UNAVAILABLE = 503;
 
 let server: http.Server;
@@ -29,14 +29,6 @@
   server.close();
 });
 
-async function waitUntil(holds: () => boolean): Promise<void> {
-  while (!holds()) {
-    await new Promise((resolve) => {
-      setTimeout(resolve, POLL_MS);
-    });
-  }
-}
-
 // Answers with the size of the body; holds the answers of requests for /held.
 function startServer(): Promise<string> {
   server = http.createServer();
--- a/packages/replay/test/soakOverlaps.test.ts
+++ b/packages/replay/test/soakOverlaps.test.ts
@@ -6,6 +6,7 @@
 
 const SENT_AT = 100_000;
 const WORK: Work = { route: 'stream', framing: 'chunked', events: 12, pause: 40, fault: 'none' };
+const ARRIVAL = { event: 'run', path: '', after: 0, account: 'rich', version: 'v1', body: '' };
 
 /** When the replacement of a silent run ends, after its begin, and how; it begins 100 ms after the other one. */
 interface ReplacementEnd {
@@ -13,32 +14,37 @@
   after: Milliseconds;
 }
 
-// The first run sends its last event so long after the replacement has begun. The caller's answer ends at a time, and a
-// third run may begin at another one.
-function judge(
-  goesOnFor: Milliseconds,
-  end?: ReplacementEnd,
-  answeredAfter = 2000,
-  thirdAfter?: Milliseconds,
-): string[] {
+// Opens the evidence of one request; `addLine` adds what an endpoint did so long after it was sent.
+function openEvidence(work: Work, answeredAfter: Milliseconds) {
   const clock = { ...createSystemClock(), now: () => new Date(SENT_AT + 5000) };
   const evidence = createEvidence(clock);
   evidence.open({
     ...{ id: 'c8-11', account: 'rich', instance: 'instance-1', life: 1, inputTokens: 1 },
     ...{ resumeAfter: 0, heldVersions: [], runs: [], arrivals: [], lines: [] },
-    ...{ work: WORK, sentAt: SENT_AT, endedAt: SENT_AT + answeredAfter },
+    ...{ work, sentAt: SENT_AT, endedAt: SENT_AT + answeredAfter },
     answer: { ...createCallerAnswer(), status: 200 },
   });
   const addLine = (id: string, after: Milliseconds, line: object) => {
     const at = new Date(SENT_AT + after).toISOString();
     evidence.addLine(id, JSON.stringify({ at, id, request: 'c8-11', run: 1, ...line }));
   };
-  const arrival = { event: 'run', path: '', after: 0, account: 'rich', version: 'v1', body: '' };
-  addLine('endpoint-1', 0, arrival);
-  addLine('endpoint-2', 100, arrival);
+  return { evidence, addLine };
+}
+
+// The first run sends its last event so long after the replacement has begun. The caller's answer ends at a time, and a
+// third run may begin at another one.
+function judge(
+  goesOnFor: Milliseconds,
+  end?: ReplacementEnd,
+  answeredAfter = 2000,
+  thirdAfter?: Milliseconds,
+): string[] {
+  const { evidence, addLine } = openEvidence(WORK, answeredAfter);
+  addLine('endpoint-1', 0, ARRIVAL);
+  addLine('endpoint-2', 100, ARRIVAL);
   const { event, after = 0 } = end ?? {};
   if (event) addLine('endpoint-2', 100 + after, { event, number: 1, reason: 'time-limit' });
-  if (thirdAfter !== undefined) addLine('endpoint-3', thirdAfter, arrival);
+  if (thirdAfter !== undefined) addLine('endpoint-3', thirdAfter, ARRIVAL);
   addLine('endpoint-1', 100 + goesOnFor, { event: 'sent', number: 1 });
   evidence.judge(true);
   return evidence.failures
@@ -73,21 +79,9 @@
 
 // A stream that may not be resumed reaches a second endpoint after 100 ms, with a replica or without.
 function judgeOnce(goesOnFrom: string | undefined, goesOnFor: Milliseconds): string[] {
-  const clock = { ...createSystemClock(), now: () => new Date(SENT_AT + 5000) };
-  const evidence = createEvidence(clock);
-  evidence.open({
-    ...{ id: 'c8-11', account: 'rich', instance: 'instance-1', life: 1, inputTokens: 1 },
-    ...{ resumeAfter: 0, heldVersions: [], runs: [], arrivals: [], lines: [] },
-    ...{ work: { ...WORK, route: 'stream-once' }, sentAt: SENT_AT, endedAt: SENT_AT + 2000 },
-    answer: { ...createCallerAnswer(), status: 200 },
-  });
-  const addLine = (id: string, after: Milliseconds, line: object) => {
-    const at = new Date(SENT_AT + after).toISOString();
-    evidence.addLine(id, JSON.stringify({ at, id, request: 'c8-11', run: 1, ...line }));
-  };
-  const arrival = { event: 'run', path: '', after: 0, account: 'rich', version: 'v1', body: '' };
-  addLine('endpoint-1', 0, arrival);
-  addLine('endpoint-2', 100, { ...arrival, goesOnFrom });
+  const { evidence, addLine } = openEvidence({ ...WORK, route: 'stream-once' }, 2000);
+  addLine('endpoint-1', 0, ARRIVAL);
+  addLine('endpoint-2', 100, { ...ARRIVAL, goesOnFrom });
   addLine('endpoint-1', 100 + goesOnFor, { event: 'sent', number: 1 });
   evidence.judge(true);
   const checks = ['at-most-once', 'one-at-a-time'];
