--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -91,6 +91,12 @@
       troubles.note(record.service);
     },
     onVersionChanged: (id, version) => origins.doubt(id, version),
+    // Until its entry came, what it said of itself was noted under the one before.
+    onReplaced(before, next) {
+      endpoints.passOn(before, next);
+      rateLimits.passOn(before, next);
+      slotShares.passOn(before, next);
+    },
     onChange() {
       versions.update(directory.listServing());
       troubles.update(directory.listServing());
--- a/packages/forwarding/src/limits/statedLimits.ts
+++ b/packages/forwarding/src/limits/statedLimits.ts
@@ -48,6 +48,11 @@
    * `clock.elapsed()` when its request was sent.
    */
   note(endpoint: string, limit: number | undefined, sentAt: Milliseconds): void;
+  /**
+   * Lets the limit of an incarnation hold for the next one in its place, which may have named it under the former entry,
+   * until it names none.
+   */
+  passOn(before: string, next: string): void;
   list(): Record<string, number>;
 }
 
@@ -194,6 +199,13 @@
       end(endpoint);
       write(endpoint);
     },
+    passOn(before, next) {
+      const named = known.get(before);
+      if (!named || known.has(next)) return;
+      known.set(next, named);
+      log(kind.named, { endpoint: next, limit: named.limit });
+      applyLimits();
+    },
     list: () => Object.fromEntries([...known].map(([endpoint, { limit }]) => [endpoint, limit])),
   };
 }
--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -22,6 +22,8 @@
   onChange(): void;
   /** Called when an incarnation's entry has gone, or that of a later one has taken its place. */
   onLost(record: EndpointRecord): void;
+  /** Called with the names of an incarnation and of the later one that has started in its place, at its address. */
+  onReplaced(before: string, next: string): void;
   /** Called when an endpoint has started again under its id with another version of its software. */
   onVersionChanged(id: string, version: string | undefined): void;
 }
@@ -101,6 +103,9 @@
     const { id, born, sequence, address, service, version } = record;
     if (known?.isListed && !isSameIncarnation) host.onLost(known.record);
     if (known && known.record.version !== version) host.onVersionChanged(id, version);
+    if (known && !isSameIncarnation && known.record.address === address) {
+      host.onReplaced(getName(known.record), getName(record));
+    }
     if (known?.isListed && isSameIncarnation && known.record.isLeaving === isLeaving) return false;
     const event = isLeaving ? Diagnostics.endpointLeaving : Diagnostics.endpointListed;
     log(event, { endpoint: id, born, sequence, address, service, version });
--- a/packages/forwarding/test/directory.test.ts
+++ b/packages/forwarding/test/directory.test.ts
@@ -13,19 +13,21 @@
   const onChange = () => {
     changes += 1;
   };
+  const replaced: string[] = [];
   const directory = createEndpointDirectory({
     clock,
     log: createSilentLog(),
     onChange,
     onLost: () => undefined,
     onVersionChanged: () => undefined,
+    onReplaced: (...names) => replaced.push(names.join(' by ')),
   });
   const usable = () =>
     directory
       .list()
       .filter((endpoint) => !endpoint.leaving)
       .map((endpoint) => endpoint.name);
-  return { clock, directory, usable, countChanges: () => changes };
+  return { clock, directory, usable, replaced, countChanges: () => changes };
 }
 
 function record(changes: Partial<EndpointRecord> = {}): EndpointRecord {
@@ -225,3 +227,12 @@
   directory.replaceByCopy([record()]);
   expect(usable()).toEqual(['a/5']);
 });
+
+test('a later incarnation at the same address has replaced the one before', () => {
+  const { directory, replaced } = setUp();
+  directory.upsert(record());
+  directory.upsert(record({ sequence: 2 }));
+  directory.upsert(record({ born: 6 }));
+  directory.upsert(record({ born: 7, address: '10.0.0.2:80' }));
+  expect(replaced).toEqual(['a/5 by a/6']);
+});
--- a/packages/forwarding/test/rateLimits.test.ts
+++ b/packages/forwarding/test/rateLimits.test.ts
@@ -39,7 +39,7 @@
         shares = next;
       },
     });
-    return { ...limits, link, getShare: () => shares.get('e/1') };
+    return { ...limits, link, getShare: (endpoint = 'e/1') => shares.get(endpoint) };
   }
 
   return { clock, memory, calls, listed, start, instances: names.map(start) };
@@ -107,3 +107,20 @@
   }
   expect(calls.transactions).toBeLessThanOrEqual(2);
 });
+
+test('a limit that is passed on to the next incarnation holds until one of its answers names none', async () => {
+  const { clock, memory, listed, instances } = createStand(8);
+  instances[0]?.note('e/1', 2, 0);
+  await clock.advance(PROPAGATION_MS);
+  listed.clear();
+  listed.add('e/2');
+  instances.forEach(({ passOn }) => passOn('e/1', 'e/2'));
+  await clock.advance(PROPAGATION_MS);
+  const shares = instances.map(({ getShare }) => getShare('e/2') ?? Infinity);
+  expect(shares.reduce((sum, share) => sum + share, 0)).toBeCloseTo(2);
+  instances[3]?.note('e/2', undefined, clock.elapsed());
+  await clock.advance(PROPAGATION_MS);
+  expect(instances.map(({ getShare }) => getShare('e/2'))).toEqual(Array(8).fill(undefined));
+  const view = await memory.list('shared', 'limits');
+  expect(view.ok && view.val.rows).toEqual([]);
+});
--- a/packages/routing/src/endpointEntry.ts
+++ b/packages/routing/src/endpointEntry.ts
@@ -23,6 +23,14 @@
   onFailure?(name: string, result: 'failed' | 'unreachable'): void;
 }
 
+/** When an endpoint may be asked again. */
+export interface Pace {
+  /** Time of `clock.elapsed()` until which it wants no requests. */
+  pausedUntil: Milliseconds;
+  /** Time of `clock.elapsed()` when it was last sent one. */
+  lastTakenAt: Milliseconds;
+}
+
 /** One endpoint with its load and health. */
 export interface EndpointEntry {
   view(): EndpointView;
@@ -31,6 +39,8 @@
   setRateShare(share: number | undefined): void;
   setSlotShare(share: number | undefined): void;
   pause(until: Milliseconds): void;
+  getPace(): Pace;
+  setPace(pace: Pace): void;
   report(report: LoadReport): void;
   isStale(): boolean;
   take(): void;
@@ -131,6 +141,10 @@
     pause(until) {
       pausedUntil = Math.max(pausedUntil, until);
     },
+    getPace: () => ({ pausedUntil, lastTakenAt }),
+    setPace(pace) {
+      ({ pausedUntil, lastTakenAt } = pace);
+    },
     isStale: () => clock.elapsed() - reportedAt > LOAD_REPORT_MAX_AGE_MS,
     report(report) {
       reportedAt = clock.elapsed();
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
 import { createEndpointEntry } from './endpointEntry';
-import type { EndpointEntry, EndpointEntryHost } from './endpointEntry';
+import type { EndpointEntry, EndpointEntryHost, Pace } from './endpointEntry';
 import { createReachability } from './reachability';
 import type { EndpointView, LoadReport, RouteRequest, SlotResult } from './types';
 
@@ -20,6 +20,8 @@
   setSlotShares(shares: Map<string, number>): void;
   /** Keeps requests away from the endpoint until the time of `clock.elapsed()`. */
   pause(name: string, until: Milliseconds): void;
+  /** Lets an endpoint that is not configured yet keep to the pause and pace of the one in whose place it has started. */
+  passOn(before: string, next: string): void;
   /** Stores an endpoint's load report. */
   report(name: string, report: LoadReport): void;
   /** Whether the endpoint's latest load report is missing or too old to be used. */
@@ -45,6 +47,8 @@
 export function createEndpoints(host: EndpointsHost): Endpoints {
   const entries = new Map<string, EndpointEntry>();
   const reachability = createReachability(host.clock);
+  /** Those of endpoints that are not configured yet. */
+  const paces = new Map<string, Pace>();
   let leaving = new Set<string>();
   let rateShares = new Map<string, number>();
   let slotShares = new Map<string, number>();
@@ -54,6 +58,9 @@
     entry.setListedLeaving(leaving.has(endpoint.name));
     entry.setRateShare(rateShares.get(endpoint.name));
     entry.setSlotShare(slotShares.get(endpoint.name));
+    const pace = paces.get(endpoint.name);
+    if (pace) entry.setPace(pace);
+    paces.delete(endpoint.name);
     entries.set(endpoint.name, entry);
   }
 
@@ -81,6 +88,10 @@
       entries.forEach((entry, name) => entry.setSlotShare(shares.get(name)));
     },
     pause: (name, until) => entries.get(name)?.pause(until),
+    passOn(before, next) {
+      const entry = entries.get(before);
+      if (entry && !entries.has(next)) paces.set(next, entry.getPace());
+    },
     report: (name, report) => entries.get(name)?.report(report),
     isStale: (name) => entries.get(name)?.isStale() ?? true,
     findCandidates: ({ target, excluded, only }) =>
