--- a/packages/forwarding/src/suspects/crashWatch.ts
+++ b/packages/forwarding/src/suspects/crashWatch.ts
@@ -5,6 +5,7 @@
 import type { ForwardMetrics } from '../forwardMetrics';
 import { createAbandonedRequests } from './abandonedRequests';
 import type { RequestSuspects } from './abandonedRequests';
+import { createProcessNames } from './processNames';
 import { getSharedParts, getSuspectNames } from './suspectNames';
 import type { Attempt, EndpointProtocol, EndpointRecord, EventStream } from '../types';
 
@@ -22,9 +23,9 @@
 /** Maximum number of requests that one line names. */
 const NAMED_REQUESTS_MAX = 20;
 
-/** An endpoint's incarnation that crashed, and what it worked on for this instance. */
+/** A process of an endpoint that crashed, and what it worked on for this instance. */
 export interface EndpointCrash {
-  /** Identifies the incarnation; the same at all instances. */
+  /** Identifies the process; the same at all instances that saw as many die behind its entry. */
   incarnation: string;
   /** Names of suspects, and how many of the requests that were broken off have each. */
   names: Map<string, number>;
@@ -44,6 +45,13 @@
   isSuspicious(names: string[]): boolean;
 }
 
+/** An attempt, and the name of the process that it was sent to. */
+interface WatchedAttempt<Payload> extends Attempt<Payload> {
+  incarnation: string;
+}
+
+type Watched = Pick<WatchedAttempt<unknown>, 'endpoint' | 'incarnation'>;
+
 /** An endpoint that has broken off requests and is examined. */
 interface Examination {
   broken: RequestSuspects;
@@ -58,31 +66,31 @@
   const { clock, log, metrics, protocol, directory } = host;
   const examinations = new Map<string, Examination>();
   const abandoned = createAbandonedRequests(clock);
+  const processes = createProcessNames();
 
-  function startExamination(endpoint: EndpointRecord): Examination {
-    const incarnation = getIncarnation(endpoint);
+  function startExamination({ endpoint, incarnation }: Watched): Examination {
     const broken: RequestSuspects = new Map();
-    const examination = { broken, verdict: judge(endpoint, broken) };
+    const examination = { broken, verdict: judge({ endpoint, incarnation }, broken) };
     examinations.set(incarnation, examination);
     examination.verdict.finally(() => examinations.delete(incarnation));
     return examination;
   }
 
   // Resolves once it is known whether the endpoint has died.
-  async function examine({ endpoint, request }: Attempt<Payload>): Promise<void> {
+  async function examine(attempt: WatchedAttempt<Payload>): Promise<void> {
+    const { endpoint, request, incarnation } = attempt;
     if (endpoint.isLeaving) return;
-    const known = examinations.get(getIncarnation(endpoint));
-    const { broken, verdict } = known ?? startExamination(endpoint);
+    const { broken, verdict } = examinations.get(incarnation) ?? startExamination(attempt);
     broken.set(request.id, getSuspectNames(request));
     await verdict;
   }
 
   // Whether the request is sent once more may depend on the verdict.
-  async function handleBreak(attempt: Attempt<Payload>): Promise<void> {
-    const { request, endpoint, signal } = attempt;
+  async function handleBreak(attempt: WatchedAttempt<Payload>): Promise<void> {
+    const { request, incarnation, signal } = attempt;
     const names = getSuspectNames(request);
     if (signal.aborted) {
-      abandoned.note(getIncarnation(endpoint), request.id, names);
+      abandoned.note(incarnation, request.id, names);
       return;
     }
     const verdict = examine(attempt);
@@ -91,28 +99,28 @@
   }
 
   // What was given up may have ended the endpoint, which broke nothing else off.
-  function handleRefusal({ endpoint }: Attempt<Payload>): void {
-    const incarnation = getIncarnation(endpoint);
+  function handleRefusal(attempt: WatchedAttempt<Payload>): void {
+    const { endpoint, incarnation } = attempt;
     if (endpoint.isLeaving || examinations.has(incarnation)) return;
-    if (abandoned.has(incarnation)) startExamination(endpoint);
+    if (abandoned.has(incarnation)) startExamination(attempt);
   }
 
   // The kernel ends the connections of a dead process in order too.
-  function handleEnd(attempt: Attempt<Payload>, framing: ResponseFraming): void {
+  function handleEnd(attempt: WatchedAttempt<Payload>, framing: ResponseFraming): void {
     const names = getSuspectNames(attempt.request);
     // A probe costs a connection, so answers of plain services are believed unless something is suspected.
     const mayHaveDied = getSharedParts(attempt.request).length > 0 || host.isSuspicious(names);
     if (framing === 'close' && mayHaveDied) examine(attempt);
-    host.onAnswer(names, getIncarnation(attempt.endpoint));
+    host.onAnswer(names, attempt.incarnation);
   }
 
-  async function judge(endpoint: EndpointRecord, broken: RequestSuspects): Promise<void> {
-    if (await hasDied(endpoint)) report(endpoint, broken);
-    else watch(endpoint, broken);
+  async function judge(watched: Watched, broken: RequestSuspects): Promise<void> {
+    if (await hasDied(watched.endpoint)) report(watched, broken);
+    else watch(watched, broken);
   }
 
-  function report(endpoint: EndpointRecord, found: RequestSuspects): void {
-    const incarnation = getIncarnation(endpoint);
+  function report({ endpoint, incarnation }: Watched, found: RequestSuspects): void {
+    processes.noteDeath(endpoint, incarnation);
     const broken = new Map([...found, ...abandoned.take(incarnation)]);
     const names = new Map<string, number>();
     [...broken.values()].flat().forEach((name) => names.set(name, (names.get(name) ?? 0) + 1));
@@ -133,8 +141,8 @@
   }
 
   // What breaks off meanwhile is examined by itself, so that a crash soon after shows at once.
-  async function watch(endpoint: EndpointRecord, broken: RequestSuspects): Promise<void> {
-    if (await isGoneSoon(endpoint)) report(endpoint, broken);
+  async function watch(watched: Watched, broken: RequestSuspects): Promise<void> {
+    if (await isGoneSoon(watched.endpoint)) report(watched, broken);
   }
 
   async function isRefusing(endpoint: EndpointRecord): Promise<boolean> {
@@ -154,7 +162,7 @@
     return false;
   }
 
-  function watchStream(attempt: Attempt<Payload>, stream: EventStream): EventStream {
+  function watchStream(attempt: WatchedAttempt<Payload>, stream: EventStream): EventStream {
     let begunAt: Milliseconds | undefined;
     let isSound = false;
 
@@ -163,7 +171,7 @@
       begunAt ??= clock.elapsed();
       if (isSound || clock.elapsed() - begunAt < SOUND_AFTER_MS) return;
       isSound = true;
-      host.onAnswer(getSuspectNames(attempt.request), getIncarnation(attempt.endpoint));
+      host.onAnswer(getSuspectNames(attempt.request), attempt.incarnation);
     }
 
     return {
@@ -181,8 +189,9 @@
 
   return {
     ...protocol,
-    async send(attempt) {
-      const sent = await protocol.send(attempt);
+    async send(unwatched) {
+      const attempt = { ...unwatched, incarnation: processes.get(unwatched.endpoint) };
+      const sent = await protocol.send(unwatched);
       if (sent.err) {
         if (sent.val.kind === 'broken') await handleBreak(attempt);
         if (sent.val.kind === 'unreachable') handleRefusal(attempt);
@@ -198,11 +207,6 @@
   };
 }
 
-/** Returns the name of an endpoint's incarnation, which is the same at all instances. */
-export function getIncarnation({ id, born }: Pick<EndpointRecord, 'id' | 'born'>): string {
-  return `${id}/${born}`;
-}
-
 function describe(broken: RequestSuspects): string {
   return [...broken]
     .slice(0, NAMED_REQUESTS_MAX)
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -197,6 +197,34 @@
   expect(crashes).toEqual([]);
 });
 
+test('a process that answers behind the entry of one that has died crashes by itself', async () => {
+  const { clock, crashes, protocol } = createStand([
+    'refused',
+    'accepting',
+    'accepting',
+    'refused',
+  ]);
+  const early = protocol.send(createAttempt('a', []));
+  await clock.advance(0);
+  await early;
+  await protocol.send(createAttempt('b', []));
+  await clock.advance(1000);
+  await protocol.send(createAttempt('c', []));
+  await clock.advance(0);
+  expect(crashes.map(({ incarnation }) => incarnation)).toEqual(['e/7', 'e/7+1']);
+});
+
+test('what was sent to a process before its death was known crashes with it', async () => {
+  const { clock, crashes, protocol } = createStand(['refused', 'refused'], { step: BROKEN });
+  const late = await protocol.send(createAttempt('a', []));
+  const first = await protocol.send(createAttempt('b', []));
+  if (first.ok && first.val.kind === 'stream') await first.val.stream.next();
+  await clock.advance(0);
+  if (late.ok && late.val.kind === 'stream') await late.val.stream.next();
+  await clock.advance(0);
+  expect(crashes.map(({ incarnation }) => incarnation)).toEqual(['e/7', 'e/7']);
+});
+
 function createCrash(...names: string[]): EndpointCrash {
   return { incarnation: 'e/7', names: new Map(names.map((name) => [name, 1])) };
 }
