--- a/packages/routing/src/endpointEntry.ts
+++ b/packages/routing/src/endpointEntry.ts
@@ -39,8 +39,11 @@
   setRateShare(share: number | undefined): void;
   setSlotShare(share: number | undefined): void;
   pause(until: Milliseconds): void;
+  /** Keeps to the pause and pace of the entry in whose place this one has started, and counts its requests too. */
+  follow(predecessor: EndpointEntry): void;
   getPace(): Pace;
-  setPace(pace: Pace): void;
+  /** Returns the number of requests in flight, also at the entry that this one follows. */
+  countInFlight(): number;
   report(report: LoadReport): void;
   isStale(): boolean;
   take(): void;
@@ -71,6 +74,7 @@
   let slotShare: number | undefined;
   let pausedUntil: Milliseconds = 0;
   let lastTakenAt: Milliseconds = clock.elapsed();
+  let predecessor: EndpointEntry | undefined;
 
   // A healthy engine sends data for some request all the time, so one that sends none has failed.
   const isStalled = () => inFlight > 0 && clock.elapsed() - lastActivityAt > STALL_TIMEOUT_MS;
@@ -83,6 +87,13 @@
     rateShare !== undefined && (clock.elapsed() - lastTakenAt) * rateShare < MS_PER_SECOND;
   const isLeaving = () => endpoint.leaving || isListedLeaving || lastReport.state === 'leaving';
 
+  // One without requests is forgotten, as endpoints may start again any number of times.
+  function countInFlight(): number {
+    const before = predecessor?.countInFlight() ?? 0;
+    if (before === 0) predecessor = undefined;
+    return inFlight + before;
+  }
+
   function applyChange(change: () => void): void {
     const wasLeaving = isLeaving();
     change();
@@ -112,7 +123,7 @@
   return {
     view: () => ({
       endpoint,
-      inFlight,
+      inFlight: countInFlight(),
       othersInFlight: Math.max(0, lastReport.running + lastReport.queued - inFlightAtReport),
       isLeaving: isLeaving(),
       isFailing: isFailing(),
@@ -142,8 +153,10 @@
       pausedUntil = Math.max(pausedUntil, until);
     },
     getPace: () => ({ pausedUntil, lastTakenAt }),
-    setPace(pace) {
-      ({ pausedUntil, lastTakenAt } = pace);
+    countInFlight,
+    follow(entry) {
+      predecessor = entry;
+      ({ pausedUntil, lastTakenAt } = entry.getPace());
     },
     isStale: () => clock.elapsed() - reportedAt > LOAD_REPORT_MAX_AGE_MS,
     report(report) {
--- a/packages/routing/src/endpoints.ts
+++ b/packages/routing/src/endpoints.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
 import { createEndpointEntry } from './endpointEntry';
-import type { EndpointEntry, EndpointEntryHost, Pace } from './endpointEntry';
+import type { EndpointEntry, EndpointEntryHost } from './endpointEntry';
 import { createReachability } from './reachability';
 import type { EndpointView, LoadReport, RouteRequest, SlotResult } from './types';
 
@@ -20,7 +20,10 @@
   setSlotShares(shares: Map<string, number>): void;
   /** Keeps requests away from the endpoint until the time of `clock.elapsed()`. */
   pause(name: string, until: Milliseconds): void;
-  /** Lets an endpoint that is not configured yet keep to the pause and pace of the one in whose place it has started. */
+  /**
+   * Lets an endpoint that is not configured yet keep to the pause and pace of the one in whose place it has started, and
+   * counts what is in flight there as its own.
+   */
   passOn(before: string, next: string): void;
   /** Stores an endpoint's load report. */
   report(name: string, report: LoadReport): void;
@@ -47,8 +50,10 @@
 export function createEndpoints(host: EndpointsHost): Endpoints {
   const entries = new Map<string, EndpointEntry>();
   const reachability = createReachability(host.clock);
-  /** Those of endpoints that are not configured yet. */
-  const paces = new Map<string, Pace>();
+  /** Entries in whose place others have started, by their names, while requests are in flight there. */
+  const former = new Map<string, EndpointEntry>();
+  /** The same, by the names of those that are not configured yet. */
+  const predecessors = new Map<string, EndpointEntry>();
   let leaving = new Set<string>();
   let rateShares = new Map<string, number>();
   let slotShares = new Map<string, number>();
@@ -58,9 +63,9 @@
     entry.setListedLeaving(leaving.has(endpoint.name));
     entry.setRateShare(rateShares.get(endpoint.name));
     entry.setSlotShare(slotShares.get(endpoint.name));
-    const pace = paces.get(endpoint.name);
-    if (pace) entry.setPace(pace);
-    paces.delete(endpoint.name);
+    const predecessor = predecessors.get(endpoint.name);
+    if (predecessor) entry.follow(predecessor);
+    predecessors.delete(endpoint.name);
     entries.set(endpoint.name, entry);
   }
 
@@ -90,7 +95,9 @@
     pause: (name, until) => entries.get(name)?.pause(until),
     passOn(before, next) {
       const entry = entries.get(before);
-      if (entry && !entries.has(next)) paces.set(next, entry.getPace());
+      if (!entry || entries.has(next)) return;
+      predecessors.set(next, entry);
+      if (entry.countInFlight() > 0) former.set(before, entry);
     },
     report: (name, report) => entries.get(name)?.report(report),
     isStale: (name) => entries.get(name)?.isStale() ?? true,
@@ -105,7 +112,16 @@
     take: (name) => entries.get(name)?.take(),
     recordActivity: (name) => entries.get(name)?.recordActivity(),
     getActivityTime: (name) => entries.get(name)?.getActivityTime() ?? -Infinity,
-    release: (name, result) => entries.get(name)?.release(result),
+    release(name, result) {
+      const entry = former.get(name);
+      if (!entry) {
+        entries.get(name)?.release(result);
+        return;
+      }
+      // What became of the request tells nothing of who has started in its place.
+      entry.release('unused');
+      if (entry.countInFlight() === 0) former.delete(name);
+    },
     list: () => [...entries.values()].map((entry) => entry.view()),
   };
 }
--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -290,3 +290,21 @@
   expect([fail('failed'), fail('failed'), fail('ok')]).toEqual([false, true, false]);
   expect(endpoints.isFailing('unknown')).toBe(false);
 });
+
+test('an endpoint in the place of another one counts its requests, and waits as it wanted', async () => {
+  const { clock, endpoints, admission } = setUp();
+  const { endpoint } = endpoints.list()[0]!;
+  const only = new Set([endpoint.name, 'next', 'last']);
+  const slots = [
+    await admission.acquire(request({ only })),
+    await admission.acquire(request({ only })),
+  ];
+  endpoints.pause(endpoint.name, clock.elapsed() + 1000);
+  endpoints.passOn(endpoint.name, 'next');
+  endpoints.configure([{ ...endpoint, name: 'next' }]);
+  endpoints.passOn('next', 'last');
+  endpoints.configure([{ ...endpoint, name: 'last' }]);
+  expect(endpoints.list()).toMatchObject([{ inFlight: 2, pausedFor: 1000 }]);
+  slots.forEach((slot) => slot.unwrap().release('failed'));
+  expect(endpoints.list()).toMatchObject([{ inFlight: 0, isFailing: false }]);
+});
