--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -74,6 +74,10 @@
   unlistedAt: Milliseconds;
   /** Time of `clock.elapsed()` at which the feed last told that it was written. */
   writtenAt: Milliseconds;
+  /** Whether an answer alone told that it is leaving. */
+  hasStatedLeaving: boolean;
+  /** Whether that may have been said under the former entry, so that it is not used until it is written once more. */
+  mayLeave: boolean;
 }
 
 /** Creates an empty directory. */
@@ -93,12 +97,16 @@
     if (known && isOutdated(record, known.record)) return false;
     const isSameIncarnation = known !== undefined && isSameRun(record, known.record);
     const isLeaving = record.isLeaving || (isSameIncarnation && known.record.isLeaving);
+    const isWritten = writtenAt !== undefined || record.sequence !== known?.record.sequence;
+    const mayLeave = isSameIncarnation ? known.mayLeave && !isWritten : mayBeSpeaker(record, known);
     entries.set(record.id, {
       record: { ...record, isLeaving },
       isListed: true,
       usableUntil: Infinity,
       unlistedAt: Infinity,
       writtenAt: writtenAt ?? known?.writtenAt ?? -Infinity,
+      hasStatedLeaving: isSameIncarnation && known.hasStatedLeaving && !record.isLeaving,
+      mayLeave,
     });
     const { id, born, sequence, address, service, version } = record;
     if (known?.isListed && !isSameIncarnation) host.onLost(known.record);
@@ -106,12 +114,20 @@
     if (known && !isSameIncarnation && known.record.address === address) {
       host.onReplaced(getName(known.record), getName(record));
     }
-    if (known?.isListed && isSameIncarnation && known.record.isLeaving === isLeaving) return false;
+    const isSame = known?.record.isLeaving === isLeaving && known.mayLeave === mayLeave;
+    if (known?.isListed && isSameIncarnation && isSame) return false;
     const event = isLeaving ? Diagnostics.endpointLeaving : Diagnostics.endpointListed;
     log(event, { endpoint: id, born, sequence, address, service, version });
     return true;
   }
 
+  // Until its entry came, what an endpoint said was taken for that of the one in whose place it has started. One that
+  // leaves takes its entry back, or says so there.
+  function mayBeSpeaker({ address }: EndpointRecord, former: Entry | undefined): boolean {
+    if (!former?.isListed || former.record.address !== address) return false;
+    return former.hasStatedLeaving;
+  }
+
   function unlist(id: string, grace: Milliseconds): boolean {
     const known = entries.get(id);
     if (!known?.isListed) return false;
@@ -142,7 +158,7 @@
   }
 
   function isUsable(entry: Entry): boolean {
-    return !entry.record.isLeaving && isServing(entry);
+    return !entry.record.isLeaving && !entry.mayLeave && isServing(entry);
   }
 
   function isServing({ isListed, usableUntil }: Entry): boolean {
@@ -199,6 +215,7 @@
       if (!known || !isSameRun(known.record, { ...known.record, born, version })) return;
       if (known.record.isLeaving) return;
       known.record = { ...known.record, isLeaving: true };
+      known.hasStatedLeaving = true;
       log(Diagnostics.endpointLeaving, { endpoint: id, born, version, isStated: true });
       host.onChange();
     },
--- a/packages/forwarding/test/directory.test.ts
+++ b/packages/forwarding/test/directory.test.ts
@@ -236,3 +236,29 @@
   directory.upsert(record({ born: 7, address: '10.0.0.2:80' }));
   expect(replaced).toEqual(['a/5 by a/6']);
 });
+
+test('one in the place of an endpoint that said it leaves is used once its entry is written again', () => {
+  const { directory, usable } = setUp();
+  directory.upsert(record());
+  directory.markLeaving(record());
+  directory.upsert(record({ born: 6 }));
+  expect(usable()).toEqual([]);
+  directory.replaceAll([record({ born: 6 })]);
+  expect(usable()).toEqual([]);
+  directory.upsert(record({ born: 6, sequence: 2 }));
+  expect(usable()).toEqual(['a/6']);
+});
+
+test.each([
+  ['its entry said so too', () => record({ sequence: 2, isLeaving: true })],
+  ['its entry was taken back', () => undefined],
+])('one in the place of an endpoint that left is used at once if %s', (_, getLast) => {
+  const { directory, usable } = setUp();
+  directory.upsert(record());
+  directory.markLeaving(record());
+  const last = getLast();
+  if (last) directory.upsert(last);
+  else directory.remove('a');
+  directory.upsert(record({ born: 6 }));
+  expect(usable()).toEqual(['a/6']);
+});
