--- a/packages/routing/src/endpointEntry.ts
+++ b/packages/routing/src/endpointEntry.ts
@@ -187,7 +187,7 @@
       wasUnreachable = result === 'unreachable';
       if (isSilent) return;
       if (wasUnreachable) {
-        reachability.markUnreachable(endpoint.dataCentre, endpoint.name);
+        reachability.markUnreachable(endpoint.dataCentre, endpoint.address);
       } else {
         reachability.markReachable(endpoint.dataCentre);
       }
--- a/packages/routing/src/reachability.ts
+++ b/packages/routing/src/reachability.ts
@@ -8,13 +8,14 @@
 /** Tracks which data centres can be reached, from the results of requests to their endpoints. */
 export interface Reachability {
   markReachable(dataCentre: string): void;
-  markUnreachable(dataCentre: string, endpoint: string): void;
+  /** Notes that nothing was reached at an address, at which one endpoint may follow another. */
+  markUnreachable(dataCentre: string, address: string): void;
   /** Whether several endpoints there were unreachable recently and none was reached since. */
   isUnreachable(dataCentre: string): boolean;
 }
 
 interface Failures {
-  endpoints: Set<string>;
+  addresses: Set<string>;
   at: Milliseconds;
 }
 
@@ -25,16 +26,16 @@
     markReachable(dataCentre) {
       failures.delete(dataCentre);
     },
-    markUnreachable(dataCentre, endpoint) {
-      const known = failures.get(dataCentre)?.endpoints ?? [];
+    markUnreachable(dataCentre, address) {
+      const known = failures.get(dataCentre)?.addresses ?? [];
       failures.set(dataCentre, {
-        endpoints: new Set([...known, endpoint]),
+        addresses: new Set([...known, address]),
         at: clock.elapsed(),
       });
     },
     isUnreachable(dataCentre) {
       const found = failures.get(dataCentre);
-      if (!found || found.endpoints.size < UNREACHABLE_ENDPOINTS_MIN) return false;
+      if (!found || found.addresses.size < UNREACHABLE_ENDPOINTS_MIN) return false;
       return clock.elapsed() - found.at < UNREACHABLE_HOLD_MS;
     },
   };
--- a/packages/routing/test/routing.test.ts
+++ b/packages/routing/test/routing.test.ts
@@ -308,3 +308,14 @@
   slots.forEach((slot) => slot.unwrap().release('failed'));
   expect(endpoints.list()).toMatchObject([{ inFlight: 0, isFailing: false }]);
 });
+
+test('an endpoint that can not be reached twice, the second time under a new entry, is one', async () => {
+  const { endpoints } = setUp();
+  const [first, second] = endpoints.list().map(({ endpoint }) => endpoint);
+  endpoints.release('k1', 'unreachable');
+  endpoints.passOn('k1', 'next');
+  endpoints.configure([{ ...first!, name: 'next' }, second!]);
+  endpoints.release('next', 'unreachable');
+  const unreachable = endpoints.list().filter(({ isUnreachable }) => isUnreachable);
+  expect(unreachable.map(({ endpoint }) => endpoint.name)).toEqual(['next']);
+});
