--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -7,7 +7,8 @@
 import { createMetrics } from '@pomeloroad/telemetry';
 import { createServiceTroubles } from './copies/serviceTroubles';
 import { followConfiguration } from './store/configurationFeed';
-import { getIncarnation, watchCrashes } from './suspects/crashWatch';
+import { watchCrashes } from './suspects/crashWatch';
+import { getIncarnation } from './suspects/processNames';
 import { createEndpointDirectory } from './store/endpointDirectory';
 import { followEndpoints } from './store/endpointFeed';
 import { createEndpointLosses } from './store/endpointLosses';
@@ -90,6 +91,12 @@
       troubles.note(record.service);
     },
     onVersionChanged: (id, version) => origins.doubt(id, version),
+    // Until its entry came, what it said of itself was noted under the one before.
+    onReplaced(before, next) {
+      endpoints.passOn(before, next);
+      rateLimits.passOn(before, next);
+      slotShares.passOn(before, next);
+    },
     onChange() {
       versions.update(directory.listServing());
       troubles.update(directory.listServing());
