--- a/packages/forwarding/src/ends/answerEnd.ts
+++ b/packages/forwarding/src/ends/answerEnd.ts
@@ -80,7 +80,7 @@
 async function findSingleStreamFault<Payload>(
   run: Run<Payload>,
   attempt: SentAttempt,
-  { framing, sinceEvent, connection }: AnswerEnd,
+  { framing, sinceEvent, ranAt, connection }: AnswerEnd,
 ): Promise<string | undefined> {
   const { endpointLife, metrics } = run.host;
   const { slot, endpoint } = attempt;
@@ -92,7 +92,7 @@
     return CLOSED_MESSAGE;
   }
   const patience = isStated ? getHoldPatience(run, sinceEvent) : Math.max(0, getTimeLeft(run));
-  const verdict = await endpointLife.learn(endpoint, patience, run.stop.signal);
+  const verdict = await endpointLife.learn(endpoint, { ranAt, patience }, run.stop.signal);
   metrics.heldEnds.add(1, { verdict, framing });
   return match(verdict)
     .with('lives', () => undefined)
--- a/packages/forwarding/src/ends/incarnationLife.ts
+++ b/packages/forwarding/src/ends/incarnationLife.ts
@@ -1,8 +1,9 @@
 import { match } from 'ts-pattern';
 import { sleep, withTimeout } from '@pomeloroad/core';
-import type { Clock, Milliseconds } from '@pomeloroad/core';
-import type { EndpointDirectory } from '../store/endpointDirectory';
-import type { EndpointProtocol, EndpointRecord, Reachability } from '../types';
+import type { Milliseconds } from '@pomeloroad/core';
+import type { EndpointRecord } from '../types';
+import { createIncarnationQuestion } from './incarnationQuestion';
+import type { Finding, IncarnationQuestionHost } from './incarnationQuestion';
 
 /** Time within which a process that ends its answers in order exits. */
 const EXIT_TIME_MS: Milliseconds = 400;
@@ -18,6 +19,8 @@
 const ASK_AGAIN_MS: Milliseconds = 200;
 /** Maximum of that pause, which doubles. */
 const ASK_AGAIN_MAX_MS: Milliseconds = 1600;
+/** Time for which the renewal of an entry is awaited before what accepts connections is asked again. */
+const RENEWAL_WAIT_MS: Milliseconds = 1000;
 /** Time for which ends are remembered; longer than an endpoint takes to end streams and to exit. */
 const RETENTION_MS: Milliseconds = 2000;
 
@@ -29,27 +32,33 @@
 
 /** What is noted of an incarnation. */
 export interface LifeSigns {
-  /** Notes that an event of a stream has arrived that was not kept back here. */
-  noteEvent(): void;
-  /** Notes an answer to a request that was sent at the time of `getTime()`. */
-  noteAnswer(sentAt: Milliseconds): void;
+  /** Notes that an event of a stream has arrived that was not kept back here, on a connection opened at the time. */
+  noteEvent(openedAt: Milliseconds): void;
+  /** Notes an answer to a request that was sent at the time of `getTime()`, on a connection opened at the other time. */
+  noteAnswer(sentAt: Milliseconds, openedAt: Milliseconds): void;
   /** Notes that a stream that had begun was ended in order by a statement, or broken off. */
   noteEnd(kind: 'stated' | 'broken'): void;
 }
 
+/** An end that is held. */
+export interface HeldEnd {
+  patience: Milliseconds;
+  /** Time at which the process that stated it ran for certain; left out if none is known. */
+  ranAt?: Milliseconds | undefined;
+}
+
 /** What becomes of one incarnation after the ends that it has stated. */
 export interface IncarnationLife extends LifeSigns {
   /** As `EndpointLife.learn`. */
-  learn(patience: Milliseconds, signal: AbortSignal): Promise<LifeVerdict>;
+  learn(end: HeldEnd, signal: AbortSignal): Promise<LifeVerdict>;
 }
 
 /** Dependencies of learning what becomes of an incarnation. */
-export interface IncarnationLifeHost {
-  clock: Clock;
+export interface IncarnationLifeHost extends IncarnationQuestionHost {
   /** Returns the time, without that for which this process was held up and read nothing. */
   getTime(): Milliseconds;
-  probe: EndpointProtocol<unknown>['probe'];
-  directory: Pick<EndpointDirectory, 'getFate'>;
+  /** Returns the time by which the connection was open. */
+  getOpeningTime(connection: object): Milliseconds;
   /** Aborted when all that wait are to be told at once what can be learned. */
   hurry: AbortSignal;
 }
@@ -57,6 +66,8 @@
 /** An end whose endpoint is watched. */
 interface Waiting {
   endedAt: Milliseconds;
+  /** A connection opened by this time leads to the same process, or to one that had ended before. */
+  ranAt: Milliseconds;
   /** Time from which on an answer or connection shows that the endpoint has not exited after the end. */
   provenFrom: Milliseconds;
   /** Time at which the endpoint is asked. */
@@ -66,22 +77,23 @@
 
 /** Starts to watch an incarnation of which nothing is known. */
 export function createIncarnationLife(
-  { clock, getTime, probe, directory, hurry }: IncarnationLifeHost,
+  { getTime, getOpeningTime, hurry, ...host }: IncarnationLifeHost,
   endpoint: EndpointRecord,
 ): IncarnationLife {
+  const { clock, protocol } = host;
+  const question = createIncarnationQuestion(host, endpoint);
   const waiting = new Set<Waiting>();
-  let aliveAt: Milliseconds = -Infinity;
   let ends: { kind: 'stated' | 'broken'; at: Milliseconds }[] = [];
   let isAsked = false;
 
-  async function learn(patience: Milliseconds, signal: AbortSignal): Promise<LifeVerdict> {
+  async function learn(end: HeldEnd, signal: AbortSignal): Promise<LifeVerdict> {
     if (signal.aborted) return 'unknown';
     let resolve: (verdict: LifeVerdict) => void = () => undefined;
     const told = new Promise<LifeVerdict>((onTold) => {
       resolve = onTold;
     });
-    const entry = createWaiting(getTime(), patience, resolve);
-    const until = entry.endedAt + patience;
+    const entry = createWaiting(getTime(), end, resolve);
+    const until = entry.endedAt + end.patience;
     const giveUp = () => resolve('unknown');
     waiting.add(entry);
     signal.addEventListener('abort', giveUp, { once: true });
@@ -113,9 +125,10 @@
       if (left > 0 && !hurry.aborted) await sleep(clock, Math.min(left, ASK_STEP_MS), hurry);
       else {
         const askedAt = getTime();
-        const reachability = await probe(endpoint);
-        settle(reachability, askedAt);
-        if (reachability === 'unknown' && waiting.size > 0) {
+        const finding = await question.ask();
+        settle(finding, askedAt);
+        if (finding === 'untold') await awaitRenewal();
+        if (finding === 'unknown' && waiting.size > 0) {
           await sleep(clock, pause, hurry);
           pause = Math.min(2 * pause, ASK_AGAIN_MAX_MS);
         }
@@ -124,29 +137,51 @@
     isAsked = false;
   }
 
-  function settle(reachability: Reachability, askedAt: Milliseconds): void {
-    // Its next incarnation may have the same address.
-    const hasRestarted = directory.getFate(endpoint) === 'started again';
-    match(hasRestarted ? 'refused' : reachability)
-      .with('accepting', () => {
-        noteAnswer(askedAt);
+  function settle(finding: Finding, askedAt: Milliseconds): void {
+    match(finding)
+      .with('lives', () => {
+        noteLife(askedAt);
         if (hurry.aborted) tellAll(() => 'lives');
       })
-      .with('refused', () => tellAll(judgeDeath))
-      .with('unknown', () => {
+      .with('ended', () => tellAll(judgeDeath))
+      .with('untold', 'unknown', () => {
+        noteIdleConnections(askedAt);
         if (hurry.aborted) tellAll(() => 'unknown');
       })
       .exhaustive();
   }
 
-  function noteAnswer(at: Milliseconds): void {
-    aliveAt = Math.max(aliveAt, at);
-    tellLiving();
+  // All connections of a process close with it. Whatever one of them told before the question was asked is read by now.
+  function noteIdleConnections(askedAt: Milliseconds): void {
+    protocol.listIdle(endpoint).forEach((connection) => {
+      noteSign(askedAt, getOpeningTime(connection));
+    });
+  }
+
+  // Only the incarnation itself renews its entry.
+  async function awaitRenewal(): Promise<void> {
+    const readAt = getTime();
+    const isRenewed = await question.readEntry();
+    while (waiting.size > 0 && !hurry.aborted && getTime() - readAt < RENEWAL_WAIT_MS) {
+      if (question.hasRestarted()) tellAll(judgeDeath);
+      if (isRenewed?.()) {
+        noteLife(readAt);
+        return;
+      }
+      await sleep(clock, ASK_STEP_MS, hurry);
+    }
+  }
+
+  // What the incarnation itself tells, whichever connection it tells it on.
+  function noteLife(at: Milliseconds): void {
+    noteSign(at, -Infinity);
   }
 
-  function tellLiving(): void {
+  // A later incarnation may answer on a connection that was opened since, for the same entry.
+  function noteSign(at: Milliseconds, openedAt: Milliseconds): void {
     waiting.forEach((entry) => {
-      if (aliveAt >= entry.provenFrom) tell(entry, 'lives');
+      const isOwn = !question.hasStart || openedAt <= entry.ranAt;
+      if (isOwn && at >= entry.provenFrom) tell(entry, 'lives');
     });
   }
 
@@ -171,8 +206,8 @@
   }
 
   return {
-    noteEvent: () => noteAnswer(getTime()),
-    noteAnswer,
+    noteEvent: (openedAt) => noteSign(getTime(), openedAt),
+    noteAnswer: noteSign,
     noteEnd(kind) {
       const at = getTime();
       ends = [...ends.filter((end) => at - end.at < RETENTION_MS), { kind, at }];
@@ -183,12 +218,13 @@
 
 function createWaiting(
   endedAt: Milliseconds,
-  patience: Milliseconds,
+  { patience, ranAt = -Infinity }: HeldEnd,
   resolve: (verdict: LifeVerdict) => void,
 ): Waiting {
   const latest = Math.max(0, patience - ASK_TIME_MS);
   return {
     endedAt,
+    ranAt,
     provenFrom: endedAt + Math.min(EXIT_TIME_MS, latest),
     askAt: endedAt + Math.min(EXIT_TIME_MS + SIGN_WAIT_MS, latest),
     resolve,
--- a/packages/forwarding/src/ends/lifeWatch.ts
+++ b/packages/forwarding/src/ends/lifeWatch.ts
@@ -1,9 +1,28 @@
 import { Ok } from 'ts-results';
+import type { Milliseconds } from '@pomeloroad/core';
 import type { AttemptReply } from '../attempts/sentAttempt';
 import type { Attempt, EndpointProtocol, EventStream } from '../types';
 import type { EndpointLife } from './endpointLife';
 import type { LifeSigns } from './incarnationLife';
 
+/**
+ * Time by which an event must have come later than something else to have been sent later: longer than this process may
+ * be held up unnoticed, so that both were not read at once.
+ */
+const ORDER_MARGIN_MS: Milliseconds = 250;
+
+/** What an attempt tells of the process that answers it. */
+interface Course {
+  /** Notes that its connection is open. */
+  open(connection: object | undefined): void;
+  /** Notes that an event has arrived that was not kept back here. */
+  noteEvent(): void;
+  /** Returns the time by which its connection was open; `Infinity` before. */
+  getOpeningTime(): Milliseconds;
+  /** Returns the latest time at which the process ran for certain, as far as its answer tells. */
+  getRunningTime(): Milliseconds;
+}
+
 /** Returns the protocol with the same results, which notes what they tell of the lives of endpoints. */
 export function watchLives<Payload>(
   protocol: EndpointProtocol<Payload>,
@@ -14,25 +33,52 @@
     async send(attempt) {
       const signs = life.getSigns(attempt.endpoint);
       const sentAt = life.getTime();
-      const sent = await protocol.send(watchEvents(attempt, signs));
-      if (isOwnAnswer(sent)) signs.noteAnswer(sentAt);
+      const course = createCourse(life, sentAt);
+      const sent = await protocol.send(watchEvents(attempt, signs, course));
+      if (isOwnAnswer(sent)) signs.noteAnswer(sentAt, course.getOpeningTime());
       if (sent.err || sent.val.kind !== 'stream') return sent;
       const { head, stream } = sent.val;
-      if (head.framing !== 'chunked') return sent;
-      return Ok({ ...sent.val, stream: watchEnd(stream, signs, attempt.signal) });
+      const told = tellCourse(stream, course);
+      if (head.framing !== 'chunked') return Ok({ ...sent.val, stream: told });
+      return Ok({ ...sent.val, stream: watchEnd(told, signs, attempt.signal) });
+    },
+  };
+}
+
+function createCourse(life: EndpointLife, sentAt: Milliseconds): Course {
+  let openedAt = Infinity;
+  let ranAt = sentAt;
+  return {
+    open(connection) {
+      openedAt = connection ? life.getOpeningTime(connection) : life.getTime();
+    },
+    noteEvent() {
+      ranAt = Math.max(ranAt, life.getTime() - ORDER_MARGIN_MS);
     },
+    getOpeningTime: () => openedAt,
+    getRunningTime: () => ranAt,
   };
 }
 
 // What is read again after a pause may have been sent long before.
-function watchEvents<Payload>(attempt: Attempt<Payload>, signs: LifeSigns): Attempt<Payload> {
+function watchEvents<Payload>(
+  attempt: Attempt<Payload>,
+  signs: LifeSigns,
+  course: Course,
+): Attempt<Payload> {
   const isStream = attempt.request.route.kind === 'streaming';
   let isTimely = true;
   return {
     ...attempt,
+    onConnected(connection) {
+      course.open(connection);
+      attempt.onConnected(connection);
+    },
     onProgress() {
       attempt.onProgress();
-      if (isStream && isTimely) signs.noteEvent();
+      if (!isStream || !isTimely) return;
+      course.noteEvent();
+      signs.noteEvent(course.getOpeningTime());
     },
     onReadAgain() {
       isTimely = false;
@@ -45,6 +91,17 @@
   return sent.ok || sent.val.kind === 'declined';
 }
 
+function tellCourse(stream: EventStream, course: Course): EventStream {
+  return {
+    ...stream,
+    async next() {
+      const step = await stream.next();
+      const isEnd = step.kind === 'complete' || step.kind === 'closed';
+      return isEnd ? { ...step, ranAt: course.getRunningTime() } : step;
+    },
+  };
+}
+
 // Only a stream in chunks can be ended in order before its end, so only such a one tells by its break what others are.
 function watchEnd(stream: EventStream, signs: LifeSigns, signal: AbortSignal): EventStream {
   return {
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -216,9 +216,11 @@
     areSeveralRecorded: versionRows.hasSeveral,
   });
   const endpointProtocol = host.createProtocol(dialer.dial);
+  const refreshEndpoints = shareCalls(endpointFeed.refresh);
   const endpointLife = createEndpointLife({
     ...{ clock, directory, getHeldUpTime: guard.getHeldUpTime },
-    probe: endpointProtocol.probe,
+    protocol: endpointProtocol,
+    refreshEndpoints,
   });
   const forwarding: ForwardHost<Payload> = {
     clock,
@@ -252,7 +254,7 @@
     slotShares,
     checkPath: ({ address }) => dialer.check(address),
     findService: (name) => configuration.getTable()?.findService(name),
-    refreshEndpoints: shareCalls(endpointFeed.refresh),
+    refreshEndpoints,
     getHeldUpTime: guard.getHeldUpTime,
     waitForRefresh: () => withTimeout(clock, REFRESH_TIMEOUT_MS, guard.waitUntilFresh(), undefined),
   };
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -159,6 +159,8 @@
   at: Milliseconds;
   /** Time from the last event of a stream to the end; `undefined` if there was none, or no stream. */
   sinceEvent?: Milliseconds | undefined;
+  /** Time of `EndpointLife.getTime()` by which its connection had certainly been open, and which its process had outlived. */
+  ranAt?: Milliseconds | undefined;
   /** Resolves shortly after the end to what has become of the connection; at once if it was not to be kept. */
   connection: Promise<ConnectionFate>;
 }
@@ -245,8 +247,8 @@
   continued?: RunCopy | undefined;
   /** Time after which the endpoint is to stop work; it ends after the request's deadline. */
   timeLimit: Milliseconds;
-  /** Called when the connection is open, so that the endpoint may start to work. */
-  onConnected(): void;
+  /** Called with the connection when it is open, so that the endpoint may start to work. */
+  onConnected(connection?: object): void;
   /** Called whenever bytes of the answer arrive. */
   onActivity(): void;
   /** Called whenever an event of a stream, or a part of the body of another answer, has arrived. */
@@ -262,6 +264,9 @@
 /** Whether an endpoint's address accepts connections; `unknown` if there was no answer in time. */
 export type Reachability = 'accepting' | 'refused' | 'unknown';
 
+/** Whether an entry's incarnation answers at its address; `untold` if what accepts connections does not tell. */
+export type Identity = 'same' | 'other' | 'untold' | 'refused' | 'unknown';
+
 /** What an endpoint tells of a run, some hundred milliseconds late. */
 export type RunState =
   /** It has the run, and has made so many events of it. */
@@ -290,6 +295,10 @@
   send(attempt: Attempt<Payload>): Promise<Outcome<Reply, SendError>>;
   /** Opens and closes a connection to the endpoint; sends nothing. */
   probe(endpoint: EndpointRecord): Promise<Reachability>;
+  /** Asks whether the entry's incarnation answers at its address. Costs as much as a probe. */
+  identify(endpoint: EndpointRecord): Promise<Identity>;
+  /** Returns the open connections to the address that wait for a next request and lead there directly. */
+  listIdle(endpoint: EndpointRecord): object[];
   /** Asks the endpoint about the run of the request with the id. Costs as much as a probe. */
   findRun(endpoint: EndpointRecord, id: string): Promise<RunState>;
   /** Asks the endpoint whether it has room. Costs as much as a probe. */
--- a/packages/forwarding/test/accountsParts.ts
+++ b/packages/forwarding/test/accountsParts.ts
@@ -124,6 +124,8 @@
       return Ok(reply);
     },
     probe: async () => 'accepting',
+    identify: async () => 'same',
+    listIdle: () => [],
     findRun: async () => ({ kind: 'untold' }),
     findRoom: async () => 'untold',
   };
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -178,6 +178,8 @@
   };
   const getFate = () => 'listed' as const;
   const probe = async () => 'accepting' as const;
+  const identify = async () => 'same' as const;
+  const listIdle = () => [];
   const host = {
     clock,
     random: createRandom(1),
@@ -193,6 +195,8 @@
     protocol: {
       send,
       probe,
+      identify,
+      listIdle,
       findRun: async () => ({ kind: 'silent' }),
       findRoom: async ({ id }: { id: string }) => asked.get(id)?.room ?? 'untold',
     },
@@ -201,8 +205,9 @@
     closeHistory: createCloseHistory(),
     endpointLife: createEndpointLife({
       clock,
-      probe,
-      directory: { getFate },
+      protocol: { probe, identify, listIdle },
+      directory: { getFate, find: () => undefined },
+      refreshEndpoints: async () => true,
       getHeldUpTime: () => 0,
     }),
     recentEnds,
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -62,6 +62,8 @@
         return step ? Ok({ kind: 'stream', head, stream }) : FAILED;
       },
       probe: async () => probes.shift() ?? 'accepting',
+      identify: async () => 'untold',
+      listIdle: () => [],
       findRun: async () => ({ kind: 'silent' }),
       findRoom: async () => 'untold',
     },
--- a/packages/forwarding/test/endpointLife.test.ts
+++ b/packages/forwarding/test/endpointLife.test.ts
@@ -10,6 +10,8 @@
 const PATIENCE_MS: Milliseconds = 1500;
 const STEP_MS: Milliseconds = 50;
 
+const IDENTITIES = { accepting: 'same', refused: 'refused', unknown: 'unknown' } as const;
+
 // One endpoint that is reached as `state` says at the time; `advance` goes in steps, as timers come late otherwise.
 function createStand() {
   const clock = createManualClock();
@@ -19,14 +21,19 @@
   };
   const life = createEndpointLife({
     clock,
-    directory: { getFate: () => 'listed' },
+    directory: { getFate: () => 'listed', find: () => undefined },
     getHeldUpTime: () => state.heldUp,
-    probe: async () => state.reachability,
+    protocol: {
+      probe: async () => state.reachability,
+      identify: async () => IDENTITIES[state.reachability],
+      listIdle: () => [],
+    },
+    refreshEndpoints: async () => false,
   });
   const { signal } = new AbortController();
   function end(patience = PATIENCE_MS) {
     life.getSigns(ENDPOINT).noteEnd('stated');
-    return life.learn(ENDPOINT, patience, signal);
+    return life.learn(ENDPOINT, { patience, ranAt: life.getTime() }, signal);
   }
   async function advance(time: Milliseconds): Promise<void> {
     for (let passed = 0; passed < time; passed += STEP_MS) await clock.advance(STEP_MS);
@@ -38,7 +45,7 @@
   const { state, signs, end, advance } = createStand();
   const first = end();
   await advance(200);
-  signs.noteEvent();
+  signs.noteEvent(0);
   const second = end();
   await advance(100);
   state.reachability = 'refused';
@@ -50,7 +57,7 @@
   const { state, signs, end, advance } = createStand();
   const verdict = end();
   await advance(450);
-  signs.noteEvent();
+  signs.noteEvent(0);
   state.reachability = 'refused';
   await advance(PATIENCE_MS);
   expect(await verdict).toBe('lives');
--- a/packages/forwarding/test/lapsedEndpoints.test.ts
+++ b/packages/forwarding/test/lapsedEndpoints.test.ts
@@ -80,6 +80,8 @@
     createProtocol: () => ({
       send,
       probe: async () => 'accepting',
+      identify: async () => 'same',
+      listIdle: () => [],
       findRun: async () => ({ kind: 'silent' }),
       findRoom: async () => 'untold',
     }),
