--- a/packages/forwarding/src/ends/incarnationLife.ts
+++ b/packages/forwarding/src/ends/incarnationLife.ts
@@ -63,6 +63,13 @@
   hurry: AbortSignal;
 }
 
+/** A reading of the incarnation's entry. */
+interface EntryReading {
+  at: Milliseconds;
+  /** Whether the entry has been renewed since; left out if it could not be read. */
+  isRenewed: (() => boolean) | undefined;
+}
+
 /** An end whose endpoint is watched. */
 interface Waiting {
   endedAt: Milliseconds;
@@ -85,6 +92,8 @@
   const waiting = new Set<Waiting>();
   let ends: { kind: 'stated' | 'broken'; at: Milliseconds }[] = [];
   let isAsked = false;
+  // Whether the endpoint has not told its start when it was asked last.
+  let isUntelling = false;
 
   async function learn(end: HeldEnd, signal: AbortSignal): Promise<LifeVerdict> {
     if (signal.aborted) return 'unknown';
@@ -125,9 +134,11 @@
       if (left > 0 && !hurry.aborted) await sleep(clock, Math.min(left, ASK_STEP_MS), hurry);
       else {
         const askedAt = getTime();
+        const early = isUntelling ? readEntry() : undefined;
         const finding = await question.ask();
         settle(finding, askedAt);
-        if (finding === 'untold') await awaitRenewal();
+        isUntelling = finding === 'untold';
+        if (isUntelling && waiting.size > 0) await awaitRenewal(await (early ?? readEntry()));
         if (finding === 'unknown' && waiting.size > 0) {
           await sleep(clock, pause, hurry);
           pause = Math.min(2 * pause, ASK_AGAIN_MAX_MS);
@@ -158,14 +169,17 @@
     });
   }
 
+  async function readEntry(): Promise<EntryReading> {
+    const at = getTime();
+    return { at, isRenewed: await question.readEntry() };
+  }
+
   // Only the incarnation itself renews its entry.
-  async function awaitRenewal(): Promise<void> {
-    const readAt = getTime();
-    const isRenewed = await question.readEntry();
-    while (waiting.size > 0 && !hurry.aborted && getTime() - readAt < RENEWAL_WAIT_MS) {
+  async function awaitRenewal({ at, isRenewed }: EntryReading): Promise<void> {
+    while (waiting.size > 0 && !hurry.aborted && getTime() - at < RENEWAL_WAIT_MS) {
       if (question.hasRestarted()) tellAll(judgeDeath);
       if (isRenewed?.()) {
-        noteLife(readAt);
+        noteLife(at);
         return;
       }
       await sleep(clock, ASK_STEP_MS, hurry);
