--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -205,7 +205,8 @@
   const endpointProtocol = host.createProtocol(dialer.dial);
   const endpointLife = createEndpointLife({
     ...{ clock, directory, getHeldUpTime: guard.getHeldUpTime },
-    probe: endpointProtocol.probe,
+    protocol: endpointProtocol,
+    refreshEndpoints,
   });
   const forwarding: ForwardHost<Payload> = {
     clock,
