--- a/packages/forwarding/src/suspects/crashWatch.ts
+++ b/packages/forwarding/src/suspects/crashWatch.ts
@@ -167,6 +167,7 @@
     }
 
     return {
+      ...stream,
       async next() {
         const step = await stream.next();
         if (step.kind === 'broken') await handleBreak(attempt);
@@ -174,8 +175,6 @@
         else handleEnd(attempt, step.framing);
         return step;
       },
-      hasRepeated: () => stream.hasRepeated(),
-      close: () => stream.close(),
     };
   }
 
