--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -45,7 +45,9 @@
 ): Promise<StreamEnd> {
   const pace = createPace(run);
   let { end, replacement } = await relaySource(run, { stream, attempt });
-  if (!replacement) end = await relayFromCopy(run, attempt, end);
+  // A copy of what another incarnation may have begun is no copy of this run.
+  const isUnproved = stream.incarnation === 'unproved';
+  if (!replacement && !isUnproved) end = await relayFromCopy(run, attempt, end);
   while (replacement || mayLackEvents(end.end)) {
     if (mayStayOpen(run, end)) noteOpenEnd(run);
     const next = await relayRest(run, replacement, end, pace);
