--- a/packages/forwarding/src/attempts/attempt.ts
+++ b/packages/forwarding/src/attempts/attempt.ts
@@ -173,13 +173,12 @@
   host.metrics.attempts.add(1, { outcome });
   if (mayHaveRun(reply)) run.runs += 1;
   if (failure === 'declined' || failure === 'replaced') run.declines += 1;
-  if (isReplaced(reply)) host.directory.markReplaced(endpoint);
+  if (failure === 'replaced') host.directory.markReplaced(endpoint, 'other');
+  if (isPast(reply)) host.directory.markReplaced(endpoint, 'later');
 }
 
-function isReplaced(reply: AttemptReply): boolean {
-  if (reply.ok) return false;
-  const { val: error } = reply;
-  return error.kind === 'replaced' || (error.kind === 'unreachable' && error.isReplaced === true);
+function isPast(reply: AttemptReply): boolean {
+  return reply.err && reply.val.kind === 'unreachable' && reply.val.isReplaced === true;
 }
 
 /** Returns whether the endpoint may have run the request. */
@@ -258,15 +257,18 @@
 }
 
 // A connection that nobody waits for any more may still open in time.
-function toSlotResult<Payload>(run: Run<Payload>, { kind }: SendError): SlotResult {
+function toSlotResult<Payload>(run: Run<Payload>, error: SendError): SlotResult {
   const { stop, question } = run;
   const isLeft = stop.signal.aborted || question.signal.aborted;
-  return match(kind)
-    .with('broken', () => (question.signal.aborted ? toAskedResult(run) : 'failed'))
-    .with('unreachable', () => (isLeft ? 'unused' : 'unreachable'))
-    .with('replaced', () => 'unreachable' as const)
-    .with('declined', 'doubted', () => 'ok' as const)
-    .with('withheld', 'unsendable', () => 'unused' as const)
+  return match(error)
+    .with({ kind: 'broken' }, () => (question.signal.aborted ? toAskedResult(run) : 'failed'))
+    .with({ kind: 'unreachable' }, ({ isReached }) => {
+      if (isLeft) return 'unused';
+      return isReached ? 'silent' : 'unreachable';
+    })
+    .with({ kind: 'replaced' }, () => 'unreachable' as const)
+    .with({ kind: 'declined' }, { kind: 'doubted' }, () => 'ok' as const)
+    .with({ kind: 'withheld' }, { kind: 'unsendable' }, () => 'unused' as const)
     .exhaustive();
 }
 
--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -42,8 +42,8 @@
   upsert(record: EndpointRecord): void;
   /** Unlists the entry; shortly after an outage it may stay usable for a while. */
   remove(id: string): void;
-  /** Excludes an incarnation for good because another endpoint answers at its address. */
-  markReplaced(record: EndpointRecord): void;
+  /** Excludes an incarnation for good because another endpoint answers at its address, or a later incarnation. */
+  markReplaced(record: EndpointRecord, by: 'other' | 'later'): void;
   /** Excludes an incarnation for good because it said that it is leaving. */
   markLeaving(record: EndpointRecord): void;
   /** Records that the store does not answer, so that entries that lapse may reappear later. */
@@ -76,6 +76,8 @@
   writtenAt: Milliseconds;
   /** Time of `clock.elapsed()` at which the incarnation was first known. */
   knownAt: Milliseconds;
+  /** Whether a later incarnation has answered, whose entry is not known yet. */
+  isPast?: boolean;
 }
 
 /** Creates an empty directory. */
@@ -102,6 +104,7 @@
       unlistedAt: Infinity,
       writtenAt: writtenAt ?? known?.writtenAt ?? -Infinity,
       knownAt: isSameIncarnation ? known.knownAt : clock.elapsed(),
+      isPast: isSameIncarnation && known.isPast === true,
     });
     const { id, born, sequence, address, service, version } = record;
     if (known?.isListed && !isSameIncarnation) host.onLost(known.record);
@@ -187,9 +190,11 @@
       revived.remove(id);
       if (unlist(id, REMOVED_GRACE_MS)) host.onChange();
     },
-    markReplaced({ id, born }) {
+    markReplaced({ id, born }, by) {
       const known = entries.get(id);
-      if (known?.record.born !== born || known.record.isLeaving) return;
+      if (known?.record.born !== born) return;
+      known.isPast ||= by === 'later';
+      if (known.record.isLeaving) return;
       known.record = { ...known.record, isLeaving: true };
       log(Diagnostics.endpointUnlisted, { endpoint: id, born, isReplaced: true });
       host.onChange();
@@ -216,7 +221,7 @@
     getFate(record) {
       const known = entries.get(record.id);
       if (!known) return 'gone';
-      if (known.record.born > record.born) return 'started again';
+      if (known.record.born > record.born || known.isPast) return 'started again';
       if (known.record.isLeaving) return 'leaving';
       return isServing(known) ? 'listed' : 'gone';
     },
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -210,10 +210,16 @@
 /** Why an attempt got no answer. */
 export type SendError =
   /**
-   * No connection could be made, so nothing was sent; `isLate` if it was not refused but took too long, `isReplaced`
-   * if it leads to a later incarnation.
+   * No connection could be made to the incarnation, so nothing was sent; `isLate` if it was not refused but took too
+   * long, `isReplaced` if it leads to a later incarnation, `isReached` if it opened.
    */
-  | { kind: 'unreachable'; message: string; isLate?: boolean; isReplaced?: boolean }
+  | {
+      kind: 'unreachable';
+      message: string;
+      isLate?: boolean;
+      isReplaced?: boolean;
+      isReached?: boolean;
+    }
   /** Another endpoint now uses the address; the request was not run. */
   | { kind: 'replaced'; message: string }
   /**
--- a/packages/forwarding/test/directory.test.ts
+++ b/packages/forwarding/test/directory.test.ts
@@ -97,13 +97,21 @@
 test('an endpoint whose address another one has taken is not used again in this incarnation', () => {
   const { directory, usable } = setUp();
   directory.upsert(record());
-  directory.markReplaced(record());
+  directory.markReplaced(record(), 'other');
   directory.upsert(record({ sequence: 2 }));
   expect(usable()).toEqual([]);
   directory.upsert(record({ born: 6 }));
   expect(usable()).toEqual(['a/6']);
 });
 
+test('an incarnation has started again once a later one has answered, whose entry is not known yet', () => {
+  const { directory } = setUp();
+  directory.upsert(record());
+  directory.markReplaced(record(), 'later');
+  directory.upsert(record({ sequence: 2 }));
+  expect(directory.getFate(record())).toBe('started again');
+});
+
 test('a removal reported by the feed soon after an outage takes effect within a second', async () => {
   const { clock, directory, usable, countChanges } = setUp();
   directory.replaceAll([record(), record({ id: 'b' })]);
