--- a/packages/forwarding/src/origins/takeUp.ts
+++ b/packages/forwarding/src/origins/takeUp.ts
@@ -39,6 +39,7 @@
 ): void {
   const { host, request } = run;
   if (run.origin || !request.route.isResumable) return;
+  run.isUnproved = incarnation === 'unproved';
   run.origin = { service: request.service, version: getVersion(slot.endpoint) };
   const listed = { kind: 'listed' as const, endpoint: endpoint?.id ?? '' };
   host.origins.note(getStream(run), run.origin, incarnation ? { kind: incarnation } : listed);
@@ -46,6 +47,8 @@
 
 /** Returns whether the version that began the run's stream is in doubt, so that no endpoint may go on. */
 export function isOriginDoubted<Payload>(run: Run<Payload>): boolean {
+  // The memory forgets the oldest of many streams, and those that have lasted long.
+  if (run.isUnproved) return true;
   return run.origin !== undefined && run.host.origins.isDoubted(getStream(run));
 }
 
--- a/packages/forwarding/src/run.ts
+++ b/packages/forwarding/src/run.ts
@@ -62,6 +62,8 @@
   version: string | undefined;
   /** Where the stream began; only endpoints of its version may go on with it. */
   origin: StreamOrigin | undefined;
+  /** Whether nobody knows which incarnation began the stream, so that no endpoint may go on with it. */
+  isUnproved: boolean;
   /** Framing of the latest answer of an endpoint. */
   framing: ResponseFraming | undefined;
   /** How the answer has come so far. */
@@ -106,6 +108,7 @@
     endpoint: undefined,
     version: undefined,
     origin: undefined,
+    isUnproved: false,
     framing: undefined,
     course: createAnswerCourse(),
     firstByteAt: undefined,
