--- a/packages/standins/src/announcement.ts
+++ b/packages/standins/src/announcement.ts
@@ -1,4 +1,4 @@
-import { runPeriodically } from '@pomeloroad/core';
+import { runPeriodically, sleep } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { ENDPOINT_TABLE, putRow, removeRow } from './platformWire';
 
@@ -14,6 +14,8 @@
   slots: number;
   /** Version of its software. */
   version: string;
+  /** Unix time in milliseconds at which its process started. */
+  born: number;
 }
 
 /** The entry of an endpoint, renewed until it is withdrawn. */
@@ -24,14 +26,17 @@
   withdraw(): Promise<void>;
 }
 
-/** Announces an endpoint in the store at the address, tells when it is listed and renews its entry. */
+/**
+ * Announces an endpoint in the store at the address, tells when it is listed and renews its entry, which is first
+ * written after the delay.
+ */
 export function announceEndpoint(
   clock: Clock,
   store: string,
-  { id, service, address, dataCentre, slots, version }: EndpointEntry,
+  { id, service, address, dataCentre, slots, version, born }: EndpointEntry,
+  delay: Milliseconds,
   onListed: () => void,
 ): Announcement {
-  const born = clock.now().getTime();
   const stopped = new AbortController();
   let state: 'ready' | 'draining' = 'ready';
   let seq = 0;
@@ -43,15 +48,14 @@
     return putRow(store, ENDPOINT_TABLE, id, JSON.stringify(entry));
   }
 
-  runPeriodically(
-    clock,
-    () => HEARTBEAT_INTERVAL_MS,
-    stopped.signal,
-    async () => {
-      const isAccepted = await write();
-      if (isAccepted && !isListed) onListed();
-      isListed ||= isAccepted;
-    },
+  async function renew(): Promise<void> {
+    const isAccepted = await write();
+    if (isAccepted && !isListed) onListed();
+    isListed ||= isAccepted;
+  }
+
+  sleep(clock, delay, stopped.signal).then(() =>
+    runPeriodically(clock, () => HEARTBEAT_INTERVAL_MS, stopped.signal, renew),
   );
   return {
     async leave() {
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http';
+import { finished } from 'node:stream/promises';
 import sade from 'sade';
 import { createSystemClock, listen } from '@pomeloroad/core';
 import { createModelEngine } from './modelEngine';
@@ -101,7 +102,10 @@
   .option('--drain', 'time in ms that it serves after it has announced its leaving', 2000)
   .option('--seed', 'seed of the pace of its engine', 1)
   .option('--apart', 'share of the streams whose end comes apart from their last event', 0)
+  .option('--listed-after', 'time in ms from its start until it first writes its entry', 0)
+  .option('--waits', 'start only at the end of the standard input')
   .action(async (flags: Record<string, string | number>) => {
+    if (flags.waits) await finished(process.stdin.resume());
     const address = await runSoakEndpoint({
       clock: createSystemClock(),
       id: String(flags.id),
@@ -116,6 +120,7 @@
       drain: Number(flags.drain),
       seed: Number(flags.seed),
       apartShare: Number(flags.apart),
+      listedAfter: Number(flags['listed-after']),
     });
     reportListening({ address });
   });
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -32,6 +32,8 @@
   slots: number;
   /** Version of its software. */
   version: string;
+  /** Unix time in milliseconds at which its process started. */
+  born: number;
   record(line: EndpointLine): void;
   /** Whether each request is declined, as by an endpoint with a full queue. */
   isFull(): boolean;
@@ -65,7 +67,7 @@
  * the streams that are asked for in steps.
  */
 export function createSoakEndpoint(host: SoakEndpointHost): SoakEndpoint {
-  const { clock, id, slots, record } = host;
+  const { clock, id, slots, born, record } = host;
   const engine = createSteppedEngine(clock, host.random);
   const answers = createOpenAnswers(host);
   const replicas = createReplicas({ ...host, findRun: (name) => runs.find(name) });
@@ -125,7 +127,7 @@
   function report(response: ServerResponse): void {
     const entries = runs.listEntries();
     const queued = engine.countWaiting();
-    writeJson(response, 200, { queued, active: entries.length, runs: entries });
+    writeJson(response, 200, { born, queued, active: entries.length, runs: entries });
   }
 
   const server = http.createServer((request, response) => {
--- a/packages/standins/src/soakEndpointProcess.ts
+++ b/packages/standins/src/soakEndpointProcess.ts
@@ -33,6 +33,8 @@
   idleTimeout: Milliseconds;
   /** Time that it serves after the store has accepted that it leaves. */
   drain: Milliseconds;
+  /** Time from its start until it first writes its entry. */
+  listedAfter: Milliseconds;
 }
 
 /** A change of the endpoint's entry that the store has accepted. */
@@ -49,6 +51,7 @@
  */
 export async function runSoakEndpoint(settings: SoakEndpointSettings): Promise<string> {
   const { clock, id, slots, version, store, service, dataCentre, drain } = settings;
+  const born = clock.now().getTime();
   // Events tell from which service they come as well.
   const origin = `${service}/${version}`;
   let isFull = false;
@@ -64,6 +67,7 @@
     address: settings.advertisedAddress,
     slots,
     version: origin,
+    born,
     record,
     isFull: () => isFull,
     die,
@@ -73,9 +77,10 @@
   const { server, countActive } = endpoint;
   server.keepAliveTimeout = settings.idleTimeout;
   const address = await listen(server, settings.address);
-  const entry = { id, service, address: settings.advertisedAddress, dataCentre, slots, version };
+  const advertised = { address: settings.advertisedAddress, dataCentre, slots, version, born };
+  const entry = { id, service, ...advertised };
   const onListed = () => record({ event: 'listed', service, version: origin });
-  const announcement = announceEndpoint(clock, store, entry, onListed);
+  const announcement = announceEndpoint(clock, store, entry, settings.listedAfter, onListed);
   process.on('SIGUSR2', () => {
     isFull = !isFull;
   });
--- a/packages/standins/test/soakEndpoint.test.ts
+++ b/packages/standins/test/soakEndpoint.test.ts
@@ -8,6 +8,7 @@
 import type { Work } from '../src/soakWork';
 
 const RUN = 'c1-1';
+const BORN = 1_796_000_000_000;
 const WORK: Work = {
   route: 'stream-once',
   framing: 'chunked',
@@ -39,7 +40,7 @@
   const random = { ...createRandom(1), integer: (_: number, most: number) => most };
   const host = {
     ...{ clock: createSystemClock(), random, apartShare: 0, id, address: '', slots: 16 },
-    ...{ version: 'model/v1', isFull: () => false, getRateLimit: () => undefined },
+    ...{ version: 'model/v1', born: BORN, isFull: () => false, getRateLimit: () => undefined },
     record: (line: EndpointLine) => lines.push(line),
     die: () => undefined,
     end: () => undefined,
@@ -85,6 +86,12 @@
   }
 }
 
+test('the report of an endpoint tells when its process started', async () => {
+  const { address } = await startEndpoint('endpoint-1');
+  const report = await fetch(`http://${address}/v1/report`);
+  expect(await report.json()).toMatchObject({ born: BORN });
+});
+
 test('a request with a replica goes on behind the last event', async () => {
   const [source, target] = [await startEndpoint('endpoint-1'), await startEndpoint('endpoint-2')];
   const answering = ask(source, LONG_WORK, { 'x-kv-backup': target.address });
