--- a/packages/replay/src/soak/evidence.ts
+++ b/packages/replay/src/soak/evidence.ts
@@ -10,6 +10,8 @@
 import type { EarlyEndCount } from './endChecks';
 import { addEnds, getEndKind, getFramedKind } from './endCounts';
 import type { EndCount } from './endCounts';
+import { createJoinedStreams } from './joinedStreams';
+import type { JoinedStreams } from './joinedStreams';
 import { createLimitHistory } from './limitChecks';
 import { createFaultLog } from './faultLog';
 import type { FaultLog } from './faultLog';
@@ -37,6 +39,7 @@
   history: ConfigurationHistory;
   totals: Totals;
   versions: VersionHistory;
+  streams: JoinedStreams;
   crashes: CrashHistory;
   open(record: RequestRecord): void;
   /** Adds a line of a process and, if it is an endpoint's, reads its step of a request. */
@@ -84,6 +87,7 @@
     faults,
     history,
     versions,
+    streams: createJoinedStreams(),
     crashes,
     totals: createTotals(),
     failures: [],
@@ -189,6 +193,7 @@
     count(evidence.outcomes, describeOutcome(record));
     evidence.totals.add(record);
     versions.add(record);
+    evidence.streams.add(record);
     crashes.add(record);
     requestCrashes.add(record);
     limits.add(record);
--- a/packages/replay/src/soak/soak.ts
+++ b/packages/replay/src/soak/soak.ts
@@ -15,6 +15,7 @@
 import type { Evidence, Failure } from './evidence';
 import { startFleet } from './fleet';
 import type { Fleet, FleetSize } from './fleet';
+import type { JoinedCount } from './joinedStreams';
 import { createInjector } from './injector';
 import { createOperator } from './operator';
 import type { PlannedFault } from './faults';
@@ -80,7 +81,8 @@
   /** Number of requests by how they ended. */
   outcomes: Record<string, number>;
   spent: Record<string, number>;
-  streams: VersionHistory['shares'];
+  /** Streams that went on, and the shares of those that began and were taken up. */
+  streams: JoinedCount & VersionHistory['shares'];
   peaks: ProcessPeaks;
   failures: Failure[];
 }
@@ -117,7 +119,8 @@
     const { totals, versions, ends, framedEnds } = evidence;
     const { seed } = options;
     const counts = { faults, checks, falseEnds, earlyEnds, ends, framedEnds, behaviours, outcomes };
-    const figures = { spent: totals.spent, streams: versions.shares, peaks };
+    const streams = { ...evidence.streams.count(), ...versions.shares };
+    const figures = { spent: totals.spent, streams, peaks };
     return { seed, plan, ...counts, ...figures, failures };
   } finally {
     stopBusyLoops();
--- a/packages/replay/test/soakEvidence.test.ts
+++ b/packages/replay/test/soakEvidence.test.ts
@@ -3,6 +3,7 @@
 import type { Work } from '@pomeloroad/standins';
 import { createEvidence } from '../src/soak/evidence';
 import type { EarlyEndCount } from '../src/soak/endChecks';
+import type { JoinedCount } from '../src/soak/joinedStreams';
 import type { RequestRecord } from '../src/soak/requestRecord';
 
 const SENT_AT = 100_000;
@@ -250,3 +251,76 @@
   const [, waited, messages] = row;
   expect(judgeAfterDeparture([], SENT_AT + PlatformBounds.drain + 500, waited)).toEqual(messages);
 });
+
+interface Answer {
+  versions: string[];
+  /** Endpoints that run it. */
+  runs: number;
+}
+
+// A caller gets the events of a stream of four in several answers.
+function countJoined(answers: Answer[]) {
+  const clock = { ...createSystemClock(), now: () => new Date(SENT_AT) };
+  const evidence = createEvidence(clock);
+  const held: string[] = [];
+  answers.forEach(({ versions, runs }, index) => {
+    const id = `c8-${index + 1}`;
+    const resumeAfter = held.length;
+    const body = versions.map((version, at) => renderEvent('c8-1', resumeAfter + at + 1, version));
+    evidence.open({
+      ...createRecord(),
+      ...{ id, resumes: index === 0 ? undefined : 'c8-1', resumeAfter, heldVersions: [...held] },
+      ...{ work: { ...WORK, route: 'stream', events: 4 }, endedAt: SENT_AT + 200 },
+      answer: { ...createCallerAnswer(), status: 200, body: body.join('') },
+    });
+    held.push(...versions);
+    const arrival = { path: '', after: resumeAfter, account: 'rich', version: 'v1', body: '' };
+    for (let run = 1; run <= runs; run += 1) {
+      const step = { request: id, run, at: new Date(SENT_AT).toISOString(), id: `endpoint-${run}` };
+      evidence.addLine(`endpoint-${run}`, JSON.stringify({ event: 'run', ...step, ...arrival }));
+    }
+  });
+  evidence.judge(true);
+  return evidence.streams.count();
+}
+
+const NOT_JOINED: JoinedCount = {
+  ...{ interrupted: 0, whole: 0, joined: 0, joinedWhole: 0, mixed: 0, mixedWithinAnswer: 0 },
+};
+const JOINED: JoinedCount = { ...NOT_JOINED, interrupted: 1, whole: 1, joined: 1, joinedWhole: 1 };
+
+test.each<[string, Answer[], JoinedCount]>([
+  ['one answer of one run', [{ versions: ['1', '1', '1', '1'], runs: 1 }], NOT_JOINED],
+  ['one answer of two runs', [{ versions: ['1', '1', '1', '1'], runs: 2 }], JOINED],
+  [
+    'one answer of two versions',
+    [{ versions: ['1', '1', '1', '2'], runs: 2 }],
+    { ...JOINED, mixed: 1, mixedWithinAnswer: 1 },
+  ],
+  [
+    'two answers of two versions',
+    [
+      { versions: ['1', '1'], runs: 1 },
+      { versions: ['2', '2'], runs: 1 },
+    ],
+    { ...JOINED, mixed: 1 },
+  ],
+  [
+    'two answers, not whole',
+    [
+      { versions: ['1', '1'], runs: 1 },
+      { versions: ['1'], runs: 1 },
+    ],
+    { ...JOINED, whole: 0, joinedWhole: 0 },
+  ],
+  [
+    'an answer and nothing more',
+    [
+      { versions: ['1', '1'], runs: 1 },
+      { versions: [], runs: 0 },
+    ],
+    { ...NOT_JOINED, interrupted: 1 },
+  ],
+])('a stream of %s counts as such', (_, answers, counts) => {
+  expect(countJoined(answers)).toEqual(counts);
+});
