--- a/packages/replay/src/programs.ts
+++ b/packages/replay/src/programs.ts
@@ -21,6 +21,11 @@
 export interface Launcher {
   /** Resolves once the program is listening; rejects if it exits first or takes too long. */
   start(name: string, script: string, args: string[], nodeOptions?: string[]): Promise<Program>;
+  /**
+   * Loads a program that begins at the end of its standard input; the function ends that and resolves as `start`
+   * does.
+   */
+  prepare(name: string, script: string, args: string[]): () => Promise<Program>;
   /** Kills all processes that are still running. */
   stopAll(): void;
   /** Does the same, starts no more and resolves to the ids of the processes that remain. */
@@ -41,27 +46,49 @@
     });
   }
 
+  function run(
+    name: string,
+    args: string[],
+    input: 'ignore' | 'pipe',
+  ): { child: ChildProcess; started: Promise<Program> } {
+    const child = spawn(process.execPath, args, { stdio: [input, 'pipe', 'pipe'] });
+    children.add(child);
+    let lastLine = '';
+    const keepLine = (source: string, line: string) => {
+      lastLine = line;
+      onLog(source, line);
+    };
+    if (child.stderr) {
+      createInterface({ input: child.stderr }).on('line', (line) => keepLine(name, line));
+    }
+    const exited = new Promise<number | null>((resolve) => {
+      child.once('exit', (code) => {
+        children.delete(child);
+        resolve(code);
+      });
+    });
+    exits.push(exited);
+    return { child, started: waitForStart(name, child, exited, keepLine, () => lastLine) };
+  }
+
+  function refuse(name: string): Promise<never> {
+    return Promise.reject(new Error(`${name} is not started after the end`));
+  }
+
   return {
     start(name, script, args, nodeOptions = []) {
-      if (isClosed) return Promise.reject(new Error(`${name} is not started after the end`));
-      const child = spawn(process.execPath, [...nodeOptions, script, ...args], {
-        stdio: ['ignore', 'pipe', 'pipe'],
-      });
-      children.add(child);
-      let lastLine = '';
-      const keepLine = (source: string, line: string) => {
-        lastLine = line;
-        onLog(source, line);
+      if (isClosed) return refuse(name);
+      return run(name, [...nodeOptions, script, ...args], 'ignore').started;
+    },
+    prepare(name, script, args) {
+      if (isClosed) return () => refuse(name);
+      const { child, started } = run(name, [script, ...args], 'pipe');
+      // A program that fails before it is asked for fails whoever asks for it.
+      started.catch(() => undefined);
+      return () => {
+        child.stdin?.end();
+        return started;
       };
-      createInterface({ input: child.stderr }).on('line', (line) => keepLine(name, line));
-      const exited = new Promise<number | null>((resolve) => {
-        child.once('exit', (code) => {
-          children.delete(child);
-          resolve(code);
-        });
-      });
-      exits.push(exited);
-      return waitForStart(name, child, exited, keepLine, () => lastLine);
     },
     stopAll,
     async close() {
--- a/packages/replay/src/soak/callers.ts
+++ b/packages/replay/src/soak/callers.ts
@@ -26,6 +26,11 @@
 const STEPPED_FRAMINGS: AnswerFraming[] = ['chunked', 'chunked', 'close'];
 const STEPPED_LIMIT_MIN_MS = 1000;
 const STEPPED_LIMIT_MAX_MS = 2500;
+/** Streams that last for some time, in any case less than callers wait. */
+const LONG_EVENTS_MIN = 24;
+const LONG_EVENTS_MAX = 40;
+const LONG_PAUSE_MIN_MS = 30;
+const LONG_PAUSE_MAX_MS = 70;
 /** Least part of an answer's length that is its time limit. */
 const TIME_LIMIT_PART_MIN = 0.3;
 const STREAM_ROUTES = ROUTES.filter(({ kind }) => kind === 'streaming').map(({ name }) => name);
@@ -43,12 +48,14 @@
 /** Ends of answers that are not whole, which some callers ask for: in order, or by a crash. */
 export const EarlyEnds = ['short-limits', 'empty-ends', 'crashing-parts'] as const;
 /** Those that are only asked for by name. */
-// Callers of `take-ups` leave by themselves, and take the stream up at the same or another instance.
+// Callers of `take-ups` leave by themselves, and take the stream up at the same or another instance. Those of
+// `long-streams` have a stream open most of the time, so that faults of endpoints meet them.
 export const RareEarlyEnds = [
   'crashing-requests',
   'forgotten-ends',
   'engine-steps',
   'take-ups',
+  'long-streams',
 ] as const;
 export type EarlyEnd = (typeof EarlyEnds | typeof RareEarlyEnds)[number];
 
@@ -127,9 +134,9 @@
   };
 }
 
-// Engines that work in steps are asked for more than they can make.
+// Engines that work in steps are asked for more than they can make, and long streams for each kill to break off some.
 function countFurther({ earlyEnds, count }: CallersHost): number {
-  if (earlyEnds.includes('engine-steps')) return count;
+  if (earlyEnds.includes('engine-steps') || earlyEnds.includes('long-streams')) return count;
   return earlyEnds.length > 0 ? Math.ceil(count / EARLY_END_RATIO) : 0;
 }
 
@@ -178,11 +185,18 @@
       work: { ...stream, fault: 'none' as const },
       patience: Math.ceil(events * pauseLength * part),
     }))
+    .with('long-streams', () => ({ ...base, work: drawLongStream(random) }))
     .with('crashing-requests', () => ({ ...base, work: CRASHING_REQUEST }))
     .with('engine-steps', () => ({ ...base, ...drawStepped(random) }))
     .exhaustive();
 }
 
+function drawLongStream(random: Random): Work {
+  const events = random.integer(LONG_EVENTS_MIN, LONG_EVENTS_MAX);
+  const pauseLength = random.integer(LONG_PAUSE_MIN_MS, LONG_PAUSE_MAX_MS);
+  return { route: 'stream', framing: 'chunked', events, pause: pauseLength, fault: 'none' };
+}
+
 // The engine decides when the events come.
 function drawStepped(random: Random): Pick<DrawnRequest, 'work' | 'timeLimit'> {
   const route = draw(random, STREAM_ROUTES);
--- a/packages/replay/src/soak/faultDraws.ts
+++ b/packages/replay/src/soak/faultDraws.ts
@@ -6,6 +6,7 @@
   Fault,
   LinkTarget,
   PlannedSignal,
+  Renewal,
   SignalFault,
   StoreFaultName,
   Target,
@@ -35,6 +36,13 @@
 /** Times from the ends to the exit; `undefined` for endpoints that live on. */
 const EXIT_DELAYS_MS = [0, 30, 100, 300, 500, undefined, undefined];
 
+const RENEWAL_GAP_MIN_MS: Milliseconds = 300;
+const RENEWAL_GAP_MAX_MS: Milliseconds = 1000;
+const RENEWAL_PAUSE_MIN_MS: Milliseconds = 30;
+const RENEWAL_PAUSE_MAX_MS: Milliseconds = 300;
+/** Times until a renewed endpoint writes its entry; the last one as while the store is away. */
+const LISTING_DELAYS_MS = [0, 0, 0, 300, 300, 300, 500, 500, 500, 4000];
+
 /** Draws a fault of one kind for a fleet of the given size. */
 export type FaultDraw<T extends Fault = Fault> = (random: Random, size: FleetSize) => T;
 
@@ -160,6 +168,11 @@
       stop({ kind: 'instance', index }, random, [send('SIGTERM')]),
     ),
   }),
+  'endpoints-renewed-in-turn': (random, { endpoints }) => ({
+    kind: 'endpoints-in-turn',
+    service: 0,
+    renewals: Array.from({ length: endpoints }, () => drawRenewal(random)),
+  }),
   // Returns the store to an older copy.
   'store-rewound': disturbStore('rewound'),
 };
@@ -197,6 +210,14 @@
   };
 }
 
+function drawRenewal(random: Random): Renewal {
+  return {
+    wait: random.integer(RENEWAL_GAP_MIN_MS, RENEWAL_GAP_MAX_MS),
+    pause: random.integer(RENEWAL_PAUSE_MIN_MS, RENEWAL_PAUSE_MAX_MS),
+    listedAfter: draw(random, LISTING_DELAYS_MS),
+  };
+}
+
 function drawFreeze(random: Random): PlannedSignal[] {
   return [send('SIGSTOP'), send('SIGCONT', drawLength(random))];
 }
--- a/packages/replay/src/soak/faultTargets.ts
+++ b/packages/replay/src/soak/faultTargets.ts
@@ -14,6 +14,9 @@
     .with({ kind: 'moved-routes' }, ({ kind, stop }) => [kind, ...listTargetNames(fleet, stop)])
     .with({ kind: 'roll-out' }, ({ service }) => listOldest(fleet, service).map(({ name }) => name))
     .with({ kind: 'instances-in-turn' }, ({ kind }) => [kind])
+    .with({ kind: 'endpoints-in-turn' }, ({ service }) =>
+      listServed(fleet, service).map(({ name }) => name),
+    )
     .with({ kind: 'link' }, (link) => [getLink(fleet, link).name])
     .with({ kind: 'store' }, { kind: 'unreadable-rows' }, () => ['store'])
     .with({ kind: 'crash' }, ({ name }) => [name])
@@ -24,6 +27,12 @@
     .exhaustive();
 }
 
+/** Returns the names of what a fault disturbs all the time that it lasts. */
+export function listDisturbedNames(fleet: Fleet, fault: Fault): string[] {
+  // Each of these endpoints is disturbed by itself.
+  return fault.kind === 'endpoints-in-turn' ? [fault.kind] : listTargetNames(fleet, fault);
+}
+
 /** Returns the processes of a target. */
 export function listProcesses(fleet: Fleet, target: Target): FleetProcess[] {
   return match(target)
@@ -32,7 +41,7 @@
       fleet.endpoints.slice(index, index + length),
     )
     .with({ kind: 'service' }, ({ index, spared = 0 }) => {
-      const served = fleet.endpoints.filter((endpoint) => endpoint.service === SERVICES[index]);
+      const served = listServed(fleet, index);
       return served.slice(0, served.length - spared);
     })
     .with({ kind: 'data-centre' }, ({ index }) =>
@@ -42,9 +51,14 @@
     .exhaustive();
 }
 
+/** Returns the endpoints of a service, named by its number from 0. */
+export function listServed({ endpoints }: Fleet, service: number): FleetEndpoint[] {
+  return endpoints.filter((endpoint) => endpoint.service === SERVICES[service]);
+}
+
 /** Returns the endpoints of the oldest version of a service, named by its number from 0. */
 export function listOldest(fleet: Fleet, service: number): FleetEndpoint[] {
-  const endpoints = fleet.endpoints.filter((endpoint) => endpoint.service === SERVICES[service]);
+  const endpoints = listServed(fleet, service);
   const [oldest] = endpoints.map(({ version }) => version).sort(compareNumbers);
   return endpoints.filter(({ version }) => version === oldest);
 }
--- a/packages/replay/src/soak/faults.ts
+++ b/packages/replay/src/soak/faults.ts
@@ -23,6 +23,16 @@
 /** What the store does wrong for a time. */
 export type StoreFaultName = 'down' | 'slow' | 'lost-answers' | 'stalled-feed' | 'rewound';
 
+/** How one of several endpoints is renewed. */
+export interface Renewal {
+  /** Time from the return of the one before to its kill. */
+  wait: Milliseconds;
+  /** Time from its end until its next process starts. */
+  pause: Milliseconds;
+  /** Time from that start until the process first writes its entry. */
+  listedAfter: Milliseconds;
+}
+
 /** A fault of the plan. */
 export type Fault =
   /** `pause` is the time from the last signal, or from the end of the process, to its next start. */
@@ -42,6 +52,8 @@
   | { kind: 'roll-out'; service: number }
   /** All instances are stopped in order and started again, one after the other. */
   | { kind: 'instances-in-turn'; stops: SignalFault[] }
+  /** The endpoints of a service are killed one after the other and are back in place with one new version. */
+  | { kind: 'endpoints-in-turn'; service: number; renewals: Renewal[] }
   | {
       kind: 'link';
       link: LinkTarget;
--- a/packages/replay/src/soak/fleet.ts
+++ b/packages/replay/src/soak/fleet.ts
@@ -2,7 +2,7 @@
 import http from 'node:http';
 import path from 'node:path';
 import { listen } from '@pomeloroad/core';
-import type { Clock } from '@pomeloroad/core';
+import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { renderSettings } from '@pomeloroad/standins';
 import { createFaultProxy } from '../faultProxy';
 import type { FaultProxy, Link } from '../faultProxy';
@@ -71,6 +71,9 @@
   isEnding: boolean;
 }
 
+/** An endpoint without its process. */
+type EndpointPlace = Omit<FleetEndpoint, 'program' | 'isEnding'>;
+
 /** A process of the fleet that faults stop. */
 export type FleetProcess = FleetInstance | FleetEndpoint;
 
@@ -99,6 +102,11 @@
   endpoints: FleetEndpoint[];
   /** Starts a process that has ended again, under its name. */
   restart(process: FleetProcess): Promise<void>;
+  /**
+   * Loads the next process of an endpoint; the function starts it in place of the one that has ended. It has the
+   * version and first writes its entry after the delay.
+   */
+  prepare(endpoint: FleetEndpoint, version: string, listedAfter: Milliseconds): () => Promise<void>;
   /** Starts an endpoint with the version that takes the place of another one, which runs on. */
   replace(old: FleetEndpoint, version: string): Promise<FleetEndpoint>;
   /** Stops the proxy. */
@@ -123,18 +131,24 @@
   const store = String(storeProgram.listening.address);
   const { subnet, release } = await claimSubnet();
 
-  async function startEndpoint(
-    endpoint: Omit<FleetEndpoint, 'program' | 'isEnding'>,
-  ): Promise<Program> {
-    const { name, service, version, dataCentre, link } = endpoint;
-    const program = await launcher.start(name, STANDINS_PROGRAM, [
+  function listArguments({ name, service, version, dataCentre, link }: EndpointPlace): string[] {
+    return [
       'endpoint',
       ...['--id', name, '--service', service, '--data-centre', dataCentre],
       ...['--software', version],
       ...['--store', store, '--advertised', link.address, '--idle', String(IDLE_TIMEOUT_MS)],
       ...['--seed', String(seed * ENDPOINT_SEEDS + Number(name.split('-').at(-1)))],
       ...['--apart', String(size.apartShare ?? 0)],
-    ]);
+    ];
+  }
+
+  async function startEndpoint(endpoint: EndpointPlace): Promise<Program> {
+    const args = listArguments(endpoint);
+    return connect(endpoint, await launcher.start(endpoint.name, STANDINS_PROGRAM, args));
+  }
+
+  // Sends what comes for the endpoint to the program, until that ends.
+  function connect({ link }: EndpointPlace, program: Program): Program {
     proxy.setTarget(link.id, String(program.listening.address));
     program.exited.then(() => proxy.refuse(link.id));
     return program;
@@ -216,6 +230,16 @@
           ? await startInstance(fleetProcess.name, fleetProcess.script, fleetProcess.settingsPath)
           : await startEndpoint(fleetProcess);
     },
+    prepare(renewed, version, listedAfter) {
+      const endpoint = renewed;
+      const args = listArguments({ ...endpoint, version });
+      const waiting = [...args, '--listed-after', String(listedAfter), '--waits'];
+      const start = launcher.prepare(endpoint.name, STANDINS_PROGRAM, waiting);
+      return async () => {
+        endpoint.program = connect(endpoint, await start());
+        endpoint.version = version;
+      };
+    },
     async replace(old, version) {
       const { dataCentre, service } = old;
       const endpoint = await createEndpoint({ dataCentre, service, version });
--- a/packages/replay/src/soak/injector.ts
+++ b/packages/replay/src/soak/injector.ts
@@ -11,13 +11,15 @@
   findOtherVersion,
   getEndpoint,
   getLink,
+  listDisturbedNames,
   listOldest,
   listProcesses,
+  listServed,
   listTargetNames,
 } from './faultTargets';
-import type { Fault, PlannedFault, PlannedSignal, SignalFault } from './faults';
+import type { Fault, PlannedFault, PlannedSignal, Renewal, SignalFault } from './faults';
 import { FIRST_VERSIONS, getVersion } from './fleet';
-import type { Fleet, FleetProcess } from './fleet';
+import type { Fleet, FleetEndpoint, FleetProcess } from './fleet';
 import type { Operator } from './operator';
 import { callStandIn } from './standInCalls';
 import { disturbStore } from './storeFaults';
@@ -55,8 +57,8 @@
     names.forEach((target) => claimed.add(target));
     count(counts, name);
     const text = `${name} ${JSON.stringify(fault)}`;
-    const scope = { names, text: `${names.join(', ')}: ${text}`, nature: getNature(fault) };
-    const end = evidence.faults.begin(scope);
+    const scope = { text: `${names.join(', ')}: ${text}`, nature: getNature(fault) };
+    const end = evidence.faults.begin({ ...scope, names: listDisturbedNames(fleet, fault) });
     await apply(fault).catch((error: Error) =>
       evidence.fail('injector', `${name}: ${error.message}`),
     );
@@ -82,6 +84,7 @@
       .with({ kind: 'instances-in-turn' }, async ({ stops }) => {
         for (const stop of stops) await play({ at: 0, name: 'instance-term', fault: stop });
       })
+      .with({ kind: 'endpoints-in-turn' }, renewInTurn)
       .with({ kind: 'link' }, disturbLink)
       .with({ kind: 'store' }, ({ fault: name, length }) => disturbStore(fleet.store, name, length))
       .with({ kind: 'crash' }, ({ name }) => restartCrashed(name))
@@ -164,6 +167,45 @@
     await Promise.all(replaced);
   }
 
+  async function renewInTurn({
+    service,
+    renewals,
+  }: Extract<Fault, { kind: 'endpoints-in-turn' }>): Promise<void> {
+    versions += 1;
+    const version = getVersion(versions);
+    const endpoints = listServed(fleet, service).slice(0, renewals.length);
+    for (const [index, endpoint] of endpoints.entries()) {
+      const renewal = renewals[index];
+      if (renewal) await renew(endpoint, version, renewal);
+    }
+  }
+
+  // The next process is loaded ahead, since that takes longer than the pause.
+  async function renew(endpoint: FleetEndpoint, version: string, renewal: Renewal): Promise<void> {
+    const { name } = endpoint;
+    const start = fleet.prepare(endpoint, version, renewal.listedAfter);
+    await pause(renewal.wait);
+    const text = `${name}: is renewed with ${version} ${JSON.stringify(renewal)}`;
+    const end = evidence.faults.begin({ names: [name], text, nature: 'harm' });
+    await replaceProcess(endpoint, renewal.pause, start).finally(end);
+  }
+
+  async function replaceProcess(
+    replaced: FleetEndpoint,
+    length: Milliseconds,
+    start: () => Promise<void>,
+  ): Promise<void> {
+    const endpoint = replaced;
+    const signals: PlannedSignal[] = [{ signal: 'SIGKILL', wait: 0 }];
+    endpoint.isEnding = true;
+    await sendSignals(endpoint, signals);
+    await waitForEnd(endpoint, signals);
+    await pause(length);
+    evidence.restarted(endpoint.name);
+    await start();
+    endpoint.isEnding = false;
+  }
+
   async function sendSignals({ program }: FleetProcess, signals: PlannedSignal[]): Promise<void> {
     for (const { signal, wait } of signals) {
       await pause(wait);
--- a/packages/replay/src/soak/main.ts
+++ b/packages/replay/src/soak/main.ts
@@ -4,7 +4,9 @@
 import { EarlyEnds, RareEarlyEnds } from './callers';
 import { DefaultFaults, FaultNames } from './faultDraws';
 import { runSoak } from './soak';
+import type { EarlyEnd } from './callers';
 import type { SoakResult } from './soak';
+import type { StreamShare } from './versionChecks';
 
 const MS_PER_MINUTE = 60_000;
 const CALM_MS = 12_000;
@@ -22,6 +24,8 @@
 /** Name under which the configuration says that endpoints of streams replicate runs. */
 const BACKUPS = 'backups';
 const RareRequestFaults = [...RareEarlyEnds, ...Object.keys(ApartShares), BACKUPS];
+/** What callers ask for beside a fault, so that it meets something. */
+const Companions: Record<string, EarlyEnd> = { 'endpoints-renewed-in-turn': 'long-streams' };
 const RequestFaults = [...DefaultRequestFaults, ...RareRequestFaults];
 
 sade('soak', true)
@@ -53,6 +57,7 @@
     process.stderr.write(`unknown faults: ${unknown.join(', ')}\n`);
     process.exit(EXIT_USAGE);
   }
+  const asked = [...faults, ...faults.map((name) => Companions[name])];
   const interrupted = new AbortController();
   process.on('SIGINT', () => interrupted.abort());
   process.on('SIGTERM', () => interrupted.abort());
@@ -67,7 +72,7 @@
     faults: faults.filter((name) => !RequestFaults.includes(name)),
     hasAnswerFaults: faults.includes(ANSWERS),
     hasUnreadable: faults.includes(UNREADABLE),
-    earlyEnds: [...EarlyEnds, ...RareEarlyEnds].filter((name) => faults.includes(name)),
+    earlyEnds: [...EarlyEnds, ...RareEarlyEnds].filter((name) => asked.includes(name)),
     apartShare: Math.max(0, ...faults.map((name) => ApartShares[name] ?? 0)),
     hasReplicas: faults.includes(BACKUPS),
     busyLoops: Number(flags.busy),
@@ -86,6 +91,12 @@
 
 function renderResult(result: SoakResult): string {
   const { faults, falseEnds, behaviours, checks, outcomes, failures } = result;
+  const { begun, takenUp, ...joined } = result.streams;
+  const streams = {
+    ...joined,
+    'begun while two endpoints of a version served': renderShare(begun),
+    'taken up while two of theirs served': renderShare(takenUp),
+  };
   const earlyEnds = Object.entries(result.earlyEnds).map(([kind, { ended, taken }]) => [
     kind,
     `${taken} of ${ended}`,
@@ -99,6 +110,7 @@
   });
   const counted = {
     ...{ faults, 'false ends': falseEnds, behaviours, checks, outcomes },
+    'streams that went on': streams,
     'sound answers cut, early ends taken for whole, answers with wrong events': Object.fromEntries(
       ends,
     ) as Record<string, string>,
@@ -116,3 +128,7 @@
   ]);
   return [...tables, ...descriptions].join('\n');
 }
+
+function renderShare({ served, asked }: StreamShare): string {
+  return `${served} of ${asked}`;
+}
--- a/packages/replay/test/soak.test.ts
+++ b/packages/replay/test/soak.test.ts
@@ -144,6 +144,23 @@
   TIMEOUT_MS,
 );
 
+// Guards against rests of streams for a process that has taken the place of the one whose version its entry still names.
+test(
+  'seed 9102: no stream goes on at another version while its endpoints are renewed in turn',
+  async () => {
+    const times = { length: 20_000, calm: 6000 };
+    const faults = ['endpoints-renewed-in-turn'];
+    const ends = { earlyEnds: ['long-streams' as const], hasAnswerFaults: false };
+    const result = await soak({ seed: 9102, ...times, faults, ...ends }, 8);
+    const checks = ['one-version', 'take-ups', 'injector'];
+    const failures = result.failures.filter(({ check }) => checks.includes(check));
+    expect(describeFailures({ ...result, failures })).toEqual([]);
+    expect(result.streams.joined).toBeGreaterThan(60);
+    expect(result.streams.mixed).toBe(0);
+  },
+  TIMEOUT_MS,
+);
+
 let soakOfEarlyEnds: Promise<SoakResult> | undefined;
 
 // Endpoints that are stopped, leave, have no room or preempt end their answers in order; some forget streams.
