--- a/packages/replay/src/soak/injector.ts
+++ b/packages/replay/src/soak/injector.ts
@@ -174,20 +174,30 @@
     versions += 1;
     const version = getVersion(versions);
     const endpoints = listServed(fleet, service).slice(0, renewals.length);
-    for (const [index, endpoint] of endpoints.entries()) {
-      const renewal = renewals[index];
-      if (renewal) await renew(endpoint, version, renewal);
+    // The next process is loaded ahead, since that takes longer than the pauses.
+    const prepare = (index: number) => prepareRenewal(endpoints[index], version, renewals[index]);
+    let next = prepare(0);
+    for (let index = 1; next; index += 1) {
+      const renew = next;
+      next = prepare(index);
+      await renew();
     }
   }
 
-  // The next process is loaded ahead, since that takes longer than the pause.
-  async function renew(endpoint: FleetEndpoint, version: string, renewal: Renewal): Promise<void> {
-    const { name } = endpoint;
+  function prepareRenewal(
+    endpoint: FleetEndpoint | undefined,
+    version: string,
+    renewal: Renewal | undefined,
+  ): (() => Promise<void>) | undefined {
+    if (!endpoint || !renewal) return undefined;
     const start = fleet.prepare(endpoint, version, renewal.listedAfter);
-    await pause(renewal.wait);
-    const text = `${name}: is renewed with ${version} ${JSON.stringify(renewal)}`;
-    const end = evidence.faults.begin({ names: [name], text, nature: 'harm' });
-    await replaceProcess(endpoint, renewal.pause, start).finally(end);
+    return async () => {
+      await pause(renewal.wait);
+      const { name } = endpoint;
+      const text = `${name}: is renewed with ${version} ${JSON.stringify(renewal)}`;
+      const end = evidence.faults.begin({ names: [name], text, nature: 'harm' });
+      await replaceProcess(endpoint, renewal.pause, start).finally(end);
+    };
   }
 
   async function replaceProcess(
