--- a/packages/standins/src/soakAnswer.ts
+++ b/packages/standins/src/soakAnswer.ts
@@ -7,7 +7,7 @@
 import type { AnswerFault, Work } from './soakWork';
 
 /** Announces a time that the server's own idle timeout may undercut. */
-const KEEP_ALIVE = { connection: 'keep-alive', 'keep-alive': 'timeout=5' };
+export const KEEP_ALIVE = { connection: 'keep-alive', 'keep-alive': 'timeout=5' };
 const EXTRA_ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore';
 /** Share of the requests with a fault, in 16 parts, that an endpoint answers with it. */
 const FAULTY_SIXTEENTHS = 8;
--- a/packages/standins/src/soakEndpoint.ts
+++ b/packages/standins/src/soakEndpoint.ts
@@ -8,6 +8,7 @@
 import { answerWithPauses } from './pausedAnswer';
 import { WireHeader } from './platformWire';
 import { createReplicas } from './replicas';
+import { KEEP_ALIVE } from './soakAnswer';
 import { createSoakRuns } from './soakRuns';
 import type { Arrival } from './soakRuns';
 import { decodeWork } from './soakWork';
@@ -127,7 +128,9 @@
   function report(response: ServerResponse): void {
     const entries = runs.listEntries();
     const queued = engine.countWaiting();
-    writeJson(response, 200, { born, queued, active: entries.length, runs: entries });
+    const state = { born, queued, active: entries.length, runs: entries };
+    // Left to Node, an idle timeout of less than a second is announced as none.
+    writeJson(response, 200, state, KEEP_ALIVE);
   }
 
   const server = http.createServer((request, response) => {
--- a/packages/standins/test/soakEndpoint.test.ts
+++ b/packages/standins/test/soakEndpoint.test.ts
@@ -86,9 +86,11 @@
   }
 }
 
-test('the report of an endpoint tells when its process started', async () => {
-  const { address } = await startEndpoint('endpoint-1');
+test('the report of an endpoint tells when its process started and keeps its connection', async () => {
+  const { address, endpoint } = await startEndpoint('endpoint-1');
+  endpoint.server.keepAliveTimeout = 700;
   const report = await fetch(`http://${address}/v1/report`);
+  expect(report.headers.get('keep-alive')).toBe('timeout=5');
   expect(await report.json()).toMatchObject({ born: BORN });
 });
 
