--- a/packages/forwarding/src/ends/lifeWatch.ts
+++ b/packages/forwarding/src/ends/lifeWatch.ts
@@ -1,5 +1,5 @@
 import { Ok } from 'ts-results';
-import type { Milliseconds } from '@pomeloroad/core';
+import type { Connection, Milliseconds } from '@pomeloroad/core';
 import type { AttemptReply } from '../attempts/sentAttempt';
 import type { Attempt, EndpointProtocol, EventStream } from '../types';
 import type { EndpointLife } from './endpointLife';
@@ -14,9 +14,11 @@
 /** What an attempt tells of the process that answers it. */
 interface Course {
   /** Notes that its connection is open. */
-  open(connection: object | undefined): void;
+  open(connection: Connection | undefined): void;
   /** Notes that an event has arrived that was not kept back here. */
   noteEvent(): void;
+  /** Whether another instance carries the connection, which may keep back what arrives there. */
+  isCarried(): boolean;
   /** Returns the time by which its connection was open; `Infinity` before. */
   getOpeningTime(): Milliseconds;
   /** Returns the latest time at which the process ran for certain, as far as its answer tells. */
@@ -48,13 +50,16 @@
 function createCourse(life: EndpointLife, sentAt: Milliseconds): Course {
   let openedAt = Infinity;
   let ranAt = sentAt;
+  let isCarried = false;
   return {
     open(connection) {
+      isCarried = connection?.isCarried === true;
       openedAt = connection ? life.getOpeningTime(connection) : life.getTime();
     },
     noteEvent() {
       ranAt = Math.max(ranAt, life.getTime() - ORDER_MARGIN_MS);
     },
+    isCarried: () => isCarried,
     getOpeningTime: () => openedAt,
     getRunningTime: () => ranAt,
   };
@@ -66,7 +71,9 @@
   signs: LifeSigns,
   course: Course,
 ): Attempt<Payload> {
-  const isStream = attempt.request.route.kind === 'streaming';
+  const { request, endpoint } = attempt;
+  const isStream = request.route.kind === 'streaming';
+  const mayBeBack = endpoint.born > 0;
   let isTimely = true;
   return {
     ...attempt,
@@ -76,7 +83,7 @@
     },
     onProgress() {
       attempt.onProgress();
-      if (!isStream || !isTimely) return;
+      if (!isStream || !isTimely || (mayBeBack && course.isCarried())) return;
       course.noteEvent();
       signs.noteEvent(course.getOpeningTime());
     },
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -248,7 +248,7 @@
   /** Time after which the endpoint is to stop work; it ends after the request's deadline. */
   timeLimit: Milliseconds;
   /** Called with the connection when it is open, so that the endpoint may start to work. */
-  onConnected(connection?: object): void;
+  onConnected(connection?: Connection): void;
   /** Called whenever bytes of the answer arrive. */
   onActivity(): void;
   /** Called whenever an event of a stream, or a part of the body of another answer, has arrived. */
