--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -44,8 +44,8 @@
   upsert(record: EndpointRecord): void;
   /** Unlists the entry; shortly after an outage it may stay usable for a while. */
   remove(id: string): void;
-  /** Excludes an incarnation for good because another endpoint answers at its address. */
-  markReplaced(record: EndpointRecord): void;
+  /** Excludes an incarnation for good because another endpoint answers at its address, or a later incarnation. */
+  markReplaced(record: EndpointRecord, by: 'other' | 'later'): void;
   /** Excludes an incarnation for good because it said that it is leaving. */
   markLeaving(record: EndpointRecord): void;
   /** Records that the store does not answer, so that entries that lapse may reappear later. */
@@ -82,6 +82,8 @@
   hasStatedLeaving: boolean;
   /** Whether that may have been said under the former entry, so that it is not used until it is written once more. */
   mayLeave: boolean;
+  /** Whether a later incarnation has answered, whose entry is not known yet. */
+  isPast?: boolean;
 }
 
 /** Creates an empty directory. */
@@ -112,6 +114,7 @@
       knownAt: isSameIncarnation ? known.knownAt : clock.elapsed(),
       hasStatedLeaving: isSameIncarnation && known.hasStatedLeaving && !record.isLeaving,
       mayLeave,
+      isPast: isSameIncarnation && known.isPast === true,
     });
     const { id, born, sequence, address, service, version } = record;
     if (known?.isListed && !isSameIncarnation) host.onLost(known.record);
@@ -208,9 +211,11 @@
       revived.remove(id);
       if (unlist(id, REMOVED_GRACE_MS)) host.onChange();
     },
-    markReplaced({ id, born }) {
+    markReplaced({ id, born }, by) {
       const known = entries.get(id);
-      if (known?.record.born !== born || known.record.isLeaving) return;
+      if (known?.record.born !== born) return;
+      known.isPast ||= by === 'later';
+      if (known.record.isLeaving) return;
       known.record = { ...known.record, isLeaving: true };
       log(Diagnostics.endpointUnlisted, { endpoint: id, born, isReplaced: true });
       host.onChange();
@@ -238,7 +243,7 @@
     getFate(record) {
       const known = entries.get(record.id);
       if (!known) return 'gone';
-      if (known.record.born > record.born) return 'started again';
+      if (known.record.born > record.born || known.isPast) return 'started again';
       if (known.record.isLeaving) return 'leaving';
       return isServing(known) ? 'listed' : 'gone';
     },
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -212,10 +212,16 @@
 /** Why an attempt got no answer. */
 export type SendError =
   /**
-   * No connection could be made, so nothing was sent; `isLate` if it was not refused but took too long, `isReplaced`
-   * if it leads to a later incarnation.
+   * No connection could be made to the incarnation, so nothing was sent; `isLate` if it was not refused but took too
+   * long, `isReplaced` if it leads to a later incarnation, `isReached` if it opened.
    */
-  | { kind: 'unreachable'; message: string; isLate?: boolean; isReplaced?: boolean }
+  | {
+      kind: 'unreachable';
+      message: string;
+      isLate?: boolean;
+      isReplaced?: boolean;
+      isReached?: boolean;
+    }
   /** Another endpoint now uses the address; the request was not run. */
   | { kind: 'replaced'; message: string }
   /**
@@ -262,7 +268,7 @@
   /** Time after which the endpoint is to stop work; it ends after the request's deadline. */
   timeLimit: Milliseconds;
   /** Called with the connection when it is open, so that the endpoint may start to work. */
-  onConnected(connection?: object): void;
+  onConnected(connection?: Connection): void;
   /** Called whenever bytes of the answer arrive. */
   onActivity(): void;
   /** Called whenever an event of a stream, or a part of the body of another answer, has arrived. */
