--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -44,7 +44,7 @@
   upsert(record: EndpointRecord): void;
   /** Unlists the entry; shortly after an outage it may stay usable for a while. */
   remove(id: string): void;
-  /** Excludes an incarnation for good because another endpoint answers at its address, or a later incarnation. */
+  /** Excludes an incarnation for good because another endpoint answers at its address; a later incarnation of it ends only its fate. */
   markReplaced(record: EndpointRecord, by: 'other' | 'later'): void;
   /** Excludes an incarnation for good because it said that it is leaving. */
   markLeaving(record: EndpointRecord): void;
@@ -214,7 +214,11 @@
     markReplaced({ id, born }, by) {
       const known = entries.get(id);
       if (known?.record.born !== born) return;
-      known.isPast ||= by === 'later';
+      if (by === 'later') {
+        // What needs no certain incarnation may go to the later one.
+        known.isPast = true;
+        return;
+      }
       if (known.record.isLeaving) return;
       known.record = { ...known.record, isLeaving: true };
       log(Diagnostics.endpointUnlisted, { endpoint: id, born, isReplaced: true });
