--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -44,7 +44,10 @@
   upsert(record: EndpointRecord): void;
   /** Unlists the entry; shortly after an outage it may stay usable for a while. */
   remove(id: string): void;
-  /** Excludes an incarnation for good because another endpoint answers at its address; a later incarnation of it ends only its fate. */
+  /**
+   * Records who else answers at the incarnation's address: another endpoint, which excludes the incarnation for good, or a
+   * later incarnation, which tells that it has started again.
+   */
   markReplaced(record: EndpointRecord, by: 'other' | 'later'): void;
   /** Excludes an incarnation for good because it said that it is leaving. */
   markLeaving(record: EndpointRecord): void;
