--- a/packages/forwarding/src/ends/answerEnd.ts
+++ b/packages/forwarding/src/ends/answerEnd.ts
@@ -6,6 +6,7 @@
 import { getTimeLeft } from '../run';
 import type { Run } from '../run';
 import type { AnswerEnd } from '../types';
+import { createIncarnationQuestion } from './incarnationQuestion';
 import { mayBeLimitEnd } from './limitEnd';
 
 /**
@@ -134,14 +135,14 @@
   { endpoint }: SentAttempt,
   fallback: boolean,
 ): Promise<boolean> {
-  const { clock, directory, protocol } = run.host;
+  const { host } = run;
   if (!endpoint) return false;
   if (run.stop.signal.aborted) return fallback;
   const getPatience = (): Milliseconds => Math.max(0, getTimeLeft(run));
-  await sleep(clock, Math.min(PROCESS_END_MS, getPatience()));
-  const probe = protocol.probe(endpoint);
-  const reachability = await withTimeout(clock, getPatience(), probe, 'unknown');
-  if (getTimeLeft(run) <= 0) return fallback;
+  await sleep(host.clock, Math.min(PROCESS_END_MS, getPatience()));
   // Its next incarnation may have the same address.
-  return reachability === 'refused' || directory.getFate(endpoint) === 'started again';
+  const question = createIncarnationQuestion(host, endpoint);
+  const finding = await withTimeout(host.clock, getPatience(), question.ask(), 'unknown');
+  if (getTimeLeft(run) <= 0) return fallback;
+  return finding === 'ended';
 }
--- a/packages/forwarding/test/answerEnd.test.ts
+++ b/packages/forwarding/test/answerEnd.test.ts
@@ -4,13 +4,15 @@
 import { findEndFault } from '../src/ends/answerEnd';
 import type { SentAttempt } from '../src/attempts/sentAttempt';
 import type { Run } from '../src/run';
-import type { ConnectionFate, EndpointRecord, Reachability } from '../src';
+import type { ConnectionFate, EndpointRecord, Identity, Reachability } from '../src';
 import type { IncarnationFate } from '../src/store/endpointDirectory';
 
 const DEADLINE_MS = 1000;
 
 interface Endpoint {
   reachability?: Reachability;
+  /** What answers at its address, if its entry tells its start. */
+  identity?: Identity;
   isLeaving?: boolean;
   fate?: IncarnationFate;
   /** The fate once the entries are read again, and how long that takes. */
@@ -53,11 +55,16 @@
           steps.push('probe');
           return reachability;
         },
+        async identify() {
+          steps.push('identify');
+          return endpoint.identity;
+        },
       },
     },
   } as unknown as Run<unknown>;
   let fault: string | undefined = 'not judged';
-  const attempt = { slot, endpoint: { id: 'e' } as EndpointRecord } as SentAttempt;
+  const born = endpoint.identity ? 1 : 0;
+  const attempt = { slot, endpoint: { id: 'e', born } as EndpointRecord } as SentAttempt;
   const end = {
     framing,
     at,
@@ -97,6 +104,21 @@
   expect(fault !== undefined).toBe(isBroken);
 });
 
+test.each<[Identity, boolean]>([
+  ['other', true],
+  ['refused', true],
+  ['same', false],
+  ['untold', false],
+  ['unknown', false],
+])(
+  'a close breaks the answer if the process at the address is %s: %s',
+  async (identity, isBroken) => {
+    const { fault, steps } = await judge('close', 500, { identity });
+    expect(fault !== undefined).toBe(isBroken);
+    expect(steps).toEqual(['ok', 'identify']);
+  },
+);
+
 test.each<[Endpoint, boolean]>([
   [{ hasClosed: true, reachability: 'refused' }, true],
   [{ hasClosed: true, reachability: 'refused', isLeaving: true }, false],
