--- a/packages/forwarding/src/attempts/relay.ts
+++ b/packages/forwarding/src/attempts/relay.ts
@@ -210,7 +210,7 @@
     run.events += step.count;
     const hasGoneOn = stream.hasRepeated() || run.events - eventsBefore > 1;
     if (hasGoneOn) run.host.endHistory.apartEnds.clear(attempt.slot.endpoint.name);
-    noteEvents(run, attempt, stream);
+    await noteEvents(run, attempt, stream);
     run.course.lastEventAt = run.host.clock.elapsed();
     run.course.openSince = undefined;
     const unnumbered = step.unnumbered ?? 0;
--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -200,7 +200,6 @@
     versions,
     targets,
     countInstances: instanceCount.get,
-    getViewAge: endpointFeed.getAge,
     refreshEndpoints,
     areVersionsLoaded: versionRows.isLoaded,
     areSeveralRecorded: versionRows.hasSeveral,
--- a/packages/forwarding/src/origins/originMemory.ts
+++ b/packages/forwarding/src/origins/originMemory.ts
@@ -14,6 +14,11 @@
   version: string | undefined;
 }
 
+/** An origin, and whether the stream may be of another version than that, so that it can go on nowhere. */
+export interface RecordedOrigin extends StreamOrigin {
+  isDoubted: boolean;
+}
+
 /** Who sent the first event of a stream that began here, as far as it bears on what is known of its version. */
 export type OriginSource =
   /** The incarnation of the name, which was listed: it has told its start. */
@@ -27,6 +32,8 @@
 export interface OriginMemory {
   /** Remembers the origin, and who sent the first event if the stream began here. */
   set(stream: string, origin: StreamOrigin, source?: OriginSource): void;
+  /** Remembers the origin as it was recorded. */
+  restore(stream: string, origin: RecordedOrigin): void;
   find(stream: string): StreamOrigin | undefined;
   /**
    * Tells the other version with which the endpoint of the id, or the incarnation of the name, is listed now. Doubts the
@@ -34,8 +41,10 @@
    */
   doubt(endpoint: string, version: string | undefined, duration: Milliseconds): void;
   isDoubted(stream: string): boolean;
-  /** Returns the streams with their origins, the oldest first, without those that are doubted. */
-  list(): [stream: string, origin: StreamOrigin][];
+  /** Whether any stream that callers may still take up is doubted. */
+  hasDoubted(): boolean;
+  /** Returns the streams with their origins, the oldest first. */
+  list(): [stream: string, origin: RecordedOrigin][];
 }
 
 interface Entry {
@@ -79,6 +88,11 @@
       entries.set(stream, { origin, endpoint, setAt: clock.elapsed(), isDoubted });
       prune();
     },
+    restore(stream, { service, version, isDoubted }) {
+      const origin = { service, version };
+      entries.set(stream, { origin, endpoint: undefined, setAt: clock.elapsed(), isDoubted });
+      prune();
+    },
     find(stream) {
       prune();
       return entries.get(stream)?.origin;
@@ -92,11 +106,16 @@
       });
     },
     isDoubted: (stream) => entries.get(stream)?.isDoubted ?? false,
+    hasDoubted() {
+      prune();
+      return [...entries.values()].some(({ isDoubted }) => isDoubted);
+    },
     list() {
       prune();
-      return [...entries]
-        .filter(([, { isDoubted }]) => !isDoubted)
-        .map(([stream, { origin }]) => [stream, origin]);
+      return [...entries].map(([stream, { origin, isDoubted }]) => [
+        stream,
+        { ...origin, isDoubted },
+      ]);
     },
   };
 }
--- a/packages/forwarding/src/origins/originReader.ts
+++ b/packages/forwarding/src/origins/originReader.ts
@@ -2,7 +2,7 @@
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { RowStore, RowView } from '@pomeloroad/storage';
 import { decodeOrigins, getOriginPartitions, isRecentRow } from './originRows';
-import type { StreamOrigin } from './originMemory';
+import type { RecordedOrigin } from './originMemory';
 import type { OriginsByName } from './originRows';
 
 /** Maximum time of a read; a caller that waits longer would give up. */
@@ -12,7 +12,7 @@
 export interface RecordedOrigins {
   byName: OriginsByName;
   /** Those in rows that were written lately. */
-  recent: StreamOrigin[];
+  recent: RecordedOrigin[];
 }
 
 /** Returns the recorded origins, or `undefined` if the store fails. */
--- a/packages/forwarding/src/origins/originRows.ts
+++ b/packages/forwarding/src/origins/originRows.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from '@pomeloroad/core';
 import type { RowKey } from '@pomeloroad/storage';
 import { isText, parseList } from '../store/rowFields';
-import type { StreamOrigin } from './originMemory';
+import type { RecordedOrigin } from './originMemory';
 import { STREAM_TIME_MAX_MS } from './versionHistory';
 
 const ORIGIN_TABLE = 'origins';
@@ -24,8 +24,11 @@
   storeTime: Milliseconds;
 }
 
+/** Ends the group of streams that are doubted; earlier builds read no further than the names. */
+const DOUBTED = 'doubted';
+
 /** Origins of streams by their names in rows. */
-export type OriginsByName = Map<string, StreamOrigin[]>;
+export type OriginsByName = Map<string, RecordedOrigin[]>;
 
 /** Returns the partitions of the table, each of which holds rows of some instances. */
 export function getOriginPartitions(): Pick<RowKey, 'table' | 'partition'>[] {
@@ -45,20 +48,20 @@
 
 /**
  * Encodes the time of writing and the origins of streams by name: for each origin its service, version
- * and streams.
+ * and streams, and whether these are doubted.
  */
 export function encodeOrigins(
-  streams: [name: string, origin: StreamOrigin][],
+  streams: [name: string, origin: RecordedOrigin][],
   { timeOfDay, storeTime }: RowTime,
 ): string {
   if (streams.length === 0) return EMPTY_ROW;
-  const groups = groupBy(streams, ([, { service, version }]) =>
-    JSON.stringify([service, version ?? null]),
+  const groups = groupBy(streams, ([, { service, version, isDoubted }]) =>
+    JSON.stringify([service, version ?? null, ...(isDoubted ? [DOUBTED] : [])]),
   );
-  const origins = [...groups].map(([origin, group]) => [
-    ...JSON.parse(origin),
-    group.map(([name]) => name),
-  ]);
+  const origins = [...groups].map(([key, group]) => {
+    const [service, version, ...doubt] = JSON.parse(key);
+    return [service, version, group.map(([name]) => name), ...doubt];
+  });
   return JSON.stringify([timeOfDay.getTime(), Math.round(storeTime), ...origins]);
 }
 
@@ -80,9 +83,10 @@
 export function decodeOrigins(value: string, origins: OriginsByName): void {
   parseList(value).forEach((group) => {
     if (!Array.isArray(group)) return;
-    const [service, version, names] = group as unknown[];
+    const [service, version, names, doubt] = group as unknown[];
     if (!isText(service) || !Array.isArray(names)) return;
-    const origin = { service, version: isText(version) ? version : undefined };
+    const isDoubted = doubt === DOUBTED;
+    const origin = { service, version: isText(version) ? version : undefined, isDoubted };
     names.filter(isText).forEach((name) => {
       origins.set(name, [...(origins.get(name) ?? []), origin]);
     });
--- a/packages/forwarding/src/origins/originWriter.ts
+++ b/packages/forwarding/src/origins/originWriter.ts
@@ -33,6 +33,8 @@
 export interface OriginWriter {
   /** Notes that there is a new origin. */
   note(): void;
+  /** Notes that there is one that others need; resolves once it is in the store. */
+  record(): Promise<void>;
 }
 
 /**
@@ -49,6 +51,8 @@
   let isWriting = false;
   let lastWriteAt: Milliseconds = -Infinity;
   let isRowEmpty = true;
+  /** Called once what was noted by then is in the store. */
+  let onWritten: (() => void)[] = [];
   /** Time of `clock.elapsed()` until which the origins of an earlier run are kept. */
   let keepUntil: Milliseconds = -Infinity;
 
@@ -72,7 +76,7 @@
     const origins: OriginsByName = new Map();
     decodeOrigins(row.value, origins);
     origins.forEach(([origin], name) => {
-      if (origin && !memory.find(name)) memory.set(name, origin);
+      if (origin && !memory.find(name)) memory.restore(name, origin);
     });
     return true;
   }
@@ -87,6 +91,8 @@
     if (isNeeded() && storeTime.getAge() > STORE_TIME_AGE_MAX_MS) await read();
     // In one step with the change of `isDirty`: a stream that is noted in between would be missed.
     const value = isNeeded() ? encode() : EMPTY_ROW;
+    const callbacks = onWritten;
+    onWritten = [];
     // Streams that an empty row leaves out are written once they are needed.
     isDirty = value === EMPTY_ROW;
     const written = await rows.transact({
@@ -97,9 +103,11 @@
     if (written.ok) {
       version = written.val.revision;
       isRowEmpty = value === EMPTY_ROW;
+      callbacks.forEach((callback) => callback());
       return true;
     }
     isDirty = true;
+    onWritten.unshift(...callbacks);
     // An earlier write without an answer has taken effect, or the store came back from a copy.
     if (written.val.kind === 'conflict') {
       version = written.val.rows.find((row) => row.key === key.key)?.version ?? 0;
@@ -133,11 +141,20 @@
     await flush();
   }
 
+  function note(): void {
+    isDirty = true;
+    flush();
+  }
+
   runPeriodically(clock, () => CHECK_INTERVAL_MS, signal, check);
   return {
-    note() {
-      isDirty = true;
-      flush();
+    note,
+    record() {
+      const recorded = new Promise<void>((resolve) => {
+        onWritten.push(resolve);
+      });
+      note();
+      return recorded;
     },
   };
 }
--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -2,19 +2,18 @@
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { RowStore } from '@pomeloroad/storage';
 import { createOriginMemory } from './originMemory';
-import type { OriginSource, StreamOrigin } from './originMemory';
+import type { OriginSource, RecordedOrigin, StreamOrigin } from './originMemory';
 import { createOriginReader, READ_TIMEOUT_MS } from './originReader';
 import { getStreamName } from './originRows';
 import { startOriginWriter } from './originWriter';
-import { STREAM_TIME_MAX_MS } from './versionHistory';
 import type { TargetHistory } from './targetHistory';
 import type { VersionHistory } from './versionHistory';
 import type { Route } from '../types';
 
-/** Age of the knowledge of endpoints beyond which a version may have come and gone unseen. */
-const VIEW_AGE_MAX_MS: Milliseconds = 2500;
 /** Time for which the origin of a stream is in doubt whose endpoint tells no start. */
 const DOUBT_TIME_MS: Milliseconds = 2500;
+/** Time for which the first event of a stream waits until others can know that its version is in doubt. */
+const RECORD_TIMEOUT_MS: Milliseconds = 700;
 /** Pause before the store is read again for an origin that may be on its way to it. */
 const READ_AGAIN_DELAY_MS: Milliseconds = 250;
 
@@ -27,8 +26,6 @@
   versions: VersionHistory;
   targets: TargetHistory;
   countInstances(): number;
-  /** Returns the age of the knowledge of endpoints. */
-  getViewAge(): Milliseconds;
   /** Reads the entries of all endpoints again; false if the store failed. */
   refreshEndpoints(): Promise<boolean>;
   /** Whether the versions are known that served before this instance started. */
@@ -46,8 +43,11 @@
 
 /** Where streams began, as far as anyone knows. */
 export interface StreamOrigins {
-  /** Remembers where a stream began, before its caller gets the first event, and who sent that if it began here. */
-  note(stream: string, origin: StreamOrigin, source?: OriginSource): void;
+  /**
+   * Remembers where a stream began, before its caller gets the first event, and who sent that if it began here. Resolves
+   * once all instances can know if it may go on nowhere, or after a while if the store does not take that.
+   */
+  note(stream: string, origin: StreamOrigin, source?: OriginSource): Promise<void>;
   /**
    * Tells that the endpoint of the id, or the incarnation of the name, is listed with another version now, the given one:
    * streams that it began shortly before may be of either.
@@ -65,19 +65,16 @@
 /** Starts remembering origins and, while a service has several versions, recording them. */
 export function startStreamOrigins(host: StreamOriginsHost): StreamOrigins {
   const { clock, versions, targets } = host;
-  const startedAt = clock.elapsed();
   const memory = createOriginMemory(clock);
   const readOrigins = createOriginReader(clock, host.rows);
   // An instance that starts counts versions that others know to have gone, and looks for all streams then.
   const isNeeded = () =>
-    versions.hasSeveralAnywhere() || host.areSeveralRecorded() || targets.hasChangedAnywhere();
+    versions.hasSeveralAnywhere() ||
+    host.areSeveralRecorded() ||
+    targets.hasChangedAnywhere() ||
+    memory.hasDoubted();
   const writer = startOriginWriter({ ...host, memory, isNeeded });
 
-  function mayMissVersions(): boolean {
-    const hasJustStarted = clock.elapsed() - startedAt < STREAM_TIME_MAX_MS;
-    return hasJustStarted || host.getViewAge() > VIEW_AGE_MAX_MS;
-  }
-
   async function findRecorded(
     name: string,
     services: string[],
@@ -87,6 +84,7 @@
     if (!origins || !host.areVersionsLoaded())
       return { kind: 'unknown', reason: 'store unavailable' };
     const recorded = origins.byName.get(name) ?? [];
+    if (recorded.some(({ isDoubted }) => isDoubted)) return { kind: 'unknown', reason: 'doubted' };
     const origin = choose(recorded, services);
     if (origin) return { kind: 'known', origin, source: 'store' };
     if (isElsewhere(recorded, services)) return { kind: 'unknown', reason: 'not routed' };
@@ -95,7 +93,7 @@
       : { kind: 'any' };
   }
 
-  function hasSeveral(service: string, recorded: StreamOrigin[] = []): boolean {
+  function hasSeveral(service: string, recorded: RecordedOrigin[] = []): boolean {
     const ofService = recorded.filter((origin) => origin.service === service);
     return versions.hasSeveral(
       service,
@@ -104,13 +102,15 @@
   }
 
   return {
-    note(stream, origin, source) {
-      memory.set(getStreamName(stream), origin, source);
-      writer.note();
+    async note(stream, origin, source) {
+      const name = getStreamName(stream);
+      memory.set(name, origin, source);
+      if (!memory.isDoubted(name)) writer.note();
+      else await withTimeout(clock, RECORD_TIMEOUT_MS, writer.record(), undefined);
     },
     doubt(endpoint, version) {
       memory.doubt(endpoint, version, DOUBT_TIME_MS);
-      // The row is written again without these streams.
+      // The row is written again, with the doubt.
       writer.note();
     },
     isDoubted: (stream) => memory.isDoubted(getStreamName(stream)),
@@ -120,21 +120,25 @@
       const own = memory.find(name);
       if (own && isElsewhere([own], services)) return { kind: 'unknown', reason: 'not routed' };
       if (own) return { kind: 'known', origin: own, source: 'memory' };
-      const mayMiss = mayMissVersions();
       // A stream begins only at an incarnation that is listed, maybe one of which only another instance knows yet.
       const isCurrent = await withTimeout(clock, READ_TIMEOUT_MS, host.refreshEndpoints(), false);
       const hasMoved = targets.findServices(route, stream).length > 1;
       const isUnclear = hasMoved || services.some((service) => hasSeveral(service));
       if (!isUnclear && !isCurrent) return { kind: 'unknown', reason: 'store unavailable' };
-      if (!isUnclear && !mayMiss) return { kind: 'any' };
+      // Another instance may know a version that came and went here unseen, or that a stream's one is in doubt.
       const found = await findRecorded(name, services, hasMoved);
-      if (found.kind !== 'unknown' || found.reason === 'not routed') return found;
+      const mayBeOnItsWay = found.kind === 'unknown' && isKnownLater(found.reason);
+      if (!mayBeOnItsWay) return found;
       await sleep(clock, READ_AGAIN_DELAY_MS, host.signal);
       return findRecorded(name, services, hasMoved);
     },
   };
 }
 
+function isKnownLater(reason: Extract<TakeUp, { kind: 'unknown' }>['reason']): boolean {
+  return reason === 'not recorded' || reason === 'store unavailable';
+}
+
 // Whether a stream began at services to none of which its route leads any more.
 function isElsewhere(origins: StreamOrigin[], services: string[]): boolean {
   return origins.length > 0 && origins.every(({ service }) => !services.includes(service));
@@ -145,5 +149,5 @@
   const service = services.find((name) => origins.some((origin) => origin.service === name));
   const [first, ...others] = origins.filter((origin) => origin.service === service);
   const isClear = others.every((origin) => origin.version === first?.version);
-  return isClear ? first : undefined;
+  return first && isClear ? { service: first.service, version: first.version } : undefined;
 }
--- a/packages/forwarding/src/origins/takeUp.ts
+++ b/packages/forwarding/src/origins/takeUp.ts
@@ -32,12 +32,15 @@
     .exhaustive();
 }
 
-/** Binds the run to the version that brought its first event, and remembers it for take-ups. */
-export function noteEvents<Payload>(
+/**
+ * Binds the run to the version that brought its first event, and remembers it for take-ups. Resolves once that event may be
+ * passed on.
+ */
+export async function noteEvents<Payload>(
   run: Run<Payload>,
   { slot, endpoint }: SentAttempt,
   { incarnation }: EventStream,
-): void {
+): Promise<void> {
   const { host, request } = run;
   if (run.origin || !request.route.isResumable) return;
   run.isUnproved = incarnation === 'unproved';
@@ -47,7 +50,7 @@
     .with('unproved', (kind) => ({ kind }))
     .with(undefined, () => ({ kind: 'listed' as const, endpoint: endpoint?.id ?? '' }))
     .exhaustive();
-  host.origins.note(getStream(run), run.origin, source);
+  await host.origins.note(getStream(run), run.origin, source);
 }
 
 /** Returns whether the version that began the run's stream is in doubt, so that no endpoint may go on. */
