--- a/packages/forwarding/test/streamOrigins.test.ts
+++ b/packages/forwarding/test/streamOrigins.test.ts
@@ -1,124 +1,20 @@
-import { Err } from 'ts-results';
 import { createManualClock } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
-import type { RowStore, RowTransaction } from '@pomeloroad/storage';
 import { encodeOrigins, getOriginPartitions, isRecentRow } from '../src/origins/originRows';
-import { startStreamOrigins } from '../src/origins/streamOrigins';
-import type { TakeUp } from '../src/origins/streamOrigins';
-import { createTargetHistory } from '../src/origins/targetHistory';
-import { createVersionHistory } from '../src/origins/versionHistory';
-import { createRouteTable } from '../src';
-import type { EndpointRecord, ForwardConfiguration, Route } from '../src';
-
-const LLM_V1 = { service: 'llm', version: 'v1' };
-const REMEMBERED_MS = 16_000;
-
-function createRecord(service: string, version: string | undefined): EndpointRecord {
-  return {
-    id: `${service}-${version}`,
-    born: 1,
-    sequence: 1,
-    service,
-    address: '10.0.0.1:80',
-    dataCentre: 'kent',
-    isLeaving: false,
-    concurrency: 4,
-    version,
-  };
-}
-
-type Clock = ReturnType<typeof createManualClock>;
-
-// A route that sends the same share of its requests to each of the services.
-function createRoute(services: string[], prefix = '/'): Route {
-  const targets = services.map((service) => ({ service, weight: 1 }));
-  return { host: 'a', prefix, isResumable: true, targets } as unknown as Route;
-}
-
-function createConfiguration(routes: Route[]): ForwardConfiguration {
-  return { version: 1, routes, accounts: [], services: [] } as unknown as ForwardConfiguration;
-}
-
-// Returns the clock of an instance whose time of day is ahead of that of others.
-function shiftDay(clock: Clock, ahead: number): Clock {
-  return { ...clock, now: () => new Date(clock.now().getTime() + ahead) };
-}
-
-// Starts an instance that knows the given versions of one service; counts its calls to the store.
-function startInstance(clock: Clock, store: RowStore, instance: string, names: string[]) {
-  let calls = 0;
-  let isStoreLost = false;
-  let unread: (string | undefined)[] | undefined;
-  const versions = createVersionHistory(clock);
-  const setVersions = (next: (string | undefined)[]) =>
-    versions.update(next.map((version) => createRecord('llm', version)));
-  setVersions(names);
-  const targets = createTargetHistory(clock);
-
-  function count<Args extends unknown[], Result>(call: (...args: Args) => Promise<Result>) {
-    return (...args: Args): Promise<Result> => {
-      calls += 1;
-      return call(...args);
-    };
-  }
-
-  const rows: RowStore = {
-    ...store,
-    list: count(async (table: string, partition: string) =>
-      isStoreLost
-        ? Err({ kind: 'unavailable' as const, message: 'lost' })
-        : store.list(table, partition),
-    ),
-    transact: count(async (change: RowTransaction) =>
-      isStoreLost ? Err({ kind: 'unavailable' as const, message: 'lost' }) : store.transact(change),
-    ),
-  };
-  const origins = startStreamOrigins({
-    clock,
-    rows,
-    signal: new AbortController().signal,
-    instance,
-    versions,
-    targets,
-    countInstances: () => 8,
-    async refreshEndpoints() {
-      if (unread) setVersions(unread);
-      return !isStoreLost;
-    },
-    areVersionsLoaded: () => true,
-    areSeveralRecorded: () => false,
-  });
-  return {
-    ...origins,
-    setVersions,
-    setRoutes: (...routes: Route[]) =>
-      targets.update(createRouteTable(createConfiguration(routes))),
-    countCalls: () => calls,
-    /** Sets the versions that the next reading of the entries brings. */
-    setUnread(next: (string | undefined)[]) {
-      unread = next;
-    },
-    loseStore() {
-      isStoreLost = true;
-    },
-  };
-}
-
-async function find(
-  clock: Clock,
-  { find: findOrigin }: ReturnType<typeof startInstance>,
-  stream: string,
-  services = ['llm'],
-): Promise<TakeUp> {
-  const found = findOrigin(stream, services, createRoute(services));
-  await clock.advance(2000);
-  return found;
-}
+import type { Route } from '../src';
+import {
+  createRoute,
+  find,
+  LLM_V1,
+  REMEMBERED_MS,
+  shiftDay,
+  startInstance,
+  startOne,
+  startTwo,
+} from './originInstances';
 
 test('with one version in the remembered time nothing is written, and take-ups at once read once', async () => {
-  const clock = createManualClock();
-  const one = startInstance(clock, createMemoryRowStore(), 'one', ['v1']);
-  await clock.advance(REMEMBERED_MS);
+  const { clock, one } = await startOne(['v1']);
   const before = one.countCalls();
   one.note('a', LLM_V1);
   await clock.advance(1000);
@@ -129,9 +25,7 @@
 });
 
 test('streams that begin at once are recorded together', async () => {
-  const clock = createManualClock();
-  const one = startInstance(clock, createMemoryRowStore(), 'one', ['v1', 'v2']);
-  await clock.advance(REMEMBERED_MS);
+  const { clock, one } = await startOne(['v1', 'v2']);
   const before = one.countCalls();
   for (let index = 0; index < 50; index += 1) {
     one.note(`stream-${index}`, LLM_V1);
@@ -142,11 +36,7 @@
 });
 
 test('a recorded stream is known elsewhere, and only that one', async () => {
-  const clock = createManualClock();
-  const store = createMemoryRowStore();
-  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
-  const two = startInstance(clock, store, 'two', ['v1', 'v2']);
-  await clock.advance(REMEMBERED_MS);
+  const { clock, one, two } = await startTwo(['v1', 'v2']);
   one.note('a', LLM_V1);
   await clock.advance(200);
   expect(await find(clock, two, 'a')).toEqual({ kind: 'known', origin: LLM_V1, source: 'store' });
@@ -154,11 +44,7 @@
 });
 
 test('a stream that began before the second version came is recorded when it comes', async () => {
-  const clock = createManualClock();
-  const store = createMemoryRowStore();
-  const one = startInstance(clock, store, 'one', ['v1']);
-  const two = startInstance(clock, store, 'two', ['v1']);
-  await clock.advance(REMEMBERED_MS);
+  const { clock, one, two } = await startTwo(['v1']);
   one.note('a', LLM_V1);
   [one, two].forEach((instance) => instance.setVersions(['v1', 'v2']));
   await clock.advance(500);
@@ -166,10 +52,7 @@
 });
 
 test('a version that has gone counts while streams of it may be taken up', async () => {
-  const clock = createManualClock();
-  const store = createMemoryRowStore();
-  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
-  await clock.advance(REMEMBERED_MS);
+  const { clock, one } = await startOne(['v1', 'v2']);
   one.setVersions(['v2']);
   await clock.advance(12_000);
   expect(await find(clock, one, 'a')).toMatchObject({ kind: 'unknown' });
@@ -263,19 +146,13 @@
 });
 
 test('nothing is taken up while the store is lost', async () => {
-  const clock = createManualClock();
-  const one = startInstance(clock, createMemoryRowStore(), 'one', ['v1']);
-  await clock.advance(REMEMBERED_MS);
+  const { clock, one } = await startOne(['v1']);
   one.loseStore();
   expect(await find(clock, one, 'a')).toEqual({ kind: 'unknown', reason: 'store unavailable' });
 });
 
 test('a stream of a version in doubt goes on at no instance, and others do', async () => {
-  const clock = createManualClock();
-  const store = createMemoryRowStore();
-  const one = startInstance(clock, store, 'one', ['v1']);
-  const two = startInstance(clock, store, 'two', ['v1']);
-  await clock.advance(REMEMBERED_MS);
+  const { clock, store, one, two } = await startTwo(['v1']);
   one.note('a', LLM_V1);
   const noted = one.note('b', LLM_V1, { kind: 'unproved' });
   await clock.advance(200);
@@ -327,10 +204,7 @@
 });
 
 test('versions of one service say nothing of another’s', async () => {
-  const clock = createManualClock();
-  const store = createMemoryRowStore();
-  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
-  await clock.advance(REMEMBERED_MS);
+  const { clock, store, one } = await startOne(['v1', 'v2']);
   one.note('a', LLM_V1);
   one.note('c', { service: 'chat', version: undefined });
   await clock.advance(200);
