--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -8,12 +8,14 @@
 import { startOriginWriter } from './originWriter';
 import type { TargetHistory } from './targetHistory';
 import type { VersionHistory } from './versionHistory';
-import type { Route } from '../types';
+import type { Identity, Route } from '../types';
 
 /** Time for which the origin of a stream is in doubt whose endpoint tells no start. */
 const DOUBT_TIME_MS: Milliseconds = 2500;
 /** Time for which the first event of a stream waits until others can know that its version is in doubt. */
 const RECORD_TIMEOUT_MS: Milliseconds = 700;
+/** Pauses before each question that may prove a stream's source late. */
+const PROOF_PAUSES_MS: Milliseconds[] = [0, 500, 1500];
 /** Pause before the store is read again for an origin that may be on its way to it. */
 const READ_AGAIN_DELAY_MS: Milliseconds = 250;
 
@@ -41,13 +43,28 @@
   | { kind: 'known'; origin: StreamOrigin; source: 'memory' | 'store' }
   | { kind: 'unknown'; reason: 'not recorded' | 'not routed' | 'store unavailable' | 'doubted' };
 
+/** How the source of an unproved stream may be proved after it has begun. */
+export interface LateProof {
+  /** Name of the incarnation that was listed when the stream's connection was opened. */
+  incarnation: string;
+  /** Asks what serves at its address now. */
+  identify(): Promise<Identity>;
+  /** Called once the incarnation is proved. */
+  onProved(): void;
+}
+
 /** Where streams began, as far as anyone knows. */
 export interface StreamOrigins {
   /**
    * Remembers where a stream began, before its caller gets the first event, and who sent that if it began here. Resolves
    * once all instances can know if it may go on nowhere, or after a while if the store does not take that.
    */
-  note(stream: string, origin: StreamOrigin, source?: OriginSource): Promise<void>;
+  note(
+    stream: string,
+    origin: StreamOrigin,
+    source?: OriginSource,
+    proof?: LateProof,
+  ): Promise<void>;
   /**
    * Tells that the endpoint of the id, or the incarnation of the name, is listed with another version now, the given one:
    * streams that it began shortly before may be of either.
@@ -101,10 +118,27 @@
     );
   }
 
+  // Processes at one address follow each other, so one that serves there now and was listed before the stream's connection
+  // was opened has sent the stream.
+  async function proveLate(name: string, origin: StreamOrigin, proof: LateProof): Promise<void> {
+    const { incarnation, identify, onProved } = proof;
+    for (const pause of PROOF_PAUSES_MS) {
+      await sleep(clock, pause, host.signal);
+      const identity = host.signal.aborted ? 'unknown' : await identify();
+      if (identity === 'same') {
+        memory.set(name, origin, { kind: 'proved', incarnation });
+        writer.note();
+        onProved();
+      }
+      if (host.signal.aborted || identity === 'same' || identity === 'other') return;
+    }
+  }
+
   return {
-    async note(stream, origin, source) {
+    async note(stream, origin, source, proof) {
       const name = getStreamName(stream);
       memory.set(name, origin, source);
+      if (source?.kind === 'unproved' && proof) proveLate(name, origin, proof);
       if (!memory.isDoubted(name)) writer.note();
       else await withTimeout(clock, RECORD_TIMEOUT_MS, writer.record(), undefined);
     },
--- a/packages/forwarding/src/origins/takeUp.ts
+++ b/packages/forwarding/src/origins/takeUp.ts
@@ -50,7 +50,12 @@
     .with('unproved', (kind) => ({ kind }))
     .with(undefined, () => ({ kind: 'listed' as const, endpoint: endpoint?.id ?? '' }))
     .exhaustive();
-  await host.origins.note(getStream(run), run.origin, source);
+  const proof = endpoint && {
+    incarnation: getIncarnation(endpoint),
+    identify: () => host.protocol.identify(endpoint),
+    onProved: () => Object.assign(run, { isUnproved: false }),
+  };
+  await host.origins.note(getStream(run), run.origin, source, proof);
 }
 
 /** Returns whether the version that began the run's stream is in doubt, so that no endpoint may go on. */
