--- a/packages/forwarding/src/origins/originMemory.ts
+++ b/packages/forwarding/src/origins/originMemory.ts
@@ -2,7 +2,7 @@
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { STREAM_TIME_MAX_MS } from './versionHistory';
 
-/** Maximum number of streams that are remembered; the oldest is forgotten first. */
+/** Maximum number of streams that are remembered, of those in doubt and of others; the oldest is forgotten first. */
 const STREAMS_MAX = 1000;
 /** Maximum number of endpoints that are remembered as started again; the oldest is forgotten first. */
 const RENEWED_MAX = 1000;
@@ -50,6 +50,7 @@
 interface Entry {
   origin: StreamOrigin;
   endpoint: string | undefined;
+  begunAt: Milliseconds;
   setAt: Milliseconds;
   isDoubted: boolean;
 }
@@ -63,9 +64,17 @@
     const since = clock.elapsed() - STREAM_TIME_MAX_MS;
     // Entries stand in the order of their times.
     for (const [stream, { setAt }] of entries) {
-      if (setAt >= since && entries.size <= STREAMS_MAX) return;
+      if (setAt >= since) break;
       entries.delete(stream);
     }
+    if (entries.size > STREAMS_MAX) [false, true].forEach(forgetOldest);
+  }
+
+  // A doubt that gave way to other streams would let its stream go on wherever one version is known.
+  function forgetOldest(isDoubted: boolean): void {
+    const alike = [...entries].filter(([, entry]) => entry.isDoubted === isDoubted);
+    const surplus = Math.max(0, alike.length - STREAMS_MAX);
+    alike.slice(0, surplus).forEach(([stream]) => entries.delete(stream));
   }
 
   function noteRenewed(endpoint: string, version: string | undefined): void {
@@ -82,15 +91,23 @@
 
   return {
     set(stream, origin, source) {
+      const now = clock.elapsed();
+      // A stream that is taken up began where it did, so what is learnt of its source later still counts.
+      const begun = source ? undefined : entries.get(stream);
       entries.delete(stream);
-      const endpoint = source && getDoubtName(source);
-      const isDoubted = source?.kind === 'unproved' || isOutdated(endpoint, origin);
-      entries.set(stream, { origin, endpoint, setAt: clock.elapsed(), isDoubted });
+      const endpoint = source ? getDoubtName(source) : begun?.endpoint;
+      const isDoubted = begun?.isDoubted === true || source?.kind === 'unproved';
+      const begunAt = begun?.begunAt ?? now;
+      entries.set(stream, {
+        ...{ origin, endpoint, begunAt, setAt: now },
+        isDoubted: isDoubted || isOutdated(endpoint, origin),
+      });
       prune();
     },
     restore(stream, { service, version, isDoubted }) {
+      const now = clock.elapsed();
       const origin = { service, version };
-      entries.set(stream, { origin, endpoint: undefined, setAt: clock.elapsed(), isDoubted });
+      entries.set(stream, { origin, endpoint: undefined, begunAt: now, setAt: now, isDoubted });
       prune();
     },
     find(stream) {
@@ -101,7 +118,7 @@
       noteRenewed(endpoint, version);
       const since = clock.elapsed() - duration;
       entries.forEach((entry, stream) => {
-        const isAffected = entry.endpoint === endpoint && entry.setAt >= since;
+        const isAffected = entry.endpoint === endpoint && entry.begunAt >= since;
         if (isAffected) entries.set(stream, { ...entry, isDoubted: true });
       });
     },
