--- a/packages/forwarding/src/ends/answerEnd.ts
+++ b/packages/forwarding/src/ends/answerEnd.ts
@@ -132,7 +132,7 @@
  */
 async function isEndpointGone<Payload>(
   run: Run<Payload>,
-  { endpoint }: SentAttempt,
+  { endpoint, told }: SentAttempt,
   fallback: boolean,
 ): Promise<boolean> {
   const { host } = run;
@@ -140,9 +140,12 @@
   if (run.stop.signal.aborted) return fallback;
   const getPatience = (): Milliseconds => Math.max(0, getTimeLeft(run));
   await sleep(host.clock, Math.min(PROCESS_END_MS, getPatience()));
-  // Its next incarnation may have the same address.
+  // Its next incarnation may have the same address. Where that was there before the request, it has sent the answer.
   const question = createIncarnationQuestion(host, endpoint);
-  const finding = await withTimeout(host.clock, getPatience(), question.ask(), 'unknown');
+  const otherTime = host.directory.getOtherTime(endpoint);
+  const isOfOther = otherTime !== undefined && otherTime >= host.clock.elapsed() - told.at;
+  const asking = isOfOther ? question.askAddress() : question.ask();
+  const finding = await withTimeout(host.clock, getPatience(), asking, 'unknown');
   if (getTimeLeft(run) <= 0) return fallback;
   return finding === 'ended';
 }
--- a/packages/forwarding/src/ends/incarnationQuestion.ts
+++ b/packages/forwarding/src/ends/incarnationQuestion.ts
@@ -15,7 +15,7 @@
 export interface IncarnationQuestionHost {
   clock: Clock;
   protocol: Pick<EndpointProtocol<unknown>, 'probe' | 'identify' | 'listIdle'>;
-  directory: Pick<EndpointDirectory, 'getFate' | 'find'>;
+  directory: Pick<EndpointDirectory, 'getFate' | 'find' | 'noteOther'>;
   /** Reads the entries of all endpoints again; false if that failed. */
   refreshEndpoints(): Promise<boolean>;
 }
@@ -25,6 +25,8 @@
   /** Whether its entry tells its start, so that the next incarnation may have the same id. */
   hasStart: boolean;
   ask(): Promise<Finding>;
+  /** Asks whether anything answers at its address. */
+  askAddress(): Promise<Finding>;
   /** Whether the entry of a later one is known. */
   hasRestarted(): boolean;
   /** Reads its entry; resolves to whether it has been renewed since, or `undefined` if there is none to be read. */
@@ -50,7 +52,9 @@
   }
 
   async function askIncarnation(): Promise<Finding> {
-    return match(await protocol.identify(endpoint))
+    const identity = await protocol.identify(endpoint);
+    if (identity === 'other') directory.noteOther(endpoint);
+    return match(identity)
       .with('same', () => 'lives' as const)
       .with('other', 'refused', () => 'ended' as const)
       .with('untold', () => 'untold' as const)
@@ -61,6 +65,7 @@
   return {
     hasStart,
     hasRestarted,
+    askAddress,
     async ask() {
       const finding = hasStart ? await askIncarnation() : await askAddress();
       return hasRestarted() ? 'ended' : finding;
--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -49,6 +49,10 @@
    * later incarnation, which tells that it has started again.
    */
   markReplaced(record: EndpointRecord, by: 'other' | 'later'): void;
+  /** Records that a process answers at the incarnation's address that is not that of the incarnation. */
+  noteOther(record: EndpointRecord): void;
+  /** Returns the time since that was first known; `undefined` if it is not, or if the entry of a later one is known. */
+  getOtherTime(record: EndpointRecord): Milliseconds | undefined;
   /** Excludes an incarnation for good because it said that it is leaving. */
   markLeaving(record: EndpointRecord): void;
   /** Records that the store does not answer, so that entries that lapse may reappear later. */
@@ -87,6 +91,8 @@
   mayLeave: boolean;
   /** Whether a later incarnation has answered, whose entry is not known yet. */
   isPast?: boolean;
+  /** Time of `clock.elapsed()` at which another process was first found at its address; left out if none was. */
+  otherAt?: Milliseconds | undefined;
 }
 
 /** Creates an empty directory. */
@@ -118,6 +124,7 @@
       hasStatedLeaving: isSameIncarnation && known.hasStatedLeaving && !record.isLeaving,
       mayLeave,
       isPast: isSameIncarnation && known.isPast === true,
+      otherAt: isSameIncarnation ? known.otherAt : undefined,
     });
     const { id, born, sequence, address, service, version } = record;
     if (known?.isListed && !isSameIncarnation) host.onLost(known.record);
@@ -220,6 +227,7 @@
       if (by === 'later') {
         // What needs no certain incarnation may go to the later one.
         known.isPast = true;
+        known.otherAt ??= clock.elapsed();
         return;
       }
       if (known.record.isLeaving) return;
@@ -227,6 +235,15 @@
       log(Diagnostics.endpointUnlisted, { endpoint: id, born, isReplaced: true });
       host.onChange();
     },
+    noteOther({ id, born }) {
+      const known = entries.get(id);
+      if (known?.record.born === born) known.otherAt ??= clock.elapsed();
+    },
+    getOtherTime({ id, born }) {
+      const known = entries.get(id);
+      if (known?.otherAt === undefined || known.record.born !== born) return undefined;
+      return clock.elapsed() - known.otherAt;
+    },
     markLeaving({ id, born, version }) {
       const known = entries.get(id);
       if (!known || !isSameRun(known.record, { ...known.record, born, version })) return;
--- a/packages/forwarding/test/answerEnd.test.ts
+++ b/packages/forwarding/test/answerEnd.test.ts
@@ -15,6 +15,8 @@
   identity?: Identity;
   isLeaving?: boolean;
   fate?: IncarnationFate;
+  /** How long before the request another process was found at its address; negative if after it. */
+  otherBefore?: number;
   /** The fate once the entries are read again, and how long that takes. */
   reading?: { fate: IncarnationFate; takes: number };
   /** Whether the connection closes just after the end. */
@@ -33,6 +35,7 @@
   const at = DEADLINE_MS - timeLeft;
   await clock.advance(at);
   const steps: string[] = [];
+  const sentAt = at - 100;
   const slot = {
     endpoint: { name: 'e/1' },
     isLeaving: () => isLeaving,
@@ -44,7 +47,14 @@
     host: {
       clock,
       closeHistory: { isCloseUnusual: () => isCloseUnusual },
-      directory: { getFate: () => (isRead ? reading.fate : fate) },
+      directory: {
+        getFate: () => (isRead ? reading.fate : fate),
+        noteOther: () => steps.push('other'),
+        getOtherTime: () =>
+          endpoint.otherBefore === undefined
+            ? undefined
+            : clock.elapsed() - sentAt + endpoint.otherBefore,
+      },
       async refreshEndpoints() {
         steps.push('refresh');
         await sleep(clock, reading.takes);
@@ -64,7 +74,8 @@
   } as unknown as Run<unknown>;
   let fault: string | undefined = 'not judged';
   const born = endpoint.identity ? 1 : 0;
-  const attempt = { slot, endpoint: { id: 'e', born } as EndpointRecord } as SentAttempt;
+  const record = { id: 'e', born } as EndpointRecord;
+  const attempt = { slot, endpoint: record, told: { at: sentAt } } as SentAttempt;
   const end = {
     framing,
     at,
@@ -115,7 +126,20 @@
   async (identity, isBroken) => {
     const { fault, steps } = await judge('close', 500, { identity });
     expect(fault !== undefined).toBe(isBroken);
-    expect(steps).toEqual(['ok', 'identify']);
+    expect(steps).toEqual(['ok', 'identify', ...(identity === 'other' ? ['other'] : [])]);
+  },
+);
+
+test.each<[number, Reachability, boolean]>([
+  [1, 'accepting', false],
+  [1, 'refused', true],
+  [-1, 'accepting', true],
+])(
+  'a close breaks the answer if another process was found %d ms before the request, and the address is %s: %s',
+  async (otherBefore, reachability, isBroken) => {
+    const endpoint = { otherBefore, reachability, fate: 'started again' as const };
+    const { fault } = await judge('close', 500, { ...endpoint, identity: 'other' });
+    expect(fault !== undefined).toBe(isBroken);
   },
 );
 
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -189,6 +189,8 @@
       find,
       getFate,
       getKnownTime: () => 0,
+      getOtherTime: () => undefined,
+      noteOther: () => {},
       markReplaced: () => {},
       listLapsed: () => [],
     },
@@ -213,7 +215,7 @@
     endpointLife: createEndpointLife({
       clock,
       protocol: { probe, identify, listIdle },
-      directory: { getFate, find: () => undefined },
+      directory: { getFate, find: () => undefined, noteOther: () => undefined },
       refreshEndpoints: async () => true,
       getHeldUpTime: () => 0,
     }),
--- a/packages/forwarding/test/endpointLife.test.ts
+++ b/packages/forwarding/test/endpointLife.test.ts
@@ -22,7 +22,7 @@
   };
   const life = createEndpointLife({
     clock,
-    directory: { getFate: () => 'listed', find: () => undefined },
+    directory: { getFate: () => 'listed', find: () => undefined, noteOther: () => undefined },
     getHeldUpTime: () => state.heldUp,
     protocol: {
       probe: async () => state.reachability,
@@ -110,6 +110,7 @@
     directory: {
       getFate: () => fate,
       find: () => ({ ...endpoint, sequence: store.sequence }),
+      noteOther: () => undefined,
     },
     getHeldUpTime: () => 0,
     protocol: {
