--- a/packages/forwarding/src/origins/originWriter.ts
+++ b/packages/forwarding/src/origins/originWriter.ts
@@ -29,12 +29,18 @@
   isNeeded(): boolean;
 }
 
+/** Somebody who waits for a write, until the signal is aborted. */
+interface Waiting {
+  signal: AbortSignal;
+  onWritten(): void;
+}
+
 /** Writes origins to the store. */
 export interface OriginWriter {
   /** Notes that there is a new origin. */
   note(): void;
-  /** Notes that there is one that others need; resolves once it is in the store. */
-  record(): Promise<void>;
+  /** Notes that there is one that others need; resolves once it is in the store, or the signal is aborted. */
+  record(signal: AbortSignal): Promise<void>;
 }
 
 /**
@@ -51,8 +57,8 @@
   let isWriting = false;
   let lastWriteAt: Milliseconds = -Infinity;
   let isRowEmpty = true;
-  /** Called once what was noted by then is in the store. */
-  let onWritten: (() => void)[] = [];
+  /** Those that wait until what was noted by then is in the store. */
+  let waiting: Waiting[] = [];
   /** Time of `clock.elapsed()` until which the origins of an earlier run are kept. */
   let keepUntil: Milliseconds = -Infinity;
 
@@ -91,8 +97,8 @@
     if (isNeeded() && storeTime.getAge() > STORE_TIME_AGE_MAX_MS) await read();
     // In one step with the change of `isDirty`: a stream that is noted in between would be missed.
     const value = isNeeded() ? encode() : EMPTY_ROW;
-    const callbacks = onWritten;
-    onWritten = [];
+    const served = waiting;
+    waiting = [];
     // Streams that an empty row leaves out are written once they are needed.
     isDirty = value === EMPTY_ROW;
     const written = await rows.transact({
@@ -103,11 +109,11 @@
     if (written.ok) {
       version = written.val.revision;
       isRowEmpty = value === EMPTY_ROW;
-      callbacks.forEach((callback) => callback());
+      served.forEach(({ onWritten }) => onWritten());
       return true;
     }
     isDirty = true;
-    onWritten.unshift(...callbacks);
+    waiting.unshift(...served);
     // An earlier write without an answer has taken effect, or the store came back from a copy.
     if (written.val.kind === 'conflict') {
       version = written.val.rows.find((row) => row.key === key.key)?.version ?? 0;
@@ -149,9 +155,12 @@
   runPeriodically(clock, () => CHECK_INTERVAL_MS, signal, check);
   return {
     note,
-    record() {
+    record(waitSignal) {
+      // While the store is lost, those that have given up are not kept.
+      waiting = waiting.filter((each) => !each.signal.aborted);
       const recorded = new Promise<void>((resolve) => {
-        onWritten.push(resolve);
+        waiting.push({ signal: waitSignal, onWritten: resolve });
+        waitSignal.addEventListener('abort', () => resolve(), { once: true });
       });
       note();
       return recorded;
--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -45,9 +45,15 @@
 export interface StreamOrigins {
   /**
    * Remembers where a stream began, before its caller gets the first event, and who sent that if it began here. Resolves
-   * once all instances can know if it may go on nowhere, or after a while if the store does not take that.
+   * once all instances can know if it may go on nowhere, or after a while if the store does not take that, or once the
+   * signal is aborted.
    */
-  note(stream: string, origin: StreamOrigin, source?: OriginSource): Promise<void>;
+  note(
+    stream: string,
+    origin: StreamOrigin,
+    source?: OriginSource,
+    signal?: AbortSignal,
+  ): Promise<void>;
   /**
    * Tells that the endpoint of the id, or the incarnation of the name, is listed with another version now, the given one:
    * streams that it began shortly before may be of either.
@@ -75,6 +81,13 @@
     memory.hasDoubted();
   const writer = startOriginWriter({ ...host, memory, isNeeded });
 
+  async function record(signal: AbortSignal): Promise<void> {
+    const given = new AbortController();
+    const over = AbortSignal.any([signal, given.signal]);
+    await Promise.race([writer.record(over), sleep(clock, RECORD_TIMEOUT_MS, over)]);
+    given.abort();
+  }
+
   async function findRecorded(
     name: string,
     services: string[],
@@ -102,11 +115,11 @@
   }
 
   return {
-    async note(stream, origin, source) {
+    async note(stream, origin, source, signal = host.signal) {
       const name = getStreamName(stream);
       memory.set(name, origin, source);
-      if (!memory.isDoubted(name)) writer.note();
-      else await withTimeout(clock, RECORD_TIMEOUT_MS, writer.record(), undefined);
+      if (memory.isDoubted(name)) await record(signal);
+      else writer.note();
     },
     doubt(endpoint, version) {
       memory.doubt(endpoint, version, DOUBT_TIME_MS);
--- a/packages/forwarding/src/origins/takeUp.ts
+++ b/packages/forwarding/src/origins/takeUp.ts
@@ -34,7 +34,7 @@
 
 /**
  * Binds the run to the version that brought its first event, and remembers it for take-ups. Resolves once that event may be
- * passed on.
+ * passed on, or need not be as the run ends.
  */
 export async function noteEvents<Payload>(
   run: Run<Payload>,
@@ -50,7 +50,7 @@
     .with('unproved', (kind) => ({ kind }))
     .with(undefined, () => ({ kind: 'listed' as const, endpoint: endpoint?.id ?? '' }))
     .exhaustive();
-  await host.origins.note(getStream(run), run.origin, source);
+  await host.origins.note(getStream(run), run.origin, source, run.stop.signal);
 }
 
 /** Returns whether the version that began the run's stream is in doubt, so that no endpoint may go on. */
