--- a/packages/forwarding/src/origins/originMemory.ts
+++ b/packages/forwarding/src/origins/originMemory.ts
@@ -35,6 +35,8 @@
   /** Remembers the origin as it was recorded. */
   restore(stream: string, origin: RecordedOrigin): void;
   find(stream: string): StreamOrigin | undefined;
+  /** Whether the stream began here, so that whatever puts it in doubt is known here. */
+  hasBegunHere(stream: string): boolean;
   /**
    * Tells the other version with which the endpoint of the id, or the incarnation of the name, is listed now. Doubts the
    * origins of streams that began there within the time, and of those that are still said to begin there with another one.
@@ -50,6 +52,7 @@
 interface Entry {
   origin: StreamOrigin;
   endpoint: string | undefined;
+  hasBegunHere: boolean;
   begunAt: Milliseconds;
   setAt: Milliseconds;
   isDoubted: boolean;
@@ -98,8 +101,9 @@
       const endpoint = source ? getDoubtName(source) : begun?.endpoint;
       const isDoubted = begun?.isDoubted === true || source?.kind === 'unproved';
       const begunAt = begun?.begunAt ?? now;
+      const hasBegunHere = source !== undefined || begun?.hasBegunHere === true;
       entries.set(stream, {
-        ...{ origin, endpoint, begunAt, setAt: now },
+        ...{ origin, endpoint, hasBegunHere, begunAt, setAt: now },
         isDoubted: isDoubted || isOutdated(endpoint, origin),
       });
       prune();
@@ -107,13 +111,17 @@
     restore(stream, { service, version, isDoubted }) {
       const now = clock.elapsed();
       const origin = { service, version };
-      entries.set(stream, { origin, endpoint: undefined, begunAt: now, setAt: now, isDoubted });
+      entries.set(stream, {
+        ...{ origin, endpoint: undefined, hasBegunHere: false, begunAt: now, setAt: now },
+        isDoubted,
+      });
       prune();
     },
     find(stream) {
       prune();
       return entries.get(stream)?.origin;
     },
+    hasBegunHere: (stream) => entries.get(stream)?.hasBegunHere ?? false,
     doubt(endpoint, version, duration) {
       noteRenewed(endpoint, version);
       const since = clock.elapsed() - duration;
--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -106,6 +106,13 @@
       : { kind: 'any' };
   }
 
+  // Where a stream was only taken up, what puts it in doubt later comes by the store.
+  async function isDoubtedElsewhere(name: string): Promise<boolean> {
+    if (memory.hasBegunHere(name)) return false;
+    const recorded = (await readOrigins())?.byName.get(name) ?? [];
+    return recorded.some(({ isDoubted }) => isDoubted);
+  }
+
   function hasSeveral(service: string, recorded: RecordedOrigin[] = []): boolean {
     const ofService = recorded.filter((origin) => origin.service === service);
     return versions.hasSeveral(
@@ -132,6 +139,7 @@
       if (memory.isDoubted(name)) return { kind: 'unknown', reason: 'doubted' };
       const own = memory.find(name);
       if (own && isElsewhere([own], services)) return { kind: 'unknown', reason: 'not routed' };
+      if (own && (await isDoubtedElsewhere(name))) return { kind: 'unknown', reason: 'doubted' };
       if (own) return { kind: 'known', origin: own, source: 'memory' };
       // A stream begins only at an incarnation that is listed, maybe one of which only another instance knows yet.
       const isCurrent = await withTimeout(clock, READ_TIMEOUT_MS, host.refreshEndpoints(), false);
--- a/packages/forwarding/test/doubtedOrigins.test.ts
+++ b/packages/forwarding/test/doubtedOrigins.test.ts
@@ -1,6 +1,6 @@
 import { createManualClock } from '@pomeloroad/core';
 import { createMemoryRowStore } from '@pomeloroad/storage';
-import { LLM_V1, REMEMBERED_MS, startInstance } from './originsStand';
+import { find, LLM_V1, REMEMBERED_MS, startInstance } from './originsStand';
 
 test('the first event of a stream in doubt waits no longer than its run', async () => {
   const clock = createManualClock();
@@ -19,3 +19,19 @@
   expect(isNoted).toBe(true);
   await noted;
 });
+
+test('a stream that was taken up is in doubt once that is recorded where it began', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
+  const two = startInstance(clock, store, 'two', ['v1', 'v2']);
+  await clock.advance(REMEMBERED_MS);
+  one.note('a', LLM_V1, { kind: 'listed', endpoint: 'e' });
+  await clock.advance(200);
+  // Takes 2 s, and the doubt reaches 2.5 s back.
+  expect(await find(clock, two, 'a')).toMatchObject({ kind: 'known', source: 'store' });
+  two.note('a', LLM_V1);
+  one.doubt('e', 'v2');
+  await clock.advance(200);
+  expect(await find(clock, two, 'a')).toEqual({ kind: 'unknown', reason: 'doubted' });
+});
