--- a/packages/forwarding/src/origins/originMemory.ts
+++ b/packages/forwarding/src/origins/originMemory.ts
@@ -1,8 +1,9 @@
 import { match } from 'ts-pattern';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import { STREAM_TIME_MAX_MS } from './versionHistory';
+import type { Identity } from '../types';
 
-/** Maximum number of streams that are remembered; the oldest is forgotten first. */
+/** Maximum number of streams that are remembered, of those in doubt and of others; the oldest is forgotten first. */
 const STREAMS_MAX = 1000;
 /** Maximum number of endpoints that are remembered as started again; the oldest is forgotten first. */
 const RENEWED_MAX = 1000;
@@ -19,14 +20,24 @@
   isDoubted: boolean;
 }
 
+/** How the source of an unproved stream may be proved after it has begun. */
+export interface LateProof {
+  /** Name of the incarnation that was listed when the stream's connection was opened. */
+  incarnation: string;
+  /** Asks what serves at its address now. */
+  identify(): Promise<Identity>;
+  /** Called once the incarnation is proved. */
+  onProved(): void;
+}
+
 /** Who sent the first event of a stream that began here, as far as it bears on what is known of its version. */
 export type OriginSource =
   /** The incarnation of the name, which was listed: it has told its start. */
   | { kind: 'proved'; incarnation: string }
   /** An endpoint that tells no start: the one with the id, unless another incarnation of it is listed soon. */
   | { kind: 'listed'; endpoint: string }
-  /** Nobody knows which incarnation. */
-  | { kind: 'unproved' };
+  /** Nobody knows which incarnation, until that is proved, if it can be. */
+  | { kind: 'unproved'; proof?: LateProof | undefined };
 
 /** The origins of the streams that began lately at this instance or were taken up at it. */
 export interface OriginMemory {
@@ -35,6 +46,8 @@
   /** Remembers the origin as it was recorded. */
   restore(stream: string, origin: RecordedOrigin): void;
   find(stream: string): StreamOrigin | undefined;
+  /** Whether the stream began here, so that whatever puts it in doubt is known here. */
+  hasBegunHere(stream: string): boolean;
   /**
    * Tells the other version with which the endpoint of the id, or the incarnation of the name, is listed now. Doubts the
    * origins of streams that began there within the time, and of those that are still said to begin there with another one.
@@ -50,6 +63,8 @@
 interface Entry {
   origin: StreamOrigin;
   endpoint: string | undefined;
+  hasBegunHere: boolean;
+  begunAt: Milliseconds;
   setAt: Milliseconds;
   isDoubted: boolean;
 }
@@ -63,9 +78,17 @@
     const since = clock.elapsed() - STREAM_TIME_MAX_MS;
     // Entries stand in the order of their times.
     for (const [stream, { setAt }] of entries) {
-      if (setAt >= since && entries.size <= STREAMS_MAX) return;
+      if (setAt >= since) break;
       entries.delete(stream);
     }
+    if (entries.size > STREAMS_MAX) [false, true].forEach(forgetOldest);
+  }
+
+  // A doubt that gave way to other streams would let its stream go on wherever one version is known.
+  function forgetOldest(isDoubted: boolean): void {
+    const alike = [...entries].filter(([, entry]) => entry.isDoubted === isDoubted);
+    const surplus = Math.max(0, alike.length - STREAMS_MAX);
+    alike.slice(0, surplus).forEach(([stream]) => entries.delete(stream));
   }
 
   function noteRenewed(endpoint: string, version: string | undefined): void {
@@ -82,26 +105,39 @@
 
   return {
     set(stream, origin, source) {
+      const now = clock.elapsed();
+      // A stream that is taken up began where it did, so what is learnt of its source later still counts.
+      const begun = source ? undefined : entries.get(stream);
       entries.delete(stream);
-      const endpoint = source && getDoubtName(source);
-      const isDoubted = source?.kind === 'unproved' || isOutdated(endpoint, origin);
-      entries.set(stream, { origin, endpoint, setAt: clock.elapsed(), isDoubted });
+      const endpoint = source ? getDoubtName(source) : begun?.endpoint;
+      const isDoubted = begun?.isDoubted === true || source?.kind === 'unproved';
+      const begunAt = begun?.begunAt ?? now;
+      const hasBegunHere = source !== undefined || begun?.hasBegunHere === true;
+      entries.set(stream, {
+        ...{ origin, endpoint, hasBegunHere, begunAt, setAt: now },
+        isDoubted: isDoubted || isOutdated(endpoint, origin),
+      });
       prune();
     },
     restore(stream, { service, version, isDoubted }) {
+      const now = clock.elapsed();
       const origin = { service, version };
-      entries.set(stream, { origin, endpoint: undefined, setAt: clock.elapsed(), isDoubted });
+      entries.set(stream, {
+        ...{ origin, endpoint: undefined, hasBegunHere: false, begunAt: now, setAt: now },
+        isDoubted,
+      });
       prune();
     },
     find(stream) {
       prune();
       return entries.get(stream)?.origin;
     },
+    hasBegunHere: (stream) => entries.get(stream)?.hasBegunHere ?? false,
     doubt(endpoint, version, duration) {
       noteRenewed(endpoint, version);
       const since = clock.elapsed() - duration;
       entries.forEach((entry, stream) => {
-        const isAffected = entry.endpoint === endpoint && entry.setAt >= since;
+        const isAffected = entry.endpoint === endpoint && entry.begunAt >= since;
         if (isAffected) entries.set(stream, { ...entry, isDoubted: true });
       });
     },
--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -2,13 +2,13 @@
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { RowStore } from '@pomeloroad/storage';
 import { createOriginMemory } from './originMemory';
-import type { OriginSource, RecordedOrigin, StreamOrigin } from './originMemory';
+import type { LateProof, OriginSource, RecordedOrigin, StreamOrigin } from './originMemory';
 import { createOriginReader, READ_TIMEOUT_MS } from './originReader';
 import { getStreamName } from './originRows';
 import { startOriginWriter } from './originWriter';
 import type { TargetHistory } from './targetHistory';
 import type { VersionHistory } from './versionHistory';
-import type { Identity, Route } from '../types';
+import type { Route } from '../types';
 
 /** Time for which the origin of a stream is in doubt whose endpoint tells no start. */
 const DOUBT_TIME_MS: Milliseconds = 2500;
@@ -43,27 +43,18 @@
   | { kind: 'known'; origin: StreamOrigin; source: 'memory' | 'store' }
   | { kind: 'unknown'; reason: 'not recorded' | 'not routed' | 'store unavailable' | 'doubted' };
 
-/** How the source of an unproved stream may be proved after it has begun. */
-export interface LateProof {
-  /** Name of the incarnation that was listed when the stream's connection was opened. */
-  incarnation: string;
-  /** Asks what serves at its address now. */
-  identify(): Promise<Identity>;
-  /** Called once the incarnation is proved. */
-  onProved(): void;
-}
-
 /** Where streams began, as far as anyone knows. */
 export interface StreamOrigins {
   /**
    * Remembers where a stream began, before its caller gets the first event, and who sent that if it began here. Resolves
-   * once all instances can know if it may go on nowhere, or after a while if the store does not take that.
+   * once all instances can know if it may go on nowhere, or after a while if the store does not take that, or once the
+   * signal is aborted.
    */
   note(
     stream: string,
     origin: StreamOrigin,
     source?: OriginSource,
-    proof?: LateProof,
+    signal?: AbortSignal,
   ): Promise<void>;
   /**
    * Tells that the endpoint of the id, or the incarnation of the name, is listed with another version now, the given one:
@@ -92,6 +83,13 @@
     memory.hasDoubted();
   const writer = startOriginWriter({ ...host, memory, isNeeded });
 
+  async function record(signal: AbortSignal): Promise<void> {
+    const given = new AbortController();
+    const over = AbortSignal.any([signal, given.signal]);
+    await Promise.race([writer.record(over), sleep(clock, RECORD_TIMEOUT_MS, over)]);
+    given.abort();
+  }
+
   async function findRecorded(
     name: string,
     services: string[],
@@ -110,6 +108,13 @@
       : { kind: 'any' };
   }
 
+  // Where a stream was only taken up, what puts it in doubt later comes by the store.
+  async function isDoubtedElsewhere(name: string): Promise<boolean> {
+    if (memory.hasBegunHere(name)) return false;
+    const recorded = (await readOrigins())?.byName.get(name) ?? [];
+    return recorded.some(({ isDoubted }) => isDoubted);
+  }
+
   function hasSeveral(service: string, recorded: RecordedOrigin[] = []): boolean {
     const ofService = recorded.filter((origin) => origin.service === service);
     return versions.hasSeveral(
@@ -135,12 +140,12 @@
   }
 
   return {
-    async note(stream, origin, source, proof) {
+    async note(stream, origin, source, signal = host.signal) {
       const name = getStreamName(stream);
       memory.set(name, origin, source);
-      if (source?.kind === 'unproved' && proof) proveLate(name, origin, proof);
-      if (!memory.isDoubted(name)) writer.note();
-      else await withTimeout(clock, RECORD_TIMEOUT_MS, writer.record(), undefined);
+      if (source?.kind === 'unproved' && source.proof) proveLate(name, origin, source.proof);
+      if (memory.isDoubted(name)) await record(signal);
+      else writer.note();
     },
     doubt(endpoint, version) {
       memory.doubt(endpoint, version, DOUBT_TIME_MS);
@@ -153,6 +158,7 @@
       if (memory.isDoubted(name)) return { kind: 'unknown', reason: 'doubted' };
       const own = memory.find(name);
       if (own && isElsewhere([own], services)) return { kind: 'unknown', reason: 'not routed' };
+      if (own && (await isDoubtedElsewhere(name))) return { kind: 'unknown', reason: 'doubted' };
       if (own) return { kind: 'known', origin: own, source: 'memory' };
       // A stream begins only at an incarnation that is listed, maybe one of which only another instance knows yet.
       const isCurrent = await withTimeout(clock, READ_TIMEOUT_MS, host.refreshEndpoints(), false);
--- a/packages/forwarding/src/origins/takeUp.ts
+++ b/packages/forwarding/src/origins/takeUp.ts
@@ -6,9 +6,10 @@
 import type { SentAttempt } from '../attempts/sentAttempt';
 import { setService } from '../run';
 import type { Run } from '../run';
+import type { LateProof } from './originMemory';
 import type { TakeUp } from './streamOrigins';
 import { getIncarnation } from '../suspects/processNames';
-import type { EventStream, RefusalKind } from '../types';
+import type { EndpointRecord, EventStream, RefusalKind } from '../types';
 
 /**
  * If the caller takes a stream up, binds the run to the service and version that began the stream.
@@ -34,7 +35,7 @@
 
 /**
  * Binds the run to the version that brought its first event, and remembers it for take-ups. Resolves once that event may be
- * passed on.
+ * passed on, or need not be as the run ends.
  */
 export async function noteEvents<Payload>(
   run: Run<Payload>,
@@ -47,15 +48,20 @@
   run.origin = { service: request.service, version: getVersion(slot.endpoint) };
   const source = match(incarnation)
     .with('proved', (kind) => ({ kind, incarnation: endpoint ? getIncarnation(endpoint) : '' }))
-    .with('unproved', (kind) => ({ kind }))
+    .with('unproved', (kind) => ({ kind, proof: endpoint && createProof(run, endpoint) }))
     .with(undefined, () => ({ kind: 'listed' as const, endpoint: endpoint?.id ?? '' }))
     .exhaustive();
-  const proof = endpoint && {
+  await host.origins.note(getStream(run), run.origin, source, run.stop.signal);
+}
+
+function createProof<Payload>(run: Run<Payload>, endpoint: EndpointRecord): LateProof {
+  return {
     incarnation: getIncarnation(endpoint),
-    identify: () => host.protocol.identify(endpoint),
-    onProved: () => Object.assign(run, { isUnproved: false }),
+    identify: () => run.host.protocol.identify(endpoint),
+    onProved() {
+      run.isUnproved = false;
+    },
   };
-  await host.origins.note(getStream(run), run.origin, source, proof);
 }
 
 /** Returns whether the version that began the run's stream is in doubt, so that no endpoint may go on. */
