--- a/packages/forwarding/test/doubtedOrigins.test.ts
+++ b/packages/forwarding/test/doubtedOrigins.test.ts
@@ -35,3 +35,13 @@
   await clock.advance(200);
   expect(await find(clock, two, 'a')).toEqual({ kind: 'unknown', reason: 'doubted' });
 });
+
+test('a version that came and went elsewhere counts before a stream of it is recorded', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
+  const two = startInstance(clock, store, 'two', ['v1']);
+  await clock.advance(REMEMBERED_MS);
+  one.note('a', { service: 'llm', version: 'v2' });
+  expect(await find(clock, two, 'a')).not.toEqual({ kind: 'any' });
+});
