--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -24,7 +24,10 @@
   onLost(record: EndpointRecord): void;
   /** Called with the names of an incarnation and of the later one that has started in its place, at its address. */
   onReplaced(before: string, next: string): void;
-  /** Called when the entry of an endpoint's id tells another version of its software than before. */
+  /**
+   * Called when the entry of an endpoint's id tells another version of its software than before, also if it tells an
+   * earlier start, and when that of the later start is back.
+   */
   onVersionChanged(record: EndpointRecord): void;
 }
 
@@ -93,6 +96,8 @@
   isPast?: boolean;
   /** Time of `clock.elapsed()` at which another process was first found at its address; left out if none was. */
   otherAt?: Milliseconds | undefined;
+  /** What the entry told last that is of an earlier start and another version; left out if it was not ignored. */
+  ignored?: EndpointRecord;
 }
 
 /** Creates an empty directory. */
@@ -109,7 +114,10 @@
   // Returns whether the change may affect routing.
   function applyRecord(record: EndpointRecord, writtenAt?: Milliseconds): boolean {
     const known = entries.get(record.id);
-    if (known && isOutdated(record, known.record)) return false;
+    if (known && isOutdated(record, known.record)) {
+      noteIgnored(record);
+      return false;
+    }
     const isSameIncarnation = known !== undefined && isSameRun(record, known.record);
     const isLeaving = record.isLeaving || (isSameIncarnation && known.record.isLeaving);
     const isWritten = writtenAt !== undefined || record.sequence !== known?.record.sequence;
@@ -128,7 +136,8 @@
     });
     const { id, born, sequence, address, service, version } = record;
     if (known?.isListed && !isSameIncarnation) host.onLost(known.record);
-    if (known && known.record.version !== version) host.onVersionChanged(record);
+    const isOtherVersion = known !== undefined && known.record.version !== version;
+    if (isOtherVersion || known?.ignored) host.onVersionChanged(record);
     if (known && !isSameIncarnation && known.record.address === address) {
       host.onReplaced(getName(known.record), getName(record));
     }
@@ -139,6 +148,17 @@
     return true;
   }
 
+  // A clock that was set back, or an older copy of the entry: nobody can tell which version answers.
+  function noteIgnored(record: EndpointRecord): void {
+    const known = entries.get(record.id);
+    if (!known || record.born === known.record.born) return;
+    const { ignored } = known;
+    const isNoted = ignored?.version === record.version && ignored?.born === record.born;
+    if (isNoted || record.version === known.record.version) return;
+    known.ignored = record;
+    host.onVersionChanged(record);
+  }
+
   // Until its entry came, what an endpoint said was taken for that of the one in whose place it has started. One that
   // leaves takes its entry back, or says so there.
   function mayBeSpeaker({ address }: EndpointRecord, former: Entry | undefined): boolean {
--- a/packages/forwarding/test/directory.test.ts
+++ b/packages/forwarding/test/directory.test.ts
@@ -14,12 +14,13 @@
     changes += 1;
   };
   const replaced: string[] = [];
+  const versions: (string | undefined)[] = [];
   const directory = createEndpointDirectory({
     clock,
     log: createSilentLog(),
     onChange,
     onLost: () => undefined,
-    onVersionChanged: () => undefined,
+    onVersionChanged: ({ version }) => versions.push(version),
     onReplaced: (...names) => replaced.push(names.join(' by ')),
   });
   const usable = () =>
@@ -27,7 +28,7 @@
       .list()
       .filter((endpoint) => !endpoint.leaving)
       .map((endpoint) => endpoint.name);
-  return { clock, directory, usable, replaced, countChanges: () => changes };
+  return { clock, directory, usable, replaced, versions, countChanges: () => changes };
 }
 
 function record(changes: Partial<EndpointRecord> = {}): EndpointRecord {
@@ -270,3 +271,16 @@
   directory.upsert(record({ born: 6 }));
   expect(usable()).toEqual(['a/6']);
 });
+
+test('an entry of an earlier start and another version is told once, and so is the end of that', () => {
+  const { directory, usable, versions } = setUp();
+  directory.upsert(record({ version: 'v1' }));
+  const earlier = record({ born: 4, version: 'v2' });
+  [earlier, { ...earlier, sequence: 2 }].forEach(directory.upsert);
+  expect(versions).toEqual(['v2']);
+  [2, 3].forEach((sequence) => directory.upsert(record({ version: 'v1', sequence })));
+  expect(versions).toEqual(['v2', 'v1']);
+  directory.upsert(record({ born: 4, version: 'v1' }));
+  expect(versions).toEqual(['v2', 'v1']);
+  expect(usable()).toEqual(['a/5/v1']);
+});
