--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -200,6 +200,7 @@
     versions,
     targets,
     countInstances: instanceCount.get,
+    getEra: endpointFeed.getEra,
     refreshEndpoints,
     areVersionsLoaded: versionRows.isLoaded,
     areSeveralRecorded: versionRows.hasSeveral,
--- a/packages/forwarding/src/origins/originWriter.ts
+++ b/packages/forwarding/src/origins/originWriter.ts
@@ -1,6 +1,6 @@
 import { runPeriodically, sleep } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
-import type { RowStore, VersionedRow } from '@pomeloroad/storage';
+import type { RowStore, StoreEra, VersionedRow } from '@pomeloroad/storage';
 import type { OriginMemory } from './originMemory';
 import { STREAM_TIME_MAX_MS } from './versionHistory';
 import { decodeOrigins, EMPTY_ROW, encodeOrigins, getOriginKey } from './originRows';
@@ -25,6 +25,8 @@
   /** Origins of this instance's streams by their names in rows. */
   memory: OriginMemory;
   countInstances(): number;
+  /** Returns the era of the store as the instance knows it. */
+  getEra(): StoreEra;
   /** Whether other instances may need the origins. */
   isNeeded(): boolean;
 }
@@ -57,6 +59,7 @@
   let isWriting = false;
   let lastWriteAt: Milliseconds = -Infinity;
   let isRowEmpty = true;
+  let knownEra = host.getEra();
   /** Those that wait until what was noted by then is in the store. */
   let waiting: Waiting[] = [];
   /** Time of `clock.elapsed()` until which the origins of an earlier run are kept. */
@@ -141,9 +144,19 @@
     if (isWritten) flush();
   }
 
+  // What was written last may be missing from the copy, and what was emptied may be back.
+  function noteEra(): void {
+    const era = host.getEra();
+    if (era === knownEra) return;
+    knownEra = era;
+    isDirty = true;
+    isRowEmpty = false;
+  }
+
   // Also notices that origins have come to be needed, or are needed no more.
   async function check(): Promise<void> {
     if (!isRestored) isRestored = await restore();
+    noteEra();
     await flush();
   }
 
--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -1,6 +1,6 @@
 import { sleep, withTimeout } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
-import type { RowStore } from '@pomeloroad/storage';
+import type { RowStore, StoreEra } from '@pomeloroad/storage';
 import { createOriginMemory } from './originMemory';
 import type { OriginSource, RecordedOrigin, StreamOrigin } from './originMemory';
 import { createOriginReader, READ_TIMEOUT_MS } from './originReader';
@@ -26,6 +26,7 @@
   versions: VersionHistory;
   targets: TargetHistory;
   countInstances(): number;
+  getEra(): StoreEra;
   /** Reads the entries of all endpoints again; false if the store failed. */
   refreshEndpoints(): Promise<boolean>;
   /** Whether the versions are known that served before this instance started. */
--- a/packages/forwarding/test/doubtedOrigins.test.ts
+++ b/packages/forwarding/test/doubtedOrigins.test.ts
@@ -45,3 +45,18 @@
   one.note('a', { service: 'llm', version: 'v2' });
   expect(await find(clock, two, 'a')).not.toEqual({ kind: 'any' });
 });
+
+test('a doubt is recorded again after the store came back from an older copy', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = startInstance(clock, store, 'one', ['v1']);
+  const two = startInstance(clock, store, 'two', ['v1']);
+  await clock.advance(REMEMBERED_MS);
+  const rewind = store.copy();
+  one.note('a', LLM_V1, { kind: 'unproved' });
+  await clock.advance(1000);
+  rewind();
+  one.setEra(2);
+  await clock.advance(1000);
+  expect(await find(clock, two, 'a')).toEqual({ kind: 'unknown', reason: 'doubted' });
+});
--- a/packages/forwarding/test/originWriter.test.ts
+++ b/packages/forwarding/test/originWriter.test.ts
@@ -48,6 +48,7 @@
         },
       },
       countInstances: () => 8,
+      getEra: () => 1,
       isNeeded: () => true,
     });
     await clock.advance(1000);
--- a/packages/forwarding/test/originsStand.ts
+++ b/packages/forwarding/test/originsStand.ts
@@ -45,6 +45,7 @@
 // Starts an instance that knows the given versions of one service; counts its calls to the store.
 export function startInstance(clock: Clock, store: RowStore, instance: string, names: string[]) {
   let calls = 0;
+  let era = 1;
   let isStoreLost = false;
   let unread: (string | undefined)[] | undefined;
   const versions = createVersionHistory(clock);
@@ -79,6 +80,7 @@
     versions,
     targets,
     countInstances: () => 8,
+    getEra: () => era,
     async refreshEndpoints() {
       if (unread) setVersions(unread);
       return !isStoreLost;
@@ -96,6 +98,10 @@
     setUnread(next: (string | undefined)[]) {
       unread = next;
     },
+    /** Tells that the store has come back from an older copy. */
+    setEra(next: number) {
+      era = next;
+    },
     loseStore() {
       isStoreLost = true;
     },
--- a/packages/forwarding/test/startedInstances.test.ts
+++ b/packages/forwarding/test/startedInstances.test.ts
@@ -27,6 +27,7 @@
     versions,
     targets: createTargetHistory(clock),
     countInstances: () => 8,
+    getEra: () => 1,
     refreshEndpoints: async () => true,
     areVersionsLoaded: versionRows.isLoaded,
     areSeveralRecorded: versionRows.hasSeveral,
