--- a/packages/forwarding/src/origins/originMemory.ts
+++ b/packages/forwarding/src/origins/originMemory.ts
@@ -19,8 +19,8 @@
   isDoubted: boolean;
 }
 
-/** Who sent the first event of a stream that began here, as far as it bears on what is known of its version. */
-export type OriginSource =
+/** Who sent the first event of an answer, as far as it bears on what is known of the version of its stream. */
+type AnswerSource =
   /** The incarnation of the name, which was listed: it has told its start. */
   | { kind: 'proved'; incarnation: string }
   /** An endpoint that tells no start: the one with the id, unless another incarnation of it is listed soon. */
@@ -28,9 +28,12 @@
   /** Nobody knows which incarnation. */
   | { kind: 'unproved' };
 
+/** The same, and whether the answer is the rest of a stream that may have begun at another instance. */
+export type OriginSource = AnswerSource & { isRest?: boolean };
+
 /** The origins of the streams that began lately at this instance or were taken up at it. */
 export interface OriginMemory {
-  /** Remembers the origin, and who sent the first event if the stream began here. */
+  /** Remembers the origin, and who sent the first event unless that was known before. */
   set(stream: string, origin: StreamOrigin, source?: OriginSource): void;
   /** Remembers the origin as it was recorded. */
   restore(stream: string, origin: RecordedOrigin): void;
@@ -101,7 +104,7 @@
       const endpoint = source ? getDoubtName(source) : begun?.endpoint;
       const isDoubted = begun?.isDoubted === true || source?.kind === 'unproved';
       const begunAt = begun?.begunAt ?? now;
-      const hasBegunHere = source !== undefined || begun?.hasBegunHere === true;
+      const hasBegunHere = source ? !source.isRest : begun?.hasBegunHere === true;
       entries.set(stream, {
         ...{ origin, endpoint, hasBegunHere, begunAt, setAt: now },
         isDoubted: isDoubted || isOutdated(endpoint, origin),
--- a/packages/forwarding/src/origins/takeUp.ts
+++ b/packages/forwarding/src/origins/takeUp.ts
@@ -50,7 +50,8 @@
     .with('unproved', (kind) => ({ kind }))
     .with(undefined, () => ({ kind: 'listed' as const, endpoint: endpoint?.id ?? '' }))
     .exhaustive();
-  await host.origins.note(getStream(run), run.origin, source, run.stop.signal);
+  const isRest = isTakeUp(run);
+  await host.origins.note(getStream(run), run.origin, { ...source, isRest }, run.stop.signal);
 }
 
 /** Returns whether the version that began the run's stream is in doubt, so that no endpoint may go on. */
--- a/packages/forwarding/test/doubtedOrigins.test.ts
+++ b/packages/forwarding/test/doubtedOrigins.test.ts
@@ -46,6 +46,21 @@
   expect(await find(clock, two, 'a')).not.toEqual({ kind: 'any' });
 });
 
+test('a stream whose rest came from the only version known is asked for its doubt too', async () => {
+  const clock = createManualClock();
+  const store = createMemoryRowStore();
+  const one = startInstance(clock, store, 'one', ['v1']);
+  const two = startInstance(clock, store, 'two', ['v1']);
+  await clock.advance(REMEMBERED_MS);
+  one.note('a', LLM_V1, { kind: 'listed', endpoint: 'e' });
+  await clock.advance(200);
+  expect(await find(clock, two, 'a')).toEqual({ kind: 'any' });
+  two.note('a', LLM_V1, { kind: 'proved', incarnation: 'f/1', isRest: true });
+  one.doubt('e', 'v2');
+  await clock.advance(200);
+  expect(await find(clock, two, 'a')).toEqual({ kind: 'unknown', reason: 'doubted' });
+});
+
 test('a doubt is recorded again after the store came back from an older copy', async () => {
   const clock = createManualClock();
   const store = createMemoryRowStore();
