--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -1,8 +1,8 @@
 import { sleep, withTimeout } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
-import type { RowStore } from '@pomeloroad/storage';
+import type { RowStore, StoreEra } from '@pomeloroad/storage';
 import { createOriginMemory } from './originMemory';
-import type { LateProof, OriginSource, RecordedOrigin, StreamOrigin } from './originMemory';
+import type { OriginSource, RecordedOrigin, StreamOrigin } from './originMemory';
 import { createOriginReader, READ_TIMEOUT_MS } from './originReader';
 import { getStreamName } from './originRows';
 import { startOriginWriter } from './originWriter';
@@ -28,6 +28,7 @@
   versions: VersionHistory;
   targets: TargetHistory;
   countInstances(): number;
+  getEra(): StoreEra;
   /** Reads the entries of all endpoints again; false if the store failed. */
   refreshEndpoints(): Promise<boolean>;
   /** Whether the versions are known that served before this instance started. */
@@ -36,6 +37,8 @@
   areSeveralRecorded(): boolean;
 }
 
+type UnprovedSource = Extract<OriginSource, { kind: 'unproved' }>;
+
 /** What is known about the version at which a stream has to go on. */
 export type TakeUp =
   /** Only one service and version has served the stream's route lately. */
@@ -125,13 +128,19 @@
 
   // Processes at one address follow each other, so one that serves there now and was listed before the stream's connection
   // was opened has sent the stream.
-  async function proveLate(name: string, origin: StreamOrigin, proof: LateProof): Promise<void> {
+  async function proveLate(
+    name: string,
+    origin: StreamOrigin,
+    unproved: UnprovedSource,
+  ): Promise<void> {
+    const { proof, isRest } = unproved;
+    if (!proof) return;
     const { incarnation, identify, onProved } = proof;
     for (const pause of PROOF_PAUSES_MS) {
       await sleep(clock, pause, host.signal);
       const identity = host.signal.aborted ? 'unknown' : await identify();
       if (identity === 'same') {
-        memory.set(name, origin, { kind: 'proved', incarnation });
+        memory.set(name, origin, { kind: 'proved', incarnation, isRest });
         writer.note();
         onProved();
       }
@@ -143,7 +152,7 @@
     async note(stream, origin, source, signal = host.signal) {
       const name = getStreamName(stream);
       memory.set(name, origin, source);
-      if (source?.kind === 'unproved' && source.proof) proveLate(name, origin, source.proof);
+      if (source?.kind === 'unproved') proveLate(name, origin, source);
       if (memory.isDoubted(name)) await record(signal);
       else writer.note();
     },
--- a/packages/forwarding/src/origins/takeUp.ts
+++ b/packages/forwarding/src/origins/takeUp.ts
@@ -51,7 +51,8 @@
     .with('unproved', (kind) => ({ kind, proof: endpoint && createProof(run, endpoint) }))
     .with(undefined, () => ({ kind: 'listed' as const, endpoint: endpoint?.id ?? '' }))
     .exhaustive();
-  await host.origins.note(getStream(run), run.origin, source, run.stop.signal);
+  const isRest = isTakeUp(run);
+  await host.origins.note(getStream(run), run.origin, { ...source, isRest }, run.stop.signal);
 }
 
 function createProof<Payload>(run: Run<Payload>, endpoint: EndpointRecord): LateProof {
