--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -287,6 +287,10 @@
 /** Whether an entry's incarnation answers at its address; `untold` if what accepts connections does not tell. */
 export type Identity = 'same' | 'other' | 'untold' | 'refused' | 'unknown';
 
+/** What the process at an endpoint's address tells of its start; `untold` if what accepts connections does not tell. */
+export type StartFinding =
+  { kind: 'told'; born: number } | { kind: 'untold' | 'refused' | 'unknown' };
+
 /** What an endpoint tells of a run, some hundred milliseconds late. */
 export type RunState =
   /** It has the run, and has made so many events of it. */
@@ -317,6 +321,8 @@
   probe(endpoint: EndpointRecord): Promise<Reachability>;
   /** Asks whether the entry's incarnation answers at its address. Costs as much as a probe. */
   identify(endpoint: EndpointRecord): Promise<Identity>;
+  /** Asks the process at the endpoint's address for its start, over a new connection. Costs as much as a probe. */
+  findStart(endpoint: EndpointRecord): Promise<StartFinding>;
   /** Returns the open connections to the address that wait for a next request and lead there directly. */
   listIdle(endpoint: EndpointRecord): object[];
   /** Asks the endpoint about the run of the request with the id. Costs as much as a probe. */
--- a/packages/forwarding/test/accountsParts.ts
+++ b/packages/forwarding/test/accountsParts.ts
@@ -125,6 +125,7 @@
     },
     probe: async () => 'accepting',
     identify: async () => 'same',
+    findStart: async () => ({ kind: 'untold' }),
     listIdle: () => [],
     findRun: async () => ({ kind: 'untold' }),
     findRoom: async () => 'untold',
--- a/packages/forwarding/test/answerStand.ts
+++ b/packages/forwarding/test/answerStand.ts
@@ -202,6 +202,7 @@
       send,
       probe,
       identify,
+      findStart: async () => ({ kind: 'untold' }),
       listIdle,
       findRun: async () => ({ kind: 'silent' }),
       findRoom: async ({ id }: { id: string }) => asked.get(id)?.room ?? 'untold',
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -1,6 +1,6 @@
 import { Err, Ok } from 'ts-results';
-import { createManualClock } from '@pomeloroad/core';
-import type { LogFields, ResponseFraming } from '@pomeloroad/core';
+import { createManualClock, sleep } from '@pomeloroad/core';
+import type { LogFields, Milliseconds, ResponseFraming } from '@pomeloroad/core';
 import { createMetrics } from '@pomeloroad/telemetry';
 import { createForwardMetrics } from '../src';
 import type { Attempt, EndpointRecord, Reachability, StreamStep } from '../src';
@@ -35,15 +35,31 @@
   isSuspicious?: boolean;
   /** Whether attempts that are not given up find no connection. */
   isRefusing?: boolean;
+  /** Starts that are told one after another, before requests too; the last one again and again. Left out, none is. */
+  starts?: number[];
+  /** Time that this takes. */
+  toldAfter?: Milliseconds;
+  /** Start of the entry that is known later. */
+  listed?: number;
 }
 
-// Creates a watched protocol over endpoints that give the probes' answers one after another.
+// Creates a watched protocol over endpoints that give the probes' answers one after another once they were sent a request.
 function createStand(
   probes: Reachability[],
-  { fate = 'listed', step, isSuspicious = false, isRefusing = false }: StandOptions = {},
+  {
+    fate = 'listed',
+    step,
+    isSuspicious = false,
+    isRefusing = false,
+    starts = [],
+    toldAfter = 0,
+    listed = ENDPOINT.born,
+  }: StandOptions = {},
 ) {
+  let isSent = false;
   const clock = createManualClock();
   const crashes: EndpointCrash[] = [];
+  const gone: string[] = [];
   const lines: LogFields[] = [];
   const answers: string[] = [];
   const stream = {
@@ -52,27 +68,40 @@
     close: async () => undefined,
   };
   const head = { status: 200, framing: 'chunked' as const, headers: [] };
+  const probe = async () => probes.shift() ?? 'accepting';
   const protocol = watchCrashes<void>({
     clock,
     log: (event, fields) => lines.push({ code: event.code, ...fields }),
     metrics: createForwardMetrics(createMetrics()),
     protocol: {
       async send({ signal }) {
+        isSent = true;
         if (isRefusing && !signal.aborted) return REFUSED;
         return step ? Ok({ kind: 'stream', head, stream }) : FAILED;
       },
-      probe: async () => probes.shift() ?? 'accepting',
+      probe,
       identify: async () => 'untold',
+      async findStart() {
+        if (toldAfter > 0) await sleep(clock, toldAfter);
+        const [born] = starts;
+        if (starts.length > 1) starts.shift();
+        if (born !== undefined) return { kind: 'told', born };
+        const reachability = isSent ? await probe() : 'accepting';
+        return { kind: reachability === 'accepting' ? 'untold' : reachability };
+      },
       listIdle: () => [],
       findRun: async () => ({ kind: 'silent' }),
       findRoom: async () => 'untold',
     },
-    directory: { getFate: () => fate },
-    onCrash: (crash) => crashes.push(crash),
+    directory: { getFate: ({ born }) => (born < listed ? 'started again' : fate) },
+    onCrash(crash) {
+      if (crash.names.size > 0) crashes.push(crash);
+      else gone.push(crash.incarnation);
+    },
     onAnswer: (names, incarnation) => answers.push(`${incarnation} ${names.join(',')}`),
     isSuspicious: () => isSuspicious,
   });
-  return { clock, crashes, answers, lines, protocol };
+  return { clock, crashes, gone, answers, lines, protocol };
 }
 
 test('an endpoint that refuses connections after it broke requests off has crashed', async () => {
@@ -119,6 +148,78 @@
   expect(crashes).toHaveLength(1);
 });
 
+test('an endpoint at whose address another start is told than before the request has crashed', async () => {
+  const { clock, crashes, gone, protocol } = createStand([], { starts: [8] });
+  await protocol.send(createAttempt('a', ['first']));
+  await clock.advance(0);
+  expect(crashes).toEqual([createCrash('first', 'request:print-a')]);
+  expect(gone).toEqual(['e/7']);
+});
+
+test('a process that tells the same start before and after a request shows no crash once its entry comes', async () => {
+  const { clock, crashes, protocol } = createStand([], {
+    isSuspicious: true,
+    starts: [8],
+    listed: 8,
+  });
+  protocol.send(createAttempt('a', ['first']));
+  await clock.advance(20_000);
+  expect(crashes).toEqual([]);
+});
+
+test('a request whose break is not understood yet shows no crash of another process that lives', async () => {
+  const { clock, crashes, protocol } = createStand([], { starts: [8], toldAfter: 10 });
+  const attempt = createAttempt('a', ['first']);
+  await protocol.send(attempt);
+  protocol.send({ ...attempt, endpoint: { ...ENDPOINT, id: 'f' } });
+  await clock.advance(20_000);
+  expect(crashes).toEqual([createCrash('first', 'request:print-a')]);
+});
+
+test('a process that has told its start behind the entry of another one crashes by its own name', async () => {
+  const { clock, crashes, protocol } = createStand([], { isSuspicious: true, starts: [8, 9] });
+  await protocol.send(createAttempt('a', ['first']));
+  await clock.advance(0);
+  expect(crashes.map(({ incarnation }) => incarnation)).toEqual(['e/8']);
+});
+
+test('a process that has told its start and has started again when a later entry comes has crashed', async () => {
+  const { clock, crashes, protocol } = createStand([], {
+    isSuspicious: true,
+    starts: [8, 8, 8, 9],
+    listed: 9,
+  });
+  protocol.send(createAttempt('a', ['first']));
+  await clock.advance(1000);
+  expect(crashes.map(({ incarnation }) => incarnation)).toEqual(['e/8']);
+});
+
+test('an endpoint that announced that it leaves shows no crash when the next one tells its start', async () => {
+  const { clock, crashes, protocol } = createStand([], { fate: 'leaving', starts: [8] });
+  await protocol.send(createAttempt('a', ['first']));
+  await clock.advance(20_000);
+  expect(crashes).toEqual([]);
+});
+
+test('a process that announced that it leaves in its own entry shows no crash', async () => {
+  const { clock, crashes, protocol } = createStand([], {
+    fate: 'leaving',
+    isSuspicious: true,
+    starts: [8, 9],
+    listed: 8,
+  });
+  protocol.send(createAttempt('a', ['first']));
+  await clock.advance(20_000);
+  expect(crashes).toEqual([]);
+});
+
+test('a process that still tells its start shows no crash while a later one is believed to answer', async () => {
+  const { clock, crashes, protocol } = createStand([], { fate: 'started again', starts: [7] });
+  await protocol.send(createAttempt('a', ['first']));
+  await clock.advance(20_000);
+  expect(crashes).toEqual([]);
+});
+
 test('a connection that an endpoint closes while it lives shows no crash', async () => {
   const { clock, crashes, protocol } = createStand(['accepting', 'unknown']);
   await protocol.send(createAttempt('a', ['first']));
--- a/packages/forwarding/test/lapsedEndpoints.test.ts
+++ b/packages/forwarding/test/lapsedEndpoints.test.ts
@@ -81,6 +81,7 @@
       send,
       probe: async () => 'accepting',
       identify: async () => 'same',
+      findStart: async () => ({ kind: 'untold' }),
       listIdle: () => [],
       findRun: async () => ({ kind: 'silent' }),
       findRoom: async () => 'untold',
