--- a/packages/forwarding/src/suspects/crashWatch.ts
+++ b/packages/forwarding/src/suspects/crashWatch.ts
@@ -1,7 +1,7 @@
 import { Ok } from 'ts-results';
 import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds, ResponseFraming } from '@pomeloroad/core';
-import type { EndpointDirectory } from '../store/endpointDirectory';
+import type { EndpointDirectory, IncarnationFate } from '../store/endpointDirectory';
 import type { ForwardMetrics } from '../forwardMetrics';
 import { createAbandonedRequests } from './abandonedRequests';
 import type { RequestSuspects } from './abandonedRequests';
@@ -162,12 +162,18 @@
     return (await protocol.probe(endpoint)) === 'refused';
   }
 
-  async function isGone({ endpoint, process }: Watched): Promise<boolean> {
+  // The entry that comes may be that of the process itself.
+  function getFate({ endpoint, process }: Watched): IncarnationFate {
+    return directory.getFate({ ...endpoint, born: process.start });
+  }
+
+  async function isGone(watched: Watched): Promise<boolean> {
+    const { endpoint, process } = watched;
     // Where entries tell no start, each start has an id and an address of its own.
     if (endpoint.born === 0) return isRefusing(endpoint);
     const found = await askStart(endpoint);
     if (found.kind !== 'told') return found.kind === 'refused';
-    return found.born !== process.start && directory.getFate(endpoint) !== 'leaving';
+    return found.born !== process.start && getFate(watched) !== 'leaving';
   }
 
   // Unlike a process of which nothing is told, one that tells the same start has certainly not gone.
@@ -179,14 +185,12 @@
 
   // One that starts again at once accepts connections by then, but as another incarnation.
   async function isGoneSoon(watched: Watched): Promise<boolean> {
-    const { endpoint, process } = watched;
     const until = clock.elapsed() + WATCH_TIME_MS;
     while (clock.elapsed() < until) {
-      // The entry that comes may be that of the process itself.
-      const fate = directory.getFate({ ...endpoint, born: process.start });
+      const fate = getFate(watched);
       if (fate === 'started again' && !(await isSame(watched))) return true;
       if (fate === 'leaving') return false;
-      if (fate === 'gone') return isRefusing(endpoint);
+      if (fate === 'gone') return isRefusing(watched.endpoint);
       await sleep(clock, WATCH_INTERVAL_MS);
     }
     return false;
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -201,6 +201,25 @@
   expect(crashes).toEqual([]);
 });
 
+test('a process that announced that it leaves in its own entry shows no crash', async () => {
+  const { clock, crashes, protocol } = createStand([], {
+    fate: 'leaving',
+    isSuspicious: true,
+    starts: [8, 9],
+    listed: 8,
+  });
+  protocol.send(createAttempt('a', ['first']));
+  await clock.advance(20_000);
+  expect(crashes).toEqual([]);
+});
+
+test('a process that still tells its start shows no crash while a later one is believed to answer', async () => {
+  const { clock, crashes, protocol } = createStand([], { fate: 'started again', starts: [7] });
+  await protocol.send(createAttempt('a', ['first']));
+  await clock.advance(20_000);
+  expect(crashes).toEqual([]);
+});
+
 test('a connection that an endpoint closes while it lives shows no crash', async () => {
   const { clock, crashes, protocol } = createStand(['accepting', 'unknown']);
   await protocol.send(createAttempt('a', ['first']));
