Tunnels: an end behind which the endpoint takes nothing more is a cut

The test gives up after 400 ms and takes that for the failure it asks for, which hid a hang: a relay waited for the close of its connection to the endpoint before it passed an end on. A connection whose other side has ended closes only once what was written is taken. An endpoint that answers an upload early, ends its side and reads nothing more never takes it: the caller waited up to its limit, tunnel, connection and slot stayed. Traced in the relay: "end" read, 262,144 bytes unwritten, no finish, no close. Now the relay cuts the tunnel then. The answer is read before: the other side answers a ping first. Ruled out: a slow machine (directly the same parts fail within 0.5 s); a process that dies, or closes with unread bytes, resets.

--- a/packages/peers/src/tunnelListener.ts
+++ b/packages/peers/src/tunnelListener.ts
@@ -123,11 +123,25 @@
   target.on('error', () => tunnel.destroy());
   tunnel.pipe(target);
   target.pipe(tunnel, { end: false });
+  target.once('end', () => cutUntaken(upgraded, tunnel, target));
   const isProper = await isClosedProperly();
   if (isProper && !(await hasUntaken(upgraded, tunnel))) tunnel.end();
   else tunnel.destroy();
 }
 
+// A target that has ended and takes nothing more never closes. What it has sent is read before the cut,
+// which may take it.
+async function cutUntaken(
+  upgraded: WebSocket,
+  tunnel: Connection,
+  target: Connection,
+): Promise<void> {
+  if (target.writableLength === 0) return;
+  tunnel.unpipe(target);
+  await hasUntaken(upgraded, tunnel);
+  tunnel.destroy();
+}
+
 // Whether the other side has sent bytes that the target has not taken. What it has sent comes before its
 // answer to a ping. What arrives has no reader any more, and the tunnel closes only once it is read.
 function hasUntaken(upgraded: WebSocket, tunnel: Connection): Promise<boolean> {
--- a/packages/peers/test/tunnels.test.ts
+++ b/packages/peers/test/tunnels.test.ts
@@ -1,7 +1,8 @@
 import { randomBytes } from 'node:crypto';
 import net from 'node:net';
 import type { Socket } from 'node:net';
-import { Err } from 'ts-results';
+import { Duplex } from 'node:stream';
+import { Err, Ok } from 'ts-results';
 import { connect, createSystemClock, watchClose } from '@pomeloroad/core';
 import type { Connection, Outcome } from '@pomeloroad/core';
 import { createTunnelListener, openTunnel } from '../src';
@@ -117,6 +118,34 @@
   }
 });
 
+// Guards against a tunnel that stays open, since a connection with untaken bytes does not close after its end.
+test('an end behind which the endpoint takes nothing more passes as a cut, with the bytes before it', async () => {
+  const target = Object.assign(createUntaking(), { remoteAddress: '127.0.0.1' });
+  const relay = await startRelay(async () => Ok(target));
+  const connection = await open(relay);
+  const isClosedProperly = watchClose({ socket: connection });
+  connection.on('error', () => undefined);
+  connection.write(Buffer.alloc(LARGE_BYTES));
+  const received: Buffer[] = [];
+  connection.on('data', (data) => received.push(data));
+  expect(await isClosedProperly()).toBe(false);
+  expect(Buffer.concat(received).length).toBe(LARGE_BYTES);
+  expect(target.destroyed).toBe(true);
+  expect(relay.listener.count()).toBe(0);
+}, 10_000);
+
+// A connection whose other side answers and ends without reading, until nothing more fits on it.
+function createUntaking(): Duplex {
+  return new Duplex({
+    allowHalfOpen: false,
+    read: () => undefined,
+    write() {
+      this.push(Buffer.alloc(LARGE_BYTES));
+      this.push(null);
+    },
+  });
+}
+
 test('the end of the relay does not look like an end in order', async () => {
   const relay = await startRelayTo((socket) => socket.write('half'));
   const connection = await open(relay);
