--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -24,6 +24,8 @@
   body?: string | Buffer;
   /** Longest time until the head of the response, and then between two parts of its body. */
   timeout: Milliseconds;
+  /** Longest time for the whole call; unlimited if left out. */
+  timeLimit?: Milliseconds;
   agent?: http.Agent;
   /**
    * Whether each whole body is a JSON object. Its closing brace tells its end, so the response needs
@@ -98,6 +100,7 @@
       );
     });
     const timer = setTimeout(() => request.destroy(new Error('timeout')), call.timeout);
+    const limit = startLimit(request, call.timeLimit);
     request.once('socket', () => {
       phase = 'connecting';
     });
@@ -107,6 +110,7 @@
     request.on('error', (error) => fail(error.message));
     request.on('close', () => {
       clearTimeout(timer);
+      clearTimeout(limit);
       // Such as after an answer 101, which brings neither a response nor an error.
       if (phase !== 'reading') fail('closed without an answer');
     });
@@ -114,6 +118,14 @@
   });
 }
 
+function startLimit(
+  request: http.ClientRequest,
+  timeLimit?: Milliseconds,
+): NodeJS.Timeout | undefined {
+  if (timeLimit === undefined) return undefined;
+  return setTimeout(() => request.destroy(new Error('time limit')), timeLimit);
+}
+
 /** Calls back when the request's socket is connected. Before that, nothing was sent. */
 export function onConnected(request: http.ClientRequest, callback: () => void): void {
   request.once('socket', (socket) => {
