--- a/packages/budgets/test/escrowHarness.ts
+++ b/packages/budgets/test/escrowHarness.ts
@@ -170,6 +170,7 @@
   return {
     now: clock.now,
     elapsed: () => clock.elapsed() - startedAt,
+    idle: clock.idle,
     after: clock.after,
   };
 }
--- a/packages/core/src/clock.ts
+++ b/packages/core/src/clock.ts
@@ -10,6 +10,7 @@
   return {
     now: () => new Date(),
     elapsed: () => performance.now(),
+    idle: () => performance.eventLoopUtilization().idle,
     after(delay, callback) {
       const handle = setTimeout(callback, Math.min(delay, TIMER_MAX_MS));
       handle.unref();
--- a/packages/core/src/manualClock.ts
+++ b/packages/core/src/manualClock.ts
@@ -31,6 +31,7 @@
   return {
     now: () => new Date(EPOCH_MS + elapsed),
     elapsed: () => elapsed,
+    idle: () => elapsed,
     after(delay, callback): Timer {
       order += 1;
       const timer = { at: elapsed + delay, order, callback };
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -26,6 +26,11 @@
   now(): Date;
   /** Time on a monotonic clock with an arbitrary start. */
   elapsed(): Milliseconds;
+  /**
+   * Time of `elapsed()` for which the process has had nothing to do, but waited. What it reads after working for a time may
+   * have arrived at any moment of that time.
+   */
+  idle(): Milliseconds;
   /** Calls back once after the delay. */
   after(delay: Milliseconds, callback: () => void): Timer;
 }
--- a/packages/core/test/pauseGuard.test.ts
+++ b/packages/core/test/pauseGuard.test.ts
@@ -8,6 +8,7 @@
   const clock: Clock = {
     now: () => new Date(elapsed),
     elapsed: () => elapsed,
+    idle: () => 0,
     after(_, callback) {
       tick = callback;
       return { cancel: () => {} };
--- a/packages/forwarding/src/ends/endReport.ts
+++ b/packages/forwarding/src/ends/endReport.ts
@@ -64,7 +64,7 @@
 export function rememberEnd<Payload>(
   run: Run<Payload>,
   { slot, endpoint }: SentAttempt,
-  { framing, at, connection }: AnswerEnd,
+  { framing, at, idleAt, connection }: AnswerEnd,
 ): void {
   const { host, request, events } = run;
   run.course.connection = undefined;
@@ -78,7 +78,7 @@
   const { id, born, version } = endpoint;
   const identity = { name: slot.endpoint.name, id, born, version };
   const timeLeft = request.deadline - at;
-  host.recentEnds.add(identity, { request: request.id, at, timeLeft, events });
+  host.recentEnds.add(identity, { request: request.id, at, idleAt, timeLeft, events });
 }
 
 /** What speaks against an end in order. */
--- a/packages/forwarding/src/ends/recentEnds.ts
+++ b/packages/forwarding/src/ends/recentEnds.ts
@@ -8,6 +8,8 @@
 const RECENT_END_MS: Milliseconds = 1000;
 /** Maximum time between ends that one event at their endpoint has caused. */
 const MOMENT_MS: Milliseconds = 20;
+/** Maximum time by which the work of this process may part such ends; one that is always busy tells none of them apart. */
+const WORK_MAX_MS: Milliseconds = 100;
 /** Minimum number of streams that an endpoint has ended at once. */
 const AT_ONCE_MIN = 3;
 /** Maximum number of ends that are remembered; the oldest is forgotten first. */
@@ -37,6 +39,8 @@
   request: string;
   /** Time of `clock.elapsed()` when the end arrived. */
   at: Milliseconds;
+  /** Time of `clock.idle()` then; left out if the end is known from elsewhere, so that `at` tells all. */
+  idleAt?: Milliseconds | undefined;
   timeLeft: Milliseconds;
   /** Number of events of the whole stream; 0 of another answer. */
   events: number;
@@ -97,8 +101,8 @@
     endedAtOnce(name) {
       forgetOld();
       const streams = ends.filter(({ endpoint, events }) => endpoint.name === name && events > 0);
-      return streams.some(({ at }) => {
-        const together = streams.filter((end) => end.at >= at && end.at <= at + MOMENT_MS);
+      return streams.some((first) => {
+        const together = streams.filter((end) => isOfMoment(first, end));
         const places = new Set(together.map(({ events }) => events));
         const isMost = together.length >= AT_ONCE_MIN && 2 * together.length > streams.length;
         return isMost && places.size > 1;
@@ -113,6 +117,15 @@
   };
 }
 
+// What ends them at once is read one by one, and the work with each delays the next.
+function isOfMoment(first: RecentEnd, { at, idleAt }: RecentEnd): boolean {
+  const { at: firstAt, idleAt: firstIdleAt } = first;
+  const later = at - firstAt;
+  const areKnown = idleAt !== undefined && firstIdleAt !== undefined;
+  const waited = areKnown ? idleAt - firstIdleAt : later;
+  return later >= 0 && later <= MOMENT_MS + WORK_MAX_MS && waited <= MOMENT_MS;
+}
+
 function findFate(code: number, fields: LogFields | undefined): EndpointFate | undefined {
   if (fields?.endpoint === undefined) return undefined;
   return match(code)
--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -157,6 +157,8 @@
   framing: ResponseFraming;
   /** Time of `clock.elapsed()` when the end arrived. */
   at: Milliseconds;
+  /** Time of `clock.idle()` when it arrived; left out of whole answers. */
+  idleAt?: Milliseconds | undefined;
   /** Time from the last event of a stream to the end; `undefined` if there was none, or no stream. */
   sinceEvent?: Milliseconds | undefined;
   /** Time of `EndpointLife.getTime()` by which its connection had certainly been open, and which its process had outlived. */
--- a/packages/forwarding/test/accountsParts.ts
+++ b/packages/forwarding/test/accountsParts.ts
@@ -104,6 +104,7 @@
   return {
     now: clock.now,
     elapsed: () => clock.elapsed() - startedAt,
+    idle: clock.idle,
     after: (delay, callback) => clock.after(delay, () => isAlive() && callback()),
   };
 }
--- a/packages/forwarding/test/recentEnds.test.ts
+++ b/packages/forwarding/test/recentEnds.test.ts
@@ -136,6 +136,24 @@
   },
 );
 
+test.each([
+  ['in one turn', [0, 30, 60], [0, 0, 0], true],
+  ['hardly waiting between them', [0, 30, 60], [0, 8, 20], true],
+  ['waiting between them', [0, 30, 60], [0, 8, 21], false],
+  ['working for longer than it may', [0, 60, 121], [0, 0, 0], false],
+] satisfies [string, number[], number[], boolean][])(
+  'ends that a process has read %s are judged by the time for which it waited: %#',
+  (_, times, idleTimes, isAtOnce) => {
+    const { ends } = createStand();
+    const endpoint = { name: 'e/1', id: 'e', born: 1 };
+    times.forEach((at, index) => {
+      const idleAt = idleTimes[index]!;
+      ends.add(endpoint, { request: 'r', at, idleAt, timeLeft: 1800, events: 1 + index });
+    });
+    expect(ends.endedAtOnce('e/1')).toBe(isAtOnce);
+  },
+);
+
 test('what an endpoint has ended at once is forgotten after a second', async () => {
   const { clock, ends } = createStand();
   const endpoint = { name: 'e/1', id: 'e', born: 1 };
