--- a/packages/forwarding/test/rows.test.ts
+++ b/packages/forwarding/test/rows.test.ts
@@ -8,7 +8,8 @@
   const odd = '{"toString":1,"valueOf":1}';
   const deep = '['.repeat(20_000) + ']'.repeat(20_000);
   decodeOrigins(`[["llm","v1",["a",${odd},${deep},7]],["llm","v2",{}]]`, origins);
-  expect([...origins]).toEqual([['a', [{ service: 'llm', version: 'v1' }]]]);
+  const origin = { service: 'llm', version: 'v1', isDoubted: false };
+  expect([...origins]).toEqual([['a', [origin]]]);
 });
 
 test.each(['["e1",-1]', '["e1",1e999]', '["e1","5"]', '[7,5]', 'null', '['])(
