--- a/packages/core/src/http.ts
+++ b/packages/core/src/http.ts
@@ -26,6 +26,8 @@
   timeout: Milliseconds;
   /** Longest time for the whole call; unlimited if left out. */
   timeLimit?: Milliseconds;
+  /** Largest body that is read; that of a large table if left out. */
+  maxBytes?: number;
   agent?: http.Agent;
   /**
    * Whether each whole body is a JSON object. Its closing brace tells its end, so the response needs
@@ -90,7 +92,7 @@
         // A part may be read after the connection has closed; the timer must not start again then.
         if (!request.destroyed) timer.refresh();
       };
-      readBody(response, CALL_BODY_MAX_BYTES, countBytes).then(
+      readBody(response, call.maxBytes ?? CALL_BODY_MAX_BYTES, countBytes).then(
         (body) => {
           const { statusCode: status = 0, headers } = response;
           if (isUnframed && !isJsonObject(body)) fail('the answer is not a whole JSON object');
