--- a/packages/forwarding/src/types.ts
+++ b/packages/forwarding/src/types.ts
@@ -289,9 +289,11 @@
 /** Whether an entry's incarnation answers at its address; `untold` if what accepts connections does not tell. */
 export type Identity = 'same' | 'other' | 'untold' | 'refused' | 'unknown';
 
-/** What the process at an endpoint's address tells of its start; `untold` if what accepts connections does not tell. */
-export type StartFinding =
-  { kind: 'told'; born: number } | { kind: 'untold' | 'refused' | 'unknown' };
+/** What the process at an endpoint's address tells of its start. */
+export type ToldStart = { kind: 'told'; born: number } | { kind: 'untold' };
+
+/** The same, or why nothing accepted the question. */
+export type StartFinding = ToldStart | { kind: 'refused' | 'unknown' };
 
 /** What an endpoint tells of a run, some hundred milliseconds late. */
 export type RunState =
--- a/packages/forwarding/test/streamOrigins.test.ts
+++ b/packages/forwarding/test/streamOrigins.test.ts
@@ -60,14 +60,18 @@
   expect(await find(clock, one, 'a')).toEqual({ kind: 'any' });
 });
 
-test('an instance that missed a version or has just started looks into the store', async () => {
-  const clock = createManualClock();
-  const store = createMemoryRowStore();
-  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
+// Starts an instance that does not know the version of a stream that another one has recorded.
+async function startBehind() {
+  const { clock, store, one } = await startOne(['v1', 'v2']);
   const behind = startInstance(clock, store, 'behind', ['v1']);
   await clock.advance(REMEMBERED_MS);
   one.note('a', { service: 'llm', version: 'v2' });
   await clock.advance(200);
+  return { clock, store, behind };
+}
+
+test('an instance that missed a version or has just started looks into the store', async () => {
+  const { clock, store, behind } = await startBehind();
   const started = startInstance(clock, store, 'started', ['v1']);
   const known = { kind: 'known', origin: { service: 'llm', version: 'v2' } };
   expect(await find(clock, behind, 'a')).toMatchObject(known);
@@ -75,13 +79,7 @@
 });
 
 test('a version that another instance knew first counts at once', async () => {
-  const clock = createManualClock();
-  const store = createMemoryRowStore();
-  const one = startInstance(clock, store, 'one', ['v1', 'v2']);
-  const behind = startInstance(clock, store, 'behind', ['v1']);
-  await clock.advance(REMEMBERED_MS);
-  one.note('a', { service: 'llm', version: 'v2' });
-  await clock.advance(200);
+  const { clock, behind } = await startBehind();
   behind.setUnread(['v1', 'v2']);
   const known = { kind: 'known', origin: { service: 'llm', version: 'v2' } };
   expect(await find(clock, behind, 'a')).toMatchObject(known);
