--- a/packages/forwarding/src/forwardInstance.ts
+++ b/packages/forwarding/src/forwardInstance.ts
@@ -202,6 +202,7 @@
     countInstances: instanceCount.get,
     getEra: endpointFeed.getEra,
     refreshEndpoints,
+    refreshVersions: versionRows.refresh,
     areVersionsLoaded: versionRows.isLoaded,
     areSeveralRecorded: versionRows.hasSeveral,
   });
--- a/packages/forwarding/src/origins/streamOrigins.ts
+++ b/packages/forwarding/src/origins/streamOrigins.ts
@@ -31,6 +31,8 @@
   getEra(): StoreEra;
   /** Reads the entries of all endpoints again; false if the store failed. */
   refreshEndpoints(): Promise<boolean>;
+  /** Reads the versions again that all instances have recorded; false if the store failed. */
+  refreshVersions(): Promise<boolean>;
   /** Whether the versions are known that served before this instance started. */
   areVersionsLoaded(): boolean;
   /** Whether an instance that has started lately may count several versions of a service. */
@@ -93,6 +95,11 @@
     given.abort();
   }
 
+  async function refresh(): Promise<boolean> {
+    const readings = await Promise.all([host.refreshEndpoints(), host.refreshVersions()]);
+    return readings.every((isRead) => isRead);
+  }
+
   async function findRecorded(
     name: string,
     services: string[],
@@ -169,12 +176,12 @@
       if (own && isElsewhere([own], services)) return { kind: 'unknown', reason: 'not routed' };
       if (own && (await isDoubtedElsewhere(name))) return { kind: 'unknown', reason: 'doubted' };
       if (own) return { kind: 'known', origin: own, source: 'memory' };
-      // A stream begins only at an incarnation that is listed, maybe one of which only another instance knows yet.
-      const isCurrent = await withTimeout(clock, READ_TIMEOUT_MS, host.refreshEndpoints(), false);
+      // A stream begins only at an incarnation that is listed, maybe one that only another instance knows or has known.
+      const isCurrent = await withTimeout(clock, READ_TIMEOUT_MS, refresh(), false);
       const hasMoved = targets.findServices(route, stream).length > 1;
       const isUnclear = hasMoved || services.some((service) => hasSeveral(service));
       if (!isUnclear && !isCurrent) return { kind: 'unknown', reason: 'store unavailable' };
-      // Another instance may know a version that came and went here unseen, or that a stream's one is in doubt.
+      // Another instance may know that the stream's version is in doubt.
       const found = await findRecorded(name, services, hasMoved);
       const mayBeOnItsWay = found.kind === 'unknown' && isKnownLater(found.reason);
       if (!mayBeOnItsWay) return found;
--- a/packages/forwarding/src/origins/versionHistory.ts
+++ b/packages/forwarding/src/origins/versionHistory.ts
@@ -20,6 +20,8 @@
   hasSeveral(service: string, more?: (string | undefined)[]): boolean;
   /** Adds versions that served until now at the latest. */
   remember(served: ServedVersion[]): void;
+  /** Returns the versions that serve. */
+  listServing(): ServedVersion[];
   /** Returns the versions that served within the time. */
   list(duration: Milliseconds): ServedVersion[];
   /** Whether that is so for any service. */
@@ -46,8 +48,9 @@
     lastServed.set(service, times);
   }
 
-  function list(duration: Milliseconds): ServedVersion[] {
-    const since = clock.elapsed() - duration;
+  const list = (duration: Milliseconds) => listSince(clock.elapsed() - duration);
+
+  function listSince(since: Milliseconds): ServedVersion[] {
     return [...lastServed].flatMap(([service, times]) =>
       [...times].filter(([, time]) => time >= since).map(([version]) => ({ service, version })),
     );
@@ -64,6 +67,7 @@
       served.forEach((version) => mark(version, Infinity));
     },
     remember: (served) => served.forEach((version) => mark(version, clock.elapsed())),
+    listServing: () => listSince(Infinity),
     list,
     hasSeveral,
     hasSeveralAnywhere: () => [...lastServed.keys()].some((service) => hasSeveral(service)),
--- a/packages/forwarding/src/origins/versionRows.ts
+++ b/packages/forwarding/src/origins/versionRows.ts
@@ -1,7 +1,8 @@
 import { hashFields, runPeriodically, sleep } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
-import type { RowChange, RowKey, RowStore } from '@pomeloroad/storage';
+import type { RowChange, RowKey, RowStore, VersionedRow } from '@pomeloroad/storage';
 import { isText, parseList } from '../store/rowFields';
+import { shareCalls } from '../store/sharedCalls';
 import { createVersionHistory, STREAM_TIME_MAX_MS } from './versionHistory';
 import type { ServedVersion, VersionHistory } from './versionHistory';
 
@@ -31,35 +32,54 @@
   hasSeveral(): boolean;
   /** Records versions that are not yet; called when the endpoints that serve have changed. */
   update(): void;
+  /** Reads the versions again that any instance has recorded; false if the store failed. */
+  refresh(): Promise<boolean>;
 }
 
 /**
- * Reads which versions have served, and records new ones. A version that served before the start counts as
- * having served until then, since nobody knows when it ended.
+ * Reads which versions have served, and records new ones. A version that only a row tells counts as having served until
+ * that is first read, since nobody knows when it ended.
  */
 export function startVersionRows({ clock, rows, signal, versions }: VersionRowsHost): VersionRows {
   const recorded = new Map<string, RowChange['version']>();
   const listed = createVersionHistory(clock);
+  /** Keys of the versions that serve, and of those that have served since the start. */
+  let serving = new Set<string>();
+  const seen = new Set<string>();
   let isLoaded = false;
   let isWriting = false;
 
   async function read(): Promise<boolean> {
     const view = await rows.list(VERSION_TABLE, VERSION_PARTITION);
     if (view.err) return false;
+    // A version may have come and gone unseen, or before the start; it may have streams all the same.
+    versions.remember(decodeVersions(view.val.rows.filter(isUnknown)));
     recorded.clear();
     view.val.rows.forEach(({ key, version }) => recorded.set(key, version));
-    const served = view.val.rows.map(({ value }) => decode(value)).filter(isDefined);
-    listed.update(served);
-    if (!isLoaded) versions.remember(served);
+    listed.update(decodeVersions(view.val.rows));
     isLoaded = true;
     return true;
   }
 
+  function isUnknown({ key, version }: VersionedRow): boolean {
+    return recorded.get(key) !== version;
+  }
+
   async function load(): Promise<void> {
     while (!signal.aborted && !(await read())) await sleep(clock, RETRY_DELAY_MS, signal);
     update();
   }
 
+  // Others may miss that a version has come back, and then notice that its row is a new one.
+  function forgetReturned(): void {
+    const now = new Set(versions.listServing().map((served) => getKey(served).key));
+    now.forEach((key) => {
+      if (seen.has(key) && !serving.has(key)) recorded.delete(key);
+      seen.add(key);
+    });
+    serving = now;
+  }
+
   function listMissing(): ServedVersion[] {
     return versions.list(STREAM_TIME_MAX_MS).filter((served) => !recorded.has(getKey(served).key));
   }
@@ -94,8 +114,10 @@
     isLoaded: () => isLoaded,
     hasSeveral: listed.hasSeveralAnywhere,
     update() {
+      forgetReturned();
       update();
     },
+    refresh: shareCalls(read),
   };
 }
 
@@ -111,6 +133,11 @@
   return JSON.stringify([service, version ?? null]);
 }
 
+// A row that can't be read tells no version.
+function decodeVersions(rows: VersionedRow[]): ServedVersion[] {
+  return rows.map(({ value }) => decode(value)).filter(isDefined);
+}
+
 function decode(value: string): ServedVersion | undefined {
   const [service, version] = parseList(value);
   if (!isText(service)) return undefined;
--- a/packages/forwarding/test/originInstances.ts
+++ b/packages/forwarding/test/originInstances.ts
@@ -6,6 +6,7 @@
 import type { TakeUp } from '../src/origins/streamOrigins';
 import { createTargetHistory } from '../src/origins/targetHistory';
 import { createVersionHistory } from '../src/origins/versionHistory';
+import { startVersionRows } from '../src/origins/versionRows';
 import { createRouteTable } from '../src';
 import type { EndpointRecord, ForwardConfiguration, Route } from '../src';
 
@@ -52,10 +53,17 @@
   let isStoreLost = false;
   let unread: (string | undefined)[] | undefined;
   const versions = createVersionHistory(clock);
-  const setVersions = (next: (string | undefined)[]) =>
+  const targets = createTargetHistory(clock);
+  const ending = new AbortController();
+  const { signal } = ending;
+  const versionRows = startVersionRows({ clock, rows: store, signal, versions });
+
+  function setVersions(next: (string | undefined)[]): void {
     versions.update(next.map((version) => createRecord('llm', version)));
+    versionRows.update();
+  }
+
   setVersions(names);
-  const targets = createTargetHistory(clock);
 
   function count<Args extends unknown[], Result>(call: (...args: Args) => Promise<Result>) {
     return (...args: Args): Promise<Result> => {
@@ -78,7 +86,7 @@
   const origins = startStreamOrigins({
     clock,
     rows,
-    signal: new AbortController().signal,
+    signal,
     instance,
     versions,
     targets,
@@ -88,8 +96,9 @@
       if (unread) setVersions(unread);
       return !isStoreLost;
     },
-    areVersionsLoaded: () => true,
-    areSeveralRecorded: () => false,
+    refreshVersions: async () => !isStoreLost && versionRows.refresh(),
+    areVersionsLoaded: versionRows.isLoaded,
+    areSeveralRecorded: versionRows.hasSeveral,
   });
   return {
     ...origins,
@@ -105,6 +114,7 @@
     setEra(next: number) {
       era = next;
     },
+    stop: () => ending.abort(),
     loseStore() {
       isStoreLost = true;
     },
--- a/packages/forwarding/test/startedInstances.test.ts
+++ b/packages/forwarding/test/startedInstances.test.ts
@@ -29,6 +29,7 @@
     countInstances: () => 8,
     getEra: () => 1,
     refreshEndpoints: async () => true,
+    refreshVersions: versionRows.refresh,
     areVersionsLoaded: versionRows.isLoaded,
     areSeveralRecorded: versionRows.hasSeveral,
   });
--- a/packages/forwarding/test/streamOrigins.test.ts
+++ b/packages/forwarding/test/streamOrigins.test.ts
@@ -117,8 +117,11 @@
   const one = startInstance(shiftDay(clock, writer), store, 'one', ['v1', 'v2']);
   await clock.advance(REMEMBERED_MS);
   one.note('a', LLM_V1);
-  await clock.advance(80_000);
+  await clock.advance(200);
+  one.stop();
+  await clock.advance(80_000 - REMEMBERED_MS);
   const started = startInstance(shiftDay(clock, reader), store, 'started', ['v2']);
+  await clock.advance(REMEMBERED_MS);
   expect(await find(clock, started, 'b')).toEqual({ kind: 'any' });
 });
 
--- a/packages/forwarding/test/versionRows.test.ts
+++ b/packages/forwarding/test/versionRows.test.ts
@@ -23,7 +23,12 @@
     recorded.update();
     await clock.advance(100);
   }
-  return { serve, stop: () => stop.abort(), hasSeveral: () => versions.hasSeveral('llm') };
+  return {
+    serve,
+    refresh: recorded.refresh,
+    stop: () => stop.abort(),
+    hasSeveral: () => versions.hasSeveral('llm'),
+  };
 }
 
 async function countRows(rows: RowStore): Promise<number> {
@@ -79,3 +84,39 @@
   await clock.advance(12_000);
   expect(await countRows(rows)).toBe(1);
 });
+
+/** Starts two instances that know one version; the first one knows another one for a while, `times` times. */
+async function startUnaware(times: number) {
+  const clock = createManualClock();
+  const rows = createMemoryRowStore();
+  const [first, second] = [await startInstance(clock, rows), await startInstance(clock, rows)];
+  await first.serve('v1');
+  await second.serve('v1');
+  for (let time = 0; time < times; time += 1) {
+    await clock.advance(20_000);
+    expect(second.hasSeveral()).toBe(false);
+    await first.serve('v1', 'v2');
+    await first.serve('v1');
+    await second.refresh();
+  }
+  return { clock, rows, first, second };
+}
+
+test('a version that came and went unseen counts once its row is read', async () => {
+  const { clock, second } = await startUnaware(1);
+  expect(second.hasSeveral()).toBe(true);
+  await clock.advance(16_000);
+  expect(second.hasSeveral()).toBe(false);
+});
+
+test('a version that came back and went unseen counts once its row is read', async () => {
+  const { second } = await startUnaware(2);
+  expect(second.hasSeveral()).toBe(true);
+});
+
+test('the row of a version that only another instance lists stays', async () => {
+  const { clock, rows, first } = await startUnaware(0);
+  await first.serve('v1', 'v2');
+  await clock.advance(15_000);
+  expect(await countRows(rows)).toBe(2);
+});
