--- a/packages/forwarding/src/origins/originReader.ts
+++ b/packages/forwarding/src/origins/originReader.ts
@@ -1,6 +1,7 @@
 import { withTimeout } from '@pomeloroad/core';
 import type { Clock, Milliseconds } from '@pomeloroad/core';
 import type { RowStore, RowView } from '@pomeloroad/storage';
+import { shareCalls } from '../store/sharedCalls';
 import { decodeOrigins, getOriginPartitions, isRecentRow } from './originRows';
 import type { RecordedOrigin } from './originMemory';
 import type { OriginsByName } from './originRows';
@@ -23,9 +24,6 @@
  * is under way share the next one.
  */
 export function createOriginReader(clock: Clock, rows: RowStore): ReadOrigins {
-  let current: Promise<unknown> = Promise.resolve();
-  let next: Promise<RecordedOrigins | undefined> | undefined;
-
   async function read(): Promise<RecordedOrigins | undefined> {
     const lists = getOriginPartitions().map(({ table, partition }) => rows.list(table, partition));
     const views = await withTimeout(clock, READ_TIMEOUT_MS, Promise.all(lists), undefined);
@@ -46,16 +44,5 @@
     return { byName, recent: [...recent.values()].flat() };
   }
 
-  async function readAfter(previous: Promise<unknown>): Promise<RecordedOrigins | undefined> {
-    await previous;
-    next = undefined;
-    const reading = read();
-    current = reading;
-    return reading;
-  }
-
-  return () => {
-    next ??= readAfter(current);
-    return next;
-  };
+  return shareCalls(read);
 }
