--- a/packages/forwarding/src/ends/limitEnd.ts
+++ b/packages/forwarding/src/ends/limitEnd.ts
@@ -49,7 +49,9 @@
     const least = Math.min(STEP_MIN_MS, told.limit * STEP_MIN_LIMIT_RATIO);
     // The wait of one that is asked whether any event follows is for its turn and holds no step, where steps are known.
     if (known > 0 && isConfirmationPoint(attempt.resumePoint)) return Math.max(known, least);
-    return Math.max(own, first, known, least);
+    // Where no step is known it is the only one shown, and grows as any other.
+    const firstStep = known > 0 ? first : getReckonedStep(first);
+    return Math.max(own, firstStep, known, least);
   }
   // A caller that could not get the rest loses a whole answer, so it counts only where the answer shows no other step.
   if (pauses.getLongest() === 0) return Math.max(own, first, ignoreSilence(known));
--- a/packages/forwarding/test/limitEnd.test.ts
+++ b/packages/forwarding/test/limitEnd.test.ts
@@ -5,6 +5,7 @@
 import { mayBeLimitEnd } from '../src/ends/limitEnd';
 import { createPauseHistory } from '../src/ends/pauseHistory';
 import type { RouteKind } from '../src';
+import { createResumePoint } from '../src/attempts/resumePoint';
 import type { SentAttempt } from '../src/attempts/sentAttempt';
 import type { Run } from '../src/run';
 
@@ -13,21 +14,24 @@
 /** An answer by the pauses before its events or parts and before its end. */
 interface Answer {
   kind?: RouteKind;
+  isResumable?: boolean;
   pauses: Milliseconds[];
   end?: Milliseconds;
   /** Pause that another stream of the same endpoint has shown just before. */
   elsewhere?: Milliseconds;
 }
 
-async function judge({ kind = 'streaming', pauses, end = 0, elsewhere }: Answer): Promise<boolean> {
+async function judge(answer: Answer): Promise<boolean> {
+  const { kind = 'streaming', isResumable = false, pauses, end = 0, elsewhere } = answer;
   const clock = createManualClock();
   const pauseHistory = createPauseHistory(clock);
   if (elsewhere !== undefined) pauseHistory.note('e', 's', elsewhere);
-  const run = { host: { pauseHistory }, request: { route: { kind }, service: 's' } };
+  const run = { host: { pauseHistory }, request: { route: { kind, isResumable }, service: 's' } };
   const attempt = {
     told: { limit: LIMIT_MS, at: clock.elapsed() },
     pauses: createAnswerPauses({ clock, getHeldUpTime: () => 0 }),
     slot: { endpoint: { name: 'e' } } as Slot,
+    resumePoint: createResumePoint(undefined),
   };
   for (const pause of pauses) {
     await clock.advance(pause);
@@ -60,6 +64,24 @@
   expect(await judge(answer)).toBe(expected);
 });
 
+test.each<[string, Answer, boolean]>([
+  ['with its first event, late enough for half a step in reserve', { pauses: [801] }, true],
+  ['with its first event before that', { pauses: [799] }, false],
+  ['after a silence', { pauses: [100, 1300, 20] }, true],
+  [
+    'with a first event that waited for steps that are known',
+    { pauses: [801], elsewhere: 20 },
+    false,
+  ],
+  ['beside streams with steps of half a reserve', { pauses: [600, 20], elsewhere: 600 }, false],
+  ['beside streams with longer steps', { pauses: [801, 20], elsewhere: 600 }, true],
+])(
+  'an end of a stream that may be resumed %s may be that of the time limit',
+  async (_, answer, expected) => {
+    expect(await judge({ isResumable: true, ...answer })).toBe(expected);
+  },
+);
+
 test.each<[string, Answer, boolean]>([
   ['in one part', { pauses: [1900] }, false],
   ['in parts', { pauses: [502, 500] }, true],
