--- a/packages/forwarding/src/store/endpointDirectory.ts
+++ b/packages/forwarding/src/store/endpointDirectory.ts
@@ -2,16 +2,20 @@
 import type { Clock, Log, Milliseconds } from '@pomeloroad/core';
 import type { Endpoint } from '@pomeloroad/configuration';
 import type { EndpointRecord } from '../types';
+import {
+  findFate,
+  hasLapsed,
+  isServing,
+  isUsable,
+  LAPSED_GRACE_MS,
+  updateEntry,
+} from './directoryEntry';
+import type { DirectoryEntry, IncarnationFate } from './directoryEntry';
 import { getName, isOutdated, isSameRun, toEndpoint, toLapsed } from './endpointRecords';
 import type { LapsedEndpoint } from './endpointRecords';
 import { createRevivedEntries } from './revivedEntries';
 
-/**
- * Time after an outage of the store, or of an endpoint, during which a missing entry may reappear: entries
- * lapse while endpoints cannot renew them, and live endpoints renew within about two seconds.
- */
-const LAPSED_GRACE_MS: Milliseconds = 2200;
-/** Limit of that time for an entry that the feed reports as removed: its endpoint may be leaving. */
+/** Limit of the time in which a missing entry may reappear, for one that the feed reports as removed: it may be leaving. */
 const REMOVED_GRACE_MS: Milliseconds = 900;
 
 /** Dependencies of the directory. */
@@ -31,9 +35,6 @@
   onVersionChanged(record: EndpointRecord): void;
 }
 
-/** What has become of an endpoint's incarnation, as its entry in the store tells. */
-export type IncarnationFate = 'listed' | 'leaving' | 'gone' | 'started again';
-
 /** Endpoints known from their entries in the store, and whether each may be used. */
 export interface EndpointDirectory {
   /** Replaces the entries by a complete reading; entries missing from it are unlisted. */
@@ -77,33 +78,10 @@
   isLoaded(): boolean;
 }
 
-interface Entry {
-  record: EndpointRecord;
-  isListed: boolean;
-  /** Time of `clock.elapsed()` until which an unlisted entry may be used. */
-  usableUntil: Milliseconds;
-  /** Time of `clock.elapsed()` when the entry was unlisted; `Infinity` while it is listed. */
-  unlistedAt: Milliseconds;
-  /** Time of `clock.elapsed()` at which the feed last told that it was written. */
-  writtenAt: Milliseconds;
-  /** Time of `clock.elapsed()` at which the incarnation was first known. */
-  knownAt: Milliseconds;
-  /** Whether an answer alone told that it is leaving. */
-  hasStatedLeaving: boolean;
-  /** Whether that may have been said under the former entry, so that it is not used until it is written once more. */
-  mayLeave: boolean;
-  /** Whether a later incarnation has answered, whose entry is not known yet. */
-  isPast?: boolean;
-  /** Time of `clock.elapsed()` at which another process was first found at its address; left out if none was. */
-  otherAt?: Milliseconds | undefined;
-  /** What the entry told last that is of an earlier start and another version; left out if it was not ignored. */
-  ignored?: EndpointRecord;
-}
-
 /** Creates an empty directory. */
 export function createEndpointDirectory(host: DirectoryHost): EndpointDirectory {
   const { clock, log } = host;
-  const entries = new Map<string, Entry>();
+  const entries = new Map<string, DirectoryEntry>();
   const revived = createRevivedEntries(clock, (record) => {
     if (applyRecord(record)) host.onChange();
   });
@@ -118,22 +96,10 @@
       noteIgnored(record);
       return false;
     }
+    const entry = updateEntry(known, record, clock.elapsed(), writtenAt);
+    entries.set(record.id, entry);
     const isSameIncarnation = known !== undefined && isSameRun(record, known.record);
-    const isLeaving = record.isLeaving || (isSameIncarnation && known.record.isLeaving);
-    const isWritten = writtenAt !== undefined || record.sequence !== known?.record.sequence;
-    const mayLeave = isSameIncarnation ? known.mayLeave && !isWritten : mayBeSpeaker(record, known);
-    entries.set(record.id, {
-      record: { ...record, isLeaving },
-      isListed: true,
-      usableUntil: Infinity,
-      unlistedAt: Infinity,
-      writtenAt: writtenAt ?? known?.writtenAt ?? -Infinity,
-      knownAt: isSameIncarnation ? known.knownAt : clock.elapsed(),
-      hasStatedLeaving: isSameIncarnation && known.hasStatedLeaving && !record.isLeaving,
-      mayLeave,
-      isPast: isSameIncarnation && known.isPast === true,
-      otherAt: isSameIncarnation ? known.otherAt : undefined,
-    });
+    const { isLeaving } = entry.record;
     const { id, born, sequence, address, service, version } = record;
     if (known?.isListed && !isSameIncarnation) host.onLost(known.record);
     const isOtherVersion = known !== undefined && known.record.version !== version;
@@ -141,7 +107,7 @@
     if (known && !isSameIncarnation && known.record.address === address) {
       host.onReplaced(getName(known.record), getName(record));
     }
-    const isSame = known?.record.isLeaving === isLeaving && known.mayLeave === mayLeave;
+    const isSame = known?.record.isLeaving === isLeaving && known.mayLeave === entry.mayLeave;
     if (known?.isListed && isSameIncarnation && isSame) return false;
     const event = isLeaving ? Diagnostics.endpointLeaving : Diagnostics.endpointListed;
     log(event, { endpoint: id, born, sequence, address, service, version });
@@ -159,13 +125,6 @@
     host.onVersionChanged(record);
   }
 
-  // Until its entry came, what an endpoint said was taken for that of the one in whose place it has started. One that
-  // leaves takes its entry back, or says so there.
-  function mayBeSpeaker({ address }: EndpointRecord, former: Entry | undefined): boolean {
-    if (!former?.isListed || former.record.address !== address) return false;
-    return former.hasStatedLeaving;
-  }
-
   function unlist(id: string, grace: Milliseconds): boolean {
     const known = entries.get(id);
     if (!known?.isListed) return false;
@@ -184,29 +143,17 @@
   }
 
   // One that was written since the outage is gone for another reason.
-  function mayHaveLapsed({ writtenAt }: Entry): boolean {
+  function mayHaveLapsed({ writtenAt }: DirectoryEntry): boolean {
     return writtenAt <= storeAvailableAt;
   }
 
   // Does not compare with the clock because the timer may fire slightly early.
-  function expire(id: string, entry: Entry): void {
+  function expire(id: string, entry: DirectoryEntry): void {
     if (entries.get(id) !== entry || entry.isListed) return;
     entries.set(id, { ...entry, usableUntil: -Infinity });
     host.onChange();
   }
 
-  function isUsable(entry: Entry): boolean {
-    return !entry.record.isLeaving && !entry.mayLeave && isServing(entry);
-  }
-
-  function isServing({ isListed, usableUntil }: Entry): boolean {
-    return isListed || clock.elapsed() < usableUntil;
-  }
-
-  function hasLapsed({ record, isListed, unlistedAt }: Entry): boolean {
-    return !isListed && !record.isLeaving && clock.elapsed() - unlistedAt < LAPSED_GRACE_MS;
-  }
-
   function replaceAll(records: EndpointRecord[]): void {
     isLoaded = true;
     const listed = new Set(records.map((record) => record.id));
@@ -222,7 +169,7 @@
   // An endpoint that was gone before the rewind is not used because of what the copy says of it.
   function holdBack(record: EndpointRecord): void {
     const known = entries.get(record.id);
-    if (!known || isServing(known)) return;
+    if (!known || isServing(known, clock.elapsed())) return;
     if (!isSameRun(record, known.record) || record.sequence > known.record.sequence) return;
     revived.hold(record);
   }
@@ -280,17 +227,20 @@
       if (isStoreUnavailable) storeAvailableAt = clock.elapsed();
       isStoreUnavailable = false;
     },
-    list: () => [...entries.values()].map((entry) => toEndpoint(entry.record, !isUsable(entry))),
-    listServing: () => [...entries.values()].filter(isServing).map(({ record }) => record),
-    listLapsed: () => [...entries.values()].filter(hasLapsed).map(({ record }) => toLapsed(record)),
+    list: () =>
+      [...entries.values()].map((entry) =>
+        toEndpoint(entry.record, !isUsable(entry, clock.elapsed())),
+      ),
+    listServing: () =>
+      [...entries.values()]
+        .filter((entry) => isServing(entry, clock.elapsed()))
+        .map(({ record }) => record),
+    listLapsed: () =>
+      [...entries.values()]
+        .filter((entry) => hasLapsed(entry, clock.elapsed()))
+        .map(({ record }) => toLapsed(record)),
     find: (name) => [...entries.values()].find(({ record }) => getName(record) === name)?.record,
-    getFate(record) {
-      const known = entries.get(record.id);
-      if (!known) return 'gone';
-      if (known.record.born > record.born || known.isPast) return 'started again';
-      if (known.record.isLeaving) return 'leaving';
-      return isServing(known) ? 'listed' : 'gone';
-    },
+    getFate: (record) => findFate(entries.get(record.id), record, clock.elapsed()),
     getKnownTime(record) {
       const known = entries.get(record.id);
       if (!known || !isSameRun(known.record, record)) return undefined;
--- a/packages/forwarding/src/suspects/crashWatch.ts
+++ b/packages/forwarding/src/suspects/crashWatch.ts
@@ -1,7 +1,8 @@
 import { Ok } from 'ts-results';
 import { Diagnostics, sleep, withTimeout } from '@pomeloroad/core';
 import type { Clock, Log, Milliseconds, ResponseFraming } from '@pomeloroad/core';
-import type { EndpointDirectory, IncarnationFate } from '../store/endpointDirectory';
+import type { IncarnationFate } from '../store/directoryEntry';
+import type { EndpointDirectory } from '../store/endpointDirectory';
 import type { ForwardMetrics } from '../forwardMetrics';
 import { createAbandonedRequests } from './abandonedRequests';
 import type { RequestSuspects } from './abandonedRequests';
--- a/packages/forwarding/test/answerEnd.test.ts
+++ b/packages/forwarding/test/answerEnd.test.ts
@@ -5,7 +5,7 @@
 import type { SentAttempt } from '../src/attempts/sentAttempt';
 import type { Run } from '../src/run';
 import type { ConnectionFate, EndpointRecord, Identity, Reachability } from '../src';
-import type { IncarnationFate } from '../src/store/endpointDirectory';
+import type { IncarnationFate } from '../src/store/directoryEntry';
 
 const DEADLINE_MS = 1000;
 
--- a/packages/forwarding/test/crashWatch.test.ts
+++ b/packages/forwarding/test/crashWatch.test.ts
@@ -4,7 +4,7 @@
 import { createMetrics } from '@pomeloroad/telemetry';
 import { createForwardMetrics } from '../src';
 import type { Attempt, EndpointRecord, Reachability, StreamStep } from '../src';
-import type { IncarnationFate } from '../src/store/endpointDirectory';
+import type { IncarnationFate } from '../src/store/directoryEntry';
 import { watchCrashes } from '../src/suspects/crashWatch';
 import type { EndpointCrash } from '../src/suspects/crashWatch';
 
--- a/packages/forwarding/test/endpointLife.test.ts
+++ b/packages/forwarding/test/endpointLife.test.ts
@@ -1,7 +1,7 @@
 import { createManualClock } from '@pomeloroad/core';
 import type { Milliseconds } from '@pomeloroad/core';
 import { createEndpointLife } from '../src/ends/endpointLife';
-import type { IncarnationFate } from '../src/store/endpointDirectory';
+import type { IncarnationFate } from '../src/store/directoryEntry';
 import type { EndpointRecord, Identity, Reachability } from '../src/types';
 
 const ENDPOINT: EndpointRecord = {
