--- a/packages/forwarding/src/suspects/suspectTable.ts
+++ b/packages/forwarding/src/suspects/suspectTable.ts
@@ -164,8 +164,15 @@
     { era: answerEra, rows: current }: Conflict,
   ): void {
     if (era !== undefined && era > answerEra) return;
-    checks.filter(isAsChecked).forEach(({ key }) => stored.delete(key));
+    // A conflict of one row leaves the others of the transaction as they are.
+    const isKnown = ({ key, version }: RowCheck) =>
+      era === answerEra && stored.get(key)?.version === version;
+    const kept = new Set(current.filter(isKnown).map(({ key }) => key));
+    checks
+      .filter((check) => isAsChecked(check) && !kept.has(check.key))
+      .forEach(({ key }) => stored.delete(key));
     current
+      .filter(({ key }) => !kept.has(key))
       .filter(({ version }) => !told.includes({ era: answerEra, revision: version }))
       .forEach((row) => stored.set(row.key, decode(row)));
     host.onChange(checks.map(({ key }) => key));
--- a/packages/forwarding/test/suspectTable.test.ts
+++ b/packages/forwarding/test/suspectTable.test.ts
@@ -151,3 +151,18 @@
   expect(table.get('part')).toMatchObject({ ...other, version: 3 });
   expect(transactions[1]?.checks).toEqual([{ ...key, version: 3 }]);
 });
+
+test('a row that others have left as it is stays when another one of its transaction conflicts', async () => {
+  const { clock, table, transactions, answer } = createStand();
+  const updated = table.update(['part', 'second'], () => own);
+  const second = { ...createRow(4, other), ...getSuspectKey('second') };
+  answer(conflict(createRow(3, { ...own, probes: 0 }), second));
+  await clock.advance(100);
+  expect(table.get('part')).toMatchObject({ version: 3 });
+  expect(transactions[1]?.checks).toEqual([
+    { ...key, version: 3 },
+    { ...getSuspectKey('second'), version: 4 },
+  ]);
+  answer(Ok(ownVersion));
+  expect(await updated).toEqual({ kind: 'written', version: 5 });
+});
