--- a/packages/forwarding/src/ends/limitEnd.ts
+++ b/packages/forwarding/src/ends/limitEnd.ts
@@ -49,7 +49,7 @@
     const least = Math.min(STEP_MIN_MS, told.limit * STEP_MIN_LIMIT_RATIO);
     // The wait of one that is asked whether any event follows is for its turn and holds no step, where steps are known.
     if (known > 0 && isConfirmationPoint(attempt.resumePoint)) return Math.max(known, least);
-    // Where no step is known it is the only one shown, and grows as any other.
+    // Where no step is known, the wait is the only one shown, and the next one may be longer.
     const firstStep = known > 0 ? first : getReckonedStep(first);
     return Math.max(own, firstStep, known, least);
   }
--- a/packages/forwarding/src/origins/versionRows.ts
+++ b/packages/forwarding/src/origins/versionRows.ts
@@ -43,8 +43,9 @@
 export function startVersionRows({ clock, rows, signal, versions }: VersionRowsHost): VersionRows {
   const recorded = new Map<string, RowChange['version']>();
   const listed = createVersionHistory(clock);
-  /** Keys of the versions that serve, and of those that have served since the start. */
+  /** Keys of the versions that serve. */
   let serving = new Set<string>();
+  /** Keys of the versions that have served since the start. */
   const seen = new Set<string>();
   let isLoaded = false;
   let isWriting = false;
@@ -72,12 +73,12 @@
 
   // Others may miss that a version has come back, and then notice that its row is a new one.
   function forgetReturned(): void {
-    const now = new Set(versions.listServing().map((served) => getKey(served).key));
-    now.forEach((key) => {
+    const current = new Set(versions.listServing().map((served) => getKey(served).key));
+    current.forEach((key) => {
       if (seen.has(key) && !serving.has(key)) recorded.delete(key);
       seen.add(key);
     });
-    serving = now;
+    serving = current;
   }
 
   function listMissing(): ServedVersion[] {
